--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Set-up, tests, lint, demo and measurements. Every goal prepares the environment itself.
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint format demo bench clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	@$(PYTHON) -c 'import sys; sys.exit(sys.version_info[:2] != (3, 11))' || \
+	  { echo "wagtailrun needs CPython 3.11 (curio 1.6 fails on 3.12 and later); set PYTHON=/path/to/python3.11" >&2; exit 1; }
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+test: setup
+	$(BIN)/python -m tests.run
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/python -m demo
+
+bench: setup
+	$(BIN)/python -m bench
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Stub targets and a demonstration on loopback."""
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,228 @@
+"""Starts the processes of a small fleet on loopback and stops them."""
+
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import curio
+
+from wagtailrun.adapters.http_client import HttpClient, HttpReply
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.ports.link import Address
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 10.0
+POLL_S = 0.05
+TIMEOUT_MS = 10_000
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses that are free now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    addresses = [Address("127.0.0.1", sock.getsockname()[1]) for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return addresses
+
+
+def request(
+    address: Address,
+    method: str,
+    path: str,
+    headers: tuple[tuple[str, str], ...] = (),
+    body: bytes = b"",
+) -> HttpReply:
+    """Send one HTTP request and return the answer."""
+
+    async def send() -> HttpReply:
+        return await HttpClient().request(
+            address, method, path, headers, body, timeout_ms=TIMEOUT_MS
+        )
+
+    return curio.run(send)
+
+
+class Fleet:
+    """Processes of a fleet, started and stopped by id.
+
+    Args:
+        text: Fleet text.
+        data_centres: Names of the data centres.
+        entries_per_centre: Entries in each data centre.
+        controls: Control members.
+        services: Services that get a stub target in each data centre.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        data_centres: list[str],
+        services: list[str],
+        entries_per_centre: int = 2,
+        controls: int = 1,
+    ):
+        self.text = text
+        self.folder = tempfile.TemporaryDirectory(prefix="wagtailrun-")
+        self.processes_by_name: dict[str, subprocess.Popen] = {}
+        self.arguments_by_name: dict[str, list[str]] = {}
+        self.environment = {
+            **os.environ,
+            "WAGTAILRUN_PEER_SECRET": secrets.token_hex(16),
+            "WAGTAILRUN_OPERATOR_CREDENTIAL": secrets.token_hex(16),
+        }
+        entry_names = [
+            f"{centre}-entry-{number}"
+            for centre in data_centres
+            for number in range(1, entries_per_centre + 1)
+        ]
+        target_names = [f"{c}-{service}" for c in data_centres for service in services]
+        addresses = iter(
+            free_addresses(2 * controls + 3 * len(entry_names) + len(target_names))
+        )
+        self.operator_by_name = {
+            f"control-{n}": next(addresses) for n in range(controls)
+        }
+        self.control_peer_by_name = {
+            name: next(addresses) for name in self.operator_by_name
+        }
+        self.caller_by_name = {name: next(addresses) for name in entry_names}
+        self.target_side_by_name = {name: next(addresses) for name in entry_names}
+        self.entry_peer_by_name = {name: next(addresses) for name in entry_names}
+        self.target_by_name = {name: next(addresses) for name in target_names}
+
+    def __enter__(self) -> "Fleet":
+        for name in self.control_peer_by_name:
+            self.start(name, self._control_arguments(name))
+        for name in self.caller_by_name:
+            self.start(name, self._entry_arguments(name))
+        for name in self.target_by_name:
+            self.start(name, self._target_arguments(name))
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        for process in self.processes_by_name.values():
+            process.send_signal(signal.SIGKILL)
+        for process in self.processes_by_name.values():
+            process.wait(STOP_LIMIT_S)
+        self.folder.cleanup()
+
+    def start(self, name: str, arguments: list[str]) -> None:
+        """Start one process."""
+        self.arguments_by_name[name] = arguments
+        log = Path(self.folder.name) / f"{name}.log"
+        with log.open("ab") as output:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                env=self.environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def kill(self, name: str) -> None:
+        """End one process with SIGKILL."""
+        self.processes_by_name[name].kill()
+        self.processes_by_name[name].wait(STOP_LIMIT_S)
+
+    def restart(self, name: str) -> None:
+        """Start a process again with the same arguments."""
+        self.start(name, self.arguments_by_name[name])
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (Path(self.folder.name) / f"{name}.log").read_text(errors="replace")
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run one operator command against the first control member."""
+        address = str(next(iter(self.operator_by_name.values())))
+        return subprocess.run(
+            [sys.executable, "-m", "wagtailrun", *arguments],
+            env={**self.environment, "WAGTAILRUN_CONTROL": address},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def apply_text(self) -> None:
+        """Apply the fleet text and wait until every entry is ready."""
+        path = Path(self.folder.name) / "fleet.toml"
+        path.write_text(self.text, encoding="utf-8")
+        deadline = time.monotonic() + START_LIMIT_S
+        while True:
+            result = self.command("apply", str(path), "--base", "0")
+            if result.returncode == 0:
+                break
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"apply failed: {result.stdout}{result.stderr}")
+            time.sleep(POLL_S)
+        for address in self.caller_by_name.values():
+            self.wait_ready(address)
+
+    def wait_ready(self, address: Address) -> None:
+        """Wait until an entry says that it is ready."""
+        deadline = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline:
+            try:
+                if request(address, "GET", "/readyz").status == 200:
+                    return
+            except TargetFailed:
+                pass
+            time.sleep(POLL_S)
+        raise RuntimeError(f"entry at {address} is not ready")
+
+    def _control_arguments(self, name: str) -> list[str]:
+        members = self.control_peer_by_name
+        others = [str(a) for other, a in members.items() if other != name]
+        bootstrap = ",".join(
+            f"{member}={address}" for member, address in members.items()
+        )
+        return [
+            "wagtailrun",
+            "control",
+            f"--name={name}",
+            "--data-centre=first",
+            f"--operator-address={self.operator_by_name[name]}",
+            f"--peer-address={members[name]}",
+            f"--data-folder={self.folder.name}/{name}",
+            f"--control-peers={','.join(others)}",
+            f"--bootstrap={bootstrap}",
+        ]
+
+    def _entry_arguments(self, name: str) -> list[str]:
+        peers = self.entry_peer_by_name
+        others = [str(address) for other, address in peers.items() if other != name]
+        controls = ",".join(map(str, self.control_peer_by_name.values()))
+        return [
+            "wagtailrun",
+            "entry",
+            f"--name={name}",
+            f"--data-centre={name.split('-entry-')[0]}",
+            f"--caller-address={self.caller_by_name[name]}",
+            f"--target-address={self.target_side_by_name[name]}",
+            f"--peer-address={peers[name]}",
+            f"--entry-peers={','.join(others)}",
+            f"--control-peers={controls}",
+            "--drain-notice-ms=300",
+        ]
+
+    def _target_arguments(self, name: str) -> list[str]:
+        centre, service = name.split("-", 1)
+        local = [
+            str(address)
+            for entry, address in self.target_side_by_name.items()
+            if entry.startswith(f"{centre}-entry-")
+        ]
+        return [
+            "demo.stub_target",
+            f"--name={name}",
+            f"--address={self.target_by_name[name]}",
+            f"--service={service}",
+            f"--data-centre={centre}",
+            f"--entries={','.join(local)}",
+        ]
--- /dev/null
+++ b/demo/stub_target.py
@@ -0,0 +1,161 @@
+"""Stub target: serves stages, a token stream and calls, and counts what it ran."""
+
+import json
+import os
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+
+import curio
+import defopt
+
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_server import HttpServer, Request, Response, json_response
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.ports.link import Address
+
+ANNOUNCE_INTERVAL_S = 0.5
+ANNOUNCE_TIMEOUT_MS = 1_000
+DEFAULT_TOKENS = 20
+
+
+class StubTarget:
+    """One target.
+
+    Args:
+        name: Name of the target.
+        address: Where it serves.
+        service: Service it belongs to.
+        data_centre: Data centre it is in.
+        entries: Target addresses of entries to announce itself to.
+        token_ms: Time between tokens, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        service: str,
+        data_centre: str,
+        entries: list[Address],
+        token_ms: int = 5,
+    ):
+        self.name = name
+        self.address = address
+        self.service = service
+        self.data_centre = data_centre
+        self.entries = entries
+        self.token_ms = token_ms
+        self.incarnation = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.running = 0
+        self.runs_by_key: Counter[str] = Counter()
+        self.cancelled: set[str] = set()
+
+    async def run(self) -> None:
+        """Serve and announce until cancelled."""
+        server = HttpServer(self.address, self.handle)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(server.serve)
+            await group.spawn(self.announce)
+
+    async def announce(self) -> None:
+        """Announce the target to one entry after the other."""
+        client = HttpClient()
+        while True:
+            for entry in self.entries:
+                self.sequence += 1
+                try:
+                    await client.request(
+                        entry,
+                        "POST",
+                        "/v1/targets/announce",
+                        body=json.dumps(self.row()).encode(),
+                        timeout_ms=ANNOUNCE_TIMEOUT_MS,
+                    )
+                except TargetFailed:
+                    continue
+            await curio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def row(self) -> dict:
+        """Return the body of an announcement."""
+        return {
+            "name": self.name,
+            "address": str(self.address),
+            "service": self.service,
+            "data_centre": self.data_centre,
+            "capacity": 8,
+            "incarnation": self.incarnation,
+            "sequence": self.sequence,
+            "load": {"running": self.running, "queued": 0},
+        }
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one call of an entry."""
+        attempt = request.headers.get("wagtailrun-attempt", "")
+        echo = (("Wagtailrun-Attempt", attempt),)
+        kind = request.path.rsplit("/", 1)[-1]
+        if request.path == "/v1/state":
+            return json_response(200, {"runs": self.runs_by_key})
+        if request.method == "DELETE":
+            self.cancelled.add(kind)
+            return json_response(200, {}, echo)
+        body = json.loads(request.body or b"{}")
+        if request.path == "/v1/stages/generate":
+            offset = int(request.headers.get("wagtailrun-resume-offset", "0"))
+            tokens = int(body["input"].get("tokens", DEFAULT_TOKENS))
+            headers = (("Content-Type", "text/event-stream"), *echo)
+            stream = self._tokens(attempt, body, offset, tokens)
+            return Response(200, stream, headers)
+        if request.path.startswith("/v1/calls/"):
+            self.runs_by_key[f"{kind} {json.dumps(body, sort_keys=True)}"] += 1
+            return json_response(200, {"done": kind, "by": self.name}, echo)
+        return json_response(200, {"stage": kind, "by": self.name}, echo)
+
+    async def _tokens(
+        self, attempt: str, body: dict, offset: int, tokens: int
+    ) -> AsyncIterator[bytes]:
+        self.running += 1
+        subject = body["input"].get("prompt", "answer")
+        try:
+            for position in range(offset, tokens):
+                if attempt in self.cancelled:
+                    return
+                await curio.sleep(self.token_ms / 1_000)
+                token = {"offset": position, "text": f"{subject}-{position} "}
+                yield f"event: token\ndata: {json.dumps(token)}\n\n".encode()
+            done = {"tokens": tokens, "tokens_in": len(subject), "engine_ms": tokens}
+            yield f"event: done\ndata: {json.dumps(done)}\n\n".encode()
+        finally:
+            self.running -= 1
+
+
+def main(
+    *,
+    name: str,
+    address: str,
+    service: str,
+    data_centre: str,
+    entries: str,
+    token_ms: int = 5,
+) -> None:
+    """Run a stub target.
+
+    Args:
+        name: Name of the target.
+        address: IP:PORT where it serves.
+        service: Service it belongs to.
+        data_centre: Data centre it is in.
+        entries: IP:PORT of the target interfaces of entries, comma-separated.
+        token_ms: Time between tokens, in milliseconds.
+    """
+    heard = [Address.parse(part) for part in entries.split(",")]
+    target = StubTarget(
+        name, Address.parse(address), service, data_centre, heard, token_ms
+    )
+    curio.run(target.run)
+
+
+if __name__ == "__main__":
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    defopt.run(main)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, named after its modules."""
--- /dev/null
+++ b/wagtailrun/__init__.py
@@ -0,0 +1,16 @@
+"""Serving system for multi-stage model pipelines."""
+
+from wagtailrun.clock import Clock, SystemClock
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict, WagtailrunError
+from wagtailrun.fleet import FleetText, parse_fleet_text
+
+__all__ = [
+    "Clock",
+    "FleetText",
+    "Refusal",
+    "RefusalReason",
+    "SystemClock",
+    "Verdict",
+    "WagtailrunError",
+    "parse_fleet_text",
+]
--- /dev/null
+++ b/wagtailrun/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports on the operating system."""
--- /dev/null
+++ b/wagtailrun/adapters/http_server.py
@@ -0,0 +1,351 @@
+"""HTTP/1.1 server on h11: one task a connection."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import attrs
+import curio
+import h11
+
+from wagtailrun import events
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.ports.link import Address
+
+__all__ = [
+    "HttpServer",
+    "Request",
+    "Response",
+    "json_response",
+    "refusal_response",
+]
+
+MAX_HEADER_BYTES = 16 * 1024
+MAX_BODY_BYTES = 1024 * 1024
+READ_BYTES = 64 * 1024
+# A connection that sends no whole request in this time is closed.
+REQUEST_TIMEOUT_MS = 30_000
+# A caller that takes no byte in this time is given up on.
+WRITE_TIMEOUT_MS = 30_000
+STATUS_BY_REASON = {
+    RefusalReason.MALFORMED: 400,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.UNAUTHORIZED: 401,
+    RefusalReason.UNKNOWN_WORKSPACE: 403,
+    RefusalReason.UNKNOWN_PIPELINE: 404,
+    RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.UNKNOWN_CALL: 404,
+    RefusalReason.KEY_REUSED: 422,
+    RefusalReason.INVALID_TEXT: 422,
+    RefusalReason.STALE_REVISION: 409,
+    RefusalReason.ORDER_OPEN: 409,
+    RefusalReason.SHARE_EXCEEDED: 429,
+    RefusalReason.DEADLINE: 504,
+    RefusalReason.TARGET_FAILED: 502,
+    RefusalReason.INTERNAL: 500,
+}
+DEFAULT_REFUSAL_STATUS = 503
+
+
+@attrs.frozen
+class Request:
+    """A whole HTTP request.
+
+    Attributes:
+        method: Upper-case method.
+        path: Path without query.
+        query: Query string without the question mark.
+        headers: Header values by lower-case name; the last one of a name.
+        body: Whole body.
+        peer: Address of the client.
+    """
+
+    method: str
+    path: str
+    query: str = ""
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    peer: str = ""
+
+
+@attrs.frozen
+class Response:
+    """An HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Whole body, or an async iterator of pieces for a chunked answer.
+        headers: Pairs of header name and value.
+    """
+
+    status: int
+    body: bytes | AsyncIterator[bytes] = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+HttpHandler = Callable[[Request], Awaitable[Response]]
+
+
+def json_response(
+    status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
+) -> Response:
+    """Return ``value`` as a JSON answer."""
+    body = json.dumps(value).encode()
+    return Response(status, body, (("Content-Type", "application/json"), *headers))
+
+
+def problem(refusal: Refusal, status: int) -> dict[str, Any]:
+    """Return the RFC 9457 problem details of a refusal."""
+    return {
+        "type": f"urn:wagtailrun:refusal:{refusal.reason}",
+        "title": str(refusal.reason),
+        "status": status,
+        "detail": refusal.detail,
+        "reason": str(refusal.reason),
+        "verdict": str(refusal.verdict),
+        "retry_after_ms": refusal.retry_after_ms,
+        "attempt_sent": refusal.attempt_sent and refusal.verdict != Verdict.NOT_RUN,
+    }
+
+
+def refusal_response(refusal: Refusal, status: int | None = None) -> Response:
+    """Return the HTTP answer that tells a caller about a refusal.
+
+    Args:
+        refusal: What to tell.
+        status: HTTP status; by default the one that belongs to the reason.
+    """
+    if status is None:
+        status = STATUS_BY_REASON.get(refusal.reason, DEFAULT_REFUSAL_STATUS)
+    headers = [
+        ("Content-Type", "application/problem+json"),
+        ("Cache-Control", "no-store"),
+        ("Wagtailrun-Verdict", str(refusal.verdict)),
+    ]
+    if refusal.retry_after_ms:
+        seconds = -(-refusal.retry_after_ms // MS_PER_SECOND)
+        headers.append(("Retry-After", str(seconds)))
+    body = json.dumps(problem(refusal, status)).encode()
+    return Response(status, body, tuple(headers))
+
+
+def _malformed(detail: str, status: int) -> Response:
+    reason = RefusalReason.TOO_LARGE if status in (413, 431) else None
+    refusal = Refusal(reason or RefusalReason.MALFORMED, Verdict.NOT_RUN, detail)
+    return refusal_response(refusal, status)
+
+
+class RequestRejected(Exception):
+    """The bytes received are no acceptable request."""
+
+    def __init__(self, detail: str, status: int):
+        super().__init__(detail)
+        self.response = _malformed(detail, status)
+
+
+class HttpServer:
+    """Serves HTTP at one address.
+
+    Args:
+        address: Address to listen on.
+        handler: Answers each request.
+        max_body_bytes: Largest accepted body, in bytes.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        handler: HttpHandler,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ):
+        self.address = address
+        self.handler = handler
+        self.max_body_bytes = max_body_bytes
+        self.draining = False
+        self.active_requests = 0
+        self.idle_sockets: set[Any] = set()
+
+    async def serve(self) -> None:
+        """Accept connections until cancelled."""
+        await curio.tcp_server(
+            self.address.host, self.address.port, self._serve_connection
+        )
+
+    async def close_idle(self) -> None:
+        """Close the keep-alive connections that carry no request."""
+        for sock in list(self.idle_sockets):
+            await sock.shutdown(0)
+
+    async def _serve_connection(self, sock: Any, peer: Any) -> None:
+        connection = _ServerConnection(self, sock, str(peer[0]))
+        try:
+            await connection.run()
+        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+            # The client is gone or takes nothing; there is nobody to tell.
+            return
+        except Exception as error:
+            # Closing without the final chunk shows the client that the answer is cut.
+            events.log(events.HANDLER_FAILED, detail=repr(error))
+
+
+class _ServerConnection:
+    """State of one accepted connection."""
+
+    def __init__(self, server: HttpServer, sock: Any, peer: str):
+        self.server = server
+        self.sock = sock
+        self.peer = peer
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+
+    async def run(self) -> None:
+        while True:
+            try:
+                request = await self._read_request()
+            except RequestRejected as error:
+                await self._send(error.response, close=True)
+                return
+            if request is None:
+                return
+            self.server.active_requests += 1
+            try:
+                response = await self._handle(request)
+                if response is None:
+                    return
+                await self._send(response, close=self.server.draining)
+            finally:
+                self.server.active_requests -= 1
+            if self.http.our_state is not h11.DONE:
+                return
+            if self.http.their_state is not h11.DONE:
+                return
+            self.http.start_next_cycle()
+
+    async def _read_request(self) -> Request | None:
+        """Return the next request, or None when the client closed."""
+        try:
+            head = await self._read_head()
+            if head is None:
+                return None
+            body = await self._read_body()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            if status not in (413, 431):
+                status = 400
+            raise RequestRejected(str(error), status) from error
+        path, _, query = head.target.decode("latin-1").partition("?")
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        method = head.method.decode("ascii")
+        return Request(method, path, query, headers, body, self.peer)
+
+    async def _read_head(self) -> h11.Request | None:
+        idle = self.http.trailing_data[0] == b""
+        if idle and self.server.draining:
+            return None
+        if idle:
+            self.server.idle_sockets.add(self.sock)
+        try:
+            event = await self._next_event()
+        except curio.TaskTimeout:
+            return None
+        finally:
+            self.server.idle_sockets.discard(self.sock)
+        if isinstance(event, h11.Request):
+            return event
+        return None
+
+    async def _read_body(self) -> bytes:
+        pieces = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self.server.max_body_bytes:
+                    limit = self.server.max_body_bytes
+                    raise RequestRejected(f"body exceeds {limit} bytes", 413)
+                pieces.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(pieces)
+            else:
+                raise RequestRejected("connection closed in the body", 400)
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                info = h11.InformationalResponse(status_code=100, headers=[])
+                await self._write(self.http.send(info))
+            async with curio.timeout_after(REQUEST_TIMEOUT_MS / MS_PER_SECOND):
+                data = await self.sock.recv(READ_BYTES)
+            self.http.receive_data(data)
+
+    async def _handle(self, request: Request) -> Response | None:
+        """Return the handler's answer, or None if the client left meanwhile."""
+        task = await curio.spawn(self.server.handler, request)
+        watcher = await curio.spawn(self._watch_disconnect, task, daemon=True)
+        try:
+            return await task.join()
+        except curio.TaskError as error:
+            if isinstance(error.__cause__, curio.TaskCancelled):
+                return None
+            events.log(events.HANDLER_FAILED, detail=repr(error.__cause__))
+            refusal = Refusal(
+                RefusalReason.INTERNAL,
+                Verdict.MAY_HAVE_RUN,
+                "the request failed inside the system",
+            )
+            return refusal_response(refusal)
+        except curio.CancelledError:
+            await task.cancel()
+            raise
+        finally:
+            await watcher.cancel()
+
+    async def _watch_disconnect(self, task: curio.Task) -> None:
+        try:
+            data = await self.sock.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        if data:
+            # A pipelined request; it is parsed after the current answer.
+            self.http.receive_data(data)
+        else:
+            await task.cancel(blocking=False)
+
+    async def _send(self, response: Response, close: bool) -> None:
+        headers = [*response.headers]
+        if close:
+            headers.append(("Connection", "close"))
+        if isinstance(response.body, bytes):
+            headers.append(("Content-Length", str(len(response.body))))
+            head = h11.Response(status_code=response.status, headers=headers)
+            data = [self.http.send(head), self.http.send(h11.Data(response.body))]
+            data.append(self.http.send(h11.EndOfMessage()))
+            await self._write(b"".join(data))
+            return
+        await self._send_stream(response, headers)
+
+    async def _send_stream(self, response: Response, headers: list) -> None:
+        headers.append(("Transfer-Encoding", "chunked"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        await self._write(self.http.send(head))
+        pieces = response.body
+        try:
+            async for piece in pieces:
+                await self._write(self.http.send(h11.Data(piece)))
+        finally:
+            await pieces.aclose()
+        await self._write(self.http.send(h11.EndOfMessage()))
+
+    async def _write(self, data: bytes | None) -> None:
+        if data:
+            async with curio.timeout_after(WRITE_TIMEOUT_MS / MS_PER_SECOND):
+                await self.sock.sendall(data)
--- /dev/null
+++ b/wagtailrun/adapters/tcp_link.py
@@ -0,0 +1,183 @@
+"""Peer messages over TCP: length-prefixed frames, one call at a time a connection."""
+
+import hashlib
+import hmac
+import secrets
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from wagtailrun import events
+from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.codec import decode, encode
+from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.messages import PeerError
+from wagtailrun.ports.link import Address, Handler, PeerLink
+
+__all__ = ["TcpPeerLink", "serve_peers"]
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+LENGTH = struct.Struct(">I")
+NONCE_BYTES = 16
+DIGEST_BYTES = 32
+HANDSHAKE_TIMEOUT_MS = 2_000
+IDLE_TIMEOUT_MS = 60_000
+MAX_IDLE_CONNECTIONS_PER_PEER = 4
+# Well under IDLE_TIMEOUT_MS, so that a pooled connection is not reused while the
+# server closes it.
+MAX_POOLED_AGE_MS = 20_000
+
+
+async def _read_exactly(sock: Any, size: int) -> bytes:
+    chunks = []
+    while size:
+        chunk = await sock.recv(min(size, 65_536))
+        if not chunk:
+            raise EOFError("connection closed by peer")
+        chunks.append(chunk)
+        size -= len(chunk)
+    return b"".join(chunks)
+
+
+async def _read_frame(sock: Any) -> bytes:
+    (size,) = LENGTH.unpack(await _read_exactly(sock, LENGTH.size))
+    if size > MAX_FRAME_BYTES:
+        raise MessageError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+    return await _read_exactly(sock, size)
+
+
+async def _write_frame(sock: Any, frame: bytes) -> None:
+    await sock.sendall(LENGTH.pack(len(frame)) + frame)
+
+
+def _digest(secret: bytes, label: bytes, *nonces: bytes) -> bytes:
+    return hmac.new(secret, label + b"".join(nonces), hashlib.sha256).digest()
+
+
+async def _handshake_client(sock: Any, secret: bytes) -> None:
+    """Prove knowledge of the secret to the server and ask the same of it."""
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    server_nonce = await _read_exactly(sock, NONCE_BYTES)
+    await sock.sendall(nonce + _digest(secret, b"client", server_nonce, nonce))
+    answer = await _read_exactly(sock, DIGEST_BYTES)
+    if not hmac.compare_digest(answer, _digest(secret, b"server", nonce, server_nonce)):
+        raise MessageError("peer does not know the shared secret")
+
+
+async def _handshake_server(sock: Any, secret: bytes) -> None:
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    await sock.sendall(nonce)
+    client_nonce = await _read_exactly(sock, NONCE_BYTES)
+    proof = await _read_exactly(sock, DIGEST_BYTES)
+    if not hmac.compare_digest(proof, _digest(secret, b"client", nonce, client_nonce)):
+        raise MessageError("peer does not know the shared secret")
+    await sock.sendall(_digest(secret, b"server", client_nonce, nonce))
+
+
+class TcpPeerLink(PeerLink):
+    """Calls peers over pooled TCP connections.
+
+    A connection carries one call at a time and is dropped after any failure, so a
+    late reply can never be taken for the reply to another call.
+
+    Args:
+        secret: Shared secret of the system's processes.
+    """
+
+    def __init__(self, secret: bytes):
+        self.secret = secret
+        self.clock = SystemClock()
+        # Each entry is (time of last use in ms, socket).
+        self.idle_by_address: dict[Address, list[tuple[int, Any]]] = {}
+
+    async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
+        """Send ``message`` and return the reply; see ``PeerLink.call``."""
+        frame = encode(message)
+        sent = False
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                sock = await self._connection(address)
+                try:
+                    sent = True
+                    await _write_frame(sock, frame)
+                    reply = decode(await _read_frame(sock))
+                except BaseException:
+                    await sock.close()
+                    raise
+        except (OSError, EOFError, MessageError, curio.TaskTimeout) as error:
+            # Other pooled connections of a silent path are as dead as this one.
+            await self._drop_idle(address)
+            detail = f"no reply from peer {address}: {error or type(error).__name__}"
+            raise PeerUnreachable(detail, sent=sent) from error
+        await self._release(address, sock)
+        if isinstance(reply, PeerError):
+            raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
+        return reply
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self.idle_by_address):
+            await self._drop_idle(address)
+
+    async def _connection(self, address: Address) -> Any:
+        idle = self.idle_by_address.get(address)
+        while idle:
+            used_ms, sock = idle.pop()
+            if self.clock.now_ms() - used_ms < MAX_POOLED_AGE_MS:
+                return sock
+            await sock.close()
+        sock = await curio.open_connection(address.host, address.port)
+        try:
+            await _handshake_client(sock, self.secret)
+        except BaseException:
+            await sock.close()
+            raise
+        return sock
+
+    async def _release(self, address: Address, sock: Any) -> None:
+        idle = self.idle_by_address.setdefault(address, [])
+        if len(idle) < MAX_IDLE_CONNECTIONS_PER_PEER:
+            idle.append((self.clock.now_ms(), sock))
+        else:
+            await sock.close()
+
+    async def _drop_idle(self, address: Address) -> None:
+        for _, sock in self.idle_by_address.pop(address, []):
+            await sock.close()
+
+
+async def serve_peers(address: Address, secret: bytes, handler: Handler) -> None:
+    """Answer peers at ``address`` until cancelled.
+
+    Args:
+        address: Address to listen on.
+        secret: Shared secret of the system's processes.
+        handler: Called with each message; returns the reply.
+    """
+
+    async def serve_connection(sock: Any, peer: Any) -> None:
+        try:
+            async with curio.timeout_after(HANDSHAKE_TIMEOUT_MS / MS_PER_SECOND):
+                await _handshake_server(sock, secret)
+            while True:
+                async with curio.timeout_after(IDLE_TIMEOUT_MS / MS_PER_SECOND):
+                    frame = await _read_frame(sock)
+                await _write_frame(sock, await _answer(handler, frame))
+        except MessageError as error:
+            events.log(events.PEER_REJECTED, peer=str(peer), detail=str(error))
+        except (OSError, EOFError, curio.TaskTimeout):
+            return
+
+    await curio.tcp_server(address.host, address.port, serve_connection)
+
+
+async def _answer(handler: Callable[[Any], Awaitable[Any]], frame: bytes) -> bytes:
+    try:
+        return encode(await handler(decode(frame)))
+    except MessageError:
+        raise
+    except Exception as error:  # A fault in one handler must not end the listener.
+        events.log(events.HANDLER_FAILED, detail=repr(error))
+        return encode(PeerError("internal", repr(error)))
--- /dev/null
+++ b/wagtailrun/clock.py
@@ -0,0 +1,43 @@
+"""The clock type: integer milliseconds, monotonic and wall time."""
+
+import time
+from abc import ABC, abstractmethod
+
+import curio
+
+__all__ = ["MS_PER_SECOND", "Clock", "SystemClock"]
+
+MS_PER_SECOND = 1_000
+NS_PER_MS = 1_000_000
+
+
+class Clock(ABC):
+    """Source of time for every module that waits or takes timestamps."""
+
+    @abstractmethod
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds, from an arbitrary start."""
+
+    @abstractmethod
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch, which may step."""
+
+    @abstractmethod
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """Suspend the calling task for ``duration_ms`` milliseconds."""
+
+
+class SystemClock(Clock):
+    """Clock of the operating system."""
+
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+        return time.monotonic_ns() // NS_PER_MS
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+        return time.time_ns() // NS_PER_MS
+
+    async def sleep_ms(self, duration_ms: int) -> None:
+        """Suspend the calling task for ``duration_ms`` milliseconds."""
+        await curio.sleep(max(duration_ms, 0) / MS_PER_SECOND)
--- /dev/null
+++ b/wagtailrun/codec.py
@@ -0,0 +1,116 @@
+"""Converts attrs messages to Cap'n Proto frames and back."""
+
+import enum
+import re
+from importlib import resources
+from typing import Any, TypeVar
+
+import attrs
+import capnp
+import cattrs
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+from wagtailrun.exceptions import MessageError
+
+__all__ = ["Channel", "Codec", "codec_of", "decode", "encode"]
+
+T = TypeVar("T")
+
+# Reading limit of Cap'n Proto in 8-byte words: bounds work on a hostile frame.
+TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
+
+
+class Channel(enum.IntEnum):
+    """First byte of a frame: which schema its message belongs to."""
+
+    PEER = 0
+    CONSENSUS = 1
+    REGISTRY = 2
+    SPREAD = 3
+    ACCOUNTS = 4
+
+
+def camel_case(name: str) -> str:
+    """Return the Cap'n Proto spelling of a Python field name."""
+    return re.sub(r"_(\w)", lambda match: match.group(1).upper(), name)
+
+
+class Codec:
+    """Encodes the messages of one schema.
+
+    The schema file holds a struct ``Message`` whose only member is a union; each
+    member of the union is a message class in camel case with a lower first letter.
+    Field names of the classes are the schema's in snake case.
+
+    Args:
+        channel: Channel whose frames this codec reads and writes.
+        schema_file: Name of the schema file in ``wagtailrun.schema``.
+        message_classes: attrs classes that may be sent.
+    """
+
+    codecs_by_channel: dict[Channel, "Codec"] = {}
+    codecs_by_class: dict[type, "Codec"] = {}
+
+    def __init__(self, channel: Channel, schema_file: str, message_classes: list[type]):
+        path = resources.files("wagtailrun.schema") / schema_file
+        self.channel = channel
+        self.struct = capnp.load(str(path)).Message
+        self.converter = cattrs.Converter()
+        self.converter.register_unstructure_hook_factory(attrs.has, self._unstructurer)
+        self.converter.register_structure_hook_factory(attrs.has, self._structurer)
+        self.classes_by_tag = {self.tag_of(cls): cls for cls in message_classes}
+        self.tags_by_class = {cls: tag for tag, cls in self.classes_by_tag.items()}
+        self.codecs_by_channel[channel] = self
+        self.codecs_by_class.update(dict.fromkeys(message_classes, self))
+
+    @staticmethod
+    def tag_of(cls: type) -> str:
+        """Return the union member that carries ``cls``."""
+        return cls.__name__[0].lower() + cls.__name__[1:]
+
+    def encode(self, message: Any) -> bytes:
+        """Return ``message`` as bytes of the schema's ``Message`` struct."""
+        tag = self.tags_by_class[type(message)]
+        values = self.converter.unstructure(message)
+        return self.struct.new_message(**{tag: values}).to_bytes()
+
+    def decode(self, data: bytes) -> Any:
+        """Return the message in ``data``; raises MessageError if there is none."""
+        try:
+            with self.struct.from_bytes(
+                data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+            ) as reader:
+                tag = str(reader.which())
+                values = getattr(reader, tag).to_dict()
+            return self.converter.structure(values, self.classes_by_tag[tag])
+        except (capnp.KjException, cattrs.BaseValidationError, KeyError) as error:
+            raise MessageError(f"undecodable {self.channel.name} frame") from error
+
+    def _unstructurer(self, cls: type[T]) -> Any:
+        return make_dict_unstructure_fn(cls, self.converter, **_renames(cls))
+
+    def _structurer(self, cls: type[T]) -> Any:
+        return make_dict_structure_fn(cls, self.converter, **_renames(cls))
+
+
+def _renames(cls: type) -> dict[str, Any]:
+    fields = attrs.fields(cls)
+    return {field.name: override(rename=camel_case(field.name)) for field in fields}
+
+
+def codec_of(message: Any) -> Codec:
+    """Return the codec that encodes ``message``."""
+    return Codec.codecs_by_class[type(message)]
+
+
+def encode(message: Any) -> bytes:
+    """Return the frame of ``message``: channel byte, then the encoded message."""
+    codec = codec_of(message)
+    return bytes((codec.channel,)) + codec.encode(message)
+
+
+def decode(frame: bytes) -> Any:
+    """Return the message in ``frame``; raises MessageError if there is none."""
+    if not frame or frame[0] not in Codec.codecs_by_channel:
+        raise MessageError("frame of an unknown channel")
+    return Codec.codecs_by_channel[Channel(frame[0])].decode(frame[1:])
--- /dev/null
+++ b/wagtailrun/entry.py
@@ -0,0 +1,134 @@
+"""Entry daemon: takes requests from callers and announcements from targets."""
+
+import secrets
+import signal
+from typing import Any
+
+import curio
+
+from wagtailrun import events
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.adapters.http_target import HttpTargetClient
+from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
+from wagtailrun.caller_api import CallerApi
+from wagtailrun.clock import SystemClock
+from wagtailrun.control_client import ControlClient
+from wagtailrun.dispatch import Dispatcher
+from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.fleet import FleetText, parse_fleet_text
+from wagtailrun.membership import Membership
+from wagtailrun.messages import Ping, Pong
+from wagtailrun.orders import OrderRunner
+from wagtailrun.pipeline import PipelineRunner
+from wagtailrun.registry_messages import TextUpdate, WatchText
+from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.settings import EntrySettings
+from wagtailrun.target_api import TargetApi
+
+__all__ = ["Entry", "run_entry"]
+
+WATCH_WAIT_MS = 10_000
+WATCH_TIMEOUT_MS = 12_000
+WATCH_PAUSE_MS = 500
+DRAIN_POLL_MS = 50
+SIGNAL_POLL_MS = 50
+
+
+class Entry:
+    """All parts of one entry process.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.incarnation = self.clock.wall_ms() << 16 | secrets.randbits(16)
+        self.fleet: FleetText | None = None
+        self.revision = 0
+        self.stop_signals = 0
+        self.link = TcpPeerLink(settings.peer_secret)
+        self.control = ControlClient(self.clock, self.link, settings.control_peers)
+        self.membership = Membership()
+        client = HttpTargetClient(HttpClient(self.clock))
+        self.dispatcher = Dispatcher(
+            self.clock, self.membership, client, LeastLoadedRouter()
+        )
+        orders = OrderRunner(
+            self.clock, self.control, self.dispatcher, settings.name, self.incarnation
+        )
+        runner = PipelineRunner(self.clock, self.dispatcher)
+        self.callers = CallerApi(
+            self.clock, lambda: self.fleet, runner, self.dispatcher, orders
+        )
+        targets = TargetApi(self.clock, self.membership)
+        self.caller_server = HttpServer(settings.caller_address, self.callers.handle)
+        self.target_server = HttpServer(settings.target_address, targets.handle)
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        events.log(events.PROCESS_STARTED, role="entry", name=self.settings.name)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._drain_on_signal)
+            await group.spawn(self.caller_server.serve)
+            await group.spawn(self.target_server.serve)
+            await group.spawn(
+                serve_peers,
+                self.settings.peer_address,
+                self.settings.peer_secret,
+                self.handle_peer,
+            )
+            await group.spawn(self._watch_text)
+        events.log(events.PROCESS_STOPPED, role="entry", name=self.settings.name)
+
+    async def handle_peer(self, message: Any) -> Any:
+        """Answer one message of another process of the system."""
+        if isinstance(message, Ping):
+            return Pong(self.settings.name)
+        raise MessageError(f"{type(message).__name__} is not answered here")
+
+    async def _watch_text(self) -> None:
+        """Keep the newest text that the control members know."""
+        while True:
+            for address in self.settings.control_peers:
+                try:
+                    question = WatchText(self.revision, WATCH_WAIT_MS)
+                    update = await self.link.call(address, question, WATCH_TIMEOUT_MS)
+                    self._take_text(update)
+                except PeerUnreachable:
+                    await self.clock.sleep_ms(WATCH_PAUSE_MS)
+
+    def _take_text(self, update: TextUpdate) -> None:
+        if update.revision > self.revision:
+            self.fleet = parse_fleet_text(update.text)
+            self.revision = update.revision
+
+    async def _drain_on_signal(self) -> None:
+        """Wait for SIGTERM, then end the process without cutting a request."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._count_signal)
+        while not self.stop_signals:
+            await self.clock.sleep_ms(SIGNAL_POLL_MS)
+        events.log(events.DRAIN_STARTED, name=self.settings.name)
+        self.callers.ready = False
+        drain = await curio.spawn(self._drain, daemon=True)
+        while not drain.terminated and self.stop_signals < 2:
+            await self.clock.sleep_ms(SIGNAL_POLL_MS)
+
+    def _count_signal(self, number: int, frame: Any) -> None:
+        self.stop_signals += 1
+
+    async def _drain(self) -> None:
+        limit_ms = self.clock.now_ms() + self.settings.drain_limit_ms
+        await self.clock.sleep_ms(self.settings.drain_notice_ms)
+        self.caller_server.draining = True
+        await self.caller_server.close_idle()
+        while self.caller_server.active_requests and self.clock.now_ms() < limit_ms:
+            await self.clock.sleep_ms(DRAIN_POLL_MS)
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry process until it is told to stop."""
+    await Entry(settings).run()
--- /dev/null
+++ b/wagtailrun/exceptions.py
@@ -0,0 +1,168 @@
+"""All errors, refusals and verdicts."""
+
+import enum
+
+import attrs
+
+__all__ = [
+    "ConsensusUnavailable",
+    "ConnectFailed",
+    "CorruptRecord",
+    "DiskFault",
+    "FleetTextError",
+    "MessageError",
+    "PeerUnreachable",
+    "Refusal",
+    "RefusalReason",
+    "SettingsError",
+    "TargetFailed",
+    "Verdict",
+    "WagtailrunError",
+]
+
+
+class Verdict(enum.StrEnum):
+    """Says whether a request may have taken effect."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request was refused; each value is a stable name in the API."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    UNKNOWN_WORKSPACE = "unknown-workspace"
+    UNKNOWN_PIPELINE = "unknown-pipeline"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_CALL = "unknown-call"
+    UNAUTHORIZED = "unauthorized"
+    NO_CONFIGURATION = "no-configuration"
+    OVERLOADED = "overloaded"
+    SHARE_EXCEEDED = "share-exceeded"
+    DEADLINE = "deadline"
+    NO_TARGET = "no-target"
+    TARGET_FAILED = "target-failed"
+    CONSENSUS_UNAVAILABLE = "consensus-unavailable"
+    KEY_REUSED = "key-reused"
+    KEY_TABLE_FULL = "key-table-full"
+    ORDER_OPEN = "order-open"
+    STALE_REVISION = "stale-revision"
+    INVALID_TEXT = "invalid-text"
+    DRAINING = "draining"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Refusal:
+    """A request that was not answered, returned in place of an answer.
+
+    Attributes:
+        reason: Stable name of the cause.
+        verdict: Whether the request may have taken effect.
+        detail: One sentence for a person.
+        retry_after_ms: When to come back, in milliseconds; 0 means never as is.
+        attempt_sent: Whether this try reached a target; with a verdict of "may have
+            run", False means that only an earlier try of the key may have run.
+    """
+
+    reason: RefusalReason
+    verdict: Verdict
+    detail: str = ""
+    retry_after_ms: int = 0
+    attempt_sent: bool = True
+
+
+class WagtailrunError(Exception):
+    """Base class of all errors that this package raises."""
+
+
+class SettingsError(WagtailrunError):
+    """Settings that cannot be used; the message lists every fault."""
+
+
+class FleetTextError(WagtailrunError):
+    """A fleet text that cannot be accepted.
+
+    Args:
+        faults: One line each: key, value and remedy.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class MessageError(WagtailrunError):
+    """A peer message that cannot be decoded."""
+
+
+class PeerUnreachable(WagtailrunError):
+    """A peer did not answer in time.
+
+    Args:
+        detail: What happened.
+        sent: Whether any byte of the request may have reached the peer.
+    """
+
+    def __init__(self, detail: str, *, sent: bool = True):
+        super().__init__(detail)
+        self.sent = sent
+
+
+class ConsensusUnavailable(WagtailrunError):
+    """No leader with a quorum could be reached.
+
+    Args:
+        detail: What happened.
+        may_have_committed: Whether the command may still take effect.
+        retry_after_ms: When to come back, in milliseconds.
+    """
+
+    def __init__(
+        self, detail: str, *, may_have_committed: bool, retry_after_ms: int = 1_000
+    ):
+        super().__init__(detail)
+        self.may_have_committed = may_have_committed
+        self.retry_after_ms = retry_after_ms
+
+
+class DiskFault(WagtailrunError):
+    """A write or sync failed; the process must stop acknowledging."""
+
+
+class CorruptRecord(WagtailrunError):
+    """A stored record fails its checksum; names file, offset and remedy."""
+
+
+class TargetFailed(WagtailrunError):
+    """A call to a target ended without a usable answer.
+
+    Args:
+        detail: What happened.
+        verdict: Whether the target may have run the call.
+        silent: Whether the connection went silent, as opposed to an error.
+        retry_after_ms: When the target asked to be called again, 0 if it did not.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        verdict: Verdict,
+        silent: bool = False,
+        retry_after_ms: int = 0,
+    ):
+        super().__init__(detail)
+        self.verdict = verdict
+        self.silent = silent
+        self.retry_after_ms = retry_after_ms
+
+
+class ConnectFailed(TargetFailed):
+    """No connection could be opened, so no byte was sent."""
+
+    def __init__(self, detail: str):
+        super().__init__(detail, verdict=Verdict.NOT_RUN)
--- /dev/null
+++ b/wagtailrun/fleet.py
@@ -0,0 +1,426 @@
+"""The fleet text: services, pipelines, workspaces and prices, in TOML."""
+
+import enum
+import re
+import tomllib
+from typing import Any
+
+import attrs
+
+from wagtailrun.exceptions import FleetTextError
+
+__all__ = [
+    "Call",
+    "FleetText",
+    "Pipeline",
+    "Price",
+    "Service",
+    "ServiceKind",
+    "Stage",
+    "StageKind",
+    "Workspace",
+    "parse_fleet_text",
+]
+
+MAX_TEXT_BYTES = 4 * 1024 * 1024
+MAX_FAULTS_REPORTED = 50
+MAX_DEADLINE_MS = 600_000
+MAX_STAGES = 16
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+DEFAULT_DEADLINE_MS = 8_000
+
+
+class ServiceKind(enum.StrEnum):
+    """What the targets of a service are."""
+
+    ENGINE = "engine"
+    POOL = "pool"
+    PLAIN = "plain"
+
+
+class StageKind(enum.StrEnum):
+    """What a stage does; also the last part of its HTTP path at a target."""
+
+    ENCODE = "encode"
+    RETRIEVE = "retrieve"
+    RERANK = "rerank"
+    GENERATE = "generate"
+
+
+@attrs.frozen
+class Price:
+    """Prices of a service, in millionths of the fleet's currency unit."""
+
+    token_in: int = 0
+    token_out: int = 0
+    token_cached: int = 0
+    engine_ms: int = 0
+    call: int = 0
+
+
+@attrs.frozen
+class Call:
+    """One call of a plain service.
+
+    Attributes:
+        name: Name in the HTTP path.
+        idempotent: Whether it may be repeated.
+        may_wait: Whether it may be delayed in favour of others.
+        deadline_ms: Default and longest deadline, in milliseconds.
+    """
+
+    name: str
+    idempotent: bool = False
+    may_wait: bool = False
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+
+
+@attrs.frozen
+class Service:
+    """One service and what it depends on.
+
+    Attributes:
+        name: Name of the service.
+        kind: What its targets are.
+        depends_on: Names of services that it needs.
+        checks_fencing: Whether its targets refuse a stale fencing number.
+        fallback: Whether other data centres may serve it when the local one cannot.
+        model: Model that its engines should hold, or empty.
+        adapters: Adapters that its engines should hold.
+        price: Prices of its work.
+        calls_by_name: Calls of a plain service.
+    """
+
+    name: str
+    kind: ServiceKind
+    depends_on: tuple[str, ...] = ()
+    checks_fencing: bool = False
+    fallback: bool = True
+    model: str = ""
+    adapters: tuple[str, ...] = ()
+    price: Price = Price()
+    calls_by_name: dict[str, Call] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Stage:
+    """One step of a pipeline."""
+
+    kind: StageKind
+    service: str
+
+
+@attrs.frozen
+class Pipeline:
+    """Stages that one request runs through under one deadline.
+
+    Attributes:
+        name: Name in the HTTP path.
+        stages: Stages in order.
+        may_wait: Whether it may be delayed in favour of others.
+        deadline_ms: Default and longest deadline, in milliseconds.
+    """
+
+    name: str
+    stages: tuple[Stage, ...]
+    may_wait: bool = False
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+
+
+@attrs.frozen
+class Workspace:
+    """One customer.
+
+    Attributes:
+        name: Name that callers send.
+        share: Weight of its part of the capacity.
+        priority: Larger is more urgent, 0 to 9.
+    """
+
+    name: str
+    share: int = 1
+    priority: int = 0
+
+
+@attrs.frozen
+class FleetText:
+    """A checked fleet text.
+
+    Attributes:
+        name: Name of the fleet.
+        data_centres: Names of its data centres.
+        weight_loads_per_minute: Loads that the weight store allows a data centre.
+        services_by_name: Services.
+        pipelines_by_name: Pipelines.
+        workspaces_by_name: Workspaces.
+        document: The parsed text as it was written.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    weight_loads_per_minute: int
+    services_by_name: dict[str, Service]
+    pipelines_by_name: dict[str, Pipeline]
+    workspaces_by_name: dict[str, Workspace]
+    document: dict[str, Any] = attrs.field(repr=False, eq=False)
+
+
+class _Table:
+    """Reads the keys of one TOML table and collects what is wrong with them."""
+
+    def __init__(self, value: Any, path: str, faults: list[str]):
+        self.path = path
+        self.faults = faults
+        self.seen: set[str] = set()
+        if not isinstance(value, dict):
+            self.fault("", value, "write a table here")
+            value = {}
+        self.value = value
+
+    def fault(self, key: str, value: Any, remedy: str) -> None:
+        where = f"{self.path}.{key}" if key else self.path
+        self.faults.append(f"{where}: {str(value)[:80]!r} is not accepted; {remedy}")
+
+    def _take(self, key: str, default: Any) -> Any:
+        self.seen.add(key)
+        return self.value.get(key, default)
+
+    def integer(self, key: str, default: int, low: int, high: int) -> int:
+        value = self._take(key, default)
+        if type(value) is not int or not low <= value <= high:
+            self.fault(key, value, f"give a whole number from {low} to {high}")
+            return default
+        return value
+
+    def boolean(self, key: str, default: bool) -> bool:
+        value = self._take(key, default)
+        if not isinstance(value, bool):
+            self.fault(key, value, "give true or false")
+            return default
+        return value
+
+    def name(self, key: str, default: str = "") -> str:
+        value = self._take(key, default)
+        if value != default and not _is_name(value):
+            self.fault(key, value, "use a to z, 0 to 9 and '-', at most 63 characters")
+            return default
+        return value
+
+    def names(self, key: str) -> tuple[str, ...]:
+        value = self._take(key, [])
+        if not isinstance(value, list) or not all(map(_is_name, value)):
+            self.fault(key, value, "give a list of names")
+            return ()
+        if len(set(value)) != len(value):
+            self.fault(key, value, "name each only once")
+        return tuple(value)
+
+    def choice(self, key: str, kinds: type[enum.StrEnum]) -> Any:
+        value = self._take(key, None)
+        options = ", ".join(kinds)
+        if not isinstance(value, str) or value not in set(kinds):
+            self.fault(key, value, f"choose one of {options}")
+            return next(iter(kinds))
+        return kinds(value)
+
+    def table(self, key: str) -> "_Table":
+        return _Table(
+            self._take(key, {}), f"{self.path}.{key}".lstrip("."), self.faults
+        )
+
+    def tables(self, key: str) -> dict[str, "_Table"]:
+        """Return the sub-tables of ``key`` by name."""
+        parent = self.table(key)
+        for name in parent.value:
+            if not _is_name(name):
+                parent.fault(name, name, "use a to z, 0 to 9 and '-' in names")
+        return {name: parent.table(name) for name in parent.value}
+
+    def array(self, key: str) -> list["_Table"]:
+        value = self._take(key, [])
+        if not isinstance(value, list):
+            self.fault(key, value, "give an array of tables")
+            return []
+        return [
+            _Table(item, f"{self.path}.{key}[{number}]", self.faults)
+            for number, item in enumerate(value)
+        ]
+
+    def close(self) -> None:
+        """Report keys that nothing read."""
+        for key in self.value.keys() - self.seen:
+            known = ", ".join(sorted(self.seen))
+            self.fault(key, self.value[key], f"remove it; known keys: {known}")
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and NAME_PATTERN.fullmatch(value) is not None
+
+
+def parse_fleet_text(text: str) -> FleetText:
+    """Parse and check a fleet text.
+
+    Args:
+        text: TOML.
+
+    Returns:
+        The checked text.
+
+    Raises:
+        FleetTextError: With every fault found: key, value and remedy, or the line of
+            a syntax error.
+    """
+    if len(text.encode("utf-8", "surrogatepass")) > MAX_TEXT_BYTES:
+        limit = f"the text is larger than {MAX_TEXT_BYTES} bytes; split the fleet"
+        raise FleetTextError([limit])
+    try:
+        document = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        raise FleetTextError([f"not valid TOML: {error}"]) from error
+    return fleet_from_document(document)
+
+
+def fleet_from_document(document: dict[str, Any]) -> FleetText:
+    """Check a parsed fleet text; see ``parse_fleet_text``."""
+    faults: list[str] = []
+    root = _Table(document, "", faults)
+    head = root.table("fleet")
+    fleet = FleetText(
+        name=head.name("name"),
+        data_centres=head.names("data_centres"),
+        weight_loads_per_minute=head.integer("weight_loads_per_minute", 60, 1, 100_000),
+        services_by_name=_services(root),
+        pipelines_by_name=_pipelines(root),
+        workspaces_by_name=_workspaces(root),
+        document=document,
+    )
+    head.close()
+    root.close()
+    if not fleet.name:
+        head.fault("name", "", "name the fleet")
+    if not fleet.data_centres:
+        head.fault("data_centres", [], "list at least one data centre")
+    _check_references(fleet, faults)
+    if faults:
+        more = len(faults) - MAX_FAULTS_REPORTED
+        shown = sorted(faults)[:MAX_FAULTS_REPORTED]
+        raise FleetTextError(shown + ([f"and {more} more faults"] if more > 0 else []))
+    return fleet
+
+
+def _services(root: _Table) -> dict[str, Service]:
+    services = {}
+    for name, table in root.tables("services").items():
+        services[name] = Service(
+            name=name,
+            kind=table.choice("kind", ServiceKind),
+            depends_on=table.names("depends_on"),
+            checks_fencing=table.boolean("checks_fencing", False),
+            fallback=table.boolean("fallback", True),
+            model=table.name("model"),
+            adapters=table.names("adapters"),
+            price=_price(table.table("price")),
+            calls_by_name=_calls(table),
+        )
+        table.close()
+    return services
+
+
+def _price(table: _Table) -> Price:
+    names = [field.name for field in attrs.fields(Price)]
+    price = Price(**{name: table.integer(name, 0, 0, 10**12) for name in names})
+    table.close()
+    return price
+
+
+def _calls(service: _Table) -> dict[str, Call]:
+    calls = {}
+    for name, table in service.tables("calls").items():
+        calls[name] = Call(
+            name=name,
+            idempotent=table.boolean("idempotent", False),
+            may_wait=table.boolean("may_wait", False),
+            deadline_ms=_deadline(table),
+        )
+        table.close()
+    return calls
+
+
+def _deadline(table: _Table) -> int:
+    return table.integer("deadline_ms", DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS)
+
+
+def _pipelines(root: _Table) -> dict[str, Pipeline]:
+    pipelines = {}
+    for name, table in root.tables("pipelines").items():
+        stages = []
+        for stage in table.array("stages"):
+            stages.append(Stage(stage.choice("kind", StageKind), stage.name("service")))
+            stage.close()
+        if not 1 <= len(stages) <= MAX_STAGES:
+            table.fault("stages", len(stages), f"give 1 to {MAX_STAGES} stages")
+        may_wait = table.boolean("may_wait", False)
+        pipelines[name] = Pipeline(name, tuple(stages), may_wait, _deadline(table))
+        table.close()
+    return pipelines
+
+
+def _workspaces(root: _Table) -> dict[str, Workspace]:
+    workspaces = {}
+    for name, table in root.tables("workspaces").items():
+        share = table.integer("share", 1, 1, 1_000_000)
+        workspaces[name] = Workspace(name, share, table.integer("priority", 0, 0, 9))
+        table.close()
+    return workspaces
+
+
+def _check_references(fleet: FleetText, faults: list[str]) -> None:
+    services = fleet.services_by_name
+    for service in services.values():
+        for name in service.depends_on:
+            if name not in services:
+                faults.append(
+                    f"services.{service.name}.depends_on: {name!r} is no service; "
+                    "add it or remove the name"
+                )
+        if service.calls_by_name and service.kind is not ServiceKind.PLAIN:
+            faults.append(
+                f"services.{service.name}.calls: only plain services have calls; "
+                "set kind to plain or remove the calls"
+            )
+    for pipeline in fleet.pipelines_by_name.values():
+        for number, stage in enumerate(pipeline.stages):
+            _check_stage(fleet, pipeline, number, stage, faults)
+    faults.extend(_dependency_cycles(services))
+
+
+def _check_stage(
+    fleet: FleetText, pipeline: Pipeline, number: int, stage: Stage, faults: list[str]
+) -> None:
+    where = f"pipelines.{pipeline.name}.stages[{number}]"
+    service = fleet.services_by_name.get(stage.service)
+    if service is None:
+        faults.append(f"{where}.service: {stage.service!r} is no service; add it")
+    elif service.kind is ServiceKind.PLAIN:
+        faults.append(f"{where}.service: {stage.service!r} is plain; name an engine")
+    if stage.kind is StageKind.GENERATE and number != len(pipeline.stages) - 1:
+        faults.append(f"{where}.kind: 'generate' must come last; move it")
+
+
+def _dependency_cycles(services: dict[str, Service]) -> list[str]:
+    """Return a fault for every service that depends on itself in the end."""
+    faults = []
+    for name in services:
+        reached: set[str] = set()
+        queue = list(services[name].depends_on)
+        while queue:
+            other = queue.pop()
+            if other in services and other not in reached:
+                reached.add(other)
+                queue.extend(services[other].depends_on)
+        if name in reached:
+            faults.append(
+                f"services.{name}.depends_on: the service depends on itself; "
+                "break the cycle"
+            )
+    return faults
--- /dev/null
+++ b/wagtailrun/pipeline.py
@@ -0,0 +1,114 @@
+"""Runs one request through the stages of its pipeline."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from typing import Any
+
+import attrs
+
+from wagtailrun.clock import Clock
+from wagtailrun.dispatch import Dispatcher, Work
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.fleet import Pipeline, Stage, StageKind, Workspace
+from wagtailrun.ports.target import Token
+
+__all__ = ["PipelineRequest", "PipelineRunner"]
+
+
+@attrs.frozen
+class PipelineRequest:
+    """A caller's request for a pipeline.
+
+    Attributes:
+        request_id: Identifier in all processes.
+        workspace: Workspace of the caller.
+        pipeline: Pipeline to run.
+        body: JSON object of the caller.
+        deadline_at_ms: When the caller's deadline ends, on the clock.
+    """
+
+    request_id: str
+    workspace: Workspace
+    pipeline: Pipeline
+    body: dict[str, Any]
+    deadline_at_ms: int
+
+
+class PipelineRunner:
+    """Runs requests through their stages under one deadline.
+
+    Args:
+        clock: Clock.
+        dispatcher: Runs single stages.
+    """
+
+    def __init__(self, clock: Clock, dispatcher: Dispatcher):
+        self.clock = clock
+        self.dispatcher = dispatcher
+
+    async def run(
+        self, request: PipelineRequest
+    ) -> dict[str, Any] | Refusal | AsyncIterator[tuple[Token, ...] | Refusal]:
+        """Run all stages.
+
+        Returns:
+            The answers of the stages by kind; or, if the last stage generates, a
+            stream of tokens whose last item ends with the end marker or is a refusal.
+        """
+        document = {"input": request.body}
+        stages = request.pipeline.stages
+        for position, stage in enumerate(stages):
+            work = _work(request, stage, document)
+            if stage.kind is StageKind.GENERATE:
+                return await self._start_stream(work, started=position > 0)
+            answer = await self.dispatcher.call(work)
+            if isinstance(answer, Refusal):
+                return _after_stages(answer, started=position > 0)
+            document[stage.kind] = json.loads(answer.body)
+        return document
+
+    async def _start_stream(
+        self, work: Work, started: bool
+    ) -> Refusal | AsyncIterator[tuple[Token, ...] | Refusal]:
+        """Return the stream once its first item is there.
+
+        A stream that fails at once is thereby refused with a status of its own.
+        """
+        stream = self.dispatcher.stream(work)
+        first = await anext(stream)
+        if isinstance(first, Refusal):
+            await stream.aclose()
+            return _after_stages(first, started)
+        return _resume(first, stream)
+
+
+async def _resume(
+    first: tuple[Token, ...], stream: AsyncIterator[tuple[Token, ...] | Refusal]
+) -> AsyncIterator[tuple[Token, ...] | Refusal]:
+    async with aclosing(stream):
+        yield first
+        async for item in stream:
+            yield item
+
+
+def _work(request: PipelineRequest, stage: Stage, document: dict) -> Work:
+    return Work(
+        service=stage.service,
+        path=f"/v1/stages/{stage.kind}",
+        body=json.dumps(document).encode(),
+        request_id=request.request_id,
+        workspace=request.workspace.name,
+        deadline_at_ms=request.deadline_at_ms,
+        may_wait=request.pipeline.may_wait,
+        priority=request.workspace.priority,
+        pipeline=request.pipeline.name,
+        stage=stage.kind,
+    )
+
+
+def _after_stages(refusal: Refusal, started: bool) -> Refusal:
+    """Return ``refusal`` with the verdict of the whole request."""
+    if not started or refusal.reason is RefusalReason.MALFORMED:
+        return refusal
+    return attrs.evolve(refusal, verdict=Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/wagtailrun/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto schemas of the messages between processes of the system."""
