--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -255,9 +255,13 @@
             return None
         finally:
             self.server.idle_sockets.discard(self.sock)
-        if isinstance(event, h11.Request):
-            return event
-        return None
+        if not isinstance(event, h11.Request):
+            return None
+        # h11 applies its own limit only to a head that arrives in several pieces.
+        size = len(event.target) + sum(len(n) + len(v) for n, v in event.headers)
+        if size > MAX_HEADER_BYTES:
+            raise RequestRejected(f"headers exceed {MAX_HEADER_BYTES} bytes", 431)
+        return event
 
     async def _read_body(self) -> bytes:
         pieces = []
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -17,6 +17,7 @@
     refusal_response,
 )
 from wagtailrun.clock import Clock
+from wagtailrun.deadlines import before_deadline
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet import Call, FleetText, Workspace
@@ -155,7 +156,8 @@
     ) -> StageAnswer | Refusal:
         key = request.headers.get("idempotency-key")
         if call.idempotent or key is None:
-            return await self.dispatcher.call(work)
+            call_once = self.dispatcher.call(work)
+            return await before_deadline(self.clock, work.deadline_at_ms, call_once)
         if not KEY_PATTERN.fullmatch(key):
             return _malformed("Idempotency-Key must be 1 to 200 printable characters")
         return await self.orders.run(work, key)
--- /dev/null
+++ b/wagtailrun/deadlines.py
@@ -0,0 +1,47 @@
+"""Ends waits at the deadline of a request."""
+
+from collections.abc import AsyncIterator, Awaitable
+from contextlib import aclosing
+from typing import TypeVar
+
+import curio
+
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+
+__all__ = ["before_deadline", "stream_before_deadline"]
+
+T = TypeVar("T")
+
+
+async def before_deadline(
+    clock: Clock, deadline_at_ms: int, work: Awaitable[T]
+) -> T | Refusal:
+    """Return the result of ``work``, or a refusal when the deadline comes first.
+
+    Args:
+        clock: Clock.
+        deadline_at_ms: Deadline on the clock, in milliseconds.
+        work: Cancelled at the deadline.
+    """
+    remaining_ms = max(deadline_at_ms - clock.now_ms(), 0)
+    try:
+        return await curio.timeout_after(remaining_ms / MS_PER_SECOND, work)
+    except curio.TaskTimeout:
+        detail = "the deadline passed while the request ran"
+        return Refusal(RefusalReason.DEADLINE, Verdict.MAY_HAVE_RUN, detail)
+
+
+async def stream_before_deadline(
+    clock: Clock, deadline_at_ms: int, stream: AsyncIterator[T | Refusal]
+) -> AsyncIterator[T | Refusal]:
+    """Yield the items of ``stream``; a refusal ends them at the deadline."""
+    async with aclosing(stream):
+        while True:
+            try:
+                item = await before_deadline(clock, deadline_at_ms, anext(stream))
+            except StopAsyncIteration:
+                return
+            yield item
+            if isinstance(item, Refusal):
+                return
--- a/wagtailrun/pipeline.py
+++ b/wagtailrun/pipeline.py
@@ -8,6 +8,7 @@
 import attrs
 
 from wagtailrun.clock import Clock
+from wagtailrun.deadlines import before_deadline, stream_before_deadline
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet import Pipeline, Stage, StageKind, Workspace
@@ -62,7 +63,8 @@
             work = _work(request, stage, document)
             if stage.kind is StageKind.GENERATE:
                 return await self._start_stream(work, started=position > 0)
-            answer = await self.dispatcher.call(work)
+            call = self.dispatcher.call(work)
+            answer = await before_deadline(self.clock, work.deadline_at_ms, call)
             if isinstance(answer, Refusal):
                 return _after_stages(answer, started=position > 0)
             document[stage.kind] = json.loads(answer.body)
@@ -75,7 +77,9 @@
 
         A stream that fails at once is thereby refused with a status of its own.
         """
-        stream = self.dispatcher.stream(work)
+        stream = stream_before_deadline(
+            self.clock, work.deadline_at_ms, self.dispatcher.stream(work)
+        )
         first = await anext(stream)
         if isinstance(first, Refusal):
             await stream.aclose()
