Report readiness only once the live targets are known; test real processes

Cause: in a rolling restart of four entries under load, 249 requests and more were refused with "no usable target": a restarted entry was ready as soon as it had the fleet text, before any target had announced itself to it. Ruled out: waiting until every service has a target (a dead service would keep every entry out of rotation). Before / after: tests/test_processes.py::test_rolling_restart_cuts_no_request, 250 failed requests before, none after. With a drain notice and limit of 0 ms the same test still passes, so it does not yet cover the drain itself. Conclusion: a kill in mid-stream, resent keys at four entries, bad requests and a rolling restart are covered on real processes; 13 passed in 19 s. The drain needs a longer stream in that test.

--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,179 @@
+"""Tests of real processes on loopback: kills, planned stops, crossed answers."""
+
+import json
+import signal
+import threading
+import time
+from pathlib import Path
+
+import curio
+import pytest
+
+from demo.processes import Fleet, request
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.exceptions import TargetFailed
+
+SERVICES = ["encoders", "documents", "engines", "dispatch-desk"]
+TEXT = (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text("utf-8")
+PIPELINE = "/v1/pipelines/stockist-query"
+ORDER = "/v1/services/dispatch-desk/book-dispatch"
+WORKSPACE = ("Wagtailrun-Workspace", "stockists")
+GIVE_UP_S = 30.0
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with Fleet(TEXT, ["east", "west"], SERVICES) as running:
+        running.apply_text()
+        for address in running.caller_by_name.values():
+            wait_until(lambda address=address: post(address, PIPELINE).status == 200)
+        yield running
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + GIVE_UP_S
+    while not condition():
+        assert time.monotonic() < deadline, "gave up waiting"
+        time.sleep(0.1)
+
+
+def post(address, path, body=None, *headers):
+    data = json.dumps(body or {"prompt": "stock"}).encode()
+    return request(address, "POST", path, (WORKSPACE, *headers), data)
+
+
+def runs_at_targets(fleet, service):
+    """Return how often each call ran, as the targets of a service counted it."""
+    total = {}
+    for name, address in fleet.target_by_name.items():
+        if name.endswith(service):
+            state = json.loads(request(address, "GET", "/v1/state").body)
+            for call, count in state["runs"].items():
+                total[call] = total.get(call, 0) + count
+    return total
+
+
+def read_until_cut(address, body, on_first_piece):
+    """Return what a caller receives of a stream, and whether it ended properly."""
+
+    async def read():
+        received = b""
+        try:
+            async with HttpClient().open(
+                address,
+                "POST",
+                PIPELINE,
+                (WORKSPACE,),
+                json.dumps(body).encode(),
+                timeout_ms=10_000,
+            ) as stream:
+                while piece := await stream.read(10_000):
+                    if not received:
+                        on_first_piece()
+                    received += piece
+            return received, True
+        except TargetFailed:
+            return received, False
+
+    return curio.run(read)
+
+
+def test_killed_entry_leaves_an_unmistakably_incomplete_answer(fleet):
+    """Guards against a cut answer that a caller takes for a whole one."""
+    name = "west-entry-2"
+    body = {"prompt": "stock", "tokens": 2_000}
+    received, ended = read_until_cut(
+        fleet.caller_by_name[name], body, lambda: fleet.kill(name)
+    )
+    assert b"event: token" in received
+    assert b"event: done" not in received
+    assert not ended
+    fleet.restart(name)
+    fleet.wait_ready(fleet.caller_by_name[name])
+
+
+def test_order_with_a_key_runs_once_at_any_entry(fleet):
+    """Guards against a second run when a key is sent again elsewhere."""
+    order = {"pallets": 3, "shop": "Jalan 9"}
+    answers = [
+        post(address, ORDER, order, ("Idempotency-Key", "order-9"))
+        for address in fleet.caller_by_name.values()
+    ]
+    assert {answer.status for answer in answers} == {200}
+    assert len({answer.body for answer in answers}) == 1
+    call = f"book-dispatch {json.dumps(order, sort_keys=True)}"
+    assert runs_at_targets(fleet, "dispatch-desk")[call] == 1
+
+
+def test_key_with_another_body_is_refused(fleet):
+    """Guards against the outcome of one order being given for another."""
+    address = fleet.caller_by_name["east-entry-1"]
+    key = ("Idempotency-Key", "order-10")
+    assert post(address, ORDER, {"pallets": 1}, key).status == 200
+    refused = post(address, ORDER, {"pallets": 2}, key)
+    assert refused.status == 422
+    assert json.loads(refused.body)["reason"] == "key-reused"
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers", "status"),
+    [
+        (PIPELINE, b"{", (), 400),
+        (PIPELINE, b"[1]", (), 400),
+        (PIPELINE, b"{}", (("Wagtailrun-Deadline-Ms", "soon"),), 400),
+        (PIPELINE, b"{}", (("Wagtailrun-Deadline-Ms", "-5"),), 400),
+        (PIPELINE, b"{}", (("Wagtailrun-Workspace", "nobody"),), 403),
+        ("/v1/pipelines/none", b"{}", (), 404),
+        ("/v1/services/dispatch-desk/none", b"{}", (), 404),
+        (ORDER, b"{}", (("Idempotency-Key", "a b"),), 400),
+        (PIPELINE, b" " * 1_100_000, (), 413),
+    ],
+)
+def test_bad_request_is_refused_with_a_reason(fleet, path, body, headers, status):
+    """Guards against a bad request that runs, or is refused without a verdict."""
+    names = {name for name, _ in headers}
+    common = () if "Wagtailrun-Workspace" in names else (WORKSPACE,)
+    address = fleet.caller_by_name["east-entry-1"]
+    reply = request(address, "POST", path, (*common, *headers), body)
+    assert reply.status == status
+    assert reply.headers["content-type"] == "application/problem+json"
+    assert json.loads(reply.body)["verdict"] == "not-run"
+
+
+def test_rolling_restart_cuts_no_request(fleet):
+    """Guards against a planned stop that cuts a request or a stream."""
+    failures = []
+    stop = threading.Event()
+
+    def call(name):
+        address = fleet.caller_by_name[name]
+        while not stop.is_set():
+            ready = request_or_none(address, "GET", "/readyz")
+            if ready is None or ready.status != 200:
+                time.sleep(0.02)
+                continue
+            reply = request_or_none(address, "POST", PIPELINE)
+            if reply is None or b"event: done" not in reply.body:
+                failures.append((name, reply))
+
+    def request_or_none(address, method, path):
+        try:
+            return request(address, method, path, (WORKSPACE,), b'{"prompt": "a"}')
+        except TargetFailed:
+            return None
+
+    threads = [
+        threading.Thread(target=call, args=(name,)) for name in fleet.caller_by_name
+    ]
+    for thread in threads:
+        thread.start()
+    for name, address in fleet.caller_by_name.items():
+        process = fleet.processes_by_name[name]
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(GIVE_UP_S) == 0
+        fleet.restart(name)
+        fleet.wait_ready(address)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    assert failures == []
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -43,6 +43,7 @@
         runner: Runs pipelines.
         dispatcher: Runs calls of plain services.
         orders: Runs orders that carry a key.
+        is_ready: Whether the load balancer should send requests here.
     """
 
     def __init__(
@@ -52,13 +53,14 @@
         runner: PipelineRunner,
         dispatcher: Dispatcher,
         orders: OrderRunner,
+        is_ready: Callable[[], bool],
     ):
         self.clock = clock
         self.fleet = fleet
         self.runner = runner
         self.dispatcher = dispatcher
         self.orders = orders
-        self.ready = True
+        self.is_ready = is_ready
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of a caller or of the platform's load balancer."""
@@ -75,7 +77,7 @@
         return refusal_response(refusal, 404)
 
     def _readiness(self) -> Response:
-        ready = self.ready and self.fleet() is not None
+        ready = self.is_ready()
         return json_response(200 if ready else 503, {"ready": ready})
 
     async def _answer(self, request: Request, answer: Any, *names: str) -> Response:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -33,6 +33,9 @@
 WATCH_PAUSE_MS = 500
 DRAIN_POLL_MS = 50
 SIGNAL_POLL_MS = 50
+# Every live target announces itself within this time, so an entry that has run for
+# longer knows all of them.
+SETTLE_MS = 2_500
 
 
 class Entry:
@@ -49,6 +52,7 @@
         self.fleet: FleetText | None = None
         self.revision = 0
         self.stop_signals = 0
+        self.started_ms = self.clock.now_ms()
         self.link = TcpPeerLink(settings.peer_secret)
         self.control = ControlClient(self.clock, self.link, settings.control_peers)
         self.membership = Membership()
@@ -61,7 +65,12 @@
         )
         runner = PipelineRunner(self.clock, self.dispatcher)
         self.callers = CallerApi(
-            self.clock, lambda: self.fleet, runner, self.dispatcher, orders
+            self.clock,
+            lambda: self.fleet,
+            runner,
+            self.dispatcher,
+            orders,
+            self.is_ready,
         )
         targets = TargetApi(self.clock, self.membership)
         self.caller_server = HttpServer(settings.caller_address, self.callers.handle)
@@ -83,6 +92,12 @@
             await group.spawn(self._watch_text)
         events.log(events.PROCESS_STOPPED, role="entry", name=self.settings.name)
 
+    def is_ready(self) -> bool:
+        """Whether this entry can serve whatever its data centre can serve."""
+        running_ms = self.clock.now_ms() - self.started_ms
+        settled = running_ms >= SETTLE_MS
+        return self.fleet is not None and settled and not self.stop_signals
+
     async def handle_peer(self, message: Any) -> Any:
         """Answer one message of another process of the system."""
         if isinstance(message, Ping):
@@ -112,7 +127,6 @@
         while not self.stop_signals:
             await self.clock.sleep_ms(SIGNAL_POLL_MS)
         events.log(events.DRAIN_STARTED, name=self.settings.name)
-        self.callers.ready = False
         drain = await curio.spawn(self._drain, daemon=True)
         while not drain.terminated and self.stop_signals < 2:
             await self.clock.sleep_ms(SIGNAL_POLL_MS)
