Make the rolling restart test cover the drain

Cause: requests in that test took about 0.1 s, so most ended between the signal and the exit even without a drain. Ruled out: a drain that cuts nothing because tasks outlive the group: with streams of 200 tokens (about 1 s) and a drain limit of 0 ms the test fails. Before / after: with drain notice and limit of 0 ms, passed before, fails now; with the defaults, passes (18 s). Conclusion: the test fails without the drain and passes with it.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -144,6 +144,8 @@
     """Guards against a planned stop that cuts a request or a stream."""
     failures = []
     stop = threading.Event()
+    # A stream of about a second, so that some are under way at every stop.
+    body = json.dumps({"prompt": "a", "tokens": 200}).encode()
 
     def call(name):
         address = fleet.caller_by_name[name]
@@ -158,7 +160,7 @@
 
     def request_or_none(address, method, path):
         try:
-            return request(address, method, path, (WORKSPACE,), b'{"prompt": "a"}')
+            return request(address, method, path, (WORKSPACE,), body)
         except TargetFailed:
             return None
 
