--- /dev/null
+++ b/tests/test_tcp_link.py
@@ -0,0 +1,126 @@
+"""Tests of peer messages over TCP."""
+
+import curio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from demo.processes import free_addresses
+from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
+from wagtailrun.codec import decode, encode
+from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.messages import Ping, Pong
+
+SECRET = b"a shared secret of the tests"
+TIMEOUT_MS = 2_000
+
+
+def with_peer(handler, client):
+    """Run ``client(address)`` against a peer that answers with ``handler``."""
+
+    async def main():
+        (address,) = free_addresses(1)
+        task = await curio.spawn(serve_peers, address, SECRET, handler)
+        await curio.sleep(0.02)
+        try:
+            async with curio.timeout_after(30):
+                return await client(address)
+        finally:
+            await task.cancel()
+
+    return curio.run(main)
+
+
+async def pong(message):
+    return Pong(message.sender)
+
+
+def test_reply_belongs_to_its_call():
+    """Guards against a late reply that is taken for the reply to another call."""
+
+    async def slow_first(message):
+        if message.sender == "slow":
+            await curio.sleep(0.15)
+        return Pong(message.sender)
+
+    async def client(address):
+        link = TcpPeerLink(SECRET)
+        with pytest.raises(PeerUnreachable) as error:
+            await link.call(address, Ping("slow"), 50)
+        assert error.value.sent
+        await curio.sleep(0.2)
+        return await link.call(address, Ping("next"), TIMEOUT_MS)
+
+    assert with_peer(slow_first, client) == Pong("next")
+
+
+def test_connection_is_reused():
+    """Guards against a new connection and handshake for every message."""
+
+    async def client(address):
+        link = TcpPeerLink(SECRET)
+        await link.call(address, Ping("a"), TIMEOUT_MS)
+        ((_, first),) = link.idle_by_address[address]
+        await link.call(address, Ping("b"), TIMEOUT_MS)
+        ((_, second),) = link.idle_by_address[address]
+        return first is second
+
+    assert with_peer(pong, client)
+
+
+def test_peer_without_the_secret_is_rejected():
+    """Guards against messages from processes that are not of the system."""
+    served = []
+
+    async def record(message):
+        served.append(message)
+        return Pong("")
+
+    async def client(address):
+        with pytest.raises(PeerUnreachable):
+            await TcpPeerLink(b"another secret").call(address, Ping("x"), TIMEOUT_MS)
+
+    with_peer(record, client)
+    assert served == []
+
+
+def test_refused_connection_was_not_sent():
+    """Guards against "may have reached the peer" when no connection was opened."""
+
+    async def main():
+        (address,) = free_addresses(1)
+        await TcpPeerLink(SECRET).call(address, Ping("x"), TIMEOUT_MS)
+
+    with pytest.raises(PeerUnreachable) as error:
+        curio.run(main)
+    assert not error.value.sent
+
+
+def test_fault_in_a_handler_is_answered():
+    """Guards against one failing message that ends the listener."""
+
+    async def faulty(message):
+        if message.sender == "bad":
+            raise ValueError("no")
+        return Pong(message.sender)
+
+    async def client(address):
+        link = TcpPeerLink(SECRET)
+        with pytest.raises(PeerUnreachable):
+            await link.call(address, Ping("bad"), TIMEOUT_MS)
+        return await link.call(address, Ping("good"), TIMEOUT_MS)
+
+    assert with_peer(faulty, client) == Pong("good")
+
+
+@settings(max_examples=300)
+@given(st.binary(max_size=200), st.integers(0, 200), st.integers(0, 255))
+def test_damaged_frame_is_a_message_error(junk, position, value):
+    """Guards against any other exception on bytes from a peer."""
+    frame = bytearray(encode(Ping("some entry of the system")))
+    frame[position % len(frame)] = value
+    for data in (junk, bytes(frame), bytes(frame[: position % len(frame)])):
+        try:
+            decode(data)
+        except MessageError:
+            continue
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -16,6 +16,10 @@
 
 T = TypeVar("T")
 
+# What pycapnp and cattrs raise for bytes that are no message; text that is not UTF-8
+# and frames of a wrong length are ValueErrors.
+MALFORMED = (capnp.KjException, cattrs.BaseValidationError, KeyError, ValueError)
+
 # Reading limit of Cap'n Proto in 8-byte words: bounds work on a hostile frame.
 TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
@@ -83,7 +87,7 @@
                 tag = str(reader.which())
                 values = getattr(reader, tag).to_dict()
             return self.converter.structure(values, self.classes_by_tag[tag])
-        except (capnp.KjException, cattrs.BaseValidationError, KeyError) as error:
+        except MALFORMED as error:
             raise MessageError(f"undecodable {self.channel.name} frame") from error
 
     def _unstructurer(self, cls: type[T]) -> Any:
