Arm the read timeout only when a read has to wait

Ruled out: dropping the timeout of writes (a caller that takes nothing would hold its connection for ever).

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -85,9 +85,14 @@
 
     async def next_event(self, timeout_ms: int) -> Any:
         try:
+            # Most events are complete already; arming a timeout for each of them
+            # would cost as much as reading it.
+            if (event := self.http.next_event()) is not h11.NEED_DATA:
+                return event
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
-                while (event := self.http.next_event()) is h11.NEED_DATA:
+                while event is h11.NEED_DATA:
                     self.http.receive_data(await self.sock.recv(READ_BYTES))
+                    event = self.http.next_event()
                 return event
         except curio.TaskTimeout as error:
             detail = f"connection silent for {timeout_ms} ms"
