Test the interface for callers on arbitrary input

Cause: the caller's interface had tests on real processes only, with a few inputs. Ruled out: fuzzing through sockets, which costs a process start and shows less. Before / after: test_any_request_is_answered draws 100 derandomized requests; every one is answered, and none that says not run has run.

--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -16,15 +16,19 @@
         seed: Seed of delays and failures.
         failure: Probability that a call fails after it ran.
         refused: Probability that no connection can be opened.
-        cut_after: Tokens after which a stream breaks, by attempt count, or None.
+        cut_after: Offset at which a stream breaks once, then at its double, or None.
+        broken_at: Offset at which every stream breaks, or None.
     """
 
-    def __init__(self, clock, seed=0, failure=0.0, refused=0.0, cut_after=None):
+    def __init__(
+        self, clock, seed=0, failure=0.0, refused=0.0, cut_after=None, broken_at=None
+    ):
         self.clock = clock
         self.random = random.Random(seed)
         self.failure = failure
         self.refused = refused
         self.cut_after = cut_after
+        self.broken_at = broken_at
         self.runs: Counter[bytes] = Counter()
         self.attempts = []
         self.cancelled = []
@@ -45,10 +49,12 @@
 
     async def stream(self, address, attempt):
         await self._start(address, attempt)
-        subject = json.loads(attempt.body)["input"]["prompt"]
+        subject = json.loads(attempt.body)["input"].get("prompt")
         count = 10
         for offset in range(attempt.resume_offset, count):
             await self.clock.sleep_ms(5)
+            if offset == self.broken_at:
+                raise TargetFailed("stream broke", verdict=Verdict.MAY_HAVE_RUN)
             if self.cut_after is not None and offset >= self.cut_after:
                 self.cut_after += self.cut_after
                 raise TargetFailed("stream broke", verdict=Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/tests/test_caller_api.py
@@ -0,0 +1,120 @@
+"""Tests of the interface for callers, without sockets."""
+
+import json
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.fake_targets import FakeTargets
+from wagtailrun.adapters.http_server import Request
+from wagtailrun.caller_api import CallerApi
+from wagtailrun.control_client import ControlClient
+from wagtailrun.dispatch import Dispatcher
+from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.membership import Membership, TargetRow
+from wagtailrun.orders import OrderRunner
+from wagtailrun.pipeline import PipelineRunner
+from wagtailrun.ports.link import Address
+from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.virtual_time import run_virtual
+
+FLEET = parse_fleet_text(
+    (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text("utf-8")
+)
+PIPELINE = "/v1/pipelines/stockist-query"
+ORDER = "/v1/services/dispatch-desk/book-dispatch"
+
+
+def answer(request, fleet=FLEET, **faults):
+    """Return the response to ``request``, its body, and the fake targets."""
+
+    async def main(clock):
+        targets = FakeTargets(clock, **faults)
+        membership = Membership()
+        for port, service in enumerate(FLEET.services_by_name, 1):
+            address = Address("127.0.0.1", port)
+            membership.put(TargetRow(service, address, service, "east", 8), 0)
+        dispatcher = Dispatcher(clock, membership, targets, LeastLoadedRouter())
+        control = ControlClient(clock, None, [])
+        orders = OrderRunner(clock, control, dispatcher, "entry", 1)
+        runner = PipelineRunner(clock, dispatcher)
+        api = CallerApi(
+            clock, lambda: fleet, runner, dispatcher, orders, lambda: fleet is not None
+        )
+        response = await api.handle(request)
+        if isinstance(response.body, bytes):
+            return response, response.body, targets
+        return response, b"".join([piece async for piece in response.body]), targets
+
+    return run_virtual(main)
+
+
+def request(path, body=b'{"prompt": "a"}', **headers):
+    names = {name.replace("_", "-"): value for name, value in headers.items()}
+    return Request(
+        "POST", path, "", {"wagtailrun-workspace": "stockists"} | names, body
+    )
+
+
+@given(
+    st.sampled_from([PIPELINE, ORDER, "/v1/pipelines/", "/v1/services/a/b"])
+    | st.text(),
+    st.binary(max_size=50)
+    | st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(max_size=8),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(max_size=8), inner),
+    ).map(lambda value: json.dumps(value).encode()),
+    st.dictionaries(
+        st.sampled_from(
+            ["wagtailrun-deadline-ms", "idempotency-key", "wagtailrun-workspace"]
+        ),
+        st.text(max_size=12) | st.sampled_from(["1", "٣", "stockists", "1e3"]),
+    ),
+)
+def test_any_request_is_answered(path, body, headers):
+    """Guards against an exception, and a refusal without verdict, on any input."""
+    response, data, targets = answer(
+        Request("POST", path, "", {"wagtailrun-workspace": "stockists"} | headers, body)
+    )
+    if response.status >= 400:
+        problem = json.loads(data)
+        assert problem["status"] == response.status
+        if problem["verdict"] == "not-run":
+            assert not targets.runs
+
+
+def test_failed_stream_ends_with_an_error_event():
+    """Guards against a failed stream that ends like a whole one."""
+    response, data, _ = answer(request(PIPELINE), broken_at=3)
+    assert response.status == 200
+    assert b"event: done" not in data
+    assert b'event: error\ndata: {"type"' in data
+    assert b'"verdict": "may-have-run"' in data
+
+
+def test_order_without_a_key_is_sent_once():
+    """Guards against a second run of an order whose first run has failed."""
+    response, data, targets = answer(request(ORDER), failure=1.0)
+    assert response.status == 502
+    assert json.loads(data)["verdict"] == "may-have-run"
+    assert list(targets.runs.values()) == [1]
+    assert targets.attempts[0].fresh
+
+
+def test_keyed_order_without_control_members_sends_nothing():
+    """Guards against "not run" for a key whose history cannot be known."""
+    response, data, targets = answer(request(ORDER, idempotency_key="k"))
+    problem = json.loads(data)
+    assert response.status == 503
+    assert problem["verdict"] == "may-have-run"
+    assert problem["attempt_sent"] is False
+    assert problem["retry_after_ms"] > 0
+    assert not targets.runs
+
+
+def test_entry_without_a_text_refuses():
+    """Guards against serving before a configuration is known."""
+    response, data, _ = answer(request(PIPELINE), fleet=None)
+    assert response.status == 503
+    assert json.loads(data)["reason"] == "no-configuration"
