Make the registry whole: bounded memory, sender numbers, audit chain

Ruled out: telling a resend by the request id (callers choose it, so two requests with the same key and id at one entry would both be handed the attempt; the entry now numbers its runs); telling it by entry incarnation alone (the same fault); parsing the text in apply (the leader checks it once and commits the fault). A withdrawal (CloseOrder of attempt 0) is remembered for a key and sender, because the OpenOrder that it withdraws may still be under way.

--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,425 @@
+"""Tests of the replicated state machine."""
+
+import random
+from unittest import mock
+
+import pytest
+
+from wagtailrun import registry as module
+from wagtailrun.audit import verify_chain
+from wagtailrun.codec import encode
+from wagtailrun.exceptions import Verdict
+from wagtailrun.registry import OrderKey, Registry, SnapshotVersionError
+from wagtailrun.registry_messages import (
+    ApplyText,
+    CloseEngineOrder,
+    CloseOrder,
+    ClosePeriod,
+    EngineOrder,
+    EngineOrderKind,
+    EngineOrderState,
+    GrantController,
+    OpenOrder,
+    OrderState,
+    PutEngineOrder,
+    RecordMembers,
+    SweepOrders,
+)
+
+T0 = 1_767_225_600_000
+KEY = OrderKey("w", "k")
+
+
+class Driver:
+    """Applies commands to a registry, and to a copy restored from a snapshot."""
+
+    def __init__(self):
+        self.registry = Registry()
+        self.index = 0
+
+    def __call__(self, message):
+        self.index += 1
+        return self.registry.apply(self.index, encode(message))
+
+    def restart(self):
+        data = self.registry.snapshot()
+        self.registry = Registry()
+        self.registry.restore(data)
+        assert self.registry.snapshot() == data
+
+
+def change(name, base, now_ms=T0, text="text", fault=""):
+    return ApplyText(name, base, "op", "10.0.0.1", text, now_ms, fault)
+
+
+def opening(key="k", sender=1, now_ms=T0, entry="a", body="d", request="r", life=4_000):
+    return OpenOrder(
+        workspace="w",
+        key=key,
+        service="s",
+        call="c",
+        body_digest=body,
+        entry=entry,
+        entry_incarnation=7,
+        now_ms=now_ms,
+        deadline_ms=now_ms + life,
+        request_id=request,
+        sender=sender,
+    )
+
+
+def closing(verdict, attempt=1, key="k", sender=1, now_ms=T0, entry="a", body=b""):
+    return CloseOrder(
+        workspace="w",
+        key=key,
+        attempt=attempt,
+        verdict=verdict,
+        status=200,
+        body=body,
+        now_ms=now_ms,
+        entry=entry,
+        entry_incarnation=7,
+        sender=sender,
+    )
+
+
+def engine_order(name="o1", kind=EngineOrderKind.LOAD_MODEL):
+    return EngineOrder(name, "e1", "llm", "east", kind, "m")
+
+
+def test_one_of_two_changes_wins_and_resends_get_the_first_verdict():
+    """Guards against both of two concurrent changes, or a resend, taking effect."""
+    apply = Driver()
+    first = apply(change("one", 0))
+    second = apply(change("two", 0, text="other"))
+    invalid = apply(change("three", 1, fault="bad line"))
+    assert (first.accepted, second.accepted, second.revision) == (True, False, 1)
+    assert not invalid.accepted
+    assert invalid.detail == "bad line"
+    apply.restart()
+    assert apply(change("one", 0)) == first
+    assert apply(change("two", 1)) == second
+    assert (apply.registry.text, apply.registry.revision) == ("text", 1)
+
+
+def test_change_memory_keeps_the_newest_and_the_last_day():
+    """Guards against a forgotten verdict, and against memory without bound."""
+    with mock.patch.object(module, "CHANGES_KEPT", 3):
+        apply = Driver()
+        for number in range(5):
+            apply(change(f"old{number}", number))
+        assert len(apply.registry.changes_by_id) == 5
+        day_later = T0 + module.CHANGE_RETENTION_MS + 1
+        apply.restart()
+        apply(change("new", 5, day_later))
+        assert list(apply.registry.changes_by_id) == ["old3", "old4", "new"]
+
+
+def test_change_flood_is_refused_without_effect():
+    """Guards against unbounded memory when changes arrive too fast."""
+    with mock.patch.object(module, "MAX_CHANGES", 2):
+        apply = Driver()
+        apply(change("a", 0))
+        apply(change("b", 1))
+        assert not apply(change("c", 2)).accepted
+        assert apply.registry.revision == 2
+        assert apply(change("c", 2, T0 + module.CHANGE_RETENTION_MS * 2)).revision == 2
+
+
+def test_resent_command_gets_its_attempt_but_no_other_sender_does():
+    """Guards against one attempt handed to two senders, also with equal request ids."""
+    apply = Driver()
+    assert apply(opening()).attempt == 1
+    apply.restart()
+    assert apply(opening()).state == OrderState.OPENED
+    assert apply(opening(sender=2)).state == OrderState.OPEN_ELSEWHERE
+    assert apply(opening(entry="b")).state == OrderState.OPEN_ELSEWHERE
+    assert apply(opening(body="other")).state == OrderState.KEY_REUSED
+
+
+def test_next_attempt_only_after_the_owner_closed_as_not_run():
+    """Guards against a second attempt after an outcome that is not "not run"."""
+    for verdict in Verdict:
+        apply = Driver()
+        apply(opening())
+        assert apply(closing(verdict)).verdict == verdict
+        state = apply(opening(sender=2)).state
+        assert (state == OrderState.OPENED) == (verdict == Verdict.NOT_RUN)
+
+
+@pytest.mark.parametrize("other", [{"sender": 2}, {"entry": "b"}, {"attempt": 2}])
+def test_close_by_another_is_ignored(other):
+    """Guards against an attempt that is closed while its owner may still send it."""
+    apply = Driver()
+    apply(opening())
+    apply(closing(Verdict.NOT_RUN, **other))
+    assert apply(opening(sender=3)).state == OrderState.OPEN_ELSEWHERE
+
+
+def test_first_outcome_stays():
+    """Guards against a late close that changes what callers were told."""
+    apply = Driver()
+    apply(opening())
+    apply(closing(Verdict.COMPLETE, body=b"one"))
+    assert apply(closing(Verdict.NOT_RUN)).body == b"one"
+    assert apply(closing("nonsense")).verdict == Verdict.COMPLETE
+
+
+def test_withdrawn_sender_never_opens():
+    """Guards against a delayed command that opens an attempt nobody sends."""
+    for before in ([], [opening()], [opening(sender=2), closing("not-run", sender=2)]):
+        apply = Driver()
+        for message in before:
+            apply(message)
+        apply(closing(Verdict.NOT_RUN, attempt=0))
+        apply.restart()
+        assert apply(opening()).state == OrderState.CLOSED
+        assert apply(opening(sender=5)).state == OrderState.OPENED
+        apply(closing(Verdict.NOT_RUN, attempt=0, sender=9))
+        assert apply.registry.find_order(KEY).state == OrderState.OPEN_ELSEWHERE
+
+
+def test_delayed_copy_of_an_earlier_attempt_opens_nothing():
+    """Guards against a copy that opens a new attempt after its own was closed."""
+    apply = Driver()
+    for sender in (1, 2):
+        apply(opening(sender=sender))
+        apply(closing(Verdict.NOT_RUN, attempt=sender, sender=sender))
+    assert apply(opening(sender=1)).state == OrderState.CLOSED
+    assert apply(opening(sender=2)).state == OrderState.CLOSED
+
+
+def test_large_bodies_are_kept_as_digest():
+    """Guards against state that grows with the size of answers."""
+    apply = Driver()
+    apply(opening())
+    limit = module.MAX_STORED_BODY_BYTES
+    closed = apply(closing(Verdict.COMPLETE, body=b"x" * (limit + 1)))
+    assert (closed.body, len(closed.answer_digest), closed.status) == (b"", 64, 200)
+    with mock.patch.object(module, "MAX_STORED_BODIES_BYTES", limit):
+        for key in ("k2", "k3"):
+            apply(opening(key))
+            closed = apply(closing(Verdict.COMPLETE, key=key, body=b"y" * limit))
+    assert closed.body == b""
+    apply.restart()
+    assert apply.registry.stored_body_bytes == limit
+
+
+def test_full_table_names_the_time_when_a_key_is_free():
+    """Guards against an early eviction, and a retry time that is not true."""
+    with mock.patch.object(module, "MAX_ORDER_KEYS", 2):
+        apply = Driver()
+        for number, key in enumerate(("k", "k2")):
+            apply(opening(key, now_ms=T0 + number * 5_000))
+            apply(closing(Verdict.COMPLETE, key=key, now_ms=T0 + number * 5_000))
+        full = apply(opening("k3", now_ms=T0 + 9_000))
+        assert full.state == OrderState.TABLE_FULL
+        free_ms = T0 + 9_000 + full.retry_after_ms
+        early = apply(opening("k3", now_ms=free_ms - 1))
+        assert early.state == OrderState.TABLE_FULL
+        assert apply.registry.find_order(KEY).verdict == Verdict.COMPLETE
+        apply.restart()
+        assert apply(opening("k3", now_ms=free_ms)).state == OrderState.OPENED
+        assert apply.registry.find_order(KEY).state == OrderState.UNKNOWN
+
+
+def test_retention_counts_from_the_newest_attempt():
+    """Guards against a second run within 24 h of a run under a reopened key."""
+    apply = Driver()
+    apply(opening())
+    apply(closing(Verdict.NOT_RUN))
+    later = T0 + module.KEY_RETENTION_MS - 1
+    apply(opening(sender=2, now_ms=later))
+    apply(closing(Verdict.COMPLETE, attempt=2, sender=2, now_ms=later))
+    apply.restart()
+    apply(SweepOrders(later + module.KEY_RETENTION_MS))
+    assert apply(opening(sender=3, now_ms=later)).verdict == Verdict.COMPLETE
+    assert apply(SweepOrders(later + module.KEY_RETENTION_MS + 1)).expired == 1
+
+
+def test_sweep_closes_overdue_orders_and_lists_them():
+    """Guards against an order that stays open, or is not listed, after a crash."""
+    apply = Driver()
+    apply(opening())
+    apply(opening("k2", life=10**12))
+    due_ms = T0 + 4_000 + module.OVERDUE_GRACE_MS
+    assert not apply.registry.sweep_is_due(due_ms)
+    apply.restart()
+    assert apply.registry.sweep_is_due(due_ms + 1)
+    assert apply(SweepOrders(due_ms + 1)).closed == 1
+    apply.restart()
+    rows = apply.registry.list_orders("w", 10).rows
+    assert {(row.key, row.verdict) for row in rows} == {
+        ("k", "may-have-run"),
+        ("k2", ""),
+    }
+    assert apply(SweepOrders(T0 + module.MAX_DEADLINE_MS + 10_001)).closed == 1
+
+
+def test_sweep_looks_only_at_overdue_orders():
+    """Guards against a sweep whose cost grows with the number of keys."""
+    apply = Driver()
+    for number in range(3_000):
+        apply(opening(f"k{number}", now_ms=T0 + number))
+        apply(closing("not-run", key=f"k{number}", now_ms=T0 + number))
+    assert len(apply.registry.overdue_heap) <= module.HEAP_SLACK + 1
+    with mock.patch.object(Registry, "_is_open", side_effect=AssertionError):
+        apply(SweepOrders(T0 + 3_000))
+
+
+def test_period_closes_once():
+    """Guards against a closed accounting period that changes."""
+    apply = Driver()
+    assert apply(ClosePeriod("2026-01", "d1", "{}", T0)).first
+    apply.restart()
+    other = apply(ClosePeriod("2026-01", "d2", "{1}", T0 + 1))
+    assert (other.first, other.digest, other.totals) == (False, "d1", "{}")
+    assert apply(ClosePeriod("2026-01", "d1", "{}", T0 + 2)).first
+
+
+def test_stale_fencing_token_records_nothing():
+    """Guards against a former controller that records or closes engine orders."""
+    apply = Driver()
+    assert not apply(PutEngineOrder(engine_order(), 0, T0)).recorded
+    old = apply(GrantController("c1", T0)).fence
+    assert apply(PutEngineOrder(engine_order(), old, T0)).recorded
+    new = apply(GrantController("c2", T0))
+    assert (new.fence, new.previous) == (old + 1, "c1")
+    apply.restart()
+    assert not apply(PutEngineOrder(engine_order("o2"), old, T0)).recorded
+    assert not apply(CloseEngineOrder("o1", old, "done", T0)).recorded
+    assert apply(CloseEngineOrder("o1", new.fence, "done", T0)).recorded
+    assert apply.registry.engine_orders_by_id["o1"].state == EngineOrderState.DONE
+
+
+def test_weight_loads_are_counted_across_a_restart():
+    """Guards against a budget that starts anew when the controller changes."""
+    apply = Driver()
+    fence = apply(GrantController("c1", T0)).fence
+    for number in range(4):
+        order = engine_order(f"o{number}")
+        apply(PutEngineOrder(order, fence, T0 + number * 1_000))
+    apply(CloseEngineOrder("o3", fence, EngineOrderState.NOT_RUN, T0 + 4_000))
+    apply(
+        PutEngineOrder(engine_order("r", EngineOrderKind.SET_ROLE), fence, T0 + 5_000)
+    )
+    apply.restart()
+    assert apply.registry.recent_weight_loads("east", T0 + 5_000) == 3
+    assert apply.registry.recent_weight_loads("west", T0 + 5_000) == 0
+    assert apply.registry.recent_weight_loads("east", T0 + 61_500) == 1
+
+
+def test_engine_order_memory_is_bounded():
+    """Guards against engine orders that pile up, and loss of a recent one."""
+    with mock.patch.object(module, "ENGINE_ORDERS_KEPT", 2):
+        apply = Driver()
+        fence = apply(GrantController("c1", T0)).fence
+        for number in range(20):
+            now_ms = T0 + number * 60_000
+            apply(PutEngineOrder(engine_order(f"o{number}"), fence, now_ms))
+            apply(CloseEngineOrder(f"o{number}", fence, "done", now_ms))
+        assert len(apply.registry.engine_orders_by_id) <= 5
+
+
+def test_audit_holds_changes_grants_and_members():
+    """Guards against a decision without an audit record, or a broken chain."""
+    apply = Driver()
+    apply(change("one", 0))
+    apply.restart()
+    apply(change("two", 0))
+    apply(GrantController("c1", T0))
+    apply(RecordMembers("op", "10.0.0.1", "added c4", T0))
+    records = apply.registry.audit_records
+    assert [(r.kind, r.verdict) for r in records] == [
+        ("ApplyText", "accepted"),
+        ("ApplyText", "refused"),
+        ("GrantController", "granted"),
+        ("RecordMembers", "recorded"),
+    ]
+    assert verify_chain(records, head=apply.registry.audit.head) == ""
+
+
+def test_unknown_snapshot_version_is_refused():
+    """Guards against state misread from the format of another release."""
+    data = Registry().snapshot().replace(b'"version":1', b'"version":2')
+    with pytest.raises(SnapshotVersionError):
+        Registry().restore(data)
+
+
+def random_command(rng, now_ms):
+    key = f"k{rng.randrange(4)}"
+    sender = rng.randrange(1, 5)
+    entry = rng.choice("ab")
+    fence = rng.randrange(4)
+    return rng.choice(
+        [
+            opening(key, sender, now_ms, entry),
+            opening(key, sender, now_ms, entry),
+            closing(
+                rng.choice(list(Verdict)), rng.randrange(4), key, sender, now_ms, entry
+            ),
+            SweepOrders(now_ms),
+            change(f"c{rng.randrange(6)}", rng.randrange(4), now_ms),
+            GrantController("c", now_ms),
+            PutEngineOrder(engine_order(f"o{rng.randrange(9)}"), fence, now_ms),
+            CloseEngineOrder(f"o{rng.randrange(9)}", fence, "done", now_ms),
+            ClosePeriod(f"p{rng.randrange(3)}", f"d{rng.randrange(3)}", "{}", now_ms),
+        ]
+    )
+
+
+def run_random(seed):
+    """Compare replicas of which one restarts; check who is handed each attempt."""
+    rng = random.Random(seed)
+    first, second = Driver(), Driver()
+    now_ms, owners, not_run = T0, {}, set()
+    with mock.patch.object(module, "MAX_ORDER_KEYS", 3):
+        for _ in range(120):
+            now_ms += rng.choice([0, 5, 900, 9_000, 40_000_000])
+            message = random_command(rng, now_ms)
+            result = first(message)
+            if rng.random() < 0.1:
+                second.restart()
+            assert second(message) == result
+            if isinstance(message, OpenOrder) and result.state == OrderState.OPENED:
+                opened_ms = first.registry.orders_by_key[OrderKey("w", message.key)]
+                attempt = (message.key, result.attempt, opened_ms.opened_ms)
+                owner = (message.entry, message.sender)
+                assert owners.setdefault(attempt, owner) == owner
+                assert attempt not in not_run
+            for key, record in first.registry.orders_by_key.items():
+                if record.verdict == Verdict.NOT_RUN:
+                    not_run.add((key.key, record.attempt, record.opened_ms))
+    assert first.registry.snapshot() == second.registry.snapshot()
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_restored_replica_behaves_alike(seed):
+    """Guards against state that snapshots lose, and attempts with two owners."""
+    run_random(seed)
+
+
+def forget_orders(registry, data, restore=Registry.restore):
+    restore(registry, data)
+    registry.orders_by_key.clear()
+
+
+@pytest.mark.parametrize(
+    ("target", "name", "broken"),
+    [
+        (module, "_is_resend", lambda record, command: True),
+        (module, "_owns", lambda record, command: True),
+        (Registry, "restore", forget_orders),
+        (Registry, "_check_fence", lambda self, fence: None),
+    ],
+)
+def test_missing_guard_is_noticed(target, name, broken):
+    """Guards against tests that pass when one safeguard is removed."""
+    checks = {
+        "_is_resend": test_resent_command_gets_its_attempt_but_no_other_sender_does,
+        "_owns": lambda: test_close_by_another_is_ignored({"sender": 2}),
+        "restore": lambda: run_random(0),
+        "_check_fence": test_stale_fencing_token_records_nothing,
+    }
+    with mock.patch.object(target, name, broken), pytest.raises(AssertionError):
+        checks[name]()
--- a/wagtailrun/orders.py
+++ b/wagtailrun/orders.py
@@ -1,6 +1,10 @@
 """Entry side of orders with consequences: each runs at most once."""
 
 import hashlib
+import itertools
+import random
+import secrets
+from collections.abc import Callable
 
 import attrs
 import curio
@@ -15,6 +19,7 @@
     Verdict,
 )
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.registry import MAX_STORED_BODY_BYTES
 from wagtailrun.registry_messages import (
     CloseOrder,
     FindOrder,
@@ -26,19 +31,30 @@
 __all__ = ["OrderRunner"]
 
 POLL_MS = 100
+MAX_POLL_MS = 400
 CLOSE_TIMEOUT_MS = 5_000
-OPEN_TIMEOUT_MS = 2_000
+# Time to record an outcome when the deadline has all but passed.
+MIN_CLOSE_WAIT_MS = 300
+FIND_TIMEOUT_MS = 2_000
+PENDING_PAUSE_MS = 500
+# Closes that wait for the control members. A dropped one is closed as "may have run" by
+# the registry's sweep, so dropping is safe.
+MAX_PENDING_CLOSES = 10_000
 
 
 class OrderRunner:
     """Runs orders that carry a caller's key.
 
+    The intent is committed before the first byte goes to a target, and the attempt
+    that the registry hands out is sent at most once, by the task that asked for it.
+
     Args:
         clock: Clock.
         control: Client of the control members.
         dispatcher: Sends the order to a target.
         entry: Name of this entry.
         incarnation: Incarnation of this entry.
+        rng: Source of jitter.
     """
 
     def __init__(
@@ -48,12 +64,19 @@
         dispatcher: Dispatcher,
         entry: str,
         incarnation: int,
+        rng: random.Random | None = None,
     ):
         self.clock = clock
         self.control = control
         self.dispatcher = dispatcher
         self.entry = entry
         self.incarnation = incarnation
+        self.rng = rng or random.Random()
+        # Two processes must not use the same sender numbers for one key.
+        first = secrets.randbits(40) << 20
+        self.next_sender: Callable[[], int] = itertools.count(first).__next__
+        self.pending_by_sender: dict[int, CloseOrder] = {}
+        self.closing = False
 
     async def run(self, work: Work, key: str) -> StageAnswer | Refusal:
         """Run ``work`` at most once for ``key`` and return its first outcome.
@@ -63,75 +86,204 @@
         task = await curio.spawn(self._run, work, key, daemon=True)
         return await task.join()
 
-    async def _run(self, work: Work, key: str) -> StageAnswer | Refusal:
+    async def find(
+        self, workspace: str, key: str, timeout_ms: int = FIND_TIMEOUT_MS
+    ) -> OrderVerdict | Refusal:
+        """Return the state of a caller's own order.
+
+        Args:
+            workspace: Workspace of the caller.
+            key: Idempotency key of the caller.
+            timeout_ms: When to give up, in milliseconds.
+
+        Returns:
+            What the registry knows; or, if it cannot be reached, a refusal that
+            leaves open whether the order ran.
+        """
         try:
-            opened = await self._open(work, key)
+            return await self.control.ask(FindOrder(workspace, key), timeout_ms)
         except ConsensusUnavailable as error:
             return _history_unknown(error)
-        while opened.state == OrderState.OPEN_ELSEWHERE:
-            if self.clock.now_ms() + POLL_MS >= work.deadline_at_ms:
+
+    async def _run(self, work: Work, key: str) -> StageAnswer | Refusal:
+        order = _Order(self, work, key)
+        while True:
+            try:
+                opened = await self.control.ask(
+                    order.open_message(), max(order.remaining_ms(), 1)
+                )
+            except ConsensusUnavailable as error:
+                if error.may_have_committed:
+                    await self._close_later(order.withdrawal())
+                return _history_unknown(error)
+            if opened.state == OrderState.OPENED:
+                return await self._send(order, opened.attempt)
+            if opened.state != OrderState.OPEN_ELSEWHERE:
+                return _outcome(opened)
+            settled = await self._wait_until_closed(order)
+            if settled is None:
+                # A copy of the command that is still under way must not open an
+                # attempt that nobody sends.
+                await self._close_later(order.withdrawal())
                 return _still_open(opened)
-            await self.clock.sleep_ms(POLL_MS)
-            opened = await self._find(work, key, opened)
-        if opened.state == OrderState.OPENED:
-            return await self._send(work, key, opened.attempt)
-        return _outcome(opened)
-
-    async def _open(self, work: Work, key: str) -> OrderVerdict:
-        remaining_ms = work.deadline_at_ms - self.clock.now_ms()
-        message = OpenOrder(
-            workspace=work.workspace,
-            key=key,
-            service=work.service,
-            call=work.stage,
-            body_digest=hashlib.sha256(work.body).hexdigest(),
-            entry=self.entry,
-            entry_incarnation=self.incarnation,
-            now_ms=0,
-            deadline_ms=self.clock.wall_ms() + max(remaining_ms, 0),
-            request_id=work.request_id,
-        )
-        timeout_ms = max(min(remaining_ms, OPEN_TIMEOUT_MS), 1)
-        return await self.control.ask(message, timeout_ms)
+            if settled.verdict != Verdict.NOT_RUN:
+                return _outcome(settled)
 
-    async def _find(self, work: Work, key: str, last: OrderVerdict) -> OrderVerdict:
-        remaining_ms = work.deadline_at_ms - self.clock.now_ms()
+    async def _wait_until_closed(self, order: "_Order") -> OrderVerdict | None:
+        """Return the outcome of another's attempt, or None if the time is over."""
+        pause_ms = POLL_MS
+        while order.remaining_ms() > pause_ms:
+            await self.clock.sleep_ms(pause_ms)
+            pause_ms = min(2 * pause_ms, MAX_POLL_MS)
+            question = FindOrder(order.work.workspace, order.key)
+            try:
+                found = await self.control.ask(question, max(order.remaining_ms(), 1))
+            except ConsensusUnavailable:
+                continue
+            if found.state == OrderState.CLOSED:
+                return found
+        return None
+
+    async def _send(self, order: "_Order", attempt: int) -> StageAnswer | Refusal:
+        if order.may_send():
+            result = await self._dispatch(order.work)
+        else:
+            detail = "the deadline passed before the order was sent"
+            result = Refusal(
+                RefusalReason.DEADLINE, Verdict.NOT_RUN, detail, attempt_sent=False
+            )
+        message = order.close_message(attempt, result)
+        remaining_ms = max(order.remaining_ms(), MIN_CLOSE_WAIT_MS)
         try:
-            question = FindOrder(work.workspace, key)
-            return await self.control.ask(question, max(remaining_ms, 1))
+            closed = await self.control.ask(
+                message, min(remaining_ms, CLOSE_TIMEOUT_MS)
+            )
         except ConsensusUnavailable:
-            return last
+            await self._close_later(message)
+            return _unless_confirmed(result, None, attempt)
+        return _unless_confirmed(result, closed, attempt)
 
-    async def _send(self, work: Work, key: str, attempt: int) -> StageAnswer | Refusal:
-        result = await self.dispatcher.call(work)
-        if isinstance(result, Refusal):
-            verdict, status, body = result.verdict, 0, b""
-        else:
+    async def _dispatch(self, work: Work) -> StageAnswer | Refusal:
+        try:
+            return await self.dispatcher.call(work)
+        except Exception as error:
+            # Whatever failed, the attempt must be closed, and bytes may have been sent.
+            detail = f"the attempt ended with an internal error: {error!r}"
+            return Refusal(RefusalReason.INTERNAL, Verdict.MAY_HAVE_RUN, detail)
+
+    async def _close_later(self, message: CloseOrder) -> None:
+        """Record an outcome in the background, retried until it is confirmed."""
+        if len(self.pending_by_sender) >= MAX_PENDING_CLOSES:
+            del self.pending_by_sender[next(iter(self.pending_by_sender))]
+        self.pending_by_sender[message.sender] = message
+        if not self.closing:
+            self.closing = True
+            await curio.spawn(self._close_pending, daemon=True)
+
+    async def _close_pending(self) -> None:
+        try:
+            while self.pending_by_sender:
+                sender, message = next(iter(self.pending_by_sender.items()))
+                try:
+                    await self.control.ask(message, CLOSE_TIMEOUT_MS)
+                except ConsensusUnavailable:
+                    pause_ms = PENDING_PAUSE_MS + self.rng.randint(0, PENDING_PAUSE_MS)
+                    await self.clock.sleep_ms(pause_ms)
+                else:
+                    self.pending_by_sender.pop(sender, None)
+        finally:
+            self.closing = False
+
+
+class _Order:
+    """One run of an order at this entry: its deadline and its messages."""
+
+    def __init__(self, runner: OrderRunner, work: Work, key: str):
+        self.runner = runner
+        self.clock = runner.clock
+        self.work = work
+        self.key = key
+        self.sender = runner.next_sender()
+        self.deadline_wall_ms = self.clock.wall_ms() + max(self.remaining_ms(), 0)
+
+    def remaining_ms(self) -> int:
+        return self.work.deadline_at_ms - self.clock.now_ms()
+
+    def may_send(self) -> bool:
+        """Return whether the deadline lies ahead by both clocks.
+
+        The monotonic clock of a suspended VM may stand still; its wall clock does not.
+        """
+        return self.remaining_ms() > 0 and self.clock.wall_ms() < self.deadline_wall_ms
+
+    def open_message(self) -> OpenOrder:
+        now_ms = self.clock.wall_ms()
+        return OpenOrder(
+            workspace=self.work.workspace,
+            key=self.key,
+            service=self.work.service,
+            call=self.work.stage,
+            body_digest=hashlib.sha256(self.work.body).hexdigest(),
+            entry=self.runner.entry,
+            entry_incarnation=self.runner.incarnation,
+            now_ms=now_ms,
+            deadline_ms=now_ms + max(self.remaining_ms(), 0),
+            request_id=self.work.request_id,
+            sender=self.sender,
+        )
+
+    def close_message(
+        self, attempt: int, result: StageAnswer | Refusal | Verdict
+    ) -> CloseOrder:
+        status, body, answer_digest = 0, b"", ""
+        if isinstance(result, StageAnswer):
             verdict, status, body = Verdict.COMPLETE, result.status, result.body
-        message = CloseOrder(
-            workspace=work.workspace,
-            key=key,
+            if len(body) > MAX_STORED_BODY_BYTES:
+                answer_digest = hashlib.sha256(body).hexdigest()
+                body = b""
+        else:
+            verdict = result.verdict if isinstance(result, Refusal) else result
+        return CloseOrder(
+            workspace=self.work.workspace,
+            key=self.key,
             attempt=attempt,
             verdict=verdict,
             status=status,
             body=body,
             now_ms=0,
-            entry=self.entry,
-            entry_incarnation=self.incarnation,
+            entry=self.runner.entry,
+            entry_incarnation=self.runner.incarnation,
+            sender=self.sender,
+            answer_digest=answer_digest,
         )
-        try:
-            await self.control.ask(message, CLOSE_TIMEOUT_MS)
-        except ConsensusUnavailable:
-            # The sweep closes the order as "may have run". A caller that resends is
-            # told so; "not run" can no longer be promised.
-            if isinstance(result, Refusal):
-                return attrs.evolve(result, verdict=Verdict.MAY_HAVE_RUN)
+
+    def withdrawal(self) -> CloseOrder:
+        """Return the command that closes whatever this run may have opened."""
+        return self.close_message(0, Verdict.NOT_RUN)
+
+
+def _unless_confirmed(
+    result: StageAnswer | Refusal, closed: OrderVerdict | None, attempt: int
+) -> StageAnswer | Refusal:
+    """Return ``result``, with "not run" only if the registry recorded it.
+
+    A caller that resends is told what the registry holds; the sweep may have closed
+    the attempt as "may have run" before.
+    """
+    if not isinstance(result, Refusal) or result.verdict != Verdict.NOT_RUN:
+        return result
+    if (
+        closed is not None
+        and closed.verdict == Verdict.NOT_RUN
+        and closed.attempt == attempt
+    ):
         return result
+    return attrs.evolve(result, verdict=Verdict.MAY_HAVE_RUN)
 
 
 def _outcome(order: OrderVerdict) -> StageAnswer | Refusal:
     if order.state == OrderState.KEY_REUSED:
-        detail = "the key was used with another body; use a new key"
+        detail = "the key was used with another body or call; use a new key"
         return Refusal(RefusalReason.KEY_REUSED, Verdict.NOT_RUN, detail)
     if order.state == OrderState.TABLE_FULL:
         return Refusal(
@@ -140,10 +292,26 @@
             "no more keys can be kept now",
             order.retry_after_ms,
         )
-    if order.verdict == Verdict.COMPLETE:
+    if order.verdict == Verdict.COMPLETE and not order.answer_digest:
         return StageAnswer(order.status, order.body)
+    if order.verdict == Verdict.COMPLETE:
+        detail = (
+            f"the order ran and was answered with status {order.status}; the answer "
+            f"was too large to keep, its SHA-256 is {order.answer_digest}"
+        )
+        return Refusal(
+            RefusalReason.TARGET_FAILED,
+            Verdict.MAY_HAVE_RUN,
+            detail,
+            attempt_sent=False,
+        )
     detail = "an earlier try of this key ended without a known outcome"
-    return Refusal(RefusalReason.TARGET_FAILED, Verdict(order.verdict), detail)
+    return Refusal(
+        RefusalReason.TARGET_FAILED,
+        Verdict(order.verdict),
+        detail,
+        attempt_sent=False,
+    )
 
 
 def _still_open(order: OrderVerdict) -> Refusal:
