--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,486 @@
+"""Tests of the entry side of orders, on schedules with many faults."""
+
+import random
+from collections import Counter, defaultdict
+from unittest import mock
+
+import curio
+import pytest
+
+from tests.fake_network import FakeNetwork
+from wagtailrun import orders, registry
+from wagtailrun.control import ControlService
+from wagtailrun.control_client import ControlClient
+from wagtailrun.dispatch import Work
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.local_log import LocalLog
+from wagtailrun.orders import OrderRunner
+from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.ports.target import StageAnswer
+from wagtailrun.registry import OrderKey, Registry
+from wagtailrun.registry_messages import OpenOrder, OrderState
+from wagtailrun.virtual_time import run_virtual
+
+MEMBERS = [Address("10.0.0.1", 1), Address("10.0.0.2", 1), Address("10.0.0.3", 1)]
+SEEDS = 240
+KEYS = ("k0", "k1", "k2")
+
+
+class MemberLog(LocalLog):
+    """Log of one of three members; ``world`` names the leader."""
+
+    def __init__(self, world, address):
+        super().__init__(world.registry, address)
+        self.world = world
+
+    @property
+    def is_leader(self):
+        return self.world.leader == self.address
+
+    @property
+    def leader_address(self):
+        return self.world.leader
+
+
+class EntryLink(PeerLink):
+    """Link of an entry process that may stand still or be dead."""
+
+    def __init__(self, entry, link):
+        self.entry = entry
+        self.link = link
+
+    async def call(self, address, message, timeout_ms):
+        await self.entry.runnable()
+        try:
+            return await self.link.call(address, message, timeout_ms)
+        finally:
+            await self.entry.runnable()
+
+
+class Entry:
+    """One entry process, whose dispatcher is a fake target that counts its runs."""
+
+    def __init__(self, world, name, address):
+        self.world = world
+        self.name = name
+        self.address = address
+        self.thaw_ms = 0
+        self.dead = False
+        self.start(1)
+
+    def start(self, incarnation):
+        link = EntryLink(self, self.world.network.link(self.address))
+        rng = random.Random(incarnation)
+        client = ControlClient(self.world.clock, link, MEMBERS, rng)
+        self.runner = OrderRunner(
+            self.world.clock, client, self, self.name, incarnation, rng
+        )
+
+    async def runnable(self):
+        if self.dead:
+            await curio.sleep(10**6)
+        while self.world.clock.now_ms() < self.thaw_ms:
+            await self.world.clock.sleep_ms(10)
+
+    async def call(self, work):
+        """Run the order, fail, or lose the answer, as the dispatcher would tell."""
+        world = self.world
+        if world.clock.now_ms() >= work.deadline_at_ms:
+            world.faults.append(f"{work.request_id} was sent after its deadline")
+        kind = world.rng.choice(world.outcomes)
+        if kind == "not-run":
+            return failed(Verdict.NOT_RUN)
+        if kind != "lost":
+            world.runs_by_key[work.stage].append(work.request_id)
+        await world.clock.sleep_ms(world.rng.randint(1, 300))
+        await self.runnable()
+        if kind == "complete":
+            return StageAnswer(200, work.request_id.encode())
+        return failed(Verdict.MAY_HAVE_RUN)
+
+
+def failed(verdict):
+    return Refusal(RefusalReason.TARGET_FAILED, verdict)
+
+
+class World:
+    """Three control members, three entries and a target."""
+
+    def __init__(self, clock, seed=0, **faults):
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.outcomes = ("complete",)
+        self.faults = []
+        self.runs_by_key = defaultdict(list)
+        self.results = []
+        self.registry = Registry()
+        self.leader = MEMBERS[0]
+        self.network = FakeNetwork(clock, seed, **faults)
+        self.services = []
+        for address in MEMBERS:
+            log = MemberLog(self, address)
+            service = ControlService(clock, str(address), self.registry, log)
+            self.services.append(service)
+            self.network.handlers_by_address[address] = self.watched(service.handle)
+        self.entries = [
+            Entry(self, f"e{n}", Address(f"10.0.1.{n}", 1)) for n in range(3)
+        ]
+
+    def watched(self, function):
+        """Return ``function`` with its errors noted, which curio would only log."""
+
+        async def call(*args):
+            try:
+                return await function(*args)
+            except Exception as error:
+                self.faults.append(f"{function} raised {error!r}")
+                raise
+
+        return call
+
+    async def start(self):
+        for service in self.services:
+            await curio.spawn(self.watched(service.sweep), daemon=True)
+
+    def restart_registry(self):
+        self.registry.restore(self.registry.snapshot())
+
+    async def order(self, entry, key, name, deadline_ms=4_000):
+        """Run one order; the key is also the name of the call at the target."""
+        submitted_runs = list(self.runs_by_key[key])
+        deadline_at_ms = self.clock.now_ms() + deadline_ms
+        work = Work("s", "/v1/calls/c", b"{}", name, "w", deadline_at_ms, False)
+        work = orders.attrs.evolve(work, stage=key)
+        result = await entry.runner.run(work, key)
+        self.results.append((key, name, result, submitted_runs))
+        return result
+
+
+async def run_schedule(clock, seed):
+    """Run one schedule of faults and return what went wrong."""
+    rng = random.Random(seed)
+    world = World(
+        clock,
+        seed,
+        delay_ms=(1, rng.choice([5, 50, 400])),
+        loss=rng.choice([0, 0.05, 0.2]),
+        duplication=rng.choice([0, 0.1, 0.3]),
+    )
+    world.outcomes = ("complete", "complete", "not-run", "answer-lost", "lost")
+    await world.start()
+    for number in range(12):
+        start_ms = rng.randint(0, 9_000)
+        task = world.watched(submit)
+        await curio.spawn(task, world, start_ms, number, rng, daemon=True)
+    await disturb(world, rng)
+    world.network.heal()
+    world.network.loss = world.network.duplication = 0
+    world.leader = world.leader or MEMBERS[0]
+    await clock.sleep_ms(20_000)
+    world.outcomes = ("complete",)
+    for key in KEYS:
+        before = world.registry.find_order(OrderKey("w", key))
+        final = await world.order(world.entries[2], key, f"final-{key}")
+        check_resend(world, key, before, final)
+    check_results(world)
+    # The kernel cancels the tasks of dead entries later, which adds more.
+    return list(world.faults)
+
+
+async def submit(world, start_ms, number, rng):
+    await world.clock.sleep_ms(start_ms)
+    entry = rng.choice(world.entries)
+    deadline_ms = rng.choice([600, 2_000, 4_000])
+    await world.order(entry, rng.choice(KEYS), f"r{number}", deadline_ms)
+
+
+async def disturb(world, rng):
+    """Cut, freeze, kill, move the leader and restart the registry for 12 s."""
+    for _ in range(24):
+        await world.clock.sleep_ms(500)
+        entry = rng.choice(world.entries[:2])
+        match rng.randrange(8):
+            case 0:
+                world.network.cut(entry.address, rng.choice(MEMBERS))
+            case 1:
+                world.network.cut(rng.choice(MEMBERS), entry.address, both_ways=False)
+            case 2:
+                for address in MEMBERS:
+                    world.network.cut(entry.address, address)
+            case 3:
+                world.network.heal()
+            case 4:
+                entry.thaw_ms = world.clock.now_ms() + rng.choice([300, 3_000, 15_000])
+            case 5:
+                world.leader = rng.choice([None, *MEMBERS])
+            case 6:
+                world.restart_registry()
+            case 7 if rng.random() < 0.3:
+                replacement = Entry(world, entry.name, entry.address)
+                replacement.start(2 + world.clock.now_ms())
+                world.entries[world.entries.index(entry)] = replacement
+                entry.dead = True
+
+
+def check_resend(world, key, before, final):
+    """Check what a resend is told after everything has settled."""
+    answers = {
+        result.body
+        for other, _, result, _ in world.results
+        if other == key and isinstance(result, StageAnswer)
+    }
+    if len(answers) > 1:
+        world.faults.append(f"{key} had the answers {answers}")
+    if before.state == OrderState.OPEN_ELSEWHERE:
+        world.faults.append(f"{key} is still open")
+    if before.verdict == Verdict.COMPLETE and getattr(final, "body", 0) != before.body:
+        world.faults.append(f"{key} did not get its first outcome")
+    if before.verdict == Verdict.MAY_HAVE_RUN and (
+        getattr(final, "verdict", "") != Verdict.MAY_HAVE_RUN
+    ):
+        world.faults.append(f"{key} may have run, but its resend got {final}")
+
+
+def check_results(world):
+    for key in KEYS:
+        runs = world.runs_by_key[key]
+        if len(runs) > 1:
+            world.faults.append(f"{key} ran {len(runs)} times: {runs}")
+        record = world.registry.orders_by_key.get(OrderKey("w", key))
+        if runs and (record is None or record.verdict == Verdict.NOT_RUN):
+            world.faults.append(f"{key} ran but the registry does not say so")
+    for key, name, result, earlier in world.results:
+        if not isinstance(result, Refusal) or result.verdict != Verdict.NOT_RUN:
+            continue
+        record = world.registry.orders_by_key.get(OrderKey("w", key))
+        if record and (record.request_id, record.verdict) == (name, "may-have-run"):
+            world.faults.append(f"{name} was told not run, its resend may have run")
+        if name in world.runs_by_key[key]:
+            world.faults.append(f"{name} was told not run, but it ran")
+        if earlier:
+            world.faults.append(f"{name} was told not run after a run of {key}")
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_schedule(seed):
+    """Guards against second runs, untrue verdicts and lost orders under faults."""
+    assert run_virtual(run_schedule, seed) == []
+
+
+def forget_orders(self, data, restore=Registry.restore):
+    restore(self, data)
+    self.orders_by_key.clear()
+    self.overdue_heap.clear()
+
+
+@pytest.mark.parametrize(
+    ("target", "name", "broken"),
+    [
+        (registry, "_is_resend", lambda record, command: True),
+        (registry, "_owns", lambda record, command: True),
+        (Registry, "restore", forget_orders),
+        (orders._Order, "may_send", lambda self: True),
+        (orders, "_unless_confirmed", lambda result, closed, attempt: result),
+    ],
+)
+def test_schedules_notice_a_missing_guard(target, name, broken):
+    """Guards against schedules that pass when one safeguard is removed."""
+    with mock.patch.object(target, name, broken):
+        assert any(run_virtual(run_schedule, seed) for seed in range(SEEDS))
+
+
+def run(scenario, **faults):
+    async def main(clock):
+        world = World(clock, **faults)
+        await world.start()
+        await scenario(world, clock)
+        return world
+
+    return run_virtual(main)
+
+
+def test_resend_at_another_entry_gets_the_first_answer():
+    """Guards against a second run, or another answer, for a resent key."""
+
+    async def scenario(world, clock):
+        first, second, _ = world.entries
+        task = await curio.spawn(world.order, first, "k0", "same-id")
+        await clock.sleep_ms(20)
+        again = await world.order(second, "k0", "same-id")
+        assert again.body == (await task.join()).body == b"same-id"
+        assert len(world.runs_by_key["k0"]) == 1
+
+    run(scenario)
+
+
+def test_two_requests_with_one_request_id_at_one_entry_run_once():
+    """Guards against telling senders apart by the caller's request id."""
+
+    async def scenario(world, clock):
+        entry = world.entries[0]
+        tasks = [
+            await curio.spawn(world.order, entry, "k0", "same-id") for _ in range(3)
+        ]
+        answers = {(await task.join()).body for task in tasks}
+        assert (answers, len(world.runs_by_key["k0"])) == ({b"same-id"}, 1)
+
+    run(scenario)
+
+
+def test_waiting_resend_runs_after_the_first_proved_not_run():
+    """Guards against a resend that is refused although it may open an attempt."""
+
+    async def scenario(world, clock):
+        world.outcomes = ("not-run",)
+        refused = await world.order(world.entries[0], "k0", "r0")
+        assert refused.verdict == Verdict.NOT_RUN
+        world.outcomes = ("complete",)
+        assert (await world.order(world.entries[1], "k0", "r1")).status == 200
+
+    run(scenario)
+
+
+def test_unreachable_members_refuse_at_once_without_sending():
+    """Guards against section 6: a partitioned entry that sends, or says not run."""
+
+    async def scenario(world, clock):
+        entry = world.entries[0]
+        for address in MEMBERS:
+            world.network.cut(entry.address, address)
+        for longest_ms in (3_000, 0):
+            started_ms = clock.now_ms()
+            refused = await world.order(entry, "k0", "r0", 8_000)
+            assert clock.now_ms() - started_ms <= longest_ms
+            assert refused.verdict == Verdict.MAY_HAVE_RUN
+            assert not refused.attempt_sent
+            assert refused.retry_after_ms > 0
+        assert not world.runs_by_key["k0"]
+        found = await entry.runner.find("w", "k0")
+        assert (found.verdict, found.attempt_sent) == (Verdict.MAY_HAVE_RUN, False)
+
+    run(scenario)
+
+
+def test_attempt_of_a_lost_reply_is_closed_in_the_background():
+    """Guards against a key that stays open because the reply to its open was lost."""
+
+    async def scenario(world, clock):
+        entry = world.entries[0]
+        for address in MEMBERS:
+            world.network.cut(address, entry.address, both_ways=False)
+        await world.order(entry, "k0", "r0")
+        key = OrderKey("w", "k0")
+        assert world.registry.find_order(key).state == OrderState.OPEN_ELSEWHERE
+        world.network.heal()
+        await clock.sleep_ms(3_000)
+        assert world.registry.find_order(key).verdict == Verdict.NOT_RUN
+        assert not entry.runner.pending_by_sender
+        assert (await world.order(world.entries[1], "k0", "r1")).status == 200
+
+    run(scenario)
+
+
+def test_thawed_entry_sends_nothing_after_its_deadline():
+    """Guards against a late first byte, and an attempt left open after a freeze."""
+
+    async def scenario(world, clock):
+        entry = world.entries[0]
+        task = await curio.spawn(world.order, entry, "k0", "r0", 600)
+        await clock.sleep_ms(1)
+        entry.thaw_ms = 2_000
+        refused = await task.join()
+        assert (refused.reason, refused.verdict) == (
+            RefusalReason.DEADLINE,
+            Verdict.NOT_RUN,
+        )
+        assert not world.runs_by_key["k0"]
+        found = await entry.runner.find("w", "k0")
+        assert (found.state, found.verdict) == (OrderState.CLOSED, Verdict.NOT_RUN)
+
+    run(scenario)
+
+
+def test_suspended_vm_is_noticed_by_its_wall_clock():
+    """Guards against a late send when the monotonic clock stood still."""
+
+    async def scenario(world, clock):
+        task = await curio.spawn(world.order, world.entries[0], "k0", "r0", 600)
+        await clock.sleep_ms(1)
+        clock.wall_start_ms += 600
+        assert (await task.join()).reason == RefusalReason.DEADLINE
+
+    run(scenario)
+
+
+def test_order_goes_on_when_its_caller_leaves():
+    """Guards against an outcome that is lost with the caller's connection."""
+
+    async def scenario(world, clock):
+        task = await curio.spawn(world.order, world.entries[0], "k0", "r0")
+        await clock.sleep_ms(20)
+        await task.cancel()
+        await clock.sleep_ms(1_000)
+        again = await world.order(world.entries[1], "k0", "r1")
+        assert (again.body, world.runs_by_key["k0"]) == (b"r0", ["r0"])
+
+    run(scenario)
+
+
+def test_crash_of_the_entry_is_stated_within_15_s_of_the_deadline():
+    """Guards against an order of a dead entry that nobody closes or lists."""
+
+    async def scenario(world, clock):
+        entry = world.entries[0]
+        await curio.spawn(world.order, entry, "k0", "r0", 2_000, daemon=True)
+        await clock.sleep_ms(15)
+        entry.dead = True
+        await clock.sleep_ms(2_000 + 15_000 - 15)
+        row = world.registry.list_orders("w", 10).rows[0]
+        assert (row.request_id, row.verdict) == ("r0", Verdict.MAY_HAVE_RUN)
+
+    run(scenario)
+
+
+def test_large_answer_is_not_repeated_but_stated():
+    """Guards against a resend that gets an empty answer in place of a large one."""
+
+    async def scenario(world, clock):
+        entry = world.entries[0]
+        large = StageAnswer(201, b"x" * (registry.MAX_STORED_BODY_BYTES + 1))
+        with mock.patch.object(Entry, "call", return_value=large):
+            assert await world.order(entry, "k0", "r0") == large
+        again = await world.order(entry, "k0", "r1")
+        assert again.verdict == Verdict.MAY_HAVE_RUN
+        assert "SHA-256" in again.detail
+        assert "201" in again.detail
+
+    run(scenario)
+
+
+def test_wrong_wall_clock_of_an_entry_does_no_harm():
+    """Guards against orders swept at once because an entry's clock is behind."""
+
+    async def scenario(world, clock):
+        seen = Counter()
+        open_order = world.registry.handlers_by_class[OpenOrder]
+
+        def note(command):
+            seen[command.deadline_ms - clock.wall_ms()] += 1
+            return open_order(command)
+
+        world.registry.handlers_by_class[OpenOrder] = note
+        entry = world.entries[0]
+        with mock.patch.object(orders._Order, "open_message", skewed_message):
+            await world.order(entry, "k0", "r0")
+        assert seen == {4_000: 1}
+
+    run(scenario)
+
+
+def skewed_message(self, original=orders._Order.open_message):
+    message = original(self)
+    return orders.attrs.evolve(
+        message,
+        now_ms=message.now_ms - 86_400_000,
+        deadline_ms=message.deadline_ms - 86_400_000,
+    )
