Add the controller of the engines: fenced, recorded, budgeted orders

Cause: nothing read engines back or gave them orders, so a model named in the fleet text was never loaded. Ruled out: waiting after a grant for services whose engines check tokens (they refuse stale ones themselves); a budget counted in the controller's memory (a new controller would start it anew, so it is counted from the recorded orders); re-recording a predecessor's order under the same id (it is closed as superseded and issued anew only if the state read after the hand-over wait still needs it). Before / after: no such module before. Conclusion: a process paused between the lease check and the send remains the one window; the tests show that checking engines refuse that order and that read-back repairs the others.

--- /dev/null
+++ b/tests/test_engine_control.py
@@ -0,0 +1,453 @@
+"""Tests of the controller of the engines."""
+
+import random
+from collections import Counter
+from unittest import mock
+
+import curio
+import pytest
+
+from tests.test_control_client import MEMBERS, MemberLog
+from wagtailrun import engine_control
+from wagtailrun.adapters.http_client import HttpReply
+from wagtailrun.adapters.http_engine import HttpEngineClient
+from wagtailrun.codec import encode
+from wagtailrun.control import ControlService
+from wagtailrun.engine_control import HANDOVER_WAIT_MS, ORDER_LIFE_MS, EngineController
+from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
+from wagtailrun.ports.link import Address
+from wagtailrun.registry import Registry
+from wagtailrun.registry_messages import (
+    ApplyText,
+    EngineOrder,
+    EngineOrderKind,
+    EngineOrderState,
+    PutEngineOrder,
+)
+from wagtailrun.virtual_time import run_virtual
+
+SEEDS = 60
+TEXT = """
+[fleet]
+name = "test"
+data_centres = ["east", "west"]
+weight_loads_per_minute = {budget}
+[services.open]
+kind = "engine"
+model = "{model}"
+adapters = ["a1"]
+[services.checked]
+kind = "engine"
+model = "{model}"
+checks_fencing = true
+"""
+
+
+class Engine:
+    """One engine; ``applied`` holds (time, fencing token, order)."""
+
+    def __init__(self, name, service, data_centre="east", model=""):
+        self.name = name
+        self.address = Address("10.0.2.1", 1 + sum(name.encode()))
+        self.row = TargetRow(name, self.address, service, data_centre)
+        self.state = EngineState(model)
+        self.checks = service == "checked"
+        self.fence = 0
+        self.applied = []
+
+
+class Engines(EngineClient):
+    """All engines, as one member reaches them."""
+
+    def __init__(self, world, member):
+        self.world = world
+        self.member = member
+
+    async def read_state(self, address, timeout_ms):
+        await self.world.clock.sleep_ms(1)
+        return self.world.engines_by_address[address].state
+
+    async def send(self, address, order, life_ms):
+        world, engine = self.world, self.world.engines_by_address[address]
+        await self.member.runnable()
+        if world.rng.random() < world.failures:
+            raise ConnectFailed("refused")
+        await world.clock.sleep_ms(world.rng.randint(0, world.transit_ms))
+        if engine.checks and order.fence < engine.fence:
+            return EngineReply.STALE_FENCE
+        engine.fence = max(engine.fence, order.fence)
+        engine.applied.append((world.clock.now_ms(), order.fence, order))
+        await curio.spawn(self.load, engine, order, daemon=True)
+        if world.rng.random() < world.failures:
+            raise TargetFailed("answer lost", verdict=Verdict.MAY_HAVE_RUN)
+        return EngineReply.ACCEPTED
+
+    async def load(self, engine, order):
+        evolve = engine_control.attrs.evolve
+        engine.state = evolve(engine.state, loading=frozenset({order.subject}))
+        await self.world.clock.sleep_ms(self.world.load_ms)
+        state = evolve(engine.state, loading=frozenset())
+        match order.kind:
+            case EngineOrderKind.LOAD_MODEL:
+                state = evolve(state, model=order.subject)
+            case EngineOrderKind.LOAD_ADAPTER:
+                state = evolve(state, adapters=state.adapters | {order.subject})
+            case EngineOrderKind.UNLOAD_ADAPTER:
+                state = evolve(state, adapters=state.adapters - {order.subject})
+        engine.state = state
+
+
+class Member:
+    """One control member with its controller; it may stand still."""
+
+    def __init__(self, world, address):
+        self.world = world
+        self.thaw_ms = 0
+        log = MemberLog(world, address)
+        service = ControlService(world.clock, str(address), world.registry, log)
+        client = Engines(world, self)
+        self.controller = EngineController(service, world.rows, client)
+
+    async def runnable(self):
+        while self.world.clock.now_ms() < self.thaw_ms:
+            await self.world.clock.sleep_ms(10)
+
+
+class World:
+    """Control members that share a registry, and engines."""
+
+    def __init__(self, clock, engines, seed=0, budget=1_000, model="m1"):
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.engines_by_address = {engine.address: engine for engine in engines}
+        self.transit_ms, self.load_ms, self.failures = 5, 3_000, 0.0
+        self.registry = Registry()
+        self.leader = MEMBERS[0]
+        self.put_text(budget, model)
+        self.members = [Member(self, address) for address in MEMBERS]
+
+    def put_text(self, budget=1_000, model="m1"):
+        text = TEXT.format(budget=budget, model=model)
+        revision = self.registry.revision
+        wall_ms = self.clock.wall_ms()
+        change = ApplyText(f"c{revision}", revision, "op", "s", text, wall_ms)
+        assert self.registry.apply(1, encode(change)).accepted
+
+    def rows(self):
+        return [engine.row for engine in self.engines_by_address.values()]
+
+    async def start(self):
+        for member in self.members:
+            await curio.spawn(member.controller.run, daemon=True)
+
+
+def run(scenario, engines, **options):
+    async def main(clock):
+        world = World(clock, engines, **options)
+        await world.start()
+        await scenario(world, clock)
+
+    run_virtual(main)
+
+
+def pool(service, count, data_centre="east", model=""):
+    return [Engine(f"{service}-{n}", service, data_centre, model) for n in range(count)]
+
+
+def test_engines_reach_the_state_of_the_text():
+    """Guards against engines that keep an old model or miss an adapter."""
+    engines = pool("open", 3) + pool("checked", 2)
+
+    async def scenario(world, clock):
+        await clock.sleep_ms(20_000)
+        assert {engine.state.model for engine in engines} == {"m1"}
+        assert {engine.state.adapters for engine in engines[:3]} == {frozenset({"a1"})}
+        world.put_text(model="m2")
+        engines[0].state = engine_control.attrs.evolve(
+            engines[0].state, adapters=frozenset({"a1", "old"})
+        )
+        await clock.sleep_ms(20_000)
+        assert {engine.state.model for engine in engines} == {"m2"}
+        assert engines[0].state.adapters == frozenset({"a1"})
+        assert not world.registry.open_engine_orders
+        # One order at a time and no repeats: model twice, adapter once.
+        assert len(engines[1].applied) == 3
+
+    run(scenario, engines)
+
+
+def test_only_the_leader_issues_orders():
+    """Guards against two issuers at a time."""
+    engines = pool("open", 4)
+
+    async def scenario(world, clock):
+        await clock.sleep_ms(20_000)
+        assert {fence for engine in engines for _, fence, _ in engine.applied} == {1}
+
+    run(scenario, engines)
+
+
+def test_weight_budget_holds_per_data_centre_and_across_controllers():
+    """Guards against a weight store asked for more than its rate limit."""
+    engines = pool("checked", 8) + pool("open", 8, "west")
+
+    async def scenario(world, clock):
+        for number in range(6):
+            world.leader = MEMBERS[number % 3]
+            await clock.sleep_ms(20_000)
+        for data_centre in ("east", "west"):
+            times = sorted(
+                at_ms
+                for engine in engines
+                if engine.row.data_centre == data_centre
+                for at_ms, _, order in engine.applied
+                if order.kind != EngineOrderKind.SET_ROLE
+            )
+            assert len(times) >= 4
+            for first, fourth in zip(times, times[3:], strict=False):
+                # Orders take at most 5 ms from the record to the engine.
+                assert fourth - first >= 60_000 - 5
+
+    run(scenario, engines, budget=3)
+
+
+def test_most_needed_load_comes_first():
+    """Guards against a budget spent on a service that already has ready engines."""
+    engines = pool("open", 2, model="m1") + [Engine("open-x", "open")]
+    engines += pool("checked", 3)
+
+    async def scenario(world, clock):
+        await clock.sleep_ms(10_000)
+        first = [engine.name for engine in engines if engine.applied]
+        assert first == ["checked-0"]
+
+    run(scenario, engines, budget=1)
+
+
+def test_successor_waits_only_where_tokens_are_not_checked():
+    """Guards against orders that cross those of a predecessor still on their way."""
+    engines = pool("open", 2) + pool("checked", 2)
+
+    async def scenario(world, clock):
+        # A load under way would delay the next order whatever the tokens.
+        world.load_ms = 100
+        await clock.sleep_ms(1_500)
+        world.leader = MEMBERS[1]
+        world.put_text(model="m2")
+        changed_ms = clock.now_ms()
+        await clock.sleep_ms(20_000)
+        first_ms = Counter()
+        for engine in engines:
+            at_ms = min(at_ms for at_ms, fence, _ in engine.applied if fence == 2)
+            first_ms[engine.row.service] = at_ms - changed_ms
+        assert first_ms["checked"] < 2_000
+        assert HANDOVER_WAIT_MS <= first_ms["open"] < HANDOVER_WAIT_MS + 3_000
+        assert {engine.state.model for engine in engines} == {"m2"}
+
+    assert HANDOVER_WAIT_MS >= (2_000 + 1_000) / 0.9 * 1.1
+    run(scenario, engines)
+
+
+def test_order_of_a_dead_controller_is_not_lost():
+    """Guards against a recorded order that nobody sends after a crash."""
+    engines = pool("open", 1)
+
+    async def scenario(world, clock):
+        world.members[0].thaw_ms = 10**9
+        await clock.sleep_ms(2_500)
+        (name,) = world.registry.open_engine_orders
+        world.leader = MEMBERS[1]
+        await clock.sleep_ms(20_000)
+        order = world.registry.engine_orders_by_id[name]
+        assert order.state == EngineOrderState.SUPERSEDED
+        assert engines[0].state.model == "m1"
+
+    run(scenario, engines)
+
+
+def pause_between_check_and_send(engines):
+    """Let a controller stand still in the window, and its order arrive late."""
+
+    async def scenario(world, clock):
+        world.members[0].thaw_ms = 30_000
+        await clock.sleep_ms(2_500)
+        assert world.registry.open_engine_orders
+        world.leader = MEMBERS[1]
+        world.put_text(model="m2")
+        await clock.sleep_ms(20_000)
+        assert {engine.state.model for engine in engines} == {"m2"}
+        await clock.sleep_ms(40_000)
+        assert {engine.state.model for engine in engines} == {"m2"}
+
+    run(scenario, engines)
+
+
+def test_late_order_in_the_window_is_refused_by_checking_engines():
+    """Guards against a stale order that an engine with a fence check applies."""
+    engines = pool("checked", 2)
+    pause_between_check_and_send(engines)
+    assert {fence for engine in engines for _, fence, _ in engine.applied} == {2}
+
+
+def test_late_order_in_the_window_is_repaired_by_read_back():
+    """Guards against a stale model that stays at an engine without a fence check."""
+    engines = pool("open", 2)
+    pause_between_check_and_send(engines)
+    fences = [fence for _, fence, _ in engines[0].applied]
+    assert 1 in fences[fences.index(2) :], "the window was not met"
+
+
+async def run_schedule(clock, seed):
+    """Move the leader at random; return what went wrong."""
+    rng = random.Random(seed)
+    engines = pool("open", 3) + pool("checked", 3, "west")
+    world = World(clock, engines, seed)
+    world.transit_ms, world.failures = ORDER_LIFE_MS, rng.choice([0, 0.1, 0.4])
+    await world.start()
+    for number in range(8):
+        await clock.sleep_ms(rng.randint(500, 9_000))
+        world.leader = rng.choice([None, *MEMBERS])
+        if rng.random() < 0.5:
+            world.put_text(model=f"m{number}")
+    world.leader, world.failures = MEMBERS[0], 0
+    world.put_text(model="last")
+    await clock.sleep_ms(120_000)
+    faults = []
+    for engine in engines:
+        fences = [fence for _, fence, _ in engine.applied]
+        if fences != sorted(fences):
+            faults.append(f"{engine.name} applied orders of {fences}")
+        if engine.state.model != "last":
+            faults.append(f"{engine.name} holds {engine.state.model}")
+    if world.registry.open_engine_orders:
+        faults.append(f"open: {list(world.registry.open_engine_orders)}")
+    return faults
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_schedule(seed):
+    """Guards against crossed, lost or endless orders when the leader moves."""
+    assert run_virtual(run_schedule, seed) == []
+
+
+@pytest.mark.parametrize(
+    ("target", "name", "broken"),
+    [
+        (engine_control, "HANDOVER_WAIT_MS", 0),
+        (EngineController, "_judge", lambda self, order, fleet, rows: None),
+    ],
+)
+def test_schedules_notice_a_missing_guard(target, name, broken):
+    """Guards against schedules that pass when one safeguard is removed."""
+    with mock.patch.object(target, name, broken):
+        assert any(run_virtual(run_schedule, seed) for seed in range(SEEDS))
+
+
+def test_missing_fence_check_is_noticed():
+    """Guards against a window test that passes when engines check no token."""
+    engines = pool("checked", 2)
+    for engine in engines:
+        engine.checks = False
+    pause_between_check_and_send(engines)
+    assert {fence for engine in engines for _, fence, _ in engine.applied} == {1, 2}
+
+
+def test_lease_is_checked_after_the_order_is_recorded():
+    """Guards against an order sent by a member whose lease ended meanwhile."""
+    engines = pool("open", 1)
+
+    async def scenario(world, clock):
+        controller = world.members[0].controller
+        propose = controller.service.propose
+
+        async def slow(message):
+            result = await propose(message)
+            if isinstance(message, PutEngineOrder):
+                world.leader = None
+            return result
+
+        with mock.patch.object(controller.service, "propose", slow):
+            await clock.sleep_ms(5_000)
+        assert world.registry.open_engine_orders
+        assert not engines[0].applied
+
+    run(scenario, engines)
+
+
+def test_missing_lease_check_is_noticed():
+    """Guards against a lease test that passes without the check."""
+    broken = mock.patch.object(EngineController, "_may_send", lambda self, order: True)
+    with broken, pytest.raises(AssertionError):
+        test_lease_is_checked_after_the_order_is_recorded()
+
+
+class FakeHttp:
+    """HTTP client that notes requests and answers them after a delay."""
+
+    def __init__(self, clock, status=200, body=b"{}", headers=None, delay_ms=0):
+        self.clock = clock
+        self.reply = HttpReply(status, headers or {}, body)
+        self.delay_ms = delay_ms
+        self.requests = []
+
+    async def request(self, *args, **options):
+        self.requests.append((args, options))
+        await self.clock.sleep_ms(self.delay_ms)
+        return self.reply
+
+
+ORDER = EngineOrder("5-1", "e", "open", "east", "load-model", "m1", fence=5)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        (202, {}, EngineReply.ACCEPTED),
+        (409, {}, EngineReply.STALE_FENCE),
+        (503, {"wagtailrun-verdict": "not-run"}, Verdict.NOT_RUN),
+        (500, {}, Verdict.MAY_HAVE_RUN),
+    ],
+)
+def test_http_order_carries_its_token_on_a_new_connection(status, headers, outcome):
+    """Guards against orders without token, on old connections, or misread answers."""
+
+    async def main(clock):
+        http = FakeHttp(clock, status, headers=headers)
+        try:
+            reply = await HttpEngineClient(http).send(MEMBERS[0], ORDER, 2_000)
+        except TargetFailed as error:
+            reply = error.verdict
+        assert reply == outcome
+        ((args, options),) = http.requests
+        assert ("Wagtailrun-Fence", "5") in args[3]
+        assert options["fresh"]
+
+    run_virtual(main)
+
+
+def test_http_order_has_a_bounded_life():
+    """Guards against an order still on its way after the hand-over wait."""
+
+    async def main(clock):
+        http = FakeHttp(clock, delay_ms=60_000)
+        with pytest.raises(TargetFailed) as error:
+            await HttpEngineClient(http).send(MEMBERS[0], ORDER, ORDER_LIFE_MS)
+        assert (error.value.verdict, clock.now_ms()) == (Verdict.MAY_HAVE_RUN, 2_000)
+
+    run_virtual(main)
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b'{"model": 1}', b'{"adapters": []}'])
+def test_unusable_state_is_no_state(body):
+    """Guards against orders to an engine whose state cannot be read back."""
+
+    async def main(clock):
+        with pytest.raises(TargetFailed):
+            await HttpEngineClient(FakeHttp(clock, body=body)).read_state(MEMBERS[0], 9)
+        good = FakeHttp(clock, body=b'{"model": "m", "adapters": ["a"], "extra": 1}')
+        state = await HttpEngineClient(good).read_state(MEMBERS[0], 9)
+        assert state == EngineState("m", frozenset({"a"}))
+
+    run_virtual(main)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,12 +8,12 @@
 import pytest
 
 from tests.fake_network import FakeNetwork
+from tests.test_control_client import MEMBERS, MemberLog
 from wagtailrun import orders, registry
 from wagtailrun.control import ControlService
 from wagtailrun.control_client import ControlClient
 from wagtailrun.dispatch import Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.local_log import LocalLog
 from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.target import StageAnswer
@@ -21,27 +21,10 @@
 from wagtailrun.registry_messages import OpenOrder, OrderState
 from wagtailrun.virtual_time import run_virtual
 
-MEMBERS = [Address("10.0.0.1", 1), Address("10.0.0.2", 1), Address("10.0.0.3", 1)]
 SEEDS = 240
 KEYS = ("k0", "k1", "k2")
 
 
-class MemberLog(LocalLog):
-    """Log of one of three members; ``world`` names the leader."""
-
-    def __init__(self, world, address):
-        super().__init__(world.registry, address)
-        self.world = world
-
-    @property
-    def is_leader(self):
-        return self.world.leader == self.address
-
-    @property
-    def leader_address(self):
-        return self.world.leader
-
-
 class EntryLink(PeerLink):
     """Link of an entry process that may stand still or be dead."""
 
--- /dev/null
+++ b/wagtailrun/adapters/http_engine.py
@@ -0,0 +1,119 @@
+"""Reads the state of engines, and gives them orders, over HTTP."""
+
+import json
+from typing import Any
+
+import curio
+
+from wagtailrun.adapters.http_client import HttpClient, HttpReply
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.exceptions import TargetFailed, Verdict
+from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
+from wagtailrun.ports.link import Address
+from wagtailrun.registry_messages import EngineOrder
+
+__all__ = ["HttpEngineClient"]
+
+STATUS_CONFLICT = 409
+MAX_NAMES = 1_000
+
+
+class HttpEngineClient(EngineClient):
+    """Engine client on ``HttpClient``.
+
+    Args:
+        client: HTTP client; state is read over its pooled connections.
+    """
+
+    def __init__(self, client: HttpClient):
+        self.client = client
+
+    async def read_state(self, address: Address, timeout_ms: int) -> EngineState:
+        """Return the state of an engine; raises ``TargetFailed``."""
+        reply = await self._request(address, "GET", "/v1/state", (), b"", timeout_ms)
+        if reply.status != 200:
+            raise _failed(address, f"answered with status {reply.status}", reply)
+        try:
+            return _state(json.loads(reply.body))
+        except (ValueError, TypeError, KeyError, RecursionError) as error:
+            detail = f"sent an unusable state: {error!r}"
+            raise _failed(address, detail, reply) from error
+
+    async def send(
+        self, address: Address, order: EngineOrder, life_ms: int
+    ) -> EngineReply:
+        """Send one order; see ``EngineClient.send``."""
+        body = {
+            "order_id": order.order_id,
+            "kind": order.kind,
+            "subject": order.subject,
+        }
+        headers = (
+            ("Content-Type", "application/json"),
+            ("Wagtailrun-Fence", str(order.fence)),
+            ("Wagtailrun-Deadline-Ms", str(life_ms)),
+        )
+        data = json.dumps(body).encode()
+        reply = await self._request(
+            address, "POST", "/v1/orders", headers, data, life_ms, fresh=True
+        )
+        if reply.status == STATUS_CONFLICT:
+            return EngineReply.STALE_FENCE
+        if 200 <= reply.status < 300:
+            return EngineReply.ACCEPTED
+        raise _failed(address, f"answered with status {reply.status}", reply)
+
+    async def _request(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        timeout_ms: int,
+        fresh: bool = False,
+    ) -> HttpReply:
+        """Send a request whose whole duration is bounded, not each read only."""
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                return await self.client.request(
+                    address,
+                    method,
+                    path,
+                    headers,
+                    body,
+                    timeout_ms=timeout_ms,
+                    fresh=fresh,
+                )
+        except curio.TaskTimeout as error:
+            detail = f"engine {address} did not answer within {timeout_ms} ms"
+            verdict = Verdict.MAY_HAVE_RUN
+            raise TargetFailed(detail, verdict=verdict, silent=True) from error
+
+
+def _failed(address: Address, detail: str, reply: HttpReply) -> TargetFailed:
+    not_run = reply.headers.get("wagtailrun-verdict") == Verdict.NOT_RUN
+    verdict = Verdict.NOT_RUN if not_run else Verdict.MAY_HAVE_RUN
+    return TargetFailed(f"engine {address} {detail}", verdict=verdict)
+
+
+def _state(value: Any) -> EngineState:
+    return EngineState(
+        # An engine that does not report its model cannot be controlled by read-back.
+        model=_text(value["model"]),
+        adapters=_names(value.get("adapters", [])),
+        role=_text(value.get("role", "")),
+        loading=_names(value.get("loading", [])),
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{str(value)[:80]!r} is not a name")
+    return value
+
+
+def _names(value: Any) -> frozenset[str]:
+    if not isinstance(value, list) or len(value) > MAX_NAMES:
+        raise TypeError("a list of names is wanted")
+    return frozenset(_text(item) for item in value)
