--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -1,5 +1,6 @@
 """Tests of the client of the control members, and of the service that answers it."""
 
+import inspect
 import random
 from unittest import mock
 
@@ -67,189 +68,173 @@
             self.network.cut(ENTRY, address)
 
 
-def run(scenario, **faults):
-    async def main(clock):
-        return await scenario(Cluster(clock, **faults), clock)
+def virtual(make, *args, **options):
+    """Run a test in virtual time with the world that ``make`` returns."""
 
-    return run_virtual(main)
+    def decorate(scenario):
+        async def main(clock, parameters):
+            world = make(clock, *args, **options)
+            if hasattr(world, "start"):
+                await world.start()
+            await scenario(world, clock, **parameters)
 
+        def test(**parameters):
+            run_virtual(main, parameters)
 
-def test_redirect_is_followed_at_once():
-    """Guards against asking every member before the one that is named as leader."""
+        own = list(inspect.signature(scenario).parameters.values())[2:]
+        test.__signature__ = inspect.Signature(own)
+        test.__doc__, test.__name__ = scenario.__doc__, scenario.__name__
+        return test
 
-    async def scenario(cluster, clock):
-        cluster.leader = MEMBERS[2]
-        found = await cluster.client.ask(QUESTION, 2_000)
-        assert found.state == OrderState.UNKNOWN
-        assert cluster.network.messages == 4
-        assert cluster.client.leader == MEMBERS[2]
-        await cluster.client.ask(QUESTION, 2_000)
-        assert cluster.network.messages == 6
+    return decorate
 
-    run(scenario)
+
+@virtual(Cluster)
+async def test_redirect_is_followed_at_once(cluster, clock):
+    """Guards against asking every member before the one that is named as leader."""
+    cluster.leader = MEMBERS[2]
+    found = await cluster.client.ask(QUESTION, 2_000)
+    assert found.state == OrderState.UNKNOWN
+    assert cluster.network.messages == 4
+    assert cluster.client.leader == MEMBERS[2]
+    await cluster.client.ask(QUESTION, 2_000)
+    assert cluster.network.messages == 6
 
 
 @pytest.mark.parametrize("timeout_ms", [300, 900, 2_000])
-def test_silent_connection_leaves_time_for_the_new_leader(timeout_ms):
+@virtual(Cluster)
+async def test_silent_connection_leaves_time_for_the_new_leader(
+    cluster, clock, timeout_ms
+):
     """Guards against one silent connection that uses up the whole deadline."""
+    await cluster.client.ask(QUESTION, 2_000)
+    cluster.cut(MEMBERS[0])
+    cluster.leader = MEMBERS[1]
+    started_ms = clock.now_ms()
+    await cluster.client.ask(QUESTION, timeout_ms)
+    assert clock.now_ms() - started_ms <= timeout_ms / 2
 
-    async def scenario(cluster, clock):
-        await cluster.client.ask(QUESTION, 2_000)
-        cluster.cut(MEMBERS[0])
-        cluster.leader = MEMBERS[1]
-        started_ms = clock.now_ms()
-        await cluster.client.ask(QUESTION, timeout_ms)
-        assert clock.now_ms() - started_ms <= timeout_ms / 2
-
-    run(scenario)
 
-
-def test_call_in_flight_when_the_path_goes_silent_is_repeated():
+@virtual(Cluster)
+async def test_call_in_flight_when_the_path_goes_silent_is_repeated(cluster, clock):
     """Guards against a lost reply to a command that ends the call."""
+    task = await curio.spawn(cluster.client.ask, QUESTION, 2_000)
+    await clock.sleep_ms(0)
+    cluster.network.cut(MEMBERS[0], ENTRY, both_ways=False)
+    await clock.sleep_ms(20)
+    cluster.network.heal()
+    assert (await task.join()).state == OrderState.UNKNOWN
 
-    async def scenario(cluster, clock):
-        task = await curio.spawn(cluster.client.ask, QUESTION, 2_000)
-        await clock.sleep_ms(0)
-        cluster.network.cut(MEMBERS[0], ENTRY, both_ways=False)
-        await clock.sleep_ms(20)
-        cluster.network.heal()
-        assert (await task.join()).state == OrderState.UNKNOWN
-
-    run(scenario)
 
-
-def test_isolated_client_fails_at_once_and_recovers():
+@virtual(Cluster)
+async def test_isolated_client_fails_at_once_and_recovers(cluster, clock):
     """Guards against orders that wait for their deadline in a cut-off data centre."""
-
-    async def scenario(cluster, clock):
-        cluster.cut(*MEMBERS)
-        with pytest.raises(ConsensusUnavailable) as error:
-            await cluster.client.ask(QUESTION, 8_000)
-        assert error.value.may_have_committed
-        assert clock.now_ms() <= 3_000
-        started_ms = clock.now_ms()
-        with pytest.raises(ConsensusUnavailable) as error:
-            await cluster.client.ask(QUESTION, 8_000)
-        assert not error.value.may_have_committed
-        assert error.value.retry_after_ms
-        assert clock.now_ms() == started_ms
-        cluster.network.heal()
-        await clock.sleep_ms(ISOLATION_MS)
+    cluster.cut(*MEMBERS)
+    with pytest.raises(ConsensusUnavailable) as error:
         await cluster.client.ask(QUESTION, 8_000)
-
-    run(scenario)
+    assert error.value.may_have_committed
+    assert clock.now_ms() <= 3_000
+    started_ms = clock.now_ms()
+    with pytest.raises(ConsensusUnavailable) as error:
+        await cluster.client.ask(QUESTION, 8_000)
+    assert not error.value.may_have_committed
+    assert error.value.retry_after_ms
+    assert clock.now_ms() == started_ms
+    cluster.network.heal()
+    await clock.sleep_ms(ISOLATION_MS)
+    await cluster.client.ask(QUESTION, 8_000)
 
 
-def test_refused_connections_are_known_not_to_commit():
+@virtual(Cluster)
+async def test_refused_connections_are_known_not_to_commit(cluster, clock):
     """Guards against "may have committed" when no byte was sent, and a slow refusal."""
-
-    async def scenario(cluster, clock):
-        cluster.network.handlers_by_address.clear()
-        with pytest.raises(ConsensusUnavailable) as error:
-            await cluster.client.ask(QUESTION, 8_000)
-        assert not error.value.may_have_committed
-        assert clock.now_ms() < 100
-
-    run(scenario)
+    cluster.network.handlers_by_address.clear()
+    with pytest.raises(ConsensusUnavailable) as error:
+        await cluster.client.ask(QUESTION, 8_000)
+    assert not error.value.may_have_committed
+    assert clock.now_ms() < 100
 
 
-def test_election_is_waited_for():
+@virtual(Cluster)
+async def test_election_is_waited_for(cluster, clock):
     """Guards against giving up while members answer but none leads yet."""
+    cluster.leader = None
+    task = await curio.spawn(cluster.client.ask, QUESTION, 8_000)
+    await clock.sleep_ms(4_000)
+    cluster.leader = MEMBERS[1]
+    assert (await task.join()).state == OrderState.UNKNOWN
+    assert clock.now_ms() < 6_000
+    assert cluster.network.messages < 100
 
-    async def scenario(cluster, clock):
-        cluster.leader = None
-        task = await curio.spawn(cluster.client.ask, QUESTION, 8_000)
-        await clock.sleep_ms(4_000)
-        cluster.leader = MEMBERS[1]
-        assert (await task.join()).state == OrderState.UNKNOWN
-        assert clock.now_ms() < 6_000
-        assert cluster.network.messages < 100
-
-    run(scenario)
 
-
-def test_no_leader_ends_in_an_honest_refusal():
+@virtual(Cluster)
+async def test_no_leader_ends_in_an_honest_refusal(cluster, clock):
     """Guards against a call without end, and a wrong claim about the commit."""
+    cluster.leader = None
+    with pytest.raises(ConsensusUnavailable) as error:
+        await cluster.client.ask(QUESTION, 2_000)
+    assert not error.value.may_have_committed
+    assert clock.now_ms() <= 2_000
 
-    async def scenario(cluster, clock):
-        cluster.leader = None
-        with pytest.raises(ConsensusUnavailable) as error:
-            await cluster.client.ask(QUESTION, 2_000)
-        assert not error.value.may_have_committed
-        assert clock.now_ms() <= 2_000
-
-        async def unsure(message):
-            return Unavailable("no quorum", True, 700)
-
-        for address in MEMBERS:
-            cluster.network.handlers_by_address[address] = unsure
-        with pytest.raises(ConsensusUnavailable) as error:
-            await cluster.client.ask(QUESTION, 2_000)
-        assert error.value.may_have_committed
+    async def unsure(message):
+        return Unavailable("no quorum", True, 700)
 
-    run(scenario)
+    for address in MEMBERS:
+        cluster.network.handlers_by_address[address] = unsure
+    with pytest.raises(ConsensusUnavailable) as error:
+        await cluster.client.ask(QUESTION, 2_000)
+    assert error.value.may_have_committed
 
 
-def test_short_calls_do_not_count_as_isolation():
+@virtual(Cluster)
+async def test_short_calls_do_not_count_as_isolation(cluster, clock):
     """Guards against one impatient caller that shuts out all others."""
-
-    async def scenario(cluster, clock):
-        cluster.network.delay_ms = (100, 100)
-        with pytest.raises(ConsensusUnavailable):
-            await cluster.client.ask(QUESTION, 120)
-        await cluster.client.ask(QUESTION, 4_000)
-
-    run(scenario)
+    cluster.network.delay_ms = (100, 100)
+    with pytest.raises(ConsensusUnavailable):
+        await cluster.client.ask(QUESTION, 120)
+    await cluster.client.ask(QUESTION, 4_000)
 
 
-def test_leader_checks_the_text_and_shows_the_difference():
+@virtual(Cluster)
+async def test_leader_checks_the_text_and_shows_the_difference(cluster, clock):
     """Guards against an invalid text in force, and a refusal without a difference."""
 
-    async def scenario(cluster, clock):
-        def change(name, base, text, fault=""):
-            return ApplyText(name, base, "op", "10.0.9.9", text, 0, fault)
-
-        ask = cluster.client.ask
-        assert not (await ask(change("bad", 0, "[fleet"), 2_000)).accepted
-        # A fault that the client states itself has no say.
-        assert (await ask(change("a", 0, TEXT, "claimed"), 2_000)).accepted
-        other = TEXT.replace("one", "two")
-        refused = await ask(change("b", 0, other), 2_000)
-        assert '-name = "one"' in refused.difference
-        assert '+name = "two"' in refused.difference
-        many = "".join(f"# {n}\n" for n in range(control.MAX_DIFFERENCE_LINES + 1))
-        long = await ask(change("c", 0, TEXT + many), 2_000)
-        assert "lines 4 to 3 of revision 1 differ" in long.difference
-        assert cluster.registry.revision == 1
-
-    run(scenario)
-
-
-def test_questions_list_orders_and_export_the_audit_trail():
+    def change(name, base, text, fault=""):
+        return ApplyText(name, base, "op", "10.0.9.9", text, 0, fault)
+
+    ask = cluster.client.ask
+    assert not (await ask(change("bad", 0, "[fleet"), 2_000)).accepted
+    # A fault that the client states itself has no say.
+    assert (await ask(change("a", 0, TEXT, "claimed"), 2_000)).accepted
+    other = TEXT.replace("one", "two")
+    refused = await ask(change("b", 0, other), 2_000)
+    assert '-name = "one"' in refused.difference
+    assert '+name = "two"' in refused.difference
+    many = "".join(f"# {n}\n" for n in range(control.MAX_DIFFERENCE_LINES + 1))
+    long = await ask(change("c", 0, TEXT + many), 2_000)
+    assert "lines 4 to 3 of revision 1 differ" in long.difference
+    assert cluster.registry.revision == 1
+
+
+@virtual(Cluster)
+async def test_questions_list_orders_and_export_the_audit_trail(cluster, clock):
     """Guards against questions that control members do not answer."""
+    await cluster.client.ask(RecordMembers("op", "10.0.9.9", "added", 0), 2_000)
+    page = await cluster.client.ask(ExportAudit(1, 10), 2_000)
+    assert [record.subject for record in page.records] == ["added"]
+    assert page.head == page.records[-1].digest
+    listed = await cluster.client.ask(ListOrders("", 10), 2_000)
+    assert (listed.rows, listed.total) == ([], 0)
 
-    async def scenario(cluster, clock):
-        await cluster.client.ask(RecordMembers("op", "10.0.9.9", "added", 0), 2_000)
-        page = await cluster.client.ask(ExportAudit(1, 10), 2_000)
-        assert [record.subject for record in page.records] == ["added"]
-        assert page.head == page.records[-1].digest
-        listed = await cluster.client.ask(ListOrders("", 10), 2_000)
-        assert (listed.rows, listed.total) == ([], 0)
 
-    run(scenario)
-
-
-def test_idle_sweep_commits_nothing():
+@virtual(Cluster)
+async def test_idle_sweep_commits_nothing(cluster, clock):
     """Guards against a synced record each second when there is nothing to sweep."""
-
-    async def scenario(cluster, clock):
-        service = ControlService(
-            clock, "c", cluster.registry, MemberLog(cluster, MEMBERS[0])
-        )
-        with mock.patch.object(service, "propose") as propose:
-            task = await curio.spawn(service.sweep)
-            await clock.sleep_ms(5_000)
-            await task.cancel()
-        assert not propose.called
-
-    run(scenario)
+    service = ControlService(
+        clock, "c", cluster.registry, MemberLog(cluster, MEMBERS[0])
+    )
+    with mock.patch.object(service, "propose") as propose:
+        task = await curio.spawn(service.sweep)
+        await clock.sleep_ms(5_000)
+        await task.cancel()
+    assert not propose.called
--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -7,7 +7,7 @@
 import curio
 import pytest
 
-from tests.test_control_client import MEMBERS, MemberLog
+from tests.test_control_client import MEMBERS, MemberLog, virtual
 from wagtailrun import engine_control
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.adapters.http_engine import HttpEngineClient
@@ -57,6 +57,12 @@
         self.fence = 0
         self.applied = []
 
+    def fences(self):
+        return [fence for _, fence, _ in self.applied]
+
+    def is_stale(self, order):
+        return self.checks and order.fence < self.fence
+
 
 class Engines(EngineClient):
     """All engines, as one member reaches them."""
@@ -75,7 +81,7 @@
         if world.rng.random() < world.failures:
             raise ConnectFailed("refused")
         await world.clock.sleep_ms(world.rng.randint(0, world.transit_ms))
-        if engine.checks and order.fence < engine.fence:
+        if engine.is_stale(order):
             return EngineReply.STALE_FENCE
         engine.fence = max(engine.fence, order.fence)
         engine.applied.append((world.clock.now_ms(), order.fence, order))
@@ -118,10 +124,11 @@
 class World:
     """Control members that share a registry, and engines."""
 
-    def __init__(self, clock, engines, seed=0, budget=1_000, model="m1"):
+    def __init__(self, clock, make_engines, seed=0, budget=1_000, model="m1"):
         self.clock = clock
         self.rng = random.Random(seed)
-        self.engines_by_address = {engine.address: engine for engine in engines}
+        self.engines = make_engines()
+        self.engines_by_address = {engine.address: engine for engine in self.engines}
         self.transit_ms, self.load_ms, self.failures = 5, 3_000, 0.0
         self.registry = Registry()
         self.leader = MEMBERS[0]
@@ -143,167 +150,139 @@
             await curio.spawn(member.controller.run, daemon=True)
 
 
-def run(scenario, engines, **options):
-    async def main(clock):
-        world = World(clock, engines, **options)
-        await world.start()
-        await scenario(world, clock)
-
-    run_virtual(main)
-
-
 def pool(service, count, data_centre="east", model=""):
     return [Engine(f"{service}-{n}", service, data_centre, model) for n in range(count)]
 
 
-def test_engines_reach_the_state_of_the_text():
+@virtual(World, lambda: pool("open", 3) + pool("checked", 2))
+async def test_engines_reach_the_state_of_the_text(world, clock):
     """Guards against engines that keep an old model or miss an adapter."""
-    engines = pool("open", 3) + pool("checked", 2)
-
-    async def scenario(world, clock):
-        await clock.sleep_ms(20_000)
-        assert {engine.state.model for engine in engines} == {"m1"}
-        assert {engine.state.adapters for engine in engines[:3]} == {frozenset({"a1"})}
-        world.put_text(model="m2")
-        engines[0].state = engine_control.attrs.evolve(
-            engines[0].state, adapters=frozenset({"a1", "old"})
-        )
-        await clock.sleep_ms(20_000)
-        assert {engine.state.model for engine in engines} == {"m2"}
-        assert engines[0].state.adapters == frozenset({"a1"})
-        assert not world.registry.open_engine_orders
-        # One order at a time and no repeats: model twice, adapter once.
-        assert len(engines[1].applied) == 3
-
-    run(scenario, engines)
-
-
-def test_only_the_leader_issues_orders():
+    engines = world.engines
+    await clock.sleep_ms(20_000)
+    assert {engine.state.model for engine in engines} == {"m1"}
+    assert {engine.state.adapters for engine in engines[:3]} == {frozenset({"a1"})}
+    world.put_text(model="m2")
+    engines[0].state = engine_control.attrs.evolve(
+        engines[0].state, adapters=frozenset({"a1", "old"})
+    )
+    await clock.sleep_ms(20_000)
+    assert {engine.state.model for engine in engines} == {"m2"}
+    assert engines[0].state.adapters == frozenset({"a1"})
+    assert not world.registry.open_engine_orders
+    # One order at a time and no repeats: model twice, adapter once.
+    assert len(engines[1].applied) == 3
+
+
+@virtual(World, lambda: pool("open", 4))
+async def test_only_the_leader_issues_orders(world, clock):
     """Guards against two issuers at a time."""
-    engines = pool("open", 4)
-
-    async def scenario(world, clock):
-        await clock.sleep_ms(20_000)
-        assert {fence for engine in engines for _, fence, _ in engine.applied} == {1}
+    engines = world.engines
+    await clock.sleep_ms(20_000)
+    assert {fence for engine in engines for _, fence, _ in engine.applied} == {1}
 
-    run(scenario, engines)
 
-
-def test_weight_budget_holds_per_data_centre_and_across_controllers():
+@virtual(World, lambda: pool("checked", 8) + pool("open", 8, "west"), budget=3)
+async def test_weight_budget_holds_per_data_centre_and_across_controllers(world, clock):
     """Guards against a weight store asked for more than its rate limit."""
-    engines = pool("checked", 8) + pool("open", 8, "west")
-
-    async def scenario(world, clock):
-        for number in range(6):
-            world.leader = MEMBERS[number % 3]
-            await clock.sleep_ms(20_000)
-        for data_centre in ("east", "west"):
-            times = sorted(
-                at_ms
-                for engine in engines
-                if engine.row.data_centre == data_centre
-                for at_ms, _, order in engine.applied
-                if order.kind != EngineOrderKind.SET_ROLE
-            )
-            assert len(times) >= 4
-            for first, fourth in zip(times, times[3:], strict=False):
-                # Orders take at most 5 ms from the record to the engine.
-                assert fourth - first >= 60_000 - 5
-
-    run(scenario, engines, budget=3)
-
-
-def test_most_needed_load_comes_first():
+    engines = world.engines
+    for number in range(6):
+        world.leader = MEMBERS[number % 3]
+        await clock.sleep_ms(20_000)
+    for data_centre in ("east", "west"):
+        times = sorted(
+            at_ms
+            for engine in engines
+            if engine.row.data_centre == data_centre
+            for at_ms, _, order in engine.applied
+            if order.kind != EngineOrderKind.SET_ROLE
+        )
+        assert len(times) >= 4
+        for first, fourth in zip(times, times[3:], strict=False):
+            # Orders take at most 5 ms from the record to the engine.
+            assert fourth - first >= 60_000 - 5
+
+
+@virtual(
+    World,
+    lambda: (
+        pool("open", 2, model="m1") + [Engine("open-x", "open")] + pool("checked", 3)
+    ),
+    budget=1,
+)
+async def test_most_needed_load_comes_first(world, clock):
     """Guards against a budget spent on a service that already has ready engines."""
-    engines = pool("open", 2, model="m1") + [Engine("open-x", "open")]
-    engines += pool("checked", 3)
-
-    async def scenario(world, clock):
-        await clock.sleep_ms(10_000)
-        first = [engine.name for engine in engines if engine.applied]
-        assert first == ["checked-0"]
+    engines = world.engines
+    await clock.sleep_ms(10_000)
+    first = [engine.name for engine in engines if engine.applied]
+    assert first == ["checked-0"]
 
-    run(scenario, engines, budget=1)
 
-
-def test_successor_waits_only_where_tokens_are_not_checked():
+@virtual(World, lambda: pool("open", 2) + pool("checked", 2))
+async def test_successor_waits_only_where_tokens_are_not_checked(world, clock):
     """Guards against orders that cross those of a predecessor still on their way."""
-    engines = pool("open", 2) + pool("checked", 2)
-
-    async def scenario(world, clock):
-        # A load under way would delay the next order whatever the tokens.
-        world.load_ms = 100
-        await clock.sleep_ms(1_500)
-        world.leader = MEMBERS[1]
-        world.put_text(model="m2")
-        changed_ms = clock.now_ms()
-        await clock.sleep_ms(20_000)
-        first_ms = Counter()
-        for engine in engines:
-            at_ms = min(at_ms for at_ms, fence, _ in engine.applied if fence == 2)
-            first_ms[engine.row.service] = at_ms - changed_ms
-        assert first_ms["checked"] < 2_000
-        assert HANDOVER_WAIT_MS <= first_ms["open"] < HANDOVER_WAIT_MS + 3_000
-        assert {engine.state.model for engine in engines} == {"m2"}
-
+    engines = world.engines
     assert HANDOVER_WAIT_MS >= (2_000 + 1_000) / 0.9 * 1.1
-    run(scenario, engines)
+    # A load under way would delay the next order whatever the tokens.
+    world.load_ms = 100
+    await clock.sleep_ms(1_500)
+    world.leader = MEMBERS[1]
+    world.put_text(model="m2")
+    changed_ms = clock.now_ms()
+    await clock.sleep_ms(20_000)
+    first_ms = Counter()
+    for engine in engines:
+        at_ms = min(at_ms for at_ms, fence, _ in engine.applied if fence == 2)
+        first_ms[engine.row.service] = at_ms - changed_ms
+    assert first_ms["checked"] < 2_000
+    assert HANDOVER_WAIT_MS <= first_ms["open"] < HANDOVER_WAIT_MS + 3_000
+    assert {engine.state.model for engine in engines} == {"m2"}
 
 
-def test_order_of_a_dead_controller_is_not_lost():
+@virtual(World, lambda: pool("open", 1))
+async def test_order_of_a_dead_controller_is_not_lost(world, clock):
     """Guards against a recorded order that nobody sends after a crash."""
-    engines = pool("open", 1)
-
-    async def scenario(world, clock):
-        world.members[0].thaw_ms = 10**9
-        await clock.sleep_ms(2_500)
-        (name,) = world.registry.open_engine_orders
-        world.leader = MEMBERS[1]
-        await clock.sleep_ms(20_000)
-        order = world.registry.engine_orders_by_id[name]
-        assert order.state == EngineOrderState.SUPERSEDED
-        assert engines[0].state.model == "m1"
-
-    run(scenario, engines)
-
-
-def pause_between_check_and_send(engines):
+    engines = world.engines
+    world.members[0].thaw_ms = 10**9
+    await clock.sleep_ms(2_500)
+    (name,) = world.registry.open_engine_orders
+    world.leader = MEMBERS[1]
+    await clock.sleep_ms(20_000)
+    order = world.registry.engine_orders_by_id[name]
+    assert order.state == EngineOrderState.SUPERSEDED
+    assert engines[0].state.model == "m1"
+
+
+async def pause_between_check_and_send(world, clock):
     """Let a controller stand still in the window, and its order arrive late."""
-
-    async def scenario(world, clock):
-        world.members[0].thaw_ms = 30_000
-        await clock.sleep_ms(2_500)
-        assert world.registry.open_engine_orders
-        world.leader = MEMBERS[1]
-        world.put_text(model="m2")
-        await clock.sleep_ms(20_000)
-        assert {engine.state.model for engine in engines} == {"m2"}
-        await clock.sleep_ms(40_000)
-        assert {engine.state.model for engine in engines} == {"m2"}
-
-    run(scenario, engines)
-
-
-def test_late_order_in_the_window_is_refused_by_checking_engines():
+    world.members[0].thaw_ms = 30_000
+    await clock.sleep_ms(2_500)
+    assert world.registry.open_engine_orders
+    world.leader = MEMBERS[1]
+    world.put_text(model="m2")
+    for pause_ms in (20_000, 40_000):
+        await clock.sleep_ms(pause_ms)
+        assert {engine.state.model for engine in world.engines} == {"m2"}
+
+
+@virtual(World, lambda: pool("checked", 2))
+async def test_late_order_in_the_window_is_refused_by_checking_engines(world, clock):
     """Guards against a stale order that an engine with a fence check applies."""
-    engines = pool("checked", 2)
-    pause_between_check_and_send(engines)
-    assert {fence for engine in engines for _, fence, _ in engine.applied} == {2}
+    await pause_between_check_and_send(world, clock)
+    assert {fence for engine in world.engines for fence in engine.fences()} == {2}
 
 
-def test_late_order_in_the_window_is_repaired_by_read_back():
+@virtual(World, lambda: pool("open", 2))
+async def test_late_order_in_the_window_is_repaired_by_read_back(world, clock):
     """Guards against a stale model that stays at an engine without a fence check."""
-    engines = pool("open", 2)
-    pause_between_check_and_send(engines)
-    fences = [fence for _, fence, _ in engines[0].applied]
+    await pause_between_check_and_send(world, clock)
+    fences = world.engines[0].fences()
     assert 1 in fences[fences.index(2) :], "the window was not met"
 
 
 async def run_schedule(clock, seed):
     """Move the leader at random; return what went wrong."""
     rng = random.Random(seed)
-    engines = pool("open", 3) + pool("checked", 3, "west")
-    world = World(clock, engines, seed)
+    world = World(clock, lambda: pool("open", 3) + pool("checked", 3, "west"), seed)
     world.transit_ms, world.failures = ORDER_LIFE_MS, rng.choice([0, 0.1, 0.4])
     await world.start()
     for number in range(8):
@@ -315,8 +294,8 @@
     world.put_text(model="last")
     await clock.sleep_ms(120_000)
     faults = []
-    for engine in engines:
-        fences = [fence for _, fence, _ in engine.applied]
+    for engine in world.engines:
+        fences = engine.fences()
         if fences != sorted(fences):
             faults.append(f"{engine.name} applied orders of {fences}")
         if engine.state.model != "last":
@@ -347,33 +326,28 @@
 
 def test_missing_fence_check_is_noticed():
     """Guards against a window test that passes when engines check no token."""
-    engines = pool("checked", 2)
-    for engine in engines:
-        engine.checks = False
-    pause_between_check_and_send(engines)
-    assert {fence for engine in engines for _, fence, _ in engine.applied} == {1, 2}
+    broken = mock.patch.object(Engine, "is_stale", lambda self, order: False)
+    with broken, pytest.raises(AssertionError):
+        test_late_order_in_the_window_is_refused_by_checking_engines()
 
 
-def test_lease_is_checked_after_the_order_is_recorded():
+@virtual(World, lambda: pool("open", 1))
+async def test_lease_is_checked_after_the_order_is_recorded(world, clock):
     """Guards against an order sent by a member whose lease ended meanwhile."""
-    engines = pool("open", 1)
-
-    async def scenario(world, clock):
-        controller = world.members[0].controller
-        propose = controller.service.propose
-
-        async def slow(message):
-            result = await propose(message)
-            if isinstance(message, PutEngineOrder):
-                world.leader = None
-            return result
-
-        with mock.patch.object(controller.service, "propose", slow):
-            await clock.sleep_ms(5_000)
-        assert world.registry.open_engine_orders
-        assert not engines[0].applied
-
-    run(scenario, engines)
+    engines = world.engines
+    controller = world.members[0].controller
+    propose = controller.service.propose
+
+    async def slow(message):
+        result = await propose(message)
+        if isinstance(message, PutEngineOrder):
+            world.leader = None
+        return result
+
+    with mock.patch.object(controller.service, "propose", slow):
+        await clock.sleep_ms(5_000)
+    assert world.registry.open_engine_orders
+    assert not engines[0].applied
 
 
 def test_missing_lease_check_is_noticed():
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.fake_network import FakeNetwork
-from tests.test_control_client import MEMBERS, MemberLog
+from tests.test_control_client import MEMBERS, MemberLog, virtual
 from wagtailrun import orders, registry
 from wagtailrun.control import ControlService
 from wagtailrun.control_client import ControlClient
@@ -272,192 +272,147 @@
         assert any(run_virtual(run_schedule, seed) for seed in range(SEEDS))
 
 
-def run(scenario, **faults):
-    async def main(clock):
-        world = World(clock, **faults)
-        await world.start()
-        await scenario(world, clock)
-        return world
-
-    return run_virtual(main)
-
-
-def test_resend_at_another_entry_gets_the_first_answer():
+@virtual(World)
+async def test_resend_at_another_entry_gets_the_first_answer(world, clock):
     """Guards against a second run, or another answer, for a resent key."""
-
-    async def scenario(world, clock):
-        first, second, _ = world.entries
-        task = await curio.spawn(world.order, first, "k0", "same-id")
-        await clock.sleep_ms(20)
-        again = await world.order(second, "k0", "same-id")
-        assert again.body == (await task.join()).body == b"same-id"
-        assert len(world.runs_by_key["k0"]) == 1
-
-    run(scenario)
+    first, second, _ = world.entries
+    task = await curio.spawn(world.order, first, "k0", "same-id")
+    await clock.sleep_ms(20)
+    again = await world.order(second, "k0", "same-id")
+    assert again.body == (await task.join()).body == b"same-id"
+    assert len(world.runs_by_key["k0"]) == 1
 
 
-def test_two_requests_with_one_request_id_at_one_entry_run_once():
+@virtual(World)
+async def test_two_requests_with_one_request_id_at_one_entry_run_once(world, clock):
     """Guards against telling senders apart by the caller's request id."""
+    entry = world.entries[0]
+    tasks = [await curio.spawn(world.order, entry, "k0", "same-id") for _ in range(3)]
+    answers = {(await task.join()).body for task in tasks}
+    assert (answers, len(world.runs_by_key["k0"])) == ({b"same-id"}, 1)
 
-    async def scenario(world, clock):
-        entry = world.entries[0]
-        tasks = [
-            await curio.spawn(world.order, entry, "k0", "same-id") for _ in range(3)
-        ]
-        answers = {(await task.join()).body for task in tasks}
-        assert (answers, len(world.runs_by_key["k0"])) == ({b"same-id"}, 1)
-
-    run(scenario)
 
-
-def test_waiting_resend_runs_after_the_first_proved_not_run():
+@virtual(World)
+async def test_waiting_resend_runs_after_the_first_proved_not_run(world, clock):
     """Guards against a resend that is refused although it may open an attempt."""
-
-    async def scenario(world, clock):
-        world.outcomes = ("not-run",)
-        refused = await world.order(world.entries[0], "k0", "r0")
-        assert refused.verdict == Verdict.NOT_RUN
-        world.outcomes = ("complete",)
-        assert (await world.order(world.entries[1], "k0", "r1")).status == 200
-
-    run(scenario)
+    world.outcomes = ("not-run",)
+    refused = await world.order(world.entries[0], "k0", "r0")
+    assert refused.verdict == Verdict.NOT_RUN
+    world.outcomes = ("complete",)
+    assert (await world.order(world.entries[1], "k0", "r1")).status == 200
 
 
-def test_unreachable_members_refuse_at_once_without_sending():
+@virtual(World)
+async def test_unreachable_members_refuse_at_once_without_sending(world, clock):
     """Guards against section 6: a partitioned entry that sends, or says not run."""
-
-    async def scenario(world, clock):
-        entry = world.entries[0]
-        for address in MEMBERS:
-            world.network.cut(entry.address, address)
-        for longest_ms in (3_000, 0):
-            started_ms = clock.now_ms()
-            refused = await world.order(entry, "k0", "r0", 8_000)
-            assert clock.now_ms() - started_ms <= longest_ms
-            assert refused.verdict == Verdict.MAY_HAVE_RUN
-            assert not refused.attempt_sent
-            assert refused.retry_after_ms > 0
-        assert not world.runs_by_key["k0"]
-        found = await entry.runner.find("w", "k0")
-        assert (found.verdict, found.attempt_sent) == (Verdict.MAY_HAVE_RUN, False)
-
-    run(scenario)
-
-
-def test_attempt_of_a_lost_reply_is_closed_in_the_background():
+    entry = world.entries[0]
+    for address in MEMBERS:
+        world.network.cut(entry.address, address)
+    for longest_ms in (3_000, 0):
+        started_ms = clock.now_ms()
+        refused = await world.order(entry, "k0", "r0", 8_000)
+        assert clock.now_ms() - started_ms <= longest_ms
+        assert refused.verdict == Verdict.MAY_HAVE_RUN
+        assert not refused.attempt_sent
+        assert refused.retry_after_ms > 0
+    assert not world.runs_by_key["k0"]
+    found = await entry.runner.find("w", "k0")
+    assert (found.verdict, found.attempt_sent) == (Verdict.MAY_HAVE_RUN, False)
+
+
+@virtual(World)
+async def test_attempt_of_a_lost_reply_is_closed_in_the_background(world, clock):
     """Guards against a key that stays open because the reply to its open was lost."""
-
-    async def scenario(world, clock):
-        entry = world.entries[0]
-        for address in MEMBERS:
-            world.network.cut(address, entry.address, both_ways=False)
-        await world.order(entry, "k0", "r0")
-        key = OrderKey("w", "k0")
-        assert world.registry.find_order(key).state == OrderState.OPEN_ELSEWHERE
-        world.network.heal()
-        await clock.sleep_ms(3_000)
-        assert world.registry.find_order(key).verdict == Verdict.NOT_RUN
-        assert not entry.runner.pending_by_sender
-        assert (await world.order(world.entries[1], "k0", "r1")).status == 200
-
-    run(scenario)
+    entry = world.entries[0]
+    for address in MEMBERS:
+        world.network.cut(address, entry.address, both_ways=False)
+    await world.order(entry, "k0", "r0")
+    key = OrderKey("w", "k0")
+    assert world.registry.find_order(key).state == OrderState.OPEN_ELSEWHERE
+    world.network.heal()
+    await clock.sleep_ms(3_000)
+    assert world.registry.find_order(key).verdict == Verdict.NOT_RUN
+    assert not entry.runner.pending_by_sender
+    assert (await world.order(world.entries[1], "k0", "r1")).status == 200
 
 
-def test_thawed_entry_sends_nothing_after_its_deadline():
+@virtual(World)
+async def test_thawed_entry_sends_nothing_after_its_deadline(world, clock):
     """Guards against a late first byte, and an attempt left open after a freeze."""
-
-    async def scenario(world, clock):
-        entry = world.entries[0]
-        task = await curio.spawn(world.order, entry, "k0", "r0", 600)
-        await clock.sleep_ms(1)
-        entry.thaw_ms = 2_000
-        refused = await task.join()
-        assert (refused.reason, refused.verdict) == (
-            RefusalReason.DEADLINE,
-            Verdict.NOT_RUN,
-        )
-        assert not world.runs_by_key["k0"]
-        found = await entry.runner.find("w", "k0")
-        assert (found.state, found.verdict) == (OrderState.CLOSED, Verdict.NOT_RUN)
-
-    run(scenario)
+    entry = world.entries[0]
+    task = await curio.spawn(world.order, entry, "k0", "r0", 600)
+    await clock.sleep_ms(1)
+    entry.thaw_ms = 2_000
+    refused = await task.join()
+    assert (refused.reason, refused.verdict) == (
+        RefusalReason.DEADLINE,
+        Verdict.NOT_RUN,
+    )
+    assert not world.runs_by_key["k0"]
+    found = await entry.runner.find("w", "k0")
+    assert (found.state, found.verdict) == (OrderState.CLOSED, Verdict.NOT_RUN)
 
 
-def test_suspended_vm_is_noticed_by_its_wall_clock():
+@virtual(World)
+async def test_suspended_vm_is_noticed_by_its_wall_clock(world, clock):
     """Guards against a late send when the monotonic clock stood still."""
+    task = await curio.spawn(world.order, world.entries[0], "k0", "r0", 600)
+    await clock.sleep_ms(1)
+    clock.wall_start_ms += 600
+    assert (await task.join()).reason == RefusalReason.DEADLINE
 
-    async def scenario(world, clock):
-        task = await curio.spawn(world.order, world.entries[0], "k0", "r0", 600)
-        await clock.sleep_ms(1)
-        clock.wall_start_ms += 600
-        assert (await task.join()).reason == RefusalReason.DEADLINE
-
-    run(scenario)
 
-
-def test_order_goes_on_when_its_caller_leaves():
+@virtual(World)
+async def test_order_goes_on_when_its_caller_leaves(world, clock):
     """Guards against an outcome that is lost with the caller's connection."""
+    task = await curio.spawn(world.order, world.entries[0], "k0", "r0")
+    await clock.sleep_ms(20)
+    await task.cancel()
+    await clock.sleep_ms(1_000)
+    again = await world.order(world.entries[1], "k0", "r1")
+    assert (again.body, world.runs_by_key["k0"]) == (b"r0", ["r0"])
 
-    async def scenario(world, clock):
-        task = await curio.spawn(world.order, world.entries[0], "k0", "r0")
-        await clock.sleep_ms(20)
-        await task.cancel()
-        await clock.sleep_ms(1_000)
-        again = await world.order(world.entries[1], "k0", "r1")
-        assert (again.body, world.runs_by_key["k0"]) == (b"r0", ["r0"])
-
-    run(scenario)
 
-
-def test_crash_of_the_entry_is_stated_within_15_s_of_the_deadline():
+@virtual(World)
+async def test_crash_of_the_entry_is_stated_within_15_s_of_the_deadline(world, clock):
     """Guards against an order of a dead entry that nobody closes or lists."""
+    entry = world.entries[0]
+    await curio.spawn(world.order, entry, "k0", "r0", 2_000, daemon=True)
+    await clock.sleep_ms(15)
+    entry.dead = True
+    await clock.sleep_ms(2_000 + 15_000 - 15)
+    row = world.registry.list_orders("w", 10).rows[0]
+    assert (row.request_id, row.verdict) == ("r0", Verdict.MAY_HAVE_RUN)
 
-    async def scenario(world, clock):
-        entry = world.entries[0]
-        await curio.spawn(world.order, entry, "k0", "r0", 2_000, daemon=True)
-        await clock.sleep_ms(15)
-        entry.dead = True
-        await clock.sleep_ms(2_000 + 15_000 - 15)
-        row = world.registry.list_orders("w", 10).rows[0]
-        assert (row.request_id, row.verdict) == ("r0", Verdict.MAY_HAVE_RUN)
-
-    run(scenario)
 
-
-def test_large_answer_is_not_repeated_but_stated():
+@virtual(World)
+async def test_large_answer_is_not_repeated_but_stated(world, clock):
     """Guards against a resend that gets an empty answer in place of a large one."""
-
-    async def scenario(world, clock):
-        entry = world.entries[0]
-        large = StageAnswer(201, b"x" * (registry.MAX_STORED_BODY_BYTES + 1))
-        with mock.patch.object(Entry, "call", return_value=large):
-            assert await world.order(entry, "k0", "r0") == large
-        again = await world.order(entry, "k0", "r1")
-        assert again.verdict == Verdict.MAY_HAVE_RUN
-        assert "SHA-256" in again.detail
-        assert "201" in again.detail
-
-    run(scenario)
-
-
-def test_wrong_wall_clock_of_an_entry_does_no_harm():
+    entry = world.entries[0]
+    large = StageAnswer(201, b"x" * (registry.MAX_STORED_BODY_BYTES + 1))
+    with mock.patch.object(Entry, "call", return_value=large):
+        assert await world.order(entry, "k0", "r0") == large
+    again = await world.order(entry, "k0", "r1")
+    assert again.verdict == Verdict.MAY_HAVE_RUN
+    assert "SHA-256" in again.detail
+    assert "201" in again.detail
+
+
+@virtual(World)
+async def test_wrong_wall_clock_of_an_entry_does_no_harm(world, clock):
     """Guards against orders swept at once because an entry's clock is behind."""
+    seen = Counter()
+    open_order = world.registry.handlers_by_class[OpenOrder]
 
-    async def scenario(world, clock):
-        seen = Counter()
-        open_order = world.registry.handlers_by_class[OpenOrder]
-
-        def note(command):
-            seen[command.deadline_ms - clock.wall_ms()] += 1
-            return open_order(command)
+    def note(command):
+        seen[command.deadline_ms - clock.wall_ms()] += 1
+        return open_order(command)
 
-        world.registry.handlers_by_class[OpenOrder] = note
-        entry = world.entries[0]
-        with mock.patch.object(orders._Order, "open_message", skewed_message):
-            await world.order(entry, "k0", "r0")
-        assert seen == {4_000: 1}
-
-    run(scenario)
+    world.registry.handlers_by_class[OpenOrder] = note
+    entry = world.entries[0]
+    with mock.patch.object(orders._Order, "open_message", skewed_message):
+        await world.order(entry, "k0", "r0")
+    assert seen == {4_000: 1}
 
 
 def skewed_message(self, original=orders._Order.open_message):
