Spread target rows and the fleet text between entries

Cause: each entry knew only the targets that announced themselves to it, and every entry polled the control members itself.

Two entries for each target, chosen by rendezvous hashing, judge its silence; the entries that hear it forward its sequence to them, and only changes reach all entries. Ruled out: spreading every sequence to every entry by gossip alone.

--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -15,22 +15,17 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.control_client import ControlClient
 from wagtailrun.dispatch import Dispatcher
-from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.fleet import FleetText, parse_fleet_text
 from wagtailrun.membership import Membership
-from wagtailrun.messages import Ping, Pong
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineRunner
-from wagtailrun.registry_messages import TextUpdate, WatchText
 from wagtailrun.routing import LeastLoadedRouter
 from wagtailrun.settings import EntrySettings
+from wagtailrun.spread import Spreader
+from wagtailrun.spread_messages import EntryRow
 from wagtailrun.target_api import TargetApi
 
 __all__ = ["Entry", "run_entry"]
 
-WATCH_WAIT_MS = 10_000
-WATCH_TIMEOUT_MS = 12_000
-WATCH_PAUSE_MS = 500
 DRAIN_POLL_MS = 50
 SIGNAL_POLL_MS = 50
 
@@ -46,12 +41,24 @@
         self.settings = settings
         self.clock = SystemClock()
         self.incarnation = self.clock.wall_ms() << 16 | secrets.randbits(16)
-        self.fleet: FleetText | None = None
-        self.revision = 0
         self.stop_signals = 0
         self.link = TcpPeerLink(settings.peer_secret)
         self.control = ControlClient(self.clock, self.link, settings.control_peers)
-        self.membership = Membership()
+        self.membership = Membership(settings.data_centre)
+        self.spreader = Spreader(
+            self.clock,
+            self.link,
+            self.membership,
+            EntryRow(
+                settings.name,
+                settings.peer_address,
+                settings.data_centre,
+                self.incarnation,
+            ),
+            settings.entry_peers,
+            settings.control_peers,
+            settings.gossip_interval_ms,
+        )
         client = HttpTargetClient(HttpClient(self.clock))
         self.dispatcher = Dispatcher(
             self.clock, self.membership, client, LeastLoadedRouter()
@@ -61,9 +68,14 @@
         )
         runner = PipelineRunner(self.clock, self.dispatcher)
         self.callers = CallerApi(
-            self.clock, lambda: self.fleet, runner, self.dispatcher, orders
+            self.clock, lambda: self.spreader.fleet, runner, self.dispatcher, orders
+        )
+        targets = TargetApi(
+            self.clock,
+            self.membership,
+            lambda: self.spreader.fleet,
+            self.spreader.spread_goodbye,
         )
-        targets = TargetApi(self.clock, self.membership)
         self.caller_server = HttpServer(settings.caller_address, self.callers.handle)
         self.target_server = HttpServer(settings.target_address, targets.handle)
 
@@ -80,30 +92,12 @@
                 self.settings.peer_secret,
                 self.handle_peer,
             )
-            await group.spawn(self._watch_text)
+            await group.spawn(self.spreader.run)
         events.log(events.PROCESS_STOPPED, role="entry", name=self.settings.name)
 
     async def handle_peer(self, message: Any) -> Any:
         """Answer one message of another process of the system."""
-        if isinstance(message, Ping):
-            return Pong(self.settings.name)
-        raise MessageError(f"{type(message).__name__} is not answered here")
-
-    async def _watch_text(self) -> None:
-        """Keep the newest text that the control members know."""
-        while True:
-            for address in self.settings.control_peers:
-                try:
-                    question = WatchText(self.revision, WATCH_WAIT_MS)
-                    update = await self.link.call(address, question, WATCH_TIMEOUT_MS)
-                    self._take_text(update)
-                except PeerUnreachable:
-                    await self.clock.sleep_ms(WATCH_PAUSE_MS)
-
-    def _take_text(self, update: TextUpdate) -> None:
-        if update.revision > self.revision:
-            self.fleet = parse_fleet_text(update.text)
-            self.revision = update.revision
+        return await self.spreader.handle(message)
 
     async def _drain_on_signal(self) -> None:
         """Wait for SIGTERM, then end the process without cutting a request."""
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -103,16 +103,24 @@
         self.number = 0
         # Sorted by number, the newest last.
         self.stamps: dict[str, int] = {}
+        # Equal digests tell two entries that have not met that nothing is to be sent.
+        self.digest = 0
+        self.digests_by_name: dict[str, int] = {}
 
-    def touch(self, name: str) -> None:
-        """Note a change of the row ``name``."""
+    def touch(self, name: str, content: object = None) -> None:
+        """Note a change of the row ``name`` to ``content``."""
+        self.drop(name)
         self.number += 1
-        self.stamps.pop(name, None)
         self.stamps[name] = self.number
+        if content is not None:
+            digest = xxhash.xxh3_64_intdigest(f"{name} {content!r}".encode())
+            self.digests_by_name[name] = digest
+            self.digest ^= digest
 
     def drop(self, name: str) -> None:
         """Forget a row."""
         self.stamps.pop(name, None)
+        self.digest ^= self.digests_by_name.pop(name, 0)
 
     def since(self, number: int) -> Iterator[str]:
         """Yield the names of rows changed after ``number``, the newest first."""
@@ -121,6 +129,13 @@
                 return
             yield name
 
+    def oldest_since(self, number: int, limit: int) -> tuple[list[str], int]:
+        """Return the first ``limit`` names changed after it, and the next mark."""
+        names = list(self.since(number))[::-1]
+        if len(names) <= limit:
+            return names, self.number
+        return names[:limit], self.stamps[names[limit - 1]]
+
 
 class Membership:
     """Newest row of every target.
@@ -174,7 +189,7 @@
         self.names_by_id[short_id(row.name)] = row.name
         self.growth_log.touch(row.name)
         if known is None or _state(row) != _state(known):
-            self.state_log.touch(row.name)
+            self.state_log.touch(row.name, _state(row))
         return True
 
     def announce(self, row: TargetRow, now_ms: int) -> bool:
--- a/wagtailrun/schema/spread.capnp
+++ b/wagtailrun/schema/spread.capnp
@@ -67,6 +67,8 @@
   entries @5 :List(EntryRow);
   confirmed @6 :Data;
   hook @7 :Data;
+  targetsDigest @8 :UInt64;
+  entriesDigest @9 :UInt64;
 }
 
 struct SpreadRows {
--- /dev/null
+++ b/wagtailrun/spread.py
@@ -0,0 +1,414 @@
+"""Membership and configuration between the entries of the data centres."""
+
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from wagtailrun.clock import Clock
+from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.fleet import FleetText
+from wagtailrun.membership import ChangeLog, Membership, TargetRow
+from wagtailrun.messages import Ping, Pong
+from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.spread_config import ConfigSpread
+from wagtailrun.spread_messages import (
+    EntryRow,
+    Health,
+    Marks,
+    SpreadAsk,
+    SpreadExchange,
+    SpreadFetch,
+    SpreadProbe,
+    SpreadReport,
+    SpreadRows,
+    SpreadStatus,
+    SpreadTaken,
+    SpreadText,
+    pack_confirmations,
+    unpack_confirmations,
+)
+from wagtailrun.spread_peers import Partner, PeerTable
+from wagtailrun.spread_push import Contact
+from wagtailrun.spread_targets import TargetWatch
+
+__all__ = ["Spreader"]
+
+EXCHANGE_TIMEOUT_MS = 250
+PROBE_TIMEOUT_MS = 200
+INDIRECT_PROBES = 2
+JOIN_SEEDS = 3
+# An entry that reaches no other one in this time takes its text from the control
+# members alone.
+JOIN_LIMIT_MS = 1_500
+REMOTE_INTERVAL_MS = 1_000
+# Every fourth round goes to a seed or an entry held to be dead, which joins the two
+# sides again after a partition.
+REJOIN_ROUNDS = 4
+# Limits of one message, from 4 KB/s for two exchanges and two replies a second.
+GROWTH_PER_MESSAGE = 16
+ROWS_PER_MESSAGE = 40
+CONFIRMATIONS_PER_MESSAGE = 64
+MAX_HOOK_BYTES = 64 * 1024
+
+
+class Spreader:
+    """One entry's part in the spreading of rows and of the fleet text.
+
+    Args:
+        clock: Clock.
+        link: Link to other processes.
+        membership: Known targets.
+        own: Own row as an entry.
+        seeds: Addresses at which other entries may be found.
+        controls: Peer addresses of the control members.
+        gossip_interval_ms: Time between gossip exchanges.
+        seed: Seed of random choices.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        link: PeerLink,
+        membership: Membership,
+        own: EntryRow,
+        seeds: tuple[Address, ...] = (),
+        controls: tuple[Address, ...] = (),
+        gossip_interval_ms: int = 500,
+        seed: int | None = None,
+    ):
+        self.clock = clock
+        self.membership = membership
+        self.gossip_interval_ms = gossip_interval_ms
+        self.chance = random.Random(seed)
+        self.peers = PeerTable(own)
+        self.contact = Contact(clock, link, self.peers, seeds, self.chance)
+        self.targets = TargetWatch(self.contact, self.peers, membership)
+        self.config = ConfigSpread(self.contact, self.peers, controls)
+        self._hook_out: Callable[[str], bytes] = lambda partner: b""
+        self._hook_in: Callable[[str, bytes], None] = lambda partner, data: None
+
+    @property
+    def fleet(self) -> FleetText | None:
+        """The text in force; immutable, so a request keeps the one it started with."""
+        return self.config.store.fleet if self.config.joined else None
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Term and revision in force."""
+        return self.config.store.version
+
+    def register_hook(
+        self, out: Callable[[str], bytes], into: Callable[[str, bytes], None]
+    ) -> None:
+        """Carry the bytes of another module in local gossip exchanges.
+
+        Args:
+            out: Returns the bytes for the partner of that name.
+            into: Takes the partner's name and its bytes.
+        """
+        self._hook_out, self._hook_in = out, into
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        await self._join()
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._gossip)
+            await group.spawn(self._exchange_remote)
+            await group.spawn(self.targets.judge)
+            await group.spawn(self.targets.forward)
+            await group.spawn(self.targets.push)
+            await group.spawn(self.config.poll)
+
+    async def spread_goodbye(self, row: TargetRow) -> None:
+        """Return when a goodbye is on other entries or none can be reached."""
+        await self.targets.push_now()
+
+    def status(self) -> SpreadReport:
+        """Return which revision is in force where, and who has not confirmed."""
+        rows = tuple(sorted(self.peers.rows_by_name.values(), key=lambda r: r.name))
+        waiting = tuple(
+            row.name
+            for row in rows
+            if row.data_centre == self.peers.data_centre
+            and row.health != Health.DEAD
+            and row.version < self.version
+        )
+        isolated = self.contact.is_isolated()
+        unconfirmed = self.membership.unconfirmed
+        return SpreadReport(self.peers.own, rows, waiting, isolated, unconfirmed)
+
+    async def handle(self, message: Any) -> Any:
+        """Answer one message of another process."""
+        match message:
+            case SpreadExchange():
+                return await self._answer_exchange(message)
+            case SpreadRows():
+                self.targets.take(message)
+                if message.members:
+                    members = list(message.members)
+                    await curio.spawn(self.contact.push, members, message, daemon=True)
+                return SpreadTaken(*self.version)
+            case SpreadAsk():
+                return self.targets.answer(message)
+            case SpreadProbe():
+                return await self._probe_for(message)
+            case SpreadText():
+                return await self.config.take_push(message)
+            case SpreadFetch():
+                return self.config.answer(message)
+            case SpreadStatus():
+                return self.status()
+            case Ping():
+                return Pong(self.peers.name)
+        raise MessageError(f"{type(message).__name__} is not answered here")
+
+    async def _join(self) -> None:
+        """Find the other entries and take the newest text that they know.
+
+        Several are asked, because the first may itself be behind.
+        """
+        give_up_ms = self.clock.now_ms() + JOIN_LIMIT_MS
+        reached: dict[str, EntryRow] = {}
+        while self.contact.seeds and self.clock.now_ms() < give_up_ms:
+            for address in self.chance.sample(
+                self.contact.seeds, len(self.contact.seeds)
+            ):
+                row = await self._exchange_at(address)
+                if row is not None and row.data_centre == self.peers.data_centre:
+                    reached[row.name] = row
+                if len(reached) >= JOIN_SEEDS or self.clock.now_ms() >= give_up_ms:
+                    break
+            if reached:
+                break
+            await self.clock.sleep_ms(PROBE_TIMEOUT_MS)
+        newest = max(reached.values(), key=lambda row: row.version, default=None)
+        if newest is not None and newest.version > self.version:
+            await self.config.fetch_now(newest.address)
+        self.config.joined = True
+
+    async def _exchange_at(self, address: Address) -> EntryRow | None:
+        """Exchange with whoever is at ``address``; return its row."""
+        for row in list(self.peers.rows_by_name.values()):
+            if row.address == address:
+                return await self._exchange(row)
+        return await self._exchange(None, address)
+
+    async def _gossip(self) -> None:
+        """Exchange with one other entry after the other."""
+        turn = 0
+        # Entries that start together must not gossip in step.
+        await self.clock.sleep_ms(self.chance.randrange(self.gossip_interval_ms))
+        while True:
+            turn += 1
+            await self.clock.sleep_ms(self.gossip_interval_ms)
+            if turn % REJOIN_ROUNDS == 0:
+                address = self._rejoin_address()
+                if address is not None:
+                    await self._exchange_at(address)
+                    continue
+            row = self.peers.next_partner(self.chance)
+            if row is None or await self._exchange(row) is not None:
+                continue
+            if not await self._reaches_indirectly(row):
+                self._suspect(row)
+
+    def _suspect(self, row: EntryRow) -> None:
+        if not self.contact.is_isolated():
+            self.peers.suspect(row.name, self.clock.now_ms())
+
+    def _rejoin_address(self) -> Address | None:
+        """Return a seed or a dead entry that may be alive again."""
+        rows = self.peers.rows_by_name.values()
+        known = {row.address for row in rows if row.health != Health.DEAD}
+        lost = {row.address for row in rows if row.health == Health.DEAD}
+        addresses = sorted((lost | set(self.contact.seeds)) - known)
+        return self.chance.choice(addresses) if addresses else None
+
+    async def _reaches_indirectly(self, row: EntryRow) -> bool:
+        """Return whether others reach an entry that did not answer."""
+        others = [other for other in self.peers.others() if other.name != row.name]
+        chosen = self.chance.sample(others, min(INDIRECT_PROBES, len(others)))
+        probe = SpreadProbe(row.address)
+        async with curio.TaskGroup() as group:
+            for other in chosen:
+                await group.spawn(self._ask_to_probe, other, probe)
+        return any(group.results)
+
+    async def _ask_to_probe(self, other: EntryRow, probe: SpreadProbe) -> bool:
+        try:
+            timeout_ms = 2 * PROBE_TIMEOUT_MS
+            answer = await self.contact.call(other.address, probe, timeout_ms)
+        except PeerUnreachable:
+            return False
+        self.contact.heard(other.data_centre)
+        return answer.alive
+
+    async def _probe_for(self, probe: SpreadProbe) -> SpreadTaken:
+        try:
+            ping = Ping(self.peers.name)
+            await self.contact.call(probe.address, ping, PROBE_TIMEOUT_MS)
+        except PeerUnreachable:
+            return SpreadTaken(alive=False)
+        return SpreadTaken(*self.version)
+
+    async def _exchange(
+        self, row: EntryRow | None, address: Address | None = None
+    ) -> EntryRow | None:
+        """Exchange rows with one entry; return its row, or None without an answer."""
+        if row is None:
+            message = self._message(Partner(), None)
+        else:
+            address = row.address
+            partner = self.peers.partner(row)
+            local = row.data_centre == self.peers.data_centre
+            message = self._message(partner, row, local)
+        try:
+            answer = await self.contact.call(address, message, EXCHANGE_TIMEOUT_MS)
+        except PeerUnreachable:
+            return None
+        if not isinstance(answer, SpreadExchange):
+            return None
+        if row is not None and answer.sender.incarnation == row.incarnation:
+            self.peers.partner(row).sent = message.sent
+        self.contact.heard(answer.sender.data_centre)
+        await self._take_exchange(answer)
+        return answer.sender
+
+    async def _answer_exchange(self, message: SpreadExchange) -> SpreadExchange:
+        await self._take_exchange(message)
+        sender = message.sender
+        partner = self.peers.partner(sender)
+        own = message.seen.incarnation == self.peers.own.incarnation
+        partner.sent = message.seen if own else Marks(self.peers.own.incarnation)
+        local = sender.data_centre == self.peers.data_centre
+        return self._message(partner, sender, local)
+
+    async def _take_exchange(self, message: SpreadExchange) -> None:
+        sender = message.sender
+        local = sender.data_centre == self.peers.data_centre
+        now_ms = self.clock.now_ms()
+        self.peers.put(sender, now_ms)
+        for aged in message.targets:
+            if local or aged.row.data_centre == sender.data_centre:
+                self.targets.take_row(aged, now_ms)
+        self.targets.take_growth(message.growth)
+        if not local:
+            for row in self.membership.targets_by_name.values():
+                if row.data_centre == sender.data_centre:
+                    self.targets.refresh(row, now_ms)
+        for entry in message.entries:
+            self.peers.put(entry, now_ms)
+        names_by_id = self.peers.names_by_id()
+        for confirmation in unpack_confirmations(message.confirmed):
+            self.peers.confirm(confirmation, names_by_id)
+        partner = self.peers.partner(sender)
+        partner.seen = message.sent
+        partner.targets_digest = message.targets_digest
+        partner.entries_digest = message.entries_digest
+        if message.hook and local:
+            self._hook_in(sender.name, message.hook)
+        if local:
+            await self.config.repair(sender.version, sender.address)
+
+    def _message(
+        self,
+        partner: Partner,
+        row: EntryRow | None,
+        local: bool = True,
+    ) -> SpreadExchange:
+        """Return what changed since the partner's marks."""
+        sent = partner.sent
+        membership, peers = self.membership, self.peers
+        states, entries_log = membership.state_log, peers.row_log
+        targets, targets_mark = _changes(
+            states, sent.targets, partner.targets_digest, ROWS_PER_MESSAGE
+        )
+        entries, entries_mark = _changes(
+            entries_log, sent.entries, partner.entries_digest, ROWS_PER_MESSAGE
+        )
+        if row is not None and self._believed_ill(row) and row.name not in entries:
+            # The partner can only refute what it is told.
+            entries.append(row.name)
+        grown = membership.growth_log.since(sent.growth)
+        growth = list(itertools.islice(grown, GROWTH_PER_MESSAGE))
+        confirmed = list(peers.confirmed_log.since(sent.confirmed))
+        if not local:
+            targets = [name for name in targets if self._is_offered(name)]
+            growth = [name for name in growth if self._is_offered(name)]
+            entries, confirmed = [], []
+        hook = self._hook_out(row.name) if row is not None and local else b""
+        if len(hook) > MAX_HOOK_BYTES:
+            raise ValueError(f"hook returned {len(hook)} bytes, over {MAX_HOOK_BYTES}")
+        return SpreadExchange(
+            sender=peers.own,
+            seen=partner.seen,
+            sent=Marks(
+                peers.own.incarnation,
+                targets_mark,
+                membership.growth_log.number,
+                entries_mark,
+                peers.confirmed_log.number,
+            ),
+            targets=tuple(self.targets.aged(targets)),
+            growth=self.targets.growth(growth),
+            entries=tuple(peers.rows_by_name[name] for name in entries),
+            confirmed=pack_confirmations(
+                peers.rows_by_name[name]
+                for name in confirmed[:CONFIRMATIONS_PER_MESSAGE]
+            ),
+            hook=hook,
+            targets_digest=states.digest,
+            entries_digest=entries_log.digest,
+        )
+
+    def _believed_ill(self, row: EntryRow) -> bool:
+        known = self.peers.rows_by_name.get(row.name)
+        return known is not None and known.health != Health.ALIVE
+
+    def _is_offered(self, name: str) -> bool:
+        """Return whether other data centres may use a target of this one."""
+        row = self.membership.targets_by_name[name]
+        if not self.membership.is_local(row) or self.fleet is None:
+            return False
+        service = self.fleet.services_by_name.get(row.service)
+        return service is not None and service.fallback
+
+    async def _exchange_remote(self) -> None:
+        """As a watcher, exchange with one entry of each other data centre."""
+        while True:
+            await self.clock.sleep_ms(REMOTE_INTERVAL_MS)
+            if not self.config.is_watcher():
+                continue
+            rows_by_centre: dict[str, list[EntryRow]] = {}
+            for row in self.peers.rows_by_name.values():
+                if row.data_centre != self.peers.data_centre:
+                    rows_by_centre.setdefault(row.data_centre, []).append(row)
+            async with curio.TaskGroup() as group:
+                for rows in rows_by_centre.values():
+                    await group.spawn(self._exchange_with_centre, rows)
+
+    async def _exchange_with_centre(self, rows: list[EntryRow]) -> None:
+        live = [row for row in rows if row.health != Health.DEAD] or rows
+        row = self.chance.choice(live)
+        if await self._exchange(row) is None and row.health == Health.ALIVE:
+            self.peers.suspect(row.name, self.clock.now_ms())
+
+
+def _changes(
+    log: ChangeLog, mark: int, digest: int | None, limit: int
+) -> tuple[list[str], int]:
+    """Return the names to send to a partner, and its mark afterwards.
+
+    A partner that was sent nothing yet gets everything, but nothing if its digest says
+    that it has the same, or if its digest is not known yet.
+    """
+    if mark:
+        return log.oldest_since(mark, limit)
+    if digest is None:
+        return [], 0
+    if digest == log.digest:
+        return [], log.number
+    return log.oldest_since(0, len(log.stamps))
--- a/wagtailrun/spread_messages.py
+++ b/wagtailrun/spread_messages.py
@@ -114,6 +114,8 @@
         entries: Changed rows of entries.
         confirmed: Packed ``Confirmation`` records.
         hook: Bytes of another module.
+        targets_digest: Digest of the state of all targets that the sender knows.
+        entries_digest: Digest of all rows of entries that the sender knows.
     """
 
     sender: EntryRow
@@ -124,6 +126,8 @@
     entries: tuple[EntryRow, ...] = ()
     confirmed: bytes = b""
     hook: bytes = b""
+    targets_digest: int = 0
+    entries_digest: int = 0
 
 
 @attrs.frozen
--- /dev/null
+++ b/wagtailrun/spread_peers.py
@@ -0,0 +1,190 @@
+"""Entries that an entry knows of, their health, and who watches what."""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from wagtailrun.membership import ChangeLog, short_id
+from wagtailrun.spread_messages import Confirmation, EntryRow, Health, Marks
+
+__all__ = ["Partner", "PeerTable", "rendezvous"]
+
+SUSPECT_MS = 2_500
+FORGET_MS = 600_000
+
+
+def rendezvous(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Return the ``count`` names of lowest rendezvous rank for ``key``."""
+
+    def rank(name: str) -> tuple[int, str]:
+        return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode()), name
+
+    return sorted(names, key=rank)[:count]
+
+
+@attrs.define
+class Partner:
+    """What an entry has of another one's changes, and the other of its own.
+
+    Attributes:
+        seen: The other's changes known here.
+        sent: Own changes known to the other.
+        targets_digest: Digest of the other's targets, or None if not known.
+        entries_digest: Digest of the other's entries, or None if not known.
+    """
+
+    seen: Marks = Marks()
+    sent: Marks = Marks()
+    targets_digest: int | None = None
+    entries_digest: int | None = None
+
+
+class PeerTable:
+    """Newest row of every entry; the own row is among them.
+
+    Args:
+        own: Own row.
+    """
+
+    def __init__(self, own: EntryRow):
+        self.name = own.name
+        self.data_centre = own.data_centre
+        self.rows_by_name: dict[str, EntryRow] = {own.name: own}
+        self.changed_ms_by_name: dict[str, int] = {}
+        self.partners_by_name: dict[str, Partner] = {}
+        self.row_log = ChangeLog()
+        self.confirmed_log = ChangeLog()
+        self.names_to_push: set[str] = set()
+        self.generation = 0
+        self._order: list[str] = []
+
+    @property
+    def own(self) -> EntryRow:
+        """Own row."""
+        return self.rows_by_name[self.name]
+
+    def put(self, row: EntryRow, now_ms: int) -> bool:
+        """Keep ``row`` if it is newer than what is known; return whether it was."""
+        if row.name == self.name:
+            return self._refute(row, now_ms)
+        known = self.rows_by_name.get(row.name)
+        if known is None and row.health == Health.DEAD:
+            return False
+        if known is not None and known.incarnation == row.incarnation:
+            self._confirm(known, row.version)
+            known = self.rows_by_name[row.name]
+        if known is not None and row.precedence <= known.precedence:
+            return False
+        if known is not None and known.incarnation == row.incarnation:
+            version = max(known.version, row.version)
+            row = attrs.evolve(row, term=version[0], revision=version[1])
+        self._replace(row, now_ms)
+        return True
+
+    def _replace(self, row: EntryRow, now_ms: int) -> None:
+        self.rows_by_name[row.name] = row
+        self.changed_ms_by_name[row.name] = now_ms
+        self.row_log.touch(row.name, row.precedence)
+        self.confirmed_log.touch(row.name)
+        self.generation += 1
+
+    def _refute(self, row: EntryRow, now_ms: int) -> bool:
+        """Answer what others believe of this entry with a newer row of itself."""
+        own = self.own
+        if row.precedence <= own.precedence:
+            return False
+        if row.incarnation > own.incarnation:
+            # An earlier start of this entry had a clock that was ahead.
+            own = attrs.evolve(own, incarnation=row.incarnation + 1, sequence=0)
+        else:
+            own = attrs.evolve(own, sequence=row.sequence + 1)
+        self._replace(own, now_ms)
+        self.names_to_push.add(self.name)
+        return True
+
+    def confirm(self, confirmation: Confirmation, names_by_id: dict[int, str]) -> None:
+        """Note the revision in force on another entry."""
+        known = self.rows_by_name.get(names_by_id.get(confirmation.entry_id, ""))
+        if known is not None and known.name != self.name:
+            self._confirm(known, (confirmation.term, confirmation.revision))
+
+    def confirm_row(self, name: str, version: tuple[int, int]) -> None:
+        """Note the revision in force on the entry ``name``."""
+        known = self.rows_by_name.get(name)
+        if known is not None:
+            self._confirm(known, version)
+
+    def confirm_own(self, version: tuple[int, int]) -> None:
+        """Note the revision in force here."""
+        self._confirm(self.own, version)
+
+    def _confirm(self, known: EntryRow, version: tuple[int, int]) -> None:
+        if version > known.version:
+            row = attrs.evolve(known, term=version[0], revision=version[1])
+            self.rows_by_name[known.name] = row
+            self.confirmed_log.touch(known.name)
+
+    def names_by_id(self) -> dict[int, str]:
+        """Return the names of entries by their short identifier."""
+        return {short_id(name): name for name in self.rows_by_name}
+
+    def others(self, health: Health = Health.SUSPECT) -> list[EntryRow]:
+        """Return the other local entries that are at most as ill as ``health``."""
+        return [
+            row
+            for row in self.rows_by_name.values()
+            if row.name != self.name
+            and row.data_centre == self.data_centre
+            and row.health <= health
+        ]
+
+    def live_names(self) -> list[str]:
+        """Return the local entries that are not dead, this one included."""
+        return [self.name, *(row.name for row in self.others())]
+
+    def suspect(self, name: str, now_ms: int) -> None:
+        """Note that an entry does not answer."""
+        row = self.rows_by_name[name]
+        if row.health == Health.ALIVE:
+            self._replace(attrs.evolve(row, health=Health.SUSPECT), now_ms)
+            self.names_to_push.add(name)
+
+    def bury(self, now_ms: int) -> None:
+        """Declare dead who was suspect for ``SUSPECT_MS``; forget the long dead."""
+        for row in list(self.rows_by_name.values()):
+            age_ms = now_ms - self.changed_ms_by_name.get(row.name, now_ms)
+            if row.health == Health.SUSPECT and age_ms >= SUSPECT_MS:
+                self._replace(attrs.evolve(row, health=Health.DEAD), now_ms)
+            elif row.health == Health.DEAD and age_ms >= FORGET_MS:
+                del self.rows_by_name[row.name]
+                self.partners_by_name.pop(row.name, None)
+                self.row_log.drop(row.name)
+                self.confirmed_log.drop(row.name)
+
+    def restart_suspicion(self, now_ms: int) -> None:
+        """Give suspects their whole time again after a time without any contact."""
+        for row in self.rows_by_name.values():
+            if row.health == Health.SUSPECT:
+                self.changed_ms_by_name[row.name] = now_ms
+
+    def next_partner(self, chance: random.Random) -> EntryRow | None:
+        """Return the next entry to gossip with: all in turn, in shuffled order."""
+        rows = {row.name: row for row in self.others()}
+        while rows:
+            while self._order:
+                row = rows.get(self._order.pop())
+                if row is not None:
+                    return row
+            self._order = sorted(rows)
+            chance.shuffle(self._order)
+        return None
+
+    def partner(self, row: EntryRow) -> Partner:
+        """Return the marks of exchanges with the incarnation in ``row``."""
+        partner = self.partners_by_name.get(row.name)
+        if partner is None or partner.seen.incarnation != row.incarnation:
+            fresh = Marks(row.incarnation)
+            partner = self.partners_by_name[row.name] = Partner(fresh, Marks())
+        return partner
--- /dev/null
+++ b/wagtailrun/spread_push.py
@@ -0,0 +1,108 @@
+"""Calls between entries, and pushes down a tree of entries."""
+
+import random
+from typing import Any
+
+import attrs
+import curio
+
+from wagtailrun.clock import Clock
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.spread_messages import SpreadTaken
+from wagtailrun.spread_peers import PeerTable
+
+__all__ = ["Contact", "split_members"]
+
+FAN_OUT = 3
+PUSH_TIMEOUT_MS = 250
+# Several gossip intervals, and less than the silence after which a target is declared
+# silent, so that an entry that is cut off notices that first.
+ISOLATION_MS = 1_500
+
+
+def split_members(members: list[str]) -> list[list[str]]:
+    """Return ``members`` as at most ``FAN_OUT`` groups of nearly equal size."""
+    return [members[n::FAN_OUT] for n in range(FAN_OUT) if members[n::FAN_OUT]]
+
+
+class Contact:
+    """Calls other entries and notes when one was last reached.
+
+    Args:
+        clock: Clock.
+        link: Link to other processes.
+        peers: Known entries.
+        seeds: Addresses at which other entries may be found.
+        chance: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        link: PeerLink,
+        peers: PeerTable,
+        seeds: tuple[Address, ...],
+        chance: random.Random,
+    ):
+        self.clock = clock
+        self.link = link
+        self.peers = peers
+        self.seeds = [seed for seed in seeds if seed != peers.own.address]
+        self.chance = chance
+        self.last_ms = clock.now_ms()
+        self.calls = 0
+
+    async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
+        """Send ``message`` to another process; see ``PeerLink.call``."""
+        self.calls += 1
+        return await self.link.call(address, message, timeout_ms)
+
+    def heard(self, data_centre: str) -> None:
+        """Note that an entry answered.
+
+        Its questions do not count: an entry whose messages all get lost still receives
+        questions, and must not trust its own view.
+        """
+        local = data_centre == self.peers.data_centre
+        if local or not self.peers.others(health=2):
+            self.last_ms = self.clock.now_ms()
+
+    def is_isolated(self) -> bool:
+        """Return whether no entry was heard though others are known to exist.
+
+        While there are other local entries on record, dead ones too, only they count.
+        """
+        others = self.seeds or self.peers.others(health=2)
+        return bool(others) and self.clock.now_ms() - self.last_ms >= ISOLATION_MS
+
+    async def push(self, members: list[str], message: Any) -> None:
+        """Send ``message`` to ``members`` down a tree.
+
+        Each child passes it on to its part of ``members``. A child that does not
+        answer is replaced by the next of its part.
+        """
+        async with curio.TaskGroup() as group:
+            for part in split_members(members):
+                await group.spawn(self._push_part, part, message)
+
+    async def _push_part(self, part: list[str], message: Any) -> None:
+        for position, name in enumerate(part):
+            row = self.peers.rows_by_name.get(name)
+            if row is None:
+                continue
+            handed = attrs.evolve(message, members=tuple(part[position + 1 :]))
+            try:
+                reply = await self.call(row.address, handed, PUSH_TIMEOUT_MS)
+            except PeerUnreachable:
+                continue
+            self.heard(row.data_centre)
+            if isinstance(reply, SpreadTaken):
+                self.peers.confirm_row(name, (reply.term, reply.revision))
+            return
+
+    def push_members(self) -> list[str]:
+        """Return the entries that a push goes to, in a new order."""
+        names = [row.name for row in self.peers.others()]
+        self.chance.shuffle(names)
+        return names
--- /dev/null
+++ b/wagtailrun/spread_targets.py
@@ -0,0 +1,296 @@
+"""Watches targets: two entries per target judge its silence for all others."""
+
+import attrs
+import curio
+
+from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.membership import TARGET_SILENCE_MS, Membership, TargetRow
+from wagtailrun.spread_messages import (
+    AgedRow,
+    EntryRow,
+    Growth,
+    SpreadAsk,
+    SpreadRows,
+    incarnation_check,
+    pack_growth,
+    unpack_growth,
+)
+from wagtailrun.spread_peers import PeerTable, rendezvous
+from wagtailrun.spread_push import PUSH_TIMEOUT_MS, Contact
+
+__all__ = ["TargetWatch"]
+
+WATCHERS_PER_TARGET = 2
+TICK_MS = 100
+PUSH_TICK_MS = 50
+# Announcements come every second; with this delay and one lost forward the age of a
+# healthy target at its watchers stays under ASK_MS.
+FORWARD_MS = 500
+# Before a target is declared silent, others are asked; the answer has ASK_TIMEOUT_MS.
+ASK_TIMEOUT_MS = 150
+ASK_MS = TARGET_SILENCE_MS - 200
+# A process that was stopped for longer than this has heard nothing in between.
+PAUSE_MS = 1_000
+FORGET_INTERVAL_MS = 10_000
+
+
+class TargetWatch:
+    """Forwards announcements to watchers, and judges the targets watched here.
+
+    Args:
+        contact: Calls other entries.
+        peers: Known entries.
+        membership: Known targets.
+    """
+
+    def __init__(self, contact: Contact, peers: PeerTable, membership: Membership):
+        self.contact = contact
+        self.clock = contact.clock
+        self.peers = peers
+        self.membership = membership
+        self.was_isolated = False
+        self.asking = False
+        self.watchers_by_name: dict[str, list[str]] = {}
+        self.known_for = (-1, -1)
+        membership.watch((), self.clock.now_ms())
+
+    def watchers(self, name: str) -> list[str]:
+        """Return the entries that judge the silence of a target."""
+        known_for = (self.peers.generation, len(self.membership.targets_by_name))
+        if known_for != self.known_for:
+            self.watchers_by_name.clear()
+            self.known_for = known_for
+        watchers = self.watchers_by_name.get(name)
+        if watchers is None:
+            row = self.membership.targets_by_name.get(name)
+            if row is None:
+                return []
+            # Targets elsewhere are judged by who exchanges with their data centre.
+            key = name if self.membership.is_local(row) else "watch"
+            live = self.peers.live_names()
+            watchers = rendezvous(key, live, WATCHERS_PER_TARGET)
+            self.watchers_by_name[name] = watchers
+        return watchers
+
+    async def judge(self) -> None:
+        """Judge the silence of targets and the health of entries until cancelled."""
+        tick_ms = forget_ms = self.clock.now_ms()
+        while True:
+            await self.clock.sleep_ms(TICK_MS)
+            now_ms = self.clock.now_ms()
+            if now_ms - tick_ms > PAUSE_MS:
+                self.restart(now_ms)
+            tick_ms = now_ms
+            isolated = self._note_isolation(now_ms)
+            if not isolated:
+                self.peers.bury(now_ms)
+            self._choose_watched(isolated, now_ms)
+            if not self.asking:
+                await self._ask_for_overdue(isolated, now_ms)
+            if now_ms - forget_ms >= FORGET_INTERVAL_MS:
+                self.membership.forget(now_ms)
+                forget_ms = now_ms
+
+    def restart(self, now_ms: int) -> None:
+        """Count all silence from now on."""
+        self.membership.restart_silence(now_ms)
+        self.peers.restart_suspicion(now_ms)
+        self.contact.last_ms = max(self.contact.last_ms, now_ms - TICK_MS)
+
+    def _note_isolation(self, now_ms: int) -> bool:
+        """Enter or leave the state in which the last known targets are kept.
+
+        It is entered when no other entry and no target was heard for a while, and left
+        with the first message of either; silence then counts from that moment.
+        """
+        isolated = self.contact.is_isolated()
+        quiet_ms = now_ms - self.membership.last_heard_here_ms
+        unconfirmed = isolated and quiet_ms >= TARGET_SILENCE_MS - 2 * TICK_MS
+        if self.was_isolated and not isolated:
+            self.restart(now_ms)
+        elif self.membership.unconfirmed and not unconfirmed:
+            self.membership.restart_silence(now_ms)
+        self.was_isolated = isolated
+        self.membership.unconfirmed = unconfirmed
+        return isolated
+
+    def _choose_watched(self, isolated: bool, now_ms: int) -> None:
+        rows = self.membership.targets_by_name
+        if isolated:
+            # Only what was heard here without another entry's help can be judged.
+            heard_here = self.membership.heard_here_ms
+            heard = self.membership.heard_ms_by_name
+            names = [n for n in rows if heard_here.get(n, -1) >= heard[n]]
+        else:
+            own = self.peers.name
+            names = [name for name in rows if own in self.watchers(name)]
+        self.membership.watch(names, now_ms)
+
+    async def _ask_for_overdue(self, isolated: bool, now_ms: int) -> None:
+        names = [
+            name
+            for name in self.membership.watched_since_ms
+            if self._is_judged(name)
+            and self.membership.is_overdue(name, now_ms, ASK_MS)
+        ]
+        if names:
+            self.asking = True
+            await curio.spawn(self._confirm_silence, names, isolated, daemon=True)
+
+    def _is_judged(self, name: str) -> bool:
+        row = self.membership.targets_by_name.get(name)
+        return row is not None and not (row.leaving or row.silent)
+
+    async def _confirm_silence(self, names: list[str], isolated: bool) -> None:
+        """Declare targets silent if no other entry has newer knowledge of them."""
+        try:
+            others = self._others_to_ask(names)
+            asked_ms = self.clock.now_ms()
+            answers = []
+            if not isolated:
+                async with curio.TaskGroup() as group:
+                    for row in others:
+                        await group.spawn(self._ask, row, names)
+                answers = [answer for answer in group.results if answer]
+            spent_ms = self.clock.now_ms() - asked_ms
+            await self.clock.sleep_ms(TARGET_SILENCE_MS - ASK_MS - spent_ms)
+            if others and not answers and not isolated:
+                # Whoever reaches nobody may be the one that is cut off.
+                return
+            now_ms = self.clock.now_ms()
+            for name in names:
+                if name not in self.membership.watched_since_ms:
+                    continue
+                if self._is_judged(name) and self.membership.is_overdue(name, now_ms):
+                    self.membership.declare_silent(name, now_ms)
+        finally:
+            self.asking = False
+
+    def _others_to_ask(self, names: list[str]) -> list[EntryRow]:
+        """Return the other watchers of the targets and one more entry."""
+        rows = {row.name: row for row in self.peers.others()}
+        chosen = {w for name in names for w in self.watchers(name) if w in rows}
+        rest = sorted(rows.keys() - chosen)
+        if rest:
+            chosen.add(self.contact.chance.choice(rest))
+        return [rows[name] for name in sorted(chosen)]
+
+    async def _ask(self, row: EntryRow, names: list[str]) -> bool:
+        question = SpreadAsk(tuple(names))
+        try:
+            answer = await self.contact.call(row.address, question, ASK_TIMEOUT_MS)
+            self.take(answer)
+        except (PeerUnreachable, MessageError):
+            return False
+        self.contact.heard(row.data_centre)
+        return True
+
+    def answer(self, question: SpreadAsk) -> SpreadRows:
+        """Return the rows of targets that were heard lately."""
+        return SpreadRows(targets=tuple(self.aged(question.names, ASK_MS)))
+
+    def aged(
+        self, names: tuple[str, ...] | list[str], limit_ms: int | None = None
+    ) -> list[AgedRow]:
+        """Return the known rows of ``names``, at most ``limit_ms`` old."""
+        now_ms = self.clock.now_ms()
+        rows = []
+        for name in names:
+            row = self.membership.targets_by_name.get(name)
+            if row is not None:
+                age_ms = now_ms - self.membership.heard_ms_by_name[name]
+                if limit_ms is None or age_ms < limit_ms:
+                    rows.append(AgedRow(row, max(age_ms, 0)))
+        return rows
+
+    def growth(self, names: list[str]) -> bytes:
+        """Return packed sequence and load of ``names``."""
+        return pack_growth(
+            Growth.of(aged.row, aged.age_ms) for aged in self.aged(names)
+        )
+
+    def take(self, message: SpreadRows) -> None:
+        """Keep the rows of targets and entries in a message."""
+        now_ms = self.clock.now_ms()
+        for aged in message.targets:
+            self.take_row(aged, now_ms)
+        self.take_growth(message.growth)
+        for entry in message.entries:
+            self.peers.put(entry, now_ms)
+
+    def take_row(self, aged: AgedRow, now_ms: int) -> None:
+        """Keep one row; an answer for a target elsewhere refreshes its age too."""
+        row = aged.row
+        if self.membership.put(row, now_ms, aged.age_ms):
+            return
+        known = self.membership.targets_by_name.get(row.name)
+        if known == row and not self.membership.is_local(row):
+            self.refresh(row, now_ms - aged.age_ms)
+
+    def refresh(self, row: TargetRow, heard_ms: int) -> None:
+        """Note that a target elsewhere was confirmed by its own data centre."""
+        heard = self.membership.heard_ms_by_name
+        heard[row.name] = max(heard[row.name], heard_ms)
+
+    def take_growth(self, data: bytes) -> None:
+        """Keep newer sequences and loads of known incarnations."""
+        now_ms = self.clock.now_ms()
+        membership = self.membership
+        for record in unpack_growth(data):
+            name = membership.names_by_id.get(record.target_id)
+            known = membership.targets_by_name.get(name)
+            if known is None or record.sequence <= known.sequence:
+                continue
+            if incarnation_check(known.incarnation) != record.incarnation_check:
+                continue
+            grown = attrs.evolve(
+                known,
+                sequence=record.sequence,
+                running=record.running,
+                queued=record.queued,
+                silent=False,
+            )
+            membership.put(grown, now_ms, record.age_ms)
+
+    async def forward(self) -> None:
+        """Tell watchers what was heard here, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(FORWARD_MS)
+            names, self.membership.names_to_forward = (
+                self.membership.names_to_forward,
+                set(),
+            )
+            names_by_watcher: dict[str, list[str]] = {}
+            for name in sorted(names):
+                for watcher in self.watchers(name):
+                    names_by_watcher.setdefault(watcher, []).append(name)
+            names_by_watcher.pop(self.peers.name, None)
+            async with curio.TaskGroup() as group:
+                for watcher, heard in names_by_watcher.items():
+                    await group.spawn(self._forward, watcher, heard)
+
+    async def _forward(self, watcher: str, names: list[str]) -> None:
+        row = self.peers.rows_by_name[watcher]
+        message = SpreadRows(growth=self.growth(names))
+        try:
+            await self.contact.call(row.address, message, PUSH_TIMEOUT_MS)
+            self.contact.heard(row.data_centre)
+        except PeerUnreachable:
+            # The other watcher of the target may have got it; gossip brings it too.
+            return
+
+    async def push(self) -> None:
+        """Push changes found here on to all entries at once, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(PUSH_TICK_MS)
+            await self.push_now()
+
+    async def push_now(self) -> None:
+        """Push what waits to be pushed."""
+        targets, entries = self.membership.names_to_push, self.peers.names_to_push
+        if not targets and not entries:
+            return
+        self.membership.names_to_push, self.peers.names_to_push = set(), set()
+        rows = tuple(self.peers.rows_by_name[name] for name in sorted(entries))
+        message = SpreadRows(tuple(self.aged(sorted(targets))), b"", rows)
+        await self.contact.push(self.contact.push_members(), message)
