Test the spreading in virtual time with seeded schedules

Cause: nothing showed that silence, goodbyes and texts reach every entry in time.

Digests of the same exchange are compared now.

--- /dev/null
+++ b/tests/spread_cluster.py
@@ -0,0 +1,252 @@
+"""Entries, targets and control members on a fake network, for tests and bench."""
+
+import itertools
+import json
+import random
+
+import curio
+
+from tests.fake_network import FakeNetwork
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.membership import Membership, TargetRow
+from wagtailrun.ports.link import Address
+from wagtailrun.registry_messages import TextUpdate
+from wagtailrun.spread import Spreader
+from wagtailrun.spread_messages import EntryRow
+from wagtailrun.text_watch import TextWatch
+
+TEXT = """
+[fleet]
+name = "test"
+data_centres = ["east", "west"]
+[services.engines]
+kind = "engine"
+[services.local]
+kind = "pool"
+fallback = false
+[pipelines.ask]
+stages = [{ kind = "generate", service = "engines" }]
+"""
+
+
+class SpreadNetwork(FakeNetwork):
+    """Counts what each entry sends, and keeps frames that a frozen entry misses."""
+
+    def __init__(self, clock, **options):
+        super().__init__(clock, **options)
+        self.messages_by_source = {}
+        self.bytes_by_source = {}
+
+    async def carry(self, source, destination, frame):
+        self.messages_by_source[source] = self.messages_by_source.get(source, 0) + 1
+        size = self.bytes_by_source.get(source, 0) + len(frame)
+        self.bytes_by_source[source] = size
+        return await super().carry(source, destination, frame)
+
+    def cut_off(self, inside, outside, both_ways=True):
+        for one, other in itertools.product(inside, outside):
+            self.cut(one, other, both_ways)
+
+
+class Node:
+    """One entry process; a restart makes a new one without memory."""
+
+    def __init__(self, cluster, name, number, address):
+        self.name = name
+        self.address = address
+        self.data_centre = name.split("-")[0]
+        self.membership = Membership(self.data_centre)
+        incarnation = cluster.clock.wall_ms() << 16 | next(cluster.starts)
+        own = EntryRow(name, address, self.data_centre, incarnation)
+        self.spreader = Spreader(
+            cluster.clock,
+            cluster.network.link(address),
+            self.membership,
+            own,
+            cluster.seeds,
+            tuple(cluster.control_addresses),
+            seed=cluster.seed * 1_000 + number,
+        )
+        self.versions = []
+        self.task = None
+
+    async def start(self, network):
+        network.handlers_by_address[self.address] = self.spreader.handle
+        self.task = await curio.spawn(self.spreader.run, daemon=True)
+
+    def usable_names(self, now_ms):
+        names = set()
+        for service in ("engines", "local"):
+            names |= {row.name for row in self.membership.usable(service, now_ms)}
+        return names
+
+
+class Target:
+    """Announces itself every second to one entry, and to the next if that fails."""
+
+    def __init__(self, cluster, name, centre, service, number):
+        self.cluster = cluster
+        self.name = name
+        self.centre = centre
+        self.service = service
+        self.number = number
+        self.incarnation = cluster.clock.wall_ms()
+        self.sequence = 0
+        self.heard_by = None
+        self.alive = True
+        self.healthy_from_ms = cluster.clock.now_ms()
+
+    def row(self, leaving=False):
+        address = Address("10.9.0.1", 1_000 + self.number)
+        return TargetRow(
+            self.name,
+            address,
+            self.service,
+            self.centre,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            leaving=leaving,
+        )
+
+    def send(self, leaving=False):
+        """Send one announcement; return the entry that took it."""
+        nodes = [n for n in self.cluster.live if n.data_centre == self.centre]
+        nodes = [n for n in nodes if n.address not in self.cluster.network.frozen]
+        if self.heard_by not in nodes:
+            self.heard_by = self.cluster.random.choice(nodes) if nodes else None
+        self.sequence += 1
+        if self.heard_by is not None:
+            now_ms = self.cluster.clock.now_ms()
+            self.heard_by.membership.announce(self.row(leaving), now_ms)
+        return self.heard_by
+
+    async def run(self):
+        await self.cluster.clock.sleep_ms(self.cluster.random.randrange(1_000))
+        while self.alive:
+            self.send()
+            await self.cluster.clock.sleep_ms(1_000)
+
+    async def leave(self):
+        self.alive = False
+        node = self.send(leaving=True)
+        await node.spreader.spread_goodbye(self.row(leaving=True))
+
+
+class Control:
+    """Control member that answers long polls from a shared list of texts."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.stale = None
+        self.watch = TextWatch(cluster.clock, lambda: self.stale or cluster.accepted)
+
+    async def handle(self, message):
+        return await self.watch.watch(message)
+
+
+class Cluster:
+    """Entries of data centres with their targets and control members."""
+
+    def __init__(self, clock, entries_by_centre, targets=0, seed=0, **options):
+        self.clock = clock
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.starts = itertools.count(1)
+        self.network = SpreadNetwork(clock, seed=seed, **options)
+        self.accepted = (1, TEXT)
+        self.control_addresses = [Address("10.0.0.1", n + 1) for n in range(3)]
+        self.controls = [Control(self) for _ in self.control_addresses]
+        for address, control in zip(self.control_addresses, self.controls, strict=True):
+            self.network.handlers_by_address[address] = control.handle
+        names = [
+            f"{centre}-{n}"
+            for centre, count in entries_by_centre.items()
+            for n in range(count)
+        ]
+        self.addresses_by_name = {
+            name: Address("10.1.0.1", n + 1) for n, name in enumerate(names)
+        }
+        self.seeds = tuple(
+            self.addresses_by_name[f"{centre}-{n}"]
+            for centre, count in entries_by_centre.items()
+            for n in range(min(count, 3))
+        )
+        self.nodes_by_name = {}
+        centres = list(entries_by_centre)
+        self.targets = [
+            Target(self, f"t{n}", centres[n % len(centres)], "engines", n)
+            for n in range(targets)
+        ]
+        self.faults = []
+
+    @property
+    def live(self):
+        return list(self.nodes_by_name.values())
+
+    async def start(self):
+        for name in self.addresses_by_name:
+            await self.start_node(name)
+        for target in self.targets:
+            await curio.spawn(target.run, daemon=True)
+
+    async def start_node(self, name):
+        number = next(self.starts)
+        node = Node(self, name, number, self.addresses_by_name[name])
+        self.nodes_by_name[name] = node
+        await node.start(self.network)
+        return node
+
+    async def kill(self, name):
+        node = self.nodes_by_name.pop(name)
+        del self.network.handlers_by_address[node.address]
+        await node.task.cancel()
+
+    def change_text(self, addition=""):
+        revision, text = self.accepted
+        text += f"\n[workspaces.w{revision}]\nshare = {revision}\n{addition}"
+        self.accepted = (revision + 1, text)
+        return revision + 1
+
+    def revisions(self):
+        return {node.name: node.spreader.version[1] for node in self.live}
+
+    async def wait(self, condition, limit_ms):
+        """Return the virtual time until ``condition()`` holds; None after the limit."""
+        start_ms = self.clock.now_ms()
+        while not condition():
+            if self.clock.now_ms() - start_ms >= limit_ms:
+                return None
+            await self.clock.sleep_ms(10)
+        return self.clock.now_ms() - start_ms
+
+    def usable_everywhere(self, name):
+        now_ms = self.clock.now_ms()
+        return {n.name for n in self.live if name in n.usable_names(now_ms)}
+
+    async def check_revisions(self):
+        """Note every node whose revision goes back, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(50)
+            for node in self.live:
+                node.versions.append(node.spreader.version)
+                if node.versions[-1] < max(node.versions):
+                    self.faults.append(("revision went back", node.name))
+                del node.versions[:-1]
+
+    async def check_healthy(self, names_by_node):
+        """Note every live target that a node loses, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(50)
+            now_ms = self.clock.now_ms()
+            # An entry without a text is not ready and gets no requests.
+            for node in [n for n in self.live if n.spreader.fleet]:
+                missing = names_by_node(node) - node.usable_names(now_ms)
+                for name in missing:
+                    self.faults.append((now_ms, "healthy target lost", node.name, name))
+
+
+def status_json(report):
+    return json.dumps([[row.name, row.revision] for row in report.entries])
+
+
+__all__ = ["TEXT", "Cluster", "PeerUnreachable", "TextUpdate", "status_json"]
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,106 @@
+"""Tests of the rows of targets."""
+
+import random
+
+import attrs
+import pytest
+
+from wagtailrun.membership import FORGET_MS, Membership, TargetRow
+from wagtailrun.ports.link import Address
+
+ROW = TargetRow("t", Address("10.0.0.1", 1), "s", "east", incarnation=5, sequence=7)
+
+
+def names(membership, now_ms):
+    return [row.name for row in membership.usable("s", now_ms)]
+
+
+def test_silence_ends_use_and_growth_resumes_it():
+    """Guards against work for a target that is silent for 2,500 ms."""
+    membership = Membership()
+    membership.put(ROW, 0)
+    assert names(membership, 2_499) == ["t"]
+    assert names(membership, 2_500) == []
+    assert not membership.put(ROW, 2_600)
+    assert names(membership, 2_600) == []
+    assert membership.put(attrs.evolve(ROW, sequence=8), 2_600)
+    assert names(membership, 2_600) == ["t"]
+
+
+@pytest.mark.parametrize("field", ["leaving", "silent", "running", "address"])
+def test_old_incarnation_changes_nothing(field):
+    """Guards against an old start's goodbye or load credited to a new one."""
+    value = Address("10.0.0.9", 9) if field == "address" else 1
+    membership = Membership()
+    membership.put(ROW, 0)
+    old = attrs.evolve(ROW, incarnation=4, sequence=1_000, **{field: value})
+    assert not membership.put(old, 10)
+    assert membership.targets_by_name["t"] == ROW
+
+
+def test_goodbye_is_final_for_its_incarnation():
+    """Guards against a delayed announcement that undoes a goodbye."""
+    membership = Membership()
+    membership.put(attrs.evolve(ROW, leaving=True), 0)
+    assert not membership.put(attrs.evolve(ROW, sequence=9), 1)
+    assert names(membership, 1) == []
+    assert membership.put(attrs.evolve(ROW, incarnation=6, sequence=0), 2)
+    assert names(membership, 2) == ["t"]
+
+
+def test_any_order_of_rows_gives_the_same_row():
+    """Guards against entries that disagree because rows arrived in another order."""
+    rows = [
+        attrs.evolve(ROW, incarnation=i, sequence=s, leaving=leaving, silent=silent)
+        for i in (1, 2)
+        for s in (1, 2)
+        for leaving in (False, True)
+        for silent in (False, True)
+    ]
+    kept = set()
+    for seed in range(100):
+        random.Random(seed).shuffle(rows)
+        membership = Membership()
+        for row in rows + rows[:5]:
+            membership.put(row, 0)
+        kept.add(membership.targets_by_name["t"])
+    assert len(kept) == 1
+
+
+def test_forgotten_row_does_not_come_back():
+    """Guards against a gone target revived by an entry that was cut off."""
+    membership = Membership()
+    membership.put(attrs.evolve(ROW, leaving=True), 0)
+    membership.forget(FORGET_MS - 1)
+    assert membership.targets_by_name
+    membership.forget(FORGET_MS)
+    assert not membership.targets_by_name
+    assert not membership.put(ROW, FORGET_MS, age_ms=FORGET_MS)
+    assert membership.state_log.digest == 0
+
+
+def test_service_change_moves_the_row():
+    """Guards against a target that stays in the index of its former service."""
+    membership = Membership()
+    membership.put(ROW, 0)
+    membership.put(attrs.evolve(ROW, service="other", sequence=8), 0)
+    assert names(membership, 0) == []
+    assert len(membership.usable("other", 0)) == 1
+
+
+def test_only_local_targets_are_usable():
+    """Guards against work sent to another data centre while local targets exist."""
+    membership = Membership("west")
+    membership.put(ROW, 0)
+    assert names(membership, 0) == []
+    assert membership.fallback("s", 0) == [ROW]
+
+
+def test_usable_does_not_look_at_other_services():
+    """Guards against a routing decision that scans all 250 targets."""
+    membership = Membership()
+    for number in range(250):
+        row = attrs.evolve(ROW, name=f"t{number}", service=f"s{number % 25}")
+        membership.put(row, 0)
+    membership.targets_by_name = None  # A scan would fail.
+    assert len(membership.usable("s1", 0)) == 10
--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import curio
 
 from wagtailrun.clock import Clock
@@ -48,7 +49,7 @@
 # sides again after a partition.
 REJOIN_ROUNDS = 4
 # Limits of one message, from 4 KB/s for two exchanges and two replies a second.
-GROWTH_PER_MESSAGE = 16
+GROWTH_PER_MESSAGE = 12
 ROWS_PER_MESSAGE = 40
 CONFIRMATIONS_PER_MESSAGE = 64
 MAX_HOOK_BYTES = 64 * 1024
@@ -259,12 +260,12 @@
     ) -> EntryRow | None:
         """Exchange rows with one entry; return its row, or None without an answer."""
         if row is None:
-            message = self._message(Partner(), None)
+            message = self._message(Partner(), None, None)
         else:
             address = row.address
             partner = self.peers.partner(row)
             local = row.data_centre == self.peers.data_centre
-            message = self._message(partner, row, local)
+            message = self._message(partner, row, None, local)
         try:
             answer = await self.contact.call(address, message, EXCHANGE_TIMEOUT_MS)
         except PeerUnreachable:
@@ -275,8 +276,17 @@
             self.peers.partner(row).sent = message.sent
         self.contact.heard(answer.sender.data_centre)
         await self._take_exchange(answer)
+        self._note_equal(self.peers.partner(answer.sender), answer)
         return answer.sender
 
+    def _note_equal(self, partner: Partner, answer: SpreadExchange) -> None:
+        """Mark everything as known to a partner that has the same digests."""
+        states, entries = self.membership.state_log, self.peers.row_log
+        if not partner.sent.targets and answer.targets_digest == states.digest:
+            partner.sent = attrs.evolve(partner.sent, targets=states.number)
+        if not partner.sent.entries and answer.entries_digest == entries.digest:
+            partner.sent = attrs.evolve(partner.sent, entries=entries.number)
+
     async def _answer_exchange(self, message: SpreadExchange) -> SpreadExchange:
         await self._take_exchange(message)
         sender = message.sender
@@ -284,7 +294,7 @@
         own = message.seen.incarnation == self.peers.own.incarnation
         partner.sent = message.seen if own else Marks(self.peers.own.incarnation)
         local = sender.data_centre == self.peers.data_centre
-        return self._message(partner, sender, local)
+        return self._message(partner, sender, message, local)
 
     async def _take_exchange(self, message: SpreadExchange) -> None:
         sender = message.sender
@@ -306,8 +316,6 @@
             self.peers.confirm(confirmation, names_by_id)
         partner = self.peers.partner(sender)
         partner.seen = message.sent
-        partner.targets_digest = message.targets_digest
-        partner.entries_digest = message.entries_digest
         if message.hook and local:
             self._hook_in(sender.name, message.hook)
         if local:
@@ -317,17 +325,18 @@
         self,
         partner: Partner,
         row: EntryRow | None,
+        question: SpreadExchange | None,
         local: bool = True,
     ) -> SpreadExchange:
-        """Return what changed since the partner's marks."""
+        """Return what changed since the partner's marks, as question or as answer."""
         sent = partner.sent
         membership, peers = self.membership, self.peers
         states, entries_log = membership.state_log, peers.row_log
         targets, targets_mark = _changes(
-            states, sent.targets, partner.targets_digest, ROWS_PER_MESSAGE
+            states, sent.targets, question and question.targets_digest
         )
         entries, entries_mark = _changes(
-            entries_log, sent.entries, partner.entries_digest, ROWS_PER_MESSAGE
+            entries_log, sent.entries, question and question.entries_digest
         )
         if row is not None and self._believed_ill(row) and row.name not in entries:
             # The partner can only refute what it is told.
@@ -397,16 +406,19 @@
             self.peers.suspect(row.name, self.clock.now_ms())
 
 
-def _changes(
-    log: ChangeLog, mark: int, digest: int | None, limit: int
-) -> tuple[list[str], int]:
+def _changes(log: ChangeLog, mark: int, digest: int | None) -> tuple[list[str], int]:
     """Return the names to send to a partner, and its mark afterwards.
 
-    A partner that was sent nothing yet gets everything, but nothing if its digest says
-    that it has the same, or if its digest is not known yet.
+    A partner that was sent nothing yet gets everything in an answer if the digest in
+    its question differs, and nothing in a question, where its digest is not known.
+
+    Args:
+        log: Changes.
+        mark: Newest change known to the partner, or 0.
+        digest: Digest of the partner, or None in a question.
     """
     if mark:
-        return log.oldest_since(mark, limit)
+        return log.oldest_since(mark, ROWS_PER_MESSAGE)
     if digest is None:
         return [], 0
     if digest == log.digest:
--- a/wagtailrun/spread_peers.py
+++ b/wagtailrun/spread_peers.py
@@ -31,14 +31,10 @@
     Attributes:
         seen: The other's changes known here.
         sent: Own changes known to the other.
-        targets_digest: Digest of the other's targets, or None if not known.
-        entries_digest: Digest of the other's entries, or None if not known.
     """
 
     seen: Marks = Marks()
     sent: Marks = Marks()
-    targets_digest: int | None = None
-    entries_digest: int | None = None
 
 
 class PeerTable:
--- a/wagtailrun/spread_targets.py
+++ b/wagtailrun/spread_targets.py
@@ -26,9 +26,11 @@
 # Announcements come every second; with this delay and one lost forward the age of a
 # healthy target at its watchers stays under ASK_MS.
 FORWARD_MS = 500
-# Before a target is declared silent, others are asked; the answer has ASK_TIMEOUT_MS.
+# Before a target is declared silent, others are asked, up to three times if they do not
+# answer, so that a lost message does not put a healthy target out of rotation.
 ASK_TIMEOUT_MS = 150
-ASK_MS = TARGET_SILENCE_MS - 200
+ASK_ROUNDS = 3
+ASK_MS = TARGET_SILENCE_MS - ASK_ROUNDS * ASK_TIMEOUT_MS - 50
 # A process that was stopped for longer than this has heard nothing in between.
 PAUSE_MS = 1_000
 FORGET_INTERVAL_MS = 10_000
@@ -52,11 +54,12 @@
         self.asking = False
         self.watchers_by_name: dict[str, list[str]] = {}
         self.known_for = (-1, -1)
+        self.chosen_for: tuple[int, int] | None = None
         membership.watch((), self.clock.now_ms())
 
     def watchers(self, name: str) -> list[str]:
         """Return the entries that judge the silence of a target."""
-        known_for = (self.peers.generation, len(self.membership.targets_by_name))
+        known_for = (self.peers.generation, self.membership.state_log.number)
         if known_for != self.known_for:
             self.watchers_by_name.clear()
             self.known_for = known_for
@@ -121,7 +124,12 @@
             heard_here = self.membership.heard_here_ms
             heard = self.membership.heard_ms_by_name
             names = [n for n in rows if heard_here.get(n, -1) >= heard[n]]
+            self.chosen_for = None
         else:
+            chosen_for = (self.peers.generation, self.membership.state_log.number)
+            if chosen_for == self.chosen_for:
+                return
+            self.chosen_for = chosen_for
             own = self.peers.name
             names = [name for name in rows if own in self.watchers(name)]
         self.membership.watch(names, now_ms)
@@ -144,17 +152,13 @@
     async def _confirm_silence(self, names: list[str], isolated: bool) -> None:
         """Declare targets silent if no other entry has newer knowledge of them."""
         try:
-            others = self._others_to_ask(names)
-            asked_ms = self.clock.now_ms()
-            answers = []
-            if not isolated:
-                async with curio.TaskGroup() as group:
-                    for row in others:
-                        await group.spawn(self._ask, row, names)
-                answers = [answer for answer in group.results if answer]
-            spent_ms = self.clock.now_ms() - asked_ms
-            await self.clock.sleep_ms(TARGET_SILENCE_MS - ASK_MS - spent_ms)
-            if others and not answers and not isolated:
+            others = [] if isolated else self._others_to_ask(names)
+            due_ms = self.clock.now_ms() + TARGET_SILENCE_MS - ASK_MS
+            waiting = others
+            for _ in range(ASK_ROUNDS):
+                waiting = await self._ask_all(waiting, names)
+            await self.clock.sleep_ms(due_ms - self.clock.now_ms())
+            if others and len(waiting) == len(others):
                 # Whoever reaches nobody may be the one that is cut off.
                 return
             now_ms = self.clock.now_ms()
@@ -175,6 +179,14 @@
             chosen.add(self.contact.chance.choice(rest))
         return [rows[name] for name in sorted(chosen)]
 
+    async def _ask_all(self, rows: list[EntryRow], names: list[str]) -> list[EntryRow]:
+        """Ask other entries for newer knowledge; return who did not answer."""
+        async with curio.TaskGroup() as group:
+            for row in rows:
+                await group.spawn(self._ask, row, names)
+        answered = group.results
+        return [row for row, done in zip(rows, answered, strict=True) if not done]
+
     async def _ask(self, row: EntryRow, names: list[str]) -> bool:
         question = SpreadAsk(tuple(names))
         try:
