Relay announcements around a cut path, ask more entries before silence

An entry whose forward is not answered sends it by way of another entry, and further entries are asked in each round. An entry goes on alone only if a control member answers.

--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -41,8 +41,7 @@
 PROBE_TIMEOUT_MS = 200
 INDIRECT_PROBES = 2
 JOIN_SEEDS = 3
-# An entry that reaches no other one in this time takes its text from the control
-# members alone.
+# An entry that reaches no other one in this time may start alone.
 JOIN_LIMIT_MS = 1_500
 REMOTE_INTERVAL_MS = 1_000
 # Every fourth round goes to a seed or an entry held to be dead, which joins the two
@@ -169,20 +168,17 @@
     async def _join(self) -> None:
         """Find the other entries and take the newest text that they know.
 
-        Several are asked, because the first may itself be behind.
+        Several are asked, because the first may itself be behind. An entry that reaches
+        none goes on alone only if a control member answers.
         """
-        give_up_ms = self.clock.now_ms() + JOIN_LIMIT_MS
+        alone_ms = self.clock.now_ms() + JOIN_LIMIT_MS
         reached: dict[str, EntryRow] = {}
-        while self.contact.seeds and self.clock.now_ms() < give_up_ms:
-            for address in self.chance.sample(
-                self.contact.seeds, len(self.contact.seeds)
-            ):
-                row = await self._exchange_at(address)
-                if row is not None and row.data_centre == self.peers.data_centre:
-                    reached[row.name] = row
-                if len(reached) >= JOIN_SEEDS or self.clock.now_ms() >= give_up_ms:
-                    break
-            if reached:
+        while self.contact.seeds:
+            may_go_alone = (
+                self.clock.now_ms() >= alone_ms and await self.config.reaches_control()
+            )
+            reached = await self._try_seeds()
+            if reached or may_go_alone:
                 break
             await self.clock.sleep_ms(PROBE_TIMEOUT_MS)
         newest = max(reached.values(), key=lambda row: row.version, default=None)
@@ -190,6 +186,18 @@
             await self.config.fetch_now(newest.address)
         self.config.joined = True
 
+    async def _try_seeds(self) -> dict[str, EntryRow]:
+        """Exchange with the seeds until enough local entries have answered."""
+        reached: dict[str, EntryRow] = {}
+        seeds = self.contact.seeds
+        for address in self.chance.sample(seeds, len(seeds)):
+            row = await self._exchange_at(address)
+            if row is not None and row.data_centre == self.peers.data_centre:
+                reached[row.name] = row
+            if len(reached) >= JOIN_SEEDS:
+                break
+        return reached
+
     async def _exchange_at(self, address: Address) -> EntryRow | None:
         """Exchange with whoever is at ``address``; return its row."""
         for row in list(self.peers.rows_by_name.values()):
@@ -282,9 +290,9 @@
     def _note_equal(self, partner: Partner, answer: SpreadExchange) -> None:
         """Mark everything as known to a partner that has the same digests."""
         states, entries = self.membership.state_log, self.peers.row_log
-        if not partner.sent.targets and answer.targets_digest == states.digest:
+        if answer.targets_digest == states.digest:
             partner.sent = attrs.evolve(partner.sent, targets=states.number)
-        if not partner.sent.entries and answer.entries_digest == entries.digest:
+        if answer.entries_digest == entries.digest:
             partner.sent = attrs.evolve(partner.sent, entries=entries.number)
 
     async def _answer_exchange(self, message: SpreadExchange) -> SpreadExchange:
@@ -417,10 +425,10 @@
         mark: Newest change known to the partner, or 0.
         digest: Digest of the partner, or None in a question.
     """
+    if digest == log.digest:
+        return [], log.number
     if mark:
         return log.oldest_since(mark, ROWS_PER_MESSAGE)
     if digest is None:
         return [], 0
-    if digest == log.digest:
-        return [], log.number
     return log.oldest_since(0, len(log.stamps))
--- a/wagtailrun/spread_config.py
+++ b/wagtailrun/spread_config.py
@@ -7,6 +7,7 @@
 
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.fleet_diff import DiffMismatch
+from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
 from wagtailrun.registry_messages import TextUpdate, WatchText
 from wagtailrun.spread_messages import SpreadFetch, SpreadTaken, SpreadText
@@ -23,6 +24,7 @@
 WATCH_WAIT_MS = 1_000
 WATCH_TIMEOUT_MS = 1_500
 IDLE_POLL_MS = 250
+PING_TIMEOUT_MS = 500
 FETCH_TIMEOUT_MS = 2_000
 # Errors of a text or message that this entry cannot use.
 TEXT_ERRORS = (DiffMismatch, FleetTextError, MessageError, ValueError)
@@ -56,6 +58,17 @@
         live = self.peers.live_names()
         return self.peers.name in rendezvous("watch", live, CONFIG_WATCHERS)
 
+    async def reaches_control(self) -> bool:
+        """Return whether a control member answers."""
+        for control in self.controls:
+            try:
+                ping = Ping(self.peers.name)
+                await self.contact.call(control, ping, PING_TIMEOUT_MS)
+                return True
+            except PeerUnreachable:
+                continue
+        return False
+
     async def poll(self) -> None:
         """Poll the control members in turn while this entry is a watcher."""
         live = self.peers.live_names()
--- a/wagtailrun/spread_peers.py
+++ b/wagtailrun/spread_peers.py
@@ -55,6 +55,8 @@
         self.names_to_push: set[str] = set()
         self.generation = 0
         self._order: list[str] = []
+        self.row_log.touch(own.name, own.precedence)
+        self.confirmed_log.touch(own.name)
 
     @property
     def own(self) -> EntryRow:
--- a/wagtailrun/spread_targets.py
+++ b/wagtailrun/spread_targets.py
@@ -30,6 +30,7 @@
 # answer, so that a lost message does not put a healthy target out of rotation.
 ASK_TIMEOUT_MS = 150
 ASK_ROUNDS = 3
+ASKED_PER_ROUND = 2
 ASK_MS = TARGET_SILENCE_MS - ASK_ROUNDS * ASK_TIMEOUT_MS - 50
 # A process that was stopped for longer than this has heard nothing in between.
 PAUSE_MS = 1_000
@@ -152,13 +153,10 @@
     async def _confirm_silence(self, names: list[str], isolated: bool) -> None:
         """Declare targets silent if no other entry has newer knowledge of them."""
         try:
-            others = [] if isolated else self._others_to_ask(names)
             due_ms = self.clock.now_ms() + TARGET_SILENCE_MS - ASK_MS
-            waiting = others
-            for _ in range(ASK_ROUNDS):
-                waiting = await self._ask_all(waiting, names)
+            answered = isolated or await self._ask_others(names)
             await self.clock.sleep_ms(due_ms - self.clock.now_ms())
-            if others and len(waiting) == len(others):
+            if not answered:
                 # Whoever reaches nobody may be the one that is cut off.
                 return
             now_ms = self.clock.now_ms()
@@ -170,22 +168,26 @@
         finally:
             self.asking = False
 
-    def _others_to_ask(self, names: list[str]) -> list[EntryRow]:
-        """Return the other watchers of the targets and one more entry."""
+    async def _ask_others(self, names: list[str]) -> bool:
+        """Ask for newer knowledge; return whether anyone answered or nobody is there.
+
+        The other watchers are asked until they answer, and further entries in each
+        round, because the path from whoever hears a target may be cut just here.
+        """
         rows = {row.name: row for row in self.peers.others()}
-        chosen = {w for name in names for w in self.watchers(name) if w in rows}
-        rest = sorted(rows.keys() - chosen)
-        if rest:
-            chosen.add(self.contact.chance.choice(rest))
-        return [rows[name] for name in sorted(chosen)]
-
-    async def _ask_all(self, rows: list[EntryRow], names: list[str]) -> list[EntryRow]:
-        """Ask other entries for newer knowledge; return who did not answer."""
-        async with curio.TaskGroup() as group:
-            for row in rows:
-                await group.spawn(self._ask, row, names)
-        answered = group.results
-        return [row for row, done in zip(rows, answered, strict=True) if not done]
+        watchers = {w for name in names for w in self.watchers(name) if w in rows}
+        rest = sorted(rows.keys() - watchers)
+        self.contact.chance.shuffle(rest)
+        answered: set[str] = set()
+        for _ in range(ASK_ROUNDS):
+            extra, rest = rest[:ASKED_PER_ROUND], rest[ASKED_PER_ROUND:]
+            waiting = sorted(watchers - answered) + extra
+            async with curio.TaskGroup() as group:
+                for name in waiting:
+                    await group.spawn(self._ask, rows[name], names)
+            done = zip(waiting, group.results, strict=True)
+            answered.update(name for name, replied in done if replied)
+        return bool(answered) or not rows
 
     async def _ask(self, row: EntryRow, names: list[str]) -> bool:
         question = SpreadAsk(tuple(names))
@@ -288,7 +290,20 @@
             await self.contact.call(row.address, message, PUSH_TIMEOUT_MS)
             self.contact.heard(row.data_centre)
         except PeerUnreachable:
-            # The other watcher of the target may have got it; gossip brings it too.
+            await self._relay(watcher, names)
+
+    async def _relay(self, watcher: str, names: list[str]) -> None:
+        """Send what was heard to a watcher by way of another entry."""
+        rows = [row for row in self.peers.others() if row.name != watcher]
+        if not rows:
+            return
+        row = self.contact.chance.choice(rows)
+        message = SpreadRows(growth=self.growth(names), members=(watcher,))
+        try:
+            await self.contact.call(row.address, message, PUSH_TIMEOUT_MS)
+            self.contact.heard(row.data_centre)
+        except PeerUnreachable:
+            # Gossip, and the questions before a target is declared silent, remain.
             return
 
     async def push(self) -> None:
