--- /dev/null
+++ b/tests/test_accounts.py
@@ -0,0 +1,629 @@
+"""Tests of the accounts, in virtual time."""
+
+import itertools
+import random
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.fake_network import FakeNetwork
+from wagtailrun.account_lines import (
+    cost_rows,
+    lines_to_bytes,
+    refusal_rows,
+    request_rows,
+    totals_of,
+)
+from wagtailrun.account_store import LOG_NAME, AccountStore
+from wagtailrun.accounts import EXCHANGES_PER_HANDOVER, Accounts
+from wagtailrun.accounts_messages import AccountRows, pack_batch, unpack_batch
+from wagtailrun.codec import decode, encode
+from wagtailrun.cost_cells import (
+    MAX_VALUE,
+    CellTable,
+    Column,
+    RequestOutcome,
+    RowKey,
+    Scope,
+    Source,
+    Usage,
+    WorkKind,
+)
+from wagtailrun.exceptions import CorruptRecord, MessageError, RefusalReason
+from wagtailrun.fleet import Price
+from wagtailrun.ports.disk import Disk
+from wagtailrun.ports.link import Address
+from wagtailrun.refusal_minutes import COPY_TIMEOUT_MS
+from wagtailrun.virtual_time import VirtualClock, run_virtual
+
+DAY_MS = 24 * 3_600_000
+INTERVAL_MS = 1_000
+SOURCE = Source("entry-0", 7)
+PERIOD = "2026-01-01"
+NEXT_PERIOD = "2026-01-02"
+PRICE = Price(token_in=2, token_out=6, engine_ms=1, call=10)
+CONTROLS = [Address("10.0.0.1", 1), Address("10.0.0.2", 1)]
+ENTRIES = [Address(f"10.0.1.{number}", 1) for number in range(1, 4)]
+
+
+class Crash(BaseException):
+    """The process ends here."""
+
+
+class MemoryDisk(Disk):
+    """Disk that forgets what was not synced, and can crash at each operation."""
+
+    def __init__(self, seed=0):
+        self.random = random.Random(seed)
+        self.durable: dict[str, bytes] = {}
+        self.appended: dict[str, bytes] = {}
+        self.operations = 0
+        self.crash_at = None
+
+    def step(self):
+        self.operations += 1
+        if self.operations == self.crash_at:
+            raise Crash
+
+    def restart(self):
+        """Keep what is durable and any prefix of what was appended after it."""
+        for name, data in self.appended.items():
+            length = self.random.randint(0, len(data))
+            self.durable[name] = self.durable.get(name, b"") + data[:length]
+        self.appended.clear()
+        self.crash_at = None
+
+    async def names(self):
+        return sorted({*self.durable, *self.appended})
+
+    async def read(self, name):
+        return self.durable.get(name, b"") + self.appended.get(name, b"")
+
+    async def append(self, name, data):
+        self.step()
+        self.appended[name] = self.appended.get(name, b"") + data
+        self.step()
+
+    async def sync(self, name):
+        self.step()
+        self.durable[name] = await self.read(name)
+        self.appended.pop(name, None)
+        self.step()
+
+    async def write(self, name, data):
+        self.step()
+        self.durable[name] = data
+        self.appended.pop(name, None)
+        self.step()
+
+    async def truncate(self, name, size):
+        self.step()
+        self.durable[name] = (await self.read(name))[:size]
+        self.appended.pop(name, None)
+        self.step()
+
+    async def remove(self, name):
+        self.step()
+        self.durable.pop(name, None)
+        self.appended.pop(name, None)
+        self.step()
+
+
+class System:
+    """Three entries and two control members on a fake network."""
+
+    def __init__(self, clock, seed=1, **faults):
+        self.clock = clock
+        self.network = FakeNetwork(clock, seed, **faults)
+        self.disks = [MemoryDisk(), MemoryDisk()]
+        self.stores = []
+        for number, address in enumerate(CONTROLS):
+            others = [other for other in CONTROLS if other != address]
+            link = self.network.link(address)
+            disk = self.disks[number]
+            store = AccountStore(clock, disk, f"control-{number}", others, link)
+            self.stores.append(store)
+            self.network.handlers_by_address[address] = store.handle
+        self.entries = [self.entry(number) for number in range(3)]
+        self.tasks = {}
+
+    def entry(self, number):
+        address = ENTRIES[number]
+        others = [other for other in ENTRIES if other != address]
+        source = Source(f"entry-{number}", 7)
+        link = self.network.link(address)
+        entry = Accounts(
+            self.clock, link, source, lambda: others, CONTROLS, INTERVAL_MS, number
+        )
+
+        async def handle(message):
+            return entry.handle(message)
+
+        self.network.handlers_by_address[address] = handle
+        return entry
+
+    async def start(self):
+        for store in self.stores:
+            await store.open()
+            self.tasks[store] = await curio.spawn(store.run, daemon=True)
+        for entry in self.entries:
+            self.tasks[entry] = await curio.spawn(entry.run, daemon=True)
+
+    async def kill(self, number):
+        """End an entry without letting it send anything more."""
+        entry = self.entries[number]
+        self.network.frozen.add(ENTRIES[number])
+        await self.tasks[entry].cancel()
+
+    def minutes(self, store=0):
+        lines = self.stores[store]._open_lines("")
+        return {(row["minute"], row["workspace"]) for row in refusal_rows(lines)}
+
+
+async def refuse(entry, workspace="stockists", reason=RefusalReason.OVERLOADED):
+    await entry.refuse(workspace, reason, pipeline="stockist-query", request_id="r-1")
+
+
+def attempt(entry, workspace="stockists", work=WorkKind.FIRST, tokens=10):
+    usage = Usage(tokens_in=tokens, tokens_out=5, engine_ms=20)
+    stage = {"service": "engines", "stage": "generate", "pipeline": "stockist-query"}
+    entry.finish_attempt(workspace, work, usage, PRICE, **stage)
+
+
+keys = st.builds(
+    RowKey,
+    st.sampled_from(Scope),
+    st.integers(0, 3),
+    st.sampled_from("ab"),
+    st.just(""),
+    st.sampled_from("pq"),
+)
+columns = st.builds(
+    Column, st.sampled_from("xy"), st.just("s"), st.just("first"), st.sampled_from("cd")
+)
+cells = st.tuples(keys, columns, st.integers(1, MAX_VALUE))
+tables = st.lists(cells, max_size=12)
+
+
+def table_of(items):
+    table = CellTable()
+    for key, column, value in items:
+        table.merge(key, (column,), (value,))
+    return table
+
+
+def content(table):
+    return set(table.cells())
+
+
+@given(tables, tables, tables)
+def test_merge_laws(one, two, three):
+    """Guards against totals that depend on the order or number of merges."""
+    results = []
+    for order in itertools.permutations((one, two, three)):
+        merged = CellTable()
+        for items in (*order, order[0]):
+            merged.merge_table(table_of(items))
+        results.append(content(merged))
+    assert all(result == results[0] for result in results)
+    assert content(table_of(one + two + three)) == results[0]
+
+
+@given(tables)
+def test_batch_round_trip(items):
+    """Guards against a cell that changes on its way to another process."""
+    table = table_of(items)
+    histograms = {(5, "p"): (3, b"abc")}
+    data = pack_batch(Source("e", 9), table, list(table.rows_by_key), histograms)
+    message = decode(encode(AccountRows("e", 1, True, [data])))
+    source, rows, unpacked = unpack_batch(message.batches[0])
+    assert (source, unpacked) == (Source("e", 9), histograms)
+    assert content(rows) == content(table)
+
+
+@given(st.data())
+def test_damaged_batch_is_refused(data):
+    """Guards against an exception, or a row made up, from a malformed batch."""
+    table = table_of(data.draw(tables))
+    batch = bytearray(pack_batch(Source("e", 9), table, list(table.rows_by_key)))
+    for _ in range(data.draw(st.integers(1, 3))):
+        batch[data.draw(st.integers(0, len(batch) - 1))] ^= data.draw(
+            st.integers(1, 255)
+        )
+    try:
+        _, rows, _ = unpack_batch(bytes(batch))
+    except MessageError:
+        return
+    assert content(rows) == content(table)
+
+
+def test_first_refusal_survives_kill_after_its_answer():
+    """Guards against a refusal minute that was answered and is counted nowhere."""
+
+    async def main(clock, seed):
+        system = System(clock, seed)
+        await system.start()
+        await clock.sleep_ms(100 * seed)
+        before_ms = clock.now_ms()
+        await refuse(system.entries[0], f"workspace-{seed}")
+        assert clock.now_ms() - before_ms <= COPY_TIMEOUT_MS
+        await system.kill(0)
+        await clock.sleep_ms(40_000)
+        for store in (0, 1):
+            assert ("2026-01-01T00:00Z", f"workspace-{seed}") in system.minutes(store)
+
+    for seed in range(20):
+        run_virtual(main, seed)
+
+
+def test_only_the_first_refusal_of_a_minute_costs_a_message():
+    """Guards against a message for each refusal in a burst."""
+
+    async def main(clock):
+        system = System(clock)
+        for _ in range(50):
+            await curio.spawn(refuse, system.entries[0], daemon=True)
+        await clock.sleep_ms(30)
+        await refuse(system.entries[0])
+        return system.network.messages
+
+    assert run_virtual(main) == 2  # One request and its reply.
+
+
+@pytest.mark.parametrize("reachable", [0, 1])
+def test_copy_waits_at_most_its_limit(reachable):
+    """Guards against a refusal that waits for entries that are gone."""
+
+    async def main(clock):
+        system = System(clock)
+        for number in range(1, 3 - reachable):
+            system.network.cut(ENTRIES[0], ENTRIES[number])
+        held = []
+        for workspace in ("a", "b"):
+            before_ms = clock.now_ms()
+            await refuse(system.entries[0], workspace)
+            assert clock.now_ms() - before_ms <= COPY_TIMEOUT_MS
+        for entry in system.entries[1:]:
+            for table in entry.held.tables_by_source.values():
+                held += [key.workspace for key in table.rows_by_key]
+        return sorted(set(held))
+
+    assert run_virtual(main) == (["a", "b"] if reachable else [])
+
+
+def test_worst_case_of_a_crash_is_one_interval():
+    """Guards against a crash that loses more than the stated interval of costs."""
+
+    async def main(clock, seed):
+        system = System(clock, seed)
+        await system.start()
+        entry = system.entries[0]
+        recorded_ms = []
+        until_ms = 7_000 + 130 * seed
+        while clock.now_ms() < until_ms:
+            attempt(entry)
+            recorded_ms.append(clock.now_ms())
+            await clock.sleep_ms(37)
+        await system.kill(0)
+        await clock.sleep_ms(40_000)
+        (row,) = cost_rows(await system.stores[0].lines())
+        # 2 x 5 ms one way, and the timer of the next exchange starts after a reply.
+        lost_from_ms = until_ms - INTERVAL_MS - 50
+        assert row["calls"] >= sum(ms < lost_from_ms for ms in recorded_ms)
+        assert row["calls"] <= len(recorded_ms)
+
+    for seed in range(20):
+        run_virtual(main, seed)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_every_count_arrives_once_under_faults(seed):
+    """Guards against loss or double counts by lost, repeated and late messages."""
+
+    async def main(clock):
+        system = System(clock, seed, loss=0.1, duplication=0.2, delay_ms=(1, 900))
+        await system.start()
+        chance = random.Random(seed)
+        expected = 0
+        for step in range(300):
+            if step % 60 == 30:
+                system.network.cut(chance.choice(ENTRIES), chance.choice(CONTROLS))
+            if step % 60 == 59:
+                system.network.heal()
+            entry = chance.choice(system.entries)
+            attempt(entry, work=chance.choice(list(WorkKind)))
+            expected += 1
+            await clock.sleep_ms(200)
+        system.network.loss = 0.0
+        await clock.sleep_ms(60_000)
+        for store in system.stores:
+            lines = await store.lines()
+            assert sum(row["calls"] for row in cost_rows(lines)) == expected
+            assert lines_to_bytes(lines) == lines_to_bytes(
+                await system.stores[0].lines()
+            )
+
+    run_virtual(main)
+
+
+def test_planned_stop_hands_over_everything():
+    """Guards against rows, own or held for another entry, that a stop drops."""
+
+    async def main(clock):
+        system = System(clock)
+        await refuse(system.entries[0], "own")
+        holder = next(entry for entry in system.entries if entry.held.tables_by_source)
+        attempt(holder, "mine")
+        assert await holder.hand_over_all(5_000)
+        assert not holder.held.tables_by_source
+        lines = await system.stores[0].lines()
+        assert {line.key.workspace for line in lines} == {"own", "mine"}
+
+        for address in CONTROLS:
+            system.network.cut(ENTRIES[0], address)
+        attempt(system.entries[0], "cut-off")
+        assert await system.entries[0].hand_over_all(9_000)
+        others = [entry.held.tables_by_source for entry in system.entries[1:]]
+        held = [table for tables in others for table in tables.values()]
+        assert any(key.workspace == "cut-off" for t in held for key in t.rows_by_key)
+
+    run_virtual(main)
+
+
+def test_memory_of_an_entry_is_given_back():
+    """Guards against rows that stay in an entry after their hour."""
+
+    async def main(clock):
+        system = System(clock)
+        await system.start()
+        entry = system.entries[0]
+        for _ in range(5):
+            await refuse(entry)
+            entry.finish_request(
+                "stockists", RequestOutcome.ATTAINED, 50, pipeline="stockist-query"
+            )
+            await clock.sleep_ms(3_600_000)
+        assert len(entry.table.rows_by_key) <= 4
+        assert len(entry.histograms_by_key) <= 2
+        assert len(entry.first_refusals.copies_by_key) <= 2
+        assert not any(other.held.tables_by_source for other in system.entries)
+        latency = system.stores[0].latency("stockist-query")
+        assert latency.get_total_count() == 5
+        (row,) = request_rows(await system.stores[0].lines())
+        assert (row["attained"], row["refused"], row["attainment"]) == (5, 5, 0.5)
+
+    run_virtual(main)
+
+
+def test_totals_can_be_broken_down():
+    """Guards against a total that differs from the sum of its parts."""
+
+    async def main(clock):
+        system = System(clock)
+        for entry, work in itertools.product(system.entries, WorkKind):
+            attempt(entry, "stockists", work)
+            attempt(entry, "mill-clerks", work, tokens=3)
+        for entry in system.entries:
+            assert await entry.hand_over()
+        return await system.stores[0].lines()
+
+    lines = run_virtual(main)
+    (total,) = cost_rows(lines, by=())
+    assert total["calls"] == 24
+    assert total["price_millionths"] == 12 * (10 + 20 + 30 + 20) + 12 * (
+        10 + 6 + 30 + 20
+    )
+    for dimension in ("workspace", "work", "entry", "stage", "hour", "booking"):
+        parts = cost_rows(lines, by=(dimension,))
+        for measure in total:
+            assert sum(part[measure] for part in parts) == total[measure]
+    (retries,) = cost_rows(lines, where={"work": "retry", "workspace": "stockists"})
+    assert retries["calls"] == 3
+    with pytest.raises(ValueError, match="unknown"):
+        cost_rows(lines, by=("color",))
+
+
+def message_of(table, source=SOURCE, histograms=None):
+    batch = pack_batch(source, table, list(table.rows_by_key), histograms)
+    return AccountRows(source.entry, 1, False, [batch])
+
+
+def refusal_table(clock_ms, count, minutes=1):
+    table = CellTable()
+    column = Column("", "", "refusal", "overloaded")
+    for minute in range(minutes):
+        bucket = clock_ms // 60_000 + minute
+        key = RowKey(Scope.MINUTE, bucket, "stockists", "", "stockist-query")
+        table.merge(key, (column,), (count,))
+    return table
+
+
+def test_closed_period_never_changes():
+    """Guards against a late row that changes what the regulator was told."""
+
+    async def main(clock):
+        start_ms = clock.wall_ms()
+        disk = MemoryDisk()
+        store = AccountStore(clock, disk, "control-0")
+        await store.open()
+        await store.handle(message_of(refusal_table(start_ms, 3, minutes=2)))
+        assert store.closable() is None
+        await clock.sleep_ms(DAY_MS + 900_000)
+        assert store.closable() == PERIOD
+        offer = await store.prepare_close(PERIOD)
+        assert offer.totals.refusal_minutes == 2
+        assert offer.totals.refusals_by_reason == {"overloaded": 6}
+        # Arrives between the offer and the command that closes the period.
+        await store.handle(message_of(refusal_table(start_ms, 5, minutes=3)))
+        assert await store.close(PERIOD, offer.digest)
+        closed = await store.lines(PERIOD)
+        assert totals_of(closed) == offer.totals
+
+        late = refusal_rows(await store.lines(NEXT_PERIOD))
+        assert [(row["refusals"], row["late"]) for row in late] == [
+            (2, True),
+            (2, True),
+            (5, True),
+        ]
+        assert [row["new_minute"] for row in late] == [False, False, True]
+        await store.handle(message_of(refusal_table(start_ms + DAY_MS, 1)))
+        await clock.sleep_ms(DAY_MS)
+        second = await store.prepare_close(NEXT_PERIOD)
+        assert second.totals.refusal_minutes == 2
+        assert second.totals.late_refusal_minutes == 1
+        assert second.totals.refusals_by_reason == {"overloaded": 10}
+        assert await store.close(NEXT_PERIOD, second.digest)
+        assert await store.lines(PERIOD) == closed
+        assert await store.lines() == []
+        with pytest.raises(ValueError, match="is closed"):
+            await store.prepare_close(PERIOD)
+
+    run_virtual(main)
+
+
+def test_other_member_adopts_the_agreed_period():
+    """Guards against two members that show different lines for a closed period."""
+
+    async def main(clock):
+        system = System(clock)
+        for store in system.stores:
+            await store.open()
+        one, two = system.stores
+        start_ms = clock.wall_ms()
+        await one.handle(message_of(refusal_table(start_ms, 3)))
+        await two.handle(message_of(refusal_table(start_ms, 4)))
+        await clock.sleep_ms(DAY_MS + 900_000)
+        offer = await one.prepare_close(PERIOD)
+        await two.prepare_close(PERIOD)
+        assert await one.close(PERIOD, offer.digest)
+        assert not await two.close(PERIOD, offer.digest)
+        assert await two.fetch_period(PERIOD, offer.digest)
+        assert await two.lines(PERIOD) == await one.lines(PERIOD)
+        (late,) = refusal_rows(await two.lines(NEXT_PERIOD))
+        assert (late["refusals"], late["late"]) == (1, True)
+        with pytest.raises(MessageError):
+            await two.adopt(NEXT_PERIOD, offer.digest, b"[]")
+
+    run_virtual(main)
+
+
+def test_emptied_member_is_filled_again():
+    """Guards against a member that lost its disk and stays without old rows."""
+
+    async def main(clock):
+        system = System(clock)
+        await system.start()
+        attempt(system.entries[0])
+        await system.entries[0].hand_over()
+        await clock.sleep_ms(3_000)
+        await system.tasks[system.stores[1]].cancel()
+        link = system.network.link(CONTROLS[1])
+        emptied = AccountStore(clock, MemoryDisk(), "control-1", CONTROLS[:1], link)
+        await emptied.open()
+        system.network.handlers_by_address[CONTROLS[1]] = emptied.handle
+        await clock.sleep_ms(5_000)
+        assert await emptied.lines() == await system.stores[0].lines()
+
+    run_virtual(main)
+
+
+def test_restart_at_every_sync_point(monkeypatch):
+    """Guards against acknowledged rows or closed periods that a crash changes."""
+    monkeypatch.setattr("wagtailrun.account_store.MAX_LOG_BYTES", 900)
+
+    async def write(store, clock, acknowledged):
+        start_ms = clock.wall_ms()
+        for count in range(1, 9):
+            source = Source(f"entry-{count % 3}", 7)
+            table = refusal_table(start_ms, count, minutes=count)
+            reply = await store.handle(message_of(table, source, {(1, "p"): (1, b"h")}))
+            if reply.kept:
+                acknowledged[source] = table
+        await clock.sleep_ms(DAY_MS + 900_000)
+        offer = await store.prepare_close(PERIOD)
+        acknowledged["offer"] = offer
+        if await store.close(PERIOD, offer.digest):
+            acknowledged["closed"] = True
+
+    async def main(clock, crash_at):
+        disk = MemoryDisk(seed=crash_at)
+        disk.crash_at = crash_at
+        store = AccountStore(clock, disk, "control-0")
+        await store.open()
+        acknowledged = {}
+        try:
+            await write(store, clock, acknowledged)
+            crashed = False
+        except Crash:
+            crashed = True
+        disk.restart()
+        store = AccountStore(clock, disk, "control-0")
+        await store.open()
+        offer = acknowledged.pop("offer", None)
+        closed = acknowledged.pop("closed", False)
+        if offer is not None:
+            assert await store.close(PERIOD, offer.digest)
+            assert totals_of(await store.lines(PERIOD)) == offer.totals
+            assert await store.lines(NEXT_PERIOD) == []
+        assert closed <= (PERIOD in store.digests_by_period)
+        for source, table in acknowledged.items():
+            for key, column, value in table.cells():
+                assert store.tables_by_source[source].value(key, column) >= value
+        return crashed
+
+    crash_at = 1
+    while run_virtual(main, crash_at):
+        crash_at += 1
+    assert crash_at > 25
+
+
+def test_damage_in_the_middle_is_reported():
+    """Guards against rows that are dropped silently after a damaged record."""
+
+    async def main(clock):
+        disk = MemoryDisk()
+        store = AccountStore(clock, disk, "control-0")
+        await store.open()
+        for count in (1, 2):
+            await store.handle(message_of(refusal_table(clock.wall_ms(), count)))
+        data = bytearray(disk.durable[LOG_NAME])
+        data[20] ^= 1
+        disk.durable[LOG_NAME] = bytes(data)
+        with pytest.raises(CorruptRecord, match="offset 0"):
+            await AccountStore(clock, disk, "control-0").open()
+
+    run_virtual(main)
+
+
+def test_rows_beyond_the_late_limit_are_refused_visibly():
+    """Guards against an old row that is booked twice, or dropped without a trace."""
+
+    async def main(clock):
+        store = AccountStore(clock, MemoryDisk(), "control-0")
+        await store.open()
+        old_ms = clock.wall_ms() - 8 * DAY_MS
+        await store.handle(message_of(refusal_table(old_ms, 1)))
+        assert store.too_late_rows == 1
+        assert await store.lines() == []
+
+    run_virtual(main)
+
+
+def test_wall_clock_that_steps_back_loses_no_count():
+    """Guards against a row begun anew whose first counts the larger value hides."""
+    clock = VirtualClock()
+
+    async def main(clock):
+        system = System(clock)
+        await system.start()
+        for _ in range(2):
+            for _ in range(3):
+                await refuse(system.entries[0])
+            await clock.sleep_ms(3 * 60_000 + EXCHANGES_PER_HANDOVER * INTERVAL_MS)
+            clock.wall_start_ms -= 5 * 60_000
+        rows = refusal_rows(await system.stores[0].lines())
+        return sum(row["refusals"] for row in rows)
+
+    assert run_virtual(main, clock=clock) == 6
--- /dev/null
+++ b/wagtailrun/account_store.py
@@ -0,0 +1,508 @@
+"""Account rows at a control member: merged, kept on disk, closed by period."""
+
+import random
+import zlib
+from collections.abc import Iterator, Sequence
+
+import attrs
+import curio
+from hdrh.histogram import HdrHistogram
+
+from wagtailrun import events
+from wagtailrun.account_files import decompress, join_records, split_records
+from wagtailrun.account_lines import (
+    Line,
+    PeriodTotals,
+    digest_of,
+    is_minute,
+    lines_from_bytes,
+    lines_to_bytes,
+    period_end_ms,
+    period_of,
+    totals_of,
+)
+from wagtailrun.accounts_messages import (
+    AccountRows,
+    AccountsKept,
+    FetchPeriod,
+    HistogramKey,
+    PeriodContent,
+    pack_batch,
+    unpack_batch,
+)
+from wagtailrun.clock import Clock
+from wagtailrun.cost_cells import (
+    MS_PER_MINUTE,
+    CellTable,
+    RowKey,
+    Scope,
+    Source,
+    bucket_of,
+)
+from wagtailrun.exceptions import (
+    CorruptRecord,
+    DiskFault,
+    MessageError,
+    PeerUnreachable,
+)
+from wagtailrun.ports.disk import Disk
+from wagtailrun.ports.link import Address, PeerLink
+
+__all__ = ["AccountStore", "PeriodOffer"]
+
+LOG_NAME = "accounts-log"
+ROWS_NAME = "accounts-rows"
+CLOSED_PREFIX = "accounts-closed-"
+PREPARED_PREFIX = "accounts-prepared-"
+# The log is folded into the file of rows when it has grown to this size.
+MAX_LOG_BYTES = 4 * 1024 * 1024
+# Rows arrive within this time after a period's end, unless something has failed.
+CLOSE_GRACE_MS = 15 * MS_PER_MINUTE
+MS_PER_DAY = 24 * 60 * MS_PER_MINUTE
+# New rows of an interval this long ago are refused.
+LATE_LIMIT_MS = 7 * MS_PER_DAY
+# Rows of closed periods are forgotten after this time: late ones that arrived within
+# the limit are booked by then, unless no period was closed for three days.
+FORGET_MS = 10 * MS_PER_DAY
+# Thirteen months of days: a year's report plus a month to dispute it.
+PERIODS_KEPT = 400
+# Most rows that are held in memory, about 500 bytes each.
+MAX_ROWS = 200_000
+RELAY_INTERVAL_MS = 1_000
+RELAY_TIMEOUT_MS = 2_000
+ROWS_PER_MESSAGE = 1_000
+
+# What ``unpack_batch`` returns.
+_Batch = tuple[Source, CellTable, dict[HistogramKey, tuple[int, bytes]]]
+
+
+@attrs.frozen
+class PeriodOffer:
+    """What a control member proposes when it closes a period.
+
+    Attributes:
+        period: UTC day.
+        digest: SHA-256 of the period's lines.
+        totals: Totals of the lines.
+    """
+
+    period: str
+    digest: str
+    totals: PeriodTotals
+
+
+class AccountStore:
+    """Merged accounts of all entries.
+
+    Every cell of a source holds its largest value seen. What closed periods hold of
+    it is booked; the rest belongs to the oldest open period that it fits in, so each
+    part of a cell is booked exactly once.
+
+    Args:
+        clock: Clock.
+        disk: Files of this member.
+        name: Name of this member.
+        others: Peer addresses of the other control members.
+        link: Link to them, None for a single member.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        disk: Disk,
+        name: str,
+        others: Sequence[Address] = (),
+        link: PeerLink | None = None,
+    ):
+        self.clock = clock
+        self.disk = disk
+        self.name = name
+        self.link = link
+        self.incarnation = random.SystemRandom().getrandbits(48)
+        self.tables_by_source: dict[Source, CellTable] = {}
+        self.booked_by_source: dict[Source, CellTable] = {}
+        self.booked_minutes: set[RowKey] = set()
+        self.histograms: dict[tuple[Source, HistogramKey], tuple[int, bytes]] = {}
+        self.digests_by_period: dict[str, str] = {}
+        self.log_bytes = 0
+        self.rows = 0
+        self.failed = False
+        self.too_late_rows = 0
+        self.lock = curio.Lock()
+        self.sequence = 0
+        self.unsent_by_address: dict[Address, dict[tuple[Source, RowKey], None]] = {
+            address: {} for address in others
+        }
+        self.incarnations_by_address: dict[Address, int] = {}
+
+    async def open(self) -> None:
+        """Read the files; call this once before anything else.
+
+        Raises:
+            CorruptRecord: If a file is damaged other than by a torn last record.
+            DiskFault: If a file cannot be read.
+        """
+        horizon = period_of(self.clock.wall_ms() - FORGET_MS)
+        for name in await self.disk.names():
+            if name.startswith(CLOSED_PREFIX):
+                period = name.removeprefix(CLOSED_PREFIX)
+                content = await self._read_lines(name)
+                self.digests_by_period[period] = digest_of(content)
+                if period >= horizon:
+                    self._book(content)
+        rows, _ = split_records(ROWS_NAME, await self.disk.read(ROWS_NAME), False)
+        data = await self.disk.read(LOG_NAME)
+        log, whole = split_records(LOG_NAME, data, True)
+        if whole < len(data):
+            await self.disk.truncate(LOG_NAME, whole)
+        self.log_bytes = whole
+        for record in (*rows, *log):
+            try:
+                self._merge(*unpack_batch(record))
+            except MessageError as error:
+                detail = (
+                    f"accounts: a record with a valid checksum is malformed: {error}"
+                )
+                raise CorruptRecord(detail) from error
+        self._forget_old()
+
+    async def handle(
+        self, message: AccountRows | FetchPeriod
+    ) -> AccountsKept | PeriodContent:
+        """Answer an entry or another control member."""
+        if isinstance(message, FetchPeriod):
+            return await self._give_period(message.period)
+        try:
+            batches = [self._checked(data) for data in message.batches]
+        except MessageError as error:
+            return self._kept(str(error))
+        if self.failed:
+            return self._kept("this member cannot write its files")
+        if self.rows >= MAX_ROWS:
+            events.log(events.ACCOUNTS_FULL, rows=self.rows, sender=message.sender)
+            return self._kept("this member holds as many rows as it can")
+        async with self.lock:
+            try:
+                await self._keep(message.batches, batches)
+            except DiskFault as error:
+                # What the file holds now is unknown; nothing may be appended to it.
+                self.failed = True
+                events.log(events.ACCOUNTS_DISK_FAILED, detail=str(error))
+                return self._kept(str(error))
+        return self._kept("")
+
+    def _checked(self, data: bytes) -> _Batch:
+        """Unpack a batch without the rows that are too late."""
+        source, rows, histograms = unpack_batch(data)
+        oldest_ms = self.clock.wall_ms() - LATE_LIMIT_MS
+        known = self.tables_by_source.get(source, CellTable()).rows_by_key
+        for key in list(rows.rows_by_key):
+            if key.start_ms < oldest_ms and key not in known:
+                rows.drop(key)
+                self.too_late_rows += 1
+                events.log(
+                    events.ACCOUNTS_TOO_LATE, entry=source.entry, start_ms=key.start_ms
+                )
+        return source, rows, histograms
+
+    def closable(self) -> str | None:
+        """Return the oldest open period with rows that is over, None without one."""
+        limit_ms = self.clock.wall_ms() - CLOSE_GRACE_MS
+        for period in self.open_periods():
+            if period_end_ms(period) <= limit_ms:
+                return period
+        return None
+
+    def open_periods(self) -> list[str]:
+        """Return the periods with rows that are not closed, oldest first."""
+        periods = {
+            period_of(key.start_ms)
+            for table in self.tables_by_source.values()
+            for key in table.rows_by_key
+        }
+        return sorted(period for period in periods if period > self.last_closed)
+
+    @property
+    def last_closed(self) -> str:
+        """Newest closed period; earlier ones without rows count as closed too."""
+        return max(self.digests_by_period, default="")
+
+    async def prepare_close(self, period: str) -> PeriodOffer:
+        """Return digest and totals of ``period`` for the command that closes it.
+
+        The lines are kept first, so that they outlive a crash between the command
+        and ``close``.
+
+        Raises:
+            ValueError: If the period is closed, or an earlier one is open.
+            DiskFault: If the lines cannot be kept.
+        """
+        if period <= self.last_closed:
+            raise ValueError(f"period {period} is closed")
+        earlier = [other for other in self.open_periods() if other < period]
+        if earlier:
+            raise ValueError(f"period {earlier[0]} must be closed before {period}")
+        lines = list(self._open_lines(period))
+        content = lines_to_bytes(lines)
+        await self.disk.write(PREPARED_PREFIX + period, _lines_record(content))
+        return PeriodOffer(period, digest_of(content), totals_of(lines))
+
+    async def close(self, period: str, digest: str) -> bool:
+        """Freeze ``period`` as the agreed command says.
+
+        Returns:
+            Whether the lines with this digest are known here; if not, ``adopt``
+            those of another member.
+        """
+        if period in self.digests_by_period:
+            return self.digests_by_period[period] == digest
+        name = PREPARED_PREFIX + period
+        if name not in await self.disk.names():
+            return False
+        content = await self._read_lines(name)
+        if digest_of(content) != digest:
+            return False
+        await self.adopt(period, digest, content)
+        return True
+
+    async def adopt(self, period: str, digest: str, content: bytes) -> None:
+        """Freeze ``period`` with lines from another member.
+
+        Raises:
+            MessageError: If the lines do not have the digest.
+        """
+        if digest_of(content) != digest:
+            raise MessageError(f"lines of period {period} do not have its digest")
+        lines_from_bytes(content)
+        async with self.lock:
+            if period in self.digests_by_period:
+                return
+            await self.disk.write(CLOSED_PREFIX + period, _lines_record(content))
+            self.digests_by_period[period] = digest
+            self._book(content)
+            await self.disk.remove(PREPARED_PREFIX + period)
+            for old in sorted(self.digests_by_period)[:-PERIODS_KEPT]:
+                await self.disk.remove(CLOSED_PREFIX + old)
+                del self.digests_by_period[old]
+
+    async def fetch_period(self, period: str, digest: str) -> bool:
+        """Adopt a closed period from whichever member has it."""
+        for address in self.unsent_by_address:
+            try:
+                reply = await self.link.call(
+                    address, FetchPeriod(period), RELAY_TIMEOUT_MS
+                )
+                if isinstance(reply, PeriodContent) and reply.digest == digest:
+                    await self.adopt(period, digest, decompress(reply.content))
+                    return True
+            except (PeerUnreachable, MessageError):
+                continue
+        return False
+
+    async def lines(self, period: str = "") -> list[Line]:
+        """Return the lines of a closed period, or of ``period`` if it is open.
+
+        Args:
+            period: UTC day; by default everything that is open.
+        """
+        if period in self.digests_by_period:
+            return lines_from_bytes(await self._read_lines(CLOSED_PREFIX + period))
+        if period and period <= self.last_closed:
+            return []
+        return list(self._open_lines(period))
+
+    def latency(self, pipeline: str) -> HdrHistogram | None:
+        """Return the latencies of a pipeline (or service) in ms, merged over all."""
+        merged = None
+        for (_, (_, name)), (_, data) in self.histograms.items():
+            if name == pipeline:
+                one = HdrHistogram.decode(data)
+                if merged is None:
+                    merged = one
+                else:
+                    merged.add(one)
+        return merged
+
+    async def run(self) -> None:
+        """Relay new rows to the other control members until cancelled."""
+        while True:
+            await self.clock.sleep_ms(RELAY_INTERVAL_MS)
+            for address in self.unsent_by_address:
+                await self.relay(address)
+
+    async def relay(self, address: Address) -> bool:
+        """Send another member the rows that it lacks; return whether it has them."""
+        while unsent := self.unsent_by_address[address]:
+            part = list(unsent)[:ROWS_PER_MESSAGE]
+            for item in part:
+                del unsent[item]
+            if not await self._relay_part(address, part):
+                unsent.update(dict.fromkeys(part))
+                return False
+        return await self._relay_part(address, [])
+
+    async def _relay_part(
+        self, address: Address, part: list[tuple[Source, RowKey]]
+    ) -> bool:
+        keys_by_source: dict[Source, list] = {}
+        for source, key in part:
+            keys_by_source.setdefault(source, []).append(key)
+        batches = [
+            pack_batch(
+                source,
+                self.tables_by_source.get(source, CellTable()),
+                [key for key in keys if isinstance(key, RowKey)],
+                {
+                    key: self.histograms[source, key]
+                    for key in keys
+                    if (source, key) in self.histograms
+                },
+            )
+            for source, keys in keys_by_source.items()
+        ]
+        self.sequence += 1
+        message = AccountRows(self.name, self.sequence, False, batches)
+        try:
+            reply = await self.link.call(address, message, RELAY_TIMEOUT_MS)
+        except PeerUnreachable:
+            return False
+        if not isinstance(reply, AccountsKept) or not reply.kept:
+            return False
+        if self.incarnations_by_address.get(address) != reply.holder_incarnation:
+            # A restarted member may come with an emptied disk.
+            self.incarnations_by_address[address] = reply.holder_incarnation
+            unsent = self.unsent_by_address[address]
+            unsent.update(dict.fromkeys(self.histograms))
+            for source, table in self.tables_by_source.items():
+                unsent.update(dict.fromkeys((source, key) for key in table.rows_by_key))
+        return True
+
+    async def _keep(self, data: list[bytes], batches: list[_Batch]) -> None:
+        """Merge batches, append them to the log and sync it."""
+        # Merged first, because the file of rows that replaces the log must hold them.
+        for batch in batches:
+            self._merge(*batch)
+        records = join_records(data)
+        if not records:
+            return
+        if self.log_bytes + len(records) > MAX_LOG_BYTES:
+            await self._fold_log()
+            return
+        await self.disk.append(LOG_NAME, records)
+        self.log_bytes += len(records)
+        await self.disk.sync(LOG_NAME)
+
+    async def _fold_log(self) -> None:
+        """Replace the file of rows by all rows, then empty the log.
+
+        A crash between the two is harmless: the log's rows merge to the same values.
+        """
+        self._forget_old()
+        records = [
+            pack_batch(
+                source,
+                table,
+                list(table.rows_by_key),
+                {
+                    key: histogram
+                    for (owner, key), histogram in self.histograms.items()
+                    if owner == source
+                },
+            )
+            for source, table in self.tables_by_source.items()
+        ]
+        await self.disk.write(ROWS_NAME, join_records(records))
+        await self.disk.truncate(LOG_NAME, 0)
+        self.log_bytes = 0
+
+    def _merge(
+        self,
+        source: Source,
+        rows: CellTable,
+        histograms: dict[HistogramKey, tuple[int, bytes]],
+    ) -> None:
+        table = self.tables_by_source.setdefault(source, CellTable())
+        known = len(table.rows_by_key)
+        for key, row in rows.rows_by_key.items():
+            if table.merge(key, rows.layout(key).columns[: len(row)], row):
+                self._mark_unsent(source, key)
+        self.rows += len(table.rows_by_key) - known
+        for key, (count, data) in histograms.items():
+            if count > self.histograms.get((source, key), (0, b""))[0]:
+                self.histograms[source, key] = (count, data)
+                self._mark_unsent(source, key)
+
+    def _mark_unsent(self, source: Source, key: RowKey | HistogramKey) -> None:
+        for unsent in self.unsent_by_address.values():
+            unsent[source, key] = None
+
+    def _open_lines(self, period: str) -> Iterator[Line]:
+        """Yield what is not booked of the rows up to the end of ``period``."""
+        end_ms = period_end_ms(period) if period else None
+        last_closed = self.last_closed
+        for source, table in self.tables_by_source.items():
+            booked = self.booked_by_source.get(source)
+            for key, column, value in table.cells():
+                if end_ms is not None and key.start_ms >= end_ms:
+                    continue
+                amount = value - (booked.value(key, column) if booked else 0)
+                if amount > 0:
+                    late = period_of(key.start_ms) <= last_closed
+                    new = not is_minute(key) or key not in self.booked_minutes
+                    yield Line(source, key, column, amount, late, new)
+
+    def _book(self, content: bytes) -> None:
+        """Add the lines of a closed period to what is booked."""
+        for line in lines_from_bytes(content):
+            booked = self.booked_by_source.setdefault(line.source, CellTable())
+            booked.add(line.key, (line.column,), (line.amount,))
+            value = booked.value(line.key, line.column)
+            table = self.tables_by_source.setdefault(line.source, CellTable())
+            known = len(table.rows_by_key)
+            # The source counted at least what another member has booked.
+            table.merge(line.key, (line.column,), (value,))
+            self.rows += len(table.rows_by_key) - known
+            if is_minute(line.key):
+                self.booked_minutes.add(line.key)
+
+    def _forget_old(self) -> None:
+        """Forget rows of closed periods that no row can change any more."""
+        oldest_ms = self.clock.wall_ms() - FORGET_MS
+        last_closed = self.last_closed
+        for source, table in list(self.tables_by_source.items()):
+            for key in list(table.rows_by_key):
+                if key.start_ms < oldest_ms and period_of(key.start_ms) <= last_closed:
+                    table.drop(key)
+                    self.rows -= 1
+                    if source in self.booked_by_source:
+                        self.booked_by_source[source].drop(key)
+            if not table.rows_by_key:
+                del self.tables_by_source[source]
+                self.booked_by_source.pop(source, None)
+        self.booked_minutes = {
+            key for key in self.booked_minutes if key.start_ms >= oldest_ms
+        }
+        oldest_hour = bucket_of(Scope.HOUR, oldest_ms)
+        for owner_and_key in list(self.histograms):
+            if owner_and_key[1][0] < oldest_hour:
+                del self.histograms[owner_and_key]
+
+    async def _give_period(self, period: str) -> PeriodContent:
+        digest = self.digests_by_period.get(period)
+        if digest is None:
+            return PeriodContent(period, "", b"")
+        content = await self._read_lines(CLOSED_PREFIX + period)
+        return PeriodContent(period, digest, zlib.compress(content))
+
+    async def _read_lines(self, name: str) -> bytes:
+        records, _ = split_records(name, await self.disk.read(name), False)
+        if len(records) != 1:
+            raise CorruptRecord(f"{name}: holds {len(records)} records, not one")
+        return decompress(records[0])
+
+    def _kept(self, fault: str) -> AccountsKept:
+        return AccountsKept(self.name, self.incarnation, not fault, fault)
+
+
+def _lines_record(content: bytes) -> bytes:
+    return join_records([zlib.compress(content)])
--- /dev/null
+++ b/wagtailrun/cost_cells.py
@@ -0,0 +1,261 @@
+"""Grow-only cells of the accounts: counters that merge by their maximum."""
+
+import enum
+from array import array
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+import attrs
+
+from wagtailrun.fleet import Price
+
+__all__ = [
+    "MS_PER_MINUTE",
+    "Cell",
+    "CellTable",
+    "Column",
+    "Measure",
+    "RequestOutcome",
+    "RowKey",
+    "Scope",
+    "Source",
+    "Usage",
+    "WorkKind",
+    "add_saturating",
+    "bucket_of",
+]
+
+MS_PER_MINUTE = 60_000
+# Largest value of a cell; a sum that would exceed it stays there.
+MAX_VALUE = 2**63 - 1
+
+
+class Scope(enum.IntEnum):
+    """Length of the calendar interval that a row counts, in minutes."""
+
+    MINUTE = 1
+    HOUR = 60
+
+
+class WorkKind(enum.StrEnum):
+    """Why an attempt was made, or what became of it."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+    WASTED = "wasted"
+
+
+class RequestOutcome(enum.StrEnum):
+    """How a request ended for its caller."""
+
+    ATTAINED = "attained"
+    LATE = "late"
+    INCOMPLETE = "incomplete"
+    REFUSED = "refused"
+
+
+class Measure(enum.StrEnum):
+    """What a cell counts, apart from refusal reasons and request outcomes."""
+
+    CALLS = "calls"
+    TOKENS_IN = "tokens-in"
+    TOKENS_OUT = "tokens-out"
+    TOKENS_CACHED = "tokens-cached"
+    ENGINE_MS = "engine-ms"
+    PRICE_MILLIONTHS = "price-millionths"
+
+
+class Source(NamedTuple):
+    """Entry incarnation that counted a row; nobody else changes its cells."""
+
+    entry: str
+    incarnation: int
+
+
+class RowKey(NamedTuple):
+    """Identifies a row of a source.
+
+    Attributes:
+        scope: Value of ``Scope``.
+        bucket: Whole UTC minutes (or hours) since the Unix epoch.
+        workspace: Workspace, or empty if the caller named none that exists.
+        service: Service that was called, or empty for a pipeline.
+        pipeline: Pipeline that was called, or empty for a service.
+    """
+
+    scope: int
+    bucket: int
+    workspace: str
+    service: str
+    pipeline: str
+
+    @property
+    def start_ms(self) -> int:
+        """Start of the interval in milliseconds since the Unix epoch."""
+        return self.bucket * self.scope * MS_PER_MINUTE
+
+
+class Column(NamedTuple):
+    """Identifies a counter within a row.
+
+    Attributes:
+        service: Service that did the work, or empty.
+        stage: Stage or call, or empty.
+        kind: A ``WorkKind``, ``"request"`` or ``"refusal"``.
+        measure: A ``Measure``, a request outcome or a refusal reason.
+    """
+
+    service: str
+    stage: str
+    kind: str
+    measure: str
+
+
+class Cell(NamedTuple):
+    """One counter of one source, with its value."""
+
+    source: Source
+    key: RowKey
+    column: Column
+    value: int
+
+
+@attrs.frozen
+class Usage:
+    """What one attempt consumed."""
+
+    tokens_in: int = 0
+    tokens_out: int = 0
+    tokens_cached: int = 0
+    engine_ms: int = 0
+
+    def amounts(self, price: Price) -> tuple[int, ...]:
+        """Return one amount for each ``Measure``, at the price in force now."""
+        cost = (
+            price.call
+            + price.token_in * self.tokens_in
+            + price.token_out * self.tokens_out
+            + price.token_cached * self.tokens_cached
+            + price.engine_ms * self.engine_ms
+        )
+        return (
+            1,
+            self.tokens_in,
+            self.tokens_out,
+            self.tokens_cached,
+            self.engine_ms,
+            cost,
+        )
+
+
+def bucket_of(scope: Scope, wall_ms: int) -> int:
+    """Return the number of the calendar interval that ``wall_ms`` lies in."""
+    return wall_ms // (scope * MS_PER_MINUTE)
+
+
+def add_saturating(value: int, amount: int) -> int:
+    """Return the sum, at most ``MAX_VALUE``."""
+    return min(value + amount, MAX_VALUE)
+
+
+class Layout:
+    """Columns of the rows of one service or pipeline, in order of first use."""
+
+    def __init__(self) -> None:
+        self.columns: list[Column] = []
+        self.positions_by_column: dict[Column, int] = {}
+
+    def position(self, column: Column) -> int:
+        """Return the position of ``column``, which is added when new."""
+        position = self.positions_by_column.get(column)
+        if position is None:
+            position = self.positions_by_column[column] = len(self.columns)
+            self.columns.append(column)
+        return position
+
+
+class CellTable:
+    """Rows of one source.
+
+    The counters of a row are one array, because an object for each counter would
+    take 28 more bytes: 26,000 rows of 24 counters in an hour at the design scale.
+    """
+
+    def __init__(self) -> None:
+        self.rows_by_key: dict[RowKey, array] = {}
+        self.layouts_by_subject: dict[tuple[int, str, str], Layout] = {}
+
+    def layout(self, key: RowKey) -> Layout:
+        """Return the layout of the row ``key``."""
+        subject = (key.scope, key.service, key.pipeline)
+        layout = self.layouts_by_subject.get(subject)
+        if layout is None:
+            layout = self.layouts_by_subject[subject] = Layout()
+        return layout
+
+    def add(
+        self, key: RowKey, columns: Sequence[Column], amounts: Sequence[int]
+    ) -> None:
+        """Add an amount to each of ``columns``; negative amounts count as zero."""
+        layout = self.layout(key)
+        row = self._row(key)
+        for column, amount in zip(columns, amounts, strict=True):
+            if amount > 0:
+                position = layout.positions_by_column.get(column)
+                if position is None:
+                    position = layout.position(column)
+                if position >= len(row):
+                    _extend(row, len(layout.columns))
+                row[position] = add_saturating(row[position], amount)
+
+    def merge(
+        self, key: RowKey, columns: Sequence[Column], values: Sequence[int]
+    ) -> bool:
+        """Raise each column to its value if that is larger; return whether any was."""
+        layout = self.layout(key)
+        row = self._row(key)
+        grown = False
+        for column, value in zip(columns, values, strict=True):
+            if value > 0:
+                position = layout.position(column)
+                if position >= len(row):
+                    _extend(row, len(layout.columns))
+                if value > row[position]:
+                    row[position] = min(value, MAX_VALUE)
+                    grown = True
+        return grown
+
+    def merge_table(self, other: "CellTable") -> None:
+        """Merge every row of ``other``."""
+        for key, row in other.rows_by_key.items():
+            self.merge(key, other.layout(key).columns[: len(row)], row)
+
+    def value(self, key: RowKey, column: Column) -> int:
+        """Return the value of a cell, 0 if it does not exist."""
+        row = self.rows_by_key.get(key)
+        position = self.layout(key).positions_by_column.get(column)
+        if row is None or position is None or position >= len(row):
+            return 0
+        return row[position]
+
+    def cells(self) -> Iterator[tuple[RowKey, Column, int]]:
+        """Yield every cell that is not zero."""
+        for key, row in self.rows_by_key.items():
+            for column, value in zip(self.layout(key).columns, row, strict=False):
+                if value:
+                    yield key, column, value
+
+    def drop(self, key: RowKey) -> None:
+        """Forget a row."""
+        self.rows_by_key.pop(key, None)
+
+    def _row(self, key: RowKey) -> array:
+        row = self.rows_by_key.get(key)
+        if row is None:
+            row = self.rows_by_key[key] = array("q")
+        return row
+
+
+def _extend(row: array, length: int) -> None:
+    row.extend([0] * (length - len(row)))
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -1,14 +1,27 @@
 """Numbered log events; ``docs/events.md`` is the catalogue."""
 
 import json
+import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 from absl import logging
 
-__all__ = ["EVENTS_BY_NUMBER", "Event", "log"]
+__all__ = ["EVENTS_BY_NUMBER", "Event", "EventLog", "catalogue_rows", "log"]
 
 EVENTS_BY_NUMBER: dict[int, "Event"] = {}
+# Longest interval in which an event writes one line.
+INTERVAL_S = 1.0
+MAX_FIELD_LENGTH = 500
+MAX_LINE_LENGTH = 4_000
+# Fields that are never written, whoever passes them.
+HIDDEN_WORDS = ("secret", "credential", "authorization", "password", "body")
+LEVEL_NAMES = {
+    logging.INFO: "info",
+    logging.WARNING: "warning",
+    logging.ERROR: "error",
+}
 
 
 @attrs.frozen
@@ -19,15 +32,17 @@
         number: Stable number of the event.
         level: absl logging level.
         meaning: One sentence; the catalogue holds the same.
+        action: What the operator does; the catalogue holds the same.
     """
 
     number: int
     level: int
     meaning: str
+    action: str = "Nothing."
 
 
-def _event(number: int, level: int, meaning: str) -> Event:
-    event = Event(number, level, meaning)
+def _event(number: int, level: int, meaning: str, action: str = "Nothing.") -> Event:
+    event = Event(number, level, meaning, action)
     if number in EVENTS_BY_NUMBER:
         raise ValueError(f"event number {number} is taken")
     EVENTS_BY_NUMBER[number] = event
@@ -37,16 +52,137 @@
 PROCESS_STARTED = _event(100, logging.INFO, "A process started.")
 PROCESS_STOPPED = _event(101, logging.INFO, "A process stopped.")
 DRAIN_STARTED = _event(102, logging.INFO, "A planned stop began.")
-PEER_REJECTED = _event(200, logging.WARNING, "A peer connection was rejected.")
-HANDLER_FAILED = _event(201, logging.ERROR, "A request handler raised an error.")
+PEER_REJECTED = _event(
+    200,
+    logging.WARNING,
+    "A peer connection was rejected.",
+    "Check that all processes have the same WAGTAILRUN_PEER_SECRET.",
+)
+HANDLER_FAILED = _event(
+    201,
+    logging.ERROR,
+    "A request handler raised an error.",
+    "Report the line; it is a fault of the program.",
+)
+REFUSAL_SINGLE_COPY = _event(
+    300,
+    logging.WARNING,
+    "The first refusal of a minute was answered without a copy at another entry.",
+    "Check that other entries run; a crash of this one may lose the minute.",
+)
+ACCOUNTS_NOT_HANDED_OVER = _event(
+    301,
+    logging.WARNING,
+    "No control member took the account rows.",
+    "Check the control members; the rows are kept here and at another entry.",
+)
+ACCOUNTS_LEFT_AT_STOP = _event(
+    302,
+    logging.ERROR,
+    "A planned stop ended with account rows that nobody else holds.",
+    "Note the interval: its counts and costs are low.",
+)
+ACCOUNTS_FULL = _event(
+    310,
+    logging.ERROR,
+    "A control member holds as many account rows as it can.",
+    "Close the open periods; entries keep their rows meanwhile.",
+)
+ACCOUNTS_TOO_LATE = _event(
+    311,
+    logging.ERROR,
+    "An account row came more than seven days late and was not counted.",
+    "Find out which entry was cut off for so long; its counts are low.",
+)
+ACCOUNTS_DISK_FAILED = _event(
+    312,
+    logging.ERROR,
+    "A control member could not write account rows.",
+    "Replace the disk and restart the member; the others hold the rows.",
+)
+OPERATOR_REJECTED = _event(
+    400,
+    logging.WARNING,
+    "An operator call carried a wrong credential.",
+    "If it repeats, find the sender and change the credential.",
+)
+
+
+class EventLog:
+    """Writes events, at most one line a second for each.
+
+    Args:
+        write: Takes level, format and arguments of a line.
+        now_s: Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        write: Callable[..., None] = logging.log,
+        now_s: Callable[[], float] = time.monotonic,
+    ):
+        self.write = write
+        self.now_s = now_s
+        self.written_s_by_number: dict[int, float] = {}
+        self.suppressed_by_number: dict[int, int] = {}
+        self.counts_by_number: dict[int, int] = {}
+
+    def log(self, event: Event, **fields: Any) -> None:
+        """Write one line: number, meaning, then the fields as JSON.
+
+        A line that follows suppressed ones carries their number as ``suppressed``.
+        """
+        number = event.number
+        self.counts_by_number[number] = self.counts_by_number.get(number, 0) + 1
+        now_s = self.now_s()
+        written_s = self.written_s_by_number.get(number)
+        if written_s is not None and now_s - written_s < INTERVAL_S:
+            suppressed = self.suppressed_by_number.get(number, 0) + 1
+            self.suppressed_by_number[number] = suppressed
+            return
+        self.written_s_by_number[number] = now_s
+        suppressed = self.suppressed_by_number.pop(number, 0)
+        shown = {name: _shown(name, value) for name, value in fields.items()}
+        if suppressed:
+            shown["suppressed"] = suppressed
+        text = json.dumps(shown, default=str, sort_keys=True)[:MAX_LINE_LENGTH]
+        self.write(event.level, "E%04d %s %s", number, event.meaning, text)
+
+    def flush(self) -> None:
+        """Write how many lines were suppressed since the last line of each event."""
+        for number, suppressed in sorted(self.suppressed_by_number.items()):
+            event = EVENTS_BY_NUMBER[number]
+            text = json.dumps({"suppressed": suppressed})
+            self.write(event.level, "E%04d %s %s", number, event.meaning, text)
+        self.suppressed_by_number.clear()
+
+
+def _shown(name: str, value: Any) -> Any:
+    if any(word in name.lower() for word in HIDDEN_WORDS) or isinstance(value, bytes):
+        return "(hidden)"
+    if isinstance(value, bool | int | float) or value is None:
+        return value
+    return str(value)[:MAX_FIELD_LENGTH]
+
+
+EVENT_LOG = EventLog()
 
 
 def log(event: Event, **fields: Any) -> None:
-    """Write one line: number, meaning, then the fields as JSON.
+    """Write an event to the log of this process; see ``EventLog.log``.
 
     Args:
         event: Which event.
-        **fields: Values that JSON can hold; never bodies or secrets.
+        **fields: Values that JSON can hold; never bodies or secrets. Pass
+            ``request_id`` wherever the event belongs to a request.
     """
-    text = json.dumps(fields, default=str, sort_keys=True)
-    logging.log(event.level, "E%04d %s %s", event.number, event.meaning, text)
+    EVENT_LOG.log(event, **fields)
+
+
+def catalogue_rows() -> list[str]:
+    """Return the table rows of ``docs/events.md``."""
+    return [
+        f"| {event.number} | {LEVEL_NAMES[event.level]} | {event.meaning} "
+        f"| {event.action} |"
+        for _, event in sorted(EVENTS_BY_NUMBER.items())
+    ]
--- /dev/null
+++ b/wagtailrun/schema/accounts.capnp
@@ -0,0 +1,41 @@
+# Account rows between entries and control members.
+@0xd1a6c3b7f0e94a14;
+
+struct Message {
+  union {
+    accountRows @0 :AccountRows;
+    accountsKept @1 :AccountsKept;
+    rowBatch @2 :RowBatch;
+    fetchPeriod @3 :FetchPeriod;
+    periodContent @4 :PeriodContent;
+  }
+}
+
+struct AccountRows {
+  sender @0 :Text;
+  sequence @1 :UInt64;
+  settled @2 :Bool;
+  batches @3 :List(Data);
+}
+
+struct AccountsKept {
+  holder @0 :Text;
+  holderIncarnation @1 :UInt64;
+  kept @2 :Bool;
+  detail @3 :Text;
+}
+
+# Never sent alone: compressed, it is one element of AccountRows.batches.
+struct RowBatch {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+  names @2 :List(Text);
+  layouts @3 :List(UInt32);
+  heads @4 :List(UInt32);
+  values @5 :List(UInt64);
+  histograms @6 :List(Data);
+  histogramHeads @7 :List(UInt64);
+}
+
+struct FetchPeriod { period @0 :Text; }
+struct PeriodContent { period @0 :Text; digest @1 :Text; content @2 :Data; }
