Declare settings once, limit repeated events, export metrics

Cause: settings were read flag by flag, the first fault ended the start, and an unknown variable was ignored; a burst could fill the log; there was no /metrics text.

Each setting is one declaration with parser and help; all faults come at once. An event writes one line a second and counts the rest. Metrics have bounded labels and HDR quantiles.

Also: after a partner fails, the next one gets every row that is not handed over in the same exchange, found by a new test that kills both entries (test_copies_survive_a_settled_exchange_and_a_lost_partner: the minute was missing before, present after).

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 
+import attrs
 import curio
 import pytest
 from hypothesis import given
@@ -17,7 +18,7 @@
     totals_of,
 )
 from wagtailrun.account_store import LOG_NAME, AccountStore
-from wagtailrun.accounts import EXCHANGES_PER_HANDOVER, Accounts
+from wagtailrun.accounts import EXCHANGES_PER_HANDOVER, Accounts, HeldRows
 from wagtailrun.accounts_messages import AccountRows, pack_batch, unpack_batch
 from wagtailrun.codec import decode, encode
 from wagtailrun.cost_cells import (
@@ -258,15 +259,63 @@
         run_virtual(main, seed)
 
 
+@pytest.mark.parametrize("partner_dies", [False, True])
+def test_copies_survive_a_settled_exchange_and_a_lost_partner(partner_dies):
+    """Guards against a copy that the other entry drops before control has it."""
+
+    async def main(clock):
+        system = System(clock)
+        await system.start()
+        entry = system.entries[0]
+        assert await entry.hand_over()
+        for address in CONTROLS:
+            system.network.cut(ENTRIES[0], address)
+        await refuse(entry, "copied")
+        attempt(entry)
+        assert await entry.exchange()
+        if partner_dies:
+            await system.kill(ENTRIES.index(entry.partner))
+            attempt(entry)
+            assert await entry.exchange()
+        await system.kill(0)
+        await clock.sleep_ms(40_000)
+        assert ("2026-01-01T00:00Z", "copied") in system.minutes()
+        (row,) = cost_rows(await system.stores[0].lines())
+        assert row["calls"] == 1 + partner_dies
+
+    run_virtual(main)
+
+
+def test_overtaken_settled_message_drops_nothing():
+    """Guards against an old message that clears rows which came after it."""
+    held = HeldRows()
+    first, second = refusal_table(0, 1), refusal_table(60_000, 1)
+    held.take(attrs.evolve(message_of(first), sequence=2), 0)
+    held.take(attrs.evolve(message_of(second), sequence=1, settled=True), 0)
+    assert len(held.tables_by_source[SOURCE].rows_by_key) == 2
+    held.take(attrs.evolve(message_of(second), sequence=3, settled=True), 0)
+    assert len(held.tables_by_source[SOURCE].rows_by_key) == 1
+
+
 def test_only_the_first_refusal_of_a_minute_costs_a_message():
     """Guards against a message for each refusal in a burst."""
 
     async def main(clock):
         system = System(clock)
-        for _ in range(50):
-            await curio.spawn(refuse, system.entries[0], daemon=True)
+        answered_ms = []
+
+        async def caller():
+            await refuse(system.entries[0])
+            answered_ms.append(clock.now_ms())
+
+        for _ in range(2):
+            for _ in range(25):
+                await curio.spawn(caller, daemon=True)
+            await clock.sleep_ms(1)
         await clock.sleep_ms(30)
         await refuse(system.entries[0])
+        # None is answered before the copy of the first, which takes a round trip.
+        assert len(answered_ms) == 50 and len(set(answered_ms)) == 1
         return system.network.messages
 
     assert run_virtual(main) == 2  # One request and its reply.
@@ -622,7 +671,7 @@
             for _ in range(3):
                 await refuse(system.entries[0])
             await clock.sleep_ms(3 * 60_000 + EXCHANGES_PER_HANDOVER * INTERVAL_MS)
-            clock.wall_start_ms -= 5 * 60_000
+            clock.wall_start_ms -= clock.now_ms()
         rows = refusal_rows(await system.stores[0].lines())
         return sum(row["refusals"] for row in rows)
 
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,65 @@
+"""Tests of the event log."""
+
+import json
+from pathlib import Path
+
+from wagtailrun import events
+
+PAGE = Path(__file__).parent.parent / "docs" / "events.md"
+
+
+class Lines:
+    """Collects lines, with a time that the test sets."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.lines = []
+        self.log = events.EventLog(self.write, lambda: self.now_s)
+
+    def write(self, level, text, *arguments):
+        self.lines.append(text % arguments)
+
+    def fields(self):
+        return [json.loads(line[line.index("{") :]) for line in self.lines]
+
+
+def test_repeated_events_are_limited_and_counted():
+    """Guards against a log that a burst fills, and against lines lost uncounted."""
+    lines = Lines()
+    for step in range(2_001):
+        lines.now_s = step / 1_000
+        lines.log.log(events.HANDLER_FAILED, request_id=f"r-{step}")
+    lines.log.log(events.DRAIN_STARTED)
+    lines.log.log(events.HANDLER_FAILED)
+    lines.log.flush()
+    assert [fields.get("suppressed") for fields in lines.fields()] == [
+        None,
+        999,
+        999,
+        None,
+        1,
+    ]
+    assert lines.fields()[1]["request_id"] == "r-1000"
+    assert lines.log.counts_by_number[events.HANDLER_FAILED.number] == 2_002
+
+
+def test_secrets_and_bodies_are_never_written():
+    """Guards against a secret in a log file."""
+    lines = Lines()
+    lines.log.log(
+        events.HANDLER_FAILED,
+        peer_secret="0123456789abcdef",
+        request_body={"a": "0123456789abcdef"},
+        data=b"0123456789abcdef",
+        detail="x" * 5_000,
+    )
+    assert "0123456789abcdef" not in lines.lines[0]
+    assert len(lines.lines[0]) < 1_000
+
+
+def test_catalogue_lists_exactly_the_events():
+    """Guards against a page that differs from the code."""
+    rows = [
+        line for line in PAGE.read_text("utf-8").splitlines() if line[2:3].isdigit()
+    ]
+    assert rows == events.catalogue_rows()
--- a/wagtailrun/account_store.py
+++ b/wagtailrun/account_store.py
@@ -456,12 +456,6 @@
         for line in lines_from_bytes(content):
             booked = self.booked_by_source.setdefault(line.source, CellTable())
             booked.add(line.key, (line.column,), (line.amount,))
-            value = booked.value(line.key, line.column)
-            table = self.tables_by_source.setdefault(line.source, CellTable())
-            known = len(table.rows_by_key)
-            # The source counted at least what another member has booked.
-            table.merge(line.key, (line.column,), (value,))
-            self.rows += len(table.rows_by_key) - known
             if is_minute(line.key):
                 self.booked_minutes.add(line.key)
 
@@ -469,16 +463,15 @@
         """Forget rows of closed periods that no row can change any more."""
         oldest_ms = self.clock.wall_ms() - FORGET_MS
         last_closed = self.last_closed
-        for source, table in list(self.tables_by_source.items()):
-            for key in list(table.rows_by_key):
-                if key.start_ms < oldest_ms and period_of(key.start_ms) <= last_closed:
-                    table.drop(key)
-                    self.rows -= 1
-                    if source in self.booked_by_source:
-                        self.booked_by_source[source].drop(key)
-            if not table.rows_by_key:
-                del self.tables_by_source[source]
-                self.booked_by_source.pop(source, None)
+        for tables in (self.tables_by_source, self.booked_by_source):
+            for source, table in list(tables.items()):
+                for key in list(table.rows_by_key):
+                    closed = period_of(key.start_ms) <= last_closed
+                    if closed and key.start_ms < oldest_ms:
+                        table.drop(key)
+                if not table.rows_by_key:
+                    del tables[source]
+        self.rows = sum(len(t.rows_by_key) for t in self.tables_by_source.values())
         self.booked_minutes = {
             key for key in self.booked_minutes if key.start_ms >= oldest_ms
         }
--- a/wagtailrun/accounts.py
+++ b/wagtailrun/accounts.py
@@ -1,7 +1,7 @@
 """Counts refusals, requests and costs at an entry and hands them over."""
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any
 
 import curio
@@ -45,6 +45,7 @@
 # No message is delayed this long, so a late one cannot be taken for a new one.
 FORGET_SOURCE_MS = 3_600_000
 CALL_TIMEOUT_MS = 2_000
+SHORTEST_CALL_TIMEOUT_MS = 100
 # The second entry asked must have time to answer within the limit for a copy.
 COPY_CALL_TIMEOUT_MS = COPY_TIMEOUT_MS // 2
 LONGEST_LATENCY_MS = 3_600_000
@@ -263,12 +264,12 @@
     async def exchange(self) -> bool:
         """Send changed rows to another entry; return whether one keeps them."""
         settled = self.settled
-        keys = list(self._unkept() if settled else self.unsent)
+        keys = _minutes_first(self._unkept() if settled else self.unsent)
         if not keys and not settled:
             return True
-        # Minutes of refusals go first, in case the rows need several messages.
-        keys.sort(key=lambda key: key.scope)
-        if await self._send_to_an_entry(keys, settled, self.interval_ms // 2):
+        if await self._send_to_an_entry(
+            keys, settled, max(self.interval_ms // 2, SHORTEST_CALL_TIMEOUT_MS)
+        ):
             self.settled = self.settled and not settled
             return True
         return False
@@ -350,8 +351,11 @@
                 return True
             if self.partner == address:
                 self.partner = None
-            # The next partner lacks everything that is not handed over.
+            # The next partner lacks everything that is not handed over. A copy that a
+            # caller waits for goes ahead of it.
             self.unsent.update(self._unkept())
+            if timeout_ms > COPY_CALL_TIMEOUT_MS:
+                keys = _minutes_first(self.unsent)
         return False
 
     async def _send_rows(
@@ -456,3 +460,8 @@
         for key in list(self.histograms_by_key):
             if key[0] < hour and key not in self.changed_histograms:
                 del self.histograms_by_key[key]
+
+
+def _minutes_first(keys: Iterable[RowKey]) -> list[RowKey]:
+    """Return keys so that refusal minutes are in the first of several messages."""
+    return sorted(keys, key=lambda key: key.scope)
--- /dev/null
+++ b/wagtailrun/metrics.py
@@ -0,0 +1,147 @@
+"""Counters, gauges and latencies of a process as Prometheus text.
+
+Label values come from fixed sets or from the fleet text, never from callers, and
+there is none for each workspace: at 5,200 workspaces every entry would export
+hundreds of thousands of series.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
+
+from wagtailrun.cost_cells import Measure, RequestOutcome, Usage, WorkKind
+from wagtailrun.events import EVENT_LOG, EVENTS_BY_NUMBER, EventLog
+from wagtailrun.exceptions import RefusalReason
+from wagtailrun.fleet import Price
+
+__all__ = ["CONTENT_TYPE", "Metrics"]
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Pipelines, services and stages come from the fleet text; a text with more of them
+# than this shares one label value, so that the page stays below about 1 MB.
+MAX_NAMES = 64
+OTHER = "other"
+QUANTILES = (0.5, 0.95, 0.99, 0.999)
+LONGEST_LATENCY_MS = 3_600_000
+# 17 KB a histogram, so at most 2 MB for two of each name.
+SIGNIFICANT_DIGITS = 2
+
+
+class Metrics:
+    """Metrics of one process.
+
+    Args:
+        events: Log whose counts are exported.
+    """
+
+    def __init__(self, events: EventLog = EVENT_LOG):
+        self.events = events
+        self.registry = CollectorRegistry()
+        self.names: set[str] = set()
+        self.latencies_by_label: dict[tuple[str, str], HdrHistogram] = {}
+        self.sums_by_label: dict[tuple[str, str], int] = {}
+        self.requests = self._counter(
+            "requests", "Requests by pipeline or service, and outcome.", "of", "outcome"
+        )
+        self.refusals = self._counter("refusals", "Refused requests.", "reason")
+        self.attempts = self._counter(
+            "attempts", "Attempts at targets.", "service", "work"
+        )
+        self.usage = self._counter(
+            "usage", "Work of targets.", "service", "work", "measure"
+        )
+        self.ready = self._gauge("ready", "Whether the process takes new work.")
+        self.revision = self._gauge("revision", "Revision of the fleet text in force.")
+        self.active = self._gauge("active_requests", "Requests under way.")
+        self.rows = self._gauge("account_rows", "Account rows held in memory.")
+        self.registry.register(self)
+
+    def finish_request(
+        self, of: str, outcome: RequestOutcome, duration_ms: int
+    ) -> None:
+        """Count a request of the pipeline or service ``of`` that ended."""
+        of = self._bounded(of)
+        self.requests.labels(of, outcome.value).inc()
+        self.observe("request", of, duration_ms)
+
+    def refuse(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self.refusals.labels(reason.value).inc()
+
+    def finish_attempt(
+        self, service: str, work: WorkKind, usage: Usage, duration_ms: int
+    ) -> None:
+        """Count an attempt that ended."""
+        service = self._bounded(service)
+        self.attempts.labels(service, work.value).inc()
+        for measure, amount in zip(Measure, usage.amounts(Price()), strict=True):
+            if amount and measure not in (Measure.CALLS, Measure.PRICE_MILLIONTHS):
+                self.usage.labels(service, work.value, measure.value).inc(amount)
+        self.observe("attempt", service, duration_ms)
+
+    def observe(self, kind: str, of: str, duration_ms: int) -> None:
+        """Record a latency.
+
+        Args:
+            kind: ``"request"``, ``"attempt"`` or ``"first-token"``.
+            of: Pipeline or service.
+            duration_ms: Latency in milliseconds.
+        """
+        label = (kind, self._bounded(of))
+        histogram = self.latencies_by_label.get(label)
+        if histogram is None:
+            histogram = HdrHistogram(1, LONGEST_LATENCY_MS, SIGNIFICANT_DIGITS)
+            self.latencies_by_label[label] = histogram
+        value = min(max(duration_ms, 1), LONGEST_LATENCY_MS)
+        histogram.record_value(value)
+        self.sums_by_label[label] = self.sums_by_label.get(label, 0) + value
+
+    def text(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def collect(self) -> Iterator[SummaryMetricFamily | GaugeMetricFamily]:
+        """Yield latencies and event counts; called by ``prometheus_client``."""
+        summary = SummaryMetricFamily(
+            "wagtailrun_latency_ms", "Latencies, count and sum.", labels=("kind", "of")
+        )
+        quantiles = GaugeMetricFamily(
+            "wagtailrun_latency_quantile_ms",
+            "Latencies at quantiles since the process started.",
+            labels=("kind", "of", "quantile"),
+        )
+        for label, histogram in sorted(self.latencies_by_label.items()):
+            count = histogram.get_total_count()
+            summary.add_metric(label, count, self.sums_by_label[label])
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile * 100)
+                quantiles.add_metric((*label, str(quantile)), value)
+        yield summary
+        yield quantiles
+        events = GaugeMetricFamily(
+            "wagtailrun_events",
+            "Events since the start, with suppressed ones.",
+            labels=("number",),
+        )
+        for number in sorted(EVENTS_BY_NUMBER):
+            events.add_metric(
+                (str(number),), self.events.counts_by_number.get(number, 0)
+            )
+        yield events
+
+    def _bounded(self, name: str) -> str:
+        """Return ``name``, or ``"other"`` once too many are in use."""
+        if name in self.names:
+            return name
+        if len(self.names) >= MAX_NAMES:
+            return OTHER
+        self.names.add(name)
+        return name
+
+    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(f"wagtailrun_{name}", help_text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, help_text: str, labels: Iterable[str] = ()) -> Gauge:
+        return Gauge(f"wagtailrun_{name}", help_text, labels, registry=self.registry)
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -1,81 +1,356 @@
-"""Settings of the daemons, from flags and environment variables."""
+"""Settings of the daemons and commands, from flags and environment variables."""
 
+import difflib
+import ipaddress
 import os
-from collections.abc import Mapping
+import re
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 import attrs
 
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.ports.link import Address
 
-__all__ = ["ControlSettings", "EntrySettings"]
+__all__ = [
+    "ClientSettings",
+    "ControlSettings",
+    "EntrySettings",
+    "Loaded",
+    "load_settings",
+    "secret_from_environment",
+    "settings_rows",
+]
+
+T = TypeVar("T")
 
 ENVIRONMENT_PREFIX = "WAGTAILRUN_"
+FILE_SUFFIX = "_FILE"
+MIN_SECRET_LENGTH = 16
+MAX_SECRET_BYTES = 4_096
+MAX_MS = 3_600_000
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+HIDDEN = "(hidden)"
+
+
+def parse_address(text: str) -> Address:
+    """Parse ``IP:PORT``; raises ValueError for anything else."""
+    address = Address.parse(text.strip())
+    ipaddress.ip_address(address.host.strip("[]"))
+    return address
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Parse a comma-separated list of addresses."""
+    return tuple(parse_address(part) for part in text.split(",") if part.strip())
+
+
+def _parse_name(text: str) -> str:
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError("use 1 to 64 letters, digits, '.', '_' or '-'")
+    return text
+
+
+def _parse_text(text: str) -> str:
+    if not text:
+        raise ValueError("it is empty")
+    return text
+
+
+def _parse_members(text: str) -> tuple[tuple[str, Address], ...]:
+    members = []
+    for part in filter(None, map(str.strip, text.split(","))):
+        name, separator, address = part.partition("=")
+        if not separator:
+            raise ValueError(f"{part!r} is not of the form NAME=IP:PORT")
+        members.append((_parse_name(name), parse_address(address)))
+    if len({name for name, _ in members}) != len(members):
+        raise ValueError("a name occurs twice")
+    return tuple(members)
+
+
+def _parse_secret(text: str) -> str:
+    if len(text) < MIN_SECRET_LENGTH:
+        raise ValueError(f"use a secret of at least {MIN_SECRET_LENGTH} characters")
+    if not text.isascii() or not text.isprintable():
+        raise ValueError("use printable ASCII characters only")
+    return text
+
+
+def _parse_secret_bytes(text: str) -> bytes:
+    return _parse_secret(text).encode()
+
+
+def _milliseconds(low: int, high: int = MAX_MS) -> Callable[[str], int]:
+    def parse(text: str) -> int:
+        if not text.isascii() or not text.isdecimal() or len(text) > 9:
+            raise ValueError("give a whole number of milliseconds")
+        if not low <= int(text) <= high:
+            raise ValueError(f"give {low} to {high} milliseconds")
+        return int(text)
+
+    return parse
+
+
+def _setting(
+    parse: Callable[[str], Any],
+    meaning: str,
+    default: Any = attrs.NOTHING,
+    *,
+    secret: bool = False,
+) -> Any:
+    """Declare a setting: how its text is read, and its help."""
+    metadata = {"parse": parse, "help": meaning, "secret": secret}
+    return attrs.field(default=default, repr=not secret, metadata=metadata)
+
+
+NAME = (_parse_name, "Name of the VM.")
+DATA_CENTRE = (_parse_name, "Data centre of the VM.")
+PEER_ADDRESS = (parse_address, "IP:PORT where other processes of the system connect.")
+PEER_SECRET = (_parse_secret_bytes, "Secret shared by the processes of the system.")
 
 
 @attrs.frozen
 class EntrySettings:
-    """Settings of an entry process.
-
-    Attributes:
-        name: Name of the VM.
-        data_centre: Data centre of the VM.
-        caller_address: Where callers connect.
-        target_address: Where targets announce themselves.
-        peer_address: Where other processes of the system connect.
-        entry_peers: Peer addresses of other entries, to be found by.
-        control_peers: Peer addresses of the control members.
-        peer_secret: Secret shared by the processes of the system.
-        drain_notice_ms: How long to serve on after a stop was asked for.
-        drain_limit_ms: Longest time for a planned stop.
-        gossip_interval_ms: Time between gossip exchanges.
-        accounts_interval_ms: Time between exchanges of account rows.
-    """
+    """Settings of an entry process; each field declares its own help."""
 
-    name: str
-    data_centre: str
-    caller_address: Address
-    target_address: Address
-    peer_address: Address
-    peer_secret: bytes = attrs.field(repr=False)
-    entry_peers: tuple[Address, ...] = ()
-    control_peers: tuple[Address, ...] = ()
-    drain_notice_ms: int = 5_000
-    drain_limit_ms: int = 30_000
-    gossip_interval_ms: int = 500
-    accounts_interval_ms: int = 1_000
+    name: str = _setting(*NAME)
+    data_centre: str = _setting(*DATA_CENTRE)
+    caller_address: Address = _setting(parse_address, "IP:PORT where callers connect.")
+    target_address: Address = _setting(
+        parse_address, "IP:PORT where targets announce themselves."
+    )
+    peer_address: Address = _setting(*PEER_ADDRESS)
+    peer_secret: bytes = _setting(*PEER_SECRET, secret=True)
+    entry_peers: tuple[Address, ...] = _setting(
+        parse_addresses, "Peer addresses of other entries, comma-separated.", ()
+    )
+    control_peers: tuple[Address, ...] = _setting(
+        parse_addresses, "Peer addresses of the control members, comma-separated.", ()
+    )
+    drain_notice_ms: int = _setting(
+        _milliseconds(0), "How long to serve on after a stop was asked for.", 5_000
+    )
+    drain_limit_ms: int = _setting(
+        _milliseconds(0), "Longest time for a planned stop.", 30_000
+    )
+    gossip_interval_ms: int = _setting(
+        _milliseconds(50, 60_000), "Time between gossip exchanges.", 500
+    )
+    accounts_interval_ms: int = _setting(
+        _milliseconds(100, 60_000), "Time between exchanges of account rows.", 1_000
+    )
 
 
 @attrs.frozen
 class ControlSettings:
-    """Settings of a control process.
+    """Settings of a control process; each field declares its own help."""
+
+    name: str = _setting(*NAME)
+    data_centre: str = _setting(*DATA_CENTRE)
+    operator_address: Address = _setting(
+        parse_address, "IP:PORT where operators connect."
+    )
+    peer_address: Address = _setting(*PEER_ADDRESS)
+    data_folder: str = _setting(_parse_text, "Folder of all durable files.")
+    peer_secret: bytes = _setting(*PEER_SECRET, secret=True)
+    operator_credential: str = _setting(
+        _parse_secret, "Credential that operators send.", secret=True
+    )
+    control_peers: tuple[Address, ...] = _setting(
+        parse_addresses,
+        "Peer addresses of the other control members, comma-separated.",
+        (),
+    )
+    bootstrap: tuple[tuple[str, Address], ...] = _setting(
+        _parse_members, "NAME=IP:PORT of the first members, comma-separated.", ()
+    )
+
+
+@attrs.frozen
+class ClientSettings:
+    """Settings of the operator commands; each field declares its own help."""
+
+    control: tuple[Address, ...] = _setting(
+        parse_addresses,
+        "IP:PORT of the operator interfaces of the control members, comma-separated.",
+    )
+    operator_credential: str = _setting(
+        _parse_secret, "Credential that operators send.", secret=True
+    )
+    operator: str = _setting(
+        _parse_name, "Name of the operator in the audit trail.", "unnamed"
+    )
+
+
+SETTINGS_CLASSES = (EntrySettings, ControlSettings, ClientSettings)
+
+
+@attrs.frozen
+class Loaded:
+    """Checked settings and where each came from.
 
     Attributes:
-        name: Name of the VM.
-        data_centre: Data centre of the VM.
-        operator_address: Where operators connect.
-        peer_address: Where other processes of the system connect.
-        data_folder: Folder of all durable files.
-        control_peers: Peer addresses of the other control members.
-        bootstrap: Names and peer addresses of the first members, or empty.
-        peer_secret: Secret shared by the processes of the system.
-        operator_credential: Credential that operators send.
+        settings: Instance of a settings class.
+        origins_by_name: ``"flag"``, ``"default"`` or the environment variable.
     """
 
-    name: str
-    data_centre: str
-    operator_address: Address
-    peer_address: Address
-    data_folder: str
-    peer_secret: bytes = attrs.field(repr=False)
-    operator_credential: str = attrs.field(repr=False)
-    control_peers: tuple[Address, ...] = ()
-    bootstrap: tuple[tuple[str, Address], ...] = ()
+    settings: Any
+    origins_by_name: dict[str, str]
 
+    def lines(self) -> list[str]:
+        """Return one line for each setting; secrets are hidden."""
+        lines = []
+        for field in attrs.fields(type(self.settings)):
+            value = getattr(self.settings, field.name)
+            text = HIDDEN if field.metadata["secret"] else value_text(value)
+            lines.append(f"{field.name}={text}  # {self.origins_by_name[field.name]}")
+        return lines
 
-def parse_addresses(text: str) -> tuple[Address, ...]:
-    """Parse a comma-separated list of addresses."""
-    return tuple(Address.parse(part) for part in text.split(",") if part)
+
+def variable_of(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
+def flag_of(field: attrs.Attribute) -> str:
+    """Return the flag of a setting; that of a secret names a file."""
+    suffix = FILE_SUFFIX.lower() if field.metadata["secret"] else ""
+    return "--" + (field.name + suffix).replace("_", "-")
+
+
+def value_text(value: Any) -> str:
+    """Return a setting's value as its flag takes it."""
+    if isinstance(value, tuple):
+        parts = (
+            f"{part[0]}={part[1]}" if isinstance(part, tuple) else str(part)
+            for part in value
+        )
+        return ",".join(parts)
+    return str(value)
+
+
+def known_variables() -> list[str]:
+    """Return every environment variable that the package reads."""
+    names = set()
+    for cls in SETTINGS_CLASSES:
+        for field in attrs.fields(cls):
+            names.add(variable_of(field.name))
+            if field.metadata["secret"]:
+                names.add(variable_of(field.name) + FILE_SUFFIX)
+    return sorted(names)
+
+
+def load_settings(
+    cls: type[T],
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str] | None = None,
+) -> Loaded:
+    """Read and check all settings of a class.
+
+    Args:
+        cls: Settings class.
+        flags: Texts of the flags by setting, or by setting and ``_file`` for a
+            secret; None for a flag that is not given.
+        environment: Environment variables, by default those of the process.
+
+    Raises:
+        SettingsError: With one line for every fault.
+    """
+    environment = os.environ if environment is None else environment
+    faults = _unknown_variables(environment)
+    values, origins = {}, {}
+    for field in attrs.fields(cls):
+        try:
+            text, origin = _text_of(field, flags, environment)
+        except ValueError as error:
+            faults.append(str(error))
+            continue
+        origins[field.name] = origin
+        if text is None:
+            if field.default is attrs.NOTHING:
+                faults.append(_missing(field))
+            continue
+        try:
+            values[field.name] = field.metadata["parse"](text)
+        except ValueError as error:
+            shown = HIDDEN if field.metadata["secret"] else repr(text[:80])
+            faults.append(f"{field.name}: {shown} from {origin}: {error}")
+    settings = None
+    if not faults:
+        settings = cls(**values)
+        faults = _conflicts(settings)
+    if faults:
+        raise SettingsError("\n".join(faults))
+    return Loaded(settings, origins)
+
+
+def _text_of(
+    field: attrs.Attribute,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> tuple[str | None, str]:
+    """Return the text of a setting and where it came from; a flag goes first."""
+    variable = variable_of(field.name)
+    if field.metadata["secret"]:
+        path, origin = flags.get(field.name + FILE_SUFFIX.lower()), flag_of(field)
+        if path is None:
+            origin = variable + FILE_SUFFIX
+            path = environment.get(origin) or None
+        if path is not None:
+            return _read_secret(path, origin), f"file {path} from {origin}"
+    elif flags.get(field.name) is not None:
+        return flags[field.name], "flag"
+    if environment.get(variable):
+        return environment[variable], variable
+    return None, "default"
+
+
+def _read_secret(path: str, origin: str) -> str:
+    try:
+        with open(path, encoding="utf-8") as file:
+            return file.read(MAX_SECRET_BYTES).strip()
+    except (OSError, ValueError) as error:
+        raise ValueError(f"{origin}: cannot read {path!r}: {error}") from error
+
+
+def _missing(field: attrs.Attribute) -> str:
+    variable = variable_of(field.name)
+    if field.metadata["secret"]:
+        return (
+            f"{field.name}: set {variable}, or name its file with "
+            f"{variable}{FILE_SUFFIX} or {flag_of(field)}"
+        )
+    return f"{field.name}: give {flag_of(field)} or set {variable}"
+
+
+def _unknown_variables(environment: Mapping[str, str]) -> list[str]:
+    known = known_variables()
+    faults = []
+    for name in sorted(environment):
+        if name.startswith(ENVIRONMENT_PREFIX) and name not in known:
+            nearest = difflib.get_close_matches(name, known, 1, cutoff=0.0)[0]
+            faults.append(f"{name} is unknown; the nearest known name is {nearest}")
+    return faults
+
+
+def _conflicts(settings: Any) -> list[str]:
+    """Return faults of settings that are acceptable one by one."""
+    if isinstance(settings, EntrySettings):
+        if settings.drain_notice_ms > settings.drain_limit_ms:
+            return ["drain_notice_ms: it exceeds drain_limit_ms; lower it"]
+        addresses = [
+            settings.caller_address,
+            settings.target_address,
+            settings.peer_address,
+        ]
+    elif isinstance(settings, ControlSettings):
+        addresses = [settings.operator_address, settings.peer_address]
+    else:
+        return []
+    if len(set(addresses)) < len(addresses):
+        return ["two addresses of this process are the same; give each its own port"]
+    return []
 
 
 def secret_from_environment(
@@ -84,20 +359,31 @@
     """Return a secret from ``WAGTAILRUN_<name>`` or the file that it names.
 
     Raises:
-        SettingsError: If the secret is missing or shorter than 16 characters.
+        SettingsError: If the secret is missing or not acceptable.
     """
     environment = os.environ if environment is None else environment
-    value = environment.get(ENVIRONMENT_PREFIX + name, "")
-    path = environment.get(ENVIRONMENT_PREFIX + name + "_FILE", "")
-    if path:
-        try:
-            with open(path, encoding="utf-8") as file:
-                value = file.read().strip()
-        except OSError as error:
-            raise SettingsError(f"cannot read {path}: {error}") from error
-    if len(value) < 16:
+    variable = ENVIRONMENT_PREFIX + name
+    path = environment.get(variable + FILE_SUFFIX, "")
+    try:
+        if path:
+            return _parse_secret(_read_secret(path, variable + FILE_SUFFIX))
+        return _parse_secret(environment.get(variable, ""))
+    except ValueError as error:
         raise SettingsError(
-            f"{ENVIRONMENT_PREFIX}{name}: set it, or {ENVIRONMENT_PREFIX}{name}_FILE, "
-            "to a secret of at least 16 characters"
-        )
-    return value
+            f"{variable}: {error}; set it, or {variable}{FILE_SUFFIX}"
+        ) from error
+
+
+def settings_rows(cls: type) -> list[str]:
+    """Return the table rows of ``docs/settings.md`` for a settings class."""
+    rows = []
+    for field in attrs.fields(cls):
+        default = "required"
+        if field.default is not attrs.NOTHING:
+            default = f"`{value_text(field.default)}`" if field.default != () else ""
+        variable = f"`{variable_of(field.name)}`"
+        if field.metadata["secret"]:
+            variable += f", `{variable_of(field.name)}{FILE_SUFFIX}`"
+        help_text = field.metadata["help"]
+        rows.append(f"| `{flag_of(field)}` | {variable} | {default} | {help_text} |")
+    return rows
