Acknowledge account rows only when two control members hold them

Cause: a control member acknowledged rows that it alone had synced; the entry and its partner then forgot them. A disk lost within the second before the relay lost them, refusal minutes included.

An entry's rows are relayed to one other member before the answer; relays themselves are not relayed on by the same wait.

Ruled out: counting the acknowledgements at the entry, which would send the rows to each member over the entry's own link.

The test of members with different lines now cuts the link between them, because they no longer differ otherwise; it asserts the same.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -543,7 +543,10 @@
         one, two = system.stores
         start_ms = clock.wall_ms()
         await one.handle(message_of(refusal_table(start_ms, 3)))
-        await two.handle(message_of(refusal_table(start_ms, 4)))
+        # Until they reach each other again, only the second holds the larger count.
+        system.network.cut(*CONTROLS)
+        assert not (await two.handle(message_of(refusal_table(start_ms, 4)))).kept
+        system.network.heal()
         await clock.sleep_ms(DAY_MS + 900_000)
         offer = await one.prepare_close(PERIOD)
         await two.prepare_close(PERIOD)
@@ -579,6 +582,27 @@
     run_virtual(main)
 
 
+def test_acknowledged_rows_outlive_one_control_member():
+    """Guards against rows that an entry forgets while one disk alone holds them."""
+
+    async def main(clock):
+        system = System(clock)
+        entry = system.entries[0]
+        await refuse(entry, "copied")
+        assert await entry.hand_over()
+        for store in (0, 1):
+            assert ("2026-01-01T00:00Z", "copied") in system.minutes(store)
+        system.network.cut(*CONTROLS)
+        await refuse(entry, "single")
+        assert not await entry.hand_over()
+        assert [key.workspace for key in entry._unkept()] == ["single", "single"]
+        system.network.heal()
+        assert await entry.hand_over()
+        assert not entry._unkept()
+
+    run_virtual(main)
+
+
 def test_restart_at_every_sync_point(monkeypatch):
     """Guards against acknowledged rows or closed periods that a crash changes."""
     monkeypatch.setattr("wagtailrun.account_store.MAX_LOG_BYTES", 900)
--- a/wagtailrun/account_store.py
+++ b/wagtailrun/account_store.py
@@ -70,6 +70,8 @@
 MAX_ROWS = 200_000
 RELAY_INTERVAL_MS = 1_000
 RELAY_TIMEOUT_MS = 2_000
+# An entry waits 2 s for its answer, in which two other members can be tried.
+COPY_TIMEOUT_MS = 500
 ROWS_PER_MESSAGE = 1_000
 
 # What ``unpack_batch`` returns.
@@ -134,6 +136,8 @@
             address: {} for address in others
         }
         self.incarnations_by_address: dict[Address, int] = {}
+        self.relay_order = list(others)
+        self.relay_locks = {address: curio.Lock() for address in others}
 
     async def open(self) -> None:
         """Read the files; call this once before anything else.
@@ -189,8 +193,24 @@
                 self.failed = True
                 events.log(events.ACCOUNTS_DISK_FAILED, detail=str(error))
                 return self._kept(str(error))
+        if not message.relay and not await self._copy_to_another():
+            return self._kept("no other control member has taken the rows yet")
         return self._kept("")
 
+    async def _copy_to_another(self) -> bool:
+        """Return whether another member has the rows of now, if there are others.
+
+        The sender forgets what is acknowledged, so it must outlive one lost disk.
+        """
+        if not self.unsent_by_address:
+            return True
+        for address in list(self.relay_order):
+            if await self.relay(address, COPY_TIMEOUT_MS):
+                return True
+            self.relay_order.remove(address)
+            self.relay_order.append(address)
+        return False
+
     def _checked(self, data: bytes) -> _Batch:
         """Unpack a batch without the rows that are too late."""
         source, rows, histograms = unpack_batch(data)
@@ -330,19 +350,26 @@
             for address in self.unsent_by_address:
                 await self.relay(address)
 
-    async def relay(self, address: Address) -> bool:
-        """Send another member the rows that it lacks; return whether it has them."""
-        while unsent := self.unsent_by_address[address]:
-            part = list(unsent)[:ROWS_PER_MESSAGE]
-            for item in part:
-                del unsent[item]
-            if not await self._relay_part(address, part):
-                unsent.update(dict.fromkeys(part))
-                return False
-        return await self._relay_part(address, [])
+    async def relay(self, address: Address, timeout_ms: int = RELAY_TIMEOUT_MS) -> bool:
+        """Send another member the rows it lacks now; return whether it has them."""
+        # A second caller must not take rows as sent whose answer is outstanding.
+        async with self.relay_locks[address]:
+            unsent = self.unsent_by_address[address]
+            items = list(unsent)
+            for start in range(0, max(len(items), 1), ROWS_PER_MESSAGE):
+                part = items[start : start + ROWS_PER_MESSAGE]
+                for item in part:
+                    del unsent[item]
+                if not await self._relay_part(address, part, timeout_ms):
+                    unsent.update(dict.fromkeys(part))
+                    return False
+            return True
 
     async def _relay_part(
-        self, address: Address, part: list[tuple[Source, RowKey]]
+        self,
+        address: Address,
+        part: list[tuple[Source, RowKey | HistogramKey]],
+        timeout_ms: int,
     ) -> bool:
         keys_by_source: dict[Source, list] = {}
         for source, key in part:
@@ -361,9 +388,9 @@
             for source, keys in keys_by_source.items()
         ]
         self.sequence += 1
-        message = AccountRows(self.name, self.sequence, False, batches)
+        message = AccountRows(self.name, self.sequence, False, batches, relay=True)
         try:
-            reply = await self.link.call(address, message, RELAY_TIMEOUT_MS)
+            reply = await self.link.call(address, message, timeout_ms)
         except PeerUnreachable:
             return False
         if not isinstance(reply, AccountsKept) or not reply.kept:
--- a/wagtailrun/accounts_messages.py
+++ b/wagtailrun/accounts_messages.py
@@ -55,12 +55,15 @@
         settled: Whether control members hold everything that earlier exchanges
             of the sender carried, apart from what this message repeats.
         batches: Compressed ``RowBatch`` messages, one for each source.
+        relay: Whether a control member sends them, which relays them itself to all
+            others.
     """
 
     sender: str
     sequence: int
     settled: bool
     batches: list[bytes]
+    relay: bool = False
 
 
 @attrs.frozen
@@ -70,7 +73,8 @@
     Attributes:
         holder: Name of the process that answers.
         holder_incarnation: Changes when the holder may have lost rows.
-        kept: Whether the rows are kept; a control member has synced them.
+        kept: Whether the rows are kept; a control member and, if there are others,
+            one of them have synced them.
         detail: Why they are not.
     """
 
--- a/wagtailrun/schema/accounts.capnp
+++ b/wagtailrun/schema/accounts.capnp
@@ -16,6 +16,7 @@
   sequence @1 :UInt64;
   settled @2 :Bool;
   batches @3 :List(Data);
+  relay @4 :Bool;
 }
 
 struct AccountsKept {
