Book requests and refusals of an entry; answer for a caller's own order

Cause: the entry counted nothing, /metrics and GET /v1/orders/{key} were stated on the API page but not served. Ruled out: counting in the HTTP server, which knows neither workspace nor verdict. Conclusion: attempts are not booked yet.

--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -17,13 +17,16 @@
     refusal_response,
 )
 from wagtailrun.clock import Clock
+from wagtailrun.cost_cells import RequestOutcome
 from wagtailrun.deadlines import before_deadline
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet import Call, FleetText, Workspace
+from wagtailrun.metrics import CONTENT_TYPE
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import StageAnswer, Token
+from wagtailrun.recorder import Recorder, RequestScope
 
 __all__ = ["CallerApi"]
 
@@ -44,6 +47,7 @@
         dispatcher: Runs calls of plain services.
         orders: Runs orders that carry a key.
         is_ready: Whether the load balancer should send requests here.
+        recorder: Books requests and refusals.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         dispatcher: Dispatcher,
         orders: OrderRunner,
         is_ready: Callable[[], bool],
+        recorder: Recorder,
     ):
         self.clock = clock
         self.fleet = fleet
@@ -61,6 +66,7 @@
         self.dispatcher = dispatcher
         self.orders = orders
         self.is_ready = is_ready
+        self.recorder = recorder
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of a caller or of the platform's load balancer."""
@@ -69,37 +75,77 @@
             return json_response(200, {"status": "alive"})
         if request.path == "/readyz":
             return self._readiness()
-        if len(parts) == 3 and parts[:2] == ["v1", "pipelines"]:
-            return await self._answer(request, self._pipeline, parts[2])
-        if len(parts) == 4 and parts[:2] == ["v1", "services"]:
-            return await self._answer(request, self._call, parts[2], parts[3])
-        refusal = _malformed(f"nothing is served at {request.path[:200]}")
-        return refusal_response(refusal, 404)
+        if request.path == "/metrics":
+            content = (("Content-Type", CONTENT_TYPE),)
+            return Response(200, self.recorder.metrics.text(), content)
+        if request.method == "GET" and parts[:2] == ["v1", "orders"]:
+            return await self._find_order(request, parts[2:])
+        return await self._serve(request, parts)
 
-    def _readiness(self) -> Response:
-        ready = self.is_ready()
-        return json_response(200 if ready else 503, {"ready": ready})
+    async def _serve(self, request: Request, parts: list[str]) -> Response:
+        """Answer a pipeline request or a call; a refusal is booked first."""
+        known = parts[:2] == ["v1", "pipelines"] and len(parts) == 3
+        called = parts[:2] == ["v1", "services"] and len(parts) == 4
+        scope = self.recorder.scope(
+            _request_id(request),
+            request.headers.get("wagtailrun-workspace", ""),
+            service=parts[2] if called else "",
+            pipeline=parts[2] if known else "",
+        )
+        status = None
+        if not known and not called:
+            result = _malformed(f"nothing is served at {request.path[:200]}")
+            status = 404
+        elif request.method != "POST":
+            result = _malformed(f"use POST at {request.path[:200]}")
+            status = 405
+        else:
+            result = await self._run(request, scope, parts[2:])
+        if isinstance(result, Refusal):
+            await self.recorder.refused(scope, result)
+            return refusal_response(result, status)
+        return result
 
-    async def _answer(self, request: Request, answer: Any, *names: str) -> Response:
-        if request.method != "POST":
-            refusal = _malformed(f"use POST at {request.path[:200]}")
-            return refusal_response(refusal, 405)
+    async def _run(
+        self, request: Request, scope: RequestScope, names: list[str]
+    ) -> Response | Refusal:
         fleet = self.fleet()
         if fleet is None:
-            refusal = Refusal(
+            return Refusal(
                 RefusalReason.NO_CONFIGURATION,
                 Verdict.NOT_RUN,
                 "no fleet text has arrived yet",
                 CONFIGURATION_RETRY_MS,
             )
-            return refusal_response(refusal)
-        result = await answer(request, fleet, *names)
-        if isinstance(result, Refusal):
-            return refusal_response(result)
-        return result
+        if len(names) == 1:
+            return await self._pipeline(request, scope, fleet, names[0])
+        return await self._call(request, scope, fleet, *names)
+
+    async def _find_order(self, request: Request, names: list[str]) -> Response:
+        """Answer what is known of the caller's own order."""
+        workspace = request.headers.get("wagtailrun-workspace", "")
+        if not workspace or len(names) != 1 or not KEY_PATTERN.fullmatch(names[0]):
+            detail = "send Wagtailrun-Workspace and ask for /v1/orders/{key}"
+            return refusal_response(_malformed(detail))
+        found = await self.orders.find(workspace, names[0])
+        if isinstance(found, Refusal):
+            return refusal_response(found)
+        value = {
+            "key": names[0],
+            "state": found.state,
+            "attempt": found.attempt,
+            "verdict": found.verdict or None,
+            "status": found.status or None,
+            "answer": found.body.decode("utf-8", "replace") or None,
+        }
+        return json_response(200, value, (NO_STORE,))
+
+    def _readiness(self) -> Response:
+        ready = self.is_ready()
+        return json_response(200 if ready else 503, {"ready": ready})
 
     async def _pipeline(
-        self, request: Request, fleet: FleetText, name: str
+        self, request: Request, scope: RequestScope, fleet: FleetText, name: str
     ) -> Response | Refusal:
         pipeline = fleet.pipelines_by_name.get(name)
         if pipeline is None:
@@ -108,22 +154,29 @@
         if isinstance(common, Refusal):
             return common
         workspace, body, deadline_at_ms = common
-        request_id = _request_id(request)
-        work = PipelineRequest(request_id, workspace, pipeline, body, deadline_at_ms)
+        work = PipelineRequest(
+            scope.request_id, workspace, pipeline, body, deadline_at_ms
+        )
         result = await self.runner.run(work)
         if isinstance(result, Refusal):
             return result
         if isinstance(result, dict):
-            return _complete(200, json.dumps(result).encode(), request_id)
+            self.recorder.answered(scope, RequestOutcome.ATTAINED)
+            return _complete(200, json.dumps(result).encode(), scope.request_id)
         headers = (
             ("Content-Type", "text/event-stream"),
-            ("Wagtailrun-Request-Id", request_id),
+            ("Wagtailrun-Request-Id", scope.request_id),
             NO_STORE,
         )
-        return Response(200, _relay(result), headers)
+        return Response(200, relay(result, scope, self.recorder), headers)
 
     async def _call(
-        self, request: Request, fleet: FleetText, service_name: str, call_name: str
+        self,
+        request: Request,
+        scope: RequestScope,
+        fleet: FleetText,
+        service_name: str,
+        call_name: str,
     ) -> Response | Refusal:
         service = fleet.services_by_name.get(service_name)
         if service is None:
@@ -135,12 +188,11 @@
         if isinstance(common, Refusal):
             return common
         workspace, body, deadline_at_ms = common
-        request_id = _request_id(request)
         work = Work(
             service=service.name,
             path=f"/v1/calls/{call.name}",
             body=json.dumps(body, sort_keys=True).encode(),
-            request_id=request_id,
+            request_id=scope.request_id,
             workspace=workspace.name,
             deadline_at_ms=deadline_at_ms,
             idempotent=call.idempotent,
@@ -151,7 +203,8 @@
         result = await self._run_call(request, call, work)
         if isinstance(result, Refusal):
             return result
-        return _complete(result.status, result.body, request_id)
+        self.recorder.answered(scope, RequestOutcome.ATTAINED)
+        return _complete(result.status, result.body, scope.request_id)
 
     async def _run_call(
         self, request: Request, call: Call, work: Work
@@ -186,24 +239,36 @@
         return workspace, body, self.clock.now_ms() + deadline_ms
 
 
-async def _relay(
+async def relay(
     stream: AsyncIterator[tuple[Token, ...] | Refusal],
+    scope: RequestScope,
+    recorder: Recorder,
 ) -> AsyncIterator[bytes]:
     """Yield the caller's server-sent events, one piece for tokens that came together.
 
     The answer ends with ``done``, which carries count and digest, or with ``error``.
     """
     digest = xxhash.xxh3_64()
-    async with aclosing(stream):
-        async for item in stream:
-            if isinstance(item, Refusal):
-                yield _event("error", problem(item, 200))
-                return
-            events = []
-            for token in item:
-                digest.update(token.text.encode())
-                events.append(_token_event(token, digest))
-            yield b"".join(events)
+    ended = False
+    try:
+        async with aclosing(stream):
+            async for item in stream:
+                if isinstance(item, Refusal):
+                    ended = True
+                    await recorder.refused(scope, item)
+                    yield _event("error", problem(item, 200))
+                    return
+                events = []
+                for token in item:
+                    digest.update(token.text.encode())
+                    events.append(_token_event(token, digest))
+                if item[-1].last:
+                    ended = True
+                    recorder.answered(scope, RequestOutcome.ATTAINED)
+                yield b"".join(events)
+    finally:
+        if not ended:
+            recorder.answered(scope, RequestOutcome.INCOMPLETE)
 
 
 def _token_event(token: Token, digest: Any) -> bytes:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -7,6 +7,8 @@
 import curio
 
 from wagtailrun import events
+from wagtailrun.accounts import Accounts
+from wagtailrun.accounts_messages import AccountRows
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.http_target import HttpTargetClient
@@ -14,10 +16,14 @@
 from wagtailrun.caller_api import CallerApi
 from wagtailrun.clock import SystemClock
 from wagtailrun.control_client import ControlClient
+from wagtailrun.cost_cells import Source
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.membership import Membership
+from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineRunner
+from wagtailrun.ports.link import Address
+from wagtailrun.recorder import Recorder
 from wagtailrun.routing import LeastLoadedRouter
 from wagtailrun.settings import EntrySettings
 from wagtailrun.spread import Spreader
@@ -28,6 +34,8 @@
 
 DRAIN_POLL_MS = 50
 SIGNAL_POLL_MS = 50
+GAUGE_INTERVAL_MS = 1_000
+HANDOVER_TIMEOUT_MS = 5_000
 # Every live target announces itself within this time, so an entry that has run for
 # longer knows all of them.
 SETTLE_MS = 2_500
@@ -63,6 +71,19 @@
             settings.control_peers,
             settings.gossip_interval_ms,
         )
+        self.accounts = Accounts(
+            self.clock,
+            self.link,
+            Source(settings.name, self.incarnation),
+            self._local_entries,
+            settings.control_peers,
+            settings.accounts_interval_ms,
+            seed=self.incarnation,
+        )
+        self.metrics = Metrics()
+        self.recorder = Recorder(
+            self.clock, self.accounts, self.metrics, lambda: self.spreader.fleet
+        )
         client = HttpTargetClient(HttpClient(self.clock))
         self.dispatcher = Dispatcher(
             self.clock, self.membership, client, LeastLoadedRouter()
@@ -78,6 +99,7 @@
             self.dispatcher,
             orders,
             self.is_ready,
+            self.recorder,
         )
         targets = TargetApi(
             self.clock,
@@ -102,6 +124,8 @@
                 self.handle_peer,
             )
             await group.spawn(self.spreader.run)
+            await group.spawn(self.accounts.run)
+            await group.spawn(self._update_gauges)
         events.log(events.PROCESS_STOPPED, role="entry", name=self.settings.name)
 
     def is_ready(self) -> bool:
@@ -112,8 +136,22 @@
 
     async def handle_peer(self, message: Any) -> Any:
         """Answer one message of another process of the system."""
+        if isinstance(message, AccountRows):
+            return self.accounts.handle(message)
         return await self.spreader.handle(message)
 
+    def _local_entries(self) -> list[Address]:
+        """Return the peer addresses of the other entries of the data centre."""
+        return [row.address for row in self.spreader.peers.others()]
+
+    async def _update_gauges(self) -> None:
+        while True:
+            self.metrics.ready.set(self.is_ready())
+            self.metrics.revision.set(self.spreader.version[1])
+            self.metrics.active.set(self.caller_server.active_requests)
+            self.metrics.rows.set(len(self.accounts.table.rows_by_key))
+            await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
+
     async def _drain_on_signal(self) -> None:
         """Wait for SIGTERM, then end the process without cutting a request."""
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -135,6 +173,7 @@
         await self.caller_server.close_idle()
         while self.caller_server.active_requests and self.clock.now_ms() < limit_ms:
             await self.clock.sleep_ms(DRAIN_POLL_MS)
+        await self.accounts.hand_over_all(HANDOVER_TIMEOUT_MS)
 
 
 async def run_entry(settings: EntrySettings) -> None:
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -64,6 +64,12 @@
     "A request handler raised an error.",
     "Report the line; it is a fault of the program.",
 )
+REQUEST_REFUSED = _event(
+    210,
+    logging.INFO,
+    "A request was refused.",
+    "Nothing; if it repeats, look at the reason and at wagtailrun refusals.",
+)
 REFUSAL_SINGLE_COPY = _event(
     300,
     logging.WARNING,
