--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -28,7 +28,7 @@
 def main() -> int:
     """Run the demonstration; return its exit code."""
     text = (Path(__file__).parent / "fleet.toml").read_text(encoding="utf-8")
-    print("starting 1 control member, 4 entries in 2 data centres, 8 stub targets")
+    print("starting 3 control members, 4 entries in 2 data centres, 8 stub targets")
     with Fleet(text, ["east", "west"], SERVICES) as fleet:
         fleet.apply_text()
         print("fleet text applied; every entry is ready")
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -65,7 +65,7 @@
         data_centres: list[str],
         services: list[str],
         entries_per_centre: int = 2,
-        controls: int = 1,
+        controls: int = 3,
     ):
         self.text = text
         self.folder = tempfile.TemporaryDirectory(prefix="wagtailrun-")
--- /dev/null
+++ b/tests/fake_cluster.py
@@ -0,0 +1,258 @@
+"""Control members on fake disks and a fake network in virtual time, with checks."""
+
+import json
+import random
+
+import curio
+
+from tests.fake_disk import FakeDisk
+from tests.fake_network import FakeNetwork
+from wagtailrun.clock import Clock
+from wagtailrun.consensus import Member
+from wagtailrun.consensus_messages import VoteRequest
+from wagtailrun.exceptions import ConsensusUnavailable
+from wagtailrun.ports.link import Address
+from wagtailrun.ports.log import StateMachine
+
+MONITOR_INTERVAL_MS = 10
+
+
+class NodeClock(Clock):
+    """Clock of one process: its rate may be wrong, and a freeze stops its tasks."""
+
+    def __init__(self, clock, rate):
+        self.clock = clock
+        self.rate = rate
+        self.frozen = False
+
+    def now_ms(self):
+        return int(self.clock.seconds * 1_000 * self.rate + 1e-6)
+
+    def wall_ms(self):
+        return self.clock.wall_ms()
+
+    async def sleep_ms(self, duration_ms):
+        await self.clock.sleep_ms(duration_ms / self.rate)
+        while self.frozen:
+            await self.clock.sleep_ms(10)
+
+
+class ListMachine(StateMachine):
+    """Keeps every command, and reports the first difference between members."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.commands = []
+
+    def apply(self, index, command):
+        self.commands.append(command.decode())
+        if index != len(self.commands):
+            self.cluster.report(f"number {index} applied at {len(self.commands)}")
+        self._compare()
+        return index
+
+    def snapshot(self):
+        return json.dumps(self.commands).encode()
+
+    def restore(self, data):
+        if len(json.loads(data)) < len(self.commands):
+            self.cluster.report("restored an older state")
+        self.commands = json.loads(data)
+        self._compare()
+
+    def _compare(self):
+        common = self.cluster.chronicle
+        if len(self.commands) > len(common):
+            if self.commands[: len(common)] != common:
+                self.cluster.report("applied prefixes differ")
+            common[:] = self.commands
+        elif self.commands and common[len(self.commands) - 1] != self.commands[-1]:
+            self.cluster.report("applied commands differ")
+
+
+class Node:
+    """One process, over all its restarts."""
+
+    def __init__(self, cluster, number, rate):
+        self.cluster = cluster
+        self.name = f"m{number}"
+        self.address = Address("10.0.0.1", 7_000 + number)
+        self.clock = NodeClock(cluster.clock, rate)
+        self.disk = FakeDisk(self.clock, seed=cluster.seed * 10 + number)
+        self.disk.on_kill = self.kill
+        self.member = None
+        self.starts = 0
+
+    async def start(self):
+        self.starts += 1
+        self.machine = ListMachine(self.cluster)
+        self.member = member = Member(
+            self.clock,
+            self.cluster.network.link(self.address),
+            self.disk,
+            self.machine,
+            self.name,
+            self.address,
+            bootstrap=[(node.name, node.address) for node in self.cluster.nodes],
+            seed=hash((self.cluster.seed, self.address.port, self.starts)),
+        )
+
+        async def handle(message):
+            reply = await member.handle(message)
+            if self.member is not member:
+                await curio.sleep(1e9)  # A killed process sends no reply.
+            if isinstance(message, VoteRequest) and reply.granted:
+                self.cluster.check_vote(message, member)
+            return reply
+
+        self.cluster.network.handlers_by_address[self.address] = handle
+        await curio.spawn(self._run, member, daemon=True)
+
+    async def _run(self, member):
+        try:
+            await member.run()
+        except Exception as error:
+            if self.member is member and self.disk.fault is None:
+                self.cluster.report(f"{self.name} stopped: {error!r}")
+
+    async def kill(self):
+        if self.member is None:
+            return
+        member, self.member = self.member, None
+        self.thaw()
+        self.cluster.network.handlers_by_address.pop(self.address, None)
+        self.disk.kill()
+        # The members' clock is the harness's: a dead member must not claim a lease.
+        await curio.spawn(member.close, daemon=True)
+
+    def freeze(self):
+        self.clock.frozen = True
+        self.cluster.network.frozen.add(self.address)
+
+    def thaw(self):
+        self.clock.frozen = False
+        self.cluster.network.frozen.discard(self.address)
+
+
+class Cluster:
+    """Members, a client that proposes all the time, and a monitor."""
+
+    def __init__(self, clock, seed, size=3, rates=None, **network):
+        self.clock = clock
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.network = FakeNetwork(clock, seed, **network)
+        self.violations = []
+        self.chronicle = []
+        self.acknowledged = []
+        self.refused = []
+        self.commands = 0
+        rates = rates or [1.0] * size
+        self.nodes = [Node(self, number, rates[number]) for number in range(size)]
+
+    def report(self, violation):
+        if len(self.violations) < 20:
+            self.violations.append(f"at {self.clock.now_ms()} ms: {violation}")
+
+    def check_vote(self, request, member):
+        for node in self.nodes:
+            candidate = node.member
+            if candidate is None or candidate.identity != request.candidate:
+                continue
+            if not candidate.configuration.is_voter(member.identity):
+                self.report(f"{member.identity} voted without being a voter")
+
+    async def start(self):
+        for node in self.nodes:
+            await node.start()
+        await curio.spawn(self._monitor, daemon=True)
+
+    async def _monitor(self):
+        while True:
+            leaders = [n.name for n in self.nodes if n.member and n.member.is_leader]
+            if len(leaders) > 1:
+                self.report(f"{leaders} hold a lease at once")
+            await self.clock.sleep_ms(MONITOR_INTERVAL_MS)
+
+    def leader(self):
+        return next((n for n in self.nodes if n.member and n.member.is_leader), None)
+
+    async def wait_leader(self, limit_ms=60_000):
+        return await self.wait_for(self.leader, "no leader", limit_ms)
+
+    async def wait_for(self, condition, complaint, limit_ms=60_000):
+        end_ms = self.clock.now_ms() + limit_ms
+        while not (value := condition()):
+            if self.clock.now_ms() > end_ms:
+                self.report(f"{complaint} in {limit_ms} ms")
+                return None
+            await self.clock.sleep_ms(20)
+        return value
+
+    async def propose(self, node, timeout_ms=2_000):
+        """Propose one unique command; return whether it was acknowledged."""
+        member = node.member
+        self.commands += 1
+        command = f"command-{self.commands}"
+        try:
+            await member.propose(command.encode(), timeout_ms)
+        except ConsensusUnavailable as error:
+            if not error.may_have_committed:
+                self.refused.append(command)
+            return False
+        while node.clock.frozen:
+            await self.clock.sleep_ms(10)
+        if node.member is member:
+            self.acknowledged.append(command)
+        return node.member is member
+
+    async def propose_many(self, count):
+        for _ in range(count):
+            node = await self.wait_leader()
+            if node is not None:
+                await self.propose(node)
+
+    async def client(self, interval_ms):
+        """Propose at every member that claims to lead."""
+        while True:
+            for node in self.nodes:
+                if node.member is not None and node.member.role.value == "leader":
+                    await curio.spawn(self.propose, node, daemon=True)
+            await self.clock.sleep_ms(self.random.randint(1, 2 * interval_ms))
+
+    def is_repaired(self):
+        """Whether a leader has committed that all present identities are voters."""
+        leader = self.leader()
+        if leader is None or any(node.member is None for node in self.nodes):
+            return False
+        member = leader.member
+        index, configuration = member.journal.configuration_at(1 << 62)
+        present = sorted(node.member.identity for node in self.nodes)
+        voters = sorted(configuration.voters())
+        return index <= member.commit_index and voters == present
+
+    def is_equal(self):
+        return len({len(n.machine.commands) for n in self.nodes}) == 1
+
+    async def settle(self):
+        """End all faults, wait until everything works, check what must hold."""
+        self.network.heal()
+        self.network.loss = self.network.duplication = 0.0
+        self.network.delay_ms = (1, 5)
+        for node in self.nodes:
+            node.thaw()
+            node.disk.kill_at = node.disk.fault = None
+            if node.member is None or node.member.fault is not None:
+                await node.kill()
+                await node.start()
+        await self.wait_for(self.is_repaired, "not repaired")
+        await self.propose_many(1)
+        await self.wait_for(self.is_equal, "members differ")
+        lost = set(self.acknowledged) - set(self.chronicle)
+        if lost:
+            self.report(f"acknowledged but lost: {sorted(lost)}")
+        wrong = set(self.refused) & set(self.chronicle)
+        if wrong:
+            self.report(f"refused as not run, but applied: {sorted(wrong)}")
+        if len(set(self.chronicle)) < len(self.chronicle):
+            self.report("a command was applied twice")
--- /dev/null
+++ b/tests/fake_disk.py
@@ -0,0 +1,102 @@
+"""Fake disk in virtual time: kills at sync points, torn tails, errors, no space."""
+
+import random
+
+import curio
+
+from wagtailrun.exceptions import DiskFault
+from wagtailrun.ports.disk import Disk
+
+
+class FakeDisk(Disk):
+    """Keeps what was synced apart from what would be lost by a kill.
+
+    Args:
+        clock: Clock of the process, which a freeze of it also stops.
+        seed: Seed of delays and torn tails.
+        delay_ms: Shortest and longest time of a sync.
+    """
+
+    def __init__(self, clock=None, seed=0, delay_ms=(0, 3)):
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.delay_ms = delay_ms
+        self.synced: dict[str, bytes] = {}
+        self.unsynced: dict[str, bytes] = {}
+        self.sync_points = 0
+        self.kill_at: int | None = None
+        self.on_kill = None
+        self.fault: str | None = None
+        self.ignore_sync = False
+        self.generation = 0
+
+    async def names(self):
+        return sorted({*self.synced, *self.unsynced})
+
+    async def read(self, name):
+        return self.synced.get(name, b"") + self.unsynced.get(name, b"")
+
+    async def append(self, name, data):
+        await self._point()
+        if self.fault == "full":
+            data = data[: len(data) // 2]
+        self.unsynced[name] = self.unsynced.get(name, b"") + data
+        self._check()
+
+    async def sync(self, name):
+        await self._point()
+        self._check()
+        if not self.ignore_sync:
+            data = self.synced.get(name, b"") + self.unsynced.pop(name, b"")
+            self.synced[name] = data
+        await self._point()
+
+    async def write(self, name, data):
+        await self._point()
+        self._check()
+        self.unsynced.pop(name, None)
+        self.synced[name] = data
+        await self._point()
+
+    async def truncate(self, name, size):
+        data = await self.read(name)
+        await self.write(name, data[:size])
+
+    async def remove(self, name):
+        await self._point()
+        self._check()
+        self.synced.pop(name, None)
+        self.unsynced.pop(name, None)
+
+    def kill(self):
+        """Lose what was not synced, but for a part that may be damaged."""
+        self.generation += 1
+        for name, data in self.unsynced.items():
+            tail = bytearray(data[: self.random.randint(0, len(data))])
+            if tail and self.random.random() < 0.5:
+                tail[self.random.randrange(len(tail))] ^= 0xFF
+            self.synced[name] = self.synced.get(name, b"") + bytes(tail)
+        self.unsynced.clear()
+        self.kill_at = None
+
+    def empty(self):
+        """Lose everything."""
+        self.kill()
+        self.synced.clear()
+
+    def _check(self):
+        if self.fault is not None:
+            raise DiskFault(f"injected: {self.fault}")
+
+    async def _point(self):
+        """Count a point at which the process may be killed; wait a while."""
+        generation = self.generation
+        self.sync_points += 1
+        if self.kill_at is not None and self.sync_points >= self.kill_at:
+            self.kill_at = None
+            await self.on_kill()
+        if self.clock is not None:
+            await self.clock.sleep_ms(self.random.randint(*self.delay_ms))
+        if generation != self.generation:
+            # The process that called is dead; it must not go on.
+            await curio.sleep(1e9)
--- /dev/null
+++ b/wagtailrun/adapters/file_disk.py
@@ -0,0 +1,155 @@
+"""Durable files in a folder of the operating system."""
+
+import contextlib
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+import curio
+
+from wagtailrun.exceptions import DiskFault
+from wagtailrun.ports.disk import Disk
+
+__all__ = ["FileDisk"]
+
+T = TypeVar("T")
+
+TEMPORARY_SUFFIX = ".tmp"
+
+
+class FileDisk(Disk):
+    """Files of one folder; every operation runs in a worker thread.
+
+    The folder is created when missing. Left-over temporary files of an interrupted
+    ``write`` are not listed.
+
+    Args:
+        folder: Path of the folder.
+    """
+
+    def __init__(self, folder: str | Path):
+        self.folder = Path(folder)
+        self.descriptors_by_name: dict[str, int] = {}
+
+    async def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return await _in_thread(self._names)
+
+    async def read(self, name: str) -> bytes:
+        """Return the contents of ``name``; empty if it does not exist."""
+        return await _in_thread(self._read, name)
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Append ``data`` to ``name``; not synced."""
+        await _in_thread(self._append, name, data)
+
+    async def sync(self, name: str) -> None:
+        """Make everything appended to ``name`` durable."""
+        await _in_thread(self._sync, name)
+
+    async def write(self, name: str, data: bytes) -> None:
+        """Replace ``name`` by ``data`` atomically and durably."""
+        await _in_thread(self._write, name, data)
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut ``name`` to ``size`` bytes durably."""
+        await _in_thread(self._truncate, name, size)
+
+    async def remove(self, name: str) -> None:
+        """Remove ``name`` durably."""
+        await _in_thread(self._remove, name)
+
+    def close(self) -> None:
+        """Close all open files."""
+        for name in list(self.descriptors_by_name):
+            self._forget(name)
+
+    def _names(self) -> list[str]:
+        if not self.folder.is_dir():
+            return []
+        return sorted(
+            item.name
+            for item in self.folder.iterdir()
+            if item.is_file() and item.suffix != TEMPORARY_SUFFIX
+        )
+
+    def _read(self, name: str) -> bytes:
+        try:
+            return (self.folder / name).read_bytes()
+        except FileNotFoundError:
+            return b""
+
+    def _append(self, name: str, data: bytes) -> None:
+        _write_all(self._descriptor(name), data)
+
+    def _sync(self, name: str) -> None:
+        os.fdatasync(self._descriptor(name))
+
+    def _write(self, name: str, data: bytes) -> None:
+        self._make_folder()
+        self._forget(name)
+        temporary = self.folder / (name + TEMPORARY_SUFFIX)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        descriptor = os.open(temporary, flags, 0o600)
+        try:
+            _write_all(descriptor, data)
+            os.fdatasync(descriptor)
+        finally:
+            os.close(descriptor)
+        temporary.replace(self.folder / name)
+        _sync_folder(self.folder)
+
+    def _truncate(self, name: str, size: int) -> None:
+        descriptor = self._descriptor(name)
+        os.ftruncate(descriptor, size)
+        os.fsync(descriptor)
+
+    def _remove(self, name: str) -> None:
+        self._forget(name)
+        with contextlib.suppress(FileNotFoundError):
+            (self.folder / name).unlink()
+            _sync_folder(self.folder)
+
+    def _descriptor(self, name: str) -> int:
+        """Return the open file ``name``, created durably when missing."""
+        if name not in self.descriptors_by_name:
+            self._make_folder()
+            path = self.folder / name
+            created = not path.exists()
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+            self.descriptors_by_name[name] = os.open(path, flags, 0o600)
+            if created:
+                _sync_folder(self.folder)
+        return self.descriptors_by_name[name]
+
+    def _forget(self, name: str) -> None:
+        descriptor = self.descriptors_by_name.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _make_folder(self) -> None:
+        if not self.folder.is_dir():
+            self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+            _sync_folder(self.folder.parent)
+
+
+async def _in_thread(function: Callable[..., T], *arguments: object) -> T:
+    try:
+        return await curio.run_in_thread(function, *arguments)
+    except OSError as error:
+        raise DiskFault(f"{function.__name__[1:]} failed: {error}") from error
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/wagtailrun/consensus.py
@@ -0,0 +1,386 @@
+"""Replicated log among control members."""
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import attrs
+import curio
+
+from wagtailrun import consensus_events, events
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.consensus_messages import (
+    AppendEntries,
+    Configuration,
+    Entry,
+    EntryKind,
+    Join,
+    SnapshotHeader,
+    SnapshotPiece,
+    VoteRequest,
+)
+from wagtailrun.consensus_state import Role, Signal
+from wagtailrun.consensus_timing import Timing
+from wagtailrun.election import Election
+from wagtailrun.exceptions import (
+    ConsensusUnavailable,
+    DiskFault,
+    MessageError,
+)
+from wagtailrun.following import Following
+from wagtailrun.journal import Journal, snapshot_checksum
+from wagtailrun.membership_change import MembershipChange
+from wagtailrun.ports.disk import Disk
+from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.ports.log import ReplicatedLog, StateMachine
+from wagtailrun.replication import Replication
+
+__all__ = ["Member"]
+
+SNAPSHOT_INTERVAL = 256
+# Large commands would otherwise let 256 of them fill memory and slow recovery.
+SNAPSHOT_INTERVAL_BYTES = 4 * 1024 * 1024
+# Must fit into one peer frame of 8 MiB, with room for the envelope.
+MAX_COMMAND_BYTES = 6 * 1024 * 1024
+MAX_WAITING_PROPOSALS = 1_024
+# Applied without a pause; more would delay heartbeats.
+ENTRIES_PER_TURN = 32
+
+
+@attrs.define
+class Proposal:
+    """A command of this leader that is not applied yet."""
+
+    term: int
+    done: curio.Event = attrs.field(factory=curio.Event)
+    result: Any = None
+    error: Exception | None = None
+
+
+class Member(ReplicatedLog):
+    """One control member.
+
+    The embedding program runs ``run`` in a task, and passes every message of the
+    consensus channel that it receives to ``handle``.
+
+    Args:
+        clock: Clock; its rate may be wrong by ``CLOCK_RATE_ERROR``.
+        link: Link to the other members.
+        disk: Durable files of this member only.
+        machine: State machine to drive.
+        name: Name of the VM, unique among the members.
+        address: Peer address of this member.
+        peers: Peer addresses of other members, to be found by when joining.
+        bootstrap: Names and addresses of the first members; the same at each of them.
+            Later, names that may join.
+        seed: Seed of the election timeouts and the incarnation; by default random.
+        timing: Timing, the same at all members.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        link: PeerLink,
+        disk: Disk,
+        machine: StateMachine,
+        name: str,
+        address: Address,
+        *,
+        peers: Sequence[Address] = (),
+        bootstrap: Sequence[tuple[str, Address]] = (),
+        seed: int | None = None,
+        timing: Timing | None = None,
+    ):
+        self.clock = clock
+        self.link = link
+        self.machine = machine
+        self.name = name
+        self.address = address
+        self.peers = tuple(peers)
+        self.bootstrap = dict(bootstrap)
+        self.random = random.SystemRandom() if seed is None else random.Random(seed)
+        self.timing = timing or Timing()
+        self.journal = Journal(disk)
+        self.journal.on_durable = self._on_durable
+        self.journal.on_fault = self.fail
+        self.role = Role.FOLLOWER
+        self.term = 0
+        self.leader: str | None = None
+        self.known_leader_address: Address | None = None
+        # When a leader was last heard, by the own clock.
+        self.heard_ms: int | None = None
+        self.started_ms = clock.now_ms()
+        self.commit_index = 0
+        self.applied_index = 0
+        self.commands_applied = 0
+        self.fault: Exception | None = None
+        self.proposals_by_index: dict[int, Proposal] = {}
+        self.commit_advanced = Signal()
+        self.applied = Signal()
+        # Serialises the handling of messages and the start of an election.
+        self.lock = curio.Lock()
+        self.is_open = False
+        self.opened = Signal()
+        self.failed = curio.Event()
+        # A dict keeps the order of cancellation the same in every run.
+        self.tasks: dict[curio.Task, None] = {}
+        self.election = Election(self)
+        self.following = Following(self)
+        self.replication = Replication(self)
+        self.membership = MembershipChange(self)
+
+    # Life
+
+    async def run(self) -> None:
+        """Take part until a fault.
+
+        Raises:
+            DiskFault: If the disk failed; the member has stopped for good.
+            CorruptRecord: If the disk holds a damaged record.
+        """
+        try:
+            await self.open()
+            await self.failed.wait()
+        finally:
+            await self.close()
+        raise self.fault
+
+    async def open(self) -> None:
+        """Recover from disk and start the tasks."""
+        await self.journal.open(f"{self.name}#{self.random.getrandbits(64):016x}")
+        self.term = self.journal.record.term
+        snapshot = await self.journal.read_snapshot()
+        if snapshot is not None:
+            self.restore_snapshot(*snapshot)
+        # The wait before the first vote counts from here, after a slow recovery.
+        self.started_ms = self.clock.now_ms()
+        await self.spawn(self.journal.run)
+        await self.spawn(self._apply_committed)
+        await self.spawn(self.election.run)
+        await self.spawn(self.membership.run)
+        self.is_open = True
+        await self.opened.notify()
+
+    async def close(self) -> None:
+        """Cancel all tasks."""
+        for task in list(self.tasks):
+            await task.cancel(blocking=False)
+
+    async def spawn(
+        self, function: Callable[..., Awaitable[None]], *arguments: Any
+    ) -> None:
+        """Run a task of this member; an error in it stops the member."""
+
+        async def guarded() -> None:
+            try:
+                await function(*arguments)
+            except Exception as error:
+                await self.fail(error)
+            finally:
+                self.tasks.pop(task, None)
+
+        task = await curio.spawn(guarded, daemon=True)
+        self.tasks[task] = None
+
+    async def fail(self, error: Exception) -> None:
+        """Stop voting and acknowledging for good."""
+        if self.fault is not None:
+            return
+        self.fault = error
+        self.role = Role.FOLLOWER
+        events.log(consensus_events.MEMBER_FAULT, member=self.name, detail=repr(error))
+        await self.failed.set()
+
+    # Interface to the embedding program
+
+    async def propose(self, command: bytes, timeout_ms: int) -> Any:
+        """Commit ``command`` and return the result of applying it.
+
+        Args:
+            command: At most ``MAX_COMMAND_BYTES`` bytes.
+            timeout_ms: Longest wait, in milliseconds.
+
+        Raises:
+            ConsensusUnavailable: See ``ReplicatedLog.propose``.
+            ValueError: If the command is too large.
+        """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise ValueError(f"a command holds at most {MAX_COMMAND_BYTES} bytes")
+        if not self.is_leader:
+            raise self._unavailable("this member does not lead")
+        if len(self.proposals_by_index) >= MAX_WAITING_PROPOSALS:
+            raise self._unavailable(f"{MAX_WAITING_PROPOSALS} proposals wait already")
+        proposal = Proposal(self.term)
+        index = self.journal.last_index + 1
+        self.proposals_by_index[index] = proposal
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                await self.replication.append(EntryKind.COMMAND, command)
+                await proposal.done.wait()
+        except curio.TaskTimeout as error:
+            raise self._unavailable("no quorum in time", True) from error
+        except DiskFault as error:
+            raise self._unavailable(str(error), True) from error
+        finally:
+            if self.proposals_by_index.get(index) is proposal:
+                del self.proposals_by_index[index]
+        if proposal.error is not None:
+            raise proposal.error
+        if not self.is_leader:
+            raise self._unavailable("the leader lease expired", True)
+        return proposal.result
+
+    async def barrier(self, timeout_ms: int) -> None:
+        """Return once the local state holds all that was committed before.
+
+        Raises:
+            ConsensusUnavailable: If this member does not lead under a valid lease.
+        """
+        target = self.commit_index
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                while self.is_leader and self.applied_index < target:
+                    await self.applied.wait()
+        except curio.TaskTimeout as error:
+            raise self._unavailable("not applied in time") from error
+        if not self.is_leader:
+            raise self._unavailable("this member does not lead")
+
+    async def handle(self, message: Any) -> Any:
+        """Answer one message of another member.
+
+        Raises:
+            DiskFault: If this member has stopped.
+            MessageError: If the message is not one of this channel's requests.
+        """
+        while not self.is_open:
+            await self.opened.wait()
+        if self.fault is not None:
+            raise self.fault
+        match message:
+            case AppendEntries():
+                return await self.following.handle_append(message)
+            case SnapshotPiece():
+                return await self.following.handle_piece(message)
+            case VoteRequest():
+                return await self.election.handle_vote(message)
+            case Join():
+                return self.membership.handle_join(message)
+        raise MessageError(f"{type(message).__name__} is not answered here")
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads under a lease and holds all that is committed.
+
+        Not before an entry of its own term is committed: until then it cannot know
+        what earlier leaders have committed.
+        """
+        return (
+            self.role is Role.LEADER
+            and self.fault is None
+            and self.commit_index >= self.replication.first_index_of_term
+            and self.replication.lease_is_valid()
+        )
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Peer address of the leader that this member knows of."""
+        if self.role is Role.LEADER:
+            return self.address if self.is_leader else None
+        return self.known_leader_address
+
+    @property
+    def identity(self) -> str:
+        """Name and incarnation of this member."""
+        return self.journal.record.identity
+
+    @property
+    def configuration(self) -> Configuration:
+        """Newest configuration in the log, committed or not."""
+        return self.journal.configuration()
+
+    # Shared by the parts of the member
+
+    async def observe_term(self, term: int) -> None:
+        """Follow a newer term that a peer reported."""
+        if term > self.term:
+            self.become_follower(term, None)
+
+    def become_follower(self, term: int, leader: str | None) -> None:
+        """Enter ``term`` as a follower; a newer term forgets the leader."""
+        if self.role is Role.LEADER:
+            events.log(consensus_events.STEPPED_DOWN, member=self.name, term=self.term)
+        if term > self.term or leader is not None:
+            self.leader = leader
+            self.known_leader_address = None
+        self.role = Role.FOLLOWER
+        self.term = term
+
+    async def commit(self, index: int) -> None:
+        """Mark everything up to ``index`` as committed."""
+        if index > self.commit_index:
+            self.commit_index = index
+            await self.commit_advanced.notify()
+
+    def restore_snapshot(self, header: SnapshotHeader, data: bytes) -> None:
+        """Replace the state by a snapshot unless it is older than the state."""
+        if header.index > self.applied_index:
+            self.machine.restore(data)
+            self.applied_index = header.index
+            self.commands_applied = header.commands
+        self.commit_index = max(self.commit_index, header.index)
+
+    async def _on_durable(self) -> None:
+        await self.replication.advance_commit()
+
+    async def _apply_committed(self) -> None:
+        while True:
+            entry = None
+            if self.applied_index < self.commit_index:
+                entry = self.journal.entry(self.applied_index + 1)
+            if entry is None:
+                # Also while a received snapshot is about to replace the log.
+                await self.commit_advanced.wait()
+                continue
+            await self._apply(entry)
+            if self.applied_index % ENTRIES_PER_TURN == 0:
+                await curio.sleep(0)
+            if self._snapshot_is_due():
+                await self._take_snapshot()
+
+    async def _apply(self, entry: Entry) -> None:
+        result = None
+        if entry.kind == EntryKind.COMMAND:
+            self.commands_applied += 1
+            result = self.machine.apply(self.commands_applied, entry.data)
+        self.applied_index = entry.index
+        proposal = self.proposals_by_index.pop(entry.index, None)
+        if proposal is not None:
+            proposal.result = result
+            if proposal.term != entry.term:
+                proposal.error = self._unavailable("another leader took the index")
+            await proposal.done.set()
+        await self.applied.notify()
+
+    def _snapshot_is_due(self) -> bool:
+        since = self.applied_index - self.journal.snapshot_index
+        large = self.journal.bytes_since_snapshot >= SNAPSHOT_INTERVAL_BYTES
+        return since >= SNAPSHOT_INTERVAL or (large and since > 0)
+
+    async def _take_snapshot(self) -> None:
+        index = self.applied_index
+        data = self.machine.snapshot()
+        header = SnapshotHeader(
+            index=index,
+            term=self.journal.term_at(index),
+            commands=self.commands_applied,
+            configuration=self.journal.configuration_at(index)[1],
+            size=len(data),
+            checksum=snapshot_checksum(data),
+        )
+        await self.journal.save_snapshot(header, data)
+
+    def _unavailable(
+        self, detail: str, may_have_committed: bool = False
+    ) -> ConsensusUnavailable:
+        return ConsensusUnavailable(detail, may_have_committed=may_have_committed)
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -1,18 +1,25 @@
 """Control daemon: a member of the agreed state, and its interfaces."""
 
+import errno
 from typing import Any
 
 import attrs
 import curio
 
 from wagtailrun import events
-from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.adapters.file_disk import FileDisk
+from wagtailrun.adapters.http_server import (
+    HttpServer,
+    Request,
+    Response,
+    json_response,
+)
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.clock import Clock, SystemClock
-from wagtailrun.codec import encode
+from wagtailrun.codec import Channel, codec_of, encode
+from wagtailrun.consensus import Member
 from wagtailrun.control_client import ControlClient
-from wagtailrun.exceptions import ConsensusUnavailable, MessageError
-from wagtailrun.local_log import LocalLog
+from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, MessageError
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.operator_api import MAX_TEXT_BYTES, OperatorApi
 from wagtailrun.ports.log import ReplicatedLog
@@ -109,21 +116,60 @@
 
 
 async def run_control(settings: ControlSettings) -> None:
-    """Run a control process until it is told to stop."""
+    """Run a control process until it is told to stop.
+
+    Raises:
+        DiskFault: If a write or sync failed. A full disk leaves the process running,
+            not ready, so that the operator sees why.
+        CorruptRecord: If the data folder holds a damaged record.
+    """
     clock = SystemClock()
     registry = Registry()
-    log = LocalLog(registry, settings.peer_address)
-    service = ControlService(clock, settings.name, registry, log)
     link = TcpPeerLink(settings.peer_secret)
+    log = Member(
+        clock,
+        link,
+        FileDisk(settings.data_folder),
+        registry,
+        settings.name,
+        settings.peer_address,
+        peers=settings.control_peers,
+        bootstrap=settings.bootstrap,
+    )
+    service = ControlService(clock, settings.name, registry, log)
     members = [settings.peer_address, *settings.control_peers]
     operators = OperatorApi(
         registry, ControlClient(clock, link, members), settings.operator_credential
     )
-    server = HttpServer(settings.operator_address, operators.handle, MAX_TEXT_BYTES)
+
+    async def handle_peer(message: Any) -> Any:
+        if codec_of(message).channel is Channel.CONSENSUS:
+            return await log.handle(message)
+        return await service.handle(message)
+
+    async def handle_operator(request: Request) -> Response:
+        if request.path == "/readyz" and log.fault is not None:
+            value = {"status": "stopped", "detail": str(log.fault)}
+            return json_response(503, value)
+        return await operators.handle(request)
+
+    async def take_part() -> None:
+        try:
+            await log.run()
+        except DiskFault as error:
+            cause = error.__cause__
+            if not isinstance(cause, OSError) or cause.errno != errno.ENOSPC:
+                raise
+            await curio.Event().wait()
+
+    server = HttpServer(settings.operator_address, handle_operator, MAX_TEXT_BYTES)
     events.log(events.PROCESS_STARTED, role="control", name=settings.name)
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(
-            serve_peers, settings.peer_address, settings.peer_secret, service.handle
+            serve_peers, settings.peer_address, settings.peer_secret, handle_peer
         )
         await group.spawn(server.serve)
         await group.spawn(service.sweep)
+        await group.spawn(take_part)
+    if group.exception is not None:
+        raise group.exception
--- /dev/null
+++ b/wagtailrun/election.py
@@ -0,0 +1,171 @@
+"""Elections: pre-vote, votes, and when a vote may be granted."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+import curio
+
+from wagtailrun import consensus_events, events
+from wagtailrun.consensus_messages import MemberInfo, VoteReply, VoteRequest
+from wagtailrun.consensus_state import Role
+from wagtailrun.exceptions import PeerUnreachable
+
+if TYPE_CHECKING:
+    from wagtailrun.consensus import Member
+
+__all__ = ["Election"]
+
+
+class Election:
+    """Starts elections and answers those of others.
+
+    Args:
+        member: Member that this is a part of.
+    """
+
+    def __init__(self, member: "Member"):
+        self.member = member
+        # When a vote was last granted or an election started, by the own clock.
+        self.last_attempt_ms: int | None = None
+
+    async def run(self) -> None:
+        """Start an election whenever no leader was heard for the election timeout."""
+        member = self.member
+        timing = member.timing
+        while True:
+            timeout_ms = member.random.randint(
+                timing.election_min_ms, timing.election_max_ms
+            )
+            while (wait_ms := self._quiet_since_ms() + timeout_ms - self._now()) > 0:
+                await member.clock.sleep_ms(wait_ms)
+            self.last_attempt_ms = self._now()
+            if member.role is not Role.LEADER:
+                await self.campaign()
+
+    async def campaign(self) -> None:
+        """Ask for pre-votes, then for votes, and lead if a quorum grants them."""
+        member = self.member
+        if not member.configuration.is_voter(member.identity) or self.must_not_vote():
+            return
+        if not await self._ask_voters(member.term + 1, pre_vote=True):
+            return
+        async with member.lock:
+            if member.role is Role.LEADER or self.must_not_vote():
+                return
+            member.become_follower(member.term + 1, None)
+            member.role = Role.CANDIDATE
+            term = member.term
+            self.last_attempt_ms = self._now()
+            await self._save(term, member.identity, member.journal.record.cluster)
+        won = await self._ask_voters(term, pre_vote=False)
+        async with member.lock:
+            if won and member.role is Role.CANDIDATE and member.term == term:
+                events.log(
+                    consensus_events.BECAME_LEADER, member=member.name, term=term
+                )
+                await member.replication.lead()
+
+    async def handle_vote(self, request: VoteRequest) -> VoteReply:
+        """Grant or refuse a vote or pre-vote."""
+        member = self.member
+        async with member.lock:
+            granted = self._is_addressed(request) and not self.must_not_vote()
+            if granted:
+                granted = await self._decide(request)
+            return VoteReply(member.identity, member.term, granted)
+
+    def must_not_vote(self) -> bool:
+        """Whether a leader may still hold a lease that this member has granted."""
+        member = self.member
+        if member.fault is not None:
+            return True
+        if member.role is Role.LEADER and member.replication.lease_is_valid():
+            return True
+        now_ms = self._now()
+        heard_ms = member.started_ms if member.heard_ms is None else member.heard_ms
+        return now_ms < heard_ms + member.timing.promise_ms
+
+    def _is_addressed(self, request: VoteRequest) -> bool:
+        """Whether the candidate means this very incarnation in this cluster.
+
+        The candidate counts the recipient as a voter in its newest configuration,
+        where a new incarnation gets only after it holds everything. So the vote is
+        valid even if the log here does not show that promotion yet.
+        """
+        cluster = self.member.journal.record.cluster
+        return request.recipient == self.member.identity and (
+            not cluster or cluster == request.cluster
+        )
+
+    async def _decide(self, request: VoteRequest) -> bool:
+        member = self.member
+        journal = member.journal
+        newer = request.term > member.term
+        if newer and not request.pre_vote:
+            member.become_follower(request.term, None)
+        log = (journal.last_term, journal.last_index)
+        if (request.last_term, request.last_index) < log:
+            return False
+        if request.pre_vote:
+            return newer
+        if request.term != member.term:
+            return False
+        record = journal.record
+        vote = record.vote if record.term == member.term else ""
+        if vote not in ("", request.candidate):
+            return False
+        self.last_attempt_ms = self._now()
+        await self._save(member.term, request.candidate, request.cluster)
+        return True
+
+    async def _save(self, term: int, vote: str, cluster: str) -> None:
+        record = self.member.journal.record
+        record = attrs.evolve(record, term=term, vote=vote, cluster=cluster)
+        await self.member.journal.save_record(record)
+
+    async def _ask_voters(self, term: int, pre_vote: bool) -> bool:
+        """Return whether a quorum of the configuration grants the request."""
+        member = self.member
+        configuration = member.configuration
+        voters = [info for info in configuration.members if info.voter]
+        missing = configuration.quorum() - 1
+        async with curio.TaskGroup() as group:
+            for info in voters:
+                if info.identity != member.identity:
+                    await group.spawn(self._ask, info, term, pre_vote)
+            async for task in group:
+                missing -= bool(task.result)
+                if missing <= 0:
+                    break
+            await group.cancel_remaining()
+        return missing <= 0
+
+    async def _ask(self, info: MemberInfo, term: int, pre_vote: bool) -> bool:
+        member = self.member
+        request = VoteRequest(
+            cluster=member.journal.record.cluster,
+            recipient=info.identity,
+            term=term,
+            candidate=member.identity,
+            last_index=member.journal.last_index,
+            last_term=member.journal.last_term,
+            pre_vote=pre_vote,
+        )
+        try:
+            reply = await member.link.call(
+                info.peer_address, request, member.timing.call_timeout_ms
+            )
+        except PeerUnreachable:
+            return False
+        if not isinstance(reply, VoteReply) or reply.sender != info.identity:
+            return False
+        await member.observe_term(reply.term)
+        return reply.granted
+
+    def _quiet_since_ms(self) -> int:
+        member = self.member
+        times = (member.started_ms, member.heard_ms, self.last_attempt_ms)
+        return max(time for time in times if time is not None)
+
+    def _now(self) -> int:
+        return self.member.clock.now_ms()
--- /dev/null
+++ b/wagtailrun/replication.py
@@ -0,0 +1,273 @@
+"""Leader side of replication: one task per peer, leader lease, commit index."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+import curio
+
+from wagtailrun import consensus_events, events
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.consensus_messages import (
+    CODEC,
+    AppendEntries,
+    AppendReply,
+    Configuration,
+    Entry,
+    EntryKind,
+    MemberInfo,
+    PieceReply,
+    SnapshotHeader,
+    SnapshotPiece,
+)
+from wagtailrun.consensus_state import Role, Signal
+from wagtailrun.exceptions import PeerUnreachable
+
+if TYPE_CHECKING:
+    from wagtailrun.consensus import Member
+
+__all__ = ["Progress", "Replication"]
+
+APPEND_BYTES = 512 * 1024
+PIECE_BYTES = 256 * 1024
+RETRY_PAUSE_MS = 50
+
+
+@attrs.define
+class Progress:
+    """What the leader knows of one peer.
+
+    Attributes:
+        next_index: Next entry to send.
+        match_index: Newest entry that is durable at the peer.
+        acknowledged_ms: Send time of the newest message that the peer answered as a
+            follower of this term, by the leader's clock.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_ms: int | None = None
+
+
+class Replication:
+    """Sends the log to the peers while this member leads.
+
+    Args:
+        member: Member that this is a part of.
+    """
+
+    def __init__(self, member: "Member"):
+        self.member = member
+        self.progress_by_identity: dict[str, Progress] = {}
+        self.first_index_of_term = 0
+        self.appended = Signal()
+
+    # Leadership
+
+    async def lead(self) -> None:
+        """Begin to lead in the member's term; the member's lock must be held."""
+        member = self.member
+        member.role = Role.LEADER
+        member.leader = member.identity
+        self.progress_by_identity = {}
+        self.first_index_of_term = member.journal.last_index + 1
+        await self.append(EntryKind.NO_OPERATION, b"")
+        await self._start_replicators()
+        await member.spawn(member.membership.run_as_leader, member.term)
+
+    def leads(self, term: int) -> bool:
+        """Whether this member is still the leader of ``term``."""
+        member = self.member
+        leading = member.role is Role.LEADER and member.term == term
+        return leading and member.fault is None
+
+    def lease_is_valid(self) -> bool:
+        """Whether a quorum has promised not to elect another leader yet."""
+        member = self.member
+        now_ms = member.clock.now_ms()
+        configuration = member.configuration
+        times = []
+        for identity in configuration.voters():
+            progress = self.progress_by_identity.get(identity)
+            if identity == member.identity:
+                times.append(now_ms)
+            elif progress is not None and progress.acknowledged_ms is not None:
+                times.append(progress.acknowledged_ms)
+        times.sort(reverse=True)
+        if len(times) < configuration.quorum():
+            return False
+        start_ms = times[configuration.quorum() - 1]
+        return now_ms < start_ms + member.timing.lease_ms
+
+    async def append(self, kind: EntryKind, data: bytes) -> None:
+        """Append one entry; the next write and the next messages carry it."""
+        member = self.member
+        index = member.journal.last_index + 1
+        await member.journal.append([Entry(index, member.term, kind, data)])
+        await self.appended.notify()
+
+    async def append_configuration(self, configuration: Configuration) -> None:
+        """Put a new configuration into effect by appending it."""
+        members = [attrs.asdict(info) for info in configuration.members]
+        events.log(
+            consensus_events.CONFIGURATION_CHANGED,
+            member=self.member.name,
+            members=members,
+        )
+        await self.append(EntryKind.CONFIGURATION, CODEC.encode(configuration))
+        await self._start_replicators()
+
+    async def advance_commit(self) -> None:
+        """Commit what is durable at a quorum of voters."""
+        member = self.member
+        if not self.leads(member.term):
+            return
+        configuration = member.configuration
+        matches = []
+        for identity in configuration.voters():
+            progress = self.progress_by_identity.get(identity)
+            if identity == member.identity:
+                matches.append(member.journal.durable_index)
+            else:
+                matches.append(progress.match_index if progress else 0)
+        matches.sort(reverse=True)
+        index = matches[configuration.quorum() - 1]
+        # Entries of earlier terms commit only together with one of this term.
+        if member.journal.term_at(index) == member.term:
+            await member.commit(index)
+
+    # One task per peer
+
+    async def _start_replicators(self) -> None:
+        member = self.member
+        for info in member.configuration.members:
+            known = info.identity in self.progress_by_identity
+            if info.identity != member.identity and not known:
+                progress = Progress(next_index=member.journal.last_index + 1)
+                self.progress_by_identity[info.identity] = progress
+                await member.spawn(self._replicate, info, progress, member.term)
+
+    def _wanted(self, info: MemberInfo, progress: Progress, term: int) -> bool:
+        current = self.progress_by_identity.get(info.identity) is progress
+        configured = self.member.configuration.find(info.identity) is not None
+        return self.leads(term) and current and configured
+
+    async def _replicate(self, info: MemberInfo, progress: Progress, term: int) -> None:
+        while self._wanted(info, progress, term):
+            sent_ms = self.member.clock.now_ms()
+            try:
+                if self._needs_snapshot(progress):
+                    await self._send_snapshot(info, progress, term)
+                else:
+                    await self._send_entries(info, progress, term)
+            except PeerUnreachable:
+                await self.member.clock.sleep_ms(RETRY_PAUSE_MS)
+                continue
+            await self._wait_for_work(progress, sent_ms)
+        if self.progress_by_identity.get(info.identity) is progress:
+            del self.progress_by_identity[info.identity]
+
+    def _needs_snapshot(self, progress: Progress) -> bool:
+        """Whether the next entry, or the term before it to compare, is dropped."""
+        journal = self.member.journal
+        unknown = journal.term_at(progress.next_index - 1) is None
+        return unknown or progress.next_index < journal.first_index
+
+    async def _wait_for_work(self, progress: Progress, sent_ms: int) -> None:
+        """Wait for a new entry, or until the next heartbeat is due."""
+        member = self.member
+        due_ms = sent_ms + member.timing.heartbeat_ms
+        if progress.next_index <= member.journal.last_index:
+            return
+        wait_ms = max(due_ms - member.clock.now_ms(), 0)
+        async with curio.ignore_after(wait_ms / MS_PER_SECOND):
+            await self.appended.wait()
+
+    async def _send_entries(
+        self, info: MemberInfo, progress: Progress, term: int
+    ) -> None:
+        member = self.member
+        journal = member.journal
+        previous_index = progress.next_index - 1
+        message = AppendEntries(
+            cluster=journal.record.cluster,
+            recipient=info.identity,
+            term=term,
+            leader=member.identity,
+            leader_address=str(member.address),
+            previous_index=previous_index,
+            previous_term=journal.term_at(previous_index),
+            commit_index=member.commit_index,
+            entries=journal.entries_from(progress.next_index, APPEND_BYTES),
+        )
+        reply = await self._call(info, progress, term, message)
+        if not isinstance(reply, AppendReply):
+            return
+        if reply.success:
+            progress.match_index = max(progress.match_index, reply.last_index)
+            progress.next_index = progress.match_index + 1
+            await self.advance_commit()
+        else:
+            next_index = min(reply.last_index + 1, progress.next_index - 1)
+            progress.next_index = max(next_index, progress.match_index + 1, 1)
+
+    async def _send_snapshot(
+        self, info: MemberInfo, progress: Progress, term: int
+    ) -> None:
+        snapshot = await self.member.journal.read_snapshot()
+        if snapshot is None:
+            raise RuntimeError("entries are missing without a snapshot")
+        header, data = snapshot
+        offset = 0
+        while self._wanted(info, progress, term):
+            message = self._piece(info, term, header, offset, data)
+            reply = await self._call(info, progress, term, message)
+            if not isinstance(reply, PieceReply):
+                return
+            offset = reply.next_offset
+            if offset >= header.size:
+                progress.match_index = max(progress.match_index, header.index)
+                progress.next_index = progress.match_index + 1
+                return
+
+    def _piece(
+        self,
+        info: MemberInfo,
+        term: int,
+        header: SnapshotHeader,
+        offset: int,
+        data: bytes,
+    ) -> SnapshotPiece:
+        return SnapshotPiece(
+            cluster=self.member.journal.record.cluster,
+            recipient=info.identity,
+            term=term,
+            leader=self.member.identity,
+            leader_address=str(self.member.address),
+            header=header,
+            offset=offset,
+            data=data[offset : offset + PIECE_BYTES],
+        )
+
+    async def _call(
+        self, info: MemberInfo, progress: Progress, term: int, message: object
+    ) -> AppendReply | PieceReply | None:
+        """Return the reply of a follower of ``term``; other replies raise or give None.
+
+        Raises:
+            PeerUnreachable: If there is no reply, or not from the identity meant.
+        """
+        member = self.member
+        sent_ms = member.clock.now_ms()
+        timeout_ms = member.timing.call_timeout_ms
+        reply = await member.link.call(info.peer_address, message, timeout_ms)
+        if not isinstance(reply, AppendReply | PieceReply):
+            raise PeerUnreachable(f"{info.identity}: unexpected {reply!r}")
+        if reply.sender != info.identity:
+            raise PeerUnreachable(f"{reply.sender} answers in place of {info.identity}")
+        await member.observe_term(reply.term)
+        if not self.leads(term):
+            return None
+        if reply.term != term:
+            raise PeerUnreachable(f"{info.identity} belongs to another cluster")
+        progress.acknowledged_ms = max(progress.acknowledged_ms or sent_ms, sent_ms)
+        return reply
--- /dev/null
+++ b/wagtailrun/schema/consensus.capnp
@@ -0,0 +1,86 @@
+# Messages among control members, and the records of their log files.
+@0xd1a6c3b7f0e94a13;
+
+struct Message {
+  union {
+    appendEntries @0 :AppendEntries;
+    appendReply @1 :AppendReply;
+    voteRequest @2 :VoteRequest;
+    voteReply @3 :VoteReply;
+    snapshotPiece @4 :SnapshotPiece;
+    pieceReply @5 :PieceReply;
+    join @6 :Join;
+    joinReply @7 :JoinReply;
+    entryBatch @8 :EntryBatch;
+    memberRecord @9 :MemberRecord;
+    snapshotHeader @10 :SnapshotHeader;
+    configuration @11 :Configuration;
+  }
+}
+
+struct Entry { index @0 :UInt64; term @1 :UInt64; kind @2 :UInt8; data @3 :Data; }
+struct EntryBatch { entries @0 :List(Entry); }
+struct MemberInfo { identity @0 :Text; address @1 :Text; voter @2 :Bool; }
+struct Configuration { members @0 :List(MemberInfo); }
+
+struct MemberRecord {
+  identity @0 :Text;
+  cluster @1 :Text;
+  term @2 :UInt64;
+  vote @3 :Text;
+}
+
+struct SnapshotHeader {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  commands @2 :UInt64;
+  configuration @3 :Configuration;
+  size @4 :UInt64;
+  checksum @5 :UInt64;
+}
+
+struct AppendEntries {
+  cluster @0 :Text;
+  recipient @1 :Text;
+  term @2 :UInt64;
+  leader @3 :Text;
+  leaderAddress @4 :Text;
+  previousIndex @5 :UInt64;
+  previousTerm @6 :UInt64;
+  commitIndex @7 :UInt64;
+  entries @8 :List(Entry);
+}
+
+struct AppendReply {
+  sender @0 :Text;
+  term @1 :UInt64;
+  success @2 :Bool;
+  lastIndex @3 :UInt64;
+}
+
+struct VoteRequest {
+  cluster @0 :Text;
+  recipient @1 :Text;
+  term @2 :UInt64;
+  candidate @3 :Text;
+  lastIndex @4 :UInt64;
+  lastTerm @5 :UInt64;
+  preVote @6 :Bool;
+}
+
+struct VoteReply { sender @0 :Text; term @1 :UInt64; granted @2 :Bool; }
+
+struct SnapshotPiece {
+  cluster @0 :Text;
+  recipient @1 :Text;
+  term @2 :UInt64;
+  leader @3 :Text;
+  leaderAddress @4 :Text;
+  header @5 :SnapshotHeader;
+  offset @6 :UInt64;
+  data @7 :Data;
+}
+
+struct PieceReply { sender @0 :Text; term @1 :UInt64; nextOffset @2 :UInt64; }
+struct Join { identity @0 :Text; address @1 :Text; }
+struct JoinReply { identity @0 :Text; cluster @1 :Text; }
