--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -305,9 +305,7 @@
             rm.GrantController("c", now_ms),
             rm.PutEngineOrder(engine_order(f"o{rng.randrange(9)}"), fence, now_ms),
             rm.CloseEngineOrder(f"o{rng.randrange(9)}", fence, "done", now_ms),
-            rm.ClosePeriod(
-                f"p{rng.randrange(3)}", f"d{rng.randrange(3)}", "{}", now_ms
-            ),
+            rm.ClosePeriod(name, digest, "{}", now_ms),
         ]
     )
 
