Confirm all targets after isolation, and show that each guard is needed

Cause: an entry that was cut off for an hour kept a target that had left, because the others had forgotten it and nobody else judged it; and it declared silent a target that had only moved to another entry.

After a time without contact an entry has every target it knows confirmed. While it is isolated it judges a target only if another one was heard there well after it. Fetches of a text give up after 1 s, so that two may get lost within the bound.

--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -7,11 +7,12 @@
 import pytest
 
 from tests.spread_cluster import TEXT, Cluster
-from wagtailrun import spread_peers, spread_targets, spread_text
-from wagtailrun.membership import Membership, TargetRow
+from wagtailrun import spread_peers
+from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.spread_messages import Health, SpreadStatus, SpreadText
-from wagtailrun.spread_push import split_members
+from wagtailrun.spread_messages import Health, SpreadStatus
+from wagtailrun.spread_push import Contact, split_members
+from wagtailrun.spread_text import TextStore
 from wagtailrun.virtual_time import run_virtual
 
 SILENT_LIMIT_MS = 3_000
@@ -210,3 +211,297 @@
         return cluster.faults
 
     return run_virtual(main)
+
+
+@pytest.mark.parametrize("first", range(0, SCHEDULES, 13))
+def test_schedules_keep_bounds(first):
+    """Guards against late silence, goodbyes and texts, lost targets, old revisions."""
+    faults = {seed: run_schedule(seed) for seed in range(first, first + 13)}
+    assert not any(faults.values()), faults
+
+
+def test_hour_without_contact_brings_nothing_back():
+    """Guards against a gone target or an old text revived after a long partition."""
+
+    async def main(clock):
+        cluster = await started(clock, 3, 4)
+        lone = pick(cluster, 2)
+        for target in cluster.targets:
+            target.heard_by = pick(cluster)
+        isolate(cluster, lone)
+        inside = [lone.address]
+        cluster.network.cut_off(inside, cluster.control_addresses)
+        await clock.sleep_ms(5_000)
+        gone = cluster.targets[0]
+        await gone.leave()
+        for _ in range(300):
+            cluster.change_text()
+        await clock.sleep_ms(5_000)
+        assert lone.spreader.version[1] == 1
+        assert lone.membership.unconfirmed
+        assert len(lone.usable_names(clock.now_ms())) == 4
+        await clock.sleep_ms(3_600_000)
+        assert gone.name not in pick(cluster).membership.targets_by_name
+        cluster.network.heal()
+        await clock.sleep_ms(8_000)
+        assert set(cluster.revisions().values()) == {301}
+        left = {target.name for target in cluster.targets[1:]}
+        assert all(n.usable_names(clock.now_ms()) == left for n in cluster.live)
+        assert not lone.membership.unconfirmed
+        return cluster.faults
+
+    assert run_virtual(main) == []
+
+
+def test_entry_restarts_while_control_is_out_of_reach():
+    """Guards against a restarted entry with an older text than its neighbours'."""
+
+    async def main(clock):
+        cluster = await started(clock, 4)
+        for _ in range(5):
+            cluster.change_text()
+        await clock.sleep_ms(4_000)
+        for address in cluster.control_addresses:
+            del cluster.network.handlers_by_address[address]
+        await cluster.kill("east-2")
+        await clock.sleep_ms(1_000)
+        node = await cluster.start_node("east-2")
+        assert node.spreader.fleet is None
+        assert await cluster.wait(lambda: node.spreader.fleet, 4_000) is not None
+        assert node.spreader.version == (0, 6)
+        for name in list(cluster.nodes_by_name):
+            await cluster.kill(name)
+        alone = await cluster.start_node("east-0")
+        await clock.sleep_ms(10_000)
+        assert alone.spreader.fleet is None
+
+    run_virtual(main)
+
+
+def test_request_keeps_the_text_it_started_with():
+    """Guards against a running request that sees a removed service or workspace."""
+
+    async def main(clock):
+        cluster = await started(clock, 3)
+        cluster.change_text()
+        await clock.sleep_ms(1_000)
+        node = pick(cluster)
+        before = node.spreader.fleet
+        removed = TEXT.replace("[pipelines.ask]", "[pipelines.tell]")
+        removed = removed.replace("[services.local]", "[services.other]")
+        cluster.accepted = (3, removed)
+        await clock.sleep_ms(1_000)
+        after = node.spreader.fleet
+        assert set(before.pipelines_by_name) == {"ask"}
+        assert set(after.pipelines_by_name) == {"tell"}
+        assert "local" in before.services_by_name and "w1" in before.workspaces_by_name
+        assert "local" not in after.services_by_name
+        assert not after.workspaces_by_name
+        with pytest.raises(attrs.exceptions.FrozenInstanceError):
+            before.name = "other"
+
+    run_virtual(main)
+
+
+def test_status_names_who_has_not_confirmed():
+    """Guards against a control member that takes a text for in force everywhere."""
+
+    async def main(clock):
+        cluster = await started(clock, 4)
+        isolate(cluster, pick(cluster, 2))
+        cluster.network.cut_off([pick(cluster, 2).address], cluster.control_addresses)
+        cluster.change_text()
+        await clock.sleep_ms(1_500)
+        report = await pick(cluster).spreader.handle(SpreadStatus())
+        assert report.waiting == ("east-2",)
+        assert {row.revision for row in report.entries} == {1, 2}
+        cluster.network.heal()
+        await clock.sleep_ms(6_000)
+        assert pick(cluster).spreader.status().waiting == ()
+
+    run_virtual(main)
+
+
+def test_hook_carries_bytes_both_ways():
+    """Guards against account rows that never reach the partner."""
+
+    async def main(clock):
+        cluster = await started(clock, 3)
+        taken = []
+        for node in cluster.live:
+            node.spreader.register_hook(
+                lambda partner, name=node.name: f"{name}>{partner}".encode(),
+                lambda partner, data: taken.append((partner, data)),
+            )
+        await clock.sleep_ms(3_000)
+        assert {data for _, data in taken} == {
+            f"east-{a}>east-{b}".encode() for a in range(3) for b in range(3) if a != b
+        }
+        assert all(data.startswith(partner.encode()) for partner, data in taken)
+
+    run_virtual(main)
+
+
+def test_fallback_targets_cross_data_centres():
+    """Guards against targets for fallback unknown elsewhere, or used when gone."""
+
+    async def main(clock):
+        cluster = Cluster(clock, {"east": 3, "west": 3}, 4)
+        cluster.targets[0].service = "local"
+        await cluster.start()
+        await clock.sleep_ms(9_000)
+
+        def offered():
+            found = set()
+            for node in cluster.live:
+                if node.data_centre == "west":
+                    rows = node.membership.fallback("engines", clock.now_ms())
+                    rows += node.membership.fallback("local", clock.now_ms())
+                    found.add(frozenset(row.name for row in rows))
+            return found
+
+        assert offered() == {frozenset({"t2"})}
+        east, west = (
+            [n.address for n in cluster.live if n.data_centre == centre]
+            for centre in ("east", "west")
+        )
+        cluster.network.cut_off(east, west)
+        await clock.sleep_ms(8_000)
+        assert offered() == {frozenset()}
+        cluster.network.heal()
+        await clock.sleep_ms(12_000)
+        assert offered() == {frozenset({"t2"})}
+
+    run_virtual(main)
+
+
+@pytest.mark.parametrize("entries", [9, 27])
+def test_messages_of_an_entry_do_not_grow_with_the_data_centre(entries):
+    """Guards against heartbeats from every entry to every other."""
+
+    async def main(clock):
+        targets = 3 * entries
+        cluster = await started(clock, entries, targets, seed=1)
+        before = dict(cluster.network.messages_by_source)
+        await clock.sleep_ms(10_000)
+        for node in cluster.live:
+            sent = cluster.network.messages_by_source[node.address]
+            heard = len([t for t in cluster.targets if t.heard_by is node])
+            watched = len(node.membership.watched_since_ms)
+            # Two questions a second, answers to about two (eight allows for chance),
+            # long polls, and per announcement two forwards and their answers.
+            bound = 10 * (2 + 8 + 1.5 + 2 * heard + 2 * watched)
+            assert sent - before[node.address] <= bound
+
+    run_virtual(main)
+
+
+def test_own_row_is_defended():
+    """Guards against a live entry that stays dead for others, or adopts an old self."""
+    row = attrs.evolve(_entry("a"), incarnation=5)
+    table = spread_peers.PeerTable(row)
+    assert table.put(attrs.evolve(row, health=Health.SUSPECT), 0)
+    assert table.own.precedence == (5, 1, Health.ALIVE)
+    assert table.put(attrs.evolve(row, incarnation=9), 0)
+    assert table.own.incarnation == 10
+    assert not table.put(attrs.evolve(row, incarnation=4, health=Health.DEAD), 0)
+
+
+def _entry(name):
+    return spread_peers.EntryRow(name, Address("10.0.0.1", 1), "east", 1)
+
+
+@pytest.mark.parametrize("count", [0, 1, 2, 3, 4, 53])
+def test_tree_reaches_each_member_once(count):
+    """Guards against members that no child of the tree passes rows on to."""
+    members = [str(number) for number in range(count)]
+    seen = []
+    parts = [members]
+    while parts:
+        for group in split_members(parts.pop()):
+            seen.append(group[0])
+            parts.append(group[1:])
+    assert sorted(seen) == sorted(members)
+
+
+async def renewed_target(cluster):
+    """A target starts again; then its old start's last messages arrive late."""
+    target = cluster.targets[0]
+    late = attrs.evolve(target.row(), sequence=target.sequence + 1_000, leaving=True)
+    target.incarnation += 1
+    target.sequence = 0
+    await cluster.clock.sleep_ms(1_500)
+    pick(cluster).membership.announce(late, cluster.clock.now_ms())
+    await cluster.clock.sleep_ms(4_000)
+    now_ms = cluster.clock.now_ms()
+    return [n.name for n in cluster.live if target.name not in n.usable_names(now_ms)]
+
+
+async def late_push(cluster):
+    """A push of an older text arrives after a newer one."""
+    old = pick(cluster).spreader.config.store.message(
+        pick(cluster).spreader.peers.own, (0, 0), whole=True
+    )
+    cluster.change_text()
+    await cluster.clock.sleep_ms(2_000)
+    await pick(cluster, 1).spreader.handle(attrs.evolve(old, members=("east-2",)))
+    await cluster.clock.sleep_ms(1_000)
+    return cluster.faults
+
+
+async def lone_entry(cluster):
+    """An entry that hears targets reaches no other entry for a while."""
+    lone = pick(cluster)
+    for target in cluster.targets:
+        target.heard_by = pick(cluster, 1)
+    await cluster.clock.sleep_ms(2_000)
+    isolate(cluster, lone)
+    await cluster.clock.sleep_ms(15_000)
+    dead = [row for row in lone.spreader.peers.rows_by_name.values() if row.health == 2]
+    lost = len(cluster.targets) - len(lone.usable_names(cluster.clock.now_ms()))
+    return dead + ["a target is lost"] * lost
+
+
+async def suspected_entry(cluster):
+    """An entry cannot be reached for long enough to be suspected, then again."""
+    isolate(cluster, pick(cluster))
+    await cluster.clock.sleep_ms(2_000)
+    cluster.network.heal()
+    await cluster.clock.sleep_ms(12_000)
+    rows = [n.spreader.peers.rows_by_name["east-0"] for n in cluster.live]
+    return [row for row in rows if row.health != Health.ALIVE]
+
+
+def without_incarnation(row):
+    return (row.leaving, row.sequence, row.silent)
+
+
+GUARDS = {
+    "incarnation": (
+        renewed_target,
+        [(TargetRow, "precedence", property(without_incarnation))],
+    ),
+    "revision": (
+        late_push,
+        [(TextStore, "_is_newer", lambda self, version: version != self.version)],
+    ),
+    "isolation": (lone_entry, [(Contact, "is_isolated", lambda self: False)]),
+    "refutation": (
+        suspected_entry,
+        [(spread_peers.PeerTable, "_refute", lambda self, row, now_ms: False)],
+    ),
+}
+
+
+@pytest.mark.parametrize("switched_off", [False, True])
+@pytest.mark.parametrize("guard", GUARDS)
+def test_each_guard_is_needed(guard, switched_off, monkeypatch):
+    """Guards against a rule that no scenario would miss."""
+    scenario, patches = GUARDS[guard]
+    for owner, name, value in patches if switched_off else []:
+        monkeypatch.setattr(owner, name, value)
+
+    async def main(clock):
+        return await scenario(await started(clock, 4, 5))
+
+    assert bool(run_virtual(main)) == switched_off
--- a/wagtailrun/spread_config.py
+++ b/wagtailrun/spread_config.py
@@ -25,7 +25,8 @@
 WATCH_TIMEOUT_MS = 1_500
 IDLE_POLL_MS = 250
 PING_TIMEOUT_MS = 500
-FETCH_TIMEOUT_MS = 2_000
+# Three fetches fit in the 4 s in which a text must be in force, so two may get lost.
+FETCH_TIMEOUT_MS = 1_000
 # Errors of a text or message that this entry cannot use.
 TEXT_ERRORS = (DiffMismatch, FleetTextError, MessageError, ValueError)
 
--- a/wagtailrun/spread_targets.py
+++ b/wagtailrun/spread_targets.py
@@ -32,6 +32,10 @@
 ASK_ROUNDS = 3
 ASKED_PER_ROUND = 2
 ASK_MS = TARGET_SILENCE_MS - ASK_ROUNDS * ASK_TIMEOUT_MS - 50
+# One announcement interval and half of one for delays.
+OUTLIVED_MS = 1_500
+# Time to confirm all known targets after a time in which nothing was heard.
+CONFIRM_MS = TARGET_SILENCE_MS + 1_000
 # A process that was stopped for longer than this has heard nothing in between.
 PAUSE_MS = 1_000
 FORGET_INTERVAL_MS = 10_000
@@ -53,9 +57,10 @@
         self.membership = membership
         self.was_isolated = False
         self.asking = False
+        self.confirm_until_ms = 0
         self.watchers_by_name: dict[str, list[str]] = {}
         self.known_for = (-1, -1)
-        self.chosen_for: tuple[int, int] | None = None
+        self.chosen_for: tuple[int, int, bool] | None = None
         membership.watch((), self.clock.now_ms())
 
     def watchers(self, name: str) -> list[str]:
@@ -96,10 +101,15 @@
                 forget_ms = now_ms
 
     def restart(self, now_ms: int) -> None:
-        """Count all silence from now on."""
+        """Count all silence from now on, and have every known target confirmed.
+
+        Others may have forgotten targets that left meanwhile, so nobody else would
+        tell this entry.
+        """
         self.membership.restart_silence(now_ms)
         self.peers.restart_suspicion(now_ms)
         self.contact.last_ms = max(self.contact.last_ms, now_ms - TICK_MS)
+        self.confirm_until_ms = now_ms + CONFIRM_MS
 
     def _note_isolation(self, now_ms: int) -> bool:
         """Enter or leave the state in which the last known targets are kept.
@@ -127,12 +137,14 @@
             names = [n for n in rows if heard_here.get(n, -1) >= heard[n]]
             self.chosen_for = None
         else:
-            chosen_for = (self.peers.generation, self.membership.state_log.number)
+            confirming = now_ms < self.confirm_until_ms
+            number = self.membership.state_log.number
+            chosen_for = (self.peers.generation, number, confirming)
             if chosen_for == self.chosen_for:
                 return
             self.chosen_for = chosen_for
             own = self.peers.name
-            names = [name for name in rows if own in self.watchers(name)]
+            names = [n for n in rows if confirming or own in self.watchers(n)]
         self.membership.watch(names, now_ms)
 
     async def _ask_for_overdue(self, isolated: bool, now_ms: int) -> None:
@@ -163,11 +175,22 @@
             for name in names:
                 if name not in self.membership.watched_since_ms:
                     continue
+                if isolated and not self._outlived(name):
+                    continue
                 if self._is_judged(name) and self.membership.is_overdue(name, now_ms):
                     self.membership.declare_silent(name, now_ms)
         finally:
             self.asking = False
 
+    def _outlived(self, name: str) -> bool:
+        """Return whether another target was heard here well after ``name``.
+
+        Targets that all fell silent within one announcement interval are more likely
+        to be out of reach, or to announce themselves elsewhere, than dead.
+        """
+        heard_ms = self.membership.heard_ms_by_name[name]
+        return self.membership.last_heard_here_ms - heard_ms >= OUTLIVED_MS
+
     async def _ask_others(self, names: list[str]) -> bool:
         """Ask for newer knowledge; return whether anyone answered or nobody is there.
 
