--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,8 +11,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.operator_fixture import CREDENTIAL, MEMBERS, Members
 from tests.test_fleet import DEMO
+from tests.test_operator_api import CREDENTIAL, MEMBERS, Members
 from wagtailrun import cli
 from wagtailrun.virtual_time import run_virtual
 
