Forget account rows that closed periods hold in full

Rows are forgotten when they are booked in full; if one arrives again, what is booked of it is read from the files of the closed periods. The limit of rows falls from 200,000 to 50,000.

--- /dev/null
+++ b/wagtailrun/account_periods.py
@@ -0,0 +1,106 @@
+"""Files of closed accounting periods at a control member."""
+
+import zlib
+from collections.abc import Iterable
+
+from wagtailrun.account_files import decompress, join_records, split_records
+from wagtailrun.account_lines import Line, digest_of, lines_from_bytes, period_of
+from wagtailrun.cost_cells import RowKey
+from wagtailrun.exceptions import CorruptRecord
+from wagtailrun.ports.disk import Disk
+
+__all__ = ["ClosedPeriods"]
+
+CLOSED_PREFIX = "accounts-closed-"
+PREPARED_PREFIX = "accounts-prepared-"
+# Thirteen months of days: a year's report plus a month to dispute it.
+PERIODS_KEPT = 400
+# Digest and compressed lines.
+RECORDS_PER_FILE = 2
+
+
+class ClosedPeriods:
+    """Lines of closed periods, which never change, and of those offered for closing.
+
+    Args:
+        disk: Files of this member.
+    """
+
+    def __init__(self, disk: Disk):
+        self.disk = disk
+        self.digests_by_period: dict[str, str] = {}
+
+    @property
+    def last(self) -> str:
+        """Newest closed period; earlier ones without rows count as closed too."""
+        return max(self.digests_by_period, default="")
+
+    async def open(self) -> None:
+        """Read which periods are closed.
+
+        Raises:
+            CorruptRecord: If a file is damaged.
+        """
+        for name in await self.disk.names():
+            if name.startswith(CLOSED_PREFIX):
+                digest, _ = await self._read(name)
+                self.digests_by_period[name.removeprefix(CLOSED_PREFIX)] = digest
+
+    async def prepare(self, period: str, content: bytes) -> str:
+        """Keep the lines that are offered for ``period``; return their digest."""
+        digest = digest_of(content)
+        await self.disk.write(PREPARED_PREFIX + period, _file(digest, content))
+        return digest
+
+    async def prepared(self, period: str, digest: str) -> bytes | None:
+        """Return the lines offered with ``digest``, None if there are none."""
+        name = PREPARED_PREFIX + period
+        if name not in await self.disk.names():
+            return None
+        offered, data = await self._read(name)
+        return decompress(data) if offered == digest else None
+
+    async def freeze(self, period: str, digest: str, content: bytes) -> None:
+        """Keep the agreed lines of ``period``."""
+        await self.disk.write(CLOSED_PREFIX + period, _file(digest, content))
+        self.digests_by_period[period] = digest
+        await self.disk.remove(PREPARED_PREFIX + period)
+        for old in sorted(self.digests_by_period)[:-PERIODS_KEPT]:
+            await self.disk.remove(CLOSED_PREFIX + old)
+            del self.digests_by_period[old]
+
+    async def compressed(self, period: str) -> bytes:
+        """Return the compressed lines of a closed period."""
+        _, data = await self._read(CLOSED_PREFIX + period)
+        return data
+
+    async def lines(self, period: str) -> list[Line]:
+        """Return the lines of a closed period."""
+        return lines_from_bytes(decompress(await self.compressed(period)))
+
+    async def booked(self, keys: Iterable[RowKey]) -> list[Line]:
+        """Return every line of the rows ``keys`` in closed periods.
+
+        A line is never booked into a period before its row's own.
+        """
+        wanted = set(keys)
+        if not wanted:
+            return []
+        first = period_of(min(key.start_ms for key in wanted))
+        return [
+            line
+            for period in sorted(self.digests_by_period)
+            if period >= first
+            for line in await self.lines(period)
+            if line.key in wanted
+        ]
+
+    async def _read(self, name: str) -> tuple[str, bytes]:
+        records, _ = split_records(name, await self.disk.read(name), False)
+        if len(records) != RECORDS_PER_FILE:
+            raise CorruptRecord(f"{name}: holds {len(records)} records; restore it")
+        return records[0].decode(), records[1]
+
+
+def _file(digest: str, content: bytes) -> bytes:
+    return join_records([digest.encode(), zlib.compress(content)])
--- a/wagtailrun/account_store.py
+++ b/wagtailrun/account_store.py
@@ -1,7 +1,6 @@
 """Account rows at a control member: merged, kept on disk, closed by period."""
 
 import random
-import zlib
 from collections.abc import Iterator, Sequence
 
 import attrs
@@ -21,6 +20,7 @@
     period_of,
     totals_of,
 )
+from wagtailrun.account_periods import ClosedPeriods
 from wagtailrun.accounts_messages import (
     AccountRows,
     AccountsKept,
@@ -52,8 +52,6 @@
 
 LOG_NAME = "accounts-log"
 ROWS_NAME = "accounts-rows"
-CLOSED_PREFIX = "accounts-closed-"
-PREPARED_PREFIX = "accounts-prepared-"
 # The log is folded into the file of rows when it has grown to this size.
 MAX_LOG_BYTES = 4 * 1024 * 1024
 # Rows arrive within this time after a period's end, unless something has failed.
@@ -61,13 +59,9 @@
 MS_PER_DAY = 24 * 60 * MS_PER_MINUTE
 # New rows of an interval this long ago are refused.
 LATE_LIMIT_MS = 7 * MS_PER_DAY
-# Rows of closed periods are forgotten after this time: late ones that arrived within
-# the limit are booked by then, unless no period was closed for three days.
-FORGET_MS = 10 * MS_PER_DAY
-# Thirteen months of days: a year's report plus a month to dispute it.
-PERIODS_KEPT = 400
-# Most rows that are held in memory, about 500 bytes each.
-MAX_ROWS = 200_000
+# Most rows that are held in memory: 26 MB are free, and a row takes about 500 bytes.
+MAX_ROWS = 50_000
+HISTOGRAMS_KEPT_MS = 2 * MS_PER_DAY
 RELAY_INTERVAL_MS = 1_000
 RELAY_TIMEOUT_MS = 2_000
 # An entry waits 2 s for its answer, in which two other members can be tried.
@@ -98,7 +92,8 @@
 
     Every cell of a source holds its largest value seen. What closed periods hold of
     it is booked; the rest belongs to the oldest open period that it fits in, so each
-    part of a cell is booked exactly once.
+    part of a cell is booked exactly once. Rows that are booked in full are forgotten;
+    when one of them arrives again, what is booked of it is read from the files.
 
     Args:
         clock: Clock.
@@ -125,7 +120,7 @@
         self.booked_by_source: dict[Source, CellTable] = {}
         self.booked_minutes: set[RowKey] = set()
         self.histograms: dict[tuple[Source, HistogramKey], tuple[int, bytes]] = {}
-        self.digests_by_period: dict[str, str] = {}
+        self.closed = ClosedPeriods(disk)
         self.log_bytes = 0
         self.rows = 0
         self.failed = False
@@ -146,14 +141,7 @@
             CorruptRecord: If a file is damaged other than by a torn last record.
             DiskFault: If a file cannot be read.
         """
-        horizon = period_of(self.clock.wall_ms() - FORGET_MS)
-        for name in await self.disk.names():
-            if name.startswith(CLOSED_PREFIX):
-                period = name.removeprefix(CLOSED_PREFIX)
-                content = await self._read_lines(name)
-                self.digests_by_period[period] = digest_of(content)
-                if period >= horizon:
-                    self._book(content)
+        await self.closed.open()
         rows, _ = split_records(ROWS_NAME, await self.disk.read(ROWS_NAME), False)
         data = await self.disk.read(LOG_NAME)
         log, whole = split_records(LOG_NAME, data, True)
@@ -168,7 +156,14 @@
                     f"accounts: a record with a valid checksum is malformed: {error}"
                 )
                 raise CorruptRecord(detail) from error
-        self._forget_old()
+        late = {
+            key
+            for table in self.tables_by_source.values()
+            for key in table.rows_by_key
+            if self._is_closed(key)
+        }
+        await self._load_booked(late)
+        self._forget_booked()
 
     async def handle(
         self, message: AccountRows | FetchPeriod
@@ -188,7 +183,7 @@
         async with self.lock:
             try:
                 await self._keep(message.batches, batches)
-            except DiskFault as error:
+            except (CorruptRecord, DiskFault) as error:
                 # What the file holds now is unknown; nothing may be appended to it.
                 self.failed = True
                 events.log(events.ACCOUNTS_DISK_FAILED, detail=str(error))
@@ -244,8 +239,13 @@
 
     @property
     def last_closed(self) -> str:
-        """Newest closed period; earlier ones without rows count as closed too."""
-        return max(self.digests_by_period, default="")
+        """Newest closed period."""
+        return self.closed.last
+
+    @property
+    def digests_by_period(self) -> dict[str, str]:
+        """Digests of the closed periods."""
+        return self.closed.digests_by_period
 
     async def prepare_close(self, period: str) -> PeriodOffer:
         """Return digest and totals of ``period`` for the command that closes it.
@@ -263,9 +263,8 @@
         if earlier:
             raise ValueError(f"period {earlier[0]} must be closed before {period}")
         lines = list(self._open_lines(period))
-        content = lines_to_bytes(lines)
-        await self.disk.write(PREPARED_PREFIX + period, _lines_record(content))
-        return PeriodOffer(period, digest_of(content), totals_of(lines))
+        digest = await self.closed.prepare(period, lines_to_bytes(lines))
+        return PeriodOffer(period, digest, totals_of(lines))
 
     async def close(self, period: str, digest: str) -> bool:
         """Freeze ``period`` as the agreed command says.
@@ -276,11 +275,8 @@
         """
         if period in self.digests_by_period:
             return self.digests_by_period[period] == digest
-        name = PREPARED_PREFIX + period
-        if name not in await self.disk.names():
-            return False
-        content = await self._read_lines(name)
-        if digest_of(content) != digest:
+        content = await self.closed.prepared(period, digest)
+        if content is None:
             return False
         await self.adopt(period, digest, content)
         return True
@@ -293,17 +289,14 @@
         """
         if digest_of(content) != digest:
             raise MessageError(f"lines of period {period} do not have its digest")
-        lines_from_bytes(content)
+        lines = lines_from_bytes(content)
         async with self.lock:
-            if period in self.digests_by_period:
-                return
-            await self.disk.write(CLOSED_PREFIX + period, _lines_record(content))
-            self.digests_by_period[period] = digest
-            self._book(content)
-            await self.disk.remove(PREPARED_PREFIX + period)
-            for old in sorted(self.digests_by_period)[:-PERIODS_KEPT]:
-                await self.disk.remove(CLOSED_PREFIX + old)
-                del self.digests_by_period[old]
+            if period not in self.digests_by_period:
+                await self.closed.freeze(period, digest, content)
+                for line in lines:
+                    self._book(line)
+                self._forget_booked()
+                await self._fold_log()
 
     async def fetch_period(self, period: str, digest: str) -> bool:
         """Adopt a closed period from whichever member has it."""
@@ -326,7 +319,7 @@
             period: UTC day; by default everything that is open.
         """
         if period in self.digests_by_period:
-            return lines_from_bytes(await self._read_lines(CLOSED_PREFIX + period))
+            return await self.closed.lines(period)
         if period and period <= self.last_closed:
             return []
         return list(self._open_lines(period))
@@ -406,9 +399,20 @@
 
     async def _keep(self, data: list[bytes], batches: list[_Batch]) -> None:
         """Merge batches, append them to the log and sync it."""
+        late = {
+            key
+            for source, rows, _ in batches
+            for key in rows.rows_by_key
+            if self._is_closed(key) and not self._is_held(source, key)
+        }
+        await self._load_booked(late)
         # Merged first, because the file of rows that replaces the log must hold them.
         for batch in batches:
             self._merge(*batch)
+        if late:
+            # Without this, members would relay a booked row to each other for ever,
+            # because each forgets it and takes it as new.
+            self._forget_booked()
         records = join_records(data)
         if not records:
             return
@@ -424,7 +428,7 @@
 
         A crash between the two is harmless: the log's rows merge to the same values.
         """
-        self._forget_old()
+        self._forget_histograms()
         records = [
             pack_batch(
                 source,
@@ -478,30 +482,52 @@
                     new = not is_minute(key) or key not in self.booked_minutes
                     yield Line(source, key, column, amount, late, new)
 
-    def _book(self, content: bytes) -> None:
-        """Add the lines of a closed period to what is booked."""
-        for line in lines_from_bytes(content):
-            booked = self.booked_by_source.setdefault(line.source, CellTable())
-            booked.add(line.key, (line.column,), (line.amount,))
-            if is_minute(line.key):
-                self.booked_minutes.add(line.key)
-
-    def _forget_old(self) -> None:
-        """Forget rows of closed periods that no row can change any more."""
-        oldest_ms = self.clock.wall_ms() - FORGET_MS
-        last_closed = self.last_closed
-        for tables in (self.tables_by_source, self.booked_by_source):
-            for source, table in list(tables.items()):
-                for key in list(table.rows_by_key):
-                    closed = period_of(key.start_ms) <= last_closed
-                    if closed and key.start_ms < oldest_ms:
-                        table.drop(key)
-                if not table.rows_by_key:
-                    del tables[source]
+    def _is_closed(self, key: RowKey) -> bool:
+        return period_of(key.start_ms) <= self.last_closed
+
+    def _is_held(self, source: Source, key: RowKey) -> bool:
+        table = self.tables_by_source.get(source)
+        return table is not None and key in table.rows_by_key
+
+    async def _load_booked(self, wanted: set[RowKey]) -> None:
+        """Read anew what closed periods hold of the rows ``wanted`` of any source."""
+        lines = await self.closed.booked(wanted)
+        for table in self.booked_by_source.values():
+            for key in wanted:
+                table.drop(key)
+        for line in lines:
+            self._book(line)
+
+    def _book(self, line: Line) -> None:
+        booked = self.booked_by_source.setdefault(line.source, CellTable())
+        booked.add(line.key, (line.column,), (line.amount,))
+        if is_minute(line.key):
+            self.booked_minutes.add(line.key)
+
+    def _forget_booked(self) -> None:
+        """Forget rows that closed periods hold in full, and what is booked of them."""
+        kept: set[RowKey] = set()
+        for source, table in list(self.tables_by_source.items()):
+            booked = self.booked_by_source.get(source)
+            for key in list(table.rows_by_key):
+                if self._is_closed(key) and not _grew(table, booked, key):
+                    table.drop(key)
+                    for unsent in self.unsent_by_address.values():
+                        unsent.pop((source, key), None)
+            if table.rows_by_key:
+                kept.update(table.rows_by_key)
+            else:
+                del self.tables_by_source[source]
+        for source, booked in list(self.booked_by_source.items()):
+            for key in booked.rows_by_key.keys() - kept:
+                booked.drop(key)
+            if not booked.rows_by_key:
+                del self.booked_by_source[source]
+        self.booked_minutes &= kept
         self.rows = sum(len(t.rows_by_key) for t in self.tables_by_source.values())
-        self.booked_minutes = {
-            key for key in self.booked_minutes if key.start_ms >= oldest_ms
-        }
+
+    def _forget_histograms(self) -> None:
+        oldest_ms = self.clock.wall_ms() - HISTOGRAMS_KEPT_MS
         oldest_hour = bucket_of(Scope.HOUR, oldest_ms)
         for owner_and_key in list(self.histograms):
             if owner_and_key[1][0] < oldest_hour:
@@ -511,18 +537,16 @@
         digest = self.digests_by_period.get(period)
         if digest is None:
             return PeriodContent(period, "", b"")
-        content = await self._read_lines(CLOSED_PREFIX + period)
-        return PeriodContent(period, digest, zlib.compress(content))
-
-    async def _read_lines(self, name: str) -> bytes:
-        records, _ = split_records(name, await self.disk.read(name), False)
-        if len(records) != 1:
-            raise CorruptRecord(f"{name}: holds {len(records)} records, not one")
-        return decompress(records[0])
+        return PeriodContent(period, digest, await self.closed.compressed(period))
 
     def _kept(self, fault: str) -> AccountsKept:
         return AccountsKept(self.name, self.incarnation, not fault, fault)
 
 
-def _lines_record(content: bytes) -> bytes:
-    return join_records([zlib.compress(content)])
+def _grew(table: CellTable, booked: CellTable | None, key: RowKey) -> bool:
+    """Return whether a row holds more than what is booked of it."""
+    columns = table.layout(key).columns
+    values = zip(columns, table.rows_by_key[key], strict=False)
+    if booked is None:
+        return any(value for _, value in values)
+    return any(value > booked.value(key, column) for column, value in values)
