--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,13 +1,19 @@
 """Tests of the replicated log under seeded faults in virtual time."""
 
+import attrs
 import curio
 import pytest
 
 from tests.fake_cluster import Cluster
-from wagtailrun import consensus, journal, replication
+from tests.fake_disk import FakeDisk
+from wagtailrun import consensus, election, journal, replication
+from wagtailrun.consensus_messages import Join
+from wagtailrun.consensus_timing import Timing
+from wagtailrun.exceptions import DiskFault
 from wagtailrun.virtual_time import run_virtual
 
-SEEDS = range(500)
+# In the last three a closed leader still started tasks that sent heartbeats.
+SEEDS = (*range(500), 1758, 2144, 4143)
 STEPS = 10
 SLOW, FAST = 0.9, 1.1
 
@@ -77,3 +83,265 @@
     cluster = run_virtual(run_schedule, seed)
     assert cluster.violations == []
     assert cluster.acknowledged
+
+
+async def started(clock, seed, **options):
+    """Return a cluster with a leader that has committed ten commands."""
+    cluster = Cluster(clock, seed, **options)
+    await cluster.start()
+    await cluster.propose_many(10)
+    return cluster
+
+
+def others(cluster, *nodes):
+    return [node for node in cluster.nodes if node not in nodes]
+
+
+def isolate(cluster, node):
+    for other in others(cluster, node):
+        cluster.network.cut(node.address, other.address)
+
+
+async def partitioned_leader(clock, seed):
+    """A leader is cut off while the others elect another."""
+    cluster = await started(clock, seed, rates=(SLOW, SLOW, SLOW))
+    isolate(cluster, cluster.leader())
+    await clock.sleep_ms(8_000)
+    return cluster
+
+
+async def all_killed(clock, seed):
+    """Every member is killed just after an acknowledgement."""
+    cluster = await started(clock, seed)
+    for node in cluster.nodes:
+        await node.kill()
+    return cluster
+
+
+async def emptied_voter(clock, seed):
+    """A member that holds a command only with the leader loses its disk."""
+    cluster = await started(clock, seed)
+    leader = cluster.leader()
+    behind, emptied = others(cluster, leader)
+    isolate(cluster, behind)
+    await cluster.propose(leader)
+    await leader.kill()
+    await emptied.kill()
+    emptied.disk.empty()
+    cluster.network.heal()
+    await emptied.start()
+    await clock.sleep_ms(8_000)
+    return cluster
+
+
+async def restarted_voter(clock, seed):
+    """A member that gave its promise restarts beside one that heard no leader."""
+    cluster = await started(clock, seed, rates=(SLOW, SLOW, SLOW))
+    leader = cluster.leader()
+    candidate, restarted = others(cluster, leader)
+    cluster.network.cut(leader.address, candidate.address)
+    await clock.sleep_ms(1_600 + 20 * seed)
+    await restarted.kill()
+    await restarted.start()
+    isolate(cluster, leader)
+    await clock.sleep_ms(3_000)
+    return cluster
+
+
+async def returning_member(clock, seed):
+    """A member comes back after a partition in which it heard nobody."""
+    cluster = await started(clock, seed)
+    leader = cluster.leader()
+    term = leader.member.term
+    isolate(cluster, others(cluster, leader)[0])
+    await clock.sleep_ms(10_000)
+    cluster.network.heal()
+    await clock.sleep_ms(3_000)
+    if leader.member.term != term or not leader.member.is_leader:
+        cluster.report("a returning member deposed the leader")
+    return cluster
+
+
+def no_lease_check(patch):
+    patch.setattr(replication.Replication, "lease_is_valid", lambda self: True)
+
+
+def no_sync(patch):
+    async def append_only(self, name):
+        return
+
+    patch.setattr(FakeDisk, "sync", append_only)
+
+
+def learner_votes(patch):
+    handle_vote = election.Election.handle_vote
+
+    async def answer_for_lost_identity(self, request):
+        own = attrs.evolve(request, recipient=self.member.identity)
+        reply = await handle_vote(self, own)
+        return attrs.evolve(reply, sender=request.recipient)
+
+    patch.setattr(election.Election, "handle_vote", answer_for_lost_identity)
+
+
+def no_restart_wait(patch):
+    must_not_vote = election.Election.must_not_vote
+
+    def unless_restarted(self):
+        return self.member.heard_ms is not None and must_not_vote(self)
+
+    patch.setattr(election.Election, "must_not_vote", unless_restarted)
+
+
+def no_pre_vote(patch):
+    ask_voters = election.Election._ask_voters
+
+    async def skip(self, term, pre_vote):
+        return pre_vote or await ask_voters(self, term, pre_vote)
+
+    patch.setattr(election.Election, "_ask_voters", skip)
+
+
+MUTATIONS = [
+    (no_lease_check, partitioned_leader, "hold a lease at once"),
+    (no_sync, all_killed, "acknowledged but lost"),
+    (learner_votes, emptied_voter, "voted without being a voter"),
+    (learner_votes, emptied_voter, "acknowledged but lost"),
+    (no_restart_wait, restarted_voter, "hold a lease at once"),
+    (no_pre_vote, returning_member, "deposed the leader"),
+]
+
+
+async def run_and_settle(clock, schedule, seed):
+    cluster = await schedule(clock, seed)
+    await cluster.settle()
+    return cluster.violations
+
+
+@pytest.mark.parametrize(
+    ("mutation", "schedule", "violation"),
+    MUTATIONS,
+    ids=lambda value: getattr(value, "__name__", value),
+)
+def test_mutation_is_caught(monkeypatch, mutation, schedule, violation):
+    """Guards against checks that cannot fail: each guard is switched off in turn."""
+    seeds = range(12)
+    for seed in seeds:
+        assert run_virtual(run_and_settle, schedule, seed) == []
+    mutation(monkeypatch)
+    found = [run_virtual(run_and_settle, schedule, seed) for seed in seeds]
+    assert any(violation in text for texts in found for text in texts)
+
+
+def shape(cluster):
+    """Return (voters, learners) of the leader's newest configuration."""
+    leader = cluster.leader()
+    if leader is None:
+        return None
+    members = leader.member.configuration.members
+    voters = sum(info.voter for info in members)
+    return voters, len(members) - voters
+
+
+REPAIR_STEPS = {
+    "emptied": (3, 0),
+    "learner": (3, 1),
+    "old identity removed": (2, 1),
+    "promoted": (3, 0),
+}
+
+
+async def second_loss(clock, seed, repair_step, victim):
+    cluster = await started(clock, seed)
+    leader = cluster.leader()
+    joiner, other = others(cluster, leader)
+    await cluster.propose_many(30)
+    await joiner.kill()
+    joiner.disk.empty()
+    await cluster.propose_many(5)
+    await joiner.start()
+    for name, wanted in REPAIR_STEPS.items():
+        await cluster.wait_for(lambda w=wanted: shape(cluster) == w, f"not {name}")
+        if name == repair_step:
+            break
+    lost = {"leader": leader, "other": other, "joiner": joiner}[victim]
+    await lost.kill()
+    if victim == "joiner":
+        lost.disk.empty()
+    await curio.spawn(cluster.client, 100, daemon=True)
+    await clock.sleep_ms(5_000)
+    await cluster.settle()
+    return cluster.violations
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("victim", ["leader", "other", "joiner"])
+@pytest.mark.parametrize("repair_step", REPAIR_STEPS)
+def test_second_loss_in_a_repair(repair_step, victim, seed):
+    """Guards against loss, or an end of all progress, by a second fault in a repair."""
+    assert run_virtual(second_loss, seed, repair_step, victim) == []
+
+
+async def repeated_losses(clock, seed):
+    """Each member in turn loses its disk as soon as the one before is repaired."""
+    cluster = await started(clock, seed)
+    await curio.spawn(cluster.client, 100, daemon=True)
+    for node in (*cluster.nodes, *cluster.nodes):
+        await node.kill()
+        node.disk.empty()
+        await node.start()
+        await cluster.wait_for(cluster.is_repaired, "not repaired")
+    return cluster
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_each_disk_lost_in_turn(seed):
+    """Guards against a replacement that counts before it holds everything."""
+    assert run_virtual(run_and_settle, repeated_losses, seed) == []
+
+
+@pytest.mark.parametrize("fault", ["sync error", "full"])
+def test_disk_fault_ends_the_part_of_a_member(fault):
+    """Guards against votes or acknowledgements of a member whose disk failed."""
+
+    async def main(clock):
+        cluster = await started(clock, 1)
+        leader = cluster.leader()
+        leader.disk.fault = fault
+        assert not await cluster.propose(leader)
+        leader.disk.fault = None
+        failed = leader.member
+        assert failed.fault is not None
+        await cluster.wait_for(lambda: cluster.leader() not in (None, leader), "none")
+        await clock.sleep_ms(3_000)
+        assert not failed.is_leader
+        with pytest.raises(DiskFault):
+            await failed.handle(Join("m9#1", "10.0.0.1:9"))
+        await cluster.settle()
+        return cluster.violations
+
+    assert run_virtual(main) == []
+
+
+def test_emptied_majority_founds_no_cluster():
+    """Guards against emptied members that begin an empty cluster beside the data."""
+
+    async def main(clock):
+        cluster = await started(clock, 1)
+        for node in cluster.nodes[:2]:
+            await node.kill()
+            node.disk.empty()
+            await node.start()
+        await clock.sleep_ms(20_000)
+        assert cluster.leader() is None
+        assert all(not n.member.journal.record.cluster for n in cluster.nodes[:2])
+        return cluster.violations
+
+    assert run_virtual(main) == []
+
+
+def test_timing_bounds_the_clock_rate():
+    """Guards against a lease that outlasts the promise at the tolerated clock rates."""
+    with pytest.raises(ValueError, match="outlast"):
+        Timing(lease_ms=1_100)
+    Timing(lease_ms=1_060)
--- /dev/null
+++ b/tests/test_file_disk.py
@@ -0,0 +1,85 @@
+"""Tests of durable files on the real file system."""
+
+import os
+
+import curio
+import pytest
+
+from wagtailrun.adapters.file_disk import FileDisk
+from wagtailrun.exceptions import DiskFault
+
+
+def test_contents(tmp_path):
+    """Guards against files whose contents differ from what was written."""
+
+    async def main():
+        disk = FileDisk(tmp_path / "new" / "folder")
+        assert await disk.names() == []
+        assert await disk.read("a") == b""
+        await disk.append("a", b"one")
+        await disk.append("a", b"two")
+        await disk.sync("a")
+        await disk.write("b", b"three")
+        await disk.write("a", b"four")
+        await disk.append("a", b"five")
+        await disk.truncate("a", 6)
+        assert await disk.read("a") == b"fourfi"
+        (tmp_path / "new" / "folder" / "b.tmp").write_bytes(b"left over")
+        assert await disk.names() == ["a", "b"]
+        await disk.remove("b")
+        await disk.remove("b")
+        assert await disk.names() == ["a"]
+        disk.close()
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("call", "arguments", "broken"),
+    [
+        ("append", ("a", b"x"), "write"),
+        ("sync", ("a",), "fdatasync"),
+        ("write", ("a", b"x"), "fdatasync"),
+        ("write", ("a", b"x"), "fsync"),
+        ("truncate", ("a", 0), "ftruncate"),
+    ],
+)
+def test_errors_become_disk_faults(tmp_path, monkeypatch, call, arguments, broken):
+    """Guards against an error of the operating system taken for success."""
+
+    def fail(*arguments):
+        raise OSError(28, "No space left on device")
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        await disk.append("a", b"1")
+        monkeypatch.setattr(os, broken, fail)
+        with pytest.raises(DiskFault, match="No space left") as caught:
+            await getattr(disk, call)(*arguments)
+        assert caught.value.__cause__.errno == 28
+
+    curio.run(main)
+
+
+def test_new_names_are_synced_in_the_folder(tmp_path, monkeypatch):
+    """Guards against a file that is synced but whose name a power loss takes away."""
+    synced = []
+    real = os.fsync
+
+    def fsync(descriptor):
+        synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        real(descriptor)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        for call in (disk.append, disk.write):
+            synced.clear()
+            await call(call.__name__, b"x")
+            assert synced == [str(tmp_path)]
+        synced.clear()
+        await disk.remove("append")
+        assert synced == [str(tmp_path)]
+
+    curio.run(main)
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -28,7 +28,8 @@
     MessageError,
 )
 from wagtailrun.following import Following
-from wagtailrun.journal import Journal, snapshot_checksum
+from wagtailrun.journal import Journal
+from wagtailrun.journal_records import snapshot_checksum
 from wagtailrun.membership_change import MembershipChange
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
@@ -120,6 +121,7 @@
         # Serialises the handling of messages and the start of an election.
         self.lock = curio.Lock()
         self.is_open = False
+        self.is_closed = False
         self.opened = Signal()
         self.failed = curio.Event()
         # A dict keeps the order of cancellation the same in every run.
@@ -162,7 +164,9 @@
         await self.opened.notify()
 
     async def close(self) -> None:
-        """Cancel all tasks."""
+        """Cancel all tasks; none starts after this."""
+        self.is_closed = True
+        self.role = Role.FOLLOWER
         for task in list(self.tasks):
             await task.cancel(blocking=False)
 
@@ -170,6 +174,8 @@
         self, function: Callable[..., Awaitable[None]], *arguments: Any
     ) -> None:
         """Run a task of this member; an error in it stops the member."""
+        if self.is_closed:
+            return
 
         async def guarded() -> None:
             try:
@@ -251,12 +257,15 @@
 
         Raises:
             DiskFault: If this member has stopped.
-            MessageError: If the message is not one of this channel's requests.
+            MessageError: If the message is not one of this channel's requests, or
+                this member is closed.
         """
         while not self.is_open:
             await self.opened.wait()
         if self.fault is not None:
             raise self.fault
+        if self.is_closed:
+            raise MessageError("this member is closed")
         match message:
             case AppendEntries():
                 return await self.following.handle_append(message)
--- a/wagtailrun/following.py
+++ b/wagtailrun/following.py
@@ -13,7 +13,7 @@
     SnapshotPiece,
 )
 from wagtailrun.consensus_state import Role
-from wagtailrun.journal import snapshot_checksum
+from wagtailrun.journal_records import snapshot_checksum
 from wagtailrun.ports.link import Address
 
 if TYPE_CHECKING:
--- a/wagtailrun/journal.py
+++ b/wagtailrun/journal.py
@@ -1,21 +1,17 @@
 """Checksummed log records and snapshots of one member over a ``Disk``.
 
 Files: ``member`` (a ``MemberRecord``), ``snapshot`` (header and data) and log segments
-``log-<number>``, read in the order of their numbers. Each holds frames: magic, payload
-size, xxh3 checksum, payload. The checksum is seeded with the offset of the frame, so a
-frame copied elsewhere is not valid there.
+``log-<number>``, read in the order of their numbers.
 
 A frame is appended only after the one before it was synced. Only the last frame of the
 last segment can therefore be torn by a crash; a bad frame that is followed by a valid
 one was damaged after it had been synced.
 """
 
-import struct
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 import attrs
 import curio
-import xxhash
 
 from wagtailrun.consensus_messages import (
     CODEC,
@@ -27,74 +23,27 @@
     SnapshotHeader,
 )
 from wagtailrun.consensus_state import Signal
-from wagtailrun.exceptions import CorruptRecord, DiskFault, MessageError
+from wagtailrun.exceptions import DiskFault, MessageError
+from wagtailrun.journal_records import (
+    FRAME,
+    batches,
+    corrupt_record,
+    frame,
+    payload_at,
+    snapshot_checksum,
+    valid_frame_after,
+)
 from wagtailrun.ports.disk import Disk
 
-__all__ = ["Journal", "snapshot_checksum"]
+__all__ = ["Journal"]
 
 MEMBER_FILE = "member"
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_PREFIX = "log-"
-FRAME = struct.Struct("<4sIQ")
-MAGIC = b"WTL1"
-# Bounds one frame, and so the memory of one write.
-MAX_FRAME_BYTES = 1024 * 1024
 # Entries kept behind a snapshot, so that a follower that lags a little needs no
 # snapshot transfer.
 RETAINED_ENTRIES = 256
 RETAINED_BYTES = 4 * 1024 * 1024
-REMEDY = (
-    "stop the process, keep a copy of the data folder, empty it and start again: the "
-    "member then rejoins as a new learner"
-)
-
-
-def snapshot_checksum(data: bytes) -> int:
-    """Return the checksum that a snapshot header carries for ``data``."""
-    return xxhash.xxh3_64_intdigest(data)
-
-
-def _frame(payload: bytes, offset: int) -> bytes:
-    checksum = xxhash.xxh3_64_intdigest(payload, seed=offset)
-    return FRAME.pack(MAGIC, len(payload), checksum) + payload
-
-
-def _payload_at(data: bytes, offset: int) -> bytes | None:
-    """Return the payload of the frame at ``offset``, or None if it is not valid."""
-    if offset + FRAME.size > len(data):
-        return None
-    magic, size, checksum = FRAME.unpack_from(data, offset)
-    payload = data[offset + FRAME.size : offset + FRAME.size + size]
-    if magic != MAGIC or len(payload) != size:
-        return None
-    valid = xxhash.xxh3_64_intdigest(payload, seed=offset) == checksum
-    return payload if valid else None
-
-
-def _valid_frame_after(data: bytes, offset: int) -> bool:
-    position = data.find(MAGIC, offset + 1)
-    while position >= 0:
-        if _payload_at(data, position) is not None:
-            return True
-        position = data.find(MAGIC, position + 1)
-    return False
-
-
-def _corrupt(name: str, offset: int, problem: str) -> CorruptRecord:
-    return CorruptRecord(f"file {name!r}, offset {offset}: {problem}; {REMEDY}")
-
-
-def _batches(entries: list[Entry]) -> Iterator[list[Entry]]:
-    """Split ``entries`` into lists of at most about ``MAX_FRAME_BYTES``."""
-    batch, size = [], 0
-    for entry in entries:
-        if batch and size + len(entry.data) > MAX_FRAME_BYTES:
-            yield batch
-            batch, size = [], 0
-        batch.append(entry)
-        size += len(entry.data)
-    if batch:
-        yield batch
 
 
 @attrs.define
@@ -213,7 +162,7 @@
             return
         self.record = self._decode(MEMBER_FILE, await self.disk.read(MEMBER_FILE))
         if not segments:
-            raise _corrupt(MEMBER_FILE, 0, "the log segments are missing")
+            raise corrupt_record(MEMBER_FILE, 0, "the log segments are missing")
         if SNAPSHOT_FILE in names:
             self.snapshot, _ = await self._read_snapshot()
         for name in segments:
@@ -235,35 +184,39 @@
         if names:
             contents = [await self.disk.read(name) for name in names]
             if names != [self._segment_name()] or contents != [b""]:
-                raise _corrupt(MEMBER_FILE, 0, f"missing, though there is {names}")
+                raise corrupt_record(
+                    MEMBER_FILE, 0, f"missing, though there is {names}"
+                )
         await self.disk.write(self._segment_name(), b"")
         await self.save_record(MemberRecord(new_identity))
 
     def _decode(self, name: str, data: bytes, offset: int = 0) -> object:
-        payload = _payload_at(data, offset)
+        payload = payload_at(data, offset)
         if payload is None:
-            raise _corrupt(name, offset, "the checksum does not match")
+            raise corrupt_record(name, offset, "the checksum does not match")
         try:
             return CODEC.decode(payload)
         except MessageError as error:
-            raise _corrupt(name, offset, str(error)) from error
+            raise corrupt_record(name, offset, str(error)) from error
 
     async def _read_snapshot(self) -> tuple[SnapshotHeader, bytes]:
         data = await self.disk.read(SNAPSHOT_FILE)
         header = self._decode(SNAPSHOT_FILE, data)
         contents = data[len(data) - header.size :]
         if snapshot_checksum(contents) != header.checksum:
-            raise _corrupt(SNAPSHOT_FILE, len(data) - header.size, "wrong checksum")
+            raise corrupt_record(
+                SNAPSHOT_FILE, len(data) - header.size, "wrong checksum"
+            )
         return header, contents
 
     async def _read_segment(self, name: str, is_last: bool) -> None:
         data = await self.disk.read(name)
         offset = 0
         while offset < len(data):
-            payload = _payload_at(data, offset)
+            payload = payload_at(data, offset)
             if payload is None:
-                if not is_last or _valid_frame_after(data, offset):
-                    raise _corrupt(name, offset, "the checksum does not match")
+                if not is_last or valid_frame_after(data, offset):
+                    raise corrupt_record(name, offset, "the checksum does not match")
                 await self.disk.truncate(name, offset)
                 break
             for entry in self._decode(name, data, offset).entries:
@@ -303,7 +256,7 @@
         expected = self.first_index
         if expected > self.snapshot_index + 1:
             detail = f"entries {self.snapshot_index + 1} to {expected - 1} are missing"
-            raise _corrupt(name, 0, detail)
+            raise corrupt_record(name, 0, detail)
 
     # Writing
 
@@ -312,7 +265,7 @@
         async with self._files:
             self._check_fault()
             try:
-                await self.disk.write(MEMBER_FILE, _frame(CODEC.encode(record), 0))
+                await self.disk.write(MEMBER_FILE, frame(CODEC.encode(record), 0))
             except DiskFault as error:
                 await self._fail(error)
                 raise
@@ -359,7 +312,7 @@
             async with self._files:
                 batch, self._batch = self._batch, Batch(ticket=self._batch.ticket)
                 try:
-                    for entries in _batches(batch.entries):
+                    for entries in batches(batch.entries):
                         await self._write_frame(entries)
                 except DiskFault as error:
                     await self._fail(error)
@@ -373,11 +326,11 @@
 
     async def _write_frame(self, entries: list[Entry]) -> None:
         payload = CODEC.encode(EntryBatch(tuple(entries)))
-        frame = _frame(payload, self._segment_size)
+        data = frame(payload, self._segment_size)
         name = self._segment_name()
-        await self.disk.append(name, frame)
+        await self.disk.append(name, data)
         await self.disk.sync(name)
-        self._segment_size += len(frame)
+        self._segment_size += len(data)
 
     async def _fail(self, error: DiskFault) -> None:
         self.fault = error
@@ -407,7 +360,7 @@
                 raise
 
     async def _replace_files(self, header: SnapshotHeader, data: bytes) -> None:
-        contents = _frame(CODEC.encode(header), 0) + data
+        contents = frame(CODEC.encode(header), 0) + data
         await self.disk.write(SNAPSHOT_FILE, contents)
         matches = self.term_at(header.index) == header.term
         self.snapshot = header
@@ -426,9 +379,9 @@
         old_name = self._segment_name()
         self._segment += 1
         segment = b""
-        for entries in _batches(self.entries):
+        for entries in batches(self.entries):
             payload = CODEC.encode(EntryBatch(tuple(entries)))
-            segment += _frame(payload, len(segment))
+            segment += frame(payload, len(segment))
         await self.disk.write(self._segment_name(), segment)
         self._segment_size = len(segment)
         await self.disk.remove(old_name)
