--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -83,6 +83,7 @@
         apply(change("n3", 7, day_later))
         with mock.patch.object(module, "MAX_CHANGES", 3):
             assert not apply(change("flood", 8, day_later)).accepted
+            assert apply.registry.audit_records[-1].verdict == "refused"
             late = day_later + module.CHANGE_RETENTION_MS + 1
             assert apply(change("flood", 8, late)).accepted
 
@@ -192,6 +193,9 @@
     apply(opening())
     apply(opening("k2", life=10**12))
     due_ms = T0 + 4_000 + module.OVERDUE_GRACE_MS
+    # A closed order makes no sweep due.
+    apply(opening("k3", life=1_000))
+    apply(closing("not-run", key="k3"))
     assert not apply.registry.sweep_is_due(due_ms)
     apply.restart()
     assert apply.registry.sweep_is_due(due_ms + 1)
--- a/wagtailrun/registry.py
+++ b/wagtailrun/registry.py
@@ -63,6 +63,7 @@
 HEAP_SLACK = 1_000
 IDENTITY_BYTES = 16
 MAX_SHARED_NUMBERS = 10_000
+VERDICTS = frozenset(Verdict)
 
 CHANGES_KEPT = 10_000
 CHANGE_RETENTION_MS = DAY_MS
@@ -224,7 +225,12 @@
 
     def sweep_is_due(self, wall_ms: int) -> bool:
         """Return whether a ``SweepOrders`` at ``wall_ms`` would change anything."""
-        if self.overdue_heap and self.overdue_heap[0][0] < wall_ms:
+        heap = self.overdue_heap
+        while heap and not self._is_open(heap[0]):
+            # Closed attempts alone must not cause a command. Dropping them here is
+            # safe, because they change no result of a sweep.
+            heapq.heappop(heap)
+        if heap and heap[0][0] < wall_ms:
             return True
         oldest = next(iter(self.orders_by_key.values()), None)
         return oldest is not None and oldest.opened_ms + KEY_RETENTION_MS < wall_ms
@@ -252,16 +258,17 @@
             return known
         self._forget_changes()
         refusal = self._cannot_remember(command)
+        before = self.revision
         if refusal:
             # Nothing changed, so a resend may be judged anew.
-            return TextVerdict(False, self.revision, refusal)
-        verdict = self._judge_text(command)
-        before = self.revision
+            verdict = TextVerdict(False, self.revision, refusal)
+        else:
+            verdict = self._judge_text(command)
+            self.changes_by_id[command.change_id] = verdict
+            self.change_order.append((self.now_ms, command.change_id))
         if verdict.accepted:
             self.text = command.text
             self.revision = verdict.revision
-        self.changes_by_id[command.change_id] = verdict
-        self.change_order.append((self.now_ms, command.change_id))
         text_digest = hashlib.sha256(command.text.encode()).hexdigest()
         self._audit(
             command,
@@ -376,7 +383,7 @@
         key = OrderKey(command.workspace, command.key)
         record = self.orders_by_key.get(key)
         withdrawal = not command.attempt
-        if command.verdict not in set(Verdict) or (
+        if command.verdict not in VERDICTS or (
             withdrawal and command.verdict != Verdict.NOT_RUN
         ):
             return self.find_order(key)
