Keep killed entries of the order schedules from sending after a thaw

An entry that was frozen and then killed went on after its thaw and opened an attempt that nobody could close before the check. Conclusion: the harness now kills a process at any point, also while it is frozen.

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -53,10 +53,10 @@
         self.runner = OrderRunner(world.clock, client, self, name, incarnation, rng)
 
     async def runnable(self):
-        if self.dead:
-            await curio.sleep(10**6)
         while self.world.clock.now_ms() < self.thaw_ms:
             await self.world.clock.sleep_ms(10)
+        if self.dead:
+            await curio.sleep(10**6)
 
     async def call(self, work):
         """Run the order, fail, or lose the answer, as the dispatcher would tell."""
