Use smaller messages for forwarded announcements

Forwards have a message of their own, and an entry that forwards much puts fewer records of growth into gossip.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark scripts; each has ``run() -> list[dict]``."""
--- a/wagtailrun/schema/spread.capnp
+++ b/wagtailrun/schema/spread.capnp
@@ -12,6 +12,8 @@
     spreadFetch @6 :SpreadFetch;
     spreadStatus @7 :SpreadStatus;
     spreadReport @8 :SpreadReport;
+    spreadGrowth @9 :SpreadGrowth;
+    spreadHeard @10 :SpreadHeard;
   }
 }
 
@@ -78,6 +80,8 @@
   members @3 :List(Text);
 }
 
+struct SpreadGrowth { growth @0 :Data; }
+struct SpreadHeard {}
 struct SpreadTaken { term @0 :UInt64; revision @1 :UInt64; alive @2 :Bool; }
 struct SpreadProbe { address @0 :Address; }
 struct SpreadAsk { names @0 :List(Text); }
--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -22,6 +22,8 @@
     SpreadAsk,
     SpreadExchange,
     SpreadFetch,
+    SpreadGrowth,
+    SpreadHeard,
     SpreadProbe,
     SpreadReport,
     SpreadRows,
@@ -47,8 +49,11 @@
 # Every fourth round goes to a seed or an entry held to be dead, which joins the two
 # sides again after a partition.
 REJOIN_ROUNDS = 4
-# Limits of one message, from 4 KB/s for two exchanges and two replies a second.
+# Limits of one message, from 4 KB/s for two exchanges and two replies a second. An
+# entry that hears many targets spends its share on forwards: beyond the usual number a
+# round, each takes the place of one record of growth in gossip.
 GROWTH_PER_MESSAGE = 12
+USUAL_FORWARDS = 5
 ROWS_PER_MESSAGE = 40
 CONFIRMATIONS_PER_MESSAGE = 64
 MAX_HOOK_BYTES = 64 * 1024
@@ -151,6 +156,9 @@
                     members = list(message.members)
                     await curio.spawn(self.contact.push, members, message, daemon=True)
                 return SpreadTaken(*self.version)
+            case SpreadGrowth():
+                self.targets.take_growth(message.growth)
+                return SpreadHeard()
             case SpreadAsk():
                 return self.targets.answer(message)
             case SpreadProbe():
@@ -350,7 +358,8 @@
             # The partner can only refute what it is told.
             entries.append(row.name)
         grown = membership.growth_log.since(sent.growth)
-        growth = list(itertools.islice(grown, GROWTH_PER_MESSAGE))
+        extra = max(self.targets.forwards - USUAL_FORWARDS, 0)
+        growth = list(itertools.islice(grown, max(GROWTH_PER_MESSAGE - extra, 0)))
         confirmed = list(peers.confirmed_log.since(sent.confirmed))
         if not local:
             targets = [name for name in targets if self._is_offered(name)]
--- a/wagtailrun/spread_messages.py
+++ b/wagtailrun/spread_messages.py
@@ -22,6 +22,8 @@
     "SpreadAsk",
     "SpreadExchange",
     "SpreadFetch",
+    "SpreadGrowth",
+    "SpreadHeard",
     "SpreadProbe",
     "SpreadReport",
     "SpreadRows",
@@ -140,6 +142,18 @@
     members: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class SpreadGrowth:
+    """Packed ``Growth`` records for a watcher; small, because it is the most sent."""
+
+    growth: bytes
+
+
+@attrs.frozen
+class SpreadHeard:
+    """Answers ``SpreadGrowth``."""
+
+
 @attrs.frozen
 class SpreadTaken:
     """Answers a push or a probe; names the revision in force."""
@@ -297,6 +311,8 @@
     [
         SpreadExchange,
         SpreadRows,
+        SpreadGrowth,
+        SpreadHeard,
         SpreadTaken,
         SpreadProbe,
         SpreadAsk,
--- a/wagtailrun/spread_targets.py
+++ b/wagtailrun/spread_targets.py
@@ -10,6 +10,7 @@
     EntryRow,
     Growth,
     SpreadAsk,
+    SpreadGrowth,
     SpreadRows,
     incarnation_check,
     pack_growth,
@@ -57,6 +58,8 @@
         self.membership = membership
         self.was_isolated = False
         self.asking = False
+        # Messages in the last round of forwards.
+        self.forwards = 0
         self.confirm_until_ms = 0
         self.watchers_by_name: dict[str, list[str]] = {}
         self.known_for = (-1, -1)
@@ -302,13 +305,14 @@
                 for watcher in self.watchers(name):
                     names_by_watcher.setdefault(watcher, []).append(name)
             names_by_watcher.pop(self.peers.name, None)
+            self.forwards = len(names_by_watcher)
             async with curio.TaskGroup() as group:
                 for watcher, heard in names_by_watcher.items():
                     await group.spawn(self._forward, watcher, heard)
 
     async def _forward(self, watcher: str, names: list[str]) -> None:
         row = self.peers.rows_by_name[watcher]
-        message = SpreadRows(growth=self.growth(names))
+        message = SpreadGrowth(self.growth(names))
         try:
             await self.contact.call(row.address, message, PUSH_TIMEOUT_MS)
             self.contact.heard(row.data_centre)
