Do not page through changes that the partner most likely has

Cause: after a start of all entries together, pairs that first met early sent each other the rest of the target rows in pages, 40 rows a message, though both had them.

A question with many changes sends none of them; the answer compares digests.

--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -427,7 +427,8 @@
     """Return the names to send to a partner, and its mark afterwards.
 
     A partner that was sent nothing yet gets everything in an answer if the digest in
-    its question differs, and nothing in a question, where its digest is not known.
+    its question differs, and nothing in a question, where its digest is not known; it
+    most likely has the rows from others already. So it is with many changes.
 
     Args:
         log: Changes.
@@ -436,8 +437,9 @@
     """
     if digest == log.digest:
         return [], log.number
+    names, next_mark = log.oldest_since(mark, ROWS_PER_MESSAGE)
+    if digest is None and (not mark or len(names) == ROWS_PER_MESSAGE):
+        return [], mark
     if mark:
-        return log.oldest_since(mark, ROWS_PER_MESSAGE)
-    if digest is None:
-        return [], 0
+        return names, next_mark
     return log.oldest_since(0, len(log.stamps))
