--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -22,6 +22,8 @@
     SpreadAsk,
     SpreadExchange,
     SpreadFetch,
+    SpreadGrowth,
+    SpreadHeard,
     SpreadProbe,
     SpreadReport,
     SpreadRows,
@@ -47,8 +49,11 @@
 # Every fourth round goes to a seed or an entry held to be dead, which joins the two
 # sides again after a partition.
 REJOIN_ROUNDS = 4
-# Limits of one message, from 4 KB/s for two exchanges and two replies a second.
+# Limits of one message, from 4 KB/s for two exchanges and two replies a second. An
+# entry that hears many targets spends its share on forwards: beyond the usual number a
+# round, each takes the place of one record of growth in gossip.
 GROWTH_PER_MESSAGE = 12
+USUAL_FORWARDS = 5
 ROWS_PER_MESSAGE = 40
 CONFIRMATIONS_PER_MESSAGE = 64
 MAX_HOOK_BYTES = 64 * 1024
@@ -151,6 +156,9 @@
                     members = list(message.members)
                     await curio.spawn(self.contact.push, members, message, daemon=True)
                 return SpreadTaken(*self.version)
+            case SpreadGrowth():
+                self.targets.take_growth(message.growth)
+                return SpreadHeard()
             case SpreadAsk():
                 return self.targets.answer(message)
             case SpreadProbe():
@@ -350,7 +358,8 @@
             # The partner can only refute what it is told.
             entries.append(row.name)
         grown = membership.growth_log.since(sent.growth)
-        growth = list(itertools.islice(grown, GROWTH_PER_MESSAGE))
+        extra = max(self.targets.forwards - USUAL_FORWARDS, 0)
+        growth = list(itertools.islice(grown, max(GROWTH_PER_MESSAGE - extra, 0)))
         confirmed = list(peers.confirmed_log.since(sent.confirmed))
         if not local:
             targets = [name for name in targets if self._is_offered(name)]
@@ -418,7 +427,8 @@
     """Return the names to send to a partner, and its mark afterwards.
 
     A partner that was sent nothing yet gets everything in an answer if the digest in
-    its question differs, and nothing in a question, where its digest is not known.
+    its question differs, and nothing in a question, where its digest is not known; it
+    most likely has the rows from others already. So it is with many changes.
 
     Args:
         log: Changes.
@@ -427,8 +437,9 @@
     """
     if digest == log.digest:
         return [], log.number
+    names, next_mark = log.oldest_since(mark, ROWS_PER_MESSAGE)
+    if digest is None and (not mark or len(names) == ROWS_PER_MESSAGE):
+        return [], mark
     if mark:
-        return log.oldest_since(mark, ROWS_PER_MESSAGE)
-    if digest is None:
-        return [], 0
+        return names, next_mark
     return log.oldest_since(0, len(log.stamps))
