Split the control daemon; keep accounts, metrics and closed periods on it

Cause: control.py held service and daemon; account rows had no receiver, so entries kept them for ever; nothing closed a period; the long poll sent whole texts. Ruled out: a thread per part (one kernel, one task a part). Conclusion: the log of a control member moved to DATA_FOLDER/consensus. Engine control and the list of targets on control members are still to be connected.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -17,8 +17,8 @@
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import decode, encode
-from wagtailrun.control import ControlService
 from wagtailrun.control_client import ControlClient
+from wagtailrun.control_service import ControlService
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
 from wagtailrun.fleet import parse_fleet_text
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -8,10 +8,10 @@
 import pytest
 
 from tests.fake_network import FakeNetwork
-from wagtailrun import control
+from wagtailrun import control_service
 from wagtailrun import registry_messages as rm
-from wagtailrun.control import ControlService
 from wagtailrun.control_client import ISOLATION_MS, ControlClient
+from wagtailrun.control_service import ControlService
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.local_log import LocalLog
 from wagtailrun.ports.link import Address
@@ -216,7 +216,7 @@
     refused = await ask(change("b", 0, other), 2_000)
     assert '-name = "one"' in refused.difference
     assert '+name = "two"' in refused.difference
-    many = "".join(f"# {n}\n" for n in range(control.MAX_DIFFERENCE_LINES + 1))
+    many = "".join(f"# {n}\n" for n in range(control_service.MAX_DIFFERENCE_LINES + 1))
     long = await ask(change("c", 0, TEXT + many), 2_000)
     assert "lines 4 to 3 of revision 1 differ" in long.difference
     assert cluster.registry.revision == 1
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -13,7 +13,7 @@
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import SystemClock
-from wagtailrun.control import ControlService
+from wagtailrun.control_service import ControlService
 from wagtailrun.cost_cells import Source, WorkKind
 from wagtailrun.events import EVENT_LOG, EventLog
 from wagtailrun.exceptions import (
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -1,13 +1,13 @@
 """Control daemon: a member of the agreed state, and its interfaces."""
 
-import difflib
 import errno
+from pathlib import Path
 from typing import Any
 
-import attrs
 import curio
 
 from wagtailrun import events
+from wagtailrun.account_store import AccountStore
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_server import (
     HttpServer,
@@ -16,260 +16,129 @@
     json_response,
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
-from wagtailrun.clock import Clock, SystemClock
-from wagtailrun.codec import Channel, codec_of, encode
+from wagtailrun.clock import SystemClock
+from wagtailrun.codec import Channel, codec_of
 from wagtailrun.consensus import Member
 from wagtailrun.control_client import ControlClient
-from wagtailrun.exceptions import (
-    ConsensusUnavailable,
-    DiskFault,
-    FleetTextError,
-    MessageError,
-)
-from wagtailrun.fleet import parse_fleet_text
-from wagtailrun.messages import Ping, Pong
+from wagtailrun.control_service import ControlService
+from wagtailrun.exceptions import DiskFault
+from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import MAX_TEXT_BYTES, OperatorApi
-from wagtailrun.ports.log import ReplicatedLog
-from wagtailrun.registry import OrderKey, Registry
-from wagtailrun.registry_messages import (
-    ApplyText,
-    CloseEngineOrder,
-    CloseOrder,
-    ClosePeriod,
-    ExportAudit,
-    FindOrder,
-    GrantController,
-    ListOrders,
-    NotLeader,
-    OpenOrder,
-    PutEngineOrder,
-    RecordMembers,
-    SweepOrders,
-    TextUpdate,
-    TextVerdict,
-    Unavailable,
-    WatchText,
-)
+from wagtailrun.period_closing import PeriodCloser
+from wagtailrun.registry import Registry
 from wagtailrun.settings import ControlSettings
 
-__all__ = ["ControlService", "run_control"]
+__all__ = ["Control", "run_control"]
 
-PROPOSE_TIMEOUT_MS = 2_000
-SWEEP_INTERVAL_MS = 1_000
-WATCH_POLL_MS = 50
-MAX_LISTED_ORDERS = 1_000
-# Parsing is pure Python; a longer text would hold up the heartbeats of this member.
-MAX_INLINE_TEXT_CHARS = 32 * 1024
-# difflib takes quadratic time in the number of lines at worst.
-MAX_DIFFERENCE_LINES = 300
-MAX_DIFFERENCE_CHARS = 16 * 1024
+GAUGE_INTERVAL_MS = 1_000
 
 
-class ControlService:
-    """Answers entries and other control members.
+class Control:
+    """All parts of one control process.
 
     Args:
-        clock: Clock.
-        name: Name of this VM.
-        registry: Local copy of the agreed state.
-        log: Log that drives it.
+        settings: Checked settings.
     """
 
-    def __init__(self, clock: Clock, name: str, registry: Registry, log: ReplicatedLog):
-        self.clock = clock
-        self.name = name
-        self.registry = registry
-        self.log = log
-
-    async def handle(self, message: Any) -> Any:
-        """Answer one message of a peer."""
-        match message:
-            case ApplyText():
-                return await self._apply_text(message)
-            case (
-                OpenOrder()
-                | CloseOrder()
-                | GrantController()
-                | PutEngineOrder()
-                | CloseEngineOrder()
-                | ClosePeriod()
-                | RecordMembers()
-            ):
-                return await self.propose(message)
-            case FindOrder() | ListOrders() | ExportAudit():
-                return await self._ask(message)
-            case WatchText():
-                return await self._watch(message)
-            case Ping():
-                return Pong(self.name)
-        raise MessageError(f"{type(message).__name__} is not answered here")
-
-    async def propose(self, message: Any) -> Any:
-        """Commit a command, stamped with this member's time, and return its result."""
-        if not self.log.is_leader:
-            return self._not_leader()
-        wall_ms = self.clock.wall_ms()
-        if isinstance(message, OpenOrder):
-            # The entry's wall clock may differ; only the time left counts.
-            remaining_ms = message.deadline_ms - message.now_ms
-            deadline_ms = max(wall_ms + remaining_ms, 0)
-            message = attrs.evolve(message, deadline_ms=deadline_ms)
-        stamped = attrs.evolve(message, now_ms=wall_ms)
-        try:
-            return await self.log.propose(encode(stamped), PROPOSE_TIMEOUT_MS)
-        except ConsensusUnavailable as error:
-            return _unavailable(error)
-
-    async def sweep(self) -> None:
-        """Close overdue orders for as long as this member leads."""
-        while True:
-            await self.clock.sleep_ms(SWEEP_INTERVAL_MS)
-            # A sweep that changes nothing would cost a synced record each second.
-            if self.log.is_leader and self.registry.sweep_is_due(self.clock.wall_ms()):
-                await self.propose(SweepOrders(0))
-
-    async def _apply_text(self, message: ApplyText) -> Any:
-        if not self.log.is_leader:
-            return self._not_leader()
-        fault = ""
-        if message.change_id not in self.registry.changes_by_id:
-            fault = await _check_text(message.text)
-        verdict = await self.propose(attrs.evolve(message, fault=fault))
-        stale = isinstance(verdict, TextVerdict) and (
-            not verdict.accepted and message.base_revision != verdict.revision
+    def __init__(self, settings: ControlSettings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.registry = Registry()
+        self.metrics = Metrics()
+        link = TcpPeerLink(settings.peer_secret)
+        folder = Path(settings.data_folder)
+        self.member = Member(
+            self.clock,
+            link,
+            FileDisk(folder / "consensus"),
+            self.registry,
+            settings.name,
+            settings.peer_address,
+            peers=settings.control_peers,
+            bootstrap=settings.bootstrap,
         )
-        if not stale:
-            return verdict
-        difference = _difference(self.registry, message.text)
-        return attrs.evolve(verdict, difference=difference)
-
-    async def _ask(self, message: FindOrder | ListOrders | ExportAudit) -> Any:
-        """Answer a question from state that holds every earlier commit."""
-        if not self.log.is_leader:
-            return self._not_leader()
-        try:
-            await self.log.barrier(PROPOSE_TIMEOUT_MS)
-        except ConsensusUnavailable as error:
-            return _unavailable(error)
-        match message:
-            case FindOrder():
-                key = OrderKey(message.workspace, message.key)
-                return self.registry.find_order(key)
-            case ListOrders():
-                limit = min(message.limit, MAX_LISTED_ORDERS)
-                return self.registry.list_orders(message.workspace, limit)
-        return self.registry.audit.export(message.first, message.limit)
-
-    async def _watch(self, message: WatchText) -> TextUpdate:
-        """Return a newer text, or the known revision when the wait is over."""
-        give_up_ms = self.clock.now_ms() + message.wait_ms
-        while self.registry.revision <= message.revision:
-            if self.clock.now_ms() >= give_up_ms:
-                return TextUpdate(message.revision)
-            await self.clock.sleep_ms(WATCH_POLL_MS)
-        return TextUpdate(self.registry.revision, text=self.registry.text)
-
-    def _not_leader(self) -> NotLeader:
-        return NotLeader(str(self.log.leader_address or ""))
-
-
-def _unavailable(error: ConsensusUnavailable) -> Unavailable:
-    return Unavailable(str(error), error.may_have_committed, error.retry_after_ms)
-
-
-async def _check_text(text: str) -> str:
-    """Return why the text cannot be accepted, or an empty string."""
-    try:
-        if len(text) > MAX_INLINE_TEXT_CHARS:
-            await curio.run_in_thread(parse_fleet_text, text)
-        else:
-            parse_fleet_text(text)
-    except FleetTextError as error:
-        return str(error) or "the text is not acceptable"
-    return ""
-
-
-def _difference(registry: Registry, proposed: str) -> str:
-    """Return the bounded unified difference from the current text to ``proposed``."""
-    current_lines = registry.text.splitlines()
-    proposed_lines = proposed.splitlines()
-    start = 0
-    shortest = min(len(current_lines), len(proposed_lines))
-    while start < shortest and current_lines[start] == proposed_lines[start]:
-        start += 1
-    end = 0
-    while (
-        end < shortest - start and current_lines[-1 - end] == proposed_lines[-1 - end]
-    ):
-        end += 1
-    before = current_lines[start : len(current_lines) - end]
-    after = proposed_lines[start : len(proposed_lines) - end]
-    if max(len(before), len(after)) > MAX_DIFFERENCE_LINES:
-        return (
-            f"lines {start + 1} to {start + len(before)} of revision "
-            f"{registry.revision} differ from {len(after)} proposed lines"
+        self.service = ControlService(
+            self.clock, settings.name, self.registry, self.member
+        )
+        self.accounts = AccountStore(
+            self.clock,
+            FileDisk(folder / "accounts"),
+            settings.name,
+            settings.control_peers,
+            link,
+        )
+        self.closer = PeriodCloser(self.service, self.accounts)
+        members = [settings.peer_address, *settings.control_peers]
+        self.operators = OperatorApi(
+            self.registry,
+            ControlClient(self.clock, link, members),
+            settings.operator_credential,
+            self.accounts,
+            metrics=self.metrics,
         )
-    label = f"revision {registry.revision}"
-    lines = difflib.unified_diff(before, after, label, "proposed", lineterm="")
-    header = f"first differing line: {start + 1}"
-    return "\n".join([header, *lines])[:MAX_DIFFERENCE_CHARS]
-
-
-async def run_control(settings: ControlSettings) -> None:
-    """Run a control process until it is told to stop.
-
-    Raises:
-        DiskFault: If a write or sync failed. A full disk leaves the process running,
-            not ready, so that the operator sees why.
-        CorruptRecord: If the data folder holds a damaged record.
-    """
-    clock = SystemClock()
-    registry = Registry()
-    link = TcpPeerLink(settings.peer_secret)
-    log = Member(
-        clock,
-        link,
-        FileDisk(settings.data_folder),
-        registry,
-        settings.name,
-        settings.peer_address,
-        peers=settings.control_peers,
-        bootstrap=settings.bootstrap,
-    )
-    service = ControlService(clock, settings.name, registry, log)
-    members = [settings.peer_address, *settings.control_peers]
-    operators = OperatorApi(
-        registry, ControlClient(clock, link, members), settings.operator_credential
-    )
-
-    async def handle_peer(message: Any) -> Any:
-        if codec_of(message).channel is Channel.CONSENSUS:
-            return await log.handle(message)
-        return await service.handle(message)
 
-    async def handle_operator(request: Request) -> Response:
-        if request.path == "/readyz" and log.fault is not None:
-            value = {"status": "stopped", "detail": str(log.fault)}
+    async def run(self) -> None:
+        """Take part until a fault or a signal ends the process.
+
+        Raises:
+            DiskFault: If a write or sync failed. A full disk leaves the process
+                running, not ready, so that the operator sees why.
+            CorruptRecord: If the data folder holds a damaged record.
+        """
+        await self.accounts.open()
+        server = HttpServer(
+            self.settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
+        )
+        events.log(events.PROCESS_STARTED, role="control", name=self.settings.name)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(
+                serve_peers,
+                self.settings.peer_address,
+                self.settings.peer_secret,
+                self.handle_peer,
+            )
+            await group.spawn(server.serve)
+            await group.spawn(self.service.sweep)
+            await group.spawn(self.accounts.run)
+            await group.spawn(self.closer.run)
+            await group.spawn(self._update_gauges)
+            await group.spawn(self._take_part)
+        if group.exception is not None:
+            raise group.exception
+
+    async def handle_peer(self, message: Any) -> Any:
+        """Answer one message of another process of the system."""
+        channel = codec_of(message).channel
+        if channel is Channel.CONSENSUS:
+            return await self.member.handle(message)
+        if channel is Channel.ACCOUNTS:
+            return await self.accounts.handle(message)
+        return await self.service.handle(message)
+
+    async def handle_operator(self, request: Request) -> Response:
+        """Answer one request of an operator or of the platform."""
+        if request.path == "/readyz" and self.member.fault is not None:
+            value = {"status": "stopped", "detail": str(self.member.fault)}
             return json_response(503, value)
-        return await operators.handle(request)
+        return await self.operators.handle(request)
 
-    async def take_part() -> None:
+    async def _take_part(self) -> None:
         try:
-            await log.run()
+            await self.member.run()
         except DiskFault as error:
             cause = error.__cause__
             if not isinstance(cause, OSError) or cause.errno != errno.ENOSPC:
                 raise
             await curio.Event().wait()
 
-    server = HttpServer(settings.operator_address, handle_operator, MAX_TEXT_BYTES)
-    events.log(events.PROCESS_STARTED, role="control", name=settings.name)
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(
-            serve_peers, settings.peer_address, settings.peer_secret, handle_peer
-        )
-        await group.spawn(server.serve)
-        await group.spawn(service.sweep)
-        await group.spawn(take_part)
-    if group.exception is not None:
-        raise group.exception
+    async def _update_gauges(self) -> None:
+        while True:
+            self.metrics.ready.set(self.member.fault is None)
+            self.metrics.revision.set(self.registry.revision)
+            self.metrics.rows.set(self.accounts.rows)
+            await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
+
+
+async def run_control(settings: ControlSettings) -> None:
+    """Run a control process until it is told to stop; see ``Control.run``."""
+    await Control(settings).run()
--- /dev/null
+++ b/wagtailrun/control_service.py
@@ -0,0 +1,187 @@
+"""Answers entries, operators and other control members from the agreed state."""
+
+import difflib
+from typing import Any
+
+import attrs
+import curio
+
+from wagtailrun.clock import Clock
+from wagtailrun.codec import encode
+from wagtailrun.exceptions import ConsensusUnavailable, FleetTextError, MessageError
+from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.messages import Ping, Pong
+from wagtailrun.ports.log import ReplicatedLog
+from wagtailrun.registry import OrderKey, Registry
+from wagtailrun.registry_messages import (
+    ApplyText,
+    CloseEngineOrder,
+    CloseOrder,
+    ClosePeriod,
+    ExportAudit,
+    FindOrder,
+    GrantController,
+    ListOrders,
+    NotLeader,
+    OpenOrder,
+    PutEngineOrder,
+    RecordMembers,
+    SweepOrders,
+    TextVerdict,
+    Unavailable,
+    WatchText,
+)
+from wagtailrun.text_watch import TextWatch
+
+__all__ = ["MAX_INLINE_TEXT_CHARS", "ControlService"]
+
+PROPOSE_TIMEOUT_MS = 2_000
+SWEEP_INTERVAL_MS = 1_000
+MAX_LISTED_ORDERS = 1_000
+# Parsing is pure Python; a longer text would hold up the heartbeats of this member.
+MAX_INLINE_TEXT_CHARS = 32 * 1024
+# difflib takes quadratic time in the number of lines at worst.
+MAX_DIFFERENCE_LINES = 300
+MAX_DIFFERENCE_CHARS = 16 * 1024
+
+
+class ControlService:
+    """Answers entries and other control members.
+
+    Args:
+        clock: Clock.
+        name: Name of this VM.
+        registry: Local copy of the agreed state.
+        log: Log that drives it.
+    """
+
+    def __init__(self, clock: Clock, name: str, registry: Registry, log: ReplicatedLog):
+        self.clock = clock
+        self.name = name
+        self.registry = registry
+        self.log = log
+        self.texts = TextWatch(clock, lambda: (registry.revision, registry.text))
+
+    async def handle(self, message: Any) -> Any:
+        """Answer one message of a peer."""
+        match message:
+            case ApplyText():
+                return await self._apply_text(message)
+            case (
+                OpenOrder()
+                | CloseOrder()
+                | GrantController()
+                | PutEngineOrder()
+                | CloseEngineOrder()
+                | ClosePeriod()
+                | RecordMembers()
+            ):
+                return await self.propose(message)
+            case FindOrder() | ListOrders() | ExportAudit():
+                return await self._ask(message)
+            case WatchText():
+                return await self.texts.watch(message)
+            case Ping():
+                return Pong(self.name)
+        raise MessageError(f"{type(message).__name__} is not answered here")
+
+    async def propose(self, message: Any) -> Any:
+        """Commit a command, stamped with this member's time, and return its result."""
+        if not self.log.is_leader:
+            return self._not_leader()
+        wall_ms = self.clock.wall_ms()
+        if isinstance(message, OpenOrder):
+            # The entry's wall clock may differ; only the time left counts.
+            remaining_ms = message.deadline_ms - message.now_ms
+            deadline_ms = max(wall_ms + remaining_ms, 0)
+            message = attrs.evolve(message, deadline_ms=deadline_ms)
+        stamped = attrs.evolve(message, now_ms=wall_ms)
+        try:
+            return await self.log.propose(encode(stamped), PROPOSE_TIMEOUT_MS)
+        except ConsensusUnavailable as error:
+            return _unavailable(error)
+
+    async def sweep(self) -> None:
+        """Close overdue orders for as long as this member leads."""
+        while True:
+            await self.clock.sleep_ms(SWEEP_INTERVAL_MS)
+            # A sweep that changes nothing would cost a synced record each second.
+            if self.log.is_leader and self.registry.sweep_is_due(self.clock.wall_ms()):
+                await self.propose(SweepOrders(0))
+
+    async def _apply_text(self, message: ApplyText) -> Any:
+        if not self.log.is_leader:
+            return self._not_leader()
+        fault = ""
+        if message.change_id not in self.registry.changes_by_id:
+            fault = await _check_text(message.text)
+        verdict = await self.propose(attrs.evolve(message, fault=fault))
+        stale = isinstance(verdict, TextVerdict) and (
+            not verdict.accepted and message.base_revision != verdict.revision
+        )
+        if not stale:
+            return verdict
+        difference = _difference(self.registry, message.text)
+        return attrs.evolve(verdict, difference=difference)
+
+    async def _ask(self, message: FindOrder | ListOrders | ExportAudit) -> Any:
+        """Answer a question from state that holds every earlier commit."""
+        if not self.log.is_leader:
+            return self._not_leader()
+        try:
+            await self.log.barrier(PROPOSE_TIMEOUT_MS)
+        except ConsensusUnavailable as error:
+            return _unavailable(error)
+        match message:
+            case FindOrder():
+                key = OrderKey(message.workspace, message.key)
+                return self.registry.find_order(key)
+            case ListOrders():
+                limit = min(message.limit, MAX_LISTED_ORDERS)
+                return self.registry.list_orders(message.workspace, limit)
+        return self.registry.audit.export(message.first, message.limit)
+
+    def _not_leader(self) -> NotLeader:
+        return NotLeader(str(self.log.leader_address or ""))
+
+
+def _unavailable(error: ConsensusUnavailable) -> Unavailable:
+    return Unavailable(str(error), error.may_have_committed, error.retry_after_ms)
+
+
+async def _check_text(text: str) -> str:
+    """Return why the text cannot be accepted, or an empty string."""
+    try:
+        if len(text) > MAX_INLINE_TEXT_CHARS:
+            await curio.run_in_thread(parse_fleet_text, text)
+        else:
+            parse_fleet_text(text)
+    except FleetTextError as error:
+        return str(error) or "the text is not acceptable"
+    return ""
+
+
+def _difference(registry: Registry, proposed: str) -> str:
+    """Return the bounded unified difference from the current text to ``proposed``."""
+    current_lines = registry.text.splitlines()
+    proposed_lines = proposed.splitlines()
+    start = 0
+    shortest = min(len(current_lines), len(proposed_lines))
+    while start < shortest and current_lines[start] == proposed_lines[start]:
+        start += 1
+    end = 0
+    while (
+        end < shortest - start and current_lines[-1 - end] == proposed_lines[-1 - end]
+    ):
+        end += 1
+    before = current_lines[start : len(current_lines) - end]
+    after = proposed_lines[start : len(proposed_lines) - end]
+    if max(len(before), len(after)) > MAX_DIFFERENCE_LINES:
+        return (
+            f"lines {start + 1} to {start + len(before)} of revision "
+            f"{registry.revision} differ from {len(after)} proposed lines"
+        )
+    label = f"revision {registry.revision}"
+    lines = difflib.unified_diff(before, after, label, "proposed", lineterm="")
+    header = f"first differing line: {start + 1}"
+    return "\n".join([header, *lines])[:MAX_DIFFERENCE_CHARS]
--- /dev/null
+++ b/wagtailrun/period_closing.py
@@ -0,0 +1,59 @@
+"""Closes accounting periods by agreement of the control members."""
+
+from wagtailrun import events
+from wagtailrun.account_periods import PERIODS_KEPT
+from wagtailrun.account_store import AccountStore
+from wagtailrun.control_service import ControlService
+from wagtailrun.exceptions import DiskFault
+from wagtailrun.registry_messages import ClosePeriod
+
+__all__ = ["PeriodCloser"]
+
+STEP_INTERVAL_MS = 5_000
+
+
+class PeriodCloser:
+    """Proposes to close periods while this member leads, and follows what is agreed.
+
+    Args:
+        service: Access to the agreed state.
+        accounts: Account rows of this member.
+    """
+
+    def __init__(self, service: ControlService, accounts: AccountStore):
+        self.service = service
+        self.accounts = accounts
+        self.clock = service.clock
+
+    async def run(self) -> None:
+        """Close and follow until cancelled."""
+        while True:
+            await self.clock.sleep_ms(STEP_INTERVAL_MS)
+            try:
+                await self.step()
+            except DiskFault as error:
+                events.log(events.ACCOUNTS_DISK_FAILED, detail=str(error))
+
+    async def step(self) -> None:
+        """Freeze every period that is agreed to be closed; propose the next one."""
+        if not await self._follow() or not self.service.log.is_leader:
+            return
+        period = self.accounts.closable()
+        if period is None:
+            return
+        offer = await self.accounts.prepare_close(period)
+        totals = offer.totals.to_json()
+        await self.service.propose(ClosePeriod(period, offer.digest, totals, 0))
+
+    async def _follow(self) -> bool:
+        """Return whether this member holds the lines of every closed period."""
+        closed = self.service.registry.closed_periods_by_name
+        kept = sorted(closed)[-PERIODS_KEPT:]
+        missing = [name for name in kept if name not in self.accounts.digests_by_period]
+        for period in missing:
+            digest = closed[period].digest
+            if not await self.accounts.close(
+                period, digest
+            ) and not await self.accounts.fetch_period(period, digest):
+                return False
+        return True
