--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; wall-clock figures decide no test."""
--- a/tests/test_consensus_processes.py
+++ b/tests/test_consensus_processes.py
@@ -70,6 +70,14 @@
     return max(terms, key=lambda name: max(terms[name], default=0))
 
 
+def test_embedding_example(capsys):
+    """Guards against an example on the page that does not run."""
+    page = (Path(__file__).parent.parent / "docs" / "consensus.md").read_text()
+    code = page.partition("```python\n")[2].partition("```")[0]
+    exec(compile(code, "docs/consensus.md", "exec"), {"__name__": "example"})
+    assert "applied as number 1" in capsys.readouterr().out
+
+
 def test_kill_of_each_member(fleet):
     """Guards against a change that a kill of any one member loses or blocks."""
     names = list(fleet.operator_by_name)
--- a/tests/test_file_disk.py
+++ b/tests/test_file_disk.py
@@ -83,3 +83,18 @@
         assert synced == [str(tmp_path)]
 
     curio.run(main)
+
+
+def test_folder_is_locked(tmp_path):
+    """Guards against two processes that write the same log."""
+
+    async def main():
+        first, second = FileDisk(tmp_path), FileDisk(tmp_path)
+        await first.append("a", b"x")
+        with pytest.raises(DiskFault, match="in use"):
+            await second.names()
+        first.close()
+        assert await second.names() == ["a"]
+        second.close()
+
+    curio.run(main)
--- a/wagtailrun/adapters/file_disk.py
+++ b/wagtailrun/adapters/file_disk.py
@@ -1,6 +1,7 @@
 """Durable files in a folder of the operating system."""
 
 import contextlib
+import fcntl
 import os
 from collections.abc import Callable
 from pathlib import Path
@@ -16,13 +17,15 @@
 T = TypeVar("T")
 
 TEMPORARY_SUFFIX = ".tmp"
+LOCK_NAME = "lock"
 
 
 class FileDisk(Disk):
     """Files of one folder; every operation runs in a worker thread.
 
-    The folder is created when missing. Left-over temporary files of an interrupted
-    ``write`` are not listed.
+    The folder is created when missing, and locked until ``close`` or the end of the
+    process, so that no second process writes there. Left-over temporary files of an
+    interrupted ``write`` are not listed.
 
     Args:
         folder: Path of the folder.
@@ -31,6 +34,7 @@
     def __init__(self, folder: str | Path):
         self.folder = Path(folder)
         self.descriptors_by_name: dict[str, int] = {}
+        self.lock_descriptor: int | None = None
 
     async def names(self) -> list[str]:
         """Return the names of all files, sorted."""
@@ -61,17 +65,21 @@
         await _in_thread(self._remove, name)
 
     def close(self) -> None:
-        """Close all open files."""
+        """Close all open files and release the folder."""
         for name in list(self.descriptors_by_name):
             self._forget(name)
+        if self.lock_descriptor is not None:
+            os.close(self.lock_descriptor)
+            self.lock_descriptor = None
 
     def _names(self) -> list[str]:
-        if not self.folder.is_dir():
-            return []
+        self._prepare()
         return sorted(
             item.name
             for item in self.folder.iterdir()
-            if item.is_file() and item.suffix != TEMPORARY_SUFFIX
+            if item.is_file()
+            and item.suffix != TEMPORARY_SUFFIX
+            and item.name != LOCK_NAME
         )
 
     def _read(self, name: str) -> bytes:
@@ -87,7 +95,7 @@
         os.fdatasync(self._descriptor(name))
 
     def _write(self, name: str, data: bytes) -> None:
-        self._make_folder()
+        self._prepare()
         self._forget(name)
         temporary = self.folder / (name + TEMPORARY_SUFFIX)
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
@@ -114,7 +122,7 @@
     def _descriptor(self, name: str) -> int:
         """Return the open file ``name``, created durably when missing."""
         if name not in self.descriptors_by_name:
-            self._make_folder()
+            self._prepare()
             path = self.folder / name
             created = not path.exists()
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
@@ -128,15 +136,28 @@
         if descriptor is not None:
             os.close(descriptor)
 
-    def _make_folder(self) -> None:
+    def _prepare(self) -> None:
+        """Create and lock the folder."""
+        if self.lock_descriptor is not None:
+            return
         if not self.folder.is_dir():
             self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
             _sync_folder(self.folder.parent)
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        descriptor = os.open(self.folder / LOCK_NAME, flags, 0o600)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise OSError(f"{self.folder} is in use by another process") from error
+        self.lock_descriptor = descriptor
 
 
 async def _in_thread(function: Callable[..., T], *arguments: object) -> T:
     try:
-        return await curio.run_in_thread(function, *arguments)
+        # A cancelled task would otherwise leave the thread writing behind its back.
+        async with curio.disable_cancellation():
+            return await curio.run_in_thread(function, *arguments)
     except OSError as error:
         raise DiskFault(f"{function.__name__[1:]} failed: {error}") from error
 
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -164,11 +164,14 @@
         await self.opened.notify()
 
     async def close(self) -> None:
-        """Cancel all tasks; none starts after this."""
+        """Cancel all tasks and wait for them; none starts after this."""
         self.is_closed = True
         self.role = Role.FOLLOWER
-        for task in list(self.tasks):
+        tasks = list(self.tasks)
+        for task in tasks:
             await task.cancel(blocking=False)
+        for task in tasks:
+            await task.wait()
 
     async def spawn(
         self, function: Callable[..., Awaitable[None]], *arguments: Any
