--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -51,11 +51,12 @@
 REJOIN_ROUNDS = 4
 # Limits of one message, from 4 KB/s for two exchanges and two replies a second. An
 # entry that hears many targets spends its share on forwards: beyond the usual number a
-# round, each takes the place of one record of growth in gossip.
+# round, each takes the place of one record of growth in gossip, and so does each
+# confirmation of a revision.
 GROWTH_PER_MESSAGE = 12
 USUAL_FORWARDS = 5
 ROWS_PER_MESSAGE = 40
-CONFIRMATIONS_PER_MESSAGE = 64
+CONFIRMATIONS_PER_MESSAGE = 8
 MAX_HOOK_BYTES = 64 * 1024
 
 
@@ -358,9 +359,11 @@
             # The partner can only refute what it is told.
             entries.append(row.name)
         grown = membership.growth_log.since(sent.growth)
-        extra = max(self.targets.forwards - USUAL_FORWARDS, 0)
+        confirmed, confirmed_mark = peers.confirmed_log.oldest_since(
+            sent.confirmed, CONFIRMATIONS_PER_MESSAGE
+        )
+        extra = max(self.targets.forwards - USUAL_FORWARDS, 0) + len(confirmed)
         growth = list(itertools.islice(grown, max(GROWTH_PER_MESSAGE - extra, 0)))
-        confirmed = list(peers.confirmed_log.since(sent.confirmed))
         if not local:
             targets = [name for name in targets if self._is_offered(name)]
             growth = [name for name in growth if self._is_offered(name)]
@@ -376,14 +379,13 @@
                 targets_mark,
                 membership.growth_log.number,
                 entries_mark,
-                peers.confirmed_log.number,
+                confirmed_mark,
             ),
             targets=tuple(self.targets.aged(targets)),
             growth=self.targets.growth(growth),
             entries=tuple(peers.rows_by_name[name] for name in entries),
             confirmed=pack_confirmations(
-                peers.rows_by_name[name]
-                for name in confirmed[:CONFIRMATIONS_PER_MESSAGE]
+                peers.rows_by_name[name] for name in confirmed
             ),
             hook=hook,
             targets_digest=states.digest,
