--- a/bench/spread.py
+++ b/bench/spread.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from tests.spread_cluster import TEXT, Cluster
+from bench.spread_cluster import TEXT, Cluster
 from wagtailrun.fleet import FleetText, fleet_from_document, parse_fleet_text
 from wagtailrun.fleet_diff import apply_diff, diff_documents
 from wagtailrun.membership import Membership, TargetRow
--- a/tests/spread_cluster.py
+++ b/bench/spread_cluster.py
@@ -1,4 +1,4 @@
-"""Entries, targets and control members on a fake network, for tests and bench."""
+"""Entries, targets and control members on a fake network in virtual time."""
 
 import itertools
 import random
@@ -36,12 +36,14 @@
         self.bytes_by_source = {}
 
     async def carry(self, source, destination, frame):
+        """Count a frame and carry it."""
         self.messages_by_source[source] = self.messages_by_source.get(source, 0) + 1
         size = self.bytes_by_source.get(source, 0) + len(frame)
         self.bytes_by_source[source] = size
         return await super().carry(source, destination, frame)
 
     def cut_off(self, inside, outside, both_ways=True):
+        """Cut all paths between two groups of addresses."""
         for one, other in itertools.product(inside, outside):
             self.cut(one, other, both_ways)
 
@@ -70,10 +72,12 @@
         self.task = None
 
     async def start(self, network):
+        """Start the tasks of the entry."""
         network.handlers_by_address[self.address] = self.spreader.handle
         self.task = await curio.spawn(self.spreader.run, daemon=True)
 
     def usable_names(self, now_ms):
+        """Return the names of usable local targets."""
         names = set()
         for service in ("engines", "local"):
             names |= {row.name for row in self.membership.usable(service, now_ms)}
@@ -96,6 +100,7 @@
         self.healthy_from_ms = cluster.clock.now_ms()
 
     def row(self, leaving=False):
+        """Return the row to announce."""
         address = Address("10.9.0.1", 1_000 + self.number)
         return TargetRow(
             self.name,
@@ -120,12 +125,14 @@
         return self.heard_by
 
     async def run(self):
+        """Announce the target until it is stopped."""
         await self.cluster.clock.sleep_ms(self.cluster.random.randrange(1_000))
         while self.alive:
             self.send()
             await self.cluster.clock.sleep_ms(1_000)
 
     async def leave(self):
+        """Say goodbye and stop."""
         self.alive = False
         node = self.send(leaving=True)
         await node.spreader.spread_goodbye(self.row(leaving=True))
@@ -140,13 +147,22 @@
         self.watch = TextWatch(cluster.clock, lambda: self.stale or cluster.accepted)
 
     async def handle(self, message):
+        """Answer an entry."""
         if isinstance(message, Ping):
             return Pong("control")
         return await self.watch.watch(message)
 
 
 class Cluster:
-    """Entries of data centres with their targets and control members."""
+    """Entries of data centres with their targets and control members.
+
+    Args:
+        clock: Virtual clock.
+        entries_by_centre: Number of entries by data centre.
+        targets: Number of targets, spread over the data centres.
+        seed: Seed of all random choices.
+        **options: Options of the network.
+    """
 
     def __init__(self, clock, entries_by_centre, targets=0, seed=0, **options):
         self.clock = clock
@@ -182,15 +198,18 @@
 
     @property
     def live(self):
+        """Entries that run."""
         return list(self.nodes_by_name.values())
 
     async def start(self):
+        """Start all entries and targets."""
         for name in self.addresses_by_name:
             await self.start_node(name)
         for target in self.targets:
             await curio.spawn(target.run, daemon=True)
 
     async def start_node(self, name):
+        """Start an entry without any memory."""
         number = next(self.starts)
         node = Node(self, name, number, self.addresses_by_name[name])
         self.nodes_by_name[name] = node
@@ -198,17 +217,20 @@
         return node
 
     async def kill(self, name):
+        """End an entry at once."""
         node = self.nodes_by_name.pop(name)
         del self.network.handlers_by_address[node.address]
         await node.task.cancel()
 
     def change_text(self, addition=""):
+        """Accept a new revision; return its number."""
         revision, text = self.accepted
         text += f"\n[workspaces.w{revision}]\nshare = {revision}\n{addition}"
         self.accepted = (revision + 1, text)
         return revision + 1
 
     def revisions(self):
+        """Return the revision in force on each entry."""
         return {node.name: node.spreader.version[1] for node in self.live}
 
     async def wait(self, condition, limit_ms):
@@ -221,6 +243,7 @@
         return self.clock.now_ms() - start_ms
 
     def usable_everywhere(self, name):
+        """Return the entries that still use a target."""
         now_ms = self.clock.now_ms()
         return {n.name for n in self.live if name in n.usable_names(now_ms)}
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -6,7 +6,7 @@
 import curio
 import pytest
 
-from tests.spread_cluster import TEXT, Cluster
+from bench.spread_cluster import TEXT, Cluster
 from wagtailrun import spread_peers
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -1,24 +1,22 @@
 """Membership and configuration between the entries of the data centres."""
 
-import itertools
 import random
 from collections.abc import Callable
 from typing import Any
 
-import attrs
 import curio
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fleet import FleetText
-from wagtailrun.membership import ChangeLog, Membership, TargetRow
+from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.spread_config import ConfigSpread
+from wagtailrun.spread_exchange import Exchanges
 from wagtailrun.spread_messages import (
     EntryRow,
     Health,
-    Marks,
     SpreadAsk,
     SpreadExchange,
     SpreadFetch,
@@ -30,16 +28,13 @@
     SpreadStatus,
     SpreadTaken,
     SpreadText,
-    pack_confirmations,
-    unpack_confirmations,
 )
-from wagtailrun.spread_peers import Partner, PeerTable
+from wagtailrun.spread_peers import PeerTable
 from wagtailrun.spread_push import Contact
 from wagtailrun.spread_targets import TargetWatch
 
 __all__ = ["Spreader"]
 
-EXCHANGE_TIMEOUT_MS = 250
 PROBE_TIMEOUT_MS = 200
 INDIRECT_PROBES = 2
 JOIN_SEEDS = 3
@@ -49,15 +44,6 @@
 # Every fourth round goes to a seed or an entry held to be dead, which joins the two
 # sides again after a partition.
 REJOIN_ROUNDS = 4
-# Limits of one message, from 4 KB/s for two exchanges and two replies a second. An
-# entry that hears many targets spends its share on forwards: beyond the usual number a
-# round, each takes the place of one record of growth in gossip, and so does each
-# confirmation of a revision.
-GROWTH_PER_MESSAGE = 12
-USUAL_FORWARDS = 5
-ROWS_PER_MESSAGE = 40
-CONFIRMATIONS_PER_MESSAGE = 8
-MAX_HOOK_BYTES = 64 * 1024
 
 
 class Spreader:
@@ -93,8 +79,9 @@
         self.contact = Contact(clock, link, self.peers, seeds, self.chance)
         self.targets = TargetWatch(self.contact, self.peers, membership)
         self.config = ConfigSpread(self.contact, self.peers, controls)
-        self._hook_out: Callable[[str], bytes] = lambda partner: b""
-        self._hook_in: Callable[[str, bytes], None] = lambda partner, data: None
+        self.exchanges = Exchanges(
+            self.contact, self.peers, membership, self.targets, self.config
+        )
 
     @property
     def fleet(self) -> FleetText | None:
@@ -115,7 +102,7 @@
             out: Returns the bytes for the partner of that name.
             into: Takes the partner's name and its bytes.
         """
-        self._hook_out, self._hook_in = out, into
+        self.exchanges.hook_out, self.exchanges.hook_in = out, into
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -150,7 +137,7 @@
         """Answer one message of another process."""
         match message:
             case SpreadExchange():
-                return await self._answer_exchange(message)
+                return await self.exchanges.answer(message)
             case SpreadRows():
                 self.targets.take(message)
                 if message.members:
@@ -183,6 +170,9 @@
         alone_ms = self.clock.now_ms() + JOIN_LIMIT_MS
         reached: dict[str, EntryRow] = {}
         while self.contact.seeds:
+            if self.peers.others() and self.version > (0, 0):
+                # Others found this entry and gave it a text.
+                break
             may_go_alone = (
                 self.clock.now_ms() >= alone_ms and await self.config.reaches_control()
             )
@@ -200,20 +190,13 @@
         reached: dict[str, EntryRow] = {}
         seeds = self.contact.seeds
         for address in self.chance.sample(seeds, len(seeds)):
-            row = await self._exchange_at(address)
+            row = await self.exchanges.with_address(address)
             if row is not None and row.data_centre == self.peers.data_centre:
                 reached[row.name] = row
             if len(reached) >= JOIN_SEEDS:
                 break
         return reached
 
-    async def _exchange_at(self, address: Address) -> EntryRow | None:
-        """Exchange with whoever is at ``address``; return its row."""
-        for row in list(self.peers.rows_by_name.values()):
-            if row.address == address:
-                return await self._exchange(row)
-        return await self._exchange(None, address)
-
     async def _gossip(self) -> None:
         """Exchange with one other entry after the other."""
         turn = 0
@@ -225,10 +208,10 @@
             if turn % REJOIN_ROUNDS == 0:
                 address = self._rejoin_address()
                 if address is not None:
-                    await self._exchange_at(address)
+                    await self.exchanges.with_address(address)
                     continue
             row = self.peers.next_partner(self.chance)
-            if row is None or await self._exchange(row) is not None:
+            if row is None or await self.exchanges.with_entry(row) is not None:
                 continue
             if not await self._reaches_indirectly(row):
                 self._suspect(row)
@@ -272,138 +255,6 @@
             return SpreadTaken(alive=False)
         return SpreadTaken(*self.version)
 
-    async def _exchange(
-        self, row: EntryRow | None, address: Address | None = None
-    ) -> EntryRow | None:
-        """Exchange rows with one entry; return its row, or None without an answer."""
-        if row is None:
-            message = self._message(Partner(), None, None)
-        else:
-            address = row.address
-            partner = self.peers.partner(row)
-            local = row.data_centre == self.peers.data_centre
-            message = self._message(partner, row, None, local)
-        try:
-            answer = await self.contact.call(address, message, EXCHANGE_TIMEOUT_MS)
-        except PeerUnreachable:
-            return None
-        if not isinstance(answer, SpreadExchange):
-            return None
-        if row is not None and answer.sender.incarnation == row.incarnation:
-            self.peers.partner(row).sent = message.sent
-        self.contact.heard(answer.sender.data_centre)
-        await self._take_exchange(answer)
-        self._note_equal(self.peers.partner(answer.sender), answer)
-        return answer.sender
-
-    def _note_equal(self, partner: Partner, answer: SpreadExchange) -> None:
-        """Mark everything as known to a partner that has the same digests."""
-        states, entries = self.membership.state_log, self.peers.row_log
-        if answer.targets_digest == states.digest:
-            partner.sent = attrs.evolve(partner.sent, targets=states.number)
-        if answer.entries_digest == entries.digest:
-            partner.sent = attrs.evolve(partner.sent, entries=entries.number)
-
-    async def _answer_exchange(self, message: SpreadExchange) -> SpreadExchange:
-        await self._take_exchange(message)
-        sender = message.sender
-        partner = self.peers.partner(sender)
-        own = message.seen.incarnation == self.peers.own.incarnation
-        partner.sent = message.seen if own else Marks(self.peers.own.incarnation)
-        local = sender.data_centre == self.peers.data_centre
-        return self._message(partner, sender, message, local)
-
-    async def _take_exchange(self, message: SpreadExchange) -> None:
-        sender = message.sender
-        local = sender.data_centre == self.peers.data_centre
-        now_ms = self.clock.now_ms()
-        self.peers.put(sender, now_ms)
-        for aged in message.targets:
-            if local or aged.row.data_centre == sender.data_centre:
-                self.targets.take_row(aged, now_ms)
-        self.targets.take_growth(message.growth)
-        if not local:
-            for row in self.membership.targets_by_name.values():
-                if row.data_centre == sender.data_centre:
-                    self.targets.refresh(row, now_ms)
-        for entry in message.entries:
-            self.peers.put(entry, now_ms)
-        names_by_id = self.peers.names_by_id()
-        for confirmation in unpack_confirmations(message.confirmed):
-            self.peers.confirm(confirmation, names_by_id)
-        partner = self.peers.partner(sender)
-        partner.seen = message.sent
-        if message.hook and local:
-            self._hook_in(sender.name, message.hook)
-        if local:
-            await self.config.repair(sender.version, sender.address)
-
-    def _message(
-        self,
-        partner: Partner,
-        row: EntryRow | None,
-        question: SpreadExchange | None,
-        local: bool = True,
-    ) -> SpreadExchange:
-        """Return what changed since the partner's marks, as question or as answer."""
-        sent = partner.sent
-        membership, peers = self.membership, self.peers
-        states, entries_log = membership.state_log, peers.row_log
-        targets, targets_mark = _changes(
-            states, sent.targets, question and question.targets_digest
-        )
-        entries, entries_mark = _changes(
-            entries_log, sent.entries, question and question.entries_digest
-        )
-        if row is not None and self._believed_ill(row) and row.name not in entries:
-            # The partner can only refute what it is told.
-            entries.append(row.name)
-        grown = membership.growth_log.since(sent.growth)
-        confirmed, confirmed_mark = peers.confirmed_log.oldest_since(
-            sent.confirmed, CONFIRMATIONS_PER_MESSAGE
-        )
-        extra = max(self.targets.forwards - USUAL_FORWARDS, 0) + len(confirmed)
-        growth = list(itertools.islice(grown, max(GROWTH_PER_MESSAGE - extra, 0)))
-        if not local:
-            targets = [name for name in targets if self._is_offered(name)]
-            growth = [name for name in growth if self._is_offered(name)]
-            entries, confirmed = [], []
-        hook = self._hook_out(row.name) if row is not None and local else b""
-        if len(hook) > MAX_HOOK_BYTES:
-            raise ValueError(f"hook returned {len(hook)} bytes, over {MAX_HOOK_BYTES}")
-        return SpreadExchange(
-            sender=peers.own,
-            seen=partner.seen,
-            sent=Marks(
-                peers.own.incarnation,
-                targets_mark,
-                membership.growth_log.number,
-                entries_mark,
-                confirmed_mark,
-            ),
-            targets=tuple(self.targets.aged(targets)),
-            growth=self.targets.growth(growth),
-            entries=tuple(peers.rows_by_name[name] for name in entries),
-            confirmed=pack_confirmations(
-                peers.rows_by_name[name] for name in confirmed
-            ),
-            hook=hook,
-            targets_digest=states.digest,
-            entries_digest=entries_log.digest,
-        )
-
-    def _believed_ill(self, row: EntryRow) -> bool:
-        known = self.peers.rows_by_name.get(row.name)
-        return known is not None and known.health != Health.ALIVE
-
-    def _is_offered(self, name: str) -> bool:
-        """Return whether other data centres may use a target of this one."""
-        row = self.membership.targets_by_name[name]
-        if not self.membership.is_local(row) or self.fleet is None:
-            return False
-        service = self.fleet.services_by_name.get(row.service)
-        return service is not None and service.fallback
-
     async def _exchange_remote(self) -> None:
         """As a watcher, exchange with one entry of each other data centre."""
         while True:
@@ -421,27 +272,5 @@
     async def _exchange_with_centre(self, rows: list[EntryRow]) -> None:
         live = [row for row in rows if row.health != Health.DEAD] or rows
         row = self.chance.choice(live)
-        if await self._exchange(row) is None and row.health == Health.ALIVE:
+        if await self.exchanges.with_entry(row) is None and row.health == Health.ALIVE:
             self.peers.suspect(row.name, self.clock.now_ms())
-
-
-def _changes(log: ChangeLog, mark: int, digest: int | None) -> tuple[list[str], int]:
-    """Return the names to send to a partner, and its mark afterwards.
-
-    A partner that was sent nothing yet gets everything in an answer if the digest in
-    its question differs, and nothing in a question, where its digest is not known; it
-    most likely has the rows from others already. So it is with many changes.
-
-    Args:
-        log: Changes.
-        mark: Newest change known to the partner, or 0.
-        digest: Digest of the partner, or None in a question.
-    """
-    if digest == log.digest:
-        return [], log.number
-    names, next_mark = log.oldest_since(mark, ROWS_PER_MESSAGE)
-    if digest is None and (not mark or len(names) == ROWS_PER_MESSAGE):
-        return [], mark
-    if mark:
-        return names, next_mark
-    return log.oldest_since(0, len(log.stamps))
