Add emulated targets and the replay of traces in virtual time

Cause: policies could only be judged against real processes, where neither faults nor timing repeat. The replay runs the real PipelineRunner and Dispatcher of several entries against emulated targets with batches, queues, prefix caches, late reports and faults. The policies are still the thin ones.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run with `python -m bench`."""
--- /dev/null
+++ b/wagtailrun/affinity.py
@@ -0,0 +1,105 @@
+"""Which prompt prefixes the caches of targets hold, from late events with gaps."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import attrs
+import xxhash
+
+__all__ = ["CacheEvents", "PrefixIndex", "prefix_hashes"]
+
+BLOCK_CHARACTERS = 1_024
+# Later blocks of a prompt are hardly ever shared between requests.
+MAX_BLOCKS = 16
+MAX_PREFIXES_PER_TARGET = 4_096
+
+
+@attrs.frozen
+class CacheEvents:
+    """Changes of one target's prefix cache, numbered without gaps at the target.
+
+    Attributes:
+        first: Number of the first change, from 1.
+        last: Number of the last change.
+        changes: Prefix hashes in hexadecimal; a leading "-" means evicted.
+    """
+
+    first: int
+    last: int
+    changes: tuple[str, ...]
+
+
+def prefix_hashes(prompt: str) -> tuple[int, ...]:
+    """Return a hash for each leading run of whole blocks of a prompt."""
+    digest = xxhash.xxh3_64()
+    hashes = []
+    end = min(len(prompt) // BLOCK_CHARACTERS, MAX_BLOCKS) * BLOCK_CHARACTERS
+    for start in range(0, end, BLOCK_CHARACTERS):
+        digest.update(prompt[start : start + BLOCK_CHARACTERS].encode())
+        hashes.append(digest.intdigest())
+    return tuple(hashes)
+
+
+@attrs.define
+class _TargetPrefixes:
+    incarnation: int
+    last: int = 0
+    known: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
+
+
+class PrefixIndex:
+    """Cached prefixes by target, in bounded memory.
+
+    Args:
+        max_prefixes: Most prefixes kept for one target; the oldest are forgotten.
+    """
+
+    def __init__(self, max_prefixes: int = MAX_PREFIXES_PER_TARGET):
+        self.max_prefixes = max_prefixes
+        self.targets_by_name: dict[str, _TargetPrefixes] = {}
+
+    def observe(self, name: str, incarnation: int, events: CacheEvents) -> None:
+        """Apply changes that a target reported.
+
+        A gap may hide evictions, and a restart empties the cache, so both forget what
+        was known of the target before.
+        """
+        entry = self.targets_by_name.get(name)
+        if entry is not None and incarnation < entry.incarnation:
+            return
+        if entry is None or incarnation > entry.incarnation:
+            entry = self.targets_by_name[name] = _TargetPrefixes(incarnation)
+        if events.last <= entry.last:
+            return
+        if events.first > entry.last + 1:
+            entry.known.clear()
+        skipped = max(entry.last + 1 - events.first, 0)
+        entry.last = events.last
+        for change in events.changes[skipped:]:
+            self._apply(entry, change)
+
+    def _apply(self, entry: _TargetPrefixes, change: str) -> None:
+        if change.startswith("-"):
+            entry.known.pop(int(change[1:], 16), None)
+            return
+        value = int(change, 16)
+        entry.known[value] = None
+        entry.known.move_to_end(value)
+        if len(entry.known) > self.max_prefixes:
+            entry.known.popitem(last=False)
+
+    def cached_share(self, name: str, incarnation: int, hashes: Sequence[int]) -> float:
+        """Return the share of a prompt's blocks that a target's cache holds."""
+        entry = self.targets_by_name.get(name)
+        if not hashes or entry is None or entry.incarnation != incarnation:
+            return 0.0
+        hits = 0
+        for value in hashes:
+            if value not in entry.known:
+                break
+            hits += 1
+        return hits / len(hashes)
+
+    def forget(self, name: str) -> None:
+        """Drop a target that is no longer known."""
+        self.targets_by_name.pop(name, None)
--- /dev/null
+++ b/wagtailrun/replay.py
@@ -0,0 +1,552 @@
+"""Replays a recorded trace against emulated targets and checks stated outcomes."""
+
+import itertools
+import json
+import random
+import sys
+from collections import Counter, defaultdict
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import aclosing
+from pathlib import Path
+from typing import Any
+
+import attrs
+import curio
+
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.dispatch import Dispatcher, Work
+from wagtailrun.emulator import EmulatedClient, Emulator, TargetModel
+from wagtailrun.exceptions import Refusal
+from wagtailrun.fleet import FleetText, parse_fleet_text
+from wagtailrun.membership import Membership
+from wagtailrun.pipeline import PipelineRequest, PipelineRunner
+from wagtailrun.ports.target import Token
+from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.virtual_time import run_virtual
+
+__all__ = ["EntryParts", "ReplayReport", "main", "replay", "replay_records"]
+
+SETTLE_MS = 1_000
+OBJECTIVE_FIRST_TOKEN_MS = 1_200
+OBJECTIVE_GAP_MS = 45
+
+
+@attrs.frozen
+class EntryParts:
+    """What the decisions of one entry are built from.
+
+    Attributes:
+        name: Name of the entry.
+        data_centre: Data centre of the entry.
+        clock: Virtual clock.
+        membership: Targets that the entry knows.
+        client: Its target client.
+        fleet: Fleet text.
+        seed: Seed of its random choices.
+    """
+
+    name: str
+    data_centre: str
+    clock: Clock
+    membership: Membership
+    client: EmulatedClient
+    fleet: FleetText
+    seed: int
+
+
+Build = Callable[[EntryParts], Dispatcher]
+
+
+@attrs.define
+class ReplayReport:
+    """What a replay measured; durations are in milliseconds.
+
+    Attributes:
+        requests: Arrivals.
+        complete: Requests answered completely, correctly and in time.
+        attainment: Share of requests that are complete.
+        attainment_by_workspace: The same by workspace.
+        attainment_by_pipeline: The same by pipeline, or by service and call.
+        refusals_by_reason: Refused requests by reason and verdict.
+        late: Requests whose whole answer came after the deadline.
+        lost: Requests whose entry died.
+        wrong: Answers with a missing, doubled or foreign part.
+        first_token_p50, first_token_p95: Time to the first token.
+        gap_p50, gap_p95: Time between tokens.
+        gap_within: Share of gaps within the objective.
+        first_within: Share of first tokens within the objective, of those that came.
+        tokens: Tokens that engines generated.
+        wasted_tokens: Tokens of them in no complete answer.
+        engine_ms_by_stage: Time that targets spent, by stage.
+        wasted_ms: Time of it that contributed to no complete answer.
+        attempts, retries, hedges: Counts; first attempts, further and hedged ones.
+        extra_share: Retries and hedges as a share of first attempts.
+        most_runs_of_an_order: Most runs of one order key.
+        truthless: Refusals with the verdict "not run" of an order that ran.
+        refusal_wait_p95: Time from arrival to refusal.
+        goodput_by_second: Complete answers by second of completion.
+        violations: Stated outcomes that do not hold.
+    """
+
+    requests: int = 0
+    complete: int = 0
+    attainment: float = 0.0
+    attainment_by_workspace: dict[str, float] = attrs.field(factory=dict)
+    attainment_by_pipeline: dict[str, float] = attrs.field(factory=dict)
+    refusals_by_reason: dict[str, int] = attrs.field(factory=dict)
+    late: int = 0
+    lost: int = 0
+    wrong: int = 0
+    first_token_p50: float = 0.0
+    first_token_p95: float = 0.0
+    gap_p50: float = 0.0
+    gap_p95: float = 0.0
+    gap_within: float = 1.0
+    first_within: float = 1.0
+    tokens: int = 0
+    wasted_tokens: int = 0
+    engine_ms_by_stage: dict[str, float] = attrs.field(factory=dict)
+    wasted_ms: float = 0.0
+    attempts: int = 0
+    retries: int = 0
+    hedges: int = 0
+    extra_share: float = 0.0
+    most_runs_of_an_order: int = 0
+    truthless: int = 0
+    refusal_wait_p95: float = 0.0
+    goodput_by_second: dict[int, int] = attrs.field(factory=dict)
+    violations: list[str] = attrs.field(factory=list)
+
+    @property
+    def holds(self) -> bool:
+        """Whether every stated outcome holds."""
+        return not self.violations
+
+
+@attrs.define
+class _Outcome:
+    arrival: dict[str, Any]
+    request_id: str
+    ended_ms: float = 0.0
+    complete: bool = False
+    late: bool = False
+    wrong: bool = False
+    refusal: Refusal | None = None
+    first_ms: float | None = None
+
+
+class _Entry:
+    """One emulated entry: the real decisions on an emulated client."""
+
+    def __init__(self, parts: EntryParts, dispatcher: Dispatcher):
+        self.parts = parts
+        self.dispatcher = dispatcher
+        self.runner = PipelineRunner(parts.clock, dispatcher)
+        self.alive = True
+        self.tasks: dict[curio.Task, None] = {}
+
+
+class _Replay:
+    def __init__(self, clock: Clock, records: Iterable[dict[str, Any]], build: Build):
+        self.clock = clock
+        self.build = build
+        self.header: dict[str, Any] = {}
+        self.arrivals: list[dict[str, Any]] = []
+        self.faults: list[dict[str, Any]] = []
+        for record in records:
+            if record["kind"] == "header":
+                self.header = record
+            else:
+                lists = {"arrival": self.arrivals, "fault": self.faults}
+                lists[record["kind"]].append(record)
+        self.arrivals.sort(key=lambda record: record["at"])
+        self.random = random.Random(self.header["seed"])
+        self.fleet = parse_fleet_text(self.header["fleet_text"])
+        self.emulator = Emulator(
+            clock,
+            self.header["seed"],
+            report_lag_ms=self.header.get("report_lag_ms", 500),
+            cache_event_loss=self.header.get("cache_event_loss", 0.0),
+            link_ms=self.header.get("link_ms", 0.5),
+        )
+        self.entries_by_name: dict[str, _Entry] = {}
+        self.outcomes: list[_Outcome] = []
+        self.gaps: Counter[int] = Counter()
+
+    async def run(self) -> ReplayReport:
+        for group in self.header["targets"]:
+            model = TargetModel(**group["model"])
+            for number in range(group["count"]):
+                name = f"{group['service']}-{group['data_centre']}-{number}"
+                service, data_centre = group["service"], group["data_centre"]
+                await self.emulator.add(name, service, data_centre, model)
+        for entry in self.header["entries"]:
+            self._add_entry(entry["name"], entry["data_centre"])
+        await curio.spawn(self.emulator.run_reports, daemon=True)
+        for fault in self.faults:
+            await curio.spawn(self._put_fault, fault, daemon=True)
+        balancer = itertools.count()
+        for number, arrival in enumerate(self.arrivals):
+            await self.clock.sleep_ms(arrival["at"] - self.clock.now_ms())
+            await self._arrive(arrival, f"r{number}", next(balancer))
+        while any(entry.tasks for entry in self.entries_by_name.values()):
+            await self.clock.sleep_ms(SETTLE_MS)
+        return self._report()
+
+    def _add_entry(self, name: str, data_centre: str) -> None:
+        membership = Membership()
+        parts = EntryParts(
+            name=name,
+            data_centre=data_centre,
+            clock=self.clock,
+            membership=membership,
+            client=self.emulator.client(name, data_centre),
+            fleet=self.fleet,
+            seed=self.random.randrange(2**32),
+        )
+        dispatcher = self.build(parts)
+        on_events = getattr(dispatcher.router, "observe_cache", None)
+        self.emulator.observe(data_centre, membership, on_events)
+        self.entries_by_name[name] = _Entry(parts, dispatcher)
+
+    async def _arrive(self, arrival: dict, request_id: str, turn: int) -> None:
+        entries = [
+            entry
+            for entry in self.entries_by_name.values()
+            if entry.alive
+            and arrival.get("data_centre", entry.parts.data_centre)
+            == entry.parts.data_centre
+        ]
+        outcome = _Outcome(arrival, request_id)
+        self.outcomes.append(outcome)
+        if entries:
+            entry = entries[turn % len(entries)]
+            task = await curio.spawn(self._serve, entry, outcome, daemon=True)
+            entry.tasks[task] = None
+
+    async def _serve(self, entry: _Entry, outcome: _Outcome) -> None:
+        task = await curio.current_task()
+        try:
+            if "pipeline" in outcome.arrival:
+                await self._serve_pipeline(entry, outcome)
+            else:
+                await self._serve_call(entry, outcome)
+            outcome.ended_ms = self.clock.now_ms()
+        finally:
+            entry.tasks.pop(task, None)
+
+    async def _serve_pipeline(self, entry: _Entry, outcome: _Outcome) -> None:
+        arrival = outcome.arrival
+        pipeline = self.fleet.pipelines_by_name[arrival["pipeline"]]
+        deadline_at_ms = self._deadline(arrival, pipeline.deadline_ms)
+        body = {"prompt": _prompt(arrival, outcome.request_id)}
+        body["max_tokens"] = arrival["output"]
+        request = PipelineRequest(
+            outcome.request_id,
+            self.fleet.workspaces_by_name[arrival["workspace"]],
+            pipeline,
+            body,
+            deadline_at_ms,
+        )
+        result = await entry.runner.run(request)
+        if isinstance(result, Refusal):
+            outcome.refusal = result
+        elif isinstance(result, dict):
+            parts = [value for kind, value in result.items() if kind != "input"]
+            outcome.wrong = any(
+                part["request"] != outcome.request_id for part in parts
+            ) or len(parts) != len(pipeline.stages)
+            self._settle(outcome, deadline_at_ms)
+        else:
+            await self._collect(outcome, result, deadline_at_ms)
+
+    async def _collect(
+        self,
+        outcome: _Outcome,
+        stream: AsyncIterator[tuple[Token, ...] | Refusal],
+        deadline_at_ms: int,
+    ) -> None:
+        expected = 0
+        done = False
+        last_ms = 0
+        async with aclosing(stream):
+            async for item in stream:
+                if isinstance(item, Refusal):
+                    outcome.refusal = item
+                    return
+                now_ms = self.clock.now_ms()
+                if outcome.first_ms is None:
+                    outcome.first_ms = now_ms - outcome.arrival["at"]
+                elif not item[0].last:
+                    self.gaps[now_ms - last_ms] += 1
+                last_ms = now_ms
+                for token in item:
+                    text = f"{outcome.request_id}:{expected} "
+                    good = token.last or token.text == text
+                    outcome.wrong |= token.offset != expected or not good
+                    expected += not token.last
+                    done = done or token.last
+        outcome.wrong |= not done or expected != outcome.arrival["output"]
+        self._settle(outcome, deadline_at_ms)
+
+    async def _serve_call(self, entry: _Entry, outcome: _Outcome) -> None:
+        arrival = outcome.arrival
+        call = self.fleet.services_by_name[arrival["service"]].calls_by_name[
+            arrival["call"]
+        ]
+        deadline_at_ms = self._deadline(arrival, call.deadline_ms)
+        workspace = self.fleet.workspaces_by_name[arrival["workspace"]]
+        body = {"order_key": arrival.get("key", "")}
+        work = Work(
+            service=arrival["service"],
+            path=f"/v1/calls/{call.name}",
+            body=json.dumps(body).encode(),
+            request_id=outcome.request_id,
+            workspace=workspace.name,
+            deadline_at_ms=deadline_at_ms,
+            idempotent=call.idempotent,
+            may_wait=call.may_wait,
+            priority=workspace.priority,
+            stage=call.name,
+        )
+        result = await entry.dispatcher.call(work)
+        if isinstance(result, Refusal):
+            outcome.refusal = result
+            return
+        answered = json.loads(result.body)["request"]
+        outcome.wrong = answered != outcome.request_id
+        self._settle(outcome, deadline_at_ms)
+
+    def _deadline(self, arrival: dict[str, Any], longest_ms: int) -> int:
+        return arrival["at"] + min(arrival.get("deadline", longest_ms), longest_ms)
+
+    def _settle(self, outcome: _Outcome, deadline_at_ms: int) -> None:
+        outcome.late = self.clock.now_ms() > deadline_at_ms
+        outcome.complete = not outcome.wrong and not outcome.late
+
+    async def _put_fault(self, fault: dict[str, Any]) -> None:
+        await self.clock.sleep_ms(fault["at"])
+        names = [
+            name
+            for name, target in self.emulator.targets_by_name.items()
+            if name == fault.get("target")
+            or (target.row.service, target.row.data_centre)
+            == (fault.get("service"), fault.get("data_centre"))
+        ]
+        targets = [self.emulator.targets_by_name[name] for name in names]
+        match fault["fault"]:
+            case "straggle":
+                for target in targets:
+                    target.factor = fault["factor"]
+                await self._until(fault)
+                for target in targets:
+                    target.factor = 1.0
+            case "die":
+                for name in names:
+                    await self.emulator.die(name)
+                await self._until(fault)
+                for target in targets:
+                    target.restart()
+            case "vanish":
+                for name in names:
+                    await self.emulator.vanish(name)
+                await self._until(fault)
+                for target in targets:
+                    await target.die()
+                    target.restart()
+            case "silent":
+                for name in names:
+                    self.emulator.silence(name)
+            case "cut":
+                self.emulator.cut(fault["data_centre"])
+                await self._until(fault)
+                self.emulator.heal(fault["data_centre"])
+            case "entry-killed":
+                await self._kill_entry(fault["entry"])
+            case unknown:
+                raise ValueError(f"unknown fault {unknown!r}")
+
+    async def _until(self, fault: dict[str, Any]) -> None:
+        end_ms = fault.get("until")
+        if end_ms is None:
+            await curio.sleep(86_400)
+        await self.clock.sleep_ms(end_ms - self.clock.now_ms())
+
+    async def _kill_entry(self, name: str) -> None:
+        entry = self.entries_by_name[name]
+        entry.alive = False
+        for task in list(entry.tasks):
+            await task.cancel(blocking=False)
+        await self.emulator.drop_entry(name)
+
+    def _report(self) -> ReplayReport:
+        report = ReplayReport(requests=len(self.outcomes))
+        refusals: Counter[str] = Counter()
+        goodput: Counter[int] = Counter()
+        for outcome in self.outcomes:
+            report.complete += outcome.complete
+            report.late += outcome.late
+            report.wrong += outcome.wrong
+            if outcome.refusal is not None:
+                refusal = outcome.refusal
+                refusals[f"{refusal.reason.value}/{refusal.verdict.value}"] += 1
+            elif not (outcome.complete or outcome.late or outcome.wrong):
+                report.lost += 1
+            if outcome.complete:
+                goodput[int(outcome.ended_ms) // MS_PER_SECOND] += 1
+        targets = self.emulator.targets_by_name.values()
+        report.wrong += sum(target.crossed for target in targets)
+        report.goodput_by_second = dict(goodput)
+        report.refusals_by_reason = dict(refusals)
+        report.attainment = _attainment(self.outcomes)
+        report.attainment_by_workspace = _by(self.outcomes, lambda a: a["workspace"])
+        report.attainment_by_pipeline = _by(
+            self.outcomes, lambda a: a.get("pipeline") or f"{a['service']}/{a['call']}"
+        )
+        self._report_times(report)
+        self._report_costs(report)
+        self._report_orders(report)
+        report.violations = _violations(report, self.header.get("outcomes", {}))
+        return report
+
+    def _report_times(self, report: ReplayReport) -> None:
+        first = [o.first_ms for o in self.outcomes if o.first_ms is not None]
+        report.first_token_p50 = _quantile(first, 0.5)
+        report.first_token_p95 = _quantile(first, 0.95)
+        gaps = sorted(self.gaps.elements())
+        report.gap_p50 = _quantile(gaps, 0.5)
+        report.gap_p95 = _quantile(gaps, 0.95)
+        if gaps:
+            within = sum(n for gap, n in self.gaps.items() if gap <= OBJECTIVE_GAP_MS)
+            report.gap_within = within / len(gaps)
+        if first:
+            within = sum(value <= OBJECTIVE_FIRST_TOKEN_MS for value in first)
+            report.first_within = within / len(first)
+        waits = [
+            o.ended_ms - o.arrival["at"] for o in self.outcomes if o.refusal is not None
+        ]
+        report.refusal_wait_p95 = _quantile(waits, 0.95)
+
+    def _report_costs(self, report: ReplayReport) -> None:
+        complete = {o.request_id: o for o in self.outcomes if o.complete}
+        by_stage: Counter[str] = Counter()
+        time_by_stage_run: dict[tuple[str, str], dict[int, float]] = defaultdict(dict)
+        for target in self.emulator.targets_by_name.values():
+            for key, duration_ms in target.engine_ms_by_attempt.items():
+                request, stage, number = key
+                by_stage[stage] += duration_ms
+                time_by_stage_run[request, stage][number] = duration_ms
+            report.tokens += sum(target.tokens_by_request.values())
+        for (request, _), durations in time_by_stage_run.items():
+            # A complete answer used one attempt's worth of work of each stage.
+            used = max(durations.values()) if request in complete else 0.0
+            report.wasted_ms += sum(durations.values()) - used
+        streamed = [o for o in complete.values() if o.first_ms is not None]
+        useful = sum(o.arrival["output"] for o in streamed)
+        report.wasted_tokens = report.tokens - useful
+        report.engine_ms_by_stage = dict(by_stage)
+        for entry in self.entries_by_name.values():
+            counts = getattr(entry.dispatcher, "counts", Counter())
+            report.attempts += counts["first"]
+            report.retries += counts["retry"]
+            report.hedges += counts["hedge"]
+        extra = report.retries + report.hedges
+        report.extra_share = extra / max(report.attempts, 1)
+
+    def _report_orders(self, report: ReplayReport) -> None:
+        runs: Counter[str] = Counter()
+        for target in self.emulator.targets_by_name.values():
+            runs.update(target.runs_by_key)
+        report.most_runs_of_an_order = max(runs.values(), default=0)
+        for outcome in self.outcomes:
+            key = outcome.arrival.get("key")
+            refusal = outcome.refusal
+            if key and refusal and refusal.verdict.value == "not-run" and runs[key]:
+                report.truthless += 1
+
+
+def _prompt(arrival: dict[str, Any], request_id: str) -> str:
+    shared = arrival.get("shared", 0) * 4
+    name = f"{arrival.get('prefix', '')} "
+    start = (name * (shared // len(name) + 1))[:shared]
+    return start + f"{request_id} ".ljust((arrival["prompt"] * 4) - shared, "x")
+
+
+def _attainment(outcomes: list[_Outcome]) -> float:
+    return sum(o.complete for o in outcomes) / max(len(outcomes), 1)
+
+
+def _by(
+    outcomes: list[_Outcome], key: Callable[[dict[str, Any]], str]
+) -> dict[str, float]:
+    groups: dict[str, list[_Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        groups[key(outcome.arrival)].append(outcome)
+    return {name: _attainment(group) for name, group in sorted(groups.items())}
+
+
+def _quantile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    return sorted(values)[min(int(len(values) * share), len(values) - 1)]
+
+
+def _violations(report: ReplayReport, outcomes: dict[str, Any]) -> list[str]:
+    """Compare a report with stated bounds; keys end in _at_least or _at_most."""
+    faults = []
+    for key, bound in outcomes.items():
+        name, _, sense = key.rpartition("_at_")
+        if not hasattr(report, name) or sense not in ("least", "most"):
+            faults.append(f"stated outcome {key!r} is not known")
+            continue
+        value = getattr(report, name)
+        bounds = bound if isinstance(bound, dict) else {"": bound}
+        for part, limit in bounds.items():
+            found = value.get(part, 0) if part else value
+            if (found < limit) if sense == "least" else (found > limit):
+                label = f"{name}[{part}]" if part else name
+                faults.append(f"{label} is {found}, stated at {sense} {limit}")
+    return faults
+
+
+def build_dispatcher(parts: EntryParts) -> Dispatcher:
+    """Return a dispatcher with the policies that an entry uses."""
+    return Dispatcher(parts.clock, parts.membership, parts.client, LeastLoadedRouter())
+
+
+def replay_records(
+    records: Iterable[dict[str, Any]], build: Build = build_dispatcher
+) -> ReplayReport:
+    """Replay a trace given as records; see ``replay``."""
+
+    async def run(clock: Clock) -> ReplayReport:
+        return await _Replay(clock, records, build).run()
+
+    return run_virtual(run)
+
+
+def replay(path: str | Path, build: Build = build_dispatcher) -> ReplayReport:
+    """Replay the trace in a file of JSON lines.
+
+    Args:
+        path: File with a header, arrivals and faults.
+        build: Makes the decisions of one entry.
+
+    Returns:
+        Measured figures, and the stated outcomes that do not hold.
+    """
+    with open(path, encoding="utf-8") as file:
+        records = [json.loads(line) for line in file if line.strip()]
+    return replay_records(records, build)
+
+
+def main(trace: str) -> int:
+    """Replay a trace, print its report as JSON and return the exit status.
+
+    Args:
+        trace: Path of the trace.
+    """
+    report = replay(trace)
+    json.dump(attrs.asdict(report), sys.stdout, indent=1)
+    print()
+    return 0 if report.holds else 1
