Route by expected time; add admission, limits, outliers, repeats and hedges

Cause: the thin dispatcher sends everything at once to the least reported load, repeats without a budget and cannot tell a silent connection from a slow target.

--- a/bench/traces.py
+++ b/bench/traces.py
@@ -53,7 +53,7 @@
         },
         "pipelines": ("stockist-query", "contract-draft"),
         # Complete pipeline requests a second; measured by bench.decisions.capacity.
-        "capacity": 30.0,
+        "capacity": 58.0,
     },
     "utility": {
         "centres": ["riverside", "tannery-row", "north-mill"],
@@ -65,7 +65,7 @@
             "outage-board": ("account-lookup", True),
         },
         "pipelines": ("account-question", "dossier-review"),
-        "capacity": 20.0,
+        "capacity": 39.0,
     },
 }
 
--- /dev/null
+++ b/wagtailrun/admission.py
@@ -0,0 +1,242 @@
+"""Keeps requests that can still meet their deadline, and orders those that wait."""
+
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+import curio
+
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.estimates import Estimates
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.membership import TargetRow
+
+if TYPE_CHECKING:
+    from wagtailrun.dispatch import Work
+
+__all__ = ["Admission"]
+
+USAGE_HALF_LIFE_MS = 10_000
+# A workspace is over its share when it used this multiple of it; less would call
+# ordinary variation a burst.
+OVER_SHARE = 1.2
+INTERVAL_WEIGHT = 0.1
+MAX_RETRY_AFTER_MS = 60_000
+# Bounds memory; waiting work is normally shed long before by its deadline.
+MAX_WAITING = 2_000
+
+Choose = Callable[[], TargetRow | None]
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    work: "Work"
+    choose: Choose
+    give_back: Callable[[TargetRow], None]
+    latest_start_ms: int
+    event: curio.Event = attrs.field(factory=curio.Event)
+    target: TargetRow | None = None
+    refusal: Refusal | None = None
+
+
+@attrs.define
+class _ServiceQueue:
+    waiting: list[_Waiter] = attrs.field(factory=list)
+    # Mean time between two starts while work was waiting.
+    interval_ms: float | None = None
+    last_start_ms: int | None = None
+
+
+class Admission:
+    """Decides which work starts, which waits and which is refused.
+
+    Args:
+        clock: Clock.
+        estimates: Recent distributions of stages.
+    """
+
+    def __init__(self, clock: Clock, estimates: Estimates):
+        self.clock = clock
+        self.estimates = estimates
+        self.queues_by_service: dict[str, _ServiceQueue] = {}
+        self.usage_by_workspace: dict[str, tuple[float, int]] = {}
+        self.shares_by_workspace: dict[str, int] = {}
+
+    async def enter(
+        self, work: "Work", choose: Choose, give_back: Callable[[TargetRow], None]
+    ) -> TargetRow | Refusal:
+        """Return the target for ``work`` as soon as there is room for it.
+
+        Args:
+            work: Work that wants to start.
+            choose: Chooses a target and takes room there, or returns None.
+            give_back: Frees that room if the caller left in the same moment.
+
+        Returns:
+            The target, or a refusal as soon as the deadline cannot be met.
+        """
+        needed_ms = self.needed_ms(work)
+        latest_start_ms = work.deadline_at_ms - needed_ms
+        if self.clock.now_ms() > latest_start_ms:
+            return self._refusal(work, needed_ms)
+        queue = self.queues_by_service.setdefault(work.service, _ServiceQueue())
+        if not queue.waiting:
+            target = choose()
+            if target is not None:
+                self._note_start(queue, work)
+                return target
+        waiter = _Waiter(work, choose, give_back, latest_start_ms)
+        queue.waiting.append(waiter)
+        await self._shed(queue)
+        # Others may wait for targets that this work need not avoid.
+        await self.released(work.service)
+        return await self._wait(queue, waiter)
+
+    async def _wait(self, queue: _ServiceQueue, waiter: _Waiter) -> TargetRow | Refusal:
+        try:
+            while waiter.target is None and waiter.refusal is None:
+                wait_ms = waiter.latest_start_ms - self.clock.now_ms()
+                if wait_ms <= 0:
+                    needed_ms = waiter.work.deadline_at_ms - waiter.latest_start_ms
+                    return self._refusal(waiter.work, needed_ms)
+                await curio.ignore_after(wait_ms / MS_PER_SECOND, waiter.event.wait)
+            return waiter.target or waiter.refusal
+        except curio.CancelledError:
+            if waiter.target is not None:
+                waiter.give_back(waiter.target)
+                await self.released(waiter.work.service)
+            raise
+        finally:
+            if waiter in queue.waiting:
+                queue.waiting.remove(waiter)
+
+    async def released(self, service: str) -> None:
+        """Start waiting work while there is room; call it when room appears."""
+        queue = self.queues_by_service.get(service)
+        if queue is None or not queue.waiting:
+            return
+        for waiter in self._ordered(queue):
+            target = waiter.choose()
+            if target is None:
+                return
+            queue.waiting.remove(waiter)
+            waiter.target = target
+            self._note_start(queue, waiter.work)
+            await waiter.event.set()
+
+    def needed_ms(self, work: "Work") -> int:
+        """Return the median time from the start of ``work`` to the request's end."""
+        size = work.size_class
+        total_ms = self.estimates.total_ms(work.service, work.stage, size) or 0
+        for service, stage in work.later:
+            total_ms += self.estimates.total_ms(service, stage, size) or 0
+            total_ms += self.wait_ms(service, work)
+        return int(total_ms)
+
+    def wait_ms(self, service: str, work: "Work") -> int:
+        """Return how long ``work`` would wait for a target of ``service`` now."""
+        queue = self.queues_by_service.get(service)
+        if queue is None or not queue.waiting or queue.interval_ms is None:
+            return 0
+        rank = self._rank(work, work.deadline_at_ms)
+        ahead = sum(
+            self._rank(waiter.work, waiter.latest_start_ms) <= rank
+            for waiter in queue.waiting
+        )
+        return int(ahead * queue.interval_ms)
+
+    def retry_after_ms(self, work: "Work") -> int:
+        """Return when the work now queued will have drained, in milliseconds."""
+        total_ms = 0.0
+        for service, stage in ((work.service, work.stage), *work.later):
+            queue = self.queues_by_service.get(service)
+            if queue is not None:
+                total_ms += (len(queue.waiting) + 1) * (queue.interval_ms or 0.0)
+            size = work.size_class
+            total_ms += self.estimates.total_ms(service, stage, size) or 0
+        return max(1, min(math.ceil(total_ms), MAX_RETRY_AFTER_MS))
+
+    def over_share(self, work: "Work") -> float:
+        """Return use as a multiple of the workspace's share among active ones."""
+        now_ms = self.clock.now_ms()
+        usage = {}
+        for name in list(self.usage_by_workspace):
+            usage[name] = self._usage(name, now_ms)
+            if usage[name] < 1e-3:
+                del self.usage_by_workspace[name]
+        usage.setdefault(work.workspace, 0.0)
+        self.shares_by_workspace[work.workspace] = work.share
+        shares = sum(self.shares_by_workspace.get(name, 1) for name in usage)
+        total = sum(usage.values())
+        if not total or len(usage) == 1:
+            return 0.0
+        return usage[work.workspace] / total / (work.share / shares)
+
+    def _usage(self, workspace: str, now_ms: int) -> float:
+        value, since_ms = self.usage_by_workspace.get(workspace, (0.0, now_ms))
+        return value * 0.5 ** ((now_ms - since_ms) / USAGE_HALF_LIFE_MS)
+
+    def _note_start(self, queue: _ServiceQueue, work: "Work") -> None:
+        now_ms = self.clock.now_ms()
+        cost_ms = self.estimates.total_ms(work.service, work.stage, work.size_class)
+        used = self._usage(work.workspace, now_ms) + (cost_ms or 1)
+        self.usage_by_workspace[work.workspace] = (used, now_ms)
+        self.shares_by_workspace[work.workspace] = work.share
+        if queue.last_start_ms is not None and queue.waiting:
+            interval_ms = now_ms - queue.last_start_ms
+            known_ms = queue.interval_ms
+            if known_ms is None:
+                known_ms = interval_ms
+            queue.interval_ms = known_ms + INTERVAL_WEIGHT * (interval_ms - known_ms)
+        queue.last_start_ms = now_ms
+
+    def _rank(self, work: "Work", latest_start_ms: int) -> tuple:
+        """Return the place in the queue; smaller starts first.
+
+        Workspaces within their share come first, then work that may not wait, then
+        priority, then the earliest latest start.
+        """
+        over = self.over_share(work)
+        excess = over if over > OVER_SHARE else 0.0
+        return (excess, work.may_wait, -work.priority, latest_start_ms)
+
+    def _ordered(self, queue: _ServiceQueue) -> list[_Waiter]:
+        over_by_workspace: dict[str, float] = {}
+
+        def rank(waiter: _Waiter) -> tuple:
+            work = waiter.work
+            over = over_by_workspace.get(work.workspace)
+            if over is None:
+                over = self.over_share(work)
+                over_by_workspace[work.workspace] = over
+            excess = over if over > OVER_SHARE else 0.0
+            return (excess, work.may_wait, -work.priority, waiter.latest_start_ms)
+
+        return sorted(queue.waiting, key=rank)
+
+    async def _shed(self, queue: _ServiceQueue) -> None:
+        """Refuse at once what cannot start in time behind what is ahead of it."""
+        interval_ms = queue.interval_ms or 0.0
+        start_ms = float(self.clock.now_ms())
+        for number, waiter in enumerate(self._ordered(queue)):
+            if start_ms > waiter.latest_start_ms or number >= MAX_WAITING:
+                needed_ms = waiter.work.deadline_at_ms - waiter.latest_start_ms
+                waiter.refusal = self._refusal(waiter.work, needed_ms)
+                queue.waiting.remove(waiter)
+                await waiter.event.set()
+            else:
+                start_ms += interval_ms
+
+    def _refusal(self, work: "Work", needed_ms: int) -> Refusal:
+        reason = RefusalReason.OVERLOADED
+        if self.over_share(work) > OVER_SHARE:
+            reason = RefusalReason.SHARE_EXCEEDED
+        elif work.deadline_at_ms <= self.clock.now_ms():
+            reason = RefusalReason.DEADLINE
+        remaining_ms = work.deadline_at_ms - self.clock.now_ms()
+        detail = (
+            f"service {work.service} would need {needed_ms} ms after the queue, and "
+            f"{max(remaining_ms, 0)} ms remain"
+        )
+        return Refusal(reason, Verdict.NOT_RUN, detail, self.retry_after_ms(work))
--- /dev/null
+++ b/wagtailrun/estimates.py
@@ -0,0 +1,166 @@
+"""Recent distributions of how long stages take, by size class."""
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from wagtailrun.clock import Clock
+
+__all__ = ["Estimates", "size_class"]
+
+WINDOW_MS = 10_000
+# The least contended times are looked for over a longer time than the current ones.
+BASELINE_WINDOW_MS = 60_000
+MIN_SAMPLES = 8
+# A percentile of an HDR histogram takes 85 us in Python, so it is kept this long.
+CACHE_MS = 500
+MAX_MS = 600_000
+SIGNIFICANT_DIGITS = 2
+BASELINE_PERCENTILE = 10
+# Bounds memory: each key has up to six histograms of 17 KB.
+MAX_KEYS = 64
+GAP_WEIGHT = 0.05
+ANY_CLASS = (0, 0)
+
+Key = tuple[str, str, tuple[int, int]]
+
+
+def size_class(size: int, max_tokens: int) -> tuple[int, int]:
+    """Return the class of a request: powers of two of its input and output."""
+    return (size.bit_length(), max_tokens.bit_length())
+
+
+class _RecentValues:
+    """Values of the current and the previous window."""
+
+    def __init__(self, window_ms: int):
+        self.window_ms = window_ms
+        self.started_ms: int | None = None
+        self.current: HdrHistogram | None = None
+        self.previous: HdrHistogram | None = None
+        self.cached: dict[int, tuple[int, int | None]] = {}
+
+    def record(self, value_ms: float, now_ms: int) -> None:
+        self._rotate(now_ms)
+        if self.current is None:
+            self.current = HdrHistogram(1, MAX_MS, SIGNIFICANT_DIGITS)
+        self.current.record_value(max(1, min(int(value_ms), MAX_MS)))
+
+    def _rotate(self, now_ms: int) -> None:
+        if self.started_ms is None:
+            self.started_ms = now_ms
+        age_ms = now_ms - self.started_ms
+        if age_ms >= self.window_ms:
+            recent = age_ms < 2 * self.window_ms
+            self.previous = self.current if recent else None
+            self.current = None
+            self.started_ms = now_ms
+
+    def percentile(self, percent: int, now_ms: int) -> int | None:
+        cached = self.cached.get(percent)
+        if cached is not None and now_ms - cached[0] < CACHE_MS:
+            return cached[1]
+        self._rotate(now_ms)
+        value = self._compute(percent)
+        if value is not None:
+            self.cached[percent] = (now_ms, value)
+        else:
+            self.cached.pop(percent, None)
+        return value
+
+    def _compute(self, percent: int) -> int | None:
+        parts = [part for part in (self.previous, self.current) if part is not None]
+        count = sum(part.get_total_count() for part in parts)
+        if count < MIN_SAMPLES:
+            return None
+        # The window with more samples decides; merging would copy 17 KB.
+        part = max(parts, key=lambda part: part.get_total_count())
+        return part.get_value_at_percentile(percent)
+
+
+@attrs.define
+class _Stage:
+    first: _RecentValues = attrs.field(factory=lambda: _RecentValues(WINDOW_MS))
+    total: _RecentValues = attrs.field(factory=lambda: _RecentValues(WINDOW_MS))
+    baseline: _RecentValues = attrs.field(
+        factory=lambda: _RecentValues(BASELINE_WINDOW_MS)
+    )
+
+
+class Estimates:
+    """What this entry's own attempts took recently.
+
+    Args:
+        clock: Clock.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.stages_by_key: dict[Key, _Stage] = {}
+        self.gap_ms_by_service: dict[str, float] = {}
+
+    def record(
+        self,
+        service: str,
+        stage: str,
+        size: tuple[int, int],
+        first_ms: float,
+        ms: float,
+    ) -> None:
+        """Record one attempt that succeeded.
+
+        Args:
+            service: Service that ran it.
+            stage: Kind of the stage or name of the call.
+            size: Size class.
+            first_ms: Time to its first item.
+            ms: Time to its end.
+        """
+        now_ms = self.clock.now_ms()
+        for key in {(service, stage, size), (service, stage, ANY_CLASS)}:
+            entry = self.stages_by_key.get(key)
+            if entry is None:
+                if len(self.stages_by_key) >= MAX_KEYS and key[2] != ANY_CLASS:
+                    continue
+                entry = self.stages_by_key[key] = _Stage()
+            entry.first.record(first_ms, now_ms)
+            entry.total.record(ms, now_ms)
+            entry.baseline.record(ms, now_ms)
+
+    def record_gap(self, service: str, gap_ms: float) -> None:
+        """Record a time between two pieces of a stream."""
+        known = self.gap_ms_by_service.get(service, gap_ms)
+        self.gap_ms_by_service[service] = known + GAP_WEIGHT * (gap_ms - known)
+
+    def gap_ms(self, service: str) -> float:
+        """Return the expected time between two pieces of a stream."""
+        return self.gap_ms_by_service.get(service, 0.0)
+
+    def total_ms(
+        self, service: str, stage: str, size: tuple[int, int], percent: int = 50
+    ) -> int | None:
+        """Return a percentile of the whole time, or None without enough samples."""
+        return self._percentile("total", service, stage, size, percent)
+
+    def first_ms(
+        self, service: str, stage: str, size: tuple[int, int], percent: int = 50
+    ) -> int | None:
+        """Return a percentile of the time to the first item, or None."""
+        return self._percentile("first", service, stage, size, percent)
+
+    def baseline_ms(
+        self, service: str, stage: str, size: tuple[int, int]
+    ) -> int | None:
+        """Return the whole time with little contention, or None."""
+        return self._percentile("baseline", service, stage, size, BASELINE_PERCENTILE)
+
+    def _percentile(
+        self, what: str, service: str, stage: str, size: tuple[int, int], percent: int
+    ) -> int | None:
+        now_ms = self.clock.now_ms()
+        for key in ((service, stage, size), (service, stage, ANY_CLASS)):
+            entry = self.stages_by_key.get(key)
+            if entry is not None:
+                value = getattr(entry, what).percentile(percent, now_ms)
+                if value is not None:
+                    return value
+        return None
--- a/wagtailrun/pipeline.py
+++ b/wagtailrun/pipeline.py
@@ -7,11 +7,12 @@
 
 import attrs
 
+from wagtailrun.affinity import prefix_hashes
 from wagtailrun.clock import Clock
 from wagtailrun.deadlines import before_deadline, stream_before_deadline
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.fleet import Pipeline, Stage, StageKind, Workspace
+from wagtailrun.fleet import Pipeline, StageKind, Workspace
 from wagtailrun.ports.target import Token
 
 __all__ = ["PipelineRequest", "PipelineRunner"]
@@ -60,7 +61,7 @@
         document = {"input": request.body}
         stages = request.pipeline.stages
         for position, stage in enumerate(stages):
-            work = _work(request, stage, document)
+            work = _work(request, position, document)
             if stage.kind is StageKind.GENERATE:
                 return await self._start_stream(work, started=position > 0)
             call = self.dispatcher.call(work)
@@ -96,7 +97,12 @@
             yield item
 
 
-def _work(request: PipelineRequest, stage: Stage, document: dict) -> Work:
+def _work(request: PipelineRequest, position: int, document: dict) -> Work:
+    stage = request.pipeline.stages[position]
+    later = request.pipeline.stages[position + 1 :]
+    prefixes = ()
+    if stage.kind is StageKind.GENERATE:
+        prefixes = prefix_hashes(str(request.body.get("prompt", "")))
     return Work(
         service=stage.service,
         path=f"/v1/stages/{stage.kind}",
@@ -108,9 +114,19 @@
         priority=request.workspace.priority,
         pipeline=request.pipeline.name,
         stage=stage.kind,
+        share=request.workspace.share,
+        size=len(str(request.body.get("prompt", ""))),
+        max_tokens=_max_tokens(request.body),
+        later=tuple((other.service, other.kind.value) for other in later),
+        prefixes=prefixes,
     )
 
 
+def _max_tokens(body: dict[str, Any]) -> int:
+    value = body.get("max_tokens")
+    return value if type(value) is int and value > 0 else 0
+
+
 def _after_stages(refusal: Refusal, started: bool) -> Refusal:
     """Return ``refusal`` with the verdict of the whole request."""
     if not started or refusal.reason is RefusalReason.MALFORMED:
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -14,14 +14,13 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.dispatch import Dispatcher, Work
+from wagtailrun.dispatch import Dispatcher, Work, make_dispatcher
 from wagtailrun.emulator import EmulatedClient, Emulator, TargetModel
 from wagtailrun.exceptions import Refusal
 from wagtailrun.fleet import FleetText, parse_fleet_text
 from wagtailrun.membership import Membership
 from wagtailrun.pipeline import PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import Token
-from wagtailrun.routing import LeastLoadedRouter
 from wagtailrun.virtual_time import run_virtual
 
 __all__ = ["EntryParts", "ReplayReport", "main", "replay", "replay_records"]
@@ -84,7 +83,7 @@
         most_runs_of_an_order: Most runs of one order key.
         truthless: Refusals with the verdict "not run" of an order that ran.
         refusal_wait_p95: Time from arrival to refusal.
-        goodput_by_second: Complete answers by second of completion.
+        goodput_by_second: Complete pipeline answers by second of completion.
         violations: Stated outcomes that do not hold.
     """
 
@@ -307,6 +306,7 @@
             idempotent=call.idempotent,
             may_wait=call.may_wait,
             priority=workspace.priority,
+            share=workspace.share,
             stage=call.name,
         )
         result = await entry.dispatcher.call(work)
@@ -392,7 +392,7 @@
                 refusals[f"{refusal.reason.value}/{refusal.verdict.value}"] += 1
             elif not (outcome.complete or outcome.late or outcome.wrong):
                 report.lost += 1
-            if outcome.complete:
+            if outcome.complete and "pipeline" in outcome.arrival:
                 goodput[int(outcome.ended_ms) // MS_PER_SECOND] += 1
         targets = self.emulator.targets_by_name.values()
         report.wrong += sum(target.crossed for target in targets)
@@ -511,7 +511,17 @@
 
 def build_dispatcher(parts: EntryParts) -> Dispatcher:
     """Return a dispatcher with the policies that an entry uses."""
-    return Dispatcher(parts.clock, parts.membership, parts.client, LeastLoadedRouter())
+    services = parts.fleet.services_by_name
+    return make_dispatcher(
+        parts.clock,
+        parts.membership,
+        parts.client,
+        name=parts.name,
+        data_centre=parts.data_centre,
+        probe=parts.client.probe,
+        seed=parts.seed,
+        may_leave=lambda service: services[service].fallback,
+    )
 
 
 def replay_records(
--- /dev/null
+++ b/wagtailrun/retries.py
@@ -0,0 +1,113 @@
+"""Which attempts may be repeated, how often, and who is told."""
+
+import random
+from abc import ABC, abstractmethod
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.target import StageAnswer
+
+if TYPE_CHECKING:
+    from wagtailrun.dispatch import Work
+
+__all__ = ["AttemptObserver", "NoObserver", "RetryBudget", "backoff_ms", "may_repeat"]
+
+EARNED_PER_FIRST_ATTEMPT = 0.1
+# Lets the first requests after a start be repeated; also bounds a burst of repeats.
+INITIAL_TOKENS = 3.0
+MAX_TOKENS = 10.0
+BACKOFF_BASE_MS = 25
+BACKOFF_MAX_MS = 1_000
+
+
+class RetryBudget:
+    """Tokens for repeated and hedged attempts; every service has its own."""
+
+    def __init__(self) -> None:
+        self.tokens_by_service: dict[str, float] = defaultdict(lambda: INITIAL_TOKENS)
+
+    def earn(self, service: str) -> None:
+        """Count a first attempt."""
+        tokens = self.tokens_by_service[service] + EARNED_PER_FIRST_ATTEMPT
+        self.tokens_by_service[service] = min(tokens, MAX_TOKENS)
+
+    def has(self, service: str) -> bool:
+        """Return whether one more attempt could be paid for."""
+        return self.tokens_by_service[service] >= 1.0
+
+    def spend(self, service: str) -> bool:
+        """Pay for one more attempt; return whether there was a token."""
+        if not self.has(service):
+            return False
+        self.tokens_by_service[service] -= 1.0
+        return True
+
+
+def may_repeat(idempotent: bool, error: TargetFailed) -> bool:
+    """Return whether work may be sent again after ``error``.
+
+    Work that is not idempotent is sent at most once, so it is repeated only when no
+    byte of it was sent.
+    """
+    return idempotent or (
+        isinstance(error, ConnectFailed) and error.verdict is Verdict.NOT_RUN
+    )
+
+
+def backoff_ms(repeats: int, source: random.Random) -> int:
+    """Return a wait before a repeat, with full jitter."""
+    longest_ms = min(BACKOFF_BASE_MS * 2**repeats, BACKOFF_MAX_MS)
+    return source.randint(0, longest_ms)
+
+
+class AttemptObserver(ABC):
+    """Is told of attempts so that they can be counted and charged."""
+
+    @abstractmethod
+    def finished(
+        self, work: "Work", target: TargetRow, duration_ms: int, answer: StageAnswer
+    ) -> None:
+        """Note an attempt whose answer was used."""
+
+    @abstractmethod
+    def retried(self, work: "Work", target: TargetRow, error: TargetFailed) -> None:
+        """Note that work is sent again after ``error`` at ``target``."""
+
+    @abstractmethod
+    def hedged(self, work: "Work", target: TargetRow) -> None:
+        """Note a second attempt at ``target`` beside one under way."""
+
+    @abstractmethod
+    def wasted(
+        self, work: "Work", target: TargetRow, duration_ms: int, tokens: int
+    ) -> None:
+        """Note an attempt whose work is not used.
+
+        Args:
+            work: Work that was attempted.
+            target: Target that ran it.
+            duration_ms: Time from its start to its cancellation or failure.
+            tokens: Tokens that arrived and were not used.
+        """
+
+
+class NoObserver(AttemptObserver):
+    """Ignores everything."""
+
+    def finished(
+        self, work: "Work", target: TargetRow, duration_ms: int, answer: StageAnswer
+    ) -> None:
+        """Ignore it."""
+
+    def retried(self, work: "Work", target: TargetRow, error: TargetFailed) -> None:
+        """Ignore it."""
+
+    def hedged(self, work: "Work", target: TargetRow) -> None:
+        """Ignore it."""
+
+    def wasted(
+        self, work: "Work", target: TargetRow, duration_ms: int, tokens: int
+    ) -> None:
+        """Ignore it."""
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -1,27 +1,87 @@
 """Chooses the target of an attempt."""
 
+import random
 from abc import ABC, abstractmethod
 from collections import Counter
+from collections.abc import Callable, Collection, Sequence
+from typing import TYPE_CHECKING
 
+import attrs
+
+from wagtailrun.affinity import CacheEvents, PrefixIndex
+from wagtailrun.clock import Clock
+from wagtailrun.estimates import Estimates
+from wagtailrun.limits import AdaptiveLimits
 from wagtailrun.membership import TargetRow
+from wagtailrun.outliers import FAILURE_SLOWNESS, OutlierEasing
+from wagtailrun.ports.target import StageAnswer
+from wagtailrun.subset import choose_subset
+
+if TYPE_CHECKING:
+    from wagtailrun.dispatch import Work
+
+__all__ = ["ExpectedTimeRouter", "LeastLoadedRouter", "Router"]
 
-__all__ = ["LeastLoadedRouter", "Router"]
+# About 20 targets a stage, whose load is known well (section 2 of the design page).
+SUBSET_SIZE = 20
+# A load that came with an answer is trusted over announcements this long: they are
+# made once a second and arrive late.
+ANSWER_LOAD_MS = 1_000
+UNIT_WEIGHT = 0.2
+SAVING_WEIGHT = 0.1
+CACHED_SHARE = 0.5
 
 
 class Router(ABC):
     """Chooses among usable targets and learns how attempts end."""
 
     @abstractmethod
-    def choose(self, candidates: list[TargetRow]) -> TargetRow | None:
-        """Return the target of the next attempt, or None if there is none."""
+    def choose(
+        self,
+        candidates: Sequence[TargetRow],
+        work: "Work | None" = None,
+        avoid: Collection[str] = (),
+    ) -> TargetRow | None:
+        """Return the target of the next attempt, or None if none has room.
+
+        Args:
+            candidates: Usable targets of the service.
+            work: What is to run.
+            avoid: Names of targets to be chosen only if there is no other.
+        """
 
     @abstractmethod
     def started(self, target: TargetRow) -> None:
         """Note that an attempt was given to ``target``."""
 
     @abstractmethod
-    def ended(self, target: TargetRow, duration_ms: int, succeeded: bool) -> None:
-        """Note that an attempt at ``target`` ended."""
+    def ended(
+        self,
+        target: TargetRow,
+        duration_ms: int,
+        succeeded: bool,
+        work: "Work | None" = None,
+        answer: StageAnswer | None = None,
+        blamed: bool = True,
+    ) -> None:
+        """Note that an attempt at ``target`` ended.
+
+        Args:
+            target: Row that was chosen.
+            duration_ms: Time since its start.
+            succeeded: Whether the whole answer came.
+            work: What ran.
+            answer: Counters of the target, if it succeeded.
+            blamed: Whether a failure says something about the target.
+        """
+
+    def unreachable(self, target: TargetRow) -> None:  # noqa: B027
+        """Note that no new connection to ``target`` can be opened."""
+
+    def observe_cache(  # noqa: B027
+        self, target: TargetRow, events: CacheEvents
+    ) -> None:
+        """Note what ``target`` reported of its prefix cache."""
 
 
 class LeastLoadedRouter(Router):
@@ -30,15 +90,29 @@
     def __init__(self) -> None:
         self.in_flight_by_name: Counter[str] = Counter()
 
-    def choose(self, candidates: list[TargetRow]) -> TargetRow | None:
+    def choose(
+        self,
+        candidates: Sequence[TargetRow],
+        work: "Work | None" = None,
+        avoid: Collection[str] = (),
+    ) -> TargetRow | None:
         """Return the target with the least load a unit of capacity."""
-        return min(candidates, key=self._load, default=None)
+        preferred = [row for row in candidates if row.name not in avoid]
+        return min(preferred or candidates, key=self._load, default=None)
 
     def started(self, target: TargetRow) -> None:
         """Count the attempt as in flight."""
         self.in_flight_by_name[target.name] += 1
 
-    def ended(self, target: TargetRow, duration_ms: int, succeeded: bool) -> None:
+    def ended(
+        self,
+        target: TargetRow,
+        duration_ms: int,
+        succeeded: bool,
+        work: "Work | None" = None,
+        answer: StageAnswer | None = None,
+        blamed: bool = True,
+    ) -> None:
         """Count the attempt as no longer in flight."""
         self.in_flight_by_name[target.name] -= 1
         if not self.in_flight_by_name[target.name]:
@@ -47,3 +121,290 @@
     def _load(self, target: TargetRow) -> float:
         reported = target.running + target.queued
         return (reported + self.in_flight_by_name[target.name]) / target.capacity
+
+
+@attrs.define
+class _Known:
+    """What this entry knows of one target beside its row."""
+
+    version: tuple[int, int] = (0, -1)
+    # Load as last learned, and own starts less own ends since.
+    load: int = 0
+    own_since: int = 0
+    in_flight: int = 0
+    learned_ms: int = 0
+    # Time of one attempt alone, as a multiple of the service's least contended time.
+    unit: float = 1.0
+    unreachable_version: tuple[int, int] | None = None
+
+
+@attrs.define
+class _Subset:
+    candidates: Sequence[TargetRow]
+    local: list[TargetRow]
+    remote: list[TargetRow]
+
+
+@attrs.frozen
+class RouterOptions:
+    """Parts of the router, each of which can be switched off to measure it."""
+
+    correct_reports: bool = True
+    two_choices: bool = True
+    affinity: bool = True
+    easing: bool = True
+    limits: bool = True
+    local_first: bool = True
+
+
+class ExpectedTimeRouter(Router):
+    """Chooses the earliest expected completion among two random targets.
+
+    Args:
+        clock: Clock.
+        estimates: Recent distributions of stages.
+        name: Name of this entry.
+        data_centre: Data centre of this entry; empty takes all targets as local.
+        seed: Seed of the random choices.
+        entries: Returns the names of live entries; by default only this one is known.
+        may_leave: Whether another data centre may serve a service.
+        options: Parts that are in use.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        estimates: Estimates,
+        name: str,
+        data_centre: str = "",
+        seed: int | None = None,
+        entries: Callable[[], Sequence[str]] = tuple,
+        may_leave: Callable[[str], bool] = lambda service: True,
+        options: RouterOptions = RouterOptions(),
+    ):
+        self.clock = clock
+        self.estimates = estimates
+        self.name = name
+        self.data_centre = data_centre
+        self.random = random.Random(seed)
+        self.entries = entries
+        self.may_leave = may_leave
+        self.options = options
+        self.limits = AdaptiveLimits()
+        self.easing = OutlierEasing(clock)
+        self.prefixes = PrefixIndex()
+        self.known_by_name: dict[str, _Known] = {}
+        self.subsets_by_service: dict[str, _Subset] = {}
+        self.saving_ms_by_service: dict[str, list[float | None]] = {}
+
+    def choose(
+        self,
+        candidates: Sequence[TargetRow],
+        work: "Work | None" = None,
+        avoid: Collection[str] = (),
+    ) -> TargetRow | None:
+        """Return the earliest expected completion; see ``Router.choose``."""
+        if not candidates:
+            return None
+        subset = self._subset(candidates)
+        now_ms = self.clock.now_ms()
+        local, local_ms = self._best(subset.local, work, avoid, now_ms)
+        if local is not None and (work is None or self._in_time(local_ms, work)):
+            return local
+        if not subset.remote or not self.may_leave(candidates[0].service):
+            return local
+        remote, remote_ms = self._best(subset.remote, work, avoid, now_ms)
+        if remote is None or (local is not None and local_ms <= remote_ms):
+            return local
+        return remote
+
+    def _subset(self, candidates: Sequence[TargetRow]) -> _Subset:
+        service = candidates[0].service
+        subset = self.subsets_by_service.get(service)
+        if subset is not None and subset.candidates is candidates:
+            return subset
+        local = [row for row in candidates if self._is_local(row)]
+        remote = [row for row in candidates if not self._is_local(row)]
+        subset = _Subset(candidates, self._limited(local), self._limited(remote))
+        self.subsets_by_service[service] = subset
+        return subset
+
+    def _limited(self, rows: list[TargetRow]) -> list[TargetRow]:
+        if len(rows) <= SUBSET_SIZE:
+            return rows
+        names = [row.name for row in rows]
+        chosen = choose_subset(names, self.name, self.entries(), SUBSET_SIZE)
+        return [row for row in rows if row.name in chosen]
+
+    def _is_local(self, row: TargetRow) -> bool:
+        if not self.options.local_first or not self.data_centre:
+            return True
+        return row.data_centre == self.data_centre
+
+    def _best(
+        self,
+        rows: list[TargetRow],
+        work: "Work | None",
+        avoid: Collection[str],
+        now_ms: int,
+    ) -> tuple[TargetRow | None, float]:
+        """Return a target with room and its expected time, or None."""
+        able = [row for row in rows if self._has_room(row) and row.name not in avoid]
+        if not able:
+            able = [row for row in rows if self._has_room(row)]
+        reachable = [row for row in able if not self._is_unreachable(row)]
+        able = reachable or able
+        if not able:
+            return None, 0.0
+        picks = self._picks(able, work)
+        if len(picks) == 1:
+            return picks[0], self.expected_ms(picks[0], work, now_ms)
+        times = [self.expected_ms(row, work, now_ms) for row in picks]
+        best = min(range(len(picks)), key=times.__getitem__)
+        return picks[best], times[best]
+
+    def _picks(self, able: list[TargetRow], work: "Work | None") -> list[TargetRow]:
+        if self.options.easing and len(able) > 1:
+            drawn = self.random.random()
+            able = [row for row in able if drawn < self.easing.share(row.name)] or able
+        if not self.options.two_choices or len(able) <= 2:
+            return able
+        picks = self.random.sample(able, 2)
+        if self.options.affinity and work is not None and work.prefixes:
+            holder = max(able, key=lambda row: self._cached_share(row, work))
+            if self._cached_share(holder, work) > 0 and holder not in picks:
+                picks.append(holder)
+        return picks
+
+    def _cached_share(self, row: TargetRow, work: "Work") -> float:
+        return self.prefixes.cached_share(row.name, row.incarnation, work.prefixes)
+
+    def _has_room(self, row: TargetRow) -> bool:
+        if not self.options.limits:
+            return True
+        return self.limits.has_room(row.name, row.capacity)
+
+    def _is_unreachable(self, row: TargetRow) -> bool:
+        known = self.known_by_name.get(row.name)
+        return known is not None and known.unreachable_version == row.version
+
+    def _in_time(self, expected_ms: float, work: "Work") -> bool:
+        later_ms = sum(
+            self.estimates.total_ms(service, stage, work.size_class) or 0
+            for service, stage in work.later
+        )
+        return self.clock.now_ms() + expected_ms + later_ms <= work.deadline_at_ms
+
+    def expected_ms(self, row: TargetRow, work: "Work | None", now_ms: int) -> float:
+        """Return the expected time to completion at ``row``, in milliseconds.
+
+        Without samples the result only compares loads.
+        """
+        known = self._known(row, now_ms)
+        base_ms = None
+        if work is not None:
+            base_ms = self.estimates.baseline_ms(
+                work.service, work.stage, work.size_class
+            )
+        load = self._load(known, row)
+        expected = (base_ms or 1.0) * known.unit * (1.0 + load / row.capacity)
+        if self.options.affinity and work is not None and work.prefixes and base_ms:
+            saving_ms = self._saving_ms(work.service)
+            if saving_ms:
+                expected -= saving_ms * self._cached_share(row, work)
+        return expected
+
+    def _load(self, known: _Known, row: TargetRow) -> int:
+        if not self.options.correct_reports:
+            return row.running + row.queued
+        return max(known.load + known.own_since, known.in_flight)
+
+    def _known(self, row: TargetRow, now_ms: int) -> _Known:
+        known = self.known_by_name.get(row.name)
+        if known is None:
+            known = self.known_by_name[row.name] = _Known()
+        if row.version != known.version:
+            restarted = row.incarnation != known.version[0]
+            known.version = row.version
+            if restarted or now_ms - known.learned_ms >= ANSWER_LOAD_MS:
+                known.load = row.running + row.queued
+                known.own_since = 0
+            if restarted:
+                known.unit = 1.0
+        return known
+
+    def _saving_ms(self, service: str) -> float:
+        cached_ms, uncached_ms = self.saving_ms_by_service.get(service, (None, None))
+        if cached_ms is None or uncached_ms is None:
+            # Unknown until both kinds were seen; any saving is worth finding out.
+            return uncached_ms or 0.0
+        return max(uncached_ms - cached_ms, 0.0)
+
+    def started(self, target: TargetRow) -> None:
+        """Count the attempt as in flight."""
+        known = self._known(target, self.clock.now_ms())
+        known.own_since += 1
+        known.in_flight += 1
+        self.limits.started(target.name)
+
+    def ended(
+        self,
+        target: TargetRow,
+        duration_ms: int,
+        succeeded: bool,
+        work: "Work | None" = None,
+        answer: StageAnswer | None = None,
+        blamed: bool = True,
+    ) -> None:
+        """Learn from the attempt; see ``Router.ended``."""
+        known = self._known(target, self.clock.now_ms())
+        known.own_since -= 1
+        known.in_flight -= 1
+        slowness = None
+        if succeeded and work is not None:
+            slowness = self._slowness(duration_ms, work)
+            if slowness is not None:
+                self._learn(known, target, slowness)
+        elif not succeeded and blamed:
+            self.easing.record(target.name, target.service, FAILURE_SLOWNESS)
+        self.limits.ended(target.name, target.capacity, slowness)
+        if answer is not None:
+            self._learn_load(known, answer)
+            if work is not None and work.prefixes:
+                self._learn_saving(work, answer)
+
+    def _slowness(self, duration_ms: int, work: "Work") -> float | None:
+        base_ms = self.estimates.baseline_ms(work.service, work.stage, work.size_class)
+        return duration_ms / base_ms if base_ms else None
+
+    def _learn(self, known: _Known, target: TargetRow, slowness: float) -> None:
+        load = self._load(known, target)
+        unit = slowness / (1.0 + load / target.capacity)
+        known.unit += UNIT_WEIGHT * (unit - known.unit)
+        self.easing.record(target.name, target.service, slowness)
+
+    def _learn_load(self, known: _Known, answer: StageAnswer) -> None:
+        known.load = answer.running + answer.queued
+        known.own_since = 0
+        known.learned_ms = self.clock.now_ms()
+
+    def _learn_saving(self, work: "Work", answer: StageAnswer) -> None:
+        if not answer.tokens_in:
+            return
+        times = self.saving_ms_by_service.setdefault(work.service, [None, None])
+        cached = answer.tokens_cached / answer.tokens_in >= CACHED_SHARE
+        index = 0 if cached else 1
+        before = times[index]
+        spent = float(answer.engine_ms)
+        times[index] = (
+            spent if before is None else before + SAVING_WEIGHT * (spent - before)
+        )
+
+    def unreachable(self, target: TargetRow) -> None:
+        """Pass the target over until it announces itself again."""
+        known = self._known(target, self.clock.now_ms())
+        known.unreachable_version = target.version
+
+    def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
+        """Apply cache events of a target."""
+        self.prefixes.observe(target.name, target.incarnation, events)
