Weigh cached prefixes, keep budget for repeats, prefer local targets by expected time

The router let one slow answer mark a target for the rest of the run, took only the time of the request itself as the saving of a cached prefix, and left the local data centre only at the deadline. Hedges used the whole repeat budget, so streams of dead engines were not resumed.

--- a/wagtailrun/admission.py
+++ b/wagtailrun/admission.py
@@ -22,6 +22,8 @@
 # ordinary variation a burst.
 OVER_SHARE = 1.2
 INTERVAL_WEIGHT = 0.1
+# Reports of other entries' work ending arrive without an event here.
+POLL_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
 # Bounds memory; waiting work is normally shed long before by its deadline.
 MAX_WAITING = 2_000
@@ -100,7 +102,10 @@
                 if wait_ms <= 0:
                     needed_ms = waiter.work.deadline_at_ms - waiter.latest_start_ms
                     return self._refusal(waiter.work, needed_ms)
+                wait_ms = min(wait_ms, POLL_MS)
                 await curio.ignore_after(wait_ms / MS_PER_SECOND, waiter.event.wait)
+                if waiter.target is None and waiter.refusal is None:
+                    await self.released(waiter.work.service)
             return waiter.target or waiter.refusal
         except curio.CancelledError:
             if waiter.target is not None:
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -25,6 +25,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Attempt, StageAnswer, TargetClient, Token
 from wagtailrun.retries import (
+    HEDGE_RESERVE,
     AttemptObserver,
     NoObserver,
     RetryBudget,
@@ -122,7 +123,8 @@
     attempt: Attempt
     started_ms: int
     results: curio.Queue
-    hedge: bool = False
+    # Whether it is given up when nothing comes; the last attempt is not.
+    impatient: bool = True
     task: curio.Task | None = None
     stream: AsyncIterator[tuple[Token, ...]] | None = None
     first_ms: int = 0
@@ -275,7 +277,10 @@
         if not repeats.count:
             self.counts["first"] += 1
             self.budget.earn(work.service)
-        return await self._launch(work, target, repeats.offset, Results(), streaming)
+        impatient = repeats.count < self.options.repeats
+        return await self._launch(
+            work, target, repeats.offset, Results(), streaming, impatient
+        )
 
     async def _admit(self, work: Work, avoid: set[str]) -> TargetRow | Refusal:
         def choose() -> TargetRow | None:
@@ -329,7 +334,7 @@
         offset: int,
         results: Results,
         streaming: bool,
-        hedge: bool = False,
+        impatient: bool = True,
     ) -> _Run:
         """Start an attempt in a task that puts its first result into ``results``."""
         now_ms = self.clock.now_ms()
@@ -340,11 +345,12 @@
             path=work.path,
             body=work.body,
             remaining_ms=max(work.deadline_at_ms - now_ms, 1),
-            priority=work.priority,
+            # Work that may wait yields at the target too.
+            priority=2 * work.priority + (not work.may_wait),
             resume_offset=offset,
             fresh=not work.idempotent or now_ms < fresh_until_ms,
         )
-        run = _Run(work, target, attempt, now_ms, results, hedge)
+        run = _Run(work, target, attempt, now_ms, results, impatient)
         if streaming:
             run.stream = self.client.stream(target.address, attempt)
         run.task = await curio.spawn(self._run_first, run, daemon=True)
@@ -369,6 +375,9 @@
         try:
             while True:
                 winner, value = await self._next_result(runs)
+                if winner not in runs:
+                    # It was given up as silent and answered all the same.
+                    continue
                 if not isinstance(value, TargetFailed):
                     runs.remove(winner)
                     winner.first_ms = self.clock.now_ms() - winner.started_ms
@@ -421,7 +430,7 @@
     async def _hedge(self, runs: list[_Run]) -> None:
         run = runs[0]
         work = run.work
-        if not self._can_pay(work.service):
+        if self.options.budget and not self.budget.has(work.service, HEDGE_RESERVE):
             return
         target = self._choose(work, {run.target.name})
         if target is None or target.name == run.target.name:
@@ -432,13 +441,13 @@
         self.counts["hedge"] += 1
         self.observer.hedged(work, target)
         streaming = run.stream is not None
-        hedge = await self._launch(work, target, 0, run.results, streaming, hedge=True)
+        hedge = await self._launch(work, target, 0, run.results, streaming)
         runs.append(hedge)
 
     def _silent_at_ms(self, run: _Run) -> int | None:
         """Return when nothing will have come for too long, or None if unknown."""
         work = run.work
-        if not self.options.silence or not work.idempotent:
+        if not self.options.silence or not work.idempotent or not run.impatient:
             return None
         key = (work.service, work.stage, work.size_class)
         expected_ms = self.estimates.first_ms(*key, percent=95)
@@ -478,7 +487,8 @@
         end_ms = work.deadline_at_ms - DEADLINE_MARGIN_MS
         wait_ms = end_ms - started_ms
         gap_ms = self.estimates.gap_ms(work.service)
-        if self.options.silence and gap_ms and self._can_pay(work.service):
+        impatient = self.options.silence and run.impatient
+        if impatient and gap_ms and self._can_pay(work.service):
             wait_ms = min(wait_ms, max(SILENCE_MULTIPLE * gap_ms, MIN_SILENCE_MS))
         try:
             tokens = await curio.timeout_after(
--- a/wagtailrun/emulator.py
+++ b/wagtailrun/emulator.py
@@ -92,6 +92,8 @@
         self.engine_ms_by_attempt: Counter[tuple[str, str, int]] = Counter()
         self.tokens_by_request: Counter[str] = Counter()
         self.crossed = 0
+        self.tokens_in = 0
+        self.tokens_cached = 0
 
     def submit(self, attempt: Attempt, entry: str) -> _Job:
         """Queue an attempt and return its job."""
@@ -128,6 +130,8 @@
         tokens_per_block = job.tokens_in // max(len(hashes), 1)
         job.cached = hits * tokens_per_block
         job.prefill_left -= job.cached
+        self.tokens_in += job.tokens_in
+        self.tokens_cached += job.cached
         for value in hashes:
             if value not in self.cache:
                 self.cache_log.append(f"{value:x}")
@@ -188,12 +192,13 @@
                 taken = min(budget, job.prefill_left)
                 budget -= taken
                 job.prefill_left -= taken
+                self._book(job, taken * self.model.prefill_us / 1_000 * self.factor)
             if job.prefill_left <= 0:
                 decoding.append(job)
         prefill_ms = (PREFILL_CHUNK - budget) * self.model.prefill_us / 1_000
         step_ms = (self.model.decode_ms + prefill_ms) * self.factor
         await curio.sleep(step_ms / MS_PER_SECOND)
-        part_ms = step_ms / max(len(self.running), 1)
+        part_ms = self.model.decode_ms * self.factor / max(len(self.running), 1)
         for job in list(self.running):
             self._book(job, part_ms)
         for job in decoding:
@@ -357,6 +362,10 @@
 
     async def run_reports(self) -> None:
         """Announce every target each second and deliver the reports with their lag."""
+        # Reports that were under way when the replay starts.
+        for due_ms in range(0, self.report_lag_ms, ANNOUNCE_INTERVAL_MS):
+            for target in self.targets_by_name.values():
+                self.reports.append((due_ms, *target.announce()))
         for piece in itertools.cycle(range(ANNOUNCE_SLICES)):
             now_ms = self.clock.now_ms()
             for target in list(self.targets_by_name.values())[piece::ANNOUNCE_SLICES]:
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -74,6 +74,7 @@
         gap_p50, gap_p95: Time between tokens.
         gap_within: Share of gaps within the objective.
         first_within: Share of first tokens within the objective, of those that came.
+        cached_share: Share of prompt tokens that prefix caches held.
         tokens: Tokens that engines generated.
         wasted_tokens: Tokens of them in no complete answer.
         engine_ms_by_stage: Time that targets spent, by stage.
@@ -102,6 +103,7 @@
     gap_p95: float = 0.0
     gap_within: float = 1.0
     first_within: float = 1.0
+    cached_share: float = 0.0
     tokens: int = 0
     wasted_tokens: int = 0
     engine_ms_by_stage: dict[str, float] = attrs.field(factory=dict)
@@ -441,6 +443,9 @@
             # A complete answer used one attempt's worth of work of each stage.
             used = max(durations.values()) if request in complete else 0.0
             report.wasted_ms += sum(durations.values()) - used
+        targets = self.emulator.targets_by_name.values()
+        cached = sum(target.tokens_cached for target in targets)
+        report.cached_share = cached / max(sum(t.tokens_in for t in targets), 1)
         streamed = [o for o in complete.values() if o.first_ms is not None]
         useful = sum(o.arrival["output"] for o in streamed)
         report.wasted_tokens = report.tokens - useful
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -18,6 +18,9 @@
 # Lets the first requests after a start be repeated; also bounds a burst of repeats.
 INITIAL_TOKENS = 3.0
 MAX_TOKENS = 10.0
+# Kept for repeats: hedges alone used up the whole budget, so that streams of a dead
+# target could not be resumed.
+HEDGE_RESERVE = 5.0
 BACKOFF_BASE_MS = 25
 BACKOFF_MAX_MS = 1_000
 
@@ -33,9 +36,9 @@
         tokens = self.tokens_by_service[service] + EARNED_PER_FIRST_ATTEMPT
         self.tokens_by_service[service] = min(tokens, MAX_TOKENS)
 
-    def has(self, service: str) -> bool:
-        """Return whether one more attempt could be paid for."""
-        return self.tokens_by_service[service] >= 1.0
+    def has(self, service: str, reserve: float = 0.0) -> bool:
+        """Return whether one more attempt leaves at least ``reserve`` tokens."""
+        return self.tokens_by_service[service] >= 1.0 + reserve
 
     def spend(self, service: str) -> bool:
         """Pay for one more attempt; return whether there was a token."""
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -27,6 +27,15 @@
 # A load that came with an answer is trusted over announcements this long: they are
 # made once a second and arrive late.
 ANSWER_LOAD_MS = 1_000
+# A local target is taken unless one elsewhere is this much faster: links between data
+# centres may be cut, but waiting for the deadline to be at risk cost 4 points of
+# attainment at 90% load (docs/decisions.md).
+LOCAL_ADVANTAGE = 1.25
+# A prompt sent past its cached prefix also evicts blocks that others would have found;
+# weight 1 gave a lower share of cached tokens and a lower attainment.
+PREFIX_WEIGHT = 2.0
+# One slow answer must not keep a target out of use for ever.
+UNIT_HALF_LIFE_MS = 5_000
 UNIT_WEIGHT = 0.2
 SAVING_WEIGHT = 0.1
 CACHED_SHARE = 0.5
@@ -135,6 +144,7 @@
     learned_ms: int = 0
     # Time of one attempt alone, as a multiple of the service's least contended time.
     unit: float = 1.0
+    unit_ms: int = 0
     unreachable_version: tuple[int, int] | None = None
 
 
@@ -209,12 +219,12 @@
         subset = self._subset(candidates)
         now_ms = self.clock.now_ms()
         local, local_ms = self._best(subset.local, work, avoid, now_ms)
-        if local is not None and (work is None or self._in_time(local_ms, work)):
-            return local
         if not subset.remote or not self.may_leave(candidates[0].service):
             return local
         remote, remote_ms = self._best(subset.remote, work, avoid, now_ms)
-        if remote is None or (local is not None and local_ms <= remote_ms):
+        if local is None or remote is None:
+            return local or remote
+        if local_ms <= remote_ms * LOCAL_ADVANTAGE:
             return local
         return remote
 
@@ -307,11 +317,16 @@
                 work.service, work.stage, work.size_class
             )
         load = self._load(known, row)
-        expected = (base_ms or 1.0) * known.unit * (1.0 + load / row.capacity)
+        age_ms = now_ms - known.unit_ms
+        unit = 1.0 + (known.unit - 1.0) * 0.5 ** (age_ms / UNIT_HALF_LIFE_MS)
+        expected = (base_ms or 1.0) * unit * (1.0 + load / row.capacity)
         if self.options.affinity and work is not None and work.prefixes and base_ms:
             saving_ms = self._saving_ms(work.service)
             if saving_ms:
-                expected -= saving_ms * self._cached_share(row, work)
+                # Prefill holds up the whole batch, so its saving counts for each
+                # request that runs beside this one.
+                beside = PREFIX_WEIGHT * (1 + min(load, row.capacity))
+                expected -= saving_ms * self._cached_share(row, work) * beside
         return expected
 
     def _load(self, known: _Known, row: TargetRow) -> int:
@@ -381,6 +396,7 @@
         load = self._load(known, target)
         unit = slowness / (1.0 + load / target.capacity)
         known.unit += UNIT_WEIGHT * (unit - known.unit)
+        known.unit_ms = self.clock.now_ms()
         self.easing.record(target.name, target.service, slowness)
 
     def _learn_load(self, known: _Known, answer: StageAnswer) -> None:
