--- a/wagtailrun/admission.py
+++ b/wagtailrun/admission.py
@@ -18,9 +18,11 @@
 __all__ = ["Admission"]
 
 USAGE_HALF_LIFE_MS = 10_000
-# A workspace is over its share when it used this multiple of it; less would call
-# ordinary variation a burst.
-OVER_SHARE = 1.2
+# A workspace is over its share when its use exceeds the share by this part and by two
+# standard deviations of random arrivals; a fixed bound took small workspaces at
+# ordinary load for bursts.
+MIN_EXCESS = 0.2
+DEVIATIONS = 2.0
 INTERVAL_WEIGHT = 0.1
 # Reports of other entries' work ending arrive without an event here.
 POLL_MS = 100
@@ -64,6 +66,7 @@
         self.queues_by_service: dict[str, _ServiceQueue] = {}
         self.usage_by_workspace: dict[str, tuple[float, int]] = {}
         self.shares_by_workspace: dict[str, int] = {}
+        self.squares: dict[str, tuple[float, int]] = {}
 
     async def enter(
         self, work: "Work", choose: Choose, give_back: Callable[[TargetRow], None]
@@ -163,30 +166,44 @@
         return max(1, min(math.ceil(total_ms), MAX_RETRY_AFTER_MS))
 
     def over_share(self, work: "Work") -> float:
-        """Return use as a multiple of the workspace's share among active ones."""
+        """Return how far the workspace's use exceeds its share, 0 if it does not.
+
+        The result is a multiple of the share among workspaces that are active here.
+        """
         now_ms = self.clock.now_ms()
-        usage = {}
+        used = self._usage(self.usage_by_workspace, work.workspace, now_ms)
+        total = shares = 0.0
         for name in list(self.usage_by_workspace):
-            usage[name] = self._usage(name, now_ms)
-            if usage[name] < 1e-3:
+            usage = self._usage(self.usage_by_workspace, name, now_ms)
+            if usage < 1e-3:
                 del self.usage_by_workspace[name]
-        usage.setdefault(work.workspace, 0.0)
-        self.shares_by_workspace[work.workspace] = work.share
-        shares = sum(self.shares_by_workspace.get(name, 1) for name in usage)
-        total = sum(usage.values())
-        if not total or len(usage) == 1:
+                del self.shares_by_workspace[name]
+                continue
+            total += usage
+            shares += self.shares_by_workspace[name]
+        if not used or total <= used:
             return 0.0
-        return usage[work.workspace] / total / (work.share / shares)
-
-    def _usage(self, workspace: str, now_ms: int) -> float:
-        value, since_ms = self.usage_by_workspace.get(workspace, (0.0, now_ms))
+        entitled = total * work.share / shares
+        # Mean cost weighted by cost, which tells how many starts make up the share.
+        mean_cost = self._usage(self.squares, "", now_ms) / total
+        margin = max(MIN_EXCESS, DEVIATIONS * math.sqrt(mean_cost / entitled))
+        excess = used / entitled - 1.0
+        return excess if excess > margin else 0.0
+
+    def _usage(
+        self, values: dict[str, tuple[float, int]], key: str, now_ms: int
+    ) -> float:
+        value, since_ms = values.get(key, (0.0, now_ms))
         return value * 0.5 ** ((now_ms - since_ms) / USAGE_HALF_LIFE_MS)
 
     def _note_start(self, queue: _ServiceQueue, work: "Work") -> None:
         now_ms = self.clock.now_ms()
         cost_ms = self.estimates.total_ms(work.service, work.stage, work.size_class)
-        used = self._usage(work.workspace, now_ms) + (cost_ms or 1)
+        cost_ms = cost_ms or 1
+        used = self._usage(self.usage_by_workspace, work.workspace, now_ms) + cost_ms
         self.usage_by_workspace[work.workspace] = (used, now_ms)
+        squares = self._usage(self.squares, "", now_ms) + cost_ms**2
+        self.squares[""] = (squares, now_ms)
         self.shares_by_workspace[work.workspace] = work.share
         if queue.last_start_ms is not None and queue.waiting:
             interval_ms = now_ms - queue.last_start_ms
@@ -202,20 +219,16 @@
         Workspaces within their share come first, then work that may not wait, then
         priority, then the earliest latest start.
         """
-        over = self.over_share(work)
-        excess = over if over > OVER_SHARE else 0.0
-        return (excess, work.may_wait, -work.priority, latest_start_ms)
+        return (self.over_share(work), work.may_wait, -work.priority, latest_start_ms)
 
     def _ordered(self, queue: _ServiceQueue) -> list[_Waiter]:
         over_by_workspace: dict[str, float] = {}
 
         def rank(waiter: _Waiter) -> tuple:
             work = waiter.work
-            over = over_by_workspace.get(work.workspace)
-            if over is None:
-                over = self.over_share(work)
-                over_by_workspace[work.workspace] = over
-            excess = over if over > OVER_SHARE else 0.0
+            excess = over_by_workspace.get(work.workspace)
+            if excess is None:
+                excess = over_by_workspace[work.workspace] = self.over_share(work)
             return (excess, work.may_wait, -work.priority, waiter.latest_start_ms)
 
         return sorted(queue.waiting, key=rank)
@@ -235,7 +248,7 @@
 
     def _refusal(self, work: "Work", needed_ms: int) -> Refusal:
         reason = RefusalReason.OVERLOADED
-        if self.over_share(work) > OVER_SHARE:
+        if self.over_share(work):
             reason = RefusalReason.SHARE_EXCEEDED
         elif work.deadline_at_ms <= self.clock.now_ms():
             reason = RefusalReason.DEADLINE
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -345,8 +345,7 @@
             path=work.path,
             body=work.body,
             remaining_ms=max(work.deadline_at_ms - now_ms, 1),
-            # Work that may wait yields at the target too.
-            priority=2 * work.priority + (not work.may_wait),
+            priority=self._priority(work),
             resume_offset=offset,
             fresh=not work.idempotent or now_ms < fresh_until_ms,
         )
@@ -356,6 +355,13 @@
         run.task = await curio.spawn(self._run_first, run, daemon=True)
         return run
 
+    def _priority(self, work: Work) -> int:
+        """Return the priority at the target, in the order of admission."""
+        if not self.options.admission:
+            return work.priority
+        within_share = not self.admission.over_share(work)
+        return 20 * within_share + 10 * (not work.may_wait) + work.priority
+
     async def _run_first(self, run: _Run) -> None:
         try:
             if run.stream is not None:
@@ -381,6 +387,7 @@
                 if not isinstance(value, TargetFailed):
                     runs.remove(winner)
                     winner.first_ms = self.clock.now_ms() - winner.started_ms
+                    self.router.waited(winner.target, winner.first_ms, winner.work)
                     return winner, value
                 await self._fail(winner, value)
                 runs.remove(winner)
@@ -396,7 +403,7 @@
         work = run.work
         hedge_at_ms = self._hedge_at_ms(run) if len(runs) == 1 else None
         silent_at_ms = self._silent_at_ms(run)
-        end_ms = work.deadline_at_ms - DEADLINE_MARGIN_MS
+        end_ms = work.deadline_at_ms - DEADLINE_MARGIN_MS - self._rest_ms(run)
         while True:
             now_ms = self.clock.now_ms()
             if now_ms >= end_ms:
@@ -419,6 +426,20 @@
                 if result is not None:
                     return result
 
+    def _rest_ms(self, run: _Run) -> int:
+        """Return the least time from the first item to the end of a stream.
+
+        A stream that has not begun so long before its deadline cannot meet it.
+        """
+        work = run.work
+        if run.stream is None or run.attempt.resume_offset or not work.idempotent:
+            return 0
+        if not self.options.admission:
+            return 0
+        key = (work.service, work.stage, work.size_class)
+        total_ms = self.estimates.baseline_ms(*key) or 0
+        return max(total_ms - (self.estimates.first_baseline_ms(*key) or 0), 0)
+
     def _hedge_at_ms(self, run: _Run) -> int | None:
         work = run.work
         if not self.options.hedges or not work.idempotent or run.attempt.resume_offset:
@@ -540,6 +561,8 @@
         run.ended = True
         work, target = run.work, run.target
         duration_ms = self.clock.now_ms() - run.started_ms
+        if not run.first_ms and sent:
+            self.router.waited(target, duration_ms, work)
         self.router.ended(target, duration_ms, False, work, None, blamed)
         self.observer.wasted(work, target, duration_ms, run.tokens)
         # The caller's answer does not wait for the clean-up.
--- a/wagtailrun/estimates.py
+++ b/wagtailrun/estimates.py
@@ -16,7 +16,7 @@
 MAX_MS = 600_000
 SIGNIFICANT_DIGITS = 2
 BASELINE_PERCENTILE = 10
-# Bounds memory: each key has up to six histograms of 17 KB.
+# Bounds memory: each key has up to eight histograms of 17 KB.
 MAX_KEYS = 64
 GAP_WEIGHT = 0.05
 ANY_CLASS = (0, 0)
@@ -84,6 +84,9 @@
     baseline: _RecentValues = attrs.field(
         factory=lambda: _RecentValues(BASELINE_WINDOW_MS)
     )
+    first_baseline: _RecentValues = attrs.field(
+        factory=lambda: _RecentValues(BASELINE_WINDOW_MS)
+    )
 
 
 class Estimates:
@@ -125,6 +128,7 @@
             entry.first.record(first_ms, now_ms)
             entry.total.record(ms, now_ms)
             entry.baseline.record(ms, now_ms)
+            entry.first_baseline.record(first_ms, now_ms)
 
     def record_gap(self, service: str, gap_ms: float) -> None:
         """Record a time between two pieces of a stream."""
@@ -153,6 +157,14 @@
         """Return the whole time with little contention, or None."""
         return self._percentile("baseline", service, stage, size, BASELINE_PERCENTILE)
 
+    def first_baseline_ms(
+        self, service: str, stage: str, size: tuple[int, int]
+    ) -> int | None:
+        """Return the time to the first item with little contention, or None."""
+        return self._percentile(
+            "first_baseline", service, stage, size, BASELINE_PERCENTILE
+        )
+
     def _percentile(
         self, what: str, service: str, stage: str, size: tuple[int, int], percent: int
     ) -> int | None:
--- a/wagtailrun/limits.py
+++ b/wagtailrun/limits.py
@@ -39,25 +39,24 @@
         """Count an attempt as in flight."""
         self.in_flight_by_name[name] += 1
 
-    def ended(self, name: str, capacity: int, slowness: float | None) -> None:
-        """Count an attempt as ended.
+    def ended(self, name: str) -> None:
+        """Count an attempt as ended."""
+        self.in_flight_by_name[name] -= 1
+        if self.in_flight_by_name[name] <= 0:
+            del self.in_flight_by_name[name]
+
+    def observe(self, name: str, capacity: int, slowness: float) -> None:
+        """Adapt the limit to the time that an attempt waited for its first item.
 
         Args:
             name: Target.
             capacity: Its announced capacity.
-            slowness: Its time as a multiple of the least contended time, or None if
-                that is not known or the attempt did not run to its end.
+            slowness: That time as a multiple of its least contended value.
         """
-        in_flight = self.in_flight_by_name[name]
-        self.in_flight_by_name[name] -= 1
-        if self.in_flight_by_name[name] <= 0:
-            del self.in_flight_by_name[name]
-        if slowness is None:
-            return
         limit = self.limit(name, capacity)
         gradient = max(MIN_GRADIENT, min(1.0, TOLERANCE / max(slowness, 1e-3)))
         wanted = limit * gradient + ALLOWANCE
-        if wanted > limit and in_flight * 2 < limit:
+        if wanted > limit and self.in_flight_by_name[name] * 2 < limit:
             # An unused limit says nothing about what the target could bear.
             return
         limit += SMOOTHING * (wanted - limit)
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -84,6 +84,11 @@
             blamed: Whether a failure says something about the target.
         """
 
+    def waited(  # noqa: B027
+        self, target: TargetRow, wait_ms: int, work: "Work"
+    ) -> None:
+        """Note how long an attempt waited for its first item, or in vain."""
+
     def unreachable(self, target: TargetRow) -> None:  # noqa: B027
         """Note that no new connection to ``target`` can be opened."""
 
@@ -382,7 +387,7 @@
                 self._learn(known, target, slowness)
         elif not succeeded and blamed:
             self.easing.record(target.name, target.service, FAILURE_SLOWNESS)
-        self.limits.ended(target.name, target.capacity, slowness)
+        self.limits.ended(target.name)
         if answer is not None:
             self._learn_load(known, answer)
             if work is not None and work.prefixes:
@@ -392,6 +397,14 @@
         base_ms = self.estimates.baseline_ms(work.service, work.stage, work.size_class)
         return duration_ms / base_ms if base_ms else None
 
+    def waited(self, target: TargetRow, wait_ms: int, work: "Work") -> None:
+        """Adapt the target's limit; the first item shows a queue soonest."""
+        base_ms = self.estimates.first_baseline_ms(
+            work.service, work.stage, work.size_class
+        )
+        if base_ms:
+            self.limits.observe(target.name, target.capacity, wait_ms / base_ms)
+
     def _learn(self, known: _Known, target: TargetRow, slowness: float) -> None:
         load = self._load(known, target)
         unit = slowness / (1.0 + load / target.capacity)
