--- a/wagtailrun/limits.py
+++ b/wagtailrun/limits.py
@@ -31,9 +31,16 @@
         """Return the limit of a target."""
         return self.limits_by_name.get(name, float(max(capacity, 1)))
 
-    def has_room(self, name: str, capacity: int) -> bool:
-        """Return whether one more attempt may be given to a target."""
-        return self.in_flight_by_name[name] + 1 <= self.limit(name, capacity)
+    def has_room(self, name: str, capacity: int, extra: float = 0.0) -> bool:
+        """Return whether one more attempt may be given to a target.
+
+        Args:
+            name: Target.
+            capacity: Its announced capacity.
+            extra: Part by which the limit may be exceeded.
+        """
+        limit = self.limit(name, capacity) * (1.0 + extra)
+        return self.in_flight_by_name[name] + 1 <= limit
 
     def started(self, name: str) -> None:
         """Count an attempt as in flight."""
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -264,9 +264,8 @@
         now_ms: int,
     ) -> tuple[TargetRow | None, float]:
         """Return a target with room and its expected time, or None."""
-        able = [row for row in rows if self._has_room(row) and row.name not in avoid]
-        if not able:
-            able = [row for row in rows if self._has_room(row)]
+        able = [row for row in rows if self._has_room(row, work)]
+        able = [row for row in able if row.name not in avoid] or able
         reachable = [row for row in able if not self._is_unreachable(row)]
         able = reachable or able
         if not able:
@@ -294,10 +293,16 @@
     def _cached_share(self, row: TargetRow, work: "Work") -> float:
         return self.prefixes.cached_share(row.name, row.incarnation, work.prefixes)
 
-    def _has_room(self, row: TargetRow) -> bool:
+    def _has_room(self, row: TargetRow, work: "Work | None") -> bool:
         if not self.options.limits:
             return True
-        return self.limits.has_room(row.name, row.capacity)
+        if self.limits.has_room(row.name, row.capacity):
+            return True
+        if work is None or not work.prefixes or not self.options.affinity:
+            return False
+        # Work that finds its prefix cached is lighter than what the limit is made for.
+        extra = self._cached_share(row, work)
+        return self.limits.has_room(row.name, row.capacity, extra)
 
     def _is_unreachable(self, row: TargetRow) -> bool:
         known = self.known_by_name.get(row.name)
