--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -92,6 +92,7 @@
     "no-admission": _without(admission=False),
     "retry-three": _without(budget=False, repeats=3, hedges=False),
     "no-hedges": _without(hedges=False),
+    "no-moves": _without(moves=False),
     "no-silence": _without(silence=False),
     "no-limits": _without({"limits": False}),
     "no-affinity": _without({"affinity": False}),
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -41,6 +41,10 @@
 # A connection is silent after this multiple of the expected gap, at least MIN_SILENCE.
 SILENCE_MULTIPLE = 3
 MIN_SILENCE_MS = 500
+# The pace of a stream is judged each time so many pieces have come; a target this many
+# times slower than typical is left if the deadline would be missed there.
+PACE_ITEMS = 8
+SLOW_PACE = 3.0
 PROBE_TIMEOUT_MS = 500
 DRAIN_MS = 1_000
 # Idle connections are kept 15 s; those to a target with a silent connection may be
@@ -110,6 +114,7 @@
     hedges: bool = True
     budget: bool = True
     silence: bool = True
+    moves: bool = True
     repeats: int = MAX_ATTEMPTS - 1
     check_tokens: bool = True
 
@@ -129,6 +134,8 @@
     stream: AsyncIterator[tuple[Token, ...]] | None = None
     first_ms: int = 0
     tokens: int = 0
+    items: int = 0
+    gap_ms: float = 0.0
     ended: bool = False
 
 
@@ -524,9 +531,38 @@
         except StopAsyncIteration:
             detail = "stream ended without its end marker"
             raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN) from None
-        self.estimates.record_gap(work.service, self.clock.now_ms() - started_ms)
+        self._note_gap(run, self.clock.now_ms() - started_ms)
         return tokens
 
+    def _note_gap(self, run: _Run, gap_ms: int) -> None:
+        """Note the pace of a stream; leave a target that is too slow for it."""
+        work = run.work
+        self.estimates.record_gap(work.service, gap_ms)
+        run.items += 1
+        run.gap_ms += (gap_ms - run.gap_ms) / min(run.items, PACE_ITEMS)
+        if run.items % PACE_ITEMS:
+            return
+        typical_ms = self.estimates.gap_ms(work.service)
+        if typical_ms:
+            self.router.paced(run.target, run.gap_ms / typical_ms)
+            if self._is_too_slow(run, typical_ms):
+                raise _TooSlow(run.target)
+
+    def _is_too_slow(self, run: _Run, typical_ms: float) -> bool:
+        """Return whether a stream misses its deadline here but not elsewhere."""
+        work = run.work
+        if not self.options.moves or not run.impatient:
+            return False
+        left = work.max_tokens - run.attempt.resume_offset - run.tokens
+        remaining_ms = work.deadline_at_ms - self.clock.now_ms()
+        if run.gap_ms < SLOW_PACE * typical_ms or left * run.gap_ms < remaining_ms:
+            return False
+        key = (work.service, work.stage, work.size_class)
+        first_ms = self.estimates.first_ms(*key) or 0
+        return first_ms + left * typical_ms < remaining_ms and self._can_pay(
+            work.service
+        )
+
     async def _finish(self, run: _Run, answer: StageAnswer | None) -> None:
         """Book an attempt whose whole answer came."""
         work, target = run.work, run.target
@@ -592,6 +628,14 @@
         self.target = target
 
 
+class _TooSlow(TargetFailed):
+    """A stream would miss its deadline at a target much slower than others."""
+
+    def __init__(self, target: TargetRow):
+        detail = f"{target.name} is too slow for the deadline"
+        super().__init__(detail, verdict=Verdict.MAY_HAVE_RUN)
+
+
 class _DeadlinePassed(TargetFailed):
     """The deadline came before the answer."""
 
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -89,6 +89,9 @@
     ) -> None:
         """Note how long an attempt waited for its first item, or in vain."""
 
+    def paced(self, target: TargetRow, slowness: float) -> None:  # noqa: B027
+        """Note the pace of a stream, as a multiple of the service's typical gap."""
+
     def unreachable(self, target: TargetRow) -> None:  # noqa: B027
         """Note that no new connection to ``target`` can be opened."""
 
@@ -150,6 +153,7 @@
     # Time of one attempt alone, as a multiple of the service's least contended time.
     unit: float = 1.0
     unit_ms: int = 0
+    paced: bool = False
     unreachable_version: tuple[int, int] | None = None
 
 
@@ -415,6 +419,13 @@
         unit = slowness / (1.0 + load / target.capacity)
         known.unit += UNIT_WEIGHT * (unit - known.unit)
         known.unit_ms = self.clock.now_ms()
+        # Durations of streams differ by their queues; their pace says more.
+        if not known.paced:
+            self.easing.record(target.name, target.service, slowness)
+
+    def paced(self, target: TargetRow, slowness: float) -> None:
+        """Compare the pace of a stream with its peers."""
+        self._known(target, self.clock.now_ms()).paced = True
         self.easing.record(target.name, target.service, slowness)
 
     def _learn_load(self, known: _Known, answer: StageAnswer) -> None:
