--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -43,7 +43,7 @@
 MIN_SILENCE_MS = 500
 # The pace of a stream is judged each time so many pieces have come; a target this many
 # times slower than typical is left if the deadline would be missed there.
-PACE_ITEMS = 8
+PACE_ITEMS = 3
 SLOW_PACE = 3.0
 PROBE_TIMEOUT_MS = 500
 DRAIN_MS = 1_000
@@ -681,7 +681,9 @@
     def _note_target(self, error: TargetFailed) -> None:
         target = self.last_target
         self.dispatcher.observer.retried(self.work, target, error)
-        if isinstance(error, _Silent):
+        # What has begun goes on where its KV cache is; what has not goes elsewhere, as
+        # the silence may as well be a long queue.
+        if isinstance(error, _Silent) and self.offset:
             self.same_target = error.target
         else:
             self.avoid.add(target.name)
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -17,10 +17,10 @@
 EARNED_PER_FIRST_ATTEMPT = 0.1
 # Lets the first requests after a start be repeated; also bounds a burst of repeats.
 INITIAL_TOKENS = 3.0
-MAX_TOKENS = 10.0
+MAX_TOKENS = 20.0
 # Kept for repeats: hedges alone used up the whole budget, so that streams of a dead
 # target could not be resumed.
-HEDGE_RESERVE = 5.0
+HEDGE_RESERVE = 8.0
 BACKOFF_BASE_MS = 25
 BACKOFF_MAX_MS = 1_000
 
