Let control members see entries and targets, and control the engines

Cause: the engine controller had no source of target rows and wagtailrun targets nothing to read. Ruled out: announcements to control members as well (targets know only entries); replicating rows by agreement (they change every second). The stub target now takes engine orders, checks fencing numbers and counts what it ran.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -192,6 +192,7 @@
             f"--data-folder={self.folder.name}/{name}",
             f"--control-peers={','.join(others)}",
             f"--bootstrap={bootstrap}",
+            f"--entry-peers={','.join(map(str, self.entry_peer_by_name.values()))}",
         ]
 
     def _entry_arguments(self, name: str) -> list[str]:
--- a/demo/stub_target.py
+++ b/demo/stub_target.py
@@ -49,7 +49,14 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.sequence = 0
         self.running = 0
+        self.model = ""
+        self.adapters: list[str] = []
+        self.role = ""
+        self.newest_fence = 0
+        self.stale_orders = 0
         self.runs_by_key: Counter[str] = Counter()
+        self.calls_by_stage: Counter[str] = Counter()
+        self.tokens_out = 0
         self.cancelled: set[str] = set()
 
     async def run(self) -> None:
@@ -96,11 +103,14 @@
         echo = (("Wagtailrun-Attempt", attempt),)
         kind = request.path.rsplit("/", 1)[-1]
         if request.path == "/v1/state":
-            return json_response(200, {"runs": self.runs_by_key})
+            return json_response(200, self.state())
+        if request.path == "/v1/orders":
+            return self.take_order(request)
         if request.method == "DELETE":
             self.cancelled.add(kind)
             return json_response(200, {}, echo)
         body = json.loads(request.body or b"{}")
+        self.calls_by_stage[kind] += 1
         if request.path == "/v1/stages/generate":
             offset = int(request.headers.get("wagtailrun-resume-offset", "0"))
             tokens = int(body["input"].get("tokens", DEFAULT_TOKENS))
@@ -112,6 +122,36 @@
             return json_response(200, {"done": kind, "by": self.name}, echo)
         return json_response(200, {"stage": kind, "by": self.name}, echo)
 
+    def state(self) -> dict:
+        """Return what an engine reports of itself, and what this target has run."""
+        return {
+            "model": self.model,
+            "adapters": self.adapters,
+            "role": self.role,
+            "loading": [],
+            "fence": self.newest_fence,
+            "stale_orders": self.stale_orders,
+            "runs": self.runs_by_key,
+            "calls": self.calls_by_stage,
+            "tokens_out": self.tokens_out,
+        }
+
+    def take_order(self, request: Request) -> Response:
+        """Carry out an engine order, unless its fencing number is stale."""
+        fence = int(request.headers.get("wagtailrun-fence", "0"))
+        if fence < self.newest_fence:
+            self.stale_orders += 1
+            return json_response(409, {"newest_fence": self.newest_fence})
+        self.newest_fence = fence
+        order = json.loads(request.body)
+        if order["kind"] == "load-adapter":
+            self.adapters.append(order["subject"])
+        elif order["kind"] == "change-role":
+            self.role = order["subject"]
+        else:
+            self.model = order["subject"]
+        return json_response(200, {"order_id": order["order_id"]})
+
     async def _tokens(
         self, attempt: str, body: dict, offset: int, tokens: int
     ) -> AsyncIterator[bytes]:
@@ -122,6 +162,7 @@
                 if attempt in self.cancelled:
                     return
                 await curio.sleep(self.token_ms / 1_000)
+                self.tokens_out += 1
                 token = {"offset": position, "text": f"{subject}-{position} "}
                 yield f"event: token\ndata: {json.dumps(token)}\n\n".encode()
             done = {"tokens": tokens, "tokens_in": len(subject), "engine_ms": tokens}
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -9,6 +9,8 @@
 from wagtailrun import events
 from wagtailrun.account_store import AccountStore
 from wagtailrun.adapters.file_disk import FileDisk
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_engine import HttpEngineClient
 from wagtailrun.adapters.http_server import (
     HttpServer,
     Request,
@@ -21,7 +23,9 @@
 from wagtailrun.consensus import Member
 from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
+from wagtailrun.engine_control import EngineController
 from wagtailrun.exceptions import DiskFault
+from wagtailrun.fleet_watch import FleetWatch
 from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import MAX_TEXT_BYTES, OperatorApi
 from wagtailrun.period_closing import PeriodCloser
@@ -68,13 +72,20 @@
             link,
         )
         self.closer = PeriodCloser(self.service, self.accounts)
+        self.watch = FleetWatch(
+            self.clock, link, self.registry, settings.name, settings.entry_peers
+        )
+        self.engines = EngineController(
+            self.service, self.watch.target_rows, HttpEngineClient(HttpClient())
+        )
         members = [settings.peer_address, *settings.control_peers]
         self.operators = OperatorApi(
             self.registry,
             ControlClient(self.clock, link, members),
             settings.operator_credential,
             self.accounts,
-            metrics=self.metrics,
+            self.watch,
+            self.metrics,
         )
 
     async def run(self) -> None:
@@ -101,6 +112,8 @@
             await group.spawn(self.service.sweep)
             await group.spawn(self.accounts.run)
             await group.spawn(self.closer.run)
+            await group.spawn(self.watch.run)
+            await group.spawn(self.engines.run)
             await group.spawn(self._update_gauges)
             await group.spawn(self._take_part)
         if group.exception is not None:
--- a/wagtailrun/ports/target.py
+++ b/wagtailrun/ports/target.py
@@ -46,6 +46,7 @@
         body: JSON body.
         tokens_in: Prompt tokens that the target counted.
         tokens_cached: Prompt tokens served from its prefix cache.
+        tokens_out: Tokens that the attempt generated.
         engine_ms: Processing time that the target counted.
         running: Requests running at the target when it answered.
         queued: Requests queued at the target when it answered.
@@ -55,6 +56,7 @@
     body: bytes
     tokens_in: int = 0
     tokens_cached: int = 0
+    tokens_out: int = 0
     engine_ms: int = 0
     running: int = 0
     queued: int = 0
--- a/wagtailrun/schema/spread.capnp
+++ b/wagtailrun/schema/spread.capnp
@@ -14,6 +14,7 @@
     spreadReport @8 :SpreadReport;
     spreadGrowth @9 :SpreadGrowth;
     spreadHeard @10 :SpreadHeard;
+    listTargets @11 :ListTargets;
   }
 }
 
@@ -107,3 +108,5 @@
   isolated @3 :Bool;
   unconfirmed @4 :Bool;
 }
+
+struct ListTargets { asker @0 :Text; }
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -162,6 +162,11 @@
         "Peer addresses of the other control members, comma-separated.",
         (),
     )
+    entry_peers: tuple[Address, ...] = _setting(
+        parse_addresses,
+        "Peer addresses of entries of every data centre, comma-separated.",
+        (),
+    )
     bootstrap: tuple[tuple[str, Address], ...] = _setting(
         _parse_members, "NAME=IP:PORT of the first members, comma-separated.", ()
     )
--- a/wagtailrun/spread.py
+++ b/wagtailrun/spread.py
@@ -15,8 +15,10 @@
 from wagtailrun.spread_config import ConfigSpread
 from wagtailrun.spread_exchange import Exchanges
 from wagtailrun.spread_messages import (
+    AgedRow,
     EntryRow,
     Health,
+    ListTargets,
     SpreadAsk,
     SpreadExchange,
     SpreadFetch,
@@ -157,10 +159,17 @@
                 return self.config.answer(message)
             case SpreadStatus():
                 return self.status()
+            case ListTargets():
+                return SpreadRows(targets=tuple(self._local_targets()))
             case Ping():
                 return Pong(self.peers.name)
         raise MessageError(f"{type(message).__name__} is not answered here")
 
+    def _local_targets(self) -> list[AgedRow]:
+        membership = self.membership
+        rows = membership.targets_by_name.values()
+        return self.targets.aged([r.name for r in rows if membership.is_local(r)])
+
     async def _join(self) -> None:
         """Find the other entries and take the newest text that they know.
 
--- a/wagtailrun/spread_messages.py
+++ b/wagtailrun/spread_messages.py
@@ -18,6 +18,7 @@
     "EntryRow",
     "Growth",
     "Health",
+    "ListTargets",
     "Marks",
     "SpreadAsk",
     "SpreadExchange",
@@ -212,6 +213,13 @@
     asker: str = ""
 
 
+@attrs.frozen
+class ListTargets:
+    """Asks an entry for the targets of its data centre, as ``SpreadRows``."""
+
+    asker: str = ""
+
+
 @attrs.frozen
 class SpreadReport:
     """Answers ``SpreadStatus``.
@@ -320,5 +328,6 @@
         SpreadFetch,
         SpreadStatus,
         SpreadReport,
+        ListTargets,
     ],
 )
