--- a/bench/traces.py
+++ b/bench/traces.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["FLEETS_BY_NAME", "make_trace", "write"]
+__all__ = ["FLEETS_BY_NAME", "make_trace", "recorded", "write"]
 
 ENGINE = {"capacity": 8, "decode_ms": 22.0, "prefill_us": 70.0, "cache_blocks": 64}
 POOL = {"capacity": 8, "service_ms": 25.0}
@@ -176,7 +176,64 @@
     return record
 
 
+def recorded() -> dict[str, list[Record]]:
+    """Return the traces kept in tests/traces, by name."""
+    safe = {
+        "wrong_at_most": 0,
+        "most_runs_of_an_order_at_most": 1,
+        "truthless_at_most": 0,
+        "extra_share_at_most": 0.1,
+    }
+    traces = {}
+    for user, fleet in FLEETS_BY_NAME.items():
+        centre = fleet["centres"][0]
+        engine = f"engines-{centre}-0"
+        fault = {"at": 4_000, "until": 9_000}
+        faults = {
+            "straggler": {"fault": "straggle", "target": engine, "factor": 8, **fault},
+            "dead-stage": {
+                "fault": "die",
+                "service": "engines",
+                "data_centre": centre,
+                **fault,
+            },
+            "cut-off": {"fault": "cut", "data_centre": centre, **fault},
+            "silent": {
+                "fault": "silent",
+                "service": "engines",
+                "data_centre": centre,
+                "at": 5_000,
+            },
+        }
+        for name, record in faults.items():
+            outcomes = dict(safe)
+            if name == "straggler":
+                # Section 1.6 allows it one point of an attainment of 1.
+                outcomes["attainment_at_least"] = 0.99
+            traces[f"{user}-{name}"] = make_trace(
+                user,
+                3,
+                load=0.5,
+                duration_ms=14_000,
+                faults=(record,),
+                outcomes=outcomes,
+            )
+    return traces
+
+
 def write(records: list[Record], path: Path) -> None:
     """Write a trace as JSON lines."""
     lines = (json.dumps(record, separators=(",", ":")) for record in records)
     path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def main() -> None:
+    """Write the traces that the tests replay."""
+    folder = Path(__file__).parent.parent / "tests" / "traces"
+    folder.mkdir(exist_ok=True)
+    for name, records in recorded().items():
+        write(records, folder / f"{name}.jsonl")
+
+
+if __name__ == "__main__":
+    main()
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -183,7 +183,7 @@
         self.random = random.Random(seed)
         self.options = options
         self.budget = RetryBudget()
-        # First attempts, repeats and hedges.
+        # First attempts, repeats of sent and of unsent ones, hedges.
         self.counts: Counter[str] = Counter()
         self.fresh_until_ms_by_name: dict[str, int] = {}
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
@@ -674,7 +674,9 @@
         if dispatcher.clock.now_ms() + wait_ms >= work.deadline_at_ms:
             return self.refusal
         self.count += 1
-        dispatcher.counts["retry"] += 1
+        # What was never sent adds no load to a target.
+        kind = "redirect" if isinstance(error, ConnectFailed) else "retry"
+        dispatcher.counts[kind] += 1
         self._note_target(error)
         await dispatcher.clock.sleep_ms(wait_ms)
         return None
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -79,7 +79,9 @@
         wasted_tokens: Tokens of them in no complete answer.
         engine_ms_by_stage: Time that targets spent, by stage.
         wasted_ms: Time of it that contributed to no complete answer.
-        attempts, retries, hedges: Counts; first attempts, further and hedged ones.
+        attempts, retries, hedges: Counts; first attempts, repeats of attempts that
+            were sent, and hedges.
+        redirects: Attempts made elsewhere because no connection could be opened.
         extra_share: Retries and hedges as a share of first attempts.
         most_runs_of_an_order: Most runs of one order key.
         truthless: Refusals with the verdict "not run" of an order that ran.
@@ -111,6 +113,7 @@
     attempts: int = 0
     retries: int = 0
     hedges: int = 0
+    redirects: int = 0
     extra_share: float = 0.0
     most_runs_of_an_order: int = 0
     truthless: int = 0
@@ -458,6 +461,7 @@
             report.attempts += counts["first"]
             report.retries += counts["retry"]
             report.hedges += counts["hedge"]
+            report.redirects += counts["redirect"]
         extra = report.retries + report.hedges
         report.extra_share = extra / max(report.attempts, 1)
 
