Measure the decisions; keep prefixes only of targets in use

Cause: the prefix index kept events of all targets, 45 MB at 1,700 targets with 200 prefixes each, and a decision with a new list of targets took 143 us at 250.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -1,12 +1,21 @@
 """Measures the decisions under load and faults against simpler ones."""
 
+import gc
+import json
+import statistics
+import time
+import tracemalloc
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
+import attrs
+
 from bench.traces import FLEETS_BY_NAME, make_trace
-from wagtailrun.dispatch import Dispatcher, DispatchOptions, Work
-from wagtailrun.membership import TargetRow
+from wagtailrun.affinity import CacheEvents, prefix_hashes
+from wagtailrun.dispatch import Dispatcher, DispatchOptions, Work, make_dispatcher
+from wagtailrun.membership import Membership, TargetRow
+from wagtailrun.ports.link import Address
 from wagtailrun.replay import (
     EntryParts,
     ReplayReport,
@@ -14,10 +23,11 @@
     replay_records,
 )
 from wagtailrun.routing import LeastLoadedRouter, RouterOptions
+from wagtailrun.virtual_time import VirtualClock
 
-__all__ = ["reports", "summary"]
+__all__ = ["reports", "run", "summary"]
 
-SEED = 1
+SEEDS = (1, 2)
 WORKERS = 4
 DURATION_MS = 40_000
 BURST = (5_000, 35_000)
@@ -161,12 +171,217 @@
         return dict(pool.map(_replay, jobs))
 
 
+# Builds that each scenario is compared with.
+COMPARED = {
+    "steady-60": ("thin", "round-robin", "least-reported"),
+    "steady-90": tuple(name for name in BUILDS if name != "all"),
+    "burst-3x": (
+        "thin",
+        "round-robin",
+        "least-reported",
+        "no-admission",
+        "no-limits",
+        "no-affinity",
+        "retry-three",
+    ),
+    "large-5x": ("thin", "no-admission", "no-limits"),
+    "straggler": ("thin", "no-easing", "no-moves", "no-hedges", "retry-three"),
+    "dead-stage": ("thin", "no-hedges", "retry-three"),
+    "vanished": ("thin", "no-silence", "retry-three"),
+    "cut-off": ("thin", "no-silence", "no-local-first"),
+    "silent": ("thin", "no-silence", "retry-three"),
+    "entry-killed": ("thin",),
+    "lag-2s": ("thin", "least-reported", "no-correction", "no-two-choices"),
+    "lag-5s": ("thin", "least-reported", "no-correction", "no-two-choices"),
+}
+Key = tuple[str, str, str]
+
+
+def _goodput(report: ReplayReport) -> float:
+    """Return complete pipeline answers a second in the middle of a burst."""
+    middle = range(BURST[0] // 1_000 + 5, BURST[1] // 1_000)
+    return sum(report.goodput_by_second.get(s, 0) for s in middle) / len(middle)
+
+
+def _others(report: ReplayReport) -> float:
+    """Return the lowest attainment of the workspaces beside the large one."""
+    values = report.attainment_by_workspace
+    return min(value for name, value in values.items() if name != "ws-0")
+
+
+def _row(name: str, unit: str, better: str, **fields: Any) -> dict[str, Any]:
+    value, bound = fields["value"], fields.get("bound")
+    holds = True
+    if bound is not None:
+        holds = value >= bound if better == "higher" else value <= bound
+    row = {"name": name, "unit": unit, "better": better, "baseline": None}
+    return {**row, "bound": None, **fields, "holds": holds}
+
+
+def run() -> list[dict[str, Any]]:
+    """Run all measurements and return a row for each figure.
+
+    Figures are means over ``SEEDS``; bounds are those of section 1.6.
+    """
+    jobs = []
+    for user in FLEETS_BY_NAME:
+        for scenario, builds in COMPARED.items():
+            for build in ("all", *builds):
+                jobs += [(user, scenario, build, seed) for seed in SEEDS]
+    found: dict[Key, list[ReplayReport]] = {}
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for key, report in pool.map(_replay, jobs):
+            found.setdefault(key, []).append(report)
+        capacities = dict(pool.map(_capacity, FLEETS_BY_NAME))
+
+    def mean(key: Key, of: Callable[[ReplayReport], float]) -> float:
+        return statistics.mean(of(report) for report in found[key])
+
+    rows = []
+    for user in FLEETS_BY_NAME:
+        rows += _objectives(user, mean, found, capacities[user])
+        for scenario, builds in COMPARED.items():
+            for build in builds:
+                name = f"{user} {scenario}: attainment, against {build}"
+                values = [
+                    mean((user, scenario, one), lambda r: r.attainment)
+                    for one in ("all", build)
+                ]
+                rows.append(
+                    _row(name, "share", "higher", value=values[0], baseline=values[1])
+                )
+    return rows + _decision_rows()
+
+
+def _capacity(user: str) -> tuple[str, float]:
+    """Return what the thin policies complete a second when deadlines do not matter."""
+    records = make_trace(user, SEEDS[0], load=2.0, duration_ms=DURATION_MS)
+    text = records[0]["fleet_text"]
+    records[0]["fleet_text"] = text.replace(
+        "deadline_ms = 8000", "deadline_ms = 600000"
+    )
+    return user, _goodput(replay_records(records, BUILDS["thin"]))
+
+
+def _objectives(
+    user: str,
+    mean: Callable[[Key, Callable[[ReplayReport], float]], float],
+    found: dict[Key, list[ReplayReport]],
+    capacity: float,
+) -> list[dict[str, Any]]:
+    """Return the rows that have a bound in section 1.6."""
+    rows = []
+
+    def add(
+        scenario: str,
+        what: str,
+        of: Callable[[ReplayReport], float],
+        bound: float,
+        better: str = "higher",
+    ) -> None:
+        value, baseline = (mean((user, scenario, b), of) for b in ("all", "thin"))
+        name = f"{user} {scenario}: {what}"
+        fields = {"value": value, "baseline": baseline, "bound": bound}
+        rows.append(_row(name, "share", better, **fields))
+
+    add("steady-90", "first tokens within 1.2 s", lambda r: r.first_within, 0.95)
+    add("steady-90", "gaps within 45 ms", lambda r: r.gap_within, 0.95)
+    add("burst-3x", "goodput of capacity", lambda r: _goodput(r) / capacity, 0.95)
+    calm = mean((user, "steady-60", "all"), _others)
+    add("large-5x", "worst other workspace", lambda r: _others(r) / calm, 0.99)
+    calm = mean((user, "steady-60", "all"), lambda r: r.attainment)
+    add("straggler", "attainment lost", lambda r: calm - r.attainment, 0.01, "lower")
+    every = [
+        r for key, all_r in found.items() if key[::2] == (user, "all") for r in all_r
+    ]
+    worst = max(report.extra_share for report in every)
+    name = f"{user}, every scenario: most repeats and hedges"
+    rows.append(_row(name, "share", "lower", value=worst, bound=0.1))
+    worst = max(report.most_runs_of_an_order for report in every)
+    name = f"{user}, every scenario: most runs of an order"
+    rows.append(_row(name, "runs", "lower", value=worst, bound=1))
+    worst = max(report.wrong + report.truthless for report in every)
+    name = f"{user}, every scenario: wrong answers and false refusals"
+    rows.append(_row(name, "answers", "lower", value=worst, bound=0))
+    return rows
+
+
+def _decision_rows() -> list[dict[str, Any]]:
+    rows = []
+    for count, bound in ((250, 100.0), (1_700, None)):
+        warm_us, cold_us, memory_mb = _decision(count)
+        name = f"one decision at {count} targets"
+        rows.append(_row(name, "us", "lower", value=warm_us, bound=bound))
+        name = f"one decision at {count} targets, with a new list of targets"
+        rows.append(_row(name, "us", "lower", value=cold_us, bound=bound))
+        name = f"memory of the decisions of one entry at {count} targets"
+        rows.append(_row(name, "MB", "lower", value=memory_mb))
+    return rows
+
+
+def _decision(count: int, rounds: int = 3_000) -> tuple[float, float, float]:
+    """Return the time of a decision, with known and new lists, and its memory."""
+    gc.collect()
+    tracemalloc.start()
+    clock = VirtualClock()
+    membership = Membership()
+    centres = 1 if count <= 250 else 7
+    for number in range(count):
+        address = Address("127.0.0.1", 1_000 + number)
+        centre = f"centre-{number % centres}"
+        row = TargetRow(f"engine-{number}", address, "engines", centre, 8, 1, 1, 4, 1)
+        membership.put(row, 0)
+    entries = [f"entry-{number}" for number in range(54)]
+    dispatcher = make_dispatcher(
+        clock,
+        membership,
+        None,
+        name="entry-0",
+        data_centre="centre-0",
+        seed=1,
+        entries=lambda: entries,
+    )
+    router = dispatcher.router
+    works = []
+    for number in range(100):
+        hashes = prefix_hashes(f"{number} " * 2_000)
+        work = Work("engines", "/", b"{}", "r", "ws", 8_000, stage="generate")
+        works.append(attrs.evolve(work, prefixes=hashes))
+        dispatcher.estimates.record("engines", "generate", work.size_class, 100, 1_500)
+    router.saving_ms_by_service["engines"] = [100.0, 200.0]
+    dispatcher._choose(works[0], set())
+    for row in membership.targets_by_name.values():
+        changes = tuple(f"{n:x}" for work in works[:40] for n in work.prefixes)
+        router.observe_cache(row, CacheEvents(1, len(changes), changes))
+    dispatcher._choose(works[0], set())
+    memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    times = []
+    for is_new in (False, True):
+        started = time.perf_counter()
+        for number in range(rounds):
+            if is_new:
+                dispatcher.usable_by_service.clear()
+            dispatcher._choose(works[number % 100], set())
+        times.append((time.perf_counter() - started) / rounds * 1e6)
+    return times[0], times[1], memory_mb
+
+
+def main() -> None:
+    """Print the rows as a table in Markdown."""
+    print("| figure | unit | baseline | value | bound | holds |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    for row in run():
+        values = [row[key] for key in ("baseline", "value", "bound")]
+        shown = ["" if value is None else f"{value:.4g}" for value in values]
+        holds = json.dumps(row["holds"]) if row["bound"] is not None else ""
+        print(f"| {row['name']} | {row['unit']} | {' | '.join(shown)} | {holds} |")
+
+
 def summary(report: ReplayReport) -> str:
     """Return the main figures of a report on one line."""
-    others = [v for k, v in report.attainment_by_workspace.items() if k != "ws-0"]
-    worst = min(others)
-    middle = range(BURST[0] // 1_000 + 5, BURST[1] // 1_000)
-    goodput = sum(report.goodput_by_second.get(s, 0) for s in middle) / len(middle)
+    worst = _others(report)
+    goodput = _goodput(report)
     refused = sum(report.refusals_by_reason.values())
     spent = max(sum(report.engine_ms_by_stage.values()), 1.0)
     return (
@@ -181,3 +396,7 @@
         f" refusal95 {report.refusal_wait_p95:.0f} runs {report.most_runs_of_an_order}"
         f" untrue {report.truthless} cached {report.cached_share:.3f}"
     )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -98,6 +98,7 @@
     one = router()
     candidates = rows(6)
     candidates[0] = attrs.evolve(candidates[0], queued=load)
+    one.choose(candidates, WORK)
     one.observe_cache(candidates[0], CacheEvents(1, 1, ("7",)))
     one.saving_ms_by_service["engines"] = [100.0, 300.0]
     work = attrs.evolve(WORK, prefixes=(7,))
@@ -114,3 +115,15 @@
     again = attrs.evolve(dead, sequence=1)
     names = {one.choose([again, alive], WORK).name for _ in range(20)}
     assert names == {dead.name, alive.name} or names == {dead.name}
+
+
+def test_memory_holds_only_targets_in_use():
+    """Guards against memory that grows with all targets of a data centre."""
+    one = router()
+    many = rows(250)
+    one.choose(many, WORK)
+    for row in many:
+        one.observe_cache(row, CacheEvents(1, 1, ("7",)))
+    assert len(one.prefixes.targets_by_name) == 20
+    one.choose(rows(3), WORK)
+    assert set(one.prefixes.targets_by_name) <= {row.name for row in rows(3)}
--- a/wagtailrun/affinity.py
+++ b/wagtailrun/affinity.py
@@ -11,7 +11,9 @@
 BLOCK_CHARACTERS = 1_024
 # Later blocks of a prompt are hardly ever shared between requests.
 MAX_BLOCKS = 16
-MAX_PREFIXES_PER_TARGET = 4_096
+# With 40 targets of each of 8 services all full, about 100 bytes a prefix are 16 MB of
+# the 64 MB of a process.
+MAX_PREFIXES_PER_TARGET = 512
 
 
 @attrs.frozen
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -162,6 +162,7 @@
     candidates: Sequence[TargetRow]
     local: list[TargetRow]
     remote: list[TargetRow]
+    names: frozenset[str]
 
 
 @attrs.frozen
@@ -214,7 +215,10 @@
         self.prefixes = PrefixIndex()
         self.known_by_name: dict[str, _Known] = {}
         self.subsets_by_service: dict[str, _Subset] = {}
-        self.chosen_by_key: dict[tuple[str, bool], tuple[tuple, frozenset[str]]] = {}
+        # Names, entries, and the positions of the chosen names.
+        self.chosen_by_key: dict[
+            tuple[str, bool], tuple[list[str], list[str], list[int]]
+        ] = {}
         self.saving_ms_by_service: dict[str, list[float | None]] = {}
 
     def choose(
@@ -243,32 +247,42 @@
         subset = self.subsets_by_service.get(service)
         if subset is not None and subset.candidates is candidates:
             return subset
-        local = [row for row in candidates if self._is_local(row)]
-        remote = [row for row in candidates if not self._is_local(row)]
-        subset = _Subset(
-            candidates,
-            self._limited((service, True), local),
-            self._limited((service, False), remote),
-        )
+        local, remote = list(candidates), []
+        if self.options.local_first and self.data_centre:
+            own = self.data_centre
+            local = [row for row in candidates if row.data_centre == own]
+            remote = [row for row in candidates if row.data_centre != own]
+        local = self._limited((service, True), local)
+        remote = self._limited((service, False), remote)
+        names = frozenset([row.name for row in (*local, *remote)])
+        self._forget(subset, names)
+        subset = _Subset(candidates, local, remote, names)
         self.subsets_by_service[service] = subset
         return subset
 
+    def _forget(self, before: _Subset | None, names: frozenset[str]) -> None:
+        """Drop what is known of targets that are not used any more."""
+        if before is None or before.names is names or before.names <= names:
+            return
+        for name in before.names - names:
+            if not self.limits.in_flight_by_name[name]:
+                self.known_by_name.pop(name, None)
+                self.limits.forget(name)
+                self.easing.forget(name)
+                self.prefixes.forget(name)
+
     def _limited(self, key: tuple[str, bool], rows: list[TargetRow]) -> list[TargetRow]:
         if len(rows) <= SUBSET_SIZE:
             return rows
-        names = tuple(row.name for row in rows)
-        basis = (names, tuple(self.entries()))
+        names = [row.name for row in rows]
+        entries = list(self.entries())
         known = self.chosen_by_key.get(key)
         # Hashing all pairs takes milliseconds, so it is done on a change only.
-        if known is None or known[0] != basis:
-            chosen = choose_subset(names, self.name, basis[1], SUBSET_SIZE)
-            known = self.chosen_by_key[key] = (basis, chosen)
-        return [row for row in rows if row.name in known[1]]
-
-    def _is_local(self, row: TargetRow) -> bool:
-        if not self.options.local_first or not self.data_centre:
-            return True
-        return row.data_centre == self.data_centre
+        if known is None or known[0] != names or known[1] != entries:
+            chosen = choose_subset(names, self.name, entries, SUBSET_SIZE)
+            positions = [n for n, name in enumerate(names) if name in chosen]
+            known = self.chosen_by_key[key] = (names, entries, positions)
+        return [rows[position] for position in known[2]]
 
     def _best(
         self,
@@ -463,5 +477,11 @@
         known.unreachable_version = target.version
 
     def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
-        """Apply cache events of a target."""
+        """Apply cache events of a target that this entry uses.
+
+        Events passed over are a gap like any other if the target is used later.
+        """
+        subset = self.subsets_by_service.get(target.service)
+        if subset is None or target.name not in subset.names:
+            return
         self.prefixes.observe(target.name, target.incarnation, events)
