--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -183,7 +183,7 @@
         self.random = random.Random(seed)
         self.options = options
         self.budget = RetryBudget()
-        # First attempts, repeats and hedges.
+        # First attempts, repeats of sent and of unsent ones, hedges.
         self.counts: Counter[str] = Counter()
         self.fresh_until_ms_by_name: dict[str, int] = {}
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
@@ -653,6 +653,7 @@
         self.count = 0
         self.offset = 0
         self.avoid: set[str] = set()
+        self.silent: set[str] = set()
         self.same_target: TargetRow | None = None
         self.last_target: TargetRow | None = None
         self.refusal: Refusal | None = None
@@ -673,7 +674,9 @@
         if dispatcher.clock.now_ms() + wait_ms >= work.deadline_at_ms:
             return self.refusal
         self.count += 1
-        dispatcher.counts["retry"] += 1
+        # What was never sent adds no load to a target.
+        kind = "redirect" if isinstance(error, ConnectFailed) else "retry"
+        dispatcher.counts[kind] += 1
         self._note_target(error)
         await dispatcher.clock.sleep_ms(wait_ms)
         return None
@@ -683,8 +686,10 @@
         self.dispatcher.observer.retried(self.work, target, error)
         # What has begun goes on where its KV cache is; what has not goes elsewhere, as
         # the silence may as well be a long queue.
-        if isinstance(error, _Silent) and self.offset:
+        again = target.name in self.silent
+        if isinstance(error, _Silent) and self.offset and not again:
             self.same_target = error.target
+            self.silent.add(target.name)
         else:
             self.avoid.add(target.name)
 
