Use the full dispatcher in the entry and book attempts

Cause: the entry used the least-loaded router and booked no attempts. Ruled out: booking at the target client, which does not know whose work it is. Before / after: attempts are booked as first, retry, hedge or wasted with the price in force; tokens out are those that this attempt generated.

--- a/demo/stub_target.py
+++ b/demo/stub_target.py
@@ -146,7 +146,9 @@
         order = json.loads(request.body)
         if order["kind"] == "load-adapter":
             self.adapters.append(order["subject"])
-        elif order["kind"] == "change-role":
+        elif order["kind"] == "unload-adapter":
+            self.adapters.remove(order["subject"])
+        elif order["kind"] == "set-role":
             self.role = order["subject"]
         else:
             self.model = order["subject"]
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -575,9 +575,9 @@
             self.estimates.record(
                 work.service, work.stage, work.size_class, run.first_ms, duration_ms
             )
-        self.observer.finished(
-            work, target, duration_ms, answer or StageAnswer(200, b"")
-        )
+        answer = answer or StageAnswer(200, b"")
+        counted = attrs.evolve(answer, tokens_out=run.tokens)
+        self.observer.finished(work, target, duration_ms, counted)
         await self.admission.released(work.service)
 
     async def _fail(self, run: _Run, error: TargetFailed) -> None:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -17,14 +17,14 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.control_client import ControlClient
 from wagtailrun.cost_cells import Source
-from wagtailrun.dispatch import Dispatcher
+from wagtailrun.dispatch import make_dispatcher
+from wagtailrun.exceptions import TargetFailed
 from wagtailrun.membership import Membership
 from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineRunner
 from wagtailrun.ports.link import Address
 from wagtailrun.recorder import Recorder
-from wagtailrun.routing import LeastLoadedRouter
 from wagtailrun.settings import EntrySettings
 from wagtailrun.spread import Spreader
 from wagtailrun.spread_messages import EntryRow
@@ -35,6 +35,7 @@
 DRAIN_POLL_MS = 50
 SIGNAL_POLL_MS = 50
 GAUGE_INTERVAL_MS = 1_000
+PROBE_TIMEOUT_MS = 500
 HANDOVER_TIMEOUT_MS = 5_000
 # Every live target announces itself within this time, so an entry that has run for
 # longer knows all of them.
@@ -84,9 +85,18 @@
         self.recorder = Recorder(
             self.clock, self.accounts, self.metrics, lambda: self.spreader.fleet
         )
-        client = HttpTargetClient(HttpClient(self.clock))
-        self.dispatcher = Dispatcher(
-            self.clock, self.membership, client, LeastLoadedRouter()
+        self.http = HttpClient(self.clock)
+        self.dispatcher = make_dispatcher(
+            self.clock,
+            self.membership,
+            HttpTargetClient(self.http),
+            name=settings.name,
+            data_centre=settings.data_centre,
+            probe=self._answers_anew,
+            observer=self.recorder,
+            seed=self.incarnation,
+            entries=self.spreader.peers.live_names,
+            may_leave=self._may_leave,
         )
         orders = OrderRunner(
             self.clock, self.control, self.dispatcher, settings.name, self.incarnation
@@ -144,6 +154,22 @@
         """Return the peer addresses of the other entries of the data centre."""
         return [row.address for row in self.spreader.peers.others()]
 
+    def _may_leave(self, service: str) -> bool:
+        """Return whether another data centre may serve ``service``."""
+        fleet = self.spreader.fleet
+        known = fleet.services_by_name.get(service) if fleet else None
+        return known is not None and known.fallback
+
+    async def _answers_anew(self, address: Address) -> bool:
+        """Return whether a target answers on a new connection, whatever it says."""
+        try:
+            await self.http.request(
+                address, "GET", "/v1/state", timeout_ms=PROBE_TIMEOUT_MS, fresh=True
+            )
+        except TargetFailed:
+            return False
+        return True
+
     async def _update_gauges(self) -> None:
         while True:
             self.metrics.ready.set(self.is_ready())
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/recorder.py
@@ -1,19 +1,26 @@
 """Books what an entry did with requests and attempts into accounts and metrics."""
 
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
 from wagtailrun import events
 from wagtailrun.accounts import Accounts
 from wagtailrun.clock import Clock
-from wagtailrun.cost_cells import RequestOutcome
-from wagtailrun.exceptions import Refusal
-from wagtailrun.fleet import FleetText
+from wagtailrun.cost_cells import RequestOutcome, Usage, WorkKind
+from wagtailrun.dispatch import Work
+from wagtailrun.exceptions import Refusal, TargetFailed
+from wagtailrun.fleet import FleetText, Price
+from wagtailrun.membership import TargetRow
 from wagtailrun.metrics import Metrics
+from wagtailrun.ports.target import StageAnswer
+from wagtailrun.retries import AttemptObserver
 
 __all__ = ["Recorder", "RequestScope"]
 
+MAX_MARKS = 10_000
+
 
 @attrs.frozen
 class RequestScope:
@@ -34,8 +41,8 @@
     pipeline: str = ""
 
 
-class Recorder:
-    """Books requests.
+class Recorder(AttemptObserver):
+    """Books requests and attempts.
 
     Args:
         clock: Clock.
@@ -55,6 +62,9 @@
         self.accounts = accounts
         self.metrics = metrics
         self.fleet = fleet
+        # Work whose next attempt is a repeat, and targets of hedges, until it ends.
+        self.repeated: dict[tuple[str, str], None] = {}
+        self.hedged_at: dict[tuple[str, str], str] = {}
 
     def scope(
         self, request_id: str, workspace: str, service: str = "", pipeline: str = ""
@@ -106,3 +116,56 @@
         of = scope.pipeline or scope.service or "unknown"
         duration_ms = self.clock.now_ms() - scope.started_ms
         self.metrics.finish_request(of, outcome, duration_ms)
+
+    def finished(
+        self, work: Work, target: TargetRow, duration_ms: int, answer: StageAnswer
+    ) -> None:
+        """Book an attempt whose answer was used."""
+        key = (work.request_id, work.stage)
+        kind = WorkKind.FIRST
+        if self.hedged_at.pop(key, None) == target.name:
+            kind = WorkKind.HEDGE
+        elif key in self.repeated:
+            kind = WorkKind.RETRY
+        self.repeated.pop(key, None)
+        usage = Usage(
+            answer.tokens_in, answer.tokens_out, answer.tokens_cached, answer.engine_ms
+        )
+        self._book(work, kind, usage, duration_ms)
+
+    def retried(self, work: Work, target: TargetRow, error: TargetFailed) -> None:
+        """Note that the next attempt is a repeat."""
+        _remember(self.repeated, (work.request_id, work.stage), None)
+
+    def hedged(self, work: Work, target: TargetRow) -> None:
+        """Note that the attempt at ``target`` is a hedge."""
+        _remember(self.hedged_at, (work.request_id, work.stage), target.name)
+
+    def wasted(
+        self, work: Work, target: TargetRow, duration_ms: int, tokens: int
+    ) -> None:
+        """Book an attempt whose work is not used."""
+        self._book(work, WorkKind.WASTED, Usage(tokens_out=tokens), duration_ms)
+
+    def _book(self, work: Work, kind: WorkKind, usage: Usage, duration_ms: int) -> None:
+        fleet = self.fleet()
+        service = fleet.services_by_name.get(work.service) if fleet else None
+        # A removed service has no price any more; its last work is booked without.
+        price = service.price if service else Price()
+        self.metrics.finish_attempt(work.service, kind, usage, duration_ms)
+        self.accounts.finish_attempt(
+            work.workspace,
+            kind,
+            usage,
+            price,
+            service=work.service,
+            stage=work.stage,
+            pipeline=work.pipeline,
+        )
+
+
+def _remember(table: dict, key: tuple[str, str], value: Any) -> None:
+    """Keep a mark; the oldest goes when requests ended without removing theirs."""
+    if len(table) >= MAX_MARKS:
+        del table[next(iter(table))]
+    table[key] = value
