--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,9 +8,16 @@
 
 from bench.spread_cluster import TEXT, Cluster
 from wagtailrun import spread_peers
+from wagtailrun.exceptions import MessageError
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.spread_messages import Health, SpreadStatus
+from wagtailrun.spread_messages import (
+    Growth,
+    Health,
+    SpreadGrowth,
+    SpreadStatus,
+    pack_growth,
+)
 from wagtailrun.spread_push import Contact, split_members
 from wagtailrun.spread_text import TextStore
 from wagtailrun.virtual_time import run_virtual
@@ -253,6 +260,50 @@
     assert run_virtual(main) == []
 
 
+@pytest.mark.parametrize("entries", [1, 4])
+def test_pause_of_the_process_is_not_silence(entries):
+    """Guards against targets declared silent because nobody ran to hear them."""
+
+    async def main(clock):
+        cluster = await started(clock, entries, 8)
+        names = {target.name for target in cluster.targets}
+        await curio.spawn(cluster.check_healthy, lambda node: names, daemon=True)
+        for target in cluster.targets:
+            target.alive = False
+        clock.seconds += 60
+        await clock.sleep_ms(900)
+        # The first announcements that the entries hear after the pause.
+        for target in cluster.targets:
+            target.alive = True
+            target.send()
+            await curio.spawn(target.run, daemon=True)
+        await clock.sleep_ms(5_000)
+        rows = [r for n in cluster.live for r in n.spreader.peers.rows_by_name.values()]
+        assert all(row.health == Health.ALIVE for row in rows)
+        return cluster.faults
+
+    assert run_virtual(main) == []
+
+
+@pytest.mark.parametrize("late", [{"incarnation": 4}, {"sequence": 7}, {"name": "x"}])
+def test_growth_of_another_start_changes_nothing(late):
+    """Guards against load of an old start, or old load, credited to a target."""
+
+    async def main(clock):
+        cluster = Cluster(clock, {"east": 1})
+        node = await cluster.start_node("east-0")
+        address = Address("10.0.0.1", 1)
+        row = TargetRow("t", address, "engines", "east", incarnation=5, sequence=7)
+        node.membership.put(row, 0)
+        record = Growth.of(attrs.evolve(row, **{"sequence": 9, "queued": 3} | late), 0)
+        await node.spreader.handle(SpreadGrowth(pack_growth([record])))
+        assert node.membership.targets_by_name == {"t": row}
+        with pytest.raises(MessageError):
+            await node.spreader.handle(SpreadGrowth(b"short"))
+
+    run_virtual(main)
+
+
 def test_entry_restarts_while_control_is_out_of_reach():
     """Guards against a restarted entry with an older text than its neighbours'."""
 
--- a/wagtailrun/spread_exchange.py
+++ b/wagtailrun/spread_exchange.py
@@ -28,7 +28,7 @@
 # entry that hears many targets spends its share on forwards: beyond the usual number a
 # round, each takes the place of one record of growth in gossip, and so does each
 # confirmation of a revision.
-GROWTH_PER_MESSAGE = 12
+GROWTH_PER_MESSAGE = 10
 USUAL_FORWARDS = 5
 ROWS_PER_MESSAGE = 40
 CONFIRMATIONS_PER_MESSAGE = 8
--- a/wagtailrun/spread_messages.py
+++ b/wagtailrun/spread_messages.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Iterator
 
 import attrs
-import xxhash
 
 from wagtailrun.codec import Channel, Codec
 from wagtailrun.exceptions import MessageError
@@ -32,8 +31,9 @@
     "SpreadText",
 ]
 
-# Name, incarnation check, age in units of 10 ms, sequence, running, queued.
-GROWTH = struct.Struct("<IHHQHH")
+# Name, incarnation, age in units of 10 ms, sequence, running, queued. The whole
+# incarnation is there, so that a delayed record is never credited to another start.
+GROWTH = struct.Struct("<IQHQHH")
 AGE_UNIT_MS = 10
 # Name, term, revision.
 CONFIRMATION = struct.Struct("<IIQ")
@@ -236,7 +236,7 @@
     """Newest sequence and load of a target whose row the receiver has."""
 
     target_id: int
-    incarnation_check: int
+    incarnation: int
     age_ms: int
     sequence: int
     running: int
@@ -245,23 +245,22 @@
     @classmethod
     def of(cls, row: TargetRow, age_ms: int) -> "Growth":
         """Return the record of a row."""
-        check = incarnation_check(row.incarnation)
         return cls(
-            short_id(row.name), check, age_ms, row.sequence, row.running, row.queued
+            short_id(row.name),
+            row.incarnation,
+            age_ms,
+            row.sequence,
+            row.running,
+            row.queued,
         )
 
 
-def incarnation_check(incarnation: int) -> int:
-    """Return 16 bits that tell incarnations of the same target apart."""
-    return xxhash.xxh32_intdigest(incarnation.to_bytes(8, "little")) & MAX_UINT16
-
-
 def pack_growth(records: Iterable[Growth]) -> bytes:
     """Return the records as bytes; load and age are cut off at their largest value."""
     return b"".join(
         GROWTH.pack(
             record.target_id,
-            record.incarnation_check,
+            record.incarnation,
             min(record.age_ms // AGE_UNIT_MS, MAX_UINT16),
             record.sequence,
             min(record.running, MAX_UINT16),
@@ -274,8 +273,8 @@
 def unpack_growth(data: bytes) -> Iterator[Growth]:
     """Yield packed records; raises MessageError if the bytes are none."""
     try:
-        for target_id, check, age, *rest in GROWTH.iter_unpack(data):
-            yield Growth(target_id, check, age * AGE_UNIT_MS, *rest)
+        for target_id, incarnation, age, *rest in GROWTH.iter_unpack(data):
+            yield Growth(target_id, incarnation, age * AGE_UNIT_MS, *rest)
     except struct.error as error:
         raise MessageError("growth records of a wrong length") from error
 
--- a/wagtailrun/spread_targets.py
+++ b/wagtailrun/spread_targets.py
@@ -12,7 +12,6 @@
     SpreadAsk,
     SpreadGrowth,
     SpreadRows,
-    incarnation_check,
     pack_growth,
     unpack_growth,
 )
@@ -281,7 +280,7 @@
             known = membership.targets_by_name.get(name)
             if known is None or record.sequence <= known.sequence:
                 continue
-            if incarnation_check(known.incarnation) != record.incarnation_check:
+            if known.incarnation != record.incarnation:
                 continue
             grown = attrs.evolve(
                 known,
