Test a data centre that is cut off for an hour, and the need for forwards

Cause: no test cut a whole data centre off, and none failed without forwards.

Trial with forwards switched off: the test of message counts, which now also asks that no healthy target is lost, fails at 9 and at 27 entries; the schedules do not, because gossip carries their 8 targets.

--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -260,6 +260,41 @@
     assert run_virtual(main) == []
 
 
+def test_data_centre_cut_off_for_an_hour():
+    """Guards against a cut-off data centre that stops, or comes back with old state."""
+
+    async def main(clock):
+        cluster = Cluster(clock, {"east": 1, "west": 2}, 4)
+        await cluster.start()
+        await clock.sleep_ms(9_000)
+        await curio.spawn(cluster.check_revisions, daemon=True)
+        west = [n.address for n in cluster.live if n.data_centre == "west"]
+        east = [pick(cluster).address, *cluster.control_addresses]
+        cluster.network.cut_off(west, east)
+        await clock.sleep_ms(3_000)
+        cluster.change_text()
+        await cluster.targets[1].leave()
+        await cluster.kill("west-1")
+        await clock.sleep_ms(2_000)
+        node = await cluster.start_node("west-1")
+        assert await cluster.wait(lambda: node.spreader.fleet, 4_000) is not None
+        await clock.sleep_ms(3_000)
+        assert cluster.revisions() == {"east-0": 2, "west-0": 1, "west-1": 1}
+        await clock.sleep_ms(3_600_000)
+        for name in ("west-0", "west-1"):
+            usable = cluster.nodes_by_name[name].usable_names(clock.now_ms())
+            assert usable == {"t3"}
+        revision = cluster.change_text()
+        cluster.network.heal()
+        taken = await cluster.wait(
+            lambda: set(cluster.revisions().values()) == {revision}, TEXT_LIMIT_MS
+        )
+        assert taken is not None
+        return cluster.faults
+
+    assert run_virtual(main) == []
+
+
 @pytest.mark.parametrize("entries", [1, 4])
 def test_pause_of_the_process_is_not_silence(entries):
     """Guards against targets declared silent because nobody ran to hear them."""
@@ -428,13 +463,16 @@
 
 @pytest.mark.parametrize("entries", [9, 27])
 def test_messages_of_an_entry_do_not_grow_with_the_data_centre(entries):
-    """Guards against heartbeats from every entry to every other."""
+    """Guards against heartbeats from all to all, and watchers that hear too little."""
 
     async def main(clock):
         targets = 3 * entries
         cluster = await started(clock, entries, targets, seed=1)
+        names = {target.name for target in cluster.targets}
+        await curio.spawn(cluster.check_healthy, lambda node: names, daemon=True)
         before = dict(cluster.network.messages_by_source)
         await clock.sleep_ms(10_000)
+        assert cluster.faults == []
         for node in cluster.live:
             sent = cluster.network.messages_by_source[node.address]
             heard = len([t for t in cluster.targets if t.heard_by is node])
