Pass held rows on at a planned stop, and say why a replay cannot run

Cause: a planned stop without a control member kept its own rows at another entry but dropped the rows that it held for others. A replay module that fails to import ended in a traceback.

Deliberate faults on a scratch copy (a trial) showed that rows begun anew within their hour, and rows forgotten in a long partition, went undetected; two tests guard against them now. Not detected still: relaying without the lock for each member.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -69,6 +69,15 @@
         if self.operations == self.crash_at:
             raise Crash
 
+    def replace(self, name, data):
+        """Change a file durably, with a possible crash before and after."""
+        self.step()
+        self.appended.pop(name, None)
+        self.durable.pop(name, None)
+        if data is not None:
+            self.durable[name] = data
+        self.step()
+
     def restart(self):
         """Keep what is durable and any prefix of what was appended after it."""
         for name, data in self.appended.items():
@@ -89,28 +98,16 @@
         self.step()
 
     async def sync(self, name):
-        self.step()
-        self.durable[name] = await self.read(name)
-        self.appended.pop(name, None)
-        self.step()
+        self.replace(name, await self.read(name))
 
     async def write(self, name, data):
-        self.step()
-        self.durable[name] = data
-        self.appended.pop(name, None)
-        self.step()
+        self.replace(name, data)
 
     async def truncate(self, name, size):
-        self.step()
-        self.durable[name] = (await self.read(name))[:size]
-        self.appended.pop(name, None)
-        self.step()
+        self.replace(name, (await self.read(name))[:size])
 
     async def remove(self, name):
-        self.step()
-        self.durable.pop(name, None)
-        self.appended.pop(name, None)
-        self.step()
+        self.replace(name, None)
 
 
 class System:
@@ -398,6 +395,26 @@
     run_virtual(main)
 
 
+def test_rows_stay_until_their_hour_is_over_and_handed_over():
+    """Guards against a row that is begun anew, or forgotten in a long partition."""
+
+    async def main(clock):
+        system = System(clock)
+        await system.start()
+        for step in range(24):
+            if step == 6:
+                for address, control in itertools.product(ENTRIES, CONTROLS):
+                    system.network.cut(address, control)
+            if step == 22:
+                system.network.heal()
+            attempt(system.entries[0])
+            await clock.sleep_ms(300_000)
+        rows = cost_rows(await system.stores[0].lines(), by=("hour",))
+        assert [row["calls"] for row in rows] == [12, 12]
+
+    run_virtual(main)
+
+
 def test_planned_stop_hands_over_everything():
     """Guards against rows, own or held for another entry, that a stop drops."""
 
@@ -406,6 +423,10 @@
         await refuse(system.entries[0], "own")
         holder = next(entry for entry in system.entries if entry.held.tables_by_source)
         attempt(holder, "mine")
+        for address in CONTROLS + ENTRIES:
+            system.network.cut(ENTRIES[system.entries.index(holder)], address)
+        assert not await holder.hand_over_all(30_000)
+        system.network.heal()
         assert await holder.hand_over_all(5_000)
         assert not holder.held.tables_by_source
         lines = await system.stores[0].lines()
@@ -413,11 +434,14 @@
 
         for address in CONTROLS:
             system.network.cut(ENTRIES[0], address)
+        system.entries[0].handle(message_of(refusal_table(0, 1), Source("gone", 1)))
         attempt(system.entries[0], "cut-off")
-        assert await system.entries[0].hand_over_all(9_000)
+        assert await system.entries[0].hand_over_all(20_000)
+        assert not system.entries[0].held.tables_by_source
         others = [entry.held.tables_by_source for entry in system.entries[1:]]
         held = [table for tables in others for table in tables.values()]
-        assert any(key.workspace == "cut-off" for t in held for key in t.rows_by_key)
+        workspaces = {key.workspace for table in held for key in table.rows_by_key}
+        assert workspaces >= {"cut-off", "stockists"}
 
     run_virtual(main)
 
@@ -531,6 +555,7 @@
         assert second.totals.late_refusal_minutes == 1
         assert second.totals.refusals_by_reason == {"overloaded": 10}
         assert await store.close(NEXT_PERIOD, second.digest)
+        assert not disk.durable[LOG_NAME]
         await store.handle(message_of(refusal_table(start_ms, 5, minutes=3)))
         assert await store.lines(PERIOD) == closed
         assert await store.lines() == []
@@ -575,13 +600,13 @@
 
     async def main(clock):
         system = System(clock)
-        await system.start()
         message = message_of(refusal_table(clock.wall_ms(), 3))
         await system.stores[0].handle(message)
         await clock.sleep_ms(DAY_MS + 900_000)
         offer = await system.stores[0].prepare_close(PERIOD)
         assert await system.stores[0].close(PERIOD, offer.digest)
         assert await system.stores[1].fetch_period(PERIOD, offer.digest)
+        await system.start()
         await system.stores[0].handle(message)
         await clock.sleep_ms(5_000)
         for store in system.stores:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -183,8 +183,9 @@
         (["replay", "missing"], 1),
     ],
 )
-def test_bad_input_ends_with_a_message(run, members, arguments, code):
+def test_bad_input_ends_with_a_message(run, members, monkeypatch, arguments, code):
     """Guards against a traceback or a wrong exit code."""
+    monkeypatch.setitem(sys.modules, "wagtailrun.replay", None)
     result, _, error = run(*arguments)
     assert result == code and re.search(r"\w", error)
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -89,18 +89,9 @@
 
 
 AUTHORIZED = {"authorization": f"Bearer {CREDENTIAL}"}
-PATHS = [
-    "/v1/text",
-    "/v1/orders",
-    "/v1/changes",
-    "/v1/status",
-    "/v1/targets",
-    "/v1/refusals",
-    "/v1/costs",
-    "/v1/requests",
-    "/v1/periods",
-    "/v1/audit",
-]
+READ_FIELDS = ("period", "by", "limit", "workspace", "prefix", "stage", "work")
+READS = "text orders changes status targets refusals costs requests periods audit"
+PATHS = [f"/v1/{name}" for name in READS.split()]
 
 
 @pytest.fixture(autouse=True)
@@ -250,19 +241,13 @@
         lambda value: json.dumps(value).encode()
     ),
 )
-queries = st.one_of(
-    st.text(st.characters(max_codepoint=255), max_size=40),
-    st.lists(
-        st.tuples(
-            st.sampled_from(
-                ["period", "by", "limit", "workspace", "prefix", "stage", "work"]
-            ),
-            st.text(st.characters(max_codepoint=255), max_size=12)
-            | st.sampled_from(["2026-01-01", "9999-12-31", "0", "stage,work", "%ff"]),
-        ),
-        max_size=4,
-    ).map(lambda pairs: "&".join(f"{name}={value}" for name, value in pairs)),
+latin = st.text(st.characters(max_codepoint=255), max_size=40)
+fields = st.sampled_from(
+    ["period", "by", "limit", "workspace", "prefix", "stage", "work"]
 )
+tricky = st.sampled_from(["2026-01-01", "9999-12-31", "0", "stage,work", "%ff"])
+pairs = st.tuples(fields, latin | tricky).map("=".join)
+queries = latin | st.lists(pairs, max_size=4).map("&".join)
 
 
 @given(
--- a/wagtailrun/accounts.py
+++ b/wagtailrun/accounts.py
@@ -70,7 +70,9 @@
         """
         for data in message.batches:
             source, rows, _ = unpack_batch(data)
-            newer = message.sequence > self.sequences_by_source.get(source, -1)
+            # Another entry may pass on rows; its sequence is not the source's.
+            own = source.entry == message.sender
+            newer = own and message.sequence > self.sequences_by_source.get(source, -1)
             if newer:
                 self.sequences_by_source[source] = message.sequence
             if message.settled and newer:
@@ -86,7 +88,7 @@
             gone = now_ms - heard_ms >= FORGET_SOURCE_MS
             if gone and source not in self.tables_by_source:
                 del self.heard_ms_by_source[source]
-                del self.sequences_by_source[source]
+                self.sequences_by_source.pop(source, None)
         return [
             source
             for source in self.tables_by_source
@@ -305,7 +307,7 @@
         if not kept:
             kept = await self._send_to_an_entry(list(self._unkept()), False)
         for source in list(self.held.tables_by_source):
-            kept = await self._hand_over_held(source) and kept
+            kept = await self._hand_over_held(source, or_to_an_entry=True) and kept
         return kept
 
     def handle(self, message: AccountRows) -> AccountsKept:
@@ -433,13 +435,19 @@
         for source in self.held.silent(self.clock.now_ms(), silence_ms):
             await self._hand_over_held(source)
 
-    async def _hand_over_held(self, source: Source) -> bool:
+    async def _hand_over_held(
+        self, source: Source, or_to_an_entry: bool = False
+    ) -> bool:
         """Hand over and forget the rows of another entry; keep them on failure."""
         table = self.held.tables_by_source.pop(source)
         keys = list(table.rows_by_key)
         for start in range(0, len(keys), ROWS_PER_MESSAGE):
             part = keys[start : start + ROWS_PER_MESSAGE]
-            if not await self._send_to_control([pack_batch(source, table, part)]):
+            batch = pack_batch(source, table, part)
+            kept = await self._send_to_control([batch])
+            if not kept and or_to_an_entry and (partner := self._choose_partner()):
+                kept = await self._send(partner, [batch], False, CALL_TIMEOUT_MS)
+            if not kept:
                 self.held.put_back(source, table)
                 return False
         return True
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -395,8 +395,9 @@
     """
     try:
         module = importlib.import_module("wagtailrun.replay")
-    except ModuleNotFoundError as error:
-        raise WagtailrunError("this version cannot replay traces") from error
+    except ImportError as error:
+        detail = f"this version cannot replay traces: {error}"
+        raise WagtailrunError(detail) from error
     try:
         report = module.replay(file)
     except ValueError as error:
