Show the difference of a stale change, flush suppressed events at the end

Cause: the registry will say what changed since the base revision, and the operator did not see it; the count of lines suppressed last was never written.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,6 +6,7 @@
 import re
 import sys
 from types import ModuleType, SimpleNamespace
+from unittest.mock import AsyncMock
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -91,11 +92,14 @@
     assert run("apply", text, "--base=2")[0] == 0
 
 
-def test_apply_refused_by_a_stale_base(run, members, text):
+def test_apply_refused_by_a_stale_base(run, members, text, monkeypatch):
     """Guards against a refusal that exits with 0 or hides the current revision."""
     run("apply", text)
     code, _, error = run("apply", text, "--base=7")
     assert code == 1 and "current revision: 1" in error
+    stale = SimpleNamespace(accepted=False, revision=1, detail="-", difference="+x")
+    monkeypatch.setattr(members.log, "propose", AsyncMock(return_value=stale))
+    assert run("apply", text, "--base=8")[2].endswith("\n+x\n")
     members.dead.update(MEMBERS)
     assert run("apply", text)[0] == 1
 
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -16,6 +16,7 @@
 
 from wagtailrun.cli_client import Answer, NoAnswer, OperatorClient
 from wagtailrun.cli_output import print_json, print_rows, printable
+from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.plan import plan_changes
@@ -47,7 +48,11 @@
             return EXIT_DONE
         # Imported here: other commands start faster without the daemons.
         run = getattr(importlib.import_module(module), f"run_{name}")
-        curio.run(run, loaded.settings)
+        try:
+            curio.run(run, loaded.settings)
+        finally:
+            # Lines that were suppressed last have no later line that counts them.
+            EVENT_LOG.flush()
         return EXIT_DONE
 
     helps, example = {}, [f"wagtailrun {name}"]
@@ -472,6 +477,9 @@
     revision = answer.value.get("revision")
     suffix = f" (current revision: {revision})" if revision is not None else ""
     print(f"wagtailrun: refused: {_lines(detail)}{suffix}", file=sys.stderr)
+    if difference := answer.value.get("difference"):
+        print("difference from the current text to the refused one:", file=sys.stderr)
+        print(_lines(difference), file=sys.stderr)
     return EXIT_REFUSED
 
 
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/operator_api.py
@@ -339,6 +339,8 @@
     refusal = Refusal(reason, Verdict.NOT_RUN, verdict.detail)
     response = refusal_response(refusal)
     value = problem(refusal, response.status) | {"revision": verdict.revision}
+    # Registries that compute what changed since the base revision say so here.
+    value["difference"] = getattr(verdict, "difference", "")
     return attrs.evolve(response, body=json.dumps(value).encode())
 
 
