Leave the data centre when its only target has failed

Cause: test_stream_goes_on_when_its_target_freezes: a stream whose engine was stopped went to the same engine again, the only local one, and was refused at its deadline after 8.0 s with 53 of 200 tokens. The list of targets to avoid was dropped inside the data centre before the other one was considered (trace of dispatch: START east-engines, SILENT 500 ms, START east-engines again). Ruled out: the probe (it reported the engine as unreachable) and membership (the western engine was in the list).

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -127,3 +127,15 @@
     assert len(one.prefixes.targets_by_name) == 20
     one.choose(rows(3), WORK)
     assert set(one.prefixes.targets_by_name) <= {row.name for row in rows(3)}
+
+
+def test_failed_target_is_left_for_another_data_centre():
+    """Guards against repeating at the only local target, which has just failed."""
+    one = router()
+    (local,), (remote,) = rows(1), rows(1, "west")
+    candidates = [local, remote]
+    assert one.choose(candidates, WORK) is local
+    assert one.choose(candidates, WORK, avoid={local.name}) is remote
+    assert one.choose(candidates, WORK, avoid={local.name, remote.name}) is local
+    one.unreachable(local)
+    assert one.choose(candidates, WORK) is remote
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -238,10 +238,16 @@
         remote, remote_ms = self._best(subset.remote, work, avoid, now_ms)
         if local is None or remote is None:
             return local or remote
+        if self._is_ruled_out(local, avoid):
+            return local if self._is_ruled_out(remote, avoid) else remote
         if local_ms <= remote_ms * LOCAL_ADVANTAGE:
             return local
         return remote
 
+    def _is_ruled_out(self, row: TargetRow, avoid: Collection[str]) -> bool:
+        """Return whether ``row`` was chosen only because there was nothing better."""
+        return row.name in avoid or self._is_unreachable(row)
+
     def _subset(self, candidates: Sequence[TargetRow]) -> _Subset:
         service = candidates[0].service
         subset = self.subsets_by_service.get(service)
