--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,50 @@
+"""Tests that the examples and commands of the pages work."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from wagtailrun.settings import ControlSettings, EntrySettings, flag_of
+
+ROOT = Path(__file__).parent.parent
+PAGES = sorted((ROOT / "docs").glob("*.md")) + [ROOT / "README.md"]
+COMMANDS = {
+    "entry", "control", "check", "plan", "apply", "status", "targets", "orders",
+    "refusals", "costs", "audit", "replay",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_commands_and_flags_exist(page):
+    """Guards against a page that names a command or flag which was renamed."""
+    text = page.read_text("utf-8")
+    for command in re.findall(r"^ +wagtailrun ([a-z]+)", text, re.MULTILINE):
+        assert command in COMMANDS, command
+    flags = {"entry": EntrySettings, "control": ControlSettings}
+    for name, cls in flags.items():
+        known = {flag_of(field) for field in cls.__attrs_attrs__}
+        for block in re.findall(rf"wagtailrun {name} ((?:.*\\\n)*.*)", text):
+            for flag in re.findall(r"--[a-z-]+(?==)", block):
+                assert flag in known, flag
+
+
+def test_check_of_the_operating_page():
+    """Guards against a first step that fails for a newcomer."""
+    page = (ROOT / "docs" / "operating.md").read_text("utf-8")
+    (arguments,) = re.findall(r"^ +wagtailrun (check .*)$", page, re.MULTILINE)
+    command = [sys.executable, "-m", "wagtailrun", *arguments.split()]
+    result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    assert result.returncode == 0, result.stderr
+    assert "pipelines" in result.stdout
+
+
+def test_examples_of_the_embedding_page():
+    """Guards against an example that does not run."""
+    page = (ROOT / "docs" / "embedding.md").read_text("utf-8")
+    blocks = re.findall(r"```python\n(.*?)```", page, re.DOTALL)
+    assert len(blocks) == 3
+    for block in blocks:
+        exec(compile(block, "embedding.md", "exec"), {"__name__": "example"})
--- a/wagtailrun/__init__.py
+++ b/wagtailrun/__init__.py
@@ -1,12 +1,19 @@
 """Serving system for multi-stage model pipelines."""
 
 from wagtailrun.clock import Clock, SystemClock
-from wagtailrun.exceptions import Refusal, RefusalReason, Verdict, WagtailrunError
+from wagtailrun.exceptions import (
+    FleetTextError,
+    Refusal,
+    RefusalReason,
+    Verdict,
+    WagtailrunError,
+)
 from wagtailrun.fleet import FleetText, parse_fleet_text
 
 __all__ = [
     "Clock",
     "FleetText",
+    "FleetTextError",
     "Refusal",
     "RefusalReason",
     "SystemClock",
