Let a leader that gets no answers step down

Cause: a leader whose messages arrive but which hears no reply (a one-way cut) lost its lease and answered nothing, while its heartbeats kept every other member from an election for as long as the cut lasted. Ruled out: a promise that followers give only to leaders with a lease (they cannot know); stepping down when the lease ends (an election after every short cut). Conclusion: such a leader steps down after two election timeouts without a lease.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -323,6 +323,26 @@
     assert run_virtual(main) == []
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_leader_that_hears_nobody_makes_room(seed):
+    """Guards against a leader whose heartbeats arrive but which gets no answer."""
+
+    async def main(clock):
+        cluster = await started(clock, seed)
+        deaf = cluster.leader()
+        for node in cluster.nodes:
+            if node is not deaf:
+                cluster.network.cut(node.address, deaf.address, both_ways=False)
+        await cluster.wait_for(
+            lambda: cluster.leader() not in (None, deaf), "no other leader", 15_000
+        )
+        await cluster.propose_many(3)
+        await cluster.settle()
+        return cluster.violations
+
+    assert run_virtual(main) == []
+
+
 def test_emptied_majority_founds_no_cluster():
     """Guards against emptied members that begin an empty cluster beside the data."""
 
--- a/wagtailrun/election.py
+++ b/wagtailrun/election.py
@@ -32,6 +32,7 @@
         """Start an election whenever no leader was heard for the election timeout."""
         member = self.member
         timing = member.timing
+        had_lease = True
         while True:
             timeout_ms = member.random.randint(
                 timing.election_min_ms, timing.election_max_ms
@@ -40,7 +41,21 @@
                 await member.clock.sleep_ms(wait_ms)
             self.last_attempt_ms = self._now()
             if member.role is not Role.LEADER:
+                had_lease = True
                 await self.campaign()
+                continue
+            has_lease = member.replication.lease_is_valid()
+            if not has_lease and not had_lease:
+                # Its heartbeats may still arrive and keep the others from electing.
+                await self._step_down()
+            had_lease = has_lease
+
+    async def _step_down(self) -> None:
+        member = self.member
+        async with member.lock:
+            if member.role is Role.LEADER:
+                member.become_follower(member.term, None)
+                member.leader = None
 
     async def campaign(self) -> None:
         """Ask for pre-votes, then for votes, and lead if a quorum grants them."""
