Use targets of other data centres and announced cache events

Cause: Membership.usable now returns local targets only, so a dead stage was refused though another data centre could serve it; and nothing gave the cache events of announced rows to the router.

Before and after: the new tests of both fail without the change by construction (the service has no local target; the index stays empty).

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -214,3 +214,16 @@
 
     assert run_virtual(main, DispatchOptions()) == 0
     assert run_virtual(main, DispatchOptions(budget=False)) > 0
+
+
+def test_other_data_centre_serves_a_dead_stage():
+    """Guards against targets elsewhere that membership knows and nobody uses."""
+
+    async def main(clock):
+        setting = Setting(clock)
+        dispatcher = await setting.start(POOL)
+        dispatcher.membership.data_centre = "west"
+        assert dispatcher.membership.usable("t", clock.now_ms()) == []
+        return await dispatcher.call(setting.work(GENERATE))
+
+    assert not isinstance(run_virtual(main), Refusal)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -127,3 +127,12 @@
     assert len(one.prefixes.targets_by_name) == 20
     one.choose(rows(3), WORK)
     assert set(one.prefixes.targets_by_name) <= {row.name for row in rows(3)}
+
+
+def test_cache_events_of_announced_rows_are_used():
+    """Guards against cache events that an entry receives and ignores."""
+    one = router()
+    fields = {"cache_first": 1, "cache_last": 2, "cache_prefixes": ("7", "not hex")}
+    one.choose(rows(1), WORK)
+    one.choose(rows(1, sequence=1, **fields), WORK)
+    assert one.prefixes.cached_share("east-0", 0, (7,)) == 1.0
--- a/wagtailrun/affinity.py
+++ b/wagtailrun/affinity.py
@@ -81,10 +81,14 @@
             self._apply(entry, change)
 
     def _apply(self, entry: _TargetPrefixes, change: str) -> None:
+        try:
+            value = int(change.removeprefix("-"), 16)
+        except ValueError:
+            # A target that hashes in another way has no prefixes to be found here.
+            return
         if change.startswith("-"):
-            entry.known.pop(int(change[1:], 16), None)
+            entry.known.pop(value, None)
             return
-        value = int(change, 16)
         entry.known[value] = None
         entry.known.move_to_end(value)
         if len(entry.known) > self.max_prefixes:
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -258,6 +258,9 @@
         self._forget(subset, names)
         subset = _Subset(candidates, local, remote, names)
         self.subsets_by_service[service] = subset
+        now_ms = self.clock.now_ms()
+        for row in (*local, *remote):
+            self._known(row, now_ms)
         return subset
 
     def _forget(self, before: _Subset | None, names: frozenset[str]) -> None:
@@ -386,6 +389,10 @@
                 known.own_since = 0
             if restarted:
                 known.unit = 1.0
+            if row.cache_prefixes:
+                changes = row.cache_prefixes
+                events = CacheEvents(row.cache_first, row.cache_last, changes)
+                self.observe_cache(row, events)
         return known
 
     def _saving_ms(self, service: str) -> float:
