--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -139,3 +139,12 @@
     assert one.choose(candidates, WORK, avoid={local.name, remote.name}) is local
     one.unreachable(local)
     assert one.choose(candidates, WORK) is remote
+
+
+def test_cache_events_of_announced_rows_are_used():
+    """Guards against cache events that an entry receives and ignores."""
+    one = router()
+    fields = {"cache_first": 1, "cache_last": 2, "cache_prefixes": ("7", "not hex")}
+    one.choose(rows(1), WORK)
+    one.choose(rows(1, sequence=1, **fields), WORK)
+    assert one.prefixes.cached_share("east-0", 0, (7,)) == 1.0
