--- a/bench/orders.py
+++ b/bench/orders.py
@@ -24,9 +24,10 @@
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.local_log import LocalLog
 from wagtailrun.membership import Membership, TargetRow
+from wagtailrun.order_table import MAX_ORDER_KEYS
 from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import MAX_ORDER_KEYS, Registry
+from wagtailrun.registry import Registry
 from wagtailrun.registry_messages import CloseOrder, OpenOrder, SweepOrders
 from wagtailrun.routing import LeastLoadedRouter
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.test_control_client import MEMBERS, Cluster, virtual
-from wagtailrun import orders, registry
+from wagtailrun import order_table, orders
 from wagtailrun.control_client import ControlClient
 from wagtailrun.dispatch import Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
@@ -210,14 +210,14 @@
 def forget_orders(self, data, restore=Registry.restore):
     restore(self, data)
     self.orders_by_key.clear()
-    self.overdue_heap.clear()
+    self.orders.overdue_heap.clear()
 
 
 @pytest.mark.parametrize(
     ("target", "name", "broken"),
     [
-        (registry, "_is_resend", lambda record, command: True),
-        (registry, "_owns", lambda record, command: True),
+        (order_table, "_is_resend", lambda record, command: True),
+        (order_table, "_owns", lambda record, command: True),
         (Registry, "restore", forget_orders),
         (orders._Order, "may_send", lambda self: True),
         (orders, "_unless_confirmed", lambda result, closed, attempt: result),
@@ -332,7 +332,7 @@
 async def test_large_answer_is_not_repeated_but_stated(world, clock):
     """Guards against a resend that gets an empty answer in place of a large one."""
     entry = world.entries[0]
-    large = StageAnswer(201, b"x" * (registry.MAX_STORED_BODY_BYTES + 1))
+    large = StageAnswer(201, b"x" * (order_table.MAX_STORED_BODY_BYTES + 1))
     with mock.patch.object(Entry, "call", return_value=large):
         assert await world.order(entry, "k0", "r0") == large
     again = await world.order(entry, "k0", "r1")
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from wagtailrun import engine_order_table, order_table
 from wagtailrun import registry as module
 from wagtailrun import registry_messages as rm
 from wagtailrun.audit import verify_chain
@@ -143,21 +144,21 @@
     """Guards against state that grows with the size of answers."""
     apply = Driver()
     apply(opening())
-    limit = module.MAX_STORED_BODY_BYTES
+    limit = order_table.MAX_STORED_BODY_BYTES
     closed = apply(closing(Verdict.COMPLETE, body=b"x" * (limit + 1)))
     assert (closed.body, len(closed.answer_digest), closed.status) == (b"", 64, 200)
-    with mock.patch.object(module, "MAX_STORED_BODIES_BYTES", limit):
+    with mock.patch.object(order_table, "MAX_STORED_BODIES_BYTES", limit):
         for key in ("k2", "k3"):
             apply(opening(key))
             closed = apply(closing(Verdict.COMPLETE, key=key, body=b"y" * limit))
     assert closed.body == b""
     apply.restart()
-    assert apply.registry.stored_body_bytes == limit
+    assert apply.registry.orders.stored_body_bytes == limit
 
 
 def test_full_table_names_the_time_when_a_key_is_free():
     """Guards against an early eviction, and a retry time that is not true."""
-    with mock.patch.object(module, "MAX_ORDER_KEYS", 2):
+    with mock.patch.object(order_table, "MAX_ORDER_KEYS", 2):
         apply = Driver()
         for number, key in enumerate(("k", "k2")):
             apply(opening(key, now_ms=T0 + number * 5_000))
@@ -178,13 +179,13 @@
     apply = Driver()
     apply(opening())
     apply(closing(Verdict.NOT_RUN))
-    later = T0 + module.KEY_RETENTION_MS - 1
+    later = T0 + order_table.KEY_RETENTION_MS - 1
     apply(opening(sender=2, now_ms=later))
     apply(closing(Verdict.COMPLETE, attempt=2, sender=2, now_ms=later))
     apply.restart()
-    apply(rm.SweepOrders(later + module.KEY_RETENTION_MS))
+    apply(rm.SweepOrders(later + order_table.KEY_RETENTION_MS))
     assert apply(opening(sender=3, now_ms=later)).verdict == Verdict.COMPLETE
-    assert apply(rm.SweepOrders(later + module.KEY_RETENTION_MS + 1)).expired == 1
+    assert apply(rm.SweepOrders(later + order_table.KEY_RETENTION_MS + 1)).expired == 1
 
 
 def test_sweep_closes_overdue_orders_and_lists_them():
@@ -192,7 +193,7 @@
     apply = Driver()
     apply(opening())
     apply(opening("k2", life=10**12))
-    due_ms = T0 + 4_000 + module.OVERDUE_GRACE_MS
+    due_ms = T0 + 4_000 + order_table.OVERDUE_GRACE_MS
     # A closed order makes no sweep due.
     apply(opening("k3", life=1_000))
     apply(closing("not-run", key="k3"))
@@ -206,7 +207,7 @@
         ("k", "may-have-run"),
         ("k2", ""),
     }
-    assert apply(rm.SweepOrders(T0 + module.MAX_DEADLINE_MS + 10_001)).closed == 1
+    assert apply(rm.SweepOrders(T0 + order_table.MAX_DEADLINE_MS + 10_001)).closed == 1
 
 
 def test_sweep_looks_only_at_overdue_orders():
@@ -215,8 +216,10 @@
     for number in range(3_000):
         apply(opening(f"k{number}", now_ms=T0 + number))
         apply(closing("not-run", key=f"k{number}", now_ms=T0 + number))
-    assert len(apply.registry.overdue_heap) <= module.HEAP_SLACK + 1
-    with mock.patch.object(Registry, "_is_open", side_effect=AssertionError):
+    assert len(apply.registry.orders.overdue_heap) <= order_table.HEAP_SLACK + 1
+    with mock.patch.object(
+        order_table.OrderTable, "_is_open", side_effect=AssertionError
+    ):
         apply(rm.SweepOrders(T0 + 3_000))
 
 
@@ -262,7 +265,7 @@
     assert apply.registry.recent_weight_loads("east", T0 + 5_000) == 3
     assert apply.registry.recent_weight_loads("west", T0 + 5_000) == 0
     assert apply.registry.recent_weight_loads("east", T0 + 61_500) == 1
-    with mock.patch.object(module, "ENGINE_ORDERS_KEPT", 2):
+    with mock.patch.object(engine_order_table, "ENGINE_ORDERS_KEPT", 2):
         for number in range(10, 30):
             now_ms = T0 + number * 60_000
             apply(rm.PutEngineOrder(engine_order(f"o{number}"), fence, now_ms))
@@ -319,7 +322,7 @@
     rng = random.Random(seed)
     first, second = Driver(), Driver()
     now_ms, owners, not_run = T0, {}, set()
-    with mock.patch.object(module, "MAX_ORDER_KEYS", 3):
+    with mock.patch.object(order_table, "MAX_ORDER_KEYS", 3):
         for _ in range(120):
             now_ms += rng.choice([0, 5, 900, 9_000, 40_000_000])
             message = random_command(rng, now_ms)
@@ -356,10 +359,10 @@
 @pytest.mark.parametrize(
     ("target", "name", "broken"),
     [
-        (module, "_is_resend", lambda record, command: True),
-        (module, "_owns", lambda record, command: True),
+        (order_table, "_is_resend", lambda record, command: True),
+        (order_table, "_owns", lambda record, command: True),
         (Registry, "restore", forget_orders),
-        (Registry, "_check_fence", lambda self, fence: None),
+        (engine_order_table, "_check_fence", lambda fence, newest: None),
     ],
 )
 def test_missing_guard_is_noticed(target, name, broken):
--- a/wagtailrun/engine_control.py
+++ b/wagtailrun/engine_control.py
@@ -9,11 +9,11 @@
 
 from wagtailrun import events
 from wagtailrun.control_service import ControlService
+from wagtailrun.engine_order_table import WEIGHT_KINDS
 from wagtailrun.exceptions import FleetTextError, TargetFailed, Verdict
 from wagtailrun.fleet import FleetText, Service, ServiceKind, parse_fleet_text
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
-from wagtailrun.registry import WEIGHT_KINDS
 from wagtailrun.registry_messages import (
     CloseEngineOrder,
     ControllerGranted,
@@ -287,7 +287,7 @@
         since_ms = self._agreed_ms() - RETRY_PAUSE_MS
         orders = self.registry.engine_orders_by_id
         failed = set()
-        for name in reversed(self.registry.closed_engine_orders):
+        for name in reversed(self.registry.engine_orders.closed_ids):
             order = orders[name]
             if order.closed_ms < since_ms:
                 break
--- a/wagtailrun/orders.py
+++ b/wagtailrun/orders.py
@@ -18,8 +18,8 @@
     RefusalReason,
     Verdict,
 )
+from wagtailrun.order_table import MAX_STORED_BODY_BYTES
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.registry import MAX_STORED_BODY_BYTES
 from wagtailrun.registry_messages import (
     CloseOrder,
     FindOrder,
