--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -17,6 +17,7 @@
 
 from demo.processes import Fleet, free_addresses
 from tests.fake_cluster import Cluster
+from wagtailrun import events
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.clock import SystemClock
@@ -212,10 +213,11 @@
 
 def _process_rows(size: int) -> list[dict]:
     """Measure an idle leader as a process, its order sweep once a second included."""
+    leads = f"E{events.BECAME_LEADER.number:04d}"
     with Fleet("", [], [], controls=size) as fleet:
         time.sleep(SETTLE_S)
         pids = {name: p.pid for name, p in fleet.processes_by_name.items()}
-        leader = max(pids, key=lambda name: "E0301" in fleet.log_text(name))
+        leader = max(pids, key=lambda name: leads in fleet.log_text(name))
         before, start = _cpu_s(pids[leader]), time.perf_counter()
         time.sleep(IDLE_PROCESS_S)
         cpu_ms = (_cpu_s(pids[leader]) - before) * 1_000
