--- a/bench/traces.py
+++ b/bench/traces.py
@@ -52,7 +52,9 @@
             "order-portal": ("stock-level", True),
         },
         "pipelines": ("stockist-query", "contract-draft"),
-        # Arrivals a second that the fleet just completes; bench.decisions measures it.
+        # Arrivals a second, 85% of them pipelines, that the fleet just completed with
+        # urgent work first at the targets; in order of arrival it completes 13% less
+        # (docs/decisions.md).
         "capacity": 54.9,
     },
     "utility": {
