Name the protocol between entries by the field's word, gossip

Cause: 'spread' is not what the field calls it; modules, messages and the class needed explaining. Ruled out: keeping the old names as aliases (nothing outside uses them). Before / after: spread.py, Spreader and Spread... messages; now gossip.py, GossipNode and Gossip... messages, ConfigSpread is ConfigDissemination. The schema's ordinals are unchanged. Conclusion: tests of gossip, membership and callers pass; the demo runs. A call of a plain service now carries its workspace's share into admission as well.

--- a/bench/spread.py
+++ b/bench/gossip.py
@@ -9,13 +9,13 @@
 
 import attrs
 
-from bench.spread_cluster import TEXT, Cluster
+from bench.gossip_cluster import TEXT, Cluster
 from wagtailrun.fleet import FleetText, fleet_from_document, parse_fleet_text
 from wagtailrun.fleet_diff import apply_diff, diff_documents
+from wagtailrun.gossip_messages import GROWTH
+from wagtailrun.gossip_push import Contact
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.spread_messages import GROWTH
-from wagtailrun.spread_push import Contact
 from wagtailrun.virtual_time import run_virtual
 
 __all__ = ["run"]
--- a/bench/spread_cluster.py
+++ b/bench/gossip_cluster.py
@@ -6,11 +6,11 @@
 import curio
 
 from tests.fake_network import FakeNetwork
+from wagtailrun.gossip import GossipNode
+from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
-from wagtailrun.spread import Spreader
-from wagtailrun.spread_messages import EntryRow
 from wagtailrun.text_watch import TextWatch
 
 TEXT = """
@@ -27,7 +27,7 @@
 """
 
 
-class SpreadNetwork(FakeNetwork):
+class GossipNetwork(FakeNetwork):
     """Counts what each entry sends, and keeps frames that a frozen entry misses."""
 
     def __init__(self, clock, **options):
@@ -58,7 +58,7 @@
         self.membership = Membership(self.data_centre)
         incarnation = cluster.clock.wall_ms() << 16 | next(cluster.starts)
         own = EntryRow(name, address, self.data_centre, incarnation)
-        self.spreader = Spreader(
+        self.gossip = GossipNode(
             cluster.clock,
             cluster.network.link(address),
             self.membership,
@@ -73,8 +73,8 @@
 
     async def start(self, network):
         """Start the tasks of the entry."""
-        network.handlers_by_address[self.address] = self.spreader.handle
-        self.task = await curio.spawn(self.spreader.run, daemon=True)
+        network.handlers_by_address[self.address] = self.gossip.handle
+        self.task = await curio.spawn(self.gossip.run, daemon=True)
 
     def usable_names(self, now_ms):
         """Return the names of usable local targets."""
@@ -135,7 +135,7 @@
         """Say goodbye and stop."""
         self.alive = False
         node = self.send(leaving=True)
-        await node.spreader.spread_goodbye(self.row(leaving=True))
+        await node.gossip.push_goodbye(self.row(leaving=True))
 
 
 class Control:
@@ -169,7 +169,7 @@
         self.seed = seed
         self.random = random.Random(seed)
         self.starts = itertools.count(1)
-        self.network = SpreadNetwork(clock, seed=seed, **options)
+        self.network = GossipNetwork(clock, seed=seed, **options)
         self.accepted = (1, TEXT)
         self.control_addresses = [Address("10.0.0.1", n + 1) for n in range(3)]
         self.controls = [Control(self) for _ in self.control_addresses]
@@ -231,7 +231,7 @@
 
     def revisions(self):
         """Return the revision in force on each entry."""
-        return {node.name: node.spreader.version[1] for node in self.live}
+        return {node.name: node.gossip.version[1] for node in self.live}
 
     async def wait(self, condition, limit_ms):
         """Return the virtual time until ``condition()`` holds; None after the limit."""
@@ -252,7 +252,7 @@
         while True:
             await self.clock.sleep_ms(50)
             for node in self.live:
-                node.versions.append(node.spreader.version)
+                node.versions.append(node.gossip.version)
                 if node.versions[-1] < max(node.versions):
                     self.faults.append(("revision went back", node.name))
                 del node.versions[:-1]
@@ -264,7 +264,7 @@
             now_ms = self.clock.now_ms()
             # An entry without a text gets no requests; one that started while it was
             # cut off cannot lose a target that it never knew.
-            for node in [n for n in self.live if n.spreader.fleet]:
+            for node in [n for n in self.live if n.gossip.fleet]:
                 usable = node.usable_names(now_ms)
                 node.known_names |= usable
                 missing = names_by_node(node) & node.known_names - usable
--- a/tests/test_spread.py
+++ b/tests/test_gossip.py
@@ -6,20 +6,20 @@
 import curio
 import pytest
 
-from bench.spread_cluster import TEXT, Cluster
-from wagtailrun import spread_peers
+from bench.gossip_cluster import TEXT, Cluster
+from wagtailrun import gossip_peers
 from wagtailrun.exceptions import MessageError
-from wagtailrun.membership import TargetRow
-from wagtailrun.ports.link import Address
-from wagtailrun.spread_messages import (
+from wagtailrun.gossip_messages import (
+    GossipGrowth,
+    GossipStatus,
     Growth,
     Health,
-    SpreadGrowth,
-    SpreadStatus,
     pack_growth,
 )
-from wagtailrun.spread_push import Contact, split_members
-from wagtailrun.spread_text import TextStore
+from wagtailrun.gossip_push import Contact, split_members
+from wagtailrun.gossip_text import TextStore
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
 
 SILENT_LIMIT_MS = 3_000
@@ -144,7 +144,7 @@
         revision = self.cluster.change_text()
 
         def everywhere():
-            return all(n.spreader.version[1] >= revision for n in self.connected())
+            return all(n.gossip.version[1] >= revision for n in self.connected())
 
         if await self.cluster.wait(everywhere, TEXT_LIMIT_MS) is None:
             late = [n.name for n in self.connected()]
@@ -244,7 +244,7 @@
         for _ in range(300):
             cluster.change_text()
         await clock.sleep_ms(5_000)
-        assert lone.spreader.version[1] == 1
+        assert lone.gossip.version[1] == 1
         assert lone.membership.unconfirmed
         assert len(lone.usable_names(clock.now_ms())) == 4
         await clock.sleep_ms(3_600_000)
@@ -277,7 +277,7 @@
         await cluster.kill("west-1")
         await clock.sleep_ms(2_000)
         node = await cluster.start_node("west-1")
-        assert await cluster.wait(lambda: node.spreader.fleet, 4_000) is not None
+        assert await cluster.wait(lambda: node.gossip.fleet, 4_000) is not None
         await clock.sleep_ms(3_000)
         assert cluster.revisions() == {"east-0": 2, "west-0": 1, "west-1": 1}
         await clock.sleep_ms(3_600_000)
@@ -313,7 +313,7 @@
             target.send()
             await curio.spawn(target.run, daemon=True)
         await clock.sleep_ms(5_000)
-        rows = [r for n in cluster.live for r in n.spreader.peers.rows_by_name.values()]
+        rows = [r for n in cluster.live for r in n.gossip.peers.rows_by_name.values()]
         assert all(row.health == Health.ALIVE for row in rows)
         return cluster.faults
 
@@ -331,10 +331,10 @@
         row = TargetRow("t", address, "engines", "east", incarnation=5, sequence=7)
         node.membership.put(row, 0)
         record = Growth.of(attrs.evolve(row, **{"sequence": 9, "queued": 3} | late), 0)
-        await node.spreader.handle(SpreadGrowth(pack_growth([record])))
+        await node.gossip.handle(GossipGrowth(pack_growth([record])))
         assert node.membership.targets_by_name == {"t": row}
         with pytest.raises(MessageError):
-            await node.spreader.handle(SpreadGrowth(b"short"))
+            await node.gossip.handle(GossipGrowth(b"short"))
 
     run_virtual(main)
 
@@ -352,14 +352,14 @@
         await cluster.kill("east-2")
         await clock.sleep_ms(1_000)
         node = await cluster.start_node("east-2")
-        assert node.spreader.fleet is None
-        assert await cluster.wait(lambda: node.spreader.fleet, 4_000) is not None
-        assert node.spreader.version == (0, 6)
+        assert node.gossip.fleet is None
+        assert await cluster.wait(lambda: node.gossip.fleet, 4_000) is not None
+        assert node.gossip.version == (0, 6)
         for name in list(cluster.nodes_by_name):
             await cluster.kill(name)
         alone = await cluster.start_node("east-0")
         await clock.sleep_ms(10_000)
-        assert alone.spreader.fleet is None
+        assert alone.gossip.fleet is None
 
     run_virtual(main)
 
@@ -372,12 +372,12 @@
         cluster.change_text()
         await clock.sleep_ms(1_000)
         node = pick(cluster)
-        before = node.spreader.fleet
+        before = node.gossip.fleet
         removed = TEXT.replace("[pipelines.ask]", "[pipelines.tell]")
         removed = removed.replace("[services.local]", "[services.other]")
         cluster.accepted = (3, removed)
         await clock.sleep_ms(1_000)
-        after = node.spreader.fleet
+        after = node.gossip.fleet
         assert set(before.pipelines_by_name) == {"ask"}
         assert set(after.pipelines_by_name) == {"tell"}
         assert "local" in before.services_by_name and "w1" in before.workspaces_by_name
@@ -398,12 +398,12 @@
         cluster.network.cut_off([pick(cluster, 2).address], cluster.control_addresses)
         cluster.change_text()
         await clock.sleep_ms(1_500)
-        report = await pick(cluster).spreader.handle(SpreadStatus())
+        report = await pick(cluster).gossip.handle(GossipStatus())
         assert report.waiting == ("east-2",)
         assert {row.revision for row in report.entries} == {1, 2}
         cluster.network.heal()
         await clock.sleep_ms(6_000)
-        assert pick(cluster).spreader.status().waiting == ()
+        assert pick(cluster).gossip.status().waiting == ()
 
     run_virtual(main)
 
@@ -415,7 +415,7 @@
         cluster = await started(clock, 3)
         taken = []
         for node in cluster.live:
-            node.spreader.register_hook(
+            node.gossip.register_hook(
                 lambda partner, name=node.name: f"{name}>{partner}".encode(),
                 lambda partner, data: taken.append((partner, data)),
             )
@@ -488,7 +488,7 @@
 def test_own_row_is_defended():
     """Guards against a live entry that stays dead for others, or adopts an old self."""
     row = attrs.evolve(_entry("a"), incarnation=5)
-    table = spread_peers.PeerTable(row)
+    table = gossip_peers.PeerTable(row)
     assert table.put(attrs.evolve(row, health=Health.SUSPECT), 0)
     assert table.own.precedence == (5, 1, Health.ALIVE)
     assert table.put(attrs.evolve(row, incarnation=9), 0)
@@ -497,7 +497,7 @@
 
 
 def _entry(name):
-    return spread_peers.EntryRow(name, Address("10.0.0.1", 1), "east", 1)
+    return gossip_peers.EntryRow(name, Address("10.0.0.1", 1), "east", 1)
 
 
 @pytest.mark.parametrize("count", [0, 1, 2, 3, 4, 53])
@@ -528,12 +528,12 @@
 
 async def late_push(cluster):
     """A push of an older text arrives after a newer one."""
-    old = pick(cluster).spreader.config.store.message(
-        pick(cluster).spreader.peers.own, (0, 0), whole=True
+    old = pick(cluster).gossip.config.store.message(
+        pick(cluster).gossip.peers.own, (0, 0), whole=True
     )
     cluster.change_text()
     await cluster.clock.sleep_ms(2_000)
-    await pick(cluster, 1).spreader.handle(attrs.evolve(old, members=("east-2",)))
+    await pick(cluster, 1).gossip.handle(attrs.evolve(old, members=("east-2",)))
     await cluster.clock.sleep_ms(1_000)
     return cluster.faults
 
@@ -546,7 +546,7 @@
     await cluster.clock.sleep_ms(2_000)
     isolate(cluster, lone)
     await cluster.clock.sleep_ms(15_000)
-    dead = [row for row in lone.spreader.peers.rows_by_name.values() if row.health == 2]
+    dead = [row for row in lone.gossip.peers.rows_by_name.values() if row.health == 2]
     lost = len(cluster.targets) - len(lone.usable_names(cluster.clock.now_ms()))
     return dead + ["a target is lost"] * lost
 
@@ -557,7 +557,7 @@
     await cluster.clock.sleep_ms(2_000)
     cluster.network.heal()
     await cluster.clock.sleep_ms(12_000)
-    rows = [n.spreader.peers.rows_by_name["east-0"] for n in cluster.live]
+    rows = [n.gossip.peers.rows_by_name["east-0"] for n in cluster.live]
     return [row for row in rows if row.health != Health.ALIVE]
 
 
@@ -577,7 +577,7 @@
     "isolation": (lone_entry, [(Contact, "is_isolated", lambda self: False)]),
     "refutation": (
         suspected_entry,
-        [(spread_peers.PeerTable, "_refute", lambda self, row, now_ms: False)],
+        [(gossip_peers.PeerTable, "_refute", lambda self, row, now_ms: False)],
     ),
 }
 
--- a/tests/test_target_api.py
+++ b/tests/test_target_api.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.spread_cluster import TEXT
+from bench.gossip_cluster import TEXT
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.membership import Membership
--- a/tests/test_text_watch.py
+++ b/tests/test_text_watch.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bench.spread_cluster import TEXT
+from bench.gossip_cluster import TEXT
 from wagtailrun.fleet_diff import apply_diff
 from wagtailrun.registry_messages import WatchText
 from wagtailrun.text_watch import TextWatch
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -201,6 +201,7 @@
             idempotent=call.idempotent,
             may_wait=call.may_wait,
             priority=workspace.priority,
+            share=workspace.share,
             stage=call.name,
         )
         result = await self._run_call(request, call, work)
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -30,7 +30,7 @@
     PEER = 0
     CONSENSUS = 1
     REGISTRY = 2
-    SPREAD = 3
+    GOSSIP = 3
     ACCOUNTS = 4
 
 
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -19,6 +19,8 @@
 from wagtailrun.cost_cells import Source
 from wagtailrun.dispatch import make_dispatcher
 from wagtailrun.exceptions import TargetFailed
+from wagtailrun.gossip import GossipNode
+from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import Membership
 from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
@@ -26,8 +28,6 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.recorder import Recorder
 from wagtailrun.settings import EntrySettings
-from wagtailrun.spread import Spreader
-from wagtailrun.spread_messages import EntryRow
 from wagtailrun.target_api import TargetApi
 from wagtailrun.trace_recorder import TraceRecorder
 
@@ -59,7 +59,7 @@
         self.link = TcpPeerLink(settings.peer_secret)
         self.control = ControlClient(self.clock, self.link, settings.control_peers)
         self.membership = Membership(settings.data_centre)
-        self.spreader = Spreader(
+        self.gossip = GossipNode(
             self.clock,
             self.link,
             self.membership,
@@ -90,14 +90,14 @@
                 self.clock,
                 settings.name,
                 settings.data_centre,
-                lambda: self.spreader.fleet,
+                lambda: self.gossip.fleet,
                 lambda: self.membership.targets_by_name.values(),
             )
         self.recorder = Recorder(
             self.clock,
             self.accounts,
             self.metrics,
-            lambda: self.spreader.fleet,
+            lambda: self.gossip.fleet,
             self.trace,
         )
         self.http = HttpClient(self.clock)
@@ -110,7 +110,7 @@
             probe=self._answers_anew,
             observer=self.recorder,
             seed=self.incarnation,
-            entries=self.spreader.peers.live_names,
+            entries=self.gossip.peers.live_names,
             may_leave=self._may_leave,
         )
         orders = OrderRunner(
@@ -119,7 +119,7 @@
         runner = PipelineRunner(self.clock, self.dispatcher)
         self.callers = CallerApi(
             self.clock,
-            lambda: self.spreader.fleet,
+            lambda: self.gossip.fleet,
             runner,
             self.dispatcher,
             orders,
@@ -129,8 +129,8 @@
         targets = TargetApi(
             self.clock,
             self.membership,
-            lambda: self.spreader.fleet,
-            self.spreader.spread_goodbye,
+            lambda: self.gossip.fleet,
+            self.gossip.push_goodbye,
         )
         self.caller_server = HttpServer(settings.caller_address, self.callers.handle)
         self.target_server = HttpServer(settings.target_address, targets.handle)
@@ -148,7 +148,7 @@
                 self.settings.peer_secret,
                 self.handle_peer,
             )
-            await group.spawn(self.spreader.run)
+            await group.spawn(self.gossip.run)
             await group.spawn(self.accounts.run)
             await group.spawn(self._update_gauges)
             if self.trace is not None:
@@ -159,21 +159,21 @@
         """Whether this entry can serve whatever its data centre can serve."""
         running_ms = self.clock.now_ms() - self.started_ms
         settled = running_ms >= SETTLE_MS
-        return self.spreader.fleet is not None and settled and not self.stop_signals
+        return self.gossip.fleet is not None and settled and not self.stop_signals
 
     async def handle_peer(self, message: Any) -> Any:
         """Answer one message of another process of the system."""
         if isinstance(message, AccountRows):
             return self.accounts.handle(message)
-        return await self.spreader.handle(message)
+        return await self.gossip.handle(message)
 
     def _local_entries(self) -> list[Address]:
         """Return the peer addresses of the other entries of the data centre."""
-        return [row.address for row in self.spreader.peers.others()]
+        return [row.address for row in self.gossip.peers.others()]
 
     def _may_leave(self, service: str) -> bool:
         """Return whether another data centre may serve ``service``."""
-        fleet = self.spreader.fleet
+        fleet = self.gossip.fleet
         known = fleet.services_by_name.get(service) if fleet else None
         return known is not None and known.fallback
 
@@ -190,7 +190,7 @@
     async def _update_gauges(self) -> None:
         while True:
             self.metrics.ready.set(self.is_ready())
-            self.metrics.revision.set(self.spreader.version[1])
+            self.metrics.revision.set(self.gossip.version[1])
             self.metrics.active.set(self.caller_server.active_requests)
             self.metrics.rows.set(len(self.accounts.table.rows_by_key))
             await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
--- a/wagtailrun/fleet_watch.py
+++ b/wagtailrun/fleet_watch.py
@@ -6,18 +6,18 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.membership import TargetRow
-from wagtailrun.operator_views import FleetView, LocalView
-from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.registry import Registry
-from wagtailrun.spread_messages import (
+from wagtailrun.gossip_messages import (
     EntryRow,
+    GossipReport,
+    GossipRows,
+    GossipStatus,
     Health,
     ListTargets,
-    SpreadReport,
-    SpreadRows,
-    SpreadStatus,
 )
+from wagtailrun.membership import TargetRow
+from wagtailrun.operator_views import FleetView, LocalView
+from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.registry import Registry
 
 __all__ = ["FleetWatch"]
 
@@ -128,11 +128,11 @@
         """Return whether the entry at ``address`` reported its data centre."""
         name = self.local.name
         try:
-            report = await self.link.call(address, SpreadStatus(name), CALL_TIMEOUT_MS)
+            report = await self.link.call(address, GossipStatus(name), CALL_TIMEOUT_MS)
             rows = await self.link.call(address, ListTargets(name), CALL_TIMEOUT_MS)
         except PeerUnreachable:
             return False
-        if not isinstance(report, SpreadReport) or not isinstance(rows, SpreadRows):
+        if not isinstance(report, GossipReport) or not isinstance(rows, GossipRows):
             return False
         now_ms = self.clock.now_ms()
         centre = report.sender.data_centre
--- a/wagtailrun/spread.py
+++ b/wagtailrun/gossip.py
@@ -9,33 +9,33 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fleet import FleetText
-from wagtailrun.membership import Membership, TargetRow
-from wagtailrun.messages import Ping, Pong
-from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.spread_config import ConfigSpread
-from wagtailrun.spread_exchange import Exchanges
-from wagtailrun.spread_messages import (
+from wagtailrun.gossip_config import ConfigDissemination
+from wagtailrun.gossip_exchange import Exchanges
+from wagtailrun.gossip_messages import (
     AgedRow,
     EntryRow,
+    GossipAsk,
+    GossipExchange,
+    GossipFetch,
+    GossipGrowth,
+    GossipHeard,
+    GossipProbe,
+    GossipReport,
+    GossipRows,
+    GossipStatus,
+    GossipTaken,
+    GossipText,
     Health,
     ListTargets,
-    SpreadAsk,
-    SpreadExchange,
-    SpreadFetch,
-    SpreadGrowth,
-    SpreadHeard,
-    SpreadProbe,
-    SpreadReport,
-    SpreadRows,
-    SpreadStatus,
-    SpreadTaken,
-    SpreadText,
 )
-from wagtailrun.spread_peers import PeerTable
-from wagtailrun.spread_push import Contact
-from wagtailrun.spread_targets import TargetWatch
+from wagtailrun.gossip_peers import PeerTable
+from wagtailrun.gossip_push import Contact
+from wagtailrun.gossip_targets import TargetWatch
+from wagtailrun.membership import Membership, TargetRow
+from wagtailrun.messages import Ping, Pong
+from wagtailrun.ports.link import Address, PeerLink
 
-__all__ = ["Spreader"]
+__all__ = ["GossipNode"]
 
 PROBE_TIMEOUT_MS = 200
 INDIRECT_PROBES = 2
@@ -48,7 +48,7 @@
 REJOIN_ROUNDS = 4
 
 
-class Spreader:
+class GossipNode:
     """One entry's part in the spreading of rows and of the fleet text.
 
     Args:
@@ -80,7 +80,7 @@
         self.peers = PeerTable(own)
         self.contact = Contact(clock, link, self.peers, seeds, self.chance)
         self.targets = TargetWatch(self.contact, self.peers, membership)
-        self.config = ConfigSpread(self.contact, self.peers, controls)
+        self.config = ConfigDissemination(self.contact, self.peers, controls)
         self.exchanges = Exchanges(
             self.contact, self.peers, membership, self.targets, self.config
         )
@@ -117,11 +117,11 @@
             await group.spawn(self.targets.push)
             await group.spawn(self.config.poll)
 
-    async def spread_goodbye(self, row: TargetRow) -> None:
+    async def push_goodbye(self, row: TargetRow) -> None:
         """Return when a goodbye is on other entries or none can be reached."""
         await self.targets.push_now()
 
-    def status(self) -> SpreadReport:
+    def status(self) -> GossipReport:
         """Return which revision is in force where, and who has not confirmed."""
         rows = tuple(sorted(self.peers.rows_by_name.values(), key=lambda r: r.name))
         waiting = tuple(
@@ -133,34 +133,34 @@
         )
         isolated = self.contact.is_isolated()
         unconfirmed = self.membership.unconfirmed
-        return SpreadReport(self.peers.own, rows, waiting, isolated, unconfirmed)
+        return GossipReport(self.peers.own, rows, waiting, isolated, unconfirmed)
 
     async def handle(self, message: Any) -> Any:
         """Answer one message of another process."""
         match message:
-            case SpreadExchange():
+            case GossipExchange():
                 return await self.exchanges.answer(message)
-            case SpreadRows():
+            case GossipRows():
                 self.targets.take(message)
                 if message.members:
                     members = list(message.members)
                     await curio.spawn(self.contact.push, members, message, daemon=True)
-                return SpreadTaken(*self.version)
-            case SpreadGrowth():
+                return GossipTaken(*self.version)
+            case GossipGrowth():
                 self.targets.take_growth(message.growth)
-                return SpreadHeard()
-            case SpreadAsk():
+                return GossipHeard()
+            case GossipAsk():
                 return self.targets.answer(message)
-            case SpreadProbe():
+            case GossipProbe():
                 return await self._probe_for(message)
-            case SpreadText():
+            case GossipText():
                 return await self.config.take_push(message)
-            case SpreadFetch():
+            case GossipFetch():
                 return self.config.answer(message)
-            case SpreadStatus():
+            case GossipStatus():
                 return self.status()
             case ListTargets():
-                return SpreadRows(targets=tuple(self._local_targets()))
+                return GossipRows(targets=tuple(self._local_targets()))
             case Ping():
                 return Pong(self.peers.name)
         raise MessageError(f"{type(message).__name__} is not answered here")
@@ -241,13 +241,13 @@
         """Return whether others reach an entry that did not answer."""
         others = [other for other in self.peers.others() if other.name != row.name]
         chosen = self.chance.sample(others, min(INDIRECT_PROBES, len(others)))
-        probe = SpreadProbe(row.address)
+        probe = GossipProbe(row.address)
         async with curio.TaskGroup() as group:
             for other in chosen:
                 await group.spawn(self._ask_to_probe, other, probe)
         return any(group.results)
 
-    async def _ask_to_probe(self, other: EntryRow, probe: SpreadProbe) -> bool:
+    async def _ask_to_probe(self, other: EntryRow, probe: GossipProbe) -> bool:
         try:
             timeout_ms = 2 * PROBE_TIMEOUT_MS
             answer = await self.contact.call(other.address, probe, timeout_ms)
@@ -256,13 +256,13 @@
         self.contact.heard(other.data_centre)
         return answer.alive
 
-    async def _probe_for(self, probe: SpreadProbe) -> SpreadTaken:
+    async def _probe_for(self, probe: GossipProbe) -> GossipTaken:
         try:
             ping = Ping(self.peers.name)
             await self.contact.call(probe.address, ping, PROBE_TIMEOUT_MS)
         except PeerUnreachable:
-            return SpreadTaken(alive=False)
-        return SpreadTaken(*self.version)
+            return GossipTaken(alive=False)
+        return GossipTaken(*self.version)
 
     async def _exchange_remote(self) -> None:
         """As a watcher, exchange with one entry of each other data centre."""
--- a/wagtailrun/spread_config.py
+++ b/wagtailrun/gossip_config.py
@@ -7,15 +7,15 @@
 
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.fleet_diff import DiffMismatch
+from wagtailrun.gossip_messages import GossipFetch, GossipTaken, GossipText
+from wagtailrun.gossip_peers import PeerTable, rendezvous
+from wagtailrun.gossip_push import Contact
+from wagtailrun.gossip_text import TextStore
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
 from wagtailrun.registry_messages import TextUpdate, WatchText
-from wagtailrun.spread_messages import SpreadFetch, SpreadTaken, SpreadText
-from wagtailrun.spread_peers import PeerTable, rendezvous
-from wagtailrun.spread_push import Contact
-from wagtailrun.spread_text import TextStore
 
-__all__ = ["ConfigSpread"]
+__all__ = ["ConfigDissemination"]
 
 CONFIG_WATCHERS = 2
 # A poll is short and the next one goes to the next control member, because a member
@@ -31,7 +31,7 @@
 TEXT_ERRORS = (DiffMismatch, FleetTextError, MessageError, ValueError)
 
 
-class ConfigSpread:
+class ConfigDissemination:
     """Keeps the newest text in force and passes it on.
 
     Args:
@@ -89,7 +89,7 @@
             try:
                 update = await self.contact.call(control, question, WATCH_TIMEOUT_MS)
                 if isinstance(update, TextUpdate) and self.store.take_update(update):
-                    await self._spread_news()
+                    await self._push_news()
             except PeerUnreachable:
                 await self.clock.sleep_ms(IDLE_POLL_MS)
             except DiffMismatch:
@@ -98,7 +98,7 @@
                 self.last_fault = str(error)
                 await self.clock.sleep_ms(WATCH_WAIT_MS)
 
-    async def _spread_news(self) -> None:
+    async def _push_news(self) -> None:
         """Push the text in force to all entries."""
         self.peers.confirm_own(self.store.version)
         base = self.store.previous()
@@ -106,7 +106,7 @@
         members = self.contact.push_members()
         await curio.spawn(self.contact.push, members, message, daemon=True)
 
-    async def take_push(self, message: SpreadText) -> SpreadTaken:
+    async def take_push(self, message: GossipText) -> GossipTaken:
         """Put a pushed text in force and pass it on."""
         if message.members:
             await curio.spawn(
@@ -116,9 +116,9 @@
             self._take(message)
         except TEXT_ERRORS:
             await self.fetch(message.sender.address)
-        return SpreadTaken(*self.store.version)
+        return GossipTaken(*self.store.version)
 
-    def _take(self, message: SpreadText) -> None:
+    def _take(self, message: GossipText) -> None:
         if self.store.take(message):
             self.peers.confirm_own(self.store.version)
 
@@ -138,7 +138,7 @@
         self.fetching = True
         try:
             for whole in (False, True):
-                question = SpreadFetch(*self.store.version, whole)
+                question = GossipFetch(*self.store.version, whole)
                 answer = await self.contact.call(address, question, FETCH_TIMEOUT_MS)
                 try:
                     self._take(answer)
@@ -151,7 +151,7 @@
         finally:
             self.fetching = False
 
-    def answer(self, question: SpreadFetch) -> Any:
+    def answer(self, question: GossipFetch) -> Any:
         """Return the newest text, as a difference if the asker's base is kept."""
         base = (question.term, question.revision)
         message = self.store.message(self.peers.own, base, question.whole)
--- a/wagtailrun/spread_exchange.py
+++ b/wagtailrun/gossip_exchange.py
@@ -6,20 +6,20 @@
 import attrs
 
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.membership import ChangeLog, Membership
-from wagtailrun.ports.link import Address
-from wagtailrun.spread_config import ConfigSpread
-from wagtailrun.spread_messages import (
+from wagtailrun.gossip_config import ConfigDissemination
+from wagtailrun.gossip_messages import (
     EntryRow,
+    GossipExchange,
     Health,
     Marks,
-    SpreadExchange,
     pack_confirmations,
     unpack_confirmations,
 )
-from wagtailrun.spread_peers import Partner, PeerTable
-from wagtailrun.spread_push import Contact
-from wagtailrun.spread_targets import TargetWatch
+from wagtailrun.gossip_peers import Partner, PeerTable
+from wagtailrun.gossip_push import Contact
+from wagtailrun.gossip_targets import TargetWatch
+from wagtailrun.membership import ChangeLog, Membership
+from wagtailrun.ports.link import Address
 
 __all__ = ["Exchanges"]
 
@@ -52,7 +52,7 @@
         peers: PeerTable,
         membership: Membership,
         targets: TargetWatch,
-        config: ConfigSpread,
+        config: ConfigDissemination,
     ):
         self.contact = contact
         self.clock = contact.clock
@@ -89,7 +89,7 @@
             answer = await self.contact.call(address, message, EXCHANGE_TIMEOUT_MS)
         except PeerUnreachable:
             return None
-        if not isinstance(answer, SpreadExchange):
+        if not isinstance(answer, GossipExchange):
             return None
         if row is not None and answer.sender.incarnation == row.incarnation:
             self.peers.partner(row).sent = message.sent
@@ -98,7 +98,7 @@
         self._note_equal(self.peers.partner(answer.sender), answer)
         return answer.sender
 
-    def _note_equal(self, partner: Partner, answer: SpreadExchange) -> None:
+    def _note_equal(self, partner: Partner, answer: GossipExchange) -> None:
         """Mark everything as known to a partner that has the same digests."""
         states, entries = self.membership.state_log, self.peers.row_log
         if answer.targets_digest == states.digest:
@@ -106,7 +106,7 @@
         if answer.entries_digest == entries.digest:
             partner.sent = attrs.evolve(partner.sent, entries=entries.number)
 
-    async def answer(self, message: SpreadExchange) -> SpreadExchange:
+    async def answer(self, message: GossipExchange) -> GossipExchange:
         """Take what another entry sends and return what it has not seen."""
         await self._take_exchange(message)
         sender = message.sender
@@ -116,7 +116,7 @@
         local = sender.data_centre == self.peers.data_centre
         return self._message(partner, sender, message, local)
 
-    async def _take_exchange(self, message: SpreadExchange) -> None:
+    async def _take_exchange(self, message: GossipExchange) -> None:
         sender = message.sender
         local = sender.data_centre == self.peers.data_centre
         now_ms = self.clock.now_ms()
@@ -145,9 +145,9 @@
         self,
         partner: Partner,
         row: EntryRow | None,
-        question: SpreadExchange | None,
+        question: GossipExchange | None,
         local: bool = True,
-    ) -> SpreadExchange:
+    ) -> GossipExchange:
         """Return what changed since the partner's marks, as question or as answer."""
         sent = partner.sent
         membership, peers = self.membership, self.peers
@@ -174,7 +174,7 @@
         hook = self.hook_out(row.name) if row is not None and local else b""
         if len(hook) > MAX_HOOK_BYTES:
             raise ValueError(f"hook returned {len(hook)} bytes, over {MAX_HOOK_BYTES}")
-        return SpreadExchange(
+        return GossipExchange(
             sender=peers.own,
             seen=partner.seen,
             sent=Marks(
--- a/wagtailrun/spread_messages.py
+++ b/wagtailrun/gossip_messages.py
@@ -19,17 +19,17 @@
     "Health",
     "ListTargets",
     "Marks",
-    "SpreadAsk",
-    "SpreadExchange",
-    "SpreadFetch",
-    "SpreadGrowth",
-    "SpreadHeard",
-    "SpreadProbe",
-    "SpreadReport",
-    "SpreadRows",
-    "SpreadStatus",
-    "SpreadTaken",
-    "SpreadText",
+    "GossipAsk",
+    "GossipExchange",
+    "GossipFetch",
+    "GossipGrowth",
+    "GossipHeard",
+    "GossipProbe",
+    "GossipReport",
+    "GossipRows",
+    "GossipStatus",
+    "GossipTaken",
+    "GossipText",
 ]
 
 # Name, incarnation, age in units of 10 ms, sequence, running, queued. The whole
@@ -105,7 +105,7 @@
 
 
 @attrs.frozen
-class SpreadExchange:
+class GossipExchange:
     """One direction of a gossip exchange.
 
     Attributes:
@@ -134,8 +134,8 @@
 
 
 @attrs.frozen
-class SpreadRows:
-    """Rows to be passed on to ``members``; also the answer to ``SpreadAsk``."""
+class GossipRows:
+    """Rows to be passed on to ``members``; also the answer to ``GossipAsk``."""
 
     targets: tuple[AgedRow, ...] = ()
     growth: bytes = b""
@@ -144,19 +144,19 @@
 
 
 @attrs.frozen
-class SpreadGrowth:
+class GossipGrowth:
     """Packed ``Growth`` records for a watcher; small, because it is the most sent."""
 
     growth: bytes
 
 
 @attrs.frozen
-class SpreadHeard:
-    """Answers ``SpreadGrowth``."""
+class GossipHeard:
+    """Answers ``GossipGrowth``."""
 
 
 @attrs.frozen
-class SpreadTaken:
+class GossipTaken:
     """Answers a push or a probe; names the revision in force."""
 
     term: int = 0
@@ -165,21 +165,21 @@
 
 
 @attrs.frozen
-class SpreadProbe:
+class GossipProbe:
     """Asks a peer to call ``address`` in the sender's place."""
 
     address: Address
 
 
 @attrs.frozen
-class SpreadAsk:
+class GossipAsk:
     """Asks for newer knowledge of targets that were not heard lately."""
 
     names: tuple[str, ...]
 
 
 @attrs.frozen
-class SpreadText:
+class GossipText:
     """A fleet text as JSON, whole or as a difference; see ``fleet_diff``."""
 
     sender: EntryRow
@@ -198,7 +198,7 @@
 
 
 @attrs.frozen
-class SpreadFetch:
+class GossipFetch:
     """Asks for the newest text; the asker has the named revision."""
 
     term: int
@@ -207,7 +207,7 @@
 
 
 @attrs.frozen
-class SpreadStatus:
+class GossipStatus:
     """Asks an entry which revision is in force on which entry."""
 
     asker: str = ""
@@ -215,14 +215,14 @@
 
 @attrs.frozen
 class ListTargets:
-    """Asks an entry for the targets of its data centre, as ``SpreadRows``."""
+    """Asks an entry for the targets of its data centre, as ``GossipRows``."""
 
     asker: str = ""
 
 
 @attrs.frozen
-class SpreadReport:
-    """Answers ``SpreadStatus``.
+class GossipReport:
+    """Answers ``GossipStatus``.
 
     Attributes:
         sender: Row of the entry that answers.
@@ -313,20 +313,20 @@
 
 
 CODEC = Codec(
-    Channel.SPREAD,
-    "spread.capnp",
+    Channel.GOSSIP,
+    "gossip.capnp",
     [
-        SpreadExchange,
-        SpreadRows,
-        SpreadGrowth,
-        SpreadHeard,
-        SpreadTaken,
-        SpreadProbe,
-        SpreadAsk,
-        SpreadText,
-        SpreadFetch,
-        SpreadStatus,
-        SpreadReport,
+        GossipExchange,
+        GossipRows,
+        GossipGrowth,
+        GossipHeard,
+        GossipTaken,
+        GossipProbe,
+        GossipAsk,
+        GossipText,
+        GossipFetch,
+        GossipStatus,
+        GossipReport,
         ListTargets,
     ],
 )
--- a/wagtailrun/spread_peers.py
+++ b/wagtailrun/gossip_peers.py
@@ -6,8 +6,8 @@
 import attrs
 import xxhash
 
+from wagtailrun.gossip_messages import Confirmation, EntryRow, Health, Marks
 from wagtailrun.membership import ChangeLog, short_id
-from wagtailrun.spread_messages import Confirmation, EntryRow, Health, Marks
 
 __all__ = ["Partner", "PeerTable", "rendezvous"]
 
--- a/wagtailrun/spread_push.py
+++ b/wagtailrun/gossip_push.py
@@ -8,9 +8,9 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.gossip_messages import GossipTaken
+from wagtailrun.gossip_peers import PeerTable
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.spread_messages import SpreadTaken
-from wagtailrun.spread_peers import PeerTable
 
 __all__ = ["Contact", "split_members"]
 
@@ -97,7 +97,7 @@
             except PeerUnreachable:
                 continue
             self.heard(row.data_centre)
-            if isinstance(reply, SpreadTaken):
+            if isinstance(reply, GossipTaken):
                 self.peers.confirm_row(name, (reply.term, reply.revision))
             return
 
--- a/wagtailrun/spread_targets.py
+++ b/wagtailrun/gossip_targets.py
@@ -4,19 +4,19 @@
 import curio
 
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.membership import TARGET_SILENCE_MS, Membership, TargetRow
-from wagtailrun.spread_messages import (
+from wagtailrun.gossip_messages import (
     AgedRow,
     EntryRow,
+    GossipAsk,
+    GossipGrowth,
+    GossipRows,
     Growth,
-    SpreadAsk,
-    SpreadGrowth,
-    SpreadRows,
     pack_growth,
     unpack_growth,
 )
-from wagtailrun.spread_peers import PeerTable, rendezvous
-from wagtailrun.spread_push import PUSH_TIMEOUT_MS, Contact
+from wagtailrun.gossip_peers import PeerTable, rendezvous
+from wagtailrun.gossip_push import PUSH_TIMEOUT_MS, Contact
+from wagtailrun.membership import TARGET_SILENCE_MS, Membership, TargetRow
 
 __all__ = ["TargetWatch"]
 
@@ -215,7 +215,7 @@
         return bool(answered) or not rows
 
     async def _ask(self, row: EntryRow, names: list[str]) -> bool:
-        question = SpreadAsk(tuple(names))
+        question = GossipAsk(tuple(names))
         try:
             answer = await self.contact.call(row.address, question, ASK_TIMEOUT_MS)
             self.take(answer)
@@ -224,9 +224,9 @@
         self.contact.heard(row.data_centre)
         return True
 
-    def answer(self, question: SpreadAsk) -> SpreadRows:
+    def answer(self, question: GossipAsk) -> GossipRows:
         """Return the rows of targets that were heard lately."""
-        return SpreadRows(targets=tuple(self.aged(question.names, ASK_MS)))
+        return GossipRows(targets=tuple(self.aged(question.names, ASK_MS)))
 
     def aged(
         self, names: tuple[str, ...] | list[str], limit_ms: int | None = None
@@ -248,7 +248,7 @@
             Growth.of(aged.row, aged.age_ms) for aged in self.aged(names)
         )
 
-    def take(self, message: SpreadRows) -> None:
+    def take(self, message: GossipRows) -> None:
         """Keep the rows of targets and entries in a message."""
         now_ms = self.clock.now_ms()
         for aged in message.targets:
@@ -311,7 +311,7 @@
 
     async def _forward(self, watcher: str, names: list[str]) -> None:
         row = self.peers.rows_by_name[watcher]
-        message = SpreadGrowth(self.growth(names))
+        message = GossipGrowth(self.growth(names))
         try:
             await self.contact.call(row.address, message, PUSH_TIMEOUT_MS)
             self.contact.heard(row.data_centre)
@@ -324,7 +324,7 @@
         if not rows:
             return
         row = self.contact.chance.choice(rows)
-        message = SpreadRows(growth=self.growth(names), members=(watcher,))
+        message = GossipRows(growth=self.growth(names), members=(watcher,))
         try:
             await self.contact.call(row.address, message, PUSH_TIMEOUT_MS)
             self.contact.heard(row.data_centre)
@@ -345,5 +345,5 @@
             return
         self.membership.names_to_push, self.peers.names_to_push = set(), set()
         rows = tuple(self.peers.rows_by_name[name] for name in sorted(entries))
-        message = SpreadRows(tuple(self.aged(sorted(targets))), b"", rows)
+        message = GossipRows(tuple(self.aged(sorted(targets))), b"", rows)
         await self.contact.push(self.contact.push_members(), message)
--- a/wagtailrun/spread_text.py
+++ b/wagtailrun/gossip_text.py
@@ -10,8 +10,8 @@
 from wagtailrun.exceptions import MessageError
 from wagtailrun.fleet import FleetText, fleet_from_document
 from wagtailrun.fleet_diff import apply_diff, diff_documents
+from wagtailrun.gossip_messages import EntryRow, GossipText
 from wagtailrun.registry_messages import TextUpdate
-from wagtailrun.spread_messages import EntryRow, SpreadText
 
 __all__ = ["TextStore"]
 
@@ -31,7 +31,7 @@
         self._whole = ""
         self._differences: dict[Version, str] = {}
 
-    def take(self, message: SpreadText) -> bool:
+    def take(self, message: GossipText) -> bool:
         """Put a text of another entry in force unless it is older.
 
         Returns:
@@ -89,9 +89,9 @@
         while len(self.documents_by_version) > KEPT_REVISIONS:
             self.documents_by_version.popitem(last=False)
 
-    def message(self, sender: EntryRow, base: Version, whole: bool) -> SpreadText:
+    def message(self, sender: EntryRow, base: Version, whole: bool) -> GossipText:
         """Return the newest text for an entry that has ``base``."""
-        result = SpreadText(sender, *self.version)
+        result = GossipText(sender, *self.version)
         if self.fleet is None:
             return result
         if whole or base not in self.documents_by_version:
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -140,7 +140,7 @@
 class Membership:
     """Newest row of every target.
 
-    Without a ``Spreader`` the silence of every target is judged in ``usable``. With
+    Without a ``GossipNode`` the silence of every target is judged in ``usable``. With
     one, a target is out of rotation when an entry that watches it declares it silent.
 
     Args:
--- a/wagtailrun/schema/spread.capnp
+++ b/wagtailrun/schema/gossip.capnp
@@ -3,17 +3,17 @@
 
 struct Message {
   union {
-    spreadExchange @0 :SpreadExchange;
-    spreadRows @1 :SpreadRows;
-    spreadTaken @2 :SpreadTaken;
-    spreadProbe @3 :SpreadProbe;
-    spreadAsk @4 :SpreadAsk;
-    spreadText @5 :SpreadText;
-    spreadFetch @6 :SpreadFetch;
-    spreadStatus @7 :SpreadStatus;
-    spreadReport @8 :SpreadReport;
-    spreadGrowth @9 :SpreadGrowth;
-    spreadHeard @10 :SpreadHeard;
+    gossipExchange @0 :GossipExchange;
+    gossipRows @1 :GossipRows;
+    gossipTaken @2 :GossipTaken;
+    gossipProbe @3 :GossipProbe;
+    gossipAsk @4 :GossipAsk;
+    gossipText @5 :GossipText;
+    gossipFetch @6 :GossipFetch;
+    gossipStatus @7 :GossipStatus;
+    gossipReport @8 :GossipReport;
+    gossipGrowth @9 :GossipGrowth;
+    gossipHeard @10 :GossipHeard;
     listTargets @11 :ListTargets;
   }
 }
@@ -61,7 +61,7 @@
   confirmed @4 :UInt64;
 }
 
-struct SpreadExchange {
+struct GossipExchange {
   sender @0 :EntryRow;
   seen @1 :Marks;
   sent @2 :Marks;
@@ -74,20 +74,20 @@
   entriesDigest @9 :UInt64;
 }
 
-struct SpreadRows {
+struct GossipRows {
   targets @0 :List(AgedRow);
   growth @1 :Data;
   entries @2 :List(EntryRow);
   members @3 :List(Text);
 }
 
-struct SpreadGrowth { growth @0 :Data; }
-struct SpreadHeard {}
-struct SpreadTaken { term @0 :UInt64; revision @1 :UInt64; alive @2 :Bool; }
-struct SpreadProbe { address @0 :Address; }
-struct SpreadAsk { names @0 :List(Text); }
+struct GossipGrowth { growth @0 :Data; }
+struct GossipHeard {}
+struct GossipTaken { term @0 :UInt64; revision @1 :UInt64; alive @2 :Bool; }
+struct GossipProbe { address @0 :Address; }
+struct GossipAsk { names @0 :List(Text); }
 
-struct SpreadText {
+struct GossipText {
   sender @0 :EntryRow;
   term @1 :UInt64;
   revision @2 :UInt64;
@@ -98,10 +98,10 @@
   members @7 :List(Text);
 }
 
-struct SpreadFetch { term @0 :UInt64; revision @1 :UInt64; whole @2 :Bool; }
-struct SpreadStatus { asker @0 :Text; }
+struct GossipFetch { term @0 :UInt64; revision @1 :UInt64; whole @2 :Bool; }
+struct GossipStatus { asker @0 :Text; }
 
-struct SpreadReport {
+struct GossipReport {
   sender @0 :EntryRow;
   entries @1 :List(EntryRow);
   waiting @2 :List(Text);
--- a/wagtailrun/target_api.py
+++ b/wagtailrun/target_api.py
@@ -44,7 +44,7 @@
         clock: Clock.
         membership: Where announcements are kept.
         fleet: Returns the text in force, or None.
-        spread_goodbye: Copies a goodbye to other entries before it is answered.
+        push_goodbye: Copies a goodbye to other entries before it is answered.
     """
 
     def __init__(
@@ -52,12 +52,12 @@
         clock: Clock,
         membership: Membership,
         fleet: Callable[[], FleetText | None] = lambda: None,
-        spread_goodbye: Callable[[TargetRow], Awaitable[None]] | None = None,
+        push_goodbye: Callable[[TargetRow], Awaitable[None]] | None = None,
     ):
         self.clock = clock
         self.membership = membership
         self.fleet = fleet
-        self.spread_goodbye = spread_goodbye
+        self.push_goodbye = push_goodbye
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of a target."""
@@ -75,8 +75,8 @@
         except AnnouncementError as error:
             return refusal_response(_malformed(f"bad announcement: {error}"))
         newer = self.membership.announce(row, self.clock.now_ms())
-        if leaving and newer and self.spread_goodbye:
-            await self.spread_goodbye(row)
+        if leaving and newer and self.push_goodbye:
+            await self.push_goodbye(row)
         return json_response(200, self._answer(row, newer))
 
     def _answer(self, row: TargetRow, newer: bool) -> dict[str, Any]:
