Split the dispatcher into work, attempts and repeats

Cause: dispatch.py had 770 lines: routing, attempts with hedges and silence, and the sums of failed attempts. Ruled out: a base class with the attempts (it would hide where state lives). Tests keep their assertions and name the new places of patched guards.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -349,11 +349,11 @@
         works.append(attrs.evolve(work, prefixes=hashes))
         dispatcher.estimates.record("engines", "generate", work.size_class, 100, 1_500)
     router.saving_ms_by_service["engines"] = [100.0, 200.0]
-    dispatcher._choose(works[0], set())
+    dispatcher.choose(works[0], set())
     for row in membership.targets_by_name.values():
         changes = tuple(f"{n:x}" for work in works[:40] for n in work.prefixes)
         router.observe_cache(row, CacheEvents(1, len(changes), changes))
-    dispatcher._choose(works[0], set())
+    dispatcher.choose(works[0], set())
     memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
     times = []
@@ -362,7 +362,7 @@
         for number in range(rounds):
             if is_new:
                 dispatcher.usable_by_service.clear()
-            dispatcher._choose(works[number % 100], set())
+            dispatcher.choose(works[number % 100], set())
         times.append((time.perf_counter() - started) / rounds * 1e6)
     return times[0], times[1], memory_mb
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 import curio
 import pytest
 
-from wagtailrun import dispatch
+from wagtailrun import repeats
 from wagtailrun.dispatch import DispatchOptions, Work, make_dispatcher
 from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import ConnectFailed, Refusal, TargetFailed, Verdict
@@ -194,7 +194,7 @@
     assert verdict_after(errors) is Verdict.MAY_HAVE_RUN
     assert verdict_after([REFUSED] * 4) is Verdict.NOT_RUN
     assert verdict_after([RESET, REFUSED], ORDER) is Verdict.MAY_HAVE_RUN
-    monkeypatch.setattr(dispatch, "_worse", lambda one, other: other)
+    monkeypatch.setattr(repeats, "_worse", lambda one, other: other)
     assert verdict_after(errors) is Verdict.NOT_RUN, "the check sees the guard missing"
 
 
--- a/wagtailrun/admission.py
+++ b/wagtailrun/admission.py
@@ -14,7 +14,7 @@
 from wagtailrun.membership import TargetRow
 
 if TYPE_CHECKING:
-    from wagtailrun.dispatch import Work
+    from wagtailrun.work import Work
 
 __all__ = ["Admission"]
 
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -19,7 +19,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.cost_cells import RequestOutcome
 from wagtailrun.deadlines import before_deadline
-from wagtailrun.dispatch import Dispatcher, Work
+from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet import Call, FleetText, Workspace
 from wagtailrun.metrics import CONTENT_TYPE
@@ -27,6 +27,7 @@
 from wagtailrun.pipeline import PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import StageAnswer, Token
 from wagtailrun.recorder import Recorder, RequestScope
+from wagtailrun.work import Work
 
 __all__ = ["CallerApi"]
 
--- a/wagtailrun/orders.py
+++ b/wagtailrun/orders.py
@@ -11,7 +11,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.control_client import ControlClient
-from wagtailrun.dispatch import Dispatcher, Work
+from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     Refusal,
@@ -27,6 +27,7 @@
     OrderState,
     OrderVerdict,
 )
+from wagtailrun.work import Work
 
 __all__ = ["OrderRunner"]
 
--- a/wagtailrun/pipeline.py
+++ b/wagtailrun/pipeline.py
@@ -10,10 +10,11 @@
 from wagtailrun.affinity import prefix_hashes
 from wagtailrun.clock import Clock
 from wagtailrun.deadlines import before_deadline, stream_before_deadline
-from wagtailrun.dispatch import Dispatcher, Work
+from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet import Pipeline, StageKind, Workspace
 from wagtailrun.ports.target import Token
+from wagtailrun.work import Work
 
 __all__ = ["PipelineRequest", "PipelineRunner"]
 
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/recorder.py
@@ -9,7 +9,6 @@
 from wagtailrun.accounts import Accounts
 from wagtailrun.clock import Clock
 from wagtailrun.cost_cells import RequestOutcome, Usage, WorkKind
-from wagtailrun.dispatch import Work
 from wagtailrun.exceptions import Refusal, TargetFailed
 from wagtailrun.fleet import FleetText, Price
 from wagtailrun.membership import TargetRow
@@ -17,6 +16,7 @@
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.retries import AttemptObserver
 from wagtailrun.trace_recorder import TraceRecorder
+from wagtailrun.work import Work
 
 __all__ = ["Recorder", "RequestScope"]
 
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -14,7 +14,7 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.dispatch import Dispatcher, Work, make_dispatcher
+from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.emulator import EmulatedClient, Emulator, TargetModel
 from wagtailrun.exceptions import Refusal
 from wagtailrun.fleet import FleetText, fleet_from_document, parse_fleet_text
@@ -22,6 +22,7 @@
 from wagtailrun.pipeline import PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import Token
 from wagtailrun.virtual_time import run_virtual
+from wagtailrun.work import Work
 
 __all__ = ["EntryParts", "ReplayReport", "main", "replay", "replay_records"]
 
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -10,7 +10,7 @@
 from wagtailrun.ports.target import StageAnswer
 
 if TYPE_CHECKING:
-    from wagtailrun.dispatch import Work
+    from wagtailrun.work import Work
 
 __all__ = ["AttemptObserver", "NoObserver", "RetryBudget", "backoff_ms", "may_repeat"]
 
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -18,7 +18,7 @@
 from wagtailrun.subset import choose_subset
 
 if TYPE_CHECKING:
-    from wagtailrun.dispatch import Work
+    from wagtailrun.work import Work
 
 __all__ = ["ExpectedTimeRouter", "LeastLoadedRouter", "Router"]
 
--- /dev/null
+++ b/wagtailrun/work.py
@@ -0,0 +1,53 @@
+"""One stage or call that a request needs, as the policies see it."""
+
+import attrs
+
+from wagtailrun.estimates import size_class
+
+__all__ = ["Work"]
+
+
+@attrs.frozen
+class Work:
+    """One stage or call that a request needs.
+
+    Attributes:
+        service: Service that runs it.
+        path: HTTP path at a target.
+        body: JSON body.
+        request_id: Identifier of the caller's request.
+        workspace: Workspace of the caller.
+        deadline_at_ms: When the caller's deadline ends, on the clock.
+        idempotent: Whether it may be repeated.
+        may_wait: Whether it may be delayed in favour of other work.
+        priority: Larger is more urgent.
+        pipeline: Pipeline that it belongs to, or empty.
+        stage: Kind of the stage, or name of the call.
+        share: Weight of the workspace's part of the capacity.
+        size: Size of the request in bytes; 0 takes that of the body.
+        max_tokens: Most tokens to generate, if the caller gave it.
+        later: Service and stage of the stages that follow.
+        prefixes: Hashes of the prompt's leading blocks.
+    """
+
+    service: str
+    path: str
+    body: bytes
+    request_id: str
+    workspace: str
+    deadline_at_ms: int
+    idempotent: bool = True
+    may_wait: bool = False
+    priority: int = 0
+    pipeline: str = ""
+    stage: str = ""
+    share: int = 1
+    size: int = 0
+    max_tokens: int = 0
+    later: tuple[tuple[str, str], ...] = ()
+    prefixes: tuple[int, ...] = ()
+
+    @property
+    def size_class(self) -> tuple[int, int]:
+        """Class by which times are estimated."""
+        return size_class(self.size or len(self.body), self.max_tokens)
