--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -300,7 +300,7 @@
     worst = max(report.most_runs_of_an_order for report in every)
     name = f"{user}, every scenario: most runs of an order"
     rows.append(_row(name, "runs", "lower", value=worst, bound=1))
-    worst = max(report.wrong + report.truthless for report in every)
+    worst = max(report.wrong + report.false_not_run for report in every)
     name = f"{user}, every scenario: wrong answers and false refusals"
     rows.append(_row(name, "answers", "lower", value=worst, bound=0))
     return rows
@@ -394,7 +394,7 @@
         f"in45 {report.gap_within:.3f} extra {report.extra_share:.3f} "
         f"wasted {report.wasted_ms / spent:.3f}"
         f" refusal95 {report.refusal_wait_p95:.0f} runs {report.most_runs_of_an_order}"
-        f" untrue {report.truthless} cached {report.cached_share:.3f}"
+        f" untrue {report.false_not_run} cached {report.cached_share:.3f}"
     )
 
 
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -183,7 +183,7 @@
     safe = {
         "wrong_at_most": 0,
         "most_runs_of_an_order_at_most": 1,
-        "truthless_at_most": 0,
+        "false_not_run_at_most": 0,
         "extra_share_at_most": 0.1,
     }
     traces = {}
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -15,7 +15,7 @@
 SAFE = {
     "wrong_at_most": 0,
     "most_runs_of_an_order_at_most": 1,
-    "truthless_at_most": 0,
+    "false_not_run_at_most": 0,
     "extra_share_at_most": 0.1,
 }
 
@@ -123,7 +123,7 @@
         ),
     )
     broken = replay_records(records)
-    assert broken.truthless > 0
+    assert broken.false_not_run > 0
     assert not broken.holds
 
 
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -4,7 +4,7 @@
 import json
 import random
 import sys
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import aclosing
 from pathlib import Path
@@ -13,7 +13,7 @@
 import attrs
 import curio
 
-from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.clock import Clock
 from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.emulator import EmulatedClient, Emulator, TargetModel
 from wagtailrun.exceptions import Refusal
@@ -21,14 +21,13 @@
 from wagtailrun.membership import Membership
 from wagtailrun.pipeline import PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import Token
+from wagtailrun.replay_report import Outcome, ReplayReport, ReportBuilder
 from wagtailrun.virtual_time import run_virtual
 from wagtailrun.work import Work
 
 __all__ = ["EntryParts", "ReplayReport", "main", "replay", "replay_records"]
 
 SETTLE_MS = 1_000
-OBJECTIVE_FIRST_TOKEN_MS = 1_200
-OBJECTIVE_GAP_MS = 45
 
 
 @attrs.frozen
@@ -57,89 +56,6 @@
 Build = Callable[[EntryParts], Dispatcher]
 
 
-@attrs.define
-class ReplayReport:
-    """What a replay measured; durations are in milliseconds.
-
-    Attributes:
-        requests: Arrivals.
-        complete: Requests answered completely, correctly and in time.
-        attainment: Share of requests that are complete.
-        attainment_by_workspace: The same by workspace.
-        attainment_by_pipeline: The same by pipeline, or by service and call.
-        refusals_by_reason: Refused requests by reason and verdict.
-        late: Requests whose whole answer came after the deadline.
-        lost: Requests whose entry died.
-        wrong: Answers with a missing, doubled or foreign part.
-        first_token_p50, first_token_p95: Time to the first token.
-        gap_p50, gap_p95: Time between tokens.
-        gap_within: Share of gaps within the objective.
-        first_within: Share of first tokens within the objective, of those that came.
-        cached_share: Share of prompt tokens that prefix caches held.
-        tokens: Tokens that engines generated.
-        wasted_tokens: Tokens of them in no complete answer.
-        engine_ms_by_stage: Time that targets spent, by stage.
-        wasted_ms: Time of it that contributed to no complete answer.
-        attempts, retries, hedges: Counts; first attempts, repeats of attempts that
-            were sent, and hedges.
-        redirects: Attempts made elsewhere because no connection could be opened.
-        extra_share: Retries and hedges as a share of first attempts.
-        most_runs_of_an_order: Most runs of one order key.
-        truthless: Refusals with the verdict "not run" of an order that ran.
-        refusal_wait_p95: Time from arrival to refusal.
-        goodput_by_second: Complete pipeline answers by second of completion.
-        violations: Stated outcomes that do not hold.
-    """
-
-    requests: int = 0
-    complete: int = 0
-    attainment: float = 0.0
-    attainment_by_workspace: dict[str, float] = attrs.field(factory=dict)
-    attainment_by_pipeline: dict[str, float] = attrs.field(factory=dict)
-    refusals_by_reason: dict[str, int] = attrs.field(factory=dict)
-    late: int = 0
-    lost: int = 0
-    wrong: int = 0
-    first_token_p50: float = 0.0
-    first_token_p95: float = 0.0
-    gap_p50: float = 0.0
-    gap_p95: float = 0.0
-    gap_within: float = 1.0
-    first_within: float = 1.0
-    cached_share: float = 0.0
-    tokens: int = 0
-    wasted_tokens: int = 0
-    engine_ms_by_stage: dict[str, float] = attrs.field(factory=dict)
-    wasted_ms: float = 0.0
-    attempts: int = 0
-    retries: int = 0
-    hedges: int = 0
-    redirects: int = 0
-    extra_share: float = 0.0
-    most_runs_of_an_order: int = 0
-    truthless: int = 0
-    refusal_wait_p95: float = 0.0
-    goodput_by_second: dict[int, int] = attrs.field(factory=dict)
-    violations: list[str] = attrs.field(factory=list)
-
-    @property
-    def holds(self) -> bool:
-        """Whether every stated outcome holds."""
-        return not self.violations
-
-
-@attrs.define
-class _Outcome:
-    arrival: dict[str, Any]
-    request_id: str
-    ended_ms: float = 0.0
-    complete: bool = False
-    late: bool = False
-    wrong: bool = False
-    refusal: Refusal | None = None
-    first_ms: float | None = None
-
-
 class _Entry:
     """One emulated entry: the real decisions on an emulated client."""
 
@@ -178,7 +94,7 @@
             link_ms=self.header.get("link_ms", 0.5),
         )
         self.entries_by_name: dict[str, _Entry] = {}
-        self.outcomes: list[_Outcome] = []
+        self.outcomes: list[Outcome] = []
         self.gaps: Counter[int] = Counter()
 
     async def run(self) -> ReplayReport:
@@ -225,14 +141,14 @@
             and arrival.get("data_centre", entry.parts.data_centre)
             == entry.parts.data_centre
         ]
-        outcome = _Outcome(arrival, request_id)
+        outcome = Outcome(arrival, request_id)
         self.outcomes.append(outcome)
         if entries:
             entry = entries[turn % len(entries)]
             task = await curio.spawn(self._serve, entry, outcome, daemon=True)
             entry.tasks[task] = None
 
-    async def _serve(self, entry: _Entry, outcome: _Outcome) -> None:
+    async def _serve(self, entry: _Entry, outcome: Outcome) -> None:
         task = await curio.current_task()
         try:
             if "pipeline" in outcome.arrival:
@@ -243,7 +159,7 @@
         finally:
             entry.tasks.pop(task, None)
 
-    async def _serve_pipeline(self, entry: _Entry, outcome: _Outcome) -> None:
+    async def _serve_pipeline(self, entry: _Entry, outcome: Outcome) -> None:
         arrival = outcome.arrival
         pipeline = self.fleet.pipelines_by_name[arrival["pipeline"]]
         deadline_at_ms = self._deadline(arrival, pipeline.deadline_ms)
@@ -270,7 +186,7 @@
 
     async def _collect(
         self,
-        outcome: _Outcome,
+        outcome: Outcome,
         stream: AsyncIterator[tuple[Token, ...] | Refusal],
         deadline_at_ms: int,
     ) -> None:
@@ -297,7 +213,7 @@
         outcome.wrong |= not done or expected != outcome.arrival["output"]
         self._settle(outcome, deadline_at_ms)
 
-    async def _serve_call(self, entry: _Entry, outcome: _Outcome) -> None:
+    async def _serve_call(self, entry: _Entry, outcome: Outcome) -> None:
         arrival = outcome.arrival
         call = self.fleet.services_by_name[arrival["service"]].calls_by_name[
             arrival["call"]
@@ -329,7 +245,7 @@
     def _deadline(self, arrival: dict[str, Any], longest_ms: int) -> int:
         return arrival["at"] + min(arrival.get("deadline", longest_ms), longest_ms)
 
-    def _settle(self, outcome: _Outcome, deadline_at_ms: int) -> None:
+    def _settle(self, outcome: Outcome, deadline_at_ms: int) -> None:
         outcome.late = self.clock.now_ms() > deadline_at_ms
         outcome.complete = not outcome.wrong and not outcome.late
 
@@ -392,93 +308,14 @@
         await self.emulator.drop_entry(name)
 
     def _report(self) -> ReplayReport:
-        report = ReplayReport(requests=len(self.outcomes))
-        refusals: Counter[str] = Counter()
-        goodput: Counter[int] = Counter()
-        for outcome in self.outcomes:
-            report.complete += outcome.complete
-            report.late += outcome.late
-            report.wrong += outcome.wrong
-            if outcome.refusal is not None:
-                refusal = outcome.refusal
-                refusals[f"{refusal.reason.value}/{refusal.verdict.value}"] += 1
-            elif not (outcome.complete or outcome.late or outcome.wrong):
-                report.lost += 1
-            if outcome.complete and "pipeline" in outcome.arrival:
-                goodput[int(outcome.ended_ms) // MS_PER_SECOND] += 1
-        targets = self.emulator.targets_by_name.values()
-        report.wrong += sum(target.crossed for target in targets)
-        report.goodput_by_second = dict(goodput)
-        report.refusals_by_reason = dict(refusals)
-        report.attainment = _attainment(self.outcomes)
-        report.attainment_by_workspace = _by(self.outcomes, lambda a: a["workspace"])
-        report.attainment_by_pipeline = _by(
-            self.outcomes, lambda a: a.get("pipeline") or f"{a['service']}/{a['call']}"
+        entries = self.entries_by_name.values()
+        builder = ReportBuilder(
+            self.outcomes,
+            self.gaps,
+            list(self.emulator.targets_by_name.values()),
+            [getattr(entry.dispatcher, "counts", Counter()) for entry in entries],
         )
-        self._report_times(report)
-        self._report_costs(report)
-        self._report_orders(report)
-        report.violations = _violations(report, self.header.get("outcomes", {}))
-        return report
-
-    def _report_times(self, report: ReplayReport) -> None:
-        first = [o.first_ms for o in self.outcomes if o.first_ms is not None]
-        report.first_token_p50 = _quantile(first, 0.5)
-        report.first_token_p95 = _quantile(first, 0.95)
-        gaps = sorted(self.gaps.elements())
-        report.gap_p50 = _quantile(gaps, 0.5)
-        report.gap_p95 = _quantile(gaps, 0.95)
-        if gaps:
-            within = sum(n for gap, n in self.gaps.items() if gap <= OBJECTIVE_GAP_MS)
-            report.gap_within = within / len(gaps)
-        if first:
-            within = sum(value <= OBJECTIVE_FIRST_TOKEN_MS for value in first)
-            report.first_within = within / len(first)
-        waits = [
-            o.ended_ms - o.arrival["at"] for o in self.outcomes if o.refusal is not None
-        ]
-        report.refusal_wait_p95 = _quantile(waits, 0.95)
-
-    def _report_costs(self, report: ReplayReport) -> None:
-        complete = {o.request_id: o for o in self.outcomes if o.complete}
-        by_stage: Counter[str] = Counter()
-        time_by_stage_run: dict[tuple[str, str], dict[int, float]] = defaultdict(dict)
-        for target in self.emulator.targets_by_name.values():
-            for key, duration_ms in target.engine_ms_by_attempt.items():
-                request, stage, number = key
-                by_stage[stage] += duration_ms
-                time_by_stage_run[request, stage][number] = duration_ms
-            report.tokens += sum(target.tokens_by_request.values())
-        for (request, _), durations in time_by_stage_run.items():
-            # A complete answer used one attempt's worth of work of each stage.
-            used = max(durations.values()) if request in complete else 0.0
-            report.wasted_ms += sum(durations.values()) - used
-        targets = self.emulator.targets_by_name.values()
-        cached = sum(target.tokens_cached for target in targets)
-        report.cached_share = cached / max(sum(t.tokens_in for t in targets), 1)
-        streamed = [o for o in complete.values() if o.first_ms is not None]
-        useful = sum(o.arrival["output"] for o in streamed)
-        report.wasted_tokens = report.tokens - useful
-        report.engine_ms_by_stage = dict(by_stage)
-        for entry in self.entries_by_name.values():
-            counts = getattr(entry.dispatcher, "counts", Counter())
-            report.attempts += counts["first"]
-            report.retries += counts["retry"]
-            report.hedges += counts["hedge"]
-            report.redirects += counts["redirect"]
-        extra = report.retries + report.hedges
-        report.extra_share = extra / max(report.attempts, 1)
-
-    def _report_orders(self, report: ReplayReport) -> None:
-        runs: Counter[str] = Counter()
-        for target in self.emulator.targets_by_name.values():
-            runs.update(target.runs_by_key)
-        report.most_runs_of_an_order = max(runs.values(), default=0)
-        for outcome in self.outcomes:
-            key = outcome.arrival.get("key")
-            refusal = outcome.refusal
-            if key and refusal and refusal.verdict.value == "not-run" and runs[key]:
-                report.truthless += 1
+        return builder.build(self.header.get("outcomes", {}))
 
 
 def _prompt(arrival: dict[str, Any], request_id: str) -> str:
@@ -488,43 +325,6 @@
     return start + f"{request_id} ".ljust((arrival["prompt"] * 4) - shared, "x")
 
 
-def _attainment(outcomes: list[_Outcome]) -> float:
-    return sum(o.complete for o in outcomes) / max(len(outcomes), 1)
-
-
-def _by(
-    outcomes: list[_Outcome], key: Callable[[dict[str, Any]], str]
-) -> dict[str, float]:
-    groups: dict[str, list[_Outcome]] = defaultdict(list)
-    for outcome in outcomes:
-        groups[key(outcome.arrival)].append(outcome)
-    return {name: _attainment(group) for name, group in sorted(groups.items())}
-
-
-def _quantile(values: list[float], share: float) -> float:
-    if not values:
-        return 0.0
-    return sorted(values)[min(int(len(values) * share), len(values) - 1)]
-
-
-def _violations(report: ReplayReport, outcomes: dict[str, Any]) -> list[str]:
-    """Compare a report with stated bounds; keys end in _at_least or _at_most."""
-    faults = []
-    for key, bound in outcomes.items():
-        name, _, sense = key.rpartition("_at_")
-        if not hasattr(report, name) or sense not in ("least", "most"):
-            faults.append(f"stated outcome {key!r} is not known")
-            continue
-        value = getattr(report, name)
-        bounds = bound if isinstance(bound, dict) else {"": bound}
-        for part, limit in bounds.items():
-            found = value.get(part, 0) if part else value
-            if (found < limit) if sense == "least" else (found > limit):
-                label = f"{name}[{part}]" if part else name
-                faults.append(f"{label} is {found}, stated at {sense} {limit}")
-    return faults
-
-
 def build_dispatcher(parts: EntryParts) -> Dispatcher:
     """Return a dispatcher with the policies that an entry uses."""
     services = parts.fleet.services_by_name
--- /dev/null
+++ b/wagtailrun/replay_report.py
@@ -0,0 +1,250 @@
+"""What a replay measured, and whether stated outcomes hold."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.emulator import EmulatedTarget
+from wagtailrun.exceptions import Refusal
+
+__all__ = ["Outcome", "ReplayReport", "ReportBuilder"]
+
+OBJECTIVE_FIRST_TOKEN_MS = 1_200
+OBJECTIVE_GAP_MS = 45
+
+
+@attrs.define
+class ReplayReport:
+    """What a replay measured; durations are in milliseconds.
+
+    Attributes:
+        requests: Arrivals.
+        complete: Requests answered completely, correctly and in time.
+        attainment: Share of requests that are complete.
+        attainment_by_workspace: The same by workspace.
+        attainment_by_pipeline: The same by pipeline, or by service and call.
+        refusals_by_reason: Refused requests by reason and verdict.
+        late: Requests whose whole answer came after the deadline.
+        lost: Requests whose entry died.
+        wrong: Answers with a missing, doubled or foreign part.
+        first_token_p50, first_token_p95: Time to the first token.
+        gap_p50, gap_p95: Time between tokens.
+        gap_within: Share of gaps within the objective.
+        first_within: Share of first tokens within the objective, of those that came.
+        cached_share: Share of prompt tokens that prefix caches held.
+        tokens: Tokens that engines generated.
+        wasted_tokens: Tokens of them in no complete answer.
+        engine_ms_by_stage: Time that targets spent, by stage.
+        wasted_ms: Time of it that contributed to no complete answer.
+        attempts, retries, hedges: Counts; first attempts, repeats of attempts that
+            were sent, and hedges.
+        redirects: Attempts made elsewhere because no connection could be opened.
+        extra_share: Retries and hedges as a share of first attempts.
+        most_runs_of_an_order: Most runs of one order key.
+        false_not_run: Refusals with the verdict "not run" of an order that ran.
+        refusal_wait_p95: Time from arrival to refusal.
+        goodput_by_second: Complete pipeline answers by second of completion.
+        violations: Stated outcomes that do not hold.
+    """
+
+    requests: int = 0
+    complete: int = 0
+    attainment: float = 0.0
+    attainment_by_workspace: dict[str, float] = attrs.field(factory=dict)
+    attainment_by_pipeline: dict[str, float] = attrs.field(factory=dict)
+    refusals_by_reason: dict[str, int] = attrs.field(factory=dict)
+    late: int = 0
+    lost: int = 0
+    wrong: int = 0
+    first_token_p50: float = 0.0
+    first_token_p95: float = 0.0
+    gap_p50: float = 0.0
+    gap_p95: float = 0.0
+    gap_within: float = 1.0
+    first_within: float = 1.0
+    cached_share: float = 0.0
+    tokens: int = 0
+    wasted_tokens: int = 0
+    engine_ms_by_stage: dict[str, float] = attrs.field(factory=dict)
+    wasted_ms: float = 0.0
+    attempts: int = 0
+    retries: int = 0
+    hedges: int = 0
+    redirects: int = 0
+    extra_share: float = 0.0
+    most_runs_of_an_order: int = 0
+    false_not_run: int = 0
+    refusal_wait_p95: float = 0.0
+    goodput_by_second: dict[int, int] = attrs.field(factory=dict)
+    violations: list[str] = attrs.field(factory=list)
+
+    @property
+    def holds(self) -> bool:
+        """Whether every stated outcome holds."""
+        return not self.violations
+
+
+@attrs.define
+class Outcome:
+    """What became of one arrival; times are in milliseconds."""
+
+    arrival: dict[str, Any]
+    request_id: str
+    ended_ms: float = 0.0
+    complete: bool = False
+    late: bool = False
+    wrong: bool = False
+    refusal: Refusal | None = None
+    first_ms: float | None = None
+
+
+class ReportBuilder:
+    """Sums up a replay.
+
+    Args:
+        outcomes: What became of each arrival.
+        gaps: Number of gaps between tokens by their length, in milliseconds.
+        targets: Targets with what they counted.
+        counts: Counts of attempts of each entry.
+    """
+
+    def __init__(
+        self,
+        outcomes: list[Outcome],
+        gaps: Counter[int],
+        targets: Sequence[EmulatedTarget],
+        counts: Sequence[Counter[str]],
+    ):
+        self.outcomes = outcomes
+        self.gaps = gaps
+        self.targets = targets
+        self.counts = counts
+
+    def build(self, stated: dict[str, Any]) -> ReplayReport:
+        """Return the report, with the stated outcomes that do not hold."""
+        report = ReplayReport(requests=len(self.outcomes))
+        refusals: Counter[str] = Counter()
+        goodput: Counter[int] = Counter()
+        for outcome in self.outcomes:
+            report.complete += outcome.complete
+            report.late += outcome.late
+            report.wrong += outcome.wrong
+            if outcome.refusal is not None:
+                refusal = outcome.refusal
+                refusals[f"{refusal.reason.value}/{refusal.verdict.value}"] += 1
+            elif not (outcome.complete or outcome.late or outcome.wrong):
+                report.lost += 1
+            if outcome.complete and "pipeline" in outcome.arrival:
+                goodput[int(outcome.ended_ms) // MS_PER_SECOND] += 1
+        targets = self.targets
+        report.wrong += sum(target.crossed for target in targets)
+        report.goodput_by_second = dict(goodput)
+        report.refusals_by_reason = dict(refusals)
+        report.attainment = _attainment(self.outcomes)
+        report.attainment_by_workspace = _by(self.outcomes, lambda a: a["workspace"])
+        report.attainment_by_pipeline = _by(
+            self.outcomes, lambda a: a.get("pipeline") or f"{a['service']}/{a['call']}"
+        )
+        self._report_times(report)
+        self._report_costs(report)
+        self._report_orders(report)
+        report.violations = _violations(report, stated)
+        return report
+
+    def _report_times(self, report: ReplayReport) -> None:
+        first = [o.first_ms for o in self.outcomes if o.first_ms is not None]
+        report.first_token_p50 = _quantile(first, 0.5)
+        report.first_token_p95 = _quantile(first, 0.95)
+        gaps = sorted(self.gaps.elements())
+        report.gap_p50 = _quantile(gaps, 0.5)
+        report.gap_p95 = _quantile(gaps, 0.95)
+        if gaps:
+            within = sum(n for gap, n in self.gaps.items() if gap <= OBJECTIVE_GAP_MS)
+            report.gap_within = within / len(gaps)
+        if first:
+            within = sum(value <= OBJECTIVE_FIRST_TOKEN_MS for value in first)
+            report.first_within = within / len(first)
+        waits = [
+            o.ended_ms - o.arrival["at"] for o in self.outcomes if o.refusal is not None
+        ]
+        report.refusal_wait_p95 = _quantile(waits, 0.95)
+
+    def _report_costs(self, report: ReplayReport) -> None:
+        complete = {o.request_id: o for o in self.outcomes if o.complete}
+        by_stage: Counter[str] = Counter()
+        time_by_stage_run: dict[tuple[str, str], dict[int, float]] = defaultdict(dict)
+        for target in self.targets:
+            for key, duration_ms in target.engine_ms_by_attempt.items():
+                request, stage, number = key
+                by_stage[stage] += duration_ms
+                time_by_stage_run[request, stage][number] = duration_ms
+            report.tokens += sum(target.tokens_by_request.values())
+        for (request, _), durations in time_by_stage_run.items():
+            # A complete answer used one attempt's worth of work of each stage.
+            used = max(durations.values()) if request in complete else 0.0
+            report.wasted_ms += sum(durations.values()) - used
+        targets = self.targets
+        cached = sum(target.tokens_cached for target in targets)
+        report.cached_share = cached / max(sum(t.tokens_in for t in targets), 1)
+        streamed = [o for o in complete.values() if o.first_ms is not None]
+        useful = sum(o.arrival["output"] for o in streamed)
+        report.wasted_tokens = report.tokens - useful
+        report.engine_ms_by_stage = dict(by_stage)
+        for counts in self.counts:
+            report.attempts += counts["first"]
+            report.retries += counts["retry"]
+            report.hedges += counts["hedge"]
+            report.redirects += counts["redirect"]
+        extra = report.retries + report.hedges
+        report.extra_share = extra / max(report.attempts, 1)
+
+    def _report_orders(self, report: ReplayReport) -> None:
+        runs: Counter[str] = Counter()
+        for target in self.targets:
+            runs.update(target.runs_by_key)
+        report.most_runs_of_an_order = max(runs.values(), default=0)
+        for outcome in self.outcomes:
+            key = outcome.arrival.get("key")
+            refusal = outcome.refusal
+            if key and refusal and refusal.verdict.value == "not-run" and runs[key]:
+                report.false_not_run += 1
+
+
+def _attainment(outcomes: list[Outcome]) -> float:
+    return sum(o.complete for o in outcomes) / max(len(outcomes), 1)
+
+
+def _by(
+    outcomes: list[Outcome], key: Callable[[dict[str, Any]], str]
+) -> dict[str, float]:
+    groups: dict[str, list[Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        groups[key(outcome.arrival)].append(outcome)
+    return {name: _attainment(group) for name, group in sorted(groups.items())}
+
+
+def _quantile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    return sorted(values)[min(int(len(values) * share), len(values) - 1)]
+
+
+def _violations(report: ReplayReport, outcomes: dict[str, Any]) -> list[str]:
+    """Compare a report with stated bounds; keys end in _at_least or _at_most."""
+    faults = []
+    for key, bound in outcomes.items():
+        name, _, sense = key.rpartition("_at_")
+        if not hasattr(report, name) or sense not in ("least", "most"):
+            faults.append(f"stated outcome {key!r} is not known")
+            continue
+        value = getattr(report, name)
+        bounds = bound if isinstance(bound, dict) else {"": bound}
+        for part, limit in bounds.items():
+            found = value.get(part, 0) if part else value
+            if (found < limit) if sense == "least" else (found > limit):
+                label = f"{name}[{part}]" if part else name
+                faults.append(f"{label} is {found}, stated at {sense} {limit}")
+    return faults
