--- a/demo/stub_target.py
+++ b/demo/stub_target.py
@@ -1,5 +1,6 @@
 """Stub target: serves stages, a token stream and calls, and counts what it ran."""
 
+import itertools
 import json
 import os
 import time
@@ -14,7 +15,7 @@
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
 
-ANNOUNCE_INTERVAL_S = 0.5
+ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_MS = 1_000
 DEFAULT_TOKENS = 20
 
@@ -67,10 +68,11 @@
             await group.spawn(self.announce)
 
     async def announce(self) -> None:
-        """Announce the target to one entry after the other."""
+        """Announce the target to one entry after the other, as a balancer would."""
         client = HttpClient()
+        turns = itertools.cycle(self.entries)
         while True:
-            for entry in self.entries:
+            for entry in itertools.islice(turns, len(self.entries)):
                 self.sequence += 1
                 try:
                     await client.request(
@@ -80,6 +82,7 @@
                         body=json.dumps(self.row()).encode(),
                         timeout_ms=ANNOUNCE_TIMEOUT_MS,
                     )
+                    break
                 except TargetFailed:
                     continue
             await curio.sleep(ANNOUNCE_INTERVAL_S)
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -34,7 +34,7 @@
 __all__ = ["Entry", "run_entry"]
 
 DRAIN_POLL_MS = 50
-SIGNAL_POLL_MS = 50
+SIGNAL_POLL_MS = 250
 GAUGE_INTERVAL_MS = 1_000
 PROBE_TIMEOUT_MS = 500
 HANDOVER_TIMEOUT_MS = 5_000
--- a/wagtailrun/text_watch.py
+++ b/wagtailrun/text_watch.py
@@ -14,7 +14,7 @@
 # Entries that missed more changes than this get the whole text. At 7,600 changes a
 # day 32 revisions cover about six minutes.
 KEPT_REVISIONS = 32
-POLL_MS = 50
+POLL_MS = 100
 
 
 class TextWatch:
