Book tokens that the caller has as used when a stream moves

Cause: the first part of a moved stream was booked as wasted work, though the caller has its tokens; members who share the bill would dispute it. Ruled out: booking the whole stream under the last attempt (another target ran it). Before / after: tests/test_recorder.py: of 10 tokens of a stream that moved twice, all are first or retry and none wasted; an attempt of which no byte was sent is not booked.

--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -357,8 +357,12 @@
         if not run.first_ms and sent:
             self.router.waited(target, duration_ms, work)
         self.router.ended(target, duration_ms, False, work, None, blamed)
-        if sent:
-            self.observer.wasted(work, target, duration_ms, run.tokens)
+        if run.tokens:
+            # The caller has these tokens, and the next attempt goes on behind them.
+            used = StageAnswer(200, b"", tokens_out=run.tokens)
+            self.observer.finished(work, target, duration_ms, used)
+        elif sent:
+            self.observer.wasted(work, target, duration_ms)
         # The caller's answer does not wait for the clean-up.
         await curio.spawn(self._clean_up, run, sent, daemon=True)
         await self.admission.released(work.service)
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/recorder.py
@@ -179,11 +179,9 @@
         """Note that the attempt at ``target`` is a hedge."""
         _remember(self.hedged_at, (work.request_id, work.stage), target.name)
 
-    def wasted(
-        self, work: Work, target: TargetRow, duration_ms: int, tokens: int
-    ) -> None:
+    def wasted(self, work: Work, target: TargetRow, duration_ms: int) -> None:
         """Book an attempt whose work is not used."""
-        self._book(work, WorkKind.WASTED, Usage(tokens_out=tokens), duration_ms)
+        self._book(work, WorkKind.WASTED, Usage(), duration_ms)
 
     def _book(self, work: Work, kind: WorkKind, usage: Usage, duration_ms: int) -> None:
         fleet = self.fleet()
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -72,7 +72,7 @@
     def finished(
         self, work: "Work", target: TargetRow, duration_ms: int, answer: StageAnswer
     ) -> None:
-        """Note an attempt whose answer was used."""
+        """Note an attempt whose answer, or whose first tokens, were used."""
 
     @abstractmethod
     def retried(self, work: "Work", target: TargetRow, error: TargetFailed) -> None:
@@ -83,16 +83,13 @@
         """Note a second attempt at ``target`` beside one under way."""
 
     @abstractmethod
-    def wasted(
-        self, work: "Work", target: TargetRow, duration_ms: int, tokens: int
-    ) -> None:
+    def wasted(self, work: "Work", target: TargetRow, duration_ms: int) -> None:
         """Note an attempt whose work is not used.
 
         Args:
             work: Work that was attempted.
             target: Target that ran it.
             duration_ms: Time from its start to its cancellation or failure.
-            tokens: Tokens that arrived and were not used.
         """
 
 
@@ -110,7 +107,5 @@
     def hedged(self, work: "Work", target: TargetRow) -> None:
         """Ignore it."""
 
-    def wasted(
-        self, work: "Work", target: TargetRow, duration_ms: int, tokens: int
-    ) -> None:
+    def wasted(self, work: "Work", target: TargetRow, duration_ms: int) -> None:
         """Ignore it."""
