Export how many targets an entry may use; wait for it in a test

Ruled out: a fault of the move itself (the same trace moved the stream whenever the other engine was known). Conclusion: operators can alarm on 0 usable targets. Log lines now carry the time.

--- a/tests/test_partition_processes.py
+++ b/tests/test_partition_processes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from demo.processes import Fleet
+from demo.processes import Fleet, request
 from tests.test_processes import (
     ORDER,
     PIPELINE,
@@ -24,10 +24,17 @@
     with Fleet(TEXT, ["east", "west"], SERVICES, controls=3) as running:
         running.apply_text()
         for address in running.caller_by_name.values():
+            wait_until(lambda address=address: knows_both_engines(address))
             wait_until(lambda address=address: post(address, PIPELINE).status == 200)
         yield running
 
 
+def knows_both_engines(address):
+    """Whether an entry may use the engine of the other data centre too."""
+    metrics = request(address, "GET", "/metrics").body
+    return b'wagtailrun_usable_targets{service="engines"} 2.0' in metrics
+
+
 def order_runs(fleet, order):
     call = f"book-dispatch {json.dumps(order, sort_keys=True)}"
     return runs_at_targets(fleet, "dispatch-desk").get(call, 0)
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -490,6 +490,7 @@
     # curio warns of each operation that ends shortly after its timeout; that is
     # handled, and lines without a number are not in the catalogue.
     std_logging.getLogger("curio").setLevel(std_logging.ERROR)
+    logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     try:
         code = defopt.run(COMMANDS, argv=arguments)
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -201,8 +201,18 @@
             self.metrics.revision.set(self.gossip.version[1])
             self.metrics.active.set(self.caller_server.active_requests)
             self.metrics.rows.set(len(self.accounts.table.rows_by_key))
+            self._count_targets()
             await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
 
+    def _count_targets(self) -> None:
+        fleet = self.gossip.fleet
+        now_ms = self.clock.now_ms()
+        for service in fleet.services_by_name if fleet else ():
+            count = len(self.membership.usable(service, now_ms))
+            if self._may_leave(service):
+                count += len(self.membership.fallback(service, now_ms))
+            self.metrics.set_targets(service, count)
+
     async def _drain_on_signal(self) -> None:
         """Wait for SIGTERM, then end the process without cutting a request."""
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/wagtailrun/metrics.py
+++ b/wagtailrun/metrics.py
@@ -56,8 +56,15 @@
         self.revision = self._gauge("revision", "Revision of the fleet text in force.")
         self.active = self._gauge("active_requests", "Requests under way.")
         self.rows = self._gauge("account_rows", "Account rows held in memory.")
+        self.targets = self._gauge(
+            "usable_targets", "Targets that may be given new work.", ["service"]
+        )
         self.registry.register(self)
 
+    def set_targets(self, service: str, count: int) -> None:
+        """Note how many targets of a service may be given new work."""
+        self.targets.labels(self._bounded(service)).set(count)
+
     def finish_request(
         self, of: str, outcome: RequestOutcome, duration_ms: int
     ) -> None:
