Verify an exported audit trail from the command line

The branch for a registry without an audit trail is gone, since it always has one. Conclusion: records cut off at the end are noticed only with the newest digest, which verify_chain takes and the command does not yet.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -152,6 +152,19 @@
     assert run("audit")[0] == 0
 
 
+def test_audit_export_shows_a_change_and_a_gap(run, members, text, tmp_path):
+    """Guards against an export that can be edited unnoticed."""
+    for share in (4, 5, 6):
+        text.write_text(DEMO.replace("share = 3", f"share = {share}"))
+        run("apply", text)
+    rows = json.loads(run("audit", "--json")[1])
+    export = tmp_path / "audit.json"
+    changed = [rows[0] | {"who": "somebody"}, *rows[1:]]
+    for content, code in ((rows, 0), (changed, 1), (rows[:1] + rows[2:], 1), ([5], 2)):
+        export.write_text(json.dumps(content))
+        assert run("audit", f"--verify={export}")[0] == code
+
+
 def test_replay_exit_code(run, tmp_path):
     """Guards against a replay whose differing outcomes exit with 0."""
     lines = (TRACES / "utility-silent.jsonl").read_text().splitlines()
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -3,6 +3,7 @@
 import hashlib
 import importlib
 import inspect
+import json
 import logging as std_logging
 import sys
 from collections.abc import Callable
@@ -15,12 +16,14 @@
 import defopt
 from absl import logging
 
+from wagtailrun.audit import verify_chain
 from wagtailrun.cli_client import Answer, NoAnswer, OperatorClient
 from wagtailrun.cli_output import print_json, print_rows, printable
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.plan import plan_changes
+from wagtailrun.registry_messages import AuditRecord
 from wagtailrun.settings import (
     FILE_SUFFIX,
     ClientSettings,
@@ -376,8 +379,9 @@
     control: str | None = None,
     operator_credential_file: str | None = None,
     json: bool = False,
+    verify: str = "",
 ) -> int:
-    """List the audit trail, oldest record first.
+    """List the audit trail, oldest record first, or verify an export of it.
 
     Example: wagtailrun audit --json
 
@@ -385,11 +389,27 @@
         control: IP:PORT of the control members' operator interfaces.
         operator_credential_file: File of the operator credential.
         json: Print JSON.
+        verify: File with an earlier export as JSON, to be checked for gaps and
+            changes; nothing is asked of the fleet.
     """
+    if verify:
+        return _verify_audit(verify)
     client = _client(control, operator_credential_file)
     return _print_read(client, "/v1/audit", {}, json)
 
 
+def _verify_audit(file: str) -> int:
+    """Return 0 if the exported records in ``file`` form a whole chain."""
+    try:
+        rows = json.loads(Path(file).read_text(encoding="utf-8"))
+        records = [AuditRecord(**row) for row in rows]
+        fault = verify_chain(records)
+    except (ValueError, TypeError, OSError) as error:
+        raise WagtailrunError(f"{file}: not an export of the audit trail") from error
+    print(f"{printable(file)}: {fault or f'{len(records)} records, chain is whole'}")
+    return EXIT_REFUSED if fault else EXIT_DONE
+
+
 def replay(file: str, *, json: bool = False) -> int:
     """Replay a trace and say whether its outcomes hold.
 
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/operator_api.py
@@ -245,10 +245,7 @@
 
     async def _audit(self, query: dict[str, str]) -> Response:
         _only(query, "limit")
-        rows = audit_rows(self.registry)
-        if rows is None:
-            return _unavailable("this member keeps no audit records")
-        return _rows(rows, query)
+        return _rows(audit_rows(self.registry), query)
 
 
 def _query(text: str) -> dict[str, str]:
--- a/wagtailrun/operator_views.py
+++ b/wagtailrun/operator_views.py
@@ -68,23 +68,6 @@
     ]
 
 
-def audit_rows(registry: Registry) -> list[dict[str, Any]] | None:
-    """Return the audit records, oldest first; None if the registry keeps none.
-
-    The records are attrs objects; their fields become the columns.
-    """
-    records = getattr(registry, "audit_records", None)
-    if records is None:
-        return None
-    return [_plain(attrs.asdict(record, recurse=False)) for record in records]
-
-
-def _plain(row: dict[str, Any]) -> dict[str, Any]:
-    return {
-        name: value.hex() if isinstance(value, bytes) else _number_or_text(value)
-        for name, value in row.items()
-    }
-
-
-def _number_or_text(value: Any) -> Any:
-    return value if isinstance(value, bool | int | None) else str(value)
+def audit_rows(registry: Registry) -> list[dict[str, Any]]:
+    """Return the audit records that are kept, oldest first."""
+    return [attrs.asdict(record) for record in registry.audit_records]
