--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -232,8 +232,7 @@
         if cached is not None and cached[1] and now_ms - cached[0] < USABLE_CACHE_MS:
             return cached[1]
         # The router prefers local targets and asks whether the service may leave.
-        rows = self.membership.usable(service, now_ms)
-        rows += self.membership.fallback(service, now_ms)
+        rows = self.membership.candidates(service, now_ms)
         self.usable_by_service[service] = (now_ms, rows)
         if rows:
             self.outage_since_ms_by_service.pop(service, None)
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -205,23 +205,31 @@
 
     def usable(self, service: str, now_ms: int) -> list[TargetRow]:
         """Return the local targets of ``service`` that may be given new work."""
-        return [row for row in self._usable(service, now_ms) if self.is_local(row)]
+        return [row for row in self.candidates(service, now_ms) if self.is_local(row)]
 
     def fallback(self, service: str, now_ms: int) -> list[TargetRow]:
         """Return the usable targets of ``service`` in other data centres."""
-        return [row for row in self._usable(service, now_ms) if not self.is_local(row)]
+        return [
+            row for row in self.candidates(service, now_ms) if not self.is_local(row)
+        ]
 
     def is_local(self, row: TargetRow) -> bool:
         """Return whether the target is in the own data centre."""
         return not self.data_centre or row.data_centre == self.data_centre
 
-    def _usable(self, service: str, now_ms: int) -> Iterator[TargetRow]:
-        for row in self.rows_by_service.get(service, {}).values():
-            if row.leaving or row.silent:
-                continue
-            if self.watched_since_ms is None and self.is_overdue(row.name, now_ms):
-                continue
-            yield row
+    def candidates(self, service: str, now_ms: int) -> list[TargetRow]:
+        """Return the usable targets of ``service`` in all data centres."""
+        rows = self.rows_by_service.get(service, {}).values()
+        able = [row for row in rows if not (row.leaving or row.silent)]
+        if self.watched_since_ms is not None or self.unconfirmed:
+            return able
+        # As ``is_overdue`` says; a call for each of 250 rows would take longer than
+        # the decision that needs them.
+        oldest_ms = now_ms - TARGET_SILENCE_MS
+        if self.silence_start_ms > oldest_ms:
+            return able
+        heard_ms = self.heard_ms_by_name
+        return [row for row in able if heard_ms[row.name] > oldest_ms]
 
     def is_overdue(
         self, name: str, now_ms: int, limit_ms: int = TARGET_SILENCE_MS
