Count crossed answers; answer prompts with lone surrogates; fuzz announcements

Cause: (1) answers to another attempt were dropped but not counted, and no test delivered them over HTTP. (2) found in the read-through: a prompt of 1,024 characters or more with a lone surrogate, which JSON allows, raised UnicodeEncodeError and was answered with 500. (3) stub targets reported their load at once and no cache events. Ruled out: refusing such prompts (targets may accept them). Any announcement is kept or explained (100 drawn ones). Conclusion: wagtailrun_crossed_answers exports the count; stub targets report load one interval late and cache events with gaps.

--- a/demo/stub_target.py
+++ b/demo/stub_target.py
@@ -12,12 +12,16 @@
 
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Request, Response, json_response
+from wagtailrun.affinity import prefix_hashes
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
 
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_MS = 1_000
 DEFAULT_TOKENS = 20
+MAX_REPORTED_CHANGES = 16
+# A block of the prefix hashes has 1,024 characters.
+TOKENS_PER_BLOCK = 256
 
 
 class StubTarget:
@@ -58,6 +62,12 @@
         self.runs_by_key: Counter[str] = Counter()
         self.calls_by_stage: Counter[str] = Counter()
         self.tokens_out = 0
+        # Load is reported one interval late, and every fourth report of cache events
+        # is left out, as real engines do.
+        self.late_load = {"running": 0, "queued": 0}
+        self.cached: set[int] = set()
+        self.cache_changes: list[str] = []
+        self.reported_changes = 0
         self.cancelled: set[str] = set()
 
     async def run(self) -> None:
@@ -85,6 +95,7 @@
                     break
                 except TargetFailed:
                     continue
+            self.late_load = {"running": self.running, "queued": 0}
             await curio.sleep(ANNOUNCE_INTERVAL_S)
 
     def row(self) -> dict:
@@ -97,9 +108,27 @@
             "capacity": 8,
             "incarnation": self.incarnation,
             "sequence": self.sequence,
-            "load": {"running": self.running, "queued": 0},
+            "load": {**self.late_load, "report_age_ms": int(ANNOUNCE_INTERVAL_S * 1e3)},
+            "cache_events": self.cache_events(),
         }
 
+    def cache_events(self) -> dict:
+        """Return the changes of the prefix cache since the last report."""
+        first = self.reported_changes + 1
+        changes = self.cache_changes[self.reported_changes :][:MAX_REPORTED_CHANGES]
+        self.reported_changes += len(changes)
+        if not changes or self.sequence % 4 == 0:
+            return {}
+        return {"first": first, "last": self.reported_changes, "prefixes": changes}
+
+    def take_prompt(self, prompt: str) -> int:
+        """Cache the prefixes of a prompt; return how many tokens were cached."""
+        hashes = prefix_hashes(prompt)
+        known = sum(value in self.cached for value in hashes)
+        self.cache_changes += [f"{v:x}" for v in hashes if v not in self.cached]
+        self.cached.update(hashes)
+        return known * TOKENS_PER_BLOCK
+
     async def handle(self, request: Request) -> Response:
         """Answer one call of an entry."""
         attempt = request.headers.get("wagtailrun-attempt", "")
@@ -162,6 +191,7 @@
     ) -> AsyncIterator[bytes]:
         self.running += 1
         subject = body["input"].get("prompt", "answer")
+        cached = self.take_prompt(subject)
         try:
             for position in range(offset, tokens):
                 if attempt in self.cancelled:
@@ -171,6 +201,7 @@
                 token = {"offset": position, "text": f"{subject}-{position} "}
                 yield f"event: token\ndata: {json.dumps(token)}\n\n".encode()
             done = {"tokens": tokens, "tokens_in": len(subject), "engine_ms": tokens}
+            done["tokens_cached"] = cached
             yield f"event: done\ndata: {json.dumps(done)}\n\n".encode()
         finally:
             self.running -= 1
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -127,6 +127,14 @@
     assert booked(targets)["target-failed"] == 1
 
 
+def test_prompt_that_is_not_unicode_is_answered():
+    """Guards against an error on the lone surrogates that JSON allows."""
+    body = json.dumps({"prompt": "\ud800" * 2_000}).encode()
+    response, data, _ = answer(request(PIPELINE, body))
+    assert response.status == 200
+    assert b"event: done" in data
+
+
 def test_order_without_a_key_is_sent_once():
     """Guards against a second run of an order whose first run has failed."""
     response, data, targets = answer(request(ORDER), failure=1.0)
--- a/tests/test_target_api.py
+++ b/tests/test_target_api.py
@@ -3,6 +3,8 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bench.gossip_cluster import TEXT
 from wagtailrun.adapters.http_server import Request
@@ -104,3 +106,24 @@
     """Guards against an interface that answers what it does not serve."""
     assert send(BODY, path="/v1/targets/other")[0] == 404
     assert send(BODY, method="GET")[0] == 405
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(sorted(BODY)) | st.text(max_size=6),
+        st.none()
+        | st.booleans()
+        | st.integers()
+        | st.floats()
+        | st.text(max_size=12)
+        | st.dictionaries(st.sampled_from(["running", "first", "prefixes"]), st.text())
+        | st.lists(st.integers(), max_size=2),
+        max_size=4,
+    )
+)
+def test_any_announcement_is_kept_or_explained(changes):
+    """Guards against an exception, or half a row, on any announcement."""
+    status, value, api = send(BODY | changes)
+    kept = bool(api.membership.targets_by_name)
+    assert (status == 200) == kept
+    assert kept or (status == 400 and value["verdict"] == "not-run")
--- a/wagtailrun/adapters/http_target.py
+++ b/wagtailrun/adapters/http_target.py
@@ -45,6 +45,8 @@
     def __init__(self, client: HttpClient, silence_ms: int = 30_000):
         self.client = client
         self.silence_ms = silence_ms
+        # Answers to another attempt than the one sent, which were dropped.
+        self.crossed_answers = 0
 
     async def call(self, address: Address, attempt: Attempt) -> StageAnswer:
         """Run a stage or call and return its whole answer."""
@@ -58,7 +60,7 @@
             timeout_ms=timeout_ms,
             fresh=attempt.fresh,
         )
-        _check_reply(attempt, reply.status, reply.headers)
+        self._check_reply(attempt, reply.status, reply.headers)
         return _answer(reply.status, reply.headers, reply.body)
 
     async def stream(
@@ -75,7 +77,7 @@
             timeout_ms=timeout_ms,
             fresh=attempt.fresh,
         ) as stream:
-            _check_reply(attempt, stream.status, stream.headers)
+            self._check_reply(attempt, stream.status, stream.headers)
             events = ServerSentEvents()
             done = False
             while piece := await stream.read(timeout_ms):
@@ -99,6 +101,24 @@
         except TargetFailed:
             return
 
+    def _check_reply(
+        self, attempt: Attempt, status: int, headers: dict[str, str]
+    ) -> None:
+        """Raise TargetFailed unless the reply is the answer to ``attempt``."""
+        echoed = headers.get("wagtailrun-attempt")
+        if echoed != str(attempt.number):
+            self.crossed_answers += 1
+            detail = f"answer to attempt {echoed} received for {attempt.number}"
+            raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+        if 200 <= status < 300:
+            return
+        not_run = headers.get("wagtailrun-verdict") == Verdict.NOT_RUN
+        raise TargetFailed(
+            f"target answered with status {status}",
+            verdict=Verdict.NOT_RUN if not_run else Verdict.MAY_HAVE_RUN,
+            retry_after_ms=_count(headers, "retry-after") * MS_PER_SECOND,
+        )
+
 
 def _headers(attempt: Attempt) -> tuple[tuple[str, str], ...]:
     headers = [
@@ -113,22 +133,6 @@
     return (*headers, *attempt.headers)
 
 
-def _check_reply(attempt: Attempt, status: int, headers: dict[str, str]) -> None:
-    """Raise TargetFailed unless the reply is the answer to ``attempt``."""
-    if headers.get("wagtailrun-attempt") != str(attempt.number):
-        echoed = headers.get("wagtailrun-attempt")
-        detail = f"answer to attempt {echoed} received for attempt {attempt.number}"
-        raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
-    if 200 <= status < 300:
-        return
-    not_run = headers.get("wagtailrun-verdict") == Verdict.NOT_RUN
-    raise TargetFailed(
-        f"target answered with status {status}",
-        verdict=Verdict.NOT_RUN if not_run else Verdict.MAY_HAVE_RUN,
-        retry_after_ms=_count(headers, "retry-after") * MS_PER_SECOND,
-    )
-
-
 def _answer(status: int, headers: dict[str, str], body: bytes) -> StageAnswer:
     return StageAnswer(
         status=status,
--- a/wagtailrun/affinity.py
+++ b/wagtailrun/affinity.py
@@ -37,7 +37,9 @@
     hashes = []
     end = min(len(prompt) // BLOCK_CHARACTERS, MAX_BLOCKS) * BLOCK_CHARACTERS
     for start in range(0, end, BLOCK_CHARACTERS):
-        digest.update(prompt[start : start + BLOCK_CHARACTERS].encode())
+        block = prompt[start : start + BLOCK_CHARACTERS]
+        # JSON allows lone surrogates, which UTF-8 does not.
+        digest.update(block.encode("utf-8", "surrogatepass"))
         hashes.append(digest.intdigest())
     return tuple(hashes)
 
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -265,7 +265,7 @@
                     return
                 events = []
                 for token in item:
-                    digest.update(token.text.encode())
+                    digest.update(token.text.encode("utf-8", "surrogatepass"))
                     events.append(_token_event(token, digest))
                 if item[-1].last:
                     ended = True
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -101,10 +101,11 @@
             self.trace,
         )
         self.http = HttpClient(self.clock)
+        self.client = HttpTargetClient(self.http)
         self.dispatcher = make_dispatcher(
             self.clock,
             self.membership,
-            HttpTargetClient(self.http),
+            self.client,
             name=settings.name,
             data_centre=settings.data_centre,
             probe=self._answers_anew,
@@ -201,6 +202,7 @@
             self.metrics.revision.set(self.gossip.version[1])
             self.metrics.active.set(self.caller_server.active_requests)
             self.metrics.rows.set(len(self.accounts.table.rows_by_key))
+            self.metrics.crossed.set(self.client.crossed_answers)
             self._count_targets()
             await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
 
--- a/wagtailrun/metrics.py
+++ b/wagtailrun/metrics.py
@@ -56,6 +56,9 @@
         self.revision = self._gauge("revision", "Revision of the fleet text in force.")
         self.active = self._gauge("active_requests", "Requests under way.")
         self.rows = self._gauge("account_rows", "Account rows held in memory.")
+        self.crossed = self._gauge(
+            "crossed_answers", "Answers to another attempt, which were dropped."
+        )
         self.targets = self._gauge(
             "usable_targets", "Targets that may be given new work.", ["service"]
         )
