End a daemon with a clear error when it cannot listen

Cause: found in the read-through: an entry whose port was taken logged 'stopped' and ended with exit code 0, because a failing task ends the group without its error. Ruled out: looking at the ports beforehand (another process may take them between). Before / after: exit code 0 before; 2 with 'cannot listen on IP:PORT' as last line now (test_occupied_address_is_named). Any task of an entry that fails ends the process with its error, as on a control member. The constructor of Entry is split into short methods; absl no longer warns before each log.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -9,7 +9,7 @@
 import curio
 import pytest
 
-from demo.processes import Fleet, request
+from demo.processes import Fleet, free_addresses, request
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.exceptions import TargetFailed
 
@@ -208,3 +208,16 @@
         return json.loads(request(engine, "GET", "/v1/state").body)["model"]
 
     wait_until(lambda: loaded() == "demo-model")
+
+
+def test_occupied_address_is_named(fleet):
+    """Guards against a daemon that ends with exit code 0, or without saying why."""
+    taken = fleet.caller_by_name["east-entry-1"]
+    free = [
+        f"--{side}-address={address}"
+        for side, address in zip(("target", "peer"), free_addresses(2), strict=True)
+    ]
+    flags = ["--name=a", "--data-centre=b", f"--caller-address={taken}", *free]
+    result = fleet.command("entry", *flags)
+    assert result.returncode == 2
+    assert f"cannot listen on {taken}" in result.stderr.splitlines()[-1]
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -9,6 +9,7 @@
 import h11
 
 from wagtailrun import events
+from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.ports.link import Address
@@ -175,10 +176,12 @@
         self.idle_sockets: set[Any] = set()
 
     async def serve(self) -> None:
-        """Accept connections until cancelled."""
-        await curio.tcp_server(
-            self.address.host, self.address.port, self._serve_connection
-        )
+        """Accept connections until cancelled.
+
+        Raises:
+            SettingsError: If the address cannot be listened on.
+        """
+        await listen(self.address, self._serve_connection)
 
     async def close_idle(self) -> None:
         """Close the keep-alive connections that carry no request."""
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -10,6 +10,7 @@
 import curio
 
 from wagtailrun import events
+from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -170,7 +171,7 @@
         except (OSError, EOFError, curio.TaskTimeout):
             return
 
-    await curio.tcp_server(address.host, address.port, serve_connection)
+    await listen(address, serve_connection)
 
 
 async def _answer(handler: Callable[[Any], Awaitable[Any]], frame: bytes) -> bytes:
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -14,7 +14,7 @@
 import attrs
 import curio
 import defopt
-from absl import logging
+from absl import flags, logging
 
 from wagtailrun.audit import verify_chain
 from wagtailrun.cli_client import Answer, NoAnswer, OperatorClient
@@ -510,6 +510,8 @@
     # curio warns of each operation that ends shortly after its timeout; that is
     # handled, and lines without a number are not in the catalogue.
     std_logging.getLogger("curio").setLevel(std_logging.ERROR)
+    # absl takes no flags here, but it warns until its own are parsed.
+    flags.FLAGS(["wagtailrun"])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     try:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -17,8 +17,9 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.control_client import ControlClient
 from wagtailrun.cost_cells import Source
-from wagtailrun.dispatch import make_dispatcher
+from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.exceptions import Refusal, TargetFailed
+from wagtailrun.fleet import FleetText
 from wagtailrun.gossip import GossipNode
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import Membership
@@ -57,22 +58,9 @@
         self.stop_signals = 0
         self.started_ms = self.clock.now_ms()
         self.link = TcpPeerLink(settings.peer_secret)
-        self.control = ControlClient(self.clock, self.link, settings.control_peers)
         self.membership = Membership(settings.data_centre)
-        self.gossip = GossipNode(
-            self.clock,
-            self.link,
-            self.membership,
-            EntryRow(
-                settings.name,
-                settings.peer_address,
-                settings.data_centre,
-                self.incarnation,
-            ),
-            settings.entry_peers,
-            settings.control_peers,
-            settings.gossip_interval_ms,
-        )
+        self.gossip = self._make_gossip()
+        self.metrics = Metrics()
         self.accounts = Accounts(
             self.clock,
             self.link,
@@ -82,66 +70,91 @@
             settings.accounts_interval_ms,
             seed=self.incarnation,
         )
-        self.metrics = Metrics()
-        self.trace = None
-        if settings.trace_file:
-            self.trace = TraceRecorder(
-                settings.trace_file,
-                self.clock,
-                settings.name,
-                settings.data_centre,
-                lambda: self.gossip.fleet,
-                lambda: self.membership.targets_by_name.values(),
-            )
+        self.trace = self._make_trace() if settings.trace_file else None
         self.recorder = Recorder(
-            self.clock,
-            self.accounts,
-            self.metrics,
-            lambda: self.gossip.fleet,
-            self.trace,
+            self.clock, self.accounts, self.metrics, self._fleet, self.trace
         )
         self.http = HttpClient(self.clock)
         self.client = HttpTargetClient(self.http)
-        self.dispatcher = make_dispatcher(
+        self.dispatcher = self._make_dispatcher()
+        control = ControlClient(self.clock, self.link, settings.control_peers)
+        self.orders = OrderRunner(
+            self.clock, control, self.dispatcher, settings.name, self.incarnation
+        )
+        self.caller_server = self._make_caller_server()
+        self.target_server = self._make_target_server()
+
+    def _fleet(self) -> FleetText | None:
+        """Return the text in force."""
+        return self.gossip.fleet
+
+    def _make_gossip(self) -> GossipNode:
+        settings = self.settings
+        own = EntryRow(
+            settings.name,
+            settings.peer_address,
+            settings.data_centre,
+            self.incarnation,
+        )
+        return GossipNode(
+            self.clock,
+            self.link,
+            self.membership,
+            own,
+            settings.entry_peers,
+            settings.control_peers,
+            settings.gossip_interval_ms,
+        )
+
+    def _make_trace(self) -> TraceRecorder:
+        return TraceRecorder(
+            self.settings.trace_file,
+            self.clock,
+            self.settings.name,
+            self.settings.data_centre,
+            self._fleet,
+            self.membership.targets_by_name.values,
+        )
+
+    def _make_dispatcher(self) -> Dispatcher:
+        return make_dispatcher(
             self.clock,
             self.membership,
             self.client,
-            name=settings.name,
-            data_centre=settings.data_centre,
+            name=self.settings.name,
+            data_centre=self.settings.data_centre,
             probe=self._answers_anew,
             observer=self.recorder,
             seed=self.incarnation,
             entries=self.gossip.peers.live_names,
             may_leave=self._may_leave,
         )
-        self.orders = OrderRunner(
-            self.clock, self.control, self.dispatcher, settings.name, self.incarnation
-        )
+
+    def _make_caller_server(self) -> HttpServer:
         runner = PipelineRunner(self.clock, self.dispatcher)
-        self.callers = CallerApi(
+        callers = CallerApi(
             self.clock,
-            lambda: self.gossip.fleet,
+            self._fleet,
             runner,
             self.dispatcher,
             self.orders,
             self.is_ready,
             self.recorder,
         )
-        targets = TargetApi(
-            self.clock,
-            self.membership,
-            lambda: self.gossip.fleet,
-            self.gossip.push_goodbye,
-        )
-        self.caller_server = HttpServer(
-            settings.caller_address,
-            self.callers.handle,
-            on_refusal=self._book_refusal,
-        )
-        self.target_server = HttpServer(settings.target_address, targets.handle)
+        address = self.settings.caller_address
+        return HttpServer(address, callers.handle, on_refusal=self._book_refusal)
+
+    def _make_target_server(self) -> HttpServer:
+        goodbye = self.gossip.push_goodbye
+        targets = TargetApi(self.clock, self.membership, self._fleet, goodbye)
+        return HttpServer(self.settings.target_address, targets.handle)
 
     async def run(self) -> None:
-        """Serve until a planned stop has ended."""
+        """Serve until a planned stop has ended.
+
+        Raises:
+            SettingsError: If an address cannot be listened on.
+        """
         events.log(events.PROCESS_STARTED, role="entry", name=self.settings.name)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._drain_on_signal)
@@ -158,6 +171,8 @@
             await group.spawn(self._update_gauges)
             if self.trace is not None:
                 await group.spawn(self.trace.run)
+        if group.exception is not None:
+            raise group.exception
         events.log(events.PROCESS_STOPPED, role="entry", name=self.settings.name)
 
     def is_ready(self) -> bool:
