--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -182,6 +182,33 @@
     assert with_server(handler, client) == Verdict.MAY_HAVE_RUN
 
 
+def test_slow_caller_slows_only_its_own_stream():
+    """Guards against a caller who reads nothing and fills the memory of the process."""
+    produced = []
+
+    async def pieces():
+        for _ in range(10_000):
+            produced.append(1)
+            yield b"x" * 10_000
+
+    async def handler(request):
+        return Response(200, pieces()) if request.path == "/x" else await echo(request)
+
+    async def client(address, server):
+        slow = await curio.open_connection(address.host, address.port)
+        await slow.sendall(GOOD)
+        http = HttpClient()
+        for _ in range(20):
+            reply = await http.request(address, "GET", "/y", timeout_ms=TIMEOUT_MS)
+            assert reply.status == 200
+            await curio.sleep(0.01)
+        await slow.close()
+
+    with_server(handler, client)
+    # 10,000 pieces are 100 MB; what was produced is in the buffers of two sockets.
+    assert len(produced) < 5_000
+
+
 def test_handler_is_cancelled_when_the_caller_leaves():
     """Guards against work that goes on for a caller who has gone."""
     cancelled = curio.Event()
