Build the work of a call in one place; remove code that nothing uses

Cause: found in a last read of the whole change. The replay and the interface for callers built the same eleven fields of a call; the count of usable targets walked the rows of a service twice; ExpectedTimeRouter._in_time, HttpClient.drop_idle and the class Cell had no user left. Ruled out: dropping the outer deadline of deadlines.py (a probe of a silent target may outlast the deadline by 500 ms); removing the gossip hook, which changes the schema and its tests. Before / after: two copies, now Work.for_call; two passes, now one.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -196,11 +196,6 @@
         else:
             await connection.sock.close()
 
-    async def drop_idle(self, address: Address) -> None:
-        """Close the idle connections to ``address``."""
-        for connection in self.idle_by_address.pop(address, []):
-            await connection.sock.close()
-
 
 async def _send(
     connection: _Connection,
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -192,18 +192,9 @@
         if isinstance(common, Refusal):
             return common
         workspace, body, deadline_at_ms = common
-        work = Work(
-            service=service.name,
-            path=f"/v1/calls/{call.name}",
-            body=json.dumps(body, sort_keys=True).encode(),
-            request_id=scope.request_id,
-            workspace=workspace.name,
-            deadline_at_ms=deadline_at_ms,
-            idempotent=call.idempotent,
-            may_wait=call.may_wait,
-            priority=workspace.priority,
-            share=workspace.share,
-            stage=call.name,
+        data = json.dumps(body, sort_keys=True).encode()
+        work = Work.for_call(
+            service.name, call, workspace, data, scope.request_id, deadline_at_ms
         )
         result = await self._run_call(request, call, work)
         if isinstance(result, Refusal):
--- a/wagtailrun/cost_cells.py
+++ b/wagtailrun/cost_cells.py
@@ -11,7 +11,6 @@
 
 __all__ = [
     "MS_PER_MINUTE",
-    "Cell",
     "CellTable",
     "Column",
     "Measure",
@@ -117,15 +116,6 @@
     measure: str
 
 
-class Cell(NamedTuple):
-    """One counter of one source, with its value."""
-
-    source: Source
-    key: RowKey
-    column: Column
-    value: int
-
-
 @attrs.frozen
 class Usage:
     """What one attempt consumed."""
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -225,10 +225,11 @@
         fleet = self.gossip.fleet
         now_ms = self.clock.now_ms()
         for service in fleet.services_by_name if fleet else ():
-            count = len(self.membership.usable(service, now_ms))
             if self._may_leave(service):
-                count += len(self.membership.fallback(service, now_ms))
-            self.metrics.set_targets(service, count)
+                rows = self.membership.candidates(service, now_ms)
+            else:
+                rows = self.membership.usable(service, now_ms)
+            self.metrics.set_targets(service, len(rows))
 
     async def _drain_on_signal(self) -> None:
         """Wait for SIGTERM, then end the process without cutting a request."""
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -221,18 +221,13 @@
         deadline_at_ms = self._deadline(arrival, call.deadline_ms)
         workspace = self.fleet.workspaces_by_name[arrival["workspace"]]
         body = {"order_key": arrival.get("key", "")}
-        work = Work(
-            service=arrival["service"],
-            path=f"/v1/calls/{call.name}",
-            body=json.dumps(body).encode(),
-            request_id=outcome.request_id,
-            workspace=workspace.name,
-            deadline_at_ms=deadline_at_ms,
-            idempotent=call.idempotent,
-            may_wait=call.may_wait,
-            priority=workspace.priority,
-            share=workspace.share,
-            stage=call.name,
+        work = Work.for_call(
+            arrival["service"],
+            call,
+            workspace,
+            json.dumps(body).encode(),
+            outcome.request_id,
+            deadline_at_ms,
         )
         result = await entry.dispatcher.call(work)
         if isinstance(result, Refusal):
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -345,13 +345,6 @@
         known = self.known_by_name.get(row.name)
         return known is not None and known.unreachable_version == row.version
 
-    def _in_time(self, expected_ms: float, work: "Work") -> bool:
-        later_ms = sum(
-            self.estimates.total_ms(service, stage, work.size_class) or 0
-            for service, stage in work.later
-        )
-        return self.clock.now_ms() + expected_ms + later_ms <= work.deadline_at_ms
-
     def expected_ms(self, row: TargetRow, work: "Work | None", now_ms: int) -> float:
         """Return the expected time to completion at ``row``, in milliseconds.
 
--- a/wagtailrun/work.py
+++ b/wagtailrun/work.py
@@ -3,6 +3,7 @@
 import attrs
 
 from wagtailrun.estimates import size_class
+from wagtailrun.fleet import Call, Workspace
 
 __all__ = ["Work"]
 
@@ -51,3 +52,28 @@
     def size_class(self) -> tuple[int, int]:
         """Class by which times are estimated."""
         return size_class(self.size or len(self.body), self.max_tokens)
+
+    @classmethod
+    def for_call(
+        cls,
+        service: str,
+        call: Call,
+        workspace: Workspace,
+        body: bytes,
+        request_id: str,
+        deadline_at_ms: int,
+    ) -> "Work":
+        """Return the work of one call of a plain service."""
+        return cls(
+            service=service,
+            path=f"/v1/calls/{call.name}",
+            body=body,
+            request_id=request_id,
+            workspace=workspace.name,
+            deadline_at_ms=deadline_at_ms,
+            idempotent=call.idempotent,
+            may_wait=call.may_wait,
+            priority=workspace.priority,
+            share=workspace.share,
+            stage=call.name,
+        )
