--- a/Makefile
+++ b/Makefile
@@ -7,11 +7,11 @@
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.lock pyproject.toml
+$(VENV)/.installed: requirements.lock requirements-dev.lock pyproject.toml
 	@$(PYTHON) -c 'import sys; sys.exit(sys.version_info[:2] != (3, 11))' || \
 	  { echo "wagtailrun needs CPython 3.11 (curio 1.6 fails on 3.12 and later); set PYTHON=/path/to/python3.11" >&2; exit 1; }
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet -r requirements-dev.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $@
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -11,13 +11,15 @@
 from wagtailrun import events
 from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.exceptions import AnswerBroken, Refusal, RefusalReason, Verdict
 from wagtailrun.ports.link import Address
 
 __all__ = [
+    "HttpHandler",
     "HttpServer",
     "Request",
     "Response",
+    "ServerLimits",
     "json_response",
     "refusal_response",
 ]
@@ -36,6 +38,8 @@
     RefusalReason.MALFORMED: 400,
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.UNAUTHORIZED: 401,
+    RefusalReason.UNKNOWN_KEY: 401,
+    RefusalReason.UNKNOWN_ROUTE: 404,
     RefusalReason.UNKNOWN_WORKSPACE: 403,
     RefusalReason.UNKNOWN_PIPELINE: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
@@ -64,6 +68,8 @@
         headers: Header values by lower-case name; the last one of a name.
         body: Whole body.
         peer: Address of the client.
+        target: Path and query as they were received.
+        header_pairs: Headers as they were received, in order.
     """
 
     method: str
@@ -72,6 +78,8 @@
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b""
     peer: str = ""
+    target: bytes = b""
+    header_pairs: tuple[tuple[bytes, bytes], ...] = ()
 
 
 @attrs.frozen
@@ -80,13 +88,32 @@
 
     Attributes:
         status: HTTP status.
-        body: Whole body, or an async iterator of pieces for a chunked answer.
+        body: Whole body, or an async iterator of pieces.
         headers: Pairs of header name and value.
+        length: Size of an iterated body; None sends it in chunks.
     """
 
     status: int
     body: bytes | AsyncIterator[bytes] = b""
-    headers: tuple[tuple[str, str], ...] = ()
+    headers: tuple[tuple[str | bytes, str | bytes], ...] = ()
+    length: int | None = None
+
+
+@attrs.frozen
+class ServerLimits:
+    """What clients of a server may send and how long they may take.
+
+    Attributes:
+        header_bytes: Largest request head.
+        body_bytes: Largest request body.
+        header_ms: Longest time for a request head to arrive.
+        idle_ms: How long a connection may stay idle.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_ms: int
+    idle_ms: int
 
 
 HttpHandler = Callable[[Request], Awaitable[Response]]
@@ -157,6 +184,7 @@
         handler: Answers each request.
         max_body_bytes: Largest accepted body, in bytes.
         on_refusal: Told of requests that are refused before the handler sees them.
+        limits: Returns the limits in force; by default those of this module.
     """
 
     def __init__(
@@ -165,7 +193,9 @@
         handler: HttpHandler,
         max_body_bytes: int = MAX_BODY_BYTES,
         on_refusal: Callable[[Refusal], Awaitable[None]] | None = None,
+        limits: Callable[[], ServerLimits] | None = None,
     ):
+        self.limits = limits or self._default_limits
         self.address = address
         self.handler = handler
         self.max_body_bytes = max_body_bytes
@@ -183,6 +213,14 @@
         """
         await listen(self.address, self._serve_connection)
 
+    def _default_limits(self) -> ServerLimits:
+        return ServerLimits(
+            header_bytes=MAX_HEADER_BYTES,
+            body_bytes=self.max_body_bytes,
+            header_ms=REQUEST_TIMEOUT_MS,
+            idle_ms=REQUEST_TIMEOUT_MS,
+        )
+
     async def close_idle(self) -> None:
         """Close the keep-alive connections that carry no request."""
         for sock in list(self.idle_sockets):
@@ -196,6 +234,9 @@
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             # The client is gone or takes nothing; there is nobody to tell.
             return
+        except AnswerBroken:
+            # Whoever broke it off has logged why; the missing end shows the client.
+            return
         except Exception as error:
             # Closing without the final chunk shows the client that the answer is cut.
             events.log(events.HANDLER_FAILED, detail=repr(error))
@@ -210,12 +251,14 @@
         self.server = server
         self.sock = sock
         self.peer = peer
+        self.limits = server.limits()
         self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
 
     async def run(self) -> None:
         while True:
+            self.limits = self.server.limits()
             try:
                 request = await self._read_in_time()
             except RequestRejected as error:
@@ -225,10 +268,8 @@
                 return
             self.server.active_requests += 1
             try:
-                response = await self._handle(request)
-                if response is None:
+                if not await self._serve(request):
                     return
-                await self._send(response, close=self.server.draining)
             finally:
                 self.server.active_requests -= 1
             if self.http.our_state is not h11.DONE:
@@ -244,59 +285,91 @@
 
     async def _read_in_time(self) -> Request | None:
         """Return the next request, or None when the client closed or sent nothing."""
+        if not await self._wait_for_bytes():
+            return None
+        detail = f"the request head was not complete within {self.limits.header_ms} ms"
         try:
+            async with curio.timeout_after(self.limits.header_ms / MS_PER_SECOND):
+                head = await self._read(self._read_head)
+            detail = f"the request was not complete within {REQUEST_TIMEOUT_MS} ms"
+            if head is None:
+                return None
             async with curio.timeout_after(REQUEST_TIMEOUT_MS / MS_PER_SECOND):
-                request = await self._read_request()
+                body = await self._read(self._read_body)
         except curio.TaskTimeout as error:
-            if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
-                return None
-            detail = f"the request was not complete within {REQUEST_TIMEOUT_MS} ms"
             raise RequestRejected(detail, REQUEST_TIMEOUT_STATUS) from error
-        if request is not None and self.server.connections > MAX_CONNECTIONS:
+        if self.server.connections > MAX_CONNECTIONS:
             detail = f"more than {MAX_CONNECTIONS} connections are open"
             refusal = Refusal(
                 RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS
             )
             await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
             return None
-        return request
+        return self._request(head, body)
+
+    async def _wait_for_bytes(self) -> bool:
+        """Wait for the first bytes of a request; return False if none came."""
+        if self.http.trailing_data[0]:
+            return True
+        if self.server.draining:
+            return False
+        self.server.idle_sockets.add(self.sock)
+        try:
+            async with curio.timeout_after(self.limits.idle_ms / MS_PER_SECOND):
+                data = await self.sock.recv(READ_BYTES)
+        except curio.TaskTimeout:
+            return False
+        finally:
+            self.server.idle_sockets.discard(self.sock)
+        self.http.receive_data(data)
+        return bool(data)
+
+    async def _read(self, part: Callable[[], Awaitable[Any]]) -> Any:
+        """Return a part of the request.
 
-    async def _read_request(self) -> Request | None:
-        """Return the next request, or None when the client closed."""
+        Raises:
+            RequestRejected: If the bytes are no acceptable request.
+        """
         try:
-            head = await self._read_head()
-            if head is None:
-                return None
-            body = await self._read_body()
+            return await part()
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             if status not in (413, 431):
                 status = 400
             raise RequestRejected(str(error), status) from error
+
+    def _request(self, head: h11.Request, body: bytes) -> Request:
         path, _, query = head.target.decode("latin-1").partition("?")
         headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
         }
-        method = head.method.decode("ascii")
-        return Request(method, path, query, headers, body, self.peer)
+        return Request(
+            method=head.method.decode("ascii"),
+            path=path,
+            query=query,
+            headers=headers,
+            body=body,
+            peer=self.peer,
+            target=head.target,
+            header_pairs=tuple(head.headers.raw_items()),
+        )
 
     async def _read_head(self) -> h11.Request | None:
-        idle = self.http.trailing_data[0] == b""
-        if idle and self.server.draining:
-            return None
-        if idle:
-            self.server.idle_sockets.add(self.sock)
-        try:
-            event = await self._next_event()
-        finally:
-            self.server.idle_sockets.discard(self.sock)
+        event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
         # h11 applies its own limit only to a head that arrives in several pieces.
         size = len(event.target) + sum(len(n) + len(v) for n, v in event.headers)
-        if size > MAX_HEADER_BYTES:
-            raise RequestRejected(f"headers exceed {MAX_HEADER_BYTES} bytes", 431)
+        if size > self.limits.header_bytes:
+            limit = self.limits.header_bytes
+            raise RequestRejected(f"headers exceed {limit} bytes", 431)
+        names = {name for name, _ in event.headers}
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # Two servers on the way may read different lengths, and one of them
+            # would take the rest of the body for a request of its own.
+            detail = "the request has both Content-Length and Transfer-Encoding"
+            raise RequestRejected(detail, 400)
         return event
 
     async def _read_body(self) -> bytes:
@@ -306,8 +379,8 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > self.server.max_body_bytes:
-                    limit = self.server.max_body_bytes
+                if size > self.limits.body_bytes:
+                    limit = self.limits.body_bytes
                     raise RequestRejected(f"body exceeds {limit} bytes", 413)
                 pieces.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -325,27 +398,35 @@
                 await self._write(self.http.send(info))
             self.http.receive_data(await self.sock.recv(READ_BYTES))
 
-    async def _handle(self, request: Request) -> Response | None:
-        """Return the handler's answer, or None if the client left meanwhile."""
-        task = await curio.spawn(self.server.handler, request)
+    async def _serve(self, request: Request) -> bool:
+        """Answer a request; return False if the client left meanwhile."""
+        task = await curio.spawn(self._respond, request)
         watcher = await curio.spawn(self._watch_disconnect, task, daemon=True)
         try:
-            return await task.join()
+            await task.join()
         except curio.TaskError as error:
             if isinstance(error.__cause__, curio.TaskCancelled):
-                return None
-            events.log(events.HANDLER_FAILED, detail=repr(error.__cause__))
-            refusal = Refusal(
-                RefusalReason.INTERNAL,
-                Verdict.MAY_HAVE_RUN,
-                "the request failed inside the system",
-            )
-            return refusal_response(refusal)
+                return False
+            raise error.__cause__ from error
         except curio.CancelledError:
             await task.cancel()
             raise
         finally:
             await watcher.cancel()
+        return True
+
+    async def _respond(self, request: Request) -> None:
+        try:
+            response = await self.server.handler(request)
+        except Exception as error:
+            events.log(events.HANDLER_FAILED, detail=repr(error))
+            refusal = Refusal(
+                RefusalReason.INTERNAL,
+                Verdict.MAY_HAVE_RUN,
+                "the request failed inside the system",
+            )
+            response = refusal_response(refusal)
+        await self._send(response, close=self.server.draining)
 
     async def _watch_disconnect(self, task: curio.Task) -> None:
         try:
@@ -372,11 +453,14 @@
         await self._send_stream(response, headers)
 
     async def _send_stream(self, response: Response, headers: list) -> None:
-        headers.append(("Transfer-Encoding", "chunked"))
+        if response.length is None:
+            headers.append(("Transfer-Encoding", "chunked"))
+        else:
+            headers.append(("Content-Length", str(response.length)))
         head = h11.Response(status_code=response.status, headers=headers)
-        await self._write(self.http.send(head))
         pieces = response.body
         try:
+            await self._write(self.http.send(head))
             async for piece in pieces:
                 await self._write(self.http.send(h11.Data(piece)))
         finally:
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -10,6 +10,7 @@
 import curio
 
 from wagtailrun import events
+from wagtailrun.adapters.http_client import watch_path
 from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.codec import decode, encode
@@ -25,7 +26,8 @@
 DIGEST_BYTES = 32
 HANDSHAKE_TIMEOUT_MS = 2_000
 IDLE_TIMEOUT_MS = 60_000
-MAX_IDLE_CONNECTIONS_PER_PEER = 4
+# Calls that wait for a stage hold a connection each for a third of a second.
+MAX_IDLE_CONNECTIONS_PER_PEER = 16
 # Well under IDLE_TIMEOUT_MS, so that a pooled connection is not reused while the
 # server closes it.
 MAX_POOLED_AGE_MS = 20_000
@@ -130,6 +132,7 @@
                 return sock
             await sock.close()
         sock = await curio.open_connection(address.host, address.port)
+        watch_path(sock)
         try:
             await _handshake_client(sock, self.secret)
         except BaseException:
--- a/wagtailrun/clock.py
+++ b/wagtailrun/clock.py
@@ -31,8 +31,12 @@
     """Clock of the operating system."""
 
     def now_ms(self) -> int:
-        """Return monotonic time in milliseconds."""
-        return time.monotonic_ns() // NS_PER_MS
+        """Return monotonic time in milliseconds, with the time spent suspended.
+
+        CLOCK_MONOTONIC stands still while a VM is suspended, so a lease measured on
+        it would outlast the promise that it rests on.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -32,6 +32,8 @@
     REGISTRY = 2
     GOSSIP = 3
     ACCOUNTS = 4
+    DISCOVERY = 5
+    STAGES = 6
 
 
 def camel_case(name: str) -> str:
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -15,6 +15,8 @@
     Entry,
     EntryKind,
     Join,
+    ReadIndex,
+    ReadIndexReply,
     SnapshotHeader,
     SnapshotPiece,
     VoteRequest,
@@ -26,6 +28,7 @@
     ConsensusUnavailable,
     DiskFault,
     MessageError,
+    PeerUnreachable,
 )
 from wagtailrun.following import Following
 from wagtailrun.journal import Journal
@@ -46,6 +49,8 @@
 MAX_WAITING_PROPOSALS = 1_024
 # Applied without a pause; more would delay heartbeats.
 ENTRIES_PER_TURN = 32
+# A quarter of a heartbeat: an election ends between two tries, not within one.
+READ_RETRY_PAUSE_MS = 50
 
 
 @attrs.define
@@ -76,6 +81,9 @@
             Later, names that may join.
         seed: Seed of the election timeouts and the incarnation; by default random.
         timing: Timing, the same at all members.
+        open_joining: Whether members with names outside ``bootstrap`` may join.
+        min_voters: A voter that is silent for ``REMOVE_AFTER_SILENCE_MS`` is removed
+            while more voters than this remain; 0 never removes one.
     """
 
     def __init__(
@@ -91,6 +99,8 @@
         bootstrap: Sequence[tuple[str, Address]] = (),
         seed: int | None = None,
         timing: Timing | None = None,
+        open_joining: bool = False,
+        min_voters: int = 0,
     ):
         self.clock = clock
         self.link = link
@@ -101,6 +111,8 @@
         self.bootstrap = dict(bootstrap)
         self.random = random.SystemRandom() if seed is None else random.Random(seed)
         self.timing = timing or Timing()
+        self.open_joining = open_joining
+        self.min_voters = min_voters
         self.journal = Journal(disk)
         self.journal.on_durable = self._on_durable
         self.journal.on_fault = self.fail
@@ -255,6 +267,45 @@
         if not self.is_leader:
             raise self._unavailable("this member does not lead")
 
+    async def read_barrier(self, timeout_ms: int) -> None:
+        """Return once the local state holds all that was committed before, anywhere.
+
+        A follower asks the leader for its commit index and waits until it has applied
+        that much, so every member can answer reads that are never stale.
+
+        Raises:
+            ConsensusUnavailable: If no leader with a valid lease answered in time.
+        """
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                index = await self._leader_commit_index()
+                while self.applied_index < index:
+                    await self.applied.wait()
+        except curio.TaskTimeout as error:
+            raise self._unavailable("the read was not confirmed in time") from error
+
+    async def _leader_commit_index(self) -> int:
+        while True:
+            if self.is_leader:
+                return self.commit_index
+            address = self.known_leader_address
+            if self.role is Role.FOLLOWER and address is not None:
+                request = ReadIndex(self.identity)
+                try:
+                    reply = await self.link.call(
+                        address, request, self.timing.call_timeout_ms
+                    )
+                except PeerUnreachable:
+                    reply = None
+                if isinstance(reply, ReadIndexReply) and reply.valid:
+                    return reply.index
+            await self.clock.sleep_ms(READ_RETRY_PAUSE_MS)
+
+    def _handle_read_index(self) -> ReadIndexReply:
+        if self.is_leader:
+            return ReadIndexReply(True, self.commit_index)
+        return ReadIndexReply(False, 0)
+
     async def handle(self, message: Any) -> Any:
         """Answer one message of another member.
 
@@ -278,6 +329,8 @@
                 return await self.election.handle_vote(message)
             case Join():
                 return self.membership.handle_join(message)
+            case ReadIndex():
+                return self._handle_read_index()
         raise MessageError(f"{type(message).__name__} is not answered here")
 
     @property
--- a/wagtailrun/consensus_messages.py
+++ b/wagtailrun/consensus_messages.py
@@ -20,6 +20,8 @@
     "MemberInfo",
     "MemberRecord",
     "PieceReply",
+    "ReadIndex",
+    "ReadIndexReply",
     "SnapshotHeader",
     "SnapshotPiece",
     "VoteReply",
@@ -243,10 +245,37 @@
 
 @attrs.frozen
 class JoinReply:
-    """Answer to ``Join``; ``cluster`` is empty at a member that has none yet."""
+    """Answer to ``Join``.
+
+    Attributes:
+        identity: Identity of the answering member.
+        cluster: Its cluster, empty at a member that has none yet.
+        peers: Peer addresses of the members that it knows.
+    """
 
     identity: str
     cluster: str
+    peers: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ReadIndex:
+    """Asks the leader what is committed, so that a follower can answer reads."""
+
+    sender: str
+
+
+@attrs.frozen
+class ReadIndexReply:
+    """Answer to ``ReadIndex``.
+
+    Attributes:
+        valid: Whether the sender leads under a valid lease.
+        index: Its commit index; 0 if not valid.
+    """
+
+    valid: bool
+    index: int
 
 
 CODEC = Codec(
@@ -261,6 +290,8 @@
         JoinReply,
         MemberRecord,
         PieceReply,
+        ReadIndex,
+        ReadIndexReply,
         SnapshotHeader,
         SnapshotPiece,
         VoteReply,
--- a/wagtailrun/control_service.py
+++ b/wagtailrun/control_service.py
@@ -25,6 +25,7 @@
     NotLeader,
     OpenOrder,
     PutEngineOrder,
+    PutText,
     RecordMembers,
     SweepOrders,
     TextVerdict,
@@ -67,6 +68,8 @@
         match message:
             case ApplyText():
                 return await self._apply_text(message)
+            case PutText():
+                return await self._put_text(message)
             case (
                 OpenOrder()
                 | CloseOrder()
@@ -124,6 +127,19 @@
         difference = _difference(self.registry, message.text)
         return attrs.evolve(verdict, difference=difference)
 
+    async def _put_text(self, message: PutText) -> Any:
+        """Commit a text of a higher version; an older one waits for no disk."""
+        if not self.log.is_leader:
+            return self._not_leader()
+        if message.version > self.registry.revision:
+            return await self.propose(message)
+        try:
+            await self.log.barrier(PROPOSE_TIMEOUT_MS)
+        except ConsensusUnavailable as error:
+            return _unavailable(error)
+        detail = f"revision {self.registry.revision} is in force"
+        return TextVerdict(False, self.registry.revision, detail)
+
     async def _ask(self, message: FindOrder | ListOrders | ExportAudit) -> Any:
         """Answer a question from state that holds every earlier commit."""
         if not self.log.is_leader:
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -36,6 +36,7 @@
         action: What the operator does; the catalogue holds the same.
         limited: Whether repeated lines are suppressed. Changes of state are rare and
             every one of them matters.
+        per_second: Lines a second before repeated ones are suppressed.
     """
 
     number: int
@@ -43,6 +44,7 @@
     meaning: str
     action: str = "Nothing."
     limited: bool = True
+    per_second: int = 1
 
 
 def _event(
@@ -52,8 +54,9 @@
     action: str = "Nothing.",
     *,
     limited: bool = True,
+    per_second: int = 1,
 ) -> Event:
-    event = Event(number, level, meaning, action, limited)
+    event = Event(number, level, meaning, action, limited, per_second)
     if number in EVENTS_BY_NUMBER:
         raise ValueError(f"event number {number} is taken")
     EVENTS_BY_NUMBER[number] = event
@@ -147,8 +150,84 @@
 )
 
 
+# Lines of requests: an entry of the users' installations takes about 10 requests a
+# second, and 50 a second bound the volume in a flood.
+REQUEST_LINES = 50
+TEXT_APPLIED = _event(
+    600, logging.INFO, "A newer fleet text is in force here.", limited=False
+)
+TEXT_UNREADABLE = _event(
+    601,
+    logging.ERROR,
+    "An accepted fleet text cannot be read here; the older one stays in force.",
+    "Compare the versions of the processes.",
+    limited=False,
+)
+TEXT_DECIDED = _event(
+    602, logging.INFO, "A change of the fleet text was decided.", per_second=50
+)
+NOT_CONFIRMED = _event(
+    603,
+    logging.WARNING,
+    "The leader did not confirm what is in force.",
+    "If it goes on, check the control members: keys expire at the entries.",
+)
+TARGET_CHANGED = _event(
+    610, logging.INFO, "What is believed of a target changed.", limited=False
+)
+ENTRY_CHANGED = _event(611, logging.INFO, "An entry came or went.", limited=False)
+PEER_LOST = _event(
+    620,
+    logging.WARNING,
+    "Another process of the system does not answer.",
+    "If it goes on, check that process and the path to it.",
+    per_second=10,
+)
+PEER_REGAINED = _event(
+    621, logging.INFO, "Another process of the system answers again.", per_second=10
+)
+SETTINGS_RELOADED = _event(
+    622, logging.INFO, "The settings were read again.", limited=False
+)
+READY_CHANGED = _event(
+    623, logging.INFO, "The process became ready, or is no longer.", limited=False
+)
+MEMBER_RESTARTED = _event(
+    624,
+    logging.WARNING,
+    "The replicated log starts again after a fault of its disk.",
+    "Check the disk.",
+    limited=False,
+)
+DISK_DISCARDED = _event(
+    625,
+    logging.ERROR,
+    "The files of the replicated log are damaged; the member joins with an empty disk.",
+    "Check the disk; the other members hold the data.",
+    limited=False,
+)
+RELAY_REFUSED = _event(
+    700, logging.INFO, "A request was not admitted.", per_second=REQUEST_LINES
+)
+RELAY_ENDED = _event(
+    701, logging.INFO, "A relayed request ended.", per_second=REQUEST_LINES
+)
+ATTEMPT_FAILED = _event(
+    702, logging.INFO, "An attempt at a target failed.", per_second=REQUEST_LINES
+)
+STAGE_CALL = _event(
+    710, logging.INFO, "A call of a stage ended.", per_second=REQUEST_LINES
+)
+PIECES_REFUSED = _event(
+    711, logging.INFO, "The pieces of a step were given up.", per_second=REQUEST_LINES
+)
+FREE_FAILED = _event(
+    712, logging.INFO, "A target was not told of results that were given up."
+)
+
+
 class EventLog:
-    """Writes events, at most one line a second for each.
+    """Writes events, at most ``per_second`` lines a second for each.
 
     Args:
         write: Takes level, format and arguments of a line.
@@ -162,7 +241,10 @@
     ):
         self.write = write
         self.now_s = now_s
-        self.written_s_by_number: dict[int, float] = {}
+        # Start of the current second of each event, and its lines so far.
+        self.windows_by_number: dict[int, tuple[float | None, int]] = {}
+        self.put_line: Callable[[str], None] | None = None
+        self.process = ""
         self.suppressed_by_number: dict[int, int] = {}
         self.counts_by_number: dict[int, int] = {}
 
@@ -173,21 +255,52 @@
         """
         number = event.number
         self.counts_by_number[number] = self.counts_by_number.get(number, 0) + 1
-        now_s = self.now_s()
-        written_s = self.written_s_by_number.get(number)
-        recent = written_s is not None and now_s - written_s < INTERVAL_S
-        if event.limited and recent:
+        if event.limited and not self._may_write(event):
             suppressed = self.suppressed_by_number.get(number, 0) + 1
             self.suppressed_by_number[number] = suppressed
             return
-        self.written_s_by_number[number] = now_s
         suppressed = self.suppressed_by_number.pop(number, 0)
         shown = {name: _shown(name, value) for name, value in fields.items()}
         if suppressed:
             shown["suppressed"] = suppressed
+        if self.put_line is not None:
+            self.put_line(self._json_line(event, shown))
+            return
         text = json.dumps(shown, default=str, sort_keys=True)[:MAX_LINE_LENGTH]
         self.write(event.level, "E%04d %s %s", number, event.meaning, text)
 
+    def _may_write(self, event: Event) -> bool:
+        """Whether the event has a line left in this second."""
+        now_s = self.now_s()
+        started_s, lines = self.windows_by_number.get(event.number, (None, 0))
+        if started_s is None or now_s - started_s >= INTERVAL_S:
+            started_s, lines = now_s, 0
+        if lines >= event.per_second:
+            return False
+        self.windows_by_number[event.number] = (started_s, lines + 1)
+        return True
+
+    def _json_line(self, event: Event, shown: dict[str, Any]) -> str:
+        line = {
+            "time": round(time.time(), 3),
+            "process": self.process,
+            "event": event.number,
+            "level": LEVEL_NAMES[event.level],
+            "message": event.meaning,
+            **shown,
+        }
+        return json.dumps(line, default=str)[:MAX_LINE_LENGTH]
+
+    def use_json_lines(self, put_line: Callable[[str], None], process: str) -> None:
+        """Write each event as one JSON object from now on.
+
+        Args:
+            put_line: Takes a line; must not block.
+            process: Name of this process, in every line.
+        """
+        self.put_line = put_line
+        self.process = process
+
     def flush(self) -> None:
         """Write how many lines were suppressed since the last line of each event."""
         for number, suppressed in sorted(self.suppressed_by_number.items()):
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = [
+    "AnswerBroken",
     "ConsensusUnavailable",
     "ConnectFailed",
     "CorruptRecord",
@@ -40,6 +41,9 @@
     UNKNOWN_CALL = "unknown-call"
     UNAUTHORIZED = "unauthorized"
     NO_CONFIGURATION = "no-configuration"
+    KEYS_UNCONFIRMED = "keys-unconfirmed"
+    UNKNOWN_ROUTE = "unknown-route"
+    UNKNOWN_KEY = "unknown-key"
     OVERLOADED = "overloaded"
     SHARE_EXCEEDED = "share-exceeded"
     DEADLINE = "deadline"
@@ -161,6 +165,10 @@
         self.retry_after_ms = retry_after_ms
 
 
+class AnswerBroken(WagtailrunError):
+    """An answer that has begun cannot be completed; its connection is closed."""
+
+
 class ConnectFailed(TargetFailed):
     """No connection could be opened, so no byte was sent."""
 
--- a/wagtailrun/fleet.py
+++ b/wagtailrun/fleet.py
@@ -8,6 +8,7 @@
 import attrs
 
 from wagtailrun.exceptions import FleetTextError
+from wagtailrun.routes import RouteTable, table_from_document
 
 __all__ = [
     "Call",
@@ -155,6 +156,7 @@
         pipelines_by_name: Pipelines.
         workspaces_by_name: Workspaces.
         document: The parsed text as it was written.
+        relay: Routes for requests that are passed on unchanged, if the text has any.
     """
 
     name: str
@@ -164,6 +166,7 @@
     pipelines_by_name: dict[str, Pipeline]
     workspaces_by_name: dict[str, Workspace]
     document: dict[str, Any] = attrs.field(repr=False, eq=False)
+    relay: RouteTable | None = None
 
 
 class _Table:
@@ -294,6 +297,7 @@
         pipelines_by_name=_pipelines(root),
         workspaces_by_name=_workspaces(root),
         document=document,
+        relay=_relay(root, faults),
     )
     head.close()
     root.close()
@@ -309,6 +313,17 @@
     return fleet
 
 
+def _relay(root: _Table, faults: list[str]) -> RouteTable | None:
+    table = root.table("relay")
+    if not table.value:
+        return None
+    try:
+        return table_from_document(table.value)
+    except FleetTextError as error:
+        faults.extend(error.faults)
+        return None
+
+
 def _services(root: _Table) -> dict[str, Service]:
     services = {}
     for name, table in root.tables("services").items():
--- a/wagtailrun/membership_change.py
+++ b/wagtailrun/membership_change.py
@@ -23,10 +23,16 @@
 
 __all__ = ["MembershipChange"]
 
-JOIN_INTERVAL_MS = 500
-CHANGE_INTERVAL_MS = 500
-# An identity that answered more recently than this is alive and is not replaced.
-REPLACE_AFTER_SILENCE_MS = 2_000
+# Joining, dropping the lost identity and the promotion are up to four steps in a row;
+# with 500 ms for each a replaced member missed a catch-up time of 4 s.
+JOIN_INTERVAL_MS = 250
+CHANGE_INTERVAL_MS = 200
+# An identity that answered more recently than this is alive and is not replaced; five
+# heartbeats.
+REPLACE_AFTER_SILENCE_MS = 1_000
+# Longer than a restart of a process takes; a member that was removed in error joins
+# again by itself.
+REMOVE_AFTER_SILENCE_MS = 3_000
 # A learner that is silent for this long is dropped; it asks again if it lives.
 DROP_LEARNER_AFTER_MS = 30_000
 FOUNDING_TERM = 1
@@ -43,6 +49,9 @@
         self.member = member
         self.joining_by_name: dict[str, Join] = {}
         self.learner_since_ms: dict[str, int] = {}
+        self.leading_since_ms = 0
+        # Members that others named, so that a newcomer finds the leader from any seed.
+        self.told_addresses: set[Address] = set()
 
     # A member without a configuration
 
@@ -56,7 +65,8 @@
 
     async def _ask_to_join(self) -> None:
         member = self.member
-        addresses = {*member.peers, *member.bootstrap.values()} - {member.address}
+        addresses = {*member.peers, *member.bootstrap.values(), *self.told_addresses}
+        addresses.discard(member.address)
         request = Join(member.identity, str(member.address))
         replies_by_address: dict[Address, JoinReply] = {}
         for address in sorted(addresses):
@@ -68,6 +78,7 @@
                 continue
             if isinstance(reply, JoinReply):
                 replies_by_address[address] = reply
+                self.told_addresses.update(map(Address.parse, reply.peers))
         if self._may_found(replies_by_address):
             await self._found(replies_by_address)
 
@@ -123,10 +134,12 @@
         """Note the request if this member leads; tell the own identity and cluster."""
         member = self.member
         name = name_of(request.identity)
-        known = {info.name for info in member.configuration.members}
-        if member.is_leader and name in known | set(member.bootstrap):
+        members = member.configuration.members
+        known = {info.name for info in members} | set(member.bootstrap)
+        if member.is_leader and (member.open_joining or name in known):
             self.joining_by_name[name] = request
-        return JoinReply(member.identity, member.journal.record.cluster)
+        peers = tuple(info.address for info in members)
+        return JoinReply(member.identity, member.journal.record.cluster, peers)
 
     # The leader
 
@@ -135,6 +148,7 @@
         member = self.member
         self.joining_by_name.clear()
         self.learner_since_ms.clear()
+        self.leading_since_ms = member.clock.now_ms()
         while member.replication.leads(term):
             index, configuration = member.journal.configuration_at(
                 member.journal.last_index
@@ -155,7 +169,23 @@
             name, request = self.joining_by_name.popitem()
             if self._may_join(current, name, request):
                 return self._with_learner(current, name, request)
-        return None
+        return self._without_silent_voter(current)
+
+    def _without_silent_voter(self, current: Configuration) -> Configuration | None:
+        """Drop the voter that is silent for longest, if enough others remain.
+
+        A VM that is gone for good would otherwise count in every quorum for ever, and
+        the next loss would leave none.
+        """
+        member = self.member
+        voters = [info for info in current.members if info.voter]
+        if not member.min_voters or len(voters) <= member.min_voters:
+            return None
+        leading_ms = member.clock.now_ms() - self.leading_since_ms
+        info = max(voters, key=self._silent_ms)
+        if min(self._silent_ms(info), leading_ms) < REMOVE_AFTER_SILENCE_MS:
+            return None
+        return Configuration(tuple(m for m in current.members if m != info))
 
     def _may_join(self, current: Configuration, name: str, request: Join) -> bool:
         """Whether no living member has the name, or the identity itself is new."""
--- a/wagtailrun/registry.py
+++ b/wagtailrun/registry.py
@@ -30,6 +30,7 @@
     OrderVerdict,
     PeriodVerdict,
     PutEngineOrder,
+    PutText,
     RecordMembers,
     SweepOrders,
     Swept,
@@ -69,6 +70,7 @@
     def __init__(self) -> None:
         self.handlers_by_class = {
             ApplyText: self._apply_text,
+            PutText: self._put_text,
             OpenOrder: self._open_order,
             CloseOrder: self._close_order,
             SweepOrders: self._sweep_orders,
@@ -80,6 +82,10 @@
         }
         self._clear()
 
+    def reset(self) -> None:
+        """Forget everything, before the log is read again."""
+        self._clear()
+
     def _clear(self) -> None:
         self.text = ""
         self.revision = 0
@@ -171,6 +177,24 @@
         )
         return verdict
 
+    def _put_text(self, command: PutText) -> TextVerdict:
+        if command.version <= self.revision:
+            detail = f"revision {self.revision} is in force"
+            return TextVerdict(False, self.revision, detail)
+        before = self.revision
+        self.text = command.text
+        self.revision = command.version
+        text_digest = hashlib.sha256(command.text.encode()).hexdigest()
+        self._audit(
+            command,
+            who=command.operator,
+            source=command.source,
+            before_revision=before,
+            verdict="accepted",
+            subject=f"version {command.version} text {text_digest}",
+        )
+        return TextVerdict(True, self.revision)
+
     def _judge_text(self, command: ApplyText) -> TextVerdict:
         if command.base_revision != self.revision:
             detail = f"the current revision is {self.revision}"
--- a/wagtailrun/registry_messages.py
+++ b/wagtailrun/registry_messages.py
@@ -31,6 +31,7 @@
     "OrderVerdict",
     "PeriodVerdict",
     "PutEngineOrder",
+    "PutText",
     "RecordMembers",
     "SweepOrders",
     "Swept",
@@ -96,6 +97,28 @@
     fault: str = ""
 
 
+@attrs.frozen
+class PutText:
+    """Replaces the fleet text if its version is higher than the one in force.
+
+    The sender numbers the texts, so a resend and a change that a higher version has
+    overtaken need no record: both change nothing.
+
+    Attributes:
+        version: Number that the sender gave the text, from 1.
+        operator: Who asks.
+        source: Address that the change came from.
+        text: Whole new text, checked by the member that received it.
+        now_ms: Wall time of the leader, in milliseconds.
+    """
+
+    version: int
+    operator: str
+    source: str
+    text: str
+    now_ms: int
+
+
 @attrs.frozen
 class TextVerdict:
     """Result of ``ApplyText``.
@@ -524,6 +547,7 @@
         OrderVerdict,
         PeriodVerdict,
         PutEngineOrder,
+        PutText,
         RecordMembers,
         SweepOrders,
         Swept,
--- /dev/null
+++ b/wagtailrun/relay/attempts.py
@@ -0,0 +1,282 @@
+"""Attempts of relayed requests at targets: one at a time, repeated where allowed."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import curio
+
+from wagtailrun import events
+from wagtailrun.adapters.http_client import HttpClient, HttpStream
+from wagtailrun.adapters.http_server import Response
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.discovery import FleetView
+from wagtailrun.exceptions import (
+    ConnectFailed,
+    Refusal,
+    RefusalReason,
+    TargetFailed,
+    Verdict,
+)
+from wagtailrun.membership import TargetRow
+from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.port import AnswerHead, AttemptOrder, RelayWire
+from wagtailrun.retries import RetryBudget
+
+__all__ = ["Attempt", "RelayAttempts"]
+
+# Links within and between the data centres of a region take under 5 ms; a lost opening
+# packet is sent again after a second, which is longer than trying another target.
+CONNECT_MS = 300
+# A repeatable request is tried elsewhere when this part of its time is over; the tail
+# of the calls on the users' sheets is five times their mean, inside one aim.
+PATIENCE_OF_AIM = 1.0
+PATIENCE_OF_REST = 0.5
+MIN_PATIENCE_MS = 60
+# Refusals by targets that told that they are full.
+RETRY_AFTER_MS = 300
+# Answers to earlier requests that are skipped on one connection.
+MAX_CROSSED = 2
+
+
+@attrs.define
+class Attempt:
+    """One attempt whose answer has begun.
+
+    Attributes:
+        row: Target.
+        stream: The answer.
+        head: What its head says.
+        started_ms: When the request was sent.
+    """
+
+    row: TargetRow
+    stream: HttpStream
+    head: AnswerHead
+    started_ms: int
+
+
+class RelayAttempts:
+    """Sends requests to targets.
+
+    Args:
+        clock: Clock.
+        view: What this entry knows of the fleet.
+        wire: Translates requests and answers.
+        http: Connections to targets.
+        chooser: Chooses targets.
+        budget: Pays for repeated attempts.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        view: FleetView,
+        wire: RelayWire,
+        http: HttpClient,
+        chooser: TargetChooser,
+        budget: RetryBudget,
+    ):
+        self.clock = clock
+        self.view = view
+        self.wire = wire
+        self.http = http
+        self.chooser = chooser
+        self.budget = budget
+        self.crossed_answers = 0
+
+    async def call(self, job: RelayJob) -> Response | Refusal:
+        """Return the whole answer of a target, or why there is none."""
+        fallback: Response | None = None
+        while True:
+            row = self.next_target(job)
+            if isinstance(row, Refusal):
+                return fallback or row
+            try:
+                async with (
+                    curio.timeout_after(self._patience_ms(job) / MS_PER_SECOND),
+                    self.open(job, row) as attempt,
+                ):
+                    body = await attempt.stream.read_all(self.remaining_ms(job))
+            except curio.TaskTimeout:
+                self.chooser.failed(row)
+                error = TargetFailed("no answer in time", verdict=Verdict.MAY_HAVE_RUN)
+                refusal = self.after_failure(job, row, error)
+            except TargetFailed as error:
+                refusal = self.after_failure(job, row, error)
+            else:
+                answer = Response(attempt.head.status, body, attempt.head.headers)
+                if self.is_good(attempt.head):
+                    job.first_ms = self.clock.now_ms()
+                    self._note_success(job, attempt)
+                    return answer
+                if attempt.head.genuine and not attempt.head.not_run:
+                    fallback = answer
+                refusal = self.after_bad_answer(job, attempt)
+            if refusal is not None:
+                return fallback or refusal
+
+    # Parts that streams share
+
+    def remaining_ms(self, job: RelayJob) -> int:
+        """Return the time left for a request; at least 1 ms."""
+        return max(job.end_at_ms - self.clock.now_ms(), 1)
+
+    def next_target(self, job: RelayJob) -> TargetRow | Refusal:
+        """Return the target of the next attempt, or why there is none."""
+        if self.clock.now_ms() >= job.end_at_ms:
+            verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+            return Refusal(RefusalReason.DEADLINE, verdict, job.detail)
+        if job.workspace and not self.view.is_fresh and not job.runs:
+            detail = f"keys confirmed {self.view.confirmation_age_ms} ms ago"
+            return Refusal(
+                RefusalReason.KEYS_UNCONFIRMED, Verdict.NOT_RUN, detail, RETRY_AFTER_MS
+            )
+        rows = self.view.targets(job.service)
+        row = self.chooser.choose(
+            rows,
+            job.tried,
+            parts=job.request.parts,
+            prompt_tokens=job.request.prompt_tokens,
+            result_bytes_by_data_centre=job.result_bytes(),
+        )
+        if row is None:
+            verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+            detail = job.detail or f"no target of {job.service} is known"
+            return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
+        return row
+
+    def _patience_ms(self, job: RelayJob) -> int:
+        """Return how long an attempt may take before another one is made."""
+        rest_ms = self.remaining_ms(job)
+        if not job.route.repeatable or job.runs + 1 >= job.route.max_attempts:
+            return rest_ms
+        aim_ms = PATIENCE_OF_AIM * (job.aim_at_ms - job.arrived_ms)
+        patience_ms = max(min(aim_ms, PATIENCE_OF_REST * rest_ms), MIN_PATIENCE_MS)
+        return min(int(patience_ms), rest_ms)
+
+    @asynccontextmanager
+    async def open(
+        self, job: RelayJob, row: TargetRow, last_event_id: int | None = None
+    ) -> AsyncIterator[Attempt]:
+        """Send the request to ``row`` and yield the answer once its head is there.
+
+        Raises:
+            TargetFailed: If there is no answer to this request.
+        """
+        rest_ms = self.remaining_ms(job)
+        order = AttemptOrder(
+            target=row.name,
+            workspace=job.workspace,
+            remaining_ms=rest_ms,
+            urgency=job.urgency,
+            inputs=job.inputs,
+            last_event_id=last_event_id,
+        )
+        request = job.request
+        started_ms = self.clock.now_ms()
+        job.tried.append(row.name)
+        job.arrivals += 1
+        # Counted before the send: whatever happens from here on, it may have run.
+        job.runs += 1
+        self.chooser.started(row, request.parts, request.prompt_tokens)
+        try:
+            async with self.http.open(
+                row.address,
+                job.http.method,
+                job.http.target,
+                self.wire.attempt_headers(request, order),
+                job.http.body,
+                timeout_ms=rest_ms,
+                # A request on a connection that the target has just closed may have
+                # run, and an answer to an earlier one may still be on its way.
+                fresh=not job.route.repeatable,
+                host=request.host,
+                connect_ms=min(CONNECT_MS, rest_ms),
+            ) as stream:
+                stream, head = await self._own_answer(job, stream)
+                if head.load is not None:
+                    self.chooser.told_load(row, head.load)
+                yield Attempt(row, stream, head, started_ms)
+        finally:
+            self.chooser.ended(row)
+
+    async def _own_answer(
+        self, job: RelayJob, stream: HttpStream
+    ) -> tuple[HttpStream, AnswerHead]:
+        """Return the answer to this request, past late answers to earlier ones."""
+        for _ in range(MAX_CROSSED):
+            head = self.wire.answer(stream)
+            if head.request_id == job.request.request_id or not head.request_id:
+                return stream, head
+            self.crossed_answers += 1
+            stream = await stream.next_answer(self.remaining_ms(job))
+        raise TargetFailed("answers to other requests", verdict=Verdict.MAY_HAVE_RUN)
+
+    def is_good(self, head: AnswerHead) -> bool:
+        """Whether an answer is a success of the target itself."""
+        return 200 <= head.status < 300 and head.genuine
+
+    def after_failure(
+        self, job: RelayJob, row: TargetRow, error: TargetFailed
+    ) -> Refusal | None:
+        """Return why a request ends with a failed attempt, or None to try again."""
+        job.detail = f"{row.name}: {error}"
+        self._log_failure(job, row)
+        if isinstance(error, ConnectFailed):
+            job.runs -= 1
+            job.arrivals -= 1
+            self.chooser.unreachable(row)
+            return None
+        self.chooser.failed(row)
+        if not job.may_run_again:
+            reason = RefusalReason.TARGET_FAILED
+            if self.clock.now_ms() >= job.end_at_ms:
+                reason = RefusalReason.DEADLINE
+            return Refusal(reason, Verdict.MAY_HAVE_RUN, job.detail)
+        return self._pay(job)
+
+    def after_bad_answer(self, job: RelayJob, attempt: Attempt) -> Refusal | None:
+        """Return why a request ends with an answer, or None to try again."""
+        head, row = attempt.head, attempt.row
+        job.detail = f"{row.name} answered {head.status}"
+        self._log_failure(job, row)
+        if head.not_run or head.misdirected:
+            job.runs -= 1
+            self.chooser.rejected(row, head.misdirected)
+            return self._pay(job)
+        if head.status >= 500 or not head.genuine:
+            self.chooser.failed(row)
+        if not job.may_run_again or head.status < 500 and head.genuine:
+            return Refusal(
+                RefusalReason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, job.detail
+            )
+        return self._pay(job)
+
+    def _pay(self, job: RelayJob) -> Refusal | None:
+        """Take one more arrival from the shared budget."""
+        if self.budget.spend(job.service):
+            return None
+        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+        detail = f"no repeat is left for {job.service}; {job.detail}"
+        return Refusal(RefusalReason.TARGET_FAILED, verdict, detail, RETRY_AFTER_MS)
+
+    def _log_failure(self, job: RelayJob, row: TargetRow) -> None:
+        events.log(
+            events.ATTEMPT_FAILED,
+            request_id=job.request.request_id,
+            service=job.service,
+            target=row.name,
+            address=str(row.address),
+            attempt=len(job.tried),
+            runs=job.runs,
+            detail=job.detail,
+            remaining_ms=job.end_at_ms - self.clock.now_ms(),
+        )
+
+    def _note_success(self, job: RelayJob, attempt: Attempt) -> None:
+        took_ms = self.clock.now_ms() - attempt.started_ms
+        aim_ms = max(job.aim_at_ms - job.arrived_ms, 1)
+        # Half the aim is what a target that keeps up takes.
+        self.chooser.succeeded(attempt.row, took_ms / (aim_ms / 2))
--- /dev/null
+++ b/wagtailrun/relay/choice.py
@@ -0,0 +1,264 @@
+"""Chooses the target of an attempt of a relayed request."""
+
+import random
+from collections import OrderedDict, defaultdict
+from collections.abc import Collection, Iterable, Sequence
+
+import attrs
+
+from wagtailrun.clock import Clock
+from wagtailrun.membership import TargetRow
+from wagtailrun.relay.port import PromptPart, TargetLoad
+from wagtailrun.subset import rendezvous_rank
+
+__all__ = ["TargetChooser"]
+
+# A target that refuses connections is left alone for this long, doubling.
+FIRST_EJECTION_MS = 300
+MAX_EJECTION_MS = 2_500
+# Failures count half after this time, so that a target is tried again.
+FAILURE_HALF_LIFE_MS = 3_000
+FAILURE_WEIGHT = 0.35
+SLOWNESS_WEIGHT = 0.3
+SLOWNESS_HALF_LIFE_MS = 4_000
+MAX_SLOWNESS = 10.0
+# A load that came with an answer is believed for this long, ever less.
+LOAD_MEMORY_MS = 1_500
+# Prompt tokens that an engine reads in a millisecond, until it was measured.
+PREFILL_TOKENS_PER_MS = 60.0
+# Expected milliseconds that each quantity below adds; they only order targets.
+LOAD_MS = 120.0
+FULL_MS = 600.0
+FAILURE_MS = 1_500.0
+SLOW_MS = 250.0
+OTHER_DATA_CENTRE_MS = 8.0
+# Passing 1 MB of results between data centres takes about 1 ms on these links but
+# costs the operator far more than that.
+MS_PER_RESULT_MB = 30.0
+# Parts that this entry sent to a target stay there for about this many others.
+PARTS_KEPT = 256
+
+
+@attrs.define
+class _Known:
+    """What this entry knows of one target beside its row."""
+
+    incarnation: int = 0
+    in_flight: int = 0
+    load: TargetLoad | None = None
+    load_ms: int = 0
+    started_since: int = 0
+    failure: float = 0.0
+    failure_ms: int = 0
+    refusals: int = 0
+    ejected_until_ms: int = 0
+    slowness: float = 1.0
+    slowness_ms: int = 0
+    prefill_until_ms: float = 0.0
+    parts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+
+
+class TargetChooser:
+    """Orders the targets of a service by the time that an attempt is expected to take.
+
+    Args:
+        clock: Clock.
+        data_centre: Data centre of this entry.
+        seed: Seed of the choices among equal targets.
+    """
+
+    def __init__(self, clock: Clock, data_centre: str, seed: int | None = None):
+        self.clock = clock
+        self.data_centre = data_centre
+        self.random = random.Random(seed)
+        self.known_by_name: dict[str, _Known] = defaultdict(_Known)
+
+    def choose(
+        self,
+        rows: Sequence[TargetRow],
+        avoid: Collection[str] = (),
+        *,
+        parts: Sequence[PromptPart] = (),
+        prompt_tokens: int = 0,
+        result_bytes_by_data_centre: dict[str, int] | None = None,
+    ) -> TargetRow | None:
+        """Return the target of the next attempt, or None if there is none.
+
+        Args:
+            rows: Targets that may be given work.
+            avoid: Names of targets that were tried already; never returned.
+            parts: Parts of the prompt.
+            prompt_tokens: Tokens of the prompt.
+            result_bytes_by_data_centre: Where results are that the target needs.
+        """
+        left = [row for row in rows if row.name not in avoid]
+        if not left:
+            return None
+        sizes = result_bytes_by_data_centre or {}
+        total = sum(sizes.values())
+        homes = self.homes(rows, parts)
+
+        def cost(row: TargetRow) -> tuple[float, float]:
+            moved = total - sizes.get(row.data_centre, 0)
+            ms = self.expected_ms(row, parts, prompt_tokens, homes)
+            return ms + moved / 1e6 * MS_PER_RESULT_MB, self.random.random()
+
+        return min(left, key=cost)
+
+    def homes(
+        self, rows: Iterable[TargetRow], parts: Sequence[PromptPart]
+    ) -> frozenset[str]:
+        """Return the target at which all entries look for a shared part first.
+
+        The data centre is ranked before the target, so that each data centre gets an
+        equal part of the prompts whatever number of engines it has.
+        """
+        shared = parts[-2].name if len(parts) > 1 else ""
+        rows = list(rows)
+        if not shared or not rows:
+            return frozenset()
+        places = {row.data_centre for row in rows}
+        place = max(places, key=lambda name: rendezvous_rank(shared, name))
+        local = [row for row in rows if row.data_centre == place]
+        home = max(local, key=lambda row: rendezvous_rank(shared, row.name))
+        return frozenset([home.name])
+
+    def expected_ms(
+        self,
+        row: TargetRow,
+        parts: Sequence[PromptPart],
+        prompt_tokens: int,
+        homes: Collection[str] = (),
+    ) -> float:
+        """Return the expected time to the first result, for comparison only."""
+        now_ms = self.clock.now_ms()
+        known = self._known(row)
+        load = self._load(known, row, now_ms)
+        ms = LOAD_MS * load + FULL_MS * max(load - 1.0, 0.0)
+        ms += FAILURE_MS * self._failure(known, now_ms)
+        ms += SLOW_MS * (self._slowness(known, now_ms) - 1.0)
+        if row.data_centre != self.data_centre:
+            ms += OTHER_DATA_CENTRE_MS
+        if known.ejected_until_ms > now_ms:
+            ms += FULL_MS * 10
+        if prompt_tokens:
+            ms += max(known.prefill_until_ms - now_ms, 0.0)
+            unread = self.unread_tokens(row, parts, prompt_tokens, homes)
+            ms += unread / PREFILL_TOKENS_PER_MS
+        return ms
+
+    def unread_tokens(
+        self,
+        row: TargetRow,
+        parts: Sequence[PromptPart],
+        prompt_tokens: int,
+        homes: Collection[str] = (),
+    ) -> int:
+        """Return how many tokens of a prompt the target must probably read."""
+        known = self._known(row)
+        cached = 0
+        # The last part belongs to the request itself.
+        for part in parts[:-1]:
+            if part.name not in known.parts and row.name not in homes:
+                break
+            cached += part.tokens
+        return max(prompt_tokens - cached, 0)
+
+    def _known(self, row: TargetRow) -> _Known:
+        known = self.known_by_name[row.name]
+        if known.incarnation != row.incarnation:
+            known = _Known(incarnation=row.incarnation, in_flight=known.in_flight)
+            self.known_by_name[row.name] = known
+        return known
+
+    def _load(self, known: _Known, row: TargetRow, now_ms: int) -> float:
+        own = known.in_flight
+        slots = max(row.capacity, 1)
+        if known.load is None:
+            return own / slots
+        slots = max(known.load.slots, 1)
+        belief = max(1.0 - (now_ms - known.load_ms) / LOAD_MEMORY_MS, 0.0)
+        told = (known.load.running + known.load.waiting) * belief
+        return max(told + known.started_since, own) / slots
+
+    def _failure(self, known: _Known, now_ms: int) -> float:
+        age_ms = now_ms - known.failure_ms
+        return known.failure * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+
+    def _slowness(self, known: _Known, now_ms: int) -> float:
+        age_ms = now_ms - known.slowness_ms
+        decay = 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
+        return 1.0 + (known.slowness - 1.0) * decay
+
+    # What attempts show
+
+    def started(
+        self, row: TargetRow, parts: Sequence[PromptPart], prompt_tokens: int
+    ) -> None:
+        """Note that an attempt was given to ``row``."""
+        known = self._known(row)
+        known.in_flight += 1
+        known.started_since += 1
+        if prompt_tokens:
+            now_ms = self.clock.now_ms()
+            unread = self.unread_tokens(row, parts, prompt_tokens)
+            start_ms = max(known.prefill_until_ms, now_ms)
+            known.prefill_until_ms = start_ms + unread / PREFILL_TOKENS_PER_MS
+        for part in parts[:-1]:
+            known.parts[part.name] = None
+            known.parts.move_to_end(part.name)
+        while len(known.parts) > PARTS_KEPT:
+            known.parts.popitem(last=False)
+
+    def ended(self, row: TargetRow) -> None:
+        """Note that an attempt is over."""
+        known = self.known_by_name[row.name]
+        known.in_flight = max(known.in_flight - 1, 0)
+
+    def told_load(self, row: TargetRow, load: TargetLoad) -> None:
+        """Note the load that came with an answer."""
+        known = self._known(row)
+        known.load = load
+        known.load_ms = self.clock.now_ms()
+        known.started_since = 0
+
+    def succeeded(self, row: TargetRow, slowness: float) -> None:
+        """Note a good answer, and its time as a multiple of what is usual."""
+        known = self._known(row)
+        now_ms = self.clock.now_ms()
+        known.refusals = 0
+        known.ejected_until_ms = 0
+        known.failure = self._failure(known, now_ms) * (1.0 - FAILURE_WEIGHT)
+        known.failure_ms = now_ms
+        before = self._slowness(known, now_ms)
+        measured = min(max(slowness, 1.0), MAX_SLOWNESS)
+        known.slowness = before + SLOWNESS_WEIGHT * (measured - before)
+        known.slowness_ms = now_ms
+
+    def failed(self, row: TargetRow) -> None:
+        """Note an answer that was an error, cut off, or did not come."""
+        known = self._known(row)
+        now_ms = self.clock.now_ms()
+        before = self._failure(known, now_ms)
+        known.failure = before + FAILURE_WEIGHT * (1.0 - before)
+        known.failure_ms = now_ms
+
+    def unreachable(self, row: TargetRow) -> None:
+        """Note that no connection to ``row`` could be opened."""
+        known = self._known(row)
+        known.refusals += 1
+        backoff_ms = FIRST_EJECTION_MS << min(known.refusals - 1, 5)
+        now_ms = self.clock.now_ms()
+        known.ejected_until_ms = now_ms + min(backoff_ms, MAX_EJECTION_MS)
+        self.failed(row)
+
+    def rejected(self, row: TargetRow, misdirected: bool) -> None:
+        """Note that ``row`` did not take an attempt: it is full, or not there."""
+        known = self._known(row)
+        if misdirected:
+            known.ejected_until_ms = self.clock.now_ms() + MAX_EJECTION_MS
+        elif known.load is None or known.load.waiting == 0:
+            # It says that it is full but told no load: count it as just full.
+            known.load = TargetLoad(row.capacity, 0, max(row.capacity, 1))
+            known.load_ms = self.clock.now_ms()
+            known.started_since = 0
--- /dev/null
+++ b/wagtailrun/relay/metrics.py
@@ -0,0 +1,85 @@
+"""Counters and latencies of the relay as Prometheus text."""
+
+from collections.abc import Callable
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import SummaryMetricFamily
+
+from wagtailrun.events import EVENT_LOG
+from wagtailrun.exceptions import RefusalReason
+
+__all__ = ["RelayMetrics"]
+
+QUANTILES = (0.5, 0.95, 0.99)
+LONGEST_LATENCY_MS = 600_000
+# 17 KB a histogram; there is one for each kind of route and outcome.
+SIGNIFICANT_DIGITS = 2
+
+
+class RelayMetrics:
+    """Metrics of one relay process; no label value comes from a caller."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.latencies_by_label: dict[tuple[str, str], HdrHistogram] = {}
+        self.sums_by_label: dict[tuple[str, str], int] = {}
+        self.requests = Counter(
+            "wagtailrun_relay_requests",
+            "Requests by outcome and kind of route.",
+            ["outcome", "kind"],
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "wagtailrun_relay_refusals",
+            "Refused requests by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.registry.register(self)
+
+    def gauge(self, name: str, meaning: str, value: Callable[[], float]) -> None:
+        """Export a value that is read when the page is asked for."""
+        gauge = Gauge(f"wagtailrun_{name}", meaning, registry=self.registry)
+        gauge.set_function(value)
+
+    def refused(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self.refusals.labels(str(reason)).inc()
+
+    def ended(self, outcome: str, kind: str, took_ms: int) -> None:
+        """Count the end of a request and its time."""
+        self.requests.labels(outcome, kind).inc()
+        label = (outcome, kind)
+        latencies = self.latencies_by_label.get(label)
+        if latencies is None:
+            latencies = HdrHistogram(1, LONGEST_LATENCY_MS, SIGNIFICANT_DIGITS)
+            self.latencies_by_label[label] = latencies
+        latencies.record_value(max(1, min(took_ms, LONGEST_LATENCY_MS)))
+        self.sums_by_label[label] = self.sums_by_label.get(label, 0) + took_ms
+
+    def collect(self):
+        """Yield the latencies and the counts of log events."""
+        family = SummaryMetricFamily(
+            "wagtailrun_relay_latency_ms",
+            "Time from the request to its end.",
+            labels=["outcome", "kind"],
+        )
+        for label, latencies in self.latencies_by_label.items():
+            family.add_metric(label, latencies.total_count, self.sums_by_label[label])
+            for quantile in QUANTILES:
+                value = latencies.get_value_at_percentile(100 * quantile)
+                labels = {"outcome": label[0], "kind": label[1]}
+                labels["quantile"] = str(quantile)
+                family.add_sample(f"{family.name}", labels, value)
+        yield family
+        counts = SummaryMetricFamily(
+            "wagtailrun_events", "Log events by number.", labels=["number"]
+        )
+        for number, count in EVENT_LOG.counts_by_number.items():
+            counts.add_metric([str(number)], count, 0)
+        yield counts
+
+    def page(self) -> bytes:
+        """Return the Prometheus text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/wagtailrun/relay/process.py
@@ -0,0 +1,69 @@
+"""What both relay daemons share: signals, metrics page, log lines."""
+
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from wagtailrun.adapters.http_server import HttpServer, Request, Response
+from wagtailrun.clock import Clock
+from wagtailrun.events import EVENT_LOG
+from wagtailrun.line_writer import LineWriter
+from wagtailrun.ports.link import Address
+
+__all__ = ["StopSignals", "metrics_server", "start_json_lines"]
+
+# A planned stop has seconds; looking ten times a second costs next to nothing.
+SIGNAL_POLL_MS = 100
+
+
+class StopSignals:
+    """Counts the signals that ask this process to stop, or to read its settings.
+
+    Args:
+        clock: Clock.
+        reload: Called on SIGHUP.
+    """
+
+    def __init__(self, clock: Clock, reload: Callable[[], None]):
+        self.clock = clock
+        self.reload = reload
+        self.stops = 0
+        self.hangups = 0
+
+    def install(self) -> None:
+        """Take the signals from now on."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._count_stop)
+        signal.signal(signal.SIGHUP, self._count_hangup)
+
+    async def wait(self) -> None:
+        """Return once the process was asked to stop."""
+        while not self.stops:
+            await self.clock.sleep_ms(SIGNAL_POLL_MS)
+            if self.hangups:
+                self.hangups = 0
+                self.reload()
+
+    def _count_stop(self, number: int, frame: Any) -> None:
+        self.stops += 1
+
+    def _count_hangup(self, number: int, frame: Any) -> None:
+        self.hangups += 1
+
+
+def metrics_server(address: Address, page: Callable[[], bytes]) -> HttpServer:
+    """Return a server that answers every request with the metrics."""
+
+    async def handle(request: Request) -> Response:
+        headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
+        return Response(200, page(), headers)
+
+    return HttpServer(address, handle)
+
+
+def start_json_lines(process: str) -> LineWriter:
+    """Write the events of this process to standard output, one JSON object a line."""
+    writer = LineWriter()
+    writer.start()
+    EVENT_LOG.use_json_lines(writer.put, process)
+    return writer
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -3,6 +3,7 @@
 import random
 from abc import ABC, abstractmethod
 from collections import defaultdict
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
@@ -26,15 +27,28 @@
 
 
 class RetryBudget:
-    """Tokens for repeated and hedged attempts; every service has its own."""
+    """Tokens for repeated and hedged attempts; every service has its own.
 
-    def __init__(self) -> None:
-        self.tokens_by_service: dict[str, float] = defaultdict(lambda: INITIAL_TOKENS)
+    Args:
+        earned: Tokens for each first attempt.
+        initial: Tokens of a service of which nothing was attempted yet.
+        largest: Returns the most tokens that are kept.
+    """
+
+    def __init__(
+        self,
+        earned: float = EARNED_PER_FIRST_ATTEMPT,
+        initial: float = INITIAL_TOKENS,
+        largest: Callable[[], float] = lambda: MAX_TOKENS,
+    ) -> None:
+        self.earned = earned
+        self.largest = largest
+        self.tokens_by_service: dict[str, float] = defaultdict(lambda: initial)
 
     def earn(self, service: str) -> None:
         """Count a first attempt."""
-        tokens = self.tokens_by_service[service] + EARNED_PER_FIRST_ATTEMPT
-        self.tokens_by_service[service] = min(tokens, MAX_TOKENS)
+        tokens = self.tokens_by_service[service] + self.earned
+        self.tokens_by_service[service] = min(tokens, self.largest())
 
     def has(self, service: str, reserve: float = 0.0) -> bool:
         """Return whether one more attempt leaves at least ``reserve`` tokens."""
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -15,6 +15,8 @@
     memberRecord @9 :MemberRecord;
     snapshotHeader @10 :SnapshotHeader;
     configuration @11 :Configuration;
+    readIndex @12 :ReadIndex;
+    readIndexReply @13 :ReadIndexReply;
   }
 }
 
@@ -83,4 +85,6 @@
 
 struct PieceReply { sender @0 :Text; term @1 :UInt64; nextOffset @2 :UInt64; }
 struct Join { identity @0 :Text; address @1 :Text; }
-struct JoinReply { identity @0 :Text; cluster @1 :Text; }
+struct JoinReply { identity @0 :Text; cluster @1 :Text; peers @2 :List(Text); }
+struct ReadIndex { sender @0 :Text; }
+struct ReadIndexReply { valid @0 :Bool; index @1 :UInt64; }
--- a/wagtailrun/schema/registry.capnp
+++ b/wagtailrun/schema/registry.capnp
@@ -28,6 +28,7 @@
     auditPage @22 :AuditPage;
     listOrders @23 :ListOrders;
     orderList @24 :OrderList;
+    putText @25 :PutText;
   }
 }
 
@@ -41,6 +42,14 @@
   fault @6 :Text;
 }
 
+struct PutText {
+  version @0 :UInt64;
+  operator @1 :Text;
+  source @2 :Text;
+  text @3 :Text;
+  nowMs @4 :UInt64;
+}
+
 struct TextVerdict {
   accepted @0 :Bool;
   revision @1 :UInt64;
--- /dev/null
+++ b/wagtailrun/schema/stages.capnp
@@ -0,0 +1,41 @@
+# Pieces of stages, between the entry of a request and the entry that forms the calls.
+@0xd1a6c3b7f0e94a18;
+
+struct Message {
+  union {
+    runPieces @0 :RunPieces;
+    piecesState @1 :PiecesState;
+    cancelPieces @2 :CancelPieces;
+    freeResults @3 :FreeResults;
+    piecesDropped @4 :PiecesDropped;
+  }
+}
+
+struct RunPieces {
+  requestId @0 :Text;
+  step @1 :UInt16;
+  service @2 :Text;
+  dataCentre @3 :Text;
+  pieces @4 :List(UInt16);
+  key @5 :Text;
+  inputs @6 :List(Text);
+  hasInputs @7 :Bool;
+  urgency @8 :UInt8;
+  aimMs @9 :Int64;
+  remainingMs @10 :Int64;
+  resultBytes @11 :UInt64;
+  waitMs @12 :UInt32;
+}
+
+struct PieceResult { piece @0 :UInt16; handle @1 :Text; reason @2 :Text; }
+
+struct PiecesState {
+  state @0 :Text;
+  results @1 :List(PieceResult);
+  queueMs @2 :UInt32;
+  detail @3 :Text;
+}
+
+struct CancelPieces { requestId @0 :Text; service @1 :Text; dataCentre @2 :Text; }
+struct FreeResults { service @0 :Text; dataCentre @1 :Text; handles @2 :List(Text); }
+struct PiecesDropped { count @0 :UInt32; }
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.ports.link import Address
 
@@ -17,7 +18,10 @@
     "ControlSettings",
     "EntrySettings",
     "Loaded",
+    "RelayControlSettings",
+    "RelayEntrySettings",
     "load_settings",
+    "read_settings_file",
     "secret_from_environment",
     "settings_rows",
 ]
@@ -191,7 +195,108 @@
     )
 
 
-SETTINGS_CLASSES = (EntrySettings, ControlSettings, ClientSettings)
+def _parse_boolean(text: str) -> bool:
+    if text.lower() not in ("true", "false"):
+        raise ValueError("give true or false")
+    return text.lower() == "true"
+
+
+def _parse_count(text: str) -> int:
+    if not text.isascii() or not text.isdecimal() or len(text) > 9:
+        raise ValueError("give a whole number")
+    return int(text)
+
+
+def _parse_seconds(text: str) -> float:
+    value = float(text)
+    if not 0.0 < value <= 3_600.0:
+        raise ValueError("give more than 0 and at most 3600 seconds")
+    return value
+
+
+def _parse_ratio(text: str) -> float:
+    value = float(text)
+    if not 0.0 <= value <= 10.0:
+        raise ValueError("give 0 to 10")
+    return value
+
+
+SEEDS = (
+    parse_addresses,
+    "Peer addresses where control members were last to be found, comma-separated.",
+)
+METRICS_ADDRESS = (parse_address, "IP:PORT where the metrics are served.")
+
+
+@attrs.frozen
+class RelayEntrySettings:
+    """Settings of a relay entry; each field declares its own help."""
+
+    name: str = _setting(*NAME)
+    data_centre: str = _setting(*DATA_CENTRE)
+    caller_address: Address = _setting(parse_address, "IP:PORT where callers connect.")
+    ready_address: Address = _setting(
+        parse_address, "IP:PORT where the balancer asks whether this entry is ready."
+    )
+    peer_address: Address = _setting(*PEER_ADDRESS)
+    peer_secret: bytes = _setting(*PEER_SECRET, secret=True)
+    metrics_address: Address = _setting(*METRICS_ADDRESS)
+    seeds: tuple[Address, ...] = _setting(*SEEDS)
+    key_grace_ms: int = _setting(
+        _milliseconds(500),
+        "How long after its revocation a key may still be used.",
+        5_000,
+    )
+    drain_notice_ms: int = _setting(
+        _milliseconds(0), "How long to serve on after a stop was asked for.", 2_800
+    )
+    grace_s: float = _setting(
+        _parse_seconds, "Seconds after which a stopping process is killed.", 8.0
+    )
+    retry_ratio: float = _setting(
+        _parse_ratio, "Repeats that all entries may make for each request.", 0.1
+    )
+    retry_slack: int = _setting(
+        _parse_count, "Repeats of all entries beside the ratio, in a window.", 20
+    )
+
+
+@attrs.frozen
+class RelayControlSettings:
+    """Settings of a relay control member; each field declares its own help."""
+
+    name: str = _setting(*NAME)
+    data_centre: str = _setting(*DATA_CENTRE)
+    operator_address: Address = _setting(
+        parse_address, "IP:PORT where operators and targets connect."
+    )
+    peer_address: Address = _setting(*PEER_ADDRESS)
+    peer_secret: bytes = _setting(*PEER_SECRET, secret=True)
+    metrics_address: Address = _setting(*METRICS_ADDRESS)
+    seeds: tuple[Address, ...] = _setting(*SEEDS)
+    data_folder: str = _setting(_parse_text, "Folder of all durable files.")
+    founding: bool = _setting(
+        _parse_boolean,
+        "Whether the seeds may found a cluster; only at the first start of all.",
+        False,
+    )
+    losses: int = _setting(
+        _parse_count, "Members that may be lost at once; more voters are kept.", 1
+    )
+    heartbeat_ms: int = _setting(
+        _milliseconds(50, 60_000), "Time between two heartbeats of a target.", 1_200
+    )
+
+
+SETTINGS_CLASSES = (
+    EntrySettings,
+    ControlSettings,
+    ClientSettings,
+    RelayEntrySettings,
+    RelayControlSettings,
+)
+# Names that the package reads beside the settings.
+OTHER_VARIABLES = ("WAGTAILRUN_SETTINGS",)
 
 
 @attrs.frozen
@@ -246,7 +351,32 @@
             names.add(variable_of(field.name))
             if field.metadata["secret"]:
                 names.add(variable_of(field.name) + FILE_SUFFIX)
-    return sorted(names)
+    return sorted(names.union(OTHER_VARIABLES))
+
+
+def read_settings_file(path: str) -> dict[str, str]:
+    """Return the ``WAGTAILRUN_NAME=value`` lines of a file as a mapping.
+
+    Empty lines and lines that begin with ``#`` are passed over.
+
+    Raises:
+        SettingsError: If the file cannot be read, or a line is none of these.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            lines = file.read().splitlines()
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"cannot read {path!r}: {error}") from error
+    values = {}
+    for number, line in enumerate(lines, 1):
+        text = line.strip()
+        if not text or text.startswith("#"):
+            continue
+        name, separator, value = text.partition("=")
+        if not separator:
+            raise SettingsError(f"{path}:{number}: write NAME=value")
+        values[name.strip()] = value.strip()
+    return values
 
 
 def load_settings(
@@ -352,6 +482,21 @@
             settings.target_address,
             settings.peer_address,
         ]
+    elif isinstance(settings, RelayEntrySettings):
+        if settings.drain_notice_ms > settings.grace_s * MS_PER_SECOND:
+            return ["drain_notice_ms: it exceeds grace_s; lower it"]
+        addresses = [
+            settings.caller_address,
+            settings.ready_address,
+            settings.peer_address,
+            settings.metrics_address,
+        ]
+    elif isinstance(settings, RelayControlSettings):
+        addresses = [
+            settings.operator_address,
+            settings.peer_address,
+            settings.metrics_address,
+        ]
     elif isinstance(settings, ControlSettings):
         addresses = [settings.operator_address, settings.peer_address]
     else:
--- /dev/null
+++ b/wagtailrun/stages/messages.py
@@ -0,0 +1,122 @@
+"""Messages between the entry of a request and the entry that forms stage calls."""
+
+import enum
+
+import attrs
+
+from wagtailrun.codec import Channel, Codec
+
+__all__ = [
+    "CancelPieces",
+    "FreeResults",
+    "JobState",
+    "PieceResult",
+    "PiecesDropped",
+    "PiecesState",
+    "RunPieces",
+]
+
+
+class JobState(enum.StrEnum):
+    """What has become of the pieces of one step."""
+
+    DONE = "done"
+    PENDING = "pending"
+    REFUSED = "refused"
+    GONE = "gone"
+
+
+@attrs.frozen
+class RunPieces:
+    """Asks for the pieces of one step of a request.
+
+    Sent again with the same request and step, it asks what has become of them.
+
+    Attributes:
+        request_id: Identifier of the request.
+        step: Number of the step in its route.
+        service: Stage service.
+        data_centre: Data centre whose targets are to do the work.
+        pieces: Numbers of the pieces.
+        key: What the caller named as the source of the first pieces.
+        inputs: Handles of all results that the step needs.
+        has_inputs: Whether the step takes inputs in place of the key.
+        urgency: Rank of the request; 0 goes first.
+        aim_ms: Time left until the step should be done for the request to be in time.
+        remaining_ms: Time left until the step is of no use.
+        result_bytes: Approximate size of one result.
+        wait_ms: How long the answer may wait for the work to be done.
+    """
+
+    request_id: str
+    step: int
+    service: str
+    data_centre: str
+    pieces: tuple[int, ...]
+    key: str
+    inputs: tuple[str, ...]
+    has_inputs: bool
+    urgency: int
+    aim_ms: int
+    remaining_ms: int
+    result_bytes: int
+    wait_ms: int
+
+
+@attrs.frozen
+class PieceResult:
+    """Where the result of a piece is, or why there is none."""
+
+    piece: int
+    handle: str = ""
+    reason: str = ""
+
+
+@attrs.frozen
+class PiecesState:
+    """Answer to ``RunPieces``.
+
+    Attributes:
+        state: What has become of the pieces.
+        results: Their results, if they are done.
+        queue_ms: How long new pieces wait here now.
+        detail: Why they were refused.
+    """
+
+    # pycapnp takes no enum members.
+    state: str = attrs.field(converter=str)
+    results: tuple[PieceResult, ...] = ()
+    queue_ms: int = 0
+    detail: str = ""
+
+
+@attrs.frozen
+class CancelPieces:
+    """The request is over; its pieces need not be run."""
+
+    request_id: str
+    service: str
+    data_centre: str
+
+
+@attrs.frozen
+class FreeResults:
+    """Results that nobody needs any more."""
+
+    service: str
+    data_centre: str
+    handles: tuple[str, ...]
+
+
+@attrs.frozen
+class PiecesDropped:
+    """Answer to ``CancelPieces`` and ``FreeResults``."""
+
+    count: int
+
+
+CODEC = Codec(
+    Channel.STAGES,
+    "stages.capnp",
+    [CancelPieces, FreeResults, PiecesDropped, PiecesState, RunPieces],
+)
--- /dev/null
+++ b/wagtailrun/stages/pool.py
@@ -0,0 +1,571 @@
+"""Forms the calls of one stage service in one data centre from many requests."""
+
+import math
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+
+import attrs
+import curio
+
+from wagtailrun import events
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.consensus_state import Signal
+from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
+from wagtailrun.retries import RetryBudget
+from wagtailrun.routes import StagePool
+from wagtailrun.stages.memory import ResultMemory
+from wagtailrun.stages.messages import (
+    CancelPieces,
+    FreeResults,
+    JobState,
+    PieceResult,
+    PiecesDropped,
+    PiecesState,
+    RunPieces,
+)
+from wagtailrun.stages.port import PieceOutcome, StageClient, StageItem, StageReply
+
+__all__ = ["PoolHost"]
+
+# A call that takes this many times the expected time is given up: slow targets take up
+# to five times as long, and the slowness measured so far is counted in.
+CALL_PATIENCE = 3.0
+MIN_CALL_PATIENCE_MS = 500
+# A target that refused connections is tried again after this long, doubling.
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 2_000
+FULL_PAUSE_MS = 40
+MAX_TRIES = 3
+# Weight of the newest call in the slowness of a target.
+SLOWNESS_WEIGHT = 0.4
+MAX_SLOWNESS = 8.0
+# Frees of many requests travel together.
+FREE_INTERVAL_MS = 50
+FREE_TIMEOUT_MS = 500
+# Finished jobs answer a repeated question for this long.
+KEEP_FINISHED_MS = 3_000
+# The waits of jobs are judged again at this interval.
+REVIEW_MS = 50
+# An urgency level counts as this much of the time to the aim: enough to go first in a
+# short queue, not enough to keep the least urgent out for longer than that.
+URGENCY_MS = 400
+# Told to entries as the wait of a pool that has no target.
+NO_TARGET_QUEUE_MS = 60_000
+
+
+@attrs.define(eq=False)
+class _Job:
+    """The pieces of one step of one request.
+
+    Attributes:
+        message: What was asked.
+        aim_at_ms: When it should be done.
+        end_at_ms: When it is of no use any more.
+        waiting: Pieces that are in no call.
+        running: Number of pieces in calls.
+        results_by_piece: Results so far.
+        tries: Calls that failed.
+        state: What has become of it.
+        finished: Signals the end.
+    """
+
+    message: RunPieces
+    aim_at_ms: int
+    end_at_ms: int
+    waiting: list[int]
+    running: int = 0
+    results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
+    tries: int = 0
+    state: JobState = JobState.PENDING
+    detail: str = ""
+    ended_ms: int = 0
+    finished: Signal = attrs.field(factory=Signal)
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Request and step."""
+        return (self.message.request_id, self.message.step)
+
+
+@attrs.define(eq=False)
+class _Bench:
+    """State of one target: calls under way, slowness, failures.
+
+    Attributes:
+        calls: Number of calls under way.
+        busy_until_ms: When the last of them should end.
+        pause_until_ms: Before this it gets no call.
+        failures: Failures in a row.
+        slowness: Time of its calls as a multiple of what the text says.
+    """
+
+    calls: int = 0
+    busy_until_ms: int = 0
+    pause_until_ms: int = 0
+    failures: int = 0
+    slowness: float = 1.0
+
+
+class _Pool:
+    """Queue and targets of one service in one data centre."""
+
+    def __init__(self, host: "PoolHost", service: str, data_centre: str):
+        self.host = host
+        self.clock = host.clock
+        self.service = service
+        self.data_centre = data_centre
+        self.jobs_by_key: dict[tuple[str, int], _Job] = {}
+        self.benches_by_name: dict[str, _Bench] = defaultdict(_Bench)
+        self.memory = ResultMemory()
+        self.free_by_address: dict[Address, list[str]] = defaultdict(list)
+        self.wake = curio.Event()
+
+    # Questions
+
+    @property
+    def capacity(self) -> StagePool:
+        """What the text says of one target."""
+        return self.host.capacity(self.service)
+
+    def targets(self) -> list[TargetRow]:
+        """Return the targets of this data centre that may be given calls."""
+        rows = self.host.targets(self.service)
+        return [row for row in rows if row.data_centre == self.data_centre]
+
+    def open_jobs(self) -> Iterator[_Job]:
+        """Yield the jobs that are not finished."""
+        for job in list(self.jobs_by_key.values()):
+            if job.state is JobState.PENDING:
+                yield job
+
+    def queue_ms(self, ahead: int | None = None) -> int | None:
+        """Return how long new pieces wait before their call starts.
+
+        Args:
+            ahead: Pieces that go first; by default all that wait.
+
+        Returns:
+            Milliseconds, or None if no target can be given calls.
+        """
+        now_ms = self.clock.now_ms()
+        benches = [self.benches_by_name[row.name] for row in self.targets()]
+        able = [bench for bench in benches if bench.failures < MAX_TRIES]
+        if not able:
+            return None
+        if ahead is None:
+            ahead = sum(len(job.waiting) for job in self.open_jobs())
+        capacity = self.capacity
+        free_ms = min(
+            max(bench.busy_until_ms, bench.pause_until_ms) - now_ms for bench in able
+        )
+        rate = sum(1.0 / bench.slowness for bench in able) * max(capacity.slots, 1)
+        calls_ahead = ahead // capacity.batch
+        queued_ms = calls_ahead * capacity.duration_ms(capacity.batch) / rate
+        return int(max(free_ms, 0) + queued_ms)
+
+    def expected_ms(self, pieces: int, ahead: int | None = None) -> int | None:
+        """Return the expected time until new pieces are done, or None."""
+        queue_ms = self.queue_ms(ahead)
+        if queue_ms is None:
+            return None
+        able = [self.benches_by_name[row.name].slowness for row in self.targets()]
+        capacity = self.capacity
+        own = math.ceil(pieces / capacity.batch)
+        per_call_ms = capacity.duration_ms(min(pieces, capacity.batch))
+        return int(queue_ms + own * per_call_ms * min(able))
+
+    # Jobs
+
+    def add(self, message: RunPieces) -> _Job:
+        """Return the job of ``message``, a new one if it is not known."""
+        known = self.jobs_by_key.get((message.request_id, message.step))
+        if known is not None:
+            return known
+        now_ms = self.clock.now_ms()
+        job = _Job(
+            message=message,
+            aim_at_ms=now_ms + message.aim_ms,
+            end_at_ms=now_ms + message.remaining_ms,
+            waiting=list(message.pieces),
+        )
+        self.jobs_by_key[job.key] = job
+        self.host.budget.earn(self.service)
+        ahead = sum(
+            len(other.waiting)
+            for other in self.open_jobs()
+            if other is not job and self._rank(other, now_ms) < self._rank(job, now_ms)
+        )
+        expected_ms = self.expected_ms(len(job.waiting), ahead)
+        if expected_ms is None:
+            self._end(job, JobState.REFUSED, "no target can be given calls")
+        elif expected_ms > message.remaining_ms:
+            detail = f"expected {expected_ms} ms of {message.remaining_ms} ms left"
+            self._end(job, JobState.REFUSED, detail)
+        return job
+
+    def _rank(self, job: _Job, now_ms: int) -> tuple[bool, int]:
+        """Order in which jobs are served: first those that can still be in time.
+
+        Serving the oldest first would make every request late once the queue is
+        longer than the time to the aim.
+        """
+        late = now_ms + self.capacity.duration_ms(len(job.waiting)) > job.aim_at_ms
+        return (late, job.aim_at_ms + job.message.urgency * URGENCY_MS)
+
+    def cancel(self, request_id: str) -> int:
+        """Drop the pieces of a request that are in no call; return how many."""
+        dropped = 0
+        for job in self.open_jobs():
+            if job.message.request_id == request_id:
+                dropped += len(job.waiting)
+                self._end(job, JobState.REFUSED, "cancelled")
+        return dropped
+
+    def _end(self, job: _Job, state: JobState, detail: str = "") -> None:
+        job.state = state
+        job.detail = detail
+        job.waiting.clear()
+        job.ended_ms = self.clock.now_ms()
+        if state is not JobState.DONE:
+            self._free_results(job)
+            events.log(
+                events.PIECES_REFUSED,
+                request_id=job.message.request_id,
+                step=job.message.step,
+                service=self.service,
+                data_centre=self.data_centre,
+                state=str(state),
+                detail=detail,
+                waited_ms=job.ended_ms - job.end_at_ms + job.message.remaining_ms,
+                queue_ms=self.queue_ms(),
+            )
+        self.host.ended_jobs.append(job)
+
+    def _free_results(self, job: _Job) -> None:
+        handles = [r.handle for r in job.results_by_piece.values() if r.handle]
+        self.free(handles)
+
+    def free(self, handles: list[str]) -> None:
+        """Give up results; the targets are told a little later."""
+        for handle in handles:
+            address = self.memory.release(handle)
+            if address is not None:
+                self.free_by_address[address].append(handle)
+
+    # Calls
+
+    async def run(self) -> None:
+        """Start calls whenever a target is free and pieces wait."""
+        while True:
+            busy = any(True for _ in self.open_jobs())
+            if busy:
+                await curio.ignore_after(REVIEW_MS / MS_PER_SECOND, self.wake.wait)
+            else:
+                await self.wake.wait()
+            self.wake.clear()
+            self._review()
+            await self.host.notify_ended()
+            while await self._start_call():
+                pass
+
+    def _review(self) -> None:
+        """End the jobs that cannot be done in time, and forget finished ones."""
+        now_ms = self.clock.now_ms()
+        for job in list(self.jobs_by_key.values()):
+            if job.state is not JobState.PENDING:
+                if now_ms - job.ended_ms > KEEP_FINISHED_MS:
+                    del self.jobs_by_key[job.key]
+            elif job.waiting and now_ms + self._shortest_ms(job) > job.end_at_ms:
+                self._end(job, JobState.REFUSED, "it could not be done in time")
+        self.memory.expire(now_ms)
+
+    def _shortest_ms(self, job: _Job) -> float:
+        return self.capacity.duration_ms(min(len(job.waiting), 1))
+
+    async def _start_call(self) -> bool:
+        """Start one call; return False if there is no free target or no piece."""
+        row = self._free_target()
+        if row is None:
+            return False
+        chosen = self._choose(row)
+        if not chosen:
+            return False
+        bench = self.benches_by_name[row.name]
+        now_ms = self.clock.now_ms()
+        pieces = len(chosen)
+        expected_ms = self.capacity.duration_ms(pieces) * bench.slowness
+        bench.calls += 1
+        bench.busy_until_ms = now_ms + int(expected_ms)
+        for job, piece in chosen:
+            job.waiting.remove(piece)
+            job.running += 1
+        await curio.spawn(self._call, row, chosen, expected_ms, daemon=True)
+        return True
+
+    def _free_target(self) -> TargetRow | None:
+        now_ms = self.clock.now_ms()
+        slots = max(self.capacity.slots, 1)
+        free = []
+        for row in self.targets():
+            bench = self.benches_by_name[row.name]
+            if bench.calls < slots and bench.pause_until_ms <= now_ms:
+                free.append(row)
+        return min(
+            free,
+            key=lambda row: (
+                self.benches_by_name[row.name].failures,
+                self.benches_by_name[row.name].slowness,
+                row.name,
+            ),
+            default=None,
+        )
+
+    def _choose(self, row: TargetRow) -> list[tuple[_Job, int]]:
+        """Return the pieces of the next call, whole steps first."""
+        now_ms = self.clock.now_ms()
+        capacity = self.capacity
+        room = self.memory.free_bytes(row.address, capacity.memory_bytes)
+        chosen: list[tuple[_Job, int]] = []
+        jobs = [job for job in self.open_jobs() if job.waiting]
+        jobs.sort(key=lambda job: self._rank(job, now_ms))
+        for job in jobs:
+            for piece in list(job.waiting):
+                needed = job.message.result_bytes
+                if len(chosen) >= capacity.batch:
+                    return chosen
+                if needed > room and (chosen or self.memory.held(row.address)):
+                    break
+                room -= needed
+                chosen.append((job, piece))
+        return chosen
+
+    async def _call(
+        self, row: TargetRow, chosen: list[tuple[_Job, int]], expected_ms: float
+    ) -> None:
+        started_ms = self.clock.now_ms()
+        bench = self.benches_by_name[row.name]
+        items = [self._item(job, piece, started_ms) for job, piece in chosen]
+        patience_ms = int(max(CALL_PATIENCE * expected_ms, MIN_CALL_PATIENCE_MS))
+        failure: TargetFailed | None = None
+        replies: list[StageReply] = []
+        try:
+            replies = await self.host.client.run(row, items, patience_ms)
+        except TargetFailed as error:
+            failure = error
+        ended_ms = self.clock.now_ms()
+        bench.calls -= 1
+        bench.busy_until_ms = ended_ms
+        for job, _ in chosen:
+            job.running -= 1
+        events.log(
+            events.STAGE_CALL,
+            service=self.service,
+            target=row.name,
+            pieces=len(items),
+            requests=len({job.key for job, _ in chosen}),
+            took_ms=ended_ms - started_ms,
+            expected_ms=int(expected_ms),
+            failure=str(failure or ""),
+        )
+        self.host.note_call(self.service, len(items), ended_ms - started_ms)
+        if failure is not None:
+            self._note_failure(row, bench, failure, ended_ms)
+            for job, piece in chosen:
+                sent = failure.verdict is not Verdict.NOT_RUN
+                self._again(job, piece, sent or not isinstance(failure, ConnectFailed))
+        else:
+            self._note_success(bench, len(items), ended_ms - started_ms)
+            for (job, piece), reply in zip(chosen, replies, strict=True):
+                self._take_reply(row, bench, job, piece, reply)
+        await self.host.notify_ended()
+        await self.wake.set()
+
+    def _item(self, job: _Job, piece: int, now_ms: int) -> StageItem:
+        message = job.message
+        return StageItem(
+            request_id=message.request_id,
+            step=message.step,
+            piece=piece,
+            remaining_ms=max(job.end_at_ms - now_ms, 1),
+            key=message.key,
+            inputs=message.inputs if message.has_inputs else None,
+        )
+
+    def _note_failure(
+        self, row: TargetRow, bench: _Bench, failure: TargetFailed, now_ms: int
+    ) -> None:
+        if failure.verdict is Verdict.NOT_RUN and not isinstance(
+            failure, ConnectFailed
+        ):
+            # It is full, or another target has its address; its row will tell.
+            bench.pause_until_ms = now_ms + FULL_PAUSE_MS
+            return
+        bench.failures += 1
+        backoff_ms = FIRST_BACKOFF_MS << min(bench.failures - 1, 6)
+        bench.pause_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
+        self.memory.forget(row.address)
+
+    def _note_success(self, bench: _Bench, pieces: int, took_ms: int) -> None:
+        bench.failures = 0
+        expected_ms = self.capacity.duration_ms(pieces)
+        if expected_ms > 0:
+            measured = min(max(took_ms / expected_ms, 1.0), MAX_SLOWNESS)
+            bench.slowness += SLOWNESS_WEIGHT * (measured - bench.slowness)
+
+    def _take_reply(
+        self, row: TargetRow, bench: _Bench, job: _Job, piece: int, reply: StageReply
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        if reply.handle:
+            kept_ms = self.capacity.result_ms
+            size = job.message.result_bytes
+            self.memory.hold(row.address, reply.handle, size, now_ms + kept_ms)
+        if job.state is not JobState.PENDING:
+            # The request is over; its result only takes up memory.
+            self.free([reply.handle] if reply.handle else [])
+            return
+        match reply.outcome:
+            case PieceOutcome.DONE:
+                job.results_by_piece[piece] = PieceResult(piece, reply.handle)
+                if not job.waiting and not job.running:
+                    self._end(job, JobState.DONE)
+            case PieceOutcome.GONE:
+                self._end(job, JobState.GONE, "an input is gone")
+            case PieceOutcome.LATE:
+                self._end(job, JobState.REFUSED, "the target found it late")
+            case PieceOutcome.NO_MEMORY:
+                bench.pause_until_ms = now_ms + FULL_PAUSE_MS
+                self._again(job, piece, True)
+            case PieceOutcome.ERROR:
+                self._again(job, piece, True)
+
+    def _again(self, job: _Job, piece: int, arrived: bool) -> None:
+        """Put a piece back, if the budget pays for it to arrive a second time."""
+        if job.state is not JobState.PENDING:
+            return
+        if arrived:
+            job.tries += 1
+            limit = MAX_TRIES * len(job.message.pieces)
+            if job.tries > limit or not self.host.budget.spend(self.service):
+                self._end(job, JobState.REFUSED, "no repeat is left for it")
+                return
+        job.waiting.append(piece)
+
+    # Frees
+
+    async def run_frees(self) -> None:
+        """Tell the targets which results are given up."""
+        while True:
+            await self.clock.sleep_ms(FREE_INTERVAL_MS if self.free_by_address else 200)
+            frees, self.free_by_address = self.free_by_address, defaultdict(list)
+            for address, handles in frees.items():
+                try:
+                    await curio.timeout_after(
+                        FREE_TIMEOUT_MS / MS_PER_SECOND,
+                        self.host.client.free,
+                        address,
+                        handles,
+                    )
+                except (TargetFailed, curio.TaskTimeout) as error:
+                    # The target drops them by itself after a while.
+                    events.log(
+                        events.FREE_FAILED, address=str(address), detail=str(error)
+                    )
+
+
+class PoolHost:
+    """The pools whose calls this entry forms.
+
+    Args:
+        clock: Clock.
+        client: Calls targets.
+        targets: Returns the targets of a service.
+        capacity: Returns what the text says of a target of a stage service.
+        budget: Pays for repeated pieces.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        client: StageClient,
+        targets: Callable[[str], list[TargetRow]],
+        capacity: Callable[[str], StagePool],
+        budget: RetryBudget,
+    ):
+        self.clock = clock
+        self.client = client
+        self.targets = targets
+        self.capacity = capacity
+        self.budget = budget
+        self.pools_by_place: dict[tuple[str, str], _Pool] = {}
+        # Jobs whose waiting questions are to be answered.
+        self.ended_jobs: list[_Job] = []
+        self.calls = 0
+        self.pieces = 0
+        self.call_ms = 0
+
+    @property
+    def has_open_jobs(self) -> bool:
+        """Whether pieces wait or are in calls here."""
+        pools = self.pools_by_place.values()
+        return any(True for pool in pools for _ in pool.open_jobs())
+
+    async def notify_ended(self) -> None:
+        """Answer the questions that wait for jobs which have ended."""
+        jobs, self.ended_jobs = self.ended_jobs, []
+        for job in jobs:
+            await job.finished.notify()
+
+    def note_call(self, service: str, pieces: int, took_ms: int) -> None:
+        """Count a call."""
+        self.calls += 1
+        self.pieces += pieces
+        self.call_ms += took_ms
+
+    async def pool(self, service: str, data_centre: str) -> _Pool:
+        """Return the pool of a place, started if it is new."""
+        place = (service, data_centre)
+        pool = self.pools_by_place.get(place)
+        if pool is None:
+            pool = self.pools_by_place[place] = _Pool(self, service, data_centre)
+            await curio.spawn(pool.run, daemon=True)
+            await curio.spawn(pool.run_frees, daemon=True)
+        return pool
+
+    async def handle(
+        self, message: RunPieces | CancelPieces | FreeResults
+    ) -> PiecesState | PiecesDropped:
+        """Answer one message of an entry."""
+        pool = await self.pool(message.service, message.data_centre)
+        match message:
+            case CancelPieces():
+                count = pool.cancel(message.request_id)
+            case FreeResults():
+                pool.free(list(message.handles))
+                count = len(message.handles)
+            case RunPieces():
+                return await self._run_pieces(pool, message)
+        await self.notify_ended()
+        return PiecesDropped(count)
+
+    async def _run_pieces(self, pool: _Pool, message: RunPieces) -> PiecesState:
+        job = pool.add(message)
+        await pool.wake.set()
+        give_up_ms = self.clock.now_ms() + message.wait_ms
+        while job.state is JobState.PENDING:
+            wait_ms = give_up_ms - self.clock.now_ms()
+            if wait_ms <= 0:
+                break
+            await curio.ignore_after(wait_ms / MS_PER_SECOND, job.finished.wait)
+        results = ()
+        if job.state is JobState.DONE:
+            results = tuple(job.results_by_piece[n] for n in sorted(message.pieces))
+        queue_ms = pool.queue_ms()
+        return PiecesState(
+            state=job.state,
+            results=results,
+            queue_ms=NO_TARGET_QUEUE_MS if queue_ms is None else queue_ms,
+            detail=job.detail,
+        )
--- /dev/null
+++ b/wagtailrun/stages/runner.py
@@ -0,0 +1,368 @@
+"""Entry side of stages: runs all steps of one request, and gives up their results."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import curio
+
+from wagtailrun import events
+from wagtailrun.clock import Clock
+from wagtailrun.exceptions import PeerUnreachable, Refusal, RefusalReason, Verdict
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip_peers import rendezvous
+from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.routes import StagePool, StageStep
+from wagtailrun.stages.messages import (
+    CancelPieces,
+    FreeResults,
+    JobState,
+    PiecesState,
+    RunPieces,
+)
+from wagtailrun.stages.pool import PoolHost
+
+__all__ = ["StageResults", "StageRunner", "StagedWork"]
+
+# An entry that does not answer a question for this much longer than it may wait is
+# taken as lost, and another one forms the calls.
+POLL_WAIT_MS = 300
+POLL_SLACK_MS = 250
+AVOID_ENTRY_MS = 1_500
+# Several entries and data centres may have to be tried for one step.
+MAX_PLACES = 4
+MIN_RETRY_AFTER_MS = 300
+# What was told about a queue is believed for this long, ever less.
+QUEUE_MEMORY_MS = 1_500
+
+
+@attrs.frozen
+class StagedWork:
+    """The stages of one request.
+
+    Attributes:
+        request_id: Identifier of the request.
+        steps: Steps of its route.
+        pieces: Number of pieces of each step; 0 leaves the step out.
+        key: What the caller named as the source of the first pieces.
+        urgency: Rank of the request; 0 goes first.
+        aim_at_ms: When the steps should be done, on the clock.
+        end_at_ms: When they are of no use any more.
+    """
+
+    request_id: str
+    steps: tuple[StageStep, ...]
+    pieces: tuple[int, ...]
+    key: str
+    urgency: int
+    aim_at_ms: int
+    end_at_ms: int
+
+    def followers(self, number: int) -> list[int]:
+        """Return the steps that take part and need the results of ``number``."""
+        return [
+            other
+            for other, step in enumerate(self.steps)
+            if number in step.after and self.pieces[other]
+        ]
+
+
+@attrs.define
+class StageResults:
+    """Results of one request that exist at targets.
+
+    Attributes:
+        handles_by_step: Handles of each finished step, in order of its pieces.
+        places_by_step: Service and data centre that made them.
+    """
+
+    handles_by_step: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
+    places_by_step: dict[int, tuple[str, str]] = attrs.field(factory=dict)
+
+    def last_handles(self, work: StagedWork) -> tuple[str, ...]:
+        """Return the handles of the steps that no other step follows."""
+        return tuple(
+            handle
+            for number in range(len(work.steps))
+            if not work.followers(number)
+            for handle in self.handles_by_step.get(number, ())
+        )
+
+
+class StageRunner:
+    """Runs the stages of requests through the entries that form the calls.
+
+    Args:
+        clock: Clock.
+        link: Link to other entries.
+        name: Name of this entry.
+        host: Pools whose calls this entry forms.
+        entries: Returns the live entries.
+        capacity: Returns what the text says of a target of a stage service.
+        data_centres: Returns the data centres that have targets of a service.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        link: PeerLink,
+        name: str,
+        host: PoolHost,
+        entries: Callable[[], Sequence[EntryRow]],
+        capacity: Callable[[str], StagePool],
+        data_centres: Callable[[str], list[str]],
+    ):
+        self.clock = clock
+        self.link = link
+        self.name = name
+        self.host = host
+        self.entries = entries
+        self.capacity = capacity
+        self.data_centres = data_centres
+        self.avoid_until_ms: dict[str, int] = {}
+        # Queue of a place and when it was told.
+        self.queues_by_place: dict[tuple[str, str], tuple[int, int]] = {}
+
+    def queue_ms(self, service: str, data_centre: str) -> int:
+        """Return how long pieces wait at a place, as far as it is known."""
+        pool = self.host.pools_by_place.get((service, data_centre))
+        if pool is not None and self._owner(service, data_centre, ()) == self.name:
+            known_ms = pool.queue_ms()
+            if known_ms is not None:
+                return known_ms
+        queue_ms, told_ms = self.queues_by_place.get((service, data_centre), (0, 0))
+        age_ms = self.clock.now_ms() - told_ms
+        return max(int(queue_ms * (1 - age_ms / QUEUE_MEMORY_MS)), 0)
+
+    def expected_ms(self, work: StagedWork, data_centre: str) -> int:
+        """Return the expected time of the longest chain of steps in a data centre."""
+        done_ms: list[int] = []
+        for number, step in enumerate(work.steps):
+            start_ms = max((done_ms[other] for other in step.after), default=0)
+            own_ms = 0
+            if work.pieces[number]:
+                own_ms = self.queue_ms(step.service, data_centre)
+                own_ms += self._work_ms(step.service, work.pieces[number])
+            done_ms.append(start_ms + own_ms)
+        return max(done_ms, default=0)
+
+    def _work_ms(self, service: str, pieces: int) -> int:
+        capacity = self.capacity(service)
+        full, rest = divmod(pieces, capacity.batch)
+        total_ms = full * capacity.duration_ms(capacity.batch)
+        return int(total_ms + (capacity.duration_ms(rest) if rest else 0))
+
+    def _rest_ms(self, work: StagedWork, number: int) -> int:
+        """Return the least time of the steps that follow ``number``."""
+        rest = [
+            self._work_ms(work.steps[other].service, work.pieces[other])
+            + self._rest_ms(work, other)
+            for other in work.followers(number)
+        ]
+        return max(rest, default=0)
+
+    # One request
+
+    async def run(
+        self, work: StagedWork, data_centre: str, results: StageResults
+    ) -> Refusal | None:
+        """Run all steps; fill ``results`` and return None, or return why not.
+
+        The caller gives up the results with ``free_all`` in every case.
+
+        Args:
+            work: What to run.
+            data_centre: Where to run it if there is room.
+            results: Filled with what was made.
+        """
+        ended = {number: curio.Event() for number in range(len(work.steps))}
+        failure: list[Refusal] = []
+
+        async def step(number: int) -> None:
+            for other in work.steps[number].after:
+                await ended[other].wait()
+            if not failure and work.pieces[number]:
+                refusal = await self._run_step(work, number, data_centre, results)
+                if refusal is not None:
+                    failure.append(refusal)
+            if not failure:
+                await self._free_inputs(work, number, results)
+            await ended[number].set()
+
+        try:
+            async with curio.TaskGroup() as group:
+                for number in range(len(work.steps)):
+                    await group.spawn(step, number)
+        except curio.CancelledError:
+            await curio.spawn(self._cancel, work, data_centre, daemon=True)
+            raise
+        if failure:
+            await curio.spawn(self._cancel, work, data_centre, daemon=True)
+            return failure[0]
+        return None
+
+    async def _run_step(
+        self, work: StagedWork, number: int, data_centre: str, results: StageResults
+    ) -> Refusal | None:
+        step = work.steps[number]
+        inputs = tuple(
+            handle
+            for other in step.after
+            for handle in results.handles_by_step.get(other, ())
+        )
+        detail, queue_ms = "", 0
+        for place in self._places(step.service, data_centre):
+            state = await self._ask(work, number, place, inputs)
+            if state.state == JobState.DONE:
+                handles = tuple(result.handle for result in state.results)
+                results.handles_by_step[number] = handles
+                results.places_by_step[number] = (step.service, place)
+                return None
+            detail, queue_ms = state.detail, state.queue_ms
+            if state.state == JobState.GONE:
+                return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, detail)
+            if self.clock.now_ms() + self._rest_ms(work, number) >= work.end_at_ms:
+                break
+        return Refusal(
+            RefusalReason.OVERLOADED,
+            Verdict.NOT_RUN,
+            f"step {number} ({step.service}): {detail or 'no target is known'}",
+            max(queue_ms // 2, MIN_RETRY_AFTER_MS),
+        )
+
+    def _places(self, service: str, data_centre: str) -> list[str]:
+        """Return the data centres to try, the wanted one first."""
+        known = self.data_centres(service)
+        others = sorted(
+            (name for name in known if name != data_centre),
+            key=lambda name: self.queue_ms(service, name),
+        )
+        wanted = [data_centre] if data_centre in known else []
+        return [*wanted, *others][:MAX_PLACES]
+
+    async def _ask(
+        self, work: StagedWork, number: int, place: str, inputs: tuple[str, ...]
+    ) -> PiecesState:
+        """Return what becomes of a step in one data centre."""
+        step = work.steps[number]
+        tried: set[str] = set()
+        owner = self._owner(step.service, place, tried)
+        while True:
+            message = self._message(work, number, place, inputs)
+            if owner is None or message.remaining_ms <= 0:
+                return PiecesState(JobState.REFUSED, detail="no time or entry is left")
+            try:
+                state = await self._call(owner, message)
+            except PeerUnreachable as error:
+                tried.add(owner)
+                self._lose(owner, str(error))
+                owner = self._owner(step.service, place, tried)
+                continue
+            told = (state.queue_ms, self.clock.now_ms())
+            self.queues_by_place[step.service, place] = told
+            if state.state != JobState.PENDING:
+                return state
+
+    def _message(
+        self, work: StagedWork, number: int, place: str, inputs: tuple[str, ...]
+    ) -> RunPieces:
+        step = work.steps[number]
+        rest_ms = self._rest_ms(work, number)
+        now_ms = self.clock.now_ms()
+        return RunPieces(
+            request_id=work.request_id,
+            step=number,
+            service=step.service,
+            data_centre=place,
+            pieces=tuple(range(work.pieces[number])),
+            key=work.key,
+            inputs=inputs,
+            has_inputs=bool(step.after),
+            urgency=work.urgency,
+            aim_ms=work.aim_at_ms - rest_ms - now_ms,
+            remaining_ms=work.end_at_ms - rest_ms - now_ms,
+            result_bytes=step.result_bytes,
+            wait_ms=POLL_WAIT_MS,
+        )
+
+    # The entries that form calls
+
+    def _owner(
+        self, service: str, data_centre: str, tried: Sequence[str] | set[str]
+    ) -> str | None:
+        """Return the entry that forms the calls of a place.
+
+        All entries agree on it while they know the same live entries; while they do
+        not, two may form calls for the same target, which then waits a call longer.
+        """
+        now_ms = self.clock.now_ms()
+        rows = [
+            row
+            for row in self.entries()
+            if row.name not in tried and self.avoid_until_ms.get(row.name, 0) <= now_ms
+        ]
+        local = [row.name for row in rows if row.data_centre == data_centre]
+        names = local or [row.name for row in rows]
+        key = f"{service}/{data_centre}"
+        return next(iter(rendezvous(key, names, 1)), None)
+
+    async def _call(self, owner: str, message: Any) -> Any:
+        if owner == self.name:
+            return await self.host.handle(message)
+        address = self._address(owner)
+        wait_ms = message.wait_ms if isinstance(message, RunPieces) else 0
+        reply = await self.link.call(address, message, wait_ms + POLL_SLACK_MS)
+        if isinstance(message, RunPieces) and not isinstance(reply, PiecesState):
+            raise PeerUnreachable(f"{owner} answers {type(reply).__name__}")
+        return reply
+
+    def _address(self, name: str) -> Address:
+        for row in self.entries():
+            if row.name == name:
+                return row.address
+        raise PeerUnreachable(f"{name} is not known any more", sent=False)
+
+    def _lose(self, owner: str, detail: str) -> None:
+        self.avoid_until_ms[owner] = self.clock.now_ms() + AVOID_ENTRY_MS
+        events.log(events.PEER_LOST, peer=owner, detail=detail)
+
+    # Giving up
+
+    async def _free_inputs(
+        self, work: StagedWork, number: int, results: StageResults
+    ) -> None:
+        """Give up the results of steps all of whose followers are done."""
+        for other in work.steps[number].after:
+            followers = work.followers(other)
+            if all(each in results.handles_by_step for each in followers):
+                await self._free(other, results)
+
+    async def free_all(self, results: StageResults) -> None:
+        """Give up all results that are left."""
+        for number in list(results.handles_by_step):
+            await self._free(number, results)
+
+    async def _free(self, number: int, results: StageResults) -> None:
+        handles = results.handles_by_step.get(number, ())
+        if handles and number in results.places_by_step:
+            service, place = results.places_by_step.pop(number)
+            message = FreeResults(service, place, handles)
+            await curio.spawn(self._tell, message, daemon=True)
+
+    async def _cancel(self, work: StagedWork, data_centre: str) -> None:
+        """Tell the entries that form calls that the request is over."""
+        services = {step.service for step in work.steps}
+        for service in sorted(services):
+            for place in self._places(service, data_centre):
+                if (service, place) in self.queues_by_place or place == data_centre:
+                    await self._tell(CancelPieces(work.request_id, service, place))
+
+    async def _tell(self, message: CancelPieces | FreeResults) -> None:
+        owner = self._owner(message.service, message.data_centre, ())
+        if owner is None:
+            return
+        try:
+            await self._call(owner, message)
+        except PeerUnreachable as error:
+            # Targets drop results by themselves after a while.
+            events.log(events.PEER_LOST, peer=owner, detail=str(error))
