Count results until they are freed; start independent steps late; know callers' patience

Jobs were called done after the first result of a call, and letters without pieces lacked the header that engines demand.

--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -180,9 +180,10 @@
             job.data_centre = place
             job.expected_ms = stages_ms + engine_ms
             now_ms = self.clock.now_ms()
-            if now_ms + job.expected_ms > job.end_at_ms:
+            end_at_ms = job.first_event_at_ms
+            if now_ms + job.expected_ms > end_at_ms:
                 # Known already: waiting for the deadline would serve nobody.
-                excess_ms = now_ms + job.expected_ms - job.end_at_ms
+                excess_ms = now_ms + job.expected_ms - end_at_ms
                 detail = f"expected {job.expected_ms} ms"
                 return Refusal(
                     RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, excess_ms
@@ -194,7 +195,7 @@
                 key=job.request.piece_key,
                 urgency=job.urgency,
                 aim_at_ms=job.aim_at_ms - engine_ms,
-                end_at_ms=job.end_at_ms - engine_ms,
+                end_at_ms=end_at_ms - engine_ms,
             )
             refusal = await self.runner.run(job.work, place, job.results)
             job.staged_ms = self.clock.now_ms()
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -67,14 +67,21 @@
     streaming: bool = False
     detail: str = ""
 
+    @property
+    def first_event_at_ms(self) -> int:
+        """When the caller gives up on a stream that has not begun."""
+        return min(self.end_at_ms, self.arrived_ms + self.route.patience_ms)
+
     @property
     def may_run_again(self) -> bool:
         """Whether one more attempt may run, as far as the route is concerned."""
         return self.route.repeatable and self.runs < self.route.max_attempts
 
     @property
-    def inputs(self) -> tuple[str, ...]:
-        """Handles that the target needs."""
+    def inputs(self) -> tuple[str, ...] | None:
+        """Handles that the target needs; None if the route has no stages."""
+        if not self.route.steps:
+            return None
         return self.results.last_handles(self.work) if self.work else ()
 
     def result_bytes(self) -> dict[str, int]:
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -65,7 +65,8 @@
         workspace: Workspace of the caller; empty if the route needs no key.
         remaining_ms: Time left.
         urgency: Rank, 0 to 9; 0 goes first.
-        inputs: Handles of the results of the last stages.
+        inputs: Handles of the results of the last stages; None if the route has no
+            stages.
         last_event_id: Newest event that was passed on, if the stream goes on.
     """
 
@@ -73,7 +74,7 @@
     workspace: str
     remaining_ms: int
     urgency: int
-    inputs: tuple[str, ...] = ()
+    inputs: tuple[str, ...] | None = None
     last_event_id: int | None = None
 
 
--- a/wagtailrun/routes/model.py
+++ b/wagtailrun/routes/model.py
@@ -17,6 +17,13 @@
 ]
 
 
+# Callers abandon a stream after a silence of the longest of these: so long, so many
+# aims, so many of the longest good pauses (the users' protocol page, on requests).
+MIN_PATIENCE_MS = 2_000
+PATIENCE_AIMS = 4
+PATIENCE_GAPS = 8
+
+
 class RouteKind(enum.StrEnum):
     """What may be repeated, and how an answer arrives."""
 
@@ -85,6 +92,16 @@
     prompt_affinity: bool = False
     resumable: bool = False
 
+    @property
+    def patience_ms(self) -> int:
+        """How long callers wait for the first event of a stream."""
+        if self.kind is not RouteKind.STREAM:
+            return self.timeout_ms
+        patience_ms = max(
+            MIN_PATIENCE_MS, PATIENCE_AIMS * self.aim_ms, PATIENCE_GAPS * self.gap_ms
+        )
+        return min(patience_ms, self.timeout_ms)
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -32,13 +32,16 @@
         self.held_by_handle[handle] = _Held(address, size, until_ms)
         self.bytes_by_address[address] = self.held(address) + size
 
-    def release(self, handle: str) -> Address | None:
-        """Forget a result; return where it is, or None if it is not known."""
+    def address_of(self, handle: str) -> Address | None:
+        """Return where a result is, or None if it is not known."""
+        held = self.held_by_handle.get(handle)
+        return held.address if held is not None else None
+
+    def release(self, handle: str) -> None:
+        """Forget a result that its target has dropped."""
         held = self.held_by_handle.pop(handle, None)
-        if held is None:
-            return None
-        self.bytes_by_address[held.address] -= held.size
-        return held.address
+        if held is not None:
+            self.bytes_by_address[held.address] -= held.size
 
     def held(self, address: Address) -> int:
         """Return the bytes that results take up at ``address``."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -42,7 +42,7 @@
 SLOWNESS_WEIGHT = 0.4
 MAX_SLOWNESS = 8.0
 # Frees of many requests travel together.
-FREE_INTERVAL_MS = 50
+FREE_INTERVAL_MS = 10
 FREE_TIMEOUT_MS = 500
 # Finished jobs answer a repeated question for this long.
 KEEP_FINISHED_MS = 3_000
@@ -61,9 +61,11 @@
 
     Attributes:
         message: What was asked.
+        asked_ms: When it was asked.
         aim_at_ms: When it should be done.
         end_at_ms: When it is of no use any more.
         waiting: Pieces that are in no call.
+        waiting_for_memory: Whether the newest call left them out for want of memory.
         running: Number of pieces in calls.
         results_by_piece: Results so far.
         tries: Calls that failed.
@@ -72,9 +74,11 @@
     """
 
     message: RunPieces
+    asked_ms: int
     aim_at_ms: int
     end_at_ms: int
     waiting: list[int]
+    waiting_for_memory: bool = False
     running: int = 0
     results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
     tries: int = 0
@@ -121,6 +125,7 @@
         self.memory = ResultMemory()
         self.free_by_address: dict[Address, list[str]] = defaultdict(list)
         self.wake = curio.Event()
+        self.frees_wanted = curio.Event()
 
     # Questions
 
@@ -163,7 +168,18 @@
         rate = sum(1.0 / bench.slowness for bench in able) * max(capacity.slots, 1)
         calls_ahead = ahead // capacity.batch
         queued_ms = calls_ahead * capacity.duration_ms(capacity.batch) / rate
-        return int(max(free_ms, 0) + queued_ms)
+        return int(max(max(free_ms, 0) + queued_ms, self._blocked_ms(now_ms)))
+
+    def _blocked_ms(self, now_ms: int) -> int:
+        """Return how long the oldest piece waits for memory at the targets.
+
+        The model of the queue knows calls only; while results take up all memory,
+        pieces wait although every target is idle.
+        """
+        ages = [
+            now_ms - job.asked_ms for job in self.open_jobs() if job.waiting_for_memory
+        ]
+        return max(ages, default=0)
 
     def expected_ms(self, pieces: int, ahead: int | None = None) -> int | None:
         """Return the expected time until new pieces are done, or None."""
@@ -186,6 +202,7 @@
         now_ms = self.clock.now_ms()
         job = _Job(
             message=message,
+            asked_ms=now_ms,
             aim_at_ms=now_ms + message.aim_ms,
             end_at_ms=now_ms + message.remaining_ms,
             waiting=list(message.pieces),
@@ -248,9 +265,9 @@
         self.free(handles)
 
     def free(self, handles: list[str]) -> None:
-        """Give up results; the targets are told a little later."""
+        """Give up results; they count as held until the targets were told."""
         for handle in handles:
-            address = self.memory.release(handle)
+            address = self.memory.address_of(handle)
             if address is not None:
                 self.free_by_address[address].append(handle)
 
@@ -331,11 +348,13 @@
         jobs = [job for job in self.open_jobs() if job.waiting]
         jobs.sort(key=lambda job: self._rank(job, now_ms))
         for job in jobs:
+            job.waiting_for_memory = False
             for piece in list(job.waiting):
                 needed = job.message.result_bytes
                 if len(chosen) >= capacity.batch:
                     return chosen
                 if needed > room and (chosen or self.memory.held(row.address)):
+                    job.waiting_for_memory = True
                     break
                 room -= needed
                 chosen.append((job, piece))
@@ -373,8 +392,7 @@
         if failure is not None:
             self._note_failure(row, bench, failure, ended_ms)
             for job, piece in chosen:
-                sent = failure.verdict is not Verdict.NOT_RUN
-                self._again(job, piece, sent or not isinstance(failure, ConnectFailed))
+                self._again(job, piece, failure.verdict is not Verdict.NOT_RUN)
         else:
             self._note_success(bench, len(items), ended_ms - started_ms)
             for (job, piece), reply in zip(chosen, replies, strict=True):
@@ -429,15 +447,16 @@
         match reply.outcome:
             case PieceOutcome.DONE:
                 job.results_by_piece[piece] = PieceResult(piece, reply.handle)
-                if not job.waiting and not job.running:
+                if len(job.results_by_piece) == len(job.message.pieces):
                     self._end(job, JobState.DONE)
             case PieceOutcome.GONE:
                 self._end(job, JobState.GONE, "an input is gone")
             case PieceOutcome.LATE:
                 self._end(job, JobState.REFUSED, "the target found it late")
             case PieceOutcome.NO_MEMORY:
+                # Refused at its turn, so nothing was run; frees are on their way.
                 bench.pause_until_ms = now_ms + FULL_PAUSE_MS
-                self._again(job, piece, True)
+                self._again(job, piece, False)
             case PieceOutcome.ERROR:
                 self._again(job, piece, True)
 
@@ -458,21 +477,24 @@
     async def run_frees(self) -> None:
         """Tell the targets which results are given up."""
         while True:
-            await self.clock.sleep_ms(FREE_INTERVAL_MS if self.free_by_address else 200)
+            await self.frees_wanted.wait()
+            await self.clock.sleep_ms(FREE_INTERVAL_MS)
+            self.frees_wanted.clear()
             frees, self.free_by_address = self.free_by_address, defaultdict(list)
             for address, handles in frees.items():
-                try:
-                    await curio.timeout_after(
-                        FREE_TIMEOUT_MS / MS_PER_SECOND,
-                        self.host.client.free,
-                        address,
-                        handles,
-                    )
-                except (TargetFailed, curio.TaskTimeout) as error:
-                    # The target drops them by itself after a while.
-                    events.log(
-                        events.FREE_FAILED, address=str(address), detail=str(error)
-                    )
+                await curio.spawn(self._tell_free, address, handles, daemon=True)
+
+    async def _tell_free(self, address: Address, handles: list[str]) -> None:
+        try:
+            async with curio.timeout_after(FREE_TIMEOUT_MS / MS_PER_SECOND):
+                await self.host.client.free(address, handles)
+        except (TargetFailed, curio.TaskTimeout) as error:
+            # The target drops them by itself after a while, and they count till then.
+            events.log(events.FREE_FAILED, address=str(address), detail=str(error))
+            return
+        for handle in handles:
+            self.memory.release(handle)
+        await self.wake.set()
 
 
 class PoolHost:
@@ -513,10 +535,13 @@
         return any(True for pool in pools for _ in pool.open_jobs())
 
     async def notify_ended(self) -> None:
-        """Answer the questions that wait for jobs which have ended."""
+        """Answer those who wait for jobs that have ended; send the frees that wait."""
         jobs, self.ended_jobs = self.ended_jobs, []
         for job in jobs:
             await job.finished.notify()
+        for pool in self.pools_by_place.values():
+            if pool.free_by_address:
+                await pool.frees_wanted.set()
 
     def note_call(self, service: str, pieces: int, took_ms: int) -> None:
         """Count a call."""
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -66,6 +66,23 @@
             if number in step.after and self.pieces[other]
         ]
 
+    def starts_after(self, number: int) -> tuple[int, ...]:
+        """Return the steps that are to be done before ``number`` starts.
+
+        A step that neither needs nor feeds another one starts together with the last
+        step of the longest chain. Its results would otherwise take up memory for the
+        whole chain, and steps of the chain at the same targets would wait for it.
+        """
+        step = self.steps[number]
+        if step.after or self.followers(number):
+            return step.after
+        depths = [0] * len(self.steps)
+        for other, each in enumerate(self.steps):
+            if self.pieces[other]:
+                depths[other] = 1 + max((depths[n] for n in each.after), default=0)
+        deepest = max(range(len(self.steps)), key=depths.__getitem__)
+        return self.steps[deepest].after if deepest != number else ()
+
 
 @attrs.define
 class StageResults:
@@ -179,7 +196,7 @@
         failure: list[Refusal] = []
 
         async def step(number: int) -> None:
-            for other in work.steps[number].after:
+            for other in work.starts_after(number):
                 await ended[other].wait()
             if not failure and work.pieces[number]:
                 refusal = await self._run_step(work, number, data_centre, results)
