Let one entry form the calls of a stage service for all data centres

Cause: with a queue for each data centre every stage was a single server at 70% use; pieces waited a second in total and batches stayed small. Change: one pool a service, chosen by rendezvous among live entries; a job takes a target elsewhere once its wait at home exceeds what moving its results is worth.

--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -122,7 +122,6 @@
             self.host,
             self.view.live_entries,
             self._capacity,
-            self._data_centres,
         )
         self.chooser = TargetChooser(self.clock, settings.data_centre)
         self.front = RelayFront(
@@ -175,9 +174,6 @@
         known = table.services_by_name.get(service) if table else None
         return known.pool if known is not None and known.pool else StagePool()
 
-    def _data_centres(self, service: str) -> list[str]:
-        return sorted({row.data_centre for row in self.view.targets(service)})
-
     def _limits(self) -> ServerLimits:
         table = self.view.table
         limits = table.limits if table is not None else RequestLimits()
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -102,7 +102,7 @@
             if not finished:
                 self._ended(job, "abandoned", 0)
             if not (finished and job.streaming):
-                await self.runner.free_all(job.results)
+                await self.runner.free_all(job.work, job.results)
 
     # Admission
 
@@ -229,16 +229,12 @@
             )
             least = engine_ms_by_place.get(row.data_centre, ms)
             engine_ms_by_place[row.data_centre] = min(least, ms)
-        places = {
-            place: self.runner.expected_ms(work, place) + ms
-            for place, ms in engine_ms_by_place.items()
-        }
-        if not places:
+        if not engine_ms_by_place:
             # Without an engine the request is refused when it has none to choose.
             return self.view.own.data_centre, 0, FIRST_EVENT_MS
-        place = min(places, key=lambda name: (places[name], name))
+        place = min(engine_ms_by_place, key=lambda n: (engine_ms_by_place[n], n))
         engine_ms = int(engine_ms_by_place[place]) + FIRST_EVENT_MS
-        return place, self.runner.expected_ms(work, place), engine_ms
+        return place, self.runner.expected_ms(work), engine_ms
 
     # Outcomes
 
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -87,13 +87,13 @@
     def result_bytes(self) -> dict[str, int]:
         """Return the sizes of the results that the target needs, by data centre."""
         sizes: dict[str, int] = {}
-        for number, (_, place) in self.results.places_by_step.items():
-            size = self.route.steps[number].result_bytes
-            count = len(self.results.handles_by_step[number])
-            sizes[place] = sizes.get(place, 0) + size * count
+        for number, places in self.results.places_by_step.items():
+            for place in places:
+                size = self.route.steps[number].result_bytes
+                sizes[place] = sizes.get(place, 0) + size
         return sizes
 
     async def restart_stages(self, runner: "StageRunner") -> None:
         """Give up all results, so that the stages can run anew."""
-        await runner.free_all(self.results)
+        await runner.free_all(self.work, self.results)
         self.results = StageResults()
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -162,7 +162,7 @@
         aim_ms = max(job.aim_at_ms - job.arrived_ms, 1)
         self.attempts.chooser.succeeded(attempt.row, took_ms / aim_ms)
         # The target has fetched the results once it generates.
-        await self.runner.free_all(job.results)
+        await self.runner.free_all(job.work, job.results)
 
     async def _read(
         self, job: RelayJob, attempt: Attempt, state: "_StreamState"
@@ -218,7 +218,7 @@
         self.closed = True
         self.ended(self.job, self.outcome, self.status)
         await self.items.aclose()
-        await self.runner.free_all(self.job.results)
+        await self.runner.free_all(self.job.work, self.job.results)
 
 
 class _StreamState:
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -27,7 +27,7 @@
   waitMs @12 :UInt32;
 }
 
-struct PieceResult { piece @0 :UInt16; handle @1 :Text; reason @2 :Text; }
+struct PieceResult { piece @0 :UInt16; handle @1 :Text; dataCentre @2 :Text; }
 
 struct PiecesState {
   state @0 :Text;
@@ -36,6 +36,6 @@
   detail @3 :Text;
 }
 
-struct CancelPieces { requestId @0 :Text; service @1 :Text; dataCentre @2 :Text; }
-struct FreeResults { service @0 :Text; dataCentre @1 :Text; handles @2 :List(Text); }
+struct CancelPieces { requestId @0 :Text; service @1 :Text; }
+struct FreeResults { service @0 :Text; handles @1 :List(Text); }
 struct PiecesDropped { count @0 :UInt32; }
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -36,7 +36,7 @@
         request_id: Identifier of the request.
         step: Number of the step in its route.
         service: Stage service.
-        data_centre: Data centre whose targets are to do the work.
+        data_centre: Data centre in which the results are wanted.
         pieces: Numbers of the pieces.
         key: What the caller named as the source of the first pieces.
         inputs: Handles of all results that the step needs.
@@ -65,11 +65,17 @@
 
 @attrs.frozen
 class PieceResult:
-    """Where the result of a piece is, or why there is none."""
+    """Where the result of a piece is.
+
+    Attributes:
+        piece: Number of the piece.
+        handle: Name of its result.
+        data_centre: Data centre of the target that holds it.
+    """
 
     piece: int
     handle: str = ""
-    reason: str = ""
+    data_centre: str = ""
 
 
 @attrs.frozen
@@ -96,7 +102,6 @@
 
     request_id: str
     service: str
-    data_centre: str
 
 
 @attrs.frozen
@@ -104,7 +109,6 @@
     """Results that nobody needs any more."""
 
     service: str
-    data_centre: str
     handles: tuple[str, ...]
 
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -1,4 +1,4 @@
-"""Forms the calls of one stage service in one data centre from many requests."""
+"""Forms the calls of one stage service from the pieces of many requests."""
 
 import math
 from collections import defaultdict
@@ -51,6 +51,13 @@
 # An urgency level counts as this much of the time to the aim: enough to go first in a
 # short queue, not enough to keep the least urgent out for longer than that.
 URGENCY_MS = 400
+# Moving a result to another data centre costs the operator about as much as this much
+# of a caller's time (prices of the users' installations, weighed against the worth of
+# a request), and a call elsewhere breaks up a batch at home.
+LEAVE_MS = 30
+LEAVE_MS_PER_MB = 120.0
+# Sizes are approximate, so a part of the memory is left free.
+MEMORY_PART = 0.92
 # Told to entries as the wait of a pool that has no target.
 NO_TARGET_QUEUE_MS = 60_000
 
@@ -113,13 +120,12 @@
 
 
 class _Pool:
-    """Queue and targets of one service in one data centre."""
+    """Queue and targets of one service."""
 
-    def __init__(self, host: "PoolHost", service: str, data_centre: str):
+    def __init__(self, host: "PoolHost", service: str):
         self.host = host
         self.clock = host.clock
         self.service = service
-        self.data_centre = data_centre
         self.jobs_by_key: dict[tuple[str, int], _Job] = {}
         self.benches_by_name: dict[str, _Bench] = defaultdict(_Bench)
         self.memory = ResultMemory()
@@ -135,9 +141,8 @@
         return self.host.capacity(self.service)
 
     def targets(self) -> list[TargetRow]:
-        """Return the targets of this data centre that may be given calls."""
-        rows = self.host.targets(self.service)
-        return [row for row in rows if row.data_centre == self.data_centre]
+        """Return the targets that may be given calls."""
+        return self.host.targets(self.service)
 
     def open_jobs(self) -> Iterator[_Job]:
         """Yield the jobs that are not finished."""
@@ -252,7 +257,7 @@
                 request_id=job.message.request_id,
                 step=job.message.step,
                 service=self.service,
-                data_centre=self.data_centre,
+                data_centre=job.message.data_centre,
                 state=str(state),
                 detail=detail,
                 waited_ms=job.ended_ms - job.end_at_ms + job.message.remaining_ms,
@@ -303,52 +308,84 @@
 
     async def _start_call(self) -> bool:
         """Start one call; return False if there is no free target or no piece."""
-        row = self._free_target()
-        if row is None:
-            return False
-        chosen = self._choose(row)
-        if not chosen:
+        now_ms = self.clock.now_ms()
+        jobs = [job for job in self.open_jobs() if job.waiting]
+        if not jobs:
             return False
+        jobs.sort(key=lambda job: self._rank(job, now_ms))
+        for job in jobs:
+            job.waiting_for_memory = False
+        free = self._free_targets(now_ms)
+        # The first job chooses its target; the others fill the call.
+        for job in jobs:
+            for row in self._fit(job, free, now_ms):
+                chosen = self._choose(row, jobs, free, now_ms)
+                if chosen:
+                    await self._begin(row, chosen)
+                    return True
+        return False
+
+    async def _begin(self, row: TargetRow, chosen: list[tuple[_Job, int]]) -> None:
         bench = self.benches_by_name[row.name]
-        now_ms = self.clock.now_ms()
-        pieces = len(chosen)
-        expected_ms = self.capacity.duration_ms(pieces) * bench.slowness
+        expected_ms = self.capacity.duration_ms(len(chosen)) * bench.slowness
         bench.calls += 1
-        bench.busy_until_ms = now_ms + int(expected_ms)
+        bench.busy_until_ms = self.clock.now_ms() + int(expected_ms)
         for job, piece in chosen:
             job.waiting.remove(piece)
             job.running += 1
         await curio.spawn(self._call, row, chosen, expected_ms, daemon=True)
-        return True
 
-    def _free_target(self) -> TargetRow | None:
-        now_ms = self.clock.now_ms()
+    def _free_targets(self, now_ms: int) -> list[TargetRow]:
+        """Return the targets that may be given a call now, the best first."""
         slots = max(self.capacity.slots, 1)
         free = []
         for row in self.targets():
             bench = self.benches_by_name[row.name]
             if bench.calls < slots and bench.pause_until_ms <= now_ms:
                 free.append(row)
-        return min(
-            free,
-            key=lambda row: (
-                self.benches_by_name[row.name].failures,
-                self.benches_by_name[row.name].slowness,
-                row.name,
-            ),
-            default=None,
+        benches = self.benches_by_name
+        free.sort(key=lambda r: (benches[r.name].failures, benches[r.name].slowness))
+        return free
+
+    def _fit(
+        self, job: _Job, free: list[TargetRow], now_ms: int
+    ) -> Iterator[TargetRow]:
+        """Yield the free targets where a job may run, those near its engine first."""
+        wanted = job.message.data_centre
+        yield from (row for row in free if row.data_centre == wanted)
+        if self._may_leave(job, now_ms):
+            yield from (row for row in free if row.data_centre != wanted)
+
+    def _may_leave(self, job: _Job, now_ms: int) -> bool:
+        """Whether a job may run in another data centre than the wanted one.
+
+        It may once waiting at home takes longer than moving its results is worth.
+        """
+        home = [
+            self.benches_by_name[row.name]
+            for row in self.targets()
+            if row.data_centre == job.message.data_centre
+        ]
+        able = [bench for bench in home if not bench.failures]
+        if not able:
+            return True
+        busy_ms = min(
+            max(bench.busy_until_ms, bench.pause_until_ms) - now_ms for bench in able
         )
+        size = job.message.result_bytes * len(job.message.pieces)
+        return busy_ms > LEAVE_MS + size / 1e6 * LEAVE_MS_PER_MB
 
-    def _choose(self, row: TargetRow) -> list[tuple[_Job, int]]:
-        """Return the pieces of the next call, whole steps first."""
-        now_ms = self.clock.now_ms()
+    def _choose(
+        self, row: TargetRow, jobs: list[_Job], free: list[TargetRow], now_ms: int
+    ) -> list[tuple[_Job, int]]:
+        """Return the pieces of the next call at ``row``, in the order of ``jobs``."""
         capacity = self.capacity
-        room = self.memory.free_bytes(row.address, capacity.memory_bytes)
+        usable = int(capacity.memory_bytes * MEMORY_PART)
+        room = self.memory.free_bytes(row.address, usable)
         chosen: list[tuple[_Job, int]] = []
-        jobs = [job for job in self.open_jobs() if job.waiting]
-        jobs.sort(key=lambda job: self._rank(job, now_ms))
         for job in jobs:
-            job.waiting_for_memory = False
+            if row not in self._fit(job, free, now_ms):
+                continue
             for piece in list(job.waiting):
                 needed = job.message.result_bytes
                 if len(chosen) >= capacity.batch:
@@ -446,7 +483,8 @@
             return
         match reply.outcome:
             case PieceOutcome.DONE:
-                job.results_by_piece[piece] = PieceResult(piece, reply.handle)
+                made = PieceResult(piece, reply.handle, row.data_centre)
+                job.results_by_piece[piece] = made
                 if len(job.results_by_piece) == len(job.message.pieces):
                     self._end(job, JobState.DONE)
             case PieceOutcome.GONE:
@@ -521,7 +559,7 @@
         self.targets = targets
         self.capacity = capacity
         self.budget = budget
-        self.pools_by_place: dict[tuple[str, str], _Pool] = {}
+        self.pools_by_service: dict[str, _Pool] = {}
         # Jobs whose waiting questions are to be answered.
         self.ended_jobs: list[_Job] = []
         self.calls = 0
@@ -531,7 +569,7 @@
     @property
     def has_open_jobs(self) -> bool:
         """Whether pieces wait or are in calls here."""
-        pools = self.pools_by_place.values()
+        pools = self.pools_by_service.values()
         return any(True for pool in pools for _ in pool.open_jobs())
 
     async def notify_ended(self) -> None:
@@ -539,7 +577,7 @@
         jobs, self.ended_jobs = self.ended_jobs, []
         for job in jobs:
             await job.finished.notify()
-        for pool in self.pools_by_place.values():
+        for pool in self.pools_by_service.values():
             if pool.free_by_address:
                 await pool.frees_wanted.set()
 
@@ -549,12 +587,11 @@
         self.pieces += pieces
         self.call_ms += took_ms
 
-    async def pool(self, service: str, data_centre: str) -> _Pool:
-        """Return the pool of a place, started if it is new."""
-        place = (service, data_centre)
-        pool = self.pools_by_place.get(place)
+    async def pool(self, service: str) -> _Pool:
+        """Return the pool of a service, started if it is new."""
+        pool = self.pools_by_service.get(service)
         if pool is None:
-            pool = self.pools_by_place[place] = _Pool(self, service, data_centre)
+            pool = self.pools_by_service[service] = _Pool(self, service)
             await curio.spawn(pool.run, daemon=True)
             await curio.spawn(pool.run_frees, daemon=True)
         return pool
@@ -563,7 +600,7 @@
         self, message: RunPieces | CancelPieces | FreeResults
     ) -> PiecesState | PiecesDropped:
         """Answer one message of an entry."""
-        pool = await self.pool(message.service, message.data_centre)
+        pool = await self.pool(message.service)
         match message:
             case CancelPieces():
                 count = pool.cancel(message.request_id)
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -1,6 +1,6 @@
 """Entry side of stages: runs all steps of one request, and gives up their results."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Any
 
 import attrs
@@ -29,8 +29,6 @@
 POLL_WAIT_MS = 300
 POLL_SLACK_MS = 250
 AVOID_ENTRY_MS = 1_500
-# Several entries and data centres may have to be tried for one step.
-MAX_PLACES = 4
 MIN_RETRY_AFTER_MS = 300
 # What was told about a queue is believed for this long, ever less.
 QUEUE_MEMORY_MS = 1_500
@@ -90,11 +88,11 @@
 
     Attributes:
         handles_by_step: Handles of each finished step, in order of its pieces.
-        places_by_step: Service and data centre that made them.
+        places_by_step: Data centre of each result, until they are given up.
     """
 
     handles_by_step: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
-    places_by_step: dict[int, tuple[str, str]] = attrs.field(factory=dict)
+    places_by_step: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
 
     def last_handles(self, work: StagedWork) -> tuple[str, ...]:
         """Return the handles of the steps that no other step follows."""
@@ -116,7 +114,6 @@
         host: Pools whose calls this entry forms.
         entries: Returns the live entries.
         capacity: Returns what the text says of a target of a stage service.
-        data_centres: Returns the data centres that have targets of a service.
     """
 
     def __init__(
@@ -127,7 +124,6 @@
         host: PoolHost,
         entries: Callable[[], Sequence[EntryRow]],
         capacity: Callable[[str], StagePool],
-        data_centres: Callable[[str], list[str]],
     ):
         self.clock = clock
         self.link = link
@@ -135,30 +131,29 @@
         self.host = host
         self.entries = entries
         self.capacity = capacity
-        self.data_centres = data_centres
         self.avoid_until_ms: dict[str, int] = {}
-        # Queue of a place and when it was told.
-        self.queues_by_place: dict[tuple[str, str], tuple[int, int]] = {}
+        # Queue of a service and when it was told.
+        self.queues_by_service: dict[str, tuple[int, int]] = {}
 
-    def queue_ms(self, service: str, data_centre: str) -> int:
-        """Return how long pieces wait at a place, as far as it is known."""
-        pool = self.host.pools_by_place.get((service, data_centre))
-        if pool is not None and self._owner(service, data_centre, ()) == self.name:
+    def queue_ms(self, service: str) -> int:
+        """Return how long pieces of a service wait, as far as it is known."""
+        pool = self.host.pools_by_service.get(service)
+        if pool is not None and self._owner(service, ()) == self.name:
             known_ms = pool.queue_ms()
             if known_ms is not None:
                 return known_ms
-        queue_ms, told_ms = self.queues_by_place.get((service, data_centre), (0, 0))
+        queue_ms, told_ms = self.queues_by_service.get(service, (0, 0))
         age_ms = self.clock.now_ms() - told_ms
         return max(int(queue_ms * (1 - age_ms / QUEUE_MEMORY_MS)), 0)
 
-    def expected_ms(self, work: StagedWork, data_centre: str) -> int:
-        """Return the expected time of the longest chain of steps in a data centre."""
+    def expected_ms(self, work: StagedWork) -> int:
+        """Return the expected time of the longest chain of steps."""
         done_ms: list[int] = []
         for number, step in enumerate(work.steps):
             start_ms = max((done_ms[other] for other in step.after), default=0)
             own_ms = 0
             if work.pieces[number]:
-                own_ms = self.queue_ms(step.service, data_centre)
+                own_ms = self.queue_ms(step.service)
                 own_ms += self._work_ms(step.service, work.pieces[number])
             done_ms.append(start_ms + own_ms)
         return max(done_ms, default=0)
@@ -189,7 +184,7 @@
 
         Args:
             work: What to run.
-            data_centre: Where to run it if there is room.
+            data_centre: Where the results are wanted.
             results: Filled with what was made.
         """
         ended = {number: curio.Event() for number in range(len(work.steps))}
@@ -211,10 +206,10 @@
                 for number in range(len(work.steps)):
                     await group.spawn(step, number)
         except curio.CancelledError:
-            await curio.spawn(self._cancel, work, data_centre, daemon=True)
+            await curio.spawn(self._cancel, work, daemon=True)
             raise
         if failure:
-            await curio.spawn(self._cancel, work, data_centre, daemon=True)
+            await curio.spawn(self._cancel, work, daemon=True)
             return failure[0]
         return None
 
@@ -227,43 +222,29 @@
             for other in step.after
             for handle in results.handles_by_step.get(other, ())
         )
-        detail, queue_ms = "", 0
-        for place in self._places(step.service, data_centre):
-            state = await self._ask(work, number, place, inputs)
-            if state.state == JobState.DONE:
-                handles = tuple(result.handle for result in state.results)
-                results.handles_by_step[number] = handles
-                results.places_by_step[number] = (step.service, place)
-                return None
-            detail, queue_ms = state.detail, state.queue_ms
-            if state.state == JobState.GONE:
-                return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, detail)
-            if self.clock.now_ms() + self._rest_ms(work, number) >= work.end_at_ms:
-                break
+        state = await self._ask(work, number, data_centre, inputs)
+        if state.state == JobState.DONE:
+            handles = tuple(result.handle for result in state.results)
+            places = tuple(result.data_centre for result in state.results)
+            results.handles_by_step[number] = handles
+            results.places_by_step[number] = places
+            return None
+        if state.state == JobState.GONE:
+            return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, state.detail)
         return Refusal(
             RefusalReason.OVERLOADED,
             Verdict.NOT_RUN,
-            f"step {number} ({step.service}): {detail or 'no target is known'}",
-            max(queue_ms // 2, MIN_RETRY_AFTER_MS),
+            f"step {number} ({step.service}): {state.detail}",
+            max(state.queue_ms // 2, MIN_RETRY_AFTER_MS),
         )
 
-    def _places(self, service: str, data_centre: str) -> list[str]:
-        """Return the data centres to try, the wanted one first."""
-        known = self.data_centres(service)
-        others = sorted(
-            (name for name in known if name != data_centre),
-            key=lambda name: self.queue_ms(service, name),
-        )
-        wanted = [data_centre] if data_centre in known else []
-        return [*wanted, *others][:MAX_PLACES]
-
     async def _ask(
         self, work: StagedWork, number: int, place: str, inputs: tuple[str, ...]
     ) -> PiecesState:
-        """Return what becomes of a step in one data centre."""
+        """Return what becomes of a step."""
         step = work.steps[number]
         tried: set[str] = set()
-        owner = self._owner(step.service, place, tried)
+        owner = self._owner(step.service, tried)
         while True:
             message = self._message(work, number, place, inputs)
             if owner is None or message.remaining_ms <= 0:
@@ -273,10 +254,10 @@
             except PeerUnreachable as error:
                 tried.add(owner)
                 self._lose(owner, str(error))
-                owner = self._owner(step.service, place, tried)
+                owner = self._owner(step.service, tried)
                 continue
             told = (state.queue_ms, self.clock.now_ms())
-            self.queues_by_place[step.service, place] = told
+            self.queues_by_service[step.service] = told
             if state.state != JobState.PENDING:
                 return state
 
@@ -304,24 +285,19 @@
 
     # The entries that form calls
 
-    def _owner(
-        self, service: str, data_centre: str, tried: Sequence[str] | set[str]
-    ) -> str | None:
-        """Return the entry that forms the calls of a place.
+    def _owner(self, service: str, tried: Collection[str]) -> str | None:
+        """Return the entry that forms the calls of a service.
 
         All entries agree on it while they know the same live entries; while they do
         not, two may form calls for the same target, which then waits a call longer.
         """
         now_ms = self.clock.now_ms()
-        rows = [
-            row
+        names = [
+            row.name
             for row in self.entries()
             if row.name not in tried and self.avoid_until_ms.get(row.name, 0) <= now_ms
         ]
-        local = [row.name for row in rows if row.data_centre == data_centre]
-        names = local or [row.name for row in rows]
-        key = f"{service}/{data_centre}"
-        return next(iter(rendezvous(key, names, 1)), None)
+        return next(iter(rendezvous(service, names, 1)), None)
 
     async def _call(self, owner: str, message: Any) -> Any:
         if owner == self.name:
@@ -352,30 +328,26 @@
         for other in work.steps[number].after:
             followers = work.followers(other)
             if all(each in results.handles_by_step for each in followers):
-                await self._free(other, results)
+                await self._free(other, work, results)
 
-    async def free_all(self, results: StageResults) -> None:
+    async def free_all(self, work: StagedWork | None, results: StageResults) -> None:
         """Give up all results that are left."""
-        for number in list(results.handles_by_step):
-            await self._free(number, results)
-
-    async def _free(self, number: int, results: StageResults) -> None:
-        handles = results.handles_by_step.get(number, ())
-        if handles and number in results.places_by_step:
-            service, place = results.places_by_step.pop(number)
-            message = FreeResults(service, place, handles)
+        for number in list(results.places_by_step):
+            await self._free(number, work, results)
+
+    async def _free(self, number: int, work: StagedWork, results: StageResults) -> None:
+        if results.places_by_step.pop(number, None) is not None:
+            handles = results.handles_by_step[number]
+            message = FreeResults(work.steps[number].service, handles)
             await curio.spawn(self._tell, message, daemon=True)
 
-    async def _cancel(self, work: StagedWork, data_centre: str) -> None:
+    async def _cancel(self, work: StagedWork) -> None:
         """Tell the entries that form calls that the request is over."""
-        services = {step.service for step in work.steps}
-        for service in sorted(services):
-            for place in self._places(service, data_centre):
-                if (service, place) in self.queues_by_place or place == data_centre:
-                    await self._tell(CancelPieces(work.request_id, service, place))
+        for service in sorted({step.service for step in work.steps}):
+            await self._tell(CancelPieces(work.request_id, service))
 
     async def _tell(self, message: CancelPieces | FreeResults) -> None:
-        owner = self._owner(message.service, message.data_centre, ())
+        owner = self._owner(message.service, ())
         if owner is None:
             return
         try:
