--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -87,9 +87,10 @@
     def result_bytes(self) -> dict[str, int]:
         """Return the sizes of the results that the target needs, by data centre."""
         sizes: dict[str, int] = {}
-        for number, places in self.results.places_by_step.items():
-            for place in places:
-                size = self.route.steps[number].result_bytes
+        for number in self.results.kept_steps:
+            size = self.route.steps[number].result_bytes
+            for result in self.results.made_by_step[number]:
+                place = result.data_centre
                 sizes[place] = sizes.get(place, 0) + size
         return sizes
 
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -27,7 +27,12 @@
   waitMs @12 :UInt32;
 }
 
-struct PieceResult { piece @0 :UInt16; handle @1 :Text; dataCentre @2 :Text; }
+struct PieceResult {
+  piece @0 :UInt16;
+  handle @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+}
 
 struct PiecesState {
   state @0 :Text;
@@ -37,5 +42,5 @@
 }
 
 struct CancelPieces { requestId @0 :Text; service @1 :Text; }
-struct FreeResults { service @0 :Text; handles @1 :List(Text); }
+struct FreeResults { service @0 :Text; results @1 :List(PieceResult); }
 struct PiecesDropped { count @0 :UInt32; }
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -32,11 +32,6 @@
         self.held_by_handle[handle] = _Held(address, size, until_ms)
         self.bytes_by_address[address] = self.held(address) + size
 
-    def address_of(self, handle: str) -> Address | None:
-        """Return where a result is, or None if it is not known."""
-        held = self.held_by_handle.get(handle)
-        return held.address if held is not None else None
-
     def release(self, handle: str) -> None:
         """Forget a result that its target has dropped."""
         held = self.held_by_handle.pop(handle, None)
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -70,11 +70,13 @@
     Attributes:
         piece: Number of the piece.
         handle: Name of its result.
+        address: Target that holds it.
         data_centre: Data centre of the target that holds it.
     """
 
     piece: int
     handle: str = ""
+    address: str = ""
     data_centre: str = ""
 
 
@@ -109,7 +111,7 @@
     """Results that nobody needs any more."""
 
     service: str
-    handles: tuple[str, ...]
+    results: tuple[PieceResult, ...]
 
 
 @attrs.frozen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 import curio
@@ -109,6 +109,7 @@
         busy_until_ms: When the last of them should end.
         pause_until_ms: Before this it gets no call.
         failures: Failures in a row.
+        refusals: Pieces in a row for which it had no memory.
         slowness: Time of its calls as a multiple of what the text says.
     """
 
@@ -116,6 +117,7 @@
     busy_until_ms: int = 0
     pause_until_ms: int = 0
     failures: int = 0
+    refusals: int = 0
     slowness: float = 1.0
 
 
@@ -266,15 +268,16 @@
         self.host.ended_jobs.append(job)
 
     def _free_results(self, job: _Job) -> None:
-        handles = [r.handle for r in job.results_by_piece.values() if r.handle]
-        self.free(handles)
+        self.free(list(job.results_by_piece.values()))
 
-    def free(self, handles: list[str]) -> None:
-        """Give up results; they count as held until the targets were told."""
-        for handle in handles:
-            address = self.memory.address_of(handle)
-            if address is not None:
-                self.free_by_address[address].append(handle)
+    def free(self, results: Sequence[PieceResult]) -> None:
+        """Give up results; they count as held until the targets were told.
+
+        They may have been made for an entry that formed the calls before this one.
+        """
+        for result in results:
+            address = Address.parse(result.address)
+            self.free_by_address[address].append(result.handle)
 
     # Calls
 
@@ -479,12 +482,15 @@
             self.memory.hold(row.address, reply.handle, size, now_ms + kept_ms)
         if job.state is not JobState.PENDING:
             # The request is over; its result only takes up memory.
-            self.free([reply.handle] if reply.handle else [])
+            if reply.handle:
+                self.free([PieceResult(piece, reply.handle, str(row.address))])
             return
         match reply.outcome:
             case PieceOutcome.DONE:
-                made = PieceResult(piece, reply.handle, row.data_centre)
-                job.results_by_piece[piece] = made
+                bench.refusals = 0
+                job.results_by_piece[piece] = PieceResult(
+                    piece, reply.handle, str(row.address), row.data_centre
+                )
                 if len(job.results_by_piece) == len(job.message.pieces):
                     self._end(job, JobState.DONE)
             case PieceOutcome.GONE:
@@ -492,8 +498,11 @@
             case PieceOutcome.LATE:
                 self._end(job, JobState.REFUSED, "the target found it late")
             case PieceOutcome.NO_MEMORY:
-                # Refused at its turn, so nothing was run; frees are on their way.
-                bench.pause_until_ms = now_ms + FULL_PAUSE_MS
+                # Refused at its turn, so nothing was run; frees are on their way, or
+                # the results of an entry that formed calls before will expire.
+                bench.refusals += 1
+                pause_ms = FULL_PAUSE_MS << min(bench.refusals - 1, 3)
+                bench.pause_until_ms = now_ms + pause_ms
                 self._again(job, piece, False)
             case PieceOutcome.ERROR:
                 self._again(job, piece, True)
@@ -605,8 +614,8 @@
             case CancelPieces():
                 count = pool.cancel(message.request_id)
             case FreeResults():
-                pool.free(list(message.handles))
-                count = len(message.handles)
+                pool.free(message.results)
+                count = len(message.results)
             case RunPieces():
                 return await self._run_pieces(pool, message)
         await self.notify_ended()
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -17,6 +17,7 @@
     CancelPieces,
     FreeResults,
     JobState,
+    PieceResult,
     PiecesState,
     RunPieces,
 )
@@ -84,15 +85,19 @@
 
 @attrs.define
 class StageResults:
-    """Results of one request that exist at targets.
+    """Results of one request.
 
     Attributes:
-        handles_by_step: Handles of each finished step, in order of its pieces.
-        places_by_step: Data centre of each result, until they are given up.
+        made_by_step: Results of each finished step, in order of its pieces.
+        kept_steps: Steps whose results were not given up.
     """
 
-    handles_by_step: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
-    places_by_step: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
+    made_by_step: dict[int, tuple[PieceResult, ...]] = attrs.field(factory=dict)
+    kept_steps: set[int] = attrs.field(factory=set)
+
+    def handles(self, number: int) -> tuple[str, ...]:
+        """Return the handles of a step's results."""
+        return tuple(result.handle for result in self.made_by_step.get(number, ()))
 
     def last_handles(self, work: StagedWork) -> tuple[str, ...]:
         """Return the handles of the steps that no other step follows."""
@@ -100,7 +105,7 @@
             handle
             for number in range(len(work.steps))
             if not work.followers(number)
-            for handle in self.handles_by_step.get(number, ())
+            for handle in self.handles(number)
         )
 
 
@@ -218,16 +223,12 @@
     ) -> Refusal | None:
         step = work.steps[number]
         inputs = tuple(
-            handle
-            for other in step.after
-            for handle in results.handles_by_step.get(other, ())
+            handle for other in step.after for handle in results.handles(other)
         )
         state = await self._ask(work, number, data_centre, inputs)
         if state.state == JobState.DONE:
-            handles = tuple(result.handle for result in state.results)
-            places = tuple(result.data_centre for result in state.results)
-            results.handles_by_step[number] = handles
-            results.places_by_step[number] = places
+            results.made_by_step[number] = state.results
+            results.kept_steps.add(number)
             return None
         if state.state == JobState.GONE:
             return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, state.detail)
@@ -327,18 +328,19 @@
         """Give up the results of steps all of whose followers are done."""
         for other in work.steps[number].after:
             followers = work.followers(other)
-            if all(each in results.handles_by_step for each in followers):
+            if all(each in results.made_by_step for each in followers):
                 await self._free(other, work, results)
 
     async def free_all(self, work: StagedWork | None, results: StageResults) -> None:
         """Give up all results that are left."""
-        for number in list(results.places_by_step):
+        for number in sorted(results.kept_steps):
             await self._free(number, work, results)
 
     async def _free(self, number: int, work: StagedWork, results: StageResults) -> None:
-        if results.places_by_step.pop(number, None) is not None:
-            handles = results.handles_by_step[number]
-            message = FreeResults(work.steps[number].service, handles)
+        if number in results.kept_steps:
+            results.kept_steps.discard(number)
+            service = work.steps[number].service
+            message = FreeResults(service, results.made_by_step[number])
             await curio.spawn(self._tell, message, daemon=True)
 
     async def _cancel(self, work: StagedWork) -> None:
