Announce steps to the entries that form calls; begin late requests only into short queues

Cause: requests that could not be in time were staged all the same; results expired in the queue and were thrown away.

--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -23,7 +23,11 @@
 # Callers come back within a third of the time that they have left; a text or a
 # confirmation is there within a poll or two.
 UNREADY_RETRY_MS = 400
-MIN_RETRY_MS = 150
+# An overload lasts for seconds; callers wait for a third of their time at most.
+MIN_OVERLOAD_RETRY_MS = 1_000
+RETRY_SPREAD = 1.6
+# A late request is begun only if its pieces wait for less than this.
+LATE_QUEUE_MS = 1_500
 # Time from the last stage to the first event of an idle engine, beside reading the
 # prompt; the engines of both users' sheets state 80 and 90 ms.
 FIRST_EVENT_MS = 100
@@ -176,18 +180,8 @@
         if not any(job.request.pieces):
             return None
         for _ in range(STAGE_ROUNDS):
-            place, stages_ms, engine_ms = self._plan(job)
-            job.data_centre = place
-            job.expected_ms = stages_ms + engine_ms
-            now_ms = self.clock.now_ms()
+            job.data_centre, engine_ms = self._plan(job)
             end_at_ms = job.first_event_at_ms
-            if now_ms + job.expected_ms > end_at_ms:
-                # Known already: waiting for the deadline would serve nobody.
-                excess_ms = now_ms + job.expected_ms - end_at_ms
-                detail = f"expected {job.expected_ms} ms"
-                return Refusal(
-                    RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, excess_ms
-                )
             job.work = StagedWork(
                 request_id=job.request.request_id,
                 steps=job.route.steps,
@@ -197,15 +191,50 @@
                 aim_at_ms=job.aim_at_ms - engine_ms,
                 end_at_ms=end_at_ms - engine_ms,
             )
-            refusal = await self.runner.run(job.work, place, job.results)
+            stages_ms = await self.runner.announce(job.work, job.data_centre)
+            refusal = self._judge(job, stages_ms, engine_ms)
+            if refusal is not None:
+                await self.runner.withdraw(job.work)
+                return refusal
+            refusal = await self.runner.run(job.work, job.data_centre, job.results)
             job.staged_ms = self.clock.now_ms()
             if refusal is None or refusal.reason is not RefusalReason.TARGET_FAILED:
                 return refusal
             await job.restart_stages(self.runner)
         return refusal
 
-    def _plan(self, job: RelayJob) -> tuple[str, int, int]:
-        """Return the data centre to run in, and the times of stages and engine.
+    def _judge(
+        self, job: RelayJob, stages_ms: int | None, engine_ms: int
+    ) -> Refusal | None:
+        """Return why a request is not begun, or None.
+
+        One that can be in time is begun. One that will be late is worth a fraction and
+        takes as much, so it is begun only while nothing else has to wait for it, and is
+        told to come back otherwise: held here, its results would take up memory.
+        """
+        if stages_ms is None:
+            detail = "a stage has no room in time"
+            return self._overloaded(job, detail, MIN_OVERLOAD_RETRY_MS)
+        now_ms = self.clock.now_ms()
+        job.expected_ms = stages_ms + engine_ms
+        detail = f"expected {job.expected_ms} ms"
+        end_at_ms = job.first_event_at_ms
+        if now_ms + job.expected_ms > end_at_ms:
+            return self._overloaded(job, detail, now_ms + job.expected_ms - end_at_ms)
+        late_ms = now_ms + job.expected_ms - job.aim_at_ms
+        queued_ms = stages_ms - self.runner.least_ms(job.work)
+        if late_ms > 0 and queued_ms > LATE_QUEUE_MS:
+            return self._overloaded(job, f"{detail}, late", queued_ms)
+        return None
+
+    def _overloaded(self, job: RelayJob, detail: str, excess_ms: int) -> Refusal:
+        """Return a refusal whose time to come back spreads the returns."""
+        retry_ms = max(excess_ms, MIN_OVERLOAD_RETRY_MS)
+        retry_ms = int(retry_ms * self.random.uniform(1.0, RETRY_SPREAD))
+        return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_ms)
+
+    def _plan(self, job: RelayJob) -> tuple[str, int]:
+        """Return the data centre to run in, and the expected time of the engine.
 
         Results are large and shared parts of prompts are dear to read again, so all
         stages run where the engine is.
@@ -213,28 +242,15 @@
         rows = self.view.targets(job.service)
         request = job.request
         homes = self.chooser.homes(rows, request.parts)
-        work = StagedWork(
-            request.request_id,
-            job.route.steps,
-            request.pieces,
-            request.piece_key,
-            job.urgency,
-            job.aim_at_ms,
-            job.end_at_ms,
-        )
-        engine_ms_by_place: dict[str, float] = {}
-        for row in rows:
-            ms = self.chooser.expected_ms(
-                row, request.parts, request.prompt_tokens, homes
-            )
-            least = engine_ms_by_place.get(row.data_centre, ms)
-            engine_ms_by_place[row.data_centre] = min(least, ms)
-        if not engine_ms_by_place:
+        times = [
+            self.chooser.expected_ms(row, request.parts, request.prompt_tokens, homes)
+            for row in rows
+        ]
+        if not rows:
             # Without an engine the request is refused when it has none to choose.
-            return self.view.own.data_centre, 0, FIRST_EVENT_MS
-        place = min(engine_ms_by_place, key=lambda n: (engine_ms_by_place[n], n))
-        engine_ms = int(engine_ms_by_place[place]) + FIRST_EVENT_MS
-        return place, self.runner.expected_ms(work), engine_ms
+            return self.view.own.data_centre, FIRST_EVENT_MS
+        best = min(range(len(rows)), key=lambda n: (times[n], rows[n].name))
+        return rows[best].data_centre, int(times[best]) + FIRST_EVENT_MS
 
     # Outcomes
 
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -25,6 +25,7 @@
   remainingMs @10 :Int64;
   resultBytes @11 :UInt64;
   waitMs @12 :UInt32;
+  reserve @13 :Bool;
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -46,6 +46,8 @@
         remaining_ms: Time left until the step is of no use.
         result_bytes: Approximate size of one result.
         wait_ms: How long the answer may wait for the work to be done.
+        reserve: Whether the pieces are only announced: their inputs are to be made
+            by earlier steps, and the answer tells how long they would wait.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     remaining_ms: int
     result_bytes: int
     wait_ms: int
+    reserve: bool = False
 
 
 @attrs.frozen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -46,6 +46,9 @@
 FREE_TIMEOUT_MS = 500
 # Finished jobs answer a repeated question for this long.
 KEEP_FINISHED_MS = 3_000
+# An announced step whose inputs do not come in this time is forgotten; its entry is
+# gone, or gave the request up.
+KEEP_ANNOUNCED_MS = 6_000
 # The waits of jobs are judged again at this interval.
 REVIEW_MS = 50
 # An urgency level counts as this much of the time to the aim: enough to go first in a
@@ -58,6 +61,8 @@
 LEAVE_MS_PER_MB = 120.0
 # Sizes are approximate, so a part of the memory is left free.
 MEMORY_PART = 0.92
+# Calls are a little less than full while pieces of one step are kept together.
+FILL = 0.9
 # Told to entries as the wait of a pool that has no target.
 NO_TARGET_QUEUE_MS = 60_000
 
@@ -72,11 +77,11 @@
         aim_at_ms: When it should be done.
         end_at_ms: When it is of no use any more.
         waiting: Pieces that are in no call.
-        waiting_for_memory: Whether the newest call left them out for want of memory.
         running: Number of pieces in calls.
         results_by_piece: Results so far.
         tries: Calls that failed.
         state: What has become of it.
+        ready: Whether the pieces may run; announced ones only hold their place.
         finished: Signals the end.
     """
 
@@ -85,7 +90,7 @@
     aim_at_ms: int
     end_at_ms: int
     waiting: list[int]
-    waiting_for_memory: bool = False
+    ready: bool = True
     running: int = 0
     results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
     tries: int = 0
@@ -152,11 +157,11 @@
             if job.state is JobState.PENDING:
                 yield job
 
-    def queue_ms(self, ahead: int | None = None) -> int | None:
-        """Return how long new pieces wait before their call starts.
+    def queue_ms(self, before: _Job | None = None) -> int | None:
+        """Return how long pieces wait before their call starts.
 
         Args:
-            ahead: Pieces that go first; by default all that wait.
+            before: Only what goes before this job counts; by default all that waits.
 
         Returns:
             Milliseconds, or None if no target can be given calls.
@@ -166,77 +171,78 @@
         able = [bench for bench in benches if bench.failures < MAX_TRIES]
         if not able:
             return None
-        if ahead is None:
-            ahead = sum(len(job.waiting) for job in self.open_jobs())
+        ahead = sum(len(job.waiting) for job in self._ahead(before, now_ms))
         capacity = self.capacity
         free_ms = min(
             max(bench.busy_until_ms, bench.pause_until_ms) - now_ms for bench in able
         )
-        rate = sum(1.0 / bench.slowness for bench in able) * max(capacity.slots, 1)
-        calls_ahead = ahead // capacity.batch
-        queued_ms = calls_ahead * capacity.duration_ms(capacity.batch) / rate
-        return int(max(max(free_ms, 0) + queued_ms, self._blocked_ms(now_ms)))
-
-    def _blocked_ms(self, now_ms: int) -> int:
-        """Return how long the oldest piece waits for memory at the targets.
-
-        The model of the queue knows calls only; while results take up all memory,
-        pieces wait although every target is idle.
-        """
-        ages = [
-            now_ms - job.asked_ms for job in self.open_jobs() if job.waiting_for_memory
-        ]
-        return max(ages, default=0)
+        speed = sum(1.0 / bench.slowness for bench in able) * max(capacity.slots, 1)
+        full_ms = capacity.duration_ms(capacity.batch)
+        queued_ms = ahead / (capacity.batch * FILL) * full_ms / speed
+        if ahead < capacity.batch:
+            # They share the next call.
+            queued_ms = 0.0
+        return int(max(free_ms, 0) + queued_ms)
+
+    def _ahead(self, before: _Job | None, now_ms: int) -> Iterator[_Job]:
+        """Yield the open jobs that go before a job, announced ones included."""
+        rank = self._rank(before, now_ms) if before is not None else None
+        for job in self.open_jobs():
+            if job is not before and (rank is None or self._rank(job, now_ms) < rank):
+                yield job
 
-    def expected_ms(self, pieces: int, ahead: int | None = None) -> int | None:
-        """Return the expected time until new pieces are done, or None."""
-        queue_ms = self.queue_ms(ahead)
-        if queue_ms is None:
-            return None
-        able = [self.benches_by_name[row.name].slowness for row in self.targets()]
+    def work_ms(self, pieces: int) -> float:
+        """Return the expected time of the calls for so many pieces."""
         capacity = self.capacity
-        own = math.ceil(pieces / capacity.batch)
-        per_call_ms = capacity.duration_ms(min(pieces, capacity.batch))
-        return int(queue_ms + own * per_call_ms * min(able))
+        slowness = [self.benches_by_name[row.name].slowness for row in self.targets()]
+        calls = math.ceil(pieces / capacity.batch)
+        each_ms = capacity.duration_ms(min(pieces, capacity.batch))
+        return calls * each_ms * min(slowness, default=1.0)
 
     # Jobs
 
     def add(self, message: RunPieces) -> _Job:
         """Return the job of ``message``, a new one if it is not known."""
-        known = self.jobs_by_key.get((message.request_id, message.step))
-        if known is not None:
-            return known
         now_ms = self.clock.now_ms()
-        job = _Job(
-            message=message,
-            asked_ms=now_ms,
-            aim_at_ms=now_ms + message.aim_ms,
-            end_at_ms=now_ms + message.remaining_ms,
-            waiting=list(message.pieces),
-        )
-        self.jobs_by_key[job.key] = job
-        self.host.budget.earn(self.service)
-        ahead = sum(
-            len(other.waiting)
-            for other in self.open_jobs()
-            if other is not job and self._rank(other, now_ms) < self._rank(job, now_ms)
-        )
-        expected_ms = self.expected_ms(len(job.waiting), ahead)
-        if expected_ms is None:
+        job = self.jobs_by_key.get((message.request_id, message.step))
+        if job is None:
+            job = _Job(
+                message=message,
+                asked_ms=now_ms,
+                aim_at_ms=now_ms + message.aim_ms,
+                end_at_ms=now_ms + message.remaining_ms,
+                waiting=list(message.pieces),
+                ready=not message.reserve,
+            )
+            self.jobs_by_key[job.key] = job
+            self.host.budget.earn(self.service)
+        elif not job.ready and not message.reserve:
+            job.message = message
+            job.asked_ms = now_ms
+            job.aim_at_ms = now_ms + message.aim_ms
+            job.end_at_ms = now_ms + message.remaining_ms
+            job.ready = True
+        else:
+            return job
+        queue_ms = self.queue_ms(job)
+        if queue_ms is None:
             self._end(job, JobState.REFUSED, "no target can be given calls")
-        elif expected_ms > message.remaining_ms:
-            detail = f"expected {expected_ms} ms of {message.remaining_ms} ms left"
+        elif queue_ms + self.work_ms(len(job.waiting)) > message.remaining_ms:
+            detail = f"queue {queue_ms} ms of {message.remaining_ms} ms left"
             self._end(job, JobState.REFUSED, detail)
         return job
 
     def _rank(self, job: _Job, now_ms: int) -> tuple[bool, int]:
-        """Order in which jobs are served: first those that can still be in time.
+        """Order in which jobs are served.
 
-        Serving the oldest first would make every request late once the queue is
-        longer than the time to the aim.
+        First steps that cannot be in time any more go last: served in the order of
+        their arrival, they would make every request late once the queue is longer than
+        the time to the aim. Later steps keep their place, since what was made for them
+        expires and would be thrown away.
         """
         late = now_ms + self.capacity.duration_ms(len(job.waiting)) > job.aim_at_ms
-        return (late, job.aim_at_ms + job.message.urgency * URGENCY_MS)
+        hopeless = late and not job.message.has_inputs
+        return (hopeless, job.aim_at_ms + job.message.urgency * URGENCY_MS)
 
     def cancel(self, request_id: str) -> int:
         """Drop the pieces of a request that are in no call; return how many."""
@@ -302,6 +308,8 @@
             if job.state is not JobState.PENDING:
                 if now_ms - job.ended_ms > KEEP_FINISHED_MS:
                     del self.jobs_by_key[job.key]
+            elif not job.ready and now_ms - job.asked_ms > KEEP_ANNOUNCED_MS:
+                self._end(job, JobState.REFUSED, "its inputs did not come")
             elif job.waiting and now_ms + self._shortest_ms(job) > job.end_at_ms:
                 self._end(job, JobState.REFUSED, "it could not be done in time")
         self.memory.expire(now_ms)
@@ -312,12 +320,10 @@
     async def _start_call(self) -> bool:
         """Start one call; return False if there is no free target or no piece."""
         now_ms = self.clock.now_ms()
-        jobs = [job for job in self.open_jobs() if job.waiting]
+        jobs = [job for job in self.open_jobs() if job.waiting and job.ready]
         if not jobs:
             return False
         jobs.sort(key=lambda job: self._rank(job, now_ms))
-        for job in jobs:
-            job.waiting_for_memory = False
         free = self._free_targets(now_ms)
         # The first job chooses its target; the others fill the call.
         for job in jobs:
@@ -394,7 +400,6 @@
                 if len(chosen) >= capacity.batch:
                     return chosen
                 if needed > room and (chosen or self.memory.held(row.address)):
-                    job.waiting_for_memory = True
                     break
                 room -= needed
                 chosen.append((job, piece))
@@ -624,8 +629,9 @@
     async def _run_pieces(self, pool: _Pool, message: RunPieces) -> PiecesState:
         job = pool.add(message)
         await pool.wake.set()
+        queue_ms = pool.queue_ms(job)
         give_up_ms = self.clock.now_ms() + message.wait_ms
-        while job.state is JobState.PENDING:
+        while job.state is JobState.PENDING and not message.reserve:
             wait_ms = give_up_ms - self.clock.now_ms()
             if wait_ms <= 0:
                 break
@@ -633,7 +639,8 @@
         results = ()
         if job.state is JobState.DONE:
             results = tuple(job.results_by_piece[n] for n in sorted(message.pieces))
-        queue_ms = pool.queue_ms()
+        if not message.reserve:
+            queue_ms = pool.queue_ms()
         return PiecesState(
             state=job.state,
             results=results,
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -11,7 +11,7 @@
 from wagtailrun.exceptions import PeerUnreachable, Refusal, RefusalReason, Verdict
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.gossip_peers import rendezvous
-from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.ports.link import PeerLink
 from wagtailrun.routes import StagePool, StageStep
 from wagtailrun.stages.messages import (
     CancelPieces,
@@ -31,8 +31,6 @@
 POLL_SLACK_MS = 250
 AVOID_ENTRY_MS = 1_500
 MIN_RETRY_AFTER_MS = 300
-# What was told about a queue is believed for this long, ever less.
-QUEUE_MEMORY_MS = 1_500
 
 
 @attrs.frozen
@@ -137,29 +135,42 @@
         self.entries = entries
         self.capacity = capacity
         self.avoid_until_ms: dict[str, int] = {}
-        # Queue of a service and when it was told.
-        self.queues_by_service: dict[str, tuple[int, int]] = {}
-
-    def queue_ms(self, service: str) -> int:
-        """Return how long pieces of a service wait, as far as it is known."""
-        pool = self.host.pools_by_service.get(service)
-        if pool is not None and self._owner(service, ()) == self.name:
-            known_ms = pool.queue_ms()
-            if known_ms is not None:
-                return known_ms
-        queue_ms, told_ms = self.queues_by_service.get(service, (0, 0))
-        age_ms = self.clock.now_ms() - told_ms
-        return max(int(queue_ms * (1 - age_ms / QUEUE_MEMORY_MS)), 0)
-
-    def expected_ms(self, work: StagedWork) -> int:
-        """Return the expected time of the longest chain of steps."""
+
+    async def announce(self, work: StagedWork, data_centre: str) -> int | None:
+        """Announce all steps where they will run.
+
+        Returns:
+            The expected time of the longest chain in milliseconds, or None if a step
+            is refused already.
+        """
+        numbers = [n for n in range(len(work.steps)) if work.pieces[n]]
+        async with curio.TaskGroup() as group:
+            tasks = {
+                number: await group.spawn(
+                    self._ask, work, number, data_centre, (), True
+                )
+                for number in numbers
+            }
+        done_ms = [0] * len(work.steps)
+        for number, step in enumerate(work.steps):
+            start_ms = max((done_ms[other] for other in step.after), default=0)
+            done_ms[number] = start_ms
+            if number in tasks:
+                state = tasks[number].result
+                if state.state != JobState.PENDING:
+                    return None
+                # What waits there now is worked off while earlier steps run.
+                start_ms = max(start_ms, state.queue_ms)
+                own_ms = self._work_ms(step.service, work.pieces[number])
+                done_ms[number] = start_ms + own_ms
+        return max(done_ms, default=0)
+
+    def least_ms(self, work: StagedWork) -> int:
+        """Return the time of the longest chain if no piece waited."""
         done_ms: list[int] = []
         for number, step in enumerate(work.steps):
             start_ms = max((done_ms[other] for other in step.after), default=0)
-            own_ms = 0
-            if work.pieces[number]:
-                own_ms = self.queue_ms(step.service)
-                own_ms += self._work_ms(step.service, work.pieces[number])
+            own_ms = self._work_ms(step.service, work.pieces[number])
             done_ms.append(start_ms + own_ms)
         return max(done_ms, default=0)
 
@@ -180,6 +191,10 @@
 
     # One request
 
+    async def withdraw(self, work: StagedWork) -> None:
+        """Tell where a request was announced that it is over."""
+        await curio.spawn(self._cancel, work, daemon=True)
+
     async def run(
         self, work: StagedWork, data_centre: str, results: StageResults
     ) -> Refusal | None:
@@ -211,10 +226,10 @@
                 for number in range(len(work.steps)):
                     await group.spawn(step, number)
         except curio.CancelledError:
-            await curio.spawn(self._cancel, work, daemon=True)
+            await self.withdraw(work)
             raise
         if failure:
-            await curio.spawn(self._cancel, work, daemon=True)
+            await self.withdraw(work)
             return failure[0]
         return None
 
@@ -225,7 +240,7 @@
         inputs = tuple(
             handle for other in step.after for handle in results.handles(other)
         )
-        state = await self._ask(work, number, data_centre, inputs)
+        state = await self._ask(work, number, data_centre, inputs, False)
         if state.state == JobState.DONE:
             results.made_by_step[number] = state.results
             results.kept_steps.add(number)
@@ -240,30 +255,37 @@
         )
 
     async def _ask(
-        self, work: StagedWork, number: int, place: str, inputs: tuple[str, ...]
+        self,
+        work: StagedWork,
+        number: int,
+        data_centre: str,
+        inputs: tuple[str, ...],
+        reserve: bool,
     ) -> PiecesState:
-        """Return what becomes of a step."""
-        step = work.steps[number]
+        """Return what becomes of a step, or how long it would wait."""
         tried: set[str] = set()
-        owner = self._owner(step.service, tried)
+        owner = self._owner(work.steps[number].service, tried)
         while True:
-            message = self._message(work, number, place, inputs)
+            message = self._message(work, number, data_centre, inputs, reserve)
             if owner is None or message.remaining_ms <= 0:
                 return PiecesState(JobState.REFUSED, detail="no time or entry is left")
             try:
                 state = await self._call(owner, message)
             except PeerUnreachable as error:
-                tried.add(owner)
+                tried.add(owner.name)
                 self._lose(owner, str(error))
-                owner = self._owner(step.service, tried)
+                owner = self._owner(work.steps[number].service, tried)
                 continue
-            told = (state.queue_ms, self.clock.now_ms())
-            self.queues_by_service[step.service] = told
-            if state.state != JobState.PENDING:
+            if reserve or state.state != JobState.PENDING:
                 return state
 
     def _message(
-        self, work: StagedWork, number: int, place: str, inputs: tuple[str, ...]
+        self,
+        work: StagedWork,
+        number: int,
+        data_centre: str,
+        inputs: tuple[str, ...],
+        reserve: bool,
     ) -> RunPieces:
         step = work.steps[number]
         rest_ms = self._rest_ms(work, number)
@@ -272,7 +294,7 @@
             request_id=work.request_id,
             step=number,
             service=step.service,
-            data_centre=place,
+            data_centre=data_centre,
             pieces=tuple(range(work.pieces[number])),
             key=work.key,
             inputs=inputs,
@@ -281,44 +303,39 @@
             aim_ms=work.aim_at_ms - rest_ms - now_ms,
             remaining_ms=work.end_at_ms - rest_ms - now_ms,
             result_bytes=step.result_bytes,
-            wait_ms=POLL_WAIT_MS,
+            wait_ms=0 if reserve else POLL_WAIT_MS,
+            reserve=reserve,
         )
 
     # The entries that form calls
 
-    def _owner(self, service: str, tried: Collection[str]) -> str | None:
+    def _owner(self, service: str, tried: Collection[str]) -> EntryRow | None:
         """Return the entry that forms the calls of a service.
 
         All entries agree on it while they know the same live entries; while they do
         not, two may form calls for the same target, which then waits a call longer.
         """
         now_ms = self.clock.now_ms()
-        names = [
-            row.name
+        rows_by_name = {
+            row.name: row
             for row in self.entries()
             if row.name not in tried and self.avoid_until_ms.get(row.name, 0) <= now_ms
-        ]
-        return next(iter(rendezvous(service, names, 1)), None)
+        }
+        names = rendezvous(service, rows_by_name, 1)
+        return rows_by_name[names[0]] if names else None
 
-    async def _call(self, owner: str, message: Any) -> Any:
-        if owner == self.name:
+    async def _call(self, owner: EntryRow, message: Any) -> Any:
+        if owner.name == self.name:
             return await self.host.handle(message)
-        address = self._address(owner)
         wait_ms = message.wait_ms if isinstance(message, RunPieces) else 0
-        reply = await self.link.call(address, message, wait_ms + POLL_SLACK_MS)
+        reply = await self.link.call(owner.address, message, wait_ms + POLL_SLACK_MS)
         if isinstance(message, RunPieces) and not isinstance(reply, PiecesState):
-            raise PeerUnreachable(f"{owner} answers {type(reply).__name__}")
+            raise PeerUnreachable(f"{owner.name} answers {type(reply).__name__}")
         return reply
 
-    def _address(self, name: str) -> Address:
-        for row in self.entries():
-            if row.name == name:
-                return row.address
-        raise PeerUnreachable(f"{name} is not known any more", sent=False)
-
-    def _lose(self, owner: str, detail: str) -> None:
-        self.avoid_until_ms[owner] = self.clock.now_ms() + AVOID_ENTRY_MS
-        events.log(events.PEER_LOST, peer=owner, detail=detail)
+    def _lose(self, owner: EntryRow, detail: str) -> None:
+        self.avoid_until_ms[owner.name] = self.clock.now_ms() + AVOID_ENTRY_MS
+        events.log(events.PEER_LOST, peer=owner.name, detail=detail)
 
     # Giving up
 
@@ -356,4 +373,4 @@
             await self._call(owner, message)
         except PeerUnreachable as error:
             # Targets drop results by themselves after a while.
-            events.log(events.PEER_LOST, peer=owner, detail=str(error))
+            events.log(events.PEER_LOST, peer=owner.name, detail=str(error))
