--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -27,7 +27,7 @@
 MIN_OVERLOAD_RETRY_MS = 1_000
 RETRY_SPREAD = 1.6
 # A late request is begun only if its pieces wait for less than this.
-LATE_QUEUE_MS = 1_500
+LATE_QUEUE_MS = 300
 # Time from the last stage to the first event of an idle engine, beside reading the
 # prompt; the engines of both users' sheets state 80 and 90 ms.
 FIRST_EVENT_MS = 100
