Free results once they must have been fetched; leave a data centre whose memory is taken

Cause: the log of calls shows 1 piece in a call while 12 wait: results held until the first event of a stream filled the memory of the last stages, and pieces waited for memory at home while targets elsewhere were idle. Ruled out: too few targets or calls (busy half of the time), the order of jobs. Conclusion: memory for results binds the stages; holding times decide.

--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 
+import curio
+
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.exceptions import (
     AnswerBroken,
@@ -15,7 +17,7 @@
 from wagtailrun.relay.events_split import EventSplitter, StreamEvent
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.port import AnswerHead
-from wagtailrun.stages import StageRunner
+from wagtailrun.stages import StageResults, StageRunner
 
 __all__ = ["RelayStreams"]
 
@@ -26,6 +28,8 @@
 # The first event waits for prefill behind others, which is no silence.
 FIRST_SILENCE_OF_AIM = 1.5
 DEFAULT_FIRST_SILENCE_MS = 3_000
+# Fetching 10 MB over the users' links of 10 Gbit/s takes 8 ms, and a connection a few.
+FETCH_MS = 120
 
 Refuse = Callable[[RelayJob, Refusal], Response]
 Ended = Callable[[RelayJob, str, int], None]
@@ -84,6 +88,7 @@
             refusal = None
             try:
                 resume_id = state.last_id if state.begun else None
+                await self._free_fetched(job)
                 async with self.attempts.open(job, row, resume_id) as attempt:
                     if not self.attempts.is_good(attempt.head):
                         refusal = await self._bad_answer(job, attempt)
@@ -104,6 +109,19 @@
                 yield self._give_up(state, refusal)
                 return
 
+    async def _free_fetched(self, job: RelayJob) -> None:
+        """Give up the results of the stages once the target must have fetched them.
+
+        They take up memory that the stages of other requests wait for. A target
+        fetches them before it reads the prompt, long before its first event.
+        """
+        if job.results.kept_steps:
+            await curio.spawn(self._free_later, job, job.results, daemon=True)
+
+    async def _free_later(self, job: RelayJob, results: StageResults) -> None:
+        await self.clock.sleep_ms(FETCH_MS)
+        await self.runner.free_all(job.work, results)
+
     def _give_up(
         self, state: "_StreamState", last: Refusal | Response
     ) -> Refusal | Response:
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -58,9 +58,10 @@
 # of a caller's time (prices of the users' installations, weighed against the worth of
 # a request), and a call elsewhere breaks up a batch at home.
 LEAVE_MS = 30
+BLOCKED_MS = 150
 LEAVE_MS_PER_MB = 120.0
 # Sizes are approximate, so a part of the memory is left free.
-MEMORY_PART = 0.92
+MEMORY_PART = 0.96
 # Calls are a little less than full while pieces of one step are kept together.
 FILL = 0.9
 # Told to entries as the wait of a pool that has no target.
@@ -382,7 +383,9 @@
             max(bench.busy_until_ms, bench.pause_until_ms) - now_ms for bench in able
         )
         size = job.message.result_bytes * len(job.message.pieces)
-        return busy_ms > LEAVE_MS + size / 1e6 * LEAVE_MS_PER_MB
+        patience_ms = LEAVE_MS + size / 1e6 * LEAVE_MS_PER_MB
+        # While results take up its memory, home may be idle and yet take nothing.
+        return max(busy_ms, now_ms - job.asked_ms - BLOCKED_MS) > patience_ms
 
     def _choose(
         self, row: TargetRow, jobs: list[_Job], free: list[TargetRow], now_ms: int
@@ -409,6 +412,8 @@
         self, row: TargetRow, chosen: list[tuple[_Job, int]], expected_ms: float
     ) -> None:
         started_ms = self.clock.now_ms()
+        left_waiting = sum(len(job.waiting) for job in self.open_jobs() if job.ready)
+        held_bytes = self.memory.held(row.address)
         bench = self.benches_by_name[row.name]
         items = [self._item(job, piece, started_ms) for job, piece in chosen]
         patience_ms = int(max(CALL_PATIENCE * expected_ms, MIN_CALL_PATIENCE_MS))
@@ -429,6 +434,8 @@
             target=row.name,
             pieces=len(items),
             requests=len({job.key for job, _ in chosen}),
+            left_waiting=left_waiting,
+            held_bytes=held_bytes,
             took_ms=ended_ms - started_ms,
             expected_ms=int(expected_ms),
             failure=str(failure or ""),
