--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -26,6 +26,7 @@
   resultBytes @11 :UInt64;
   waitMs @12 :UInt32;
   reserve @13 :Bool;
+  seenFetched @14 :Bool;
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -22,6 +22,7 @@
 
     DONE = "done"
     PENDING = "pending"
+    FETCHED = "fetched"
     REFUSED = "refused"
     GONE = "gone"
 
@@ -48,6 +49,7 @@
         wait_ms: How long the answer may wait for the work to be done.
         reserve: Whether the pieces are only announced: their inputs are to be made
             by earlier steps, and the answer tells how long they would wait.
+        seen_fetched: Whether the asker knows that the inputs were fetched.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     result_bytes: int
     wait_ms: int
     reserve: bool = False
+    seen_fetched: bool = False
 
 
 @attrs.frozen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -60,6 +60,8 @@
 LEAVE_MS = 30
 BLOCKED_MS = 150
 LEAVE_MS_PER_MB = 120.0
+# A target fetches the inputs of a call at its turn; 10 MB take 8 ms on these links.
+FETCH_MS = 60
 # Sizes are approximate, so a part of the memory is left free.
 MEMORY_PART = 0.96
 # Calls are a little less than full while pieces of one step are kept together.
@@ -83,7 +85,8 @@
         tries: Calls that failed.
         state: What has become of it.
         ready: Whether the pieces may run; announced ones only hold their place.
-        finished: Signals the end.
+        fetched: Whether all its pieces are in calls that have fetched their inputs.
+        finished: Signals the end, or that the inputs were fetched.
     """
 
     message: RunPieces
@@ -92,6 +95,7 @@
     end_at_ms: int
     waiting: list[int]
     ready: bool = True
+    fetched: bool = False
     running: int = 0
     results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
     tries: int = 0
@@ -417,6 +421,7 @@
         bench = self.benches_by_name[row.name]
         items = [self._item(job, piece, started_ms) for job, piece in chosen]
         patience_ms = int(max(CALL_PATIENCE * expected_ms, MIN_CALL_PATIENCE_MS))
+        fetcher = await curio.spawn(self._note_fetched, chosen, daemon=True)
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
@@ -428,6 +433,7 @@
         bench.busy_until_ms = ended_ms
         for job, _ in chosen:
             job.running -= 1
+        await fetcher.cancel()
         events.log(
             events.STAGE_CALL,
             service=self.service,
@@ -452,6 +458,14 @@
         await self.host.notify_ended()
         await self.wake.set()
 
+    async def _note_fetched(self, chosen: list[tuple[_Job, int]]) -> None:
+        """Tell, some time into a call, that its inputs need not be kept any more."""
+        await self.clock.sleep_ms(FETCH_MS)
+        for job in {job.key: job for job, _ in chosen}.values():
+            if not job.waiting and not job.fetched:
+                job.fetched = True
+                await job.finished.notify()
+
     def _item(self, job: _Job, piece: int, now_ms: int) -> StageItem:
         message = job.message
         return StageItem(
@@ -639,6 +653,8 @@
         queue_ms = pool.queue_ms(job)
         give_up_ms = self.clock.now_ms() + message.wait_ms
         while job.state is JobState.PENDING and not message.reserve:
+            if job.fetched and not message.seen_fetched:
+                return PiecesState(JobState.FETCHED, queue_ms=pool.queue_ms() or 0)
             wait_ms = give_up_ms - self.clock.now_ms()
             if wait_ms <= 0:
                 break
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -88,10 +88,12 @@
     Attributes:
         made_by_step: Results of each finished step, in order of its pieces.
         kept_steps: Steps whose results were not given up.
+        fetched_steps: Steps that do not need their inputs any more.
     """
 
     made_by_step: dict[int, tuple[PieceResult, ...]] = attrs.field(factory=dict)
     kept_steps: set[int] = attrs.field(factory=set)
+    fetched_steps: set[int] = attrs.field(factory=set)
 
     def handles(self, number: int) -> tuple[str, ...]:
         """Return the handles of a step's results."""
@@ -147,7 +149,7 @@
         async with curio.TaskGroup() as group:
             tasks = {
                 number: await group.spawn(
-                    self._ask, work, number, data_centre, (), True
+                    self._ask, work, number, data_centre, (), None
                 )
                 for number in numbers
             }
@@ -240,9 +242,10 @@
         inputs = tuple(
             handle for other in step.after for handle in results.handles(other)
         )
-        state = await self._ask(work, number, data_centre, inputs, False)
+        state = await self._ask(work, number, data_centre, inputs, results)
         if state.state == JobState.DONE:
             results.made_by_step[number] = state.results
+            results.fetched_steps.add(number)
             results.kept_steps.add(number)
             return None
         if state.state == JobState.GONE:
@@ -260,13 +263,16 @@
         number: int,
         data_centre: str,
         inputs: tuple[str, ...],
-        reserve: bool,
+        results: StageResults | None,
     ) -> PiecesState:
-        """Return what becomes of a step, or how long it would wait."""
+        """Return what becomes of a step, or without results how long it would wait."""
+        reserve = results is None
         tried: set[str] = set()
         owner = self._owner(work.steps[number].service, tried)
+        seen_fetched = not inputs
         while True:
             message = self._message(work, number, data_centre, inputs, reserve)
+            message = attrs.evolve(message, seen_fetched=seen_fetched)
             if owner is None or message.remaining_ms <= 0:
                 return PiecesState(JobState.REFUSED, detail="no time or entry is left")
             try:
@@ -276,7 +282,12 @@
                 self._lose(owner, str(error))
                 owner = self._owner(work.steps[number].service, tried)
                 continue
-            if reserve or state.state != JobState.PENDING:
+            if state.state == JobState.FETCHED:
+                seen_fetched = True
+                if results is not None:
+                    results.fetched_steps.add(number)
+                    await self._free_inputs(work, number, results)
+            elif reserve or state.state != JobState.PENDING:
                 return state
 
     def _message(
@@ -345,7 +356,7 @@
         """Give up the results of steps all of whose followers are done."""
         for other in work.steps[number].after:
             followers = work.followers(other)
-            if all(each in results.made_by_step for each in followers):
+            if results.fetched_steps.issuperset(followers):
                 await self._free(other, work, results)
 
     async def free_all(self, work: StagedWork | None, results: StageResults) -> None:
