--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -59,7 +59,7 @@
 # a request), and a call elsewhere breaks up a batch at home.
 LEAVE_MS = 30
 BLOCKED_MS = 150
-LEAVE_MS_PER_MB = 120.0
+LEAVE_MS_PER_MB = 400.0
 # A target fetches the inputs of a call at its turn; 10 MB take 8 ms on these links.
 FETCH_MS = 60
 # Sizes are approximate, so a part of the memory is left free.
@@ -389,7 +389,12 @@
         size = job.message.result_bytes * len(job.message.pieces)
         patience_ms = LEAVE_MS + size / 1e6 * LEAVE_MS_PER_MB
         # While results take up its memory, home may be idle and yet take nothing.
-        return max(busy_ms, now_ms - job.asked_ms - BLOCKED_MS) > patience_ms
+        blocked_ms = now_ms - job.asked_ms - BLOCKED_MS
+        if max(busy_ms, blocked_ms) > patience_ms:
+            return True
+        # Being late costs a caller more than any move of results.
+        left_ms = job.aim_at_ms - now_ms - self.work_ms(len(job.waiting))
+        return 0 <= left_ms < max(busy_ms, BLOCKED_MS if blocked_ms > 0 else 0)
 
     def _choose(
         self, row: TargetRow, jobs: list[_Job], free: list[TargetRow], now_ms: int
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -242,7 +242,8 @@
         inputs = tuple(
             handle for other in step.after for handle in results.handles(other)
         )
-        state = await self._ask(work, number, data_centre, inputs, results)
+        place = self._place(work, number, results) or data_centre
+        state = await self._ask(work, number, place, inputs, results)
         if state.state == JobState.DONE:
             results.made_by_step[number] = state.results
             results.fetched_steps.add(number)
@@ -257,6 +258,17 @@
             max(state.queue_ms // 2, MIN_RETRY_AFTER_MS),
         )
 
+    def _place(
+        self, work: StagedWork, number: int, results: StageResults
+    ) -> str | None:
+        """Return the data centre that holds most bytes of a step's inputs, if any."""
+        sizes: dict[str, int] = {}
+        for other in work.steps[number].after:
+            for result in results.made_by_step.get(other, ()):
+                size = work.steps[other].result_bytes
+                sizes[result.data_centre] = sizes.get(result.data_centre, 0) + size
+        return max(sorted(sizes), key=sizes.__getitem__, default=None)
+
     async def _ask(
         self,
         work: StagedWork,
