Let a member that was dropped while silent join again; tests of the new parts

Cause: a voter that is removed gets no entry that says so; its own log still names it, so it never asked to join and its pre-votes were refused: it stayed away for ever.

--- /dev/null
+++ b/tests/test_line_writer.py
@@ -0,0 +1,70 @@
+"""Tests of log lines that never wait for their reader."""
+
+import io
+import json
+import threading
+import time
+
+from wagtailrun import events
+from wagtailrun.events import EventLog
+from wagtailrun.line_writer import MAX_WAITING, LineWriter
+
+
+class StandingReader:
+    """A stream whose reader takes nothing until it is let go."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.text = ""
+
+    def write(self, text):
+        self.released.wait(10)
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def test_reader_that_stands_still_holds_up_nobody():
+    """Guards against requests that wait for a full pipe."""
+    stream = StandingReader()
+    writer = LineWriter(stream)
+    writer.start()
+    writer.put("first")
+    time.sleep(0.3)
+    started_s = time.monotonic()
+    for _ in range(MAX_WAITING + 50):
+        writer.put("line")
+    assert time.monotonic() - started_s < 1.0
+    assert writer.dropped == 50
+    stream.released.set()
+    writer.stop()
+    assert "dropped_lines" in stream.text
+    assert stream.text.count("line\n") == MAX_WAITING
+
+
+def test_event_becomes_one_json_object():
+    """Guards against lines that on-call tools cannot read."""
+    stream = io.StringIO()
+    writer = LineWriter(stream)
+    writer.start()
+    log = EventLog()
+    log.use_json_lines(writer.put, "front-1")
+    log.log(events.RELAY_ENDED, request_id="abc", outcome="answered", secret="x")
+    writer.stop()
+    line = json.loads(stream.getvalue())
+    assert (line["event"], line["process"]) == (701, "front-1")
+    assert (line["request_id"], line["secret"]) == ("abc", "(hidden)")
+
+
+def test_volume_is_bounded_and_what_is_left_out_is_counted():
+    """Guards against a flood of requests that becomes a flood of lines."""
+    lines, now_s = [], [0.0]
+    log = EventLog(now_s=lambda: now_s[0])
+    log.use_json_lines(lines.append, "front-1")
+    for _ in range(200):
+        log.log(events.RELAY_ENDED, request_id="abc")
+    assert len(lines) == events.REQUEST_LINES
+    now_s[0] = 1.5
+    log.log(events.RELAY_ENDED, request_id="abc")
+    assert json.loads(lines[-1])["suppressed"] == 200 - events.REQUEST_LINES
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,315 @@
+"""Tests of the translation of the users' platform."""
+
+import json
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wagtail_platform.control_calls import ControlCalls, target_row
+from wagtail_platform.manifests import PlatformTextFormat, read_document
+from wagtail_platform.requests import PlatformWire
+from wagtail_platform.stage_calls import _replies
+
+from wagtailrun.adapters.http_server import Request
+from wagtailrun.exceptions import (
+    FleetTextError,
+    Refusal,
+    RefusalReason,
+    TargetFailed,
+    Verdict,
+)
+from wagtailrun.registry_messages import TextVerdict
+from wagtailrun.relay import AttemptOrder
+from wagtailrun.routes import RouteKind
+from wagtailrun.stages.port import PieceOutcome
+
+ROUTE = {
+    "name": "r",
+    "host": "works.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 15000,
+    "target_latency_ms": 1900,
+    "priority": 1,
+    "split": [{"service": "llm", "weight": 90}, {"service": "alt", "weight": 10}],
+    "max_attempts": 2,
+    "stages": [{"service": "board", "after": [], "bytes": 3000000}],
+    "auth_exempt": False,
+    "session_affinity": True,
+    "stream_resume": True,
+    "gap_target_ms": 250,
+}
+POOL = {
+    "slots": 1,
+    "queue": 2,
+    "batch": 4,
+    "call_ms": 150.0,
+    "item_ms": 32.0,
+    "headroom_mb": 18.0,
+    "handle_s": 4.0,
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "llm", "engine": {"slots": 64, "kv_capacity_tokens": 581741}},
+        {"name": "alt"},
+        {"name": "board", "pieces": POOL},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "guild", "api_keys": ["k1"], "priority": 1}],
+}
+
+
+def document(**changes):
+    return json.dumps({**DOCUMENT, **changes})
+
+
+def test_document_becomes_routes():
+    """Guards against a field that is read as something else."""
+    table = PlatformTextFormat().routes(7, document())
+    route = table.find("works.example", "/a/b")
+    assert (route.kind, route.aim_ms, route.urgency) == (RouteKind.STREAM, 1900, 1)
+    assert [row.weight for row in route.services] == [90, 10]
+    assert (route.resumable, route.max_attempts, route.gap_ms) == (True, 2, 250)
+    pool = table.services_by_name["board"].pool
+    assert (pool.memory_bytes, pool.result_ms, pool.batch) == (18_000_000, 4_000, 4)
+    assert table.workspaces_by_key["k1"].name == "guild"
+    assert table.limits.idle_ms == 15_000
+    assert table.demands_keys
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        document()[:-20],
+        document(routes=[{**ROUTE, "split": [], "service": "none"}]),
+        document(routes=[ROUTE, {**ROUTE, "name": "s"}]),
+        document(routes=[{**ROUTE, "split": [{"service": "llm", "weight": 0}]}]),
+        document(routes=[{**ROUTE, "timeout_ms": 0}]),
+        document(version="x"),
+        document(version=0),
+        document(routes=None),
+        document(
+            tenants=[
+                {"name": "a", "api_keys": ["k"]},
+                {"name": "b", "api_keys": ["k"]},
+            ]
+        ),
+        "[]",
+        "",
+    ],
+)
+def test_invalid_document_is_refused(text):
+    """Guards against an acknowledged document that cannot be in force."""
+    with pytest.raises(FleetTextError):
+        read_document(text)
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(), st.lists))
+def test_any_json_is_refused_cleanly(value):
+    """Guards against bytes that end a control member."""
+    for text in (json.dumps(value), json.dumps({**DOCUMENT, "routes": value})):
+        try:
+            read_document(text)
+        except FleetTextError:
+            continue
+
+
+REPORT = {
+    "service": "llm",
+    "address": "10.128.0.9:8080",
+    "zone": "riverside",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "seq_no": 4,
+    "born": 1_769_582_732_195,
+}
+
+
+def test_report_becomes_a_row():
+    """Guards against reports that are ordered wrongly or name another place."""
+    row = target_row("i-1", REPORT)
+    assert (row.name, row.data_centre, row.capacity) == ("i-1", "riverside", 64)
+    assert row.version == (1_769_582_732_195, 4)
+    assert target_row("i-1", {**REPORT, "state": "draining"}).leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"slots": "64"},
+        {"seq_no": -1},
+        {"born": 1.5},
+        {"address": "nowhere"},
+        {"service": None},
+        {"zone": ""},
+    ],
+)
+def test_foreign_report_names_no_target(change):
+    """Guards against work for what another writer announced."""
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        target_row("i-1", {**REPORT, **change})
+    with pytest.raises((KeyError, TypeError)):
+        target_row("i-1", [])
+
+
+HEADERS = (
+    (b"Host", b"works.example"),
+    (b"Attempt-Id", b"abc"),
+    (b"Deadline-Remaining", b"15000"),
+    (b"Credential", b"k1"),
+    (b"Tenant", b"forged"),
+    (b"Hold", b"1"),
+    (b"Connection", b"x-hop"),
+    (b"X-Hop", b"1"),
+    (b"X-Kept", b"yes"),
+    (b"Token-Count", b"1460,80"),
+    (b"Prompt-Prefix", b"5c:800,91:410,e4:250"),
+    (b"Pieces", b"0,6"),
+    (b"Piece-Key", b"pk"),
+)
+
+
+def request(headers=HEADERS):
+    values = {n.decode().lower(): v.decode() for n, v in headers}
+    return Request("POST", "/a/b", headers=values, header_pairs=headers)
+
+
+def test_request_and_attempt():
+    """Guards against keys that are passed on and headers that callers forge."""
+    wire = PlatformWire()
+    relayed = wire.request(request())
+    assert (relayed.request_id, relayed.key, relayed.remaining_ms) == (
+        "abc",
+        "k1",
+        15000,
+    )
+    assert [part.tokens for part in relayed.parts] == [800, 410, 250]
+    assert (relayed.prompt_tokens, relayed.pieces) == (1460, (0, 6))
+    order = AttemptOrder("i-1", "guild", 900, 1, ("10.0.0.1:80/x",), 5)
+    sent = {}
+    for name, value in wire.attempt_headers(relayed, order):
+        text = name.decode() if isinstance(name, bytes) else name
+        sent[text.lower()] = value.decode() if isinstance(value, bytes) else value
+    assert sent["tenant"] == "guild"
+    assert sent["deadline-remaining"] == "900"
+    assert sent["expected-instance"] == "i-1"
+    assert sent["inputs"] == "10.0.0.1:80/x"
+    assert sent["last-event-id"] == "5"
+    assert sent["x-kept"] == "yes"
+    assert not sent.keys() & {"credential", "hold", "x-hop", "connection", "host"}
+
+
+def test_engine_is_told_of_no_inputs_where_a_route_has_stages():
+    """Guards against engines that take the missing header for an error."""
+    wire = PlatformWire()
+    relayed = wire.request(request())
+    names = [
+        n for n, _ in wire.attempt_headers(relayed, AttemptOrder("i", "", 1, 1, ()))
+    ]
+    assert "inputs" in names
+    names = [n for n, _ in wire.attempt_headers(relayed, AttemptOrder("i", "", 1, 1))]
+    assert "inputs" not in names
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"Deadline-Remaining", b"soon"),
+        (b"Prompt-Prefix", b"x"),
+        (b"Pieces", b"1,-2"),
+        (b"Attempt-Id", b""),
+    ],
+)
+def test_malformed_header_is_refused(name, value):
+    """Guards against a handler that fails on what a caller sends."""
+    headers = tuple(p for p in HEADERS if p[0] != name) + ((name, value),)
+    refusal = PlatformWire().request(request(headers))
+    assert refusal.reason is RefusalReason.MALFORMED
+
+
+def test_time_to_come_back_is_told_only_for_what_has_not_run():
+    """Guards against a promise that was not kept."""
+    wire = PlatformWire()
+    told = Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, "", 350)
+    assert ("retry-after", "0.350") in wire.refusal_headers("abc", told)
+    silent = Refusal(RefusalReason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, "", 350)
+    assert wire.refusal_headers("abc", silent) == (("attempt-id", "abc"),)
+
+
+def test_answer_of_a_stage():
+    """Guards against results that are taken for those of other pieces."""
+    body = json.dumps({"items": [{"handle": "h"}, {"reason": "gone"}]}).encode()
+    replies = _replies(body, 2)
+    assert [reply.outcome for reply in replies] == [
+        PieceOutcome.DONE,
+        PieceOutcome.GONE,
+    ]
+    for bad in (b"{}", b"", b'{"items": [1, 2]}', body):
+        with pytest.raises(TargetFailed):
+            _replies(bad, 3 if bad == body else 2)
+
+
+class FakeText:
+    """Agreed text that keeps what was put."""
+
+    def __init__(self, outcome=None):
+        self.outcome = outcome
+        self.put_texts = []
+
+    async def put(self, version, text, source):
+        self.put_texts.append((version, text))
+        return self.outcome or TextVerdict(True, version)
+
+    async def read(self):
+        return self.outcome or "document"
+
+
+class FakeHub:
+    """Hub that keeps what was reported."""
+
+    def __init__(self):
+        self.rows = []
+        self.left = []
+
+    async def report(self, row):
+        self.rows.append(row)
+
+    async def leave(self, name, incarnation):
+        self.left.append((name, incarnation))
+
+
+def call(calls, method, path, body=b""):
+    return curio.run(calls.handle, Request(method, path, body=body))
+
+
+def test_calls_to_control():
+    """Guards against documents and reports that are lost or acknowledged wrongly."""
+    text, hub = FakeText(), FakeHub()
+    calls = ControlCalls(text, hub)
+    body = document().encode()
+    assert call(calls, "PUT", "/configuration", body).status == 200
+    assert text.put_texts == [(7, document())]
+    assert call(calls, "PUT", "/configuration", body[:-9]).status == 400
+    assert len(text.put_texts) == 1
+    assert call(calls, "GET", "/configuration").body == b"document"
+    report = json.dumps(REPORT).encode()
+    assert call(calls, "PUT", "/instances/i-1", report).status == 200
+    assert call(calls, "PUT", "/instances/i-1", b"{}").status == 400
+    assert call(calls, "DELETE", "/instances/i-1", b'{"born": 5}').status == 200
+    assert call(calls, "DELETE", "/instances/i-1").status == 200
+    assert (len(hub.rows), hub.left) == (1, [("i-1", 5), ("i-1", 0)])
+    assert call(calls, "GET", "/elsewhere").status == 404
+
+
+def test_unsure_member_answers_503():
+    """Guards against an old document in place of an honest refusal."""
+    unsure = Refusal(RefusalReason.CONSENSUS_UNAVAILABLE, Verdict.MAY_HAVE_RUN, "x", 9)
+    calls = ControlCalls(FakeText(unsure), FakeHub())
+    assert call(calls, "GET", "/configuration").status == 503
+    assert call(calls, "PUT", "/configuration", document().encode()).status == 503
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -375,3 +375,21 @@
     }
     with mock.patch.object(target, name, broken), pytest.raises(AssertionError):
         checks[name]()
+
+
+def test_text_of_a_higher_version_wins_and_a_resend_changes_nothing():
+    """Guards against a text that an older change or other content replaces."""
+    apply = Driver()
+
+    def put(version, text):
+        return apply(rm.PutText(version, "op", "10.0.0.1", text, T0))
+
+    assert put(3, "three") == rm.TextVerdict(True, 3)
+    assert not put(2, "two").accepted
+    assert not put(3, "other").accepted
+    assert (apply.registry.revision, apply.registry.text) == (3, "three")
+    apply.restart()
+    assert put(7, "seven").accepted
+    assert apply.registry.text == "seven"
+    subjects = [record.subject for record in apply.registry.audit_records]
+    assert [subject.split()[1] for subject in subjects] == ["3", "7"]
--- /dev/null
+++ b/tests/test_stage_runner.py
@@ -0,0 +1,208 @@
+"""Tests of the steps of one request across entries, in virtual time."""
+
+import curio
+
+from tests.fake_network import FakeNetwork
+from tests.test_stage_pool import FakeStages, target
+from wagtailrun.exceptions import RefusalReason
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip_peers import rendezvous
+from wagtailrun.ports.link import Address
+from wagtailrun.retries import RetryBudget
+from wagtailrun.routes import StagePool, StageStep
+from wagtailrun.stages import PieceOutcome, PoolHost, StagedWork, StageResults
+from wagtailrun.stages.runner import StageRunner
+from wagtailrun.virtual_time import run_virtual
+
+CAPACITY = StagePool(
+    slots=1, batch=4, call_ms=150.0, item_ms=30.0, memory_bytes=10_000, result_ms=4_000
+)
+# A first step that nothing follows, and a chain of three, as in the users' routes.
+STEPS = (
+    StageStep("s", (), 1_000),
+    StageStep("s", (), 10),
+    StageStep("s", (1,), 10),
+    StageStep("s", (2,), 10),
+)
+ENTRIES = [EntryRow(f"e{n}", Address("10.1.0.1", 7_000 + n), "a", n) for n in range(3)]
+
+
+class Fleet:
+    """Three entries on a fake network before one target."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.network = FakeNetwork(clock)
+        self.client = FakeStages(clock, CAPACITY)
+        self.runners = {row.name: self.start(row) for row in ENTRIES}
+
+    def start(self, row):
+        host = PoolHost(
+            self.clock,
+            self.client,
+            lambda service: [target(1)],
+            lambda service: CAPACITY,
+            RetryBudget(),
+        )
+        self.network.handlers_by_address[row.address] = host.handle
+        return StageRunner(
+            self.clock,
+            self.network.link(row.address),
+            row.name,
+            host,
+            lambda: ENTRIES,
+            lambda service: CAPACITY,
+        )
+
+
+def work(clock, pieces=(1, 1, 2, 3), steps=STEPS):
+    now_ms = clock.now_ms()
+    return StagedWork("r", steps, pieces, "k", 0, now_ms + 2_000, now_ms + 8_000)
+
+
+def other_entry():
+    """Return an entry that does not form the calls, and the one that does."""
+    owner = rendezvous("s", [row.name for row in ENTRIES], 1)[0]
+    return next(row.name for row in ENTRIES if row.name != owner), owner
+
+
+def test_steps_run_in_order_with_the_inputs_they_need():
+    """Guards against pieces with inputs of another step, one twice, or only some."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        name, _ = other_entry()
+        results = StageResults()
+        staged = work(clock)
+        refusal = await fleet.runners[name].run(staged, "a", results)
+        return refusal, results, staged, fleet.client.calls
+
+    refusal, results, staged, calls = run_virtual(main)
+    assert refusal is None
+    items = [item for _, _, call in calls for item in call]
+    inputs_by_step = {item.step: item.inputs for item in items}
+    assert inputs_by_step[0] is None
+    assert inputs_by_step[1] is None
+    assert inputs_by_step[2] == results.handles(1)
+    assert inputs_by_step[3] == results.handles(2)
+    assert results.last_handles(staged) == results.handles(0) + results.handles(3)
+
+
+def test_step_that_nothing_follows_starts_with_the_last_one():
+    """Load: large first results; guards against the deadlock in which they take up the
+    memory that later steps of the same requests wait for.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        await fleet.runners["e0"].run(work(clock), "a", StageResults())
+        return [item.step for _, _, call in fleet.client.calls for item in call]
+
+    order = run_virtual(main)
+    assert order.index(0) > order.index(2)
+
+
+def test_left_out_steps_are_passed_over():
+    """Guards against a request that waits for a step without pieces."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        results = StageResults()
+        staged = work(clock, (0, 1, 1, 1))
+        refusal = await fleet.runners["e0"].run(staged, "a", results)
+        return refusal, results.last_handles(staged)
+
+    refusal, handles = run_virtual(main)
+    assert refusal is None
+    assert len(handles) == 1
+
+
+def test_inputs_are_freed_once_fetched_and_the_rest_at_the_end():
+    """Load: memory binds the stages; guards against results held for nobody."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        runner = fleet.runners["e0"]
+        results = StageResults()
+        staged = work(clock)
+        await runner.run(staged, "a", results)
+        await clock.sleep_ms(100)
+        early = set(fleet.client.freed)
+        await runner.free_all(staged, results)
+        await clock.sleep_ms(100)
+        return early, set(fleet.client.freed), results
+
+    early, freed, results = run_virtual(main)
+    assert early == {*results.handles(1), *results.handles(2)}
+    assert freed == early | {*results.handles(0), *results.handles(3)}
+
+
+def test_another_entry_takes_over_when_one_is_lost():
+    """Guards against requests that wait for an entry which has died."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        name, owner = other_entry()
+        row = next(row for row in ENTRIES if row.name == owner)
+        own = next(row for row in ENTRIES if row.name == name)
+        fleet.network.cut(own.address, row.address)
+        started_ms = clock.now_ms()
+        refusal = await fleet.runners[name].run(work(clock), "a", StageResults())
+        return refusal, clock.now_ms() - started_ms
+
+    refusal, took_ms = run_virtual(main)
+    assert refusal is None
+    assert took_ms < 2_500
+
+
+def test_lost_result_is_told_as_not_run():
+    """Guards against a request that fails for good where it could be staged anew."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        fleet.client.outcomes = [PieceOutcome.DONE, PieceOutcome.GONE]
+        fleet.client.reply = lambda row: _reply(fleet.client, row)
+        return await fleet.runners["e0"].run(
+            work(clock, (0, 1, 1, 1)), "a", StageResults()
+        )
+
+    def _reply(client, row):
+        outcome = client.outcomes.pop(0) if client.outcomes else PieceOutcome.GONE
+        from wagtailrun.stages.port import StageReply
+
+        return StageReply(outcome, "10.0.0.1:80/1" if outcome == "done" else "")
+
+    refusal = run_virtual(main)
+    assert refusal.reason is RefusalReason.TARGET_FAILED
+
+
+def test_cancelled_request_withdraws_its_pieces():
+    """Load: callers who leave; guards against work that goes on without them."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        staged = work(clock, (0, 4, 4, 4))
+        task = await curio.spawn(fleet.runners["e0"].run, staged, "a", StageResults())
+        await clock.sleep_ms(50)
+        await task.cancel()
+        await clock.sleep_ms(3_000)
+        return len(fleet.client.calls)
+
+    assert run_virtual(main) == 1
+
+
+def test_announcing_tells_the_time_of_the_whole_chain():
+    """Load: a filled pipeline; guards against beginning what cannot be in time."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        runner = fleet.runners["e0"]
+        idle_ms = await runner.announce(work(clock), "a")
+        least_ms = runner.least_ms(work(clock))
+        await runner.withdraw(work(clock))
+        await clock.sleep_ms(50)
+        return idle_ms, least_ms
+
+    idle_ms, least_ms = run_virtual(main)
+    assert least_ms == 180 + 210 + 240
+    assert least_ms <= idle_ms < 2 * least_ms
--- a/wagtailrun/membership_change.py
+++ b/wagtailrun/membership_change.py
@@ -15,6 +15,7 @@
     MemberInfo,
     name_of,
 )
+from wagtailrun.consensus_state import Role
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.ports.link import Address
 
@@ -56,13 +57,25 @@
     # A member without a configuration
 
     async def run(self) -> None:
-        """Ask to be added for as long as no configuration names this member."""
+        """Ask to be added while no configuration names this member, or no leader does.
+
+        A member that was dropped while it was silent gets no entry that says so.
+        """
         member = self.member
         while True:
-            if member.configuration.find(member.identity) is None:
+            named = member.configuration.find(member.identity) is not None
+            if not named or (member.open_joining and self._is_forgotten()):
                 await self._ask_to_join()
             await member.clock.sleep_ms(JOIN_INTERVAL_MS)
 
+    def _is_forgotten(self) -> bool:
+        """Whether this member has heard no leader for too long."""
+        member = self.member
+        if member.role is Role.LEADER:
+            return False
+        heard_ms = member.started_ms if member.heard_ms is None else member.heard_ms
+        return member.clock.now_ms() - heard_ms > REMOVE_AFTER_SILENCE_MS
+
     async def _ask_to_join(self) -> None:
         member = self.member
         addresses = {*member.peers, *member.bootstrap.values(), *self.told_addresses}
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -1,5 +1,6 @@
 """Forms the calls of one stage service from the pieces of many requests."""
 
+import itertools
 import math
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Sequence
@@ -85,6 +86,7 @@
         tries: Calls that failed.
         state: What has become of it.
         ready: Whether the pieces may run; announced ones only hold their place.
+        number: Order of arrival.
         fetched: Whether all its pieces are in calls that have fetched their inputs.
         finished: Signals the end, or that the inputs were fetched.
     """
@@ -95,6 +97,7 @@
     end_at_ms: int
     waiting: list[int]
     ready: bool = True
+    number: int = 0
     fetched: bool = False
     running: int = 0
     results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
@@ -142,6 +145,7 @@
         self.benches_by_name: dict[str, _Bench] = defaultdict(_Bench)
         self.memory = ResultMemory()
         self.free_by_address: dict[Address, list[str]] = defaultdict(list)
+        self.numbers = itertools.count()
         self.wake = curio.Event()
         self.frees_wanted = curio.Event()
 
@@ -218,6 +222,7 @@
                 end_at_ms=now_ms + message.remaining_ms,
                 waiting=list(message.pieces),
                 ready=not message.reserve,
+                number=next(self.numbers),
             )
             self.jobs_by_key[job.key] = job
             self.host.budget.earn(self.service)
@@ -237,7 +242,7 @@
             self._end(job, JobState.REFUSED, detail)
         return job
 
-    def _rank(self, job: _Job, now_ms: int) -> tuple[bool, int]:
+    def _rank(self, job: _Job, now_ms: int) -> tuple[bool, int, int]:
         """Order in which jobs are served.
 
         First steps that cannot be in time any more go last: served in the order of
@@ -247,7 +252,8 @@
         """
         late = now_ms + self.capacity.duration_ms(len(job.waiting)) > job.aim_at_ms
         hopeless = late and not job.message.has_inputs
-        return (hopeless, job.aim_at_ms + job.message.urgency * URGENCY_MS)
+        aim_at_ms = job.aim_at_ms + job.message.urgency * URGENCY_MS
+        return (hopeless, aim_at_ms, job.number)
 
     def cancel(self, request_id: str) -> int:
         """Drop the pieces of a request that are in no call; return how many."""
