--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -139,7 +139,7 @@
 
 
 def test_target_that_leaves_without_draining_is_dropped():
-    """Guards against work for a target that said goodbye; not for one that is reborn."""
+    """Guards against work for a target that said goodbye, or none for its next life."""
 
     async def scenario(controls, clock):
         hub = controls.hubs[0]
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP server and client against each other and against bad input."""
 
 import json
+import socket
+import struct
 from contextlib import suppress
 
 import curio
@@ -11,7 +13,12 @@
 from demo.processes import free_addresses
 from wagtailrun.adapters import http_server
 from wagtailrun.adapters.http_client import HttpClient
-from wagtailrun.adapters.http_server import HttpServer, Response, json_response
+from wagtailrun.adapters.http_server import (
+    HttpServer,
+    Response,
+    ServerLimits,
+    json_response,
+)
 from wagtailrun.exceptions import ConnectFailed, RefusalReason, TargetFailed, Verdict
 
 TIMEOUT_MS = 5_000
@@ -271,3 +278,136 @@
         return await connection.sock.recv(10)
 
     assert with_server(echo, client) == b""
+
+
+def test_request_with_both_body_lengths_is_refused():
+    """Guards against a second request that is smuggled inside the first."""
+    seen = []
+
+    async def handler(request):
+        seen.append(request.path)
+        return json_response(200, {})
+
+    inner = b"POST /smuggled HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+    data = (
+        b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner
+    )
+
+    async def client(address, server):
+        return await exchange_bytes(address, data)
+
+    answer = with_server(handler, client)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert answer.count(b"HTTP/1.1") == 1
+    assert seen == []
+
+
+def test_limits_in_force_bound_what_a_client_sends():
+    """Guards against limits of the text that are stated and not kept."""
+    limits = ServerLimits(header_bytes=200, body_bytes=10, header_ms=100, idle_ms=100)
+
+    async def client(address, server):
+        large = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n" + b"x" * 11
+        long = b"GET /" + b"x" * 300 + b" HTTP/1.1\r\nHost: a\r\n\r\n"
+        answers = [await exchange_bytes(address, data) for data in (large, long)]
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(b"GET / HTTP/1.1\r\nHo")
+        answers.append(await sock.recv(1_000))
+        idle = await curio.open_connection(address.host, address.port)
+        answers.append(await idle.recv(1_000))
+        return [answer[9:12] for answer in answers]
+
+    answers = with_server(echo, client, limits=lambda: limits)
+    assert answers == [b"413", b"431", b"408", b""]
+
+
+async def raw_server(answers, received=None):
+    """Serve one connection: send an entry of ``answers`` after each request."""
+    (address,) = free_addresses(1)
+
+    async def serve(sock, peer):
+        for answer in answers:
+            data = await sock.recv(65_536)
+            if received is not None:
+                received.append(data)
+            if not data:
+                return
+            await sock.sendall(answer)
+        await curio.sleep(0.2)
+
+    await curio.spawn(curio.tcp_server, address.host, address.port, serve, daemon=True)
+    await curio.sleep(0.05)
+    return address
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: %b\r\n\r\nok"
+
+
+def test_answer_to_an_earlier_request_is_skipped():
+    """Guards against an answer that is given to another caller."""
+
+    async def main():
+        address = await raw_server([OK % b"old" + OK % b"new"])
+        client = HttpClient()
+        async with client.open(address, "GET", "/", timeout_ms=1_000) as stream:
+            assert stream.headers["id"] == "old"
+            own = await stream.next_answer(1_000)
+            return own.headers["id"], await own.read_all(1_000)
+
+    assert curio.run(main) == ("new", b"ok")
+
+
+def test_connection_with_unasked_bytes_is_not_used_again():
+    """Guards against an answer that is given to the next request."""
+
+    async def main():
+        received = []
+        address = await raw_server([OK % b"a" + OK % b"extra", OK % b"b"], received)
+        client = HttpClient()
+        await client.request(address, "GET", "/", timeout_ms=1_000)
+        return client.idle_by_address[address]
+
+    assert curio.run(main) == []
+
+
+def test_connection_is_not_used_after_the_time_that_the_server_keeps_it():
+    """Guards against a request that crosses the server's close, and may have run."""
+
+    async def main():
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=1\r\n\r\n"
+        address = await raw_server([head, head])
+        client = HttpClient()
+        await client.request(address, "GET", "/", timeout_ms=1_000)
+        return client.idle_by_address[address][0].keep_ms
+
+    assert curio.run(main) == 500
+
+
+def test_answer_that_ends_by_close_is_whole_and_by_reset_is_not():
+    """Guards against a cut answer that is passed on as complete."""
+
+    async def main():
+        (address,) = free_addresses(1)
+        resets = [False, True]
+
+        async def serve(sock, peer):
+            await sock.recv(65_536)
+            await sock.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbytes")
+            if resets.pop(0):
+                await curio.sleep(0.05)
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            await sock.close()
+
+        await curio.spawn(
+            curio.tcp_server, address.host, address.port, serve, daemon=True
+        )
+        await curio.sleep(0.05)
+        client = HttpClient()
+        whole = await client.request(address, "GET", "/", timeout_ms=1_000)
+        with pytest.raises(TargetFailed):
+            await client.request(address, "GET", "/", timeout_ms=1_000)
+        return whole.body
+
+    assert curio.run(main) == b"bytes"
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -107,7 +107,10 @@
 
 
 def test_pieces_of_waiting_requests_share_a_call():
-    """Load: more requests than calls; guards against one call a request."""
+    """Load: more requests than calls.
+
+    Guards against one call a request.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -120,7 +123,10 @@
 
 
 def test_job_is_done_only_with_all_results():
-    """Load: one step split over calls; guards against missing inputs further on."""
+    """Load: one step split over calls.
+
+    Guards against missing inputs further on.
+    """
 
     async def main(clock):
         return await Load(clock).ask("r", pieces=6)
@@ -130,7 +136,10 @@
 
 
 def test_first_steps_that_are_late_go_last():
-    """Load: a burst above capacity; guards against serving everyone late."""
+    """Load: a burst above capacity.
+
+    Guards against serving everyone late.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -146,7 +155,10 @@
 
 
 def test_later_steps_keep_their_place():
-    """Load: a burst above capacity; guards against results that expire in the queue."""
+    """Load: a burst above capacity.
+
+    Guards against results that expire in the queue.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -167,7 +179,10 @@
 
 
 def test_what_cannot_be_done_in_time_is_refused_at_once():
-    """Load: a queue longer than the caller's wait; guards against holding it."""
+    """Load: a queue longer than the caller's wait.
+
+    Guards against holding it.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -184,8 +199,10 @@
 
 
 def test_announced_pieces_hold_a_place_and_do_not_run():
-    """Load: requests on their way through earlier steps; guards against an estimate
-    that sees none of them, and against pieces that run without inputs.
+    """Load: requests on their way through earlier steps.
+
+    Guards against an estimate that sees none of them, and against pieces that run
+    without inputs.
     """
 
     async def main(clock):
@@ -205,7 +222,10 @@
 
 
 def test_calls_leave_room_for_results():
-    """Load: large results; guards against calls that a target refuses for memory."""
+    """Load: large results.
+
+    Guards against calls that a target refuses for memory.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -224,8 +244,10 @@
 
 
 def test_results_made_for_another_entry_can_be_freed():
-    """Load: the entry that formed calls restarts; guards against memory that stays
-    taken until results expire, which refused 8991 pieces in one day of the bench.
+    """Load: the entry that formed calls restarts.
+
+    Guards against memory that stays taken until results expire, which refused 8991
+    pieces in one day of the bench.
     """
 
     async def main(clock):
@@ -240,7 +262,10 @@
 
 
 def test_results_of_a_cancelled_request_are_freed():
-    """Load: callers who leave; guards against memory held for nobody."""
+    """Load: callers who leave.
+
+    Guards against memory held for nobody.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -257,7 +282,10 @@
 
 
 def test_pieces_of_a_failed_call_run_elsewhere():
-    """Load: a target that crashes; guards against requests lost with its call."""
+    """Load: a target that crashes.
+
+    Guards against requests lost with its call.
+    """
 
     async def main(clock):
         load = Load(clock, [target(1), target(2)])
@@ -270,7 +298,10 @@
 
 
 def test_repeats_end_with_the_budget():
-    """Load: every call fails; guards against repeats without bound."""
+    """Load: every call fails.
+
+    Guards against repeats without bound.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -286,7 +317,10 @@
 
 
 def test_refused_connections_cost_no_budget():
-    """Load: a target that is gone; guards against a budget spent on no arrival."""
+    """Load: a target that is gone.
+
+    Guards against a budget spent on no arrival.
+    """
 
     async def main(clock):
         load = Load(clock, [target(1), target(2)])
@@ -300,7 +334,10 @@
 
 
 def test_missing_input_ends_the_job_at_once():
-    """Load: a target of an earlier step crashed; guards against waiting for nothing."""
+    """Load: a target of an earlier step crashed.
+
+    Guards against waiting for nothing.
+    """
 
     async def main(clock):
         load = Load(clock)
@@ -311,8 +348,10 @@
 
 
 def test_idle_targets_elsewhere_help_once_home_is_busy():
-    """Load: a burst in one data centre; guards against a queue beside idle targets,
-    and against moving results while home is about to be free.
+    """Load: a burst in one data centre.
+
+    Guards against a queue beside idle targets, and against moving results while
+    home is about to be free.
     """
 
     async def main(clock):
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -89,8 +89,10 @@
 
 
 def test_step_that_nothing_follows_starts_with_the_last_one():
-    """Load: large first results; guards against the deadlock in which they take up the
-    memory that later steps of the same requests wait for.
+    """Load: large first results.
+
+    Guards against the deadlock in which they take up the memory that later steps of
+    the same requests wait for.
     """
 
     async def main(clock):
@@ -118,7 +120,10 @@
 
 
 def test_inputs_are_freed_once_fetched_and_the_rest_at_the_end():
-    """Load: memory binds the stages; guards against results held for nobody."""
+    """Load: memory binds the stages.
+
+    Guards against results held for nobody.
+    """
 
     async def main(clock):
         fleet = Fleet(clock)
@@ -177,7 +182,10 @@
 
 
 def test_cancelled_request_withdraws_its_pieces():
-    """Load: callers who leave; guards against work that goes on without them."""
+    """Load: callers who leave.
+
+    Guards against work that goes on without them.
+    """
 
     async def main(clock):
         fleet = Fleet(clock)
@@ -192,7 +200,10 @@
 
 
 def test_announcing_tells_the_time_of_the_whole_chain():
-    """Load: a filled pipeline; guards against beginning what cannot be in time."""
+    """Load: a filled pipeline.
+
+    Guards against beginning what cannot be in time.
+    """
 
     async def main(clock):
         fleet = Fleet(clock)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -403,7 +403,9 @@
         task = await curio.spawn(self._respond, request)
         watcher = await curio.spawn(self._watch_disconnect, task, daemon=True)
         try:
-            await task.join()
+            failure = await task.join()
+            if failure is not None:
+                raise failure
         except curio.TaskError as error:
             if isinstance(error.__cause__, curio.TaskCancelled):
                 return False
@@ -415,7 +417,11 @@
             await watcher.cancel()
         return True
 
-    async def _respond(self, request: Request) -> None:
+    async def _respond(self, request: Request) -> Exception | None:
+        """Answer a request; return why the answer could not be sent whole.
+
+        The kernel logs a task that ends by an exception as crashed.
+        """
         try:
             response = await self.server.handler(request)
         except Exception as error:
@@ -426,7 +432,11 @@
                 "the request failed inside the system",
             )
             response = refusal_response(refusal)
-        await self._send(response, close=self.server.draining)
+        try:
+            await self._send(response, close=self.server.draining)
+        except Exception as error:
+            return error
+        return None
 
     async def _watch_disconnect(self, task: curio.Task) -> None:
         try:
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -104,7 +104,9 @@
         def cost(row: TargetRow) -> tuple[float, float]:
             moved = total - sizes.get(row.data_centre, 0)
             ms = self.expected_ms(row, parts, prompt_tokens, homes)
-            return ms + moved / 1e6 * MS_PER_RESULT_MB, self.random.random()
+            # Whole milliseconds, so that targets that are as good share the load.
+            ms = round(ms + moved / 1e6 * MS_PER_RESULT_MB)
+            return ms, self.random.random()
 
         return min(left, key=cost)
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -439,6 +439,10 @@
             replies = await self.host.client.run(row, items, patience_ms)
         except TargetFailed as error:
             failure = error
+        except Exception as error:
+            # A fault of the program must not leave the target's place taken.
+            events.log(events.HANDLER_FAILED, detail=repr(error))
+            failure = TargetFailed(repr(error), verdict=Verdict.MAY_HAVE_RUN)
         ended_ms = self.clock.now_ms()
         bench.calls -= 1
         bench.busy_until_ms = ended_ms
