Choose engines at one entry for all; follow a request through the logs

Cause: first events came 0.3 to 1.5 s after the stages although engines were a quarter used: no entry knew the prompts of the others.

--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,124 @@
+"""Tests of engines chosen by one entry for all, in virtual time."""
+
+import curio
+import pytest
+
+from tests.fake_network import FakeNetwork
+from wagtailrun.discovery.owners import Owners
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
+from wagtailrun.relay import PromptPart
+from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.placement import FORGET_MS, Placement, PlacementHost
+from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
+from wagtailrun.virtual_time import run_virtual
+
+ENTRIES = [EntryRow(f"e{n}", Address("10.1.0.1", 7_000 + n), "a", n) for n in range(3)]
+ROWS = [TargetRow(f"t{n}", Address(f"10.0.0.{n}", 80), "s", "a", 64) for n in range(3)]
+
+
+class Fleet:
+    """Three entries on a fake network before three engines."""
+
+    def __init__(self, clock):
+        self.network = FakeNetwork(clock)
+        self.hosts = {}
+        self.placements = {}
+        for row in ENTRIES:
+            host = PlacementHost(clock, TargetChooser(clock, "", 1), lambda s: ROWS)
+            self.network.handlers_by_address[row.address] = self.serve(host)
+            self.hosts[row.name] = host
+            link = self.network.link(row.address)
+            owners = Owners(clock, lambda: ENTRIES)
+            self.placements[row.name] = Placement(link, row.name, owners, host)
+
+    @staticmethod
+    def serve(host):
+        async def handle(message):
+            return host.handle(message)
+
+        return handle
+
+    def owner(self):
+        return next(iter(self.placements.values())).owners.owner("engines of s")
+
+
+def prompt(name, tokens=18_000, begin=True):
+    parts = (PromptPart(f"{name}-own", tokens),)
+    return PlaceRun(name, "s", parts, tokens, (), (), begin)
+
+
+@pytest.mark.parametrize("begin", [True, False])
+def test_prompts_of_different_entries_go_to_different_engines(begin):
+    """Load: long prompts at many entries at once.
+
+    Guards against prompts that wait for each other at one engine because no entry
+    knows what the others sent.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        placed = []
+        for name, placement in fleet.placements.items():
+            placed.append((await placement.place(prompt(name, begin=begin))).target)
+        return placed
+
+    placed = run_virtual(main)
+    assert (len(set(placed)) == 3) == begin or not begin
+
+
+def test_entry_chooses_by_itself_when_the_owner_is_silent():
+    """Guards against requests that wait for an entry which has died."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        owner = fleet.owner()
+        name = next(row.name for row in ENTRIES if row.name != owner.name)
+        own = next(row for row in ENTRIES if row.name == name)
+        fleet.network.cut(own.address, owner.address)
+        started_ms = clock.now_ms()
+        placed = await fleet.placements[name].place(prompt("r"))
+        first_ms = clock.now_ms() - started_ms
+        again = await fleet.placements[name].place(prompt("q"))
+        return placed.target, first_ms, again.target
+
+    target, first_ms, again = run_virtual(main)
+    assert target
+    assert again
+    assert first_ms <= 200
+
+
+def test_ends_are_told_to_who_chose():
+    """Guards against engines that seem full for ever, and failures nobody learns of."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        owner = fleet.owner().name
+        name = next(row.name for row in ENTRIES if row.name != owner)
+        targets = []
+        for number in range(6):
+            placed = await fleet.placements[name].place(prompt(f"r{number}", 100))
+            targets.append(placed.target)
+            over = RunOver(f"r{number}", "s", placed.target, RunOutcome.FAILED)
+            await fleet.placements[name].over(over)
+            await clock.sleep_ms(50)
+        return fleet.hosts[owner].runs_by_key, len(set(targets))
+
+    runs, engines = run_virtual(main)
+    assert runs == {}
+    assert engines == 3
+
+
+def test_runs_without_an_end_are_forgotten():
+    """Guards against an entry that dies with its runs and leaves engines unused."""
+
+    async def main(clock):
+        host = Fleet(clock).hosts["e0"]
+        host.handle(prompt("lost"))
+        await clock.sleep_ms(FORGET_MS + 1)
+        host.handle(prompt("new"))
+        await curio.sleep(0)
+        return [key[0] for key in host.runs_by_key]
+
+    assert run_virtual(main) == ["new"]
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -137,6 +137,7 @@
             HttpClient(),
             NoStages(),
             chooser,
+            None,
             RetryBudget(),
             RelayMetrics(),
             seed=1,
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -4,6 +4,7 @@
 
 from tests.fake_network import FakeNetwork
 from tests.test_stage_pool import FakeStages, target
+from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.gossip_peers import rendezvous
@@ -50,7 +51,7 @@
             self.network.link(row.address),
             row.name,
             host,
-            lambda: ENTRIES,
+            Owners(self.clock, lambda: ENTRIES),
             lambda service: CAPACITY,
         )
 
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -21,6 +21,7 @@
 from wagtailrun.cli_output import print_json, print_rows, printable
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
+from wagtailrun.explain import lines_of_request
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.plan import plan_changes
 from wagtailrun.registry_messages import AuditRecord
@@ -434,6 +435,25 @@
     return EXIT_DONE if holds else EXIT_REFUSED
 
 
+def explain(request_id: str, *logs: str) -> int:
+    """Print the way of one request through the logs of all processes.
+
+    Example: wagtailrun explain 9c41d07be2a35f68 front-1.log front-2.log
+
+    Args:
+        request_id: Identifier that the caller gave the request.
+        logs: Files of log lines; standard input if there is none.
+    """
+    lines = [line for name in logs for line in _read(name).splitlines()]
+    found = lines_of_request(request_id, lines if logs else sys.stdin)
+    if not found:
+        print(f"no line of request {request_id}", file=sys.stderr)
+        return EXIT_REFUSED
+    for line in found:
+        print(printable(line.text(found[0].time_s)))
+    return EXIT_DONE
+
+
 COMMANDS = [
     entry,
     control,
@@ -447,6 +467,7 @@
     costs,
     audit,
     replay,
+    explain,
 ]
 
 
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -34,6 +34,7 @@
     ACCOUNTS = 4
     DISCOVERY = 5
     STAGES = 6
+    PLACEMENT = 7
 
 
 def camel_case(name: str) -> str:
--- /dev/null
+++ b/wagtailrun/discovery/owners.py
@@ -0,0 +1,47 @@
+"""Which live entry decides about a matter that many entries share."""
+
+from collections.abc import Callable, Collection, Sequence
+
+from wagtailrun import events
+from wagtailrun.clock import Clock
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip_peers import rendezvous
+
+__all__ = ["Owners"]
+
+# An entry that did not answer is passed over for this long; the control members drop
+# one that is dead in 2 s.
+AVOID_MS = 1_500
+
+
+class Owners:
+    """Chooses the owner of a matter by rendezvous among the live entries.
+
+    All entries agree on it while they know the same live entries; while they do not,
+    a matter may have two owners for a moment, so nothing may depend on there being one.
+
+    Args:
+        clock: Clock.
+        entries: Returns the live entries.
+    """
+
+    def __init__(self, clock: Clock, entries: Callable[[], Sequence[EntryRow]]):
+        self.clock = clock
+        self.entries = entries
+        self.avoid_until_ms: dict[str, int] = {}
+
+    def owner(self, matter: str, tried: Collection[str] = ()) -> EntryRow | None:
+        """Return the owner of ``matter``, passing over the entries ``tried``."""
+        now_ms = self.clock.now_ms()
+        rows_by_name = {
+            row.name: row
+            for row in self.entries()
+            if row.name not in tried and self.avoid_until_ms.get(row.name, 0) <= now_ms
+        }
+        names = rendezvous(matter, rows_by_name, 1)
+        return rows_by_name[names[0]] if names else None
+
+    def lose(self, owner: EntryRow, detail: str) -> None:
+        """Pass over an entry that did not answer, for a while."""
+        self.avoid_until_ms[owner.name] = self.clock.now_ms() + AVOID_MS
+        events.log(events.PEER_LOST, peer=owner.name, detail=detail)
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -21,7 +21,15 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.job import RelayJob
-from wagtailrun.relay.port import AnswerHead, AttemptOrder, RelayWire
+from wagtailrun.relay.placement import Placement
+from wagtailrun.relay.placement_messages import (
+    Placed,
+    PlaceRun,
+    PlaceSize,
+    RunOutcome,
+    RunOver,
+)
+from wagtailrun.relay.port import AnswerHead, AttemptOrder, RelayWire, TargetLoad
 from wagtailrun.retries import RetryBudget
 
 __all__ = ["Attempt", "RelayAttempts"]
@@ -56,7 +64,7 @@
     stream: HttpStream
     head: AnswerHead
     started_ms: int
-    expected_ms: float
+    expected_ms: int
 
 
 class RelayAttempts:
@@ -67,7 +75,8 @@
         view: What this entry knows of the fleet.
         wire: Translates requests and answers.
         http: Connections to targets.
-        chooser: Chooses targets.
+        chooser: Chooses the targets of plain services.
+        placement: Chooses engines.
         budget: Pays for repeated attempts.
     """
 
@@ -78,6 +87,7 @@
         wire: RelayWire,
         http: HttpClient,
         chooser: TargetChooser,
+        placement: Placement,
         budget: RetryBudget,
     ):
         self.clock = clock
@@ -85,6 +95,7 @@
         self.wire = wire
         self.http = http
         self.chooser = chooser
+        self.placement = placement
         self.budget = budget
         self.crossed_answers = 0
 
@@ -92,7 +103,7 @@
         """Return the whole answer of a target, or why there is none."""
         fallback: Response | None = None
         while True:
-            row = self.next_target(job)
+            row = await self.next_target(job)
             if isinstance(row, Refusal):
                 return fallback or row
             try:
@@ -102,20 +113,19 @@
                 ):
                     body = await attempt.stream.read_all(self.remaining_ms(job))
             except curio.TaskTimeout:
-                self.chooser.failed(row)
                 error = TargetFailed("no answer in time", verdict=Verdict.MAY_HAVE_RUN)
-                refusal = self.after_failure(job, row, error)
+                refusal = await self.after_failure(job, row, error)
             except TargetFailed as error:
-                refusal = self.after_failure(job, row, error)
+                refusal = await self.after_failure(job, row, error)
             else:
                 answer = Response(attempt.head.status, body, attempt.head.headers)
                 if self.is_good(attempt.head):
                     job.first_ms = self.clock.now_ms()
-                    self._note_success(job, attempt)
+                    await self._note_success(job, attempt)
                     return answer
                 if attempt.head.genuine and not attempt.head.not_run:
                     fallback = answer
-                refusal = self.after_bad_answer(job, attempt)
+                refusal = await self.after_bad_answer(job, attempt)
             if refusal is not None:
                 return fallback or refusal
 
@@ -125,7 +135,7 @@
         """Return the time left for a request; at least 1 ms."""
         return max(job.end_at_ms - self.clock.now_ms(), 1)
 
-    def next_target(self, job: RelayJob) -> TargetRow | Refusal:
+    async def next_target(self, job: RelayJob) -> TargetRow | Refusal:
         """Return the target of the next attempt, or why there is none."""
         if self.clock.now_ms() >= job.end_at_ms:
             verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
@@ -135,20 +145,84 @@
             return Refusal(
                 RefusalReason.KEYS_UNCONFIRMED, Verdict.NOT_RUN, detail, RETRY_AFTER_MS
             )
-        rows = self.view.targets(job.service)
-        row = self.chooser.choose(
-            rows,
-            job.tried,
-            parts=job.request.parts,
-            prompt_tokens=job.request.prompt_tokens,
-            result_bytes_by_data_centre=job.result_bytes(),
-        )
+        row = await self._choose(job)
         if row is None:
             verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
             detail = job.detail or f"no target of {job.service} is known"
             return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
         return row
 
+    async def _choose(self, job: RelayJob) -> TargetRow | None:
+        rows = self.view.targets(job.service)
+        if not job.route.prompt_affinity:
+            return self.chooser.choose(rows, job.tried)
+        placed = await self.place(job, begin=True)
+        job.placed_ms = placed.expected_ms
+        for row in rows:
+            if row.name == placed.target:
+                return row
+        if placed.target:
+            # The owner knows a target that is not known here yet, or not any more.
+            await self.placement.over(
+                RunOver(
+                    job.request.request_id, job.service, placed.target, RunOutcome.OVER
+                )
+            )
+        return self.chooser.choose(rows, job.tried)
+
+    async def place(self, job: RelayJob, *, begin: bool) -> Placed:
+        """Return the engine of the next attempt.
+
+        Args:
+            job: Request.
+            begin: Whether the attempt begins now.
+        """
+        sizes = job.result_bytes()
+        return await self.placement.place(
+            PlaceRun(
+                request_id=job.request.request_id,
+                service=job.service,
+                parts=job.request.parts,
+                prompt_tokens=job.request.prompt_tokens,
+                avoid=tuple(job.tried),
+                results=tuple(PlaceSize(*item) for item in sorted(sizes.items())),
+                begin=begin,
+            )
+        )
+
+    async def over(
+        self,
+        job: RelayJob,
+        row: TargetRow,
+        outcome: RunOutcome,
+        slowness: float = 1.0,
+        load: TargetLoad | None = None,
+    ) -> None:
+        """Note how an attempt at ``row`` ended, where its target was chosen."""
+        if job.route.prompt_affinity:
+            load = load or TargetLoad(0, 0, 0)
+            message = RunOver(
+                job.request.request_id,
+                job.service,
+                row.name,
+                outcome,
+                slowness,
+                load.running,
+                load.waiting,
+                load.slots,
+            )
+            await self.placement.over(message)
+            return
+        match outcome:
+            case RunOutcome.SUCCEEDED:
+                self.chooser.succeeded(row, slowness)
+            case RunOutcome.FAILED:
+                self.chooser.failed(row)
+            case RunOutcome.UNREACHABLE:
+                self.chooser.unreachable(row)
+            case RunOutcome.REJECTED | RunOutcome.MISDIRECTED:
+                self.chooser.rejected(row, outcome is RunOutcome.MISDIRECTED)
+
     def _patience_ms(self, job: RelayJob) -> int:
         """Return how long an attempt may take before another one is made."""
         rest_ms = self.remaining_ms(job)
@@ -179,13 +253,9 @@
         request = job.request
         started_ms = self.clock.now_ms()
         job.tried.append(row.name)
-        job.arrivals += 1
         # Counted before the send: whatever happens from here on, it may have run.
         job.runs += 1
-        expected_ms = self.chooser.first_event_ms(
-            row, request.parts, request.prompt_tokens
-        )
-        self.chooser.started(row, request.parts, request.prompt_tokens)
+        self.chooser.started(row, (), 0)
         try:
             async with self.http.open(
                 row.address,
@@ -203,7 +273,12 @@
                 stream, head = await self._own_answer(job, stream)
                 if head.load is not None:
                     self.chooser.told_load(row, head.load)
+                expected_ms = max(job.placed_ms, 1)
                 yield Attempt(row, stream, head, started_ms, expected_ms)
+        except (curio.CancelledError, GeneratorExit):
+            # The caller left, which says nothing about the target.
+            await self.over(job, row, RunOutcome.OVER)
+            raise
         finally:
             self.chooser.ended(row)
 
@@ -223,7 +298,7 @@
         """Whether an answer is a success of the target itself."""
         return 200 <= head.status < 300 and head.genuine
 
-    def after_failure(
+    async def after_failure(
         self, job: RelayJob, row: TargetRow, error: TargetFailed
     ) -> Refusal | None:
         """Return why a request ends with a failed attempt, or None to try again."""
@@ -231,10 +306,9 @@
         self._log_failure(job, row)
         if isinstance(error, ConnectFailed):
             job.runs -= 1
-            job.arrivals -= 1
-            self.chooser.unreachable(row)
+            await self.over(job, row, RunOutcome.UNREACHABLE)
             return None
-        self.chooser.failed(row)
+        await self.over(job, row, RunOutcome.FAILED)
         if not job.may_run_again:
             reason = RefusalReason.TARGET_FAILED
             if self.clock.now_ms() >= job.end_at_ms:
@@ -242,17 +316,21 @@
             return Refusal(reason, Verdict.MAY_HAVE_RUN, job.detail)
         return self._pay(job)
 
-    def after_bad_answer(self, job: RelayJob, attempt: Attempt) -> Refusal | None:
+    async def after_bad_answer(self, job: RelayJob, attempt: Attempt) -> Refusal | None:
         """Return why a request ends with an answer, or None to try again."""
         head, row = attempt.head, attempt.row
         job.detail = f"{row.name} answered {head.status}"
         self._log_failure(job, row)
         if head.not_run or head.misdirected:
             job.runs -= 1
-            self.chooser.rejected(row, head.misdirected)
+            rejected = RunOutcome.REJECTED
+            if head.misdirected:
+                rejected = RunOutcome.MISDIRECTED
+            await self.over(job, row, rejected, load=head.load)
             return self._pay(job)
-        if head.status >= 500 or not head.genuine:
-            self.chooser.failed(row)
+        bad = head.status >= 500 or not head.genuine
+        outcome = RunOutcome.FAILED if bad else RunOutcome.OVER
+        await self.over(job, row, outcome, load=head.load)
         if not job.may_run_again or head.status < 500 and head.genuine:
             return Refusal(
                 RefusalReason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, job.detail
@@ -280,8 +358,11 @@
             remaining_ms=job.end_at_ms - self.clock.now_ms(),
         )
 
-    def _note_success(self, job: RelayJob, attempt: Attempt) -> None:
+    async def _note_success(self, job: RelayJob, attempt: Attempt) -> None:
         took_ms = self.clock.now_ms() - attempt.started_ms
         aim_ms = max(job.aim_at_ms - job.arrived_ms, 1)
         # Half the aim is what a target that keeps up takes.
-        self.chooser.succeeded(attempt.row, took_ms / (aim_ms / 2))
+        slowness = took_ms / (aim_ms / 2)
+        await self.over(
+            job, attempt.row, RunOutcome.SUCCEEDED, slowness, attempt.head.load
+        )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -18,11 +18,14 @@
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.discovery import FleetView, TextFormat
+from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import MessageError, SettingsError
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayFront
 from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.placement import Placement, PlacementHost
+from wagtailrun.relay.placement_messages import PlaceRun, RunOver
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import StopSignals, metrics_server, start_json_lines
 from wagtailrun.retries import RetryBudget
@@ -115,15 +118,23 @@
             self._capacity,
             self.budget,
         )
+        self.owners = Owners(self.clock, self.view.live_entries)
         self.runner = StageRunner(
             self.clock,
             self.link,
             settings.name,
             self.host,
-            self.view.live_entries,
+            self.owners,
             self._capacity,
         )
         self.chooser = TargetChooser(self.clock, settings.data_centre)
+        # A chooser of its own: what this entry sends by itself is none of its prompts.
+        self.placement_host = PlacementHost(
+            self.clock, TargetChooser(self.clock, ""), self.view.targets
+        )
+        self.placement = Placement(
+            self.link, settings.name, self.owners, self.placement_host
+        )
         self.front = RelayFront(
             self.clock,
             self.view,
@@ -131,6 +142,7 @@
             self.http,
             self.runner,
             self.chooser,
+            self.placement,
             self.budget,
             self.metrics,
         )
@@ -226,6 +238,8 @@
         """Answer one message of another entry."""
         if isinstance(message, RunPieces | CancelPieces | FreeResults):
             return await self.host.handle(message)
+        if isinstance(message, PlaceRun | RunOver):
+            return self.placement_host.handle(message)
         raise MessageError(f"{type(message).__name__} is not answered here")
 
     async def _handle_ready(self, request: Request) -> Any:
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -12,6 +12,7 @@
 from wagtailrun.relay.choice import FIRST_EVENT_MS, TargetChooser
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.placement import Placement
 from wagtailrun.relay.port import RelayRequest, RelayWire
 from wagtailrun.relay.streams import RelayStreams
 from wagtailrun.retries import RetryBudget
@@ -44,7 +45,8 @@
         wire: Translates requests and answers.
         http: Connections to targets.
         runner: Runs the stages of requests.
-        chooser: Chooses targets.
+        chooser: Chooses the targets of plain services.
+        placement: Chooses engines.
         budget: Pays for repeated attempts.
         metrics: Counts outcomes.
         seed: Seed of the choices among services and of times to come back.
@@ -58,6 +60,7 @@
         http: HttpClient,
         runner: StageRunner,
         chooser: TargetChooser,
+        placement: Placement,
         budget: RetryBudget,
         metrics: RelayMetrics,
         seed: int | None = None,
@@ -66,11 +69,12 @@
         self.view = view
         self.wire = wire
         self.runner = runner
-        self.chooser = chooser
         self.budget = budget
         self.metrics = metrics
         self.random = random.Random(seed)
-        self.attempts = RelayAttempts(clock, view, wire, http, chooser, budget)
+        self.attempts = RelayAttempts(
+            clock, view, wire, http, chooser, placement, budget
+        )
         self.streams = RelayStreams(self.attempts, runner)
 
     async def handle(self, http: Request) -> Response:
@@ -177,7 +181,7 @@
         if not any(job.request.pieces):
             return None
         for _ in range(STAGE_ROUNDS):
-            job.data_centre, engine_ms = self._plan(job)
+            job.data_centre, engine_ms = await self._plan(job)
             end_at_ms = job.first_event_at_ms
             job.work = StagedWork(
                 request_id=job.request.request_id,
@@ -230,24 +234,17 @@
         retry_ms = int(retry_ms * self.random.uniform(1.0, RETRY_SPREAD))
         return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_ms)
 
-    def _plan(self, job: RelayJob) -> tuple[str, int]:
+    async def _plan(self, job: RelayJob) -> tuple[str, int]:
         """Return the data centre to run in, and the expected time of the engine.
 
         Results are large and shared parts of prompts are dear to read again, so all
         stages run where the engine is.
         """
-        rows = self.view.targets(job.service)
-        request = job.request
-        homes = self.chooser.homes(rows, request.parts)
-        times = [
-            self.chooser.expected_ms(row, request.parts, request.prompt_tokens, homes)
-            for row in rows
-        ]
-        if not rows:
+        placed = await self.attempts.place(job, begin=False)
+        if not placed.target:
             # Without an engine the request is refused when it has none to choose.
             return self.view.own.data_centre, int(FIRST_EVENT_MS)
-        best = min(range(len(rows)), key=lambda n: (times[n], rows[n].name))
-        return rows[best].data_centre, int(times[best] + FIRST_EVENT_MS)
+        return placed.data_centre, placed.expected_ms
 
     # Outcomes
 
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -37,7 +37,7 @@
         results: Results of its stages.
         tried: Targets that were given it, or refused a connection, in order.
         runs: Attempts that may have run.
-        arrivals: Attempts that may have reached a target.
+        placed_ms: Expected time from its newest attempt to the first event.
         staged_ms: When its stages were done.
         first_ms: When its first event, or its answer, came.
         streaming: Whether its answer is being passed on as a stream.
@@ -61,7 +61,7 @@
     results: StageResults = attrs.field(factory=StageResults)
     tried: list[str] = attrs.field(factory=list)
     runs: int = 0
-    arrivals: int = 0
+    placed_ms: int = 0
     staged_ms: int = 0
     first_ms: int = 0
     streaming: bool = False
--- /dev/null
+++ b/wagtailrun/relay/placement_messages.py
@@ -0,0 +1,100 @@
+"""Messages about the choice of engines."""
+
+import enum
+
+import attrs
+
+from wagtailrun.codec import Channel, Codec
+from wagtailrun.relay.port import PromptPart
+
+__all__ = ["PlaceRun", "PlaceSize", "Placed", "RunNoted", "RunOutcome", "RunOver"]
+
+
+class RunOutcome(enum.StrEnum):
+    """How an attempt at an engine ended."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    # The caller left, or the end says nothing about the engine.
+    OVER = "over"
+
+
+@attrs.frozen
+class PlaceSize:
+    """Bytes of results that the engine needs, in one data centre."""
+
+    data_centre: str
+    bytes: int
+
+
+@attrs.frozen
+class PlaceRun:
+    """Asks for the engine of an attempt.
+
+    Attributes:
+        request_id: Identifier of the request.
+        service: Service of the engines.
+        parts: Parts of the prompt.
+        prompt_tokens: Tokens of the prompt.
+        avoid: Engines that were tried.
+        results: Where results are that the engine needs.
+        begin: Whether the attempt begins now; otherwise only a place is asked for.
+    """
+
+    request_id: str
+    service: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    avoid: tuple[str, ...]
+    results: tuple[PlaceSize, ...]
+    begin: bool
+
+
+@attrs.frozen
+class Placed:
+    """Answer to ``PlaceRun``; ``target`` is empty if there is none."""
+
+    target: str
+    data_centre: str
+    expected_ms: int
+
+
+@attrs.frozen
+class RunOver:
+    """Tells how an attempt ended, or that its first event came.
+
+    Attributes:
+        request_id: Identifier of the request.
+        service: Service of the engine.
+        target: Engine.
+        outcome: How it ended.
+        slowness: Time to its first event as a multiple of what was expected.
+        running: Load that came with the answer.
+        waiting: Load that came with the answer.
+        slots: Places of the engine; 0 if it told no load.
+    """
+
+    request_id: str
+    service: str
+    target: str
+    # pycapnp takes no enum members.
+    outcome: str = attrs.field(converter=str)
+    slowness: float = 1.0
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+
+
+@attrs.frozen
+class RunNoted:
+    """Answer to ``RunOver``."""
+
+    known: bool
+
+
+CODEC = Codec(
+    Channel.PLACEMENT, "placement.capnp", [PlaceRun, Placed, RunNoted, RunOver]
+)
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -1,5 +1,6 @@
 """What both relay daemons share: signals, metrics page, log lines."""
 
+import logging
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -63,6 +64,8 @@
 
 def start_json_lines(process: str) -> LineWriter:
     """Write the events of this process to standard output, one JSON object a line."""
+    # The kernel warns of timeouts that ended just as the operation did.
+    logging.getLogger("curio.kernel").setLevel(logging.CRITICAL)
     writer = LineWriter()
     writer.start()
     EVENT_LOG.use_json_lines(writer.put, process)
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -16,6 +16,7 @@
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.events_split import EventSplitter, StreamEvent
 from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.placement_messages import RunOutcome
 from wagtailrun.relay.port import AnswerHead
 from wagtailrun.stages import StageResults, StageRunner
 
@@ -81,7 +82,7 @@
         """
         state = _StreamState(job.request.last_event_id)
         while True:
-            row = self.attempts.next_target(job)
+            row = await self.attempts.next_target(job)
             if isinstance(row, Refusal):
                 yield self._give_up(state, row)
                 return
@@ -104,7 +105,7 @@
                                 yield piece
                         return
             except TargetFailed as error:
-                refusal = self.attempts.after_failure(job, row, error)
+                refusal = await self.attempts.after_failure(job, row, error)
             if refusal is not None:
                 yield self._give_up(state, refusal)
                 return
@@ -136,7 +137,7 @@
         """Return how a request ends with an answer that is no stream, or None."""
         head = attempt.head
         body = await attempt.stream.read_all(self.attempts.remaining_ms(job))
-        refusal = self.attempts.after_bad_answer(job, attempt)
+        refusal = await self.attempts.after_bad_answer(job, attempt)
         if refusal is None and head.inputs_gone:
             return await self._stage_again(job)
         if refusal is not None and head.genuine and not head.not_run:
@@ -177,7 +178,10 @@
     async def _first_event(self, job: RelayJob, attempt: Attempt) -> None:
         job.first_ms = self.clock.now_ms()
         took_ms = job.first_ms - attempt.started_ms
-        self.attempts.chooser.succeeded(attempt.row, took_ms / attempt.expected_ms)
+        slowness = took_ms / attempt.expected_ms
+        await self.attempts.over(
+            job, attempt.row, RunOutcome.SUCCEEDED, slowness, attempt.head.load
+        )
         # The target has fetched the results once it generates.
         await self.runner.free_all(job.work, job.results)
 
--- /dev/null
+++ b/wagtailrun/schema/placement.capnp
@@ -0,0 +1,43 @@
+# Choice of engines, between the entry of a request and the entry that knows all prompts.
+@0xd1a6c3b7f0e94a19;
+
+struct Message {
+  union {
+    placeRun @0 :PlaceRun;
+    placed @1 :Placed;
+    runOver @2 :RunOver;
+    runNoted @3 :RunNoted;
+  }
+}
+
+struct Part { name @0 :Text; tokens @1 :UInt32; }
+struct PlaceSize { dataCentre @0 :Text; bytes @1 :UInt64; }
+
+struct PlaceRun {
+  requestId @0 :Text;
+  service @1 :Text;
+  parts @2 :List(Part);
+  promptTokens @3 :UInt32;
+  avoid @4 :List(Text);
+  results @5 :List(PlaceSize);
+  begin @6 :Bool;
+}
+
+struct Placed {
+  target @0 :Text;
+  dataCentre @1 :Text;
+  expectedMs @2 :UInt32;
+}
+
+struct RunOver {
+  requestId @0 :Text;
+  service @1 :Text;
+  target @2 :Text;
+  outcome @3 :Text;
+  slowness @4 :Float64;
+  running @5 :UInt32;
+  waiting @6 :UInt32;
+  slots @7 :UInt32;
+}
+
+struct RunNoted { known @0 :Bool; }
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -1,6 +1,6 @@
 """Entry side of stages: runs all steps of one request, and gives up their results."""
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -8,9 +8,9 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
+from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable, Refusal, RefusalReason, Verdict
 from wagtailrun.gossip_messages import EntryRow
-from wagtailrun.gossip_peers import rendezvous
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.routes import StagePool, StageStep
 from wagtailrun.stages.messages import (
@@ -29,7 +29,6 @@
 # taken as lost, and another one forms the calls.
 POLL_WAIT_MS = 300
 POLL_SLACK_MS = 250
-AVOID_ENTRY_MS = 1_500
 MIN_RETRY_AFTER_MS = 300
 
 
@@ -117,7 +116,8 @@
         link: Link to other entries.
         name: Name of this entry.
         host: Pools whose calls this entry forms.
-        entries: Returns the live entries.
+        owners: Chooses the entry that forms the calls of a service. While entries
+            disagree, two form calls for a target, which then waits a call longer.
         capacity: Returns what the text says of a target of a stage service.
     """
 
@@ -127,16 +127,15 @@
         link: PeerLink,
         name: str,
         host: PoolHost,
-        entries: Callable[[], Sequence[EntryRow]],
+        owners: Owners,
         capacity: Callable[[str], StagePool],
     ):
         self.clock = clock
         self.link = link
         self.name = name
         self.host = host
-        self.entries = entries
+        self.owners = owners
         self.capacity = capacity
-        self.avoid_until_ms: dict[str, int] = {}
 
     async def announce(self, work: StagedWork, data_centre: str) -> int | None:
         """Announce all steps where they will run.
@@ -280,7 +279,7 @@
         """Return what becomes of a step, or without results how long it would wait."""
         reserve = results is None
         tried: set[str] = set()
-        owner = self._owner(work.steps[number].service, tried)
+        owner = self.owners.owner(work.steps[number].service, tried)
         seen_fetched = not inputs
         while True:
             message = self._message(work, number, data_centre, inputs, reserve)
@@ -291,8 +290,8 @@
                 state = await self._call(owner, message)
             except PeerUnreachable as error:
                 tried.add(owner.name)
-                self._lose(owner, str(error))
-                owner = self._owner(work.steps[number].service, tried)
+                self.owners.lose(owner, str(error))
+                owner = self.owners.owner(work.steps[number].service, tried)
                 continue
             if state.state == JobState.FETCHED:
                 seen_fetched = True
@@ -332,21 +331,6 @@
 
     # The entries that form calls
 
-    def _owner(self, service: str, tried: Collection[str]) -> EntryRow | None:
-        """Return the entry that forms the calls of a service.
-
-        All entries agree on it while they know the same live entries; while they do
-        not, two may form calls for the same target, which then waits a call longer.
-        """
-        now_ms = self.clock.now_ms()
-        rows_by_name = {
-            row.name: row
-            for row in self.entries()
-            if row.name not in tried and self.avoid_until_ms.get(row.name, 0) <= now_ms
-        }
-        names = rendezvous(service, rows_by_name, 1)
-        return rows_by_name[names[0]] if names else None
-
     async def _call(self, owner: EntryRow, message: Any) -> Any:
         if owner.name == self.name:
             return await self.host.handle(message)
@@ -356,10 +340,6 @@
             raise PeerUnreachable(f"{owner.name} answers {type(reply).__name__}")
         return reply
 
-    def _lose(self, owner: EntryRow, detail: str) -> None:
-        self.avoid_until_ms[owner.name] = self.clock.now_ms() + AVOID_ENTRY_MS
-        events.log(events.PEER_LOST, peer=owner.name, detail=detail)
-
     # Giving up
 
     async def _free_inputs(
@@ -389,7 +369,7 @@
             await self._tell(CancelPieces(work.request_id, service))
 
     async def _tell(self, message: CancelPieces | FreeResults) -> None:
-        owner = self._owner(message.service, ())
+        owner = self.owners.owner(message.service)
         if owner is None:
             return
         try:
