Give each round of stages keys of its own

Cause: the log of a refused request shows that its second round was told the lost results of the first: jobs were known by request and step only. Conclusion: a request whose result is gone is staged once more.

--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -1,5 +1,6 @@
 """Tests of the steps of one request across entries, in virtual time."""
 
+import attrs
 import curio
 
 from tests.fake_network import FakeNetwork
@@ -182,6 +183,27 @@
     assert refusal.reason is RefusalReason.TARGET_FAILED
 
 
+def test_stages_run_anew_after_a_lost_result():
+    """Guards against a second round that is told the lost results of the first."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        runner = fleet.runners["e0"]
+        fleet.client.outcomes = [PieceOutcome.GONE]
+        results = [StageResults(), StageResults()]
+        refusals = []
+        for number in range(2):
+            staged = attrs.evolve(work(clock), round=number)
+            assert await runner.announce(staged, "a") is not None
+            refusals.append(await runner.run(staged, "a", results[number]))
+        return refusals, len(results[1].last_handles(work(clock)))
+
+    refusals, handles = run_virtual(main)
+    assert refusals[0].reason is RefusalReason.TARGET_FAILED
+    assert refusals[1] is None
+    assert handles == 4
+
+
 def test_cancelled_request_withdraws_its_pieces():
     """Load: callers who leave.
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -180,7 +180,7 @@
         """Run the stages of a request; return why it cannot be run, or None."""
         if not any(job.request.pieces):
             return None
-        for _ in range(STAGE_ROUNDS):
+        for number in range(STAGE_ROUNDS):
             job.data_centre, engine_ms = await self._plan(job)
             end_at_ms = job.first_event_at_ms
             job.work = StagedWork(
@@ -191,6 +191,7 @@
                 urgency=job.urgency,
                 aim_at_ms=job.aim_at_ms - engine_ms,
                 end_at_ms=end_at_ms - engine_ms,
+                round=number,
             )
             stages_ms = await self.runner.announce(job.work, job.data_centre)
             refusal = self._judge(job, stages_ms, engine_ms)
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 
+import attrs
 import curio
 
 from wagtailrun.adapters.http_server import Response
@@ -149,6 +150,7 @@
         if job.work is None:
             return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, job.detail)
         await job.restart_stages(self.runner)
+        job.work = attrs.evolve(job.work, round=job.work.round + 1)
         return await self.runner.run(job.work, job.data_centre, job.results)
 
     async def _events(
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -27,6 +27,7 @@
   waitMs @12 :UInt32;
   reserve @13 :Bool;
   seenFetched @14 :Bool;
+  round @15 :UInt8;
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -50,6 +50,8 @@
         reserve: Whether the pieces are only announced: their inputs are to be made
             by earlier steps, and the answer tells how long they would wait.
         seen_fetched: Whether the asker knows that the inputs were fetched.
+        round: How often the stages of the request were begun before; the results of
+            an earlier round are gone.
     """
 
     request_id: str
@@ -67,6 +69,7 @@
     wait_ms: int
     reserve: bool = False
     seen_fetched: bool = False
+    round: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -108,9 +108,13 @@
     finished: Signal = attrs.field(factory=Signal)
 
     @property
-    def key(self) -> tuple[str, int]:
-        """Request and step."""
-        return (self.message.request_id, self.message.step)
+    def key(self) -> tuple[str, int, int]:
+        """Request, step and round."""
+        return _key(self.message)
+
+
+def _key(message: RunPieces) -> tuple[str, int, int]:
+    return (message.request_id, message.step, message.round)
 
 
 @attrs.define(eq=False)
@@ -141,7 +145,7 @@
         self.host = host
         self.clock = host.clock
         self.service = service
-        self.jobs_by_key: dict[tuple[str, int], _Job] = {}
+        self.jobs_by_key: dict[tuple[str, int, int], _Job] = {}
         self.benches_by_name: dict[str, _Bench] = defaultdict(_Bench)
         self.memory = ResultMemory()
         self.free_by_address: dict[Address, list[str]] = defaultdict(list)
@@ -213,7 +217,7 @@
     def add(self, message: RunPieces) -> _Job:
         """Return the job of ``message``, a new one if it is not known."""
         now_ms = self.clock.now_ms()
-        job = self.jobs_by_key.get((message.request_id, message.step))
+        job = self.jobs_by_key.get(_key(message))
         if job is None:
             job = _Job(
                 message=message,
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -44,6 +44,7 @@
         urgency: Rank of the request; 0 goes first.
         aim_at_ms: When the steps should be done, on the clock.
         end_at_ms: When they are of no use any more.
+        round: How often they were begun before.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     urgency: int
     aim_at_ms: int
     end_at_ms: int
+    round: int = 0
 
     def followers(self, number: int) -> list[int]:
         """Return the steps that take part and need the results of ``number``."""
@@ -327,6 +329,7 @@
             result_bytes=step.result_bytes,
             wait_ms=0 if reserve else POLL_WAIT_MS,
             reserve=reserve,
+            round=work.round,
         )
 
     # The entries that form calls
