--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -60,7 +60,7 @@
 # a request), and a call elsewhere breaks up a batch at home.
 LEAVE_MS = 30
 BLOCKED_MS = 150
-LEAVE_MS_PER_MB = 400.0
+LEAVE_MS_PER_MB = 200.0
 # A target fetches the inputs of a call at its turn; 10 MB take 8 ms on these links.
 FETCH_MS = 60
 # Sizes are approximate, so a part of the memory is left free.
