--- /dev/null
+++ b/tests/test_relay_processes.py
@@ -0,0 +1,389 @@
+"""Tests of the relay daemons as real processes, with the platform's adapter."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from pathlib import Path
+
+import curio
+import pytest
+
+from demo.processes import free_addresses
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_server import HttpServer, Response
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.ports.link import Address
+
+ROOT = Path(__file__).parent.parent
+START_S = 20
+KEY = "guild-key"
+SEAL = ("Server-Seal", "seal")
+
+
+class Fleet:
+    """Three control members and two entries, each at a loopback address of its own."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        ports = [address.port for address in free_addresses(4)]
+        self.peer_port, self.metrics_port, self.main_port, self.ready_port = ports
+        self.processes = {}
+        self.seeds = ",".join(f"127.0.7.{n}:{self.main_port}" for n in (1, 2, 3))
+
+    def settings(self, name, ip, extra):
+        lines = {
+            "NAME": name,
+            "DATA_CENTRE": "riverside",
+            "PEER_ADDRESS": f"{ip}:{self.peer_port}",
+            "METRICS_ADDRESS": f"{ip}:{self.metrics_port}",
+            "PEER_SECRET": "secret-of-this-test",
+            "SEEDS": self.seeds,
+            **extra,
+        }
+        file = self.folder / f"{name}.env"
+        file.write_text("".join(f"WAGTAILRUN_{k}={v}\n" for k, v in lines.items()))
+        return file
+
+    def start(self, role, name, file):
+        # Only the variable that the platform gives.
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": f"{ROOT}:{ROOT / 'platform'}",
+            "WAGTAILRUN_SETTINGS": str(file),
+        }
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-P", "-m", "wagtail_platform", role],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def start_control(self, number):
+        ip, name = f"127.0.7.{number}", f"core-{number}"
+        extra = {
+            "OPERATOR_ADDRESS": f"{ip}:{self.main_port}",
+            "DATA_FOLDER": self.folder / name,
+            "FOUNDING": "true",
+            "HEARTBEAT_MS": "1200",
+        }
+        self.start("control", name, self.settings(name, ip, extra))
+
+    def start_entry(self, number):
+        ip, name = f"127.0.8.{number}", f"front-{number}"
+        extra = {
+            "CALLER_ADDRESS": f"{ip}:{self.main_port}",
+            "READY_ADDRESS": f"{ip}:{self.ready_port}",
+            "DRAIN_NOTICE_MS": "300",
+            "GRACE_S": "6",
+        }
+        self.start("entry", name, self.settings(name, ip, extra))
+
+    def stop(self, name, number):
+        self.processes[name].send_signal(number)
+        return self.processes[name].wait(15)
+
+    def lines(self, name):
+        text = (self.folder / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
+    def control(self, number):
+        return Address(f"127.0.7.{number}", self.main_port)
+
+    def entry(self, number):
+        return Address(f"127.0.8.{number}", self.main_port)
+
+    def ready(self, number):
+        return Address(f"127.0.8.{number}", self.ready_port)
+
+
+@contextmanager
+def running(folder):
+    fleet = Fleet(folder)
+    try:
+        for number in (1, 2, 3):
+            fleet.start_control(number)
+        for number in (1, 2):
+            fleet.start_entry(number)
+        yield fleet
+    finally:
+        for process in fleet.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait(10)
+
+
+def document(version, keys=(KEY,)):
+    route = {
+        "name": "r",
+        "host": "works.example",
+        "path_prefix": "/a/",
+        "kind": "streaming",
+        "timeout_ms": 8000,
+        "target_latency_ms": 1900,
+        "priority": 1,
+        "service": "llm",
+        "max_attempts": 1,
+        "stages": [
+            {"service": "board", "after": [], "bytes": 8000},
+            {"service": "board", "after": [0], "bytes": 8000},
+        ],
+        "session_affinity": True,
+        "gap_target_ms": 250,
+    }
+    pool = {"slots": 1, "batch": 4, "call_ms": 50, "item_ms": 5, "headroom_mb": 1}
+    value = {
+        "version": version,
+        "routes": [route],
+        "services": [
+            {"name": "llm", "engine": {"slots": 4}},
+            {"name": "board", "pieces": {**pool, "handle_s": 4}},
+        ],
+        "tenants": [{"name": "guild", "api_keys": list(keys)}],
+    }
+    return json.dumps(value).encode()
+
+
+async def until(condition, what):
+    end_s = time.monotonic() + START_S
+    while True:
+        try:
+            value = await condition()
+        except TargetFailed:
+            value = None
+        if value:
+            return value
+        assert time.monotonic() < end_s, what
+        await curio.sleep(0.1)
+
+
+async def send(address, method, path, body=b"", headers=(), timeout_ms=3_000):
+    return await HttpClient().request(
+        address,
+        method,
+        path,
+        headers,
+        body,
+        timeout_ms=timeout_ms,
+        host="works.example",
+    )
+
+
+class Targets:
+    """A stage target and an engine on loopback that report as the platform's do."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.stage, self.engine = free_addresses(2)
+        self.requests = []
+        self.calls = []
+        self.freed = []
+        self.sequence = 0
+
+    async def start(self):
+        for address, handler in (
+            (self.stage, self.handle_stage),
+            (self.engine, self.handle_engine),
+        ):
+            await curio.spawn(HttpServer(address, handler).serve, daemon=True)
+        await curio.spawn(self.report, daemon=True)
+
+    async def report(self):
+        while True:
+            self.sequence += 1
+            for name, address, service in (
+                ("i-stage", self.stage, "board"),
+                ("i-engine", self.engine, "llm"),
+            ):
+                body = {
+                    "service": service,
+                    "address": str(address),
+                    "zone": "riverside",
+                    "slots": 4,
+                    "state": "ready",
+                    "seq_no": self.sequence,
+                    "born": 5,
+                }
+                number = self.sequence % 3 + 1
+                try:
+                    await send(
+                        self.fleet.control(number),
+                        "PUT",
+                        f"/instances/{name}",
+                        json.dumps(body).encode(),
+                    )
+                except TargetFailed:
+                    continue
+            await curio.sleep(0.4)
+
+    async def handle_stage(self, request):
+        value = json.loads(request.body)
+        if request.path == "/stage-free":
+            self.freed.extend(value["handles"])
+            return Response(200, b"{}")
+        self.calls.append(value["items"])
+        await curio.sleep(0.05)
+        items = [
+            {"handle": f"{self.stage}/{item['id']}-{item['stage']}-{item['piece']}"}
+            for item in value["items"]
+        ]
+        return Response(200, json.dumps({"items": items}).encode())
+
+    async def handle_engine(self, request):
+        self.requests.append(request)
+
+        async def events():
+            for number in range(1, 21):
+                yield b"id: %d\ndata: token\n\n" % number
+                await curio.sleep(0.05)
+
+        echo = ("Attempt-Id", request.headers["attempt-id"])
+        return Response(200, events(), (echo, SEAL))
+
+
+def request_headers(name, key=KEY):
+    return (
+        ("Attempt-Id", name),
+        ("Deadline-Remaining", "6000"),
+        ("Credential", key),
+        ("Token-Count", "100,20"),
+        ("Prompt-Prefix", "aa:50,bb:50"),
+        ("Pieces", "2,3"),
+        ("Piece-Key", "pk"),
+    )
+
+
+async def put(fleet, version, keys=(KEY,)):
+    async def accepted():
+        number = version % 3 + 1
+        reply = await send(
+            fleet.control(number), "PUT", "/configuration", document(version, keys)
+        )
+        return reply.status == 200
+
+    await until(accepted, f"document {version} is not accepted")
+
+
+async def served(fleet, targets, number=1):
+    async def ready():
+        reply = await send(fleet.ready(number), "GET", "/readyz")
+        return reply.status == 200
+
+    await until(ready, f"entry {number} is not ready")
+
+    async def answered():
+        name = f"probe-{len(targets.requests)}"
+        reply = await send(
+            fleet.entry(number), "POST", "/a/x", b"{}", request_headers(name)
+        )
+        return reply if reply.status == 200 else None
+
+    return await until(answered, f"entry {number} serves nothing")
+
+
+def play(tmp_path, scenario):
+    with running(tmp_path) as fleet:
+
+        async def main():
+            targets = Targets(fleet)
+            await targets.start()
+            await put(fleet, 1)
+            return await scenario(fleet, targets)
+
+        return curio.run(main)
+
+
+def test_request_with_stages_is_served_end_to_end(tmp_path):
+    """Guards against daemons, settings and adapter that do not fit together."""
+
+    async def scenario(fleet, targets):
+        reply = await served(fleet, targets, 2)
+        await curio.sleep(0.5)
+        metrics = await send(
+            Address("127.0.8.2", fleet.metrics_port), "GET", "/metrics"
+        )
+        return reply, targets, metrics.body, fleet.lines("front-2")
+
+    reply, targets, metrics, lines = play(tmp_path, scenario)
+    assert reply.body.count(b"data: token") == 20
+    assert reply.headers["server-seal"] == "seal"
+    seen = targets.requests[-1]
+    assert len(seen.headers["inputs"].split(",")) == 3
+    assert seen.headers["tenant"] == "guild"
+    assert seen.headers["expected-instance"] == "i-engine"
+    last = [item for call in targets.calls for item in call][-1]
+    assert len(last["inputs"]) == 2
+    assert set(targets.freed) >= set(last["inputs"])
+    assert b"wagtailrun_relay_requests_total" in metrics
+    assert any(line["event"] == 701 for line in lines)
+
+
+def test_planned_stop_cuts_nothing(tmp_path):
+    """Guards against a stream that a planned stop cuts, and an exit that hangs."""
+
+    async def scenario(fleet, targets):
+        await served(fleet, targets)
+        task = await curio.spawn(
+            send,
+            fleet.entry(1),
+            "POST",
+            "/a/x",
+            b"{}",
+            request_headers("last"),
+        )
+        await curio.sleep(0.5)
+        fleet.processes["front-1"].send_signal(signal.SIGTERM)
+        await curio.sleep(0.2)
+        ready = (await send(fleet.ready(1), "GET", "/readyz")).status
+        reply = await task.join()
+        code = await curio.run_in_thread(fleet.processes["front-1"].wait, 10)
+        return ready, reply.body.count(b"data: token"), code
+
+    assert play(tmp_path, scenario) == (503, 20, 0)
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_killed_control_member_loses_nothing(tmp_path, lost):
+    """Guards against an acknowledged document that is gone, and entries that stop."""
+
+    async def scenario(fleet, targets):
+        await served(fleet, targets)
+        await put(fleet, 5)
+        fleet.processes[f"core-{lost}"].kill()
+        await served(fleet, targets)
+        versions = set()
+        for number in {1, 2, 3} - {lost}:
+
+            async def read(number=number):
+                reply = await send(fleet.control(number), "GET", "/configuration")
+                return json.loads(reply.body) if reply.status == 200 else None
+
+            versions.add((await until(read, "no read"))["version"])
+        fleet.start_control(lost)
+        await put(fleet, 7)
+        return versions
+
+    assert play(tmp_path, scenario) == {5}
+
+
+def test_revoked_key_is_refused_everywhere(tmp_path):
+    """Guards against a key that runs at an entry after it was taken away."""
+
+    async def scenario(fleet, targets):
+        for number in (1, 2):
+            await served(fleet, targets, number)
+        await put(fleet, 9, keys=("other",))
+        await curio.sleep(1.0)
+        statuses = []
+        for number in (1, 2):
+            reply = await send(
+                fleet.entry(number), "POST", "/a/x", b"{}", request_headers("late")
+            )
+            statuses.append(reply.status)
+        return statuses
+
+    assert play(tmp_path, scenario) == [401, 401]
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -6,7 +6,7 @@
 from tests.fake_network import FakeNetwork
 from tests.test_stage_pool import FakeStages, target
 from wagtailrun.discovery.owners import Owners
-from wagtailrun.exceptions import RefusalReason
+from wagtailrun.exceptions import PeerUnreachable, RefusalReason
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.gossip_peers import rendezvous
 from wagtailrun.ports.link import Address
@@ -162,6 +162,33 @@
     assert took_ms < 2_500
 
 
+def test_reset_connection_does_not_move_a_job():
+    """Guards against work that is done twice because one connection was reset."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        name, owner = other_entry()
+        row = next(row for row in ENTRIES if row.name == owner)
+        serve = fleet.network.handlers_by_address[row.address]
+        resets = iter([False, True])
+
+        async def reset_once(message):
+            if next(resets, False):
+                raise PeerUnreachable("reset")
+            return await serve(message)
+
+        fleet.network.handlers_by_address[row.address] = reset_once
+        runner = fleet.runners[name]
+        refusal = await runner.run(work(clock), "a", StageResults())
+        return refusal, runner.owners.avoid_until_ms, fleet.client.calls
+
+    refusal, avoided, calls = run_virtual(main)
+    items = [(item.step, item.piece) for _, _, call in calls for item in call]
+    assert refusal is None
+    assert avoided == {}
+    assert len(items) == len(set(items))
+
+
 def test_lost_result_is_told_as_not_run():
     """Guards against a request that fails for good where it could be staged anew."""
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 import attrs
+from curio import run_in_thread
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
@@ -25,6 +26,8 @@
 AVOID_MS = 1_000
 RETRY_PAUSE_MS = 50
 MAX_ADDRESSES = 64
+# Reading 1 MB takes 0.1 s, in which no event of a stream would be passed on.
+MAX_INLINE_TEXT_CHARS = 64 * 1024
 
 
 class TextFormat(ABC):
@@ -132,7 +135,7 @@
                 await self.clock.sleep_ms(RETRY_PAUSE_MS)
                 continue
             self._note_member(address, news.confirmed)
-            self._apply(news)
+            await self._apply(news)
             # A text that cannot be read here may hold revocations.
             if news.confirmed and self.revision >= news.marks.revision:
                 self.confirmed_ms = sent_ms
@@ -171,7 +174,7 @@
             events.log(events.PEER_REGAINED, peer=str(address), detail="")
             self.polled = address
 
-    def _apply(self, news: News) -> None:
+    async def _apply(self, news: News) -> None:
         now_ms = self.clock.now_ms()
         for aged in news.targets:
             self.membership.put(aged.row, now_ms, aged.age_ms)
@@ -183,13 +186,17 @@
             self.members = [Address.parse(text) for text in news.members]
         revision = self.marks.revision
         if news.text and news.marks.revision > revision:
-            revision = self._apply_text(news)
+            revision = await self._apply_text(news)
         self.marks = attrs.evolve(news.marks, revision=revision)
 
-    def _apply_text(self, news: News) -> int:
+    async def _apply_text(self, news: News) -> int:
         """Put a newer text in force; return the revision that is in force."""
+        read = self.text_format.routes
         try:
-            self.table = self.text_format.routes(news.marks.revision, news.text)
+            if len(news.text) > MAX_INLINE_TEXT_CHARS:
+                self.table = await run_in_thread(read, news.marks.revision, news.text)
+            else:
+                self.table = read(news.marks.revision, news.text)
         except FleetTextError as error:
             events.log(
                 events.TEXT_UNREADABLE,
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -23,14 +23,18 @@
     DiskFault,
     Refusal,
     RefusalReason,
-    SettingsError,
     Verdict,
 )
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import Registry
 from wagtailrun.registry_messages import PutText, TextVerdict
 from wagtailrun.relay.metrics import RelayMetrics
-from wagtailrun.relay.process import StopSignals, metrics_server, start_json_lines
+from wagtailrun.relay.process import (
+    LiveSettings,
+    StopSignals,
+    metrics_server,
+    start_json_lines,
+)
 from wagtailrun.settings import RelayControlSettings
 
 __all__ = ["AgreedText", "RelayControl", "run_relay_control"]
@@ -41,7 +45,6 @@
 RETRY_AFTER_MS = 500
 # A disk that fills up or stalls recovers within seconds.
 REOPEN_PAUSE_MS = 500
-SETTINGS_POLL_MS = 2_000
 # Room for the body of a text of 4 MB and for its growth.
 MAX_TEXT_BYTES = 6 * 1024 * 1024
 MIN_VOTERS = 3
@@ -143,9 +146,11 @@
         reload: Callable[[], RelayControlSettings],
     ):
         self.settings = settings
-        self.reload = reload
         self.clock = SystemClock()
-        self.signals = StopSignals(self.clock, self._reload)
+        self.live_settings = LiveSettings(
+            self.clock, settings, reload, self._take_seeds
+        )
+        self.signals = StopSignals(self.clock, self.live_settings.reload)
         self.link = TcpPeerLink(settings.peer_secret)
         self.registry = Registry()
         self.disk = FileDisk(Path(settings.data_folder) / "consensus")
@@ -164,7 +169,7 @@
         self._export_gauges()
 
     def _make_member(self) -> Member:
-        settings = self.settings
+        settings = self.live_settings.current
         seeds = [(str(address), address) for address in settings.seeds]
         return Member(
             self.clock,
@@ -240,7 +245,7 @@
                 )
                 await group.spawn(self.hub.run)
                 await group.spawn(self._take_part)
-                await group.spawn(self._watch_settings)
+                await group.spawn(self.live_settings.watch)
             if group.exception is not None:
                 raise group.exception
             events.log(events.PROCESS_STOPPED, role="relay control", name=settings.name)
@@ -272,6 +277,9 @@
             self.registry.reset()
             self.member = self._make_member()
 
+    def _take_seeds(self, settings: RelayControlSettings) -> None:
+        self.member.peers = settings.seeds
+
     async def _discard(self) -> None:
         """Empty the disk; the member then joins as one that has never been there."""
         try:
@@ -280,24 +288,6 @@
         except DiskFault as error:
             events.log(events.MEMBER_RESTARTED, detail=str(error))
 
-    def _reload(self) -> None:
-        """Read the settings again; keep the old ones if they are not acceptable."""
-        try:
-            settings = self.reload()
-        except SettingsError as error:
-            events.log(events.SETTINGS_RELOADED, accepted=False, detail=str(error))
-            return
-        if settings != self.settings:
-            self.settings = settings
-            self.member.peers = settings.seeds
-            seeds = [str(address) for address in settings.seeds]
-            events.log(events.SETTINGS_RELOADED, accepted=True, seeds=seeds)
-
-    async def _watch_settings(self) -> None:
-        while True:
-            await self.clock.sleep_ms(SETTINGS_POLL_MS)
-            self._reload()
-
 
 async def run_relay_control(
     settings: RelayControlSettings,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -19,7 +19,7 @@
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.discovery import FleetView, TextFormat
 from wagtailrun.discovery.owners import Owners
-from wagtailrun.exceptions import MessageError, SettingsError
+from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayFront
@@ -27,7 +27,12 @@
 from wagtailrun.relay.placement import Placement, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOver
 from wagtailrun.relay.port import RelayWire
-from wagtailrun.relay.process import StopSignals, metrics_server, start_json_lines
+from wagtailrun.relay.process import (
+    LiveSettings,
+    StopSignals,
+    metrics_server,
+    start_json_lines,
+)
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import RequestLimits, StagePool
 from wagtailrun.settings import RelayEntrySettings
@@ -51,9 +56,6 @@
 # The part of the shared budget that entries use, so that a count that differs a little
 # from the operator's stays within it.
 BUDGET_PART = 0.8
-# The settings file may change without a signal.
-SETTINGS_POLL_MS = 2_000
-READY_POLL_MS = 100
 
 
 class EntryFormat(ABC):
@@ -90,10 +92,10 @@
         reload: Callable[[], RelayEntrySettings],
     ):
         self.settings = settings
-        self.reload = reload
         self.clock = SystemClock()
         self.link = TcpPeerLink(settings.peer_secret)
-        self.signals = StopSignals(self.clock, self._reload)
+        self.live_settings = LiveSettings(self.clock, settings, reload)
+        self.signals = StopSignals(self.clock, self.live_settings.reload)
         own = EntryRow(
             settings.name,
             settings.peer_address,
@@ -104,11 +106,12 @@
             self.clock,
             self.link,
             own,
-            lambda: self.settings.seeds,
+            lambda: self.live_settings.current.seeds,
             form.text_format,
             settings.key_grace_ms,
         )
         self.http = HttpClient(self.clock)
+        self.most_entries = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
         self.host = PoolHost(
@@ -156,8 +159,10 @@
         settings = self.settings
 
         def largest() -> float:
-            entries = max(len(self.view.live_entries()), 1)
-            return max(settings.retry_slack * BUDGET_PART / entries, 1.0)
+            # The most that were ever seen: entries behind a partition spend as well.
+            self.most_entries = max(self.most_entries, len(self.view.live_entries()))
+            share = settings.retry_slack * BUDGET_PART / self.most_entries
+            return max(share, 1.0)
 
         return RetryBudget(settings.retry_ratio * BUDGET_PART, 1.0, largest)
 
@@ -227,7 +232,7 @@
                     self.handle_peer,
                 )
                 await group.spawn(self.view.run)
-                await group.spawn(self._watch_settings)
+                await group.spawn(self.live_settings.watch)
             if group.exception is not None:
                 raise group.exception
             events.log(events.PROCESS_STOPPED, role="relay entry", name=settings.name)
@@ -255,23 +260,6 @@
             )
         return json_response(200 if ready else 503, {"ready": ready})
 
-    def _reload(self) -> None:
-        """Read the settings again; keep the old ones if they are not acceptable."""
-        try:
-            settings = self.reload()
-        except SettingsError as error:
-            events.log(events.SETTINGS_RELOADED, accepted=False, detail=str(error))
-            return
-        if settings != self.settings:
-            self.settings = settings
-            seeds = [str(address) for address in settings.seeds]
-            events.log(events.SETTINGS_RELOADED, accepted=True, seeds=seeds)
-
-    async def _watch_settings(self) -> None:
-        while True:
-            await self.clock.sleep_ms(SETTINGS_POLL_MS)
-            self._reload()
-
     async def _stop_on_signal(self) -> None:
         """Wait for a signal, then end the process without cutting a request."""
         await self.signals.wait()
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -3,18 +3,24 @@
 import logging
 import signal
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Generic, TypeVar
 
+from wagtailrun import events
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
 from wagtailrun.clock import Clock
 from wagtailrun.events import EVENT_LOG
+from wagtailrun.exceptions import SettingsError
 from wagtailrun.line_writer import LineWriter
 from wagtailrun.ports.link import Address
 
-__all__ = ["StopSignals", "metrics_server", "start_json_lines"]
+__all__ = ["LiveSettings", "StopSignals", "metrics_server", "start_json_lines"]
 
 # A planned stop has seconds; looking ten times a second costs next to nothing.
 SIGNAL_POLL_MS = 100
+# A change of seeds matters only when the known members are gone.
+SETTINGS_POLL_MS = 2_000
+
+T = TypeVar("T")
 
 
 class StopSignals:
@@ -52,6 +58,48 @@
         self.hangups += 1
 
 
+class LiveSettings(Generic[T]):
+    """Settings that are read again while the process runs.
+
+    Args:
+        clock: Clock.
+        settings: Settings of the start.
+        read: Reads them again; raises ``SettingsError``.
+        changed: Called with new ones after ``current`` has changed.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: T,
+        read: Callable[[], T],
+        changed: Callable[[T], None] = lambda settings: None,
+    ):
+        self.clock = clock
+        self.current = settings
+        self.read = read
+        self.changed = changed
+
+    def reload(self) -> None:
+        """Read the settings again; keep the old ones if they are not acceptable."""
+        try:
+            settings = self.read()
+        except SettingsError as error:
+            events.log(events.SETTINGS_RELOADED, accepted=False, detail=str(error))
+            return
+        if settings != self.current:
+            self.current = settings
+            seeds = [str(address) for address in settings.seeds]
+            events.log(events.SETTINGS_RELOADED, accepted=True, seeds=seeds)
+            self.changed(settings)
+
+    async def watch(self) -> None:
+        """Read the settings again and again: they change without a signal, too."""
+        while True:
+            await self.clock.sleep_ms(SETTINGS_POLL_MS)
+            self.reload()
+
+
 def metrics_server(address: Address, page: Callable[[], bytes]) -> HttpServer:
     """Return a server that answers every request with the metrics."""
 
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -282,15 +282,24 @@
         reserve = results is None
         tried: set[str] = set()
         owner = self.owners.owner(work.steps[number].service, tried)
+        retried = False
         seen_fetched = not inputs
         while True:
             message = self._message(work, number, data_centre, inputs, reserve)
             message = attrs.evolve(message, seen_fetched=seen_fetched)
             if owner is None or message.remaining_ms <= 0:
                 return PiecesState(JobState.REFUSED, detail="no time or entry is left")
+            asked_ms = self.clock.now_ms()
             try:
                 state = await self._call(owner, message)
+                retried = False
             except PeerUnreachable as error:
+                # A connection that was reset says nothing about the entry, and the
+                # job is known there; one that is dead answers nothing in time.
+                waited_ms = self.clock.now_ms() - asked_ms
+                if not retried and waited_ms < message.wait_ms + POLL_SLACK_MS:
+                    retried = True
+                    continue
                 tried.add(owner.name)
                 self.owners.lose(owner, str(error))
                 owner = self.owners.owner(work.steps[number].service, tried)
