Try a service again whose targets have all failed

Cause: a target with three failures in a row did not count as able, so once all of a service's targets had failed, every job was refused before a call could show that they work again. Found while reading the pool; test_service_whose_targets_all_failed_is_tried_again failed before.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -333,6 +333,28 @@
     assert tokens == 5.0
 
 
+def test_service_whose_targets_all_failed_is_tried_again():
+    """Load: a partition that ends.
+
+    Guards against a service that is refused for ever at an entry that was cut off.
+    """
+
+    async def main(clock):
+        load = Load(clock, [target(1), target(2)])
+        for name in ("t1", "t2"):
+            load.client.faults_by_name[name] = ConnectFailed("no route")
+        states = []
+        for number in range(12):
+            states.append(await load.ask(f"cut{number}", remaining_ms=900))
+        load.client.faults_by_name.clear()
+        await clock.sleep_ms(3_000)
+        return states, await load.ask("after")
+
+    states, after = run_virtual(main)
+    assert all(state.state == JobState.REFUSED for state in states)
+    assert after.state == JobState.DONE
+
+
 def test_missing_input_ends_the_job_at_once():
     """Load: a target of an earlier step crashed.
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -60,7 +60,7 @@
 # a request), and a call elsewhere breaks up a batch at home.
 LEAVE_MS = 30
 BLOCKED_MS = 150
-LEAVE_MS_PER_MB = 200.0
+LEAVE_MS_PER_MB = 400.0
 # A target fetches the inputs of a call at its turn; 10 MB take 8 ms on these links.
 FETCH_MS = 60
 # Sizes are approximate, so a part of the memory is left free.
@@ -181,7 +181,13 @@
         """
         now_ms = self.clock.now_ms()
         benches = [self.benches_by_name[row.name] for row in self.targets()]
-        able = [bench for bench in benches if bench.failures < MAX_TRIES]
+        # One that failed again and again counts once its pause is over; otherwise a
+        # service whose targets all failed would never be tried again.
+        able = [
+            bench
+            for bench in benches
+            if bench.failures < MAX_TRIES or bench.pause_until_ms <= now_ms
+        ]
         if not able:
             return None
         ahead = sum(len(job.waiting) for job in self._ahead(before, now_ms))
