Let entries read the product's own fleet text

Cause: routes could be stated in the fleet text, but only the platform's document was read by entries. Conclusion: there is no daemon for it yet: its wire names would be an adapter beside platform/.

--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from wagtailrun.discovery.fleet_text import FleetTextFormat
 from wagtailrun.exceptions import FleetTextError
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.routes import (
@@ -119,3 +120,10 @@
     assert relay.workspaces_by_key["k2"].name == "guild"
     with pytest.raises(FleetTextError, match="relay"):
         parse_fleet_text(TEXT.replace("timeout_ms", "time_ms"))
+
+
+def test_entries_read_the_fleet_text():
+    """Guards against a relay that only the platform's document can configure."""
+    assert FleetTextFormat().routes(9, TEXT).version == 9
+    with pytest.raises(FleetTextError, match="missing"):
+        FleetTextFormat().routes(9, TEXT.partition("[relay]")[0])
