--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from wagtail_platform.control_calls import ControlCalls, target_row
-from wagtail_platform.manifests import PlatformTextFormat, read_document
+from wagtail_platform.documents import PlatformTextFormat, read_document
 from wagtail_platform.requests import PlatformWire
 from wagtail_platform.stage_calls import _replies
 
