Keep tests that need free ports on one worker

The groups were set after pytest-xdist had read them, so they had no effect. Change: the hook that sets the groups runs first.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,6 +27,8 @@
     return entries
 
 
+# First, because pytest-xdist reads the groups in the same hook.
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config, items):
     for item in items:
         if (
