Run tests that need free ports one after the other, by a marker

Ruled out: the order of the hooks (groups set by markers of the modules were lost as well). Change: two runs, the second without workers.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,16 +27,7 @@
     return entries
 
 
-# First, because pytest-xdist reads the groups in the same hook.
-@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config, items):
-    for item in items:
-        if (
-            hasattr(item.module, "free_addresses")
-            or "processes" in item.module.__name__
-        ):
-            # Ports that one test found free must not be taken by another meanwhile.
-            item.add_marker(pytest.mark.xdist_group("network"))
     entries = known_red()
     passed_over = [item for item in items if item.nodeid in entries]
     whole_suite = not config.getoption("file_or_dir")
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Runs the whole test suite, on several processors."""
+"""Runs the whole test suite: what needs no network on several processors first."""
 
 import sys
 
@@ -8,4 +8,7 @@
 WORKERS = "4"
 
 if __name__ == "__main__":
-    sys.exit(pytest.main(["-n", WORKERS, "--dist", "loadgroup"]))
+    independent = pytest.main(["-n", WORKERS, "-m", "not network"])
+    # One after the other: a port that one test found free must not be taken by another.
+    network = pytest.main(["-m", "network"])
+    sys.exit(independent or network)
--- a/tests/test_accounts_processes.py
+++ b/tests/test_accounts_processes.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from demo.processes import Fleet, request
 from tests.test_processes import (
     ORDER,
@@ -13,6 +15,8 @@
     wait_until,
 )
 
+pytestmark = pytest.mark.network
+
 
 def counted_by_targets(fleet):
     """Return calls by stage, and tokens, as all targets counted them."""
--- a/tests/test_consensus_processes.py
+++ b/tests/test_consensus_processes.py
@@ -14,6 +14,8 @@
 from wagtailrun.events import BECAME_LEADER, CONFIGURATION_CHANGED
 from wagtailrun.exceptions import TargetFailed
 
+pytestmark = pytest.mark.network
+
 GIVE_UP_S = 30.0
 TEXT = (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text()
 CHANGED = f"E{CONFIGURATION_CHANGED.number:04d}"
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -21,6 +21,8 @@
 )
 from wagtailrun.exceptions import ConnectFailed, RefusalReason, TargetFailed, Verdict
 
+pytestmark = pytest.mark.network
+
 TIMEOUT_MS = 5_000
 GOOD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
 
--- a/tests/test_partition_processes.py
+++ b/tests/test_partition_processes.py
@@ -20,6 +20,8 @@
 )
 from wagtailrun.exceptions import TargetFailed
 
+pytestmark = pytest.mark.network
+
 
 @pytest.fixture(scope="module")
 def fleet():
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,6 +13,8 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.exceptions import TargetFailed
 
+pytestmark = pytest.mark.network
+
 SERVICES = ["encoders", "documents", "engines", "dispatch-desk"]
 TEXT = (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text("utf-8")
 PIPELINE = "/v1/pipelines/stockist-query"
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -30,6 +30,8 @@
     route_table,
 )
 
+pytestmark = pytest.mark.network
+
 SEAL = ("Server-Seal", "seal")
 NOT_RUN = ("Not-Executed", "1")
 
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -18,6 +18,8 @@
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
 
+pytestmark = pytest.mark.network
+
 ROOT = Path(__file__).parent.parent
 START_S = 20
 KEY = "guild-key"
--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -11,6 +11,8 @@
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.messages import Ping, Pong
 
+pytestmark = pytest.mark.network
+
 SECRET = b"a shared secret of the tests"
 TIMEOUT_MS = 2_000
 
