Give up the inputs of a step only once its last call has fetched them

A step counted as fetched 60 ms into its first call, although a later call of the same step had just begun.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -3,6 +3,7 @@
 Each test names the load whose pattern it answers.
 """
 
+import attrs
 import curio
 
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
@@ -19,6 +20,7 @@
     RunPieces,
     StageClient,
 )
+from wagtailrun.stages.pool import FETCH_MS
 from wagtailrun.stages.port import StageReply
 from wagtailrun.virtual_time import run_virtual
 
@@ -355,6 +357,28 @@
     assert after.state == JobState.DONE
 
 
+def test_inputs_are_needed_until_the_last_call_has_fetched_them():
+    """Load: steps split over calls that start one after the other.
+
+    Guards against inputs given up while a later call of the step still needs them.
+    """
+
+    async def main(clock):
+        load = Load(clock, [target(1), target(2)])
+        busy = load.message("busy", pieces=4)
+        await curio.spawn(load.host.handle, busy, daemon=True)
+        await clock.sleep_ms(250)
+        asked = load.message("split", pieces=8, has_inputs=True, inputs=("h",))
+        state = await load.host.handle(attrs.evolve(asked, seen_fetched=False))
+        starts = [at for at, _, items in load.client.calls[1:]]
+        await clock.sleep_ms(2_000)
+        return state, clock.now_ms() - 2_000 - max(starts), len(starts)
+
+    state, since_last_start_ms, calls = run_virtual(main)
+    assert (state.state, calls) == (JobState.FETCHED, 2)
+    assert since_last_start_ms >= FETCH_MS
+
+
 def test_missing_input_ends_the_job_at_once():
     """Load: a target of an earlier step crashed.
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -87,7 +87,8 @@
         state: What has become of it.
         ready: Whether the pieces may run; announced ones only hold their place.
         number: Order of arrival.
-        fetched: Whether all its pieces are in calls that have fetched their inputs.
+        fetched_pieces: Pieces whose calls have fetched their inputs.
+        fetched: Whether those are all of them.
         finished: Signals the end, or that the inputs were fetched.
     """
 
@@ -98,6 +99,7 @@
     waiting: list[int]
     ready: bool = True
     number: int = 0
+    fetched_pieces: set[int] = attrs.field(factory=set)
     fetched: bool = False
     running: int = 0
     results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
@@ -486,8 +488,9 @@
     async def _note_fetched(self, chosen: list[tuple[_Job, int]]) -> None:
         """Tell, some time into a call, that its inputs need not be kept any more."""
         await self.clock.sleep_ms(FETCH_MS)
-        for job in {job.key: job for job, _ in chosen}.values():
-            if not job.waiting and not job.fetched:
+        for job, piece in chosen:
+            job.fetched_pieces.add(piece)
+            if not job.fetched and len(job.fetched_pieces) == len(job.message.pieces):
                 job.fetched = True
                 await job.finished.notify()
 
