Plan requests with the learned time of engines

Cause: a request is admitted if its plan ends before its aim. Ruled out: processor of the owner of stage calls (peak 0.24 of 0.52 cores). Change: the entry that chooses engines learns a line through the measured times to the first event (fixed part and time per token read), and plans with the error that covers most requests.

--- /dev/null
+++ b/tests/test_relay_estimate.py
@@ -0,0 +1,57 @@
+"""Tests of the learned time to the first event."""
+
+import random
+
+import pytest
+
+from wagtailrun.relay.estimate import (
+    ERRORS_KEPT,
+    FIRST_EVENT_MS,
+    MIN_ERRORS,
+    ErrorQuantile,
+    FirstEventModel,
+)
+
+
+def test_nothing_measured_gives_the_time_of_an_idle_engine():
+    """Guards against a first request that is refused for want of measurements."""
+    assert FirstEventModel().expected_ms(0) == FIRST_EVENT_MS
+    assert ErrorQuantile().margin_ms == 0
+
+
+@pytest.mark.parametrize(("fixed_ms", "ms_per_token"), [(90, 0.030), (250, 0.012)])
+def test_times_of_slower_engines_are_learned(fixed_ms, ms_per_token):
+    """Load: long prompts at engines that generate for many others meanwhile.
+
+    Guards against requests that are admitted although they will be late, because an
+    engine is believed to read as fast as an idle one.
+    """
+    rng = random.Random(1)
+    model = FirstEventModel()
+    for _ in range(150):
+        tokens = rng.choice([500, 4_000, 17_000])
+        took_ms = fixed_ms + tokens * ms_per_token + rng.uniform(-40, 40)
+        model.note(tokens, took_ms)
+    for tokens in (500, 4_000, 17_000):
+        expected_ms = fixed_ms + tokens * ms_per_token
+        assert abs(model.expected_ms(tokens) - expected_ms) < 0.15 * expected_ms
+
+
+def test_prompts_of_one_size_leave_the_line_usable():
+    """Guards against a slope without meaning when all prompts are alike."""
+    model = FirstEventModel()
+    for _ in range(300):
+        model.note(1_100, 180)
+    assert abs(model.expected_ms(1_100) - 180) < 20
+    assert 0 < model.reading_ms(8_000) < 600
+
+
+def test_margin_covers_most_errors_and_forgets_old_ones():
+    """Guards against requests that are planned to the last millisecond."""
+    errors = ErrorQuantile()
+    for n in range(MIN_ERRORS - 1):
+        errors.note(500 + n)
+    assert errors.margin_ms == 0
+    for n in range(500):
+        errors.note(n % ERRORS_KEPT)
+    assert 100 <= errors.margin_ms <= 103
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -57,14 +57,12 @@
         stream: The answer.
         head: What its head says.
         started_ms: When the request was sent.
-        expected_ms: Expected time to its first event at a target that keeps up.
     """
 
     row: TargetRow
     stream: HttpStream
     head: AnswerHead
     started_ms: int
-    expected_ms: int
 
 
 class RelayAttempts:
@@ -195,10 +193,18 @@
         job: RelayJob,
         row: TargetRow,
         outcome: RunOutcome,
-        slowness: float = 1.0,
+        first_event_ms: int = 0,
         load: TargetLoad | None = None,
     ) -> None:
-        """Note how an attempt at ``row`` ended, where its target was chosen."""
+        """Note how an attempt at ``row`` ended, where its target was chosen.
+
+        Args:
+            job: Request.
+            row: Target.
+            outcome: How the attempt ended.
+            first_event_ms: Time to its first event or its answer, if that came.
+            load: What the target told of its load.
+        """
         if job.route.prompt_affinity:
             load = load or TargetLoad(0, 0, 0)
             message = RunOver(
@@ -206,7 +212,7 @@
                 job.service,
                 row.name,
                 outcome,
-                slowness,
+                first_event_ms,
                 load.running,
                 load.waiting,
                 load.slots,
@@ -215,7 +221,9 @@
             return
         match outcome:
             case RunOutcome.SUCCEEDED:
-                self.chooser.succeeded(row, slowness)
+                aim_ms = max(job.aim_at_ms - job.arrived_ms, 1)
+                # Half the aim is what a target that keeps up takes.
+                self.chooser.succeeded(row, first_event_ms / (aim_ms / 2))
             case RunOutcome.FAILED:
                 self.chooser.failed(row)
             case RunOutcome.UNREACHABLE:
@@ -273,8 +281,7 @@
                 stream, head = await self._own_answer(job, stream)
                 if head.load is not None:
                     self.chooser.told_load(row, head.load)
-                expected_ms = max(job.placed_ms, 1)
-                yield Attempt(row, stream, head, started_ms, expected_ms)
+                yield Attempt(row, stream, head, started_ms)
         except (curio.CancelledError, GeneratorExit):
             # The caller left, which says nothing about the target.
             await self.over(job, row, RunOutcome.OVER)
@@ -360,9 +367,6 @@
 
     async def _note_success(self, job: RelayJob, attempt: Attempt) -> None:
         took_ms = self.clock.now_ms() - attempt.started_ms
-        aim_ms = max(job.aim_at_ms - job.arrived_ms, 1)
-        # Half the aim is what a target that keeps up takes.
-        slowness = took_ms / (aim_ms / 2)
         await self.over(
-            job, attempt.row, RunOutcome.SUCCEEDED, slowness, attempt.head.load
+            job, attempt.row, RunOutcome.SUCCEEDED, took_ms, attempt.head.load
         )
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -8,10 +8,11 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.membership import TargetRow
+from wagtailrun.relay.estimate import FirstEventModel
 from wagtailrun.relay.port import PromptPart, TargetLoad
 from wagtailrun.subset import rendezvous_rank
 
-__all__ = ["FIRST_EVENT_MS", "TargetChooser"]
+__all__ = ["TargetChooser"]
 
 # A target that refuses connections is left alone for this long, doubling.
 FIRST_EJECTION_MS = 300
@@ -24,11 +25,6 @@
 MAX_SLOWNESS = 10.0
 # A load that came with an answer is believed for this long, ever less.
 LOAD_MEMORY_MS = 1_500
-# Prompt tokens that an engine reads in a millisecond, until it was measured.
-PREFILL_TOKENS_PER_MS = 60.0
-# Time from the request to the first event of an idle engine, beside reading the
-# prompt; the engines of both users' sheets state 80 and 90 ms.
-FIRST_EVENT_MS = 100.0
 # Expected milliseconds that each quantity below adds; they only order targets.
 LOAD_MS = 120.0
 FULL_MS = 600.0
@@ -74,6 +70,7 @@
         self.clock = clock
         self.data_centre = data_centre
         self.random = random.Random(seed)
+        self.model = FirstEventModel()
         self.known_by_name: dict[str, _Known] = defaultdict(_Known)
 
     def choose(
@@ -147,19 +144,21 @@
         if known.ejected_until_ms > now_ms:
             ms += FULL_MS * 10
         if prompt_tokens:
-            ms += max(known.prefill_until_ms - now_ms, 0.0)
+            ms += self.queued_ms(row)
             unread = self.unread_tokens(row, parts, prompt_tokens, homes)
-            ms += unread / PREFILL_TOKENS_PER_MS
+            ms += self.model.reading_ms(unread)
         return ms
 
     def first_event_ms(
         self, row: TargetRow, parts: Sequence[PromptPart], prompt_tokens: int
     ) -> float:
         """Return the time to the first event at ``row`` if it is not slow."""
-        now_ms = self.clock.now_ms()
-        queued_ms = max(self._known(row).prefill_until_ms - now_ms, 0.0)
         unread = self.unread_tokens(row, parts, prompt_tokens)
-        return FIRST_EVENT_MS + queued_ms + unread / PREFILL_TOKENS_PER_MS
+        return self.queued_ms(row) + self.model.expected_ms(unread)
+
+    def queued_ms(self, row: TargetRow) -> float:
+        """Return how long ``row`` still reads the prompts that it was given."""
+        return max(self._known(row).prefill_until_ms - self.clock.now_ms(), 0.0)
 
     def unread_tokens(
         self,
@@ -217,7 +216,7 @@
             now_ms = self.clock.now_ms()
             unread = self.unread_tokens(row, parts, prompt_tokens)
             start_ms = max(known.prefill_until_ms, now_ms)
-            known.prefill_until_ms = start_ms + unread / PREFILL_TOKENS_PER_MS
+            known.prefill_until_ms = start_ms + self.model.reading_ms(unread)
         for part in parts[:-1]:
             known.parts[part.name] = None
             known.parts.move_to_end(part.name)
--- /dev/null
+++ b/wagtailrun/relay/estimate.py
@@ -0,0 +1,118 @@
+"""Learns how long engines take to the first event of a prompt."""
+
+from collections import deque
+
+__all__ = ["FIRST_EVENT_MS", "ErrorQuantile", "FirstEventModel"]
+
+# Time from the request to the first event of an idle engine, beside reading the
+# prompt; the engines of both users' sheets state 80 and 90 ms.
+FIRST_EVENT_MS = 100.0
+# Prompt tokens that an engine reads in a millisecond, until it was measured.
+PREFILL_TOKENS_PER_MS = 60.0
+# What is believed before anything was measured: two prompts, of no token and of this
+# many, count as much as so many measured ones.
+PRIOR_TOKENS = 8_000
+PRIOR_WEIGHT = 3.0
+# Each measurement makes the older ones count this much less: about 100 count.
+DECAY = 0.99
+# Measured times contain waits of seconds at engines that fail; they are cut off here.
+MAX_FIRST_EVENT_MS = 2_000.0
+MIN_MS_PER_TOKEN = 1.0 / 500.0
+# Errors that are remembered, and the part of them that a margin covers. An answer that
+# is late is worth about a seventh, and one that is refused may come back in time.
+ERRORS_KEPT = 128
+COVERED = 0.8
+MIN_ERRORS = 8
+
+
+class FirstEventModel:
+    """A line through the measured times: a fixed time and one for each token read.
+
+    Engines read a prompt in chunks between the steps of those that are generating, so
+    the time for each token differs from what an idle engine takes.
+    """
+
+    def __init__(self):
+        self.fixed_ms = FIRST_EVENT_MS
+        self.ms_per_token = 1.0 / PREFILL_TOKENS_PER_MS
+        prior_ms = FIRST_EVENT_MS + PRIOR_TOKENS * self.ms_per_token
+        self._prior = _Sums()
+        self._prior.add(0.0, FIRST_EVENT_MS, PRIOR_WEIGHT)
+        self._prior.add(PRIOR_TOKENS, prior_ms, PRIOR_WEIGHT)
+        self._measured = _Sums()
+
+    def expected_ms(self, tokens: float) -> float:
+        """Return the time to the first event if ``tokens`` must be read."""
+        return self.fixed_ms + self.reading_ms(tokens)
+
+    def reading_ms(self, tokens: float) -> float:
+        """Return the time in which an engine reads ``tokens``."""
+        return tokens * self.ms_per_token
+
+    def note(self, tokens: float, took_ms: float) -> None:
+        """Learn from one prompt.
+
+        Args:
+            tokens: Tokens that were probably read.
+            took_ms: Time to the first event without the wait for other prompts.
+        """
+        took_ms = min(max(took_ms, 0.0), MAX_FIRST_EVENT_MS)
+        self._measured.decay(DECAY)
+        self._measured.add(tokens, took_ms, 1.0)
+        fixed_ms, slope = self._measured.plus(self._prior).line()
+        self.ms_per_token = max(slope, MIN_MS_PER_TOKEN)
+        self.fixed_ms = max(fixed_ms, 0.0)
+
+
+class _Sums:
+    """Weighted sums from which a least-squares line follows."""
+
+    def __init__(self):
+        self.n = self.x = self.y = self.xx = self.xy = 0.0
+
+    def add(self, x: float, y: float, weight: float) -> None:
+        self.n += weight
+        self.x += weight * x
+        self.y += weight * y
+        self.xx += weight * x * x
+        self.xy += weight * x * y
+
+    def decay(self, factor: float) -> None:
+        self.n *= factor
+        self.x *= factor
+        self.y *= factor
+        self.xx *= factor
+        self.xy *= factor
+
+    def plus(self, other: "_Sums") -> "_Sums":
+        total = _Sums()
+        total.n = self.n + other.n
+        total.x = self.x + other.x
+        total.y = self.y + other.y
+        total.xx = self.xx + other.xx
+        total.xy = self.xy + other.xy
+        return total
+
+    def line(self) -> tuple[float, float]:
+        """Return the line's value at zero, and its slope."""
+        slope = (self.n * self.xy - self.x * self.y) / (self.n * self.xx - self.x**2)
+        return (self.y - slope * self.x) / self.n, slope
+
+
+class ErrorQuantile:
+    """How much longer than expected most things take, from the newest errors."""
+
+    def __init__(self):
+        self._errors: deque[float] = deque(maxlen=ERRORS_KEPT)
+
+    def note(self, error_ms: float) -> None:
+        """Note by how much a time was longer than expected."""
+        self._errors.append(error_ms)
+
+    @property
+    def margin_ms(self) -> float:
+        """The time that covers most errors; 0 until some are known."""
+        if len(self._errors) < MIN_ERRORS:
+            return 0.0
+        ranked = sorted(self._errors)
+        return max(ranked[int(COVERED * (len(ranked) - 1))], 0.0)
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -9,7 +9,8 @@
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.relay.attempts import RelayAttempts
-from wagtailrun.relay.choice import FIRST_EVENT_MS, TargetChooser
+from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.estimate import FIRST_EVENT_MS
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.placement import Placement
@@ -182,6 +183,7 @@
             return None
         for number in range(STAGE_ROUNDS):
             job.data_centre, engine_ms = await self._plan(job)
+            job.planned_ms = engine_ms
             end_at_ms = job.first_event_at_ms
             job.work = StagedWork(
                 request_id=job.request.request_id,
@@ -309,6 +311,8 @@
             targets=list(job.tried),
             runs=job.runs,
             expected_ms=job.expected_ms,
+            planned_ms=job.planned_ms,
+            placed_ms=job.placed_ms,
             staged_ms=job.staged_ms - job.arrived_ms if job.staged_ms else 0,
             first_ms=job.first_ms - job.arrived_ms if job.first_ms else 0,
             took_ms=now_ms - job.arrived_ms,
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -16,6 +16,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.estimate import ErrorQuantile
 from wagtailrun.relay.placement_messages import (
     Placed,
     PlaceRun,
@@ -35,8 +36,29 @@
 
 @attrs.frozen
 class _Run:
+    """An attempt under way.
+
+    Attributes:
+        row: Engine.
+        began_ms: When it was chosen.
+        queued_ms: Expected wait for the prompts that the engine had before.
+        unread_tokens: Tokens that it must probably read.
+        expected_ms: Expected time to the first event.
+        planned_ms: What was expected when the request was planned, if it was.
+    """
+
     row: TargetRow
     began_ms: int
+    queued_ms: float = 0.0
+    unread_tokens: int = 0
+    expected_ms: float = 0.0
+    planned_ms: float | None = None
+
+
+@attrs.frozen
+class _Plan:
+    expected_ms: float
+    made_ms: int
 
 
 class PlacementHost:
@@ -58,6 +80,9 @@
         self.chooser = chooser
         self.targets = targets
         self.runs_by_key: dict[tuple[str, str], _Run] = {}
+        self.plans_by_id: dict[str, _Plan] = {}
+        # How much later than planned first events come.
+        self.errors = ErrorQuantile()
 
     def handle(self, message: PlaceRun | RunOver) -> Placed | RunNoted:
         """Answer one message of an entry.
@@ -88,11 +113,25 @@
         expected_ms = self.chooser.first_event_ms(
             row, message.parts, message.prompt_tokens
         )
+        self._forget()
+        now_ms = self.clock.now_ms()
         if message.begin:
-            self._forget()
+            plan = self.plans_by_id.pop(message.request_id, None)
+            self.runs_by_key[message.request_id, row.name] = _Run(
+                row=row,
+                began_ms=now_ms,
+                queued_ms=self.chooser.queued_ms(row),
+                unread_tokens=self.chooser.unread_tokens(
+                    row, message.parts, message.prompt_tokens
+                ),
+                expected_ms=expected_ms,
+                planned_ms=plan.expected_ms if plan is not None else None,
+            )
             self.chooser.started(row, message.parts, message.prompt_tokens)
-            key = (message.request_id, row.name)
-            self.runs_by_key[key] = _Run(row, self.clock.now_ms())
+        else:
+            self.plans_by_id[message.request_id] = _Plan(expected_ms, now_ms)
+            # Requests that are planned without a margin are late as often as not.
+            expected_ms += self.errors.margin_ms
         return Placed(row.name, row.data_centre, int(expected_ms))
 
     def _note(self, message: RunOver) -> RunNoted:
@@ -105,7 +144,7 @@
             self.chooser.told_load(run.row, load)
         match message.outcome:
             case RunOutcome.SUCCEEDED:
-                self.chooser.succeeded(run.row, message.slowness)
+                self._learn(run, message.first_event_ms)
             case RunOutcome.FAILED:
                 self.chooser.failed(run.row)
             case RunOutcome.UNREACHABLE:
@@ -116,9 +155,22 @@
                 self.chooser.rejected(run.row, True)
         return RunNoted(True)
 
+    def _learn(self, run: _Run, first_event_ms: int) -> None:
+        """Note when the first event of an attempt came."""
+        slowness = first_event_ms / max(run.expected_ms, 1.0)
+        self.chooser.succeeded(run.row, slowness)
+        self.chooser.model.note(run.unread_tokens, first_event_ms - run.queued_ms)
+        if run.planned_ms is not None:
+            self.errors.note(first_event_ms - run.planned_ms)
+
     def _forget(self) -> None:
-        """Forget the oldest runs whose entries told no end."""
+        """Forget the oldest plans and runs whose entries told no end."""
         limit_ms = self.clock.now_ms() - FORGET_MS
+        while self.plans_by_id:
+            request_id, plan = next(iter(self.plans_by_id.items()))
+            if plan.made_ms > limit_ms:
+                break
+            del self.plans_by_id[request_id]
         while self.runs_by_key:
             key, run = next(iter(self.runs_by_key.items()))
             if run.began_ms > limit_ms:
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/placement_messages.py
@@ -55,7 +55,14 @@
 
 @attrs.frozen
 class Placed:
-    """Answer to ``PlaceRun``; ``target`` is empty if there is none."""
+    """Answer to ``PlaceRun``.
+
+    Attributes:
+        target: Engine; empty if there is none.
+        data_centre: Data centre of the engine.
+        expected_ms: Expected time to the first event. For an attempt that does not
+            begin now, most will not take longer.
+    """
 
     target: str
     data_centre: str
@@ -71,7 +78,7 @@
         service: Service of the engine.
         target: Engine.
         outcome: How it ended.
-        slowness: Time to its first event as a multiple of what was expected.
+        first_event_ms: Time from its choice to its first event, if that came.
         running: Load that came with the answer.
         waiting: Load that came with the answer.
         slots: Places of the engine; 0 if it told no load.
@@ -82,7 +89,7 @@
     target: str
     # pycapnp takes no enum members.
     outcome: str = attrs.field(converter=str)
-    slowness: float = 1.0
+    first_event_ms: int = 0
     running: int = 0
     waiting: int = 0
     slots: int = 0
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -180,9 +180,8 @@
     async def _first_event(self, job: RelayJob, attempt: Attempt) -> None:
         job.first_ms = self.clock.now_ms()
         took_ms = job.first_ms - attempt.started_ms
-        slowness = took_ms / attempt.expected_ms
         await self.attempts.over(
-            job, attempt.row, RunOutcome.SUCCEEDED, slowness, attempt.head.load
+            job, attempt.row, RunOutcome.SUCCEEDED, took_ms, attempt.head.load
         )
         # The target has fetched the results once it generates.
         await self.runner.free_all(job.work, job.results)
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -34,7 +34,7 @@
   service @1 :Text;
   target @2 :Text;
   outcome @3 :Text;
-  slowness @4 :Float64;
+  firstEventMs @4 :UInt32;
   running @5 :UInt32;
   waiting @6 :UInt32;
   slots @7 :UInt32;
