Count what really moves when a step runs in another data centre

Cause: stage calls on a grown site carry half of what they could (18 of 34, 36 of 60 pieces) while pieces of other data centres wait. A step was held at home by the size of its own results, although its followers run where their inputs are and only their small results come back. Change: a step is held by its inputs and the least that its chain makes of its results.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -92,7 +92,9 @@
             "result_bytes": 10,
             "wait_ms": 10_000,
         }
-        return RunPieces(**{**values, **options, "seen_fetched": True})
+        values |= {**options, "seen_fetched": True}
+        values.setdefault("moved_bytes", values["result_bytes"] * pieces)
+        return RunPieces(**values)
 
     async def ask(self, *arguments, **options):
         return await self.host.handle(self.message(*arguments, **options))
@@ -411,3 +413,37 @@
     first, alone = run_virtual(main)
     assert first.count("t2") == 2
     assert alone[0][1] == "t1"
+
+
+def test_small_results_fill_calls_of_another_data_centre():
+    """Load: pieces wait for all data centres, and calls start that are not full.
+
+    With five targets in four data centres, calls for eight pieces took five while ten
+    others waited for their own data centre. Guards against that; results of megabytes
+    stay where they are wanted.
+    """
+
+    async def main(clock):
+        rows = [target(1, "a"), target(2, "b")]
+        load = Load(clock, rows, attrs.evolve(CAPACITY, memory_bytes=100_000_000))
+        busy = [
+            load.message("a0", pieces=4),
+            load.message("b0", pieces=4, data_centre="b"),
+            load.message("b1", pieces=4, data_centre="b", result_bytes=9_000_000),
+        ]
+        small = load.message("small", data_centre="b", result_bytes=8_000)
+        large = load.message("large", data_centre="b", result_bytes=9_000_000)
+        short = load.message("short", data_centre="a", pieces=2)
+        async with curio.TaskGroup() as group:
+            for message in (*busy, short, small, large):
+                await group.spawn(load.host.handle, message)
+                await clock.sleep_ms(30)
+        return load.client.calls
+
+    calls = run_virtual(main)
+    requests = [{item.request_id for item in items} for _, _, items in calls]
+    assert {"short", "small"} in requests
+    assert {"large"} in requests
+    assert [name for _, name, items in calls if items[0].request_id == "large"] == [
+        "t2"
+    ]
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -14,7 +14,7 @@
 from wagtailrun.routes import StagePool, StageStep
 from wagtailrun.stages import PieceOutcome, PoolHost, StagedWork, StageResults
 from wagtailrun.stages.runner import StageRunner
-from wagtailrun.virtual_time import run_virtual
+from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 CAPACITY = StagePool(
     slots=1, batch=4, call_ms=150.0, item_ms=30.0, memory_bytes=10_000, result_ms=4_000
@@ -267,3 +267,24 @@
     idle_ms, least_ms = run_virtual(main)
     assert least_ms == 180 + 210 + 240
     assert least_ms <= idle_ms < 2 * least_ms
+
+
+def test_a_chain_is_moved_by_the_least_that_comes_back():
+    """Load: a chain whose middle results are large and whose last ones are small.
+
+    Its followers run where their inputs are, so the middle results need not come back.
+    Guards against pieces that wait at home beside idle targets elsewhere.
+    """
+    steps = (
+        StageStep("s", (), 8_000),
+        StageStep("s", (0,), 60_000),
+        StageStep("s", (1,), 6_000),
+        StageStep("s", (), 3_000_000),
+    )
+    staged = work(VirtualClock(), (1, 8, 16, 2), steps)
+    assert [staged.moved_bytes(n) for n in range(4)] == [
+        8_000,
+        8_000 + 16 * 6_000,
+        8 * 60_000 + 16 * 6_000,
+        6_000_000,
+    ]
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -28,6 +28,7 @@
   reserve @13 :Bool;
   seenFetched @14 :Bool;
   round @15 :UInt8;
+  movedBytes @16 :UInt64;
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -52,6 +52,7 @@
         seen_fetched: Whether the asker knows that the inputs were fetched.
         round: How often the stages of the request were begun before; the results of
             an earlier round are gone.
+        moved_bytes: Bytes that cross data centres if the step runs in another one.
     """
 
     request_id: str
@@ -70,6 +71,7 @@
     reserve: bool = False
     seen_fetched: bool = False
     round: int = 0
+    moved_bytes: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -393,6 +393,32 @@
 
         It may once waiting at home takes longer than moving its results is worth.
         """
+        busy_ms = self._home_busy_ms(job, now_ms)
+        if busy_ms is None:
+            return True
+        patience_ms = LEAVE_MS + _move_ms(job)
+        # While results take up its memory, home may be idle and yet take nothing.
+        blocked_ms = now_ms - job.asked_ms - BLOCKED_MS
+        if max(busy_ms, blocked_ms) > patience_ms:
+            return True
+        # Being late costs a caller more than any move of results.
+        left_ms = job.aim_at_ms - now_ms - self.work_ms(len(job.waiting))
+        return 0 <= left_ms < max(busy_ms, BLOCKED_MS if blocked_ms > 0 else 0)
+
+    def _may_join(self, job: _Job, now_ms: int) -> bool:
+        """Whether a job may fill a call in another data centre that starts anyway.
+
+        It breaks up no batch there, so waiting at home only saves the move of results.
+        """
+        busy_ms = self._home_busy_ms(job, now_ms)
+        return busy_ms is None or busy_ms > _move_ms(job)
+
+    def _home_busy_ms(self, job: _Job, now_ms: int) -> int | None:
+        """Return how long all targets of the wanted data centre are still busy.
+
+        Returns:
+            Milliseconds, negative if one is idle; None if there is no good one.
+        """
         home = [
             self.benches_by_name[row.name]
             for row in self.targets()
@@ -400,19 +426,10 @@
         ]
         able = [bench for bench in home if not bench.failures]
         if not able:
-            return True
-        busy_ms = min(
+            return None
+        return min(
             max(bench.busy_until_ms, bench.pause_until_ms) - now_ms for bench in able
         )
-        size = job.message.result_bytes * len(job.message.pieces)
-        patience_ms = LEAVE_MS + size / 1e6 * LEAVE_MS_PER_MB
-        # While results take up its memory, home may be idle and yet take nothing.
-        blocked_ms = now_ms - job.asked_ms - BLOCKED_MS
-        if max(busy_ms, blocked_ms) > patience_ms:
-            return True
-        # Being late costs a caller more than any move of results.
-        left_ms = job.aim_at_ms - now_ms - self.work_ms(len(job.waiting))
-        return 0 <= left_ms < max(busy_ms, BLOCKED_MS if blocked_ms > 0 else 0)
 
     def _choose(
         self, row: TargetRow, jobs: list[_Job], free: list[TargetRow], now_ms: int
@@ -423,7 +440,9 @@
         room = self.memory.free_bytes(row.address, usable)
         chosen: list[tuple[_Job, int]] = []
         for job in jobs:
-            if row not in self._fit(job, free, now_ms):
+            if row not in self._fit(job, free, now_ms) and not self._may_join(
+                job, now_ms
+            ):
                 continue
             for piece in list(job.waiting):
                 needed = job.message.result_bytes
@@ -598,6 +617,11 @@
         await self.wake.set()
 
 
+def _move_ms(job: _Job) -> float:
+    """Return the wait that is worth as much as running a job in another place."""
+    return job.message.moved_bytes / 1e6 * LEAVE_MS_PER_MB
+
+
 class PoolHost:
     """The pools whose calls this entry forms.
 
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -64,6 +64,23 @@
             if number in step.after and self.pieces[other]
         ]
 
+    def moved_bytes(self, number: int) -> int:
+        """Return the bytes that cross data centres if a step leaves its inputs' one.
+
+        Its followers run where their inputs are, so what comes back in the end is the
+        least that any of them makes of its results.
+        """
+        inputs = sum(self._made_bytes(other) for other in self.steps[number].after)
+        return inputs + self._onward_bytes(number)
+
+    def _onward_bytes(self, number: int) -> int:
+        made = self._made_bytes(number)
+        onward = [self._onward_bytes(other) for other in self.followers(number)]
+        return min(made, sum(onward)) if onward else made
+
+    def _made_bytes(self, number: int) -> int:
+        return self.steps[number].result_bytes * self.pieces[number]
+
     def starts_after(self, number: int) -> tuple[int, ...]:
         """Return the steps that are to be done before ``number`` starts.
 
@@ -339,6 +356,7 @@
             wait_ms=0 if reserve else POLL_WAIT_MS,
             reserve=reserve,
             round=work.round,
+            moved_bytes=work.moved_bytes(number),
         )
 
     # The entries that form calls
