Answer questions about waiting pieces without looking at every job

Cause: the entry that forms the calls of a busy stage did not answer others for 250 ms, was taken as lost by some, and another entry formed calls for the same targets beside it. Each question and announcement walked over all jobs two or three times, finished ones of 3 s included, and looked for targets for each of them although none was free. Change: open jobs are kept apart; a question about a known job looks at no other; no job is looked at while no target is free; how long data centres are busy is reckoned once a call. The owner of the last stage is still taken as lost: not its processor, probably its link of 5 Mbit/s (next).

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -20,7 +20,7 @@
     RunPieces,
     StageClient,
 )
-from wagtailrun.stages.pool import FETCH_MS
+from wagtailrun.stages.pool import FETCH_MS, KEEP_ANNOUNCED_MS
 from wagtailrun.stages.port import StageReply
 from wagtailrun.virtual_time import run_virtual
 
@@ -447,3 +447,42 @@
     assert [name for _, name, items in calls if items[0].request_id == "large"] == [
         "t2"
     ]
+
+
+def test_questions_about_waiting_pieces_look_at_no_other_job(monkeypatch):
+    """Load: hundreds of requests wait for one service, each asks three times a second.
+
+    An entry that looked at every job for every question did not answer for 250 ms and
+    was taken as lost; another one then formed calls for the same targets. Guards
+    against that.
+    """
+    ranked = []
+
+    async def main(clock):
+        load = Load(clock)
+        await load.keep_busy()
+        for number in range(50):
+            message = load.message(f"r{number}", wait_ms=0)
+            await load.host.handle(message)
+        pool = await load.host.pool("s")
+        rank = pool._rank
+        monkeypatch.setattr(pool, "_rank", lambda *a: ranked.append(a) or rank(*a))
+        for number in range(50):
+            state = await load.ask(f"r{number}", wait_ms=0)
+            assert state.state == JobState.PENDING
+        return len(ranked)
+
+    assert run_virtual(main) == 0
+
+
+def test_announcement_that_is_given_up_is_forgotten():
+    """Guards against a planned stop that waits for pieces nobody will ask for."""
+
+    async def main(clock):
+        load = Load(clock)
+        await load.ask("gone", reserve=True)
+        before = load.host.has_open_jobs
+        await clock.sleep_ms(KEEP_ANNOUNCED_MS + 200)
+        return before, load.host.has_open_jobs
+
+    assert run_virtual(main) == (True, False)
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -89,6 +89,8 @@
         number: Order of arrival.
         fetched_pieces: Pieces whose calls have fetched their inputs.
         fetched: Whether those are all of them.
+        queue_ms: How long it was expected to wait when it was asked; None if no
+            target could be given calls.
         finished: Signals the end, or that the inputs were fetched.
     """
 
@@ -107,6 +109,7 @@
     state: JobState = JobState.PENDING
     detail: str = ""
     ended_ms: int = 0
+    queue_ms: int | None = None
     finished: Signal = attrs.field(factory=Signal)
 
     @property
@@ -148,10 +151,14 @@
         self.clock = host.clock
         self.service = service
         self.jobs_by_key: dict[tuple[str, int, int], _Job] = {}
+        # Those of them that are not finished; finished ones are several times as many.
+        self.open_by_key: dict[tuple[str, int, int], _Job] = {}
         self.benches_by_name: dict[str, _Bench] = defaultdict(_Bench)
         self.memory = ResultMemory()
         self.free_by_address: dict[Address, list[str]] = defaultdict(list)
         self.numbers = itertools.count()
+        # How long the targets of each data centre are busy, as of the newest call.
+        self.home_busy_by_place: dict[str, int] = {}
         self.wake = curio.Event()
         self.frees_wanted = curio.Event()
 
@@ -166,11 +173,9 @@
         """Return the targets that may be given calls."""
         return self.host.targets(self.service)
 
-    def open_jobs(self) -> Iterator[_Job]:
-        """Yield the jobs that are not finished."""
-        for job in list(self.jobs_by_key.values()):
-            if job.state is JobState.PENDING:
-                yield job
+    def open_jobs(self) -> list[_Job]:
+        """Return the jobs that are not finished."""
+        return list(self.open_by_key.values())
 
     def queue_ms(self, before: _Job | None = None) -> int | None:
         """Return how long pieces wait before their call starts.
@@ -222,8 +227,8 @@
 
     # Jobs
 
-    def add(self, message: RunPieces) -> _Job:
-        """Return the job of ``message``, a new one if it is not known."""
+    def add(self, message: RunPieces) -> tuple[_Job, bool]:
+        """Return the job of ``message``, and whether it is new or has become ready."""
         now_ms = self.clock.now_ms()
         job = self.jobs_by_key.get(_key(message))
         if job is None:
@@ -236,7 +241,7 @@
                 ready=not message.reserve,
                 number=next(self.numbers),
             )
-            self.jobs_by_key[job.key] = job
+            self.jobs_by_key[job.key] = self.open_by_key[job.key] = job
             self.host.budget.earn(self.service)
         elif not job.ready and not message.reserve:
             job.message = message
@@ -245,14 +250,14 @@
             job.end_at_ms = now_ms + message.remaining_ms
             job.ready = True
         else:
-            return job
-        queue_ms = self.queue_ms(job)
+            return job, False
+        job.queue_ms = queue_ms = self.queue_ms(job)
         if queue_ms is None:
             self._end(job, JobState.REFUSED, "no target can be given calls")
         elif queue_ms + self.work_ms(len(job.waiting)) > message.remaining_ms:
             detail = f"queue {queue_ms} ms of {message.remaining_ms} ms left"
             self._end(job, JobState.REFUSED, detail)
-        return job
+        return job, True
 
     def _rank(self, job: _Job, now_ms: int) -> tuple[bool, int, int]:
         """Order in which jobs are served.
@@ -279,6 +284,7 @@
     def _end(self, job: _Job, state: JobState, detail: str = "") -> None:
         job.state = state
         job.detail = detail
+        self.open_by_key.pop(job.key, None)
         job.waiting.clear()
         job.ended_ms = self.clock.now_ms()
         if state is not JobState.DONE:
@@ -313,8 +319,7 @@
     async def run(self) -> None:
         """Start calls whenever a target is free and pieces wait."""
         while True:
-            busy = any(True for _ in self.open_jobs())
-            if busy:
+            if self.open_by_key:
                 await curio.ignore_after(REVIEW_MS / MS_PER_SECOND, self.wake.wait)
             else:
                 await self.wake.wait()
@@ -343,11 +348,12 @@
     async def _start_call(self) -> bool:
         """Start one call; return False if there is no free target or no piece."""
         now_ms = self.clock.now_ms()
+        free = self._free_targets(now_ms)
         jobs = [job for job in self.open_jobs() if job.waiting and job.ready]
-        if not jobs:
+        if not jobs or not free:
             return False
         jobs.sort(key=lambda job: self._rank(job, now_ms))
-        free = self._free_targets(now_ms)
+        self.home_busy_by_place = self._home_busy(now_ms)
         # The first job chooses its target; the others fill the call.
         for job in jobs:
             for row in self._fit(job, free, now_ms):
@@ -393,7 +399,7 @@
 
         It may once waiting at home takes longer than moving its results is worth.
         """
-        busy_ms = self._home_busy_ms(job, now_ms)
+        busy_ms = self.home_busy_by_place.get(job.message.data_centre)
         if busy_ms is None:
             return True
         patience_ms = LEAVE_MS + _move_ms(job)
@@ -405,31 +411,34 @@
         left_ms = job.aim_at_ms - now_ms - self.work_ms(len(job.waiting))
         return 0 <= left_ms < max(busy_ms, BLOCKED_MS if blocked_ms > 0 else 0)
 
-    def _may_join(self, job: _Job, now_ms: int) -> bool:
+    def _may_run_at(self, job: _Job, row: TargetRow, now_ms: int) -> bool:
+        """Whether pieces of a job may fill a call at ``row``."""
+        at_home = row.data_centre == job.message.data_centre
+        return at_home or self._may_join(job) or self._may_leave(job, now_ms)
+
+    def _may_join(self, job: _Job) -> bool:
         """Whether a job may fill a call in another data centre that starts anyway.
 
         It breaks up no batch there, so waiting at home only saves the move of results.
         """
-        busy_ms = self._home_busy_ms(job, now_ms)
+        busy_ms = self.home_busy_by_place.get(job.message.data_centre)
         return busy_ms is None or busy_ms > _move_ms(job)
 
-    def _home_busy_ms(self, job: _Job, now_ms: int) -> int | None:
-        """Return how long all targets of the wanted data centre are still busy.
+    def _home_busy(self, now_ms: int) -> dict[str, int]:
+        """Return how long all good targets of each data centre are still busy.
 
         Returns:
-            Milliseconds, negative if one is idle; None if there is no good one.
+            Milliseconds by data centre, negative where one is idle; those without a
+            good target are left out.
         """
-        home = [
-            self.benches_by_name[row.name]
-            for row in self.targets()
-            if row.data_centre == job.message.data_centre
-        ]
-        able = [bench for bench in home if not bench.failures]
-        if not able:
-            return None
-        return min(
-            max(bench.busy_until_ms, bench.pause_until_ms) - now_ms for bench in able
-        )
+        busy_by_place: dict[str, int] = {}
+        for row in self.targets():
+            bench = self.benches_by_name[row.name]
+            if not bench.failures:
+                busy_ms = max(bench.busy_until_ms, bench.pause_until_ms) - now_ms
+                known_ms = busy_by_place.get(row.data_centre, busy_ms)
+                busy_by_place[row.data_centre] = min(known_ms, busy_ms)
+        return busy_by_place
 
     def _choose(
         self, row: TargetRow, jobs: list[_Job], free: list[TargetRow], now_ms: int
@@ -440,9 +449,7 @@
         room = self.memory.free_bytes(row.address, usable)
         chosen: list[tuple[_Job, int]] = []
         for job in jobs:
-            if row not in self._fit(job, free, now_ms) and not self._may_join(
-                job, now_ms
-            ):
+            if not self._may_run_at(job, row, now_ms):
                 continue
             for piece in list(job.waiting):
                 needed = job.message.result_bytes
@@ -656,8 +663,7 @@
     @property
     def has_open_jobs(self) -> bool:
         """Whether pieces wait or are in calls here."""
-        pools = self.pools_by_service.values()
-        return any(True for pool in pools for _ in pool.open_jobs())
+        return any(pool.open_by_key for pool in self.pools_by_service.values())
 
     async def notify_ended(self) -> None:
         """Answer those who wait for jobs that have ended; send the frees that wait."""
@@ -700,22 +706,31 @@
         return PiecesDropped(count)
 
     async def _run_pieces(self, pool: _Pool, message: RunPieces) -> PiecesState:
-        job = pool.add(message)
-        await pool.wake.set()
-        queue_ms = pool.queue_ms(job)
+        job, changed = pool.add(message)
+        # An announcement starts no call, but the first one starts the reviews.
+        if changed and (job.ready or len(pool.open_by_key) == 1):
+            await pool.wake.set()
+        if message.reserve:
+            return self._state(pool, job, job.queue_ms)
         give_up_ms = self.clock.now_ms() + message.wait_ms
-        while job.state is JobState.PENDING and not message.reserve:
+        while job.state is JobState.PENDING:
             if job.fetched and not message.seen_fetched:
-                return PiecesState(JobState.FETCHED, queue_ms=pool.queue_ms() or 0)
+                return PiecesState(JobState.FETCHED)
             wait_ms = give_up_ms - self.clock.now_ms()
             if wait_ms <= 0:
                 break
             await curio.ignore_after(wait_ms / MS_PER_SECOND, job.finished.wait)
+        if job.state in (JobState.PENDING, JobState.DONE):
+            return self._state(pool, job, 0)
+        return self._state(pool, job, pool.queue_ms())
+
+    @staticmethod
+    def _state(pool: _Pool, job: _Job, queue_ms: int | None) -> PiecesState:
+        """Return the answer that tells what has become of a job."""
         results = ()
         if job.state is JobState.DONE:
-            results = tuple(job.results_by_piece[n] for n in sorted(message.pieces))
-        if not message.reserve:
-            queue_ms = pool.queue_ms()
+            pieces = sorted(job.message.pieces)
+            results = tuple(job.results_by_piece[n] for n in pieces)
         return PiecesState(
             state=job.state,
             results=results,
