Let margins forget, and bound them by the aim

A margin that takes the whole aim admits few, so few errors are measured, and the targets idle between calls (0.8 busy) while two of three requests are refused. Change: errors count for 4 s; requests that were staged or run again give none; a margin takes a quarter of the aim at most.

--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -218,8 +218,7 @@
                 running=load.running,
                 waiting=load.waiting,
                 slots=load.slots,
-                # A request that was run before took longer for other reasons.
-                route=job.route.name if job.expected_ms and job.runs == 1 else "",
+                route=job.route.name if job.went_as_planned else "",
                 error_ms=now_ms - job.arrived_ms - job.expected_ms,
             )
             await self.placement.over(message)
--- a/wagtailrun/relay/estimate.py
+++ b/wagtailrun/relay/estimate.py
@@ -2,6 +2,10 @@
 
 from collections import deque
 
+import attrs
+
+from wagtailrun.clock import Clock
+
 __all__ = ["FIRST_EVENT_MS", "ErrorQuantile", "FirstEventModel"]
 
 # Time from the request to the first event of an idle engine, beside reading the
@@ -18,9 +22,11 @@
 # Measured times contain waits of seconds at engines that fail; they are cut off here.
 MAX_FIRST_EVENT_MS = 2_000.0
 MIN_MS_PER_TOKEN = 1.0 / 500.0
-# Errors that are remembered, and the part of them that a margin covers. An answer that
-# is late is worth about a seventh, and one that is refused may come back in time.
-ERRORS_KEPT = 128
+# Errors that are remembered, for how long, and the part of them that a margin covers.
+# An answer that is late is worth about a seventh of one in time. A spell of failures
+# must not outlive itself: a margin that is too large admits few, so it learns slowly.
+ERRORS_KEPT = 64
+ERROR_MEMORY_MS = 4_000
 COVERED = 0.8
 MIN_ERRORS = 8
 
@@ -99,20 +105,34 @@
         return (self.y - slope * self.x) / self.n, slope
 
 
+@attrs.frozen
+class _Error:
+    noted_ms: int
+    error_ms: float
+
+
 class ErrorQuantile:
-    """How much longer than expected most things take, from the newest errors."""
+    """How much longer than expected most things take, from the newest errors.
 
-    def __init__(self):
-        self._errors: deque[float] = deque(maxlen=ERRORS_KEPT)
+    Args:
+        clock: Clock.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self._errors: deque[_Error] = deque(maxlen=ERRORS_KEPT)
 
     def note(self, error_ms: float) -> None:
         """Note by how much a time was longer than expected."""
-        self._errors.append(error_ms)
+        self._errors.append(_Error(self.clock.now_ms(), error_ms))
 
     @property
     def margin_ms(self) -> float:
         """The time that covers most errors; 0 until some are known."""
+        oldest_ms = self.clock.now_ms() - ERROR_MEMORY_MS
+        while self._errors and self._errors[0].noted_ms < oldest_ms:
+            self._errors.popleft()
         if len(self._errors) < MIN_ERRORS:
             return 0.0
-        ranked = sorted(self._errors)
+        ranked = sorted(error.error_ms for error in self._errors)
         return max(ranked[int(COVERED * (len(ranked) - 1))], 0.0)
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -31,6 +31,9 @@
 RETRY_SPREAD = 1.6
 # A late request is begun only if its pieces wait for less than this.
 LATE_QUEUE_MS = 300
+# The part of a caller's aim that a margin may take: with more, no request would wait
+# for a stage, and the targets would idle between two calls.
+MAX_MARGIN = 0.25
 # A request whose stages lost a result is staged once more.
 STAGE_ROUNDS = 2
 STATUS_NOT_RUN = 503
@@ -226,7 +229,9 @@
         first_at_ms = job.arrived_ms + job.expected_ms
         if first_at_ms > end_at_ms:
             return self._overloaded(job, detail, first_at_ms - end_at_ms)
-        late_ms = first_at_ms + job.margin_ms - job.aim_at_ms
+        aim_ms = job.aim_at_ms - job.arrived_ms
+        margin_ms = min(job.margin_ms, int(MAX_MARGIN * aim_ms))
+        late_ms = first_at_ms + margin_ms - job.aim_at_ms
         queued_ms = stages_ms - self.runner.least_ms(job.work)
         if late_ms > 0 and queued_ms > LATE_QUEUE_MS:
             return self._overloaded(job, f"{detail}, late", queued_ms)
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -81,6 +81,12 @@
         """Whether one more attempt may run, as far as the route is concerned."""
         return self.route.repeatable and self.runs < self.route.max_attempts
 
+    @property
+    def went_as_planned(self) -> bool:
+        """Whether it was planned, and no step or run of it failed so far."""
+        again = self.runs > 1 or self.work is not None and self.work.round > 0
+        return self.expected_ms > 0 and not again
+
     @property
     def inputs(self) -> tuple[str, ...] | None:
         """Handles that the target needs; None if the route has no stages."""
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -147,7 +147,9 @@
         self.chooser.succeeded(run.row, slowness)
         self.chooser.model.note(run.unread_tokens, first_event_ms - run.queued_ms)
         if message.route:
-            errors = self.errors_by_route.setdefault(message.route, ErrorQuantile())
+            errors = self.errors_by_route.get(message.route)
+            if errors is None:
+                errors = self.errors_by_route[message.route] = ErrorQuantile(self.clock)
             errors.note(message.error_ms)
 
     def _forget(self) -> None:
