Move the decision to begin a request into a module of its own

Cause: relay/front.py held it, and it could be tested only over HTTP. Tried and not kept: room for large requests (a small one needs up to a quarter of the aim more).

--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -8,6 +8,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.relay.admission import Admission
 from wagtailrun.relay.attempts import RelayAttempts
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.estimate import FIRST_EVENT_MS
@@ -26,14 +27,6 @@
 # Callers come back within a third of the time that they have left; a text or a
 # confirmation is there within a poll or two.
 UNREADY_RETRY_MS = 400
-# An overload lasts for seconds; callers wait for a third of their time at most.
-MIN_OVERLOAD_RETRY_MS = 1_000
-RETRY_SPREAD = 1.6
-# A late request is begun only if its pieces wait for less than this.
-LATE_QUEUE_MS = 300
-# The part of a caller's aim that a margin may take: with more, no request would wait
-# for a stage, and the targets would idle between two calls.
-MAX_MARGIN = 0.25
 # A request whose stages lost a result is staged once more.
 STAGE_ROUNDS = 2
 STATUS_NOT_RUN = 503
@@ -77,6 +70,7 @@
         self.budget = budget
         self.metrics = metrics
         self.random = random.Random(seed)
+        self.admission = Admission(clock, runner, seed)
         self.attempts = RelayAttempts(
             clock, view, wire, http, chooser, placement, budget
         )
@@ -199,7 +193,7 @@
                 round=number,
             )
             stages_ms = await self.runner.announce(job.work, job.data_centre)
-            refusal = self._judge(job, stages_ms, engine_ms)
+            refusal = self.admission.judge(job, stages_ms, engine_ms)
             if refusal is not None:
                 await self.runner.withdraw(job.work)
                 return refusal
@@ -210,39 +204,6 @@
             await job.restart_stages(self.runner)
         return refusal
 
-    def _judge(
-        self, job: RelayJob, stages_ms: int | None, engine_ms: int
-    ) -> Refusal | None:
-        """Return why a request is not begun, or None.
-
-        One that can be in time is begun. One that will be late is worth a fraction and
-        takes as much, so it is begun only while nothing else has to wait for it, and is
-        told to come back otherwise: held here, its results would take up memory.
-        """
-        if stages_ms is None:
-            detail = "a stage has no room in time"
-            return self._overloaded(job, detail, MIN_OVERLOAD_RETRY_MS)
-        now_ms = self.clock.now_ms()
-        job.expected_ms = now_ms - job.arrived_ms + stages_ms + engine_ms
-        detail = f"expected {job.expected_ms} ms"
-        end_at_ms = job.first_event_at_ms
-        first_at_ms = job.arrived_ms + job.expected_ms
-        if first_at_ms > end_at_ms:
-            return self._overloaded(job, detail, first_at_ms - end_at_ms)
-        aim_ms = job.aim_at_ms - job.arrived_ms
-        margin_ms = min(job.margin_ms, int(MAX_MARGIN * aim_ms))
-        late_ms = first_at_ms + margin_ms - job.aim_at_ms
-        queued_ms = stages_ms - self.runner.least_ms(job.work)
-        if late_ms > 0 and queued_ms > LATE_QUEUE_MS:
-            return self._overloaded(job, f"{detail}, late", queued_ms)
-        return None
-
-    def _overloaded(self, job: RelayJob, detail: str, excess_ms: int) -> Refusal:
-        """Return a refusal whose time to come back spreads the returns."""
-        retry_ms = max(excess_ms, MIN_OVERLOAD_RETRY_MS)
-        retry_ms = int(retry_ms * self.random.uniform(1.0, RETRY_SPREAD))
-        return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_ms)
-
     async def _plan(self, job: RelayJob) -> int:
         """Choose the data centre to run in; return the expected time of the engine.
 
