Schedules of a log whose members are replaced and wiped

Change: 100 seeded schedules of 10 steps: cuts, freezes, kills, kills inside a sync, loss, replaced and wiped members (one disk more only once the last is made good), with reads at all members that must hold what was acknowledged. The client of the fake cluster passes over a node killed before its task starts.

--- a/tests/fake_cluster.py
+++ b/tests/fake_cluster.py
@@ -192,6 +192,9 @@
     async def propose(self, node, timeout_ms=2_000):
         """Propose one unique command; return whether it was acknowledged."""
         member = node.member
+        if member is None:
+            # It was killed between the choice of the node and the start of this task.
+            return False
         self.commands += 1
         command = f"command-{self.commands}"
         try:
--- /dev/null
+++ b/tests/test_membership_schedules.py
@@ -0,0 +1,145 @@
+"""Seeded schedules of a log whose members come and go, in virtual time."""
+
+import curio
+import pytest
+
+from tests.fake_cluster import Cluster
+from tests.test_membership_change import OpenNode
+from wagtailrun import consensus, journal, replication
+from wagtailrun.exceptions import ConsensusUnavailable
+from wagtailrun.virtual_time import run_virtual
+
+SEEDS = range(100)
+STEPS = 10
+# More numbers than members that come in one schedule.
+FIRST_NEW_NUMBER = 20
+READ_INTERVAL_MS = 150
+READ_TIMEOUT_MS = 1_000
+
+
+@pytest.fixture(autouse=True)
+def _small_sizes(monkeypatch):
+    """Reach snapshots, compaction and transfers in pieces with few commands."""
+    monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL", 12)
+    monkeypatch.setattr(journal, "RETAINED_ENTRIES", 4)
+    monkeypatch.setattr(replication, "PIECE_BYTES", 100)
+
+
+class Schedule:
+    """Faults and changes of members, one at a time or two at once.
+
+    Args:
+        clock: Virtual clock.
+        seed: Seed of all choices.
+    """
+
+    def __init__(self, clock, seed):
+        self.clock = clock
+        size = 3 + seed % 3
+        self.cluster = Cluster(clock, seed, size)
+        self.cluster.nodes = [OpenNode(self.cluster, n, 1.0) for n in range(size)]
+        self.random = self.cluster.random
+        self.numbers = iter(range(FIRST_NEW_NUMBER, 100))
+        self.lost_disks = 0
+
+    async def run(self):
+        cluster = self.cluster
+        await cluster.start()
+        await cluster.wait_leader()
+        await curio.spawn(cluster.client, 120, daemon=True)
+        await curio.spawn(self.read_on, daemon=True)
+        for _ in range(STEPS):
+            for _ in range(self.random.choice((1, 1, 2))):
+                await self.step()
+            await self.clock.sleep_ms(self.random.randint(50, 4_000))
+        await cluster.settle()
+        return cluster
+
+    async def step(self):
+        cluster, rng = self.cluster, self.random
+        node, other = rng.sample(cluster.nodes, 2)
+        match rng.randrange(12):
+            case 0:
+                cluster.network.cut(node.address, other.address, both_ways=False)
+            case 1:
+                for peer in cluster.nodes:
+                    cluster.network.cut(node.address, peer.address)
+            case 2 | 3:
+                cluster.network.heal()
+            case 4:
+                node.freeze()
+            case 5 | 6:
+                for each in cluster.nodes:
+                    each.thaw()
+                    if each.member is None:
+                        await each.start()
+            case 7:
+                await node.kill()
+            case 8:
+                node.disk.kill_at = node.disk.sync_points + rng.randint(1, 12)
+            case 9 if self.may_lose_a_disk():
+                await self.replace(node)
+            case 10 if self.may_lose_a_disk():
+                await self.wipe(node)
+            case 11:
+                cluster.network.loss = rng.choice((0.0, 0.1))
+                cluster.network.delay_ms = rng.choice(((1, 5), (1, 100)))
+
+    def may_lose_a_disk(self):
+        """Whether one more loss is to be borne: all that were lost are made good."""
+        return not self.lost_disks or self.cluster.is_repaired()
+
+    async def replace(self, node):
+        """End a member for good; one with a new name comes with an empty disk."""
+        self.lost_disks += 1
+        await node.kill()
+        self.cluster.nodes.remove(node)
+        new = OpenNode(self.cluster, next(self.numbers), 1.0)
+        new.founding = False
+        self.cluster.nodes.append(new)
+        await new.start()
+
+    async def wipe(self, node):
+        """Empty the disk of a member and start it again under its name."""
+        self.lost_disks += 1
+        await node.kill()
+        node.disk.empty()
+        node.founding = False
+        await node.start()
+
+    async def read_on(self):
+        """Read at members in turn; a read must hold all that was acknowledged."""
+        while True:
+            node = self.random.choice(self.cluster.nodes)
+            if node.member is not None and not node.clock.frozen:
+                await curio.spawn(self.read, node, daemon=True)
+            await self.clock.sleep_ms(READ_INTERVAL_MS)
+
+    async def read(self, node):
+        member, machine = node.member, node.machine
+        before = list(self.cluster.acknowledged)
+        try:
+            await member.read_barrier(READ_TIMEOUT_MS)
+        except ConsensusUnavailable:
+            return
+        if node.member is not member or node.clock.frozen:
+            return
+        missing = set(before) - set(machine.commands)
+        if missing:
+            self.cluster.report(f"{node.name} read without {sorted(missing)}")
+
+
+def run_schedule(seed):
+    """Return the violations of one schedule, and whether anything was acknowledged."""
+
+    async def main(clock):
+        return await Schedule(clock, seed).run()
+
+    cluster = run_virtual(main)
+    return cluster.violations, bool(cluster.acknowledged)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_schedule_with_changing_members(seed):
+    """Guards against loss, stale reads and two leaders while members come and go."""
+    assert run_schedule(seed) == ([], True)
