Keep the times of engines by service

Cause: found by reading: the times of engines of all services went into one line, so a small model beside a large one would be planned with the large one's times. Change: a line for each service; a test with two services that fails without it.

--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -124,3 +124,18 @@
     assert picker.unread_tokens(old, prompt("x"), 17_000) == 3_700
     new = attrs.evolve(old, incarnation=2)
     assert picker.unread_tokens(new, prompt("x"), 17_000) == 17_000
+
+
+def test_engines_of_each_service_have_times_of_their_own():
+    """Load: a large model beside a small one.
+
+    Guards against prompts for the small one that are refused because the large one is
+    slow.
+    """
+    picker = chooser()
+    small = TargetRow("small", Address("10.0.1.1", 80), "small", "a", 4)
+    before_ms = picker.first_event_ms(small, (), 4_000)
+    for _ in range(50):
+        picker.first_event(row(1), 4_000, 1_500)
+    assert picker.first_event_ms(row(1), (), 4_000) > 1_200
+    assert picker.first_event_ms(small, (), 4_000) == before_ms
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -70,7 +70,10 @@
         self.clock = clock
         self.data_centre = data_centre
         self.random = random.Random(seed)
-        self.model = FirstEventModel()
+        # Engines of one service run one model, at much the same speed.
+        self.models_by_service: dict[str, FirstEventModel] = defaultdict(
+            FirstEventModel
+        )
         self.known_by_name: dict[str, _Known] = defaultdict(_Known)
 
     def choose(
@@ -146,7 +149,7 @@
         if prompt_tokens:
             ms += self.queued_ms(row)
             unread = self.unread_tokens(row, parts, prompt_tokens, homes)
-            ms += self.model.reading_ms(unread)
+            ms += self.models_by_service[row.service].reading_ms(unread)
         return ms
 
     def first_event_ms(
@@ -154,7 +157,8 @@
     ) -> float:
         """Return the time to the first event at ``row`` if it is not slow."""
         unread = self.unread_tokens(row, parts, prompt_tokens)
-        return self.queued_ms(row) + self.model.expected_ms(unread)
+        model = self.models_by_service[row.service]
+        return self.queued_ms(row) + model.expected_ms(unread)
 
     def queued_ms(self, row: TargetRow) -> float:
         """Return how long ``row`` still reads the prompts that it was given."""
@@ -216,7 +220,8 @@
             now_ms = self.clock.now_ms()
             unread = self.unread_tokens(row, parts, prompt_tokens)
             start_ms = max(known.prefill_until_ms, now_ms)
-            known.prefill_until_ms = start_ms + self.model.reading_ms(unread)
+            model = self.models_by_service[row.service]
+            known.prefill_until_ms = start_ms + model.reading_ms(unread)
         for part in parts[:-1]:
             known.parts[part.name] = None
             known.parts.move_to_end(part.name)
@@ -235,6 +240,16 @@
         known.load_ms = self.clock.now_ms()
         known.started_since = 0
 
+    def first_event(self, row: TargetRow, unread_tokens: int, took_ms: float) -> None:
+        """Note when a first event came.
+
+        Args:
+            row: Target.
+            unread_tokens: Tokens that it had probably to read.
+            took_ms: Time without the wait for prompts that it had before.
+        """
+        self.models_by_service[row.service].note(unread_tokens, took_ms)
+
     def succeeded(self, row: TargetRow, slowness: float) -> None:
         """Note a good answer, and its time as a multiple of what is usual."""
         known = self._known(row)
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -145,7 +145,8 @@
         first_event_ms = message.first_event_ms
         slowness = first_event_ms / max(run.expected_ms, 1.0)
         self.chooser.succeeded(run.row, slowness)
-        self.chooser.model.note(run.unread_tokens, first_event_ms - run.queued_ms)
+        took_ms = first_event_ms - run.queued_ms
+        self.chooser.first_event(run.row, run.unread_tokens, took_ms)
         if message.route:
             errors = self.errors_by_route.get(message.route)
             if errors is None:
