Share the faults of both kinds of log schedules

Cause: the schedules with changing members repeated nine faults and the small sizes of test_consensus.

--- a/tests/fake_cluster.py
+++ b/tests/fake_cluster.py
@@ -7,6 +7,7 @@
 
 from tests.fake_disk import FakeDisk
 from tests.fake_network import FakeNetwork
+from wagtailrun import consensus, journal, replication
 from wagtailrun.clock import Clock
 from wagtailrun.consensus import Member
 from wagtailrun.consensus_messages import VoteRequest
@@ -17,6 +18,13 @@
 MONITOR_INTERVAL_MS = 10
 
 
+def shrink_sizes(monkeypatch):
+    """Reach snapshots, compaction and transfers in pieces with few commands."""
+    monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL", 12)
+    monkeypatch.setattr(journal, "RETAINED_ENTRIES", 4)
+    monkeypatch.setattr(replication, "PIECE_BYTES", 100)
+
+
 class NodeClock(Clock):
     """Clock of one process: its rate may be wrong, and a freeze stops its tasks."""
 
@@ -194,6 +202,28 @@
                 self.report(f"{leaders} hold a lease at once")
             await self.clock.sleep_ms(MONITOR_INTERVAL_MS)
 
+    async def inject(self, fault, node, other):
+        """Inject or end one of the faults that every schedule knows, 0 to 8."""
+        match fault:
+            case 0:
+                self.network.cut(node.address, other.address, both_ways=False)
+            case 1:
+                for peer in self.nodes:
+                    self.network.cut(node.address, peer.address)
+            case 2 | 3:
+                self.network.heal()
+            case 4:
+                node.freeze()
+            case 5 | 6:
+                for each in self.nodes:
+                    each.thaw()
+                    if each.member is None:
+                        await each.start()
+            case 7:
+                await node.kill()
+            case 8:
+                node.disk.kill_at = node.disk.sync_points + self.random.randint(1, 12)
+
     def leader(self):
         return next((n for n in self.nodes if n.member and n.member.is_leader), None)
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,9 +4,9 @@
 import curio
 import pytest
 
-from tests.fake_cluster import Cluster
+from tests.fake_cluster import Cluster, shrink_sizes
 from tests.fake_disk import FakeDisk
-from wagtailrun import consensus, election, journal, replication
+from wagtailrun import election, replication
 from wagtailrun.consensus_messages import Join
 from wagtailrun.consensus_timing import Timing
 from wagtailrun.exceptions import DiskFault
@@ -20,10 +20,7 @@
 
 @pytest.fixture(autouse=True)
 def _small_sizes(monkeypatch):
-    """Reach snapshots, compaction and transfers in pieces with few commands."""
-    monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL", 12)
-    monkeypatch.setattr(journal, "RETAINED_ENTRIES", 4)
-    monkeypatch.setattr(replication, "PIECE_BYTES", 100)
+    shrink_sizes(monkeypatch)
 
 
 async def step(cluster, emptied):
@@ -32,24 +29,8 @@
     for _ in range(rng.choice((1, 1, 2))):
         node, other = rng.sample(cluster.nodes, 2)
         match rng.randrange(11):
-            case 0:
-                cluster.network.cut(node.address, other.address, both_ways=False)
-            case 1:
-                for peer in cluster.nodes:
-                    cluster.network.cut(node.address, peer.address)
-            case 2 | 3:
-                cluster.network.heal()
-            case 4:
-                node.freeze()
-            case 5 | 6:
-                for each in cluster.nodes:
-                    each.thaw()
-                    if each.member is None:
-                        await each.start()
-            case 7:
-                await node.kill()
-            case 8:
-                node.disk.kill_at = node.disk.sync_points + rng.randint(1, 12)
+            case fault if fault < 9:
+                await cluster.inject(fault, node, other)
             case 9:
                 cluster.network.loss = rng.choice((0.0, 0.1, 0.3))
                 cluster.network.duplication = rng.choice((0.0, 0.2))
--- a/tests/test_membership_schedules.py
+++ b/tests/test_membership_schedules.py
@@ -3,9 +3,8 @@
 import curio
 import pytest
 
-from tests.fake_cluster import Cluster
+from tests.fake_cluster import Cluster, shrink_sizes
 from tests.test_membership_change import OpenNode
-from wagtailrun import consensus, journal, replication
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.virtual_time import run_virtual
 
@@ -21,10 +20,7 @@
 
 @pytest.fixture(autouse=True)
 def _small_sizes(monkeypatch):
-    """Reach snapshots, compaction and transfers in pieces with few commands."""
-    monkeypatch.setattr(consensus, "SNAPSHOT_INTERVAL", 12)
-    monkeypatch.setattr(journal, "RETAINED_ENTRIES", 4)
-    monkeypatch.setattr(replication, "PIECE_BYTES", 100)
+    shrink_sizes(monkeypatch)
 
 
 class Schedule:
@@ -61,24 +57,8 @@
         cluster, rng = self.cluster, self.random
         node, other = rng.sample(cluster.nodes, 2)
         match rng.randrange(12):
-            case 0:
-                cluster.network.cut(node.address, other.address, both_ways=False)
-            case 1:
-                for peer in cluster.nodes:
-                    cluster.network.cut(node.address, peer.address)
-            case 2 | 3:
-                cluster.network.heal()
-            case 4:
-                node.freeze()
-            case 5 | 6:
-                for each in cluster.nodes:
-                    each.thaw()
-                    if each.member is None:
-                        await each.start()
-            case 7:
-                await node.kill()
-            case 8:
-                node.disk.kill_at = node.disk.sync_points + rng.randint(1, 12)
+            case fault if fault < 9:
+                await cluster.inject(fault, node, other)
             case 9 if self.may_lose_a_disk():
                 await self.replace(node)
             case 10 if self.may_lose_a_disk():
