--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -36,6 +36,7 @@
         "arrived_ms": now_ms,
         "aim_at_ms": now_ms + AIM_MS,
         "end_at_ms": now_ms + 8_000,
+        "planned_ms": ENGINE_MS,
         "work": StagedWork("r", (), (), "k", 0, 0, 0),
     }
     return RelayJob(**{**values, **options})
@@ -44,7 +45,7 @@
 def judge(stages_ms, **options):
     clock = VirtualClock()
     admission = Admission(clock, FakeRunner(), seed=1)
-    return admission.judge(job(clock, **options), stages_ms, ENGINE_MS)
+    return admission.judge(job(clock, **options), stages_ms)
 
 
 @pytest.mark.parametrize(
--- a/wagtailrun/relay/admission.py
+++ b/wagtailrun/relay/admission.py
@@ -33,9 +33,7 @@
         self.runner = runner
         self.random = random.Random(seed)
 
-    def judge(
-        self, job: RelayJob, stages_ms: int | None, engine_ms: int
-    ) -> Refusal | None:
+    def judge(self, job: RelayJob, stages_ms: int | None) -> Refusal | None:
         """Return why a request is not begun, or None.
 
         One that can be in time is begun. One that will be late is worth a fraction and
@@ -46,7 +44,7 @@
             detail = "a stage has no room in time"
             return self._overloaded(job, detail, MIN_OVERLOAD_RETRY_MS)
         now_ms = self.clock.now_ms()
-        job.expected_ms = now_ms - job.arrived_ms + stages_ms + engine_ms
+        job.expected_ms = now_ms - job.arrived_ms + stages_ms + job.planned_ms
         detail = f"expected {job.expected_ms} ms"
         end_at_ms = job.first_event_at_ms
         first_at_ms = job.arrived_ms + job.expected_ms
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -4,12 +4,10 @@
 from pathlib import Path
 from typing import Any
 
-import curio
-
 from wagtailrun import events
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_server import HttpHandler, HttpServer
-from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
+from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import Channel, codec_of
 from wagtailrun.consensus import Member
@@ -29,12 +27,7 @@
 from wagtailrun.registry import Registry
 from wagtailrun.registry_messages import PutText, TextVerdict
 from wagtailrun.relay.metrics import RelayMetrics
-from wagtailrun.relay.process import (
-    LiveSettings,
-    StopSignals,
-    metrics_server,
-    start_json_lines,
-)
+from wagtailrun.relay.process import LiveSettings, StopSignals, run_daemon
 from wagtailrun.settings import RelayControlSettings
 
 __all__ = ["AgreedText", "RelayControl", "run_relay_control"]
@@ -224,33 +217,24 @@
         Raises:
             SettingsError: If an address cannot be listened on.
         """
-        settings = self.settings
-        writer = start_json_lines(settings.name)
-        self.signals.install()
-        events.log(events.PROCESS_STARTED, role="relay control", name=settings.name)
         operators = HttpServer(
-            settings.operator_address, self.operator_handler, MAX_TEXT_BYTES
+            self.settings.operator_address, self.operator_handler, MAX_TEXT_BYTES
+        )
+        tasks = (
+            self.signals.wait,
+            operators.serve,
+            self.hub.run,
+            self._take_part,
+            self.live_settings.watch,
+        )
+        await run_daemon(
+            "relay control",
+            self.settings,
+            self.signals,
+            self.metrics.page,
+            self.handle_peer,
+            tasks,
         )
-        metrics = metrics_server(settings.metrics_address, self.metrics.page)
-        try:
-            async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self.signals.wait)
-                await group.spawn(operators.serve)
-                await group.spawn(metrics.serve)
-                await group.spawn(
-                    serve_peers,
-                    settings.peer_address,
-                    settings.peer_secret,
-                    self.handle_peer,
-                )
-                await group.spawn(self.hub.run)
-                await group.spawn(self._take_part)
-                await group.spawn(self.live_settings.watch)
-            if group.exception is not None:
-                raise group.exception
-            events.log(events.PROCESS_STOPPED, role="relay control", name=settings.name)
-        finally:
-            writer.stop()
 
     async def handle_peer(self, message: Any) -> Any:
         """Answer one message of another process of the system."""
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import curio
-
 from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
@@ -15,7 +13,7 @@
     ServerLimits,
     json_response,
 )
-from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
+from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.discovery import FleetView, TextFormat
 from wagtailrun.discovery.owners import Owners
@@ -27,12 +25,7 @@
 from wagtailrun.relay.placement import Placement, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOver
 from wagtailrun.relay.port import RelayWire
-from wagtailrun.relay.process import (
-    LiveSettings,
-    StopSignals,
-    metrics_server,
-    start_json_lines,
-)
+from wagtailrun.relay.process import LiveSettings, StopSignals, run_daemon
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import RequestLimits, StagePool
 from wagtailrun.settings import RelayEntrySettings
@@ -225,31 +218,22 @@
         Raises:
             SettingsError: If an address cannot be listened on.
         """
-        settings = self.settings
-        writer = start_json_lines(settings.name)
-        self.signals.install()
-        events.log(events.PROCESS_STARTED, role="relay entry", name=settings.name)
-        ready_server = HttpServer(settings.ready_address, self._handle_ready)
-        metrics = metrics_server(settings.metrics_address, self.metrics.page)
-        try:
-            async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._stop_on_signal)
-                await group.spawn(self.caller_server.serve)
-                await group.spawn(ready_server.serve)
-                await group.spawn(metrics.serve)
-                await group.spawn(
-                    serve_peers,
-                    settings.peer_address,
-                    settings.peer_secret,
-                    self.handle_peer,
-                )
-                await group.spawn(self.view.run)
-                await group.spawn(self.live_settings.watch)
-            if group.exception is not None:
-                raise group.exception
-            events.log(events.PROCESS_STOPPED, role="relay entry", name=settings.name)
-        finally:
-            writer.stop()
+        ready_server = HttpServer(self.settings.ready_address, self._handle_ready)
+        tasks = (
+            self._stop_on_signal,
+            self.caller_server.serve,
+            ready_server.serve,
+            self.view.run,
+            self.live_settings.watch,
+        )
+        await run_daemon(
+            "relay entry",
+            self.settings,
+            self.signals,
+            self.metrics.page,
+            self.handle_peer,
+            tasks,
+        )
 
     async def handle_peer(self, message: Any) -> Any:
         """Answer one message of another entry."""
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -180,7 +180,7 @@
         if not any(job.request.pieces):
             return None
         for number in range(STAGE_ROUNDS):
-            engine_ms = await self._plan(job)
+            await self._plan(job)
             end_at_ms = job.first_event_at_ms
             job.work = StagedWork(
                 request_id=job.request.request_id,
@@ -188,12 +188,12 @@
                 pieces=job.request.pieces,
                 key=job.request.piece_key,
                 urgency=job.urgency,
-                aim_at_ms=job.aim_at_ms - engine_ms,
-                end_at_ms=end_at_ms - engine_ms,
+                aim_at_ms=job.aim_at_ms - job.planned_ms,
+                end_at_ms=end_at_ms - job.planned_ms,
                 round=number,
             )
             stages_ms = await self.runner.announce(job.work, job.data_centre)
-            refusal = self.admission.judge(job, stages_ms, engine_ms)
+            refusal = self.admission.judge(job, stages_ms)
             if refusal is not None:
                 await self.runner.withdraw(job.work)
                 return refusal
@@ -204,8 +204,8 @@
             await job.restart_stages(self.runner)
         return refusal
 
-    async def _plan(self, job: RelayJob) -> int:
-        """Choose the data centre to run in; return the expected time of the engine.
+    async def _plan(self, job: RelayJob) -> None:
+        """Choose the data centre to run in, and note the expected time of the engine.
 
         Results are large and shared parts of prompts are dear to read again, so all
         stages run where the engine is.
@@ -217,7 +217,6 @@
         job.data_centre = placed.data_centre
         job.planned_ms = placed.expected_ms
         job.margin_ms = placed.margin_ms
-        return placed.expected_ms
 
     # Outcomes
 
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -2,18 +2,22 @@
 
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Generic, TypeVar
 
+import curio
+
 from wagtailrun import events
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
+from wagtailrun.adapters.tcp_link import serve_peers
 from wagtailrun.clock import Clock
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.line_writer import LineWriter
 from wagtailrun.ports.link import Address
+from wagtailrun.settings import RelayControlSettings, RelayEntrySettings
 
-__all__ = ["LiveSettings", "StopSignals", "metrics_server", "start_json_lines"]
+__all__ = ["LiveSettings", "StopSignals", "run_daemon"]
 
 # A planned stop has seconds; looking ten times a second costs next to nothing.
 SIGNAL_POLL_MS = 100
@@ -100,7 +104,7 @@
             self.reload()
 
 
-def metrics_server(address: Address, page: Callable[[], bytes]) -> HttpServer:
+def _metrics_server(address: Address, page: Callable[[], bytes]) -> HttpServer:
     """Return a server that answers every request with the metrics."""
 
     async def handle(request: Request) -> Response:
@@ -110,7 +114,7 @@
     return HttpServer(address, handle)
 
 
-def start_json_lines(process: str) -> LineWriter:
+def _start_json_lines(process: str) -> LineWriter:
     """Write the events of this process to standard output, one JSON object a line."""
     # The kernel warns of timeouts that ended just as the operation did.
     logging.getLogger("curio.kernel").setLevel(logging.CRITICAL)
@@ -118,3 +122,43 @@
     writer.start()
     EVENT_LOG.use_json_lines(writer.put, process)
     return writer
+
+
+async def run_daemon(
+    role: str,
+    settings: RelayEntrySettings | RelayControlSettings,
+    signals: StopSignals,
+    metrics_page: Callable[[], bytes],
+    handle_peer: Callable[[Any], Awaitable[Any]],
+    tasks: Sequence[Callable[[], Awaitable[None]]],
+) -> None:
+    """Run a relay daemon until one of its tasks ends: the one that waits for a stop.
+
+    Args:
+        role: What the daemon is, for its log lines.
+        settings: Checked settings.
+        signals: Taken from now on.
+        metrics_page: Returns the metrics.
+        handle_peer: Answers one message of another process of the system.
+        tasks: What the daemon does beside answering peers and telling metrics.
+
+    Raises:
+        SettingsError: If an address cannot be listened on.
+    """
+    writer = _start_json_lines(settings.name)
+    signals.install()
+    events.log(events.PROCESS_STARTED, role=role, name=settings.name)
+    try:
+        async with curio.TaskGroup(wait=any) as group:
+            metrics = _metrics_server(settings.metrics_address, metrics_page)
+            await group.spawn(metrics.serve)
+            await group.spawn(
+                serve_peers, settings.peer_address, settings.peer_secret, handle_peer
+            )
+            for task in tasks:
+                await group.spawn(task)
+        if group.exception is not None:
+            raise group.exception
+        events.log(events.PROCESS_STOPPED, role=role, name=settings.name)
+    finally:
+        writer.stop()
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -207,11 +207,14 @@
     return int(text)
 
 
-def _parse_seconds(text: str) -> float:
-    value = float(text)
-    if not 0.0 < value <= 3_600.0:
-        raise ValueError("give more than 0 and at most 3600 seconds")
-    return value
+def _positive(most: int, unit: str) -> Callable[[str], float]:
+    def parse(text: str) -> float:
+        value = float(text)
+        if not 0.0 < value <= most:
+            raise ValueError(f"give more than 0 and at most {most} {unit}")
+        return value
+
+    return parse
 
 
 def _parse_ratio(text: str) -> float:
@@ -221,13 +224,6 @@
     return value
 
 
-def _parse_rate(text: str) -> float:
-    value = float(text)
-    if not 0.0 < value <= 1_000_000.0:
-        raise ValueError("give more than 0 and at most 1000000 Mbit/s")
-    return value
-
-
 SEEDS = (
     parse_addresses,
     "Peer addresses where control members were last to be found, comma-separated.",
@@ -258,7 +254,9 @@
         _milliseconds(0), "How long to serve on after a stop was asked for.", 2_800
     )
     grace_s: float = _setting(
-        _parse_seconds, "Seconds after which a stopping process is killed.", 8.0
+        _positive(3_600, "seconds"),
+        "Seconds after which a stopping process is killed.",
+        8.0,
     )
     retry_ratio: float = _setting(
         _parse_ratio, "Repeats that all entries may make for each request.", 0.1
@@ -267,7 +265,7 @@
         _parse_count, "Repeats of all entries beside the ratio, in a window.", 20
     )
     link_mbps: float = _setting(
-        _parse_rate, "Rate of this VM's link in Mbit/s.", 1_000.0
+        _positive(1_000_000, "Mbit/s"), "Rate of this VM's link in Mbit/s.", 1_000.0
     )
 
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -338,13 +338,10 @@
                     del self.jobs_by_key[job.key]
             elif not job.ready and now_ms - job.asked_ms > KEEP_ANNOUNCED_MS:
                 self._end(job, JobState.REFUSED, "its inputs did not come")
-            elif job.waiting and now_ms + self._shortest_ms(job) > job.end_at_ms:
+            elif job.waiting and now_ms + self.capacity.duration_ms(1) > job.end_at_ms:
                 self._end(job, JobState.REFUSED, "it could not be done in time")
         self.memory.expire(now_ms)
 
-    def _shortest_ms(self, job: _Job) -> float:
-        return self.capacity.duration_ms(min(len(job.waiting), 1))
-
     async def _start_call(self) -> bool:
         """Start one call; return False if there is no free target or no piece."""
         now_ms = self.clock.now_ms()
@@ -499,7 +496,7 @@
             expected_ms=int(expected_ms),
             failure=str(failure or ""),
         )
-        self.host.note_call(self.service, len(items), ended_ms - started_ms)
+        self.host.note_call(len(items), ended_ms - started_ms)
         if failure is not None:
             self._note_failure(row, bench, failure, ended_ms)
             for job, piece in chosen:
@@ -674,7 +671,7 @@
             if pool.free_by_address:
                 await pool.frees_wanted.set()
 
-    def note_call(self, service: str, pieces: int, took_ms: int) -> None:
+    def note_call(self, pieces: int, took_ms: int) -> None:
         """Count a call."""
         self.calls += 1
         self.pieces += pieces
