Start with every form of a platform's settings

Cause: WAGTAILRUN_RETRY_SLACK=38.46 ended every entry of the scaled sites, as only whole numbers were accepted. The drain notice follows a short grace period. An entry without seeds waits. NaN, infinity and negative values are refused with name, value and remedy.

--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -81,7 +81,7 @@
         registry: Registry,
         member: Callable[[], Member],
         address: Address,
-        heartbeat_ms: int,
+        heartbeat_ms: float,
     ):
         self.clock = clock
         self.link = link
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -26,6 +26,7 @@
 # A member that does not reply, or cannot reach the leader, is avoided for this long.
 AVOIDANCE_MS = 1_000
 RETRY_PAUSE_MS = 50
+NO_MEMBER_PAUSE_MS = 500
 MAX_ADDRESSES = 64
 # Larger configurations are parsed in a thread: parsing 1 MB takes 0.1 s, which would
 # delay the events of all streams.
@@ -67,7 +68,7 @@
         own: EntryRow,
         seeds: Callable[[], Sequence[Address]],
         configuration_format: ConfigurationFormat,
-        key_grace_ms: int,
+        key_grace_ms: float,
     ):
         self.clock = clock
         self.link = link
@@ -128,6 +129,10 @@
         """Poll the control members until cancelled."""
         while True:
             address = self._pick_member()
+            if address is None:
+                # The settings name no control member yet; they are read again.
+                await self.clock.sleep_ms(NO_MEMBER_PAUSE_MS)
+                continue
             sent_ms = self.clock.now_ms()
             poll = PollNews(self.own_row, self.marks, POLL_WAIT_MS)
             try:
@@ -154,14 +159,17 @@
         """Tell a control member that this entry accepts no more work."""
         self.own_row = attrs.evolve(self.own_row, health=Health.DEAD)
         poll = PollNews(self.own_row, self.marks, 0)
+        address = self._pick_member()
+        if address is None:
+            return
         try:
-            await self.link.call(self._pick_member(), poll, POLL_SLACK_MS)
+            await self.link.call(address, poll, POLL_SLACK_MS)
         except PeerUnreachable as error:
             # Not retried: the control members drop an entry that stops polling.
             events.log(events.PEER_LOST, peer="control", detail=str(error))
 
-    def _pick_member(self) -> Address:
-        """Return the member to poll.
+    def _pick_member(self) -> Address | None:
+        """Return the member to poll; None if no member is known.
 
         Each entry has its own ranking of the members and uses the first one that is not
         avoided. If all are avoided, it uses the one whose avoidance ends first.
@@ -170,7 +178,7 @@
         known = {str(a): a for a in (*self.members, *self.seeds())}
         ranked = rendezvous(self.own_row.name, known, MAX_ADDRESSES)
         addresses = [known[text] for text in ranked]
-        return min(addresses, key=lambda a: self._avoided_ms(a, now_ms))
+        return min(addresses, key=lambda a: self._avoided_ms(a, now_ms), default=None)
 
     def _avoided_ms(self, address: Address, now_ms: int) -> int:
         return max(self.avoid_until_ms.get(address, 0) - now_ms, 0)
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -196,6 +196,13 @@
 SETTINGS_RELOADED = _event(
     622, logging.INFO, "The settings were reloaded.", limited=False
 )
+METRICS_NOT_SERVED = _event(
+    626,
+    logging.WARNING,
+    "The metrics address cannot be listened on; the process works without it.",
+    "Free the port, or set another one and restart the process.",
+    limited=False,
+)
 READINESS_CHANGED = _event(
     623, logging.INFO, "The process became ready or is no longer ready.", limited=False
 )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -279,7 +279,7 @@
         await self.view.announce_stop()
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        await self.clock.sleep_ms(self.settings.drain_notice_ms)
+        await self.clock.sleep_ms(self.settings.effective_drain_notice_ms)
         self.caller_server.draining = True
         await self.caller_server.close_idle()
         while not self._is_idle() and self.clock.now_ms() < limit_ms:
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -114,6 +114,15 @@
     return HttpServer(address, handle)
 
 
+async def _serve_metrics(address: Address, page: Callable[[], bytes]) -> None:
+    """Serve the metrics page; a process works without it if the port is taken."""
+    try:
+        await _metrics_server(address, page).serve()
+    except SettingsError as error:
+        events.log(events.METRICS_NOT_SERVED, detail=str(error))
+        await curio.Event().wait()
+
+
 def _start_json_lines(process: str) -> LineWriter:
     """Write log events to standard output, one JSON object per line."""
     # Suppresses curio's warnings about timeouts that expire just as the operation ends.
@@ -150,13 +159,13 @@
     events.log(events.PROCESS_STARTED, role=role, name=settings.name)
     try:
         async with curio.TaskGroup(wait=any) as group:
-            metrics = _metrics_server(settings.metrics_address, metrics_page)
-            await group.spawn(metrics.serve)
             await group.spawn(
                 serve_peers, settings.peer_address, settings.peer_secret, handle_peer
             )
             for task in tasks:
                 await group.spawn(task)
+            # Last, so that the other listeners have their ports.
+            await group.spawn(_serve_metrics, settings.metrics_address, metrics_page)
         if group.exception is not None:
             raise group.exception
         events.log(events.PROCESS_STOPPED, role=role, name=settings.name)
--- a/wagtailrun/routes/model.py
+++ b/wagtailrun/routes/model.py
@@ -48,7 +48,7 @@
     """
 
     service: str
-    weight: int = 1
+    weight: float = 1
 
 
 @attrs.frozen
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -2,6 +2,7 @@
 
 import difflib
 import ipaddress
+import math
 import os
 import re
 from collections.abc import Callable, Mapping
@@ -32,8 +33,15 @@
 FILE_SUFFIX = "_FILE"
 MIN_SECRET_LENGTH = 16
 MAX_SECRET_BYTES = 4_096
-MAX_MS = 3_600_000
+MAX_SECONDS = 366 * 86_400
+MAX_MS = MAX_SECONDS * MS_PER_SECOND
+MAX_COUNT = 1_000_000_000
+MAX_LINK_MBPS = 1_000_000_000
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+# Platforms name VMs and data centres by rules of their own; a name may be as long as a
+# fully qualified host name.
+PLATFORM_NAME_PATTERN = re.compile(r"[^\s,=]{1,255}")
+NUMBER_PATTERN = re.compile(r"[+-]?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 HIDDEN = "(hidden)"
 
 
@@ -59,6 +67,12 @@
     return text
 
 
+def _parse_platform_name(text: str) -> str:
+    if not PLATFORM_NAME_PATTERN.fullmatch(text) or not text.isprintable():
+        raise ValueError("use 1 to 255 printable characters, no space, ',' or '='")
+    return text
+
+
 def _parse_nonempty(text: str) -> str:
     if not text:
         raise ValueError("give a value; it must not be empty")
@@ -90,19 +104,40 @@
     return _parse_secret(text).encode()
 
 
-def _milliseconds(low: int, high: int = MAX_MS) -> Callable[[str], int]:
-    """Return a parser of milliseconds from ``low`` to ``high``."""
+def _parse_number(text: str) -> int | float:
+    """Parse a decimal number, with or without a fraction or an exponent.
+
+    Returns:
+        An integer if the number is whole.
+
+    Raises:
+        ValueError: If it is not a finite decimal number.
+    """
+    if not NUMBER_PATTERN.fullmatch(text):
+        raise ValueError("give a decimal number")
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError("give a finite number")
+    return int(value) if value.is_integer() else value
 
-    def parse(text: str) -> int:
-        if not text.isascii() or not text.isdecimal() or len(text) > 9:
-            raise ValueError("give a whole number of milliseconds")
-        if not low <= int(text) <= high:
-            raise ValueError(f"give {low} to {high} milliseconds")
-        return int(text)
+
+def _number(low: float, high: float, unit: str) -> Callable[[str], int | float]:
+    """Return a parser of numbers from ``low`` to ``high``."""
+
+    def parse(text: str) -> int | float:
+        value = _parse_number(text)
+        if not low <= value <= high:
+            raise ValueError(f"give {low} to {high} {unit}")
+        return value
 
     return parse
 
 
+def _milliseconds(low: int, high: int = MAX_MS) -> Callable[[str], int | float]:
+    """Return a parser of milliseconds from ``low`` to ``high``."""
+    return _number(low, high, "milliseconds")
+
+
 def _setting(
     parse: Callable[[str], Any],
     help_text: str,
@@ -222,43 +257,48 @@
 
 
 def _parse_count(text: str) -> int:
-    if not text.isascii() or not text.isdecimal() or len(text) > 9:
-        raise ValueError("give a whole number")
-    return int(text)
+    value = _parse_number(text)
+    if not isinstance(value, int) or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"give a whole number from 0 to {MAX_COUNT}")
+    return value
 
 
-def _positive(high: int, unit: str) -> Callable[[str], float]:
+def _positive(high: float, unit: str) -> Callable[[str], int | float]:
     """Return a parser of positive numbers up to ``high``."""
 
-    def parse(text: str) -> float:
-        value = float(text)
-        if not 0.0 < value <= high:
+    def parse(text: str) -> int | float:
+        value = _parse_number(text)
+        if not 0 < value <= high:
             raise ValueError(f"give more than 0 and at most {high} {unit}")
         return value
 
     return parse
 
 
-def _parse_ratio(text: str) -> float:
-    value = float(text)
-    if not 0.0 <= value <= 10.0:
-        raise ValueError("give a number from 0 to 10")
-    return value
-
-
+RELAY_NAME = (_parse_platform_name, "Name of the VM.")
+RELAY_DATA_CENTRE = (_parse_platform_name, "Data centre of the VM.")
+# A process without seeds waits until its settings name some.
 SEEDS = (
     parse_addresses,
     "Last known peer addresses of control members, comma-separated.",
+    (),
+)
+METRICS_ADDRESS = (
+    parse_address,
+    "IP:PORT where the metrics are served; not served if another listener has it.",
 )
-METRICS_ADDRESS = (parse_address, "IP:PORT where the metrics are served.")
+DEFAULT_DRAIN_NOTICE_MS = 2_800
+# Share of the grace period that the default drain notice takes at most; the rest is for
+# requests under way.
+MAX_DRAIN_NOTICE_SHARE = 0.35
 
 
 @attrs.frozen
 class RelayEntrySettings:
     """Settings of a relay entry; each field holds its own help text."""
 
-    name: str = _setting(*NAME)
-    data_centre: str = _setting(*DATA_CENTRE)
+    name: str = _setting(*RELAY_NAME)
+    data_centre: str = _setting(*RELAY_DATA_CENTRE)
     caller_address: Address = _setting(parse_address, "IP:PORT where callers connect.")
     ready_address: Address = _setting(
         parse_address, "IP:PORT of the readiness check for the load balancer."
@@ -267,52 +307,61 @@
     peer_secret: bytes = _setting(*PEER_SECRET, secret=True)
     metrics_address: Address = _setting(*METRICS_ADDRESS)
     seeds: tuple[Address, ...] = _setting(*SEEDS)
-    key_grace_ms: int = _setting(
-        _milliseconds(500),
+    key_grace_ms: float = _setting(
+        _milliseconds(0),
         "How long a revoked key may still be accepted, in milliseconds.",
         5_000,
     )
-    drain_notice_ms: int = _setting(
+    drain_notice_ms: float | None = _setting(
         _milliseconds(0),
-        "How long to serve new requests after a stop signal, in milliseconds.",
-        2_800,
+        "How long to serve new requests after a stop signal, in milliseconds; by "
+        f"default {DEFAULT_DRAIN_NOTICE_MS}, or less if grace_s is short.",
+        None,
     )
     grace_s: float = _setting(
-        _positive(3_600, "seconds"),
+        _number(0, MAX_SECONDS, "seconds"),
         "Seconds after which a stopping process is killed.",
         8.0,
     )
     retry_ratio: float = _setting(
-        _parse_ratio,
+        _number(0, MAX_COUNT, "retries for each request"),
         "Retries that all entries together may make for each request.",
         0.1,
     )
-    retry_slack: int = _setting(
-        _parse_count,
+    retry_slack: float = _setting(
+        _number(0, MAX_COUNT, "retries"),
         "Retries per window that all entries together may make beyond the ratio.",
         20,
     )
     link_mbps: float = _setting(
-        _positive(1_000_000, "Mbit/s"),
+        _positive(MAX_LINK_MBPS, "Mbit/s"),
         "Bandwidth of this VM's network link in Mbit/s.",
         1_000.0,
     )
 
+    @property
+    def effective_drain_notice_ms(self) -> float:
+        """Drain notice in milliseconds, with the default resolved."""
+        if self.drain_notice_ms is not None:
+            return self.drain_notice_ms
+        longest_ms = MAX_DRAIN_NOTICE_SHARE * self.grace_s * MS_PER_SECOND
+        return min(DEFAULT_DRAIN_NOTICE_MS, longest_ms)
+
 
 @attrs.frozen
 class RelayControlSettings:
     """Settings of a relay control member; each field holds its own help text."""
 
-    name: str = _setting(*NAME)
-    data_centre: str = _setting(*DATA_CENTRE)
+    name: str = _setting(*RELAY_NAME)
+    data_centre: str = _setting(*RELAY_DATA_CENTRE)
     operator_address: Address = _setting(
         parse_address, "IP:PORT where operators and targets connect."
     )
     peer_address: Address = _setting(*PEER_ADDRESS)
     peer_secret: bytes = _setting(*PEER_SECRET, secret=True)
     metrics_address: Address = _setting(*METRICS_ADDRESS)
-    seeds: tuple[Address, ...] = _setting(*SEEDS)
     data_folder: str = _setting(_parse_nonempty, "Folder of the durable files.")
+    seeds: tuple[Address, ...] = _setting(*SEEDS)
     founding: bool = _setting(
         _parse_boolean,
         "Whether the seeds form a new cluster; true only at the very first start.",
@@ -323,8 +372,8 @@
         "Simultaneous member failures to tolerate; sets the minimum number of voters.",
         1,
     )
-    heartbeat_ms: int = _setting(
-        _milliseconds(50, 60_000),
+    heartbeat_ms: float = _setting(
+        _milliseconds(1),
         "Interval between the heartbeats of a target, in milliseconds.",
         1_200,
     )
@@ -529,21 +578,14 @@
             settings.peer_address,
         ]
     elif isinstance(settings, RelayEntrySettings):
-        if settings.drain_notice_ms > settings.grace_s * MS_PER_SECOND:
+        if settings.effective_drain_notice_ms > settings.grace_s * MS_PER_SECOND:
             return ["drain_notice_ms: it exceeds grace_s; lower it"]
         addresses = [
             settings.caller_address,
             settings.ready_address,
             settings.peer_address,
-            settings.metrics_address,
-        ]
-    elif isinstance(settings, RelayControlSettings):
-        addresses = [
-            settings.operator_address,
-            settings.peer_address,
-            settings.metrics_address,
         ]
-    elif isinstance(settings, ControlSettings):
+    elif isinstance(settings, RelayControlSettings | ControlSettings):
         addresses = [settings.operator_address, settings.peer_address]
     else:
         return []
@@ -581,7 +623,9 @@
     for field in attrs.fields(cls):
         default = "required"
         if field.default is not attrs.NOTHING:
-            default = f"`{value_text(field.default)}`" if field.default != () else ""
+            default = ""
+            if field.default not in ((), None):
+                default = f"`{value_text(field.default)}`"
         variable = f"`{environment_variable(field.name)}`"
         if field.metadata["secret"]:
             variable += f", `{environment_variable(field.name)}{FILE_SUFFIX}`"
