Bound the time, the bytes and the turns of every reader

Cause: a target that sends interim heads without pause stopped the whole process, because reading bytes that are already there never suspends a curio task; the time limit of a head and of a body started again with each piece; a stream that sent a byte now and then never counted as stalled. A second copy of a stage answer, which names no request, was taken for the answer to the next call on the connection. The log gave a clock value as the reason of a timeout between peers. Change: one limit for a whole head and a whole body, at most 8 interim heads, turns for other tasks on all readers, the stall limit measures events, not bytes, and not the time of a slow reader.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -13,12 +13,17 @@
 
 from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
+from wagtailrun.fairness import Turns
 from wagtailrun.ports.link import Address
 
 __all__ = ["HttpClient", "HttpReply", "HttpStream", "enable_dead_peer_detection"]
 
 READ_BYTES = 64 * 1024
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+# Largest body of an answer to another request that is skipped.
+MAX_SKIPPED_BYTES = 1024 * 1024
+# Interim responses (1xx) that may precede a response.
+MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_CONNECTIONS = 32
 # Middleboxes on the path may forget a connection that is idle for longer.
 MAX_IDLE_MS = 15_000
@@ -67,27 +72,33 @@
         text = self.headers.get("content-length", "")
         return int(text) if text.isdecimal() else None
 
-    async def next_answer(self, idle_timeout_ms: int) -> "HttpStream":
+    async def next_answer(self, timeout_ms: int) -> "HttpStream":
         """Skip this response, which belongs to an earlier request; return the next.
 
+        Args:
+            timeout_ms: Time limit for the rest of this response and the head of the
+                next one, in milliseconds.
+
         Raises:
-            TargetFailed: If the connection failed or nothing was received in time.
+            TargetFailed: If the connection failed or the time is over.
         """
-        await self.read_all(idle_timeout_ms)
+        clock = self.connection.clock
+        ends_ms = clock.now_ms() + timeout_ms
+        await self.read_all(timeout_ms, MAX_SKIPPED_BYTES)
         self.connection.restart_parser()
-        head = await self.connection.read_head(idle_timeout_ms)
+        head = await self.connection.read_head(max(ends_ms - clock.now_ms(), 1))
         return HttpStream(self.connection, head)
 
-    async def read(self, idle_timeout_ms: int) -> bytes:
+    async def read(self, timeout_ms: int) -> bytes:
         """Return the next piece of the body; empty at the end of a complete body.
 
         Args:
-            idle_timeout_ms: Time limit for the next piece, in milliseconds.
+            timeout_ms: Time limit for the next piece, in milliseconds.
 
         Raises:
             TargetFailed: If the connection failed or nothing was received in time.
         """
-        event = await self.connection.next_event(idle_timeout_ms)
+        event = await self.connection.next_event(timeout_ms)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -97,26 +108,71 @@
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
-    async def read_all(self, idle_timeout_ms: int) -> bytes:
-        """Return the rest of the body; see ``read``."""
+    async def read_all(
+        self, timeout_ms: int, max_bytes: int = MAX_REPLY_BYTES
+    ) -> bytes:
+        """Return the rest of the body.
+
+        Args:
+            timeout_ms: Time limit for the whole rest, in milliseconds.
+            max_bytes: Largest size of the rest.
+
+        Raises:
+            TargetFailed: If the connection failed, the time is over or the rest is
+                larger.
+        """
+        clock = self.connection.clock
+        ends_ms = clock.now_ms() + timeout_ms
         pieces = []
         size = 0
-        while piece := await self.read(idle_timeout_ms):
+        while piece := await self.read(max(ends_ms - clock.now_ms(), 1)):
             pieces.append(piece)
             size += len(piece)
-            if size > MAX_REPLY_BYTES:
+            if size > max_bytes:
+                raise TargetFailed(
+                    f"the response exceeds {max_bytes} bytes",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                )
+            if clock.now_ms() >= ends_ms:
                 raise TargetFailed(
-                    f"the response exceeds {MAX_REPLY_BYTES} bytes",
+                    f"the response was not complete after {timeout_ms} ms",
                     verdict=Verdict.MAY_HAVE_RUN,
+                    timed_out=True,
                 )
         return b"".join(pieces)
 
+    def check_distinct(self, body: bytes) -> None:
+        """Check that a body is not that of the previous response on the connection.
+
+        For servers whose responses name no request but never have the same body twice:
+        a repeated one is a late second copy.
+
+        Raises:
+            TargetFailed: If it is.
+        """
+        if body == self.connection.last_body:
+            raise TargetFailed(
+                "the server sent a second copy of its previous response",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        self.connection.last_body = body
+
+    def forbid_reuse(self) -> None:
+        """Close the connection after this response."""
+        self.connection.closing = True
+
 
 class _Connection:
     """A connection to a server, which carries one request at a time."""
 
-    def __init__(self, sock: Any):
+    def __init__(self, sock: Any, clock: Clock):
         self.sock = sock
+        self.clock = clock
+        self.turns = Turns()
+        # Whether the connection must not carry another request.
+        self.closing = False
+        # Body of the newest response that ``HttpStream.check_distinct`` checked.
+        self.last_body = b""
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since_ms = 0
         self.max_idle_ms = MAX_IDLE_MS
@@ -140,16 +196,25 @@
     async def read_head(self, timeout_ms: int) -> h11.Response:
         """Return the head of the response.
 
+        Args:
+            timeout_ms: Time limit for the head, interim responses included.
+
         Raises:
-            TargetFailed: If the connection failed or nothing was received in time.
+            TargetFailed: If the connection failed, the time is over or there are too
+                many interim responses.
         """
-        while True:
-            event = await self.next_event(timeout_ms)
+        ends_ms = self.clock.now_ms() + timeout_ms
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self.next_event(max(ends_ms - self.clock.now_ms(), 1))
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 detail = "the server closed the connection without a response"
                 raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+        raise TargetFailed(
+            f"the server sent more than {MAX_INTERIM_RESPONSES} interim responses",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
 
     def is_readable(self) -> bool:
         """Return whether the server sent unexpected bytes or closed the connection."""
@@ -163,10 +228,13 @@
             # Most events are already in the buffer; setting a timeout for each of them
             # would cost as much as reading it.
             if (event := self.http.next_event()) is not h11.NEED_DATA:
+                await self.turns.take(0)
                 return event
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 while event is h11.NEED_DATA:
-                    self.http.receive_data(await self.sock.recv(READ_BYTES))
+                    data = await self.sock.recv(READ_BYTES)
+                    await self.turns.take(len(data))
+                    self.http.receive_data(data)
                     event = self.http.next_event()
                 return event
         except curio.TaskTimeout as error:
@@ -181,7 +249,7 @@
         """Return whether the connection may carry another request."""
         is_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         # Bytes after a complete response belong to no request of this client.
-        return is_done and not self.http.trailing_data[0]
+        return is_done and not self.closing and not self.http.trailing_data[0]
 
 
 class HttpClient:
@@ -215,8 +283,8 @@
             path: Path with query.
             headers: Additional headers.
             body: Body, sent with Content-Length.
-            timeout_ms: Time limit for each step: sending the request, and each wait
-                for received bytes; in milliseconds.
+            timeout_ms: Time limit for each step: sending the request, receiving the
+                head and receiving the body; in milliseconds.
             new_connection: Whether to bypass the pool of idle connections.
             host: Value of the Host header; by default the address.
 
@@ -287,7 +355,7 @@
         except (OSError, curio.TaskTimeout) as error:
             raise ConnectFailed(f"cannot connect to {address}: {error}") from error
         enable_dead_peer_detection(sock)
-        return _Connection(sock)
+        return _Connection(sock, self.clock)
 
     async def _release(self, address: Address, connection: _Connection) -> None:
         """Return a connection to the pool, or close it."""
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -12,6 +12,7 @@
 from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
+from wagtailrun.fairness import Turns
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -253,6 +254,7 @@
         self.server = server
         self.sock = sock
         self.peer = peer
+        self.turns = Turns()
         self.limits = server.limits()
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
@@ -401,12 +403,15 @@
     async def _next_event(self) -> Any:
         while True:
             event = self.http.next_event()
+            await self.turns.take(0)
             if event is not h11.NEED_DATA:
                 return event
             if self.http.they_are_waiting_for_100_continue:
                 info = h11.InformationalResponse(status_code=100, headers=[])
                 await self._write(self.http.send(info))
-            self.http.receive_data(await self.sock.recv(READ_BYTES))
+            data = await self.sock.recv(READ_BYTES)
+            await self.turns.take(len(data))
+            self.http.receive_data(data)
 
     async def _serve(self, request: Request) -> bool:
         """Answer a request; return False if the client has disconnected meanwhile."""
--- a/wagtailrun/adapters/http_target.py
+++ b/wagtailrun/adapters/http_target.py
@@ -55,7 +55,7 @@
     async def call(self, address: Address, attempt: Attempt) -> StageAnswer:
         """Run a stage or call and return its complete answer."""
         timeout_ms = min(self.idle_timeout_ms, attempt.remaining_ms)
-        reply = await self.client.request(
+        async with self.client.open(
             address,
             "POST",
             attempt.path,
@@ -63,9 +63,10 @@
             attempt.body,
             timeout_ms=timeout_ms,
             new_connection=attempt.new_connection,
-        )
-        self._check_reply(attempt, reply.status, reply.headers)
-        return _make_answer(reply.status, reply.headers, reply.body)
+        ) as stream:
+            body = await stream.read_all(attempt.remaining_ms)
+        self._check_reply(attempt, stream.status, stream.headers)
+        return _make_answer(stream.status, stream.headers, body)
 
     async def stream(
         self, address: Address, attempt: Attempt
@@ -84,11 +85,21 @@
             self._check_reply(attempt, stream.status, stream.headers)
             events = ServerSentEvents()
             done = False
-            while piece := await stream.read(timeout_ms):
+            clock = self.client.clock
+            token_due_ms = clock.now_ms() + timeout_ms
+            while piece := await stream.read(max(token_due_ms - clock.now_ms(), 1)):
                 tokens = tuple(_parse_token(event) for event in events.feed(piece))
                 if tokens:
                     done = done or tokens[-1].last
                     yield tokens
+                    # The time that the caller took to read does not count.
+                    token_due_ms = clock.now_ms() + timeout_ms
+                elif clock.now_ms() >= token_due_ms:
+                    raise TargetFailed(
+                        f"no complete event for {timeout_ms} ms",
+                        verdict=Verdict.MAY_HAVE_RUN,
+                        timed_out=True,
+                    )
             if not done:
                 detail = "stream ended without its end marker"
                 raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -15,6 +15,7 @@
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.fairness import Turns
 from wagtailrun.messages import PeerError
 from wagtailrun.ports.link import Address, Handler, PeerLink
 
@@ -35,10 +36,12 @@
 
 async def _read_exactly(sock: Any, size: int) -> bytes:
     chunks = []
+    turns = Turns()
     while size:
         chunk = await sock.recv(min(size, 65_536))
         if not chunk:
             raise EOFError("connection closed by peer")
+        await turns.take(len(chunk))
         chunks.append(chunk)
         size -= len(chunk)
     return b"".join(chunks)
@@ -125,7 +128,10 @@
         except (OSError, EOFError, MessageError, curio.TaskTimeout) as error:
             # When the path is down, the other pooled connections fail as well.
             await self._drop_idle(address)
-            detail = f"no reply from peer {address}: {error or type(error).__name__}"
+            reason = str(error) or type(error).__name__
+            if isinstance(error, curio.TaskTimeout):
+                reason = f"timed out after {timeout_ms} ms"
+            detail = f"no reply from peer {address}: {reason}"
             raise PeerUnreachable(detail, sent=sent) from error
         await self._release(address, sock)
         if isinstance(reply, PeerError):
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -196,6 +196,12 @@
 SETTINGS_RELOADED = _event(
     622, logging.INFO, "The settings were reloaded.", limited=False
 )
+ANSWER_BODY_SKIPPED = _event(
+    713,
+    logging.WARNING,
+    "The body of an unsuccessful answer was not read to its end.",
+    per_second=10,
+)
 METRICS_NOT_SERVED = _event(
     626,
     logging.WARNING,
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -6,6 +6,8 @@
 import attrs
 import curio
 
+from wagtailrun import events
+from wagtailrun.adapters.http_client import MAX_SKIPPED_BYTES
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.exceptions import (
     Refusal,
@@ -34,6 +36,8 @@
 # Time in which a target fetches results: 10 MB take 8 ms over the users' links of
 # 10 Gbit/s, and opening a connection takes a few milliseconds.
 RESULT_FETCH_MS = 120
+# Time limit for the body of an answer that is not passed on.
+UNUSED_BODY_TIMEOUT_MS = 250
 
 RefuseCallback = Callable[[RelayJob, Refusal], Response]
 EndedCallback = Callable[[RelayJob, str, int], None]
@@ -149,7 +153,7 @@
             The caller's answer, or None to try again.
         """
         head = attempt.head
-        body = await attempt.stream.read_all(self.attempts.remaining_ms(job))
+        body = await self._read_error_body(job, attempt)
         refusal = await self.attempts.handle_error_answer(job, attempt)
         if refusal is None and head.inputs_gone:
             return await self._rerun_stages(job)
@@ -157,6 +161,32 @@
             return Response(head.status, body, head.headers)
         return refusal
 
+    async def _read_error_body(self, job: RelayJob, attempt: Attempt) -> bytes:
+        """Return the body of an unsuccessful answer.
+
+        Raises:
+            TargetFailed: If the caller needs the body and it is not complete.
+        """
+        head = attempt.head
+        if head.genuine and not head.not_run:
+            return await attempt.stream.read_all(self.attempts.remaining_ms(job))
+        try:
+            return await attempt.stream.read_all(
+                min(UNUSED_BODY_TIMEOUT_MS, self.attempts.remaining_ms(job)),
+                MAX_SKIPPED_BYTES,
+            )
+        except TargetFailed as error:
+            # The head alone decides; the connection is closed.
+            attempt.stream.forbid_reuse()
+            events.log(
+                events.ANSWER_BODY_SKIPPED,
+                request_id=job.request.request_id,
+                target=attempt.row.name,
+                status=head.status,
+                detail=str(error),
+            )
+            return b""
+
     async def _rerun_stages(self, job: RelayJob) -> Refusal | None:
         """Run the stages again after the target found that their results are gone."""
         if job.work is None:
@@ -174,8 +204,14 @@
             TargetFailed: If the stream ended early or stalled.
         """
         splitter = EventSplitter()
+        event_due_ms = self._event_due_ms(job, state)
         while True:
-            chunk = await self._read(job, attempt, state)
+            left_ms = event_due_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                # Bytes arrive, but no event does.
+                detail = "no complete event in time"
+                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN, timed_out=True)
+            chunk = await attempt.stream.read(left_ms)
             if not chunk:
                 if splitter.buffer:
                     detail = "the stream ended in the middle of an event"
@@ -188,6 +224,9 @@
                 await self._record_first_event(job, attempt)
             state.events_sent = True
             yield b"".join(event.data for event in found)
+            # Counted after the caller has taken the events: a caller that reads slowly
+            # is no fault of the target.
+            event_due_ms = self._event_due_ms(job, state)
 
     async def _record_first_event(self, job: RelayJob, attempt: Attempt) -> None:
         job.first_ms = self.clock.now_ms()
@@ -198,12 +237,14 @@
         # The target has fetched the results before its first event.
         await self.runner.release_all(job.work, job.results)
 
-    async def _read(
-        self, job: RelayJob, attempt: Attempt, state: "_StreamState"
-    ) -> bytes:
+    def _event_due_ms(self, job: RelayJob, state: "_StreamState") -> int:
+        """Return when the next event is overdue, on the clock.
+
+        A stream that cannot be resumed has until the deadline of the request.
+        """
         left_ms = self.attempts.remaining_ms(job)
         if not job.may_run_again:
-            return await attempt.stream.read(left_ms)
+            return self.clock.now_ms() + left_ms
         objective_ms = job.objective_at_ms - job.arrived_ms
         timeout_ms = max(
             int(objective_ms * FIRST_EVENT_TIMEOUT_PER_OBJECTIVE),
@@ -213,7 +254,7 @@
             timeout_ms = max(
                 job.route.gap_ms * STALL_TIMEOUT_GAPS, MIN_STALL_TIMEOUT_MS
             )
-        return await attempt.stream.read(min(timeout_ms, left_ms))
+        return self.clock.now_ms() + min(timeout_ms, left_ms)
 
 
 class _StreamBody(AsyncIterator[bytes]):
