Answer requests that arrive around a planned stop

Cause: a draining server closed a connection that it had just accepted, and a request counted only once it was read whole, so a process could stop with one half received. Responses carried Connection: close only after the notice period. Change: responses are the last on their connection from the signal on; a draining server waits 200 ms for the request of an accepted connection; a request counts from its first byte, and the process stops after four idle polls.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -18,7 +18,9 @@
     Response,
     ServerLimits,
     json_response,
+    sleep_until_idle,
 )
+from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import ConnectFailed, RefusalReason, TargetFailed, Verdict
 
 pytestmark = pytest.mark.network
@@ -275,13 +277,51 @@
         http = HttpClient()
         await http.request(address, "GET", "/", timeout_ms=TIMEOUT_MS)
         (connection,) = http.idle_by_address[address]
-        server.draining = True
-        await server.close_idle()
+        await server.drain()
         return await connection.sock.recv(10)
 
     assert with_server(echo, client) == b""
 
 
+def test_requests_around_a_planned_stop_are_answered():
+    """Guards against a stop that cuts off requests that were just accepted.
+
+    One request is half received as the stop begins, one connection is accepted but
+    has sent nothing, and one keep-alive connection gets its last answer before.
+    """
+    whole = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def client(address, server):
+        async def connect(data):
+            sock = await curio.open_connection(address.host, address.port)
+            await sock.sendall(data)
+            await curio.sleep(0.05)
+            return sock
+
+        kept = await connect(whole)
+        await kept.recv(65_536)
+        server.closing = True
+        await kept.sendall(whole)
+        last = await kept.recv(65_536)
+        half = await connect(whole[:20])
+        assert server.active_requests == 1
+        await server.drain()
+        silent = await connect(b"")
+        await half.sendall(whole[20:])
+        await silent.sendall(whole)
+        answers = [await half.recv(65_536), await silent.recv(65_536)]
+        clock = SystemClock()
+        limit_ms = clock.now_ms() + 5_000
+        await sleep_until_idle(clock, lambda: not server.active_requests, limit_ms)
+        return [last, *answers], clock.now_ms() < limit_ms
+
+    answers, in_time = with_server(echo, client)
+    assert in_time
+    for answer in answers:
+        assert answer.startswith(b"HTTP/1.1 200"), answer
+        assert b"connection: close" in answer.lower()
+
+
 def test_request_with_both_body_lengths_is_refused():
     """Guards against request smuggling by two contradictory body lengths."""
     handled_paths = []
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -10,7 +10,7 @@
 
 from wagtailrun import events
 from wagtailrun.adapters.listener import listen
-from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
 from wagtailrun.fairness import Turns
 from wagtailrun.ports.link import Address
@@ -23,6 +23,7 @@
     "ServerLimits",
     "json_response",
     "refusal_response",
+    "sleep_until_idle",
 ]
 
 MAX_HEADER_BYTES = 16 * 1024
@@ -35,6 +36,12 @@
 OVERLOAD_RETRY_MS = 1_000
 # A connection is closed if one write does not complete in this time.
 WRITE_TIMEOUT_MS = 30_000
+# How long a draining server waits for the request of a connection it has accepted.
+DRAIN_REQUEST_WAIT_MS = 200
+DRAIN_POLL_MS = 50
+# A draining process is idle after this many polls without a request; a connection that
+# the kernel has just accepted shows its request by then.
+DRAIN_IDLE_POLLS = 4
 STATUS_BY_REASON = {
     RefusalReason.MALFORMED: 400,
     RefusalReason.TOO_LARGE: 413,
@@ -121,6 +128,22 @@
 HttpHandler = Callable[[Request], Awaitable[Response]]
 
 
+async def sleep_until_idle(
+    clock: Clock, is_idle: Callable[[], bool], limit_ms: int
+) -> None:
+    """Return when a draining process has no more requests, or the time is over.
+
+    Args:
+        clock: Clock.
+        is_idle: Returns whether the process has no request now.
+        limit_ms: When to return at the latest, on the clock.
+    """
+    idle_polls = 0
+    while idle_polls < DRAIN_IDLE_POLLS and clock.now_ms() < limit_ms:
+        await clock.sleep_ms(DRAIN_POLL_MS)
+        idle_polls = idle_polls + 1 if is_idle() else 0
+
+
 def json_response(
     status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
 ) -> Response:
@@ -204,6 +227,9 @@
         self.max_body_bytes = max_body_bytes
         self.on_refusal = on_refusal
         self.open_connections = 0
+        # Whether each response is the last one on its connection.
+        self.closing = False
+        # Whether connections without a request are closed.
         self.draining = False
         self.active_requests = 0
         self.idle_sockets: set[Any] = set()
@@ -224,8 +250,9 @@
             idle_ms=REQUEST_TIMEOUT_MS,
         )
 
-    async def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+    async def drain(self) -> None:
+        """Close the connections that have no request in progress, now and later."""
+        self.closing = self.draining = True
         for sock in list(self.idle_sockets):
             await sock.shutdown(0)
 
@@ -264,16 +291,17 @@
         """Serve requests until the connection has to be closed."""
         while True:
             self.limits = self.server.limits()
-            try:
-                request = await self._read_request()
-            except RequestRejected as error:
-                await self._refuse(error.refusal, error.status)
-                return
-            if request is None:
+            if not await self._wait_for_bytes():
                 return
+            # A request counts from its first byte, so that a planned stop waits for it.
             self.server.active_requests += 1
             try:
-                if not await self._serve(request):
+                try:
+                    request = await self._read_request()
+                except RequestRejected as error:
+                    await self._refuse(error.refusal, error.status)
+                    return
+                if request is None or not await self._serve(request):
                     return
             finally:
                 self.server.active_requests -= 1
@@ -295,8 +323,6 @@
             RequestRejected: If the request is malformed, too large or incomplete when
                 its time limit expires.
         """
-        if not await self._wait_for_bytes():
-            return None
         detail = f"the request head was not complete within {self.limits.header_ms} ms"
         try:
             async with curio.timeout_after(self.limits.header_ms / MS_PER_SECOND):
@@ -321,11 +347,13 @@
         """Wait for the first bytes of a request; return False if none were received."""
         if self.http.trailing_data[0]:
             return True
+        wait_ms = self.limits.idle_ms
         if self.server.draining:
-            return False
+            # A connection that was accepted a moment ago; its request is on the way.
+            wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
         self.server.idle_sockets.add(self.sock)
         try:
-            async with curio.timeout_after(self.limits.idle_ms / MS_PER_SECOND):
+            async with curio.timeout_after(wait_ms / MS_PER_SECOND):
                 data = await self.sock.recv(READ_BYTES)
         except curio.TaskTimeout:
             return False
@@ -449,7 +477,7 @@
             )
             response = refusal_response(refusal)
         try:
-            await self._send(response, close=self.server.draining)
+            await self._send(response, close=self.server.closing)
         except Exception as error:
             return error
         return None
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -10,7 +10,7 @@
 from wagtailrun.accounts import Accounts
 from wagtailrun.accounts_messages import AccountRows
 from wagtailrun.adapters.http_client import HttpClient
-from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.adapters.http_server import HttpServer, sleep_until_idle
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.caller_api import CallerApi
@@ -34,7 +34,6 @@
 
 __all__ = ["Entry", "run_entry"]
 
-DRAIN_POLL_MS = 50
 SIGNAL_POLL_MS = 250
 GAUGE_INTERVAL_MS = 1_000
 PROBE_TIMEOUT_MS = 500
@@ -255,11 +254,11 @@
 
     async def _drain(self) -> None:
         deadline_ms = self.clock.now_ms() + self.settings.drain_limit_ms
+        # Callers open their next connections elsewhere.
+        self.caller_server.closing = True
         await self.clock.sleep_ms(self.settings.drain_notice_ms)
-        self.caller_server.draining = True
-        await self.caller_server.close_idle()
-        while not self._is_idle() and self.clock.now_ms() < deadline_ms:
-            await self.clock.sleep_ms(DRAIN_POLL_MS)
+        await self.caller_server.drain()
+        await sleep_until_idle(self.clock, self._is_idle, deadline_ms)
         await self.accounts.hand_over_all(HANDOVER_TIMEOUT_MS)
 
     def _is_idle(self) -> bool:
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -12,6 +12,7 @@
     Request,
     ServerLimits,
     json_response,
+    sleep_until_idle,
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
@@ -22,12 +23,16 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler
 from wagtailrun.relay.metrics import RelayMetrics
-from wagtailrun.relay.placement import PlacementClient, PlacementHost
+from wagtailrun.relay.placement import (
+    PlacementClient,
+    PlacementHost,
+    ownership_key,
+)
 from wagtailrun.relay.placement_messages import PlaceRun, RunOver
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, StopSignals, run_daemon
 from wagtailrun.retries import RetryBudget
-from wagtailrun.routes import RequestLimits, StageCapacity
+from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stages import (
     CancelPieces,
@@ -45,7 +50,6 @@
 # Idle connections are closed this much later than the fleet configuration allows, so
 # that a caller that reuses one in time does not find it closed.
 IDLE_MARGIN_MS = 1_000
-DRAIN_POLL_MS = 50
 # A draining process exits this long before the platform would kill it.
 EXIT_MARGIN_MS = 400
 # Stage calls are spread over entries on links slower than this. The calls of one busy
@@ -108,11 +112,14 @@
             protocol.configuration_format,
             settings.key_grace_ms,
         )
+        # Keys of the services that have owners, and the table that they are from.
+        self.busy_keys: tuple[str, ...] = ()
+        self.busy_keys_table: RouteTable | None = None
         self.http = HttpClient(self.clock)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
-        self.owners = Owners(self.clock, self.view.live_entries)
+        self.owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
         self.delegating_client = DelegatingStageClient(
             protocol.stage_client(self.http),
             self.link,
@@ -204,6 +211,17 @@
             lambda: self.handler.attempts.crossed_answers,
         )
 
+    def _busy_keys(self) -> tuple[str, ...]:
+        table = self.view.table
+        if table is not self.busy_keys_table:
+            self.busy_keys_table = table
+            self.busy_keys = tuple(
+                ownership_key(row.name) if row.engine else row.name
+                for row in table.services_by_name.values()
+                if row.engine or row.pool
+            )
+        return self.busy_keys
+
     def _stage_capacity(self, service: str) -> StageCapacity:
         table = self.view.table
         row = table.services_by_name.get(service) if table else None
@@ -276,14 +294,14 @@
         await self.signals.wait()
         events.log(events.DRAIN_STARTED, name=self.settings.name)
         limit_ms = self.clock.now_ms() + self._drain_limit_ms()
+        # Callers open their next connections elsewhere.
+        self.caller_server.closing = True
         await self.view.announce_stop()
         # The load balancer sends new connections until two readiness checks have
         # failed.
         await self.clock.sleep_ms(self.settings.effective_drain_notice_ms)
-        self.caller_server.draining = True
-        await self.caller_server.close_idle()
-        while not self._is_idle() and self.clock.now_ms() < limit_ms:
-            await self.clock.sleep_ms(DRAIN_POLL_MS)
+        await self.caller_server.drain()
+        await sleep_until_idle(self.clock, self._is_idle, limit_ms)
 
     def _drain_limit_ms(self) -> int:
         return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
