Restart a task that ends with an unexpected error

Cause: an exception in any task of a relay daemon, for example a malformed address in a poll's reply, ended the whole process; one in a stage pool's task ended that task without a log line, and its service was never called again. A member of the log restarts after any error.

--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -24,6 +24,7 @@
 from wagtailrun.membership import ChangeLog, Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry import Registry
+from wagtailrun.supervisor import supervise
 
 __all__ = ["Hub"]
 
@@ -107,10 +108,13 @@
     async def run(self) -> None:
         """Share reports, check liveness and confirm polls until cancelled."""
         async with curio.TaskGroup() as group:
-            await group.spawn(self._share_reports)
-            await group.spawn(self._check_liveness)
-            await group.spawn(self._confirm_polls)
-            await group.spawn(self._watch_configuration)
+            for task in (
+                self._share_reports,
+                self._check_liveness,
+                self._confirm_polls,
+                self._watch_configuration,
+            ):
+                await group.spawn(supervise, task.__qualname__, task)
 
     async def handle(self, message: Any) -> Any:
         """Handle one discovery message and return the reply.
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -202,6 +202,13 @@
     "The body of an unsuccessful answer was not read to its end.",
     per_second=10,
 )
+TASK_RESTARTED = _event(
+    627,
+    logging.ERROR,
+    "A task of the process ended with an unexpected error and is started again.",
+    "Report the error; the process goes on.",
+    limited=False,
+)
 METRICS_NOT_SERVED = _event(
     626,
     logging.WARNING,
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -261,6 +261,8 @@
             except CorruptRecord as error:
                 events.log(events.LOG_FILES_DISCARDED, detail=str(error))
                 await self._erase_disk()
+            except Exception as error:
+                events.log(events.TASK_RESTARTED, task="member", detail=repr(error))
             self.disk.close()
             await self.clock.sleep_ms(REOPEN_DELAY_MS)
             self.disk = FileDisk(Path(self.settings.data_folder) / "consensus")
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -16,6 +16,7 @@
 from wagtailrun.line_writer import LineWriter
 from wagtailrun.ports.link import Address
 from wagtailrun.settings import RelayControlSettings, RelayEntrySettings
+from wagtailrun.supervisor import supervise
 
 __all__ = ["LiveSettings", "StopSignals", "run_daemon"]
 
@@ -160,10 +161,15 @@
     try:
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(
-                serve_peers, settings.peer_address, settings.peer_secret, handle_peer
+                supervise,
+                "peer server",
+                serve_peers,
+                settings.peer_address,
+                settings.peer_secret,
+                handle_peer,
             )
             for task in tasks:
-                await group.spawn(task)
+                await group.spawn(supervise, task.__qualname__, task)
             # Last, so that the other listeners have their ports.
             await group.spawn(_serve_metrics, settings.metrics_address, metrics_page)
         if group.exception is not None:
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -27,6 +27,7 @@
     RunPieces,
 )
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageItem, StageReply
+from wagtailrun.supervisor import supervise
 
 __all__ = ["StageBatcher"]
 
@@ -771,8 +772,9 @@
         pool = self.pools_by_service.get(service)
         if pool is None:
             pool = self.pools_by_service[service] = _Pool(self, service)
-            await curio.spawn(pool.run, daemon=True)
-            await curio.spawn(pool.run_releases, daemon=True)
+            for task in (pool.run, pool.run_releases):
+                name = f"{task.__qualname__} {service}"
+                await curio.spawn(supervise, name, task, daemon=True)
         return pool
 
     async def handle(
