Check the permission to send once more when the connection is open

Cause: freshness of the keys and the deadline were checked before the target was chosen and the connection opened; a process that was paused there sent the request with a permission that had run out. Change: HttpClient.open asks may_send just before the first byte; a refusal then says truthfully that nothing ran. Result: test_pause_before_sending_ends_the_permission fails on the code before for a pause while the connection is opened, and passes for the two earlier pauses.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -189,6 +189,39 @@
     assert 0 < int(seen.headers["deadline-remaining"]) <= 2_000
 
 
+class FreshFor:
+    """Freshness of the keys that ends after some checks, as after a pause."""
+
+    def __init__(self, checks):
+        self.checks = checks
+
+    def __bool__(self):
+        self.checks -= 1
+        return self.checks >= 0
+
+
+@pytest.mark.parametrize("checks", [0, 1, 2])
+def test_pause_before_sending_ends_the_permission(checks):
+    """Guards against a key that is used after a pause in which it was withdrawn.
+
+    The process is paused before admission, before the choice of a target, or while it
+    opens the connection.
+    """
+
+    async def client(address, fleet):
+        reply = await send(address, key="k")
+        return reply.status, fleet.seen
+
+    status, seen = run_relay(
+        RouteKind.ORDER,
+        [[answer(200, b"ok", SIGNATURE)]],
+        client,
+        keys=("k",),
+        view={"is_fresh": FreshFor(checks)},
+    )
+    assert (status, seen) == (503, [])
+
+
 FAILED = answer(500, b"bad", SIGNATURE)
 GOOD = answer(200, b"ok", SIGNATURE)
 FULL = answer(503, b"", NOT_RUN)
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -3,7 +3,7 @@
 import re
 import select
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -12,7 +12,12 @@
 import h11
 
 from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
-from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
+from wagtailrun.exceptions import (
+    ConnectFailed,
+    SendForbidden,
+    TargetFailed,
+    Verdict,
+)
 from wagtailrun.fairness import Turns
 from wagtailrun.ports.link import Address
 
@@ -317,10 +322,18 @@
         new_connection: bool = False,
         host: str | None = None,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[HttpStream]:
-        """Send a request and yield the response as a stream; see ``request``."""
+        """Send a request and yield the response as a stream; see ``request``.
+
+        Raises:
+            SendForbidden: If ``may_send``, called when the connection is open, returns
+                False. The process may have been paused since the caller checked it.
+        """
         connection = await self._connect(address, new_connection, connect_timeout_ms)
         try:
+            if not may_send():
+                raise SendForbidden(f"the request to {address} may no longer be sent")
             fields = [
                 ("Host", host or str(address)),
                 ("Content-Length", str(len(body))),
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -15,6 +15,7 @@
     "PeerUnreachable",
     "Refusal",
     "RefusalReason",
+    "SendForbidden",
     "SettingsError",
     "TargetFailed",
     "Verdict",
@@ -172,6 +173,13 @@
     """A response that has begun cannot be completed; its connection is closed."""
 
 
+class SendForbidden(TargetFailed):
+    """The permission to send ended while a connection was opened; no byte was sent."""
+
+    def __init__(self, detail: str):
+        super().__init__(detail, verdict=Verdict.NOT_RUN)
+
+
 class ConnectFailed(TargetFailed):
     """No connection could be opened, so no byte was sent."""
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -15,6 +15,7 @@
     ConnectFailed,
     Refusal,
     RefusalReason,
+    SendForbidden,
     TargetFailed,
     Verdict,
 )
@@ -140,14 +141,9 @@
 
     async def next_target(self, job: RelayJob) -> TargetRow | Refusal:
         """Return the target of the next attempt, or why there is none."""
-        if self.clock.now_ms() >= job.deadline_at_ms:
-            verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-            return Refusal(RefusalReason.DEADLINE, verdict, job.detail)
-        if job.workspace and not self.view.is_fresh and not job.runs:
-            detail = f"keys last confirmed {self.view.confirmation_age_ms} ms ago"
-            return Refusal(
-                RefusalReason.KEYS_UNCONFIRMED, Verdict.NOT_RUN, detail, RETRY_AFTER_MS
-            )
+        refusal = self._send_refusal(job, job.runs)
+        if refusal is not None:
+            return refusal
         row = await self._choose_target(job)
         if row is None:
             verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
@@ -155,6 +151,18 @@
             return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
         return row
 
+    def _send_refusal(self, job: RelayJob, runs: int) -> Refusal | None:
+        """Return why a request that was sent ``runs`` times may not be sent now."""
+        verdict = Verdict.MAY_HAVE_RUN if runs else Verdict.NOT_RUN
+        if self.clock.now_ms() >= job.deadline_at_ms:
+            return Refusal(RefusalReason.DEADLINE, verdict, job.detail)
+        if job.workspace and not self.view.is_fresh and verdict is Verdict.NOT_RUN:
+            detail = f"keys last confirmed {self.view.confirmation_age_ms} ms ago"
+            return Refusal(
+                RefusalReason.KEYS_UNCONFIRMED, verdict, detail, RETRY_AFTER_MS
+            )
+        return None
+
     async def _choose_target(self, job: RelayJob) -> TargetRow | None:
         rows = self.view.targets(job.service)
         if not job.route.prompt_affinity:
@@ -278,6 +286,7 @@
         request = job.request
         started_ms = self.clock.now_ms()
         job.tried_targets.append(row.name)
+        runs_before = job.runs
         # Counted before sending: after any later failure the request may have run.
         job.runs += 1
         self.chooser.record_start(row, (), 0)
@@ -294,6 +303,7 @@
                 new_connection=not job.route.repeatable,
                 host=request.host,
                 connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
+                may_send=lambda: self._send_refusal(job, runs_before) is None,
             ) as stream:
                 stream, head = await self._skip_crossed_answers(job, stream)
                 if head.load is not None:
@@ -332,6 +342,10 @@
         """Return the refusal after a failed attempt, or None to try again."""
         job.detail = f"{row.name}: {error}"
         self._log_failure(job, row)
+        if isinstance(error, SendForbidden):
+            job.runs -= 1
+            await self.report_end(job, row, RunOutcome.OVER)
+            return self._send_refusal(job, job.runs)
         if isinstance(error, ConnectFailed):
             job.runs -= 1
             await self.report_end(job, row, RunOutcome.UNREACHABLE)
