Keep the connections and the ownership of a slow peer

Cause: a call that timed out at an overloaded owner closed all idle connections to it and excluded it for 1.5 s, so new handshakes came on top and a second owner started calls at the same targets. Change: a peer that answered another call within 500 ms counts as slow: its connections are kept, it stays owner, and polls of pieces go on. Result: test_timeout_at_a_slow_peer_keeps_its_connections. Owners of their own alone do not mend it.

--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from demo.processes import free_addresses
+from wagtailrun.adapters import tcp_link
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -56,6 +57,36 @@
     assert with_peer(slow_first, client) == Pong("next")
 
 
+def test_timeout_at_a_slow_peer_keeps_its_connections():
+    """Guards against handshakes that overload a peer further.
+
+    Pattern: the owner of a stage service without processor time on the small Kigali
+    site; each timeout closed up to 16 connections to it and made two owners.
+    """
+
+    async def answer(message):
+        if message.sender == "slow":
+            await curio.sleep(0.3)
+        return Pong(message.sender)
+
+    async def client(address):
+        link = TcpPeerLink(SECRET)
+        await link.call(address, Ping("a"), TIMEOUT_MS)
+        (first,) = link.idle_by_address[address]
+        slow = await curio.spawn(link.call, address, Ping("slow"), 100)
+        await curio.sleep(0.02)
+        await link.call(address, Ping("b"), TIMEOUT_MS)
+        with pytest.raises(curio.TaskError) as slow_error:
+            await slow.join()
+        with pytest.raises(PeerUnreachable) as dead_error:
+            link.last_reply_ms_by_address[address] -= tcp_link.ALIVE_MS
+            await link.call(address, Ping("slow"), 100)
+        return slow_error.value.__cause__.alive, dead_error.value.alive
+
+    slow_alive, dead_alive = with_peer(answer, client)
+    assert (slow_alive, dead_alive) == (True, False)
+
+
 def test_connection_is_reused():
     """Guards against a new connection and handshake for every message."""
 
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -33,6 +33,8 @@
 # Well below IDLE_TIMEOUT_MS, so that a pooled connection is not reused while the server
 # closes it.
 MAX_POOLED_AGE_MS = 20_000
+# A peer that answered within this time is slow rather than dead or cut off.
+ALIVE_MS = 500
 
 
 class _FrameSocket:
@@ -146,6 +148,7 @@
         self.secret = secret
         self.clock = SystemClock()
         self.idle_by_address: dict[Address, list[_FrameSocket]] = {}
+        self.last_reply_ms_by_address: dict[Address, int] = {}
 
     async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
         """Send ``message`` and return the reply; see ``PeerLink.call``."""
@@ -162,18 +165,27 @@
                     await connection.close()
                     raise
         except (OSError, EOFError, MessageError, curio.TaskTimeout) as error:
-            # When the path is down, the other pooled connections fail as well.
-            await self._drop_idle(address)
+            alive = isinstance(error, curio.TaskTimeout) and self._is_alive(address)
+            if not alive:
+                # When the path is down, the other pooled connections fail as well.
+                # Dropped connections of a slow peer would cost it new handshakes.
+                await self._drop_idle(address)
             reason = str(error) or type(error).__name__
             if isinstance(error, curio.TaskTimeout):
                 reason = f"timed out after {timeout_ms} ms"
             detail = f"no reply from peer {address}: {reason}"
-            raise PeerUnreachable(detail, sent=sent) from error
+            raise PeerUnreachable(detail, sent=sent, alive=alive) from error
+        self.last_reply_ms_by_address[address] = self.clock.now_ms()
         await self._release(address, connection)
         if isinstance(reply, PeerError):
             raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
         return reply
 
+    def _is_alive(self, address: Address) -> bool:
+        """Return whether a peer answered another call a moment ago."""
+        last_ms = self.last_reply_ms_by_address.get(address)
+        return last_ms is not None and self.clock.now_ms() - last_ms < ALIVE_MS
+
     async def close(self) -> None:
         """Close all idle connections."""
         for address in list(self.idle_by_address):
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -112,11 +112,14 @@
     Args:
         detail: What happened.
         sent: Whether part of the request may have reached the peer.
+        alive: Whether the peer answered another call a moment ago, so that it is slow
+            and neither dead nor cut off.
     """
 
-    def __init__(self, detail: str, *, sent: bool = True):
+    def __init__(self, detail: str, *, sent: bool = True, alive: bool = False):
         super().__init__(detail)
         self.sent = sent
+        self.alive = alive
 
 
 class ConsensusUnavailable(WagtailrunError):
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -195,7 +195,8 @@
             try:
                 placed = await self.link.call(owner.address, message, CALL_TIMEOUT_MS)
             except PeerUnreachable as error:
-                self.owners.exclude(owner, str(error))
+                if not error.alive:
+                    self.owners.exclude(owner, str(error))
         if not isinstance(placed, Placed):
             owner, placed = None, self.host.handle(message)
         if message.begin and placed.target and owner is not None:
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -328,6 +328,10 @@
                 # After a reset connection the owner may still be running and know the
                 # job, so it is polled once more. A dead owner lets the call time out.
                 waited_ms = self.clock.now_ms() - sent_ms
+                if error.alive:
+                    # Another owner would start the pieces a second time, beside the
+                    # calls of this one.
+                    continue
                 if not retried and waited_ms < message.wait_ms + POLL_SLACK_MS:
                     retried = True
                     continue
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -72,7 +72,8 @@
                 delegate.address, message, timeout_ms + DELEGATION_SLACK_MS
             )
         except PeerUnreachable as error:
-            self.owners.exclude(delegate, str(error))
+            if not error.alive:
+                self.owners.exclude(delegate, str(error))
             if not error.sent:
                 return await self.client.run(target, items, timeout_ms)
             detail = f"entry {delegate.name} did not reply to a stage call: {error}"
