Hold the polls of pieces for up to 600 ms

Cause: most steps take 300 to 600 ms, so a limit of 300 ms made one or two polls more for each of them at the owner, which has the least processor time. Change: POLL_WAIT_MS 300 to 600. An owner that is cut off or frozen is noticed after 850 ms in place of 550; one that was killed resets the connection at once.

--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -26,7 +26,7 @@
 __all__ = ["StageResults", "StageRunner", "StagedWork"]
 
 # How long an owner may hold the reply to a poll.
-POLL_WAIT_MS = 300
+POLL_WAIT_MS = 600
 # An owner whose reply is later by this much counts as unreachable; another entry then
 # forms the calls.
 POLL_SLACK_MS = 250
