--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -189,6 +189,30 @@
     assert 0 < int(seen.headers["deadline-remaining"]) <= 2_000
 
 
+def test_rejection_with_a_body_that_does_not_end():
+    """Guards against a request that waits for a body that nobody needs."""
+
+    async def drip():
+        while True:
+            yield b"x"
+            await curio.sleep(0.02)
+
+    def rejection(request):
+        echo = ("Attempt-Id", request.headers["attempt-id"])
+        return Response(503, drip(), (echo, NOT_RUN))
+
+    async def client(address, fleet):
+        clock = SystemClock()
+        started_ms = clock.now_ms()
+        reply = await send(address)
+        return reply.status, reply.body, clock.now_ms() - started_ms
+
+    engines = [[rejection], [stream(event(1), fail=False)]]
+    status, body, took_ms = run_relay(RouteKind.STREAM, engines, client)
+    assert (status, body) == (200, event(1))
+    assert took_ms < 2_000
+
+
 class FreshFor:
     """Freshness of the keys that ends after some checks, as after a pause."""
 
