Pass on that a target left, also at a member that does not know it

Cause: a control member that was restarted or cut off acknowledged the goodbye of a target that it did not know, and recorded nothing: entries and other members went on using the target, and its last report could revive it at the restarted member. Change: the member records that this incarnation has left and shares it at once; a goodbye without a start time at a member that does not know the target gets a 503, so that the target tells another one. Result: test_restarted_member_passes_on_that_a_target_left and test_goodbye_of_an_unknown_target_is_not_acknowledged; the first fails on the code before.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -160,6 +160,35 @@
     assert run(scenario) == (True, True)
 
 
+def test_restarted_member_passes_on_that_a_target_left():
+    """Guards against a target that left and is used again or still.
+
+    The member that is told has just been restarted and does not know the target; the
+    entry and the other members do, and a report of before arrives once more.
+    """
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.hubs[0].report(ROW)
+        await clock.sleep_ms(1_000)
+        before = [row.name for row in view.targets("s")]
+        fresh = controls.hubs[2]
+        fresh.membership.__init__()
+        fresh.epoch += 1
+        refused = await fresh.leave("t1", 0)
+        accepted = await fresh.leave("t1", 10)
+        await clock.sleep_ms(500)
+        after = [row.name for row in view.targets("s")]
+        await fresh.report(attrs.evolve(ROW, sequence=9))
+        await clock.sleep_ms(1_500)
+        rows = [hub.membership.targets_by_name["t1"] for hub in controls.hubs]
+        late = [row.name for row in view.targets("s")]
+        return before, refused, accepted, after, late, [row.leaving for row in rows]
+
+    expected = (["t1"], False, True, [], [], [True, True, True])
+    assert run(scenario) == expected
+
+
 def test_silent_target_is_used_only_if_there_is_no_other():
     """Guards against an entry without targets when control members get no reports."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -282,6 +282,13 @@
 
     async def leave(self, name, incarnation):
         self.left.append((name, incarnation))
+        return name != "i-unknown"
+
+
+def test_goodbye_of_an_unknown_target_is_not_acknowledged():
+    """Guards against a target that left and is still used by the other members."""
+    handler = ControlHandler(FakeStore(), FakeHub())
+    assert call(handler, "DELETE", "/instances/i-unknown", b"").status == 503
 
 
 def call(handler, method, path, body=b""):
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -45,6 +45,8 @@
 CONFIRM_TIMEOUT_MS = 400
 CLEANUP_INTERVAL_MS = 60_000
 # Limit of the time that a poll may be held.
+# Address of a target that left and whose other fields are unknown here.
+UNKNOWN_ADDRESS = Address("0.0.0.0", 1)
 MAX_POLL_WAIT_MS = 2_000
 
 
@@ -148,12 +150,27 @@
             await self.share_requested.notify()
             await self.changed.notify()
 
-    async def leave(self, name: str, incarnation: int) -> None:
-        """Mark a target that signed off without having drained as leaving."""
+    async def leave(self, name: str, incarnation: int) -> bool:
+        """Mark a target that signed off without having drained as leaving.
+
+        A member that was restarted or cut off may not know the target, while entries
+        still use it; they are then sent a row that only says that it has left.
+
+        Args:
+            name: Name of the target.
+            incarnation: Its incarnation, 0 if it did not state one.
+
+        Returns:
+            Whether it is now known to have left.
+        """
         row = self.membership.targets_by_name.get(name)
-        if row is None or incarnation and incarnation < row.incarnation:
-            return
-        await self.report(attrs.evolve(row, leaving=True))
+        if row is None:
+            if not incarnation:
+                return False
+            row = TargetRow(name, UNKNOWN_ADDRESS, "", "", 0, incarnation)
+        if not incarnation or incarnation >= row.incarnation:
+            await self.report(attrs.evolve(row, leaving=True))
+        return True
 
     def _retire_address(self, row: TargetRow, now_ms: int) -> None:
         """Mark the older of two targets with the same address as leaving.
