--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -15,8 +15,10 @@
 from hypothesis import strategies as st
 from wagtail_platform.__main__ import _load
 from wagtail_platform.documents import read_document
+from wagtail_platform.requests import PlatformWire
 
 from demo.processes import free_addresses
+from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery.view import FleetView
 from wagtailrun.exceptions import FleetTextError, SettingsError
@@ -202,6 +204,29 @@
     assert min(service.pool.slots, service.pool.batch) >= 1
 
 
+@pytest.mark.parametrize(
+    ("text", "remaining_ms"),
+    [("1000", 1_000), ("1000.7", 1_000), ("1e3", 1_000), ("1e999", 3_600_000)],
+)
+def test_remaining_time_of_a_request_in_each_form(text, remaining_ms):
+    """Guards against a request that is refused for the form of its deadline."""
+    headers = {"attempt-id": "a", "host": "h", "deadline-remaining": text}
+    request = PlatformWire().parse_request(Request("POST", "/", headers=headers))
+    assert request.remaining_ms == remaining_ms
+
+
+@pytest.mark.parametrize("field", ["version", "priority", "max_attempts", "timeout_ms"])
+def test_huge_number_of_a_document_ends_in_an_answer(field):
+    """Guards against an unexpected error on a number with hundreds of digits."""
+    route = {**ROUTE, "timeout_ms": 1_000, field: 10**400}
+    value = {"version": 1, "routes": [route], "services": [{"name": "llm"}]}
+    if field == "version":
+        with pytest.raises(FleetTextError):
+            read_document(json.dumps({**value, "version": 10**400}))
+    else:
+        assert read_document(json.dumps(value)).version == 1
+
+
 @pytest.mark.parametrize("text", ["NaN", "Infinity", "-1", "1e999", "true", '"5"'])
 def test_number_that_is_none_is_refused(text):
     """Guards against a NaN of a document that reaches the decisions."""
