Keep at most 2,000 rankings of owners

Cause: rankings for targets that are gone stayed in memory until the entries changed. Result: test_rankings_are_bounded.

--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wagtailrun.discovery.owners import AVOIDANCE_MS, Owners
+from wagtailrun.discovery.owners import AVOIDANCE_MS, MAX_RANKINGS, Owners
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import VirtualClock
@@ -60,6 +60,16 @@
     assert owners.owner("board", tried) is None
 
 
+def test_rankings_are_bounded():
+    """Guards against memory that grows with every target that ever was."""
+    owners = make_owners(entry_rows(12))
+    before = owners.owner("board").name
+    for number in range(2 * MAX_RANKINGS):
+        owners.owner(f"calls of {number}", data_centre="b")
+    assert len(owners._ranking_by_key) <= MAX_RANKINGS
+    assert owners.owner("board").name == before
+
+
 def test_ranking_follows_the_live_entries():
     """Guards against an owner that has left since the ranking was computed."""
     rows = [entry_rows(12)]
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -12,6 +12,7 @@
 # An entry that did not reply is skipped for this long; the control members drop a dead
 # one within 2 s.
 AVOIDANCE_MS = 1_500
+MAX_RANKINGS = 2_000
 
 
 class Owners:
@@ -75,6 +76,10 @@
             self._rank_busy_keys()
         ranking = self._ranking_by_key.get((key, data_centre))
         if ranking is None:
+            if len(self._ranking_by_key) >= MAX_RANKINGS:
+                # Keys of targets that are gone remain until the entries change.
+                self._ranking_by_key = {}
+                self._rank_busy_keys()
             ranking = self._rank(key, data_centre)
             self._ranking_by_key[key, data_centre] = ranking
         return ranking
