Release the inputs of short calls and after a change of owner

Inputs that the owner of a step releases stayed until they expired if the call ended within 60 ms, since the mark was then cancelled, and if their service had got another owner meanwhile, which did not know their targets. Ruled out: load; both cases are shown in virtual time. Change: a call that succeeded marks its inputs; the release names the targets.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -16,7 +16,6 @@
     FreeResults,
     JobState,
     PieceOutcome,
-    PieceResult,
     RunPieces,
     StageBatcher,
     StageClient,
@@ -409,7 +408,11 @@
         harness = BatcherHarness(clock)
         messages = [
             harness.message(
-                name, has_inputs=True, inputs=(f"h{name}",), input_services=("first",)
+                name,
+                has_inputs=True,
+                inputs=(f"h{name}",),
+                input_services=("first",),
+                input_addresses=("10.0.0.9:80",),
             )
             for name in "ab"
         ]
@@ -422,23 +425,29 @@
     ((released_ms, message),) = released
     assert message.service == "first"
     assert sorted(result.handle for result in message.results) == ["ha", "hb"]
+    assert {result.address for result in message.results} == {"10.0.0.9:80"}
     assert released_ms >= calls[0][0] + INPUT_FETCH_MS
 
 
-def test_release_without_address_reaches_the_target_that_made_the_result():
-    """Guards against results that fill the memory until they expire."""
+def test_inputs_of_a_short_call_are_released():
+    """Guards against inputs that stay until they expire if a call ends at once."""
+    capacity = attrs.evolve(CAPACITY, call_ms=1.0, item_ms=0.0)
 
     async def main(clock):
-        harness = BatcherHarness(clock)
-        state = await harness.send("a")
-        handles = [result.handle for result in state.results]
-        results = (PieceResult(0, handles[0]), PieceResult(0, "unknown"))
-        await harness.batcher.handle(FreeResults("s", results))
-        await clock.sleep_ms(100)
-        return handles, harness.client.freed
+        harness = BatcherHarness(clock, capacity=capacity)
+        state = await harness.send(
+            "a",
+            has_inputs=True,
+            inputs=("ha",),
+            input_services=("first",),
+            input_addresses=("10.0.0.9:80",),
+        )
+        await clock.sleep_ms(200)
+        return state, [message for _, message in harness.released_elsewhere]
 
-    handles, freed = run_virtual(main)
-    assert freed == handles
+    state, released = run_virtual(main)
+    assert state.state == JobState.DONE
+    assert [[result.handle for result in each.results] for each in released] == [["ha"]]
 
 
 def test_missing_input_ends_the_job_at_once():
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -145,6 +145,37 @@
     assert freed == early | {*results.handles(0), *results.handles(3)}
 
 
+def test_new_owner_releases_results_that_it_did_not_make():
+    """Guards against results that stay until they expire after a change of owner.
+
+    The entries learn of each other between two steps, so that another one owns the
+    service when the inputs of the second step have been fetched.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        name, owner = other_entry()
+        steps = (StageStep("s"), StageStep("s", after=(0,)))
+        staged = work(clock, pieces=(2, 1), steps=steps)
+        results = StageResults()
+        runner = fleet.runners[name]
+
+        async def change_owner():
+            await clock.sleep_ms(130)
+            for each in fleet.runners.values():
+                row = next(row for row in ENTRIES if row.name == owner)
+                each.owners.exclude(row, "it has left")
+
+        await curio.spawn(change_owner, daemon=True)
+        await runner.run(staged, "a", results)
+        await clock.sleep_ms(200)
+        return set(results.handles(0)), set(fleet.client.freed)
+
+    made, freed = run_virtual(main)
+    assert len(made) == 2
+    assert made <= freed
+
+
 def test_another_entry_takes_over_for_an_unreachable_owner():
     """Guards against requests that wait for an entry that has crashed."""
 
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -34,6 +34,7 @@
   round @15 :UInt8;
   movedBytes @16 :UInt64;
   inputServices @17 :List(Text);  # Services of the inputs that the owner releases.
+  inputAddresses @18 :List(Text);  # Targets that hold these inputs.
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -38,11 +38,6 @@
         if held is not None:
             self.bytes_by_address[held.address] -= held.size
 
-    def address_of(self, handle: str) -> Address | None:
-        """Return the target that holds a result; None if it is not recorded."""
-        held = self.results_by_handle.get(handle)
-        return held.address if held is not None else None
-
     def used_bytes(self, address: Address) -> int:
         """Return the bytes that results occupy at ``address``."""
         return self.bytes_by_address.get(address, 0)
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -64,6 +64,8 @@
         moved_bytes: Bytes that cross data centres if the step runs in another one.
         input_services: Service of each input, if the receiver is to release the inputs
             once they are fetched; empty if the sender does.
+        input_addresses: Target that holds each of these inputs. The owner of their
+            service may be another entry by now, which did not make them.
     """
 
     request_id: str
@@ -84,6 +86,7 @@
     round: int = 0
     moved_bytes: int = 0
     input_services: tuple[str, ...] = ()
+    input_addresses: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -93,7 +96,7 @@
     Attributes:
         piece: Number of the piece.
         handle: Name of its result.
-        address: Target that holds it; may be empty in a release.
+        address: Target that holds it.
         data_centre: Data centre of the target that holds it.
     """
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -340,15 +340,11 @@
         """Schedule the release of results.
 
         They count as memory in use until their targets confirm the release. The results
-        may come from calls of another entry that owned the service before; one whose
-        address is not known either expires at its target.
+        may come from calls of another entry that owned the service before.
         """
         for result in results:
-            address = self.memory.address_of(result.handle)
-            if address is None and result.address:
-                address = Address.parse(result.address)
-            if address is not None:
-                self.pending_releases_by_address[address].append(result.handle)
+            address = Address.parse(result.address)
+            self.pending_releases_by_address[address].append(result.handle)
 
     # Calls
 
@@ -525,7 +521,7 @@
         target_state = self.target_states_by_name[row.name]
         items = [self._stage_item(job, piece, started_ms) for job, piece in chosen]
         timeout_ms = int(max(CALL_TIMEOUT_FACTOR * expected_ms, MIN_CALL_TIMEOUT_MS))
-        fetch_timer = await curio.spawn(self._mark_inputs_fetched, chosen, daemon=True)
+        fetch_timer = await curio.spawn(self._await_fetch, chosen, daemon=True)
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
@@ -560,30 +556,41 @@
             for job, piece in chosen:
                 self._requeue(job, piece, failure.verdict is not Verdict.NOT_RUN)
         else:
+            # A call may end before its inputs were marked.
+            await self._mark_inputs_fetched(chosen)
             self._record_success(target_state, len(items), ended_ms - started_ms)
             for (job, piece), reply in zip(chosen, replies, strict=True):
                 self._apply_reply(row, target_state, job, piece, reply)
         await self.batcher.notify_finished()
         await self.wake.set()
 
+    async def _await_fetch(self, chosen: list[tuple[_Job, int]]) -> None:
+        """Mark the inputs of a call as fetched once there was time for it."""
+        await self.clock.sleep_ms(INPUT_FETCH_MS)
+        await self._mark_inputs_fetched(chosen)
+
     async def _mark_inputs_fetched(self, chosen: list[tuple[_Job, int]]) -> None:
         """Mark the inputs of a call as fetched, so that they can be released."""
-        await self.clock.sleep_ms(INPUT_FETCH_MS)
-        handles_by_service: dict[str, list[str]] = defaultdict(list)
+        results_by_service: dict[str, list[PieceResult]] = defaultdict(list)
         for job, piece in chosen:
             job.fetched_pieces.add(piece)
             if not job.fetched and len(job.fetched_pieces) == len(job.message.pieces):
                 job.fetched = True
                 message = job.message
-                pairs = zip(message.input_services, message.inputs, strict=False)
-                for service, handle in pairs:
-                    handles_by_service[service].append(handle)
+                for service, handle, address in zip(
+                    message.input_services,
+                    message.inputs,
+                    message.input_addresses,
+                    strict=False,
+                ):
+                    result = PieceResult(0, handle, address)
+                    results_by_service[service].append(result)
                 if not message.input_services:
                     await job.progress.notify()
-        for service, handles in handles_by_service.items():
+        for service, results in results_by_service.items():
             # One message for all requests of the call.
-            results = tuple(PieceResult(0, handle) for handle in handles)
-            await self.batcher.release_elsewhere(FreeResults(service, results))
+            message = FreeResults(service, tuple(results))
+            await self.batcher.release_elsewhere(message)
 
     def _stage_item(self, job: _Job, piece: int, now_ms: int) -> StageItem:
         message = job.message
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -324,9 +324,24 @@
         owner = self.owners.owner(work.steps[number].service, tried)
         retried = False
         seen_fetched = not inputs
+        input_services: tuple[str, ...] = ()
+        input_addresses: tuple[str, ...] = ()
+        if results is not None and self._owner_releases(work, number):
+            located = [
+                (work.steps[other].service, result.address)
+                for other in work.steps[number].after
+                for result in results.results_by_step.get(other, ())
+            ]
+            input_services = tuple(service for service, _ in located)
+            input_addresses = tuple(address for _, address in located)
         while True:
             message = self._make_message(work, number, data_centre, inputs, reserve)
-            message = attrs.evolve(message, seen_fetched=seen_fetched)
+            message = attrs.evolve(
+                message,
+                seen_fetched=seen_fetched,
+                input_services=input_services,
+                input_addresses=input_addresses,
+            )
             if owner is None or message.remaining_ms <= 0:
                 return PiecesState(
                     JobState.REFUSED, detail="no time or no reachable entry is left"
@@ -367,13 +382,6 @@
         reserve: bool,
     ) -> RunPieces:
         step = work.steps[number]
-        input_services: tuple[str, ...] = ()
-        if inputs and self._owner_releases(work, number):
-            input_services = tuple(
-                work.steps[other].service
-                for other in step.after
-                for _ in range(work.pieces[other])
-            )
         rest_ms = self._dependents_ms(work, number)
         now_ms = self.clock.now_ms()
         return RunPieces(
@@ -393,7 +401,6 @@
             reserve=reserve,
             round=work.round,
             moved_bytes=work.moved_bytes(number),
-            input_services=input_services,
         )
 
     # Messages to owners
