Log how much of a reply had arrived, and the size of a configuration

Event 620 now tells how many bytes of the reply had arrived, event 600 at an entry the size of the configuration and the time of its parsing. Before / after: test_timeout_tells_how_much_of_the_reply_arrived fails before; no decision changes.

--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -57,6 +57,31 @@
     assert with_peer(slow_first, client) == Pong("next")
 
 
+def test_timeout_tells_how_much_of_the_reply_arrived():
+    """Guards against a slow path that the log does not distinguish from a dead peer."""
+
+    async def main():
+        async def half_a_reply(sock, _peer):
+            connection = tcp_link._FrameSocket(sock)
+            await tcp_link._handshake_server(connection, SECRET)
+            await connection.read_frame()
+            await sock.sendall(tcp_link.LENGTH.pack(1_000) + bytes(400))
+            await curio.sleep(5)
+
+        (address,) = free_addresses(1)
+        task = await curio.spawn(tcp_link.listen, address, half_a_reply)
+        await curio.sleep(0.02)
+        try:
+            with pytest.raises(PeerUnreachable) as error:
+                await TcpPeerLink(SECRET).call(address, Ping("x"), 300)
+        finally:
+            await task.cancel()
+        return str(error.value)
+
+    detail = curio.run(main)
+    assert detail.endswith("after 300 ms with 400 of 1000 bytes of the reply")
+
+
 def test_timeout_at_a_slow_peer_keeps_its_connections():
     """Guards against handshakes that overload a peer further.
 
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -48,6 +48,8 @@
         self.sock = sock
         # Time of last use, in milliseconds, while the connection is in the pool.
         self.last_used_ms = 0
+        # Size of the frame that is being read; 0 until its length has arrived.
+        self.frame_bytes = 0
         self._received = bytearray()
         self._turns = Turns()
 
@@ -76,15 +78,24 @@
             EOFError: If the peer closed the connection.
             MessageError: If the frame is too large.
         """
+        self.frame_bytes = 0
         (size,) = LENGTH.unpack(await self.read_exactly(LENGTH.size))
         if size > MAX_FRAME_BYTES:
             raise MessageError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+        self.frame_bytes = size
         return await self.read_exactly(size)
 
     async def write_frame(self, frame: bytes) -> None:
         """Send a frame."""
         await self.sock.sendall(LENGTH.pack(len(frame)) + frame)
 
+    @property
+    def progress(self) -> str:
+        """How much of the frame that is being read has arrived."""
+        if not self.frame_bytes:
+            return "no part of the reply"
+        return f"{len(self._received)} of {self.frame_bytes} bytes of the reply"
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes after the last frame were received."""
@@ -153,12 +164,12 @@
     async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
         """Send ``message`` and return the reply; see ``PeerLink.call``."""
         frame = encode(message)
-        sent = False
+        connection = None
         try:
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 connection = await self._connect(address)
+                connection.frame_bytes = 0
                 try:
-                    sent = True
                     await connection.write_frame(frame)
                     reply = decode(await connection.read_frame())
                 except BaseException:
@@ -172,8 +183,11 @@
                 await self._drop_idle(address)
             reason = str(error) or type(error).__name__
             if isinstance(error, curio.TaskTimeout):
-                reason = f"timed out after {timeout_ms} ms"
+                # A partial reply distinguishes a slow path from a peer that is down.
+                progress = connection.progress if connection else "no connection"
+                reason = f"timed out after {timeout_ms} ms with {progress}"
             detail = f"no reply from peer {address}: {reason}"
+            sent = connection is not None
             raise PeerUnreachable(detail, sent=sent, alive=alive) from error
         self.last_reply_ms_by_address[address] = self.clock.now_ms()
         await self._release(address, connection)
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -217,6 +217,7 @@
     async def _apply_configuration(self, news: News) -> int:
         """Apply a newer configuration; return the revision that is then applied."""
         parse = self.configuration_format.routes
+        started_ms = self.clock.now_ms()
         try:
             if len(news.text) > MAX_INLINE_TEXT_CHARS:
                 self.table = await run_in_thread(parse, news.marks.revision, news.text)
@@ -234,5 +235,7 @@
             revision=news.marks.revision,
             before=self.marks.revision,
             confirmed=news.confirmed,
+            characters=len(news.text),
+            parse_ms=self.clock.now_ms() - started_ms,
         )
         return news.marks.revision
