Test that large changes are in force in time on a slow link

Before / after: fails on the current code: revisions 1, 2, 2 where 2, 4, 6 are due after 2,500 ms; the keys expire for good after the second change.

--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -29,6 +29,8 @@
         self.duplication = duplication
         self.handlers_by_address: dict[Address, Handler] = {}
         self.cuts: set[tuple[Address, Address]] = set()
+        self.bytes_per_ms_by_address: dict[Address, float] = {}
+        self.link_free_ms_by_address: dict[Address, float] = {}
         self.frozen: set[Address] = set()
         self.messages = 0
         self.bytes = 0
@@ -42,6 +44,23 @@
         if both_ways:
             self.cuts.add((destination, source))
 
+    def limit_rate(self, destination: Address, bytes_per_ms: float) -> None:
+        """Deliver messages to ``destination`` one after another at this rate."""
+        self.bytes_per_ms_by_address[destination] = bytes_per_ms
+
+    async def _queue(self, destination: Address, size: int) -> None:
+        """Wait until the link of ``destination`` has carried ``size`` more bytes.
+
+        Bytes of a call that its caller gives up have been sent, too.
+        """
+        rate = self.bytes_per_ms_by_address.get(destination)
+        if rate:
+            now_ms = self.clock.now_ms()
+            free_ms = max(self.link_free_ms_by_address.get(destination, 0), now_ms)
+            free_ms += size / rate
+            self.link_free_ms_by_address[destination] = free_ms
+            await self.clock.sleep_ms(free_ms - now_ms)
+
     def heal(self) -> None:
         self.cuts.clear()
 
@@ -51,6 +70,7 @@
         """Wait for the one-way delay and return whether the frame arrives."""
         self.messages += 1
         self.bytes += len(frame)
+        await self._queue(destination, len(frame))
         await self.clock.sleep_ms(self.random.randint(*self.delay_ms))
         while source in self.frozen or destination in self.frozen:
             await self.clock.sleep_ms(10)
