Fetch configurations in compressed parts that resume

Cause: a poll was answered with the whole text, and had 900 ms. After the second change of 1,400 routes an entry's link of 5 Mbit/s needed longer. Each entry closed the connection, dropped what had arrived and asked the next member for the same text, so that all links stayed full and nothing was ever applied. Ruled out: late parsing (entries used 2% of a core), members that cannot send (4 to 8% of theirs, 4 MB a second), a failing read barrier (no event 603). Change: polls tell only the newest revision. Conclusion: the class of fault is a transfer that begins anew with each try and whose time limit does not depend on its size.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -311,8 +311,8 @@
         hub = controls.hubs[0]
         await hub.report(ROW)
         await controls.put_text(1)
-        first = hub._make_update(NewsMarks(), True)
-        second = hub._make_update(first.marks, True)
+        first = hub._make_update(NewsMarks(), True, fetches_text=False)
+        second = hub._make_update(first.marks, True, fetches_text=False)
         return first, second
 
     first, second = run(scenario)
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -13,12 +13,15 @@
 from wagtailrun.consensus_state import Signal
 from wagtailrun.discovery.messages import (
     AgedEntry,
+    ConfigurationPart,
+    FetchConfiguration,
     News,
     NewsMarks,
     PollNews,
     RowsTaken,
     ShareRows,
 )
+from wagtailrun.discovery.transfer import ConfigurationHistory
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
 from wagtailrun.gossip_messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import ChangeLog, Membership, TargetRow
@@ -102,6 +105,7 @@
         self.reported_targets = ChangeLog()
         self.reported_entries: set[str] = set()
         self.peers_by_address: dict[Address, _PeerState] = {}
+        self.history = ConfigurationHistory()
         self.changed = Signal()
         self.share_requested = Signal()
         self.pending_confirmations: list[tuple[curio.Event, list[bool]]] = []
@@ -129,6 +133,8 @@
                 return await self._handle_poll(message)
             case ShareRows():
                 return await self._merge_rows(message)
+            case FetchConfiguration():
+                return self._get_configuration_part(message)
         raise MessageError(f"{type(message).__name__} is not a discovery request")
 
     # Reports of targets
@@ -212,7 +218,7 @@
                 break
             await curio.ignore_after(wait_ms / MS_PER_SECOND, self.changed.wait)
         confirmed = await self._await_confirmation()
-        return self._make_update(poll.known, confirmed)
+        return self._make_update(poll.known, confirmed, poll.fetches_text)
 
     def _has_updates(self, known: NewsMarks) -> bool:
         return (
@@ -222,7 +228,9 @@
             or known.revision < self.registry.revision
         )
 
-    def _make_update(self, known: NewsMarks, confirmed: bool) -> News:
+    def _make_update(
+        self, known: NewsMarks, confirmed: bool, fetches_text: bool
+    ) -> News:
         same_epoch = known.epoch == self.epoch
         targets = self.membership.state_log.changed_since(
             known.targets if same_epoch else 0
@@ -236,13 +244,17 @@
                 entries=self.entries_mark,
                 revision=self.registry.revision if newer else known.revision,
             ),
-            text=self.registry.text if newer else "",
+            text=self.registry.text if newer and not fetches_text else "",
             confirmed=confirmed,
             targets=tuple(self._aged(name) for name in targets),
             entries=tuple(self.entries_by_name.values()) if entries_changed else (),
             members=self._member_addresses(),
         )
 
+    def _get_configuration_part(self, request: FetchConfiguration) -> ConfigurationPart:
+        self.history.add(self.registry.revision, self.registry.text)
+        return self.history.get_part(request)
+
     def _member_addresses(self) -> tuple[str, ...]:
         members = self.member().configuration.members
         return tuple(info.address for info in members) or (str(self.address),)
@@ -286,6 +298,7 @@
             if self.registry.revision > revision:
                 revision = self.registry.revision
                 events.log(events.FLEET_CONFIG_APPLIED, revision=revision)
+                self.history.add(revision, self.registry.text)
                 await self.changed.notify()
 
     # Entries
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -9,7 +9,16 @@
 from wagtailrun.codec import Channel, Codec
 from wagtailrun.gossip_messages import AgedRow, EntryRow
 
-__all__ = ["AgedEntry", "News", "NewsMarks", "PollNews", "RowsTaken", "ShareRows"]
+__all__ = [
+    "AgedEntry",
+    "ConfigurationPart",
+    "FetchConfiguration",
+    "News",
+    "NewsMarks",
+    "PollNews",
+    "RowsTaken",
+    "ShareRows",
+]
 
 
 @attrs.frozen
@@ -21,7 +30,8 @@
             another epoch are invalid.
         targets: Number of the newest change of targets.
         entries: Number of the newest change of entries.
-        revision: Revision of the fleet configuration that the entry has applied.
+        revision: Newest revision of the fleet configuration that the entry knows to
+            exist; it may not have applied it yet.
     """
 
     epoch: int = 0
@@ -38,11 +48,14 @@
         entry: Row of the polling entry.
         known: Positions up to which it has the updates.
         wait_ms: How long the reply may be held until there is an update.
+        fetches_text: Whether the entry fetches the fleet configuration in parts. An
+            older entry does not, and gets it whole in the reply.
     """
 
     entry: EntryRow
     known: NewsMarks
     wait_ms: int
+    fetches_text: bool = True
 
 
 @attrs.frozen
@@ -51,8 +64,8 @@
 
     Attributes:
         marks: Positions of the entry after this reply.
-        text: Fleet configuration of the revision in ``marks``; empty if the entry has
-            it.
+        text: Fleet configuration of the revision in ``marks`` for an entry that does
+            not fetch it; else empty.
         confirmed: Whether the leader confirmed, after the poll had arrived, that no
             higher revision was applied.
         targets: Rows of targets that changed.
@@ -68,6 +81,45 @@
     members: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class FetchConfiguration:
+    """Requests a part of the newest fleet configuration.
+
+    Attributes:
+        base_revision: Revision that the entry has applied; 0 to get the whole text.
+        identity: Identity of the transfer to continue; 0 to begin one.
+        offset: Number of bytes of it that the entry has.
+        limit: Largest number of bytes to send.
+    """
+
+    base_revision: int
+    identity: int
+    offset: int
+    limit: int
+
+
+@attrs.frozen
+class ConfigurationPart:
+    """Reply to ``FetchConfiguration``.
+
+    Attributes:
+        identity: Identity of the transfer. Another one than requested begins anew.
+        revision: Revision that the transfer yields.
+        base_revision: Revision that it is a difference from; 0 if it is the whole text.
+        size: Bytes of the transfer; 0 if the entry has the newest revision of this
+            member.
+        offset: Position of ``data`` in the transfer.
+        data: Bytes of a Zstandard frame.
+    """
+
+    identity: int
+    revision: int
+    base_revision: int
+    size: int
+    offset: int
+    data: bytes
+
+
 @attrs.frozen
 class AgedEntry:
     """Row of an entry and the time since its last contact."""
@@ -101,5 +153,12 @@
 CODEC = Codec(
     Channel.DISCOVERY,
     "discovery.capnp",
-    [News, PollNews, RowsTaken, ShareRows],
+    [
+        ConfigurationPart,
+        FetchConfiguration,
+        News,
+        PollNews,
+        RowsTaken,
+        ShareRows,
+    ],
 )
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -2,19 +2,29 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
 
 import attrs
-from curio import run_in_thread
+import curio
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
-from wagtailrun.discovery.messages import News, NewsMarks, PollNews
-from wagtailrun.exceptions import FleetTextError, PeerUnreachable
+from wagtailrun.consensus_state import Signal
+from wagtailrun.discovery.messages import (
+    ConfigurationPart,
+    FetchConfiguration,
+    News,
+    NewsMarks,
+    PollNews,
+)
+from wagtailrun.discovery.transfer import MAX_PART_BYTES, ConfigurationTransfer
+from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.gossip_messages import EntryRow, Health
 from wagtailrun.gossip_peers import rendezvous
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.routes import RouteTable
+from wagtailrun.supervisor import supervise
 
 __all__ = ["FleetView", "ConfigurationFormat"]
 
@@ -23,14 +33,22 @@
 POLL_WAIT_MS = 300
 # Additional time after which a poll without a reply has failed.
 POLL_SLACK_MS = 600
+# Time limit for one part of the configuration. After a time-out a smaller part is
+# requested, so that a transfer goes on over any link.
+PART_TIMEOUT_MS = 1_000
+MIN_PART_BYTES = 512
 # A member that does not reply, or cannot reach the leader, is avoided for this long.
 AVOIDANCE_MS = 1_000
 RETRY_PAUSE_MS = 50
 NO_MEMBER_PAUSE_MS = 500
 MAX_ADDRESSES = 64
+# Revisions whose polls are remembered until the entry has applied them.
+MAX_PENDING_CONFIRMATIONS = 64
 # Larger configurations are parsed in a thread: parsing 1 MB takes 0.1 s, which would
 # delay the events of all streams.
-MAX_INLINE_TEXT_CHARS = 64 * 1024
+MAX_INLINE_TEXT_BYTES = 64 * 1024
+
+T = TypeVar("T")
 
 
 class ConfigurationFormat(ABC):
@@ -80,19 +98,24 @@
         self.membership.unconfirmed = True
         self.entries: tuple[EntryRow, ...] = (own,)
         self.table: RouteTable | None = None
+        # Revision that ``table`` was made from.
+        self.revision = 0
+        # Text that the next configuration may be a difference from, and its revision.
+        self.text = b""
+        self.text_revision = 0
+        # Newest revision that could not be parsed here.
+        self.unreadable_revision = 0
         self.marks = NewsMarks()
+        self.newer_revision_known = Signal()
         self.members: list[Address] = []
         self.avoid_until_ms: dict[Address, int] = {}
         self.current_member: Address | None = None
         # When the newest confirmed poll was sent, on the clock of this entry.
         self.confirmed_ms: int | None = None
+        # The same for polls that told of a revision that is not applied yet.
+        self.polled_ms_by_revision: dict[int, int] = {}
         self.on_targets_changed: Callable[[], None] = lambda: None
 
-    @property
-    def revision(self) -> int:
-        """Revision of the configuration that this entry has applied."""
-        return self.marks.revision
-
     @property
     def is_fresh(self) -> bool:
         """Whether no accepted key can have been revoked for over ``key_grace_ms``.
@@ -129,7 +152,12 @@
         return self.entries
 
     async def run(self) -> None:
-        """Poll the control members until cancelled."""
+        """Poll the control members and fetch configurations until cancelled."""
+        async with curio.TaskGroup() as group:
+            for task in (self._poll_members, self._fetch_configurations):
+                await group.spawn(supervise, task.__qualname__, task)
+
+    async def _poll_members(self) -> None:
         while True:
             address = self._pick_member()
             if address is None:
@@ -138,25 +166,32 @@
                 continue
             sent_ms = self.clock.now_ms()
             poll = PollNews(self.own_row, self.marks, POLL_WAIT_MS)
-            try:
-                news = await self.link.call(address, poll, POLL_WAIT_MS + POLL_SLACK_MS)
-            except PeerUnreachable as error:
-                self._avoid(address, str(error))
-                await self.clock.sleep_ms(RETRY_PAUSE_MS)
+            news = await self._call(address, poll, POLL_WAIT_MS + POLL_SLACK_MS, News)
+            if news is None:
                 continue
-            if not isinstance(news, News):
-                self._avoid(
-                    address,
-                    f"expected News in reply to a poll, got {type(news).__name__}",
-                )
-                await self.clock.sleep_ms(RETRY_PAUSE_MS)
-                continue
-            self._record_confirmation(address, news.confirmed)
+            self._record_member(address, news.confirmed)
             await self._apply_update(news)
-            # A newer configuration that cannot be parsed here may revoke keys, so the
-            # poll then confirms nothing.
-            if news.confirmed and self.revision >= news.marks.revision:
-                self.confirmed_ms = sent_ms
+            if news.confirmed:
+                self._record_confirmation(news.marks.revision, sent_ms)
+
+    async def _call(
+        self, address: Address, message: Any, timeout_ms: int, reply_class: type[T]
+    ) -> T | None:
+        """Return the reply of a control member; without one, avoid it and pause."""
+        try:
+            reply = await self.link.call(address, message, timeout_ms)
+        except PeerUnreachable as error:
+            detail = str(error)
+        else:
+            if isinstance(reply, reply_class):
+                return reply
+            detail = (
+                f"expected {reply_class.__name__} in reply to "
+                f"{type(message).__name__}, got {type(reply).__name__}"
+            )
+        self._avoid(address, detail)
+        await self.clock.sleep_ms(RETRY_PAUSE_MS)
+        return None
 
     async def announce_stop(self) -> None:
         """Tell a control member that this entry accepts no more work."""
@@ -192,7 +227,7 @@
             self.current_member = None
             events.log(events.PEER_LOST, peer=str(address), detail=detail)
 
-    def _record_confirmation(self, address: Address, confirmed: bool) -> None:
+    def _record_member(self, address: Address, confirmed: bool) -> None:
         if not confirmed:
             self.avoid_until_ms[address] = self.clock.now_ms() + AVOIDANCE_MS
         elif address != self.current_member:
@@ -209,33 +244,129 @@
             self.entries = tuple({row.name: row for row in news.entries}.values())
         if news.members:
             self.members = [Address.parse(text) for text in news.members]
-        revision = self.marks.revision
-        if news.text and news.marks.revision > revision:
-            revision = await self._apply_configuration(news)
-        self.marks = attrs.evolve(news.marks, revision=revision)
+        if news.text and news.marks.revision > self.revision:
+            # Sent by a member of an earlier version, which knows no transfers.
+            await self._apply_configuration(
+                news.marks.revision, news.text.encode(), ConfigurationTransfer(), 0
+            )
+        self.marks = news.marks
+        if self._lacks_newest:
+            await self.newer_revision_known.notify()
+
+    def _record_confirmation(self, revision: int, sent_ms: int) -> None:
+        """Record that ``revision`` was the newest one after ``sent_ms``.
+
+        A newer configuration may revoke keys, so the poll confirms the keys only once
+        this entry has applied the revision that it told of.
+        """
+        self.polled_ms_by_revision[revision] = sent_ms
+        while len(self.polled_ms_by_revision) > MAX_PENDING_CONFIRMATIONS:
+            del self.polled_ms_by_revision[min(self.polled_ms_by_revision)]
+        self._confirm_applied()
+
+    def _confirm_applied(self) -> None:
+        applied = [r for r in self.polled_ms_by_revision if r <= self.revision]
+        for each in applied:
+            polled_ms = self.polled_ms_by_revision.pop(each)
+            self.confirmed_ms = max(self.confirmed_ms or polled_ms, polled_ms)
 
-    async def _apply_configuration(self, news: News) -> int:
-        """Apply a newer configuration; return the revision that is then applied."""
+    # Configuration
+
+    @property
+    def _lacks_newest(self) -> bool:
+        known = self.marks.revision
+        return known > self.revision and known > self.unreadable_revision
+
+    async def _fetch_configurations(self) -> None:
+        while True:
+            if self._lacks_newest:
+                await self._fetch_newest()
+            else:
+                await self.newer_revision_known.wait()
+
+    async def _fetch_newest(self) -> None:
+        """Fetch and apply the newest configuration.
+
+        The parts that have arrived are kept when a member fails: the next one continues
+        the same transfer.
+        """
+        transfer = ConfigurationTransfer()
+        limit = MAX_PART_BYTES
+        started_ms = self.clock.now_ms()
+        while not transfer.is_complete:
+            address = self._pick_member()
+            if address is None:
+                await self.clock.sleep_ms(NO_MEMBER_PAUSE_MS)
+                continue
+            request = FetchConfiguration(
+                self.text_revision, transfer.identity, len(transfer.data), limit
+            )
+            part = await self._call(
+                address, request, PART_TIMEOUT_MS, ConfigurationPart
+            )
+            if part is None:
+                limit = max(limit // 2, MIN_PART_BYTES)
+                self._log_late(transfer, f"no part from {address}")
+            elif not part.size:
+                self._avoid(address, f"it has no revision after {part.revision}")
+                await self.clock.sleep_ms(RETRY_PAUSE_MS)
+            else:
+                try:
+                    transfer.add(part)
+                except MessageError as error:
+                    self._log_late(transfer, str(error))
+                    transfer = ConfigurationTransfer()
+                    await self.clock.sleep_ms(RETRY_PAUSE_MS)
+        try:
+            text = transfer.decompress(self.text)
+        except MessageError as error:
+            self._log_late(transfer, str(error))
+            # The next transfer then has the whole text.
+            self.text, self.text_revision = b"", 0
+            return
+        await self._apply_configuration(
+            transfer.revision, text, transfer, self.clock.now_ms() - started_ms
+        )
+
+    def _log_late(self, transfer: ConfigurationTransfer, detail: str) -> None:
+        events.log(
+            events.FLEET_CONFIG_INCOMPLETE,
+            revision=transfer.revision or self.marks.revision,
+            before=self.revision,
+            received=len(transfer.data),
+            size=transfer.size,
+            detail=detail,
+        )
+
+    async def _apply_configuration(
+        self, revision: int, text: bytes, transfer: ConfigurationTransfer, took_ms: int
+    ) -> None:
+        """Apply a newer configuration, or remember that it cannot be parsed here."""
         parse = self.configuration_format.routes
         started_ms = self.clock.now_ms()
         try:
-            if len(news.text) > MAX_INLINE_TEXT_CHARS:
-                self.table = await run_in_thread(parse, news.marks.revision, news.text)
+            if len(text) > MAX_INLINE_TEXT_BYTES:
+                table = await curio.run_in_thread(parse, revision, text.decode())
             else:
-                self.table = parse(news.marks.revision, news.text)
-        except FleetTextError as error:
+                table = parse(revision, text.decode())
+        except (FleetTextError, UnicodeDecodeError) as error:
+            self.unreadable_revision = revision
             events.log(
                 events.FLEET_CONFIG_UNREADABLE,
-                revision=news.marks.revision,
+                revision=revision,
                 detail=str(error)[:200],
             )
-            return self.marks.revision
+            return
         events.log(
             events.FLEET_CONFIG_APPLIED,
-            revision=news.marks.revision,
-            before=self.marks.revision,
-            confirmed=news.confirmed,
-            characters=len(news.text),
+            revision=revision,
+            before=self.revision,
+            base=transfer.base_revision,
+            bytes=len(text),
+            transferred_bytes=transfer.size,
+            transfer_ms=took_ms,
             parse_ms=self.clock.now_ms() - started_ms,
         )
-        return news.marks.revision
+        self.table, self.revision = table, revision
+        self.text, self.text_revision = text, revision
+        self._confirm_applied()
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -177,6 +177,13 @@
     "The leader did not confirm the active fleet configuration.",
     "If it persists, check the control members: keys expire at the entries.",
 )
+FLEET_CONFIG_INCOMPLETE = _event(
+    604,
+    logging.WARNING,
+    "A part of a newer fleet configuration did not arrive; it is requested again.",
+    "If it persists, check the network path to the control members.",
+    per_second=10,
+)
 TARGET_STATE_CHANGED = _event(
     610, logging.INFO, "The known state of a target changed.", limited=False
 )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -194,6 +194,11 @@
             "Revision of the text in force.",
             lambda: view.revision,
         )
+        gauge(
+            "newest_revision",
+            "Newest revision of the text that this entry knows of.",
+            lambda: view.marks.revision,
+        )
         gauge(
             "confirmation_age_ms",
             "Age of the last confirmation of the text.",
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -11,6 +11,8 @@
     news @1 :News;
     shareRows @2 :ShareRows;
     rowsTaken @3 :RowsTaken;
+    fetchConfiguration @4 :FetchConfiguration;
+    configurationPart @5 :ConfigurationPart;
   }
 }
 
@@ -26,17 +28,34 @@
   entry @0 :Gossip.EntryRow;
   known @1 :NewsMarks;
   waitMs @2 :UInt32;  # How long the reply may be held, in milliseconds.
+  fetchesText @3 :Bool;
 }
 
 struct News {
   marks @0 :NewsMarks;
-  text @1 :Text;  # Fleet configuration; empty if the entry has this revision.
+  text @1 :Text;  # Fleet configuration for entries that do not fetch it.
   confirmed @2 :Bool;
   targets @3 :List(Gossip.AgedRow);
   entries @4 :List(Gossip.EntryRow);
   members @5 :List(Text);
 }
 
+struct FetchConfiguration {
+  baseRevision @0 :UInt64;
+  identity @1 :UInt64;
+  offset @2 :UInt64;
+  limit @3 :UInt32;
+}
+
+struct ConfigurationPart {
+  identity @0 :UInt64;
+  revision @1 :UInt64;
+  baseRevision @2 :UInt64;
+  size @3 :UInt64;
+  offset @4 :UInt64;
+  data @5 :Data;
+}
+
 struct AgedEntry { row @0 :Gossip.EntryRow; ageMs @1 :UInt64; }
 
 struct ShareRows {
