Bound the rows in the reply to a poll

A reply now has 250 rows at most, oldest change first, and the next poll gets further ones at once. Virtual time runs work for threads inline: the virtual clock did not wait for a real thread, so a test with a large text passed or failed by chance.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -339,3 +339,24 @@
         return list(hub.reported_targets.changed_since(0))
 
     assert run_virtual(main) == []
+
+
+def test_all_targets_arrive_over_a_slow_link():
+    """Guards against a reply with all targets that never fits into its time limit.
+
+    Pattern: an entry without state, 3,000 targets, and a link that needs 6 s for them.
+    """
+
+    async def scenario(controls, clock):
+        controls.network.limit_rate(ENTRY.address, 100)
+        for hub in controls.hubs:
+            hub.target_timeout_ms = 60_000
+        for number in range(3_000):
+            address = Address(f"10.1.{number // 250}.{number % 250}", 80)
+            row = attrs.evolve(ROW, name=f"i-{number:010}", address=address)
+            await controls.hubs[0].report(row)
+        view = await controls.entry()
+        await clock.sleep_ms(8_000)
+        return len(view.targets("s")), view.is_fresh
+
+    assert run(scenario) == (3_000, True)
--- a/tests/test_virtual_time.py
+++ b/tests/test_virtual_time.py
@@ -1,5 +1,7 @@
 """Tests of virtual time."""
 
+import time
+
 import curio
 import pytest
 
@@ -26,6 +28,18 @@
     assert seen == first
 
 
+def test_threads_take_no_virtual_time():
+    """Guards against a clock that runs ahead of work in a thread."""
+
+    async def main(clock):
+        async with curio.TaskGroup() as group:
+            await group.spawn(clock.sleep_ms, 1_000)
+            await curio.run_in_thread(time.sleep, 0.05)
+            return clock.now_ms()
+
+    assert run_virtual(main) == 0
+
+
 def test_deadlock_is_reported():
     """Guards against a test that hangs when no task can run."""
 
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -47,10 +47,13 @@
 ENTRY_TIMEOUT_MS = 2_000
 CONFIRM_TIMEOUT_MS = 400
 CLEANUP_INTERVAL_MS = 60_000
-# Limit of the time that a poll may be held.
 # Address of a target that left and whose other fields are unknown here.
 UNKNOWN_ADDRESS = Address("0.0.0.0", 1)
+# Limit of the time that a poll may be held.
 MAX_POLL_WAIT_MS = 2_000
+# Rows of targets in the reply to a poll, about 50 KB; the next poll gets further ones
+# at once. A reply that is too long for a slow link would be repeated for ever.
+MAX_ROWS_PER_REPLY = 250
 
 
 @attrs.define
@@ -232,15 +235,15 @@
         self, known: NewsMarks, confirmed: bool, fetches_text: bool
     ) -> News:
         same_epoch = known.epoch == self.epoch
-        targets = self.membership.state_log.changed_since(
-            known.targets if same_epoch else 0
+        targets, targets_mark = self.membership.state_log.first_changed_since(
+            known.targets if same_epoch else 0, MAX_ROWS_PER_REPLY
         )
         entries_changed = not same_epoch or known.entries != self.entries_mark
         newer = self.registry.revision > known.revision
         return News(
             marks=NewsMarks(
                 epoch=self.epoch,
-                targets=self.membership.state_log.number,
+                targets=targets_mark,
                 entries=self.entries_mark,
                 revision=self.registry.revision if newer else known.revision,
             ),
--- a/wagtailrun/virtual_time.py
+++ b/wagtailrun/virtual_time.py
@@ -83,6 +83,12 @@
     # The kernel looks up time.monotonic when it starts to run.
     with (
         mock.patch.object(time, "monotonic", lambda: clock.seconds),
+        mock.patch.object(curio, "run_in_thread", _run_inline),
         curio.Kernel(selector=VirtualSelector(clock)) as kernel,
     ):
         return kernel.run(corofunc, clock, *args)
+
+
+async def _run_inline(function: Callable[..., Any], *args: Any) -> Any:
+    """Run ``function`` at once: virtual time would not wait for a thread."""
+    return function(*args)
