Refuse requests that a replaced configuration would decide

Cause: an entry that knew of a newer configuration and had not received it went on deciding by the one before: until its keys expired, and on routes without keys without end. Change: such an entry refuses with configuration-outdated, and is not ready, from the time at which the change must be in force (bounds.config_apply_ms), counted from the sending of the last poll that confirmed its configuration. An entry that is cut off knows of no newer one and goes on. Before / after: test_entry_that_knows_of_a_newer_configuration_stops_using_an_older_one fails before.

--- a/tests/test_configuration_transfer.py
+++ b/tests/test_configuration_transfer.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from tests.test_discovery import ENTRY, KEY_GRACE_MS, ROW, run
+from tests.test_discovery import APPLY_LIMIT_MS, ENTRY, KEY_GRACE_MS, ROW, run
 from wagtailrun.discovery import NewsMarks, PollNews
 from wagtailrun.discovery.messages import FetchConfiguration
 from wagtailrun.discovery.transfer import (
@@ -19,8 +19,6 @@
 
 # An entry's link of 5 Mbit/s, less the overhead of the network.
 LINK_BYTES_PER_MS = 570
-# A change must be in force at every entry this long after its acknowledgement.
-APPLY_LIMIT_MS = 2_500
 ROUTES_PER_CHANGE = 1_400
 # A document of about 2.6 MB.
 LARGE_DOCUMENT_ROUTES = 14_000
@@ -192,6 +190,37 @@
     assert run(scenario) == (False, 2, True)
 
 
+def test_entry_that_knows_of_a_newer_configuration_stops_using_an_older_one():
+    """Guards against requests that are decided by a replaced configuration.
+
+    The configuration does not arrive; the poll that tells of it does. An entry that is
+    cut off does not know of any and goes on.
+    """
+
+    async def scenario(controls, clock):
+        document = Document(random.Random(6))
+        document.grow(ROUTES_PER_CHANGE)
+        view = await controls.entry()
+        await controls.put_text(1)
+        await clock.sleep_ms(1_000)
+        controls.network.limit_rate(ENTRY.address, 0.5)
+        await controls.put_text(2, document.text())
+        await clock.sleep_ms(APPLY_LIMIT_MS // 2)
+        early = view.is_outdated
+        await clock.sleep_ms(APPLY_LIMIT_MS // 2)
+        late = view.is_outdated
+        controls.network.bytes_per_ms_by_address.clear()
+        await clock.sleep_ms(1_500)
+        applied = view.is_outdated
+        for node in controls.cluster.nodes:
+            controls.network.cut(ENTRY.address, node.address)
+        await controls.put_text(3, document.text())
+        await clock.sleep_ms(2 * APPLY_LIMIT_MS)
+        return early, late, applied, view.is_outdated
+
+    assert run(scenario) == (False, True, False, False)
+
+
 def test_damaged_parts_are_rejected():
     """Guards against a configuration that is made from parts that do not fit."""
     part = _whole("a configuration " * 10_000)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -17,6 +17,7 @@
 
 HEARTBEAT_MS = 1_200
 KEY_GRACE_MS = 5_000
+APPLY_LIMIT_MS = 2_500
 ENTRY = EntryRow("e1", Address("10.0.1.1", 7_000), "a", 1)
 ROW = TargetRow("t1", Address("10.0.2.1", 80), "s", "a", 4, incarnation=10, sequence=1)
 
@@ -70,6 +71,7 @@
             lambda: [node.address for node in self.cluster.nodes],
             PlainFormat(),
             KEY_GRACE_MS,
+            APPLY_LIMIT_MS,
         )
         await curio.spawn(view.run, daemon=True)
         return view
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -48,6 +48,7 @@
     table: object
     rows: list = attrs.field(factory=list)
     is_fresh: bool = True
+    is_outdated: bool = False
     revision: int = 1
     confirmation_age_ms: int = 10
     own_row: EntryRow = EntryRow("e", Address("127.0.0.1", 1), "a", 1)
@@ -297,6 +298,8 @@
         ("k2", {}, "/a/x", 401),
         ("", {}, "/a/x", 401),
         ("k1", {"is_fresh": False}, "/a/x", 503),
+        ("k1", {"is_outdated": True}, "/a/x", 503),
+        ("k1", {"is_outdated": True}, "/b/x", 503),
         ("k2", {"is_fresh": False}, "/a/x", 503),
         ("k1", {}, "/b/x", 404),
         ("k1", {"is_fresh": False}, "/b/x", 503),
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -64,6 +64,7 @@
             st.sampled_from(["0", "1", "2", "2.0", "1e0", "500", ""])
         ),
         "bounds.revoke_ms": draw(number_forms(0, day_ms)),
+        "bounds.config_apply_ms": draw(number_forms(0, day_ms)),
         "bounds.grace_s": draw(number_forms(0, 86_400)),
         "bounds.retry_budget_ratio": draw(number_forms(0, 100)),
         "bounds.retry_budget_slack": draw(number_forms(0, many)),
@@ -143,6 +144,7 @@
     "limits.link_mbps": "1000.0",
     "fault_tolerance.machines": "1",
     "bounds.revoke_ms": "5000",
+    "bounds.config_apply_ms": "2500",
     "bounds.grace_s": "8",
     "bounds.retry_budget_ratio": "0.2",
     "bounds.retry_budget_slack": "58",
@@ -154,7 +156,7 @@
     clock = SystemClock()
     own = EntryRow("front-1", Address("10.1.0.41", 7740), "riverside", 1)
     seeds = []
-    view = FleetView(clock, None, own, lambda: seeds, None, 5_000)
+    view = FleetView(clock, None, own, lambda: seeds, None, 5_000, 2_500)
     assert view._pick_member() is None
     seeds.append(Address("10.1.0.1", 7740))
     assert view._pick_member() == seeds[0]
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -77,6 +77,7 @@
         seeds: Returns configured addresses of control members, which may be outdated.
         configuration_format: Parses the fleet configuration.
         key_grace_ms: How long keys may be used after their last confirmation.
+        apply_limit_ms: Time within which a change must be in force here.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         seeds: Callable[[], Sequence[Address]],
         configuration_format: ConfigurationFormat,
         key_grace_ms: float,
+        apply_limit_ms: float,
     ):
         self.clock = clock
         self.link = link
@@ -94,6 +96,7 @@
         self.seeds = seeds
         self.configuration_format = configuration_format
         self.key_grace_ms = key_grace_ms
+        self.apply_limit_ms = apply_limit_ms
         self.membership = Membership(own.data_centre)
         self.membership.unconfirmed = True
         self.entries: tuple[EntryRow, ...] = (own,)
@@ -127,6 +130,17 @@
             return False
         return self.clock.now_ms() - self.confirmed_ms < self.key_grace_ms
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer configuration should have been in force here by now.
+
+        Only a revision that this entry knows of counts, so an entry that is cut off
+        goes on with the configuration that it has.
+        """
+        if self.table is None or self.marks.revision <= self.revision:
+            return False
+        return self.confirmation_age_ms >= self.apply_limit_ms
+
     @property
     def confirmation_age_ms(self) -> int:
         """Age of the newest confirmation in milliseconds; -1 before the first."""
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -42,6 +42,7 @@
     UNKNOWN_CALL = "unknown-call"
     UNAUTHORIZED = "unauthorized"
     NO_CONFIGURATION = "no-configuration"
+    CONFIGURATION_OUTDATED = "configuration-outdated"
     KEYS_UNCONFIRMED = "keys-unconfirmed"
     UNKNOWN_ROUTE = "unknown-route"
     UNKNOWN_KEY = "unknown-key"
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -111,6 +111,7 @@
             lambda: self.live_settings.current.seeds,
             protocol.configuration_format,
             settings.key_grace_ms,
+            settings.apply_limit_ms,
         )
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
@@ -247,7 +248,8 @@
     def is_ready(self) -> bool:
         """Whether this entry accepts new requests."""
         view = self.view
-        return view.table is not None and view.is_fresh and not self.signals.stop_count
+        usable = view.table is not None and view.is_fresh and not view.is_outdated
+        return usable and not self.signals.stop_count
 
     async def run(self) -> None:
         """Serve until a planned stop is complete.
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -122,6 +122,12 @@
                 RefusalReason.NO_CONFIGURATION,
                 "this entry has received no fleet configuration yet",
             )
+        if self.view.is_outdated:
+            return _not_ready(
+                RefusalReason.CONFIGURATION_OUTDATED,
+                f"revision {self.view.revision} of the fleet configuration was "
+                f"replaced {self.view.confirmation_age_ms} ms ago or less",
+            )
         fresh = self.view.is_fresh
         route = table.find(request.host, raw_request.path)
         if route is None:
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -312,6 +312,12 @@
         "How long a revoked key may still be accepted, in milliseconds.",
         5_000,
     )
+    apply_limit_ms: float = _setting(
+        _milliseconds(0),
+        "Time within which a change must be in force at an entry that knows of it, in "
+        "milliseconds.",
+        4_000,
+    )
     drain_notice_ms: float | None = _setting(
         _milliseconds(0),
         "How long to serve new requests after a stop signal, in milliseconds; by "
