Log the parts and the progress of a failed attempt; test repeated crashes

Cause: event 702 told neither which parts the prompt had nor how much of the answer had arrived, so a crash could not be traced to a part of a prompt.

--- /dev/null
+++ b/tests/test_prompt_crashes.py
@@ -0,0 +1,187 @@
+"""Tests of prompts that crash engines, with engines on loopback."""
+
+import attrs
+import curio
+import pytest
+from wagtail_platform.requests import PlatformWire
+
+from demo.processes import free_addresses
+from tests.test_relay_front import FakeView, NoStages, event, route
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_server import HttpServer, Response
+from wagtailrun.clock import SystemClock
+from wagtailrun.discovery.owners import Owners
+from wagtailrun.exceptions import ResponseAborted, TargetFailed
+from wagtailrun.membership import TargetRow
+from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.front import RelayHandler
+from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.placement import PlacementClient, PlacementHost
+from wagtailrun.retries import RetryBudget
+from wagtailrun.routes import (
+    RequestLimits,
+    RoutedService,
+    RouteKind,
+    build_route_table,
+)
+
+pytestmark = pytest.mark.network
+
+RESTART_S = 0.1
+PREFILL_S = 0.02
+SIGNATURE = ("Server-Seal", "seal")
+
+
+class CrashingEngine:
+    """Engine that crashes as it begins to answer a prompt with the part ``bad``.
+
+    Its connections break; it is back after ``RESTART_S`` with a new incarnation.
+    """
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        (self.address,) = free_addresses(1)
+        self.row = TargetRow(f"t{number}", self.address, "s", "a", 4, incarnation=1)
+        self.crashes = 0
+
+    async def start(self):
+        server = HttpServer(self.address, self.handle)
+        self.task = await curio.spawn(server.serve, daemon=True)
+        self.fleet.set_row(self.row)
+
+    async def handle(self, request):
+        headers = [("Attempt-Id", request.headers["attempt-id"]), SIGNATURE]
+        parts = request.headers["prompt-prefix"]
+        self.fleet.arrivals.append(parts)
+        await curio.sleep(PREFILL_S)
+        return Response(200, self.generate(parts), tuple(headers))
+
+    async def generate(self, parts):
+        if "bad:" in parts:
+            yield b""
+            await curio.spawn(self.crash, daemon=True)
+            await curio.sleep(1)
+            raise ResponseAborted("crashed")
+        for number in range(3):
+            yield event(number)
+            await curio.sleep(0.01)
+
+    async def crash(self):
+        self.crashes += 1
+        await self.task.cancel()
+        await curio.sleep(RESTART_S)
+        self.row = attrs.evolve(self.row, incarnation=self.row.incarnation + 1)
+        await self.start()
+
+
+class Fleet:
+    """Engines, and one entry that relays to them."""
+
+    def __init__(self):
+        self.view = FakeView(None)
+        self.arrivals = []
+        self.engines = [CrashingEngine(self, number) for number in range(4)]
+
+    async def start(self):
+        for engine in self.engines:
+            await engine.start()
+        options = {"prompt_affinity": True, "resumable": True, "max_attempts": 2}
+        table = build_route_table(
+            1,
+            [route(RouteKind.STREAM, **options)],
+            [RoutedService("s")],
+            [],
+            RequestLimits(),
+            demands_keys=False,
+        )
+        view = self.view
+        view.table = table
+        clock = SystemClock()
+        host = PlacementHost(clock, TargetChooser(clock, "", 1), view.targets)
+        placement = PlacementClient(None, "e", Owners(clock, lambda: ()), host)
+        chooser = TargetChooser(clock, "a", seed=1)
+        self.metrics = RelayMetrics()
+        self.handler = RelayHandler(
+            clock,
+            view,
+            PlatformWire(),
+            HttpClient(),
+            NoStages(),
+            chooser,
+            placement,
+            RetryBudget(),
+            self.metrics,
+            seed=1,
+        )
+        (self.address,) = free_addresses(1)
+        server = HttpServer(self.address, self.handler.handle)
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0.05)
+
+    def set_row(self, row):
+        rows = [each for each in self.view.rows if each.name != row.name]
+        self.view.rows = [*rows, row]
+
+    @property
+    def crashes(self):
+        return sum(engine.crashes for engine in self.engines)
+
+    async def send(self, number, *parts):
+        """Return the status of one request, 0 if its answer is broken."""
+        prefix = ",".join(f"{part}:100" for part in (*parts, f"own{number}"))
+        headers = (
+            ("Attempt-Id", f"r{number}"),
+            ("Deadline-Remaining", "2000"),
+            ("Prompt-Prefix", prefix),
+            ("Token-Count", "300,10"),
+        )
+        client = HttpClient()
+        try:
+            reply = await client.request(
+                self.address, "POST", "/a/x", headers, b"{}", timeout_ms=3_000, host="h"
+            )
+        except TargetFailed:
+            return 0
+        return reply.status
+
+
+def run(scenario):
+    async def main():
+        fleet = Fleet()
+        await fleet.start()
+        async with curio.timeout_after(30):
+            return await scenario(fleet)
+
+    return curio.run(main)
+
+
+def test_part_that_crashes_engines_is_held_back():
+    """Guards against a prompt part that crashes one engine after another.
+
+    Sound requests that share the other parts are served meanwhile.
+    """
+
+    async def scenario(fleet):
+        statuses = []
+        for number in range(0, 60, 2):
+            await fleet.send(number, "shared", "bad")
+            statuses.append(await fleet.send(number + 1, "shared", "sound"))
+            await curio.sleep(0.05)
+        return fleet.crashes, statuses.count(200)
+
+    crashes, served = run(scenario)
+    assert crashes <= 3
+    assert served >= 27
+
+
+def test_log_shows_the_parts_and_the_state_of_a_broken_attempt(caplog):
+    """Guards against crashes that cannot be traced to what the engine was reading."""
+
+    async def scenario(fleet):
+        return await fleet.send(1, "shared", "bad")
+
+    with caplog.at_level("INFO", logger="absl"):
+        run(scenario)
+    line = next(text for text in caplog.messages if text.startswith("E0702"))
+    assert '"progress": "head"' in line
+    assert '"parts": ["shared", "bad", "own1"]' in line
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -30,7 +30,13 @@
     RunOutcome,
     RunOver,
 )
-from wagtailrun.relay.port import AnswerHead, AttemptContext, RelayWire, TargetLoad
+from wagtailrun.relay.port import (
+    AnswerHead,
+    AnswerProgress,
+    AttemptContext,
+    RelayWire,
+    TargetLoad,
+)
 from wagtailrun.retries import RetryBudget
 
 __all__ = ["Attempt", "RelayAttempts"]
@@ -286,6 +292,7 @@
         request = job.request
         started_ms = self.clock.now_ms()
         job.tried_targets.append(row.name)
+        job.progress = AnswerProgress.NOTHING
         runs_before = job.runs
         # Counted before sending: after any later failure the request may have run.
         job.runs += 1
@@ -308,6 +315,7 @@
                 stream, head = await self._skip_crossed_answers(job, stream)
                 if head.load is not None:
                     self.chooser.record_load(row, head.load)
+                job.progress = AnswerProgress.HEAD
                 yield Attempt(row, stream, head, started_ms)
         except (curio.CancelledError, GeneratorExit):
             # The caller disconnected, which says nothing about the target, or the
@@ -398,6 +406,8 @@
             address=str(row.address),
             attempt=len(job.tried_targets),
             runs=job.runs,
+            progress=str(job.progress),
+            parts=[part.name for part in job.request.parts],
             detail=job.detail,
             remaining_ms=job.deadline_at_ms - self.clock.now_ms(),
         )
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -5,7 +5,7 @@
 import attrs
 
 from wagtailrun.adapters.http_server import Request
-from wagtailrun.relay.port import RelayRequest
+from wagtailrun.relay.port import AnswerProgress, RelayRequest
 from wagtailrun.routes import Route
 from wagtailrun.stages import StagedWork, StageResults
 
@@ -47,6 +47,7 @@
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
         streaming: Whether its answer is being relayed as a stream.
+        progress: How much of the answer to the newest attempt has arrived.
         detail: Description of the newest failure.
     """
 
@@ -73,6 +74,7 @@
     staged_ms: int = 0
     first_ms: int = 0
     streaming: bool = False
+    progress: AnswerProgress = AnswerProgress.NOTHING
     detail: str = ""
 
     @property
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -1,5 +1,6 @@
 """Port to the wire format that callers and targets of the relay use."""
 
+import enum
 from abc import ABC, abstractmethod
 
 import attrs
@@ -10,6 +11,7 @@
 
 __all__ = [
     "AnswerHead",
+    "AnswerProgress",
     "AttemptContext",
     "PromptPart",
     "RelayRequest",
@@ -98,6 +100,15 @@
     slots: int
 
 
+class AnswerProgress(enum.StrEnum):
+    """How much of the answer to an attempt has arrived."""
+
+    NOTHING = "nothing"
+    # Engines send the head when they begin to generate.
+    HEAD = "head"
+    EVENTS = "events"
+
+
 @attrs.frozen
 class AnswerHead:
     """Head of a target's answer.
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -20,7 +20,7 @@
 from wagtailrun.relay.events_split import EventSplitter, StreamEvent
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.placement_messages import RunOutcome
-from wagtailrun.relay.port import AnswerHead
+from wagtailrun.relay.port import AnswerHead, AnswerProgress
 from wagtailrun.stages import StageResults, StageRunner
 
 __all__ = ["RelayStreams"]
@@ -229,6 +229,7 @@
             if not job.first_ms:
                 await self._record_first_event(job, attempt)
             state.events_sent = True
+            job.progress = AnswerProgress.EVENTS
             yield b"".join(event.data for event in found)
             # Counted after the caller has taken the events: a caller that reads slowly
             # is no fault of the target.
