Avoid members that do not reply for longer than trying others takes

Cause: two of eight members had lost power. A member that did not reply was avoided for 1,000 ms, and a poll of a dead one takes 950 ms, so an entry whose two first members are dead asked them in turn for as long as they were down. Change: 3 s at first, doubled with each failure; and 300 ms to open a connection, since a VM without power does not refuse one. Before / after: test_entry_finds_a_live_member_among_dead_ones fails before: no reply within 2,500 ms, and none later.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,10 +7,10 @@
 from tests.fake_network import FakeNetwork
 from wagtailrun.discovery import ConfigurationFormat, FleetView, Hub, News, NewsMarks
 from wagtailrun.discovery.messages import AgedEntry, ShareRows
-from wagtailrun.exceptions import FleetTextError
+from wagtailrun.exceptions import FleetTextError, PeerUnreachable
 from wagtailrun.gossip_messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import TargetRow
-from wagtailrun.ports.link import Address
+from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry import Registry
 from wagtailrun.routes import RequestLimits, build_route_table
 from wagtailrun.virtual_time import run_virtual
@@ -362,3 +362,45 @@
         return len(view.targets("s")), view.is_fresh
 
     assert run(scenario) == (3_000, True)
+
+
+class PartlyDeadLink(PeerLink):
+    """Link to five members, of which the two that are asked first do not answer."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.asked = []
+
+    async def call(self, address, message, timeout_ms):
+        if address not in self.asked:
+            self.asked.append(address)
+        if address in self.asked[:2]:
+            await self.clock.sleep_ms(timeout_ms)
+            raise PeerUnreachable(f"no reply from {address}")
+        await self.clock.sleep_ms(message.wait_ms)
+        return News(NewsMarks(epoch=1), confirmed=True)
+
+
+def test_entry_finds_a_live_member_among_dead_ones():
+    """Guards against an entry that asks two dead members in turn for ever.
+
+    Found by a hunted day of sampul-route-grown: its two first members had lost power.
+    """
+
+    async def main(clock):
+        link = PartlyDeadLink(clock)
+        seeds = [Address(f"10.0.0.{number}", 7_000) for number in range(1, 6)]
+        view = FleetView(
+            clock,
+            link,
+            ENTRY,
+            lambda: seeds,
+            PlainFormat(),
+            KEY_GRACE_MS,
+            APPLY_LIMIT_MS,
+        )
+        await curio.spawn(view.run, daemon=True)
+        await clock.sleep_ms(APPLY_LIMIT_MS)
+        return view.confirmed_ms is not None
+
+    assert run_virtual(main)
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -27,6 +27,9 @@
 NONCE_BYTES = 16
 DIGEST_BYTES = 32
 HANDSHAKE_TIMEOUT_MS = 2_000
+# A VM without power does not refuse a connection. TCP sends a lost SYN again after a
+# second, which is longer than trying another peer.
+CONNECT_TIMEOUT_MS = 300
 IDLE_TIMEOUT_MS = 60_000
 # A call that waits for a stage occupies its connection for about a third of a second.
 MAX_IDLE_CONNECTIONS_PER_PEER = 16
@@ -213,7 +216,12 @@
             if self.clock.now_ms() - connection.last_used_ms < MAX_POOLED_AGE_MS:
                 return connection
             await connection.close()
-        sock = await curio.open_connection(address.host, address.port)
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
+                sock = await curio.open_connection(address.host, address.port)
+        except curio.TaskTimeout as error:
+            detail = f"cannot connect within {CONNECT_TIMEOUT_MS} ms"
+            raise ConnectionError(detail) from error
         enable_dead_peer_detection(sock)
         connection = _FrameSocket(sock)
         try:
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -41,8 +41,12 @@
 PART_TIMEOUT_MS = 1_000
 MIN_PART_BYTES = 512
 REPORT_TIMEOUT_MS = 500
-# A member that does not reply, or cannot reach the leader, is avoided for this long.
+# A member that cannot reach the leader is avoided for this long.
 AVOIDANCE_MS = 1_000
+# A member that does not reply is avoided for longer than it takes to try three, or dead
+# members would be tried in turn and never a live one. Each failure doubles the time.
+FAILURE_AVOIDANCE_MS = 3_000
+MAX_AVOIDANCE_MS = 24_000
 RETRY_PAUSE_MS = 50
 NO_MEMBER_PAUSE_MS = 500
 MAX_ADDRESSES = 64
@@ -120,6 +124,8 @@
         self.reported_crashes_mark = 0
         self.members: list[Address] = []
         self.avoid_until_ms: dict[Address, int] = {}
+        # Consecutive failures of each member that was not reached since.
+        self.failures_by_address: dict[Address, int] = {}
         self.current_member: Address | None = None
         # When the newest confirmed poll was sent, on the clock of this entry.
         self.confirmed_ms: int | None = None
@@ -248,12 +254,18 @@
         return max(self.avoid_until_ms.get(address, 0) - now_ms, 0)
 
     def _avoid(self, address: Address, detail: str) -> None:
-        self.avoid_until_ms[address] = self.clock.now_ms() + AVOIDANCE_MS
+        failures = self.failures_by_address.pop(address, 0)
+        if len(self.failures_by_address) >= MAX_ADDRESSES:
+            self.failures_by_address.clear()
+        self.failures_by_address[address] = failures + 1
+        avoid_ms = min(FAILURE_AVOIDANCE_MS << failures, MAX_AVOIDANCE_MS)
+        self.avoid_until_ms[address] = self.clock.now_ms() + avoid_ms
         if self.current_member is not None:
             self.current_member = None
             events.log(events.PEER_LOST, peer=str(address), detail=detail)
 
     def _record_member(self, address: Address, confirmed: bool) -> None:
+        self.failures_by_address.pop(address, None)
         if not confirmed:
             self.avoid_until_ms[address] = self.clock.now_ms() + AVOIDANCE_MS
         elif address != self.current_member:
