Act on what targets say about themselves in their answers

A target was used until its heartbeat had told the control members, and asked again at once. Change: an observer in the HTTP client reads the head of every answer, of requests, stage calls and releases alike, and permits every request. A target that leaves is out of this VM's choice at once and reported to the others; a pause is kept for the incarnation, ends at a random time after it, with one request first, and is no failure of the target. Where all targets pause, a request waits if it can still meet its objective and is refused at once otherwise.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -404,3 +404,53 @@
         return view.confirmed_ms is not None
 
     assert run_virtual(main)
+
+
+def test_target_that_tells_an_entry_that_it_leaves_is_dropped_everywhere():
+    """Guards against other entries that use a target until its heartbeat says so."""
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.hubs[0].report(ROW)
+        await clock.sleep_ms(500)
+        before = view.row_at(ROW.address)
+        await view.mark_leaving(ROW)
+        at_once = view.targets("s")
+        await clock.sleep_ms(200)
+        members = [
+            hub.membership.targets_by_name["t1"].leaving for hub in controls.hubs
+        ]
+        await controls.hubs[0].report(attrs.evolve(ROW, sequence=9))
+        await clock.sleep_ms(200)
+        late = view.targets("s")
+        await controls.hubs[0].report(attrs.evolve(ROW, incarnation=11))
+        await clock.sleep_ms(500)
+        return (
+            before,
+            at_once,
+            members,
+            late,
+            [r.incarnation for r in view.targets("s")],
+        )
+
+    expected = (ROW, [], [True, True, True], [], [11])
+    assert run(scenario) == expected
+
+
+def test_entry_that_is_cut_off_keeps_to_what_a_target_told_it():
+    """Guards against a target that comes back with rows of before."""
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.hubs[0].report(ROW)
+        await clock.sleep_ms(500)
+        for node in controls.cluster.nodes:
+            controls.network.cut(ENTRY.address, node.address)
+        await view.mark_leaving(ROW)
+        await clock.sleep_ms(5_000)
+        controls.network.heal()
+        await controls.hubs[0].report(attrs.evolve(ROW, sequence=9))
+        await clock.sleep_ms(5_000)
+        return view.targets("s"), view.is_leaving(ROW), view.has_left("t1")
+
+    assert run(scenario) == ([], True, True)
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,367 @@
+"""Tests of targets that say that they leave, or that ask for a pause."""
+
+import socket
+import struct
+
+import attrs
+import curio
+import pytest
+from wagtail_platform.requests import parse_retry_after
+
+from demo.processes import free_addresses
+from tests.test_relay_front import (
+    GOOD,
+    NOT_RUN,
+    SIGNATURE,
+    answer,
+    event,
+    run_relay,
+    send,
+    stream,
+)
+from wagtailrun.exceptions import TargetFailed, TargetPaused
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
+from wagtailrun.relay.notices import (
+    MAX_PAUSE_MS,
+    MAX_RETURN_JITTER_MS,
+    TRIAL_TIMEOUT_MS,
+    TargetNotices,
+)
+from wagtailrun.relay.port import TargetNotice
+from wagtailrun.routes import RouteKind
+from wagtailrun.virtual_time import run_virtual
+
+LEAVING = ("Server-Leaving", "1")
+ROW = TargetRow("t1", Address("10.0.0.1", 80), "s", "a", 4, incarnation=3)
+
+
+def full(*headers):
+    return answer(503, b"", NOT_RUN, *headers)
+
+
+pytestmark = pytest.mark.network
+
+# Leaving
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_target_that_says_it_leaves_gets_no_new_request(status):
+    """Guards against requests to a target that leaves, until its heartbeat says so."""
+    engines = [[answer(status, b"x", SIGNATURE, LEAVING)], [GOOD]]
+
+    async def client(address, fleet):
+        first = await send(address)
+        for _ in range(5):
+            await send(address)
+        return first, [number for number, _ in fleet.seen]
+
+    first, seen = run_relay(RouteKind.ORDER, engines, client)
+    assert first.status == status
+    assert first.headers["server-leaving"] == "1"
+    assert seen == [0] + [1] * 5
+
+
+def test_stream_of_a_target_that_leaves_is_completed():
+    """Guards against a stream that is cut because its target leaves."""
+
+    def leaving(request):
+        reply = stream(event(1), event(2), fail=False)(request)
+        return attrs.evolve(reply, headers=(*reply.headers, LEAVING))
+
+    async def client(address, fleet):
+        bodies = [(await send(address)).body for _ in range(2)]
+        return bodies, [number for number, _ in fleet.seen]
+
+    engines = [[leaving], [stream(event(1), fail=False)]]
+    bodies, seen = run_relay(RouteKind.STREAM, engines, client)
+    assert bodies == [event(1) + event(2), event(1)]
+    assert seen == [0, 1]
+
+
+@pytest.mark.parametrize("value", ["0", "", "no"])
+def test_other_values_do_not_take_a_target_out(value):
+    """Guards against targets that are lost because of a header of another meaning."""
+    engines = [[answer(200, b"x", SIGNATURE, ("Server-Leaving", value))], [GOOD]]
+
+    async def client(address, fleet):
+        for _ in range(3):
+            await send(address)
+        return [number for number, _ in fleet.seen]
+
+    assert run_relay(RouteKind.IDEMPOTENT, engines, client) == [0, 0, 0]
+
+
+# Pause
+
+
+def test_target_gets_nothing_until_its_pause_ends():
+    """Guards against requests to a target that asked for a pause."""
+    engines = [[full(("Retry-After", "0.6")), GOOD], [GOOD]]
+
+    async def client(address, fleet):
+        for _ in range(10):
+            assert (await send(address)).status == 200
+        during = [number for number, _ in fleet.seen]
+        await curio.sleep(0.6 * 1.25 + 0.1)
+        await send(address)
+        return during, fleet.seen[-1][0]
+
+    during, after = run_relay(RouteKind.IDEMPOTENT, engines, client)
+    assert during == [0] + [1] * 10
+    assert after == 0
+
+
+def test_request_is_refused_at_once_while_all_targets_pause():
+    """Guards against requests that wait for a pause that ends too late."""
+    engines = [[full(("Retry-After", "30"))]]
+
+    async def client(address, fleet):
+        first = await send(address)
+        second = await send(address)
+        return first, second, len(fleet.seen)
+
+    first, second, seen = run_relay(RouteKind.IDEMPOTENT, engines, client)
+    assert (first.status, second.status, seen) == (503, 503, 1)
+    for reply in (first, second):
+        assert 29 <= float(reply.headers["retry-after"]) <= 31
+
+
+def test_request_waits_for_a_short_pause():
+    """Guards against a refusal where the request could still be in time."""
+    engines = [[full(("Retry-After", "0.1")), GOOD]]
+
+    async def client(address, fleet):
+        statuses = [(await send(address)).status for _ in range(2)]
+        return statuses, len(fleet.seen)
+
+    statuses, seen = run_relay(RouteKind.IDEMPOTENT, engines, client, aim_ms=1_000)
+    assert statuses[1] == 200
+    assert seen == 2
+
+
+def test_pause_is_no_failure_of_the_target():
+    """Guards against a target that is shunned after the pause it asked for."""
+    engines = [[answer(503, b"", SIGNATURE, ("Retry-After", "0.3")), GOOD]]
+
+    async def client(address, fleet):
+        await send(address)
+        await curio.sleep(0.5)
+        return (await send(address)).status, len(fleet.seen)
+
+    assert run_relay(RouteKind.IDEMPOTENT, engines, client) == (200, 2)
+
+
+class Harness:
+    """Notices of one VM about one target, in virtual time."""
+
+    def __init__(self, clock, seed=1):
+        self.clock = clock
+        self.row = ROW
+        self.notice = TargetNotice()
+        self.left = []
+        self.notices = TargetNotices(clock, self, lambda _: self.row, self.leave, seed)
+
+    def parse_notice(self, stream):
+        return self.notice
+
+    async def leave(self, row):
+        self.left.append(row)
+
+    async def answer(self, pause_ms=0, leaving=False):
+        self.notice = TargetNotice(leaving, pause_ms)
+        await self.notices.record_answer(ROW.address, None)
+
+    def may_send(self):
+        try:
+            self.notices.check(ROW.address)
+        except TargetPaused:
+            return False
+        return True
+
+
+def test_one_request_at_first_after_a_pause():
+    """Guards against a rush on a target whose pause ends."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(pause_ms=1_000)
+        await clock.sleep_ms(1_000 + MAX_RETURN_JITTER_MS)
+        sent = [harness.may_send() for _ in range(3)]
+        await clock.sleep_ms(TRIAL_TIMEOUT_MS)
+        later = [harness.may_send() for _ in range(2)]
+        await harness.answer()
+        return sent, later, [harness.may_send() for _ in range(3)]
+
+    expected = ([True, False, False], [True, False], [True, True, True])
+    assert run_virtual(main) == expected
+
+
+def test_vms_return_at_different_times():
+    """Guards against a rush of all VMs that a target paused at the same moment."""
+
+    async def main(clock):
+        ends = set()
+        for seed in range(20):
+            harness = Harness(clock, seed)
+            await harness.answer(pause_ms=4_000)
+            ends.add(harness.notices.paused_ms(ROW.address))
+        return min(ends), len(ends)
+
+    shortest_ms, count = run_virtual(main)
+    assert shortest_ms >= 4_000
+    assert count > 10
+
+
+def test_new_incarnation_is_not_paused():
+    """Guards against a target that is unused because of one before it."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(pause_ms=60_000)
+        paused = harness.may_send()
+        harness.row = attrs.evolve(ROW, incarnation=4)
+        return paused, harness.may_send()
+
+    assert run_virtual(main) == (False, True)
+
+
+def test_shorter_pause_of_an_earlier_request_ends_none():
+    """Guards against answers that overtake each other."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(pause_ms=5_000)
+        await harness.answer(pause_ms=10)
+        await clock.sleep_ms(4_000)
+        return harness.may_send()
+
+    assert not run_virtual(main)
+
+
+def test_answer_during_a_pause_does_not_end_it():
+    """Guards against a late answer to a request of before the pause."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(pause_ms=5_000)
+        await harness.answer()
+        return harness.may_send()
+
+    assert not run_virtual(main)
+
+
+def test_absurd_pause_is_bounded():
+    """Guards against arithmetic that overflows, and a target lost for ever."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(pause_ms=10**15)
+        return harness.notices.paused_ms(ROW.address)
+
+    assert run_virtual(main) <= MAX_PAUSE_MS + MAX_RETURN_JITTER_MS
+
+
+def test_leaving_target_is_reported_once():
+    """Guards against a message to the control members with each answer."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(leaving=True)
+        harness.row = attrs.evolve(ROW, leaving=True)
+        await harness.answer(leaving=True)
+        return harness.left
+
+    assert run_virtual(main) == [ROW]
+
+
+def test_answer_of_an_unknown_or_another_target_says_nothing():
+    """Guards against a target that is taken out by the one that has its address."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        harness.notice = None
+        await harness.notices.record_answer(ROW.address, None)
+        harness.row = None
+        harness.notice = TargetNotice(True, 1_000)
+        await harness.notices.record_answer(ROW.address, None)
+        return harness.left, harness.may_send()
+
+    assert run_virtual(main) == ([], True)
+
+
+DATE = "Fri, 04 Dec 2026 14:22:02 GMT"
+
+
+@pytest.mark.parametrize(
+    ("headers", "ms"),
+    [
+        ({"retry-after": "2"}, 2_000),
+        ({"retry-after": " 0.25 "}, 250),
+        ({"retry-after": "1e2"}, 100_000),
+        ({"retry-after": "0"}, 0),
+        ({"retry-after": "9" * 40}, 10**12),
+        ({"retry-after": "-1"}, 0),
+        ({"retry-after": "soon"}, 0),
+        ({"retry-after": ""}, 0),
+        ({"retry-after": "nan"}, 0),
+        ({}, 0),
+        ({"retry-after": "Fri, 04 Dec 2026 14:22:12 GMT", "date": DATE}, 10_000),
+        ({"retry-after": "Fri, 04 Dec 2026 14:21:12 GMT", "date": DATE}, 0),
+        ({"retry-after": "Fri, 04 Dec 2026 14:22:12 GMT"}, 0),
+        ({"retry-after": "Fri, 04 Dec 2026 14:22:12 -0000", "date": DATE}, 0),
+    ],
+)
+def test_forms_of_a_delay(headers, ms):
+    """Guards against answers that end the process or pause a target for ever."""
+    assert parse_retry_after(headers) == ms
+
+
+# Bodies without a length
+
+
+async def raw_engine(*parts, reset=False):
+    """Start an engine that answers with ``parts`` and closes the connection."""
+    (address,) = free_addresses(1)
+
+    async def serve(sock, peer):
+        await sock.recv(65_536)
+        for part in parts:
+            await sock.sendall(part)
+            await curio.sleep(0.02)
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await sock.close()
+
+    await curio.spawn(curio.tcp_server, address.host, address.port, serve, daemon=True)
+    return address
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: abc\r\nServer-Seal: seal\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("kind", "parts", "reset", "body"),
+    [
+        (RouteKind.ORDER, [b"whole ", b"answer"], False, b"whole answer"),
+        (RouteKind.STREAM, [event(1), event(2)], False, event(1) + event(2)),
+        (RouteKind.STREAM, [event(1), event(2)[:-4]], False, None),
+        (RouteKind.STREAM, [event(1)], True, None),
+        (RouteKind.ORDER, [b"half"], True, None),
+    ],
+)
+def test_body_that_ends_with_its_connection(kind, parts, reset, body):
+    """Guards against a broken answer that looks whole, and the reverse."""
+
+    async def client(address, fleet):
+        engine = await raw_engine(HEAD, *parts, reset=reset)
+        fleet.rows[:] = [TargetRow("raw", engine, "s", "a", 4)]
+        await curio.sleep(0.05)
+        try:
+            reply = await send(address)
+        except TargetFailed:
+            return None
+        return reply.body if reply.status == 200 else None
+
+    assert run_relay(kind, [[GOOD]], client) == body
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -18,6 +18,7 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler
 from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import (
@@ -107,16 +108,19 @@
         placement = PlacementClient(None, "e", owners, host, no_report)
         chooser = TargetChooser(clock, "a", seed=1)
         self.metrics = RelayMetrics()
+        wire = PlatformWire()
+        notices = TargetNotices(clock, wire, view.row_at, view.mark_leaving, 1)
         self.handler = RelayHandler(
             clock,
             view,
-            PlatformWire(),
-            HttpClient(),
+            wire,
+            HttpClient(clock, notices),
             NoStages(),
             chooser,
             placement,
             RetryBudget(),
             self.metrics,
+            notices,
             seed=1,
         )
         (self.address,) = free_addresses(1)
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -20,6 +20,7 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.events_split import EventSplitter
 from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import (
     RequestLimits,
@@ -56,7 +57,19 @@
     quarantine: Quarantine = Quarantine(None)
 
     def targets(self, service):
-        return self.rows
+        return [row for row in self.rows if not row.leaving]
+
+    def row_at(self, address):
+        return next((row for row in self.rows if row.address == address), None)
+
+    def is_leaving(self, row):
+        return any(each.leaving for each in self.rows if each.name == row.name)
+
+    async def mark_leaving(self, row):
+        self.rows = [
+            attrs.evolve(each, leaving=each.leaving or each.name == row.name)
+            for each in self.rows
+        ]
 
 
 class NoStages:
@@ -138,16 +151,19 @@
         chooser.choose = lambda rows, avoid, **rest: next(
             (row for row in rows if row.name not in avoid), None
         )
+        wire = PlatformWire()
+        notices = TargetNotices(clock, wire, known.row_at, known.mark_leaving, 1)
         front = RelayHandler(
             clock,
             known,
-            PlatformWire(),
-            HttpClient(),
+            wire,
+            HttpClient(clock, notices),
             NoStages(),
             chooser,
             None,
             RetryBudget(),
             RelayMetrics(),
+            notices,
             seed=1,
         )
         (address,) = free_addresses(1)
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -556,3 +556,28 @@
         return before, harness.batcher.has_open_jobs
 
     assert run_virtual(main) == (True, False)
+
+
+def test_target_that_asks_for_a_pause_gets_no_call_until_it_ends():
+    """Load: calls to a target that is full and says for how long.
+
+    Guards against calls every 40 ms to a target that wants none.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        harness.client.faults_by_name["t1"] = TargetFailed(
+            "full", verdict=Verdict.NOT_RUN, retry_after_ms=1_500
+        )
+        task = await curio.spawn(harness.send, "r")
+        await clock.sleep_ms(1_000)
+        hopeless = await harness.send("late", remaining_ms=400)
+        harness.client.faults_by_name.clear()
+        state = await task.join()
+        return state, hopeless, [at_ms for at_ms, _, _ in harness.client.calls]
+
+    state, hopeless, called_ms = run_virtual(main)
+    assert state.state == JobState.DONE
+    assert hopeless.state == JobState.REFUSED
+    assert len(called_ms) == 2
+    assert called_ms[1] - called_ms[0] >= 1_500
--- a/tests/test_stage_spread.py
+++ b/tests/test_stage_spread.py
@@ -145,3 +145,33 @@
 
     few = run_virtual(main)
     assert few < 32 * len(HANDLES) * len(HANDLES[0]) / 2
+
+
+def test_pause_that_a_target_asks_for_is_passed_on():
+    """Guards against an owner of calls that knows no pause, as another entry calls."""
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        fleet.fail(TargetFailed("full", verdict=Verdict.NOT_RUN, retry_after_ms=1_500))
+        with pytest.raises(TargetFailed) as error:
+            await fleet.run(target(1, "b"))
+        return error.value.retry_after_ms
+
+    assert run_virtual(main) == 1_500
+
+
+def test_call_to_a_target_that_left_is_not_sent():
+    """Guards against calls that another entry wants sent, as it is cut off.
+
+    The sending entry knows that the target leaves, the owner of the calls does not.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        for stages in fleet.stages_by_name.values():
+            stages.has_left = lambda name: name == "t1"
+        with pytest.raises(TargetFailed) as error:
+            await fleet.run(target(1, "b"))
+        return error.value.verdict, fleet.callers()
+
+    assert run_virtual(main) == (Verdict.NOT_RUN, set())
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -3,6 +3,7 @@
 import re
 import select
 import socket
+from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -21,7 +22,13 @@
 from wagtailrun.fairness import Turns
 from wagtailrun.ports.link import Address
 
-__all__ = ["HttpClient", "HttpReply", "HttpStream", "enable_dead_peer_detection"]
+__all__ = [
+    "HttpClient",
+    "HttpReply",
+    "HttpStream",
+    "TargetObserver",
+    "enable_dead_peer_detection",
+]
 
 READ_BYTES = 64 * 1024
 MAX_REPLY_BYTES = 16 * 1024 * 1024
@@ -163,6 +170,22 @@
         self.connection.closing = True
 
 
+class TargetObserver(ABC):
+    """Decides about requests to servers by what their answers say about them."""
+
+    @abstractmethod
+    def check(self, address: Address) -> None:
+        """Permit a request that is about to be sent.
+
+        Raises:
+            TargetPaused: If the server must not get one yet.
+        """
+
+    @abstractmethod
+    async def record_answer(self, address: Address, stream: HttpStream) -> None:
+        """Record the head of an answer."""
+
+
 class _Connection:
     """A connection to a server, which carries one request at a time."""
 
@@ -265,10 +288,14 @@
 
     Args:
         clock: Clock that measures the age of idle connections.
+        observer: Is told of all answers and permits all requests.
     """
 
-    def __init__(self, clock: Clock | None = None):
+    def __init__(
+        self, clock: Clock | None = None, observer: TargetObserver | None = None
+    ):
         self.clock = clock or SystemClock()
+        self.observer = observer
         self.idle_by_address: dict[Address, list[_Connection]] = {}
 
     async def request(
@@ -332,11 +359,14 @@
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
                 False. The process may have been paused since the caller checked it.
+            TargetPaused: If the observer does not permit the request.
         """
         connection = await self._connect(address, new_connection, connect_timeout_ms)
         try:
             if not may_send():
                 raise SendForbidden(f"the request to {address} may no longer be sent")
+            if self.observer is not None:
+                self.observer.check(address)
             fields = [
                 ("Host", host or str(address)),
                 ("Content-Length", str(len(body))),
@@ -346,6 +376,8 @@
             await _send(connection, request, body, timeout_ms)
             head = await connection.read_head(timeout_ms)
             stream = HttpStream(connection, head)
+            if self.observer is not None:
+                await self.observer.record_answer(address, stream)
             yield stream
         except BaseException:
             await connection.sock.close()
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -19,6 +19,7 @@
     NewsMarks,
     PollNews,
     ReportCrashes,
+    ReportLeaving,
     RowsTaken,
     ShareRows,
 )
@@ -141,6 +142,9 @@
                 return await self._handle_poll(message)
             case ShareRows():
                 return await self._merge_rows(message)
+            case ReportLeaving():
+                await self.leave(message.target, message.incarnation)
+                return RowsTaken(self.epoch)
             case ReportCrashes():
                 return await self._merge_crashes(message)
             case FetchConfiguration():
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -20,6 +20,7 @@
     "PartSet",
     "PollNews",
     "ReportCrashes",
+    "ReportLeaving",
     "RowsTaken",
     "ShareRows",
 ]
@@ -118,6 +119,19 @@
     crashes: tuple[AgedEvidence, ...] = ()
 
 
+@attrs.frozen
+class ReportLeaving:
+    """Reports that a target said that it leaves; replied by ``RowsTaken``.
+
+    Attributes:
+        target: Name of the target.
+        incarnation: Its incarnation.
+    """
+
+    target: str
+    incarnation: int
+
+
 @attrs.frozen
 class ReportCrashes:
     """Reports evidence of crashes to a control member; replied by ``RowsTaken``."""
@@ -205,6 +219,7 @@
         News,
         PollNews,
         ReportCrashes,
+        ReportLeaving,
         RowsTaken,
         ShareRows,
     ],
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -17,6 +17,7 @@
     NewsMarks,
     PollNews,
     ReportCrashes,
+    ReportLeaving,
     RowsTaken,
 )
 from wagtailrun.discovery.quarantine import Quarantine
@@ -41,6 +42,7 @@
 PART_TIMEOUT_MS = 1_000
 MIN_PART_BYTES = 512
 REPORT_TIMEOUT_MS = 500
+MAX_LEAVING_REPORTS = 5
 # A member that cannot reach the leader is avoided for this long.
 AVOIDANCE_MS = 1_000
 # A member that does not reply is avoided for longer than it takes to try three, or dead
@@ -107,6 +109,8 @@
         self.apply_limit_ms = apply_limit_ms
         self.membership = Membership(own.data_centre)
         self.membership.unconfirmed = True
+        # The newest target at each address.
+        self.rows_by_address: dict[Address, TargetRow] = {}
         self.entries: tuple[EntryRow, ...] = (own,)
         self.table: RouteTable | None = None
         # Revision that ``table`` was made from.
@@ -172,6 +176,42 @@
         active = [row for row in rows if not row.leaving]
         return [row for row in active if not row.silent] or active
 
+    def row_at(self, address: Address) -> TargetRow | None:
+        """Return the newest target at an address, None if there is none."""
+        return self.rows_by_address.get(address)
+
+    def is_leaving(self, row: TargetRow) -> bool:
+        """Return whether a target left, or was replaced, since ``row`` was read."""
+        known = self.membership.targets_by_name.get(row.name, row)
+        return known.leaving or known.incarnation > row.incarnation
+
+    def has_left(self, name: str) -> bool:
+        """Return whether the target of this name is known to leave."""
+        known = self.membership.targets_by_name.get(name)
+        return known is not None and known.leaving
+
+    async def mark_leaving(self, row: TargetRow) -> None:
+        """Use a target no more, as it said that it leaves; tell the other entries."""
+        self._put_target(attrs.evolve(row, leaving=True), 0)
+        self.on_targets_changed()
+        await curio.spawn(self._report_leaving, row, daemon=True)
+
+    async def _report_leaving(self, row: TargetRow) -> None:
+        report = ReportLeaving(row.name, row.incarnation)
+        for _ in range(MAX_LEAVING_REPORTS):
+            address = self._pick_member()
+            if address is None:
+                await self.clock.sleep_ms(NO_MEMBER_PAUSE_MS)
+            elif await self._call(address, report, REPORT_TIMEOUT_MS, RowsTaken):
+                return
+
+    def _put_target(self, row: TargetRow, age_ms: int) -> None:
+        self.membership.put(row, self.clock.now_ms(), age_ms)
+        row = self.membership.targets_by_name.get(row.name, row)
+        known = self.rows_by_address.get(row.address)
+        if known is None or row.incarnation >= known.incarnation:
+            self.rows_by_address[row.address] = row
+
     def live_entries(self) -> tuple[EntryRow, ...]:
         """Return the running entries, including this one while it accepts requests.
 
@@ -273,9 +313,8 @@
             self.current_member = address
 
     async def _apply_update(self, news: News) -> None:
-        now_ms = self.clock.now_ms()
         for aged in news.targets:
-            self.membership.put(aged.row, now_ms, aged.age_ms)
+            self._put_target(aged.row, aged.age_ms)
         if news.targets:
             self.on_targets_changed()
         if news.entries:
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -229,6 +229,12 @@
 SETTINGS_RELOADED = _event(
     622, logging.INFO, "The settings were reloaded.", limited=False
 )
+TARGET_NOTICE = _event(
+    714,
+    logging.INFO,
+    "A target told in an answer that it leaves, or asked for a pause.",
+    per_second=20,
+)
 ANSWER_BODY_SKIPPED = _event(
     713,
     logging.WARNING,
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -18,6 +18,7 @@
     "SendForbidden",
     "SettingsError",
     "TargetFailed",
+    "TargetPaused",
     "Verdict",
     "WagtailrunError",
 ]
@@ -188,6 +189,13 @@
         super().__init__(detail, verdict=Verdict.NOT_RUN)
 
 
+class TargetPaused(TargetFailed):
+    """The target asked for a pause that has not ended; no byte was sent."""
+
+    def __init__(self, detail: str, retry_after_ms: int):
+        super().__init__(detail, verdict=Verdict.NOT_RUN, retry_after_ms=retry_after_ms)
+
+
 class ConnectFailed(TargetFailed):
     """No connection could be opened, so no byte was sent."""
 
--- a/wagtailrun/relay/__init__.py
+++ b/wagtailrun/relay/__init__.py
@@ -8,6 +8,7 @@
     RelayRequest,
     RelayWire,
     TargetLoad,
+    TargetNotice,
 )
 
 __all__ = [
@@ -18,4 +19,5 @@
     "RelayRequest",
     "RelayWire",
     "TargetLoad",
+    "TargetNotice",
 ]
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -18,11 +18,13 @@
     RefusalReason,
     SendForbidden,
     TargetFailed,
+    TargetPaused,
     Verdict,
 )
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import (
     Placed,
@@ -87,6 +89,7 @@
         chooser: Chooses the targets of routes without prompt affinity.
         placement: Requests engines for routes with prompt affinity.
         budget: Limits retries.
+        notices: What targets told this VM.
     """
 
     def __init__(
@@ -98,8 +101,10 @@
         chooser: TargetChooser,
         placement: PlacementClient,
         budget: RetryBudget,
+        notices: TargetNotices,
     ):
         self.clock = clock
+        self.notices = notices
         self.view = view
         self.wire = wire
         self.http = http
@@ -148,21 +153,69 @@
         return max(job.deadline_at_ms - self.clock.now_ms(), 1)
 
     async def next_target(self, job: RelayJob) -> TargetRow | Refusal:
-        """Return the target of the next attempt, or why there is none."""
-        refusal = self._send_refusal(job, job.runs)
-        if refusal is not None:
-            return refusal
-        refusal = self.quarantine_refusal(job)
-        if refusal is not None:
-            return refusal
-        row = await self._choose_target(job)
-        if isinstance(row, Refusal):
-            return row
-        if row is None:
-            verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-            detail = job.detail or f"no target of {job.service} is known"
-            return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
-        return row
+        """Return the target of the next attempt, or why there is none.
+
+        A request whose targets all asked for a pause waits for the first of them if it
+        can still meet its latency objective.
+        """
+        while True:
+            refusal = self._send_refusal(job, job.runs) or self.quarantine_refusal(job)
+            if refusal is not None:
+                return refusal
+            row = await self._choose_target(job)
+            if row is not None:
+                return row
+            refusal = self.pause_refusal(job)
+            if refusal is not None:
+                return refusal
+            paused_ms = self._soonest_return_ms(job)
+            if not paused_ms:
+                break
+            await self.clock.sleep_ms(paused_ms)
+        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+        detail = job.detail or f"no target of {job.service} is known"
+        return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
+
+    def pause_refusal(self, job: RelayJob) -> Refusal | None:
+        """Return the refusal of a request whose targets all asked for a pause.
+
+        Returns:
+            None if one of them may be used, or will be soon enough for the request to
+            meet its latency objective.
+        """
+        paused_ms = self._soonest_return_ms(job)
+        left_ms = job.objective_at_ms - self.clock.now_ms()
+        if paused_ms is not None:
+            if not paused_ms or paused_ms + (job.planned_ms or left_ms // 2) <= left_ms:
+                return None
+        else:
+            # Each target was tried; some may have asked for a pause then.
+            paused = map(self._paused_ms, self.view.targets(job.service))
+            paused_ms = min(filter(None, paused), default=0)
+            if not paused_ms:
+                return None
+        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+        detail = f"all targets of {job.service} asked for a pause"
+        return Refusal(RefusalReason.OVERLOADED, verdict, detail, paused_ms)
+
+    def _soonest_return_ms(self, job: RelayJob) -> int | None:
+        """Return when the first target that was not tried may be used.
+
+        Returns:
+            Milliseconds, 0 if there is one now, None if all were tried.
+        """
+        rows = self.view.targets(job.service)
+        untried = [row for row in rows if row.name not in job.tried_targets]
+        return min(map(self._paused_ms, untried), default=None)
+
+    def _paused_ms(self, row: TargetRow) -> int:
+        return self.notices.paused_ms(row.address)
+
+    def _usable_targets(self, job: RelayJob) -> list[TargetRow]:
+        """Return the targets of a request that did not ask for a pause."""
+        return [
+            row for row in self.view.targets(job.service) if not self._paused_ms(row)
+        ]
 
     def _send_refusal(self, job: RelayJob, runs: int) -> Refusal | None:
         """Return why a request that was sent ``runs`` times may not be sent now."""
@@ -206,10 +259,11 @@
         return Refusal(RefusalReason.QUARANTINED, verdict, detail, held_ms)
 
     async def _choose_target(self, job: RelayJob) -> TargetRow | Refusal | None:
-        rows = self.view.targets(job.service)
         if not job.route.prompt_affinity:
-            return self.chooser.choose(rows, job.tried_targets)
+            return self.chooser.choose(self._usable_targets(job), job.tried_targets)
         placed = await self.place(job, begin=True)
+        # Targets may have left while the owner chose.
+        rows = self._usable_targets(job)
         job.placed_ms = placed.expected_ms
         if placed.held_ms:
             return self.hold_refusal(job, placed.held_ms, placed.held_parts)
@@ -234,13 +288,16 @@
             begin: Whether the attempt starts now; otherwise nothing is recorded.
         """
         sizes = job.result_bytes()
+        paused = [
+            row.name for row in self.view.targets(job.service) if self._paused_ms(row)
+        ]
         return await self.placement.place(
             PlaceRun(
                 request_id=job.request.request_id,
                 service=job.service,
                 parts=job.request.parts,
                 prompt_tokens=job.request.prompt_tokens,
-                avoid=tuple(job.tried_targets),
+                avoid=(*job.tried_targets, *paused),
                 results=tuple(PlaceSize(*item) for item in sorted(sizes.items())),
                 begin=begin,
                 route=job.route.name,
@@ -348,7 +405,7 @@
                 new_connection=not job.route.repeatable,
                 host=request.host,
                 connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
-                may_send=lambda: self._send_refusal(job, runs_before) is None,
+                may_send=lambda: self._may_send(job, row, runs_before),
             ) as stream:
                 stream, head = await self._skip_crossed_answers(job, stream)
                 if head.load is not None:
@@ -363,6 +420,11 @@
         finally:
             self.chooser.record_end(row)
 
+    def _may_send(self, job: RelayJob, row: TargetRow, runs: int) -> bool:
+        """Return whether a request may be sent on a connection that is open by now."""
+        refusal = self._send_refusal(job, runs)
+        return refusal is None and not self.view.is_leaving(row)
+
     async def _skip_crossed_answers(
         self, job: RelayJob, stream: HttpStream
     ) -> tuple[HttpStream, AnswerHead]:
@@ -388,7 +450,7 @@
         """Return the refusal after a failed attempt, or None to try again."""
         job.detail = f"{row.name}: {error}"
         self._log_failure(job, row)
-        if isinstance(error, SendForbidden):
+        if isinstance(error, SendForbidden | TargetPaused):
             job.runs -= 1
             await self.report_end(job, row, RunOutcome.OVER)
             return self._send_refusal(job, job.runs)
@@ -435,7 +497,8 @@
                 rejection = RunOutcome.MISDIRECTED
             await self.report_end(job, row, rejection, load=head.load)
             return self._spend_retry(job)
-        failed = head.status >= 500 or not head.genuine
+        paused = self._paused_ms(row) > 0
+        failed = head.status >= 500 and not paused or not head.genuine
         outcome = RunOutcome.FAILED if failed else RunOutcome.OVER
         await self.report_end(job, row, outcome, load=head.load)
         if not job.may_run_again or head.status < 500 and head.genuine:
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -23,6 +23,7 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler
 from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import (
     PlacementClient,
     PlacementHost,
@@ -116,7 +117,10 @@
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
         self.busy_keys_table: RouteTable | None = None
-        self.http = HttpClient(self.clock)
+        self.notices = TargetNotices(
+            self.clock, protocol.wire, self.view.row_at, self.view.mark_leaving
+        )
+        self.http = HttpClient(self.clock, self.notices)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
@@ -127,6 +131,7 @@
             settings.name,
             self.owners,
             lambda: settings.link_mbps < SPREAD_BELOW_LINK_MBPS,
+            self.view.has_left,
         )
         self.batcher = StageBatcher(
             self.clock,
@@ -170,6 +175,7 @@
             self.placement,
             self.budget,
             self.metrics,
+            self.notices,
         )
         self.caller_server = HttpServer(
             settings.caller_address, self.handler.handle, limits=self._server_limits
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -14,6 +14,7 @@
 from wagtailrun.relay.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.metrics import RelayMetrics
+from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
@@ -47,6 +48,7 @@
         placement: Requests engines for routes with prompt affinity.
         budget: Limits retries.
         metrics: Counts outcomes.
+        notices: What targets told this VM.
         seed: Seed for the choice among services and the retry jitter.
     """
 
@@ -61,6 +63,7 @@
         placement: PlacementClient,
         budget: RetryBudget,
         metrics: RelayMetrics,
+        notices: TargetNotices,
         seed: int | None = None,
     ):
         self.clock = clock
@@ -72,7 +75,7 @@
         self.random = random.Random(seed)
         self.admission = AdmissionController(clock, runner, seed)
         self.attempts = RelayAttempts(
-            clock, view, wire, http, chooser, placement, budget
+            clock, view, wire, http, chooser, placement, budget, notices
         )
         self.streams = RelayStreams(self.attempts, runner)
 
@@ -238,6 +241,7 @@
             A refusal if the prompt is held back, else None.
         """
         refusal = self.attempts.quarantine_refusal(job)
+        refusal = refusal or self.attempts.pause_refusal(job)
         if refusal is not None:
             return refusal
         placed = await self.attempts.place(job, begin=False)
--- /dev/null
+++ b/wagtailrun/relay/notices.py
@@ -0,0 +1,140 @@
+"""What targets told this VM about themselves: that they leave, or ask for a pause."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from wagtailrun import events
+from wagtailrun.adapters.http_client import HttpStream, TargetObserver
+from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.exceptions import TargetPaused
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
+from wagtailrun.relay.port import RelayWire
+
+__all__ = ["TargetNotices"]
+
+# A target may ask for a pause of any length; a new incarnation ends it.
+MAX_PAUSE_MS = 24 * 3_600 * MS_PER_SECOND
+# After a pause one request is sent at first. Without an answer, another one follows
+# after this time.
+TRIAL_TIMEOUT_MS = 2_000
+# Entries that a target paused together return at random times: the delay is at most
+# this share of the pause.
+RETURN_JITTER_SHARE = 0.25
+MAX_RETURN_JITTER_MS = 1_000
+
+
+@attrs.define
+class _Pause:
+    """Pause that a target asked for.
+
+    Attributes:
+        incarnation: Incarnation of the target.
+        until_ms: End of the pause.
+        trial_until_ms: Until when the request that ended it may take; 0 before it.
+    """
+
+    incarnation: int
+    until_ms: int
+    trial_until_ms: int = 0
+
+
+class TargetNotices(TargetObserver):
+    """Applies what the answers of targets say about the targets.
+
+    Args:
+        clock: Clock.
+        wire: Translates answers.
+        row_at: Returns the target at an address, None if it is not known.
+        on_leaving: Called with a target that says that it leaves.
+        seed: Seed of the random return after a pause.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        wire: RelayWire,
+        row_at: Callable[[Address], TargetRow | None],
+        on_leaving: Callable[[TargetRow], Awaitable[None]],
+        seed: int | None = None,
+    ):
+        self.clock = clock
+        self.wire = wire
+        self.row_at = row_at
+        self.on_leaving = on_leaving
+        self.random = random.Random(seed)
+        self.pauses_by_address: dict[Address, _Pause] = {}
+
+    async def record_answer(self, address: Address, stream: HttpStream) -> None:
+        """Apply the head of an answer; see ``TargetObserver``."""
+        row = self.row_at(address)
+        notice = self.wire.parse_notice(stream)
+        if row is None or notice is None:
+            return
+        if notice.pause_ms:
+            self._pause(row, notice.pause_ms)
+        else:
+            self._end_trial(address)
+        if notice.leaving and not row.leaving:
+            events.log(
+                events.TARGET_NOTICE,
+                target=row.name,
+                incarnation=row.incarnation,
+                leaving=True,
+                pause_ms=0,
+            )
+            await self.on_leaving(row)
+
+    def check(self, address: Address) -> None:
+        """Permit a request to a target; see ``TargetObserver``."""
+        left_ms = self.paused_ms(address)
+        if left_ms:
+            raise TargetPaused(f"{address} asked for a pause", left_ms)
+        pause = self.pauses_by_address.get(address)
+        if pause is not None:
+            pause.trial_until_ms = self.clock.now_ms() + TRIAL_TIMEOUT_MS
+
+    def paused_ms(self, address: Address) -> int:
+        """Return how long a target gets no request from this VM; 0 if it may now."""
+        pause = self.pauses_by_address.get(address)
+        if pause is None:
+            return 0
+        row = self.row_at(address)
+        if row is not None and row.incarnation != pause.incarnation:
+            del self.pauses_by_address[address]
+            return 0
+        return max(max(pause.until_ms, pause.trial_until_ms) - self.clock.now_ms(), 0)
+
+    def _pause(self, row: TargetRow, asked_ms: int) -> None:
+        pause_ms = min(asked_ms, MAX_PAUSE_MS)
+        jitter_ms = min(pause_ms * RETURN_JITTER_SHARE, MAX_RETURN_JITTER_MS)
+        until_ms = self.clock.now_ms() + pause_ms
+        until_ms += int(self.random.uniform(0, jitter_ms))
+        known = self.pauses_by_address.get(row.address)
+        if known is not None and known.incarnation == row.incarnation:
+            # An answer to an earlier request may arrive after one to a later request.
+            until_ms = max(until_ms, known.until_ms)
+        self.pauses_by_address[row.address] = _Pause(row.incarnation, until_ms)
+        self._drop_expired()
+        events.log(
+            events.TARGET_NOTICE,
+            target=row.name,
+            incarnation=row.incarnation,
+            leaving=False,
+            pause_ms=pause_ms,
+        )
+
+    def _end_trial(self, address: Address) -> None:
+        """End a pause after an answer that asks for none."""
+        pause = self.pauses_by_address.get(address)
+        if pause is not None and pause.until_ms <= self.clock.now_ms():
+            del self.pauses_by_address[address]
+
+    def _drop_expired(self) -> None:
+        """Drop the pauses of targets that are gone."""
+        for address, pause in list(self.pauses_by_address.items()):
+            row = self.row_at(address)
+            if row is None or row.incarnation != pause.incarnation:
+                del self.pauses_by_address[address]
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -17,6 +17,7 @@
     "RelayRequest",
     "RelayWire",
     "TargetLoad",
+    "TargetNotice",
 ]
 
 
@@ -100,6 +101,19 @@
     slots: int
 
 
+@attrs.frozen
+class TargetNotice:
+    """What an answer says about the target that sent it.
+
+    Attributes:
+        leaving: Whether the target leaves and wants no new requests.
+        pause_ms: How long it wants no requests from this VM; 0 if it asks for no pause.
+    """
+
+    leaving: bool = False
+    pause_ms: int = 0
+
+
 class AnswerProgress(enum.StrEnum):
     """How much of the answer to an attempt has arrived."""
 
@@ -152,6 +166,14 @@
     def parse_answer(self, stream: HttpStream) -> AnswerHead:
         """Return the head of a target's answer."""
 
+    @abstractmethod
+    def parse_notice(self, stream: HttpStream) -> TargetNotice | None:
+        """Return what an answer says about its target.
+
+        Returns:
+            None if another target than the intended one answered.
+        """
+
     @abstractmethod
     def refusal_headers(self, request_id: str, refusal: Refusal) -> Headers:
         """Return the headers of an answer with a refusal."""
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -14,6 +14,7 @@
     fetchConfiguration @4 :FetchConfiguration;
     configurationPart @5 :ConfigurationPart;
     reportCrashes @6 :ReportCrashes;
+    reportLeaving @7 :ReportLeaving;
   }
 }
 
@@ -52,6 +53,8 @@
   crashes @6 :List(AgedEvidence);
 }
 
+struct ReportLeaving { target @0 :Text; incarnation @1 :UInt64; }
+
 struct ReportCrashes { rows @0 :List(AgedEvidence); }
 
 struct FetchConfiguration {
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -81,4 +81,5 @@
   verdict @1 :Text;
   connected @2 :Bool;
   pieces @3 :List(PieceMade);
+  retryAfterMs @4 :UInt64;
 }
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -208,12 +208,14 @@
         failure: Why the target did not reply; empty if it did.
         verdict: Whether the pieces of a failed call may have been run.
         connected: Whether a connection to the target was open.
+        retry_after_ms: Pause that the target asked for; 0 if it asked for none.
         pieces: Outcome of each piece, in order.
     """
 
     failure: str = ""
     verdict: str = attrs.field(default="", converter=str)
     connected: bool = True
+    retry_after_ms: int = 0
     pieces: tuple[PieceMade, ...] = ()
 
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -615,7 +615,8 @@
         ):
             # The target is full, or another one has taken over its address; the next
             # update of its row shows which.
-            target_state.pause_until_ms = now_ms + REFUSAL_PAUSE_MS
+            pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
+            target_state.pause_until_ms = now_ms + pause_ms
             return
         target_state.failures += 1
         backoff_ms = FIRST_BACKOFF_MS << min(target_state.failures - 1, 6)
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -31,6 +31,7 @@
         name: Name of this entry.
         owners: Chooses the entry that sends the calls to a target.
         should_delegate: Returns whether to send calls through other entries.
+        has_left: Returns whether the target of a name is known to leave.
     """
 
     def __init__(
@@ -40,12 +41,14 @@
         name: str,
         owners: Owners,
         should_delegate: Callable[[], bool],
+        has_left: Callable[[str], bool] = lambda name: False,
     ):
         self.client = client
         self.link = link
         self.name = name
         self.owners = owners
         self.should_delegate = should_delegate
+        self.has_left = has_left
         # Number of calls that this entry is sending for other entries.
         self.running_for_peers = 0
 
@@ -85,7 +88,13 @@
         await self.client.free(address, handles)
 
     async def run_for_peer(self, message: CarryCall) -> CallMade:
-        """Send a call to a target for another entry."""
+        """Send a call to a target for another entry.
+
+        A target that is known here to leave gets none: the other entry may not know it
+        yet.
+        """
+        if self.has_left(message.target):
+            return CallMade(f"{message.target} leaves", Verdict.NOT_RUN)
         target = TargetRow(
             message.target,
             Address.parse(message.address),
@@ -98,7 +107,7 @@
             replies = await self.client.run(target, items, message.timeout_ms)
         except TargetFailed as error:
             connected = not isinstance(error, ConnectFailed)
-            return CallMade(str(error), error.verdict, connected)
+            return CallMade(str(error), error.verdict, connected, error.retry_after_ms)
         finally:
             self.running_for_peers -= 1
         outcomes = tuple(PieceMade(reply.outcome, reply.handle) for reply in replies)
@@ -151,7 +160,11 @@
     if answer.failure and not answer.connected:
         raise ConnectFailed(answer.failure)
     if answer.failure:
-        raise TargetFailed(answer.failure, verdict=Verdict(answer.verdict))
+        raise TargetFailed(
+            answer.failure,
+            verdict=Verdict(answer.verdict),
+            retry_after_ms=answer.retry_after_ms,
+        )
     if len(answer.pieces) != count:
         detail = f"reply has {len(answer.pieces)} outcomes for {count} pieces"
         raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
