Read the software version of targets and log it

Cause: reports of targets state the version of their software, and it was dropped in the decoder, so that no log line could show which versions took part in a stream. TargetRow.version, which orders announcements, is now named recency. A report without a version, or with one of another type, names no target: the platform's page says so of reports with missing fields. The report of the process test states a version now, as real ones do.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -134,7 +134,8 @@
     """Guards against reports with a wrong order or a wrong data centre."""
     row = target_row_from_report("i-1", REPORT)
     assert (row.name, row.data_centre, row.capacity) == ("i-1", "riverside", 64)
-    assert row.version == (1_769_582_732_195, 4)
+    assert row.recency == (1_769_582_732_195, 4)
+    assert row.software_version == "v1"
     assert target_row_from_report("i-1", {**REPORT, "state": "draining"}).leaving
 
 
@@ -148,6 +149,10 @@
         {"address": "nowhere"},
         {"service": None},
         {"zone": ""},
+        {"version": None},
+        {"version": 2},
+        {"version": ""},
+        {"version": "v" * 1_000},
     ],
 )
 def test_malformed_report_is_refused(change):
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -205,6 +205,7 @@
                     "service": service,
                     "address": str(address),
                     "zone": "riverside",
+                    "version": "v1",
                     "slots": 4,
                     "state": "ready",
                     "seq_no": self.sequence,
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -223,6 +223,7 @@
             address=str(row.address),
             incarnation=row.incarnation,
             sequence=row.sequence,
+            software_version=row.software_version,
             leaving=row.leaving,
             silent=row.silent,
         )
--- a/wagtailrun/fleet_watch.py
+++ b/wagtailrun/fleet_watch.py
@@ -147,5 +147,5 @@
 
     def _record_target(self, row: TargetRow, reported_ms: int) -> None:
         known = self.targets_by_name.get(row.name)
-        if known is None or row.version >= known.row.version:
+        if known is None or row.recency >= known.row.recency:
             self.targets_by_name[row.name] = _ReportedRow(row, reported_ms)
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -41,6 +41,8 @@
         cache_prefixes: Digests of the cached prefixes that the events name.
         checks_fencing: Whether it rejects stale fencing tokens.
         silent: Whether a watching entry found it unresponsive at this sequence.
+        software_version: Version of its software; empty if it states none. Streams go
+            on only at a target of the version that began them.
     """
 
     name: str
@@ -60,9 +62,10 @@
     cache_prefixes: tuple[str, ...] = ()
     checks_fencing: bool = False
     silent: bool = False
+    software_version: str = ""
 
     @property
-    def version(self) -> tuple[int, int]:
+    def recency(self) -> tuple[int, int]:
         """Sort key for announcements of the same target."""
         return (self.incarnation, self.sequence)
 
@@ -96,6 +99,7 @@
         row.capacity,
         row.role,
         row.checks_fencing,
+        row.software_version,
     )
 
 
@@ -207,7 +211,7 @@
             self.rows_by_service[known.service].pop(row.name, None)
         self.targets_by_name[row.name] = row
         self.rows_by_service.setdefault(row.service, {})[row.name] = row
-        if known is None or row.version > known.version or row.leaving:
+        if known is None or row.recency > known.recency or row.leaving:
             self.last_contact_ms_by_name[row.name] = max(
                 now_ms - age_ms, self.last_contact_ms_by_name.get(row.name, 0)
             )
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -582,6 +582,7 @@
             service=job.service,
             target=row.name,
             address=str(row.address),
+            software_version=row.software_version,
             attempt=len(job.tried_targets),
             runs=job.runs,
             progress=str(job.progress),
--- a/wagtailrun/routing.py
+++ b/wagtailrun/routing.py
@@ -149,7 +149,7 @@
     """Measurements of one target in addition to its announced row.
 
     Attributes:
-        version: Version of the row that was seen last.
+        recency: Recency of the row that was seen last.
         load: Last load that the target reported.
         net_started: Own attempts started minus own attempts ended since then.
         in_flight: Own attempts in progress.
@@ -158,10 +158,10 @@
             least contended time.
         slowness_at_ms: When the slowness was updated.
         has_pace: Whether the pace of a stream was measured.
-        unreachable_version: Version of the row when no connection could be opened.
+        unreachable_at: Recency of the row when no connection could be opened.
     """
 
-    version: tuple[int, int] = (0, -1)
+    recency: tuple[int, int] = (0, -1)
     load: int = 0
     net_started: int = 0
     in_flight: int = 0
@@ -169,7 +169,7 @@
     base_slowness: float = 1.0
     slowness_at_ms: int = 0
     has_pace: bool = False
-    unreachable_version: tuple[int, int] | None = None
+    unreachable_at: tuple[int, int] | None = None
 
 
 @attrs.define
@@ -375,7 +375,7 @@
 
     def _is_unreachable(self, row: TargetRow) -> bool:
         stats = self.stats_by_name.get(row.name)
-        return stats is not None and stats.unreachable_version == row.version
+        return stats is not None and stats.unreachable_at == row.recency
 
     def expected_ms(self, row: TargetRow, work: "Work | None", now_ms: int) -> float:
         """Return the expected time to completion at ``row``, in milliseconds.
@@ -412,9 +412,9 @@
         stats = self.stats_by_name.get(row.name)
         if stats is None:
             stats = self.stats_by_name[row.name] = _TargetStats()
-        if row.version != stats.version:
-            restarted = row.incarnation != stats.version[0]
-            stats.version = row.version
+        if row.recency != stats.recency:
+            restarted = row.incarnation != stats.recency[0]
+            stats.recency = row.recency
             answer_load_at_ms = stats.answer_load_at_ms
             outdated = (
                 answer_load_at_ms is None
@@ -523,7 +523,7 @@
     def mark_unreachable(self, target: TargetRow) -> None:
         """Avoid the target until it announces itself again."""
         stats = self._stats(target, self.clock.now_ms())
-        stats.unreachable_version = target.version
+        stats.unreachable_at = target.recency
 
     def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
         """Apply cache events of a target that this entry uses.
--- a/wagtailrun/schema/gossip.capnp
+++ b/wagtailrun/schema/gossip.capnp
@@ -38,6 +38,7 @@
   cachePrefixes @14 :List(Text);
   checksFencing @15 :Bool;
   silent @16 :Bool;
+  softwareVersion @17 :Text;
 }
 
 struct AgedRow { row @0 :TargetRow; ageMs @1 :UInt64; }
