--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -110,7 +110,8 @@
 
         server = HttpServer(address, handle)
         await curio.spawn(server.serve, daemon=True)
-        self.rows.append(TargetRow(f"t{number}", address, "s", "a", 4))
+        row = TargetRow(f"t{number}", address, "s", "a", 4, software_version="v1")
+        self.rows.append(row)
 
 
 def answer(status=200, body=b"ok", *headers):
