Resume a broken stream only at the software version that began it

Cause: the version that a target reports was never part of a decision. After the first event the version is now bound everywhere that a target is chosen: the entry's own choice, the owner's placement (PlaceRun.softwareVersion, at the end of the struct), pauses, limits and retries. Before the first event another version may begin anew. Without a target of the version left the answer ends at once, visibly broken. A target that was started again under its name with another version leaves it unknown which version sent the first event; such a stream is not resumed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
     ReportCrashes,
     ReportLimits,
     ShareRows,
+    StreamOrigin,
 )
 from wagtailrun.exceptions import FleetTextError, PeerUnreachable
 from wagtailrun.gossip_messages import AgedRow, EntryRow, Health
@@ -485,3 +486,47 @@
         return await handle(message)
 
     return record
+
+
+def test_stream_goes_on_only_where_its_version_is_certain():
+    """Guards against a stream that goes on at another software version.
+
+    A target may be started again under its name with another version between the
+    choice and the first event; then it is not known which version sent the event.
+    """
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        began = attrs.evolve(ROW, software_version="v1")
+        others = [
+            attrs.evolve(
+                began,
+                name=name,
+                address=Address(f"10.0.3.{number}", 80),
+                software_version=version,
+                service=service,
+            )
+            for number, (name, version, service) in enumerate(
+                [("same", "v1", "s"), ("newer", "v2", "s"), ("other", "v1", "t")]
+            )
+        ]
+        for row in (began, *others):
+            await controls.hubs[0].report(row)
+        await clock.sleep_ms(500)
+        origin = StreamOrigin("s", "v1", "t1", ROW.incarnation)
+
+        def names():
+            return {row.name for row in view.targets_to_continue(origin)}
+
+        before = names()
+        await controls.hubs[0].report(attrs.evolve(began, incarnation=11))
+        await clock.sleep_ms(500)
+        again = names()
+        await controls.hubs[0].report(
+            attrs.evolve(began, incarnation=12, software_version="v2")
+        )
+        await clock.sleep_ms(500)
+        unknown = view.targets_to_continue(attrs.evolve(origin, software_version=""))
+        return before, again, names(), unknown
+
+    assert run(scenario) == ({"t1", "same"}, {"t1", "same"}, set(), [])
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -158,3 +158,24 @@
         ]
 
     assert run_virtual(main) == [250, 0]
+
+
+def test_owner_places_a_resumed_stream_at_its_version():
+    """Guards against an owner that continues a stream at another software version."""
+
+    async def main(clock):
+        rows = [
+            attrs.evolve(row, software_version=version)
+            for row, version in zip(ROWS, ["v1", "v2", "v1"], strict=True)
+        ]
+        chooser = TargetChooser(clock, "", 1)
+        host = PlacementHost(clock, chooser, lambda s: rows, Quarantine(clock))
+        resumed = attrs.evolve(prompt("a"), software_version="v2")
+        placed = {
+            host.handle(attrs.evolve(resumed, request_id=f"r{n}")).target
+            for n in range(6)
+        }
+        gone = host.handle(attrs.evolve(resumed, software_version="v3")).target
+        return placed, gone
+
+    assert run_virtual(main) == ({"t1"}, "")
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -65,6 +65,11 @@
     def targets(self, service):
         return [row for row in self.rows if not row.leaving]
 
+    def targets_to_continue(self, origin):
+        version = origin.software_version
+        rows = self.targets(origin.service)
+        return [row for row in rows if version and row.software_version == version]
+
     def row_at(self, address):
         return next((row for row in self.rows if row.address == address), None)
 
--- a/wagtailrun/discovery/__init__.py
+++ b/wagtailrun/discovery/__init__.py
@@ -8,6 +8,7 @@
     PollNews,
     RowsTaken,
     ShareRows,
+    StreamOrigin,
 )
 from wagtailrun.discovery.view import ConfigurationFormat, FleetView
 
@@ -20,5 +21,6 @@
     "PollNews",
     "RowsTaken",
     "ShareRows",
+    "StreamOrigin",
     "ConfigurationFormat",
 ]
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -25,6 +25,7 @@
     "ReportLimits",
     "RowsTaken",
     "ShareRows",
+    "StreamOrigin",
     "TargetLimit",
 ]
 
@@ -90,6 +91,23 @@
     age_ms: int
 
 
+@attrs.frozen
+class StreamOrigin:
+    """Where a stream began; it may go on only at the same software version.
+
+    Attributes:
+        service: Service of the target that sent its first event.
+        software_version: Version of the target's software; empty if it is not known.
+        target: Name of the target.
+        incarnation: Incarnation of the target when it was chosen.
+    """
+
+    service: str
+    software_version: str
+    target: str
+    incarnation: int
+
+
 @attrs.frozen
 class NewsMarks:
     """Positions up to which an entry has the updates of one control member.
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -20,6 +20,7 @@
     ReportLeaving,
     ReportLimits,
     RowsTaken,
+    StreamOrigin,
 )
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
@@ -178,6 +179,27 @@
         active = [row for row in rows if not row.leaving]
         return [row for row in active if not row.silent] or active
 
+    def targets_to_continue(self, origin: StreamOrigin) -> list[TargetRow]:
+        """Return the targets at which a stream may go on.
+
+        They have the software version of the target that began it. If that target was
+        started again under its name with another version, it is not known which of the
+        two versions sent the first event, and there are none.
+        """
+        known = self.membership.targets_by_name.get(origin.target)
+        is_ambiguous = (
+            known is not None
+            and known.incarnation != origin.incarnation
+            and known.software_version != origin.software_version
+        )
+        if is_ambiguous or not origin.software_version:
+            return []
+        return [
+            row
+            for row in self.targets(origin.service)
+            if row.software_version == origin.software_version
+        ]
+
     def row_at(self, address: Address) -> TargetRow | None:
         """Return the newest target at an address, None if there is none."""
         return self.rows_by_address.get(address)
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -183,6 +183,12 @@
             await self.clock.sleep_ms(paused_ms)
         verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
         detail = job.detail or f"no target of {job.service} is known"
+        if job.origin is not None:
+            detail = (
+                f"no target of {job.origin.service} can continue a stream that began "
+                f"at {job.origin.target} with software version "
+                f"{job.origin.software_version!r}"
+            )
         return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
 
     def pause_refusal(self, job: RelayJob) -> Refusal | None:
@@ -201,8 +207,7 @@
                 return None
         else:
             # Each target was tried; some may have asked for a pause then.
-            rows = self.view.targets(job.service)
-            paused = [self._paused_ms(job, row) for row in rows]
+            paused = [self._paused_ms(job, row) for row in self._targets(job)]
             paused_ms = min(filter(None, paused), default=0)
             if not paused_ms:
                 return None
@@ -216,7 +221,7 @@
         Returns:
             Milliseconds, 0 if there is one now, None if all were tried.
         """
-        rows = self.view.targets(job.service)
+        rows = self._targets(job)
         untried = [row for row in rows if row.name not in job.tried_targets]
         return min((self._paused_ms(job, row) for row in untried), default=None)
 
@@ -225,8 +230,13 @@
 
     def _usable_targets(self, job: RelayJob) -> list[TargetRow]:
         """Return the targets that take requests now."""
-        rows = self.view.targets(job.service)
-        return [row for row in rows if not self._paused_ms(job, row)]
+        return [row for row in self._targets(job) if not self._paused_ms(job, row)]
+
+    def _targets(self, job: RelayJob) -> list[TargetRow]:
+        """Return the targets that may run a request, or continue its stream."""
+        if job.origin is not None:
+            return self.view.targets_to_continue(job.origin)
+        return self.view.targets(job.service)
 
     def _send_refusal(self, job: RelayJob, runs: int) -> Refusal | None:
         """Return why a request that was sent ``runs`` times may not be sent now."""
@@ -317,7 +327,7 @@
             begin: Whether the attempt starts now; otherwise nothing is recorded.
         """
         sizes = job.result_bytes()
-        rows = self.view.targets(job.service)
+        rows = self._targets(job)
         paused = [row.name for row in rows if self._paused_ms(job, row)]
         return await self.placement.place(
             PlaceRun(
@@ -329,6 +339,7 @@
                 results=tuple(PlaceSize(*item) for item in sorted(sizes.items())),
                 begin=begin,
                 route=job.route.name,
+                software_version=job.origin.software_version if job.origin else "",
             )
         )
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -321,6 +321,8 @@
             data_centre=job.data_centre,
             targets=list(job.tried_targets),
             runs=job.runs,
+            began_at=job.origin.target if job.origin else "",
+            software_version=job.origin.software_version if job.origin else "",
             expected_ms=job.expected_ms,
             planned_ms=job.planned_ms,
             margin_ms=job.margin_ms,
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -5,6 +5,7 @@
 import attrs
 
 from wagtailrun.adapters.http_server import Request
+from wagtailrun.discovery import StreamOrigin
 from wagtailrun.relay.port import AnswerProgress, RelayRequest
 from wagtailrun.relay.request_identity import digest_request
 from wagtailrun.routes import Route
@@ -51,6 +52,8 @@
         progress: How much of the answer to the newest attempt has arrived.
         detail: Description of the newest failure.
         crashes: Targets that ended while they ran it.
+        origin: Where its stream began; None until its first event. A stream that a
+            caller takes up has the origin of its first part.
     """
 
     request: RelayRequest
@@ -79,6 +82,7 @@
     progress: AnswerProgress = AnswerProgress.NOTHING
     detail: str = ""
     crashes: int = 0
+    origin: StreamOrigin | None = None
     _digest: str = ""
 
     @property
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -136,6 +136,9 @@
     def _place(self, message: PlaceRun) -> Placed:
         rows = self.targets(message.service)
         self.detector.check_rows(rows)
+        if message.software_version:
+            version = message.software_version
+            rows = [row for row in rows if row.software_version == version]
         parts = tuple(digest_part(part.name) for part in message.parts[:-1])
         refusal = self._hold_back(message, parts)
         if refusal is not None:
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/placement_messages.py
@@ -54,6 +54,7 @@
         results: Sizes of the results that the engine must fetch, by data centre.
         begin: Whether the attempt starts now; otherwise nothing is recorded.
         route: Route of the request.
+        software_version: Version that the engine must have; empty if any will do.
     """
 
     request_id: str
@@ -64,6 +65,7 @@
     results: tuple[PlaceSize, ...]
     begin: bool
     route: str = ""
+    software_version: str = ""
 
 
 @attrs.frozen
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -10,6 +10,7 @@
 from wagtailrun import events
 from wagtailrun.adapters.http_client import MAX_SKIPPED_BYTES
 from wagtailrun.adapters.http_server import Response
+from wagtailrun.discovery import StreamOrigin
 from wagtailrun.exceptions import (
     Refusal,
     RefusalReason,
@@ -96,7 +97,7 @@
         while True:
             row = await self.attempts.next_target(job)
             if isinstance(row, Refusal):
-                yield self._end_without_stream(state, row)
+                yield self._end_without_stream(job, state, row)
                 return
             refusal = None
             try:
@@ -106,7 +107,7 @@
                     if not self.attempts.is_success(attempt.head):
                         refusal = await self._handle_error_answer(job, attempt)
                         if isinstance(refusal, Response):
-                            yield self._end_without_stream(state, refusal)
+                            yield self._end_without_stream(job, state, refusal)
                             return
                     else:
                         if not state.head_sent:
@@ -120,7 +121,7 @@
             except TargetFailed as error:
                 refusal = await self.attempts.handle_failure(job, row, error)
             if refusal is not None:
-                yield self._end_without_stream(state, refusal)
+                yield self._end_without_stream(job, state, refusal)
                 return
 
     async def _schedule_result_release(self, job: RelayJob) -> None:
@@ -137,7 +138,7 @@
         await self.runner.release_all(job.work, results)
 
     def _end_without_stream(
-        self, state: "_StreamState", last: Refusal | Response
+        self, job: RelayJob, state: "_StreamState", last: Refusal | Response
     ) -> Refusal | Response:
         """Return the answer to a caller that has received nothing of the stream.
 
@@ -145,6 +146,8 @@
             ResponseAborted: If the head was already sent.
         """
         if state.head_sent:
+            if isinstance(last, Refusal):
+                job.detail = last.detail
             raise ResponseAborted("the stream cannot be completed at another target")
         return last
 
@@ -230,6 +233,11 @@
                 continue
             if not job.first_ms:
                 await self._record_first_event(job, attempt)
+            if job.origin is None:
+                row = attempt.row
+                job.origin = StreamOrigin(
+                    row.service, row.software_version, row.name, row.incarnation
+                )
             state.events_sent = True
             job.progress = AnswerProgress.EVENTS
             yield b"".join(event.data for event in found)
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -27,6 +27,7 @@
   results @5 :List(PlaceSize);
   begin @6 :Bool;
   route @7 :Text;
+  softwareVersion @8 :Text;
 }
 
 struct Placed {
