Continue streams that callers take up at the version that began them

Cause: the header by which a caller names the request that began its stream was not read, and an entry knew nothing of a stream that another one had relayed. Change: an entry reports the origin of each resumable stream to two control members, together with others of the same 50 ms and without holding back the first event. The entry at which a stream is taken up asks all members. Without a record the origin is certain only if all targets of the last 90 s had one version, and a member's knowledge reaches back so far; otherwise the request is refused at once, not run (reason stream-origin-unknown, event 718). Records are keyed by workspace and identifier; two origins for one key are no certainty.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -165,15 +165,13 @@
         arrived_ms=started_ms,
         route=SimpleNamespace(gap_ms=250),
         first_ms=1,
-        origin=None,
     )
-    row = TargetRow("t", Address("127.0.0.1", 1), "s", "a", software_version="v1")
 
     async def read(found):
         opened = connection(sock, clock)
         stream = HttpStream(opened, await opened.read_head(1_000))
-        attempt = SimpleNamespace(stream=stream, row=row)
-        streams = RelayStreams(attempts, None)
+        attempt = SimpleNamespace(stream=stream)
+        streams = RelayStreams(attempts, None, None)
         state = _StreamState(None)
         async for chunk in streams._events(job, attempt, state):
             found.append(chunk)
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -11,6 +11,7 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import SystemClock
+from wagtailrun.discovery import OriginClient
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.exceptions import ResponseAborted, TargetFailed
@@ -173,6 +174,7 @@
             RetryBudget(),
             self.metrics,
             notices,
+            OriginClient(clock, None, lambda: []),
             seed=1,
         )
         (self.address,) = free_addresses(1)
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -11,6 +11,7 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import SystemClock
+from wagtailrun.discovery import OriginClient
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
@@ -141,9 +142,11 @@
     return b"id: %d\ndata: token\n\n" % number
 
 
-def run_relay(kind, engines, client, *, view=None, keys=None, **options):
+def run_relay(kind, engines, client, *, view=None, keys=None, members=None, **options):
     """Run ``client(address, engines)`` against a relay with prepared engines."""
-    workspaces = [WorkspaceKeys("guild", keys)] if keys else []
+    workspaces = keys if isinstance(keys, list) else []
+    if keys and not workspaces:
+        workspaces = [WorkspaceKeys("guild", keys)]
 
     async def main():
         fleet = Engines()
@@ -169,6 +172,9 @@
         wire = PlatformWire()
         notices = TargetNotices(clock, wire, known, lone_grants(clock, known), 1)
         known.quarantine = Quarantine(clock)
+        link = members and members.start(clock, known)
+        origins = OriginClient(clock, link, lambda: members.addresses if link else [])
+        await curio.spawn(origins.run, daemon=True)
         placement = PlacementClient(
             None,
             known.own_row.name,
@@ -189,6 +195,7 @@
             RetryBudget(),
             RelayMetrics(),
             notices,
+            origins,
             seed=1,
         )
         (address,) = free_addresses(1)
@@ -209,8 +216,10 @@
     return GrantClient(None, own.name, own.data_centre, owners, granter, view.limits)
 
 
-async def send(address, path="/a/x", key="", method="POST", body=b"{}"):
-    headers = [("Attempt-Id", "abc"), ("Deadline-Remaining", "2000")]
+async def send(
+    address, path="/a/x", key="", method="POST", body=b"{}", request_id="abc", more=()
+):
+    headers = [("Attempt-Id", request_id), ("Deadline-Remaining", "2000"), *more]
     if key:
         headers.append(("Credential", key))
     return await HttpClient().request(
--- a/wagtailrun/discovery/__init__.py
+++ b/wagtailrun/discovery/__init__.py
@@ -10,6 +10,7 @@
     ShareRows,
     StreamOrigin,
 )
+from wagtailrun.discovery.origin_client import OriginClient
 from wagtailrun.discovery.view import ConfigurationFormat, FleetView
 
 __all__ = [
@@ -18,6 +19,7 @@
     "Hub",
     "News",
     "NewsMarks",
+    "OriginClient",
     "PollNews",
     "RowsTaken",
     "ShareRows",
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -15,9 +15,11 @@
     AgedEntry,
     ConfigurationPart,
     FetchConfiguration,
+    FindOrigin,
     News,
     NewsMarks,
     PollNews,
+    RecordOrigins,
     ReportCrashes,
     ReportLeaving,
     ReportLimits,
@@ -25,6 +27,7 @@
     ShareRows,
 )
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.discovery.stream_origins import StreamOrigins
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import ConfigurationHistory
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
@@ -120,6 +123,7 @@
         self.history = ConfigurationHistory()
         self.quarantine = Quarantine(clock)
         self.limits = TargetLimits(clock)
+        self.origins = StreamOrigins(clock, self.membership)
         self.changed = Signal()
         self.share_requested = Signal()
         self.pending_confirmations: list[tuple[curio.Event, list[bool]]] = []
@@ -154,6 +158,11 @@
                 return await self._merge_report(self.quarantine, message)
             case ReportLimits():
                 return await self._merge_report(self.limits, message)
+            case RecordOrigins():
+                self.origins.record(message.groups)
+                return RowsTaken(self.epoch)
+            case FindOrigin():
+                return self.origins.find(message)
             case FetchConfiguration():
                 return self._get_configuration_part(message)
         raise MessageError(f"{type(message).__name__} is not a discovery request")
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -13,19 +13,24 @@
     "AgedEntry",
     "AgedEvidence",
     "AgedLimit",
+    "AgedOrigin",
     "ConfigurationPart",
     "CrashEvidence",
     "FetchConfiguration",
+    "FindOrigin",
     "News",
     "NewsMarks",
+    "OriginFound",
     "PartSet",
     "PollNews",
+    "RecordOrigins",
     "ReportCrashes",
     "ReportLeaving",
     "ReportLimits",
     "RowsTaken",
     "ShareRows",
     "StreamOrigin",
+    "StreamsBegun",
     "TargetLimit",
 ]
 
@@ -108,6 +113,65 @@
     incarnation: int
 
 
+@attrs.frozen
+class StreamsBegun:
+    """Streams that began at one target.
+
+    Attributes:
+        origin: Where they began.
+        age_ms: Time since the newest of them began.
+        streams: Their keys, see ``stream_origins.stream_key``.
+    """
+
+    origin: StreamOrigin
+    age_ms: int
+    streams: tuple[int, ...]
+
+
+@attrs.frozen
+class RecordOrigins:
+    """Reports streams that have begun to a control member; replied by ``RowsTaken``."""
+
+    groups: tuple[StreamsBegun, ...]
+
+
+@attrs.frozen
+class FindOrigin:
+    """Asks a control member where a stream began.
+
+    Attributes:
+        stream: Key of the stream; 0 if it is not known.
+        service: Service that a caller now asks to continue it.
+    """
+
+    stream: int
+    service: str
+
+
+@attrs.frozen
+class AgedOrigin:
+    """An origin and the time since the stream began there."""
+
+    origin: StreamOrigin
+    age_ms: int
+
+
+@attrs.frozen
+class OriginFound:
+    """Reply to ``FindOrigin``.
+
+    Attributes:
+        origins: Origins that entries reported for the stream; two if they differ.
+        versions: Software versions of all targets of the service that may have begun
+            the stream, those that have left included.
+        memory_ms: How far back the knowledge of this member reaches.
+    """
+
+    origins: tuple[AgedOrigin, ...]
+    versions: tuple[str, ...]
+    memory_ms: int
+
+
 @attrs.frozen
 class NewsMarks:
     """Positions up to which an entry has the updates of one control member.
@@ -282,8 +346,11 @@
     [
         ConfigurationPart,
         FetchConfiguration,
+        FindOrigin,
         News,
+        OriginFound,
         PollNews,
+        RecordOrigins,
         ReportCrashes,
         ReportLeaving,
         ReportLimits,
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -1,7 +1,7 @@
 """Discovery at an entry: fleet configuration, targets and the other entries."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, TypeVar
 
 import attrs
@@ -311,11 +311,23 @@
         avoided. If all are avoided, it uses the one whose avoidance ends first.
         """
         now_ms = self.clock.now_ms()
-        known = {str(a): a for a in (*self.members, *self.seeds())}
-        ranked = rendezvous(self.own_row.name, known, MAX_ADDRESSES)
-        addresses = [known[text] for text in ranked]
+        addresses = self._rank_addresses([*self.members, *self.seeds()])
         return min(addresses, key=lambda a: self._avoided_ms(a, now_ms), default=None)
 
+    def ranked_members(self) -> list[Address]:
+        """Return the control members in this entry's own order, preferred ones first.
+
+        Until a member has named them all, they are the configured seeds.
+        """
+        now_ms = self.clock.now_ms()
+        addresses = self._rank_addresses(self.members or self.seeds())
+        return sorted(addresses, key=lambda a: self._avoided_ms(a, now_ms))
+
+    def _rank_addresses(self, addresses: Iterable[Address]) -> list[Address]:
+        known = {str(address): address for address in addresses}
+        ranked = rendezvous(self.own_row.name, known, MAX_ADDRESSES)
+        return [known[text] for text in ranked]
+
     def _avoided_ms(self, address: Address, now_ms: int) -> int:
         return max(self.avoid_until_ms.get(address, 0) - now_ms, 0)
 
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -255,6 +255,19 @@
     "A request was not sent to a target because of the target's limit.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+STREAM_TAKEN_UP = _event(
+    718,
+    logging.INFO,
+    "A caller takes up a stream that an earlier request began.",
+    per_second=REQUEST_LINES_PER_SECOND,
+)
+STREAM_RECORDS_DROPPED = _event(
+    719,
+    logging.WARNING,
+    "Records of where streams began were dropped: no control member takes them.",
+    "Restore the connection to the control members.",
+    per_second=1,
+)
 ANSWER_BODY_SKIPPED = _event(
     713,
     logging.WARNING,
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -53,6 +53,7 @@
     SHARE_EXCEEDED = "share-exceeded"
     DEADLINE = "deadline"
     NO_TARGET = "no-target"
+    ORIGIN_UNKNOWN = "stream-origin-unknown"
     TARGET_FAILED = "target-failed"
     CONSENSUS_UNAVAILABLE = "consensus-unavailable"
     KEY_REUSED = "key-reused"
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -16,7 +16,7 @@
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
-from wagtailrun.discovery import ConfigurationFormat, FleetView
+from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip_messages import EntryRow
@@ -47,6 +47,7 @@
     StageClient,
     StageRunner,
 )
+from wagtailrun.supervisor import supervise
 
 __all__ = ["EntryProtocol", "RelayEntry", "run_relay_entry"]
 
@@ -129,6 +130,7 @@
             self.granter,
             self.view.limits,
         )
+        self.origins = OriginClient(self.clock, self.link, self.view.ranked_members)
         self.notices = TargetNotices(self.clock, protocol.wire, self.view, grants)
         self.http = HttpClient(self.clock, self.notices)
         self.max_entries_seen = 1
@@ -188,6 +190,7 @@
             self.budget,
             self.metrics,
             self.notices,
+            self.origins,
         )
         self.caller_server = HttpServer(
             settings.caller_address, self.handler.handle, limits=self._server_limits
@@ -295,6 +298,7 @@
             self.caller_server.serve,
             ready_server.serve,
             self.view.run,
+            self._record_origins,
             self.live_settings.watch,
         )
         await run_daemon(
@@ -306,6 +310,9 @@
             tasks,
         )
 
+    async def _record_origins(self) -> None:
+        await supervise("record stream origins", self.origins.run)
+
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another entry."""
         if isinstance(message, RunPieces | CancelPieces | FreeResults):
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -6,7 +6,8 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import Request, Response, refusal_response
 from wagtailrun.clock import Clock
-from wagtailrun.discovery import FleetView
+from wagtailrun.discovery import FleetView, OriginClient
+from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.relay.admission import AdmissionController
 from wagtailrun.relay.attempts import RelayAttempts
@@ -28,6 +29,8 @@
 # Callers accept a retry delay of at most a third of their remaining time. A fleet
 # configuration or its confirmation arrives within one or two polls.
 NOT_READY_RETRY_MS = 400
+# Members that did not reply are back, or replaced, within a few hundred milliseconds.
+ORIGIN_RETRY_MS = 300
 # The stages of a request run a second time if a result is lost.
 MAX_STAGE_ROUNDS = 2
 STATUS_NOT_RUN = 503
@@ -49,6 +52,7 @@
         budget: Limits retries.
         metrics: Counts outcomes.
         notices: What targets told this VM.
+        origins: Records where streams began.
         seed: Seed for the choice among services and the retry jitter.
     """
 
@@ -64,6 +68,7 @@
         budget: RetryBudget,
         metrics: RelayMetrics,
         notices: TargetNotices,
+        origins: OriginClient,
         seed: int | None = None,
     ):
         self.clock = clock
@@ -77,7 +82,8 @@
         self.attempts = RelayAttempts(
             clock, view, wire, http, chooser, placement, budget, notices
         )
-        self.streams = RelayStreams(self.attempts, runner)
+        self.origins = origins
+        self.streams = RelayStreams(self.attempts, runner, origins)
 
     async def handle(self, raw_request: Request) -> Response:
         """Return the answer to one request of a caller."""
@@ -88,10 +94,11 @@
         job = self._admit(request, raw_request, arrived_ms)
         if isinstance(job, Refusal):
             return self._reject(request.request_id, "", arrived_ms, job)
-        self.budget.earn(job.service)
         finished = False
         try:
-            refusal = await self._run_stages(job)
+            refusal = await self._find_origin(job)
+            self.budget.earn(job.service)
+            refusal = refusal or await self._run_stages(job)
             if refusal is not None:
                 response = self._refuse_job(job, refusal)
             elif job.route.kind is RouteKind.STREAM:
@@ -198,6 +205,47 @@
         weights = [row.weight for row in candidates]
         return self.random.choices(candidates, weights)[0].service
 
+    async def _find_origin(self, job: RelayJob) -> Refusal | None:
+        """Bind a stream that the caller takes up to the version that began it.
+
+        Returns:
+            A refusal if the stream cannot go on at that version, else None.
+        """
+        request = job.request
+        takes_up = request.last_event_id is not None
+        if job.route.kind is not RouteKind.STREAM or not (takes_up or request.resumes):
+            return None
+        key = stream_key(job.workspace, request.resumes) if request.resumes else None
+        services = [row.service for row in job.route.services if row.weight > 0]
+        found = await self.origins.find(key, services)
+        origin, detail = found.origin, found.detail
+        if origin is None and not takes_up:
+            # It asks for the whole stream, so that nothing is joined.
+            return None
+        if origin is not None and origin.service not in services:
+            detail = f"it began at {origin.service}, which left the route"
+            origin = None
+        events.log(
+            events.STREAM_TAKEN_UP,
+            request_id=request.request_id,
+            resumes=request.resumes,
+            last_event_id=request.last_event_id,
+            began_at=origin.target if origin else "",
+            service=origin.service if origin else "",
+            software_version=origin.software_version if origin else "",
+            age_ms=found.age_ms,
+            detail=detail,
+        )
+        if origin is None:
+            return Refusal(
+                RefusalReason.ORIGIN_UNKNOWN,
+                Verdict.NOT_RUN,
+                f"the software version that began the stream is not known: {detail}",
+                ORIGIN_RETRY_MS if found.may_be_found_later else 0,
+            )
+        job.origin, job.service = origin, origin.service
+        return None
+
     # Stages
 
     async def _run_stages(self, job: RelayJob) -> Refusal | None:
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -46,6 +46,8 @@
         key: API key of the workspace; empty if there is none.
         remaining_ms: The caller's timeout, if stated.
         last_event_id: Newest event of a stream that the caller has received, if any.
+        resumes: Identifier of the earlier request that brought the first event of the
+            stream that the caller takes up; empty if there is none.
         parts: Parts of the prompt, in order.
         prompt_tokens: Tokens of the prompt.
         pieces: Number of pieces of each step.
@@ -58,6 +60,7 @@
     key: str = ""
     remaining_ms: int | None = None
     last_event_id: int | None = None
+    resumes: str = ""
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     pieces: tuple[int, ...] = ()
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -10,7 +10,8 @@
 from wagtailrun import events
 from wagtailrun.adapters.http_client import MAX_SKIPPED_BYTES
 from wagtailrun.adapters.http_server import Response
-from wagtailrun.discovery import StreamOrigin
+from wagtailrun.discovery import OriginClient, StreamOrigin
+from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import (
     Refusal,
     RefusalReason,
@@ -53,10 +54,14 @@
     Args:
         attempts: Sends requests to targets.
         runner: Releases the results of stages, or runs stages again.
+        origins: Records where streams began.
     """
 
-    def __init__(self, attempts: RelayAttempts, runner: StageRunner):
+    def __init__(
+        self, attempts: RelayAttempts, runner: StageRunner, origins: OriginClient
+    ):
         self.attempts = attempts
+        self.origins = origins
         self.clock = attempts.clock
         self.runner = runner
 
@@ -232,12 +237,8 @@
             if not found:
                 continue
             if not job.first_ms:
+                await self._record_origin(job, attempt)
                 await self._record_first_event(job, attempt)
-            if job.origin is None:
-                row = attempt.row
-                job.origin = StreamOrigin(
-                    row.service, row.software_version, row.name, row.incarnation
-                )
             state.events_sent = True
             job.progress = AnswerProgress.EVENTS
             yield b"".join(event.data for event in found)
@@ -246,6 +247,21 @@
             event_due_ms = self._event_due_ms(job, state)
             overdue_bytes = 0
 
+    async def _record_origin(self, job: RelayJob, attempt: Attempt) -> None:
+        """Bind a stream with its first event to the version that sent it."""
+        if job.origin is None:
+            row = attempt.row
+            job.origin = StreamOrigin(
+                row.service, row.software_version, row.name, row.incarnation
+            )
+        if job.route.resumable:
+            ids = [job.request.request_id]
+            if job.request.resumes:
+                # The caller names the first request again if this stream breaks, too.
+                ids.append(job.request.resumes)
+            keys = [stream_key(job.workspace, request_id) for request_id in ids]
+            await self.origins.record(keys, job.origin)
+
     async def _record_first_event(self, job: RelayJob, attempt: Attempt) -> None:
         job.first_ms = self.clock.now_ms()
         took_ms = job.first_ms - attempt.started_ms
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -16,6 +16,9 @@
     reportCrashes @6 :ReportCrashes;
     reportLeaving @7 :ReportLeaving;
     reportLimits @8 :ReportLimits;
+    recordOrigins @9 :RecordOrigins;
+    findOrigin @10 :FindOrigin;
+    originFound @11 :OriginFound;
   }
 }
 
@@ -99,3 +102,28 @@
 }
 
 struct RowsTaken { epoch @0 :UInt64; }
+
+struct StreamOrigin {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+  target @2 :Text;
+  incarnation @3 :UInt64;
+}
+
+struct StreamsBegun {
+  origin @0 :StreamOrigin;
+  ageMs @1 :UInt64;
+  streams @2 :List(UInt64);
+}
+
+struct RecordOrigins { groups @0 :List(StreamsBegun); }
+
+struct FindOrigin { stream @0 :UInt64; service @1 :Text; }
+
+struct AgedOrigin { origin @0 :StreamOrigin; ageMs @1 :UInt64; }
+
+struct OriginFound {
+  origins @0 :List(AgedOrigin);
+  versions @1 :List(Text);
+  memoryMs @2 :UInt64;
+}
