Believe a refusal only where it can be no copy of an earlier one

Cause: an answer without an identifier was taken as the answer to the request on a connection that had carried others, and an answer with the right identifier also where a caller had used it before on the same connection. Notices were read from answers before it was known whose they were, and not from the one behind a copy. Change: on a reused connection, or behind a skipped answer, an answer without an identifier may have run; a connection carries an identifier once; a refusal that further bytes follow is not believed; notices are read once the answer is attributed. Refusals of stage calls end their connection already, so no copy of one can follow.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -1,9 +1,11 @@
 """HTTP/1.1 client built on h11, with a pool of idle connections for each address."""
 
+import functools
 import re
 import select
 import socket
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -39,6 +41,9 @@
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_CONNECTIONS = 32
+# Requests whose identities a connection remembers. A late copy follows its response
+# after a few others at most.
+MAX_IDENTITIES = 64
 # Middleboxes on the path may forget a connection that is idle for longer.
 MAX_IDLE_MS = 15_000
 CONNECT_TIMEOUT_MS = 1_000
@@ -77,8 +82,14 @@
 class HttpStream:
     """An HTTP response whose body is read in pieces."""
 
-    def __init__(self, connection: "_Connection", head: h11.Response):
+    def __init__(
+        self,
+        connection: "_Connection",
+        head: h11.Response,
+        observe: Callable[["HttpStream"], Awaitable[None]] | None = None,
+    ):
         self.connection = connection
+        self.observe = observe
         self.status = head.status_code
         self.headers = {n.decode(): v.decode("latin-1") for n, v in head.headers}
         self.header_pairs = tuple(head.headers.raw_items())
@@ -89,6 +100,21 @@
         text = self.headers.get("content-length", "")
         return int(text) if text.isdecimal() else None
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection carried other requests before this one."""
+        return self.connection.requests > 1
+
+    @property
+    def has_excess(self) -> bool:
+        """Whether bytes follow the body, which must have been read to its end."""
+        return bool(self.connection.http.trailing_data[0])
+
+    async def confirm(self) -> None:
+        """Let the observer record the response, which belongs to the request sent."""
+        if self.observe is not None:
+            await self.observe(self)
+
     async def next_answer(self, timeout_ms: int) -> "HttpStream":
         """Skip this response, which belongs to an earlier request; return the next.
 
@@ -104,7 +130,7 @@
         await self.read_all(timeout_ms, MAX_SKIPPED_BYTES)
         self.connection.restart_parser()
         head = await self.connection.read_head(max(ends_ms - clock.now_ms(), 1))
-        return HttpStream(self.connection, head)
+        return HttpStream(self.connection, head, self.observe)
 
     async def read(self, timeout_ms: int) -> bytes:
         """Return the next piece of the body; empty at the end of a complete body.
@@ -238,6 +264,9 @@
         self.idle_since_ms = 0
         self.max_idle_ms = MAX_IDLE_MS
         self.request: h11.Request | None = None
+        # Number of requests sent, and the identities of the newest ones.
+        self.requests = 0
+        self.identities: deque[str] = deque(maxlen=MAX_IDENTITIES)
 
     def restart_parser(self) -> None:
         """Parse the bytes that follow as another response to the request sent."""
@@ -393,10 +422,29 @@
         may_send: Callable[[], bool] = lambda: True,
         on_sent: Callable[[], Awaitable[None]] | None = None,
         urgency: int = DEFAULT_URGENCY,
+        identity: str = "",
+        confirmed: bool = True,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as a stream; see ``request``.
 
-        ``on_sent`` is called once the request was sent.
+        Args:
+            address: Address of the server.
+            method: HTTP method.
+            path: Path with query.
+            headers: Additional headers.
+            body: Body, sent with Content-Length.
+            timeout_ms: Time limit for each step, in milliseconds.
+            new_connection: Whether to bypass the pool of idle connections.
+            host: Value of the Host header; by default the address.
+            connect_timeout_ms: Time limit for a new connection, in milliseconds.
+            may_send: Called when the connection is open; see below.
+            on_sent: Called once the request was sent.
+            urgency: Rank of the request, 0 to 9; 0 goes first.
+            identity: Identifier that the response echoes, if any. No connection
+                carries one twice: a copy of the first response could not be told from
+                the second one.
+            confirmed: Whether every response belongs to the request. If not, the caller
+                calls ``HttpStream.confirm`` for the one that does.
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
@@ -406,7 +454,9 @@
         permit = None
         if self.observer is not None:
             permit = await self.observer.request_permit(address, urgency)
-        connection = await self._connect(address, new_connection, connect_timeout_ms)
+        connection = await self._connect(
+            address, new_connection, connect_timeout_ms, identity
+        )
         try:
             if not may_send():
                 raise SendForbidden(f"the request to {address} may no longer be sent")
@@ -419,13 +469,20 @@
             ]
             request = h11.Request(method=method, target=path, headers=fields)
             sent_ms = self.clock.now_ms()
+            connection.requests += 1
+            if identity:
+                connection.identities.append(identity)
             await _send(connection, request, body, timeout_ms)
             if on_sent is not None:
                 await on_sent()
             head = await connection.read_head(timeout_ms)
-            stream = HttpStream(connection, head)
+            observe = None
             if self.observer is not None:
-                await self.observer.record_answer(address, stream, sent_ms)
+                record = self.observer.record_answer
+                observe = functools.partial(_observe, record, address, sent_ms)
+            stream = HttpStream(connection, head, observe)
+            if confirmed:
+                await stream.confirm()
             yield stream
         except BaseException:
             await connection.sock.close()
@@ -452,12 +509,27 @@
         return True
 
     async def _connect(
-        self, address: Address, new_connection: bool, connect_timeout_ms: int
+        self,
+        address: Address,
+        new_connection: bool,
+        connect_timeout_ms: int,
+        identity: str,
     ) -> _Connection:
         """Return a pooled connection that is still usable, or open one."""
         idle = self.idle_by_address.get(address, [])
-        while idle and not new_connection:
-            connection = idle.pop()
+        while not new_connection:
+            # The newest one first.
+            number = next(
+                (
+                    number
+                    for number in reversed(range(len(idle)))
+                    if not identity or identity not in idle[number].identities
+                ),
+                None,
+            )
+            if number is None:
+                break
+            connection = idle.pop(number)
             age_ms = self.clock.now_ms() - connection.idle_since_ms
             if age_ms < connection.max_idle_ms and not connection.is_readable():
                 connection.http.start_next_cycle()
@@ -499,6 +571,15 @@
         connection.max_idle_ms = min(limit_ms, MAX_IDLE_MS)
 
 
+async def _observe(
+    record: Callable[[Address, HttpStream, int], Awaitable[None]],
+    address: Address,
+    sent_ms: int,
+    stream: HttpStream,
+) -> None:
+    await record(address, stream, sent_ms)
+
+
 async def _send(
     connection: _Connection, request: h11.Request, body: bytes, timeout_ms: int
 ) -> None:
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -135,6 +135,7 @@
                     self.open(job, row) as attempt,
                 ):
                     body = await attempt.stream.read_all(self.remaining_ms(job))
+                    self.check_excess(attempt)
             except curio.TaskTimeout:
                 error = TargetFailed(
                     "no complete answer before the attempt's timeout",
@@ -452,8 +453,11 @@
                 may_send=lambda: self._may_send(job, row, runs_before),
                 on_sent=on_sent,
                 urgency=job.urgency,
+                identity=request.request_id,
+                confirmed=False,
             ) as stream:
                 stream, head = await self._skip_crossed_answers(job, stream)
+                await stream.confirm()
                 if head.load is not None:
                     self.chooser.record_load(row, head.load)
                 job.progress = AnswerProgress.HEAD
@@ -474,11 +478,23 @@
     async def _skip_crossed_answers(
         self, job: RelayJob, stream: HttpStream
     ) -> tuple[HttpStream, AnswerHead]:
-        """Return the answer to this request; skip late answers to earlier ones."""
-        for _ in range(MAX_CROSSED_ANSWERS):
+        """Return the answer to this request; skip late answers to earlier ones.
+
+        Raises:
+            TargetFailed: If no answer can be attributed to this request.
+        """
+        for skipped in range(MAX_CROSSED_ANSWERS):
             head = self.wire.parse_answer(stream)
-            if head.request_id == job.request.request_id or not head.request_id:
+            if head.request_id == job.request.request_id:
                 return stream, head
+            if not head.request_id:
+                if not stream.is_reused and not skipped:
+                    return stream, head
+                raise TargetFailed(
+                    f"an answer with status {head.status} names no request, and the "
+                    "connection carried others",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                )
             self.crossed_answers += 1
             stream = await stream.next_answer(self.remaining_ms(job))
         raise TargetFailed(
@@ -486,6 +502,21 @@
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
+    def check_excess(self, attempt: Attempt) -> None:
+        """Believe no refusal that other bytes follow, once its body was read.
+
+        The target answered more than once, so it may have run the request.
+        """
+        head = attempt.head
+        if attempt.stream.has_excess and not self.is_success(head):
+            attempt.head = attrs.evolve(
+                head,
+                genuine=False,
+                not_run=False,
+                inputs_gone=False,
+                misdirected=False,
+            )
+
     def is_success(self, head: AnswerHead) -> bool:
         """Return whether an answer is a success and comes from a target itself."""
         return 200 <= head.status < 300 and head.genuine
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -164,8 +164,9 @@
         Returns:
             The caller's answer, or None to try again.
         """
-        head = attempt.head
         body = await self._read_error_body(job, attempt)
+        self.attempts.check_excess(attempt)
+        head = attempt.head
         refusal = await self.attempts.handle_error_answer(job, attempt)
         if refusal is None and head.inputs_gone:
             return await self._rerun_stages(job)
