End a stream at bytes that are no event

Cause: every block up to a blank line was passed on as an event, so the head of an error in a body without a length was one, and the media type of the rest was not compared. Change: in a stream of numbered events a block without a number ends the attempt, as does the head of an HTTP response anywhere; comments and blank lines are passed on, and so are the sound events before. A rest of another media type is not joined.

--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -154,6 +154,7 @@
         inputs_gone: Whether it has not run because results of stages are gone.
         misdirected: Whether another target than the intended one has the address.
         headers: Headers to forward to the caller.
+        content_type: Media type of the body, without parameters; empty if not stated.
         load: Load of the target, if reported.
     """
 
@@ -164,6 +165,7 @@
     inputs_gone: bool
     misdirected: bool
     headers: Headers
+    content_type: str = ""
     load: TargetLoad | None = None
 
 
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -1,6 +1,7 @@
 """Streams of relayed requests: complete events, resumed within one answer."""
 
 import functools
+import itertools
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 
@@ -117,7 +118,14 @@
                     else:
                         if not state.head_sent:
                             state.head_sent = True
+                            state.content_type = attempt.head.content_type
                             yield attempt.head
+                        elif attempt.head.content_type != state.content_type:
+                            raise TargetFailed(
+                                f"the rest has the type {attempt.head.content_type!r} "
+                                f"instead of {state.content_type!r}",
+                                verdict=Verdict.MAY_HAVE_RUN,
+                            )
                         async with aclosing(self._events(job, attempt, state)) as data:
                             async for chunk in data:
                                 yield chunk
@@ -234,15 +242,21 @@
                     detail = "the stream ended in the middle of an event"
                     raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
                 return
-            found = [event for event in splitter.feed(chunk) if state.accept(event)]
+            received = splitter.feed(chunk)
+            sound = list(itertools.takewhile(state.is_event, received))
+            found = [event for event in sound if state.accept(event)]
+            if found:
+                if not job.first_ms:
+                    await self._record_origin(job, attempt)
+                    await self._record_first_event(job, attempt)
+                state.events_sent = True
+                job.progress = AnswerProgress.EVENTS
+                yield b"".join(event.data for event in found)
+            if len(sound) < len(received):
+                detail = "the stream has bytes that are no event"
+                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
             if not found:
                 continue
-            if not job.first_ms:
-                await self._record_origin(job, attempt)
-                await self._record_first_event(job, attempt)
-            state.events_sent = True
-            job.progress = AnswerProgress.EVENTS
-            yield b"".join(event.data for event in found)
             # Counted after the caller has taken the events: a caller that reads slowly
             # is no fault of the target.
             event_due_ms = self._event_due_ms(job, state)
@@ -343,12 +357,25 @@
         last_sent_id: Number of the newest event that was sent.
         head_sent: Whether the head was sent.
         events_sent: Whether an event was sent.
+        content_type: Media type of the answer whose head was sent.
     """
 
     def __init__(self, last_event_id: int | None):
         self.last_sent_id = last_event_id
         self.head_sent = False
         self.events_sent = False
+        self.content_type = ""
+
+    def is_event(self, event: StreamEvent) -> bool:
+        """Return whether a block of a stream is an event, or lies between events.
+
+        A target that fails in mid-stream may write an error into a body without a
+        length. Where events have numbers, a block without one is none of them.
+        """
+        if event.has_http_head:
+            return False
+        is_numbered = self.last_sent_id is not None
+        return event.event_id is not None or event.is_comment or not is_numbered
 
     def accept(self, event: StreamEvent) -> bool:
         """Record an event to send; return False if the caller already has it."""
