Move streams of the product's own API only within a software version

A broken, stalled or slow stream went on at any target; the announcement of a target named no version. Change: announcements may state software_version, and a stream is bound to that of the target that sent its first tokens. A slow stream stays where it is if no other target has its version. Targets that state none count as one version, as the field is new and optional here. Taking up a stream at another entry is not part of this API.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -126,6 +126,49 @@
     assert failed == (fault != "silence")
 
 
+@pytest.mark.parametrize(
+    ("versions", "fault", "is_whole"),
+    [
+        (("v1", "v1", "v1"), "die", True),
+        (("v1", "v2", "v3"), "die", False),
+        (("v1", "v2", "v3"), "straggle", True),
+        (("", "", ""), "die", True),
+    ],
+)
+def test_stream_moves_only_to_a_target_of_its_version(versions, fault, is_whole):
+    """Guards against a stream that is joined from two software versions.
+
+    Also guards against a slow but sound stream that is cut because it may not move.
+    """
+
+    async def main(clock):
+        harness = DispatcherHarness(clock)
+        await harness.start(ENGINE)
+        targets = harness.emulator.targets_by_name.values()
+        for target, version in zip(targets, versions, strict=True):
+            row = attrs.evolve(target.row, sequence=9, software_version=version)
+            assert harness.dispatcher.membership.put(row, clock.now_ms())
+
+        async def after(target):
+            if fault == "straggle":
+                target.slowdown_factor = 5.0
+            else:
+                await harness.emulator.die(target.row.name)
+
+        work = attrs.evolve(GENERATE, max_tokens=50)
+        started_ms = clock.now_ms()
+        seen, refusal = await harness.offsets(work, after)
+        return seen, refusal, clock.now_ms() - started_ms
+
+    seen, refusal, took_ms = run_virtual(main)
+    if is_whole:
+        assert (seen, refusal) == (list(range(50)), None)
+    else:
+        assert seen == list(range(10))
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert took_ms < 2_000
+
+
 def test_hedge_loser_is_cancelled_and_recorded():
     """Guards against duplicate work that keeps running or is not accounted for."""
 
--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -342,6 +342,11 @@
         work = run.work
         if not self.options.move_slow_streams or not run.detect_stall:
             return False
+        version = run.target.software_version
+        bound = attrs.evolve(work, software_version=version)
+        if len(self.dispatcher.usable_targets(bound)) < 2:
+            # It could not go on elsewhere.
+            return False
         left = work.max_tokens - run.attempt.resume_offset - run.tokens
         remaining_ms = work.deadline_at_ms - self.clock.now_ms()
         if (
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -160,6 +160,7 @@
     ) -> AsyncIterator[tuple[Token, ...]]:
         """Yield the tokens of one attempt, or of its hedge if that responds first."""
         run, tokens = await self.attempts.first_item(run)
+        retry_state.bind_version(run.target)
         try:
             while True:
                 if self.options.check_tokens:
@@ -194,7 +195,7 @@
         retry_state.resume_target = None
         if target is not None:
             self.router.started(target)
-        elif not self._usable_targets(work.service):
+        elif not self.usable_targets(work):
             return self._no_target_refusal(work)
         else:
             target = await self._admit(work, retry_state.avoid)
@@ -225,17 +226,24 @@
 
     def choose(self, work: Work, avoid: set[str]) -> TargetRow | None:
         """Return the target for an attempt, or None if none has room."""
-        target = self.router.choose(self._usable_targets(work.service), work, avoid)
+        target = self.router.choose(self.usable_targets(work), work, avoid)
         if target is None:
             return None
         # The cached list may still contain a target that has left since.
         newest = self.membership.targets_by_name.get(target.name, target)
         if newest.leaving:
             self.usable_by_service.pop(work.service, None)
-            usable = self._usable_targets(work.service)
-            return self.router.choose(usable, work, avoid)
+            return self.router.choose(self.usable_targets(work), work, avoid)
         return target
 
+    def usable_targets(self, work: Work) -> list[TargetRow]:
+        """Return the targets that may receive an attempt of ``work``."""
+        rows = self._usable_targets(work.service)
+        version = work.software_version
+        if version is None:
+            return rows
+        return [row for row in rows if row.software_version == version]
+
     def _usable_targets(self, service: str) -> list[TargetRow]:
         now_ms = self.clock.now_ms()
         cached = self.usable_by_service.get(service)
@@ -255,6 +263,8 @@
         since_ms = self.outage_since_ms_by_service.setdefault(work.service, now_ms)
         after_ms = min(now_ms - since_ms + MIN_OUTAGE_RETRY_MS, MAX_OUTAGE_RETRY_MS)
         detail = f"service {work.service} has no usable target"
+        if work.software_version is not None:
+            detail += f" of version {work.software_version!r}, which began the stream"
         return Refusal(RefusalReason.NO_TARGET, Verdict.NOT_RUN, detail, after_ms)
 
 
--- a/wagtailrun/repeats.py
+++ b/wagtailrun/repeats.py
@@ -64,6 +64,13 @@
         self.last_target: TargetRow | None = None
         self.refusal: Refusal | None = None
 
+    def bind_version(self, target: TargetRow) -> None:
+        """Let a stream that ``target`` began go on only at its software version."""
+        if self.work.software_version is None:
+            self.work = attrs.evolve(
+                self.work, software_version=target.software_version
+            )
+
     async def on_failure(self, error: TargetFailed) -> Refusal | None:
         """Record a failed attempt and wait for the retry.
 
--- a/wagtailrun/target_api.py
+++ b/wagtailrun/target_api.py
@@ -144,6 +144,7 @@
         cache_last=last,
         cache_prefixes=_prefixes(cache),
         checks_fencing=_boolean(value, "checks_fencing"),
+        software_version=_text(value, "software_version", ""),
     )
 
 
--- a/wagtailrun/work.py
+++ b/wagtailrun/work.py
@@ -29,6 +29,9 @@
         max_tokens: Largest number of tokens to generate, 0 if the caller gave none.
         later_stages: Service and stage of the stages that follow.
         prefixes: Hashes of the prompt's leading blocks.
+        software_version: Version that its target must have, because it continues a
+            stream; None if any will do. Targets that name no version are taken to have
+            the same one.
     """
 
     service: str
@@ -47,6 +50,7 @@
     max_tokens: int = 0
     later_stages: tuple[tuple[str, str], ...] = ()
     prefixes: tuple[int, ...] = ()
+    software_version: str | None = None
 
     @property
     def size_class(self) -> tuple[int, int]:
