Refuse at once what a planned stop would cut off

Cause: an entry that drains admitted every request with its full time, also streams of many seconds, up to the end of the process. The load balancer sends connections to entries that are not ready while fewer than half of a data centre's are. Change: the handler knows when the process ends. After the notice time a stream is admitted only if its timeout ends before that, any other request if its latency objective does; the time of the latter ends 200 ms before the process, so that they get an answer. The rest is refused at once, not run, for another entry.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -142,7 +142,17 @@
     return b"id: %d\ndata: token\n\n" % number
 
 
-def run_relay(kind, engines, client, *, view=None, keys=None, members=None, **options):
+def run_relay(
+    kind,
+    engines,
+    client,
+    *,
+    view=None,
+    keys=None,
+    members=None,
+    on_handler=lambda handler: None,
+    **options,
+):
     """Run ``client(address, engines)`` against a relay with prepared engines."""
     workspaces = keys if isinstance(keys, list) else []
     if keys and not workspaces:
@@ -198,6 +208,7 @@
             origins,
             seed=1,
         )
+        on_handler(front)
         (address,) = free_addresses(1)
         server = HttpServer(address, front.handle)
         await curio.spawn(server.serve, daemon=True)
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -21,7 +21,7 @@
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.front import RelayHandler
+from wagtailrun.relay.front import RelayHandler, StopPlan
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
@@ -344,13 +344,16 @@
         """Wait for a signal, then stop without interrupting a request."""
         await self.signals.wait()
         events.log(events.DRAIN_STARTED, name=self.settings.name)
-        limit_ms = self.clock.now_ms() + self._drain_limit_ms()
+        now_ms = self.clock.now_ms()
+        notice_ms = int(self.settings.effective_drain_notice_ms)
+        limit_ms = now_ms + self._drain_limit_ms()
+        self.handler.stop = StopPlan(now_ms + notice_ms, limit_ms)
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         await self.view.announce_stop()
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        await self.clock.sleep_ms(self.settings.effective_drain_notice_ms)
+        await self.clock.sleep_ms(notice_ms)
         await self.caller_server.drain()
         await sleep_until_idle(self.clock, self._is_idle, limit_ms)
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import Request, Response, refusal_response
@@ -24,7 +26,7 @@
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.stages import StagedWork, StageRunner
 
-__all__ = ["RelayHandler"]
+__all__ = ["RelayHandler", "StopPlan"]
 
 # Callers accept a retry delay of at most a third of their remaining time. A fleet
 # configuration or its confirmation arrives within one or two polls.
@@ -33,11 +35,28 @@
 ORIGIN_RETRY_MS = 300
 # The stages of a request run a second time if a result is lost.
 MAX_STAGE_ROUNDS = 2
+# Another entry takes the request at once.
+STOPPING_RETRY_MS = 50
+# Time to send the answer of a request whose time ends with the process.
+STOP_ANSWER_MS = 200
 STATUS_NOT_RUN = 503
 STATUS_MAY_HAVE_RUN = 502
 STATUS_TOO_LATE = 504
 
 
+@attrs.frozen
+class StopPlan:
+    """A planned stop of the entry; times are readings of its clock.
+
+    Attributes:
+        notice_ends_ms: Until when the load balancer may not have noticed it.
+        ends_ms: When the process ends.
+    """
+
+    notice_ends_ms: int
+    ends_ms: int
+
+
 class RelayHandler:
     """Handles requests that are relayed to targets unchanged.
 
@@ -83,6 +102,8 @@
             clock, view, wire, http, chooser, placement, budget, notices
         )
         self.origins = origins
+        # Set when a planned stop begins.
+        self.stop: StopPlan | None = None
         self.streams = RelayStreams(self.attempts, runner, origins)
 
     async def handle(self, raw_request: Request) -> Response:
@@ -172,13 +193,25 @@
         route: Route,
         workspace: WorkspaceKeys | None,
         arrived_ms: int,
-    ) -> RelayJob:
+    ) -> RelayJob | Refusal:
         limit_ms = route.timeout_ms
         if request.remaining_ms is not None:
             limit_ms = min(limit_ms, request.remaining_ms)
         urgency = route.urgency
         if workspace is not None and workspace.urgency is not None:
             urgency = workspace.urgency
+        objective_at_ms = arrived_ms + (route.aim_ms or limit_ms)
+        deadline_at_ms = arrived_ms + limit_ms
+        if self.stop is not None and route.kind is not RouteKind.STREAM:
+            deadline_at_ms = min(deadline_at_ms, self.stop.ends_ms - STOP_ANSWER_MS)
+        if not self._ends_before_stop(route, objective_at_ms, deadline_at_ms):
+            left_ms = self.stop.ends_ms - arrived_ms
+            return Refusal(
+                RefusalReason.DRAINING,
+                Verdict.NOT_RUN,
+                f"this entry stops in {left_ms} ms",
+                STOPPING_RETRY_MS,
+            )
         return RelayJob(
             request=request,
             http_request=raw_request,
@@ -189,10 +222,25 @@
             revision=self.view.revision,
             confirmation_age_ms=self.view.confirmation_age_ms,
             arrived_ms=arrived_ms,
-            objective_at_ms=arrived_ms + (route.aim_ms or limit_ms),
-            deadline_at_ms=arrived_ms + limit_ms,
+            objective_at_ms=objective_at_ms,
+            deadline_at_ms=deadline_at_ms,
         )
 
+    def _ends_before_stop(
+        self, route: Route, objective_at_ms: int, deadline_at_ms: int
+    ) -> bool:
+        """Return whether a request may be admitted although the entry stops.
+
+        While the load balancer has not noticed the stop, all are admitted. After that
+        those that cannot be cut off by it: streams last longer than their objective.
+        """
+        stop = self.stop
+        if stop is None or self.clock.now_ms() < stop.notice_ends_ms:
+            return True
+        if route.kind is RouteKind.STREAM:
+            return deadline_at_ms <= stop.ends_ms
+        return objective_at_ms <= deadline_at_ms
+
     def _choose_service(self, route: Route) -> str:
         """Return a service of the route, chosen at random by weight.
 
