--- a/wagtailrun/discovery/stream_origins.py
+++ b/wagtailrun/discovery/stream_origins.py
@@ -20,11 +20,13 @@
 
 # Streams last up to a minute, and callers take up a broken one within seconds.
 ORIGIN_LIFETIME_MS = 90_000
-# Bounds the memory of a member to about 60 MB; at most two of them keep a record.
+# Bounds the memory of a member to about 46 MB.
 MAX_STREAMS = 200_000
 # Of a stream with more origins than one it is only known that they differ.
 MAX_ORIGINS_PER_STREAM = 2
 KEY_BYTES = 8
+# More targets than the largest fleet starts within the lifetime of a record.
+MAX_SHARED_ORIGINS = 4_096
 
 
 def stream_key(workspace: str, request_id: str) -> int:
@@ -68,6 +70,8 @@
         self.clock = clock
         self.membership = membership
         self.started_ms = clock.now_ms()
+        # One object for all records of a target, which are many.
+        self.shared_by_origin: dict[StreamOrigin, tuple[StreamOrigin]] = {}
         # Sorted by time of arrival, newest last.
         self.records_by_key: OrderedDict[int, _Record] = OrderedDict()
 
@@ -78,12 +82,15 @@
             for key in group.streams:
                 self._record_one(key, group.origin, now_ms - group.age_ms)
         self._drop_expired(now_ms)
+        if len(self.shared_by_origin) > MAX_SHARED_ORIGINS:
+            self.shared_by_origin = {}
 
     def _record_one(self, key: int, origin: StreamOrigin, began_ms: int) -> None:
         known = self.records_by_key.get(key)
-        origins = (origin,)
-        if known is not None and not self._is_expired(known):
-            # Two requests with one identifier may have begun at different versions.
+        origins = self.shared_by_origin.setdefault(origin, (origin,))
+        is_other = known is not None and known.origins != origins
+        if is_other and not self._is_expired(known):
+            # Two requests with one identifier may have begun at two versions.
             origins = tuple(dict.fromkeys((*known.origins, origin)))
             began_ms = max(began_ms, known.began_ms)
         record = _Record(origins[:MAX_ORIGINS_PER_STREAM], began_ms)
