Keep the pause that an answer without an identifier asks for

Cause: since answers without an identifier on a reused connection are not believed, their notices were not read either, so that a target that had asked for a pause in one got further requests. Change: the notice is read although the answer is not attributed: a pause too many costs capacity, one too few breaks a promise to the target. Result: test_pause_in_an_answer_without_an_identifier_is_kept passes; it was written with the change.

--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -96,6 +96,15 @@
     assert statuses == [200, 502]
 
 
+def test_pause_in_an_answer_without_an_identifier_is_kept():
+    """Guards against requests to a target that has just asked for a pause."""
+    answers = [[done("a")], [refusal("", ("Retry-After", "30"))], [done("c")]]
+    statuses, engine, others = run_scripted(
+        RouteKind.IDEMPOTENT, answers, ["a", "b", "c"], [[GOOD]]
+    )
+    assert (statuses, engine.runs, others) == ([200] * 3, ["a", "b"], [0, 0])
+
+
 def test_refusal_of_the_first_request_with_the_same_identifier_is_not_believed():
     """Guards against a late copy of a refusal that names the request which runs now.
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -490,6 +490,8 @@
             if not head.request_id:
                 if not stream.is_reused and not skipped:
                     return stream, head
+                # Whoever was answered, the target may have asked for a pause just now.
+                await stream.confirm()
                 raise TargetFailed(
                     f"an answer with status {head.status} names no request, and the "
                     "connection carried others",
