Continue no stream at a target that was started again with another version

Callers would have seen: a stream joined from two versions, where a target kept its name and was restarted with another version just before a stream was sent to it. Cause: a target accepts a request that is meant for its name, also in a later incarnation, and the entry learned of that incarnation while the prompt was processed. Change: before the first event of an attempt that continues a stream, the entry checks whether the target is known to have another version by now.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -165,6 +165,7 @@
         arrived_ms=started_ms,
         route=SimpleNamespace(gap_ms=250),
         first_ms=1,
+        origin=None,
     )
 
     async def read(found):
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -71,6 +71,11 @@
         rows = self.targets(origin.service)
         return [row for row in rows if version and row.software_version == version]
 
+    def has_new_version(self, row):
+        known = next((each for each in self.rows if each.name == row.name), row)
+        is_newer = known.incarnation > row.incarnation
+        return is_newer and known.software_version != row.software_version
+
     def row_at(self, address):
         return next((row for row in self.rows if row.address == address), None)
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -107,6 +107,32 @@
     assert (body, seen) == (WHOLE, [0, 1, 3])
 
 
+def test_target_restarted_with_another_version_does_not_continue_a_stream():
+    """Guards against a target that begins anew, with another version, meanwhile.
+
+    It keeps its name, so that it accepts a request that was meant for its earlier
+    incarnation. Its heartbeat arrives while it processes the prompt. Found by
+    test_stream_origins_fleet.py with three of 60 seeds.
+    """
+
+    async def client(address, fleet):
+        def restarted(request):
+            newer = attrs.evolve(fleet.rows[1], incarnation=9, software_version="v2")
+            fleet.rows[1] = newer
+            return REST(request)
+
+        await fleet.start(restarted)
+        await fleet.start(REST)
+        set_versions(fleet, "v1", "v1", "v1")
+        await curio.sleep(0.05)
+        body = (await send(address)).body
+        return body, [number for number, _ in fleet.seen]
+
+    options = {"resumable": True, "max_attempts": 4}
+    found = run_relay(RouteKind.STREAM, [[BROKEN_FIRST]], client, **options)
+    assert found == (WHOLE, [0, 1, 2])
+
+
 def test_targets_of_unknown_versions_do_not_continue_a_stream():
     """Guards against two targets without a version that are taken for the same one."""
     assert run_stream([[BROKEN_FIRST], [GOOD]], ["", ""]) == (None, [0])
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -200,6 +200,12 @@
             if row.software_version == origin.software_version
         ]
 
+    def has_new_version(self, row: TargetRow) -> bool:
+        """Return whether a target was started again with another software version."""
+        known = self.membership.targets_by_name.get(row.name, row)
+        is_newer = known.incarnation > row.incarnation
+        return is_newer and known.software_version != row.software_version
+
     def row_at(self, address: Address) -> TargetRow | None:
         """Return the newest target at an address, None if there is none."""
         return self.rows_by_address.get(address)
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -504,6 +504,10 @@
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
+    def has_new_version(self, attempt: Attempt) -> bool:
+        """Return whether a target with another software version may be answering."""
+        return self.view.has_new_version(attempt.row)
+
     def check_excess(self, attempt: Attempt) -> None:
         """Believe no refusal that other bytes follow, once its body was read.
 
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -225,6 +225,8 @@
             TargetFailed: If the stream ended early or stalled.
         """
         splitter = EventSplitter()
+        # Whether the first event of the attempt continues what another one began.
+        continues = job.origin is not None
         event_due_ms = self._event_due_ms(job, state)
         overdue_bytes = 0
         while True:
@@ -244,6 +246,11 @@
                 return
             received = splitter.feed(chunk)
             sound = list(itertools.takewhile(state.is_event, received))
+            if sound and continues and self.attempts.has_new_version(attempt):
+                # It kept its name, so that it accepted the request all the same.
+                detail = "the target was started again with another software version"
+                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+            continues = continues and not sound
             found = [event for event in sound if state.accept(event)]
             if found:
                 if not job.first_ms:
