Refuse a take-up without a target of its version before its stages run

Cause: a stream that was taken up was bound to its version, and then its stages ran although no target could continue it; the refusal came after them. Change: it is refused as soon as its origin is known. An unread body of a refusal does not count as bytes behind it.

--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -5,7 +5,7 @@
 
 from demo.processes import free_addresses
 from tests.test_notices import LEAVING
-from tests.test_relay_front import GOOD, run_relay, send
+from tests.test_relay_front import GOOD, event, run_relay, send, stream
 from wagtailrun.membership import TargetRow
 from wagtailrun.routes import RouteKind
 
@@ -136,6 +136,15 @@
     assert (statuses, engine.runs, others) == ([502], ["a"], [])
 
 
+def test_refusal_with_a_large_body_is_believed():
+    """Guards against the rest of a body that is taken for another answer."""
+    large = message(503, b"x" * 3_000_000, echo="a", headers=(("Not-Executed", "1"),))
+    statuses, engine, others = run_scripted(
+        RouteKind.STREAM, [[large]], ["a"], [[stream(event(1), fail=False)]]
+    )
+    assert (statuses, engine.runs, others) == ([200], ["a"], [0])
+
+
 def test_late_copy_says_nothing_about_its_target():
     """Guards against a pause that an earlier answer asked for, read once more."""
     copy = refusal("a", ("Retry-After", "30"))
--- a/tests/test_stream_takeup.py
+++ b/tests/test_stream_takeup.py
@@ -128,6 +128,21 @@
     assert (reply.status, seen) == (503, [0])
 
 
+def test_take_up_without_a_target_of_its_version_runs_no_stages():
+    """Guards against stages that run although no target can continue the stream."""
+
+    async def client(address, fleet):
+        await begin(address)
+        fleet.rows[:] = fleet.rows[1:]
+        # The stage runner of these tests would fail.
+        more = [("Last-Event-Id", "1"), ("Resumes", "first"), ("Pieces", "1")]
+        reply = await send(address, request_id="second", more=more)
+        return reply.status, b"no-target" in reply.body
+
+    found, seen = run_takeup([[BROKEN_FIRST], [REST]], ["v1", "v2"], client)
+    assert (found, seen) == ((503, True), [0])
+
+
 @pytest.mark.parametrize("resumes", ["unknown", ""])
 def test_take_up_of_unknown_origin_is_refused_while_two_versions_serve(resumes):
     """Guards against a guess: a stream of unknown origin may be of either version."""
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -107,8 +107,9 @@
 
     @property
     def has_excess(self) -> bool:
-        """Whether bytes follow the body, which must have been read to its end."""
-        return bool(self.connection.http.trailing_data[0])
+        """Whether bytes follow the body; False if it was not read to its end."""
+        http = self.connection.http
+        return http.their_state is not h11.SEND_BODY and bool(http.trailing_data[0])
 
     async def confirm(self) -> None:
         """Let the observer record the response, which belongs to the request sent."""
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -180,8 +180,11 @@
                 return refusal
             paused_ms = self._soonest_return_ms(job)
             if not paused_ms:
-                break
+                return self.no_target_refusal(job)
             await self.clock.sleep_ms(paused_ms)
+
+    def no_target_refusal(self, job: RelayJob) -> Refusal:
+        """Return the refusal of a request that no target can run, or continue."""
         verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
         detail = job.detail or f"no target of {job.service} is known"
         if job.origin is not None:
@@ -233,6 +236,10 @@
         """Return the targets that take requests now."""
         return [row for row in self._targets(job) if not self._paused_ms(job, row)]
 
+    def has_target(self, job: RelayJob) -> bool:
+        """Return whether there is a target that may run a request, or continue it."""
+        return bool(self._targets(job))
+
     def _targets(self, job: RelayJob) -> list[TargetRow]:
         """Return the targets that may run a request, or continue its stream."""
         if job.origin is not None:
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -292,6 +292,8 @@
                 ORIGIN_RETRY_MS if found.may_be_found_later else 0,
             )
         job.origin, job.service = origin, origin.service
+        if not self.attempts.has_target(job):
+            return self.attempts.no_target_refusal(job)
         return None
 
     # Stages
