Test with real processes that streams are taken up after all entries were killed

Guards against a take-up that goes on at another software version: both entries are killed in mid-stream, a target of another version has started, and the entries start again without state.

--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -119,7 +119,7 @@
             process.wait(10)
 
 
-def document(version, keys=(KEY,)):
+def document(version, keys=(KEY,), resumable=False):
     route = {
         "name": "r",
         "host": "works.example",
@@ -135,6 +135,7 @@
             {"service": "board", "after": [0], "bytes": 8000},
         ],
         "session_affinity": True,
+        "stream_resume": resumable,
         "gap_target_ms": 250,
     }
     pool = {"slots": 1, "batch": 4, "call_ms": 50, "item_ms": 5, "headroom_mb": 1}
@@ -185,6 +186,11 @@
         self.calls = []
         self.freed = []
         self.sequence = 0
+        # Name, address, service and software version of each.
+        self.reported = [
+            ("i-stage", self.stage, "board", "v1"),
+            ("i-engine", self.engine, "llm", "v1"),
+        ]
 
     async def start(self):
         for address, handler in (
@@ -197,15 +203,12 @@
     async def report(self):
         while True:
             self.sequence += 1
-            for name, address, service in (
-                ("i-stage", self.stage, "board"),
-                ("i-engine", self.engine, "llm"),
-            ):
+            for name, address, service, software_version in self.reported:
                 body = {
                     "service": service,
                     "address": str(address),
                     "zone": "riverside",
-                    "version": "v1",
+                    "version": software_version,
                     "slots": 4,
                     "state": "ready",
                     "seq_no": self.sequence,
@@ -260,12 +263,11 @@
     )
 
 
-async def put(fleet, version, keys=(KEY,)):
+async def put(fleet, version, keys=(KEY,), resumable=False):
     async def accepted():
         number = version % 3 + 1
-        reply = await send(
-            fleet.control(number), "PUT", "/configuration", document(version, keys)
-        )
+        body = document(version, keys, resumable)
+        reply = await send(fleet.control(number), "PUT", "/configuration", body)
         return reply.status == 200
 
     await wait_until(accepted, f"document {version} is not accepted")
@@ -390,3 +392,67 @@
         return statuses
 
     assert run_scenario(tmp_path, scenario) == [401, 401]
+
+
+async def receive_part(fleet, name, last_id):
+    """Receive the events of a stream up to ``last_id``."""
+    address = fleet.entry(1)
+    client = HttpClient()
+    async with client.open(
+        address,
+        "POST",
+        "/a/x",
+        request_headers(name),
+        b"{}",
+        timeout_ms=3_000,
+        host="works.example",
+    ) as stream:
+        assert stream.status == 200
+        received = b""
+        while b"id: %d\n" % last_id not in received:
+            received += await stream.read(3_000)
+        # Longer than the time in which the entry reports where streams began.
+        await curio.sleep(0.3)
+        for number in (1, 2):
+            fleet.stop(f"front-{number}", signal.SIGKILL)
+
+
+def test_stream_is_taken_up_after_all_entries_were_killed(tmp_path):
+    """Guards against a stream that goes on at another software version.
+
+    The second engine starts with another version; all entries are killed in the middle
+    of the stream and start again without any state.
+    """
+
+    async def scenario(fleet, targets):
+        await put(fleet, 2, resumable=True)
+        await wait_until_served(fleet, targets)
+        (other,) = free_addresses(1)
+        server = HttpServer(other, targets.handle_engine)
+        await curio.spawn(server.serve, daemon=True)
+        await receive_part(fleet, "first", 3)
+        began_at = targets.requests[-1].headers["expected-instance"]
+        targets.reported.append(("i-newer", other, "llm", "v2"))
+        for number in (1, 2):
+            fleet.start_entry(number)
+        await wait_until_served(fleet, targets, 2)
+        await curio.sleep(1.5)
+        found = []
+        for name, resumes in (("a", "first"), ("b", "first"), ("c", "unknown")):
+            more = (("Last-Event-Id", "3"), ("Resumes", resumes))
+            reply = await send(
+                fleet.entry(2), "POST", "/a/x", b"{}", request_headers(name) + more
+            )
+            used = targets.requests[-1].headers
+            is_new = used["attempt-id"] == name
+            found.append((reply.status, is_new and used["expected-instance"]))
+        # Log lines are written by a thread of the entry.
+        await curio.sleep(0.5)
+        return began_at, found, fleet.lines("front-2")
+
+    began_at, found, lines = run_scenario(tmp_path, scenario)
+    assert began_at == "i-engine"
+    assert found == [(200, "i-engine"), (200, "i-engine"), (503, False)]
+    taken_up = [line for line in lines if line["event"] == 718]
+    versions = [(line["resumes"], line["software_version"]) for line in taken_up]
+    assert versions == [("first", "v1"), ("first", "v1"), ("unknown", "")]
