Build the records of streams once, and check the versions of targets last

Cause: an entry grouped the same records of streams once for each of two members, and the pace of each slow stream of the product's own API was preceded by a filter over all targets of its service. Change: the message is made once and sent twice; whether a slow stream can move is looked up only after the comparisons of numbers have said that it should.

--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -342,11 +342,6 @@
         work = run.work
         if not self.options.move_slow_streams or not run.detect_stall:
             return False
-        version = run.target.software_version
-        bound = attrs.evolve(work, software_version=version)
-        if len(self.dispatcher.usable_targets(bound)) < 2:
-            # It could not go on elsewhere.
-            return False
         left = work.max_tokens - run.attempt.resume_offset - run.tokens
         remaining_ms = work.deadline_at_ms - self.clock.now_ms()
         if (
@@ -356,10 +351,19 @@
             return False
         key = (work.service, work.stage, work.size_class)
         first_ms = self.estimates.first_ms(*key) or 0
-        return first_ms + left * typical_ms < remaining_ms and self._has_retry_budget(
-            work.service
+        would_be_in_time = first_ms + left * typical_ms < remaining_ms
+        return (
+            would_be_in_time
+            and self._has_retry_budget(work.service)
+            and self._can_move(run)
         )
 
+    def _can_move(self, run: AttemptRun) -> bool:
+        """Return whether another target has the version that began the stream."""
+        version = run.target.software_version
+        bound = attrs.evolve(run.work, software_version=version)
+        return len(self.dispatcher.usable_targets(bound)) > 1
+
     async def finish(self, run: AttemptRun, answer: StageAnswer | None) -> None:
         """Record an attempt whose complete answer arrived."""
         work, target = run.work, run.target
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -104,30 +104,34 @@
             if not self.pending:
                 await self.requested.wait()
             begun, self.pending = self.pending, []
+            message = self._make_message(begun)
             members = self._reachable_members()[:COPIES]
             async with curio.TaskGroup() as group:
                 for address in members:
-                    await group.spawn(self._send, address, begun)
+                    await group.spawn(self._send, address, message)
             if not any(group.results):
                 # No member has them.
                 newer, self.pending = self.pending, begun
                 self._add_pending(newer)
             await self.clock.sleep_ms(RECORD_INTERVAL_MS)
 
-    async def _send(self, address: Address, begun: list[_Begun]) -> bool:
-        """Send records to a member; return whether it has them."""
+    def _make_message(self, begun: list[_Begun]) -> RecordOrigins:
+        """Return the records, grouped so that each origin is named once."""
         now_ms = self.clock.now_ms()
         began_ms: dict[StreamOrigin, int] = {}
         keys_by_origin: dict[StreamOrigin, list[int]] = defaultdict(list)
         for each in begun:
             keys_by_origin[each.origin].append(each.key)
             began_ms[each.origin] = each.began_ms
-        message = RecordOrigins(
+        return RecordOrigins(
             tuple(
                 StreamsBegun(origin, max(now_ms - began_ms[origin], 0), tuple(keys))
                 for origin, keys in keys_by_origin.items()
             )
         )
+
+    async def _send(self, address: Address, message: RecordOrigins) -> bool:
+        """Send records to a member; return whether it has them."""
         try:
             reply = await self.link.call(address, message, CALL_TIMEOUT_MS)
         except PeerUnreachable as error:
