--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -479,8 +479,9 @@
             head = await connection.read_head(timeout_ms)
             observe = None
             if self.observer is not None:
-                record = self.observer.record_answer
-                observe = functools.partial(_observe, record, address, sent_ms)
+                observe = functools.partial(
+                    self.observer.record_answer, address, sent_ms=sent_ms
+                )
             stream = HttpStream(connection, head, observe)
             if confirmed:
                 await stream.confirm()
@@ -572,15 +573,6 @@
         connection.max_idle_ms = min(limit_ms, MAX_IDLE_MS)
 
 
-async def _observe(
-    record: Callable[[Address, HttpStream, int], Awaitable[None]],
-    address: Address,
-    sent_ms: int,
-    stream: HttpStream,
-) -> None:
-    await record(address, stream, sent_ms)
-
-
 async def _send(
     connection: _Connection, request: h11.Request, body: bytes, timeout_ms: int
 ) -> None:
