--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -69,16 +69,20 @@
             self.hubs.append(hub)
         return self
 
-    async def entry(self):
-        view = FleetView(
+    def view(self, row):
+        """Return the view of an entry, which is not updated yet."""
+        return FleetView(
             self.clock,
-            self.network.link(ENTRY.address),
-            ENTRY,
+            self.network.link(row.address),
+            row,
             lambda: [node.address for node in self.cluster.nodes],
             PlainFormat(),
             KEY_GRACE_MS,
             APPLY_LIMIT_MS,
         )
+
+    async def entry(self):
+        view = self.view(ENTRY)
         await curio.spawn(view.run, daemon=True)
         return view
 
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -6,14 +6,7 @@
 import curio
 import pytest
 
-from tests.test_discovery import (
-    APPLY_LIMIT_MS,
-    HEARTBEAT_MS,
-    KEY_GRACE_MS,
-    Controls,
-    PlainFormat,
-)
-from wagtailrun.discovery import FleetView
+from tests.test_discovery import HEARTBEAT_MS, Controls
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import digest_part
 from wagtailrun.gossip_messages import EntryRow
@@ -88,15 +81,7 @@
             f"e{number}", Address(f"10.8.0.{number}", 7_000), "a", clock.now_ms() + 1
         )
         link = fleet.controls.network.link(self.row.address)
-        self.view = FleetView(
-            clock,
-            link,
-            self.row,
-            lambda: [node.address for node in fleet.controls.cluster.nodes],
-            PlainFormat(),
-            KEY_GRACE_MS,
-            APPLY_LIMIT_MS,
-        )
+        self.view = fleet.controls.view(self.row)
         self.host = PlacementHost(
             clock,
             TargetChooser(clock, "", number),
--- a/tests/test_stream_origins_fleet.py
+++ b/tests/test_stream_origins_fleet.py
@@ -6,15 +6,9 @@
 import curio
 import pytest
 
-from tests.test_discovery import (
-    APPLY_LIMIT_MS,
-    HEARTBEAT_MS,
-    KEY_GRACE_MS,
-    Controls,
-    PlainFormat,
-)
+from tests.test_discovery import HEARTBEAT_MS, Controls
 from wagtailrun.consensus_state import Signal
-from wagtailrun.discovery import FleetView, OriginClient, StreamOrigin
+from wagtailrun.discovery import OriginClient, StreamOrigin
 from wagtailrun.discovery.stream_origins import StreamOrigins, stream_key
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
@@ -50,15 +44,7 @@
             fleet.clock.now_ms() + 1,
         )
         link = fleet.controls.network.link(self.row.address)
-        self.view = FleetView(
-            fleet.clock,
-            link,
-            self.row,
-            lambda: [node.address for node in fleet.controls.cluster.nodes],
-            PlainFormat(),
-            KEY_GRACE_MS,
-            APPLY_LIMIT_MS,
-        )
+        self.view = fleet.controls.view(self.row)
         self.origins = OriginClient(fleet.clock, link, self.view.ranked_members)
         self.has_ended = False
         # Wakes its streams in the same order in every run.
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -6,15 +6,8 @@
 import curio
 import pytest
 
-from tests.test_discovery import (
-    APPLY_LIMIT_MS,
-    HEARTBEAT_MS,
-    KEY_GRACE_MS,
-    Controls,
-    PlainFormat,
-)
+from tests.test_discovery import HEARTBEAT_MS, Controls
 from tests.test_target_limits import allowed
-from wagtailrun.discovery import FleetView
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.gossip_messages import EntryRow
@@ -114,15 +107,7 @@
             clock.now_ms() + 1,
         )
         self.link = fleet.controls.network.link(self.row.address)
-        self.view = FleetView(
-            clock,
-            self.link,
-            self.row,
-            lambda: [node.address for node in fleet.controls.cluster.nodes],
-            PlainFormat(),
-            KEY_GRACE_MS,
-            APPLY_LIMIT_MS,
-        )
+        self.view = fleet.controls.view(self.row)
         limits = self.view.limits
         owners = self.owners = Owners(clock, self.view.live_entries)
         self.granter = SendGranter(clock, limits, self.share, number)
