--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -24,6 +24,7 @@
 START_S = 20
 KEY = "guild-key"
 SIGNATURE = ("Server-Seal", "seal")
+ENTRY_MODULE = "wagtail_platform"
 
 
 class Fleet:
@@ -50,7 +51,7 @@
         file.write_text("".join(f"WAGTAILRUN_{k}={v}\n" for k, v in lines.items()))
         return file
 
-    def start(self, role, name, file):
+    def start(self, role, name, file, module="wagtail_platform"):
         # The platform sets only this variable.
         environment = {
             "PATH": os.environ["PATH"],
@@ -59,7 +60,7 @@
         }
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-P", "-m", "wagtail_platform", role],
+                [sys.executable, "-P", "-m", module, role],
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -83,7 +84,7 @@
             "DRAIN_NOTICE_MS": "300",
             "GRACE_S": "6",
         }
-        self.start("entry", name, self.settings(name, ip, extra))
+        self.start("entry", name, self.settings(name, ip, extra), ENTRY_MODULE)
 
     def stop(self, name, number):
         self.processes[name].send_signal(number)
