Carry connections to targets through other entries where the path is lost

Cause: an attempt had one path, that of its entry, and a failed connection was reported as the target's fault, for all entries. Class of fault: a statement about a pair (entry, target) taken for one about the target. Deadline, retries, keys, limits and the answer stay with the entry of the request; the carrier refuses what leaves, pauses or what it cannot reach itself.

--- a/tests/cut_entry.py
+++ b/tests/cut_entry.py
@@ -30,6 +30,7 @@
     def __init__(self, sock):
         self.sock = sock
         self.was_reset = False
+        self.was_shut_down = False
 
     def __getattr__(self, name):
         return getattr(self.sock, name)
@@ -39,9 +40,13 @@
         self.was_reset = self.was_reset or kind == "reset"
         if self.was_reset:
             raise ConnectionResetError("cut off")
-        while cut_kind() == "hang":
+        while cut_kind() == "hang" and not self.was_shut_down:
             await curio.sleep(POLL_S)
 
+    async def shutdown(self, how):
+        self.was_shut_down = True
+        await self.sock.shutdown(how)
+
     async def recv(self, size):
         await self.pass_cut()
         data = await self.sock.recv(size)
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -25,10 +25,13 @@
 from wagtailrun.ports.link import Address
 
 __all__ = [
+    "Connector",
+    "DirectConnector",
     "HttpClient",
     "HttpReply",
     "HttpStream",
     "LEAST_URGENT",
+    "OpenConnection",
     "SendPermit",
     "TargetObserver",
     "enable_dead_peer_detection",
@@ -105,6 +108,11 @@
         """Whether the connection carried other requests before this one."""
         return self.connection.requests > 1
 
+    @property
+    def carrier(self) -> Address | None:
+        """Peer that carries the connection to the server; None if it is direct."""
+        return self.connection.carrier
+
     @property
     def has_excess(self) -> bool:
         """Whether bytes follow the body; False if it was not read to its end."""
@@ -248,15 +256,93 @@
         """Record the head of an answer to a request that was sent at ``sent_ms``."""
 
 
+@attrs.frozen
+class OpenConnection:
+    """A new connection to a server.
+
+    Attributes:
+        sock: Socket, or an object that is used like one.
+        carrier: Peer that carries the connection; None if it is direct.
+    """
+
+    sock: Any
+    carrier: Address | None = None
+
+
+class Connector(ABC):
+    """Opens connections to servers."""
+
+    @abstractmethod
+    async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
+        """Open a connection.
+
+        Args:
+            address: Address of the server.
+            timeout_ms: Time limit, in milliseconds.
+
+        Raises:
+            ConnectFailed: If it cannot be opened.
+            TargetPaused: If the server takes no requests over the only path.
+        """
+
+    @abstractmethod
+    async def accepts_connections(
+        self, address: Address, timeout_ms: int
+    ) -> bool | None:
+        """Return whether a server accepts connections; no request is sent.
+
+        Returns:
+            False if it refuses them; None if it does not reply.
+        """
+
+    @abstractmethod
+    def may_reuse(self, address: Address) -> bool:
+        """Return whether idle connections to a server may carry another request."""
+
+
+class DirectConnector(Connector):
+    """Connects to servers directly."""
+
+    async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
+        """Open a connection; see ``Connector``."""
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                sock = await curio.open_connection(address.host, address.port)
+        except (OSError, curio.TaskTimeout) as error:
+            raise ConnectFailed(
+                f"cannot connect to {address}: {error}",
+                refused=isinstance(error, ConnectionRefusedError),
+            ) from error
+        enable_dead_peer_detection(sock)
+        return OpenConnection(sock)
+
+    async def accepts_connections(
+        self, address: Address, timeout_ms: int
+    ) -> bool | None:
+        """Return whether a server accepts connections; see ``Connector``."""
+        try:
+            opened = await self.connect(address, timeout_ms)
+        except ConnectFailed as error:
+            return False if error.refused else None
+        await opened.sock.close()
+        return True
+
+    def may_reuse(self, address: Address) -> bool:
+        """Return True: the client checks each idle connection itself."""
+        return True
+
+
 class _Connection:
     """A connection to a server, which carries one request at a time."""
 
-    def __init__(self, sock: Any, clock: Clock):
-        self.sock = sock
+    def __init__(self, opened: OpenConnection, clock: Clock):
+        self.sock = opened.sock
+        self.carrier = opened.carrier
         self.clock = clock
         self.turns = Turns()
-        # Whether the connection must not carry another request.
-        self.closing = False
+        # Whether the connection must not carry another request. The peer that carries
+        # it decides about each request.
+        self.closing = opened.carrier is not None
         # Whether the server closed its side.
         self.received_end = False
         # Body of the newest response that ``HttpStream.check_distinct`` checked.
@@ -354,13 +440,18 @@
     Args:
         clock: Clock that measures the age of idle connections.
         observer: Is told of all answers and permits all requests.
+        connector: Opens connections; by default directly.
     """
 
     def __init__(
-        self, clock: Clock | None = None, observer: TargetObserver | None = None
+        self,
+        clock: Clock | None = None,
+        observer: TargetObserver | None = None,
+        connector: Connector | None = None,
     ):
         self.clock = clock or SystemClock()
         self.observer = observer
+        self.connector = connector or DirectConnector()
         self.idle_by_address: dict[Address, list[_Connection]] = {}
 
     async def request(
@@ -413,7 +504,7 @@
         address: Address,
         method: str,
         path: str | bytes,
-        headers: Headers = (),
+        headers: Headers | Callable[[], Headers] = (),
         body: bytes = b"",
         *,
         timeout_ms: int,
@@ -432,7 +523,8 @@
             address: Address of the server.
             method: HTTP method.
             path: Path with query.
-            headers: Additional headers.
+            headers: Additional headers, or what returns them when the connection is
+                open.
             body: Body, sent with Content-Length.
             timeout_ms: Time limit for each step, in milliseconds.
             new_connection: Whether to bypass the pool of idle connections.
@@ -466,7 +558,7 @@
             fields = [
                 ("Host", host or str(address)),
                 ("Content-Length", str(len(body))),
-                *headers,
+                *(headers() if callable(headers) else headers),
             ]
             request = h11.Request(method=method, target=path, headers=fields)
             sent_ms = self.clock.now_ms()
@@ -495,20 +587,8 @@
     async def accepts_connections(
         self, address: Address, timeout_ms: int
     ) -> bool | None:
-        """Return whether a server accepts connections; no request is sent.
-
-        Returns:
-            False if it refuses them; None if it does not reply.
-        """
-        try:
-            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
-                sock = await curio.open_connection(address.host, address.port)
-        except ConnectionRefusedError:
-            return False
-        except (OSError, curio.TaskTimeout):
-            return None
-        await sock.close()
-        return True
+        """Return whether a server accepts connections; see ``Connector``."""
+        return await self.connector.accepts_connections(address, timeout_ms)
 
     async def _connect(
         self,
@@ -519,6 +599,8 @@
     ) -> _Connection:
         """Return a pooled connection that is still usable, or open one."""
         idle = self.idle_by_address.get(address, [])
+        if not self.connector.may_reuse(address):
+            await self._drop_idle(address)
         while not new_connection:
             # The newest one first.
             number = next(
@@ -537,13 +619,13 @@
                 connection.http.start_next_cycle()
                 return connection
             await connection.sock.close()
-        try:
-            async with curio.timeout_after(connect_timeout_ms / MS_PER_SECOND):
-                sock = await curio.open_connection(address.host, address.port)
-        except (OSError, curio.TaskTimeout) as error:
-            raise ConnectFailed(f"cannot connect to {address}: {error}") from error
-        enable_dead_peer_detection(sock)
-        return _Connection(sock, self.clock)
+        opened = await self.connector.connect(address, connect_timeout_ms)
+        return _Connection(opened, self.clock)
+
+    async def _drop_idle(self, address: Address) -> None:
+        idle = self.idle_by_address.get(address, [])
+        while idle:
+            await idle.pop().sock.close()
 
     async def _release(self, address: Address, connection: _Connection) -> None:
         """Return a connection to the pool, or close it."""
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -4,7 +4,6 @@
 import hmac
 import secrets
 import struct
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
@@ -17,7 +16,7 @@
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fairness import Turns
 from wagtailrun.messages import PeerError
-from wagtailrun.ports.link import Address, Handler, PeerLink
+from wagtailrun.ports.link import Address, Handler, PeerLink, TunnelLink, Upgrade
 
 __all__ = ["TcpPeerLink", "serve_peers"]
 
@@ -74,6 +73,14 @@
         del self._received[:size]
         return data
 
+    async def read_some(self) -> bytes:
+        """Return the next bytes, not framed; empty if the peer closed."""
+        if not self._received:
+            return await self.sock.recv(READ_BYTES)
+        data = bytes(self._received)
+        self._received.clear()
+        return data
+
     async def read_frame(self) -> bytes:
         """Return the next frame.
 
@@ -148,7 +155,69 @@
     await connection.sock.sendall(_digest(secret, b"server", client_nonce, nonce))
 
 
-class TcpPeerLink(PeerLink):
+class PeerTunnel:
+    """A connection to a server that a peer carries, used like a socket.
+
+    The peer sends what the server sent in frames, and an empty frame when the server
+    has ended its side. Without it the connection was interrupted: an answer may only
+    end with its connection if the server ended it.
+
+    Args:
+        connection: Connection to the peer.
+    """
+
+    def __init__(self, connection: _FrameSocket):
+        self.connection = connection
+        self.ended = False
+
+    async def recv(self, size: int) -> bytes:
+        """Return the next bytes of the server; empty after its end.
+
+        Raises:
+            ConnectionResetError: If the connection was interrupted.
+        """
+        if self.ended:
+            return b""
+        try:
+            frame = await self.connection.read_frame()
+        except (EOFError, MessageError) as error:
+            raise ConnectionResetError(f"the tunnel was closed: {error}") from error
+        self.ended = not frame
+        return frame
+
+    async def sendall(self, data: bytes) -> None:
+        """Send bytes to the server."""
+        await self.connection.sock.sendall(data)
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection to the peer."""
+        return self.connection.sock.fileno()
+
+    async def close(self) -> None:
+        """Close the connection; the peer closes its one to the server."""
+        await self.connection.close()
+
+
+class _TunnelEnd:
+    """A peer's end of a tunnel, at the process that carries it."""
+
+    def __init__(self, connection: _FrameSocket):
+        self.connection = connection
+
+    async def recv(self) -> bytes:
+        """Return the next bytes for the server; empty when the peer has closed."""
+        return await self.connection.read_some()
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes of the server."""
+        await self.connection.write_frame(data)
+
+    async def send_end(self) -> None:
+        """Tell the peer that the server has ended its side."""
+        await self.connection.write_frame(b"")
+
+
+class TcpPeerLink(PeerLink, TunnelLink):
     """Calls peers over pooled TCP connections.
 
     A connection carries one call at a time and is closed after any failure, so that a
@@ -166,6 +235,28 @@
 
     async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
         """Send ``message`` and return the reply; see ``PeerLink.call``."""
+        connection, reply = await self._exchange(address, message, timeout_ms)
+        await self._release(address, connection)
+        if isinstance(reply, PeerError):
+            raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
+        return reply
+
+    async def open_tunnel(
+        self, address: Address, message: Any, timeout_ms: int, opened: type
+    ) -> Any:
+        """Return a ``PeerTunnel``, or a reply; see ``TunnelLink.open_tunnel``."""
+        connection, reply = await self._exchange(address, message, timeout_ms)
+        if isinstance(reply, opened):
+            return PeerTunnel(connection)
+        await self._release(address, connection)
+        if isinstance(reply, PeerError):
+            raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
+        return reply
+
+    async def _exchange(
+        self, address: Address, message: Any, timeout_ms: int
+    ) -> tuple[_FrameSocket, Any]:
+        """Send ``message``; return the connection that was used and the reply."""
         frame = encode(message)
         connection = None
         try:
@@ -193,10 +284,7 @@
             sent = connection is not None
             raise PeerUnreachable(detail, sent=sent, alive=alive) from error
         self.last_reply_ms_by_address[address] = self.clock.now_ms()
-        await self._release(address, connection)
-        if isinstance(reply, PeerError):
-            raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
-        return reply
+        return connection, reply
 
     def _is_alive(self, address: Address) -> bool:
         """Return whether a peer answered another call a moment ago."""
@@ -263,7 +351,13 @@
             while True:
                 async with curio.timeout_after(IDLE_TIMEOUT_MS / MS_PER_SECOND):
                     frame = await connection.read_frame()
-                await connection.write_frame(await _make_reply(handler, frame))
+                reply = await _make_reply(handler, frame)
+                if isinstance(reply, Upgrade):
+                    enable_dead_peer_detection(sock)
+                    await connection.write_frame(encode(reply.reply))
+                    await reply.run(_TunnelEnd(connection))
+                    return
+                await connection.write_frame(reply)
         except MessageError as error:
             events.log(events.PEER_REJECTED, peer=str(peer), detail=str(error))
         except (OSError, EOFError, curio.TaskTimeout):
@@ -272,9 +366,10 @@
     await listen(address, serve_connection)
 
 
-async def _make_reply(handler: Callable[[Any], Awaitable[Any]], frame: bytes) -> bytes:
+async def _make_reply(handler: Handler, frame: bytes) -> bytes | Upgrade:
     try:
-        return encode(await handler(decode(frame)))
+        reply = await handler(decode(frame))
+        return reply if isinstance(reply, Upgrade) else encode(reply)
     except MessageError:
         raise
     except Exception as error:  # An error in one handler must not end the listener.
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -33,6 +33,7 @@
     DISCOVERY = 5
     STAGES = 6
     PLACEMENT = 7
+    TUNNELS = 8
 
 
 def camel_case(name: str) -> str:
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -179,6 +179,11 @@
         active = [row for row in rows if not row.leaving]
         return [row for row in active if not row.silent] or active
 
+    def target_addresses(self) -> list[Address]:
+        """Return the addresses of all targets that may be given work."""
+        rows = self.membership.targets_by_name.values()
+        return [row.address for row in rows if not (row.leaving or row.silent)]
+
     def targets_to_continue(self, origin: StreamOrigin) -> list[TargetRow]:
         """Return the targets at which a stream may go on.
 
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -268,6 +268,41 @@
     "Restore the connection to the control members.",
     per_second=1,
 )
+PATH_LOST = _event(
+    740,
+    logging.WARNING,
+    "This entry cannot connect to a target that another entry reaches; requests to it "
+    "go through other entries.",
+    "Check the network between the entry and the target.",
+    per_second=20,
+)
+PATH_RETURNED = _event(
+    741,
+    logging.INFO,
+    "This entry connects to a target directly again.",
+    per_second=20,
+)
+ENTRY_CUT_OFF = _event(
+    742,
+    logging.ERROR,
+    "This entry reaches no target directly, or does so again; meanwhile all its "
+    "requests go through other entries.",
+    "Check the network of the entry.",
+    limited=False,
+)
+CARRIER_FAILED = _event(
+    743,
+    logging.INFO,
+    "Another entry opened no connection to a target for this one.",
+    per_second=20,
+)
+TUNNEL_ENDED = _event(
+    744,
+    logging.INFO,
+    "A connection to a target that this entry carried for another one ended, or could "
+    "not be opened.",
+    per_second=REQUEST_LINES_PER_SECOND,
+)
 ANSWER_BODY_SKIPPED = _event(
     713,
     logging.WARNING,
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -199,7 +199,15 @@
 
 
 class ConnectFailed(TargetFailed):
-    """No connection could be opened, so no byte was sent."""
+    """No connection could be opened, so no byte was sent.
 
-    def __init__(self, detail: str):
+    Args:
+        detail: What happened.
+        refused: Whether the target refused the connection, as opposed to no reply.
+        confirmed: Whether the target is at fault and not the path to it.
+    """
+
+    def __init__(self, detail: str, *, refused: bool = False, confirmed: bool = True):
         super().__init__(detail, verdict=Verdict.NOT_RUN)
+        self.refused = refused
+        self.confirmed = confirmed
--- a/wagtailrun/ports/link.py
+++ b/wagtailrun/ports/link.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Address", "Handler", "PeerLink"]
+__all__ = ["Address", "Handler", "PeerLink", "TunnelLink", "Upgrade"]
 
 
 @attrs.frozen(order=True)
@@ -34,7 +34,7 @@
         return f"{self.host}:{self.port}"
 
 
-# Returns the reply to a message of a peer.
+# Returns the reply to a message of a peer, or an ``Upgrade``.
 Handler = Callable[[Any], Awaitable[Any]]
 
 
@@ -54,3 +54,40 @@
             PeerUnreachable: If no reply was received in time; ``sent`` says whether
                 part of the message may have reached the peer.
         """
+
+
+@attrs.frozen
+class Upgrade:
+    """Reply of a handler after which the connection carries bytes instead of messages.
+
+    Attributes:
+        reply: The reply, sent first.
+        run: Called with the peer's end of the connection, an object with ``recv``,
+            ``send`` and ``send_end``; the connection is closed when it returns.
+    """
+
+    reply: Any
+    run: Callable[[Any], Awaitable[None]]
+
+
+class TunnelLink(ABC):
+    """Opens connections to servers through other processes of the system."""
+
+    @abstractmethod
+    async def open_tunnel(
+        self, address: Address, message: Any, timeout_ms: int, opened: type
+    ) -> Any:
+        """Send a request for a tunnel and return the connection, or another reply.
+
+        The connection has ``recv``, ``sendall``, ``fileno`` and ``close`` like a
+        socket; an interruption raises ``ConnectionResetError`` and is no end.
+
+        Args:
+            address: Peer address of the other process.
+            message: The request.
+            timeout_ms: Time limit for the reply, in milliseconds.
+            opened: Class of the reply after which the tunnel is open.
+
+        Raises:
+            PeerUnreachable: If no reply was received in time.
+        """
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -7,7 +7,7 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.adapters.http_client import HttpClient, HttpStream
+from wagtailrun.adapters.http_client import Headers, HttpClient, HttpStream
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
@@ -428,15 +428,20 @@
             TargetFailed: If there is no answer to this request.
         """
         left_ms = self.remaining_ms(job)
-        context = AttemptContext(
-            target=row.name,
-            workspace=job.workspace,
-            remaining_ms=left_ms,
-            urgency=job.urgency,
-            inputs=job.inputs,
-            last_event_id=last_event_id,
-        )
         request = job.request
+
+        def make_headers() -> Headers:
+            """Return the headers; what is left of the deadline is that at sending."""
+            context = AttemptContext(
+                target=row.name,
+                workspace=job.workspace,
+                remaining_ms=self.remaining_ms(job),
+                urgency=job.urgency,
+                inputs=job.inputs,
+                last_event_id=last_event_id,
+            )
+            return self.wire.attempt_headers(request, context)
+
         started_ms = self.clock.now_ms()
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
@@ -449,7 +454,7 @@
                 row.address,
                 job.http_request.method,
                 job.http_request.target,
-                self.wire.attempt_headers(request, context),
+                make_headers,
                 job.http_request.body,
                 timeout_ms=left_ms,
                 # A target may close a reused connection after running the request, and
@@ -463,6 +468,8 @@
                 identity=request.request_id,
                 confirmed=False,
             ) as stream:
+                if stream.carrier is not None:
+                    job.carriers.append(str(stream.carrier))
                 stream, head = await self._skip_crossed_answers(job, stream)
                 await stream.confirm()
                 if head.load is not None:
@@ -548,7 +555,12 @@
             return self._send_refusal(job, job.runs)
         if isinstance(error, ConnectFailed):
             job.runs -= 1
-            await self.report_end(job, row, RunOutcome.UNREACHABLE)
+            outcome = RunOutcome.UNREACHABLE
+            if job.route.prompt_affinity and not error.confirmed:
+                # The path from this entry failed, which tells the owner of the engines
+                # nothing about the engine.
+                outcome = RunOutcome.OVER
+            await self.report_end(job, row, outcome)
             return None
         await self.report_end(job, row, RunOutcome.FAILED)
         if error.closed:
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -34,6 +34,8 @@
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, StopSignals, run_daemon
 from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
+from wagtailrun.relay.tunnel_messages import OpenTunnel, ReportPause
+from wagtailrun.relay.tunnels import PathConnector, TunnelHost
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.settings import RelayEntrySettings
@@ -131,8 +133,27 @@
             self.view.limits,
         )
         self.origins = OriginClient(self.clock, self.link, self.view.ranked_members)
-        self.notices = TargetNotices(self.clock, protocol.wire, self.view, grants)
-        self.http = HttpClient(self.clock, self.notices)
+        self.connector = PathConnector(
+            self.clock,
+            self.link,
+            self.view,
+            lambda address, pause_ms: self.notices.record_pause(address, pause_ms),
+        )
+        self.notices = TargetNotices(
+            self.clock,
+            protocol.wire,
+            self.view,
+            grants,
+            report_pause=self.connector.report_pause,
+        )
+        self.tunnels = TunnelHost(
+            self.clock,
+            self.view,
+            self.connector,
+            self.notices.pause_left_ms,
+            lambda: bool(self.signals.stop_count),
+        )
+        self.http = HttpClient(self.clock, self.notices, self.connector)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
@@ -240,6 +261,18 @@
             "Time of these calls.",
             lambda: batcher.call_ms,
         )
+        paths, tunnels = self.connector.paths, self.tunnels
+        gauge(
+            "lost_paths",
+            "Targets that this entry reaches only through other entries.",
+            lambda: len(paths.lost_since_ms_by_address),
+        )
+        gauge("cut_off", "Whether it reaches no target.", lambda: paths.is_cut_off)
+        gauge(
+            "tunnels",
+            "Connections to targets that this entry carries for others.",
+            lambda: tunnels.running,
+        )
         gauge(
             "crossed_answers",
             "Answers to other requests, which were skipped.",
@@ -299,6 +332,7 @@
             ready_server.serve,
             self.view.run,
             self._record_origins,
+            self._watch_paths,
             self.live_settings.watch,
         )
         await run_daemon(
@@ -313,6 +347,9 @@
     async def _record_origins(self) -> None:
         await supervise("record stream origins", self.origins.run)
 
+    async def _watch_paths(self) -> None:
+        await supervise("watch paths", self.connector.paths.run)
+
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another entry."""
         if isinstance(message, RunPieces | CancelPieces | FreeResults):
@@ -325,6 +362,10 @@
             grant = self.granter.handle(message)
             await self.view.report_changes()
             return grant
+        if isinstance(message, OpenTunnel):
+            return await self.tunnels.open(message)
+        if isinstance(message, ReportPause):
+            return self.notices.handle(message)
         raise MessageError(f"{type(message).__name__} is not handled by a relay entry")
 
     async def _handle_ready(self, request: Request) -> Any:
@@ -361,7 +402,11 @@
         return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
 
     def _is_idle(self) -> bool:
-        busy = self.batcher.has_open_jobs or self.delegating_client.running_for_peers
+        busy = (
+            self.batcher.has_open_jobs
+            or self.delegating_client.running_for_peers
+            or self.tunnels.running
+        )
         return not self.caller_server.active_requests and not busy
 
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -418,6 +418,7 @@
             confirmation_age_ms=job.confirmation_age_ms,
             data_centre=job.data_centre,
             targets=list(job.tried_targets),
+            carriers=list(job.carriers),
             runs=job.runs,
             began_at=job.origin.target if job.origin else "",
             software_version=job.origin.software_version if job.origin else "",
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -52,6 +52,7 @@
         progress: How much of the answer to the newest attempt has arrived.
         detail: Description of the newest failure.
         crashes: Targets that ended while they ran it.
+        carriers: Addresses of the entries that carried its attempts to targets.
         origin: Where its stream began; None until its first event. A stream that a
             caller takes up has the origin of its first part.
     """
@@ -82,6 +83,7 @@
     progress: AnswerProgress = AnswerProgress.NOTHING
     detail: str = ""
     crashes: int = 0
+    carriers: list[str] = attrs.field(factory=list)
     origin: StreamOrigin | None = None
     _digest: str = ""
 
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -1,8 +1,10 @@
 """What targets told about themselves: that they leave, pause or limit requests."""
 
 import random
+from collections.abc import Awaitable, Callable
 
 import attrs
+import curio
 
 from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpStream, SendPermit, TargetObserver
@@ -13,6 +15,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.port import MalformedLimit, RelayWire
 from wagtailrun.relay.send_grants import GrantClient
+from wagtailrun.relay.tunnel_messages import PauseNoted, ReportPause
 
 __all__ = ["TargetNotices"]
 
@@ -53,6 +56,7 @@
         view: This entry's view of the fleet, which is told what targets say.
         grants: Requests grants for targets that limit their requests.
         seed: Seed of the random return after a pause.
+        report_pause: Tells the entry that carried a request about a pause.
     """
 
     def __init__(
@@ -62,7 +66,10 @@
         view: FleetView,
         grants: GrantClient,
         seed: int | None = None,
+        report_pause: Callable[[Address, TargetRow, int], Awaitable[None]]
+        | None = None,
     ):
+        self.report_pause = report_pause
         self.clock = clock
         self.wire = wire
         self.view = view
@@ -82,6 +89,14 @@
             return
         if notice.pause_ms:
             self._pause(row, notice.pause_ms)
+            if self.report_pause is not None and stream.carrier is not None:
+                await curio.spawn(
+                    self.report_pause,
+                    stream.carrier,
+                    row,
+                    notice.pause_ms,
+                    daemon=True,
+                )
         else:
             self._end_trial(address)
         if isinstance(notice.limit_per_s, MalformedLimit):
@@ -123,7 +138,7 @@
 
     def check(self, address: Address, permit: SendPermit | None) -> None:
         """Check a permit before the request is sent; see ``TargetObserver``."""
-        left_ms = self._pause_left_ms(address)
+        left_ms = self.pause_left_ms(address)
         if left_ms:
             raise TargetPaused(f"{address} asked for a pause", left_ms)
         row = self.view.row_at(address)
@@ -155,7 +170,39 @@
         Returns:
             Milliseconds; 0 if it may get one now.
         """
-        return max(self._pause_left_ms(address), self._denied_ms(address, urgency))
+        return max(self.pause_left_ms(address), self._denied_ms(address, urgency))
+
+    def pause_left_ms(self, address: Address) -> int:
+        """Return how long a target wants no requests of this VM, limits aside."""
+        pause = self.pauses_by_address.get(address)
+        if pause is None:
+            return 0
+        row = self.view.row_at(address)
+        if row is not None and row.incarnation != pause.incarnation:
+            del self.pauses_by_address[address]
+            return 0
+        return max(max(pause.until_ms, pause.trial_until_ms) - self.clock.now_ms(), 0)
+
+    def record_pause(self, address: Address, pause_ms: int) -> bool:
+        """Record a pause that a target asked for in an answer to another entry.
+
+        Returns:
+            Whether the target is known here.
+        """
+        row = self.view.row_at(address)
+        if row is not None:
+            self._pause(row, pause_ms)
+        return row is not None
+
+    def handle(self, message: ReportPause) -> PauseNoted:
+        """Record the pause that a target asked for in an answer carried here."""
+        row = self.view.row_at(Address.parse(message.address))
+        known = (
+            row is not None
+            and row.name == message.target
+            and row.incarnation == message.incarnation
+        )
+        return PauseNoted(known and self.record_pause(row.address, message.pause_ms))
 
     def _denied_ms(self, address: Address, urgency: int) -> int:
         denials = self.denials_by_address.get(address)
@@ -178,16 +225,6 @@
         denials = self.denials_by_address.setdefault(address, {})
         denials[urgency] = now_ms + wait_ms
 
-    def _pause_left_ms(self, address: Address) -> int:
-        pause = self.pauses_by_address.get(address)
-        if pause is None:
-            return 0
-        row = self.view.row_at(address)
-        if row is not None and row.incarnation != pause.incarnation:
-            del self.pauses_by_address[address]
-            return 0
-        return max(max(pause.until_ms, pause.trial_until_ms) - self.clock.now_ms(), 0)
-
     def _pause(self, row: TargetRow, asked_ms: int) -> None:
         pause_ms = min(asked_ms, MAX_PAUSE_MS)
         jitter_ms = min(pause_ms * RETURN_JITTER_SHARE, MAX_RETURN_JITTER_MS)
