--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -156,6 +156,7 @@
     keys=None,
     members=None,
     on_handler=lambda handler: None,
+    connector=None,
     **options,
 ):
     """Run ``client(address, engines)`` against a relay with prepared engines."""
@@ -203,7 +204,7 @@
             clock,
             known,
             wire,
-            HttpClient(clock, notices),
+            HttpClient(clock, notices, connector),
             NoStages(),
             chooser,
             placement,
--- a/wagtailrun/relay/paths.py
+++ b/wagtailrun/relay/paths.py
@@ -49,8 +49,8 @@
         self.sock = sock
         self.address = address
         self.paths = paths
-        # Since when a task waits for bytes; 0 if none does.
-        self.waiting_since_ms = 0
+        # Since when a task waits for bytes; None if none does.
+        self.waiting_since_ms: int | None = None
         self.aborted = False
 
     async def recv(self, size: int) -> bytes:
@@ -63,7 +63,7 @@
         try:
             data = await self.sock.recv(size)
         finally:
-            self.waiting_since_ms = 0
+            self.waiting_since_ms = None
         if self.aborted:
             raise ConnectionAbortedError(f"the path to {self.address} is lost")
         self.paths.last_received_ms = self.paths.clock.now_ms()
@@ -136,8 +136,9 @@
         self.random = random.Random(seed)
         self.lost_since_ms_by_address: dict[Address, int] = {}
         self.is_cut_off = False
-        self.last_connected_ms = 0
-        self.last_received_ms = 0
+        # Times before the first connection and the first byte count as long ago.
+        self.last_connected_ms = -1
+        self.last_received_ms = -SILENCE_MS
         self.next_probe_ms = 0
         self.next_check_ms = 0
         self.sockets: set[WatchedSocket] = set()
@@ -199,7 +200,7 @@
         waiting = [
             _Waiting(sock, now_ms - sock.waiting_since_ms)
             for sock in list(self.sockets)
-            if sock.waiting_since_ms
+            if sock.waiting_since_ms is not None
         ]
         silent = [each for each in waiting if each.silent_ms >= SILENCE_MS]
         if not silent:
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -84,7 +84,7 @@
 
     async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
         """Open a connection; see ``Connector``."""
-        if not self._carriers():
+        if not self._other_entries():
             return await self.connect_directly(address, timeout_ms)
         failure = None
         if not self.paths.is_lost(address):
@@ -208,15 +208,16 @@
         for name, until_ms in list(self.avoid_until_ms_by_carrier.items()):
             if until_ms <= now_ms:
                 del self.avoid_until_ms_by_carrier[name]
-        own = self.view.own_row
-        rows = [
-            row
-            for row in self.view.live_entries()
-            if row.name != own.name and row.name not in self.avoid_until_ms_by_carrier
-        ]
+        avoided = self.avoid_until_ms_by_carrier
+        rows = [row for row in self._other_entries() if row.name not in avoided]
         self.random.shuffle(rows)
+        own = self.view.own_row
         return sorted(rows, key=lambda row: row.data_centre != own.data_centre)
 
+    def _other_entries(self) -> list[EntryRow]:
+        own = self.view.own_row
+        return [row for row in self.view.live_entries() if row.name != own.name]
+
     async def report_pause(
         self, carrier: Address, row: TargetRow, pause_ms: int
     ) -> None:
