Close all idle connections in a planned stop, also beside a reset one

Callers saw: an entry that had been told to stop took requests until its process ended, and cut them. Cause: HttpServer.drain shuts down the idle connections one by one. If a caller has reset one of them and its task had no turn yet, shutdown raises ENOTCONN (seen in a trial with one reset connection). The remaining connections stayed open, and the stop was started again by its supervisor. Before: test_reset_connection_does_not_keep_the_others_open_when_draining fails (1 of 1, OSError 107). After: tests/test_http_server.py and tests/test_relay_stop.py pass.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -283,6 +283,31 @@
     assert with_server(echo, client) == b""
 
 
+def test_reset_connection_does_not_keep_the_others_open_when_draining():
+    """Guards against a planned stop that fails at a connection reset just before.
+
+    The stop began anew then, so that the process took requests up to its end.
+    """
+
+    async def client(address, server):
+        socks = []
+        for _ in range(8):
+            sock = await curio.open_connection(address.host, address.port)
+            await sock.sendall(GOOD)
+            await sock.recv(65_536)
+            socks.append(sock)
+        await curio.sleep(0.05)
+        assert len(server.idle_sockets) == len(socks)
+        # The server's tasks have no turn between the reset and the drain.
+        reset, *kept = socks
+        reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset._socket.close()
+        await server.drain()
+        return [await sock.recv(10) for sock in kept]
+
+    assert with_server(echo, client) == [b""] * 7
+
+
 def test_requests_around_a_planned_stop_are_answered():
     """Guards against a stop that cuts off requests that were just accepted.
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 server built on h11, with one task for each connection."""
 
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import attrs
@@ -254,7 +256,10 @@
         """Close the connections that have no request in progress, now and later."""
         self.closing = self.draining = True
         for sock in list(self.idle_sockets):
-            await sock.shutdown(0)
+            # A client may have reset its connection a moment ago. The task of the
+            # connection finds that out itself; the others still have to be closed.
+            with suppress(OSError):
+                await sock.shutdown(socket.SHUT_RD)
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
         connection = _ServerConnection(self, sock, str(peer[0]))
