Count a planned stop from its signal, also when it begins anew

Cause: after an error in the stop task its supervisor starts it again, and it took a new grace period from then on: until 2.8 s later it admitted every request in full, and it meant to end after the platform kills it. Requests sent long after the signal were so passed on and cut (LOST). Without an error, the announcement to a control member (up to 0.9 s) and the polling of the signal (0.1 s) came on top of the notice time. Change: the signal handler notes its time; notice and end count from that. Before: test_stop_that_fails_and_begins_again_keeps_its_end fails (1 of 1; the second plan is later than the first). After: tests/test_relay_stop.py passes (8 cases).

--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -1,18 +1,66 @@
 """Tests of requests that an entry receives while it stops as planned."""
 
+import signal
+
 import curio
 import pytest
+from wagtail_platform.documents import PlatformConfigurationFormat
+from wagtail_platform.requests import PlatformWire
+from wagtail_platform.stage_calls import PlatformStageClient
 
+from demo.processes import free_addresses
 from tests.test_relay_front import GOOD, SIGNATURE, event, run_relay, send
 from wagtailrun.adapters.http_server import Response
+from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
 from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
 from wagtailrun.routes import RouteKind
+from wagtailrun.settings import RelayEntrySettings
+from wagtailrun.supervisor import supervise
 
 pytestmark = pytest.mark.network
 
 MARGIN_MS = 150
 
 
+class PlatformProtocol(EntryProtocol):
+    """Formats of the platform."""
+
+    configuration_format = PlatformConfigurationFormat()
+    wire = PlatformWire()
+
+    def stage_client(self, http):
+        return PlatformStageClient(http)
+
+
+def make_entry(**options):
+    """Return an entry that knows no control member."""
+    caller, ready, peer, metrics = free_addresses(4)
+    settings = RelayEntrySettings(
+        name="e",
+        data_centre="a",
+        caller_address=caller,
+        ready_address=ready,
+        peer_address=peer,
+        peer_secret=b"secret-of-this-test",
+        metrics_address=metrics,
+        **options,
+    )
+    return RelayEntry(settings, PlatformProtocol(), lambda: settings)
+
+
+@pytest.fixture
+def stop_signal():
+    """Return a function that sends this process a signal to stop.
+
+    The handlers that an entry installed are removed at the end.
+    """
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = {number: signal.getsignal(number) for number in numbers}
+    yield lambda: signal.raise_signal(signal.SIGTERM)
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
+
+
 def lasting(duration_s):
     """Answer after a time, or stream an event in that time."""
 
@@ -82,3 +130,32 @@
     """
     engine = lasting(0.01) if kind is RouteKind.STREAM else GOOD
     assert run_stopping(kind, engine, notice_ms, ends_ms)[0].status == status
+
+
+def test_stop_that_fails_and_begins_again_keeps_its_end(stop_signal):
+    """Guards against a stop that takes a second grace period after an error.
+
+    The platform ends the process after the first one, with all that it accepted since.
+    """
+    entry = make_entry(grace_s=1.5, drain_notice_ms=200)
+    entry.signals.install()
+    plans = []
+
+    async def fail_once():
+        plans.append(entry.handler.stop)
+        if len(plans) == 1:
+            raise RuntimeError("a fault of this test")
+
+    async def main():
+        entry.view.announce_stop = fail_once
+        stop_signal()
+        started_ms = entry.clock.now_ms()
+        await curio.sleep(0.3)
+        await supervise("stop", entry._stop_on_signal)
+        return started_ms, entry.clock.now_ms()
+
+    started_ms, ended_ms = curio.run(main)
+    assert len(plans) == 2
+    assert plans[0] == plans[1]
+    assert plans[0].ends_ms - started_ms <= 1_500 - EXIT_MARGIN_MS
+    assert ended_ms - started_ms < 1_500
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -341,21 +341,26 @@
         return json_response(200 if ready else 503, {"ready": ready})
 
     async def _stop_on_signal(self) -> None:
-        """Wait for a signal, then stop without interrupting a request."""
+        """Wait for a signal, then stop without interrupting a request.
+
+        After an error this task is started again. All times count from the signal, as
+        the platform's grace period does.
+        """
         await self.signals.wait()
         events.log(events.DRAIN_STARTED, name=self.settings.name)
-        now_ms = self.clock.now_ms()
-        notice_ms = int(self.settings.effective_drain_notice_ms)
-        limit_ms = now_ms + self._drain_limit_ms()
-        self.handler.stop = StopPlan(now_ms + notice_ms, limit_ms)
+        notice_ends_ms = self.signals.stopped_ms + int(
+            self.settings.effective_drain_notice_ms
+        )
+        ends_ms = self.signals.stopped_ms + self._drain_limit_ms()
+        self.handler.stop = StopPlan(notice_ends_ms, ends_ms)
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         await self.view.announce_stop()
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        await self.clock.sleep_ms(notice_ms)
+        await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
         await self.caller_server.drain()
-        await sleep_until_idle(self.clock, self._is_idle, limit_ms)
+        await sleep_until_idle(self.clock, self._is_idle, ends_ms)
 
     def _drain_limit_ms(self) -> int:
         return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -40,6 +40,8 @@
         self.clock = clock
         self.reload = reload
         self.stop_count = 0
+        # When the first signal to stop arrived, on the clock.
+        self.stopped_ms = 0
         self.hangup_count = 0
 
     def install(self) -> None:
@@ -57,6 +59,8 @@
                 self.reload()
 
     def _count_stop(self, number: int, frame: Any) -> None:
+        if not self.stop_count:
+            self.stopped_ms = self.clock.now_ms()
         self.stop_count += 1
 
     def _count_hangup(self, number: int, frame: Any) -> None:
