Answer requests that arrive as a planned stop ends their reading

Cause: HttpServer.drain ended the reading of connections whose request was about to arrive. If its first segment had come and its second had not, the request was refused with 400 as malformed, which callers do not send again. And the process ended as soon as it had seen no request for 200 ms: a request read just then was lost. Change: connections with bytes to read are not shut down. A request whose reading the server ended is refused with 503, not run. HttpServer.end stops the reading of further requests and says whether one had arrived; refuse_incomplete refuses those of which a part is missing.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -347,6 +347,58 @@
         assert b"connection: close" in answer.lower()
 
 
+@pytest.mark.parametrize("size", [20, len(GOOD) - 1])
+def test_incomplete_request_is_refused_when_the_process_ends(size):
+    """Guards against a connection that is closed in the middle of its request."""
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD[:size])
+        await curio.sleep(0.05)
+        await server.drain()
+        await server.refuse_incomplete()
+        return await sock.recv(65_536)
+
+    answer = with_server(echo, client)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"not-run" in answer
+
+
+def test_request_that_arrives_as_the_process_ends_is_answered():
+    """Guards against a request that is read just before the process ends.
+
+    Once the server has ended, it reads no request that nobody would answer.
+    """
+
+    async def client(address, server):
+        early = await curio.open_connection(address.host, address.port)
+        await curio.sleep(0.05)
+        await early.sendall(GOOD[:20])
+        ended = [await server.end()]
+        await early.sendall(GOOD[20:])
+        answers = [await early.recv(65_536)]
+        await curio.sleep(0.05)
+        ended.append(await server.end())
+        late = await curio.open_connection(address.host, address.port)
+        await late.sendall(GOOD)
+        with suppress(ConnectionResetError):
+            answers.append(await late.recv(65_536))
+        await curio.sleep(0.05)
+        return ended, answers
+
+    seen = []
+
+    async def handler(request):
+        seen.append(request)
+        return await echo(request)
+
+    ended, answers = with_server(handler, client)
+    assert ended == [False, True]
+    assert answers[0].startswith(b"HTTP/1.1 200")
+    assert answers[1:] in ([], [b""])
+    assert len(seen) == 1
+
+
 def test_request_with_both_body_lengths_is_refused():
     """Guards against request smuggling by two contradictory body lengths."""
     handled_paths = []
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server built on h11, with one task for each connection."""
 
 import json
+import select
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import suppress
@@ -44,6 +45,8 @@
 # A draining process is idle after this many polls without a request; a connection that
 # the kernel has just accepted shows its request by then.
 DRAIN_IDLE_POLLS = 4
+# Time in which the tasks of connections whose bytes have just arrived take them.
+END_PAUSE_MS = 10
 STATUS_BY_REASON = {
     RefusalReason.MALFORMED: 400,
     RefusalReason.TOO_LARGE: 413,
@@ -233,8 +236,12 @@
         self.closing = False
         # Whether connections without a request are closed.
         self.draining = False
+        # Whether no more requests are read.
+        self.ended = False
         self.active_requests = 0
         self.idle_sockets: set[Any] = set()
+        # Those of requests that have not arrived completely.
+        self.reading_sockets: set[Any] = set()
 
     async def serve(self) -> None:
         """Accept connections until cancelled.
@@ -255,13 +262,29 @@
     async def drain(self) -> None:
         """Close the connections that have no request in progress, now and later."""
         self.closing = self.draining = True
-        for sock in list(self.idle_sockets):
-            # A client may have reset its connection a moment ago. The task of the
-            # connection finds that out itself; the others still have to be closed.
-            with suppress(OSError):
-                await sock.shutdown(socket.SHUT_RD)
+        # A request whose first bytes have arrived is read to its end.
+        idle = {sock for sock in self.idle_sockets if not _is_readable(sock)}
+        await _stop_receiving(idle)
+
+    async def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        await _stop_receiving(self.reading_sockets)
+
+    async def end(self) -> bool:
+        """Read no more requests, so that the process can end.
+
+        Returns:
+            False if a request had arrived already, which is served as before.
+        """
+        self.ended = True
+        await self.drain()
+        await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
+        self.ended = not self.active_requests
+        return self.ended
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
+        if self.ended:
+            return
         connection = _ServerConnection(self, sock, str(peer[0]))
         self.open_connections += 1
         try:
@@ -279,6 +302,22 @@
             self.open_connections -= 1
 
 
+def _is_readable(sock: Any) -> bool:
+    """Return whether bytes have arrived, or the client closed the connection."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def _stop_receiving(sockets: set[Any]) -> None:
+    """End the reading of connections; what has arrived can still be read."""
+    for sock in list(sockets):
+        # A client may have reset its connection a moment ago. The task of the
+        # connection finds that out itself; the others still have to be closed.
+        with suppress(OSError):
+            await sock.shutdown(socket.SHUT_RD)
+
+
 class _ServerConnection:
     """Reads and answers the requests of one accepted connection."""
 
@@ -288,6 +327,8 @@
         self.peer = peer
         self.turns = Turns()
         self.limits = server.limits()
+        # Whether the client, or this server in a planned stop, ended the reading.
+        self.received_end = False
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
@@ -301,11 +342,14 @@
             # A request counts from its first byte, so that a planned stop waits for it.
             self.server.active_requests += 1
             try:
+                self.server.reading_sockets.add(self.sock)
                 try:
                     request = await self._read_request()
                 except RequestRejected as error:
-                    await self._refuse(error.refusal, error.status)
+                    await self._reject(error)
                     return
+                finally:
+                    self.server.reading_sockets.discard(self.sock)
                 if request is None or not await self._serve(request):
                     return
             finally:
@@ -316,6 +360,20 @@
                 return
             self.http.start_next_cycle()
 
+    async def _reject(self, error: RequestRejected) -> None:
+        """Refuse a request that cannot be read."""
+        if not (self.server.draining and self.received_end):
+            await self._refuse(error.refusal, error.status)
+            return
+        # The server ended the reading, not the client; the request is no bad one.
+        refusal = Refusal(
+            RefusalReason.DRAINING,
+            Verdict.NOT_RUN,
+            "this process stops and the request has not arrived completely",
+            OVERLOAD_RETRY_MS,
+        )
+        await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
+
     async def _refuse(self, refusal: Refusal, status: int) -> None:
         if self.server.on_refusal is not None:
             await self.server.on_refusal(refusal)
@@ -352,6 +410,8 @@
         """Wait for the first bytes of a request; return False if none were received."""
         if self.http.trailing_data[0]:
             return True
+        if self.server.ended:
+            return False
         wait_ms = self.limits.idle_ms
         if self.server.draining:
             # A connection that was accepted a moment ago; its request is on the way.
@@ -444,6 +504,7 @@
                 await self._write(self.http.send(info))
             data = await self.sock.recv(READ_BYTES)
             await self.turns.take(len(data))
+            self.received_end = not data
             self.http.receive_data(data)
 
     async def _serve(self, request: Request) -> bool:
