Refuse unanswered requests before a stopping entry ends

Cause, read in the code and shown by tests: limits what is admitted after the notice. Requests admitted before the stop kept their full time in later phases (wait for a paused target, for stages or an origin, a retry, a target without an answer), and the end of the process closed their connections without an answer. Streams admitted with a deadline in the last 200 ms had no time for an answer either. A notice set to more than 3 s admitted every request for as long. Change: 200 ms before its end the entry ends all requests of which no part of an answer was sent: 503 if nothing was sent to a target, else 502, or 504 after the deadline. All requests are admitted for 2.8 s after the signal at most, whatever the notice is; the entry ends only once no request is being read. Does not hold: a stream whose head was sent still ends with the process. That concerns streams admitted in the first 2.8 s that last into the end of the grace period.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -1,5 +1,6 @@
 """Tests of relayed requests, from the caller's connection to those of targets."""
 
+import inspect
 import re
 
 import attrs
@@ -117,7 +118,8 @@
         async def handle(request):
             self.seen.append((number, request))
             answer = prepared.pop(0) if len(prepared) > 1 else prepared[0]
-            return answer(request) if callable(answer) else answer
+            answer = answer(request) if callable(answer) else answer
+            return await answer if inspect.isawaitable(answer) else answer
 
         server = HttpServer(address, handle)
         await curio.spawn(server.serve, daemon=True)
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -159,3 +159,159 @@
     assert plans[0] == plans[1]
     assert plans[0].ends_ms - started_ms <= 1_500 - EXIT_MARGIN_MS
     assert ended_ms - started_ms < 1_500
+
+
+async def silent(request):
+    """Send no answer for longer than any request of these tests lasts."""
+    await curio.sleep(60)
+
+
+def run_ending(kind, engine, *, prepare=lambda handler: None, **options):
+    """Send a request and end the entry meanwhile; return reply, time and arrivals."""
+    handlers = []
+
+    def on_handler(handler):
+        handlers.append(handler)
+        prepare(handler)
+
+    async def client(address, fleet):
+        (handler,) = handlers
+        task = await curio.spawn(send, address)
+        await curio.sleep(0.3)
+        now_ms = handler.clock.now_ms()
+        # The request was admitted in full, since the stop begins after it.
+        handler.stop = StopPlan(now_ms, now_ms + STOP_ANSWER_MS)
+        await handler.refuse_unanswered()
+        reply = await task.join()
+        return reply, handler.clock.now_ms() - now_ms, len(fleet.seen)
+
+    return run_relay(kind, [[engine]], client, on_handler=on_handler, **options)
+
+
+@pytest.mark.parametrize(
+    "kind", [RouteKind.ORDER, RouteKind.IDEMPOTENT, RouteKind.STREAM]
+)
+def test_request_without_an_answer_is_refused_before_the_process_ends(kind):
+    """Guards against a request that the end of the process leaves without an answer.
+
+    It was admitted with its full time, which is longer than the rest of the process.
+    """
+    reply, took_ms, arrived = run_ending(kind, silent, aim_ms=2_000)
+    assert (reply.status, arrived) == (502, 1)
+    assert "retry-after" not in reply.headers
+    assert took_ms < STOP_ANSWER_MS
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ORDER, RouteKind.STREAM])
+def test_waiting_request_is_refused_as_not_run_before_the_process_ends(kind):
+    """Guards against a request that the process ends while it waits for a target."""
+
+    def pause_targets(handler):
+        handler.attempts.notices.paused_ms = lambda address, urgency: 900
+
+    reply, took_ms, arrived = run_ending(
+        kind, GOOD, prepare=pause_targets, aim_ms=2_000
+    )
+    assert (reply.status, arrived) == (503, 0)
+    assert 0 < float(reply.headers["retry-after"]) < 0.5
+    assert took_ms < STOP_ANSWER_MS
+
+
+def test_stream_that_has_begun_is_not_ended_by_the_last_refusals():
+    """Guards against the end of an answer of which the caller has a part."""
+
+    def reply(request):
+        async def data():
+            yield event(1)
+            await curio.sleep(0.5)
+            yield event(2)
+
+        echo = ("Attempt-Id", request.headers["attempt-id"])
+        return Response(200, data(), (echo, SIGNATURE))
+
+    reply, _, arrived = run_ending(RouteKind.STREAM, reply, aim_ms=2_000)
+    assert (reply.status, arrived) == (200, 1)
+    assert reply.body == event(1) + event(2)
+
+
+def test_last_refusal_that_comes_with_the_answer_does_not_break_it():
+    """Guards against a stream that is cut since its head arrived with its refusal."""
+
+    def reply(request):
+        async def data():
+            for number in (1, 2):
+                yield event(number)
+                await curio.sleep(0.2)
+
+        echo = ("Attempt-Id", request.headers["attempt-id"])
+        return Response(200, data(), (echo, SIGNATURE))
+
+    def refuse_at_the_head(handler):
+        notices = handler.attempts.notices
+        record_answer = notices.record_answer
+
+        async def record_and_refuse(*arguments, **options):
+            await record_answer(*arguments, **options)
+            now_ms = handler.clock.now_ms()
+            handler.stop = StopPlan(now_ms, now_ms + STOP_ANSWER_MS)
+            await handler.refuse_unanswered()
+
+        notices.record_answer = record_and_refuse
+
+    async def client(address, fleet):
+        return await send(address)
+
+    reply = run_relay(
+        RouteKind.STREAM, [[reply]], client, on_handler=refuse_at_the_head
+    )
+    assert (reply.status, reply.body) == (200, event(1) + event(2))
+
+
+def test_all_requests_are_admitted_for_under_three_seconds(stop_signal):
+    """Guards against a long notice in which requests are taken that the end cuts off.
+
+    Operators count each request that is sent over 3 s after the signal.
+    """
+    entry = make_entry(grace_s=30, drain_notice_ms=20_000)
+    entry.signals.install()
+
+    async def main():
+        stop_signal()
+        signalled_ms = entry.clock.now_ms()
+        task = await curio.spawn(entry._stop_on_signal, daemon=True)
+        await curio.sleep(0.2)
+        await task.cancel()
+        return entry.handler.stop.notice_ends_ms - signalled_ms
+
+    assert 2_000 < curio.run(main) < 3_000
+
+
+def test_entry_refuses_what_it_cannot_finish_before_it_ends(stop_signal):
+    """Guards against an end of the process that nobody announces to its requests."""
+    entry = make_entry(grace_s=1.2, drain_notice_ms=0)
+    entry.signals.install()
+    head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+    refused = []
+
+    async def refuse():
+        refused.append(entry.clock.now_ms())
+
+    async def main():
+        entry.handler.refuse_unanswered = refuse
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.sleep(0.1)
+        address = entry.settings.caller_address
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(head)
+        await curio.sleep(0.1)
+        stop_signal()
+        signalled_ms = entry.clock.now_ms()
+        await entry._stop_on_signal()
+        took_ms = entry.clock.now_ms() - signalled_ms
+        return await sock.recv(65_536), took_ms, refused[0] - signalled_ms
+
+    answer, took_ms, refused_ms = curio.run(main)
+    assert answer.startswith(b"HTTP/1.1 503")
+    ends_ms = 1_200 - EXIT_MARGIN_MS
+    assert ends_ms - STOP_ANSWER_MS <= refused_ms < ends_ms
+    assert took_ms <= ends_ms + MARGIN_MS
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -54,6 +54,10 @@
 # Idle connections are closed this much later than the fleet configuration allows, so
 # that a caller that reuses one in time does not find it closed.
 IDLE_MARGIN_MS = 1_000
+# Requests that are sent over 3 s after the stop signal must have an answer or a refusal
+# before the process ends. So no longer than this are all requests admitted; after that,
+# only those that end before the process does.
+MAX_FULL_SERVICE_MS = 2_800
 # A draining process exits this long before the platform would kill it.
 EXIT_MARGIN_MS = 400
 # Stage calls are spread over entries on links slower than this. The calls of one busy
@@ -348,19 +352,32 @@
         """
         await self.signals.wait()
         events.log(events.DRAIN_STARTED, name=self.settings.name)
-        notice_ends_ms = self.signals.stopped_ms + int(
-            self.settings.effective_drain_notice_ms
+        signalled_ms = self.signals.stopped_ms
+        notice_ms = int(self.settings.effective_drain_notice_ms)
+        stop = StopPlan(
+            signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS),
+            signalled_ms + self._drain_limit_ms(),
         )
-        ends_ms = self.signals.stopped_ms + self._drain_limit_ms()
-        self.handler.stop = StopPlan(notice_ends_ms, ends_ms)
+        self.handler.stop = stop
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         await self.view.announce_stop()
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
+        await self.clock.sleep_ms(signalled_ms + notice_ms - self.clock.now_ms())
         await self.caller_server.drain()
-        await sleep_until_idle(self.clock, self._is_idle, ends_ms)
+        await self._finish_requests(stop)
+
+    async def _finish_requests(self, stop: StopPlan) -> None:
+        """Return when the process may end; refuse what cannot be finished by then."""
+        while self.clock.now_ms() < stop.answers_end_ms:
+            await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
+            if self._is_idle() and await self.caller_server.end():
+                return
+        await self.handler.refuse_unanswered()
+        await self.caller_server.refuse_incomplete()
+        await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms)
+        await self.caller_server.end()
 
     def _drain_limit_ms(self) -> int:
         return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import curio
 
 from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient
@@ -49,13 +50,23 @@
     """A planned stop of the entry; times are readings of its clock.
 
     Attributes:
-        notice_ends_ms: Until when the load balancer may not have noticed it.
+        notice_ends_ms: Until when all requests are admitted, since the load balancer
+            may not have noticed the stop.
         ends_ms: When the process ends.
     """
 
     notice_ends_ms: int
     ends_ms: int
 
+    @property
+    def answers_end_ms(self) -> int:
+        """Until when requests may run; the rest of the time is for their answers."""
+        return self.ends_ms - STOP_ANSWER_MS
+
+
+class EntryEnds(curio.CancelledError):
+    """The process ends before the request does."""
+
 
 class RelayHandler:
     """Handles requests that are relayed to targets unchanged.
@@ -104,6 +115,8 @@
         self.origins = origins
         # Set when a planned stop begins.
         self.stop: StopPlan | None = None
+        # Tasks of the admitted requests of which no part of an answer was sent.
+        self.unanswered_tasks: set[curio.Task] = set()
         self.streams = RelayStreams(self.attempts, runner, origins)
 
     async def handle(self, raw_request: Request) -> Response:
@@ -116,30 +129,46 @@
         if isinstance(job, Refusal):
             return self._reject(request.request_id, "", arrived_ms, job)
         finished = False
+        task = await curio.current_task()
+        self.unanswered_tasks.add(task)
         try:
-            refusal = await self._find_origin(job)
-            self.budget.earn(job.service)
-            refusal = refusal or await self._run_stages(job)
-            if refusal is not None:
-                response = self._refuse_job(job, refusal)
-            elif job.route.kind is RouteKind.STREAM:
-                response = await self.streams.serve(
-                    job, self._refuse_job, self._record_end
-                )
-            else:
-                outcome = await self.attempts.call(job)
-                if isinstance(outcome, Refusal):
-                    response = self._refuse_job(job, outcome)
-                else:
-                    self._record_end(job, "answered", outcome.status)
-                    response = outcome
+            try:
+                response = await self._run(job)
+            except EntryEnds:
+                response = self._refuse_job(job, _end_refusal(job))
             finished = True
-            return response
         finally:
+            self.unanswered_tasks.discard(task)
             if not finished:
                 self._record_end(job, "abandoned", 0)
             if not (finished and job.streaming):
                 await self.runner.release_all(job.work, job.results)
+        if self.stop is not None:
+            await _forget_end()
+        return response
+
+    async def _run(self, job: RelayJob) -> Response:
+        """Run an admitted request and return its answer."""
+        refusal = await self._find_origin(job)
+        self.budget.earn(job.service)
+        refusal = refusal or await self._run_stages(job)
+        if refusal is not None:
+            return self._refuse_job(job, refusal)
+        if job.route.kind is RouteKind.STREAM:
+            return await self.streams.serve(job, self._refuse_job, self._record_end)
+        outcome = await self.attempts.call(job)
+        if isinstance(outcome, Refusal):
+            return self._refuse_job(job, outcome)
+        self._record_end(job, "answered", outcome.status)
+        return outcome
+
+    async def refuse_unanswered(self) -> None:
+        """End all requests of which no part of an answer was sent, with a refusal.
+
+        The end of the process would close their connections without an answer.
+        """
+        for task in list(self.unanswered_tasks):
+            await task.cancel(exc=EntryEnds, blocking=False)
 
     # Admission
 
@@ -203,7 +232,7 @@
         objective_at_ms = arrived_ms + (route.aim_ms or limit_ms)
         deadline_at_ms = arrived_ms + limit_ms
         if self.stop is not None and route.kind is not RouteKind.STREAM:
-            deadline_at_ms = min(deadline_at_ms, self.stop.ends_ms - STOP_ANSWER_MS)
+            deadline_at_ms = min(deadline_at_ms, self.stop.answers_end_ms)
         if not self._ends_before_stop(route, objective_at_ms, deadline_at_ms):
             left_ms = self.stop.ends_ms - arrived_ms
             return Refusal(
@@ -238,7 +267,7 @@
         if stop is None or self.clock.now_ms() < stop.notice_ends_ms:
             return True
         if route.kind is RouteKind.STREAM:
-            return deadline_at_ms <= stop.ends_ms
+            return deadline_at_ms <= stop.answers_end_ms
         return objective_at_ms <= deadline_at_ms
 
     def _choose_service(self, route: Route) -> str:
@@ -433,5 +462,21 @@
         )
 
 
+def _end_refusal(job: RelayJob) -> Refusal:
+    """Return the refusal of a request that the process cannot finish."""
+    verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+    detail = f"this entry stops; {job.detail}" if job.detail else "this entry stops"
+    return Refusal(RefusalReason.DRAINING, verdict, detail, STOPPING_RETRY_MS)
+
+
+async def _forget_end() -> None:
+    """Drop an ``EntryEnds`` that came too late to be raised before the answer.
+
+    It would be raised while the answer is sent.
+    """
+    async with curio.disable_cancellation():
+        await curio.check_cancellation(EntryEnds)
+
+
 def _not_ready(reason: RefusalReason, detail: str) -> Refusal:
     return Refusal(reason, Verdict.NOT_RUN, detail, NOT_READY_RETRY_MS)
