Wait for a silent target that no other one can replace

Cause: an attempt at a repeatable request ended after the latency objective, and a resumable stream after four gaps (at least 0.8 s) without an event, whether or not another target could take over. With one target, or with the retry budget used up, as when a network is silent for a second and all requests want to move at once, the caller got a refusal (502, 503), or a broken stream, although its target was sound. Change: when the time is over, the attempt ends only if an untried target takes requests and the budget has a token; else the relay waits on, up to the deadline, and checks again after the same kind of interval. Cost: one more curio task for each attempt without a stream. A target that is dead and has no replacement is waited for up to the deadline, or until TCP ends the connection. test_floods.py: its stand-in of the attempts states whether a stream can move.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -158,6 +158,7 @@
     attempts = SimpleNamespace(
         clock=clock,
         remaining_ms=lambda job: max(deadline_at_ms - clock.now_ms(), 1),
+        can_move=lambda job: repeatable,
     )
     job = SimpleNamespace(
         may_run_again=repeatable,
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -78,12 +78,14 @@
         stream: The answer.
         head: Parsed head of the answer.
         started_ms: When the request was sent.
+        body: Body of the answer, once it was read; empty for streams.
     """
 
     row: TargetRow
     stream: HttpStream
     head: AnswerHead
     started_ms: int
+    body: bytes = b""
 
 
 class RelayAttempts:
@@ -129,23 +131,13 @@
             row = await self.next_target(job)
             if isinstance(row, Refusal):
                 return fallback or row
-            try:
-                async with (
-                    curio.timeout_after(self._attempt_timeout_ms(job) / MS_PER_SECOND),
-                    self.open(job, row) as attempt,
-                ):
-                    body = await attempt.stream.read_all(self.remaining_ms(job))
-                    self.check_excess(attempt)
-            except curio.TaskTimeout:
-                error = TargetFailed(
-                    "no complete answer before the attempt's timeout",
-                    verdict=Verdict.MAY_HAVE_RUN,
-                )
-                refusal = await self.handle_failure(job, row, error)
-            except TargetFailed as error:
-                refusal = await self.handle_failure(job, row, error)
+            attempt = await self._read_answer_in_time(job, row)
+            if isinstance(attempt, TargetFailed):
+                refusal = await self.handle_failure(job, row, attempt)
             else:
-                answer = Response(attempt.head.status, body, attempt.head.headers)
+                answer = Response(
+                    attempt.head.status, attempt.body, attempt.head.headers
+                )
                 if self.is_success(attempt.head):
                     job.first_ms = self.clock.now_ms()
                     await self._report_success(job, attempt)
@@ -156,8 +148,56 @@
             if refusal is not None:
                 return fallback or refusal
 
+    async def _read_answer_in_time(
+        self, job: RelayJob, row: TargetRow
+    ) -> Attempt | TargetFailed:
+        """Return the answer of a target, or why there is none.
+
+        The attempt ends early only if another target can take over; a target that is
+        silent for a moment may still answer.
+        """
+        task = await curio.spawn(self._read_answer, job, row)
+        try:
+            while True:
+                timeout_ms = self._attempt_timeout_ms(job)
+                await curio.ignore_after(timeout_ms / MS_PER_SECOND, task.wait)
+                if task.terminated:
+                    return await task.join()
+                if self.can_move(job) or self.clock.now_ms() >= job.deadline_at_ms:
+                    return TargetFailed(
+                        "no complete answer before the attempt's timeout",
+                        verdict=Verdict.MAY_HAVE_RUN,
+                    )
+        except curio.TaskError as error:
+            raise error.__cause__ from error
+        finally:
+            await task.cancel()
+
+    async def _read_answer(
+        self, job: RelayJob, row: TargetRow
+    ) -> Attempt | TargetFailed:
+        """Return one attempt with its whole answer, or why it failed."""
+        try:
+            async with self.open(job, row) as attempt:
+                attempt.body = await attempt.stream.read_all(self.remaining_ms(job))
+                self.check_excess(attempt)
+                return attempt
+        except TargetFailed as error:
+            # Returned, as curio logs a task that raises as crashed.
+            return error
+
     # Shared with streams
 
+    def can_move(self, job: RelayJob) -> bool:
+        """Return whether another target can take over a request that was sent."""
+        return (
+            job.may_run_again
+            and self.budget.has(job.service)
+            and any(
+                row.name not in job.tried_targets for row in self._usable_targets(job)
+            )
+        )
+
     def remaining_ms(self, job: RelayJob) -> int:
         """Return the time until the request's deadline; at least 1 ms."""
         return max(job.deadline_at_ms - self.clock.now_ms(), 1)
@@ -398,9 +438,9 @@
                 self.chooser.record_rejection(row, outcome is RunOutcome.MISDIRECTED)
 
     def _attempt_timeout_ms(self, job: RelayJob) -> int:
-        """Return the timeout of an attempt, which is shorter if another may follow."""
+        """Return after which time of an attempt another one may follow."""
         left_ms = self.remaining_ms(job)
-        if not job.route.repeatable or job.runs + 1 >= job.route.max_attempts:
+        if not job.route.repeatable:
             return left_ms
         objective_ms = OBJECTIVE_SHARE * (job.objective_at_ms - job.arrived_ms)
         timeout_ms = max(
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -233,7 +233,14 @@
             left_ms = event_due_ms - self.clock.now_ms()
             # Events that have arrived are still passed on, also after a pause of this
             # process.
-            chunk = await attempt.stream.read(max(left_ms, 1))
+            try:
+                chunk = await attempt.stream.read(max(left_ms, 1))
+            except TargetFailed as error:
+                if not error.timed_out or not self._may_wait(job):
+                    raise
+                # The target may only be silent for a moment.
+                event_due_ms = self._event_due_ms(job, state)
+                continue
             if left_ms <= 0:
                 overdue_bytes += len(chunk)
             if overdue_bytes > MAX_OVERDUE_BYTES:
@@ -293,6 +300,13 @@
         # The target has fetched the results before its first event.
         await self.runner.release_all(job.work, job.results)
 
+    def _may_wait(self, job: RelayJob) -> bool:
+        """Return whether to go on waiting for an overdue event.
+
+        No other target can go on with the stream, and the deadline is not over.
+        """
+        return not self.attempts.can_move(job) and self.attempts.remaining_ms(job) > 1
+
     def _event_due_ms(self, job: RelayJob, state: "_StreamState") -> int:
         """Return when the next event is overdue, on the clock.
 
