Answer a request whose handler times out

Cause: curio's timeouts are no Exception, so that one that a handler let out was taken for a client that does not read: the connection was closed, without an answer and without a line in the log. No handler of the relay is known to let one out. Before: test_timeout_of_a_handler_is_answered fails (1 of 1, no response). After: 500 and event 201, as for other errors; tests/test_http_server.py passes (32).

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -518,6 +518,20 @@
     assert with_server(echo, client) > TOLERATED_SILENCE_MS
 
 
+def test_timeout_of_a_handler_is_answered():
+    """Guards against a handler's own timeout that closes the connection silently."""
+
+    async def handler(request):
+        async with curio.timeout_after(0.01):
+            await curio.sleep(60)
+
+    async def client(address, server):
+        reply = await HttpClient().request(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+        return reply.status
+
+    assert with_server(handler, client) == 500
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -539,7 +539,7 @@
         """
         try:
             response = await self.server.handler(request)
-        except Exception as error:
+        except (Exception, curio.TaskTimeout) as error:
             events.log(events.HANDLER_FAILED, detail=repr(error))
             refusal = Refusal(
                 RefusalReason.INTERNAL,
