Answer pipelined requests in a planned stop

Cause: in a planned stop each response closes its connection. A request that had been read behind the one that was answered got neither an answer nor a refusal. Change: the response to the last request that has arrived closes the connection. Before: test_pipelined_request_is_answered_in_a_planned_stop fails (1 of 1; one response for two requests). After: tests/test_http_server.py passes (33). Does not hold: a request that arrives after the head of the last response was sent is not answered; that head tells the client so.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -532,6 +532,30 @@
     assert with_server(handler, client) == 500
 
 
+def test_pipelined_request_is_answered_in_a_planned_stop():
+    """Guards against a request that was read behind another one and is dropped."""
+
+    async def handler(request):
+        await curio.sleep(0.05)
+        return await echo(request)
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD + GOOD.replace(b"/x", b"/y"))
+        await curio.sleep(0.02)
+        await server.drain()
+        received = b""
+        while piece := await sock.recv(65_536):
+            received += piece
+        return received
+
+    first, second = with_server(handler, client).split(b"HTTP/1.1 200")[1:]
+    assert b"/x" in first
+    assert b"connection: close" not in first.lower()
+    assert b"/y" in second
+    assert b"connection: close" in second.lower()
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -548,7 +548,9 @@
             )
             response = refusal_response(refusal)
         try:
-            await self._send(response, close=self.server.closing)
+            # Requests that have arrived behind this one are answered, too.
+            is_last = not self.http.trailing_data[0]
+            await self._send(response, close=self.server.closing and is_last)
         except Exception as error:
             return error
         return None
