Apply a raised idle limit to connections that are idle already

Cause: a configuration change that raises the idle limit held only for connections that became idle after it. Callers that keep their connections for the new time sent requests as the server closed them by the old one. Change: when the limit is over, the one of that moment decides. Before: test_idle_limit_that_is_raised_holds_for_open_connections fails (1 of 2; the case without a raised limit holds before and after). After: test_http_server.py passes (35).

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,6 +5,7 @@
 import struct
 from contextlib import suppress
 
+import attrs
 import curio
 import pytest
 from hypothesis import given, settings
@@ -556,6 +557,28 @@
     assert b"connection: close" in second.lower()
 
 
+@pytest.mark.parametrize(("later_ms", "answers"), [(2_000, 1), (200, 0)])
+def test_idle_limit_that_is_raised_holds_for_open_connections(later_ms, answers):
+    """Guards against a connection closed by a limit that was replaced meanwhile.
+
+    Callers keep their connections for the time that the fleet configuration states.
+    """
+    limits = ServerLimits(1_000, 1_000, 1_000, 200)
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await curio.sleep(0.1)
+        current.append(attrs.evolve(limits, idle_ms=later_ms))
+        await curio.sleep(0.3)
+        with suppress(OSError):
+            await sock.sendall(GOOD)
+            return (await sock.recv(65_536)).count(b"HTTP/1.1 200")
+        return 0
+
+    current = [limits]
+    assert with_server(echo, client, limits=lambda: current[-1]) == answers
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -416,21 +416,37 @@
             return True
         if self.server.ended:
             return False
-        wait_ms = self.limits.idle_ms
-        if self.server.draining:
-            # A connection that was accepted a moment ago; its request is on the way.
-            wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
         self.server.idle_sockets.add(self.sock)
         try:
-            async with curio.timeout_after(wait_ms / MS_PER_SECOND):
-                data = await self.sock.recv(READ_BYTES)
-        except curio.TaskTimeout:
-            return False
+            data = await self._receive_when_idle()
         finally:
             self.server.idle_sockets.discard(self.sock)
+        if data is None:
+            return False
         self.http.receive_data(data)
         return bool(data)
 
+    async def _receive_when_idle(self) -> bytes | None:
+        """Return the next bytes, or None if the connection was idle for too long.
+
+        The limit may be raised meanwhile; callers then keep their connections longer.
+        """
+        waited_ms = 0
+        while True:
+            wait_ms = self.limits.idle_ms - waited_ms
+            if self.server.draining:
+                # A connection that was accepted a moment ago; its request is on the
+                # way.
+                wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
+            try:
+                async with curio.timeout_after(wait_ms / MS_PER_SECOND):
+                    return await self.sock.recv(READ_BYTES)
+            except curio.TaskTimeout:
+                waited_ms += wait_ms
+            self.limits = self.server.limits()
+            if self.server.draining or waited_ms >= self.limits.idle_ms:
+                return None
+
     async def _parse_part(self, read_part: Callable[[], Awaitable[Any]]) -> Any:
         """Return the result of ``read_part``, with parser errors as rejections.
 
