--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,6 +5,7 @@
 import struct
 from contextlib import suppress
 
+import attrs
 import curio
 import pytest
 from hypothesis import given, settings
@@ -20,7 +21,7 @@
     json_response,
     sleep_until_idle,
 )
-from wagtailrun.clock import SystemClock
+from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.exceptions import ConnectFailed, RefusalReason, TargetFailed, Verdict
 
 pytestmark = pytest.mark.network
@@ -175,6 +176,29 @@
     assert received.index(b'"/x"') < received.index(b'"/y"')
 
 
+@pytest.mark.parametrize("streams", [False, True])
+def test_request_for_a_head_is_answered(streams):
+    """Guards against a HEAD request whose connection is closed without an answer."""
+
+    async def pieces():
+        yield b"first"
+
+    async def handler(request):
+        if request.method == "HEAD" and streams:
+            return Response(200, pieces())
+        return json_response(503, {"reason": "draining"})
+
+    async def client(address, server):
+        head = GOOD.replace(b"POST", b"HEAD")
+        return await exchange_bytes(address, head + GOOD)
+
+    received = with_server(handler, client)
+    first, _, rest = received.partition(b"\r\n\r\n")
+    assert first.startswith(b"HTTP/1.1 200" if streams else b"HTTP/1.1 503")
+    assert rest.startswith(b"HTTP/1.1 503")
+    assert rest.endswith(b'"draining"}')
+
+
 def test_stream_that_fails_lacks_the_final_chunk():
     """Guards against an aborted answer that looks complete."""
 
@@ -283,6 +307,31 @@
     assert with_server(echo, client) == b""
 
 
+def test_reset_connection_does_not_keep_the_others_open_when_draining():
+    """Guards against a planned stop that fails at a connection reset just before.
+
+    The stop began anew then, so that the process took requests up to its end.
+    """
+
+    async def client(address, server):
+        socks = []
+        for _ in range(8):
+            sock = await curio.open_connection(address.host, address.port)
+            await sock.sendall(GOOD)
+            await sock.recv(65_536)
+            socks.append(sock)
+        await curio.sleep(0.05)
+        assert len(server.idle_sockets) == len(socks)
+        # The server's tasks have no turn between the reset and the drain.
+        reset, *kept = socks
+        reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset._socket.close()
+        await server.drain()
+        return [await sock.recv(10) for sock in kept]
+
+    assert with_server(echo, client) == [b""] * 7
+
+
 def test_requests_around_a_planned_stop_are_answered():
     """Guards against a stop that cuts off requests that were just accepted.
 
@@ -322,6 +371,58 @@
         assert b"connection: close" in answer.lower()
 
 
+@pytest.mark.parametrize("size", [20, len(GOOD) - 1])
+def test_incomplete_request_is_refused_when_the_process_ends(size):
+    """Guards against a connection that is closed in the middle of its request."""
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD[:size])
+        await curio.sleep(0.05)
+        await server.drain()
+        await server.refuse_incomplete()
+        return await sock.recv(65_536)
+
+    answer = with_server(echo, client)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"not-run" in answer
+
+
+def test_request_that_arrives_as_the_process_ends_is_answered():
+    """Guards against a request that is read just before the process ends.
+
+    Once the server has ended, it reads no request that nobody would answer.
+    """
+
+    async def client(address, server):
+        early = await curio.open_connection(address.host, address.port)
+        await curio.sleep(0.05)
+        await early.sendall(GOOD[:20])
+        ended = [await server.end()]
+        await early.sendall(GOOD[20:])
+        answers = [await early.recv(65_536)]
+        await curio.sleep(0.05)
+        ended.append(await server.end())
+        late = await curio.open_connection(address.host, address.port)
+        await late.sendall(GOOD)
+        with suppress(ConnectionResetError):
+            answers.append(await late.recv(65_536))
+        await curio.sleep(0.05)
+        return ended, answers
+
+    seen = []
+
+    async def handler(request):
+        seen.append(request)
+        return await echo(request)
+
+    ended, answers = with_server(handler, client)
+    assert ended == [False, True]
+    assert answers[0].startswith(b"HTTP/1.1 200")
+    assert answers[1:] in ([], [b""])
+    assert len(seen) == 1
+
+
 def test_request_with_both_body_lengths_is_refused():
     """Guards against request smuggling by two contradictory body lengths."""
     handled_paths = []
@@ -364,6 +465,120 @@
     assert answers == [b"413", b"431", b"408", b""]
 
 
+# A path that loses all packets for this long, and a server that says nothing for this
+# long, end no connection.
+TOLERATED_SILENCE_MS = 2_500
+# Linux sends data again after at least this time, and doubles it each time.
+MIN_RESEND_MS = 200
+
+
+def shortest_fatal_silence_ms(sock):
+    """Return how long a path must at least lose packets to end a connection.
+
+    Computed from the options that are set on it, by the rules of Linux: probes are due
+    after the idle time and then at each interval without anything received. With a user
+    timeout the connection ends at the first one that is due after that time and is not
+    the first, else at the one after the last of their number. A silence that begins
+    just before the first probe is fatal if it lasts until the last one before that end.
+    Data that is not acknowledged is sent again, and ends the connection when the user
+    timeout is over.
+    """
+
+    def option(name):
+        return sock.getsockopt(socket.IPPROTO_TCP, name)
+
+    idle_ms, interval_ms = [
+        option(name) * MS_PER_SECOND
+        for name in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL)
+    ]
+    user_timeout_ms = option(socket.TCP_USER_TIMEOUT)
+    if not user_timeout_ms:
+        return (option(socket.TCP_KEEPCNT) - 1) * interval_ms
+    last_probe = 0
+    while idle_ms + (last_probe + 1) * interval_ms < user_timeout_ms:
+        last_probe += 1
+    resent_ms, pause_ms = 0, MIN_RESEND_MS
+    while resent_ms + pause_ms < user_timeout_ms:
+        resent_ms += pause_ms
+        pause_ms *= 2
+    return min(last_probe * interval_ms, resent_ms)
+
+
+def test_moment_of_silence_ends_no_connection():
+    """Guards against an answer that is ended since its path was silent for a moment.
+
+    One lost probe, or a silence of 1.4 s after a request, ended a sound connection.
+    """
+
+    async def client(address, server):
+        http = HttpClient()
+        await http.request(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+        (connection,) = http.idle_by_address[address]
+        return shortest_fatal_silence_ms(connection.sock)
+
+    assert with_server(echo, client) > TOLERATED_SILENCE_MS
+
+
+def test_timeout_of_a_handler_is_answered():
+    """Guards against a handler's own timeout that closes the connection silently."""
+
+    async def handler(request):
+        async with curio.timeout_after(0.01):
+            await curio.sleep(60)
+
+    async def client(address, server):
+        reply = await HttpClient().request(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+        return reply.status
+
+    assert with_server(handler, client) == 500
+
+
+def test_pipelined_request_is_answered_in_a_planned_stop():
+    """Guards against a request that was read behind another one and is dropped."""
+
+    async def handler(request):
+        await curio.sleep(0.05)
+        return await echo(request)
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD + GOOD.replace(b"/x", b"/y"))
+        await curio.sleep(0.02)
+        await server.drain()
+        received = b""
+        while piece := await sock.recv(65_536):
+            received += piece
+        return received
+
+    first, second = with_server(handler, client).split(b"HTTP/1.1 200")[1:]
+    assert b"/x" in first
+    assert b"connection: close" not in first.lower()
+    assert b"/y" in second
+    assert b"connection: close" in second.lower()
+
+
+@pytest.mark.parametrize(("later_ms", "answers"), [(2_000, 1), (200, 0)])
+def test_idle_limit_that_is_raised_holds_for_open_connections(later_ms, answers):
+    """Guards against a connection closed by a limit that was replaced meanwhile.
+
+    Callers keep their connections for the time that the fleet configuration states.
+    """
+    limits = ServerLimits(1_000, 1_000, 1_000, 200)
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await curio.sleep(0.1)
+        current.append(attrs.evolve(limits, idle_ms=later_ms))
+        await curio.sleep(0.3)
+        with suppress(OSError):
+            await sock.sendall(GOOD)
+            return (await sock.recv(65_536)).count(b"HTTP/1.1 200")
+        return 0
+
+    current = [limits]
+    assert with_server(echo, client, limits=lambda: current[-1]) == answers
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -1,7 +1,10 @@
 """HTTP/1.1 server built on h11, with one task for each connection."""
 
 import json
+import select
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import attrs
@@ -42,6 +45,8 @@
 # A draining process is idle after this many polls without a request; a connection that
 # the kernel has just accepted shows its request by then.
 DRAIN_IDLE_POLLS = 4
+# Time in which the tasks of connections whose bytes have just arrived take them.
+END_PAUSE_MS = 10
 STATUS_BY_REASON = {
     RefusalReason.MALFORMED: 400,
     RefusalReason.TOO_LARGE: 413,
@@ -63,6 +68,8 @@
 }
 DEFAULT_REFUSAL_STATUS = 503
 REQUEST_TIMEOUT_STATUS = 408
+# Responses to this method have no body; h11 does not send one.
+HEAD_METHOD = b"HEAD"
 
 
 @attrs.frozen
@@ -231,8 +238,12 @@
         self.closing = False
         # Whether connections without a request are closed.
         self.draining = False
+        # Whether no more requests are read.
+        self.ended = False
         self.active_requests = 0
         self.idle_sockets: set[Any] = set()
+        # Those of requests that have not arrived completely.
+        self.reading_sockets: set[Any] = set()
 
     async def serve(self) -> None:
         """Accept connections until cancelled.
@@ -253,10 +264,29 @@
     async def drain(self) -> None:
         """Close the connections that have no request in progress, now and later."""
         self.closing = self.draining = True
-        for sock in list(self.idle_sockets):
-            await sock.shutdown(0)
+        # A request whose first bytes have arrived is read to its end.
+        idle = {sock for sock in self.idle_sockets if not _is_readable(sock)}
+        await _stop_receiving(idle)
+
+    async def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        await _stop_receiving(self.reading_sockets)
+
+    async def end(self) -> bool:
+        """Read no more requests, so that the process can end.
+
+        Returns:
+            False if a request had arrived already, which is served as before.
+        """
+        self.ended = True
+        await self.drain()
+        await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
+        self.ended = not self.active_requests
+        return self.ended
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
+        if self.ended:
+            return
         connection = _ServerConnection(self, sock, str(peer[0]))
         self.open_connections += 1
         try:
@@ -274,6 +304,22 @@
             self.open_connections -= 1
 
 
+def _is_readable(sock: Any) -> bool:
+    """Return whether bytes have arrived, or the client closed the connection."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def _stop_receiving(sockets: set[Any]) -> None:
+    """End the reading of connections; what has arrived can still be read."""
+    for sock in list(sockets):
+        # A client may have reset its connection a moment ago. The task of the
+        # connection finds that out itself; the others still have to be closed.
+        with suppress(OSError):
+            await sock.shutdown(socket.SHUT_RD)
+
+
 class _ServerConnection:
     """Reads and answers the requests of one accepted connection."""
 
@@ -283,6 +329,10 @@
         self.peer = peer
         self.turns = Turns()
         self.limits = server.limits()
+        # Whether the client, or this server in a planned stop, ended the reading.
+        self.received_end = False
+        # Method of the newest request.
+        self.method = b""
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
         )
@@ -296,11 +346,14 @@
             # A request counts from its first byte, so that a planned stop waits for it.
             self.server.active_requests += 1
             try:
+                self.server.reading_sockets.add(self.sock)
                 try:
                     request = await self._read_request()
                 except RequestRejected as error:
-                    await self._refuse(error.refusal, error.status)
+                    await self._reject(error)
                     return
+                finally:
+                    self.server.reading_sockets.discard(self.sock)
                 if request is None or not await self._serve(request):
                     return
             finally:
@@ -311,6 +364,20 @@
                 return
             self.http.start_next_cycle()
 
+    async def _reject(self, error: RequestRejected) -> None:
+        """Refuse a request that cannot be read."""
+        if not (self.server.draining and self.received_end):
+            await self._refuse(error.refusal, error.status)
+            return
+        # The server ended the reading, not the client; the request is no bad one.
+        refusal = Refusal(
+            RefusalReason.DRAINING,
+            Verdict.NOT_RUN,
+            "this process stops and the request has not arrived completely",
+            OVERLOAD_RETRY_MS,
+        )
+        await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
+
     async def _refuse(self, refusal: Refusal, status: int) -> None:
         if self.server.on_refusal is not None:
             await self.server.on_refusal(refusal)
@@ -347,21 +414,39 @@
         """Wait for the first bytes of a request; return False if none were received."""
         if self.http.trailing_data[0]:
             return True
-        wait_ms = self.limits.idle_ms
-        if self.server.draining:
-            # A connection that was accepted a moment ago; its request is on the way.
-            wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
+        if self.server.ended:
+            return False
         self.server.idle_sockets.add(self.sock)
         try:
-            async with curio.timeout_after(wait_ms / MS_PER_SECOND):
-                data = await self.sock.recv(READ_BYTES)
-        except curio.TaskTimeout:
-            return False
+            data = await self._receive_when_idle()
         finally:
             self.server.idle_sockets.discard(self.sock)
+        if data is None:
+            return False
         self.http.receive_data(data)
         return bool(data)
 
+    async def _receive_when_idle(self) -> bytes | None:
+        """Return the next bytes, or None if the connection was idle for too long.
+
+        The limit may be raised meanwhile; callers then keep their connections longer.
+        """
+        waited_ms = 0
+        while True:
+            wait_ms = self.limits.idle_ms - waited_ms
+            if self.server.draining:
+                # A connection that was accepted a moment ago; its request is on the
+                # way.
+                wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
+            try:
+                async with curio.timeout_after(wait_ms / MS_PER_SECOND):
+                    return await self.sock.recv(READ_BYTES)
+            except curio.TaskTimeout:
+                waited_ms += wait_ms
+            self.limits = self.server.limits()
+            if self.server.draining or waited_ms >= self.limits.idle_ms:
+                return None
+
     async def _parse_part(self, read_part: Callable[[], Awaitable[Any]]) -> Any:
         """Return the result of ``read_part``, with parser errors as rejections.
 
@@ -397,6 +482,7 @@
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
+        self.method = event.method
         # h11 applies its limit only to a head that is received in several pieces.
         size = len(event.target) + sum(len(n) + len(v) for n, v in event.headers)
         if size > self.limits.header_bytes:
@@ -439,6 +525,7 @@
                 await self._write(self.http.send(info))
             data = await self.sock.recv(READ_BYTES)
             await self.turns.take(len(data))
+            self.received_end = not data
             self.http.receive_data(data)
 
     async def _serve(self, request: Request) -> bool:
@@ -468,7 +555,7 @@
         """
         try:
             response = await self.server.handler(request)
-        except Exception as error:
+        except (Exception, curio.TaskTimeout) as error:
             events.log(events.HANDLER_FAILED, detail=repr(error))
             refusal = Refusal(
                 RefusalReason.INTERNAL,
@@ -477,7 +564,9 @@
             )
             response = refusal_response(refusal)
         try:
-            await self._send(response, close=self.server.closing)
+            # Requests that have arrived behind this one are answered, too.
+            is_last = not self.http.trailing_data[0]
+            await self._send(response, close=self.server.closing and is_last)
         except Exception as error:
             return error
         return None
@@ -501,7 +590,9 @@
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
             head = h11.Response(status_code=response.status, headers=headers)
-            data = [self.http.send(head), self.http.send(h11.Data(response.body))]
+            data = [self.http.send(head)]
+            if self.method != HEAD_METHOD:
+                data.append(self.http.send(h11.Data(response.body)))
             data.append(self.http.send(h11.EndOfMessage()))
             await self._write(b"".join(data))
             return
@@ -516,8 +607,9 @@
         pieces = response.body
         try:
             await self._write(self.http.send(head))
-            async for piece in pieces:
-                await self._write(self.http.send(h11.Data(piece)))
+            if self.method != HEAD_METHOD:
+                async for piece in pieces:
+                    await self._write(self.http.send(h11.Data(piece)))
         finally:
             await pieces.aclose()
         await self._write(self.http.send(h11.EndOfMessage()))
