Refuse reports of targets that messages cannot carry

Cause: target_row_from_report accepted numbers beyond UInt32 and UInt64, lone surrogates, texts of any length and addresses that are none (host names, a NUL, 100,000 characters, non-ASCII digits). The row stood in the tables, and every message with it failed to encode, so no target's row reached an entry. A DELETE with such a 'born' made the same kind of row. Change: codec.check_encodable tries a value against the schema itself, so the limits are those of the schema; encode raises MessageError that names the field. Address.parse takes IPv4 and IPv6 addresses with ASCII digits only. Refusals are 400 with a reason and event 612. A reply that cannot be encoded is answered as an error and keeps its connection.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -163,6 +163,66 @@
         target_row_from_report("i-1", [])
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"born": 1e300},
+        {"born": 2**64},
+        {"seq_no": 2**64},
+        {"seq_no": float("inf")},
+        {"slots": 10**30},
+        {"slots": 2**32},
+        {"zone": "\ud800"},
+        {"service": "llm\udfff"},
+        {"version": "\ud800"},
+        {"zone": "z" * 1_000},
+        {"address": "10.128.0.9\0:8080"},
+        {"address": "1" * 100_000 + ":8080"},
+        {"address": "10.128.0.9:\u0661"},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:70000"},
+        {"address": "engine.example:8080"},
+        {"address": "0.0.0.0:8080"},
+        {"address": "[ff02::1]:8080"},
+        {"address": "fe80::1%eth0:8080"},
+    ],
+)
+def test_report_that_messages_cannot_carry_is_refused(change):
+    """Guards against rows that no message between processes can carry."""
+    hub = FakeHub()
+    body = json.dumps({**REPORT, **change}).encode()
+    reply = call(ControlHandler(FakeStore(), hub), "PUT", "/instances/i-1", body)
+    assert (reply.status, hub.rows) == (400, [])
+    assert json.loads(reply.body)["detail"]
+
+
+def test_report_with_the_largest_numbers_is_accepted():
+    """Guards against limits that are narrower than those of the messages."""
+    change = {"born": 2**64 - 1, "seq_no": 2**64 - 1, "slots": 2**32 - 1}
+    row = target_row_from_report("i-1", {**REPORT, **change})
+    assert (row.capacity, row.recency) == (2**32 - 1, (2**64 - 1, 2**64 - 1))
+
+
+@pytest.mark.parametrize("name", ["%ED%A0%80", "a%0D%0Ab", "%C3%A9", "a" * 2_000])
+def test_target_whose_name_fits_no_header_is_refused(name):
+    """Guards against targets to which no request can be sent."""
+    hub = FakeHub()
+    body = json.dumps(REPORT).encode()
+    handler = ControlHandler(FakeStore(), hub)
+    assert call(handler, "PUT", f"/instances/{name}", body).status == 400
+    assert hub.rows == []
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"born": 1e300}', b'{"born": -1}', b'{"born": 1.5}', b"[", b"[" * 9**6]
+)
+def test_malformed_leave_is_refused(body):
+    """Guards against a row of a target that left and that no message can carry."""
+    hub = FakeHub()
+    reply = call(ControlHandler(FakeStore(), hub), "DELETE", "/instances/i-1", body)
+    assert (reply.status, hub.left) == (400, [])
+
+
 HEADERS = (
     (b"Host", b"works.example"),
     (b"Attempt-Id", b"abc"),
--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -171,6 +171,28 @@
     assert with_peer(faulty, client) == Pong("good")
 
 
+def test_reply_that_cannot_be_encoded_keeps_the_connection():
+    """Guards against a sound peer that is cut off because of one odd reply."""
+    connections = []
+
+    async def handler(message):
+        return Pong("\ud800") if message.sender == "odd" else Pong(message.sender)
+
+    async def client(address):
+        link = TcpPeerLink(SECRET)
+        assert await link.call(address, Ping("a"), TIMEOUT_MS) == Pong("a")
+        connections.append(link.idle_by_address[address][0])
+        with pytest.raises(PeerUnreachable, match="does not fit its type"):
+            await link.call(address, Ping("odd"), TIMEOUT_MS)
+        connections.append(link.idle_by_address[address][0])
+        with pytest.raises(MessageError, match="Ping.sender"):
+            await link.call(address, Ping("\ud800"), TIMEOUT_MS)
+        return await link.call(address, Ping("b"), TIMEOUT_MS)
+
+    assert with_peer(handler, client) == Pong("b")
+    assert connections[0] is connections[1]
+
+
 @settings(max_examples=300)
 @given(st.binary(max_size=200), st.integers(0, 200), st.integers(0, 255))
 def test_damaged_frame_is_a_message_error(junk, position, value):
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -274,9 +274,17 @@
 
 async def _make_reply(handler: Callable[[Any], Awaitable[Any]], frame: bytes) -> bytes:
     try:
-        return encode(await handler(decode(frame)))
+        reply = await handler(decode(frame))
     except MessageError:
         raise
     except Exception as error:  # An error in one handler must not end the listener.
-        events.log(events.HANDLER_FAILED, detail=repr(error))
-        return encode(PeerError("internal", repr(error)))
+        return _error_reply(error)
+    try:
+        return encode(reply)
+    except Exception as error:  # The request was sound, so its connection stays open.
+        return _error_reply(error)
+
+
+def _error_reply(error: Exception) -> bytes:
+    events.log(events.HANDLER_FAILED, detail=repr(error))
+    return encode(PeerError("internal", repr(error)))
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -1,6 +1,7 @@
 """Encodes attrs messages as Cap'n Proto frames and decodes them."""
 
 import enum
+import functools
 import re
 from collections.abc import Callable
 from importlib import resources
@@ -11,11 +12,20 @@
 
 from wagtailrun.exceptions import MessageError
 
-__all__ = ["Channel", "Codec", "codec_of", "decode", "encode"]
+__all__ = ["Channel", "Codec", "check_encodable", "codec_of", "decode", "encode"]
 
 # Errors that pycapnp raises for malformed messages, and message classes for values that
 # they do not accept. Invalid UTF-8 and frames of a wrong length raise ValueError.
 DECODE_ERRORS = (capnp.KjException, AttributeError, KeyError, TypeError, ValueError)
+# Errors that pycapnp raises for values that do not fit the schema: out of range, of
+# another type, or text that is not Unicode.
+ENCODE_ERRORS = (
+    capnp.KjException,
+    AttributeError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 # Cap'n Proto's limit on the words of 8 bytes read; bounds the work for a malicious
 # frame.
@@ -55,6 +65,8 @@
 
     codecs_by_channel: dict[Channel, "Codec"] = {}
     codecs_by_class: dict[type, "Codec"] = {}
+    # Schemas of the messages and of the classes that they consist of.
+    schemas_by_class: dict[type, Any] = {}
 
     def __init__(self, channel: Channel, schema_file: str, message_classes: list[type]):
         path = resources.files("wagtailrun.schema") / schema_file
@@ -68,6 +80,9 @@
         self.writers_by_tag = {
             tag: _make_writer(cls) for tag, cls in self.classes_by_tag.items()
         }
+        fields = self.struct.schema.fields
+        for tag, cls in self.classes_by_tag.items():
+            _collect_schemas(cls, fields[tag].schema, self.schemas_by_class)
         self.codecs_by_channel[channel] = self
         self.codecs_by_class.update(dict.fromkeys(message_classes, self))
 
@@ -77,7 +92,11 @@
         return cls.__name__[0].lower() + cls.__name__[1:]
 
     def encode(self, message: Any) -> bytes:
-        """Return ``message`` as bytes of the schema's ``Message`` struct."""
+        """Return ``message`` as bytes of the schema's ``Message`` struct.
+
+        Raises:
+            MessageError: If a value does not fit the schema.
+        """
         tag = self.tags_by_class[type(message)]
         builder = self.struct.new_message()
         self.writers_by_tag[tag](builder.init(tag), message)
@@ -134,6 +153,7 @@
     return _make_reader(kind) if attrs.has(kind) else None
 
 
+@functools.cache
 def _make_writer(cls: type) -> _Writer:
     """Return a function that writes a message of ``cls`` to a Cap'n Proto struct."""
     attrs.resolve_types(cls)
@@ -143,8 +163,12 @@
     ]
 
     def write(struct: Any, message: Any) -> None:
-        for name, write_field in fields:
-            write_field(struct, getattr(message, name))
+        try:
+            for name, write_field in fields:
+                write_field(struct, getattr(message, name))
+        except ENCODE_ERRORS as error:
+            detail = f"{cls.__name__}.{name} does not fit its type in the schema"
+            raise MessageError(detail) from error
 
     return write
 
@@ -171,13 +195,45 @@
     return write
 
 
+def _collect_schemas(cls: type, schema: Any, schemas_by_class: dict[type, Any]) -> None:
+    """Add the schemas of ``cls`` and of the classes of its fields."""
+    schemas_by_class[cls] = schema
+    for field in attrs.fields(cls):
+        kind, name = field.type, camel_case(field.name)
+        if get_origin(kind) in (list, tuple):
+            item = get_args(kind)[0]
+            if attrs.has(item):
+                item_schema = schema.fields[name].schema.elementType
+                _collect_schemas(item, item_schema, schemas_by_class)
+        elif attrs.has(kind):
+            _collect_schemas(kind, schema.fields[name].schema, schemas_by_class)
+
+
+def check_encodable(value: Any) -> None:
+    """Check that messages can carry a value.
+
+    Args:
+        value: Instance of a message class, or of a class that messages consist of.
+
+    Raises:
+        MessageError: If a field does not fit its type in the schema.
+    """
+    cls = type(value)
+    struct = capnp._MallocMessageBuilder().init_root(Codec.schemas_by_class[cls])
+    _make_writer(cls)(struct, value)
+
+
 def codec_of(message: Any) -> Codec:
     """Return the codec that encodes ``message``."""
     return Codec.codecs_by_class[type(message)]
 
 
 def encode(message: Any) -> bytes:
-    """Return the frame of ``message``: its channel byte and the encoded message."""
+    """Return the frame of ``message``: its channel byte and the encoded message.
+
+    Raises:
+        MessageError: If a value does not fit the schema.
+    """
     codec = codec_of(message)
     return bytes((codec.channel,)) + codec.encode(message)
 
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -187,6 +187,12 @@
 TARGET_STATE_CHANGED = _event(
     610, logging.INFO, "The known state of a target changed.", limited=False
 )
+TARGET_REPORT_REFUSED = _event(
+    612,
+    logging.WARNING,
+    "A report of a target was refused because it is malformed.",
+    "Correct the sender: the target gets no work until its reports are sound.",
+)
 ENTRY_LIVENESS_CHANGED = _event(
     611, logging.INFO, "An entry became live or is no longer live.", limited=False
 )
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -108,7 +108,7 @@
 
 
 class MessageError(WagtailrunError):
-    """A message of a peer cannot be decoded."""
+    """A message of a peer cannot be decoded, or one to a peer cannot be encoded."""
 
 
 class PeerUnreachable(WagtailrunError):
--- a/wagtailrun/ports/link.py
+++ b/wagtailrun/ports/link.py
@@ -1,5 +1,7 @@
 """Port to the other processes of the system."""
 
+import ipaddress
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -8,6 +10,10 @@
 
 __all__ = ["Address", "Handler", "PeerLink"]
 
+PORT_PATTERN = re.compile("[0-9]{1,5}")
+# Characters of a malformed address that an error message shows.
+MAX_SHOWN_CHARACTERS = 80
+
 
 @attrs.frozen(order=True)
 class Address:
@@ -18,20 +24,29 @@
 
     @classmethod
     def parse(cls, text: str) -> "Address":
-        """Parse ``HOST:PORT``.
+        """Parse ``IP:PORT``; brackets around an IPv6 address are optional.
 
         Raises:
-            ValueError: If host or port is missing, or the port is out of range.
+            ValueError: If the host is no IPv4 or IPv6 address, or the port is not a
+                decimal number from 1 to 65535.
         """
+        shown = repr(text[:MAX_SHOWN_CHARACTERS])
         host, separator, port = text.rpartition(":")
-        if not separator or not host or not port.isdecimal():
-            raise ValueError(f"{text!r} is not of the form IP:PORT")
+        # An IPv6 address with a zone has a meaning on one VM only.
+        if not separator or not PORT_PATTERN.fullmatch(port) or "%" in host:
+            raise ValueError(f"{shown} is not of the form IP:PORT")
         if not 0 < int(port) < 65_536:
-            raise ValueError(f"port {port} in {text!r} is not in 1..65535")
-        return cls(host, int(port))
+            raise ValueError(f"port {port} in {shown} is not in 1..65535")
+        if host.startswith("[") and host.endswith("]") and ":" in host:
+            host = host[1:-1]
+        try:
+            return cls(str(ipaddress.ip_address(host)), int(port))
+        except ValueError as error:
+            raise ValueError(f"the host in {shown} is not an IP address") from error
 
     def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 # Returns the reply to a message of a peer.
@@ -53,4 +68,5 @@
         Raises:
             PeerUnreachable: If no reply was received in time; ``sent`` says whether
                 part of the message may have reached the peer.
+            MessageError: If the message does not fit its schema; nothing was sent.
         """
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -1,7 +1,6 @@
 """Settings of the daemons and commands, from flags and environment variables."""
 
 import difflib
-import ipaddress
 import math
 import os
 import re
@@ -51,9 +50,7 @@
     Raises:
         ValueError: If the host is not an IP address or the port is out of range.
     """
-    address = Address.parse(text.strip())
-    ipaddress.ip_address(address.host.strip("[]"))
-    return address
+    return Address.parse(text.strip())
 
 
 def parse_addresses(text: str) -> tuple[Address, ...]:
