Leave a row that cannot be encoded out of messages

Cause: a message was encoded as a whole, so one row that did not fit the schema kept back all others, in replies to polls and among control members, and ended the tasks of an entry that report crashes and limits, again and again. Change: messages mark lists of rows that do not depend on each other; the codec leaves out a row that does not fit and logs it once for each cause (event 628). Other lists, such as entries of the replicated log, are still refused as a whole.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -534,3 +534,55 @@
         return before, again, names(), unknown
 
     assert run(scenario) == ({"t1", "same"}, {"t1", "same"}, set(), [])
+
+
+def test_row_that_cannot_be_sent_keeps_back_no_other():
+    """Guards against one odd row after which no row of any target is delivered."""
+    odd = attrs.evolve(ROW, name="odd", address=Address("10.0.2.9", 80))
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.hubs[0].report(ROW)
+        await clock.sleep_ms(500)
+        for number, change in enumerate(
+            ({"capacity": 2**32}, {"incarnation": 2**64}, {"data_centre": "\ud800"})
+        ):
+            name = f"odd-{number}"
+            for hub in controls.hubs:
+                await hub.report(attrs.evolve(odd, name=name, **change))
+        for number, hub in enumerate(controls.hubs):
+            address = Address("10.0.3.1", number + 1)
+            await hub.report(attrs.evolve(ROW, name=f"t{number + 2}", address=address))
+        await clock.sleep_ms(1_000)
+        late = attrs.evolve(ENTRY, name="e2", address=Address("10.0.1.2", 7_000))
+        other = controls.view(late)
+        await curio.spawn(other.run, daemon=True)
+        await clock.sleep_ms(1_000)
+        names = {"t1", "t2", "t3", "t4"}
+        for known in (view, other):
+            assert {row.name for row in known.targets("s")} == names
+            assert known.is_fresh
+        for hub in controls.hubs:
+            assert names <= hub.membership.targets_by_name.keys()
+
+    run(scenario)
+
+
+def test_observation_that_cannot_be_sent_keeps_back_no_other():
+    """Guards against an entry whose reports end with one odd observation."""
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await clock.sleep_ms(500)
+        odd = attrs.evolve(ROW, name="odd", incarnation=2**64)
+        for row in (odd, ROW):
+            view.limits.record_answer(row, 2.0, clock.now_ms())
+            view.quarantine.record_crash("\ud800", [["p"]], ["r"])
+            view.quarantine.record_crash(row.name, [["p"]], ["r"])
+        await view.report_changes()
+        await clock.sleep_ms(1_000)
+        for hub in controls.hubs:
+            assert hub.limits.newest("t1").per_second == 2.0
+            assert {"odd", "t1"} == hub.quarantine.evidence_by_key.keys()
+
+    run(scenario)
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -456,3 +456,97 @@
     taken_up = [line for line in lines if line["event"] == 718]
     versions = [(line["resumes"], line["software_version"]) for line in taken_up]
     assert versions == [("first", "v1"), ("first", "v1"), ("unknown", "")]
+
+
+# Changes of a sound report that no process may be stopped by.
+ODD_REPORTS = (
+    {"born": 1e300},
+    {"born": 2**64},
+    {"seq_no": 2**64},
+    {"slots": 10**30},
+    {"slots": 2**32},
+    {"zone": "\ud800"},
+    {"service": "llm\ud800"},
+    {"address": "127.0.0.1\0:80"},
+    {"address": "1" * 100_000 + ":80"},
+    {"address": "127.0.0.1:\u0661"},
+    {"address": "127.0.0.1:70000"},
+    {"address": "engine.example:80"},
+)
+DEEP = b"[" * 100_000
+ODD_BODIES = (
+    DEEP,
+    b'{"state": ' + b"[" * 900 + b"]" * 900 + b"}",
+    b'{"state": "ready", "born": ' + b"9" * 5_000 + b"}",
+    b"\xff\xfe",
+    b"null",
+)
+
+
+async def send_odd_reports(fleet):
+    """Send odd reports to each control member; return the statuses of the answers."""
+    sound = {
+        "service": "llm",
+        "address": "127.0.0.1:9",
+        "zone": "riverside",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "seq_no": 1,
+        "born": 5,
+    }
+    bodies = [json.dumps({**sound, **change}).encode() for change in ODD_REPORTS]
+    bodies.extend(ODD_BODIES)
+    statuses = []
+    for member in (1, 2, 3):
+        for number, body in enumerate(bodies):
+            path = f"/instances/i-odd-{number}"
+            for method in ("PUT", "DELETE"):
+                if method == "DELETE":
+                    body = json.dumps({"born": 10**300}).encode()
+                reply = await send(fleet.control(member), method, path, body)
+                statuses.append(reply.status)
+    return statuses
+
+
+def test_odd_reports_stop_nothing(tmp_path):
+    """Guards against one odd report after which no entry serves anything.
+
+    Targets that reported before and after it are served, at entries that were following
+    and at one that starts later, and newer documents are applied.
+    """
+
+    async def scenario(fleet, targets):
+        fleet.stop("front-2", signal.SIGKILL)
+        before = await send_odd_reports(fleet)
+        await wait_until_served(fleet, targets)
+        after = await send_odd_reports(fleet)
+        await curio.sleep(1.0)
+        (other,) = free_addresses(1)
+        server = HttpServer(other, targets.handle_engine)
+        await curio.spawn(server.serve, daemon=True)
+        targets.reported[1] = ("i-late", other, "llm", "v1")
+        reply = await send(
+            fleet.control(1), "DELETE", "/instances/i-engine", b'{"born": 5}'
+        )
+        await put(fleet, 8, keys=("newer",))
+        fleet.start_entry(2)
+        served = []
+        for number in (1, 2):
+
+            async def answered(number=number):
+                headers = request_headers(f"late-{number}", "newer")
+                address = fleet.entry(number)
+                answer = await send(address, "POST", "/a/x", b"{}", headers)
+                return answer if answer.status == 200 else None
+
+            await wait_until(answered, f"entry {number} does not serve")
+            served.append(targets.requests[-1].headers["expected-instance"])
+        ended = [n for n, p in fleet.processes.items() if p.poll() is not None]
+        return {*before, *after}, reply.status, served, ended
+
+    statuses, left, served, ended = run_scenario(tmp_path, scenario)
+    assert statuses == {400}
+    assert left == 200
+    assert served == ["i-late", "i-late"]
+    assert ended == []
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -10,9 +10,18 @@
 import attrs
 import capnp
 
+from wagtailrun import events
 from wagtailrun.exceptions import MessageError
 
-__all__ = ["Channel", "Codec", "check_encodable", "codec_of", "decode", "encode"]
+__all__ = [
+    "Channel",
+    "Codec",
+    "check_encodable",
+    "codec_of",
+    "decode",
+    "encode",
+    "independent_rows",
+]
 
 # Errors that pycapnp raises for malformed messages, and message classes for values that
 # they do not accept. Invalid UTF-8 and frames of a wrong length raise ValueError.
@@ -31,6 +40,11 @@
 # frame.
 TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
+# Mark of fields of a message class whose rows do not depend on each other.
+INDEPENDENT = "independent"
+# Skipped rows whose log line is remembered: an odd row is in a message again and again.
+MAX_LOGGED_ROWS = 1_024
+
 
 class Channel(enum.IntEnum):
     """First byte of a frame, which identifies the schema of its message."""
@@ -158,7 +172,12 @@
     """Return a function that writes a message of ``cls`` to a Cap'n Proto struct."""
     attrs.resolve_types(cls)
     fields = [
-        (field.name, _make_field_writer(camel_case(field.name), field.type))
+        (
+            field.name,
+            _make_field_writer(
+                camel_case(field.name), field.type, INDEPENDENT in field.metadata
+            ),
+        )
         for field in attrs.fields(cls)
     ]
 
@@ -173,12 +192,13 @@
     return write
 
 
-def _make_field_writer(name: str, kind: Any) -> _Writer:
+def _make_field_writer(name: str, kind: Any, independent: bool) -> _Writer:
     """Return a function that writes one field of a Cap'n Proto struct."""
     if get_origin(kind) in (list, tuple):
         item = get_args(kind)[0]
         if attrs.has(item):
-            return _make_list_writer(name, _make_writer(item))
+            write_list = _make_list_writer(name, _make_writer(item))
+            return _skip_odd_rows(write_list) if independent else write_list
         return lambda struct, values: setattr(struct, name, list(values))
     if attrs.has(kind):
         write_value = _make_writer(kind)
@@ -195,6 +215,46 @@
     return write
 
 
+def _skip_odd_rows(write_list: _Writer) -> _Writer:
+    """Return a function that writes a list without the rows that do not fit."""
+
+    def write(struct: Any, values: Any) -> None:
+        try:
+            write_list(struct, values)
+        except MessageError:
+            write_list(struct, [value for value in values if _fits(value)])
+
+    return write
+
+
+def _fits(value: Any) -> bool:
+    """Return whether messages can carry a row; log one that they cannot."""
+    try:
+        check_encodable(value)
+    except MessageError as error:
+        _log_skipped(value, str(error))
+        return False
+    return True
+
+
+_logged_rows: set[tuple[str, str]] = set()
+
+
+def _log_skipped(value: Any, detail: str) -> None:
+    """Log a row that is not sent, once for each cause."""
+    name = value
+    while attrs.has(type(name)):
+        # The first field names a row, or is the row itself.
+        name = getattr(name, attrs.fields(type(name))[0].name)
+    if (logged := (repr(name), detail)) in _logged_rows:
+        return
+    if len(_logged_rows) >= MAX_LOGGED_ROWS:
+        _logged_rows.clear()
+    _logged_rows.add(logged)
+    kind = type(value).__name__
+    events.log(events.ROW_NOT_SENT, kind=kind, name=repr(name), detail=detail)
+
+
 def _collect_schemas(cls: type, schema: Any, schemas_by_class: dict[type, Any]) -> None:
     """Add the schemas of ``cls`` and of the classes of its fields."""
     schemas_by_class[cls] = schema
@@ -209,6 +269,18 @@
             _collect_schemas(kind, schema.fields[name].schema, schemas_by_class)
 
 
+def independent_rows(**options: Any) -> Any:
+    """Return a field of a message class whose rows do not depend on each other.
+
+    A row that does not fit the schema is left out of a message, so that it does not
+    keep back the others. For other lists the whole message is refused.
+
+    Args:
+        **options: Arguments of ``attrs.field``.
+    """
+    return attrs.field(metadata={INDEPENDENT: True}, **options)
+
+
 def check_encodable(value: Any) -> None:
     """Check that messages can carry a value.
 
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wagtailrun.codec import Channel, Codec
+from wagtailrun.codec import Channel, Codec, independent_rows
 from wagtailrun.gossip_messages import AgedRow, EntryRow
 
 __all__ = [
@@ -132,7 +132,7 @@
 class RecordOrigins:
     """Reports streams that have begun to a control member; replied by ``RowsTaken``."""
 
-    groups: tuple[StreamsBegun, ...]
+    groups: tuple[StreamsBegun, ...] = independent_rows()
 
 
 @attrs.frozen
@@ -233,11 +233,11 @@
     marks: NewsMarks
     text: str = ""
     confirmed: bool = False
-    targets: tuple[AgedRow, ...] = ()
-    entries: tuple[EntryRow, ...] = ()
+    targets: tuple[AgedRow, ...] = independent_rows(default=())
+    entries: tuple[EntryRow, ...] = independent_rows(default=())
     members: tuple[str, ...] = ()
-    crashes: tuple[AgedEvidence, ...] = ()
-    limits: tuple[AgedLimit, ...] = ()
+    crashes: tuple[AgedEvidence, ...] = independent_rows(default=())
+    limits: tuple[AgedLimit, ...] = independent_rows(default=())
 
 
 @attrs.frozen
@@ -257,14 +257,14 @@
 class ReportCrashes:
     """Reports evidence of crashes to a control member; replied by ``RowsTaken``."""
 
-    rows: tuple[AgedEvidence, ...]
+    rows: tuple[AgedEvidence, ...] = independent_rows()
 
 
 @attrs.frozen
 class ReportLimits:
     """Reports limits of targets to a control member; replied by ``RowsTaken``."""
 
-    rows: tuple[AgedLimit, ...]
+    rows: tuple[AgedLimit, ...] = independent_rows()
 
 
 @attrs.frozen
@@ -327,10 +327,10 @@
     """
 
     sender: str
-    targets: tuple[AgedRow, ...] = ()
-    entries: tuple[AgedEntry, ...] = ()
-    crashes: tuple[AgedEvidence, ...] = ()
-    limits: tuple[AgedLimit, ...] = ()
+    targets: tuple[AgedRow, ...] = independent_rows(default=())
+    entries: tuple[AgedEntry, ...] = independent_rows(default=())
+    crashes: tuple[AgedEvidence, ...] = independent_rows(default=())
+    limits: tuple[AgedLimit, ...] = independent_rows(default=())
 
 
 @attrs.frozen
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -287,6 +287,13 @@
     "Report the error; the process goes on.",
     limited=False,
 )
+ROW_NOT_SENT = _event(
+    628,
+    logging.WARNING,
+    "A row does not fit the messages between processes and is left out of them.",
+    "Correct the sender of the report that the row is from.",
+    per_second=10,
+)
 METRICS_NOT_SERVED = _event(
     626,
     logging.WARNING,
