Keep an entry following after a document that its parser fails at

Before / after, tests/test_discovery.py: 1 failed (revision 2 fetched again and again, 3 not applied) / 0 failed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -296,6 +296,36 @@
     assert run(scenario) == (1, False)
 
 
+def test_entry_goes_on_after_a_text_that_its_parser_fails_at(monkeypatch):
+    """Guards against an entry that stops following, or fetches one text for ever."""
+    fetched = []
+
+    def parse(self, revision, text):
+        fetched.append(revision)
+        if text == "bad":
+            raise RecursionError("too deep")
+        return build_route_table(
+            revision, [], [], [], RequestLimits(), demands_keys=True
+        )
+
+    monkeypatch.setattr(PlainFormat, "routes", parse)
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.put_text(1)
+        await clock.sleep_ms(500)
+        await controls.put_text(2, "bad")
+        await clock.sleep_ms(1_000)
+        assert (view.revision, view.unreadable_revision) == (1, 2)
+        await controls.hubs[0].report(ROW)
+        await controls.put_text(3)
+        await clock.sleep_ms(1_000)
+        assert (view.revision, [row.name for row in view.targets("s")]) == (3, ["t1"])
+        assert fetched == [1, 2, 3]
+
+    run(scenario)
+
+
 def test_stopping_entry_is_reported_to_the_others():
     """Guards against stage calls that are left to a stopping entry."""
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -507,12 +507,11 @@
                 table = await curio.run_in_thread(parse, revision, text.decode())
             else:
                 table = parse(revision, text.decode())
-        except (FleetTextError, UnicodeDecodeError) as error:
+        except Exception as error:  # Else it would be fetched again and again.
             self.unreadable_revision = revision
+            detail = str(error) if isinstance(error, FleetTextError) else repr(error)
             events.log(
-                events.FLEET_CONFIG_UNREADABLE,
-                revision=revision,
-                detail=str(error)[:200],
+                events.FLEET_CONFIG_UNREADABLE, revision=revision, detail=detail[:200]
             )
             return
         events.log(
