Refuse documents with odd names or deep nesting, cut large numbers

Cause: a service name with a lone surrogate breaks the hash by which entries choose owners; a tenant name with a line break fits no header; weights and capacities beyond floats fail with every request; sums of 'bytes' exceed UInt64 in messages; nesting near the limit of recursion is read by one process and not by another with less stack left. Change: names must be printable; at most 64 levels; numbers are cut to what messages and timers hold, as durations were before, so that documents of older builds stay readable. Duplicate keys are left as they are: all processes use the last one.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the adapter of the users' platform."""
 
 import json
+import random
 
 import curio
 import pytest
@@ -22,6 +23,7 @@
 from wagtailrun.registry_messages import TextVerdict
 from wagtailrun.relay import AttemptContext
 from wagtailrun.routes import RouteKind
+from wagtailrun.stages import StagedWork
 from wagtailrun.stages.port import PieceOutcome
 
 ROUTE = {
@@ -97,6 +99,14 @@
                 {"name": "b", "api_keys": ["k"]},
             ]
         ),
+        document(version=2**63),
+        document(services=[*DOCUMENT["services"], {"name": "x\ud800"}]),
+        document(tenants=[{"name": "a\r\nb", "api_keys": ["k"]}]),
+        document(routes=[{**ROUTE, "timeout_ms": float("nan")}]),
+        document(routes=[{**ROUTE, "priority": float("inf")}]),
+        document().replace('"version": 7', '"version": ' + "7" * 5_000),
+        document(x=json.loads("[" * 100 + "]" * 100)),
+        "[" * 100_000,
         "[]",
         "",
     ],
@@ -107,6 +117,49 @@
         read_document(text)
 
 
+@pytest.mark.parametrize("depth", [60, 200, 700, 900, 940, 960, 980, 1_000])
+@pytest.mark.parametrize("field", ["version", "routes", "services", "tenants", "x"])
+def test_nested_document_is_read_alike_everywhere(depth, field):
+    """Guards against a document that one process accepts and another cannot read."""
+    value = "[" * depth + "]" * depth
+    text = document(**{field: 0}).replace(f'"{field}": 0', f'"{field}": {value}')
+
+    def outcome(frames):
+        if frames:
+            return outcome(frames - 1)
+        try:
+            read_document(text)
+        except FleetTextError:
+            return "refused"
+        return "read"
+
+    expected = "read" if (field, depth) == ("x", 60) else "refused"
+    assert (outcome(0), outcome(100)) == (expected, expected)
+
+
+def test_large_numbers_of_a_document_are_usable():
+    """Guards against accepted numbers with which every request of a route fails."""
+    large = 10**400
+    pool = dict.fromkeys(POOL, large)
+    services = [
+        {"name": "llm", "max_connections": large, "engine": {"slots": large}},
+        {"name": "board", "pieces": pool},
+    ]
+    route = {
+        **ROUTE,
+        "split": [{"service": "llm", "weight": large}] * 2,
+        "stages": [{"service": "board", "bytes": large}],
+        **dict.fromkeys(("timeout_ms", "priority", "max_attempts"), large),
+    }
+    table = read_document(document(routes=[route], services=services))
+    (found,) = table.routes()
+    weights = [row.weight for row in found.services]
+    assert random.choices(found.services, weights)
+    work = StagedWork("r", found.steps, (4_096,), "k", 5, 0, 0)
+    assert work.moved_bytes(0) < 2**63
+    assert int(table.services_by_name["board"].pool.duration_ms(4_096)) > 0
+
+
 @given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(), st.lists))
 def test_arbitrary_json_is_refused_without_crash(value):
     """Guards against a document that crashes a control member."""
