--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -28,6 +28,8 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+# Limit of h11 on a head, a chunk header or trailers.
+MAX_HEAD_BYTES = 16 * 1024
 # Reads of 64 KiB that may follow each other before other tasks get a turn.
 MAX_READS_IN_A_TURN = 4
 
@@ -124,6 +126,55 @@
     assert took_ms <= 1_001
 
 
+@pytest.mark.parametrize(
+    "first, data",
+    [
+        (b"", b"x" * 4_096),
+        (b"", b"\0" * 4_096),
+        (b"HTTP/1.1 200 ", b"x" * 4_096),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 512),
+        (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 4_096),
+        (b"HTTP/1.1 200 OK\r\nA: b", b"\r\n c" * 512),
+        (HEAD, b"0" * 4_096),
+        (HEAD + b"1;", b"x" * 4_096),
+        (HEAD + b"0\r\n", b"A: b\r\n" * 512),
+    ],
+)
+def test_bytes_that_are_no_answer_end(first, data):
+    """Guards against a head, chunk or trailer without end that fills the memory."""
+    sock = FakeSocket(data, first)
+
+    async def read(clock):
+        opened = connection(sock, clock)
+        stream = HttpStream(opened, await opened.read_head(60_000))
+        await stream.read_all(60_000)
+
+    fails_beside(read, sock)
+    assert sock.reads * len(data) <= 2 * MAX_HEAD_BYTES
+
+
+@pytest.mark.parametrize(
+    "first, data",
+    [
+        (b"", b"H"),
+        (b"HTTP/1.1 200 OK\r\n", b"A"),
+        (HEAD, b"0"),
+        (HEAD + b"0\r\n", b"A"),
+    ],
+)
+def test_dripping_bytes_that_are_no_answer_end(first, data):
+    """Guards against a time limit that starts again with each byte of a head."""
+    sock = FakeSocket(data, first, pause_s=0.1)
+
+    async def read(clock):
+        opened = connection(sock, clock)
+        stream = HttpStream(opened, await opened.read_head(1_000))
+        await stream.read_all(1_000)
+
+    _, took_ms, _ = fails_beside(read, sock)
+    assert took_ms <= 2_001
+
+
 def test_body_without_end_leaves_turns_to_others():
     """Guards against a body that starves all other tasks and fills the memory."""
     sock = FakeSocket(chunked(bytes(4_096)), HEAD)
