Reset connections of HTTP/1.0 callers when a response is cut off

Cause: a caller of HTTP/1.0, as many load balancers are, gets a stream without chunks, which ends with its connection. A stream that broke off was closed like a whole one, so that the caller had a 200 with a short body and nothing that told. Change: a response that has begun and is not complete ends with a reset there. Before / after, tests/test_cut_answers.py: 1 failed (closed instead of reset) / 0. Not covered: a process that is killed; then the kernel closes the connections.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -151,3 +151,42 @@
     # JSON shows its end itself.
     assert [cut for cut, tail, _ in wrong if not tail.endswith(b"}")] == []
     assert wrong == []
+
+
+def test_cut_stream_is_reset_towards_a_caller_without_chunks():
+    """Guards against a cut stream that an HTTP/1.0 caller takes for a whole one.
+
+    Its answer ends with the connection, so that only a reset tells the difference.
+    """
+
+    async def receive(address):
+        request = (
+            b"POST /a/x HTTP/1.0\r\nHost: h\r\nAttempt-Id: abc\r\n"
+            b"Deadline-Remaining: 2000\r\nContent-Length: 2\r\n\r\n{}"
+        )
+        sock = await curio.open_connection(address.host, address.port)
+        received = b""
+        async with sock:
+            await sock.sendall(request)
+            try:
+                while data := await sock.recv(65_536):
+                    received += data
+            except ConnectionResetError:
+                return received, "reset"
+        return received, "closed"
+
+    async def client(address, fleet):
+        target = CuttingTarget()
+        await curio.spawn(target.run, daemon=True)
+        fleet.rows.append(TargetRow("t0", target.address, "s", "a", 4))
+        await curio.sleep(0.05)
+        whole = framings(EVENTS)["length"]
+        ends = []
+        for answer in (whole, whole[:-5]):
+            target.answer = answer
+            received, end = await receive(address)
+            ends.append((b"200" in received[:20], event(1) in received, end))
+        return ends
+
+    ends = run_relay(RouteKind.STREAM, [], client, max_attempts=1)
+    assert ends == [(True, True, "closed"), (True, True, "reset")]
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 server built on h11, with one task for each connection."""
 
 import json
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -36,6 +38,8 @@
 OVERLOAD_RETRY_MS = 1_000
 # A connection is closed if one write does not complete in this time.
 WRITE_TIMEOUT_MS = 30_000
+# SO_LINGER with a time of 0: closing resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # How long a draining server waits for the request of a connection it has accepted.
 DRAIN_REQUEST_WAIT_MS = 200
 DRAIN_POLL_MS = 50
@@ -271,6 +275,7 @@
             # Closing without the final chunk marks the response as incomplete.
             events.log(events.HANDLER_FAILED, detail=repr(error))
         finally:
+            connection.mark_incomplete()
             self.open_connections -= 1
 
 
@@ -311,6 +316,15 @@
                 return
             self.http.start_next_cycle()
 
+    def mark_incomplete(self) -> None:
+        """Reset the connection if its end would count as that of a response.
+
+        A client of HTTP/1.0 receives a stream without chunks.
+        """
+        is_incomplete = self.http.our_state in (h11.SEND_BODY, h11.ERROR)
+        if is_incomplete and self.http.their_http_version == b"1.0":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def _refuse(self, refusal: Refusal, status: int) -> None:
         if self.server.on_refusal is not None:
             await self.server.on_refusal(refusal)
