Refuse requests with more pieces than messages can number

Cause: 'Pieces:' of a caller made a tuple of that length for each step, which ends the process for lack of memory; from 65,536 on, messages to the owner failed.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -341,6 +341,7 @@
         (b"Deadline-Remaining", b"soon"),
         (b"Prompt-Prefix", b"x"),
         (b"Pieces", b"1,-2"),
+        (b"Pieces", b"1,999999999"),
         (b"Attempt-Id", b""),
     ],
 )
