Take only handles of results that fit a header

Cause: a stage's answer could name results by lone surrogates, line breaks, non-ASCII or very long text. Messages and engine requests with such a handle failed for the whole request; deeply nested JSON ended the task of the call with RecursionError. Change: such a piece ended with an error and may run again; the others of its call count. Deep nesting is a malformed answer.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -369,11 +369,20 @@
         PieceOutcome.DONE,
         PieceOutcome.GONE,
     ]
-    for bad in (b"{}", b"", b'{"items": [1, 2]}', body):
+    deep = b'{"items": ' + b"[" * 100_000
+    for bad in (b"{}", b"", b'{"items": [1, 2]}', b"\xff", deep, body):
         with pytest.raises(TargetFailed):
             _decode_replies(bad, 3 if bad == body else 2)
 
 
+@pytest.mark.parametrize("handle", ["\ud800", "a\r\nb", "\u00e9", "h" * 9_000, "\0"])
+def test_result_whose_handle_fits_no_header_is_an_error(handle):
+    """Guards against a handle that breaks the messages and requests that name it."""
+    body = json.dumps({"items": [{"handle": handle}, {"handle": "h"}]}).encode()
+    outcomes = [reply.outcome for reply in _decode_replies(body, 2)]
+    assert outcomes == [PieceOutcome.ERROR, PieceOutcome.DONE]
+
+
 class FakeStore:
     """Configuration store that records the documents put."""
 
