Cut estimates to what messages between entries hold

Cause: expected times are products of numbers that callers and documents state (a prompt's tokens, the times of calls). Beyond UInt32 the owner's replies could not be sent, also those about other requests at the same engine or service.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.fake_network import FakeNetwork
+from wagtailrun.codec import decode, encode
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.gossip_messages import EntryRow
@@ -179,3 +180,24 @@
         return placed, gone
 
     assert run_virtual(main) == ({"t1"}, "")
+
+
+def test_huge_prompts_do_not_stop_placement():
+    """Load: prompts whose callers state a billion tokens each, and a sound one.
+
+    Guards against an owner whose replies to all entries cannot be sent.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        host = fleet.hosts[fleet.owner().name]
+        # Engines under load; the learned time depends on what callers state, too.
+        host.chooser.models_by_service["s"].ms_per_token = 10.0
+        replies = [host.handle(prompt(f"huge-{n}", 10**9 - 1)) for n in range(6)]
+        replies.append(host.handle(prompt("sound")))
+        sent = [decode(encode(reply)) for reply in replies]
+        return replies, sent
+
+    replies, sent = run_virtual(main)
+    assert sent == replies
+    assert sent[-1].target
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -6,6 +6,7 @@
 import attrs
 import curio
 
+from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
@@ -581,3 +582,31 @@
     assert hopeless.state == JobState.REFUSED
     assert len(called_ms) == 2
     assert called_ms[1] - called_ms[0] >= 1_500
+
+
+def test_estimates_of_odd_capacities_can_be_sent():
+    """Load: pieces of a service whose document states calls of a week.
+
+    Guards against replies and calls that cannot be sent to other entries.
+    """
+    capacity = attrs.evolve(CAPACITY, call_ms=6e8, item_ms=6e8)
+
+    async def main(clock):
+        harness = BatcherHarness(clock, capacity=capacity)
+        limits = {"wait_ms": 0, "reserve": True, "remaining_ms": 10**15}
+        states = [await harness.send(f"r{n}", 8, **limits) for n in range(8)]
+        timeouts = []
+        run = harness.client.run
+
+        async def record(target, items, timeout_ms):
+            timeouts.append(timeout_ms)
+            return await run(target, items, timeout_ms)
+
+        harness.client.run = record
+        states.append(await harness.send("now", **{**limits, "reserve": False}))
+        await clock.sleep_ms(10)
+        return states, timeouts
+
+    states, timeouts = run_virtual(main)
+    assert [decode(encode(state)) for state in states] == states
+    assert timeouts and all(0 < timeout_ms < 2**32 for timeout_ms in timeouts)
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -10,7 +10,7 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.clock import Clock
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -43,6 +43,8 @@
 # Prompts with several suspected parts wait this long for one with a single one.
 SEVERAL_SUSPECTS_WAIT_MS = 3_000
 
+# Callers state the tokens of prompts; a sum of odd ones exceeds what messages hold.
+MAX_ESTIMATE_MS = 24 * 3_600 * MS_PER_SECOND
 # The owner replies within 1 ms; without a reply the entry chooses an engine itself.
 CALL_TIMEOUT_MS = 150
 # A run whose end is not reported expires after this time; the longest streams take
@@ -172,7 +174,12 @@
             self.chooser.record_start(row, message.parts, message.prompt_tokens)
         estimator = self.margins_by_route.get(message.route)
         margin_ms = estimator.margin_ms if estimator is not None else 0.0
-        return Placed(row.name, row.data_centre, int(expected_ms), int(margin_ms))
+        return Placed(
+            row.name,
+            row.data_centre,
+            int(min(expected_ms, MAX_ESTIMATE_MS)),
+            int(min(margin_ms, MAX_ESTIMATE_MS)),
+        )
 
     def _hold_back(self, message: PlaceRun, parts: tuple[str, ...]) -> Placed | None:
         """Return the refusal of a prompt that may crash an engine, else None.
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -76,6 +76,8 @@
 TYPICAL_BATCH_FILL = 0.9
 # Queueing delay that is reported for a service without an available target.
 NO_TARGET_QUEUE_MS = 60_000
+# Documents state the times of calls; multiples of odd ones exceed what messages hold.
+MAX_ESTIMATE_MS = 24 * 3_600 * MS_PER_SECOND
 
 
 @attrs.define(eq=False)
@@ -521,6 +523,7 @@
         target_state = self.target_states_by_name[row.name]
         items = [self._stage_item(job, piece, started_ms) for job, piece in chosen]
         timeout_ms = int(max(CALL_TIMEOUT_FACTOR * expected_ms, MIN_CALL_TIMEOUT_MS))
+        timeout_ms = min(timeout_ms, MAX_ESTIMATE_MS)
         fetch_timer = await curio.spawn(self._await_fetch, chosen, daemon=True)
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
@@ -848,6 +851,8 @@
         return PiecesState(
             state=job.state,
             results=results,
-            queue_ms=NO_TARGET_QUEUE_MS if queue_ms is None else queue_ms,
+            queue_ms=min(
+                NO_TARGET_QUEUE_MS if queue_ms is None else queue_ms, MAX_ESTIMATE_MS
+            ),
             detail=job.detail,
         )
