Limit the time that one prompt is expected to occupy an engine

Cause: the owner of the engines adds the prefill of each prompt it placed to the queue of its engine, by the tokens that the caller stated, and nothing takes it off again. One prompt of 999,999,999 tokens counted for 4.6 hours; three of them, one for each engine, and no prompt with stages was admitted for that time. Change: one prompt counts for at most 10 s; the choice itself is as before. Before / after, tests/test_placement.py: 1 failed / 0 failed. Open: such prompts still weigh in the learned time per token, for about 100 prompts.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -201,3 +201,22 @@
     replies, sent = run_virtual(main)
     assert sent == replies
     assert sent[-1].target
+
+
+def test_huge_prompt_does_not_occupy_an_engine_for_hours():
+    """Load: one prompt at each engine whose caller states a billion tokens.
+
+    Guards against a caller after whose requests no prompt is admitted for hours.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        host = fleet.hosts[fleet.owner().name]
+        for number in range(3):
+            host.handle(prompt(f"huge-{number}", 10**9 - 1))
+        await clock.sleep_ms(RUN_LIFETIME_MS)
+        return host.handle(prompt("sound"))
+
+    placed = run_virtual(main)
+    assert placed.target
+    assert placed.expected_ms < 1_000
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -48,6 +48,9 @@
 # Prompt parts per target that are assumed to be cached there; the least recently used
 # one is dropped first.
 MAX_CACHED_PARTS = 256
+# Callers state the tokens of their prompts. The largest one that fits the memory of the
+# users' engines (581,741 tokens) takes about this long.
+MAX_PREFILL_MS = 10_000.0
 
 
 @attrs.define
@@ -272,7 +275,8 @@
             uncached = self.uncached_tokens(row, parts, prompt_tokens)
             start_ms = max(state.prefill_ends_ms, now_ms)
             model = self.models_by_service[row.service]
-            state.prefill_ends_ms = start_ms + model.prefill_ms(uncached)
+            prefill_ms = min(model.prefill_ms(uncached), MAX_PREFILL_MS)
+            state.prefill_ends_ms = start_ms + prefill_ms
         for part in parts[:-1]:
             state.cached_parts[part.name] = None
             state.cached_parts.move_to_end(part.name)
