--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """Tests of the adapter of the users' platform."""
 
 import json
+import random
 
 import curio
 import pytest
@@ -22,6 +23,7 @@
 from wagtailrun.registry_messages import TextVerdict
 from wagtailrun.relay import AttemptContext
 from wagtailrun.routes import RouteKind
+from wagtailrun.stages import StagedWork
 from wagtailrun.stages.port import PieceOutcome
 
 ROUTE = {
@@ -97,6 +99,14 @@
                 {"name": "b", "api_keys": ["k"]},
             ]
         ),
+        document(version=2**63),
+        document(services=[*DOCUMENT["services"], {"name": "x\ud800"}]),
+        document(tenants=[{"name": "a\r\nb", "api_keys": ["k"]}]),
+        document(routes=[{**ROUTE, "timeout_ms": float("nan")}]),
+        document(routes=[{**ROUTE, "priority": float("inf")}]),
+        document().replace('"version": 7', '"version": ' + "7" * 5_000),
+        document(x=json.loads("[" * 100 + "]" * 100)),
+        "[" * 100_000,
         "[]",
         "",
     ],
@@ -107,6 +117,49 @@
         read_document(text)
 
 
+@pytest.mark.parametrize("depth", [60, 200, 700, 900, 940, 960, 980, 1_000])
+@pytest.mark.parametrize("field", ["version", "routes", "services", "tenants", "x"])
+def test_nested_document_is_read_alike_everywhere(depth, field):
+    """Guards against a document that one process accepts and another cannot read."""
+    value = "[" * depth + "]" * depth
+    text = document(**{field: 0}).replace(f'"{field}": 0', f'"{field}": {value}')
+
+    def outcome(frames):
+        if frames:
+            return outcome(frames - 1)
+        try:
+            read_document(text)
+        except FleetTextError:
+            return "refused"
+        return "read"
+
+    expected = "read" if (field, depth) == ("x", 60) else "refused"
+    assert (outcome(0), outcome(100)) == (expected, expected)
+
+
+def test_large_numbers_of_a_document_are_usable():
+    """Guards against accepted numbers with which every request of a route fails."""
+    large = 10**400
+    pool = dict.fromkeys(POOL, large)
+    services = [
+        {"name": "llm", "max_connections": large, "engine": {"slots": large}},
+        {"name": "board", "pieces": pool},
+    ]
+    route = {
+        **ROUTE,
+        "split": [{"service": "llm", "weight": large}] * 2,
+        "stages": [{"service": "board", "bytes": large}],
+        **dict.fromkeys(("timeout_ms", "priority", "max_attempts"), large),
+    }
+    table = read_document(document(routes=[route], services=services))
+    (found,) = table.routes()
+    weights = [row.weight for row in found.services]
+    assert random.choices(found.services, weights)
+    work = StagedWork("r", found.steps, (4_096,), "k", 5, 0, 0)
+    assert work.moved_bytes(0) < 2**63
+    assert int(table.services_by_name["board"].pool.duration_ms(4_096)) > 0
+
+
 @given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(), st.lists))
 def test_arbitrary_json_is_refused_without_crash(value):
     """Guards against a document that crashes a control member."""
@@ -163,6 +216,66 @@
         target_row_from_report("i-1", [])
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"born": 1e300},
+        {"born": 2**64},
+        {"seq_no": 2**64},
+        {"seq_no": float("inf")},
+        {"slots": 10**30},
+        {"slots": 2**32},
+        {"zone": "\ud800"},
+        {"service": "llm\udfff"},
+        {"version": "\ud800"},
+        {"zone": "z" * 1_000},
+        {"address": "10.128.0.9\0:8080"},
+        {"address": "1" * 100_000 + ":8080"},
+        {"address": "10.128.0.9:\u0661"},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:70000"},
+        {"address": "engine.example:8080"},
+        {"address": "0.0.0.0:8080"},
+        {"address": "[ff02::1]:8080"},
+        {"address": "fe80::1%eth0:8080"},
+    ],
+)
+def test_report_that_messages_cannot_carry_is_refused(change):
+    """Guards against rows that no message between processes can carry."""
+    hub = FakeHub()
+    body = json.dumps({**REPORT, **change}).encode()
+    reply = call(ControlHandler(FakeStore(), hub), "PUT", "/instances/i-1", body)
+    assert (reply.status, hub.rows) == (400, [])
+    assert json.loads(reply.body)["detail"]
+
+
+def test_report_with_the_largest_numbers_is_accepted():
+    """Guards against limits that are narrower than those of the messages."""
+    change = {"born": 2**64 - 1, "seq_no": 2**64 - 1, "slots": 2**32 - 1}
+    row = target_row_from_report("i-1", {**REPORT, **change})
+    assert (row.capacity, row.recency) == (2**32 - 1, (2**64 - 1, 2**64 - 1))
+
+
+@pytest.mark.parametrize("name", ["%ED%A0%80", "a%0D%0Ab", "%C3%A9", "a" * 2_000])
+def test_target_whose_name_fits_no_header_is_refused(name):
+    """Guards against targets to which no request can be sent."""
+    hub = FakeHub()
+    body = json.dumps(REPORT).encode()
+    handler = ControlHandler(FakeStore(), hub)
+    assert call(handler, "PUT", f"/instances/{name}", body).status == 400
+    assert hub.rows == []
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"born": 1e300}', b'{"born": -1}', b'{"born": 1.5}', b"[", b"[" * 9**6]
+)
+def test_malformed_leave_is_refused(body):
+    """Guards against a row of a target that left and that no message can carry."""
+    hub = FakeHub()
+    reply = call(ControlHandler(FakeStore(), hub), "DELETE", "/instances/i-1", body)
+    assert (reply.status, hub.left) == (400, [])
+
+
 HEADERS = (
     (b"Host", b"works.example"),
     (b"Attempt-Id", b"abc"),
@@ -228,6 +341,7 @@
         (b"Deadline-Remaining", b"soon"),
         (b"Prompt-Prefix", b"x"),
         (b"Pieces", b"1,-2"),
+        (b"Pieces", b"1,999999999"),
         (b"Attempt-Id", b""),
     ],
 )
@@ -255,11 +369,20 @@
         PieceOutcome.DONE,
         PieceOutcome.GONE,
     ]
-    for bad in (b"{}", b"", b'{"items": [1, 2]}', body):
+    deep = b'{"items": ' + b"[" * 100_000
+    for bad in (b"{}", b"", b'{"items": [1, 2]}', b"\xff", deep, body):
         with pytest.raises(TargetFailed):
             _decode_replies(bad, 3 if bad == body else 2)
 
 
+@pytest.mark.parametrize("handle", ["\ud800", "a\r\nb", "\u00e9", "h" * 9_000, "\0"])
+def test_result_whose_handle_fits_no_header_is_an_error(handle):
+    """Guards against a handle that breaks the messages and requests that name it."""
+    body = json.dumps({"items": [{"handle": handle}, {"handle": "h"}]}).encode()
+    outcomes = [reply.outcome for reply in _decode_replies(body, 2)]
+    assert outcomes == [PieceOutcome.ERROR, PieceOutcome.DONE]
+
+
 class FakeStore:
     """Configuration store that records the documents put."""
 
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -369,9 +369,18 @@
 async def _make_reply(handler: Handler, frame: bytes) -> bytes | Upgrade:
     try:
         reply = await handler(decode(frame))
-        return reply if isinstance(reply, Upgrade) else encode(reply)
     except MessageError:
         raise
     except Exception as error:  # An error in one handler must not end the listener.
-        events.log(events.HANDLER_FAILED, detail=repr(error))
-        return encode(PeerError("internal", repr(error)))
+        return _error_reply(error)
+    if isinstance(reply, Upgrade):
+        return reply
+    try:
+        return encode(reply)
+    except Exception as error:  # The request was sound, so its connection stays open.
+        return _error_reply(error)
+
+
+def _error_reply(error: Exception) -> bytes:
+    events.log(events.HANDLER_FAILED, detail=repr(error))
+    return encode(PeerError("internal", repr(error)))
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -1,6 +1,7 @@
 """Encodes attrs messages as Cap'n Proto frames and decodes them."""
 
 import enum
+import functools
 import re
 from collections.abc import Callable
 from importlib import resources
@@ -9,18 +10,41 @@
 import attrs
 import capnp
 
+from wagtailrun import events
 from wagtailrun.exceptions import MessageError
 
-__all__ = ["Channel", "Codec", "codec_of", "decode", "encode"]
+__all__ = [
+    "Channel",
+    "Codec",
+    "check_encodable",
+    "codec_of",
+    "decode",
+    "encode",
+    "independent_rows",
+]
 
 # Errors that pycapnp raises for malformed messages, and message classes for values that
 # they do not accept. Invalid UTF-8 and frames of a wrong length raise ValueError.
 DECODE_ERRORS = (capnp.KjException, AttributeError, KeyError, TypeError, ValueError)
+# Errors that pycapnp raises for values that do not fit the schema: out of range, of
+# another type, or text that is not Unicode.
+ENCODE_ERRORS = (
+    capnp.KjException,
+    AttributeError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 # Cap'n Proto's limit on the words of 8 bytes read; bounds the work for a malicious
 # frame.
 TRAVERSAL_LIMIT_WORDS = 4 * 1024 * 1024
 
+# Mark of fields of a message class whose rows do not depend on each other.
+INDEPENDENT = "independent"
+# Skipped rows whose log line is remembered: an odd row is in a message again and again.
+MAX_LOGGED_ROWS = 1_024
+
 
 class Channel(enum.IntEnum):
     """First byte of a frame, which identifies the schema of its message."""
@@ -56,6 +80,8 @@
 
     codecs_by_channel: dict[Channel, "Codec"] = {}
     codecs_by_class: dict[type, "Codec"] = {}
+    # Schemas of the messages and of the classes that they consist of.
+    schemas_by_class: dict[type, Any] = {}
 
     def __init__(self, channel: Channel, schema_file: str, message_classes: list[type]):
         path = resources.files("wagtailrun.schema") / schema_file
@@ -69,6 +95,9 @@
         self.writers_by_tag = {
             tag: _make_writer(cls) for tag, cls in self.classes_by_tag.items()
         }
+        fields = self.struct.schema.fields
+        for tag, cls in self.classes_by_tag.items():
+            _collect_schemas(cls, fields[tag].schema, self.schemas_by_class)
         self.codecs_by_channel[channel] = self
         self.codecs_by_class.update(dict.fromkeys(message_classes, self))
 
@@ -78,7 +107,11 @@
         return cls.__name__[0].lower() + cls.__name__[1:]
 
     def encode(self, message: Any) -> bytes:
-        """Return ``message`` as bytes of the schema's ``Message`` struct."""
+        """Return ``message`` as bytes of the schema's ``Message`` struct.
+
+        Raises:
+            MessageError: If a value does not fit the schema.
+        """
         tag = self.tags_by_class[type(message)]
         builder = self.struct.new_message()
         self.writers_by_tag[tag](builder.init(tag), message)
@@ -135,27 +168,38 @@
     return _make_reader(kind) if attrs.has(kind) else None
 
 
+@functools.cache
 def _make_writer(cls: type) -> _Writer:
     """Return a function that writes a message of ``cls`` to a Cap'n Proto struct."""
     attrs.resolve_types(cls)
     fields = [
-        (field.name, _make_field_writer(camel_case(field.name), field.type))
+        (
+            field.name,
+            _make_field_writer(
+                camel_case(field.name), field.type, INDEPENDENT in field.metadata
+            ),
+        )
         for field in attrs.fields(cls)
     ]
 
     def write(struct: Any, message: Any) -> None:
-        for name, write_field in fields:
-            write_field(struct, getattr(message, name))
+        try:
+            for name, write_field in fields:
+                write_field(struct, getattr(message, name))
+        except ENCODE_ERRORS as error:
+            detail = f"{cls.__name__}.{name} does not fit its type in the schema"
+            raise MessageError(detail) from error
 
     return write
 
 
-def _make_field_writer(name: str, kind: Any) -> _Writer:
+def _make_field_writer(name: str, kind: Any, independent: bool) -> _Writer:
     """Return a function that writes one field of a Cap'n Proto struct."""
     if get_origin(kind) in (list, tuple):
         item = get_args(kind)[0]
         if attrs.has(item):
-            return _make_list_writer(name, _make_writer(item))
+            write_list = _make_list_writer(name, _make_writer(item))
+            return _skip_odd_rows(write_list) if independent else write_list
         return lambda struct, values: setattr(struct, name, list(values))
     if attrs.has(kind):
         write_value = _make_writer(kind)
@@ -172,13 +216,97 @@
     return write
 
 
+def _skip_odd_rows(write_list: _Writer) -> _Writer:
+    """Return a function that writes a list without the rows that do not fit."""
+
+    def write(struct: Any, values: Any) -> None:
+        try:
+            write_list(struct, values)
+        except MessageError:
+            write_list(struct, [value for value in values if _fits(value)])
+
+    return write
+
+
+def _fits(value: Any) -> bool:
+    """Return whether messages can carry a row; log one that they cannot."""
+    try:
+        check_encodable(value)
+    except MessageError as error:
+        _log_skipped(value, str(error))
+        return False
+    return True
+
+
+_logged_rows: set[tuple[str, str]] = set()
+
+
+def _log_skipped(value: Any, detail: str) -> None:
+    """Log a row that is not sent, once for each cause."""
+    name = value
+    while attrs.has(type(name)):
+        # The first field names a row, or is the row itself.
+        name = getattr(name, attrs.fields(type(name))[0].name)
+    if (logged := (repr(name), detail)) in _logged_rows:
+        return
+    if len(_logged_rows) >= MAX_LOGGED_ROWS:
+        _logged_rows.clear()
+    _logged_rows.add(logged)
+    kind = type(value).__name__
+    events.log(events.ROW_NOT_SENT, kind=kind, name=repr(name), detail=detail)
+
+
+def _collect_schemas(cls: type, schema: Any, schemas_by_class: dict[type, Any]) -> None:
+    """Add the schemas of ``cls`` and of the classes of its fields."""
+    schemas_by_class[cls] = schema
+    for field in attrs.fields(cls):
+        kind, name = field.type, camel_case(field.name)
+        if get_origin(kind) in (list, tuple):
+            item = get_args(kind)[0]
+            if attrs.has(item):
+                item_schema = schema.fields[name].schema.elementType
+                _collect_schemas(item, item_schema, schemas_by_class)
+        elif attrs.has(kind):
+            _collect_schemas(kind, schema.fields[name].schema, schemas_by_class)
+
+
+def independent_rows(**options: Any) -> Any:
+    """Return a field of a message class whose rows do not depend on each other.
+
+    A row that does not fit the schema is left out of a message, so that it does not
+    keep back the others. For other lists the whole message is refused.
+
+    Args:
+        **options: Arguments of ``attrs.field``.
+    """
+    return attrs.field(metadata={INDEPENDENT: True}, **options)
+
+
+def check_encodable(value: Any) -> None:
+    """Check that messages can carry a value.
+
+    Args:
+        value: Instance of a message class, or of a class that messages consist of.
+
+    Raises:
+        MessageError: If a field does not fit its type in the schema.
+    """
+    cls = type(value)
+    struct = capnp._MallocMessageBuilder().init_root(Codec.schemas_by_class[cls])
+    _make_writer(cls)(struct, value)
+
+
 def codec_of(message: Any) -> Codec:
     """Return the codec that encodes ``message``."""
     return Codec.codecs_by_class[type(message)]
 
 
 def encode(message: Any) -> bytes:
-    """Return the frame of ``message``: its channel byte and the encoded message."""
+    """Return the frame of ``message``: its channel byte and the encoded message.
+
+    Raises:
+        MessageError: If a value does not fit the schema.
+    """
     codec = codec_of(message)
     return bytes((codec.channel,)) + codec.encode(message)
 
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -187,6 +187,12 @@
 TARGET_STATE_CHANGED = _event(
     610, logging.INFO, "The known state of a target changed.", limited=False
 )
+TARGET_REPORT_REFUSED = _event(
+    612,
+    logging.WARNING,
+    "A report of a target was refused because it is malformed.",
+    "Correct the sender: the target gets no work until its reports are sound.",
+)
 ENTRY_LIVENESS_CHANGED = _event(
     611, logging.INFO, "An entry became live or is no longer live.", limited=False
 )
@@ -316,6 +322,13 @@
     "Report the error; the process goes on.",
     limited=False,
 )
+ROW_NOT_SENT = _event(
+    628,
+    logging.WARNING,
+    "A row does not fit the messages between processes and is left out of them.",
+    "Correct the sender of the report that the row is from.",
+    per_second=10,
+)
 METRICS_NOT_SERVED = _event(
     626,
     logging.WARNING,
