--- a/bench/tunnels.py
+++ b/bench/tunnels.py
@@ -42,9 +42,9 @@
         """Return the address of the target."""
         return [self.row.address]
 
-    def is_leaving(self, row: TargetRow) -> bool:
-        """Return False."""
-        return False
+    def known_target(self, name: str) -> TargetRow:
+        """Return the target."""
+        return self.row
 
 
 async def _serve_events(request: Request) -> Response:
@@ -63,7 +63,7 @@
         target, peer = free_addresses(2)
         view = _View(TargetRow("t", target, "s", "a", 4))
         clock = SystemClock()
-        carrier = PathConnector(clock, None, view, lambda *pause: None)
+        carrier = PathConnector(clock, None, view)
         host = TunnelHost(clock, view, carrier, lambda address: 0, lambda: False)
         tasks = [
             await curio.spawn(HttpServer(target, _serve_events).serve, daemon=True),
@@ -73,7 +73,7 @@
         other = EntryRow("other", peer, "a", 1)
         view = attrs.evolve(view, entries=(OWN, other))
         link = TcpPeerLink(SECRET)
-        connector = PathConnector(clock, link, view, lambda *pause: None)
+        connector = PathConnector(clock, link, view)
         connector.paths.is_cut_off = through_other
         client = HttpClient(connector=connector)
         cpu_s, wall_s = time.process_time(), time.monotonic()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -209,6 +209,21 @@
     assert run_virtual(main) == expected
 
 
+def test_one_carried_request_at_first_after_a_pause():
+    """Guards against a rush over a VM that carries the requests of others."""
+
+    async def main(clock):
+        harness = Harness(clock)
+        await harness.answer(pause_ms=1_000)
+        waits_ms = [harness.notices.begin_carried_request(ROW.address)]
+        await clock.sleep_ms(1_000 + MAX_RETURN_JITTER_MS)
+        for _ in range(3):
+            waits_ms.append(harness.notices.begin_carried_request(ROW.address))
+        return [wait_ms > 0 for wait_ms in waits_ms], harness.may_send()
+
+    assert run_virtual(main) == ([True, False, True, True], False)
+
+
 def test_vms_return_at_different_times():
     """Guards against a rush of all VMs that a target paused at the same moment."""
 
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -376,6 +376,31 @@
     assert after.state == JobState.DONE
 
 
+def test_lost_path_is_no_failure_of_the_targets():
+    """Load: the owner of the service is cut off for a moment.
+
+    Guards against sound targets that are out of use for all entries after it.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock, [target(1), target(2)])
+        for name in ("t1", "t2"):
+            harness.client.faults_by_name[name] = ConnectFailed(
+                "no path", confirmed=False
+            )
+        message = harness.message("waits", remaining_ms=3_000)
+        task = await curio.spawn(harness.batcher.handle, message)
+        await clock.sleep_ms(1_500)
+        harness.client.faults_by_name.clear()
+        started_ms = clock.now_ms()
+        state = await task.join()
+        return state.state, clock.now_ms() - started_ms
+
+    state, took_ms = run_virtual(main)
+    assert state == JobState.DONE
+    assert took_ms < 500
+
+
 def test_inputs_are_needed_until_the_last_call_has_fetched_them():
     """Load: steps split over calls that start one after the other.
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client built on h11, with a pool of idle connections for each address."""
 
+import enum
 import functools
 import re
 import select
@@ -32,6 +33,7 @@
     "HttpStream",
     "LEAST_URGENT",
     "OpenConnection",
+    "Reachability",
     "SendPermit",
     "TargetObserver",
     "enable_dead_peer_detection",
@@ -273,6 +275,16 @@
     carrier: Address | None = None
 
 
+class Reachability(enum.Enum):
+    """Whether a server accepts connections."""
+
+    ACCEPTS = "accepts"
+    REFUSES = "refuses"
+    SILENT = "silent"
+    # Nothing distinguishes the server from the path to it.
+    UNKNOWN = "unknown"
+
+
 class Connector(ABC):
     """Opens connections to servers."""
 
@@ -286,18 +298,18 @@
 
         Raises:
             ConnectFailed: If it cannot be opened.
-            TargetPaused: If the server takes no requests over the only path.
         """
 
-    @abstractmethod
-    async def accepts_connections(
-        self, address: Address, timeout_ms: int
-    ) -> bool | None:
-        """Return whether a server accepts connections; no request is sent.
-
-        Returns:
-            False if it refuses them; None if it does not reply.
-        """
+    async def probe(self, address: Address, timeout_ms: int) -> Reachability:
+        """Return whether a server accepts connections; no request is sent."""
+        try:
+            opened = await self.connect(address, timeout_ms)
+        except ConnectFailed as error:
+            if not error.confirmed:
+                return Reachability.UNKNOWN
+            return Reachability.REFUSES if error.refused else Reachability.SILENT
+        await opened.sock.close()
+        return Reachability.ACCEPTS
 
     @abstractmethod
     def may_reuse(self, address: Address) -> bool:
@@ -320,17 +332,6 @@
         enable_dead_peer_detection(sock)
         return OpenConnection(sock)
 
-    async def accepts_connections(
-        self, address: Address, timeout_ms: int
-    ) -> bool | None:
-        """Return whether a server accepts connections; see ``Connector``."""
-        try:
-            opened = await self.connect(address, timeout_ms)
-        except ConnectFailed as error:
-            return False if error.refused else None
-        await opened.sock.close()
-        return True
-
     def may_reuse(self, address: Address) -> bool:
         """Return True: the client checks each idle connection itself."""
         return True
@@ -339,14 +340,14 @@
 class _Connection:
     """A connection to a server, which carries one request at a time."""
 
-    def __init__(self, opened: OpenConnection, clock: Clock):
-        self.sock = opened.sock
-        self.carrier = opened.carrier
+    def __init__(self, sock: Any, clock: Clock, carrier: Address | None = None):
+        self.sock = sock
+        self.carrier = carrier
         self.clock = clock
         self.turns = Turns()
         # Whether the connection must not carry another request. The peer that carries
         # it decides about each request.
-        self.closing = opened.carrier is not None
+        self.closing = carrier is not None
         # Whether the server closed its side.
         self.received_end = False
         # Body of the newest response that ``HttpStream.check_distinct`` checked.
@@ -588,12 +589,6 @@
         _apply_keep_alive(connection, stream.headers)
         await self._release(address, connection)
 
-    async def accepts_connections(
-        self, address: Address, timeout_ms: int
-    ) -> bool | None:
-        """Return whether a server accepts connections; see ``Connector``."""
-        return await self.connector.accepts_connections(address, timeout_ms)
-
     async def _connect(
         self,
         address: Address,
@@ -624,7 +619,7 @@
                 return connection
             await connection.sock.close()
         opened = await self.connector.connect(address, connect_timeout_ms)
-        return _Connection(opened, self.clock)
+        return _Connection(opened.sock, self.clock, opened.carrier)
 
     async def _drop_idle(self, address: Address) -> None:
         idle = self.idle_by_address.get(address, [])
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -353,9 +353,7 @@
                     frame = await connection.read_frame()
                 reply = await _make_reply(handler, frame)
                 if isinstance(reply, Upgrade):
-                    enable_dead_peer_detection(sock)
-                    await connection.write_frame(encode(reply.reply))
-                    await reply.run(_TunnelEnd(connection))
+                    await _serve_tunnel(connection, reply)
                     return
                 await connection.write_frame(reply)
         except MessageError as error:
@@ -366,6 +364,18 @@
     await listen(address, serve_connection)
 
 
+async def _serve_tunnel(connection: _FrameSocket, upgrade: Upgrade) -> None:
+    """Carry a tunnel until its end."""
+    detail = "the entry did not take the reply"
+    try:
+        enable_dead_peer_detection(connection.sock)
+        await connection.write_frame(encode(upgrade.reply))
+        detail = "cancelled"
+        detail = await upgrade.run(_TunnelEnd(connection))
+    finally:
+        await upgrade.close(detail)
+
+
 async def _make_reply(handler: Handler, frame: bytes) -> bytes | Upgrade:
     try:
         reply = await handler(decode(frame))
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -215,6 +215,10 @@
         """Return the newest target at an address, None if there is none."""
         return self.rows_by_address.get(address)
 
+    def known_target(self, name: str) -> TargetRow | None:
+        """Return the newest row of a target, None if it is not known."""
+        return self.membership.targets_by_name.get(name)
+
     def is_leaving(self, row: TargetRow) -> bool:
         """Return whether a target left, or was replaced, since ``row`` was read."""
         known = self.membership.targets_by_name.get(row.name, row)
--- a/wagtailrun/ports/link.py
+++ b/wagtailrun/ports/link.py
@@ -79,11 +79,14 @@
     Attributes:
         reply: The reply, sent first.
         run: Called with the peer's end of the connection, an object with ``recv``,
-            ``send`` and ``send_end``; the connection is closed when it returns.
+            ``send`` and ``send_end``; returns how it ended.
+        close: Called once in the end with a description, also if ``run`` was not
+            called because the reply could not be sent.
     """
 
     reply: Any
-    run: Callable[[Any], Awaitable[None]]
+    run: Callable[[Any], Awaitable[str]]
+    close: Callable[[str], Awaitable[None]]
 
 
 class TunnelLink(ABC):
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -7,7 +7,12 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.adapters.http_client import Headers, HttpClient, HttpStream
+from wagtailrun.adapters.http_client import (
+    Headers,
+    HttpClient,
+    HttpStream,
+    Reachability,
+)
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
@@ -51,9 +56,9 @@
 
 __all__ = ["Attempt", "RelayAttempts"]
 
-# Links within and between the data centres of a region take under 5 ms. TCP resends a
-# lost SYN only after a second, which is longer than trying another target.
-CONNECT_TIMEOUT_MS = 300
+# Time for a direct connection and, beside or after it, one through another entry. TCP
+# resends a lost SYN only after a second, which is longer than trying another target.
+CONNECT_TIMEOUT_MS = 600
 # An attempt at a repeatable request times out after the smaller of these shares of the
 # latency objective and of the remaining time. The tail of the calls in the users' data
 # sheets is five times their mean, which is within one latency objective.
@@ -64,7 +69,7 @@
 # keys are unconfirmed.
 RETRY_AFTER_MS = 300
 # A process that has ended refuses connections at once; a VM without power does not.
-PROBE_TIMEOUT_MS = 150
+PROBE_TIMEOUT_MS = 300
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -164,10 +169,7 @@
                 if task.terminated:
                     return await task.join()
                 if self.can_move(job) or self.clock.now_ms() >= job.deadline_at_ms:
-                    return TargetFailed(
-                        "no complete answer before the attempt's timeout",
-                        verdict=Verdict.MAY_HAVE_RUN,
-                    )
+                    return _timeout_error(job, row)
         except curio.TaskError as error:
             raise error.__cause__ from error
         finally:
@@ -482,9 +484,9 @@
             )
             return self.wire.attempt_headers(request, context)
 
-        started_ms = self.clock.now_ms()
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
+        job.sent_ms = 0
         runs_before = job.runs
         # Counted before sending: after any later failure the request may have run.
         job.runs += 1
@@ -515,7 +517,7 @@
                 if head.load is not None:
                     self.chooser.record_load(row, head.load)
                 job.progress = AnswerProgress.HEAD
-                yield Attempt(row, stream, head, started_ms)
+                yield Attempt(row, stream, head, job.sent_ms)
         except (curio.CancelledError, GeneratorExit):
             # The caller disconnected, which says nothing about the target, or the
             # attempt timed out, which ``call`` reports itself.
@@ -527,7 +529,10 @@
     def _may_send(self, job: RelayJob, row: TargetRow, runs: int) -> bool:
         """Return whether a request may be sent on a connection that is open by now."""
         refusal = self._send_refusal(job, runs)
-        return refusal is None and not self.view.is_leaving(row)
+        may_send = refusal is None and not self.view.is_leaving(row)
+        if may_send:
+            job.sent_ms = self.clock.now_ms()
+        return may_send
 
     async def _skip_crossed_answers(
         self, job: RelayJob, stream: HttpStream
@@ -602,9 +607,10 @@
                 outcome = RunOutcome.OVER
             await self.report_end(job, row, outcome)
             return None
-        await self.report_end(job, row, RunOutcome.FAILED)
         if error.closed:
-            await self._report_break(job, row)
+            await self._report_closed(job, row)
+        else:
+            await self.report_end(job, row, RunOutcome.FAILED)
         if not job.may_run_again:
             reason = RefusalReason.TARGET_FAILED
             if self.clock.now_ms() >= job.deadline_at_ms:
@@ -612,15 +618,29 @@
             return Refusal(reason, Verdict.MAY_HAVE_RUN, job.detail)
         return self._spend_retry(job)
 
-    async def _report_break(self, job: RelayJob, row: TargetRow) -> None:
-        """Report a broken attempt if the target may have crashed.
+    async def _report_closed(self, job: RelayJob, row: TargetRow) -> None:
+        """Report an attempt whose connection was closed, by the target or the path.
 
-        A target that accepts connections has not: it, or the network, closed this one.
+        A target that accepts connections has not crashed: it, or the network, closed
+        this one. Where the path is lost, nothing is known of the target.
+        """
+        found = await self.http.connector.probe(row.address, PROBE_TIMEOUT_MS)
+        is_path = not self.http.connector.may_reuse(row.address)
+        if found is Reachability.UNKNOWN or is_path:
+            await self.report_end(job, row, RunOutcome.OVER)
+        else:
+            await self.report_end(job, row, RunOutcome.FAILED)
+        if found in (Reachability.REFUSES, Reachability.SILENT):
+            await self._report_break(job, row, found is Reachability.REFUSES)
+
+    async def _report_break(self, job: RelayJob, row: TargetRow, refused: bool) -> None:
+        """Report a broken attempt at a target that may have crashed.
+
+        Args:
+            job: Request.
+            row: Target.
+            refused: Whether it refuses connections.
         """
-        accepts = await self.http.accepts_connections(row.address, PROBE_TIMEOUT_MS)
-        if accepts:
-            return
-        refused = accepts is False
         since_ms = self.clock.now_ms() - job.first_ms if job.first_ms else 0
         # A target that has sent events for a while does not end because of the request.
         may_be_cause = refused and (
@@ -704,3 +724,14 @@
         await self.report_end(
             job, attempt.row, RunOutcome.SUCCEEDED, took_ms, attempt.head.load
         )
+
+
+def _timeout_error(job: RelayJob, row: TargetRow) -> TargetFailed:
+    """Return the error of an attempt without a complete answer in time."""
+    if not job.sent_ms:
+        detail = f"no connection to {row.address} before the attempt's timeout"
+        return ConnectFailed(detail, confirmed=False)
+    return TargetFailed(
+        "no complete answer before the attempt's timeout",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -137,12 +137,7 @@
             self.view.limits,
         )
         self.origins = OriginClient(self.clock, self.link, self.view.ranked_members)
-        self.connector = PathConnector(
-            self.clock,
-            self.link,
-            self.view,
-            lambda address, pause_ms: self.notices.record_pause(address, pause_ms),
-        )
+        self.connector = PathConnector(self.clock, self.link, self.view)
         self.notices = TargetNotices(
             self.clock,
             protocol.wire,
@@ -154,7 +149,7 @@
             self.clock,
             self.view,
             self.connector,
-            self.notices.pause_left_ms,
+            self.notices.begin_carried_request,
             lambda: bool(self.signals.stop_count),
         )
         self.http = HttpClient(self.clock, self.notices, self.connector)
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -21,8 +21,8 @@
 class RelayJob:
     """One request from its admission to its end.
 
-    Times ending in ``_at_ms`` and ``arrived_ms``, ``staged_ms`` and ``first_ms`` are
-    readings of the entry's clock; the others are durations.
+    Times ending in ``_at_ms`` and ``arrived_ms``, ``sent_ms``, ``staged_ms`` and
+    ``first_ms`` are readings of the entry's clock; the others are durations.
 
     Attributes:
         request: The caller's request, translated by the wire format.
@@ -46,6 +46,7 @@
             order.
         runs: Attempts that may have run.
         placed_ms: Expected time from the newest attempt to its first event.
+        sent_ms: When the newest attempt was sent; 0 before.
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
         streaming: Whether its answer is being relayed as a stream.
@@ -77,6 +78,7 @@
     tried_targets: list[str] = attrs.field(factory=list)
     runs: int = 0
     placed_ms: int = 0
+    sent_ms: int = 0
     staged_ms: int = 0
     first_ms: int = 0
     streaming: bool = False
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -144,9 +144,7 @@
         row = self.view.row_at(address)
         if row is not None and self.view.limits.limit_per_s(row) is not None:
             self._check_permit(row, permit)
-        pause = self.pauses_by_address.get(address)
-        if pause is not None:
-            pause.trial_until_ms = self.clock.now_ms() + TRIAL_TIMEOUT_MS
+        self._begin_trial(address)
 
     def _check_permit(self, row: TargetRow, permit: SendPermit | None) -> None:
         """Check the permit of a request to a target that limits its requests.
@@ -183,16 +181,21 @@
             return 0
         return max(max(pause.until_ms, pause.trial_until_ms) - self.clock.now_ms(), 0)
 
-    def record_pause(self, address: Address, pause_ms: int) -> bool:
-        """Record a pause that a target asked for in an answer to another entry.
+    def begin_carried_request(self, address: Address) -> int:
+        """Return how long a target wants no requests of this VM, limits aside.
 
-        Returns:
-            Whether the target is known here.
+        If it is 0, another entry may send one from here; after a pause that is the one
+        that finds out whether the target takes requests again.
         """
-        row = self.view.row_at(address)
-        if row is not None:
-            self._pause(row, pause_ms)
-        return row is not None
+        left_ms = self.pause_left_ms(address)
+        if not left_ms:
+            self._begin_trial(address)
+        return left_ms
+
+    def _begin_trial(self, address: Address) -> None:
+        pause = self.pauses_by_address.get(address)
+        if pause is not None:
+            pause.trial_until_ms = self.clock.now_ms() + TRIAL_TIMEOUT_MS
 
     def handle(self, message: ReportPause) -> PauseNoted:
         """Record the pause that a target asked for in an answer carried here."""
@@ -202,7 +205,9 @@
             and row.name == message.target
             and row.incarnation == message.incarnation
         )
-        return PauseNoted(known and self.record_pause(row.address, message.pause_ms))
+        if known:
+            self._pause(row, message.pause_ms)
+        return PauseNoted(known)
 
     def _denied_ms(self, address: Address, urgency: int) -> int:
         denials = self.denials_by_address.get(address)
--- a/wagtailrun/relay/paths.py
+++ b/wagtailrun/relay/paths.py
@@ -1,8 +1,8 @@
 """What this entry knows of the paths from it to targets.
 
 A connection that fails says something about the pair of entry and target. Only where
-another entry, which reaches targets, does not reach this one either, the target is at
-fault.
+another entry, which reaches targets beside it, does not reach this one either, the
+target is at fault.
 """
 
 import random
@@ -10,7 +10,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
-import attrs
 import curio
 
 from wagtailrun import events
@@ -31,9 +30,14 @@
 SILENCE_MS = 500
 CHECK_INTERVAL_MS = 1_000
 CHECKED_PATHS = 3
-# A connection over a path that is lost is ended after this silence. A sound target may
-# be silent for a second or so, and old connections may work where new ones do not.
-ABORT_SILENCE_MS = 2_000
+# A connection over a lost path on which the operating system gets no acknowledgements
+# is ended after this silence.
+ABORT_SILENCE_MS = 1_500
+# First bytes of the kernel's struct tcp_info, with the numbers of retransmissions and
+# of probes that were not acknowledged.
+TCP_INFO_BYTES = 8
+RETRANSMITS_OFFSET = 2
+PROBES_OFFSET = 3
 
 
 class WatchedSocket:
@@ -77,19 +81,26 @@
         """Return the descriptor of the socket."""
         return self.sock.fileno()
 
+    @property
+    def silent_ms(self) -> int:
+        """Time that a task has waited for bytes; 0 if none does."""
+        if self.waiting_since_ms is None:
+            return 0
+        return self.paths.clock.now_ms() - self.waiting_since_ms
+
+    @property
+    def is_unacknowledged(self) -> bool:
+        """Whether the target's system acknowledges neither data nor probes.
+
+        That of a target which is merely silent does.
+        """
+        info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        return bool(info[RETRANSMITS_OFFSET] or info[PROBES_OFFSET])
+
     async def abort(self) -> None:
-        """Interrupt the task that waits for bytes."""
+        """Interrupt the task that waits for bytes; closing would not wake it."""
         self.aborted = True
-        try:
-            # Closing the socket would not wake the task.
-            await self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError as error:
-            events.log(
-                events.PATH_LOST,
-                address=str(self.address),
-                carrier="",
-                detail=f"the connection had ended: {error}",
-            )
+        await self.sock.shutdown(socket.SHUT_RDWR)
 
     async def close(self) -> None:
         """Close the connection."""
@@ -97,19 +108,6 @@
         await self.sock.close()
 
 
-@attrs.frozen
-class _Waiting:
-    """A connection whose target owes bytes.
-
-    Attributes:
-        socket: The connection.
-        silent_ms: Time without a byte.
-    """
-
-    socket: WatchedSocket
-    silent_ms: int
-
-
 class TargetPaths:
     """Tracks which targets this entry reaches directly.
 
@@ -156,9 +154,7 @@
     def record_connected(self, address: Address) -> None:
         """Record that a direct connection was opened."""
         self.last_connected_ms = self.clock.now_ms()
-        if self.is_cut_off:
-            self.is_cut_off = False
-            events.log(events.ENTRY_CUT_OFF, cut_off=False, lost=self._lost_addresses())
+        self._set_cut_off(False)
         if self.lost_since_ms_by_address.pop(address, None) is not None:
             events.log(events.PATH_RETURNED, address=str(address))
             # Paths are lost and return together; a wrong guess costs one time-out.
@@ -172,60 +168,72 @@
             carrier: Name of the other entry.
             detail: How the direct connection failed.
         """
-        if self.is_lost(address):
+        if address in self.lost_since_ms_by_address:
             return
-        now_ms = self.clock.now_ms()
-        self.lost_since_ms_by_address[address] = now_ms
+        self.lost_since_ms_by_address[address] = self.clock.now_ms()
         events.log(
             events.PATH_LOST, address=str(address), carrier=carrier, detail=detail
         )
         oldest_ms = min(self.lost_since_ms_by_address.values())
-        is_cut_off = len(self.lost_since_ms_by_address) >= CUT_OFF_PATHS
-        if is_cut_off and self.last_connected_ms < oldest_ms:
-            self.is_cut_off = True
-            events.log(events.ENTRY_CUT_OFF, cut_off=True, lost=self._lost_addresses())
+        if len(self.lost_since_ms_by_address) >= CUT_OFF_PATHS:
+            self.record_no_links(oldest_ms)
+
+    def record_no_links(self, since_ms: int) -> None:
+        """Record that several direct connections have failed since ``since_ms``.
+
+        The entry is cut off unless it has opened one meanwhile.
+        """
+        if self.last_connected_ms < since_ms:
+            self._set_cut_off(True)
 
-    def _lost_addresses(self) -> list[str]:
-        return [str(address) for address in self.lost_since_ms_by_address]
+    def _set_cut_off(self, is_cut_off: bool) -> None:
+        if is_cut_off != self.is_cut_off:
+            self.is_cut_off = is_cut_off
+            lost = [str(address) for address in self.lost_since_ms_by_address]
+            events.log(events.ENTRY_CUT_OFF, cut_off=is_cut_off, lost=lost)
 
     async def run(self) -> None:
         """Check silent paths and probe lost ones until cancelled."""
         while True:
             await self.clock.sleep_ms(REVIEW_INTERVAL_MS)
-            await self._review_sockets()
+            await self._check_silent()
+            await self._abort_dead()
             await self._probe_lost()
 
-    async def _review_sockets(self) -> None:
+    async def _check_silent(self) -> None:
+        """Check the path of a silent connection and some others."""
         now_ms = self.clock.now_ms()
-        waiting = [
-            _Waiting(sock, now_ms - sock.waiting_since_ms)
-            for sock in list(self.sockets)
-            if sock.waiting_since_ms is not None
-        ]
-        silent = [each for each in waiting if each.silent_ms >= SILENCE_MS]
-        if not silent:
-            return
+        silent = {s.address for s in self.sockets if s.silent_ms >= SILENCE_MS}
         is_quiet = now_ms - self.last_received_ms >= SILENCE_MS
-        if is_quiet and now_ms >= self.next_check_ms:
-            self.next_check_ms = now_ms + CHECK_INTERVAL_MS
-            await self._check_paths(silent)
-        for each in silent:
-            is_lost = self.is_lost(each.socket.address)
-            if is_lost and each.silent_ms >= ABORT_SILENCE_MS:
-                await each.socket.abort()
-
-    async def _check_paths(self, silent: Sequence[_Waiting]) -> None:
-        """Check the path of a silent connection, and some others."""
+        if not (silent and is_quiet and now_ms >= self.next_check_ms):
+            return
+        self.next_check_ms = now_ms + CHECK_INTERVAL_MS
         known = list(self.targets())
-        addresses = {each.socket.address for each in silent}
-        addresses = sorted(addresses)[:1] + self.random.sample(
-            known, min(CHECKED_PATHS - 1, len(known))
-        )
+        others = self.random.sample(known, min(CHECKED_PATHS - 1, len(known)))
         async with curio.TaskGroup() as group:
-            for address in dict.fromkeys(addresses):
+            for address in {min(silent), *others}:
                 if not self.is_lost(address):
                     await group.spawn(self.check, address)
 
+    async def _abort_dead(self) -> None:
+        """End connections over lost paths that nothing passes any more."""
+        for sock in list(self.sockets):
+            is_silent = sock.silent_ms >= ABORT_SILENCE_MS and not sock.aborted
+            if not is_silent or sock.address not in self.lost_since_ms_by_address:
+                continue
+            try:
+                if sock.is_unacknowledged:
+                    await sock.abort()
+            except OSError as error:
+                # The connection has ended; its task finds out itself.
+                detail = f"a waiting connection ended: {error}"
+                events.log(
+                    events.PATH_LOST,
+                    address=str(sock.address),
+                    carrier="",
+                    detail=detail,
+                )
+
     async def _probe_lost(self) -> None:
         now_ms = self.clock.now_ms()
         known = list(self.targets())
@@ -242,5 +250,5 @@
         if candidates:
             await self.probe(self.random.choice(candidates))
         else:
-            # Nothing is left that it could be cut off from.
-            self.is_cut_off = False
+            # No target is left that it could be cut off from.
+            self._set_cut_off(False)
--- a/wagtailrun/relay/tunnel_messages.py
+++ b/wagtailrun/relay/tunnel_messages.py
@@ -19,8 +19,10 @@
 class TunnelRefusal(enum.StrEnum):
     """Why an entry opens no tunnel."""
 
-    # It reaches other targets, but not this one.
+    # It reaches targets beside this one, but not this one.
     UNREACHABLE = "unreachable"
+    # It reaches none in the data centre of this one.
+    NO_PATH = "no-path"
     # It reaches no target itself, which says nothing about this one.
     CUT_OFF = "cut-off"
     LEFT = "left"
@@ -43,6 +45,7 @@
         address: Its address.
         probe: Whether to close the connection at once: the sender only asks whether
             the target accepts connections.
+        limit_ms: Time limit of the connection to the target.
     """
 
     sender: str
@@ -50,6 +53,7 @@
     incarnation: int
     address: str
     probe: bool = False
+    limit_ms: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import curio
 
 from wagtailrun import events
@@ -17,9 +18,10 @@
     DirectConnector,
     OpenConnection,
 )
-from wagtailrun.clock import Clock
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
-from wagtailrun.exceptions import ConnectFailed, PeerUnreachable, TargetPaused
+from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
+from wagtailrun.fairness import Turns
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
@@ -34,15 +36,19 @@
 
 __all__ = ["PathConnector", "TunnelHost"]
 
-# A target on links of a region accepts a connection within 5 ms. After this time
-# another entry is asked to connect.
-DIRECT_TIMEOUT_MS = 150
-# Another entry connects, and on failure shows that it reaches another target.
-CARRIER_TIMEOUT_MS = 2 * DIRECT_TIMEOUT_MS + 100
-# Entries that are asked for one connection.
+# A direct connection that is not open after this time is lost, or slow: TCP resends a
+# lost SYN only after a second.
+DIRECT_TIMEOUT_MS = 300
+# Links of a region take under 5 ms. After this time another entry is asked as well.
+HEDGE_AFTER_MS = 100
+# Entries that are asked for one connection, and the least time for each.
 MAX_CARRIERS = 3
-# An entry that opened no tunnel is not asked for this long.
+MIN_ASK_MS = 100
+REPORT_TIMEOUT_MS = 300
+# An entry that opened no tunnel is not asked for this long; the time doubles with each
+# further failure.
 CARRIER_AVOIDANCE_MS = 1_000
+MAX_CARRIER_AVOIDANCE_MS = 8_000
 # Connections that one entry carries for others; further ones go to other entries.
 MAX_TUNNELS = 512
 READ_BYTES = 64 * 1024
@@ -51,6 +57,55 @@
 END_LINGER_MS = 1_000
 
 
+@attrs.define
+class _Avoidance:
+    """Avoidance of an entry that opened no tunnel.
+
+    Attributes:
+        until_ms: Until when it is not asked.
+        failures: Consecutive failures.
+    """
+
+    until_ms: int = 0
+    failures: int = 0
+
+
+@attrs.define
+class _Outcome:
+    """What other entries said about a target.
+
+    Attributes:
+        opened: The connection, if one could be opened.
+        carrier: Name of the entry that opened it, or that decided.
+        answered: Whether an entry that reaches targets replied.
+        confirmed: Whether the target is at fault.
+        refused: Whether it refused the connection of the entry that confirms it.
+        detail: Description for engineers.
+    """
+
+    opened: OpenConnection | None = None
+    carrier: str = ""
+    answered: bool = False
+    confirmed: bool = False
+    refused: bool = False
+    detail: str = "no other entry connects"
+
+
+@attrs.define
+class _Tried:
+    """A direct connection, and one through another entry beside it.
+
+    Attributes:
+        winner: The first that was opened, if any.
+        failure: How the direct one failed, if it has.
+        outcome: What other entries said, if they were asked and the answer came.
+    """
+
+    winner: OpenConnection | None = None
+    failure: ConnectFailed | None = None
+    outcome: _Outcome | None = None
+
+
 class PathConnector(Connector):
     """Connects to targets directly, or through another entry where that fails.
 
@@ -58,8 +113,6 @@
         clock: Clock.
         link: Opens tunnels at other entries.
         view: This entry's view of the fleet.
-        record_pause: Called with the address of a target and how long it takes no
-            requests from the entry that would carry them.
         seed: Seed for the choice of the other entry.
     """
 
@@ -68,48 +121,106 @@
         clock: Clock,
         link: TunnelLink,
         view: FleetView,
-        record_pause: Callable[[Address, int], None],
         seed: int | None = None,
     ):
         self.clock = clock
         self.link = link
         self.view = view
-        self.record_pause = record_pause
         self.random = random.Random(seed)
         self.direct = DirectConnector()
         self.paths = TargetPaths(
-            clock, view.target_addresses, self.probe, self.check, seed
+            clock, view.target_addresses, self.reaches, self.check, seed
         )
-        self.avoid_until_ms_by_carrier: dict[str, int] = {}
+        self.avoidances_by_carrier: dict[str, _Avoidance] = {}
+        # Targets whose direct path is being tried after another entry was faster.
+        self.tried_paths: set[Address] = set()
 
     async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
         """Open a connection; see ``Connector``."""
         if not self._other_entries():
             return await self.connect_directly(address, timeout_ms)
-        failure = None
-        if not self.paths.is_lost(address):
-            limit_ms = min(timeout_ms, DIRECT_TIMEOUT_MS)
-            try:
-                return await self.connect_directly(address, limit_ms)
-            except ConnectFailed as error:
-                failure = error
-        return await self._connect_through(address, failure, probe=False)
-
-    async def accepts_connections(
+        ends_ms = self.clock.now_ms() + timeout_ms
+        if self.paths.is_lost(address):
+            tried = _Tried(outcome=await self._connect_through(address, ends_ms))
+        else:
+            tried = await self._connect_either_way(address, timeout_ms)
+            if tried.winner is None and tried.outcome is None:
+                tried.outcome = await self._connect_through(address, ends_ms)
+        opened = tried.winner or tried.outcome.opened
+        if opened is None:
+            raise await self._make_error(address, tried.failure, tried.outcome)
+        if tried.failure is not None:
+            self.paths.record_lost(address, tried.outcome.carrier, str(tried.failure))
+        return opened
+
+    async def _connect_either_way(self, address: Address, timeout_ms: int) -> _Tried:
+        """Connect directly, and through another entry as well if that takes long."""
+        ends_ms = self.clock.now_ms() + timeout_ms
+        limit_ms = min(timeout_ms, DIRECT_TIMEOUT_MS)
+        direct = await curio.spawn(self._try_directly, address, limit_ms)
+        carried = None
+        tried = _Tried()
+        try:
+            await curio.ignore_after(HEDGE_AFTER_MS / MS_PER_SECOND, direct.wait)
+            if not direct.terminated:
+                carried = await curio.spawn(self._connect_through, address, ends_ms)
+                await _wait_for_connection(direct, carried)
+            tried.winner = _opened(direct) or _opened(carried)
+            if direct.terminated and isinstance(direct.result, ConnectFailed):
+                tried.failure = direct.result
+            if carried is not None and carried.terminated:
+                tried.outcome = carried.result
+            if not direct.terminated and tried.winner is not None:
+                await self._try_path_later(address, tried.outcome.carrier)
+            return tried
+        finally:
+            for task in (direct, carried):
+                if task is not None:
+                    await task.cancel()
+                    opened = _opened(task)
+                    if opened is not None and opened is not tried.winner:
+                        await opened.sock.close()
+
+    async def _try_directly(
         self, address: Address, timeout_ms: int
-    ) -> bool | None:
-        """Return whether a server accepts connections; see ``Connector``.
-
-        It refuses them only if another entry that reaches targets was refused, too.
-        """
+    ) -> OpenConnection | ConnectFailed:
+        """Return a direct connection, or how it failed."""
         try:
-            opened = await self.connect(address, timeout_ms)
+            return await self.connect_directly(address, timeout_ms)
         except ConnectFailed as error:
-            return False if error.refused and error.confirmed else None
-        except TargetPaused:
-            return None
-        await opened.sock.close()
-        return True
+            return error
+
+    async def _try_path_later(self, address: Address, carrier: str) -> None:
+        """Find out if a path is lost, or only slower than that of another entry."""
+        if address in self.tried_paths:
+            return
+        self.tried_paths.add(address)
+
+        async def try_path() -> None:
+            try:
+                found = await self._try_directly(address, DIRECT_TIMEOUT_MS)
+                if isinstance(found, ConnectFailed):
+                    self.paths.record_lost(address, carrier, str(found))
+                else:
+                    await found.sock.close()
+            finally:
+                self.tried_paths.discard(address)
+
+        await curio.spawn(try_path, daemon=True)
+
+    async def _make_error(
+        self, address: Address, failure: ConnectFailed | None, outcome: _Outcome
+    ) -> ConnectFailed:
+        """Return the error for a target that no entry connected to."""
+        detail = str(failure or f"the path to {address} is lost")
+        if failure is not None and not outcome.answered:
+            # No other entry can tell, so another target has to.
+            confirmed = await self.reaches_beside(address)
+            return ConnectFailed(detail, refused=failure.refused, confirmed=confirmed)
+        refused = outcome.refused and (failure is None or failure.refused)
+        return ConnectFailed(
+            f"{detail}; {outcome.detail}", refused=refused, confirmed=outcome.confirmed
+        )
 
     def may_reuse(self, address: Address) -> bool:
         """Return whether the path to a server is believed to work."""
@@ -123,101 +234,153 @@
         self.paths.record_connected(address)
         return OpenConnection(self.paths.watch(opened.sock, address))
 
+    # Other entries
+
     async def _connect_through(
-        self, address: Address, failure: ConnectFailed | None, *, probe: bool
-    ) -> OpenConnection | None:
+        self, address: Address, ends_ms: int, *, probe: bool = False
+    ) -> _Outcome:
         """Open a connection through another entry.
 
         Args:
             address: Address of the target.
-            failure: How the direct connection failed; None if the path was lost before.
+            ends_ms: Until when, on the clock.
             probe: Whether only to find out if another entry reaches it.
-
-        Raises:
-            ConnectFailed: If none could be opened; confirmed if another entry that
-                reaches targets does not reach this one.
-            TargetPaused: If the target asked the other entry for a pause.
         """
-        detail = str(failure or f"the path to {address} is lost")
         row = self.view.row_at(address)
-        message = OpenTunnel(
-            self.view.own_row.name,
-            row.name if row is not None else "",
-            row.incarnation if row is not None else 0,
-            str(address),
-            probe,
-        )
-        for carrier in self._carriers()[:MAX_CARRIERS]:
-            reply = await self._ask(carrier, message)
+        outcome = _Outcome()
+        asked: list[EntryRow] = []
+        for number in range(MAX_CARRIERS):
+            left_ms = ends_ms - self.clock.now_ms()
+            carrier = self._next_carrier(row, asked)
+            if carrier is None or left_ms <= 0:
+                break
+            asked.append(carrier)
+            share_ms = max(left_ms // (MAX_CARRIERS - number), MIN_ASK_MS)
+            limit_ms = min(share_ms, left_ms)
+            message = OpenTunnel(
+                self.view.own_row.name,
+                row.name if row is not None else "",
+                row.incarnation if row is not None else 0,
+                str(address),
+                probe,
+                # The rest is for finding out why it failed, and for the reply.
+                limit_ms // 2,
+            )
+            reply = await self._ask(carrier, message, limit_ms)
             if isinstance(reply, TunnelRefused):
-                self._handle_refusal(carrier, address, reply, detail)
+                if self._record_refusal(carrier, row, reply, outcome):
+                    return outcome
             elif reply is not None:
-                if failure is not None:
-                    self.paths.record_lost(address, carrier.name, detail)
-                return OpenConnection(reply, carrier.address)
-        raise ConnectFailed(f"{detail}; no other entry connects", confirmed=False)
-
-    async def _ask(self, carrier: EntryRow, message: OpenTunnel) -> Any:
+                self.avoidances_by_carrier.pop(carrier.name, None)
+                outcome.opened = OpenConnection(reply, carrier.address)
+                outcome.carrier = carrier.name
+                return outcome
+        if row is not None and not self._has_entry_in(row.data_centre):
+            # Nobody is closer to the target than those that were asked.
+            outcome.confirmed = outcome.answered
+        return outcome
+
+    async def _ask(
+        self, carrier: EntryRow, message: OpenTunnel, timeout_ms: int
+    ) -> Any:
         """Return a tunnel or a refusal; None if the entry did not reply."""
         try:
             reply = await self.link.open_tunnel(
-                carrier.address, message, CARRIER_TIMEOUT_MS, TunnelOpened
+                carrier.address, message, timeout_ms, TunnelOpened
             )
         except PeerUnreachable as error:
-            self._avoid(carrier, message, str(error))
+            self._avoid(carrier, message.address, str(error))
             return None
         if isinstance(reply, TunnelRefused) or hasattr(reply, "recv"):
             return reply
-        self._avoid(carrier, message, f"unexpected reply {type(reply).__name__}")
+        detail = f"unexpected reply {type(reply).__name__}"
+        self._avoid(carrier, message.address, detail)
         return None
 
-    def _handle_refusal(
-        self, carrier: EntryRow, address: Address, reply: TunnelRefused, detail: str
-    ) -> None:
-        """Avoid an entry that cannot carry; raise if the target is at fault."""
+    def _record_refusal(
+        self,
+        carrier: EntryRow,
+        row: TargetRow | None,
+        reply: TunnelRefused,
+        outcome: _Outcome,
+    ) -> bool:
+        """Record why an entry opened no tunnel; return whether that is decisive."""
+        detail = f"{carrier.name}: {reply.reason}: {reply.detail}"
+        outcome.detail = detail
         match reply.reason:
             case TunnelRefusal.UNREACHABLE:
-                detail = f"{detail}; {carrier.name}: {reply.detail}"
-                raise ConnectFailed(detail, refused=reply.refused)
-            case TunnelRefusal.PAUSED:
-                self.record_pause(address, reply.wait_ms)
-                raise TargetPaused(f"{carrier.name}: {reply.detail}", reply.wait_ms)
+                outcome.answered = True
+                outcome.refused = reply.refused
+                outcome.carrier = carrier.name
+                # An entry elsewhere may have lost its own path to the target.
+                is_near = row is not None and row.data_centre == carrier.data_centre
+                outcome.confirmed = is_near
+                return is_near
             case TunnelRefusal.LEFT:
-                raise ConnectFailed(f"{carrier.name}: {reply.detail}", confirmed=False)
-        self._avoid(carrier, None, f"{reply.reason}: {reply.detail}")
+                outcome.answered = True
+                return True
+            case TunnelRefusal.PAUSED | TunnelRefusal.NO_PATH:
+                # It may carry connections to other targets.
+                outcome.answered = True
+                return False
+        self._avoid(carrier, row.address if row is not None else "", detail)
+        return False
 
-    def _avoid(
-        self, carrier: EntryRow, message: OpenTunnel | None, detail: str
-    ) -> None:
-        until_ms = self.clock.now_ms() + CARRIER_AVOIDANCE_MS
-        self.avoid_until_ms_by_carrier[carrier.name] = until_ms
+    def _avoid(self, carrier: EntryRow, address: Address | str, detail: str) -> None:
+        avoidance = self.avoidances_by_carrier.setdefault(carrier.name, _Avoidance())
+        avoid_ms = min(
+            CARRIER_AVOIDANCE_MS << avoidance.failures, MAX_CARRIER_AVOIDANCE_MS
+        )
+        avoidance.failures = min(avoidance.failures + 1, 8)
+        avoidance.until_ms = self.clock.now_ms() + avoid_ms
         events.log(
             events.CARRIER_FAILED,
             carrier=carrier.name,
-            address=message.address if message is not None else "",
+            address=str(address),
             detail=detail,
         )
 
-    def _carriers(self) -> list[EntryRow]:
-        """Return the entries that may carry connections, those nearby first.
+    def _next_carrier(
+        self, row: TargetRow | None, asked: list[EntryRow]
+    ) -> EntryRow | None:
+        """Return the next entry to ask for a connection to a target.
 
-        Bytes between data centres cost, so the entries of this one come first; among
-        them the order is random, which spreads the load.
+        One of the target's data centre knows best whether the target is at fault, and
+        each byte crosses between data centres once whoever carries it. Then comes one
+        of the own data centre, then others; a data centre that was asked comes last,
+        as all its entries may be cut off. Among equals the order is random, which
+        spreads the load.
         """
         now_ms = self.clock.now_ms()
-        for name, until_ms in list(self.avoid_until_ms_by_carrier.items()):
-            if until_ms <= now_ms:
-                del self.avoid_until_ms_by_carrier[name]
-        avoided = self.avoid_until_ms_by_carrier
-        rows = [row for row in self._other_entries() if row.name not in avoided]
-        self.random.shuffle(rows)
-        own = self.view.own_row
-        return sorted(rows, key=lambda row: row.data_centre != own.data_centre)
+        asked_names = {each.name for each in asked}
+        asked_data_centres = {each.data_centre for each in asked}
+        near = row.data_centre if row is not None else ""
+        own = self.view.own_row.data_centre
+
+        def rank(entry: EntryRow) -> tuple[bool, bool, bool, float]:
+            place = entry.data_centre
+            was_asked = place in asked_data_centres
+            return was_asked, place != near, place != own, self.random.random()
+
+        candidates = [
+            entry
+            for entry in self._other_entries()
+            if entry.name not in asked_names
+            and self._avoided_until_ms(entry.name) <= now_ms
+        ]
+        return min(candidates, key=rank, default=None)
+
+    def _avoided_until_ms(self, name: str) -> int:
+        avoidance = self.avoidances_by_carrier.get(name)
+        return avoidance.until_ms if avoidance is not None else 0
 
     def _other_entries(self) -> list[EntryRow]:
         own = self.view.own_row
         return [row for row in self.view.live_entries() if row.name != own.name]
 
+    def _has_entry_in(self, data_centre: str) -> bool:
+        return any(row.data_centre == data_centre for row in self._other_entries())
+
     async def report_pause(
         self, carrier: Address, row: TargetRow, pause_ms: int
     ) -> None:
@@ -227,39 +390,80 @@
         """
         message = ReportPause(row.name, row.incarnation, str(row.address), pause_ms)
         try:
-            await self.link.call(carrier, message, CARRIER_TIMEOUT_MS)
+            await self.link.call(carrier, message, REPORT_TIMEOUT_MS)
         except PeerUnreachable as error:
             events.log(events.PEER_LOST, peer=str(carrier), detail=str(error))
 
     # Checks of paths
 
-    async def probe(self, address: Address) -> bool:
+    async def reaches(self, address: Address) -> bool:
         """Return whether a direct connection to a target can be opened."""
-        try:
-            opened = await self.connect_directly(address, DIRECT_TIMEOUT_MS)
-        except ConnectFailed:
+        opened = await self._try_directly(address, DIRECT_TIMEOUT_MS)
+        if isinstance(opened, ConnectFailed):
             return False
         await opened.sock.close()
         return True
 
+    async def reaches_beside(self, address: Address) -> bool:
+        """Return whether another target of the data centre of one is reached.
+
+        If there is no other, the word of this entry has to do.
+        """
+        rows = [self.view.row_at(each) for each in self.view.target_addresses()]
+        row = self.view.row_at(address)
+        beside = [
+            each.address
+            for each in rows
+            if each is not None
+            and each.address != address
+            and (row is None or each.data_centre == row.data_centre)
+        ]
+        return not beside or await self.reaches(self.random.choice(beside))
+
+    async def reaches_any_but(self, address: Address) -> bool:
+        """Return whether some other target is reached; True if there is no other."""
+        others = [each for each in self.view.target_addresses() if each != address]
+        return not others or await self.reaches(self.random.choice(others))
+
     async def check(self, address: Address) -> bool:
         """Return whether a target is reached directly; if not, ask another entry."""
-        try:
-            opened = await self.connect_directly(address, DIRECT_TIMEOUT_MS)
-        except ConnectFailed as error:
-            failure = error
-        else:
+        opened = await self._try_directly(address, DIRECT_TIMEOUT_MS)
+        if isinstance(opened, OpenConnection):
             await opened.sock.close()
             return True
-        try:
-            opened = await self._connect_through(address, failure, probe=True)
-        except (ConnectFailed, TargetPaused):
-            # The target is at fault, or nothing is known.
-            return False
-        await opened.sock.close()
+        ends_ms = self.clock.now_ms() + DIRECT_TIMEOUT_MS
+        outcome = await self._connect_through(address, ends_ms, probe=True)
+        if outcome.opened is not None:
+            await outcome.opened.sock.close()
+            self.paths.record_lost(address, outcome.carrier, str(opened))
         return False
 
 
+def _opened(task: curio.Task | None) -> OpenConnection | None:
+    """Return the connection that a task opened, if it has."""
+    if task is None or not task.terminated or task.exception is not None:
+        return None
+    result = task.result
+    if isinstance(result, _Outcome):
+        return result.opened
+    return result if isinstance(result, OpenConnection) else None
+
+
+async def _wait_for_connection(*tasks: curio.Task) -> None:
+    """Return when the first of some tasks has opened a connection, or all ended."""
+    ended = curio.Event()
+
+    async def watch(task: curio.Task) -> None:
+        await task.wait()
+        if _opened(task) is not None or all(each.terminated for each in tasks):
+            await ended.set()
+
+    async with curio.TaskGroup(wait=None) as group:
+        for task in tasks:
+            await group.spawn(watch, task)
+        await ended.wait()
+
+
 class TunnelHost:
     """Opens connections to targets for other entries.
 
@@ -267,7 +471,8 @@
         clock: Clock.
         view: This entry's view of the fleet.
         connector: Connects directly.
-        pause_ms: Returns how long a target wants no requests from this VM.
+        begin_request: Returns how long a target wants no requests from this VM. If it
+            is 0, a request may be on its way after the call.
         is_stopping: Returns whether this entry stops.
     """
 
@@ -276,39 +481,47 @@
         clock: Clock,
         view: FleetView,
         connector: PathConnector,
-        pause_ms: Callable[[Address], int],
+        begin_request: Callable[[Address], int],
         is_stopping: Callable[[], bool],
     ):
         self.clock = clock
         self.view = view
         self.connector = connector
-        self.pause_ms = pause_ms
+        self.begin_request = begin_request
         self.is_stopping = is_stopping
-        self.random = random.Random()
-        # Number of connections that this entry carries.
+        # Number of connections that this entry carries or opens.
         self.running = 0
 
     async def open(self, message: OpenTunnel) -> Upgrade | TunnelRefused:
         """Return a tunnel to a target, or why there is none."""
         address = Address.parse(message.address)
-        refusal = self._refusal(message, address)
         started_ms = self.clock.now_ms()
+        refusal = self._refusal(message, address)
         if refusal is None:
+            self.running += 1
+            limit_ms = min(message.limit_ms, DIRECT_TIMEOUT_MS)
             try:
-                opened = await self.connector.connect_directly(
-                    address, DIRECT_TIMEOUT_MS
-                )
+                opened = await self.connector.connect_directly(address, limit_ms)
             except ConnectFailed as error:
-                refusal = await self._explain_failure(address, error)
+                self.running -= 1
+                refusal = await self._explain_failure(address, error, started_ms)
+            except BaseException:
+                self.running -= 1
+                raise
         if refusal is not None:
             self._log(message, started_ms, f"{refusal.reason}: {refusal.detail}")
             return refusal
         took_ms = self.clock.now_ms() - started_ms
 
-        async def run(peer: Any) -> None:
-            await self._carry(message, opened.sock, peer)
+        async def run(peer: Any) -> str:
+            return "probe" if message.probe else await self._pass_bytes(opened, peer)
+
+        async def close(detail: str) -> None:
+            self.running -= 1
+            await opened.sock.close()
+            self._log(message, started_ms, detail)
 
-        return Upgrade(TunnelOpened(took_ms), run)
+        return Upgrade(TunnelOpened(took_ms), run, close)
 
     def _refusal(self, message: OpenTunnel, address: Address) -> TunnelRefused | None:
         """Return why nothing may be sent to a target, or not from here, else None."""
@@ -316,57 +529,57 @@
             return TunnelRefused(TunnelRefusal.STOPPING, "this entry stops")
         if self.running >= MAX_TUNNELS:
             return TunnelRefused(TunnelRefusal.FULL, f"{self.running} tunnels are open")
-        if message.target and self._has_left(message, address):
+        if self.connector.paths.is_cut_off:
+            return TunnelRefused(TunnelRefusal.CUT_OFF, "this entry reaches no target")
+        if self.connector.paths.is_lost(address):
+            return TunnelRefused(TunnelRefusal.NO_PATH, f"no path to {address}")
+        if message.target and self._has_left(message):
             return TunnelRefused(TunnelRefusal.LEFT, f"{message.target} leaves")
-        wait_ms = 0 if message.probe else self.pause_ms(address)
+        wait_ms = 0 if message.probe else self.begin_request(address)
         if wait_ms:
             detail = f"{address} takes no requests for {wait_ms} ms"
             return TunnelRefused(TunnelRefusal.PAUSED, detail, wait_ms)
-        if self.connector.paths.is_cut_off:
-            return TunnelRefused(TunnelRefusal.CUT_OFF, "this entry reaches no target")
         return None
 
-    def _has_left(self, message: OpenTunnel, address: Address) -> bool:
-        row = TargetRow(
-            message.target, address, "", "", incarnation=message.incarnation
-        )
-        return self.view.is_leaving(row)
+    def _has_left(self, message: OpenTunnel) -> bool:
+        """Return whether this incarnation of a target leaves, or was replaced."""
+        known = self.view.known_target(message.target)
+        if known is None or known.incarnation < message.incarnation:
+            return False
+        return known.leaving or known.incarnation > message.incarnation
 
     async def _explain_failure(
-        self, address: Address, error: ConnectFailed
+        self, address: Address, error: ConnectFailed, started_ms: int
     ) -> TunnelRefused:
         """Return whether a target is at fault, or the links of this entry."""
-        others = [each for each in self.view.target_addresses() if each != address]
-        if not others or await self.connector.probe(self.random.choice(others)):
+        if await self.connector.reaches_beside(address):
             return TunnelRefused(
                 TunnelRefusal.UNREACHABLE, str(error), refused=error.refused
             )
-        await curio.spawn(self.connector.check, address, daemon=True)
+        if await self.connector.reaches_any_but(address):
+            return TunnelRefused(TunnelRefusal.NO_PATH, str(error))
+        self.connector.paths.record_no_links(started_ms)
         return TunnelRefused(TunnelRefusal.CUT_OFF, str(error))
 
-    async def _carry(self, message: OpenTunnel, sock: Any, peer: Any) -> None:
-        """Pass bytes on between a target and another entry until either ends."""
-        started_ms = self.clock.now_ms()
-        self.running += 1
-        detail = "probe"
-        try:
-            if not message.probe:
-                detail = await self._pass_bytes(sock, peer)
-        finally:
-            self.running -= 1
-            await sock.close()
-            self._log(message, started_ms, detail)
+    async def _pass_bytes(self, opened: OpenConnection, peer: Any) -> str:
+        """Pass bytes on between a target and another entry until either ends.
 
-    async def _pass_bytes(self, sock: Any, peer: Any) -> str:
-        """Return how a tunnel ended."""
+        Returns:
+            How the tunnel ended.
+        """
+        sock = opened.sock
 
         async def pass_requests() -> str:
+            turns = Turns()
             while data := await peer.recv():
+                await turns.take(len(data))
                 await sock.sendall(data)
             return "the entry closed"
 
         async def pass_answers() -> str:
+            turns = Turns()
             while data := await sock.recv(READ_BYTES):
+                await turns.take(len(data))
                 await peer.send(data)
             await peer.send_end()
             await self.clock.sleep_ms(END_LINGER_MS)
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -82,4 +82,5 @@
   connected @2 :Bool;
   pieces @3 :List(PieceMade);
   retryAfterMs @4 :UInt64;
+  confirmed @5 :Bool = true;
 }
--- a/wagtailrun/schema/tunnels.capnp
+++ b/wagtailrun/schema/tunnels.capnp
@@ -17,6 +17,7 @@
   incarnation @2 :UInt64;
   address @3 :Text;
   probe @4 :Bool;
+  limitMs @5 :UInt32;
 }
 
 struct TunnelOpened { tookMs @0 :UInt32; }
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -210,6 +210,8 @@
         connected: Whether a connection to the target was open.
         retry_after_ms: Pause that the target asked for; 0 if it asked for none.
         pieces: Outcome of each piece, in order.
+        confirmed: Whether a failed connection is the fault of the target and not of
+            the path to it.
     """
 
     failure: str = ""
@@ -217,6 +219,7 @@
     connected: bool = True
     retry_after_ms: int = 0
     pieces: tuple[PieceMade, ...] = ()
+    confirmed: bool = True
 
 
 CODEC = Codec(
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -621,6 +621,10 @@
             pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
             target_state.pause_until_ms = now_ms + pause_ms
             return
+        if isinstance(failure, ConnectFailed) and not failure.confirmed:
+            # The path failed, which says nothing about the target and its results.
+            target_state.pause_until_ms = now_ms + FIRST_BACKOFF_MS
+            return
         target_state.failures += 1
         backoff_ms = FIRST_BACKOFF_MS << min(target_state.failures - 1, 6)
         target_state.pause_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -81,7 +81,13 @@
                 return await self.client.run(target, items, timeout_ms)
             detail = f"entry {delegate.name} did not reply to a stage call: {error}"
             raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN) from error
-        return _parse_replies(answer, len(items))
+        try:
+            return _parse_replies(answer, len(items))
+        except ConnectFailed as error:
+            if error.confirmed:
+                raise
+            # Nothing was sent, and this entry may have a path.
+            return await self.client.run(target, items, timeout_ms)
 
     async def free(self, address: Address, handles: Sequence[str]) -> None:
         """Release results; see ``StageClient``."""
@@ -107,7 +113,13 @@
             replies = await self.client.run(target, items, message.timeout_ms)
         except TargetFailed as error:
             connected = not isinstance(error, ConnectFailed)
-            return CallMade(str(error), error.verdict, connected, error.retry_after_ms)
+            return CallMade(
+                str(error),
+                error.verdict,
+                connected,
+                error.retry_after_ms,
+                confirmed=connected or error.confirmed,
+            )
         finally:
             self.running_for_peers -= 1
         outcomes = tuple(PieceMade(reply.outcome, reply.handle) for reply in replies)
@@ -158,7 +170,7 @@
         detail = f"expected CallMade in reply to a call, got {type(answer).__name__}"
         raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
     if answer.failure and not answer.connected:
-        raise ConnectFailed(answer.failure)
+        raise ConnectFailed(answer.failure, confirmed=answer.confirmed)
     if answer.failure:
         raise TargetFailed(
             answer.failure,
