Test a planned stop of a real entry with requests that it cannot finish

One request waits at a silent engine, one comes 1 s after SIGTERM, one has not arrived completely; a second SIGTERM and a SIGHUP come during the stop. All three get an answer or a refusal (502, 503, 503), the late one reaches no engine, and the entry exits with 0 within the grace period of 6 s.

--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -22,6 +22,7 @@
 
 ROOT = Path(__file__).parent.parent
 START_S = 20
+GRACE_S = 6
 KEY = "guild-key"
 SIGNATURE = ("Server-Seal", "seal")
 
@@ -81,7 +82,7 @@
             "CALLER_ADDRESS": f"{ip}:{self.main_port}",
             "READY_ADDRESS": f"{ip}:{self.ready_port}",
             "DRAIN_NOTICE_MS": "300",
-            "GRACE_S": "6",
+            "GRACE_S": str(GRACE_S),
         }
         self.start("entry", name, self.settings(name, ip, extra))
 
@@ -185,6 +186,8 @@
         self.requests = []
         self.calls = []
         self.freed = []
+        # Whether the engine sends no answers.
+        self.silent = False
         self.sequence = 0
         # Name, address, service and software version of each.
         self.reported = [
@@ -241,6 +244,8 @@
 
     async def handle_engine(self, request):
         self.requests.append(request)
+        if self.silent:
+            await curio.sleep(60)
 
         async def events():
             for number in range(1, 21):
@@ -351,6 +356,56 @@
     assert run_scenario(tmp_path, scenario) == (503, 20, 0)
 
 
+async def send_part(address):
+    """Send a request without the end of its body; return the connection."""
+    sock = await curio.open_connection(address.host, address.port)
+    lines = ["POST /a/x HTTP/1.1", "Host: works.example", "Content-Length: 9"]
+    lines += [f"{name}: {value}" for name, value in request_headers("part")]
+    await sock.sendall("\r\n".join([*lines, "", "{}"]).encode())
+    return sock
+
+
+def test_no_request_is_left_without_an_answer_by_a_planned_stop(tmp_path):
+    """Guards against requests that the end of an entry cuts off (LOST).
+
+    One is at a silent engine, one comes late in the grace period, and one has not
+    arrived completely.
+    """
+
+    async def scenario(fleet, targets):
+        await wait_until_served(fleet, targets)
+        targets.silent = True
+        address = fleet.entry(1)
+
+        async def send_whole(name):
+            headers = request_headers(name)
+            reply = await send(address, "POST", "/a/x", b"{}", headers, 9_000)
+            return reply.status
+
+        early = await curio.spawn(send_whole, "early")
+        part = await send_part(address)
+        await curio.sleep(0.5)
+        process = fleet.processes["front-1"]
+        process.send_signal(signal.SIGTERM)
+        stopped_s = time.monotonic()
+        await curio.sleep(1.0)
+        late = await send_whole("late")
+        seen = [request.headers["attempt-id"] for request in targets.requests]
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        statuses = [await early.join(), late]
+        statuses.append(int((await part.recv(65_536)).split()[1]))
+        code = await curio.run_in_thread(process.wait, 10)
+        return statuses, code, time.monotonic() - stopped_s, seen
+
+    statuses, code, took_s, seen = run_scenario(tmp_path, scenario)
+    assert statuses == [502, 503, 503]
+    assert code == 0
+    assert took_s < GRACE_S
+    assert "early" in seen
+    assert "late" not in seen
+
+
 @pytest.mark.parametrize("lost", [1, 3])
 def test_killed_control_member_loses_nothing(tmp_path, lost):
     """Guards against a lost acknowledged document, and entries that stop serving."""
