Answer a request that arrives while its idle connection is shut down

Cause: a planned stop ends the reading of all idle connections in one go. A request that arrived between that and the next turn of its connection's task was still read, whole; but the watcher for clients that leave then saw the end of the bytes, cancelled the handler and closed the connection, with no answer and no line in the log. Change: a connection knows that the server itself ended its reading; the end of the bytes then means neither that the client has left nor that its request is malformed. Before: test_request_that_arrives_while_its_connection_is_closed_is_answered fails (1 of 1, nothing is received).

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -321,7 +321,7 @@
             await sock.recv(65_536)
             socks.append(sock)
         await curio.sleep(0.05)
-        assert len(server.idle_sockets) == len(socks)
+        assert len(server.idle_connections) == len(socks)
         # The server's tasks have no turn between the reset and the drain.
         reset, *kept = socks
         reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -332,6 +332,27 @@
     assert with_server(echo, client) == [b""] * 7
 
 
+def test_request_that_arrives_while_its_connection_is_closed_is_answered():
+    """Guards against a request that is read as its idle connection is shut down.
+
+    The end of the reading, by this server, was taken for a client that has left.
+    """
+
+    async def handler(request):
+        await curio.sleep(0.05)
+        return await echo(request)
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await curio.sleep(0.05)
+        # The server's tasks have no turn between the shutdown and the arrival.
+        await server.drain()
+        sock._socket.send(GOOD)
+        return await sock.recv(65_536)
+
+    assert with_server(handler, client).startswith(b"HTTP/1.1 200")
+
+
 def test_requests_around_a_planned_stop_are_answered():
     """Guards against a stop that cuts off requests that were just accepted.
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -241,9 +241,9 @@
         # Whether no more requests are read.
         self.ended = False
         self.active_requests = 0
-        self.idle_sockets: set[Any] = set()
-        # Those of requests that have not arrived completely.
-        self.reading_sockets: set[Any] = set()
+        self.idle_connections: set[_ServerConnection] = set()
+        # Those whose request has not arrived completely.
+        self.reading_connections: set[_ServerConnection] = set()
 
     async def serve(self) -> None:
         """Accept connections until cancelled.
@@ -264,13 +264,15 @@
     async def drain(self) -> None:
         """Close the connections that have no request in progress, now and later."""
         self.closing = self.draining = True
-        # A request whose first bytes have arrived is read to its end.
-        idle = {sock for sock in self.idle_sockets if not _is_readable(sock)}
-        await _stop_receiving(idle)
+        for connection in list(self.idle_connections):
+            # A request whose first bytes have arrived is read to its end.
+            if not connection.is_readable():
+                await connection.stop_reading()
 
     async def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
-        await _stop_receiving(self.reading_sockets)
+        for connection in list(self.reading_connections):
+            await connection.stop_reading()
 
     async def end(self) -> bool:
         """Read no more requests, so that the process can end.
@@ -304,22 +306,6 @@
             self.open_connections -= 1
 
 
-def _is_readable(sock: Any) -> bool:
-    """Return whether bytes have arrived, or the client closed the connection."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
-async def _stop_receiving(sockets: set[Any]) -> None:
-    """End the reading of connections; what has arrived can still be read."""
-    for sock in list(sockets):
-        # A client may have reset its connection a moment ago. The task of the
-        # connection finds that out itself; the others still have to be closed.
-        with suppress(OSError):
-            await sock.shutdown(socket.SHUT_RD)
-
-
 class _ServerConnection:
     """Reads and answers the requests of one accepted connection."""
 
@@ -329,8 +315,9 @@
         self.peer = peer
         self.turns = Turns()
         self.limits = server.limits()
-        # Whether the client, or this server in a planned stop, ended the reading.
-        self.received_end = False
+        # Whether this server ended the reading; an end of the bytes received does not
+        # show any more that the client has disconnected.
+        self.reading_stopped = False
         # Method of the newest request.
         self.method = b""
         self.http = h11.Connection(
@@ -346,14 +333,14 @@
             # A request counts from its first byte, so that a planned stop waits for it.
             self.server.active_requests += 1
             try:
-                self.server.reading_sockets.add(self.sock)
+                self.server.reading_connections.add(self)
                 try:
                     request = await self._read_request()
                 except RequestRejected as error:
                     await self._reject(error)
                     return
                 finally:
-                    self.server.reading_sockets.discard(self.sock)
+                    self.server.reading_connections.discard(self)
                 if request is None or not await self._serve(request):
                     return
             finally:
@@ -364,12 +351,25 @@
                 return
             self.http.start_next_cycle()
 
+    def is_readable(self) -> bool:
+        """Return whether bytes have arrived, or the client closed the connection."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def stop_reading(self) -> None:
+        """End the reading; what has arrived by the next turn can still be read."""
+        self.reading_stopped = True
+        # The client may have reset the connection a moment ago. The task of the
+        # connection finds that out itself; other connections still have to be closed.
+        with suppress(OSError):
+            await self.sock.shutdown(socket.SHUT_RD)
+
     async def _reject(self, error: RequestRejected) -> None:
         """Refuse a request that cannot be read."""
-        if not (self.server.draining and self.received_end):
+        if not self.reading_stopped:
             await self._refuse(error.refusal, error.status)
             return
-        # The server ended the reading, not the client; the request is no bad one.
         refusal = Refusal(
             RefusalReason.DRAINING,
             Verdict.NOT_RUN,
@@ -416,11 +416,11 @@
             return True
         if self.server.ended:
             return False
-        self.server.idle_sockets.add(self.sock)
+        self.server.idle_connections.add(self)
         try:
             data = await self._receive_when_idle()
         finally:
-            self.server.idle_sockets.discard(self.sock)
+            self.server.idle_connections.discard(self)
         if data is None:
             return False
         self.http.receive_data(data)
@@ -525,7 +525,6 @@
                 await self._write(self.http.send(info))
             data = await self.sock.recv(READ_BYTES)
             await self.turns.take(len(data))
-            self.received_end = not data
             self.http.receive_data(data)
 
     async def _serve(self, request: Request) -> bool:
@@ -580,7 +579,7 @@
         if data:
             # A pipelined request, which is parsed after the current response.
             self.http.receive_data(data)
-        else:
+        elif not self.reading_stopped:
             await task.cancel(blocking=False)
 
     async def _send(self, response: Response, close: bool) -> None:
