Apply a changed header limit to connections that are open

Cause: the HTTP parser of a connection keeps the limit that it was made with, and the limits of a request were those at the start of the idle time before it. After a configuration change that raises the limit, a larger head that came in several pieces on a kept connection was refused with 431. Change: the limits are read when a request begins; the parser is made anew if they changed. Before: test_header_limit_that_changes_holds_for_open_connections fails (1 of 2, 431; a lowered limit held already). After: test_http_server.py and test_floods.py pass.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -600,6 +600,27 @@
     assert with_server(echo, client, limits=lambda: current[-1]) == answers
 
 
+@pytest.mark.parametrize(("first", "second"), [(200, 5_000), (5_000, 200)])
+def test_header_limit_that_changes_holds_for_open_connections(first, second):
+    """Guards against a request that is judged by a limit that was replaced."""
+    limits = ServerLimits(first, 1_000, 1_000, 1_000)
+    request = GOOD.replace(b"Host", b"X: " + b"x" * 1_000 + b"\r\nHost")
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD)
+        await sock.recv(65_536)
+        current.append(attrs.evolve(limits, header_bytes=second))
+        await sock.sendall(request[:600])
+        await curio.sleep(0.05)
+        await sock.sendall(request[600:])
+        return int((await sock.recv(65_536)).split()[1])
+
+    current = [limits]
+    status = with_server(echo, client, limits=lambda: current[-1])
+    assert status == (200 if second > first else 431)
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -320,9 +320,8 @@
         self.reading_stopped = False
         # Method of the newest request.
         self.method = b""
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes
-        )
+        self.parser_header_bytes = self.limits.header_bytes
+        self.http = self._make_parser()
 
     async def run(self) -> None:
         """Serve requests until the connection has to be closed."""
@@ -330,6 +329,7 @@
             self.limits = self.server.limits()
             if not await self._wait_for_bytes():
                 return
+            self._renew_limits()
             # A request counts from its first byte, so that a planned stop waits for it.
             self.server.active_requests += 1
             try:
@@ -351,6 +351,23 @@
                 return
             self.http.start_next_cycle()
 
+    def _make_parser(self) -> h11.Connection:
+        limit = self.parser_header_bytes
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+
+    def _renew_limits(self) -> None:
+        """Apply the current limits to the next request.
+
+        They may have changed while the connection was idle. A parser keeps the limit
+        that it was made with.
+        """
+        self.limits = self.server.limits()
+        if self.limits.header_bytes != self.parser_header_bytes:
+            self.parser_header_bytes = self.limits.header_bytes
+            rest, _ = self.http.trailing_data
+            self.http = self._make_parser()
+            self.http.receive_data(rest)
+
     def is_readable(self) -> bool:
         """Return whether bytes have arrived, or the client closed the connection."""
         poll = select.poll()
