--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server and client against each other and against bad input."""
 
+import errno
 import json
 import socket
 import struct
@@ -8,6 +9,7 @@
 import attrs
 import curio
 import pytest
+from curio.io import Socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -621,6 +623,33 @@
     assert status == (200 if second > first else 431)
 
 
+def test_server_goes_on_after_a_connection_that_cannot_be_accepted(monkeypatch):
+    """Guards against a process that ends, with all requests, at its file limit."""
+    accept = Socket.accept
+    failures = [OSError(errno.EMFILE, "Too many open files")] * 2
+
+    async def fail_at_first(sock):
+        connection = await accept(sock)
+        if failures:
+            await connection[0].close()
+            raise failures.pop()
+        return connection
+
+    async def client(address, server):
+        statuses = []
+        for _ in range(4):
+            sock = await curio.open_connection(address.host, address.port)
+            with suppress(ConnectionResetError):
+                await sock.sendall(GOOD)
+                statuses.append(await sock.recv(12))
+            await sock.close()
+        return [status for status in statuses if status]
+
+    monkeypatch.setattr(Socket, "accept", fail_at_first)
+    # The first of the two failures meets the connection that waits for the server.
+    assert with_server(echo, client) == [b"HTTP/1.1 200"] * 3
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
