--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server and client against each other and against bad input."""
 
+import errno
 import json
 import socket
 import struct
@@ -8,6 +9,7 @@
 import attrs
 import curio
 import pytest
+from curio.io import Socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -321,7 +323,7 @@
             await sock.recv(65_536)
             socks.append(sock)
         await curio.sleep(0.05)
-        assert len(server.idle_sockets) == len(socks)
+        assert len(server.idle_connections) == len(socks)
         # The server's tasks have no turn between the reset and the drain.
         reset, *kept = socks
         reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -332,6 +334,27 @@
     assert with_server(echo, client) == [b""] * 7
 
 
+def test_request_that_arrives_while_its_connection_is_closed_is_answered():
+    """Guards against a request that is read as its idle connection is shut down.
+
+    The end of the reading, by this server, was taken for a client that has left.
+    """
+
+    async def handler(request):
+        await curio.sleep(0.05)
+        return await echo(request)
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await curio.sleep(0.05)
+        # The server's tasks have no turn between the shutdown and the arrival.
+        await server.drain()
+        sock._socket.send(GOOD)
+        return await sock.recv(65_536)
+
+    assert with_server(handler, client).startswith(b"HTTP/1.1 200")
+
+
 def test_requests_around_a_planned_stop_are_answered():
     """Guards against a stop that cuts off requests that were just accepted.
 
@@ -579,6 +602,54 @@
     assert with_server(echo, client, limits=lambda: current[-1]) == answers
 
 
+@pytest.mark.parametrize(("first", "second"), [(200, 5_000), (5_000, 200)])
+def test_header_limit_that_changes_holds_for_open_connections(first, second):
+    """Guards against a request that is judged by a limit that was replaced."""
+    limits = ServerLimits(first, 1_000, 1_000, 1_000)
+    request = GOOD.replace(b"Host", b"X: " + b"x" * 1_000 + b"\r\nHost")
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD)
+        await sock.recv(65_536)
+        current.append(attrs.evolve(limits, header_bytes=second))
+        await sock.sendall(request[:600])
+        await curio.sleep(0.05)
+        await sock.sendall(request[600:])
+        return int((await sock.recv(65_536)).split()[1])
+
+    current = [limits]
+    status = with_server(echo, client, limits=lambda: current[-1])
+    assert status == (200 if second > first else 431)
+
+
+def test_server_goes_on_after_a_connection_that_cannot_be_accepted(monkeypatch):
+    """Guards against a process that ends, with all requests, at its file limit."""
+    accept = Socket.accept
+    failures = [OSError(errno.EMFILE, "Too many open files")] * 2
+
+    async def fail_at_first(sock):
+        connection = await accept(sock)
+        if failures:
+            await connection[0].close()
+            raise failures.pop()
+        return connection
+
+    async def client(address, server):
+        statuses = []
+        for _ in range(4):
+            sock = await curio.open_connection(address.host, address.port)
+            with suppress(ConnectionResetError):
+                await sock.sendall(GOOD)
+                statuses.append(await sock.recv(12))
+            await sock.close()
+        return [status for status in statuses if status]
+
+    monkeypatch.setattr(Socket, "accept", fail_at_first)
+    # The first of the two failures meets the connection that waits for the server.
+    assert with_server(echo, client) == [b"HTTP/1.1 200"] * 3
+
+
 async def raw_server(answers, received=None):
     """Serve one connection: send an entry of ``answers`` after each request."""
     (address,) = free_addresses(1)
