Pass on header values beyond ASCII

Cause: values that were received as bytes and kept as text (a request's identifier, the Host header) and the name of a workspace were encoded as ASCII when they were sent, so a caller with such a value, or of such a workspace, got an internal error or no answer.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -266,6 +266,33 @@
     assert 0 < int(seen.headers["deadline-remaining"]) <= 2_000
 
 
+@pytest.mark.parametrize("seal", [True, False])
+@pytest.mark.parametrize(
+    ("request_id", "host"), [("abc\xe9", "h"), ("abc", "h:\xe9"), ("\xff", "h:\xff")]
+)
+def test_header_values_beyond_ascii_are_passed_on(request_id, host, seal):
+    """Guards against a request without an answer because of bytes that HTTP allows."""
+
+    async def client(address, fleet):
+        reply = await HttpClient().request(
+            address,
+            "POST",
+            "/a/x",
+            ((b"Attempt-Id", request_id.encode("latin-1")), (b"Credential", b"k")),
+            b"{}",
+            timeout_ms=5_000,
+            host=host.encode("latin-1"),
+        )
+        return reply.status, reply.headers["attempt-id"], fleet.seen[0][1].headers
+
+    engines = [[answer(200, b"ok", SIGNATURE) if seal else answer(200, b"ok")]]
+    keys = [WorkspaceKeys("Z\xfcrich \u6771", ("k",))]
+    status, echoed, headers = run_relay(RouteKind.ORDER, engines, client, keys=keys)
+    assert (status, echoed) == (200 if seal else 502, request_id)
+    assert (headers["attempt-id"], headers["host"]) == (request_id, host)
+    assert headers["tenant"].encode("latin-1").decode() == "Z\xfcrich \u6771"
+
+
 def test_rejection_with_a_body_that_does_not_end():
     """Guards against a request that waits for a body that nobody needs."""
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -6,7 +6,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -32,6 +32,7 @@
     "SendPermit",
     "TargetObserver",
     "enable_dead_peer_detection",
+    "header_fields",
 ]
 
 READ_BYTES = 64 * 1024
@@ -64,6 +65,19 @@
 Headers = tuple[tuple[str | bytes, str | bytes], ...]
 
 
+def header_fields(headers: Iterable[tuple[str | bytes, str | bytes]]) -> list:
+    """Return headers as bytes, by which those that were received stay as they were.
+
+    Received bytes are read as Latin-1, as RFC 9110 allows them in values.
+    """
+    return [
+        tuple(
+            part.encode("latin-1") if isinstance(part, str) else part for part in pair
+        )
+        for pair in headers
+    ]
+
+
 @attrs.frozen
 class HttpReply:
     """A complete HTTP response.
@@ -463,11 +477,13 @@
                 raise SendForbidden(f"the request to {address} may no longer be sent")
             if self.observer is not None:
                 self.observer.check(address, permit)
-            fields = [
-                ("Host", host or str(address)),
-                ("Content-Length", str(len(body))),
-                *headers,
-            ]
+            fields = header_fields(
+                (
+                    ("Host", host or str(address)),
+                    ("Content-Length", str(len(body))),
+                    *headers,
+                )
+            )
             request = h11.Request(method=method, target=path, headers=fields)
             sent_ms = self.clock.now_ms()
             connection.requests += 1
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -11,6 +11,7 @@
 import h11
 
 from wagtailrun import events
+from wagtailrun.adapters.http_client import header_fields
 from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
@@ -514,7 +515,9 @@
             headers.append(("Connection", "close"))
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
-            head = h11.Response(status_code=response.status, headers=headers)
+            head = h11.Response(
+                status_code=response.status, headers=header_fields(headers)
+            )
             data = [self.http.send(head), self.http.send(h11.Data(response.body))]
             data.append(self.http.send(h11.EndOfMessage()))
             await self._write(b"".join(data))
@@ -526,7 +529,7 @@
             headers.append(("Transfer-Encoding", "chunked"))
         else:
             headers.append(("Content-Length", str(response.length)))
-        head = h11.Response(status_code=response.status, headers=headers)
+        head = h11.Response(status_code=response.status, headers=header_fields(headers))
         pieces = response.body
         try:
             await self._write(self.http.send(head))
