Keep listening after a connection that cannot be accepted

Cause: curio's server ends its accept loop at the first OSError, for instance without a free file descriptor, and returns when its connections have ended; the listener's task then counted as done, and a relay daemon ends with exit code 0 when a task is done. An unexpected error of a connection was not in the log of the daemon.

--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -1,12 +1,16 @@
 """Tests of peer messages over TCP."""
 
+import errno
+
 import curio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from demo.processes import free_addresses
+from wagtailrun import events
 from wagtailrun.adapters import tcp_link
+from wagtailrun.adapters.listener import listen
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -171,6 +175,53 @@
     assert with_peer(faulty, client) == Pong("good")
 
 
+def test_listener_goes_on_after_a_failure_to_accept(monkeypatch):
+    """Guards against a process that ends when it has no free file descriptor."""
+    accept = curio.io.Socket.accept
+    failures = [OSError(errno.EMFILE, "full"), ConnectionAbortedError("gone")] * 2
+
+    async def fail_at_first(sock):
+        if failures:
+            raise failures.pop()
+        return await accept(sock)
+
+    monkeypatch.setattr(curio.io.Socket, "accept", fail_at_first)
+
+    async def client(address):
+        await curio.sleep(0.4)
+        return await TcpPeerLink(SECRET).call(address, Ping("a"), TIMEOUT_MS)
+
+    assert with_peer(pong, client) == Pong("a")
+    assert failures == []
+
+
+def test_listener_goes_on_after_a_connection_that_fails():
+    """Guards against an unexpected error that ends a listener or is not logged."""
+    before = events.EVENT_LOG.counts_by_number.get(events.HANDLER_FAILED.number, 0)
+
+    async def main():
+        (address,) = free_addresses(1)
+
+        async def serve(sock, peer):
+            if (data := await sock.recv(1)) == b"x":
+                raise KeyError("unexpected")
+            await sock.sendall(data)
+
+        await curio.spawn(listen, address, serve, daemon=True)
+        await curio.sleep(0.05)
+        replies = []
+        for data in (b"x", b"y"):
+            sock = await curio.open_connection(address.host, address.port)
+            async with sock:
+                await sock.sendall(data)
+                replies.append(await sock.recv(1))
+        return replies
+
+    assert curio.run(main) == [b"", b"y"]
+    after = events.EVENT_LOG.counts_by_number[events.HANDLER_FAILED.number]
+    assert after == before + 1
+
+
 def test_reply_that_cannot_be_encoded_keeps_the_connection():
     """Guards against a sound peer that is cut off because of one odd reply."""
     connections = []
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -294,6 +294,12 @@
     "Correct the sender of the report that the row is from.",
     per_second=10,
 )
+ACCEPT_FAILED = _event(
+    629,
+    logging.WARNING,
+    "A connection could not be accepted; the process goes on.",
+    "If it repeats, raise the limit of open files, or find who opens connections.",
+)
 METRICS_NOT_SERVED = _event(
     626,
     logging.WARNING,
