Do not stop at addresses of peers that cannot be read

Cause: a control member's reply that named one malformed address ended the poll of an entry before it was applied, for ever; a join request with one entered the log, where every member reads the address again and again. Change: an entry leaves out such an address and logs it; a join request is refused. Before / after, tests/test_membership_change.py and tests/test_discovery.py: 5 failed / 0 failed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -249,6 +249,28 @@
     assert run(scenario) <= KEY_GRACE_MS
 
 
+def test_member_address_that_cannot_be_read_stops_no_entry(monkeypatch):
+    """Guards against an entry that never applies the news of a member again."""
+    make_update = Hub._make_update
+
+    def with_odd_members(hub, *arguments):
+        news = make_update(hub, *arguments)
+        odd = ("nowhere:80", "10.0.0.1:x")
+        return attrs.evolve(news, members=odd + news.members)
+
+    monkeypatch.setattr(Hub, "_make_update", with_odd_members)
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.hubs[0].report(ROW)
+        await clock.sleep_ms(1_500)
+        assert view.is_fresh
+        assert [row.name for row in view.targets("s")] == ["t1"]
+        assert set(view.members) == {n.address for n in controls.cluster.nodes}
+
+    run(scenario)
+
+
 def test_minority_does_not_confirm():
     """Guards against revoked keys that the minority of a partition still accepts."""
 
--- a/tests/test_membership_change.py
+++ b/tests/test_membership_change.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.fake_cluster import Cluster, Node
+from wagtailrun.consensus_messages import Join
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.virtual_time import run_virtual
 
@@ -143,3 +144,21 @@
         return cluster.violations
 
     assert run_virtual(main) == []
+
+
+@pytest.mark.parametrize("address", ["nowhere", "10.0.0.9:0", "10.0.0.9:\u0661", ""])
+def test_member_without_a_sound_address_is_not_admitted(address):
+    """Guards against a member in the log that no other can read the address of."""
+
+    async def main(clock):
+        cluster = await started(clock, 1)
+        with pytest.raises(ValueError):
+            await cluster.leader().member.handle(Join("new#1", address))
+        await clock.sleep_ms(2_000)
+        await cluster.propose_many(2)
+        await cluster.settle()
+        return cluster.violations, voters(cluster)
+
+    violations, names = run_virtual(main)
+    assert violations == []
+    assert len(names) == 3
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -364,7 +364,7 @@
         if news.entries:
             self.entries = tuple({row.name: row for row in news.entries}.values())
         if news.members:
-            self.members = [Address.parse(text) for text in news.members]
+            self._set_members(news.members)
         if news.text and news.marks.revision > self.revision:
             # Sent by a member of an earlier version, which knows no transfers.
             await self._apply_configuration(
@@ -381,6 +381,19 @@
         if self._lacks_newest:
             await self.newer_revision_known.notify()
 
+    def _set_members(self, texts: Sequence[str]) -> None:
+        """Use these control members; those whose address cannot be read are left out.
+
+        Without any that can be read, the known ones stay.
+        """
+        members = []
+        for text in texts:
+            try:
+                members.append(Address.parse(text))
+            except ValueError as error:
+                events.log(events.PEER_LOST, peer=text, detail=str(error))
+        self.members = members or self.members
+
     def _record_confirmation(self, revision: int, sent_ms: int) -> None:
         """Record that ``revision`` was the newest one after ``sent_ms``.
 
--- a/wagtailrun/membership_change.py
+++ b/wagtailrun/membership_change.py
@@ -164,7 +164,12 @@
         Returns:
             Identity and cluster of this member, and the addresses of all members that
             it knows.
+
+        Raises:
+            ValueError: If its address is malformed; in the log, it would stop all
+                members.
         """
+        Address.parse(request.address)
         member = self.member
         name = name_of(request.identity)
         members = member.configuration.members
