Count a host that is none as a failed connection

Cause: a host with a label of over 63 characters raises UnicodeError when a connection is opened, which was no failure of the target: the request ended with an internal error in place of an attempt at the next target. Members of an older build still accept such hosts and pass them on.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -383,6 +383,21 @@
     assert run_relay(kind, engines, status_and_runs) == expected
 
 
+@pytest.mark.parametrize(
+    "host", ["127.0.0.1\0", "1" * 100_000, "a" * 64 + ".example", "\u0661", "::1"]
+)
+def test_address_that_is_none_costs_no_request(host):
+    """Guards against requests that fail at a target that an older build accepted."""
+
+    async def client(address, fleet):
+        fleet.rows.insert(0, TargetRow("odd", Address(host, 9), "s", "a", 4))
+        reply = await send(address)
+        return reply.status, reply.body
+
+    engines = [[answer(200, b"ok", SIGNATURE)]]
+    assert run_relay(RouteKind.ORDER, engines, client) == (200, b"ok")
+
+
 def test_refused_connection_does_not_count_as_attempt():
     """Guards against a request that fails although it was sent to no target."""
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -48,6 +48,7 @@
 # Middleboxes on the path may forget a connection that is idle for longer.
 MAX_IDLE_MS = 15_000
 CONNECT_TIMEOUT_MS = 1_000
+MAX_DETAIL_CHARACTERS = 300
 # Ranks of requests at servers that limit their requests.
 DEFAULT_URGENCY = 5
 LEAST_URGENT = 9
@@ -521,7 +522,7 @@
                 sock = await curio.open_connection(address.host, address.port)
         except ConnectionRefusedError:
             return False
-        except (OSError, curio.TaskTimeout):
+        except (OSError, ValueError, curio.TaskTimeout):
             return None
         await sock.close()
         return True
@@ -556,8 +557,10 @@
         try:
             async with curio.timeout_after(connect_timeout_ms / MS_PER_SECOND):
                 sock = await curio.open_connection(address.host, address.port)
-        except (OSError, curio.TaskTimeout) as error:
-            raise ConnectFailed(f"cannot connect to {address}: {error}") from error
+        except (OSError, ValueError, curio.TaskTimeout) as error:
+            # A host that is none is a ValueError; members of an older build accept it.
+            detail = f"cannot connect to {address}: {error}"
+            raise ConnectFailed(detail[:MAX_DETAIL_CHARACTERS]) from error
         enable_dead_peer_detection(sock)
         return _Connection(sock, self.clock)
 
