Keep log lines with long texts of others parseable

Cause: a line was cut at 4,000 characters, in the middle of its JSON, as happens with an identifier of some hundred non-ASCII characters; a number that is no number was written as NaN, which JSON does not have. Change: the texts of a line are cut until it fits; such numbers are written as text.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,6 +3,8 @@
 import json
 from pathlib import Path
 
+import pytest
+
 from wagtailrun import events
 
 PAGE = Path(__file__).parent.parent / "docs" / "events.md"
@@ -38,6 +40,33 @@
     assert lines.log.counts_by_number[events.HANDLER_FAILED.number] == 2_002
 
 
+@pytest.mark.parametrize("text", ["x", '"', "\u00e9", "\ud800", "\U0001f600", "\0"])
+@pytest.mark.parametrize("process", ["", "front-1"])
+def test_line_with_long_texts_of_others_is_json(text, process):
+    """Guards against a line that no reader of the log can parse."""
+    lines = Lines()
+    if process:
+        lines.log.use_json_lines(lines.lines.append, process)
+    long = text * 5_000
+    lines.log.log(
+        events.RELAY_ENDED,
+        request_id=long,
+        route=long,
+        targets=[long] * 100,
+        share=float("nan"),
+        status=200,
+    )
+
+    def refuse(constant):
+        raise ValueError(constant)
+
+    (line,) = lines.lines
+    fields = json.loads(line[line.index("{") :], parse_constant=refuse)
+    assert len(line) < 4_200
+    assert fields["status"] == 200
+    assert len(fields["request_id"]) >= 5
+
+
 def test_changes_of_state_are_never_suppressed():
     """Guards against a membership change that is missing in the log."""
     lines = Lines()
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -1,6 +1,7 @@
 """Numbered log events; ``docs/events.md`` is the catalogue."""
 
 import json
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -13,7 +14,9 @@
 EVENTS_BY_NUMBER: dict[int, "Event"] = {}
 # Window of the rate limit of an event's lines.
 LIMIT_WINDOW_S = 1.0
-MAX_FIELD_LENGTH = 500
+# Lengths to which the texts of a line are cut, until it has at most MAX_LINE_LENGTH. A
+# line that is cut itself would be no JSON; others choose some of the texts.
+FIELD_LENGTHS = (500, 100, 20, 5)
 MAX_LINE_LENGTH = 4_000
 MAX_ITEMS = 16
 # Values of fields whose names contain one of these words are never written.
@@ -388,13 +391,18 @@
             self.suppressed_by_number[number] = suppressed
             return
         suppressed = self.suppressed_by_number.pop(number, 0)
-        loggable = {name: _loggable(name, value) for name, value in fields.items()}
-        if suppressed:
-            loggable["suppressed"] = suppressed
+        for limit in FIELD_LENGTHS:
+            loggable = {
+                name: _loggable(name, value, limit) for name, value in fields.items()
+            }
+            if suppressed:
+                loggable["suppressed"] = suppressed
+            text = self._line(event, loggable)
+            if len(text) <= MAX_LINE_LENGTH:
+                break
         if self.put_line is not None:
-            self.put_line(self._json_line(event, loggable))
+            self.put_line(text)
             return
-        text = json.dumps(loggable, default=str, sort_keys=True)[:MAX_LINE_LENGTH]
         self.write(event.level, "E%04d %s %s", number, event.meaning, text)
 
     def _is_within_limit(self, event: Event) -> bool:
@@ -408,7 +416,10 @@
         self.windows_by_number[event.number] = (started_s, lines + 1)
         return True
 
-    def _json_line(self, event: Event, loggable: dict[str, Any]) -> str:
+    def _line(self, event: Event, loggable: dict[str, Any]) -> str:
+        """Return the JSON of a line: the whole line, or its fields only."""
+        if self.put_line is None:
+            return json.dumps(loggable, default=str, sort_keys=True)
         line = {
             "time": round(time.time(), 3),
             "process": self.process,
@@ -417,7 +428,7 @@
             "message": event.meaning,
             **loggable,
         }
-        return json.dumps(line, default=str)[:MAX_LINE_LENGTH]
+        return json.dumps(line, default=str)
 
     def use_json_lines(self, put_line: Callable[[str], None], process: str) -> None:
         """Write each event as one JSON object from now on.
@@ -438,18 +449,22 @@
         self.suppressed_by_number.clear()
 
 
-def _loggable(name: str, value: Any) -> Any:
+def _loggable(name: str, value: Any, limit: int) -> Any:
     if any(word in name.lower() for word in SENSITIVE_WORDS) or isinstance(
         value, bytes
     ):
         return "(hidden)"
+    if isinstance(value, float) and not math.isfinite(value):
+        # JSON has no such numbers.
+        return str(value)
     if isinstance(value, bool | int | float) or value is None:
         return value
     if isinstance(value, dict):
-        return {str(key): _loggable(str(key), item) for key, item in value.items()}
+        items = list(value.items())[:MAX_ITEMS]
+        return {str(key): _loggable(str(key), item, limit) for key, item in items}
     if isinstance(value, list | tuple):
-        return [_loggable(name, item) for item in value[:MAX_ITEMS]]
-    return str(value)[:MAX_FIELD_LENGTH]
+        return [_loggable(name, item, limit) for item in value[:MAX_ITEMS]]
+    return str(value)[:limit]
 
 
 EVENT_LOG = EventLog()
