--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -249,6 +249,17 @@
     assert json.loads(reply.body)["detail"]
 
 
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_large_report_is_refused_without_parsing(method, monkeypatch):
+    """Guards against a report that stops a leader for the time of a heartbeat."""
+    handler = ControlHandler(FakeStore(), FakeHub())
+    body = json.dumps({**REPORT, "x": list(range(9_000))}).encode()
+    parsed = []
+    monkeypatch.setattr(json, "loads", lambda text: parsed.append(text) or REPORT)
+    assert call(handler, method, "/instances/i-1", body).status == 400
+    assert parsed == []
+
+
 def test_report_with_the_largest_numbers_is_accepted():
     """Guards against limits that are narrower than those of the messages."""
     change = {"born": 2**64 - 1, "seq_no": 2**64 - 1, "slots": 2**32 - 1}
