Plan the steps of a route in one pass

Cause: bytes moved and time left after a step were computed by recursion over all paths to the last step; with steps that need several earlier ones, their number doubles with each step, and a document with 64 of them stopped an entry at the first request. Before / after, tests/test_stage_runner.py -k at_once: not ended after 30 s, killed / passes; the other tests of the file pass as before.

--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -107,6 +107,26 @@
     assert order.index(0) > order.index(2)
 
 
+def test_many_steps_that_need_each_other_are_planned_at_once():
+    """Load: a route of 64 steps, each with the results of the three before it.
+
+    Guards against a document that stops an entry with the first request of the route.
+    """
+    steps = tuple(
+        StageStep("s", tuple(range(max(number - 3, 0), number)), 10)
+        for number in range(64)
+    )
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        staged = work(clock, (1,) * len(steps), steps)
+        stages_ms = await fleet.runners["e0"].announce(staged, "a")
+        return stages_ms, staged.moved_bytes(32)
+
+    # Each step is a call of one piece; three inputs, one result on the way back.
+    assert run_virtual(main) == (None, 40)
+
+
 def test_steps_without_pieces_are_skipped():
     """Guards against a request that waits for a step without pieces."""
 
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -72,14 +72,17 @@
         of its dependents, because dependents run where their inputs are.
         """
         inputs = sum(self._result_bytes(other) for other in self.steps[number].after)
-        return inputs + self._min_output_bytes(number)
-
-    def _min_output_bytes(self, number: int) -> int:
-        own_bytes = self._result_bytes(number)
-        output_bytes = [
-            self._min_output_bytes(other) for other in self.dependents(number)
-        ]
-        return min(own_bytes, sum(output_bytes)) if output_bytes else own_bytes
+        return inputs + self._min_output_bytes()[number]
+
+    def _min_output_bytes(self) -> dict[int, int]:
+        """Return the smallest results along the chains that begin at each step."""
+        bytes_by_step: dict[int, int] = {}
+        # Dependents have higher numbers.
+        for number in reversed(range(len(self.steps))):
+            own_bytes = self._result_bytes(number)
+            after = [bytes_by_step[other] for other in self.dependents(number)]
+            bytes_by_step[number] = min(own_bytes, sum(after)) if after else own_bytes
+        return bytes_by_step
 
     def _result_bytes(self, number: int) -> int:
         return self.steps[number].result_bytes * self.pieces[number]
@@ -207,12 +210,16 @@
 
     def _dependents_ms(self, work: StagedWork, number: int) -> int:
         """Return the shortest duration of the steps after ``number``."""
-        rest = [
-            self._processing_ms(work.steps[other].service, work.pieces[other])
-            + self._dependents_ms(work, other)
-            for other in work.dependents(number)
-        ]
-        return max(rest, default=0)
+        rest_ms: dict[int, int] = {}
+        # Dependents have higher numbers.
+        for each in reversed(range(number, len(work.steps))):
+            after = (
+                self._processing_ms(work.steps[other].service, work.pieces[other])
+                + rest_ms[other]
+                for other in work.dependents(each)
+            )
+            rest_ms[each] = max(after, default=0)
+        return rest_ms[number]
 
     # One request
 
