Share many rows of targets in several messages

Cause: a control member sends all rows in one message to a member that has restarted. Rows with long names (all that reports may have, 3 KB each) exceed the frame of 8 MB from 2,800 on; the message was refused and sent again, for ever, and the member learnt none. Change: at most 2,000 rows in a message. If the receiver restarts between two of them, all rows are sent again. Before / after, tests/test_discovery.py -k many_long: 1 failed (a message of 13.5 MB) / 0.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,6 +5,8 @@
 
 from tests.fake_cluster import Cluster
 from tests.fake_network import FakeNetwork
+from wagtailrun.adapters.tcp_link import MAX_FRAME_BYTES
+from wagtailrun.codec import encode
 from wagtailrun.discovery import ConfigurationFormat, FleetView, Hub, News, NewsMarks
 from wagtailrun.discovery.messages import (
     AgedEntry,
@@ -232,6 +234,40 @@
     assert run(scenario) == ["t1"]
 
 
+def test_many_long_rows_reach_a_restarted_member():
+    """Guards against rows that together fit no frame, so that none arrives."""
+    rows = [
+        attrs.evolve(
+            ROW,
+            name=f"t{number}-{'n' * 240}",
+            address=Address(f"10.9.{number // 250}.{number % 250 + 1}", 80),
+            service="\U0001f600" * 256,
+            data_centre="\U0001f600" * 256,
+            software_version="\U0001f600" * 128,
+        )
+        for number in range(4_500)
+    ]
+
+    async def scenario(controls, clock):
+        first, second = controls.hubs[:2]
+        for row in rows:
+            first.membership.put(row, clock.now_ms())
+            first.reported_targets.record_change(row.name)
+        sizes = []
+        call = first.link.call
+
+        async def measure(address, message, timeout_ms):
+            sizes.append(len(encode(message)))
+            return await call(address, message, timeout_ms)
+
+        first.link.call = measure
+        await clock.sleep_ms(1_500)
+        assert max(sizes) <= MAX_FRAME_BYTES
+        assert len(second.membership.targets_by_name) == len(rows)
+
+    run(scenario)
+
+
 def test_freshness_counts_from_the_sending_of_the_poll():
     """Guards against keys that are accepted after their grace period."""
 
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -62,6 +62,9 @@
 # Rows of targets in the reply to a poll, about 50 KB; the next poll gets further ones
 # at once. A reply that is too long for a slow link would be repeated for ever.
 MAX_ROWS_PER_REPLY = 250
+# Rows of targets in a message to another member. With the longest names that reports
+# may have, they take 6 MB of the 8 MB that a frame may have.
+MAX_ROWS_PER_SHARE = 2_000
 
 
 @attrs.define
@@ -401,26 +404,48 @@
         limits_mark = self.limits.local_log.number
         message = ShareRows(
             sender=str(self.address),
-            targets=tuple(self._aged(name) for name in names),
             entries=tuple(self._aged_entries(entries)),
             crashes=self.quarantine.rows(crashes),
             limits=self.limits.rows(limits),
         )
+        rows = [self._aged(name) for name in names]
         try:
-            reply = await self.link.call(address, message, SHARE_TIMEOUT_MS)
+            epochs = await self._send_rows(address, message, rows)
         except PeerUnreachable as error:
             self._record_reachability(peer_state, address, False, str(error))
             return
         self._record_reachability(peer_state, address, True, "")
-        if not isinstance(reply, RowsTaken):
+        if not epochs:
             return
         peer_state.mark, peer_state.crashes_mark = mark, crashes_mark
         peer_state.limits_mark = limits_mark
-        if reply.epoch != peer_state.epoch:
-            # The member has restarted and may have lost what was sent before. If this
-            # message did not have all rows, the next one will.
-            full = not peer_state.epoch
-            peer_state.epoch = reply.epoch if full else 0
+        if epochs != {peer_state.epoch}:
+            # The member has restarted and may have lost what was sent before. If these
+            # messages did not have all rows, the next ones will.
+            full = not peer_state.epoch and len(epochs) == 1
+            peer_state.epoch = epochs.pop() if full else 0
+
+    async def _send_rows(
+        self, address: Address, message: ShareRows, rows: list[AgedRow]
+    ) -> set[int]:
+        """Send rows of targets in parts; the first one is part of ``message``.
+
+        Returns:
+            The epochs that the replies named; empty if one is no reply to rows.
+
+        Raises:
+            PeerUnreachable: If a part was not answered.
+        """
+        epochs = set()
+        for start in range(0, max(len(rows), 1), MAX_ROWS_PER_SHARE):
+            part = tuple(rows[start : start + MAX_ROWS_PER_SHARE])
+            message = attrs.evolve(message, targets=part)
+            reply = await self.link.call(address, message, SHARE_TIMEOUT_MS)
+            if not isinstance(reply, RowsTaken):
+                return set()
+            epochs.add(reply.epoch)
+            message = ShareRows(message.sender)
+        return epochs
 
     def _record_reachability(
         self, peer_state: _PeerState, address: Address, reachable: bool, detail: str
