Read outcomes of delegated calls that another build names

Cause: one outcome or verdict that this build does not know failed the whole reply with ValueError, an internal error, and its finished pieces ran again. Change: an unknown outcome is an error of its piece, an unknown verdict may have run.

--- a/tests/test_stage_spread.py
+++ b/tests/test_stage_spread.py
@@ -9,6 +9,8 @@
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.stages import DelegatingStageClient, PieceOutcome, StageItem
+from wagtailrun.stages.messages import CallMade, PieceMade
+from wagtailrun.stages.spread import _parse_replies
 from wagtailrun.virtual_time import run_virtual
 
 # The entry that forms the calls, and others in two data centres.
@@ -160,6 +162,20 @@
     assert run_virtual(main) == 1_500
 
 
+def test_values_that_only_another_build_knows_lose_no_result():
+    """Guards against finished pieces that run again beside an unknown outcome."""
+    made = tuple(PieceMade(text, "h") for text in ("done", "postponed", ""))
+    replies = _parse_replies(CallMade(pieces=made), 3)
+    assert [each.outcome for each in replies] == [
+        PieceOutcome.DONE,
+        PieceOutcome.ERROR,
+        PieceOutcome.ERROR,
+    ]
+    with pytest.raises(TargetFailed) as failure:
+        _parse_replies(CallMade("failed", "perhaps", True), 3)
+    assert failure.value.verdict is Verdict.MAY_HAVE_RUN
+
+
 def test_call_to_a_target_that_left_is_not_sent():
     """Guards against calls that another entry wants sent, as it is cut off.
 
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -162,10 +162,22 @@
     if answer.failure:
         raise TargetFailed(
             answer.failure,
-            verdict=Verdict(answer.verdict),
+            verdict=_parse_verdict(answer.verdict),
             retry_after_ms=answer.retry_after_ms,
         )
     if len(answer.pieces) != count:
         detail = f"reply has {len(answer.pieces)} outcomes for {count} pieces"
         raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
-    return [StageReply(PieceOutcome(p.outcome), p.handle) for p in answer.pieces]
+    return [_parse_reply(piece) for piece in answer.pieces]
+
+
+def _parse_verdict(text: str) -> Verdict:
+    """Return a verdict; one that only another build knows proves nothing."""
+    return Verdict(text) if text in list(Verdict) else Verdict.MAY_HAVE_RUN
+
+
+def _parse_reply(piece: PieceMade) -> StageReply:
+    """Return the reply about a piece; an outcome of another build is an error."""
+    if piece.outcome not in list(PieceOutcome):
+        return StageReply(PieceOutcome.ERROR)
+    return StageReply(PieceOutcome(piece.outcome), piece.handle)
