--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -7,7 +7,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -37,6 +37,7 @@
     "SendPermit",
     "TargetObserver",
     "enable_dead_peer_detection",
+    "header_fields",
 ]
 
 READ_BYTES = 64 * 1024
@@ -52,6 +53,7 @@
 # Middleboxes on the path may forget a connection that is idle for longer.
 MAX_IDLE_MS = 15_000
 CONNECT_TIMEOUT_MS = 1_000
+MAX_DETAIL_CHARACTERS = 300
 # Ranks of requests at servers that limit their requests.
 DEFAULT_URGENCY = 5
 LEAST_URGENT = 9
@@ -73,6 +75,19 @@
 Headers = tuple[tuple[str | bytes, str | bytes], ...]
 
 
+def header_fields(headers: Iterable[tuple[str | bytes, str | bytes]]) -> list:
+    """Return headers as bytes, by which those that were received stay as they were.
+
+    Received bytes are read as Latin-1, as RFC 9110 allows them in values.
+    """
+    return [
+        tuple(
+            part.encode("latin-1") if isinstance(part, str) else part for part in pair
+        )
+        for pair in headers
+    ]
+
+
 @attrs.frozen
 class HttpReply:
     """A complete HTTP response.
@@ -324,9 +339,11 @@
         try:
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 sock = await curio.open_connection(address.host, address.port)
-        except (OSError, curio.TaskTimeout) as error:
+        except (OSError, ValueError, curio.TaskTimeout) as error:
+            # A host that is none is a ValueError; members of an older build accept it.
+            detail = f"cannot connect to {address}: {error}"
             raise ConnectFailed(
-                f"cannot connect to {address}: {error}",
+                detail[:MAX_DETAIL_CHARACTERS],
                 refused=isinstance(error, ConnectionRefusedError),
             ) from error
         enable_dead_peer_detection(sock)
@@ -560,11 +577,13 @@
                 raise SendForbidden(f"the request to {address} may no longer be sent")
             if self.observer is not None:
                 self.observer.check(address, permit)
-            fields = [
-                ("Host", host or str(address)),
-                ("Content-Length", str(len(body))),
-                *(headers() if callable(headers) else headers),
-            ]
+            fields = header_fields(
+                (
+                    ("Host", host or str(address)),
+                    ("Content-Length", str(len(body))),
+                    *(headers() if callable(headers) else headers),
+                )
+            )
             request = h11.Request(method=method, target=path, headers=fields)
             sent_ms = self.clock.now_ms()
             connection.requests += 1
--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -1,12 +1,9 @@
 """Listens on TCP addresses; a failure names the address."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
-from curio.io import Socket
-from curio.network import run_server
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND
@@ -15,34 +12,10 @@
 
 __all__ = ["listen"]
 
-# Connections that wait until they are accepted.
-BACKLOG = 100
-# A process at its limit of open files can accept again when a connection ends.
+# A process without free file descriptors gets some when connections end.
 ACCEPT_PAUSE_MS = 50
 
 
-class _ListeningSocket(Socket):
-    """Listening socket that accepts on after an error.
-
-    The process may be at its limit of open files, or a client may be gone again. An
-    error that is raised would end the server, and with it the process.
-    """
-
-    async def accept(self) -> tuple[Any, Any]:
-        """Return the next connection and the address of its client."""
-        while True:
-            try:
-                return await super().accept()
-            except OSError as error:
-                events.log(
-                    events.TASK_RESTARTED,
-                    task="accept connections",
-                    detail=repr(error),
-                    pause_ms=ACCEPT_PAUSE_MS,
-                )
-            await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
-
-
 async def listen(
     address: Address, serve_connection: Callable[[Any, Any], Awaitable[None]]
 ) -> None:
@@ -57,7 +30,39 @@
         SettingsError: If the address cannot be listened on.
     """
     try:
-        listening = socket.create_server((address.host, address.port), backlog=BACKLOG)
+        sock = curio.tcp_server_socket(address.host, address.port)
     except OSError as error:
         raise SettingsError(f"cannot listen on {address}: {error}") from error
-    await run_server(_ListeningSocket(listening), serve_connection)
+    async with sock, curio.TaskGroup() as group:
+        acceptor = await group.spawn(_accept, address, sock, group, serve_connection)
+        async for task in group:
+            task.joined = True
+            if task is acceptor:
+                raise task.exception
+
+
+async def _accept(
+    address: Address,
+    sock: Any,
+    group: curio.TaskGroup,
+    serve_connection: Callable[[Any, Any], Awaitable[None]],
+) -> None:
+    """Accept connections for ever; a failure to accept one ends nothing."""
+
+    async def serve(client: Any, peer: Any) -> None:
+        async with client:
+            try:
+                await serve_connection(client, peer)
+            except Exception as error:
+                events.log(events.HANDLER_FAILED, peer=str(peer), detail=repr(error))
+
+    while True:
+        try:
+            client, peer = await sock.accept()
+        except OSError as error:
+            events.log(events.ACCEPT_FAILED, address=str(address), detail=str(error))
+            await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
+            continue
+        await group.spawn(serve, client, peer)
+        # The task alone refers to the connection, and closes it at its end.
+        del client
