Remember the versions of targets that were replaced under their names

Cause: control members answer a take-up without a record by the versions in the rows of targets. A row is replaced when a target is started again under its name, and its version was forgotten at once. After all targets of a service were started again in place, a stream of the earlier version was taken for one of the new version. Established by reading, and by the test below.

Before: test_version_that_was_replaced_under_its_name_counts_as_possible gave (200, 200), 1 failed; after: (200, 503), passes. test_membership.py, test_gossip.py, test_stream_takeup.py and test_stream_origins_fleet.py pass (74 tests).

Does not hold: a version that no member ever had contact with.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -88,6 +88,25 @@
     assert len(membership.usable("other", 0)) == 1
 
 
+def test_versions_outlive_the_rows_that_named_them():
+    """Guards against a version that is forgotten while its streams may go on.
+
+    Rows are replaced by newer incarnations, also before they arrive. Guards against
+    versions that are kept for ever, too, and against contact that there was not.
+    """
+    membership = Membership()
+    for number, version in [(1, "v1"), (3, "v3"), (2, "v2")]:
+        row = attrs.evolve(ROW, incarnation=number, software_version=version)
+        membership.put(row, 10 * number)
+    assert membership.versions_since("s", 20) == {"v2", "v3"}
+    membership.mark_unresponsive("t", 50)
+    assert membership.versions_since("s", 50) == set()
+    membership.drop_expired_rows(20 + ROW_RETENTION_MS)
+    assert membership.versions_since("s", 0) == {"v3"}
+    membership.drop_expired_rows(30 + ROW_RETENTION_MS)
+    assert membership.contact_ms_by_version == {}
+
+
 def test_only_local_targets_are_usable():
     """Guards against ``usable`` returning targets of another data centre."""
     membership = Membership("west")
--- a/tests/test_stream_takeup.py
+++ b/tests/test_stream_takeup.py
@@ -184,6 +184,23 @@
     assert (reply.status, seen) == (503, [])
 
 
+def test_version_that_was_replaced_under_its_name_counts_as_possible():
+    """Guards against a guess after targets were started again in place.
+
+    A target that keeps its name replaces the row of its earlier version.
+    """
+    members = Members(memory_ms=ORIGIN_LIFETIME_MS)
+
+    async def client(address, fleet):
+        before = await take_up(address)
+        newer = attrs.evolve(fleet.rows[0], incarnation=9, software_version="v2")
+        fleet.rows[0] = newer
+        return before.status, (await take_up(address, "other")).status
+
+    statuses, _ = run_takeup([[REST]], ["v1"], client, members)
+    assert statuses == (200, 503)
+
+
 @pytest.mark.parametrize("failed", [0, 1, 2])
 def test_record_outlives_the_failure_of_a_member(failed):
     """Guards against records that are lost with one control member."""
--- a/wagtailrun/discovery/stream_origins.py
+++ b/wagtailrun/discovery/stream_origins.py
@@ -125,10 +125,4 @@
     def _recent_versions(self, service: str) -> set[str]:
         """Return the versions of targets that served when a stream may have begun."""
         oldest_ms = self.clock.now_ms() - ORIGIN_LIFETIME_MS
-        rows = self.membership.rows_by_service.get(service, {}).values()
-        contact_ms_by_name = self.membership.last_contact_ms_by_name
-        return {
-            row.software_version
-            for row in rows
-            if contact_ms_by_name[row.name] >= oldest_ms
-        }
+        return self.membership.versions_since(service, oldest_ms)
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -175,6 +175,9 @@
         self.data_centre = data_centre
         self.targets_by_name: dict[str, TargetRow] = {}
         self.last_contact_ms_by_name: dict[str, int] = {}
+        # The newest contact with a target of each software version, by service. Rows
+        # are kept for the newest incarnation of a name only, versions for all.
+        self.contact_ms_by_version: dict[str, dict[str, int]] = {}
         self.rows_by_service: dict[str, dict[str, TargetRow]] = {}
         # When this entry began to watch each of its targets; None without a
         # ``GossipNode``.
@@ -205,6 +208,7 @@
         known = self.targets_by_name.get(row.name)
         if known is None and age_ms > MAX_NEW_ROW_AGE_MS:
             return False
+        self._record_version(row, now_ms - age_ms)
         if known is not None and row.precedence <= known.precedence:
             return False
         if known is not None and known.service != row.service:
@@ -221,6 +225,27 @@
             self.state_log.record_change(row.name, _essential_state(row))
         return True
 
+    def _record_version(self, row: TargetRow, contact_ms: int) -> None:
+        """Record when a software version was last known to serve.
+
+        An older row counts, too; one that another process found unresponsive does not.
+        """
+        if row.silent:
+            return
+        contacts = self.contact_ms_by_version.setdefault(row.service, {})
+        before_ms = contacts.get(row.software_version, contact_ms)
+        contacts[row.software_version] = max(before_ms, contact_ms)
+
+    def versions_since(self, service: str, since_ms: int) -> set[str]:
+        """Return the software versions of targets of a service in contact since then.
+
+        Args:
+            service: Service.
+            since_ms: Time, in milliseconds.
+        """
+        contacts = self.contact_ms_by_version.get(service, {})
+        return {version for version, ms in contacts.items() if ms >= since_ms}
+
     def announce(self, row: TargetRow, now_ms: int) -> bool:
         """Store a row that the target itself sent; return whether it was newer."""
         number = self.state_log.number
@@ -313,3 +338,12 @@
                 self.names_by_id.pop(short_id(name), None)
                 self.names_to_forward.discard(name)
                 self.names_to_push.discard(name)
+        self._drop_expired_versions(now_ms - ROW_RETENTION_MS)
+
+    def _drop_expired_versions(self, oldest_ms: int) -> None:
+        for service, contacts in list(self.contact_ms_by_version.items()):
+            kept = {name: ms for name, ms in contacts.items() if ms > oldest_ms}
+            if kept:
+                self.contact_ms_by_version[service] = kept
+            else:
+                del self.contact_ms_by_version[service]
