Believe a single version only if as many members know it as have a record

Cause: without a record, a take-up went on if the member with the longest memory had known the targets for 90 s, although another member had not replied and a third one had just been started. Either may have been the only one that had contact with a target of another version. Established by reading, and by the test below.

Before: test_take_up_of_unknown_origin_needs_two_members_with_long_memory gave (200, 200), 1 failed.

Holds now: at most one member may be missing or newly started. A fleet with a single member needs that one.

--- a/tests/test_stream_takeup.py
+++ b/tests/test_stream_takeup.py
@@ -172,6 +172,21 @@
     assert run_takeup([[REST]], ["v1"], client, members)[0] == status
 
 
+def test_take_up_of_unknown_origin_needs_two_members_with_long_memory():
+    """Guards against a guess by one member that may not have heard of a version."""
+    members = Members(memory_ms=ORIGIN_LIFETIME_MS)
+
+    async def client(address, fleet):
+        members.lost = {members.addresses[0]}
+        before = (await take_up(address, "one")).status
+        members.memory_ms = 0
+        members.restart(members.addresses[1])
+        return before, (await take_up(address, "other")).status
+
+    statuses, _ = run_takeup([[REST]], ["v1"], client, members)
+    assert statuses == (200, 503)
+
+
 def test_version_that_has_left_counts_as_possible():
     """Guards against a stream of a version that left and is continued by another."""
 
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -179,16 +179,30 @@
             detail = f"{missing} of {len(members)} control members did not reply"
             return FoundOrigin(None, 0, detail, may_be_found_later=True)
         versions = set().union(*(reply.versions for reply in replies))
-        memory_ms = max(reply.memory_ms for reply in replies)
         if len(services) == 1 and len(versions) == 1 and "" not in versions:
-            if memory_ms >= ORIGIN_LIFETIME_MS:
-                origin = StreamOrigin(services[0], versions.pop(), "", 0)
-                return FoundOrigin(origin, 0, "all targets had this version")
-            detail = f"no record, and the members know only the last {memory_ms} ms"
-            return FoundOrigin(None, 0, detail)
+            detail = self._memory_gap(replies, len(members))
+            if detail:
+                return FoundOrigin(None, 0, detail)
+            origin = StreamOrigin(services[0], versions.pop(), "", 0)
+            return FoundOrigin(origin, 0, "all targets had this version")
         detail = f"no record, and several versions are possible: {sorted(versions)}"
         return FoundOrigin(None, 0, detail)
 
+    def _memory_gap(self, replies: Sequence[OriginFound], members: int) -> str:
+        """Return why the replies may lack a version; empty if they name them all.
+
+        As many members must have known the targets for long as have each record: one
+        that was just started, or did not reply, may be the one that knew a version.
+        """
+        memories_ms = sorted(reply.memory_ms for reply in replies)
+        informed = sum(ms >= ORIGIN_LIFETIME_MS for ms in memories_ms)
+        if informed and members - informed < COPIES:
+            return ""
+        return (
+            f"no record, and only {informed} of {members} members know more than the "
+            f"last {memories_ms[0]} ms"
+        )
+
     async def _ask(
         self, members: Sequence[Address], question: FindOrigin
     ) -> list[OriginFound]:
