Record where streams begin only while several versions may serve

Entries now leave the record out if the version is the only one for 90 s, as one incarnation of a member told them, the keys are fresh, and the target is in contact with the members. They remember these streams for 90 s and report them when another version comes or the member is replaced. A member of an earlier build forgets versions that were replaced under their names; its replies lack News.remembersVersions and all streams are recorded.

Before, with needs_record always true: 3 of 11 new cases failed (test_streams_of_the_only_version_are_recorded_*, test_stream_without_a_record_is_refused_*, test_stream_needs_a_record_*[none]). Single safeguards off, one at a time: no reports when a version comes, no memory of versions, silent targets, freshness: 1 of 11 failed each time. After: all pass, and the 12 cases of test_streams_go_on_at_their_version_* (6 of them new, after 92 s of one version).

Holds now: nothing is sent or kept at the members while one version serves. Does not hold: a stream whose entry ends within 250 ms of the arrival of another version, or before it, has no record and is refused while two versions are possible. Records cost as before for 90 s after a restart of an entry or of the member that it polls, and while several versions serve.

test_updates_contain_only_what_the_entry_lacks compares with the new field.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import attrs
 import curio
+import pytest
 
 from tests.fake_cluster import Cluster
 from tests.fake_network import FakeNetwork
@@ -13,6 +14,7 @@
     ShareRows,
     StreamOrigin,
 )
+from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.exceptions import FleetTextError, PeerUnreachable
 from wagtailrun.gossip_messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import TargetRow
@@ -329,7 +331,9 @@
 
     first, second = run(scenario)
     assert (len(first.targets), first.text) == (1, "text")
-    assert second == News(first.marks, "", True, (), (), first.members)
+    assert second == News(
+        first.marks, "", True, (), (), first.members, remembers_versions=True
+    )
 
 
 def test_rows_of_another_member_are_not_echoed():
@@ -534,3 +538,53 @@
         return before, again, names(), unknown
 
     assert run(scenario) == ({"t1", "same"}, {"t1", "same"}, set(), [])
+
+
+def age_versions(view):
+    """Let a view have known the versions of targets for as long as a record lasts."""
+    view.versions_since_ms -= ORIGIN_LIFETIME_MS
+
+
+@pytest.mark.parametrize(
+    "fault",
+    ["none", "new member", "old member", "silent", "cut off", "restarted", "second"],
+)
+def test_stream_needs_a_record_unless_members_know_its_version(fault):
+    """Guards against a stream without a record that members would guess about."""
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        row = attrs.evolve(ROW, software_version="v1")
+        await controls.hubs[0].report(row)
+        await clock.sleep_ms(500)
+        age_versions(view)
+        origin = StreamOrigin("s", "v1", "t1", ROW.incarnation)
+        match fault:
+            case "new member":
+                for hub in controls.hubs:
+                    hub.epoch += 1
+            case "old member":
+                for hub in controls.hubs:
+                    hub._make_update = _without_versions(hub._make_update)
+            case "silent":
+                await clock.sleep_ms(HEARTBEAT_MS * 4)
+            case "cut off":
+                for node in controls.cluster.nodes:
+                    controls.network.cut(ENTRY.address, node.address)
+                await clock.sleep_ms(KEY_GRACE_MS)
+            case "restarted":
+                await controls.hubs[0].report(attrs.evolve(row, incarnation=11))
+            case "second":
+                other = attrs.evolve(
+                    row, name="t2", address=Address("10.0.2.2", 80), leaving=True
+                )
+                other = attrs.evolve(other, software_version="v2")
+                await controls.hubs[0].report(other)
+        await clock.sleep_ms(500)
+        return view.needs_record(origin)
+
+    assert run(scenario) == (fault != "none")
+
+
+def _without_versions(make_update):
+    return lambda *values: attrs.evolve(make_update(*values), remembers_versions=False)
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -174,7 +174,7 @@
             RetryBudget(),
             self.metrics,
             notices,
-            OriginClient(clock, None, lambda: []),
+            OriginClient(clock, None, view),
             seed=1,
         )
         (self.address,) = free_addresses(1)
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -62,6 +62,13 @@
     own_row: EntryRow = OWN_ENTRY
     quarantine: Quarantine = Quarantine(None)
     limits: TargetLimits = attrs.field(factory=lambda: TargetLimits(SystemClock()))
+    members: list = attrs.field(factory=list)
+
+    def ranked_members(self):
+        return self.members
+
+    def needs_record(self, origin):
+        return True
 
     def targets(self, service):
         return [row for row in self.rows if not row.leaving]
@@ -188,7 +195,8 @@
         notices = TargetNotices(clock, wire, known, lone_grants(clock, known), 1)
         known.quarantine = Quarantine(clock)
         link = members and members.start(clock, known)
-        origins = OriginClient(clock, link, lambda: members.addresses if link else [])
+        known.members = members.addresses if link else []
+        origins = OriginClient(clock, link, known)
         await curio.spawn(origins.run, daemon=True)
         placement = PlacementClient(
             None,
--- a/tests/test_stream_origins_fleet.py
+++ b/tests/test_stream_origins_fleet.py
@@ -9,7 +9,12 @@
 from tests.test_discovery import HEARTBEAT_MS, Controls
 from wagtailrun.consensus_state import Signal
 from wagtailrun.discovery import OriginClient, StreamOrigin
-from wagtailrun.discovery.stream_origins import StreamOrigins, stream_key
+from wagtailrun.discovery.origin_client import UNRECORDED_CHECK_MS
+from wagtailrun.discovery.stream_origins import (
+    ORIGIN_LIFETIME_MS,
+    StreamOrigins,
+    stream_key,
+)
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
@@ -30,6 +35,9 @@
 # more.
 MIN_CONTINUED_SHARE = 0.8
 MIN_TAKE_UPS = 12
+START_MS = 2_000
+# After this time entries leave out records while one version serves.
+LONG_START_MS = START_MS + ORIGIN_LIFETIME_MS
 
 
 class Entry:
@@ -45,7 +53,7 @@
         )
         link = fleet.controls.network.link(self.row.address)
         self.view = fleet.controls.view(self.row)
-        self.origins = OriginClient(fleet.clock, link, self.view.ranked_members)
+        self.origins = OriginClient(fleet.clock, link, self.view)
         self.has_ended = False
         # Wakes its streams in the same order in every run.
         self.ended = Signal()
@@ -77,13 +85,13 @@
         # Whether each stream went on whose version two targets served.
         self.continued = []
 
-    async def start(self):
+    async def start(self, start_ms=START_MS):
         self.controls = await Controls(self.clock, self.random.randrange(1_000)).start()
         for number in range(TARGETS):
             await self.add_target(number, "v0")
         await curio.spawn(self.report, daemon=True)
         self.entries = [await Entry(self, n).start() for n in range(ENTRIES)]
-        await self.clock.sleep_ms(2_000)
+        await self.clock.sleep_ms(start_ms)
 
     async def add_target(self, number, version):
         name = f"t{number}-{version}"
@@ -217,26 +225,111 @@
             gap_ms = self.random.expovariate(STREAMS_PER_S / 1_000)
             await self.clock.sleep_ms(int(gap_ms))
 
+    async def begin_streams(self, number):
+        """Begin streams at random entries; return their keys and versions."""
+        versions_by_key = {}
+        for each in range(number):
+            entry = self.random.choice(self.entries)
+            row = self.random.choice(entry.view.targets("s"))
+            version = row.software_version
+            origin = StreamOrigin("s", version, row.name, row.incarnation)
+            key = stream_key("w", f"begun {each}")
+            await entry.origins.record([key], origin)
+            versions_by_key[key] = version
+            await self.clock.sleep_ms(20)
+        return versions_by_key
+
+    def recorded_keys(self):
+        return {key for hub in self.controls.hubs for key in hub.origins.records_by_key}
+
+
+def run(scenario, seed=1):
+    async def main(clock):
+        fleet = Fleet(clock, seed)
+        await fleet.start(LONG_START_MS)
+        return await scenario(fleet)
+
+    return run_virtual(main)
+
+
+def test_streams_of_the_only_version_are_recorded_once_another_one_comes():
+    """Guards against records that cost bytes and memory on days without a release.
+
+    Also guards against streams that nobody knows when a release begins.
+    """
+
+    async def scenario(fleet):
+        begun = await fleet.begin_streams(40)
+        await fleet.clock.sleep_ms(1_000)
+        before = fleet.recorded_keys()
+        await fleet.add_target(1, "v1")
+        await fleet.clock.sleep_ms(UNRECORDED_CHECK_MS + 100)
+        await fleet.kill(range(ENTRIES))
+        await fleet.clock.sleep_ms(500)
+        found = {key: await fleet.entries[0].origins.find(key, ["s"]) for key in begun}
+        versions = {key: each.origin.software_version for key, each in found.items()}
+        return before, begun, versions, {each.detail for each in found.values()}
+
+    before, begun, versions, details = run(scenario)
+    assert (before, details) == (set(), {"record"})
+    assert versions == begun
+
+
+def test_streams_without_a_record_are_taken_up_while_one_version_serves():
+    """Guards against refusals of take-ups because no record was made."""
+
+    async def scenario(fleet):
+        begun = await fleet.begin_streams(10)
+        await fleet.kill(range(ENTRIES))
+        await fleet.clock.sleep_ms(500)
+        return [
+            (await fleet.entries[0].origins.find(key, ["s"])).origin.software_version
+            for key in begun
+        ]
+
+    assert run(scenario) == ["v0"] * 10
+
+
+def test_stream_without_a_record_is_refused_if_its_entry_and_version_end_together():
+    """Guards against a guess after all targets are replaced and all entries killed."""
+
+    async def scenario(fleet):
+        begun = await fleet.begin_streams(10)
+        for name, row in list(fleet.rows.items()):
+            fleet.rows[name] = attrs.evolve(
+                row, incarnation=fleet.clock.now_ms(), software_version="v1"
+            )
+        await fleet.kill(range(ENTRIES))
+        for name in fleet.rows:
+            await fleet.tell(name)
+        await fleet.clock.sleep_ms(500)
+        return {
+            (await fleet.entries[0].origins.find(key, ["s"])).origin for key in begun
+        }
+
+    assert run(scenario) == {None}
+
 
-def play(seed):
+def play(seed, start_ms):
     async def main(clock):
         fleet = Fleet(clock, seed)
-        await fleet.start()
+        await fleet.start(start_ms)
         await fleet.play()
         return fleet
 
     return run_virtual(main)
 
 
+@pytest.mark.parametrize("start_ms", [START_MS, LONG_START_MS])
 @pytest.mark.parametrize("seed", SEEDS)
-def test_streams_go_on_at_their_version_while_entries_are_killed(seed):
+def test_streams_go_on_at_their_version_while_entries_are_killed(seed, start_ms):
     """Guards against streams joined from two versions, and against needless refusals.
 
     Load: three releases, some of whose targets keep their names; entries are killed,
     at times all at once, and cut off; control members lose what they knew, one at a
     time.
     """
-    fleet = play(seed)
+    fleet = play(seed, start_ms)
     assert [pair for pair in fleet.joined if pair[0] != pair[1]] == []
     assert len(fleet.continued) >= MIN_TAKE_UPS
     assert sum(fleet.continued) / len(fleet.continued) >= MIN_CONTINUED_SHARE
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -292,6 +292,7 @@
             members=self._member_addresses(),
             crashes=self.quarantine.rows(crashes),
             limits=self.limits.rows(limits),
+            remembers_versions=True,
         )
 
     def _get_configuration_part(self, request: FetchConfiguration) -> ConfigurationPart:
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -228,6 +228,9 @@
         members: Peer addresses of the control members.
         crashes: Evidence of crashes under prompts that changed.
         limits: Limits of targets that changed.
+        remembers_versions: Whether the member remembers the software versions of
+            targets that were replaced under their names. One of an earlier build does
+            not.
     """
 
     marks: NewsMarks
@@ -238,6 +241,7 @@
     members: tuple[str, ...] = ()
     crashes: tuple[AgedEvidence, ...] = ()
     limits: tuple[AgedLimit, ...] = ()
+    remembers_versions: bool = False
 
 
 @attrs.frozen
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -1,7 +1,7 @@
 """Reports where streams began to control members, and asks them at a take-up."""
 
-from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections import defaultdict, deque
+from collections.abc import Sequence
 
 import attrs
 import curio
@@ -18,6 +18,7 @@
     StreamsBegun,
 )
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
+from wagtailrun.discovery.view import FleetView
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.ports.link import Address, PeerLink
 
@@ -36,6 +37,12 @@
 OTHER_REPLIES_MS = 20
 # Bounds the records that wait while no member replies; the oldest are dropped.
 MAX_PENDING = 4_096
+# How often an entry checks whether the streams that began without a record need one.
+# Those of entries that fail sooner after a new version came are refused.
+UNRECORDED_CHECK_MS = 250
+# Bounds the streams of a version without a record; 18 a second are 1,600 in 90 s. The
+# oldest beyond it are reported.
+MAX_UNRECORDED = 4_096
 
 
 @attrs.frozen
@@ -67,30 +74,57 @@
 class OriginClient:
     """An entry's side of the records of stream origins.
 
+    While targets of one version serve, members need no records: they answer a take-up
+    by the versions that they know. This entry then remembers the streams, and reports
+    them once there may be another version.
+
     Args:
         clock: Clock.
         link: Link to the control members.
-        members: Returns the control members, in this entry's order of preference.
+        view: This entry's view of the fleet.
     """
 
-    def __init__(
-        self, clock: Clock, link: PeerLink, members: Callable[[], Sequence[Address]]
-    ):
+    def __init__(self, clock: Clock, link: PeerLink, view: FleetView):
         self.clock = clock
         self.link = link
-        self.members = members
+        self.view = view
         self.pending: list[_Begun] = []
+        # Streams that need no record so far, by service and version, oldest first.
+        self.unrecorded_by_kind: dict[tuple[str, str], deque[_Begun]] = {}
         self.requested = Signal()
         self.avoid_until_ms: dict[Address, int] = {}
 
     # Records
 
     async def record(self, keys: Sequence[int], origin: StreamOrigin) -> None:
-        """Report soon that streams have begun; see ``stream_key``."""
+        """Report that streams have begun, soon or once members need it.
+
+        Args:
+            keys: Keys of the requests that began them, see ``stream_key``.
+            origin: Where they began.
+        """
         now_ms = self.clock.now_ms()
-        self._add_pending([_Begun(key, origin, now_ms) for key in keys])
+        begun = [_Begun(key, origin, now_ms) for key in keys]
+        if self.view.needs_record(origin):
+            self._add_pending(begun)
+        else:
+            kind = (origin.service, origin.software_version)
+            self.unrecorded_by_kind.setdefault(kind, deque()).extend(begun)
         await self.requested.notify()
 
+    def _check_unrecorded(self) -> None:
+        """Forget streams that have ended, and report those that now need a record."""
+        oldest_ms = self.clock.now_ms() - ORIGIN_LIFETIME_MS
+        for kind, streams in list(self.unrecorded_by_kind.items()):
+            while streams and streams[0].began_ms <= oldest_ms:
+                streams.popleft()
+            service, software_version = kind
+            is_due = self.view.single_version(service) != software_version
+            due = len(streams) if is_due else len(streams) - MAX_UNRECORDED
+            self._add_pending([streams.popleft() for _ in range(due)])
+            if not streams:
+                del self.unrecorded_by_kind[kind]
+
     def _add_pending(self, begun: list[_Begun]) -> None:
         self.pending.extend(begun)
         dropped = len(self.pending) - MAX_PENDING
@@ -102,7 +136,9 @@
         """Send the records until cancelled."""
         while True:
             if not self.pending:
-                await self.requested.wait()
+                await self._await_streams()
+                self._check_unrecorded()
+                continue
             begun, self.pending = self.pending, []
             message = self._make_message(begun)
             members = self._reachable_members()[:COPIES]
@@ -115,6 +151,13 @@
                 self._add_pending(newer)
             await self.clock.sleep_ms(RECORD_INTERVAL_MS)
 
+    async def _await_streams(self) -> None:
+        if self.unrecorded_by_kind:
+            limit_s = UNRECORDED_CHECK_MS / MS_PER_SECOND
+            await curio.ignore_after(limit_s, self.requested.wait)
+        else:
+            await self.requested.wait()
+
     def _make_message(self, begun: list[_Begun]) -> RecordOrigins:
         """Return the records, grouped so that each origin is named once."""
         now_ms = self.clock.now_ms()
@@ -144,7 +187,8 @@
         """Return the members, those that did not reply lately last."""
         now_ms = self.clock.now_ms()
         return sorted(
-            self.members(), key=lambda a: max(self.avoid_until_ms.get(a, 0) - now_ms, 0)
+            self.view.ranked_members(),
+            key=lambda a: max(self.avoid_until_ms.get(a, 0) - now_ms, 0),
         )
 
     # Searches
@@ -159,7 +203,7 @@
             key: Key of the request that began it; None if the caller does not name it.
             services: Services that the route of the take-up names.
         """
-        members = list(self.members())
+        members = self.view.ranked_members()
         question = FindOrigin(key or 0, services[0] if services else "")
         replies = await self._ask(members, question)
         origins = {
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -23,6 +23,7 @@
     StreamOrigin,
 )
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import MAX_PART_BYTES, ConfigurationTransfer
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
@@ -124,6 +125,9 @@
         # Newest revision that could not be parsed here.
         self.unreadable_revision = 0
         self.marks = NewsMarks()
+        # Since when the updates are of one incarnation of a control member that
+        # remembers the versions of targets; None if it does not.
+        self.versions_since_ms: int | None = None
         self.newer_revision_known = Signal()
         self.quarantine = Quarantine(clock)
         self.limits = TargetLimits(clock)
@@ -200,6 +204,42 @@
             if row.software_version == origin.software_version
         ]
 
+    def single_version(self, service: str) -> str:
+        """Return the only version that may have begun a stream within the last 90 s.
+
+        Control members then know the version of each stream without a record, as long
+        as they are not restarted.
+
+        Returns:
+            Empty if there are several, or they are not known for long enough.
+        """
+        now_ms = self.clock.now_ms()
+        since_ms = self.versions_since_ms
+        if since_ms is None or now_ms - since_ms < ORIGIN_LIFETIME_MS:
+            return ""
+        versions = self.membership.versions_since(service, now_ms - ORIGIN_LIFETIME_MS)
+        # A target without changes has sent no newer row.
+        rows = self.membership.rows_by_service.get(service, {}).values()
+        versions.update(row.software_version for row in rows if not row.leaving)
+        return versions.pop() if len(versions) == 1 else ""
+
+    def needs_record(self, origin: StreamOrigin) -> bool:
+        """Return whether members need a record of a stream that has just begun.
+
+        They need none if its version is the only one and they have had contact with its
+        target within the last seconds, so that they remember it for as long as a
+        record.
+        """
+        row = self.membership.targets_by_name.get(origin.target)
+        is_in_contact = (
+            self.is_fresh
+            and row is not None
+            and not row.silent
+            and row.incarnation == origin.incarnation
+        )
+        version = self.single_version(origin.service)
+        return not (is_in_contact and version and version == origin.software_version)
+
     def has_new_version(self, row: TargetRow) -> bool:
         """Return whether a target was started again with another software version."""
         known = self.membership.targets_by_name.get(row.name, row)
@@ -373,6 +413,10 @@
         self.quarantine.merge(news.crashes)
         self.limits.merge(news.limits)
         is_new_member = news.marks.epoch != self.marks.epoch
+        if not news.remembers_versions:
+            self.versions_since_ms = None
+        elif is_new_member or self.versions_since_ms is None:
+            self.versions_since_ms = self.clock.now_ms()
         self.marks = news.marks
         for report in (self.crash_report, self.limit_report):
             # Another member, or one that was restarted and may know nothing.
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -130,7 +130,7 @@
             self.granter,
             self.view.limits,
         )
-        self.origins = OriginClient(self.clock, self.link, self.view.ranked_members)
+        self.origins = OriginClient(self.clock, self.link, self.view)
         self.notices = TargetNotices(self.clock, protocol.wire, self.view, grants)
         self.http = HttpClient(self.clock, self.notices)
         self.max_entries_seen = 1
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -67,6 +67,7 @@
   members @5 :List(Text);
   crashes @6 :List(AgedEvidence);
   limits @7 :List(AgedLimit);
+  remembersVersions @8 :Bool;
 }
 
 struct ReportLeaving { target @0 :Text; incarnation @1 :UInt64; }
