Let streams go on at draining targets for half of their time

Cause: a target that reports that it drains was out of every choice at once, also for streams that it alone could continue; a stream whose version had only such targets left ended (docs/incidents/stream-software-versions.md). Established by the tests below.

Rows now tell a target that drains from one that signed off or said in an answer that it leaves; the latter is final and gets nothing. Streams go on at a draining target if all others of the version were tried, for half of target_drain_ms after the last confirmed poll before it drained. A target that an entry first knew as draining gets none, nor does any if members or entries of earlier builds passed its row on: they do not know the new field.

Holds now: with target_drain_ms set, a stream is continued there. Does not hold yet: the default is 0, as before, and deploy/entry.env does not set it: the name of the platform's placeholder could not be checked in the repository.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,6 +10,7 @@
 from wagtailrun.discovery.messages import (
     AgedEntry,
     ReportCrashes,
+    ReportLeaving,
     ReportLimits,
     ShareRows,
     StreamOrigin,
@@ -588,3 +589,67 @@
 
 def _without_versions(make_update):
     return lambda *values: attrs.evolve(make_update(*values), remembers_versions=False)
+
+
+DRAIN_MS = 3_000
+
+
+@pytest.mark.parametrize(
+    ("case", "expected"),
+    [
+        ("drains", [True, False]),
+        ("another serves", [False, False]),
+        ("another was tried", [True, False]),
+        ("said so in an answer", [False, False]),
+        ("signed off", [False, False]),
+        ("said so elsewhere", [False, False]),
+        ("learned late", [False, False]),
+        ("known only as draining", [False, False]),
+    ],
+)
+def test_stream_may_go_on_at_a_target_that_drains_for_a_while(case, expected):
+    """Guards against streams that end while a target of their version still answers.
+
+    Also guards against streams that are sent to it too late, or although it ends.
+    """
+
+    async def scenario(controls, clock):
+        view = controls.view(ENTRY)
+        view.target_drain_ms = DRAIN_MS
+        await curio.spawn(view.run, daemon=True)
+        row = attrs.evolve(ROW, software_version="v1")
+        draining = attrs.evolve(row, sequence=2, leaving=True, draining=True)
+        if case != "known only as draining":
+            await controls.hubs[0].report(row)
+        tried = ["t2"] if case == "another was tried" else []
+        if case.startswith("another"):
+            other = attrs.evolve(row, name="t2", address=Address("10.0.2.2", 80))
+            await controls.hubs[0].report(other)
+        await clock.sleep_ms(1_000)
+        if case == "learned late":
+            for node in controls.cluster.nodes:
+                controls.network.cut(ENTRY.address, node.address)
+        await controls.hubs[0].report(draining)
+        if case == "learned late":
+            await clock.sleep_ms(DRAIN_MS)
+            controls.network.heal()
+            while not view.has_left("t1"):
+                await clock.sleep_ms(50)
+        match case:
+            case "said so in an answer":
+                await view.mark_leaving(row)
+            case "signed off":
+                await controls.hubs[1].leave("t1", ROW.incarnation)
+            case "said so elsewhere":
+                await controls.hubs[2].handle(ReportLeaving("t1", ROW.incarnation))
+        await clock.sleep_ms(200)
+        assert view.has_left("t1")
+        assert "t1" not in [each.name for each in view.targets("s")]
+        found = []
+        for wait_ms in (0, DRAIN_MS // 2):
+            await clock.sleep_ms(wait_ms)
+            rows = view.targets_to_continue(StreamOrigin("s", "v1", "", 0), tried)
+            found.append("t1" in [each.name for each in rows])
+        return found
+
+    assert run(scenario) == expected
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -136,7 +136,8 @@
     assert (row.name, row.data_centre, row.capacity) == ("i-1", "riverside", 64)
     assert row.recency == (1_769_582_732_195, 4)
     assert row.software_version == "v1"
-    assert target_row_from_report("i-1", {**REPORT, "state": "draining"}).leaving
+    draining = target_row_from_report("i-1", {**REPORT, "state": "draining"})
+    assert (draining.leaving, draining.draining) == (True, True)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -73,10 +73,14 @@
     def targets(self, service):
         return [row for row in self.rows if not row.leaving]
 
-    def targets_to_continue(self, origin):
+    def targets_to_continue(self, origin, tried=()):
         version = origin.software_version
         rows = self.targets(origin.service)
-        return [row for row in rows if version and row.software_version == version]
+        rows = [row for row in rows if version and row.software_version == version]
+        if any(row.name not in tried for row in rows):
+            return rows
+        draining = [row for row in self.rows if row.draining]
+        return rows + [row for row in draining if row.software_version == version]
 
     def has_new_version(self, row):
         known = next((each for each in self.rows if each.name == row.name), row)
@@ -92,9 +96,18 @@
     def is_leaving(self, row):
         return any(each.leaving for each in self.rows if each.name == row.name)
 
+    def may_continue_at(self, row):
+        return all(
+            not each.leaving or each.draining
+            for each in self.rows
+            if each.name == row.name
+        )
+
     async def mark_leaving(self, row):
         self.rows = [
-            attrs.evolve(each, leaving=each.leaving or each.name == row.name)
+            attrs.evolve(each, leaving=True, draining=False)
+            if each.name == row.name
+            else each
             for each in self.rows
         ]
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -136,3 +136,42 @@
 def test_targets_of_unknown_versions_do_not_continue_a_stream():
     """Guards against two targets without a version that are taken for the same one."""
     assert run_stream([[BROKEN_FIRST], [GOOD]], ["", ""]) == (None, [0])
+
+
+def test_stream_goes_on_at_a_draining_target_of_its_version():
+    """Guards against a stream that ends while a target could still continue it.
+
+    Also guards against other requests to a target that drains.
+    """
+
+    async def client(address, fleet):
+        set_versions(fleet, "v1", "v1", "v2")
+        fleet.rows[1] = attrs.evolve(fleet.rows[1], leaving=True, draining=True)
+        body = (await send(address)).body
+        fleet.rows[0] = attrs.evolve(fleet.rows[0], leaving=True, draining=True)
+        other = (await send(address)).body
+        return body, other, [number for number, _ in fleet.seen]
+
+    engines = [[BROKEN_FIRST], [REST], [stream(event(1), fail=False)]]
+    found = run_relay(RouteKind.STREAM, engines, client, resumable=True)
+    assert found == (WHOLE, event(1), [0, 1, 2])
+
+
+def test_draining_target_that_says_it_leaves_gets_no_more_streams():
+    """Guards against streams to a target that told in an answer that it ends."""
+
+    def ends(request):
+        reply = stream(event(2))(request)
+        return attrs.evolve(reply, headers=(*reply.headers, ("Server-Leaving", "1")))
+
+    async def client(address, fleet):
+        set_versions(fleet, "v1", "v1")
+        fleet.rows[1] = attrs.evolve(fleet.rows[1], leaving=True, draining=True)
+        for _ in range(2):
+            with pytest.raises(TargetFailed):
+                await send(address)
+        return [number for number, _ in fleet.seen]
+
+    engines = [[BROKEN_FIRST], [ends]]
+    found = run_relay(RouteKind.STREAM, engines, client, resumable=True)
+    assert found == [0, 1, 0]
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -205,7 +205,7 @@
                 return False
             row = TargetRow(name, UNKNOWN_ADDRESS, "", "", 0, incarnation)
         if not incarnation or incarnation >= row.incarnation:
-            await self.report(attrs.evolve(row, leaving=True))
+            await self.report(attrs.evolve(row, leaving=True, draining=False))
         return True
 
     def _retire_address(self, row: TargetRow, now_ms: int) -> None:
@@ -216,10 +216,10 @@
         """
         for other in list(self.membership.targets_by_name.values()):
             conflicts = other.address == row.address and other.name != row.name
-            if not conflicts or other.leaving:
+            if not conflicts or (other.leaving and not other.draining):
                 continue
             older = min(other, row, key=lambda each: each.incarnation)
-            retired = attrs.evolve(older, leaving=True)
+            retired = attrs.evolve(older, leaving=True, draining=False)
             if self.membership.put(retired, now_ms):
                 self.reported_targets.record_change(retired.name)
                 self._log_target(retired)
@@ -234,6 +234,7 @@
             sequence=row.sequence,
             software_version=row.software_version,
             leaving=row.leaving,
+            draining=row.draining,
             silent=row.silent,
         )
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -1,7 +1,7 @@
 """Discovery at an entry: fleet configuration, targets and the other entries."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, TypeVar
 
 import attrs
@@ -62,6 +62,10 @@
 # delay the events of all streams.
 MAX_INLINE_TEXT_BYTES = 64 * 1024
 
+# Share of the time in which draining targets take streams that is used here: the entry
+# may learn late that a target drains, and what it sends must arrive in time.
+SAFE_DRAIN_SHARE = 0.5
+
 T = TypeVar("T")
 
 
@@ -92,6 +96,7 @@
         configuration_format: Parses the fleet configuration.
         key_grace_ms: How long keys may be used after their last confirmation.
         apply_limit_ms: Time within which a change must be in force here.
+        target_drain_ms: How long a target that drains may be sent streams to continue.
     """
 
     def __init__(
@@ -103,6 +108,7 @@
         configuration_format: ConfigurationFormat,
         key_grace_ms: float,
         apply_limit_ms: float,
+        target_drain_ms: float = 0,
     ):
         self.clock = clock
         self.link = link
@@ -111,6 +117,9 @@
         self.configuration_format = configuration_format
         self.key_grace_ms = key_grace_ms
         self.apply_limit_ms = apply_limit_ms
+        self.target_drain_ms = target_drain_ms
+        # Until when streams may go on at draining targets.
+        self.drain_ends_ms_by_name: dict[str, float] = {}
         self.membership = Membership(own.data_centre)
         self.membership.unconfirmed = True
         # The newest target at each address.
@@ -183,12 +192,19 @@
         active = [row for row in rows if not row.leaving]
         return [row for row in active if not row.silent] or active
 
-    def targets_to_continue(self, origin: StreamOrigin) -> list[TargetRow]:
+    def targets_to_continue(
+        self, origin: StreamOrigin, tried: Collection[str] = ()
+    ) -> list[TargetRow]:
         """Return the targets at which a stream may go on.
 
         They have the software version of the target that began it. If that target was
         started again under its name with another version, it is not known which of the
-        two versions sent the first event, and there are none.
+        two versions sent the first event, and there are none. Targets that drain are
+        returned only if the others were tried.
+
+        Args:
+            origin: Where the stream began.
+            tried: Names of targets that were already tried.
         """
         known = self.membership.targets_by_name.get(origin.target)
         is_ambiguous = (
@@ -198,12 +214,46 @@
         )
         if is_ambiguous or not origin.software_version:
             return []
-        return [
+        version = origin.software_version
+        rows = self.targets(origin.service)
+        rows = [row for row in rows if row.software_version == version]
+        if any(row.name not in tried for row in rows):
+            return rows
+        known = self.membership.rows_by_service.get(origin.service, {}).values()
+        draining = [row for row in known if row.draining]
+        return rows + [
             row
-            for row in self.targets(origin.service)
-            if row.software_version == origin.software_version
+            for row in draining
+            if row.software_version == version and self.may_continue_at(row)
         ]
 
+    def may_continue_at(self, row: TargetRow) -> bool:
+        """Return whether a stream that has begun may be sent to a target now.
+
+        A target that drains may get it for a while, one that said in an answer that it
+        leaves may not.
+        """
+        known = self.membership.targets_by_name.get(row.name, row)
+        if known.incarnation > row.incarnation:
+            return False
+        if not known.leaving:
+            return True
+        ends_ms = self.drain_ends_ms_by_name.get(row.name, 0)
+        return known.draining and self.clock.now_ms() < ends_ms
+
+    def _record_draining(self, row: TargetRow) -> None:
+        """Record until when a target that begins to drain may be sent streams.
+
+        The time counts from the last confirmed poll before that: then it had not told
+        any member. It is not known of a target that drained when it became known.
+        """
+        known = self.membership.targets_by_name.get(row.name)
+        if known is None or known.incarnation < row.incarnation:
+            self.drain_ends_ms_by_name.pop(row.name, None)
+        elif row.draining and not known.leaving and self.confirmed_ms is not None:
+            limit_ms = self.target_drain_ms * SAFE_DRAIN_SHARE
+            self.drain_ends_ms_by_name[row.name] = self.confirmed_ms + limit_ms
+
     def single_version(self, service: str) -> str:
         """Return the only version that may have begun a stream within the last 90 s.
 
@@ -262,7 +312,7 @@
 
     async def mark_leaving(self, row: TargetRow) -> None:
         """Use a target no more, as it said that it leaves; tell the other entries."""
-        self._put_target(attrs.evolve(row, leaving=True), 0)
+        self._put_target(attrs.evolve(row, leaving=True, draining=False), 0)
         self.on_targets_changed()
         await curio.spawn(self._report_leaving, row, daemon=True)
 
@@ -398,6 +448,7 @@
 
     async def _apply_update(self, news: News) -> None:
         for aged in news.targets:
+            self._record_draining(aged.row)
             self._put_target(aged.row, aged.age_ms)
         if news.targets:
             self.on_targets_changed()
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -43,6 +43,8 @@
         silent: Whether a watching entry found it unresponsive at this sequence.
         software_version: Version of its software; empty if it states none. Streams go
             on only at a target of the version that began them.
+        draining: Whether a leaving target has announced that it still answers for a
+            while. Streams may go on there; it gets no other requests.
     """
 
     name: str
@@ -63,6 +65,7 @@
     checks_fencing: bool = False
     silent: bool = False
     software_version: str = ""
+    draining: bool = False
 
     @property
     def recency(self) -> tuple[int, int]:
@@ -70,13 +73,21 @@
         return (self.incarnation, self.sequence)
 
     @property
-    def precedence(self) -> tuple[int, bool, int, bool]:
+    def precedence(self) -> tuple[int, bool, bool, int, bool]:
         """Sort key for rows of the same target; the greater row replaces the other.
 
         A shutdown row is greater than every announcement of its incarnation, so an
-        announcement that was delayed in the network cannot undo it.
+        announcement that was delayed in the network cannot undo it. One of a target
+        that takes nothing more is greater than one of a target that drains.
         """
-        return (self.incarnation, self.leaving, self.sequence, self.silent)
+        is_closed = self.leaving and not self.draining
+        return (
+            self.incarnation,
+            self.leaving,
+            is_closed,
+            self.sequence,
+            self.silent,
+        )
 
 
 def short_id(name: str) -> int:
@@ -92,6 +103,7 @@
     return (
         row.incarnation,
         row.leaving,
+        row.draining,
         row.silent,
         row.address,
         row.service,
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -243,7 +243,7 @@
     def _targets(self, job: RelayJob) -> list[TargetRow]:
         """Return the targets that may run a request, or continue its stream."""
         if job.origin is not None:
-            return self.view.targets_to_continue(job.origin)
+            return self.view.targets_to_continue(job.origin, job.tried_targets)
         return self.view.targets(job.service)
 
     def _send_refusal(self, job: RelayJob, runs: int) -> Refusal | None:
@@ -480,7 +480,11 @@
     def _may_send(self, job: RelayJob, row: TargetRow, runs: int) -> bool:
         """Return whether a request may be sent on a connection that is open by now."""
         refusal = self._send_refusal(job, runs)
-        return refusal is None and not self.view.is_leaving(row)
+        if refusal is not None:
+            return False
+        if job.origin is not None:
+            return self.view.may_continue_at(row)
+        return not self.view.is_leaving(row)
 
     async def _skip_crossed_answers(
         self, job: RelayJob, stream: HttpStream
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -116,6 +116,7 @@
             protocol.configuration_format,
             settings.key_grace_ms,
             settings.apply_limit_ms,
+            settings.target_drain_ms,
         )
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -94,7 +94,7 @@
         else:
             self.view.limits.record_answer(row, notice.limit_per_s, sent_ms)
             await self.view.report_changes()
-        if notice.leaving and not row.leaving:
+        if notice.leaving and (not row.leaving or row.draining):
             events.log(
                 events.TARGET_NOTICE,
                 target=row.name,
--- a/wagtailrun/schema/gossip.capnp
+++ b/wagtailrun/schema/gossip.capnp
@@ -39,6 +39,7 @@
   checksFencing @15 :Bool;
   silent @16 :Bool;
   softwareVersion @17 :Text;
+  draining @18 :Bool;
 }
 
 struct AgedRow { row @0 :TargetRow; ageMs @1 :UInt64; }
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -318,6 +318,12 @@
         "milliseconds.",
         4_000,
     )
+    target_drain_ms: float = _setting(
+        _milliseconds(0),
+        "How long targets that drain take streams that began before, in milliseconds; "
+        "0 if they take none.",
+        0,
+    )
     drain_notice_ms: float | None = _setting(
         _milliseconds(0),
         "How long to serve new requests after a stop signal, in milliseconds; by "
