Test that numbers of events may jump

Assumption 9 of docs/platform.md had no test. The platform says that numbers increase, not by how much; a rule of one would break sound streams, and a gap shows no loss.

Assumption 8 stays, too: nothing in platform/, wagtailrun/relay/ or the fake targets marks the end of a relayed stream, so that a body without a length that ends between two events cannot be told from a whole one. test_notices.py::test_body_that_ends_with_its_connection shows it.

--- a/tests/test_stream_errors.py
+++ b/tests/test_stream_errors.py
@@ -103,3 +103,20 @@
     block = b"id: 4\ndata: HTTP/1.1 500 Internal\ndata: Content-Length: 4\n\n"
     (quoting,) = EventSplitter().feed(block)
     assert not quoting.has_http_head
+
+
+def test_numbers_that_jump_are_passed_on():
+    """Guards against sound streams that break because their numbers have gaps.
+
+    The platform says that they increase, not by how much, so a gap shows no loss. A
+    stream that breaks after one goes on behind its newest number.
+    """
+
+    async def client(address, fleet):
+        body = (await send(address)).body
+        resumed = [request.headers.get("last-event-id") for _, request in fleet.seen]
+        return body, resumed
+
+    engines = [[stream(event(1) + event(7))], [stream(event(9), fail=False)]]
+    found = run_relay(RouteKind.STREAM, engines, client, resumable=True)
+    assert found == (event(1) + event(7) + event(9), [None, "7"])
