--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -63,14 +63,25 @@
     own_row: EntryRow = OWN_ENTRY
     quarantine: Quarantine = Quarantine(None)
     limits: TargetLimits = attrs.field(factory=lambda: TargetLimits(SystemClock()))
+    members: list = attrs.field(factory=list)
+
+    def ranked_members(self):
+        return self.members
+
+    def needs_record(self, origin):
+        return True
 
     def targets(self, service):
         return [row for row in self.rows if not row.leaving]
 
-    def targets_to_continue(self, origin):
+    def targets_to_continue(self, origin, tried=()):
         version = origin.software_version
         rows = self.targets(origin.service)
-        return [row for row in rows if version and row.software_version == version]
+        rows = [row for row in rows if version and row.software_version == version]
+        if any(row.name not in tried for row in rows):
+            return rows
+        draining = [row for row in self.rows if row.draining]
+        return rows + [row for row in draining if row.software_version == version]
 
     def has_new_version(self, row):
         known = next((each for each in self.rows if each.name == row.name), row)
@@ -86,9 +97,18 @@
     def is_leaving(self, row):
         return any(each.leaving for each in self.rows if each.name == row.name)
 
+    def may_continue_at(self, row):
+        return all(
+            not each.leaving or each.draining
+            for each in self.rows
+            if each.name == row.name
+        )
+
     async def mark_leaving(self, row):
         self.rows = [
-            attrs.evolve(each, leaving=each.leaving or each.name == row.name)
+            attrs.evolve(each, leaving=True, draining=False)
+            if each.name == row.name
+            else each
             for each in self.rows
         ]
 
@@ -191,7 +211,8 @@
         notices = TargetNotices(clock, wire, known, lone_grants(clock, known), 1)
         known.quarantine = Quarantine(clock)
         link = members and members.start(clock, known)
-        origins = OriginClient(clock, link, lambda: members.addresses if link else [])
+        known.members = members.addresses if link else []
+        origins = OriginClient(clock, link, known)
         await curio.spawn(origins.run, daemon=True)
         placement = PlacementClient(
             None,
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -1,7 +1,7 @@
 """Discovery at an entry: fleet configuration, targets and the other entries."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, TypeVar
 
 import attrs
@@ -23,6 +23,7 @@
     StreamOrigin,
 )
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import MAX_PART_BYTES, ConfigurationTransfer
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
@@ -61,6 +62,10 @@
 # delay the events of all streams.
 MAX_INLINE_TEXT_BYTES = 64 * 1024
 
+# Share of the time in which draining targets take streams that is used here: the entry
+# may learn late that a target drains, and what it sends must arrive in time.
+SAFE_DRAIN_SHARE = 0.5
+
 T = TypeVar("T")
 
 
@@ -91,6 +96,7 @@
         configuration_format: Parses the fleet configuration.
         key_grace_ms: How long keys may be used after their last confirmation.
         apply_limit_ms: Time within which a change must be in force here.
+        target_drain_ms: How long a target that drains may be sent streams to continue.
     """
 
     def __init__(
@@ -102,6 +108,7 @@
         configuration_format: ConfigurationFormat,
         key_grace_ms: float,
         apply_limit_ms: float,
+        target_drain_ms: float = 0,
     ):
         self.clock = clock
         self.link = link
@@ -110,6 +117,9 @@
         self.configuration_format = configuration_format
         self.key_grace_ms = key_grace_ms
         self.apply_limit_ms = apply_limit_ms
+        self.target_drain_ms = target_drain_ms
+        # Until when streams may go on at draining targets.
+        self.drain_ends_ms_by_name: dict[str, float] = {}
         self.membership = Membership(own.data_centre)
         self.membership.unconfirmed = True
         # The newest target at each address.
@@ -124,6 +134,9 @@
         # Newest revision that could not be parsed here.
         self.unreadable_revision = 0
         self.marks = NewsMarks()
+        # Since when the updates are of one incarnation of a control member that
+        # remembers the versions of targets; None if it does not.
+        self.versions_since_ms: int | None = None
         self.newer_revision_known = Signal()
         self.quarantine = Quarantine(clock)
         self.limits = TargetLimits(clock)
@@ -184,12 +197,19 @@
         rows = self.membership.targets_by_name.values()
         return [row.address for row in rows if not (row.leaving or row.silent)]
 
-    def targets_to_continue(self, origin: StreamOrigin) -> list[TargetRow]:
+    def targets_to_continue(
+        self, origin: StreamOrigin, tried: Collection[str] = ()
+    ) -> list[TargetRow]:
         """Return the targets at which a stream may go on.
 
         They have the software version of the target that began it. If that target was
         started again under its name with another version, it is not known which of the
-        two versions sent the first event, and there are none.
+        two versions sent the first event, and there are none. Targets that drain are
+        returned only if the others were tried.
+
+        Args:
+            origin: Where the stream began.
+            tried: Names of targets that were already tried.
         """
         known = self.membership.targets_by_name.get(origin.target)
         is_ambiguous = (
@@ -199,12 +219,82 @@
         )
         if is_ambiguous or not origin.software_version:
             return []
-        return [
+        version = origin.software_version
+        rows = self.targets(origin.service)
+        rows = [row for row in rows if row.software_version == version]
+        if any(row.name not in tried for row in rows):
+            return rows
+        known = self.membership.rows_by_service.get(origin.service, {}).values()
+        draining = [row for row in known if row.draining]
+        return rows + [
             row
-            for row in self.targets(origin.service)
-            if row.software_version == origin.software_version
+            for row in draining
+            if row.software_version == version and self.may_continue_at(row)
         ]
 
+    def may_continue_at(self, row: TargetRow) -> bool:
+        """Return whether a stream that has begun may be sent to a target now.
+
+        A target that drains may get it for a while, one that said in an answer that it
+        leaves may not.
+        """
+        known = self.membership.targets_by_name.get(row.name, row)
+        if known.incarnation > row.incarnation:
+            return False
+        if not known.leaving:
+            return True
+        ends_ms = self.drain_ends_ms_by_name.get(row.name, 0)
+        return known.draining and self.clock.now_ms() < ends_ms
+
+    def _record_draining(self, row: TargetRow) -> None:
+        """Record until when a target that begins to drain may be sent streams.
+
+        The time counts from the last confirmed poll before that: then it had not told
+        any member. It is not known of a target that drained when it became known.
+        """
+        known = self.membership.targets_by_name.get(row.name)
+        if known is None or known.incarnation < row.incarnation:
+            self.drain_ends_ms_by_name.pop(row.name, None)
+        elif row.draining and not known.leaving and self.confirmed_ms is not None:
+            limit_ms = self.target_drain_ms * SAFE_DRAIN_SHARE
+            self.drain_ends_ms_by_name[row.name] = self.confirmed_ms + limit_ms
+
+    def single_version(self, service: str) -> str:
+        """Return the only version that may have begun a stream within the last 90 s.
+
+        Control members then know the version of each stream without a record, as long
+        as they are not restarted.
+
+        Returns:
+            Empty if there are several, or they are not known for long enough.
+        """
+        now_ms = self.clock.now_ms()
+        since_ms = self.versions_since_ms
+        if since_ms is None or now_ms - since_ms < ORIGIN_LIFETIME_MS:
+            return ""
+        versions = self.membership.versions_since(service, now_ms - ORIGIN_LIFETIME_MS)
+        # A target without changes has sent no newer row.
+        rows = self.membership.rows_by_service.get(service, {}).values()
+        versions.update(row.software_version for row in rows if not row.leaving)
+        return versions.pop() if len(versions) == 1 else ""
+
+    def needs_record(self, origin: StreamOrigin) -> bool:
+        """Return whether members need a record of a stream that has just begun.
+
+        They need none if its version is the only one and they have had contact with its
+        target within the last seconds, so that they remember it for as long as a
+        record.
+        """
+        row = self.membership.targets_by_name.get(origin.target)
+        is_in_contact = (
+            self.is_fresh
+            and row is not None
+            and not row.silent
+            and row.incarnation == origin.incarnation
+        )
+        version = self.single_version(origin.service)
+        return not (is_in_contact and version and version == origin.software_version)
+
     def has_new_version(self, row: TargetRow) -> bool:
         """Return whether a target was started again with another software version."""
         known = self.membership.targets_by_name.get(row.name, row)
@@ -231,7 +321,7 @@
 
     async def mark_leaving(self, row: TargetRow) -> None:
         """Use a target no more, as it said that it leaves; tell the other entries."""
-        self._put_target(attrs.evolve(row, leaving=True), 0)
+        self._put_target(attrs.evolve(row, leaving=True, draining=False), 0)
         self.on_targets_changed()
         await curio.spawn(self._report_leaving, row, daemon=True)
 
@@ -367,6 +457,7 @@
 
     async def _apply_update(self, news: News) -> None:
         for aged in news.targets:
+            self._record_draining(aged.row)
             self._put_target(aged.row, aged.age_ms)
         if news.targets:
             self.on_targets_changed()
@@ -382,6 +473,10 @@
         self.quarantine.merge(news.crashes)
         self.limits.merge(news.limits)
         is_new_member = news.marks.epoch != self.marks.epoch
+        if not news.remembers_versions:
+            self.versions_since_ms = None
+        elif is_new_member or self.versions_since_ms is None:
+            self.versions_since_ms = self.clock.now_ms()
         self.marks = news.marks
         for report in (self.crash_report, self.limit_report):
             # Another member, or one that was restarted and may know nothing.
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -285,7 +285,7 @@
     def _targets(self, job: RelayJob) -> list[TargetRow]:
         """Return the targets that may run a request, or continue its stream."""
         if job.origin is not None:
-            return self.view.targets_to_continue(job.origin)
+            return self.view.targets_to_continue(job.origin, job.tried_targets)
         return self.view.targets(job.service)
 
     def _send_refusal(self, job: RelayJob, runs: int) -> Refusal | None:
@@ -529,7 +529,12 @@
     def _may_send(self, job: RelayJob, row: TargetRow, runs: int) -> bool:
         """Return whether a request may be sent on a connection that is open by now."""
         refusal = self._send_refusal(job, runs)
-        may_send = refusal is None and not self.view.is_leaving(row)
+        if refusal is not None:
+            return False
+        if job.origin is not None:
+            may_send = self.view.may_continue_at(row)
+        else:
+            may_send = not self.view.is_leaving(row)
         if may_send:
             job.sent_ms = self.clock.now_ms()
         return may_send
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -122,6 +122,7 @@
             protocol.configuration_format,
             settings.key_grace_ms,
             settings.apply_limit_ms,
+            settings.target_drain_ms,
         )
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
@@ -136,7 +137,7 @@
             self.granter,
             self.view.limits,
         )
-        self.origins = OriginClient(self.clock, self.link, self.view.ranked_members)
+        self.origins = OriginClient(self.clock, self.link, self.view)
         self.connector = PathConnector(self.clock, self.link, self.view)
         self.notices = TargetNotices(
             self.clock,
