Read and share what brittle targets say

Cause: the platform's protocol now has a header by which targets say that they are brittle, with the rejections a second that they stand. No module read it.

The table of limits holds it as a second bound of a target, with its own age: an answer that names one bound says nothing that ends the other too early. The row has new fields at its end; rows of earlier builds have the age of nothing known, so they end no belief. Values that cannot be read are logged (event 716) and change nothing. Event 724 shows each belief, its change and its end.

Before: no field. Nothing acts on the belief yet.

--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -32,8 +32,13 @@
     "StreamOrigin",
     "StreamsBegun",
     "TargetLimit",
+    "UNKNOWN_AGE_MS",
 ]
 
+# Age of a bound of which nothing is known: older than any observation. It is also the
+# default in the schema, for rows of earlier builds, which do not know brittleness.
+UNKNOWN_AGE_MS = 10**15
+
 
 @attrs.frozen(order=True)
 class PartSet:
@@ -73,27 +78,48 @@
 
 @attrs.frozen
 class TargetLimit:
-    """Limit of the requests that a target takes from all VMs together.
+    """Bounds that a target names.
 
     Attributes:
         target: Name of the target.
         incarnation: Its incarnation.
         is_limited: Whether it names a limit; otherwise an earlier one has ended.
-        per_second: Requests a second.
+        per_second: Requests a second that it takes from all VMs together.
+        is_brittle: Whether it says that it is brittle.
+        max_rejections: Rejections a second that it stands then, those of all VMs.
     """
 
     target: str
     incarnation: int
     is_limited: bool
     per_second: float
+    is_brittle: bool = False
+    max_rejections: float = 0.0
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests a second that the target takes; None without a limit."""
+        return self.per_second if self.is_limited else None
+
+    @property
+    def brittle_bound(self) -> float | None:
+        """Rejections a second that the target stands; None if it is not brittle."""
+        return self.max_rejections if self.is_brittle else None
 
 
 @attrs.frozen
 class AgedLimit:
-    """A limit and the time since it was observed."""
+    """Bounds of a target and the times since they were observed.
+
+    Attributes:
+        limit: The bounds.
+        age_ms: Age of the limit of requests.
+        brittle_age_ms: Age of the brittleness.
+    """
 
     limit: TargetLimit
     age_ms: int
+    brittle_age_ms: int = UNKNOWN_AGE_MS
 
 
 @attrs.frozen
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -245,7 +245,7 @@
 TARGET_LIMIT_MALFORMED = _event(
     716,
     logging.WARNING,
-    "An answer names a limit of requests that cannot be read; it changes nothing.",
+    "An answer names a bound of the target that cannot be read; it changes nothing.",
     "Correct the target.",
     per_second=1,
 )
@@ -255,6 +255,25 @@
     "A request was not sent to a target because of the target's limit.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+TARGET_BRITTLENESS_CHANGED = _event(
+    724,
+    logging.WARNING,
+    "A target says that rejections may end it, or no longer does.",
+    "Find out why the target is in need.",
+    per_second=20,
+)
+SLOT_DENIED = _event(
+    725,
+    logging.INFO,
+    "A request was not sent to a brittle target, which may have no room for it.",
+    per_second=REQUEST_LINES_PER_SECOND,
+)
+BRITTLE_TARGET_REJECTED = _event(
+    726,
+    logging.WARNING,
+    "A brittle target turned a request away; it gets none for a second, then fewer.",
+    per_second=20,
+)
 STREAM_TAKEN_UP = _event(
     718,
     logging.INFO,
--- a/wagtailrun/relay/__init__.py
+++ b/wagtailrun/relay/__init__.py
@@ -4,7 +4,7 @@
 from wagtailrun.relay.port import (
     AnswerHead,
     AttemptContext,
-    MalformedLimit,
+    MalformedBound,
     PromptPart,
     RelayRequest,
     RelayWire,
@@ -15,7 +15,7 @@
 __all__ = [
     "AnswerHead",
     "AttemptContext",
-    "MalformedLimit",
+    "MalformedBound",
     "PromptPart",
     "RelayHandler",
     "RelayRequest",
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -11,7 +11,7 @@
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.port import MalformedLimit, RelayWire
+from wagtailrun.relay.port import MalformedBound, RelayWire
 from wagtailrun.relay.send_grants import GrantClient
 
 __all__ = ["TargetNotices"]
@@ -84,16 +84,16 @@
             self._pause(row, notice.pause_ms)
         else:
             self._end_trial(address)
-        if isinstance(notice.limit_per_s, MalformedLimit):
-            events.log(
-                events.TARGET_LIMIT_MALFORMED,
-                target=row.name,
-                incarnation=row.incarnation,
-                value=notice.limit_per_s.text,
-            )
-        else:
-            self.view.limits.record_answer(row, notice.limit_per_s, sent_ms)
-            await self.view.report_changes()
+        limits = self.view.limits
+        for bound, record in (
+            (notice.limit_per_s, limits.record_answer),
+            (notice.max_rejections, limits.record_brittleness),
+        ):
+            if isinstance(bound, MalformedBound):
+                _log_malformed(row, bound)
+            else:
+                record(row, bound, sent_ms)
+        await self.view.report_changes()
         if notice.leaving and not row.leaving:
             events.log(
                 events.TARGET_NOTICE,
@@ -219,3 +219,12 @@
             row = self.view.row_at(address)
             if row is None or row.incarnation != pause.incarnation:
                 del self.pauses_by_address[address]
+
+
+def _log_malformed(row: TargetRow, bound: MalformedBound) -> None:
+    events.log(
+        events.TARGET_LIMIT_MALFORMED,
+        target=row.name,
+        incarnation=row.incarnation,
+        value=bound.text,
+    )
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -13,7 +13,7 @@
     "AnswerHead",
     "AnswerProgress",
     "AttemptContext",
-    "MalformedLimit",
+    "MalformedBound",
     "PromptPart",
     "RelayRequest",
     "RelayWire",
@@ -106,8 +106,8 @@
 
 
 @attrs.frozen
-class MalformedLimit:
-    """A limit of requests that cannot be read.
+class MalformedBound:
+    """A bound that a target names and that cannot be read.
 
     Attributes:
         text: The value, shortened.
@@ -125,11 +125,16 @@
         pause_ms: How long it wants no requests from this VM; 0 if it asks for no pause.
         limit_per_s: Requests a second that it takes from all VMs together; None if it
             names no limit.
+        max_rejections: Requests a second that it may turn away before it fails, those
+            of all VMs together; None if it does not say that it is brittle.
+        rejected: Whether it turned this request away without running it.
     """
 
     leaving: bool = False
     pause_ms: int = 0
-    limit_per_s: float | MalformedLimit | None = None
+    limit_per_s: float | MalformedBound | None = None
+    max_rejections: float | MalformedBound | None = None
+    rejected: bool = False
 
 
 class AnswerProgress(enum.StrEnum):
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -47,9 +47,15 @@
   incarnation @1 :UInt64;
   isLimited @2 :Bool;
   perSecond @3 :Float64;
+  isBrittle @4 :Bool;
+  maxRejections @5 :Float64;
 }
 
-struct AgedLimit { limit @0 :TargetLimit; ageMs @1 :UInt64; }
+struct AgedLimit {
+  limit @0 :TargetLimit;
+  ageMs @1 :UInt64;
+  brittleAgeMs @2 :UInt64 = 1000000000000000;  # Earlier builds say nothing of it.
+}
 
 struct PollNews {
   entry @0 :Gossip.EntryRow;
