Grant requests to brittle targets by their slots

Cause: a brittle target ends once it turns away more than N requests in a second, those of all entries together, and may let fewer wait than before. Each entry sent what it saw fit.

The owner of the service now grants each request (plain, stream, stage call) to a brittle target, at most as many in progress as it has slots. Entries number their requests and state those in progress with each message, at an end, each second and to each new owner, so that lost or reordered messages and restarts correct themselves. A new owner counts for 400 ms. Where a single rejection ends the target, an entry was lost within 20 s, or after a rejection, requests beyond what the target has accepted go one at a time (N at a time if N is above 1). A rejection ends all grants for 1.2 s and lowers the room. Releases of results take no slot.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -359,7 +359,7 @@
     def __init__(self):
         self.permits = 1
 
-    async def request_permit(self, address, urgency):
+    async def request_permit(self, address, urgency, takes_slot):
         if not self.permits:
             raise TargetPaused("no permit", 1_000)
         self.permits -= 1
@@ -367,6 +367,9 @@
     def check(self, address, permit):
         pass
 
+    async def record_end(self, permit, completed):
+        pass
+
     async def record_answer(self, address, stream, sent_ms):
         pass
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -22,6 +22,7 @@
     Verdict,
 )
 from wagtailrun.fairness import Turns
+from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -207,24 +208,29 @@
     """Permission to send one request to a server that limits its requests.
 
     Attributes:
-        incarnation: Incarnation of the server.
-        expires_ms: Until when it may be sent.
+        target: The server.
+        expires_ms: Until when it may be sent; 0 if the server needed no permit.
+        number: Number of the request; 0 if it takes no slot of the server.
     """
 
-    incarnation: int
+    target: TargetRow
     expires_ms: int
+    number: int = 0
 
 
 class TargetObserver(ABC):
     """Decides about requests to servers by what their answers say about them."""
 
     @abstractmethod
-    async def request_permit(self, address: Address, urgency: int) -> SendPermit | None:
+    async def request_permit(
+        self, address: Address, urgency: int, takes_slot: bool
+    ) -> SendPermit | None:
         """Permit a request before a connection is opened for it.
 
         Args:
             address: Address of the server.
             urgency: Rank of the request, 0 to 9; 0 goes first.
+            takes_slot: Whether the request waits for a slot of the server and takes it.
 
         Returns:
             None if the server needs no permits.
@@ -241,6 +247,15 @@
             TargetPaused: If the server must not get the request now.
         """
 
+    @abstractmethod
+    async def record_end(self, permit: SendPermit | None, completed: bool) -> None:
+        """Record the end of a request that was permitted, sent or not.
+
+        Args:
+            permit: Its permit.
+            completed: Whether its answer was read to the end, or it was not sent.
+        """
+
     @abstractmethod
     async def record_answer(
         self, address: Address, stream: HttpStream, sent_ms: int
@@ -375,6 +390,7 @@
         new_connection: bool = False,
         host: str | None = None,
         urgency: int = DEFAULT_URGENCY,
+        takes_slot: bool = True,
     ) -> HttpReply:
         """Send a request and return the complete response.
 
@@ -389,6 +405,7 @@
             new_connection: Whether to bypass the pool of idle connections.
             host: Value of the Host header; by default the address.
             urgency: Rank of the request, 0 to 9; 0 goes first.
+            takes_slot: Whether the request waits for a slot of the server and takes it.
 
         Raises:
             TargetFailed: With the verdict ``not-run`` if no byte was sent.
@@ -403,6 +420,7 @@
             new_connection=new_connection,
             host=host,
             urgency=urgency,
+            takes_slot=takes_slot,
         ) as stream:
             data = await stream.read_all(timeout_ms)
             return HttpReply(stream.status, stream.headers, data)
@@ -425,6 +443,7 @@
         urgency: int = DEFAULT_URGENCY,
         identity: str = "",
         confirmed: bool = True,
+        takes_slot: bool = True,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as a stream; see ``request``.
 
@@ -446,6 +465,7 @@
                 the second one.
             confirmed: Whether every response belongs to the request. If not, the caller
                 calls ``HttpStream.confirm`` for the one that does.
+            takes_slot: Whether the request waits for a slot of the server and takes it.
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
@@ -454,10 +474,15 @@
         """
         permit = None
         if self.observer is not None:
-            permit = await self.observer.request_permit(address, urgency)
-        connection = await self._connect(
-            address, new_connection, connect_timeout_ms, identity
-        )
+            permit = await self.observer.request_permit(address, urgency, takes_slot)
+        try:
+            connection = await self._connect(
+                address, new_connection, connect_timeout_ms, identity
+            )
+        except BaseException:
+            await self._record_end(permit, True)
+            raise
+        requests_before = connection.requests
         try:
             if not may_send():
                 raise SendForbidden(f"the request to {address} may no longer be sent")
@@ -488,10 +513,16 @@
             yield stream
         except BaseException:
             await connection.sock.close()
+            await self._record_end(permit, connection.requests == requests_before)
             raise
+        await self._record_end(permit, True)
         _apply_keep_alive(connection, stream.headers)
         await self._release(address, connection)
 
+    async def _record_end(self, permit: SendPermit | None, completed: bool) -> None:
+        if self.observer is not None:
+            await self.observer.record_end(permit, completed)
+
     async def accepts_connections(
         self, address: Address, timeout_ms: int
     ) -> bool | None:
--- a/wagtailrun/discovery/target_limits.py
+++ b/wagtailrun/discovery/target_limits.py
@@ -108,12 +108,19 @@
 
     def limit_per_s(self, row: TargetRow) -> float | None:
         """Return the requests a second that a target takes; None without a limit."""
-        known = self._known(row)
-        return known.limit.value if known is not None else None
+        known = self.observations_by_name.get(row.name)
+        if known is None or known.incarnation != row.incarnation:
+            return None
+        return known.limit.value
 
     def max_rejections(self, row: TargetRow) -> float | None:
-        """Return the rejections a second that a brittle target stands, else None."""
-        known = self._known(row)
+        """Return the rejections a second that a brittle target stands, else None.
+
+        A target that was started again counts as brittle until an answer shows that it
+        is not: one that ended because of rejections would get a rush of requests before
+        its first answer, and end again.
+        """
+        known = self.observations_by_name.get(row.name)
         value = known.brittleness.value if known is not None else None
         return None if value is None or value >= HARMLESS_REJECTIONS_PER_S else value
 
@@ -124,10 +131,12 @@
             Milliseconds; of two bounds, of the one that was not named for longer. None
             without a bound.
         """
-        known = self._known(row)
+        known = self.observations_by_name.get(row.name)
         if known is None:
             return None
-        claims = (known.limit, known.brittleness)
+        claims = [known.brittleness]
+        if known.incarnation == row.incarnation:
+            claims.append(known.limit)
         named = [claim.at_ms for claim in claims if claim.value is not None]
         return self.clock.now_ms() - min(named) if named else None
 
@@ -178,11 +187,8 @@
         for aged in rows:
             new = self._observation(aged)
             known = self.observations_by_name.get(new.target)
-            if known is None or new.incarnation > known.incarnation:
+            if known is None:
                 changed |= self._put(new, local=local)
-            elif new.incarnation < known.incarnation:
-                self._share(known, local=True)
-                changed = True
             else:
                 changed |= self._merge_claims(known, new, local)
         return changed
@@ -200,18 +206,13 @@
             for each in found
         )
 
-    def _known(self, row: TargetRow) -> _Observation | None:
-        known = self.observations_by_name.get(row.name)
-        if known is None or known.incarnation != row.incarnation:
-            return None
-        return known
-
     def _base(self, row: TargetRow) -> _Observation | None:
         """Return what an answer of a target adds to; None if the answer is outdated."""
         known = self.observations_by_name.get(row.name)
-        if known is None or known.incarnation < row.incarnation:
-            shared = known.shared if known is not None else None
-            return _Observation(row.name, row.incarnation, shared=shared)
+        if known is None:
+            return _Observation(row.name, row.incarnation)
+        if known.incarnation < row.incarnation:
+            return attrs.evolve(known, incarnation=row.incarnation, limit=UNKNOWN)
         return known if known.incarnation == row.incarnation else None
 
     def _claim(self, value: float | None, sent_ms: int) -> _Claim:
@@ -237,16 +238,21 @@
     def _merge_claims(
         self, known: _Observation, new: _Observation, local: bool
     ) -> bool:
-        """Merge an observation of a known incarnation; see ``merge``."""
-        merged, is_newer, is_older = known, False, False
+        """Merge an observation of a known target; see ``merge``."""
+        # A limit ends with its incarnation, brittleness does not.
+        merged, other = known, new
+        if new.incarnation > known.incarnation:
+            merged = attrs.evolve(known, incarnation=new.incarnation, limit=UNKNOWN)
+        elif new.incarnation < known.incarnation:
+            other = attrs.evolve(new, incarnation=known.incarnation, limit=UNKNOWN)
+        is_older = new.incarnation < known.incarnation
         for name in ("limit", "brittleness"):
-            ours, theirs = getattr(known, name), getattr(new, name)
+            ours, theirs = getattr(merged, name), getattr(other, name)
             if theirs.replaces(ours):
                 merged = attrs.evolve(merged, **{name: theirs})
-                is_newer = True
             elif ours.replaces(theirs) and ours.value != theirs.value:
                 is_older = True
-        changed = self._put(merged, local=local) if is_newer else False
+        changed = self._put(merged, local=local) if merged is not known else False
         if is_older:
             # The other process lacks the newer observation of this one.
             self._share(merged, local=True)
@@ -268,8 +274,9 @@
 
     def _log_change(self, new: _Observation, known: _Observation | None) -> None:
         before = known.shared if known is not None else None
-        if before is None or before.incarnation != new.incarnation:
-            before = TargetLimit(new.target, new.incarnation, False, 0.0)
+        before = before or TargetLimit(new.target, new.incarnation, False, 0.0)
+        if before.incarnation != new.incarnation:
+            before = attrs.evolve(before, is_limited=False)
         row, now_ms = new.row, self.clock.now_ms()
         if not _is_similar_bound(before.limit_per_s, row.limit_per_s):
             events.log(
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -20,6 +20,7 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler, StopPlan
 from wagtailrun.relay.metrics import RelayMetrics
@@ -122,16 +123,17 @@
         self.busy_keys_table: RouteTable | None = None
         self.owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
         self.granter = SendGranter(self.clock, self.view.limits, self._grant_share)
-        grants = GrantClient(
+        self.grants = GrantClient(
             self.link,
             settings.name,
             settings.data_centre,
             self.owners,
             self.granter,
             self.view.limits,
+            self._target_slots,
         )
         self.origins = OriginClient(self.clock, self.link, self.view.ranked_members)
-        self.notices = TargetNotices(self.clock, protocol.wire, self.view, grants)
+        self.notices = TargetNotices(self.clock, protocol.wire, self.view, self.grants)
         self.http = HttpClient(self.clock, self.notices)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
@@ -264,6 +266,13 @@
             return 1.0
         return fallback_share(len({row.data_centre for row in self.view.entries}))
 
+    def _target_slots(self, row: TargetRow) -> int:
+        """Return how many requests a target can run at once."""
+        table = self.view.table
+        service = table.services_by_name.get(row.service) if table else None
+        pool = service.pool if service is not None else None
+        return pool.slots if pool is not None else row.capacity
+
     def _stage_capacity(self, service: str) -> StageCapacity:
         table = self.view.table
         row = table.services_by_name.get(service) if table else None
@@ -299,6 +308,7 @@
             ready_server.serve,
             self.view.run,
             self._record_origins,
+            self._state_requests,
             self.live_settings.watch,
         )
         await run_daemon(
@@ -310,6 +320,9 @@
             tasks,
         )
 
+    async def _state_requests(self) -> None:
+        await supervise("state requests at brittle targets", self.grants.run)
+
     async def _record_origins(self) -> None:
         await supervise("record stream origins", self.origins.run)
 
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -94,6 +94,8 @@
             else:
                 record(row, bound, sent_ms)
         await self.view.report_changes()
+        if notice.rejected and limits.max_rejections(row) is not None:
+            await self.grants.record_rejection(row)
         if notice.leaving and not row.leaving:
             events.log(
                 events.TARGET_NOTICE,
@@ -104,22 +106,44 @@
             )
             await self.view.mark_leaving(row)
 
-    async def request_permit(self, address: Address, urgency: int) -> SendPermit | None:
+    async def request_permit(
+        self, address: Address, urgency: int, takes_slot: bool = True
+    ) -> SendPermit | None:
         """Permit a request; see ``TargetObserver``."""
         wait_ms = self.paused_ms(address, urgency)
         if wait_ms:
             raise TargetPaused(f"{address} takes no requests for {wait_ms} ms", wait_ms)
         row = self.view.row_at(address)
-        if row is None or self.view.limits.limit_per_s(row) is None:
+        if row is None:
             return None
+        number = self.grants.begin(row) if takes_slot else 0
+        if not self._needs_grant(row, takes_slot):
+            return SendPermit(row, 0, number)
         requested_ms = self.clock.now_ms()
-        grant = await self.grants.request(row, urgency)
-        await self.view.report_changes()
+        try:
+            grant = await self.grants.request(row, urgency, number)
+            await self.view.report_changes()
+        except BaseException:
+            # The owner may have granted it.
+            await self.grants.end(row, number, completed=True)
+            raise
         if not grant.granted:
+            self.grants.withdraw(row, number)
             self._record_denial(address, urgency, grant.wait_ms)
-            detail = f"the limit of {address} is used up for {grant.wait_ms} ms"
+            detail = f"the bound of {address} is used up for {grant.wait_ms} ms"
             raise TargetPaused(detail, grant.wait_ms)
-        return SendPermit(row.incarnation, requested_ms + PERMIT_LIFETIME_MS)
+        return SendPermit(row, requested_ms + PERMIT_LIFETIME_MS, number)
+
+    async def record_end(self, permit: SendPermit | None, completed: bool) -> None:
+        """Record the end of a request; see ``TargetObserver``."""
+        if permit is not None and permit.number:
+            await self.grants.end(permit.target, permit.number, completed=completed)
+
+    def _needs_grant(self, row: TargetRow, takes_slot: bool) -> bool:
+        limits = self.view.limits
+        if limits.limit_per_s(row) is not None:
+            return True
+        return takes_slot and limits.max_rejections(row) is not None
 
     def check(self, address: Address, permit: SendPermit | None) -> None:
         """Check a permit before the request is sent; see ``TargetObserver``."""
@@ -127,20 +151,23 @@
         if left_ms:
             raise TargetPaused(f"{address} asked for a pause", left_ms)
         row = self.view.row_at(address)
-        if row is not None and self.view.limits.limit_per_s(row) is not None:
+        takes_slot = permit is None or permit.number > 0
+        if row is not None and self._needs_grant(row, takes_slot):
             self._check_permit(row, permit)
         pause = self.pauses_by_address.get(address)
         if pause is not None:
             pause.trial_until_ms = self.clock.now_ms() + TRIAL_TIMEOUT_MS
 
     def _check_permit(self, row: TargetRow, permit: SendPermit | None) -> None:
-        """Check the permit of a request to a target that limits its requests.
+        """Check the permit of a request to a target that names a bound.
 
         Raises:
             TargetPaused: If there is none, or it took too long to connect. Requests
                 that were granted at different times must not arrive together.
         """
-        if permit is None or permit.incarnation != row.incarnation:
+        if permit is None or permit.target.incarnation != row.incarnation:
+            raise TargetPaused(f"{row.address} has begun to limit its requests", 1)
+        if not permit.expires_ms:
             raise TargetPaused(f"{row.address} has begun to limit its requests", 1)
         if self.clock.now_ms() > permit.expires_ms:
             raise TargetPaused(f"the permit to send to {row.address} expired", 1)
@@ -162,8 +189,8 @@
         if denials is None:
             return 0
         row = self.view.row_at(address)
-        if row is None or self.view.limits.limit_per_s(row) is None:
-            # The limit has ended, or the target was started again.
+        if row is None or not self._needs_grant(row, takes_slot=True):
+            # The bound has ended, or the target was started again.
             del self.denials_by_address[address]
             return 0
         # A less urgent request would be denied, too.
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/placement_messages.py
@@ -167,17 +167,36 @@
 
 @attrs.frozen
 class RequestGrant:
-    """Asks whether a request may be sent to a target that names a limit.
+    """Asks whether a request may be sent to a target that names a bound.
 
     Attributes:
-        limit: The limit as the sender knows it.
+        limit: The bounds as the sender knows them.
         service: Service of the target.
         urgency: Rank of the request, 0 to 9; 0 goes first.
+        entry: Identity of the sending process; empty if the request takes no slot of
+            the target, or if an earlier build sent it.
+        number: Number of the request, or of the report; greater than all earlier ones
+            of the process.
+        held: Numbers of its other requests in progress at the target.
+        asked: Numbers of its other requests that it waits for a grant for.
+        slots: Requests that the target can run at once.
+        is_report: Whether it only states ``held``, and asks for nothing.
+        rejected: Whether the target has turned a request away.
+        incarnation: Incarnation of the target that the request is for. ``limit`` may be
+            of an earlier one.
     """
 
     limit: AgedLimit
     service: str
     urgency: int
+    entry: str = ""
+    number: int = 0
+    held: tuple[int, ...] = ()
+    asked: tuple[int, ...] = ()
+    slots: int = 1
+    is_report: bool = False
+    rejected: bool = False
+    incarnation: int = 0
 
 
 @attrs.frozen
--- /dev/null
+++ b/wagtailrun/relay/return_queue.py
@@ -0,0 +1,50 @@
+"""Times at which requests return that a target has no room for now."""
+
+import random
+
+__all__ = ["MAX_RETURN_MS", "TYPICAL_RETURN_MS", "ReturnQueue"]
+
+# Requests that were denied return within this time, or two intervals.
+TYPICAL_RETURN_MS = 4_000
+# The bound may end, or the owner of the service may return, before two long intervals.
+MAX_RETURN_MS = 8_000
+
+
+class ReturnQueue:
+    """Requests that were denied, by when they may return.
+
+    Args:
+        generator: Draws the return of those that find the queue full.
+    """
+
+    def __init__(self, generator: random.Random):
+        self.random = generator
+        # When the last request of an urgency that was denied may return.
+        self.return_ms_by_urgency: dict[int, int] = {}
+
+    def last_return_ms(self, urgency: int) -> int:
+        """Return when the last request that is as urgent or more may return."""
+        return max(
+            (ms for rank, ms in self.return_ms_by_urgency.items() if rank <= urgency),
+            default=0,
+        )
+
+    def add(
+        self, urgency: int, now_ms: int, first_wait_ms: int, interval_ms: int
+    ) -> int:
+        """Return when a request that is denied may return, in milliseconds.
+
+        Args:
+            urgency: Rank of the request; lower ones go first.
+            now_ms: The time.
+            first_wait_ms: Time until there may be room.
+            interval_ms: Time between two requests that find room.
+        """
+        longest_ms = min(max(TYPICAL_RETURN_MS, 2 * interval_ms), MAX_RETURN_MS)
+        last_ms = self.last_return_ms(urgency) + interval_ms
+        return_ms = max(now_ms + first_wait_ms, last_ms)
+        if return_ms - now_ms > longest_ms:
+            # The queue is full; the others spread over its second half.
+            return int(self.random.uniform(longest_ms / 2, longest_ms))
+        self.return_ms_by_urgency[urgency] = return_ms
+        return return_ms - now_ms
--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -1,34 +1,47 @@
 """Grants of requests to targets that limit what all VMs together send to them.
 
-One entry, the owner of the service, grants the requests to a limited target: shares of
-the limit that each entry used alone would be below one request for most of the time.
+One entry, the owner of the service, grants the requests to a limited or brittle target:
+shares of the bound that each entry used alone would be below one request for most of
+the time.
 """
 
+import itertools
 import random
-from collections.abc import Callable
+import secrets
+from collections.abc import Callable, Iterable
 
 import attrs
+import curio
 
 from wagtailrun import events
+from wagtailrun.adapters.http_client import LEAST_URGENT
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
+from wagtailrun.relay.brittle_slots import BrittleSlots
 from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
-
-__all__ = ["GrantClient", "SendGranter", "fallback_share"]
+from wagtailrun.relay.return_queue import (
+    MAX_RETURN_MS,
+    TYPICAL_RETURN_MS,
+    ReturnQueue,
+)
+
+__all__ = [
+    "MAX_RETURN_MS",
+    "TYPICAL_RETURN_MS",
+    "GrantClient",
+    "SendGranter",
+    "fallback_share",
+]
 
 # A target that takes fewer requests gets one at this interval, which finds out whether
 # its limit has ended.
 MIN_RATE_PER_S = 0.25
 # Requests that an idle target may get at once: one, and those of this time.
 BURST_S = 0.25
-# Requests that were denied return within this time, or two intervals of the limit.
-TYPICAL_RETURN_MS = 4_000
-# The limit may end, or the owner of the service may return, before two long intervals.
-MAX_RETURN_MS = 8_000
 # Share of a limit that entries other than the owner grant, all data centres together.
 # Some entries may still reach the owner.
 FALLBACK_SHARE = 0.5
@@ -37,6 +50,12 @@
 # Entries that reach no other one ask again after this time.
 UNREACHABLE_RETRY_MS = 300
 MAX_BUCKETS = 4_096
+# How often an entry looks whether the owner of a brittle target is another one, and how
+# often it states its requests in progress there again.
+REVIEW_INTERVAL_MS = 100
+STATEMENT_INTERVAL_MS = 1_000
+# A target notices within this time that the connection of a request was closed.
+LINGER_MS = 300
 
 
 @attrs.define
@@ -47,12 +66,12 @@
         updated_ms: When ``tokens`` was computed.
         tokens: Requests that may be granted. A new bucket is empty: another process may
             have granted requests until a moment ago.
-        return_ms_by_urgency: When the last request that was denied may return.
+        returns: When denied requests return.
     """
 
     updated_ms: int
+    returns: ReturnQueue
     tokens: float = 0.0
-    return_ms_by_urgency: dict[int, int] = attrs.field(factory=dict)
 
     def refill(self, rate_per_s: float, now_ms: int) -> None:
         """Add the requests of the time since the last call, up to a burst."""
@@ -60,16 +79,34 @@
         self.tokens = min(self.tokens + added, 1.0 + BURST_S * rate_per_s)
         self.updated_ms = now_ms
 
-    def last_return_ms(self, urgency: int) -> int:
-        """Return when the last request that is as urgent or more may return."""
-        return max(
-            (ms for rank, ms in self.return_ms_by_urgency.items() if rank <= urgency),
-            default=0,
-        )
+
+@attrs.define(eq=False)
+class _Held:
+    """Requests of this entry at one target.
+
+    Attributes:
+        row: Target.
+        numbers: Numbers of the requests in progress.
+        asked: Numbers of the requests that wait for a grant.
+        ended_ms_by_number: When requests in progress end at the target.
+        owner: Name of the entry that was told last; empty if none was.
+        told_ms: When that was.
+        rejected: Whether the target turned a request away that was not reported.
+        is_reporting: Whether a report to the owner is on its way.
+    """
+
+    row: TargetRow
+    numbers: set[int] = attrs.field(factory=set)
+    asked: set[int] = attrs.field(factory=set)
+    ended_ms_by_number: dict[int, int] = attrs.field(factory=dict)
+    owner: str = ""
+    told_ms: int = 0
+    rejected: bool = False
+    is_reporting: bool = False
 
 
 class SendGranter:
-    """Grants requests to limited targets; the owner's side.
+    """Grants requests to limited and brittle targets; the owner's side.
 
     Args:
         clock: Clock.
@@ -90,10 +127,30 @@
         self.share = share
         self.random = random.Random(seed)
         self.buckets_by_target: dict[str, _Bucket] = {}
+        self.slots = BrittleSlots(clock, limits, self.random)
 
     def handle(self, message: RequestGrant) -> SendGrant:
         """Return whether a request may be sent; a grant is used up at once."""
         self.limits.merge([message.limit], local=True)
+        grant = self.slots.handle(message, self.share(message.service))
+        if grant is not None and not grant.granted:
+            return grant
+        grant = self._grant_rate(message)
+        if not grant.granted:
+            self.slots.withdraw(message)
+        return grant
+
+    def review(self, entries: Iterable[str]) -> None:
+        """Notice services that this process now owns, and entries that are lost.
+
+        Args:
+            entries: Names of the live entries.
+        """
+        for service in list(self.slots.shares_by_service):
+            self.slots.note_share(service, self.share(service))
+        self.slots.note_entries(entries)
+
+    def _grant_rate(self, message: RequestGrant) -> SendGrant:
         target = message.limit.limit.target
         rate_per_s = self._rate_per_s(message.service, target)
         if rate_per_s is None:
@@ -101,11 +158,17 @@
         bucket = self._bucket(target, rate_per_s)
         now_ms = bucket.updated_ms
         # More urgent requests that were denied come first.
-        reserved = 1.0 if bucket.last_return_ms(message.urgency - 1) > now_ms else 0.0
+        last_ms = bucket.returns.last_return_ms(message.urgency - 1)
+        reserved = 1.0 if last_ms > now_ms else 0.0
         if bucket.tokens >= 1.0 + reserved:
             bucket.tokens -= 1.0
             return SendGrant(True, 0)
-        wait_ms = self._deny(bucket, message.urgency, rate_per_s)
+        wait_ms = bucket.returns.add(
+            message.urgency,
+            now_ms,
+            self._token_wait_ms(bucket, rate_per_s),
+            _interval_ms(rate_per_s),
+        )
         events.log(
             events.SEND_DENIED,
             service=message.service,
@@ -120,13 +183,14 @@
 
     def wait_ms(self, row: TargetRow) -> int:
         """Return when a further request to a target may be granted; 0 if now."""
+        slot_ms = self.slots.wait_ms(row.name, row.incarnation)
         if self.limits.limit_per_s(row) is None:
-            return 0
+            return slot_ms
         rate_per_s = self._rate_per_s(row.service, row.name)
         bucket = self._bucket(row.name, rate_per_s)
         if bucket.tokens >= 1.0:
-            return 0
-        return self._token_wait_ms(bucket, rate_per_s)
+            return slot_ms
+        return max(self._token_wait_ms(bucket, rate_per_s), slot_ms)
 
     def _rate_per_s(self, service: str, target: str) -> float | None:
         """Return the requests a second to grant here; None without a limit."""
@@ -144,23 +208,12 @@
         if bucket is None:
             while len(self.buckets_by_target) >= MAX_BUCKETS:
                 del self.buckets_by_target[next(iter(self.buckets_by_target))]
-            bucket = self.buckets_by_target[target] = _Bucket(now_ms)
+            bucket = self.buckets_by_target[target] = _Bucket(
+                now_ms, ReturnQueue(self.random)
+            )
         bucket.refill(rate_per_s, now_ms)
         return bucket
 
-    def _deny(self, bucket: _Bucket, urgency: int, rate_per_s: float) -> int:
-        """Return when a request that is denied may return, in milliseconds."""
-        now_ms = bucket.updated_ms
-        interval_ms = _interval_ms(rate_per_s)
-        longest_ms = min(max(TYPICAL_RETURN_MS, 2 * interval_ms), MAX_RETURN_MS)
-        last_ms = bucket.last_return_ms(urgency) + interval_ms
-        return_ms = max(now_ms + self._token_wait_ms(bucket, rate_per_s), last_ms)
-        if return_ms - now_ms > longest_ms:
-            # The queue is full; the others spread over its second half.
-            return int(self.random.uniform(longest_ms / 2, longest_ms))
-        bucket.return_ms_by_urgency[urgency] = return_ms
-        return return_ms - now_ms
-
     @staticmethod
     def _token_wait_ms(bucket: _Bucket, rate_per_s: float) -> int:
         missing = max(1.0 - bucket.tokens, 0.0)
@@ -175,13 +228,16 @@
 class GrantClient:
     """Requests grants from the owner of a service.
 
+    It also tells the owner the requests in progress here at brittle targets.
+
     Args:
         link: Link to other entries.
         name: Name of this entry.
         data_centre: Data centre of this entry.
         owners: Chooses the owner of a service.
         granter: Grants requests if this entry is the owner.
-        limits: Limits of the targets.
+        limits: Bounds of the targets.
+        slots: Returns the requests that a target can run at once.
     """
 
     def __init__(
@@ -192,6 +248,7 @@
         owners: Owners,
         granter: SendGranter,
         limits: TargetLimits,
+        slots: Callable[[TargetRow], int] = lambda row: row.capacity,
     ):
         self.link = link
         self.name = name
@@ -199,19 +256,167 @@
         self.owners = owners
         self.granter = granter
         self.limits = limits
-
-    async def request(self, row: TargetRow, urgency: int) -> SendGrant:
-        """Return whether a request may be sent to a limited target now.
+        self.slots = slots
+        self.clock = granter.clock
+        # Another process of the same name may have requests in progress.
+        self.identity = f"{name} {secrets.token_hex(4)}"
+        self.numbers = itertools.count(1)
+        self.held_by_target: dict[str, _Held] = {}
+        # Set when requests at brittle targets have ended.
+        self.ended = curio.Event()
+
+    def begin(self, row: TargetRow) -> int:
+        """Count a request to a target; return its number."""
+        held = self.held_by_target.get(row.name)
+        if held is None or held.row.incarnation != row.incarnation:
+            # Requests at an earlier incarnation ended with it.
+            held = self.held_by_target[row.name] = _Held(row)
+        number = next(self.numbers)
+        held.numbers.add(number)
+        return number
+
+    def withdraw(self, row: TargetRow, number: int) -> None:
+        """Count a request no more that was not granted."""
+        held = self.held_by_target.get(row.name)
+        if held is not None:
+            held.numbers.discard(number)
+            self._drop_unused(held)
+
+    async def end(self, row: TargetRow, number: int, *, completed: bool) -> None:
+        """Count a request no more that has ended.
+
+        Args:
+            row: Target.
+            number: Number of the request.
+            completed: Whether its answer was read to the end. If not, the target may go
+                on with it until it notices that the connection was closed.
+        """
+        held = self.held_by_target.get(row.name)
+        if held is None or held.row.incarnation != row.incarnation:
+            return
+        if self.limits.max_rejections(row) is None:
+            self.withdraw(row, number)
+            return
+        linger_ms = 0 if completed else LINGER_MS
+        held.ended_ms_by_number[number] = self.clock.now_ms() + linger_ms
+        await self.ended.set()
+
+    async def record_rejection(self, row: TargetRow) -> None:
+        """Tell the owner of a brittle target that it turned a request away."""
+        held = self.held_by_target.setdefault(row.name, _Held(row))
+        held.rejected = True
+        await self.ended.set()
+
+    async def run(self) -> None:
+        """Keep the owners informed of the requests in progress at brittle targets."""
+        while True:
+            await curio.ignore_after(
+                REVIEW_INTERVAL_MS / MS_PER_SECOND, self.ended.wait
+            )
+            self.ended.clear()
+            live = self.owners.entries()
+            self.granter.review([row.name for row in live])
+            for held in list(self.held_by_target.values()):
+                if self.limits.max_rejections(held.row) is None:
+                    # No longer brittle; nobody counts its requests.
+                    held.owner, held.rejected = "", False
+                    self._drop_ended(held)
+                    self._drop_unused(held)
+                elif self._is_report_due(held):
+                    held.is_reporting = True
+                    await curio.spawn(self._report, held, daemon=True)
+
+    def _drop_ended(self, held: "_Held") -> bool:
+        """Drop the requests that have ended; return whether there were any."""
+        now_ms = self.clock.now_ms()
+        ended = [n for n, ms in held.ended_ms_by_number.items() if ms <= now_ms]
+        for number in ended:
+            del held.ended_ms_by_number[number]
+            held.numbers.discard(number)
+        return bool(ended)
+
+    def _is_report_due(self, held: "_Held") -> bool:
+        if held.is_reporting:
+            return False
+        if self._drop_ended(held):
+            return True
+        owner = self.owners.owner(ownership_key(held.row.service))
+        is_known = owner is not None and owner.name == held.owner
+        age_ms = self.clock.now_ms() - held.told_ms
+        return held.rejected or not is_known or age_ms >= STATEMENT_INTERVAL_MS
+
+    async def _report(self, held: "_Held") -> None:
+        """State the requests in progress at a target to the owner of its service."""
+        try:
+            message = self._message(held.row, LEAST_URGENT, next(self.numbers))
+            if message is not None:
+                message = attrs.evolve(message, is_report=True)
+                await self._ask(held.row, message)
+        finally:
+            held.is_reporting = False
+            self._drop_unused(held)
+
+    def _drop_unused(self, held: "_Held") -> None:
+        known = self.held_by_target.get(held.row.name)
+        is_used = held.numbers or held.asked or held.rejected or held.is_reporting
+        if known is held and not is_used:
+            del self.held_by_target[held.row.name]
+
+    async def request(self, row: TargetRow, urgency: int, number: int = 0) -> SendGrant:
+        """Return whether a request may be sent now to a target that names a bound.
 
         If the owner of the service does not reply, an entry of this data centre decides
-        about a small share of the limit.
+        about a small share of the bound.
+
+        Args:
+            row: Target.
+            urgency: Rank of the request, 0 to 9; 0 goes first.
+            number: Number of the request; 0 if it takes no slot of the target.
         """
+        message = self._message(row, urgency, number)
+        if message is None:
+            return SendGrant(True, 0)
+        held = self.held_by_target.get(row.name)
+        if not number or held is None:
+            return await self._ask(row, message)
+        held.numbers.discard(number)
+        held.asked.add(number)
+        try:
+            grant = await self._ask(row, message)
+            if grant.granted:
+                held.numbers.add(number)
+        finally:
+            held.asked.discard(number)
+        return grant
+
+    def _message(
+        self, row: TargetRow, urgency: int, number: int
+    ) -> RequestGrant | None:
+        """Return a message about a target; None if nothing is known of its bounds."""
+        if self.limits.newest(row.name) is None:
+            return None
         (limit,) = self.limits.rows([row.name])
-        message = RequestGrant(limit, row.service, urgency)
+        held = self.held_by_target.get(row.name)
+        held = held or _Held(row)
+        return RequestGrant(
+            limit,
+            row.service,
+            urgency,
+            self.identity if number else "",
+            number,
+            tuple(held.numbers - {number}),
+            tuple(held.asked - {number}),
+            max(self.slots(row), 1),
+            rejected=held.rejected,
+            incarnation=row.incarnation,
+        )
+
+    async def _ask(self, row: TargetRow, message: RequestGrant) -> SendGrant:
         key = ownership_key(row.service)
         owner = self.owners.owner(key)
         for _ in range(2):
             if owner is None or owner.name == self.name:
+                self._record_told(row, self.name, message)
                 return self.granter.handle(message)
             try:
                 grant = await self.link.call(owner.address, message, CALL_TIMEOUT_MS)
@@ -220,10 +425,17 @@
                     self.owners.exclude(owner, str(error))
             else:
                 if isinstance(grant, SendGrant):
+                    self._record_told(row, owner.name, message)
                     return grant
             owner = self.owners.owner(key, (owner.name,), self.data_centre)
         return SendGrant(False, UNREACHABLE_RETRY_MS)
 
+    def _record_told(self, row: TargetRow, owner: str, message: RequestGrant) -> None:
+        held = self.held_by_target.get(row.name)
+        if held is not None and message.entry:
+            held.owner, held.told_ms = owner, self.clock.now_ms()
+            held.rejected = held.rejected and not message.rejected
+
 
 def fallback_share(data_centres: int) -> float:
     """Return the share of a limit that an entry grants that is not the owner."""
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -71,6 +71,14 @@
   limit @0 :Discovery.AgedLimit;
   service @1 :Text;
   urgency @2 :UInt8;
+  entry @3 :Text;
+  number @4 :UInt64;
+  held @5 :List(UInt64);
+  asked @6 :List(UInt64);
+  slots @7 :UInt32 = 1;
+  isReport @8 :Bool;
+  rejected @9 :Bool;
+  incarnation @10 :UInt64;
 }
 
 struct SendGrant { granted @0 :Bool; waitMs @1 :UInt32; }
