--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -43,7 +43,7 @@
 )
 from wagtailrun.relay.placement_messages import RequestGrant
 from wagtailrun.relay.port import MalformedBound
-from wagtailrun.relay.send_grants import LINGER_MS
+from wagtailrun.relay.send_grants import LINGER_MS, SendGranter
 from wagtailrun.routes import RouteKind
 from wagtailrun.virtual_time import run_virtual
 
@@ -391,6 +391,24 @@
     assert run_virtual(main)
 
 
+def test_engine_without_a_free_slot_is_not_chosen():
+    """Guards against prompts that are placed on a brittle engine that has no room."""
+
+    async def main(clock):
+        limits = TargetLimits(clock)
+        limits.record_brittleness(ROW, 5.0, clock.now_ms())
+        granter = SendGranter(clock, limits, seed=1)
+        waits = [granter.wait_ms(ROW)]
+        (limit,) = limits.rows([ROW.name])
+        message = RequestGrant(limit, "s", 5, "e1", 1, incarnation=ROW.incarnation)
+        waits.append(granter.handle(message).granted)
+        waits.append(granter.wait_ms(ROW) > 0)
+        waits.append(granter.wait_ms(attrs.evolve(ROW, incarnation=4)))
+        return waits
+
+    assert run_virtual(main) == [0, True, True, 0]
+
+
 # The entry
 
 
