--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -291,3 +291,18 @@
             process.send_signal(signal.SIGTERM)
             output, _ = process.communicate(timeout=START_S)
         assert process.returncode == 0, output
+
+
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_signal_to_reload_does_not_end_a_process_that_starts(role):
+    """Guards against a process that ends by a SIGHUP before it handles signals."""
+    code = (
+        "import signal, sys, wagtail_platform.__main__ as main\n"
+        f"main.{role} = lambda: signal.raise_signal(signal.SIGHUP)\n"
+        f"sys.argv = ['wagtail_platform', '{role}']\n"
+        "sys.exit(main.main())\n"
+    )
+    environment = {"PATH": os.environ["PATH"]}
+    environment["PYTHONPATH"] = f"{ROOT}:{ROOT / 'platform'}"
+    command = [sys.executable, "-P", "-c", code]
+    assert subprocess.run(command, env=environment, timeout=START_S).returncode == 0
