Let the test of a listener wait for a busy machine

Cause: the test gave the listener 0.4 s and the link one try; at a load of 23 on this machine it failed once in 5 runs. What it requires is as before: the listener takes all failures and then serves a call.

--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -188,8 +188,16 @@
     monkeypatch.setattr(curio.io.Socket, "accept", fail_at_first)
 
     async def client(address):
-        await curio.sleep(0.4)
-        return await TcpPeerLink(SECRET).call(address, Ping("a"), TIMEOUT_MS)
+        while failures:
+            await curio.sleep(0.05)
+        link = TcpPeerLink(SECRET)
+        for _ in range(10):
+            try:
+                return await link.call(address, Ping("a"), TIMEOUT_MS)
+            except PeerUnreachable:
+                # A busy machine may not connect within the limit of the link.
+                await curio.sleep(0.1)
+        return None
 
     assert with_peer(pong, client) == Pong("a")
     assert failures == []
