Let reports about slots use up no request of a limit

Cause, found by reading: a report about requests in progress reached the bucket of the target's limit where the owner did not take the target for brittle, and took a token. A bound that no fleet reaches limited the requests in progress where the target named a limit, too.

--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -409,6 +409,29 @@
     assert run_virtual(main) == [0, True, True, 0]
 
 
+@pytest.mark.parametrize("bound", [None, HARMLESS_REJECTIONS_PER_S])
+def test_report_uses_up_no_request_of_a_limit(bound):
+    """Guards against a limited target that gets less because of reports.
+
+    The owner no longer takes the target for brittle, or any number of rejections is
+    harmless; the target then has no bound on the requests in progress, either.
+    """
+
+    async def main(clock):
+        limits = TargetLimits(clock)
+        limits.record_answer(ROW, 1.0, clock.now_ms())
+        limits.record_brittleness(ROW, bound, clock.now_ms())
+        granter = SendGranter(clock, limits, seed=1)
+        (limit,) = limits.rows([ROW.name])
+        ask = RequestGrant(limit, "s", 5, "e1", 1, (7, 8, 9), incarnation=3)
+        granter.handle(ask)
+        await clock.sleep_ms(1_000)
+        granter.handle(attrs.evolve(ask, number=2, is_report=True))
+        return granter.handle(attrs.evolve(ask, number=3)).granted
+
+    assert run_virtual(main)
+
+
 # The entry
 
 
--- a/wagtailrun/relay/brittle_slots.py
+++ b/wagtailrun/relay/brittle_slots.py
@@ -13,7 +13,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.discovery.target_limits import TargetLimits
+from wagtailrun.discovery.target_limits import HARMLESS_REJECTIONS_PER_S, TargetLimits
 from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
 from wagtailrun.relay.return_queue import ReturnQueue
 
@@ -181,7 +181,8 @@
         """
         row = self.limits.newest(message.limit.limit.target)
         bound = row.brittle_bound
-        if bound is None or not message.entry:
+        is_harmless = bound is None or bound >= HARMLESS_REJECTIONS_PER_S
+        if is_harmless or not message.entry:
             return None
         self.note_share(message.service, share)
         now_ms = self.clock.now_ms()
--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -135,6 +135,8 @@
         grant = self.slots.handle(message, self.share(message.service))
         if grant is not None and not grant.granted:
             return grant
+        if message.is_report:
+            return SendGrant(False, 0)
         grant = self._grant_rate(message)
         if not grant.granted:
             self.slots.withdraw(message)
