Count a request as run only once it may be sent

At a planned stop, orders and streams that waited for a connection were answered 502, may have run, with no arrival; a repeatable request whose attempt timed out as its connection opened was taken for not sent and could still go out. Beside it: a carrier refused streams that may go on at a draining target; pauses of all carriers confirmed a fault of the target, and probes used up the one request after a pause; the refusal after a HEAD request was not sent; a notice longer than the stop held the last refusals back; a task that had been told of the end could not be cancelled. Change: the run is counted with the permission to send; an attempt has ended before its failure is judged; the others as named. Not mended: the head of a stream that never comes, slots that stay taken for 5 s when the one message about their end is lost.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -201,6 +201,21 @@
     assert rest.endswith(b'"draining"}')
 
 
+def test_refusal_after_a_request_for_a_head_is_whole():
+    """Guards against a refusal that is not sent because of an earlier HEAD request."""
+
+    async def handler(request):
+        return json_response(200, {"ok": True})
+
+    async def client(address, server):
+        head = GOOD.replace(b"POST", b"HEAD")
+        return await exchange_bytes(address, head + b"GET /\x00 HTTP/1.1\r\n\r\n")
+
+    _, _, rest = with_server(handler, client).partition(b"\r\n\r\n")
+    assert rest.startswith(b"HTTP/1.1 400")
+    assert rest.endswith(b"}")
+
+
 def test_stream_that_fails_lacks_the_final_chunk():
     """Guards against an aborted answer that looks complete."""
 
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -2,6 +2,7 @@
 
 import inspect
 import re
+import time
 
 import attrs
 import curio
@@ -9,14 +10,14 @@
 from wagtail_platform.requests import PlatformWire
 
 from demo.processes import free_addresses
-from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_client import DirectConnector, HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import OriginClient
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
-from wagtailrun.exceptions import ResponseAborted, TargetFailed
+from wagtailrun.exceptions import ConnectFailed, ResponseAborted, TargetFailed
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
@@ -597,3 +598,40 @@
     engines = [[silent_for(60, b"late")], [GOOD]]
     found = run_relay(RouteKind.IDEMPOTENT, engines, client, aim_ms=300)
     assert found == (200, b"ok", [0, 1])
+
+
+class LateConnector(DirectConnector):
+    """Opens a connection just as the attempt's time ends, after a process pause."""
+
+    def __init__(self):
+        self.opened = 0
+
+    async def connect(self, address, timeout_ms):
+        self.opened += 1
+        if self.opened > 1:
+            raise ConnectFailed("refused", refused=True)
+        task = await curio.spawn(self.connect_late, address, timeout_ms)
+        return await task.join()
+
+    async def connect_late(self, address, timeout_ms):
+        opened = await super().connect(address, timeout_ms)
+        time.sleep(0.2)
+        return opened
+
+
+def test_request_that_was_sent_as_its_attempt_timed_out_may_have_run():
+    """Guards against "not run" for a request that is sent after that was decided."""
+
+    async def client(address, fleet):
+        reply = await send(address)
+        await curio.sleep(0.2)
+        return reply.status, len(fleet.seen)
+
+    status, arrived = run_relay(
+        RouteKind.IDEMPOTENT,
+        [[GOOD], [GOOD]],
+        client,
+        connector=LateConnector(),
+        aim_ms=100,
+    )
+    assert arrived == 0 or status != 503
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -10,6 +10,7 @@
 
 from demo.processes import free_addresses
 from tests.test_relay_front import GOOD, SIGNATURE, event, run_relay, send
+from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
 from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
@@ -334,3 +335,31 @@
     ends_ms = 1_200 - EXIT_MARGIN_MS
     assert ends_ms - STOP_ANSWER_MS <= refused_ms < ends_ms
     assert took_ms <= ends_ms + MARGIN_MS
+
+
+class HangingConnector(DirectConnector):
+    """Opens no connection, like a path that loses all packets."""
+
+    async def connect(self, address, timeout_ms):
+        await curio.sleep(60)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ORDER, RouteKind.STREAM])
+def test_request_that_waits_for_a_connection_at_the_stop_has_not_run(kind):
+    """Guards against orders that callers cannot repeat although nothing was sent."""
+
+    async def client(address, fleet):
+        task = await curio.spawn(send, address)
+        await curio.sleep(0.2)
+        await handlers[0].refuse_unanswered()
+        return (await task.join()).status, len(fleet.seen)
+
+    handlers = []
+    found = run_relay(
+        kind,
+        [[GOOD]],
+        client,
+        on_handler=handlers.append,
+        connector=HangingConnector(),
+    )
+    assert found == (503, 0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -65,6 +65,7 @@
         ),
         "bounds.revoke_ms": draw(number_forms(0, day_ms)),
         "bounds.config_apply_ms": draw(number_forms(0, day_ms)),
+        "bounds.drain_ms": draw(number_forms(0, day_ms)),
         "bounds.grace_s": draw(number_forms(0, 86_400)),
         "bounds.retry_budget_ratio": draw(number_forms(0, 100)),
         "bounds.retry_budget_slack": draw(number_forms(0, many)),
@@ -110,6 +111,7 @@
     [
         ("bounds.retry_budget_slack", "nan", "give a decimal number"),
         ("bounds.retry_budget_slack", "-1", "give 0 to"),
+        ("bounds.drain_ms", "-1", "give 0 to"),
         ("bounds.grace_s", "inf", "give a decimal number"),
         ("bounds.grace_s", "1e999", "give a finite number"),
         ("bounds.revoke_ms", "-0.5", "give 0 to"),
@@ -145,6 +147,7 @@
     "fault_tolerance.machines": "1",
     "bounds.revoke_ms": "5000",
     "bounds.config_apply_ms": "2500",
+    "bounds.drain_ms": "2000",
     "bounds.grace_s": "8",
     "bounds.retry_budget_ratio": "0.2",
     "bounds.retry_budget_slack": "58",
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -442,6 +442,35 @@
     assert min(asked) >= 4
 
 
+def test_pause_of_all_carriers_is_no_fault_of_the_target():
+    """Guards against a target that counts as dead because it asked for pauses."""
+
+    async def client(http, row, target, carrier, connector):
+        connector.view.rows = [attrs.evolve(row, data_centre="without entries")]
+        connector.paths.record_lost(row.address, "carrier", "refused")
+        carrier.pause_ms = 700
+        with pytest.raises(ConnectFailed) as error:
+            await connector.connect(row.address, 300)
+        carrier.pause_ms = 700
+        return error.value.confirmed, await connector.probe(row.address, 300)
+
+    found = run_tunnel(whole_answer, client)
+    assert found == (False, Reachability.ACCEPTS)
+
+
+def test_stream_may_go_on_at_a_draining_target_through_another_entry():
+    """Guards against carriers that refuse what the entry of the request may send."""
+
+    async def client(http, row, target, carrier, connector):
+        draining = attrs.evolve(row, leaving=True, draining=True)
+        carrier.host.view = View(None, [draining])
+        opened = await connector.connect(row.address, 300)
+        await opened.sock.close()
+        return carrier.asked
+
+    assert run_tunnel(whole_answer, client) == 1
+
+
 async def start_engines(count):
     engines = Engines()
     for _ in range(count):
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -332,8 +332,15 @@
 
     async def probe(self, address: Address, timeout_ms: int) -> Reachability:
         """Return whether a server accepts connections; no request is sent."""
+        return await self._find_reachability(self.connect(address, timeout_ms))
+
+    @staticmethod
+    async def _find_reachability(
+        connecting: Awaitable[OpenConnection],
+    ) -> Reachability:
+        """Return what an attempt to connect shows, and close the connection."""
         try:
-            opened = await self.connect(address, timeout_ms)
+            opened = await connecting
         except ConnectFailed as error:
             if not error.confirmed:
                 return Reachability.UNKNOWN
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -291,6 +291,9 @@
         return self.ended
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
+        if self.ended:
+            # The process goes on if a request had arrived already.
+            await curio.sleep(2 * END_PAUSE_MS / MS_PER_SECOND)
         if self.ended:
             return
         connection = _ServerConnection(self, sock, str(peer[0]))
@@ -510,6 +513,7 @@
         )
 
     async def _read_head(self) -> h11.Request | None:
+        self.method = b""
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -169,7 +169,11 @@
                 if task.terminated:
                     return await task.join()
                 if self.can_move(job) or self.clock.now_ms() >= job.deadline_at_ms:
-                    return _timeout_error(job, row)
+                    # Until it has ended, the attempt may still send the request.
+                    await task.cancel()
+                    if isinstance(task.exception, curio.CancelledError):
+                        return _timeout_error(job, row)
+                    return await task.join()
         except curio.TaskError as error:
             raise error.__cause__ from error
         finally:
@@ -486,10 +490,7 @@
 
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
-        job.sent_ms = 0
-        runs_before = job.runs
-        # Counted before sending: after any later failure the request may have run.
-        job.runs += 1
+        job.sent_ms = None
         self.chooser.record_start(row, (), 0)
         try:
             async with self.http.open(
@@ -504,7 +505,7 @@
                 new_connection=not job.route.repeatable,
                 host=request.host,
                 connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
-                may_send=lambda: self._may_send(job, row, runs_before),
+                may_send=lambda: self._may_send(job, row),
                 on_sent=on_sent,
                 urgency=job.urgency,
                 identity=request.request_id,
@@ -526,10 +527,9 @@
         finally:
             self.chooser.record_end(row)
 
-    def _may_send(self, job: RelayJob, row: TargetRow, runs: int) -> bool:
+    def _may_send(self, job: RelayJob, row: TargetRow) -> bool:
         """Return whether a request may be sent on a connection that is open by now."""
-        refusal = self._send_refusal(job, runs)
-        if refusal is not None:
+        if self._send_refusal(job, job.runs) is not None:
             return False
         if job.origin is not None:
             may_send = self.view.may_continue_at(row)
@@ -537,6 +537,8 @@
             may_send = not self.view.is_leaving(row)
         if may_send:
             job.sent_ms = self.clock.now_ms()
+            # Counted before sending: after any later failure it may have run.
+            job.runs += 1
         return may_send
 
     async def _skip_crossed_answers(
@@ -598,18 +600,16 @@
         job.detail = f"{row.name}: {error}"
         self._log_failure(job, row)
         if isinstance(error, SendForbidden | TargetPaused):
-            job.runs -= 1
+            if job.sent_ms is not None:
+                # The target paused just before the first byte.
+                job.runs -= 1
             # Nothing was sent, so the target may be tried when it takes requests again.
             job.tried_targets.remove(row.name)
             await self.report_end(job, row, RunOutcome.OVER)
             return self._send_refusal(job, job.runs)
         if isinstance(error, ConnectFailed):
-            job.runs -= 1
-            outcome = RunOutcome.UNREACHABLE
-            if job.route.prompt_affinity and not error.confirmed:
-                # The path from this entry failed, which tells the owner of the engines
-                # nothing about the engine.
-                outcome = RunOutcome.OVER
+            # A path that failed says nothing about the target.
+            outcome = RunOutcome.UNREACHABLE if error.confirmed else RunOutcome.OVER
             await self.report_end(job, row, outcome)
             return None
         if error.closed:
@@ -733,7 +733,7 @@
 
 def _timeout_error(job: RelayJob, row: TargetRow) -> TargetFailed:
     """Return the error of an attempt without a complete answer in time."""
-    if not job.sent_ms:
+    if job.sent_ms is None:
         detail = f"no connection to {row.address} before the attempt's timeout"
         return ConnectFailed(detail, confirmed=False)
     return TargetFailed(
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -414,7 +414,8 @@
         await self.view.announce_stop()
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        await self.clock.sleep_ms(signalled_ms + notice_ms - self.clock.now_ms())
+        notice_ends_ms = min(signalled_ms + notice_ms, stop.answers_end_ms)
+        await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
         await self.caller_server.drain()
         await self._finish_requests(stop)
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -135,6 +135,8 @@
             try:
                 response = await self._run(job)
             except EntryEnds:
+                # Else the task could not be cancelled while it sends the refusal.
+                task.cancelled = False
                 response = self._refuse_job(job, _end_refusal(job))
             finished = True
         finally:
@@ -476,7 +478,9 @@
     It would be raised while the answer is sent.
     """
     async with curio.disable_cancellation():
-        await curio.check_cancellation(EntryEnds)
+        if await curio.check_cancellation(EntryEnds) is not None:
+            task = await curio.current_task()
+            task.cancelled = False
 
 
 def _not_ready(reason: RefusalReason, detail: str) -> Refusal:
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -46,7 +46,7 @@
             order.
         runs: Attempts that may have run.
         placed_ms: Expected time from the newest attempt to its first event.
-        sent_ms: When the newest attempt was sent; 0 before.
+        sent_ms: When the newest attempt was sent; None before.
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
         streaming: Whether its answer is being relayed as a stream.
@@ -78,7 +78,7 @@
     tried_targets: list[str] = attrs.field(factory=list)
     runs: int = 0
     placed_ms: int = 0
-    sent_ms: int = 0
+    sent_ms: int | None = None
     staged_ms: int = 0
     first_ms: int = 0
     streaming: bool = False
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -5,6 +5,7 @@
 carries it connects directly or not at all, so there is no second hop.
 """
 
+import functools
 import random
 from collections.abc import Callable
 from typing import Any
@@ -17,6 +18,7 @@
     Connector,
     DirectConnector,
     OpenConnection,
+    Reachability,
 )
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
@@ -78,6 +80,7 @@
         opened: The connection, if one could be opened.
         carrier: Name of the entry that opened it, or that decided.
         answered: Whether an entry that reaches targets replied.
+        unreachable: Whether one reaches others beside the target, but not the target.
         confirmed: Whether the target is at fault.
         refused: Whether it refused the connection of the entry that confirms it.
         detail: Description for engineers.
@@ -86,6 +89,7 @@
     opened: OpenConnection | None = None
     carrier: str = ""
     answered: bool = False
+    unreachable: bool = False
     confirmed: bool = False
     refused: bool = False
     detail: str = "no other entry connects"
@@ -137,15 +141,29 @@
 
     async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
         """Open a connection; see ``Connector``."""
+        return await self._connect(address, timeout_ms, probe=False)
+
+    async def probe(self, address: Address, timeout_ms: int) -> Reachability:
+        """Return whether a server accepts connections; see ``Connector``."""
+        return await self._find_reachability(
+            self._connect(address, timeout_ms, probe=True)
+        )
+
+    async def _connect(
+        self, address: Address, timeout_ms: int, *, probe: bool
+    ) -> OpenConnection:
         if not self._other_entries():
             return await self.connect_directly(address, timeout_ms)
         ends_ms = self.clock.now_ms() + timeout_ms
         if self.paths.is_lost(address):
-            tried = _Tried(outcome=await self._connect_through(address, ends_ms))
+            outcome = await self._connect_through(address, ends_ms, probe=probe)
+            tried = _Tried(outcome=outcome)
         else:
-            tried = await self._connect_either_way(address, timeout_ms)
+            tried = await self._connect_either_way(address, timeout_ms, probe=probe)
             if tried.winner is None and tried.outcome is None:
-                tried.outcome = await self._connect_through(address, ends_ms)
+                tried.outcome = await self._connect_through(
+                    address, ends_ms, probe=probe
+                )
         opened = tried.winner or tried.outcome.opened
         if opened is None:
             raise await self._make_error(address, tried.failure, tried.outcome)
@@ -153,7 +171,9 @@
             self.paths.record_lost(address, tried.outcome.carrier, str(tried.failure))
         return opened
 
-    async def _connect_either_way(self, address: Address, timeout_ms: int) -> _Tried:
+    async def _connect_either_way(
+        self, address: Address, timeout_ms: int, *, probe: bool
+    ) -> _Tried:
         """Connect directly, and through another entry as well if that takes long."""
         ends_ms = self.clock.now_ms() + timeout_ms
         limit_ms = min(timeout_ms, DIRECT_TIMEOUT_MS)
@@ -163,7 +183,11 @@
         try:
             await curio.ignore_after(HEDGE_AFTER_MS / MS_PER_SECOND, direct.wait)
             if not direct.terminated:
-                carried = await curio.spawn(self._connect_through, address, ends_ms)
+                carried = await curio.spawn(
+                    functools.partial(self._connect_through, probe=probe),
+                    address,
+                    ends_ms,
+                )
                 await _wait_for_connection(direct, carried)
             tried.winner = _opened(direct) or _opened(carried)
             if direct.terminated and isinstance(direct.result, ConnectFailed):
@@ -277,7 +301,7 @@
                 return outcome
         if row is not None and not self._has_entry_in(row.data_centre):
             # Nobody is closer to the target than those that were asked.
-            outcome.confirmed = outcome.answered
+            outcome.confirmed = outcome.unreachable
         return outcome
 
     async def _ask(
@@ -309,7 +333,7 @@
         outcome.detail = detail
         match reply.reason:
             case TunnelRefusal.UNREACHABLE:
-                outcome.answered = True
+                outcome.answered = outcome.unreachable = True
                 outcome.refused = reply.refused
                 outcome.carrier = carrier.name
                 # An entry elsewhere may have lost its own path to the target.
@@ -546,7 +570,9 @@
         known = self.view.known_target(message.target)
         if known is None or known.incarnation < message.incarnation:
             return False
-        return known.leaving or known.incarnation > message.incarnation
+        # The other entry knows whether a stream may go on while the target drains.
+        has_left = known.leaving and not known.draining
+        return has_left or known.incarnation > message.incarnation
 
     async def _explain_failure(
         self, address: Address, error: ConnectFailed, started_ms: int
