Fold repeated ends of peer calls and probes, and look at targets only while a path is lost

Read-through of the whole change; behaviour stays. A call and a tunnel ended their exchange with the same three lines; two questions about other targets chose and probed one alike; the task that watches paths listed all targets four times a second although none was lost.

--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -236,10 +236,7 @@
     async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
         """Send ``message`` and return the reply; see ``PeerLink.call``."""
         connection, reply = await self._exchange(address, message, timeout_ms)
-        await self._release(address, connection)
-        if isinstance(reply, PeerError):
-            raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
-        return reply
+        return await self._finish(address, connection, reply)
 
     async def open_tunnel(
         self, address: Address, message: Any, timeout_ms: int, opened: type
@@ -248,6 +245,12 @@
         connection, reply = await self._exchange(address, message, timeout_ms)
         if isinstance(reply, opened):
             return PeerTunnel(connection)
+        return await self._finish(address, connection, reply)
+
+    async def _finish(
+        self, address: Address, connection: _FrameSocket, reply: Any
+    ) -> Any:
+        """Return the reply of a call whose connection may be used again."""
         await self._release(address, connection)
         if isinstance(reply, PeerError):
             raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
--- a/wagtailrun/relay/paths.py
+++ b/wagtailrun/relay/paths.py
@@ -235,14 +235,15 @@
                 )
 
     async def _probe_lost(self) -> None:
+        if not (self.is_cut_off or self.lost_since_ms_by_address):
+            return
         now_ms = self.clock.now_ms()
         known = list(self.targets())
         for address in list(self.lost_since_ms_by_address):
             if address not in known:
                 del self.lost_since_ms_by_address[address]
-        if not (self.is_cut_off or self.lost_since_ms_by_address):
-            return
-        if now_ms < self.next_probe_ms:
+        has_lost = self.is_cut_off or self.lost_since_ms_by_address
+        if not has_lost or now_ms < self.next_probe_ms:
             return
         jitter = self.random.uniform(-PROBE_JITTER, PROBE_JITTER)
         self.next_probe_ms = now_ms + int(PROBE_INTERVAL_MS * (1 + jitter))
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -442,12 +442,15 @@
             and each.address != address
             and (row is None or each.data_centre == row.data_centre)
         ]
-        return not beside or await self.reaches(self.random.choice(beside))
+        return await self._reaches_one_of(beside)
 
     async def reaches_any_but(self, address: Address) -> bool:
         """Return whether some other target is reached; True if there is no other."""
         others = [each for each in self.view.target_addresses() if each != address]
-        return not others or await self.reaches(self.random.choice(others))
+        return await self._reaches_one_of(others)
+
+    async def _reaches_one_of(self, addresses: list[Address]) -> bool:
+        return not addresses or await self.reaches(self.random.choice(addresses))
 
     async def check(self, address: Address) -> bool:
         """Return whether a target is reached directly; if not, ask another entry."""
