--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -89,6 +89,9 @@
         """Remove a file."""
         self.files_by_name.pop(name, None)
 
+    async def probe(self, size: int) -> None:
+        """Do nothing: there is always space."""
+
 
 class CountingLink(PeerLink):
     """Passes messages to handlers and counts the bytes of both directions."""
--- a/tests/fake_disk.py
+++ b/tests/fake_disk.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from wagtailrun.exceptions import DiskFault
+from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.ports.disk import Disk
 
 
@@ -68,6 +68,10 @@
         self.synced.pop(name, None)
         self.unsynced.pop(name, None)
 
+    async def probe(self, size):
+        await self._sync_point()
+        self._raise_injected_fault()
+
     def kill(self):
         """Lose unsynced data, except for a random prefix that may be damaged."""
         self.generation += 1
@@ -86,7 +90,8 @@
 
     def _raise_injected_fault(self):
         if self.fault is not None:
-            raise DiskFault(f"injected: {self.fault}")
+            kind = DiskFull if self.fault == "full" else DiskFault
+            raise kind(f"injected: {self.fault}")
 
     async def _sync_point(self):
         """Count a sync point, at which the process may be killed, and delay."""
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -85,6 +85,9 @@
         self.appended.clear()
         self.crash_at = None
 
+    async def probe(self, size):
+        self.step()
+
     async def names(self):
         return sorted({*self.durable, *self.appended})
 
--- a/tests/test_file_disk.py
+++ b/tests/test_file_disk.py
@@ -6,7 +6,7 @@
 import pytest
 
 from wagtailrun.adapters.file_disk import FileDisk
-from wagtailrun.exceptions import DiskFault
+from wagtailrun.exceptions import DiskFault, DiskFull
 
 
 def test_contents(tmp_path):
@@ -42,6 +42,8 @@
         ("write", ("a", b"x"), "fdatasync"),
         ("write", ("a", b"x"), "fsync"),
         ("truncate", ("a", 0), "ftruncate"),
+        ("probe", (10,), "write"),
+        ("probe", (10,), "fdatasync"),
     ],
 )
 def test_errors_become_disk_faults(tmp_path, monkeypatch, call, arguments, broken):
@@ -54,9 +56,38 @@
         disk = FileDisk(tmp_path)
         await disk.append("a", b"1")
         monkeypatch.setattr(os, broken, fail)
-        with pytest.raises(DiskFault, match="No space left") as caught:
+        with pytest.raises(DiskFull, match="No space left") as caught:
             await getattr(disk, call)(*arguments)
         assert caught.value.__cause__.errno == 28
+        assert await disk.names() == ["a"]
+
+    curio.run(main)
+
+
+def test_other_errors_do_not_count_as_a_full_disk(tmp_path, monkeypatch):
+    """Guards against a broken disk that is waited for as if it were full."""
+
+    def fail(*arguments):
+        raise OSError(5, "Input/output error")
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        monkeypatch.setattr(os, "fdatasync", fail)
+        with pytest.raises(DiskFault) as caught:
+            await disk.write("a", b"x")
+        assert not isinstance(caught.value, DiskFull)
+
+    curio.run(main)
+
+
+def test_probe_leaves_no_file(tmp_path):
+    """Guards against probes that use up the space they look for."""
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        await disk.append("a", b"1")
+        await disk.probe(1_000)
+        assert sorted(item.name for item in tmp_path.iterdir()) == ["a", "lock"]
 
     curio.run(main)
 
--- a/wagtailrun/adapters/file_disk.py
+++ b/wagtailrun/adapters/file_disk.py
@@ -1,6 +1,7 @@
 """Durable files in a folder of the file system."""
 
 import contextlib
+import errno
 import fcntl
 import os
 from collections.abc import Callable
@@ -9,7 +10,7 @@
 
 import curio
 
-from wagtailrun.exceptions import DiskFault
+from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.ports.disk import Disk
 
 __all__ = ["FileDisk"]
@@ -18,6 +19,9 @@
 
 TEMPORARY_SUFFIX = ".tmp"
 LOCK_NAME = "lock"
+PROBE_NAME = "probe" + TEMPORARY_SUFFIX
+# A quota that is used up refuses writes as a full disk does.
+NO_SPACE_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 class FileDisk(Disk):
@@ -64,6 +68,10 @@
         """Remove ``name`` durably."""
         await _in_thread(self._remove, name)
 
+    async def probe(self, size: int) -> None:
+        """Write and sync a temporary file of ``size`` bytes, and remove it."""
+        await _in_thread(self._probe, size)
+
     def close(self) -> None:
         """Close all open files and unlock the folder."""
         for name in list(self.descriptors_by_name):
@@ -98,13 +106,7 @@
         self._open_folder()
         self._close_file(name)
         temporary = self.folder / (name + TEMPORARY_SUFFIX)
-        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
-        descriptor = os.open(temporary, flags, 0o600)
-        try:
-            _write_all(descriptor, data)
-            os.fdatasync(descriptor)
-        finally:
-            os.close(descriptor)
+        _write_synced(temporary, data)
         temporary.replace(self.folder / name)
         _sync_folder(self.folder)
 
@@ -119,6 +121,14 @@
             (self.folder / name).unlink()
             _sync_folder(self.folder)
 
+    def _probe(self, size: int) -> None:
+        self._open_folder()
+        path = self.folder / PROBE_NAME
+        try:
+            _write_synced(path, bytes(size))
+        finally:
+            path.unlink(missing_ok=True)
+
     def _descriptor(self, name: str) -> int:
         """Return the descriptor of ``name``, which is created durably when missing."""
         if name not in self.descriptors_by_name:
@@ -160,7 +170,18 @@
         async with curio.disable_cancellation():
             return await curio.run_in_thread(function, *arguments)
     except OSError as error:
-        raise DiskFault(f"{function.__name__[1:]} failed: {error}") from error
+        kind = DiskFull if error.errno in NO_SPACE_ERRORS else DiskFault
+        raise kind(f"{function.__name__[1:]} failed: {error}") from error
+
+
+def _write_synced(path: Path, data: bytes) -> None:
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+    descriptor = os.open(path, flags, 0o600)
+    try:
+        _write_all(descriptor, data)
+        os.fdatasync(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -153,6 +153,19 @@
     "This member failed permanently: it no longer votes or acknowledges log entries.",
     "Read the detail, replace the disk or free space, then restart the process.",
 )
+DISK_FULL = _event(
+    505,
+    logging.WARNING,
+    "The disk has no space left; the process goes on without it until there is some.",
+    "Free space on the disk that holds the data folder.",
+    limited=False,
+)
+DISK_SPACE_AVAILABLE = _event(
+    506,
+    logging.INFO,
+    "The disk has space again, and its files are opened again.",
+    limited=False,
+)
 
 
 # An entry in the users' installations receives about 10 requests a second; the limit
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -10,6 +10,7 @@
     "ConnectFailed",
     "CorruptRecord",
     "DiskFault",
+    "DiskFull",
     "FleetTextError",
     "MessageError",
     "PeerUnreachable",
@@ -148,6 +149,14 @@
     """A write or sync failed; the process must not acknowledge anything more."""
 
 
+class DiskFull(DiskFault):
+    """A write was refused because the disk has no space left.
+
+    Everything that was synced before is intact. Writing may go on once there is space
+    and the files were opened again.
+    """
+
+
 class CorruptRecord(WagtailrunError):
     """A stored record fails its checksum; the message names file, offset and remedy."""
 
--- a/wagtailrun/ports/disk.py
+++ b/wagtailrun/ports/disk.py
@@ -8,7 +8,8 @@
 class Disk(ABC):
     """Flat set of named files; contents are durable only once they are synced.
 
-    Every method raises ``DiskFault`` when the operating system reports an error.
+    Every method raises ``DiskFault`` when the operating system reports an error, and
+    its subclass ``DiskFull`` when there is no space.
     """
 
     @abstractmethod
@@ -38,3 +39,12 @@
     @abstractmethod
     async def remove(self, name: str) -> None:
         """Remove ``name`` durably; a missing file is no error."""
+
+    @abstractmethod
+    async def probe(self, size: int) -> None:
+        """Write and sync a temporary file of ``size`` bytes, and remove it.
+
+        Raises:
+            DiskFull: If there is no space for it.
+            DiskFault: If it cannot be written for another reason.
+        """
