Give each test run loopback hosts of its own

Change: servers of tests and of the demo listen at 127.x.y.n with x and y from the process id. The fleets of test_relay_processes.py had fixed hosts and use them, too.

--- a/tests/cut_entry.py
+++ b/tests/cut_entry.py
@@ -12,8 +12,9 @@
 import curio
 from wagtail_platform.__main__ import SETTINGS_VARIABLE, main
 
-# Only targets listen here; other processes of the system have other addresses.
-TARGET_HOST = "127.0.0.1"
+# Last part of the hosts where only targets listen (``loopback_host``); processes of the
+# system have other numbers.
+TARGET_HOST_END = ".1"
 POLL_S = 0.05
 
 open_connection = curio.open_connection
@@ -59,7 +60,7 @@
 
 
 async def open_unless_cut(host, port, **options):
-    if host != TARGET_HOST:
+    if not host.endswith(TARGET_HOST_END):
         return await open_connection(host, port, **options)
     if cut_kind() in ("refused", "reset"):
         raise ConnectionRefusedError("cut off")
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -12,7 +12,7 @@
 import curio
 import pytest
 
-from demo.processes import free_addresses
+from demo.processes import free_addresses, loopback_host
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.exceptions import TargetFailed
@@ -28,6 +28,14 @@
 ENTRY_MODULE = "wagtail_platform"
 
 
+def control_host(number):
+    return loopback_host(10 + number)
+
+
+def entry_host(number):
+    return loopback_host(20 + number)
+
+
 class Fleet:
     """Three control members and two entries, each with its own loopback address."""
 
@@ -36,7 +44,7 @@
         ports = [address.port for address in free_addresses(4)]
         self.peer_port, self.metrics_port, self.main_port, self.ready_port = ports
         self.processes = {}
-        self.seeds = ",".join(f"127.0.7.{n}:{self.main_port}" for n in (1, 2, 3))
+        self.seeds = ",".join(f"{control_host(n)}:{self.main_port}" for n in (1, 2, 3))
 
     def settings(self, name, ip, extra):
         lines = {
@@ -68,7 +76,7 @@
             )
 
     def start_control(self, number):
-        ip, name = f"127.0.7.{number}", f"core-{number}"
+        ip, name = control_host(number), f"core-{number}"
         extra = {
             "OPERATOR_ADDRESS": f"{ip}:{self.main_port}",
             "DATA_FOLDER": self.folder / name,
@@ -78,7 +86,7 @@
         self.start("control", name, self.settings(name, ip, extra))
 
     def start_entry(self, number):
-        ip, name = f"127.0.8.{number}", f"front-{number}"
+        ip, name = entry_host(number), f"front-{number}"
         extra = {
             "CALLER_ADDRESS": f"{ip}:{self.main_port}",
             "READY_ADDRESS": f"{ip}:{self.ready_port}",
@@ -96,13 +104,13 @@
         return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
 
     def control(self, number):
-        return Address(f"127.0.7.{number}", self.main_port)
+        return Address(control_host(number), self.main_port)
 
     def entry(self, number):
-        return Address(f"127.0.8.{number}", self.main_port)
+        return Address(entry_host(number), self.main_port)
 
     def ready(self, number):
-        return Address(f"127.0.8.{number}", self.ready_port)
+        return Address(entry_host(number), self.ready_port)
 
 
 @contextmanager
@@ -315,7 +323,7 @@
         reply = await wait_until_served(fleet, targets, 2)
         await curio.sleep(0.5)
         metrics = await send(
-            Address("127.0.8.2", fleet.metrics_port), "GET", "/metrics"
+            Address(entry_host(2), fleet.metrics_port), "GET", "/metrics"
         )
         return reply, targets, metrics.body, fleet.lines("front-2")
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -268,13 +268,14 @@
 def test_daemons_start_and_stop(tmp_path, changes):
     """Guards against settings that load but end a daemon when they are used."""
     addresses = free_addresses(4)
+    host = addresses[0].host
     main, ready, peer, metrics = (address.port for address in addresses)
     values = {
         **PLAIN,
-        "ip": "127.0.0.1",
-        "listen.front": f"127.0.0.1:{main}",
-        "listen.ready": f"127.0.0.1:{ready}",
-        "listen.control": f"127.0.0.1:{metrics}",
+        "ip": host,
+        "listen.front": f"{host}:{main}",
+        "listen.ready": f"{host}:{ready}",
+        "listen.control": f"{host}:{metrics}",
         "data_dir": str(tmp_path / "data"),
         "seeds": "127.0.0.1:1",
         **changes,
