--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -78,6 +78,9 @@
     async def sync(self, name: str) -> None:
         """Do nothing."""
 
+    async def resync(self, name: str, offset: int) -> None:
+        """Do nothing."""
+
     async def write(self, name: str, data: bytes) -> None:
         """Store ``data``."""
         self.files_by_name[name] = data
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -102,6 +102,9 @@
     async def sync(self, name):
         self.replace(name, await self.read(name))
 
+    async def resync(self, name, offset):
+        self.replace(name, await self.read(name))
+
     async def write(self, name, data):
         self.replace(name, data)
 
--- a/tests/test_file_disk.py
+++ b/tests/test_file_disk.py
@@ -41,6 +41,8 @@
         ("sync", ("a",), "fdatasync"),
         ("write", ("a", b"x"), "fdatasync"),
         ("write", ("a", b"x"), "fsync"),
+        ("resync", ("a", 0), "write"),
+        ("resync", ("a", 0), "fsync"),
         ("truncate", ("a", 0), "ftruncate"),
         ("probe", (10,), "write"),
         ("probe", (10,), "fdatasync"),
@@ -129,3 +131,38 @@
         second.close()
 
     curio.run(main)
+
+
+def test_resync_writes_the_tail_again_in_place(tmp_path, monkeypatch):
+    """Guards against data that a failed sync left out of all later syncs."""
+    calls = []
+
+    def trace(name):
+        real = getattr(os, name)
+
+        def traced(descriptor, *arguments):
+            path = os.readlink(f"/proc/self/fd/{descriptor}")
+            calls.append((name, path, *map(bytes, arguments)))
+            return real(descriptor, *arguments)
+
+        monkeypatch.setattr(os, name, traced)
+
+    trace("write")
+    trace("fsync")
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        await disk.append("a", b"first")
+        await disk.append("a", b"second")
+        calls.clear()
+        await disk.resync("a", 5)
+        path = str(tmp_path / "a")
+        assert calls == [
+            ("write", path, b"second"),
+            ("fsync", path),
+            ("fsync", str(tmp_path)),
+        ]
+        await disk.append("a", b"third")
+        assert await disk.read("a") == b"firstsecondthird"
+
+    curio.run(main)
--- a/wagtailrun/adapters/file_disk.py
+++ b/wagtailrun/adapters/file_disk.py
@@ -20,6 +20,7 @@
 TEMPORARY_SUFFIX = ".tmp"
 LOCK_NAME = "lock"
 PROBE_NAME = "probe" + TEMPORARY_SUFFIX
+READ_BYTES = 1024 * 1024
 # A quota that is used up refuses writes as a full disk does.
 NO_SPACE_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
@@ -56,6 +57,10 @@
         """Make all data appended to ``name`` durable."""
         await _in_thread(self._sync, name)
 
+    async def resync(self, name: str, offset: int) -> None:
+        """Make ``name`` durable; write the data from ``offset`` on again."""
+        await _in_thread(self._resync, name, offset)
+
     async def write(self, name: str, data: bytes) -> None:
         """Replace the contents of ``name`` by ``data``, atomically and durably."""
         await _in_thread(self._write, name, data)
@@ -102,6 +107,20 @@
     def _sync(self, name: str) -> None:
         os.fdatasync(self._descriptor(name))
 
+    def _resync(self, name: str, offset: int) -> None:
+        self._open_folder()
+        # Not the descriptor for appends: with O_APPEND, Linux ignores the offset.
+        descriptor = os.open(self.folder / name, os.O_RDWR | os.O_CLOEXEC)
+        try:
+            os.lseek(descriptor, offset, os.SEEK_SET)
+            data = _read_rest(descriptor)
+            os.lseek(descriptor, offset, os.SEEK_SET)
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        _sync_folder(self.folder)
+
     def _write(self, name: str, data: bytes) -> None:
         self._open_folder()
         self._close_file(name)
@@ -184,6 +203,13 @@
         os.close(descriptor)
 
 
+def _read_rest(descriptor: int) -> bytes:
+    chunks = []
+    while chunk := os.read(descriptor, READ_BYTES):
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 def _write_all(descriptor: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/wagtailrun/journal.py
+++ b/wagtailrun/journal.py
@@ -3,9 +3,9 @@
 Files: ``member`` (a ``MemberRecord``), ``snapshot`` (header and data) and log segments
 ``log-<number>``, read in the order of their numbers.
 
-A frame is appended only after the previous one has been synced, so a crash can tear
-only the last frame of the last segment. An invalid frame before a valid one was damaged
-after its sync; recovery then fails instead of truncating the log.
+A frame is appended only after the previous one has been synced, so a crash or a full
+disk can tear only the last frame of the last segment. An invalid frame before a valid
+one was damaged after its sync; recovery then fails instead of truncating the log.
 """
 
 from collections.abc import Awaitable, Callable
@@ -175,7 +175,11 @@
         if SNAPSHOT_FILE in names:
             self.snapshot, _ = await self._read_snapshot()
         for name in segments:
-            await self._read_segment(name, is_last=name == segments[-1])
+            last_frame = await self._read_segment(name, is_last=name == segments[-1])
+        # An earlier process may have ended, or failed, before it had synced what has
+        # been read: at most the last frame and the names. This comes before any old
+        # segment is removed, because the new name of its replacement may be lost.
+        await self.disk.resync(segments[-1], last_frame)
         self._segment_number = int(segments[-1].removeprefix(SEGMENT_PREFIX))
         await self._discard_superseded_log()
         self._check_continuity(segments[-1])
@@ -220,9 +224,10 @@
             )
         return header, contents
 
-    async def _read_segment(self, name: str, is_last: bool) -> None:
+    async def _read_segment(self, name: str, is_last: bool) -> int:
+        """Read the entries of a segment; return the offset of its last frame."""
         data = await self.disk.read(name)
-        offset = 0
+        offset = last_frame = 0
         while offset < len(data):
             payload = payload_at(data, offset)
             if payload is None:
@@ -234,8 +239,10 @@
                 break
             for entry in self._decode_frame(name, data, offset).entries:
                 self._insert_entry(entry)
+            last_frame = offset
             offset += FRAME_HEADER.size + len(payload)
         self._segment_size = offset
+        return last_frame
 
     def _insert_entry(self, entry: Entry) -> None:
         """Put ``entry`` at its index; drop the entries from that index on."""
--- a/wagtailrun/ports/disk.py
+++ b/wagtailrun/ports/disk.py
@@ -28,6 +28,15 @@
     async def sync(self, name: str) -> None:
         """Make all data appended to ``name`` so far durable."""
 
+    @abstractmethod
+    async def resync(self, name: str, offset: int) -> None:
+        """Make the contents of the existing file ``name`` and all names durable.
+
+        Used on files that an earlier process may have written without a sync. The data
+        from ``offset`` on is written again in place: after a sync that failed, the
+        operating system may return data that later syncs do not write.
+        """
+
     @abstractmethod
     async def write(self, name: str, data: bytes) -> None:
         """Replace the contents of ``name`` by ``data``, atomically and durably."""
