--- a/tests/fake_disk.py
+++ b/tests/fake_disk.py
@@ -37,6 +37,8 @@
         self.fault: str | None = None
         # Sync point at which a fault begins, and the fault.
         self.fault_at: tuple[int, str] | None = None
+        # Bytes that fit on the disk, None for any number.
+        self.capacity: int | None = None
         self.ignore_sync = False
         self.generation = 0
 
@@ -48,10 +50,11 @@
 
     async def append(self, name, data):
         await self._sync_point()
-        if self.fault == "full":
-            data = data[: len(data) // 2]
-        self.unsynced[name] = self.unsynced.get(name, b"") + data
+        written = data[: len(data) // 2] if self.fault == "full" else data
+        written = written[: self._free_bytes(len(written))]
+        self.unsynced[name] = self.unsynced.get(name, b"") + written
         self._raise_injected_fault()
+        self._raise_if_full(len(data) - len(written))
 
     async def sync(self, name):
         await self._sync_point()
@@ -69,7 +72,7 @@
         await self._sync_point()
 
     async def write(self, name, data):
-        await self._replace(name, data, 0)
+        await self._replace(name, data, 0, new_bytes=len(data))
 
     async def truncate(self, name, size):
         data = await self.read(name)
@@ -81,6 +84,7 @@
     async def probe(self, size):
         await self._sync_point()
         self._raise_injected_fault()
+        self._raise_if_full(size)
 
     def end_process(self):
         """End the process, which loses no data that it has written."""
@@ -121,10 +125,11 @@
             self.synced[name] = data
             self.replaced.clear()
 
-    async def _replace(self, name, data, size_kept):
+    async def _replace(self, name, data, size_kept, new_bytes=0):
         """Replace a file, or remove it if ``data`` is None, and sync the folder."""
         await self._sync_point()
         self._raise_injected_fault()
+        self._raise_if_full(new_bytes)
         if name in self.synced or name in self.unsynced:
             before = self.synced.get(name, b"")
         else:
@@ -150,6 +155,17 @@
         self.kill()
         self.synced.clear()
 
+    def _free_bytes(self, wanted):
+        if self.capacity is None:
+            return wanted
+        files = (*self.synced.values(), *self.unsynced.values())
+        return min(wanted, max(self.capacity - sum(map(len, files)), 0))
+
+    def _raise_if_full(self, size):
+        """Raise DiskFull if ``size`` bytes do not fit beside the present files."""
+        if self._free_bytes(size) < size:
+            raise DiskFull(f"{size} bytes do not fit")
+
     def _raise_injected_fault(self):
         if self.fault is not None:
             kind = DiskFull if self.fault == "full" else DiskFault
--- a/tests/test_journal_disk_faults.py
+++ b/tests/test_journal_disk_faults.py
@@ -16,7 +16,7 @@
     MemberRecord,
     SnapshotHeader,
 )
-from wagtailrun.exceptions import DiskFault
+from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.journal import Journal
 from wagtailrun.journal_records import snapshot_checksum
 from wagtailrun.virtual_time import run_virtual
@@ -232,3 +232,61 @@
 
     for point in range(1, 90):
         run_virtual(main, point)
+
+
+def used_bytes(disk):
+    return sum(map(len, disk.synced.values())) + sum(map(len, disk.unsynced.values()))
+
+
+async def filled_journal(disk, count):
+    journal = Journal(disk)
+    await journal.open(IDENTITY)
+    await curio.spawn(_run, journal, daemon=True)
+    await journal.wait_durable(await journal.append(entries(1, count)))
+    return journal
+
+
+async def take_snapshot(journal, index):
+    checksum = snapshot_checksum(b"state")
+    header = SnapshotHeader(index, 1, index, Configuration(), 5, checksum)
+    await journal.save_snapshot(header, b"state")
+
+
+def test_compaction_without_room_for_retained_entries_frees_space():
+    """Guards against a disk that stays full because the log cannot be compacted."""
+
+    async def main(clock):
+        disk = FakeDisk(clock)
+        journal = await filled_journal(disk, 100)
+        full = used_bytes(disk)
+        disk.capacity = full + 600
+        await take_snapshot(journal, 98)
+        assert used_bytes(disk) < full // 10
+        await journal.wait_durable(await journal.append(entries(101, 110)))
+        disk.kill()
+        again = Journal(disk)
+        await again.open(IDENTITY)
+        assert again.entries == entries(99, 110)
+
+    run_virtual(main)
+
+
+def test_compaction_that_a_full_disk_interrupted_is_finished_at_opening(monkeypatch):
+    """Guards against a log that grows by an interval with each refused compaction."""
+    monkeypatch.setattr(journal_module, "RETAINED_ENTRIES", 4)
+
+    async def main(clock):
+        disk = FakeDisk(clock)
+        journal = await filled_journal(disk, 100)
+        # Room for the snapshot, but not for the entries that it does not cover.
+        disk.capacity = used_bytes(disk) + 150
+        with pytest.raises(DiskFull):
+            await take_snapshot(journal, 90)
+        size = used_bytes(disk)
+        disk.capacity = None
+        again = Journal(disk)
+        await again.open(IDENTITY)
+        assert again.entries == entries(87, 100)
+        assert used_bytes(disk) < size // 4
+
+    run_virtual(main)
--- a/wagtailrun/journal.py
+++ b/wagtailrun/journal.py
@@ -23,7 +23,7 @@
     SnapshotHeader,
 )
 from wagtailrun.consensus_state import Signal
-from wagtailrun.exceptions import DiskFault, MessageError
+from wagtailrun.exceptions import DiskFault, DiskFull, MessageError
 from wagtailrun.journal_records import (
     FRAME_HEADER,
     corrupt_record_error,
@@ -191,6 +191,7 @@
         )
         for name in segments[:-1]:
             await self.disk.remove(name)
+        await self._finish_compaction()
 
     async def _initialise(self, names: list[str], new_identity: str) -> None:
         # An interrupted initialisation leaves at most the empty first segment.
@@ -273,6 +274,11 @@
             self._clear_entries()
             await self._start_segment()
 
+    async def _finish_compaction(self) -> None:
+        """Compact the log if a snapshot was saved and the compaction was not."""
+        if self._drop_covered_entries(RETAINED_ENTRIES):
+            await self._start_segment()
+
     def _check_continuity(self, name: str) -> None:
         expected = self.first_index
         if expected > self.snapshot_index + 1:
@@ -402,7 +408,7 @@
         matches = self.term_at(header.index) == header.term
         self.snapshot = header
         if matches:
-            self._drop_covered_entries()
+            self._drop_covered_entries(RETAINED_ENTRIES)
         else:
             # The log ends before the snapshot, or conflicts with it.
             self._clear_entries()
@@ -415,28 +421,44 @@
         """Write the remaining entries to a new segment and remove the old one."""
         old_name = self._segment_name()
         self._segment_number += 1
+        try:
+            await self._write_segment()
+        except DiskFull:
+            # Without the retained entries, the new segment is small enough for almost
+            # any disk, and the removal of the old one makes room.
+            if not self._drop_covered_entries(0):
+                raise
+            await self._write_segment()
+        await self.disk.remove(old_name)
+
+    async def _write_segment(self) -> None:
         segment = b""
         for entries in split_batches(self.entries):
             payload = CODEC.encode(EntryBatch(tuple(entries)))
             segment += encode_frame(payload, len(segment))
         await self.disk.write(self._segment_name(), segment)
         self._segment_size = len(segment)
-        await self.disk.remove(old_name)
 
-    def _drop_covered_entries(self) -> None:
-        """Drop entries in the snapshot beyond the retained ones."""
+    def _drop_covered_entries(self, retained: int) -> int:
+        """Drop entries in the snapshot beyond the newest ``retained``.
+
+        Returns:
+            Number of dropped entries.
+        """
         keep, size = 0, 0
         for entry in reversed(self.entries):
             needed = entry.index > self.snapshot_index
             size += len(entry.data)
             behind = self.snapshot_index - entry.index
-            if not needed and (behind >= RETAINED_ENTRIES or size > RETAINED_BYTES):
+            if not needed and (behind >= retained or size > RETAINED_BYTES):
                 break
             keep += 1
-        self.entries = self.entries[len(self.entries) - keep :]
+        dropped = len(self.entries) - keep
+        del self.entries[:dropped]
         self._configurations = [
             item for item in self._configurations if item[0] > self.snapshot_index
         ]
+        return dropped
 
     async def read_snapshot(self) -> tuple[SnapshotHeader, bytes] | None:
         """Return header and data of the snapshot, or None if there is none.
