FileDisk: leave no temporary files, locks or unsynced names after an error

A file or a rename whose sync of the folder had failed, or that an earlier process had not synced, was never synced again, so later synced data could lose its name with the power. An error of close left the other files open and the folder locked, so that the same process could not open it again. Change: temporary files are removed when a write fails and when the folder is opened; names that changed, or that an earlier process may have changed, are synced with the next write or sync; close releases every descriptor.

--- a/tests/test_file_disk.py
+++ b/tests/test_file_disk.py
@@ -1,6 +1,7 @@
 """Tests of ``FileDisk`` on the real file system."""
 
 import os
+from pathlib import Path
 
 import curio
 import pytest
@@ -154,7 +155,9 @@
         disk = FileDisk(tmp_path)
         await disk.append("a", b"first")
         await disk.append("a", b"second")
+        disk.close()
         calls.clear()
+        disk = FileDisk(tmp_path)
         await disk.resync("a", 5)
         path = str(tmp_path / "a")
         assert calls == [
@@ -166,3 +169,104 @@
         assert await disk.read("a") == b"firstsecondthird"
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("broken", ["write", "fdatasync", "replace"])
+def test_refused_write_leaves_no_temporary_file(tmp_path, monkeypatch, broken):
+    """Guards against a refused copy that uses up the space that is missing."""
+
+    def fail(*arguments):
+        raise OSError(28, "No space left on device")
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        await disk.write("a", b"old")
+        with monkeypatch.context() as patch:
+            patch.setattr(Path if broken == "replace" else os, broken, fail)
+            with pytest.raises(DiskFull):
+                await disk.write("a", b"new")
+        assert sorted(item.name for item in tmp_path.iterdir()) == ["a", "lock"]
+        assert await disk.read("a") == b"old"
+
+    curio.run(main)
+
+
+def test_temporary_files_of_an_earlier_process_are_removed(tmp_path):
+    """Guards against copies left by a killed process that keep their space for good."""
+
+    async def main():
+        (tmp_path / "snapshot.tmp").write_bytes(b"left over")
+        (tmp_path / "probe.tmp").write_bytes(b"left over")
+        disk = FileDisk(tmp_path)
+        await disk.names()
+        assert [item.name for item in tmp_path.iterdir()] == ["lock"]
+
+    curio.run(main)
+
+
+def test_name_whose_sync_failed_is_synced_later(tmp_path, monkeypatch):
+    """Guards against synced data in a file whose name a loss of power removes."""
+    synced = []
+    real = os.fsync
+
+    def fsync(descriptor):
+        synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        if len(synced) == 1:
+            raise OSError(28, "No space left on device")
+        real(descriptor)
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        await disk.names()
+        monkeypatch.setattr(os, "fsync", fsync)
+        with pytest.raises(DiskFull):
+            await disk.append("a", b"x")
+            await disk.sync("a")
+        await disk.append("a", b"y")
+        await disk.sync("a")
+        assert synced == [str(tmp_path), str(tmp_path)]
+
+    curio.run(main)
+
+
+def test_names_of_an_earlier_process_are_synced(tmp_path, monkeypatch):
+    """Guards against a renamed file that a later process uses and then loses."""
+    synced = []
+    real = os.fsync
+
+    def fsync(descriptor):
+        synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        real(descriptor)
+
+    async def main():
+        (tmp_path / "a").write_bytes(b"renamed")
+        monkeypatch.setattr(os, "fsync", fsync)
+        disk = FileDisk(tmp_path)
+        await disk.append("a", b"x")
+        await disk.sync("a")
+        assert synced == [str(tmp_path)]
+
+    curio.run(main)
+
+
+def test_close_releases_everything_after_an_error(tmp_path, monkeypatch):
+    """Guards against a folder that stays locked, so that it cannot be opened again."""
+    real = os.close
+
+    def close(descriptor):
+        real(descriptor)
+        raise OSError(28, "No space left on device")
+
+    async def main():
+        disk = FileDisk(tmp_path)
+        for name in ("a", "b"):
+            await disk.append(name, b"x")
+        with monkeypatch.context() as patch:
+            patch.setattr(os, "close", close)
+            disk.close()
+        again = FileDisk(tmp_path)
+        await again.append("a", b"y")
+        assert await again.read("a") == b"xy"
+        assert not disk.descriptors_by_name
+
+    curio.run(main)
--- a/wagtailrun/adapters/file_disk.py
+++ b/wagtailrun/adapters/file_disk.py
@@ -29,8 +29,9 @@
     """Files of one folder; every operation runs in a worker thread.
 
     The folder is created when missing. It is locked until ``close`` or the end of the
-    process, so that no second process writes to it. Temporary files left by an
-    interrupted ``write`` are not listed.
+    process, so that no second process writes to it. Temporary files are removed when a
+    ``write`` fails, and those of an earlier process when the folder is opened; they
+    are never listed.
 
     Args:
         folder: Path of the folder.
@@ -40,6 +41,9 @@
         self.folder = Path(folder)
         self.descriptors_by_name: dict[str, int] = {}
         self.lock_descriptor: int | None = None
+        # Whether names have changed since the last sync of the folder. An earlier
+        # process may have left unsynced ones.
+        self.names_changed = True
 
     async def names(self) -> list[str]:
         """Return the names of all files, sorted."""
@@ -82,8 +86,8 @@
         for name in list(self.descriptors_by_name):
             self._close_file(name)
         if self.lock_descriptor is not None:
-            os.close(self.lock_descriptor)
-            self.lock_descriptor = None
+            descriptor, self.lock_descriptor = self.lock_descriptor, None
+            _close_descriptor(descriptor)
 
     def _names(self) -> list[str]:
         self._open_folder()
@@ -119,15 +123,20 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
-        _sync_folder(self.folder)
+        self._sync_names()
 
     def _write(self, name: str, data: bytes) -> None:
         self._open_folder()
         self._close_file(name)
         temporary = self.folder / (name + TEMPORARY_SUFFIX)
-        _write_synced(temporary, data)
-        temporary.replace(self.folder / name)
-        _sync_folder(self.folder)
+        try:
+            _write_synced(temporary, data)
+            self.names_changed = True
+            temporary.replace(self.folder / name)
+        except OSError:
+            _remove_temporary(temporary)
+            raise
+        self._sync_names()
 
     def _truncate(self, name: str, size: int) -> None:
         descriptor = self._descriptor(name)
@@ -135,10 +144,12 @@
         os.fsync(descriptor)
 
     def _remove(self, name: str) -> None:
+        self._open_folder()
         self._close_file(name)
         with contextlib.suppress(FileNotFoundError):
             (self.folder / name).unlink()
-            _sync_folder(self.folder)
+            self.names_changed = True
+        self._sync_names()
 
     def _probe(self, size: int) -> None:
         self._open_folder()
@@ -146,25 +157,31 @@
         try:
             _write_synced(path, bytes(size))
         finally:
-            path.unlink(missing_ok=True)
+            _remove_temporary(path)
 
     def _descriptor(self, name: str) -> int:
         """Return the descriptor of ``name``, which is created durably when missing."""
         if name not in self.descriptors_by_name:
             self._open_folder()
             path = self.folder / name
-            created = not path.exists()
+            if not path.exists():
+                self.names_changed = True
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
             self.descriptors_by_name[name] = os.open(path, flags, 0o600)
-            if created:
-                _sync_folder(self.folder)
+        self._sync_names()
         return self.descriptors_by_name[name]
 
+    def _sync_names(self) -> None:
+        """Make all names durable."""
+        if self.names_changed:
+            _sync_folder(self.folder)
+            self.names_changed = False
+
     def _close_file(self, name: str) -> None:
         """Close ``name`` if it is open."""
         descriptor = self.descriptors_by_name.pop(name, None)
         if descriptor is not None:
-            os.close(descriptor)
+            _close_descriptor(descriptor)
 
     def _open_folder(self) -> None:
         """Create and lock the folder, once."""
@@ -181,6 +198,8 @@
             os.close(descriptor)
             raise OSError(f"{self.folder} is in use by another process") from error
         self.lock_descriptor = descriptor
+        for path in self.folder.glob("*" + TEMPORARY_SUFFIX):
+            path.unlink()
 
 
 async def _in_thread(function: Callable[..., T], *arguments: object) -> T:
@@ -193,6 +212,19 @@
         raise kind(f"{function.__name__[1:]} failed: {error}") from error
 
 
+def _close_descriptor(descriptor: int) -> None:
+    # The descriptor is released also when close reports that earlier writes failed.
+    # Those were not synced, so nobody relies on them.
+    with contextlib.suppress(OSError):
+        os.close(descriptor)
+
+
+def _remove_temporary(path: Path) -> None:
+    # The caller reports the error of the write; what is left is removed at opening.
+    with contextlib.suppress(OSError):
+        path.unlink()
+
+
 def _write_synced(path: Path, data: bytes) -> None:
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
     descriptor = os.open(path, flags, 0o600)
