Accounts: record a closed period even if its clean-up fails

Cause: freezing a period wrote its lines, noted its digest and then removed the proposed lines. If that removal failed, the recorded amounts were not noted; the period counted as closed, and its rows were recorded again as late rows of the next one until the process was restarted. Change: the proposed lines and old periods are removed after the recorded amounts are noted; proposed lines that stayed go with the next period.

--- a/wagtailrun/account_periods.py
+++ b/wagtailrun/account_periods.py
@@ -67,15 +67,22 @@
         return decompress(data) if offered == digest else None
 
     async def freeze(self, period: str, digest: str, content: bytes) -> None:
-        """Write the agreed lines of ``period``; drop the periods beyond the limit."""
+        """Write the agreed lines of ``period``."""
         await self.disk.write(
             CLOSED_PREFIX + period, await _encode_file(digest, content)
         )
         self.digests_by_period[period] = digest
-        await self.disk.remove(PREPARED_PREFIX + period)
+
+    async def remove_superseded(self) -> None:
+        """Remove proposed lines of closed periods, and the periods beyond the limit."""
         for old in sorted(self.digests_by_period)[:-RETAINED_PERIODS]:
             await self.disk.remove(CLOSED_PREFIX + old)
             del self.digests_by_period[old]
+        for name in await self.disk.names():
+            if name.startswith(PREPARED_PREFIX):
+                period = name.removeprefix(PREPARED_PREFIX)
+                if period in self.digests_by_period:
+                    await self.disk.remove(name)
 
     async def read_compressed(self, period: str) -> bytes:
         """Return the compressed lines of a closed period."""
--- a/wagtailrun/account_store.py
+++ b/wagtailrun/account_store.py
@@ -303,6 +303,7 @@
                 await self.closed.freeze(period, digest, content)
                 self._add_recorded(recorded)
                 self._drop_recorded_rows()
+                await self.closed.remove_superseded()
                 await self._compact_log()
 
     async def fetch_period(self, period: str, digest: str) -> bool:
