Accounts: wait for space on a full disk and go on without a restart

Cause: after one refused write the store refused all rows until the process was restarted, and event 312 asked to replace the disk. Rows that had waited for the same lock were still appended after the torn record and acknowledged, so the next start found a log that was damaged in the middle. Data whose sync had failed was appended to in the same way after a restart. Events of a full disk while closing a period were logged as 312 every five seconds. Change: AccountLog holds the files of rows, AccountDisk the state of the disk. After DiskFull the store refuses rows, probes for the size of the refused write, cuts off the torn end of the log, writes the rest again in place and goes on; no period is closed meanwhile. Entries keep refused rows and hand them to another member (Accounts._send_to_control), as before. At a start the log is made durable in the same way, at most 4 MiB. Other faults stay final until a restart, with event 312; the refusal is checked under the lock. MAX_LOG_BYTES and LOG_NAME moved to account_log, so tests/test_accounts.py names them there.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -17,7 +17,8 @@
     request_rows,
     totals_of,
 )
-from wagtailrun.account_store import LOG_NAME, AccountStore
+from wagtailrun.account_log import LOG_NAME
+from wagtailrun.account_store import AccountStore
 from wagtailrun.accounts import EXCHANGES_PER_HANDOVER, Accounts, HeldRows
 from wagtailrun.accounts_messages import AccountRows, pack_batch, unpack_batch
 from wagtailrun.codec import decode, encode
@@ -672,7 +673,7 @@
 
 def test_restart_at_every_sync_point(monkeypatch):
     """Guards against acknowledged rows or closed periods changed by a crash."""
-    monkeypatch.setattr("wagtailrun.account_store.MAX_LOG_BYTES", 900)
+    monkeypatch.setattr("wagtailrun.account_log.MAX_LOG_BYTES", 900)
 
     async def write(store, clock, acknowledged):
         start_ms = clock.wall_ms()
--- a/wagtailrun/account_periods.py
+++ b/wagtailrun/account_periods.py
@@ -10,7 +10,7 @@
 )
 from wagtailrun.account_lines import Line, digest_of, lines_from_bytes, period_of
 from wagtailrun.cost_cells import RowKey
-from wagtailrun.exceptions import CorruptRecord
+from wagtailrun.exceptions import CorruptRecord, DiskFull
 from wagtailrun.ports.disk import Disk
 
 __all__ = ["ClosedPeriods"]
@@ -33,6 +33,8 @@
     def __init__(self, disk: Disk):
         self.disk = disk
         self.digests_by_period: dict[str, str] = {}
+        # Size of the newest write that a full disk refused.
+        self.refused_bytes = 0
 
     @property
     def last(self) -> str:
@@ -53,9 +55,7 @@
     async def prepare(self, period: str, content: bytes) -> str:
         """Write the lines proposed for ``period``; return their digest."""
         digest = digest_of(content)
-        await self.disk.write(
-            PREPARED_PREFIX + period, await _encode_file(digest, content)
-        )
+        await self._write(PREPARED_PREFIX + period, digest, content)
         return digest
 
     async def load_prepared(self, period: str, digest: str) -> bytes | None:
@@ -68,9 +68,7 @@
 
     async def freeze(self, period: str, digest: str, content: bytes) -> None:
         """Write the agreed lines of ``period``."""
-        await self.disk.write(
-            CLOSED_PREFIX + period, await _encode_file(digest, content)
-        )
+        await self._write(CLOSED_PREFIX + period, digest, content)
         self.digests_by_period[period] = digest
 
     async def remove_superseded(self) -> None:
@@ -119,6 +117,10 @@
             )
         return records[0].decode(), records[1]
 
-
-async def _encode_file(digest: str, content: bytes) -> bytes:
-    return join_records([digest.encode(), await compress_in_chunks(content)])
+    async def _write(self, name: str, digest: str, content: bytes) -> None:
+        data = join_records([digest.encode(), await compress_in_chunks(content)])
+        try:
+            await self.disk.write(name, data)
+        except DiskFull:
+            self.refused_bytes = len(data)
+            raise
--- a/wagtailrun/account_store.py
+++ b/wagtailrun/account_store.py
@@ -8,7 +8,8 @@
 from hdrh.histogram import HdrHistogram
 
 from wagtailrun import events
-from wagtailrun.account_files import decompress, join_records, split_records
+from wagtailrun.account_disk import AccountDisk
+from wagtailrun.account_files import decompress, join_records
 from wagtailrun.account_lines import (
     Line,
     PeriodTotals,
@@ -21,6 +22,7 @@
     period_of,
     totals_of,
 )
+from wagtailrun.account_log import AccountLog
 from wagtailrun.account_periods import ClosedPeriods
 from wagtailrun.accounts_messages import (
     AccountRows,
@@ -43,6 +45,7 @@
 from wagtailrun.exceptions import (
     CorruptRecord,
     DiskFault,
+    DiskFull,
     MessageError,
     PeerUnreachable,
 )
@@ -51,10 +54,6 @@
 
 __all__ = ["AccountStore", "PeriodOffer"]
 
-LOG_NAME = "accounts-log"
-ROWS_NAME = "accounts-rows"
-# The log is compacted into the file of rows before it grows beyond this size.
-MAX_LOG_BYTES = 4 * 1024 * 1024
 # Without failures, all rows arrive within this time after the end of a period.
 CLOSE_GRACE_MS = 15 * MS_PER_MINUTE
 MS_PER_DAY = 24 * 60 * MS_PER_MINUTE
@@ -114,7 +113,6 @@
         link: PeerLink | None = None,
     ):
         self.clock = clock
-        self.disk = disk
         self.name = name
         self.link = link
         self.incarnation = random.SystemRandom().getrandbits(48)
@@ -123,9 +121,9 @@
         self.recorded_minutes: set[RowKey] = set()
         self.histograms: dict[tuple[Source, HistogramKey], tuple[int, bytes]] = {}
         self.closed = ClosedPeriods(disk)
-        self.log_bytes = 0
+        self.log = AccountLog(disk)
+        self.disk_state = AccountDisk(clock, disk, self._repair)
         self.row_count = 0
-        self.disk_failed = False
         self.rejected_late_rows = 0
         self.lock = curio.Lock()
         self.sequence = 0
@@ -144,13 +142,7 @@
             DiskFault: If a file cannot be read.
         """
         await self.closed.open()
-        rows, _ = split_records(ROWS_NAME, await self.disk.read(ROWS_NAME), False)
-        data = await self.disk.read(LOG_NAME)
-        log, whole = split_records(LOG_NAME, data, True)
-        if whole < len(data):
-            await self.disk.truncate(LOG_NAME, whole)
-        self.log_bytes = whole
-        for record in (*rows, *log):
+        for record in await self.log.read():
             try:
                 self._merge(*unpack_batch(record))
             except MessageError as error:
@@ -166,6 +158,15 @@
         }
         await self._load_recorded(late)
         self._drop_recorded_rows()
+        try:
+            await self._repair()
+        except DiskFull as error:
+            await self.report_fault(error)
+
+    async def _repair(self) -> None:
+        async with self.lock:
+            await self.log.repair()
+            await self.closed.remove_superseded()
 
     async def handle(
         self, message: AccountRows | FetchPeriod
@@ -177,25 +178,31 @@
             batches = [self._unpack_timely(data) for data in message.batches]
         except MessageError as error:
             return self._reply(str(error))
-        if self.disk_failed:
-            return self._reply(
-                "this member stopped writing after a disk failure; restart it"
-            )
         if self.row_count >= MAX_ROWS:
             events.log(events.ACCOUNTS_FULL, rows=self.row_count, sender=message.sender)
             return self._reply(f"the limit of {MAX_ROWS} rows in memory is reached")
         async with self.lock:
+            refusal = self.disk_state.refusal
+            if refusal:
+                return self._reply(refusal)
             try:
                 await self._store(message.batches, batches)
             except (CorruptRecord, DiskFault) as error:
-                # The content of the file is unknown now; nothing may be appended to it.
-                self.disk_failed = True
-                events.log(events.ACCOUNTS_DISK_FAILED, detail=str(error))
+                await self.report_fault(error)
                 return self._reply(str(error))
         if not message.relay and not await self._copy_to_another():
             return self._reply("no other control member has stored the rows yet")
         return self._reply("")
 
+    async def report_fault(self, error: CorruptRecord | DiskFault) -> None:
+        """Stop writing: until there is space if the disk is full, else for good."""
+        if isinstance(error, DiskFull):
+            needed = max(self.log.refused_bytes, self.closed.refused_bytes)
+            self.log.refused_bytes = self.closed.refused_bytes = 0
+            await self.disk_state.report_full(error, needed)
+        else:
+            self.disk_state.report_failure(error)
+
     async def _copy_to_another(self) -> bool:
         """Copy the current rows to another member; return whether one has them.
 
@@ -345,7 +352,14 @@
         return merged
 
     async def run(self) -> None:
-        """Relay new rows to the other control members until cancelled."""
+        """Relay new rows, and recover from a full disk, until cancelled."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._relay_periodically)
+            await group.spawn(self.disk_state.run)
+        if group.exception is not None:
+            raise group.exception
+
+    async def _relay_periodically(self) -> None:
         while True:
             await self.clock.sleep_ms(RELAY_INTERVAL_MS)
             for address in self.pending_by_address:
@@ -426,19 +440,12 @@
         records = join_records(data)
         if not records:
             return
-        if self.log_bytes + len(records) > MAX_LOG_BYTES:
+        if self.log.has_room_for(records):
+            await self.log.append(records)
+        else:
             await self._compact_log()
-            return
-        await self.disk.append(LOG_NAME, records)
-        self.log_bytes += len(records)
-        await self.disk.sync(LOG_NAME)
 
     async def _compact_log(self) -> None:
-        """Write all rows to the file of rows, then empty the log.
-
-        A crash between the two is harmless: the rows of the log merge to the same
-        values.
-        """
         self._drop_old_histograms()
         records = [
             pack_batch(
@@ -453,9 +460,7 @@
             )
             for source, table in self.tables_by_source.items()
         ]
-        await self.disk.write(ROWS_NAME, join_records(records))
-        await self.disk.truncate(LOG_NAME, 0)
-        self.log_bytes = 0
+        await self.log.compact(records)
 
     def _merge(
         self,
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -120,8 +120,9 @@
 ACCOUNTS_DISK_FAILED = _event(
     312,
     logging.ERROR,
-    "A control member could not write account rows.",
-    "Replace the disk and restart the member; the other members have the rows.",
+    "A control member could not write account rows, though its disk is not full.",
+    "Replace the disk and restart the member; until then it may refuse rows, which "
+    "entries hand to the other members.",
 )
 OPERATOR_REJECTED = _event(
     400,
--- a/wagtailrun/period_closing.py
+++ b/wagtailrun/period_closing.py
@@ -4,7 +4,7 @@
 from wagtailrun.account_periods import RETAINED_PERIODS
 from wagtailrun.account_store import AccountStore
 from wagtailrun.control_service import ControlService
-from wagtailrun.exceptions import DiskFault
+from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.registry_messages import ClosePeriod
 
 __all__ = ["PeriodCloser"]
@@ -31,11 +31,18 @@
             await self.clock.sleep_ms(STEP_INTERVAL_MS)
             try:
                 await self.step()
+            except DiskFull as error:
+                await self.accounts.report_fault(error)
             except DiskFault as error:
                 events.log(events.ACCOUNTS_DISK_FAILED, detail=str(error))
 
     async def step(self) -> None:
-        """Freeze every period closed in the replicated state; propose the next one."""
+        """Freeze every period closed in the replicated state; propose the next one.
+
+        Does nothing while the disk is full.
+        """
+        if self.accounts.disk_state.is_full:
+            return
         if not await self._freeze_closed_periods() or not self.service.log.is_leader:
             return
         period = self.accounts.closable()
