Line writer: go on with the log after a full disk

Cause: the writer's thread ended at any OSError, as if the reader of the log had gone. With standard output in a file on a full disk, the process had no log until it was restarted. Change: only a closed pipe or stream ends the thread. After other errors the lines count as dropped, which the next lines that are written say.

--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -7,7 +7,7 @@
 
 from wagtailrun import events
 from wagtailrun.events import EventLog
-from wagtailrun.line_writer import MAX_QUEUED_LINES, LineWriter
+from wagtailrun.line_writer import MAX_QUEUED_LINES, WRITE_INTERVAL_S, LineWriter
 
 
 class StalledReader:
@@ -43,6 +43,39 @@
     assert stream.text.count("line\n") == MAX_QUEUED_LINES
 
 
+class FullDisk:
+    """A stream on a disk that is full for the first writes, with a part written."""
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+        self.text = ""
+
+    def write(self, text):
+        if self.refusals:
+            self.refusals -= 1
+            self.text += text[:3]
+            raise OSError(28, "No space left on device")
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def test_log_goes_on_after_its_disk_was_full():
+    """Guards against a process without a log until its restart."""
+    stream = FullDisk(refusals=2)
+    writer = LineWriter(stream)
+    writer.start()
+    for number in range(4):
+        writer.put(f"line {number}")
+        time.sleep(2 * WRITE_INTERVAL_S)
+    writer.stop()
+    lines = stream.text.split("\n")
+    assert "line 2" in lines
+    assert "line 3" in lines
+    assert '{"dropped_lines": 2}' in lines
+
+
 def test_event_becomes_one_json_object():
     """Guards against lines that operators' tools cannot parse."""
     stream = io.StringIO()
--- a/wagtailrun/line_writer.py
+++ b/wagtailrun/line_writer.py
@@ -49,6 +49,8 @@
         self.thread.join(STOP_TIMEOUT_S)
 
     def _run(self) -> None:
+        # Ends a line of which a failed write wrote a part.
+        separator = ""
         while not (self.stopping.is_set() and not self.queued_lines):
             self.lines_ready.wait()
             self.stopping.wait(WRITE_INTERVAL_S)
@@ -60,8 +62,14 @@
             if not lines:
                 continue
             try:
-                self.stream.write("\n".join(lines) + "\n")
+                self.stream.write(separator + "\n".join(lines) + "\n")
                 self.stream.flush()
-            except (OSError, ValueError):
+            except (BrokenPipeError, ValueError):
                 # The reader of the log is gone; the process continues without a log.
                 return
+            except OSError:
+                # Such as a full disk. The next lines are tried again.
+                self.dropped += dropped + len(lines) - bool(dropped)
+                separator = "\n"
+            else:
+                separator = ""
