Trace recorder: keep an entry running while the disk of the trace is full

Cause: an error of the trace file ended the recorder's task, and with it the task group of the entry, so the process ended. A partial line stayed in the file, and the header was not written again. Change: a refused batch is cut off the file and kept for the next second, up to 10,000 records; events 303 and 304 are logged once per fault.

--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -1,8 +1,10 @@
 """Tests of the trace recorder."""
 
 import json
+import os
 
 import curio
+import pytest
 
 from tests.test_caller_api import FLEET
 from wagtailrun.clock import SystemClock
@@ -43,3 +45,66 @@
     for _ in range(MAX_BUFFERED_RECORDS + 5):
         recorder.record_arrival(0, "stockists", pipeline="p", prompt_chars=1, output=1)
     assert (len(recorder.records), recorder.dropped) == (MAX_BUFFERED_RECORDS, 5)
+
+
+@pytest.mark.parametrize("written", [0, 5])
+def test_full_disk_neither_ends_the_recorder_nor_damages_the_trace(
+    tmp_path, monkeypatch, written
+):
+    """Guards against an entry that ends because the disk of its trace is full.
+
+    ``written`` bytes fit before the disk is full.
+    """
+    path = tmp_path / "trace.jsonl"
+    room = [1_000_000]
+    real = os.write
+
+    def write(descriptor, data):
+        if os.readlink(f"/proc/self/fd/{descriptor}") != str(path):
+            return real(descriptor, data)
+        if not room[0]:
+            raise OSError(28, "No space left on device")
+        count = real(descriptor, data[: room[0]])
+        room[0] -= count
+        return count
+
+    monkeypatch.setattr(os, "write", write)
+    recorder = TraceRecorder(
+        str(path), SystemClock(), "entry", "east", lambda: FLEET, list
+    )
+
+    async def record():
+        fields = {"pipeline": "p", "prompt_chars": 1, "output": 1}
+        recorder.record_arrival(recorder.started_ms, "stockists", **fields)
+        await recorder.flush()
+
+    async def main():
+        await record()
+        size = path.stat().st_size
+        room[0] = written
+        await record()
+        await record()
+        assert path.stat().st_size == size
+        room[0] = 1_000_000
+        await record()
+
+    curio.run(main)
+    kinds = [json.loads(line)["kind"] for line in path.read_text().splitlines()]
+    assert kinds == ["header"] + 4 * ["arrival"]
+    assert recorder.dropped == 0
+
+
+def test_memory_is_bounded_while_the_disk_is_full(tmp_path):
+    """Guards against records that pile up for as long as a disk is full."""
+    path = str(tmp_path / "missing" / "trace.jsonl")
+    recorder = TraceRecorder(path, SystemClock(), "e", "d", lambda: FLEET, list)
+
+    async def main():
+        for _ in range(3):
+            for _ in range(MAX_BUFFERED_RECORDS):
+                recorder.record_arrival(0, "stockists", pipeline="p", output=1)
+            await recorder.flush()
+
+    curio.run(main)
+    assert len(recorder.records) == MAX_BUFFERED_RECORDS
+    assert recorder.dropped == 2 * MAX_BUFFERED_RECORDS
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -105,6 +105,19 @@
     "A planned stop ended with account rows that no other process has.",
     "Note the interval: its counts and costs are too low.",
 )
+TRACE_NOT_WRITTEN = _event(
+    303,
+    logging.WARNING,
+    "The trace file cannot be written; the requests are served all the same.",
+    "Free space on its disk, or see the detail. Up to 10,000 records are kept for it.",
+    limited=False,
+)
+TRACE_WRITTEN_AGAIN = _event(
+    304,
+    logging.INFO,
+    "The trace file is written again.",
+    limited=False,
+)
 ACCOUNTS_FULL = _event(
     310,
     logging.ERROR,
--- a/wagtailrun/trace_recorder.py
+++ b/wagtailrun/trace_recorder.py
@@ -1,12 +1,14 @@
 """Records the requests of an entry as a trace that can be replayed."""
 
 import json
+import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
 import curio
 
+from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.fleet import FleetConfiguration, ServiceKind
 from wagtailrun.membership import TargetRow
@@ -55,6 +57,7 @@
         self.has_header = False
         self.records: list[dict[str, Any]] = []
         self.dropped = 0
+        self.is_failing = False
 
     def record_arrival(self, started_ms: int, workspace: str, **fields: Any) -> None:
         """Buffer the record of a request that has ended.
@@ -84,20 +87,44 @@
         """Write the buffered records; does nothing without a fleet configuration.
 
         The header needs the fleet configuration, so records stay buffered until then.
+        They also do, up to the limit, while the file cannot be written.
         """
         fleet = self.fleet()
         if fleet is None or not self.records:
             return
         batch, self.records = self.records, []
-        if not self.has_header:
-            self.has_header = True
-            batch.insert(0, self._header(fleet))
-        text = "".join(json.dumps(record) + "\n" for record in batch)
-        await curio.run_in_thread(self._append, text)
-
-    def _append(self, text: str) -> None:
-        with self.path.open("a", encoding="utf-8") as file:
-            file.write(text)
+        header = [] if self.has_header else [self._header(fleet)]
+        text = "".join(json.dumps(record) + "\n" for record in header + batch)
+        try:
+            await curio.run_in_thread(self._append, text.encode())
+        except OSError as error:
+            self._keep(batch)
+            if not self.is_failing:
+                events.log(events.TRACE_NOT_WRITTEN, detail=str(error))
+            self.is_failing = True
+            return
+        self.has_header = True
+        if self.is_failing:
+            events.log(events.TRACE_WRITTEN_AGAIN, dropped=self.dropped)
+        self.is_failing = False
+
+    def _keep(self, batch: list[dict[str, Any]]) -> None:
+        """Put records back that could not be written; drop what exceeds the limit."""
+        records = batch + self.records
+        self.records = records[:MAX_BUFFERED_RECORDS]
+        self.dropped += len(records) - len(self.records)
+
+    def _append(self, data: bytes) -> None:
+        """Append ``data`` as a whole, or nothing of it."""
+        with self.path.open("ab", buffering=0) as file:
+            size = os.fstat(file.fileno()).st_size
+            view = memoryview(data)
+            try:
+                while view:
+                    view = view[os.write(file.fileno(), view) :]
+            except OSError:
+                file.truncate(size)
+                raise
 
     def _header(self, fleet: FleetConfiguration) -> dict[str, Any]:
         counts: dict[tuple[str, str], int] = {}
