Report how late a stop signal was handled, and which requests the end cuts

Cause: the logs could not tell a signal that was handled late from a request that the end of the process left without an answer: event 102 did not state the lateness, and a connection that was closed with its request left no line. Change: event 102 has late_ms, the time since the process was last known to run; event 103 counts the requests without an answer, and those in the middle of one, when a planned stop ends.

--- /dev/null
+++ b/tests/test_stop_signals.py
@@ -0,0 +1,92 @@
+"""Tests of signals to stop that are handled late, and of what the stop then reports."""
+
+import signal
+
+import curio
+import pytest
+
+from tests.test_relay_stop import make_entry
+from wagtailrun import events
+from wagtailrun.adapters.http_server import Response
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.relay.process import SIGNAL_POLL_MS, StopSignals
+from wagtailrun.virtual_time import run_virtual
+
+WHOLE = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Return the events that are logged, with their fields."""
+    lines = []
+    monkeypatch.setattr(
+        events, "log", lambda event, **fields: lines.append((event, fields))
+    )
+    return lines
+
+
+def handle_late(late_ms):
+    """Return the signals of a process that stands still as it gets one to stop."""
+
+    async def main(clock):
+        signals = StopSignals(clock, lambda: None)
+        task = await curio.spawn(signals.wait)
+        await clock.sleep_ms(10 * SIGNAL_POLL_MS)
+        # No task has a turn in this time.
+        clock.seconds += late_ms / MS_PER_SECOND
+        signals._count_stop(signal.SIGTERM, None)
+        handled_ms = clock.now_ms()
+        await task.join()
+        return signals, handled_ms
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize("late_ms", [0, 300, 5_000])
+def test_lateness_of_a_signal_is_bounded(late_ms):
+    """Guards against a stop of which nobody can tell that it began late."""
+    signals, handled_ms = handle_late(late_ms)
+    assert signals.stopped_ms == handled_ms
+    assert late_ms <= signals.late_ms <= late_ms + SIGNAL_POLL_MS
+
+
+@pytest.mark.network
+def test_end_of_a_process_reports_the_requests_that_it_cuts(logged, monkeypatch):
+    """Guards against requests without an answer that no line tells of."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = {number: signal.getsignal(number) for number in numbers}
+    entry = make_entry(grace_s=0.8, drain_notice_ms=0)
+
+    async def events_of_a_stream():
+        yield b"id: 1\n\n"
+        await curio.sleep(60)
+
+    async def handle(request):
+        if request.path == "/x":
+            await curio.sleep(60)
+        return Response(200, events_of_a_stream())
+
+    async def main():
+        entry.caller_server.handler = handle
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.sleep(0.1)
+        address = entry.settings.caller_address
+        socks = []
+        for data in (WHOLE, WHOLE.replace(b"/x", b"/y")):
+            sock = await curio.open_connection(address.host, address.port)
+            await sock.sendall(data)
+            socks.append(sock)
+        await curio.sleep(0.1)
+        signal.raise_signal(signal.SIGTERM)
+        await entry._stop_on_signal()
+
+    entry.signals.install()
+    try:
+        curio.run(main)
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+    (started,) = [fields for event, fields in logged if event is events.DRAIN_STARTED]
+    assert started["late_ms"] < 5_000
+    (cut,) = [fields for event, fields in logged if event is events.REQUESTS_CUT]
+    assert (cut["unanswered"], cut["answering"]) == (1, 1)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -245,6 +245,8 @@
         # Whether no more requests are read.
         self.ended = False
         self.active_requests = 0
+        # Active requests of which no part of an answer was sent.
+        self.unanswered_requests = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
@@ -328,6 +330,8 @@
         self.reading_stopped = False
         # Method of the newest request.
         self.method = b""
+        # Whether a request is active of which no part of an answer was sent.
+        self.unanswered = False
         self.parser_header_bytes = self.limits.header_bytes
         self.http = self._make_parser()
 
@@ -340,6 +344,8 @@
             self._renew_limits()
             # A request counts from its first byte, so that a planned stop waits for it.
             self.server.active_requests += 1
+            self.server.unanswered_requests += 1
+            self.unanswered = True
             try:
                 self.server.reading_connections.add(self)
                 try:
@@ -353,6 +359,7 @@
                     return
             finally:
                 self.server.active_requests -= 1
+                self._mark_answered()
             if self.http.our_state is not h11.DONE:
                 return
             if self.http.their_state is not h11.DONE:
@@ -403,6 +410,11 @@
         )
         await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
 
+    def _mark_answered(self) -> None:
+        if self.unanswered:
+            self.unanswered = False
+            self.server.unanswered_requests -= 1
+
     def mark_incomplete(self) -> None:
         """Reset the connection if its end would count as that of a response.
 
@@ -631,6 +643,7 @@
                 data.append(self.http.send(h11.Data(response.body)))
             data.append(self.http.send(h11.EndOfMessage()))
             await self._write(b"".join(data))
+            self._mark_answered()
             return
         await self._send_stream(response, headers)
 
@@ -643,6 +656,7 @@
         pieces = response.body
         try:
             await self._write(self.http.send(head))
+            self._mark_answered()
             if self.method != HEAD_METHOD:
                 async for piece in pieces:
                     await self._write(self.http.send(h11.Data(piece)))
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -69,6 +69,13 @@
 PROCESS_STARTED = _event(100, logging.INFO, "A process started.")
 PROCESS_STOPPED = _event(101, logging.INFO, "A process stopped.")
 DRAIN_STARTED = _event(102, logging.INFO, "A planned stop began.")
+REQUESTS_CUT = _event(
+    103,
+    logging.WARNING,
+    "A planned stop ends with requests that have no complete answer.",
+    "If unanswered is not 0, compare late_ms of event 102 with the grace period.",
+    limited=False,
+)
 PEER_REJECTED = _event(
     200,
     logging.WARNING,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -401,7 +401,11 @@
         the platform's grace period does.
         """
         await self.signals.wait()
-        events.log(events.DRAIN_STARTED, name=self.settings.name)
+        events.log(
+            events.DRAIN_STARTED,
+            name=self.settings.name,
+            late_ms=self.signals.late_ms,
+        )
         signalled_ms = self.signals.stopped_ms
         notice_ms = int(self.settings.effective_drain_notice_ms)
         stop = StopPlan(
@@ -429,6 +433,18 @@
         await self.caller_server.refuse_incomplete()
         await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms)
         await self.caller_server.end()
+        self._log_cut_requests()
+
+    def _log_cut_requests(self) -> None:
+        """Log how many requests the end of the process leaves without an answer."""
+        server = self.caller_server
+        if server.active_requests:
+            events.log(
+                events.REQUESTS_CUT,
+                name=self.settings.name,
+                unanswered=server.unanswered_requests,
+                answering=server.active_requests - server.unanswered_requests,
+            )
 
     def _drain_limit_ms(self) -> int:
         return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -40,12 +40,15 @@
         self.clock = clock
         self.reload = reload
         self.stop_count = 0
-        # When the first signal to stop arrived, on the clock.
+        # When the first signal to stop was handled, on the clock.
         self.stopped_ms = 0
+        # When this process was last known to run; a signal sent before was handled.
+        self.polled_ms = 0
         self.hangup_count = 0
 
     def install(self) -> None:
         """Install the signal handlers."""
+        self.polled_ms = self.clock.now_ms()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._count_stop)
         signal.signal(signal.SIGHUP, self._count_hangup)
@@ -53,11 +56,17 @@
     async def wait(self) -> None:
         """Return after a signal to stop; reload the settings on SIGHUP until then."""
         while not self.stop_count:
+            self.polled_ms = self.clock.now_ms()
             await self.clock.sleep_ms(SIGNAL_POLL_MS)
             if self.hangup_count:
                 self.hangup_count = 0
                 self.reload()
 
+    @property
+    def late_ms(self) -> int:
+        """How long after it was sent the first signal to stop was handled, at most."""
+        return self.stopped_ms - self.polled_ms if self.stop_count else 0
+
     def _count_stop(self, number: int, frame: Any) -> None:
         if not self.stop_count:
             self.stopped_ms = self.clock.now_ms()
