Count a planned stop from when its signal was sent, if it is handled late

Cause: a stop counted from when the process handled the signal, the platform counts its grace period from when it sent it. A process that stood still, was short of processor time or whose loop was held by a long call took requests until after the platform would have killed it.

--- /dev/null
+++ b/tests/test_late_signal_processes.py
@@ -0,0 +1,126 @@
+"""Tests of entry processes that handle the signal to stop late."""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import threading
+import time
+
+import curio
+import pytest
+
+from demo.processes import free_addresses
+from tests.test_relay_stop import make_entry
+from tests.test_start import PLAIN, START_S, render, start
+from wagtailrun.relay.entry import EXIT_MARGIN_MS
+from wagtailrun.relay.process import SIGNAL_POLL_MS
+
+pytestmark = pytest.mark.network
+
+GRACE_S = 4.0
+HALF = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+
+
+@pytest.fixture
+def entry_process(tmp_path):
+    """Return a running entry without control members, and its caller address."""
+    caller, ready, peer, metrics = (each.port for each in free_addresses(4))
+    values = {
+        **PLAIN,
+        "ip": "127.0.0.1",
+        "listen.front": f"127.0.0.1:{caller}",
+        "listen.ready": f"127.0.0.1:{ready}",
+        "listen.control": f"127.0.0.1:{metrics}",
+        "internal_ports.0": str(peer),
+        "seeds": "127.0.0.1:1",
+        "bounds.grace_s": str(GRACE_S),
+    }
+    file = tmp_path / "entry.env"
+    file.write_text(render("entry", values))
+    process = start("entry", file)
+    process.stdout.readline()
+    yield process, ("127.0.0.1", caller)
+    if process.poll() is None:
+        process.kill()
+        process.communicate()
+
+
+def connect(address):
+    """Return a connection to a process that may still be starting."""
+    deadline_s = time.monotonic() + START_S
+    while True:
+        try:
+            sock = socket.create_connection(address)
+            break
+        except ConnectionRefusedError:
+            assert time.monotonic() < deadline_s
+            time.sleep(0.02)
+    sock.settimeout(START_S)
+    return sock
+
+
+@pytest.mark.parametrize("still_s", [2.8, 3.8])
+def test_process_that_stood_still_keeps_the_end_of_its_grace_period(
+    entry_process, still_s
+):
+    """Guards against a stop that counts from when a late signal is handled.
+
+    The platform counts from when it sent the signal, and would kill the process with
+    the requests that it has taken.
+    """
+    process, address = entry_process
+    sock = connect(address)
+    sock.sendall(HALF)
+    time.sleep(0.3)
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(0.2)
+    process.send_signal(signal.SIGTERM)
+    sent_s = time.monotonic()
+    time.sleep(still_s)
+    process.send_signal(signal.SIGCONT)
+    answer = sock.recv(65_536)
+    answered_s = time.monotonic() - sent_s
+    output, _ = process.communicate(timeout=START_S)
+    ended_s = time.monotonic() - sent_s
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert answered_s < GRACE_S
+    assert ended_s < GRACE_S + 0.5
+    lines = [json.loads(line) for line in output.splitlines()]
+    (started,) = [line for line in lines if line["event"] == 102]
+    assert still_s * 1_000 <= started["late_ms"]
+
+
+def test_held_event_loop_does_not_delay_the_end_of_the_grace_period():
+    """Guards against a stop that counts from the end of a long call in C.
+
+    Python handles signals between its own instructions only.
+    """
+    entry = make_entry(grace_s=3, drain_notice_ms=0)
+    handlers = {n: signal.getsignal(n) for n in (15, 2, 1)}
+    sent = []
+
+    def send_signal():
+        time.sleep(0.2)
+        sent.append(entry.clock.now_ms())
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def main():
+        task = await curio.spawn(entry._stop_on_signal)
+        await curio.sleep(0.5)
+        thread = threading.Thread(target=send_signal)
+        thread.start()
+        while not sent or entry.clock.now_ms() < sent[0] + 600:
+            hashlib.pbkdf2_hmac("sha256", b"x", b"y", 2_000_000)
+        thread.join()
+        await task.join()
+        return entry.handler.stop.ends_ms - sent[0]
+
+    entry.signals.install()
+    try:
+        ends_ms = curio.run(main)
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+    assert ends_ms <= 3_000 - EXIT_MARGIN_MS + SIGNAL_POLL_MS
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -22,7 +22,7 @@
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.front import RelayHandler, StopPlan
+from wagtailrun.relay.front import STOP_ANSWER_MS, RelayHandler, StopPlan
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
@@ -398,7 +398,7 @@
         """Wait for a signal, then stop without interrupting a request.
 
         After an error this task is started again. All times count from the signal, as
-        the platform's grace period does.
+        the platform's grace period does: one that is handled late leaves less time.
         """
         await self.signals.wait()
         events.log(
@@ -410,7 +410,12 @@
         notice_ms = int(self.settings.effective_drain_notice_ms)
         stop = StopPlan(
             signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS),
-            signalled_ms + self._drain_limit_ms(),
+            # A process that stood still for its whole grace period still refuses what
+            # it has.
+            max(
+                signalled_ms + self._drain_limit_ms(),
+                self.signals.handled_ms + STOP_ANSWER_MS,
+            ),
         )
         self.handler.stop = stop
         # Callers open their next connections elsewhere.
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -41,7 +41,7 @@
         self.reload = reload
         self.stop_count = 0
         # When the first signal to stop was handled, on the clock.
-        self.stopped_ms = 0
+        self.handled_ms = 0
         # When this process was last known to run; a signal sent before was handled.
         self.polled_ms = 0
         self.hangup_count = 0
@@ -56,20 +56,38 @@
     async def wait(self) -> None:
         """Return after a signal to stop; reload the settings on SIGHUP until then."""
         while not self.stop_count:
-            self.polled_ms = self.clock.now_ms()
+            self._record_poll()
             await self.clock.sleep_ms(SIGNAL_POLL_MS)
             if self.hangup_count:
                 self.hangup_count = 0
                 self.reload()
 
+    @property
+    def stopped_ms(self) -> int:
+        """When the first signal to stop was sent, at the earliest, on the clock.
+
+        The platform's grace period counts from then. The error is up to one poll.
+        """
+        return self.handled_ms - self.late_ms
+
     @property
     def late_ms(self) -> int:
-        """How long after it was sent the first signal to stop was handled, at most."""
-        return self.stopped_ms - self.polled_ms if self.stop_count else 0
+        """How long after it was sent the first signal to stop was handled, at most.
+
+        A process that is short of processor time, or stands still, misses its polls and
+        handles the signal late.
+        """
+        return max(self.handled_ms - self.polled_ms - SIGNAL_POLL_MS, 0)
+
+    def _record_poll(self) -> None:
+        # A signal may be handled between the two lines; the poll then came after it.
+        now_ms = self.clock.now_ms()
+        if not self.stop_count:
+            self.polled_ms = now_ms
 
     def _count_stop(self, number: int, frame: Any) -> None:
         if not self.stop_count:
-            self.stopped_ms = self.clock.now_ms()
+            self.handled_ms = self.clock.now_ms()
         self.stop_count += 1
 
     def _count_hangup(self, number: int, frame: Any) -> None:
