Do not let a silent control member delay the last refusals of a stop

Change: the message has until the time of the last refusals. The fixture stop_signal is moved to conftest.py.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
-"""Deselects exactly the tests listed in KNOWN-RED.txt, and prints them."""
+"""Deselects exactly the tests listed in KNOWN-RED.txt, and prints them; fixtures."""
 
+import signal
 from pathlib import Path
 
 import pytest
@@ -43,3 +44,16 @@
 def pytest_terminal_summary(terminalreporter):
     for line in load_known_failures().values():
         terminalreporter.write_line(f"KNOWN-RED: {line}")
+
+
+@pytest.fixture
+def stop_signal():
+    """Return a function that sends this process a signal to stop.
+
+    The handlers that an entry installed are removed at the end.
+    """
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = {number: signal.getsignal(number) for number in numbers}
+    yield lambda: signal.raise_signal(signal.SIGTERM)
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -92,13 +92,12 @@
     assert still_s * 1_000 <= started["late_ms"]
 
 
-def test_held_event_loop_does_not_delay_the_end_of_the_grace_period():
+def test_held_event_loop_does_not_delay_the_end_of_the_grace_period(stop_signal):
     """Guards against a stop that counts from the end of a long call in C.
 
     Python handles signals between its own instructions only.
     """
     entry = make_entry(grace_s=3, drain_notice_ms=0)
-    handlers = {n: signal.getsignal(n) for n in (15, 2, 1)}
     sent = []
 
     def send_signal():
@@ -118,9 +117,5 @@
         return entry.handler.stop.ends_ms - sent[0]
 
     entry.signals.install()
-    try:
-        ends_ms = curio.run(main)
-    finally:
-        for number, handler in handlers.items():
-            signal.signal(number, handler)
+    ends_ms = curio.run(main)
     assert ends_ms <= 3_000 - EXIT_MARGIN_MS + SIGNAL_POLL_MS
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -1,7 +1,5 @@
 """Tests of requests that an entry receives while it stops as planned."""
 
-import signal
-
 import curio
 import pytest
 from wagtail_platform.documents import PlatformConfigurationFormat
@@ -52,19 +50,6 @@
     return RelayEntry(settings, PlatformProtocol(), lambda: settings)
 
 
-@pytest.fixture
-def stop_signal():
-    """Return a function that sends this process a signal to stop.
-
-    The handlers that an entry installed are removed at the end.
-    """
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    handlers = {number: signal.getsignal(number) for number in numbers}
-    yield lambda: signal.raise_signal(signal.SIGTERM)
-    for number, handler in handlers.items():
-        signal.signal(number, handler)
-
-
 def lasting(duration_s):
     """Answer after a time, or stream an event in that time."""
 
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -9,6 +9,7 @@
 from wagtailrun import events
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.discovery.view import POLL_SLACK_MS
 from wagtailrun.relay.process import SIGNAL_POLL_MS, StopSignals
 from wagtailrun.virtual_time import run_virtual
 
@@ -51,10 +52,8 @@
 
 
 @pytest.mark.network
-def test_end_of_a_process_reports_the_requests_that_it_cuts(logged, monkeypatch):
+def test_end_of_a_process_reports_the_requests_that_it_cuts(logged, stop_signal):
     """Guards against requests without an answer that no line tells of."""
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    handlers = {number: signal.getsignal(number) for number in numbers}
     entry = make_entry(grace_s=0.8, drain_notice_ms=0)
 
     async def events_of_a_stream():
@@ -77,16 +76,39 @@
             await sock.sendall(data)
             socks.append(sock)
         await curio.sleep(0.1)
-        signal.raise_signal(signal.SIGTERM)
+        stop_signal()
         await entry._stop_on_signal()
 
     entry.signals.install()
-    try:
-        curio.run(main)
-    finally:
-        for number, handler in handlers.items():
-            signal.signal(number, handler)
+    curio.run(main)
     (started,) = [fields for event, fields in logged if event is events.DRAIN_STARTED]
     assert started["late_ms"] < 5_000
     (cut,) = [fields for event, fields in logged if event is events.REQUESTS_CUT]
     assert (cut["unanswered"], cut["answering"]) == (1, 1)
+
+
+@pytest.mark.network
+def test_silent_member_does_not_delay_the_last_refusals(stop_signal):
+    """Guards against refusals that wait for a control member that does not answer."""
+    entry = make_entry(grace_s=0.9, drain_notice_ms=0)
+    refused = []
+
+    async def wait_for_a_reply():
+        await curio.sleep(POLL_SLACK_MS / MS_PER_SECOND)
+
+    async def refuse():
+        refused.append(entry.clock.now_ms())
+
+    async def main():
+        entry.view.announce_stop = wait_for_a_reply
+        entry.handler.refuse_unanswered = refuse
+        entry.caller_server.active_requests = 1
+        task = await curio.spawn(entry._stop_on_signal)
+        await curio.sleep(0.1)
+        stop_signal()
+        await task.join()
+        return entry.handler.stop
+
+    entry.signals.install()
+    stop = curio.run(main)
+    assert stop.answers_end_ms <= refused[0] < stop.ends_ms
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import curio
+
 from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
@@ -420,7 +422,8 @@
         self.handler.stop = stop
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
-        await self.view.announce_stop()
+        left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
+        await curio.ignore_after(left_ms / MS_PER_SECOND, self.view.announce_stop)
         # The load balancer sends new connections until two readiness checks have
         # failed.
         notice_ends_ms = min(signalled_ms + notice_ms, stop.answers_end_ms)
