Admit no request in full after the last refusals of a stop

Cause: the time in which all requests are admitted was not bound by the end of a short grace period. Up to the end of the process, requests were admitted with their full time after everything else had been refused. Change: the notice ends with the last refusals at the latest.

--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -112,3 +112,26 @@
     entry.signals.install()
     stop = curio.run(main)
     assert stop.answers_end_ms <= refused[0] < stop.ends_ms
+
+
+@pytest.mark.network
+@pytest.mark.parametrize("grace_s", [0.8, 2, 3, 8])
+def test_no_request_is_admitted_in_full_after_the_last_refusals(stop_signal, grace_s):
+    """Guards against a short grace period in which the notice outlasts the refusals.
+
+    A request that is admitted after them has no answer when the process ends.
+    """
+    entry = make_entry(grace_s=grace_s, drain_notice_ms=grace_s * MS_PER_SECOND)
+    entry.signals.install()
+
+    async def main():
+        task = await curio.spawn(entry._stop_on_signal)
+        await curio.sleep(0.1)
+        stop_signal()
+        while entry.handler.stop is None:
+            await curio.sleep(0.01)
+        await task.cancel()
+        return entry.handler.stop
+
+    stop = curio.run(main)
+    assert stop.notice_ends_ms <= stop.answers_end_ms
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -408,17 +408,7 @@
             name=self.settings.name,
             late_ms=self.signals.late_ms,
         )
-        signalled_ms = self.signals.stopped_ms
-        notice_ms = int(self.settings.effective_drain_notice_ms)
-        stop = StopPlan(
-            signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS),
-            # A process that stood still for its whole grace period still refuses what
-            # it has.
-            max(
-                signalled_ms + self._drain_limit_ms(),
-                self.signals.handled_ms + STOP_ANSWER_MS,
-            ),
-        )
+        stop = self._plan_stop()
         self.handler.stop = stop
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
@@ -426,11 +416,29 @@
         await curio.ignore_after(left_ms / MS_PER_SECOND, self.view.announce_stop)
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        notice_ends_ms = min(signalled_ms + notice_ms, stop.answers_end_ms)
+        notice_ms = int(self.settings.effective_drain_notice_ms)
+        notice_ends_ms = self.signals.stopped_ms + notice_ms
+        notice_ends_ms = min(notice_ends_ms, stop.answers_end_ms)
         await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
         await self.caller_server.drain()
         await self._finish_requests(stop)
 
+    def _plan_stop(self) -> StopPlan:
+        """Return the times of the stop that was signalled."""
+        signalled_ms = self.signals.stopped_ms
+        notice_ms = int(self.settings.effective_drain_notice_ms)
+        ends_ms = max(
+            signalled_ms + self._drain_limit_ms(),
+            # A process that stood still for its whole grace period still refuses what
+            # it has.
+            self.signals.handled_ms + STOP_ANSWER_MS,
+        )
+        # With a short grace period, the last refusals come before the notice ends.
+        full_service_ms = min(
+            notice_ms, MAX_FULL_SERVICE_MS, ends_ms - STOP_ANSWER_MS - signalled_ms
+        )
+        return StopPlan(signalled_ms + full_service_ms, ends_ms)
+
     async def _finish_requests(self, stop: StopPlan) -> None:
         """Return when the process may end; refuse what cannot be finished by then."""
         while self.clock.now_ms() < stop.answers_end_ms:
