Let a caller that still sends read the refusal of its request

What callers saw: a reset in place of 413, 431 or 400, so neither an answer nor a refusal; beside a change that lowers a limit this hits requests that were proper when they were sent. Cause: the server refused a request in the middle and closed the connection with bytes unread, which resets it. Change: it ends its own side and discards input for 1 s at most.

--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -34,9 +34,9 @@
         return PlatformStageClient(http)
 
 
-def make_entry(**options):
+def make_entry(addresses=(), **options):
     """Return an entry that knows no control member."""
-    caller, ready, peer, metrics = free_addresses(4)
+    caller, ready, peer, metrics = addresses or free_addresses(4)
     settings = RelayEntrySettings(
         name="e",
         data_centre="a",
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -4,8 +4,8 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import attrs
@@ -41,6 +41,8 @@
 OVERLOAD_RETRY_MS = 1_000
 # A connection is closed if one write does not complete in this time.
 WRITE_TIMEOUT_MS = 30_000
+# Time in which a client that still sends a refused request reads the refusal.
+DISCARD_TIMEOUT_MS = 1_000
 # SO_LINGER with a time of 0: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # How long a draining server waits for the request of a connection it has accepted.
@@ -356,29 +358,32 @@
             if not await self._wait_for_bytes():
                 return
             self._renew_limits()
-            # A request counts from its first byte, so that a planned stop waits for it.
-            self.server.active_requests += 1
-            self.server.unanswered_requests += 1
-            self.unanswered = True
-            try:
-                self.server.reading_connections.add(self)
+            with self._counted():
                 try:
                     request = await self._read_request()
                 except RequestRejected as error:
                     await self._reject(error)
-                    return
-                finally:
-                    self.server.reading_connections.discard(self)
+                    break
                 if request is None or not await self._serve(request):
                     return
-            finally:
-                self.server.active_requests -= 1
-                self._mark_answered()
             if self.http.our_state is not h11.DONE:
                 return
             if self.http.their_state is not h11.DONE:
                 return
             self.http.start_next_cycle()
+        await self._discard_input()
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        """Count a request, from its first byte, so that a planned stop waits for it."""
+        self.server.active_requests += 1
+        self.server.unanswered_requests += 1
+        self.unanswered = True
+        try:
+            yield
+        finally:
+            self.server.active_requests -= 1
+            self._mark_answered()
 
     def _make_parser(self) -> h11.Connection:
         limit = self.parser_header_bytes
@@ -424,6 +429,19 @@
         )
         await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
 
+    async def _discard_input(self) -> None:
+        """Receive the rest of a request that was refused, for a limited time.
+
+        Closing a connection with unread bytes resets it, and the client may then lose
+        the refusal.
+        """
+        if self.reading_stopped:
+            return
+        await self.sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(DISCARD_TIMEOUT_MS / MS_PER_SECOND):
+            while data := await self.sock.recv(READ_BYTES):
+                await self.turns.take(len(data))
+
     def _mark_answered(self) -> None:
         if self.unanswered:
             self.unanswered = False
@@ -450,6 +468,13 @@
             RequestRejected: If the request is malformed, too large or incomplete when
                 its time limit expires.
         """
+        self.server.reading_connections.add(self)
+        try:
+            return await self._receive_request()
+        finally:
+            self.server.reading_connections.discard(self)
+
+    async def _receive_request(self) -> Request | None:
         detail = f"the request head was not complete within {self.limits.header_ms} ms"
         try:
             async with curio.timeout_after(self.limits.header_ms / MS_PER_SECOND):
