--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -1,7 +1,5 @@
 """Tests of requests that an entry receives while it stops as planned."""
 
-import signal
-
 import curio
 import pytest
 from wagtail_platform.documents import PlatformConfigurationFormat
@@ -36,9 +34,9 @@
         return PlatformStageClient(http)
 
 
-def make_entry(**options):
+def make_entry(addresses=(), **options):
     """Return an entry that knows no control member."""
-    caller, ready, peer, metrics = free_addresses(4)
+    caller, ready, peer, metrics = addresses or free_addresses(4)
     settings = RelayEntrySettings(
         name="e",
         data_centre="a",
@@ -52,19 +50,6 @@
     return RelayEntry(settings, PlatformProtocol(), lambda: settings)
 
 
-@pytest.fixture
-def stop_signal():
-    """Return a function that sends this process a signal to stop.
-
-    The handlers that an entry installed are removed at the end.
-    """
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    handlers = {number: signal.getsignal(number) for number in numbers}
-    yield lambda: signal.raise_signal(signal.SIGTERM)
-    for number, handler in handlers.items():
-        signal.signal(number, handler)
-
-
 def lasting(duration_s):
     """Answer after a time, or stream an event in that time."""
 
@@ -323,10 +308,11 @@
         address = entry.settings.caller_address
         sock = await curio.open_connection(address.host, address.port)
         await sock.sendall(head)
+        task = await curio.spawn(entry._stop_on_signal)
         await curio.sleep(0.1)
         stop_signal()
         signalled_ms = entry.clock.now_ms()
-        await entry._stop_on_signal()
+        await task.join()
         took_ms = entry.clock.now_ms() - signalled_ms
         return await sock.recv(65_536), took_ms, refused[0] - signalled_ms
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -4,8 +4,8 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import attrs
@@ -14,7 +14,7 @@
 
 from wagtailrun import events
 from wagtailrun.adapters.http_client import header_fields
-from wagtailrun.adapters.listener import listen
+from wagtailrun.adapters.listener import Listener
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
 from wagtailrun.fairness import Turns
@@ -41,6 +41,8 @@
 OVERLOAD_RETRY_MS = 1_000
 # A connection is closed if one write does not complete in this time.
 WRITE_TIMEOUT_MS = 30_000
+# Time in which a client that still sends a refused request reads the refusal.
+DISCARD_TIMEOUT_MS = 1_000
 # SO_LINGER with a time of 0: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # How long a draining server waits for the request of a connection it has accepted.
@@ -242,9 +244,12 @@
         self.closing = False
         # Whether connections without a request are closed.
         self.draining = False
-        # Whether no more requests are read.
+        # Whether connections without a request are closed at once.
         self.ended = False
+        self.listener = Listener(address, self._serve_connection)
         self.active_requests = 0
+        # Active requests of which no part of an answer was sent.
+        self.unanswered_requests = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
@@ -255,7 +260,7 @@
         Raises:
             SettingsError: If the process cannot listen on the address.
         """
-        await listen(self.address, self._serve_connection)
+        await self.listener.run()
 
     def _default_limits(self) -> ServerLimits:
         return ServerLimits(
@@ -279,7 +284,7 @@
             await connection.stop_reading()
 
     async def end(self) -> bool:
-        """Read no more requests, so that the process can end.
+        """Close the connections without a request, so that the process can end.
 
         Returns:
             False if a request had arrived already, which is served as before.
@@ -290,12 +295,25 @@
         self.ended = not self.active_requests
         return self.ended
 
+    async def close(self, limit_ms: int) -> None:
+        """Accept no more connections, and answer the requests that have arrived.
+
+        Those that arrive later cross the close of their connections.
+
+        Args:
+            limit_ms: How long to wait for the answers, in milliseconds.
+        """
+        self.ended = True
+        await self.drain()
+        await self.listener.close()
+        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
+            while True:
+                await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
+                if not self.unanswered_requests and not self.idle_connections:
+                    return
+                await self.refuse_incomplete()
+
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
-        if self.ended:
-            # The process goes on if a request had arrived already.
-            await curio.sleep(2 * END_PAUSE_MS / MS_PER_SECOND)
-        if self.ended:
-            return
         connection = _ServerConnection(self, sock, str(peer[0]))
         self.open_connections += 1
         try:
@@ -328,6 +346,8 @@
         self.reading_stopped = False
         # Method of the newest request.
         self.method = b""
+        # Whether a request is active of which no part of an answer was sent.
+        self.unanswered = False
         self.parser_header_bytes = self.limits.header_bytes
         self.http = self._make_parser()
 
@@ -338,26 +358,32 @@
             if not await self._wait_for_bytes():
                 return
             self._renew_limits()
-            # A request counts from its first byte, so that a planned stop waits for it.
-            self.server.active_requests += 1
-            try:
-                self.server.reading_connections.add(self)
+            with self._counted():
                 try:
                     request = await self._read_request()
                 except RequestRejected as error:
                     await self._reject(error)
-                    return
-                finally:
-                    self.server.reading_connections.discard(self)
+                    break
                 if request is None or not await self._serve(request):
                     return
-            finally:
-                self.server.active_requests -= 1
             if self.http.our_state is not h11.DONE:
                 return
             if self.http.their_state is not h11.DONE:
                 return
             self.http.start_next_cycle()
+        await self._discard_input()
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        """Count a request, from its first byte, so that a planned stop waits for it."""
+        self.server.active_requests += 1
+        self.server.unanswered_requests += 1
+        self.unanswered = True
+        try:
+            yield
+        finally:
+            self.server.active_requests -= 1
+            self._mark_answered()
 
     def _make_parser(self) -> h11.Connection:
         limit = self.parser_header_bytes
@@ -403,6 +429,24 @@
         )
         await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
 
+    async def _discard_input(self) -> None:
+        """Receive the rest of a request that was refused, for a limited time.
+
+        Closing a connection with unread bytes resets it, and the client may then lose
+        the refusal.
+        """
+        if self.reading_stopped:
+            return
+        await self.sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(DISCARD_TIMEOUT_MS / MS_PER_SECOND):
+            while data := await self.sock.recv(READ_BYTES):
+                await self.turns.take(len(data))
+
+    def _mark_answered(self) -> None:
+        if self.unanswered:
+            self.unanswered = False
+            self.server.unanswered_requests -= 1
+
     def mark_incomplete(self) -> None:
         """Reset the connection if its end would count as that of a response.
 
@@ -424,6 +468,13 @@
             RequestRejected: If the request is malformed, too large or incomplete when
                 its time limit expires.
         """
+        self.server.reading_connections.add(self)
+        try:
+            return await self._receive_request()
+        finally:
+            self.server.reading_connections.discard(self)
+
+    async def _receive_request(self) -> Request | None:
         detail = f"the request head was not complete within {self.limits.header_ms} ms"
         try:
             async with curio.timeout_after(self.limits.header_ms / MS_PER_SECOND):
@@ -448,8 +499,6 @@
         """Wait for the first bytes of a request; return False if none were received."""
         if self.http.trailing_data[0]:
             return True
-        if self.server.ended:
-            return False
         self.server.idle_connections.add(self)
         try:
             data = await self._receive_when_idle()
@@ -472,6 +521,8 @@
                 # A connection that was accepted a moment ago; its request is on the
                 # way.
                 wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
+            if self.server.ended:
+                wait_ms = min(wait_ms, END_PAUSE_MS)
             try:
                 async with curio.timeout_after(wait_ms / MS_PER_SECOND):
                     return await self.sock.recv(READ_BYTES)
@@ -631,6 +682,7 @@
                 data.append(self.http.send(h11.Data(response.body)))
             data.append(self.http.send(h11.EndOfMessage()))
             await self._write(b"".join(data))
+            self._mark_answered()
             return
         await self._send_stream(response, headers)
 
@@ -643,6 +695,7 @@
         pieces = response.body
         try:
             await self._write(self.http.send(head))
+            self._mark_answered()
             if self.method != HEAD_METHOD:
                 async for piece in pieces:
                     await self._write(self.http.send(h11.Data(piece)))
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import curio
+
 from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
@@ -22,7 +24,7 @@
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.front import RelayHandler, StopPlan
+from wagtailrun.relay.front import STOP_ANSWER_MS, RelayHandler, StopPlan
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
@@ -63,6 +65,8 @@
 MAX_FULL_SERVICE_MS = 2_800
 # A draining process exits this long before the platform would kill it.
 EXIT_MARGIN_MS = 400
+# Requests without an answer at that time delay the exit up to this time before.
+KILL_MARGIN_MS = 100
 # Stage calls are spread over entries on links slower than this. The calls of one busy
 # stage take 3 Mbit/s; on faster links one entry makes them all, which saves a hop.
 SPREAD_BELOW_LINK_MBPS = 50.0
@@ -398,37 +402,77 @@
         """Wait for a signal, then stop without interrupting a request.
 
         After an error this task is started again. All times count from the signal, as
-        the platform's grace period does.
+        the platform's grace period does: one that is handled late leaves less time.
         """
         await self.signals.wait()
-        events.log(events.DRAIN_STARTED, name=self.settings.name)
-        signalled_ms = self.signals.stopped_ms
-        notice_ms = int(self.settings.effective_drain_notice_ms)
-        stop = StopPlan(
-            signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS),
-            signalled_ms + self._drain_limit_ms(),
+        events.log(
+            events.DRAIN_STARTED,
+            name=self.settings.name,
+            late_ms=self.signals.late_ms,
         )
+        stop = self._plan_stop()
         self.handler.stop = stop
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
-        await self.view.announce_stop()
+        left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
+        await curio.ignore_after(left_ms / MS_PER_SECOND, self.view.announce_stop)
         # The load balancer sends new connections until two readiness checks have
         # failed.
-        notice_ends_ms = min(signalled_ms + notice_ms, stop.answers_end_ms)
+        notice_ms = int(self.settings.effective_drain_notice_ms)
+        notice_ends_ms = self.signals.stopped_ms + notice_ms
+        notice_ends_ms = min(notice_ends_ms, stop.answers_end_ms)
         await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
         await self.caller_server.drain()
         await self._finish_requests(stop)
 
+    def _plan_stop(self) -> StopPlan:
+        """Return the times of the stop that was signalled."""
+        signalled_ms = self.signals.stopped_ms
+        notice_ms = int(self.settings.effective_drain_notice_ms)
+        ends_ms = max(
+            signalled_ms + self._drain_limit_ms(),
+            # A process that stood still for its whole grace period still refuses what
+            # it has.
+            self.signals.handled_ms + STOP_ANSWER_MS,
+        )
+        # With a short grace period, the last refusals come before the notice ends.
+        full_service_ms = min(
+            notice_ms, MAX_FULL_SERVICE_MS, ends_ms - STOP_ANSWER_MS - signalled_ms
+        )
+        return StopPlan(signalled_ms + full_service_ms, ends_ms)
+
     async def _finish_requests(self, stop: StopPlan) -> None:
         """Return when the process may end; refuse what cannot be finished by then."""
         while self.clock.now_ms() < stop.answers_end_ms:
             await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
             if self._is_idle() and await self.caller_server.end():
-                return
-        await self.handler.refuse_unanswered()
-        await self.caller_server.refuse_incomplete()
-        await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms)
-        await self.caller_server.end()
+                break
+        else:
+            await self.handler.refuse_unanswered()
+            await self.caller_server.refuse_incomplete()
+            await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms)
+        await self._close_caller_server()
+
+    async def _close_caller_server(self) -> None:
+        """Refuse what still arrives, until the process can end."""
+        now_ms = self.clock.now_ms()
+        self.handler.stop = StopPlan(now_ms, now_ms)
+        killed_ms = self.signals.stopped_ms + int(self.settings.grace_s * MS_PER_SECOND)
+        await self.caller_server.close(
+            max(killed_ms - KILL_MARGIN_MS - now_ms, STOP_ANSWER_MS)
+        )
+        self._log_cut_requests()
+
+    def _log_cut_requests(self) -> None:
+        """Log how many requests the end of the process leaves without an answer."""
+        server = self.caller_server
+        if server.active_requests:
+            events.log(
+                events.REQUESTS_CUT,
+                name=self.settings.name,
+                unanswered=server.unanswered_requests,
+                answering=server.active_requests - server.unanswered_requests,
+            )
 
     def _drain_limit_ms(self) -> int:
         return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
