--- a/tests/test_stream_takeup.py
+++ b/tests/test_stream_takeup.py
@@ -331,6 +331,25 @@
     assert run_takeup(engines, ["v1", "v2"], client) == (200, [0])
 
 
+def test_log_of_a_take_up_shows_the_age_of_what_it_rests_on(caplog):
+    """Guards against a take-up whose log line does not tell an outdated view."""
+
+    async def client(address, fleet):
+        await begin(address)
+        return (await take_up(address)).status
+
+    with caplog.at_level("INFO"):
+        found = run_takeup([[BROKEN_FIRST, REST]], ["v1"], client)
+    assert found == (200, [0, 0])
+    line = next(text for text in caplog.messages if text.startswith("E0718"))
+    for field in (
+        '"began_incarnation": 0',
+        '"confirmation_age_ms": 10',
+        '"replies": 3',
+    ):
+        assert field in line
+
+
 def test_conflicting_names_of_the_first_request_are_malformed():
     """Guards against a take-up that is bound by one of two conflicting headers."""
 
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -54,12 +54,14 @@
         age_ms: Time since the stream began, if a record was found.
         detail: What the result is based on, or why there is none.
         may_be_found_later: Whether a later search may find it.
+        replies: Number of control members that replied.
     """
 
     origin: StreamOrigin | None
     age_ms: int
     detail: str
     may_be_found_later: bool = False
+    replies: int = 0
 
 
 @attrs.frozen
@@ -206,6 +208,16 @@
         members = self.view.ranked_members()
         question = FindOrigin(key or 0, services[0] if services else "")
         replies = await self._ask(members, question)
+        found = self._conclude(key, services, len(members), replies)
+        return attrs.evolve(found, replies=len(replies))
+
+    def _conclude(
+        self,
+        key: int | None,
+        services: Sequence[str],
+        members: int,
+        replies: Sequence[OriginFound],
+    ) -> FoundOrigin:
         origins = {
             found.origin: found.age_ms
             for reply in replies
@@ -218,13 +230,13 @@
         if origins:
             origin, age_ms = next(iter(origins.items()))
             return FoundOrigin(origin, age_ms, "record")
-        missing = len(members) - len(replies)
+        missing = members - len(replies)
         if missing >= COPIES or not replies:
-            detail = f"{missing} of {len(members)} control members did not reply"
+            detail = f"{missing} of {members} control members did not reply"
             return FoundOrigin(None, 0, detail, may_be_found_later=True)
         versions = set().union(*(reply.versions for reply in replies))
         if len(services) == 1 and len(versions) == 1 and "" not in versions:
-            detail = self._memory_gap(replies, len(members))
+            detail = self._memory_gap(replies, members)
             if detail:
                 return FoundOrigin(None, 0, detail)
             origin = StreamOrigin(services[0], versions.pop(), "", 0)
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -715,6 +715,8 @@
             target=row.name,
             address=str(row.address),
             software_version=row.software_version,
+            incarnation=row.incarnation,
+            confirmation_age_ms=self.view.confirmation_age_ms,
             attempt=len(job.tried_targets),
             runs=job.runs,
             progress=str(job.progress),
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -312,7 +312,10 @@
             began_at=origin.target if origin else "",
             service=origin.service if origin else "",
             software_version=origin.software_version if origin else "",
+            began_incarnation=origin.incarnation if origin else 0,
             age_ms=found.age_ms,
+            replies=found.replies,
+            confirmation_age_ms=self.view.confirmation_age_ms,
             detail=detail,
         )
         if origin is None:
@@ -453,6 +456,7 @@
             runs=job.runs,
             began_at=job.origin.target if job.origin else "",
             software_version=job.origin.software_version if job.origin else "",
+            began_incarnation=job.origin.incarnation if job.origin else 0,
             expected_ms=job.expected_ms,
             planned_ms=job.planned_ms,
             margin_ms=job.margin_ms,
