End messages and proposals at a member that has stopped

Cause: Member.handle waited for `opened`, which is never notified when open fails, and proposals stayed pending at a leader whose write was refused until their own timeout. Change: a fault and a close wake both; a closed member leaves the state machine to its successor.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -9,7 +9,7 @@
 from wagtailrun import election, replication
 from wagtailrun.consensus_messages import Join
 from wagtailrun.consensus_timing import Timing
-from wagtailrun.exceptions import DiskFault
+from wagtailrun.exceptions import ConsensusUnavailable, DiskFault
 from wagtailrun.virtual_time import run_virtual
 
 # The last three cover a closed leader that still started tasks, which sent heartbeats.
@@ -295,9 +295,11 @@
         cluster = await started(clock, 1)
         leader = cluster.leader()
         leader.disk.fault = fault
+        failed = leader.member
         assert not await cluster.propose(leader)
+        # The proposal fails at once, before the member has ended.
+        await cluster.wait_for(lambda: failed.is_closed, "not closed")
         leader.disk.fault = None
-        failed = leader.member
         assert failed.fault is not None
         await cluster.wait_for(lambda: cluster.leader() not in (None, leader), "none")
         await clock.sleep_ms(3_000)
@@ -310,6 +312,48 @@
     assert run_virtual(main) == []
 
 
+def test_message_to_a_member_that_cannot_open_ends():
+    """Guards against calls that wait for ever at a member whose files do not open."""
+
+    async def main(clock):
+        cluster = await started(clock, 1)
+        node = cluster.nodes[0]
+        await node.kill()
+        # A torn tail must be cut off, which a full disk refuses.
+        name = next(name for name in node.disk.synced if name.startswith("log-"))
+        node.disk.synced[name] += b"torn"
+        node.disk.fault = "full"
+        await node.start()
+        member = node.member
+        async with curio.timeout_after(5):
+            with pytest.raises(DiskFault):
+                await member.handle(Join("m9#1", "10.0.0.1:9"))
+        assert member.fault is not None
+        await cluster.settle()
+        return cluster.violations
+
+    assert run_virtual(main) == []
+
+
+def test_pending_proposal_ends_with_its_member():
+    """Guards against callers that wait at a leader whose disk was found to be full."""
+
+    async def main(clock):
+        cluster = await started(clock, 1)
+        leader = cluster.leader()
+        isolate(cluster, leader)
+        leader.disk.fault = "full"
+        start_ms = clock.now_ms()
+        with pytest.raises(ConsensusUnavailable) as caught:
+            await leader.member.propose(b"command", 10_000)
+        assert caught.value.may_have_committed
+        assert clock.now_ms() - start_ms < 100
+        await cluster.settle()
+        return cluster.violations
+
+    assert run_virtual(main) == []
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_leader_without_replies_steps_down(seed):
     """Guards against a leader that blocks elections although it receives no replies.
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -163,6 +163,8 @@
         try:
             await self.open()
             await self.failed.wait()
+        except Exception as error:
+            await self.fail(error)
         finally:
             await self.close()
         raise self.fault
@@ -188,6 +190,7 @@
         """Cancel all tasks and wait until they end; no task starts afterwards."""
         self.is_closed = True
         self.role = Role.FOLLOWER
+        await self.opened.notify()
         tasks = list(self.tasks)
         for task in tasks:
             await task.cancel(blocking=False)
@@ -213,13 +216,20 @@
         self.tasks[task] = None
 
     async def fail(self, error: Exception) -> None:
-        """Record a permanent fault, which ends all votes and acknowledgements."""
+        """Record a fault, which ends all votes and acknowledgements of this instance.
+
+        Pending proposals fail at once, so that their callers can try another member.
+        """
         if self.fault is not None:
             return
         self.fault = error
         self.role = Role.FOLLOWER
         events.log(events.MEMBER_FAULT, member=self.name, detail=repr(error))
+        for proposal in self.proposals_by_index.values():
+            proposal.error = self._unavailable(str(error), True)
+            await proposal.done.set()
         await self.failed.set()
+        await self.opened.notify()
 
     # Interface to the embedding program
 
@@ -335,10 +345,11 @@
             MessageError: If the message is not a request of the consensus channel, or
                 this member is closed.
         """
-        while not self.is_open:
+        while not (self.is_open or self.is_closed or self.fault is not None):
             await self.opened.wait()
         if self.fault is not None:
-            raise self.fault
+            # Without a traceback, which would grow with each message.
+            raise self.fault.with_traceback(None)
         if self.is_closed:
             raise MessageError("this member is closed")
         match message:
@@ -411,7 +422,12 @@
             await self.commit_advanced.notify()
 
     def restore_snapshot(self, header: SnapshotHeader, data: bytes) -> None:
-        """Restore the state machine from a snapshot that is newer than its state."""
+        """Restore the state machine from a snapshot that is newer than its state.
+
+        A closed member leaves the state machine to its successor.
+        """
+        if self.is_closed:
+            return
         if header.index > self.applied_index:
             self.machine.restore(data)
             self.applied_index = header.index
