Start the member of both control processes again once its disk has space

Cause: the product's control process waited for ever after a write that was refused for lack of space, while the relay's control restarted its member. Two disks that had been full one after the other left no majority, for good. Change: MemberHost owns disk, member and reset of the registry in both processes. After DiskFull it waits until the refused write and a reserve fit, after another disk fault it starts again with growing delays; damaged files are removed only by the relay's control, and never once the disk was full. The host is the replicated log of the services, so they see the new member. A stopped member answers its peers without a line in the log for each message.

--- /dev/null
+++ b/tests/full_disk/sitecustomize.py
@@ -0,0 +1,58 @@
+"""Makes the disk of a process full while a file with its name exists.
+
+Python imports this module at its start if its folder is in ``PYTHONPATH``. It acts on
+regular files below ``TEST_DATA_FOLDER``/NAME, and refuses writes to them while
+``TEST_DATA_FOLDER``/NAME.full exists.
+"""
+
+import errno
+import os
+import stat
+from pathlib import Path
+
+ROOT = os.environ["TEST_DATA_FOLDER"]
+
+
+def _is_full(descriptor):
+    if not stat.S_ISREG(os.fstat(descriptor).st_mode):
+        return False
+    path = os.readlink(f"/proc/self/fd/{descriptor}")
+    if not path.startswith(ROOT + os.sep):
+        return False
+    name, _, rest = path.removeprefix(ROOT + os.sep).partition(os.sep)
+    return bool(rest) and Path(ROOT, f"{name}.full").exists()
+
+
+def _no_space():
+    return OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
+def _refuse_when_full(function):
+    def replacement(descriptor, *arguments):
+        if _is_full(descriptor):
+            raise _no_space()
+        return function(descriptor, *arguments)
+
+    return replacement
+
+
+def _write_part_when_full(function):
+    """Write a first part before the error, as the last free blocks allow."""
+    torn = set()
+
+    def replacement(descriptor, data):
+        if not _is_full(descriptor):
+            torn.clear()
+            return function(descriptor, data)
+        size = len(data) // 2
+        if descriptor in torn or not size:
+            raise _no_space()
+        torn.add(descriptor)
+        return function(descriptor, bytes(data)[:size])
+
+    return replacement
+
+
+os.write = _write_part_when_full(os.write)
+os.ftruncate = _refuse_when_full(os.ftruncate)
+os.fdatasync = _refuse_when_full(os.fdatasync)
--- /dev/null
+++ b/tests/test_full_disk_processes.py
@@ -0,0 +1,117 @@
+"""Tests of control processes whose disks are full for a while."""
+
+import json
+import secrets
+import time
+from pathlib import Path
+
+import pytest
+
+from demo.processes import Fleet, request
+from tests.test_consensus_processes import (
+    apply_at,
+    leader,
+    wait_for,
+    wait_revision,
+)
+from wagtailrun.exceptions import TargetFailed
+
+pytestmark = pytest.mark.network
+
+FULL_S = 3.0
+WRAPPER_FOLDER = Path(__file__).parent / "full_disk"
+TEXT = (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text("utf-8")
+ORDER = "/v1/services/dispatch-desk/book-dispatch"
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet(TEXT, ["east"], ["dispatch-desk"], entries_per_centre=1)
+    fleet.environment["PYTHONPATH"] = str(WRAPPER_FOLDER)
+    fleet.environment["TEST_DATA_FOLDER"] = fleet.folder.name
+    with fleet:
+        fleet.apply_text()
+        yield fleet
+
+
+def fill(fleet, name):
+    Path(fleet.folder.name, f"{name}.full").touch()
+
+
+def free(fleet, name):
+    Path(fleet.folder.name, f"{name}.full").unlink()
+
+
+def readiness(fleet, name):
+    """Return status and body of ``/readyz``, or None without an answer."""
+    try:
+        reply = request(fleet.operator_address_by_name[name], "GET", "/readyz")
+    except TargetFailed:
+        return None
+    return reply.status, json.loads(reply.body)["status"]
+
+
+def order_status(fleet):
+    """Return the status of a new order with a key, sent once."""
+    (address,) = fleet.caller_address_by_name.values()
+    headers = (
+        ("Wagtailrun-Workspace", "stockists"),
+        ("Idempotency-Key", secrets.token_hex(8)),
+    )
+    return request(address, "POST", ORDER, headers, b'{"pallets": 1}').status
+
+
+def assert_in_order(fleet, revision):
+    """Assert that each member is ready and answers, and that all processes run."""
+    for name in fleet.operator_address_by_name:
+        wait_for(
+            lambda name=name: readiness(fleet, name) == (200, "alive"),
+            f"{name} is not ready",
+        )
+        wait_revision(fleet, name, revision)
+    wait_for(lambda: order_status(fleet) == 200, "orders are refused")
+    assert [order_status(fleet) for _ in range(5)] == [200] * 5
+    for process in fleet.processes_by_name.values():
+        assert process.poll() is None
+
+
+def test_full_disks_one_after_another(fleet):
+    """Guards against a cluster that ends when each disk was full for a while."""
+    revision = 1
+    for victim in sorted(fleet.operator_address_by_name):
+        other = next(name for name in fleet.operator_address_by_name if name != victim)
+        fill(fleet, victim)
+        end = time.monotonic() + FULL_S
+        while time.monotonic() < end:
+            apply_at(fleet, other, revision)
+            revision += 1
+        wait_for(
+            lambda victim=victim: (readiness(fleet, victim) or (0,))[0] == 503,
+            f"{victim} is ready",
+        )
+        free(fleet, victim)
+        apply_at(fleet, other, revision)
+        revision += 1
+        wait_revision(fleet, victim, revision)
+    assert_in_order(fleet, revision)
+
+
+def test_full_leaders_one_after_another(fleet):
+    """Guards against a leader that keeps its role on a full disk, then all lost."""
+    revision = 1
+    for _ in range(5):
+        victim = leader(fleet)
+        other = next(name for name in fleet.operator_address_by_name if name != victim)
+        fill(fleet, victim)
+        apply_at(fleet, other, revision)
+        apply_at(fleet, other, revision + 1)
+        revision += 2
+        time.sleep(0.5)
+        free(fleet, victim)
+        wait_revision(fleet, victim, revision)
+    names = list(fleet.operator_address_by_name)
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.restart(name)
+    assert_in_order(fleet, revision)
--- /dev/null
+++ b/tests/test_member_host.py
@@ -0,0 +1,203 @@
+"""Tests of members whose disks are full or fail, in virtual time."""
+
+import pytest
+
+from tests.fake_cluster import shrink_sizes
+from tests.hosted_cluster import HostedCluster
+from wagtailrun import events, member_host
+from wagtailrun.exceptions import DiskFault, DiskFull
+from wagtailrun.virtual_time import run_virtual
+
+HOUR_MS = 3_600_000
+SEEDS = range(5)
+
+
+@pytest.fixture(autouse=True)
+def _small_sizes(monkeypatch):
+    shrink_sizes(monkeypatch)
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Events that were logged, in order."""
+    found = []
+    monkeypatch.setattr(events, "log", lambda event, **fields: found.append(event))
+    return found
+
+
+async def started(clock, seed, **options):
+    cluster = HostedCluster(clock, seed, **options)
+    await cluster.start()
+    await cluster.wait_leader()
+    await cluster.wait_for(cluster.is_repaired, "not founded")
+    await cluster.propose_many(3)
+    return cluster
+
+
+def run(scenario, seed, **options):
+    """Run ``scenario(clock, cluster)``; assert that the cluster works afterwards."""
+
+    async def main(clock):
+        cluster = await started(clock, seed, **options)
+        identities = {node.member.identity for node in cluster.nodes}
+        await scenario(clock, cluster)
+        for node in cluster.nodes:
+            node.disk.fault = None
+        # Not by settle: it would start stopped members again.
+        await cluster.wait_for(
+            lambda: all(node.host.is_running for node in cluster.nodes), "stopped"
+        )
+        await cluster.settle()
+        assert {node.member.identity for node in cluster.nodes} == identities
+        return cluster.violations
+
+    assert run_virtual(main) == []
+
+
+@pytest.mark.parametrize("fault", ["full", "sync error"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_disks_fail_one_after_another(seed, fault):
+    """Guards against members that stay stopped once their disks work again."""
+
+    async def scenario(clock, cluster):
+        for node in cluster.nodes:
+            node.disk.fault = fault
+            await cluster.propose_many(20)
+            await clock.sleep_ms(2_000)
+            node.disk.fault = None
+            await cluster.propose_many(5)
+            await cluster.wait_for(lambda node=node: node.host.is_running, "stopped")
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_full_leader_and_then_all_lose_power(seed):
+    """Guards against acknowledged commands that no disk holds."""
+
+    async def scenario(clock, cluster):
+        for _ in range(5):
+            leader = await cluster.wait_leader()
+            leader.disk.fault = "full"
+            await cluster.propose(leader)
+            await cluster.propose_many(4)
+            await clock.sleep_ms(cluster.random.randint(0, 2_000))
+            leader.disk.fault = None
+        for node in cluster.nodes:
+            await node.kill()
+        for node in cluster.nodes:
+            await node.start()
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_disks_full_at_once(seed):
+    """Guards against acknowledgements without a majority, and a cluster that ends."""
+
+    async def scenario(clock, cluster):
+        full = cluster.nodes[seed % 3], cluster.nodes[(seed + 1) % 3]
+        for node in full:
+            node.disk.fault = "full"
+        before = len(cluster.acknowledged)
+        for _ in range(5):
+            for node in cluster.nodes:
+                await cluster.propose(node, 500)
+            await clock.sleep_ms(500)
+        acknowledged = len(cluster.acknowledged)
+        assert acknowledged <= before + 1
+        full[0].disk.fault = None
+        await cluster.propose_many(3)
+        assert len(cluster.acknowledged) == acknowledged + 3
+
+    run(scenario, seed)
+
+
+def test_disk_full_for_an_hour(logged):
+    """Guards against a log that fills, and messages that wait for ever."""
+
+    async def scenario(clock, cluster):
+        node = cluster.nodes[0]
+        node.disk.fault = "full"
+        await cluster.propose_many(3)
+        await cluster.wait_for(lambda: not node.host.is_running, "running")
+        logged.clear()
+        probes = node.disk.sync_points
+        await clock.sleep_ms(HOUR_MS)
+        assert logged.count(events.DISK_FULL) <= 1
+        assert set(logged) <= {events.DISK_FULL, events.BECAME_LEADER}
+        assert node.disk.sync_points - probes < HOUR_MS / 1_000
+
+    run(scenario, 1)
+
+
+def test_space_for_a_part_of_what_is_needed(logged):
+    """Guards against a member that starts and stops all the time on a short disk."""
+
+    async def scenario(clock, cluster):
+        node = cluster.nodes[0]
+        room = 200
+        original = node.disk.write, node.disk.probe
+
+        async def write(name, data):
+            if len(data) > room:
+                raise DiskFull("injected: no space for this file")
+            await original[0](name, data)
+
+        async def probe(size):
+            if size > member_host.SPACE_RESERVE_BYTES + room:
+                raise DiskFull("injected: no space for this probe")
+            await original[1](size)
+
+        node.disk.write, node.disk.probe = write, probe
+        await cluster.propose_many(30)
+        await cluster.wait_for(lambda: not node.host.is_running, "running")
+        await clock.sleep_ms(HOUR_MS)
+        assert logged.count(events.DISK_FULL) == 1
+        node.disk.write, node.disk.probe = original
+
+    run(scenario, 1)
+
+
+def test_writes_that_are_refused_although_there_is_space(logged):
+    """Guards against starts at full speed where probes succeed and writes do not."""
+
+    async def scenario(clock, cluster):
+        node = cluster.nodes[0]
+        original = node.disk.append
+
+        async def append(name, data):
+            raise DiskFull("injected: refused")
+
+        node.disk.append = append
+        await curio_client(clock, cluster, 600)
+        assert 2 <= logged.count(events.DISK_FULL) < 30
+        node.disk.append = original
+
+    async def curio_client(clock, cluster, commands):
+        for _ in range(commands):
+            await cluster.propose_many(1)
+            await clock.sleep_ms(1_000)
+
+    run(scenario, 1)
+
+
+def test_member_that_cannot_open_its_files_answers_messages():
+    """Guards against messages that wait for ever at a member that did not open."""
+
+    async def scenario(clock, cluster):
+        node = cluster.nodes[0]
+        await node.kill()
+        # A torn tail must be cut off, which a full disk refuses.
+        name = next(name for name in node.disk.synced if name.startswith("log-"))
+        node.disk.synced[name] += b"torn"
+        node.disk.fault = "full"
+        await node.start()
+        await clock.sleep_ms(100)
+        opening = node.member
+        with pytest.raises(DiskFault):
+            await opening.handle(None)
+        await clock.sleep_ms(30_000)
+        await cluster.propose_many(3)
+
+    run(scenario, 1)
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -1,6 +1,5 @@
 """Control daemon: a member of the replicated log with its peer and HTTP interfaces."""
 
-import errno
 from pathlib import Path
 from typing import Any
 
@@ -24,11 +23,12 @@
 from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.engine_control import EngineController
-from wagtailrun.exceptions import DiskFault
 from wagtailrun.fleet_watch import FleetWatch
+from wagtailrun.member_host import MemberHost
 from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import MAX_TEXT_BYTES, OperatorApi
 from wagtailrun.period_closing import PeriodCloser
+from wagtailrun.ports.disk import Disk
 from wagtailrun.registry import Registry
 from wagtailrun.settings import ControlSettings
 
@@ -49,20 +49,17 @@
         self.clock = SystemClock()
         self.registry = Registry()
         self.metrics = Metrics()
-        link = TcpPeerLink(settings.peer_secret)
+        self.link = link = TcpPeerLink(settings.peer_secret)
         folder = Path(settings.data_folder)
-        self.member = Member(
+        self.member_host = MemberHost(
             self.clock,
-            link,
             FileDisk(folder / "consensus"),
-            self.registry,
-            settings.name,
-            settings.peer_address,
-            peers=settings.control_peers,
-            bootstrap=settings.bootstrap,
+            self._make_member,
+            self.registry.reset,
+            str(folder / "consensus"),
         )
         self.service = ControlService(
-            self.clock, settings.name, self.registry, self.member
+            self.clock, settings.name, self.registry, self.member_host
         )
         self.accounts = AccountStore(
             self.clock,
@@ -88,12 +85,27 @@
             self.metrics,
         )
 
+    def _make_member(self, disk: Disk) -> Member:
+        settings = self.settings
+        return Member(
+            self.clock,
+            self.link,
+            disk,
+            self.registry,
+            settings.name,
+            settings.peer_address,
+            peers=settings.control_peers,
+            bootstrap=settings.bootstrap,
+        )
+
     async def run(self) -> None:
         """Run all components until a fault or a signal ends the process.
 
+        A disk fault of the consensus member does not end the process; it is not ready
+        until the member has started again.
+
         Raises:
-            DiskFault: If a write or sync failed. With a full disk the process keeps
-                running and is not ready, so that the operator can see why.
+            DiskFault: If the files of the accounts cannot be read.
             CorruptRecord: If the data folder holds a damaged record.
         """
         await self.accounts.open()
@@ -115,7 +127,7 @@
             await group.spawn(self.fleet_watch.run)
             await group.spawn(self.engine_controller.run)
             await group.spawn(self._update_gauges)
-            await group.spawn(self._run_member)
+            await group.spawn(self.member_host.run)
         if group.exception is not None:
             raise group.exception
 
@@ -123,30 +135,21 @@
         """Return the reply to one message of another process."""
         channel = codec_of(message).channel
         if channel is Channel.CONSENSUS:
-            return await self.member.handle(message)
+            return await self.member_host.handle(message)
         if channel is Channel.ACCOUNTS:
             return await self.accounts.handle(message)
         return await self.service.handle(message)
 
     async def handle_operator(self, request: Request) -> Response:
         """Return the response to one HTTP request of an operator or the platform."""
-        if request.path == "/readyz" and self.member.fault is not None:
-            value = {"status": "stopped", "detail": str(self.member.fault)}
+        if request.path == "/readyz" and not self.member_host.is_running:
+            value = {"status": "stopped", "detail": str(self.member_host.member.fault)}
             return json_response(503, value)
         return await self.operator_api.handle(request)
 
-    async def _run_member(self) -> None:
-        try:
-            await self.member.run()
-        except DiskFault as error:
-            cause = error.__cause__
-            if not isinstance(cause, OSError) or cause.errno != errno.ENOSPC:
-                raise
-            await curio.Event().wait()
-
     async def _update_gauges(self) -> None:
         while True:
-            self.metrics.ready.set(self.member.fault is None)
+            self.metrics.ready.set(self.member_host.is_running)
             self.metrics.revision.set(self.registry.revision)
             self.metrics.account_rows.set(self.accounts.row_count)
             await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
--- a/wagtailrun/ports/disk.py
+++ b/wagtailrun/ports/disk.py
@@ -48,3 +48,6 @@
             DiskFull: If there is no space for it.
             DiskFault: If it cannot be written for another reason.
         """
+
+    def close(self) -> None:  # noqa: B027 - disks in memory have nothing to release
+        """Release what is open; the next operation opens it again."""
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -17,12 +17,12 @@
 from wagtailrun.discovery import Hub
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
-    CorruptRecord,
-    DiskFault,
     Refusal,
     RefusalReason,
     Verdict,
 )
+from wagtailrun.member_host import MemberHost
+from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import Registry
 from wagtailrun.registry_messages import PutText, TextVerdict
@@ -36,9 +36,6 @@
 PUT_TIMEOUT_MS = 900
 READ_TIMEOUT_MS = 800
 RETRY_AFTER_MS = 500
-# Delay before the disk is opened again after a fault; a full or stalled disk recovers
-# within seconds.
-REOPEN_DELAY_MS = 500
 # Largest request body: a fleet configuration of 4 MB and room for growth.
 MAX_TEXT_BYTES = 6 * 1024 * 1024
 MIN_VOTERS = 3
@@ -151,8 +148,15 @@
         self.signals = StopSignals(self.clock, self.live_settings.reload)
         self.link = TcpPeerLink(settings.peer_secret)
         self.registry = Registry()
-        self.disk = FileDisk(Path(settings.data_folder) / "consensus")
-        self.member = self._make_member()
+        folder = Path(settings.data_folder) / "consensus"
+        self.member_host = MemberHost(
+            self.clock,
+            FileDisk(folder),
+            self._make_member,
+            self.registry.reset,
+            str(folder),
+            discard_damaged_files=True,
+        )
         self.hub = Hub(
             self.clock,
             self.link,
@@ -166,13 +170,13 @@
         self.metrics = RelayMetrics()
         self._export_gauges()
 
-    def _make_member(self) -> Member:
+    def _make_member(self, disk: Disk) -> Member:
         settings = self.live_settings.current
         seeds = [(str(address), address) for address in settings.seeds]
         return Member(
             self.clock,
             self.link,
-            self.disk,
+            disk,
             self.registry,
             # The address identifies the VM. A VM that returns with an empty disk
             # replaces its lost identity; a VM with a new address is a new member.
@@ -204,11 +208,16 @@
         )
         gauge("entries", "Entries known.", lambda: len(self.hub.entries_by_name))
 
+    @property
+    def member(self) -> Member:
+        """The consensus member, a new one after each fault."""
+        return self.member_host.member
+
     @property
     def service(self) -> ControlService:
         """Service for messages about the replicated state."""
         return ControlService(
-            self.clock, self.settings.name, self.registry, self.member
+            self.clock, self.settings.name, self.registry, self.member_host
         )
 
     def member_addresses(self) -> list[Address]:
@@ -230,7 +239,7 @@
             self.signals.wait,
             operators.serve,
             self.hub.run,
-            self._run_member,
+            self.member_host.run,
             self.live_settings.watch,
         )
         await run_daemon(
@@ -246,40 +255,14 @@
         """Return the reply to one message from another process of the system."""
         channel = codec_of(message).channel
         if channel is Channel.CONSENSUS:
-            return await self.member.handle(message)
+            return await self.member_host.handle(message)
         if channel is Channel.DISCOVERY:
             return await self.hub.handle(message)
         return await self.service.handle(message)
 
-    async def _run_member(self) -> None:
-        """Run the consensus member; restart it after disk faults."""
-        while True:
-            try:
-                await self.member.run()
-            except DiskFault as error:
-                events.log(events.MEMBER_RESTARTED, detail=str(error))
-            except CorruptRecord as error:
-                events.log(events.LOG_FILES_DISCARDED, detail=str(error))
-                await self._erase_disk()
-            except Exception as error:
-                events.log(events.TASK_RESTARTED, task="member", detail=repr(error))
-            self.disk.close()
-            await self.clock.sleep_ms(REOPEN_DELAY_MS)
-            self.disk = FileDisk(Path(self.settings.data_folder) / "consensus")
-            self.registry.reset()
-            self.member = self._make_member()
-
     def _update_seeds(self, settings: RelayControlSettings) -> None:
         self.member.peers = settings.seeds
 
-    async def _erase_disk(self) -> None:
-        """Remove all files, so that the member joins again as a new one."""
-        try:
-            for name in await self.disk.names():
-                await self.disk.remove(name)
-        except DiskFault as error:
-            events.log(events.MEMBER_RESTARTED, detail=str(error))
-
 
 async def run_relay_control(
     settings: RelayControlSettings,
