--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.fake_cluster import shrink_sizes
+from tests.fake_disk import FakeDisk
 from tests.hosted_cluster import HostedCluster
 from wagtailrun import events, member_host
 from wagtailrun.exceptions import DiskFault, DiskFull
@@ -201,3 +202,77 @@
         await cluster.propose_many(3)
 
     run(scenario, 1)
+
+
+class FailedSyncDisk(FakeDisk):
+    """Disk whose kernel forgets to write data after a failed sync, as Linux does.
+
+    The data can still be read, and a second sync of it succeeds, but a loss of power
+    loses it.
+    """
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.forgotten: dict[str, bytes] = {}
+
+    async def read(self, name):
+        data = self.synced.get(name, b"") + self.forgotten.get(name, b"")
+        return data + self.unsynced.get(name, b"")
+
+    async def sync(self, name):
+        try:
+            await super().sync(name)
+        except DiskFault:
+            data = self.forgotten.get(name, b"") + self.unsynced.pop(name, b"")
+            self.forgotten[name] = data
+            raise
+
+    async def write(self, name, data):
+        await super().write(name, data)
+        self.forgotten.pop(name, None)
+
+    def kill(self):
+        self.forgotten.clear()
+        super().kill()
+
+
+@pytest.mark.parametrize("fault", ["sync error", "full"])
+def test_entries_whose_sync_failed_are_written_anew(fault):
+    """Guards against an acknowledgement of entries that a loss of power removes."""
+
+    async def main(clock):
+        cluster = HostedCluster(clock, 1)
+        for number, node in enumerate(cluster.nodes):
+            node.disk = FailedSyncDisk(node.clock, number)
+            node.disk.on_kill = node.kill
+        await cluster.start()
+        await cluster.wait_leader()
+        await cluster.propose_many(3)
+        for node in cluster.nodes:
+            fail_next_sync(node.disk, fault)
+        await cluster.propose(cluster.leader())
+        await cluster.wait_for(
+            lambda: all(node.host.is_running for node in cluster.nodes), "stopped"
+        )
+        await cluster.propose_many(1)
+        for node in cluster.nodes:
+            await node.kill()
+        for node in cluster.nodes:
+            await node.start()
+        await cluster.settle()
+        return cluster.violations
+
+    def fail_next_sync(disk, fault):
+        sync = disk.sync
+
+        async def failing(name):
+            disk.sync = sync
+            disk.fault = fault
+            try:
+                await sync(name)
+            finally:
+                disk.fault = None
+
+        disk.sync = failing
+
+    assert run_virtual(main) == []
