--- a/wagtailrun/member_disk.py
+++ b/wagtailrun/member_disk.py
@@ -66,6 +66,10 @@
         await self._run(size, self.disk.sync, name)
         del self.unsynced_bytes_by_name[name]
 
+    async def resync(self, name: str, offset: int) -> None:
+        """Make ``name`` and all names durable; write the tail again in place."""
+        await self._run(0, self.disk.resync, name, offset)
+
     async def write(self, name: str, data: bytes) -> None:
         """Replace the contents of ``name`` by ``data``, atomically and durably."""
         self.unsynced_bytes_by_name.setdefault(name, 0)
