Account files: tell a damaged end from damage before whole records

Cause: a record counted as torn only if it was cut off at the end of the file. After a loss of power the last record may also hold zeros or parts that never reached the disk; the control member then refused to start. A damaged length before whole records, on the other hand, passed for a torn end, and the acknowledged rows after it were cut off. Change: a record that is not whole is a torn end if no whole record begins after it, and is reported otherwise.

--- a/wagtailrun/account_files.py
+++ b/wagtailrun/account_files.py
@@ -33,7 +33,7 @@
     Args:
         name: Name of the file, for the error.
         data: Contents of the file.
-        may_be_torn: Whether a crash may have cut off the last record.
+        may_be_torn: Whether a crash may have cut off or damaged the last record.
 
     Raises:
         CorruptRecord: If a record is damaged that is not a torn last one.
@@ -41,26 +41,40 @@
     records = []
     start = 0
     while start < len(data):
-        end = start + RECORD_HEADER.size
-        if end <= len(data):
-            length, checksum = RECORD_HEADER.unpack_from(data, start)
-            end += length
-        record = data[start + RECORD_HEADER.size : end]
-        whole = end <= len(data)
-        if whole and xxhash.xxh3_64_intdigest(record) == checksum:
-            records.append(record)
-            start = end
-        elif may_be_torn and end >= len(data):
-            break
-        else:
+        record = _record_at(data, start)
+        if record is None:
+            if may_be_torn and not _has_record_after(data, start):
+                break
             raise CorruptRecord(
                 f"{name}: the record at offset {start} fails its checksum; restore "
                 "the file from a copy, or remove it to take the rows from the "
                 "other control members"
             )
+        records.append(record)
+        start += RECORD_HEADER.size + len(record)
     return records, start
 
 
+def _record_at(data: bytes, start: int) -> bytes | None:
+    """Return the record at ``start``, or None if it is not whole."""
+    body = start + RECORD_HEADER.size
+    if body > len(data):
+        return None
+    length, checksum = RECORD_HEADER.unpack_from(data, start)
+    if length > len(data) - body:
+        return None
+    record = data[body : body + length]
+    return record if xxhash.xxh3_64_intdigest(record) == checksum else None
+
+
+def _has_record_after(data: bytes, start: int) -> bool:
+    """Whether a whole record begins anywhere after ``start``."""
+    return any(
+        _record_at(data, position) is not None
+        for position in range(start + 1, len(data))
+    )
+
+
 def decompress(data: bytes, limit_bytes: int = MAX_PLAIN_BYTES) -> bytes:
     """Return ``data`` decompressed; raises MessageError if malformed or too large."""
     unpacker = zlib.decompressobj()
