Accounts: cut the log at its synced size after a refused write

Cause: the repair of a running member searched the torn part for whole records, up to 0.3 s for 200 KB, in the event loop. Change: a running member knows the synced size of its log; only what another process has written is searched. A test runs the repair on a real folder.

--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -1,5 +1,6 @@
 """Tests of the account files on a disk that is full for some seconds."""
 
+import os
 from collections import Counter
 from types import SimpleNamespace
 
@@ -10,6 +11,8 @@
 from tests.test_accounts import DAY_MS, message_of, refusal_table
 from wagtailrun import account_log, events
 from wagtailrun.account_store import AccountStore
+from wagtailrun.adapters.file_disk import FileDisk
+from wagtailrun.clock import SystemClock
 from wagtailrun.cost_cells import Source
 from wagtailrun.exceptions import DiskFull
 from wagtailrun.period_closing import PeriodCloser
@@ -246,3 +249,41 @@
         assert await counted(member.store) == member.acknowledged
 
     run_virtual(main)
+
+
+def test_full_file_system_of_a_running_member(tmp_path, monkeypatch):
+    """Guards against a repair that works on the fake disk only."""
+    full = []
+    real = os.write
+
+    def write(descriptor, data):
+        if full and str(tmp_path) in os.readlink(f"/proc/self/fd/{descriptor}"):
+            real(descriptor, data[: len(data) // 2])
+            raise OSError(28, "No space left on device")
+        return real(descriptor, data)
+
+    monkeypatch.setattr(os, "write", write)
+
+    async def main():
+        clock = SystemClock()
+        disk = FileDisk(tmp_path)
+        store = AccountStore(clock, disk, "control-0")
+        await store.open()
+        task = await curio.spawn(store.run, daemon=True)
+        for count in range(1, 5):
+            message = message_of(refusal_table(clock.wall_ms(), count))
+            full.append(True)
+            assert not (await store.handle(message)).kept
+            assert not (await store.handle(message)).kept
+            full.clear()
+            async with curio.timeout_after(10):
+                while not (await store.handle(message)).kept:
+                    await clock.sleep_ms(20)
+        await task.cancel()
+        disk.close()
+        again = AccountStore(clock, FileDisk(tmp_path), "control-0")
+        await again.open()
+        assert await counted(again) == await counted(store)
+        assert set((await counted(again)).values()) == {4}
+
+    curio.run(main)
--- a/wagtailrun/account_log.py
+++ b/wagtailrun/account_log.py
@@ -23,8 +23,10 @@
 
     def __init__(self, disk: Disk):
         self.disk = disk
-        # Size of the part of the log that is synced.
+        # Size of the part of the log that is known to be synced.
         self.size = 0
+        # Whether a process before this one may have written the end of the log.
+        self._is_inherited = True
         # Size of the newest write that a full disk refused.
         self.refused_bytes = 0
 
@@ -43,7 +45,7 @@
         ]
 
     async def repair(self) -> None:
-        """Cut off a torn last record, and make the others durable.
+        """Cut off what was written last without success, and make the rest durable.
 
         Must be called before the first ``append``, and again after one that failed.
 
@@ -52,13 +54,17 @@
             DiskFault: If the log cannot be written.
         """
         data = await self.disk.read(LOG_NAME)
-        _, whole = split_records(LOG_NAME, data, True)
+        if self._is_inherited or self.size > len(data):
+            _, whole = split_records(LOG_NAME, data, True)
+        else:
+            whole = self.size
         if whole < len(data):
             await self.disk.truncate(LOG_NAME, whole)
         if whole:
             # Records that were written and not synced may be on the disk or not.
             await self.disk.resync(LOG_NAME, min(self.size, whole))
         self.size = whole
+        self._is_inherited = False
 
     def has_room_for(self, records: bytes) -> bool:
         """Whether ``records`` can be appended without a compaction."""
