--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -1,5 +1,6 @@
 """Tests of the account files on a disk that is full for some seconds."""
 
+import os
 from collections import Counter
 from types import SimpleNamespace
 
@@ -7,9 +8,18 @@
 import pytest
 
 from tests.fake_disk import FakeDisk
-from tests.test_accounts import DAY_MS, message_of, refusal_table
+from tests.test_accounts import (
+    DAY_MS,
+    INTERVAL_MS,
+    System,
+    attempt,
+    message_of,
+    refusal_table,
+)
 from wagtailrun import account_log, events
 from wagtailrun.account_store import AccountStore
+from wagtailrun.adapters.file_disk import FileDisk
+from wagtailrun.clock import SystemClock
 from wagtailrun.cost_cells import Source
 from wagtailrun.exceptions import DiskFull
 from wagtailrun.period_closing import PeriodCloser
@@ -201,6 +211,63 @@
     assert events.DISK_FULL not in logged
 
 
+@pytest.mark.parametrize("end", ["end_process", "kill"])
+def test_end_of_process_at_each_point_of_writing(end):
+    """Guards against rows that are reported stored and lost with the power later."""
+
+    async def main(clock, point):
+        disk = FakeDisk(clock, seed=point)
+        member = Member(clock, disk)
+
+        async def on_kill():
+            for task in (worker, *member.tasks):
+                await task.cancel(blocking=False)
+            getattr(disk, end)()
+
+        disk.on_kill = on_kill
+        disk.kill_at = point
+        worker = await curio.spawn(_start_and_work, member, daemon=True)
+        await clock.sleep_ms(20 * STEP_MS)
+        assert disk.kill_at is None
+        await member.start()
+        await member.check_loss_of_power()
+        async with curio.timeout_after(120):
+            await work(member)
+
+    async def _start_and_work(member):
+        await member.start()
+        await work(member)
+
+    for point in range(1, 50):
+        run_virtual(main, point)
+
+
+def test_entry_keeps_rows_while_disks_are_full(monkeypatch):
+    """Guards against rows that an entry drops, or never hands over, after refusals."""
+    monkeypatch.setattr("tests.test_accounts.MemoryDisk", FakeDisk)
+
+    async def main(clock):
+        system = System(clock)
+        await system.start()
+        entry = system.entries[0]
+        for disk in system.disks:
+            disk.fault = "full"
+            attempt(entry)
+            assert not await entry.hand_over()
+            await clock.sleep_ms(60_000)
+            assert entry._unacknowledged()
+            disk.fault = None
+            await clock.sleep_ms(10 * INTERVAL_MS)
+            assert not entry._unacknowledged()
+        for disk in system.disks:
+            disk.kill()
+            store = AccountStore(clock, disk, "control-9")
+            await store.open()
+            assert await counted(store) == await counted(system.stores[0])
+
+    run_virtual(main)
+
+
 def test_fault_after_a_period_is_frozen_counts_nothing_twice():
     """Guards against rows of a closed period that the next one records again."""
 
@@ -246,3 +313,41 @@
         assert await counted(member.store) == member.acknowledged
 
     run_virtual(main)
+
+
+def test_full_file_system_of_a_running_member(tmp_path, monkeypatch):
+    """Guards against a repair that works on the fake disk only."""
+    full = []
+    real = os.write
+
+    def write(descriptor, data):
+        if full and str(tmp_path) in os.readlink(f"/proc/self/fd/{descriptor}"):
+            real(descriptor, data[: len(data) // 2])
+            raise OSError(28, "No space left on device")
+        return real(descriptor, data)
+
+    monkeypatch.setattr(os, "write", write)
+
+    async def main():
+        clock = SystemClock()
+        disk = FileDisk(tmp_path)
+        store = AccountStore(clock, disk, "control-0")
+        await store.open()
+        task = await curio.spawn(store.run, daemon=True)
+        for count in range(1, 5):
+            message = message_of(refusal_table(clock.wall_ms(), count))
+            full.append(True)
+            assert not (await store.handle(message)).kept
+            assert not (await store.handle(message)).kept
+            full.clear()
+            async with curio.timeout_after(10):
+                while not (await store.handle(message)).kept:
+                    await clock.sleep_ms(20)
+        await task.cancel()
+        disk.close()
+        again = AccountStore(clock, FileDisk(tmp_path), "control-0")
+        await again.open()
+        assert await counted(again) == await counted(store)
+        assert set((await counted(again)).values()) == {4}
+
+    curio.run(main)
