Check the version of the target that continues a stream, as it answers

A target that was started again with another version keeps its name and accepts requests that were meant for its earlier version. Whether it had been was read from the rows of the entry, which are old at one that stood still or whose poll hangs at a member that is cut off, while the other members answer its question where the stream began. So a taken-up or resumed stream went on at another version. Change: relay/continuation.py asks, once the request was sent, at least two of three control members for the newest incarnations of the target and of the origin, and the target for its report, whose field born is its incarnation; the first event is passed on only if it is still the one that was chosen, or one known to have the version. All paths go through it: plain, resumed, placed, and tunnelled, as the report takes the same path. Incarnations at an address grow, so the order of the replies does not matter. An entry whose newest answered poll was sent over 2 s ago refuses at once to continue streams; after it stood still that holds until a poll sent since is answered. Members of an earlier build name no incarnations: then only the report and the entry's own rows decide.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -224,7 +224,7 @@
         opened = connection(sock, clock)
         stream = HttpStream(opened, await opened.read_head(1_000))
         attempt = SimpleNamespace(stream=stream)
-        streams = RelayStreams(attempts, None, None)
+        streams = RelayStreams(attempts, None, None, None)
         state = _StreamState(None)
         async for chunk in streams._events(job, attempt, state):
             found.append(chunk)
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -7,7 +7,7 @@
 import attrs
 import curio
 import pytest
-from wagtail_platform.requests import PlatformWire
+from wagtail_platform.requests import REPORT_PATH, PlatformWire
 
 from demo.processes import free_addresses
 from wagtailrun.adapters.http_client import DirectConnector, HttpClient
@@ -61,6 +61,8 @@
     is_outdated: bool = False
     revision: int = 1
     confirmation_age_ms: int = 10
+    update_age_ms: int = 10
+    is_out_of_step: bool = False
     own_row: EntryRow = OWN_ENTRY
     quarantine: Quarantine = Quarantine(None)
     limits: TargetLimits = attrs.field(factory=lambda: TargetLimits(SystemClock()))
@@ -130,6 +132,12 @@
     def __init__(self):
         self.seen = []
         self.rows = []
+        # Reports of the targets by number; the others have none.
+        self.reports = {}
+
+    def report(self, number):
+        body = self.reports.get(number)
+        return Response(404 if body is None else 200, body or b"")
 
     async def start(self, *answers):
         (address,) = free_addresses(1)
@@ -137,6 +145,8 @@
         prepared = list(answers)
 
         async def handle(request):
+            if request.method == "GET" and request.path == REPORT_PATH:
+                return self.report(number)
             self.seen.append((number, request))
             answer = prepared.pop(0) if len(prepared) > 1 else prepared[0]
             answer = answer(request) if callable(answer) else answer
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -24,6 +24,8 @@
 START_S = 20
 GRACE_S = 6
 KEY = "guild-key"
+# Incarnation of the targets.
+BORN = 5
 SIGNATURE = ("Server-Seal", "seal")
 ENTRY_MODULE = "wagtail_platform"
 
@@ -190,6 +192,8 @@
         # Whether the engine sends no answers.
         self.silent = False
         self.sequence = 0
+        # Incarnation in the reports of the engine on itself.
+        self.born = BORN
         # Name, address, service and software version of each.
         self.reported = [
             ("i-stage", self.stage, "board", "v1"),
@@ -216,7 +220,7 @@
                     "slots": 4,
                     "state": "ready",
                     "seq_no": self.sequence,
-                    "born": 5,
+                    "born": BORN,
                 }
                 number = self.sequence % 3 + 1
                 try:
@@ -244,6 +248,8 @@
         return Response(200, json.dumps({"items": items}).encode())
 
     async def handle_engine(self, request):
+        if request.path == "/report":
+            return Response(200, json.dumps({"born": self.born}).encode())
         self.requests.append(request)
         if self.silent:
             await curio.sleep(60)
@@ -477,7 +483,8 @@
     """Guards against a stream that goes on at another software version.
 
     The second engine starts with another version; all entries are killed in the middle
-    of the stream and start again without any state.
+    of the stream and start again without any state. At the last take-up the engine that
+    began it was started again, which nobody has been told.
     """
 
     async def scenario(fleet, targets):
@@ -502,6 +509,13 @@
             used = targets.requests[-1].headers
             is_new = used["attempt-id"] == name
             found.append((reply.status, is_new and used["expected-instance"]))
+        targets.born = BORN + 1
+        more = (("Last-Event-Id", "3"), ("Resumes", "first"))
+        # It breaks off without an event.
+        with pytest.raises(TargetFailed):
+            await send(
+                fleet.entry(2), "POST", "/a/x", b"{}", request_headers("d") + more
+            )
         # Log lines are written by a thread of the entry.
         await curio.sleep(0.5)
         return began_at, found, fleet.lines("front-2")
@@ -511,7 +525,8 @@
     assert found == [(200, "i-engine"), (200, "i-engine"), (503, False)]
     taken_up = [line for line in lines if line["event"] == 718]
     versions = [(line["resumes"], line["software_version"]) for line in taken_up]
-    assert versions == [("first", "v1"), ("first", "v1"), ("unknown", "")]
+    unknown = ("unknown", "")
+    assert versions == [("first", "v1"), ("first", "v1"), unknown, ("first", "v1")]
 
 
 # Changes of a sound report that no process may be stopped by.
--- /dev/null
+++ b/tests/test_stream_continuation.py
@@ -0,0 +1,214 @@
+"""Tests of the checks of targets that continue streams."""
+
+import json
+
+import attrs
+import curio
+import pytest
+from wagtail_platform.requests import PlatformWire
+
+from tests.test_discovery import ENTRY, ROW
+from tests.test_discovery import run as run_controls
+from tests.test_relay_front import event, run_relay, send
+from tests.test_stream_takeup import (
+    BROKEN_FIRST,
+    REST,
+    Members,
+    begin,
+    run_takeup,
+    take_up,
+)
+from tests.test_stream_versions import WHOLE, set_versions
+from wagtailrun.adapters.http_client import HttpReply
+from wagtailrun.codec import decode, encode
+from wagtailrun.discovery import StreamOrigin
+from wagtailrun.discovery.messages import FindOrigin, OriginFound, TargetIncarnation
+from wagtailrun.relay.continuation import find_mismatch
+from wagtailrun.routes import RouteKind
+
+ORIGIN = StreamOrigin("s", "v1", "t0", 5)
+BORN = 5
+
+
+def report(born):
+    return json.dumps({"models": [], "born": born}).encode()
+
+
+def set_targets(fleet, *versions, born=BORN):
+    set_versions(fleet, *versions)
+    fleet.rows[:] = [attrs.evolve(row, incarnation=born) for row in fleet.rows]
+
+
+REPORTS = [
+    ({1: report(BORN)}, [0, 1]),
+    # Some targets do not report, or not their incarnation.
+    ({}, [0, 1]),
+    ({1: b"{}"}, [0, 1]),
+    ({1: report(BORN + 1)}, [0, 1, 2]),
+]
+
+
+@pytest.mark.network
+@pytest.mark.parametrize(("reports", "seen"), REPORTS)
+def test_stream_is_not_resumed_at_a_target_that_was_started_again(reports, seen):
+    """Guards against a stream that goes on at another version behind the same name.
+
+    Neither the entry nor the control members know that the target was started again.
+    """
+
+    async def client(address, fleet):
+        set_targets(fleet, "v1", "v1", "v1")
+        fleet.reports = reports
+        body = (await send(address)).body
+        return body, [number for number, _ in fleet.seen]
+
+    engines = [[BROKEN_FIRST], [REST], [REST]]
+    options = {"resumable": True, "max_attempts": 4}
+    found = run_relay(RouteKind.STREAM, engines, client, **options)
+    assert found == (WHOLE, seen)
+
+
+@pytest.mark.network
+@pytest.mark.parametrize(("reports", "seen"), REPORTS)
+def test_stream_is_not_taken_up_at_a_target_that_was_started_again(reports, seen):
+    """Guards against two answers that callers join from two versions (ORDER)."""
+
+    async def client(address, fleet):
+        set_targets(fleet, "v1", "v1", "v1")
+        fleet.reports = reports
+        others = fleet.rows[1:]
+        del fleet.rows[1:]
+        await begin(address)
+        fleet.rows[:] = others
+        return (await take_up(address)).body
+
+    engines = [[BROKEN_FIRST], [REST], [REST]]
+    found = run_takeup(engines, ["v1"] * 3, client, max_attempts=4)
+    assert found == (event(2) + event(3), seen)
+
+
+@pytest.mark.network
+def test_target_that_control_members_know_anew_does_not_continue_a_stream():
+    """Guards against an entry that has not been told of a restart, as its poll hangs.
+
+    The target does not report. The control members know its newer incarnation.
+    """
+    members = Members()
+
+    async def client(address, fleet):
+        set_targets(fleet, "v1", "v1", "v1")
+        others = fleet.rows[1:]
+        del fleet.rows[1:]
+        await begin(address)
+        fleet.rows[:] = others
+        newer = attrs.evolve(others[0], incarnation=BORN + 1, software_version="v2")
+        for table in members.tables.values():
+            table.membership.put(newer, 10**9)
+        return (await take_up(address)).body
+
+    engines = [[BROKEN_FIRST], [REST], [REST]]
+    found = run_takeup(engines, ["v1"] * 3, client, members, max_attempts=4)
+    assert found == (event(2) + event(3), [0, 1, 2])
+
+
+@pytest.mark.network
+def test_entry_out_of_step_refuses_a_take_up_at_once_and_runs_nothing():
+    """Guards against a guess by an entry that stood still or was cut off."""
+
+    async def client(address, fleet):
+        set_targets(fleet, "v1", "v1")
+        await begin(address)
+        async with curio.timeout_after(0.5):
+            return await take_up(address)
+
+    # Out of step from the start: new streams are not held up.
+    options = {"view": {"is_out_of_step": True, "update_age_ms": 4_000}}
+    engines = [[BROKEN_FIRST], [REST]]
+    reply, seen = run_takeup(engines, ["v1"] * 2, client, **options)
+    assert (reply.status, seen) == (503, [0])
+    assert float(reply.headers["retry-after"]) > 0
+    assert b"4000 ms ago" in reply.body
+
+
+def test_entry_that_stood_still_is_out_of_step_until_a_later_poll_is_answered():
+    """Guards against a thawed process that acts on what it knew before.
+
+    The reply to the poll before the freeze arrives after it.
+    """
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.hubs[0].report(ROW)
+        await clock.sleep_ms(1_000)
+        found = [view.is_out_of_step]
+        # Replies are held back, and the polls time out as they do after a thaw.
+        controls.network.frozen.add(ENTRY.address)
+        await clock.sleep_ms(4_000)
+        found.append(view.is_out_of_step)
+        controls.network.frozen.clear()
+        await clock.sleep_ms(2_000)
+        return [*found, view.is_out_of_step]
+
+    assert run_controls(scenario) == [False, True, False]
+
+
+V2 = TargetIncarnation("t1", 9, "v2")
+V1_AGAIN = TargetIncarnation("t1", 9, "v1")
+CASES = [
+    # What the target reports, what members know of it and of the origin, may continue.
+    (5, None, None, True),
+    (None, None, None, True),
+    (9, None, None, False),
+    (0, None, None, False),
+    (9, V2, None, False),
+    (None, V2, None, False),
+    # Started again with the version that it had.
+    (9, V1_AGAIN, None, True),
+    (None, V1_AGAIN, None, True),
+    (11, V1_AGAIN, None, False),
+    # The target that began the stream may have been of another version than it seemed.
+    (5, None, TargetIncarnation("t0", 6, "v2"), False),
+    (5, None, TargetIncarnation("t0", 6, "v1"), True),
+    (5, None, TargetIncarnation("t0", 5, "v1"), True),
+]
+
+
+@pytest.mark.parametrize(("reported", "newest", "began", "may_continue"), CASES)
+def test_target_is_compared_with_the_origin(reported, newest, began, may_continue):
+    """Guards against each way to take a target for an earlier incarnation of it."""
+    row = attrs.evolve(ROW, incarnation=5, software_version="v1")
+    known = {each.name: each for each in (newest, began) if each is not None}
+    assert (find_mismatch(ORIGIN, row, reported, known) == "") is may_continue
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "incarnation"),
+    [
+        (200, b'{"born": 1789}', 1789),
+        (200, b'{"born": 1789.0}', 1789),
+        # Another target has the address.
+        (421, b"", 0),
+        (503, b'{"born": 1789}', None),
+        (200, b"{}", None),
+        (200, b'{"born": "1789"}', None),
+        (200, b'{"born": true}', None),
+        (200, b'{"born": -1}', None),
+        (200, b'[{"born": 1}]', None),
+        (200, b"id: 1\n\n", None),
+        (200, b"\xff", None),
+        (200, b"[" * 100_000, None),
+    ],
+)
+def test_report_of_a_target_names_its_incarnation(status, body, incarnation):
+    """Guards against a malformed report that ends a stream or counts as a version."""
+    reply = HttpReply(status, {}, body)
+    assert PlatformWire().parse_incarnation(reply) == incarnation
+
+
+def test_questions_of_earlier_builds_name_no_targets():
+    """Guards against messages that builds on both sides of an upgrade cannot read."""
+    question = decode(encode(FindOrigin(7, "s")))
+    reply = decode(encode(OriginFound((), ("v1",), 9)))
+    assert (question.targets, reply.targets) == ((), ())
+    whole = OriginFound((), ("v1",), 9, (V2,))
+    assert decode(encode(whole)) == whole
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -168,10 +168,21 @@
     Attributes:
         stream: Key of the stream; 0 if it is not known.
         service: Service that a caller now asks to continue it.
+        targets: Names of targets whose newest incarnation is asked for.
     """
 
     stream: int
     service: str
+    targets: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class TargetIncarnation:
+    """Newest incarnation of a target that a control member knows."""
+
+    name: str
+    incarnation: int
+    software_version: str
 
 
 @attrs.frozen
@@ -191,11 +202,14 @@
         versions: Software versions of all targets of the service that may have begun
             the stream, those that have left included.
         memory_ms: How far back the knowledge of this member reaches.
+        targets: What it knows of the targets that were asked for. A member of an
+            earlier build names none.
     """
 
     origins: tuple[AgedOrigin, ...]
     versions: tuple[str, ...]
     memory_ms: int
+    targets: tuple[TargetIncarnation, ...] = ()
 
 
 @attrs.frozen
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -16,6 +16,7 @@
     RowsTaken,
     StreamOrigin,
     StreamsBegun,
+    TargetIncarnation,
 )
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.discovery.view import FleetView
@@ -244,6 +245,29 @@
         detail = f"no record, and several versions are possible: {sorted(versions)}"
         return FoundOrigin(None, 0, detail)
 
+    async def find_incarnations(
+        self, names: Sequence[str]
+    ) -> dict[str, TargetIncarnation] | None:
+        """Return the newest incarnations of targets that control members know.
+
+        Returns:
+            None if too few members replied to rule out a newer one that all of them
+            know by now. Members of an earlier build reply, and name none.
+        """
+        members = self.view.ranked_members()
+        if not members:
+            # Nobody whom targets report to is known, so nobody knows newer ones.
+            return {}
+        replies = await self._ask(members, FindOrigin(0, "", tuple(names)))
+        if len(members) - len(replies) >= COPIES or not replies:
+            return None
+        newest_by_name: dict[str, TargetIncarnation] = {}
+        for each in (target for reply in replies for target in reply.targets):
+            known = newest_by_name.get(each.name, each)
+            if each.incarnation >= known.incarnation:
+                newest_by_name[each.name] = each
+        return newest_by_name
+
     def _memory_gap(self, replies: Sequence[OriginFound], members: int) -> str:
         """Return why the replies may lack a version; empty if they name them all.
 
--- a/wagtailrun/discovery/stream_origins.py
+++ b/wagtailrun/discovery/stream_origins.py
@@ -15,6 +15,7 @@
     OriginFound,
     StreamOrigin,
     StreamsBegun,
+    TargetIncarnation,
 )
 from wagtailrun.membership import Membership
 
@@ -179,8 +180,15 @@
             origins=tuple(self._origins_of(question.stream)),
             versions=tuple(sorted(self._recent_versions(question.service))),
             memory_ms=self.clock.now_ms() - self.started_ms,
+            targets=tuple(self._known_incarnations(question.targets)),
         )
 
+    def _known_incarnations(self, names: Iterable[str]) -> Iterator[TargetIncarnation]:
+        for name in names:
+            row = self.membership.targets_by_name.get(name)
+            if row is not None:
+                yield TargetIncarnation(name, row.incarnation, row.software_version)
+
     def _recent_versions(self, service: str) -> set[str]:
         """Return the versions of targets that served when a stream may have begun."""
         oldest_ms = self.clock.now_ms() - ORIGIN_LIFETIME_MS
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -62,6 +62,10 @@
 # delay the events of all streams.
 MAX_INLINE_TEXT_BYTES = 64 * 1024
 
+# With updates that are older, this entry may not know which versions its targets have.
+# It takes less to find a member that replies when another one does not.
+OUT_OF_STEP_MS = 2_000
+
 # Share of the time in which draining targets take streams that is used here: the entry
 # may learn late that a target drains, and what it sends must arrive in time.
 SAFE_DRAIN_SHARE = 0.5
@@ -151,6 +155,8 @@
         self.confirmed_ms: int | None = None
         # The same for polls that told of a revision that is not applied yet.
         self.polled_ms_by_revision: dict[int, int] = {}
+        # When the newest poll with a reply was sent, confirmed or not.
+        self.updated_ms: int | None = None
         self.on_targets_changed: Callable[[], None] = lambda: None
 
     @property
@@ -164,6 +170,21 @@
             return False
         return self.clock.now_ms() - self.confirmed_ms < self.key_grace_ms
 
+    @property
+    def update_age_ms(self) -> int:
+        """Time since the newest poll with a reply was sent; -1 before the first.
+
+        A reply that arrives after this process stood still counts from its poll.
+        """
+        if self.updated_ms is None:
+            return -1
+        return self.clock.now_ms() - self.updated_ms
+
+    @property
+    def is_out_of_step(self) -> bool:
+        """Whether targets may have changed their versions unnoticed."""
+        return not 0 <= self.update_age_ms < OUT_OF_STEP_MS
+
     @property
     def is_outdated(self) -> bool:
         """Whether a newer configuration should have been in force here by now.
@@ -374,6 +395,7 @@
                 continue
             self._record_member(address, news.confirmed)
             await self._apply_update(news)
+            self.updated_ms = sent_ms
             if news.confirmed:
                 self._record_confirmation(news.marks.revision, sent_ms)
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -282,9 +282,12 @@
         """Return the targets that take requests now."""
         return [row for row in self._targets(job) if not self._paused_ms(job, row)]
 
-    def has_target(self, job: RelayJob) -> bool:
-        """Return whether there is a target that may run a request, or continue it."""
-        return bool(self._targets(job))
+    def continue_refusal(self, job: RelayJob) -> Refusal | None:
+        """Return why a stream that a caller takes up cannot go on now, else None."""
+        refusal = self._send_refusal(job, job.runs)
+        if refusal is None and not self._targets(job):
+            return self.no_target_refusal(job)
+        return refusal
 
     def _targets(self, job: RelayJob) -> list[TargetRow]:
         """Return the targets that may run a request, or continue its stream."""
@@ -297,6 +300,14 @@
         verdict = Verdict.MAY_HAVE_RUN if runs else Verdict.NOT_RUN
         if self.clock.now_ms() >= job.deadline_at_ms:
             return Refusal(RefusalReason.DEADLINE, verdict, job.detail)
+        if job.origin is not None and self.view.is_out_of_step:
+            detail = (
+                f"this entry last heard of targets {self.view.update_age_ms} ms ago, "
+                "and a stream has to go on at the version that began it"
+            )
+            return Refusal(
+                RefusalReason.ORIGIN_UNKNOWN, verdict, detail, RETRY_AFTER_MS
+            )
         if job.workspace and not self.view.is_fresh and verdict is Verdict.NOT_RUN:
             detail = f"keys last confirmed {self.view.confirmation_age_ms} ms ago"
             return Refusal(
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -15,6 +15,7 @@
 from wagtailrun.relay.admission import AdmissionController
 from wagtailrun.relay.attempts import RelayAttempts
 from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.continuation import ContinuationChecker, TargetReports
 from wagtailrun.relay.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.metrics import RelayMetrics
@@ -117,7 +118,8 @@
         self.stop: StopPlan | None = None
         # Tasks of the admitted requests of which no part of an answer was sent.
         self.unanswered_tasks: set[curio.Task] = set()
-        self.streams = RelayStreams(self.attempts, runner, origins)
+        checker = ContinuationChecker(origins, TargetReports(http, wire))
+        self.streams = RelayStreams(self.attempts, runner, origins, checker)
 
     async def handle(self, raw_request: Request) -> Response:
         """Return the answer to one request of a caller."""
@@ -326,9 +328,7 @@
                 ORIGIN_RETRY_MS if found.may_be_found_later else 0,
             )
         job.origin, job.service = origin, origin.service
-        if not self.attempts.has_target(job):
-            return self.attempts.no_target_refusal(job)
-        return None
+        return self.attempts.continue_refusal(job)
 
     # Stages
 
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wagtailrun.adapters.http_client import Headers, HttpStream
+from wagtailrun.adapters.http_client import Headers, HttpReply, HttpStream
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.exceptions import Refusal
 
@@ -199,6 +199,22 @@
             None if another target than the intended one answered.
         """
 
+    @abstractmethod
+    def report_request(self, target: str) -> tuple[str, str, Headers]:
+        """Return method, path and headers of a request for a target's own report.
+
+        Args:
+            target: Name of the target; another one at its address does not report.
+        """
+
+    @abstractmethod
+    def parse_incarnation(self, reply: HttpReply) -> int | None:
+        """Return the incarnation that a report names.
+
+        Returns:
+            0 if another target answered, None if the report names no incarnation.
+        """
+
     @abstractmethod
     def refusal_headers(self, request_id: str, refusal: Refusal) -> Headers:
         """Return the headers of an answer with a refusal."""
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -21,6 +21,7 @@
     Verdict,
 )
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
+from wagtailrun.relay.continuation import Continuation, ContinuationChecker
 from wagtailrun.relay.events_split import EventSplitter, StreamEvent
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.placement_messages import RunOutcome
@@ -56,13 +57,19 @@
         attempts: Sends requests to targets.
         runner: Releases the results of stages, or runs stages again.
         origins: Records where streams began.
+        checker: Checks the targets that continue streams.
     """
 
     def __init__(
-        self, attempts: RelayAttempts, runner: StageRunner, origins: OriginClient
+        self,
+        attempts: RelayAttempts,
+        runner: StageRunner,
+        origins: OriginClient,
+        checker: ContinuationChecker,
     ):
         self.attempts = attempts
         self.origins = origins
+        self.checker = checker
         self.clock = attempts.clock
         self.runner = runner
 
@@ -108,7 +115,8 @@
             refusal = None
             try:
                 resume_id = state.last_sent_id if state.head_sent else None
-                on_sent = functools.partial(self._schedule_result_release, job)
+                continuation = self.checker.prepare(job.origin, row)
+                on_sent = functools.partial(self._handle_sent, job, continuation)
                 async with self.attempts.open(job, row, resume_id, on_sent) as attempt:
                     if not self.attempts.is_success(attempt.head):
                         refusal = await self._handle_error_answer(job, attempt)
@@ -126,7 +134,8 @@
                                 f"instead of {state.content_type!r}",
                                 verdict=Verdict.MAY_HAVE_RUN,
                             )
-                        async with aclosing(self._events(job, attempt, state)) as data:
+                        items = self._events(job, attempt, state, continuation)
+                        async with aclosing(items) as data:
                             async for chunk in data:
                                 yield chunk
                         self.attempts.answered.record(job.digest)
@@ -137,12 +146,16 @@
                 yield self._end_without_stream(job, state, refusal)
                 return
 
-    async def _schedule_result_release(self, job: RelayJob) -> None:
-        """Release the results of the stages as soon as the target has fetched them.
+    async def _handle_sent(
+        self, job: RelayJob, continuation: Continuation | None
+    ) -> None:
+        """Check the target, and release the results of the stages once it has them.
 
         Results occupy memory that the stages of other requests wait for. A target
         fetches them before prefill, long before its first event.
         """
+        if continuation is not None:
+            await continuation.start()
         if job.results.unreleased_steps:
             await curio.spawn(self._release_after_fetch, job, job.results, daemon=True)
 
@@ -217,16 +230,24 @@
         return await self.runner.run(job.work, job.data_centre, job.results)
 
     async def _events(
-        self, job: RelayJob, attempt: Attempt, state: "_StreamState"
+        self,
+        job: RelayJob,
+        attempt: Attempt,
+        state: "_StreamState",
+        continuation: Continuation | None = None,
     ) -> AsyncIterator[bytes]:
         """Yield the events of one attempt that the caller has not received yet.
 
+        Args:
+            job: Request.
+            attempt: The attempt.
+            state: What the caller has received.
+            continuation: Check of the target, if the attempt continues a stream.
+
         Raises:
             TargetFailed: If the stream ended early or stalled.
         """
         splitter = EventSplitter()
-        # Whether the first event of the attempt continues what another one began.
-        continues = job.origin is not None
         event_due_ms = self._event_due_ms(job, state)
         overdue_bytes = 0
         while True:
@@ -253,11 +274,9 @@
                 return
             received = splitter.feed(chunk)
             sound = list(itertools.takewhile(state.is_event, received))
-            if sound and continues and self.attempts.has_new_version(attempt):
-                # It kept its name, so that it accepted the request all the same.
-                detail = "the target was started again with another software version"
-                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
-            continues = continues and not sound
+            if sound and continuation is not None:
+                await self._check_continuation(continuation, attempt)
+                continuation = None
             found = [event for event in sound if state.accept(event)]
             if found:
                 if not job.first_ms:
@@ -276,6 +295,21 @@
             event_due_ms = self._event_due_ms(job, state)
             overdue_bytes = 0
 
+    async def _check_continuation(
+        self, continuation: Continuation, attempt: Attempt
+    ) -> None:
+        """Check the target whose first event is to continue a stream.
+
+        Raises:
+            TargetFailed: If it may have another version than the one that began it.
+        """
+        detail = await continuation.mismatch()
+        if not detail and self.attempts.has_new_version(attempt):
+            # Learned from the control members meanwhile.
+            detail = "the target was started again with another software version"
+        if detail:
+            raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+
     async def _record_origin(self, job: RelayJob, attempt: Attempt) -> None:
         """Bind a stream with its first event to the version that sent it."""
         if job.origin is None:
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -125,7 +125,13 @@
 
 struct RecordOrigins { groups @0 :List(StreamsBegun); }
 
-struct FindOrigin { stream @0 :UInt64; service @1 :Text; }
+struct FindOrigin { stream @0 :UInt64; service @1 :Text; targets @2 :List(Text); }
+
+struct TargetIncarnation {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  softwareVersion @2 :Text;
+}
 
 struct AgedOrigin { origin @0 :StreamOrigin; ageMs @1 :UInt64; }
 
@@ -133,4 +139,5 @@
   origins @0 :List(AgedOrigin);
   versions @1 :List(Text);
   memoryMs @2 :UInt64;
+  targets @3 :List(TargetIncarnation);
 }
