Hand the leadership over when the leader's disk is full or fails

Cause: after a leader had stopped, the others waited for their election timeouts and withheld their votes for a lease that had already ended. Change: the stopping leader asks the voter with the newest entries to start an election at once. Its term is over for good, so voters of that term need not withhold their votes. The message and the field of VoteRequest are new at the end of the schema; earlier builds ignore both and elect as before. A pre-vote is not requested from a voter that an entry has just removed.

--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -14,6 +14,7 @@
     Configuration,
     Entry,
     EntryKind,
+    Handover,
     Join,
     ReadIndex,
     ReadIndexReply,
@@ -31,6 +32,7 @@
     PeerUnreachable,
 )
 from wagtailrun.following import Follower
+from wagtailrun.handover import LeaderHandover
 from wagtailrun.journal import Journal
 from wagtailrun.journal_records import snapshot_checksum
 from wagtailrun.membership_change import MembershipChange
@@ -150,6 +152,7 @@
         self.follower = Follower(self)
         self.replication = Replication(self)
         self.membership = MembershipChange(self)
+        self.handover = LeaderHandover(self)
 
     # Start and stop
 
@@ -163,6 +166,7 @@
         try:
             await self.open()
             await self.failed.wait()
+            await self.handover.run()
         except Exception as error:
             await self.fail(error)
         finally:
@@ -223,6 +227,8 @@
         if self.fault is not None:
             return
         self.fault = error
+        if isinstance(error, DiskFault):
+            self.handover.prepare()
         self.role = Role.FOLLOWER
         events.log(events.MEMBER_FAULT, member=self.name, detail=repr(error))
         for proposal in self.proposals_by_index.values():
@@ -359,6 +365,8 @@
                 return await self.follower.handle_snapshot_piece(message)
             case VoteRequest():
                 return await self.election.handle_vote(message)
+            case Handover():
+                return await self.handover.handle(message)
             case Join():
                 return self.membership.handle_join(message)
             case ReadIndex():
--- a/wagtailrun/consensus_messages.py
+++ b/wagtailrun/consensus_messages.py
@@ -18,6 +18,7 @@
     "Entry",
     "EntryBatch",
     "EntryKind",
+    "Handover",
     "Join",
     "JoinReply",
     "MemberInfo",
@@ -214,6 +215,8 @@
         last_index: Index of the candidate's newest entry.
         last_term: Term of that entry.
         pre_vote: Whether to report only if the vote would be granted, without voting.
+        handover: Whether the leader of the term before ``term`` has given up its
+            leadership and asked for this election, so that no lease of it is left.
     """
 
     cluster: str
@@ -223,6 +226,7 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    handover: bool = False
 
 
 @attrs.frozen
@@ -287,6 +291,23 @@
     peers: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class Handover:
+    """Request of a leader that a fault has stopped: start an election at once.
+
+    The reply is a ``VoteReply`` that says whether a quorum would elect the recipient.
+
+    Attributes:
+        cluster: Identifier of the cluster.
+        recipient: Identity of the follower.
+        term: Term that the sender led, and does not lead any more.
+    """
+
+    cluster: str
+    recipient: str
+    term: int
+
+
 @attrs.frozen
 class ReadIndex:
     """Request of a follower for the leader's commit index, to serve a read."""
@@ -315,6 +336,7 @@
         AppendReply,
         Configuration,
         EntryBatch,
+        Handover,
         Join,
         JoinReply,
         MemberRecord,
--- a/wagtailrun/election.py
+++ b/wagtailrun/election.py
@@ -27,6 +27,8 @@
         self.member = member
         # Local time at which this member last granted a vote or started an election.
         self.timer_reset_ms: int | None = None
+        # Term whose leader gave up its leadership in favour of this member.
+        self.handover_term: int | None = None
 
     async def run(self) -> None:
         """Start an election whenever the election timeout passes without a leader.
@@ -63,15 +65,36 @@
                 member.become_follower(member.term, None)
                 member.leader = None
 
+    async def take_over(self, term: int) -> bool:
+        """Start an election for the leader of ``term``, which gave up its leadership.
+
+        Returns:
+            Whether a quorum granted its pre-votes.
+        """
+        member = self.member
+        self.handover_term = term
+        self.timer_reset_ms = self._now_ms()
+        if not member.configuration.is_voter(member.identity):
+            return False
+        if not await self._request_votes(term + 1, pre_vote=True):
+            return False
+        await member.spawn(self._request_leadership)
+        return True
+
     async def campaign(self) -> None:
         """Request pre-votes, then votes, and become leader if a quorum grants them."""
         member = self.member
         if not member.configuration.is_voter(member.identity) or self.must_not_vote():
             return
-        if not await self._request_votes(member.term + 1, pre_vote=True):
-            return
+        if await self._request_votes(member.term + 1, pre_vote=True):
+            await self._request_leadership()
+
+    async def _request_leadership(self) -> None:
+        """Request votes for a new term, after a quorum has granted its pre-votes."""
+        member = self.member
         async with member.lock:
-            if member.role is Role.LEADER or self.must_not_vote():
+            released = self.handover_term == member.term
+            if member.role is Role.LEADER or self._is_bound(released):
                 return
             member.become_follower(member.term + 1, None)
             member.role = Role.CANDIDATE
@@ -90,11 +113,27 @@
         """Grant or deny a vote or a pre-vote."""
         member = self.member
         async with member.lock:
-            granted = self._is_intended_recipient(request) and not self.must_not_vote()
+            # The lease of the leader of this member's term has ended, if that leader
+            # itself asked for the election.
+            released = request.handover and request.term == member.term + 1
+            granted = self._is_intended_recipient(request) and not self._is_bound(
+                released
+            )
             if granted:
                 granted = await self._evaluate_vote(request)
             return VoteReply(member.identity, member.term, granted)
 
+    def _is_bound(self, released: bool) -> bool:
+        """Whether this member must not vote; see ``must_not_vote``.
+
+        Args:
+            released: Whether the leader of the current term gave up its leadership.
+        """
+        member = self.member
+        if released and member.role is not Role.LEADER and member.fault is None:
+            return False
+        return self.must_not_vote()
+
     def must_not_vote(self) -> bool:
         """Whether this member must deny votes, because a leader may hold a lease.
 
@@ -170,6 +209,8 @@
 
     async def _request_vote(self, info: MemberInfo, term: int, pre_vote: bool) -> bool:
         member = self.member
+        if not member.configuration.is_voter(info.identity):
+            return False  # An entry that arrived since has removed it.
         request = VoteRequest(
             cluster=member.journal.member_record.cluster,
             recipient=info.identity,
@@ -178,6 +219,7 @@
             last_index=member.journal.last_index,
             last_term=member.journal.last_term,
             pre_vote=pre_vote,
+            handover=self.handover_term == term - 1,
         )
         try:
             reply = await member.link.call(
--- /dev/null
+++ b/wagtailrun/handover.py
@@ -0,0 +1,79 @@
+"""Handover of the leadership by a leader that a fault has stopped."""
+
+from typing import TYPE_CHECKING
+
+from wagtailrun.consensus_messages import Handover, MemberInfo, VoteReply
+from wagtailrun.consensus_state import Role
+from wagtailrun.exceptions import PeerUnreachable
+
+if TYPE_CHECKING:
+    from wagtailrun.consensus import Member
+
+__all__ = ["LeaderHandover"]
+
+
+class LeaderHandover:
+    """Asks another voter to start an election, without the wait for a timeout.
+
+    The member has given up its leadership for good before it sends a message, so the
+    lease that the voters protect by withholding their votes has ended.
+
+    Args:
+        member: Member that owns this component.
+    """
+
+    def __init__(self, member: "Member"):
+        self.member = member
+        self.term = 0
+        self.successors: list[MemberInfo] = []
+
+    def prepare(self) -> None:
+        """Note the possible successors of a leader that is about to stop.
+
+        The voters with the newest entries come first; only they can be elected.
+        """
+        member = self.member
+        if member.role is not Role.LEADER:
+            return
+        progress = member.replication.progress_by_identity
+        self.term = member.term
+        self.successors = sorted(
+            (
+                info
+                for info in member.configuration.members
+                if info.voter and info.identity in progress
+            ),
+            key=lambda info: progress[info.identity].match_index,
+            reverse=True,
+        )
+
+    async def run(self) -> None:
+        """Send the prepared handover to one successor after the other until one won."""
+        member = self.member
+        for info in self.successors:
+            message = Handover(
+                member.journal.member_record.cluster, info.identity, self.term
+            )
+            try:
+                reply = await member.link.call(
+                    info.peer_address, message, member.timing.call_timeout_ms
+                )
+            except PeerUnreachable:
+                continue
+            if isinstance(reply, VoteReply) and reply.granted:
+                return
+
+    async def handle(self, message: Handover) -> VoteReply:
+        """Start an election; reply whether a quorum would vote for this member."""
+        member = self.member
+        async with member.lock:
+            record = member.journal.member_record
+            accepted = (
+                message.recipient == member.identity
+                and message.cluster == record.cluster
+                and message.term == member.term
+                and member.role is Role.FOLLOWER
+            )
+        if accepted:
+            accepted = await member.election.take_over(message.term)
+        return VoteReply(member.identity, member.term, accepted)
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -18,6 +18,7 @@
     configuration @11 :Configuration;
     readIndex @12 :ReadIndex;
     readIndexReply @13 :ReadIndexReply;
+    handover @14 :Handover;
   }
 }
 
@@ -69,6 +70,7 @@
   lastIndex @4 :UInt64;
   lastTerm @5 :UInt64;
   preVote @6 :Bool;
+  handover @7 :Bool;
 }
 
 struct VoteReply { sender @0 :Text; term @1 :UInt64; granted @2 :Bool; }
@@ -89,3 +91,4 @@
 struct JoinReply { identity @0 :Text; cluster @1 :Text; peers @2 :List(Text); }
 struct ReadIndex { sender @0 :Text; }
 struct ReadIndexReply { valid @0 :Bool; index @1 :UInt64; }
+struct Handover { cluster @0 :Text; recipient @1 :Text; term @2 :UInt64; }
