Say that a member waits for space on its disk, and that it has gone on

Cause: event 504 told on-call engineers that a member had failed permanently when it came back a second later, and /readyz said no more than "stopped". Change: 504 is a warning that the member has stopped; 505, 624 or 625 say how it goes on. /readyz says "waiting for disk space", and both control processes export the gauge disk_full.

--- a/tests/test_full_disk_processes.py
+++ b/tests/test_full_disk_processes.py
@@ -14,6 +14,7 @@
     wait_for,
     wait_revision,
 )
+from wagtailrun.events import DISK_FULL, DISK_SPACE_AVAILABLE
 from wagtailrun.exceptions import TargetFailed
 
 pytestmark = pytest.mark.network
@@ -51,6 +52,14 @@
     return reply.status, json.loads(reply.body)["status"]
 
 
+def disk_full(fleet, name):
+    """Return the value of the gauge ``wagtailrun_disk_full``."""
+    page = request(fleet.operator_address_by_name[name], "GET", "/metrics").body
+    lines = page.decode().splitlines()
+    (line,) = (line for line in lines if line.startswith("wagtailrun_disk_full "))
+    return float(line.split()[1])
+
+
 def order_status(fleet):
     """Return the status of a new order with a key, sent once."""
     (address,) = fleet.caller_address_by_name.values()
@@ -86,14 +95,22 @@
             apply_at(fleet, other, revision)
             revision += 1
         wait_for(
-            lambda victim=victim: (readiness(fleet, victim) or (0,))[0] == 503,
-            f"{victim} is ready",
+            lambda victim=victim: (
+                readiness(fleet, victim) == (503, "waiting for disk space")
+            ),
+            f"{victim} does not say that its disk is full",
         )
+        wait_for(lambda victim=victim: disk_full(fleet, victim) == 1, "gauge is 0")
         free(fleet, victim)
         apply_at(fleet, other, revision)
         revision += 1
         wait_revision(fleet, victim, revision)
+        wait_for(lambda victim=victim: disk_full(fleet, victim) == 0, "gauge is 1")
     assert_in_order(fleet, revision)
+    for name in fleet.operator_address_by_name:
+        lines = fleet.log_text(name)
+        for event in (DISK_FULL, DISK_SPACE_AVAILABLE):
+            assert lines.count(f"E{event.number:04d}") == 1, (name, event.number)
 
 
 def test_full_leaders_one_after_another(fleet):
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -142,14 +142,16 @@
 
     async def handle_operator(self, request: Request) -> Response:
         """Return the response to one HTTP request of an operator or the platform."""
-        if request.path == "/readyz" and not self.member_host.is_running:
-            value = {"status": "stopped", "detail": str(self.member_host.member.fault)}
+        host = self.member_host
+        if request.path == "/readyz" and not host.is_running:
+            value = {"status": host.status, "detail": str(host.member.fault)}
             return json_response(503, value)
         return await self.operator_api.handle(request)
 
     async def _update_gauges(self) -> None:
         while True:
             self.metrics.ready.set(self.member_host.is_running)
+            self.metrics.disk_full.set(self.member_host.is_disk_full)
             self.metrics.revision.set(self.registry.revision)
             self.metrics.account_rows.set(self.accounts.row_count)
             await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -149,9 +149,9 @@
 )
 MEMBER_FAULT = _event(
     504,
-    logging.ERROR,
-    "This member failed permanently: it no longer votes or acknowledges log entries.",
-    "Read the detail, replace the disk or free space, then restart the process.",
+    logging.WARNING,
+    "The consensus member stopped; it neither votes nor acknowledges until it starts.",
+    "Read the detail; event 505, 624 or 625 says how it starts again by itself.",
 )
 DISK_FULL = _event(
     505,
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -65,8 +65,7 @@
         self.reset_machine = reset_machine
         self.folder = folder
         self.discard_damaged_files = discard_damaged_files
-        # What the member waits for while its disk is full; empty otherwise.
-        self.waits_for_space = False
+        self._waits_for_space = False
         self._disk_was_full = False
         self._needed_bytes = SPACE_RESERVE_BYTES
         self._delay_ms = 0
@@ -111,6 +110,18 @@
         """Whether the member takes part in the consensus."""
         return self.member.fault is None and not self.member.is_closed
 
+    @property
+    def is_disk_full(self) -> bool:
+        """Whether the member has stopped until its disk has space."""
+        return self._waits_for_space or isinstance(self.member.fault, DiskFull)
+
+    @property
+    def status(self) -> str:
+        """State of the member in words, for operators."""
+        if self.is_running:
+            return "running"
+        return "waiting for disk space" if self.is_disk_full else "stopped"
+
     @property
     def is_leader(self) -> bool:
         """Whether the member is the leader and its lease is valid now."""
@@ -174,13 +185,13 @@
 
     async def _wait_for_space(self, error: DiskFull) -> None:
         self._disk_was_full = True
-        self.waits_for_space = True
+        self._waits_for_space = True
         try:
             await wait_for_space(
                 self.clock, self.disk, self._needed_bytes, self.folder, error
             )
         finally:
-            self.waits_for_space = False
+            self._waits_for_space = False
 
     async def _reopen(self) -> Exception | None:
         """Start a new member on the files; return the error if the disk fails."""
--- a/wagtailrun/metrics.py
+++ b/wagtailrun/metrics.py
@@ -53,6 +53,9 @@
             "usage", "Work of targets.", "service", "work", "measure"
         )
         self.ready = self._gauge("ready", "Whether the process takes new work.")
+        self.disk_full = self._gauge(
+            "disk_full", "Whether a control member waits for space on its disk."
+        )
         self.revision = self._gauge("revision", "Revision of the fleet text in force.")
         self.requests_in_progress = self._gauge(
             "active_requests", "Requests under way."
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -193,6 +193,11 @@
         # The help texts are part of the metrics interface.
         gauge = self.metrics.add_gauge
         gauge("leader", "Whether this member leads.", lambda: self.member.is_leader)
+        gauge(
+            "disk_full",
+            "Whether this member waits for space on its disk.",
+            lambda: self.member_host.is_disk_full,
+        )
         gauge("term", "Term of the replicated log.", lambda: self.member.term)
         gauge("commit_index", "Committed entries.", lambda: self.member.commit_index)
         gauge("revision", "Revision in force.", lambda: self.registry.revision)
