Keep one way to make data durable whose sync failed

Also: the delay between starts of the member doubled up to 30 s with each full disk within 30 s, so two members whose disks were full in turn could be out at the same time. It is now reset if there was no space at first; it still grows where probes succeed and writes do not.

--- a/tests/test_disk_space.py
+++ b/tests/test_disk_space.py
@@ -26,7 +26,9 @@
             await probe(size)
 
         disk.probe = counted
-        await disk_space.wait_for_space(clock, disk, 100, "x", DiskFull("full"))
+        cause = DiskFull("full")
+        was_refused = await disk_space.wait_for_space(clock, disk, 100, "x", cause)
+        assert was_refused is (fault == "full")
         assert clock.now_ms() <= full_ms + disk_space.MAX_PROBE_DELAY_MS + 100
         return len(probes)
 
--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -3,9 +3,8 @@
 import pytest
 
 from tests.fake_cluster import shrink_sizes
-from tests.fake_disk import FakeDisk
 from tests.hosted_cluster import HostedCluster
-from wagtailrun import events, member_host
+from wagtailrun import disk_space, events, member_host
 from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.virtual_time import run_virtual
 
@@ -114,6 +113,24 @@
     run(scenario, seed)
 
 
+def test_delays_begin_anew_with_each_time_without_space():
+    """Guards against disks that are full in turn and leave their members out longer."""
+
+    async def scenario(clock, cluster):
+        node = cluster.nodes[0]
+        for _ in range(5):
+            node.disk.fault = "full"
+            await cluster.propose_many(1)
+            await cluster.wait_for(lambda: not node.host.is_running, "running")
+            await clock.sleep_ms(4_000)
+            node.disk.fault = None
+            start_ms = clock.now_ms()
+            await cluster.wait_for(lambda: node.host.is_running, "stopped")
+            assert clock.now_ms() - start_ms <= disk_space.MAX_PROBE_DELAY_MS + 100
+
+    run(scenario, 1)
+
+
 def test_disk_full_for_an_hour(logged):
     """Guards against a log that fills, and messages that wait for ever."""
 
@@ -204,47 +221,12 @@
     run(scenario, 1)
 
 
-class FailedSyncDisk(FakeDisk):
-    """Disk whose kernel forgets to write data after a failed sync, as Linux does.
-
-    The data can still be read, and a second sync of it succeeds, but a loss of power
-    loses it.
-    """
-
-    def __init__(self, *arguments, **options):
-        super().__init__(*arguments, **options)
-        self.forgotten: dict[str, bytes] = {}
-
-    async def read(self, name):
-        data = self.synced.get(name, b"") + self.forgotten.get(name, b"")
-        return data + self.unsynced.get(name, b"")
-
-    async def sync(self, name):
-        try:
-            await super().sync(name)
-        except DiskFault:
-            data = self.forgotten.get(name, b"") + self.unsynced.pop(name, b"")
-            self.forgotten[name] = data
-            raise
-
-    async def write(self, name, data):
-        await super().write(name, data)
-        self.forgotten.pop(name, None)
-
-    def kill(self):
-        self.forgotten.clear()
-        super().kill()
-
-
 @pytest.mark.parametrize("fault", ["sync error", "full"])
 def test_entries_whose_sync_failed_are_written_anew(fault):
     """Guards against an acknowledgement of entries that a loss of power removes."""
 
     async def main(clock):
         cluster = HostedCluster(clock, 1)
-        for number, node in enumerate(cluster.nodes):
-            node.disk = FailedSyncDisk(node.clock, number)
-            node.disk.on_kill = node.kill
         await cluster.start()
         await cluster.wait_leader()
         await cluster.propose_many(3)
--- a/wagtailrun/disk_space.py
+++ b/wagtailrun/disk_space.py
@@ -14,7 +14,7 @@
 
 async def wait_for_space(
     clock: Clock, disk: Disk, size: int, folder: str, cause: DiskFault
-) -> None:
+) -> bool:
     """Return once ``size`` bytes can be written again, or the disk fails otherwise.
 
     One event is logged at the start and one at the end, however long it takes.
@@ -25,15 +25,20 @@
         size: Bytes that must be free, at least those that the next writes need.
         folder: Name of the folder, for the log.
         cause: The error of the write that was refused, for the log.
+
+    Returns:
+        Whether there was no space at first.
     """
     events.log(events.DISK_FULL, folder=folder, needed_bytes=size, detail=str(cause))
     started_ms = clock.now_ms()
     delay_ms = FIRST_PROBE_DELAY_MS
+    was_refused = False
     while True:
         await clock.sleep_ms(delay_ms)
         try:
             await disk.probe(size)
         except DiskFull:
+            was_refused = True
             delay_ms = min(2 * delay_ms, MAX_PROBE_DELAY_MS)
             continue
         except DiskFault:
@@ -45,3 +50,4 @@
         folder=folder,
         waited_ms=clock.now_ms() - started_ms,
     )
+    return was_refused
--- a/wagtailrun/member_disk.py
+++ b/wagtailrun/member_disk.py
@@ -1,4 +1,4 @@
-"""Disk of one member instance: what it was refused, and what may not be on the disk."""
+"""Disk of one member instance, which can be taken away from it."""
 
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -16,10 +16,6 @@
 class MemberDisk(Disk):
     """Passes operations on to a disk until it is detached.
 
-    After a failed sync the kernel may show data that is not on the disk, and a later
-    sync of the same data may succeed without writing it. The files concerned are
-    therefore listed, so that they can be written again before they are read.
-
     Args:
         disk: Disk that the member's files are on; it outlives this object.
     """
@@ -28,9 +24,8 @@
         self.disk = disk
         # Size of the newest write that was refused because the disk was full.
         self.refused_bytes = 0
-        # Bytes appended since the last sync, for each file whose data may not be on
-        # the disk.
-        self.unsynced_bytes_by_name: dict[str, int] = {}
+        # Bytes appended since the last sync; some systems refuse them only there.
+        self._appended_bytes = 0
         self._is_detached = False
         self._lock = curio.Lock()
 
@@ -50,42 +45,33 @@
 
     async def append(self, name: str, data: bytes) -> None:
         """Append ``data`` to ``name`` without a sync."""
-        before = self.unsynced_bytes_by_name.get(name)
-        self.unsynced_bytes_by_name[name] = (before or 0) + len(data)
-        try:
-            await self._run(len(data), self.disk.append, name, data)
-        except DiskFull:
-            # Only a part of the record was written, which recovery cuts off.
-            if before is None:
-                del self.unsynced_bytes_by_name[name]
-            raise
+        self._appended_bytes += len(data)
+        await self._run(self._appended_bytes, self.disk.append, name, data)
 
     async def sync(self, name: str) -> None:
         """Make all data appended to ``name`` so far durable."""
-        size = self.unsynced_bytes_by_name.setdefault(name, 0)
-        await self._run(size, self.disk.sync, name)
-        del self.unsynced_bytes_by_name[name]
+        await self._run(self._appended_bytes, self.disk.sync, name)
+        self._appended_bytes = 0
 
     async def resync(self, name: str, offset: int) -> None:
         """Make ``name`` and all names durable; write the tail again in place."""
-        await self._run(0, self.disk.resync, name, offset)
+        try:
+            await self._run(0, self.disk.resync, name, offset)
+        except DiskFull:
+            self.refused_bytes = len(await self.read(name)) - offset
+            raise
 
     async def write(self, name: str, data: bytes) -> None:
         """Replace the contents of ``name`` by ``data``, atomically and durably."""
-        self.unsynced_bytes_by_name.setdefault(name, 0)
         await self._run(len(data), self.disk.write, name, data)
-        del self.unsynced_bytes_by_name[name]
 
     async def truncate(self, name: str, size: int) -> None:
         """Truncate ``name`` to ``size`` bytes durably."""
-        self.unsynced_bytes_by_name.setdefault(name, 0)
         await self._run(0, self.disk.truncate, name, size)
-        del self.unsynced_bytes_by_name[name]
 
     async def remove(self, name: str) -> None:
         """Remove ``name`` durably; a missing file is no error."""
         await self._run(0, self.disk.remove, name)
-        self.unsynced_bytes_by_name.pop(name, None)
 
     async def probe(self, size: int) -> None:
         """Write and sync a temporary file of ``size`` bytes, and remove it."""
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -33,8 +33,8 @@
     votes and entries. The rule for each fault:
 
     - ``DiskFull``: wait until there is space for the refused write, and start again.
-    - Other ``DiskFault``: start again after a delay. Files whose data may not be on
-      the disk are written anew before they are read.
+    - Other ``DiskFault``: start again after a delay. The journal syncs again what it
+      reads, as a sync that failed may have left data that is not on the disk.
     - ``CorruptRecord``: raise it, or with ``discard_damaged_files`` remove all files,
       so that the member joins with a new identity. Files are never removed once the
       disk has been full: the others may have lost theirs in the same way.
@@ -69,7 +69,6 @@
         self._disk_was_full = False
         self._needed_bytes = SPACE_RESERVE_BYTES
         self._delay_ms = 0
-        self._unsynced_names: set[str] = set()
         self._start_member()
 
     def _start_member(self) -> None:
@@ -86,10 +85,10 @@
             CorruptRecord: If a file is damaged and must not be removed.
         """
         while True:
-            error = await self._run_member()
-            while error is not None:
-                await self._wait_after(error)
-                error = await self._reopen()
+            await self._wait_after(await self._run_member())
+            self.disk.close()
+            self.reset_machine()
+            self._start_member()
 
     async def handle(self, message: Any) -> Any:
         """Return the reply to one message of another member.
@@ -148,17 +147,11 @@
         except Exception as error:
             failure = error
         await self.member_disk.detach()
-        self._note_disk_state()
+        self._needed_bytes = self.member_disk.refused_bytes + SPACE_RESERVE_BYTES
         if self.clock.now_ms() - self._started_ms >= RECOVERED_AFTER_MS:
             self._delay_ms = 0
         return failure
 
-    def _note_disk_state(self) -> None:
-        """Note what the member left unsynced, and how much space its writes need."""
-        disk = self.member_disk
-        self._unsynced_names.update(disk.unsynced_bytes_by_name)
-        self._needed_bytes = disk.refused_bytes + SPACE_RESERVE_BYTES
-
     async def _wait_after(self, error: Exception) -> None:
         """Return when the files may be opened again.
 
@@ -194,31 +187,15 @@
         self._disk_was_full = True
         self._waits_for_space = True
         try:
-            await wait_for_space(
+            was_refused = await wait_for_space(
                 self.clock, self.disk, self._needed_bytes, self.folder, error
             )
         finally:
             self._waits_for_space = False
-
-    async def _reopen(self) -> Exception | None:
-        """Start a new member on the files; return the error if the disk fails."""
-        try:
-            await self._write_unsynced_files()
-        except DiskFault as error:
-            return error
-        self.disk.close()
-        self.reset_machine()
-        self._start_member()
-        return None
-
-    async def _write_unsynced_files(self) -> None:
-        """Write files anew whose data may not be on the disk."""
-        for name in await self.disk.names():
-            if name in self._unsynced_names:
-                data = await self.disk.read(name)
-                self._needed_bytes = len(data) + SPACE_RESERVE_BYTES
-                await self.disk.write(name, data)
-        self._unsynced_names.clear()
+        if was_refused:
+            # The disk was full and is not any more. Without a refused probe, writes
+            # fail for another reason, and starts at full speed would not help.
+            self._delay_ms = 0
 
     async def _remove_files(self) -> None:
         """Remove all files; a file that stays is found damaged again."""
