--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -291,6 +291,29 @@
     run_virtual(main)
 
 
+def test_compaction_without_room_waits_for_its_size(logged):
+    """Guards against a store that tries the same refused compaction all the time."""
+
+    async def main(clock):
+        disk = FakeDisk(clock)
+        member = Member(clock, disk)
+        await member.start()
+        await member.send(0, 1)
+        # Room for the log, but not for a copy of the rows beside it.
+        disk.capacity = account_log.MAX_LOG_BYTES + 50
+        async with curio.ignore_after(60):
+            for count in range(2, 20):
+                await member.send(count, count)
+        assert logged.count(events.DISK_FULL) == 1
+        assert not logged.count(events.DISK_SPACE_AVAILABLE)
+        disk.capacity = None
+        await clock.sleep_ms(FULL_MS)
+        await member.send(0, 20)
+        assert logged.count(events.DISK_SPACE_AVAILABLE) == 1
+
+    run_virtual(main)
+
+
 def test_rows_in_flight_at_a_fault_are_not_appended_after_it():
     """Guards against a log that is damaged in the middle by the next waiting sender."""
 
