Log and count refusals of requests that an entry has not read completely

Cause: the relay entry gave its server no callback for refusals that no handler sees: malformed, too large, too slow, or half a request in a planned stop. They left neither a line nor a count. Change: they are recorded as event 700 and in wagtailrun_relay_refusals.

--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -220,7 +220,10 @@
             self.origins,
         )
         self.caller_server = HttpServer(
-            settings.caller_address, self.handler.handle, limits=self._server_limits
+            settings.caller_address,
+            self.handler.handle,
+            on_refusal=self.handler.record_unread,
+            limits=self._server_limits,
         )
         self.was_ready = False
         self._export_gauges()
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -387,6 +387,10 @@
 
     # Outcomes
 
+    async def record_unread(self, refusal: Refusal) -> None:
+        """Log and count the refusal of a request that was not read completely."""
+        self._reject("", "", self.clock.now_ms(), refusal)
+
     def _reject(
         self, request_id: str, route: str, arrived_ms: int, refusal: Refusal
     ) -> Response:
