--- a/tests/test_full_disk_cases.py
+++ b/tests/test_full_disk_cases.py
@@ -147,6 +147,32 @@
     assert run_virtual(main) == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_slow_disk_that_then_is_full(seed):
+    """Guards against a leader that keeps its role while its writes hang."""
+
+    async def main(clock):
+        cluster = await started(clock, seed)
+        for _ in range(4):
+            leader = await cluster.wait_leader()
+            leader.disk.delay_ms = (1_000, 3_000)
+            start_ms = clock.now_ms()
+            # The others have synced the entry before the leader has.
+            assert await cluster.propose(leader)
+            assert clock.now_ms() - start_ms < 1_000
+            await clock.sleep_ms(cluster.random.randint(0, 4_000))
+            leader.disk.fault = "full"
+            await cluster.propose_many(3)
+            await clock.sleep_ms(cluster.random.randint(0, 4_000))
+            leader.disk.fault = None
+            leader.disk.delay_ms = (0, 3)
+            await cluster.propose_many(3)
+            await cluster.wait_for(cluster.has_converged, "members differ")
+        return await finish(cluster)
+
+    assert run_virtual(main) == []
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_space_to_open(seed):
     """Guards against a member that gives up its identity, or its start, when full."""
@@ -193,3 +219,22 @@
         return cluster.violations
 
     assert run_virtual(main) == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_proposals_are_answered_while_a_snapshot_is_written(seed):
+    """Guards against a leader that answers nothing until a slow disk has a snapshot."""
+
+    async def main(clock):
+        cluster = await started(clock, seed)
+        leader = cluster.leader()
+        leader.disk.delay_ms = (1_000, 3_000)
+        for _ in range(30):
+            start_ms = clock.now_ms()
+            assert await cluster.propose(leader)
+            assert clock.now_ms() - start_ms < 1_000
+        await cluster.wait_for(lambda: leader.member.journal.snapshot_index, "none")
+        leader.disk.delay_ms = (0, 3)
+        return await finish(cluster)
+
+    assert run_virtual(main) == []
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -136,6 +136,7 @@
         self.commit_index = 0
         self.applied_index = 0
         self.commands_applied = 0
+        self.is_taking_snapshot = False
         self.fault: Exception | None = None
         self.proposals_by_index: dict[int, Proposal] = {}
         self.commit_advanced = Signal()
@@ -458,8 +459,11 @@
             await self._apply(entry)
             if self.applied_index % ENTRIES_PER_YIELD == 0:
                 await curio.sleep(0)
-            if self._snapshot_is_due():
-                await self._take_snapshot()
+            if self._snapshot_is_due() and not self.is_taking_snapshot:
+                self.is_taking_snapshot = True
+                # In its own task: on a slow disk it takes seconds, in which proposals
+                # would otherwise stay unanswered.
+                await self.spawn(self._take_snapshot)
 
     async def _apply(self, entry: Entry) -> None:
         result = None
@@ -496,6 +500,7 @@
             checksum=snapshot_checksum(data),
         )
         await self.journal.save_snapshot(header, data)
+        self.is_taking_snapshot = False
 
     def _unavailable(
         self, detail: str, may_have_committed: bool = False
