Play full disks at the control processes of the relay

Three real processes, each with a full disk twice while changes are sent; each change within the users' bound of 4 s, then a loss of all processes. A member whose files are damaged after a full disk is tried again at growing delays instead of ending the host's task.

--- a/tests/test_full_disk_processes.py
+++ b/tests/test_full_disk_processes.py
@@ -5,23 +5,29 @@
 import time
 from pathlib import Path
 
+import curio
 import pytest
 
 from demo.processes import Fleet, request
+from tests import test_relay_processes as relay
 from tests.test_consensus_processes import (
     apply_at,
     leader,
     wait_for,
     wait_revision,
 )
-from wagtailrun.events import DISK_FULL, DISK_SPACE_AVAILABLE
+from wagtailrun.events import DISK_FULL, DISK_SPACE_AVAILABLE, LOG_FILES_DISCARDED
 from wagtailrun.exceptions import TargetFailed
 
 pytestmark = pytest.mark.network
 
+ROOT = Path(__file__).parent.parent
 FULL_S = 3.0
+# The users' bound for the acknowledgement of a change.
+ACK_S = 4.0
+DISCARDED = LOG_FILES_DISCARDED.number
 WRAPPER_FOLDER = Path(__file__).parent / "full_disk"
-TEXT = (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text("utf-8")
+TEXT = (ROOT / "demo" / "fleet.toml").read_text("utf-8")
 ORDER = "/v1/services/dispatch-desk/book-dispatch"
 
 
@@ -132,3 +138,59 @@
     for name in names:
         fleet.restart(name)
     assert_in_order(fleet, revision)
+
+
+async def versions_read(fleet):
+    """Return the configuration versions that the three members read back."""
+    versions = set()
+    for number in (1, 2, 3):
+
+        async def read(number=number):
+            reply = await relay.send(fleet.control(number), "GET", "/configuration")
+            return json.loads(reply.body) if reply.status == 200 else None
+
+        document = await relay.wait_until(read, f"core-{number} reads nothing")
+        versions.add(document["version"])
+    return versions
+
+
+async def put_while_full(fleet, number, first_version):
+    """Fill the disk of a member while changes are sent; return the longest wait."""
+    flag = fleet.folder / f"core-{number}.full"
+    flag.touch()
+    waits_s = []
+    for version in range(first_version, first_version + 6):
+        start = time.monotonic()
+        await relay.put(fleet, version)
+        waits_s.append(time.monotonic() - start)
+        await curio.sleep(0.3)
+    flag.unlink()
+    return max(waits_s)
+
+
+def test_full_disks_of_the_relay_one_after_another(tmp_path):
+    """Guards against changes that stay unanswered, or are lost, after full disks."""
+    environment = {
+        "PYTHONPATH": f"{ROOT}:{ROOT / 'platform'}:{WRAPPER_FOLDER}",
+        "TEST_DATA_FOLDER": str(tmp_path),
+    }
+
+    async def main(fleet):
+        await relay.put(fleet, 1)
+        version = 2
+        for number in (1, 2, 3, 1, 2, 3):
+            assert await put_while_full(fleet, number, version) < ACK_S
+            version += 6
+            await versions_read(fleet)
+        for number in (1, 2, 3):
+            fleet.processes[f"core-{number}"].kill()
+        for number in (1, 2, 3):
+            fleet.processes[f"core-{number}"].wait(10)
+            fleet.start_control(number)
+        assert await versions_read(fleet) == {version - 1}
+        for number in (1, 2, 3):
+            lines = fleet.lines(f"core-{number}")
+            assert not [line for line in lines if line["event"] == DISCARDED]
+
+    with relay.running(tmp_path, environment) as fleet:
+        curio.run(main, fleet)
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -31,8 +31,9 @@
 class Fleet:
     """Three control members and two entries, each with its own loopback address."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, environment=()):
         self.folder = folder
+        self.environment = dict(environment)
         ports = [address.port for address in free_addresses(4)]
         self.peer_port, self.metrics_port, self.main_port, self.ready_port = ports
         self.processes = {}
@@ -58,6 +59,7 @@
             "PATH": os.environ["PATH"],
             "PYTHONPATH": f"{ROOT}:{ROOT / 'platform'}",
             "WAGTAILRUN_SETTINGS": str(file),
+            **self.environment,
         }
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
@@ -106,8 +108,8 @@
 
 
 @contextmanager
-def running(folder):
-    fleet = Fleet(folder)
+def running(folder, environment=()):
+    fleet = Fleet(folder, environment)
     try:
         for number in (1, 2, 3):
             fleet.start_control(number)
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -168,10 +168,7 @@
         if isinstance(error, DiskFull):
             await self._wait_for_space(error)
         elif isinstance(error, CorruptRecord):
-            if not self.discard_damaged_files or self._disk_was_full:
-                raise error
-            events.log(events.LOG_FILES_DISCARDED, detail=str(error))
-            await self._remove_files()
+            await self._recover_from_damage(error)
         elif isinstance(error, DiskFault):
             events.log(events.MEMBER_RESTARTED, detail=str(error))
         else:
@@ -183,6 +180,16 @@
             max(2 * self._delay_ms, FIRST_REOPEN_DELAY_MS), MAX_REOPEN_DELAY_MS
         )
 
+    async def _recover_from_damage(self, error: CorruptRecord) -> None:
+        if not self.discard_damaged_files:
+            raise error
+        if self._disk_was_full:
+            # Kept for an operator; the member is tried again at growing delays.
+            events.log(events.MEMBER_RESTARTED, detail=str(error))
+            return
+        events.log(events.LOG_FILES_DISCARDED, detail=str(error))
+        await self._remove_files()
+
     async def _wait_for_space(self, error: DiskFull) -> None:
         self._disk_was_full = True
         self._waits_for_space = True
