Refuse reads at a stopped member at once, and wake who waits at it

Cause: a read barrier at a member whose disk was full waited until its timeout for entries that the member could not store, and a hub that waited for the next entry noticed the new member up to a second late. Change: a stopped member refuses reads, and the host wakes those that wait for entries at the previous member. Measured: both new tests of tests/test_member_host.py fail before (2 of 2; the read took 2,000 ms of virtual time) and pass here.

--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -1,12 +1,13 @@
 """Tests of members whose disks are full or fail, in virtual time."""
 
+import curio
 import pytest
 
 from tests.fake_cluster import shrink_sizes
 from tests.fake_disk import FakeDisk
 from tests.hosted_cluster import HostedCluster
 from wagtailrun import events, member_host
-from wagtailrun.exceptions import DiskFault, DiskFull
+from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, DiskFull
 from wagtailrun.virtual_time import run_virtual
 
 HOUR_MS = 3_600_000
@@ -204,6 +205,44 @@
     run(scenario, 1)
 
 
+def test_read_at_a_member_whose_disk_is_full_is_refused_at_once():
+    """Guards against polls of entries that wait at a member that applies nothing."""
+
+    async def scenario(clock, cluster):
+        leader = await cluster.wait_leader()
+        node = next(node for node in cluster.nodes if node is not leader)
+        node.disk.fault = "full"
+        await cluster.propose_many(1)
+        await cluster.wait_for(lambda: not node.host.is_running, "running")
+        for _ in range(3):
+            start_ms = clock.now_ms()
+            with pytest.raises(ConsensusUnavailable) as caught:
+                await node.member.read_barrier(2_000)
+            assert not caught.value.may_have_committed
+            assert clock.now_ms() - start_ms < 100
+            await clock.sleep_ms(1_000)
+
+    run(scenario, 1)
+
+
+def test_waiter_at_a_stopped_member_moves_to_the_new_one():
+    """Guards against a hub that notices changes late after its member returned."""
+
+    async def scenario(clock, cluster):
+        node = cluster.nodes[0]
+        node.disk.fault = "full"
+        await cluster.propose_many(3)
+        await cluster.wait_for(lambda: not node.host.is_running, "running")
+        previous = node.member
+        waiter = await curio.spawn(previous.applied.wait)
+        node.disk.fault = None
+        await cluster.wait_for(lambda: node.member is not previous, "not started")
+        async with curio.timeout_after(0.1):
+            await waiter.join()
+
+    run(scenario, 1)
+
+
 class FailedSyncDisk(FakeDisk):
     """Disk whose kernel forgets to write data after a failed sync, as Linux does.
 
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -237,6 +237,7 @@
             await proposal.done.set()
         await self.failed.set()
         await self.opened.notify()
+        await self.applied.notify()
 
     # Interface to the embedding program
 
@@ -316,14 +317,20 @@
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 index = await self._leader_commit_index()
                 while self.applied_index < index:
+                    self._raise_if_stopped()
                     await self.applied.wait()
         except curio.TaskTimeout as error:
             raise self._unavailable(
                 f"no leader confirmed the read within {timeout_ms} ms"
             ) from error
 
+    def _raise_if_stopped(self) -> None:
+        if self.fault is not None or self.is_closed:
+            raise self._unavailable(f"this member has stopped: {self.fault}")
+
     async def _leader_commit_index(self) -> int:
         while True:
+            self._raise_if_stopped()
             if self.is_leader:
                 return self.commit_index
             address = self.known_leader_address
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -208,7 +208,10 @@
             return error
         self.disk.close()
         self.reset_machine()
+        previous = self.member
         self._start_member()
+        # Whoever waits for the next entry there waits at the new member from now on.
+        await previous.applied.notify()
         return None
 
     async def _write_unsynced_files(self) -> None:
