--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -88,7 +88,10 @@
             await self._wait_after(await self._run_member())
             self.disk.close()
             self.reset_machine()
+            previous = self.member
             self._start_member()
+            # Whoever waits for the next entry there waits at the new member from now on.
+            await previous.applied.notify()
 
     async def handle(self, message: Any) -> Any:
         """Return the reply to one message of another member.
