--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -6,7 +6,7 @@
 from tests.fake_cluster import shrink_sizes
 from tests.hosted_cluster import HostedCluster
 from wagtailrun import disk_space, events, member_host
-from wagtailrun.exceptions import ConsensusUnavailable, DiskFull
+from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, DiskFull
 from wagtailrun.virtual_time import run_virtual
 
 HOUR_MS = 3_600_000
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -90,7 +90,7 @@
             self.reset_machine()
             previous = self.member
             self._start_member()
-            # Whoever waits for the next entry there waits at the new member from now on.
+            # Those who wait for the next entry there now wait at the new member.
             await previous.applied.notify()
 
     async def handle(self, message: Any) -> Any:
