Take no request at an entry that hands over its accounts

Cause: after the last request of a planned stop, an entry handed its account rows over while its listener was still open; requests in that time were cut off by the exit, or served without being accounted. Change: the server is closed first, so that what has arrived is answered. Measured: test_entry_takes_no_request_after_it_handed_over_its_accounts failed before: the request in that time was answered with 200.

--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -259,6 +259,8 @@
         await self.clock.sleep_ms(self.settings.drain_notice_ms)
         await self.caller_server.drain()
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms)
+        await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
+        # Last, so that the rows of all requests are handed over.
         await self.accounts.hand_over_all(HANDOVER_TIMEOUT_MS)
 
     def _is_idle(self) -> bool:
