--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -1,10 +1,9 @@
 """HTTP/1.1 server built on h11, with one task for each connection."""
 
-import json
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any
 
@@ -14,6 +13,14 @@
 
 from wagtailrun import events
 from wagtailrun.adapters.http_client import header_fields
+from wagtailrun.adapters.http_messages import (
+    DEFAULT_REFUSAL_STATUS,
+    Request,
+    RequestRejected,
+    Response,
+    json_response,
+    refusal_response,
+)
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
@@ -53,74 +60,11 @@
 DRAIN_IDLE_POLLS = 4
 # Time in which the tasks of connections whose bytes have just arrived take them.
 END_PAUSE_MS = 10
-STATUS_BY_REASON = {
-    RefusalReason.MALFORMED: 400,
-    RefusalReason.TOO_LARGE: 413,
-    RefusalReason.UNAUTHORIZED: 401,
-    RefusalReason.UNKNOWN_KEY: 401,
-    RefusalReason.UNKNOWN_ROUTE: 404,
-    RefusalReason.UNKNOWN_WORKSPACE: 403,
-    RefusalReason.UNKNOWN_PIPELINE: 404,
-    RefusalReason.UNKNOWN_SERVICE: 404,
-    RefusalReason.UNKNOWN_CALL: 404,
-    RefusalReason.KEY_REUSED: 422,
-    RefusalReason.INVALID_TEXT: 422,
-    RefusalReason.STALE_REVISION: 409,
-    RefusalReason.ORDER_OPEN: 409,
-    RefusalReason.SHARE_EXCEEDED: 429,
-    RefusalReason.DEADLINE: 504,
-    RefusalReason.TARGET_FAILED: 502,
-    RefusalReason.INTERNAL: 500,
-}
-DEFAULT_REFUSAL_STATUS = 503
 REQUEST_TIMEOUT_STATUS = 408
 # Responses to this method have no body; h11 does not send one.
 HEAD_METHOD = b"HEAD"
 
 
-@attrs.frozen
-class Request:
-    """A complete HTTP request.
-
-    Attributes:
-        method: Upper-case method.
-        path: Path without query.
-        query: Query string without the question mark.
-        headers: Header values by lower-case name; the last one of repeated headers.
-        body: Complete body.
-        peer: IP address of the client.
-        target: Path and query as received.
-        header_pairs: Headers as received, in order.
-    """
-
-    method: str
-    path: str
-    query: str = ""
-    headers: dict[str, str] = attrs.field(factory=dict)
-    body: bytes = b""
-    peer: str = ""
-    target: bytes = b""
-    header_pairs: tuple[tuple[bytes, bytes], ...] = ()
-
-
-@attrs.frozen
-class Response:
-    """An HTTP response.
-
-    Attributes:
-        status: HTTP status.
-        body: Complete body, or an async iterator of its pieces.
-        headers: Pairs of header name and value.
-        length: Content length of an iterated body in bytes; None selects chunked
-            transfer encoding.
-    """
-
-    status: int
-    body: bytes | AsyncIterator[bytes] = b""
-    headers: tuple[tuple[str | bytes, str | bytes], ...] = ()
-    length: int | None = None
-
-
 @attrs.frozen
 class ServerLimits:
     """Limits on the size and duration of requests.
@@ -157,63 +101,6 @@
         idle_polls = idle_polls + 1 if is_idle() else 0
 
 
-def json_response(
-    status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
-) -> Response:
-    """Return ``value`` as a JSON response."""
-    body = json.dumps(value).encode()
-    return Response(status, body, (("Content-Type", "application/json"), *headers))
-
-
-def problem_details(refusal: Refusal, status: int) -> dict[str, Any]:
-    """Return the RFC 9457 problem details of a refusal."""
-    return {
-        "type": f"urn:wagtailrun:refusal:{refusal.reason}",
-        "title": str(refusal.reason),
-        "status": status,
-        "detail": refusal.detail,
-        "reason": str(refusal.reason),
-        "verdict": str(refusal.verdict),
-        "retry_after_ms": refusal.retry_after_ms,
-        "attempt_sent": refusal.attempt_sent and refusal.verdict != Verdict.NOT_RUN,
-    }
-
-
-def refusal_response(refusal: Refusal, status: int | None = None) -> Response:
-    """Return the HTTP response for a refusal.
-
-    Args:
-        refusal: Refusal to report.
-        status: HTTP status; by default that of the refusal's reason.
-    """
-    if status is None:
-        status = STATUS_BY_REASON.get(refusal.reason, DEFAULT_REFUSAL_STATUS)
-    headers = [
-        ("Content-Type", "application/problem+json"),
-        ("Cache-Control", "no-store"),
-        ("Wagtailrun-Verdict", str(refusal.verdict)),
-    ]
-    if refusal.retry_after_ms:
-        seconds = -(-refusal.retry_after_ms // MS_PER_SECOND)
-        headers.append(("Retry-After", str(seconds)))
-    body = json.dumps(problem_details(refusal, status)).encode()
-    return Response(status, body, tuple(headers))
-
-
-def _make_refusal(detail: str, status: int) -> Refusal:
-    reason = RefusalReason.TOO_LARGE if status in (413, 431) else None
-    return Refusal(reason or RefusalReason.MALFORMED, Verdict.NOT_RUN, detail)
-
-
-class RequestRejected(Exception):
-    """The bytes received are not a valid request, or exceed a limit."""
-
-    def __init__(self, detail: str, status: int):
-        super().__init__(detail)
-        self.status = status
-        self.refusal = _make_refusal(detail, status)
-
-
 class HttpServer:
     """Serves HTTP at one address.
 
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -9,11 +9,11 @@
 
 import xxhash
 
+from wagtailrun.adapters.http_messages import problem_details
 from wagtailrun.adapters.http_server import (
     Request,
     Response,
     json_response,
-    problem_details,
     refusal_response,
 )
 from wagtailrun.clock import Clock
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/operator_api.py
@@ -20,11 +20,11 @@
     request_rows,
 )
 from wagtailrun.account_store import AccountStore
+from wagtailrun.adapters.http_messages import problem_details
 from wagtailrun.adapters.http_server import (
     Request,
     Response,
     json_response,
-    problem_details,
     refusal_response,
 )
 from wagtailrun.control_client import ControlClient
