Let entries use a new version once two control members know it

A member that is cut off from the others handed the targets of a new version to the entries that poll it. Streams that began there were recorded at this member only. Taken up at an entry that reaches the other two, they had no record, and the two members knew one version only, so the stream went on at that one. Change: a member tells entries of a target whose version no other member is known to have as unresponsive, until a share of its rows was acknowledged or another member sent such a row. Any two of three members then include one that knows the version, so that a take-up without a record is refused. The only version of a service is handed out at once, and so is each version by a member without others.

--- a/tests/test_stream_versions_out_of_step.py
+++ b/tests/test_stream_versions_out_of_step.py
@@ -16,6 +16,7 @@
 )
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView, OriginClient, StreamOrigin
+from wagtailrun.discovery.shared_versions import SharedVersions
 from wagtailrun.discovery.stream_origins import (
     ORIGIN_LIFETIME_MS,
     StreamOrigins,
@@ -189,6 +190,8 @@
         self.targets_report = targets_report
         self.random = random.Random(seed)
         self.processes = {}
+        # Members that a target reaches; the others reach all.
+        self.reached_by_name = {}
         self.versions = 0
         # Versions of the two parts of each stream that went on, and where.
         self.joined = []
@@ -236,7 +239,8 @@
         process.row = row
         frozen = self.network.frozen
         reached = [hub for hub in self.hubs if hub.address not in frozen]
-        await self.random.choice(reached).report(row)
+        hubs = self.reached_by_name.get(row.name, reached)
+        await self.random.choice(hubs).report(row)
 
     async def send_heartbeats(self):
         while True:
@@ -359,6 +363,7 @@
             hub.reported_targets = ChangeLog()
             hub.peers_by_address.clear()
             hub.origins = StreamOrigins(self.clock, hub.membership)
+            hub.shared_versions = SharedVersions(self.clock, hub.membership)
 
     # Streams
 
@@ -492,3 +497,64 @@
     assert [each for each in fleet.joined if each[0] != each[1]] == []
     assert len(fleet.continued) >= MIN_TAKE_UPS
     assert sum(fleet.continued) / len(fleet.continued) >= MIN_CONTINUED_SHARE
+
+
+@pytest.mark.parametrize("keeps_name", [False, True])
+def test_version_that_one_member_knows_is_not_used_until_another_one_does(keeps_name):
+    """Guards against a guess by members that have not heard of a new version.
+
+    A member is cut off with an entry. A target of a new version reports to it; the
+    stream that begins there is recorded there only, and is taken up on the other side.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock, 1)
+        await fleet.start(LONG_START_MS)
+        near, far = fleet.entries[:2]
+        member, *others = fleet.hubs
+        for hub in others:
+            fleet.network.cut(member.address, hub.address)
+            fleet.network.cut(near.row.address, hub.address)
+        fleet.network.cut(far.row.address, member.address)
+        fleet.network.frozen |= {hub.address for hub in others}
+        name = "t0" if keeps_name else "t99"
+        await fleet.start_target(name, "v1")
+        fleet.network.frozen.clear()
+        # Its reports reach one member only.
+        fleet.reached_by_name[name] = [member]
+        await member.report(fleet.processes[name].row)
+        await clock.sleep_ms(4_000)
+        rows = {row.name: row for row in near.view.targets("s")}
+        joined = None
+        if name in rows:
+            row = rows[name]
+            origin = StreamOrigin("s", row.software_version, name, row.incarnation)
+            await near.origins.record([7], origin)
+            await clock.sleep_ms(500)
+            found = await far.origins.find(7, ["s"])
+            joined = found.origin and found.origin.software_version
+        known = near.view.known_target(name).software_version
+        del fleet.reached_by_name[name]
+        fleet.network.heal()
+        await clock.sleep_ms(2_000)
+        healed = {row.name: row.software_version for row in near.view.targets("s")}
+        return joined, name in rows, known, healed[name]
+
+    assert run_virtual(main) == (None, False, "v1", "v1")
+
+
+def test_single_member_hands_out_each_version_at_once():
+    """Guards against targets that are withheld where nobody else could know them."""
+
+    async def main(clock):
+        fleet = Fleet(clock, 1)
+        await fleet.start(START_MS)
+        hub = fleet.hubs[0]
+        hub._member_addresses = lambda: (str(hub.address),)
+        row = attrs.evolve(
+            fleet.processes["t0"].row, incarnation=clock.now_ms(), software_version="v1"
+        )
+        await hub.report(row)
+        return hub._aged_for_entries("t0").row == row
+
+    assert run_virtual(main)
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -1,7 +1,7 @@
 """Discovery at a control member: collects reports, shares them and serves entries."""
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -27,6 +27,7 @@
     ShareRows,
 )
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.discovery.shared_versions import SharedVersions
 from wagtailrun.discovery.stream_origins import StreamOrigins
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import ConfigurationHistory
@@ -127,6 +128,7 @@
         self.quarantine = Quarantine(clock)
         self.limits = TargetLimits(clock)
         self.origins = StreamOrigins(clock, self.membership)
+        self.shared_versions = SharedVersions(clock, self.membership)
         self.changed = Signal()
         self.share_requested = Signal()
         self.pending_confirmations: list[tuple[curio.Event, list[bool]]] = []
@@ -291,7 +293,7 @@
             ),
             text=self.registry.text if newer and not fetches_text else "",
             confirmed=confirmed,
-            targets=tuple(self._aged(name) for name in targets),
+            targets=tuple(self._aged_for_entries(name) for name in targets),
             entries=tuple(self.entries_by_name.values()) if entries_changed else (),
             members=self._member_addresses(),
             crashes=self.quarantine.rows(crashes),
@@ -312,6 +314,20 @@
         age_ms = max(self.clock.now_ms() - last_contact_ms, 0)
         return AgedRow(self.membership.targets_by_name[name], age_ms)
 
+    def _aged_for_entries(self, name: str) -> AgedRow:
+        aged = self._aged(name)
+        if len(self._member_addresses()) == 1:
+            return aged
+        return attrs.evolve(aged, row=self.shared_versions.for_entries(aged.row))
+
+    async def _release_targets(self, rows: Sequence[AgedRow]) -> None:
+        """Tell the entries of targets whose version another member knows by now."""
+        names = self.shared_versions.record(rows)
+        for name in names:
+            self.membership.repeat_state(name)
+        if names:
+            await self.changed.notify()
+
     async def _await_confirmation(self) -> bool:
         """Return whether the leader confirmed the local state after this call began."""
         done, result = curio.Event(), [False]
@@ -419,6 +435,7 @@
         self._record_reachability(peer_state, address, True, "")
         if not epochs:
             return
+        await self._release_targets(rows)
         peer_state.mark, peer_state.crashes_mark = mark, crashes_mark
         peer_state.limits_mark = limits_mark
         if epochs != {peer_state.epoch}:
@@ -473,6 +490,7 @@
         for aged in message.targets:
             if self.membership.put(aged.row, now_ms, aged.age_ms):
                 self._retire_address(aged.row, now_ms)
+        await self._release_targets(message.targets)
         for aged in message.entries:
             await self._update_entry(aged.row, aged.age_ms)
         crashes_changed = self.quarantine.merge(message.crashes)
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -237,6 +237,11 @@
             self.state_log.record_change(row.name, _essential_state(row))
         return True
 
+    def repeat_state(self, name: str) -> None:
+        """Give the state of a row a new change number, so that it is sent once more."""
+        row = self.targets_by_name[name]
+        self.state_log.record_change(name, _essential_state(row))
+
     def _record_version(self, row: TargetRow, contact_ms: int) -> None:
         """Record when a software version was last known to serve.
 
