End an attempt whose version check failed instead of raising its error

Cause: an attempt joined the task of its check, so that a check that failed, or was cancelled as the process stops, ended the attempt with a TaskError and a logged crash. Change: the check leaves its result and sets an event. Measured: test_check_that_fails_ends_the_attempt fails without the change.

--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -23,8 +23,9 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery import StreamOrigin
 from wagtailrun.discovery.messages import FindOrigin, OriginFound, TargetIncarnation
-from wagtailrun.relay.continuation import find_mismatch
+from wagtailrun.relay.continuation import Continuation, find_mismatch
 from wagtailrun.routes import RouteKind
+from wagtailrun.virtual_time import run_virtual
 
 ORIGIN = StreamOrigin("s", "v1", "t0", 5)
 BORN = 5
@@ -181,6 +182,22 @@
     assert (find_mismatch(ORIGIN, row, reported, known) == "") is may_continue
 
 
+def test_check_that_fails_ends_the_attempt():
+    """Guards against a stream that waits for, or ends with, a task that failed."""
+
+    class Checker:
+        async def check(self, origin, row):
+            raise RuntimeError("failed")
+
+    async def main(clock):
+        continuation = Continuation(Checker(), ORIGIN, ROW)
+        await continuation.start()
+        async with curio.timeout_after(1):
+            return await continuation.mismatch()
+
+    assert run_virtual(main) == "the version of the target could not be checked"
+
+
 @pytest.mark.parametrize(
     ("status", "body", "incarnation"),
     [
--- a/wagtailrun/relay/continuation.py
+++ b/wagtailrun/relay/continuation.py
@@ -79,25 +79,30 @@
         checker: Asks the target and the control members.
         origin: Where the stream began.
         row: Target of the attempt.
-        task: Asks; None before ``start``.
+        result: Why the answer may not continue the stream; empty if it may.
+        done: Set once the result is known.
     """
 
     checker: "ContinuationChecker"
     origin: StreamOrigin
     row: TargetRow
-    task: curio.Task | None = None
+    result: str = "the version of the target could not be checked"
+    done: curio.Event = attrs.field(factory=curio.Event)
 
     async def start(self) -> None:
         """Begin to ask; called once the request was sent."""
-        self.task = await curio.spawn(
-            self.checker.check, self.origin, self.row, daemon=True
-        )
+        await curio.spawn(self._check, daemon=True)
+
+    async def _check(self) -> None:
+        try:
+            self.result = await self.checker.check(self.origin, self.row)
+        finally:
+            await self.done.set()
 
     async def mismatch(self) -> str:
         """Return why the answer may not continue the stream; empty if it may."""
-        if self.task is None:
-            return "the target answered before the request was sent"
-        return await self.task.join()
+        await self.done.wait()
+        return self.result
 
 
 class ContinuationChecker:
