Sync the files of an earlier process before its member starts

Cause: entries that a killed process had written and not synced are still shown by the kernel. The member of the next process took them for durable and acknowledged them without a write; a loss of power then removed them. Change: the host syncs all files of the member before each start.

--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -315,3 +315,53 @@
         disk.sync = failing
 
     assert run_virtual(main) == []
+
+
+class CachingDisk(FakeDisk):
+    """Disk whose unsynced data outlives a killed process, but no loss of power."""
+
+    power_is_lost = False
+
+    def kill(self):
+        if self.power_is_lost:
+            super().kill()
+            self.unsynced.clear()
+        self.generation += 1
+
+    async def hang(self, name):
+        await curio.sleep(1e9)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entries_of_a_killed_process_are_synced_first(seed):
+    """Guards against an acknowledgement of what a killed process did not sync."""
+
+    async def main(clock):
+        cluster = HostedCluster(clock, seed)
+        for number, node in enumerate(cluster.nodes):
+            node.disk = CachingDisk(node.clock, number)
+        await cluster.start()
+        await cluster.wait_leader()
+        await cluster.wait_for(cluster.is_repaired, "not founded")
+        await cluster.propose_many(3)
+        leader = cluster.leader()
+        follower, other = (node for node in cluster.nodes if node is not leader)
+        await other.kill()
+        follower.disk.sync = follower.disk.hang
+        proposal = await curio.spawn(cluster.propose, leader, 2_000)
+        await cluster.wait_for(lambda: follower.disk.unsynced, "nothing written")
+        await follower.kill()
+        del follower.disk.sync
+        await follower.start()
+        assert await proposal.join()
+        for node in (leader, follower):
+            node.disk.power_is_lost = True
+            await node.kill()
+        await follower.start()
+        await other.start()
+        await cluster.propose_many(1)
+        await leader.start()
+        await cluster.settle()
+        return cluster.violations
+
+    assert run_virtual(main) == []
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -144,8 +144,10 @@
 
     async def _run_member(self) -> Exception:
         try:
+            await self._sync_files()
             await self.member.run()
         except Exception as error:
+            await self.member.fail(error)
             failure = error
         await self.member_disk.detach()
         self._note_disk_state()
@@ -153,6 +155,14 @@
             self._delay_ms = 0
         return failure
 
+    async def _sync_files(self) -> None:
+        """Make durable what an earlier process wrote and did not sync before its end.
+
+        The files show it all the same, so the member would take it for durable.
+        """
+        for name in await self.member_disk.names():
+            await self.member_disk.sync(name)
+
     def _note_disk_state(self) -> None:
         """Note what the member left unsynced, and how much space its writes need."""
         disk = self.member_disk
