Count a member as recovered after five seconds

A disk that is full several times within minutes then causes no growing delay. Measured: tests/test_member_host.py and tests/test_full_disk_cases.py pass.

--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -23,7 +23,7 @@
 FIRST_REOPEN_DELAY_MS = 500
 MAX_REOPEN_DELAY_MS = 30_000
 # A member that ran for this long had recovered, so the delays begin anew.
-RECOVERED_AFTER_MS = 30_000
+RECOVERED_AFTER_MS = 5_000
 
 
 class MemberHost(ReplicatedLog):
