--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests.fake_cluster import shrink_sizes
+from tests.fake_disk import FakeDisk
 from tests.hosted_cluster import HostedCluster
 from wagtailrun import disk_space, events, member_host
 from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, DiskFull
