Revert "Move a resumable stream on from a target that sends no head"

Found by the review: under overload targets queue requests and send the head only as they begin. Each move also loses a place in a queue and records a sound target as failed. The finding stays open: a move needs a reserve of the retry budget, once a request, and no mark at the target.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -564,8 +564,6 @@
         identity: str = "",
         confirmed: bool = True,
         takes_slot: bool = True,
-        head_timeout_ms: int | None = None,
-        may_wait: Callable[[], bool] = lambda: False,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as a stream; see ``request``.
 
@@ -589,10 +587,6 @@
             confirmed: Whether every response belongs to the request. If not, the caller
                 calls ``HttpStream.confirm`` for the one that does.
             takes_slot: Whether the request waits for a slot of the server and takes it.
-            head_timeout_ms: Time limit for the head, in milliseconds; by default
-                ``timeout_ms``.
-            may_wait: Called when that time is over; returns whether to wait as long
-                again, though not beyond ``timeout_ms``.
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
@@ -630,9 +624,7 @@
             await _send(connection, request, body, timeout_ms)
             if on_sent is not None:
                 await on_sent()
-            head = await _read_head(
-                connection, timeout_ms, head_timeout_ms or timeout_ms, may_wait
-            )
+            head = await connection.read_head(timeout_ms)
             observe = None
             if self.observer is not None:
                 observe = functools.partial(
@@ -719,24 +711,6 @@
         connection.max_idle_ms = min(limit_ms, MAX_IDLE_MS)
 
 
-async def _read_head(
-    connection: _Connection,
-    timeout_ms: int,
-    head_timeout_ms: int,
-    may_wait: Callable[[], bool],
-) -> h11.Response:
-    """Return the head of the response; see ``HttpClient.open``."""
-    left_ms = timeout_ms
-    while True:
-        wait_ms = min(head_timeout_ms, left_ms)
-        left_ms -= wait_ms
-        try:
-            return await connection.read_head(wait_ms)
-        except TargetFailed as error:
-            if not error.timed_out or left_ms <= 0 or not may_wait():
-                raise
-
-
 async def _send(
     connection: _Connection, request: h11.Request, body: bytes, timeout_ms: int
 ) -> None:
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -472,7 +472,6 @@
         row: TargetRow,
         last_event_id: int | None = None,
         on_sent: Callable[[], Awaitable[None]] | None = None,
-        head_timeout_ms: int | None = None,
     ) -> AsyncIterator[Attempt]:
         """Send the request to ``row`` and yield the attempt when the head arrives.
 
@@ -481,8 +480,6 @@
             row: Target.
             last_event_id: Event after which a stream is resumed, if any.
             on_sent: Called once the request was sent.
-            head_timeout_ms: After which time without a head, in milliseconds, another
-                target may take over; by default the deadline.
 
         Raises:
             TargetFailed: If there is no answer to this request.
@@ -524,8 +521,6 @@
                 urgency=job.urgency,
                 identity=request.request_id,
                 confirmed=False,
-                head_timeout_ms=head_timeout_ms,
-                may_wait=lambda: not self.can_move(job),
             ) as stream:
                 if stream.carrier is not None:
                     job.carriers.append(str(stream.carrier))
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -117,9 +117,7 @@
                 resume_id = state.last_sent_id if state.head_sent else None
                 continuation = self.checker.prepare(job.origin, row)
                 on_sent = functools.partial(self._handle_sent, job, continuation)
-                async with self.attempts.open(
-                    job, row, resume_id, on_sent, self._first_event_timeout_ms(job)
-                ) as attempt:
+                async with self.attempts.open(job, row, resume_id, on_sent) as attempt:
                     if not self.attempts.is_success(attempt.head):
                         refusal = await self._handle_error_answer(job, attempt)
                         if isinstance(refusal, Response):
@@ -351,24 +349,17 @@
         left_ms = self.attempts.remaining_ms(job)
         if not job.may_run_again:
             return self.clock.now_ms() + left_ms
-        timeout_ms = self._first_event_timeout_ms(job)
+        objective_ms = job.objective_at_ms - job.arrived_ms
+        timeout_ms = max(
+            int(objective_ms * FIRST_EVENT_TIMEOUT_PER_OBJECTIVE),
+            MIN_FIRST_EVENT_TIMEOUT_MS,
+        )
         if state.events_sent:
             timeout_ms = max(
                 job.route.gap_ms * STALL_TIMEOUT_GAPS, MIN_STALL_TIMEOUT_MS
             )
         return self.clock.now_ms() + min(timeout_ms, left_ms)
 
-    def _first_event_timeout_ms(self, job: RelayJob) -> int:
-        """Return how long to wait for the head or the first event of an attempt.
-
-        An attempt that resumes a stream may have to wait for a prefill, too.
-        """
-        objective_ms = job.objective_at_ms - job.arrived_ms
-        return max(
-            int(objective_ms * FIRST_EVENT_TIMEOUT_PER_OBJECTIVE),
-            MIN_FIRST_EVENT_TIMEOUT_MS,
-        )
-
 
 class _StreamBody(AsyncIterator[bytes]):
     """Events of an answer whose head was sent.
