Refuse to continue a stream at a target that did not report

A report that was lost, or came too late, counted as that of a target that makes none; the control members then decided, and the one of three that knows the newest incarnation may be missing. So a stream could still go on at another version. Also, an attempt whose check failed was retried at every other target and charged to the target, even where no target can be checked (too few members, an origin that is itself uncertain), and the report was asked only after the members had replied. Change: members and target are asked at the same time, the target twice with 300 ms for each try, connection included. Without a reply the stream does not go on there. VersionMismatch ends the attempt without a mark at the target, and the request, if no other target can be checked.

--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -1,6 +1,7 @@
 """Tests of the checks of targets that continue streams."""
 
 import json
+from contextlib import suppress
 
 import attrs
 import curio
@@ -23,7 +24,13 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery import StreamOrigin
 from wagtailrun.discovery.messages import FindOrigin, OriginFound, TargetIncarnation
-from wagtailrun.relay.continuation import Continuation, find_mismatch
+from wagtailrun.exceptions import TargetFailed, Verdict
+from wagtailrun.relay.continuation import (
+    Continuation,
+    ContinuationChecker,
+    IncarnationReader,
+    find_mismatch,
+)
 from wagtailrun.routes import RouteKind
 from wagtailrun.virtual_time import run_virtual
 
@@ -182,11 +189,89 @@
     assert (find_mismatch(ORIGIN, row, reported, known) == "") is may_continue
 
 
+class Silent(IncarnationReader):
+    """Target that fails the first requests for its report."""
+
+    def __init__(self, failures):
+        self.failures = failures
+
+    async def read_incarnation(self, row):
+        self.failures -= 1
+        if self.failures >= 0:
+            raise TargetFailed("no reply", verdict=Verdict.MAY_HAVE_RUN)
+        return row.incarnation
+
+
+class Known:
+    """Control members that know these incarnations; None if too few reply."""
+
+    def __init__(self, *incarnations, replies=True):
+        self.known = {each.name: each for each in incarnations} if replies else None
+
+    async def find_incarnations(self, names):
+        return self.known
+
+
+NEWER_ORIGIN = TargetIncarnation("t0", 6, "v2")
+
+
+@pytest.mark.parametrize(
+    ("failures", "members", "may_continue", "is_final"),
+    [
+        (0, Known(), True, False),
+        (1, Known(), True, False),
+        (2, Known(), False, False),
+        (0, Known(NEWER_ORIGIN), False, True),
+        (0, Known(replies=False), False, True),
+    ],
+)
+def test_target_that_cannot_be_asked_continues_no_stream(
+    failures, members, may_continue, is_final
+):
+    """Guards against another version at a target whose report is lost.
+
+    Also against further attempts where no target can be checked.
+    """
+
+    async def main(clock):
+        checker = ContinuationChecker(members, Silent(failures))
+        row = attrs.evolve(ROW, incarnation=5, software_version="v1")
+        continuation = checker.prepare(ORIGIN, row)
+        await continuation.start()
+        detail = await continuation.mismatch()
+        return detail == "", continuation.is_final
+
+    assert run_virtual(main) == (may_continue, is_final)
+
+
+@pytest.mark.network
+def test_stream_of_an_uncertain_version_is_tried_at_no_other_target():
+    """Guards against attempts and repeats that cannot help their caller."""
+    members = Members()
+
+    async def client(address, fleet):
+        set_targets(fleet, "v1", "v1", "v1")
+        newer = attrs.evolve(fleet.rows[0], incarnation=BORN + 1, software_version="v2")
+        for table in members.tables.values():
+            table.membership.put(newer, 10**9)
+        others = fleet.rows[1:]
+        del fleet.rows[1:]
+        await begin(address)
+        fleet.rows[:] = others
+        with suppress(TargetFailed):
+            await take_up(address)
+        return [number for number, _ in fleet.seen]
+
+    engines = [[BROKEN_FIRST], [REST], [REST]]
+    found, seen = run_takeup(engines, ["v1"] * 3, client, members, max_attempts=4)
+    assert seen == [0, 1]
+
+
 def test_check_that_fails_ends_the_attempt():
     """Guards against a stream that waits for, or ends with, a task that failed."""
 
     class Checker:
-        async def check(self, origin, row):
+        async def check(self, continuation):
             raise RuntimeError("failed")
 
     async def main(clock):
--- a/tests/test_stream_versions_out_of_step.py
+++ b/tests/test_stream_versions_out_of_step.py
@@ -23,7 +23,7 @@
     StreamOrigins,
     stream_key,
 )
-from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.exceptions import PeerUnreachable, TargetFailed, Verdict
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import ChangeLog, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
@@ -123,7 +123,9 @@
         await fleet.clock.sleep_ms(fleet.random.randint(2, 20))
         process = fleet.processes[row.name]
         await self.entry.running()
-        if not (process.alive and fleet.targets_report):
+        if not process.alive:
+            raise TargetFailed("no reply", verdict=Verdict.NOT_RUN, timed_out=True)
+        if not fleet.targets_report:
             return None
         return process.row.incarnation
 
@@ -606,7 +608,7 @@
 
     Entries of the earlier build join versions while both builds run, as this shows.
     """
-    fleet = play(1, START_MS, old_entries=4)
+    fleet = play(3, START_MS, old_entries=4)
     wrong = {each[3] for each in fleet.joined if each[0] != each[1]}
     assert wrong
     assert "e4" not in wrong
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -509,6 +509,7 @@
         timeout_ms: int,
         new_connection: bool = False,
         host: str | None = None,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         urgency: int = DEFAULT_URGENCY,
         takes_slot: bool = True,
     ) -> HttpReply:
@@ -524,6 +525,7 @@
                 head and receiving the body; in milliseconds.
             new_connection: Whether to bypass the pool of idle connections.
             host: Value of the Host header; by default the address.
+            connect_timeout_ms: Time limit for a new connection, in milliseconds.
             urgency: Rank of the request, 0 to 9; 0 goes first.
             takes_slot: Whether the request waits for a slot of the server and takes it.
 
@@ -539,6 +541,7 @@
             timeout_ms=timeout_ms,
             new_connection=new_connection,
             host=host,
+            connect_timeout_ms=connect_timeout_ms,
             urgency=urgency,
             takes_slot=takes_slot,
         ) as stream:
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -21,6 +21,7 @@
     "TargetFailed",
     "TargetPaused",
     "Verdict",
+    "VersionMismatch",
     "WagtailrunError",
 ]
 
@@ -207,6 +208,19 @@
         super().__init__(detail, verdict=Verdict.NOT_RUN, retry_after_ms=retry_after_ms)
 
 
+class VersionMismatch(TargetFailed):
+    """A stream may not go on with this answer, which may be of another version.
+
+    Args:
+        detail: What happened.
+        final: Whether no other target can be checked either.
+    """
+
+    def __init__(self, detail: str, *, final: bool = False):
+        super().__init__(detail, verdict=Verdict.MAY_HAVE_RUN)
+        self.final = final
+
+
 class ConnectFailed(TargetFailed):
     """No connection could be opened, so no byte was sent.
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -29,6 +29,7 @@
     TargetFailed,
     TargetPaused,
     Verdict,
+    VersionMismatch,
 )
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
@@ -618,6 +619,14 @@
             job.tried_targets.remove(row.name)
             await self.report_end(job, row, RunOutcome.OVER)
             return self._send_refusal(job, job.runs)
+        if isinstance(error, VersionMismatch):
+            # The target is sound; its answer does not fit this stream.
+            await self.report_end(job, row, RunOutcome.OVER)
+            if error.final:
+                return Refusal(
+                    RefusalReason.ORIGIN_UNKNOWN, Verdict.MAY_HAVE_RUN, job.detail
+                )
+            return self._refuse_or_retry(job)
         if isinstance(error, ConnectFailed):
             # A path that failed says nothing about the target.
             outcome = RunOutcome.UNREACHABLE if error.confirmed else RunOutcome.OVER
@@ -627,6 +636,10 @@
             await self._report_closed(job, row)
         else:
             await self.report_end(job, row, RunOutcome.FAILED)
+        return self._refuse_or_retry(job)
+
+    def _refuse_or_retry(self, job: RelayJob) -> Refusal | None:
+        """Return the refusal after an attempt that may have run, or None to retry."""
         if not job.may_run_again:
             reason = RefusalReason.TARGET_FAILED
             if self.clock.now_ms() >= job.deadline_at_ms:
--- a/wagtailrun/relay/continuation.py
+++ b/wagtailrun/relay/continuation.py
@@ -9,7 +9,7 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.discovery import OriginClient, StreamOrigin
 from wagtailrun.discovery.messages import TargetIncarnation
-from wagtailrun.exceptions import TargetFailed
+from wagtailrun.exceptions import TargetFailed, TargetPaused
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.port import RelayWire
 
@@ -19,11 +19,13 @@
     "IncarnationReader",
     "TargetReports",
     "find_mismatch",
+    "find_origin_mismatch",
 ]
 
-# Targets report at once, without a slot. A stream whose target does not is checked by
-# what the control members know.
+# Targets report at once, without a slot.
 REPORT_TIMEOUT_MS = 300
+# A lost packet delays the first report beyond its time limit.
+REPORT_TRIES = 2
 
 
 class IncarnationReader(ABC):
@@ -34,7 +36,10 @@
         """Return the incarnation that runs at the address of a target.
 
         Returns:
-            0 if another target runs there, None if it is not known.
+            0 if another target runs there, None if the target does not tell.
+
+        Raises:
+            TargetFailed: If the target did not answer.
         """
 
 
@@ -53,21 +58,31 @@
     async def read_incarnation(self, row: TargetRow) -> int | None:
         """Return the incarnation that runs; see ``IncarnationReader``."""
         method, path, headers = self.wire.report_request(row.name)
-        try:
-            reply = await self.http.request(
-                row.address,
-                method,
-                path,
-                headers,
-                timeout_ms=REPORT_TIMEOUT_MS,
-                takes_slot=False,
-            )
-        except TargetFailed:
-            # The attempt itself logs what is wrong with the target.
-            return None
+        reply = await self.http.request(
+            row.address,
+            method,
+            path,
+            headers,
+            timeout_ms=REPORT_TIMEOUT_MS,
+            connect_timeout_ms=REPORT_TIMEOUT_MS,
+            takes_slot=False,
+        )
         return self.wire.parse_incarnation(reply)
 
 
+@attrs.frozen
+class _Report:
+    """What a target says of itself.
+
+    Attributes:
+        incarnation: 0 if another target runs there, None if it does not tell.
+        failure: Why it could not be asked; empty if it could.
+    """
+
+    incarnation: int | None = None
+    failure: str = ""
+
+
 @attrs.define(eq=False)
 class Continuation:
     """Check of one attempt that continues a stream.
@@ -80,6 +95,7 @@
         origin: Where the stream began.
         row: Target of the attempt.
         result: Why the answer may not continue the stream; empty if it may.
+        is_final: Whether no other target may continue it either.
         done: Set once the result is known.
     """
 
@@ -87,6 +103,7 @@
     origin: StreamOrigin
     row: TargetRow
     result: str = "the version of the target could not be checked"
+    is_final: bool = False
     done: curio.Event = attrs.field(factory=curio.Event)
 
     async def start(self) -> None:
@@ -95,7 +112,7 @@
 
     async def _check(self) -> None:
         try:
-            self.result = await self.checker.check(self.origin, self.row)
+            self.result = await self.checker.check(self)
         finally:
             await self.done.set()
 
@@ -126,16 +143,51 @@
         """Return the check of an attempt; None if it continues nothing."""
         return Continuation(self, origin, row) if origin is not None else None
 
-    async def check(self, origin: StreamOrigin, row: TargetRow) -> str:
+    async def check(self, continuation: Continuation) -> str:
         """Return why a target may not continue a stream; empty if it may."""
+        origin, row = continuation.origin, continuation.row
         names = {row.name, origin.target} - {""}
-        known = await self.origins.find_incarnations(sorted(names))
+        async with curio.TaskGroup() as group:
+            asked = await group.spawn(self.origins.find_incarnations, sorted(names))
+            read = await group.spawn(self._read_report, row)
+        known, report = asked.result, read.result
         if known is None:
+            continuation.is_final = True
             return "too few control members replied to check its version"
-        reported = None
+        detail = find_origin_mismatch(origin, known)
+        if detail:
+            continuation.is_final = True
+            return detail
+        if report.failure:
+            return f"the target did not report its incarnation: {report.failure}"
+        return find_mismatch(origin, row, report.incarnation, known)
+
+    async def _read_report(self, row: TargetRow) -> _Report:
+        failure = ""
         if row.incarnation:
-            reported = await self.reader.read_incarnation(row)
-        return find_mismatch(origin, row, reported, known)
+            for _ in range(REPORT_TRIES):
+                try:
+                    return _Report(await self.reader.read_incarnation(row))
+                except TargetPaused:
+                    # It takes no requests now; what the members know decides.
+                    break
+                except TargetFailed as error:
+                    failure = str(error)
+        return _Report(failure=failure)
+
+
+def find_origin_mismatch(
+    origin: StreamOrigin, known_by_name: Mapping[str, TargetIncarnation]
+) -> str:
+    """Return why the version that began a stream is uncertain; empty if it is not."""
+    began = known_by_name.get(origin.target)
+    if (
+        began is not None
+        and began.incarnation > origin.incarnation
+        and began.software_version != origin.software_version
+    ):
+        return "the target that began the stream was started with another version"
+    return ""
 
 
 def find_mismatch(
@@ -152,14 +204,10 @@
         reported: Incarnation that the target reported afterwards; None if it did not.
         known_by_name: Newest incarnations of targets that control members know.
     """
+    detail = find_origin_mismatch(origin, known_by_name)
+    if detail:
+        return detail
     version = origin.software_version
-    began = known_by_name.get(origin.target)
-    if (
-        began is not None
-        and began.incarnation > origin.incarnation
-        and began.software_version != version
-    ):
-        return "the target that began the stream was started with another version"
     newest = known_by_name.get(row.name)
     if reported is None:
         is_newer = newest is not None and newest.incarnation > row.incarnation
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -19,6 +19,7 @@
     ResponseAborted,
     TargetFailed,
     Verdict,
+    VersionMismatch,
 )
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
@@ -301,14 +302,14 @@
         """Check the target whose first event is to continue a stream.
 
         Raises:
-            TargetFailed: If it may have another version than the one that began it.
+            VersionMismatch: If it may have another version than the one that began it.
         """
         detail = await continuation.mismatch()
         if not detail and self.attempts.has_new_version(attempt):
             # Learned from the control members meanwhile.
             detail = "the target was started again with another software version"
         if detail:
-            raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+            raise VersionMismatch(detail, final=continuation.is_final)
 
     async def _record_origin(self, job: RelayJob, attempt: Attempt) -> None:
         """Bind a stream with its first event to the version that sent it."""
