--- a/tests/full_disk/sitecustomize.py
+++ b/tests/full_disk/sitecustomize.py
@@ -2,7 +2,7 @@
 
 Python imports this module at its start if its folder is in ``PYTHONPATH``. It acts on
 regular files below ``TEST_DATA_FOLDER``/NAME, and refuses writes to them while
-``TEST_DATA_FOLDER``/NAME.full exists.
+``TEST_DATA_FOLDER``/NAME.full exists. While NAME.broken exists, syncs fail.
 """
 
 import errno
@@ -13,14 +13,18 @@
 ROOT = os.environ["TEST_DATA_FOLDER"]
 
 
-def _is_full(descriptor):
+def _has_flag(descriptor, flag):
     if not stat.S_ISREG(os.fstat(descriptor).st_mode):
         return False
     path = os.readlink(f"/proc/self/fd/{descriptor}")
     if not path.startswith(ROOT + os.sep):
         return False
     name, _, rest = path.removeprefix(ROOT + os.sep).partition(os.sep)
-    return bool(rest) and Path(ROOT, f"{name}.full").exists()
+    return bool(rest) and Path(ROOT, f"{name}.{flag}").exists()
+
+
+def _is_full(descriptor):
+    return _has_flag(descriptor, "full")
 
 
 def _no_space():
@@ -36,6 +40,15 @@
     return replacement
 
 
+def _fail_when_broken(function):
+    def replacement(descriptor):
+        if _has_flag(descriptor, "broken"):
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        return function(descriptor)
+
+    return replacement
+
+
 def _write_part_when_full(function):
     """Write a first part before the error, as the last free blocks allow."""
     torn = set()
@@ -55,4 +68,4 @@
 
 os.write = _write_part_when_full(os.write)
 os.ftruncate = _refuse_when_full(os.ftruncate)
-os.fdatasync = _refuse_when_full(os.fdatasync)
+os.fdatasync = _fail_when_broken(_refuse_when_full(os.fdatasync))
--- a/tests/test_full_disk_processes.py
+++ b/tests/test_full_disk_processes.py
@@ -140,6 +140,22 @@
     assert_in_order(fleet, revision)
 
 
+def test_failed_syncs_one_after_another(fleet):
+    """Guards against processes that end, or stay out, after a sync that failed."""
+    revision = 1
+    for victim in sorted(fleet.operator_address_by_name):
+        other = next(name for name in fleet.operator_address_by_name if name != victim)
+        flag = Path(fleet.folder.name, f"{victim}.broken")
+        flag.touch()
+        end = time.monotonic() + FULL_S
+        while time.monotonic() < end:
+            apply_at(fleet, other, revision)
+            revision += 1
+        flag.unlink()
+        wait_revision(fleet, victim, revision)
+    assert_in_order(fleet, revision)
+
+
 async def versions_read(fleet):
     """Return the configuration versions that the three members read back."""
     versions = set()
