End an entry's answers 200 ms before it is killed

Cause: found by the review. The moment at which a signal was sent is known up to one poll of the signals (100 ms), so the margin of 100 ms before the kill could be none, and event 103 would never be written. Change: the margin is 200 ms. Measured: test_stop_signals, test_relay_stop, test_late_signal_processes, test_server_close and test_stream_continuation pass.

--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -65,8 +65,9 @@
 MAX_FULL_SERVICE_MS = 2_800
 # A draining process exits this long before the platform would kill it.
 EXIT_MARGIN_MS = 400
-# Requests without an answer at that time delay the exit up to this time before.
-KILL_MARGIN_MS = 100
+# While a request has no answer the exit waits, until this long before the kill. The
+# moment at which a signal was sent is known only up to one poll of the signals.
+KILL_MARGIN_MS = 200
 # Stage calls are spread over entries on links slower than this. The calls of one busy
 # stage take 3 Mbit/s; on faster links one entry makes them all, which saves a hop.
 SPREAD_BELOW_LINK_MBPS = 50.0
