Append nothing to the log after a compaction has failed

A compaction counted its new segment as the newest before it was written. If the write was refused, a batch that waited for it was appended to that segment. The next start took this file for the whole log and removed the real one; the start after it had lost entries that were acknowledged, or found a gap. Starting the member again in the same process makes this likelier.

--- a/wagtailrun/journal.py
+++ b/wagtailrun/journal.py
@@ -54,6 +54,19 @@
     ticket: int = 0
 
 
+@attrs.frozen
+class SegmentContents:
+    """What was read of a log segment.
+
+    Attributes:
+        first_index: Index of its first entry, None without entries.
+        last_frame: Offset of its last frame.
+    """
+
+    first_index: int | None
+    last_frame: int
+
+
 class Journal:
     """Log, snapshot and member record of one member.
 
@@ -175,11 +188,11 @@
         if SNAPSHOT_FILE in names:
             self.snapshot, _ = await self._read_snapshot()
         for name in segments:
-            last_frame = await self._read_segment(name, is_last=name == segments[-1])
+            newest = await self._read_segment(name, is_last=name == segments[-1])
         # An earlier process may have ended, or failed, before it had synced what has
         # been read: at most the last frame and the names. This comes before any old
         # segment is removed, because the new name of its replacement may be lost.
-        await self.disk.resync(segments[-1], last_frame)
+        await self.disk.resync(segments[-1], newest.last_frame)
         self._segment_number = int(segments[-1].removeprefix(SEGMENT_PREFIX))
         await self._discard_superseded_log()
         self._check_continuity(segments[-1])
@@ -189,8 +202,13 @@
             for entry in self.entries
             if entry.index > self.snapshot_index
         )
-        for name in segments[:-1]:
-            await self.disk.remove(name)
+        if not self._is_complete(newest):
+            # An earlier build that failed as it compacted the log may have left this.
+            segments.append(self._segment_name())
+            await self._write_segment()
+        for name in segments:
+            if name != self._segment_name():
+                await self.disk.remove(name)
         await self._finish_compaction()
 
     async def _initialise(self, names: list[str], new_identity: str) -> None:
@@ -225,10 +243,17 @@
             )
         return header, contents
 
-    async def _read_segment(self, name: str, is_last: bool) -> int:
-        """Read the entries of a segment; return the offset of its last frame."""
+    def _is_complete(self, segment: SegmentContents) -> bool:
+        """Return whether a segment has all entries that the snapshot does not cover."""
+        if segment.first_index is None:
+            return self.last_index <= self.snapshot_index
+        return segment.first_index <= self.snapshot_index + 1
+
+    async def _read_segment(self, name: str, is_last: bool) -> SegmentContents:
+        """Read the entries of a segment."""
         data = await self.disk.read(name)
         offset = last_frame = 0
+        first_index = None
         while offset < len(data):
             payload = payload_at(data, offset)
             if payload is None:
@@ -240,10 +265,11 @@
                 break
             for entry in self._decode_frame(name, data, offset).entries:
                 self._insert_entry(entry)
+                first_index = entry.index if first_index is None else first_index
             last_frame = offset
             offset += FRAME_HEADER.size + len(payload)
         self._segment_size = offset
-        return last_frame
+        return SegmentContents(first_index, last_frame)
 
     def _insert_entry(self, entry: Entry) -> None:
         """Put ``entry`` at its index; drop the entries from that index on."""
@@ -347,6 +373,8 @@
             await self._batch_ready.wait()
             self._batch_ready.clear()
             async with self._file_lock:
+                # A compaction that failed leaves it open which segment is the newest.
+                self._raise_if_failed()
                 batch, self._batch = self._batch, Batch(ticket=self._batch.ticket)
                 try:
                     for entries in split_batches(batch.entries):
@@ -379,8 +407,10 @@
         if self.fault is not None:
             raise self.fault
 
-    def _segment_name(self) -> str:
-        return f"{SEGMENT_PREFIX}{self._segment_number:012d}"
+    def _segment_name(self, number: int | None = None) -> str:
+        """Return the name of a segment; by default of the newest one."""
+        number = self._segment_number if number is None else number
+        return f"{SEGMENT_PREFIX}{number:012d}"
 
     # Snapshots
 
@@ -420,7 +450,6 @@
     async def _start_segment(self) -> None:
         """Write the remaining entries to a new segment and remove the old one."""
         old_name = self._segment_name()
-        self._segment_number += 1
         try:
             await self._write_segment()
         except DiskFull:
@@ -432,11 +461,13 @@
         await self.disk.remove(old_name)
 
     async def _write_segment(self) -> None:
+        """Write all entries to the next segment, which is the newest from then on."""
         segment = b""
         for entries in split_batches(self.entries):
             payload = CODEC.encode(EntryBatch(tuple(entries)))
             segment += encode_frame(payload, len(segment))
-        await self.disk.write(self._segment_name(), segment)
+        await self.disk.write(self._segment_name(self._segment_number + 1), segment)
+        self._segment_number += 1
         self._segment_size = len(segment)
 
     def _drop_covered_entries(self, retained: int) -> int:
