Bound the bytes that are discarded after a refusal

Cause: input after a refusal was discarded for 1 s without a bound on its size. Change: 4 MiB at most. The socket of test_floods.py gets the method shutdown, which the server calls now; its bound stays.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -56,6 +56,9 @@
         piece, self.first = self.first or self.data, b""
         return piece[:size]
 
+    async def shutdown(self, how):
+        pass
+
     async def sendall(self, data):
         pass
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -50,6 +50,7 @@
 WRITE_TIMEOUT_MS = 30_000
 # Time in which a client that still sends a refused request reads the refusal.
 DISCARD_TIMEOUT_MS = 1_000
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 # SO_LINGER with a time of 0: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # How long a draining server waits for the request of a connection it has accepted.
@@ -326,7 +327,9 @@
             return
         await self.sock.shutdown(socket.SHUT_WR)
         async with curio.ignore_after(DISCARD_TIMEOUT_MS / MS_PER_SECOND):
-            while data := await self.sock.recv(READ_BYTES):
+            left = MAX_DISCARDED_BYTES
+            while left > 0 and (data := await self.sock.recv(READ_BYTES)):
+                left -= len(data)
                 await self.turns.take(len(data))
 
     def _mark_answered(self) -> None:
