End reads and messages at a member that is replaced

A read barrier whose question to the leader was under way while the member stopped compared the index with the state of the stopped member, and returned though the state machine had been reset for the next one: a read could show an older configuration, and a poll be confirmed on an empty registry. Messages that waited for a write of a member that stopped for another reason than that write waited for ever and held its lock.

--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -7,6 +7,7 @@
 from tests.fake_disk import FakeDisk
 from tests.hosted_cluster import HostedCluster
 from wagtailrun import disk_space, events, member_host
+from wagtailrun.consensus_messages import AppendEntries, Entry, EntryKind, ReadIndex
 from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, DiskFull
 from wagtailrun.virtual_time import run_virtual
 
@@ -243,6 +244,66 @@
     run(scenario, 1)
 
 
+def test_read_at_a_member_that_is_replaced_is_refused():
+    """Guards against a read of an empty state machine that counts as confirmed."""
+
+    async def scenario(clock, cluster):
+        await cluster.propose_many(10)
+        leader = await cluster.wait_leader()
+        node = next(node for node in cluster.nodes if node is not leader)
+        member, link = node.member, node.member.link
+
+        class SlowLink:
+            async def call(self, address, message, timeout_ms):
+                reply = await link.call(address, message, timeout_ms)
+                if isinstance(message, ReadIndex):
+                    await clock.sleep_ms(350)
+                return reply
+
+        member.link = SlowLink()
+        read = await curio.spawn(member.read_barrier, 800)
+        await clock.sleep_ms(20)
+        node.disk.fault = "full"
+        await cluster.propose(leader)
+        node.disk.fault = None
+        with pytest.raises(curio.TaskError) as error:
+            await read.join()
+        assert isinstance(error.value.__cause__, ConsensusUnavailable)
+
+    run(scenario, 1)
+
+
+@pytest.mark.parametrize("error", [RuntimeError("x"), DiskFault("read failed")])
+def test_message_in_progress_at_a_member_that_fails_ends(error):
+    """Guards against handlers that wait for ever for a write that nobody makes."""
+
+    async def scenario(clock, cluster):
+        await cluster.propose_many(3)
+        leader = await cluster.wait_leader()
+        node = next(node for node in cluster.nodes if node is not leader)
+        member, journal = node.member, node.member.journal
+        node.disk.delay_ms = (30, 40)
+        index = journal.last_index
+        message = AppendEntries(
+            cluster=journal.member_record.cluster,
+            recipient=member.identity,
+            term=member.term,
+            leader=leader.member.identity,
+            leader_address=str(leader.address),
+            previous_index=index,
+            previous_term=journal.last_term,
+            commit_index=member.commit_index,
+            entries=(Entry(index + 1, member.term, EntryKind.COMMAND, b"x"),),
+        )
+        call = await curio.spawn(node.host.handle, message)
+        await clock.sleep_ms(5)
+        await member.fail(error)
+        async with curio.timeout_after(5):
+            await call.wait()
+
+    run(scenario, 1)
+
+
 def test_waiter_at_a_stopped_member_moves_to_the_new_one():
     """Guards against a hub that notices changes late after its member returned."""
 
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus.py
@@ -196,6 +196,7 @@
         self.is_closed = True
         self.role = Role.FOLLOWER
         await self.opened.notify()
+        await self.journal.close()
         tasks = list(self.tasks)
         for task in tasks:
             await task.cancel(blocking=False)
@@ -319,6 +320,8 @@
                 while self.applied_index < index:
                     self._raise_if_stopped()
                     await self.applied.wait()
+                # The state machine may belong to the next member by now.
+                self._raise_if_stopped()
         except curio.TaskTimeout as error:
             raise self._unavailable(
                 f"no leader confirmed the read within {timeout_ms} ms"
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -255,6 +255,8 @@
                 break
             await curio.ignore_after(wait_ms / MS_PER_SECOND, self.changed.wait)
         confirmed = await self._await_confirmation()
+        # A member that starts again has no configuration until its log is applied.
+        confirmed = confirmed and self.registry.revision >= poll.known.revision
         return self._make_update(poll.known, confirmed, poll.fetches_text)
 
     def _has_updates(self, known: NewsMarks) -> bool:
--- a/wagtailrun/journal.py
+++ b/wagtailrun/journal.py
@@ -397,6 +397,12 @@
         await self.disk.sync(name)
         self._segment_size += len(data)
 
+    async def close(self) -> None:
+        """End all waits for durability with an error."""
+        if self.fault is None:
+            self.fault = DiskFault("the member that wrote this log has stopped")
+        await self._write_finished.notify()
+
     async def _fail(self, error: DiskFault) -> None:
         self.fault = error
         if self.on_fault is not None:
