Repair the account files ever more rarely where writes stay refused

Where a probe found space and the repair was refused all the same, the store of accounts tried again at once: 1,183 log lines in 60 s. Change: the delay grows from 0.5 s to 30 s unless a probe was refused.

--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -17,6 +17,7 @@
     refusal_table,
 )
 from wagtailrun import account_log, events
+from wagtailrun.account_disk import AccountDisk
 from wagtailrun.account_store import AccountStore
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.clock import SystemClock
@@ -374,3 +375,21 @@
         assert set((await counted(again)).values()) == {4}
 
     curio.run(main)
+
+
+def test_repairs_that_are_refused_although_there_is_space_become_rare(monkeypatch):
+    """Guards against a log that is flooded where probes succeed and writes do not."""
+    logged = []
+    monkeypatch.setattr(events, "log", lambda event, **fields: logged.append(event))
+
+    async def main(clock):
+        async def repair():
+            raise DiskFull("injected: refused")
+
+        state = AccountDisk(clock, FakeDisk(clock), repair)
+        await curio.spawn(state.run, daemon=True)
+        await state.report_full(DiskFull("injected"), 100)
+        await clock.sleep_ms(60_000)
+
+    run_virtual(main)
+    assert 2 <= logged.count(events.DISK_FULL) < 20
--- a/wagtailrun/account_disk.py
+++ b/wagtailrun/account_disk.py
@@ -15,6 +15,8 @@
 # Space that must be free beyond the refused write. With just enough for that one, the
 # next write would be refused a moment later.
 SPACE_RESERVE_BYTES = 256 * 1024
+FIRST_REPAIR_DELAY_MS = 500
+MAX_REPAIR_DELAY_MS = 30_000
 
 
 class AccountDisk:
@@ -63,13 +65,18 @@
 
     async def run(self) -> None:
         """Wait for space after each report, and repair the files, until cancelled."""
+        delay_ms = 0
         while True:
             await self._full_reported.wait()
             self._full_reported.clear()
             needed_bytes = self._needed_bytes + SPACE_RESERVE_BYTES
-            await wait_for_space(
+            was_refused = await wait_for_space(
                 self.clock, self.disk, needed_bytes, "accounts", self._full
             )
+            # Writes that are refused in spite of space are repeated ever more slowly.
+            delay_ms = 0 if was_refused else min(2 * delay_ms, MAX_REPAIR_DELAY_MS)
+            await self.clock.sleep_ms(delay_ms)
+            delay_ms = max(delay_ms, FIRST_REPAIR_DELAY_MS)
             try:
                 await self.repair()
             except DiskFull as error:
