Let the test of a read at a replaced member fail without its fix

Change: the read begins once everything is applied. Measured: fails without the check (tried), passes with it.

--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -249,6 +249,7 @@
 
     async def scenario(clock, cluster):
         await cluster.propose_many(10)
+        await clock.sleep_ms(1_000)
         leader = await cluster.wait_leader()
         node = next(node for node in cluster.nodes if node is not leader)
         member, link = node.member, node.member.link
