Name the handover's terms for what they hold

Measured: test_handover, test_consensus, test_stream_continuation and test_journal_compaction_faults pass.

--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -63,7 +63,7 @@
 MAX_INLINE_TEXT_BYTES = 64 * 1024
 
 # With updates that are older, this entry may not know which versions its targets have.
-# It takes less to find a member that replies when another one does not.
+# Finding another member takes less when one does not reply, at times more with two.
 OUT_OF_STEP_MS = 2_000
 
 # Share of the time in which draining targets take streams that is used here: the entry
--- a/wagtailrun/election.py
+++ b/wagtailrun/election.py
@@ -93,8 +93,8 @@
         """Request votes for a new term, after a quorum has granted its pre-votes."""
         member = self.member
         async with member.lock:
-            released = self.handover_term == member.term
-            if member.role is Role.LEADER or self._is_bound(released):
+            lease_given_up = self.handover_term == member.term
+            if member.role is Role.LEADER or self._must_withhold(lease_given_up):
                 return
             member.become_follower(member.term + 1, None)
             member.role = Role.CANDIDATE
@@ -115,22 +115,22 @@
         async with member.lock:
             # The lease of the leader of this member's term has ended, if that leader
             # itself asked for the election.
-            released = request.handover and request.term == member.term + 1
-            granted = self._is_intended_recipient(request) and not self._is_bound(
-                released
+            lease_given_up = request.handover and request.term == member.term + 1
+            granted = self._is_intended_recipient(request) and not self._must_withhold(
+                lease_given_up
             )
             if granted:
                 granted = await self._evaluate_vote(request)
             return VoteReply(member.identity, member.term, granted)
 
-    def _is_bound(self, released: bool) -> bool:
+    def _must_withhold(self, lease_given_up: bool) -> bool:
         """Whether this member must not vote; see ``must_not_vote``.
 
         Args:
-            released: Whether the leader of the current term gave up its leadership.
+            lease_given_up: Whether the leader of the current term has given up.
         """
         member = self.member
-        if released and member.role is not Role.LEADER and member.fault is None:
+        if lease_given_up and member.role is not Role.LEADER and member.fault is None:
             return False
         return self.must_not_vote()
 
--- a/wagtailrun/handover.py
+++ b/wagtailrun/handover.py
@@ -24,7 +24,7 @@
 
     def __init__(self, member: "Member"):
         self.member = member
-        self.term = 0
+        self.given_up_term = 0
         self.successors: list[MemberInfo] = []
 
     def prepare(self) -> None:
@@ -36,7 +36,7 @@
         if member.role is not Role.LEADER:
             return
         progress = member.replication.progress_by_identity
-        self.term = member.term
+        self.given_up_term = member.term
         self.successors = sorted(
             (
                 info
@@ -52,7 +52,7 @@
         member = self.member
         for info in self.successors:
             message = Handover(
-                member.journal.member_record.cluster, info.identity, self.term
+                member.journal.member_record.cluster, info.identity, self.given_up_term
             )
             try:
                 reply = await member.link.call(
--- a/wagtailrun/journal.py
+++ b/wagtailrun/journal.py
@@ -373,7 +373,7 @@
             await self._batch_ready.wait()
             self._batch_ready.clear()
             async with self._file_lock:
-                # A compaction that failed leaves it open which segment is the newest.
+                # After a failed compaction nothing may be appended to the old segment.
                 self._raise_if_failed()
                 batch, self._batch = self._batch, Batch(ticket=self._batch.ticket)
                 try:
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -169,7 +169,7 @@
             events.log(events.MEMBER_RESTARTED, detail=str(error))
         else:
             events.log(events.TASK_RESTARTED, task="member", detail=repr(error))
-        # The first wait for a full disk needs no further delay.
+        # A disk that was full and has space again needs no further delay.
         if self._delay_ms or not isinstance(error, DiskFull):
             await self.clock.sleep_ms(max(self._delay_ms, FIRST_REOPEN_DELAY_MS))
         self._delay_ms = min(
--- a/wagtailrun/relay/continuation.py
+++ b/wagtailrun/relay/continuation.py
@@ -213,6 +213,7 @@
         is_newer = newest is not None and newest.incarnation > row.incarnation
         is_other = is_newer and newest.software_version != version
     else:
+        # An incarnation that no member knows yet may have any version.
         is_known = newest is not None and newest.incarnation == reported
         has_version = is_known and newest.software_version == version
         is_other = reported != row.incarnation and not has_version
