Let three test modules share the start of a hosted cluster

Cause: the tests of full disks, of the handover and of the member host each had the same function; found at the last reading of the change. Change: it stands beside HostedCluster; assertions, seeds and bounds stay.

--- a/tests/hosted_cluster.py
+++ b/tests/hosted_cluster.py
@@ -71,3 +71,13 @@
         super().__init__(clock, seed, size, rates, **network)
         rates = rates or [1.0] * size
         self.nodes = [HostedNode(self, n, rates[n], timing) for n in range(size)]
+
+
+async def started(clock, seed, **options):
+    """Return a cluster that has a leader, all its members and some entries."""
+    cluster = HostedCluster(clock, seed, **options)
+    await cluster.start()
+    await cluster.wait_leader()
+    await cluster.wait_for(cluster.is_repaired, "not founded")
+    await cluster.propose_many(3)
+    return cluster
--- a/tests/test_full_disk_cases.py
+++ b/tests/test_full_disk_cases.py
@@ -4,7 +4,7 @@
 
 from tests.fake_cluster import shrink_sizes
 from tests.fake_disk import FakeDisk
-from tests.hosted_cluster import HostedCluster
+from tests.hosted_cluster import started
 from wagtailrun.virtual_time import run_virtual
 
 SEEDS = range(10)
@@ -15,15 +15,6 @@
     shrink_sizes(monkeypatch)
 
 
-async def started(clock, seed, **options):
-    cluster = HostedCluster(clock, seed, **options)
-    await cluster.start()
-    await cluster.wait_leader()
-    await cluster.wait_for(cluster.is_repaired, "not founded")
-    await cluster.propose_many(3)
-    return cluster
-
-
 async def finish(cluster):
     """Free all disks; return the violations once all members run and agree."""
     for node in cluster.nodes:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from tests.hosted_cluster import HostedCluster
+from tests.hosted_cluster import started
 from wagtailrun.consensus import Member
 from wagtailrun.consensus_messages import CODEC, Handover, VoteReply, VoteRequest
 from wagtailrun.consensus_timing import Timing
@@ -18,15 +18,6 @@
 SEEDS = range(100)
 
 
-async def started(clock, seed, **options):
-    cluster = HostedCluster(clock, seed, **options)
-    await cluster.start()
-    await cluster.wait_leader()
-    await cluster.wait_for(cluster.is_repaired, "not founded")
-    await cluster.propose_many(3)
-    return cluster
-
-
 def finish(cluster):
     """Settle the cluster and return its violations."""
 
--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -5,7 +5,7 @@
 
 from tests.fake_cluster import shrink_sizes
 from tests.fake_disk import FakeDisk
-from tests.hosted_cluster import HostedCluster
+from tests.hosted_cluster import HostedCluster, started
 from wagtailrun import disk_space, events, member_host
 from wagtailrun.consensus_messages import AppendEntries, Entry, EntryKind, ReadIndex
 from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, DiskFull
@@ -28,15 +28,6 @@
     return found
 
 
-async def started(clock, seed, **options):
-    cluster = HostedCluster(clock, seed, **options)
-    await cluster.start()
-    await cluster.wait_leader()
-    await cluster.wait_for(cluster.is_repaired, "not founded")
-    await cluster.propose_many(3)
-    return cluster
-
-
 def run(scenario, seed, **options):
     """Run ``scenario(clock, cluster)``; assert that the cluster works afterwards."""
 
