Review case 4: failures with bodies without end fill an entry's memory

An entry keeps 16 MB for each request, so that some 16 of them exceed the 300 MB of its machine; it is killed and orders at sound engines are cut.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An operator sends a manifest that cannot be read: it begins with a byte order mark."""
+"""An operator sends a manifest that begins with a byte order mark."""
 
 import asyncio
 import json
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -104,6 +104,7 @@
         method="POST",
         headers=(),
         keep_open=False,
+        channel=None,
     ):
         """Send a request of a requester and record it."""
         name = web.new_id()
@@ -123,6 +124,7 @@
             headers=pairs,
             limit_s=limit_s,
             keep_open=keep_open,
+            channel=channel,
         )
         answer.name = name
         self.record.write(
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -162,7 +162,7 @@
 
     async def answer_order(self, seal, writer):
         """Work for a while and answer with a short body."""
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(self.row.get("work_s", 0.03))
         body = b"x" * ORDER_BYTES
         head = f"HTTP/1.1 200 OK\r\n{seal}Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
@@ -199,6 +199,21 @@
         piece = b"%x\r\n%s\r\n" % (FLOOD_PIECE, b"\n" * FLOOD_PIECE)
         await self.flood(piece, writer)
 
+    async def answer_comments(self, seal, writer):
+        """Begin a stream, then send comments without end."""
+        await self.send_stream_head(seal, writer)
+        for number in range(1, 4):
+            await self.send_event(number, writer)
+        data = (b":" + b"x" * 1000 + b"\n\n") * 16
+        await self.flood(b"%x\r\n%s\r\n" % (len(data), data), writer)
+
+    async def answer_crumbs(self, seal, writer):
+        """Begin a stream, then send an event without end in chunks of a few bytes."""
+        await self.send_stream_head(seal, writer)
+        for number in range(1, 4):
+            await self.send_event(number, writer)
+        await self.flood(b"8\r\nxxxxxxxx\r\n" * 1000, writer)
+
     async def answer_large_failure(self, seal, writer):
         """Answer with a failure whose body has no end."""
         writer.write(
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -168,6 +168,13 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    def kill_above_memory(self, name):
+        """Kill a program that uses more memory than its machine has; return whether."""
+        if self.resident_mb(name) <= MEMORY_MB:
+            return False
+        self.processes[name].kill()
+        return True
+
     def descriptors(self, name):
         """Return the number of open descriptors of a program."""
         try:
--- a/review/standins/web.py
+++ b/review/standins/web.py
@@ -44,6 +44,47 @@
     return uuid.uuid4().hex[:16]
 
 
+class Channel:
+    """A channel of a requester, kept open for several requests.
+
+    Args:
+        reader: Reads from it.
+        writer: Writes to it.
+    """
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, address):
+        """Return a new channel to an address."""
+        return cls(*await asyncio.open_connection(*address))
+
+    def close(self):
+        """Close the channel."""
+        self.writer.close()
+
+    async def exchange(self, answer, method, path, host, headers, body, keep):
+        """Send a request, and fill in what comes of its answer."""
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        lines.append(f"Content-Length: {len(body)}")
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        await self.writer.drain()
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        answer.head_s = time.monotonic()
+        first, *rest = head.decode("latin-1").split("\r\n")
+        answer.status = int(first.split()[1])
+        pairs = [line.split(":", 1) for line in rest if line]
+        answer.headers = {name.lower(): value.strip() for name, value in pairs}
+        async for piece in _body(self.reader, answer.headers):
+            answer.body_bytes += len(piece)
+            if len(answer.body) < keep:
+                answer.body += piece
+        answer.complete = True
+
+
 async def request(
     address,
     method,
@@ -55,8 +96,9 @@
     limit_s=5.0,
     keep=1 << 20,
     keep_open=False,
+    channel=None,
 ):
-    """Send a request over a new channel and return what came.
+    """Send a request and return what came.
 
     Args:
         address: Host and port.
@@ -68,49 +110,25 @@
         limit_s: When the requester gives up and closes the channel.
         keep: Bytes of the body that are kept.
         keep_open: Whether the requester keeps the channel open after a whole answer.
+        channel: A channel that was kept; by default a new one is opened.
     """
     answer = Answer()
     try:
         async with asyncio.timeout(limit_s):
-            await _exchange(
-                answer, address, method, path, host, headers, body, keep, keep_open
-            )
+            channel = channel or await Channel.open(address)
+            await channel.exchange(answer, method, path, host, headers, body, keep)
+            if keep_open:
+                answer.channel = channel
     except TimeoutError:
         answer.error = answer.error or f"given up after {limit_s} s"
     except (OSError, asyncio.IncompleteReadError, ValueError) as error:
         answer.error = repr(error)
+    if channel is not None and answer.channel is None:
+        channel.close()
     answer.ended_s = time.monotonic()
     return answer
 
 
-async def _exchange(
-    answer, address, method, path, host, headers, body, keep, keep_open
-):
-    reader, writer = await asyncio.open_connection(*address)
-    try:
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        lines.append(f"Content-Length: {len(body)}")
-        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-        await writer.drain()
-        head = await reader.readuntil(b"\r\n\r\n")
-        answer.head_s = time.monotonic()
-        first, *rest = head.decode("latin-1").split("\r\n")
-        answer.status = int(first.split()[1])
-        pairs = [line.split(":", 1) for line in rest if line]
-        answer.headers = {name.lower(): value.strip() for name, value in pairs}
-        async for piece in _body(reader, answer.headers):
-            answer.body_bytes += len(piece)
-            if len(answer.body) < keep:
-                answer.body += piece
-        answer.complete = True
-        if keep_open:
-            answer.channel = writer
-    finally:
-        if answer.channel is None:
-            writer.close()
-
-
 async def _body(reader, headers):
     if "chunked" in headers.get("transfer-encoding", ""):
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
