--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,81 +1,105 @@
-"""An operator sends a manifest that begins with a byte order mark."""
+"""An engine in trouble sends bytes that are no answer, without end, in a body."""
 
 import asyncio
-import json
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins import case, web  # noqa: E402
+from standins import case  # noqa: E402
 
-BYTE_ORDER_MARK = b"\xef\xbb\xbf"
-CONFIG_APPLY_S = 2.0
-WATCH_S = 12.0
-GAP_S = 0.25
+ORDER_TIMEOUT_MS = 1000
+STREAM_TIMEOUT_MS = 3000
+# Requesters wait longer than the routes allow, so that the entry has to end requests.
+DEADLINE_S = 6.0
+STREAM_DEADLINE_S = 10.0
+# The rule: no answer half a second after the route's timeout.
+SLACK_S = 0.5
+STREAMS = 20
+ORDERS = 24
+ORDER_GAP_S = 0.25
+# 32 Mbit/s for a channel.
+FLOOD_BYTES_PER_S = 4_000_000
 
 
-def manifest(version):
-    """Return a manifest; the second one has one route more."""
-    routes = [case.route("orders", "/order/", "non_idempotent", "desk")]
-    if version > 1:
-        routes.append(case.route("added", "/added/", "idempotent", "desk"))
-    return case.manifest(version, routes, ["desk"])
+def manifest():
+    """Return the manifest: orders at one service, streams at another."""
+    routes = [
+        case.route(
+            "orders",
+            "/order/",
+            "non_idempotent",
+            "desk",
+            timeout_ms=ORDER_TIMEOUT_MS,
+            target_latency_ms=200,
+        ),
+        case.route(
+            "letters", "/letter/", "streaming", "llm", timeout_ms=STREAM_TIMEOUT_MS
+        ),
+    ]
+    return case.manifest(1, routes, ["desk", "llm"])
 
 
 async def play(each):
-    """Send the second manifest, and requests on both routes after it."""
+    """Send streams, one engine of four in trouble, and orders to sound engines."""
+    mode = "newlines" if each.trouble else "stream"
     rows = [each.new_engine(f"i-desk-{n}", "desk", "order") for n in (1, 2)]
-    await each.begin(manifest(1), rows)
+    for number in (1, 2, 3, 4):
+        rows.append(
+            each.new_engine(
+                f"i-llm-{number}",
+                "llm",
+                mode if number == 1 else "stream",
+                slots=64,
+                flood_bytes_per_s=FLOOD_BYTES_PER_S,
+            )
+        )
+    await each.begin(manifest(), rows)
     await each.until_served("/order/first")
-    data = json.dumps(manifest(2)).encode()
-    if each.trouble:
-        data = BYTE_ORDER_MARK + data
-    answer = await web.put_manifest(each.controls(), data)
-    acknowledged = answer is not None and answer.status == 200
-    status = answer.status if answer is not None else 0
-    each.record.write(f"manifest 2 was sent and answered {status}")
-    await asyncio.sleep(CONFIG_APPLY_S)
-    old, added = await serve(each)
-    back = await web.request(
-        each.controls()[0], "GET", "/configuration", host="control", limit_s=2.0
-    )
-    each.record.write(f"read back: status {back.status}, {back.body[:30]!r}")
+    streams = [
+        asyncio.create_task(each.send("/letter/a", limit_s=STREAM_DEADLINE_S))
+        for _ in range(STREAMS)
+    ]
+    await asyncio.sleep(0.5)
+    orders = []
+    for _ in range(ORDERS):
+        orders.append(asyncio.create_task(each.send("/order/a", limit_s=DEADLINE_S)))
+        await asyncio.sleep(ORDER_GAP_S)
+    orders = [await task for task in orders]
+    streams = [await task for task in streams]
+    await after(each)
+    return verdict(each, orders, streams)
+
+
+async def after(each):
+    """Record how long the entry takes to serve again once all have left."""
+    started_s = time.monotonic()
+    answer = await each.send("/order/after", limit_s=10.0)
+    took_s = time.monotonic() - started_s
+    each.record.write(f"order after all: status {answer.status} in {took_s:.1f} s")
+
+
+def verdict(each, orders, streams):
+    """Return why the rule was broken, or nothing."""
+    due, late = 0, 0
+    for answers, timeout_ms in (
+        (orders, ORDER_TIMEOUT_MS),
+        (streams, STREAM_TIMEOUT_MS),
+    ):
+        timeout_s = timeout_ms / 1000
+        unanswered = [a for a in answers if a.took_s >= timeout_s]
+        overdue = [a for a in unanswered if a.took_s >= timeout_s + SLACK_S]
+        due, late = due + len(unanswered), late + len(overdue)
+    stuck = sum(not order.status for order in orders)
     each.record.write(
-        f"acknowledged: {acknowledged}; later than {CONFIG_APPLY_S} s after it "
-        f"{old[0]} of {old[1]} requests on the old route were served, "
-        f"{added[0]} of {added[1]} on the added one"
+        f"{late} of {due} requests that were unanswered at their route's timeout had "
+        f"no end {SLACK_S} s later; {stuck} of {len(orders)} orders to sound engines "
+        "had no answer at all"
     )
-    if not each.trouble:
-        return "" if acknowledged and old[0] and added[0] else "a sound change failed"
-    # The rule: what is invalid is acknowledged. Read as valid, it would have to be in
-    # force by now.
-    if acknowledged and not added[0]:
-        return (
-            "a manifest that no entry can read was acknowledged; "
-            f"{old[0]} of {old[1]} requests were served after it"
-        )
+    if late >= 8 and late > due / 2:
+        return f"{late} of {due} unanswered requests had no end {SLACK_S} s later"
     return ""
 
 
-async def serve(each):
-    """Send requests to all entries; return served and sent ones, for each route."""
-    counts = {"/order/a": [0, 0], "/added/a": [0, 0]}
-    ends_s = time.monotonic() + WATCH_S
-    while time.monotonic() < ends_s:
-        for path, count in counts.items():
-            for number in (1, 2):
-                answer = await each.send(path, entry=number)
-                count[0] += answer.status == 200
-                count[1] += 1
-        for number in (1, 2):
-            ready = await web.request(
-                each.fleet.ready_address(number), "GET", "/readyz", host="x"
-            )
-            each.record.write(f"front-{number} readiness: status {ready.status}")
-        await asyncio.sleep(GAP_S)
-    return counts["/order/a"], counts["/added/a"]
-
-
 case.run(Path(__file__).parent, play)
