Count connections that a planned stop ends before their request

What was missing: a request that is on its way when the entry closes its connection left no trace in the logs, so that it could not be told from a request that was read and given up, or that never came. Event 103 now has unused_connections. No logic changes.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -138,6 +138,8 @@
         self.active_requests = 0
         # Active requests of which no part of an answer was sent.
         self.unanswered_requests = 0
+        # Connections without any request that a planned stop ended.
+        self.unused_connections_ended = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
@@ -232,6 +234,10 @@
         # Whether this server ended the reading; an end of the bytes received does not
         # show any more that the client has disconnected.
         self.reading_stopped = False
+        # Whether the reading of an idle connection came to its end.
+        self.was_closed = False
+        # Whether no request has arrived yet.
+        self.is_unused = True
         # Method of the newest request.
         self.method = b""
         # Whether a request is active of which no part of an answer was sent.
@@ -244,7 +250,10 @@
         while True:
             self.limits = self.server.limits()
             if not await self._wait_for_bytes():
+                if self.is_unused and self._is_ended_by_stop():
+                    self.server.unused_connections_ended += 1
                 return
+            self.is_unused = False
             self._renew_limits()
             with self._counted():
                 try:
@@ -304,6 +313,10 @@
         with suppress(OSError):
             await self.sock.shutdown(socket.SHUT_RD)
 
+    def _is_ended_by_stop(self) -> bool:
+        """Return whether a planned stop, not the client, ended an idle connection."""
+        return self.server.draining and (self.reading_stopped or not self.was_closed)
+
     async def _reject(self, error: RequestRejected) -> None:
         """Refuse a request that cannot be read."""
         if not self.reading_stopped:
@@ -396,6 +409,7 @@
             self.server.idle_connections.discard(self)
         if data is None:
             return False
+        self.was_closed = not data
         self.http.receive_data(data)
         return bool(data)
 
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -72,7 +72,7 @@
 REQUESTS_CUT = _event(
     103,
     logging.WARNING,
-    "A planned stop ends with requests that have no complete answer.",
+    "A planned stop ends requests, or connections that may have one on its way.",
     "If unanswered is not 0, compare late_ms of event 102 with the grace period.",
     limited=False,
 )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -468,14 +468,18 @@
         self._log_cut_requests()
 
     def _log_cut_requests(self) -> None:
-        """Log how many requests the end of the process leaves without an answer."""
+        """Log how many requests the end of the process leaves without an answer.
+
+        The client of a connection that was ended unused may have sent one already.
+        """
         server = self.caller_server
-        if server.active_requests:
+        if server.active_requests or server.unused_connections_ended:
             events.log(
                 events.REQUESTS_CUT,
                 name=self.settings.name,
                 unanswered=server.unanswered_requests,
                 answering=server.active_requests - server.unanswered_requests,
+                unused_connections=server.unused_connections_ended,
             )
 
     def _drain_limit_ms(self) -> int:
