Answer requests that follow their connection late in a planned stop

What callers saw: a connection that the entry had accepted ended without an answer or a refusal, from the end of the notice to the exit of the process. Cause: drain and close ended the reading of each connection without bytes, also of those accepted a moment ago, and close did so before the listener was closed. A connection accepted later had 200 ms for its request, as long as Linux waits before it sends a lost segment again. Fix: a stop accepts no more connections first, one second before the end (an eighth of a short grace period). A new connection then keeps its time for a request head; its request is answered. What is still unused at the end gets the refusal that its request would get, and bytes that cross a refusal are discarded for a while, so that no reset overtakes it. Idle connections that were used before close as they did. HttpServer.end is gone: it closed connections and then could find that the process goes on. Its two tests check the same with stop_accepting and is_busy.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -431,17 +431,20 @@
 
     async def client(address, server):
         early = await curio.open_connection(address.host, address.port)
+        late = await curio.open_connection(address.host, address.port)
         await curio.sleep(0.05)
         await early.sendall(GOOD[:20])
-        ended = [await server.end()]
+        await server.stop_accepting()
+        busy = [server.is_busy]
         await early.sendall(GOOD[20:])
         answers = [await early.recv(65_536)]
         await curio.sleep(0.05)
-        ended.append(await server.end())
-        late = await curio.open_connection(address.host, address.port)
+        busy.append(server.is_busy)
         await late.sendall(GOOD)
         answers.append(await late.recv(65_536))
-        return ended, answers
+        await curio.sleep(0.05)
+        busy.append(server.is_busy)
+        return busy, answers
 
     seen = []
 
@@ -449,8 +452,8 @@
         seen.append(request)
         return await echo(request)
 
-    ended, answers = with_server(handler, client)
-    assert ended == [False, True]
+    busy, answers = with_server(handler, client)
+    assert busy == [True, True, False]
     for answer in answers:
         assert answer.startswith(b"HTTP/1.1 200")
     assert len(seen) == 2
--- a/tests/test_requests_on_their_way.py
+++ b/tests/test_requests_on_their_way.py
@@ -1,6 +1,8 @@
 """Tests of requests that arrive after their connection, while the process stops."""
 
+import json
 import signal
+import socket
 import threading
 import time
 
@@ -10,7 +12,6 @@
 from tests.test_http_server import GOOD, echo, with_server
 from tests.test_late_signal_processes import (
     GRACE_S,
-    HALF,
     connect,
     entry_process,  # noqa: F401
 )
@@ -41,7 +42,7 @@
 @pytest.mark.parametrize("delay_s", DELAYS_S)
 @pytest.mark.parametrize("stop", ["drain", "close"])
 def test_request_that_follows_its_connection_is_answered(stop, delay_s):
-    """Guards against new connections that a stop closes before their request arrives."""
+    """Guards against new connections that a stop closes before their request."""
 
     async def client(address, server):
         sock = await connect_task(address)
@@ -116,6 +117,12 @@
     assert rest == b""
 
 
+def connect_once(address):
+    sock = socket.create_connection(address)
+    sock.settimeout(ANSWER_S)
+    return sock
+
+
 def call_until_refused(address, delay_s, received):
     """Send requests some time after their connections, until these are refused."""
     while True:
@@ -133,14 +140,6 @@
             sock.close()
 
 
-def connect_once(address):
-    import socket
-
-    sock = socket.create_connection(address)
-    sock.settimeout(ANSWER_S)
-    return sock
-
-
 @pytest.mark.parametrize("delay_s", DELAYS_S)
 def test_requests_sent_late_on_new_connections_survive_a_stop(entry_process, delay_s):  # noqa: F811
     """Guards against requests that the end of a process leaves without an answer."""
@@ -155,10 +154,11 @@
         thread.start()
     time.sleep(0.3)
     process.send_signal(signal.SIGTERM)
-    sent_s = time.monotonic()
     for thread in threads:
         thread.join()
-    process.communicate(timeout=ANSWER_S)
-    assert time.monotonic() - sent_s < GRACE_S
+    output, _ = process.communicate(timeout=ANSWER_S)
+    lines = [json.loads(line) for line in output.splitlines()]
+    time_by_event = {line["event"]: line["time"] for line in lines}
+    assert time_by_event[101] - time_by_event[102] < GRACE_S
     assert len(received) > 10
     assert set(received) == {b"HTTP/1.1 503"}
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -31,15 +31,16 @@
     return received
 
 
-@pytest.mark.parametrize("ended", [False, True])
-def test_request_in_the_queue_of_the_listener_is_answered(ended):
+@pytest.mark.parametrize("draining", [False, True])
+def test_request_in_the_queue_of_the_listener_is_answered(draining):
     """Guards against a connection that is reset with its request as a process ends.
 
     The kernel has accepted it, but no task of the server had a turn since.
     """
 
     async def client(address, server):
-        server.ended = ended
+        if draining:
+            await server.drain()
         sock = await connect(address, GOOD)
         await server.close(LIMIT_MS)
         return await read_all(sock)
@@ -47,13 +48,21 @@
     assert with_server(echo, client).startswith(b"HTTP/1.1 200")
 
 
-def test_connection_accepted_after_the_end_is_served():
-    """Guards against a connection that is closed although its request was sent."""
+def test_connection_accepted_before_the_end_is_served():
+    """Guards against a connection that is closed although its request was sent.
+
+    The server is idle otherwise, but it must not end before the request.
+    """
 
     async def client(address, server):
-        assert await server.end()
-        sock = await connect(address, GOOD)
-        return await read_all(sock)
+        sock = await connect(address)
+        await server.stop_accepting()
+        await curio.sleep(0.05)
+        assert server.is_busy
+        await sock.sendall(GOOD)
+        answer = await read_all(sock)
+        assert not server.is_busy
+        return answer
 
     assert with_server(echo, client).startswith(b"HTTP/1.1 200")
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -35,6 +35,7 @@
     "ServerLimits",
     "json_response",
     "refusal_response",
+    "request_wait_ms",
     "sleep_until_idle",
 ]
 
@@ -53,7 +54,16 @@
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 # SO_LINGER with a time of 0: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-# How long a draining server waits for the request of a connection it has accepted.
+# How long a process that stops waits for requests on the connections it has accepted,
+# while it accepts no others. Linux sends a lost segment again after 200 ms, and after
+# 400 ms more if that one is lost, too. A short grace period leaves less time.
+MAX_REQUEST_WAIT_MS = 1_000
+REQUEST_WAITS_PER_GRACE = 8
+# Time in which clients read the last refusals; the end of a process resets connections
+# with bytes that were not read.
+LAST_REFUSALS_MS = 100
+# How long a draining server waits for another request on a connection whose last answer
+# announced no close.
 DRAIN_REQUEST_WAIT_MS = 200
 DRAIN_POLL_MS = 50
 # A draining process is idle after this many polls without a request; a connection that
@@ -85,9 +95,28 @@
 
 HttpHandler = Callable[[Request], Awaitable[Response]]
 
+INCOMPLETE_AT_STOP = Refusal(
+    RefusalReason.DRAINING,
+    Verdict.NOT_RUN,
+    "this process stops and the request has not arrived completely",
+    OVERLOAD_RETRY_MS,
+)
+
+
+def request_wait_ms(grace_ms: int) -> int:
+    """Return how long before its end a process that stops accepts no connections.
+
+    Args:
+        grace_ms: Time between the signal and the end, in milliseconds.
+    """
+    return min(MAX_REQUEST_WAIT_MS, grace_ms // REQUEST_WAITS_PER_GRACE)
+
 
 async def sleep_until_idle(
-    clock: Clock, is_idle: Callable[[], bool], limit_ms: int
+    clock: Clock,
+    is_idle: Callable[[], bool],
+    limit_ms: int,
+    needed_polls: int = DRAIN_IDLE_POLLS,
 ) -> None:
     """Return when a draining process has no more requests, or the time is over.
 
@@ -95,9 +124,10 @@
         clock: Clock.
         is_idle: Returns whether the process has no request now.
         limit_ms: When to return at the latest, on the clock.
+        needed_polls: After how many polls in a row without a request to return.
     """
     idle_polls = 0
-    while idle_polls < DRAIN_IDLE_POLLS and clock.now_ms() < limit_ms:
+    while idle_polls < needed_polls and clock.now_ms() < limit_ms:
         await clock.sleep_ms(DRAIN_POLL_MS)
         idle_polls = idle_polls + 1 if is_idle() else 0
 
@@ -130,15 +160,13 @@
         self.open_connections = 0
         # Whether each response is the last one on its connection.
         self.closing = False
-        # Whether connections without a request are closed.
+        # Whether idle connections are closed.
         self.draining = False
-        # Whether connections without a request are closed at once.
-        self.ended = False
         self.listener = Listener(address, self._serve_connection)
         self.active_requests = 0
         # Active requests of which no part of an answer was sent.
         self.unanswered_requests = 0
-        # Connections without any request that a planned stop ended.
+        # Connections that a planned stop ended before their first request arrived.
         self.unused_connections_ended = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
@@ -160,12 +188,22 @@
             idle_ms=REQUEST_TIMEOUT_MS,
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is active, or may arrive on a new connection."""
+        return bool(self.active_requests) or any(
+            connection.is_awaited for connection in self.idle_connections
+        )
+
     async def drain(self) -> None:
-        """Close the connections that have no request in progress, now and later."""
+        """Close the idle connections, now and later.
+
+        The request of a new connection is on its way and still answered.
+        """
         self.closing = self.draining = True
         for connection in list(self.idle_connections):
             # A request whose first bytes have arrived is read to its end.
-            if not connection.is_readable():
+            if not connection.is_awaited and not connection.is_readable():
                 await connection.stop_reading()
 
     async def refuse_incomplete(self) -> None:
@@ -173,35 +211,30 @@
         for connection in list(self.reading_connections):
             await connection.stop_reading()
 
-    async def end(self) -> bool:
-        """Close the connections without a request, so that the process can end.
-
-        Returns:
-            False if a request had arrived already, which is served as before.
-        """
-        self.ended = True
+    async def stop_accepting(self) -> None:
+        """Accept what clients have opened, refuse further connections, and drain."""
+        await self.listener.close()
         await self.drain()
-        await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
-        self.ended = not self.active_requests
-        return self.ended
 
     async def close(self, limit_ms: int) -> None:
-        """Accept no more connections, and answer the requests that have arrived.
+        """Accept no more connections, and answer the requests of the accepted ones.
 
-        Those that arrive later cross the close of their connections.
+        What has not arrived in time is refused. A request on a connection that was used
+        before, and idle, crosses the close of its connection.
 
         Args:
-            limit_ms: How long to wait for the answers, in milliseconds.
+            limit_ms: How long to wait for requests and their answers, in milliseconds.
         """
-        self.ended = True
-        await self.drain()
-        await self.listener.close()
-        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
+        await self.stop_accepting()
+        wait_ms = max(limit_ms - LAST_REFUSALS_MS, 0)
+        async with curio.ignore_after(wait_ms / MS_PER_SECOND):
             while True:
                 await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
                 if not self.unanswered_requests and not self.idle_connections:
                     return
-                await self.refuse_incomplete()
+        for connection in [*self.idle_connections, *self.reading_connections]:
+            await connection.stop_reading()
+        await curio.sleep(LAST_REFUSALS_MS / MS_PER_SECOND)
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
         connection = _ServerConnection(self, sock, str(peer[0]))
@@ -234,10 +267,12 @@
         # Whether this server ended the reading; an end of the bytes received does not
         # show any more that the client has disconnected.
         self.reading_stopped = False
-        # Whether the reading of an idle connection came to its end.
+        # Whether the connection is new and its first request on its way.
+        self.is_awaited = True
+        # Whether the first bytes of a request have arrived.
+        self.was_used = False
+        # Whether the client closed the idle connection.
         self.was_closed = False
-        # Whether no request has arrived yet.
-        self.is_unused = True
         # Method of the newest request.
         self.method = b""
         # Whether a request is active of which no part of an answer was sent.
@@ -250,10 +285,10 @@
         while True:
             self.limits = self.server.limits()
             if not await self._wait_for_bytes():
-                if self.is_unused and self._is_ended_by_stop():
-                    self.server.unused_connections_ended += 1
+                if not self.was_used and self._is_ended_by_stop():
+                    await self._refuse_first_request()
                 return
-            self.is_unused = False
+            self.was_used = True
             self._renew_limits()
             with self._counted():
                 try:
@@ -322,13 +357,17 @@
         if not self.reading_stopped:
             await self._refuse(error.refusal, error.status)
             return
-        refusal = Refusal(
-            RefusalReason.DRAINING,
-            Verdict.NOT_RUN,
-            "this process stops and the request has not arrived completely",
-            OVERLOAD_RETRY_MS,
-        )
-        await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
+        await self._refuse(INCOMPLETE_AT_STOP, DEFAULT_REFUSAL_STATUS)
+
+    async def _refuse_first_request(self) -> None:
+        """Refuse the request that may be on its way on a new connection.
+
+        The client reads the refusal as the answer to it. On a connection that was used
+        before, it could count as a second answer to an earlier request.
+        """
+        self.server.unused_connections_ended += 1
+        await self._refuse(INCOMPLETE_AT_STOP, DEFAULT_REFUSAL_STATUS)
+        await self._discard_input()
 
     async def _discard_input(self) -> None:
         """Receive the rest of a request that was refused, for a limited time.
@@ -336,12 +375,16 @@
         Closing a connection with unread bytes resets it, and the client may then lose
         the refusal.
         """
-        if self.reading_stopped:
-            return
         await self.sock.shutdown(socket.SHUT_WR)
         async with curio.ignore_after(DISCARD_TIMEOUT_MS / MS_PER_SECOND):
             left = MAX_DISCARDED_BYTES
-            while left > 0 and (data := await self.sock.recv(READ_BYTES)):
+            while left > 0:
+                data = await self.sock.recv(READ_BYTES)
+                if not data and not self.reading_stopped:
+                    return
+                if not data:
+                    # Bytes also arrive after this server ended the reading.
+                    await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
                 left -= len(data)
                 await self.turns.take(len(data))
 
@@ -421,17 +464,17 @@
         waited_ms = 0
         while True:
             wait_ms = self.limits.idle_ms - waited_ms
-            if self.server.draining:
-                # A connection that was accepted a moment ago; its request is on the
-                # way.
+            if self.is_awaited:
+                wait_ms = min(wait_ms, self.limits.header_ms)
+            elif self.server.draining:
                 wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
-            if self.server.ended:
-                wait_ms = min(wait_ms, END_PAUSE_MS)
             try:
                 async with curio.timeout_after(wait_ms / MS_PER_SECOND):
                     return await self.sock.recv(READ_BYTES)
             except curio.TaskTimeout:
                 waited_ms += wait_ms
+            finally:
+                self.is_awaited = False
             self.limits = self.server.limits()
             if self.server.draining or waited_ms >= self.limits.idle_ms:
                 return None
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -14,6 +14,7 @@
     Request,
     ServerLimits,
     json_response,
+    request_wait_ms,
     sleep_until_idle,
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink
@@ -443,27 +444,29 @@
         full_service_ms = min(
             notice_ms, MAX_FULL_SERVICE_MS, ends_ms - STOP_ANSWER_MS - signalled_ms
         )
-        return StopPlan(signalled_ms + full_service_ms, ends_ms)
+        notice_ends_ms = signalled_ms + full_service_ms
+        accepts_end_ms = self._killed_ms() - KILL_MARGIN_MS
+        accepts_end_ms -= request_wait_ms(self._grace_ms())
+        # With a short grace period, the last refusals come before it.
+        accepts_end_ms = min(accepts_end_ms, ends_ms - STOP_ANSWER_MS)
+        return StopPlan(notice_ends_ms, ends_ms, max(accepts_end_ms, notice_ends_ms))
 
     async def _finish_requests(self, stop: StopPlan) -> None:
         """Return when the process may end; refuse what cannot be finished by then."""
-        while self.clock.now_ms() < stop.answers_end_ms:
-            await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
-            if self._is_idle() and await self.caller_server.end():
-                break
-        else:
-            await self.handler.refuse_unanswered()
-            await self.caller_server.refuse_incomplete()
-            await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms)
+        await sleep_until_idle(self.clock, self._is_idle, stop.accepts_end_ms)
+        await self.caller_server.stop_accepting()
+        await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms, 1)
+        await self.handler.refuse_unanswered()
+        await self.caller_server.refuse_incomplete()
+        await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms, 1)
         await self._close_caller_server()
 
     async def _close_caller_server(self) -> None:
         """Refuse what still arrives, until the process can end."""
         now_ms = self.clock.now_ms()
         self.handler.stop = StopPlan(now_ms, now_ms)
-        killed_ms = self.signals.stopped_ms + int(self.settings.grace_s * MS_PER_SECOND)
         await self.caller_server.close(
-            max(killed_ms - KILL_MARGIN_MS - now_ms, STOP_ANSWER_MS)
+            max(self._killed_ms() - KILL_MARGIN_MS - now_ms, STOP_ANSWER_MS)
         )
         self._log_cut_requests()
 
@@ -482,8 +485,15 @@
                 unused_connections=server.unused_connections_ended,
             )
 
+    def _grace_ms(self) -> int:
+        return int(self.settings.grace_s * MS_PER_SECOND)
+
+    def _killed_ms(self) -> int:
+        """Return when the platform ends this process, on the clock."""
+        return self.signals.stopped_ms + self._grace_ms()
+
     def _drain_limit_ms(self) -> int:
-        return int(self.settings.grace_s * MS_PER_SECOND) - EXIT_MARGIN_MS
+        return self._grace_ms() - EXIT_MARGIN_MS
 
     def _is_idle(self) -> bool:
         busy = (
@@ -491,7 +501,7 @@
             or self.delegating_client.running_for_peers
             or self.tunnels.running
         )
-        return not self.caller_server.active_requests and not busy
+        return not self.caller_server.is_busy and not busy
 
 
 async def run_relay_entry(
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -54,10 +54,14 @@
         notice_ends_ms: Until when all requests are admitted, since the load balancer
             may not have noticed the stop.
         ends_ms: When the process ends.
+        accepts_end_ms: Until when connections are accepted; by default to the end.
     """
 
     notice_ends_ms: int
     ends_ms: int
+    accepts_end_ms: int = attrs.field(
+        default=attrs.Factory(lambda self: self.ends_ms, takes_self=True)
+    )
 
     @property
     def answers_end_ms(self) -> int:
