Answer the requests that a stopping control member has in progress

What operators saw: a change, or a report of a target, that a control member had taken at its SIGTERM got no answer; also a request that followed its new connection late. Cause: the process ended at the signal. Fix: at the signal the member accepts no more connections, answers what it has, for the time limit of a change at most, and then ends.

--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -36,6 +36,9 @@
 PUT_TIMEOUT_MS = 900
 READ_TIMEOUT_MS = 800
 RETRY_AFTER_MS = 500
+# A member that stops answers the requests that it has for this long: a change takes
+# PUT_TIMEOUT_MS at most.
+STOP_ANSWER_MS = PUT_TIMEOUT_MS + 200
 # Largest request body: a fleet configuration of 4 MB and room for growth.
 MAX_TEXT_BYTES = 6 * 1024 * 1024
 MIN_VOTERS = 3
@@ -167,6 +170,9 @@
         )
         self.fleet_configuration = FleetConfigurationStore(self)
         self.operator_handler = make_handler(self.fleet_configuration, self.hub)
+        self.operators = HttpServer(
+            settings.operator_address, self.operator_handler, MAX_TEXT_BYTES
+        )
         self.metrics = RelayMetrics()
         self._export_gauges()
 
@@ -237,12 +243,9 @@
         Raises:
             SettingsError: If the process cannot listen on a configured address.
         """
-        operators = HttpServer(
-            self.settings.operator_address, self.operator_handler, MAX_TEXT_BYTES
-        )
         tasks = (
-            self.signals.wait,
-            operators.serve,
+            self._stop_on_signal,
+            self.operators.serve,
             self.hub.run,
             self.member_host.run,
             self.live_settings.watch,
@@ -256,6 +259,16 @@
             tasks,
         )
 
+    async def _stop_on_signal(self) -> None:
+        """Wait for a signal, then answer the requests that have been accepted."""
+        await self.signals.wait()
+        events.log(
+            events.DRAIN_STARTED,
+            name=self.settings.name,
+            late_ms=self.signals.late_ms,
+        )
+        await self.operators.close(STOP_ANSWER_MS)
+
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message from another process of the system."""
         channel = codec_of(message).channel
