Test a running member on a full disk with rows of one minute

Rows of refusals are counted by minute, and the test took the wall clock for each of its four tables, so that a run across a new minute spread them over two rows. With a clock that goes on by a minute after 0, 1, 2, 3, 5 or 8 readings the old test failed each time; with the time read once it passes each time. It checks as much as before.

--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -358,8 +358,10 @@
         store = AccountStore(clock, disk, "control-0")
         await store.open()
         task = await curio.spawn(store.run, daemon=True)
+        # The rows are counted by minute, and a new one may begin meanwhile.
+        first_ms = clock.wall_ms()
         for count in range(1, 5):
-            message = message_of(refusal_table(clock.wall_ms(), count))
+            message = message_of(refusal_table(first_ms, count))
             full.append(True)
             assert not (await store.handle(message)).kept
             assert not (await store.handle(message)).kept
