Let the product's entry stop accepting before its drain limit

What callers saw: up to the drain limit the entry accepted connections whose requests it then had no time for; they were refused, and before closed without an answer. Cause: the listener was closed only at the limit, as in the relay entry. Fix: it is closed an eighth of the limit earlier, a second at most; requests on accepted connections are served meanwhile.

--- a/tests/test_entry_close.py
+++ b/tests/test_entry_close.py
@@ -11,13 +11,9 @@
 pytestmark = pytest.mark.network
 
 
-def test_entry_takes_no_request_after_it_handed_over_its_accounts():
-    """Guards against requests that are cut, or not accounted, as an entry ends.
-
-    The hand-over takes a while, in which the entry still took requests.
-    """
+def make_entry(drain_limit_ms):
     caller, target, peer, control = free_addresses(4)
-    entry = Entry(
+    return Entry(
         EntrySettings(
             name="e",
             data_centre="a",
@@ -28,9 +24,18 @@
             entry_peers=(),
             control_peers=(control,),
             drain_notice_ms=0,
-            drain_limit_ms=500,
+            drain_limit_ms=drain_limit_ms,
         )
     )
+
+
+def test_entry_takes_no_request_after_it_handed_over_its_accounts():
+    """Guards against requests that are cut, or not accounted, as an entry ends.
+
+    The hand-over takes a while, in which the entry still took requests.
+    """
+    entry = make_entry(500)
+    caller = entry.settings.caller_address
     seen = []
 
     async def hand_over(timeout_ms):
@@ -50,3 +55,50 @@
 
     curio.run(main)
     assert seen == ["refused"]
+
+
+def test_requests_that_follow_their_connections_late_survive_the_drain_limit():
+    """Guards against connections that the end of an entry closes unanswered.
+
+    Callers send some time after they connect, until connections are refused.
+    """
+    entry = make_entry(1_200)
+    caller = entry.settings.caller_address
+    answers = []
+
+    async def call():
+        while True:
+            try:
+                sock = await curio.open_connection(caller.host, caller.port)
+            except ConnectionRefusedError:
+                return
+            await curio.sleep(0.1)
+            try:
+                await sock.sendall(GOOD)
+                answers.append(await sock.recv(12))
+            except OSError as error:
+                answers.append(repr(error))
+            await sock.close()
+
+    async def hand_over(timeout_ms):
+        return None
+
+    async def handle(request):
+        await curio.sleep(0.1)
+        return await echo(request)
+
+    async def main():
+        entry.caller_server.handler = handle
+        entry.accounts.hand_over_all = hand_over
+        serving = await curio.spawn(entry.caller_server.serve)
+        await curio.sleep(0.05)
+        async with curio.TaskGroup() as group:
+            for number in range(5):
+                await group.spawn(call)
+                await curio.sleep(0.02 * number)
+            await entry._drain()
+            await serving.cancel()
+
+    curio.run(main)
+    assert len(answers) > 10
+    assert set(answers) == {b"HTTP/1.1 200"}
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -10,7 +10,11 @@
 from wagtailrun.accounts import Accounts
 from wagtailrun.accounts_messages import AccountRows
 from wagtailrun.adapters.http_client import HttpClient
-from wagtailrun.adapters.http_server import HttpServer, sleep_until_idle
+from wagtailrun.adapters.http_server import (
+    HttpServer,
+    request_wait_ms,
+    sleep_until_idle,
+)
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.caller_api import CallerApi
@@ -253,19 +257,23 @@
         self.stop_signals += 1
 
     async def _drain(self) -> None:
-        deadline_ms = self.clock.now_ms() + self.settings.drain_limit_ms
+        limit_ms = self.settings.drain_limit_ms
+        deadline_ms = self.clock.now_ms() + limit_ms
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         await self.clock.sleep_ms(self.settings.drain_notice_ms)
         await self.caller_server.drain()
-        await sleep_until_idle(self.clock, self._is_idle, deadline_ms)
+        accepts_end_ms = deadline_ms - request_wait_ms(limit_ms)
+        await sleep_until_idle(self.clock, self._is_idle, accepts_end_ms)
+        await self.caller_server.stop_accepting()
+        await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
         await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
         # Last, so that the rows of all requests are handed over.
         await self.accounts.hand_over_all(HANDOVER_TIMEOUT_MS)
 
     def _is_idle(self) -> bool:
         """Return whether no request or order runs; an order may outlive its caller."""
-        return not self.caller_server.active_requests and self.orders.is_idle
+        return not self.caller_server.is_busy and self.orders.is_idle
 
 
 async def run_entry(settings: EntrySettings) -> None:
