Read a configuration in one way before its acknowledgement and at entries

Cause: two readers. Control members parsed the bytes of the body, for which json.loads finds the encoding and skips the mark, and stored a text that was decoded separately and keeps the mark. Entries parsed that text, and json.loads refuses a text with a mark. Texts in UTF-16 and UTF-32 whose bytes are also valid UTF-8 were acknowledged and unreadable in the same way.

ConfigurationFormat.read takes the bytes and returns a Configuration: the text and its routes. Control members and entries both call it, and FleetConfigurationStore.put takes its result, so that only what was read can be stored.

The fake store of test_platform.py takes the Configuration; its checks are the same.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -402,8 +402,9 @@
         self.outcome = outcome
         self.documents = []
 
-    async def put(self, version, text, source):
-        self.documents.append((version, text))
+    async def put(self, configuration, source):
+        version = configuration.table.version
+        self.documents.append((version, configuration.text))
         return self.outcome or TextVerdict(True, version)
 
     async def read(self):
--- a/wagtailrun/discovery/__init__.py
+++ b/wagtailrun/discovery/__init__.py
@@ -1,5 +1,6 @@
 """Discovery of entries, control members, targets and the fleet configuration."""
 
+from wagtailrun.discovery.configuration import Configuration, ConfigurationFormat
 from wagtailrun.discovery.hub import Hub
 from wagtailrun.discovery.messages import (
     AgedEntry,
@@ -12,10 +13,12 @@
     StreamOrigin,
 )
 from wagtailrun.discovery.origin_client import OriginClient
-from wagtailrun.discovery.view import ConfigurationFormat, FleetView
+from wagtailrun.discovery.view import FleetView
 
 __all__ = [
     "AgedEntry",
+    "Configuration",
+    "ConfigurationFormat",
     "FleetView",
     "Hub",
     "News",
@@ -26,5 +29,4 @@
     "RowsTaken",
     "ShareRows",
     "StreamOrigin",
-    "ConfigurationFormat",
 ]
--- a/wagtailrun/discovery/fleet_text.py
+++ b/wagtailrun/discovery/fleet_text.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from wagtailrun.discovery.view import ConfigurationFormat
+from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.exceptions import FleetTextError
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.routes import RouteTable
@@ -13,11 +13,11 @@
 class FleetTextFormat(ConfigurationFormat):
     """TOML format of the fleet text; its ``relay`` table has routes, keys and pools."""
 
-    def routes(self, revision: int, text: str) -> RouteTable:
-        """Return the routes of an accepted fleet text; see ``ConfigurationFormat``."""
+    def routes(self, revision: int | None, text: str) -> RouteTable:
+        """Return the routes of an fleet text; see ``ConfigurationFormat``."""
         table = parse_fleet_text(text).relay
         if table is None:
             raise FleetTextError(
                 ["relay: the table is missing; add it and define the routes in it"]
             )
-        return attrs.evolve(table, version=revision)
+        return table if revision is None else attrs.evolve(table, version=revision)
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -1,6 +1,5 @@
 """Discovery at an entry: fleet configuration, targets and the other entries."""
 
-from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, TypeVar
 
@@ -10,6 +9,7 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.consensus_state import Signal
+from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.discovery.messages import (
     ConfigurationPart,
     FetchConfiguration,
@@ -34,7 +34,7 @@
 from wagtailrun.routes import RouteTable
 from wagtailrun.supervisor import supervise
 
-__all__ = ["FleetView", "ConfigurationFormat"]
+__all__ = ["FleetView"]
 
 # The reply to a poll confirms the configuration, so it must arrive well within the time
 # that a revoked key may still be used. Three polls a second cost under 1% of a core.
@@ -58,10 +58,6 @@
 MAX_ADDRESSES = 64
 # Revisions whose polls are remembered until the entry has applied them.
 MAX_PENDING_CONFIRMATIONS = 64
-# Larger configurations are parsed in a thread: parsing 1 MB takes 0.1 s, which would
-# delay the events of all streams.
-MAX_INLINE_TEXT_BYTES = 64 * 1024
-
 # With updates that are older, this entry may not know which versions its targets have.
 # Finding another member takes less when one does not reply, at times more with two.
 OUT_OF_STEP_MS = 2_000
@@ -73,22 +69,6 @@
 T = TypeVar("T")
 
 
-class ConfigurationFormat(ABC):
-    """Source format of the fleet configuration."""
-
-    @abstractmethod
-    def routes(self, revision: int, text: str) -> RouteTable:
-        """Return the routes of an accepted configuration.
-
-        Args:
-            revision: Revision of the configuration.
-            text: Source of the configuration.
-
-        Raises:
-            FleetTextError: If the source cannot be parsed.
-        """
-
-
 class FleetView:
     """View of the fleet that one entry keeps up to date.
 
@@ -97,7 +77,7 @@
         link: Link to the control members.
         own: Row of this entry.
         seeds: Returns configured addresses of control members, which may be outdated.
-        configuration_format: Parses the fleet configuration.
+        configuration_format: Reads the fleet configuration.
         key_grace_ms: How long keys may be used after their last confirmation.
         apply_limit_ms: Time within which a change must be in force here.
         target_drain_ms: How long a target that drains may be sent streams to continue.
@@ -639,13 +619,9 @@
         self, revision: int, text: bytes, transfer: ConfigurationTransfer, took_ms: int
     ) -> None:
         """Apply a newer configuration, or remember that it cannot be parsed here."""
-        parse = self.configuration_format.routes
         started_ms = self.clock.now_ms()
         try:
-            if len(text) > MAX_INLINE_TEXT_BYTES:
-                table = await curio.run_in_thread(parse, revision, text.decode())
-            else:
-                table = parse(revision, text.decode())
+            read = await self.configuration_format.read_concurrently(text, revision)
         except Exception as error:  # Else it would be fetched again and again.
             self.unreadable_revision = revision
             detail = str(error) if isinstance(error, FleetTextError) else repr(error)
@@ -663,7 +639,7 @@
             transfer_ms=took_ms,
             parse_ms=self.clock.now_ms() - started_ms,
         )
-        self.table, self.revision = table, revision
+        self.table, self.revision = read.table, revision
         self.text, self.text_revision = text, revision
         self._confirm_applied()
 
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -14,7 +14,7 @@
 from wagtailrun.consensus_timing import Timing
 from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
-from wagtailrun.discovery import Hub
+from wagtailrun.discovery import Configuration, Hub
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     Refusal,
@@ -62,12 +62,13 @@
         self.control = control
         self.client = ControlClient(control.clock, control.link, [])
 
-    async def put(self, version: int, text: str, source: str) -> TextVerdict | Refusal:
-        """Apply a checked fleet configuration if its version is the highest so far.
+    async def put(
+        self, configuration: Configuration, source: str
+    ) -> TextVerdict | Refusal:
+        """Apply a fleet configuration if its version is the highest so far.
 
         Args:
-            version: Version that the configuration states.
-            text: The configuration as received.
+            configuration: The configuration, which entries can read.
             source: Address of the operator, for the log.
 
         Returns:
@@ -75,7 +76,8 @@
             unknown whether the configuration was applied.
         """
         control = self.control
-        message = PutText(version, "operator", source, text, 0)
+        version = configuration.table.version
+        message = PutText(version, "operator", source, configuration.text, 0)
         self.client.addresses = control.member_addresses()
         try:
             if control.member.is_leader:
