Say at an entry which configuration it cannot read, and why

An entry that met an acknowledged version that it could not read refused all requests after the bound with "was replaced 2500 ms ago or less", or "has received no fleet configuration yet" after a start. /readyz said {"ready": false} without a cause, and event 601 claimed that the older one is kept.

The entry still serves at the older version only until the newer one should be in force. Versions that entries learn of are committed, so callers were promised that no request is served at an older one later than the bound; the part that cannot be read may revoke a key, and the entry cannot know. With one reader for the check and the entries, only processes of different builds can get there, and entries of the newer build go on.

The refusal, the body of /readyz, the gauge unreadable_revision and events 601 and 623 now name the revision; the body and event 601 have the place and the reason. A version that can be read clears them.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -59,6 +59,7 @@
     rows: list = attrs.field(factory=list)
     is_fresh: bool = True
     is_outdated: bool = False
+    unread_revision: int = 0
     revision: int = 1
     confirmation_age_ms: int = 10
     update_age_ms: int = 10
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -58,6 +58,7 @@
 MAX_ADDRESSES = 64
 # Revisions whose polls are remembered until the entry has applied them.
 MAX_PENDING_CONFIRMATIONS = 64
+MAX_FAULT_CHARACTERS = 200
 # With updates that are older, this entry may not know which versions its targets have.
 # Finding another member takes less when one does not reply, at times more with two.
 OUT_OF_STEP_MS = 2_000
@@ -115,8 +116,9 @@
         # Text that the next configuration may be a difference from, and its revision.
         self.text = b""
         self.text_revision = 0
-        # Newest revision that could not be parsed here.
+        # Newest revision that could not be read here, and the place and reason.
         self.unreadable_revision = 0
+        self.unreadable_detail = ""
         self.marks = NewsMarks()
         # Since when the updates are of one incarnation of a control member that
         # remembers the versions of targets; None if it does not.
@@ -170,12 +172,22 @@
         """Whether a newer configuration should have been in force here by now.
 
         Only a revision that this entry knows of counts, so an entry that is cut off
-        goes on with the configuration that it has.
+        goes on with the configuration that it has. One that cannot be read here counts
+        as well: it was acknowledged, and may revoke keys or change routes.
         """
         if self.table is None or self.marks.revision <= self.revision:
             return False
         return self.confirmation_age_ms >= self.apply_limit_ms
 
+    @property
+    def unread_revision(self) -> int:
+        """Newest revision that this entry cannot read; 0 once a newer one is applied.
+
+        Only a build other than that of the control members cannot read it.
+        """
+        is_newer = self.unreadable_revision > self.revision
+        return self.unreadable_revision if is_newer else 0
+
     @property
     def confirmation_age_ms(self) -> int:
         """Age of the newest confirmation in milliseconds; -1 before the first."""
@@ -618,15 +630,19 @@
     async def _apply_configuration(
         self, revision: int, text: bytes, transfer: ConfigurationTransfer, took_ms: int
     ) -> None:
-        """Apply a newer configuration, or remember that it cannot be parsed here."""
+        """Apply a newer configuration, or remember that it cannot be read here."""
         started_ms = self.clock.now_ms()
         try:
             read = await self.configuration_format.read_concurrently(text, revision)
         except Exception as error:  # Else it would be fetched again and again.
             self.unreadable_revision = revision
             detail = str(error) if isinstance(error, FleetTextError) else repr(error)
+            self.unreadable_detail = detail[:MAX_FAULT_CHARACTERS]
             events.log(
-                events.FLEET_CONFIG_UNREADABLE, revision=revision, detail=detail[:200]
+                events.FLEET_CONFIG_UNREADABLE,
+                revision=revision,
+                before=self.revision,
+                detail=self.unreadable_detail,
             )
             return
         events.log(
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -201,8 +201,10 @@
 FLEET_CONFIG_UNREADABLE = _event(
     601,
     logging.ERROR,
-    "This process cannot read an accepted fleet configuration and keeps the older one.",
-    "Compare the software versions of the processes.",
+    "This process cannot read an accepted fleet configuration; it refuses requests "
+    "once that should be in force.",
+    "See the detail, and compare the software versions of the processes. Until it runs "
+    "one that reads it, send a higher version that it can read.",
     limited=False,
 )
 FLEET_CONFIG_DECIDED = _event(
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -259,6 +259,11 @@
             "Newest revision of the text that this entry knows of.",
             lambda: view.marks.revision,
         )
+        gauge(
+            "unreadable_revision",
+            "Newest revision of the text, if this entry cannot read it; else 0.",
+            lambda: view.unread_revision,
+        )
         gauge(
             "confirmation_age_ms",
             "Age of the last confirmation of the text.",
@@ -397,10 +402,15 @@
                 events.READINESS_CHANGED,
                 ready=ready,
                 revision=self.view.revision,
+                unreadable_revision=self.view.unread_revision,
                 confirmation_age_ms=self.view.confirmation_age_ms,
                 stopping=bool(self.signals.stop_count),
             )
-        return json_response(200 if ready else 503, {"ready": ready})
+        body: dict[str, Any] = {"ready": ready}
+        if self.view.unread_revision:
+            body["unreadable_revision"] = self.view.unread_revision
+            body["detail"] = self.view.unreadable_detail
+        return json_response(200 if ready else 503, body)
 
     async def _stop_on_signal(self) -> None:
         """Wait for a signal, then stop without interrupting a request.
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -181,17 +181,8 @@
     ) -> RelayJob | Refusal:
         """Return the job of a request, or why it is refused."""
         table = self.view.table
-        if table is None:
-            return _not_ready(
-                RefusalReason.NO_CONFIGURATION,
-                "this entry has received no fleet configuration yet",
-            )
-        if self.view.is_outdated:
-            return _not_ready(
-                RefusalReason.CONFIGURATION_OUTDATED,
-                f"revision {self.view.revision} of the fleet configuration was "
-                f"replaced {self.view.confirmation_age_ms} ms ago or less",
-            )
+        if table is None or self.view.is_outdated:
+            return self._refuse_unconfigured()
         fresh = self.view.is_fresh
         route = table.find(request.host, raw_request.path)
         if route is None:
@@ -219,6 +210,26 @@
             return _not_ready(RefusalReason.NO_CONFIGURATION, detail)
         return self._make_job(request, raw_request, route, workspace, arrived_ms)
 
+    def _refuse_unconfigured(self) -> Refusal:
+        """Return the refusal of a request while the newest configuration is missing."""
+        view = self.view
+        if view.table is None:
+            reason = RefusalReason.NO_CONFIGURATION
+            detail = "this entry has received no fleet configuration yet"
+        else:
+            reason = RefusalReason.CONFIGURATION_OUTDATED
+            detail = (
+                f"revision {view.revision} of the fleet configuration was "
+                f"replaced {view.confirmation_age_ms} ms ago or less"
+            )
+        if view.unread_revision:
+            # The place and the reason are for operators, who find them in event 601.
+            detail = (
+                f"this entry cannot read revision {view.unread_revision} of the fleet "
+                f"configuration; other entries may"
+            )
+        return _not_ready(reason, detail)
+
     def _make_job(
         self,
         request: RelayRequest,
