Refuse a fleet text with values that entries cannot be sent

Control members send entries the difference to the newest text as JSON. A date or time without quotes in place of a text of the relay table was accepted, as the converter makes a text of it; after that the long poll of every entry failed with "Object of type date is not JSON serializable" until a later text. Found by a trial over odd values; nan, infinite and very long numbers and arrays of more than 64 levels in such places are alike. A byte order mark and lone surrogates were refused before (parse_fleet_text, operator_api).

parse_fleet_text names each such value with its path. The test sends accepted texts, drawn from a fixed seed, through the long poll to an entry, whole and as a difference, and compares the result.

--- a/wagtailrun/fleet.py
+++ b/wagtailrun/fleet.py
@@ -3,9 +3,13 @@
 It is written in TOML, as the fleet text.
 """
 
+import datetime
 import enum
+import itertools
+import math
 import re
 import tomllib
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -31,6 +35,10 @@
 MAX_FAULTS_REPORTED = 50
 MAX_DEADLINE_MS = 600_000
 MAX_STAGES = 16
+# Nesting that every parser of the processes has room for, wherever it is called.
+MAX_LEVELS = 64
+# Python cannot write longer numbers as decimal digits.
+MAX_INTEGER_BITS = 4_096
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 DEFAULT_DEADLINE_MS = 8_000
 
@@ -285,9 +293,42 @@
         document = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
         raise FleetTextError([f"not valid TOML: {error}"]) from error
+    faults = list(itertools.islice(_transfer_faults(document), MAX_FAULTS_REPORTED))
+    if faults:
+        raise FleetTextError(faults)
     return fleet_from_document(document)
 
 
+def _transfer_faults(document: dict[str, Any]) -> Iterator[str]:
+    """Yield a fault for each value that JSON cannot carry.
+
+    Control members and entries exchange documents, and differences of them, as JSON.
+    """
+    pending: list[tuple[str, Any, int]] = [("", document, 1)]
+    while pending:
+        path, value, level = pending.pop()
+        if isinstance(value, dict | list):
+            if level > MAX_LEVELS:
+                yield f"{path}: has more than {MAX_LEVELS} levels; nest it less"
+                continue
+            pending += (
+                (each_path, each, level + 1) for each_path, each in _items(path, value)
+            )
+        elif isinstance(value, datetime.date | datetime.time):
+            yield f"{path}: {value} is a date or time; write it in quotes"
+        elif isinstance(value, float) and not math.isfinite(value):
+            yield f"{path}: {value} is not finite; use a number"
+        elif isinstance(value, int) and value.bit_length() > MAX_INTEGER_BITS:
+            yield f"{path}: the number has more than {MAX_INTEGER_BITS} bits; lower it"
+
+
+def _items(path: str, value: dict | list) -> Iterator[tuple[str, Any]]:
+    """Yield the path and value of each item of a table or array."""
+    if isinstance(value, dict):
+        return ((f"{path}.{key}" if path else key, each) for key, each in value.items())
+    return ((f"{path}[{number}]", each) for number, each in enumerate(value))
+
+
 def fleet_from_document(document: dict[str, Any]) -> FleetConfiguration:
     """Validate a parsed fleet text; see ``parse_fleet_text``."""
     faults: list[str] = []
