Refuse a settings file that begins with a byte order mark

The mark became part of the first name of the file, so that this setting was ignored without a word and its default used; before a comment, the refusal did not name the cause. Found when the same question as for the fleet configuration was asked of settings, which start and SIGHUP read with the same function: files in other encodings, cut off or unreadable were refused already, and a refused reload keeps the settings in use.

Both cases of test_settings_file_with_a_byte_order_mark_is_refused failed before.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -24,7 +24,11 @@
 from wagtailrun.exceptions import FleetTextError, SettingsError
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.ports.link import Address
-from wagtailrun.settings import RelayControlSettings, RelayEntrySettings
+from wagtailrun.settings import (
+    RelayControlSettings,
+    RelayEntrySettings,
+    read_settings_file,
+)
 
 ROOT = Path(__file__).parent.parent
 START_S = 20
@@ -131,6 +135,15 @@
     assert text in str(entry.value)
 
 
+@pytest.mark.parametrize("first_line", ["# A comment.", "WAGTAILRUN_KEY_GRACE_MS=1"])
+def test_settings_file_with_a_byte_order_mark_is_refused(tmp_path, first_line):
+    """Guards against a first setting that is ignored because of the mark before it."""
+    file = tmp_path / "settings.env"
+    file.write_text(f"{first_line}\n", "utf-8-sig")
+    with pytest.raises(SettingsError, match=r":1: begins with a byte order mark"):
+        read_settings_file(str(file))
+
+
 PLAIN = {
     "node_name": "front-1",
     "zone": "riverside",
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -42,6 +42,7 @@
 PLATFORM_NAME_PATTERN = re.compile(r"[^\s,=]{1,255}")
 NUMBER_PATTERN = re.compile(r"[+-]?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 HIDDEN = "(hidden)"
+BYTE_ORDER_MARK = "\ufeff"
 
 
 def parse_address(text: str) -> Address:
@@ -465,11 +466,14 @@
     """
     try:
         with open(path, encoding="utf-8") as file:
-            lines = file.read().splitlines()
+            content = file.read()
     except (OSError, ValueError) as error:
         raise SettingsError(f"cannot read {path!r}: {error}") from error
+    if content.startswith(BYTE_ORDER_MARK):
+        # It would become part of the first name, and that setting would be ignored.
+        raise SettingsError(f"{path}:1: begins with a byte order mark; save it without")
     values = {}
-    for number, line in enumerate(lines, 1):
+    for number, line in enumerate(content.splitlines(), 1):
         text = line.strip()
         if not text or text.startswith("#"):
             continue
