Pause before a configuration that cannot be read is fetched again

An entry that cannot read a revision and knows of a newer one asks a member for what is newer than its own. A member that is behind sends the unreadable revision once more, and the entry asked again at once: 322 fetches and error lines in two seconds of virtual time. Such a member now counts as one that has nothing newer: it is avoided for a while, and the entry pauses.

test_unreadable_configuration_is_not_fetched_again_and_again failed before with 322 events in place of 0.

--- a/tests/test_unreadable_configuration.py
+++ b/tests/test_unreadable_configuration.py
@@ -91,3 +91,28 @@
     status, detail = run_relay(RouteKind.ORDER, [[GOOD]], client, view=view)
     assert status == 503
     assert "cannot read revision 9" in detail
+
+
+def test_unreadable_configuration_is_not_fetched_again_and_again():
+    """Guards against an entry that fetches one text without a pause.
+
+    A member that is behind sends the unreadable revision, as the entry asks for a newer
+    one that it knows of from another member.
+    """
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await controls.put_text(1)
+        await clock.sleep_ms(1_000)
+        await controls.put_text(2, "bad")
+        await clock.sleep_ms(1_000)
+        number = events.FLEET_CONFIG_UNREADABLE.number
+        before = EVENT_LOG.counts_by_number[number]
+        for hub in controls.hubs:
+            hub.registry.revision = 3
+            hub.history.add = lambda revision, text: None
+            await hub.changed.notify()
+        await clock.sleep_ms(2_000)
+        return view.revision, EVENT_LOG.counts_by_number[number] - before
+
+    assert run(scenario) == (1, 0)
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -596,7 +596,7 @@
             if part is None:
                 limit = max(limit // 2, MIN_PART_BYTES)
                 self._log_late(transfer, f"no part from {address}")
-            elif not part.size:
+            elif not part.size or part.revision <= self.unread_revision:
                 self._avoid(address, f"it has no revision after {part.revision}")
                 await self.clock.sleep_ms(RETRY_PAUSE_MS)
             else:
