--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -1,6 +1,5 @@
 """Discovery at an entry: fleet configuration, targets and the other entries."""
 
-from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, TypeVar
 
@@ -10,6 +9,7 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.consensus_state import Signal
+from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.discovery.messages import (
     ConfigurationPart,
     FetchConfiguration,
@@ -34,7 +34,7 @@
 from wagtailrun.routes import RouteTable
 from wagtailrun.supervisor import supervise
 
-__all__ = ["FleetView", "ConfigurationFormat"]
+__all__ = ["FleetView"]
 
 # The reply to a poll confirms the configuration, so it must arrive well within the time
 # that a revoked key may still be used. Three polls a second cost under 1% of a core.
@@ -58,10 +58,7 @@
 MAX_ADDRESSES = 64
 # Revisions whose polls are remembered until the entry has applied them.
 MAX_PENDING_CONFIRMATIONS = 64
-# Larger configurations are parsed in a thread: parsing 1 MB takes 0.1 s, which would
-# delay the events of all streams.
-MAX_INLINE_TEXT_BYTES = 64 * 1024
-
+MAX_FAULT_CHARACTERS = 200
 # With updates that are older, this entry may not know which versions its targets have.
 # Finding another member takes less when one does not reply, at times more with two.
 OUT_OF_STEP_MS = 2_000
@@ -73,22 +70,6 @@
 T = TypeVar("T")
 
 
-class ConfigurationFormat(ABC):
-    """Source format of the fleet configuration."""
-
-    @abstractmethod
-    def routes(self, revision: int, text: str) -> RouteTable:
-        """Return the routes of an accepted configuration.
-
-        Args:
-            revision: Revision of the configuration.
-            text: Source of the configuration.
-
-        Raises:
-            FleetTextError: If the source cannot be parsed.
-        """
-
-
 class FleetView:
     """View of the fleet that one entry keeps up to date.
 
@@ -97,7 +78,7 @@
         link: Link to the control members.
         own: Row of this entry.
         seeds: Returns configured addresses of control members, which may be outdated.
-        configuration_format: Parses the fleet configuration.
+        configuration_format: Reads the fleet configuration.
         key_grace_ms: How long keys may be used after their last confirmation.
         apply_limit_ms: Time within which a change must be in force here.
         target_drain_ms: How long a target that drains may be sent streams to continue.
@@ -135,8 +116,9 @@
         # Text that the next configuration may be a difference from, and its revision.
         self.text = b""
         self.text_revision = 0
-        # Newest revision that could not be parsed here.
+        # Newest revision that could not be read here, and the place and reason.
         self.unreadable_revision = 0
+        self.unreadable_detail = ""
         self.marks = NewsMarks()
         # Since when the updates are of one incarnation of a control member that
         # remembers the versions of targets; None if it does not.
@@ -190,12 +172,22 @@
         """Whether a newer configuration should have been in force here by now.
 
         Only a revision that this entry knows of counts, so an entry that is cut off
-        goes on with the configuration that it has.
+        goes on with the configuration that it has. One that cannot be read here counts
+        as well: it was acknowledged, and may revoke keys or change routes.
         """
         if self.table is None or self.marks.revision <= self.revision:
             return False
         return self.confirmation_age_ms >= self.apply_limit_ms
 
+    @property
+    def unread_revision(self) -> int:
+        """Newest revision that this entry cannot read; 0 once a newer one is applied.
+
+        Only a build other than that of the control members cannot read it.
+        """
+        is_newer = self.unreadable_revision > self.revision
+        return self.unreadable_revision if is_newer else 0
+
     @property
     def confirmation_age_ms(self) -> int:
         """Age of the newest confirmation in milliseconds; -1 before the first."""
@@ -604,7 +596,7 @@
             if part is None:
                 limit = max(limit // 2, MIN_PART_BYTES)
                 self._log_late(transfer, f"no part from {address}")
-            elif not part.size:
+            elif not part.size or part.revision <= self.unread_revision:
                 self._avoid(address, f"it has no revision after {part.revision}")
                 await self.clock.sleep_ms(RETRY_PAUSE_MS)
             else:
@@ -638,19 +630,19 @@
     async def _apply_configuration(
         self, revision: int, text: bytes, transfer: ConfigurationTransfer, took_ms: int
     ) -> None:
-        """Apply a newer configuration, or remember that it cannot be parsed here."""
-        parse = self.configuration_format.routes
+        """Apply a newer configuration, or remember that it cannot be read here."""
         started_ms = self.clock.now_ms()
         try:
-            if len(text) > MAX_INLINE_TEXT_BYTES:
-                table = await curio.run_in_thread(parse, revision, text.decode())
-            else:
-                table = parse(revision, text.decode())
+            read = await self.configuration_format.read_concurrently(text, revision)
         except Exception as error:  # Else it would be fetched again and again.
             self.unreadable_revision = revision
             detail = str(error) if isinstance(error, FleetTextError) else repr(error)
+            self.unreadable_detail = detail[:MAX_FAULT_CHARACTERS]
             events.log(
-                events.FLEET_CONFIG_UNREADABLE, revision=revision, detail=detail[:200]
+                events.FLEET_CONFIG_UNREADABLE,
+                revision=revision,
+                before=self.revision,
+                detail=self.unreadable_detail,
             )
             return
         events.log(
@@ -663,7 +655,7 @@
             transfer_ms=took_ms,
             parse_ms=self.clock.now_ms() - started_ms,
         )
-        self.table, self.revision = table, revision
+        self.table, self.revision = read.table, revision
         self.text, self.text_revision = text, revision
         self._confirm_applied()
 
