--- /dev/null
+++ b/tests/test_review_stop_descriptors.py
@@ -0,0 +1,52 @@
+"""Tests of the review of a planned stop: connections that no descriptor is left for."""
+
+import os
+import resource
+import socket
+
+import pytest
+
+from tests.test_http_server import GOOD, echo, with_server
+
+pytestmark = pytest.mark.network
+
+
+def test_queued_requests_of_a_process_without_descriptors_are_answered():
+    """Guards against queued connections that are reset as the listener closes.
+
+    Descriptors get free in the time that the stop has left.
+    """
+
+    async def client(address, server):
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        socks = [
+            socket.create_connection((address.host, address.port)) for _ in range(6)
+        ]
+        for sock in socks:
+            sock.sendall(GOOD)
+            sock.settimeout(0)
+        highest = max(sock.fileno() for sock in socks)
+        fillers = []
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 4, hard))
+            while True:
+                try:
+                    fillers.append(os.dup(socks[0].fileno()))
+                except OSError:
+                    break
+            for _ in range(2):
+                os.close(fillers.pop())
+            await server.close(1_000)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for filler in fillers:
+                os.close(filler)
+        answers = []
+        for sock in socks:
+            try:
+                answers.append(sock.recv(65_536)[:12])
+            except OSError as error:
+                answers.append(type(error).__name__)
+        return answers
+
+    assert set(with_server(echo, client)) == {b"HTTP/1.1 200"}
