Wait four idle polls before a stopping entry closes its connections

What callers saw: a request that follows a stream on its connection, 80 or 150 ms after the stream's end and after the entry accepts no more connections, found the connection closed without an answer. Cause: after stop_accepting one idle poll (50 ms) let the entry close, which ends the reading of idle connections, although a connection whose last answer announced no close is kept for 200 ms. Fix: four idle polls, as before.

--- /dev/null
+++ b/tests/test_request_after_stream.py
@@ -0,0 +1,69 @@
+"""Tests of requests that follow a stream on its connection while an entry stops."""
+
+import curio
+import pytest
+
+from tests.test_http_server import GOOD, echo
+from tests.test_relay_stop import make_entry
+from tests.test_server_close import connect, read_all
+from wagtailrun.adapters.http_server import Response
+from wagtailrun.relay.front import StopPlan
+
+pytestmark = pytest.mark.network
+
+
+def run_finishing(client, handler):
+    """Run ``_finish_requests`` beside a client."""
+    entry = make_entry(grace_s=8)
+    entry.caller_server.handler = handler
+
+    async def main():
+        now_ms = entry.clock.now_ms()
+        entry.signals.handled_ms = entry.signals.polled_ms = now_ms - 6_800
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.sleep(0.05)
+        return await client(entry)
+
+    return curio.run(main)
+
+
+@pytest.mark.parametrize("pause_s", [0.08, 0.15])
+@pytest.mark.parametrize("late", [False, True])
+def test_request_that_follows_a_stream_in_a_stop_is_answered(late, pause_s):
+    """Guards against a connection that closes as its next request is on its way.
+
+    The head of its last answer was sent before the stop and announced no close.
+    """
+
+    async def pieces():
+        yield b"x"
+        await curio.sleep(0.4)
+
+    async def handler(request):
+        if request.path == "/stream":
+            return Response(200, pieces())
+        return await echo(request)
+
+    async def client(entry):
+        server = entry.caller_server
+        sock = await connect(server.address, GOOD.replace(b"/x", b"/stream"))
+        received = await sock.recv(65_536)
+        assert b"lose" not in received
+        await server.drain()
+        now_ms = entry.clock.now_ms()
+        accepts_end_ms = now_ms if late else now_ms + 800
+        stop = StopPlan(now_ms, now_ms + 1_200, accepts_end_ms)
+        entry.handler.stop = stop
+        stopping = await curio.spawn(entry._finish_requests, stop)
+        while not received.endswith(b"0\r\n\r\n"):
+            received += await sock.recv(65_536)
+        await curio.sleep(pause_s)
+        try:
+            await sock.sendall(GOOD)
+            answer = await read_all(sock)
+        except OSError as error:
+            answer = repr(error).encode()
+        await stopping.join()
+        return answer
+
+    assert run_finishing(client, handler)[:9] == b"HTTP/1.1 "
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -455,7 +455,7 @@
         """Return when the process may end; refuse what cannot be finished by then."""
         await sleep_until_idle(self.clock, self._is_idle, stop.accepts_end_ms)
         await self.caller_server.stop_accepting()
-        await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms, 1)
+        await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
         await self.handler.refuse_unanswered()
         await self.caller_server.refuse_incomplete()
         await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms, 1)
