Hold the event loop for a fixed time in the test of a late signal

Its call in C, 2,000,000 rounds of a hash, then took longer than the grace period, after which a stop rightly counts from the handler. The call is now a sleep of 1 s that the signal does not end, and the test checks that the signal waited 0.6 s or longer. With lateness left out (late_ms 0) it fails, as before.

--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -1,6 +1,5 @@
 """Tests of entry processes that handle the signal to stop late."""
 
-import hashlib
 import json
 import os
 import signal
@@ -20,6 +19,8 @@
 pytestmark = pytest.mark.network
 
 GRACE_S = 4.0
+# Duration of the call; the signal is sent 0.2 s after its begin.
+HELD_S = 1.0
 HALF = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
 
 
@@ -109,13 +110,17 @@
         task = await curio.spawn(entry._stop_on_signal)
         await curio.sleep(0.5)
         thread = threading.Thread(target=send_signal)
+        # The other thread gets the signal, so that it does not end the call early.
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
         thread.start()
-        while not sent or entry.clock.now_ms() < sent[0] + 600:
-            hashlib.pbkdf2_hmac("sha256", b"x", b"y", 2_000_000)
+        time.sleep(HELD_S)
+        held_ms = entry.clock.now_ms() - sent[0]
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM])
         thread.join()
         await task.join()
-        return entry.handler.stop.ends_ms - sent[0]
+        return entry.handler.stop.ends_ms - sent[0], held_ms
 
     entry.signals.install()
-    ends_ms = curio.run(main)
+    ends_ms, held_ms = curio.run(main)
+    assert held_ms >= 600
     assert ends_ms <= 3_000 - EXIT_MARGIN_MS + SIGNAL_POLL_MS
