--- a/tests/test_review_second_drain.py
+++ b/tests/test_second_drain.py
@@ -1,4 +1,4 @@
-"""Review of a planned stop: a second drain beside requests on their way."""
+"""Tests of a second drain beside requests that are on their way."""
 
 import curio
 import pytest
--- a/tests/test_review_stop_descriptors.py
+++ b/tests/test_stop_without_descriptors.py
@@ -1,4 +1,4 @@
-"""Tests of the review of a planned stop: connections that no descriptor is left for."""
+"""Tests of a planned stop of a process that has no descriptor left."""
 
 import os
 import resource
--- a/tests/test_review_stop_waits.py
+++ b/tests/test_unused_connections.py
@@ -1,4 +1,4 @@
-"""Tests of the review of a planned stop: what a connection without a request delays."""
+"""Tests of connections without a request in a planned stop."""
 
 import curio
 import pytest
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -212,9 +212,10 @@
             await connection.stop_reading()
 
     async def stop_accepting(self) -> None:
-        """Accept what clients have opened, refuse further connections, and drain."""
-        await self.listener.close()
+        """Drain, accept what clients have opened, and refuse further connections."""
+        # First, as it frees descriptors, without which no connection can be accepted.
         await self.drain()
+        await self.listener.close(MAX_REQUEST_WAIT_MS)
 
     async def close(self, limit_ms: int) -> None:
         """Accept no more connections, and answer the requests of the accepted ones.
@@ -267,7 +268,7 @@
         # Whether this server ended the reading; an end of the bytes received does not
         # show any more that the client has disconnected.
         self.reading_stopped = False
-        # Whether the connection is new and its first request on its way.
+        # Whether the next request is taken to be on its way, as on a new connection.
         self.is_awaited = True
         # Whether the first bytes of a request have arrived.
         self.was_used = False
@@ -366,14 +367,19 @@
         before, it could count as a second answer to an earlier request.
         """
         self.server.unused_connections_ended += 1
-        await self._refuse(INCOMPLETE_AT_STOP, DEFAULT_REFUSAL_STATUS)
-        await self._discard_input()
+        refusal = refusal_response(INCOMPLETE_AT_STOP, DEFAULT_REFUSAL_STATUS)
+        await self._send(refusal, close=True)
+        # Only now it is known whether there is a request.
+        await self._discard_input(INCOMPLETE_AT_STOP)
 
-    async def _discard_input(self) -> None:
+    async def _discard_input(self, unreported: Refusal | None = None) -> None:
         """Receive the rest of a request that was refused, for a limited time.
 
         Closing a connection with unread bytes resets it, and the client may then lose
         the refusal.
+
+        Args:
+            unreported: Refusal to report if there is any input.
         """
         if not self.reading_stopped:
             # With both directions shut down, Linux resets the connection when more
@@ -388,6 +394,9 @@
                 if not data:
                     # Bytes also arrive after this server ended the reading.
                     await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
+                elif unreported is not None:
+                    await self._report(unreported)
+                    unreported = None
                 left -= len(data)
                 await self.turns.take(len(data))
 
@@ -406,9 +415,12 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
     async def _refuse(self, refusal: Refusal, status: int) -> None:
+        await self._report(refusal)
+        await self._send(refusal_response(refusal, status), close=True)
+
+    async def _report(self, refusal: Refusal) -> None:
         if self.server.on_refusal is not None:
             await self.server.on_refusal(refusal)
-        await self._send(refusal_response(refusal, status), close=True)
 
     async def _read_request(self) -> Request | None:
         """Return the next request, or None if the connection has to be closed.
@@ -465,12 +477,12 @@
         The limit may be raised meanwhile; callers then keep their connections longer.
         """
         waited_ms = 0
+        # Also after an answer that announced no close and ended in a planned stop.
+        self.is_awaited = not self.was_used or self.server.draining
         while True:
             wait_ms = self.limits.idle_ms - waited_ms
             if self.is_awaited:
-                wait_ms = min(wait_ms, self.limits.header_ms)
-            elif self.server.draining:
-                wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
+                wait_ms = min(wait_ms, self._request_wait_ms())
             try:
                 async with curio.timeout_after(wait_ms / MS_PER_SECOND):
                     return await self.sock.recv(READ_BYTES)
@@ -482,6 +494,12 @@
             if self.server.draining or waited_ms >= self.limits.idle_ms:
                 return None
 
+    def _request_wait_ms(self) -> int:
+        """Return how long a request is taken to be on its way."""
+        if self.was_used:
+            return DRAIN_REQUEST_WAIT_MS
+        return min(self.limits.header_ms, MAX_REQUEST_WAIT_MS)
+
     async def _parse_part(self, read_part: Callable[[], Awaitable[Any]]) -> Any:
         """Return the result of ``read_part``, with parser errors as rejections.
 
--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -64,22 +64,33 @@
             # Closed; the tasks of all connections have ended.
             await curio.Event().wait()
 
-    async def close(self) -> None:
-        """Accept the connections that clients have opened, and refuse further ones."""
+    async def close(self, limit_ms: int) -> None:
+        """Accept the connections that clients have opened, and refuse further ones.
+
+        Args:
+            limit_ms: How long to wait for free descriptors, in milliseconds.
+        """
         if self.acceptor is None:
             return
         # Else its end would be that of the listener.
         acceptor, self.acceptor = self.acceptor, None
         await acceptor.cancel()
+        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
+            await self._accept_opened()
+        await self.sock.close()
+
+    async def _accept_opened(self) -> None:
+        """Accept connections until none is left in the queue of the kernel."""
         while True:
             try:
                 client, peer = self.sock._socket.accept()
-            except OSError:
-                # None is left, or none can be accepted.
-                break
+            except BlockingIOError:
+                return
+            except OSError as error:
+                await self._pause_accepting(error)
+                continue
             await self.tasks.spawn(self._serve, Socket(client), peer)
             del client
-        await self.sock.close()
 
     async def _accept(self) -> None:
         """Accept connections for ever; a failure to accept one ends nothing."""
@@ -87,15 +98,16 @@
             try:
                 client, peer = await self.sock.accept()
             except OSError as error:
-                events.log(
-                    events.ACCEPT_FAILED, address=str(self.address), detail=str(error)
-                )
-                await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
+                await self._pause_accepting(error)
                 continue
             await self.tasks.spawn(self._serve, client, peer)
             # The task alone refers to the connection, and closes it at its end.
             del client
 
+    async def _pause_accepting(self, error: OSError) -> None:
+        events.log(events.ACCEPT_FAILED, address=str(self.address), detail=str(error))
+        await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
+
     async def _serve(self, client: Any, peer: Any) -> None:
         async with client:
             try:
