--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -117,8 +117,12 @@
         held_ms = entry.clock.now_ms() - sent[0]
         signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM])
         thread.join()
+        while entry.handler.stop is None:
+            await curio.sleep(0.001)
+        # The end of the process replaces it.
+        plan = entry.handler.stop
         await task.join()
-        return entry.handler.stop.ends_ms - sent[0], held_ms
+        return plan.ends_ms - sent[0], held_ms
 
     entry.signals.install()
     ends_ms, held_ms = curio.run(main)
