Tell entries that another one was started again at the same address

Cause: a control member replaced the row of an entry only if its address changed. An entry that was back within 2 s, before it was dropped, kept the row of its earlier process at all others. Change: a row of another incarnation replaces the known one, and the member that is polled by a new process shares it at once, not with the next share in up to 400 ms. Ruled out: the rows of the polls carry the incarnation; only the member dropped it. Measured: test_entries_learn_at_once_that_another_one_was_started_again failed for each of the three members without the change, for two of them without the immediate share, and passes.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 from wagtailrun.discovery import ConfigurationFormat, FleetView, Hub, News, NewsMarks
 from wagtailrun.discovery.messages import (
     AgedEntry,
+    PollNews,
     ReportCrashes,
     ReportLeaving,
     ReportLimits,
@@ -407,6 +408,29 @@
     assert after == ["e1"]
 
 
+@pytest.mark.parametrize("member", range(3))
+def test_entries_learn_at_once_that_another_one_was_started_again(member):
+    """Guards against state that entries told a process which has lost it.
+
+    The new process has the name and the address of the earlier one.
+    """
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        await clock.sleep_ms(1_000)
+        other = attrs.evolve(ENTRY, name="e2", address=Address("10.0.1.2", 7_000))
+        incarnations = []
+        for incarnation in (4, 5):
+            row = attrs.evolve(other, incarnation=incarnation)
+            await controls.hubs[member].handle(PollNews(row, NewsMarks(), 0))
+            await clock.sleep_ms(100)
+            live = {row.name: row for row in view.live_entries()}
+            incarnations.append(live["e2"].incarnation if "e2" in live else None)
+        return incarnations
+
+    assert run(scenario) == [4, 5]
+
+
 def test_updates_contain_only_what_the_entry_lacks():
     """Guards against replies that grow with the fleet while nothing changes."""
 
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -246,8 +246,9 @@
     # Polls of entries
 
     async def _handle_poll(self, poll: PollNews) -> News:
-        await self._update_entry(poll.entry, 0)
         self.reported_entries.add(poll.entry.name)
+        if await self._update_entry(poll.entry, 0):
+            await self.share_requested.notify()
         reply_by_ms = self.clock.now_ms() + min(poll.wait_ms, MAX_POLL_WAIT_MS)
         while not self._has_updates(poll.known):
             wait_ms = reply_by_ms - self.clock.now_ms()
@@ -369,23 +370,28 @@
 
     # Entries
 
-    async def _update_entry(self, row: EntryRow, age_ms: int) -> None:
+    async def _update_entry(self, row: EntryRow, age_ms: int) -> bool:
+        """Record that an entry is live; return whether its process was not known."""
         last_contact_ms = self.clock.now_ms() - age_ms
         known = self.entries_by_name.get(row.name)
         if known is not None and row.precedence < known.precedence:
-            return
+            return False
         if row.health == Health.DEAD:
             await self._drop_entry(row.name)
-            return
+            return False
         if age_ms >= ENTRY_TIMEOUT_MS:
-            return
+            return False
         before_ms = self.entry_last_contact_ms.get(row.name, last_contact_ms)
         self.entry_last_contact_ms[row.name] = max(before_ms, last_contact_ms)
-        if known is None or known.address != row.address:
+        # Entries must learn that another one was started again: it has forgotten what
+        # they told it.
+        is_new = known is None or known.process != row.process
+        if is_new or known.address != row.address:
             events.log(events.ENTRY_LIVENESS_CHANGED, entry=row.name, live=True)
             self.entries_by_name[row.name] = row
             self.entries_mark += 1
             await self.changed.notify()
+        return is_new
 
     async def _drop_entry(self, name: str) -> None:
         self.entry_last_contact_ms.pop(name, None)
--- a/wagtailrun/gossip_messages.py
+++ b/wagtailrun/gossip_messages.py
@@ -79,6 +79,11 @@
         """Order of rows of the same entry; the greater row replaces the other."""
         return (self.incarnation, self.sequence, self.health)
 
+    @property
+    def process(self) -> tuple[str, int]:
+        """Name and incarnation: an entry that was started again has forgotten all."""
+        return (self.name, self.incarnation)
+
     @property
     def version(self) -> tuple[int, int]:
         """Term and revision that are active there."""
