Use a restarted owner at once, not the entry that stood in for it

Cause, from the trace of the first two: the owner e40 was killed at 15,213 ms and back at 15,713. Entries that had got no reply from it avoid it by name for 1.5 s, so at 16,453 e31 was granted a request by the stand-in e9, which granted one that it knew of in two slots; e40 had granted both. The third request was the rejection. The same at 16,680 (e23) on the other target. Change: what is avoided is the process that did not reply, by name and incarnation. Exclusions that have ended are dropped. Ruled out: the order of the messages, and the share of the stand-in, which is the smallest that there is, one request. Measured: test_excluded_owner_that_was_restarted_is_used_at_once failed before and passes. Placement, stages and spreading use the same exclusions; their tests pass.

--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -1,5 +1,6 @@
 """Tests of the choice of the entries that own shared keys."""
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -77,3 +78,16 @@
     first = owners.owner("board").name
     rows[0] = tuple(row for row in rows[0] if row.name != first)
     assert owners.owner("board").name != first
+
+
+def test_excluded_owner_that_was_restarted_is_used_at_once():
+    """Guards against keys with two owners, the restarted one and a replacement."""
+    rows = [entry_rows(12)]
+    owners = Owners(VirtualClock(), lambda: rows[0], lambda: BUSY)
+    first = owners.owner("board")
+    owners.exclude(first, "refuses connections")
+    replacement = owners.owner("board").name
+    new = attrs.evolve(first, incarnation=first.incarnation + 100)
+    rows[0] = tuple(new if row is first else row for row in rows[0])
+    assert replacement != first.name
+    assert owners.owner("board") == new
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -37,7 +37,8 @@
         self.clock = clock
         self.entries = entries
         self.busy_keys = busy_keys
-        self.avoid_until_ms: dict[str, int] = {}
+        # By name and incarnation: a process that was started again is not avoided.
+        self.avoid_until_ms: dict[tuple[str, int], int] = {}
         # Live entries and busy keys that the cached rankings were computed from.
         self._ranked_entries: Sequence[EntryRow] | None = None
         self._ranked_keys: Sequence[str] = ()
@@ -57,8 +58,8 @@
         """
         now_ms = self.clock.now_ms()
         for row in self._ranking(key, data_centre):
-            is_avoided = self.avoid_until_ms.get(row.name, 0) > now_ms
-            if row.name not in tried and not is_avoided:
+            avoid_until_ms = self.avoid_until_ms.get(row.process, 0)
+            if row.name not in tried and avoid_until_ms <= now_ms:
                 return row
         return None
 
@@ -67,8 +68,12 @@
         return next(iter(self._ranking(key, "")), None)
 
     def exclude(self, owner: EntryRow, detail: str) -> None:
-        """Skip an entry that did not reply for the next ``AVOIDANCE_MS``."""
-        self.avoid_until_ms[owner.name] = self.clock.now_ms() + AVOIDANCE_MS
+        """Skip a process that did not reply for the next ``AVOIDANCE_MS``."""
+        now_ms = self.clock.now_ms()
+        for key, until_ms in list(self.avoid_until_ms.items()):
+            if until_ms <= now_ms:
+                del self.avoid_until_ms[key]
+        self.avoid_until_ms[owner.process] = now_ms + AVOIDANCE_MS
         events.log(events.PEER_LOST, peer=owner.name, detail=detail)
 
     def _ranking(self, key: str, data_centre: str) -> list[EntryRow]:
