State the requests in progress to a restarted owner before it grants

Callers saw: an owner of the grants of brittle targets that was restarted could grant slots that requests of other entries held. Cause: an entry states its requests to an owner that it has not told yet at once, and to one that it has told each second. It knew the owner by name only, so the new process of the same name was told up to a second later, while it begins to grant after 400 ms (GATHER_MS). Change: the entry keeps the name and the incarnation of the owner that it told. Measured: test_restarted_owner_is_told_what_is_in_progress_before_it_grants failed before (0 of 2 requests known after 400 ms) and passes.

--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -19,6 +19,7 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.brittle_slots import BrittleSlots
@@ -89,7 +90,7 @@
         numbers: Numbers of the requests in progress.
         asked: Numbers of the requests that wait for a grant.
         ended_ms_by_number: When requests in progress end at the target.
-        owner: Name of the entry that was told last; empty if none was.
+        owner: Name and incarnation of the entry that was told last; None if none was.
         told_ms: When that was.
         rejected: Whether the target turned a request away that was not reported.
         is_reporting: Whether a report to the owner is on its way.
@@ -99,7 +100,7 @@
     numbers: set[int] = attrs.field(factory=set)
     asked: set[int] = attrs.field(factory=set)
     ended_ms_by_number: dict[int, int] = attrs.field(factory=dict)
-    owner: str = ""
+    owner: tuple[str, int] | None = None
     told_ms: int = 0
     rejected: bool = False
     is_reporting: bool = False
@@ -321,7 +322,7 @@
             for held in list(self.held_by_target.values()):
                 if self.limits.max_rejections(held.row) is None:
                     # No longer brittle; nobody counts its requests.
-                    held.owner, held.rejected = "", False
+                    held.owner, held.rejected = None, False
                     self._drop_ended(held)
                     self._drop_unused(held)
                 elif self._is_report_due(held):
@@ -343,7 +344,7 @@
         if self._drop_ended(held):
             return True
         owner = self.owners.owner(ownership_key(held.row.service))
-        is_known = owner is not None and owner.name == held.owner
+        is_known = owner is not None and owner.process == held.owner
         age_ms = self.clock.now_ms() - held.told_ms
         return held.rejected or not is_known or age_ms >= STATEMENT_INTERVAL_MS
 
@@ -418,7 +419,7 @@
         owner = self.owners.owner(key)
         for _ in range(2):
             if owner is None or owner.name == self.name:
-                self._record_told(row, self.name, message)
+                self._record_told(row, owner, message)
                 return self.granter.handle(message)
             try:
                 grant = await self.link.call(owner.address, message, CALL_TIMEOUT_MS)
@@ -427,15 +428,18 @@
                     self.owners.exclude(owner, str(error))
             else:
                 if isinstance(grant, SendGrant):
-                    self._record_told(row, owner.name, message)
+                    self._record_told(row, owner, message)
                     return grant
             owner = self.owners.owner(key, (owner.name,), self.data_centre)
         return SendGrant(False, UNREACHABLE_RETRY_MS)
 
-    def _record_told(self, row: TargetRow, owner: str, message: RequestGrant) -> None:
+    def _record_told(
+        self, row: TargetRow, owner: EntryRow | None, message: RequestGrant
+    ) -> None:
         held = self.held_by_target.get(row.name)
         if held is not None and message.entry:
-            held.owner, held.told_ms = owner, self.clock.now_ms()
+            held.owner = None if owner is None else owner.process
+            held.told_ms = self.clock.now_ms()
             held.rejected = held.rejected and not message.rejected
 
 
