Let an owner that was cut off leave brittle targets to its successor

One that others still ask stays the owner, so brittle targets are used as before while all control members are down. The fixture of the fleet tests passes the same condition as RelayEntry does. Limits of requests a second stay as they are: two owners exceed them by requests of a machine that is lost only. Measured: test_owner_that_was_cut_off_leaves_a_target_to_its_successor failed before and passes; test_owner_without_control_members_serves_the_others fails if only the control members are asked about.

--- a/tests/test_brittle_owners.py
+++ b/tests/test_brittle_owners.py
@@ -9,8 +9,13 @@
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.brittle_slots import GATHER_MS
-from wagtailrun.relay.send_grants import GrantClient, SendGranter
+from wagtailrun.relay.brittle_slots import GATHER_MS, SETTLED_MS
+from wagtailrun.relay.send_grants import (
+    FALLBACK_SHARE,
+    HEARD_MS,
+    GrantClient,
+    SendGranter,
+)
 from wagtailrun.virtual_time import run_virtual
 
 ROW = TargetRow("t1", Address("10.0.0.1", 80), "s", "a", 4, incarnation=3)
@@ -32,6 +37,7 @@
         self.owner = ranked.preferred(ownership_key("s")).name
         self.others = [row.name for row in self.rows if row.name != self.owner]
         self.clients_by_name = {}
+        self.out_of_touch = set()
         self.tasks = []
 
     async def start(self):
@@ -43,7 +49,13 @@
         limits = TargetLimits(self.clock)
         limits.record_brittleness(ROW, self.max_rejections, self.clock.now_ms())
         owners = Owners(self.clock, lambda: self.rows)
-        granter = SendGranter(self.clock, limits, seed=1)
+        granter = SendGranter(
+            self.clock,
+            limits,
+            lambda service: 1.0 if row.name == self.owner else FALLBACK_SHARE,
+            seed=1,
+            is_out_of_touch=lambda: row.name in self.out_of_touch,
+        )
         link = self.network.link(row.address)
         client = GrantClient(link, row.name, "a", owners, granter, limits)
 
@@ -61,16 +73,31 @@
         self.rows = tuple(new if each is row else each for each in self.rows)
         await self.start_entry(new)
 
-    async def send(self, name):
-        """Ask for grants until one is granted."""
+    async def ask(self, name):
+        """Return whether an entry is granted a request, which stays in progress."""
         client = self.clients_by_name[name]
-        while True:
-            number = client.begin(ROW)
-            grant = await client.request(ROW, LEAST_URGENT, number)
-            if grant.granted:
-                return
+        number = client.begin(ROW)
+        grant = await client.request(ROW, LEAST_URGENT, number)
+        if not grant.granted:
             client.withdraw(ROW, number)
-            await self.clock.sleep_ms(grant.wait_ms)
+        return grant.granted
+
+    async def send(self, name):
+        """Ask for a grant until there is one."""
+        while not await self.ask(name):
+            await self.clock.sleep_ms(SETTLED_MS)
+
+    def cut_off(self, name):
+        """Cut an entry off from the other ones and from the control members."""
+        address = next(row.address for row in self.rows if row.name == name)
+        for row in self.rows:
+            if row.name != name:
+                self.network.cut(address, row.address)
+        self.out_of_touch.add(name)
+
+    def heal(self):
+        self.network.heal()
+        self.out_of_touch.clear()
 
     def counted(self, name):
         """Return the requests in progress that an entry counts at the target."""
@@ -104,3 +131,34 @@
 
     counted, in_progress = play(scenario)
     assert counted == in_progress
+
+
+def test_owner_that_was_cut_off_leaves_a_target_to_its_successor():
+    """Guards against a target that two owners fill, one of them cut off.
+
+    The one that is cut off still reaches the target.
+    """
+
+    async def scenario(fleet):
+        await fleet.send(fleet.owner)
+        await fleet.send(fleet.others[0])
+        await fleet.clock.sleep_ms(SETTLED_MS + 1)
+        before = await fleet.ask(fleet.owner)
+        fleet.cut_off(fleet.owner)
+        await fleet.clock.sleep_ms(HEARD_MS + SETTLED_MS)
+        return before, await fleet.ask(fleet.owner)
+
+    assert play(scenario) == (True, False)
+
+
+def test_owner_without_control_members_serves_the_others():
+    """Guards against targets that are left idle because no control member replies."""
+
+    async def scenario(fleet):
+        for name in fleet.others:
+            await fleet.send(name)
+        fleet.out_of_touch = {row.name for row in fleet.rows}
+        await fleet.clock.sleep_ms(2 * HEARD_MS)
+        return await fleet.ask(fleet.owner)
+
+    assert play(scenario)
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -110,7 +110,9 @@
         self.view = fleet.controls.view(self.row)
         limits = self.view.limits
         owners = self.owners = Owners(clock, self.view.live_entries)
-        self.granter = SendGranter(clock, limits, self.share, number)
+        self.granter = SendGranter(
+            clock, limits, self.share, number, lambda: self.view.is_out_of_touch
+        )
         grants = GrantClient(
             self.link,
             self.row.name,
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -185,6 +185,11 @@
         """Whether targets may have changed their versions unnoticed."""
         return not 0 <= self.update_age_ms < OUT_OF_STEP_MS
 
+    @property
+    def is_out_of_touch(self) -> bool:
+        """Whether the other entries may have dropped this one unnoticed."""
+        return self.is_out_of_step and len(self.entries) > 1
+
     @property
     def is_outdated(self) -> bool:
         """Whether a newer configuration should have been in force here by now.
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -134,7 +134,12 @@
         self.busy_keys: tuple[str, ...] = ()
         self.busy_keys_table: RouteTable | None = None
         self.owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
-        self.granter = SendGranter(self.clock, self.view.limits, self._grant_share)
+        self.granter = SendGranter(
+            self.clock,
+            self.view.limits,
+            self._grant_share,
+            is_out_of_touch=lambda: self.view.is_out_of_touch,
+        )
         self.grants = GrantClient(
             self.link,
             settings.name,
--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -46,8 +46,14 @@
 # Share of a limit that entries other than the owner grant, all data centres together.
 # Some entries may still reach the owner.
 FALLBACK_SHARE = 0.5
+# Share of the slots of brittle targets that an owner grants which was cut off: its
+# successor grants all of them.
+CUT_OFF_SHARE = 0.1
 # The owner replies within a few milliseconds.
 CALL_TIMEOUT_MS = 150
+# An owner that is out of touch with the control members is still the owner if another
+# entry has asked it within this time, in which the others agree on a successor.
+HEARD_MS = 2_000
 # Entries that reach no other one ask again after this time.
 UNREACHABLE_RETRY_MS = 300
 MAX_BUCKETS = 4_096
@@ -114,6 +120,8 @@
         limits: Limits of the targets.
         share: Returns the share of the limits of a service that this process grants.
         seed: Seed of the times at which requests return that were denied.
+        is_out_of_touch: Returns whether other entries may have another owner, as no
+            control member replies here.
     """
 
     def __init__(
@@ -122,18 +130,40 @@
         limits: TargetLimits,
         share: Callable[[str], float] = lambda service: 1.0,
         seed: int | None = None,
+        is_out_of_touch: Callable[[], bool] = lambda: False,
     ):
         self.clock = clock
         self.limits = limits
         self.share = share
+        self.is_out_of_touch = is_out_of_touch
+        # When another entry last asked.
+        self.heard_ms = clock.now_ms()
         self.random = random.Random(seed)
         self.buckets_by_target: dict[str, _Bucket] = {}
         self.slots = BrittleSlots(clock, limits, self.random)
 
-    def handle(self, message: RequestGrant) -> SendGrant:
-        """Return whether a request may be sent; a grant is used up at once."""
+    def slot_share(self, service: str) -> float:
+        """Return the share of the slots of a service's brittle targets to grant now.
+
+        An owner that was cut off does not know the requests that its successor grants.
+        """
+        share = self.share(service)
+        is_heard = self.clock.now_ms() - self.heard_ms < HEARD_MS
+        if is_heard or not self.is_out_of_touch():
+            return share
+        return min(share, CUT_OFF_SHARE)
+
+    def handle(self, message: RequestGrant, *, local: bool = False) -> SendGrant:
+        """Return whether a request may be sent; a grant is used up at once.
+
+        Args:
+            message: The request, or what an entry states.
+            local: Whether it is of this entry.
+        """
+        if not local:
+            self.heard_ms = self.clock.now_ms()
         self.limits.merge([message.limit], local=True)
-        grant = self.slots.handle(message, self.share(message.service))
+        grant = self.slots.handle(message, self.slot_share(message.service))
         if grant is not None and not grant.granted:
             return grant
         if message.is_report:
@@ -150,7 +180,7 @@
             entries: Names of the live entries.
         """
         for service in list(self.slots.shares_by_service):
-            self.slots.note_share(service, self.share(service))
+            self.slots.note_share(service, self.slot_share(service))
         self.slots.note_entries(entries)
 
     def _grant_rate(self, message: RequestGrant) -> SendGrant:
@@ -420,7 +450,7 @@
         for _ in range(2):
             if owner is None or owner.name == self.name:
                 self._record_told(row, owner, message)
-                return self.granter.handle(message)
+                return self.granter.handle(message, local=True)
             try:
                 grant = await self.link.call(owner.address, message, CALL_TIMEOUT_MS)
             except PeerUnreachable as error:
