Grant what a brittle target accepted only once all requests are counted

Cause, from the trace: e40 was in touch again at 26,868 ms. It counts for 400 ms before it grants, but not if it knows of fewer requests in progress than the target has accepted at once. It knew of none, as its successor e9 had granted the three that were in progress, so it granted two within 12 ms; the fifth request for four slots was the rejection. Change: what a target has accepted says that there is room only while the process knows all requests in progress: an owner after 400 ms, a stand-in after 3 s, as for other requests.

--- a/tests/test_brittle_owners.py
+++ b/tests/test_brittle_owners.py
@@ -162,3 +162,26 @@
         return await fleet.ask(fleet.owner)
 
     assert play(scenario)
+
+
+def test_owner_that_returns_counts_before_it_grants():
+    """Guards against grants of an owner that returns beside those of its successor.
+
+    It takes the room that it knew as accepted for free.
+    """
+
+    async def scenario(fleet):
+        await fleet.send(fleet.owner)
+        await fleet.send(fleet.owner)
+        client = fleet.clients_by_name[fleet.owner]
+        fleet.cut_off(fleet.owner)
+        await fleet.clock.sleep_ms(2 * HEARD_MS)
+        for number in list(client.held_by_target[ROW.name].numbers):
+            await client.end(ROW, number, completed=True)
+        await fleet.clock.sleep_ms(SETTLED_MS)
+        fleet.heal()
+        early = await fleet.ask(fleet.others[0])
+        await fleet.clock.sleep_ms(GATHER_MS)
+        return early, await fleet.ask(fleet.others[0])
+
+    assert play(scenario) == (False, True)
--- a/wagtailrun/relay/brittle_slots.py
+++ b/wagtailrun/relay/brittle_slots.py
@@ -298,7 +298,9 @@
             return 0
         undecided = in_progress - target.count(now_ms - SETTLED_MS)
         at_once = max(int(bound * share), int(is_complete))
-        if in_progress < target.proven or undecided < at_once:
+        # Other processes may have granted the room that this one saw in use.
+        accepted = target.proven if is_complete else 0
+        if in_progress < accepted or undecided < at_once:
             return 0
         interval_ms = SETTLED_MS // max(at_once, 1)
         return target.returns.add(message.urgency, now_ms, interval_ms, interval_ms)
