Split streams in linear time, with turns for other tasks between events

EventSplitter.feed searched the whole buffer again with each chunk, made an event of each blank line, and the relay handled all events of a chunk of 64 KB in one turn: fairness.Turns counted reads only. Now a search goes on where the last one ended, blank lines that arrive together are one block, and each event counts as a step of a turn.

--- a/wagtailrun/relay/events_split.py
+++ b/wagtailrun/relay/events_split.py
@@ -1,6 +1,7 @@
 """Splits the bytes of a server-sent event stream into complete events, unchanged."""
 
 import re
+from collections.abc import Iterator
 
 import attrs
 
@@ -9,7 +10,11 @@
 __all__ = ["EventSplitter", "StreamEvent"]
 
 MAX_EVENT_BYTES = 1024 * 1024
-EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# An event ends at its first blank line. All blank lines that have arrived with it are a
+# part of the same block, as each block costs as much as an event.
+EVENT_END = re.compile(rb"(?:(?:\r\n|\n)(?:\r\n|\n)|\r\r)[\r\n]*")
+# An incomplete event ends with at most these bytes of an EVENT_END.
+MAX_PARTIAL_END_BYTES = len(b"\r\n\r")
 HTTP_HEAD = re.compile(rb"HTTP/1\.[01] \d{3}[^\r\n]*")
 EVENT_LINE = re.compile(rb"(?:id|data|event|retry)?:")
 EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?(\d{1,18})(?=[\r\n]|$)")
@@ -42,29 +47,31 @@
 
 
 class EventSplitter:
-    """Buffers bytes until an event is complete."""
+    """Buffers bytes until an event is complete.
+
+    The work for each byte does not depend on the size of the event that it belongs to.
+    """
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
 
-    def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Return the events that ``chunk`` completes.
+    def feed(self, chunk: bytes) -> Iterator[StreamEvent]:
+        """Yield the events that ``chunk`` completes; call again once all were taken.
 
         Raises:
             TargetFailed: If an event is larger than ``MAX_EVENT_BYTES``.
         """
+        scanned = max(len(self.buffer) - MAX_PARTIAL_END_BYTES, 0)
         self.buffer += chunk
-        found = []
         start = 0
-        for end in EVENT_END.finditer(self.buffer):
-            data = self.buffer[start : end.end()]
-            match = EVENT_ID.search(data)
-            found.append(StreamEvent(data, int(match.group(1)) if match else None))
+        while end := EVENT_END.search(self.buffer, max(scanned, start)):
+            data = bytes(self.buffer[start : end.end()])
             start = end.end()
-        self.buffer = self.buffer[start:]
+            match = EVENT_ID.search(data)
+            yield StreamEvent(data, int(match.group(1)) if match else None)
+        del self.buffer[:start]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise TargetFailed(
                 f"an event of the stream exceeds {MAX_EVENT_BYTES} bytes",
                 verdict=Verdict.MAY_HAVE_RUN,
             )
-        return found
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -1,7 +1,6 @@
 """Streams of relayed requests: complete events, resumed within one answer."""
 
 import functools
-import itertools
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 
@@ -21,6 +20,7 @@
     Verdict,
     VersionMismatch,
 )
+from wagtailrun.fairness import Turns
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
 from wagtailrun.relay.events_split import EventSplitter, StreamEvent
@@ -249,6 +249,7 @@
             TargetFailed: If the stream ended early or stalled.
         """
         splitter = EventSplitter()
+        turns = Turns()
         event_due_ms = self._event_due_ms(job, state)
         overdue_bytes = 0
         while True:
@@ -273,8 +274,7 @@
                     detail = "the stream ended in the middle of an event"
                     raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
                 return
-            received = splitter.feed(chunk)
-            sound = list(itertools.takewhile(state.is_event, received))
+            sound, is_intact = await self._take_events(splitter, chunk, state, turns)
             if sound and continuation is not None:
                 await self._check_continuation(continuation, attempt)
                 continuation = None
@@ -286,7 +286,7 @@
                 state.events_sent = True
                 job.progress = AnswerProgress.EVENTS
                 yield b"".join(event.data for event in found)
-            if len(sound) < len(received):
+            if not is_intact:
                 detail = "the stream has bytes that are no event"
                 raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
             if not found:
@@ -296,6 +296,21 @@
             event_due_ms = self._event_due_ms(job, state)
             overdue_bytes = 0
 
+    async def _take_events(
+        self, splitter: EventSplitter, chunk: bytes, state: "_StreamState", turns: Turns
+    ) -> tuple[list[StreamEvent], bool]:
+        """Return the events that a chunk completes, and whether that is all it has.
+
+        One chunk may complete thousands of events, so other tasks get turns meanwhile.
+        """
+        events_found = []
+        for event in splitter.feed(chunk):
+            if not state.is_event(event):
+                return events_found, False
+            events_found.append(event)
+            await turns.take(len(event.data))
+        return events_found, True
+
     async def _check_continuation(
         self, continuation: Continuation, attempt: Attempt
     ) -> None:
