Ask at each read of a target's bytes whether the request's time is over

A limit held only when the sender paused: with no time left, a read still returned what was at hand, and the flood of a target always has something at hand. Reads with a limit of 1 s ended after 1.4, 4.9 and 5.0 s.

_Connection.next_event, through which all bytes of targets come, now knows the deadline of the request (HttpClient.open(deadline_ms=...)). What is still returned after it is bounded by MAX_LATE_BYTES, so that an answer that arrived while the process stood still goes out as before. Received bytes reach the parser before a time limit can end the read, so that a caller that reads on misses none. HttpClient.request now has one time limit for the head and the body together.

tests/test_unending_bytes.py, new: of its cells for complete answers, "small chunks-flood" failed before for client, call and stage call. The other parts, and senders that drip, held before.

--- /dev/null
+++ b/tests/test_unending_bytes.py
@@ -0,0 +1,259 @@
+"""Tests of senders whose bytes have no end: all that they delay is their own request.
+
+Each cell is one reader, one part of an answer and one pace. While the bytes are read,
+other tasks get turns, and the reader ends soon after its deadline, whatever is sent.
+"""
+
+import socket
+import threading
+import time
+from contextlib import suppress
+
+import curio
+import pytest
+from wagtail_platform.stage_calls import PlatformStageClient
+
+from demo.processes import free_addresses
+from tests.test_floods import (
+    chunked,
+)
+from tests.test_relay_front import run_relay, send
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_server import HttpServer, Response
+from wagtailrun.adapters.http_target import HttpTargetClient
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
+from wagtailrun.ports.target import Attempt
+from wagtailrun.routes import RouteKind
+from wagtailrun.stages.port import StageItem
+
+pytestmark = pytest.mark.network
+
+DEADLINE_MS = 400
+# A request ends at the latest this long after its deadline.
+MARGIN_S = 0.5
+# Other tasks wait at the latest this long for a turn.
+TURN_S = 0.25
+# Time after which a cell fails in any case.
+GIVE_UP_S = 4.0
+PIECE_BYTES = 64 * 1024
+DRIP_S = 0.01
+
+FIELDS = (
+    b"Wagtailrun-Attempt: 7\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+)
+HEAD = b"HTTP/1.1 200 OK\r\n" + FIELDS
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+EVENT = b'id: 1\ndata: {"offset": 0, "text": "a"}\n\n'
+
+
+STREAM_HEAD = HEAD + CHUNKED
+FIRST_EVENT = STREAM_HEAD + chunked(EVENT)
+# By name: what is sent once, and what is sent without end.
+PARTS = {
+    "lines of a head": (HEAD, b"A: b\r\n"),
+    "a line of a head": (HEAD + b"A: ", b"x"),
+    "interim heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "body with a length": (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x" * 99),
+    "body without a length": (HEAD + b"\r\n", b"x" * 99),
+    "large chunks": (HEAD + CHUNKED, chunked(b"x" * 16_384)),
+    "small chunks": (HEAD + CHUNKED, chunked(b"x" * 8)),
+    "chunk extension": (HEAD + CHUNKED + b"1;", b"x"),
+    "trailers": (HEAD + CHUNKED + b"0\r\n", b"A: b\r\n"),
+    "bytes after the body": (HEAD + b"Content-Length: 2\r\n\r\n{}", b"x"),
+    "body of an error": (
+        b"HTTP/1.1 500 Failure\r\n" + FIELDS + CHUNKED,
+        chunked(b"x" * 16_384),
+    ),
+}
+
+
+class Sender:
+    """Sends the bytes of a cell to each connection, from threads of its own.
+
+    Args:
+        first: Sent once.
+        more: Sent without end.
+        drips: Whether to pause after each time.
+    """
+
+    def __init__(self, first, more, drips):
+        self.first = first
+        self.more = more if drips else more * (PIECE_BYTES // len(more) or 1)
+        self.pause_s = DRIP_S if drips else 0.0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self.listener.getsockname())
+
+    def __enter__(self):
+        threading.Thread(target=self.accept, daemon=True).start()
+        return self
+
+    def __exit__(self, *error):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def accept(self):
+        with suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                threading.Thread(target=self.answer, args=(sock,), daemon=True).start()
+
+    def answer(self, sock):
+        with suppress(OSError), sock:
+            sock.recv(PIECE_BYTES)
+            self.send(sock)
+
+    def call(self, address):
+        """Send the bytes to a server instead."""
+        with socket.create_connection((address.host, address.port)) as sock:
+            threading.Thread(target=drain, args=(sock,), daemon=True).start()
+            with suppress(OSError):
+                self.send(sock)
+
+    def send(self, sock):
+        sock.sendall(self.first)
+        while True:
+            sock.sendall(self.more)
+            time.sleep(self.pause_s)
+
+
+def drain(sock):
+    with suppress(OSError):
+        while sock.recv(PIECE_BYTES):
+            pass
+
+
+class Others:
+    """Measures the longest time for which other tasks get no turn."""
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def run(self):
+        while True:
+            before_s = time.monotonic()
+            await curio.sleep(0.01)
+            self.longest_s = max(self.longest_s, time.monotonic() - before_s)
+
+
+async def measure(read):
+    """Run ``read``; return its duration and the longest time without a turn."""
+    others = Others()
+    watch = await curio.spawn(others.run)
+    started_s = time.monotonic()
+    with suppress(TargetFailed):
+        async with curio.ignore_after(GIVE_UP_S):
+            await read()
+    took_s = time.monotonic() - started_s
+    await watch.cancel()
+    return took_s, others.longest_s
+
+
+def check(took_s, longest_s):
+    # Bytes that are held belong to the tests of memory.
+    assert took_s <= DEADLINE_MS / 1_000 + MARGIN_S
+    assert longest_s <= TURN_S
+
+
+ATTEMPT = Attempt(7, "r", "/v1/x", b"{}", remaining_ms=DEADLINE_MS)
+
+
+async def read_request(address):
+    await HttpClient().request(address, "GET", "/", timeout_ms=DEADLINE_MS)
+
+
+async def read_call(address):
+    await HttpTargetClient(HttpClient()).call(address, ATTEMPT)
+
+
+async def read_stage_call(address):
+    row = TargetRow("t", address, "s", "a", 1)
+    item = StageItem("r", 0, 0, 1_000, "k", None)
+    await PlatformStageClient(HttpClient()).run(row, [item], DEADLINE_MS)
+
+
+def relayed(kind, **options):
+    def run(sender):
+        row = TargetRow("t", sender.address, "s", "a", 4, software_version="v1")
+
+        async def client(address, fleet):
+            return await measure(lambda: send(address))
+
+        return run_relay(
+            kind,
+            [],
+            client,
+            view={"rows": [row]},
+            timeout_ms=DEADLINE_MS,
+            aim_ms=DEADLINE_MS // 2,
+            **options,
+        )
+
+    return run
+
+
+def direct(read):
+    def run(sender):
+        async def main():
+            return await measure(lambda: read(sender.address))
+
+        return curio.run(main)
+
+    return run
+
+
+READERS = {
+    "client": direct(read_request),
+    "call": direct(read_call),
+    "stage call": direct(read_stage_call),
+    "relayed order": relayed(RouteKind.ORDER),
+    "relayed query": relayed(RouteKind.IDEMPOTENT),
+}
+
+
+@pytest.mark.parametrize("drips", [False, True], ids=["flood", "drips"])
+@pytest.mark.parametrize("part", PARTS)
+@pytest.mark.parametrize("reader", READERS)
+def test_answer_without_end_delays_only_its_request(reader, part, drips):
+    """Guards against a target that stops others, or outlasts a deadline, by bytes."""
+    with Sender(*PARTS[part], drips) as sender:
+        check(*READERS[reader](sender))
+
+
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+CALLER_PARTS = {
+    "lines of a head": (POST, b"A: b\r\n"),
+    "blank lines": (b"", b"\r\n"),
+    "body with a length": (POST + b"Content-Length: 99999\r\n\r\n", b"x"),
+    "small chunks": (POST + CHUNKED, chunked(b"x")),
+    "chunk extension": (POST + CHUNKED + b"1;", b"x"),
+    "trailers": (POST + CHUNKED + b"0\r\n", b"A: b\r\n"),
+    "requests": (b"", POST + b"Content-Length: 1\r\n\r\nx"),
+}
+
+
+@pytest.mark.parametrize("drips", [False, True], ids=["flood", "drips"])
+@pytest.mark.parametrize("part", CALLER_PARTS)
+def test_caller_without_end_delays_no_others(part, drips):
+    """Guards against a caller that stops the others by bytes without end."""
+
+    async def handle(request):
+        return Response(200, b"ok")
+
+    async def main():
+        (address,) = free_addresses(1)
+        server = HttpServer(address, handle)
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0.05)
+        with Sender(*CALLER_PARTS[part], drips) as sender:
+            threading.Thread(target=sender.call, args=(address,), daemon=True).start()
+
+            async def ask():
+                for _ in range(20):
+                    await HttpClient().request(address, "GET", "/", timeout_ms=9_000)
+                    await curio.sleep(0.01)
+
+            return await measure(ask)
+
+    check(*curio.run(main))
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -45,6 +45,15 @@
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 # Largest body of an answer to another request that is skipped.
 MAX_SKIPPED_BYTES = 1024 * 1024
+# What may still be read of a response after its time is over: bytes that had arrived
+# before, while this process stood still. The receive buffer of a connection that is not
+# read holds less: Linux starts with 128 KB and enlarges it only for a reader.
+MAX_LATE_BYTES = 512 * 1024
+# Each read and each event counts as this many bytes at least. They bound the time of
+# late reads whatever is sent: 64 reads, which may wait for 1 ms each, and 2,048 events.
+LATE_READ_BYTES = 8 * 1024
+LATE_EVENT_BYTES = 256
+LATE_WAIT_MS = 1
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_CONNECTIONS = 32
@@ -160,14 +169,15 @@
         ends_ms = clock.now_ms() + timeout_ms
         await self.read_all(timeout_ms, MAX_SKIPPED_BYTES)
         self.connection.restart_parser()
-        head = await self.connection.read_head(max(ends_ms - clock.now_ms(), 1))
+        head = await self.connection.read_head(ends_ms - clock.now_ms())
         return HttpStream(self.connection, head, self.observe)
 
     async def read(self, timeout_ms: int) -> bytes:
         """Return the next piece of the body; empty at the end of a complete body.
 
         Args:
-            timeout_ms: Time limit for the next piece, in milliseconds.
+            timeout_ms: Time limit for the next piece, in milliseconds; 0 or less if
+                the time is over, see ``_Connection.next_event``.
 
         Raises:
             TargetFailed: If the connection failed or nothing was received in time.
@@ -183,14 +193,21 @@
             closed=True,
         )
 
+    def count_events(self, count: int) -> None:
+        """Count events that the body consists of; each costs as much as a chunk.
+
+        Raises:
+            TargetFailed: If they are too many for bytes that are read late.
+        """
+        self.connection.count_late(count * LATE_EVENT_BYTES)
+
     async def read_all(
         self, timeout_ms: int, max_bytes: int = MAX_REPLY_BYTES
     ) -> bytes:
         """Return the rest of the body.
 
         Args:
-            timeout_ms: Time limit for the whole rest, in milliseconds. Bytes that have
-                arrived by then are still read, also after a pause of the process.
+            timeout_ms: Time limit for the whole rest, in milliseconds.
             max_bytes: Largest size of the rest.
 
         Raises:
@@ -201,7 +218,7 @@
         ends_ms = clock.now_ms() + timeout_ms
         pieces = []
         size = 0
-        while piece := await self.read(max(ends_ms - clock.now_ms(), 1)):
+        while piece := await self.read(ends_ms - clock.now_ms()):
             pieces.append(piece)
             size += len(piece)
             if size > max_bytes:
@@ -377,13 +394,22 @@
 
 
 class _Connection:
-    """A connection to a server, which carries one request at a time."""
+    """A connection to a server, which carries one request at a time.
+
+    All bytes of servers are read here, so that one place knows whether the time of a
+    request is over.
+    """
 
     def __init__(self, sock: Any, clock: Clock, carrier: Address | None = None):
         self.sock = sock
         self.carrier = carrier
         self.clock = clock
         self.turns = Turns()
+        # When the request that is carried ends, on the clock; None without such a time.
+        self.deadline_ms: int | None = None
+        # Whether the newest read was late, and the bytes since the time was over.
+        self.is_late = False
+        self.late_bytes = 0
         # Whether the connection must not carry another request. The peer that carries
         # it decides about each request.
         self.closing = carrier is not None
@@ -426,7 +452,7 @@
         """
         ends_ms = self.clock.now_ms() + timeout_ms
         for _ in range(MAX_INTERIM_RESPONSES + 1):
-            event = await self.next_event(max(ends_ms - self.clock.now_ms(), 1))
+            event = await self.next_event(ends_ms - self.clock.now_ms())
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -443,8 +469,30 @@
         poll.register(self.sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def set_deadline(self, deadline_ms: int) -> None:
+        """Set when the next request ends, on the clock."""
+        self.deadline_ms = deadline_ms
+        self.late_bytes = 0
+
     async def next_event(self, timeout_ms: int) -> Any:
-        """Return the next h11 event; raises TargetFailed, see ``read_head``."""
+        """Return the next h11 event.
+
+        Args:
+            timeout_ms: Time limit, in milliseconds; the request's deadline applies,
+                too. Once it is over, 0 or less, only what has arrived is returned, up
+                to ``MAX_LATE_BYTES`` until the caller has time again.
+
+        Raises:
+            TargetFailed: If the connection failed or the time is over.
+        """
+        if self.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, self.deadline_ms - self.clock.now_ms())
+        self.is_late = timeout_ms <= 0
+        if self.is_late:
+            timeout_ms = LATE_WAIT_MS
+        else:
+            self.late_bytes = 0
+        self.count_late(LATE_EVENT_BYTES)
         try:
             # Most events are already in the buffer; setting a timeout for each of them
             # would cost as much as reading it.
@@ -454,13 +502,17 @@
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 while event is h11.NEED_DATA:
                     data = await self.sock.recv(READ_BYTES)
-                    await self.turns.take(len(data))
+                    # Before the time may end here: the caller may read on later.
                     self.received_end = not data
                     self.http.receive_data(data)
+                    self.count_late(max(len(data), LATE_READ_BYTES))
+                    await self.turns.take(len(data))
                     event = self.http.next_event()
                 return event
         except curio.TaskTimeout as error:
-            detail = f"nothing received for {timeout_ms} ms"
+            detail = "nothing received in time"
+            if not self.is_late:
+                detail = f"nothing received for {timeout_ms} ms"
             raise TargetFailed(
                 detail, verdict=Verdict.MAY_HAVE_RUN, timed_out=True
             ) from error
@@ -471,6 +523,21 @@
                 closed=isinstance(error, OSError) or self.received_end,
             ) from error
 
+    def count_late(self, size: int) -> None:
+        """Count bytes, if they are read though the time is over.
+
+        Raises:
+            TargetFailed: If they are more than can have arrived in time.
+        """
+        if self.is_late:
+            self.late_bytes += size
+        if self.late_bytes > MAX_LATE_BYTES:
+            raise TargetFailed(
+                "the response goes on after its time is over",
+                verdict=Verdict.MAY_HAVE_RUN,
+                timed_out=True,
+            )
+
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request."""
         is_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
@@ -521,8 +588,8 @@
             path: Path with query.
             headers: Additional headers.
             body: Body, sent with Content-Length.
-            timeout_ms: Time limit for each step: sending the request, receiving the
-                head and receiving the body; in milliseconds.
+            timeout_ms: Time limit for sending the request and receiving the whole
+                response, in milliseconds.
             new_connection: Whether to bypass the pool of idle connections.
             host: Value of the Host header; by default the address.
             connect_timeout_ms: Time limit for a new connection, in milliseconds.
@@ -567,6 +634,7 @@
         identity: str = "",
         confirmed: bool = True,
         takes_slot: bool = True,
+        deadline_ms: int | None = None,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as a stream; see ``request``.
 
@@ -577,7 +645,7 @@
             headers: Additional headers, or what returns them when the connection is
                 open.
             body: Body, sent with Content-Length.
-            timeout_ms: Time limit for each step, in milliseconds.
+            timeout_ms: Time limit for sending and for the head, in milliseconds.
             new_connection: Whether to bypass the pool of idle connections.
             host: Value of the Host header; by default the address.
             connect_timeout_ms: Time limit for a new connection, in milliseconds.
@@ -590,6 +658,8 @@
             confirmed: Whether every response belongs to the request. If not, the caller
                 calls ``HttpStream.confirm`` for the one that does.
             takes_slot: Whether the request waits for a slot of the server and takes it.
+            deadline_ms: When the response ends, its body included, on the clock; by
+                default ``timeout_ms`` after the connection is open.
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
@@ -621,6 +691,9 @@
             )
             request = h11.Request(method=method, target=path, headers=fields)
             sent_ms = self.clock.now_ms()
+            if deadline_ms is None:
+                deadline_ms = sent_ms + timeout_ms
+            connection.set_deadline(deadline_ms)
             connection.requests += 1
             if identity:
                 connection.identities.append(identity)
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -512,6 +512,7 @@
                 make_headers,
                 job.http_request.body,
                 timeout_ms=left_ms,
+                deadline_ms=job.deadline_at_ms,
                 # A target may close a reused connection after running the request, and
                 # a late answer to an earlier request may arrive on it.
                 new_connection=not job.route.repeatable,
