Renew a stream's time only for new events, and never its deadline

Now only new events do, the deadline is fixed when the stream begins, and 2 MB without a new event end the attempt. Comments are still passed on. Comments and blank lines that arrive together are one block: 5,000 short ones in 15 KB cost as much as 5,000 events. After the deadline events count as chunks do.

Failed before in tests/test_unending_bytes.py: test_keep_alives_are_no_ progress (comments, blank lines); of the floods, for both kinds of relayed streams: an event in small chunks, lines of an event, blank lines, blank lines with CRLF, short and long comments, comments before an event, small chunks; large chunks for the one that cannot be resumed.

--- a/tests/test_unending_bytes.py
+++ b/tests/test_unending_bytes.py
@@ -15,7 +15,10 @@
 
 from demo.processes import free_addresses
 from tests.test_floods import (
+    FakeSocket,
     chunked,
+    fails_beside,
+    relayed_events,
 )
 from tests.test_relay_front import run_relay, send
 from wagtailrun.adapters.http_client import HttpClient
@@ -27,6 +30,7 @@
 from wagtailrun.ports.target import Attempt
 from wagtailrun.routes import RouteKind
 from wagtailrun.stages.port import StageItem
+from wagtailrun.virtual_time import run_virtual
 
 pytestmark = pytest.mark.network
 
@@ -67,6 +71,18 @@
         chunked(b"x" * 16_384),
     ),
 }
+# The same for streams, after their first event.
+STREAM_PARTS = {
+    "an event in large chunks": (FIRST_EVENT, chunked(b"x" * 16_384)),
+    "an event in small chunks": (FIRST_EVENT, chunked(b"x" * 8)),
+    "lines of an event": (FIRST_EVENT, chunked(b"x\n" * 4_096)),
+    "blank lines": (FIRST_EVENT, chunked(b"\n" * 16_384)),
+    "blank lines with CRLF": (FIRST_EVENT, chunked(b"\r\n" * 8_192)),
+    "short comments": (FIRST_EVENT, chunked(b":\n\n" * 5_000)),
+    "long comments": (FIRST_EVENT, chunked(b": %s\n\n" % (b"x" * 1_000) * 16)),
+    "comments before an event": (HEAD + CHUNKED, chunked(b":\n\n")),
+    "repeated events": (FIRST_EVENT, chunked(EVENT * 400)),
+}
 
 
 class Sender:
@@ -210,6 +226,10 @@
     "relayed order": relayed(RouteKind.ORDER),
     "relayed query": relayed(RouteKind.IDEMPOTENT),
 }
+STREAM_READERS = {
+    "relayed stream": relayed(RouteKind.STREAM),
+    "relayed resumable stream": relayed(RouteKind.STREAM, resumable=True),
+}
 
 
 @pytest.mark.parametrize("drips", [False, True], ids=["flood", "drips"])
@@ -221,6 +241,15 @@
         check(*READERS[reader](sender))
 
 
+@pytest.mark.parametrize("drips", [False, True], ids=["flood", "drips"])
+@pytest.mark.parametrize("part", PARTS | STREAM_PARTS)
+@pytest.mark.parametrize("reader", STREAM_READERS)
+def test_stream_without_end_delays_only_its_request(reader, part, drips):
+    """Guards against a stream that stops others, or outlasts a deadline, by bytes."""
+    with Sender(*(PARTS | STREAM_PARTS)[part], drips) as sender:
+        check(*STREAM_READERS[reader](sender))
+
+
 POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
 CALLER_PARTS = {
     "lines of a head": (POST, b"A: b\r\n"),
@@ -257,3 +286,60 @@
             return await measure(ask)
 
     check(*curio.run(main))
+
+
+class ListSocket(FakeSocket):
+    """Returns pieces, each after its pause in seconds; then the last one for ever."""
+
+    def __init__(self, *pieces):
+        # Time has to go on in ``fails_beside``.
+        super().__init__(b"", pause_s=pieces[-1][0])
+        self.pieces = list(pieces)
+
+    async def recv(self, size):
+        pause_s, data = self.pieces[0]
+        if len(self.pieces) > 1:
+            self.pieces.pop(0)
+        if pause_s:
+            await curio.sleep(pause_s)
+        return data
+
+
+COMMENT = (0.3, chunked(b": busy\n\n"))
+
+
+def numbered(number, pause_s=0.3):
+    return pause_s, chunked(b"id: %d\ndata: a\n\n" % number)
+
+
+@pytest.mark.parametrize("more", [COMMENT, numbered(1), (0.3, chunked(b"\n\n"))])
+def test_keep_alives_are_no_progress(more):
+    """Guards against a stream that is never resumed as comments renew its time."""
+    sock = ListSocket((0.0, STREAM_HEAD), numbered(1, 0.0), more)
+
+    async def read(clock):
+        await relayed_events(sock, clock, repeatable=True, deadline_ms=15_000)([])
+
+    _, took_ms, _ = fails_beside(read, sock)
+    # Four gaps of the route, until the next piece.
+    assert took_ms <= 4 * 250 + 10
+
+
+@pytest.mark.parametrize("take_s", [0.0, 3.0])
+def test_sound_stream_with_keep_alives_is_not_cut(take_s):
+    """Guards against a cut of a slow stream, or of one whose caller is slow."""
+    pieces = [(0.0, STREAM_HEAD)]
+    for number in range(1, 6):
+        pieces += [COMMENT, COMMENT, numbered(number)]
+    sock = ListSocket(*pieces, (0.0, b"0\r\n\r\n"))
+
+    async def main(clock):
+        found = []
+        read = relayed_events(
+            sock, clock, repeatable=True, deadline_ms=90_000, take_s=take_s
+        )
+        await read(found)
+        return b"".join(found)
+
+    received = run_virtual(main)
+    assert (received.count(b"data: a"), received.count(b": busy")) == (5, 10)
--- a/wagtailrun/relay/events_split.py
+++ b/wagtailrun/relay/events_split.py
@@ -10,9 +10,12 @@
 __all__ = ["EventSplitter", "StreamEvent"]
 
 MAX_EVENT_BYTES = 1024 * 1024
-# An event ends at its first blank line. All blank lines that have arrived with it are a
-# part of the same block, as each block costs as much as an event.
-EVENT_END = re.compile(rb"(?:(?:\r\n|\n)(?:\r\n|\n)|\r\r)[\r\n]*")
+# An event ends at its first blank line.
+EVENT_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n)|\r\r")
+# Comments and blank lines that arrive together are one block, as each block costs as
+# much as an event. The possessive groups keep the work linear.
+COMMENTS = re.compile(rb"(?:(?::[^\r\n]*+(?>\r\n|\n|\r))*+(?>\r\n|\n|\r))++")
+BLANK_LINES = re.compile(rb"[\r\n]*+")
 # An incomplete event ends with at most these bytes of an EVENT_END.
 MAX_PARTIAL_END_BYTES = len(b"\r\n\r")
 HTTP_HEAD = re.compile(rb"HTTP/1\.[01] \d{3}[^\r\n]*")
@@ -65,8 +68,11 @@
         self.buffer += chunk
         start = 0
         while end := EVENT_END.search(self.buffer, max(scanned, start)):
-            data = bytes(self.buffer[start : end.end()])
-            start = end.end()
+            block = COMMENTS.match(self.buffer, start)
+            if block is None:
+                block = BLANK_LINES.match(self.buffer, end.end())
+            data = bytes(self.buffer[start : block.end()])
+            start = block.end()
             match = EVENT_ID.search(data)
             yield StreamEvent(data, int(match.group(1)) if match else None)
         del self.buffer[:start]
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -23,7 +23,7 @@
 from wagtailrun.fairness import Turns
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
-from wagtailrun.relay.events_split import EventSplitter, StreamEvent
+from wagtailrun.relay.events_split import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.placement_messages import RunOutcome
 from wagtailrun.relay.port import AnswerHead, AnswerProgress
@@ -44,8 +44,9 @@
 RESULT_FETCH_MS = 120
 # Time limit for the body of an answer that is not passed on.
 UNUSED_BODY_TIMEOUT_MS = 250
-# Bytes that are read of a stream whose next event is overdue.
-MAX_OVERDUE_BYTES = 1024 * 1024
+# Bytes that a stream may have between two new events: a large event, and as much of
+# comments that keep the connection alive, or of events that the caller already has.
+MAX_BYTES_WITHOUT_EVENT = 2 * MAX_EVENT_BYTES
 
 RefuseCallback = Callable[[RelayJob, Refusal], Response]
 EndedCallback = Callable[[RelayJob, str, int], None]
@@ -250,51 +251,58 @@
         """
         splitter = EventSplitter()
         turns = Turns()
-        event_due_ms = self._event_due_ms(job, state)
-        overdue_bytes = 0
+        deadline_ms = self.clock.now_ms() + self.attempts.remaining_ms(job)
+        event_due_ms = self._event_due_ms(job, state, deadline_ms)
+        idle_bytes = 0
         while True:
-            left_ms = event_due_ms - self.clock.now_ms()
-            # Events that have arrived are still passed on, also after a pause of this
-            # process.
             try:
-                chunk = await attempt.stream.read(max(left_ms, 1))
+                chunk = await attempt.stream.read(event_due_ms - self.clock.now_ms())
             except TargetFailed as error:
-                if not error.timed_out or not self._may_wait(job):
+                if not error.timed_out:
                     raise
+                if not self._may_wait(job):
+                    raise _overdue_error(error) from error
                 # The target may only be silent for a moment.
-                event_due_ms = self._event_due_ms(job, state)
+                event_due_ms = self._event_due_ms(job, state, deadline_ms)
                 continue
-            if left_ms <= 0:
-                overdue_bytes += len(chunk)
-            if overdue_bytes > MAX_OVERDUE_BYTES:
-                detail = f"no complete event in time, but {overdue_bytes} bytes"
-                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN, timed_out=True)
+            idle_bytes += len(chunk)
             if not chunk:
                 if splitter.buffer:
                     detail = "the stream ended in the middle of an event"
                     raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
                 return
             sound, is_intact = await self._take_events(splitter, chunk, state, turns)
+            try:
+                attempt.stream.count_events(len(sound))
+            except TargetFailed as error:
+                raise _overdue_error(error) from error
             if sound and continuation is not None:
                 await self._check_continuation(continuation, attempt)
                 continuation = None
             found = [event for event in sound if state.accept(event)]
-            if found:
+            # Comments show that the target lives, not that it gets on.
+            has_news = not all(event.is_comment for event in found)
+            if has_news:
+                idle_bytes = 0
                 if not job.first_ms:
                     await self._record_origin(job, attempt)
                     await self._record_first_event(job, attempt)
                 state.events_sent = True
                 job.progress = AnswerProgress.EVENTS
+            if found:
+                passed_ms = self.clock.now_ms()
                 yield b"".join(event.data for event in found)
+                # A caller that reads slowly is no fault of the target.
+                event_due_ms += self.clock.now_ms() - passed_ms
             if not is_intact:
                 detail = "the stream has bytes that are no event"
                 raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
-            if not found:
-                continue
-            # Counted after the caller has taken the events: a caller that reads slowly
-            # is no fault of the target.
-            event_due_ms = self._event_due_ms(job, state)
-            overdue_bytes = 0
+            if idle_bytes > MAX_BYTES_WITHOUT_EVENT:
+                detail = f"no new event in {idle_bytes} bytes"
+                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+            if has_news:
+                event_due_ms = self._event_due_ms(job, state, deadline_ms)
+            event_due_ms = min(event_due_ms, deadline_ms)
 
     async def _take_events(
         self, splitter: EventSplitter, chunk: bytes, state: "_StreamState", turns: Turns
@@ -357,14 +365,15 @@
         """
         return not self.attempts.can_move(job) and self.attempts.remaining_ms(job) > 1
 
-    def _event_due_ms(self, job: RelayJob, state: "_StreamState") -> int:
+    def _event_due_ms(
+        self, job: RelayJob, state: "_StreamState", deadline_ms: int
+    ) -> int:
         """Return when the next event is overdue, on the clock.
 
         A stream that cannot be resumed has until the deadline of the request.
         """
-        left_ms = self.attempts.remaining_ms(job)
         if not job.may_run_again:
-            return self.clock.now_ms() + left_ms
+            return deadline_ms
         objective_ms = job.objective_at_ms - job.arrived_ms
         timeout_ms = max(
             int(objective_ms * FIRST_EVENT_TIMEOUT_PER_OBJECTIVE),
@@ -374,7 +383,7 @@
             timeout_ms = max(
                 job.route.gap_ms * STALL_TIMEOUT_GAPS, MIN_STALL_TIMEOUT_MS
             )
-        return self.clock.now_ms() + min(timeout_ms, left_ms)
+        return min(self.clock.now_ms() + timeout_ms, deadline_ms)
 
 
 class _StreamBody(AsyncIterator[bytes]):
@@ -456,3 +465,12 @@
             return False
         self.last_sent_id = event.event_id
         return True
+
+
+def _overdue_error(cause: TargetFailed) -> TargetFailed:
+    """Return the error of a stream whose next event is overdue."""
+    return TargetFailed(
+        f"no complete event in time: {cause}",
+        verdict=Verdict.MAY_HAVE_RUN,
+        timed_out=True,
+    )
