Bound the streams of pipelines by their deadline and by new tokens

The streams of the entry's own generate stages had the same faults as relayed ones: each piece searched the whole buffer for the end of an event, all events of 64 KB were parsed in one turn, tokens sent before renewed the time, and nothing asked for the request's deadline.

tests/test_unending_bytes.py: of the cells of "tokens", long comments and repeated events failed as floods before, repeated events also in drips.

--- a/tests/test_unending_bytes.py
+++ b/tests/test_unending_bytes.py
@@ -7,7 +7,7 @@
 import socket
 import threading
 import time
-from contextlib import suppress
+from contextlib import aclosing, suppress
 
 import curio
 import pytest
@@ -189,6 +189,13 @@
     await PlatformStageClient(HttpClient()).run(row, [item], DEADLINE_MS)
 
 
+async def read_tokens(address):
+    client = HttpTargetClient(HttpClient())
+    async with aclosing(client.stream(address, ATTEMPT)) as tokens:
+        async for _ in tokens:
+            pass
+
+
 def relayed(kind, **options):
     def run(sender):
         row = TargetRow("t", sender.address, "s", "a", 4, software_version="v1")
@@ -227,6 +234,7 @@
     "relayed query": relayed(RouteKind.IDEMPOTENT),
 }
 STREAM_READERS = {
+    "tokens": direct(read_tokens),
     "relayed stream": relayed(RouteKind.STREAM),
     "relayed resumable stream": relayed(RouteKind.STREAM, resumable=True),
 }
--- a/wagtailrun/adapters/http_target.py
+++ b/wagtailrun/adapters/http_target.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import AsyncIterator, Iterator
 
+import curio
 import sseclient
 
 from wagtailrun.adapters.http_client import HttpClient
@@ -16,25 +17,34 @@
 CANCEL_TIMEOUT_MS = 1_000
 MAX_EVENT_BYTES = 64 * 1024
 END_OF_EVENT = b"\n\n"
+# Bytes that are parsed in one turn; even if each three of them are an event, that takes
+# a few milliseconds.
+PARSED_BYTES = 4 * 1024
 
 
 class ServerSentEvents:
     """Parses server-sent events from a body that is received in pieces."""
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
 
     def feed(self, piece: bytes) -> Iterator[sseclient.Event]:
         """Yield each event that ``piece`` completes."""
+        scanned = max(len(self.buffer) - len(END_OF_EVENT) + 1, 0)
         self.buffer += piece
-        complete, separator, self.buffer = self.buffer.rpartition(END_OF_EVENT)
+        complete = b""
+        end = self.buffer.rfind(END_OF_EVENT, scanned)
+        if end >= 0:
+            end += len(END_OF_EVENT)
+            complete = bytes(self.buffer[:end])
+            del self.buffer[:end]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise TargetFailed(
                 f"server-sent event exceeds {MAX_EVENT_BYTES} bytes",
                 verdict=Verdict.MAY_HAVE_RUN,
             )
-        if separator:
-            yield from sseclient.SSEClient([complete + separator]).events()
+        if complete:
+            yield from sseclient.SSEClient([complete]).events()
 
 
 class HttpTargetClient(TargetClient):
@@ -63,6 +73,7 @@
             attempt.body,
             timeout_ms=timeout_ms,
             new_connection=attempt.new_connection,
+            deadline_ms=self.client.clock.now_ms() + attempt.remaining_ms,
         ) as stream:
             body = await stream.read_all(attempt.remaining_ms)
         self._check_reply(attempt, stream.status, stream.headers)
@@ -73,6 +84,7 @@
     ) -> AsyncIterator[tuple[Token, ...]]:
         """Run a generate stage; see ``TargetClient.stream``."""
         timeout_ms = min(self.idle_timeout_ms, attempt.remaining_ms)
+        clock = self.client.clock
         async with self.client.open(
             address,
             "POST",
@@ -81,17 +93,21 @@
             attempt.body,
             timeout_ms=timeout_ms,
             new_connection=attempt.new_connection,
+            deadline_ms=clock.now_ms() + attempt.remaining_ms,
         ) as stream:
             self._check_reply(attempt, stream.status, stream.headers)
             events = ServerSentEvents()
             done = False
-            clock = self.client.clock
+            newest = attempt.resume_offset - 1
             token_due_ms = clock.now_ms() + timeout_ms
-            while piece := await stream.read(max(token_due_ms - clock.now_ms(), 1)):
-                tokens = tuple(_parse_token(event) for event in events.feed(piece))
+            while piece := await stream.read(token_due_ms - clock.now_ms()):
+                tokens = await _parse_tokens(events, piece)
                 if tokens:
                     done = done or tokens[-1].last
                     yield tokens
+                # Tokens that the target sent before are no progress.
+                if done or tokens and tokens[-1].offset > newest:
+                    newest = tokens[-1].offset
                     # The time that the caller took to read does not count.
                     token_due_ms = clock.now_ms() + timeout_ms
                 elif clock.now_ms() >= token_due_ms:
@@ -168,6 +184,17 @@
     return int(value) if value.isdecimal() else 0
 
 
+async def _parse_tokens(events: ServerSentEvents, piece: bytes) -> tuple[Token, ...]:
+    """Return the tokens that a piece completes; other tasks get turns meanwhile."""
+    tokens = []
+    for start in range(0, len(piece), PARSED_BYTES):
+        part = piece[start : start + PARSED_BYTES]
+        tokens.extend(_parse_token(event) for event in events.feed(part))
+        if len(piece) > PARSED_BYTES:
+            await curio.sleep(0)
+    return tuple(tokens)
+
+
 def _parse_token(event: sseclient.Event) -> Token:
     try:
         values = json.loads(event.data)
