--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,5 +1,6 @@
 """Tests of the registry, the replicated state machine."""
 
+import json
 import random
 from unittest import mock
 
@@ -297,6 +298,30 @@
         Registry().restore(data)
 
 
+@pytest.mark.parametrize("table", ["period", "order", "engine_order"])
+def test_snapshot_with_an_unknown_field_changes_nothing(table):
+    """Guards against a state that is half of an older and half of a newer one.
+
+    A later release may add fields to the rows of a snapshot.
+    """
+    newer, registry = Driver(), Registry()
+    newer(rm.GrantController("c2", T0))
+    newer(rm.PutEngineOrder(engine_order(), 1, T0))
+    newer(opening())
+    newer(rm.ClosePeriod("p1", "d1", "{}", T0))
+    state = json.loads(newer.registry.snapshot())
+    rows = state[f"{table}s"]
+    assert rows
+    state[f"{table}_fields"].append("later")
+    for row in rows:
+        (row[2] if table == "order" else row).append(1)
+    registry.apply(1, encode(rm.GrantController("c1", T0)))
+    before = registry.snapshot()
+    with pytest.raises(SnapshotVersionError, match="later"):
+        registry.restore(json.dumps(state).encode())
+    assert registry.snapshot() == before
+
+
 def random_command(rng, now_ms):
     key = f"k{rng.randrange(4)}"
     sender = rng.randrange(1, 5)
--- a/wagtailrun/registry.py
+++ b/wagtailrun/registry.py
@@ -365,7 +365,8 @@
         """Replace the state by the snapshot ``data``.
 
         Raises:
-            SnapshotVersionError: If the version of its format is not supported.
+            SnapshotVersionError: If this release cannot read it; the state is then
+                unchanged.
         """
         state = json.loads(data)
         if state.get("version") != SNAPSHOT_VERSION:
@@ -374,6 +375,18 @@
                 f"release reads version {SNAPSHOT_VERSION}; run the release that wrote "
                 "it"
             )
+        before = dict(vars(self))
+        try:
+            self._fill(state)
+        except (LookupError, TypeError, ValueError) as error:
+            vars(self).update(before)
+            raise SnapshotVersionError(
+                f"this release cannot read the snapshot: {error!r}; run the release "
+                "that wrote it"
+            ) from error
+
+    def _fill(self, state: dict[str, Any]) -> None:
+        """Replace the state by that of a snapshot, in new tables."""
         self._initialise_state()
         self.text = state["text"]
         self.revision = state["revision"]
