--- a/wagtailrun/discovery/fleet_text.py
+++ b/wagtailrun/discovery/fleet_text.py
@@ -14,7 +14,7 @@
     """TOML format of the fleet text; its ``relay`` table has routes, keys and pools."""
 
     def routes(self, revision: int | None, text: str) -> RouteTable:
-        """Return the routes of an fleet text; see ``ConfigurationFormat``."""
+        """Return the routes of a fleet text; see ``ConfigurationFormat``."""
         table = parse_fleet_text(text).relay
         if table is None:
             raise FleetTextError(
