Bound the bytes that a process holds for all its requests together

Cause: each reader had a limit of its own (16 MB a reply, 1 MB an event, the body limit of each caller), but nothing bounded their sum. 16 replies of 16 MB fill a VM. The bodies of failures had the limit of answers, and small chunks were kept as a list, which takes several times their bytes.

Fix: `memory_budget.py` counts the bytes that a process holds, by kind of holder, and refuses those that do not fit a quarter of its memory (the new setting `memory_mb`, filled by the platform; 256 MB if it leaves it out). Half of the memory remains for the process, as bytes may exist twice for a moment. A holder above 64 KB may have half of what is free, so its share shrinks as others come, and a quarter of the budget is kept for small ones. Requests, failures and skipped answers have parts of their own, so that they leave room for answers. A target's answer that does not fit fails the attempt (may have run); a caller's request is refused with 503 `overloaded`, not run, with Retry-After, before its body is received if its length is known. What is written, peers' frames and tunnels count but are not refused. Holdings are released with the request, also if it is cancelled. Event 634 and the metrics `wagtailrun_held_bytes`, `wagtailrun_memory_refusals` and `wagtailrun_memory_budget_bytes` show who holds them.

An unsuccessful answer has at most 1 MB (`MAX_FAILURE_BYTES`). Bodies are collected in one buffer, large ones are written without a copy, and while a request is answered 4 KB of further ones are received instead of 64 KB (256 MB for 4,000 connections).

Heads and trailers of answers had the limit of h11 already, 16 KB; the new tests show that it holds.

--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,505 @@
+"""Tests of the budget for bytes held, and of floods that it has to stand."""
+
+import json
+import subprocess
+import sys
+import threading
+from functools import partial
+from types import SimpleNamespace
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wagtail_platform.stage_calls import PlatformStageClient
+
+from demo.processes import free_addresses
+from tests import test_floods
+from tests.test_floods import HEAD, FakeSocket, chunked, connection, relayed_events
+from wagtailrun import events
+from wagtailrun.adapters import tcp_link
+from wagtailrun.adapters.http_client import (
+    MAX_FAILURE_BYTES,
+    MAX_REPLY_BYTES,
+    HttpClient,
+    HttpStream,
+    _Connection,
+)
+from wagtailrun.adapters.http_server import HttpServer, Response, ServerLimits
+from wagtailrun.adapters.http_target import HttpTargetClient
+from wagtailrun.events import EVENT_LOG
+from wagtailrun.exceptions import TargetFailed, Verdict
+from wagtailrun.membership import TargetRow
+from wagtailrun.memory_budget import (
+    BYTES_PER_MB,
+    LARGE_PART,
+    MIN_BUDGET_BYTES,
+    SMALL_BYTES,
+    Kind,
+    MemoryBudget,
+)
+from wagtailrun.stages.port import StageItem
+from wagtailrun.virtual_time import run_virtual
+
+# Memory of the smallest VM that the platform names.
+VM_MEMORY_MB = 300
+# Its budget is the least one, so that few floods use it up.
+SMALL_MEMORY_MB = 1
+FLOODS = 24
+SOUND_REQUESTS = 60
+SOUND_BYTES = 20_000
+TIMEOUT_MS = 20_000
+
+
+class PeakBudget(MemoryBudget):
+    """Budget that remembers the largest sum of bytes held."""
+
+    def __init__(self, memory_mb=SMALL_MEMORY_MB):
+        self.peak_bytes = 0
+        super().__init__(memory_mb)
+
+    def change(self, kind, difference):
+        super().change(kind, difference)
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+
+def grow(holding, step, limit):
+    """Let a holding grow until it is refused or has ``limit`` bytes."""
+    while holding.held_bytes + step <= limit and holding.add(step):
+        pass
+    return holding.held_bytes
+
+
+def test_largest_answer_fits_alone():
+    """Guards against a budget that refuses a sound answer of the largest size."""
+    budget = MemoryBudget(VM_MEMORY_MB)
+    assert grow(budget.hold(Kind.ANSWERS), 65_536, MAX_REPLY_BYTES) == MAX_REPLY_BYTES
+    budget = MemoryBudget(SMALL_MEMORY_MB)
+    held = budget.hold(Kind.FAILURES)
+    assert grow(held, 65_536, MAX_FAILURE_BYTES) == MAX_FAILURE_BYTES
+
+
+@pytest.mark.parametrize("kind", [Kind.ANSWERS, Kind.FAILURES, Kind.REQUESTS])
+def test_floods_leave_room_for_small_answers(kind):
+    """Guards against floods that starve the many small sound answers."""
+    budget = MemoryBudget(VM_MEMORY_MB)
+    floods = [budget.hold(kind) for _ in range(200)]
+    for _ in range(400):
+        for flood in floods:
+            flood.add(65_536)
+    assert budget.held_bytes <= budget.limit_bytes * LARGE_PART + 200 * SMALL_BYTES
+    small = [budget.hold(Kind.ANSWERS) for _ in range(90)]
+    assert all(held.add(SMALL_BYTES) for held in small)
+
+
+def test_large_holding_gives_way_when_others_come():
+    """Guards against a first flood that keeps the budget from all later answers."""
+    budget = MemoryBudget(VM_MEMORY_MB)
+    first = budget.hold(Kind.ANSWERS)
+    grow(first, 65_536, MAX_REPLY_BYTES)
+    others = [budget.hold(Kind.ANSWERS) for _ in range(4)]
+    for held in others:
+        assert held.add(7 * BYTES_PER_MB)
+    assert not first.add(1)
+
+
+@pytest.mark.parametrize("kind", [Kind.REQUESTS, Kind.FAILURES, Kind.SKIPPED])
+def test_kinds_that_give_way_leave_room_for_answers(kind):
+    """Guards against callers' bodies, or failures, in the place of sound answers."""
+    budget = MemoryBudget(VM_MEMORY_MB)
+    for _ in range(5_000):
+        budget.hold(kind).add(SMALL_BYTES)
+    assert grow(budget.hold(Kind.ANSWERS), 65_536, 8 * BYTES_PER_MB) > BYTES_PER_MB
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 9), st.integers(0, 3_000_000), st.sampled_from(list(Kind))
+        ),
+        max_size=200,
+    )
+)
+def test_sum_is_exact_and_within_the_limit(steps):
+    """Guards against bytes that are counted twice, or never released."""
+    budget = MemoryBudget(SMALL_MEMORY_MB)
+    holdings = {}
+    for number, size, kind in steps:
+        held = holdings.setdefault(number, budget.hold(kind))
+        if not held.add(size):
+            held.release()
+        total = sum(each.held_bytes for each in holdings.values())
+        assert budget.held_bytes == total <= budget.limit_bytes
+        assert sum(budget.held_by_kind.values()) == total
+    for held in holdings.values():
+        held.release()
+    assert not any(budget.held_by_kind.values())
+
+
+def test_refusals_are_logged_with_the_holders():
+    """Guards against a refusal that no one can explain."""
+    budget = MemoryBudget(SMALL_MEMORY_MB)
+    number = events.MEMORY_REFUSED.number
+    before = EVENT_LOG.counts_by_number.get(number, 0)
+    with budget.hold(Kind.ANSWERS) as held:
+        assert not held.add(MIN_BUDGET_BYTES)
+        assert "no memory for more than 0 bytes" in held.refusal_detail
+    assert EVENT_LOG.counts_by_number[number] == before + 1
+    assert budget.refusals_by_kind == {Kind.ANSWERS: 1}
+
+
+def test_incomplete_events_share_the_budget(monkeypatch):
+    """Guards against many streams that each hold an event without end."""
+    budget = PeakBudget()
+    opened_by_sock = {}
+    reasons = []
+
+    def open_connection(sock, clock):
+        opened_by_sock[sock] = _Connection(sock, clock, memory=budget)
+        return opened_by_sock[sock]
+
+    async def read(clock):
+        sock = FakeSocket(chunked(bytes(4_096)), HEAD, pause_s=0.001)
+        task = relayed_events(sock, clock, repeatable=True, deadline_ms=60_000)
+        with pytest.raises(TargetFailed) as failure:
+            await task([])
+        opened_by_sock[sock].release_memory()
+        reasons.append(str(failure.value))
+
+    async def main(clock):
+        async with curio.TaskGroup() as group:
+            for _ in range(40):
+                await group.spawn(read, clock)
+
+    monkeypatch.setattr(test_floods, "_Connection", open_connection)
+    run_virtual(main)
+    assert len(reasons) == 40
+    assert budget.peak_bytes <= budget.limit_bytes
+    assert any("no memory" in reason for reason in reasons)
+    assert budget.held_bytes == 0
+
+
+def test_peer_frames_are_counted():
+    """Guards against frames of peers that nobody counts."""
+    sock = FakeSocket(bytes(65_536), tcp_link.LENGTH.pack(BYTES_PER_MB))
+    peaks = []
+
+    async def main(clock):
+        budget = PeakBudget()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(tcp_link, "PROCESS_MEMORY", budget)
+            await tcp_link._FrameSocket(sock).read_frame()
+        peaks.append((budget.peak_bytes, budget.held_bytes))
+
+    run_virtual(main)
+    assert peaks == [(BYTES_PER_MB, 0)]
+
+
+# Loopback: many floods beside sound requests
+
+OK = b"HTTP/1.1 200 OK\r\n"
+FAILED = b"HTTP/1.1 500 Internal Server Error\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+# What a faulty target sends first, and then without end.
+TARGET_PARTS = {
+    "answer": (OK + CHUNKED, chunked(bytes(16_384))),
+    "answer without length": (OK + b"\r\n", bytes(65_536)),
+    "answer in small chunks": (OK + CHUNKED, chunked(bytes(256)) * 200),
+    "failure": (FAILED + CHUNKED, chunked(bytes(16_384))),
+    "head": (OK, b"A: b\r\n" * 10_000),
+    "interim heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2_000),
+    "trailers": (OK + CHUNKED + b"0\r\n", b"A: b\r\n" * 10_000),
+}
+
+
+class Targets:
+    """A sound and a faulty target at one address, by the path of the request."""
+
+    def __init__(self, first, flood):
+        self.first = first
+        self.flood = flood
+
+    async def serve(self, sock, peer):
+        try:
+            while data := await sock.recv(65_536):
+                if b"/sound" not in data.split(b"\r\n")[0]:
+                    break
+                body = b"s" * SOUND_BYTES
+                head = OK + b"Content-Length: %d\r\n\r\n" % len(body)
+                await sock.sendall(head + body)
+            await sock.sendall(self.first)
+            while data:
+                await sock.sendall(self.flood)
+        except OSError:
+            return
+
+
+async def start_targets(part):
+    (address,) = free_addresses(1)
+    targets = Targets(*TARGET_PARTS[part])
+    await curio.spawn(
+        curio.tcp_server, address.host, address.port, targets.serve, daemon=True
+    )
+    await curio.sleep(0.05)
+    return address
+
+
+async def request_target(http, address):
+    await http.request(address, "GET", "/flood", timeout_ms=TIMEOUT_MS)
+
+
+async def call_stage(http, address):
+    row = TargetRow("t", address, "s", "a", 1)
+    items = [StageItem("r", 0, 0, 1_000, "k", None)]
+    await PlatformStageClient(http).run(row, items, TIMEOUT_MS)
+
+
+async def call_product_target(http, address):
+    attempt = SimpleNamespace(
+        path="/flood",
+        body=b"",
+        new_connection=False,
+        remaining_ms=TIMEOUT_MS,
+    )
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            "wagtailrun.adapters.http_target._request_headers", lambda attempt: ()
+        )
+        await HttpTargetClient(http).call(address, attempt)
+
+
+CLIENTS = {
+    "relay": request_target,
+    "stages": call_stage,
+    "product": call_product_target,
+}
+
+
+@pytest.mark.network
+@pytest.mark.parametrize("client", CLIENTS)
+@pytest.mark.parametrize("part", TARGET_PARTS)
+def test_targets_that_send_without_end(part, client):
+    """Guards against bytes without end that take the memory of other requests."""
+    budget = PeakBudget()
+    reasons = []
+
+    async def main():
+        address = await start_targets(part)
+        http = HttpClient(memory=budget)
+
+        async def flood():
+            with pytest.raises(TargetFailed) as failure:
+                await CLIENTS[client](http, address)
+            assert failure.value.verdict == Verdict.MAY_HAVE_RUN
+            reasons.append(str(failure.value))
+
+        async with curio.TaskGroup() as group:
+            for _ in range(FLOODS):
+                await group.spawn(flood)
+            for _ in range(SOUND_REQUESTS):
+                await curio.sleep(0.005)
+                reply = await http.request(
+                    address, "GET", "/sound", timeout_ms=TIMEOUT_MS
+                )
+                assert len(reply.body) == SOUND_BYTES
+
+    curio.run(main)
+    assert len(reasons) == FLOODS
+    assert budget.peak_bytes <= budget.limit_bytes
+    assert budget.held_bytes == 0
+    if part.startswith("answer"):
+        assert any("no memory for more than" in reason for reason in reasons)
+    if part == "failure":
+        assert all("exceeds" in each or "no memory" in each for each in reasons)
+
+
+def test_failure_up_to_its_limit_passes():
+    """Guards against a limit that cuts what a caller needs to know of a failure."""
+    body = b"f" * MAX_FAILURE_BYTES
+    head = FAILED + b"Content-Length: %d\r\n\r\n" % len(body)
+    data = head + body
+
+    class Pieces:
+        def __init__(self):
+            self.start = 0
+
+        async def recv(self, size):
+            self.start += size
+            return data[self.start - size : self.start]
+
+    async def main(clock):
+        opened = connection(Pieces(), clock)
+        stream = HttpStream(opened, await opened.read_head(1_000))
+        found = await stream.read_all(1_000)
+        opened.release_memory()
+        return found
+
+    assert run_virtual(main) == body
+
+
+@pytest.mark.network
+def test_cancelled_request_releases_its_bytes():
+    """Guards against bytes that count for ever after a caller has gone."""
+    budget = PeakBudget()
+
+    async def main():
+        (address,) = free_addresses(1)
+
+        async def serve(sock, peer):
+            await sock.recv(65_536)
+            await sock.sendall(OK + CHUNKED + chunked(bytes(500_000)))
+            await curio.sleep(60)
+
+        await curio.spawn(
+            curio.tcp_server, address.host, address.port, serve, daemon=True
+        )
+        await curio.sleep(0.05)
+        task = await curio.spawn(request_target, HttpClient(memory=budget), address)
+        while budget.held_bytes < 500_000:
+            await curio.sleep(0.01)
+        await task.cancel()
+
+    curio.run(main)
+    assert budget.held_bytes == 0
+
+
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+# What a faulty caller sends first, and then without end.
+CALLER_PARTS = {
+    "body": (POST + CHUNKED, chunked(bytes(16_384))),
+    "announced body": (POST + b"Content-Length: 15000000\r\n\r\n", bytes(65_536)),
+    "small chunks": (POST + CHUNKED, chunked(bytes(256)) * 200),
+    "head": (POST, b"A: b\r\n" * 100),
+    "further requests": (POST + b"Content-Length: 0\r\n\r\n", bytes(65_536)),
+}
+
+
+@pytest.mark.network
+@pytest.mark.parametrize("part", CALLER_PARTS)
+def test_callers_that_send_without_end(part):
+    """Guards against callers whose bytes take the memory of other requests."""
+    budget = PeakBudget()
+    first, flood = CALLER_PARTS[part]
+    answers = []
+
+    async def handler(request):
+        return Response(200, b"s" * SOUND_BYTES)
+
+    async def send(address):
+        sock = await curio.open_connection(address.host, address.port)
+
+        async def write():
+            await sock.sendall(first)
+            while True:
+                await sock.sendall(flood)
+
+        writer = await curio.spawn(write)
+        received = b""
+        try:
+            while data := await sock.recv(65_536):
+                received += data
+        except OSError:
+            pass
+        await writer.cancel()
+        await sock.close()
+        answers.append(received)
+
+    async def main():
+        (address,) = free_addresses(1)
+        limits = ServerLimits(100_000_000, 16_000_000, 20_000, 20_000)
+        server = HttpServer(address, handler, limits=lambda: limits, memory=budget)
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0.05)
+        async with curio.TaskGroup() as group:
+            for _ in range(FLOODS):
+                await group.spawn(send, address)
+            http = HttpClient(memory=MemoryBudget())
+            for _ in range(SOUND_REQUESTS):
+                await curio.sleep(0.005)
+                reply = await http.request(address, "GET", "/", timeout_ms=TIMEOUT_MS)
+                assert (reply.status, len(reply.body)) == (200, SOUND_BYTES)
+        while server.open_connections > 1:
+            await curio.sleep(0.01)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("wagtailrun.adapters.http_server.DISCARD_TIMEOUT_MS", 200)
+        curio.run(main)
+    assert budget.peak_bytes <= budget.limit_bytes
+    assert budget.held_bytes == 0
+    if part == "further requests":
+        return
+    refused = [answer for answer in answers if b" 503 " in answer[:20]]
+    assert refused
+    for answer in refused:
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert b"retry-after: 1" in head.lower()
+        problem = json.loads(body)
+        assert (problem["reason"], problem["verdict"]) == ("overloaded", "not-run")
+        assert "no memory for more than" in problem["detail"]
+
+
+CHILD = """
+import sys
+import curio
+from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.ports.link import Address
+
+address, floods, memory_mb = Address.parse(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
+try:
+    from wagtailrun.memory_budget import PROCESS_MEMORY
+    PROCESS_MEMORY.set_memory(float(memory_mb))
+except ImportError:
+    pass
+
+async def flood(http):
+    try:
+        await http.request(address, "GET", "/flood", timeout_ms=20_000)
+    except TargetFailed:
+        pass
+
+async def main():
+    http = HttpClient()
+    async with curio.TaskGroup() as group:
+        for _ in range(floods):
+            await group.spawn(flood, http)
+
+def memory_kb(name):
+    with open("/proc/self/status") as status:
+        return next(int(row.split()[1]) for row in status if row.startswith(name))
+
+before_kb = memory_kb("VmRSS:")
+curio.run(main)
+print(memory_kb("VmHWM:") - before_kb)
+"""
+
+
+@pytest.mark.network
+@pytest.mark.parametrize("part", ["answer", "answer in small chunks", "failure"])
+def test_resident_memory_stays_below_that_of_the_machine(part):
+    """Guards against bytes that are held but not counted.
+
+    A process that uses more than its machine has is killed, and with it the requests
+    of all its callers.
+    """
+    ready = threading.Event()
+    stopped = curio.UniversalEvent()
+    found = []
+
+    async def main():
+        found.append(await start_targets(part))
+        ready.set()
+        await stopped.wait()
+
+    thread = threading.Thread(target=partial(curio.run, main))
+    thread.start()
+    assert ready.wait(10)
+    try:
+        command = [sys.executable, "-c", CHILD, str(found[0]), "64", "100"]
+        child = subprocess.run(command, capture_output=True, text=True, timeout=120)
+    finally:
+        stopped.set()
+        thread.join(30)
+    assert not child.returncode, child.stderr
+    # Twice the budget: each byte may exist twice for a moment.
+    assert int(child.stdout) * 1024 <= 2 * MemoryBudget(100).limit_bytes
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -24,6 +24,7 @@
 )
 from wagtailrun.fairness import Turns
 from wagtailrun.membership import TargetRow
+from wagtailrun.memory_budget import PROCESS_MEMORY, Holding, Kind, MemoryBudget
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -43,8 +44,12 @@
 
 READ_BYTES = 64 * 1024
 MAX_REPLY_BYTES = 16 * 1024 * 1024
+# Largest body of an unsuccessful answer. Those of sound targets explain a failure and
+# have some kilobytes; a target in trouble may send without end.
+MAX_FAILURE_BYTES = 1024 * 1024
 # Largest body of an answer to another request that is skipped.
 MAX_SKIPPED_BYTES = 1024 * 1024
+FIRST_FAILURE_STATUS = 400
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 8
 MAX_IDLE_CONNECTIONS = 32
@@ -158,7 +163,8 @@
         """
         clock = self.connection.clock
         ends_ms = clock.now_ms() + timeout_ms
-        await self.read_all(timeout_ms, MAX_SKIPPED_BYTES)
+        await self.read_all(timeout_ms, MAX_SKIPPED_BYTES, Kind.SKIPPED)
+        self.connection.release_memory()
         self.connection.restart_parser()
         head = await self.connection.read_head(max(ends_ms - clock.now_ms(), 1))
         return HttpStream(self.connection, head, self.observe)
@@ -183,33 +189,62 @@
             closed=True,
         )
 
+    def hold_incomplete(self, size: int) -> None:
+        """Count the bytes of an event that has not arrived completely.
+
+        Raises:
+            TargetFailed: If they do not fit the memory of the process.
+        """
+        held = self.connection.incomplete
+        if not held.resize(size):
+            raise TargetFailed(held.refusal_detail, verdict=Verdict.MAY_HAVE_RUN)
+
     async def read_all(
-        self, timeout_ms: int, max_bytes: int = MAX_REPLY_BYTES
+        self,
+        timeout_ms: int,
+        max_bytes: int | None = None,
+        kind: Kind | None = None,
     ) -> bytes:
-        """Return the rest of the body.
+        """Return the rest of the body; its bytes count until the request has ended.
 
         Args:
             timeout_ms: Time limit for the whole rest, in milliseconds. Bytes that have
                 arrived by then are still read, also after a pause of the process.
-            max_bytes: Largest size of the rest.
+            max_bytes: Largest size of the rest; by default ``MAX_REPLY_BYTES`` or, of
+                an unsuccessful answer, ``MAX_FAILURE_BYTES``.
+            kind: Kind of holder of the bytes; by default as the status says.
 
         Raises:
             TargetFailed: If the connection failed, the time is over or the rest is
-                larger.
+                larger or does not fit the memory of the process.
         """
+        is_failure = self.status >= FIRST_FAILURE_STATUS
+        if max_bytes is None:
+            max_bytes = MAX_FAILURE_BYTES if is_failure else MAX_REPLY_BYTES
+        if kind is None:
+            kind = Kind.FAILURES if is_failure else Kind.ANSWERS
+        held = self.connection.hold(kind)
+        try:
+            return await self._read_held(timeout_ms, max_bytes, held)
+        except BaseException:
+            held.release()
+            raise
+
+    async def _read_held(self, timeout_ms: int, max_bytes: int, held: Holding) -> bytes:
         clock = self.connection.clock
         ends_ms = clock.now_ms() + timeout_ms
-        pieces = []
-        size = 0
+        # A list of the pieces would take many times the bytes of tiny chunks.
+        body = bytearray()
         while piece := await self.read(max(ends_ms - clock.now_ms(), 1)):
-            pieces.append(piece)
-            size += len(piece)
-            if size > max_bytes:
-                raise TargetFailed(
-                    f"the response exceeds {max_bytes} bytes",
-                    verdict=Verdict.MAY_HAVE_RUN,
-                )
-        return b"".join(pieces)
+            detail = ""
+            if len(body) + len(piece) > max_bytes:
+                detail = f"the response exceeds {max_bytes} bytes"
+            elif not held.add(len(piece)):
+                detail = held.refusal_detail
+            if detail:
+                raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+            body += piece
+        return bytes(body)
 
     def check_distinct(self, body: bytes) -> None:
         """Check that a body is not that of the previous response on the connection.
@@ -379,8 +414,19 @@
 class _Connection:
     """A connection to a server, which carries one request at a time."""
 
-    def __init__(self, sock: Any, clock: Clock, carrier: Address | None = None):
+    def __init__(
+        self,
+        sock: Any,
+        clock: Clock,
+        carrier: Address | None = None,
+        memory: MemoryBudget = PROCESS_MEMORY,
+    ):
         self.sock = sock
+        self.memory = memory
+        # Bytes held for the request in progress, and those of them that are an event
+        # that has not arrived completely.
+        self.holdings: list[Holding] = []
+        self.incomplete = memory.hold(Kind.EVENTS)
         self.carrier = carrier
         self.clock = clock
         self.turns = Turns()
@@ -399,6 +445,18 @@
         self.requests = 0
         self.identities: deque[str] = deque(maxlen=MAX_IDENTITIES)
 
+    def hold(self, kind: Kind) -> Holding:
+        """Return a holding that is released at the end of the request."""
+        held = self.memory.hold(kind)
+        self.holdings.append(held)
+        return held
+
+    def release_memory(self) -> None:
+        """Release the bytes that are held for the request in progress."""
+        for held in (*self.holdings, self.incomplete):
+            held.release()
+        self.holdings.clear()
+
     def restart_parser(self) -> None:
         """Parse the bytes that follow as another response to the request sent."""
         rest, closed = self.http.trailing_data
@@ -485,6 +543,7 @@
         clock: Clock that measures the age of idle connections.
         observer: Is told of all answers and permits all requests.
         connector: Opens connections; by default directly.
+        memory: Budget for the bytes of responses.
     """
 
     def __init__(
@@ -492,7 +551,9 @@
         clock: Clock | None = None,
         observer: TargetObserver | None = None,
         connector: Connector | None = None,
+        memory: MemoryBudget = PROCESS_MEMORY,
     ):
+        self.memory = memory
         self.clock = clock or SystemClock()
         self.observer = observer
         self.connector = connector or DirectConnector()
@@ -641,6 +702,8 @@
             await connection.sock.close()
             await self._record_end(permit, connection.requests == requests_before)
             raise
+        finally:
+            connection.release_memory()
         await self._record_end(permit, True)
         _apply_keep_alive(connection, stream.headers)
         await self._release(address, connection)
@@ -679,7 +742,7 @@
                 return connection
             await connection.sock.close()
         opened = await self.connector.connect(address, connect_timeout_ms)
-        return _Connection(opened.sock, self.clock, opened.carrier)
+        return _Connection(opened.sock, self.clock, opened.carrier, self.memory)
 
     async def _drop_idle(self, address: Address) -> None:
         idle = self.idle_by_address.get(address, [])
@@ -718,10 +781,17 @@
     connection: _Connection, request: h11.Request, body: bytes, timeout_ms: int
 ) -> None:
     connection.request = request
-    data = connection.http.send(request) + connection.http.send(h11.Data(body))
-    data += connection.http.send(h11.EndOfMessage())
+    parts = [
+        connection.http.send(request),
+        connection.http.send(h11.Data(body)),
+        connection.http.send(h11.EndOfMessage()),
+    ]
+    if len(body) <= READ_BYTES:
+        # One write; a copy of a larger body would take more memory than time.
+        parts = [b"".join(parts)]
     try:
         async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
-            await connection.sock.sendall(data)
+            for part in parts:
+                await connection.sock.sendall(part)
     except (OSError, curio.TaskTimeout) as error:
         raise TargetFailed(str(error), verdict=Verdict.MAY_HAVE_RUN) from error
--- a/wagtailrun/adapters/http_messages.py
+++ b/wagtailrun/adapters/http_messages.py
@@ -135,7 +135,7 @@
 class RequestRejected(Exception):
     """The bytes received are not a valid request, or exceed a limit."""
 
-    def __init__(self, detail: str, status: int):
+    def __init__(self, detail: str, status: int, refusal: Refusal | None = None):
         super().__init__(detail)
         self.status = status
-        self.refusal = _make_refusal(detail, status)
+        self.refusal = refusal or _make_refusal(detail, status)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -25,6 +25,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
 from wagtailrun.fairness import Turns
+from wagtailrun.memory_budget import PROCESS_MEMORY, Kind, MemoryBudget
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -41,6 +42,9 @@
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
 READ_BYTES = 64 * 1024
+# Bytes of further requests that are received while one is answered. They only show that
+# the caller has not disconnected; with 64 KB each, all connections would hold 256 MB.
+PIPELINED_READ_BYTES = 4 * 1024
 # Time limit for the body of a request; by default also for its head and for idleness.
 REQUEST_TIMEOUT_MS = 30_000
 # Each connection uses a task and a file descriptor, of which a process may have 20,000.
@@ -112,6 +116,7 @@
         on_refusal: Called with each refusal of a request that never reaches the
             handler.
         limits: Returns the current limits; by default those of this module.
+        memory: Budget for the bytes of requests and of answers being written.
     """
 
     def __init__(
@@ -121,7 +126,9 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         on_refusal: Callable[[Refusal], Awaitable[None]] | None = None,
         limits: Callable[[], ServerLimits] | None = None,
+        memory: MemoryBudget = PROCESS_MEMORY,
     ):
+        self.memory = memory
         self.limits = limits or self._default_limits
         self.address = address
         self.handler = handler
@@ -228,6 +235,8 @@
         self.sock = sock
         self.peer = peer
         self.turns = Turns()
+        # Bytes of the request that is being received or answered.
+        self.held = server.memory.hold(Kind.REQUESTS)
         self.limits = server.limits()
         # Whether this server ended the reading; an end of the bytes received does not
         # show any more that the client has disconnected.
@@ -246,7 +255,7 @@
             if not await self._wait_for_bytes():
                 return
             self._renew_limits()
-            with self._counted():
+            with self._counted(), self.held:
                 try:
                     request = await self._read_request()
                 except RequestRejected as error:
@@ -372,6 +381,7 @@
             detail = f"the request was not complete within {REQUEST_TIMEOUT_MS} ms"
             if head is None:
                 return None
+            self._check_room(head)
             async with curio.timeout_after(REQUEST_TIMEOUT_MS / MS_PER_SECOND):
                 body = await self._parse_part(self._read_body)
         except curio.TaskTimeout as error:
@@ -385,6 +395,35 @@
             return None
         return self._make_request(head, body)
 
+    def _check_room(self, head: h11.Request) -> None:
+        """Check that there is memory for a body before it is received.
+
+        Raises:
+            RequestRejected: If there is none.
+        """
+        text = dict(head.headers).get(b"content-length", b"0")
+        size = min(int(text), self.limits.body_bytes)
+        if not self.held.fits(self.held.held_bytes + size):
+            raise self._no_memory()
+
+    def _hold(self, size: int) -> None:
+        """Count bytes of the request.
+
+        Raises:
+            RequestRejected: If there is no memory for them.
+        """
+        if not self.held.add(size):
+            raise self._no_memory()
+
+    def _no_memory(self) -> RequestRejected:
+        refusal = Refusal(
+            RefusalReason.OVERLOADED,
+            Verdict.NOT_RUN,
+            self.held.refusal_detail,
+            OVERLOAD_RETRY_MS,
+        )
+        return RequestRejected(refusal.detail, DEFAULT_REFUSAL_STATUS, refusal)
+
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return False if none were received."""
         if self.http.trailing_data[0]:
@@ -455,7 +494,7 @@
 
     async def _read_head(self) -> h11.Request | None:
         self.method = b""
-        event = await self._next_event()
+        event = await self._next_event(hold=True)
         if not isinstance(event, h11.Request):
             return None
         self.method = event.method
@@ -473,24 +512,32 @@
         return event
 
     async def _read_body(self) -> bytes:
-        pieces = []
-        size = 0
+        # A list of the pieces would take many times the bytes of tiny chunks.
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self.limits.body_bytes:
+                if len(body) + len(event.data) > self.limits.body_bytes:
                     limit = self.limits.body_bytes
                     raise RequestRejected(f"the body exceeds {limit} bytes", 413)
-                pieces.append(bytes(event.data))
+                self._hold(len(event.data))
+                body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(pieces)
+                return bytes(body)
             else:
                 raise RequestRejected(
                     "the connection was closed before the end of the body", 400
                 )
 
-    async def _next_event(self) -> Any:
+    async def _next_event(self, hold: bool = False) -> Any:
+        """Return the next event.
+
+        Args:
+            hold: Whether the bytes received until then count as held.
+
+        Raises:
+            RequestRejected: If there is no memory for them.
+        """
         while True:
             event = self.http.next_event()
             await self.turns.take(0)
@@ -501,6 +548,8 @@
                 await self._write(self.http.send(info))
             data = await self.sock.recv(READ_BYTES)
             await self.turns.take(len(data))
+            if hold:
+                self._hold(len(data))
             self.http.receive_data(data)
 
     async def _serve(self, request: Request) -> bool:
@@ -549,7 +598,7 @@
     async def _watch_disconnect(self, task: curio.Task) -> None:
         """Cancel ``task`` when the client closes the connection."""
         try:
-            data = await self.sock.recv(READ_BYTES)
+            data = await self.sock.recv(PIPELINED_READ_BYTES)
         except OSError:
             data = b""
         if data:
@@ -571,7 +620,11 @@
             if self.method != HEAD_METHOD:
                 data.append(self.http.send(h11.Data(response.body)))
             data.append(self.http.send(h11.EndOfMessage()))
-            await self._write(b"".join(data))
+            if len(response.body) <= READ_BYTES:
+                # One write; a copy of a larger body would take more memory than time.
+                data = [b"".join(data)]
+            for part in data:
+                await self._write(part)
             self._mark_answered()
             return
         await self._send_stream(response, headers)
@@ -594,6 +647,10 @@
         await self._write(self.http.send(h11.EndOfMessage()))
 
     async def _write(self, data: bytes | None) -> None:
-        if data:
+        if not data:
+            return
+        with self.server.memory.hold(Kind.SENDING) as held:
+            # These bytes exist; a caller that reads slowly leaves less room for others.
+            held.record(len(data))
             async with curio.timeout_after(WRITE_TIMEOUT_MS / MS_PER_SECOND):
                 await self.sock.sendall(data)
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -15,6 +15,7 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fairness import Turns
+from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.messages import PeerError
 from wagtailrun.ports.link import Address, Handler, PeerLink, TunnelLink, Upgrade
 
@@ -93,7 +94,10 @@
         if size > MAX_FRAME_BYTES:
             raise MessageError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
         self.frame_bytes = size
-        return await self.read_exactly(size)
+        with PROCESS_MEMORY.hold(Kind.PEERS) as held:
+            # Not refused: the processes of the system need each other's messages.
+            held.record(size)
+            return await self.read_exactly(size)
 
     async def write_frame(self, frame: bytes) -> None:
         """Send a frame."""
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -25,6 +25,7 @@
 from wagtailrun.engine_control import EngineController
 from wagtailrun.fleet_watch import FleetWatch
 from wagtailrun.member_host import MemberHost
+from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import MAX_TEXT_BYTES, OperatorApi
 from wagtailrun.period_closing import PeriodCloser
@@ -112,6 +113,7 @@
         server = HttpServer(
             self.settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
         )
+        PROCESS_MEMORY.set_memory(self.settings.memory_mb)
         events.log(events.PROCESS_STARTED, role="control", name=self.settings.name)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -23,6 +23,7 @@
 from wagtailrun.gossip import GossipNode
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import Membership
+from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineRunner
@@ -154,6 +155,7 @@
         Raises:
             SettingsError: If the process cannot listen on one of its addresses.
         """
+        PROCESS_MEMORY.set_memory(self.settings.memory_mb)
         events.log(events.PROCESS_STARTED, role="entry", name=self.settings.name)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._drain_on_signal)
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -269,6 +269,12 @@
     "A target answered a suspected request, or a prompt with a suspected part.",
     per_second=20,
 )
+MEMORY_REFUSED = _event(
+    634,
+    logging.WARNING,
+    "Bytes were refused: the process holds as many for requests as its memory allows.",
+    "Find the kind that holds most: engines or callers that send without end, or load.",
+)
 SETTINGS_RELOADED = _event(
     622, logging.INFO, "The settings were reloaded.", limited=False
 )
--- a/wagtailrun/metrics.py
+++ b/wagtailrun/metrics.py
@@ -15,8 +15,9 @@
 from wagtailrun.events import EVENT_LOG, EVENTS_BY_NUMBER, EventLog
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.fleet import Price
+from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 
-__all__ = ["CONTENT_TYPE", "Metrics"]
+__all__ = ["CONTENT_TYPE", "Metrics", "memory_families"]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # Pipelines, services and stages beyond this number share one label value, so that the
@@ -29,6 +30,28 @@
 SIGNIFICANT_DIGITS = 2
 
 
+def memory_families() -> Iterator[GaugeMetricFamily]:
+    """Yield the bytes that the process holds for requests, and their budget."""
+    held = GaugeMetricFamily(
+        "wagtailrun_held_bytes", "Bytes held for requests, by holder.", labels=["kind"]
+    )
+    refusals = GaugeMetricFamily(
+        "wagtailrun_memory_refusals",
+        "Holders that were refused bytes since the start.",
+        labels=["kind"],
+    )
+    for kind in Kind:
+        held.add_metric([str(kind)], PROCESS_MEMORY.held_by_kind[kind])
+        refusals.add_metric([str(kind)], PROCESS_MEMORY.refusals_by_kind[kind])
+    yield held
+    yield refusals
+    yield GaugeMetricFamily(
+        "wagtailrun_memory_budget_bytes",
+        "Largest sum of the bytes held.",
+        value=PROCESS_MEMORY.limit_bytes,
+    )
+
+
 class Metrics:
     """Metrics of one process.
 
@@ -143,6 +166,7 @@
                 (str(number),), self.events.counts_by_number.get(number, 0)
             )
         yield events
+        yield from memory_families()
 
     def _bounded_label(self, name: str) -> str:
         """Return ``name`` as label value, or ``"other"`` once too many are in use."""
--- a/wagtailrun/relay/metrics.py
+++ b/wagtailrun/relay/metrics.py
@@ -8,6 +8,7 @@
 
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import RefusalReason
+from wagtailrun.metrics import memory_families
 
 __all__ = ["RelayMetrics"]
 
@@ -79,6 +80,7 @@
         for number, count in EVENT_LOG.counts_by_number.items():
             counts.add_metric([str(number)], count, 0)
         yield counts
+        yield from memory_families()
 
     def render(self) -> bytes:
         """Return the page in the Prometheus text format."""
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -14,6 +14,7 @@
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.line_writer import LineWriter
+from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.ports.link import Address
 from wagtailrun.settings import RelayControlSettings, RelayEntrySettings
 from wagtailrun.supervisor import supervise
@@ -188,6 +189,7 @@
     """
     writer = _start_json_lines(settings.name)
     signals.install()
+    PROCESS_MEMORY.set_memory(settings.memory_mb)
     events.log(events.PROCESS_STARTED, role=role, name=settings.name)
     try:
         async with curio.TaskGroup(wait=any) as group:
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -21,6 +21,7 @@
     Verdict,
     VersionMismatch,
 )
+from wagtailrun.memory_budget import Kind
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
 from wagtailrun.relay.events_split import EventSplitter, StreamEvent
@@ -209,6 +210,7 @@
             return await attempt.stream.read_all(
                 min(UNUSED_BODY_TIMEOUT_MS, self.attempts.remaining_ms(job)),
                 MAX_SKIPPED_BYTES,
+                Kind.SKIPPED,
             )
         except TargetFailed as error:
             # The head alone decides; the connection is closed.
@@ -274,6 +276,7 @@
                     raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
                 return
             received = splitter.feed(chunk)
+            attempt.stream.hold_incomplete(len(splitter.buffer))
             sound = list(itertools.takewhile(state.is_event, received))
             if sound and continuation is not None:
                 await self._check_continuation(continuation, attempt)
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -26,6 +26,7 @@
 from wagtailrun.fairness import Turns
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
+from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.paths import TargetPaths
 from wagtailrun.relay.tunnel_messages import (
@@ -602,14 +603,18 @@
             turns = Turns()
             while data := await peer.recv():
                 await turns.take(len(data))
-                await sock.sendall(data)
+                with PROCESS_MEMORY.hold(Kind.TUNNELS) as held:
+                    held.record(len(data))
+                    await sock.sendall(data)
             return "the entry closed"
 
         async def pass_answers() -> str:
             turns = Turns()
             while data := await sock.recv(READ_BYTES):
                 await turns.take(len(data))
-                await peer.send(data)
+                with PROCESS_MEMORY.hold(Kind.TUNNELS) as held:
+                    held.record(len(data))
+                    await peer.send(data)
             await peer.send_end()
             await self.clock.sleep_ms(END_LINGER_MS)
             return "the target closed"
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -11,6 +11,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import SettingsError
+from wagtailrun.memory_budget import DEFAULT_MEMORY_MB
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -36,6 +37,7 @@
 MAX_MS = MAX_SECONDS * MS_PER_SECOND
 MAX_COUNT = 1_000_000_000
 MAX_LINK_MBPS = 1_000_000_000
+MAX_MEMORY_MB = 1_000_000_000
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 # Platforms name VMs and data centres by rules of their own; a name may be as long as a
 # fully qualified host name.
@@ -158,6 +160,12 @@
 DATA_CENTRE = (_parse_name, "Data centre of the VM.")
 PEER_ADDRESS = (parse_address, "IP:PORT where other processes of the system connect.")
 PEER_SECRET = (_parse_secret_bytes, "Secret shared by the processes of the system.")
+MEMORY_MB = (
+    _number(1, MAX_MEMORY_MB, "MB"),
+    "Memory that this process may use, in MB; a quarter of it is the budget for the "
+    "bytes of requests and answers.",
+    DEFAULT_MEMORY_MB,
+)
 
 
 @attrs.frozen
@@ -199,6 +207,7 @@
     trace_file: str = _setting(
         _parse_nonempty, "File that records requests for replay; none by default.", ""
     )
+    memory_mb: float = _setting(*MEMORY_MB)
 
 
 @attrs.frozen
@@ -229,6 +238,7 @@
     bootstrap: tuple[tuple[str, Address], ...] = _setting(
         _parse_members, "NAME=IP:PORT of the initial members, comma-separated.", ()
     )
+    memory_mb: float = _setting(*MEMORY_MB)
 
 
 @attrs.frozen
@@ -347,6 +357,7 @@
         "Bandwidth of this VM's network link in Mbit/s.",
         1_000.0,
     )
+    memory_mb: float = _setting(*MEMORY_MB)
 
     @property
     def effective_drain_notice_ms(self) -> float:
@@ -386,6 +397,7 @@
         "Interval between the heartbeats of a target, in milliseconds.",
         1_200,
     )
+    memory_mb: float = _setting(*MEMORY_MB)
 
 
 SETTINGS_CLASSES = (
