--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -21,6 +21,7 @@
     VersionMismatch,
 )
 from wagtailrun.fairness import Turns
+from wagtailrun.memory_budget import Kind
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
 from wagtailrun.relay.events_split import MAX_EVENT_BYTES, EventSplitter, StreamEvent
@@ -210,6 +211,7 @@
             return await attempt.stream.read_all(
                 min(UNUSED_BODY_TIMEOUT_MS, self.attempts.remaining_ms(job)),
                 MAX_SKIPPED_BYTES,
+                Kind.SKIPPED,
             )
         except TargetFailed as error:
             # The head alone decides; the connection is closed.
@@ -272,6 +274,7 @@
                     raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
                 return
             sound, is_intact = await self._take_events(splitter, chunk, state, turns)
+            attempt.stream.hold_incomplete(len(splitter.buffer))
             try:
                 attempt.stream.count_events(len(sound))
             except TargetFailed as error:
