Close idle connections when their target leaves, closes them, or by age

The cause was in `HttpClient`: a connection was returned to `idle_by_address` and its age, and whether the server had closed it, were looked at only when another request asked for the same address. A replaced target has a new address, so nothing did. Connections of callers were ruled out: the other entry, with the same replacements and no orders, stays at 26.

The pool is now a module of its own. While it holds connections, one task looks at all of them once a second with one poll, and closes those that their server has closed, that are too old, or whose target has left. All addresses share one limit, an eighth of the descriptors of the process, and the oldest connection goes first. `max_fds` takes the platform's limit; left out, that of the operating system counts.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -60,6 +60,7 @@
         "bootstrap": draw(st.sampled_from(["true", "false", "True", ""])),
         "heartbeat_ms": draw(number_forms(1, day_ms)),
         "limits.link_mbps": draw(number_forms(0.5, 1e9)),
+        "limits.max_fds": draw(number_forms(64, many)),
         "fault_tolerance.machines": draw(
             st.sampled_from(["0", "1", "2", "2.0", "1e0", "500", ""])
         ),
@@ -116,6 +117,7 @@
         ("bounds.grace_s", "1e999", "give a finite number"),
         ("bounds.revoke_ms", "-0.5", "give 0 to"),
         ("limits.link_mbps", "0", "give more than 0"),
+        ("limits.max_fds", "63", "give a number from 64"),
         ("fault_tolerance.machines", "1.5", "give a whole number"),
         ("node_name", "a b", "printable characters"),
         ("bootstrap", "perhaps", "give true or false"),
@@ -144,6 +146,7 @@
     "bootstrap": "true",
     "heartbeat_ms": "1200",
     "limits.link_mbps": "1000.0",
+    "limits.max_fds": "4100",
     "fault_tolerance.machines": "1",
     "bounds.revoke_ms": "5000",
     "bounds.config_apply_ms": "2500",
@@ -263,6 +266,7 @@
         {"bounds.retry_budget_slack": "38.46153846153846", "bounds.grace_s": "2"},
         {"bounds.revoke_ms": "5e3", "heartbeat_ms": "1200.5", "seeds": ""},
         {"bounds.revoke_ms": "", "bounds.grace_s": "0.5", "limits.link_mbps": "5"},
+        {"limits.max_fds": ""},
     ],
 )
 def test_daemons_start_and_stop(tmp_path, changes):
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -15,6 +15,7 @@
 import curio
 import h11
 
+from wagtailrun.adapters.connection_pool import ConnectionPool, PooledConnection
 from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
 from wagtailrun.exceptions import (
     ConnectFailed,
@@ -47,7 +48,6 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 8
-MAX_IDLE_CONNECTIONS = 32
 # Requests whose identities a connection remembers. A late copy follows its response
 # after a few others at most.
 MAX_IDENTITIES = 64
@@ -485,6 +485,7 @@
         clock: Clock that measures the age of idle connections.
         observer: Is told of all answers and permits all requests.
         connector: Opens connections; by default directly.
+        pool: Keeps idle connections.
     """
 
     def __init__(
@@ -492,11 +493,17 @@
         clock: Clock | None = None,
         observer: TargetObserver | None = None,
         connector: Connector | None = None,
+        pool: ConnectionPool | None = None,
     ):
         self.clock = clock or SystemClock()
         self.observer = observer
         self.connector = connector or DirectConnector()
-        self.idle_by_address: dict[Address, list[_Connection]] = {}
+        self.pool = ConnectionPool(self.clock) if pool is None else pool
+
+    @property
+    def idle_by_address(self) -> dict[Address, list[PooledConnection]]:
+        """Idle connections by the address of the server."""
+        return self.pool.idle_by_address
 
     async def request(
         self,
@@ -643,7 +650,7 @@
             raise
         await self._record_end(permit, True)
         _apply_keep_alive(connection, stream.headers)
-        await self._release(address, connection)
+        await self.pool.release(address, connection)
 
     async def _record_end(self, permit: SendPermit | None, completed: bool) -> None:
         if self.observer is not None:
@@ -657,44 +664,16 @@
         identity: str,
     ) -> _Connection:
         """Return a pooled connection that is still usable, or open one."""
-        idle = self.idle_by_address.get(address, [])
         if not self.connector.may_reuse(address):
-            await self._drop_idle(address)
-        while not new_connection:
-            # The newest one first.
-            number = next(
-                (
-                    number
-                    for number in reversed(range(len(idle)))
-                    if not identity or identity not in idle[number].identities
-                ),
-                None,
-            )
-            if number is None:
-                break
-            connection = idle.pop(number)
-            age_ms = self.clock.now_ms() - connection.idle_since_ms
-            if age_ms < connection.max_idle_ms and not connection.is_readable():
+            await self.pool.drop(address)
+        if not new_connection:
+            connection = await self.pool.take(address, identity)
+            if connection is not None:
                 connection.http.start_next_cycle()
                 return connection
-            await connection.sock.close()
         opened = await self.connector.connect(address, connect_timeout_ms)
         return _Connection(opened.sock, self.clock, opened.carrier)
 
-    async def _drop_idle(self, address: Address) -> None:
-        idle = self.idle_by_address.get(address, [])
-        while idle:
-            await idle.pop().sock.close()
-
-    async def _release(self, address: Address, connection: _Connection) -> None:
-        """Return a connection to the pool, or close it."""
-        idle = self.idle_by_address.setdefault(address, [])
-        if connection.is_reusable() and len(idle) < MAX_IDLE_CONNECTIONS:
-            connection.idle_since_ms = self.clock.now_ms()
-            idle.append(connection)
-        else:
-            await connection.sock.close()
-
 
 def enable_dead_peer_detection(sock: Any) -> None:
     """Let the operating system report a peer that stopped responding as an error."""
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -9,6 +9,7 @@
 from wagtailrun import events
 from wagtailrun.accounts import Accounts
 from wagtailrun.accounts_messages import AccountRows
+from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, sleep_until_idle
 from wagtailrun.adapters.http_target import HttpTargetClient
@@ -73,7 +74,10 @@
         self.recorder = Recorder(
             self.clock, self.accounts, self.metrics, self._fleet, self.trace
         )
-        self.http = HttpClient(self.clock)
+        pool = ConnectionPool(
+            self.clock, known_addresses=self.membership.serving_addresses
+        )
+        self.http = HttpClient(self.clock, pool=pool)
         self.client = HttpTargetClient(self.http)
         self.dispatcher = self._make_dispatcher()
         control = ControlClient(self.clock, self.link, settings.control_peers)
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -333,6 +333,14 @@
             name: known.get(name, now_ms) for name in names
         }
 
+    def serving_addresses(self) -> set[Address]:
+        """Return the addresses of all targets that have not left.
+
+        Those that drain and those that do not answer now are among them.
+        """
+        rows = self.targets_by_name.values()
+        return {row.address for row in rows if row.draining or not row.leaving}
+
     def mark_unresponsive(self, name: str, now_ms: int) -> None:
         """Take a target out of rotation at all entries, until its next announcement."""
         row = self.targets_by_name[name]
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -8,6 +8,7 @@
 import curio
 
 from wagtailrun import events
+from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
     HttpServer,
@@ -18,6 +19,7 @@
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.descriptors import DescriptorShares, descriptor_limit
 from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
@@ -160,7 +162,13 @@
             self.notices.begin_carried_request,
             lambda: bool(self.signals.stop_count),
         )
-        self.http = HttpClient(self.clock, self.notices, self.connector)
+        self.descriptors = DescriptorShares(descriptor_limit(settings.max_fds))
+        self.pool = ConnectionPool(
+            self.clock,
+            self.descriptors.idle,
+            self.view.membership.serving_addresses,
+        )
+        self.http = HttpClient(self.clock, self.notices, self.connector, self.pool)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
@@ -271,6 +279,11 @@
             "Time of these calls.",
             lambda: batcher.call_ms,
         )
+        gauge(
+            "idle_connections",
+            "Connections to targets without a request.",
+            lambda: len(self.pool),
+        )
         paths, tunnels = self.connector.paths, self.tunnels
         gauge(
             "lost_paths",
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -35,6 +35,8 @@
 MAX_SECONDS = 366 * 86_400
 MAX_MS = MAX_SECONDS * MS_PER_SECOND
 MAX_COUNT = 1_000_000_000
+# Fewer leave no room for requests beside the listeners, the peers and the log.
+MIN_DESCRIPTORS = 64
 MAX_LINK_MBPS = 1_000_000_000
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 # Platforms name VMs and data centres by rules of their own; a name may be as long as a
@@ -260,6 +262,13 @@
     return value
 
 
+def _parse_descriptors(text: str) -> int:
+    value = _parse_number(text)
+    if not MIN_DESCRIPTORS <= value <= MAX_COUNT:
+        raise ValueError(f"give a number from {MIN_DESCRIPTORS} to {MAX_COUNT}")
+    return int(value)
+
+
 def _positive(high: float, unit: str) -> Callable[[str], int | float]:
     """Return a parser of positive numbers up to ``high``."""
 
@@ -347,6 +356,12 @@
         "Bandwidth of this VM's network link in Mbit/s.",
         1_000.0,
     )
+    max_fds: int | None = _setting(
+        _parse_descriptors,
+        "File descriptors that this process may have; by default, and at most, the "
+        "limit of the operating system.",
+        None,
+    )
 
     @property
     def effective_drain_notice_ms(self) -> float:
