Close idle connections to peers that are gone

A process kept up to 16 descriptors, and the time of the last reply, for each peer address that it had ever called. Replaced entries and members have new addresses, so nothing looked at these again; the cause is the one of the idle connections to targets. It was found by looking for the same pattern elsewhere.

The link now uses the same pool, and the limit of idle connections of a process is divided among peers (a quarter) and targets. The times of last replies are dropped once they are too old to matter.

test_tcp_link.py::test_connections_to_a_replaced_peer_end_without_another_call failed on the former link (1 connection left after the peer had ended) and passes now.

--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -32,9 +32,6 @@
         self.max_idle_ms = max_idle_ms
         self.identities = ()
 
-    def is_readable(self):
-        return False
-
     def is_reusable(self):
         return True
 
--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -9,7 +9,7 @@
 
 from demo.processes import free_addresses
 from wagtailrun import events
-from wagtailrun.adapters import tcp_link
+from wagtailrun.adapters import connection_pool, tcp_link
 from wagtailrun.adapters.listener import listen
 from wagtailrun.adapters.tcp_link import TcpPeerLink, serve_peers
 from wagtailrun.codec import decode, encode
@@ -130,6 +130,24 @@
     assert with_peer(pong, client)
 
 
+def test_connections_to_a_replaced_peer_end_without_another_call(monkeypatch):
+    """Guards against descriptors that are kept for peers that are gone."""
+    monkeypatch.setattr(connection_pool, "SWEEP_INTERVAL_MS", 20)
+
+    async def main():
+        link = TcpPeerLink(SECRET)
+        (address,) = free_addresses(1)
+        server = await curio.spawn(serve_peers, address, SECRET, pong)
+        await curio.sleep(0.1)
+        await link.call(address, Ping("a"), TIMEOUT_MS)
+        before = len(link.idle_by_address)
+        await server.cancel()
+        await curio.sleep(0.2)
+        return before, len(link.idle_by_address)
+
+    assert curio.run(main) == (1, 0)
+
+
 def test_peer_without_the_secret_is_rejected():
     """Guards against messages from processes outside the system."""
     served = []
--- a/wagtailrun/adapters/connection_pool.py
+++ b/wagtailrun/adapters/connection_pool.py
@@ -2,7 +2,7 @@
 
 import select
 from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Any, Protocol
 
 import curio
@@ -35,9 +35,6 @@
     max_idle_ms: int
     identities: Collection[str]
 
-    def is_readable(self) -> bool:
-        """Return whether the server sent unexpected bytes or closed it."""
-
     def is_reusable(self) -> bool:
         """Return whether it may carry another request."""
 
@@ -56,6 +53,7 @@
             process's descriptors that is meant for them.
         known_addresses: Returns the addresses of the servers that may get requests; by
             default any may.
+        max_per_address: Largest number of idle connections to one server.
     """
 
     def __init__(
@@ -63,10 +61,14 @@
         clock: Clock,
         max_idle: int | None = None,
         known_addresses: Callable[[], Collection[Address]] | None = None,
+        max_per_address: int = MAX_IDLE_PER_ADDRESS,
     ):
         self.clock = clock
-        self.max_idle = DescriptorShares().idle if max_idle is None else max_idle
+        self.max_idle = (
+            DescriptorShares().idle_to_targets if max_idle is None else max_idle
+        )
         self.known_addresses = known_addresses
+        self.max_per_address = max_per_address
         # The newest ones last.
         self.idle_by_address: dict[Address, list[PooledConnection]] = defaultdict(list)
         # The same connections, the oldest ones first.
@@ -76,13 +78,15 @@
     def __len__(self) -> int:
         return len(self.addresses_by_connection)
 
-    async def take(self, address: Address, identity: str) -> PooledConnection | None:
+    async def take(
+        self, address: Address, identity: str = ""
+    ) -> PooledConnection | None:
         """Return an idle connection that is still usable, or None.
 
         Args:
             address: Address of the server.
-            identity: Identity of the request; a connection that carried one with the
-                same identity is not returned.
+            identity: Identity of the request, if any; a connection that carried one
+                with the same identity is not returned.
         """
         while True:
             idle = self.idle_by_address.get(address, ())
@@ -97,14 +101,14 @@
             if connection is None:
                 return None
             self._remove(connection)
-            if not self._is_expired(connection) and not connection.is_readable():
+            if not self._is_expired(connection) and not _find_readable([connection]):
                 return connection
             await connection.sock.close()
 
     async def release(self, address: Address, connection: PooledConnection) -> None:
         """Keep a connection for further requests, or close it."""
         idle = self.idle_by_address.get(address, ())
-        full = len(idle) >= MAX_IDLE_PER_ADDRESS
+        full = len(idle) >= self.max_per_address
         if full or not self.max_idle or not connection.is_reusable():
             await connection.sock.close()
             return
@@ -125,7 +129,7 @@
 
     async def sweep(self) -> None:
         """Close the connections that are of no more use."""
-        ended = set(self._find_readable())
+        ended = set(_find_readable(self.addresses_by_connection))
         known = None if self.known_addresses is None else set(self.known_addresses())
         await self._close(
             [
@@ -143,16 +147,6 @@
             await self.sweep()
         self.is_sweeping = False
 
-    def _find_readable(self) -> list[PooledConnection]:
-        """Return the connections on which something was received, or the end."""
-        poll = select.poll()
-        connections_by_descriptor = {}
-        for connection in self.addresses_by_connection:
-            descriptor = connection.sock.fileno()
-            connections_by_descriptor[descriptor] = connection
-            poll.register(descriptor, select.POLLIN)
-        return [connections_by_descriptor[number] for number, _ in poll.poll(0)]
-
     def _is_expired(self, connection: PooledConnection) -> bool:
         age_ms = self.clock.now_ms() - connection.idle_since_ms
         return age_ms >= connection.max_idle_ms
@@ -170,3 +164,14 @@
         idle.remove(connection)
         if not idle:
             del self.idle_by_address[address]
+
+
+def _find_readable(connections: Iterable[PooledConnection]) -> list[PooledConnection]:
+    """Return the connections on which the server sent something or closed its side."""
+    poll = select.poll()
+    connections_by_descriptor = {}
+    for connection in connections:
+        descriptor = connection.sock.fileno()
+        connections_by_descriptor[descriptor] = connection
+        poll.register(descriptor, select.POLLIN)
+    return [connections_by_descriptor[number] for number, _ in poll.poll(0)]
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -3,7 +3,6 @@
 import enum
 import functools
 import re
-import select
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
@@ -437,12 +436,6 @@
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
-    def is_readable(self) -> bool:
-        """Return whether the server sent unexpected bytes or closed the connection."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     async def next_event(self, timeout_ms: int) -> Any:
         """Return the next h11 event; raises TargetFailed, see ``read_head``."""
         try:
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -9,10 +9,12 @@
 import curio
 
 from wagtailrun import events
+from wagtailrun.adapters.connection_pool import ConnectionPool, PooledConnection
 from wagtailrun.adapters.http_client import enable_dead_peer_detection
 from wagtailrun.adapters.listener import listen
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.codec import decode, encode
+from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fairness import Turns
 from wagtailrun.messages import PeerError
@@ -48,8 +50,10 @@
 
     def __init__(self, sock: Any):
         self.sock = sock
-        # Time of last use, in milliseconds, while the connection is in the pool.
-        self.last_used_ms = 0
+        # State in the pool, see ``PooledConnection``.
+        self.idle_since_ms = 0
+        self.max_idle_ms = MAX_POOLED_AGE_MS
+        self.identities = ()
         # Size of the frame that is being read; 0 until its length has arrived.
         self.frame_bytes = 0
         self._received = bytearray()
@@ -111,6 +115,13 @@
         """Whether bytes after the last frame were received."""
         return bool(self._received)
 
+    def is_reusable(self) -> bool:
+        """Return whether the connection may carry another call.
+
+        Bytes after a reply belong to no call.
+        """
+        return not self.has_unread_bytes
+
     async def close(self) -> None:
         """Close the connection."""
         await self.sock.close()
@@ -230,9 +241,19 @@
     def __init__(self, secret: bytes):
         self.secret = secret
         self.clock = SystemClock()
-        self.idle_by_address: dict[Address, list[_FrameSocket]] = {}
+        self.pool = ConnectionPool(
+            self.clock,
+            DescriptorShares().idle_to_peers,
+            max_per_address=MAX_IDLE_CONNECTIONS_PER_PEER,
+        )
+        # Those within ``ALIVE_MS``, the oldest first.
         self.last_reply_ms_by_address: dict[Address, int] = {}
 
+    @property
+    def idle_by_address(self) -> dict[Address, list[PooledConnection]]:
+        """Idle connections by the address of the peer."""
+        return self.pool.idle_by_address
+
     async def call(self, address: Address, message: Any, timeout_ms: int) -> Any:
         """Send ``message`` and return the reply; see ``PeerLink.call``."""
         connection, reply = await self._exchange(address, message, timeout_ms)
@@ -251,7 +272,7 @@
         self, address: Address, connection: _FrameSocket, reply: Any
     ) -> Any:
         """Return the reply of a call whose connection may be used again."""
-        await self._release(address, connection)
+        await self.pool.release(address, connection)
         if isinstance(reply, PeerError):
             raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
         return reply
@@ -277,7 +298,7 @@
             if not alive:
                 # When the path is down, the other pooled connections fail as well.
                 # Dropped connections of a slow peer would cost it new handshakes.
-                await self._drop_idle(address)
+                await self.pool.drop(address)
             reason = str(error) or type(error).__name__
             if isinstance(error, curio.TaskTimeout):
                 # A partial reply distinguishes a slow path from a peer that is down.
@@ -286,9 +307,19 @@
             detail = f"no reply from peer {address}: {reason}"
             sent = connection is not None
             raise PeerUnreachable(detail, sent=sent, alive=alive) from error
-        self.last_reply_ms_by_address[address] = self.clock.now_ms()
+        self._record_reply(address)
         return connection, reply
 
+    def _record_reply(self, address: Address) -> None:
+        now_ms = self.clock.now_ms()
+        self.last_reply_ms_by_address.pop(address, None)
+        self.last_reply_ms_by_address[address] = now_ms
+        # Peers that were replaced do not answer again.
+        for other, last_ms in list(self.last_reply_ms_by_address.items()):
+            if now_ms - last_ms < ALIVE_MS:
+                break
+            del self.last_reply_ms_by_address[other]
+
     def _is_alive(self, address: Address) -> bool:
         """Return whether a peer answered another call a moment ago."""
         last_ms = self.last_reply_ms_by_address.get(address)
@@ -297,16 +328,13 @@
     async def close(self) -> None:
         """Close all idle connections."""
         for address in list(self.idle_by_address):
-            await self._drop_idle(address)
+            await self.pool.drop(address)
 
     async def _connect(self, address: Address) -> _FrameSocket:
         """Return a pooled connection that is recent enough, or open one."""
-        idle = self.idle_by_address.get(address)
-        while idle:
-            connection = idle.pop()
-            if self.clock.now_ms() - connection.last_used_ms < MAX_POOLED_AGE_MS:
-                return connection
-            await connection.close()
+        connection = await self.pool.take(address)
+        if connection is not None:
+            return connection
         try:
             async with curio.timeout_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
                 sock = await curio.open_connection(address.host, address.port)
@@ -322,20 +350,6 @@
             raise
         return connection
 
-    async def _release(self, address: Address, connection: _FrameSocket) -> None:
-        idle = self.idle_by_address.setdefault(address, [])
-        # Bytes after a reply belong to no call.
-        clean = not connection.has_unread_bytes
-        if clean and len(idle) < MAX_IDLE_CONNECTIONS_PER_PEER:
-            connection.last_used_ms = self.clock.now_ms()
-            idle.append(connection)
-        else:
-            await connection.close()
-
-    async def _drop_idle(self, address: Address) -> None:
-        for connection in self.idle_by_address.pop(address, []):
-            await connection.close()
-
 
 async def serve_peers(address: Address, secret: bytes, handler: Handler) -> None:
     """Serve peers at ``address`` until cancelled.
--- a/wagtailrun/descriptors.py
+++ b/wagtailrun/descriptors.py
@@ -8,6 +8,9 @@
 
 # Share of the descriptors for connections that wait for another request.
 IDLE_PARTS = 8
+# Share of these that is for connections to other processes of the system. They carry
+# one call at a time, so there are a few for each peer.
+PEER_PARTS = 4
 
 
 def descriptor_limit(stated: int | None = None) -> int:
@@ -34,5 +37,15 @@
 
     @property
     def idle(self) -> int:
-        """Connections that wait for another request."""
+        """Connections that wait for another request, or for another call to a peer."""
         return self.limit // IDLE_PARTS
+
+    @property
+    def idle_to_peers(self) -> int:
+        """Those to other processes of the system."""
+        return self.idle // PEER_PARTS
+
+    @property
+    def idle_to_targets(self) -> int:
+        """Those to targets."""
+        return self.idle - self.idle_to_peers
