Drop what an entry keeps of targets, entries and services that are gone

Carriers and members that failed once, models, margins and retry tokens of services and routes that were removed, and pools of stages with two tasks each stayed as well. Nothing failed within hours, but memory grew with each replaced target until a restart.

Unresponsive targets stay while their service has no others, as members may be the ones that are cut off. What an attempt still uses stays.

--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -181,7 +181,11 @@
         try:
             reply = await self.link.call(address, message, CALL_TIMEOUT_MS)
         except PeerUnreachable as error:
-            self.avoid_until_ms[address] = self.clock.now_ms() + AVOIDANCE_MS
+            now_ms = self.clock.now_ms()
+            for other, until_ms in list(self.avoid_until_ms.items()):
+                if until_ms <= now_ms:
+                    del self.avoid_until_ms[other]
+            self.avoid_until_ms[address] = now_ms + AVOIDANCE_MS
             events.log(events.PEER_LOST, peer=str(address), detail=str(error))
             return False
         return isinstance(reply, RowsTaken)
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -68,7 +68,11 @@
 
     def exclude(self, owner: EntryRow, detail: str) -> None:
         """Skip an entry that did not reply for the next ``AVOIDANCE_MS``."""
-        self.avoid_until_ms[owner.name] = self.clock.now_ms() + AVOIDANCE_MS
+        now_ms = self.clock.now_ms()
+        for name, until_ms in list(self.avoid_until_ms.items()):
+            if until_ms <= now_ms:
+                del self.avoid_until_ms[name]
+        self.avoid_until_ms[owner.name] = now_ms + AVOIDANCE_MS
         events.log(events.PEER_LOST, peer=owner.name, detail=detail)
 
     def _ranking(self, key: str, data_centre: str) -> list[EntryRow]:
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -362,6 +362,34 @@
         if known is None or row.incarnation >= known.incarnation:
             self.rows_by_address[row.address] = row
 
+    def drop_gone(self) -> None:
+        """Drop what is kept of targets and control members that are gone."""
+        now_ms = self.clock.now_ms()
+        self._renew_contacts(now_ms)
+        self.membership.drop_expired_rows(now_ms)
+        known = self.membership.targets_by_name
+        for address, row in list(self.rows_by_address.items()):
+            newest = known.get(row.name)
+            if newest is None or newest.address != address:
+                del self.rows_by_address[address]
+        for name in self.drain_ends_ms_by_name.keys() - known:
+            del self.drain_ends_ms_by_name[name]
+        for address, until_ms in list(self.avoid_until_ms.items()):
+            if until_ms <= now_ms:
+                del self.avoid_until_ms[address]
+
+    def _renew_contacts(self, now_ms: int) -> None:
+        """Count the time until a row is dropped from when it was last of use.
+
+        Members send a row only when it changes. The unresponsive targets of a service
+        are of use as long as it has no others.
+        """
+        for rows in self.membership.rows_by_service.values():
+            present = [row for row in rows.values() if not row.leaving]
+            active = [row for row in present if not row.silent]
+            for row in active or present:
+                self.membership.last_contact_ms_by_name[row.name] = now_ms
+
     def live_entries(self) -> tuple[EntryRow, ...]:
         """Return the running entries, including this one while it accepts requests.
 
--- a/wagtailrun/membership.py
+++ b/wagtailrun/membership.py
@@ -154,6 +154,10 @@
         self.change_numbers_by_name.pop(name, None)
         self.digest ^= self.digests_by_name.pop(name, 0)
 
+    def names(self) -> list[str]:
+        """Return the names of all rows."""
+        return list(self.change_numbers_by_name)
+
     def changed_since(self, number: int) -> Iterator[str]:
         """Yield the names of the rows changed after ``number``, newest first."""
         for name in reversed(self.change_numbers_by_name):
@@ -356,7 +360,10 @@
             gone = row.leaving or row.silent or self.is_overdue(name, now_ms)
             if gone and now_ms - self.last_contact_ms_by_name[name] >= ROW_RETENTION_MS:
                 del self.targets_by_name[name], self.last_contact_ms_by_name[name]
-                del self.rows_by_service[row.service][name]
+                rows = self.rows_by_service[row.service]
+                del rows[name]
+                if not rows:
+                    del self.rows_by_service[row.service]
                 self.state_log.drop(name)
                 self.update_log.drop(name)
                 self.direct_contact_ms_by_name.pop(name, None)
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -240,6 +240,20 @@
             self.states_by_name[row.name] = state
         return state
 
+    def retain(self, names: Collection[str], services: Collection[str]) -> None:
+        """Drop what is known of all other targets and services.
+
+        Args:
+            names: Names of the targets to keep; one with an attempt in progress is kept
+                all the same.
+            services: Names of the services to keep.
+        """
+        for name, state in list(self.states_by_name.items()):
+            if name not in names and not state.in_flight:
+                del self.states_by_name[name]
+        for service in self.models_by_service.keys() - services:
+            del self.models_by_service[service]
+
     def _load(self, state: _TargetState, row: TargetRow, now_ms: int) -> float:
         own_attempts = state.in_flight
         slots = max(row.capacity, 1)
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -41,6 +41,7 @@
 from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
+from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.settings import RelayEntrySettings
@@ -165,7 +166,7 @@
         self.descriptors = DescriptorShares(descriptor_limit(settings.max_fds))
         self.pool = ConnectionPool(
             self.clock,
-            self.descriptors.idle,
+            self.descriptors.idle_to_targets,
             self.view.membership.serving_addresses,
         )
         self.http = HttpClient(self.clock, self.notices, self.connector, self.pool)
@@ -234,6 +235,15 @@
             on_refusal=self.handler.record_unread,
             limits=self._server_limits,
         )
+        self.upkeep = Upkeep(
+            self.clock,
+            self.view,
+            [self.chooser],
+            self.placement_host,
+            self.connector,
+            self.batcher,
+            self.budget,
+        )
         self.was_ready = False
         self._export_gauges()
 
@@ -364,6 +374,7 @@
             self._record_origins,
             self._watch_paths,
             self._state_requests,
+            self._drop_gone,
             self.live_settings.watch,
         )
         await run_daemon(
@@ -384,6 +395,9 @@
     async def _watch_paths(self) -> None:
         await supervise("watch paths", self.connector.paths.run)
 
+    async def _drop_gone(self) -> None:
+        await supervise("drop what is gone", self.upkeep.run)
+
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another entry."""
         if isinstance(message, RunPieces | CancelPieces | FreeResults):
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -4,7 +4,7 @@
 and two prompts that one engine prefills at once delay each other by 250 ms.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import attrs
 import curio
@@ -288,6 +288,15 @@
                 )
             estimator.add_error(message.error_ms)
 
+    def retain(
+        self, names: Collection[str], services: Collection[str], routes: Collection[str]
+    ) -> None:
+        """Drop what is known of all other targets, services and routes."""
+        self._expire_runs()
+        self.chooser.retain(names, services)
+        for route in self.margins_by_route.keys() - routes:
+            del self.margins_by_route[route]
+
     def _expire_runs(self) -> None:
         """Drop the oldest runs whose entries did not report an end."""
         limit_ms = self.clock.now_ms() - RUN_LIFETIME_MS
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -364,6 +364,12 @@
             detail=detail,
         )
 
+    def drop_gone_carriers(self) -> None:
+        """Drop what is known of entries that are no longer live."""
+        live = {row.name for row in self._other_entries()}
+        for name in self.avoidances_by_carrier.keys() - live:
+            del self.avoidances_by_carrier[name]
+
     def _next_carrier(
         self, row: TargetRow | None, asked: list[EntryRow]
     ) -> EntryRow | None:
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -3,7 +3,7 @@
 import random
 from abc import ABC, abstractmethod
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
@@ -51,6 +51,11 @@
         tokens = self.tokens_by_service[service] + self.tokens_per_attempt
         self.tokens_by_service[service] = min(tokens, self.token_limit())
 
+    def retain(self, services: Collection[str]) -> None:
+        """Drop the tokens of all other services."""
+        for service in self.tokens_by_service.keys() - services:
+            del self.tokens_by_service[service]
+
     def has(self, service: str, reserve: float = 0.0) -> bool:
         """Return whether one more attempt would leave at least ``reserve`` tokens."""
         return self.tokens_by_service[service] >= 1.0 + reserve
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -36,7 +36,11 @@
         """Remove a result that its target has dropped."""
         held = self.results_by_handle.pop(handle, None)
         if held is not None:
-            self.bytes_by_address[held.address] -= held.size
+            left = self.bytes_by_address[held.address] - held.size
+            self.bytes_by_address[held.address] = left
+            if not left:
+                # The target may have left.
+                del self.bytes_by_address[held.address]
 
     def used_bytes(self, address: Address) -> int:
         """Return the bytes that results occupy at ``address``."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -3,7 +3,7 @@
 import itertools
 import math
 from collections import defaultdict, deque
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
 
 import attrs
 import curio
@@ -175,6 +175,21 @@
         self.busy_ms_by_data_centre: dict[str, int] = {}
         self.wake = curio.Event()
         self.releases_pending = curio.Event()
+        self.tasks: list[curio.Task] = []
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no entry needs a result of the pool any more."""
+        return not (self.jobs_by_key or self.pending_releases_by_address)
+
+    def drop_gone(self, names: Collection[str]) -> None:
+        """Drop the states of targets that are not among ``names``, and ended jobs."""
+        for name, target_state in list(self.target_states_by_name.items()):
+            if name not in names and not target_state.calls:
+                del self.target_states_by_name[name]
+        if not self.open_by_key:
+            # Otherwise the reviews of the open jobs do this.
+            self._review()
 
     # Queue state
 
@@ -806,9 +821,25 @@
             pool = self.pools_by_service[service] = _Pool(self, service)
             for task in (pool.run, pool.run_releases):
                 name = f"{task.__qualname__} {service}"
-                await curio.spawn(supervise, name, task, daemon=True)
+                pool.tasks.append(await curio.spawn(supervise, name, task, daemon=True))
         return pool
 
+    async def drop_gone(
+        self, names: Collection[str], services: Collection[str] | None
+    ) -> None:
+        """Drop what is kept of targets and services that are gone.
+
+        Args:
+            names: Names of the known targets.
+            services: Names of the known services; None if they are not known.
+        """
+        for service, pool in list(self.pools_by_service.items()):
+            pool.drop_gone(names)
+            if services is not None and service not in services and pool.is_unused:
+                del self.pools_by_service[service]
+                for task in pool.tasks:
+                    await task.cancel()
+
     async def handle(
         self, message: RunPieces | CancelPieces | FreeResults
     ) -> PiecesState | PiecesDropped:
