Drop tables of members and native entries that kept replaced peers

Found by going through all tables that are kept by peer: the exchange state of replaced control members, the change log of targets reported here, and versions that another member knew were never dropped at a control member; the time of the last change of a forgotten entry, and targets with a stalled connection, never at a native entry. Each is small, but lasts until the restart of the process. Each is now dropped where the next one is recorded or the row itself is dropped. No caller was affected; there is no test of these five beyond the tests of their modules.

--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -274,7 +274,11 @@
             return None
         responds = await self._probe(run.target)
         if responds:
-            until_ms = self.clock.now_ms() + FRESH_CONNECTION_MS
+            now_ms = self.clock.now_ms()
+            for name, ms in list(self.fresh_until_ms_by_name.items()):
+                if ms <= now_ms:
+                    del self.fresh_until_ms_by_name[name]
+            until_ms = now_ms + FRESH_CONNECTION_MS
             self.fresh_until_ms_by_name[run.target.name] = until_ms
             detail = f"the connection to {run.target.name} stalled"
             return ConnectionStalled(detail, run.target)
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -403,6 +403,9 @@
                 SHARE_INTERVAL_MS / MS_PER_SECOND, self.share_requested.wait
             )
             entries, self.reported_entries = self.reported_entries, set()
+            members = {Address.parse(text) for text in self._member_addresses()}
+            for address in self.peers_by_address.keys() - members:
+                del self.peers_by_address[address]
             async with curio.TaskGroup() as group:
                 for member_address in self._member_addresses():
                     address = Address.parse(member_address)
@@ -532,6 +535,9 @@
             if now_ms - cleaned_up_ms > CLEANUP_INTERVAL_MS:
                 cleaned_up_ms = now_ms
                 self.membership.drop_expired_rows(now_ms)
+                for name in self.reported_targets.names():
+                    if name not in self.membership.targets_by_name:
+                        self.reported_targets.drop(name)
 
     async def _check_targets(self, now_ms: int) -> None:
         before = self.membership.state_log.number
--- a/wagtailrun/discovery/shared_versions.py
+++ b/wagtailrun/discovery/shared_versions.py
@@ -38,6 +38,9 @@
             Names of the targets that entries may use from now on.
         """
         now_ms = self.clock.now_ms()
+        for version in list(self.contact_ms_by_version):
+            if not self._is_shared(version, now_ms):
+                del self.contact_ms_by_version[version]
         # A dictionary keeps their order, so that tests repeat.
         released: dict[tuple[str, str], None] = {}
         for aged in rows:
--- a/wagtailrun/gossip_peers.py
+++ b/wagtailrun/gossip_peers.py
@@ -157,6 +157,7 @@
                 self._replace(attrs.evolve(row, health=Health.DEAD), now_ms)
             elif row.health == Health.DEAD and age_ms >= FORGET_DEAD_MS:
                 del self.rows_by_name[row.name]
+                self.changed_ms_by_name.pop(row.name, None)
                 self.partners_by_name.pop(row.name, None)
                 self.row_log.drop(row.name)
                 self.confirmed_log.drop(row.name)
