Refuse requests early at an entry that nears its limit of descriptors

An entry refused requests beyond 4,000 connections, whatever its limit of descriptors was, and did not count that most requests need a second one, to a target. With 4,100 descriptors, some 2,000 requests used up all of them; from then on new connections, readiness checks and peers got no answer.

An entry now keeps a quarter of its descriptors, at most 256, from new requests, and counts one more for each request without an answer. Beyond that a request gets a 503 (`overloaded`, not run, Retry-After), a head has half a second, and idle connections are closed soon. The number in use is read off the lowest free descriptor, which costs a few microseconds. Event 634 and two gauges tell of it. Other servers keep the former limit.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -46,6 +46,7 @@
 # Each connection uses a task and a file descriptor, of which a process may have 20,000.
 MAX_CONNECTIONS = 4_000
 OVERLOAD_RETRY_MS = 1_000
+OVERLOAD_HEADER_MS = 500
 # A connection is closed if one write does not complete in this time.
 WRITE_TIMEOUT_MS = 30_000
 # Time in which a client that still sends a refused request reads the refusal.
@@ -112,6 +113,8 @@
         on_refusal: Called with each refusal of a request that never reaches the
             handler.
         limits: Returns the current limits; by default those of this module.
+        overload: Returns why further requests are refused; empty if they are not. By
+            default it is the number of connections.
     """
 
     def __init__(
@@ -121,7 +124,9 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         on_refusal: Callable[[Refusal], Awaitable[None]] | None = None,
         limits: Callable[[], ServerLimits] | None = None,
+        overload: Callable[[], str] | None = None,
     ):
+        self.overload = overload or self._count_overload
         self.limits = limits or self._default_limits
         self.address = address
         self.handler = handler
@@ -150,6 +155,11 @@
         """
         await self.listener.run()
 
+    def _count_overload(self) -> str:
+        if self.open_connections <= MAX_CONNECTIONS:
+            return ""
+        return f"more than {MAX_CONNECTIONS} connections are open"
+
     def _default_limits(self) -> ServerLimits:
         return ServerLimits(
             header_bytes=MAX_HEADER_BYTES,
@@ -365,9 +375,13 @@
             self.server.reading_connections.discard(self)
 
     async def _receive_request(self) -> Request | None:
-        detail = f"the request head was not complete within {self.limits.header_ms} ms"
+        header_ms = self.limits.header_ms
+        if self.server.overload():
+            # It is refused in any case.
+            header_ms = min(header_ms, OVERLOAD_HEADER_MS)
+        detail = f"the request head was not complete within {header_ms} ms"
         try:
-            async with curio.timeout_after(self.limits.header_ms / MS_PER_SECOND):
+            async with curio.timeout_after(header_ms / MS_PER_SECOND):
                 head = await self._parse_part(self._read_head)
             detail = f"the request was not complete within {REQUEST_TIMEOUT_MS} ms"
             if head is None:
@@ -376,8 +390,7 @@
                 body = await self._parse_part(self._read_body)
         except curio.TaskTimeout as error:
             raise RequestRejected(detail, REQUEST_TIMEOUT_STATUS) from error
-        if self.server.open_connections > MAX_CONNECTIONS:
-            detail = f"more than {MAX_CONNECTIONS} connections are open"
+        if detail := self.server.overload():
             refusal = Refusal(
                 RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS
             )
@@ -407,7 +420,8 @@
         waited_ms = 0
         while True:
             wait_ms = self.limits.idle_ms - waited_ms
-            if self.server.draining:
+            overloaded = bool(self.server.overload())
+            if self.server.draining or overloaded:
                 # A connection that was accepted a moment ago; its request is on the
                 # way.
                 wait_ms = min(wait_ms, DRAIN_REQUEST_WAIT_MS)
@@ -419,7 +433,7 @@
             except curio.TaskTimeout:
                 waited_ms += wait_ms
             self.limits = self.server.limits()
-            if self.server.draining or waited_ms >= self.limits.idle_ms:
+            if self.server.draining or overloaded or waited_ms >= self.limits.idle_ms:
                 return None
 
     async def _parse_part(self, read_part: Callable[[], Awaitable[Any]]) -> Any:
--- a/wagtailrun/descriptors.py
+++ b/wagtailrun/descriptors.py
@@ -1,16 +1,21 @@
 """Division of a process's file descriptors among its uses."""
 
+import os
 import resource
 
 import attrs
 
-__all__ = ["DescriptorShares", "descriptor_limit"]
+__all__ = ["DescriptorShares", "descriptor_limit", "used_descriptors"]
 
 # Share of the descriptors for connections that wait for another request.
 IDLE_PARTS = 8
 # Share of these that is for connections to other processes of the system. They carry
 # one call at a time, so there are a few for each peer.
 PEER_PARTS = 4
+# Share that is kept from new requests, and its limit: a few dozen peers, each with some
+# connections, and the requests under way, which end within it.
+RESERVE_PARTS = 4
+MAX_RESERVE = 256
 
 
 def descriptor_limit(stated: int | None = None) -> int:
@@ -25,6 +30,20 @@
     return limit if stated is None else min(limit, stated)
 
 
+def used_descriptors() -> int:
+    """Return how many descriptors are in use, at least.
+
+    A new one gets the lowest free number, so all lower ones are in use. Reading the
+    list of them would take milliseconds when there are thousands.
+    """
+    try:
+        descriptor = os.open(os.devnull, os.O_RDONLY)
+    except OSError:
+        return descriptor_limit()
+    os.close(descriptor)
+    return descriptor
+
+
 @attrs.frozen
 class DescriptorShares:
     """How many descriptors each use may take.
@@ -35,6 +54,11 @@
 
     limit: int = attrs.field(factory=descriptor_limit)
 
+    @property
+    def reserve(self) -> int:
+        """Those kept from new requests, for readiness checks, peers and the log."""
+        return min(self.limit // RESERVE_PARTS, MAX_RESERVE)
+
     @property
     def idle(self) -> int:
         """Connections that wait for another request, or for another call to a peer."""
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -263,6 +263,12 @@
     "If it repeats, find who sends these requests.",
     per_second=20,
 )
+DESCRIPTORS_SHORT = _event(
+    634,
+    logging.WARNING,
+    "This entry nears its limit of descriptors and refuses new requests for now.",
+    "If it repeats, raise the limit of open files, or find who opens connections.",
+)
 PROMPT_PART_CLEARED = _event(
     633,
     logging.INFO,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -19,7 +19,7 @@
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
-from wagtailrun.descriptors import DescriptorShares, descriptor_limit
+from wagtailrun.descriptors import DescriptorShares, descriptor_limit, used_descriptors
 from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
@@ -234,6 +234,7 @@
             self.handler.handle,
             on_refusal=self.handler.record_unread,
             limits=self._server_limits,
+            overload=self._overload,
         )
         self.upkeep = Upkeep(
             self.clock,
@@ -289,6 +290,13 @@
             "Time of these calls.",
             lambda: batcher.call_ms,
         )
+        shares = self.descriptors
+        gauge("descriptors", "Descriptors in use, at least.", used_descriptors)
+        gauge(
+            "descriptors_for_requests",
+            "Descriptors above which new requests are refused.",
+            lambda: shares.limit - shares.reserve,
+        )
         gauge(
             "idle_connections",
             "Connections to targets without a request.",
@@ -342,6 +350,20 @@
         row = table.services_by_name.get(service) if table else None
         return row.pool if row is not None and row.pool else StageCapacity()
 
+    def _overload(self) -> str:
+        """Return why new requests are refused; empty if they are not.
+
+        Each request that has no answer yet may need a connection to a target.
+        """
+        needed = used_descriptors() + self.caller_server.unanswered_requests
+        usable = self.descriptors.limit - self.descriptors.reserve
+        if needed <= usable:
+            return ""
+        events.log(
+            events.DESCRIPTORS_SHORT, needed=needed, limit=self.descriptors.limit
+        )
+        return f"{needed} of {self.descriptors.limit} descriptors are needed"
+
     def _server_limits(self) -> ServerLimits:
         table = self.view.table
         limits = table.limits if table is not None else RequestLimits()
