--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -3,7 +3,6 @@
 import enum
 import functools
 import re
-import select
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
@@ -15,6 +14,7 @@
 import curio
 import h11
 
+from wagtailrun.adapters.connection_pool import ConnectionPool, PooledConnection
 from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
 from wagtailrun.exceptions import (
     ConnectFailed,
@@ -69,7 +69,6 @@
 FIRST_FAILURE_STATUS = 400
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 8
-MAX_IDLE_CONNECTIONS = 32
 # Requests whose identities a connection remembers. A late copy follows its response
 # after a few others at most.
 MAX_IDENTITIES = 64
@@ -551,12 +550,6 @@
             verdict=Verdict.MAY_HAVE_RUN,
         )
 
-    def is_readable(self) -> bool:
-        """Return whether the server sent unexpected bytes or closed the connection."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def set_deadline(self, deadline_ms: int) -> None:
         """Set when the next request ends, on the clock."""
         self.deadline_ms = deadline_ms
@@ -641,6 +634,7 @@
         observer: Is told of all answers and permits all requests.
         connector: Opens connections; by default directly.
         memory: Budget for the bytes of responses.
+        pool: Keeps idle connections.
     """
 
     def __init__(
@@ -649,12 +643,18 @@
         observer: TargetObserver | None = None,
         connector: Connector | None = None,
         memory: MemoryBudget = PROCESS_MEMORY,
+        pool: ConnectionPool | None = None,
     ):
         self.memory = memory
         self.clock = clock or SystemClock()
         self.observer = observer
         self.connector = connector or DirectConnector()
-        self.idle_by_address: dict[Address, list[_Connection]] = {}
+        self.pool = ConnectionPool(self.clock) if pool is None else pool
+
+    @property
+    def idle_by_address(self) -> dict[Address, list[PooledConnection]]:
+        """Idle connections by the address of the server."""
+        return self.pool.idle_by_address
 
     async def request(
         self,
@@ -809,7 +809,7 @@
             connection.release_memory()
         await self._record_end(permit, True)
         _apply_keep_alive(connection, stream.headers)
-        await self._release(address, connection)
+        await self.pool.release(address, connection)
 
     async def _record_end(self, permit: SendPermit | None, completed: bool) -> None:
         if self.observer is not None:
@@ -823,44 +823,16 @@
         identity: str,
     ) -> _Connection:
         """Return a pooled connection that is still usable, or open one."""
-        idle = self.idle_by_address.get(address, [])
         if not self.connector.may_reuse(address):
-            await self._drop_idle(address)
-        while not new_connection:
-            # The newest one first.
-            number = next(
-                (
-                    number
-                    for number in reversed(range(len(idle)))
-                    if not identity or identity not in idle[number].identities
-                ),
-                None,
-            )
-            if number is None:
-                break
-            connection = idle.pop(number)
-            age_ms = self.clock.now_ms() - connection.idle_since_ms
-            if age_ms < connection.max_idle_ms and not connection.is_readable():
+            await self.pool.drop(address)
+        if not new_connection:
+            connection = await self.pool.take(address, identity)
+            if connection is not None:
                 connection.http.start_next_cycle()
                 return connection
-            await connection.sock.close()
         opened = await self.connector.connect(address, connect_timeout_ms)
         return _Connection(opened.sock, self.clock, opened.carrier, self.memory)
 
-    async def _drop_idle(self, address: Address) -> None:
-        idle = self.idle_by_address.get(address, [])
-        while idle:
-            await idle.pop().sock.close()
-
-    async def _release(self, address: Address, connection: _Connection) -> None:
-        """Return a connection to the pool, or close it."""
-        idle = self.idle_by_address.setdefault(address, [])
-        if connection.is_reusable() and len(idle) < MAX_IDLE_CONNECTIONS:
-            connection.idle_since_ms = self.clock.now_ms()
-            idle.append(connection)
-        else:
-            await connection.sock.close()
-
 
 def enable_dead_peer_detection(sock: Any) -> None:
     """Let the operating system report a peer that stopped responding as an error."""
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -51,6 +51,7 @@
 # Each connection uses a task and a file descriptor, of which a process may have 20,000.
 MAX_CONNECTIONS = 4_000
 OVERLOAD_RETRY_MS = 1_000
+OVERLOAD_HEADER_MS = 500
 # A connection is closed if one write does not complete in this time.
 WRITE_TIMEOUT_MS = 30_000
 # Time in which a client that still sends a refused request reads the refusal.
@@ -147,6 +148,8 @@
             handler.
         limits: Returns the current limits; by default those of this module.
         memory: Budget for the bytes of requests and of answers being written.
+        overload: Returns why further requests are refused; empty if they are not. By
+            default it is the number of connections.
     """
 
     def __init__(
@@ -157,8 +160,10 @@
         on_refusal: Callable[[Refusal], Awaitable[None]] | None = None,
         limits: Callable[[], ServerLimits] | None = None,
         memory: MemoryBudget = PROCESS_MEMORY,
+        overload: Callable[[], str] | None = None,
     ):
         self.memory = memory
+        self.overload = overload or self._count_overload
         self.limits = limits or self._default_limits
         self.address = address
         self.handler = handler
@@ -187,6 +192,11 @@
         """
         await self.listener.run()
 
+    def _count_overload(self) -> str:
+        if self.open_connections <= MAX_CONNECTIONS:
+            return ""
+        return f"more than {MAX_CONNECTIONS} connections are open"
+
     def _default_limits(self) -> ServerLimits:
         return ServerLimits(
             header_bytes=MAX_HEADER_BYTES,
@@ -295,8 +305,9 @@
         while True:
             self.limits = self.server.limits()
             if not await self._wait_for_bytes():
-                if not self.was_used and self._is_ended_by_stop():
-                    await self._refuse_first_request()
+                refusal = self._first_refusal()
+                if refusal is not None:
+                    await self._refuse_first_request(refusal)
                 return
             self.was_used = True
             self._renew_limits()
@@ -358,9 +369,25 @@
         with suppress(OSError):
             await self.sock.shutdown(socket.SHUT_RD)
 
-    def _is_ended_by_stop(self) -> bool:
-        """Return whether a planned stop, not the client, ended an idle connection."""
-        return self.server.draining and (self.reading_stopped or not self.was_closed)
+    def _first_refusal(self) -> Refusal | None:
+        """Return the refusal of the request that may be on its way.
+
+        None if the client closed the connection, or it was used before: a refusal could
+        then count as a second answer to an earlier request.
+        """
+        if self.was_used or (self.was_closed and not self.reading_stopped):
+            return None
+        if self.server.draining:
+            return INCOMPLETE_AT_STOP
+        return self._overload_refusal()
+
+    def _overload_refusal(self) -> Refusal | None:
+        detail = self.server.overload()
+        if not detail:
+            return None
+        return Refusal(
+            RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS
+        )
 
     async def _reject(self, error: RequestRejected) -> None:
         """Refuse a request that cannot be read."""
@@ -369,17 +396,13 @@
             return
         await self._refuse(INCOMPLETE_AT_STOP, DEFAULT_REFUSAL_STATUS)
 
-    async def _refuse_first_request(self) -> None:
-        """Refuse the request that may be on its way on a new connection.
-
-        The client reads the refusal as the answer to it. On a connection that was used
-        before, it could count as a second answer to an earlier request.
-        """
-        self.server.unused_connections_ended += 1
-        refusal = refusal_response(INCOMPLETE_AT_STOP, DEFAULT_REFUSAL_STATUS)
-        await self._send(refusal, close=True)
+    async def _refuse_first_request(self, refusal: Refusal) -> None:
+        """Refuse the request that may be on its way on a new connection."""
+        if self.server.draining:
+            self.server.unused_connections_ended += 1
+        await self._send(refusal_response(refusal, DEFAULT_REFUSAL_STATUS), close=True)
         # Only now it is known whether there is a request.
-        await self._discard_input(INCOMPLETE_AT_STOP)
+        await self._discard_input(refusal)
 
     async def _discard_input(self, unreported: Refusal | None = None) -> None:
         """Receive the rest of a request that was refused, for a limited time.
@@ -445,9 +468,13 @@
             self.server.reading_connections.discard(self)
 
     async def _receive_request(self) -> Request | None:
-        detail = f"the request head was not complete within {self.limits.header_ms} ms"
+        header_ms = self.limits.header_ms
+        if self.server.overload():
+            # It is refused in any case.
+            header_ms = min(header_ms, OVERLOAD_HEADER_MS)
+        detail = f"the request head was not complete within {header_ms} ms"
         try:
-            async with curio.timeout_after(self.limits.header_ms / MS_PER_SECOND):
+            async with curio.timeout_after(header_ms / MS_PER_SECOND):
                 head = await self._parse_part(self._read_head)
             detail = f"the request was not complete within {REQUEST_TIMEOUT_MS} ms"
             if head is None:
@@ -457,11 +484,7 @@
                 body = await self._parse_part(self._read_body)
         except curio.TaskTimeout as error:
             raise RequestRejected(detail, REQUEST_TIMEOUT_STATUS) from error
-        if self.server.open_connections > MAX_CONNECTIONS:
-            detail = f"more than {MAX_CONNECTIONS} connections are open"
-            refusal = Refusal(
-                RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS
-            )
+        if (refusal := self._overload_refusal()) is not None:
             await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
             return None
         return self._make_request(head, body)
@@ -520,7 +543,8 @@
         self.is_awaited = not self.was_used or self.server.draining
         while True:
             wait_ms = self.limits.idle_ms - waited_ms
-            if self.is_awaited:
+            overloaded = bool(self.server.overload())
+            if self.is_awaited or overloaded:
                 wait_ms = min(wait_ms, self._request_wait_ms())
             try:
                 async with curio.timeout_after(wait_ms / MS_PER_SECOND):
@@ -530,7 +554,7 @@
             finally:
                 self.is_awaited = False
             self.limits = self.server.limits()
-            if self.server.draining or waited_ms >= self.limits.idle_ms:
+            if self.server.draining or overloaded or waited_ms >= self.limits.idle_ms:
                 return None
 
     def _request_wait_ms(self) -> int:
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -8,6 +8,7 @@
 import curio
 
 from wagtailrun import events
+from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
     HttpServer,
@@ -19,6 +20,7 @@
 )
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.descriptors import DescriptorShares, descriptor_limit, used_descriptors
 from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
@@ -40,6 +42,7 @@
 from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
+from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.settings import RelayEntrySettings
@@ -166,7 +169,13 @@
             self.notices.begin_carried_request,
             lambda: bool(self.signals.stop_count),
         )
-        self.http = HttpClient(self.clock, self.notices, self.connector)
+        self.descriptors = DescriptorShares(descriptor_limit(settings.max_fds))
+        self.pool = ConnectionPool(
+            self.clock,
+            self.descriptors.idle_to_targets,
+            self.view.membership.serving_addresses,
+        )
+        self.http = HttpClient(self.clock, self.notices, self.connector, self.pool)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
@@ -231,6 +240,16 @@
             self.handler.handle,
             on_refusal=self.handler.record_unread,
             limits=self._server_limits,
+            overload=self._overload,
+        )
+        self.upkeep = Upkeep(
+            self.clock,
+            self.view,
+            [self.chooser],
+            self.placement_host,
+            self.connector,
+            self.batcher,
+            self.budget,
         )
         self.was_ready = False
         self._export_gauges()
@@ -282,6 +301,18 @@
             "Time of these calls.",
             lambda: batcher.call_ms,
         )
+        shares = self.descriptors
+        gauge("descriptors", "Descriptors in use, at least.", used_descriptors)
+        gauge(
+            "descriptors_for_requests",
+            "Descriptors above which new requests are refused.",
+            lambda: shares.limit - shares.reserve,
+        )
+        gauge(
+            "idle_connections",
+            "Connections to targets without a request.",
+            lambda: len(self.pool),
+        )
         paths, tunnels = self.connector.paths, self.tunnels
         gauge(
             "lost_paths",
@@ -330,6 +361,20 @@
         row = table.services_by_name.get(service) if table else None
         return row.pool if row is not None and row.pool else StageCapacity()
 
+    def _overload(self) -> str:
+        """Return why new requests are refused; empty if they are not.
+
+        Each request that has no answer yet may need a connection to a target.
+        """
+        needed = used_descriptors() + self.caller_server.unanswered_requests
+        usable = self.descriptors.limit - self.descriptors.reserve
+        if needed <= usable:
+            return ""
+        events.log(
+            events.DESCRIPTORS_SHORT, needed=needed, limit=self.descriptors.limit
+        )
+        return f"{needed} of {self.descriptors.limit} descriptors are needed"
+
     def _server_limits(self) -> ServerLimits:
         table = self.view.table
         limits = table.limits if table is not None else RequestLimits()
@@ -362,6 +407,7 @@
             self._record_origins,
             self._watch_paths,
             self._state_requests,
+            self._drop_gone,
             self.live_settings.watch,
         )
         await run_daemon(
@@ -382,6 +428,9 @@
     async def _watch_paths(self) -> None:
         await supervise("watch paths", self.connector.paths.run)
 
+    async def _drop_gone(self) -> None:
+        await supervise("drop what is gone", self.upkeep.run)
+
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another entry."""
         if isinstance(message, RunPieces | CancelPieces | FreeResults):
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -36,6 +36,8 @@
 MAX_SECONDS = 366 * 86_400
 MAX_MS = MAX_SECONDS * MS_PER_SECOND
 MAX_COUNT = 1_000_000_000
+# Fewer leave no room for requests beside the listeners, the peers and the log.
+MIN_DESCRIPTORS = 64
 MAX_LINK_MBPS = 1_000_000_000
 MAX_MEMORY_MB = 1_000_000_000
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -271,6 +273,13 @@
     return value
 
 
+def _parse_descriptors(text: str) -> int:
+    value = _parse_number(text)
+    if not MIN_DESCRIPTORS <= value <= MAX_COUNT:
+        raise ValueError(f"give a number from {MIN_DESCRIPTORS} to {MAX_COUNT}")
+    return int(value)
+
+
 def _positive(high: float, unit: str) -> Callable[[str], int | float]:
     """Return a parser of positive numbers up to ``high``."""
 
@@ -359,6 +368,12 @@
         1_000.0,
     )
     memory_mb: float = _setting(*MEMORY_MB)
+    max_fds: int | None = _setting(
+        _parse_descriptors,
+        "File descriptors that this process may have; by default, and at most, the "
+        "limit of the operating system.",
+        None,
+    )
 
     @property
     def effective_drain_notice_ms(self) -> float:
