Look more rarely for bytes that cross the refusals of a stop

Each connection whose reading was ended looked every 10 ms: 2,000 of them cause 200,000 wake-ups a second as the process ends. Now each looks every 100 ms.

--- a/tests/test_review_operator_stop.py
+++ b/tests/test_control_stop_processes.py
@@ -1,4 +1,4 @@
-"""Review of a planned stop: an operator's request at a control member."""
+"""Tests of an operator whose request a stopping control member has in progress."""
 
 import signal
 import time
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -56,6 +56,9 @@
 WRITE_TIMEOUT_MS = 30_000
 # Time in which a client that still sends a refused request reads the refusal.
 DISCARD_TIMEOUT_MS = 1_000
+# Interval of looks for bytes after this server ended the reading, of which no event
+# tells. Thousands of connections may be refused at the same time.
+DISCARD_POLL_MS = 100
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 # SO_LINGER with a time of 0: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -425,7 +428,7 @@
                     return
                 if not data:
                     # Bytes also arrive after this server ended the reading.
-                    await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
+                    await curio.sleep(DISCARD_POLL_MS / MS_PER_SECOND)
                 elif unreported is not None:
                     await self._report(unreported)
                     unreported = None
