--- a/tests/test_http_target.py
+++ b/tests/test_http_target.py
@@ -122,6 +122,7 @@
     ("parts", "reset", "count"),
     [
         ([TOKEN, DONE], False, 2),
+        ([TOKEN, DONE, b": bye\n\n"], False, 2),
         ([TOKEN], False, None),
         ([TOKEN, DONE[:-9]], False, None),
         ([TOKEN], True, None),
--- a/wagtailrun/adapters/http_target.py
+++ b/wagtailrun/adapters/http_target.py
@@ -106,7 +106,7 @@
                     done = done or tokens[-1].last
                     yield tokens
                 # Tokens that the target sent before are no progress.
-                if done or tokens and tokens[-1].offset > newest:
+                if tokens and (done or tokens[-1].offset > newest):
                     newest = tokens[-1].offset
                     # The time that the caller took to read does not count.
                     token_due_ms = clock.now_ms() + timeout_ms
