Count the fields of heads, and limit heads received in one piece

The limit of h11 on a head (16 KB) applies only to one that is received in several pieces; up to 64 KB passed in one, and each header field takes some 300 bytes beside its own. So 4,000 connections with heads of 16 KB could take over 1 GB, counted as 64 MB. Found by reading, not seen at a caller.

The client now limits the complete head as the server does, and both count 300 bytes for each field in the budget. The limit of h11 is stated where the client's parser is made. The least budget is 32 MB: half of 16 MB held no fleet configuration of 6 MB, which a control member accepts (shown by `test_largest_answer_fits_alone`).

`test_head_received_in_one_piece_is_limited` guards the head; on a head of 6,000 fields was accepted.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -24,7 +24,13 @@
 )
 from wagtailrun.fairness import Turns
 from wagtailrun.membership import TargetRow
-from wagtailrun.memory_budget import PROCESS_MEMORY, Holding, Kind, MemoryBudget
+from wagtailrun.memory_budget import (
+    FIELD_BYTES,
+    PROCESS_MEMORY,
+    Holding,
+    Kind,
+    MemoryBudget,
+)
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -43,6 +49,8 @@
 ]
 
 READ_BYTES = 64 * 1024
+# Largest head, chunk header or trailers of a response.
+MAX_HEAD_BYTES = 16 * 1024
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 # Largest body of an unsuccessful answer. Those of sound targets explain a failure and
 # have some kilobytes; a target in trouble may send without end.
@@ -437,7 +445,7 @@
         self.received_end = False
         # Body of the newest response that ``HttpStream.check_distinct`` checked.
         self.last_body = b""
-        self.http = h11.Connection(h11.CLIENT)
+        self.http = self._make_parser()
         self.idle_since_ms = 0
         self.max_idle_ms = MAX_IDLE_MS
         self.request: h11.Request | None = None
@@ -445,12 +453,33 @@
         self.requests = 0
         self.identities: deque[str] = deque(maxlen=MAX_IDENTITIES)
 
+    @staticmethod
+    def _make_parser() -> h11.Connection:
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
     def hold(self, kind: Kind) -> Holding:
         """Return a holding that is released at the end of the request."""
         held = self.memory.hold(kind)
         self.holdings.append(held)
         return held
 
+    def _hold_head(self, head: h11.Response) -> None:
+        """Check the size of a head, and count its bytes.
+
+        Raises:
+            TargetFailed: If it is too large or does not fit the memory of the process.
+        """
+        # h11 applies its limit only to a head that is received in several pieces.
+        size = sum(len(name) + len(value) for name, value in head.headers)
+        held = self.hold(Kind.ANSWERS)
+        detail = ""
+        if size > MAX_HEAD_BYTES:
+            detail = f"the head of the response exceeds {MAX_HEAD_BYTES} bytes"
+        elif not held.add(size + len(head.headers) * FIELD_BYTES):
+            detail = held.refusal_detail
+        if detail:
+            raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN)
+
     def release_memory(self) -> None:
         """Release the bytes that are held for the request in progress."""
         for held in (*self.holdings, self.incomplete):
@@ -460,7 +489,7 @@
     def restart_parser(self) -> None:
         """Parse the bytes that follow as another response to the request sent."""
         rest, closed = self.http.trailing_data
-        self.http = h11.Connection(h11.CLIENT)
+        self.http = self._make_parser()
         # The parser needs a request to expect a response; only its method matters, and
         # its bytes are not sent.
         method = self.request.method
@@ -486,6 +515,7 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event(max(ends_ms - self.clock.now_ms(), 1))
             if isinstance(event, h11.Response):
+                self._hold_head(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 detail = "the server closed the connection without a response"
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -25,7 +25,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
 from wagtailrun.fairness import Turns
-from wagtailrun.memory_budget import PROCESS_MEMORY, Kind, MemoryBudget
+from wagtailrun.memory_budget import FIELD_BYTES, PROCESS_MEMORY, Kind, MemoryBudget
 from wagtailrun.ports.link import Address
 
 __all__ = [
@@ -503,6 +503,7 @@
         if size > self.limits.header_bytes:
             limit = self.limits.header_bytes
             raise RequestRejected(f"the request head exceeds {limit} bytes", 431)
+        self._hold(size + len(event.headers) * FIELD_BYTES)
         names = {name for name, _ in event.headers}
         if b"transfer-encoding" in names and b"content-length" in names:
             # Servers on the path may disagree on which of them applies; the rest of the
--- a/wagtailrun/memory_budget.py
+++ b/wagtailrun/memory_budget.py
@@ -7,7 +7,14 @@
 
 from wagtailrun import events
 
-__all__ = ["DEFAULT_MEMORY_MB", "PROCESS_MEMORY", "Holding", "Kind", "MemoryBudget"]
+__all__ = [
+    "DEFAULT_MEMORY_MB",
+    "FIELD_BYTES",
+    "PROCESS_MEMORY",
+    "Holding",
+    "Kind",
+    "MemoryBudget",
+]
 
 BYTES_PER_MB = 1024 * 1024
 # Memory of a process whose settings name none; below that of the smallest VM in use.
@@ -17,7 +24,10 @@
 # half of the limit remains for the process itself, its tables and the reads under way.
 BUDGET_SHARE = 0.25
 # A control member accepts fleet configurations of 6 MB, which must fit a fair share.
-MIN_BUDGET_BYTES = 16 * BYTES_PER_MB
+MIN_BUDGET_BYTES = 32 * BYTES_PER_MB
+# What a header field takes beside its bytes: two objects with their names, pairs and
+# entries of dictionaries. A head of 16 KB may have 4,000 fields.
+FIELD_BYTES = 300
 # Holdings up to this size may use all of the budget, larger ones only a part of it, so
 # that floods leave room for the answers of sound targets.
 SMALL_BYTES = 64 * 1024
