Pass the connection pool of an entry by its name

After the merge of the memory budget and the connection pool, the pool was taken for the budget: every connection to a target failed with 500 (test_relay_processes.py).

--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -175,7 +175,7 @@
             self.descriptors.idle_to_targets,
             self.view.membership.serving_addresses,
         )
-        self.http = HttpClient(self.clock, self.notices, self.connector, self.pool)
+        self.http = HttpClient(self.clock, self.notices, self.connector, pool=self.pool)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
         self.metrics = RelayMetrics()
