Hold descriptors by requests, not by idle connections, in a test

Now more requests than there is room for are under way, each of which needs two descriptors, after a burst of idle connections beyond the limit.

--- a/tests/test_descriptor_limit_processes.py
+++ b/tests/test_descriptor_limit_processes.py
@@ -18,8 +18,10 @@
 MAX_FDS = 128
 ANSWER_S = 2
 START_S = 20
-# More than there is room for.
-SLOW = 50
+# Requests under way, more than there is room for: each needs a second descriptor.
+SLOW = 60
+# Connections without a request are ended in this time.
+IDLE_S = 1.5
 # The queue of the listener takes a hundred connections at most.
 PAUSE_S = 0.005
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
@@ -82,9 +84,11 @@
     host, main, ready, metrics = limited_entry
     with ExitStack() as stack:
         for number in range(MAX_FDS + SLOW):
+            if number == MAX_FDS:
+                time.sleep(IDLE_S)
             sock = socket.create_connection((host, main), ANSWER_S)
             stack.enter_context(sock)
-            if number < SLOW:
+            if number >= MAX_FDS:
                 # Requests under way; the other connections are idle.
                 sock.sendall(REQUEST[:20])
             time.sleep(PAUSE_S)
