End a stop early enough for requests that come a second late

Two of nine processes were still there 8 s after their SIGTERM in a run with requests 700 ms after their connection (load 17 to 21). A connection could be accepted up to 6.8 s after the signal and then had a second for its request, to 7.8 s. Now none is accepted in the last second before the end at 7.6 s.

--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -509,11 +509,8 @@
             notice_ms, MAX_FULL_SERVICE_MS, ends_ms - STOP_ANSWER_MS - signalled_ms
         )
         notice_ends_ms = signalled_ms + full_service_ms
-        accepts_end_ms = self._killed_ms() - KILL_MARGIN_MS
-        accepts_end_ms -= request_wait_ms(self._grace_ms())
-        # With a short grace period, the last refusals come before it.
-        accepts_end_ms = min(accepts_end_ms, ends_ms - STOP_ANSWER_MS)
-        return StopPlan(notice_ends_ms, ends_ms, max(accepts_end_ms, notice_ends_ms))
+        wait_ms = max(request_wait_ms(self._grace_ms()), STOP_ANSWER_MS)
+        return StopPlan(notice_ends_ms, ends_ms, max(ends_ms - wait_ms, notice_ends_ms))
 
     async def _finish_requests(self, stop: StopPlan) -> None:
         """Return when the process may end; refuse what cannot be finished by then."""
