Notice a late signal also when a poll comes just before its handler

What callers saw: in one run of test_process_that_stood_still_* beside load, with a pause of 2.8 s, the refusal came 6.2 s after the signal of a process with a grace period of 4 s, that is 2.8 s too late. Cause: after a pause the main task may poll before the handler of the signal runs, as another thread can take the signal; the poll then counts as proof that no signal was sent before it. By the figure (2.8 + 3.4 s) and by test. Fix: a poll that is late itself proves only that no signal was sent before the previous poll. The new test of test_stop_signals.py failed before (0 in place of 2,700 ms).

--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -174,3 +174,23 @@
     answer, ended_ms = curio.run(main)
     assert answer.startswith(b"HTTP/1.1 503")
     assert ended_ms < 1_200
+
+
+def test_poll_right_after_a_pause_does_not_hide_the_lateness_of_a_signal():
+    """Guards against a stop that counts from its handler after a pause.
+
+    When a paused process goes on, its poll may run just before the handler does.
+    """
+    pause_ms = 2_800
+
+    async def main(clock):
+        signals = StopSignals(clock, lambda: None)
+        task = await curio.spawn(signals.wait)
+        await clock.sleep_ms(10 * SIGNAL_POLL_MS)
+        clock.seconds += pause_ms / MS_PER_SECOND
+        signals._record_poll()
+        signals._count_stop(signal.SIGTERM, None)
+        await task.join()
+        return signals.late_ms
+
+    assert run_virtual(main) >= pause_ms - SIGNAL_POLL_MS
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -45,11 +45,12 @@
         self.handled_ms = 0
         # When this process was last known to run; a signal sent before was handled.
         self.polled_ms = 0
+        self.last_poll_ms = 0
         self.hangup_count = 0
 
     def install(self) -> None:
         """Install the signal handlers."""
-        self.polled_ms = self.clock.now_ms()
+        self.polled_ms = self.last_poll_ms = self.clock.now_ms()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._count_stop)
         signal.signal(signal.SIGHUP, self._count_hangup)
@@ -83,8 +84,13 @@
     def _record_poll(self) -> None:
         # A signal may be handled between the two lines; the poll then came after it.
         now_ms = self.clock.now_ms()
-        if not self.stop_count:
-            self.polled_ms = now_ms
+        if self.stop_count:
+            return
+        # After a pause of the process this poll may come just before the signal that
+        # was sent meanwhile is handled.
+        is_late = now_ms - self.last_poll_ms > 2 * SIGNAL_POLL_MS
+        self.polled_ms = self.last_poll_ms if is_late else now_ms
+        self.last_poll_ms = now_ms
 
     def _count_stop(self, number: int, frame: Any) -> None:
         if not self.stop_count:
