--- a/tests/test_unused_connections.py
+++ b/tests/test_unused_connections.py
@@ -3,11 +3,9 @@
 import curio
 import pytest
 
-from demo.processes import free_addresses
+from tests.test_entry_close import make_entry
 from tests.test_http_server import echo, with_server
 from tests.test_server_close import connect
-from wagtailrun.entry import Entry
-from wagtailrun.settings import EntrySettings
 
 pytestmark = pytest.mark.network
 
@@ -16,21 +14,8 @@
 
 def test_connection_without_a_request_does_not_delay_the_hand_over():
     """Guards against accounts that are handed over only after the drain limit."""
-    caller, target, peer, control = free_addresses(4)
-    entry = Entry(
-        EntrySettings(
-            name="e",
-            data_centre="a",
-            caller_address=caller,
-            target_address=target,
-            peer_address=peer,
-            peer_secret=b"secret-of-this-test",
-            entry_peers=(),
-            control_peers=(control,),
-            drain_notice_ms=0,
-            drain_limit_ms=DRAIN_LIMIT_MS,
-        )
-    )
+    entry = make_entry(DRAIN_LIMIT_MS)
+    caller = entry.settings.caller_address
     handed_over_ms = []
 
     async def hand_over(timeout_ms):
