Answer operators' requests before a product control member stops

What operators saw: SIGTERM or SIGINT to `wagtailrun control` closed a connection whose request had been accepted, with neither an answer nor a refusal, and the exit status was that of a killed process. Cause: the process installed no signal handler. Fix: the entry's wait for a signal moves to signalled_drain.py, and the member drains its operators' server with it, for as long as the longest request takes. A second signal ends it at once, as at an entry.

--- /dev/null
+++ b/tests/test_control_signal.py
@@ -0,0 +1,62 @@
+"""Tests of the signals to stop that a product control process gets."""
+
+import signal
+import socket
+import time
+
+import pytest
+
+from demo.processes import Fleet, request
+from wagtailrun.exceptions import TargetFailed
+
+pytestmark = pytest.mark.network
+
+START_S = 20.0
+# Pause between the two parts of the request, and between signal and second part.
+PAUSE_S = 0.3
+HEAD = b"GET /readyz HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.fixture
+def member():
+    """Return the process of a lone control member and its operator address."""
+    with Fleet("", ["east"], [], entries_per_centre=0, controls=1) as fleet:
+        (name,) = fleet.operator_address_by_name
+        address = fleet.operator_address_by_name[name]
+        deadline_s = time.monotonic() + START_S
+        while True:
+            try:
+                if request(address, "GET", "/readyz").status == 200:
+                    break
+            except TargetFailed:
+                assert time.monotonic() < deadline_s
+            time.sleep(0.05)
+        yield fleet.processes_by_name[name], (address.host, address.port)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_request_in_progress_is_answered_before_a_member_stops(member, number):
+    """Guards against operators whose accepted requests a planned stop cuts off."""
+    process, address = member
+    with socket.create_connection(address) as sock:
+        sock.settimeout(START_S)
+        sock.sendall(HEAD)
+        time.sleep(PAUSE_S)
+        process.send_signal(number)
+        time.sleep(PAUSE_S)
+        sock.sendall(b"\r\n")
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
+    assert process.wait(START_S) == 0
+
+
+def test_second_signal_ends_a_member_at_once(member):
+    """Guards against a member that only the longest request can end."""
+    process, address = member
+    with socket.create_connection(address) as sock:
+        sock.sendall(HEAD)
+        time.sleep(PAUSE_S)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(PAUSE_S)
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(1.0) == 0
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -27,15 +27,18 @@
 from wagtailrun.member_host import MemberHost
 from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
-from wagtailrun.operator_api import MAX_TEXT_BYTES, OperatorApi
+from wagtailrun.operator_api import APPLY_TIMEOUT_MS, MAX_TEXT_BYTES, OperatorApi
 from wagtailrun.period_closing import PeriodCloser
 from wagtailrun.ports.disk import Disk
 from wagtailrun.registry import Registry
 from wagtailrun.settings import ControlSettings
+from wagtailrun.signalled_drain import SignalledDrain
 
 __all__ = ["Control", "run_control"]
 
 GAUGE_INTERVAL_MS = 1_000
+# No request of an operator takes longer than a change of the text.
+STOP_ANSWER_MS = APPLY_TIMEOUT_MS + 200
 
 
 class Control:
@@ -76,6 +79,10 @@
         self.engine_controller = EngineController(
             self.service, self.fleet_watch.target_rows, HttpEngineClient(HttpClient())
         )
+        self.operator_server = HttpServer(
+            settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
+        )
+        self.signalled_drain = SignalledDrain(self.clock, settings.name, self._drain)
         members = [settings.peer_address, *settings.control_peers]
         self.operator_api = OperatorApi(
             self.registry,
@@ -100,7 +107,7 @@
         )
 
     async def run(self) -> None:
-        """Run all components until a fault or a signal ends the process.
+        """Run all components until a fault or a planned stop ends the process.
 
         A disk fault of the consensus member does not end the process; it is not ready
         until the member has started again.
@@ -110,9 +117,6 @@
             CorruptRecord: If the data folder holds a damaged record.
         """
         await self.accounts.open()
-        server = HttpServer(
-            self.settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
-        )
         PROCESS_MEMORY.set_memory(self.settings.memory_mb)
         events.log(events.PROCESS_STARTED, role="control", name=self.settings.name)
         async with curio.TaskGroup(wait=any) as group:
@@ -122,7 +126,8 @@
                 self.settings.peer_secret,
                 self.handle_peer,
             )
-            await group.spawn(server.serve)
+            await group.spawn(self.signalled_drain.run)
+            await group.spawn(self.operator_server.serve)
             await group.spawn(self.service.run_order_sweeps)
             await group.spawn(self.accounts.run)
             await group.spawn(self.period_closer.run)
@@ -132,6 +137,11 @@
             await group.spawn(self.member_host.run)
         if group.exception is not None:
             raise group.exception
+        events.log(events.PROCESS_STOPPED, role="control", name=self.settings.name)
+
+    async def _drain(self) -> None:
+        """Answer the requests of operators that have been accepted."""
+        await self.operator_server.close(STOP_ANSWER_MS)
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another process."""
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -1,7 +1,6 @@
 """Entry daemon: serves callers and receives the announcements of targets."""
 
 import secrets
-import signal
 from typing import Any
 
 import curio
@@ -35,12 +34,12 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.recorder import Recorder
 from wagtailrun.settings import EntrySettings
+from wagtailrun.signalled_drain import SignalledDrain
 from wagtailrun.target_api import TargetApi
 from wagtailrun.trace_recorder import TraceRecorder
 
 __all__ = ["Entry", "run_entry"]
 
-SIGNAL_POLL_MS = 250
 GAUGE_INTERVAL_MS = 1_000
 PROBE_TIMEOUT_MS = 500
 HANDOVER_TIMEOUT_MS = 5_000
@@ -60,7 +59,6 @@
         self.settings = settings
         self.clock = SystemClock()
         self.incarnation = self.clock.wall_ms() << 16 | secrets.randbits(16)
-        self.stop_signals = 0
         self.started_ms = self.clock.now_ms()
         self.link = TcpPeerLink(settings.peer_secret)
         self.membership = Membership(settings.data_centre)
@@ -91,6 +89,7 @@
         )
         self.caller_server = self._make_caller_server()
         self.target_server = self._make_target_server()
+        self.signalled_drain = SignalledDrain(self.clock, settings.name, self._drain)
 
     def _fleet(self) -> FleetConfiguration | None:
         """Return the active fleet configuration, None before one was received."""
@@ -166,7 +165,7 @@
         PROCESS_MEMORY.set_memory(self.settings.memory_mb)
         events.log(events.PROCESS_STARTED, role="entry", name=self.settings.name)
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._drain_on_signal)
+            await group.spawn(self.signalled_drain.run)
             await group.spawn(self.caller_server.serve)
             await group.spawn(self.target_server.serve)
             await group.spawn(
@@ -192,7 +191,8 @@
         """
         running_ms = self.clock.now_ms() - self.started_ms
         settled = running_ms >= SETTLE_MS
-        return self.gossip.fleet is not None and settled and not self.stop_signals
+        known = self.gossip.fleet is not None
+        return known and settled and not self.signalled_drain.was_signalled
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to a message from another process of the system."""
@@ -248,20 +248,6 @@
                 rows = self.membership.usable(service, now_ms)
             self.metrics.set_usable_targets(service, len(rows))
 
-    async def _drain_on_signal(self) -> None:
-        """Drain after a stop signal; a second signal ends the process at once."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._count_signal)
-        while not self.stop_signals:
-            await self.clock.sleep_ms(SIGNAL_POLL_MS)
-        events.log(events.DRAIN_STARTED, name=self.settings.name)
-        drain = await curio.spawn(self._drain, daemon=True)
-        while not drain.terminated and self.stop_signals < 2:
-            await self.clock.sleep_ms(SIGNAL_POLL_MS)
-
-    def _count_signal(self, number: int, frame: Any) -> None:
-        self.stop_signals += 1
-
     async def _drain(self) -> None:
         limit_ms = self.settings.drain_limit_ms
         deadline_ms = self.clock.now_ms() + limit_ms
