Keep time for the answers to requests that arrive during a member's stop

Cause: the time to answer counted from the signal, not from when a request was complete, and close() refuses only what is idle or being read. Fix: close() keeps a stated part of its limit for answers; what has not arrived completely before that is refused. Test: test_change_that_arrives_completely_during_the_stop_is_answered got no bytes before.

--- a/tests/test_control_stop.py
+++ b/tests/test_control_stop.py
@@ -6,9 +6,9 @@
 from demo.processes import free_addresses
 from tests.test_http_server import GOOD, echo
 from tests.test_server_close import connect, read_all
-from wagtailrun.adapters.http_server import Response
+from wagtailrun.adapters.http_server import MAX_REQUEST_WAIT_MS, Response
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.relay.control import PUT_TIMEOUT_MS, RelayControl
+from wagtailrun.relay.control import PUT_TIMEOUT_MS, STOP_ANSWER_MS, RelayControl
 from wagtailrun.settings import RelayControlSettings
 
 pytestmark = pytest.mark.network
@@ -80,6 +80,37 @@
     assert answer.startswith(b"HTTP/1.1 200")
 
 
+def test_change_that_arrives_completely_during_the_stop_is_answered(
+    tmp_path, stop_signal
+):
+    """Guards against a change that is cut off since its time counts from the signal."""
+
+    async def handle(request):
+        await curio.sleep((PUT_TIMEOUT_MS - 200) / MS_PER_SECOND)
+        return Response(200)
+
+    async def ask_slowly(address):
+        sock = await connect(address, GOOD[:-2])
+        await curio.sleep(0.9)
+        await sock.sendall(GOOD[-2:])
+        return await read_all(sock)
+
+    answer, _ = run_stop(tmp_path, stop_signal, handle, ask_slowly)
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+def test_change_that_does_not_arrive_completely_is_refused(tmp_path, stop_signal):
+    """Guards against half a request that is cut off without a refusal."""
+
+    async def ask_in_part(address):
+        sock = await connect(address, GOOD[:-2])
+        return await read_all(sock)
+
+    answer, took_ms = run_stop(tmp_path, stop_signal, echo, ask_in_part)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert took_ms < MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS + STOP_MS
+
+
 def test_member_with_idle_connections_stops_at_once(tmp_path, stop_signal):
     """Guards against heartbeats on kept connections that delay the stop of a member."""
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -29,6 +29,7 @@
 from wagtailrun.ports.link import Address
 
 __all__ = [
+    "MAX_REQUEST_WAIT_MS",
     "HttpHandler",
     "HttpServer",
     "Request",
@@ -237,7 +238,7 @@
         await self.drain()
         await self.listener.close(MAX_REQUEST_WAIT_MS)
 
-    async def close(self, limit_ms: int) -> None:
+    async def close(self, limit_ms: int, answer_ms: int = 0) -> None:
         """Accept no more connections, and answer the requests of the accepted ones.
 
         What has not arrived in time is refused. A request on a connection that was used
@@ -245,18 +246,26 @@
 
         Args:
             limit_ms: How long to wait for requests and their answers, in milliseconds.
+            answer_ms: How much of it is kept for the answers to complete requests.
         """
         await self.stop_accepting()
-        wait_ms = max(limit_ms - LAST_REFUSALS_MS, 0)
-        async with curio.ignore_after(wait_ms / MS_PER_SECOND):
-            while True:
-                await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
-                if not self.unanswered_requests and not self.idle_connections:
-                    return
+        last_ms = max(answer_ms, LAST_REFUSALS_MS)
+        if await self._is_answered_within(limit_ms - last_ms):
+            return
         for connection in [*self.idle_connections, *self.reading_connections]:
             await connection.stop_reading()
+        await self._is_answered_within(last_ms - LAST_REFUSALS_MS)
         await curio.sleep(LAST_REFUSALS_MS / MS_PER_SECOND)
 
+    async def _is_answered_within(self, limit_ms: int) -> bool:
+        """Return whether all requests have their answers before the time is over."""
+        async with curio.ignore_after(max(limit_ms, 0) / MS_PER_SECOND):
+            while True:
+                await curio.sleep(END_PAUSE_MS / MS_PER_SECOND)
+                if not self.unanswered_requests and not self.idle_connections:
+                    return True
+        return False
+
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
         connection = _ServerConnection(self, sock, str(peer[0]))
         self.open_connections += 1
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -11,6 +11,7 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_engine import HttpEngineClient
 from wagtailrun.adapters.http_server import (
+    MAX_REQUEST_WAIT_MS,
     HttpServer,
     Request,
     Response,
@@ -37,8 +38,9 @@
 __all__ = ["Control", "run_control"]
 
 GAUGE_INTERVAL_MS = 1_000
-# No request of an operator takes longer than a change of the text.
+# A change of the text takes longest of the requests that have arrived completely.
 STOP_ANSWER_MS = APPLY_TIMEOUT_MS + 200
+STOP_LIMIT_MS = MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS
 
 
 class Control:
@@ -141,7 +143,7 @@
 
     async def _drain(self) -> None:
         """Answer the requests of operators that have been accepted."""
-        await self.operator_server.close(STOP_ANSWER_MS)
+        await self.operator_server.close(STOP_LIMIT_MS, STOP_ANSWER_MS)
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another process."""
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -6,7 +6,11 @@
 
 from wagtailrun import events
 from wagtailrun.adapters.file_disk import FileDisk
-from wagtailrun.adapters.http_server import HttpHandler, HttpServer
+from wagtailrun.adapters.http_server import (
+    MAX_REQUEST_WAIT_MS,
+    HttpHandler,
+    HttpServer,
+)
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import Channel, codec_of
@@ -269,7 +273,8 @@
             name=self.settings.name,
             late_ms=self.signals.late_ms,
         )
-        await self.operators.close(STOP_ANSWER_MS)
+        limit_ms = MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS
+        await self.operators.close(limit_ms, STOP_ANSWER_MS)
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message from another process of the system."""
