End a product daemon that stands still when its stop is over

What operators saw: a control member or entry whose log nobody read, or whose disk did not answer, ignored SIGTERM, also a second one; only SIGKILL ended it. Cause: the end of the stop was decided on the event loop, which a blocked write holds up, and cancelling a task waits for a write to the disk. Fix: a timer ends the process with status 1, 10 s after the signal at a control member, 8 s after the drain limit at an entry, 1 s after a second signal. Its signal also interrupts a blocked call. test_member_whose_log_is_not_read_ends failed before (no end within 11 and 2 s).

--- a/tests/test_control_signal.py
+++ b/tests/test_control_signal.py
@@ -1,12 +1,17 @@
 """Tests of the signals to stop that a product control process gets."""
 
+import fcntl
+import os
 import signal
 import socket
+import subprocess
 import time
+from contextlib import contextmanager
 
 import pytest
 
 from demo.processes import Fleet, request
+from wagtailrun.control import FORCED_END_MS
 from wagtailrun.exceptions import TargetFailed
 
 pytestmark = pytest.mark.network
@@ -14,12 +19,14 @@
 START_S = 20.0
 # Pause between the two parts of the request, and between signal and second part.
 PAUSE_S = 0.3
+# The smallest pipe that Linux provides.
+PIPE_BYTES = 4_096
 HEAD = b"GET /readyz HTTP/1.1\r\nHost: a\r\n"
 
 
-@pytest.fixture
-def member():
-    """Return the process of a lone control member and its operator address."""
+@contextmanager
+def running_member():
+    """Provide the process of a lone control member and its operator address."""
     with Fleet("", ["east"], [], entries_per_centre=0, controls=1) as fleet:
         (name,) = fleet.operator_address_by_name
         address = fleet.operator_address_by_name[name]
@@ -34,6 +41,13 @@
         yield fleet.processes_by_name[name], (address.host, address.port)
 
 
+@pytest.fixture
+def member():
+    """Return the process of a lone control member and its operator address."""
+    with running_member() as found:
+        yield found
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_request_in_progress_is_answered_before_a_member_stops(member, number):
     """Guards against operators whose accepted requests a planned stop cuts off."""
@@ -60,3 +74,32 @@
         assert process.poll() is None
         process.send_signal(signal.SIGTERM)
         assert process.wait(1.0) == 0
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+def test_member_whose_log_is_not_read_ends(monkeypatch, signals):
+    """Guards against a planned stop that a blocked write to the log holds up for ever.
+
+    Only SIGKILL ended such a member.
+    """
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+    start = subprocess.Popen
+
+    def start_with_pipe(*arguments, **options):
+        return start(*arguments, **{**options, "stdout": writer, "stderr": writer})
+
+    monkeypatch.setattr("demo.processes.subprocess.Popen", start_with_pipe)
+    with running_member() as (process, _):
+        os.set_blocking(writer, False)
+        with pytest.raises(BlockingIOError):
+            while True:
+                os.write(writer, b"x")
+        os.set_blocking(writer, True)
+        for _ in range(signals):
+            process.send_signal(signal.SIGTERM)
+            time.sleep(PAUSE_S)
+        limit_s = FORCED_END_MS / 1_000 if signals == 1 else 1.0
+        assert process.wait(limit_s + 1.0) == 1
+    os.close(reader)
+    os.close(writer)
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -41,6 +41,8 @@
 # A change of the text takes longest of the requests that have arrived completely.
 STOP_ANSWER_MS = APPLY_TIMEOUT_MS + 200
 STOP_LIMIT_MS = MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS
+# A planned stop without faults takes under 8 s.
+FORCED_END_MS = 10_000
 
 
 class Control:
@@ -84,7 +86,9 @@
         self.operator_server = HttpServer(
             settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
         )
-        self.signalled_drain = SignalledDrain(self.clock, settings.name, self._drain)
+        self.signalled_drain = SignalledDrain(
+            self.clock, settings.name, self._drain, FORCED_END_MS
+        )
         members = [settings.peer_address, *settings.control_peers]
         self.operator_api = OperatorApi(
             self.registry,
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -43,6 +43,8 @@
 GAUGE_INTERVAL_MS = 1_000
 PROBE_TIMEOUT_MS = 500
 HANDOVER_TIMEOUT_MS = 5_000
+# The close of the callers' listener may exceed the drain's limit by a second.
+FORCED_END_MARGIN_MS = 3_000
 # Every live target announces itself within this time; an entry that has run for longer
 # knows all of them.
 SETTLE_MS = 2_500
@@ -89,7 +91,12 @@
         )
         self.caller_server = self._make_caller_server()
         self.target_server = self._make_target_server()
-        self.signalled_drain = SignalledDrain(self.clock, settings.name, self._drain)
+        self.signalled_drain = SignalledDrain(
+            self.clock,
+            settings.name,
+            self._drain,
+            settings.drain_limit_ms + HANDOVER_TIMEOUT_MS + FORCED_END_MARGIN_MS,
+        )
 
     def _fleet(self) -> FleetConfiguration | None:
         """Return the active fleet configuration, None before one was received."""
