Refuse account rows at an entry that hands over its own

What operators saw: counts of requests that an entry had sent to another one, and that this one acknowledged, were missing from the period, without event 302. Fix: an entry that has begun its last handover refuses rows; the sender keeps them and sends them to another process. test_rows_sent_to_an_entry_that_stops_are_kept_elsewhere failed before.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -511,6 +511,33 @@
         cost_rows(lines, by=("color",))
 
 
+def test_rows_sent_to_an_entry_that_stops_are_kept_elsewhere():
+    """Guards against rows that an entry acknowledges and that end with it.
+
+    No control member answers, and two entries hand over their rows at the same time.
+    """
+
+    async def main(clock):
+        system = System(clock)
+        first, second, third = system.entries
+        for entry in ENTRIES:
+            for address in CONTROLS:
+                system.network.cut(entry, address)
+        attempt(first, "first")
+        attempt(second, "second")
+        stops = [
+            await curio.spawn(entry.hand_over_all, 20_000) for entry in (first, second)
+        ]
+        kept = [await stop.join() for stop in stops]
+        late = first.handle(message_of(refusal_table(0, 1), Source("late", 1)))
+        tables = third.held_rows.tables_by_source.values()
+        workspaces = {key.workspace for table in tables for key in table.rows_by_key}
+        return kept, late.kept, workspaces
+
+    found = run_virtual(main)
+    assert found == ([True, True], False, {"first", "second"})
+
+
 def message_of(table, source=SOURCE, histograms=None):
     batch = pack_batch(source, table, list(table.rows_by_key), histograms)
     return AccountRows(source.entry, 1, False, [batch])
--- a/wagtailrun/accounts.py
+++ b/wagtailrun/accounts.py
@@ -149,6 +149,7 @@
         self.sequence = 0
         # Whether the control members have all rows that earlier exchanges carried.
         self.settled = False
+        self.is_stopping = False
         self._last_partner: Address | None = None
         self._earliest_wall_ms = 0
         self._in_handover: dict[RowKey, None] = {}
@@ -299,7 +300,7 @@
             return await self._hand_over_own()
 
     async def hand_over_all(self, timeout_ms: int) -> bool:
-        """Hand over own and held rows at a planned stop.
+        """Hand over own and held rows at a planned stop; accept no more rows.
 
         Rows that no control member accepts are sent to another entry.
 
@@ -309,6 +310,7 @@
         Returns:
             Whether all rows are stored elsewhere.
         """
+        self.is_stopping = True
         kept = False
         async with curio.ignore_after(timeout_ms / MS_PER_SECOND):
             kept = await self._hand_over_everything()
@@ -325,8 +327,11 @@
         return kept
 
     def handle(self, message: AccountRows) -> AccountsKept:
-        """Store the rows that another entry sent."""
+        """Store the rows that another entry sent, unless this entry stops."""
         name, incarnation = self.source
+        if self.is_stopping:
+            # They would end with this process.
+            return AccountsKept(name, incarnation, False, "this entry stops")
         try:
             self.held_rows.merge_message(message, self.clock.now_ms())
         except MessageError as error:
