Count the rows of other entries that a planned stop leaves behind

Event 302 said rows=0 while held rows of others ended with the process: it counted own rows only, and rows under way as the time was over had been taken out of the table. test_entry_that_leaves_rows_behind_counts_also_those_of_others failed before (0 for 1).

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from tests.fake_network import FakeNetwork
+from wagtailrun import events
 from wagtailrun.account_lines import (
     cost_rows,
     refusal_rows,
@@ -538,6 +539,28 @@
     assert found == ([True, True], False, {"first", "second"})
 
 
+def test_entry_that_leaves_rows_behind_counts_also_those_of_others(monkeypatch):
+    """Guards against an event that says that nothing was lost."""
+
+    async def main(clock):
+        system = System(clock)
+        entry = system.entries[0]
+        entry.handle(message_of(refusal_table(0, 1), Source("other", 1)))
+        for address in CONTROLS + ENTRIES:
+            system.network.cut(ENTRIES[0], address)
+        assert not await entry.hand_over_all(5_000)
+
+    left = []
+
+    def log(event, **fields):
+        if event is events.ACCOUNTS_LEFT_AT_STOP:
+            left.append(fields["rows"])
+
+    monkeypatch.setattr(events, "log", log)
+    run_virtual(main)
+    assert left == [1]
+
+
 def message_of(table, source=SOURCE, histograms=None):
     batch = pack_batch(source, table, list(table.rows_by_key), histograms)
     return AccountRows(source.entry, 1, False, [batch])
--- a/wagtailrun/accounts.py
+++ b/wagtailrun/accounts.py
@@ -64,6 +64,11 @@
         self.last_received_ms_by_source: dict[Source, int] = {}
         self.sequences_by_source: dict[Source, int] = {}
 
+    @property
+    def row_count(self) -> int:
+        """Number of rows of all sources."""
+        return sum(len(table.rows_by_key) for table in self.tables_by_source.values())
+
     def merge_message(self, message: AccountRows, now_ms: int) -> None:
         """Merge the rows of ``message``.
 
@@ -315,7 +320,8 @@
         async with curio.ignore_after(timeout_ms / MS_PER_SECOND):
             kept = await self._hand_over_everything()
         if not kept:
-            events.log(events.ACCOUNTS_LEFT_AT_STOP, rows=len(self._unacknowledged()))
+            rows = len(self._unacknowledged()) + self.held_rows.row_count
+            events.log(events.ACCOUNTS_LEFT_AT_STOP, rows=rows)
         return kept
 
     async def _hand_over_everything(self) -> bool:
@@ -461,6 +467,19 @@
     async def _hand_over_held(self, source: Source, or_to_entry: bool = False) -> bool:
         """Hand over and drop the rows of another entry; keep them on failure."""
         table = self.held_rows.tables_by_source.pop(source)
+        kept = False
+        try:
+            kept = await self._send_held(source, table, or_to_entry)
+        finally:
+            # Also if the time for it is over.
+            if not kept:
+                self.held_rows.restore_rows(source, table)
+        return kept
+
+    async def _send_held(
+        self, source: Source, table: CellTable, or_to_entry: bool
+    ) -> bool:
+        """Send the rows of another entry; return whether all were accepted."""
         keys = list(table.rows_by_key)
         for start in range(0, len(keys), ROWS_PER_MESSAGE):
             part = keys[start : start + ROWS_PER_MESSAGE]
@@ -469,7 +488,6 @@
             if not kept and or_to_entry and (partner := self._choose_partner()):
                 kept = await self._send(partner, [batch], False, CALL_TIMEOUT_MS)
             if not kept:
-                self.held_rows.restore_rows(source, table)
                 return False
         return True
 
