Give the cases of a test addresses that no other run uses

Seen: with three runs of test_change_during_requests.py at the same time, 18 of 18, 6 of 18 and 1 of 18 cases failed in three of six runs ("answered 401", "was run 2 times"): the hosts 127.0.9.N and a port made from the process id were those of another run. The cases now listen at hosts of their run, as other tests do; three runs at the same time pass.

--- a/tests/test_change_during_requests.py
+++ b/tests/test_change_during_requests.py
@@ -2,7 +2,6 @@
 
 import itertools
 import json
-import os
 
 import attrs
 import curio
@@ -10,6 +9,7 @@
 import pytest
 from wagtail_platform.requests import REPORT_PATH
 
+from demo.processes import loopback_host
 from tests.test_relay_front import SIGNATURE, event
 from tests.test_relay_stop import make_entry
 from wagtailrun.adapters.http_client import Connector, HttpClient
@@ -145,9 +145,9 @@
 OTHER_CHANGES = ("unconfirmed", "settings")
 
 
-# Cases run side by side, so each listens on a host of its own. The ports are below
-# those of outgoing connections.
-FIRST_PORT = 20_000 + os.getpid() % 10_000
+# Cases run side by side, so each listens on a host of its own, which no other run on
+# this machine uses. The ports are below those of outgoing connections.
+FIRST_PORT = 20_000
 CASE_NUMBERS = itertools.count(1)
 
 
@@ -277,7 +277,7 @@
     def __init__(self, wait, change):
         self.wait, self.change = wait, change
         self.gate = Gate()
-        host = f"127.0.9.{next(CASE_NUMBERS) % 250 + 1}"
+        host = loopback_host(next(CASE_NUMBERS) % 250 + 1)
         self.addresses = (Address(host, FIRST_PORT + n) for n in itertools.count())
         self.targets = Targets(self.gate, wait, self.addresses)
         self.entries = []
