--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -9,7 +9,7 @@
 import attrs
 import curio
 
-from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.clock import MS_PER_SECOND, drop_expired
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
@@ -275,9 +275,7 @@
         responds = await self._probe(run.target)
         if responds:
             now_ms = self.clock.now_ms()
-            for name, ms in list(self.fresh_until_ms_by_name.items()):
-                if ms <= now_ms:
-                    del self.fresh_until_ms_by_name[name]
+            drop_expired(self.fresh_until_ms_by_name, now_ms)
             until_ms = now_ms + FRESH_CONNECTION_MS
             self.fresh_until_ms_by_name[run.target.name] = until_ms
             detail = f"the connection to {run.target.name} stalled"
--- a/wagtailrun/clock.py
+++ b/wagtailrun/clock.py
@@ -2,14 +2,18 @@
 
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Hashable
+from typing import TypeVar
 
 import curio
 
-__all__ = ["MS_PER_SECOND", "Clock", "SystemClock"]
+__all__ = ["MS_PER_SECOND", "Clock", "SystemClock", "drop_expired"]
 
 MS_PER_SECOND = 1_000
 NS_PER_MS = 1_000_000
 
+T = TypeVar("T", bound=Hashable)
+
 
 class Clock(ABC):
     """Source of time for every module that waits or takes timestamps."""
@@ -45,3 +49,10 @@
     async def sleep_ms(self, duration_ms: int) -> None:
         """Suspend the calling task for ``duration_ms`` milliseconds."""
         await curio.sleep(max(duration_ms, 0) / MS_PER_SECOND)
+
+
+def drop_expired(until_ms_by_key: dict[T, int], now_ms: int) -> None:
+    """Drop the entries of a table whose time, in milliseconds, is over."""
+    for key, until_ms in list(until_ms_by_key.items()):
+        if until_ms <= now_ms:
+            del until_ms_by_key[key]
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -7,7 +7,7 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.clock import MS_PER_SECOND, Clock, drop_expired
 from wagtailrun.consensus_state import Signal
 from wagtailrun.discovery.messages import (
     FindOrigin,
@@ -182,9 +182,7 @@
             reply = await self.link.call(address, message, CALL_TIMEOUT_MS)
         except PeerUnreachable as error:
             now_ms = self.clock.now_ms()
-            for other, until_ms in list(self.avoid_until_ms.items()):
-                if until_ms <= now_ms:
-                    del self.avoid_until_ms[other]
+            drop_expired(self.avoid_until_ms, now_ms)
             self.avoid_until_ms[address] = now_ms + AVOIDANCE_MS
             events.log(events.PEER_LOST, peer=str(address), detail=str(error))
             return False
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from wagtailrun import events
-from wagtailrun.clock import Clock
+from wagtailrun.clock import Clock, drop_expired
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.gossip_peers import rendezvous
 
@@ -70,9 +70,7 @@
     def exclude(self, owner: EntryRow, detail: str) -> None:
         """Skip a process that did not reply for the next ``AVOIDANCE_MS``."""
         now_ms = self.clock.now_ms()
-        for key, until_ms in list(self.avoid_until_ms.items()):
-            if until_ms <= now_ms:
-                del self.avoid_until_ms[key]
+        drop_expired(self.avoid_until_ms, now_ms)
         self.avoid_until_ms[owner.process] = now_ms + AVOIDANCE_MS
         events.log(events.PEER_LOST, peer=owner.name, detail=detail)
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -7,7 +7,7 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.clock import Clock
+from wagtailrun.clock import Clock, drop_expired
 from wagtailrun.consensus_state import Signal
 from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.discovery.messages import (
@@ -371,9 +371,7 @@
                 del self.rows_by_address[address]
         for name in self.drain_ends_ms_by_name.keys() - known:
             del self.drain_ends_ms_by_name[name]
-        for address, until_ms in list(self.avoid_until_ms.items()):
-            if until_ms <= now_ms:
-                del self.avoid_until_ms[address]
+        drop_expired(self.avoid_until_ms, now_ms)
 
     def _renew_contacts(self, now_ms: int) -> None:
         """Count the time until a row is dropped from when it was last of use.
