Name the descriptors for requests and the refusal without room once

The sum and the refusal stood in two places each. Upkeep took a list of choosers and has one; two returns after the end of a daemon could not be reached. Behaviour is unchanged.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -112,6 +112,11 @@
 )
 
 
+def _overload_refusal(detail: str) -> Refusal:
+    """Return the refusal of a request for which this process has no room."""
+    return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS)
+
+
 def request_wait_ms(grace_ms: int) -> int:
     """Return how long before its end a process that stops accepts no connections.
 
@@ -391,15 +396,11 @@
             return None
         if self.server.draining:
             return INCOMPLETE_AT_STOP
-        return self._overload_refusal()
+        return self._refusal_if_overloaded()
 
-    def _overload_refusal(self) -> Refusal | None:
+    def _refusal_if_overloaded(self) -> Refusal | None:
         detail = self.server.overload()
-        if not detail:
-            return None
-        return Refusal(
-            RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS
-        )
+        return _overload_refusal(detail) if detail else None
 
     async def _reject(self, error: RequestRejected) -> None:
         """Refuse a request that cannot be read."""
@@ -496,7 +497,7 @@
                 body = await self._parse_part(self._read_body)
         except curio.TaskTimeout as error:
             raise RequestRejected(detail, REQUEST_TIMEOUT_STATUS) from error
-        if (refusal := self._overload_refusal()) is not None:
+        if (refusal := self._refusal_if_overloaded()) is not None:
             await self._refuse(refusal, DEFAULT_REFUSAL_STATUS)
             return None
         return self._make_request(head, body)
@@ -522,13 +523,10 @@
             raise self._no_memory()
 
     def _no_memory(self) -> RequestRejected:
-        refusal = Refusal(
-            RefusalReason.OVERLOADED,
-            Verdict.NOT_RUN,
-            self.held.refusal_detail,
-            OVERLOAD_RETRY_MS,
+        detail = self.held.refusal_detail
+        return RequestRejected(
+            detail, DEFAULT_REFUSAL_STATUS, _overload_refusal(detail)
         )
-        return RequestRejected(refusal.detail, DEFAULT_REFUSAL_STATUS, refusal)
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return False if none were received."""
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -71,8 +71,7 @@
                 # Reports the suppressed lines that no later line would mention.
                 EVENT_LOG.flush()
 
-        curio.run(run_then_exit, serve)
-        return EXIT_SUCCESS
+        return curio.run(run_then_exit, serve)
 
     help_by_flag, example = {}, [f"wagtailrun {name}"]
     for field in attrs.fields(cls):
--- a/wagtailrun/descriptors.py
+++ b/wagtailrun/descriptors.py
@@ -24,9 +24,9 @@
     Args:
         stated: Limit that the platform states; None if it states none.
     """
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limit, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     if limit == resource.RLIM_INFINITY:
-        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        limit = hard_limit
     return limit if stated is None else min(limit, stated)
 
 
@@ -59,6 +59,11 @@
         """Those kept from new requests, for readiness checks, peers and the log."""
         return min(self.limit // RESERVE_PARTS, MAX_RESERVE)
 
+    @property
+    def for_requests(self) -> int:
+        """Those above which new requests are refused."""
+        return self.limit - self.reserve
+
     @property
     def idle(self) -> int:
         """Connections that wait for another request, or for another call to a peer."""
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -265,12 +265,6 @@
     "If it repeats, find who sends these requests.",
     per_second=20,
 )
-DESCRIPTORS_SHORT = _event(
-    635,
-    logging.WARNING,
-    "This entry nears its limit of descriptors and refuses new requests for now.",
-    "If it repeats, raise the limit of open files, or find who opens connections.",
-)
 PROMPT_PART_CLEARED = _event(
     633,
     logging.INFO,
@@ -283,6 +277,12 @@
     "Bytes were refused: the process holds as many for requests as its memory allows.",
     "Find the kind that holds most: engines or callers that send without end, or load.",
 )
+DESCRIPTORS_SHORT = _event(
+    635,
+    logging.WARNING,
+    "This entry nears its limit of descriptors and refuses new requests for now.",
+    "If it repeats, raise the limit of open files, or find who opens connections.",
+)
 SETTINGS_RELOADED = _event(
     622, logging.INFO, "The settings were reloaded.", limited=False
 )
--- a/wagtailrun/memory_budget.py
+++ b/wagtailrun/memory_budget.py
@@ -107,7 +107,7 @@
             size=size,
             held_bytes=self.held_bytes,
             limit_bytes=self.limit_bytes,
-            held_by_kind={str(kind): self.held_by_kind[kind] for kind in Kind},
+            held_by_kind={str(each): self.held_by_kind[each] for each in Kind},
         )
 
 
--- a/wagtailrun/process_exit.py
+++ b/wagtailrun/process_exit.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NoReturn
 
 __all__ = ["run_then_exit"]
 
@@ -11,7 +11,7 @@
 
 async def run_then_exit(
     function: Callable[..., Awaitable[None]], *arguments: Any
-) -> None:
+) -> NoReturn:
     """Run a daemon and end the process with status 0 when it returns.
 
     The clean-up of the interpreter takes a tenth of a second of processor time, and
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -245,7 +245,7 @@
         self.upkeep = Upkeep(
             self.clock,
             self.view,
-            [self.chooser],
+            self.chooser,
             self.placement_host,
             self.connector,
             self.batcher,
@@ -306,7 +306,7 @@
         gauge(
             "descriptors_for_requests",
             "Descriptors above which new requests are refused.",
-            lambda: shares.limit - shares.reserve,
+            lambda: shares.for_requests,
         )
         gauge(
             "idle_connections",
@@ -367,8 +367,7 @@
         Each request that has no answer yet may need a connection to a target.
         """
         needed = used_descriptors() + self.caller_server.unanswered_requests
-        usable = self.descriptors.limit - self.descriptors.reserve
-        if needed <= usable:
+        if needed <= self.descriptors.for_requests:
             return ""
         events.log(
             events.DESCRIPTORS_SHORT, needed=needed, limit=self.descriptors.limit
--- a/wagtailrun/relay/upkeep.py
+++ b/wagtailrun/relay/upkeep.py
@@ -1,7 +1,5 @@
 """Drops what an entry keeps of targets, entries, services and routes that are gone."""
 
-from collections.abc import Sequence
-
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.relay.choice import TargetChooser
@@ -26,7 +24,7 @@
     Args:
         clock: Clock.
         view: This entry's view of the fleet.
-        choosers: Choosers of targets.
+        chooser: Chooser of targets.
         placement: Places requests of routes with prompt affinity.
         connector: Connects to targets.
         batcher: Batches calls of stages.
@@ -37,7 +35,7 @@
         self,
         clock: Clock,
         view: FleetView,
-        choosers: Sequence[TargetChooser],
+        chooser: TargetChooser,
         placement: PlacementHost,
         connector: PathConnector,
         batcher: StageBatcher,
@@ -45,7 +43,7 @@
     ):
         self.clock = clock
         self.view = view
-        self.choosers = choosers
+        self.chooser = chooser
         self.placement = placement
         self.connector = connector
         self.batcher = batcher
@@ -67,8 +65,7 @@
             await self.batcher.drop_gone(names, None)
             return
         services = table.services_by_name.keys()
-        for chooser in self.choosers:
-            chooser.retain(names, services)
+        self.chooser.retain(names, services)
         routes = {route.name for route in table.routes()}
         self.placement.retain(names, services, routes)
         await self.batcher.drop_gone(names, services)
