--- a/tests/test_control_signal.py
+++ b/tests/test_control_signal.py
@@ -11,6 +11,7 @@
 import pytest
 
 from demo.processes import Fleet, request
+from tests.test_process_exit import PIPE_BYTES
 from wagtailrun.control import FORCED_END_MS
 from wagtailrun.exceptions import TargetFailed
 
@@ -19,8 +20,6 @@
 START_S = 20.0
 # Pause between the two parts of the request, and between signal and second part.
 PAUSE_S = 0.3
-# The smallest pipe that Linux provides.
-PIPE_BYTES = 4_096
 HEAD = b"GET /readyz HTTP/1.1\r\nHost: a\r\n"
 
 
--- a/tests/test_request_after_stream.py
+++ b/tests/test_request_after_stream.py
@@ -3,10 +3,9 @@
 import curio
 import pytest
 
-from tests.test_http_server import GOOD, echo
+from tests.test_http_server import GOOD
 from tests.test_relay_stop import make_entry
-from tests.test_server_close import connect, read_all
-from wagtailrun.adapters.http_server import Response
+from tests.test_server_close import connect, read_all, streaming_handler
 from wagtailrun.relay.front import StopPlan
 
 pytestmark = pytest.mark.network
@@ -35,15 +34,6 @@
     The head of its last answer was sent before the stop and announced no close.
     """
 
-    async def pieces():
-        yield b"x"
-        await curio.sleep(0.4)
-
-    async def handler(request):
-        if request.path == "/stream":
-            return Response(200, pieces())
-        return await echo(request)
-
     async def client(entry):
         server = entry.caller_server
         sock = await connect(server.address, GOOD.replace(b"/x", b"/stream"))
@@ -66,4 +56,4 @@
         await stopping.join()
         return answer
 
-    assert run_finishing(client, handler)[:9] == b"HTTP/1.1 "
+    assert run_finishing(client, streaming_handler(0.4))[:9] == b"HTTP/1.1 "
--- a/tests/test_second_drain.py
+++ b/tests/test_second_drain.py
@@ -3,9 +3,8 @@
 import curio
 import pytest
 
-from tests.test_http_server import GOOD, echo, with_server
-from tests.test_server_close import connect, read_all
-from wagtailrun.adapters.http_server import Response
+from tests.test_http_server import GOOD, with_server
+from tests.test_server_close import connect, read_all, streaming_handler
 
 pytestmark = pytest.mark.network
 
@@ -16,15 +15,6 @@
     The head of its last answer was sent before the stop and announced no close.
     """
 
-    async def pieces():
-        yield b"x"
-        await curio.sleep(0.2)
-
-    async def handler(request):
-        if request.path == "/stream":
-            return Response(200, pieces())
-        return await echo(request)
-
     async def client(address, server):
         sock = await connect(address, GOOD.replace(b"/x", b"/stream"))
         received = await sock.recv(65_536)
@@ -40,4 +30,4 @@
         except OSError as error:
             return repr(error).encode()
 
-    assert with_server(handler, client).startswith(b"HTTP/1.1 200")
+    assert with_server(streaming_handler(0.2), client).startswith(b"HTTP/1.1 200")
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -31,6 +31,21 @@
     return received
 
 
+def streaming_handler(duration_s):
+    """Return a handler whose answer at /stream ends ``duration_s`` after its head."""
+
+    async def pieces():
+        yield b"x"
+        await curio.sleep(duration_s)
+
+    async def handler(request):
+        if request.path == "/stream":
+            return Response(200, pieces())
+        return await echo(request)
+
+    return handler
+
+
 @pytest.mark.parametrize("draining", [False, True])
 def test_request_in_the_queue_of_the_listener_is_answered(draining):
     """Guards against a connection that is reset with its request as a process ends.
