Roll: callers that keep their connections

tests.roll opened a connection for each request, so that no run of it met requests that cross the close of a kept connection. Requests without an answer on kept connections are listed by themselves; the exit code is 1 if an entry logged, or a target ran, one of them. The other cells send the same bytes as before.

--- a/tests/roll.py
+++ b/tests/roll.py
@@ -2,8 +2,11 @@
 
     python -m tests.roll {relay,product} [--entries 9] [--delay-ms 30] [--half-ms 0]
         [--still-ms 0] [--hangup-ms 0] [--silent-ms 3000] [--seed 1]
+        [--pause-ms 0] [--away-ms 0]
 
-Prints how the requests ended; exits with 1 if one on a new connection got no answer, if
+With a pause, callers keep their connections and send the next request on them some
+time after an answer. Prints how the requests ended; exits with 1 if one on a new
+connection got no answer, or one on a kept connection that an entry has read, if
 one that may run once ran twice, if one that was refused as "not run" ran, or if an
 entry had to be killed.
 """
@@ -30,6 +33,7 @@
 from demo.processes import Fleet
 from demo.stub_target import StubTarget
 from tests import test_relay_processes
+from tests.roll_kept import KeptConnection
 from tests.test_processes import ORDER, PIPELINE, SERVICES, TEXT, WORKSPACE
 from tests.test_relay_processes import (
     Targets,
@@ -295,6 +299,8 @@
         self.random = random.Random(options.seed)
         self.ends = Counter()
         self.unanswered = []
+        # Those on connections that had carried another one before.
+        self.unanswered_kept = []
         self.cut = []
         # Names of requests that were refused as "not run".
         self.not_run = set()
@@ -316,15 +322,61 @@
                 await curio.sleep(0.1)
                 continue
             received = await self.exchange(sock, self.rolled.request(name))
-            if b'"verdict": "not-run"' in received:
-                self.not_run.add(name)
-            end = describe(received)
-            self.ends[end] += 1
-            after_s = time.monotonic() - self.stopped_s.get(number, 0)
-            if end == "no answer":
-                self.unanswered.append((name, round(after_s, 3)))
-            elif end.endswith("cut"):
-                self.cut.append((name, round(after_s, 3)))
+            self.record(number, name, received, self.unanswered)
+
+    async def call_kept(self, number, caller):
+        """Send requests on a connection that is kept, with pauses between them."""
+        address = self.rolled.address(number)
+        sent = 0
+        kept = None
+        while self.running:
+            if kept is not None and kept.is_ended():
+                self.ends["ended between requests"] += 1
+                await kept.sock.close()
+                kept = None
+            if kept is None:
+                try:
+                    sock = await curio.open_connection(address.host, address.port)
+                except OSError:
+                    self.ends["no connection"] += 1
+                    await curio.sleep(0.1)
+                    continue
+                kept = KeptConnection(sock, self.options.away_ms)
+            sent += 1
+            name = f"{number}-{caller}-{sent}"
+            missing = self.unanswered_kept if kept.was_used else self.unanswered
+            goes_on, received = await self.exchange_kept(kept, name)
+            self.record(number, name, received, missing)
+            if not goes_on:
+                await kept.sock.close()
+                kept = None
+            await curio.sleep(self.random.expovariate(1_000 / self.options.pause_ms))
+
+    async def exchange_kept(self, kept, name):
+        """Return whether the connection stays open, and the answer to a request."""
+        data = self.rolled.request(name).replace(b"Connection: close\r\n", b"", 1)
+        received = bytearray()
+        goes_on = False
+        try:
+            async with curio.timeout_after(ANSWER_S):
+                goes_on = await kept.exchange(data, received)
+        except OSError:
+            pass
+        except curio.TaskTimeout:
+            self.ends["no end in time"] += 1
+        return goes_on, bytes(received)
+
+    def record(self, number, name, received, missing):
+        """Record how a request ended; ``missing`` gets it if it has no answer."""
+        if b'"verdict": "not-run"' in received:
+            self.not_run.add(name)
+        end = describe(received)
+        self.ends[end] += 1
+        after_s = time.monotonic() - self.stopped_s.get(number, 0)
+        if end == "no answer":
+            missing.append((name, round(after_s, 3)))
+        elif end.endswith("cut"):
+            self.cut.append((name, round(after_s, 3)))
 
     async def exchange(self, sock, data):
         """Send a request; return all that is received."""
@@ -416,7 +468,8 @@
     async with curio.TaskGroup() as group:
         for number in numbers:
             for caller in range(CALLERS_PER_ENTRY):
-                await group.spawn(roll.call, number, caller)
+                call = roll.call_kept if options.pause_ms else roll.call
+                await group.spawn(call, number, caller)
         await group.spawn(roll.change)
         await curio.sleep(1)
         for number in numbers:
@@ -471,6 +524,8 @@
     parser.add_argument("--still-ms", type=int, default=0)
     parser.add_argument("--hangup-ms", type=int, default=0)
     parser.add_argument("--silent-ms", type=int, default=3_000)
+    parser.add_argument("--pause-ms", type=int, default=0)
+    parser.add_argument("--away-ms", type=int, default=0)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     with started(options) as rolled:
@@ -481,6 +536,11 @@
     untrue = roll.not_run & runs.keys()
     print(options, dict(roll.ends))
     print(f"without an answer (name, s after SIGTERM): {roll.unanswered[:9]}")
+    crossed = roll.unanswered_kept
+    print(f"without an answer on kept connections, {len(crossed)}: {crossed[:9]}")
+    logged = runs.keys() | {line.get("request_id") for line in lines}
+    read = sorted(name for name, _ in crossed if name in logged)
+    print(f"of these, read by an entry: {read[:9]}")
     print(f"cut (name, s after SIGTERM): {roll.cut[:9]}")
     names = {name for name, _ in roll.cut}
     for line in lines:
@@ -490,7 +550,8 @@
     print(f"of {len(roll.not_run)} refused as not run, ran: {sorted(untrue)[:9]}")
     print(f"seconds from the signal to the end of the process: {roll.took_s}")
     print_stop_lines(lines)
-    sys.exit(bool(roll.unanswered or repeated or untrue or roll.ends["killed"]))
+    faults = (roll.unanswered, read, repeated, untrue, roll.ends["killed"])
+    sys.exit(any(faults))
 
 
 if __name__ == "__main__":
