Wait for the request that follows a stream which ended before the drain

Callers saw: a connection without an answer to the request that followed a stream on it, if the stream had begun before the stop and ended up to 200 ms before the end of the notice.

Cause: a connection waits 200 ms for another request after an answer that announced no close, but only if that answer ended when the server was already draining. One that ended 20 ms earlier counted as idle and was closed at once.

The drain now leaves such a connection the rest of its 200 ms. A connection that has been idle for longer is closed at once, as before.

Left: a request that crosses the end of a connection which was idle for longer. Its client cannot be answered on that connection any more.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -1,10 +1,9 @@
 """HTTP/1.1 server built on h11, with one task for each connection."""
 
-import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from typing import Any
 
 import attrs
@@ -23,6 +22,11 @@
     json_response,
     refusal_response,
 )
+from wagtailrun.adapters.idle_connections import (
+    DRAIN_REQUEST_WAIT_MS,
+    IdleConnection,
+    end_idle,
+)
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.adapters.platform_checks import is_check
 from wagtailrun.clock import MS_PER_SECOND
@@ -64,9 +68,6 @@
 # Time in which clients read the last refusals; the end of a process resets connections
 # with bytes that were not read.
 LAST_REFUSALS_MS = 100
-# How long a draining server waits for another request on a connection whose last answer
-# announced no close.
-DRAIN_REQUEST_WAIT_MS = 200
 # Time in which the tasks of connections whose bytes have just arrived take them.
 END_PAUSE_MS = 10
 REQUEST_TIMEOUT_STATUS = 408
@@ -193,10 +194,7 @@
         The request of a new connection is on its way and still answered.
         """
         self.closing = self.draining = True
-        for connection in list(self.idle_connections):
-            # A request whose first bytes have arrived is read to its end.
-            if not connection.is_awaited and not connection.is_readable():
-                await connection.stop_reading()
+        await end_idle(self.idle_connections)
 
     async def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
@@ -256,22 +254,17 @@
             self.open_connections -= 1
 
 
-class _ServerConnection:
+class _ServerConnection(IdleConnection):
     """Reads and answers the requests of one accepted connection."""
 
     def __init__(self, server: HttpServer, sock: Any, peer: str):
+        super().__init__(sock)
         self.server = server
-        self.sock = sock
         self.peer = peer
         self.turns = Turns()
         # Bytes of the request that is being received or answered.
         self.held = server.memory.hold(Kind.REQUESTS)
         self.limits = server.limits()
-        # Whether this server ended the reading; an end of the bytes received does not
-        # show any more that the client has disconnected.
-        self.reading_stopped = False
-        # Whether the next request is taken to be on its way, as on a new connection.
-        self.is_awaited = True
         # Whether the first bytes of a request have arrived.
         self.was_used = False
         # Whether the client closed the idle connection.
@@ -343,20 +336,6 @@
             self.http = self._make_parser()
             self.http.receive_data(rest)
 
-    def is_readable(self) -> bool:
-        """Return whether bytes have arrived, or the client closed the connection."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-    async def stop_reading(self) -> None:
-        """End the reading; what has arrived by the next turn can still be read."""
-        self.reading_stopped = True
-        # The client may have reset the connection a moment ago. The task of the
-        # connection finds that out itself; other connections still have to be closed.
-        with suppress(OSError):
-            await self.sock.shutdown(socket.SHUT_RD)
-
     def _first_refusal(self) -> Refusal | None:
         """Return the refusal of the request that may be on its way.
 
@@ -511,6 +490,7 @@
         """Wait for the first bytes of a request; return False if none were received."""
         if self.http.trailing_data[0]:
             return True
+        self.idle_since_s = await curio.clock()
         self.server.idle_connections.add(self)
         try:
             data = await self._receive_when_idle()
