Send the last refusals on time without a free descriptor

What callers would see: a request at a silent target whose entry stops without a free descriptor got no answer (grace period 2 or 4 s), or a refusal 200 ms later than planned (8 s); connections in the queue of the kernel were reset 7.6 s after the signal, up to 1 s after their request.

Cause: in a stop, the listener waits up to a second for a descriptor with which it can accept what the kernel has queued. That second is fixed; it delays everything after it, while the last refusals are what frees descriptors.

The wait now ends when the last refusals are due, and the listener stays open until the close of the server, which accepts what is left with the descriptors that these refusals have freed. close() keeps its limit, too: without descriptors it took a second more. The product's own entry does the same.

Left: without any descriptor up to the end, the queue is reset as before, and the kernel takes further connections until then.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -201,11 +201,16 @@
         for connection in list(self.reading_connections):
             await connection.stop_reading()
 
-    async def stop_accepting(self) -> None:
-        """Drain, accept what clients have opened, and refuse further connections."""
+    async def stop_accepting(self, limit_ms: int = MAX_REQUEST_WAIT_MS) -> None:
+        """Drain, accept what clients have opened, and refuse further connections.
+
+        Args:
+            limit_ms: How long to wait for free descriptors, in milliseconds. Without
+                any, the connections are left for ``close``.
+        """
         # First, as it frees descriptors, without which no connection can be accepted.
         await self.drain()
-        await self.listener.close(MAX_REQUEST_WAIT_MS)
+        await self.listener.close(min(limit_ms, MAX_REQUEST_WAIT_MS), keeps_queue=True)
 
     async def close(self, limit_ms: int, answer_ms: int = 0) -> None:
         """Accept no more connections, and answer the requests of the accepted ones.
@@ -217,16 +222,19 @@
             limit_ms: How long to wait for requests and their answers, in milliseconds.
             answer_ms: How much of it is kept for the answers to complete requests.
         """
-        await self.stop_accepting()
+        started_s = await curio.clock()
         last_ms = max(answer_ms, LAST_REFUSALS_MS)
-        if await self._is_answered_within(limit_ms - last_ms):
+        await self.stop_accepting(limit_ms - last_ms)
+        await self.listener.close(0)
+        accepted_ms = (await curio.clock() - started_s) * MS_PER_SECOND
+        if await self._is_answered_within(limit_ms - last_ms - accepted_ms):
             return
         for connection in [*self.idle_connections, *self.reading_connections]:
             await connection.stop_reading()
         await self._is_answered_within(last_ms - LAST_REFUSALS_MS)
         await curio.sleep(LAST_REFUSALS_MS / MS_PER_SECOND)
 
-    async def _is_answered_within(self, limit_ms: int) -> bool:
+    async def _is_answered_within(self, limit_ms: float) -> bool:
         """Return whether all requests have their answers before the time is over."""
         async with curio.ignore_after(max(limit_ms, 0) / MS_PER_SECOND):
             while True:
--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -44,6 +44,7 @@
         self.sock: Any = None
         self.tasks: curio.TaskGroup | None = None
         self.acceptor: curio.Task | None = None
+        self.is_closed = False
 
     async def run(self) -> None:
         """Accept connections until cancelled.
@@ -72,19 +73,30 @@
                 if self.acceptor is not None:
                     await self.acceptor.cancel()
 
-    async def close(self, limit_ms: int) -> None:
+    async def close(self, limit_ms: int, keeps_queue: bool = False) -> None:
         """Accept the connections that clients have opened, and refuse further ones.
 
         Args:
             limit_ms: How long to wait for free descriptors, in milliseconds.
+            keeps_queue: Whether the listener stays open if there were none in that
+                time; another call can then accept the connections.
         """
-        if self.acceptor is None:
+        if self.sock is None or self.is_closed:
             return
-        # Else its end would be that of the listener.
-        acceptor, self.acceptor = self.acceptor, None
-        await acceptor.cancel()
-        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
+        if self.acceptor is not None:
+            # Else its end would be that of the listener.
+            acceptor, self.acceptor = self.acceptor, None
+            await acceptor.cancel()
+        is_empty = False
+        async with curio.ignore_after(max(limit_ms, 0) / MS_PER_SECOND):
             await self._accept_opened()
+            is_empty = True
+        if keeps_queue and not is_empty:
+            return
+        if not is_empty:
+            detail = "the listener closed; connections may be left in its queue"
+            events.log(events.ACCEPT_FAILED, address=str(self.address), detail=detail)
+        self.is_closed = True
         await self.sock.close()
 
     async def _accept_opened(self) -> None:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -310,7 +310,7 @@
         running.ends_ms = answers_end_ms = deadline_ms - STOP_ANSWER_MS
         await self.caller_server.drain()
         await sleep_until_idle(self.clock, self._is_idle, accepts_end_ms)
-        await self.caller_server.stop_accepting()
+        await self.caller_server.stop_accepting(answers_end_ms - self.clock.now_ms())
         await sleep_until_idle(self.clock, self._is_idle, answers_end_ms, 1)
         await running.end_all()
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -496,7 +496,8 @@
     async def _finish_requests(self, stop: StopPlan) -> None:
         """Return when the process may end; refuse what cannot be finished by then."""
         await sleep_until_idle(self.clock, self._is_idle, stop.accepts_end_ms)
-        await self.caller_server.stop_accepting()
+        left_ms = stop.answers_end_ms - self.clock.now_ms()
+        await self.caller_server.stop_accepting(left_ms)
         await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
         await self.handler.refuse_unanswered()
         await self.caller_server.refuse_incomplete()
