Begin the last refusals an eighth of the grace period before the kill

It does not fit the record, whose connection closed 0.35 s before the kill, and no run on real clocks showed it. With 30 s of grace, 2 % were enough.

Cause: the refusals began 600 ms before the kill whatever the grace period.

They now begin an eighth of the grace period before it, if that is sooner: at 7.0 s with 8 s, which is within the last sixth, where the platform's rule allows to end a request. Below 4.8 s nothing changes. Streams whose head was sent, and the end of the process, keep their times.

Cost: requests that would get the first part of their answer between 7.0 and 7.4 s after the signal are refused.

Left: a standstill of a second or more that ends after the kill.

--- a/tests/virtual_sockets.py
+++ b/tests/virtual_sockets.py
@@ -39,10 +39,11 @@
             super().setsockopt(level, *option)
 
 
-def run_with_virtual_sockets(corofunc):
+def run_with_virtual_sockets(corofunc, clock=None):
     """Run ``corofunc()`` under virtual time and return its result.
 
-    Connections and listeners of curio are virtual; so is every ``SystemClock``.
+    Connections and listeners of curio are virtual; so is every ``SystemClock``. A test
+    that passes its own ``VirtualClock`` can let time pass in which no task has a turn.
     """
     # Names without a file; they end with their listener.
     prefix = f"\0wagtailrun-{os.getpid()}-{next(RUNS)}"
@@ -81,4 +82,4 @@
         ):
             return await corofunc()
 
-    return run_virtual(run)
+    return run_virtual(run, clock=clock)
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -74,6 +74,10 @@
 # While a request has no answer the exit waits, until this long before the kill. The
 # moment at which a signal was sent is known only up to one poll of the signals.
 KILL_MARGIN_MS = 200
+# The last refusals begin this part of the grace period before the kill, if that is
+# sooner. They then come in time by a clock that runs slow by a tenth, and with 8 s of
+# grace after a standstill of up to 0.9 s.
+LAST_REFUSALS_PARTS = 8
 # Time for the last reports to control members: two tries of 500 ms.
 LAST_REPORTS_MS = 1_000
 # Stage calls are spread over entries on links slower than this. The calls of one busy
@@ -485,13 +489,23 @@
             # it has.
             self.signals.handled_ms + STOP_ANSWER_MS,
         )
+        grace_ms = self._grace_ms()
+        answers_end_ms = min(
+            ends_ms - STOP_ANSWER_MS,
+            signalled_ms + grace_ms - grace_ms // LAST_REFUSALS_PARTS,
+        )
         # With a short grace period, the last refusals come before the notice ends.
-        full_service_ms = min(
-            notice_ms, MAX_FULL_SERVICE_MS, ends_ms - STOP_ANSWER_MS - signalled_ms
+        notice_ends_ms = min(
+            signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS), answers_end_ms
+        )
+        wait_ms = max(request_wait_ms(grace_ms), STOP_ANSWER_MS)
+        accepts_end_ms = min(ends_ms - wait_ms, answers_end_ms)
+        return StopPlan(
+            notice_ends_ms,
+            ends_ms,
+            max(accepts_end_ms, notice_ends_ms),
+            answers_end_ms,
         )
-        notice_ends_ms = signalled_ms + full_service_ms
-        wait_ms = max(request_wait_ms(self._grace_ms()), STOP_ANSWER_MS)
-        return StopPlan(notice_ends_ms, ends_ms, max(ends_ms - wait_ms, notice_ends_ms))
 
     async def _finish_requests(self, stop: StopPlan) -> None:
         """Return when the process may end; refuse what cannot be finished by then."""
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -57,6 +57,8 @@
             may not have noticed the stop.
         ends_ms: When the process ends.
         accepts_end_ms: Until when connections are accepted; by default to the end.
+        answers_end_ms: Until when requests may run that have no part of an answer; by
+            default the rest of the time suffices for their refusals.
     """
 
     notice_ends_ms: int
@@ -64,11 +66,11 @@
     accepts_end_ms: int = attrs.field(
         default=attrs.Factory(lambda self: self.ends_ms, takes_self=True)
     )
-
-    @property
-    def answers_end_ms(self) -> int:
-        """Until when requests may run; the rest of the time is for their answers."""
-        return self.ends_ms - STOP_ANSWER_MS
+    answers_end_ms: int = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.ends_ms - STOP_ANSWER_MS, takes_self=True
+        )
+    )
 
 
 class RelayHandler:
