--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -546,13 +546,15 @@
         The client of a connection that was ended unused may have sent one already.
         """
         server = self.caller_server
-        if server.active_requests or server.unused_connections_ended:
+        crossed = server.crossed_requests
+        if server.active_requests or server.unused_connections_ended or crossed:
             events.log(
                 events.REQUESTS_CUT,
                 name=self.settings.name,
                 unanswered=server.unanswered_requests,
                 answering=server.active_requests - server.unanswered_requests,
                 unused_connections=server.unused_connections_ended,
+                crossed=crossed,
             )
 
     def _grace_ms(self) -> int:
