Judge no stage target by the silence of the entry that carries its call

The owner of the stage service, cut off, waited 500 ms for a silent entry before another one carried its call, counted the 556 ms as the time of the target, and refused a request as late though the target was idle.

Cause: the owner took all the time of a call for that of the target: the time until a connection was open, and the time in which an entry that carried the call (a tunnel, or a delegate of the call) stood still. In the same way the call counted as overdue, as slow, or as failed, and the results at the target as lost, where only the carrier was silent or had ended.

Now the time of a call counts from when it is sent. If another entry carries it, what speaks against the target (an overdue, failed or slow call) counts only if that entry vouches: it replies within 300 ms, reaches the target and did not stand still since the call was sent. It is asked by a probe, a tunnel message with a new field, so that one of an older build vouches always. One that was silent or late is asked last for further connections. Results do not wait for the word.

Changes to existing tests: the fake stage clients of test_stage_pool, test_late_stage_calls and test_overdue_stage_calls take the watch of a call and tell it when the call is sent, as real clients do. Nothing they check changed.

Left: the remaining time of pieces is still that before the connection.

--- a/tests/test_late_stage_calls.py
+++ b/tests/test_late_stage_calls.py
@@ -15,8 +15,8 @@
 
     held_ms = 0
 
-    async def run(self, target, items, timeout_ms):
-        replies = await super().run(target, items, timeout_ms)
+    async def run(self, target, items, timeout_ms, watch):
+        replies = await super().run(target, items, timeout_ms, watch)
         # The answer has arrived before the process goes on.
         self.clock.seconds += self.held_ms / 1_000
         return replies
@@ -27,7 +27,8 @@
 
     extra_ms = 0
 
-    async def run(self, target, items, timeout_ms):
+    async def run(self, target, items, timeout_ms, watch):
+        watch.record_sent(None)
         await self.clock.sleep_ms(self.extra_ms)
         return await super().run(target, items, timeout_ms)
 
--- a/tests/test_overdue_stage_calls.py
+++ b/tests/test_overdue_stage_calls.py
@@ -33,7 +33,8 @@
         super().__init__(clock)
         self.stalls_ms = list(stalls_ms)
 
-    async def run(self, target, items, timeout_ms):
+    async def run(self, target, items, timeout_ms, watch):
+        watch.record_sent(None)
         stall_ms = self.stalls_ms.pop(0) if self.stalls_ms else 0
         if stall_ms + CAPACITY.duration_ms(len(items)) > timeout_ms:
             self.calls.append((self.clock.now_ms(), target.name, list(items)))
@@ -108,9 +109,10 @@
 class OneSilentStages(FakeStages):
     """Targets of which the first one never replies."""
 
-    async def run(self, target, items, timeout_ms):
+    async def run(self, target, items, timeout_ms, watch):
         if target.name != "t1":
-            return await super().run(target, items, timeout_ms)
+            return await super().run(target, items, timeout_ms, watch)
+        watch.record_sent(None)
         self.calls.append((self.clock.now_ms(), target.name, list(items)))
         await self.clock.sleep_ms(timeout_ms)
         raise TargetFailed("silent", verdict=Verdict.MAY_HAVE_RUN, timed_out=True)
@@ -150,6 +152,7 @@
     async def main(clock):
         state = TargetState(calls=1)
         slot = CallSlot(clock, state, curio.Event())
+        slot.record_sent(None)
         timer = await curio.spawn(slot.watch, CallLimits(10, 20))
         await clock.sleep_ms(5)
         clock.seconds += 0.1
@@ -164,8 +167,8 @@
 class HeldStages(FakeStages):
     """Targets whose answers are read a few turns of the event loop late."""
 
-    async def run(self, target, items, timeout_ms):
-        replies = await super().run(target, items, timeout_ms)
+    async def run(self, target, items, timeout_ms, watch):
+        replies = await super().run(target, items, timeout_ms, watch)
         for _ in range(3):
             await curio.sleep(0)
         return replies
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -28,7 +28,7 @@
     StageClient,
 )
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS, INPUT_FETCH_MS
-from wagtailrun.stages.port import StageReply
+from wagtailrun.stages.port import UNWATCHED, StageReply
 from wagtailrun.virtual_time import run_virtual
 
 CAPACITY = StageCapacity(
@@ -53,7 +53,8 @@
         self.outcomes = []
         self.numbers = iter(range(1_000_000))
 
-    async def run(self, target, items, timeout_ms):
+    async def run(self, target, items, timeout_ms, watch=UNWATCHED):
+        watch.record_sent(None)
         self.calls.append((self.clock.now_ms(), target.name, list(items)))
         fault = self.faults_by_name.get(target.name)
         if fault is not None:
@@ -661,7 +662,7 @@
         timeouts = []
         run = harness.client.run
 
-        async def record(target, items, timeout_ms):
+        async def record(target, items, timeout_ms, watch):
             timeouts.append(timeout_ms)
             return await run(target, items, timeout_ms)
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 client built on h11, with a pool of idle connections for each address."""
 
-import enum
 import functools
 import re
 from abc import ABC, abstractmethod
@@ -13,19 +12,15 @@
 import curio
 import h11
 
-from wagtailrun import events
-from wagtailrun.adapters import numeric_connection
 from wagtailrun.adapters.connection_pool import ConnectionPool, PooledConnection
-from wagtailrun.adapters.dead_peers import enable_dead_peer_detection
-from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
-from wagtailrun.exceptions import (
-    ConnectFailed,
-    ConnectShortage,
-    MalformedAddress,
-    SendForbidden,
-    TargetFailed,
-    Verdict,
+from wagtailrun.adapters.connector import (
+    Connector,
+    DirectConnector,
+    OpenConnection,
+    Reachability,
 )
+from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
+from wagtailrun.exceptions import SendForbidden, TargetFailed, Verdict
 from wagtailrun.fairness import Turns
 from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.membership import TargetRow
@@ -37,7 +32,6 @@
     MemoryBudget,
 )
 from wagtailrun.ports.link import Address
-from wagtailrun.shortages import SHORTAGE_RETRY_MS, is_shortage, is_shortage_for_one
 
 __all__ = [
     "Connector",
@@ -344,94 +338,6 @@
         """Record the head of an answer to a request that was sent at ``sent_ms``."""
 
 
-@attrs.frozen
-class OpenConnection:
-    """A new connection to a server.
-
-    Attributes:
-        sock: Socket, or an object that is used like one.
-        carrier: Peer that carries the connection; None if it is direct.
-    """
-
-    sock: Any
-    carrier: Address | None = None
-
-
-class Reachability(enum.Enum):
-    """Whether a server accepts connections."""
-
-    ACCEPTS = "accepts"
-    REFUSES = "refuses"
-    SILENT = "silent"
-    # Nothing distinguishes the server from the path to it.
-    UNKNOWN = "unknown"
-
-
-class Connector(ABC):
-    """Opens connections to servers."""
-
-    @abstractmethod
-    async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
-        """Open a connection.
-
-        Args:
-            address: Address of the server.
-            timeout_ms: Time limit, in milliseconds.
-
-        Raises:
-            ConnectShortage: If this process lacks what it needs for that.
-            ConnectFailed: If it cannot be opened.
-        """
-
-    async def probe(self, address: Address, timeout_ms: int) -> Reachability:
-        """Return whether a server accepts connections; no request is sent."""
-        return await self._find_reachability(self.connect(address, timeout_ms))
-
-    @staticmethod
-    async def _find_reachability(
-        connecting: Awaitable[OpenConnection],
-    ) -> Reachability:
-        """Return what an attempt to connect shows, and close the connection."""
-        try:
-            opened = await connecting
-        except ConnectFailed as error:
-            if not error.confirmed:
-                return Reachability.UNKNOWN
-            return Reachability.REFUSES if error.refused else Reachability.SILENT
-        await opened.sock.close()
-        return Reachability.ACCEPTS
-
-    @abstractmethod
-    def may_reuse(self, address: Address) -> bool:
-        """Return whether idle connections to a server may carry another request."""
-
-
-class DirectConnector(Connector):
-    """Connects to servers directly."""
-
-    async def connect(self, address: Address, timeout_ms: int) -> OpenConnection:
-        """Open a connection; see ``Connector``."""
-        try:
-            sock = await numeric_connection.open_in_time(address, timeout_ms)
-        except (OSError, MalformedAddress) as error:
-            # Members of an older build accept a malformed address.
-            detail = f"cannot connect to {address.shown}: {error}"
-            if is_shortage(error):
-                events.log(events.CONNECT_SHORT, address=str(address), detail=detail)
-                only_here = is_shortage_for_one(error)
-                raise ConnectShortage(
-                    detail, SHORTAGE_RETRY_MS, only_here=only_here
-                ) from error
-            is_refused = isinstance(error, ConnectionRefusedError)
-            raise ConnectFailed(detail, refused=is_refused) from error
-        enable_dead_peer_detection(sock)
-        return OpenConnection(sock)
-
-    def may_reuse(self, address: Address) -> bool:
-        """Return True: the client checks each idle connection itself."""
-        return True
-
-
 class _Connection:
     """A connection to a server, which carries one request at a time.
 
@@ -727,6 +633,7 @@
         host: str | None = None,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         may_send: Callable[[], bool] = lambda: True,
+        on_open: Callable[[Address | None], None] = lambda carrier: None,
         on_sent: Callable[[], Awaitable[None]] | None = None,
         urgency: int = DEFAULT_URGENCY,
         identity: str = "",
@@ -748,6 +655,8 @@
             host: Value of the Host header; by default the address.
             connect_timeout_ms: Time limit for a new connection, in milliseconds.
             may_send: Called when the connection is open; see below.
+            on_open: Called just before the request is sent, with the peer that carries
+                the connection, if any.
             on_sent: Called once the request was sent.
             urgency: Rank of the request, 0 to 9; 0 goes first.
             identity: Identifier that the response echoes, if any. No connection
@@ -795,6 +704,7 @@
             connection.requests += 1
             if identity:
                 connection.identities.append(identity)
+            on_open(connection.carrier)
             await _send(connection, request, body, timeout_ms)
             if on_sent is not None:
                 await on_sent()
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/carriers.py
@@ -27,6 +27,8 @@
 MAX_CARRIERS = 3
 MIN_ASK_MS = 100
 REPORT_TIMEOUT_MS = 300
+# Time in which an entry that carries a connection says whether it stood still.
+VOUCH_TIMEOUT_MS = 300
 # An entry that opened no tunnel is not asked for this long, or last if it was silent;
 # the time doubles with each further failure.
 CARRIER_AVOIDANCE_MS = 1_000
@@ -172,6 +174,44 @@
         except PeerUnreachable as error:
             events.log(events.PEER_LOST, peer=str(carrier), detail=str(error))
 
+    async def vouches(self, address: Address, carrier: Address, since_ms: int) -> bool:
+        """Return whether a connection that another entry carries is silent by itself.
+
+        The other entry replies, has a path to the target and did not stand still. One
+        that does not vouch is avoided.
+
+        Args:
+            address: Address of the target.
+            carrier: Address of the other entry.
+            since_ms: When the silence began, on the clock.
+        """
+        entry = next(
+            (row for row in self.other_entries() if row.address == carrier), None
+        )
+        if entry is None or self._avoidance(entry.name).until_ms > self.clock.now_ms():
+            return False
+        row = self.view.row_at(address)
+        message = OpenTunnel(
+            self.view.own_row.name,
+            row.name if row is not None else "",
+            row.incarnation if row is not None else 0,
+            str(address),
+            True,
+            VOUCH_TIMEOUT_MS // 2,
+            max(self.clock.now_ms() - since_ms, 1),
+        )
+        reply = await self._ask(entry, message, VOUCH_TIMEOUT_MS, CarrierOutcome())
+        if not isinstance(reply, TunnelRefused):
+            if reply is not None:
+                await reply.close()
+            return reply is not None
+        if reply.reason == TunnelRefusal.LATE:
+            detail = f"{entry.name}: {reply.reason}: {reply.detail}"
+            self._avoid(entry, address, detail, silent=True)
+        # An entry elsewhere may have lost its own path to the target.
+        is_near = row is not None and row.data_centre == entry.data_centre
+        return is_near and reply.reason == TunnelRefusal.UNREACHABLE
+
     async def _ask(
         self,
         carrier: EntryRow,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -174,6 +174,7 @@
             self.connector,
             self.notices.begin_carried_request,
             self._is_stopping,
+            self.loop_watch.was_held_since,
         )
         self.pool = ConnectionPool(
             self.clock,
@@ -200,6 +201,7 @@
             self.budget,
             lambda message: self.runner.notify_owner(message),
             self.loop_watch.was_held_since,
+            self.connector.vouches,
         )
         self.runner = StageRunner(
             self.clock,
--- a/wagtailrun/relay/tunnel_messages.py
+++ b/wagtailrun/relay/tunnel_messages.py
@@ -25,7 +25,8 @@
     NO_PATH = "no-path"
     # It reaches no target itself, which says nothing about this one.
     CUT_OFF = "cut-off"
-    # It stood still while it connected, which says nothing about any path.
+    # It stood still while it connected, or while it carried another connection, which
+    # says nothing about any path.
     LATE = "late"
     LEFT = "left"
     PAUSED = "paused"
@@ -48,6 +49,8 @@
         probe: Whether to close the connection at once: the sender only asks whether
             the target accepts connections.
         limit_ms: Time limit of the connection to the target.
+        silent_ms: For how long a connection that the receiver carries has been silent;
+            it refuses if it stood still meanwhile. 0 if there is none.
     """
 
     sender: str
@@ -56,6 +59,7 @@
     address: str
     probe: bool = False
     limit_ms: int = 0
+    silent_ms: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -220,6 +220,14 @@
         """Return whether the path to a server is believed to work."""
         return not self.paths.is_lost(address)
 
+    async def vouches(
+        self, address: Address, carrier: Address | None, since_ms: int
+    ) -> bool:
+        """Return whether silence is that of the server; see ``Connector``."""
+        if carrier is None:
+            return True
+        return await self.carriers.vouches(address, carrier, since_ms)
+
     async def connect_directly(
         self, address: Address, timeout_ms: int
     ) -> OpenConnection:
@@ -350,6 +358,8 @@
         begin_request: Returns how long a target wants no requests from this VM. If it
             is 0, a request may be on its way after the call.
         is_stopping: Returns whether this entry stops.
+        was_held_since: Returns whether the event loop of this process was held after a
+            time on the clock.
     """
 
     def __init__(
@@ -359,12 +369,14 @@
         connector: PathConnector,
         begin_request: Callable[[Address], int],
         is_stopping: Callable[[], bool],
+        was_held_since: Callable[[int], bool] = lambda since_ms: False,
     ):
         self.clock = clock
         self.view = view
         self.connector = connector
         self.begin_request = begin_request
         self.is_stopping = is_stopping
+        self.was_held_since = was_held_since
         # Number of connections that this entry carries or opens.
         self.running = 0
 
@@ -405,6 +417,9 @@
             return TunnelRefused(TunnelRefusal.STOPPING, "this entry stops")
         if self.running >= MAX_TUNNELS:
             return TunnelRefused(TunnelRefusal.FULL, f"{self.running} tunnels are open")
+        silent_since_ms = self.clock.now_ms() - message.silent_ms
+        if message.silent_ms and self.was_held_since(silent_since_ms):
+            return TunnelRefused(TunnelRefusal.LATE, "this entry stood still")
         if self.connector.paths.is_cut_off:
             return TunnelRefused(TunnelRefusal.CUT_OFF, "this entry reaches no target")
         if self.connector.paths.is_lost(address):
--- a/wagtailrun/schema/tunnels.capnp
+++ b/wagtailrun/schema/tunnels.capnp
@@ -18,6 +18,7 @@
   address @3 :Text;
   probe @4 :Bool;
   limitMs @5 :UInt32;
+  silentMs @6 :UInt32;  # The receiver refuses if it stood still within this time.
 }
 
 struct TunnelOpened { tookMs @0 :UInt32; }
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -9,17 +9,11 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.exceptions import (
-    ConnectFailed,
-    ConnectShortage,
-    TargetFailed,
-    Verdict,
-)
+from wagtailrun.exceptions import TargetFailed, Verdict
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import StageCapacity
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.stages.call_slot import CallLimits, CallSlot
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.memory import ResultMemory
@@ -33,17 +27,11 @@
     RunPieces,
 )
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
-from wagtailrun.stages.target_state import TargetState
+from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
 from wagtailrun.supervisor import supervise
 
 __all__ = ["StageBatcher"]
 
-# Exponential backoff for a target whose calls fail, for example because it refuses
-# connections.
-FIRST_BACKOFF_MS = 250
-MAX_BACKOFF_MS = 2_000
-# Pause for a target that refuses a call or reports that it has no memory.
-REFUSAL_PAUSE_MS = 40
 # Limit of failed attempts for each piece, and of consecutive failures of a target.
 MAX_ATTEMPTS = 3
 # Releases of results are collected for this long and sent in one message per target.
@@ -472,13 +460,19 @@
         limits = CallLimits.compute(
             expected_ms, [job for job, _ in chosen], may_retry, started_ms
         )
-        slot = CallSlot(self.clock, target_state, self.wake)
+        slot = CallSlot(
+            self.clock,
+            target_state,
+            self.wake,
+            row.address,
+            self.batcher.vouches,
+        )
         slot_timer = await curio.spawn(slot.watch, limits, daemon=True)
         fetch_timer = await curio.spawn(self._await_fetch, chosen, daemon=True)
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
-            replies = await self.batcher.client.run(row, items, limits.timeout_ms)
+            replies = await self.batcher.client.run(row, items, limits.timeout_ms, slot)
         except TargetFailed as error:
             failure = error
         except Exception as error:
@@ -505,8 +499,10 @@
         )
         self.batcher.record_call(len(items), ended_ms - started_ms)
         if failure is not None:
-            if not slot.is_outdated(failure):
-                self._record_failure(row, target_state, failure, ended_ms)
+            if await slot.shows_failure(failure) and target_state.record_failure(
+                failure, ended_ms
+            ):
+                self.memory.drop_target(row.address)
             for job, piece in chosen:
                 self._requeue(job, piece, failure.verdict is not Verdict.NOT_RUN)
         else:
@@ -515,9 +511,8 @@
             target_state.record_answer(ended_ms)
             if not self.batcher.was_held_since(started_ms):
                 # Else the time is that of this process.
-                target_state.record_duration(
-                    ended_ms - started_ms, self.capacity.duration_ms(len(items))
-                )
+                expected_ms = self.capacity.duration_ms(len(items))
+                await slot.record_duration(ended_ms, expected_ms)
             for (job, piece), reply in zip(chosen, replies, strict=True):
                 self._apply_reply(row, target_state, job, piece, reply)
         await self.batcher.notify_finished()
@@ -551,32 +546,6 @@
             message = FreeResults(service, tuple(results))
             await self.batcher.release_elsewhere(message)
 
-    def _record_failure(
-        self,
-        row: TargetRow,
-        target_state: TargetState,
-        failure: TargetFailed,
-        now_ms: int,
-    ) -> None:
-        if failure.verdict is Verdict.NOT_RUN and not isinstance(
-            failure, ConnectFailed
-        ):
-            # The target is full, or another one has taken over its address; the next
-            # update of its row shows which.
-            pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
-            target_state.pause_until_ms = now_ms + pause_ms
-            return
-        if isinstance(failure, ConnectFailed) and not failure.confirmed:
-            # The path failed, which says nothing about the target and its results.
-            is_shortage = isinstance(failure, ConnectShortage)
-            pause_ms = SHORTAGE_PAUSE_MS if is_shortage else FIRST_BACKOFF_MS
-            target_state.pause_until_ms = now_ms + pause_ms
-            return
-        target_state.failures += 1
-        backoff_ms = FIRST_BACKOFF_MS << min(target_state.failures - 1, 6)
-        target_state.pause_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
-        self.memory.drop_target(row.address)
-
     def _apply_reply(
         self,
         row: TargetRow,
@@ -688,6 +657,9 @@
         release_elsewhere: Sends a release of results to the owner of their service.
         was_held_since: Returns whether the event loop of this process was held after a
             time on the clock.
+        vouches: Called with the address of a target, the entry that carries a call to
+            it and when it was sent; returns whether the target is silent, and not that
+            entry.
     """
 
     def __init__(
@@ -699,9 +671,11 @@
         budget: RetryBudget,
         release_elsewhere: Callable[[FreeResults], Awaitable[None]],
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
+        vouches: Callable[[Address, Address, int], Awaitable[bool]] | None = None,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
+        self.vouches = vouches
         self.clock = clock
         self.client = client
         self.targets = targets
--- a/wagtailrun/stages/port.py
+++ b/wagtailrun/stages/port.py
@@ -9,7 +9,14 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 
-__all__ = ["PieceOutcome", "StageClient", "StageItem", "StageReply"]
+__all__ = [
+    "CallWatch",
+    "PieceOutcome",
+    "StageClient",
+    "StageItem",
+    "StageReply",
+    "UNWATCHED",
+]
 
 
 class PieceOutcome(enum.StrEnum):
@@ -56,12 +63,41 @@
     handle: str = ""
 
 
+class CallWatch(ABC):
+    """Is told of the progress of a stage call."""
+
+    @abstractmethod
+    def record_sent(self, carrier: Address | None) -> None:
+        """Record that the call is sent now, over a connection that is open.
+
+        A call that turns to another path is sent again.
+
+        Args:
+            carrier: Entry that carries the connection, or sends the call to the
+                target; None if this process does.
+        """
+
+
+class _Unwatched(CallWatch):
+    """Ignores the progress."""
+
+    def record_sent(self, carrier: Address | None) -> None:
+        """Ignore it."""
+
+
+UNWATCHED = _Unwatched()
+
+
 class StageClient(ABC):
     """Calls the targets of stage services."""
 
     @abstractmethod
     async def run(
-        self, target: TargetRow, items: Sequence[StageItem], timeout_ms: int
+        self,
+        target: TargetRow,
+        items: Sequence[StageItem],
+        timeout_ms: int,
+        watch: CallWatch = UNWATCHED,
     ) -> list[StageReply]:
         """Run pieces in one call and return a reply for each, in order.
 
@@ -69,6 +105,7 @@
             target: Target that runs the pieces.
             items: Pieces to run.
             timeout_ms: Time limit of the call, in milliseconds.
+            watch: Is told when the call is sent.
 
         Raises:
             TargetFailed: If there is no complete reply; the verdict says whether the
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -14,7 +14,14 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.stages.messages import CallMade, CarryCall, PieceMade, RequestPieces
-from wagtailrun.stages.port import PieceOutcome, StageClient, StageItem, StageReply
+from wagtailrun.stages.port import (
+    UNWATCHED,
+    CallWatch,
+    PieceOutcome,
+    StageClient,
+    StageItem,
+    StageReply,
+)
 
 __all__ = ["DelegatingStageClient"]
 
@@ -53,7 +60,11 @@
         self.running_for_peers = 0
 
     async def run(
-        self, target: TargetRow, items: Sequence[StageItem], timeout_ms: int
+        self,
+        target: TargetRow,
+        items: Sequence[StageItem],
+        timeout_ms: int,
+        watch: CallWatch = UNWATCHED,
     ) -> list[StageReply]:
         """Run pieces in one call; see ``StageClient``."""
         delegate = None
@@ -61,7 +72,7 @@
             key = f"calls of {target.name}"
             delegate = self.owners.owner(key, data_centre=target.data_centre)
         if delegate is None or delegate.name == self.name:
-            return await self.client.run(target, items, timeout_ms)
+            return await self.client.run(target, items, timeout_ms, watch)
         message = CarryCall(
             target=target.name,
             address=str(target.address),
@@ -70,6 +81,7 @@
             requests=_group_by_request(items),
             timeout_ms=timeout_ms,
         )
+        watch.record_sent(delegate.address)
         try:
             answer = await self.link.call(
                 delegate.address, message, timeout_ms + DELEGATION_SLACK_MS
@@ -78,7 +90,7 @@
             if not error.alive:
                 self.owners.exclude(delegate, str(error))
             if not error.sent:
-                return await self.client.run(target, items, timeout_ms)
+                return await self.client.run(target, items, timeout_ms, watch)
             detail = f"entry {delegate.name} did not reply to a stage call: {error}"
             raise TargetFailed(detail, verdict=Verdict.MAY_HAVE_RUN) from error
         try:
@@ -87,7 +99,7 @@
             if error.confirmed:
                 raise
             # Nothing was sent, and this entry may have a path.
-            return await self.client.run(target, items, timeout_ms)
+            return await self.client.run(target, items, timeout_ms, watch)
 
     async def free(self, address: Address, handles: Sequence[str]) -> None:
         """Release results; see ``StageClient``."""
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -2,7 +2,22 @@
 
 import attrs
 
-__all__ = ["TargetState"]
+from wagtailrun.exceptions import (
+    ConnectFailed,
+    ConnectShortage,
+    TargetFailed,
+    Verdict,
+)
+from wagtailrun.shortages import SHORTAGE_PAUSE_MS
+
+__all__ = ["REFUSAL_PAUSE_MS", "TargetState"]
+
+# Exponential backoff for a target whose calls fail, for example because it refuses
+# connections.
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 2_000
+# Pause for a target that refuses a call or reports that it has no memory.
+REFUSAL_PAUSE_MS = 40
 
 # Weight of the newest call in the moving average of a target's slowness.
 SLOWNESS_WEIGHT = 0.4
@@ -43,6 +58,27 @@
         self.failures = 0
         self.answered_ms = now_ms
 
+    def record_failure(self, failure: TargetFailed, now_ms: int) -> bool:
+        """Record a failed call; return whether the results there count as lost."""
+        if failure.verdict is Verdict.NOT_RUN and not isinstance(
+            failure, ConnectFailed
+        ):
+            # The target is full, or another one has taken over its address; the next
+            # update of its row shows which.
+            pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
+            self.pause_until_ms = now_ms + pause_ms
+            return False
+        if isinstance(failure, ConnectFailed) and not failure.confirmed:
+            # The path failed, which says nothing about the target and its results.
+            is_shortage = isinstance(failure, ConnectShortage)
+            pause_ms = SHORTAGE_PAUSE_MS if is_shortage else FIRST_BACKOFF_MS
+            self.pause_until_ms = now_ms + pause_ms
+            return False
+        self.failures += 1
+        backoff_ms = FIRST_BACKOFF_MS << min(self.failures - 1, 6)
+        self.pause_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
+        return True
+
     def record_duration(self, took_ms: int, expected_ms: float) -> None:
         """Update the slowness with the duration of a call.
 
