Take the answer to a product attempt that arrived during a standstill

A call ran at a second target and used retry budget although its answer had arrived, or was refused as late.

Cause: as with reads, relayed attempts and replies of peers, the event loop handles the time after which an attempt is stalled, or the deadline, before what arrived while the process stood still.

Left, by reading: a stream that has begun (Attempts.next_item) still ends at such a time, and the durations that the router and the estimates learn from include standstills of the entry.

--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -17,6 +17,7 @@
     TargetFailed,
     Verdict,
 )
+from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
 from wagtailrun.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
@@ -42,6 +43,9 @@
 # Idle connections are kept for 15 s. If one connection to a target stalls, the others
 # may be stalled too, so only new connections are used for that time.
 FRESH_CONNECTION_MS = 15_000
+# A time limit that is noticed this much too late was not that of the target: the loop
+# of this process stood still meanwhile.
+LATE_MS = 20
 # Waits end just before the request's own deadline, so that the refusal can state when
 # to retry.
 DEADLINE_MARGIN_MS = 1
@@ -220,13 +224,25 @@
                 stalled_at_ms = None
             times = [end_ms, hedge_at_ms, stalled_at_ms]
             until_ms = min(time_ms for time_ms in times if time_ms is not None)
-            wait_ms = until_ms - self.clock.now_ms()
-            if wait_ms > 0:
-                result = await curio.ignore_after(
-                    wait_ms / MS_PER_SECOND, run.results.get
-                )
-                if result is not None:
-                    return result
+            result = await self._wait_for_result(run.results, until_ms)
+            if result is not None:
+                return result
+
+    async def _wait_for_result(
+        self, results: Results, until_ms: int
+    ) -> tuple[AttemptRun, Any] | None:
+        """Return the next result; None if there is none until a time on the clock.
+
+        After a standstill the event loop handles the time before a result that has
+        arrived, which gets another moment.
+        """
+        wait_ms = until_ms - self.clock.now_ms()
+        if wait_ms <= 0:
+            return None
+        result = await curio.ignore_after(wait_ms / MS_PER_SECOND, results.get)
+        if result is None and self.clock.now_ms() - until_ms >= LATE_MS:
+            result = await curio.ignore_after(LATE_WAIT_MS / MS_PER_SECOND, results.get)
+        return result
 
     def _min_streaming_ms(self, run: AttemptRun) -> int:
         """Return the shortest time from the first item to the end of a stream.
