Let no two stage calls count on the same retry

What callers saw: nothing measured outside virtual time; found by reading. Of several calls that were overdue at the same time beside one retry in the budget, all were given up, and the requests of all but one were refused 4 s before their answers ("the retry limit or the retry budget is exhausted"), as before.

Cause: a call asks at its start whether the budget covers its pieces, and is given up when it is overdue if so. It reserved nothing, so that calls side by side counted on the same tokens.

Ruled out: more retries than the budget. A token is taken for each piece that is queued again; test_retries_never_exceed_the_budget passes before, too.

Now a call claims what it counts on, until its end. Claimed tokens stay in the budget for whatever fails first: tokens that sound calls set aside would be missing for calls that fail at once.

What does not hold yet: a claimed call that is given up after another failure has taken its tokens is still refused.

--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -45,6 +45,8 @@
         self.tokens_per_attempt = tokens_per_attempt
         self.token_limit = token_limit
         self.tokens_by_service: dict[str, float] = defaultdict(lambda: initial)
+        # Tokens that calls in progress count on.
+        self.claims_by_service: dict[str, int] = defaultdict(int)
 
     def earn(self, service: str) -> None:
         """Add the tokens of a first attempt."""
@@ -55,6 +57,9 @@
         """Drop the tokens of all other services."""
         for service in self.tokens_by_service.keys() - services:
             del self.tokens_by_service[service]
+        for service in self.claims_by_service.keys() - services:
+            if not self.claims_by_service[service]:
+                del self.claims_by_service[service]
 
     def has(self, service: str, reserve: float = 0.0) -> bool:
         """Return whether one more attempt would leave at least ``reserve`` tokens."""
@@ -67,6 +72,22 @@
         self.tokens_by_service[service] -= 1.0
         return True
 
+    def claim(self, service: str, count: int) -> bool:
+        """Return whether tokens that no other call claims cover some attempts.
+
+        They stay in the budget, for whatever fails first, but no other call may count
+        on them until ``unclaim``.
+        """
+        claimed = self.claims_by_service[service]
+        if not self.has(service, claimed + count - 1.0):
+            return False
+        self.claims_by_service[service] += count
+        return True
+
+    def unclaim(self, service: str, count: int) -> None:
+        """End a claim."""
+        self.claims_by_service[service] -= count
+
     def refund(self, service: str) -> None:
         """Return the token of an attempt that this process could not make."""
         self.tokens_by_service[service] += 1.0
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -456,7 +456,7 @@
         held_bytes = self.memory.used_bytes(row.address)
         target_state = self.target_states_by_name[row.name]
         items = [job.stage_item(piece, started_ms) for job, piece in chosen]
-        may_retry = self.batcher.budget.has(self.service, len(chosen) - 1)
+        may_retry = self.batcher.budget.claim(self.service, len(chosen))
         limits = CallLimits.compute(
             expected_ms, [job for job, _ in chosen], may_retry, started_ms
         )
@@ -503,9 +503,13 @@
                 failure, ended_ms
             ):
                 self.memory.drop_target(row.address)
+            if may_retry:
+                self.batcher.budget.unclaim(self.service, len(chosen))
             for job, piece in chosen:
                 self._requeue(job, piece, failure.verdict is not Verdict.NOT_RUN)
         else:
+            if may_retry:
+                self.batcher.budget.unclaim(self.service, len(chosen))
             # A call may end before its inputs were marked.
             await self._mark_inputs_fetched(chosen)
             target_state.record_answer(ended_ms)
