--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -178,6 +178,7 @@
             self.connector,
             self.notices.begin_carried_request,
             self._is_stopping,
+            self.loop_watch.was_held_since,
         )
         self.pool = ConnectionPool(
             self.clock,
@@ -204,6 +205,7 @@
             self.budget,
             lambda message: self.runner.notify_owner(message),
             self.loop_watch.was_held_since,
+            self.connector.vouches,
         )
         self.runner = StageRunner(
             self.clock,
