--- /dev/null
+++ b/wagtailrun/stages/planner.py
@@ -0,0 +1,190 @@
+"""Plans stage calls: which target, and the pieces of which steps, come next."""
+
+from collections.abc import Callable, Iterator, Sequence
+
+import attrs
+
+from wagtailrun.clock import Clock
+from wagtailrun.membership import TargetRow
+from wagtailrun.routes import StageCapacity
+from wagtailrun.stages.job import Job
+from wagtailrun.stages.memory import ResultMemory
+from wagtailrun.stages.target_state import TargetState
+
+__all__ = ["CallPlan", "CallPlanner"]
+
+# Fixed cost of running a job outside its preferred data centre, expressed as queueing
+# delay: it splits up a batch in the preferred data centre.
+REMOTE_COST_MS = 30
+# Delay after which a job counts as blocked by full memory in its preferred data centre.
+MAX_BLOCKED_MS = 150
+# Result sizes are approximate, so part of the memory is kept free.
+USABLE_MEMORY_SHARE = 0.96
+
+
+@attrs.frozen
+class CallPlan:
+    """The next call.
+
+    Attributes:
+        row: Target of the call.
+        chosen: Pieces of the call with their jobs.
+    """
+
+    row: TargetRow
+    chosen: list[tuple[Job, int]]
+
+
+class CallPlanner:
+    """Plans the calls of one stage service.
+
+    Args:
+        clock: Clock.
+        memory: Memory for results at the targets.
+        target_states_by_name: States of the targets.
+        processing_ms: Returns the expected duration of the calls for a number of
+            pieces.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        memory: ResultMemory,
+        target_states_by_name: dict[str, TargetState],
+        processing_ms: Callable[[int], float],
+    ):
+        self.clock = clock
+        self.memory = memory
+        self.target_states_by_name = target_states_by_name
+        self.processing_ms = processing_ms
+        # Time until a target of the data centre is idle, updated before each call.
+        self.busy_ms_by_data_centre: dict[str, int] = {}
+
+    def plan(
+        self, jobs: Sequence[Job], rows: Sequence[TargetRow], capacity: StageCapacity
+    ) -> CallPlan | None:
+        """Return the next call, or None if none can start.
+
+        Args:
+            jobs: Jobs with waiting pieces that may run, the first ones first.
+            rows: Targets that accept calls.
+            capacity: Capacity of one target.
+        """
+        now_ms = self.clock.now_ms()
+        free = self._free_targets(rows, capacity, now_ms)
+        if not free:
+            return None
+        self.busy_ms_by_data_centre = self._compute_busy_ms(rows, now_ms)
+        # The first job determines the target; the others fill the call.
+        for job in jobs:
+            for row in self._eligible_targets(job, free, now_ms):
+                chosen = self._select_pieces(row, jobs, capacity, now_ms)
+                if chosen:
+                    return CallPlan(row, chosen)
+        return None
+
+    def _free_targets(
+        self, rows: Sequence[TargetRow], capacity: StageCapacity, now_ms: int
+    ) -> list[TargetRow]:
+        """Return the targets with a free slot; reliable and fast ones come first."""
+        slots = max(capacity.slots, 1)
+        target_states = self.target_states_by_name
+        free = []
+        for row in rows:
+            target_state = target_states[row.name]
+            if target_state.calls < slots and target_state.pause_until_ms <= now_ms:
+                free.append(row)
+        free.sort(
+            key=lambda r: (target_states[r.name].faults, target_states[r.name].slowness)
+        )
+        return free
+
+    def _eligible_targets(
+        self, job: Job, free: list[TargetRow], now_ms: int
+    ) -> Iterator[TargetRow]:
+        """Yield the free targets that may run a job, preferred data centre first."""
+        preferred = job.message.data_centre
+        yield from (row for row in free if row.data_centre == preferred)
+        if self._may_run_remotely(job, now_ms):
+            yield from (row for row in free if row.data_centre != preferred)
+
+    def _may_run_remotely(self, job: Job, now_ms: int) -> bool:
+        """Return whether a job may run outside its preferred data centre.
+
+        It may do so once the queueing delay there exceeds the cost of transferring its
+        results.
+        """
+        busy_ms = self.busy_ms_by_data_centre.get(job.message.data_centre)
+        if busy_ms is None:
+            return True
+        cost_ms = REMOTE_COST_MS + job.transfer_cost_ms
+        # Targets whose memory is full of results may be idle and still accept no call.
+        blocked_ms = now_ms - job.requested_ms - MAX_BLOCKED_MS
+        if max(busy_ms, blocked_ms) > cost_ms:
+            return True
+        # Missing the latency objective costs more than any transfer of results.
+        left_ms = job.objective_at_ms - now_ms - self.processing_ms(len(job.waiting))
+        return 0 <= left_ms < max(busy_ms, MAX_BLOCKED_MS if blocked_ms > 0 else 0)
+
+    def _may_run_at(self, job: Job, row: TargetRow, now_ms: int) -> bool:
+        """Return whether pieces of a job may fill a call to ``row``."""
+        is_preferred = row.data_centre == job.message.data_centre
+        return (
+            is_preferred
+            or self._may_join_remote_call(job)
+            or self._may_run_remotely(job, now_ms)
+        )
+
+    def _may_join_remote_call(self, job: Job) -> bool:
+        """Return whether a job may fill a remote call that starts anyway.
+
+        The job splits no batch there, so waiting would only save the transfer of its
+        results.
+        """
+        busy_ms = self.busy_ms_by_data_centre.get(job.message.data_centre)
+        return busy_ms is None or busy_ms > job.transfer_cost_ms
+
+    def _compute_busy_ms(
+        self, rows: Sequence[TargetRow], now_ms: int
+    ) -> dict[str, int]:
+        """Return the time until a target is idle, by data centre.
+
+        Returns:
+            Milliseconds, negative if a target is idle now. Targets whose last call
+            failed are ignored, and data centres without any other target are omitted.
+        """
+        busy_by_data_centre: dict[str, int] = {}
+        for row in rows:
+            target_state = self.target_states_by_name[row.name]
+            if not target_state.failures:
+                busy_ms = (
+                    max(target_state.busy_until_ms, target_state.pause_until_ms)
+                    - now_ms
+                )
+                known_ms = busy_by_data_centre.get(row.data_centre, busy_ms)
+                busy_by_data_centre[row.data_centre] = min(known_ms, busy_ms)
+        return busy_by_data_centre
+
+    def _select_pieces(
+        self,
+        row: TargetRow,
+        jobs: Sequence[Job],
+        capacity: StageCapacity,
+        now_ms: int,
+    ) -> list[tuple[Job, int]]:
+        """Return the pieces of the next call to ``row``, in the order of ``jobs``."""
+        usable = int(capacity.memory_bytes * USABLE_MEMORY_SHARE)
+        room = self.memory.free_bytes(row.address, usable)
+        chosen: list[tuple[Job, int]] = []
+        for job in jobs:
+            if not self._may_run_at(job, row, now_ms):
+                continue
+            for piece in list(job.waiting):
+                needed = job.message.result_bytes
+                if len(chosen) >= capacity.batch:
+                    return chosen
+                if needed > room and (chosen or self.memory.used_bytes(row.address)):
+                    break
+                room -= needed
+                chosen.append((job, piece))
+        return chosen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -32,6 +32,7 @@
     PiecesState,
     RunPieces,
 )
+from wagtailrun.stages.planner import CallPlanner
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.supervisor import supervise
@@ -61,16 +62,9 @@
 # Each urgency level counts as this much additional time to the latency objective. This
 # lets urgent jobs go first in a short queue and limits the delay of the least urgent.
 URGENCY_STEP_MS = 400
-# Fixed cost of running a job outside its preferred data centre, expressed as queueing
-# delay: it splits up a batch in the preferred data centre.
-REMOTE_COST_MS = 30
-# Delay after which a job counts as blocked by full memory in its preferred data centre.
-MAX_BLOCKED_MS = 150
 # Time into a call after which its inputs count as fetched. A target fetches them when
 # the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
 INPUT_FETCH_MS = 60
-# Result sizes are approximate, so part of the memory is kept free.
-USABLE_MEMORY_SHARE = 0.96
 # Calls are not quite full on average, because pieces of one step are kept together.
 TYPICAL_BATCH_FILL = 0.9
 
@@ -92,8 +86,9 @@
         self.memory = ResultMemory()
         self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
         self.job_numbers = itertools.count()
-        # Time until a target of the data centre is idle, updated before each call.
-        self.busy_ms_by_data_centre: dict[str, int] = {}
+        self.planner = CallPlanner(
+            self.clock, self.memory, self.target_states_by_name, self.processing_ms
+        )
         self.wake = curio.Event()
         self.releases_pending = curio.Event()
         self.tasks: list[curio.Task] = []
@@ -333,20 +328,13 @@
         if not jobs:
             return False
         now_ms = self.clock.now_ms()
-        free = self._free_targets(now_ms)
-        if not free:
-            return False
         capacity = self.capacity
         jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
-        self.busy_ms_by_data_centre = self._compute_busy_ms(now_ms)
-        # The first job determines the target; the others fill the call.
-        for job in jobs:
-            for row in self._eligible_targets(job, free, now_ms):
-                chosen = self._select_pieces(row, jobs, free, now_ms)
-                if chosen:
-                    await self._begin_call(row, chosen)
-                    return True
-        return False
+        plan = self.planner.plan(jobs, self.targets(), capacity)
+        if plan is None:
+            return False
+        await self._begin_call(plan.row, plan.chosen)
+        return True
 
     async def _begin_call(self, row: TargetRow, chosen: list[tuple[Job, int]]) -> None:
         target_state = self.target_states_by_name[row.name]
@@ -358,108 +346,6 @@
             job.running += 1
         await curio.spawn(self._run_call, row, chosen, expected_ms, daemon=True)
 
-    def _free_targets(self, now_ms: int) -> list[TargetRow]:
-        """Return the targets with a free slot; reliable and fast ones come first."""
-        slots = max(self.capacity.slots, 1)
-        free = []
-        for row in self.targets():
-            target_state = self.target_states_by_name[row.name]
-            if target_state.calls < slots and target_state.pause_until_ms <= now_ms:
-                free.append(row)
-        target_states = self.target_states_by_name
-        free.sort(
-            key=lambda r: (
-                target_states[r.name].faults,
-                target_states[r.name].slowness,
-            )
-        )
-        return free
-
-    def _eligible_targets(
-        self, job: Job, free: list[TargetRow], now_ms: int
-    ) -> Iterator[TargetRow]:
-        """Yield the free targets that may run a job, preferred data centre first."""
-        preferred = job.message.data_centre
-        yield from (row for row in free if row.data_centre == preferred)
-        if self._may_run_remotely(job, now_ms):
-            yield from (row for row in free if row.data_centre != preferred)
-
-    def _may_run_remotely(self, job: Job, now_ms: int) -> bool:
-        """Return whether a job may run outside its preferred data centre.
-
-        It may do so once the queueing delay there exceeds the cost of transferring its
-        results.
-        """
-        busy_ms = self.busy_ms_by_data_centre.get(job.message.data_centre)
-        if busy_ms is None:
-            return True
-        cost_ms = REMOTE_COST_MS + job.transfer_cost_ms
-        # Targets whose memory is full of results may be idle and still accept no call.
-        blocked_ms = now_ms - job.requested_ms - MAX_BLOCKED_MS
-        if max(busy_ms, blocked_ms) > cost_ms:
-            return True
-        # Missing the latency objective costs more than any transfer of results.
-        left_ms = job.objective_at_ms - now_ms - self.processing_ms(len(job.waiting))
-        return 0 <= left_ms < max(busy_ms, MAX_BLOCKED_MS if blocked_ms > 0 else 0)
-
-    def _may_run_at(self, job: Job, row: TargetRow, now_ms: int) -> bool:
-        """Return whether pieces of a job may fill a call to ``row``."""
-        is_preferred = row.data_centre == job.message.data_centre
-        return (
-            is_preferred
-            or self._may_join_remote_call(job)
-            or self._may_run_remotely(job, now_ms)
-        )
-
-    def _may_join_remote_call(self, job: Job) -> bool:
-        """Return whether a job may fill a remote call that starts anyway.
-
-        The job splits no batch there, so waiting would only save the transfer of its
-        results.
-        """
-        busy_ms = self.busy_ms_by_data_centre.get(job.message.data_centre)
-        return busy_ms is None or busy_ms > job.transfer_cost_ms
-
-    def _compute_busy_ms(self, now_ms: int) -> dict[str, int]:
-        """Return the time until a target is idle, by data centre.
-
-        Returns:
-            Milliseconds, negative if a target is idle now. Targets whose last call
-            failed are ignored, and data centres without any other target are omitted.
-        """
-        busy_by_data_centre: dict[str, int] = {}
-        for row in self.targets():
-            target_state = self.target_states_by_name[row.name]
-            if not target_state.failures:
-                busy_ms = (
-                    max(target_state.busy_until_ms, target_state.pause_until_ms)
-                    - now_ms
-                )
-                known_ms = busy_by_data_centre.get(row.data_centre, busy_ms)
-                busy_by_data_centre[row.data_centre] = min(known_ms, busy_ms)
-        return busy_by_data_centre
-
-    def _select_pieces(
-        self, row: TargetRow, jobs: list[Job], free: list[TargetRow], now_ms: int
-    ) -> list[tuple[Job, int]]:
-        """Return the pieces of the next call to ``row``, in the order of ``jobs``."""
-        capacity = self.capacity
-        usable = int(capacity.memory_bytes * USABLE_MEMORY_SHARE)
-        room = self.memory.free_bytes(row.address, usable)
-        chosen: list[tuple[Job, int]] = []
-        for job in jobs:
-            if not self._may_run_at(job, row, now_ms):
-                continue
-            for piece in list(job.waiting):
-                needed = job.message.result_bytes
-                if len(chosen) >= capacity.batch:
-                    return chosen
-                if needed > room and (chosen or self.memory.used_bytes(row.address)):
-                    break
-                room -= needed
-                chosen.append((job, piece))
-        return chosen
-
     async def _run_call(
         self, row: TargetRow, chosen: list[tuple[Job, int]], expected_ms: float
     ) -> None:
