Begin a stage step only if there is room for all its results

Event 710 shows what the owner holds at each target: 2 to 5 MB before, 6 at 6 s, 14 at 8 s and 18 to 21 of 22 MB from 9 to 12 s, at calm load, while 40 to 58 pieces wait and most calls run one small piece. Each waiting step held the results of some of its pieces and none got room for the rest. A step whose objective had passed went last and held its results until it was refused after 3.4 to 3.7 s, for example (event 701: contract-draft, expected 935 ms, staged 3,438 ms, 503; event 711: order-portal, "the step cannot finish in time"). So the queue fed itself until 17 s.

Told apart from the other hypotheses: the owner is replaced 40 to 240 ms after the kill (event 620, refused connections), no call found a target full, and no step of a live request waited for a dead owner.

Now a step begins only if its results fit beside those that the steps which have begun still need, in the data centres where it may run; the first that does not fit holds back later ones. A step that has begun keeps its place although it is late, and may end in another data centre. A target without room for a result gets smaller ones still, in place of a pause. Pieces in calls count as memory in use.

--- /dev/null
+++ b/tests/test_stage_memory.py
@@ -0,0 +1,185 @@
+"""Tests of the memory that results of stages occupy, in virtual time."""
+
+import curio
+import pytest
+
+from tests.test_stage_pool import BatcherHarness, FakeStages, target
+from wagtailrun.routes import StageCapacity
+from wagtailrun.stages import FreeResults, JobState, PieceOutcome
+from wagtailrun.stages.port import StageReply
+from wagtailrun.virtual_time import run_virtual
+
+CAPACITY = StageCapacity(
+    slots=1, batch=5, call_ms=150.0, item_ms=25.0, memory_bytes=2_200, result_ms=4_000
+)
+RESULT_BYTES = 300
+# How long the request of a finished step holds its results.
+USE_MS = 200
+
+
+class FullStages(FakeStages):
+    """Targets that run one call at a time and refuse pieces that they have no room for.
+
+    ``lost`` results of an owner that was killed occupy each target until ``gone_ms``.
+    """
+
+    def __init__(self, clock, lost=0, gone_ms=0):
+        super().__init__(clock, CAPACITY)
+        self.turns_by_name = {}
+        self.places_by_address = {}
+        self.lost, self.gone_ms = lost, gone_ms
+        self.refused = 0
+
+    def free_places(self, address):
+        now_ms = self.clock.now_ms()
+        places = self.places_by_address.setdefault(str(address), {})
+        for handle, until_ms in list(places.items()):
+            if until_ms <= now_ms:
+                del places[handle]
+        lost = self.lost if now_ms < self.gone_ms else 0
+        return CAPACITY.memory_bytes // RESULT_BYTES - lost - len(places)
+
+    async def run(self, target, items, timeout_ms):
+        async with self.turns_by_name.setdefault(target.name, curio.Lock()):
+            handles = []
+            for _ in items:
+                handle = f"{target.address}/{next(self.numbers)}"
+                if self.free_places(target.address) > 0:
+                    self.places_by_address[str(target.address)][handle] = 1 << 62
+                    handles.append(handle)
+                else:
+                    handles.append("")
+            kept = [handle for handle in handles if handle]
+            self.refused += len(handles) - len(kept)
+            if kept:
+                await self.clock.sleep_ms(int(CAPACITY.duration_ms(len(kept))))
+            until_ms = self.clock.now_ms() + CAPACITY.result_ms
+            places = self.places_by_address[str(target.address)]
+            places.update(dict.fromkeys(kept, until_ms))
+        return [
+            StageReply(PieceOutcome.DONE if h else PieceOutcome.NO_MEMORY, h)
+            for h in handles
+        ]
+
+    async def free(self, address, handles):
+        for handle in handles:
+            self.places_by_address[str(address)].pop(handle, None)
+
+
+async def serve(clock, harness, name, pieces, outcomes, **options):
+    """Run one step, use its results for a while, and release them."""
+    started_ms = clock.now_ms()
+    state = await harness.send(
+        name,
+        pieces,
+        result_bytes=RESULT_BYTES,
+        aim_ms=1_000,
+        remaining_ms=3_500,
+        **options,
+    )
+    outcomes.append((started_ms, state.state, clock.now_ms() - started_ms))
+    if state.state == JobState.DONE:
+        await clock.sleep_ms(USE_MS)
+        await harness.batcher.handle(FreeResults("s", state.results))
+
+
+def make_harness(clock, rows, **options):
+    harness = BatcherHarness(clock, rows, CAPACITY)
+    harness.client = harness.batcher.client = FullStages(clock, **options)
+    return harness
+
+
+async def serve_load(clock, rows, data_centres, seconds=14, **options):
+    """Serve 14 pieces a second, in steps of 2 and 5, for some seconds."""
+    harness = make_harness(clock, rows, **options)
+    outcomes, tasks = [], []
+    for number in range(seconds * 4):
+        pieces = 2 if number % 2 else 5
+        name, data_centre = f"r{number}", data_centres[number % len(data_centres)]
+        step = serve(
+            clock,
+            harness,
+            name,
+            pieces,
+            outcomes,
+            data_centre=data_centre,
+            moved_bytes=pieces * 3_000_000,
+        )
+        tasks.append(await curio.spawn(step))
+        await clock.sleep_ms(250)
+    for task in tasks:
+        await task.join()
+    return outcomes, harness.client
+
+
+@pytest.mark.parametrize("data_centres", [["a"], ["a", "b"]])
+def test_lost_results_of_a_killed_owner_delay_no_request_for_long(data_centres):
+    """Load: calm, with a third of the memory lost to results of a killed owner.
+
+    Guards against steps that wait for each other's memory: each held the results of
+    some of its pieces, none got room for the rest, and steps whose objective had passed
+    went last and held theirs until they expired.
+    """
+    rows = [target(n, data_centres[n % len(data_centres)]) for n in range(2)]
+
+    async def main(clock):
+        return await serve_load(clock, rows, data_centres, lost=3, gone_ms=4_250)
+
+    outcomes, client = run_virtual(main)
+    assert {state for _, state, _ in outcomes} == {JobState.DONE}
+    assert max(took_ms for _, _, took_ms in outcomes) < 1_000
+    # Each refused piece costs a call that runs less than it could.
+    assert client.refused < 60
+
+
+def test_step_that_does_not_fit_into_its_data_centre_ends_elsewhere():
+    """Load: one step whose results need more memory than its data centre has.
+
+    Guards against a step that keeps the memory of its first results and waits for room
+    that it never gets there.
+    """
+
+    async def main(clock):
+        rows = [target(1, "a"), target(2, "b")]
+        harness = make_harness(clock, rows)
+        outcomes = []
+        options = {"data_centre": "a", "moved_bytes": 24_000_000}
+        await serve(clock, harness, "large", 8, outcomes, **options)
+        return outcomes
+
+    [(_, state, took_ms)] = run_virtual(main)
+    assert state == JobState.DONE
+    assert took_ms < 1_000
+
+
+def test_small_results_run_beside_full_memory():
+    """Load: a target whose memory is full of results that are not known here.
+
+    Guards against steps with small results that wait for the memory of large ones.
+    """
+
+    class FullForLarge(FakeStages):
+        async def run(self, target, items, timeout_ms):
+            replies = await super().run(target, items, timeout_ms)
+            is_large = [item.request_id == "large" for item in items]
+            full = StageReply(PieceOutcome.NO_MEMORY)
+            return [
+                full if large else reply
+                for large, reply in zip(is_large, replies, strict=True)
+            ]
+
+    async def main(clock):
+        harness = make_harness(clock, [target(1)])
+        harness.batcher.client = FullForLarge(clock, CAPACITY)
+        large = await curio.spawn(serve(clock, harness, "large", 3, []))
+        await clock.sleep_ms(1_000)
+        started_ms = clock.now_ms()
+        state = await harness.send("small", 1, result_bytes=1)
+        took_ms = clock.now_ms() - started_ms
+        await large.join()
+        return state.state, took_ms
+
+    state, took_ms = run_virtual(main)
+    assert state == JobState.DONE
+    # A call of the large pieces may have to end first.
+    assert took_ms <= 225 + 175
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -73,6 +73,11 @@
         """Request identifier, step and round."""
         return job_key(self.message)
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether it has results, or pieces in calls, that occupy memory."""
+        return bool(self.running or self.results_by_piece)
+
     @property
     def transfer_cost_ms(self) -> float:
         """Delay that costs as much as the transfer of the job's results."""
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -14,16 +14,27 @@
     until_ms: int
 
 
+@attrs.frozen
+class _UnknownUse:
+    """Memory of a target that results occupy which are not known here."""
+
+    size: int
+    until_ms: int
+
+
 class ResultMemory:
     """Results that were produced and not yet released, by target.
 
     The sizes are approximate, and results produced for other entries are not known
-    here, so a target may still reply that it has no memory.
+    here, so a target may still reply that it has no memory. Pieces in calls count like
+    results, as targets reserve their memory when a call begins.
     """
 
     def __init__(self) -> None:
         self.results_by_handle: dict[str, _StoredResult] = {}
         self.bytes_by_address: dict[Address, int] = {}
+        self.running_bytes_by_address: dict[Address, int] = {}
+        self.unknown_by_address: dict[Address, _UnknownUse] = {}
 
     def add(self, address: Address, handle: str, size: int, until_ms: int) -> None:
         """Record a result that ``address`` keeps until ``until_ms`` at the latest."""
@@ -42,21 +53,62 @@
                 # The target may have left.
                 del self.bytes_by_address[held.address]
 
+    def record_start(self, address: Address, size: int) -> None:
+        """Record the start of a call whose results take ``size`` bytes."""
+        running = self.running_bytes_by_address.get(address, 0)
+        self.running_bytes_by_address[address] = running + size
+
+    def record_end(self, address: Address, size: int) -> None:
+        """Record the end of such a call."""
+        self.running_bytes_by_address[address] -= size
+        if not self.running_bytes_by_address[address]:
+            del self.running_bytes_by_address[address]
+
+    def record_refusal(
+        self, address: Address, size: int, capacity: int, until_ms: int
+    ) -> None:
+        """Record that a target had no room for a result of ``size`` bytes.
+
+        Args:
+            address: Target.
+            size: Size of the result.
+            capacity: Memory of the target that may be used.
+            until_ms: When to assume that the unknown results are gone.
+        """
+        excess = self.free_bytes(address, capacity) - size
+        if capacity and excess >= 0:
+            known = self.unknown_by_address.get(address)
+            size = excess + 1 + (known.size if known is not None else 0)
+            self.unknown_by_address[address] = _UnknownUse(size, until_ms)
+
     def used_bytes(self, address: Address) -> int:
         """Return the bytes that results occupy at ``address``."""
         return self.bytes_by_address.get(address, 0)
 
+    def occupied_bytes(self, address: Address) -> int:
+        """Return the bytes at ``address`` that cannot be used for further pieces."""
+        unknown = self.unknown_by_address.get(address)
+        running = self.running_bytes_by_address.get(address, 0)
+        return (
+            self.used_bytes(address)
+            + running
+            + (unknown.size if unknown is not None else 0)
+        )
+
     def free_bytes(self, address: Address, capacity: int) -> int:
         """Return the free part of ``capacity`` bytes; a capacity of 0 is unlimited."""
         if not capacity:
             return 1 << 62
-        return max(capacity - self.used_bytes(address), 0)
+        return max(capacity - self.occupied_bytes(address), 0)
 
     def expire(self, now_ms: int) -> None:
         """Remove the results whose retention time at their targets has passed.
 
         Results of one service are kept equally long, so the oldest come first.
         """
+        for address, unknown in list(self.unknown_by_address.items()):
+            if unknown.until_ms <= now_ms:
+                del self.unknown_by_address[address]
         while self.results_by_handle:
             handle, held = next(iter(self.results_by_handle.items()))
             if held.until_ms > now_ms:
@@ -65,6 +117,7 @@
 
     def drop_target(self, address: Address) -> None:
         """Remove all results of a target that failed; a restart loses them."""
+        self.unknown_by_address.pop(address, None)
         for handle, held in list(self.results_by_handle.items()):
             if held.address == address:
                 self.release(handle)
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -1,5 +1,6 @@
 """Plans stage calls: which target, and the pieces of which steps, come next."""
 
+from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 
 import attrs
@@ -11,7 +12,7 @@
 from wagtailrun.stages.memory import ResultMemory
 from wagtailrun.stages.target_state import TargetState
 
-__all__ = ["CallPlan", "CallPlanner"]
+__all__ = ["CallPlan", "CallPlanner", "result_bytes", "usable_bytes"]
 
 # Fixed cost of running a job outside its preferred data centre, expressed as queueing
 # delay: it splits up a batch in the preferred data centre.
@@ -20,6 +21,8 @@
 MAX_BLOCKED_MS = 150
 # Result sizes are approximate, so part of the memory is kept free.
 USABLE_MEMORY_SHARE = 0.96
+# Steps whose results take up less than this share of a memory may always begin.
+SMALL_SHARE = 0.01
 
 
 @attrs.frozen
@@ -75,6 +78,7 @@
         if not free:
             return None
         self.busy_ms_by_data_centre = self._compute_busy_ms(rows, now_ms)
+        jobs = self._startable_jobs(jobs, rows, capacity, now_ms)
         # The first job determines the target; the others fill the call.
         for job in jobs:
             for row in self._eligible_targets(job, free, now_ms):
@@ -83,6 +87,52 @@
                     return CallPlan(row, chosen)
         return None
 
+    def _startable_jobs(
+        self,
+        jobs: Sequence[Job],
+        rows: Sequence[TargetRow],
+        capacity: StageCapacity,
+        now_ms: int,
+    ) -> list[Job]:
+        """Return the jobs that may run: those that have begun, and those that fit.
+
+        The results of a job occupy memory until its last piece is done. A job begins
+        only if there is room for all its results beside those that the jobs which have
+        begun still need. Otherwise many jobs would have a part of their results each,
+        and none the memory for the rest. The first job that does not fit holds the
+        later ones back, so that jobs with many pieces begin as well.
+        """
+        usable = usable_bytes(capacity)
+        if not usable:
+            return list(jobs)
+        free = [(row, self.memory.free_bytes(row.address, usable)) for row in rows]
+        data_centres = {row.data_centre for row in rows}
+        reserved = Counter()
+        for job in jobs:
+            if job.has_begun:
+                reserved[job.message.data_centre] += _needed_bytes(job)
+        startable, blocked = [], set()
+        for job in jobs:
+            preferred, needed = job.message.data_centre, _needed_bytes(job)
+            if job.has_begun or needed <= SMALL_SHARE * usable:
+                startable.append(job)
+                continue
+            scope = {preferred}
+            if self._may_run_remotely(job, now_ms):
+                scope |= data_centres
+            size = job.message.result_bytes
+            room = sum(
+                room // size * size for row, room in free if row.data_centre in scope
+            )
+            used = sum(reserved[name] for name in scope)
+            # A job that fits into no memory must begin as well.
+            if blocked & scope or used and used + needed > room:
+                blocked |= scope
+            else:
+                reserved[preferred] += needed
+                startable.append(job)
+        return startable
+
     def _free_targets(
         self, rows: Sequence[TargetRow], capacity: StageCapacity, now_ms: int
     ) -> list[TargetRow]:
@@ -122,6 +172,9 @@
         blocked_ms = now_ms - job.requested_ms - MAX_BLOCKED_MS
         if max(busy_ms, blocked_ms) > cost_ms:
             return True
+        if job.has_begun and blocked_ms > 0:
+            # Its results occupy memory until the last piece is done.
+            return True
         # Missing the latency objective costs more than any transfer of results.
         left_ms = job.objective_at_ms - now_ms - self.processing_ms(len(job.waiting))
         return 0 <= left_ms < max(busy_ms, MAX_BLOCKED_MS if blocked_ms > 0 else 0)
@@ -173,8 +226,8 @@
         now_ms: int,
     ) -> list[tuple[Job, int]]:
         """Return the pieces of the next call to ``row``, in the order of ``jobs``."""
-        usable = int(capacity.memory_bytes * USABLE_MEMORY_SHARE)
-        room = self.memory.free_bytes(row.address, usable)
+        room = self.memory.free_bytes(row.address, usable_bytes(capacity))
+        is_occupied = self.memory.occupied_bytes(row.address)
         chosen: list[tuple[Job, int]] = []
         for job in jobs:
             if not self._may_run_at(job, row, now_ms):
@@ -183,8 +236,23 @@
                 needed = job.message.result_bytes
                 if len(chosen) >= capacity.batch:
                     return chosen
-                if needed > room and (chosen or self.memory.used_bytes(row.address)):
+                if needed > room and (chosen or is_occupied):
                     break
                 room -= needed
                 chosen.append((job, piece))
         return chosen
+
+
+def _needed_bytes(job: Job) -> int:
+    """Return the memory that the waiting pieces of a job need."""
+    return len(job.waiting) * job.message.result_bytes
+
+
+def usable_bytes(capacity: StageCapacity) -> int:
+    """Return how much memory of a target may be used; 0 is unlimited."""
+    return int(capacity.memory_bytes * USABLE_MEMORY_SHARE)
+
+
+def result_bytes(chosen: Sequence[tuple[Job, int]]) -> int:
+    """Return the size of the results of a call."""
+    return sum(job.message.result_bytes for job, _ in chosen)
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -32,7 +32,7 @@
     PiecesState,
     RunPieces,
 )
-from wagtailrun.stages.planner import CallPlanner
+from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.supervisor import supervise
@@ -43,8 +43,11 @@
 # connections.
 FIRST_BACKOFF_MS = 250
 MAX_BACKOFF_MS = 2_000
-# Pause for a target that refuses a call or reports that it has no memory.
+# Pause for a target that refuses a call.
 REFUSAL_PAUSE_MS = 40
+# How long a target that has no memory for a result is sent none of that size, unless
+# results are released there.
+FULL_MEMORY_MS = 100
 # Limit of failed attempts for each piece, and of consecutive failures of a target.
 MAX_ATTEMPTS = 3
 # Releases of results are collected for this long and sent in one message per target.
@@ -236,10 +239,12 @@
         First steps that can no longer meet their latency objective are served last. In
         order of arrival they would make every request late once the queue is longer
         than the time to the objective. Later steps keep their place, because their
-        inputs would expire unused.
+        inputs would expire unused, and so do steps that have begun: their results
+        occupy the memory that others wait for.
         """
         late = now_ms + capacity.duration_ms(len(job.waiting)) > job.objective_at_ms
-        unattainable = late and not job.message.has_inputs
+        holds_results = job.message.has_inputs or job.has_begun
+        unattainable = late and not holds_results
         objective_at_ms = job.objective_at_ms + job.message.urgency * URGENCY_STEP_MS
         return (unattainable, objective_at_ms, job.number)
 
@@ -344,6 +349,7 @@
         for job, piece in chosen:
             job.waiting.remove(piece)
             job.running += 1
+        self.memory.record_start(row.address, result_bytes(chosen))
         await curio.spawn(self._run_call, row, chosen, expected_ms, daemon=True)
 
     async def _run_call(
@@ -390,14 +396,16 @@
             failure=str(failure or ""),
         )
         self.batcher.record_call(len(items), ended_ms - started_ms)
+        if failure is None:
+            # A call may end before its inputs were marked.
+            await self._mark_inputs_fetched(chosen)
+        self.memory.record_end(row.address, result_bytes(chosen))
         if failure is not None:
             if not slot.is_outdated(failure):
                 self._record_failure(row, target_state, failure, ended_ms)
             for job, piece in chosen:
                 self._requeue(job, piece, failure.verdict is not Verdict.NOT_RUN)
         else:
-            # A call may end before its inputs were marked.
-            await self._mark_inputs_fetched(chosen)
             target_state.record_answer(ended_ms)
             if not self.batcher.was_held_since(started_ms):
                 # Else the time is that of this process.
@@ -483,7 +491,6 @@
             return
         match reply.outcome:
             case PieceOutcome.DONE:
-                target_state.refusals = 0
                 job.results_by_piece[piece] = PieceResult(
                     piece, reply.handle, str(row.address), row.data_centre
                 )
@@ -499,9 +506,9 @@
                 # The piece was refused when its turn came, so it has not run. Memory
                 # becomes free when pending releases arrive, or when the results of a
                 # previous owner of the service expire.
-                target_state.refusals += 1
-                pause_ms = REFUSAL_PAUSE_MS << min(target_state.refusals - 1, 3)
-                target_state.pause_until_ms = now_ms + pause_ms
+                usable = usable_bytes(self.capacity)
+                size, until_ms = job.message.result_bytes, now_ms + FULL_MEMORY_MS
+                self.memory.record_refusal(row.address, size, usable, until_ms)
                 self._requeue(job, piece, False)
             case PieceOutcome.ERROR:
                 self._requeue(job, piece, True)
