Do not wait for a stage target that cannot be reached

Not the cause: owners that were asked over the cut; their connections are refused at once.

A target without a path now counts as busy no more, its pause grows from 250 ms to 2 s while another target can be reached, and it counts in no estimate of the queue while another one does. An owner that reaches no target at all goes on as before.

Open: 4 to 8 s, when control members still list the targets as live.

--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -209,7 +209,7 @@
         busy_by_data_centre: dict[str, int] = {}
         for row in rows:
             target_state = self.target_states_by_name[row.name]
-            if not target_state.failures:
+            if target_state.is_usable:
                 busy_ms = (
                     max(target_state.busy_until_ms, target_state.pause_until_ms)
                     - now_ms
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -34,15 +34,11 @@
 )
 from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
-from wagtailrun.stages.target_state import TargetState
+from wagtailrun.stages.target_state import TargetState, backoff_ms
 from wagtailrun.supervisor import supervise
 
 __all__ = ["StageBatcher"]
 
-# Exponential backoff for a target whose calls fail, for example because it refuses
-# connections.
-FIRST_BACKOFF_MS = 250
-MAX_BACKOFF_MS = 2_000
 # Pause for a target that refuses a call.
 REFUSAL_PAUSE_MS = 40
 # How long a target that has no memory for a result is sent none of that size, unless
@@ -145,6 +141,10 @@
             if target_state.failures < MAX_ATTEMPTS
             or target_state.pause_until_ms <= now_ms
         ]
+        reached = [
+            target_state for target_state in available if not target_state.lost_paths
+        ]
+        available = reached or available
         if not available:
             return None
         ahead = sum(len(job.waiting) for job in self._jobs_ahead(before, now_ms))
@@ -452,6 +452,8 @@
         failure: TargetFailed,
         now_ms: int,
     ) -> None:
+        if not isinstance(failure, ConnectFailed):
+            target_state.lost_paths = 0
         if failure.verdict is Verdict.NOT_RUN and not isinstance(
             failure, ConnectFailed
         ):
@@ -460,17 +462,24 @@
             pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
             target_state.pause_until_ms = now_ms + pause_ms
             return
+        if isinstance(failure, ConnectShortage):
+            target_state.pause_until_ms = now_ms + SHORTAGE_PAUSE_MS
+            return
         if isinstance(failure, ConnectFailed) and not failure.confirmed:
             # The path failed, which says nothing about the target and its results.
-            is_shortage = isinstance(failure, ConnectShortage)
-            pause_ms = SHORTAGE_PAUSE_MS if is_shortage else FIRST_BACKOFF_MS
-            target_state.pause_until_ms = now_ms + pause_ms
+            target_state.lost_paths += 1
+            # An entry that is cut off from all of them may be so for a moment only.
+            tries = target_state.lost_paths if self._has_usable_target() else 1
+            target_state.pause_until_ms = now_ms + backoff_ms(tries)
             return
         target_state.failures += 1
-        backoff_ms = FIRST_BACKOFF_MS << min(target_state.failures - 1, 6)
-        target_state.pause_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
+        target_state.pause_until_ms = now_ms + backoff_ms(target_state.failures)
         self.memory.drop_target(row.address)
 
+    def _has_usable_target(self) -> bool:
+        names = [row.name for row in self.targets()]
+        return any(self.target_states_by_name[name].is_usable for name in names)
+
     def _apply_reply(
         self,
         row: TargetRow,
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -2,11 +2,15 @@
 
 import attrs
 
-__all__ = ["TargetState"]
+__all__ = ["TargetState", "backoff_ms"]
 
 # Weight of the newest call in the moving average of a target's slowness.
 SLOWNESS_WEIGHT = 0.4
 MAX_SLOWNESS = 8.0
+# Exponential backoff for a target whose calls fail, for example because it refuses
+# connections, or to which there is no path.
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 2_000
 
 
 @attrs.define(eq=False)
@@ -18,6 +22,8 @@
         busy_until_ms: When the last of them is expected to end.
         pause_until_ms: Time before which the target gets no call.
         failures: Number of consecutive failed calls.
+        lost_paths: Number of consecutive calls that could not be sent, because this
+            entry has no path to the target.
         overdue_calls: Number of calls in progress that are overdue.
         refusals: Number of consecutive pieces that it had no memory for.
         answered_ms: When the newest answer to a call arrived, on the clock.
@@ -28,6 +34,7 @@
     busy_until_ms: int = 0
     pause_until_ms: int = 0
     failures: int = 0
+    lost_paths: int = 0
     overdue_calls: int = 0
     refusals: int = 0
     answered_ms: int = 0
@@ -36,11 +43,16 @@
     @property
     def faults(self) -> int:
         """Number of consecutive failed calls, and of those that are overdue."""
-        return self.failures + self.overdue_calls
+        return self.failures + self.lost_paths + self.overdue_calls
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the last call to the target did not fail."""
+        return not (self.failures or self.lost_paths)
 
     def record_answer(self, now_ms: int) -> None:
         """Record that a call was answered."""
-        self.failures = 0
+        self.failures = self.lost_paths = 0
         self.answered_ms = now_ms
 
     def record_duration(self, took_ms: int, expected_ms: float) -> None:
@@ -53,3 +65,8 @@
         if expected_ms > 0:
             measured = min(max(took_ms / expected_ms, 1.0), MAX_SLOWNESS)
             self.slowness += SLOWNESS_WEIGHT * (measured - self.slowness)
+
+
+def backoff_ms(failures: int) -> int:
+    """Return the pause after a number of consecutive failures, one at least."""
+    return min(FIRST_BACKOFF_MS << min(failures - 1, 6), MAX_BACKOFF_MS)
