--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -10,18 +10,18 @@
 )
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 
-__all__ = ["REFUSAL_PAUSE_MS", "TargetState"]
+__all__ = ["TargetState", "backoff_ms"]
 
-# Exponential backoff for a target whose calls fail, for example because it refuses
-# connections.
-FIRST_BACKOFF_MS = 250
-MAX_BACKOFF_MS = 2_000
-# Pause for a target that refuses a call or reports that it has no memory.
+# Pause for a target that refuses a call.
 REFUSAL_PAUSE_MS = 40
 
 # Weight of the newest call in the moving average of a target's slowness.
 SLOWNESS_WEIGHT = 0.4
 MAX_SLOWNESS = 8.0
+# Exponential backoff for a target whose calls fail, for example because it refuses
+# connections, or to which there is no path.
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 2_000
 
 
 @attrs.define(eq=False)
@@ -33,8 +33,9 @@
         busy_until_ms: When the last of them is expected to end.
         pause_until_ms: Time before which the target gets no call.
         failures: Number of consecutive failed calls.
+        lost_paths: Number of consecutive calls that could not be sent, because this
+            entry has no path to the target.
         overdue_calls: Number of calls in progress that are overdue.
-        refusals: Number of consecutive pieces that it had no memory for.
         answered_ms: When the newest answer to a call arrived, on the clock.
         slowness: Duration of its calls as a multiple of the configured duration.
     """
@@ -43,40 +44,56 @@
     busy_until_ms: int = 0
     pause_until_ms: int = 0
     failures: int = 0
+    lost_paths: int = 0
     overdue_calls: int = 0
-    refusals: int = 0
     answered_ms: int = 0
     slowness: float = 1.0
 
     @property
     def faults(self) -> int:
         """Number of consecutive failed calls, and of those that are overdue."""
-        return self.failures + self.overdue_calls
+        return self.failures + self.lost_paths + self.overdue_calls
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the last call to the target did not fail."""
+        return not (self.failures or self.lost_paths)
 
     def record_answer(self, now_ms: int) -> None:
         """Record that a call was answered."""
-        self.failures = 0
+        self.failures = self.lost_paths = 0
         self.answered_ms = now_ms
 
-    def record_failure(self, failure: TargetFailed, now_ms: int) -> bool:
-        """Record a failed call; return whether the results there count as lost."""
-        if failure.verdict is Verdict.NOT_RUN and not isinstance(
-            failure, ConnectFailed
-        ):
-            # The target is full, or another one has taken over its address; the next
-            # update of its row shows which.
-            pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
-            self.pause_until_ms = now_ms + pause_ms
+    def record_failure(
+        self, failure: TargetFailed, now_ms: int, other_is_usable: bool
+    ) -> bool:
+        """Record a failed call; return whether the results there count as lost.
+
+        Args:
+            failure: Why it failed.
+            now_ms: When it ended, on the clock.
+            other_is_usable: Whether calls to another target of the service succeed.
+        """
+        if not isinstance(failure, ConnectFailed):
+            self.lost_paths = 0
+            if failure.verdict is Verdict.NOT_RUN:
+                # The target is full, or another one has taken over its address; the
+                # next update of its row shows which.
+                pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
+                self.pause_until_ms = now_ms + pause_ms
+                return False
+        elif isinstance(failure, ConnectShortage):
+            self.pause_until_ms = now_ms + SHORTAGE_PAUSE_MS
             return False
-        if isinstance(failure, ConnectFailed) and not failure.confirmed:
+        elif not failure.confirmed:
             # The path failed, which says nothing about the target and its results.
-            is_shortage = isinstance(failure, ConnectShortage)
-            pause_ms = SHORTAGE_PAUSE_MS if is_shortage else FIRST_BACKOFF_MS
-            self.pause_until_ms = now_ms + pause_ms
+            self.lost_paths += 1
+            # An entry that is cut off from all of them may be so for a moment only.
+            tries = self.lost_paths if other_is_usable else 1
+            self.pause_until_ms = now_ms + backoff_ms(tries)
             return False
         self.failures += 1
-        backoff_ms = FIRST_BACKOFF_MS << min(self.failures - 1, 6)
-        self.pause_until_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
+        self.pause_until_ms = now_ms + backoff_ms(self.failures)
         return True
 
     def record_duration(self, took_ms: int, expected_ms: float) -> None:
@@ -89,3 +106,8 @@
         if expected_ms > 0:
             measured = min(max(took_ms / expected_ms, 1.0), MAX_SLOWNESS)
             self.slowness += SLOWNESS_WEIGHT * (measured - self.slowness)
+
+
+def backoff_ms(failures: int) -> int:
+    """Return the pause after a number of consecutive failures, one at least."""
+    return min(FIRST_BACKOFF_MS << min(failures - 1, 6), MAX_BACKOFF_MS)
