Judge no target of a request by the silence of the entry that carries it

A target whose answer another entry held back, as it stood still, counted as failed or slow, and at all engines of the service prompts were expected later. With the connection ended by that entry it counted as failed as well, where the path was not known to be lost.

Cause: as for stage calls, the time of the entry that carried the connection was taken for that of the target.

Now an attempt that times out, breaks, or is later than expected over another entry counts against its target only if that entry vouches for it. An answer that does not count for its time still counts as a success (first_event_ms is 0 then, which an owner of an older build takes for a fast one). No request waits for the word, except before a retry after a broken connection, which waits for a probe as well.

Not changed: an attempt that cannot move to another target goes on waiting for the entry that carries it, until its deadline.

--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -11,7 +11,6 @@
     Headers,
     HttpClient,
     HttpStream,
-    Reachability,
 )
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import Clock
@@ -34,8 +33,8 @@
 )
 from wagtailrun.late_tasks import wait_for_end
 from wagtailrun.membership import TargetRow
+from wagtailrun.relay.attempt_reports import AttemptReports
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient
@@ -43,7 +42,6 @@
     Placed,
     PlaceRun,
     PlaceSize,
-    RunBroken,
     RunOutcome,
     RunOver,
 )
@@ -52,7 +50,6 @@
     AnswerProgress,
     AttemptContext,
     RelayWire,
-    TargetLoad,
 )
 from wagtailrun.relay.request_identity import AnsweredRequests
 from wagtailrun.retries import RetryBudget
@@ -72,8 +69,6 @@
 # Retry delay of refusals because no target is usable, the retry budget is exhausted or
 # keys are unconfirmed.
 RETRY_AFTER_MS = 300
-# A process that has ended refuses connections at once; a VM without power does not.
-PROBE_TIMEOUT_MS = 300
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -132,6 +127,7 @@
         self.budget = budget
         self.crossed_answers = 0
         self.answered = AnsweredRequests(clock)
+        self.reports = AttemptReports(clock, http, chooser, placement, self.answered)
 
     async def call(self, job: RelayJob) -> Response | Refusal:
         """Return the complete answer of a target, or why there is none."""
@@ -149,7 +145,9 @@
                 )
                 if self.is_success(attempt.head):
                     job.first_ms = self.clock.now_ms()
-                    await self._report_success(job, attempt)
+                    await self.reports.record_success(
+                        job, row, attempt.started_ms, attempt.head.load
+                    )
                     return answer
                 if attempt.head.genuine and not attempt.head.not_run:
                     fallback = answer
@@ -414,52 +412,6 @@
             )
         )
 
-    async def report_end(
-        self,
-        job: RelayJob,
-        row: TargetRow,
-        outcome: RunOutcome,
-        first_event_ms: int = 0,
-        load: TargetLoad | None = None,
-    ) -> None:
-        """Report how an attempt at ``row`` ended to the chooser of its target.
-
-        Args:
-            job: Request.
-            row: Target.
-            outcome: How the attempt ended.
-            first_event_ms: Time to its first event or its answer; 0 if there is none.
-            load: Load that the target reported, if any.
-        """
-        if job.route.prompt_affinity:
-            load = load or TargetLoad(0, 0, 0)
-            now_ms = self.clock.now_ms()
-            message = RunOver(
-                job.request.request_id,
-                job.service,
-                row.name,
-                outcome,
-                first_event_ms,
-                running=load.running,
-                waiting=load.waiting,
-                slots=load.slots,
-                route=job.route.name if job.went_as_planned else "",
-                error_ms=now_ms - job.arrived_ms - job.expected_ms,
-            )
-            await self.placement.report_end(message)
-            return
-        match outcome:
-            case RunOutcome.SUCCEEDED:
-                objective_ms = max(job.objective_at_ms - job.arrived_ms, 1)
-                # A target that is not overloaded answers within half the objective.
-                self.chooser.record_success(row, first_event_ms / (objective_ms / 2))
-            case RunOutcome.FAILED:
-                self.chooser.record_failure(row)
-            case RunOutcome.UNREACHABLE:
-                self.chooser.record_unreachable(row)
-            case RunOutcome.REJECTED | RunOutcome.MISDIRECTED:
-                self.chooser.record_rejection(row, outcome is RunOutcome.MISDIRECTED)
-
     def _attempt_timeout_ms(self, job: RelayJob) -> int:
         """Return after which time of an attempt another one may follow."""
         left_ms = self.remaining_ms(job)
@@ -507,7 +459,7 @@
 
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
-        job.sent_ms = None
+        job.sent_ms = job.carrier = None
         self.chooser.record_start(row, (), 0)
         try:
             async with self.http.open(
@@ -524,13 +476,12 @@
                 host=request.host,
                 connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
                 may_send=lambda: self._may_send(job, row),
+                on_open=job.record_carrier,
                 on_sent=on_sent,
                 urgency=job.urgency,
                 identity=request.request_id,
                 confirmed=False,
             ) as stream:
-                if stream.carrier is not None:
-                    job.carriers.append(str(stream.carrier))
                 stream, head = await self._skip_crossed_answers(job, stream)
                 await stream.confirm()
                 if head.load is not None:
@@ -540,7 +491,7 @@
         except (curio.CancelledError, GeneratorExit):
             # The caller disconnected, which says nothing about the target, or the
             # attempt timed out, which ``call`` reports itself.
-            await self.report_end(job, row, RunOutcome.OVER)
+            await self.reports.record_end(job, row, RunOutcome.OVER)
             raise
         finally:
             self.chooser.record_end(row)
@@ -625,11 +576,11 @@
                 job.runs -= 1
             # Nothing was sent, so the target may be tried when it takes requests again.
             job.tried_targets.remove(row.name)
-            await self.report_end(job, row, RunOutcome.OVER)
+            await self.reports.record_end(job, row, RunOutcome.OVER)
             return self._send_refusal(job, job.runs)
         if isinstance(error, VersionMismatch):
             # The target is sound; its answer does not fit this stream.
-            await self.report_end(job, row, RunOutcome.OVER)
+            await self.reports.record_end(job, row, RunOutcome.OVER)
             if error.final:
                 return Refusal(
                     RefusalReason.ORIGIN_UNKNOWN, Verdict.MAY_HAVE_RUN, job.detail
@@ -640,12 +591,9 @@
             outcome = RunOutcome.UNREACHABLE if error.confirmed else RunOutcome.OVER
             if error.undecided:
                 job.unreached_targets.append(row.name)
-            await self.report_end(job, row, outcome)
+            await self.reports.record_end(job, row, outcome)
             return None
-        if error.closed:
-            await self._report_closed(job, row)
-        else:
-            await self.report_end(job, row, RunOutcome.FAILED)
+        await self.reports.record_failure(job, row, error)
         return self._refuse_or_retry(job)
 
     async def _handle_shortage(
@@ -656,7 +604,7 @@
         A stream whose head was sent waits, as it cannot be refused any more.
         """
         job.tried_targets.remove(row.name)
-        await self.report_end(job, row, RunOutcome.OVER)
+        await self.reports.record_end(job, row, RunOutcome.OVER)
         if job.streaming:
             await self.clock.sleep_ms(SHORTAGE_PAUSE_MS)
             return self._send_refusal(job, job.runs)
@@ -674,58 +622,6 @@
             return Refusal(reason, Verdict.MAY_HAVE_RUN, job.detail)
         return self._spend_retry(job)
 
-    async def _report_closed(self, job: RelayJob, row: TargetRow) -> None:
-        """Report an attempt whose connection was closed, by the target or the path.
-
-        A target that accepts connections has not crashed: it, or the network, closed
-        this one. Where the path is lost, nothing is known of the target.
-        """
-        found = await self.http.connector.probe(row.address, PROBE_TIMEOUT_MS)
-        is_path = not self.http.connector.may_reuse(row.address)
-        if found is Reachability.UNKNOWN or is_path:
-            await self.report_end(job, row, RunOutcome.OVER)
-        else:
-            await self.report_end(job, row, RunOutcome.FAILED)
-        if found in (Reachability.REFUSES, Reachability.SILENT):
-            await self._report_break(job, row, found is Reachability.REFUSES)
-
-    async def _report_break(self, job: RelayJob, row: TargetRow, refused: bool) -> None:
-        """Report a broken attempt at a target that may have crashed.
-
-        Args:
-            job: Request.
-            row: Target.
-            refused: Whether it refuses connections.
-        """
-        since_ms = self.clock.now_ms() - job.first_ms if job.first_ms else 0
-        # A target that has sent events for a while does not end because of the request.
-        may_be_cause = refused and (
-            job.progress is not AnswerProgress.EVENTS
-            or since_ms < SAFE_AFTER_FIRST_EVENT_MS
-        )
-        waits = job.route.prompt_affinity and job.progress is AnswerProgress.NOTHING
-        if may_be_cause and not waits:
-            job.crashes += 1
-        message = RunBroken(
-            job.request.request_id,
-            job.service,
-            row.name,
-            row.incarnation,
-            str(row.address),
-            tuple(part.name for part in job.request.parts[:-1]),
-            job.progress,
-            since_ms,
-            job.digest
-            if may_be_cause and not self.answered.includes(job.digest)
-            else "",
-            refused,
-        )
-        if job.route.prompt_affinity:
-            await self.placement.report_break(message)
-        elif refused:
-            # The next attempt is not placed by the owner and need not wait for it.
-            await curio.spawn(self.placement.report_break, message, daemon=True)
-
     async def handle_error_answer(
         self, job: RelayJob, attempt: Attempt
     ) -> Refusal | None:
@@ -738,12 +634,12 @@
             rejection = RunOutcome.REJECTED
             if head.misdirected:
                 rejection = RunOutcome.MISDIRECTED
-            await self.report_end(job, row, rejection, load=head.load)
+            await self.reports.record_end(job, row, rejection, load=head.load)
             return self._spend_retry(job)
         paused = self._paused_ms(job, row) > 0
         failed = head.status >= 500 and not paused or not head.genuine
         outcome = RunOutcome.FAILED if failed else RunOutcome.OVER
-        await self.report_end(job, row, outcome, load=head.load)
+        await self.reports.record_end(job, row, outcome, load=head.load)
         if not job.may_run_again or head.status < 500 and head.genuine:
             return Refusal(
                 RefusalReason.TARGET_FAILED, Verdict.MAY_HAVE_RUN, job.detail
@@ -776,13 +672,6 @@
             remaining_ms=job.deadline_at_ms - self.clock.now_ms(),
         )
 
-    async def _report_success(self, job: RelayJob, attempt: Attempt) -> None:
-        self.answered.record(job.digest)
-        took_ms = self.clock.now_ms() - attempt.started_ms
-        await self.report_end(
-            job, attempt.row, RunOutcome.SUCCEEDED, took_ms, attempt.head.load
-        )
-
 
 def _timeout_error(job: RelayJob, row: TargetRow) -> TargetFailed:
     """Return the error of an attempt without a complete answer in time."""
@@ -792,4 +681,5 @@
     return TargetFailed(
         "no complete answer before the attempt's timeout",
         verdict=Verdict.MAY_HAVE_RUN,
+        timed_out=True,
     )
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -321,12 +321,13 @@
         """
         self.models_by_service[row.service].add_sample(uncached_tokens, took_ms)
 
-    def record_success(self, row: TargetRow, slowness: float) -> None:
+    def record_success(self, row: TargetRow, slowness: float | None) -> None:
         """Record a successful attempt.
 
         Args:
             row: Target.
-            slowness: Time of the attempt as a multiple of the usual time.
+            slowness: Time of the attempt as a multiple of the usual time; None if its
+                time says nothing about the target.
         """
         state = self._state(row)
         now_ms = self.clock.now_ms()
@@ -336,6 +337,8 @@
             1.0 - FAILURE_WEIGHT
         )
         state.failure_updated_ms = now_ms
+        if slowness is None:
+            return
         before = self._current_slowness(state, now_ms)
         measured = min(max(slowness, 1.0), MAX_SLOWNESS)
         state.slowness = before + SLOWNESS_WEIGHT * (measured - before)
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -6,6 +6,7 @@
 
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.discovery import StreamOrigin
+from wagtailrun.ports.link import Address
 from wagtailrun.relay.port import AnswerProgress, RelayRequest
 from wagtailrun.relay.request_identity import digest_request
 from wagtailrun.routes import Route
@@ -49,6 +50,7 @@
         runs: Attempts that may have run.
         placed_ms: Expected time from the newest attempt to its first event.
         sent_ms: When the newest attempt was sent; None before.
+        carrier: The entry that carries the newest attempt to its target, if any.
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
         streaming: Whether its answer is being relayed as a stream.
@@ -82,6 +84,7 @@
     runs: int = 0
     placed_ms: int = 0
     sent_ms: int | None = None
+    carrier: Address | None = None
     staged_ms: int = 0
     first_ms: int = 0
     streaming: bool = False
@@ -92,6 +95,12 @@
     origin: StreamOrigin | None = None
     _digest: str = ""
 
+    def record_carrier(self, carrier: Address | None) -> None:
+        """Record the entry that carries the attempt that is sent now, if any."""
+        self.carrier = carrier
+        if carrier is not None:
+            self.carriers.append(str(carrier))
+
     @property
     def digest(self) -> str:
         """Digest by which all entries recognise the request when it comes again."""
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -291,6 +291,10 @@
             if trial is not None and trial.request_id == message.request_id:
                 trial.first_event_ms = self.clock.now_ms()
         first_event_ms = message.first_event_ms
+        if not first_event_ms:
+            # Another entry that carried the answer may have stood still.
+            self.chooser.record_success(run.row, None)
+            return
         slowness = first_event_ms / max(run.expected_ms, 1.0)
         self.chooser.record_success(run.row, slowness)
         took_ms = first_event_ms - run.prefill_queue_ms
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/placement_messages.py
@@ -133,7 +133,7 @@
         target: Name of the engine.
         outcome: A ``RunOutcome``.
         first_event_ms: Time from the start of the attempt to its first event; 0 without
-            one.
+            one, or if it says nothing about the engine.
         route: Route of the request; empty if it was not planned, or was repeated.
         error_ms: Measured minus expected time to the first event.
         running: Requests running at the engine, as reported with the answer.
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -26,7 +26,6 @@
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
 from wagtailrun.relay.events_split import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 from wagtailrun.relay.job import RelayJob
-from wagtailrun.relay.placement_messages import RunOutcome
 from wagtailrun.relay.port import AnswerHead, AnswerProgress
 from wagtailrun.stages import StageResults, StageRunner
 
@@ -366,9 +365,8 @@
 
     async def _record_first_event(self, job: RelayJob, attempt: Attempt) -> None:
         job.first_ms = self.clock.now_ms()
-        took_ms = job.first_ms - attempt.started_ms
-        await self.attempts.report_end(
-            job, attempt.row, RunOutcome.SUCCEEDED, took_ms, attempt.head.load
+        await self.attempts.reports.record_success(
+            job, attempt.row, attempt.started_ms, attempt.head.load
         )
         # The target has fetched the results before its first event.
         await self.runner.release_all(job.work, job.results)
