Keep the inputs of a stage piece that its target refused

A target fetches the inputs of a call when the call's turn comes.

Now only pieces that have run count as fetched at the end of a call, and none before it at a target that had no memory within the last `result_ms`. The release is sent by a task of its own, so that the end of a call does not wait for an owner that does not reply. FetchedInputs is moved out of pool.py.

test_stage_pool.py imports INPUT_FETCH_MS from its new module; no check changed.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -183,3 +183,40 @@
     assert state == JobState.DONE
     # A call of the large pieces may have to end first.
     assert took_ms <= 225 + 175
+
+
+def test_inputs_stay_until_refused_pieces_have_run():
+    """Load: a target whose memory is full of results that are not known here.
+
+    Guards against inputs that are released although a piece was refused before it
+    fetched them. It then found them gone, and all stages of its request ran again.
+    """
+
+    class FullAtFirst(FakeStages):
+        async def run(self, target, items, timeout_ms):
+            replies = await super().run(target, items, timeout_ms)
+            full = StageReply(PieceOutcome.NO_MEMORY)
+            return replies if len(self.calls) > 2 else [full for _ in replies]
+
+    async def main(clock):
+        harness = BatcherHarness(clock, [target(1)], CAPACITY)
+        harness.batcher.client = client = FullAtFirst(clock, CAPACITY)
+        # The first refusal is not foreseen; its step has no inputs.
+        first = await curio.spawn(harness.send("first"))
+        await clock.sleep_ms(200)
+        state = await harness.send(
+            "second",
+            step=1,
+            has_inputs=True,
+            inputs=("10.0.0.9:80/1",),
+            input_services=("earlier",),
+            input_addresses=("10.0.0.9:80",),
+        )
+        await first.join()
+        released_ms = [at_ms for at_ms, _ in harness.released_elsewhere]
+        return state.state, released_ms, client.calls[-1][0]
+
+    state, released_ms, last_call_ms = run_virtual(main)
+    assert state == JobState.DONE
+    assert len(released_ms) == 1
+    assert released_ms[0] > last_call_ms
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -27,7 +27,8 @@
     StageBatcher,
     StageClient,
 )
-from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS, INPUT_FETCH_MS
+from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
+from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import StageReply
 from wagtailrun.virtual_time import run_virtual
 
--- /dev/null
+++ b/wagtailrun/stages/fetched_inputs.py
@@ -0,0 +1,58 @@
+"""Releases the inputs of stage calls once their targets have fetched them."""
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Sequence
+
+import curio
+
+from wagtailrun.clock import Clock
+from wagtailrun.stages.job import Job
+from wagtailrun.stages.messages import FreeResults, PieceResult
+
+__all__ = ["INPUT_FETCH_MS", "FetchedInputs"]
+
+# Time into a call after which its inputs count as fetched. A target fetches them when
+# the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
+INPUT_FETCH_MS = 60
+
+
+class FetchedInputs:
+    """Tracks which inputs were fetched, and releases them.
+
+    Args:
+        clock: Clock.
+        release: Sends a release of results to the owner of their service.
+    """
+
+    def __init__(self, clock: Clock, release: Callable[[FreeResults], Awaitable[None]]):
+        self.clock = clock
+        self.release = release
+
+    async def await_fetch(self, chosen: Sequence[tuple[Job, int]]) -> None:
+        """Mark the inputs of a call as fetched once there was time for it."""
+        await self.clock.sleep_ms(INPUT_FETCH_MS)
+        await self.mark(chosen)
+
+    async def mark(self, chosen: Sequence[tuple[Job, int]]) -> None:
+        """Mark the inputs of pieces as fetched, and release those of whole steps."""
+        results_by_service: dict[str, list[PieceResult]] = defaultdict(list)
+        for job, piece in chosen:
+            job.fetched_pieces.add(piece)
+            if not job.fetched and len(job.fetched_pieces) == len(job.message.pieces):
+                job.fetched = True
+                message = job.message
+                for service, handle, address in zip(
+                    message.input_services,
+                    message.inputs,
+                    message.input_addresses,
+                    strict=False,
+                ):
+                    result = PieceResult(0, handle, address)
+                    results_by_service[service].append(result)
+                if not message.input_services:
+                    await job.progress.notify()
+        for service, results in results_by_service.items():
+            # One message for all requests of the call.
+            # An owner that does not reply must not delay the end of the call.
+            message = FreeResults(service, tuple(results))
+            await curio.spawn(self.release, message, daemon=True)
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -21,6 +21,7 @@
 from wagtailrun.routes import StageCapacity
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.stages.call_slot import CallLimits, CallSlot
+from wagtailrun.stages.fetched_inputs import FetchedInputs
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.memory import ResultMemory
 from wagtailrun.stages.messages import (
@@ -61,9 +62,6 @@
 # Each urgency level counts as this much additional time to the latency objective. This
 # lets urgent jobs go first in a short queue and limits the delay of the least urgent.
 URGENCY_STEP_MS = 400
-# Time into a call after which its inputs count as fetched. A target fetches them when
-# the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
-INPUT_FETCH_MS = 60
 # Calls are not quite full on average, because pieces of one step are kept together.
 TYPICAL_BATCH_FILL = 0.9
 
@@ -85,6 +83,7 @@
         self.memory = ResultMemory()
         self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
         self.job_numbers = itertools.count()
+        self.inputs = FetchedInputs(self.clock, batcher.release_elsewhere)
         self.planner = CallPlanner(
             self.clock, self.memory, self.target_states_by_name, self.processing_ms
         )
@@ -365,8 +364,10 @@
             expected_ms, [job for job, _ in chosen], may_retry, started_ms
         )
         slot = CallSlot(self.clock, target_state, self.wake)
-        slot_timer = await curio.spawn(slot.watch, limits, daemon=True)
-        fetch_timer = await curio.spawn(self._await_fetch, chosen, daemon=True)
+        timers = [await curio.spawn(slot.watch, limits, daemon=True)]
+        if started_ms >= target_state.full_until_ms:
+            fetch = self.inputs.await_fetch
+            timers.append(await curio.spawn(fetch, chosen, daemon=True))
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
@@ -381,7 +382,7 @@
         slot.end()
         for job, _ in chosen:
             job.running -= 1
-        for timer in (slot_timer, fetch_timer):
+        for timer in timers:
             await timer.cancel()
         events.log(
             events.STAGE_CALL_ENDED,
@@ -398,7 +399,12 @@
         self.batcher.record_call(len(items), ended_ms - started_ms)
         if failure is None:
             # A call may end before its inputs were marked.
-            await self._mark_inputs_fetched(chosen)
+            done = [
+                pair
+                for pair, reply in zip(chosen, replies, strict=True)
+                if reply.outcome is PieceOutcome.DONE
+            ]
+            await self.inputs.mark(done)
         self.memory.record_end(row.address, result_bytes(chosen))
         if failure is not None:
             if not slot.is_outdated(failure):
@@ -417,34 +423,6 @@
         await self.batcher.notify_finished()
         await self.wake.set()
 
-    async def _await_fetch(self, chosen: list[tuple[Job, int]]) -> None:
-        """Mark the inputs of a call as fetched once there was time for it."""
-        await self.clock.sleep_ms(INPUT_FETCH_MS)
-        await self._mark_inputs_fetched(chosen)
-
-    async def _mark_inputs_fetched(self, chosen: list[tuple[Job, int]]) -> None:
-        """Mark the inputs of a call as fetched, so that they can be released."""
-        results_by_service: dict[str, list[PieceResult]] = defaultdict(list)
-        for job, piece in chosen:
-            job.fetched_pieces.add(piece)
-            if not job.fetched and len(job.fetched_pieces) == len(job.message.pieces):
-                job.fetched = True
-                message = job.message
-                for service, handle, address in zip(
-                    message.input_services,
-                    message.inputs,
-                    message.input_addresses,
-                    strict=False,
-                ):
-                    result = PieceResult(0, handle, address)
-                    results_by_service[service].append(result)
-                if not message.input_services:
-                    await job.progress.notify()
-        for service, results in results_by_service.items():
-            # One message for all requests of the call.
-            message = FreeResults(service, tuple(results))
-            await self.batcher.release_elsewhere(message)
-
     def _record_failure(
         self,
         row: TargetRow,
@@ -517,6 +495,7 @@
                 # previous owner of the service expire.
                 usable = usable_bytes(self.capacity)
                 size, until_ms = job.message.result_bytes, now_ms + FULL_MEMORY_MS
+                target_state.full_until_ms = now_ms + self.capacity.result_ms
                 self.memory.record_refusal(row.address, size, usable, until_ms)
                 self._requeue(job, piece, False)
             case PieceOutcome.ERROR:
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -25,7 +25,8 @@
         lost_paths: Number of consecutive calls that could not be sent, because this
             entry has no path to the target.
         overdue_calls: Number of calls in progress that are overdue.
-        refusals: Number of consecutive pieces that it had no memory for.
+        full_until_ms: Until when its memory may be full of results that are not known
+            here, so that a call to it may wait or run in part.
         answered_ms: When the newest answer to a call arrived, on the clock.
         slowness: Duration of its calls as a multiple of the configured duration.
     """
@@ -36,7 +37,7 @@
     failures: int = 0
     lost_paths: int = 0
     overdue_calls: int = 0
-    refusals: int = 0
+    full_until_ms: int = 0
     answered_ms: int = 0
     slowness: float = 1.0
 
