Test that a carrier that does not vouch is avoided

A call that fails with its carrier has to leave a mark at that entry, or the next connection is asked of it again.

--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -111,7 +111,7 @@
             for n in range(2)
         ]
         view.entries = [each.row for each in self.carriers]
-        connector = PathConnector(clock, self, view, 1)
+        connector = self.connector = PathConnector(clock, self, view, 1)
         connector.direct = CutConnector()
         connector.paths.is_cut_off = True
         http = HttpClient(clock, connector=connector)
@@ -247,10 +247,13 @@
             fleet.newest.stand_still(60_000)
         state = (await call.join()).state
         pool = fleet.harness.batcher.pools_by_service["s"]
-        # The results of both requests.
-        return pool.memory.used_bytes(target(1).address), state
+        avoided = fleet.connector.carriers.avoidances_by_carrier
+        # The results of both requests are there.
+        return pool.memory.used_bytes(target(1).address), state, list(avoided)
 
-    assert run_fleet(scenario) == (20, JobState.DONE)
+    used_bytes, state, avoided = run_fleet(scenario)
+    assert (used_bytes, state) == (20, JobState.DONE)
+    assert len(avoided) == 1
 
 
 class Delegates(FakeStages):
