--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -59,8 +59,7 @@
         fault = self.faults_by_name.get(target.name)
         if fault is not None:
             raise fault
-        duration_ms = self.capacity.duration_ms(len(items))
-        await self.clock.sleep_ms(int(duration_ms))
+        await self.clock.sleep_ms(int(self.capacity.duration_ms(len(items))))
         return [self.reply(target) for _ in items]
 
     def reply(self, target):
