Take no target of a request for slow because this entry stood still

An entry that stood still for 0.6 s took the target of a request for 2.5 times as slow, and expected first events later at all engines.

Now such a time does not count; the answer counts as a success.

--- a/tests/test_silent_carriers_of_requests.py
+++ b/tests/test_silent_carriers_of_requests.py
@@ -98,6 +98,36 @@
     assert (model.fixed_ms != IDLE_FIRST_EVENT_MS) == vouches
 
 
+@pytest.mark.parametrize("held", [False, True])
+@pytest.mark.parametrize("prompt_affinity", [False, True])
+def test_entry_that_stood_still_takes_no_target_for_slow(prompt_affinity, held):
+    """Guards against targets that get less work as the entry itself stood still."""
+    handlers = []
+
+    def prepare(handler):
+        handlers.append(handler)
+        handler.attempts.reports.was_held_since = lambda since_ms: held
+
+    async def client(address, fleet):
+        reply = await send(address)
+        attempts = handlers[0].attempts
+        chooser = attempts.chooser
+        if prompt_affinity:
+            chooser = attempts.placement.host.chooser
+        return reply.status, chooser.states_by_name[fleet.rows[0].name].slowness
+
+    status, slowness = run_virtual_relay(
+        RouteKind.IDEMPOTENT,
+        [[silent_for(0.6, b"late")]],
+        client,
+        on_handler=prepare,
+        aim_ms=900,
+        prompt_affinity=prompt_affinity,
+    )
+    assert status == 200
+    assert (slowness > 1.05) != held
+
+
 def test_answer_in_time_needs_no_word_of_its_carrier():
     """Guards against a message to another entry for each request."""
     connector = CarriedConnector(False)
--- a/wagtailrun/relay/attempt_reports.py
+++ b/wagtailrun/relay/attempt_reports.py
@@ -1,5 +1,7 @@
 """Reports how attempts ended to the choosers of their targets."""
 
+from collections.abc import Callable
+
 import curio
 
 from wagtailrun.adapters.http_client import HttpClient, Reachability
@@ -25,7 +27,8 @@
     """Reports the ends of attempts, and finds out whether targets are at fault.
 
     Where another entry carries the connection, silence says something about the target
-    only if that entry did not stand still.
+    only if that entry did not stand still. The time of an answer counts only if this
+    process did not either.
 
     Args:
         clock: Clock.
@@ -33,6 +36,8 @@
         chooser: Chooses the targets of routes without prompt affinity.
         placement: Requests engines for routes with prompt affinity.
         answered: Requests that targets answered a moment ago.
+        was_held_since: Returns whether the event loop of this process was held after a
+            time on the clock.
     """
 
     def __init__(
@@ -42,12 +47,14 @@
         chooser: TargetChooser,
         placement: PlacementClient,
         answered: AnsweredRequests,
+        was_held_since: Callable[[int], bool],
     ):
         self.clock = clock
         self.http = http
         self.chooser = chooser
         self.placement = placement
         self.answered = answered
+        self.was_held_since = was_held_since
 
     async def record_end(
         self,
@@ -109,6 +116,9 @@
             load: Load that the target reported, if any.
         """
         took_ms = max(self.clock.now_ms() - started_ms, 1)
+        if self.was_held_since(started_ms):
+            # The time is that of this process.
+            took_ms = 0
         expected_ms = job.placed_ms or (job.objective_at_ms - job.arrived_ms) // 2
         carrier = job.carrier
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -104,6 +104,8 @@
         placement: Requests engines for routes with prompt affinity.
         budget: Limits retries.
         notices: What targets told this VM.
+        was_held_since: Returns whether the event loop of this process was held after a
+            time on the clock.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         placement: PlacementClient,
         budget: RetryBudget,
         notices: TargetNotices,
+        was_held_since: Callable[[int], bool] = lambda since_ms: False,
     ):
         self.clock = clock
         self.notices = notices
@@ -127,7 +130,9 @@
         self.budget = budget
         self.crossed_answers = 0
         self.answered = AnsweredRequests(clock)
-        self.reports = AttemptReports(clock, http, chooser, placement, self.answered)
+        self.reports = AttemptReports(
+            clock, http, chooser, placement, self.answered, was_held_since
+        )
 
     async def call(self, job: RelayJob) -> Response | Refusal:
         """Return the complete answer of a target, or why there is none."""
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -243,6 +243,7 @@
             self.metrics,
             self.notices,
             self.origins,
+            was_held_since=self.loop_watch.was_held_since,
         )
         self.caller_server = HttpServer(
             settings.caller_address,
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -1,6 +1,7 @@
 """Handles requests of callers: admits them, runs their stages and relays them."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 import curio
@@ -87,6 +88,8 @@
         notices: What targets told this VM.
         origins: Records where streams began.
         seed: Seed for the choice among services and the retry jitter.
+        was_held_since: Returns whether the event loop of this process was held after a
+            time on the clock.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         notices: TargetNotices,
         origins: OriginClient,
         seed: int | None = None,
+        was_held_since: Callable[[int], bool] = lambda since_ms: False,
     ):
         self.clock = clock
         self.view = view
@@ -113,7 +117,15 @@
         self.random = random.Random(seed)
         self.admission = AdmissionController(clock, runner, seed)
         self.attempts = RelayAttempts(
-            clock, view, wire, http, chooser, placement, budget, notices
+            clock,
+            view,
+            wire,
+            http,
+            chooser,
+            placement,
+            budget,
+            notices,
+            was_held_since,
         )
         self.origins = origins
         # Set when a planned stop begins.
