Leave a silent owner of stages at once, and release results without it

At 19 results of 3 MB a second, results that nobody needs then occupy up to 4 s of the memory of order-portal. The entry now releases them at their targets itself; a release twice is harmless.

A poll waits 850 ms for a reply, also after another call of the same entry has found out in 250 ms that the owner does not reply. Such a verdict now ends all polls for the same process, which go on at the next owner. The verdict itself is unchanged.

FakeLink tells a time-out like the real link does (`timed_out`).

--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -122,4 +122,4 @@
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 return await self.network.round_trip(self.source, address, frame)
         except curio.TaskTimeout as error:
-            raise PeerUnreachable(f"no reply from {address}") from error
+            raise PeerUnreachable(f"no reply from {address}", timed_out=True) from error
--- /dev/null
+++ b/tests/test_stage_owner_silence.py
@@ -0,0 +1,81 @@
+"""Tests of stages whose owner falls silent, in virtual time."""
+
+import attrs
+import curio
+import pytest
+
+from tests.test_stage_runner import ENTRIES, Fleet, other_entry, work
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.routes import StageStep
+from wagtailrun.stages import FreeResults, StageResults
+from wagtailrun.stages.messages import PieceResult
+from wagtailrun.virtual_time import run_virtual
+
+STEPS = (StageStep("s", (), 10),)
+
+
+def row_of(name):
+    return next(row for row in ENTRIES if row.name == name)
+
+
+def test_polls_leave_an_owner_that_another_call_found_silent():
+    """Load: many requests wait for an owner that stands still.
+
+    Guards against requests that each wait for the limit of their own poll: 850 ms,
+    while another call of the entry has found out within 250 ms.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        name, owner = other_entry()
+        runner = fleet.runners[name]
+        staged = work(clock, (4,), STEPS)
+        task = await curio.spawn(runner.run, staged, "a", StageResults())
+        await clock.sleep_ms(50)
+        fleet.network.frozen.add(row_of(owner).address)
+        started_ms = clock.now_ms()
+        other = attrs.evolve(work(clock, (1,), STEPS), request_id="other")
+        await runner.announce(other, "a")
+        refusal = await task.join()
+        return refusal, clock.now_ms() - started_ms
+
+    refusal, took_ms = run_virtual(main)
+    assert refusal is None
+    # 250 ms until the announcement has no reply, then a call of 270 ms at the next
+    # owner behind the one that the first owner began.
+    assert took_ms < 700
+
+
+@pytest.mark.parametrize("fault", ["refused", "frozen", "reset"])
+def test_results_are_released_although_their_owner_is_gone(fault):
+    """Load: results of finished steps while their owner is dead or stands still.
+
+    Guards against results that occupy their targets until they expire, 4 s later, as
+    their release was lost with the message to the owner.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        name, owner = other_entry()
+        address = row_of(owner).address
+        handlers = fleet.network.handlers_by_address
+        if fault == "refused":
+            del handlers[address]
+        elif fault == "frozen":
+            fleet.network.frozen.add(address)
+        else:
+
+            async def reset(message):
+                raise PeerUnreachable("reset")
+
+            handlers[address] = reset
+        runner = fleet.runners[name]
+        result = PieceResult(0, "10.0.0.1:80/1", "10.0.0.1:80", "a")
+        await runner.notify_owner(FreeResults("s", (result,)))
+        await clock.sleep_ms(300)
+        return fleet.client.freed, bool(runner.owners.avoid_until_ms)
+
+    freed, is_excluded = run_virtual(main)
+    assert freed == ["10.0.0.1:80/1"]
+    # After a reset connection the owner may go on.
+    assert is_excluded == (fault != "reset")
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -56,10 +56,8 @@
             tried: Names of entries to skip because they did not reply.
             data_centre: Data centre of the owner; by default any.
         """
-        now_ms = self.clock.now_ms()
         for row in self._ranking(key, data_centre):
-            avoid_until_ms = self.avoid_until_ms.get(row.process, 0)
-            if row.name not in tried and avoid_until_ms <= now_ms:
+            if row.name not in tried and not self.is_excluded(row):
                 return row
         return None
 
@@ -74,6 +72,10 @@
         self.avoid_until_ms[owner.process] = now_ms + AVOIDANCE_MS
         events.log(events.PEER_LOST, peer=owner.name, detail=detail)
 
+    def is_excluded(self, owner: EntryRow) -> bool:
+        """Return whether a process is skipped, as it did not reply a moment ago."""
+        return self.avoid_until_ms.get(owner.process, 0) > self.clock.now_ms()
+
     def _ranking(self, key: str, data_centre: str) -> list[EntryRow]:
         """Return the entries of a data centre, the preferred owner of ``key`` first."""
         entries, busy_keys = self.entries(), self.busy_keys()
--- /dev/null
+++ b/wagtailrun/stages/owner_calls.py
@@ -0,0 +1,70 @@
+"""Calls of one entry to the owners of stage services, and their common verdict."""
+
+from collections import defaultdict
+from typing import Any
+
+import curio
+
+from wagtailrun.discovery.owners import Owners
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.ports.link import PeerLink
+
+__all__ = ["OwnerCalls"]
+
+
+class OwnerCalls:
+    """Sends messages to owners and ends the polls of one that is unreachable.
+
+    A poll may be held for longer than it takes to find out that an owner is dead. What
+    one call finds out counts for all polls that wait for the same process.
+
+    Args:
+        link: Link to other entries.
+        owners: Chooses the owners.
+    """
+
+    def __init__(self, link: PeerLink, owners: Owners):
+        self.link = link
+        self.owners = owners
+        # Polls in progress by name and incarnation of the owner.
+        self.polls_by_process: dict[tuple[str, int], set[curio.Task]] = defaultdict(set)
+
+    async def call(self, owner: EntryRow, message: Any, timeout_ms: int) -> Any:
+        """Send a message and return the reply.
+
+        Raises:
+            PeerUnreachable: If there is no reply in time.
+        """
+        return await self.link.call(owner.address, message, timeout_ms)
+
+    async def poll(self, owner: EntryRow, message: Any, timeout_ms: int) -> Any:
+        """The same for a message whose reply may be held.
+
+        Raises:
+            PeerUnreachable: If there is no reply in time, or the owner was excluded.
+        """
+        task = await curio.spawn(self.link.call, owner.address, message, timeout_ms)
+        polls = self.polls_by_process[owner.process]
+        polls.add(task)
+        try:
+            return await task.join()
+        except curio.TaskError as error:
+            cause = error.__cause__
+            if isinstance(cause, curio.CancelledError):
+                detail = f"entry {owner.name} does not reply to other calls"
+                raise PeerUnreachable(detail, timed_out=True) from error
+            raise cause from None
+        except curio.CancelledError:
+            await task.cancel()
+            raise
+        finally:
+            polls.discard(task)
+            if not polls:
+                self.polls_by_process.pop(owner.process, None)
+
+    async def exclude(self, owner: EntryRow, detail: str) -> None:
+        """Use another owner for a while, also for what waits for this one."""
+        self.owners.exclude(owner, detail)
+        for task in list(self.polls_by_process.get(owner.process, ())):
+            await task.cancel(blocking=False)
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -22,6 +22,7 @@
     PiecesState,
     RunPieces,
 )
+from wagtailrun.stages.owner_calls import OwnerCalls
 from wagtailrun.stages.pool import StageBatcher
 
 __all__ = ["StageResults", "StageRunner", "StagedWork"]
@@ -164,6 +165,7 @@
         self.batcher = batcher
         self.owners = owners
         self.capacity = capacity
+        self.calls = OwnerCalls(link, owners)
 
     async def announce(self, work: StagedWork, data_centre: str) -> int | None:
         """Announce all steps to the entries that will form their calls.
@@ -370,11 +372,12 @@
                     # Another owner would start the pieces a second time, beside the
                     # calls of this one.
                     continue
-                if not retried and waited_ms < message.wait_ms + POLL_SLACK_MS:
+                is_early = waited_ms < message.wait_ms + POLL_SLACK_MS
+                if not retried and is_early and not self.owners.is_excluded(owner):
                     retried = True
                     continue
                 tried.add(owner.name)
-                self.owners.exclude(owner, str(error))
+                await self.calls.exclude(owner, str(error))
                 owner = self.owners.owner(work.steps[number].service, tried)
                 continue
             if state.state == JobState.FETCHED:
@@ -425,7 +428,8 @@
         if owner is None or owner.name == self.name:
             return await self.batcher.handle(message)
         wait_ms = message.wait_ms if isinstance(message, RunPieces) else 0
-        reply = await self.link.call(owner.address, message, wait_ms + POLL_SLACK_MS)
+        send = self.calls.poll if wait_ms else self.calls.call
+        reply = await send(owner, message, wait_ms + POLL_SLACK_MS)
         if isinstance(message, RunPieces) and not isinstance(reply, PiecesState):
             raise PeerUnreachable(
                 f"expected PiecesState from entry {owner.name}, "
@@ -465,10 +469,19 @@
             await self.notify_owner(message)
 
     async def notify_owner(self, message: CancelPieces | FreeResults) -> None:
-        """Send a message to the owner of its service, without a second try."""
+        """Send a message to the owner of its service, without a second try.
+
+        Results are released at their targets by this entry if the owner does not reply:
+        until they expire they occupy memory that other requests wait for.
+        """
         owner = self.owners.owner(message.service)
         try:
             await self._send(owner, message)
         except PeerUnreachable as error:
-            # The message is not repeated: targets drop results when they expire.
-            events.log(events.PEER_LOST, peer=owner.name, detail=str(error))
+            if error.alive or error.sent and not error.timed_out:
+                # It may be running after a reset connection.
+                events.log(events.PEER_LOST, peer=owner.name, detail=str(error))
+            else:
+                await self.calls.exclude(owner, str(error))
+            if isinstance(message, FreeResults):
+                await self.batcher.handle(message)
