--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -348,6 +348,19 @@
     "A brittle target turned a request away; it gets none for a second, then fewer.",
     per_second=20,
 )
+SHARE_LOWERED = _event(
+    720,
+    logging.WARNING,
+    "A target that leaves requests without a first event, or is slow, gets fewer.",
+    "Find out why the target is silent or slow.",
+    per_second=20,
+)
+SHARE_RAISED = _event(
+    721,
+    logging.INFO,
+    "A target with fewer requests answers in time, and gets more again.",
+    per_second=20,
+)
 STREAM_TAKEN_UP = _event(
     718,
     logging.INFO,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -221,6 +221,7 @@
             self.view.targets,
             self.view.quarantine,
             self.granter.wait_ms,
+            self.loop_watch.was_held_since,
         )
         self.placement = PlacementClient(
             self.link,
@@ -332,6 +333,11 @@
             "Targets that this entry reaches only through other entries.",
             lambda: len(paths.lost_since_ms_by_address),
         )
+        gauge(
+            "lowered_targets",
+            "Targets whose share this entry has lowered for all, as they were silent.",
+            lambda: self.placement_host.silence.shares.lowered,
+        )
         gauge("cut_off", "Whether it reaches no target.", lambda: paths.is_cut_off)
         gauge(
             "tunnels",
--- /dev/null
+++ b/wagtailrun/relay/lowered_shares.py
@@ -0,0 +1,373 @@
+"""Shares of requests that targets get, lowered while they are silent or slow."""
+
+import math
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from wagtailrun import events
+from wagtailrun.clock import Clock
+from wagtailrun.membership import TargetRow
+
+__all__ = [
+    "ALL_ENTRIES",
+    "HALF_SHARE",
+    "SILENT",
+    "SLOW",
+    "LoweredShares",
+    "WatchedAttempt",
+]
+
+# Viewer whose belief is that of all entries.
+ALL_ENTRIES = ""
+# A target at the lowest share gets one request at a time. The next one follows at once
+# after a good first event, and after this time if it was overdue or slow. It is one of
+# the shorter prompts, as most of what it asks for may be lost; any after this time.
+PROBE_PAUSE_MS = 2_000
+PROBE_TOKENS_SHARE = 0.5
+ANY_PROBE_AFTER_MS = 1_000
+# Weight of a new prompt in the average of their tokens.
+TOKENS_WEIGHT = 0.05
+# Number of consecutive good first events for the next step of the share; the second
+# number applies if the share was lowered again within this time. An entry alone makes
+# few requests; what it believes is raised by each.
+GOOD_TO_RAISE = 4
+GOOD_TO_RAISE_AGAIN = 6
+RELAPSE_MS = 10_000
+# Share of a target in the requests that it would get otherwise, after the lowest step.
+HALF_SHARE = 0.5
+MAX_CREDIT = 2.0
+# Overdue attempts that are kept; with so many, their answers restore no share.
+MAX_AGAINST = 64
+# Causes in log lines.
+SILENT = "silent"
+SLOW = "slow"
+# At most this share of the targets of a service is lowered. Where more look silent, the
+# cause is probably another one, for example a burst.
+MAX_LOWERED_SHARE = 0.5
+FULL_SHARE = 1.0
+
+
+@attrs.define(eq=False)
+class WatchedAttempt:
+    """An attempt without a first event.
+
+    Attributes:
+        row: Target.
+        reporter: Entry that made it.
+        started_ms: When it started.
+        expected_ms: Expected time to its first event.
+        grace_ms: How much later it is overdue.
+        overdue_at_ms: When it is overdue, as far as is known.
+        counted: Whether it has counted as overdue.
+        is_open: Whether its first event may still arrive.
+    """
+
+    row: TargetRow
+    reporter: str
+    started_ms: int
+    expected_ms: float
+    grace_ms: int
+    overdue_at_ms: int = 0
+    counted: bool = False
+    is_open: bool = True
+
+
+@attrs.define
+class _Belief:
+    """Share of one target, as one viewer believes.
+
+    Attributes:
+        row: Target.
+        share: 0 at the lowest step, ``HALF_SHARE`` or ``FULL_SHARE``.
+        changed_ms: When the share was changed; only attempts since then count.
+        good: Consecutive good first events since then.
+        probe: Attempt that the target gets at the lowest step, if any.
+        next_probe_ms: When it may get the next one.
+        credit: Requests that it may get at half of its share.
+        relapses: Number of times that it was lowered again shortly after a rise.
+        cause: Why it was lowered.
+        against: Overdue attempts that speak against the target.
+    """
+
+    row: TargetRow
+    share: float = FULL_SHARE
+    changed_ms: int = 0
+    good: int = 0
+    probe: WatchedAttempt | None = None
+    next_probe_ms: int = 0
+    credit: float = 0.0
+    relapses: int = 0
+    cause: str = ""
+    against: list[WatchedAttempt] = attrs.field(factory=list)
+
+    @property
+    def is_lowered(self) -> bool:
+        """Whether the target gets less than its share."""
+        return self.share < FULL_SHARE
+
+
+class LoweredShares:
+    """Shares of targets, as all entries or one of them believe.
+
+    A share falls to probes by single requests, and comes back by steps.
+
+    Args:
+        clock: Clock.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.beliefs_by_key: dict[tuple[str, str], _Belief] = {}
+        # Number of targets of each service, and the average tokens of its prompts.
+        self.targets_by_service: dict[str, int] = {}
+        self.tokens_by_service: dict[str, float] = {}
+
+    def belief(self, viewer: str, row: TargetRow) -> _Belief | None:
+        """Return what a viewer believes of a target, if it is known."""
+        return self.beliefs_by_key.get((viewer, row.name))
+
+    def max_lowered(self, service: str) -> int:
+        """Return how many targets of a service may be lowered."""
+        return math.floor(MAX_LOWERED_SHARE * self.targets_by_service.get(service, 0))
+
+    @property
+    def lowered(self) -> int:
+        """Number of targets with a lowered share for all entries."""
+        return sum(
+            viewer == ALL_ENTRIES and belief.is_lowered
+            for (viewer, _), belief in self.beliefs_by_key.items()
+        )
+
+    def is_lowered(self, row: TargetRow) -> bool:
+        """Return whether the share of a target is lowered for all entries."""
+        belief = self.beliefs_by_key.get((ALL_ENTRIES, row.name))
+        return belief is not None and belief.is_lowered
+
+    def admitted(
+        self,
+        rows: Sequence[TargetRow],
+        viewer: str,
+        avoid: Collection[str] = (),
+        *,
+        prompt_tokens: int = 0,
+        begin: bool = True,
+    ) -> list[TargetRow]:
+        """Return the targets among which to choose for a request.
+
+        Args:
+            rows: Targets that accept work.
+            viewer: Entry that has the request.
+            avoid: Targets that were already tried.
+            prompt_tokens: Tokens of the prompt.
+            begin: Whether an attempt starts now.
+        """
+        is_short = True
+        if rows:
+            service = rows[0].service
+            self.targets_by_service[service] = len(rows)
+            mean = self.tokens_by_service.get(service, float(prompt_tokens))
+            mean += TOKENS_WEIGHT * (prompt_tokens - mean)
+            self.tokens_by_service[service] = mean
+            is_short = prompt_tokens <= PROBE_TOKENS_SHARE * mean
+        lowered = self._lowered_beliefs(rows, viewer)
+        if not lowered:
+            return list(rows)
+        rest = [row for row in rows if row.name not in lowered]
+        now_ms = self.clock.now_ms()
+        # A request that has tried a silent target is no probe.
+        may_probe = begin and lowered.keys().isdisjoint(avoid)
+        for name, beliefs in lowered.items():
+            if begin:
+                for belief in beliefs:
+                    credit = belief.credit + belief.share / len(rows)
+                    belief.credit = min(credit, MAX_CREDIT)
+            if name in avoid or not all(
+                self._takes(belief, now_ms, is_short) for belief in beliefs
+            ):
+                continue
+            if may_probe:
+                # Its cost may be higher than that of others, but only requests find
+                # out whether it has recovered.
+                return [row for row in rows if row.name == name]
+        # All others may have been tried.
+        return rest if any(row.name not in avoid for row in rest) else list(rows)
+
+    def _takes(self, belief: _Belief, now_ms: int, is_short: bool) -> bool:
+        """Return whether a target with a lowered share may get a request now."""
+        if belief.share:
+            return belief.credit >= 1.0
+        due_ms = belief.next_probe_ms + (0 if is_short else ANY_PROBE_AFTER_MS)
+        return belief.probe is None and now_ms >= due_ms
+
+    def _lowered_beliefs(
+        self, rows: Sequence[TargetRow], viewer: str
+    ) -> dict[str, list[_Belief]]:
+        """Return what lowers the shares of targets, by the names of these.
+
+        If all look silent, the cause is another one, and none is lowered.
+        """
+        lowered: dict[str, list[_Belief]] = {}
+        for row in rows:
+            for key in dict.fromkeys([(ALL_ENTRIES, row.name), (viewer, row.name)]):
+                belief = self.beliefs_by_key.get(key)
+                if belief is not None and belief.is_lowered:
+                    if belief.row.incarnation == row.incarnation:
+                        lowered.setdefault(row.name, []).append(belief)
+                    else:
+                        del self.beliefs_by_key[key]
+        if len(lowered) == len(rows):
+            return {}
+        limit = math.floor(MAX_LOWERED_SHARE * len(rows))
+        if len(lowered) > limit:
+            oldest = sorted(
+                lowered, key=lambda name: min(b.changed_ms for b in lowered[name])
+            )
+            lowered = {name: lowered[name] for name in oldest[:limit]}
+        return lowered
+
+    def begin(self, attempt: WatchedAttempt) -> None:
+        """Record that a target gets a request."""
+        for viewer in (ALL_ENTRIES, attempt.reporter):
+            belief = self.belief(viewer, attempt.row)
+            if belief is None or not belief.is_lowered:
+                continue
+            belief.credit = max(belief.credit - 1.0, 0.0)
+            if not belief.share and belief.probe is None:
+                belief.probe = attempt
+
+    def retain(self, names: Collection[str], services: Collection[str]) -> None:
+        """Drop what is known of all other targets and services."""
+        now_ms = self.clock.now_ms()
+        for key, belief in list(self.beliefs_by_key.items()):
+            is_old = now_ms - belief.changed_ms > RELAPSE_MS
+            if key[1] not in names or is_old and not belief.is_lowered:
+                del self.beliefs_by_key[key]
+        for service in self.targets_by_service.keys() - set(services):
+            del self.targets_by_service[service]
+            del self.tokens_by_service[service]
+
+    def lower(
+        self,
+        viewer: str,
+        attempt: WatchedAttempt,
+        cause: str,
+        attempts: int,
+        reporters: int,
+    ) -> None:
+        """Lower the share of a target to the lowest step, or leave it there."""
+        now_ms = self.clock.now_ms()
+        row = attempt.row
+        if viewer != ALL_ENTRIES and self.is_lowered(row):
+            return
+        belief = self.beliefs_by_key.setdefault((viewer, row.name), _Belief(row))
+        if belief.row.incarnation != row.incarnation:
+            belief = self.beliefs_by_key[viewer, row.name] = _Belief(row)
+        belief.good = 0
+        if belief.probe is attempt:
+            belief.probe = None
+        belief.next_probe_ms = now_ms + PROBE_PAUSE_MS
+        if not belief.share:
+            return
+        if belief.changed_ms and now_ms - belief.changed_ms <= RELAPSE_MS:
+            belief.relapses += 1
+        else:
+            belief.relapses = 0
+        belief.share = 0.0
+        belief.cause = cause
+        belief.against.clear()
+        belief.credit = 0.0
+        belief.changed_ms = now_ms
+        if viewer == ALL_ENTRIES:
+            # What single entries believe is included.
+            for key in list(self.beliefs_by_key):
+                if key[0] != ALL_ENTRIES and key[1] == row.name:
+                    del self.beliefs_by_key[key]
+        self._log(events.SHARE_LOWERED, viewer, belief, cause, attempts, reporters)
+
+    def add_against(self, viewer: str, attempts: list[WatchedAttempt]) -> None:
+        """Keep the overdue attempts because of which a share is lowered."""
+        belief = self.beliefs_by_key.get((viewer, attempts[0].row.name))
+        if belief is None or belief.cause != SILENT:
+            return
+        for attempt in attempts:
+            if attempt not in belief.against and len(belief.against) < MAX_AGAINST:
+                belief.against.append(attempt)
+
+    def withdraw(self, attempt: WatchedAttempt) -> None:
+        """Restore the share of a target whose overdue attempts all got an answer."""
+        for viewer in (ALL_ENTRIES, attempt.reporter):
+            key = viewer, attempt.row.name
+            belief = self.beliefs_by_key.get(key)
+            if belief is None or attempt not in belief.against:
+                continue
+            belief.against.remove(attempt)
+            if not belief.against and belief.cause == SILENT and not belief.share:
+                belief.share = FULL_SHARE
+                self._log(events.SHARE_RAISED, viewer, belief, "late answers", 0, 0)
+                del self.beliefs_by_key[key]
+
+    def count_good(self, viewer: str, attempt: WatchedAttempt, is_quick: bool) -> None:
+        """Count a good first event, and raise the share after several.
+
+        Args:
+            viewer: Whose belief to change.
+            attempt: The attempt.
+            is_quick: Whether the first event shows that the target is not slow.
+        """
+        now_ms = self.clock.now_ms()
+        belief = self.beliefs_by_key.get((viewer, attempt.row.name))
+        if belief is None or not belief.is_lowered:
+            return
+        counts = is_quick or belief.cause != SLOW
+        if belief.probe is attempt:
+            belief.probe = None
+            belief.next_probe_ms = now_ms + (0 if counts else PROBE_PAUSE_MS)
+        if not counts or attempt.started_ms < belief.changed_ms:
+            return
+        belief.good += 1
+        needed = GOOD_TO_RAISE_AGAIN if belief.relapses else GOOD_TO_RAISE
+        if viewer == ALL_ENTRIES and belief.good < needed:
+            return
+        good, belief.good = belief.good, 0
+        belief.share = FULL_SHARE if belief.share else HALF_SHARE
+        belief.changed_ms = now_ms
+        belief.probe = None
+        self._log(events.SHARE_RAISED, viewer, belief, "good first events", good, 0)
+
+    def pause_probes(self, attempt: WatchedAttempt, now_ms: int) -> None:
+        """Pause the probes of a target whose probe is overdue or slow."""
+        for viewer in (ALL_ENTRIES, attempt.reporter):
+            belief = self.beliefs_by_key.get((viewer, attempt.row.name))
+            if belief is not None and belief.probe is attempt:
+                belief.probe = None
+                belief.good = 0
+                belief.next_probe_ms = now_ms + PROBE_PAUSE_MS
+
+    def drop_probe(self, attempt: WatchedAttempt) -> None:
+        """Let another probe follow one that shows nothing."""
+        for viewer in (ALL_ENTRIES, attempt.reporter):
+            belief = self.beliefs_by_key.get((viewer, attempt.row.name))
+            if belief is not None and belief.probe is attempt:
+                belief.probe = None
+
+    def _log(
+        self,
+        event: events.Event,
+        viewer: str,
+        belief: _Belief,
+        cause: str,
+        attempts: int,
+        reporters: int,
+    ) -> None:
+        events.log(
+            event,
+            service=belief.row.service,
+            target=belief.row.name,
+            entry=viewer or "all",
+            share=belief.share,
+            cause=cause,
+            attempts=attempts,
+            reporters=reporters,
+            relapses=belief.relapses,
+        )
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -33,6 +33,7 @@
     RunOver,
 )
 from wagtailrun.relay.port import TargetLoad
+from wagtailrun.relay.silence import SilenceWatch
 
 __all__ = ["PlacementClient", "PlacementHost"]
 
@@ -101,6 +102,7 @@
         quarantine: Prompt parts under which engines crashed.
         wait_ms: Returns when an engine may get a further request, because of the limit
             that it names; 0 if now.
+        was_held_since: Returns whether this process stood still after a time.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         targets: Callable[[str], list[TargetRow]],
         quarantine: Quarantine,
         wait_ms: Callable[[TargetRow], int] = lambda row: 0,
+        was_held_since: Callable[[int], bool] = lambda since_ms: False,
     ):
         self.clock = clock
         self.chooser = chooser
@@ -117,6 +120,7 @@
         self.quarantine = quarantine
         self.wait_ms = wait_ms
         self.detector = CrashDetector(clock, quarantine)
+        self.silence = SilenceWatch(clock, was_held_since)
         self.trials_by_part: dict[str, _Trial] = {}
         self.runs_by_key: dict[tuple[str, str], _Run] = {}
         self.margins_by_route: dict[str, MarginEstimator] = {}
@@ -148,8 +152,15 @@
         refusal = self._hold_back(message, parts)
         if refusal is not None:
             return refusal
+        rows = [row for row in rows if not self.wait_ms(row)] or rows
         row = self.chooser.choose(
-            [row for row in rows if not self.wait_ms(row)] or rows,
+            self.silence.admitted(
+                rows,
+                message.entry,
+                message.avoid,
+                prompt_tokens=message.prompt_tokens,
+                begin=message.begin,
+            ),
             message.avoid,
             parts=message.parts,
             prompt_tokens=message.prompt_tokens,
@@ -180,6 +191,7 @@
                 earlier=replaced.earlier + 1 if replaced is not None else 0,
             )
             self.chooser.record_start(row, message.parts, message.prompt_tokens)
+            self.silence.begin(key, row, message.entry, expected_ms)
         estimator = self.margins_by_route.get(message.route)
         margin_ms = estimator.margin_ms if estimator is not None else 0.0
         return Placed(
@@ -267,10 +279,15 @@
             self.chooser.record_load(run.row, load)
         if message.outcome != RunOutcome.SUCCEEDED:
             self._drop_trials(message.request_id)
+        if message.outcome in (RunOutcome.OVER, RunOutcome.FAILED):
+            self.silence.record_left(key)
+        elif message.outcome != RunOutcome.SUCCEEDED:
+            self.silence.forget(key)
         if message.outcome in (RunOutcome.SUCCEEDED, RunOutcome.REJECTED):
             self.detector.record_alive(run.row, run.started_ms)
         match message.outcome:
             case RunOutcome.SUCCEEDED:
+                self.silence.record_first_event(key, message.first_event_ms)
                 self._record_success(run, message)
             case RunOutcome.FAILED:
                 self.chooser.record_failure(run.row)
@@ -294,7 +311,8 @@
         slowness = first_event_ms / max(run.expected_ms, 1.0)
         self.chooser.record_success(run.row, slowness)
         took_ms = first_event_ms - run.prefill_queue_ms
-        self.chooser.record_first_event(run.row, run.uncached_tokens, took_ms)
+        if not self.silence.shares.is_lowered(run.row):
+            self.chooser.record_first_event(run.row, run.uncached_tokens, took_ms)
         if message.route:
             estimator = self.margins_by_route.get(message.route)
             if estimator is None:
@@ -309,6 +327,7 @@
         """Drop what is known of all other targets, services and routes."""
         self._expire_runs()
         self.chooser.retain(names, services)
+        self.silence.retain(names, services)
         for route in self.margins_by_route.keys() - routes:
             del self.margins_by_route[route]
 
@@ -321,6 +340,7 @@
                 return
             del self.runs_by_key[key]
             self.chooser.record_end(run.row)
+            self.silence.forget(key)
 
 
 class PlacementClient:
@@ -373,6 +393,7 @@
 
     async def place(self, message: PlaceRun) -> Placed:
         """Return the engine of an attempt."""
+        message = attrs.evolve(message, entry=self.name)
         owner = self.owners.owner(ownership_key(message.service))
         placed = None
         if owner is not None and owner.name != self.name:
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/placement_messages.py
@@ -55,6 +55,7 @@
         begin: Whether the attempt starts now; otherwise nothing is recorded.
         route: Route of the request.
         software_version: Version that the engine must have; empty if any will do.
+        entry: Name of the entry that has the request; empty from an earlier build.
     """
 
     request_id: str
@@ -66,6 +67,7 @@
     begin: bool
     route: str = ""
     software_version: str = ""
+    entry: str = ""
 
 
 @attrs.frozen
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -28,6 +28,7 @@
   begin @6 :Bool;
   route @7 :Text;
   softwareVersion @8 :Text;
+  entry @9 :Text;
 }
 
 struct Placed {
