Tell a slow owner that its placement was not used

An entry that gets no reply to a placement within 150 ms places the attempt itself and reports its end to itself. The owner, if it was only slow, had placed the attempt, too, and kept it as open for 20 s; now that open attempts count, sound engines would have looked silent. Found by reading; the test shows 6 or 7 phantom attempts at each of nine engines after 60 requests, and none with the change. An owner that does not answer at all gets no such message: its attempts of this entry do not count, as it does not hear of the entry.

--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -9,8 +9,10 @@
 
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
-from wagtailrun.ports.link import Address
+from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.lowered_shares import HALF_SHARE
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
@@ -432,3 +434,52 @@
     assert len(watch.reporters_by_name) <= 1
     assert not watch.shares.beliefs_by_key
     assert not watch.evidence_by_target
+
+
+class SlowLink(PeerLink):
+    """Link on which no reply to a placement comes in time, as its owner is slow."""
+
+    def __init__(self, host):
+        self.host = host
+
+    async def call(self, address, message, timeout_ms):
+        reply = self.host.handle(message)
+        if isinstance(message, PlaceRun):
+            raise PeerUnreachable("late", alive=True)
+        return reply
+
+
+def test_slow_owner_counts_no_attempt_that_the_entry_placed_itself():
+    """Guards against engines that look silent as their owner is slow.
+
+    The owner had placed the attempts, but the entries did not wait for its replies and
+    reported no ends to it.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock, lambda *rest: ANSWER_MS)
+        other = Fleet(clock, lambda *rest: ANSWER_MS)
+        entries = [
+            EntryRow(f"e{n}", Address("10.1.0.1", 7_000 + n), "a", n) for n in range(3)
+        ]
+        owners = Owners(clock, lambda: entries)
+        owner = owners.owner("engines of s")
+        name = next(row.name for row in entries if row.name != owner.name)
+        client = PlacementClient(
+            SlowLink(fleet.host), name, owners, other.host, no_report
+        )
+        for number in range(60):
+            message = PlaceRun(f"r{number}", "s", (), 100, (), (), True)
+            placed = await client.place(message)
+            await clock.sleep_ms(ANSWER_MS)
+            over = RunOver(f"r{number}", "s", placed.target, "succeeded", ANSWER_MS)
+            await client.report_end(over)
+        in_flight = [
+            state.in_flight for state in fleet.host.chooser.states_by_name.values()
+        ]
+        return in_flight, fleet.host.silence, fleet.host.runs_by_key
+
+    in_flight, watch, runs = run_virtual(main)
+    assert not any(in_flight)
+    assert not watch.shares.beliefs_by_key
+    assert not runs
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -263,6 +263,8 @@
         return RunNoted(known)
 
     def _record_end(self, message: RunOver) -> RunNoted:
+        if not message.target:
+            return self._drop_runs(message.request_id)
         key = message.request_id, message.target
         run = self.runs_by_key.get(key)
         if run is None:
@@ -300,6 +302,15 @@
                 self.chooser.record_rejection(run.row, True)
         return RunNoted(True)
 
+    def _drop_runs(self, request_id: str) -> RunNoted:
+        """Drop the attempts of a request, which its entry has placed itself."""
+        keys = [key for key in self.runs_by_key if key[0] == request_id]
+        for key in keys:
+            self.chooser.record_end(self.runs_by_key.pop(key).row)
+            self.silence.forget(key)
+        self._drop_trials(request_id)
+        return RunNoted(bool(keys))
+
     def _record_success(self, run: _Run, message: RunOver) -> None:
         """Update the estimates with the first event of an attempt."""
         self.detector.record_success(run.parts)
@@ -402,6 +413,12 @@
             except PeerUnreachable as error:
                 if not error.alive:
                     self.owners.exclude(owner, str(error))
+                elif message.begin:
+                    # A slow owner counts the attempt, whose end it would not hear of.
+                    end = RunOver(
+                        message.request_id, message.service, "", RunOutcome.OVER
+                    )
+                    await curio.spawn(self._send_end, owner.name, end, daemon=True)
         if not isinstance(placed, Placed):
             owner, placed = None, await self.handle(message)
         if message.begin and placed.target and owner is not None:
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/placement_messages.py
@@ -132,7 +132,8 @@
     Attributes:
         request_id: Identifier of the request.
         service: Service of the engine.
-        target: Name of the engine.
+        target: Name of the engine; empty if the entry does not know it, because no
+            reply came in time.
         outcome: A ``RunOutcome``.
         first_event_ms: Time from the start of the attempt to its first event; 0 without
             one.
