Keep the evidence of a restarted engine apart

An attempt at the new incarnation that was overdue counted together with those at its predecessor, so that one entry's evidence lowered the share for all.

--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -14,7 +14,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.lowered_shares import HALF_SHARE
+from wagtailrun.relay.lowered_shares import ALL_ENTRIES, HALF_SHARE
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
 from wagtailrun.relay.port import PromptPart
@@ -483,3 +483,26 @@
     assert not any(in_flight)
     assert not watch.shares.beliefs_by_key
     assert not runs
+
+
+def test_evidence_of_an_earlier_incarnation_does_not_count():
+    """Guards against a restarted engine that pays for attempts at its predecessor."""
+
+    async def main(clock):
+        fleet = Fleet(clock, silent({"t0"}, 1.0, 0), engines=2)
+        watch = fleet.host.silence
+        old = fleet.rows[0]
+        new = attrs.evolve(old, incarnation=1)
+        for number in range(6):
+            watch.begin((f"r{number}", "t0"), old, f"e{number}", 100)
+        await clock.sleep_ms(100)
+        watch.begin(("new", "t0"), new, "e0", 100)
+        for _ in range(20):
+            await clock.sleep_ms(100)
+            for number in range(6):
+                watch.admitted([new, fleet.rows[1]], f"e{number}")
+        return watch.shares.beliefs_by_key
+
+    beliefs = run_virtual(main)
+    # One entry's evidence.
+    assert list(beliefs) == [("e0", "t0")]
--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -261,7 +261,9 @@
         if viewer != ALL_ENTRIES and self.is_lowered(row):
             return
         belief = self.beliefs_by_key.setdefault((viewer, row.name), _Belief(row))
-        if belief.row.incarnation != row.incarnation:
+        if belief.row.incarnation > row.incarnation:
+            return
+        if belief.row.incarnation < row.incarnation:
             belief = self.beliefs_by_key[viewer, row.name] = _Belief(row)
         belief.good = 0
         if belief.probe is attempt:
--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/silence.py
@@ -78,6 +78,7 @@
     """What speaks against a target.
 
     Attributes:
+        incarnation: Incarnation of the target.
         overdue: Overdue attempts, by when they counted; left ones stay.
         slow: Consecutive attempts with slow first events, by when these arrived. Of
             those that one standstill may have held up only one counts.
@@ -85,6 +86,7 @@
             good first event.
     """
 
+    incarnation: int
     overdue: list[tuple[int, WatchedAttempt]] = attrs.field(factory=list)
     slow: list[tuple[int, WatchedAttempt]] = attrs.field(factory=list)
     answered_ms_by_reporter: dict[str, int] = attrs.field(factory=dict)
@@ -202,7 +204,7 @@
         if not self.shares.is_lowered(attempt.row):
             lateness = self.lateness_by_service.setdefault(service, _Lateness())
             lateness.add(now_ms, took_ms - attempt.expected_ms)
-        evidence = self.evidence_by_target.setdefault(attempt.row.name, _Evidence())
+        evidence = self._evidence(attempt.row)
         evidence.overdue = [pair for pair in evidence.overdue if pair[1] is not attempt]
         if attempt.counted:
             self.shares.withdraw(attempt)
@@ -321,11 +323,20 @@
             and not self.was_held_since(now_ms - SETTLE_MS)
         )
 
+    def _evidence(self, row: TargetRow) -> _Evidence:
+        """Return what is kept of an incarnation of a target; of a gone one, nothing."""
+        evidence = self.evidence_by_target.get(row.name)
+        if evidence is None or evidence.incarnation < row.incarnation:
+            evidence = self.evidence_by_target[row.name] = _Evidence(row.incarnation)
+        elif evidence.incarnation > row.incarnation:
+            return _Evidence(row.incarnation)
+        return evidence
+
     def _count_overdue(self, attempt: WatchedAttempt) -> None:
         attempt.counted = True
         now_ms = self.clock.now_ms()
         name = attempt.row.name
-        evidence = self.evidence_by_target.setdefault(name, _Evidence())
+        evidence = self._evidence(attempt.row)
         evidence.overdue.append((now_ms, attempt))
         oldest_ms = now_ms - EVIDENCE_LIFETIME_MS
         evidence.overdue = [
