--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -14,7 +14,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.lowered_shares import ALL_ENTRIES, HALF_SHARE
+from wagtailrun.relay.lowered_shares import HALF_SHARE
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
 from wagtailrun.relay.port import PromptPart
