--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -14,7 +14,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.lowered_shares import HALF_SHARE
+from wagtailrun.relay.lowered_shares import ALL_ENTRIES, HALF_SHARE
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
 from wagtailrun.relay.port import PromptPart
@@ -234,6 +234,35 @@
     assert not run_fleet(rule, 12_000, lambda f: f.host.silence.shares.beliefs_by_key)
 
 
+def test_engine_that_goes_on_has_its_share_at_once():
+    """Guards against a sound engine that stays lowered after a standstill of 3 s."""
+    ends_ms = 8_000
+    lowered_ms = []
+
+    def rule(fleet, entry, engine, now_ms):
+        if fleet.host.silence.shares.lowered:
+            lowered_ms.append(now_ms)
+        pause_ms = max(ends_ms - now_ms, 0) if now_ms >= 5_000 else 0
+        return ANSWER_MS + (pause_ms if engine == "t0" else 0)
+
+    run_fleet(rule, 14_000, lambda fleet: None)
+    assert 5_000 < min(lowered_ms) < 7_500
+    assert max(lowered_ms) <= ends_ms + 2 * ANSWER_MS
+
+
+def test_slow_path_of_one_entry_takes_no_engine_out_for_others():
+    """Guards against an entry that loses packets and speaks for all others."""
+
+    def rule(fleet, entry, engine, now_ms):
+        is_slow = entry == "e0" and engine in {"t0", "t3"} and now_ms >= 5_000
+        return ANSWER_MS + (700 if is_slow else 0)
+
+    def check(fleet):
+        return {viewer for viewer, _ in fleet.host.silence.shares.beliefs_by_key}
+
+    assert ALL_ENTRIES not in run_fleet(rule, 20_000, check, per_second=50)
+
+
 @pytest.mark.parametrize("length_ms", [2_000, 3_500, 8_000])
 def test_entry_that_stood_still_takes_no_engine_out(length_ms):
     """Guards against an entry whose own standstill makes all engines look silent."""
