--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -9,10 +9,12 @@
 
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
-from wagtailrun.ports.link import Address
+from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.lowered_shares import HALF_SHARE
+from wagtailrun.relay.lowered_shares import ALL_ENTRIES, HALF_SHARE
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
 from wagtailrun.relay.port import PromptPart
@@ -232,6 +234,35 @@
     assert not run_fleet(rule, 12_000, lambda f: f.host.silence.shares.beliefs_by_key)
 
 
+def test_engine_that_goes_on_has_its_share_at_once():
+    """Guards against a sound engine that stays lowered after a standstill of 3 s."""
+    ends_ms = 8_000
+    lowered_ms = []
+
+    def rule(fleet, entry, engine, now_ms):
+        if fleet.host.silence.shares.lowered:
+            lowered_ms.append(now_ms)
+        pause_ms = max(ends_ms - now_ms, 0) if now_ms >= 5_000 else 0
+        return ANSWER_MS + (pause_ms if engine == "t0" else 0)
+
+    run_fleet(rule, 14_000, lambda fleet: None)
+    assert 5_000 < min(lowered_ms) < 7_500
+    assert max(lowered_ms) <= ends_ms + 2 * ANSWER_MS
+
+
+def test_slow_path_of_one_entry_takes_no_engine_out_for_others():
+    """Guards against an entry that loses packets and speaks for all others."""
+
+    def rule(fleet, entry, engine, now_ms):
+        is_slow = entry == "e0" and engine in {"t0", "t3"} and now_ms >= 5_000
+        return ANSWER_MS + (700 if is_slow else 0)
+
+    def check(fleet):
+        return {viewer for viewer, _ in fleet.host.silence.shares.beliefs_by_key}
+
+    assert ALL_ENTRIES not in run_fleet(rule, 20_000, check, per_second=50)
+
+
 @pytest.mark.parametrize("length_ms", [2_000, 3_500, 8_000])
 def test_entry_that_stood_still_takes_no_engine_out(length_ms):
     """Guards against an entry whose own standstill makes all engines look silent."""
@@ -456,3 +487,75 @@
     assert not beliefs_by_key
     assert not overdue
     assert not samples
+
+
+class SlowLink(PeerLink):
+    """Link on which no reply to a placement comes in time, as its owner is slow."""
+
+    def __init__(self, host):
+        self.host = host
+
+    async def call(self, address, message, timeout_ms):
+        reply = self.host.handle(message)
+        if isinstance(message, PlaceRun):
+            raise PeerUnreachable("late", alive=True)
+        return reply
+
+
+def test_slow_owner_counts_no_attempt_that_the_entry_placed_itself():
+    """Guards against engines that look silent as their owner is slow.
+
+    The owner had placed the attempts, but the entries did not wait for its replies and
+    reported no ends to it.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock, lambda *rest: ANSWER_MS)
+        other = Fleet(clock, lambda *rest: ANSWER_MS)
+        entries = [
+            EntryRow(f"e{n}", Address("10.1.0.1", 7_000 + n), "a", n) for n in range(3)
+        ]
+        owners = Owners(clock, lambda: entries)
+        owner = owners.owner("engines of s")
+        name = next(row.name for row in entries if row.name != owner.name)
+        client = PlacementClient(
+            SlowLink(fleet.host), name, owners, other.host, no_report
+        )
+        for number in range(60):
+            message = PlaceRun(f"r{number}", "s", (), 100, (), (), True)
+            placed = await client.place(message)
+            await clock.sleep_ms(ANSWER_MS)
+            over = RunOver(f"r{number}", "s", placed.target, "succeeded", ANSWER_MS)
+            await client.report_end(over)
+        in_flight = [
+            state.in_flight for state in fleet.host.chooser.states_by_name.values()
+        ]
+        return in_flight, fleet.host.silence, fleet.host.runs_by_key
+
+    in_flight, watch, runs = run_virtual(main)
+    assert not any(in_flight)
+    assert not watch.shares.beliefs_by_key
+    assert not runs
+
+
+def test_evidence_of_an_earlier_incarnation_does_not_count():
+    """Guards against a restarted engine that pays for attempts at its predecessor."""
+
+    async def main(clock):
+        fleet = Fleet(clock, silent({"t0"}, 1.0, 0), engines=2)
+        watch = fleet.host.silence
+        old = fleet.rows[0]
+        new = attrs.evolve(old, incarnation=1)
+        for number in range(6):
+            watch.begin((f"r{number}", "t0"), old, f"e{number}", 100)
+        await clock.sleep_ms(100)
+        watch.begin(("new", "t0"), new, "e0", 100)
+        for _ in range(20):
+            await clock.sleep_ms(100)
+            for number in range(6):
+                watch.admitted([new, fleet.rows[1]], f"e{number}")
+        return watch.shares.beliefs_by_key
+
+    beliefs = run_virtual(main)
+    # One entry's evidence.
+    assert list(beliefs) == [("e0", "t0")]
