Let an entry that was started again own no stages for 5 s

All entries now leave out those that started less than 5 s ago by their incarnation, unless all did. Targets keep results for 4 s. Clocks that differ by a step can name two owners for as long as the step, as any change of the membership can.

--- a/tests/test_stage_owner_silence.py
+++ b/tests/test_stage_owner_silence.py
@@ -5,10 +5,13 @@
 import pytest
 
 from tests.test_stage_runner import ENTRIES, Fleet, other_entry, work
+from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.routes import StageStep
 from wagtailrun.stages import FreeResults, StageResults
 from wagtailrun.stages.messages import PieceResult
+from wagtailrun.stages.owner_calls import OwnerCalls
+from wagtailrun.stages.settled import SETTLE_MS, SettledEntries
 from wagtailrun.virtual_time import run_virtual
 
 STEPS = (StageStep("s", (), 10),)
@@ -79,3 +82,71 @@
     assert freed == ["10.0.0.1:80/1"]
     # After a reset connection the owner may go on.
     assert is_excluded == (fault != "reset")
+
+
+@pytest.mark.parametrize("start_ms", [100, 1_000, 4_900])
+def test_entry_that_was_started_again_owns_no_stages_at_once(start_ms):
+    """Load: the owner of a service is killed and started again.
+
+    Guards against a service that has two owners: the one that took over still has
+    pieces, calls and results of the requests of all entries, which the other does not
+    know.
+    """
+
+    async def main(clock):
+        rows = [attrs.evolve(row, incarnation=1) for row in ENTRIES]
+        settled = SettledEntries(clock, lambda: rows)
+        before = settled.new_names()
+        started = clock.wall_ms()
+        rows = [attrs.evolve(rows[0], incarnation=started << 16 | 7), *rows[1:]]
+        await clock.sleep_ms(start_ms)
+        new = settled.new_names()
+        await clock.sleep_ms(SETTLE_MS - start_ms)
+        return before, new, settled.new_names()
+
+    assert run_virtual(main) == (set(), {ENTRIES[0].name}, set())
+
+
+def test_entries_that_started_together_own_stages():
+    """Guards against a system without owners of stages after its start."""
+
+    async def main(clock):
+        start = clock.wall_ms() << 16
+        rows = [attrs.evolve(row, incarnation=start) for row in ENTRIES]
+        settled = SettledEntries(clock, lambda: rows)
+        owners = Owners(clock, lambda: rows)
+        calls = OwnerCalls(None, owners)
+        return settled.new_names(), calls.owner("s"), owners.owner("s")
+
+    new, owner, expected = run_virtual(main)
+    assert not new
+    assert owner == expected
+
+
+def test_service_stays_with_the_entry_that_took_over():
+    """Load: the owner of a service is killed and started again.
+
+    Guards against pieces of one service that are divided between two owners.
+    """
+
+    async def main(clock):
+        name, owner = other_entry()
+        rows = [attrs.evolve(row, incarnation=1) for row in ENTRIES]
+        owners = Owners(clock, lambda: rows)
+        calls = OwnerCalls(None, owners)
+        owners.exclude(calls.owner("s"), "refused")
+        second = calls.owner("s").name
+        start = clock.wall_ms() << 16
+        rows = [
+            attrs.evolve(row, incarnation=start) if row.name == owner else row
+            for row in rows
+        ]
+        seen = []
+        for _ in range(6):
+            seen.append(calls.owner("s").name)
+            await clock.sleep_ms(1_000)
+        return second, owner, seen
+
+    second, owner, seen = run_virtual(main)
+    assert second != owner
+    assert seen == [second] * 5 + [owner]
--- a/wagtailrun/stages/owner_calls.py
+++ b/wagtailrun/stages/owner_calls.py
@@ -1,6 +1,7 @@
 """Calls of one entry to the owners of stage services, and their common verdict."""
 
 from collections import defaultdict
+from collections.abc import Collection
 from typing import Any
 
 import curio
@@ -9,6 +10,7 @@
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.ports.link import PeerLink
+from wagtailrun.stages.settled import SettledEntries
 
 __all__ = ["OwnerCalls"]
 
@@ -27,9 +29,23 @@
     def __init__(self, link: PeerLink, owners: Owners):
         self.link = link
         self.owners = owners
+        self.settled = SettledEntries(owners.clock, owners.entries)
         # Polls in progress by name and incarnation of the owner.
         self.polls_by_process: dict[tuple[str, int], set[curio.Task]] = defaultdict(set)
 
+    def owner(self, service: str, tried: Collection[str] = ()) -> EntryRow | None:
+        """Return the owner of a stage service, or None if no entry is eligible.
+
+        An entry that has just started is the owner only if there is no other.
+
+        Args:
+            service: Stage service.
+            tried: Names of entries to skip because they did not reply.
+        """
+        new = self.settled.new_names()
+        owner = self.owners.owner(service, new.union(tried)) if new else None
+        return owner or self.owners.owner(service, tried)
+
     async def call(self, owner: EntryRow, message: Any, timeout_ms: int) -> Any:
         """Send a message and return the reply.
 
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -335,7 +335,7 @@
         """
         reserve = results is None
         tried: set[str] = set()
-        owner = self.owners.owner(work.steps[number].service, tried)
+        owner = self.calls.owner(work.steps[number].service, tried)
         retried = False
         seen_fetched = not inputs
         input_services: tuple[str, ...] = ()
@@ -378,7 +378,7 @@
                     continue
                 tried.add(owner.name)
                 await self.calls.exclude(owner, str(error))
-                owner = self.owners.owner(work.steps[number].service, tried)
+                owner = self.calls.owner(work.steps[number].service, tried)
                 continue
             if state.state == JobState.FETCHED:
                 seen_fetched = True
@@ -474,7 +474,7 @@
         Results are released at their targets by this entry if the owner does not reply:
         until they expire they occupy memory that other requests wait for.
         """
-        owner = self.owners.owner(message.service)
+        owner = self.calls.owner(message.service)
         try:
             await self._send(owner, message)
         except PeerUnreachable as error:
--- /dev/null
+++ b/wagtailrun/stages/settled.py
@@ -0,0 +1,54 @@
+"""Keeps services at their owner while an entry that has just started settles."""
+
+from collections.abc import Callable, Sequence
+
+from wagtailrun.clock import Clock
+from wagtailrun.gossip_messages import EntryRow
+
+__all__ = ["SettledEntries"]
+
+# An entry that was started again takes services over after this time. The calls and
+# results of the owner meanwhile are not known to it; targets keep results for 4 s.
+SETTLE_MS = 5_000
+# The upper bits of an incarnation are the wall time of the start, in milliseconds.
+INCARNATION_TIME_SHIFT = 16
+
+
+class SettledEntries:
+    """Tells which of the live entries have started a moment ago.
+
+    The entries agree on it as far as their clocks do, so that a service has the same
+    owner everywhere.
+
+    Args:
+        clock: Clock.
+        entries: Returns the live entries; the same object until they change.
+    """
+
+    def __init__(self, clock: Clock, entries: Callable[[], Sequence[EntryRow]]):
+        self.clock = clock
+        self.entries = entries
+        self._known: Sequence[EntryRow] | None = None
+        self._new: frozenset[str] = frozenset()
+        self._review_ms = 0
+
+    def new_names(self) -> frozenset[str]:
+        """Return the names of the entries that are too new to own a service.
+
+        There are none if all are new, as after the start of the system.
+        """
+        rows, wall_ms = self.entries(), self.clock.wall_ms()
+        if rows is not self._known or wall_ms >= self._review_ms:
+            starts = {
+                row.name: row.incarnation >> INCARNATION_TIME_SHIFT for row in rows
+            }
+            new = {
+                name: start_ms
+                for name, start_ms in starts.items()
+                if start_ms > wall_ms - SETTLE_MS
+            }
+            self._known = rows
+            self._new = frozenset(new if len(new) < len(starts) else ())
+            next_ms = min(new.values(), default=wall_ms) + SETTLE_MS
+            self._review_ms = min(next_ms, wall_ms + SETTLE_MS)
+        return self._new
