Refuse a stage step when its queue has become too long

If targets are lost or become slower meanwhile, it is known earlier. The places are checked anew every 200 ms; steps that have begun and announced ones are left out.

QueueForecast is moved out of pool.py. Not yet: the estimate does not know how long steps wait for memory.

--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -35,6 +35,7 @@
 )
 from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
+from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
 from wagtailrun.stages.target_state import TargetState, backoff_ms
 from wagtailrun.supervisor import supervise
 
@@ -44,9 +45,7 @@
 REFUSAL_PAUSE_MS = 40
 # How long a target that has no memory for a result is sent none of that size, unless
 # results are released there.
-FULL_MEMORY_MS = 100
-# Limit of failed attempts for each piece, and of consecutive failures of a target.
-MAX_ATTEMPTS = 3
+FULL_MEMORY_MS = 400
 # Releases of results are collected for this long and sent in one message per target.
 RELEASE_INTERVAL_MS = 10
 RELEASE_TIMEOUT_MS = 500
@@ -59,11 +58,11 @@
 ANNOUNCED_JOB_TIMEOUT_MS = 6_000
 # Interval at which pending jobs are checked against their deadlines.
 REVIEW_INTERVAL_MS = 50
+# Interval at which they are checked against the expected delay of their places.
+FORECAST_INTERVAL_MS = 200
 # Each urgency level counts as this much additional time to the latency objective. This
 # lets urgent jobs go first in a short queue and limits the delay of the least urgent.
 URGENCY_STEP_MS = 400
-# Calls are not quite full on average, because pieces of one step are kept together.
-TYPICAL_BATCH_FILL = 0.9
 
 
 class _Pool:
@@ -87,6 +86,7 @@
         self.planner = CallPlanner(
             self.clock, self.memory, self.target_states_by_name, self.processing_ms
         )
+        self.next_forecast_ms = 0
         self.wake = curio.Event()
         self.releases_pending = curio.Event()
         self.tasks: list[curio.Task] = []
@@ -131,36 +131,16 @@
             Milliseconds, or None if no target is available.
         """
         now_ms = self.clock.now_ms()
-        target_states = [self.target_states_by_name[row.name] for row in self.targets()]
-        # A target that failed repeatedly counts again once its pause is over; otherwise
-        # a service whose targets all failed would never be retried.
-        available = [
-            target_state
-            for target_state in target_states
-            if target_state.failures < MAX_ATTEMPTS
-            or target_state.pause_until_ms <= now_ms
-        ]
-        reached = [
-            target_state for target_state in available if not target_state.lost_paths
-        ]
-        available = reached or available
-        if not available:
+        forecast = self._forecast(now_ms)
+        if forecast is None:
             return None
-        ahead = sum(len(job.waiting) for job in self._jobs_ahead(before, now_ms))
-        capacity = self.capacity
-        free_ms = min(
-            max(target_state.busy_until_ms, target_state.pause_until_ms) - now_ms
-            for target_state in available
+        return forecast.wait_ms(
+            sum(len(job.waiting) for job in self._jobs_ahead(before, now_ms))
         )
-        speed = sum(1.0 / target_state.slowness for target_state in available) * max(
-            capacity.slots, 1
-        )
-        full_ms = capacity.duration_ms(capacity.batch)
-        queued_ms = ahead / (capacity.batch * TYPICAL_BATCH_FILL) * full_ms / speed
-        if ahead < capacity.batch:
-            # The pieces ahead fit into the next call.
-            queued_ms = 0.0
-        return int(max(free_ms, 0) + queued_ms)
+
+    def _forecast(self, now_ms: int) -> QueueForecast | None:
+        states = [self.target_states_by_name[row.name] for row in self.targets()]
+        return QueueForecast.compute(states, self.capacity, now_ms)
 
     def _jobs_ahead(self, before: Job | None, now_ms: int) -> Iterator[Job]:
         """Yield the unfinished jobs ahead of ``before``, announced ones included."""
@@ -324,8 +304,24 @@
                 )
             elif job.waiting and now_ms + shortest_ms > job.expires_at_ms:
                 self._finish(job, JobState.REFUSED, "the step cannot finish in time")
+        if now_ms >= self.next_forecast_ms:
+            self.next_forecast_ms = now_ms + FORECAST_INTERVAL_MS
+            self._refuse_late_jobs(now_ms)
         self.memory.expire(now_ms)
 
+    def _refuse_late_jobs(self, now_ms: int) -> None:
+        """Refuse what cannot be in time since the targets became fewer or slower."""
+        forecast = self._forecast(now_ms)
+        if forecast is None:
+            return
+        capacity = self.capacity
+        jobs = sorted(
+            self.open_jobs(), key=lambda job: self._rank(job, now_ms, capacity)
+        )
+        for job in list(forecast.late_jobs(jobs, self.processing_ms)):
+            detail = "the queue leaves the step too little time"
+            self._finish(job, JobState.REFUSED, detail)
+
     async def _start_call(self) -> bool:
         """Start one call; return False if no target is free or no piece is ready."""
         jobs = [job for job in self.open_by_key.values() if job.waiting and job.ready]
