Let no entry stay new after a step of the wall clock

Cause: which entries are too new to own stages was reviewed by the wall clock, which may step; after a step back an entry stayed new, and its services had another owner here than elsewhere, for as long as the step. Found by reading.

The review now counts on the steady clock, and a start far in the future is that of a clock that differs. test_wall_clock_that_steps_back_keeps_no_entry_new (virtual time) failed before ({'e...'} in place of none), passes now.

--- a/tests/test_stage_owner_silence.py
+++ b/tests/test_stage_owner_silence.py
@@ -107,6 +107,21 @@
     assert run_virtual(main) == (set(), {ENTRIES[0].name}, set())
 
 
+def test_wall_clock_that_steps_back_keeps_no_entry_new():
+    """Guards against a service with two owners for as long as a clock stepped back."""
+
+    async def main(clock):
+        rows = [attrs.evolve(row, incarnation=1) for row in ENTRIES]
+        rows[0] = attrs.evolve(rows[0], incarnation=clock.wall_ms() << 16)
+        settled = SettledEntries(clock, lambda: rows)
+        before = settled.new_names()
+        clock.wall_start_ms -= 3_600_000
+        await clock.sleep_ms(SETTLE_MS)
+        return before, settled.new_names()
+
+    assert run_virtual(main) == ({ENTRIES[0].name}, set())
+
+
 def test_entries_that_started_together_own_stages():
     """Guards against a system without owners of stages after its start."""
 
--- a/wagtailrun/stages/settled.py
+++ b/wagtailrun/stages/settled.py
@@ -10,6 +10,8 @@
 # An entry that was started again takes services over after this time. The calls and
 # results of the owner meanwhile are not known to it; targets keep results for 4 s.
 SETTLE_MS = 5_000
+# The wall clock may step, so that what was found by it is reviewed after this time.
+REVIEW_MS = 200
 # The upper bits of an incarnation are the wall time of the start, in milliseconds.
 INCARNATION_TIME_SHIFT = 16
 
@@ -37,18 +39,21 @@
 
         There are none if all are new, as after the start of the system.
         """
-        rows, wall_ms = self.entries(), self.clock.wall_ms()
-        if rows is not self._known or wall_ms >= self._review_ms:
-            starts = {
-                row.name: row.incarnation >> INCARNATION_TIME_SHIFT for row in rows
+        rows, now_ms = self.entries(), self.clock.now_ms()
+        if rows is not self._known or now_ms >= self._review_ms:
+            wall_ms = self.clock.wall_ms()
+            age_ms_by_name = {
+                row.name: wall_ms - (row.incarnation >> INCARNATION_TIME_SHIFT)
+                for row in rows
             }
+            # A start far in the future is that of an entry whose clock differs.
             new = {
-                name: start_ms
-                for name, start_ms in starts.items()
-                if start_ms > wall_ms - SETTLE_MS
+                name: age_ms
+                for name, age_ms in age_ms_by_name.items()
+                if abs(age_ms) < SETTLE_MS
             }
+            left_ms = SETTLE_MS - max(new.values(), default=0)
             self._known = rows
-            self._new = frozenset(new if len(new) < len(starts) else ())
-            next_ms = min(new.values(), default=wall_ms) + SETTLE_MS
-            self._review_ms = min(next_ms, wall_ms + SETTLE_MS)
+            self._new = frozenset(new if len(new) < len(rows) else ())
+            self._review_ms = now_ms + min(left_ms, REVIEW_MS)
         return self._new
