Do not take a slow engine for one that stood still

Slow first events that one entry alone saw count for that entry only: a test with one slow path lowered an engine for all.

--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -28,11 +28,12 @@
 ANY_PROBE_AFTER_MS = 1_000
 # Weight of a new prompt in the average of their tokens.
 TOKENS_WEIGHT = 0.05
-# Number of consecutive good first events for the next step of the share; the second
-# number applies if the share was lowered again within this time. An entry alone makes
-# few requests; what it believes is raised by each.
+# Number of consecutive good first events for the step to half of the share, and to all
+# of it; more are needed if the share was lowered again within this time. An entry alone
+# makes few requests; what it believes is raised by each.
 GOOD_TO_RAISE = 4
-GOOD_TO_RAISE_AGAIN = 6
+GOOD_AT_HALF = 3
+MORE_GOOD_AFTER_RELAPSE = 2
 RELAPSE_MS = 10_000
 # Share of a target in the requests that it would get otherwise, after the lowest step.
 HALF_SHARE = 0.5
@@ -328,7 +329,8 @@
         if not counts or attempt.started_ms < belief.changed_ms:
             return
         belief.good += 1
-        needed = GOOD_TO_RAISE_AGAIN if belief.relapses else GOOD_TO_RAISE
+        needed = GOOD_AT_HALF if belief.share else GOOD_TO_RAISE
+        needed += MORE_GOOD_AFTER_RELAPSE if belief.relapses else 0
         if viewer == ALL_ENTRIES and belief.good < needed:
             return
         good, belief.good = belief.good, 0
--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/silence.py
@@ -206,10 +206,11 @@
             lateness.add(now_ms, took_ms - attempt.expected_ms)
         evidence = self._evidence(attempt.row)
         evidence.overdue = [pair for pair in evidence.overdue if pair[1] is not attempt]
+        if took_ms > slow_ms:
+            self._count_slow(attempt, evidence, now_ms)
         if attempt.counted:
             self.shares.withdraw(attempt)
         if took_ms > slow_ms:
-            self._count_slow(attempt, evidence, now_ms)
             return
         started_ms = attempt.started_ms
         evidence.answered_ms_by_reporter[attempt.reporter] = started_ms
@@ -409,13 +410,13 @@
         is_slow = len(evidence.slow) > 1
         for viewer in (ALL_ENTRIES, attempt.reporter):
             belief = self.shares.belief(viewer, attempt.row)
-            counts = is_slow and (
-                viewer != ALL_ENTRIES
-                or len(reporters) > 1
-                or len(evidence.slow) >= ATTEMPTS_OF_ONE_REPORTER
-            )
+            # The path of one entry may be slow.
+            counts = is_slow and (viewer != ALL_ENTRIES or len(reporters) > 1)
             if viewer == ALL_ENTRIES:
                 counts &= not self._is_common(attempt.row.service, oldest_ms)
+            if counts and belief is not None and not belief.share:
+                # Late answers show no mere standstill then.
+                belief.cause = SLOW
             if belief is not None and attempt.started_ms < belief.changed_ms:
                 continue
             if counts or belief is not None and belief.is_lowered:
