--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/silence.py
@@ -206,10 +206,10 @@
         service = attempt.row.service
         evidence = self._evidence(attempt.row)
         evidence.overdue = [pair for pair in evidence.overdue if pair[1] is not attempt]
-        if attempt.counted:
-            self.shares.withdraw(attempt)
         if not took_ms:
             # Its time is that of an entry that stood still.
+            if attempt.counted:
+                self.shares.withdraw(attempt)
             self.shares.drop_probe(attempt)
             return
         slow_ms = SLOW_FACTOR * attempt.expected_ms
@@ -219,6 +219,9 @@
             lateness.add(now_ms, took_ms - attempt.expected_ms)
         if took_ms > slow_ms:
             self._count_slow(attempt, evidence, now_ms)
+        if attempt.counted:
+            self.shares.withdraw(attempt)
+        if took_ms > slow_ms:
             return
         started_ms = attempt.started_ms
         evidence.answered_ms_by_reporter[attempt.reporter] = started_ms
@@ -418,13 +421,13 @@
         is_slow = len(evidence.slow) > 1
         for viewer in (ALL_ENTRIES, attempt.reporter):
             belief = self.shares.belief(viewer, attempt.row)
-            counts = is_slow and (
-                viewer != ALL_ENTRIES
-                or len(reporters) > 1
-                or len(evidence.slow) >= ATTEMPTS_OF_ONE_REPORTER
-            )
+            # The path of one entry may be slow.
+            counts = is_slow and (viewer != ALL_ENTRIES or len(reporters) > 1)
             if viewer == ALL_ENTRIES:
                 counts &= not self._is_common(attempt.row.service, oldest_ms)
+            if counts and belief is not None and not belief.share:
+                # Late answers show no mere standstill then.
+                belief.cause = SLOW
             if belief is not None and attempt.started_ms < belief.changed_ms:
                 continue
             if counts or belief is not None and belief.is_lowered:
