Reserve a loopback network for each process that hands out addresses

Cause: free_addresses found a port free, closed it and returned it. Within the process it could be handed out again, and a server at port 0 could get it meanwhile. The host followed from the process id, without a check that no other process uses it.

Now a process reserves 127.x.y.0/24 by a bound socket, which the kernel releases whenever the process ends; ports are below the local ports of the kernel, and none is handed out twice. A forked child reserves a network of its own.

test_control_stop_processes and test_late_signal_processes let their daemons listen at 127.0.0.1, where other runs have clients and servers; they and the listener of test_unending_bytes use the reserved hosts now. Their checks are unchanged.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -3,7 +3,6 @@
 import os
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,39 +12,19 @@
 
 import curio
 
+from demo.loopback import free_addresses, loopback_host
 from wagtailrun.adapters.http_client import HttpClient, HttpReply
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
 
+__all__ = ["Fleet", "free_addresses", "loopback_host", "request"]
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 REQUEST_TIMEOUT_MS = 10_000
 
 
-def loopback_host(number: int = 1) -> str:
-    """Return a loopback host that other runs on this machine do not use.
-
-    At 127.0.0.1, which clients connect from, the local port of a connection or a
-    server of another run may take a port before its own server listens there.
-
-    Args:
-        number: Last part of the address, 1 to 254.
-    """
-    run = os.getpid()
-    return f"127.{1 + run // 250 % 250}.{1 + run % 250}.{number}"
-
-
-def free_addresses(count: int) -> list[Address]:
-    """Return addresses of this run whose ports are unused at the moment."""
-    host = loopback_host()
-    sockets = [socket.create_server((host, 0)) for _ in range(count)]
-    addresses = [Address(host, sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
-
-
 def request(
     address: Address,
     method: str,
--- a/tests/test_control_stop_processes.py
+++ b/tests/test_control_stop_processes.py
@@ -17,24 +17,25 @@
 def test_operator_whose_request_a_stopping_member_has_read_gets_an_answer(tmp_path):
     """Guards against an operator that cannot tell what became of a request."""
     addresses = free_addresses(4)
+    host = addresses[0].host
     operators, other, peer, metrics = (each.port for each in addresses)
     values = {
         **PLAIN,
-        "ip": "127.0.0.1",
-        "listen.front": f"127.0.0.1:{other}",
-        "listen.ready": f"127.0.0.1:{metrics}",
-        "listen.control": f"127.0.0.1:{operators}",
+        "ip": host,
+        "listen.front": f"{host}:{other}",
+        "listen.ready": f"{host}:{metrics}",
+        "listen.control": f"{host}:{operators}",
         "internal_ports.0": str(peer),
         "data_dir": str(tmp_path / "data"),
         # The only other member is gone, so that the read waits for 800 ms.
-        "seeds": f"127.0.0.1:{peer},127.0.0.1:1,127.0.0.1:2",
+        "seeds": f"{host}:{peer},127.0.0.1:1,127.0.0.1:2",
     }
     file = tmp_path / "control.env"
     file.write_text(render("control", values))
     process = start("control", file)
     try:
         process.stdout.readline()
-        sock = connect(("127.0.0.1", operators))
+        sock = connect((host, operators))
         sock.sendall(READ)
         time.sleep(0.3)
         process.send_signal(signal.SIGTERM)
--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -27,13 +27,15 @@
 @pytest.fixture
 def entry_process(tmp_path):
     """Return a running entry without control members, and its caller address."""
-    caller, ready, peer, metrics = (each.port for each in free_addresses(4))
+    addresses = free_addresses(4)
+    host = addresses[0].host
+    caller, ready, peer, metrics = (each.port for each in addresses)
     values = {
         **PLAIN,
-        "ip": "127.0.0.1",
-        "listen.front": f"127.0.0.1:{caller}",
-        "listen.ready": f"127.0.0.1:{ready}",
-        "listen.control": f"127.0.0.1:{metrics}",
+        "ip": host,
+        "listen.front": f"{host}:{caller}",
+        "listen.ready": f"{host}:{ready}",
+        "listen.control": f"{host}:{metrics}",
         "internal_ports.0": str(peer),
         "seeds": "127.0.0.1:1",
         "bounds.grace_s": str(GRACE_S),
@@ -42,7 +44,7 @@
     file.write_text(render("entry", values))
     process = start("entry", file)
     process.stdout.readline()
-    yield process, ("127.0.0.1", caller)
+    yield process, (host, caller)
     if process.poll() is None:
         process.kill()
         process.communicate()
--- a/tests/test_unending_bytes.py
+++ b/tests/test_unending_bytes.py
@@ -14,7 +14,7 @@
 import pytest
 from wagtail_platform.stage_calls import PlatformStageClient
 
-from demo.processes import free_addresses
+from demo.loopback import free_addresses, loopback_host
 from tests.test_floods import (
     FakeSocket,
     chunked,
@@ -103,7 +103,7 @@
     def __init__(self, first, more):
         self.first = first
         self.more = more * (PIECE_BYTES // len(more) or 1)
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server((loopback_host(), 0))
         self.address = Address(*self.listener.getsockname())
 
     async def start(self):
