Run the network tests on several workers

Before, some 960 tests ran one after another, so that none took a port that another had found free. Since each process reserves its addresses, they can run at once. make test has three parts, each closed by the summary line of pytest; any failure fails the run: the test that measures processor time by itself, the tests without network, the tests with network. WORKERS sets the number of test processes (default: one per processor), SHUFFLE a seed for a random order of modules. A failed test prints how to run it alone; the slowest 25 are listed in each part. KNOWN-RED.txt is printed once, by the first part, which also refuses unknown tests in it (tried: exit code 1, no further part runs).

Modules that start many processes or hold a processor are in three groups (tests/process_groups.py); one test of each group runs at once. The group marks of pytest-xdist 3.8 have no effect with pytest 9.2: it adds them to Node._nodeid, which pytest no longer reads (seen in a trial: tests of one module with a fixture of the module ran on two workers). A scheduler of our own splits by module instead.

No test, bound or check was changed; test_large_answer_leaves_the_carrier_time_for_others runs alone.

Not shown yet: the run on an idle machine, its wall time, random orders.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # Set-up, tests, lint, demo and measurements. Every goal prepares the environment itself.
+# WORKERS: test processes at once (one for each processor); SHUFFLE: seed of a random order.
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 VENV := .venv
 BIN := $(VENV)/bin
@@ -16,7 +17,7 @@
 	touch $@
 
 test: setup
-	$(BIN)/python -m tests.run
+	$(BIN)/python -m tests.run $(if $(WORKERS),--workers $(WORKERS)) $(if $(SHUFFLE),--shuffle $(SHUFFLE))
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,15 @@
 """Deselects exactly the tests listed in KNOWN-RED.txt, and prints them; fixtures."""
 
+import random
+import shlex
 import signal
 from pathlib import Path
 
 import pytest
 from hypothesis import settings
 
+from tests.process_groups import GroupScheduling
+
 KNOWN_FAILURES_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 # Format of a line: test id | command | seed | observed failure | issue
 FIELDS_PER_ENTRY = 5
@@ -30,6 +34,24 @@
     return entries
 
 
+def pytest_addoption(parser):
+    group = parser.getgroup("wagtailrun")
+    group.addoption(
+        "--shuffle", metavar="SEED", help="run the test modules in a random order"
+    )
+    group.addoption(
+        "--omit-known-red",
+        action="store_true",
+        help="do not print the entries of KNOWN-RED.txt",
+    )
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    is_grouped = config.getoption("dist") == "loadgroup"
+    return GroupScheduling(config, log) if is_grouped else None
+
+
 def pytest_collection_modifyitems(config, items):
     entries = load_known_failures()
     deselected = [item for item in items if item.nodeid in entries]
@@ -39,11 +61,30 @@
         raise pytest.UsageError(f"KNOWN-RED.txt lists unknown tests: {sorted(missing)}")
     config.hook.pytest_deselected(items=deselected)
     items[:] = [item for item in items if item.nodeid not in entries]
+    seed = config.getoption("shuffle")
+    if seed is not None:
+        shuffle_modules(items, seed)
+
+
+def shuffle_modules(items, seed):
+    """Put the modules of ``items`` in a random order, the same in each worker."""
+    items_by_module = {}
+    for item in items:
+        items_by_module.setdefault(item.path, []).append(item)
+    modules = list(items_by_module)
+    random.Random(seed).shuffle(modules)
+    items[:] = [item for module in modules for item in items_by_module[module]]
 
 
-def pytest_terminal_summary(terminalreporter):
-    for line in load_known_failures().values():
-        terminalreporter.write_line(f"KNOWN-RED: {line}")
+def pytest_terminal_summary(terminalreporter, config):
+    failed = [*terminalreporter.getreports("failed")]
+    failed += terminalreporter.getreports("error")
+    for name in dict.fromkeys(report.nodeid for report in failed):
+        command = shlex.join([".venv/bin/python", "-m", "pytest", name])
+        terminalreporter.write_line(f"run alone: {command}")
+    if not config.getoption("omit_known_red"):
+        for line in load_known_failures().values():
+            terminalreporter.write_line(f"KNOWN-RED: {line}")
 
 
 @pytest.fixture
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -628,6 +628,7 @@
     assert curio.run(main) <= 12
 
 
+@pytest.mark.alone
 def test_large_answer_leaves_the_carrier_time_for_others():
     """Guards against streams that stand still while an entry carries a fast answer."""
     size = 64 * 1024 * 1024
