--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -209,14 +209,22 @@
         If all look silent, the cause is another one, and none is lowered.
         """
         lowered: dict[str, list[_Belief]] = {}
-        for row in rows:
-            for key in dict.fromkeys([(ALL_ENTRIES, row.name), (viewer, row.name)]):
-                belief = self.beliefs_by_key.get(key)
-                if belief is not None and belief.is_lowered:
-                    if belief.row.incarnation == row.incarnation:
-                        lowered.setdefault(row.name, []).append(belief)
-                    else:
-                        del self.beliefs_by_key[key]
+        found = [
+            (key, belief)
+            for key, belief in self.beliefs_by_key.items()
+            if belief.is_lowered and key[0] in (ALL_ENTRIES, viewer)
+        ]
+        if not found:
+            return lowered
+        rows_by_name = {row.name: row for row in rows}
+        for key, belief in found:
+            row = rows_by_name.get(key[1])
+            if row is None:
+                continue
+            if belief.row.incarnation == row.incarnation:
+                lowered.setdefault(row.name, []).append(belief)
+            else:
+                del self.beliefs_by_key[key]
         if len(lowered) == len(rows):
             return {}
         limit = math.floor(MAX_LOWERED_SHARE * len(rows))
--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/silence.py
@@ -97,15 +97,24 @@
 
     def __init__(self):
         self.samples: deque[tuple[int, float]] = deque(maxlen=MAX_LATENESS_SAMPLES)
+        # None until it is computed from the present samples.
+        self._extra_ms: float | None = None
 
     def add(self, now_ms: int, late_ms: float) -> None:
         """Record a first event."""
         self.samples.append((now_ms, late_ms))
+        self._extra_ms = None
 
     def extra_ms(self, now_ms: int) -> float:
         """Return by how much the limits of the service are longer."""
         while self.samples and self.samples[0][0] < now_ms - LATENESS_LIFETIME_MS:
             self.samples.popleft()
+            self._extra_ms = None
+        if self._extra_ms is None:
+            self._extra_ms = self._compute_extra_ms()
+        return self._extra_ms
+
+    def _compute_extra_ms(self) -> float:
         if len(self.samples) < MIN_LATENESS_SAMPLES:
             return 0.0
         ranked = sorted(late_ms for _, late_ms in self.samples)
