Read what has arrived as the wait of a connection ends

What callers would see: a request that arrived in the last round of the event loop before the 200 ms after a stream were over was refused as incomplete, or its connection ended without an answer, although the bytes were there. The same at the end of the idle limit.

Cause: the end of a wait does not look at the socket. A timer that is due in the same round as the arrival wins; the round is long when the loop is held or serves many connections.

Ruled out: a held loop alone; what is readable when it goes on is taken before the timers.

Left: bytes that arrive between the last look and the shutdown, in one turn.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -528,12 +528,12 @@
             if self.is_awaited or refusal is not None:
                 wait_ms = min(wait_ms, self._request_wait_ms())
             try:
-                async with curio.timeout_after(wait_ms / MS_PER_SECOND):
-                    return await self.sock.recv(READ_BYTES)
-            except curio.TaskTimeout:
-                waited_ms += wait_ms
+                data = await self.receive_within(wait_ms, READ_BYTES)
             finally:
                 self.is_awaited = False
+            if data is not None:
+                return data
+            waited_ms += wait_ms
             self.limits = self.server.limits()
             # The room may have come, or gone, meanwhile.
             refusal = self._refusal_if_overloaded()
--- a/wagtailrun/adapters/idle_connections.py
+++ b/wagtailrun/adapters/idle_connections.py
@@ -44,6 +44,18 @@
         poll.register(self.sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    async def receive_within(self, limit_ms: float, size: int) -> bytes | None:
+        """Return the next bytes, or None if there are none when the time is over.
+
+        Args:
+            limit_ms: How long to wait, in milliseconds.
+            size: Largest number of bytes.
+        """
+        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
+            return await self.sock.recv(size)
+        # They may have arrived after the last look of the event loop.
+        return await self.sock.recv(size) if self.is_readable() else None
+
     async def stop_reading(self) -> None:
         """End the reading; what has arrived by the next turn can still be read."""
         self.reading_stopped = True
@@ -90,5 +102,6 @@
 async def _end_later(connection: IdleConnection, since_s: float, left_s: float) -> None:
     """End a connection unless a request arrives before the time is over."""
     await curio.sleep(left_s)
-    if connection.is_awaited and connection.idle_since_s == since_s:
+    is_waiting = connection.is_awaited and connection.idle_since_s == since_s
+    if is_waiting and not connection.is_readable():
         await connection.stop_reading()
