Watch no connection that its client has closed

Cause: since a draining server keeps each used connection that ends for 200 ms, to count a request that crosses its end, also where the client closed it first and nothing can arrive. Its descriptor and its place among the connections were free at once before.

Left: connections that the server ends keep theirs for 200 ms.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -299,7 +299,7 @@
                 refusal = self._first_refusal()
                 if refusal is not None:
                     await self._refuse_first_request(refusal)
-                elif self.server.draining:
+                elif self.server.draining and not self.was_closed:
                     self.server.crossed_requests += await self.was_crossed()
                 return
             self.was_used = True
@@ -354,7 +354,7 @@
         None if the client closed the connection, or it was used before: a refusal could
         then count as a second answer to an earlier request.
         """
-        if self.was_used or (self.was_closed and not self.reading_stopped):
+        if self.was_used or self.was_closed:
             return None
         if self.server.draining:
             return INCOMPLETE_AT_STOP
@@ -510,7 +510,7 @@
             self.server.idle_connections.discard(self)
         if data is None:
             return False
-        self.was_closed = not data
+        self.was_closed = not data and not self.reading_stopped
         self.http.receive_data(data)
         return bool(data)
 
