Let a listener be closed while another close of it waits

What callers would see: nothing today, as no daemon closes a server twice at the same time; the second close failed with an AttributeError, and with it the stop of which it is a part.

Cause: the wait for a free descriptor accepts on a socket that another call closed meanwhile.

--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -101,7 +101,8 @@
 
     async def _accept_opened(self) -> None:
         """Accept connections until none is left in the queue of the kernel."""
-        while True:
+        # Another call may close the listener during a pause.
+        while not self.is_closed:
             try:
                 client, peer = self.sock._socket.accept()
             except BlockingIOError:
