End idle peers before the wait for a descriptor in a drain

What other processes, and callers behind them, would see: an entry or control member that stops without a free descriptor used the whole time of its drain to wait for one. Idle peers, whose connections hold descriptors, were not ended, so that a message which crossed the end of the process counted as possibly run; peers in the queue were reset; the listener stayed open; nothing was left for the last reports to control members.

Cause: the listener was closed first, with the whole limit to wait. Linux reports the lack of descriptors also with an empty queue, so that the wait took place in any case. Beside it: a drain that had just accepted its only peers ended before their tasks had a turn.

The drain now tries to close the listener each time it looks for idle peers.

Left: without a descriptor up to the end, event 629 comes up to 200 times a second in place of 20, for the time of the drain.

--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -73,6 +73,11 @@
                 if self.acceptor is not None:
                     await self.acceptor.cancel()
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections still come into the queue of the kernel."""
+        return self.sock is not None and not self.is_closed
+
     async def close(self, limit_ms: int, keeps_queue: bool = False) -> None:
         """Accept the connections that clients have opened, and refuse further ones.
 
@@ -81,7 +86,7 @@
             keeps_queue: Whether the listener stays open if there were none in that
                 time; another call can then accept the connections.
         """
-        if self.sock is None or self.is_closed:
+        if not self.is_listening:
             return
         if self.acceptor is not None:
             # Else its end would be that of the listener.
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -459,13 +459,18 @@
         """
         self.draining = True
         async with curio.ignore_after(limit_ms / MS_PER_SECOND):
-            await self.listener.close(limit_ms)
-            while self.connections:
+            is_over = False
+            while not is_over:
+                # Without a free descriptor again after idle connections have ended.
+                await self.listener.close(0, keeps_queue=True)
                 now_ms = self.clock.now_ms()
                 for connection in list(self.connections):
                     if now_ms >= connection.awaited_until_ms:
                         await connection.stop_if_idle()
+                # What was just accepted is among the connections after a turn.
                 await curio.sleep(DRAIN_POLL_MS / MS_PER_SECOND)
+                is_over = not self.connections and not self.listener.is_listening
+        await self.listener.close(0)
 
     async def _serve_connection(self, sock: Any, peer: Any) -> None:
         connection = _FrameSocket(sock)
