--- a/tests/roll.py
+++ b/tests/roll.py
@@ -511,7 +511,7 @@
     ]
     print(f"seconds from the signal to the end of all tasks: {took_s}")
     ended = [line for line in lines if line["event"] == 103]
-    for field in ("unanswered", "answering", "unused_connections", "crossed"):
+    for field in ("unanswered", "answering", "unused_connections"):
         print(f"103 {field}: {sum(line.get(field, 0) for line in ended)}")
 
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -155,8 +155,6 @@
         self.unanswered_requests = 0
         # Connections that a planned stop ended before their first request arrived.
         self.unused_connections_ended = 0
-        # Requests that crossed the end of a kept connection in a planned stop.
-        self.crossed_requests = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
@@ -299,8 +297,6 @@
                 refusal = self._first_refusal()
                 if refusal is not None:
                     await self._refuse_first_request(refusal)
-                elif self.server.draining and not self.was_closed:
-                    self.server.crossed_requests += await self.was_crossed()
                 return
             self.was_used = True
             self._renew_limits()
--- a/wagtailrun/adapters/idle_connections.py
+++ b/wagtailrun/adapters/idle_connections.py
@@ -1,6 +1,5 @@
 """Connections of a server that wait for a request, and their end in a drain."""
 
-import errno
 import select
 import socket
 from collections.abc import Iterable
@@ -16,9 +15,6 @@
 # How long a draining server waits for another request on a connection whose last answer
 # announced no close.
 DRAIN_REQUEST_WAIT_MS = 200
-# How long after its end an idle connection is watched for a request that crosses it:
-# longer than most ways between a client and a server.
-CROSSING_WAIT_MS = 200
 
 
 class IdleConnection:
@@ -64,21 +60,6 @@
         with suppress(OSError):
             await self.sock.shutdown(socket.SHUT_RD)
 
-    async def was_crossed(self) -> bool:
-        """End the connection; return whether bytes of a client crossed its end.
-
-        They are not read, and Linux answers them with a reset, as after a close. A
-        client that resets the connection itself looks the same.
-        """
-        try:
-            await self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The client reset the connection before its end.
-            return False
-        await curio.sleep(CROSSING_WAIT_MS / MS_PER_SECOND)
-        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        return error == errno.ECONNRESET
-
 
 async def end_idle(connections: Iterable[IdleConnection]) -> None:
     """End the idle connections on which no request is on its way.
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -555,15 +555,13 @@
         The client of a connection that was ended unused may have sent one already.
         """
         server = self.caller_server
-        crossed = server.crossed_requests
-        if server.active_requests or server.unused_connections_ended or crossed:
+        if server.active_requests or server.unused_connections_ended:
             events.log(
                 events.REQUESTS_CUT,
                 name=self.settings.name,
                 unanswered=server.unanswered_requests,
                 answering=server.active_requests - server.unanswered_requests,
                 unused_connections=server.unused_connections_ended,
-                crossed=crossed,
             )
 
     def _grace_ms(self) -> int:
