Accept the last connections of a stop 0.4 s before the last refusals

What callers would see: with a grace period of 10 s or more, half a request was refused although the stop had time left, and from 11.2 s on the last connections had none at all.

With 8 s of grace and less nothing changes.

--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -78,6 +78,9 @@
 # sooner. They then come in time by a clock that runs slow by a tenth, and with 8 s of
 # grace after a standstill of up to 0.9 s.
 LAST_REFUSALS_PARTS = 8
+# The last connections are accepted this long before the last refusals begin. Linux
+# sends a lost segment of a request again after 200 ms.
+LAST_ARRIVAL_MS = 400
 # Time for the last reports to control members: two tries of 500 ms.
 LAST_REPORTS_MS = 1_000
 # Stage calls are spread over entries on links slower than this. The calls of one busy
@@ -508,7 +511,8 @@
             signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS), answers_end_ms
         )
         wait_ms = max(request_wait_ms(grace_ms), STOP_ANSWER_MS)
-        accepts_end_ms = min(ends_ms - wait_ms, answers_end_ms)
+        arrival_ms = min(LAST_ARRIVAL_MS, wait_ms - STOP_ANSWER_MS)
+        accepts_end_ms = min(ends_ms - wait_ms, answers_end_ms - arrival_ms)
         return StopPlan(
             notice_ends_ms,
             ends_ms,
