--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -1,5 +1,6 @@
 """Tests of the memory that results of stages occupy, in virtual time."""
 
+import attrs
 import curio
 import pytest
 
@@ -220,3 +221,27 @@
     assert state == JobState.DONE
     assert len(released_ms) == 1
     assert released_ms[0] > last_call_ms
+
+
+@pytest.mark.parametrize("memory_bytes", [0, 100, 2_200])
+def test_target_that_refuses_each_piece_gets_few_calls(memory_bytes):
+    """Load: a target that never has memory for a piece.
+
+    Guards against a loop of calls, where no memory is configured or a result is larger
+    than all of it, so that nothing tells that the target is full.
+    """
+
+    class AlwaysFull(FakeStages):
+        async def run(self, target, items, timeout_ms):
+            self.calls.append(items)
+            await self.clock.sleep_ms(1)
+            return [StageReply(PieceOutcome.NO_MEMORY) for _ in items]
+
+    async def main(clock):
+        capacity = attrs.evolve(CAPACITY, memory_bytes=memory_bytes)
+        harness = BatcherHarness(clock, [target(1)], capacity)
+        harness.batcher.client = client = AlwaysFull(clock, capacity)
+        await harness.send("r", result_bytes=RESULT_BYTES, remaining_ms=2_000)
+        return len(client.calls)
+
+    assert 1 < run_virtual(main) <= 50
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -72,14 +72,15 @@
         Args:
             address: Target.
             size: Size of the result.
-            capacity: Memory of the target that may be used.
+            capacity: Memory of the target that may be used, above 0.
             until_ms: When to assume that the unknown results are gone.
         """
         excess = self.free_bytes(address, capacity) - size
-        if capacity and excess >= 0:
-            known = self.unknown_by_address.get(address)
-            size = excess + 1 + (known.size if known is not None else 0)
-            self.unknown_by_address[address] = _UnknownUse(size, until_ms)
+        known = self.unknown_by_address.get(address)
+        # One byte at least, so that a result that fits into no memory is not sent again
+        # at once to a target that seems empty.
+        size = max(excess + 1, 0) + (known.size if known is not None else 1)
+        self.unknown_by_address[address] = _UnknownUse(size, until_ms)
 
     def used_bytes(self, address: Address) -> int:
         """Return the bytes that results occupy at ``address``."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -489,14 +489,24 @@
                 # The piece was refused when its turn came, so it has not run. Memory
                 # becomes free when pending releases arrive, or when the results of a
                 # previous owner of the service expire.
-                usable = usable_bytes(self.capacity)
-                size, until_ms = job.message.result_bytes, now_ms + FULL_MEMORY_MS
-                target_state.full_until_ms = now_ms + self.capacity.result_ms
-                self.memory.record_refusal(row.address, size, usable, until_ms)
+                self._record_full(row, target_state, job, now_ms)
                 self._requeue(job, piece, False)
             case PieceOutcome.ERROR:
                 self._requeue(job, piece, True)
 
+    def _record_full(
+        self, row: TargetRow, target_state: TargetState, job: Job, now_ms: int
+    ) -> None:
+        """Record that a target had no memory for a piece of a job."""
+        target_state.full_until_ms = now_ms + self.capacity.result_ms
+        usable = usable_bytes(self.capacity)
+        if usable:
+            size, until_ms = job.message.result_bytes, now_ms + FULL_MEMORY_MS
+            self.memory.record_refusal(row.address, size, usable, until_ms)
+        else:
+            # No memory is configured, so that no size tells what it has room for.
+            target_state.pause_until_ms = now_ms + REFUSAL_PAUSE_MS
+
     def _requeue(self, job: Job, piece: int, may_have_run: bool) -> None:
         """Queue a piece again.
 
