--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -233,7 +233,8 @@
     """
 
     class AlwaysFull(FakeStages):
-        async def run(self, target, items, timeout_ms):
+        async def run(self, target, items, timeout_ms, watch=UNWATCHED):
+            watch.record_sent(None)
             self.calls.append(items)
             await self.clock.sleep_ms(1)
             return [StageReply(PieceOutcome.NO_MEMORY) for _ in items]
