--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -155,8 +155,6 @@
         self.unanswered_requests = 0
         # Connections that a planned stop ended before their first request arrived.
         self.unused_connections_ended = 0
-        # Requests that crossed the end of a kept connection in a planned stop.
-        self.crossed_requests = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
@@ -299,8 +297,6 @@
                 refusal = self._first_refusal()
                 if refusal is not None:
                     await self._refuse_first_request(refusal)
-                elif self.server.draining:
-                    self.server.crossed_requests += await self.was_crossed()
                 return
             self.was_used = True
             self._renew_limits()
@@ -354,7 +350,7 @@
         None if the client closed the connection, or it was used before: a refusal could
         then count as a second answer to an earlier request.
         """
-        if self.was_used or (self.was_closed and not self.reading_stopped):
+        if self.was_used or self.was_closed:
             return None
         if self.server.draining:
             return INCOMPLETE_AT_STOP
@@ -510,7 +506,7 @@
             self.server.idle_connections.discard(self)
         if data is None:
             return False
-        self.was_closed = not data
+        self.was_closed = not data and not self.reading_stopped
         self.http.receive_data(data)
         return bool(data)
 
@@ -528,12 +524,12 @@
             if self.is_awaited or refusal is not None:
                 wait_ms = min(wait_ms, self._request_wait_ms())
             try:
-                async with curio.timeout_after(wait_ms / MS_PER_SECOND):
-                    return await self.sock.recv(READ_BYTES)
-            except curio.TaskTimeout:
-                waited_ms += wait_ms
+                data = await self.receive_within(wait_ms, READ_BYTES)
             finally:
                 self.is_awaited = False
+            if data is not None:
+                return data
+            waited_ms += wait_ms
             self.limits = self.server.limits()
             # The room may have come, or gone, meanwhile.
             refusal = self._refusal_if_overloaded()
--- a/wagtailrun/adapters/idle_connections.py
+++ b/wagtailrun/adapters/idle_connections.py
@@ -1,6 +1,5 @@
 """Connections of a server that wait for a request, and their end in a drain."""
 
-import errno
 import select
 import socket
 from collections.abc import Iterable
@@ -16,9 +15,6 @@
 # How long a draining server waits for another request on a connection whose last answer
 # announced no close.
 DRAIN_REQUEST_WAIT_MS = 200
-# How long after its end an idle connection is watched for a request that crosses it:
-# longer than most ways between a client and a server.
-CROSSING_WAIT_MS = 200
 
 
 class IdleConnection:
@@ -44,6 +40,18 @@
         poll.register(self.sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    async def receive_within(self, limit_ms: float, size: int) -> bytes | None:
+        """Return the next bytes, or None if there are none when the time is over.
+
+        Args:
+            limit_ms: How long to wait, in milliseconds.
+            size: Largest number of bytes.
+        """
+        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
+            return await self.sock.recv(size)
+        # They may have arrived after the last look of the event loop.
+        return await self.sock.recv(size) if self.is_readable() else None
+
     async def stop_reading(self) -> None:
         """End the reading; what has arrived by the next turn can still be read."""
         self.reading_stopped = True
@@ -52,21 +60,6 @@
         with suppress(OSError):
             await self.sock.shutdown(socket.SHUT_RD)
 
-    async def was_crossed(self) -> bool:
-        """End the connection; return whether bytes of a client crossed its end.
-
-        They are not read, and Linux answers them with a reset, as after a close. A
-        client that resets the connection itself looks the same.
-        """
-        try:
-            await self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The client reset the connection before its end.
-            return False
-        await curio.sleep(CROSSING_WAIT_MS / MS_PER_SECOND)
-        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        return error == errno.ECONNRESET
-
 
 async def end_idle(connections: Iterable[IdleConnection]) -> None:
     """End the idle connections on which no request is on its way.
@@ -90,5 +83,6 @@
 async def _end_later(connection: IdleConnection, since_s: float, left_s: float) -> None:
     """End a connection unless a request arrives before the time is over."""
     await curio.sleep(left_s)
-    if connection.is_awaited and connection.idle_since_s == since_s:
+    is_waiting = connection.is_awaited and connection.idle_since_s == since_s
+    if is_waiting and not connection.is_readable():
         await connection.stop_reading()
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -10,7 +10,7 @@
 )
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 
-__all__ = ["TargetState", "backoff_ms"]
+__all__ = ["REFUSAL_PAUSE_MS", "TargetState"]
 
 # Pause for a target that refuses a call.
 REFUSAL_PAUSE_MS = 40
