Name shares and confirmations by the usual terms

Beliefs of viewers are statuses of targets for entries; an entry that carries a connection confirms the silence of its target, or does not. Names and comments only; the tests keep their assertions.

--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -180,19 +180,19 @@
 @pytest.mark.parametrize("share", [0.5, 1.0])
 def test_healed_engine_has_its_share_after_five_seconds(share):
     """Guards against an engine that stays without requests after its recovery."""
-    share_after, crowd, beliefs = run_fleet(
+    share_after, crowd, statuses = run_fleet(
         silent({"t0"}, share, 5_000, 15_000),
         35_000,
         lambda f: [
             f.share({"t0"}, 20_500, 35_000),
             max(f.share({"t0"}, ms, ms + 2_500) for ms in range(15_000, 20_000, 500)),
-            f.host.silence.shares.beliefs_by_key,
+            f.host.silence.shares.statuses_by_key,
         ],
     )
     assert share_after >= 0.6
     # Chance alone gives 2.3 in so short a time.
     assert crowd <= 2.5
-    assert not any(belief.is_lowered for belief in beliefs.values())
+    assert not any(status.is_lowered for status in statuses.values())
 
 
 def test_all_engines_silent_lowers_none():
@@ -230,7 +230,7 @@
             return ANSWER_MS + pause_ms
         return ANSWER_MS
 
-    assert not run_fleet(rule, 12_000, lambda f: f.host.silence.shares.beliefs_by_key)
+    assert not run_fleet(rule, 12_000, lambda f: f.host.silence.shares.statuses_by_key)
 
 
 def test_engine_that_goes_on_has_its_share_at_once():
@@ -257,7 +257,7 @@
         return ANSWER_MS + (700 if is_slow else 0)
 
     def check(fleet):
-        return {viewer for viewer, _ in fleet.host.silence.shares.beliefs_by_key}
+        return {entry for entry, _ in fleet.host.silence.shares.statuses_by_key}
 
     assert ALL_ENTRIES not in run_fleet(rule, 20_000, check, per_second=50)
 
@@ -265,13 +265,13 @@
 @pytest.mark.parametrize("length_ms", [2_000, 3_500, 8_000])
 def test_entry_that_stood_still_takes_no_engine_out(length_ms):
     """Guards against an entry whose own standstill makes all engines look silent."""
-    beliefs = run_fleet(
+    statuses = run_fleet(
         lambda fleet, entry, engine, now_ms: ANSWER_MS,
         5_000 + length_ms + 6_000,
-        lambda fleet: fleet.host.silence.shares.beliefs_by_key,
+        lambda fleet: fleet.host.silence.shares.statuses_by_key,
         standstills={"e0": (5_000, 5_000 + length_ms)},
     )
-    assert not beliefs
+    assert not statuses
 
 
 @pytest.mark.parametrize("lost", [{"t0"}, {"t0", "t3", "t6"}])
@@ -309,8 +309,8 @@
         log = watch._log
         watch._log = lambda *rest: (changes.append(rest[1:3]), log(*rest))
         await fleet.run(45_000)
-        for_all = [belief for viewer, belief in changes if not viewer]
-        return Counter(belief.row.name for belief in for_all)
+        for_all = [status for entry, status in changes if not entry]
+        return Counter(status.row.name for status in for_all)
 
     counts = run_virtual(main)
     assert max(counts.values()) <= 10
@@ -352,7 +352,7 @@
             target = fleet.host.handle(message).target
             await clock.sleep_ms(200)
             fleet.host.handle(RunOver(name, "s", target, RunOutcome.OVER))
-        return fleet.host.silence.shares.beliefs_by_key
+        return fleet.host.silence.shares.statuses_by_key
 
     assert not run_virtual(main)
 
@@ -412,7 +412,7 @@
 
     watch = run_virtual(main)
     assert not watch.attempts_by_key
-    assert not watch.shares.beliefs_by_key
+    assert not watch.shares.statuses_by_key
 
 
 def test_new_incarnation_has_its_full_share():
@@ -460,7 +460,7 @@
     watch = run_virtual(main)
     assert len(watch.attempts_by_key) <= 1
     assert len(watch.reporters_by_name) <= 1
-    assert not watch.shares.beliefs_by_key
+    assert not watch.shares.statuses_by_key
     assert not watch.evidence_by_target
 
 
@@ -480,10 +480,10 @@
             fleet.host.handle(RunOver(name, "s", target, RunOutcome.SUCCEEDED))
         evidence = watch.evidence_by_target.values()
         samples = watch.lateness_by_service
-        return watch.shares.beliefs_by_key, [e for e in evidence if e.overdue], samples
+        return watch.shares.statuses_by_key, [e for e in evidence if e.overdue], samples
 
-    beliefs_by_key, overdue, samples = run_virtual(main)
-    assert not beliefs_by_key
+    statuses_by_key, overdue, samples = run_virtual(main)
+    assert not statuses_by_key
     assert not overdue
     assert not samples
 
@@ -533,7 +533,7 @@
 
     in_flight, watch, runs = run_virtual(main)
     assert not any(in_flight)
-    assert not watch.shares.beliefs_by_key
+    assert not watch.shares.statuses_by_key
     assert not runs
 
 
@@ -553,11 +553,11 @@
             await clock.sleep_ms(100)
             for number in range(6):
                 watch.admitted([new, fleet.rows[1]], f"e{number}")
-        return watch.shares.beliefs_by_key
+        return watch.shares.statuses_by_key
 
-    beliefs = run_virtual(main)
+    statuses = run_virtual(main)
     # One entry's evidence.
-    assert list(beliefs) == [("e0", "t0")]
+    assert list(statuses) == [("e0", "t0")]
 
 
 def test_busy_service_uses_silent_engines():
--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -117,7 +117,9 @@
         http = HttpClient(clock, connector=connector)
         self.harness.client = PlatformStageClient(http)
         self.harness.batcher.client = self.harness.client
-        self.harness.batcher.vouches = getattr(connector, "vouches", None)
+        self.harness.batcher.confirms_silence = getattr(
+            connector, "confirms_silence", None
+        )
 
     @property
     def state(self):
@@ -279,10 +281,12 @@
 ENTRY = Address("10.1.0.1", 7)
 
 
-@pytest.mark.parametrize(("vouches", "is_blamed"), [(False, False), (True, True)])
+@pytest.mark.parametrize(
+    ("confirms_silence", "is_blamed"), [(False, False), (True, True)]
+)
 @pytest.mark.parametrize("trouble", ["silent", "ends"])
 def test_entry_that_sends_a_call_answers_for_its_own_silence(
-    trouble, vouches, is_blamed
+    trouble, confirms_silence, is_blamed
 ):
     """Guards against a target that pays for the entry that sends its calls."""
 
@@ -291,11 +295,11 @@
         client = harness.client = harness.batcher.client = Delegates(clock)
         asked = []
 
-        async def vouch(address, carrier, since_ms):
+        async def confirm(address, carrier, since_ms):
             asked.append((address, carrier))
-            return vouches
+            return confirms_silence
 
-        harness.batcher.vouches = vouch
+        harness.batcher.confirms_silence = confirm
         await harness.send("kept")
         client.trouble = trouble
         state = await harness.send("r")
--- a/tests/test_silent_carriers_of_requests.py
+++ b/tests/test_silent_carriers_of_requests.py
@@ -22,11 +22,11 @@
 
 
 class CarriedConnector(Connector):
-    """Connections that another entry carries, which vouches for targets or not."""
+    """Connections of another entry, which confirms the silence of targets or not."""
 
-    def __init__(self, vouches):
+    def __init__(self, confirms_silence):
         self.direct = DirectConnector()
-        self.is_sound = vouches
+        self.is_sound = confirms_silence
         self.asked = []
 
     async def connect(self, address, timeout_ms):
@@ -36,16 +36,16 @@
     def may_reuse(self, address):
         return True
 
-    async def vouches(self, address, carrier, since_ms):
+    async def confirms_silence(self, address, carrier, since_ms):
         self.asked.append(carrier)
         return self.is_sound
 
 
-def ask_carried(kind, engines, vouches, **options):
+def ask_carried(kind, engines, confirms_silence, **options):
     """Return the answer, and what is known of the first target afterwards."""
     handlers = []
 
-    connector = CarriedConnector(vouches)
+    connector = CarriedConnector(confirms_silence)
 
     async def client(address, fleet):
         reply = await send(address)
@@ -67,35 +67,41 @@
     )
 
 
-@pytest.mark.parametrize("vouches", [False, True])
-def test_answer_that_its_carrier_holds_is_no_failure_of_the_target(vouches):
+@pytest.mark.parametrize("confirms_silence", [False, True])
+def test_answer_that_its_carrier_holds_is_no_failure_of_the_target(confirms_silence):
     """Guards against targets that get less work as another entry stands still."""
     engines = [[silent_for(60, b"late")], [GOOD]]
-    reply, state, _ = ask_carried(RouteKind.IDEMPOTENT, engines, vouches, aim_ms=300)
+    reply, state, _ = ask_carried(
+        RouteKind.IDEMPOTENT, engines, confirms_silence, aim_ms=300
+    )
     assert (reply.status, reply.body) == (200, b"ok")
-    assert (state.failure_rate > 0) == vouches
+    assert (state.failure_rate > 0) == confirms_silence
 
 
-@pytest.mark.parametrize("vouches", [False, True])
+@pytest.mark.parametrize("confirms_silence", [False, True])
 @pytest.mark.parametrize("silence_s", [0.4, 1.2])
-def test_late_answer_that_its_carrier_held_makes_no_target_slow(silence_s, vouches):
+def test_late_answer_that_its_carrier_held_makes_no_target_slow(
+    silence_s, confirms_silence
+):
     """Guards against targets that count as slow as another entry stood still."""
     engines = [[silent_for(silence_s, b"late")]]
-    reply, state, _ = ask_carried(RouteKind.IDEMPOTENT, engines, vouches, aim_ms=300)
+    reply, state, _ = ask_carried(
+        RouteKind.IDEMPOTENT, engines, confirms_silence, aim_ms=300
+    )
     assert (reply.status, reply.body) == (200, b"late")
-    assert (state.slowness > 1.2) == vouches
+    assert (state.slowness > 1.2) == confirms_silence
 
 
-@pytest.mark.parametrize("vouches", [False, True])
-def test_late_event_that_its_carrier_held_changes_no_estimate(vouches):
+@pytest.mark.parametrize("confirms_silence", [False, True])
+def test_late_event_that_its_carrier_held_changes_no_estimate(confirms_silence):
     """Guards against prompts that are expected late at all engines of a service."""
     engines = [[silent_for(0.6, event(1))]]
     reply, state, model = ask_carried(
-        RouteKind.STREAM, engines, vouches, aim_ms=900, prompt_affinity=True
+        RouteKind.STREAM, engines, confirms_silence, aim_ms=900, prompt_affinity=True
     )
     assert reply.status == 200
-    assert (state.slowness > 1.2) == vouches
-    assert (model.fixed_ms != IDLE_FIRST_EVENT_MS) == vouches
+    assert (state.slowness > 1.2) == confirms_silence
+    assert (model.fixed_ms != IDLE_FIRST_EVENT_MS) == confirms_silence
 
 
 @pytest.mark.parametrize("held", [False, True])
--- a/wagtailrun/adapters/connector.py
+++ b/wagtailrun/adapters/connector.py
@@ -78,7 +78,7 @@
     def may_reuse(self, address: Address) -> bool:
         """Return whether idle connections to a server may carry another request."""
 
-    async def vouches(
+    async def confirms_silence(
         self, address: Address, carrier: Address | None, since_ms: int
     ) -> bool:
         """Return whether silence on a connection is that of the server.
--- a/wagtailrun/relay/attempt_reports.py
+++ b/wagtailrun/relay/attempt_reports.py
@@ -158,7 +158,7 @@
         self, row: TargetRow, carrier: Address | None, sent_ms: int
     ) -> bool:
         """Return whether the time since a request was sent is that of the target."""
-        return await self.http.connector.vouches(row.address, carrier, sent_ms)
+        return await self.http.connector.confirms_silence(row.address, carrier, sent_ms)
 
     async def _record_closed(self, job: RelayJob, row: TargetRow) -> None:
         """Report an attempt whose connection was closed, by the target or the path.
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/carriers.py
@@ -28,7 +28,7 @@
 MIN_ASK_MS = 100
 REPORT_TIMEOUT_MS = 300
 # Time in which an entry that carries a connection says whether it stood still.
-VOUCH_TIMEOUT_MS = 300
+CONFIRM_TIMEOUT_MS = 300
 # An entry that opened no tunnel is not asked for this long, or last if it was silent;
 # the time doubles with each further failure.
 CARRIER_AVOIDANCE_MS = 1_000
@@ -174,11 +174,13 @@
         except PeerUnreachable as error:
             events.log(events.PEER_LOST, peer=str(carrier), detail=str(error))
 
-    async def vouches(self, address: Address, carrier: Address, since_ms: int) -> bool:
+    async def confirms_silence(
+        self, address: Address, carrier: Address, since_ms: int
+    ) -> bool:
         """Return whether a connection that another entry carries is silent by itself.
 
         The other entry replies, has a path to the target and did not stand still. One
-        that does not vouch is avoided.
+        that does not confirm it is avoided.
 
         Args:
             address: Address of the target.
@@ -197,10 +199,10 @@
             row.incarnation if row is not None else 0,
             str(address),
             True,
-            VOUCH_TIMEOUT_MS // 2,
+            CONFIRM_TIMEOUT_MS // 2,
             max(self.clock.now_ms() - since_ms, 1),
         )
-        reply = await self._ask(entry, message, VOUCH_TIMEOUT_MS, CarrierOutcome())
+        reply = await self._ask(entry, message, CONFIRM_TIMEOUT_MS, CarrierOutcome())
         if not isinstance(reply, TunnelRefused):
             if reply is not None:
                 await reply.close()
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -208,7 +208,7 @@
             self.budget,
             lambda message: self.runner.notify_owner(message),
             self.loop_watch.was_held_since,
-            self.connector.vouches,
+            self.connector.confirms_silence,
         )
         self.runner = StageRunner(
             self.clock,
--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -18,7 +18,7 @@
     "WatchedAttempt",
 ]
 
-# Viewer whose belief is that of all entries.
+# Stands for all entries in place of the name of one.
 ALL_ENTRIES = ""
 # A target at the lowest share gets one request at a time. The next one follows at once
 # after a good first event, and after this time if it was overdue or slow. It is one of
@@ -30,7 +30,7 @@
 TOKENS_WEIGHT = 0.05
 # Number of consecutive good first events for the step to half of the share, and to all
 # of it; more are needed if the share was lowered again within this time. An entry alone
-# makes few requests; what it believes is raised by each.
+# makes few requests; each raises the share for it.
 GOOD_TO_RAISE = 4
 GOOD_AT_HALF = 3
 MORE_GOOD_AFTER_RELAPSE = 2
@@ -41,7 +41,7 @@
 # Additional cost of a target with a lowered share.
 LOWERED_COST_MS = 800.0
 # Overdue attempts that are kept; with so many, their answers restore no share.
-MAX_AGAINST = 64
+MAX_OVERDUE = 64
 # Causes in log lines.
 SILENT = "silent"
 SLOW = "slow"
@@ -77,8 +77,8 @@
 
 
 @attrs.define
-class _Belief:
-    """Share of one target, as one viewer believes.
+class _TargetStatus:
+    """Share of one target for one entry, or for all.
 
     Attributes:
         row: Target.
@@ -90,7 +90,7 @@
         credit: Requests that it may get at half of its share.
         relapses: Number of times that it was lowered again shortly after a rise.
         cause: Why it was lowered.
-        against: Overdue attempts that speak against the target.
+        overdue: Overdue attempts because of which it was lowered.
     """
 
     row: TargetRow
@@ -102,7 +102,7 @@
     credit: float = 0.0
     relapses: int = 0
     cause: str = ""
-    against: list[WatchedAttempt] = attrs.field(factory=list)
+    overdue: list[WatchedAttempt] = attrs.field(factory=list)
 
     @property
     def is_lowered(self) -> bool:
@@ -111,7 +111,7 @@
 
 
 class LoweredShares:
-    """Shares of targets, as all entries or one of them believe.
+    """Shares of targets, for all entries or for one of them.
 
     A share falls to probes by single requests, and comes back by steps.
 
@@ -121,14 +121,14 @@
 
     def __init__(self, clock: Clock):
         self.clock = clock
-        self.beliefs_by_key: dict[tuple[str, str], _Belief] = {}
+        self.statuses_by_key: dict[tuple[str, str], _TargetStatus] = {}
         # Number of targets of each service, and the average tokens of its prompts.
         self.targets_by_service: dict[str, int] = {}
         self.tokens_by_service: dict[str, float] = {}
 
-    def belief(self, viewer: str, row: TargetRow) -> _Belief | None:
-        """Return what a viewer believes of a target, if it is known."""
-        return self.beliefs_by_key.get((viewer, row.name))
+    def status(self, entry: str, row: TargetRow) -> _TargetStatus | None:
+        """Return the share of a target for an entry, if it is known."""
+        return self.statuses_by_key.get((entry, row.name))
 
     def max_lowered(self, service: str) -> int:
         """Return how many targets of a service may be lowered."""
@@ -138,19 +138,19 @@
     def lowered(self) -> int:
         """Number of targets with a lowered share for all entries."""
         return sum(
-            viewer == ALL_ENTRIES and belief.is_lowered
-            for (viewer, _), belief in self.beliefs_by_key.items()
+            entry == ALL_ENTRIES and status.is_lowered
+            for (entry, _), status in self.statuses_by_key.items()
         )
 
     def is_lowered(self, row: TargetRow) -> bool:
         """Return whether the share of a target is lowered for all entries."""
-        belief = self.beliefs_by_key.get((ALL_ENTRIES, row.name))
-        return belief is not None and belief.is_lowered
+        status = self.statuses_by_key.get((ALL_ENTRIES, row.name))
+        return status is not None and status.is_lowered
 
     def admitted(
         self,
         rows: Sequence[TargetRow],
-        viewer: str,
+        entry: str,
         avoid: Collection[str] = (),
         *,
         prompt_tokens: int = 0,
@@ -160,7 +160,7 @@
 
         Args:
             rows: Targets that accept work.
-            viewer: Entry that has the request.
+            entry: Entry that has the request.
             avoid: Targets that were already tried.
             prompt_tokens: Tokens of the prompt.
             begin: Whether an attempt starts now.
@@ -173,19 +173,19 @@
             mean += TOKENS_WEIGHT * (prompt_tokens - mean)
             self.tokens_by_service[service] = mean
             is_short = prompt_tokens <= PROBE_TOKENS_SHARE * mean
-        lowered = self._lowered_beliefs(rows, viewer)
+        lowered = self._lowered_statuses(rows, entry)
         if not lowered:
             return list(rows)
         now_ms = self.clock.now_ms()
         # A request that has tried a silent target is no probe.
         may_probe = begin and lowered.keys().isdisjoint(avoid)
-        for name, beliefs in lowered.items():
+        for name, statuses in lowered.items():
             if begin:
-                for belief in beliefs:
-                    credit = belief.credit + belief.share / len(rows)
-                    belief.credit = min(credit, MAX_CREDIT)
+                for status in statuses:
+                    credit = status.credit + status.share / len(rows)
+                    status.credit = min(credit, MAX_CREDIT)
             if name in avoid or not all(
-                self._takes(belief, now_ms, is_short) for belief in beliefs
+                self._takes(status, now_ms, is_short) for status in statuses
             ):
                 continue
             if may_probe:
@@ -194,45 +194,45 @@
                 return [row for row in rows if row.name == name]
         return list(rows)
 
-    def penalties_ms(self, rows: Sequence[TargetRow], viewer: str) -> dict[str, float]:
+    def penalties_ms(self, rows: Sequence[TargetRow], entry: str) -> dict[str, float]:
         """Return the additional costs of the targets that look silent or slow.
 
         They are used all the same once the others are loaded so much more: with a third
         of its targets left out, a busy service loses more than by their silence.
         """
-        return dict.fromkeys(self._lowered_beliefs(rows, viewer), LOWERED_COST_MS)
+        return dict.fromkeys(self._lowered_statuses(rows, entry), LOWERED_COST_MS)
 
-    def _takes(self, belief: _Belief, now_ms: int, is_short: bool) -> bool:
+    def _takes(self, status: _TargetStatus, now_ms: int, is_short: bool) -> bool:
         """Return whether a target with a lowered share may get a request now."""
-        if belief.share:
-            return belief.credit >= 1.0
-        due_ms = belief.next_probe_ms + (0 if is_short else ANY_PROBE_AFTER_MS)
-        return belief.probe is None and now_ms >= due_ms
-
-    def _lowered_beliefs(
-        self, rows: Sequence[TargetRow], viewer: str
-    ) -> dict[str, list[_Belief]]:
+        if status.share:
+            return status.credit >= 1.0
+        due_ms = status.next_probe_ms + (0 if is_short else ANY_PROBE_AFTER_MS)
+        return status.probe is None and now_ms >= due_ms
+
+    def _lowered_statuses(
+        self, rows: Sequence[TargetRow], entry: str
+    ) -> dict[str, list[_TargetStatus]]:
         """Return what lowers the shares of targets, by the names of these.
 
         If all look silent, the cause is another one, and none is lowered.
         """
-        lowered: dict[str, list[_Belief]] = {}
+        lowered: dict[str, list[_TargetStatus]] = {}
         found = [
-            (key, belief)
-            for key, belief in self.beliefs_by_key.items()
-            if belief.is_lowered and key[0] in (ALL_ENTRIES, viewer)
+            (key, status)
+            for key, status in self.statuses_by_key.items()
+            if status.is_lowered and key[0] in (ALL_ENTRIES, entry)
         ]
         if not found:
             return lowered
         rows_by_name = {row.name: row for row in rows}
-        for key, belief in found:
+        for key, status in found:
             row = rows_by_name.get(key[1])
             if row is None:
                 continue
-            if belief.row.incarnation == row.incarnation:
-                lowered.setdefault(row.name, []).append(belief)
+            if status.row.incarnation == row.incarnation:
+                lowered.setdefault(row.name, []).append(status)
             else:
-                del self.beliefs_by_key[key]
+                del self.statuses_by_key[key]
         if len(lowered) == len(rows):
             return {}
         limit = math.floor(MAX_LOWERED_SHARE * len(rows))
@@ -245,28 +245,28 @@
 
     def begin(self, attempt: WatchedAttempt) -> None:
         """Record that a target gets a request."""
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            belief = self.belief(viewer, attempt.row)
-            if belief is None or not belief.is_lowered:
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            status = self.status(entry, attempt.row)
+            if status is None or not status.is_lowered:
                 continue
-            belief.credit = max(belief.credit - 1.0, 0.0)
-            if not belief.share and belief.probe is None:
-                belief.probe = attempt
+            status.credit = max(status.credit - 1.0, 0.0)
+            if not status.share and status.probe is None:
+                status.probe = attempt
 
     def retain(self, names: Collection[str], services: Collection[str]) -> None:
         """Drop what is known of all other targets and services."""
         now_ms = self.clock.now_ms()
-        for key, belief in list(self.beliefs_by_key.items()):
-            is_old = now_ms - belief.changed_ms > RELAPSE_MS
-            if key[1] not in names or is_old and not belief.is_lowered:
-                del self.beliefs_by_key[key]
+        for key, status in list(self.statuses_by_key.items()):
+            is_old = now_ms - status.changed_ms > RELAPSE_MS
+            if key[1] not in names or is_old and not status.is_lowered:
+                del self.statuses_by_key[key]
         for service in self.targets_by_service.keys() - set(services):
             del self.targets_by_service[service]
             del self.tokens_by_service[service]
 
     def lower(
         self,
-        viewer: str,
+        entry: str,
         attempt: WatchedAttempt,
         cause: str,
         attempts: int,
@@ -275,119 +275,119 @@
         """Lower the share of a target to the lowest step, or leave it there."""
         now_ms = self.clock.now_ms()
         row = attempt.row
-        if viewer != ALL_ENTRIES and self.is_lowered(row):
+        if entry != ALL_ENTRIES and self.is_lowered(row):
             return
-        belief = self.beliefs_by_key.setdefault((viewer, row.name), _Belief(row))
-        if belief.row.incarnation > row.incarnation:
+        status = self.statuses_by_key.setdefault((entry, row.name), _TargetStatus(row))
+        if status.row.incarnation > row.incarnation:
             return
-        if belief.row.incarnation < row.incarnation:
-            belief = self.beliefs_by_key[viewer, row.name] = _Belief(row)
-        belief.good = 0
-        if belief.probe is attempt:
-            belief.probe = None
-        belief.next_probe_ms = now_ms + PROBE_PAUSE_MS
-        if not belief.share:
+        if status.row.incarnation < row.incarnation:
+            status = self.statuses_by_key[entry, row.name] = _TargetStatus(row)
+        status.good = 0
+        if status.probe is attempt:
+            status.probe = None
+        status.next_probe_ms = now_ms + PROBE_PAUSE_MS
+        if not status.share:
             return
-        if belief.changed_ms and now_ms - belief.changed_ms <= RELAPSE_MS:
-            belief.relapses += 1
+        if status.changed_ms and now_ms - status.changed_ms <= RELAPSE_MS:
+            status.relapses += 1
         else:
-            belief.relapses = 0
-        belief.share = 0.0
-        belief.cause = cause
-        belief.against.clear()
-        belief.credit = 0.0
-        belief.changed_ms = now_ms
-        if viewer == ALL_ENTRIES:
-            # What single entries believe is included.
-            for key in list(self.beliefs_by_key):
+            status.relapses = 0
+        status.share = 0.0
+        status.cause = cause
+        status.overdue.clear()
+        status.credit = 0.0
+        status.changed_ms = now_ms
+        if entry == ALL_ENTRIES:
+            # The shares for single entries are included.
+            for key in list(self.statuses_by_key):
                 if key[0] != ALL_ENTRIES and key[1] == row.name:
-                    del self.beliefs_by_key[key]
-        self._log(events.SHARE_LOWERED, viewer, belief, cause, attempts, reporters)
+                    del self.statuses_by_key[key]
+        self._log(events.SHARE_LOWERED, entry, status, cause, attempts, reporters)
 
-    def add_against(self, viewer: str, attempts: list[WatchedAttempt]) -> None:
+    def add_overdue(self, entry: str, attempts: list[WatchedAttempt]) -> None:
         """Keep the overdue attempts because of which a share is lowered."""
-        belief = self.beliefs_by_key.get((viewer, attempts[0].row.name))
-        if belief is None or belief.cause != SILENT:
+        status = self.statuses_by_key.get((entry, attempts[0].row.name))
+        if status is None or status.cause != SILENT:
             return
         for attempt in attempts:
-            if attempt not in belief.against and len(belief.against) < MAX_AGAINST:
-                belief.against.append(attempt)
+            if attempt not in status.overdue and len(status.overdue) < MAX_OVERDUE:
+                status.overdue.append(attempt)
 
     def withdraw(self, attempt: WatchedAttempt) -> None:
         """Restore the share of a target whose overdue attempts all got an answer."""
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            key = viewer, attempt.row.name
-            belief = self.beliefs_by_key.get(key)
-            if belief is None or attempt not in belief.against:
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            key = entry, attempt.row.name
+            status = self.statuses_by_key.get(key)
+            if status is None or attempt not in status.overdue:
                 continue
-            belief.against.remove(attempt)
-            if not belief.against and belief.cause == SILENT and not belief.share:
-                belief.share = FULL_SHARE
-                self._log(events.SHARE_RAISED, viewer, belief, "late answers", 0, 0)
-                del self.beliefs_by_key[key]
+            status.overdue.remove(attempt)
+            if not status.overdue and status.cause == SILENT and not status.share:
+                status.share = FULL_SHARE
+                self._log(events.SHARE_RAISED, entry, status, "late answers", 0, 0)
+                del self.statuses_by_key[key]
 
-    def count_good(self, viewer: str, attempt: WatchedAttempt, is_quick: bool) -> None:
+    def count_good(self, entry: str, attempt: WatchedAttempt, is_quick: bool) -> None:
         """Count a good first event, and raise the share after several.
 
         Args:
-            viewer: Whose belief to change.
+            entry: Entry whose share of the target changes, or ``ALL_ENTRIES``.
             attempt: The attempt.
             is_quick: Whether the first event shows that the target is not slow.
         """
         now_ms = self.clock.now_ms()
-        belief = self.beliefs_by_key.get((viewer, attempt.row.name))
-        if belief is None or not belief.is_lowered:
+        status = self.statuses_by_key.get((entry, attempt.row.name))
+        if status is None or not status.is_lowered:
             return
-        counts = is_quick or belief.cause != SLOW
-        if belief.probe is attempt:
-            belief.probe = None
-            belief.next_probe_ms = now_ms + (0 if counts else PROBE_PAUSE_MS)
-        if not counts or attempt.started_ms < belief.changed_ms:
+        counts = is_quick or status.cause != SLOW
+        if status.probe is attempt:
+            status.probe = None
+            status.next_probe_ms = now_ms + (0 if counts else PROBE_PAUSE_MS)
+        if not counts or attempt.started_ms < status.changed_ms:
             return
-        belief.good += 1
-        needed = GOOD_AT_HALF if belief.share else GOOD_TO_RAISE
-        needed += MORE_GOOD_AFTER_RELAPSE if belief.relapses else 0
-        if viewer == ALL_ENTRIES and belief.good < needed:
+        status.good += 1
+        needed = GOOD_AT_HALF if status.share else GOOD_TO_RAISE
+        needed += MORE_GOOD_AFTER_RELAPSE if status.relapses else 0
+        if entry == ALL_ENTRIES and status.good < needed:
             return
-        good, belief.good = belief.good, 0
-        belief.share = FULL_SHARE if belief.share else HALF_SHARE
-        belief.changed_ms = now_ms
-        belief.probe = None
-        self._log(events.SHARE_RAISED, viewer, belief, "good first events", good, 0)
+        good, status.good = status.good, 0
+        status.share = FULL_SHARE if status.share else HALF_SHARE
+        status.changed_ms = now_ms
+        status.probe = None
+        self._log(events.SHARE_RAISED, entry, status, "good first events", good, 0)
 
     def pause_probes(self, attempt: WatchedAttempt, now_ms: int) -> None:
         """Pause the probes of a target whose probe is overdue or slow."""
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            belief = self.beliefs_by_key.get((viewer, attempt.row.name))
-            if belief is not None and belief.probe is attempt:
-                belief.probe = None
-                belief.good = 0
-                belief.next_probe_ms = now_ms + PROBE_PAUSE_MS
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            status = self.statuses_by_key.get((entry, attempt.row.name))
+            if status is not None and status.probe is attempt:
+                status.probe = None
+                status.good = 0
+                status.next_probe_ms = now_ms + PROBE_PAUSE_MS
 
     def drop_probe(self, attempt: WatchedAttempt) -> None:
         """Let another probe follow one that shows nothing."""
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            belief = self.beliefs_by_key.get((viewer, attempt.row.name))
-            if belief is not None and belief.probe is attempt:
-                belief.probe = None
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            status = self.statuses_by_key.get((entry, attempt.row.name))
+            if status is not None and status.probe is attempt:
+                status.probe = None
 
     def _log(
         self,
         event: events.Event,
-        viewer: str,
-        belief: _Belief,
+        entry: str,
+        status: _TargetStatus,
         cause: str,
         attempts: int,
         reporters: int,
     ) -> None:
         events.log(
             event,
-            service=belief.row.service,
-            target=belief.row.name,
-            entry=viewer or "all",
-            share=belief.share,
+            service=status.row.service,
+            target=status.row.name,
+            entry=entry or "all",
+            share=status.share,
             cause=cause,
             attempts=attempts,
             reporters=reporters,
-            relapses=belief.relapses,
+            relapses=status.relapses,
         )
--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/silence.py
@@ -75,7 +75,7 @@
 
 @attrs.define
 class _Evidence:
-    """What speaks against a target.
+    """Overdue and slow attempts at a target.
 
     Attributes:
         incarnation: Incarnation of the target.
@@ -153,18 +153,18 @@
     def admitted(
         self,
         rows: Sequence[TargetRow],
-        viewer: str,
+        entry: str,
         avoid: Collection[str] = (),
         *,
         prompt_tokens: int = 0,
         begin: bool = True,
     ) -> list[TargetRow]:
         """Return the targets among which to choose: all, or one that is probed."""
-        if viewer:
-            self.note_heard(viewer)
+        if entry:
+            self.note_heard(entry)
         self._advance()
         return self.shares.admitted(
-            rows, viewer, avoid, prompt_tokens=prompt_tokens, begin=begin
+            rows, entry, avoid, prompt_tokens=prompt_tokens, begin=begin
         )
 
     # Attempts
@@ -238,8 +238,8 @@
         is_quick = took_ms <= quick_ms + max(QUICK_GRACE_MS, self._extra_ms(service))
         if is_quick:
             evidence.slow.clear()
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            self.shares.count_good(viewer, attempt, is_quick)
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            self.shares.count_good(entry, attempt, is_quick)
 
     def record_left(self, key: tuple[str, str]) -> None:
         """Record that the caller of an attempt left.
@@ -363,19 +363,19 @@
         evidence.overdue = [
             each for each in evidence.overdue if each[0] >= oldest_ms or each[1].is_open
         ]
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            belief = self.shares.belief(viewer, attempt.row)
-            if belief is not None and attempt.started_ms < belief.changed_ms:
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            status = self.shares.status(entry, attempt.row)
+            if status is not None and attempt.started_ms < status.changed_ms:
                 continue
-            counts = viewer != ALL_ENTRIES or (
+            counts = entry != ALL_ENTRIES or (
                 self._counts_for_all(name, evidence)
                 and not self._is_common(attempt.row.service, oldest_ms)
             )
-            if counts or belief is not None and belief.is_lowered:
+            if counts or status is not None and status.is_lowered:
                 found = [each for _, each in evidence.overdue]
                 reporters = {each.reporter for each in found}
-                self.shares.lower(viewer, attempt, SILENT, len(found), len(reporters))
-                self.shares.add_against(viewer, found)
+                self.shares.lower(entry, attempt, SILENT, len(found), len(reporters))
+                self.shares.add_overdue(entry, found)
 
     def _is_common(self, service: str, since_ms: int) -> bool:
         """Return whether too many targets of a service look silent or slow."""
@@ -428,18 +428,18 @@
         evidence.slow.append((now_ms, attempt))
         reporters = {each.reporter for _, each in evidence.slow}
         is_slow = len(evidence.slow) > 1
-        for viewer in (ALL_ENTRIES, attempt.reporter):
-            belief = self.shares.belief(viewer, attempt.row)
+        for entry in (ALL_ENTRIES, attempt.reporter):
+            status = self.shares.status(entry, attempt.row)
             # The path of one entry may be slow.
-            counts = is_slow and (viewer != ALL_ENTRIES or len(reporters) > 1)
-            if viewer == ALL_ENTRIES:
+            counts = is_slow and (entry != ALL_ENTRIES or len(reporters) > 1)
+            if entry == ALL_ENTRIES:
                 counts &= not self._is_common(attempt.row.service, oldest_ms)
-            if counts and belief is not None and not belief.share:
+            if counts and status is not None and not status.share:
                 # Late answers show no mere standstill then.
-                belief.cause = SLOW
-            if belief is not None and attempt.started_ms < belief.changed_ms:
+                status.cause = SLOW
+            if status is not None and attempt.started_ms < status.changed_ms:
                 continue
-            if counts or belief is not None and belief.is_lowered:
+            if counts or status is not None and status.is_lowered:
                 self.shares.lower(
-                    viewer, attempt, SLOW, len(evidence.slow), len(reporters)
+                    entry, attempt, SLOW, len(evidence.slow), len(reporters)
                 )
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -220,13 +220,13 @@
         """Return whether the path to a server is believed to work."""
         return not self.paths.is_lost(address)
 
-    async def vouches(
+    async def confirms_silence(
         self, address: Address, carrier: Address | None, since_ms: int
     ) -> bool:
         """Return whether silence is that of the server; see ``Connector``."""
         if carrier is None:
             return True
-        return await self.carriers.vouches(address, carrier, since_ms)
+        return await self.carriers.confirms_silence(address, carrier, since_ms)
 
     async def connect_directly(
         self, address: Address, timeout_ms: int
--- a/wagtailrun/stages/call_slot.py
+++ b/wagtailrun/stages/call_slot.py
@@ -68,8 +68,8 @@
         state: State of the target.
         wake: Set when the slot is free although the call goes on.
         address: Address of the target.
-        vouches: Called with this address, the entry that carries the call and when it
-            was sent; returns whether the target is silent, and not that entry.
+        confirms_silence: Called with this address, the entry that carries the call and
+            when it was sent; returns whether the target is silent, and not that entry.
     """
 
     def __init__(
@@ -78,13 +78,14 @@
         state: TargetState,
         wake: curio.Event,
         address: Address | None = None,
-        vouches: Callable[[Address, Address, int], Awaitable[bool]] | None = None,
+        confirms_silence: Callable[[Address, Address, int], Awaitable[bool]]
+        | None = None,
     ):
         self.clock = clock
         self.state = state
         self.wake = wake
         self.address = address
-        self.vouches = vouches
+        self.confirms_silence = confirms_silence
         self.is_free = False
         # When the call was sent. Until then an entry may be silent that is asked for a
         # connection, which is not the time of the target.
@@ -136,9 +137,9 @@
         """
         if self.sent_ms is None:
             return False
-        if self.carrier is None or self.vouches is None:
+        if self.carrier is None or self.confirms_silence is None:
             return True
-        return await self.vouches(self.address, self.carrier, self.sent_ms)
+        return await self.confirms_silence(self.address, self.carrier, self.sent_ms)
 
     async def shows_failure(self, failure: TargetFailed) -> bool:
         """Return whether the failure of the call says something about the target.
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -356,7 +356,7 @@
             target_state,
             self.wake,
             row.address,
-            self.batcher.vouches,
+            self.batcher.confirms_silence,
         )
         timers = [await curio.spawn(slot.watch, limits, daemon=True)]
         if started_ms >= target_state.full_until_ms:
@@ -549,9 +549,9 @@
         release_elsewhere: Sends a release of results to the owner of their service.
         was_held_since: Returns whether the event loop of this process was held after a
             time on the clock.
-        vouches: Called with the address of a target, the entry that carries a call to
-            it and when it was sent; returns whether the target is silent, and not that
-            entry.
+        confirms_silence: Called with the address of a target, the entry that carries a
+            call to it and when it was sent; returns whether the target is silent, and
+            not that entry.
     """
 
     def __init__(
@@ -563,11 +563,12 @@
         budget: RetryBudget,
         release_elsewhere: Callable[[FreeResults], Awaitable[None]],
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
-        vouches: Callable[[Address, Address, int], Awaitable[bool]] | None = None,
+        confirms_silence: Callable[[Address, Address, int], Awaitable[bool]]
+        | None = None,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
-        self.vouches = vouches
+        self.confirms_silence = confirms_silence
         self.clock = clock
         self.client = client
         self.targets = targets
