Let the connection of a late peer's test stay unopened

Cause: the test replaced curio.open_connection, which connections have not used since they no longer look up IP numbers (numeric_connection.py).

It replaces numeric_connection.open_connection now; what it checks is the same.

--- a/tests/test_late_carriers.py
+++ b/tests/test_late_carriers.py
@@ -15,6 +15,7 @@
     cut_entry,
     start_engines,
 )
+from wagtailrun.adapters import numeric_connection
 from wagtailrun.adapters.http_client import OpenConnection
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import SystemClock
@@ -247,11 +248,11 @@
 def test_connection_to_a_peer_that_takes_too_long_timed_out(monkeypatch):
     """Guards against an entry that counts as gone as a loop was held for 300 ms."""
 
-    async def open_nothing(host, port):
+    async def open_nothing(address):
         await curio.sleep(60)
 
     async def main(clock):
-        monkeypatch.setattr(curio, "open_connection", open_nothing)
+        monkeypatch.setattr(numeric_connection, "open_connection", open_nothing)
         with pytest.raises(PeerUnreachable, match="300 ms") as failed:
             await TcpPeerLink(SECRET).call(ROWS[0].address, OPEN_TUNNEL, 1_000)
         return failed.value.timed_out, failed.value.sent
