Look up the status of a target in one place

Found by reading the change: lowered_shares.py looked a status up by its key in five places beside its own method, and two methods had the same loop over the statuses whose probe is an attempt. Behaviour is unchanged; test_engine_silence and test_placement pass (53), the rest of the suite did not run on this commit.

--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -144,7 +144,7 @@
 
     def is_lowered(self, row: TargetRow) -> bool:
         """Return whether the share of a target is lowered for all entries."""
-        status = self.statuses_by_key.get((ALL_ENTRIES, row.name))
+        status = self.status(ALL_ENTRIES, row)
         return status is not None and status.is_lowered
 
     def admitted(
@@ -238,7 +238,7 @@
         limit = math.floor(MAX_LOWERED_SHARE * len(rows))
         if len(lowered) > limit:
             oldest = sorted(
-                lowered, key=lambda name: min(b.changed_ms for b in lowered[name])
+                lowered, key=lambda name: min(each.changed_ms for each in lowered[name])
             )
             lowered = {name: lowered[name] for name in oldest[:limit]}
         return lowered
@@ -306,7 +306,7 @@
 
     def add_overdue(self, entry: str, attempts: list[WatchedAttempt]) -> None:
         """Keep the overdue attempts because of which a share is lowered."""
-        status = self.statuses_by_key.get((entry, attempts[0].row.name))
+        status = self.status(entry, attempts[0].row)
         if status is None or status.cause != SILENT:
             return
         for attempt in attempts:
@@ -335,7 +335,7 @@
             is_quick: Whether the first event shows that the target is not slow.
         """
         now_ms = self.clock.now_ms()
-        status = self.statuses_by_key.get((entry, attempt.row.name))
+        status = self.status(entry, attempt.row)
         if status is None or not status.is_lowered:
             return
         counts = is_quick or status.cause != SLOW
@@ -357,19 +357,23 @@
 
     def pause_probes(self, attempt: WatchedAttempt, now_ms: int) -> None:
         """Pause the probes of a target whose probe is overdue or slow."""
-        for entry in (ALL_ENTRIES, attempt.reporter):
-            status = self.statuses_by_key.get((entry, attempt.row.name))
-            if status is not None and status.probe is attempt:
-                status.probe = None
-                status.good = 0
-                status.next_probe_ms = now_ms + PROBE_PAUSE_MS
+        for status in self._take_probe(attempt):
+            status.good = 0
+            status.next_probe_ms = now_ms + PROBE_PAUSE_MS
 
     def drop_probe(self, attempt: WatchedAttempt) -> None:
         """Let another probe follow one that shows nothing."""
+        self._take_probe(attempt)
+
+    def _take_probe(self, attempt: WatchedAttempt) -> list[_TargetStatus]:
+        """Return the statuses whose probe was an attempt; they have none any more."""
+        found = []
         for entry in (ALL_ENTRIES, attempt.reporter):
-            status = self.statuses_by_key.get((entry, attempt.row.name))
+            status = self.status(entry, attempt.row)
             if status is not None and status.probe is attempt:
                 status.probe = None
+                found.append(status)
+        return found
 
     def _log(
         self,
