Test each request of a planned stop, at every moment and in virtual time

The tests of a stop sent one request at a chosen moment. This one sends requests every 37 ms (every 187 ms with a grace period of 30 s) from 0.4 s before the signal until connections are refused: whole, in halves, late on their connections, with Expect: 100-continue, pipelined, and on kept connections; with grace periods of 0.8 to 30 s, a second signal, and notices of no time up to the whole grace period.

run_relay of test_relay_front.py gets its time limit as an argument; the default is the limit it had.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -192,6 +192,7 @@
     on_handler=lambda handler: None,
     connector=None,
     run=curio.run,
+    limit_s=10,
     **options,
 ):
     """Run ``client(address, engines)`` against a relay with prepared engines."""
@@ -255,7 +256,7 @@
         server = HttpServer(address, front.handle)
         await curio.spawn(server.serve, daemon=True)
         await curio.sleep(0.05)
-        async with curio.timeout_after(10):
+        async with curio.timeout_after(limit_s):
             return await client(address, fleet)
 
     return run(main)
--- /dev/null
+++ b/tests/test_stop_review.py
@@ -0,0 +1,241 @@
+"""Tests of requests that arrive at each moment of a planned stop, in virtual time."""
+
+import itertools
+from contextlib import suppress
+
+import attrs
+import curio
+import h11
+import pytest
+
+from tests.test_relay_stop import lasting, make_entry, run_relay, silent
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.relay.entry import KILL_MARGIN_MS
+from wagtailrun.routes import RouteKind
+
+pytestmark = pytest.mark.network
+
+# How long before the signal the first request is sent, and the time between two.
+LEAD_MS = 400
+# A time that no poll of the stop divides, so that all phases of it are met.
+INTERVAL_MS = 37
+LONG_INTERVAL_MS = 187
+LONG_GRACE_S = 30
+# How much later than planned a stop may end.
+POLL_MS = 50
+
+
+@attrs.define
+class Call:
+    """What a caller sent on one connection, and what it received.
+
+    Attributes:
+        requests: Requests that were sent completely.
+        answers: All bytes received.
+        ended_ms: When the connection ended, in milliseconds after the signal.
+    """
+
+    requests: int = 0
+    answers: bytes = b""
+    ended_ms: int = 0
+
+    @property
+    def lacks_answer(self):
+        """Whether a request has no part of an answer, and is behind no cut stream."""
+        _, _, last = self.answers.rpartition(b"HTTP/1.1 ")
+        is_cut = b"chunked" in last and not last.endswith(b"0\r\n\r\n")
+        interim = self.answers.count(b"HTTP/1.1 100")
+        count = self.answers.count(b"HTTP/1.1 ") - interim
+        return count < self.requests and not is_cut
+
+
+def request(number, fields=b""):
+    return (
+        b"POST /a/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: n%d\r\n"
+        b"Deadline-Remaining: 60000\r\n%bContent-Length: 2\r\n\r\n{}" % (number, fields)
+    )
+
+
+async def send_parts(sock, call, parts):
+    """Send parts of one request, or wait between them; read until the end."""
+    with suppress(OSError):
+        # The refusal may come before the request is complete.
+        for part in parts:
+            if isinstance(part, bytes):
+                await sock.sendall(part)
+            else:
+                await curio.sleep(part)
+        call.requests += 1
+    with suppress(OSError):
+        while piece := await sock.recv(65_536):
+            call.answers += piece
+
+
+async def send_whole(sock, call, number):
+    await send_parts(sock, call, [request(number)])
+
+
+async def send_halves(sock, call, number):
+    data = request(number)
+    await send_parts(sock, call, [data[:30], 0.25, data[30:-1], 0.25, data[-1:]])
+
+
+async def send_late(sock, call, number):
+    await send_parts(sock, call, [0.3, request(number)])
+
+
+async def send_expecting(sock, call, number):
+    data = request(number, b"Expect: 100-continue\r\n")
+    await send_parts(sock, call, [data[:-2], 0.2, data[-2:]])
+
+
+async def send_pipelined(sock, call, number):
+    data = b"".join(request(number + each * 10_000) for each in range(3))
+    await send_parts(sock, call, [data])
+    call.requests = 3
+
+
+async def send_kept(sock, call, number):
+    """Send the next request after each answer that announces no close.
+
+    After 200 ms a stop closes the connection, which a request may cross.
+    """
+    answered = None
+    while answered is None or answered == h11.DONE:
+        if answered is not None:
+            await curio.sleep(0.15)
+        call.requests += 1
+        await sock.sendall(request(number + call.requests * 10_000))
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method="POST", target="/", headers=[("Host", "h")]))
+        http.send(h11.EndOfMessage())
+        while not isinstance(event := http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                piece = await sock.recv(65_536)
+                if not piece:
+                    # Recorded as a request without an answer, or with a part of one.
+                    return
+                call.answers += piece
+                http.receive_data(piece)
+        answered = http.their_state
+
+
+FORMS = {
+    form.__name__: form
+    for form in (
+        send_whole,
+        send_halves,
+        send_late,
+        send_expecting,
+        send_pipelined,
+        send_kept,
+    )
+}
+ENGINES = {"silent": silent, "slow": lasting(0.3)}
+
+
+def run_stop(kind, engine, grace_s, form, stop_signal, signals=1, **entry_options):
+    """Send requests at each moment of a stop; return the calls and the time of the end.
+
+    The process ends, with its connections, as soon as its stop is complete, or as the
+    platform kills it.
+    """
+
+    async def client(address, fleet):
+        (handler,) = handlers
+        clock = handler.clock
+        entry = make_entry(grace_s=grace_s, **entry_options)
+        entry.signals.install()
+        entry.handler = handler
+        entry.caller_server.handler = handler.handle
+        serving = await curio.spawn(entry.caller_server.serve)
+        stopping = await curio.spawn(entry._stop_on_signal)
+        caller = entry.settings.caller_address
+        await curio.sleep(0.15)
+        signalled_ms = clock.now_ms() + LEAD_MS
+        calls = []
+
+        async def call(number):
+            try:
+                sock = await curio.open_connection(caller.host, caller.port)
+            except OSError:
+                # Callers turn to another entry.
+                return
+            calls.append(one := Call())
+            async with sock:
+                with suppress(OSError):
+                    await form(sock, one, number)
+            one.ended_ms = clock.now_ms() - signalled_ms
+
+        async def call_all():
+            is_long = grace_s >= LONG_GRACE_S
+            interval_ms = LONG_INTERVAL_MS if is_long else INTERVAL_MS
+            for number in itertools.count():
+                await curio.spawn(call, number, daemon=True)
+                await curio.sleep(interval_ms / MS_PER_SECOND)
+
+        calling = await curio.spawn(call_all, daemon=True)
+        await curio.sleep(LEAD_MS / MS_PER_SECOND)
+        for _ in range(signals):
+            stop_signal()
+            await curio.sleep(0.01)
+        left_s = grace_s - (clock.now_ms() - signalled_ms) / MS_PER_SECOND
+        await curio.ignore_after(left_s, stopping.join)
+        ended_ms = clock.now_ms() - signalled_ms
+        await calling.cancel()
+        await stopping.cancel()
+        await serving.cancel()
+        await curio.sleep(0.05)
+        return calls, ended_ms
+
+    handlers = []
+    return run_relay(
+        kind,
+        [[engine]],
+        client,
+        on_handler=handlers.append,
+        limit_s=grace_s + 5,
+        timeout_ms=60_000,
+        aim_ms=400,
+    )
+
+
+def unanswered(calls):
+    return [call for call in calls if call.lacks_answer]
+
+
+@pytest.mark.parametrize("form", FORMS.values(), ids=FORMS)
+@pytest.mark.parametrize("engine", ENGINES.values(), ids=ENGINES)
+@pytest.mark.parametrize("grace_s", [0.8, 2, 4, 8, LONG_GRACE_S])
+@pytest.mark.parametrize("kind", [RouteKind.ORDER, RouteKind.STREAM])
+def test_each_request_of_a_stop_has_an_answer(kind, grace_s, engine, form, stop_signal):
+    """Guards against requests that a planned stop leaves without an answer (LOST)."""
+    calls, ended_ms = run_stop(kind, engine, grace_s, form, stop_signal)
+    assert len(calls) > 5
+    assert unanswered(calls) == []
+    assert ended_ms < grace_s * MS_PER_SECOND - KILL_MARGIN_MS + POLL_MS
+
+
+@pytest.mark.parametrize("form", FORMS.values(), ids=FORMS)
+@pytest.mark.parametrize("kind", [RouteKind.ORDER, RouteKind.STREAM])
+def test_second_signal_leaves_no_request_without_an_answer(kind, form, stop_signal):
+    """Guards against a stop that a second signal shortens, or begins anew."""
+    calls, ended_ms = run_stop(kind, silent, 4, form, stop_signal, signals=3)
+    assert unanswered(calls) == []
+    assert ended_ms < 4 * MS_PER_SECOND
+
+
+@pytest.mark.parametrize("form", FORMS.values(), ids=FORMS)
+@pytest.mark.parametrize("notice_ms", [0, 3_500, 4_000])
+def test_length_of_the_notice_leaves_no_request_without_an_answer(
+    notice_ms, form, stop_signal
+):
+    """Guards against connections that wait unaccepted, or close, as a notice is long.
+
+    One of 3.5 s of 4 s lasts until the last refusals.
+    """
+    calls, ended_ms = run_stop(
+        RouteKind.ORDER, silent, 4, form, stop_signal, drain_notice_ms=notice_ms
+    )
+    assert unanswered(calls) == []
+    assert ended_ms < 4 * MS_PER_SECOND
