Begin no order after a planned stop has refused it

Cause: 200 ms before the drain limit the product's entry refuses what still runs, but a keyed order goes on without its caller. If its attempt was opened after that, while the entry handed over its accounts (5 s at most), the entry sent it to a target and ended before the outcome.

Ruled out: orders opened before the refusals; the drain waits for these.

Change: OrderRunner.end() is called with the last refusals. An attempt that is opened afterwards is closed as not run without being sent, and an order that waits for another sender's attempt opens none.

Before: test_order_is_not_begun_after_its_entry_refused_it[False, True] found the order at the target. After: both pass, as do test_orders.py, test_entry_close.py and test_caller_api.py (277 cases in virtual and real time). An order that already waits in the dispatcher for a free target is not covered.

--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -313,6 +313,7 @@
         await self.caller_server.stop_accepting(answers_end_ms - self.clock.now_ms())
         await sleep_until_idle(self.clock, self._is_idle, answers_end_ms, 1)
         await running.end_all()
+        self.orders.end()
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
         await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
         async with curio.TaskGroup() as group:
--- a/wagtailrun/orders.py
+++ b/wagtailrun/orders.py
@@ -27,6 +27,7 @@
     OrderState,
     OrderVerdict,
 )
+from wagtailrun.running_requests import STOPPING_RETRY_MS
 from wagtailrun.work import Work
 
 __all__ = ["OrderRunner"]
@@ -80,12 +81,18 @@
         self.pending_closes_by_sender: dict[int, CloseOrder] = {}
         self.closes_in_background = False
         self.active_runs = 0
+        # Whether the process ends, which would cut off an attempt that begins now.
+        self.ended = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no order is running and every outcome is recorded."""
         return not self.active_runs and not self.pending_closes_by_sender
 
+    def end(self) -> None:
+        """Send no more orders; an attempt that is opened is closed as not run."""
+        self.ended = True
+
     async def run(self, work: Work, key: str) -> StageAnswer | Refusal:
         """Run ``work`` at most once for ``key`` and return its first outcome.
 
@@ -141,7 +148,7 @@
                 # no task would send.
                 await self._close_later(order.withdrawal())
                 return _still_open_refusal(opened)
-            if settled.verdict != Verdict.NOT_RUN:
+            if settled.verdict != Verdict.NOT_RUN or self.ended:
                 return _recorded_outcome(settled)
 
     async def _wait_until_closed(self, order: "_OrderRun") -> OrderVerdict | None:
@@ -162,7 +169,15 @@
         return None
 
     async def _send(self, order: "_OrderRun", attempt: int) -> StageAnswer | Refusal:
-        if order.may_send():
+        if self.ended:
+            result = Refusal(
+                RefusalReason.DRAINING,
+                Verdict.NOT_RUN,
+                "this entry ended before the order was sent",
+                STOPPING_RETRY_MS,
+                attempt_sent=False,
+            )
+        elif order.may_send():
             result = await self._dispatch(order.work)
         else:
             detail = "the deadline passed before the order was sent"
