Send no order that waited for a target after a planned stop refused it

Cause: an order goes on when its caller is refused. One whose attempt was open and that waited for a free target was sent while its entry handed over its accounts (5 s at most), and cut off by the end of the process. The same holds for the retry of an order after an attempt that was not sent.

Change: with the last refusals the dispatcher refuses the work that waits for a target, and begins no attempt afterwards, so that the order is closed as not run at once, while the entry can still record it.

--- a/tests/test_orders_at_the_end.py
+++ b/tests/test_orders_at_the_end.py
@@ -6,7 +6,10 @@
 from tests.test_caller_api import FLEET, ORDER
 from tests.test_entry_close import ask, make_entry
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun.exceptions import ConsensusUnavailable, Verdict
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.exceptions import ConsensusUnavailable, TargetFailed, Verdict
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.registry_messages import (
     CloseOrder,
@@ -111,3 +114,50 @@
     assert answer.startswith(b"HTTP/1.1 200")
     assert len(runs) == 1
     assert closes == [Verdict.COMPLETE]
+
+
+@pytest.mark.parametrize(("free_s", "count"), [(0.3, 1), (1.5, 0)])
+def test_order_that_waits_for_a_target_is_not_sent_after_the_refusals(
+    free_s, count, stop_signal
+):
+    """Guards against an order that is sent as its entry ends, and cut off by it.
+
+    Its attempt is open, but all targets are busy until then.
+    """
+    entry = make_entry(DRAIN_LIMIT_MS)
+    row = TargetRow("t", Address("127.0.0.1", 9), "dispatch-desk", "a", 1)
+    registry = Registry(False, 0)
+    launched = []
+
+    async def launch(work, target, *rest):
+        launched.append(target)
+        raise TargetFailed("no target of this test", verdict=Verdict.MAY_HAVE_RUN)
+
+    async def hand_over(timeout_ms):
+        await curio.sleep(HAND_OVER_S)
+
+    async def main():
+        clock = entry.clock
+        free_ms = clock.now_ms() + 100 + free_s * MS_PER_SECOND
+        dispatcher = entry.dispatcher
+        dispatcher.choose = lambda *_: row if clock.now_ms() >= free_ms else None
+        dispatcher.usable_targets = lambda work: [row]
+        dispatcher.attempts.launch = launch
+        entry.orders.control = registry
+        entry.accounts.hand_over_all = hand_over
+        entry.caller_server.handler.__self__.fleet = lambda: FLEET
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.sleep(0.05)
+        headers = {"Idempotency-Key": "k"}
+        caller = entry.settings.caller_address
+        asking = await curio.spawn(lambda: ask(caller, ORDER, "{}", **headers))
+        await curio.sleep(0.05)
+        entry.signalled_drain.signals.install()
+        stop_signal()
+        await entry._drain()
+        await asking.join()
+
+    run_with_virtual_sockets(main)
+    assert len(launched) == count
+    verdict = Verdict.MAY_HAVE_RUN if count else Verdict.NOT_RUN
+    assert [message.verdict for message in registry.closes] == [verdict]
--- a/wagtailrun/admission.py
+++ b/wagtailrun/admission.py
@@ -137,6 +137,14 @@
             if waiter in queue.waiting:
                 queue.waiting.remove(waiter)
 
+    async def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuse all work that waits for a target."""
+        for queue in self.queues_by_service.values():
+            waiting, queue.waiting[:] = list(queue.waiting), []
+            for waiter in waiting:
+                waiter.refusal = refusal
+                await waiter.event.set()
+
     async def start_waiting(self, service: str) -> None:
         """Start waiting work while there is room.
 
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -28,6 +28,7 @@
     RetryBudget,
 )
 from wagtailrun.routing import ExpectedTimeRouter, Router
+from wagtailrun.running_requests import STOPPING_RETRY_MS
 from wagtailrun.work import Work
 
 __all__ = ["DispatchOptions", "Dispatcher", "Work", "make_dispatcher"]
@@ -39,6 +40,13 @@
 USABLE_CACHE_MS = 100
 MAX_OUTAGE_RETRY_MS = 30_000
 MIN_OUTAGE_RETRY_MS = 500
+ENDED_REFUSAL = Refusal(
+    RefusalReason.DRAINING,
+    Verdict.NOT_RUN,
+    "this entry stops, and the attempt had not begun",
+    STOPPING_RETRY_MS,
+    attempt_sent=False,
+)
 
 
 @attrs.frozen
@@ -117,8 +125,15 @@
         self.counts: Counter[str] = Counter()
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
         self.outage_since_ms_by_service: dict[str, int] = {}
+        # Whether the process ends, which would cut off an attempt that begins now.
+        self.ended = False
         self.attempts = Attempts(self)
 
+    async def end(self) -> None:
+        """Begin no more attempts; refuse the work that waits for a target."""
+        self.ended = True
+        await self.admission.refuse_waiting(ENDED_REFUSAL)
+
     async def call(
         self, work: Work, read: Callable[[StageAnswer], Awaitable[T]] = _whole
     ) -> T | Refusal:
@@ -214,6 +229,8 @@
         self, retry_state: "RetryState", streaming: bool = False
     ) -> AttemptRun | Refusal:
         """Wait for a target and start an attempt there."""
+        if self.ended:
+            return ENDED_REFUSAL
         work = retry_state.work
         now_ms = self.clock.now_ms()
         if work.deadline_at_ms - now_ms <= DEADLINE_MARGIN_MS:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -314,6 +314,8 @@
         await sleep_until_idle(self.clock, self._is_idle, answers_end_ms, 1)
         await running.end_all()
         self.orders.end()
+        # Orders go on without their callers.
+        await self.dispatcher.end()
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
         await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
         async with curio.TaskGroup() as group:
