Test the last refusals of a stop at each wait of a request

The tests of the last refusals had requests at a silent target, in a pause and at a connection. These have the 13 waits of test_change_during_requests.py, which never end.

--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -8,9 +8,12 @@
 import h11
 import pytest
 
+from tests import test_change_during_requests
 from tests.test_relay_stop import lasting, make_entry, run_relay, silent
+from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.relay.entry import KILL_MARGIN_MS
+from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
 from wagtailrun.routes import RouteKind
 
 pytestmark = pytest.mark.network
@@ -239,3 +242,50 @@
     )
     assert unanswered(calls) == []
     assert ended_ms < 4 * MS_PER_SECOND
+
+
+class EndingCase(test_change_during_requests.Case):
+    """One request that waits at its point, without end, as the last refusals come."""
+
+    async def play_end(self):
+        await self.start()
+        await curio.sleep(0.02)
+        calling = await curio.spawn(self.send)
+        await self.wait_for(calling)
+        await curio.sleep(0.1)
+        entry = self.entries[0]
+        refusals_ms = entry.clock.now_ms()
+        entry.handler.stop = StopPlan(refusals_ms, refusals_ms + STOP_ANSWER_MS)
+        await entry.handler.refuse_unanswered()
+        await entry.caller_server.refuse_incomplete()
+        await curio.ignore_after(1, calling.join)
+        took_ms = entry.clock.now_ms() - refusals_ms
+        return self.status, took_ms, len(self.targets.runs)
+
+
+WAITS = {
+    "origin": 503,
+    "permit": 503,
+    "rate limit": 503,
+    "grant": 503,
+    "pause": 503,
+    "placement": 503,
+    "announcement": 503,
+    "step 0": 503,
+    "step 1": 503,
+    "second round": 503,
+    "connection": 503,
+    "head": 502,
+    "tunnel": 502,
+}
+
+
+@pytest.mark.parametrize(("wait", "status"), WAITS.items(), ids=WAITS)
+def test_last_refusal_reaches_a_request_at_each_of_its_waits(wait, status):
+    """Guards against a wait, or the work after it, that holds up the last refusal.
+
+    A request that was sent to no target is refused as not run.
+    """
+    found, took_ms, runs = run_with_virtual_sockets(EndingCase(wait, "none").play_end)
+    assert (found, runs) == (status, int(status == 502))
+    assert took_ms < STOP_ANSWER_MS // 2
