Test each request of a planned stop of the product's entry

The same callers as at the relay entry, with drain limits of 1 to 8 s, notices of none up to the whole limit, idempotent calls and calls with effects, and targets that answer at once, after 0.3 s, or never. Half a request that was refused now counts as one that needs an answer, in all tests of the module.

--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -8,10 +8,14 @@
 import h11
 import pytest
 
-from tests import test_change_during_requests
+from tests import test_change_during_requests, test_entry_close
+from tests.test_caller_api import FLEET, ORDER
+from tests.test_entry_close import STOCK
 from tests.test_relay_stop import lasting, make_entry, run_relay, silent
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.entry import FORCED_END_MARGIN_MS
+from wagtailrun.ports.target import StageAnswer
 from wagtailrun.relay.entry import KILL_MARGIN_MS
 from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
 from wagtailrun.routes import RouteKind
@@ -24,6 +28,7 @@
 INTERVAL_MS = 37
 LONG_INTERVAL_MS = 187
 LONG_GRACE_S = 30
+RELAYED_PATH = b"/a/x"
 # How much later than planned a stop may end.
 POLL_MS = 50
 
@@ -36,26 +41,32 @@
         requests: Requests that were sent completely.
         answers: All bytes received.
         ended_ms: When the connection ended, in milliseconds after the signal.
+        path: Path of the requests.
     """
 
+    path: bytes
     requests: int = 0
     answers: bytes = b""
     ended_ms: int = 0
 
     @property
     def lacks_answer(self):
-        """Whether a request has no part of an answer, and is behind no cut stream."""
+        """Whether a request has no part of an answer, and is behind no cut stream.
+
+        One that was refused while it was sent has an answer, too.
+        """
         _, _, last = self.answers.rpartition(b"HTTP/1.1 ")
         is_cut = b"chunked" in last and not last.endswith(b"0\r\n\r\n")
         interim = self.answers.count(b"HTTP/1.1 100")
         count = self.answers.count(b"HTTP/1.1 ") - interim
-        return count < self.requests and not is_cut
+        return count < max(self.requests, 1) and not is_cut
 
 
-def request(number, fields=b""):
+def request(number, path=RELAYED_PATH, fields=b""):
     return (
-        b"POST /a/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: n%d\r\n"
-        b"Deadline-Remaining: 60000\r\n%bContent-Length: 2\r\n\r\n{}" % (number, fields)
+        b"POST %b HTTP/1.1\r\nHost: h\r\nAttempt-Id: n%d\r\n"
+        b"Deadline-Remaining: 60000\r\nWagtailrun-Workspace: stockists\r\n"
+        b"%bContent-Length: 2\r\n\r\n{}" % (path, number, fields)
     )
 
 
@@ -75,25 +86,25 @@
 
 
 async def send_whole(sock, call, number):
-    await send_parts(sock, call, [request(number)])
+    await send_parts(sock, call, [request(number, call.path)])
 
 
 async def send_halves(sock, call, number):
-    data = request(number)
+    data = request(number, call.path)
     await send_parts(sock, call, [data[:30], 0.25, data[30:-1], 0.25, data[-1:]])
 
 
 async def send_late(sock, call, number):
-    await send_parts(sock, call, [0.3, request(number)])
+    await send_parts(sock, call, [0.3, request(number, call.path)])
 
 
 async def send_expecting(sock, call, number):
-    data = request(number, b"Expect: 100-continue\r\n")
+    data = request(number, call.path, b"Expect: 100-continue\r\n")
     await send_parts(sock, call, [data[:-2], 0.2, data[-2:]])
 
 
 async def send_pipelined(sock, call, number):
-    data = b"".join(request(number + each * 10_000) for each in range(3))
+    data = b"".join(request(number + each * 10_000, call.path) for each in range(3))
     await send_parts(sock, call, [data])
     call.requests = 3
 
@@ -108,7 +119,7 @@
         if answered is not None:
             await curio.sleep(0.15)
         call.requests += 1
-        await sock.sendall(request(number + call.requests * 10_000))
+        await sock.sendall(request(number + call.requests * 10_000, call.path))
         http = h11.Connection(h11.CLIENT)
         http.send(h11.Request(method="POST", target="/", headers=[("Host", "h")]))
         http.send(h11.EndOfMessage())
@@ -137,59 +148,83 @@
 ENGINES = {"silent": silent, "slow": lasting(0.3)}
 
 
-def run_stop(kind, engine, grace_s, form, stop_signal, signals=1, **entry_options):
+async def call_through_stop(
+    entry, stop, form, stop_signal, *, path=RELAYED_PATH, limit_s, signals=1
+):
     """Send requests at each moment of a stop; return the calls and the time of the end.
 
     The process ends, with its connections, as soon as its stop is complete, or as the
     platform kills it.
+
+    Args:
+        entry: Entry, whose caller server is not running yet.
+        stop: Waits for the signal and returns when the process may end.
+        form: Sends the requests of one connection.
+        stop_signal: Sends the signal.
+        path: Path of the requests.
+        limit_s: When the platform kills the process, in seconds after the signal.
+        signals: Number of signals.
     """
+    clock = entry.clock
+    serving = await curio.spawn(entry.caller_server.serve)
+    stopping = await curio.spawn(stop)
+    caller = entry.settings.caller_address
+    await curio.sleep(0.15)
+    signalled_ms = clock.now_ms() + LEAD_MS
+    calls = []
+
+    async def call(number):
+        try:
+            sock = await curio.open_connection(caller.host, caller.port)
+        except OSError:
+            # Callers turn to another entry.
+            return
+        calls.append(one := Call(path))
+        async with sock:
+            with suppress(OSError):
+                await form(sock, one, number)
+        one.ended_ms = clock.now_ms() - signalled_ms
+
+    async def call_all():
+        is_long = limit_s >= LONG_GRACE_S
+        interval_ms = LONG_INTERVAL_MS if is_long else INTERVAL_MS
+        for number in itertools.count():
+            await curio.spawn(call, number, daemon=True)
+            await curio.sleep(interval_ms / MS_PER_SECOND)
+
+    calling = await curio.spawn(call_all, daemon=True)
+    await curio.sleep(LEAD_MS / MS_PER_SECOND)
+    for _ in range(signals):
+        stop_signal()
+        await curio.sleep(0.01)
+    left_s = limit_s - (clock.now_ms() - signalled_ms) / MS_PER_SECOND
+    await curio.ignore_after(left_s, stopping.join)
+    ended_ms = clock.now_ms() - signalled_ms
+    await calling.cancel()
+    await stopping.cancel()
+    await serving.cancel()
+    # The callers send the rest of their requests, and read what they were sent.
+    await curio.sleep(1)
+    return calls, ended_ms
+
+
+def run_stop(kind, engine, grace_s, form, stop_signal, signals=1, **entry_options):
+    """Stop a relay entry beside callers; see ``call_through_stop``."""
 
     async def client(address, fleet):
         (handler,) = handlers
-        clock = handler.clock
         entry = make_entry(grace_s=grace_s, **entry_options)
         entry.signals.install()
         entry.handler = handler
         entry.caller_server.handler = handler.handle
-        serving = await curio.spawn(entry.caller_server.serve)
-        stopping = await curio.spawn(entry._stop_on_signal)
-        caller = entry.settings.caller_address
-        await curio.sleep(0.15)
-        signalled_ms = clock.now_ms() + LEAD_MS
-        calls = []
-
-        async def call(number):
-            try:
-                sock = await curio.open_connection(caller.host, caller.port)
-            except OSError:
-                # Callers turn to another entry.
-                return
-            calls.append(one := Call())
-            async with sock:
-                with suppress(OSError):
-                    await form(sock, one, number)
-            one.ended_ms = clock.now_ms() - signalled_ms
-
-        async def call_all():
-            is_long = grace_s >= LONG_GRACE_S
-            interval_ms = LONG_INTERVAL_MS if is_long else INTERVAL_MS
-            for number in itertools.count():
-                await curio.spawn(call, number, daemon=True)
-                await curio.sleep(interval_ms / MS_PER_SECOND)
-
-        calling = await curio.spawn(call_all, daemon=True)
-        await curio.sleep(LEAD_MS / MS_PER_SECOND)
-        for _ in range(signals):
-            stop_signal()
-            await curio.sleep(0.01)
-        left_s = grace_s - (clock.now_ms() - signalled_ms) / MS_PER_SECOND
-        await curio.ignore_after(left_s, stopping.join)
-        ended_ms = clock.now_ms() - signalled_ms
-        await calling.cancel()
-        await stopping.cancel()
-        await serving.cancel()
-        await curio.sleep(0.05)
-        return calls, ended_ms
+        return await call_through_stop(
+            entry,
+            entry._stop_on_signal,
+            form,
+            stop_signal,
+            limit_s=grace_s,
+            signals=signals,
+        )
 
     handlers = []
     return run_relay(
@@ -289,3 +324,52 @@
     found, took_ms, runs = run_with_virtual_sockets(EndingCase(wait, "none").play_end)
     assert (found, runs) == (status, int(status == 502))
     assert took_ms < STOP_ANSWER_MS // 2
+
+
+async def run_at_once(work, *read):
+    return StageAnswer(200, b"{}")
+
+
+async def run_slowly(work, *read):
+    await curio.sleep(0.3)
+    return StageAnswer(200, b"{}")
+
+
+async def run_without_end(work, *read):
+    await curio.sleep(600)
+
+
+RUNS = {"at once": run_at_once, "slowly": run_slowly, "without end": run_without_end}
+
+
+@pytest.mark.parametrize("form", FORMS.values(), ids=FORMS)
+@pytest.mark.parametrize("run", RUNS.values(), ids=RUNS)
+@pytest.mark.parametrize("path", [STOCK, ORDER])
+@pytest.mark.parametrize(
+    ("limit_ms", "notice_ms"), [(1_000, 0), (2_000, 500), (4_000, 4_000), (8_000, 500)]
+)
+def test_each_request_of_a_stop_of_the_product_has_an_answer(
+    limit_ms, notice_ms, path, run, form, stop_signal
+):
+    """Guards against requests that a planned stop leaves without an answer (LOST)."""
+    entry = test_entry_close.make_entry(limit_ms, notice_ms)
+
+    async def hand_over(timeout_ms):
+        await curio.sleep(0.5)
+
+    async def main():
+        entry.dispatcher.call = run
+        entry.accounts.hand_over_all = hand_over
+        entry.caller_server.handler.__self__.fleet = lambda: FLEET
+        return await call_through_stop(
+            entry,
+            entry.signalled_drain.run,
+            form,
+            stop_signal,
+            path=path.encode(),
+            limit_s=(limit_ms + FORCED_END_MARGIN_MS) / MS_PER_SECOND,
+        )
+
+    calls, _ = run_with_virtual_sockets(main)
+    assert len(calls) > 5
+    assert unanswered(calls) == []
