Test each request of an operator in the stop of a control member

The same callers, with changes that take up to PUT_TIMEOUT_MS. Only the operators' server is run, with the limits that RelayControl gives it; the rest of the stop, which follows it, is not.

--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -8,17 +8,23 @@
 import h11
 import pytest
 
+from demo.processes import free_addresses
 from tests import test_change_during_requests, test_entry_close
 from tests.test_caller_api import FLEET, ORDER
 from tests.test_entry_close import STOCK
 from tests.test_relay_stop import lasting, make_entry, run_relay, silent
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
+from wagtailrun.adapters.http_server import HttpServer, Response
+from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.entry import FORCED_END_MARGIN_MS
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.relay.control import PUT_TIMEOUT_MS
+from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry import KILL_MARGIN_MS
 from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
 from wagtailrun.routes import RouteKind
+from wagtailrun.stop_signals import StopSignals
 
 pytestmark = pytest.mark.network
 
@@ -373,3 +379,52 @@
     calls, _ = run_with_virtual_sockets(main)
     assert len(calls) > 5
     assert unanswered(calls) == []
+
+
+@attrs.frozen
+class OperatorSide:
+    """The operators' side of a control member, which ends as it was closed."""
+
+    clock: SystemClock
+    caller_server: HttpServer
+
+    @property
+    def settings(self):
+        return self
+
+    @property
+    def caller_address(self):
+        return self.caller_server.address
+
+    async def stop(self):
+        """Do what ``RelayControl`` does for its operators."""
+        signals = StopSignals(self.clock)
+        signals.install()
+        await signals.wait()
+        limit_ms = MAX_REQUEST_WAIT_MS + CONTROL_ANSWER_MS
+        await self.caller_server.close(limit_ms, CONTROL_ANSWER_MS)
+
+
+@pytest.mark.parametrize(
+    "form",
+    [send_whole, send_halves, send_late, send_expecting, send_kept],
+    ids=lambda form: form.__name__,
+)
+@pytest.mark.parametrize("change_ms", [0, 400, PUT_TIMEOUT_MS])
+def test_each_request_of_an_operator_has_an_answer_in_a_stop(
+    change_ms, form, stop_signal
+):
+    """Guards against changes that a control member takes and leaves unanswered."""
+
+    async def handle(request):
+        await curio.sleep(change_ms / MS_PER_SECOND)
+        return Response(200, b"{}")
+
+    async def main():
+        (address,) = free_addresses(1)
+        side = OperatorSide(SystemClock(), HttpServer(address, handle))
+        return await call_through_stop(side, side.stop, form, stop_signal, limit_s=5)
+
+    calls, _ = run_with_virtual_sockets(main)
+    assert len(calls) > 5
+    assert unanswered(calls) == []
