Do not take control members for silent as this process stood still

Cause: the 250 ms in which control members are asked about the origin of a stream ran from before the tasks that ask them had a turn. An entry that stood still then asked no member, or stopped to read with replies in its queue, and took all members for silent: a stream that was being taken up broke off ("too few control members replied"), or its take-up was refused. For the same reason a second record that names another version was not read, so that an answer could be joined from two versions.

Change: the limit of a member begins with the first turn of the task that asks it, and after a limit the replies that have arrived get another moment, as elsewhere (late_tasks.py). tests/held_loop.py holds the event loop at one of its turns.

The test itself is unchanged: its scenario is now a function that the new test uses, too.

--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -8,6 +8,7 @@
 import pytest
 from wagtail_platform.requests import PlatformWire
 
+from tests.held_loop import HeldLoop
 from tests.test_discovery import ENTRY, ROW
 from tests.test_discovery import run as run_controls
 from tests.test_relay_front import FakeView, event, run_relay, send
@@ -23,7 +24,13 @@
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery import OriginClient, StreamOrigin
-from wagtailrun.discovery.messages import FindOrigin, OriginFound, TargetIncarnation
+from wagtailrun.discovery.messages import (
+    FindOrigin,
+    OriginFound,
+    StreamsBegun,
+    TargetIncarnation,
+)
+from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import TargetFailed, Verdict
 from wagtailrun.relay.continuation import (
     Continuation,
@@ -95,11 +102,10 @@
     assert found == (event(2) + event(3), seen)
 
 
-@pytest.mark.network
-def test_target_that_control_members_know_anew_does_not_continue_a_stream():
-    """Guards against an entry that has not been told of a restart, as its poll hangs.
+def take_up_at_a_target_that_members_know_anew(**options):
+    """Return the events that a caller gets, and the targets reached.
 
-    The target does not report. The control members know its newer incarnation.
+    The first target does not report. The control members know its newer incarnation.
     """
     members = Members()
 
@@ -112,13 +118,71 @@
         newer = attrs.evolve(others[0], incarnation=BORN + 1, software_version="v2")
         for table in members.tables.values():
             table.membership.put(newer, 10**9)
-        return (await take_up(address)).body
+        try:
+            return (await take_up(address)).body
+        except TargetFailed as error:
+            return str(error)
 
     engines = [[BROKEN_FIRST], [REST], [REST]]
-    found = run_takeup(engines, ["v1"] * 3, client, members, max_attempts=4)
+    options = {"max_attempts": 4, **options}
+    return run_takeup(engines, ["v1"] * 3, client, members, **options)
+
+
+@pytest.mark.network
+def test_target_that_control_members_know_anew_does_not_continue_a_stream():
+    """Guards against an entry that has not been told of a restart, as its poll hangs.
+
+    The target does not report. The control members know its newer incarnation.
+    """
+    found = take_up_at_a_target_that_members_know_anew()
     assert found == (event(2) + event(3), [0, 1, 2])
 
 
+@pytest.mark.parametrize("held_ms", [300, 700])
+def test_process_that_stands_still_breaks_off_no_stream_that_it_takes_up(held_ms):
+    """Guards against control members that count as silent as this process was late."""
+    undisturbed = HeldLoop()
+    expected = take_up_at_a_target_that_members_know_anew(run=undisturbed.run)
+    assert expected == (event(2) + event(3), [0, 1, 2])
+    found_by_turn = {
+        turn: take_up_at_a_target_that_members_know_anew(
+            run=HeldLoop(turn, held_ms).run
+        )
+        for turn in range(1, undisturbed.turns + 1)
+    }
+    differing = {t: found for t, found in found_by_turn.items() if found != expected}
+    assert differing == {}
+
+
+def test_origin_that_arrives_while_the_process_stands_still_counts():
+    """Guards against two versions in one answer, as the second record was not read."""
+
+    class SlowMembers(Members):
+        async def call(self, address, message, timeout_ms):
+            if address != self.addresses[0]:
+                await self.clock.sleep_ms(10)
+            return await super().call(address, message, timeout_ms)
+
+    async def main(clock):
+        async def stand_still():
+            await clock.sleep_ms(5)
+            clock.seconds += 0.4
+
+        view = FakeView(None)
+        members = SlowMembers().start(clock, view)
+        view.members = members.addresses
+        key = stream_key("", "first")
+        for address, version in zip(members.addresses, ["v1", "v2"], strict=False):
+            origin = StreamOrigin("s", version, "t", BORN)
+            members.tables[address].record((StreamsBegun(origin, 0, (key,)),))
+        await curio.spawn(stand_still, daemon=True)
+        return await OriginClient(clock, members, view).find(key, ["s"])
+
+    found = run_virtual(main)
+    assert found.origin is None
+    assert "several versions" in found.detail
+
+
 @pytest.mark.network
 def test_entry_out_of_step_refuses_a_take_up_at_once_and_runs_nothing():
     """Guards against a guess by an entry that stood still or was cut off."""
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Sequence
+from typing import Any
 
 import attrs
 import curio
@@ -21,6 +22,7 @@
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.discovery.view import FleetView
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 
@@ -305,30 +307,63 @@
         """
         replies: list[OriginFound] = []
         results = curio.Queue()
-        ends_ms = self.clock.now_ms() + CALL_TIMEOUT_MS
 
         async def ask(address: Address) -> None:
-            reply = None
-            while (left_ms := ends_ms - self.clock.now_ms()) > 0:
-                try:
-                    reply = await self.link.call(address, question, left_ms)
-                except PeerUnreachable as error:
-                    if error.shortage:
-                        await self.clock.sleep_ms(SHORTAGE_PAUSE_MS)
-                        continue
-                    events.log(events.PEER_LOST, peer=str(address), detail=str(error))
+            await results.put(await self._ask_member(address, question))
+
+        for address in members:
+            await curio.spawn(ask, address, daemon=True)
+        ends_ms = None
+        for _ in members:
+            reply = await self._next_reply(results, ends_ms)
+            if reply is None:
                 break
-            await results.put(reply)
-
-        tasks = [await curio.spawn(ask, address, daemon=True) for address in members]
-        for _ in tasks:
-            left_ms = ends_ms - self.clock.now_ms()
-            if left_ms <= 0:
-                break
-            reply = await curio.ignore_after(left_ms / MS_PER_SECOND, results.get)
             if not isinstance(reply, OriginFound):
                 continue
             replies.append(reply)
-            if reply.origins or len(replies) == sufficient:
-                ends_ms = min(ends_ms, self.clock.now_ms() + OTHER_REPLIES_MS)
+            is_enough = reply.origins or len(replies) == sufficient
+            if is_enough and ends_ms is None:
+                ends_ms = self.clock.now_ms() + OTHER_REPLIES_MS
         return replies
+
+    async def _ask_member(self, address: Address, question: FindOrigin) -> Any:
+        """Return the reply of a member, or the error if it did not reply in time.
+
+        The time limit begins with the first turn of the task: a standstill of this
+        process before that is no silence of the member.
+        """
+        ends_ms = self.clock.now_ms() + CALL_TIMEOUT_MS
+        while True:
+            left_ms = max(ends_ms - self.clock.now_ms(), 1)
+            try:
+                return await self.link.call(address, question, left_ms)
+            except PeerUnreachable as error:
+                if not error.shortage:
+                    events.log(events.PEER_LOST, peer=str(address), detail=str(error))
+                    return error
+                if self.clock.now_ms() + SHORTAGE_PAUSE_MS >= ends_ms:
+                    return error
+                await self.clock.sleep_ms(SHORTAGE_PAUSE_MS)
+
+    async def _next_reply(self, results: curio.Queue, ends_ms: int | None) -> Any:
+        """Return the next result of ``_ask_member``.
+
+        After a standstill the event loop handles the time limit before replies that
+        have arrived, which get another moment.
+
+        Args:
+            results: Results of the members that were asked.
+            ends_ms: Time limit, on the clock; None to wait until a member was asked.
+
+        Returns:
+            None at the time limit.
+        """
+        if ends_ms is None:
+            return await results.get()
+        left_ms = max(ends_ms - self.clock.now_ms(), LATE_WAIT_MS)
+        for limit_ms in (left_ms, LATE_WAIT_MS):
+            limit_s = limit_ms / MS_PER_SECOND
+            result = await curio.ignore_after(limit_s, results.get)
+            if result is not None:
+                return result
+        return None
