Take an entry for cut off only if it reaches no target at all

Cause: in a cut of a data centre, a sound entry that was asked to carry a connection to a target there tried that target, one beside it and one at random, which was beside it again in a quarter of the cases. Two lost paths had the same effect on an entry that opened no connection meanwhile: entries keep theirs.

Ruled out by earlier trials: counting received bytes alone (no fewer verdicts).

Bytes that arrive end the belief. A process that was late or lacks descriptors decides nothing (event 745).

--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -409,6 +409,13 @@
     "not be opened.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+PATHS_UNDECIDED = _event(
+    745,
+    logging.INFO,
+    "This entry could not find out whether it reaches any target: it was late, or "
+    "short of descriptors.",
+    per_second=1,
+)
 ANSWER_BODY_SKIPPED = _event(
     713,
     logging.WARNING,
--- a/wagtailrun/relay/paths.py
+++ b/wagtailrun/relay/paths.py
@@ -14,11 +14,12 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
+from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.ports.link import Address
 
 __all__ = ["TargetPaths", "WatchedSocket"]
 
-# An entry that cannot connect to this many targets, and to none since, is cut off.
+# An entry that cannot connect to this many targets finds out if it reaches any.
 CUT_OFF_PATHS = 2
 REVIEW_INTERVAL_MS = 250
 # While a path is lost, one connection is tried at this interval on average. Entries
@@ -70,7 +71,7 @@
             self.waiting_since_ms = None
         if self.aborted:
             raise ConnectionAbortedError(f"the path to {self.address} is lost")
-        self.paths.last_received_ms = self.paths.clock.now_ms()
+        self.paths.record_received()
         return data
 
     async def sendall(self, data: bytes) -> None:
@@ -116,6 +117,8 @@
         targets: Returns the addresses of the targets that may be given work.
         probe: Returns whether a direct connection to a target can be opened now.
         check: The same, and if not, finds out whether another entry reaches it.
+        reaches_any: Returns whether a direct connection to any target can be opened
+            now; raises ``ConnectFailed`` if this process cannot tell.
         seed: Seed of the probes.
     """
 
@@ -125,17 +128,20 @@
         targets: Callable[[], Sequence[Address]],
         probe: Callable[[Address], Awaitable[bool]],
         check: Callable[[Address], Awaitable[bool]],
+        reaches_any: Callable[[], Awaitable[bool]],
         seed: int | None = None,
     ):
         self.clock = clock
         self.targets = targets
         self.probe = probe
         self.check = check
+        self.reaches_any = reaches_any
         self.random = random.Random(seed)
         self.lost_since_ms_by_address: dict[Address, int] = {}
         self.is_cut_off = False
+        self.is_reviewing = False
         # Times before the first connection and the first byte count as long ago.
-        self.last_connected_ms = -1
+        self.last_connected_ms = -SILENCE_MS
         self.last_received_ms = -SILENCE_MS
         self.next_probe_ms = 0
         self.next_check_ms = 0
@@ -174,17 +180,44 @@
         events.log(
             events.PATH_LOST, address=str(address), carrier=carrier, detail=detail
         )
-        oldest_ms = min(self.lost_since_ms_by_address.values())
-        if len(self.lost_since_ms_by_address) >= CUT_OFF_PATHS:
-            self.record_no_links(oldest_ms)
 
-    def record_no_links(self, since_ms: int) -> None:
-        """Record that several direct connections have failed since ``since_ms``.
+    @property
+    def last_heard_ms(self) -> int:
+        """When the newest sign of any target arrived, on the clock."""
+        return max(self.last_connected_ms, self.last_received_ms)
+
+    @property
+    def may_be_cut_off(self) -> bool:
+        """Whether so many paths are lost that this entry may reach no target."""
+        is_known = self.is_cut_off or self.is_reviewing
+        return not is_known and len(self.lost_since_ms_by_address) >= CUT_OFF_PATHS
+
+    def record_received(self) -> None:
+        """Record that bytes of a target arrived on a direct connection."""
+        self.last_received_ms = self.clock.now_ms()
+        self._set_cut_off(False)
 
-        The entry is cut off unless it has opened one meanwhile.
+    async def review_cut(self) -> None:
+        """Find out whether this entry is cut off from all targets.
+
+        It is if it can connect to none, and nothing arrives on old connections either.
         """
-        if self.last_connected_ms < since_ms:
-            self._set_cut_off(True)
+        if self.is_reviewing or self.is_cut_off:
+            return
+        self.is_reviewing = True
+        started_ms = self.clock.now_ms()
+        try:
+            if await self.reaches_any():
+                return
+            silent_ms = self.clock.now_ms() - self.last_heard_ms
+            await self.clock.sleep_ms(SILENCE_MS - silent_ms)
+            if self.last_heard_ms < started_ms:
+                self._set_cut_off(True)
+        except ConnectFailed as error:
+            # This process was late or lacks descriptors; the next lost path tells.
+            events.log(events.PATHS_UNDECIDED, detail=str(error))
+        finally:
+            self.is_reviewing = False
 
     def _set_cut_off(self, is_cut_off: bool) -> None:
         if is_cut_off != self.is_cut_off:
@@ -249,7 +282,10 @@
         self.next_probe_ms = now_ms + int(PROBE_INTERVAL_MS * (1 + jitter))
         candidates = known if self.is_cut_off else list(self.lost_since_ms_by_address)
         if candidates:
-            await self.probe(self.random.choice(candidates))
+            found = await self.probe(self.random.choice(candidates))
+            silent_ms = self.clock.now_ms() - self.last_heard_ms
+            if not found and self.may_be_cut_off and silent_ms >= SILENCE_MS:
+                await self.review_cut()
         else:
             # No target is left that it could be cut off from.
             self._set_cut_off(False)
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -24,9 +24,11 @@
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage
 from wagtailrun.fairness import Turns
+from wagtailrun.membership import TargetRow
 from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.carriers import CarrierOutcome, Carriers
+from wagtailrun.relay.path_survey import PathSurvey
 from wagtailrun.relay.paths import TargetPaths
 from wagtailrun.relay.tunnel_messages import (
     OpenTunnel,
@@ -90,8 +92,14 @@
         self.view = view
         self.random = random.Random(seed)
         self.direct = DirectConnector()
+        self.survey = PathSurvey(self._known_rows, self._try_path, self.random)
         self.paths = TargetPaths(
-            clock, view.target_addresses, self.reaches, self.check, seed
+            clock,
+            view.target_addresses,
+            self.reaches,
+            self.check,
+            self.survey.reaches_any,
+            seed,
         )
         self.carriers = Carriers(clock, link, view, self.random)
         # Targets whose direct path is being tried after another entry was faster.
@@ -126,9 +134,15 @@
         if opened is None:
             raise await self._make_error(address, tried.failure, tried.outcome)
         if tried.failure is not None and not tried.failure.undecided:
-            self.paths.record_lost(address, tried.outcome.carrier, str(tried.failure))
+            await self._record_lost(address, tried.outcome.carrier, str(tried.failure))
         return opened
 
+    async def _record_lost(self, address: Address, carrier: str, detail: str) -> None:
+        """Record a lost path, and find out beside it whether all are."""
+        self.paths.record_lost(address, carrier, detail)
+        if self.paths.may_be_cut_off:
+            await curio.spawn(self.paths.review_cut, daemon=True)
+
     async def _connect_either_way(
         self, address: Address, timeout_ms: int, *, probe: bool
     ) -> _Tried:
@@ -188,7 +202,7 @@
                 if isinstance(found, OpenConnection):
                     await found.sock.close()
                 elif not _shows_nothing(found):
-                    self.paths.record_lost(address, carrier, str(found))
+                    await self._record_lost(address, carrier, str(found))
             finally:
                 self.tried_paths.discard(address)
 
@@ -263,16 +277,14 @@
         Raises:
             ConnectFailed: If this process lacks what it needs to find out, or was late.
         """
-        rows = [self.view.row_at(each) for each in self.view.target_addresses()]
         row = self.view.row_at(address)
         beside = [
             each.address
-            for each in rows
-            if each is not None
-            and each.address != address
+            for each in self._known_rows()
+            if each.address != address
             and (row is None or each.data_centre == row.data_centre)
         ]
-        return await self._reaches_one_of(beside)
+        return not beside or await self._try_path(self.random.choice(beside))
 
     async def reaches_any_but(self, address: Address) -> bool:
         """Return whether some other target is reached; True if there is no other.
@@ -280,15 +292,20 @@
         Raises:
             ConnectFailed: If this process lacks what it needs to find out, or was late.
         """
-        others = [each for each in self.view.target_addresses() if each != address]
-        return await self._reaches_one_of(others)
+        return await self.survey.reaches_any(self.view.row_at(address))
 
-    async def _reaches_one_of(self, addresses: list[Address]) -> bool:
-        if not addresses:
-            return True
-        opened = await self._try_directly(
-            self.random.choice(addresses), DIRECT_TIMEOUT_MS
-        )
+    def _known_rows(self) -> list[TargetRow]:
+        """Return the targets that may be given work."""
+        rows = [self.view.row_at(each) for each in self.view.target_addresses()]
+        return [row for row in rows if row is not None]
+
+    async def _try_path(self, address: Address) -> bool:
+        """Return whether a direct connection to a target can be opened.
+
+        Raises:
+            ConnectFailed: If this process lacks what it needs to find out, or was late.
+        """
+        opened = await self._try_directly(address, DIRECT_TIMEOUT_MS)
         if _shows_nothing(opened):
             raise opened
         return await _close_opened(opened)
@@ -304,7 +321,7 @@
         outcome = await self.carriers.connect(address, ends_ms, probe=True)
         if outcome.opened is not None:
             await outcome.opened.sock.close()
-            self.paths.record_lost(address, outcome.carrier, str(opened))
+            await self._record_lost(address, outcome.carrier, str(opened))
         return False
 
 
@@ -462,9 +479,11 @@
             return TunnelRefused(
                 TunnelRefusal.UNREACHABLE, str(error), refused=error.refused
             )
-        if await self.connector.reaches_any_but(address):
+        paths = self.connector.paths
+        is_heard = paths.last_heard_ms >= started_ms
+        if is_heard or await self.connector.reaches_any_but(address):
             return TunnelRefused(TunnelRefusal.NO_PATH, str(error))
-        self.connector.paths.record_no_links(started_ms)
+        await curio.spawn(paths.review_cut, daemon=True)
         return TunnelRefused(TunnelRefusal.CUT_OFF, str(error))
 
     async def _pass_bytes(self, opened: OpenConnection, peer: Any) -> str:
