Count an attempt that timed out against its target

Cause: on routes with prompt affinity, an attempt that was ended because it took too long was reported as over while it was cancelled, and as failed after that. The owner of the engines drops an attempt at its first report, so the failure never counted.

Change: only the failure is reported, unless the caller leaves meanwhile.

--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -176,12 +176,18 @@
                     return await task.join()
                 if self.can_move(job) or self.clock.now_ms() >= job.deadline_at_ms:
                     # Until it has ended, the attempt may still send the request.
+                    job.attempt_timed_out = True
                     await task.cancel()
                     if isinstance(task.exception, curio.CancelledError):
                         return _timeout_error(job, row)
                     return await task.join()
         except curio.TaskError as error:
             raise error.__cause__ from error
+        except curio.CancelledError:
+            if job.attempt_timed_out:
+                # The caller left before the attempt had ended.
+                await self.reports.record_end(job, row, RunOutcome.OVER)
+            raise
         finally:
             await task.cancel()
 
@@ -465,6 +471,7 @@
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
         job.sent_ms = job.carrier = None
+        job.attempt_timed_out = False
         self.chooser.record_start(row, (), 0)
         try:
             async with self.http.open(
@@ -494,9 +501,11 @@
                 job.progress = AnswerProgress.HEAD
                 yield Attempt(row, stream, head, job.sent_ms)
         except (curio.CancelledError, GeneratorExit):
-            # The caller disconnected, which says nothing about the target, or the
-            # attempt timed out, which ``call`` reports itself.
-            await self.reports.record_end(job, row, RunOutcome.OVER)
+            # The caller disconnected, which says nothing about the target. Of an
+            # attempt that timed out ``call`` reports how it ended; only the first
+            # report counts.
+            if not job.attempt_timed_out:
+                await self.reports.record_end(job, row, RunOutcome.OVER)
             raise
         finally:
             self.chooser.record_end(row)
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -53,6 +53,7 @@
         carrier: The entry that carries the newest attempt to its target, if any.
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
+        attempt_timed_out: Whether the newest attempt was ended as it took too long.
         streaming: Whether its answer is being relayed as a stream.
         progress: How much of the answer to the newest attempt has arrived.
         detail: Description of the newest failure.
@@ -87,6 +88,7 @@
     carrier: Address | None = None
     staged_ms: int = 0
     first_ms: int = 0
+    attempt_timed_out: bool = False
     streaming: bool = False
     progress: AnswerProgress = AnswerProgress.NOTHING
     detail: str = ""
