End a resumable stream whose target sends no head when another can take over

Cause: the limit for the head of an attempt was the deadline of the request, also for streams that may go on at another target. Only the wait for events had the limit for silent targets, which begins with the head, so a caller left before.

Change: the head has the same limit as an event, again and again while no other target can take over. A stream that is no longer repeatable waits until its deadline.

Tests: test_silent_heads.py; the first two failed before (no answer within the deadline), the four others state what must stay.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -4,7 +4,7 @@
 import re
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -429,6 +429,31 @@
         if closed:
             self.http.receive_data(b"")
 
+    async def read_awaited_head(
+        self, timeout_ms: int, waits_ms: Iterator[int] | None
+    ) -> h11.Response:
+        """Return the head of the response, unless it takes all of some waits.
+
+        Args:
+            timeout_ms: Time limit for the head, interim responses included.
+            waits_ms: For how long to wait, one time after the other; None to wait until
+                the time limit.
+
+        Raises:
+            TargetFailed: As ``read_head``.
+        """
+        ends_ms = self.clock.now_ms() + timeout_ms
+        failure = None
+        for wait_ms in waits_ms or (timeout_ms,):
+            try:
+                left_ms = ends_ms - self.clock.now_ms()
+                return await self.read_head(min(wait_ms, left_ms))
+            except TargetFailed as error:
+                failure = error
+                if not error.timed_out:
+                    break
+        raise failure
+
     async def read_head(self, timeout_ms: int) -> h11.Response:
         """Return the head of the response.
 
@@ -640,6 +665,7 @@
         confirmed: bool = True,
         takes_slot: bool = True,
         deadline_ms: int | None = None,
+        head_waits_ms: Iterator[int] | None = None,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as a stream; see ``request``.
 
@@ -667,6 +693,8 @@
             takes_slot: Whether the request waits for a slot of the server and takes it.
             deadline_ms: When the response ends, its body included, on the clock; by
                 default ``timeout_ms`` after the connection is open.
+            head_waits_ms: For how long to wait for the head, one time after the other;
+                by default until ``timeout_ms``.
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
@@ -708,7 +736,7 @@
             await _send(connection, request, body, timeout_ms)
             if on_sent is not None:
                 await on_sent()
-            head = await connection.read_head(timeout_ms)
+            head = await connection.read_awaited_head(timeout_ms, head_waits_ms)
             observe = None
             if self.observer is not None:
                 observe = functools.partial(
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -1,6 +1,6 @@
 """Attempts of relayed requests at targets: one at a time, retried where allowed."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Iterator
 from contextlib import asynccontextmanager
 
 import attrs
@@ -441,6 +441,7 @@
         row: TargetRow,
         last_event_id: int | None = None,
         on_sent: Callable[[], Awaitable[None]] | None = None,
+        head_waits_ms: Iterator[int] | None = None,
     ) -> AsyncIterator[Attempt]:
         """Send the request to ``row`` and yield the attempt when the head arrives.
 
@@ -449,6 +450,8 @@
             row: Target.
             last_event_id: Event after which a stream is resumed, if any.
             on_sent: Called once the request was sent.
+            head_waits_ms: For how long to wait for the head, one time after the other;
+                by default until the deadline.
 
         Raises:
             TargetFailed: If there is no answer to this request.
@@ -493,6 +496,7 @@
                 urgency=job.urgency,
                 identity=request.request_id,
                 confirmed=False,
+                head_waits_ms=head_waits_ms,
             ) as stream:
                 stream, head = await self._skip_crossed_answers(job, stream)
                 await stream.confirm()
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -1,7 +1,7 @@
 """Streams of relayed requests: complete events, resumed within one answer."""
 
 import functools
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import aclosing
 
 import attrs
@@ -120,7 +120,10 @@
                 resume_id = state.last_sent_id if state.head_sent else None
                 continuation = self.checker.prepare(job.origin, row)
                 on_sent = functools.partial(self._handle_sent, job, continuation, sent)
-                async with self.attempts.open(job, row, resume_id, on_sent) as attempt:
+                waits_ms = self._head_waits_ms(job, state)
+                async with self.attempts.open(
+                    job, row, resume_id, on_sent, waits_ms
+                ) as attempt:
                     if not self.attempts.is_success(attempt.head):
                         sent.has_failed = True
                         refusal = await self._handle_error_answer(job, attempt)
@@ -371,6 +374,17 @@
         # The target has fetched the results before its first event.
         await self.runner.release_all(job.work, job.results)
 
+    def _head_waits_ms(self, job: RelayJob, state: "_StreamState") -> Iterator[int]:
+        """Yield for how long to wait for the head of an attempt that was sent.
+
+        It ends when another target can take over. The head of a target that queues
+        prompts may come with its first event, so it has as much time.
+        """
+        deadline_ms = self.clock.now_ms() + self.attempts.remaining_ms(job)
+        yield self._event_due_ms(job, state, deadline_ms) - self.clock.now_ms()
+        while self._may_wait(job):
+            yield self._event_due_ms(job, state, deadline_ms) - self.clock.now_ms()
+
     def _may_wait(self, job: RelayJob) -> bool:
         """Return whether to go on waiting for an overdue event.
 
