Keep the polls of an owner that stops

Cause: an entry that stops replies to new pieces that it stops. The runner took that reply for one of a dead owner: it ended all polls that waited for that owner, and the pieces of those requests, which the owner was about to finish, were sent to a second one. Both ran them, and the one that was first released the inputs that the other one needed.

Ruled out: results that expire (no call lasts 4 s), and targets that lost their results (no target ends in a roll).

Change: a peer that stops is told apart (`PeerUnreachable.stopping`); its owner is left for what it has not taken, while polls of what it holds go on. The fake network raises the error of a reply as the TCP link does.

Load: 20 requests a second at three entries, one owner stops.

--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -7,6 +7,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.messages import STOPPING, PeerError
 from wagtailrun.ports.link import Address, Handler, PeerLink
 
 
@@ -120,6 +121,10 @@
             raise PeerUnreachable("no descriptor", sent=False, shortage=True)
         try:
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
-                return await self.network.round_trip(self.source, address, frame)
+                reply = await self.network.round_trip(self.source, address, frame)
         except curio.TaskTimeout as error:
             raise PeerUnreachable(f"no reply from {address}", timed_out=True) from error
+        if isinstance(reply, PeerError):
+            is_stopping = reply.reason == STOPPING
+            raise PeerUnreachable(reply.detail, stopping=is_stopping)
+        return reply
--- /dev/null
+++ b/tests/test_stage_handover.py
@@ -0,0 +1,118 @@
+"""Tests of stages under load while the owner of their service stops, in virtual time.
+
+Load: 20 requests a second of three steps each at three entries, and one target that is
+busy for two thirds of the time.
+"""
+
+from collections import Counter
+
+import attrs
+import curio
+
+from tests.test_stage_pool import FakeStages
+from tests.test_stage_runner import CAPACITY, ENTRIES, STEPS, other_entry
+from tests.test_stage_stop import Fleet
+from wagtailrun.stages import PieceOutcome, StagedWork, StageResults
+from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.virtual_time import run_virtual
+
+NAME, OWNER = other_entry()
+REQUESTS = 60
+INTERVAL_MS = 50
+STOP_MS = 1_000
+GRACE_MS = 4_000
+# Targets run 16 pieces a call, so that the load is two thirds of what they can do.
+LOADED = attrs.evolve(CAPACITY, batch=16, item_ms=5.0, memory_bytes=0)
+WORK_PIECES = (0, 1, 2, 1)
+
+
+class QueueingStages(FakeStages):
+    """Targets that run one call at a time and fetch its inputs when its turn comes."""
+
+    def __init__(self, clock, capacity):
+        super().__init__(clock, capacity)
+        self.turns = {}
+        self.held = set()
+        self.waited = 0
+
+    async def run(self, target, items, timeout_ms, watch=UNWATCHED):
+        watch.record_sent(None)
+        self.calls.append((self.clock.now_ms(), target.name, list(items)))
+        turn = self.turns.setdefault(target.name, curio.Lock())
+        self.waited += turn.locked()
+        async with turn:
+            made = [self.make(target, item) for item in items]
+            await self.clock.sleep_ms(int(self.capacity.duration_ms(len(items))))
+        self.held.update(reply.handle for reply in made if reply.handle)
+        return made
+
+    def make(self, target, item):
+        if not self.held.issuperset(item.inputs or ()):
+            return StageReply(PieceOutcome.GONE)
+        return StageReply(PieceOutcome.DONE, f"{target.address}/{next(self.numbers)}")
+
+    async def free(self, address, handles):
+        self.held.difference_update(handles)
+
+
+async def run_load(clock, stops):
+    """Run requests while entries stop, 1 s apart; return the targets and refusals."""
+    fleet = Fleet(clock, capacity=LOADED)
+    fleet.targets = QueueingStages(clock, LOADED)
+    for process in fleet.processes.values():
+        process.client.client = fleet.targets
+    refusals = []
+
+    async def request(number, runner):
+        now_ms = clock.now_ms()
+        staged = StagedWork(
+            f"r{number}", STEPS, WORK_PIECES, "k", 0, now_ms + 2_000, now_ms + 6_000
+        )
+        results = StageResults()
+        if await runner.announce(staged, "a") is None:
+            refusals.append((number, "announcement"))
+            return
+        refusal = await runner.run(staged, "a", results)
+        if refusal is not None:
+            refusals.append((number, refusal.detail))
+        await runner.release_all(staged, results)
+
+    async def stop(name, at_ms):
+        await clock.sleep_ms(at_ms)
+        await fleet.processes[name].stop(grace_ms=GRACE_MS)
+
+    for number, name in enumerate(stops):
+        await curio.spawn(stop, name, STOP_MS * (number + 1), daemon=True)
+    async with curio.TaskGroup() as group:
+        for number in range(REQUESTS):
+            running = [row.name for row in ENTRIES if row.name not in stops]
+            runner = fleet.processes[running[number % len(running)]].runner
+            await group.spawn(request, number, runner)
+            await clock.sleep_ms(INTERVAL_MS)
+    return fleet.targets, refusals
+
+
+def pieces_run_again(targets):
+    """Return the pieces that were sent to a target more than once."""
+    counts = Counter(
+        (item.request_id, item.step, item.piece)
+        for _, _, call in targets.calls
+        for item in call
+    )
+    return sorted(piece for piece, count in counts.items() if count > 1)
+
+
+def test_load_without_a_stop_is_served():
+    """Guards against a load that a test of stops could not tell from their effect."""
+    targets, refusals = run_virtual(lambda clock: run_load(clock, ()))
+    assert (refusals, pieces_run_again(targets), targets.waited) == ([], [], 0)
+
+
+def test_pieces_of_a_stopping_owner_do_not_run_again_for_other_requests():
+    """Guards against pieces that are sent to a second owner beside the first one.
+
+    A new request learns from the owner that it stops. The polls of earlier ones, whose
+    pieces the owner finishes, were ended with that.
+    """
+    targets, _ = run_virtual(lambda clock: run_load(clock, (OWNER,)))
+    assert pieces_run_again(targets) == []
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -24,7 +24,7 @@
 from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
-from wagtailrun.messages import PeerError
+from wagtailrun.messages import STOPPING, PeerError
 from wagtailrun.ports.link import Address, Handler, PeerLink, TunnelLink, Upgrade
 from wagtailrun.shortages import is_shortage, is_shortage_for_one
 
@@ -311,7 +311,11 @@
         """Return the reply of a call whose connection may be used again."""
         await self.pool.release(address, connection)
         if isinstance(reply, PeerError):
-            raise PeerUnreachable(f"peer {address}: {reply.detail}", sent=True)
+            raise PeerUnreachable(
+                f"peer {address}: {reply.detail}",
+                sent=True,
+                stopping=reply.reason == STOPPING,
+            )
         return reply
 
     async def _exchange(
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -129,6 +129,7 @@
             another call a moment ago and is slow, or this process is at fault.
         shortage: Whether this process, or its VM, lacks what a connection needs.
         timed_out: Whether the time ended without an error of the connection.
+        stopping: Whether the peer replied that it stops and has not taken the message.
     """
 
     def __init__(
@@ -139,12 +140,14 @@
         alive: bool = False,
         shortage: bool = False,
         timed_out: bool = False,
+        stopping: bool = False,
     ):
         super().__init__(detail)
         self.sent = sent
         self.alive = alive or shortage
         self.shortage = shortage
         self.timed_out = timed_out
+        self.stopping = stopping
 
 
 class ConsensusUnavailable(WagtailrunError):
--- a/wagtailrun/stages/owner_calls.py
+++ b/wagtailrun/stages/owner_calls.py
@@ -79,6 +79,13 @@
             if not polls:
                 self.polls_by_process.pop(owner.process, None)
 
+    def leave(self, owner: EntryRow, detail: str) -> None:
+        """Use another owner for what one that stops has not taken.
+
+        The polls that wait for it go on, as it finishes what it holds.
+        """
+        self.owners.exclude(owner, detail)
+
     async def exclude(self, owner: EntryRow, detail: str) -> None:
         """Use another owner for a while, also for what waits for this one."""
         self.owners.exclude(owner, detail)
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -373,11 +373,14 @@
                     # calls of this one.
                     continue
                 is_early = waited_ms < message.wait_ms + POLL_SLACK_MS
-                if not retried and is_early and not self.owners.is_excluded(owner):
+                if error.stopping:
+                    self.calls.leave(owner, str(error))
+                elif retried or not is_early or self.owners.is_excluded(owner):
+                    await self.calls.exclude(owner, str(error))
+                else:
                     retried = True
                     continue
                 tried.add(owner.name)
-                await self.calls.exclude(owner, str(error))
                 owner = self.calls.owner(work.steps[number].service, tried)
                 continue
             if state.state == JobState.FETCHED:
