Hand stage services over as their owner stops

Cause: an owner that stopped went on to form calls for the pieces that it had, while the next owner formed calls for new ones. Neither knew the calls and results of the other. A target takes one call at a time, so that calls waited there, and their inputs, which are released 60 ms after a call was sent, were gone when its turn came.

Change: with the signal, an entry moves the pieces that are in no call to the next owner, the others as their calls end, with the results that targets hold and the time at which their calls end (`stages/succession.py`). Polls are told whom to poll, releases and cancellations are passed on. If no entry takes a service over, its pieces stay, as before. An entry of an older build goes on to poll the one that stops until it ends.

The test failed before: calls of two owners waited 3 times, and inputs of requests were gone. Load: 20 requests a second at three entries, of which one or two stop.

--- a/tests/test_stage_handover.py
+++ b/tests/test_stage_handover.py
@@ -8,6 +8,7 @@
 
 import attrs
 import curio
+import pytest
 
 from tests.test_stage_pool import FakeStages
 from tests.test_stage_runner import CAPACITY, ENTRIES, STEPS, other_entry
@@ -17,6 +18,7 @@
 from wagtailrun.virtual_time import run_virtual
 
 NAME, OWNER = other_entry()
+(THIRD,) = {row.name for row in ENTRIES} - {NAME, OWNER}
 REQUESTS = 60
 INTERVAL_MS = 50
 STOP_MS = 1_000
@@ -55,8 +57,12 @@
         self.held.difference_update(handles)
 
 
-async def run_load(clock, stops):
-    """Run requests while entries stop, 1 s apart; return the targets and refusals."""
+async def run_load(clock, stops, leaves=()):
+    """Run requests while entries stop or lose the service, 1 s apart.
+
+    Returns:
+        The targets, and the refused requests.
+    """
     fleet = Fleet(clock, capacity=LOADED)
     fleet.targets = QueueingStages(clock, LOADED)
     for process in fleet.processes.values():
@@ -81,6 +87,13 @@
         await clock.sleep_ms(at_ms)
         await fleet.processes[name].stop(grace_ms=GRACE_MS)
 
+    async def leave(name, at_ms):
+        """Move the services of an entry that goes on."""
+        await clock.sleep_ms(at_ms)
+        fleet.live = tuple(row for row in fleet.live if row.name != name)
+
+    for number, name in enumerate(leaves):
+        await curio.spawn(leave, name, STOP_MS * (number + 1), daemon=True)
     for number, name in enumerate(stops):
         await curio.spawn(stop, name, STOP_MS * (number + 1), daemon=True)
     async with curio.TaskGroup() as group:
@@ -116,3 +129,14 @@
     """
     targets, _ = run_virtual(lambda clock: run_load(clock, (OWNER,)))
     assert pieces_run_again(targets) == []
+
+
+@pytest.mark.parametrize("stops", [(OWNER,), (OWNER, THIRD)])
+def test_calls_of_a_stopping_owner_and_the_next_do_not_wait_for_each_other(stops):
+    """Guards against inputs that are released while a call waits at its target.
+
+    The owner that stopped went on to call the targets beside the next one. Inputs are
+    released 60 ms after a call was sent, when targets fetch them if they are free.
+    """
+    targets, refusals = run_virtual(lambda clock: run_load(clock, stops))
+    assert (refusals, pieces_run_again(targets), targets.waited) == ([], [], 0)
--- a/tests/test_stage_stop.py
+++ b/tests/test_stage_stop.py
@@ -15,6 +15,7 @@
     StageBatcher,
     StageHost,
     StageResults,
+    Succession,
 )
 from wagtailrun.stages.runner import StageRunner
 from wagtailrun.virtual_time import run_virtual
@@ -73,6 +74,9 @@
     async def stop(self, is_needed=lambda: False, grace_ms=GRACE_MS):
         """Stop as planned: end when idle, or at the end of the grace period."""
         self.stopping = True
+        link = self.fleet.network.link(self.row.address)
+        calls = self.runner.calls
+        await self.batcher.hand_over(Succession(self.clock, link, self.row.name, calls))
         await curio.spawn(self._leave, daemon=True)
         ends_ms = self.clock.now_ms() + grace_ms
         while self.clock.now_ms() < ends_ms:
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -483,6 +483,11 @@
     "The pieces of a step were abandoned.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+SERVICE_HANDED_OVER = _event(
+    722,
+    logging.INFO,
+    "The next owner of a stage service took over its pieces from this entry.",
+)
 RESULT_RELEASE_FAILED = _event(
     712, logging.INFO, "A request to a target to free abandoned results failed."
 )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -56,6 +56,8 @@
     StageClient,
     StageHost,
     StageRunner,
+    Succession,
+    TakeOver,
 )
 from wagtailrun.stop_signals import StopSignals
 from wagtailrun.supervisor import supervise
@@ -450,7 +452,8 @@
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another entry."""
-        if isinstance(message, RunPieces | CancelPieces | FreeResults | CarryCall):
+        stage_messages = RunPieces | CancelPieces | FreeResults | CarryCall | TakeOver
+        if isinstance(message, stage_messages):
             return await self.stages.handle(message)
         if isinstance(message, PlaceRun | RunOver | RunBroken):
             return await self.placement.handle(message)
@@ -478,6 +481,10 @@
         )
         stop = self._plan_stop()
         self.handler.stop = stop
+        succession = Succession(
+            self.clock, self.link, self.settings.name, self.runner.calls
+        )
+        await self.batcher.hand_over(succession)
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -12,6 +12,8 @@
     piecesDropped @4 :PiecesDropped;
     carryCall @5 :CarryCall;
     callMade @6 :CallMade;
+    takeOver @7 :TakeOver;
+    takenOver @8 :TakenOver;
   }
 }
 
@@ -49,6 +51,7 @@
   results @1 :List(PieceResult);
   queueMs @2 :UInt32;  # Expected queueing delay of new pieces, in milliseconds.
   detail @3 :Text;
+  owner @4 :Text;  # Entry to poll from now on; empty if this one.
 }
 
 struct CancelPieces {
@@ -88,3 +91,37 @@
   retryAfterMs @4 :UInt64;
   confirmed @5 :Bool = true;
 }
+
+struct MovedJob {
+  request @0 :RunPieces;  # Its times count from the moment of sending.
+  waiting @1 :List(UInt16);
+  results @2 :List(PieceResult);
+  fetchedPieces @3 :List(UInt16);
+  fetched @4 :Bool;
+  failedAttempts @5 :UInt32;
+}
+
+struct HeldResult {
+  address @0 :Text;
+  handle @1 :Text;
+  size @2 :UInt64;
+  leftMs @3 :Int64;  # Until the target drops it, in milliseconds.
+}
+
+struct TargetUse {
+  name @0 :Text;
+  address @1 :Text;
+  busyMs @2 :Int64;
+  pauseMs @3 :Int64;
+  slowness @4 :Float64;
+  runningBytes @5 :UInt64;
+}
+
+struct TakeOver {
+  service @0 :Text;
+  jobs @1 :List(MovedJob);
+  results @2 :List(HeldResult);
+  targets @3 :List(TargetUse);
+}
+
+struct TakenOver { count @0 :UInt32; }
--- a/wagtailrun/stages/__init__.py
+++ b/wagtailrun/stages/__init__.py
@@ -11,11 +11,13 @@
     PiecesDropped,
     PiecesState,
     RunPieces,
+    TakeOver,
 )
 from wagtailrun.stages.pool import StageBatcher
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageItem
 from wagtailrun.stages.runner import StagedWork, StageResults, StageRunner
 from wagtailrun.stages.spread import DelegatingStageClient
+from wagtailrun.stages.succession import Succession
 
 __all__ = [
     "CallMade",
@@ -36,4 +38,6 @@
     "StageResults",
     "StageRunner",
     "StagedWork",
+    "Succession",
+    "TakeOver",
 ]
--- a/wagtailrun/stages/host.py
+++ b/wagtailrun/stages/host.py
@@ -12,6 +12,8 @@
     PiecesDropped,
     PiecesState,
     RunPieces,
+    TakenOver,
+    TakeOver,
 )
 from wagtailrun.stages.pool import StageBatcher
 from wagtailrun.stages.spread import DelegatingStageClient
@@ -23,7 +25,8 @@
     """Runs pieces and calls for other entries.
 
     An entry that stops takes nothing new, as the end of the process could cut it off
-    after it has begun to run. It finishes what it holds.
+    after it has begun to run. It finishes the calls that it has begun, and the next
+    owners take over what waits.
 
     Args:
         batcher: Forms the calls of the services that this entry owns.
@@ -49,9 +52,13 @@
         return not (busy or self.client.running_for_peers)
 
     async def handle(
-        self, message: RunPieces | CancelPieces | FreeResults | CarryCall
-    ) -> PiecesState | PiecesDropped | CallMade | PeerError:
+        self, message: RunPieces | CancelPieces | FreeResults | CarryCall | TakeOver
+    ) -> PiecesState | PiecesDropped | CallMade | TakenOver | PeerError:
         """Return the reply to one message of another entry."""
+        if isinstance(message, TakeOver):
+            if self.is_stopping():
+                return PeerError(STOPPING, "this entry stops")
+            return await self.batcher.take_over(message)
         if isinstance(message, CarryCall):
             if self.is_stopping():
                 # The other entry sends the call itself, over its own links.
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -46,6 +46,7 @@
         reported: Whether a reply has told of its end, or nobody asks for it.
         queue_ms: Expected queueing delay when it was requested, in milliseconds, or
             None if no target was available.
+        moved_to: Name of the entry that took the job over; empty if it is here.
         progress: Notified when the job ends or its inputs have been fetched.
     """
 
@@ -66,6 +67,7 @@
     ended_ms: int = 0
     reported: bool = False
     queue_ms: int | None = None
+    moved_to: str = ""
     progress: Signal = attrs.field(factory=Signal)
 
     @property
@@ -112,6 +114,15 @@
                 NO_TARGET_QUEUE_MS if queue_ms is None else queue_ms, MAX_ESTIMATE_MS
             ),
             detail=self.detail,
+            owner=self.moved_to,
+        )
+
+    def message_at(self, now_ms: int) -> RunPieces:
+        """Return the message with the times that are left."""
+        return attrs.evolve(
+            self.message,
+            aim_ms=self.objective_at_ms - now_ms,
+            remaining_ms=self.expires_at_ms - now_ms,
         )
 
 
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -82,6 +82,20 @@
         size = max(excess + 1, 0) + (known.size if known is not None else 1)
         self.unknown_by_address[address] = _UnknownUse(size, until_ms)
 
+    def record_unknown(self, address: Address, size: int, until_ms: int) -> None:
+        """Record bytes that calls of another owner occupy until ``until_ms``."""
+        if size:
+            known = self.unknown_by_address.get(address)
+            if known is None or known.size < size:
+                self.unknown_by_address[address] = _UnknownUse(size, until_ms)
+
+    def sort(self) -> None:
+        """Order the results by the time at which their targets drop them."""
+        by_time = sorted(
+            self.results_by_handle.items(), key=lambda item: item[1].until_ms
+        )
+        self.results_by_handle = dict(by_time)
+
     def used_bytes(self, address: Address) -> int:
         """Return the bytes that results occupy at ``address``."""
         return self.bytes_by_address.get(address, 0)
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -15,13 +15,18 @@
     "CancelPieces",
     "CarryCall",
     "FreeResults",
+    "HeldResult",
     "JobState",
+    "MovedJob",
     "PieceMade",
     "PieceResult",
     "PiecesDropped",
     "PiecesState",
     "RequestPieces",
     "RunPieces",
+    "TakeOver",
+    "TakenOver",
+    "TargetUse",
 ]
 
 
@@ -115,6 +120,8 @@
         results: Their results, if they are done.
         queue_ms: Expected queueing delay of new pieces, in milliseconds.
         detail: Why they were refused.
+        owner: Name of the entry that took the pieces over from this one and is to be
+            polled from now on; empty if there is none.
     """
 
     # A plain string, because pycapnp accepts no enum members.
@@ -122,6 +129,7 @@
     results: tuple[PieceResult, ...] = ()
     queue_ms: int = 0
     detail: str = ""
+    owner: str = ""
 
 
 @attrs.frozen
@@ -230,6 +238,89 @@
     confirmed: bool = True
 
 
+@attrs.frozen
+class MovedJob:
+    """A step of a request that moves to another owner.
+
+    Attributes:
+        request: The newest request for the pieces; its times count from now.
+        waiting: Pieces that wait for a call.
+        results: Results so far.
+        fetched_pieces: Pieces whose calls have fetched their inputs.
+        fetched: Whether the inputs of all pieces have been fetched.
+        failed_attempts: Number of times that a piece was sent and failed.
+    """
+
+    request: RunPieces
+    waiting: tuple[int, ...]
+    results: tuple[PieceResult, ...] = ()
+    fetched_pieces: tuple[int, ...] = ()
+    fetched: bool = False
+    failed_attempts: int = 0
+
+
+@attrs.frozen
+class HeldResult:
+    """A result that occupies memory at a target.
+
+    Attributes:
+        address: Target that holds it.
+        handle: Its name.
+        size: Its approximate size in bytes.
+        left_ms: Time until the target drops it, in milliseconds.
+    """
+
+    address: str
+    handle: str
+    size: int
+    left_ms: int
+
+
+@attrs.frozen
+class TargetUse:
+    """What an owner knows of a target.
+
+    Attributes:
+        name: Name of the target.
+        address: Its address.
+        busy_ms: Expected time until its calls in progress end, in milliseconds.
+        pause_ms: Time for which it gets no call, in milliseconds.
+        slowness: Duration of its calls as a multiple of the configured duration.
+        running_bytes: Size of the results of its calls in progress.
+    """
+
+    name: str
+    address: str
+    busy_ms: int
+    pause_ms: int
+    slowness: float
+    running_bytes: int
+
+
+@attrs.frozen
+class TakeOver:
+    """Moves pieces of a service from an owner that stops to the next one.
+
+    Attributes:
+        service: Stage service.
+        jobs: Steps whose pieces the receiver runs from now on.
+        results: Results that are held by targets and that it is not known to know.
+        targets: State of the targets.
+    """
+
+    service: str
+    jobs: tuple[MovedJob, ...]
+    results: tuple[HeldResult, ...]
+    targets: tuple[TargetUse, ...]
+
+
+@attrs.frozen
+class TakenOver:
+    """Reply to ``TakeOver``: number of steps."""
+
+    count: int
+
+
 CODEC = Codec(
     Channel.STAGES,
     "stages.capnp",
@@ -241,5 +332,7 @@
         PiecesDropped,
         PiecesState,
         RunPieces,
+        TakeOver,
+        TakenOver,
     ],
 )
--- a/wagtailrun/stages/owner_calls.py
+++ b/wagtailrun/stages/owner_calls.py
@@ -46,6 +46,11 @@
         owner = self.owners.owner(service, new.union(tried)) if new else None
         return owner or self.owners.owner(service, tried)
 
+    def entry(self, name: str) -> EntryRow | None:
+        """Return the live entry of a name, or None if none is known."""
+        rows = (row for row in self.owners.entries() if row.name == name)
+        return next(rows, None)
+
     async def call(self, owner: EntryRow, message: Any, timeout_ms: int) -> Any:
         """Send a message and return the reply.
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -26,14 +26,17 @@
     PiecesDropped,
     PiecesState,
     RunPieces,
+    TakenOver,
+    TakeOver,
 )
 from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
+from wagtailrun.stages.succession import Succession, take_over
 from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
 from wagtailrun.supervisor import supervise
 
-__all__ = ["StageBatcher"]
+__all__ = ["Pool", "StageBatcher"]
 
 # How long a target that has no memory for a result is sent none of that size, unless
 # results are released there.
@@ -57,7 +60,7 @@
 URGENCY_STEP_MS = 400
 
 
-class _Pool:
+class Pool:
     """Job queue and target states of one stage service."""
 
     def __init__(self, batcher: "StageBatcher", service: str):
@@ -73,6 +76,8 @@
         self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
         self.memory = ResultMemory()
         self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
+        # Results whose release is scheduled or sent.
+        self.releasing: set[str] = set()
         self.job_numbers = itertools.count()
         self.inputs = FetchedInputs(self.clock, batcher.release_elsewhere)
         self.planner = CallPlanner(
@@ -184,6 +189,8 @@
             )
             self.jobs_by_key[job.key] = self.open_by_key[job.key] = job
             self.batcher.budget.earn(self.service)
+        elif job.moved_to:
+            return job, False
         elif not job.ready and not message.reserve:
             job.message = message
             job.requested_ms = now_ms
@@ -264,6 +271,7 @@
         for result in results:
             address = Address.parse(result.address)
             self.pending_releases_by_address[address].append(result.handle)
+            self.releasing.add(result.handle)
 
     # Calls
 
@@ -279,8 +287,10 @@
             self.wake.clear()
             self._review()
             await self.batcher.notify_finished()
-            while await self._start_call():
-                pass
+            succession = self.batcher.succession
+            if succession is None or not await succession.move(self):
+                while await self._start_call():
+                    pass
 
     def _review(self) -> None:
         """Refuse jobs that cannot finish in time; drop old finished jobs."""
@@ -532,6 +542,8 @@
                 events.RESULT_RELEASE_FAILED, address=str(address), detail=str(error)
             )
             return
+        finally:
+            self.releasing.difference_update(handles)
         for handle in handles:
             self.memory.release(handle)
         await self.wake.set()
@@ -574,7 +586,9 @@
         self.targets = targets
         self.capacity = capacity
         self.budget = budget
-        self.pools_by_service: dict[str, _Pool] = {}
+        self.pools_by_service: dict[str, Pool] = {}
+        # Set while this entry stops.
+        self.succession: Succession | None = None
         # Ended jobs whose waiting polls are not yet notified.
         self.finished_jobs: list[Job] = []
         self.calls = 0
@@ -601,6 +615,20 @@
         job = pool.jobs_by_key.get(job_key(message)) if pool is not None else None
         return job is not None and job.ready
 
+    async def hand_over(self, succession: Succession) -> None:
+        """Move what is in no call to other entries, now and when calls end."""
+        self.succession = succession
+        for pool in self.pools_by_service.values():
+            await pool.wake.set()
+
+    async def take_over(self, message: TakeOver) -> TakenOver:
+        """Run the pieces of an owner that stops."""
+        pool = await self.pool(message.service)
+        take_over(pool, message)
+        await self.notify_finished()
+        await pool.wake.set()
+        return TakenOver(len(message.jobs))
+
     async def notify_finished(self) -> None:
         """Wake the polls of jobs that ended, and the senders of scheduled releases."""
         jobs, self.finished_jobs = self.finished_jobs, []
@@ -616,11 +644,11 @@
         self.pieces += pieces
         self.call_ms += took_ms
 
-    async def pool(self, service: str) -> _Pool:
+    async def pool(self, service: str) -> Pool:
         """Return the pool of a service; create and start it if needed."""
         pool = self.pools_by_service.get(service)
         if pool is None:
-            pool = self.pools_by_service[service] = _Pool(self, service)
+            pool = self.pools_by_service[service] = Pool(self, service)
             for task in (pool.run, pool.run_releases):
                 name = f"{task.__qualname__} {service}"
                 pool.tasks.append(await curio.spawn(supervise, name, task, daemon=True))
@@ -647,18 +675,22 @@
     ) -> PiecesState | PiecesDropped:
         """Handle one message from an entry and return the reply."""
         pool = await self.pool(message.service)
+        forwarded = self.succession is not None and not isinstance(message, RunPieces)
+        if forwarded:
+            forwarded = await self.succession.forward(message)
         match message:
             case CancelPieces():
                 count = pool.cancel(message)
             case FreeResults():
-                pool.release(message.results)
+                if not forwarded:
+                    pool.release(message.results)
                 count = len(message.results)
             case RunPieces():
                 return await self._run_pieces(pool, message)
         await self.notify_finished()
         return PiecesDropped(count)
 
-    async def _run_pieces(self, pool: _Pool, message: RunPieces) -> PiecesState:
+    async def _run_pieces(self, pool: Pool, message: RunPieces) -> PiecesState:
         job, changed = pool.add(message)
         # An announcement starts no call, but the first one starts the regular reviews.
         if changed and (job.ready or len(pool.open_by_key) == 1):
@@ -667,6 +699,8 @@
             return job.report(job.queue_ms)
         answer_by_ms = self.clock.now_ms() + message.wait_ms
         while job.state is JobState.PENDING:
+            if job.moved_to and not job.reported:
+                break
             reports_fetch = not (message.seen_fetched or message.input_services)
             if job.fetched and reports_fetch:
                 return PiecesState(JobState.FETCHED)
@@ -674,7 +708,7 @@
             if wait_ms <= 0:
                 break
             await curio.ignore_after(wait_ms / MS_PER_SECOND, job.progress.wait)
-        job.reported = job.state is not JobState.PENDING
+        job.reported = bool(job.moved_to) or job.state is not JobState.PENDING
         if job.state in (JobState.PENDING, JobState.DONE):
             return job.report(0)
         return job.report(pool.queue_ms())
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -390,6 +390,9 @@
                     await self._release_inputs(work, number, results)
             elif reserve or state.state != JobState.PENDING:
                 return state
+            elif state.owner:
+                # It stops; without a row it is polled again while it lasts.
+                owner = self.calls.entry(state.owner) or owner
 
     def _make_message(
         self,
