Rank settled entries only for the owners of stages

Cause: an entry that has just started owns no stage service for 5 s, but it was in the ranking, where it took a key from the others. In a roll entries start each second, and services moved between entries that stayed.

Change: the ranking of stage services is that of the settled entries; it changes once, when the new one may own a service.

The test failed before: in 4 cases, starts moved services between entries that stayed.

--- a/tests/test_stage_owner_silence.py
+++ b/tests/test_stage_owner_silence.py
@@ -7,6 +7,8 @@
 from tests.test_stage_runner import ENTRIES, Fleet, other_entry, work
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageStep
 from wagtailrun.stages import FreeResults, StageResults
 from wagtailrun.stages.messages import PieceResult
@@ -165,3 +167,32 @@
     second, owner, seen = run_virtual(main)
     assert second != owner
     assert seen == [second] * 5 + [owner]
+
+
+def test_entry_that_starts_moves_no_service_until_it_is_settled():
+    """Load: each of nine entries is stopped and started again, 1 s apart.
+
+    Guards against services that an entry which may not own them yet moves between the
+    others. All entries rank the others by their hashes, and share the busy services.
+    """
+    keys = ("board", "engines of llm", "ledger", "queue")
+
+    async def moves(clock, fleet):
+        rows = [
+            EntryRow(f"front-{fleet}-{n}", Address("10.1.0.1", 7_000 + n), "a", 1)
+            for n in range(9)
+        ]
+        live = tuple(rows[:5])
+        calls = OwnerCalls(None, Owners(clock, lambda: live, lambda: keys))
+        before = [calls.owner(key).name for key in keys]
+        moved = []
+        for row in rows[5:]:
+            start = clock.wall_ms() << 16
+            live = (*live, attrs.evolve(row, incarnation=start))
+            after = [calls.owner(key).name for key in keys]
+            moved += [(row.name, after)] if after != before else []
+            await clock.sleep_ms(1_000)
+        return moved
+
+    for fleet in range(20):
+        assert run_virtual(lambda clock, fleet=fleet: moves(clock, fleet)) == []
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -46,6 +46,16 @@
         # and a request asks for owners a dozen times.
         self._ranking_by_key: dict[tuple[str, str], list[EntryRow]] = {}
 
+    def among(self, entries: Callable[[], Sequence[EntryRow]]) -> "Owners":
+        """Return owners among some of the entries, with the same exclusions.
+
+        Args:
+            entries: Returns these entries; the same object until they change.
+        """
+        owners = Owners(self.clock, entries, self.busy_keys)
+        owners.avoid_until_ms = self.avoid_until_ms
+        return owners
+
     def owner(
         self, key: str, tried: Collection[str] = (), data_centre: str = ""
     ) -> EntryRow | None:
--- a/wagtailrun/stages/owner_calls.py
+++ b/wagtailrun/stages/owner_calls.py
@@ -29,7 +29,8 @@
     def __init__(self, link: PeerLink, owners: Owners):
         self.link = link
         self.owners = owners
-        self.settled = SettledEntries(owners.clock, owners.entries)
+        # An entry that has just started changes no ranking until it is settled.
+        self.settled = owners.among(SettledEntries(owners.clock, owners.entries).rows)
         # Polls in progress by name and incarnation of the owner.
         self.polls_by_process: dict[tuple[str, int], set[curio.Task]] = defaultdict(set)
 
@@ -42,9 +43,7 @@
             service: Stage service.
             tried: Names of entries to skip because they did not reply.
         """
-        new = self.settled.new_names()
-        owner = self.owners.owner(service, new.union(tried)) if new else None
-        return owner or self.owners.owner(service, tried)
+        return self.settled.owner(service, tried) or self.owners.owner(service, tried)
 
     def entry(self, name: str) -> EntryRow | None:
         """Return the live entry of a name, or None if none is known."""
--- a/wagtailrun/stages/settled.py
+++ b/wagtailrun/stages/settled.py
@@ -33,6 +33,9 @@
         self._known: Sequence[EntryRow] | None = None
         self._new: frozenset[str] = frozenset()
         self._review_ms = 0
+        # The settled entries, and what they were chosen from.
+        self._settled: Sequence[EntryRow] = ()
+        self._settled_from: tuple[Sequence[EntryRow], frozenset[str]] | None = None
 
     def new_names(self) -> frozenset[str]:
         """Return the names of the entries that are too new to own a service.
@@ -57,3 +60,14 @@
             self._new = frozenset(new if len(new) < len(rows) else ())
             self._review_ms = now_ms + min(left_ms, REVIEW_MS)
         return self._new
+
+    def rows(self) -> Sequence[EntryRow]:
+        """Return the entries that may own a service; the same until they change."""
+        new, rows = self.new_names(), self.entries()
+        known = self._settled_from
+        if known is None or known[0] is not rows or known[1] != new:
+            self._settled_from = rows, new
+            settled = tuple(row for row in rows if row.name not in new)
+            if settled != self._settled:
+                self._settled = settled
+        return self._settled
