Keep inputs until a call ends while two owners may call

Cause: entries learn of a change of owners up to 0.3 s apart. Meanwhile, and until the earlier owner has run what it holds, both call the targets of the service. A call then waits for its turn at a target, and its inputs, released 60 ms after it was sent, were gone.

Change: for 1 s after an entry was first asked for pieces of a service, and once it is no longer its owner, it releases inputs when their call has ended.

Load: 20 requests a second at three entries; the service moves once without a stop.

--- a/tests/test_stage_handover.py
+++ b/tests/test_stage_handover.py
@@ -140,3 +140,14 @@
     """
     targets, refusals = run_virtual(lambda clock: run_load(clock, stops))
     assert (refusals, pieces_run_again(targets), targets.waited) == ([], [], 0)
+
+
+def test_two_owners_do_not_release_inputs_that_a_waiting_call_needs():
+    """Guards against inputs that are gone after a service moved to another entry.
+
+    The entry that owned it before is known no more, or another one returned. It calls
+    the targets for what it holds beside the new owner, so that calls wait there.
+    """
+    targets, refusals = run_virtual(lambda clock: run_load(clock, (), (OWNER,)))
+    assert targets.waited > 0
+    assert (refusals, pieces_run_again(targets)) == ([], [])
--- a/tests/test_stage_stop.py
+++ b/tests/test_stage_stop.py
@@ -53,6 +53,7 @@
             lambda service: fleet.capacity,
             fleet.budget,
             lambda message: self.runner.notify_owner(message),
+            is_owner=lambda service: self.runner.owns(service),
         )
         self.host = StageHost(self.batcher, self.client, lambda: self.stopping)
         self.runner = StageRunner(
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -211,6 +211,7 @@
             lambda message: self.runner.notify_owner(message),
             self.loop_watch.was_held_since,
             self.connector.confirms_silence,
+            lambda service: self.runner.owns(service),
         )
         self.runner = StageRunner(
             self.clock,
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -55,6 +55,9 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
+# An entry that was not asked for pieces for this long may have become the owner anew.
+# For as long, the one before it may still make calls.
+CONTESTED_MS = 1_000
 # Each urgency level counts as this much additional time to the latency objective. This
 # lets urgent jobs go first in a short queue and limits the delay of the least urgent.
 URGENCY_STEP_MS = 400
@@ -84,6 +87,10 @@
             self.clock, self.memory, self.target_states_by_name, self.processing_ms
         )
         self.next_forecast_ms = 0
+        # When an entry last requested pieces, and until when another entry that owned
+        # the service, or owns it again, may call its targets.
+        self.used_ms = -CONTESTED_MS
+        self.contested_until_ms = 0
         self.wake = curio.Event()
         self.releases_pending = curio.Event()
         self.tasks: list[curio.Task] = []
@@ -104,6 +111,23 @@
 
     # Queue state
 
+    @property
+    def is_contested(self) -> bool:
+        """Whether another owner may call the targets as well.
+
+        A call may then wait for its turn at a target, which fetches its inputs later.
+        """
+        if self.clock.now_ms() < self.contested_until_ms:
+            return True
+        return not self.batcher.is_owner(self.service)
+
+    def record_use(self) -> None:
+        """Record a request for pieces that may run."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.used_ms > CONTESTED_MS:
+            self.contested_until_ms = now_ms + CONTESTED_MS
+        self.used_ms = now_ms
+
     @property
     def capacity(self) -> StageCapacity:
         """Configured capacity of one target."""
@@ -369,7 +393,8 @@
             self.batcher.confirms_silence,
         )
         timers = [await curio.spawn(slot.watch, limits, daemon=True)]
-        if started_ms >= target_state.full_until_ms:
+        is_full = started_ms < target_state.full_until_ms
+        if not (is_full or self.is_contested):
             fetch = self.inputs.await_fetch
             timers.append(await curio.spawn(fetch, chosen, daemon=True))
         failure: TargetFailed | None = None
@@ -564,6 +589,7 @@
         confirms_silence: Called with the address of a target, the entry that carries a
             call to it and when it was sent; returns whether the target is silent, and
             not that entry.
+        is_owner: Returns whether this entry owns a service.
     """
 
     def __init__(
@@ -577,6 +603,7 @@
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
         confirms_silence: Callable[[Address, Address, int], Awaitable[bool]]
         | None = None,
+        is_owner: Callable[[str], bool] = lambda service: True,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
@@ -586,6 +613,7 @@
         self.targets = targets
         self.capacity = capacity
         self.budget = budget
+        self.is_owner = is_owner
         self.pools_by_service: dict[str, Pool] = {}
         # Set while this entry stops.
         self.succession: Succession | None = None
@@ -691,6 +719,8 @@
         return PiecesDropped(count)
 
     async def _run_pieces(self, pool: Pool, message: RunPieces) -> PiecesState:
+        if not message.reserve:
+            pool.record_use()
         job, changed = pool.add(message)
         # An announcement starts no call, but the first one starts the regular reviews.
         if changed and (job.ready or len(pool.open_by_key) == 1):
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -200,6 +200,11 @@
                 done_ms[number] = start_ms + own_ms
         return max(done_ms, default=0)
 
+    def owns(self, service: str) -> bool:
+        """Return whether this entry forms the calls of a service."""
+        owner = self.calls.owner(service)
+        return owner is None or owner.name == self.name
+
     def min_duration_ms(self, work: StagedWork) -> int:
         """Return the duration of the longest chain without queueing."""
         done_ms: list[int] = []
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -199,6 +199,7 @@
         until_ms = now_ms + held.left_ms
         pool.memory.add(address, held.handle, held.size, until_ms)
     pool.memory.sort()
+    pool.record_use()
     for moved in message.jobs:
         _take_job(pool, moved, now_ms)
 
