--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -21,6 +21,7 @@
 
     deadline_at_ms: int = 10_000
     sent_ms: int = 1
+    attempt_timed_out: bool = False
 
 
 class HeldAttempts(RelayAttempts):
