--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -26,14 +26,17 @@
     PiecesDropped,
     PiecesState,
     RunPieces,
+    TakenOver,
+    TakeOver,
 )
 from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
+from wagtailrun.stages.succession import Succession, take_over
 from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
 from wagtailrun.supervisor import supervise
 
-__all__ = ["StageBatcher"]
+__all__ = ["Pool", "StageBatcher"]
 
 # How long a target that has no memory for a result is sent none of that size, unless
 # results are released there.
@@ -52,12 +55,15 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
+# An entry that was not asked for pieces for this long may have become the owner anew.
+# For as long, the one before it may still make calls.
+CONTESTED_MS = 1_000
 # Each urgency level counts as this much additional time to the latency objective. This
 # lets urgent jobs go first in a short queue and limits the delay of the least urgent.
 URGENCY_STEP_MS = 400
 
 
-class _Pool:
+class Pool:
     """Job queue and target states of one stage service."""
 
     def __init__(self, batcher: "StageBatcher", service: str):
@@ -73,12 +79,18 @@
         self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
         self.memory = ResultMemory()
         self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
+        # Results whose release is scheduled or sent.
+        self.releasing: set[str] = set()
         self.job_numbers = itertools.count()
         self.inputs = FetchedInputs(self.clock, batcher.release_elsewhere)
         self.planner = CallPlanner(
             self.clock, self.memory, self.target_states_by_name, self.processing_ms
         )
         self.next_forecast_ms = 0
+        # When an entry last requested pieces, and until when another entry that owned
+        # the service, or owns it again, may call its targets.
+        self.used_ms = -CONTESTED_MS
+        self.contested_until_ms = 0
         self.wake = curio.Event()
         self.releases_pending = curio.Event()
         self.tasks: list[curio.Task] = []
@@ -99,6 +111,23 @@
 
     # Queue state
 
+    @property
+    def is_contested(self) -> bool:
+        """Whether another owner may call the targets as well.
+
+        A call may then wait for its turn at a target, which fetches its inputs later.
+        """
+        if self.clock.now_ms() < self.contested_until_ms:
+            return True
+        return not self.batcher.is_owner(self.service)
+
+    def record_use(self) -> None:
+        """Record a request for pieces that may run."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.used_ms > CONTESTED_MS:
+            self.contested_until_ms = now_ms + CONTESTED_MS
+        self.used_ms = now_ms
+
     @property
     def capacity(self) -> StageCapacity:
         """Configured capacity of one target."""
@@ -184,6 +213,8 @@
             )
             self.jobs_by_key[job.key] = self.open_by_key[job.key] = job
             self.batcher.budget.earn(self.service)
+        elif job.moved_to:
+            return job, False
         elif not job.ready and not message.reserve:
             job.message = message
             job.requested_ms = now_ms
@@ -264,6 +295,7 @@
         for result in results:
             address = Address.parse(result.address)
             self.pending_releases_by_address[address].append(result.handle)
+            self.releasing.add(result.handle)
 
     # Calls
 
@@ -279,8 +311,10 @@
             self.wake.clear()
             self._review()
             await self.batcher.notify_finished()
-            while await self._start_call():
-                pass
+            succession = self.batcher.succession
+            if succession is None or not await succession.move(self):
+                while await self._start_call():
+                    pass
 
     def _review(self) -> None:
         """Refuse jobs that cannot finish in time; drop old finished jobs."""
@@ -359,7 +393,8 @@
             self.batcher.confirms_silence,
         )
         timers = [await curio.spawn(slot.watch, limits, daemon=True)]
-        if started_ms >= target_state.full_until_ms:
+        is_full = started_ms < target_state.full_until_ms
+        if not (is_full or self.is_contested):
             fetch = self.inputs.await_fetch
             timers.append(await curio.spawn(fetch, chosen, daemon=True))
         failure: TargetFailed | None = None
@@ -532,6 +567,8 @@
                 events.RESULT_RELEASE_FAILED, address=str(address), detail=str(error)
             )
             return
+        finally:
+            self.releasing.difference_update(handles)
         for handle in handles:
             self.memory.release(handle)
         await self.wake.set()
@@ -552,6 +589,7 @@
         confirms_silence: Called with the address of a target, the entry that carries a
             call to it and when it was sent; returns whether the target is silent, and
             not that entry.
+        is_owner: Returns whether this entry owns a service.
     """
 
     def __init__(
@@ -565,6 +603,7 @@
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
         confirms_silence: Callable[[Address, Address, int], Awaitable[bool]]
         | None = None,
+        is_owner: Callable[[str], bool] = lambda service: True,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
@@ -574,7 +613,10 @@
         self.targets = targets
         self.capacity = capacity
         self.budget = budget
-        self.pools_by_service: dict[str, _Pool] = {}
+        self.is_owner = is_owner
+        self.pools_by_service: dict[str, Pool] = {}
+        # Set while this entry stops.
+        self.succession: Succession | None = None
         # Ended jobs whose waiting polls are not yet notified.
         self.finished_jobs: list[Job] = []
         self.calls = 0
@@ -601,6 +643,20 @@
         job = pool.jobs_by_key.get(job_key(message)) if pool is not None else None
         return job is not None and job.ready
 
+    async def hand_over(self, succession: Succession) -> None:
+        """Move what is in no call to other entries, now and when calls end."""
+        self.succession = succession
+        for pool in self.pools_by_service.values():
+            await pool.wake.set()
+
+    async def take_over(self, message: TakeOver) -> TakenOver:
+        """Run the pieces of an owner that stops."""
+        pool = await self.pool(message.service)
+        take_over(pool, message)
+        await self.notify_finished()
+        await pool.wake.set()
+        return TakenOver(len(message.jobs))
+
     async def notify_finished(self) -> None:
         """Wake the polls of jobs that ended, and the senders of scheduled releases."""
         jobs, self.finished_jobs = self.finished_jobs, []
@@ -616,11 +672,11 @@
         self.pieces += pieces
         self.call_ms += took_ms
 
-    async def pool(self, service: str) -> _Pool:
+    async def pool(self, service: str) -> Pool:
         """Return the pool of a service; create and start it if needed."""
         pool = self.pools_by_service.get(service)
         if pool is None:
-            pool = self.pools_by_service[service] = _Pool(self, service)
+            pool = self.pools_by_service[service] = Pool(self, service)
             for task in (pool.run, pool.run_releases):
                 name = f"{task.__qualname__} {service}"
                 pool.tasks.append(await curio.spawn(supervise, name, task, daemon=True))
@@ -647,18 +703,24 @@
     ) -> PiecesState | PiecesDropped:
         """Handle one message from an entry and return the reply."""
         pool = await self.pool(message.service)
+        forwarded = self.succession is not None and not isinstance(message, RunPieces)
+        if forwarded:
+            forwarded = await self.succession.forward(message)
         match message:
             case CancelPieces():
                 count = pool.cancel(message)
             case FreeResults():
-                pool.release(message.results)
+                if not forwarded:
+                    pool.release(message.results)
                 count = len(message.results)
             case RunPieces():
                 return await self._run_pieces(pool, message)
         await self.notify_finished()
         return PiecesDropped(count)
 
-    async def _run_pieces(self, pool: _Pool, message: RunPieces) -> PiecesState:
+    async def _run_pieces(self, pool: Pool, message: RunPieces) -> PiecesState:
+        if not message.reserve:
+            pool.record_use()
         job, changed = pool.add(message)
         # An announcement starts no call, but the first one starts the regular reviews.
         if changed and (job.ready or len(pool.open_by_key) == 1):
@@ -667,6 +729,8 @@
             return job.report(job.queue_ms)
         answer_by_ms = self.clock.now_ms() + message.wait_ms
         while job.state is JobState.PENDING:
+            if job.moved_to and not job.reported:
+                break
             reports_fetch = not (message.seen_fetched or message.input_services)
             if job.fetched and reports_fetch:
                 return PiecesState(JobState.FETCHED)
@@ -674,7 +738,7 @@
             if wait_ms <= 0:
                 break
             await curio.ignore_after(wait_ms / MS_PER_SECOND, job.progress.wait)
-        job.reported = job.state is not JobState.PENDING
+        job.reported = bool(job.moved_to) or job.state is not JobState.PENDING
         if job.state in (JobState.PENDING, JobState.DONE):
             return job.report(0)
         return job.report(pool.queue_ms())
