Do not count time without a processor in the tests of cut-off entries

Cause, of the measure: the callers of test_cut_entries_processes.py left after 3 s by the wall clock. A request takes 1.2 to 1.4 s there, so that a standstill of the machine of over 1.6 s in all during one request failed the test.

What a process computes or waits for counts in full.

--- /dev/null
+++ b/tests/standstills.py
@@ -0,0 +1,94 @@
+"""Measures how long processes of a test stood still, from outside of them.
+
+Counted is only what the processes cannot help: time in which they were stopped, or
+ready to run without a processor. What a process computes, or waits for, is not.
+"""
+
+import time
+from pathlib import Path
+
+import attrs
+import curio
+
+INTERVAL_S = 0.02
+NS_PER_SECOND = 1e9
+STOPPED_STATES = ("T", "t")
+
+
+@attrs.frozen
+class Standstill:
+    """Time in which a process stood still, within an interval between two looks."""
+
+    began_s: float
+    ended_s: float
+    held_s: float
+
+
+def run_delay_s(pid):
+    """Return how long the first thread of a process waited for a processor, in all.
+
+    It is 0 for a process that has ended, and on systems that do not count it.
+    """
+    try:
+        return (
+            int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / NS_PER_SECOND
+        )
+    except (OSError, IndexError):
+        return 0.0
+
+
+def is_stopped(pid):
+    try:
+        text = Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return False
+    return text.rpartition(")")[2].split()[0] in STOPPED_STATES
+
+
+class StandstillWatch:
+    """Records when one of some processes, or that of the test, stood still.
+
+    Args:
+        pids: Processes to watch.
+    """
+
+    def __init__(self, pids):
+        self.pids = pids
+        self.standstills = []
+        self.seen_s = time.monotonic()
+        self.delays_s = self._delays_s()
+
+    def _delays_s(self):
+        return {pid: run_delay_s(pid) for pid in self.pids}
+
+    def look(self):
+        """Record what happened since the last look.
+
+        Of several processes the one that was held longest counts: they mostly stand
+        still together.
+        """
+        now_s, delays_s = time.monotonic(), self._delays_s()
+        passed_s = now_s - self.seen_s
+        held_s = max(passed_s - INTERVAL_S, 0.0)
+        for pid in self.pids:
+            held_s = max(held_s, delays_s[pid] - self.delays_s[pid])
+            if is_stopped(pid):
+                held_s = passed_s
+        held_s = min(held_s, passed_s)
+        self.standstills.append(Standstill(self.seen_s, now_s, held_s))
+        self.seen_s, self.delays_s = now_s, delays_s
+
+    async def run(self):
+        """Look at the processes until cancelled."""
+        while True:
+            await curio.sleep(INTERVAL_S)
+            self.look()
+
+    def held_s(self, began_s, ended_s):
+        """Return for how long a process stood still between two times, in seconds."""
+        self.look()
+        return sum(
+            min(each.held_s, each.ended_s - began_s, ended_s - each.began_s)
+            for each in self.standstills
+            if each.ended_s > began_s and each.began_s < ended_s
+        )
