Leave out targets of data centres that are away

Cause: while a data centre is cut off, connections that were kept live on. No path was recorded as lost, since no other entry opened one, so each request tried the targets of the other side again, to the end.

Change: an entry that cannot open a connection finds out whether the data centre is away: by new connections to targets and entries there, then through entries of data centres that it does reach. If none opens, its targets are left out (the own ones are used though they count as unresponsive), requests to them are refused at once, and two probes a second show when it is back. Event 746, metrics away_data_centres and away_probes. The survey of a suspected cut tries unresponsive targets, too.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -78,6 +78,9 @@
     def targets(self, service):
         return [row for row in self.rows if not row.leaving]
 
+    def present_targets(self):
+        return [row for row in self.rows if not row.leaving]
+
     def targets_to_continue(self, origin, tried=()):
         version = origin.software_version
         rows = self.targets(origin.service)
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -107,6 +107,8 @@
         # The newest target at each address.
         self.rows_by_address: dict[Address, TargetRow] = {}
         self.entries: tuple[EntryRow, ...] = (own,)
+        # Set by this entry from its own connections.
+        self.away_data_centres: frozenset[str] = frozenset()
         self.table: RouteTable | None = None
         # Revision that ``table`` was made from.
         self.revision = 0
@@ -206,12 +208,21 @@
         """Return the targets of a service that may be given work.
 
         Unresponsive targets are returned only if there are no others: they may be
-        unreachable for the control members and still reachable from here.
+        unreachable for the control members and still reachable from here. Targets in
+        data centres that are away are left out.
         """
         rows = self.membership.rows_by_service.get(service, {}).values()
         active = [row for row in rows if not row.leaving]
+        if self.away_data_centres:
+            away = self.away_data_centres
+            active = [row for row in active if row.data_centre not in away]
         return [row for row in active if not row.silent] or active
 
+    def present_targets(self) -> list[TargetRow]:
+        """Return all targets that have not left, unresponsive ones among them."""
+        rows = self.membership.targets_by_name.values()
+        return [row for row in rows if not row.leaving]
+
     def target_addresses(self) -> list[Address]:
         """Return the addresses of all targets that may be given work."""
         rows = self.membership.targets_by_name.values()
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -416,6 +416,14 @@
     "short of descriptors.",
     per_second=1,
 )
+DATA_CENTRE_AWAY = _event(
+    746,
+    logging.ERROR,
+    "Neither this entry nor others that it asked can open connections to a data "
+    "centre, or this entry can again; meanwhile it uses no target there.",
+    "Check the network between the data centres.",
+    limited=False,
+)
 ANSWER_BODY_SKIPPED = _event(
     713,
     logging.WARNING,
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/carriers.py
@@ -1,6 +1,7 @@
 """Connections through other entries: which ones are asked, and which are avoided."""
 
 import random
+from collections.abc import Collection
 from typing import Any
 
 import attrs
@@ -115,7 +116,12 @@
             del self.avoidances_by_carrier[name]
 
     async def connect(
-        self, address: Address, ends_ms: int, *, probe: bool = False
+        self,
+        address: Address,
+        ends_ms: int,
+        *,
+        probe: bool = False,
+        left_out: Collection[str] = (),
     ) -> CarrierOutcome:
         """Open a connection through another entry.
 
@@ -123,13 +129,15 @@
             address: Address of the target.
             ends_ms: Until when, on the clock.
             probe: Whether only to find out if another entry reaches it.
+            left_out: Data centres whose entries are not asked.
         """
         row = self.view.row_at(address)
         outcome = CarrierOutcome()
         asked: list[EntryRow] = []
         for number in range(MAX_CARRIERS):
             left_ms = ends_ms - self.clock.now_ms()
-            carriers = self._rank(row, asked)
+            ranked = self._rank(row, asked)
+            carriers = [each for each in ranked if each.data_centre not in left_out]
             if not carriers or left_ms <= 0:
                 outcome.undecided = outcome.undecided or bool(carriers)
                 break
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -343,6 +343,17 @@
             "Targets that this entry reaches only through other entries.",
             lambda: len(paths.lost_since_ms_by_address),
         )
+        reach = self.connector.reach
+        gauge(
+            "away_data_centres",
+            "Data centres that neither this entry nor others beside it reach.",
+            lambda: len(reach.absences_by_data_centre),
+        )
+        gauge(
+            "away_probes",
+            "Connections that this entry tried to data centres that were away.",
+            lambda: reach.probes,
+        )
         gauge(
             "lowered_targets",
             "Targets whose share this entry has lowered for all, as they were silent.",
@@ -421,6 +432,7 @@
             self.view.run,
             self._record_origins,
             self._watch_paths,
+            self._watch_data_centres,
             self._state_requests,
             self._drop_gone,
             self.live_settings.watch,
@@ -445,6 +457,9 @@
     async def _watch_paths(self) -> None:
         await supervise("watch paths", self.connector.paths.run)
 
+    async def _watch_data_centres(self) -> None:
+        await supervise("watch data centres", self.connector.reach.run)
+
     async def _drop_gone(self) -> None:
         await supervise("drop what is gone", self.upkeep.run)
 
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -7,7 +7,7 @@
 
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import attrs
@@ -28,6 +28,7 @@
 from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.carriers import CarrierOutcome, Carriers
+from wagtailrun.relay.data_centre_reach import DataCentreReach
 from wagtailrun.relay.path_survey import PathSurvey
 from wagtailrun.relay.paths import TargetPaths
 from wagtailrun.relay.tunnel_messages import (
@@ -46,6 +47,8 @@
 # of this process stood still meanwhile.
 LATE_MS = 20
 DIRECT_TRIES = 2
+# Three entries, each with time for two direct connections one after the other.
+ASK_OTHERS_MS = 2_400
 # Links of a region take under 5 ms. After this time another entry is asked as well.
 HEDGE_AFTER_MS = 100
 # Connections that one entry carries for others; further ones go to other entries.
@@ -92,7 +95,10 @@
         self.view = view
         self.random = random.Random(seed)
         self.direct = DirectConnector()
-        self.survey = PathSurvey(self._known_rows, self._try_path, self.random)
+        self.survey = PathSurvey(view.present_targets, self._try_path, self.random)
+        self.reach = DataCentreReach(
+            clock, view, self._try_path, self._ask_others, self.random
+        )
         self.paths = TargetPaths(
             clock,
             view.target_addresses,
@@ -120,6 +126,8 @@
     ) -> OpenConnection:
         if not self.carriers.other_entries():
             return await self.connect_directly(address, timeout_ms)
+        if self.reach.is_away(address):
+            raise _away_error(address)
         ends_ms = self.clock.now_ms() + timeout_ms
         if self.paths.is_lost(address):
             outcome = await self.carriers.connect(address, ends_ms, probe=probe)
@@ -232,7 +240,7 @@
 
     def may_reuse(self, address: Address) -> bool:
         """Return whether the path to a server is believed to work."""
-        return not self.paths.is_lost(address)
+        return not (self.paths.is_lost(address) or self.reach.is_away(address))
 
     async def confirms_silence(
         self, address: Address, carrier: Address | None, since_ms: int
@@ -256,6 +264,8 @@
             except ConnectFailed as error:
                 late_ms = self.clock.now_ms() - started_ms - timeout_ms
                 if error.refused or late_ms < LATE_MS:
+                    if not (_shows_nothing(error) or self.paths.is_cut_off):
+                        await self.reach.record_failure(address)
                     raise
                 detail = f"{error}; this process was late by {late_ms} ms"
                 continue
@@ -310,6 +320,15 @@
             raise opened
         return await _close_opened(opened)
 
+    async def _ask_others(
+        self, row: TargetRow, left_out: Collection[str]
+    ) -> CarrierOutcome:
+        """Return what other entries say about a target."""
+        ends_ms = self.clock.now_ms() + ASK_OTHERS_MS
+        return await self.carriers.connect(
+            row.address, ends_ms, probe=True, left_out=left_out
+        )
+
     async def check(self, address: Address) -> bool:
         """Return whether a target is reached directly; if not, ask another entry."""
         opened = await self._try_directly(address, DIRECT_TIMEOUT_MS)
@@ -325,6 +344,11 @@
         return False
 
 
+def _away_error(address: Address) -> ConnectFailed:
+    """Return the error for a target of a data centre that is away."""
+    return ConnectFailed(f"the data centre of {address} is away", confirmed=False)
+
+
 def _shows_nothing(found: OpenConnection | ConnectFailed) -> bool:
     """Return whether a connection failed because of this process alone."""
     return isinstance(found, ConnectFailed) and (
@@ -439,7 +463,7 @@
             return TunnelRefused(TunnelRefusal.LATE, "this entry stood still")
         if self.connector.paths.is_cut_off:
             return TunnelRefused(TunnelRefusal.CUT_OFF, "this entry reaches no target")
-        if self.connector.paths.is_lost(address):
+        if not self.connector.may_reuse(address):
             return TunnelRefused(TunnelRefusal.NO_PATH, f"no path to {address}")
         if message.target and self._has_left(message):
             return TunnelRefused(TunnelRefusal.LEFT, f"{message.target} leaves")
