Let each side of a cut have its own owners of stages and prompts

Cause: an owner in a data centre that is away still answers over connections that were kept.

Change: entries of data centres that are away own nothing. Owners of grants at targets with limits stay the same for all entries, as they count all requests.

Test: test_data_centre_reach.py::test_cut_side_uses_its_own_targets, which failed before for lack of the method (new code).

--- a/tests/test_data_centre_reach.py
+++ b/tests/test_data_centre_reach.py
@@ -188,9 +188,10 @@
                 silent = attrs.evolve(row, silent=True, sequence=row.sequence + 1)
                 entry.view._put_target(silent, 0)
         await send_requests(clock, entry, FIND_OUT_MS)
-        return used(entry), entry.paths.is_cut_off
+        owners = {row.data_centre for row in entry.view.near_entries()}
+        return used(entry), owners, entry.paths.is_cut_off
 
-    assert run(scenario) == ({"a"}, False)
+    assert run(scenario) == ({"a"}, {"a"}, False)
 
 
 def test_data_centre_that_other_entries_reach_is_not_away():
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -109,6 +109,8 @@
         self.entries: tuple[EntryRow, ...] = (own,)
         # Set by this entry from its own connections.
         self.away_data_centres: frozenset[str] = frozenset()
+        self._near_entries: tuple[EntryRow, ...] = self.entries
+        self._near_entries_of = self.entries, self.away_data_centres
         self.table: RouteTable | None = None
         # Revision that ``table`` was made from.
         self.revision = 0
@@ -389,6 +391,21 @@
             for row in active or present:
                 self.membership.last_contact_ms_by_name[row.name] = now_ms
 
+    def near_entries(self) -> tuple[EntryRow, ...]:
+        """Return the running entries outside data centres that are away.
+
+        The tuple is the same object until they change.
+        """
+        known = self.entries, self.away_data_centres
+        if known != self._near_entries_of:
+            self._near_entries_of = known
+            self._near_entries = tuple(
+                row
+                for row in self.entries
+                if row.data_centre not in self.away_data_centres
+            )
+        return self._near_entries
+
     def live_entries(self) -> tuple[EntryRow, ...]:
         """Return the running entries, including this one while it accepts requests.
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -150,7 +150,10 @@
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
         self.busy_keys_table: RouteTable | None = None
-        self.owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
+        # Results cannot be fetched from data centres that are away, so that each side
+        # has its own owners. Grants count requests of all entries.
+        self.owners = Owners(self.clock, self.view.near_entries, self._busy_keys)
+        grant_owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
         self.granter = SendGranter(
             self.clock,
             self.view.limits,
@@ -161,7 +164,7 @@
             self.link,
             settings.name,
             settings.data_centre,
-            self.owners,
+            grant_owners,
             self.granter,
             self.view.limits,
             self._target_slots,
