Refuse requests at the door whose targets are all in data centres that are away

Cause: while no engine is known the stages of a request run all the same, and it is refused after them; the retry delay of 300 ms is that of a target that just restarts.

Change: such a request is refused before its stages, with a retry delay of 1.5 s.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -68,6 +68,7 @@
     quarantine: Quarantine = Quarantine(None)
     limits: TargetLimits = attrs.field(factory=lambda: TargetLimits(SystemClock()))
     members: list = attrs.field(factory=list)
+    away_data_centres: frozenset = frozenset()
 
     def ranked_members(self):
         return self.members
@@ -76,7 +77,9 @@
         return True
 
     def targets(self, service):
-        return [row for row in self.rows if not row.leaving]
+        away = self.away_data_centres
+        rows = [row for row in self.rows if not row.leaving]
+        return [row for row in rows if row.data_centre not in away]
 
     def present_targets(self):
         return [row for row in self.rows if not row.leaving]
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -69,6 +69,9 @@
 # Retry delay of refusals because no target is usable, the retry budget is exhausted or
 # keys are unconfirmed.
 RETRY_AFTER_MS = 300
+# Retry delay while all targets are in data centres that are away. A cut lasts seconds,
+# and the entry notices its end within a second.
+AWAY_RETRY_MS = 1_500
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -246,6 +249,9 @@
 
     def no_target_refusal(self, job: RelayJob) -> Refusal:
         """Return the refusal of a request that no target can run, or continue."""
+        refusal = self.away_refusal(job)
+        if refusal is not None:
+            return refusal
         verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
         detail = job.detail or f"no target of {job.service} is known"
         if job.origin is not None:
@@ -256,6 +262,15 @@
             )
         return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
 
+    def away_refusal(self, job: RelayJob) -> Refusal | None:
+        """Return the refusal of a request whose targets nobody reaches, else None."""
+        away = self.view.away_data_centres
+        if not away or self._targets(job):
+            return None
+        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+        detail = f"no target of {job.service} outside {sorted(away)}, which are away"
+        return Refusal(RefusalReason.NO_TARGET, verdict, detail, AWAY_RETRY_MS)
+
     def pause_refusal(self, job: RelayJob) -> Refusal | None:
         """Return the refusal of a request whose targets take no requests now.
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -401,6 +401,7 @@
         """
         refusal = self.attempts.quarantine_refusal(job)
         refusal = refusal or self.attempts.pause_refusal(job)
+        refusal = refusal or self.attempts.away_refusal(job)
         if refusal is not None:
             return refusal
         placed = await self.attempts.place(job, begin=False)
