--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -152,7 +152,10 @@
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
         self.busy_keys_table: RouteTable | None = None
-        self.owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
+        # Results cannot be fetched from data centres that are away, so that each side
+        # has its own owners. Grants count requests of all entries.
+        self.owners = Owners(self.clock, self.view.near_entries, self._busy_keys)
+        grant_owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
         self.granter = SendGranter(
             self.clock,
             self.view.limits,
@@ -163,7 +166,7 @@
             self.link,
             settings.name,
             settings.data_centre,
-            self.owners,
+            grant_owners,
             self.granter,
             self.view.limits,
             self._target_slots,
@@ -346,6 +349,17 @@
             "Targets that this entry reaches only through other entries.",
             lambda: len(paths.lost_since_ms_by_address),
         )
+        reach = self.connector.reach
+        gauge(
+            "away_data_centres",
+            "Data centres that neither this entry nor others beside it reach.",
+            lambda: len(reach.absences_by_data_centre),
+        )
+        gauge(
+            "away_probes",
+            "Connections that this entry tried to data centres that were away.",
+            lambda: reach.probes,
+        )
         gauge(
             "lowered_targets",
             "Targets whose share this entry has lowered for all, as they were silent.",
@@ -424,6 +438,7 @@
             self.view.run,
             self._record_origins,
             self._watch_paths,
+            self._watch_data_centres,
             self._state_requests,
             self._drop_gone,
             self.live_settings.watch,
@@ -448,6 +463,9 @@
     async def _watch_paths(self) -> None:
         await supervise("watch paths", self.connector.paths.run)
 
+    async def _watch_data_centres(self) -> None:
+        await supervise("watch data centres", self.connector.reach.run)
+
     async def _drop_gone(self) -> None:
         await supervise("drop what is gone", self.upkeep.run)
 
