--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,7 +38,6 @@
         log: File that its output is appended to.
         addresses: Addresses that it listens at by use: ``caller``, ``ready``,
             ``operator``, ``peer``, ``metrics``, ``target``.
-        grace_ms: Time within which it must be gone after SIGTERM.
     """
 
     name: str
@@ -46,7 +45,6 @@
     folder: Path
     log: Path
     addresses: dict[str, Address] = field(factory=dict)
-    grace_ms: int = 0
 
 
 @define(frozen=True, kw_only=True)
@@ -101,6 +99,14 @@
     def spawn(self, name: str) -> subprocess.Popen:
         """Start the program of a process and return it."""
 
+    @abstractmethod
+    def end_limit_ms(self, name: str) -> int:
+        """Return how long after SIGTERM a process that runs must be gone."""
+
+    @abstractmethod
+    def wipe(self, name: str) -> None:
+        """Remove the data of a control member, as if its VM were replaced."""
+
     def start(self, name: str) -> None:
         """Start a process that does not run.
 
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,611 @@
+"""Promises about a fleet, checked from records of what callers and targets see.
+
+Nothing here waits, reads a clock or opens a connection: records are added in any order
+of their files, and each promise is checked for what is old enough to be complete.
+"""
+
+from abc import ABC, abstractmethod
+from collections import Counter, defaultdict
+from signal import SIGKILL, SIGTERM
+
+from attrs import define, field
+
+from soak.records import (
+    ChangeRecord,
+    ExitRecord,
+    FaultRecord,
+    Outcome,
+    ReadRecord,
+    RequestRecord,
+    RunRecord,
+    SignalRecord,
+    UsageRecord,
+)
+
+__all__ = ["Finding", "History", "Judge", "Limits", "Promise"]
+
+# By then all records of what happened at a time have been written and read.
+SETTLE_MS = 3_000
+# By then nothing of a request that has ended runs any more.
+RUN_SETTLE_MS = 20_000
+MS_PER_SECOND = 1_000
+
+
+@define(frozen=True, kw_only=True)
+class Limits:
+    """Bounds of the promises.
+
+    Attributes:
+        crossing_ms: Longest time from the last byte of a request to the end of its
+            connection for the two to have crossed on the way.
+        revoke_ms: Time within which a revoked key stops to be accepted.
+        end_margin_ms: What the watch of the processes adds to the end of one.
+        rotation_ms: Time in which the load balancer takes an entry out of rotation.
+        recovery_ms: How long after a fault its effects may last.
+        resident_mb: Largest resident memory of a process.
+        descriptors: Largest number of descriptors of a process.
+        log_bytes_per_s: Largest log volume of a process, on average over a minute.
+        notice_ms: Longest time of service after the signal to stop.
+        notice_share: Longest share of a grace period that this time has.
+        second_signal_ends: Whether a second SIGTERM ends an entry at once.
+    """
+
+    crossing_ms: int = 10
+    revoke_ms: int = 5_000
+    end_margin_ms: int = 150
+    rotation_ms: int = 800
+    recovery_ms: int = 10_000
+    resident_mb: float = 300.0
+    descriptors: int = 4_100
+    log_bytes_per_s: int = 200_000
+    notice_ms: int = 2_800
+    notice_share: float = 0.35
+    second_signal_ends: bool = False
+
+
+@define(frozen=True, kw_only=True)
+class Finding:
+    """A broken promise.
+
+    Attributes:
+        promise: Which one.
+        subject: Request or process.
+        at_ms: When it was broken.
+        detail: What was seen.
+        request: The request, if it is about one.
+    """
+
+    promise: str
+    subject: str
+    at_ms: int
+    detail: str
+    request: RequestRecord | None = None
+
+
+@define
+class History:
+    """Signals, exits, faults and runs, for all promises."""
+
+    signals: dict[str, list[SignalRecord]] = field(factory=lambda: defaultdict(list))
+    exits: dict[str, list[ExitRecord]] = field(factory=lambda: defaultdict(list))
+    faults: list[FaultRecord] = field(factory=list)
+    runs: dict[str, list[RunRecord]] = field(factory=lambda: defaultdict(list))
+
+    def add(self, record: object) -> None:
+        """Add a record, if it is one of these."""
+        if isinstance(record, SignalRecord):
+            self.signals[record.process].append(record)
+        elif isinstance(record, ExitRecord):
+            self.exits[record.process].append(record)
+        elif isinstance(record, FaultRecord):
+            # One that has ended replaces the record of its beginning.
+            self.faults = [
+                each
+                for each in self.faults
+                if (each.kind, each.subject, each.from_ms)
+                != (record.kind, record.subject, record.from_ms)
+            ]
+            self.faults.append(record)
+        elif isinstance(record, RunRecord):
+            self.runs[record.name].append(record)
+
+    def has_fault(self, from_ms: int, to_ms: int, recovery_ms: int) -> bool:
+        """Return whether a fault, or the recovery from one, was between two times."""
+        return any(
+            fault.from_ms <= to_ms
+            and (not fault.to_ms or from_ms <= fault.to_ms + recovery_ms)
+            for fault in self.faults
+        )
+
+    def stop_before(self, process: str, at_ms: int) -> SignalRecord | None:
+        """Return the first SIGTERM to the run of a process that got the last one."""
+        stops = [
+            each
+            for each in self.signals[process]
+            if each.number == SIGTERM and each.at_ms <= at_ms
+        ]
+        if not stops:
+            return None
+        return next(each for each in stops if each.pid == stops[-1].pid)
+
+    def was_ended(self, process: str, from_ms: int, to_ms: int, seconds: bool) -> bool:
+        """Return whether a process was made to end at once between two times.
+
+        Args:
+            process: Its name.
+            from_ms: Start of the time.
+            to_ms: End of the time.
+            seconds: Whether a second SIGTERM ends it at once.
+        """
+        first_by_pid: dict[int, int] = {}
+        for each in self.signals[process]:
+            is_second = each.number == SIGTERM and each.pid in first_by_pid
+            ends = each.number == SIGKILL or (seconds and is_second)
+            if ends and from_ms <= each.at_ms <= to_ms:
+                return True
+            if each.number == SIGTERM:
+                first_by_pid.setdefault(each.pid, each.at_ms)
+        return False
+
+
+class Promise(ABC):
+    """A promise; gets all records."""
+
+    def __init__(self, history: History, limits: Limits):
+        self.history = history
+        self.limits = limits
+
+    @abstractmethod
+    def add(self, record: object) -> None:
+        """Add a record."""
+
+    @abstractmethod
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return what is broken up to a time, each finding once."""
+
+
+class WholeAnswers(Promise):
+    """Each whole request ends with an answer, a refusal, or a break with a name."""
+
+    name = "whole answers"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._waiting: list[RequestRecord] = []
+        self.ends: Counter[str] = Counter()
+        # Requests that saw planned work alone, and all.
+        self.planned = self.total = 0
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, RequestRecord):
+            self._waiting.append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the requests that ended in a way that no page allows."""
+        ready = [r for r in self._waiting if r.ended_ms + SETTLE_MS <= until_ms]
+        self._waiting = [r for r in self._waiting if r.ended_ms + SETTLE_MS > until_ms]
+        findings = []
+        for request in ready:
+            self.total += 1
+            has_fault = self._has_fault(request)
+            self.planned += not has_fault
+            name = self.allowed_end(request, has_fault)
+            self.ends[name or f"not allowed: {request.outcome.value}"] += 1
+            if not name:
+                findings.append(self._finding(request))
+        return findings
+
+    def _has_fault(self, request: RequestRecord) -> bool:
+        return self.history.has_fault(
+            request.began_ms, request.ended_ms, self.limits.recovery_ms
+        )
+
+    def _finding(self, request: RequestRecord) -> Finding:
+        return Finding(
+            promise=self.name,
+            subject=request.name or request.connection,
+            at_ms=request.ended_ms,
+            detail=f"{request.outcome.value} at {request.entry}",
+            request=request,
+        )
+
+    def allowed_end(self, request: RequestRecord, has_fault: bool) -> str:
+        """Return the name of the way in which a request ended; empty if not allowed."""
+        if request.outcome in (Outcome.ANSWERED, Outcome.LEFT):
+            return request.outcome.value
+        if request.outcome is Outcome.REFUSED:
+            return f"refused, {request.status}"
+        if has_fault:
+            return f"{request.outcome.value}, beside a fault"
+        if self.history.was_ended(
+            request.entry,
+            request.began_ms - self.limits.end_margin_ms,
+            request.ended_ms,
+            self.limits.second_signal_ends,
+        ):
+            return f"{request.outcome.value}, its entry was ended at once"
+        if request.outcome is Outcome.NO_ANSWER:
+            return self._allowed_without_answer(request)
+        if request.outcome is Outcome.CUT:
+            return self._allowed_cut(request)
+        if request.outcome is Outcome.NO_CONNECTION:
+            return self._allowed_without_connection(request)
+        return ""
+
+    def _allowed_without_answer(self, request: RequestRecord) -> str:
+        if not request.first_byte_ms:
+            use = "kept" if request.position else "new"
+            return f"{use} connection closed before the first byte of a request"
+        crossed = (
+            request.closed_ms
+            and request.closed_ms - request.first_byte_ms <= self.limits.crossing_ms
+            and request.was_reset
+            and not self.history.runs.get(request.name)
+        )
+        if crossed and request.position:
+            return "crossed the close of an idle connection"
+        return ""
+
+    def _allowed_cut(self, request: RequestRecord) -> str:
+        """Allow the end of a stream that its entry had no time to finish."""
+        stop = self.history.stop_before(request.entry, request.ended_ms)
+        if stop is None or not request.events or stop.grace_ms <= 0:
+            return ""
+        # Until then it serves as before; what comes later must end in time.
+        notice_ms = min(
+            int(stop.grace_ms * self.limits.notice_share), self.limits.notice_ms
+        )
+        began_before = request.sent_ms <= stop.at_ms + notice_ms
+        margin_ms = stop.grace_ms // 8 + self.limits.end_margin_ms
+        was_at_end = request.ended_ms >= stop.at_ms + stop.grace_ms - margin_ms
+        if began_before and was_at_end:
+            return "stream cut off at the end of the grace period"
+        return ""
+
+    def _allowed_without_connection(self, request: RequestRecord) -> str:
+        if not request.is_routed:
+            return "no connection, not in rotation"
+        stop = self.history.stop_before(request.entry, request.ended_ms)
+        if stop and request.began_ms - stop.at_ms <= self.limits.rotation_ms:
+            return "no connection, before the load balancer noticed the stop"
+        return ""
+
+
+class RunsOnce(Promise):
+    """Nothing with consequences runs twice; what was refused as not run ran nowhere."""
+
+    name = "runs once"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._requests: dict[str, list[RequestRecord]] = defaultdict(list)
+        self._reported: set[str] = set()
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, RequestRecord) and record.name:
+            self._requests[record.name].append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the requests that ran too often."""
+        findings = []
+        for name, requests in list(self._requests.items()):
+            last = requests[-1]
+            runs = self.history.runs.get(name, [])
+            if last.runs_once and len(runs) > 1 and name not in self._reported:
+                self._reported.add(name)
+                findings.append(self._finding(last, runs, "runs once"))
+            if last.ended_ms + RUN_SETTLE_MS > until_ms:
+                continue
+            del self._requests[name]
+            if runs and all(each.is_not_run for each in requests):
+                findings.append(self._finding(last, runs, "not run"))
+        return findings
+
+    def _finding(
+        self, request: RequestRecord, runs: list[RunRecord], promise: str
+    ) -> Finding:
+        where = ", ".join(f"{run.target} at {run.at_ms}" for run in runs)
+        return Finding(
+            promise=promise,
+            subject=request.name,
+            at_ms=request.ended_ms,
+            detail=f"{len(runs)} runs: {where}",
+            request=request,
+        )
+
+
+class Streams(Promise):
+    """A stream repeats and skips no event, and keeps one software version."""
+
+    name = "streams"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._new: list[RequestRecord] = []
+        self._versions: dict[str, str] = {}
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, RequestRecord) and record.events:
+            self._new.append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the streams whose events are not those that follow."""
+        findings = []
+        for request in self._new:
+            first = request.after_event + 1
+            expected = list(range(first, first + len(request.events)))
+            if request.events != expected:
+                findings.append(self._finding(request, f"events {request.events}"))
+            stream = request.resumes or request.name
+            for version in request.versions:
+                if self._versions.setdefault(stream, version) != version:
+                    detail = f"{version} after {self._versions[stream]}"
+                    findings.append(self._finding(request, detail))
+        self._new = []
+        return findings
+
+    def _finding(self, request: RequestRecord, detail: str) -> Finding:
+        return Finding(
+            promise=self.name,
+            subject=request.name,
+            at_ms=request.ended_ms,
+            detail=detail,
+            request=request,
+        )
+
+
+class Changes(Promise):
+    """An acknowledged change is never lost, and versions never step back."""
+
+    name = "changes"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._changes: list[ChangeRecord] = []
+        self._reads: list[ReadRecord] = []
+        self._checked = 0
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, ChangeRecord) and record.status == 200:
+            self._changes.append(record)
+        elif isinstance(record, ReadRecord):
+            self._reads.append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the reads of versions that are too old."""
+        findings = []
+        for number in range(self._checked, len(self._reads)):
+            read = self._reads[number]
+            if read.answered_ms + SETTLE_MS > until_ms:
+                break
+            self._checked = number + 1
+            least = max(
+                (c.version for c in self._changes if c.answered_ms < read.sent_ms),
+                default=0,
+            )
+            earlier = max(
+                (r.version for r in self._reads if r.answered_ms < read.sent_ms),
+                default=0,
+            )
+            if read.version < max(least, earlier):
+                detail = f"read {read.version}, acknowledged {least}, read {earlier}"
+                findings.append(
+                    Finding(
+                        promise=self.name,
+                        subject=read.member,
+                        at_ms=read.answered_ms,
+                        detail=detail,
+                    )
+                )
+        findings += [
+            Finding(
+                promise=self.name,
+                subject=change.member,
+                at_ms=change.answered_ms,
+                detail=f"version {change.version} is not valid and was accepted",
+            )
+            for change in self._changes
+            if not change.is_valid
+        ]
+        self._changes = [change for change in self._changes if change.is_valid]
+        return findings
+
+
+class RevokedKeys(Promise):
+    """A revoked key stops within its bound after the change is acknowledged."""
+
+    name = "revoked keys"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._revoked_ms: dict[str, int] = {}
+        self._waiting: list[RequestRecord] = []
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, ChangeRecord) and record.status == 200:
+            for key in record.revoked:
+                before_ms = self._revoked_ms.get(key, record.answered_ms)
+                self._revoked_ms[key] = min(before_ms, record.answered_ms)
+        elif isinstance(record, RequestRecord) and record.key:
+            self._waiting.append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the requests that were served with a revoked key."""
+        findings = []
+        for request in self._waiting:
+            revoked_ms = self._revoked_ms.get(request.key)
+            if revoked_ms is None or request.outcome is not Outcome.ANSWERED:
+                continue
+            late_ms = request.first_byte_ms - revoked_ms
+            if late_ms > self.limits.revoke_ms:
+                findings.append(
+                    Finding(
+                        promise=self.name,
+                        subject=request.name,
+                        at_ms=request.ended_ms,
+                        detail=f"{request.key} served {late_ms} ms after its end",
+                        request=request,
+                    )
+                )
+        self._waiting = [
+            request
+            for request in self._waiting
+            if request.key not in self._revoked_ms
+            and request.ended_ms + RUN_SETTLE_MS > until_ms
+        ]
+        return findings
+
+
+class Ends(Promise):
+    """A stopped process is gone by its grace period, and none ends by itself."""
+
+    name = "ends"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._stops: list[SignalRecord] = []
+        self._kills: list[SignalRecord] = []
+        self._exits: list[ExitRecord] = []
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, SignalRecord) and record.grace_ms:
+            self._stops.append(record)
+        elif isinstance(record, SignalRecord) and record.number == SIGKILL:
+            if record.is_planned:
+                self._kills.append(record)
+        elif isinstance(record, ExitRecord):
+            self._exits.append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the processes that ended late, or without a signal."""
+        findings = [
+            self._finding(kill.process, kill.at_ms, "killed, its time was over")
+            for kill in self._kills
+            if not self._has_fault(kill.at_ms - 1, kill.at_ms)
+        ]
+        self._kills = []
+        for stop in self._stops:
+            end_ms = stop.at_ms + stop.grace_ms + self.limits.end_margin_ms
+            if end_ms + SETTLE_MS > until_ms:
+                continue
+            exits = self.history.exits[stop.process]
+            took_ms = [e.at_ms - stop.at_ms for e in exits if e.pid == stop.pid]
+            is_late = not took_ms or took_ms[0] + stop.at_ms > end_ms
+            if is_late and not self._has_fault(stop.at_ms, end_ms):
+                detail = f"{took_ms} ms of {stop.grace_ms} ms"
+                findings.append(self._finding(stop.process, end_ms, detail))
+        self._stops = [
+            stop
+            for stop in self._stops
+            if stop.at_ms + stop.grace_ms + self.limits.end_margin_ms + SETTLE_MS
+            > until_ms
+        ]
+        for end in self._exits:
+            numbers = {
+                each.number
+                for each in self.history.signals[end.process]
+                if each.pid == end.pid
+            }
+            was_killed = SIGKILL in numbers
+            is_expected = was_killed or (SIGTERM in numbers and end.code == 0)
+            if not is_expected and not self._has_fault(end.at_ms - 1, end.at_ms):
+                detail = f"exit code {end.code} after the signals {sorted(numbers)}"
+                findings.append(self._finding(end.process, end.at_ms, detail))
+        self._exits = []
+        return findings
+
+    def _has_fault(self, from_ms: int, to_ms: int) -> bool:
+        return self.history.has_fault(from_ms, to_ms, self.limits.recovery_ms)
+
+    def _finding(self, process: str, at_ms: int, detail: str) -> Finding:
+        return Finding(promise=self.name, subject=process, at_ms=at_ms, detail=detail)
+
+
+class Usage(Promise):
+    """Memory, descriptors and log volume of a process stay bounded."""
+
+    name = "usage"
+
+    def __init__(self, history: History, limits: Limits):
+        super().__init__(history, limits)
+        self._new: list[UsageRecord] = []
+        self._first: dict[tuple[str, int], UsageRecord] = {}
+        self._reported: set[tuple[str, str]] = set()
+
+    def add(self, record: object) -> None:
+        """Add a record."""
+        if isinstance(record, UsageRecord):
+            self._new.append(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return the processes that use too much, each once for each use."""
+        findings = []
+        for record in self._new:
+            first = self._first.setdefault((record.process, record.pid), record)
+            # A minute's worth may be written at once, as by a start.
+            written = record.log_bytes - first.log_bytes
+            passed_s = max((record.at_ms - first.at_ms) / MS_PER_SECOND, 60)
+            for use, value, limit in (
+                ("resident memory in MB", record.resident_mb, self.limits.resident_mb),
+                ("descriptors", record.descriptors, self.limits.descriptors),
+                (
+                    "log bytes a second",
+                    written / passed_s,
+                    self.limits.log_bytes_per_s,
+                ),
+            ):
+                key = (record.process, use)
+                if value > limit and key not in self._reported:
+                    self._reported.add(key)
+                    findings.append(
+                        Finding(
+                            promise=self.name,
+                            subject=record.process,
+                            at_ms=record.at_ms,
+                            detail=f"{use}: {value:.0f} of {limit:.0f}",
+                        )
+                    )
+        self._new = []
+        return findings
+
+
+class Judge:
+    """Checks all promises over the records of one fleet.
+
+    Args:
+        limits: Bounds of the promises.
+    """
+
+    def __init__(self, limits: Limits):
+        self.history = History()
+        self.limits = limits
+        self.answers = WholeAnswers(self.history, limits)
+        others = (RunsOnce, Streams, Changes, RevokedKeys, Ends, Usage)
+        self.promises: list[Promise] = [
+            self.answers,
+            *(make(self.history, limits) for make in others),
+        ]
+
+    def add(self, records: list[object]) -> None:
+        """Add records."""
+        for record in records:
+            self.history.add(record)
+            for promise in self.promises:
+                promise.add(record)
+
+    def check(self, until_ms: int) -> list[Finding]:
+        """Return what is broken up to a time, each finding once.
+
+        Args:
+            until_ms: The present time; after the end of the run, a later one, by which
+                all records are complete.
+        """
+        return [
+            finding for promise in self.promises for finding in promise.check(until_ms)
+        ]
--- a/soak/records.py
+++ b/soak/records.py
@@ -63,6 +63,9 @@
         runs_once: Whether it must not run twice.
         key: Credential that it carried.
         resumes: Name of the request whose stream it takes up; empty for none.
+        after_event: Last event that the caller had of that stream.
+        is_routed: Whether the entry was in rotation when the connection was opened.
+        began_ms: When the caller turned to it, on a connection that may be older.
         connection: Identifier of the connection.
         position: Number of requests on the connection before it.
         connected_ms: When the connection was open; 0 if it never was.
@@ -89,6 +92,9 @@
     runs_once: bool = True
     key: str = ""
     resumes: str = ""
+    after_event: int = 0
+    is_routed: bool = False
+    began_ms: int = 0
     connection: str = ""
     position: int = 0
     connected_ms: int = 0
