--- a/demo/processes.py
+++ b/demo/processes.py
@@ -100,13 +100,11 @@
         self.target_address_by_name = {name: next(addresses) for name in target_names}
 
     def __enter__(self) -> "Fleet":
-        for name in self.control_peer_by_name:
-            self.start(name, self._control_arguments(name))
-        for name in self.caller_address_by_name:
-            self.start(name, self._entry_arguments(name))
+        names = [*self.control_peer_by_name, *self.caller_address_by_name]
         if self.starts_targets:
-            for name in self.target_address_by_name:
-                self.start(name, self._target_arguments(name))
+            names += self.target_address_by_name
+        for name in names:
+            self.start(name, self.arguments(name))
         return self
 
     def __exit__(self, *details: object) -> None:
@@ -116,6 +114,14 @@
             process.wait(STOP_TIMEOUT_S)
         self.folder.cleanup()
 
+    def arguments(self, name: str) -> list[str]:
+        """Return the module of a process and the arguments of its first start."""
+        if name in self.control_peer_by_name:
+            return self._control_arguments(name)
+        if name in self.caller_address_by_name:
+            return self._entry_arguments(name)
+        return self._target_arguments(name)
+
     def start(self, name: str, arguments: list[str]) -> None:
         """Start one process."""
         self.arguments_by_name[name] = arguments
--- a/soak/conductor.py
+++ b/soak/conductor.py
@@ -141,17 +141,17 @@
 
     async def _change(self, action: Action) -> None:
         sent_ms = self.clock.now_ms()
-        status = await self.dialect.put(
+        answer = await self.dialect.put(
             self.fleet, action.subject, action.version, action.variant, action.revoked
         )
         kept = set(revocable_keys(action.revoked))
         self.writer.write(
             ChangeRecord(
-                version=action.version,
+                version=answer.version,
                 member=action.subject,
                 sent_ms=sent_ms,
-                answered_ms=self.clock.now_ms() if status else 0,
-                status=status,
+                answered_ms=self.clock.now_ms() if answer.status else 0,
+                status=answer.status,
                 is_valid=action.variant != "refused",
                 revoked=[key for key in revocable_keys(0) if key not in kept],
             )
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -8,7 +8,16 @@
 from soak.fleet import Fleet
 from wagtailrun.ports.link import Address
 
-__all__ = ["Answer", "Dialect", "RequestPlan", "SitePlan", "Targets"]
+__all__ = [
+    "Answer",
+    "Dialect",
+    "PutAnswer",
+    "RequestPlan",
+    "SitePlan",
+    "Targets",
+    "parse_addresses",
+    "revocable_keys",
+]
 
 LASTING_KEY = "lasting-key"
 REVOCABLE_KEYS = 12
@@ -32,6 +41,7 @@
         report_addresses: Addresses to which targets report.
         target_addresses: Addresses at which targets listen, by name.
         reported_addresses: Addresses at which entries reach targets, by name.
+        behaviour_folder: Folder with instructions to targets.
         release_ms: Times after the start at which targets are replaced by new versions.
         folder: Folder for the records of callers and targets.
     """
@@ -44,6 +54,7 @@
     report_addresses: list[str] = field(factory=list)
     target_addresses: dict[str, str] = field(factory=dict)
     reported_addresses: dict[str, str] = field(factory=dict)
+    behaviour_folder: str = ""
     release_ms: list[int] = field(factory=list)
     folder: str = ""
 
@@ -74,16 +85,31 @@
     Attributes:
         is_not_run: Whether it says that nothing ran.
         is_whole: Whether a stream has its end; True for other answers.
+        is_refused: Whether a stream ends with an error that says so.
         events: Numbers of events.
         versions: Software versions that the events name, each once.
     """
 
     is_not_run: bool = False
     is_whole: bool = True
+    is_refused: bool = False
     events: list[int] = field(factory=list)
     versions: list[str] = field(factory=list)
 
 
+@define(frozen=True, kw_only=True)
+class PutAnswer:
+    """Answer to a change of the configuration.
+
+    Attributes:
+        status: HTTP status; 0 without an answer.
+        version: Version that is in force, as far as the answer tells it.
+    """
+
+    status: int = 0
+    version: int = 0
+
+
 class Targets(ABC):
     """Stand-ins of all targets of a fleet, in a process of their own."""
 
@@ -104,12 +130,14 @@
         resumable: Kind of request whose streams can be taken up; empty for none.
         is_repeatable: Whether a request with the same name runs at most once.
         second_signal_ends: Whether a second SIGTERM ends an entry at once.
+        read_lag_ms: How old the version may be that a control member tells.
     """
 
     kinds: dict[str, float]
     resumable: str = ""
     is_repeatable: bool = False
     second_signal_ends: bool = False
+    read_lag_ms: int = 0
 
     @abstractmethod
     def request(self, plan: RequestPlan) -> tuple[str, list[tuple[str, str]], bytes]:
@@ -139,8 +167,17 @@
         """
 
     @abstractmethod
-    def make_plan(self, fleet: Fleet, seed: int, callers_per_entry: int) -> SitePlan:
-        """Return what callers and targets need to know."""
+    def make_plan(
+        self, fleet: Fleet, seed: int, callers_per_entry: int, uses_links: bool
+    ) -> SitePlan:
+        """Return what callers and targets need to know.
+
+        Args:
+            fleet: The fleet.
+            seed: Seed of callers and targets.
+            callers_per_entry: Number of callers of each entry.
+            uses_links: Whether entries reach targets through the links of the fleet.
+        """
 
     @abstractmethod
     def make_targets(self, plan: SitePlan) -> Targets:
@@ -149,8 +186,8 @@
     @abstractmethod
     async def put(
         self, fleet: Fleet, member: str, version: int, variant: str, revoked: int
-    ) -> int:
-        """Send a configuration; return the status of the answer, 0 without one.
+    ) -> PutAnswer:
+        """Send a configuration; return the answer.
 
         Args:
             fleet: The fleet.
--- a/soak/exchange.py
+++ b/soak/exchange.py
@@ -203,7 +203,10 @@
             return Outcome.CUT
         if self.status >= MIN_REFUSED_STATUS:
             return Outcome.REFUSED
-        return Outcome.ANSWERED if self._read(plan).is_whole else Outcome.CUT
+        answer = self._read(plan)
+        if answer.is_refused:
+            return Outcome.REFUSED
+        return Outcome.ANSWERED if answer.is_whole else Outcome.CUT
 
     async def _receive(
         self, wait_s: float, is_enough: Callable[[], bool] | None = None
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -47,6 +47,7 @@
         log_bytes_per_s: Largest log volume of a process, on average over a minute.
         notice_ms: Longest time of service after the signal to stop.
         notice_share: Longest share of a grace period that this time has.
+        read_lag_ms: How old the version may be that a control member tells.
         second_signal_ends: Whether a second SIGTERM ends an entry at once.
     """
 
@@ -60,6 +61,7 @@
     log_bytes_per_s: int = 200_000
     notice_ms: int = 2_800
     notice_share: float = 0.35
+    read_lag_ms: int = 0
     second_signal_ends: bool = False
 
 
@@ -383,12 +385,13 @@
             if read.answered_ms + SETTLE_MS > until_ms:
                 break
             self._checked = number + 1
+            asked_ms = read.sent_ms - self.limits.read_lag_ms
             least = max(
-                (c.version for c in self._changes if c.answered_ms < read.sent_ms),
+                (c.version for c in self._changes if c.answered_ms < asked_ms),
                 default=0,
             )
             earlier = max(
-                (r.version for r in self._reads if r.answered_ms < read.sent_ms),
+                (r.version for r in self._reads if r.answered_ms < asked_ms),
                 default=0,
             )
             if read.version < max(least, earlier):
--- a/soak/run.py
+++ b/soak/run.py
@@ -120,7 +120,12 @@
             self.faults,
             self.writer,
         )
-        self.judge = Judge(Limits(second_signal_ends=self.dialect.second_signal_ends))
+        self.judge = Judge(
+            Limits(
+                second_signal_ends=self.dialect.second_signal_ends,
+                read_lag_ms=self.dialect.read_lag_ms,
+            )
+        )
         self.findings: list[Finding] = []
         self.longest_standstill = StandstillRecord(loop="", at_ms=0, lasted_ms=0)
         self.callers: subprocess.Popen | None = None
@@ -138,8 +143,13 @@
         """
         size = self.options.size
         plan = self.dialect.make_plan(
-            self.fleet, _number(self.options.seed), size.callers_per_entry
+            self.fleet,
+            _number(self.options.seed),
+            size.callers_per_entry,
+            uses_links=self.fleet.proxy is not None,
         )
+        process = next(iter(self.fleet.processes_by_name.values()))
+        plan.behaviour_folder = str(process.folder.parent)
         plan.release_ms = self.schedule.release_ms
         plan.folder = str(self.folder)
         file = self.folder / "plan.json"
@@ -163,7 +173,10 @@
 
     async def _wait_until_served(self, plan: SitePlan, until_ms: int) -> None:
         member = self.fleet.names(Role.CONTROL)[0]
-        while await self.dialect.put(self.fleet, member, 1, "valid", 0) != 200:
+        while True:
+            answer = await self.dialect.put(self.fleet, member, 1, "valid", 0)
+            if answer.status == 200:
+                break
             await self._pause(until_ms, "no configuration is accepted")
         number = 0
         for entry, text in plan.caller_addresses.items():
