Let a process listen for its peers at another address than it tells them

Cause: peers find each other by peer_address, which was also the address that a process listened at; nothing could be put between two processes, and a process behind address translation could not be reached. Change: the setting peer_listen_address, by default peer_address, for all four daemons. tests/process_groups.py lists the new module of processes; the test of conflicting settings also has the new one. Before: the setting is unknown and the processes do not start.

--- a/tests/process_groups.py
+++ b/tests/process_groups.py
@@ -8,6 +8,7 @@
     (
         "test_accounts_processes.py",
         "test_connect_shortage_processes.py",
+        "test_peer_listen_address.py",
         "test_planned_stop_processes.py",
         "test_stalled_log.py",
     ),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -77,6 +77,8 @@
     assert "drain_limit_ms" in faults_of({**FLAGS, "drain_limit_ms": "10"})[0]
     same = {**FLAGS, "target_address": FLAGS["caller_address"]}
     assert "its own port" in faults_of(same)[0]
+    same = {**FLAGS, "peer_listen_address": FLAGS["caller_address"]}
+    assert "its own port" in faults_of(same)[0]
 
 
 def test_secret_from_a_file(tmp_path):
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -84,7 +84,9 @@
             settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
         )
         self.peer_server = PeerServer(
-            settings.peer_address, settings.peer_secret, self.handle_peer
+            settings.peer_listen_address or settings.peer_address,
+            settings.peer_secret,
+            self.handle_peer,
         )
         self.signalled_drain = SignalledDrain(
             self.clock, settings.name, self._drain, FORCED_END_MS
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -111,7 +111,9 @@
         )
         self.target_server = self._make_target_server()
         self.peer_server = PeerServer(
-            settings.peer_address, settings.peer_secret, self.handle_peer
+            settings.peer_listen_address or settings.peer_address,
+            settings.peer_secret,
+            self.handle_peer,
         )
         self.signalled_drain = SignalledDrain(
             self.clock,
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -180,7 +180,9 @@
             settings.operator_address, self.operator_handler, MAX_TEXT_BYTES
         )
         self.peer_server = PeerServer(
-            settings.peer_address, settings.peer_secret, self.handle_peer
+            settings.peer_listen_address or settings.peer_address,
+            settings.peer_secret,
+            self.handle_peer,
         )
         self.metrics = RelayMetrics()
         self._export_gauges()
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -265,7 +265,9 @@
             settings.ready_address, self.readiness.handle, checks=lambda path: True
         )
         self.peer_server = PeerServer(
-            settings.peer_address, settings.peer_secret, self.handle_peer
+            settings.peer_listen_address or settings.peer_address,
+            settings.peer_secret,
+            self.handle_peer,
         )
         self.upkeep = Upkeep(
             self.clock,
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -162,6 +162,12 @@
 NAME = (_parse_name, "Name of the VM.")
 DATA_CENTRE = (_parse_name, "Data centre of the VM.")
 PEER_ADDRESS = (parse_address, "IP:PORT where other processes of the system connect.")
+PEER_LISTEN_ADDRESS = (
+    parse_address,
+    "IP:PORT where this process listens for its peers, if they reach it through a "
+    "proxy or address translation; by default peer_address.",
+    None,
+)
 PEER_SECRET = (_parse_secret_bytes, "Secret shared by the processes of the system.")
 MEMORY_MB = (
     _number(1, MAX_MEMORY_MB, "MB"),
@@ -210,6 +216,7 @@
     trace_file: str = _setting(
         _parse_nonempty, "File that records requests for replay; none by default.", ""
     )
+    peer_listen_address: Address | None = _setting(*PEER_LISTEN_ADDRESS)
     memory_mb: float = _setting(*MEMORY_MB)
 
 
@@ -241,6 +248,7 @@
     bootstrap: tuple[tuple[str, Address], ...] = _setting(
         _parse_members, "NAME=IP:PORT of the initial members, comma-separated.", ()
     )
+    peer_listen_address: Address | None = _setting(*PEER_LISTEN_ADDRESS)
     memory_mb: float = _setting(*MEMORY_MB)
 
 
@@ -367,6 +375,7 @@
         "Bandwidth of this VM's network link in Mbit/s.",
         1_000.0,
     )
+    peer_listen_address: Address | None = _setting(*PEER_LISTEN_ADDRESS)
     memory_mb: float = _setting(*MEMORY_MB)
     max_fds: int | None = _setting(
         _parse_descriptors,
@@ -413,6 +422,7 @@
         "Interval between the heartbeats of a target, in milliseconds.",
         1_200,
     )
+    peer_listen_address: Address | None = _setting(*PEER_LISTEN_ADDRESS)
     memory_mb: float = _setting(*MEMORY_MB)
 
 
@@ -615,7 +625,7 @@
         addresses = [
             settings.caller_address,
             settings.target_address,
-            settings.peer_address,
+            settings.peer_listen_address or settings.peer_address,
         ]
     elif isinstance(settings, RelayEntrySettings):
         if settings.effective_drain_notice_ms > settings.grace_s * MS_PER_SECOND:
@@ -623,10 +633,13 @@
         addresses = [
             settings.caller_address,
             settings.ready_address,
-            settings.peer_address,
+            settings.peer_listen_address or settings.peer_address,
         ]
     elif isinstance(settings, RelayControlSettings | ControlSettings):
-        addresses = [settings.operator_address, settings.peer_address]
+        addresses = [
+            settings.operator_address,
+            settings.peer_listen_address or settings.peer_address,
+        ]
     else:
         return []
     if len(set(addresses)) < len(addresses):
