--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,6 +47,7 @@
 MEAN_REST_MS = 250
 REVOCABLE_SHARE = 0.1
 RETRY_PAUSE_S = 0.2
+MAX_REFUSED_PAUSE_S = 0.3
 PARENT_INTERVAL_S = 0.5
 # Callers that look only for the stop of their entry wait for this long.
 MAX_CHASE_MS = 9_000
@@ -211,6 +212,8 @@
         record = await connection.exchange(plan, manner)
         longest_ms = self.callers.watch.longest_ms(record.began_ms)
         self.callers.writer.write(attrs.evolve(record, standstill_ms=longest_ms))
+        if record.outcome is Outcome.REFUSED:
+            await curio.sleep(self.random.uniform(0, MAX_REFUSED_PAUSE_S))
         return record
 
     async def call_new(
@@ -315,7 +318,11 @@
             await self.exchange(second, self.new_plan(), Manner())
         moment = self.stop_moment(first)
         if second.is_usable:
-            manner = Manner(late_ms=MAX_CHASE_MS, is_ready=moment)
+            manner = Manner(
+                late_ms=MAX_CHASE_MS,
+                is_ready=moment,
+                is_blind=self.random.random() < 0.5,
+            )
             await self.exchange(second, self.new_plan(), manner)
         await first.close()
         await second.close()
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -16,6 +16,7 @@
     "SitePlan",
     "Targets",
     "parse_addresses",
+    "reported_addresses",
     "revocable_keys",
 ]
 
@@ -155,7 +156,12 @@
 
     @abstractmethod
     def make_fleet(
-        self, folder: Path, entries: int, controls: int, grace_ms: dict[str, int]
+        self,
+        folder: Path,
+        entries: int,
+        controls: int,
+        grace_ms: dict[str, int],
+        with_faults: bool,
     ) -> Fleet:
         """Return a fleet that is not started.
 
@@ -164,20 +170,13 @@
             entries: Number of entries.
             controls: Number of control members.
             grace_ms: Gets the grace periods of entries by name; read at each start.
+            with_faults: Whether processes are started so that disks and links can
+                have faults.
         """
 
     @abstractmethod
-    def make_plan(
-        self, fleet: Fleet, seed: int, callers_per_entry: int, uses_links: bool
-    ) -> SitePlan:
-        """Return what callers and targets need to know.
-
-        Args:
-            fleet: The fleet.
-            seed: Seed of callers and targets.
-            callers_per_entry: Number of callers of each entry.
-            uses_links: Whether entries reach targets through the links of the fleet.
-        """
+    def make_plan(self, fleet: Fleet, seed: int, callers_per_entry: int) -> SitePlan:
+        """Return what callers and targets need to know."""
 
     @abstractmethod
     def make_targets(self, plan: SitePlan) -> Targets:
@@ -202,6 +201,15 @@
         """Return the version that a control member tells; 0 if it tells none."""
 
 
+def reported_addresses(fleet: Fleet, targets: dict[str, Address]) -> dict[str, str]:
+    """Return the addresses at which entries reach targets, by name."""
+    links = fleet.links_by_name
+    return {
+        name: str(links[f"entries>{name}"].listen if links else address)
+        for name, address in targets.items()
+    }
+
+
 def parse_addresses(texts: dict[str, str]) -> dict[str, Address]:
     """Return addresses by name."""
     return {name: Address.parse(text) for name, text in texts.items()}
--- a/soak/exchange.py
+++ b/soak/exchange.py
@@ -21,6 +21,7 @@
 CONNECT_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 12.0
 TCP_CLOSE = 7
+BLIND_POLL_S = 0.001
 # Time in which the reset follows the end of a connection whose bytes were not read.
 RESET_WAIT_S = 0.005
 MIN_REFUSED_STATUS = 400
@@ -36,7 +37,8 @@
         leaves_after_ms: When the caller leaves, after the request was sent; 0 never.
         leaves_at_event: Event of a stream at which the caller leaves; 0 never.
         ends_connection: Whether it asks for the end of the connection.
-        is_ready: Awaited before the first byte, in place of the time.
+        is_ready: Whether to send the first byte; at the latest after ``late_ms``.
+        is_blind: Whether the caller sends without a look at what has arrived.
     """
 
     late_ms: float = 0
@@ -45,6 +47,7 @@
     leaves_at_event: int = 0
     ends_connection: bool = False
     is_ready: Callable[[], bool] | None = None
+    is_blind: bool = False
 
 
 class Connection:
@@ -74,6 +77,8 @@
     def _clear(self) -> None:
         self.first_byte_ms = self.sent_ms = self.answer_ms = self.received = 0
         self.status = 0
+        # When the end had arrived that a caller did not look for.
+        self.ended_before_ms = 0
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.is_complete = False
@@ -134,7 +139,9 @@
 
     async def _exchange(self, plan: RequestPlan, manner: Manner) -> Outcome:
         parts = self._render(plan, manner)
-        if manner.is_ready is not None:
+        if manner.is_blind:
+            await self._wait_blindly(manner)
+        elif manner.is_ready is not None:
             await self._receive(manner.late_ms / 1_000, manner.is_ready)
         elif manner.late_ms:
             await self._receive(manner.late_ms / 1_000)
@@ -149,6 +156,21 @@
                 self.sent_ms = self.clock.now_ms()
         return await self._receive_answer(plan, manner)
 
+    async def _wait_blindly(self, manner: Manner) -> None:
+        """Wait without receiving, so that the request may cross the end."""
+        until_ms = self.clock.now_ms() + manner.late_ms
+        while not manner.is_ready() and self.clock.now_ms() < until_ms:
+            await curio.sleep(BLIND_POLL_S)
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            has_ended = not self.sock._socket.recv(1, flags)
+        except BlockingIOError:
+            has_ended = False
+        except OSError:
+            has_ended = True
+        if has_ended:
+            self.ended_before_ms = self.clock.now_ms()
+
     def _is_ended(self) -> bool:
         return bool(self.closed_ms) or self.is_complete
 
@@ -294,7 +316,7 @@
             sent_ms=self.sent_ms,
             answer_ms=self.answer_ms,
             ended_ms=self.clock.now_ms(),
-            closed_ms=self.closed_ms,
+            closed_ms=self.ended_before_ms or self.closed_ms,
             was_reset=self.was_reset,
             received=self.received,
             status=self.status,
--- a/soak/product.py
+++ b/soak/product.py
@@ -20,8 +20,10 @@
     SitePlan,
     Targets,
     parse_addresses,
+    reported_addresses,
     revocable_keys,
 )
+from soak.faults import DISK_FOLDER_VARIABLE
 from soak.fleet import Fleet, FleetProcess, Link, Role
 from soak.records import RecordWriter, RunRecord
 from wagtailrun.adapters.http_client import HttpClient, HttpReply
@@ -34,9 +36,11 @@
 __all__ = ["ProductDialect"]
 
 DATA_CENTRE = "east"
+DISK_WRAPPER = Path(__file__).parent.parent / "tests" / "full_disk"
 SERVICES = ["encoders", "documents", "engines", "dispatch-desk"]
 TEXT_FILE = Path(__file__).parent.parent / "demo" / "fleet.toml"
 TOKENS = 12
+CAPACITY = 64
 TOKEN_MS = 50
 # An engine, or an order, is silent for a random time.
 MAX_SILENT_MS = 1_500
@@ -62,10 +66,16 @@
         entries: Number of entries.
         controls: Number of control members.
         grace_ms: Gets the grace periods of entries by name.
+        with_faults: Whether disks and links can have faults.
     """
 
     def __init__(
-        self, folder: Path, entries: int, controls: int, grace_ms: dict[str, int]
+        self,
+        folder: Path,
+        entries: int,
+        controls: int,
+        grace_ms: dict[str, int],
+        with_faults: bool,
     ):
         super().__init__()
         self.inner = DemoFleet(
@@ -98,13 +108,29 @@
                 target=inner.target_interface_address_by_name[name],
                 peer=inner.entry_peer_by_name[name],
             )
-        targets = inner.target_address_by_name
-        self.links_by_name = {
-            f"entries>{name}": Link(
-                name=f"entries>{name}", listen=listen, upstream=targets[name]
+        self.links_by_name = self._links() if with_faults else {}
+        if with_faults:
+            inner.environment["PYTHONPATH"] = str(DISK_WRAPPER)
+            inner.environment[DISK_FOLDER_VARIABLE] = str(self.folder)
+
+    def _links(self) -> dict[str, Link]:
+        """Return the links to targets and to the peer addresses of processes."""
+        targets = self.inner.target_address_by_name
+        processes = self.processes_by_name
+        addresses = iter(free_addresses(len(targets) + len(processes)))
+        links = [
+            Link(name=f"entries>{name}", listen=next(addresses), upstream=upstream)
+            for name, upstream in targets.items()
+        ]
+        links += [
+            Link(
+                name=f"peers>{name}",
+                listen=process.addresses["peer"],
+                upstream=next(addresses),
             )
-            for name, listen in zip(targets, free_addresses(len(targets)), strict=True)
-        }
+            for name, process in processes.items()
+        ]
+        return {link.name: link for link in links}
 
     def _process(self, name: str, role: Role, **addresses: Address) -> FleetProcess:
         return FleetProcess(
@@ -118,6 +144,9 @@
     def spawn(self, name: str) -> Any:
         """Start the program of a process and return it."""
         arguments = self.inner.arguments(name)
+        if self.links_by_name:
+            listen = self.links_by_name[f"peers>{name}"].upstream
+            arguments.append(f"--peer-listen-address={listen}")
         if self.processes_by_name[name].role is Role.ENTRY:
             self._started_grace_ms[name] = self.grace_ms[name]
             arguments.append(f"--drain-limit-ms={self.grace_ms[name]}")
@@ -196,22 +225,23 @@
         )
 
     def make_fleet(
-        self, folder: Path, entries: int, controls: int, grace_ms: dict[str, int]
+        self,
+        folder: Path,
+        entries: int,
+        controls: int,
+        grace_ms: dict[str, int],
+        with_faults: bool,
     ) -> Fleet:
         """Return a fleet that is not started."""
-        return ProductFleet(folder, entries, controls, grace_ms)
+        return ProductFleet(folder, entries, controls, grace_ms, with_faults)
 
-    def make_plan(
-        self, fleet: Fleet, seed: int, callers_per_entry: int, uses_links: bool
-    ) -> SitePlan:
+    def make_plan(self, fleet: Fleet, seed: int, callers_per_entry: int) -> SitePlan:
         """Return what callers and targets need to know."""
         entries = {
             name: str(fleet.processes_by_name[name].addresses["caller"])
             for name in fleet.names(Role.ENTRY)
         }
-        links = {
-            name.partition(">")[2]: link for name, link in fleet.links_by_name.items()
-        }
+        targets = fleet.inner.target_address_by_name
         return SitePlan(
             kind="product",
             seed=seed,
@@ -222,11 +252,8 @@
                 str(fleet.processes_by_name[name].addresses["target"])
                 for name in fleet.names(Role.ENTRY)
             ],
-            target_addresses={name: str(link.upstream) for name, link in links.items()},
-            reported_addresses={
-                name: str(link.listen if uses_links else link.upstream)
-                for name, link in links.items()
-            },
+            target_addresses={name: str(each) for name, each in targets.items()},
+            reported_addresses=reported_addresses(fleet, targets),
         )
 
     def make_targets(self, plan: SitePlan) -> Targets:
@@ -316,7 +343,8 @@
 
     def announcement(self) -> dict:
         """Return the body of an announcement."""
-        return {**super().announcement(), "software_version": self.version}
+        value = super().announcement()
+        return {**value, "software_version": self.version, "capacity": CAPACITY}
 
     async def handle(self, request: Request) -> Response:
         """Serve one request of an entry."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from soak.faults import FAULTS_BY_NAME
 from soak.fleet import Requirements, Role
 from soak.kinds import KINDS, dialect_of
+from soak.links import LinkProxy
 from soak.promises import Finding, Judge, Limits
 from soak.records import Outcome, RecordReader, RecordWriter, StandstillRecord
 from soak.schedule import Size, make_schedule
@@ -99,7 +100,11 @@
         size = options.size
         self.grace_ms: dict[str, int] = {}
         fleet = self.dialect.make_fleet(
-            folder, size.entries, size.controls, self.grace_ms
+            folder,
+            size.entries,
+            size.controls,
+            self.grace_ms,
+            with_faults=bool(options.faults),
         )
         self.fleet = fleet
         self.faults = {name: FAULTS_BY_NAME[name] for name in options.faults}
@@ -143,10 +148,7 @@
         """
         size = self.options.size
         plan = self.dialect.make_plan(
-            self.fleet,
-            _number(self.options.seed),
-            size.callers_per_entry,
-            uses_links=self.fleet.proxy is not None,
+            self.fleet, _number(self.options.seed), size.callers_per_entry
         )
         process = next(iter(self.fleet.processes_by_name.values()))
         plan.behaviour_folder = str(process.folder.parent)
@@ -154,6 +156,10 @@
         plan.folder = str(self.folder)
         file = self.folder / "plan.json"
         file.write_text(json.dumps(cattrs.unstructure(plan)))
+        if self.fleet.links_by_name:
+            self.fleet.proxy = LinkProxy()
+            for link in self.fleet.links_by_name.values():
+                await self.fleet.proxy.add(link.name, link.listen, link.upstream)
         self.targets = self._start_part("targets", file)
         for name in self.fleet.processes_by_name:
             self.fleet.start(name)
@@ -238,6 +244,8 @@
     def end(self) -> None:
         """End all processes of the site."""
         self.fleet.end_all()
+        if self.fleet.proxy is not None:
+            self.fleet.proxy.stop()
         for part in (self.callers, self.targets):
             if part is not None and part.poll() is None:
                 part.kill()
--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -8,6 +8,7 @@
 import curio
 
 from demo.processes import free_addresses
+from soak.behaviours import BehaviourFolder, EndedEarly, shape_answer
 from soak.dialect import (
     LASTING_KEY,
     Answer,
@@ -16,8 +17,10 @@
     SitePlan,
     Targets,
     parse_addresses,
+    reported_addresses,
     revocable_keys,
 )
+from soak.faults import DISK_FOLDER_VARIABLE
 from soak.fleet import Fleet, FleetProcess, Link, Role
 from soak.records import RecordWriter, RunRecord
 from tests import test_relay_processes as relay
@@ -27,6 +30,7 @@
 from wagtailrun.ports.link import Address
 
 ZONE = "riverside"
+DISK_WRAPPER = Path(__file__).parent / "full_disk"
 ENGINES = 3
 ENGINE_SLOTS = 64
 STREAM_EVENTS = 12
@@ -48,8 +52,16 @@
 class ProcessFleet(relay.Fleet):
     """Fleet of the tests of processes, with the settings that operators have."""
 
-    def __init__(self, folder, grace_ms):
-        super().__init__(folder)
+    def __init__(self, folder, grace_ms, with_faults):
+        environment = {}
+        if with_faults:
+            paths = (relay.ROOT, relay.ROOT / "platform", DISK_WRAPPER)
+            environment["PYTHONPATH"] = ":".join(map(str, paths))
+            environment[DISK_FOLDER_VARIABLE] = str(folder)
+        super().__init__(folder, environment)
+        self.with_faults = with_faults
+        (address,) = free_addresses(1)
+        self.peer_listen_port = address.port
         self.grace_ms = grace_ms
         # Names of processes that were started before.
         self.started = set()
@@ -57,6 +69,9 @@
         self.started_grace_ms = {}
 
     def settings(self, name, ip, extra):
+        if self.with_faults:
+            listen = f"{ip}:{self.peer_listen_port}"
+            extra = {**extra, "PEER_LISTEN_ADDRESS": listen}
         if name in self.grace_ms:
             self.started_grace_ms[name] = self.grace_ms[name]
             extra = {**extra, "GRACE_S": f"{self.grace_ms[name] / 1_000:g}"}
@@ -70,9 +85,9 @@
 class RelayFleet(Fleet):
     """Entries and control members of the relay."""
 
-    def __init__(self, folder, entries, controls, grace_ms):
+    def __init__(self, folder, entries, controls, grace_ms, with_faults):
         super().__init__()
-        self.inner = ProcessFleet(folder, grace_ms)
+        self.inner = ProcessFleet(folder, grace_ms, with_faults)
         self.grace_ms = grace_ms
         self.numbers = {}
         self.processes_by_name = {}
@@ -80,15 +95,22 @@
             self._add(f"core-{number}", number, Role.CONTROL)
         for number in range(1, entries + 1):
             self._add(f"front-{number}", number, Role.ENTRY)
-        self.target_addresses = {}
+        names = ["i-stage", "i-desk", *(f"i-engine-{n + 1}" for n in range(ENGINES))]
+        self.target_addresses = dict(
+            zip(names, free_addresses(len(names)), strict=True)
+        )
         self.links_by_name = {}
-        names = ["i-stage", *(f"i-engine-{n}" for n in range(1, ENGINES + 1))]
-        addresses = iter(free_addresses(2 * len(names)))
-        for name in names:
-            upstream, listen = next(addresses), next(addresses)
-            self.target_addresses[name] = upstream
-            link = Link(name=f"entries>{name}", listen=listen, upstream=upstream)
-            self.links_by_name[link.name] = link
+        if not with_faults:
+            return
+        for name, listen in zip(names, free_addresses(len(names)), strict=True):
+            self._add_link(f"entries>{name}", listen, self.target_addresses[name])
+        for name, process in self.processes_by_name.items():
+            told = process.addresses["peer"]
+            upstream = Address(told.host, self.inner.peer_listen_port)
+            self._add_link(f"peers>{name}", told, upstream)
+
+    def _add_link(self, name, listen, upstream):
+        self.links_by_name[name] = Link(name=name, listen=listen, upstream=upstream)
 
     def _add(self, name, number, role):
         inner = self.inner
@@ -201,10 +223,10 @@
         is_whole = bool(events) and events[-1] == STREAM_EVENTS
         return Answer(is_whole=is_whole, events=events, versions=sorted(set(versions)))
 
-    def make_fleet(self, folder, entries, controls, grace_ms):
-        return RelayFleet(folder, entries, controls, grace_ms)
+    def make_fleet(self, folder, entries, controls, grace_ms, with_faults):
+        return RelayFleet(folder, entries, controls, grace_ms, with_faults)
 
-    def make_plan(self, fleet, seed, callers_per_entry, uses_links):
+    def make_plan(self, fleet, seed, callers_per_entry):
         processes = fleet.processes_by_name.values()
         entries = [each for each in processes if each.role is Role.ENTRY]
         controls = [each for each in processes if each.role is Role.CONTROL]
@@ -218,12 +240,7 @@
             target_addresses={
                 name: str(address) for name, address in fleet.target_addresses.items()
             },
-            reported_addresses={
-                name.partition(">")[2]: str(
-                    link.listen if uses_links else link.upstream
-                )
-                for name, link in fleet.links_by_name.items()
-            },
+            reported_addresses=reported_addresses(fleet, fleet.target_addresses),
         )
 
     def make_targets(self, plan):
@@ -327,11 +344,13 @@
         )
         seal = (("Attempt-Id", name), relay.SIGNATURE)
         await curio.sleep(owner.random.uniform(0, MAX_SILENT_MS) / 1_000)
+        behaviour = owner.behaviours.get(self.name)
         if self.service == "desk":
-            return Response(200, b"done", seal)
+            return Response(200, shape(behaviour, answer(), 1), seal, length=4)
         first = int(request.headers.get("last-event-id", "0")) + 1
         headers = (("Content-Type", "text/event-stream"), *seal)
-        return Response(200, self.events(first), headers)
+        count = STREAM_EVENTS + 1 - first
+        return Response(200, shape(behaviour, self.events(first), count), headers)
 
     async def events(self, first):
         for number in range(first, STREAM_EVENTS + 1):
@@ -350,6 +369,19 @@
         return Response(200, json.dumps({"items": items}).encode())
 
 
+async def answer():
+    yield b"done"
+
+
+async def shape(behaviour, pieces, count):
+    """Yield the pieces of an answer as an instruction to the target has it."""
+    try:
+        async for piece in shape_answer(behaviour, pieces, count):
+            yield piece
+    except EndedEarly:
+        raise ConnectionResetError("ended early, as instructed") from None
+
+
 class RelayTargets(Targets):
     """All targets of a fleet of the relay."""
 
@@ -360,14 +392,14 @@
         self.listen = parse_addresses(plan.target_addresses)
         self.reported = parse_addresses(plan.reported_addresses)
         self.folder = plan.folder
+        self.behaviours = BehaviourFolder(Path(plan.behaviour_folder))
         self.engine_version = 1
         self.engines = []
 
     async def run(self):
         self.writer = RecordWriter(Path(self.folder) / "targets.records")
         await self.add("i-stage", "board", "v1")
-        (address,) = free_addresses(1)
-        await self.add("i-desk", "desk", "v1", address)
+        await self.add("i-desk", "desk", "v1")
         self.engines = [
             await self.add(name, "llm", "v1")
             for name in self.listen
--- /dev/null
+++ b/tests/test_soak_promises.py
@@ -0,0 +1,306 @@
+"""Tests of the promises of the soak: each violation is found, each allowed break not.
+
+All of them guard against a soak that passes over a broken promise, or that reports what
+the pages allow.
+"""
+
+import signal
+
+import pytest
+
+from soak.promises import Judge, Limits
+from soak.records import (
+    ChangeRecord,
+    ExitRecord,
+    FaultRecord,
+    Outcome,
+    ReadRecord,
+    RequestRecord,
+    RunRecord,
+    SignalRecord,
+    UsageRecord,
+)
+
+LATER_MS = 1 << 40
+ENTRY = "front-1"
+PID = 7
+
+
+def request(outcome=Outcome.NO_ANSWER, **values):
+    """Return a request that was whole at 10,000 ms and ended 700 ms later."""
+    common = {
+        "name": "r",
+        "entry": ENTRY,
+        "kind": "order",
+        "began_ms": 9_990,
+        "connected_ms": 9_990,
+        "first_byte_ms": 10_000,
+        "sent_ms": 10_000,
+        "ended_ms": 10_700,
+        "closed_ms": 10_700,
+        "key": "key",
+    }
+    return RequestRecord(outcome=outcome, **{**common, **values})
+
+
+def stop(at_ms, number=signal.SIGTERM, pid=PID, grace_ms=8_000, is_planned=True):
+    return SignalRecord(
+        process=ENTRY,
+        pid=pid,
+        number=number,
+        at_ms=at_ms,
+        grace_ms=grace_ms if number == signal.SIGTERM else 0,
+        is_planned=is_planned,
+    )
+
+
+def end(at_ms, code=0, pid=PID):
+    return ExitRecord(process=ENTRY, pid=pid, at_ms=at_ms, code=code)
+
+
+def run(name="r", at_ms=10_010):
+    return RunRecord(name=name, target="t", at_ms=at_ms)
+
+
+def change(version, answered_ms, **values):
+    common = {"member": "core-1", "sent_ms": answered_ms - 10, "status": 200}
+    return ChangeRecord(version=version, answered_ms=answered_ms, **common | values)
+
+
+def read(version, sent_ms, answered_ms):
+    return ReadRecord(
+        version=version, member="core-2", sent_ms=sent_ms, answered_ms=answered_ms
+    )
+
+
+def usage(at_ms=0, resident_mb=50.0, descriptors=100, log_bytes=0):
+    return UsageRecord(
+        process=ENTRY,
+        pid=PID,
+        at_ms=at_ms,
+        resident_mb=resident_mb,
+        descriptors=descriptors,
+        log_bytes=log_bytes,
+    )
+
+
+def stream(name="r", events=(1, 2, 3), versions=("v1",), **values):
+    return request(
+        Outcome.ANSWERED,
+        name=name,
+        kind="stream",
+        runs_once=False,
+        events=list(events),
+        versions=list(versions),
+        **values,
+    )
+
+
+def fault(from_ms, to_ms):
+    return FaultRecord(kind="reset", subject="link", from_ms=from_ms, to_ms=to_ms)
+
+
+# The reported case: taken 6.94 s after the signal, closed 0.7 s later, before the end.
+REPORTED = [
+    stop(10_000 - 6_940),
+    request(),
+    end(10_000 - 6_940 + 7_800),
+]
+CROSSED = {"position": 3, "closed_ms": 10_002, "ended_ms": 10_007, "was_reset": True}
+
+BROKEN = {
+    "reported case": ("whole answers", REPORTED),
+    "no answer": ("whole answers", [request()]),
+    "no end": ("whole answers", [request(Outcome.NO_END)]),
+    "cut": ("whole answers", [request(Outcome.CUT, received=10)]),
+    "read and closed": (
+        "whole answers",
+        [request(**{**CROSSED, "was_reset": False})],
+    ),
+    "crossed and ran": ("whole answers", [request(**CROSSED), run()]),
+    "closed long after the request": (
+        "whole answers",
+        [request(**{**CROSSED, "closed_ms": 10_050})],
+    ),
+    "crossed on a new connection": (
+        "whole answers",
+        [request(**{**CROSSED, "position": 0})],
+    ),
+    "stream cut before the end of the grace period": (
+        "whole answers",
+        [stop(9_000), request(Outcome.CUT, events=[1])],
+    ),
+    "stream cut that came after the notice": (
+        "whole answers",
+        [stop(10_000 - 6_940), request(Outcome.CUT, events=[1])],
+    ),
+    "no connection in rotation": (
+        "whole answers",
+        [request(Outcome.NO_CONNECTION, name="", is_routed=True)],
+    ),
+    "no answer long before a fault": (
+        "whole answers",
+        [request(), fault(20_000, 21_000)],
+    ),
+    "no answer long after a fault": ("whole answers", [request(), fault(-9_000, -8_000)]),
+    "killed before it": (
+        "whole answers",
+        [request(), stop(8_000, signal.SIGKILL, is_planned=False)],
+    ),
+    "ran twice": (
+        "runs once",
+        [request(Outcome.ANSWERED), run(at_ms=10_010), run(at_ms=10_500)],
+    ),
+    "refused and ran": (
+        "not run",
+        [request(Outcome.REFUSED, status=503, is_not_run=True), run()],
+    ),
+    "skipped event": ("streams", [stream(events=(1, 3))]),
+    "repeated event": ("streams", [stream(events=(1, 2, 2))]),
+    "repeated at the take-up": (
+        "streams",
+        [stream("a"), stream("b", (3, 4), resumes="a", after_event=3)],
+    ),
+    "two versions in one answer": ("streams", [stream(versions=("v1", "v2"))]),
+    "other version at the take-up": (
+        "streams",
+        [
+            stream("a", (1, 2)),
+            stream("b", (3, 4), versions=("v2",), resumes="a", after_event=2),
+        ],
+    ),
+    "lost change": ("changes", [change(5, 100), read(4, 101, 110)]),
+    "version steps back": ("changes", [read(5, 90, 100), read(4, 101, 110)]),
+    "invalid change": ("changes", [change(5, 100, is_valid=False)]),
+    "revoked key": (
+        "revoked keys",
+        [
+            change(5, 4_000, revoked=["key"]),
+            request(Outcome.ANSWERED, name="late"),
+        ],
+    ),
+    "late end": ("ends", [stop(1_000), end(9_300)]),
+    "no end of the process": ("ends", [stop(1_000)]),
+    "killed at the end of its time": (
+        "ends",
+        [stop(1_000), stop(9_000, signal.SIGKILL), end(9_005, -9)],
+    ),
+    "crash": ("ends", [end(1_000, -11)]),
+    "exit by itself": ("ends", [end(1_000, 0)]),
+    "exit code after a stop": ("ends", [stop(1_000), end(2_000, 1)]),
+    "memory": ("usage", [usage(resident_mb=301.0)]),
+    "descriptors": ("usage", [usage(descriptors=4_101)]),
+    "log": ("usage", [usage(), usage(at_ms=60_000, log_bytes=13_000_000)]),
+}
+
+KEPT = {
+    "answered": [request(Outcome.ANSWERED), run()],
+    "refused": [request(Outcome.REFUSED, status=503, is_not_run=True)],
+    "refused that may have run": [request(Outcome.REFUSED, status=502), run()],
+    "left": [request(Outcome.LEFT), run()],
+    "refused, then repeated": [
+        request(Outcome.REFUSED, status=503, is_not_run=True),
+        request(Outcome.ANSWERED, ended_ms=12_000),
+        run(at_ms=11_900),
+    ],
+    "crossed the close of an idle connection": [request(**CROSSED)],
+    "sent after the end of an idle connection": [
+        request(**{**CROSSED, "closed_ms": 9_000})
+    ],
+    "closed before the first byte": [request(first_byte_ms=0, sent_ms=0)],
+    "beside a fault": [request(), fault(10_100, 10_200)],
+    "beside a fault that lasts": [request(), fault(9_000, 0)],
+    "soon after a fault": [request(Outcome.CUT), fault(5_000, 6_000)],
+    "killed": [request(), stop(10_300, signal.SIGKILL, is_planned=False)],
+    "stream cut off by the end of the grace period": [
+        stop(10_000 - 2_000),
+        request(Outcome.CUT, events=[1], ended_ms=15_800),
+        end(15_900),
+    ],
+    "no connection, pinned": [request(Outcome.NO_CONNECTION, name="")],
+    "no connection, just stopped": [
+        stop(9_900),
+        request(Outcome.NO_CONNECTION, name="", is_routed=True, began_ms=10_400),
+        end(11_000),
+    ],
+    "taken up": [
+        stream("a", (1, 2)),
+        stream("b", (3, 4), resumes="a", after_event=2),
+    ],
+    "stream that ran twice": [stream(), run(), run(at_ms=10_300)],
+    "changes in order": [
+        change(5, 100),
+        read(5, 101, 110),
+        change(6, 120),
+        read(6, 130, 131),
+    ],
+    "read beside a change": [change(5, 100), read(4, 99, 110)],
+    "change without an answer": [change(5, 0, status=0), read(4, 101, 110)],
+    "key within its bound": [
+        change(5, 9_000, revoked=["key"]),
+        request(Outcome.ANSWERED),
+    ],
+    "revoked key that is refused": [
+        change(5, 1_000, revoked=["key"]),
+        request(Outcome.REFUSED, status=401),
+    ],
+    "end in time": [stop(1_000), end(9_000)],
+    "end of the next process": [stop(1_000), end(3_000), stop(4_000, pid=8)]
+    + [end(11_000, pid=8)],
+    "killed by a fault": [stop(1_000, signal.SIGKILL, is_planned=False)]
+    + [end(1_001, -9)],
+    "usual use": [usage(), usage(at_ms=60_000, log_bytes=11_000_000)],
+}
+
+
+def findings(records, limits=None):
+    judge = Judge(limits or Limits())
+    judge.add(records)
+    return judge.check(LATER_MS)
+
+
+@pytest.mark.parametrize("case", BROKEN)
+def test_broken_promise_is_found(case):
+    """Guards against a violation that the soak does not see."""
+    promise, records = BROKEN[case]
+    assert promise in {finding.promise for finding in findings(records)}
+
+
+@pytest.mark.parametrize("case", KEPT)
+def test_allowed_end_is_no_finding(case):
+    """Guards against findings that the pages allow."""
+    assert findings(KEPT[case]) == []
+
+
+def test_second_signal_ends_only_entries_that_promise_it():
+    """Guards against requests that are lost at a second signal without a finding."""
+    records = [stop(8_000), request(), stop(10_300), end(10_301)]
+    assert [each.promise for each in findings(records)] == ["whole answers"]
+    assert findings(records, Limits(second_signal_ends=True)) == []
+
+
+def test_findings_are_reported_while_records_arrive():
+    """Guards against findings that are only known at the end, or reported twice."""
+    judge = Judge(Limits())
+    judge.add([request()])
+    assert judge.check(11_000) == []
+    assert len(judge.check(20_000)) == 1
+    assert judge.check(30_000) == []
+
+
+def test_run_that_arrives_late_is_found():
+    """Guards against a refused request that runs seconds after its refusal."""
+    judge = Judge(Limits())
+    judge.add([request(Outcome.REFUSED, status=503, is_not_run=True)])
+    assert judge.check(15_000) == []
+    judge.add([run(at_ms=20_000)])
+    assert [each.promise for each in judge.check(LATER_MS)] == ["not run"]
+
+
+def test_requests_beside_planned_work_are_counted():
+    """Guards against a run most of whose requests saw faults, which is not told."""
+    judge = Judge(Limits())
+    far = request(Outcome.ANSWERED, name="far", began_ms=90_000, ended_ms=90_100)
+    judge.add([fault(9_000, 10_000), request(Outcome.ANSWERED), far])
+    judge.check(LATER_MS)
+    assert (judge.answers.planned, judge.answers.total) == (1, 2)
