--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from soak.links import LinkProxy
 from soak.records import SignalRecord
 from wagtailrun.clock import SystemClock
 from wagtailrun.ports.link import Address
@@ -85,6 +86,7 @@
         processes_by_name: All processes, running or not; known before ``start``.
         links_by_name: Links on which a proxy can be put; known before ``start``.
         signals: Signals that were sent, in order.
+        proxy: Proxy on the links; None if processes reach each other directly.
     """
 
     processes_by_name: dict[str, FleetProcess]
@@ -93,6 +95,7 @@
     def __init__(self) -> None:
         self.clock = SystemClock()
         self.signals: list[SignalRecord] = []
+        self.proxy: LinkProxy | None = None
         self._running: dict[str, subprocess.Popen] = {}
 
     @abstractmethod
@@ -116,6 +119,8 @@
         if self.is_running(name):
             raise ValueError(f"process {name!r} runs already")
         self._running[name] = self.spawn(name)
+        if self.proxy is not None:
+            self.proxy.name_process(name, self.pid(name))
 
     def is_running(self, name: str) -> bool:
         """Return whether a process was started and has not ended."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 from enum import Enum
 from typing import Any
 
@@ -209,7 +210,7 @@
             )
         self._socket = own
         self._lines = own.makefile("rb")
-        self._lock = curio.Lock()
+        self._lock = threading.Lock()
 
     @property
     def pid(self) -> int:
@@ -224,9 +225,12 @@
         """
         await self._call(AddLink(name=name, listen=listen, upstream=upstream))
 
-    async def name_process(self, name: str, pid: int) -> None:
-        """Say which process opens connections under a name, after each start."""
-        await self._call(NameProcess(name=name, pid=pid))
+    def name_process(self, name: str, pid: int) -> None:
+        """Say which process opens connections under a name, after each start.
+
+        Waits for the proxy, which takes about a millisecond.
+        """
+        self._check(self._exchange(NameProcess(name=name, pid=pid)))
 
     async def begin(self, fault: LinkFault) -> None:
         """Apply a fault.
@@ -245,16 +249,19 @@
         return await self._call(Find())
 
     async def _call(self, message: Any) -> Any:
-        async with self._lock:
-            reply = await curio.run_in_thread(self._exchange, message)
+        return self._check(await curio.run_in_thread(self._exchange, message))
+
+    @staticmethod
+    def _check(reply: Any) -> Any:
         if isinstance(reply, Answer) and reply.error:
             raise LinkProxyFailed(reply.error)
         return reply
 
     def _exchange(self, message: Any) -> Any:
         try:
-            self._socket.sendall(pack(message))
-            line = self._lines.readline()
+            with self._lock:
+                self._socket.sendall(pack(message))
+                line = self._lines.readline()
         except OSError as error:
             raise LinkProxyFailed(f"the proxy does not answer: {error}") from error
         if not line:
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -300,8 +300,8 @@
     """Guards against a fault of one process that affects its peers."""
 
     async def test(made):
-        await made.proxy.name_process("me", os.getpid())
-        await made.proxy.name_process("other", made.proxy.pid)
+        made.proxy.name_process("me", os.getpid())
+        made.proxy.name_process("other", made.proxy.pid)
         sock = await made.connect()
         await exchange_s(sock)
         await made.begin(Effect.SILENCE, source="other")
