--- a/soak/callers.py
+++ b/soak/callers.py
@@ -271,7 +271,11 @@
         manner = Manner(leaves_at_event=self.random.randint(1, 10))
         record = await self.exchange(connection, plan, manner)
         await connection.close()
+        last_event = self.callers.dialect.last_event
         while record.events and record.outcome in (Outcome.LEFT, Outcome.CUT):
+            if record.events[-1] >= last_event:
+                # There is nothing left to take up.
+                return
             await curio.sleep(self.random.uniform(0, RETRY_PAUSE_S))
             connection = await self.connect()
             if connection is None:
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -128,6 +128,7 @@
     Attributes:
         kinds: Kinds of requests, each with its share.
         resumable: Kind of request whose streams can be taken up; empty for none.
+        last_event: Number of the last event of such a stream.
         is_repeatable: Whether a request with the same name runs at most once.
         second_signal_ends: Whether a second SIGTERM ends an entry at once.
         read_lag_ms: How old the version may be that a control member tells.
@@ -135,6 +136,7 @@
 
     kinds: dict[str, float]
     resumable: str = ""
+    last_event: int = 0
     is_repeatable: bool = False
     second_signal_ends: bool = False
     read_lag_ms: int = 0
--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -164,6 +164,7 @@
 
     kinds = KINDS
     resumable = "stream"
+    last_event = STREAM_EVENTS
 
     def request(self, plan):
         wanted = ("Attempt-Id", "Deadline-Remaining", "Credential", "Token-Count")
