--- a/soak/kinds.py
+++ b/soak/kinds.py
@@ -14,6 +14,6 @@
         from tests.soak_relay import RelayDialect
 
         return RelayDialect()
-    from soak.product import ProductDialect
+    from tests.soak_product import ProductDialect
 
     return ProductDialect()
--- a/soak/product.py
+++ b/tests/soak_product.py
@@ -36,7 +36,7 @@
 __all__ = ["ProductDialect"]
 
 DATA_CENTRE = "east"
-DISK_WRAPPER = Path(__file__).parent.parent / "tests" / "full_disk"
+DISK_WRAPPER = Path(__file__).parent / "full_disk"
 SERVICES = ["encoders", "documents", "engines", "dispatch-desk"]
 TEXT_FILE = Path(__file__).parent.parent / "demo" / "fleet.toml"
 TOKENS = 12
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -142,7 +142,10 @@
         "whole answers",
         [request(), fault(20_000, 21_000)],
     ),
-    "no answer long after a fault": ("whole answers", [request(), fault(-9_000, -8_000)]),
+    "no answer long after a fault": (
+        "whole answers",
+        [request(), fault(-9_000, -8_000)],
+    ),
     "killed before it": (
         "whole answers",
         [request(), stop(8_000, signal.SIGKILL, is_planned=False)],
