--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format demo bench clean
+.PHONY: setup test lint format demo bench soak clean
 
 setup: $(VENV)/.installed
 
@@ -33,5 +33,9 @@
 bench: setup
 	$(BIN)/python -m bench
 
+# SEED: required; MINUTES: length; SIZE: small, usual or large (docs/operating.md).
+soak: setup
+	PYTHONPATH=platform $(BIN)/python -m soak $(if $(SEED),--seed $(SEED)) --minutes $(or $(MINUTES),10) --size $(or $(SIZE),small)
+
 clean:
 	rm -rf $(VENV) build
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from soak.kinds import KINDS
 from soak.preflight import check_machine
 from soak.records import SoakNotStarted
-from soak.run import Options, Run, Verdict
+from soak.run import Options, Run
 from soak.schedule import SIZES
 
 EXIT_NOT_STARTED = 2
@@ -79,11 +79,6 @@
 
 def main() -> int:
     """Run the soak; return its exit code."""
-
-    def interrupt(number: int, frame: object) -> None:
-        raise KeyboardInterrupt
-
-    signal.signal(signal.SIGTERM, interrupt)
     try:
         options = parse_options(sys.argv[1:])
         run = Run(options)
@@ -91,11 +86,13 @@
     except SoakNotStarted as error:
         print(f"not started: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
-    try:
-        return run.play().value
-    except KeyboardInterrupt:
-        print("interrupted; all processes of this run were ended", file=sys.stderr)
-        return Verdict.NOT_RUN.value
+
+    def interrupt(number: int, frame: object) -> None:
+        run.is_interrupted = True
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, interrupt)
+    return run.play().value
 
 
 if __name__ == "__main__":
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,7 +21,13 @@
 from soak.kinds import KINDS, dialect_of
 from soak.links import LinkProxy
 from soak.promises import Finding, Judge, Limits
-from soak.records import Outcome, RecordReader, RecordWriter, StandstillRecord
+from soak.records import (
+    Outcome,
+    RecordReader,
+    RecordWriter,
+    SoakNotStarted,
+    StandstillRecord,
+)
 from soak.schedule import Size, make_schedule
 from soak.standstill import StandstillWatch
 from soak.timeline import describe
@@ -32,6 +38,7 @@
 
 START_S = 60
 START_POLL_S = 0.2
+INTERRUPT_POLL_S = 0.1
 CHECK_INTERVAL_S = 1.0
 CALLERS_END_S = 25
 # A run in which a loop of its own stood still for longer shows nothing.
@@ -279,12 +286,18 @@
 
     Args:
         options: What to run.
+
+    Raises:
+        SoakNotStarted: If the folder has files already.
     """
 
     def __init__(self, options: Options):
         self.options = options
+        self.is_interrupted = False
         name = options.folder or tempfile.mkdtemp(prefix="wagtailrun-soak-")
         self.folder = Path(name)
+        if self.folder.exists() and any(self.folder.iterdir()):
+            raise SoakNotStarted(f"folder {name!r} is not empty")
         self.sites = []
         for kind in options.kinds():
             folder = self.folder / kind
@@ -315,17 +328,35 @@
         finally:
             for site in self.sites:
                 site.end()
+        if self.is_interrupted:
+            print("interrupted; all processes of this run were ended")
+            return Verdict.NOT_RUN
         return self._verdict()
 
     async def _play(self) -> None:
-        async with curio.TaskGroup() as group:
-            for site in self.sites:
-                await group.spawn(site.start)
-        if group.exception is not None:
-            raise group.exception
-        async with curio.TaskGroup() as group:
-            for site in self.sites:
-                await group.spawn(site.play)
+        """Play until the end, or until this run is interrupted.
+
+        A signal handler only sets a flag: an exception between the start of a process
+        and its entry in a table would leave the process behind.
+        """
+        task = await curio.spawn(self._play_sites)
+        while not task.terminated and not self.is_interrupted:
+            await curio.sleep(INTERRUPT_POLL_S)
+        if not task.terminated:
+            await task.cancel()
+            return
+        try:
+            await task.join()
+        except curio.TaskError as error:
+            raise error.__cause__ from None
+
+    async def _play_sites(self) -> None:
+        for steps in ("start", "play"):
+            async with curio.TaskGroup() as group:
+                for site in self.sites:
+                    await group.spawn(getattr(site, steps))
+            if group.exception is not None:
+                raise group.exception
 
     def _verdict(self) -> Verdict:
         for site in self.sites:
