--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,6 +15,7 @@
     ExitRecord,
     FaultRecord,
     Outcome,
+    ReadinessRecord,
     ReadRecord,
     RequestRecord,
     RunRecord,
@@ -92,6 +93,7 @@
     exits: dict[str, list[ExitRecord]] = field(factory=lambda: defaultdict(list))
     faults: list[FaultRecord] = field(factory=list)
     runs: dict[str, list[RunRecord]] = field(factory=lambda: defaultdict(list))
+    ready_ms: dict[str, list[int]] = field(factory=lambda: defaultdict(list))
 
     def add(self, record: object) -> None:
         """Add a record, if it is one of these."""
@@ -110,6 +112,8 @@
             self.faults.append(record)
         elif isinstance(record, RunRecord):
             self.runs[record.name].append(record)
+        elif isinstance(record, ReadinessRecord) and record.is_ready:
+            self.ready_ms[record.entry].append(record.at_ms)
 
     def has_fault(self, from_ms: int, to_ms: int, recovery_ms: int) -> bool:
         """Return whether a fault, or the recovery from one, was between two times."""
@@ -509,20 +513,29 @@
             if stop.at_ms + stop.grace_ms + self.limits.end_margin_ms + SETTLE_MS
             > until_ms
         ]
-        for end in self._exits:
+        for end in [e for e in self._exits if e.at_ms + SETTLE_MS <= until_ms]:
             numbers = {
                 each.number
                 for each in self.history.signals[end.process]
                 if each.pid == end.pid
             }
             was_killed = SIGKILL in numbers
-            is_expected = was_killed or (SIGTERM in numbers and end.code == 0)
+            # A signal may come before a process that starts handles it.
+            codes = {0} if self._was_ready(end) else {0, -SIGTERM}
+            is_expected = was_killed or (SIGTERM in numbers and end.code in codes)
             if not is_expected and not self._has_fault(end.at_ms - 1, end.at_ms):
                 detail = f"exit code {end.code} after the signals {sorted(numbers)}"
                 findings.append(self._finding(end.process, end.at_ms, detail))
-        self._exits = []
+        self._exits = [e for e in self._exits if e.at_ms + SETTLE_MS > until_ms]
         return findings
 
+    def _was_ready(self, end: ExitRecord) -> bool:
+        """Return whether the process that ended ever said that it is ready."""
+        before = [e.at_ms for e in self.history.exits[end.process] if e.pid != end.pid]
+        started_ms = max((at for at in before if at < end.at_ms), default=0)
+        ready_ms = self.history.ready_ms[end.process]
+        return any(started_ms < at_ms <= end.at_ms for at_ms in ready_ms)
+
     def _has_fault(self, from_ms: int, to_ms: int) -> bool:
         return self.history.has_fault(from_ms, to_ms, self.limits.recovery_ms)
 
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -14,6 +14,7 @@
     ExitRecord,
     FaultRecord,
     Outcome,
+    ReadinessRecord,
     ReadRecord,
     RequestRecord,
     RunRecord,
@@ -58,6 +59,10 @@
     return ExitRecord(process=ENTRY, pid=pid, at_ms=at_ms, code=code)
 
 
+def ready(at_ms):
+    return ReadinessRecord(entry=ENTRY, at_ms=at_ms, is_ready=True)
+
+
 def run(name="r", at_ms=10_010):
     return RunRecord(name=name, target="t", at_ms=at_ms)
 
@@ -191,6 +196,7 @@
     "crash": ("ends", [end(1_000, -11)]),
     "exit by itself": ("ends", [end(1_000, 0)]),
     "exit code after a stop": ("ends", [stop(1_000), end(2_000, 1)]),
+    "ended by the signal to stop": ("ends", [ready(500), stop(1_000), end(1_001, -15)]),
     "memory": ("usage", [usage(resident_mb=301.0)]),
     "descriptors": ("usage", [usage(descriptors=4_101)]),
     "log": ("usage", [usage(), usage(at_ms=60_000, log_bytes=13_000_000)]),
@@ -252,6 +258,14 @@
     + [end(11_000, pid=8)],
     "killed by a fault": [stop(1_000, signal.SIGKILL, is_planned=False)]
     + [end(1_001, -9)],
+    "ended by the signal to stop while it starts": [
+        ready(500),
+        stop(1_000),
+        end(2_000),
+        stop(3_000, pid=8),
+        end(3_001, -15, pid=8),
+        ready(9_000),
+    ],
     "usual use": [usage(), usage(at_ms=60_000, log_bytes=11_000_000)],
 }
 
