--- a/tests/process_groups.py
+++ b/tests/process_groups.py
@@ -16,6 +16,7 @@
         "test_consensus_processes.py",
         "test_cut_entries_processes.py",
         "test_processes.py",
+        "test_soak.py",
         "test_unending_bytes.py",
     ),
     (
