--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import logging
 import signal
 import sys
 
@@ -87,6 +88,9 @@
         print(f"not started: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
 
+    # It warns of each receipt that ends just after its time.
+    logging.getLogger("curio.time").setLevel(logging.ERROR)
+
     def interrupt(number: int, frame: object) -> None:
         run.is_interrupted = True
 
--- /dev/null
+++ b/soak/history.py
@@ -0,0 +1,139 @@
+"""What the promises of the soak have in common: their bounds, findings and history."""
+
+from collections import defaultdict
+from signal import SIGKILL, SIGTERM
+
+from attrs import define, field
+
+from soak.records import (
+    ExitRecord,
+    FaultRecord,
+    ReadinessRecord,
+    RequestRecord,
+    RunRecord,
+    SignalRecord,
+)
+
+__all__ = ["Finding", "History", "Limits"]
+
+
+@define(frozen=True, kw_only=True)
+class Limits:
+    """Bounds of the promises.
+
+    Attributes:
+        crossing_ms: Longest time from the last byte of a request to the end of its
+            connection for the two to have crossed on the way.
+        revoke_ms: Time within which a revoked key stops to be accepted.
+        end_margin_ms: What the watch of the processes adds to the end of one.
+        rotation_ms: Time in which the load balancer takes an entry out of rotation.
+        recovery_ms: How long after a fault its effects may last.
+        resident_mb: Largest resident memory of a process.
+        descriptors: Largest number of descriptors of a process.
+        log_bytes_per_s: Largest log volume of a process, on average over a minute.
+        notice_ms: Longest time of service after the signal to stop.
+        notice_share: Longest share of a grace period that this time has.
+        read_lag_ms: How old the version may be that a control member tells.
+        second_signal_ends: Whether a second SIGTERM ends an entry at once.
+    """
+
+    crossing_ms: int = 10
+    revoke_ms: int = 5_000
+    end_margin_ms: int = 150
+    rotation_ms: int = 800
+    recovery_ms: int = 10_000
+    resident_mb: float = 150.0
+    descriptors: int = 1_000
+    log_bytes_per_s: int = 40_000
+    notice_ms: int = 2_800
+    notice_share: float = 0.35
+    read_lag_ms: int = 0
+    second_signal_ends: bool = False
+
+
+@define(frozen=True, kw_only=True)
+class Finding:
+    """A broken promise.
+
+    Attributes:
+        promise: Which one.
+        subject: Request or process.
+        at_ms: When it was broken.
+        detail: What was seen.
+        request: The request, if it is about one.
+    """
+
+    promise: str
+    subject: str
+    at_ms: int
+    detail: str
+    request: RequestRecord | None = None
+
+
+@define
+class History:
+    """Signals, exits, faults and runs, for all promises."""
+
+    signals: dict[str, list[SignalRecord]] = field(factory=lambda: defaultdict(list))
+    exits: dict[str, list[ExitRecord]] = field(factory=lambda: defaultdict(list))
+    faults: list[FaultRecord] = field(factory=list)
+    runs: dict[str, list[RunRecord]] = field(factory=lambda: defaultdict(list))
+    ready_ms: dict[str, list[int]] = field(factory=lambda: defaultdict(list))
+
+    def add(self, record: object) -> None:
+        """Add a record, if it is one of these."""
+        if isinstance(record, SignalRecord):
+            self.signals[record.process].append(record)
+        elif isinstance(record, ExitRecord):
+            self.exits[record.process].append(record)
+        elif isinstance(record, FaultRecord):
+            # One that has ended replaces the record of its beginning.
+            self.faults = [
+                each
+                for each in self.faults
+                if (each.kind, each.subject, each.from_ms)
+                != (record.kind, record.subject, record.from_ms)
+            ]
+            self.faults.append(record)
+        elif isinstance(record, RunRecord):
+            self.runs[record.name].append(record)
+        elif isinstance(record, ReadinessRecord) and record.is_ready:
+            self.ready_ms[record.entry].append(record.at_ms)
+
+    def has_fault(self, from_ms: int, to_ms: int, recovery_ms: int) -> bool:
+        """Return whether a fault, or the recovery from one, was between two times."""
+        return any(
+            fault.from_ms <= to_ms
+            and (not fault.to_ms or from_ms <= fault.to_ms + recovery_ms)
+            for fault in self.faults
+        )
+
+    def stop_before(self, process: str, at_ms: int) -> SignalRecord | None:
+        """Return the first SIGTERM to the run of a process that got the last one."""
+        stops = [
+            each
+            for each in self.signals[process]
+            if each.number == SIGTERM and each.at_ms <= at_ms
+        ]
+        if not stops:
+            return None
+        return next(each for each in stops if each.pid == stops[-1].pid)
+
+    def was_ended(self, process: str, from_ms: int, to_ms: int, seconds: bool) -> bool:
+        """Return whether a process was made to end at once between two times.
+
+        Args:
+            process: Its name.
+            from_ms: Start of the time.
+            to_ms: End of the time.
+            seconds: Whether a second SIGTERM ends it at once.
+        """
+        first_by_pid: dict[int, int] = {}
+        for each in self.signals[process]:
+            is_second = each.number == SIGTERM and each.pid in first_by_pid
+            ends = each.number == SIGKILL or (seconds and is_second)
+            if ends and from_ms <= each.at_ms <= to_ms:
+                return True
+            if each.number == SIGTERM:
+                first_by_pid.setdefault(each.pid, each.at_ms)
+        return False
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,9 +18,10 @@
 from soak.exchange import Connection, Manner
 from soak.faults import FAULTS_BY_NAME
 from soak.fleet import Requirements, Role
+from soak.history import Finding, Limits
 from soak.kinds import KINDS, dialect_of
 from soak.links import LinkProxy
-from soak.promises import Finding, Judge, Limits
+from soak.promises import Judge
 from soak.records import (
     Outcome,
     RecordReader,
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from soak.promises import Finding, History
+from soak.history import Finding, History
 from soak.records import RequestRecord
 
 __all__ = ["describe"]
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from soak.promises import Judge, Limits
+from soak.history import Limits
+from soak.promises import Judge
 from soak.records import (
     ChangeRecord,
     ExitRecord,
