soak: three promises are judged more strictly

An entry without a fault of its own still answers or refuses in time: faults of others excuse only answers that are cut.

Two cases of test_soak_promises.py now name the entry as the subject of the fault, two more do so to stay as strict, two cases are new. test_soak_service.py and test_soak_promises.py: passed.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -111,10 +111,20 @@
         elif isinstance(record, RunRecord):
             self.runs[record.name].append(record)
 
-    def has_fault(self, from_ms: int, to_ms: int, recovery_ms: int) -> bool:
-        """Return whether a fault, or the recovery from one, was between two times."""
+    def has_fault(
+        self, from_ms: int, to_ms: int, recovery_ms: int, subject: str = ""
+    ) -> bool:
+        """Return whether a fault, or the recovery from one, was between two times.
+
+        Args:
+            from_ms: Start of the time.
+            to_ms: End of the time.
+            recovery_ms: How long after a fault its effects may last.
+            subject: Process or link that it was applied to; empty for any.
+        """
         return any(
-            fault.from_ms <= to_ms
+            subject in ("", fault.subject)
+            and fault.from_ms <= to_ms
             and (not fault.to_ms or from_ms <= fault.to_ms + recovery_ms)
             for fault in self.faults
         )
@@ -203,6 +213,19 @@
             request.began_ms, request.ended_ms, self.limits.recovery_ms
         )
 
+    def _is_excused(self, request: RequestRecord) -> bool:
+        """Return whether a fault that is near explains how a request ended.
+
+        An answer may be cut by a fault of another process or a link to it. An entry
+        that has no fault itself still refuses what it cannot answer, in time.
+        """
+        return request.outcome is Outcome.CUT or self.history.has_fault(
+            request.began_ms,
+            request.ended_ms,
+            self.limits.recovery_ms,
+            request.entry,
+        )
+
     def _finding(self, request: RequestRecord) -> Finding:
         return Finding(
             promise=self.name,
@@ -218,7 +241,7 @@
             return request.outcome.value
         if request.outcome is Outcome.REFUSED:
             return f"refused, {request.status}"
-        if has_fault:
+        if has_fault and self._is_excused(request):
             return f"{request.outcome.value}, beside a fault"
         if self.history.was_ended(
             request.entry,
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,6 +29,7 @@
     StandstillRecord,
 )
 from soak.schedule import Size, make_schedule
+from soak.service import IdleEnds, Service
 from soak.standstill import StandstillWatch
 from soak.timeline import describe
 from wagtailrun.clock import SystemClock
@@ -138,6 +139,9 @@
                 read_lag_ms=self.dialect.read_lag_ms,
             )
         )
+        self.judge.promises += [
+            make(self.judge.history, self.judge.limits) for make in (IdleEnds, Service)
+        ]
         self.findings: list[Finding] = []
         self.longest_standstill = StandstillRecord(loop="", at_ms=0, lasted_ms=0)
         self.callers: subprocess.Popen | None = None
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -96,8 +96,8 @@
     )
 
 
-def fault(from_ms, to_ms):
-    return FaultRecord(kind="reset", subject="link", from_ms=from_ms, to_ms=to_ms)
+def fault(from_ms, to_ms, subject="link"):
+    return FaultRecord(kind="reset", subject=subject, from_ms=from_ms, to_ms=to_ms)
 
 
 # The reported case: taken 6.94 s after the signal, closed 0.7 s later, before the end.
@@ -140,11 +140,15 @@
     ),
     "no answer long before a fault": (
         "whole answers",
-        [request(), fault(20_000, 21_000)],
+        [request(), fault(20_000, 21_000, "front-1")],
     ),
     "no answer long after a fault": (
         "whole answers",
-        [request(), fault(-9_000, -8_000)],
+        [request(), fault(-9_000, -8_000, "front-1")],
+    ),
+    "no answer beside a fault of another": (
+        "whole answers",
+        [request(), fault(10_100, 10_200, "core-1")],
     ),
     "killed before it": (
         "whole answers",
@@ -211,8 +215,12 @@
         request(**{**CROSSED, "closed_ms": 9_000})
     ],
     "closed before the first byte": [request(first_byte_ms=0, sent_ms=0)],
-    "beside a fault": [request(), fault(10_100, 10_200)],
-    "beside a fault that lasts": [request(), fault(9_000, 0)],
+    "beside a fault": [request(), fault(10_100, 10_200, "front-1")],
+    "beside a fault that lasts": [request(), fault(9_000, 0, "front-1")],
+    "cut beside a fault of another": [
+        request(Outcome.CUT),
+        fault(10_100, 10_200),
+    ],
     "soon after a fault": [request(Outcome.CUT), fault(5_000, 6_000)],
     "killed": [request(), stop(10_300, signal.SIGKILL, is_planned=False)],
     "stream cut off by the end of the grace period": [
