--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -3,6 +3,7 @@
 import json
 import random
 import shutil
+from contextlib import suppress
 from pathlib import Path
 
 import curio
@@ -38,6 +39,17 @@
 # An engine is silent for a random time before it answers.
 MAX_SILENT_MS = 1_500
 REPORT_INTERVAL_S = 0.4
+ODD_REPORT_INTERVAL_S = 2.0
+ODD_ROW = {
+    "service": "llm",
+    "address": "127.0.0.1:9",
+    "zone": ZONE,
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "seq_no": 1,
+    "born": 5,
+}
 # Bound within which targets that leave finish their requests.
 TARGET_DRAIN_S = 4.0
 SEPARATOR = b"\n\n"
@@ -389,6 +401,7 @@
     def __init__(self, plan):
         self.clock = SystemClock()
         self.random = random.Random(plan.seed)
+        self.random_odd = random.Random(f"{plan.seed} odd")
         self.controls = [Address.parse(text) for text in plan.report_addresses]
         self.listen = parse_addresses(plan.target_addresses)
         self.reported = parse_addresses(plan.reported_addresses)
@@ -406,7 +419,20 @@
             for name in self.listen
             if name.startswith("i-engine")
         ]
-        await curio.sleep(1e9)
+        await self.report_oddly()
+
+    async def report_oddly(self):
+        """Send reports that no sound target sends, which must harm no other."""
+        bodies = [json.dumps({**ODD_ROW, **odd}).encode() for odd in relay.ODD_REPORTS]
+        bodies += relay.ODD_BODIES
+        while True:
+            await curio.sleep(ODD_REPORT_INTERVAL_S)
+            number = self.random_odd.randrange(len(bodies))
+            path = f"/instances/i-odd-{number}"
+            address = self.random_odd.choice(self.controls)
+            # A member that stops does not answer.
+            with suppress(TargetFailed):
+                await relay.send(address, "PUT", path, bodies[number])
 
     async def add(self, name, service, version, address=None):
         listen = address or self.listen[name]
