--- a/soak/history.py
+++ b/soak/history.py
@@ -100,10 +100,20 @@
         elif isinstance(record, ReadinessRecord) and record.is_ready:
             self.ready_ms[record.entry].append(record.at_ms)
 
-    def has_fault(self, from_ms: int, to_ms: int, recovery_ms: int) -> bool:
-        """Return whether a fault, or the recovery from one, was between two times."""
+    def has_fault(
+        self, from_ms: int, to_ms: int, recovery_ms: int, subject: str = ""
+    ) -> bool:
+        """Return whether a fault, or the recovery from one, was between two times.
+
+        Args:
+            from_ms: Start of the time.
+            to_ms: End of the time.
+            recovery_ms: How long after a fault its effects may last.
+            subject: Process or link that it was applied to; empty for any.
+        """
         return any(
-            fault.from_ms <= to_ms
+            subject in ("", fault.subject)
+            and fault.from_ms <= to_ms
             and (not fault.to_ms or from_ms <= fault.to_ms + recovery_ms)
             for fault in self.faults
         )
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -82,6 +82,19 @@
             request.began_ms, request.ended_ms, self.limits.recovery_ms
         )
 
+    def _is_excused(self, request: RequestRecord) -> bool:
+        """Return whether a fault that is near explains how a request ended.
+
+        An answer may be cut by a fault of another process or a link to it. An entry
+        that has no fault itself still refuses what it cannot answer, in time.
+        """
+        return request.outcome is Outcome.CUT or self.history.has_fault(
+            request.began_ms,
+            request.ended_ms,
+            self.limits.recovery_ms,
+            request.entry,
+        )
+
     def _finding(self, request: RequestRecord) -> Finding:
         return Finding(
             promise=self.name,
@@ -97,7 +110,7 @@
             return request.outcome.value
         if request.outcome is Outcome.REFUSED:
             return f"refused, {request.status}"
-        if has_fault:
+        if has_fault and self._is_excused(request):
             return f"{request.outcome.value}, beside a fault"
         if self.history.was_ended(
             request.entry,
