--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,6 +47,7 @@
 MAX_PAUSE_MS = 400
 MEAN_REST_MS = 250
 REVOCABLE_SHARE = 0.1
+MAX_ATTEMPTS = 3
 RETRY_PAUSE_S = 0.2
 MAX_REFUSED_PAUSE_S = 0.3
 PARENT_INTERVAL_S = 0.5
@@ -296,10 +297,11 @@
     async def call_repeating(self) -> None:
         """Send a request again that was refused as not run, or that runs once."""
         plan = self.new_plan("order")
-        for _ in range(3):
+        for attempt in range(1, MAX_ATTEMPTS + 1):
             connection = await self.connect()
             if connection is None:
                 continue
+            plan = attrs.evolve(plan, attempt=attempt)
             record = await self.exchange(connection, plan, Manner())
             await connection.close()
             if not record.is_not_run and not self.callers.dialect.is_repeatable:
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -70,6 +70,7 @@
         key: Credential.
         resumes: Name of the request whose stream it takes up; empty for none.
         after_event: Last event of the stream that the caller has.
+        attempt: 1, or more for a repetition with the same name.
     """
 
     name: str
@@ -77,6 +78,7 @@
     key: str = LASTING_KEY
     resumes: str = ""
     after_event: int = 0
+    attempt: int = 1
 
 
 @define(frozen=True, kw_only=True)
--- a/soak/exchange.py
+++ b/soak/exchange.py
@@ -300,6 +300,7 @@
         answer = self._read(plan) if self.status else Answer()
         return RequestRecord(
             name=plan.name,
+            attempt=plan.attempt,
             entry=self.entry,
             kind=plan.kind,
             outcome=outcome,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -133,7 +133,8 @@
             return f"{use} connection closed before the first byte of a request"
         crossed = (
             request.closed_ms
-            and request.closed_ms - request.first_byte_ms <= self.limits.crossing_ms
+            and request.closed_ms - request.first_byte_ms
+            <= self.limits.crossing_ms + request.standstill_ms
             and request.was_reset
             and not self.history.runs.get(request.name)
         )
@@ -161,7 +162,8 @@
         if not request.is_routed:
             return "no connection, not in rotation"
         stop = self.history.stop_before(request.entry, request.ended_ms)
-        if stop and request.began_ms - stop.at_ms <= self.limits.rotation_ms:
+        noticed_ms = self.limits.rotation_ms + request.standstill_ms
+        if stop and request.began_ms - stop.at_ms <= noticed_ms:
             return "no connection, before the load balancer noticed the stop"
         return ""
 
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -37,6 +37,11 @@
         for fault in history.faults
         if abs(fault.from_ms - finding.at_ms) < AROUND_MS
     ]
+    events += [
+        (each.at_ms, f"{each.loop} of the soak stood still for {each.lasted_ms} ms")
+        for each in history.standstills
+        if abs(each.at_ms - finding.at_ms) < AROUND_MS
+    ]
     lines += [
         f"  {at_ms - finding.at_ms:+7d} ms  {text}" for at_ms, text in sorted(events)
     ]
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -221,6 +221,9 @@
     "sent after the end of an idle connection": [
         request(**{**CROSSED, "closed_ms": 9_000})
     ],
+    "crossed while the callers stood still": [
+        request(**{**CROSSED, "closed_ms": 10_050, "standstill_ms": 60})
+    ],
     "closed before the first byte": [request(first_byte_ms=0, sent_ms=0)],
     "beside a fault": [request(), fault(10_100, 10_200, "front-1")],
     "beside a fault that lasts": [request(), fault(9_000, 0, "front-1")],
