--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak: schedules, bad input, its end, and one short run."""
 
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -35,7 +36,7 @@
     return make_schedule(seed, minutes * MINUTE_MS, ENTRIES, CONTROLS, faults)
 
 
-def start(folder, *arguments):
+def start(folder, *arguments, preexec=None):
     return subprocess.Popen(
         [sys.executable, "-m", "soak", f"--folder={folder}", *arguments],
         cwd=ROOT,
@@ -43,6 +44,7 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
+        preexec_fn=preexec,
     )
 
 
@@ -125,6 +127,17 @@
     assert not (tmp_path / "files").exists()
 
 
+def test_too_few_descriptors_are_told_before_the_start(tmp_path):
+    """Guards against a run that fails in the middle for lack of descriptors."""
+
+    def limit():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (500, 500))
+
+    code, output = finish(start(tmp_path / "files", "--seed=1", preexec=limit))
+    assert (code, "descriptors" in output) == (NOT_STARTED, True)
+    assert "actions" not in output
+
+
 def test_folder_of_another_run_is_refused(tmp_path):
     """Guards against records of two runs in one file."""
     (tmp_path / "callers.records").touch()
