--- a/soak/promises.py
+++ b/soak/promises.py
@@ -130,9 +130,8 @@
         return ""
 
     def _allowed_without_answer(self, request: RequestRecord) -> str:
-        if not request.first_byte_ms:
-            use = "kept" if request.position else "new"
-            return f"{use} connection closed before the first byte of a request"
+        if not request.first_byte_ms and request.position:
+            return "kept connection closed before the first byte of a request"
         crossed = (
             request.closed_ms
             and request.closed_ms - request.first_byte_ms
@@ -140,6 +139,7 @@
             and request.was_reset
             and not self.history.runs.get(request.name)
         )
+        # A new connection is refused in place of its request.
         if crossed and request.position:
             return "crossed the close of an idle connection"
         return ""
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -133,6 +133,10 @@
         "whole answers",
         [request(**{**CROSSED, "position": 0})],
     ),
+    "new connection closed without a refusal": (
+        "whole answers",
+        [request(first_byte_ms=0, sent_ms=0)],
+    ),
     "stream cut before the end of the grace period": (
         "whole answers",
         [stop(9_000), request(Outcome.CUT, events=[1])],
@@ -225,7 +229,7 @@
     "crossed while the callers stood still": [
         request(**{**CROSSED, "closed_ms": 10_050, "standstill_ms": 60})
     ],
-    "closed before the first byte": [request(first_byte_ms=0, sent_ms=0)],
+    "closed before the first byte": [request(first_byte_ms=0, sent_ms=0, position=1)],
     "beside a fault": [request(), fault(10_100, 10_200, "front-1")],
     "beside a fault that lasts": [request(), fault(9_000, 0, "front-1")],
     "cut beside a fault of another": [
