soak: engines that are started again under their names, and longer streams

Every second release starts engines again under their old names and addresses with another version, once their streams have ended; entries that know only the earlier incarnation must not continue a stream there. A third of the streams lasts 1.8 s, longer than the notice of a stop with a short grace period.

--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -35,7 +35,8 @@
 ENGINES = 3
 ENGINE_SLOTS = 64
 STREAM_EVENTS = 12
-EVENT_INTERVAL_S = 0.05
+# Some streams last longer than the notice of a stop.
+EVENT_INTERVALS_S = (0.05, 0.05, 0.15)
 # An engine is silent for a random time before it answers.
 MAX_SILENT_MS = 1_500
 REPORT_INTERVAL_S = 0.4
@@ -289,12 +290,14 @@
         self.reported = reported
         self.born = SystemClock().wall_ms()
         self.state = "ready"
+        self.ended = curio.Event()
         self.sequence = 0
 
     async def run(self):
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(HttpServer(self.listen, self.handle).serve)
             await group.spawn(self.report)
+        await self.ended.set()
 
     async def report(self):
         while self.state != "gone":
@@ -366,9 +369,10 @@
         return Response(200, shape(behaviour, self.events(first), count), headers)
 
     async def events(self, first):
+        interval_s = self.owner.random.choice(EVENT_INTERVALS_S)
         for number in range(first, STREAM_EVENTS + 1):
             yield b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
-            await curio.sleep(EVENT_INTERVAL_S)
+            await curio.sleep(interval_s)
 
     async def handle_stage(self, request):
         value = json.loads(request.body)
@@ -442,8 +446,14 @@
         return target
 
     async def release(self):
-        """Start engines of the next version, one after another, and release the old."""
+        """Start engines of the next version, one after another, and release the old.
+
+        Every second time the new ones have the names and addresses of the old.
+        """
         self.engine_version += 1
+        if self.engine_version % 2:
+            await self.restart(f"v{self.engine_version}")
+            return
         before, self.engines = self.engines, []
         for old, address in zip(before, free_addresses(len(before)), strict=True):
             name = f"{old.name.split('.')[0]}.{self.engine_version}"
@@ -451,3 +461,13 @@
             self.engines.append(await self.add(name, "llm", version, address))
             await curio.spawn(old.leave, daemon=True)
             await curio.sleep(TARGET_DRAIN_S / 2)
+
+    async def restart(self, version):
+        """Start engines again under their names, one after another."""
+        for number, old in enumerate(self.engines):
+            await old.leave()
+            new = RelayTarget(self, old.name, "llm", version, old.listen, old.reported)
+            self.engines[number] = new
+            # The listener of the old one ends first.
+            await old.ended.wait()
+            await curio.spawn(new.run, daemon=True)
