--- a/soak/conductor.py
+++ b/soak/conductor.py
@@ -68,7 +68,11 @@
         self._random = random.Random(0)
 
     async def run(self) -> None:
-        """Carry out the schedule; return when all of it is done."""
+        """Carry out the schedule; return when all of it is done.
+
+        Raises:
+            Exception: If an action failed, as one on links without a proxy.
+        """
         for watch in (self._watch_processes, self._read_versions, self._measure):
             await curio.spawn(watch, daemon=True)
         started_ms = self.clock.now_ms()
@@ -79,6 +83,8 @@
                 await group.spawn(getattr(self, f"_{action.kind.value}"), action)
             wait_ms = started_ms + self.schedule.lasts_ms - self.clock.now_ms()
             await curio.sleep(max(wait_ms, 0) / 1_000)
+        if group.exception is not None:
+            raise group.exception
 
     async def end_faults(self) -> None:
         """Remove all faults that are applied, as after an interruption."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import tempfile
+import traceback
 from collections import Counter
 from enum import Enum
 from pathlib import Path
@@ -324,8 +325,10 @@
             print(f"  {site.folder}", flush=True)
         try:
             curio.run(self._play)
-        except TimeoutError as error:
-            print(error)
+        except Exception:
+            # The soak itself failed, which says nothing about the fleet.
+            traceback.print_exc(file=sys.stdout)
+            print("NOT RUN: the soak itself failed")
             return Verdict.NOT_RUN
         finally:
             for site in self.sites:
