--- a/soak/conductor.py
+++ b/soak/conductor.py
@@ -63,7 +63,6 @@
         self._busy: set[str] = set()
         self._ended: set[int] = set()
         self._recorded_signals = 0
-        self._open_faults: list[Action] = []
         # Fixed with the schedule: which member is asked for its version next.
         self._random = random.Random(0)
 
@@ -73,8 +72,10 @@
         Raises:
             Exception: If an action failed, as one on links without a proxy.
         """
-        for watch in (self._watch_processes, self._read_versions, self._measure):
+        watches = [
             await curio.spawn(watch, daemon=True)
+            for watch in (self._watch_processes, self._read_versions, self._measure)
+        ]
         started_ms = self.clock.now_ms()
         async with curio.TaskGroup() as group:
             for action in self.schedule.actions:
@@ -83,13 +84,9 @@
                 await group.spawn(getattr(self, f"_{action.kind.value}"), action)
             wait_ms = started_ms + self.schedule.lasts_ms - self.clock.now_ms()
             await curio.sleep(max(wait_ms, 0) / 1_000)
-        if group.exception is not None:
-            raise group.exception
-
-    async def end_faults(self) -> None:
-        """Remove all faults that are applied, as after an interruption."""
-        for action in list(self._open_faults):
-            await self.faults[action.variant].end(self.fleet, action.subject)
+        for error in (group.exception, *(w.exception for w in watches if w.terminated)):
+            if error is not None:
+                raise error
 
     async def _stop(self, action: Action) -> None:
         name = action.subject
@@ -168,11 +165,9 @@
         from_ms = self.clock.now_ms()
         record = FaultRecord(kind=fault.name, subject=action.subject, from_ms=from_ms)
         self.writer.write(record)
-        self._open_faults.append(action)
         detail = await fault.begin(self.fleet, action.subject, action.strength)
         await curio.sleep(action.lasts_ms / 1_000)
         await fault.end(self.fleet, action.subject)
-        self._open_faults.remove(action)
         self.writer.write(
             FaultRecord(
                 kind=fault.name,
--- a/soak/run.py
+++ b/soak/run.py
@@ -226,6 +226,8 @@
         self.callers.terminate()
         await curio.run_in_thread(self.callers.wait, CALLERS_END_S)
         await curio.sleep(CHECK_INTERVAL_S)
+        if checks.terminated:
+            raise checks.exception
         await checks.cancel()
         await self.check(LAST_MS)
 
