--- a/soak/run.py
+++ b/soak/run.py
@@ -1,5 +1,6 @@
 """One run: starts fleets, callers and targets, checks promises, gives a verdict."""
 
+import itertools
 import json
 import os
 import subprocess
@@ -197,20 +198,26 @@
             if answer.status == 200:
                 break
             await self._pause(until_ms, "no configuration is accepted")
-        number = 0
-        for entry, text in plan.caller_addresses.items():
-            for kind in self.dialect.kinds:
-                outcome = None
-                while outcome is not Outcome.ANSWERED:
-                    await self._pause(until_ms, f"{entry} does not answer {kind}")
-                    number += 1
-                    connection = Connection(entry, "probe", self.dialect, False)
-                    if not await connection.open(Address.parse(text)):
-                        continue
-                    plan_of_probe = RequestPlan(name=f"probe-{number}", kind=kind)
-                    record = await connection.exchange(plan_of_probe, Manner())
-                    outcome = record.outcome
-                    await connection.close()
+        async with curio.TaskGroup() as group:
+            for entry, text in plan.caller_addresses.items():
+                await group.spawn(self._probe, entry, Address.parse(text), until_ms)
+        if group.exception is not None:
+            raise group.exception
+
+    async def _probe(self, entry: str, address: Address, until_ms: int) -> None:
+        """Wait until an entry answers one request of each kind."""
+        numbers = itertools.count()
+        for kind in self.dialect.kinds:
+            outcome = None
+            while outcome is not Outcome.ANSWERED:
+                await self._pause(until_ms, f"{entry} does not answer {kind}")
+                connection = Connection(entry, "probe", self.dialect, False)
+                if not await connection.open(address):
+                    continue
+                name = f"probe-{entry}-{next(numbers)}"
+                probe = RequestPlan(name=name, kind=kind)
+                outcome = (await connection.exchange(probe, Manner())).outcome
+                await connection.close()
 
     async def _pause(self, until_ms: int, failure: str) -> None:
         if self.clock.now_ms() > until_ms:
