--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -41,6 +41,8 @@
 MAX_SILENT_MS = 1_500
 REPORT_INTERVAL_S = 0.4
 ODD_REPORT_INTERVAL_S = 2.0
+# A fleet that they keep from serving counts as not run if it has not started by then.
+FIRST_ODD_REPORT_S = 20.0
 ODD_ROW = {
     "service": "llm",
     "address": "127.0.0.1:9",
@@ -429,6 +431,7 @@
         """Send reports that no sound target sends, which must harm no other."""
         bodies = [json.dumps({**ODD_ROW, **odd}).encode() for odd in relay.ODD_REPORTS]
         bodies += relay.ODD_BODIES
+        await curio.sleep(FIRST_ODD_REPORT_S)
         while True:
             await curio.sleep(ODD_REPORT_INTERVAL_S)
             number = self.random_odd.randrange(len(bodies))
