--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -1,6 +1,7 @@
 """Process of the proxy on the links: python -m soak.link_proxy DESCRIPTOR."""
 
 import errno
+import logging
 import math
 import socket
 import struct
@@ -567,6 +568,12 @@
                 each.source = found.get(each.client, "")
 
 
+def is_unexpected(record: logging.LogRecord) -> bool:
+    """Return whether a task did not end by the end of a connection."""
+    error = record.exc_info[1] if record.exc_info else None
+    return not isinstance(error, OSError)
+
+
 async def main(descriptor: int) -> None:
     """Run the proxy.
 
@@ -579,4 +586,6 @@
 
 
 if __name__ == "__main__":
+    # A connection that breaks ends the tasks of its ways with an error.
+    logging.getLogger("curio.kernel").addFilter(is_unexpected)
     curio.run(main, int(sys.argv[1]))
