--- a/soak/link_sources.py
+++ b/soak/link_sources.py
@@ -15,6 +15,7 @@
 # Columns of the table: local address, state and inode.
 LOCAL, STATE, INODE = 1, 3, 9
 LISTENING = "0A"
+NO_INODE = "0"
 SOCKET_LINK = "socket:["
 
 
@@ -30,7 +31,9 @@
     for line in TABLE.read_text().splitlines()[1:]:
         columns = line.split()
         address = address_by_text.get(columns[LOCAL])
-        if address is not None and columns[STATE] != LISTENING:
+        # The same address may also end a connection that nobody holds any more.
+        is_held = columns[STATE] != LISTENING and columns[INODE] != NO_INODE
+        if address is not None and is_held:
             found[address] = columns[INODE]
     return found
 
