--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -55,6 +55,8 @@
 }
 # Bound within which targets that leave finish their requests.
 TARGET_DRAIN_S = 4.0
+MAX_LATE_STREAM_MS = 6_000
+POLL_S = 0.02
 SEPARATOR = b"\n\n"
 LARGE_ROUTES = 600
 # A control member ends within 8 s, or after 10 s if it stands still.
@@ -293,6 +295,7 @@
         self.born = SystemClock().wall_ms()
         self.state = "ready"
         self.ended = curio.Event()
+        self.open_streams = 0
         self.sequence = 0
 
     async def run(self):
@@ -340,6 +343,10 @@
         self.sequence += 1
         await self.tell("PUT", self.row())
         await curio.sleep(TARGET_DRAIN_S)
+        # The soak may be late itself; a stream that a target cuts is no finding.
+        end_ms = self.owner.clock.now_ms() + MAX_LATE_STREAM_MS
+        while self.open_streams and self.owner.clock.now_ms() < end_ms:
+            await curio.sleep(POLL_S)
         self.state = "gone"
         await self.tell("DELETE", {"born": self.born})
 
@@ -372,9 +379,13 @@
 
     async def events(self, first):
         interval_s = self.owner.random.choice(EVENT_INTERVALS_S)
-        for number in range(first, STREAM_EVENTS + 1):
-            yield b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
-            await curio.sleep(interval_s)
+        self.open_streams += 1
+        try:
+            for number in range(first, STREAM_EVENTS + 1):
+                yield b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
+                await curio.sleep(interval_s)
+        finally:
+            self.open_streams -= 1
 
     async def handle_stage(self, request):
         value = json.loads(request.body)
