--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -68,6 +68,7 @@
     quarantine: Quarantine = Quarantine(None)
     limits: TargetLimits = attrs.field(factory=lambda: TargetLimits(SystemClock()))
     members: list = attrs.field(factory=list)
+    away_data_centres: frozenset = frozenset()
 
     def ranked_members(self):
         return self.members
@@ -76,6 +77,11 @@
         return True
 
     def targets(self, service):
+        away = self.away_data_centres
+        rows = [row for row in self.rows if not row.leaving]
+        return [row for row in rows if row.data_centre not in away]
+
+    def present_targets(self):
         return [row for row in self.rows if not row.leaving]
 
     def targets_to_continue(self, origin, tried=()):
@@ -192,6 +198,7 @@
     on_handler=lambda handler: None,
     connector=None,
     run=curio.run,
+    limit_s=10,
     **options,
 ):
     """Run ``client(address, engines)`` against a relay with prepared engines."""
@@ -255,7 +262,7 @@
         server = HttpServer(address, front.handle)
         await curio.spawn(server.serve, daemon=True)
         await curio.sleep(0.05)
-        async with curio.timeout_after(10):
+        async with curio.timeout_after(limit_s):
             return await client(address, fleet)
 
     return run(main)
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -107,6 +107,10 @@
         # The newest target at each address.
         self.rows_by_address: dict[Address, TargetRow] = {}
         self.entries: tuple[EntryRow, ...] = (own,)
+        # Set by this entry from its own connections.
+        self.away_data_centres: frozenset[str] = frozenset()
+        self._near_entries: tuple[EntryRow, ...] = self.entries
+        self._near_entries_of = self.entries, self.away_data_centres
         self.table: RouteTable | None = None
         # Revision that ``table`` was made from.
         self.revision = 0
@@ -206,12 +210,21 @@
         """Return the targets of a service that may be given work.
 
         Unresponsive targets are returned only if there are no others: they may be
-        unreachable for the control members and still reachable from here.
+        unreachable for the control members and still reachable from here. Targets in
+        data centres that are away are left out.
         """
         rows = self.membership.rows_by_service.get(service, {}).values()
         active = [row for row in rows if not row.leaving]
+        if self.away_data_centres:
+            away = self.away_data_centres
+            active = [row for row in active if row.data_centre not in away]
         return [row for row in active if not row.silent] or active
 
+    def present_targets(self) -> list[TargetRow]:
+        """Return all targets that have not left, unresponsive ones among them."""
+        rows = self.membership.targets_by_name.values()
+        return [row for row in rows if not row.leaving]
+
     def target_addresses(self) -> list[Address]:
         """Return the addresses of all targets that may be given work."""
         rows = self.membership.targets_by_name.values()
@@ -378,6 +391,21 @@
             for row in active or present:
                 self.membership.last_contact_ms_by_name[row.name] = now_ms
 
+    def near_entries(self) -> tuple[EntryRow, ...]:
+        """Return the running entries outside data centres that are away.
+
+        The tuple is the same object until they change.
+        """
+        known = self.entries, self.away_data_centres
+        if known != self._near_entries_of:
+            self._near_entries_of = known
+            self._near_entries = tuple(
+                row
+                for row in self.entries
+                if row.data_centre not in self.away_data_centres
+            )
+        return self._near_entries
+
     def live_entries(self) -> tuple[EntryRow, ...]:
         """Return the running entries, including this one while it accepts requests.
 
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -409,6 +409,21 @@
     "not be opened.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+PATHS_UNDECIDED = _event(
+    745,
+    logging.INFO,
+    "This entry could not find out whether it reaches any target: it was late, or "
+    "short of descriptors.",
+    per_second=1,
+)
+DATA_CENTRE_AWAY = _event(
+    746,
+    logging.ERROR,
+    "Neither this entry nor others that it asked can open connections to a data "
+    "centre, or this entry can again; meanwhile it uses no target there.",
+    "Check the network between the data centres.",
+    limited=False,
+)
 ANSWER_BODY_SKIPPED = _event(
     713,
     logging.WARNING,
@@ -483,6 +498,11 @@
     "The pieces of a step were abandoned.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+SERVICE_HANDED_OVER = _event(
+    722,
+    logging.INFO,
+    "The next owner of a stage service took over its pieces from this entry.",
+)
 RESULT_RELEASE_FAILED = _event(
     712, logging.INFO, "A request to a target to free abandoned results failed."
 )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -56,6 +56,8 @@
     StageClient,
     StageHost,
     StageRunner,
+    Succession,
+    TakeOver,
 )
 from wagtailrun.stop_signals import StopSignals
 from wagtailrun.supervisor import supervise
@@ -150,7 +152,10 @@
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
         self.busy_keys_table: RouteTable | None = None
-        self.owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
+        # Results cannot be fetched from data centres that are away, so that each side
+        # has its own owners. Grants count requests of all entries.
+        self.owners = Owners(self.clock, self.view.near_entries, self._busy_keys)
+        grant_owners = Owners(self.clock, self.view.live_entries, self._busy_keys)
         self.granter = SendGranter(
             self.clock,
             self.view.limits,
@@ -161,7 +166,7 @@
             self.link,
             settings.name,
             settings.data_centre,
-            self.owners,
+            grant_owners,
             self.granter,
             self.view.limits,
             self._target_slots,
@@ -209,6 +214,7 @@
             lambda message: self.runner.notify_owner(message),
             self.loop_watch.was_held_since,
             self.connector.confirms_silence,
+            lambda service: self.runner.owns(service),
         )
         self.runner = StageRunner(
             self.clock,
@@ -345,6 +351,17 @@
             "Targets that this entry reaches only through other entries.",
             lambda: len(paths.lost_since_ms_by_address),
         )
+        reach = self.connector.reach
+        gauge(
+            "away_data_centres",
+            "Data centres that neither this entry nor others beside it reach.",
+            lambda: len(reach.absences_by_data_centre),
+        )
+        gauge(
+            "away_probes",
+            "Connections that this entry tried to data centres that were away.",
+            lambda: reach.probes,
+        )
         gauge(
             "lowered_targets",
             "Targets whose share this entry has lowered for all, as they were silent.",
@@ -423,6 +440,7 @@
             self.view.run,
             self._record_origins,
             self._watch_paths,
+            self._watch_data_centres,
             self._state_requests,
             self._drop_gone,
             self.live_settings.watch,
@@ -447,12 +465,16 @@
     async def _watch_paths(self) -> None:
         await supervise("watch paths", self.connector.paths.run)
 
+    async def _watch_data_centres(self) -> None:
+        await supervise("watch data centres", self.connector.reach.run)
+
     async def _drop_gone(self) -> None:
         await supervise("drop what is gone", self.upkeep.run)
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another entry."""
-        if isinstance(message, RunPieces | CancelPieces | FreeResults | CarryCall):
+        stage_messages = RunPieces | CancelPieces | FreeResults | CarryCall | TakeOver
+        if isinstance(message, stage_messages):
             return await self.stages.handle(message)
         if isinstance(message, PlaceRun | RunOver | RunBroken):
             return await self.placement.handle(message)
@@ -480,6 +502,10 @@
         )
         stop = self._plan_stop()
         self.handler.stop = stop
+        succession = Succession(
+            self.clock, self.link, self.settings.name, self.runner.calls
+        )
+        await self.batcher.hand_over(succession)
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
