--- a/soak/service.py
+++ b/soak/service.py
@@ -22,6 +22,10 @@
 # An entry that stops waits 200 ms for another request after an answer that announced no
 # close; the caller may see the end of the answer late.
 IDLE_MS = 100
+# Part of the grace period before the kill in which requests are only refused, and the
+# time that the last answer before it has left its caller.
+LAST_PART = 8
+LAST_WAIT_MS = 200
 
 
 @define
@@ -158,6 +162,12 @@
     def _is_excused(self, end: "IdleEnd") -> bool:
         request = end.request
         from_ms = request.began_ms - MAX_REQUEST_MS
+        stop = self.history.stop_before(request.entry, request.closed_ms)
+        if stop is not None:
+            # An entry whose time is over can wait for no further request.
+            wait_ms = stop.grace_ms // LAST_PART + LAST_WAIT_MS
+            if request.closed_ms >= stop.at_ms + stop.grace_ms - wait_ms:
+                return True
         return self.history.has_fault(
             from_ms, request.ended_ms, self.limits.recovery_ms
         ) or self.history.was_ended(
--- a/tests/test_soak_service.py
+++ b/tests/test_soak_service.py
@@ -142,3 +142,38 @@
     assert promise.check(AT_MS) == []
     assert len(promise.check(LAST_MS)) == found
     assert promise.check(LAST_MS) == []
+
+
+@pytest.mark.parametrize(("stopped_ms", "found"), [(1_400, 1), (1_676, 0)])
+def test_connection_that_ends_with_its_process_is_no_finding(stopped_ms, found):
+    """Guards against findings at the end of a grace period (seed 1, 0.75 minutes)."""
+    history = History()
+    promise = IdleEnds(history, Limits())
+    closed_ms = AT_MS + 500
+    history.add(
+        SignalRecord(
+            process="front-1",
+            pid=1,
+            number=signal.SIGTERM,
+            at_ms=closed_ms - stopped_ms,
+            grace_ms=2_000,
+        )
+    )
+    common = {"entry": "front-1", "kind": "query", "connection": "c1"}
+    promise.add(
+        RequestRecord(
+            name="1", outcome=Outcome.ANSWERED, ended_ms=closed_ms - 5, **common
+        )
+    )
+    promise.add(
+        RequestRecord(
+            name="2",
+            outcome=Outcome.NO_ANSWER,
+            position=1,
+            began_ms=closed_ms,
+            ended_ms=closed_ms + 5,
+            closed_ms=closed_ms,
+            **common,
+        )
+    )
+    assert len(promise.check(LAST_MS)) == found
