--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -11,6 +11,9 @@
 __all__ = ["describe"]
 
 AROUND_MS = 15_000
+# Short standstills are many on a busy machine.
+SHOWN_STANDSTILL_MS = 100
+NEAR_MS = 3_000
 EXPLAIN_TIMEOUT_S = 20
 MAX_EXPLAIN_LINES = 40
 
@@ -40,7 +43,8 @@
     events += [
         (each.at_ms, f"{each.loop} of the soak stood still for {each.lasted_ms} ms")
         for each in history.standstills
-        if abs(each.at_ms - finding.at_ms) < AROUND_MS
+        if each.lasted_ms >= SHOWN_STANDSTILL_MS
+        and abs(each.at_ms - finding.at_ms) < NEAR_MS
     ]
     lines += [
         f"  {at_ms - finding.at_ms:+7d} ms  {text}" for at_ms, text in sorted(events)
