soak: find the source of a connection by both of its ends

Cause: a source was looked up in /proc/net/tcp by the client's address alone. Linux gives a local port again for another destination, so a line of another connection, such as one in TIME_WAIT without an inode, took its place. Before: the look-up by one end cannot tell the two connections of the new test apart.

--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -15,7 +15,7 @@
 from attrs import define, field
 from curio.io import Socket
 
-from soak.link_sources import find_sources
+from soak.link_sources import Ends, find_sources
 from soak.links import (
     AddLink,
     Answer,
@@ -44,8 +44,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 NARROW_STEP_MS = 50
 PROBE_INTERVAL_MS = 50
-# Connections are looked up together, as each look-up reads a table of all of the
-# machine's connections.
+# Connections are looked up together, as each look-up lists the descriptors of all
+# processes of the fleet.
 LOOK_UP_INTERVAL_MS = 20
 # A connection that no process of the fleet holds then was opened by another one.
 MAX_LOOK_UPS = 2
@@ -232,6 +232,11 @@
         self.upstream: Any = None
         self.task: curio.Task | None = None
 
+    @property
+    def ends(self) -> Ends:
+        """Addresses of the connection of the source."""
+        return Ends(client=self.client, server=self.link.listen)
+
     def faults(self) -> Iterable[LinkFault]:
         """Return the faults for this connection."""
         return self.proxy.conditions.matching(self.link.name, self.source)
@@ -561,11 +566,11 @@
             if not unknown:
                 return
             name_by_pid = {pid: name for name, pid in self.pid_by_name.items()}
-            clients = [each.client for each in unknown]
-            found = await curio.run_in_thread(find_sources, clients, name_by_pid)
+            ends = [each.ends for each in unknown]
+            found = await curio.run_in_thread(find_sources, ends, name_by_pid)
             for each in unknown:
                 each.look_ups += 1
-                each.source = found.get(each.client, "")
+                each.source = found.get(each.ends, "")
 
 
 def is_unexpected(record: logging.LogRecord) -> bool:
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -11,7 +11,8 @@
 import pytest
 
 from demo.processes import free_addresses
-from soak.link_sources import find_sources
+from soak import link_sources
+from soak.link_sources import Ends, find_sources
 from soak.links import (
     Direction,
     Effect,
@@ -419,7 +420,32 @@
         socket.create_server((address.host, address.port)),
         socket.create_connection((address.host, address.port)) as client,
     ):
-        own = Address(*client.getsockname())
-        gone = Address("127.0.0.1", 1)
+        own = Ends(client=Address(*client.getsockname()), server=address)
+        gone = Ends(client=Address("127.0.0.1", 1), server=address)
         found = find_sources([own, gone], {os.getpid(): "me", os.getppid(): "x"})
         assert found == {own: "me"}
+
+
+def test_sources_with_the_same_client_address_are_told_apart():
+    """Guards against a look-up by one end, which another connection may have, too.
+
+    The kernel gives the local port of a connection again for another destination.
+    """
+    first, second = free_addresses(2)
+    with (
+        socket.create_server((first.host, first.port)),
+        socket.create_server((second.host, second.port)),
+        socket.socket() as one,
+        socket.socket() as other,
+    ):
+        for sock in (one, other):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        one.bind(("127.0.0.1", 0))
+        client = Address(*one.getsockname())
+        other.bind((client.host, client.port))
+        one.connect((first.host, first.port))
+        other.connect((second.host, second.port))
+        ends = [Ends(client=client, server=server) for server in (first, second)]
+        inodes = [str(os.fstat(sock.fileno()).st_ino) for sock in (one, other)]
+        assert list(link_sources._inodes(ends).values()) == inodes
+        assert find_sources(ends[:1], {os.getpid(): "me"}) == {ends[0]: "me"}
