--- a/soak/promises.py
+++ b/soak/promises.py
@@ -392,9 +392,9 @@
         findings = [
             self._finding(kill.process, kill.at_ms, "killed, its time was over")
             for kill in self._kills
-            if not self._has_fault(kill.at_ms - 1, kill.at_ms)
+            if kill.at_ms + SETTLE_MS <= until_ms and self._had_effect(kill)
         ]
-        self._kills = []
+        self._kills = [k for k in self._kills if k.at_ms + SETTLE_MS > until_ms]
         for stop in self._stops:
             end_ms = stop.at_ms + stop.grace_ms + self.limits.end_margin_ms
             if end_ms + SETTLE_MS > until_ms:
@@ -430,6 +430,12 @@
         self._exits = [e for e in self._exits if e.at_ms + SETTLE_MS > until_ms]
         return findings
 
+    def _had_effect(self, kill: SignalRecord) -> bool:
+        """Return whether a process was killed that had not begun to exit by itself."""
+        exits = self.history.exits[kill.process]
+        has_exited = any(e.pid == kill.pid and e.code != -SIGKILL for e in exits)
+        return not has_exited and not self._has_fault(kill.at_ms - 1, kill.at_ms)
+
     def _was_ready(self, end: ExitRecord) -> bool:
         """Return whether the process that ended ever said that it is ready."""
         before = [e.at_ms for e in self.history.exits[end.process] if e.pid != end.pid]
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -278,6 +278,11 @@
     ],
     "end of the next process": [stop(1_000), end(3_000), stop(4_000, pid=8)]
     + [end(11_000, pid=8)],
+    "killed while it exits": [
+        stop(1_000),
+        stop(9_000, signal.SIGKILL),
+        end(9_080, 0),
+    ],
     "killed by a fault": [stop(1_000, signal.SIGKILL, is_planned=False)]
     + [end(1_001, -9)],
     "ended by the signal to stop while it starts": [
