--- a/tests/process_groups.py
+++ b/tests/process_groups.py
@@ -8,6 +8,7 @@
     (
         "test_accounts_processes.py",
         "test_connect_shortage_processes.py",
+        "test_peer_listen_address.py",
         "test_planned_stop_processes.py",
         "test_stalled_log.py",
     ),
@@ -15,6 +16,7 @@
         "test_consensus_processes.py",
         "test_cut_entries_processes.py",
         "test_processes.py",
+        "test_soak.py",
         "test_unending_bytes.py",
     ),
     (
