--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -111,7 +111,9 @@
         )
         self.target_server = self._make_target_server()
         self.peer_server = PeerServer(
-            settings.peer_address, settings.peer_secret, self.handle_peer
+            settings.peer_listen_address or settings.peer_address,
+            settings.peer_secret,
+            self.handle_peer,
         )
         self.signalled_drain = SignalledDrain(
             self.clock,
@@ -313,6 +315,9 @@
         await self.caller_server.stop_accepting(answers_end_ms - self.clock.now_ms())
         await sleep_until_idle(self.clock, self._is_idle, answers_end_ms, 1)
         await running.end_all()
+        self.orders.end()
+        # Orders go on without their callers.
+        await self.dispatcher.end()
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
         await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
         async with curio.TaskGroup() as group:
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -1,6 +1,6 @@
 """Attempts of relayed requests at targets: one at a time, retried where allowed."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Iterator
 from contextlib import asynccontextmanager
 
 import attrs
@@ -69,6 +69,9 @@
 # Retry delay of refusals because no target is usable, the retry budget is exhausted or
 # keys are unconfirmed.
 RETRY_AFTER_MS = 300
+# Retry delay while all targets are in data centres that are away. A cut lasts seconds,
+# and the entry notices its end within a second.
+AWAY_RETRY_MS = 1_500
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -176,12 +179,18 @@
                     return await task.join()
                 if self.can_move(job) or self.clock.now_ms() >= job.deadline_at_ms:
                     # Until it has ended, the attempt may still send the request.
+                    job.attempt_timed_out = True
                     await task.cancel()
                     if isinstance(task.exception, curio.CancelledError):
                         return _timeout_error(job, row)
                     return await task.join()
         except curio.TaskError as error:
             raise error.__cause__ from error
+        except curio.CancelledError:
+            if job.attempt_timed_out:
+                # The caller left before the attempt had ended.
+                await self.reports.record_end(job, row, RunOutcome.OVER)
+            raise
         finally:
             await task.cancel()
 
@@ -240,6 +249,9 @@
 
     def no_target_refusal(self, job: RelayJob) -> Refusal:
         """Return the refusal of a request that no target can run, or continue."""
+        refusal = self.away_refusal(job)
+        if refusal is not None:
+            return refusal
         verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
         detail = job.detail or f"no target of {job.service} is known"
         if job.origin is not None:
@@ -250,6 +262,15 @@
             )
         return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
 
+    def away_refusal(self, job: RelayJob) -> Refusal | None:
+        """Return the refusal of a request whose targets nobody reaches, else None."""
+        away = self.view.away_data_centres
+        if not away or self._targets(job):
+            return None
+        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
+        detail = f"no target of {job.service} outside {sorted(away)}, which are away"
+        return Refusal(RefusalReason.NO_TARGET, verdict, detail, AWAY_RETRY_MS)
+
     def pause_refusal(self, job: RelayJob) -> Refusal | None:
         """Return the refusal of a request whose targets take no requests now.
 
@@ -435,6 +456,7 @@
         row: TargetRow,
         last_event_id: int | None = None,
         on_sent: Callable[[], Awaitable[None]] | None = None,
+        head_waits_ms: Iterator[int] | None = None,
     ) -> AsyncIterator[Attempt]:
         """Send the request to ``row`` and yield the attempt when the head arrives.
 
@@ -443,6 +465,8 @@
             row: Target.
             last_event_id: Event after which a stream is resumed, if any.
             on_sent: Called once the request was sent.
+            head_waits_ms: For how long to wait for the head, one time after the other;
+                by default until the deadline.
 
         Raises:
             TargetFailed: If there is no answer to this request.
@@ -465,6 +489,7 @@
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
         job.sent_ms = job.carrier = None
+        job.attempt_timed_out = False
         self.chooser.record_start(row, (), 0)
         try:
             async with self.http.open(
@@ -486,6 +511,7 @@
                 urgency=job.urgency,
                 identity=request.request_id,
                 confirmed=False,
+                head_waits_ms=head_waits_ms,
             ) as stream:
                 stream, head = await self._skip_crossed_answers(job, stream)
                 await stream.confirm()
@@ -494,9 +520,11 @@
                 job.progress = AnswerProgress.HEAD
                 yield Attempt(row, stream, head, job.sent_ms)
         except (curio.CancelledError, GeneratorExit):
-            # The caller disconnected, which says nothing about the target, or the
-            # attempt timed out, which ``call`` reports itself.
-            await self.reports.record_end(job, row, RunOutcome.OVER)
+            # The caller disconnected, which says nothing about the target. Of an
+            # attempt that timed out ``call`` reports how it ended; only the first
+            # report counts.
+            if not job.attempt_timed_out:
+                await self.reports.record_end(job, row, RunOutcome.OVER)
             raise
         finally:
             self.chooser.record_end(row)
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -7,7 +7,7 @@
 
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import attrs
@@ -24,9 +24,12 @@
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage
 from wagtailrun.fairness import Turns
+from wagtailrun.membership import TargetRow
 from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.carriers import CarrierOutcome, Carriers
+from wagtailrun.relay.data_centre_reach import DataCentreReach
+from wagtailrun.relay.path_survey import PathSurvey
 from wagtailrun.relay.paths import TargetPaths
 from wagtailrun.relay.tunnel_messages import (
     OpenTunnel,
@@ -44,6 +47,8 @@
 # of this process stood still meanwhile.
 LATE_MS = 20
 DIRECT_TRIES = 2
+# Three entries, each with time for two direct connections one after the other.
+ASK_OTHERS_MS = 2_400
 # Links of a region take under 5 ms. After this time another entry is asked as well.
 HEDGE_AFTER_MS = 100
 # Connections that one entry carries for others; further ones go to other entries.
@@ -90,8 +95,17 @@
         self.view = view
         self.random = random.Random(seed)
         self.direct = DirectConnector()
+        self.survey = PathSurvey(view.present_targets, self._try_path, self.random)
+        self.reach = DataCentreReach(
+            clock, view, self._try_path, self._ask_others, self.random
+        )
         self.paths = TargetPaths(
-            clock, view.target_addresses, self.reaches, self.check, seed
+            clock,
+            view.target_addresses,
+            self.reaches,
+            self.check,
+            self.survey.reaches_any,
+            seed,
         )
         self.carriers = Carriers(clock, link, view, self.random)
         # Targets whose direct path is being tried after another entry was faster.
@@ -112,6 +126,8 @@
     ) -> OpenConnection:
         if not self.carriers.other_entries():
             return await self.connect_directly(address, timeout_ms)
+        if self.reach.is_away(address):
+            raise _away_error(address)
         ends_ms = self.clock.now_ms() + timeout_ms
         if self.paths.is_lost(address):
             outcome = await self.carriers.connect(address, ends_ms, probe=probe)
@@ -126,9 +142,15 @@
         if opened is None:
             raise await self._make_error(address, tried.failure, tried.outcome)
         if tried.failure is not None and not tried.failure.undecided:
-            self.paths.record_lost(address, tried.outcome.carrier, str(tried.failure))
+            await self._record_lost(address, tried.outcome.carrier, str(tried.failure))
         return opened
 
+    async def _record_lost(self, address: Address, carrier: str, detail: str) -> None:
+        """Record a lost path, and find out beside it whether all are."""
+        self.paths.record_lost(address, carrier, detail)
+        if self.paths.may_be_cut_off:
+            await curio.spawn(self.paths.review_cut, daemon=True)
+
     async def _connect_either_way(
         self, address: Address, timeout_ms: int, *, probe: bool
     ) -> _Tried:
@@ -188,7 +210,7 @@
                 if isinstance(found, OpenConnection):
                     await found.sock.close()
                 elif not _shows_nothing(found):
-                    self.paths.record_lost(address, carrier, str(found))
+                    await self._record_lost(address, carrier, str(found))
             finally:
                 self.tried_paths.discard(address)
 
@@ -218,7 +240,7 @@
 
     def may_reuse(self, address: Address) -> bool:
         """Return whether the path to a server is believed to work."""
-        return not self.paths.is_lost(address)
+        return not (self.paths.is_lost(address) or self.reach.is_away(address))
 
     async def confirms_silence(
         self, address: Address, carrier: Address | None, since_ms: int
@@ -242,6 +264,8 @@
             except ConnectFailed as error:
                 late_ms = self.clock.now_ms() - started_ms - timeout_ms
                 if error.refused or late_ms < LATE_MS:
+                    if not (_shows_nothing(error) or self.paths.is_cut_off):
+                        await self.reach.record_failure(address)
                     raise
                 detail = f"{error}; this process was late by {late_ms} ms"
                 continue
@@ -263,16 +287,14 @@
         Raises:
             ConnectFailed: If this process lacks what it needs to find out, or was late.
         """
-        rows = [self.view.row_at(each) for each in self.view.target_addresses()]
         row = self.view.row_at(address)
         beside = [
             each.address
-            for each in rows
-            if each is not None
-            and each.address != address
+            for each in self._known_rows()
+            if each.address != address
             and (row is None or each.data_centre == row.data_centre)
         ]
-        return await self._reaches_one_of(beside)
+        return not beside or await self._try_path(self.random.choice(beside))
 
     async def reaches_any_but(self, address: Address) -> bool:
         """Return whether some other target is reached; True if there is no other.
@@ -280,19 +302,33 @@
         Raises:
             ConnectFailed: If this process lacks what it needs to find out, or was late.
         """
-        others = [each for each in self.view.target_addresses() if each != address]
-        return await self._reaches_one_of(others)
+        return await self.survey.reaches_any(self.view.row_at(address))
 
-    async def _reaches_one_of(self, addresses: list[Address]) -> bool:
-        if not addresses:
-            return True
-        opened = await self._try_directly(
-            self.random.choice(addresses), DIRECT_TIMEOUT_MS
-        )
+    def _known_rows(self) -> list[TargetRow]:
+        """Return the targets that may be given work."""
+        rows = [self.view.row_at(each) for each in self.view.target_addresses()]
+        return [row for row in rows if row is not None]
+
+    async def _try_path(self, address: Address) -> bool:
+        """Return whether a direct connection to a target can be opened.
+
+        Raises:
+            ConnectFailed: If this process lacks what it needs to find out, or was late.
+        """
+        opened = await self._try_directly(address, DIRECT_TIMEOUT_MS)
         if _shows_nothing(opened):
             raise opened
         return await _close_opened(opened)
 
+    async def _ask_others(
+        self, row: TargetRow, left_out: Collection[str]
+    ) -> CarrierOutcome:
+        """Return what other entries say about a target."""
+        ends_ms = self.clock.now_ms() + ASK_OTHERS_MS
+        return await self.carriers.connect(
+            row.address, ends_ms, probe=True, left_out=left_out
+        )
+
     async def check(self, address: Address) -> bool:
         """Return whether a target is reached directly; if not, ask another entry."""
         opened = await self._try_directly(address, DIRECT_TIMEOUT_MS)
@@ -304,10 +340,15 @@
         outcome = await self.carriers.connect(address, ends_ms, probe=True)
         if outcome.opened is not None:
             await outcome.opened.sock.close()
-            self.paths.record_lost(address, outcome.carrier, str(opened))
+            await self._record_lost(address, outcome.carrier, str(opened))
         return False
 
 
+def _away_error(address: Address) -> ConnectFailed:
+    """Return the error for a target of a data centre that is away."""
+    return ConnectFailed(f"the data centre of {address} is away", confirmed=False)
+
+
 def _shows_nothing(found: OpenConnection | ConnectFailed) -> bool:
     """Return whether a connection failed because of this process alone."""
     return isinstance(found, ConnectFailed) and (
@@ -422,7 +463,7 @@
             return TunnelRefused(TunnelRefusal.LATE, "this entry stood still")
         if self.connector.paths.is_cut_off:
             return TunnelRefused(TunnelRefusal.CUT_OFF, "this entry reaches no target")
-        if self.connector.paths.is_lost(address):
+        if not self.connector.may_reuse(address):
             return TunnelRefused(TunnelRefusal.NO_PATH, f"no path to {address}")
         if message.target and self._has_left(message):
             return TunnelRefused(TunnelRefusal.LEFT, f"{message.target} leaves")
@@ -462,9 +503,11 @@
             return TunnelRefused(
                 TunnelRefusal.UNREACHABLE, str(error), refused=error.refused
             )
-        if await self.connector.reaches_any_but(address):
+        paths = self.connector.paths
+        is_heard = paths.last_heard_ms >= started_ms
+        if is_heard or await self.connector.reaches_any_but(address):
             return TunnelRefused(TunnelRefusal.NO_PATH, str(error))
-        self.connector.paths.record_no_links(started_ms)
+        await curio.spawn(paths.review_cut, daemon=True)
         return TunnelRefused(TunnelRefusal.CUT_OFF, str(error))
 
     async def _pass_bytes(self, opened: OpenConnection, peer: Any) -> str:
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -200,6 +200,11 @@
                 done_ms[number] = start_ms + own_ms
         return max(done_ms, default=0)
 
+    def owns(self, service: str) -> bool:
+        """Return whether this entry forms the calls of a service."""
+        owner = self.calls.owner(service)
+        return owner is None or owner.name == self.name
+
     def min_duration_ms(self, work: StagedWork) -> int:
         """Return the duration of the longest chain without queueing."""
         done_ms: list[int] = []
@@ -373,11 +378,14 @@
                     # calls of this one.
                     continue
                 is_early = waited_ms < message.wait_ms + POLL_SLACK_MS
-                if not retried and is_early and not self.owners.is_excluded(owner):
+                if error.stopping:
+                    self.calls.leave(owner, str(error))
+                elif retried or not is_early or self.owners.is_excluded(owner):
+                    await self.calls.exclude(owner, str(error))
+                else:
                     retried = True
                     continue
                 tried.add(owner.name)
-                await self.calls.exclude(owner, str(error))
                 owner = self.calls.owner(work.steps[number].service, tried)
                 continue
             if state.state == JobState.FETCHED:
@@ -387,6 +395,9 @@
                     await self._release_inputs(work, number, results)
             elif reserve or state.state != JobState.PENDING:
                 return state
+            elif state.owner:
+                # It stops; without a row it is polled again while it lasts.
+                owner = self.calls.entry(state.owner) or owner
 
     def _make_message(
         self,
