--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -134,6 +134,7 @@
         last_event: Number of the last event of such a stream.
         is_repeatable: Whether a request with the same name runs at most once.
         second_signal_ends: Whether a second SIGTERM ends an entry at once.
+        deadline_ms: Deadline at which streams are cut off; 0 if they end whole.
         read_lag_ms: How old the version may be that a control member tells.
     """
 
@@ -142,6 +143,7 @@
     last_event: int = 0
     is_repeatable: bool = False
     second_signal_ends: bool = False
+    deadline_ms: int = 0
     read_lag_ms: int = 0
 
     @abstractmethod
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -29,6 +29,8 @@
 MS_PER_SECOND = 1_000
 # A standstill is recorded after the end that was seen when it was over.
 SEEN_MS = 100
+# An entry ends a stream a moment before its deadline.
+DEADLINE_MARGIN_MS = 100
 
 
 class Promise(ABC):
@@ -145,7 +147,10 @@
         return ""
 
     def _allowed_cut(self, request: RequestRecord) -> str:
-        """Allow the end of a stream that its entry had no time to finish."""
+        """Allow the end of a stream that there was no time to finish."""
+        lasted_ms = request.ended_ms - request.first_byte_ms
+        if 0 < self.limits.deadline_ms <= lasted_ms + DEADLINE_MARGIN_MS:
+            return "stream cut off at its deadline"
         stop = self.history.stop_before(request.entry, request.ended_ms)
         if stop is None or not request.events or stop.grace_ms <= 0:
             return ""
--- a/soak/run.py
+++ b/soak/run.py
@@ -139,6 +139,7 @@
         self.judge = Judge(
             Limits(
                 second_signal_ends=self.dialect.second_signal_ends,
+                deadline_ms=self.dialect.deadline_ms,
                 read_lag_ms=self.dialect.read_lag_ms,
             )
         )
--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -204,6 +204,8 @@
     kinds = KINDS
     resumable = "stream"
     last_event = STREAM_EVENTS
+    # That of ``request_headers``.
+    deadline_ms = 6_000
 
     def request(self, plan):
         wanted = ("Attempt-Id", "Deadline-Remaining", "Credential", "Token-Count")
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -316,6 +316,24 @@
     assert findings(KEPT[case]) == []
 
 
+def test_process_that_ends_after_its_second_signal():
+    """Guards against findings of requests that came while the process ended."""
+    records = [stop(8_000), stop(9_500), request(), end(10_600)]
+    limits = Limits(second_signal_ends=True)
+    assert findings(records, limits) == []
+    late = request(name="late", began_ms=10_800, ended_ms=10_900)
+    found = findings([*records, late], limits)
+    assert [each.subject for each in found] == ["late"]
+
+
+def test_stream_may_be_cut_off_at_its_deadline_only():
+    """Guards against findings of streams that had no more time, and cuts before."""
+    cut = request(Outcome.CUT, events=[1], ended_ms=15_950)
+    assert findings([cut], Limits(deadline_ms=6_000)) == []
+    assert findings([cut], Limits(deadline_ms=7_000)) != []
+    assert findings([cut]) != []
+
+
 def test_second_signal_ends_only_entries_that_promise_it():
     """Guards against requests that are lost at a second signal without a finding."""
     records = [stop(8_000), request(), stop(10_300), end(10_301)]
