Release results through the entry that counts them

Cause: results were released through the entry that owned the service at that moment, by the view of the entry of the request. During a cut of a data centre its entries still know an owner on the other side, and avoid it for 1.5 s after each failure. The first release after that went to it in vain and then from the own entry to the target. The entry that had formed the calls, and counts the results as memory in use, did not learn of it: the targets' memory was free, and their owner waited for 4 s until the results expired.

Found with a trial that logged the age of results at their release: 0.13 to 0.25 s as a rule; all others were counted until 4 s, and were those of requests that had been answered.

Change: a step's results keep the name of the entry that formed their calls; releases go to it while it is live and not avoided.

The test failed before with 1,000 bytes in use a second after the release.

--- a/tests/test_stage_handover.py
+++ b/tests/test_stage_handover.py
@@ -10,9 +10,11 @@
 import curio
 import pytest
 
-from tests.test_stage_pool import FakeStages
+from tests.test_stage_pool import FakeStages, target
 from tests.test_stage_runner import CAPACITY, ENTRIES, STEPS, other_entry
 from tests.test_stage_stop import Fleet
+from wagtailrun.discovery.owners import AVOIDANCE_MS
+from wagtailrun.gossip_peers import rendezvous
 from wagtailrun.stages import PieceOutcome, StagedWork, StageResults
 from wagtailrun.stages.port import UNWATCHED, StageReply
 from wagtailrun.virtual_time import run_virtual
@@ -151,3 +153,34 @@
     targets, refusals = run_virtual(lambda clock: run_load(clock, (), (OWNER,)))
     assert targets.waited > 0
     assert (refusals, pieces_run_again(targets)) == ([], [])
+
+
+def test_release_reaches_the_entry_that_counts_the_results():
+    """Load: a data centre is cut off; its entries know the owner on the other side.
+
+    Guards against results that count as memory in use for 4 s after their release. An
+    owner that did not reply is avoided for 1.5 s. The first release after that went to
+    it in vain, and then to the target, unknown to the entry that had made the results.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        ranked = rendezvous("s", fleet.processes, len(ENTRIES))
+        owner, process = fleet.processes[ranked[0]], fleet.processes[ranked[-1]]
+        fleet.network.cut(process.row.address, owner.row.address)
+        now_ms = clock.now_ms()
+        staged = StagedWork("r", STEPS, (1, 0, 0, 0), "k", 0, now_ms, now_ms + 9_000)
+        results = StageResults()
+        refusal = await process.runner.run(staged, "a", results)
+        await clock.sleep_ms(AVOIDANCE_MS)
+        await process.runner.release_all(staged, results)
+        await clock.sleep_ms(1_000)
+        return refusal, [
+            pool.memory.used_bytes(target(1).address)
+            for each in fleet.processes.values()
+            for pool in each.batcher.pools_by_service.values()
+        ]
+
+    refusal, used = run_virtual(main)
+    assert refusal is None
+    assert used and not any(used)
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -37,6 +37,7 @@
   movedBytes @16 :UInt64;
   inputServices @17 :List(Text);  # Services of the inputs that the owner releases.
   inputAddresses @18 :List(Text);  # Targets that hold these inputs.
+  inputOwners @19 :List(Text);  # Entries that formed the calls that made them.
 }
 
 struct PieceResult {
@@ -59,7 +60,11 @@
   service @1 :Text;
   rounds @2 :UInt8;  # Rounds that are cancelled, from the first; 0 for all.
 }
-struct FreeResults { service @0 :Text; results @1 :List(PieceResult); }
+struct FreeResults {
+  service @0 :Text;
+  results @1 :List(PieceResult);
+  owner @2 :Text;  # Entry that formed their calls; empty if it is not known.
+}
 struct PiecesDropped { count @0 :UInt32; }
 
 struct RequestPieces {
--- a/wagtailrun/stages/fetched_inputs.py
+++ b/wagtailrun/stages/fetched_inputs.py
@@ -1,5 +1,6 @@
 """Releases the inputs of stage calls once their targets have fetched them."""
 
+import itertools
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -35,24 +36,27 @@
 
     async def mark(self, chosen: Sequence[tuple[Job, int]]) -> None:
         """Mark the inputs of pieces as fetched, and release those of whole steps."""
-        results_by_service: dict[str, list[PieceResult]] = defaultdict(list)
+        results_by_owner: dict[tuple[str, str], list[PieceResult]] = defaultdict(list)
         for job, piece in chosen:
             job.fetched_pieces.add(piece)
             if not job.fetched and len(job.fetched_pieces) == len(job.message.pieces):
                 job.fetched = True
                 message = job.message
-                for service, handle, address in zip(
+                # An earlier build names no owners.
+                owners = itertools.chain(message.input_owners, itertools.repeat(""))
+                for service, handle, address, owner in zip(
                     message.input_services,
                     message.inputs,
                     message.input_addresses,
+                    owners,
                     strict=False,
                 ):
                     result = PieceResult(0, handle, address)
-                    results_by_service[service].append(result)
+                    results_by_owner[service, owner].append(result)
                 if not message.input_services:
                     await job.progress.notify()
-        for service, results in results_by_service.items():
+        for (service, owner), results in results_by_owner.items():
             # One message for all requests of the call.
             # An owner that does not reply must not delay the end of the call.
-            message = FreeResults(service, tuple(results))
+            message = FreeResults(service, tuple(results), owner)
             await curio.spawn(self.release, message, daemon=True)
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -71,6 +71,8 @@
             once they are fetched; empty if the sender does.
         input_addresses: Target that holds each of these inputs. The owner of their
             service may be another entry by now, which did not make them.
+        input_owners: Entry that formed the calls that made each of these inputs; empty
+            from an earlier build.
     """
 
     request_id: str
@@ -92,6 +94,7 @@
     moved_bytes: int = 0
     input_services: tuple[str, ...] = ()
     input_addresses: tuple[str, ...] = ()
+    input_owners: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -150,10 +153,18 @@
 
 @attrs.frozen
 class FreeResults:
-    """Releases results that are no longer needed."""
+    """Releases results that are no longer needed.
+
+    Attributes:
+        service: Stage service.
+        results: Its results.
+        owner: Name of the entry that formed their calls, which counts them as memory in
+            use; empty if it is not known.
+    """
 
     service: str
     results: tuple[PieceResult, ...]
+    owner: str = ""
 
 
 @attrs.frozen
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -116,11 +116,13 @@
         results_by_step: Results of each finished step, in order of its pieces.
         unreleased_steps: Steps whose results are still held by their targets.
         fetched_steps: Steps whose inputs were fetched and may be released.
+        owners_by_step: Name of the entry that formed the calls of each step.
     """
 
     results_by_step: dict[int, tuple[PieceResult, ...]] = attrs.field(factory=dict)
     unreleased_steps: set[int] = attrs.field(factory=set)
     fetched_steps: set[int] = attrs.field(factory=set)
+    owners_by_step: dict[int, str] = attrs.field(factory=dict)
 
     def handles(self, number: int) -> tuple[str, ...]:
         """Return the handles of a step's results."""
@@ -291,6 +293,7 @@
         state = await self._request_pieces(work, number, preferred, inputs, results)
         if state.state == JobState.DONE:
             results.results_by_step[number] = state.results
+            results.owners_by_step[number] = state.owner
             results.fetched_steps.add(number)
             results.unreleased_steps.add(number)
             if self._owner_releases(work, number):
@@ -345,14 +348,20 @@
         seen_fetched = not inputs
         input_services: tuple[str, ...] = ()
         input_addresses: tuple[str, ...] = ()
+        input_owners: tuple[str, ...] = ()
         if results is not None and self._owner_releases(work, number):
             located = [
-                (work.steps[other].service, result.address)
+                (
+                    work.steps[other].service,
+                    result.address,
+                    results.owners_by_step.get(other, ""),
+                )
                 for other in work.steps[number].after
                 for result in results.results_by_step.get(other, ())
             ]
-            input_services = tuple(service for service, _ in located)
-            input_addresses = tuple(address for _, address in located)
+            input_services = tuple(service for service, _, _ in located)
+            input_addresses = tuple(address for _, address, _ in located)
+            input_owners = tuple(owner for _, _, owner in located)
         while True:
             message = self._make_message(work, number, data_centre, inputs, reserve)
             message = attrs.evolve(
@@ -360,6 +369,7 @@
                 seen_fetched=seen_fetched,
                 input_services=input_services,
                 input_addresses=input_addresses,
+                input_owners=input_owners,
             )
             if message.remaining_ms <= 0:
                 return PiecesState(JobState.REFUSED, detail="no time is left")
@@ -394,7 +404,8 @@
                     results.fetched_steps.add(number)
                     await self._release_inputs(work, number, results)
             elif reserve or state.state != JobState.PENDING:
-                return state
+                name = self.name if owner is None else owner.name
+                return attrs.evolve(state, owner=name)
             elif state.owner:
                 # It stops; without a row it is polled again while it lasts.
                 owner = self.calls.entry(state.owner) or owner
@@ -470,7 +481,11 @@
         if number in results.unreleased_steps:
             results.unreleased_steps.discard(number)
             service = work.steps[number].service
-            message = FreeResults(service, results.results_by_step[number])
+            message = FreeResults(
+                service,
+                results.results_by_step[number],
+                results.owners_by_step.get(number, ""),
+            )
             await curio.spawn(self.notify_owner, message, daemon=True)
 
     async def _send_cancellations(self, work: StagedWork) -> None:
@@ -482,10 +497,18 @@
     async def notify_owner(self, message: CancelPieces | FreeResults) -> None:
         """Send a message to the owner of its service, without a second try.
 
+        A release goes to the entry that formed the calls. Another one may be the owner
+        by now, for a while or by the view of this entry only, which does not count the
+        results.
+
         Results are released at their targets by this entry if the owner does not reply:
         until they expire they occupy memory that other requests wait for.
         """
-        owner = self.calls.owner(message.service)
+        owner = None
+        if isinstance(message, FreeResults):
+            owner = self.calls.entry(message.owner)
+        if owner is None or self.owners.is_excluded(owner):
+            owner = self.calls.owner(message.service)
         try:
             await self._send(owner, message)
         except PeerUnreachable as error:
