Tell when stages wait for memory at their targets

Steps that waited for memory for their results were to be seen only by the field held_bytes of event 710. Event 723 now says how many pieces wait, how many bytes are held, and when the first result expires; the gauges wagtailrun_stage_result_bytes and wagtailrun_stage_pieces_without_memory show the state. The test cannot pass before, as neither existed.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.test_stage_pool import BatcherHarness, FakeStages, target
+from wagtailrun.events import EVENT_LOG, STAGE_MEMORY_FULL
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages import FreeResults, JobState, PieceOutcome
 from wagtailrun.stages.port import UNWATCHED, StageReply
@@ -247,3 +248,30 @@
         return len(client.calls)
 
     assert 1 < run_virtual(main) <= 50
+
+
+def test_full_memory_is_told():
+    """Load: results that nobody releases fill the memory of the only target.
+
+    Guards against steps that wait for memory although their target is idle, and no log
+    line and no metric that says so.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock, capacity=CAPACITY)
+        batcher = harness.batcher
+        await harness.send("first", 5, result_bytes=400)
+        first = batcher.held_bytes, batcher.pieces_without_memory
+        options = {"result_bytes": 400, "wait_ms": 300}
+        number = STAGE_MEMORY_FULL.number
+        before = EVENT_LOG.counts_by_number.get(number, 0)
+        state = await harness.send("second", 1, **options)
+        logged = EVENT_LOG.counts_by_number.get(number, 0) - before
+        waiting = batcher.held_bytes, batcher.pieces_without_memory
+        await harness.send("second", 1, result_bytes=400)
+        return first, state.state, waiting, batcher.pieces_without_memory, logged
+
+    first, state, waiting, left, logged = run_virtual(main)
+    assert first == (2_000, 0)
+    assert (state, waiting, left) == (JobState.PENDING, (2_000, 1), 0)
+    assert logged > 0
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -483,6 +483,12 @@
     "The pieces of a step were abandoned.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+STAGE_MEMORY_FULL = _event(
+    723,
+    logging.WARNING,
+    "Pieces of a stage wait for memory for their results at its targets.",
+    "If it repeats, give the targets memory, or find out why results are not released.",
+)
 SERVICE_HANDED_OVER = _event(
     722,
     logging.INFO,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -328,6 +328,16 @@
             "Time of these calls.",
             lambda: batcher.call_ms,
         )
+        gauge(
+            "stage_result_bytes",
+            "Results of these calls that targets hold, in bytes.",
+            lambda: batcher.held_bytes,
+        )
+        gauge(
+            "stage_pieces_without_memory",
+            "Pieces that wait for memory for their results.",
+            lambda: batcher.pieces_without_memory,
+        )
         shares = self.descriptors
         gauge("descriptors", "Descriptors in use, at least.", used_descriptors)
         gauge(
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -62,6 +62,14 @@
         self.processing_ms = processing_ms
         # Time until a target of the data centre is idle, updated before each call.
         self.busy_ms_by_data_centre: dict[str, int] = {}
+        # Jobs for which a free target had no memory when a call was last planned.
+        self.jobs_without_memory: dict[int, Job] = {}
+
+    @property
+    def pieces_without_memory(self) -> int:
+        """Number of pieces that wait only for memory for their results."""
+        jobs = self.jobs_without_memory.values()
+        return sum(len(job.waiting) for job in jobs)
 
     def plan(
         self, jobs: Sequence[Job], rows: Sequence[TargetRow], capacity: StageCapacity
@@ -74,6 +82,7 @@
             capacity: Capacity of one target.
         """
         now_ms = self.clock.now_ms()
+        self.jobs_without_memory = {}
         free = self._free_targets(rows, capacity, now_ms)
         if not free:
             return None
@@ -128,6 +137,7 @@
             # A job that fits into no memory must begin as well.
             if blocked & scope or used and used + needed > room:
                 blocked |= scope
+                self.jobs_without_memory[job.number] = job
             else:
                 reserved[preferred] += needed
                 startable.append(job)
@@ -237,6 +247,7 @@
                 if len(chosen) >= capacity.batch:
                     return chosen
                 if needed > room and (chosen or is_occupied):
+                    self.jobs_without_memory[job.number] = job
                     break
                 room -= needed
                 chosen.append((job, piece))
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -358,10 +358,28 @@
         jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
         plan = self.planner.plan(jobs, self.targets(), capacity)
         if plan is None:
+            self._log_full_memory()
             return False
         await self._begin_call(plan.row, plan.chosen)
         return True
 
+    def _log_full_memory(self) -> None:
+        """Log that pieces wait for memory, and when the known results expire."""
+        pieces = self.planner.pieces_without_memory
+        if not pieces:
+            return
+        results = self.memory.results_by_handle.values()
+        now_ms = self.clock.now_ms()
+        events.log(
+            events.STAGE_MEMORY_FULL,
+            service=self.service,
+            pieces=pieces,
+            results=len(results),
+            held_bytes=sum(held.size for held in results),
+            next_expiry_ms=min((held.until_ms for held in results), default=now_ms)
+            - now_ms,
+        )
+
     async def _begin_call(self, row: TargetRow, chosen: list[tuple[Job, int]]) -> None:
         target_state = self.target_states_by_name[row.name]
         expected_ms = self.capacity.duration_ms(len(chosen)) * target_state.slowness
@@ -629,6 +647,18 @@
         pools = self.pools_by_service.values()
         return any(job.ready for pool in pools for job in pool.open_by_key.values())
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of results that targets hold for calls of this entry."""
+        pools = self.pools_by_service.values()
+        return sum(sum(pool.memory.bytes_by_address.values()) for pool in pools)
+
+    @property
+    def pieces_without_memory(self) -> int:
+        """Number of pieces that wait for memory for their results."""
+        pools = self.pools_by_service.values()
+        return sum(pool.planner.pieces_without_memory for pool in pools)
+
     @property
     def has_unreported_jobs(self) -> bool:
         """Whether an entry has yet to fetch the results of pieces that ran here."""
