--- a/wagtailrun/stages/__init__.py
+++ b/wagtailrun/stages/__init__.py
@@ -1,5 +1,6 @@
 """Stages that prepare a request: pieces of many requests share calls to targets."""
 
+from wagtailrun.stages.batcher import StageBatcher
 from wagtailrun.stages.host import StageHost
 from wagtailrun.stages.messages import (
     CallMade,
@@ -13,7 +14,6 @@
     RunPieces,
     TakeOver,
 )
-from wagtailrun.stages.pool import StageBatcher
 from wagtailrun.stages.port import PieceOutcome, StageClient, StageItem
 from wagtailrun.stages.runner import StagedWork, StageResults, StageRunner
 from wagtailrun.stages.spread import DelegatingStageClient
--- a/wagtailrun/stages/host.py
+++ b/wagtailrun/stages/host.py
@@ -4,6 +4,7 @@
 
 from wagtailrun.exceptions import Verdict
 from wagtailrun.messages import STOPPING, PeerError
+from wagtailrun.stages.batcher import StageBatcher
 from wagtailrun.stages.messages import (
     CallMade,
     CancelPieces,
@@ -15,7 +16,6 @@
     TakenOver,
     TakeOver,
 )
-from wagtailrun.stages.pool import StageBatcher
 from wagtailrun.stages.spread import DelegatingStageClient
 
 __all__ = ["StageHost"]
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -14,6 +14,7 @@
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.routes import StageCapacity, StageStep
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
+from wagtailrun.stages.batcher import StageBatcher
 from wagtailrun.stages.messages import (
     CancelPieces,
     FreeResults,
@@ -23,7 +24,6 @@
     RunPieces,
 )
 from wagtailrun.stages.owner_calls import OwnerCalls
-from wagtailrun.stages.pool import StageBatcher
 
 __all__ = ["StageResults", "StageRunner", "StagedWork"]
 
