Hand a stage service over that moves without a stop

Cause: entries that leave or are settled move services between entries that stay. The earlier owner went on to form calls for what it held beside the new one, each filling a part of a call.

Change: an owner that is the owner no more tells the next one, in the background, of the targets and results, and once that has replied moves the pieces that are in no call. An entry keeps a service that it took over for 0.5 s, as views differ for about 0.3 s. One that stood still takes none over, since the sender may have given up. A job that comes back replaces the one that had moved.

Test: without the change calls waited at the target more than once (asserted by the test of two owners, which runs without a hand-over), now at most once.

--- a/tests/test_stage_stop.py
+++ b/tests/test_stage_stop.py
@@ -64,6 +64,9 @@
             owners,
             lambda service: fleet.capacity,
         )
+        self.batcher.succession = Succession(
+            self.clock, link, row.name, self.runner.calls, lambda: self.stopping
+        )
         fleet.network.handlers_by_address[row.address] = self.handle
 
     async def handle(self, message):
@@ -75,9 +78,7 @@
     async def stop(self, is_needed=lambda: False, grace_ms=GRACE_MS):
         """Stop as planned: end when idle, or at the end of the grace period."""
         self.stopping = True
-        link = self.fleet.network.link(self.row.address)
-        calls = self.runner.calls
-        await self.batcher.hand_over(Succession(self.clock, link, self.row.name, calls))
+        await self.batcher.hand_over()
         await curio.spawn(self._leave, daemon=True)
         ends_ms = self.clock.now_ms() + grace_ms
         while self.clock.now_ms() < ends_ms:
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -221,6 +221,13 @@
             self.owners,
             self._stage_capacity,
         )
+        self.batcher.succession = Succession(
+            self.clock,
+            self.link,
+            settings.name,
+            self.runner.calls,
+            self._is_stopping,
+        )
         self.stages = StageHost(self.batcher, self.delegating_client, self._is_stopping)
         self.chooser = TargetChooser(
             self.clock, settings.data_centre, limits=self.view.limits
@@ -492,10 +499,7 @@
         )
         stop = self._plan_stop()
         self.handler.stop = stop
-        succession = Succession(
-            self.clock, self.link, self.settings.name, self.runner.calls
-        )
-        await self.batcher.hand_over(succession)
+        await self.batcher.hand_over()
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -69,7 +69,7 @@
         self.budget = budget
         self.is_owner = is_owner
         self.pools_by_service: dict[str, Pool] = {}
-        # Set while this entry stops.
+        # Hands services over; without it they stay until their pieces are done.
         self.succession: Succession | None = None
         # Ended jobs whose waiting polls are not yet notified.
         self.finished_jobs: list[Job] = []
@@ -109,15 +109,16 @@
         job = pool.jobs_by_key.get(job_key(message)) if pool is not None else None
         return job is not None and job.ready
 
-    async def hand_over(self, succession: Succession) -> None:
-        """Move what is in no call to other entries, now and when calls end."""
-        self.succession = succession
+    async def hand_over(self) -> None:
+        """Move what is in no call to other entries, as this entry stops."""
         for pool in self.pools_by_service.values():
             await pool.wake.set()
 
     async def take_over(self, message: TakeOver) -> TakenOver:
         """Run the pieces of an owner that stops."""
         pool = await self.pool(message.service)
+        if self.succession is not None:
+            self.succession.keep(message.service)
         take_over(pool, message)
         await self.notify_finished()
         await pool.wake.set()
@@ -178,6 +179,10 @@
             case FreeResults():
                 if not forwarded:
                     pool.release(message.results)
+                else:
+                    # The next owner counts them.
+                    for result in message.results:
+                        pool.memory.release(result.handle)
                 count = len(message.results)
             case RunPieces():
                 return await self._run_pieces(pool, message)
--- a/wagtailrun/stages/host.py
+++ b/wagtailrun/stages/host.py
@@ -17,9 +17,13 @@
     TakeOver,
 )
 from wagtailrun.stages.spread import DelegatingStageClient
+from wagtailrun.stages.succession import CALL_TIMEOUT_MS
 
 __all__ = ["StageHost"]
 
+# Reason of an entry that does not know how old a message is.
+STOOD_STILL = "stood-still"
+
 
 class StageHost:
     """Runs pieces and calls for other entries.
@@ -58,6 +62,10 @@
         if isinstance(message, TakeOver):
             if self.is_stopping():
                 return PeerError(STOPPING, "this entry stops")
+            sent_ms = self.batcher.clock.now_ms() - CALL_TIMEOUT_MS
+            if self.batcher.was_held_since(sent_ms):
+                # The sender may have given up, and run the pieces itself.
+                return PeerError(STOOD_STILL, "this entry stood still")
             return await self.batcher.take_over(message)
         if isinstance(message, CarryCall):
             if self.is_stopping():
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -318,7 +318,10 @@
         shortest_ms = self.capacity.duration_ms(1)
         ended = self.ended_jobs
         while ended and now_ms - ended[0].ended_ms > FINISHED_JOB_RETENTION_MS:
-            self.jobs_by_key.pop(ended.popleft().key, None)
+            job = ended.popleft()
+            # A job that moved may have come back as another one.
+            if self.jobs_by_key.get(job.key) is job:
+                del self.jobs_by_key[job.key]
         for job in self.open_jobs():
             if not job.ready and now_ms - job.requested_ms > ANNOUNCED_JOB_TIMEOUT_MS:
                 self._finish(
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -1,4 +1,4 @@
-"""Hands the stage services that a stopping entry owns over to their next owners.
+"""Hands stage services over to their next owners.
 
 Without it two owners would call the targets of a service beside each other for a while,
 without the calls and results of the other: calls would wait at targets, and inputs that
@@ -6,8 +6,11 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+import curio
+
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -32,23 +35,43 @@
 __all__ = ["Succession", "take_over"]
 
 CALL_TIMEOUT_MS = 250
+# An entry that took a service over keeps it for this long. Entries learn of a change up
+# to 0.3 s apart, and two of them would hand it to each other.
+KEEP_MS = 500
 
 
 class Succession:
-    """Moves the jobs of a stopping entry to the next owners of their services.
+    """Moves the jobs of an entry to the next owners of their services.
+
+    An entry that stops does so at once. One that is the owner no more, because others
+    left or joined, first tells the next owner of its targets and results, and goes on
+    with its calls until that has replied.
 
     Args:
         clock: Clock.
         link: Link to other entries.
         name: Name of this entry.
         calls: Chooses the owners.
+        is_stopping: Returns whether this entry stops.
     """
 
-    def __init__(self, clock: Clock, link: PeerLink, name: str, calls: OwnerCalls):
+    def __init__(
+        self,
+        clock: Clock,
+        link: PeerLink,
+        name: str,
+        calls: OwnerCalls,
+        is_stopping: Callable[[], bool],
+    ):
         self.clock = clock
         self.link = link
         self.name = name
         self.calls = calls
+        self.is_stopping = is_stopping
+        # Until when this entry keeps a service that it took over.
+        self.keep_until_ms_by_service: dict[str, int] = {}
+        # Services whose next owner is being told.
+        self.telling: set[str] = set()
         self.successor_by_service: dict[str, EntryRow] = {}
         # Entries that did not take a service over.
         self.tried_by_service: dict[str, set[str]] = defaultdict(set)
@@ -65,6 +88,9 @@
             successor = self._successor(pool.service)
             if successor is None:
                 return False
+            if not (self.is_stopping() or self.told_by_service.get(pool.service)):
+                await self._tell(pool, successor)
+                return False
             jobs = [job for job in pool.open_jobs() if not job.running]
             message = self._take_over_message(pool, jobs)
             if not (message.jobs or message.results or message.targets):
@@ -73,11 +99,7 @@
                 # Nothing starts or refuses them while they move.
                 del pool.open_by_key[job.key]
             try:
-                reply = await self.link.call(
-                    successor.address, message, CALL_TIMEOUT_MS
-                )
-                if not isinstance(reply, TakenOver):
-                    raise PeerUnreachable(f"unexpected {type(reply).__name__}")
+                await self._send(successor, message)
             except (MessageError, PeerUnreachable) as error:
                 for job in jobs:
                     pool.open_by_key[job.key] = job
@@ -86,7 +108,45 @@
             await self._record_moved(pool, jobs, successor, message)
             return True
 
+    def keep(self, service: str) -> None:
+        """Keep a service that this entry takes over for a moment."""
+        now_ms = self.clock.now_ms()
+        self.keep_until_ms_by_service[service] = now_ms + KEEP_MS
+        self._forget_successor(service)
+
+    def _forget_successor(self, service: str) -> None:
+        self.successor_by_service.pop(service, None)
+        self.told_by_service.pop(service, None)
+
+    async def _tell(self, pool: "Pool", successor: EntryRow) -> None:
+        """Tell the next owner of the targets and results, in the background."""
+        if pool.service not in self.telling and (
+            pool.open_by_key or pool.memory.results_by_handle
+        ):
+            self.telling.add(pool.service)
+            await curio.spawn(self._tell_state, pool, successor, daemon=True)
+
+    async def _tell_state(self, pool: "Pool", successor: EntryRow) -> None:
+        message = self._take_over_message(pool, [])
+        try:
+            await self._send(successor, message)
+        except (MessageError, PeerUnreachable) as error:
+            self._drop_successor(pool.service, successor, str(error))
+        else:
+            if self.successor_by_service.get(pool.service) == successor:
+                await self._record_moved(pool, [], successor, message)
+                await pool.wake.set()
+        finally:
+            self.telling.discard(pool.service)
+
+    async def _send(self, successor: EntryRow, message: TakeOver) -> None:
+        reply = await self.link.call(successor.address, message, CALL_TIMEOUT_MS)
+        if not isinstance(reply, TakenOver):
+            raise PeerUnreachable(f"unexpected {type(reply).__name__}")
+
     def _successor(self, service: str) -> EntryRow | None:
+        if not self.is_stopping():
+            return self._next_owner(service)
         successor = self.successor_by_service.get(service)
         if successor is None:
             tried = {self.name, *self.tried_by_service[service]}
@@ -95,11 +155,25 @@
                 self.successor_by_service[service] = successor
         return successor
 
+    def _next_owner(self, service: str) -> EntryRow | None:
+        """Return the owner if it is another entry, to which the service may go."""
+        owner = self.calls.owner(service)
+        is_kept = self.clock.now_ms() < self.keep_until_ms_by_service.get(service, 0)
+        if owner is None or owner.name == self.name or is_kept:
+            self._forget_successor(service)
+            return None
+        if self.successor_by_service.get(service) != owner:
+            self._forget_successor(service)
+            self.successor_by_service[service] = owner
+        return owner
+
     def _drop_successor(self, service: str, row: EntryRow, detail: str) -> None:
-        events.log(events.PEER_LOST, peer=row.name, detail=detail)
-        self.tried_by_service[service].add(row.name)
-        self.successor_by_service.pop(service, None)
-        self.told_by_service.pop(service, None)
+        self._forget_successor(service)
+        if self.is_stopping():
+            events.log(events.PEER_LOST, peer=row.name, detail=detail)
+            self.tried_by_service[service].add(row.name)
+        else:
+            self.calls.leave(row, detail)
 
     def _take_over_message(self, pool: "Pool", jobs: list[Job]) -> TakeOver:
         now_ms = self.clock.now_ms()
@@ -141,7 +215,7 @@
     async def forward(self, message: CancelPieces | FreeResults) -> bool:
         """Send a message to the successor of its service; return whether it took it."""
         successor = self.successor_by_service.get(message.service)
-        if successor is None:
+        if successor is None or not self.told_by_service.get(message.service):
             return False
         try:
             await self.link.call(successor.address, message, CALL_TIMEOUT_MS)
@@ -208,7 +282,8 @@
     message = moved.request
     key = job_key(message)
     known = pool.jobs_by_key.get(key)
-    if known is not None and (known.ready or known.state is not JobState.PENDING):
+    has_ended = known is not None and known.state is not JobState.PENDING
+    if known is not None and not known.moved_to and (known.ready or has_ended):
         # Its entry has sent it here as well.
         pool.release(moved.results)
         return
