Reply to a release before it is passed on

Cause: an entry that has handed a service over passed releases and cancellations on to the next owner before it replied, for up to 250 ms. That is the limit of the sender's call, which would take the entry for dead if the next owner stood still or was cut off. Found by reading.

Change: the message is passed on in the background; results that the next owner does not release are released here.

The test failed before: the reply took 250 ms.

--- a/tests/test_stage_handover.py
+++ b/tests/test_stage_handover.py
@@ -11,11 +11,17 @@
 import pytest
 
 from tests.test_stage_pool import FakeStages, target
-from tests.test_stage_runner import CAPACITY, ENTRIES, STEPS, other_entry
+from tests.test_stage_runner import CAPACITY, ENTRIES, STEPS, other_entry, work
 from tests.test_stage_stop import Fleet
 from wagtailrun.discovery.owners import AVOIDANCE_MS
 from wagtailrun.gossip_peers import rendezvous
-from wagtailrun.stages import PieceOutcome, StagedWork, StageResults
+from wagtailrun.stages import (
+    FreeResults,
+    PieceOutcome,
+    PieceResult,
+    StagedWork,
+    StageResults,
+)
 from wagtailrun.stages.port import UNWATCHED, StageReply
 from wagtailrun.virtual_time import run_virtual
 
@@ -159,6 +165,39 @@
     assert (refusals, pieces_run_again(targets)) == ([], [])
 
 
+def test_release_does_not_wait_for_the_next_owner():
+    """Guards against an entry that is taken for dead as it passes a release on.
+
+    The entry that took its services over stands still or is cut off.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        process = fleet.processes[OWNER]
+        await curio.spawn(
+            fleet.processes[NAME].runner.run,
+            work(clock, (1, 0, 0, 0)),
+            "a",
+            StageResults(),
+            daemon=True,
+        )
+        await clock.sleep_ms(100)
+        await curio.spawn(process.stop, daemon=True)
+        await clock.sleep_ms(50)
+        successor = process.batcher.succession.told("s")
+        fleet.network.cut(process.row.address, successor.address)
+        result = PieceResult(0, "h", str(target(1).address))
+        started_ms = clock.now_ms()
+        await process.batcher.handle(FreeResults("s", (result,)))
+        replied_ms = clock.now_ms()
+        await clock.sleep_ms(400)
+        return replied_ms - started_ms, fleet.targets.freed
+
+    took_ms, freed = run_virtual(main)
+    assert took_ms < 10
+    assert "h" in freed
+
+
 def test_service_that_moves_without_a_stop_is_handed_over():
     """Guards against two owners that each fill a part of the calls for a second.
 
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -170,25 +170,34 @@
     ) -> PiecesState | PiecesDropped:
         """Handle one message from an entry and return the reply."""
         pool = await self.pool(message.service)
-        forwarded = self.succession is not None and not isinstance(message, RunPieces)
-        if forwarded:
-            forwarded = await self.succession.forward(message)
-        match message:
-            case CancelPieces():
-                count = pool.cancel(message)
-            case FreeResults():
-                if not forwarded:
-                    pool.release(message.results)
-                else:
-                    # The next owner counts them.
-                    for result in message.results:
-                        pool.memory.release(result.handle)
-                count = len(message.results)
-            case RunPieces():
-                return await self._run_pieces(pool, message)
+        if isinstance(message, RunPieces):
+            return await self._run_pieces(pool, message)
+        successor = self.succession and self.succession.told(message.service)
+        if successor:
+            # The sender does not wait for the next owner.
+            await curio.spawn(self._forward, pool, message, daemon=True)
+        if isinstance(message, CancelPieces):
+            count = pool.cancel(message)
+        else:
+            count = len(message.results)
+            if not successor:
+                pool.release(message.results)
         await self.notify_finished()
         return PiecesDropped(count)
 
+    async def _forward(self, pool: Pool, message: CancelPieces | FreeResults) -> None:
+        """Send a message to the next owner of its service, which has its pieces."""
+        forwarded = await self.succession.forward(message)
+        if isinstance(message, CancelPieces):
+            return
+        if forwarded:
+            # The next owner counts the results.
+            for result in message.results:
+                pool.memory.release(result.handle)
+        else:
+            pool.release(message.results)
+            await self.notify_finished()
+
     async def _run_pieces(self, pool: Pool, message: RunPieces) -> PiecesState:
         if not message.reserve:
             pool.record_use()
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -212,10 +212,16 @@
             pool.ended_jobs.append(job)
             await job.progress.notify()
 
+    def told(self, service: str) -> EntryRow | None:
+        """Return the entry that took a service over, if there is one."""
+        if not self.told_by_service.get(service):
+            return None
+        return self.successor_by_service.get(service)
+
     async def forward(self, message: CancelPieces | FreeResults) -> bool:
         """Send a message to the successor of its service; return whether it took it."""
-        successor = self.successor_by_service.get(message.service)
-        if successor is None or not self.told_by_service.get(message.service):
+        successor = self.told(message.service)
+        if successor is None:
             return False
         try:
             await self.link.call(successor.address, message, CALL_TIMEOUT_MS)
