--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -117,8 +117,6 @@
     async def take_over(self, message: TakeOver) -> TakenOver:
         """Run the pieces of an owner that stops."""
         pool = await self.pool(message.service)
-        if self.succession is not None:
-            self.succession.keep(message.service)
         take_over(pool, message)
         await self.notify_finished()
         await pool.wake.set()
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-import curio
-
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -35,17 +33,13 @@
 __all__ = ["Succession", "take_over"]
 
 CALL_TIMEOUT_MS = 250
-# An entry that took a service over keeps it for this long. Entries learn of a change up
-# to 0.3 s apart, and two of them would hand it to each other.
-KEEP_MS = 500
 
 
 class Succession:
     """Moves the jobs of an entry to the next owners of their services.
 
-    An entry that stops does so at once. One that is the owner no more, because others
-    left or joined, first tells the next owner of its targets and results, and goes on
-    with its calls until that has replied.
+    Only an entry that stops does so. The next owner may be one that the entries of the
+    requests do not reach, and they ask another one because of that.
 
     Args:
         clock: Clock.
@@ -68,10 +62,6 @@
         self.name = name
         self.calls = calls
         self.is_stopping = is_stopping
-        # Until when this entry keeps a service that it took over.
-        self.keep_until_ms_by_service: dict[str, int] = {}
-        # Services whose next owner is being told.
-        self.telling: set[str] = set()
         self.successor_by_service: dict[str, EntryRow] = {}
         # Entries that did not take a service over.
         self.tried_by_service: dict[str, set[str]] = defaultdict(set)
@@ -84,13 +74,10 @@
         Returns:
             False if no other entry takes the service over, so that it stays here.
         """
-        while True:
+        while self.is_stopping():
             successor = self._successor(pool.service)
             if successor is None:
-                return False
-            if not (self.is_stopping() or self.told_by_service.get(pool.service)):
-                await self._tell(pool, successor)
-                return False
+                break
             jobs = [job for job in pool.open_jobs() if not job.running]
             message = self._take_over_message(pool, jobs)
             if not (message.jobs or message.results or message.targets):
@@ -107,46 +94,18 @@
                 continue
             await self._record_moved(pool, jobs, successor, message)
             return True
-
-    def keep(self, service: str) -> None:
-        """Keep a service that this entry takes over for a moment."""
-        now_ms = self.clock.now_ms()
-        self.keep_until_ms_by_service[service] = now_ms + KEEP_MS
-        self._forget_successor(service)
+        return False
 
     def _forget_successor(self, service: str) -> None:
         self.successor_by_service.pop(service, None)
         self.told_by_service.pop(service, None)
 
-    async def _tell(self, pool: "Pool", successor: EntryRow) -> None:
-        """Tell the next owner of the targets and results, in the background."""
-        if pool.service not in self.telling and (
-            pool.open_by_key or pool.memory.results_by_handle
-        ):
-            self.telling.add(pool.service)
-            await curio.spawn(self._tell_state, pool, successor, daemon=True)
-
-    async def _tell_state(self, pool: "Pool", successor: EntryRow) -> None:
-        message = self._take_over_message(pool, [])
-        try:
-            await self._send(successor, message)
-        except (MessageError, PeerUnreachable) as error:
-            self._drop_successor(pool.service, successor, str(error))
-        else:
-            if self.successor_by_service.get(pool.service) == successor:
-                await self._record_moved(pool, [], successor, message)
-                await pool.wake.set()
-        finally:
-            self.telling.discard(pool.service)
-
     async def _send(self, successor: EntryRow, message: TakeOver) -> None:
         reply = await self.link.call(successor.address, message, CALL_TIMEOUT_MS)
         if not isinstance(reply, TakenOver):
             raise PeerUnreachable(f"unexpected {type(reply).__name__}")
 
     def _successor(self, service: str) -> EntryRow | None:
-        if not self.is_stopping():
-            return self._next_owner(service)
         successor = self.successor_by_service.get(service)
         if successor is None:
             tried = {self.name, *self.tried_by_service[service]}
@@ -155,25 +114,10 @@
                 self.successor_by_service[service] = successor
         return successor
 
-    def _next_owner(self, service: str) -> EntryRow | None:
-        """Return the owner if it is another entry, to which the service may go."""
-        owner = self.calls.owner(service)
-        is_kept = self.clock.now_ms() < self.keep_until_ms_by_service.get(service, 0)
-        if owner is None or owner.name == self.name or is_kept:
-            self._forget_successor(service)
-            return None
-        if self.successor_by_service.get(service) != owner:
-            self._forget_successor(service)
-            self.successor_by_service[service] = owner
-        return owner
-
     def _drop_successor(self, service: str, row: EntryRow, detail: str) -> None:
         self._forget_successor(service)
-        if self.is_stopping():
-            events.log(events.PEER_LOST, peer=row.name, detail=detail)
-            self.tried_by_service[service].add(row.name)
-        else:
-            self.calls.leave(row, detail)
+        events.log(events.PEER_LOST, peer=row.name, detail=detail)
+        self.tried_by_service[service].add(row.name)
 
     def _take_over_message(self, pool: "Pool", jobs: list[Job]) -> TakeOver:
         now_ms = self.clock.now_ms()
