Let entries that have just started place prompts again

The cause stands: an owner that comes back knows no prompts; what the owner knows has to be handed over.

--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -14,7 +14,6 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.choice import TargetChooser
@@ -35,7 +34,6 @@
 )
 from wagtailrun.relay.port import TargetLoad
 from wagtailrun.relay.silence import SilenceWatch
-from wagtailrun.stages.settled import SettledEntries
 
 __all__ = ["PlacementClient", "PlacementHost"]
 
@@ -384,20 +382,10 @@
         self.name = name
         self.owners = owners
         self.host = host
-        # An entry that has just started knows no prompts yet.
-        self.settled = owners.among(SettledEntries(owners.clock, owners.entries).rows)
         self.report_crashes = report_crashes
         # Name of the owner that placed each attempt in progress.
         self.owner_names_by_key: dict[tuple[str, str], str] = {}
 
-    def owner(self, service: str) -> EntryRow | None:
-        """Return the entry that places prompts, or None if no entry is eligible.
-
-        An entry that has just started is the owner only if there is no other.
-        """
-        key = ownership_key(service)
-        return self.settled.owner(key) or self.owners.owner(key)
-
     async def handle(
         self, message: PlaceRun | RunOver | RunBroken
     ) -> Placed | RunNoted:
@@ -422,7 +410,7 @@
     async def place(self, message: PlaceRun) -> Placed:
         """Return the engine of an attempt."""
         message = attrs.evolve(message, entry=self.name)
-        owner = self.owner(message.service)
+        owner = self.owners.owner(ownership_key(message.service))
         placed = None
         if owner is not None and owner.name != self.name:
             try:
@@ -447,7 +435,7 @@
 
         Returns once the owner knows, so that a further attempt is placed accordingly.
         """
-        owner = self.owner(message.service)
+        owner = self.owners.owner(ownership_key(message.service))
         if owner is None or owner.name == self.name:
             await self.handle(message)
             return
