--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -224,6 +224,13 @@
             self.owners,
             self._stage_capacity,
         )
+        self.batcher.succession = Succession(
+            self.clock,
+            self.link,
+            settings.name,
+            self.runner.calls,
+            self._is_stopping,
+        )
         self.stages = StageHost(self.batcher, self.delegating_client, self._is_stopping)
         self.chooser = TargetChooser(
             self.clock, settings.data_centre, limits=self.view.limits
@@ -333,6 +340,16 @@
             "Time of these calls.",
             lambda: batcher.call_ms,
         )
+        gauge(
+            "stage_result_bytes",
+            "Results of these calls that targets hold, in bytes.",
+            lambda: batcher.held_bytes,
+        )
+        gauge(
+            "stage_pieces_without_memory",
+            "Pieces that wait for memory for their results.",
+            lambda: batcher.pieces_without_memory,
+        )
         shares = self.descriptors
         gauge("descriptors", "Descriptors in use, at least.", used_descriptors)
         gauge(
@@ -502,10 +519,7 @@
         )
         stop = self._plan_stop()
         self.handler.stop = stop
-        succession = Succession(
-            self.clock, self.link, self.settings.name, self.runner.calls
-        )
-        await self.batcher.hand_over(succession)
+        await self.batcher.hand_over()
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
         left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
--- a/wagtailrun/stages/host.py
+++ b/wagtailrun/stages/host.py
@@ -4,6 +4,7 @@
 
 from wagtailrun.exceptions import Verdict
 from wagtailrun.messages import STOPPING, PeerError
+from wagtailrun.stages.batcher import StageBatcher
 from wagtailrun.stages.messages import (
     CallMade,
     CancelPieces,
@@ -15,11 +16,14 @@
     TakenOver,
     TakeOver,
 )
-from wagtailrun.stages.pool import StageBatcher
 from wagtailrun.stages.spread import DelegatingStageClient
+from wagtailrun.stages.succession import CALL_TIMEOUT_MS
 
 __all__ = ["StageHost"]
 
+# Reason of an entry that does not know how old a message is.
+STOOD_STILL = "stood-still"
+
 
 class StageHost:
     """Runs pieces and calls for other entries.
@@ -58,6 +62,10 @@
         if isinstance(message, TakeOver):
             if self.is_stopping():
                 return PeerError(STOPPING, "this entry stops")
+            sent_ms = self.batcher.clock.now_ms() - CALL_TIMEOUT_MS
+            if self.batcher.was_held_since(sent_ms):
+                # The sender may have given up, and run the pieces itself.
+                return PeerError(STOOD_STILL, "this entry stood still")
             return await self.batcher.take_over(message)
         if isinstance(message, CarryCall):
             if self.is_stopping():
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -1,4 +1,4 @@
-"""Hands the stage services that a stopping entry owns over to their next owners.
+"""Hands stage services over to their next owners.
 
 Without it two owners would call the targets of a service beside each other for a while,
 without the calls and results of the other: calls would wait at targets, and inputs that
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from wagtailrun import events
@@ -35,20 +36,32 @@
 
 
 class Succession:
-    """Moves the jobs of a stopping entry to the next owners of their services.
+    """Moves the jobs of an entry to the next owners of their services.
+
+    Only an entry that stops does so. The next owner may be one that the entries of the
+    requests do not reach, and they ask another one because of that.
 
     Args:
         clock: Clock.
         link: Link to other entries.
         name: Name of this entry.
         calls: Chooses the owners.
+        is_stopping: Returns whether this entry stops.
     """
 
-    def __init__(self, clock: Clock, link: PeerLink, name: str, calls: OwnerCalls):
+    def __init__(
+        self,
+        clock: Clock,
+        link: PeerLink,
+        name: str,
+        calls: OwnerCalls,
+        is_stopping: Callable[[], bool],
+    ):
         self.clock = clock
         self.link = link
         self.name = name
         self.calls = calls
+        self.is_stopping = is_stopping
         self.successor_by_service: dict[str, EntryRow] = {}
         # Entries that did not take a service over.
         self.tried_by_service: dict[str, set[str]] = defaultdict(set)
@@ -61,10 +74,10 @@
         Returns:
             False if no other entry takes the service over, so that it stays here.
         """
-        while True:
+        while self.is_stopping():
             successor = self._successor(pool.service)
             if successor is None:
-                return False
+                break
             jobs = [job for job in pool.open_jobs() if not job.running]
             message = self._take_over_message(pool, jobs)
             if not (message.jobs or message.results or message.targets):
@@ -73,11 +86,7 @@
                 # Nothing starts or refuses them while they move.
                 del pool.open_by_key[job.key]
             try:
-                reply = await self.link.call(
-                    successor.address, message, CALL_TIMEOUT_MS
-                )
-                if not isinstance(reply, TakenOver):
-                    raise PeerUnreachable(f"unexpected {type(reply).__name__}")
+                await self._send(successor, message)
             except (MessageError, PeerUnreachable) as error:
                 for job in jobs:
                     pool.open_by_key[job.key] = job
@@ -85,6 +94,16 @@
                 continue
             await self._record_moved(pool, jobs, successor, message)
             return True
+        return False
+
+    def _forget_successor(self, service: str) -> None:
+        self.successor_by_service.pop(service, None)
+        self.told_by_service.pop(service, None)
+
+    async def _send(self, successor: EntryRow, message: TakeOver) -> None:
+        reply = await self.link.call(successor.address, message, CALL_TIMEOUT_MS)
+        if not isinstance(reply, TakenOver):
+            raise PeerUnreachable(f"unexpected {type(reply).__name__}")
 
     def _successor(self, service: str) -> EntryRow | None:
         successor = self.successor_by_service.get(service)
@@ -96,10 +115,9 @@
         return successor
 
     def _drop_successor(self, service: str, row: EntryRow, detail: str) -> None:
+        self._forget_successor(service)
         events.log(events.PEER_LOST, peer=row.name, detail=detail)
         self.tried_by_service[service].add(row.name)
-        self.successor_by_service.pop(service, None)
-        self.told_by_service.pop(service, None)
 
     def _take_over_message(self, pool: "Pool", jobs: list[Job]) -> TakeOver:
         now_ms = self.clock.now_ms()
@@ -138,9 +156,15 @@
             pool.ended_jobs.append(job)
             await job.progress.notify()
 
+    def told(self, service: str) -> EntryRow | None:
+        """Return the entry that took a service over, if there is one."""
+        if not self.told_by_service.get(service):
+            return None
+        return self.successor_by_service.get(service)
+
     async def forward(self, message: CancelPieces | FreeResults) -> bool:
         """Send a message to the successor of its service; return whether it took it."""
-        successor = self.successor_by_service.get(message.service)
+        successor = self.told(message.service)
         if successor is None:
             return False
         try:
@@ -208,7 +232,8 @@
     message = moved.request
     key = job_key(message)
     known = pool.jobs_by_key.get(key)
-    if known is not None and (known.ready or known.state is not JobState.PENDING):
+    has_ended = known is not None and known.state is not JobState.PENDING
+    if known is not None and not known.moved_to and (known.ready or has_ended):
         # Its entry has sent it here as well.
         pool.release(moved.results)
         return
