--- a/soak/exchange.py
+++ b/soak/exchange.py
@@ -25,6 +25,7 @@
 # Time in which the reset follows the end of a connection whose bytes were not read.
 RESET_WAIT_S = 0.005
 MIN_REFUSED_STATUS = 400
+MAX_REFUSAL_BYTES = 400
 
 
 @define(kw_only=True)
@@ -294,6 +295,11 @@
     def _read(self, plan: RequestPlan) -> Answer:
         return self.dialect.read(plan.kind, self.status, self.headers, bytes(self.body))
 
+    def _refusal(self) -> str:
+        if self.status < MIN_REFUSED_STATUS:
+            return ""
+        return bytes(self.body[:MAX_REFUSAL_BYTES]).decode(errors="replace")
+
     def _record(
         self, plan: RequestPlan, outcome: Outcome, began_ms: int
     ) -> RequestRecord:
@@ -322,6 +328,7 @@
             received=self.received,
             status=self.status,
             is_not_run=answer.is_not_run,
+            refusal=self._refusal(),
             events=answer.events,
             versions=answer.versions,
         )
--- a/soak/records.py
+++ b/soak/records.py
@@ -79,6 +79,7 @@
         outcome: How it ended.
         status: Status of the answer; 0 without one.
         is_not_run: Whether the answer says that nothing ran.
+        refusal: Beginning of the body of an answer that is an error.
         events: Numbers of the events of a stream, in order.
         versions: Software versions that the events name, each once.
         standstill_ms: Longest time that the caller's loop stood still meanwhile.
@@ -107,6 +108,7 @@
     received: int = 0
     status: int = 0
     is_not_run: bool = False
+    refusal: str = ""
     events: list[int] = field(factory=list)
     versions: list[str] = field(factory=list)
     standstill_ms: int = 0
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -56,6 +56,8 @@
             f"{request.status}, reset {request.was_reset}, routed "
             f"{request.is_routed}, callers stood still for {request.standstill_ms} ms"
         )
+        if request.refusal:
+            lines.append(f"  refusal: {request.refusal}")
         if request.name:
             lines += _explain(request.name, logs)
     return "\n".join(lines)
