Lower the limit of a target only if all of its newest attempts were slow

Cause: the limit followed each single time to the first item against the tenth percentile of the least contended ones. Where times spread from 0 to 1,500 ms by themselves most are over twice that, and the limit of a target with a capacity of 64 fell to 1.14. Change: the shortest of the ten newest times is compared; a queue delays all of them.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -74,3 +74,15 @@
         limits.ended("t")
         lowest = min(lowest, limits.limit("t", 64))
     assert lowest >= LOAD
+
+
+def test_queue_before_spread_times_lowers_the_limit():
+    """Guards against a queue that counts as spread, as it delays all attempts."""
+    generator = random.Random(1)
+    limits = AdaptiveLimits()
+    for _ in range(60):
+        while limits.has_room("t", 8):
+            limits.started("t")
+        limits.observe("t", 8, 10.0 + generator.uniform(0.0, 10.0))
+        limits.ended("t")
+    assert limits.limit("t", 8) < 2.0
--- a/wagtailrun/limits.py
+++ b/wagtailrun/limits.py
@@ -1,6 +1,6 @@
 """Concurrency limits of targets, adapted to the measured latency."""
 
-from collections import Counter
+from collections import Counter, deque
 
 __all__ = ["AdaptiveLimits"]
 
@@ -15,18 +15,22 @@
 ALLOWANCE = 0.5
 SMOOTHING = 0.2
 MIN_LIMIT = 1.0
+# A queue delays all attempts. Where durations spread by themselves some are short still,
+# so that the shortest one of this many tells the two apart.
+RECENT_ATTEMPTS = 10
 
 
 class AdaptiveLimits:
     """Limits of this entry's concurrent attempts at each target.
 
     A limit starts at the announced capacity and follows the ratio of the least
-    contended latency to the measured one.
+    contended latency to the shortest one of the newest attempts.
     """
 
     def __init__(self) -> None:
         self.limits_by_name: dict[str, float] = {}
         self.in_flight_by_name: Counter[str] = Counter()
+        self.recent_by_name: dict[str, deque[float]] = {}
 
     def limit(self, name: str, capacity: int) -> float:
         """Return the limit of a target."""
@@ -61,8 +65,10 @@
             capacity: Its announced capacity.
             slowness: That time as a multiple of its least contended value.
         """
+        recent = self.recent_by_name.setdefault(name, deque(maxlen=RECENT_ATTEMPTS))
+        recent.append(slowness)
         limit = self.limit(name, capacity)
-        gradient = max(MIN_GRADIENT, min(1.0, TOLERANCE / max(slowness, 1e-3)))
+        gradient = max(MIN_GRADIENT, min(1.0, TOLERANCE / max(min(recent), 1e-3)))
         wanted = limit * gradient + ALLOWANCE
         if wanted > limit and self.in_flight_by_name[name] * 2 < limit:
             # Latency at a mostly unused limit does not show that more load is safe.
@@ -73,3 +79,4 @@
     def forget(self, name: str) -> None:
         """Drop a target that is no longer known."""
         self.limits_by_name.pop(name, None)
+        self.recent_by_name.pop(name, None)
