--- a/wagtailrun/limits.py
+++ b/wagtailrun/limits.py
@@ -15,8 +15,8 @@
 ALLOWANCE = 0.5
 SMOOTHING = 0.2
 MIN_LIMIT = 1.0
-# A queue delays all attempts. Where durations spread by themselves some are short still,
-# so that the shortest one of this many tells the two apart.
+# A queue delays all attempts. Where durations spread by themselves some are short
+# still, so that the shortest one of this many tells the two apart.
 RECENT_ATTEMPTS = 10
 
 
