Send the order of two tests by one function; inline a method with one caller

Behaviour and assertions stay. Result: make lint; test_orders_at_the_end.py, test_stage_*.py and test_owners.py pass.

--- a/tests/test_orders_at_the_end.py
+++ b/tests/test_orders_at_the_end.py
@@ -60,6 +60,26 @@
         raise ConsensusUnavailable("unexpected")
 
 
+async def order_as_it_stops(entry, stop_signal):
+    """Send an order to an entry, then stop it; return the answer.
+
+    Args:
+        entry: The entry.
+        stop_signal: Sends the signal to stop.
+    """
+    entry.caller_server.handler.__self__.fleet = lambda: FLEET
+    await curio.spawn(entry.caller_server.serve, daemon=True)
+    await curio.sleep(0.05)
+    headers = {"Idempotency-Key": "k"}
+    caller = entry.settings.caller_address
+    asking = await curio.spawn(lambda: ask(caller, ORDER, "{}", **headers))
+    await curio.sleep(0.05)
+    entry.signalled_drain.signals.install()
+    stop_signal()
+    await entry._drain()
+    return await asking.join()
+
+
 def run_order(is_elsewhere, open_s, stop_signal):
     """Stop an entry beside an order; return the answer, the runs and the closes."""
     entry = make_entry(DRAIN_LIMIT_MS)
@@ -77,17 +97,7 @@
         entry.orders.control = registry
         entry.dispatcher.call = call
         entry.accounts.hand_over_all = hand_over
-        entry.caller_server.handler.__self__.fleet = lambda: FLEET
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        await curio.sleep(0.05)
-        headers = {"Idempotency-Key": "k"}
-        caller = entry.settings.caller_address
-        asking = await curio.spawn(lambda: ask(caller, ORDER, "{}", **headers))
-        await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
-        stop_signal()
-        await entry._drain()
-        return await asking.join()
+        return await order_as_it_stops(entry, stop_signal)
 
     answer = run_with_virtual_sockets(main)
     return answer, runs, [message.verdict for message in registry.closes]
@@ -145,17 +155,7 @@
         dispatcher.attempts.launch = launch
         entry.orders.control = registry
         entry.accounts.hand_over_all = hand_over
-        entry.caller_server.handler.__self__.fleet = lambda: FLEET
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        await curio.sleep(0.05)
-        headers = {"Idempotency-Key": "k"}
-        caller = entry.settings.caller_address
-        asking = await curio.spawn(lambda: ask(caller, ORDER, "{}", **headers))
-        await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
-        stop_signal()
-        await entry._drain()
-        await asking.join()
+        await order_as_it_stops(entry, stop_signal)
 
     run_with_virtual_sockets(main)
     assert len(launched) == count
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -96,10 +96,6 @@
             return True
         return False
 
-    def _forget_successor(self, service: str) -> None:
-        self.successor_by_service.pop(service, None)
-        self.told_by_service.pop(service, None)
-
     async def _send(self, successor: EntryRow, message: TakeOver) -> None:
         reply = await self.link.call(successor.address, message, CALL_TIMEOUT_MS)
         if not isinstance(reply, TakenOver):
@@ -115,7 +111,8 @@
         return successor
 
     def _drop_successor(self, service: str, row: EntryRow, detail: str) -> None:
-        self._forget_successor(service)
+        self.successor_by_service.pop(service, None)
+        self.told_by_service.pop(service, None)
         events.log(events.PEER_LOST, peer=row.name, detail=detail)
         self.tried_by_service[service].add(row.name)
 
