Accept connections that wait for a descriptor before an entry ends

Cause: connections that have sent no request keep their descriptors for up to a second each, also after the last refusals. The entry ended these only once its listener was closed, so the descriptors came too late for the queue. Class of fault: a process waits for what may come and drops what is there.

Ruled out: the limit itself (the reserve of a quarter is kept from requests, not from connections without one); the acceptor, which takes all it has descriptors for.

After the last refusals an entry whose queue is not empty now refuses connections without a whole request at once, and accepts the queue with their descriptors, each 5 ms, until it is empty. The close of a server does the same. A limit of time no longer interrupts the start of the task of an accepted connection, which would lose the connection.

Left: without any descriptor, also of connections that end, the queue is reset as before.

--- /dev/null
+++ b/tests/test_waiting_connections.py
@@ -0,0 +1,116 @@
+"""Tests of connections that wait for a descriptor as their process ends."""
+
+import errno
+import weakref
+
+import curio
+import pytest
+
+from tests.test_http_server import GOOD, echo
+from tests.test_relay_stop import make_entry
+from tests.test_server_close import connect, read_all
+from tests.virtual_sockets import StandIn, run_with_virtual_sockets
+from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.ports.link import Address
+
+ROOM = 6
+# More than can be accepted and refused one after another before the process ends.
+OCCUPANTS = 60
+REQUESTS = 10
+ADDRESS = Address("127.0.0.1", 80)
+LIMIT_MS = 400
+# When the requests are sent, before the listener would close.
+BEFORE_END_MS = 100
+
+
+@pytest.fixture(autouse=True)
+def few_descriptors(monkeypatch):
+    """Let a process have ``ROOM`` accepted connections at a time."""
+    accepted = weakref.WeakSet()
+    accept = StandIn.accept
+
+    def accept_if_room(sock):
+        if sum(each.fileno() >= 0 for each in accepted) >= ROOM:
+            raise OSError(errno.EMFILE, "Too many open files")
+        client, peer = accept(sock)
+        accepted.add(client)
+        return client, peer
+
+    monkeypatch.setattr(StandIn, "accept", accept_if_room)
+
+
+async def occupy(address):
+    """Hold a connection without a request, and the next one when it ends."""
+    while True:
+        try:
+            sock = await connect(address)
+            await read_all(sock)
+            await sock.close()
+        except OSError:
+            return
+
+
+async def answer_of(address):
+    try:
+        return (await read_all(await connect(address, GOOD)))[:12]
+    except OSError as error:
+        return repr(error)
+
+
+async def call(address):
+    """Return the answers to some requests on new connections."""
+    tasks = [await curio.spawn(answer_of, address) for _ in range(REQUESTS)]
+    return {await task.join() for task in tasks}
+
+
+@pytest.mark.parametrize("grace_s", [2, 4, 8])
+def test_requests_that_wait_for_a_descriptor_are_answered_in_a_stop(
+    grace_s, stop_signal
+):
+    """Guards against requests that are reset in the queue of an entry that ends.
+
+    Connections without a request kept its descriptors up to the end.
+    """
+    entry = make_entry(grace_s=grace_s)
+    entry.signals.install()
+
+    async def main():
+        entry.caller_server.handler = echo
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        stopping = await curio.spawn(entry._stop_on_signal)
+        await curio.sleep(0.2)
+        stop_signal()
+        while entry.handler.stop is None:
+            await curio.sleep(0.01)
+        stop = entry.handler.stop
+        await entry.clock.sleep_ms(
+            stop.notice_ends_ms - 2 * BEFORE_END_MS - entry.clock.now_ms()
+        )
+        for _ in range(OCCUPANTS):
+            await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
+        await entry.clock.sleep_ms(
+            stop.accepts_end_ms - BEFORE_END_MS - entry.clock.now_ms()
+        )
+        answers = await call(entry.settings.caller_address)
+        await stopping.join()
+        return answers
+
+    assert run_with_virtual_sockets(main) == {b"HTTP/1.1 200"}
+
+
+def test_requests_that_wait_for_a_descriptor_are_answered_by_a_close():
+    """Guards against a close that waits for requests while it resets others."""
+
+    async def main():
+        server = HttpServer(ADDRESS, echo)
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0)
+        for _ in range(OCCUPANTS):
+            await curio.spawn(occupy, ADDRESS, daemon=True)
+        await curio.sleep(0.1)
+        requests = await curio.spawn(call, ADDRESS)
+        await curio.sleep(0.01)
+        await server.close(LIMIT_MS)
+        return await requests.join()
+
+    assert run_with_virtual_sockets(main) == {b"HTTP/1.1 200"}
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -65,6 +65,9 @@
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 # SO_LINGER with a time of 0: closing resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Pause of a process that ends between two attempts to accept a connection. Each refusal
+# frees a descriptor as soon as its client has read it.
+WAITING_ACCEPT_PAUSE_MS = 5
 # Time in which clients read the last refusals; the end of a process resets connections
 # with bytes that were not read.
 LAST_REFUSALS_MS = 100
@@ -149,6 +152,8 @@
         self.closing = False
         # Whether idle connections are closed.
         self.draining = False
+        # Whether a connection whose request has not arrived is refused at once.
+        self.refuses_at_once = False
         self.listener = Listener(address, self._serve_connection)
         self.active_requests = 0
         # Active requests of which no part of an answer was sent.
@@ -212,6 +217,25 @@
         await self.drain()
         await self.listener.close(min(limit_ms, MAX_REQUEST_WAIT_MS), keeps_queue=True)
 
+    async def accept_waiting(self, limit_ms: float) -> None:
+        """Accept the connections that wait for a descriptor, and refuse further ones.
+
+        The descriptors are those of connections without a whole request, which are
+        refused at once: the end of the process would reset those that wait.
+
+        Args:
+            limit_ms: How long to accept connections, in milliseconds.
+        """
+        if not self.listener.is_listening:
+            return
+        self.refuses_at_once = True
+        unused = [each for each in self.idle_connections if not each.was_used]
+        for connection in [*unused, *self.reading_connections]:
+            await connection.stop_reading()
+        await self.listener.close(
+            limit_ms, keeps_queue=True, pause_ms=WAITING_ACCEPT_PAUSE_MS
+        )
+
     async def close(self, limit_ms: int, answer_ms: int = 0) -> None:
         """Accept no more connections, and answer the requests of the accepted ones.
 
@@ -224,7 +248,8 @@
         """
         started_s = await curio.clock()
         last_ms = max(answer_ms, LAST_REFUSALS_MS)
-        await self.stop_accepting(limit_ms - last_ms)
+        await self.stop_accepting(0)
+        await self.accept_waiting(limit_ms - last_ms)
         await self.listener.close(0)
         accepted_ms = (await curio.clock() - started_s) * MS_PER_SECOND
         if await self._is_answered_within(limit_ms - last_ms - accepted_ms):
@@ -388,7 +413,10 @@
             # With both directions shut down, Linux resets the connection when more
             # bytes arrive.
             await self.sock.shutdown(socket.SHUT_WR)
-        async with curio.ignore_after(DISCARD_TIMEOUT_MS / MS_PER_SECOND):
+        limit_ms = DISCARD_TIMEOUT_MS
+        if self.server.refuses_at_once:
+            limit_ms = LAST_REFUSALS_MS
+        async with curio.ignore_after(limit_ms / MS_PER_SECOND):
             left = MAX_DISCARDED_BYTES
             while left > 0:
                 data = await self.sock.recv(READ_BYTES)
@@ -540,6 +568,8 @@
 
     def _request_wait_ms(self) -> int:
         """Return how long a request is taken to be on its way."""
+        if self.server.refuses_at_once and not self.was_used:
+            return 0
         if self.was_used:
             return DRAIN_REQUEST_WAIT_MS
         return min(self.limits.header_ms, MAX_REQUEST_WAIT_MS)
--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -78,13 +78,20 @@
         """Whether connections still come into the queue of the kernel."""
         return self.sock is not None and not self.is_closed
 
-    async def close(self, limit_ms: int, keeps_queue: bool = False) -> None:
+    async def close(
+        self,
+        limit_ms: float,
+        keeps_queue: bool = False,
+        pause_ms: int = ACCEPT_PAUSE_MS,
+    ) -> None:
         """Accept the connections that clients have opened, and refuse further ones.
 
         Args:
             limit_ms: How long to wait for free descriptors, in milliseconds.
             keeps_queue: Whether the listener stays open if there were none in that
                 time; another call can then accept the connections.
+            pause_ms: Time between two attempts to accept without a free descriptor, in
+                milliseconds.
         """
         if not self.is_listening:
             return
@@ -92,10 +99,7 @@
             # Else its end would be that of the listener.
             acceptor, self.acceptor = self.acceptor, None
             await acceptor.cancel()
-        is_empty = False
-        async with curio.ignore_after(max(limit_ms, 0) / MS_PER_SECOND):
-            await self._accept_opened()
-            is_empty = True
+        is_empty = await self._accept_opened(limit_ms, pause_ms)
         if keeps_queue and not is_empty:
             return
         if not is_empty:
@@ -104,19 +108,32 @@
         self.is_closed = True
         await self.sock.close()
 
-    async def _accept_opened(self) -> None:
-        """Accept connections until none is left in the queue of the kernel."""
+    async def _accept_opened(self, limit_ms: float, pause_ms: int) -> bool:
+        """Accept connections; return whether none is left in the queue of the kernel.
+
+        A limit that interrupts the start of a task would lose its connection, so the
+        time is looked at only where there is nothing to accept with.
+        """
+        end_s = await curio.clock() + limit_ms / MS_PER_SECOND
+        is_short = False
         # Another call may close the listener during a pause.
         while not self.is_closed:
             try:
                 client, peer = self.sock._socket.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
-                await self._pause_accepting(error)
+                if not is_short:
+                    self._log_failure(error)
+                is_short = True
+                left_s = end_s - await curio.clock()
+                if left_s <= 0:
+                    return False
+                await curio.sleep(min(pause_ms / MS_PER_SECOND, left_s))
                 continue
             await self.tasks.spawn(self._serve, Socket(client), peer)
             del client
+        return True
 
     async def _accept(self) -> None:
         """Accept connections for ever; a failure to accept one ends nothing."""
@@ -124,15 +141,15 @@
             try:
                 client, peer = await self.sock.accept()
             except OSError as error:
-                await self._pause_accepting(error)
+                self._log_failure(error)
+                await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
                 continue
             await self.tasks.spawn(self._serve, client, peer)
             # The task alone refers to the connection, and closes it at its end.
             del client
 
-    async def _pause_accepting(self, error: OSError) -> None:
+    def _log_failure(self, error: OSError) -> None:
         events.log(events.ACCEPT_FAILED, address=str(self.address), detail=str(error))
-        await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
 
     async def _serve(self, client: Any, peer: Any) -> None:
         async with client:
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -318,6 +318,7 @@
         self.orders.end()
         # Orders go on without their callers.
         await self.dispatcher.end()
+        await self.caller_server.accept_waiting(deadline_ms - self.clock.now_ms())
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
         await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
         async with curio.TaskGroup() as group:
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -570,6 +570,7 @@
         await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
         await self.handler.refuse_unanswered()
         await self.caller_server.refuse_incomplete()
+        await self.caller_server.accept_waiting(stop.ends_ms - self.clock.now_ms())
         await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms, 1)
         await self._close_caller_server()
 
