--- a/soak/callers.py
+++ b/soak/callers.py
@@ -62,6 +62,10 @@
     "repeating": 0.1,
     "chasing": 0.15,
 }
+# At entries with few descriptors.
+CROWD_SHARES = {**SHARES, "holding": 0.4}
+HELD_CONNECTIONS = (15, 30)
+MAX_HOLD_MS = 6_000
 
 
 class Rotation:
@@ -157,11 +161,13 @@
         self.name = name
         self.random = random.Random(f"{callers.plan.seed} {name}")
         self.numbers = itertools.count(1)
+        is_crowded = entry in callers.plan.crowded_entries
+        self.shares = CROWD_SHARES if is_crowded else SHARES
 
     async def run(self) -> None:
         """Do one thing after another until the callers end."""
         while self.callers.is_running:
-            (way,) = self.random.choices(list(SHARES), list(SHARES.values()))
+            (way,) = self.random.choices(list(self.shares), list(self.shares.values()))
             await getattr(self, f"call_{way}")()
 
     def new_plan(self, kind: str = "") -> RequestPlan:
@@ -308,6 +314,24 @@
                 return
             await curio.sleep(self.random.uniform(0, RETRY_PAUSE_S))
 
+    async def call_holding(self) -> None:
+        """Hold many connections to the preferred entry, then send on each of them."""
+        async with curio.TaskGroup() as group:
+            for _ in range(self.random.randint(*HELD_CONNECTIONS)):
+                await group.spawn(self._hold)
+
+    async def _hold(self) -> None:
+        connection = await self.connect(is_pinned=True)
+        if connection is None:
+            return
+        manner = Manner(late_ms=self.random.uniform(0, MAX_HOLD_MS))
+        await self.exchange(connection, self.new_plan(), manner)
+        if connection.is_usable:
+            await connection.wait_idle(self.random.uniform(0, MAX_HOLD_MS))
+        if connection.is_usable:
+            await self.exchange(connection, self.new_plan(), Manner())
+        await connection.close()
+
     async def call_chasing(self) -> None:
         """Hold two connections; send on one as the other one, or the entry, ends.
 
--- a/soak/conductor.py
+++ b/soak/conductor.py
@@ -9,6 +9,7 @@
 
 from soak.dialect import Dialect, revocable_keys
 from soak.fleet import Fault, Fleet, Role
+from soak.hindrances import Hindrance, make_hindrance
 from soak.records import (
     ChangeRecord,
     ExitRecord,
@@ -95,21 +96,38 @@
             return
         self._busy.add(name)
         limit_ms = self.fleet.end_limit_ms(name)
-        self.fleet.signal(name, signal.SIGTERM, limit_ms, is_planned=True)
-        await self._end(name, limit_ms, action)
+        refusals_ms = self.dialect.last_refusals_ms(limit_ms)
+        hindrance = make_hindrance(action, limit_ms, refusals_ms)
+        self.fleet.signal(
+            name,
+            signal.SIGTERM,
+            limit_ms,
+            is_planned=True,
+            answers_by_ms=hindrance.answers_by_ms,
+            has_shortage=hindrance.has_shortage,
+        )
+        await self._end(name, limit_ms, action, hindrance)
         self.grace_ms[name] = action.next_grace_ms
         self.fleet.start(name)
         if action.stop_in_start_ms:
             await curio.sleep(action.stop_in_start_ms / 1_000)
             limit_ms = self.fleet.end_limit_ms(name)
             self.fleet.signal(name, signal.SIGTERM, limit_ms, is_planned=True)
-            await self._end(name, limit_ms, None)
+            await self._end(name, limit_ms)
             self.fleet.start(name)
         self._busy.discard(name)
 
-    async def _end(self, name: str, limit_ms: int, action: Action | None) -> None:
+    async def _end(
+        self,
+        name: str,
+        limit_ms: int,
+        action: Action | None = None,
+        hindrance: Hindrance | None = None,
+    ) -> None:
         """Wait for the end of a process; kill it at its limit, as the platform does."""
         began_ms = self.clock.now_ms()
+        hindrance = hindrance or Hindrance()
+        hindrance.begin(self.fleet, name)
         signals = []
         if action is not None:
             signals = [(at_ms, signal.SIGHUP) for at_ms in action.reloads_ms]
@@ -120,8 +138,11 @@
             passed_ms = self.clock.now_ms() - began_ms
             while signals and signals[0][0] <= passed_ms:
                 self.fleet.signal(name, signals.pop(0)[1], is_planned=True)
+            hindrance.apply(self.fleet, name, passed_ms)
             if passed_ms >= limit_ms:
-                self.fleet.signal(name, signal.SIGKILL, is_planned=True)
+                # One that stands still cannot end by itself.
+                is_planned = not hindrance.standstill_ms
+                self.fleet.signal(name, signal.SIGKILL, is_planned=is_planned)
                 limit_ms = passed_ms + 60_000
             await curio.sleep(WATCH_INTERVAL_S)
         self._record_end(name)
@@ -136,7 +157,7 @@
         self._busy.add(name)
         limit_ms = self.fleet.end_limit_ms(name)
         self.fleet.signal(name, signal.SIGTERM, limit_ms, is_planned=True)
-        await self._end(name, limit_ms, None)
+        await self._end(name, limit_ms)
         if action.wipes:
             self.fleet.wipe(name)
         self.fleet.start(name)
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -42,6 +42,7 @@
         report_addresses: Addresses to which targets report.
         target_addresses: Addresses at which targets listen, by name.
         reported_addresses: Addresses at which entries reach targets, by name.
+        crowded_entries: Entries with few descriptors, whose callers hold connections.
         behaviour_folder: Folder with instructions to targets.
         release_ms: Times after the start at which targets are replaced by new versions.
         folder: Folder for the records of callers and targets.
@@ -55,6 +56,7 @@
     report_addresses: list[str] = field(factory=list)
     target_addresses: dict[str, str] = field(factory=dict)
     reported_addresses: dict[str, str] = field(factory=dict)
+    crowded_entries: list[str] = field(factory=list)
     behaviour_folder: str = ""
     release_ms: list[int] = field(factory=list)
     folder: str = ""
@@ -150,6 +152,17 @@
     def request(self, plan: RequestPlan) -> tuple[str, list[tuple[str, str]], bytes]:
         """Return path, headers and body of a request."""
 
+    def last_refusals_ms(self, grace_ms: int) -> int:
+        """Return when an entry that stops refuses all that it has not answered.
+
+        Args:
+            grace_ms: Time from the signal to the kill.
+
+        Returns:
+            Time from the signal; 0 if the pages promise none.
+        """
+        return 0
+
     @abstractmethod
     def runs_once(self, kind: str) -> bool:
         """Return whether a request of a kind must not run twice."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 ``Fleet`` and ``Fault`` are the interfaces between schedules, faults and real processes.
 """
 
+import resource
 import signal
 import subprocess
 from abc import ABC, abstractmethod
@@ -87,6 +88,7 @@
         links_by_name: Links on which a proxy can be put; known before ``start``.
         signals: Signals that were sent, in order.
         proxy: Proxy on the links; None if processes reach each other directly.
+        descriptors: Numbers of descriptors of the processes that have few, by name.
     """
 
     processes_by_name: dict[str, FleetProcess]
@@ -96,6 +98,7 @@
         self.clock = SystemClock()
         self.signals: list[SignalRecord] = []
         self.proxy: LinkProxy | None = None
+        self.descriptors: dict[str, int] = {}
         self._running: dict[str, subprocess.Popen] = {}
 
     @abstractmethod
@@ -119,9 +122,17 @@
         if self.is_running(name):
             raise ValueError(f"process {name!r} runs already")
         self._running[name] = self.spawn(name)
+        if name in self.descriptors:
+            # Before the process reads its limit, as it has yet to import its modules.
+            self._limit_descriptors(name, self.descriptors[name])
         if self.proxy is not None:
             self.proxy.name_process(name, self.pid(name))
 
+    def _limit_descriptors(self, name: str, number: int) -> None:
+        _, hard = resource.prlimit(self.pid(name), resource.RLIMIT_NOFILE)
+        limits = (min(number, hard), hard)
+        resource.prlimit(self.pid(name), resource.RLIMIT_NOFILE, limits)
+
     def is_running(self, name: str) -> bool:
         """Return whether a process was started and has not ended."""
         process = self._running.get(name)
@@ -136,7 +147,13 @@
         return self._running[name].poll()
 
     def signal(
-        self, name: str, number: int, grace_ms: int = 0, is_planned: bool = False
+        self,
+        name: str,
+        number: int,
+        grace_ms: int = 0,
+        is_planned: bool = False,
+        answers_by_ms: int = 0,
+        has_shortage: bool = False,
     ) -> bool:
         """Send a signal to a process; return False if it has ended.
 
@@ -145,6 +162,9 @@
             number: Number of the signal.
             grace_ms: Time within which it must be gone; 0 if it need not end.
             is_planned: Whether the signal belongs to planned work.
+            answers_by_ms: Time by which a process whose stop is hindered has answered
+                what it had by then; 0 if it is not.
+            has_shortage: Whether it has no free descriptor while it stops.
         """
         if not self.is_running(name):
             return False
@@ -155,6 +175,8 @@
             at_ms=self.clock.now_ms(),
             grace_ms=grace_ms,
             is_planned=is_planned,
+            answers_by_ms=answers_by_ms,
+            has_shortage=has_shortage,
         )
         self._running[name].send_signal(number)
         self.signals.append(record)
--- a/soak/history.py
+++ b/soak/history.py
@@ -37,6 +37,8 @@
         notice_share: Longest share of a grace period that this time has.
         read_lag_ms: How old the version may be that a control member tells.
         second_signal_ends: Whether a second SIGTERM ends an entry at once.
+        crowded_entries: Entries with few descriptors, which refuse what they have no
+            room for.
     """
 
     crossing_ms: int = 10
@@ -52,6 +54,7 @@
     notice_share: float = 0.35
     read_lag_ms: int = 0
     second_signal_ends: bool = False
+    crowded_entries: list[str] = field(factory=list)
 
 
 @define(frozen=True, kw_only=True)
@@ -146,6 +149,16 @@
             return None
         return next(each for each in stops if each.pid == stops[-1].pid)
 
+    def was_running(self, signal: SignalRecord, at_ms: int) -> bool:
+        """Return whether the process that got a signal ran at a time, started or not.
+
+        The time in which no process runs counts as that of the next one.
+        """
+        ends = [each for each in self.exits[signal.process] if each.at_ms >= at_ms]
+        if ends:
+            return min(ends, key=lambda end: end.at_ms).pid == signal.pid
+        return all(end.pid != signal.pid for end in self.exits[signal.process])
+
     def _end_ms(self, signal: SignalRecord) -> int:
         """Return when the process that got a signal ended, as far as is known."""
         exits = self.exits[signal.process]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -29,6 +29,8 @@
 MS_PER_SECOND = 1_000
 # A standstill is recorded after the end that was seen when it was over.
 SEEN_MS = 100
+# A process has read a request this time after it was sent.
+READ_MS = 100
 # An entry ends a stream a moment before its deadline.
 DEADLINE_MARGIN_MS = 100
 
@@ -74,7 +76,7 @@
         for request in ready:
             self.total += 1
             has_fault = self._has_fault(request)
-            self.planned += not has_fault
+            self.planned += not (has_fault or self._hindered_stops(request))
             name = self.allowed_end(request, has_fault)
             self.ends[name or f"not allowed: {request.outcome.value}"] += 1
             if not name:
@@ -116,13 +118,16 @@
             return f"refused, {request.status}"
         if has_fault and self._is_excused(request):
             return f"{request.outcome.value}, beside a fault"
-        if self.history.was_ended(
+        was_ended = self.history.was_ended(
             request.entry,
             request.began_ms - self.limits.end_margin_ms,
             request.ended_ms,
             self.limits.second_signal_ends,
-        ):
+        )
+        if was_ended and not self._was_owed(request):
             return f"{request.outcome.value}, its entry was ended at once"
+        if self._may_wait_in_queue(request):
+            return f"{request.outcome.value}, its entry had no free descriptor"
         if request.outcome is Outcome.NO_ANSWER:
             return self._allowed_without_answer(request)
         if request.outcome is Outcome.CUT:
@@ -131,6 +136,34 @@
             return self._allowed_without_connection(request)
         return ""
 
+    def _hindered_stops(self, request: RequestRecord) -> list[SignalRecord]:
+        """Return the stops of the process of a request in which it lacked something."""
+        from_ms = request.connected_ms or request.began_ms
+        return [
+            stop
+            for stop in self.history.signals[request.entry]
+            if stop.answers_by_ms
+            and stop.at_ms <= request.ended_ms
+            and self.history.was_running(stop, from_ms)
+        ]
+
+    def _was_owed(self, request: RequestRecord) -> bool:
+        """Return whether a request had to be answered before its entry stood still."""
+        if request.outcome is Outcome.CUT or not request.sent_ms:
+            return False
+        read_ms = request.sent_ms + READ_MS + request.standstill_ms
+        return any(
+            read_ms <= stop.at_ms + stop.answers_by_ms
+            for stop in self._hindered_stops(request)
+        )
+
+    def _may_wait_in_queue(self, request: RequestRecord) -> bool:
+        """Return whether an entry without descriptors may not have accepted it."""
+        return not request.position and any(
+            stop.has_shortage and stop.at_ms <= request.connected_ms
+            for stop in self._hindered_stops(request)
+        )
+
     def _allowed_without_answer(self, request: RequestRecord) -> str:
         if not request.first_byte_ms and request.position:
             return "kept connection closed before the first byte of a request"
@@ -170,6 +203,9 @@
             return "no connection, not in rotation"
         stop = self.history.stop_before(request.entry, request.ended_ms)
         noticed_ms = self.limits.rotation_ms + request.standstill_ms
+        if stop and stop.has_shortage:
+            # Without a descriptor it cannot say that it stops.
+            noticed_ms += stop.grace_ms
         if stop and request.began_ms - stop.at_ms <= noticed_ms:
             return "no connection, before the load balancer noticed the stop"
         return ""
--- a/soak/records.py
+++ b/soak/records.py
@@ -144,6 +144,9 @@
         at_ms: When it was sent.
         grace_ms: Time within which the process must be gone; 0 if it need not end.
         is_planned: Whether it belongs to planned work.
+        answers_by_ms: Time from the signal by which a process whose stop is hindered
+            has answered what it had by then; 0 for all other signals.
+        has_shortage: Whether the process has no free descriptor while it stops.
     """
 
     process: str
@@ -152,6 +155,8 @@
     at_ms: int
     grace_ms: int = 0
     is_planned: bool = True
+    answers_by_ms: int = 0
+    has_shortage: bool = False
 
 
 @define(frozen=True, kw_only=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -127,6 +127,7 @@
             {name: fault.subjects(fleet) for name, fault in self.faults.items()},
         )
         self.grace_ms.update(self.schedule.grace_ms)
+        fleet.descriptors = self.schedule.descriptors
         self.writer = RecordWriter(folder / "soak.records")
         self.conductor = Conductor(
             fleet,
@@ -141,6 +142,7 @@
                 second_signal_ends=self.dialect.second_signal_ends,
                 deadline_ms=self.dialect.deadline_ms,
                 read_lag_ms=self.dialect.read_lag_ms,
+                crowded_entries=list(fleet.descriptors),
             )
         )
         self.judge.promises += [
@@ -168,6 +170,7 @@
         process = next(iter(self.fleet.processes_by_name.values()))
         plan.behaviour_folder = str(process.folder.parent)
         plan.release_ms = self.schedule.release_ms
+        plan.crowded_entries = list(self.fleet.descriptors)
         plan.folder = str(self.folder)
         file = self.folder / "plan.json"
         file.write_text(json.dumps(cattrs.unstructure(plan)))
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,6 +3,7 @@
 import random
 from enum import Enum
 
+import attrs
 from attrs import define, field
 
 __all__ = ["SIZES", "Action", "ActionKind", "Schedule", "Size", "make_schedule"]
@@ -16,6 +17,16 @@
 MAX_RELOADS = 5
 STOP_IN_START_SHARE = 0.1
 MAX_START_MS = 2_500
+# Stops at whose end the process stands still, or has no descriptor left.
+STANDSTILL_SHARE = 0.2
+SHORTAGE_SHARE = 0.2
+# Where in the last part of a grace period a standstill begins: the refusals that are
+# due as that part begins have been sent.
+STANDSTILL_FROM = (0.25, 0.5)
+# Largest share of the entries that are started with few descriptors, and how many
+# these get.
+MAX_CROWDED_SHARE = 1 / 3
+FEW_DESCRIPTORS = (128, 160, 256)
 FIRST_STOP_MS = 1_000
 # Part of a series after which the next one may begin.
 OVERLAP = (0.4, 1.0)
@@ -82,7 +93,7 @@
         callers_per_entry=10,
         all_kinds=True,
         memory_mb=4_000,
-        descriptors=1_024,
+        descriptors=2_048,
     ),
     "large": Size(
         entries=90,
@@ -90,7 +101,7 @@
         callers_per_entry=4,
         all_kinds=True,
         memory_mb=14_000,
-        descriptors=4_096,
+        descriptors=6_000,
     ),
 }
 
@@ -108,6 +119,10 @@
         reloads_ms: Times from the signal at which the entry is told to reload.
         stop_in_start_ms: When the entry that is started after a stop is stopped; 0
             for not at all.
+        standstill_at: Part of the time between the last refusals of a stop and the end
+            of its grace period after which the process stands still until it is
+            killed; 0 for no standstill.
+        has_shortage: Whether the process has no free descriptor while it stops.
         version: Version of a change.
         variant: Variant of a change, or kind of a fault.
         revoked: Number of keys that a change leaves out.
@@ -123,6 +138,8 @@
     second_ms: int = 0
     reloads_ms: list[int] = field(factory=list)
     stop_in_start_ms: int = 0
+    standstill_at: float = 0.0
+    has_shortage: bool = False
     version: int = 0
     variant: str = ""
     revoked: int = 0
@@ -138,6 +155,8 @@
             "second_ms",
             "reloads_ms",
             "stop_in_start_ms",
+            "standstill_at",
+            "has_shortage",
             "version",
             "variant",
             "revoked",
@@ -156,12 +175,14 @@
 
     Attributes:
         grace_ms: First grace periods of the entries, by name.
+        descriptors: Numbers of descriptors of the entries that have few, by name.
         actions: What is done, by time.
         release_ms: Times at which targets are released.
         lasts_ms: Length of the run.
     """
 
     grace_ms: dict[str, int]
+    descriptors: dict[str, int]
     actions: list[Action]
     release_ms: list[int]
     lasts_ms: int
@@ -169,6 +190,7 @@
     def text(self) -> str:
         """Return all lines for people."""
         lines = [f"first grace periods: {self.grace_ms}"]
+        lines.append(f"few descriptors: {self.descriptors}")
         lines += [action.text() for action in self.actions]
         lines.append(f"releases of targets: {self.release_ms}")
         return "\n".join(lines)
@@ -191,8 +213,11 @@
         faults: Subjects of each kind of fault, by its name; none for planned work.
     """
     # A generator for each series: one more kind of fault changes no planned work.
+    few = random.Random(f"{seed} descriptors")
+    crowded = few.sample(entries, few.randint(0, int(MAX_CROWDED_SHARE * len(entries))))
+    stops = _stops(random.Random(f"{seed} stops"), lasts_ms, entries)
     actions = [
-        *_stops(random.Random(f"{seed} stops"), lasts_ms, entries),
+        *_hinder(random.Random(f"{seed} hindered stops"), stops, crowded),
         *_changes(random.Random(f"{seed} changes"), lasts_ms, controls),
         *_replacements(random.Random(f"{seed} replacements"), lasts_ms, controls),
         *_faults(random.Random(f"{seed} faults"), lasts_ms, faults),
@@ -200,6 +225,7 @@
     first = random.Random(f"{seed} grace")
     return Schedule(
         grace_ms={name: first.choice(GRACE_PERIODS_MS) for name in entries},
+        descriptors={name: few.choice(FEW_DESCRIPTORS) for name in crowded},
         actions=sorted(actions, key=lambda action: action.at_ms),
         release_ms=list(range(RELEASE_INTERVAL_MS // 2, lasts_ms, RELEASE_INTERVAL_MS)),
         lasts_ms=lasts_ms,
@@ -244,6 +270,25 @@
     )
 
 
+def _hinder(
+    rng: random.Random, stops: list[Action], crowded: list[str]
+) -> list[Action]:
+    """Return stops, some of them of processes that lack time or descriptors.
+
+    Connections to crowded entries may wait for a descriptor from before the stop, so
+    that what a shortage in it may cost is not known.
+    """
+    hindered = []
+    for stop in stops:
+        kind, part = rng.random(), rng.uniform(*STANDSTILL_FROM)
+        if kind < STANDSTILL_SHARE:
+            stop = attrs.evolve(stop, standstill_at=round(part, 3))
+        elif kind < STANDSTILL_SHARE + SHORTAGE_SHARE and stop.subject not in crowded:
+            stop = attrs.evolve(stop, has_shortage=True)
+        hindered.append(stop)
+    return hindered
+
+
 def _changes(rng: random.Random, lasts_ms: int, controls: list[str]) -> list[Action]:
     actions = []
     at_ms, version = 0, 1
--- a/soak/service.py
+++ b/soak/service.py
@@ -56,6 +56,8 @@
     def add(self, record: object) -> None:
         """Add a record."""
         if isinstance(record, RequestRecord) and record.connected_ms:
+            if record.entry in self.limits.crowded_entries:
+                return
             self._windows[record.began_ms // WINDOW_MS].requests.append(record)
         elif isinstance(record, ChangeRecord) and record.is_valid:
             self._windows[record.sent_ms // WINDOW_MS].changes.append(record)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,6 +85,9 @@
     assert any(a.second_ms for a in stops)
     assert any(a.reloads_ms for a in stops)
     assert any(a.stop_in_start_ms for a in stops)
+    assert any(a.standstill_at for a in stops)
+    assert any(a.has_shortage for a in stops)
+    assert any(schedule(str(seed)).descriptors for seed in range(3))
     variants = {a.variant for a in actions if a.kind is ActionKind.CHANGE}
     assert variants == {"valid", "refused", "racing", "large"}
     assert {a.wipes for a in actions if a.kind is ActionKind.REPLACE} == {False, True}
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -6,6 +6,7 @@
 
 import signal
 
+import attrs
 import pytest
 
 from soak.history import Limits
@@ -57,6 +58,15 @@
     )
 
 
+def hindered(at_ms, has_shortage=False):
+    """Return a stop whose process answers for 7 s what it has, and then lacks time."""
+    return attrs.evolve(stop(at_ms), answers_by_ms=7_000, has_shortage=has_shortage)
+
+
+def killed(at_ms):
+    return stop(at_ms, signal.SIGKILL, is_planned=False)
+
+
 def end(at_ms, code=0, pid=PID):
     return ExitRecord(process=ENTRY, pid=pid, at_ms=at_ms, code=code)
 
@@ -113,6 +123,11 @@
     request(),
     end(10_000 - 6_940 + 7_800),
 ]
+# The entry stands still from 14,300 ms on, and is killed at 15,000 ms.
+KILLED_AT_REST = [hindered(7_000), killed(15_000), end(15_001, -9)]
+ENDED_BY_KILL = {"ended_ms": 15_002, "closed_ms": 15_002}
+# The entry has no free descriptor from 9,000 ms on.
+SHORTAGE = [hindered(9_000, has_shortage=True), end(16_000)]
 CROSSED = {"position": 3, "closed_ms": 10_002, "ended_ms": 10_007, "was_reset": True}
 
 BROKEN = {
@@ -120,6 +135,22 @@
     "no answer": ("whole answers", [request()]),
     "no end": ("whole answers", [request(Outcome.NO_END)]),
     "cut": ("whole answers", [request(Outcome.CUT, received=10)]),
+    "not answered before its entry stood still": (
+        "whole answers",
+        [*KILLED_AT_REST, request(**ENDED_BY_KILL)],
+    ),
+    "not answered, accepted before the descriptors ran out": (
+        "whole answers",
+        [*SHORTAGE, request(connected_ms=8_990)],
+    ),
+    "not answered on a kept connection, without descriptors": (
+        "whole answers",
+        [*SHORTAGE, request(position=1)],
+    ),
+    "not answered by the process after one without descriptors": (
+        "whole answers",
+        [hindered(1_000, has_shortage=True), end(8_000), request()],
+    ),
     "read and closed": (
         "whole answers",
         [request(**{**CROSSED, "was_reset": False})],
@@ -217,6 +248,22 @@
     "refused": [request(Outcome.REFUSED, status=503, is_not_run=True)],
     "refused that may have run": [request(Outcome.REFUSED, status=502), run()],
     "left": [request(Outcome.LEFT), run()],
+    "sent as its entry stood still": [
+        *KILLED_AT_REST,
+        request(sent_ms=13_950, **ENDED_BY_KILL),
+    ],
+    "not accepted without descriptors": [*SHORTAGE, request()],
+    "not connected, its entry has no descriptor to say that it stops": [
+        *SHORTAGE,
+        request(Outcome.NO_CONNECTION, name="", is_routed=True, connected_ms=0),
+    ],
+    "not accepted, sent when the next process had its stop": [
+        hindered(1_000, has_shortage=True),
+        end(8_800),
+        stop(9_500, pid=8),
+        request(connected_ms=8_700, closed_ms=10_700),
+        end(17_000, pid=8),
+    ],
     "refused, then repeated": [
         request(Outcome.REFUSED, status=503, is_not_run=True),
         request(Outcome.ANSWERED, ended_ms=12_000),
@@ -376,3 +423,12 @@
     judge.add([fault(9_000, 10_000), request(Outcome.ANSWERED), far])
     judge.check(LATER_MS)
     assert (judge.answers.planned, judge.answers.total) == (1, 2)
+
+
+def test_requests_in_a_hindered_stop_are_not_counted_as_planned_work_alone():
+    """Guards against a run most of whose requests saw more than planned work."""
+    judge = Judge(Limits())
+    far = request(Outcome.ANSWERED, name="far", connected_ms=90_000, ended_ms=90_100)
+    judge.add([hindered(9_000), end(16_000), request(Outcome.ANSWERED), far])
+    judge.check(LATER_MS)
+    assert (judge.answers.planned, judge.answers.total) == (1, 2)
