Free the descriptors of refused connections sooner while others wait

What callers saw: at an entry of the product with 1 s to drain, requests that waited for a descriptor were still reset.

Cause: the first connections that are refused for those that wait have had their reading ended, so that the end of their client does not show; each kept its descriptor for 100 ms, which was all the time that was left.

They keep it for 25 ms now, in which the client reads the refusal.

--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from tests import test_entry_close
 from tests.test_http_server import GOOD, echo
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
@@ -98,6 +99,37 @@
     assert run_with_virtual_sockets(main) == {b"HTTP/1.1 200"}
 
 
+@pytest.mark.parametrize("limit_ms", [1_000, 2_000, 8_000])
+def test_requests_that_wait_for_a_descriptor_are_answered_by_an_entry_of_the_product(
+    limit_ms, stop_signal
+):
+    """Guards against the same at the product's entry, which closes its server later."""
+    entry = test_entry_close.make_entry(limit_ms)
+
+    async def hand_over(timeout_ms):
+        return None
+
+    async def main():
+        entry.caller_server.handler = echo
+        entry.accounts.hand_over_all = hand_over
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.sleep(0.05)
+        entry.signalled_drain.signals.install()
+        for _ in range(OCCUPANTS):
+            await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
+        await curio.sleep(0.05)
+        stop_signal()
+        stopping = await curio.spawn(entry._drain)
+        await entry.clock.sleep_ms(BEFORE_END_MS)
+        while not entry.caller_server.draining:
+            await entry.clock.sleep_ms(BEFORE_END_MS)
+        answers = await call(entry.settings.caller_address)
+        await stopping.join()
+        return answers
+
+    assert run_with_virtual_sockets(main) == {b"HTTP/1.1 200"}
+
+
 def test_requests_that_wait_for_a_descriptor_are_answered_by_a_close():
     """Guards against a close that waits for requests while it resets others."""
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -68,6 +68,8 @@
 # Pause of a process that ends between two attempts to accept a connection. Each refusal
 # frees a descriptor as soon as its client has read it.
 WAITING_ACCEPT_PAUSE_MS = 5
+# Time for which a refused connection keeps its descriptor while others wait for one.
+WAITING_DISCARD_MS = 25
 # Time in which clients read the last refusals; the end of a process resets connections
 # with bytes that were not read.
 LAST_REFUSALS_MS = 100
@@ -415,7 +417,7 @@
             await self.sock.shutdown(socket.SHUT_WR)
         limit_ms = DISCARD_TIMEOUT_MS
         if self.server.refuses_at_once:
-            limit_ms = LAST_REFUSALS_MS
+            limit_ms = WAITING_DISCARD_MS
         async with curio.ignore_after(limit_ms / MS_PER_SECOND):
             left = MAX_DISCARDED_BYTES
             while left > 0:
