Log how many connections waited for a descriptor as an entry stops

Cause: a request that was reset in the queue of an entry has no line of its own, and event 103 could not tell a stop in which others waited for a descriptor from one in which none did.

The fixture of logged events of test_stop_signals moved to conftest unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 
 from tests.process_groups import GroupScheduling
+from wagtailrun import events
 
 KNOWN_FAILURES_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 # Format of a line: test id | command | seed | observed failure | issue
@@ -87,6 +88,16 @@
             terminalreporter.write_line(f"KNOWN-RED: {line}")
 
 
+@pytest.fixture
+def logged(monkeypatch):
+    """Return the events that are logged, with their fields."""
+    lines = []
+    monkeypatch.setattr(
+        events, "log", lambda event, **fields: lines.append((event, fields))
+    )
+    return lines
+
+
 @pytest.fixture
 def stop_signal():
     """Return a function that sends this process a signal to stop.
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -17,16 +17,6 @@
 WHOLE = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
 
 
-@pytest.fixture
-def logged(monkeypatch):
-    """Return the events that are logged, with their fields."""
-    lines = []
-    monkeypatch.setattr(
-        events, "log", lambda event, **fields: lines.append((event, fields))
-    )
-    return lines
-
-
 def handle_late(late_ms):
     """Return the signals of a process that stands still as it gets one to stop."""
 
--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -11,6 +11,7 @@
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import StandIn, run_with_virtual_sockets
+from wagtailrun import events
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.ports.link import Address
 
@@ -66,11 +67,12 @@
 
 @pytest.mark.parametrize("grace_s", [2, 4, 8])
 def test_requests_that_wait_for_a_descriptor_are_answered_in_a_stop(
-    grace_s, stop_signal
+    grace_s, stop_signal, logged
 ):
     """Guards against requests that are reset in the queue of an entry that ends.
 
-    Connections without a request kept its descriptors up to the end.
+    Connections without a request kept its descriptors up to the end. A line tells how
+    many waited.
     """
     entry = make_entry(grace_s=grace_s)
     entry.signals.install()
@@ -97,6 +99,8 @@
         return answers
 
     assert run_with_virtual_sockets(main) == {b"HTTP/1.1 200"}
+    (cut,) = [fields for event, fields in logged if event is events.REQUESTS_CUT]
+    assert cut["waiting_connections"] >= REQUESTS
 
 
 @pytest.mark.parametrize("limit_ms", [1_000, 2_000, 8_000])
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -162,6 +162,8 @@
         self.unanswered_requests = 0
         # Connections that a planned stop ended before their first request arrived.
         self.unused_connections_ended = 0
+        # Connections that waited for a descriptor until a planned stop refused others.
+        self.waiting_connections = 0
         self.idle_connections: set[_ServerConnection] = set()
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
@@ -234,9 +236,11 @@
         unused = [each for each in self.idle_connections if not each.was_used]
         for connection in [*unused, *self.reading_connections]:
             await connection.stop_reading()
+        before = self.listener.accepted
         await self.listener.close(
             limit_ms, keeps_queue=True, pause_ms=WAITING_ACCEPT_PAUSE_MS
         )
+        self.waiting_connections += self.listener.accepted - before
 
     async def close(self, limit_ms: int, answer_ms: int = 0) -> None:
         """Accept no more connections, and answer the requests of the accepted ones.
--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -45,6 +45,7 @@
         self.tasks: curio.TaskGroup | None = None
         self.acceptor: curio.Task | None = None
         self.is_closed = False
+        self.accepted = 0
 
     async def run(self) -> None:
         """Accept connections until cancelled.
@@ -131,6 +132,7 @@
                     return False
                 await curio.sleep(min(pause_ms / MS_PER_SECOND, left_s))
                 continue
+            self.accepted += 1
             await self.tasks.spawn(self._serve, Socket(client), peer)
             del client
         return True
@@ -144,6 +146,7 @@
                 self._log_failure(error)
                 await curio.sleep(ACCEPT_PAUSE_MS / MS_PER_SECOND)
                 continue
+            self.accepted += 1
             await self.tasks.spawn(self._serve, client, peer)
             # The task alone refers to the connection, and closes it at its end.
             del client
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -602,13 +602,15 @@
         The client of a connection that was ended unused may have sent one already.
         """
         server = self.caller_server
-        if server.active_requests or server.unused_connections_ended:
+        unread = server.unused_connections_ended or server.waiting_connections
+        if server.active_requests or unread:
             events.log(
                 events.REQUESTS_CUT,
                 name=self.settings.name,
                 unanswered=server.unanswered_requests,
                 answering=server.active_requests - server.unanswered_requests,
                 unused_connections=server.unused_connections_ended,
+                waiting_connections=server.waiting_connections,
             )
 
     def _grace_ms(self) -> int:
