soak: a stream cut at an entry without descriptors is a finding

Cause (found by reading the diff): a request whose connection may have waited in the queue was excused whatever came of it, also one that was accepted and then cut. Now only one of which no part of an answer came is.

Before / after: the new case of test_soak_promises.py failed, passes.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -159,7 +159,8 @@
 
     def _may_wait_in_queue(self, request: RequestRecord) -> bool:
         """Return whether an entry without descriptors may not have accepted it."""
-        return not request.position and any(
+        is_unanswered = not (request.position or request.answer_ms)
+        return is_unanswered and any(
             stop.has_shortage and stop.at_ms <= request.connected_ms
             for stop in self._hindered_stops(request)
         )
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -147,6 +147,10 @@
         "whole answers",
         [*SHORTAGE, request(position=1)],
     ),
+    "cut off, accepted without descriptors": (
+        "whole answers",
+        [*SHORTAGE, request(Outcome.CUT, answer_ms=10_100)],
+    ),
     "not answered by the process after one without descriptors": (
         "whole answers",
         [hindered(1_000, has_shortage=True), end(8_000), request()],
