soak: hinder stops of the product's entries too

Cause: standstills after the last refusals and stops without a free descriptor were left to relay entries, although an entry of the product has answered its callers when its drain limit is over.

Change: the product tells that time; a stop with a second signal, which ends such an entry at once, is not hindered.

--- a/soak/conductor.py
+++ b/soak/conductor.py
@@ -97,6 +97,8 @@
         self._busy.add(name)
         limit_ms = self.fleet.end_limit_ms(name)
         refusals_ms = self.dialect.last_refusals_ms(limit_ms)
+        if action.second_ms and self.dialect.second_signal_ends:
+            refusals_ms = 0
         hindrance = make_hindrance(action, limit_ms, refusals_ms)
         self.fleet.signal(
             name,
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -159,7 +159,7 @@
             grace_ms: Time from the signal to the kill.
 
         Returns:
-            Time from the signal; 0 if the pages promise none.
+            Time from the signal; 0 if no page promises one.
         """
         return 0
 
--- a/tests/soak_product.py
+++ b/tests/soak_product.py
@@ -197,6 +197,10 @@
             body = {"prompt": plan.name, "tokens": TOKENS}
         return PATHS[plan.kind], headers, json.dumps(body).encode()
 
+    def last_refusals_ms(self, grace_ms: int) -> int:
+        """Return when an entry that stops has answered its callers."""
+        return grace_ms - HANDOVER_TIMEOUT_MS - FORCED_END_MARGIN_MS
+
     def runs_once(self, kind: str) -> bool:
         """Return whether a request of a kind must not run twice."""
         return kind == "order"
