Refuse the text at a control member until it has caught up after its start

Who applies a change to that text is refused as stale, and who reads it acts on a withdrawn one.

Cause: a member that starts has its whole log, but not the index up to which it is committed; it applies what it knows and answers reads from that at once. Class of fault: a process uses what it knew before its restart as if it were new.

Later reads are local as before. Other views still answer without a majority, since they show the state of such a fleet.

--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -99,6 +99,7 @@
             self.accounts,
             self.fleet_watch,
             self.metrics,
+            self.member_host.catch_up,
         )
 
     def _make_member(self, disk: Disk) -> Member:
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/member_host.py
@@ -74,6 +74,7 @@
         self._needed_bytes = SPACE_RESERVE_BYTES
         self._delay_ms = 0
         self._refuses_leadership = False
+        self._caught_up: Member | None = None
         self._start_member()
 
     def _start_member(self) -> None:
@@ -148,6 +149,20 @@
         """Return once the local state holds everything committed before the call."""
         await self.member.barrier(timeout_ms)
 
+    async def catch_up(self, timeout_ms: int) -> None:
+        """Return once the local state is no older than before the member started.
+
+        A member that starts has its log, but does not know yet how much of it is
+        committed. Later its state follows that of the leader.
+
+        Raises:
+            ConsensusUnavailable: If no leader with a valid lease answered in time.
+        """
+        member = self.member
+        if self._caught_up is not member:
+            await member.read_barrier(timeout_ms)
+            self._caught_up = member
+
     # Planned stop
 
     def refuse_leadership(self) -> None:
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/operator_api.py
@@ -4,7 +4,7 @@
 import json
 import re
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -43,6 +43,7 @@
 __all__ = ["OperatorApi"]
 
 APPLY_TIMEOUT_MS = 5_000
+CATCH_UP_TIMEOUT_MS = 2_000
 MAX_TEXT_BYTES = 4 * 1024 * 1024
 MAX_REVISION = 2**63 - 1
 MAX_QUERY_FIELDS = 16
@@ -67,6 +68,8 @@
         accounts: Account rows of this member, None if it stores none.
         view: State of the fleet's processes; by default only that of this member.
         metrics: Metrics of this process.
+        catch_up: Returns within a time in milliseconds, once the registry is no older
+            than before this member started; None if it never is.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         accounts: AccountStore | None = None,
         view: FleetView | None = None,
         metrics: Metrics | None = None,
+        catch_up: Callable[[int], Awaitable[None]] | None = None,
     ):
         self.registry = registry
         self.control = control
@@ -84,6 +88,7 @@
         self.accounts = accounts
         self.view = view or LocalView(registry)
         self.metrics = metrics
+        self.catch_up = catch_up
         self.get_handlers_by_path = {
             "/v1/text": self._text,
             "/v1/orders": self._orders,
@@ -142,13 +147,7 @@
         try:
             verdict = await self.control.call_leader(message, APPLY_TIMEOUT_MS)
         except ConsensusUnavailable as error:
-            refusal = Refusal(
-                RefusalReason.CONSENSUS_UNAVAILABLE,
-                Verdict.MAY_HAVE_RUN if error.may_have_committed else Verdict.NOT_RUN,
-                f"{error}; retry with the same change_id",
-                error.retry_after_ms,
-            )
-            return refusal_response(refusal)
+            return _no_leader(error, "retry with the same change_id")
         if verdict.accepted:
             value = {
                 "accepted": True,
@@ -160,6 +159,11 @@
 
     async def _text(self, query: dict[str, str]) -> Response:
         _check_fields(query)
+        if self.catch_up is not None:
+            try:
+                await self.catch_up(CATCH_UP_TIMEOUT_MS)
+            except ConsensusUnavailable as error:
+                return _no_leader(error, "ask another member")
         value = {"revision": self.registry.revision, "text": self.registry.text}
         return json_response(200, value)
 
@@ -358,6 +362,16 @@
     return ApplyText(change_id, base, operator, request.peer, text, 0)
 
 
+def _no_leader(error: ConsensusUnavailable, remedy: str) -> Response:
+    refusal = Refusal(
+        RefusalReason.CONSENSUS_UNAVAILABLE,
+        Verdict.MAY_HAVE_RUN if error.may_have_committed else Verdict.NOT_RUN,
+        f"{error}; {remedy}",
+        error.retry_after_ms,
+    )
+    return refusal_response(refusal)
+
+
 def _is_unicode(text: str) -> bool:
     """Return whether ``text`` holds no lone surrogate, which JSON allows."""
     try:
