soak: targets that leave wait for requests that they are silent about

Cause: a target that is released counts the streams that it sends, but not requests to which it has sent nothing yet.

--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -380,7 +380,12 @@
             )
         )
         seal = (("Attempt-Id", name), relay.SIGNATURE)
-        await curio.sleep(owner.silence_ms() / 1_000)
+        # A target that leaves waits for what it was silent about, too.
+        self.open_streams += 1
+        try:
+            await curio.sleep(owner.silence_ms() / 1_000)
+        finally:
+            self.open_streams -= 1
         behaviour = owner.behaviours.get(self.name)
         if self.service == "desk":
             return Response(200, shape(behaviour, answer(), 1), seal, length=4)
