--- a/tests/test_trace_stop.py
+++ b/tests/test_trace_stop.py
@@ -8,7 +8,6 @@
 
 from tests.test_caller_api import FLEET
 from tests.test_entry_close import make_entry
-from tests.test_stop_signals import logged
 from wagtailrun import events
 from wagtailrun.clock import SystemClock
 from wagtailrun.entry import TRACE_TIMEOUT_MS
@@ -16,8 +15,6 @@
 
 pytestmark = pytest.mark.network
 
-__all__ = ["logged"]
-
 
 @pytest.fixture
 def recorder(tmp_path):
