soak: a run whose killed process did not run for half a second shows nothing

Its log ends 3.07 s after the signal, 0.5 s before it would have ended, with no event 101, 103 or 104; and SIGKILL, which takes 21 ms for another process of the run, took 880 ms to end it. The kernel ends a killed process as soon as it runs, so the machine did not run it from then on. The soak knew only how long its own loops stood still (0.4 s). Ruled out: a fault of the stop, as no code of the entry delays SIGKILL; a late watch, as the soak's own loop stood still for no time that was recorded around the kill. No finding is dropped. Conclusion: what held the process (processor or disk) is not known. A finding of this kind with a kill that takes effect at once is reported as before.

--- a/soak/history.py
+++ b/soak/history.py
@@ -1,5 +1,6 @@
 """What the promises of the soak have in common: their bounds, findings and history."""
 
+import itertools
 from collections import defaultdict
 from signal import SIGKILL, SIGTERM
 
@@ -15,7 +16,10 @@
     StandstillRecord,
 )
 
-__all__ = ["Finding", "History", "Limits"]
+__all__ = ["SEEN_MS", "Finding", "History", "Limits"]
+
+# A standstill is recorded after the end that was seen when it was over.
+SEEN_MS = 100
 
 
 @define(frozen=True, kw_only=True)
@@ -138,6 +142,24 @@
             default=0,
         )
 
+    def longest_kill_ms(self) -> int:
+        """Return the longest time that SIGKILL took to end a process.
+
+        The kernel ends a process as soon as it runs, so that the machine did not run it
+        for so long. The time for which the soak itself did not look is left out.
+        """
+        return max(map(self._kill_ms, itertools.chain(*self.exits.values())), default=0)
+
+    def _kill_ms(self, end: ExitRecord) -> int:
+        kills_ms = [
+            each.at_ms
+            for each in self.signals[end.process]
+            if each.pid == end.pid and each.number == SIGKILL
+        ]
+        began_ms = min(kills_ms, default=end.at_ms)
+        unseen_ms = self.standstill_ms("soak", began_ms, end.at_ms + SEEN_MS)
+        return max(end.at_ms - began_ms - unseen_ms, 0)
+
     def stop_before(self, process: str, at_ms: int) -> SignalRecord | None:
         """Return the first SIGTERM to the run of a process that got the last one."""
         stops = [
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -8,7 +8,7 @@
 from collections import Counter, defaultdict
 from signal import SIGKILL, SIGTERM
 
-from soak.history import Finding, History, Limits
+from soak.history import SEEN_MS, Finding, History, Limits
 from soak.records import (
     ChangeRecord,
     ExitRecord,
@@ -27,8 +27,6 @@
 # By then nothing of a request that has ended runs any more.
 RUN_SETTLE_MS = 20_000
 MS_PER_SECOND = 1_000
-# A standstill is recorded after the end that was seen when it was over.
-SEEN_MS = 100
 # A process has read a request this time after it was sent.
 READ_MS = 100
 # An entry ends a stream a moment before its deadline.
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,8 +46,10 @@
 CHECK_INTERVAL_S = 1.0
 CALLERS_END_S = 25
 # A run in which a loop of its own stood still for longer shows nothing. The loop that
-# starts processes waits for the system until each has begun.
-MAX_STANDSTILLS_MS = {"callers": 500, "targets": 500, "soak": 1_500}
+# starts processes waits for the system until each has begun. Of a process of the fleet
+# it is known for how long it did not run after SIGKILL.
+FLEET = "fleet"
+MAX_STANDSTILLS_MS = {"callers": 500, "targets": 500, "soak": 1_500, FLEET: 500}
 MIN_PLANNED_SHARE = 0.5
 PRINTED_FINDINGS = 20
 # By then all records are complete.
@@ -241,6 +243,7 @@
             raise checks.exception
         await checks.cancel()
         await self.check(LAST_MS)
+        self.standstills_ms[FLEET] = self.judge.history.longest_kill_ms()
 
     async def _check(self) -> None:
         while True:
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -9,7 +9,7 @@
 import attrs
 import pytest
 
-from soak.history import Limits
+from soak.history import History, Limits
 from soak.promises import Judge
 from soak.records import (
     ChangeRecord,
@@ -436,3 +436,27 @@
     judge.add([hindered(9_000), end(16_000), request(Outcome.ANSWERED), far])
     judge.check(LATER_MS)
     assert (judge.answers.planned, judge.answers.total) == (1, 2)
+
+
+@pytest.mark.parametrize(
+    ("records", "longest_ms"),
+    [
+        ([killed(10_000), end(10_880, -9)], 880),
+        (
+            [
+                killed(10_000),
+                end(10_880, -9),
+                StandstillRecord(loop="soak", at_ms=10_890, lasted_ms=600),
+            ],
+            280,
+        ),
+        ([stop(10_000), end(17_000)], 0),
+        ([killed(10_000), end(10_880, -9, pid=PID + 1)], 0),
+    ],
+)
+def test_time_that_a_kill_takes_is_that_of_the_machine(records, longest_ms):
+    """Guards against late ends that are reported while the machine ran no process."""
+    history = History()
+    for record in records:
+        history.add(record)
+    assert history.longest_kill_ms() == longest_ms
