Log of answers that a planned stop cuts; learned estimate of their length

Cause: event 103 has only counts, so a cut answer had to be found by its time. Event 105 names each (20 at most) with when it arrived, was sent and began, what was left of the process then, and how long answers of its route take: by the newest 64 of it or its service, per token that the caller expects (Length-Hint). Conclusion: the estimate is only logged here.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -461,3 +461,25 @@
     handler = ControlHandler(FakeStore(refusal), FakeHub())
     assert call(handler, "GET", "/configuration").status == 503
     assert call(handler, "PUT", "/configuration", document().encode()).status == 503
+
+
+@pytest.mark.parametrize(
+    ("count", "hint", "expected"),
+    [
+        (b"10,600", b"53", 53),
+        (b"10,600", b"700", 600),
+        (b"10", b"700", 700),
+        (b"10,600", b"", 0),
+        (b"10,600", b"many", 0),
+        (b"10,600", b"-3", 0),
+        (b"10,600", b"1,2", 0),
+        (b"10,600", b"9" * 20, 0),
+    ],
+)
+def test_length_hint_that_cannot_be_read_refuses_no_request(count, hint, expected):
+    """Guards against the refusal of a request for a hint that only entries use."""
+    pairs = ((b"Token-Count", count), (b"Length-Hint", hint))
+    headers = [pair for pair in HEADERS if pair[0] != b"Token-Count"]
+    relayed = PlatformWire().parse_request(request((*headers, *pairs)))
+    assert relayed.answer_tokens == expected
+    assert (b"Length-Hint", hint) in relayed.headers
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -74,6 +74,13 @@
     "If unanswered is not 0, compare late_ms of event 102 with the grace period.",
     limited=False,
 )
+ANSWER_CUT = _event(
+    105,
+    logging.WARNING,
+    "A planned stop ended an answer of which the caller has a part.",
+    "If left_ms was less than the answer was expected to take, report the line.",
+    limited=False,
+)
 LOOP_LATE = _event(
     104,
     logging.WARNING,
--- /dev/null
+++ b/wagtailrun/relay/answer_times.py
@@ -0,0 +1,94 @@
+"""Learned estimates of how long targets send the answers of a route."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+import attrs
+
+__all__ = ["COVERED_SHARE", "TYPICAL_SHARE", "AnswerTimes"]
+
+# An answer that is cut is lost, while a refused request loses one round trip; so a
+# request begins only if the estimate covers this share of the newest answers.
+COVERED_SHARE = 0.9
+TYPICAL_SHARE = 0.5
+# An estimate is computed from at most this many answers; with fewer than MIN_ANSWERS,
+# nothing is known.
+MAX_ANSWERS = 64
+MIN_ANSWERS = 8
+# Routes, and services, whose answers are kept; others push out the least recent one.
+MAX_KEYS = 256
+
+
+@attrs.frozen
+class _Answer:
+    """One complete answer.
+
+    Attributes:
+        tokens: Tokens that its caller expected; 0 if not stated.
+        took_ms: How long it took.
+    """
+
+    tokens: int
+    took_ms: int
+
+
+class AnswerTimes:
+    """Keeps how long the newest answers of each route took.
+
+    Callers of models state how many tokens they expect, so these answers are compared
+    by their time per expected token. Routes without enough answers are estimated by
+    those of their service.
+    """
+
+    def __init__(self) -> None:
+        self._by_route: OrderedDict[str, deque[_Answer]] = OrderedDict()
+        self._by_service: OrderedDict[str, deque[_Answer]] = OrderedDict()
+
+    def add(self, route: str, service: str, tokens: int, took_ms: int) -> None:
+        """Record a complete answer.
+
+        Args:
+            route: Name of its route.
+            service: Name of its service.
+            tokens: Tokens that its caller expected; 0 if not stated.
+            took_ms: How long it took, in milliseconds.
+        """
+        answer = _Answer(tokens, took_ms)
+        for kept, key in ((self._by_route, route), (self._by_service, service)):
+            kept.setdefault(key, deque(maxlen=MAX_ANSWERS)).append(answer)
+            kept.move_to_end(key)
+            if len(kept) > MAX_KEYS:
+                kept.popitem(last=False)
+
+    def expected_ms(
+        self, route: str, service: str, tokens: int, share: float = COVERED_SHARE
+    ) -> int:
+        """Return how long an answer takes, in milliseconds.
+
+        Args:
+            route: Name of its route.
+            service: Name of its service.
+            tokens: Tokens that its caller expects; 0 if not stated.
+            share: Share of the newest answers that the estimate covers.
+
+        Returns:
+            0 if nothing is known.
+        """
+        answers = self._by_route.get(route, ())
+        if len(answers) < MIN_ANSWERS:
+            answers = self._by_service.get(service, ())
+        if len(answers) < MIN_ANSWERS:
+            return 0
+        longest_ms = max(answer.took_ms for answer in answers)
+        counted = [answer for answer in answers if answer.tokens]
+        if not tokens or len(counted) < MIN_ANSWERS:
+            return int(_quantile(answers, share, lambda each: each.took_ms))
+        per_token_ms = _quantile(
+            counted, share, lambda each: each.took_ms / each.tokens
+        )
+        return min(int(tokens * per_token_ms), longest_ms)
+
+
+def _quantile(answers, share: float, value: Callable[[_Answer], float]) -> float:
+    ranked = sorted(value(answer) for answer in answers)
+    return ranked[int(share * (len(ranked) - 1))]
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -24,6 +24,7 @@
 from wagtailrun.gossip_messages import EntryRow
 from wagtailrun.loop_watch import LoopWatch
 from wagtailrun.membership import TargetRow
+from wagtailrun.relay.answer_times import COVERED_SHARE
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler, StopPlan
 from wagtailrun.relay.metrics import RelayMetrics
@@ -612,6 +613,8 @@
                 unused_connections=server.unused_connections_ended,
                 waiting_connections=server.waiting_connections,
             )
+        if self.handler.stop is not None:
+            self.handler.running.log_cut(self.handler.stop.ends_ms, COVERED_SHARE)
 
     def _grace_ms(self) -> int:
         return int(self.settings.grace_s * MS_PER_SECOND)
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -24,6 +24,7 @@
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
+from wagtailrun.relay.running_jobs import RunningJobs
 from wagtailrun.relay.streams import RelayStreams
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
@@ -134,6 +135,7 @@
         self.stop: StopPlan | None = None
         # Tasks of the admitted requests of which no part of an answer was sent.
         self.unanswered_tasks: set[curio.Task] = set()
+        self.running = RunningJobs(clock)
         checker = ContinuationChecker(origins, TargetReports(http, wire))
         self.streams = RelayStreams(self.attempts, runner, origins, checker)
 
@@ -149,6 +151,7 @@
         finished = False
         task = await curio.current_task()
         self.unanswered_tasks.add(task)
+        self.running.add(job, task)
         try:
             try:
                 response = await self._run(job)
@@ -159,6 +162,7 @@
             finished = True
         finally:
             self.unanswered_tasks.discard(task)
+            self.running.record_head(job)
             if not finished:
                 self._record_end(job, "abandoned", 0)
             if not (finished and job.streaming):
@@ -469,6 +473,7 @@
         self.metrics.count_request(
             outcome, str(job.route.kind), now_ms - job.arrived_ms
         )
+        self.running.end(job, outcome, status)
         events.log(
             events.RELAY_ENDED,
             request_id=job.request.request_id,
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -18,7 +18,8 @@
 __all__ = ["RelayJob"]
 
 
-@attrs.define
+# Compared by identity, as it is the key of maps.
+@attrs.define(eq=False)
 class RelayJob:
     """One request from its admission to its end.
 
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -50,6 +50,7 @@
             stream that the caller takes up; empty if there is none.
         parts: Parts of the prompt, in order.
         prompt_tokens: Tokens of the prompt.
+        answer_tokens: Tokens of the answer that the caller expects; 0 if not stated.
         pieces: Number of pieces of each step.
         piece_key: Key of the input of the first steps' pieces.
     """
@@ -63,6 +64,7 @@
     resumes: str = ""
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
+    answer_tokens: int = 0
     pieces: tuple[int, ...] = ()
     piece_key: str = ""
 
