Stopping entry sends no request that outlasts the process

Cause: in the notice every request was admitted, and after its stages or a wait it was sent, without a look at what is left of the grace period. The forecast compares what is left with the expected time of the stages and to the first event, and the learned length of answers of the route, at admission, after the announcement of the stages, before the choice of a target, and on the open connection just before the first byte. What does not fit is refused as not run, with 50 ms. Nothing is refused of a route and service without eight answers. Ruled out: an end of the notice before two readiness checks have failed (the load balancer sends on); the largest number of tokens as the length (600 tokens of 10 ms do not fit into 4.8 s, so that most streams of a route were refused).

--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -129,3 +129,125 @@
     assert (cut["request_id"], cut["route"], cut["target"]) == ("abc", "r", "t0")
     assert (cut["answer_tokens"], cut["answer_ms"]) == (600, 0)
     assert cut["left_ms"] == pytest.approx((ENDS_S - 1.0) * MS_PER_SECOND, abs=100)
+
+
+@pytest.mark.parametrize(
+    "kind", [RouteKind.STREAM, RouteKind.ORDER, RouteKind.IDEMPOTENT]
+)
+def test_request_that_would_outlast_the_stop_is_refused_as_not_run(kind, stop_signal):
+    """Guards against a request that a stopping entry takes, sends and gives up.
+
+    The load balancer had not noticed the stop, so the entry asked only for the time
+    since the signal; the answers of the route last longer than what is left.
+    """
+    engine = stream(6) if kind is RouteKind.STREAM else stream(0.01, wait_s=5.5)
+
+    async def client(caller):
+        await caller.teach()
+        arrived = len(caller.fleet.seen)
+        caller.begin_stop()
+        await caller.sleep_until(2.0)
+        answer = await caller.send()
+        return answer, caller.since_signal_s(), len(caller.fleet.seen) - arrived
+
+    answer, ended_s, arrived = run_entry(
+        kind, engine, client, stop_signal, max_attempts=1, aim_ms=6_000
+    )
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 0.05" in answer.lower()
+    assert (arrived, ended_s < 2.2) == (0, True)
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_request_that_ends_before_the_stop_is_served(known, stop_signal):
+    """Guards against refusals of all that the load balancer still sends.
+
+    Answers of 5 s end in time; of a route without answers nothing is known.
+    """
+
+    async def client(caller):
+        await caller.teach(MIN_ANSWERS if known else 1)
+        caller.begin_stop()
+        await caller.sleep_until(2.0)
+        return await caller.send()
+
+    engine = stream(5)
+    answer = run_entry(RouteKind.STREAM, engine, client, stop_signal)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.endswith(b"\r\n0\r\n\r\n")
+
+
+def test_short_request_of_a_route_with_long_ones_is_served_in_a_stop(stop_signal):
+    """Guards against refusals of short answers because others of the route are long."""
+
+    def reply(request):
+        tokens = int(request.headers["length-hint"])
+        return stream(tokens / 100)(request)
+
+    async def client(caller):
+        for tokens in [10, 650] * MIN_ANSWERS:
+            await caller.send(f"Length-Hint: {tokens}\r\n")
+        caller.begin_stop()
+        await caller.sleep_until(2.0)
+        answers = []
+        for tokens in (10, 650):
+            answers.append(await caller.send(f"Length-Hint: {tokens}\r\n"))
+        return [answer[:12] for answer in answers]
+
+    answers = run_entry(RouteKind.STREAM, reply, client, stop_signal)
+    assert answers == [b"HTTP/1.1 200", b"HTTP/1.1 503"]
+
+
+@pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.ORDER])
+def test_request_that_waits_too_long_for_a_target_is_not_sent_in_a_stop(
+    kind, stop_signal
+):
+    """Guards against a request that is sent after a wait, however little is left.
+
+    It was admitted before the stop, and its target asked for a pause.
+    """
+    pauses = []
+
+    def prepare(handler):
+        def paused_ms(address, urgency):
+            return max(pauses[0] - handler.clock.now_ms(), 0) if pauses else 0
+
+        handler.attempts.notices.paused_ms = paused_ms
+
+    async def client(caller):
+        await caller.teach()
+        arrived = len(caller.fleet.seen)
+        pauses.append(caller.entry.clock.now_ms() + 6_000)
+        task = await curio.spawn(caller.send)
+        await curio.sleep(0.1)
+        caller.begin_stop()
+        answer = await task.join()
+        return answer, len(caller.fleet.seen) - arrived
+
+    engine = stream(3) if kind is RouteKind.STREAM else stream(0.01, wait_s=2.5)
+    answer, arrived = run_entry(
+        kind, engine, client, stop_signal, prepare=prepare, aim_ms=14_000
+    )
+    assert (answer[:12], arrived) == (b"HTTP/1.1 503", 0)
+
+
+def test_stream_in_progress_is_cut_between_events_as_the_process_ends(stop_signal):
+    """Guards against a cut stream that looks complete, or ends early or mid-event."""
+
+    async def client(caller):
+        caller.begin_stop()
+        await caller.sleep_until(1.0)
+        answer = await caller.send()
+        return answer, caller.since_signal_s()
+
+    answer, ended_s = run_entry(
+        RouteKind.STREAM, stream(30, count=301), client, stop_signal
+    )
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    chunks = body.split(b"\r\n")
+    assert b"".join(chunks[1::2]) == b"".join(
+        event(number) for number in range(1, len(chunks) // 2 + 1)
+    )
+    assert not body.endswith(b"0\r\n\r\n")
+    assert ended_s >= ENDS_S - 0.1
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -15,8 +15,9 @@
 from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
-from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
+from wagtailrun.relay.front import StopPlan
 from wagtailrun.routes import RouteKind
+from wagtailrun.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.supervisor import supervise
 
--- /dev/null
+++ b/tests/test_stop_forecast.py
@@ -0,0 +1,66 @@
+"""Tests of the forecast which requests end before a process that stops does."""
+
+import types
+
+import pytest
+
+from tests.test_relay_admission import job
+from wagtailrun.exceptions import Verdict
+from wagtailrun.relay.answer_times import MIN_ANSWERS
+from wagtailrun.relay.running_jobs import RunningJobs
+from wagtailrun.relay.stop_forecast import StopForecast, StopPlan
+from wagtailrun.routes import Route, RouteKind
+from wagtailrun.virtual_time import VirtualClock
+
+ANSWER_MS = 2_000
+ENDS_MS = 5_000
+REQUEST = types.SimpleNamespace(answer_tokens=0)
+
+
+def route(kind=RouteKind.STREAM):
+    return Route("r", "h", "/a/", kind, (), 15_000)
+
+
+def forecast_of(*, at_ms=0, stops=True, **options):
+    """Return the forecast and a request, at a time of a stop."""
+    clock = VirtualClock()
+    running = RunningJobs(clock)
+    for _ in range(MIN_ANSWERS):
+        running.answer_times.add("r", "s", 0, ANSWER_MS)
+    forecast = StopForecast(clock, running)
+    if stops:
+        forecast.stop = StopPlan(2_800, ENDS_MS)
+    values = {"request": REQUEST, "route": route(), "planned_ms": 0, "work": None}
+    request = job(clock, **{**values, **options})
+    clock.seconds += at_ms / 1_000
+    return forecast, request
+
+
+@pytest.mark.parametrize(
+    ("options", "latest_ms"),
+    [
+        ({"planned_ms": 400}, ENDS_MS - ANSWER_MS - 400),
+        ({"planned_ms": 400, "placed_ms": 700}, ENDS_MS - ANSWER_MS - 700),
+        # Its stages are not complete, and take until 2,500 ms.
+        ({"planned_ms": 600, "expected_ms": 2_500, "work": "w"}, 2_400),
+        ({"planned_ms": 600, "expected_ms": 3_100, "work": "w"}, -1),
+        # An answer that is no stream has to end before the last refusals.
+        ({"route": route(RouteKind.ORDER)}, ENDS_MS - 200 - ANSWER_MS),
+    ],
+)
+def test_request_is_sent_only_while_it_can_end(options, latest_ms):
+    """Guards against requests whose stages, wait or answer outlast the process."""
+    for at_ms in {latest_ms, latest_ms + 1} - {-1}:
+        forecast, request = forecast_of(at_ms=at_ms, **options)
+        refusal = forecast.refusal(request)
+        assert (refusal is None) == (at_ms <= latest_ms)
+        assert refusal is None or refusal.verdict is Verdict.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    "options", [{"stops": False}, {"streaming": True, "runs": 1, "sent_ms": 10}]
+)
+def test_nothing_is_refused_without_a_stop_or_after_a_head(options):
+    """Guards against refusals in normal operation, and of answers in progress."""
+    forecast, request = forecast_of(at_ms=ENDS_MS + 1, **options)
+    assert forecast.refusal(request) is None
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -22,8 +22,9 @@
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
 from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry import KILL_MARGIN_MS
-from wagtailrun.relay.front import STOP_ANSWER_MS, StopPlan
+from wagtailrun.relay.front import StopPlan
 from wagtailrun.routes import RouteKind
+from wagtailrun.running_requests import STOP_ANSWER_MS
 from wagtailrun.stop_signals import StopSignals
 
 pytestmark = pytest.mark.network
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -109,6 +109,8 @@
         notices: What targets told this VM.
         was_held_since: Returns whether the event loop of this process was held after a
             time on the clock.
+        stop_refusal: Returns the refusal of a request that would outlast the process,
+            else None.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         budget: RetryBudget,
         notices: TargetNotices,
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
+        stop_refusal: Callable[[RelayJob], Refusal | None] = lambda job: None,
     ):
         self.clock = clock
         self.notices = notices
@@ -130,6 +133,7 @@
         self.http = http
         self.chooser = chooser
         self.placement = placement
+        self.stop_refusal = stop_refusal
         self.budget = budget
         self.crossed_answers = 0
         self.answered = AnsweredRequests(clock)
@@ -343,7 +347,7 @@
             return Refusal(
                 RefusalReason.KEYS_UNCONFIRMED, verdict, detail, RETRY_AFTER_MS
             )
-        return None
+        return self.stop_refusal(job)
 
     def quarantine_refusal(self, job: RelayJob) -> Refusal | None:
         """Return the refusal of a request that is held back, else None."""
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 
-import attrs
 import curio
 
 from wagtailrun import events
@@ -25,11 +24,11 @@
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
 from wagtailrun.relay.running_jobs import RunningJobs
+from wagtailrun.relay.stop_forecast import StopForecast, StopPlan
 from wagtailrun.relay.streams import RelayStreams
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.running_requests import (
-    STOP_ANSWER_MS,
     STOPPING_RETRY_MS,
     EntryEnds,
     forget_end,
@@ -50,31 +49,6 @@
 STATUS_TOO_LATE = 504
 
 
-@attrs.frozen
-class StopPlan:
-    """A planned stop of the entry; times are readings of its clock.
-
-    Attributes:
-        notice_ends_ms: Until when all requests are admitted, since the load balancer
-            may not have noticed the stop.
-        ends_ms: When the process ends.
-        accepts_end_ms: Until when connections are accepted; by default to the end.
-        answers_end_ms: Until when requests may run that have no part of an answer; by
-            default the rest of the time suffices for their refusals.
-    """
-
-    notice_ends_ms: int
-    ends_ms: int
-    accepts_end_ms: int = attrs.field(
-        default=attrs.Factory(lambda self: self.ends_ms, takes_self=True)
-    )
-    answers_end_ms: int = attrs.field(
-        default=attrs.Factory(
-            lambda self: self.ends_ms - STOP_ANSWER_MS, takes_self=True
-        )
-    )
-
-
 class RelayHandler:
     """Handles requests that are relayed to targets unchanged.
 
@@ -119,6 +93,8 @@
         self.metrics = metrics
         self.random = random.Random(seed)
         self.admission = AdmissionController(clock, runner, seed)
+        self.running = RunningJobs(clock)
+        self.forecast = StopForecast(clock, self.running)
         self.attempts = RelayAttempts(
             clock,
             view,
@@ -129,16 +105,23 @@
             budget,
             notices,
             was_held_since,
+            self.forecast.refusal,
         )
         self.origins = origins
-        # Set when a planned stop begins.
-        self.stop: StopPlan | None = None
         # Tasks of the admitted requests of which no part of an answer was sent.
         self.unanswered_tasks: set[curio.Task] = set()
-        self.running = RunningJobs(clock)
         checker = ContinuationChecker(origins, TargetReports(http, wire))
         self.streams = RelayStreams(self.attempts, runner, origins, checker)
 
+    @property
+    def stop(self) -> StopPlan | None:
+        """The planned stop of the process; None before it begins."""
+        return self.forecast.stop
+
+    @stop.setter
+    def stop(self, plan: StopPlan | None) -> None:
+        self.forecast.stop = plan
+
     async def handle(self, raw_request: Request) -> Response:
         """Return the answer to one request of a caller."""
         arrived_ms = self.clock.now_ms()
@@ -295,8 +278,9 @@
     ) -> bool:
         """Return whether a request may be admitted although the entry stops.
 
-        While the load balancer has not noticed the stop, all are admitted. After that
-        those that cannot be cut off by it: streams last longer than their objective.
+        While the load balancer has not noticed the stop, all are admitted that are
+        expected to end in time; the forecast refuses the others. After that those that
+        cannot be cut off by it: streams last longer than their objective.
         """
         stop = self.stop
         if stop is None or self.clock.now_ms() < stop.notice_ends_ms:
@@ -384,6 +368,7 @@
             )
             stages_ms = await self.runner.announce(job.work, job.data_centre)
             refusal = self.admission.check(job, stages_ms)
+            refusal = refusal or self.forecast.refusal(job)
             if refusal is not None:
                 await self.runner.withdraw(job.work)
                 return refusal
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -166,3 +166,4 @@
         """Release all results, so that the stages can run again."""
         await runner.release_all(self.work, self.results)
         self.results = StageResults()
+        self.staged_ms = 0
--- /dev/null
+++ b/wagtailrun/relay/stop_forecast.py
@@ -0,0 +1,100 @@
+"""Forecasts which requests end before a process that stops does."""
+
+import attrs
+
+from wagtailrun.clock import Clock
+from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.relay.answer_times import COVERED_SHARE
+from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.running_jobs import RunningJobs
+from wagtailrun.routes import RouteKind
+from wagtailrun.running_requests import STOP_ANSWER_MS, STOPPING_RETRY_MS
+
+__all__ = ["StopForecast", "StopPlan"]
+
+
+@attrs.frozen
+class StopPlan:
+    """A planned stop of the entry; times are readings of its clock.
+
+    Attributes:
+        notice_ends_ms: Until when all requests are admitted that end in time, since the
+            load balancer may not have noticed the stop.
+        ends_ms: When the process ends.
+        accepts_end_ms: Until when connections are accepted; by default to the end.
+        answers_end_ms: Until when requests may run that have no part of an answer; by
+            default the rest of the time suffices for their refusals.
+    """
+
+    notice_ends_ms: int
+    ends_ms: int
+    accepts_end_ms: int = attrs.field(
+        default=attrs.Factory(lambda self: self.ends_ms, takes_self=True)
+    )
+    answers_end_ms: int = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.ends_ms - STOP_ANSWER_MS, takes_self=True
+        )
+    )
+
+
+class StopForecast:
+    """Tells which requests cannot end before the process does.
+
+    Nothing is forecast without a stop, or of answers of which the caller has a part.
+
+    Args:
+        clock: Clock.
+        running: How long answers take.
+    """
+
+    def __init__(self, clock: Clock, running: RunningJobs):
+        self.clock = clock
+        self.running = running
+        # Set when a planned stop begins.
+        self.stop: StopPlan | None = None
+
+    def refusal(self, job: RelayJob) -> Refusal | None:
+        """Return the refusal of a request that is not to be sent any more, else None.
+
+        It would be cut, or end with a failure, so another entry has to serve it.
+        """
+        if self.stop is None or job.streaming:
+            return None
+        expected_ms = self._expected_ms(job, COVERED_SHARE)
+        left_ms = self._left_ms(job)
+        if expected_ms <= left_ms:
+            return None
+        return Refusal(
+            RefusalReason.DRAINING,
+            Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN,
+            f"this entry ends in {left_ms} ms, and the request is expected to take "
+            f"{expected_ms} ms",
+            STOPPING_RETRY_MS,
+        )
+
+    def _left_ms(self, job: RelayJob) -> int:
+        """Return until when an answer may take that ends before the process does."""
+        is_stream = job.route.kind is RouteKind.STREAM
+        ends_ms = self.stop.ends_ms if is_stream else self.stop.answers_end_ms
+        return ends_ms - self.clock.now_ms()
+
+    def _expected_ms(self, job: RelayJob, share: float) -> int:
+        """Return how long a request still takes.
+
+        Args:
+            job: Request.
+            share: Share of the newest answers that the estimate covers.
+        """
+        answer_ms = self.running.answer_ms(job, share)
+        now_ms = self.clock.now_ms()
+        if job.sent_ms is not None and job.runs:
+            began_ms = job.sent_ms + job.placed_ms
+        else:
+            began_ms = now_ms + (job.placed_ms or job.planned_ms)
+            if job.work is not None and not job.staged_ms:
+                began_ms = max(began_ms, job.arrived_ms + job.expected_ms)
+        if job.route.kind is RouteKind.STREAM:
+            # The estimate of another answer begins when it is sent.
+            began_ms = max(began_ms, now_ms)
+        return began_ms + answer_ms - now_ms
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -245,7 +245,9 @@
             return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, job.detail)
         await job.discard_results(self.runner)
         job.work = attrs.evolve(job.work, round=job.work.round + 1)
-        return await self.runner.run(job.work, job.data_centre, job.results)
+        refusal = await self.runner.run(job.work, job.data_centre, job.results)
+        job.staged_ms = self.clock.now_ms()
+        return refusal
 
     async def _events(
         self,
