Stopping entry gives back waiting requests while their callers have time

Callers of streams that may be resumed got 502 a second before the entry ended, or the head of a stream that was then cut; callers of requests that waited for a paused target were refused only when the pause was over. Cause: a stop ended requests without an answer only at its last refusals. Each 100 ms of a stop the forecast now looks at requests of which the caller has nothing: those that were not sent, or may run again, end once they cannot end in time. The verdict is the true one: 503 if not sent, 502 if it may have run. What must not run twice and was sent is waited for up to the last refusals, as before. Ruled out: a limit on each wait; stages, placement, paused targets and heads have one of their own each, and a stop may begin during any of them. Conclusion: a request that was ended is never sent, though its task may have a turn.

--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -222,13 +222,44 @@
         await curio.sleep(0.1)
         caller.begin_stop()
         answer = await task.join()
-        return answer, len(caller.fleet.seen) - arrived
+        return answer, caller.since_signal_s(), len(caller.fleet.seen) - arrived
 
     engine = stream(3) if kind is RouteKind.STREAM else stream(0.01, wait_s=2.5)
-    answer, arrived = run_entry(
+    answer, ended_s, arrived = run_entry(
         kind, engine, client, stop_signal, prepare=prepare, aim_ms=14_000
     )
     assert (answer[:12], arrived) == (b"HTTP/1.1 503", 0)
+    # As soon as it is known: 3 s before the end.
+    assert ended_s < ENDS_S - 2.8
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_stream_that_waits_at_its_target_is_given_back_in_time(resumable, stop_signal):
+    """Guards against a stream that begins at an engine only to be cut by the stop.
+
+    Its caller has nothing yet and may send it again, so it needs time for that. One
+    that must not run twice is waited for until the last refusals.
+    """
+    waits_s = [0.0] * MIN_ANSWERS + [60.0]
+
+    async def reply(request):
+        return await stream(3, waits_s.pop(0))(request)
+
+    async def client(caller):
+        await caller.teach()
+        caller.begin_stop()
+        await caller.sleep_until(0.5)
+        answer = await caller.send()
+        return answer, caller.since_signal_s()
+
+    answer, ended_s = run_entry(
+        RouteKind.STREAM, reply, client, stop_signal, resumable=resumable
+    )
+    assert answer.startswith(b"HTTP/1.1 502")
+    if resumable:
+        assert ended_s == pytest.approx(ENDS_S - 3, abs=0.2)
+    else:
+        assert ended_s > GRACE_S * 7 / 8 - 0.1
 
 
 def test_stream_in_progress_is_cut_between_events_as_the_process_ends(stop_signal):
--- a/tests/test_stop_forecast.py
+++ b/tests/test_stop_forecast.py
@@ -17,8 +17,8 @@
 REQUEST = types.SimpleNamespace(answer_tokens=0)
 
 
-def route(kind=RouteKind.STREAM):
-    return Route("r", "h", "/a/", kind, (), 15_000)
+def route(kind=RouteKind.STREAM, *, resumable=False):
+    return Route("r", "h", "/a/", kind, (), 15_000, resumable=resumable)
 
 
 def forecast_of(*, at_ms=0, stops=True, **options):
@@ -64,3 +64,28 @@
     """Guards against refusals in normal operation, and of answers in progress."""
     forecast, request = forecast_of(at_ms=ENDS_MS + 1, **options)
     assert forecast.refusal(request) is None
+    assert not forecast.is_hopeless(request)
+
+
+@pytest.mark.parametrize(
+    ("resumable", "runs", "hopeless"),
+    [(True, 1, True), (False, 1, False), (False, 0, True), (True, 0, True)],
+)
+def test_sent_request_that_must_not_run_twice_is_waited_for(resumable, runs, hopeless):
+    """Guards against an end of requests that their callers could not send again."""
+    forecast, request = forecast_of(
+        at_ms=ENDS_MS - ANSWER_MS + 1,
+        route=route(resumable=resumable),
+        runs=runs,
+        sent_ms=10 if runs else None,
+    )
+    assert forecast.is_hopeless(request) is hopeless
+
+
+def test_request_that_was_ended_is_not_sent_afterwards():
+    """Guards against a request that is refused as not run, but sent meanwhile.
+
+    A task that is ended may have a turn before, in which a connection is there.
+    """
+    forecast, request = forecast_of(ended_by_stop=True)
+    assert forecast.refusal(request).verdict is Verdict.NOT_RUN
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -520,6 +520,7 @@
         )
         stop = self._plan_stop()
         self.handler.stop = stop
+        await curio.spawn(self.handler.end_hopeless, daemon=True)
         await self.batcher.hand_over()
         # Callers open their next connections elsewhere.
         self.caller_server.closing = True
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -44,6 +44,8 @@
 ORIGIN_RETRY_MS = 300
 # The stages of a request run a second time if a result is lost.
 MAX_STAGE_ROUNDS = 2
+# Interval of looks for waiting requests that cannot end before the process any more.
+FORECAST_INTERVAL_MS = 100
 STATUS_NOT_RUN = 503
 STATUS_MAY_HAVE_RUN = 502
 STATUS_TOO_LATE = 504
@@ -177,6 +179,21 @@
         for task in list(self.unanswered_tasks):
             await task.cancel(exc=EntryEnds, blocking=False)
 
+    async def end_hopeless(self) -> None:
+        """Until the last refusals, end requests that cannot end before the process.
+
+        Their callers have time to turn to another entry.
+        """
+        while self.stop and self.clock.now_ms() < self.stop.answers_end_ms:
+            for job, task in list(self.running.tasks_by_job.items()):
+                if task is None or job.ended_by_stop:
+                    continue
+                if self.forecast.is_hopeless(job):
+                    # Until it has ended, it may still come to send the request.
+                    job.ended_by_stop = True
+                    await task.cancel(exc=EntryEnds, blocking=False)
+            await self.clock.sleep_ms(FORECAST_INTERVAL_MS)
+
     # Admission
 
     def _admit(
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -55,6 +55,7 @@
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
         attempt_timed_out: Whether the newest attempt was ended as it took too long.
+        ended_by_stop: Whether it was ended, as the process stops.
         streaming: Whether its answer is being relayed as a stream.
         progress: How much of the answer to the newest attempt has arrived.
         detail: Description of the newest failure.
@@ -90,6 +91,7 @@
     staged_ms: int = 0
     first_ms: int = 0
     attempt_timed_out: bool = False
+    ended_by_stop: bool = False
     streaming: bool = False
     progress: AnswerProgress = AnswerProgress.NOTHING
     detail: str = ""
--- a/wagtailrun/relay/stop_forecast.py
+++ b/wagtailrun/relay/stop_forecast.py
@@ -4,7 +4,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.relay.answer_times import COVERED_SHARE
+from wagtailrun.relay.answer_times import COVERED_SHARE, TYPICAL_SHARE
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.running_jobs import RunningJobs
 from wagtailrun.routes import RouteKind
@@ -63,7 +63,7 @@
             return None
         expected_ms = self._expected_ms(job, COVERED_SHARE)
         left_ms = self._left_ms(job)
-        if expected_ms <= left_ms:
+        if expected_ms <= left_ms and not job.ended_by_stop:
             return None
         return Refusal(
             RefusalReason.DRAINING,
@@ -73,6 +73,19 @@
             STOPPING_RETRY_MS,
         )
 
+    def is_hopeless(self, job: RelayJob) -> bool:
+        """Return whether to end a request that waits now, so that another entry has it.
+
+        One that was sent and must not run twice is waited for: its caller could not
+        send it again.
+        """
+        if self.stop is None or job.streaming:
+            return False
+        if not job.runs:
+            return self.refusal(job) is not None
+        expected_ms = self._expected_ms(job, TYPICAL_SHARE)
+        return job.route.repeatable and expected_ms > self._left_ms(job)
+
     def _left_ms(self, job: RelayJob) -> int:
         """Return until when an answer may take that ends before the process does."""
         is_stream = job.route.kind is RouteKind.STREAM
