Stopping entry of the product starts no work that outlasts the process

Cause: the queue of an entry that stops asked for the deadline of the caller only. Work now has to end, by the median that the queue already uses, before the last refusals begin; else it is refused as not run, with 50 ms, also while it waits. Ruled out: an end of the queue before the requests in progress end; their tasks have no turn between the two. Before / after: test_request_that_waits_for_a_target_up_to_the_end_is_refused_as_not_run, virtual time: not-run, before may-have-run; tests/test_admission.py, 4 new cases.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 import attrs
 import curio
+import pytest
 
 from wagtailrun.admission import Admission
 from wagtailrun.dispatch import Work
@@ -113,3 +114,55 @@
     room = run_virtual(main)
     assert room.started == ["first", "last"]
     assert room.free == 1
+
+
+def run_in_stop(works, ends_ms, signalled_ms=0, room=1):
+    """Run works that take a second each beside a stop; return the room."""
+
+    async def main(clock):
+        targets = Room(clock, room)
+        async with curio.TaskGroup() as group:
+            if not signalled_ms:
+                targets.admission.begin_stop(ends_ms)
+            for each in works:
+                await group.spawn(targets.run, each)
+            if signalled_ms:
+                await clock.sleep_ms(signalled_ms)
+                targets.admission.begin_stop(ends_ms)
+        return targets
+
+    return run_virtual(main)
+
+
+def test_work_that_would_outlast_the_process_is_refused_at_once():
+    """Guards against work that an entry which stops takes, sends and gives up.
+
+    Admission asked only for the deadline of the caller, who waits longer.
+    """
+    room = run_in_stop([work("a")], 900)
+    assert not room.started
+    ((at_ms, _, refusal),) = room.refused
+    assert (at_ms, refusal.reason) == (0, RefusalReason.DRAINING)
+    assert (refusal.verdict, refusal.retry_after_ms) == (Verdict.NOT_RUN, 50)
+
+
+def test_work_that_ends_before_the_process_is_started():
+    """Guards against refusals of all work by an entry that stops."""
+    room = run_in_stop([work("a"), work("b")], 2_500)
+    assert (room.started, room.refused) == (["a", "b"], [])
+
+
+@pytest.mark.parametrize("deadline_ms", [10_000, 2_500])
+def test_waiting_work_is_refused_when_it_cannot_end_any_more(deadline_ms):
+    """Guards against work that waits until the entry gives it up as begun.
+
+    It waited when the stop began. A deadline before the end counts as without one.
+    """
+    works = [work(name, deadline_at_ms=deadline_ms) for name in "abc"]
+    room = run_in_stop(works, 3_000, 100)
+    ends_ms = min(deadline_ms, 3_000)
+    assert room.started == ["a", "b"]
+    ((at_ms, _, refusal),) = room.refused
+    assert at_ms <= ends_ms - 1_000 + 100
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert (refusal.reason is RefusalReason.DRAINING) == (deadline_ms > 3_000)
--- a/tests/test_entry_close.py
+++ b/tests/test_entry_close.py
@@ -1,5 +1,6 @@
 """Tests of the order in which an entry ends its work in a planned stop."""
 
+import functools
 import json
 
 import curio
@@ -9,6 +10,7 @@
 from tests.test_caller_api import FLEET, ORDER, PIPELINE
 from tests.test_http_server import GOOD, echo
 from tests.test_server_close import read_all
+from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.entry import Entry
 from wagtailrun.ports.target import StageAnswer, Token
@@ -294,3 +296,17 @@
         return await goodbyes[0].join()
 
     assert curio.run(main).startswith(b"HTTP/1.1 200")
+
+
+def test_request_that_waits_for_a_target_up_to_the_end_is_refused_as_not_run(
+    stop_signal,
+):
+    """Guards against a refusal as perhaps run of a request that was never sent."""
+    entry = make_entry(1_000)
+    entry.dispatcher.usable_targets = lambda work: ["a target without room"]
+    entry.dispatcher.choose = lambda work, avoid: None
+    (answer,) = run_with_virtual_sockets(
+        functools.partial(stop_beside, entry, stop_signal, STOCK)
+    )
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b'"reason": "draining", "verdict": "not-run"' in answer
--- a/wagtailrun/admission.py
+++ b/wagtailrun/admission.py
@@ -12,11 +12,12 @@
 from wagtailrun.estimates import Estimates
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.membership import TargetRow
+from wagtailrun.running_requests import STOPPING_RETRY_MS
 
 if TYPE_CHECKING:
     from wagtailrun.work import Work
 
-__all__ = ["Admission"]
+__all__ = ["POLL_INTERVAL_MS", "Admission"]
 
 USAGE_HALF_LIFE_MS = 10_000
 # A workspace that started nothing for this long is ignored when shares are computed.
@@ -80,6 +81,8 @@
         self.shares_by_workspace: dict[str, int] = {}
         # The same for the squared costs of all workspaces, under an empty key.
         self.squared_costs: dict[str, tuple[float, int]] = {}
+        # When work must have ended since the process stops; None without a stop.
+        self.ends_ms: int | None = None
 
     async def admit(
         self, work: "Work", choose: ChooseTarget, release: Callable[[TargetRow], None]
@@ -92,12 +95,13 @@
             release: Releases the reserved room if the caller is cancelled meanwhile.
 
         Returns:
-            The target, or a refusal as soon as the deadline cannot be met.
+            The target, or a refusal as soon as the deadline, or the end of the process,
+            cannot be met.
         """
         self.shares_by_workspace[work.workspace] = work.share
         self.usage_by_workspace.setdefault(work.workspace, (0.0, self.clock.now_ms()))
         duration_ms = self.expected_duration_ms(work)
-        latest_start_ms = work.deadline_at_ms - duration_ms
+        latest_start_ms = self._due_ms(work) - duration_ms
         if self.clock.now_ms() > latest_start_ms:
             return self._refusal(work, duration_ms)
         queue = self.queues_by_service.setdefault(work.service, _ServiceQueue())
@@ -121,7 +125,7 @@
             while waiter.target is None and waiter.refusal is None:
                 wait_ms = waiter.latest_start_ms - self.clock.now_ms()
                 if wait_ms <= 0:
-                    duration_ms = waiter.work.deadline_at_ms - waiter.latest_start_ms
+                    duration_ms = self._due_ms(waiter.work) - waiter.latest_start_ms
                     return self._refusal(waiter.work, duration_ms)
                 wait_ms = min(wait_ms, POLL_INTERVAL_MS)
                 await curio.ignore_after(wait_ms / MS_PER_SECOND, waiter.event.wait)
@@ -137,6 +141,28 @@
             if waiter in queue.waiting:
                 queue.waiting.remove(waiter)
 
+    def begin_stop(self, ends_ms: int) -> None:
+        """Start no more work that is not expected to end before the process does.
+
+        Args:
+            ends_ms: When work must have ended, on the clock.
+        """
+        waiters = [
+            waiter
+            for queue in self.queues_by_service.values()
+            for waiter in queue.waiting
+        ]
+        due_before_ms = [self._due_ms(waiter.work) for waiter in waiters]
+        self.ends_ms = ends_ms
+        for waiter, before_ms in zip(waiters, due_before_ms, strict=True):
+            waiter.latest_start_ms -= before_ms - self._due_ms(waiter.work)
+
+    def _due_ms(self, work: "Work") -> int:
+        """Return when ``work`` must have ended, on the clock."""
+        if self.ends_ms is None:
+            return work.deadline_at_ms
+        return min(work.deadline_at_ms, self.ends_ms)
+
     async def refuse_waiting(self, refusal: Refusal) -> None:
         """Refuse all work that waits for a target."""
         for queue in self.queues_by_service.values():
@@ -300,7 +326,7 @@
         start_ms = float(self.clock.now_ms())
         for number, waiter in enumerate(self._ranked(queue)):
             if start_ms > waiter.latest_start_ms or number >= MAX_WAITING:
-                duration_ms = waiter.work.deadline_at_ms - waiter.latest_start_ms
+                duration_ms = self._due_ms(waiter.work) - waiter.latest_start_ms
                 waiter.refusal = self._refusal(waiter.work, duration_ms)
                 queue.waiting.remove(waiter)
                 await waiter.event.set()
@@ -308,6 +334,15 @@
                 start_ms += interval_ms
 
     def _refusal(self, work: "Work", duration_ms: int) -> Refusal:
+        due_ms = self._due_ms(work)
+        if due_ms < work.deadline_at_ms:
+            detail = (
+                f"service {work.service} needs {duration_ms} ms, but this entry stops "
+                f"in {max(due_ms - self.clock.now_ms(), 0)} ms"
+            )
+            return Refusal(
+                RefusalReason.DRAINING, Verdict.NOT_RUN, detail, STOPPING_RETRY_MS
+            )
         reason = RefusalReason.OVERLOADED
         if self.excess_share(work):
             reason = RefusalReason.SHARE_EXCEEDED
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -14,6 +14,7 @@
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
+from wagtailrun.admission import POLL_INTERVAL_MS
 from wagtailrun.caller_api import CHECK_PATHS, CallerApi
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.control_client import ControlClient
@@ -307,9 +308,12 @@
         # The load balancer was told only when the signal was handled.
         notice_ends_ms = signals.handled_ms + self.settings.drain_notice_ms
         accepts_end_ms = deadline_ms - request_wait_ms(limit_ms)
+        answers_end_ms = deadline_ms - STOP_ANSWER_MS
+        # Work that waits is refused as not run before requests in progress are.
+        self.dispatcher.admission.begin_stop(answers_end_ms - POLL_INTERVAL_MS)
         notice_ends_ms = min(notice_ends_ms, accepts_end_ms)
         await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
-        running.ends_ms = answers_end_ms = deadline_ms - STOP_ANSWER_MS
+        running.ends_ms = answers_end_ms
         await self.caller_server.drain()
         await sleep_until_idle(self.clock, self._is_idle, accepts_end_ms)
         await self.caller_server.stop_accepting(answers_end_ms - self.clock.now_ms())
