--- a/wagtailrun/relay/answer_times.py
+++ b/wagtailrun/relay/answer_times.py
@@ -1,7 +1,7 @@
 """Learned estimates of how long targets send the answers of a route."""
 
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 
@@ -69,7 +69,8 @@
             route: Name of its route.
             service: Name of its service.
             tokens: Tokens that its caller expects; 0 if not stated.
-            share: Share of the newest answers that the estimate covers.
+            share: Share of the newest answers, weighted by their tokens, that the
+                estimate covers.
 
         Returns:
             0 if nothing is known.
@@ -79,16 +80,26 @@
             answers = self._by_service.get(service, ())
         if len(answers) < MIN_ANSWERS:
             return 0
-        longest_ms = max(answer.took_ms for answer in answers)
         counted = [answer for answer in answers if answer.tokens]
         if not tokens or len(counted) < MIN_ANSWERS:
-            return int(_quantile(answers, share, lambda each: each.took_ms))
-        per_token_ms = _quantile(
-            counted, share, lambda each: each.took_ms / each.tokens
-        )
-        return min(int(tokens * per_token_ms), longest_ms)
+            return _quantile_ms(answers, share)
+        return int(tokens * _quantile_per_token_ms(counted, share))
 
 
-def _quantile(answers, share: float, value: Callable[[_Answer], float]) -> float:
-    ranked = sorted(value(answer) for answer in answers)
+def _quantile_ms(answers: Iterable[_Answer], share: float) -> int:
+    ranked = sorted(answer.took_ms for answer in answers)
     return ranked[int(share * (len(ranked) - 1))]
+
+
+def _quantile_per_token_ms(answers: Iterable[_Answer], share: float) -> float:
+    """Return a quantile of the time per token, weighted by the tokens.
+
+    In short answers, a fixed time and a wrong expectation make up most of it.
+    """
+    ranked = sorted(answers, key=lambda each: each.took_ms / each.tokens)
+    left = share * sum(answer.tokens for answer in ranked)
+    for answer in ranked:
+        left -= answer.tokens
+        if left <= 0:
+            break
+    return answer.took_ms / answer.tokens
