--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 
-import attrs
 import curio
 
 from wagtailrun import events
@@ -24,11 +23,12 @@
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
+from wagtailrun.relay.running_jobs import RunningJobs
+from wagtailrun.relay.stop_forecast import StopForecast, StopPlan
 from wagtailrun.relay.streams import RelayStreams
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.running_requests import (
-    STOP_ANSWER_MS,
     STOPPING_RETRY_MS,
     EntryEnds,
     forget_end,
@@ -44,36 +44,13 @@
 ORIGIN_RETRY_MS = 300
 # The stages of a request run a second time if a result is lost.
 MAX_STAGE_ROUNDS = 2
+# Interval of looks for waiting requests that cannot end before the process any more.
+FORECAST_INTERVAL_MS = 100
 STATUS_NOT_RUN = 503
 STATUS_MAY_HAVE_RUN = 502
 STATUS_TOO_LATE = 504
 
 
-@attrs.frozen
-class StopPlan:
-    """A planned stop of the entry; times are readings of its clock.
-
-    Attributes:
-        notice_ends_ms: Until when all requests are admitted, since the load balancer
-            may not have noticed the stop.
-        ends_ms: When the process ends.
-        accepts_end_ms: Until when connections are accepted; by default to the end.
-        answers_end_ms: Until when requests may run that have no part of an answer; by
-            default the rest of the time suffices for their refusals.
-    """
-
-    notice_ends_ms: int
-    ends_ms: int
-    accepts_end_ms: int = attrs.field(
-        default=attrs.Factory(lambda self: self.ends_ms, takes_self=True)
-    )
-    answers_end_ms: int = attrs.field(
-        default=attrs.Factory(
-            lambda self: self.ends_ms - STOP_ANSWER_MS, takes_self=True
-        )
-    )
-
-
 class RelayHandler:
     """Handles requests that are relayed to targets unchanged.
 
@@ -118,6 +95,8 @@
         self.metrics = metrics
         self.random = random.Random(seed)
         self.admission = AdmissionController(clock, runner, seed)
+        self.running = RunningJobs(clock)
+        self.forecast = StopForecast(clock, self.running)
         self.attempts = RelayAttempts(
             clock,
             view,
@@ -128,15 +107,23 @@
             budget,
             notices,
             was_held_since,
+            self.forecast.refusal,
         )
         self.origins = origins
-        # Set when a planned stop begins.
-        self.stop: StopPlan | None = None
         # Tasks of the admitted requests of which no part of an answer was sent.
         self.unanswered_tasks: set[curio.Task] = set()
         checker = ContinuationChecker(origins, TargetReports(http, wire))
         self.streams = RelayStreams(self.attempts, runner, origins, checker)
 
+    @property
+    def stop(self) -> StopPlan | None:
+        """The planned stop of the process; None before it begins."""
+        return self.forecast.stop
+
+    @stop.setter
+    def stop(self, plan: StopPlan | None) -> None:
+        self.forecast.stop = plan
+
     async def handle(self, raw_request: Request) -> Response:
         """Return the answer to one request of a caller."""
         arrived_ms = self.clock.now_ms()
@@ -149,6 +136,7 @@
         finished = False
         task = await curio.current_task()
         self.unanswered_tasks.add(task)
+        self.running.add(job, task)
         try:
             try:
                 response = await self._run(job)
@@ -159,6 +147,7 @@
             finished = True
         finally:
             self.unanswered_tasks.discard(task)
+            self.running.record_head(job)
             if not finished:
                 self._record_end(job, "abandoned", 0)
             if not (finished and job.streaming):
@@ -190,6 +179,21 @@
         for task in list(self.unanswered_tasks):
             await task.cancel(exc=EntryEnds, blocking=False)
 
+    async def end_hopeless(self) -> None:
+        """Until the last refusals, end requests that cannot end before the process.
+
+        Their callers have time to turn to another entry.
+        """
+        while self.stop and self.clock.now_ms() < self.stop.answers_end_ms:
+            for job, task in list(self.running.tasks_by_job.items()):
+                if task is None or job.ended_by_stop:
+                    continue
+                if self.forecast.is_hopeless(job):
+                    # Until it has ended, it may still come to send the request.
+                    job.ended_by_stop = True
+                    await task.cancel(exc=EntryEnds, blocking=False)
+            await self.clock.sleep_ms(FORECAST_INTERVAL_MS)
+
     # Admission
 
     def _admit(
@@ -291,8 +295,9 @@
     ) -> bool:
         """Return whether a request may be admitted although the entry stops.
 
-        While the load balancer has not noticed the stop, all are admitted. After that
-        those that cannot be cut off by it: streams last longer than their objective.
+        While the load balancer has not noticed the stop, all are admitted that are
+        expected to end in time; the forecast refuses the others. After that those that
+        cannot be cut off by it: streams last longer than their objective.
         """
         stop = self.stop
         if stop is None or self.clock.now_ms() < stop.notice_ends_ms:
@@ -380,6 +385,7 @@
             )
             stages_ms = await self.runner.announce(job.work, job.data_centre)
             refusal = self.admission.check(job, stages_ms)
+            refusal = refusal or self.forecast.refusal(job)
             if refusal is not None:
                 await self.runner.withdraw(job.work)
                 return refusal
@@ -469,6 +475,7 @@
         self.metrics.count_request(
             outcome, str(job.route.kind), now_ms - job.arrived_ms
         )
+        self.running.end(job, outcome, status)
         events.log(
             events.RELAY_ENDED,
             request_id=job.request.request_id,
