Client of targets: a status outside 100 to 599 is no answer

Callers got answers with status 600 or 999 as they were, whole and signed.

Cause: h11 takes each status of 200 to 999 for that of a response, and nothing after it checked the range of HTTP (RFC 9110, section 15). The head is now checked where all clients read it, `_Connection.read_head`: relay, product targets, stage calls, reports, also through tunnels. The connection is closed and the attempt has failed as "may have run".

Ruled out: 000, 001, 099, 1000, 20, 2x0, -20 and an empty status never reached a caller (h11 rejects the line); 101 without an upgrade fails the attempt; interim responses without end are limited by MAX_INTERIM_RESPONSES (tests/test_floods.py); a 204 or 304 that bytes follow ends its connection, and a 304 that bytes follow is not passed on. These cases passed at once and are tests now.

Before / after: .venv/bin/python -m pytest tests/test_answer_heads.py; with the range of h11 (LAST_STATUS = 999) the six cases with 600 and 999 fail, the others pass; with 599 all pass.

--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client built on h11, with a pool of idle connections for each address."""
 
 import functools
-import re
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
@@ -12,6 +11,7 @@
 import curio
 import h11
 
+from wagtailrun.adapters.answer_heads import check_status, keep_alive_ms
 from wagtailrun.adapters.connection_pool import ConnectionPool, PooledConnection
 from wagtailrun.adapters.connector import (
     Connector,
@@ -77,9 +77,6 @@
 # Ranks of requests at servers that limit their requests.
 DEFAULT_URGENCY = 5
 LEAST_URGENT = 9
-# A pooled connection expires this long before the server would close it.
-KEEP_ALIVE_MARGIN_MS = 500
-KEEP_ALIVE_PATTERN = re.compile(r"timeout\s*=\s*(\d{1,6})")
 
 Headers = tuple[tuple[str | bytes, str | bytes], ...]
 
@@ -461,13 +458,14 @@
             timeout_ms: Time limit for the head, interim responses included.
 
         Raises:
-            TargetFailed: If the connection failed, the time is over or there are too
-                many interim responses.
+            TargetFailed: If the connection failed, the time is over, the status is none
+                of HTTP or there are too many interim responses.
         """
         ends_ms = self.clock.now_ms() + timeout_ms
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event(ends_ms - self.clock.now_ms())
             if isinstance(event, h11.Response):
+                check_status(event)
                 self._hold_head(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -753,7 +751,9 @@
         finally:
             connection.release_memory()
         await self._record_end(permit, True)
-        _apply_keep_alive(connection, stream.headers)
+        limit_ms = keep_alive_ms(stream.headers)
+        if limit_ms is not None:
+            connection.max_idle_ms = min(limit_ms, MAX_IDLE_MS)
         await self.pool.release(address, connection)
 
     async def _record_end(self, permit: SendPermit | None, completed: bool) -> None:
@@ -779,14 +779,6 @@
         return _Connection(opened.sock, self.clock, opened.carrier, self.memory)
 
 
-def _apply_keep_alive(connection: _Connection, headers: dict[str, str]) -> None:
-    """Limit the idle time of a connection by the server's Keep-Alive header."""
-    match = KEEP_ALIVE_PATTERN.search(headers.get("keep-alive", "").lower())
-    if match is not None:
-        limit_ms = int(match.group(1)) * MS_PER_SECOND - KEEP_ALIVE_MARGIN_MS
-        connection.max_idle_ms = min(limit_ms, MAX_IDLE_MS)
-
-
 async def _send(
     connection: _Connection, request: h11.Request, body: bytes, timeout_ms: int
 ) -> None:
