Client of targets: an answer that comes while its request is sent is read

A target answered an upload of 4 MB at once with a whole 503 which says that nothing ran, and read no further. The caller got 502, "may have run", up to seconds later, and must not repeat a request that has not run.

Cause: the client wrote the whole request before it read. The write waited for a target that did not read, and ended with the connection; its error hid the answer, which had arrived. A body beyond one write (64 KB) is now sent by a task beside the reader (`adapters/uploads.py`): the head of an answer ends the wait, interim responses do not. After an unsuccessful answer nothing more is sent; beside a success the rest is sent until the answer is complete. A connection whose request was not sent completely is closed. After a failed write, also the single one of a short request, what has arrived is read. An answer is complete by Content-Length or chunks; if it ends with the connection before the request was sent, it is not: the write may have taken the error of a reset, and the read then shows an end.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -11,7 +11,7 @@
 
 from demo.processes import free_addresses
 from wagtailrun.adapters.http_client import DirectConnector, HttpClient
-from wagtailrun.adapters.http_server import HttpServer, Response
+from wagtailrun.adapters.http_server import MAX_BODY_BYTES, HttpServer, Response
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import OriginClient
 from wagtailrun.discovery.owners import Owners
@@ -199,6 +199,7 @@
     connector=None,
     run=curio.run,
     limit_s=10,
+    body_bytes=MAX_BODY_BYTES,
     **options,
 ):
     """Run ``client(address, engines)`` against a relay with prepared engines."""
@@ -259,7 +260,7 @@
         )
         on_handler(front)
         (address,) = free_addresses(1)
-        server = HttpServer(address, front.handle)
+        server = HttpServer(address, front.handle, body_bytes)
         await curio.spawn(server.serve, daemon=True)
         await curio.sleep(0.05)
         async with curio.timeout_after(limit_s):
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client built on h11, with a pool of idle connections for each address."""
 
 import functools
-from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from contextlib import asynccontextmanager
@@ -19,11 +18,12 @@
     OpenConnection,
     Reachability,
 )
+from wagtailrun.adapters.target_observer import SendPermit, TargetObserver
+from wagtailrun.adapters.uploads import Upload
 from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
 from wagtailrun.exceptions import SendForbidden, TargetFailed, Verdict
 from wagtailrun.fairness import Turns
 from wagtailrun.late_tasks import LATE_WAIT_MS
-from wagtailrun.membership import TargetRow
 from wagtailrun.memory_budget import (
     FIELD_BYTES,
     PROCESS_MEMORY,
@@ -147,7 +147,13 @@
         return http.their_state is not h11.SEND_BODY and bool(http.trailing_data[0])
 
     async def confirm(self) -> None:
-        """Let the observer record the response, which belongs to the request sent."""
+        """Let the observer record the response, which belongs to the request sent.
+
+        If it is unsuccessful, the server needs no more of the request.
+        """
+        upload = self.connection.upload
+        if upload is not None and self.status >= FIRST_FAILURE_STATUS:
+            await upload.stop()
         if self.observe is not None:
             await self.observe(self)
 
@@ -182,7 +188,10 @@
         event = await self.connection.next_event(timeout_ms)
         if isinstance(event, h11.Data):
             return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
+        # While the request was being sent, an end of the connection may be a reset.
+        if isinstance(event, h11.EndOfMessage) and (
+            self.connection.is_sent or not self.connection.received_end
+        ):
             return b""
         raise TargetFailed(
             "the connection was closed before the end of the body",
@@ -275,66 +284,6 @@
         self.connection.closing = True
 
 
-@attrs.frozen
-class SendPermit:
-    """Permission to send one request to a server that limits its requests.
-
-    Attributes:
-        target: The server.
-        expires_ms: Until when it may be sent; 0 if the server needed no permit.
-        number: Number of the request; 0 if it takes no slot of the server.
-    """
-
-    target: TargetRow
-    expires_ms: int
-    number: int = 0
-
-
-class TargetObserver(ABC):
-    """Decides about requests to servers by what their answers say about them."""
-
-    @abstractmethod
-    async def request_permit(
-        self, address: Address, urgency: int, takes_slot: bool
-    ) -> SendPermit | None:
-        """Permit a request before a connection is opened for it.
-
-        Args:
-            address: Address of the server.
-            urgency: Rank of the request, 0 to 9; 0 goes first.
-            takes_slot: Whether the request waits for a slot of the server and takes it.
-
-        Returns:
-            None if the server needs no permits.
-
-        Raises:
-            TargetPaused: If the server must not get a request yet.
-        """
-
-    @abstractmethod
-    def check(self, address: Address, permit: SendPermit | None) -> None:
-        """Check a permit again when the request is about to be sent.
-
-        Raises:
-            TargetPaused: If the server must not get the request now.
-        """
-
-    @abstractmethod
-    async def record_end(self, permit: SendPermit | None, completed: bool) -> None:
-        """Record the end of a request that was permitted, sent or not.
-
-        Args:
-            permit: Its permit.
-            completed: Whether its answer was read to the end, or it was not sent.
-        """
-
-    @abstractmethod
-    async def record_answer(
-        self, address: Address, stream: HttpStream, sent_ms: int
-    ) -> None:
-        """Record the head of an answer to a request that was sent at ``sent_ms``."""
-
-
 class _Connection:
     """A connection to a server, which carries one request at a time.
 
@@ -374,6 +323,9 @@
         self.idle_since_ms = 0
         self.max_idle_ms = MAX_IDLE_MS
         self.request: h11.Request | None = None
+        self.upload: Upload | None = None
+        # What ended the wait for an answer while the request was being sent.
+        self.early_event: Any = None
         # Number of requests sent, and the identities of the newest ones.
         self.requests = 0
         self.identities: deque[str] = deque(maxlen=MAX_IDENTITIES)
@@ -426,6 +378,64 @@
         if closed:
             self.http.receive_data(b"")
 
+    async def send(self, request: h11.Request, body: bytes, timeout_ms: int) -> None:
+        """Send a request, a large one until it is answered.
+
+        Args:
+            request: Head of the request.
+            body: Its body.
+            timeout_ms: Time limit, in milliseconds.
+
+        Raises:
+            TargetFailed: If the connection failed or the time is over.
+        """
+        self.request = request
+        parts = [
+            self.http.send(request),
+            self.http.send(h11.Data(body)),
+            self.http.send(h11.EndOfMessage()),
+        ]
+        self.upload = None
+        if len(body) > READ_BYTES:
+            self.upload = Upload(self.sock, parts, self._take_early)
+            await self.upload.send_until_answered(timeout_ms)
+            return
+        # One write; a copy of a larger body would take more memory than time.
+        data = b"".join(parts)
+        try:
+            async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
+                await self.sock.sendall(data)
+        except curio.TaskTimeout as error:
+            raise TargetFailed(str(error), verdict=Verdict.MAY_HAVE_RUN) from error
+        except OSError as error:
+            # The server may have answered before it closed the connection.
+            self.upload = Upload(self.sock, (data,), self._take_early)
+            self.upload.failure = error
+
+    def _take_early(self, data: bytes) -> bool:
+        """Take bytes received while a request is sent; see ``Upload``."""
+        self.received_end = not data
+        self.http.receive_data(data)
+        while isinstance(event := self.http.next_event(), h11.InformationalResponse):
+            self.upload.interims += 1
+            if self.upload.interims > MAX_INTERIM_RESPONSES:
+                break
+        if event is h11.NEED_DATA:
+            return False
+        self.early_event = event
+        return True
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the newest request was sent completely."""
+        return self.upload is None or self.upload.is_complete
+
+    async def close(self) -> None:
+        """Close the connection, whatever is being sent on it."""
+        if self.upload is not None:
+            await self.upload.stop()
+        await self.sock.close()
+
     async def read_awaited_head(
         self, timeout_ms: int, waits_ms: Iterator[int] | None
     ) -> h11.Response:
@@ -439,6 +449,8 @@
         Raises:
             TargetFailed: As ``read_head``.
         """
+        if self.upload is not None and self.upload.failure is not None:
+            return await self._read_arrived_head()
         ends_ms = self.clock.now_ms() + timeout_ms
         failure = None
         for wait_ms in waits_ms or (timeout_ms,):
@@ -451,6 +463,16 @@
                     break
         raise failure
 
+    async def _read_arrived_head(self) -> h11.Response:
+        """Return the head of a response that arrived before a write failed."""
+        try:
+            return await self.read_head(0)
+        except TargetFailed as error:
+            if not error.timed_out:
+                raise
+            failure = self.upload.failure
+            raise TargetFailed(str(failure), verdict=Verdict.MAY_HAVE_RUN) from failure
+
     async def read_head(self, timeout_ms: int) -> h11.Response:
         """Return the head of the response.
 
@@ -463,7 +485,9 @@
         """
         ends_ms = self.clock.now_ms() + timeout_ms
         for _ in range(MAX_INTERIM_RESPONSES + 1):
-            event = await self.next_event(ends_ms - self.clock.now_ms())
+            event, self.early_event = self.early_event, None
+            if event is None:
+                event = await self.next_event(ends_ms - self.clock.now_ms())
             if isinstance(event, h11.Response):
                 check_status(event)
                 self._hold_head(event)
@@ -558,6 +582,8 @@
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request."""
         is_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        # The server may take the next bytes for the rest of a body that was not sent.
+        is_done = is_done and self.is_sent
         # Bytes after a complete response belong to no request of this client.
         return is_done and not self.closing and not self.http.trailing_data[0]
 
@@ -731,7 +757,7 @@
             if identity:
                 connection.identities.append(identity)
             on_open(connection.carrier)
-            await _send(connection, request, body, timeout_ms)
+            await connection.send(request, body, timeout_ms)
             if on_sent is not None:
                 await on_sent()
             head = await connection.read_awaited_head(timeout_ms, head_waits_ms)
@@ -744,8 +770,10 @@
             if confirmed:
                 await stream.confirm()
             yield stream
+            if connection.upload is not None:
+                await connection.upload.stop()
         except BaseException:
-            await connection.sock.close()
+            await connection.close()
             await self._record_end(permit, connection.requests == requests_before)
             raise
         finally:
@@ -777,23 +805,3 @@
                 return connection
         opened = await self.connector.connect(address, connect_timeout_ms)
         return _Connection(opened.sock, self.clock, opened.carrier, self.memory)
-
-
-async def _send(
-    connection: _Connection, request: h11.Request, body: bytes, timeout_ms: int
-) -> None:
-    connection.request = request
-    parts = [
-        connection.http.send(request),
-        connection.http.send(h11.Data(body)),
-        connection.http.send(h11.EndOfMessage()),
-    ]
-    if len(body) <= READ_BYTES:
-        # One write; a copy of a larger body would take more memory than time.
-        parts = [b"".join(parts)]
-    try:
-        async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
-            for part in parts:
-                await connection.sock.sendall(part)
-    except (OSError, curio.TaskTimeout) as error:
-        raise TargetFailed(str(error), verdict=Verdict.MAY_HAVE_RUN) from error
--- /dev/null
+++ b/wagtailrun/adapters/target_observer.py
@@ -0,0 +1,74 @@
+"""Port by which an entry decides about requests to servers and learns of answers."""
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wagtailrun.membership import TargetRow
+from wagtailrun.ports.link import Address
+
+if TYPE_CHECKING:
+    from wagtailrun.adapters.http_client import HttpStream
+
+__all__ = ["SendPermit", "TargetObserver"]
+
+
+@attrs.frozen
+class SendPermit:
+    """Permission to send one request to a server that limits its requests.
+
+    Attributes:
+        target: The server.
+        expires_ms: Until when it may be sent; 0 if the server needed no permit.
+        number: Number of the request; 0 if it takes no slot of the server.
+    """
+
+    target: TargetRow
+    expires_ms: int
+    number: int = 0
+
+
+class TargetObserver(ABC):
+    """Decides about requests to servers by what their answers say about them."""
+
+    @abstractmethod
+    async def request_permit(
+        self, address: Address, urgency: int, takes_slot: bool
+    ) -> SendPermit | None:
+        """Permit a request before a connection is opened for it.
+
+        Args:
+            address: Address of the server.
+            urgency: Rank of the request, 0 to 9; 0 goes first.
+            takes_slot: Whether the request waits for a slot of the server and takes it.
+
+        Returns:
+            None if the server needs no permits.
+
+        Raises:
+            TargetPaused: If the server must not get a request yet.
+        """
+
+    @abstractmethod
+    def check(self, address: Address, permit: SendPermit | None) -> None:
+        """Check a permit again when the request is about to be sent.
+
+        Raises:
+            TargetPaused: If the server must not get the request now.
+        """
+
+    @abstractmethod
+    async def record_end(self, permit: SendPermit | None, completed: bool) -> None:
+        """Record the end of a request that was permitted, sent or not.
+
+        Args:
+            permit: Its permit.
+            completed: Whether its answer was read to the end, or it was not sent.
+        """
+
+    @abstractmethod
+    async def record_answer(
+        self, address: Address, stream: "HttpStream", sent_ms: int
+    ) -> None:
+        """Record the head of an answer to a request that was sent at ``sent_ms``."""
