Tunnels: a read that ends within a frame takes nothing of it

Cause: `_FrameSocket.read_frame` took the length of a frame and then waited for its bytes. A read that ended meanwhile, at a time limit after which the caller reads on, lost the length; the next read took the first bytes of the frame for one. A stream that waits on, and the reader beside an upload, end reads of tunnels in this way. Now nothing is taken before all has arrived.

Ruled out: calls of peers were not affected; they close the connection after a time limit, unless no byte of the length has arrived.

Conclusion: found by reading, not seen with callers.

--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -83,6 +83,13 @@
         Raises:
             EOFError: If the peer closed the connection.
         """
+        await self._receive(size)
+        data = bytes(self._received[:size])
+        del self._received[:size]
+        return data
+
+    async def _receive(self, size: int) -> None:
+        """Receive until ``size`` bytes can be read."""
         # One read takes the length and the frame together, which halves the system
         # calls of short messages.
         while len(self._received) < size:
@@ -91,9 +98,6 @@
                 raise EOFError("connection closed by peer")
             self._received += chunk
             await self._turns.take(len(chunk))
-        data = bytes(self._received[:size])
-        del self._received[:size]
-        return data
 
     async def read_some(self) -> bytes:
         """Return the next bytes, not framed; empty if the peer closed."""
@@ -106,18 +110,24 @@
     async def read_frame(self) -> bytes:
         """Return the next frame.
 
+        A read that is cancelled may be repeated: nothing of the frame is taken before
+        all of it has arrived.
+
         Raises:
             EOFError: If the peer closed the connection.
             MessageError: If the frame is too large.
         """
         self.frame_bytes = 0
-        (size,) = LENGTH.unpack(await self.read_exactly(LENGTH.size))
+        await self._receive(LENGTH.size)
+        (size,) = LENGTH.unpack_from(self._received)
         if size > MAX_FRAME_BYTES:
             raise MessageError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
         self.frame_bytes = size
         with PROCESS_MEMORY.hold(Kind.PEERS) as held:
             # Not refused: the processes of the system need each other's messages.
             held.record(size)
+            await self._receive(LENGTH.size + size)
+            del self._received[: LENGTH.size]
             return await self.read_exactly(size)
 
     async def write_frame(self, frame: bytes) -> None:
@@ -129,7 +139,8 @@
         """How much of the frame that is being read has arrived."""
         if not self.frame_bytes:
             return "no part of the reply"
-        return f"{len(self._received)} of {self.frame_bytes} bytes of the reply"
+        received = len(self._received) - LENGTH.size
+        return f"{received} of {self.frame_bytes} bytes of the reply"
 
     @property
     def has_unread_bytes(self) -> bool:
