soak: end the proxy of the links without a traceback; one place for late ends

What was seen: a run ended with `AssertionError: New tasks created during shutdown` of the link proxy, and its output had curio's warnings of `Way.write` operations that ended just after a time limit. A real error of the proxy would not have been noticed.

Cause: the proxy ended its commands and left its tasks to curio, which cancels the newest first and waits for each. The oldest are those that accept: they started tasks for connections that came meanwhile. The warnings were left out in the processes of the run and of the callers only.

Now the proxy ends its listeners, then its connections. `soak/curio_log.py` leaves out the warnings in all processes of the soak.

Ruled out: the look-up thread (curio's workers start no tasks).

Conclusion: what the proxy writes to the standard error is an error.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,10 +7,10 @@
 """
 
 import argparse
-import logging
 import signal
 import sys
 
+from soak.curio_log import ignore_late_ends
 from soak.faults import FAULTS_BY_NAME
 from soak.kinds import KINDS
 from soak.preflight import check_machine
@@ -88,8 +88,7 @@
         print(f"not started: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
 
-    # It warns of each receipt that ends just after its time.
-    logging.getLogger("curio.time").setLevel(logging.ERROR)
+    ignore_late_ends()
 
     def interrupt(number: int, frame: object) -> None:
         run.is_interrupted = True
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,7 +5,6 @@
 
 import itertools
 import json
-import logging
 import os
 import random
 import signal
@@ -17,6 +16,7 @@
 import cattrs
 import curio
 
+from soak.curio_log import ignore_late_ends
 from soak.dialect import (
     LASTING_KEY,
     RequestPlan,
@@ -390,8 +390,7 @@
     plan = cattrs.structure(json.loads(Path(sys.argv[1]).read_text()), SitePlan)
     writer = RecordWriter(Path(plan.folder) / "callers.records")
     callers = Callers(plan, writer)
-    # It warns of each receipt that ends just after its time.
-    logging.getLogger("curio.time").setLevel(logging.ERROR)
+    ignore_late_ends()
 
     def stop(number: int, frame: object) -> None:
         callers.is_running = False
--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -12,10 +12,12 @@
 from typing import Any
 
 import curio
-from attrs import define, field
+from attrs import define
 from curio.io import Socket
 
+from soak.curio_log import ignore_late_ends
 from soak.link_sources import Ends, find_sources
+from soak.link_usage import Totals
 from soak.links import (
     AddLink,
     Answer,
@@ -316,6 +318,7 @@
         self.upstream = command.upstream
         self.sock: Any = None
         self.acceptor: curio.Task | None = None
+        self.probe: curio.Task | None = None
         self.is_probing = False
 
     async def open(self) -> None:
@@ -365,7 +368,7 @@
         """Stop listening until the upstream listens again."""
         if not self.is_probing:
             self.is_probing = True
-            await curio.spawn(self._probe, daemon=True)
+            self.probe = await curio.spawn(self._probe, daemon=True)
 
     async def _probe(self) -> None:
         await self.close()
@@ -378,6 +381,13 @@
         self.is_probing = False
         await self.apply()
 
+    async def end(self) -> None:
+        """Listen no more, whatever faults and the upstream do."""
+        if self.probe is not None:
+            await self.probe.cancel()
+        self.is_probing = True
+        await self.close()
+
     async def _accept(self, listener: Any) -> None:
         while True:
             try:
@@ -392,54 +402,6 @@
             await self.proxy.run_connection(connection)
 
 
-@define
-class UsageTotal:
-    """Bytes of connections that have ended."""
-
-    connections: int = 0
-    bytes_to_upstream: int = 0
-    bytes_to_source: int = 0
-
-    def add(self, usage: LinkUsage) -> None:
-        """Add the bytes of one connection."""
-        self.connections += usage.connections
-        self.bytes_to_upstream += usage.bytes_to_upstream
-        self.bytes_to_source += usage.bytes_to_source
-
-
-@define(frozen=True)
-class UsageKey:
-    """Link and source of a total."""
-
-    link: str
-    source: str
-
-
-@define
-class Totals:
-    """Use of the links by link and source."""
-
-    by_key: dict[UsageKey, UsageTotal] = field(factory=dict)
-
-    def add(self, usage: LinkUsage) -> None:
-        """Add the bytes of one connection."""
-        key = UsageKey(usage.link, usage.source)
-        self.by_key.setdefault(key, UsageTotal()).add(usage)
-
-    def usage(self) -> list[LinkUsage]:
-        """Return the totals."""
-        return [
-            LinkUsage(
-                link=key.link,
-                source=key.source,
-                connections=total.connections,
-                bytes_to_upstream=total.bytes_to_upstream,
-                bytes_to_source=total.bytes_to_source,
-            )
-            for key, total in self.by_key.items()
-        ]
-
-
 class Proxy:
     """All links, their connections and the faults that are applied.
 
@@ -464,6 +426,11 @@
         stream = Socket(self._commands).as_stream()
         while line := await stream.readline():
             await stream.write(pack(await self._obey(unpack(line))))
+        # New connections would come while those before them are ended.
+        for link in self.links_by_name.values():
+            await link.end()
+        for connection in list(self.connections):
+            await connection.task.cancel()
 
     async def _obey(self, command: Any) -> Answer | Report:
         try:
@@ -591,6 +558,7 @@
 
 
 if __name__ == "__main__":
+    ignore_late_ends()
     # A connection that breaks ends the tasks of its ways with an error.
     logging.getLogger("curio.kernel").addFilter(is_unexpected)
     curio.run(main, int(sys.argv[1]))
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -12,6 +12,7 @@
 import cattrs
 import curio
 
+from soak.curio_log import ignore_late_ends
 from soak.dialect import SitePlan
 from soak.kinds import dialect_of
 from soak.records import RecordWriter
@@ -49,6 +50,7 @@
     # The process that started this one ends it.
     signal.signal(signal.SIGINT, signal.SIG_IGN)
     plan = cattrs.structure(json.loads(Path(sys.argv[1]).read_text()), SitePlan)
+    ignore_late_ends()
     curio.run(serve, plan)
 
 
--- a/tests/test_soak_links.py
+++ b/tests/test_soak_links.py
@@ -11,14 +11,16 @@
 import pytest
 
 from demo.processes import free_addresses
-from soak import link_sources
+from soak import link_proxy, link_sources
 from soak.link_sources import Ends, find_sources
 from soak.links import (
+    AddLink,
     Direction,
     Effect,
     LinkFault,
     LinkProxy,
     LinkProxyFailed,
+    pack,
 )
 from wagtailrun.ports.link import Address
 
@@ -449,3 +451,45 @@
         inodes = [str(os.fstat(sock.fileno()).st_ino) for sock in (one, other)]
         assert list(link_sources._inodes(ends).values()) == inodes
         assert find_sources(ends[:1], {os.getpid(): "me"}) == {ends[0]: "me"}
+
+
+def test_the_end_of_the_proxy_is_silent_beside_new_connections(monkeypatch):
+    """Guards against a traceback at the end, in which a real error does not show.
+
+    The tasks that accept connections ended after those of the connections.
+    """
+    listen, upstream = free_addresses(2)
+    close = link_proxy.close
+    clients = []
+
+    def connect():
+        with suppress(OSError):
+            clients.append(socket.create_connection((listen.host, listen.port)))
+
+    async def close_beside_a_new_connection(sock, resets):
+        connect()
+        await curio.sleep(0.02)
+        await close(sock, resets)
+
+    monkeypatch.setattr(link_proxy, "close", close_beside_a_new_connection)
+    own, child = socket.socketpair()
+    child.setblocking(False)
+
+    async def main():
+        echo = Echo(upstream)
+        await echo.start()
+        proxy = link_proxy.Proxy(child)
+        running = await curio.spawn(proxy.run)
+        command = AddLink(name="a", listen=listen, upstream=upstream)
+        await curio.run_in_thread(own.sendall, pack(command))
+        await curio.run_in_thread(own.recv, 65_536)
+        connect()
+        while not any(each.ways for each in proxy.connections):
+            await curio.sleep(0.01)
+        own.close()
+        await running.join()
+
+    curio.run(main)
+    assert len(clients) == 1
+    for sock in clients:
+        sock.close()
