Replicated state of evacuations of data centres

Cause: operators have no way to keep work away from the targets of a data centre.

Ruled out: a command of a new kind. A member of an earlier build cannot decode it and its state machine would raise on each start. Asking every member for its build before the first order would refuse the order while a member is down, which is when it is needed. An order is therefore the text of a RecordMembers command, which earlier builds apply as an audit record and pass on unchanged as leaders.

An order names the version that it was given at and has no effect at another one, so that a delayed copy cannot undo a later acknowledged order.

Conclusion: no caller sees a change yet.

--- a/wagtailrun/registry.py
+++ b/wagtailrun/registry.py
@@ -1,4 +1,4 @@
-"""Replicated state machine: fleet text, orders, engine orders, periods, audit trail."""
+"""Replicated state machine: fleet text, orders, engine orders, evacuations, audit."""
 
 import hashlib
 import json
@@ -11,6 +11,7 @@
 from wagtailrun.audit import AuditTrail
 from wagtailrun.codec import decode
 from wagtailrun.engine_order_table import ENGINE_ORDER_FIELDS, EngineOrderTable
+from wagtailrun.evacuations import EvacuationTable
 from wagtailrun.exceptions import WagtailrunError
 from wagtailrun.order_table import ORDER_FIELDS, OrderKey, OrderRecord, OrderTable
 from wagtailrun.ports.log import StateMachine
@@ -97,6 +98,7 @@
         self.changes_by_id: dict[str, TextVerdict] = {}
         self.closed_periods_by_name: dict[str, PeriodVerdict] = {}
         self.audit = AuditTrail()
+        self.evacuations = EvacuationTable()
         self.change_order: deque[tuple[int, str]] = deque()
         self.periods_with_totals: deque[str] = deque()
 
@@ -298,6 +300,7 @@
             verdict="recorded",
             subject=command.change,
         )
+        self.evacuations.apply(command.change, record.number)
         return MembersRecorded(record.number)
 
     # The texts of audit records are part of the snapshot and of the audit digests, so
@@ -354,6 +357,8 @@
             "audit_newest": self.audit.newest,
             "audit_head": self.audit.head,
             "audit": self.audit.rows(),
+            "evacuations_version": self.evacuations.version,
+            "evacuations": self.evacuations.data_centres,
         }
         return json.dumps(state, separators=(",", ":")).encode()
 
@@ -405,3 +410,7 @@
             self.closed_periods_by_name[values["period"]] = PeriodVerdict(**values)
             self._retain_totals(values["period"])
         self.audit.restore(state["audit"], state["audit_newest"], state["audit_head"])
+        if "evacuations" in state:
+            self.evacuations.restore(state["evacuations_version"], state["evacuations"])
+        else:
+            self.evacuations.restore_from_audit(self.audit.records)
--- a/wagtailrun/registry_messages.py
+++ b/wagtailrun/registry_messages.py
@@ -384,6 +384,9 @@
 class RecordMembers:
     """Command that records a change of the control members in the audit trail.
 
+    An order to evacuate a data centre is such a change, too; see
+    ``wagtailrun.evacuations``.
+
     Attributes:
         operator: Name of the operator.
         source: Address that the change was sent from.
