Evacuations reach all entries, whose views exclude the targets

Cause: an order that control members have replicated has to be in force at entries. The reply to a poll carries the evacuated data centres if their version is newer than the one that the entry states; a poll that is held is answered when an order is applied. The view of an entry excludes the targets there from all choices and from the check before a send, as those that leave; streams that have begun may not go on there either, draining targets included.

An entry keeps its version when a member that is behind, or of an earlier build, replies, and such a member does not confirm the entry's poll.

Members remember in which data centres targets, entries and members are, for the check of names in orders. New fields of the schema are appended.

Conclusion: metric evacuated_data_centres at entries and control members, event 750 with each change.

--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -11,6 +11,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus import Member
 from wagtailrun.consensus_state import Signal
+from wagtailrun.discovery.evacuations import FleetPlaces, log_evacuations
 from wagtailrun.discovery.messages import (
     AgedEntry,
     ConfigurationPart,
@@ -97,6 +98,7 @@
         member: Returns the member of the replicated log that drives the registry.
         address: Peer address of this process.
         heartbeat_ms: Time between two heartbeats of a target.
+        data_centre: Data centre of this process.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         member: Callable[[], Member],
         address: Address,
         heartbeat_ms: float,
+        data_centre: str = "",
     ):
         self.clock = clock
         self.link = link
@@ -131,6 +134,10 @@
         self.limits = TargetLimits(clock)
         self.origins = StreamOrigins(clock, self.membership)
         self.shared_versions = SharedVersions(clock, self.membership)
+        self.data_centre = data_centre
+        # All targets have sent a heartbeat to some member by then.
+        self.places = FleetPlaces(clock, self.target_timeout_ms)
+        self.places.record(data_centre)
         self.changed = Signal()
         self.share_requested = Signal()
         self.pending_confirmations: list[tuple[curio.Event, list[bool]]] = []
@@ -184,6 +191,7 @@
         """
         now_ms = self.clock.now_ms()
         before = self.membership.state_log.number
+        self.places.record(row.data_centre)
         if not self.membership.put(row, now_ms):
             return
         self.reported_targets.record_change(row.name)
@@ -263,7 +271,11 @@
             await curio.ignore_after(wait_ms / MS_PER_SECOND, self.changed.wait)
         confirmed = await self._await_confirmation()
         # A member that starts again has no configuration until its log is applied.
-        confirmed = confirmed and self.registry.revision >= poll.known.revision
+        confirmed = (
+            confirmed
+            and self.registry.revision >= poll.known.revision
+            and self.registry.evacuations.version >= poll.known.evacuations
+        )
         return self._make_update(poll.known, confirmed, poll.fetches_text)
 
     def _has_updates(self, known: NewsMarks) -> bool:
@@ -274,6 +286,7 @@
             or known.revision < self.registry.revision
             or known.crashes < self.quarantine.log.number
             or known.limits < self.limits.log.number
+            or known.evacuations < self.registry.evacuations.version
         )
 
     def _make_update(
@@ -291,6 +304,8 @@
         )
         entries_changed = not same_epoch or known.entries != self.entries_mark
         newer = self.registry.revision > known.revision
+        evacuations = self.registry.evacuations
+        evacuations_changed = evacuations.version > known.evacuations
         return News(
             marks=NewsMarks(
                 epoch=self.epoch,
@@ -299,6 +314,7 @@
                 revision=self.registry.revision if newer else known.revision,
                 crashes=crashes_mark,
                 limits=limits_mark,
+                evacuations=max(evacuations.version, known.evacuations),
             ),
             text=self.registry.text if newer and not fetches_text else "",
             confirmed=confirmed,
@@ -308,6 +324,7 @@
             crashes=self.quarantine.rows(crashes),
             limits=self.limits.rows(limits),
             remembers_versions=True,
+            evacuations=evacuations.data_centres if evacuations_changed else (),
         )
 
     def _get_configuration_part(self, request: FetchConfiguration) -> ConfigurationPart:
@@ -364,10 +381,16 @@
                 await done.set()
 
     async def _watch_configuration(self) -> None:
-        revision = 0
+        revision = evacuations_version = 0
         while True:
             member = self.member()
             await curio.ignore_after(1.0, member.applied.wait)
+            evacuations = self.registry.evacuations
+            if evacuations.version > evacuations_version:
+                before, evacuations_version = evacuations_version, evacuations.version
+                names = evacuations.data_centres
+                log_evacuations(evacuations_version, before, names)
+                await self.changed.notify()
             if self.registry.revision > revision:
                 revision = self.registry.revision
                 events.log(events.FLEET_CONFIG_APPLIED, revision=revision)
@@ -387,6 +410,7 @@
             return False
         if age_ms >= ENTRY_TIMEOUT_MS:
             return False
+        self.places.record(row.data_centre)
         before_ms = self.entry_last_contact_ms.get(row.name, last_contact_ms)
         self.entry_last_contact_ms[row.name] = max(before_ms, last_contact_ms)
         # Entries must learn that another one was started again: it has forgotten what
@@ -458,6 +482,7 @@
             entries=tuple(entries),
             crashes=self.quarantine.rows(crashes),
             limits=self.limits.rows(limits),
+            data_centre=self.data_centre,
         )
         rows = [self._aged(name) for name in names]
         try:
@@ -521,7 +546,10 @@
     async def _merge_rows(self, message: ShareRows) -> RowsTaken:
         now_ms = self.clock.now_ms()
         before = self.membership.state_log.number
+        if message.data_centre:
+            self.places.record(message.data_centre)
         for aged in message.targets:
+            self.places.record(aged.row.data_centre)
             if self.membership.put(aged.row, now_ms, aged.age_ms):
                 self._retire_address(aged.row, now_ms)
         await self._release_targets(message.targets)
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -225,6 +225,8 @@
             exist; it may not have applied it yet.
         crashes: Number of the newest change of crash evidence.
         limits: Number of the newest change of the limits of targets.
+        evacuations: Version of the newest evacuations that the entry knows; 0 from a
+            member of an earlier build.
     """
 
     epoch: int = 0
@@ -233,6 +235,7 @@
     revision: int = 0
     crashes: int = 0
     limits: int = 0
+    evacuations: int = 0
 
 
 @attrs.frozen
@@ -271,6 +274,8 @@
         remembers_versions: Whether the member remembers the software versions of
             targets that were replaced under their names. One of an earlier build does
             not.
+        evacuations: All evacuated data centres, if ``marks`` has a newer version than
+            the entry.
     """
 
     marks: NewsMarks
@@ -282,6 +287,7 @@
     crashes: tuple[AgedEvidence, ...] = independent_rows(default=())
     limits: tuple[AgedLimit, ...] = independent_rows(default=())
     remembers_versions: bool = False
+    evacuations: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -368,6 +374,8 @@
         entries: Rows of entries.
         crashes: Evidence of crashes under prompts.
         limits: Limits of targets.
+        data_centre: Data centre of the sender; empty from an earlier build, and in the
+            further parts of a message.
     """
 
     sender: str
@@ -375,6 +383,7 @@
     entries: tuple[AgedEntry, ...] = independent_rows(default=())
     crashes: tuple[AgedEvidence, ...] = independent_rows(default=())
     limits: tuple[AgedLimit, ...] = independent_rows(default=())
+    data_centre: str = ""
 
 
 @attrs.frozen
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -11,6 +11,7 @@
 from wagtailrun.consensus_state import Signal
 from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.discovery.entry_reports import EntryReports, Report
+from wagtailrun.discovery.evacuations import EvacuationView
 from wagtailrun.discovery.messages import (
     ConfigurationPart,
     FetchConfiguration,
@@ -109,6 +110,7 @@
         self.entries: tuple[EntryRow, ...] = (own,)
         # Set by this entry from its own connections.
         self.away_data_centres: frozenset[str] = frozenset()
+        self.evacuations = EvacuationView()
         self._near_entries: tuple[EntryRow, ...] = self.entries
         self._near_entries_of = self.entries, self.away_data_centres
         self.table: RouteTable | None = None
@@ -211,13 +213,13 @@
 
         Unresponsive targets are returned only if there are no others: they may be
         unreachable for the control members and still reachable from here. Targets in
-        data centres that are away are left out.
+        data centres that are away or evacuated are left out.
         """
         rows = self.membership.rows_by_service.get(service, {}).values()
         active = [row for row in rows if not row.leaving]
-        if self.away_data_centres:
-            away = self.away_data_centres
-            active = [row for row in active if row.data_centre not in away]
+        closed = self.away_data_centres | self.evacuations.data_centres
+        if closed:
+            active = [row for row in active if row.data_centre not in closed]
         return [row for row in active if not row.silent] or active
 
     def present_targets(self) -> list[TargetRow]:
@@ -268,11 +270,11 @@
     def may_continue_at(self, row: TargetRow) -> bool:
         """Return whether a stream that has begun may be sent to a target now.
 
-        A target that drains may get it for a while, one that said in an answer that it
-        leaves may not.
+        A target that drains may get it for a while. One that said in an answer that it
+        leaves may not, nor one in an evacuated data centre.
         """
         known = self.membership.targets_by_name.get(row.name, row)
-        if known.incarnation > row.incarnation:
+        if known.incarnation > row.incarnation or self.evacuations.includes(known):
             return False
         if not known.leaving:
             return True
@@ -343,14 +345,18 @@
         return self.membership.targets_by_name.get(name)
 
     def is_leaving(self, row: TargetRow) -> bool:
-        """Return whether a target left, or was replaced, since ``row`` was read."""
+        """Return whether a target left, or was replaced, since ``row`` was read.
+
+        A target whose data centre is evacuated counts as one that leaves.
+        """
         known = self.membership.targets_by_name.get(row.name, row)
-        return known.leaving or known.incarnation > row.incarnation
+        is_closed = known.leaving or self.evacuations.includes(known)
+        return is_closed or known.incarnation > row.incarnation
 
     def has_left(self, name: str) -> bool:
-        """Return whether the target of this name is known to leave."""
+        """Return whether the target of this name is known to leave; see above."""
         known = self.membership.targets_by_name.get(name)
-        return known is not None and known.leaving
+        return known is not None and self.is_leaving(known)
 
     async def mark_leaving(self, row: TargetRow) -> None:
         """Use a target no more, as it said that it leaves; tell the other entries."""
@@ -544,7 +550,7 @@
             self.versions_since_ms = None
         elif is_new_member or self.versions_since_ms is None:
             self.versions_since_ms = self.clock.now_ms()
-        self.marks = news.marks
+        self.marks = self.evacuations.apply(news)
         # Another member, or one that was restarted and may know nothing.
         await self.reports.request(to_new_member=is_new_member)
         if self._lacks_newest:
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -416,6 +416,21 @@
     "short of descriptors.",
     per_second=1,
 )
+EVACUATIONS_APPLIED = _event(
+    750,
+    logging.WARNING,
+    "The evacuated data centres changed in this process; none of their targets gets "
+    "work from here.",
+    limited=False,
+)
+EVACUATION_DECIDED = _event(
+    751,
+    logging.WARNING,
+    "An operator ordered or withdrew the evacuation of a data centre; accepted tells "
+    "the result.",
+    "If accepted is false, see detail; the operator was told the status.",
+    limited=False,
+)
 DATA_CENTRE_AWAY = _event(
     746,
     logging.ERROR,
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -173,6 +173,7 @@
             lambda: self.member,
             settings.peer_address,
             settings.heartbeat_ms,
+            settings.data_centre,
         )
         self.fleet_configuration = FleetConfigurationStore(self)
         self.operator_handler = make_handler(self.fleet_configuration, self.hub)
@@ -218,6 +219,11 @@
         gauge("term", "Term of the replicated log.", lambda: self.member.term)
         gauge("commit_index", "Committed entries.", lambda: self.member.commit_index)
         gauge("revision", "Revision in force.", lambda: self.registry.revision)
+        gauge(
+            "evacuated_data_centres",
+            "Data centres to whose targets entries send nothing, by order.",
+            lambda: len(self.registry.evacuations.data_centres),
+        )
         gauge(
             "voters",
             "Members that vote.",
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -374,6 +374,11 @@
             "Data centres that neither this entry nor others beside it reach.",
             lambda: len(reach.absences_by_data_centre),
         )
+        gauge(
+            "evacuated_data_centres",
+            "Data centres to whose targets this entry sends nothing, by order.",
+            lambda: len(self.view.evacuations.data_centres),
+        )
         gauge(
             "away_probes",
             "Connections that this entry tried to data centres that were away.",
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -30,6 +30,7 @@
   revision @3 :UInt64;
   crashes @4 :UInt64;
   limits @5 :UInt64;
+  evacuations @6 :UInt64;
 }
 
 struct PartSet { parts @0 :List(Text); }
@@ -74,6 +75,7 @@
   crashes @6 :List(AgedEvidence);
   limits @7 :List(AgedLimit);
   remembersVersions @8 :Bool;
+  evacuations @9 :List(Text);
 }
 
 struct ReportLeaving { target @0 :Text; incarnation @1 :UInt64; }
@@ -106,6 +108,7 @@
   entries @2 :List(AgedEntry);
   crashes @3 :List(AgedEvidence);
   limits @4 :List(AgedLimit);
+  dataCentre @5 :Text;
 }
 
 struct RowsTaken { epoch @0 :UInt64; }
