Nothing with work is sent to targets of an evacuated data centre

Cause: requests and stage calls are chosen before a connection is opened, and an order may arrive meanwhile. The check just before a send, which all requests of an entry pass, now forbids those that take a slot of a target there: attempts, retries, continued streams and stage calls. Releases of results and reports are still sent. An entry also opens no tunnel to such a target for another one.

Tests: FakeView of tests/test_relay_front.py and Harness of tests/test_notices.py have evacuations, which are empty unless a test sets them.

Conclusion: what runs at such a target ends there; a stream that breaks there, or that a caller takes up, goes on at a target of its version elsewhere.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -21,6 +21,7 @@
     send,
     stream,
 )
+from wagtailrun.discovery.evacuations import EvacuationView
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import TargetFailed, TargetPaused
 from wagtailrun.membership import TargetRow
@@ -166,6 +167,7 @@
         self.notice = TargetNotice()
         self.left = []
         self.limits = TargetLimits(clock)
+        self.evacuations = EvacuationView()
         self.notices = TargetNotices(clock, self, self, lone_grants(clock, self), seed)
 
     def row_at(self, address):
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -14,6 +14,7 @@
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import OriginClient
+from wagtailrun.discovery.evacuations import EvacuationView
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
@@ -69,6 +70,7 @@
     limits: TargetLimits = attrs.field(factory=lambda: TargetLimits(SystemClock()))
     members: list = attrs.field(factory=list)
     away_data_centres: frozenset = frozenset()
+    evacuations: EvacuationView = attrs.field(factory=EvacuationView)
 
     def ranked_members(self):
         return self.members
@@ -77,7 +79,7 @@
         return True
 
     def targets(self, service):
-        away = self.away_data_centres
+        away = self.away_data_centres | self.evacuations.data_centres
         rows = [row for row in self.rows if not row.leaving]
         return [row for row in rows if row.data_centre not in away]
 
@@ -105,10 +107,12 @@
         pass
 
     def is_leaving(self, row):
-        return any(each.leaving for each in self.rows if each.name == row.name)
+        return self.evacuations.includes(row) or any(
+            each.leaving for each in self.rows if each.name == row.name
+        )
 
     def may_continue_at(self, row):
-        return all(
+        return not self.evacuations.includes(row) and all(
             not each.leaving or each.draining
             for each in self.rows
             if each.name == row.name
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -320,6 +320,7 @@
 
         Raises:
             TargetPaused: If the server must not get the request now.
+            SendForbidden: If it must not get any work.
         """
 
     @abstractmethod
@@ -698,7 +699,8 @@
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
-                False. The process may have been paused since the caller checked it.
+                False. The process may have been paused since the caller checked it. Or
+                if the observer forbids it.
             TargetPaused: If the observer does not permit the request.
         """
         permit = None
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -10,7 +10,7 @@
 from wagtailrun.adapters.http_client import HttpStream, SendPermit, TargetObserver
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
-from wagtailrun.exceptions import TargetPaused
+from wagtailrun.exceptions import SendForbidden, TargetPaused
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.port import MalformedBound, RelayWire
@@ -167,6 +167,8 @@
             raise TargetPaused(f"{address} asked for a pause", left_ms)
         row = self.view.row_at(address)
         takes_slot = permit is None or permit.number > 0
+        if row is not None and takes_slot and self.view.evacuations.includes(row):
+            raise SendForbidden(f"the data centre {row.data_centre} is evacuated")
         if row is not None and self._needs_grant(row, takes_slot):
             self._check_permit(row, permit)
         self._begin_trial(address)
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -467,6 +467,10 @@
             return TunnelRefused(TunnelRefusal.NO_PATH, f"no path to {address}")
         if message.target and self._has_left(message):
             return TunnelRefused(TunnelRefusal.LEFT, f"{message.target} leaves")
+        row = None if message.probe else self.view.row_at(address)
+        if row is not None and self.view.evacuations.includes(row):
+            detail = f"the data centre {row.data_centre} is evacuated"
+            return TunnelRefused(TunnelRefusal.LEFT, detail)
         wait_ms = 0 if message.probe else self.begin_request(address)
         if wait_ms:
             detail = f"{address} takes no requests for {wait_ms} ms"
