--- a/wagtailrun/registry.py
+++ b/wagtailrun/registry.py
@@ -357,8 +357,7 @@
             "audit_newest": self.audit.newest,
             "audit_head": self.audit.head,
             "audit": self.audit.rows(),
-            "evacuations_version": self.evacuations.version,
-            "evacuations": self.evacuations.data_centres,
+            "evacuations": self.evacuations.rows(),
         }
         return json.dumps(state, separators=(",", ":")).encode()
 
@@ -411,6 +410,6 @@
             self._retain_totals(values["period"])
         self.audit.restore(state["audit"], state["audit_newest"], state["audit_head"])
         if "evacuations" in state:
-            self.evacuations.restore(state["evacuations_version"], state["evacuations"])
+            self.evacuations.restore(state["evacuations"])
         else:
             self.evacuations.restore_from_audit(self.audit.records)
