Operators order and withdraw evacuations at any control member

Cause: the replicated state had no way in. POST and DELETE /evacuations/ZONE are translated to EvacuationOrders, which compares the confirmed state with what is asked for, gives an order at its version and compares again. So the answer is the same at each member and when repeated, is only given once the log has committed the order, and does not depend on the build of the leader.

A name that nothing in the fleet has is refused with 404; a member that knows the fleet for less than 3.5 heartbeats answers 503 instead, with Retry-After. A data centre that is evacuated is always known. Malformed names and bodies are refused with 400, the 257th evacuation with 409.

Ruled out: the check of names at the leader. It would need a further reply, and an older leader has none; members share what they know every 0.4 s.

Conclusion: the change of FleetConfigurationStore is only that passing on to the leader is a method now.

--- a/wagtailrun/adapters/http_messages.py
+++ b/wagtailrun/adapters/http_messages.py
@@ -29,6 +29,8 @@
     RefusalReason.UNKNOWN_PIPELINE: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
     RefusalReason.UNKNOWN_CALL: 404,
+    RefusalReason.UNKNOWN_DATA_CENTRE: 404,
+    RefusalReason.TOO_MANY_EVACUATIONS: 409,
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.INVALID_TEXT: 422,
     RefusalReason.STALE_REVISION: 409,
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -428,8 +428,8 @@
     logging.WARNING,
     "An operator ordered or withdrew the evacuation of a data centre; accepted tells "
     "the result.",
-    "If accepted is false, see detail; the operator was told the status.",
-    limited=False,
+    "If accepted is false, see detail.",
+    per_second=50,
 )
 DATA_CENTRE_AWAY = _event(
     746,
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -65,6 +65,9 @@
     ORDER_OPEN = "order-open"
     STALE_REVISION = "stale-revision"
     INVALID_TEXT = "invalid-text"
+    UNKNOWN_DATA_CENTRE = "unknown-data-centre"
+    FLEET_UNKNOWN = "fleet-unknown"
+    TOO_MANY_EVACUATIONS = "too-many-evacuations"
     DRAINING = "draining"
     INTERNAL = "internal"
 
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -28,7 +28,13 @@
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import PutText, TextVerdict
+from wagtailrun.registry_messages import (
+    NotLeader,
+    PutText,
+    TextVerdict,
+    Unavailable,
+)
+from wagtailrun.relay.evacuation_orders import EvacuationOrders
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.settings import RelayControlSettings
@@ -63,11 +69,42 @@
 
     Args:
         control: Control process of the member.
+
+    Attributes:
+        evacuations: Takes the orders to evacuate data centres, which go the same way.
     """
 
     def __init__(self, control: "RelayControl"):
         self.control = control
         self.client = ControlClient(control.clock, control.link, [])
+        self.evacuations = EvacuationOrders(
+            control.clock,
+            control.registry,
+            control.hub.places,
+            lambda timeout_ms: control.member.read_barrier(timeout_ms),
+            self.ask_leader,
+        )
+
+    async def ask_leader(self, message: Any, timeout_ms: int) -> Any:
+        """Return the leader's reply to a command.
+
+        Raises:
+            ConsensusUnavailable: If there is none, so that it is unknown whether the
+                command takes effect.
+        """
+        control = self.control
+        self.client.addresses = control.member_addresses()
+        if not control.member.is_leader:
+            return await self.client.call_leader(message, timeout_ms)
+        reply = await control.service.handle(message)
+        if isinstance(reply, NotLeader):
+            detail = f"{control.settings.name} is not the leader any more"
+            raise ConsensusUnavailable(detail, may_have_committed=False)
+        if isinstance(reply, Unavailable):
+            raise ConsensusUnavailable(
+                reply.detail, may_have_committed=reply.may_have_committed
+            )
+        return reply
 
     async def put(
         self, configuration: Configuration, source: str
@@ -85,12 +122,8 @@
         control = self.control
         version = configuration.table.version
         message = PutText(version, "operator", source, configuration.text, 0)
-        self.client.addresses = control.member_addresses()
         try:
-            if control.member.is_leader:
-                reply = await control.service.handle(message)
-            else:
-                reply = await self.client.call_leader(message, PUT_TIMEOUT_MS)
+            reply = await self.ask_leader(message, PUT_TIMEOUT_MS)
         except ConsensusUnavailable as error:
             reply = error
         accepted = isinstance(reply, TextVerdict)
