--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -722,7 +722,8 @@
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
-                False. The process may have been paused since the caller checked it.
+                False. The process may have been paused since the caller checked it. Or
+                if the observer forbids it.
             TargetPaused: If the observer does not permit the request.
         """
         permit = None
--- a/wagtailrun/adapters/target_observer.py
+++ b/wagtailrun/adapters/target_observer.py
@@ -56,6 +56,7 @@
 
         Raises:
             TargetPaused: If the server must not get the request now.
+            SendForbidden: If it must not get any work.
         """
 
     @abstractmethod
