Log the idle connections that a planned stop closes, and what crosses

A try of a caller ended without an answer beside a planned stop, and no line told of it: a request that crosses the close of its idle connection is never read. Event 105 sums up the connections that a stop has closed, event 106 is written for each on which bytes arrive within 200 ms of the close.

Cause: the connection was closed at once, so that the reset of what came after was the kernel's alone. The sending direction is closed first now, which the client sees as before, and the socket is kept for 200 ms. Bytes that arrive stay unread and are reset, so that the client may send any request again.

Ruled out: reading the bytes. A process that has read a request and gives no answer has lost it; the sending direction is closed, so none can be given.

The tests fail before for want of the events.

--- /dev/null
+++ b/tests/test_closed_connections.py
@@ -0,0 +1,103 @@
+"""Tests of what the log tells of connections that a planned stop closes."""
+
+import curio
+import pytest
+
+from tests.test_http_server import GOOD, echo, with_server
+from tests.test_server_close import connect
+from wagtailrun import events
+from wagtailrun.adapters.closed_connections import WATCH_MS
+from wagtailrun.clock import MS_PER_SECOND
+
+pytestmark = pytest.mark.network
+
+MANY = 40
+
+
+def fields_of(logged, event):
+    return [fields for each, fields in logged if each is event]
+
+
+async def kept_connection(address):
+    """Return a connection that waits for its second request."""
+    sock = await connect(address, GOOD)
+    await sock.recv(65_536)
+    return sock
+
+
+async def end_of(sock):
+    try:
+        return await sock.recv(65_536)
+    except OSError as error:
+        return type(error)
+
+
+def run_stop(client):
+    """Drain a server beside ``client(sock)``; return its result and the handled."""
+    handled = []
+
+    async def handler(request):
+        handled.append(request)
+        return await echo(request)
+
+    async def main(address, server):
+        sock = await kept_connection(address)
+        await curio.sleep(0.25)
+        await server.drain()
+        # The server's task closes the connection in its turn.
+        await curio.sleep(0.02)
+        result = await client(sock)
+        await curio.sleep(2 * WATCH_MS / MS_PER_SECOND)
+        return result, len(handled)
+
+    return with_server(handler, main)
+
+
+def test_log_tells_of_a_request_that_crosses_the_close(logged):
+    """Guards against a request of which no line tells that it was never read."""
+
+    async def client(sock):
+        await sock.sendall(GOOD)
+        return await end_of(sock), await end_of(sock)
+
+    ends, handled = run_stop(client)
+    assert ends[0] in (b"", ConnectionResetError)
+    assert handled == 1
+    (crossed,) = fields_of(logged, events.CLOSE_CROSSED)
+    assert crossed["peer"] == "127.0.0.1"
+    assert 200 <= crossed["idle_ms"] < 1_000
+    assert 0 < crossed["after_ms"] <= WATCH_MS
+    (closed,) = fields_of(logged, events.IDLE_CLOSED)
+    assert closed["connections"] == closed["crossed"] == 1
+    assert closed["min_idle_ms"] == crossed["idle_ms"]
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_log_tells_of_no_request_where_the_client_sent_none(closes, logged):
+    """Guards against a client's own close that is taken for a request."""
+
+    async def client(sock):
+        if closes:
+            await sock.close()
+            return b""
+        return await end_of(sock)
+
+    assert run_stop(client) == (b"", 1)
+    assert not fields_of(logged, events.CLOSE_CROSSED)
+    (closed,) = fields_of(logged, events.IDLE_CLOSED)
+    assert closed["connections"] == 1
+    assert closed["crossed"] == 0
+
+
+def test_close_of_many_connections_is_one_line(logged):
+    """Guards against a stop that floods the log."""
+
+    async def main(address, server):
+        socks = [await kept_connection(address) for _ in range(MANY)]
+        await server.drain()
+        await curio.sleep(3 * WATCH_MS / MS_PER_SECOND)
+        return [await end_of(sock) for sock in socks]
+
+    assert with_server(echo, main) == [b""] * MANY
+    (closed,) = fields_of(logged, events.IDLE_CLOSED)
+    assert closed["connections"] == MANY
--- /dev/null
+++ b/wagtailrun/adapters/closed_connections.py
@@ -0,0 +1,98 @@
+"""Tells which requests crossed the close of their idle connection in a planned stop."""
+
+import fcntl
+import socket
+import struct
+import termios
+from contextlib import suppress
+
+import curio
+
+from wagtailrun import events
+from wagtailrun.adapters.idle_connections import IdleConnection
+from wagtailrun.clock import MS_PER_SECOND
+
+__all__ = ["ClosedConnections"]
+
+# How long after its close a connection is watched. Longer than the way of a request
+# that its client sent before the close reached it, between distant data centres.
+WATCH_MS = 200
+WATCH_POLL_MS = 10
+
+
+class ClosedConnections:
+    """Watches the connections that a server closes while idle, as its process stops.
+
+    Bytes that arrive are left unread: the reset that follows tells the client that its
+    request was not received, so that any request may be sent again.
+
+    Args:
+        server: Address of the server, for the log.
+    """
+
+    def __init__(self, server: str):
+        self.server = server
+        self.watched = 0
+        self.closed = 0
+        self.crossed = 0
+        # The shortest time for which a closed connection was idle.
+        self.min_idle_ms: int | None = None
+
+    async def close(self, connection: IdleConnection, peer: str) -> None:
+        """Close the sending direction of a connection, and watch it for a while.
+
+        Args:
+            connection: Connection that was used before.
+            peer: Host of its client.
+        """
+        now_s = await curio.clock()
+        idle_ms = int((now_s - connection.idle_since_s) * MS_PER_SECOND)
+        self.closed += 1
+        if self.min_idle_ms is None or idle_ms < self.min_idle_ms:
+            self.min_idle_ms = idle_ms
+        self.watched += 1
+        try:
+            await self._watch(connection.sock, peer, idle_ms)
+        finally:
+            self.watched -= 1
+            if not self.watched:
+                self._log_closed()
+
+    async def _watch(self, sock: curio.io.Socket, peer: str, idle_ms: int) -> None:
+        # The client may have closed the connection at the same time.
+        with suppress(OSError):
+            await sock.shutdown(socket.SHUT_WR)
+        started_s = await curio.clock()
+        for _ in range(WATCH_MS // WATCH_POLL_MS):
+            await curio.sleep(WATCH_POLL_MS / MS_PER_SECOND)
+            if _was_crossed(sock):
+                after_ms = int((await curio.clock() - started_s) * MS_PER_SECOND)
+                self.crossed += 1
+                events.log(
+                    events.CLOSE_CROSSED,
+                    server=self.server,
+                    peer=peer,
+                    idle_ms=idle_ms,
+                    after_ms=after_ms,
+                )
+                return
+
+    def _log_closed(self) -> None:
+        events.log(
+            events.IDLE_CLOSED,
+            server=self.server,
+            connections=self.closed,
+            min_idle_ms=self.min_idle_ms,
+            crossed=self.crossed,
+        )
+
+
+def _was_crossed(sock: curio.io.Socket) -> bool:
+    """Return whether bytes came after the close, without reading them.
+
+    Linux resets a connection that gets bytes after both directions were shut down.
+    """
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return True
+    unread = fcntl.ioctl(sock.fileno(), termios.FIONREAD, struct.pack("i", 0))
+    return struct.unpack("i", unread)[0] > 0
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -12,6 +12,7 @@
 
 from wagtailrun import events
 from wagtailrun.adapters.answer_writes import write_answer
+from wagtailrun.adapters.closed_connections import ClosedConnections
 from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
 from wagtailrun.adapters.http_client import header_fields
 from wagtailrun.adapters.http_messages import (
@@ -165,6 +166,7 @@
         # Connections that waited for a descriptor until a planned stop refused others.
         self.waiting_connections = 0
         self.idle_connections: set[_ServerConnection] = set()
+        self.closed_connections = ClosedConnections(str(address))
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
 
@@ -328,6 +330,8 @@
                 refusal = self._first_refusal()
                 if refusal is not None:
                     await self._refuse_first_request(refusal)
+                elif self._is_closed_by_stop():
+                    await self.server.closed_connections.close(self, self.peer)
                 return
             self.was_used = True
             self._renew_limits()
@@ -387,6 +391,11 @@
             return INCOMPLETE_AT_STOP
         return self.idle_refusal
 
+    def _is_closed_by_stop(self) -> bool:
+        """Return whether to watch the connection; others may need its descriptor."""
+        server = self.server
+        return server.draining and not (self.was_closed or server.refuses_at_once)
+
     def _refusal_if_overloaded(self) -> Refusal | None:
         detail = self.server.overload()
         return _overload_refusal(detail) if detail else None
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -80,6 +80,18 @@
     "The event loop of this process was late, so that others seemed late to it.",
     "If used_ms is about late_ms, report the line; else give the VM processor time.",
 )
+IDLE_CLOSED = _event(
+    105,
+    logging.INFO,
+    "A planned stop has closed connections that waited for another request.",
+)
+CLOSE_CROSSED = _event(
+    106,
+    logging.INFO,
+    "Bytes arrived on an idle connection just after a planned stop had closed it.",
+    "Nothing: the client was told that its request was not received.",
+    per_second=10,
+)
 PEER_REJECTED = _event(
     200,
     logging.WARNING,
