A stopping entry stays ready while its data centre would lack it

Beside planned stops alone, callers found no connection: their load balancer sent them to entries that had ended and were not yet back.

Cause: each entry failed its readiness checks from its signal on, whatever became of the others. While fewer than half of the entries of a data centre are in rotation, the load balancer uses all of them, also those that are down; in a roll the next stop then exposes the end of the one before. A stopping entry now answers its checks as ready for up to 1.5 s while too few others would be in rotation and some are expected back, and accepts connections until two checks after that can have failed. It is out of rotation 3.5 s after its signal at the latest; the rule is 4 s. With a shorter grace period it stays for less.

Ruled out: a listener that closes too early.

Where an entry is not back within the stay of the next one, connections can still be sent to it.

--- /dev/null
+++ b/tests/test_rotation.py
@@ -0,0 +1,280 @@
+"""Tests of entries that stop while others of their data centre are away."""
+
+import itertools
+
+import curio
+import pytest
+
+from tests.test_http_server import GOOD
+from tests.test_relay_stop import make_entry
+from tests.test_server_close import connect, read_all
+from tests.virtual_sockets import run_with_virtual_sockets
+from wagtailrun.adapters.http_server import Request
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.ports.link import Address
+from wagtailrun.relay.rotation import REENTRY_MS
+from wagtailrun.routes import RequestLimits, build_route_table
+
+CHECK_MS = 1_000
+# The load balancer takes an entry out of rotation after this many failed checks.
+MISSES = 2
+STEP_MS = 10
+# How long a process is away between its end and its next start.
+RESTART_MS = 500
+STOP_MS = 4_600
+DRAIN_RULE_MS = 4_000
+CHECK = Request("GET", "/readyz", "", {}, b"", "127.0.0.1")
+
+
+def row(name, incarnation=1, data_centre="a"):
+    address = Address("127.0.0.1", 1)
+    return EntryRow(name, address, data_centre, incarnation)
+
+
+def ready_entry(others=()):
+    """Return an entry named ``e`` that is ready, and knows others."""
+    entry = make_entry()
+    entry.view.table = build_route_table(
+        1, [], [], [], RequestLimits(), demands_keys=True
+    )
+    entry.view.revision = 1
+    entry.view.entries = (row("e"), *map(row, others))
+    return entry
+
+
+def signal_stop(entry):
+    entry.signals.stop_count = 1
+    entry.signals.handled_ms = entry.signals.polled_ms = entry.clock.now_ms()
+
+
+async def check(entry):
+    """Return whether a readiness check now succeeds."""
+    entry.view.confirmed_ms = entry.clock.now_ms()
+    return (await entry.readiness.handle(CHECK)).status == 200
+
+
+async def checks_after_signal(entry, count=4):
+    """Return the results of checks, one every second, the first after 0.5 s."""
+    signal_stop(entry)
+    results = []
+    for _ in range(count):
+        await curio.sleep(0.5)
+        results.append(await check(entry))
+        await curio.sleep(0.5)
+    return results
+
+
+def run_checks(others, change=lambda entry: None):
+    """Return the results of checks after ``change`` and, 2 s later, a stop."""
+
+    async def main():
+        entry = ready_entry(others)
+        for _ in range(3):
+            assert await check(entry)
+            await curio.sleep(1)
+        change(entry)
+        for _ in range(2):
+            assert await check(entry)
+            await curio.sleep(1)
+        return await checks_after_signal(entry)
+
+    return run_with_virtual_sockets(main)
+
+
+def lose(*names):
+    """Return a function that leaves an entry only the others that are named."""
+
+    def change(entry):
+        entry.view.entries = (row("e"), *map(row, names))
+
+    return change
+
+
+@pytest.mark.parametrize(
+    ("others", "left"), [(["f"], []), (["f", "g"], ["f"]), (["f", "g", "h"], ["f"])]
+)
+def test_entry_stays_ready_while_others_are_away(others, left):
+    """Guards against connections that the load balancer sends to ended entries.
+
+    With fewer than half of a data centre in rotation it sends them to all its entries.
+    """
+    results = run_checks(others, lose(*left))
+    assert results == [True, False, False, False]
+
+
+@pytest.mark.parametrize(
+    ("others", "left"),
+    [([], []), (["f"], ["f"]), (["f", "g"], ["f", "g"]), (["f", "g", "h"], "fg")],
+)
+def test_entry_without_need_leaves_the_rotation_at_once(others, left):
+    """Guards against stops that keep the load balancer for nothing."""
+    assert run_checks(others, lose(*left)) == [False] * 4
+
+
+def test_entries_of_other_data_centres_do_not_count():
+    """Guards against an entry that waits for others that get no callers of its own."""
+
+    def change(entry):
+        entry.view.entries = (row("e"), row("f"))
+
+    async def main():
+        entry = ready_entry()
+        entry.view.entries = (row("e"), row("f"), row("g", data_centre="b"))
+        assert await check(entry)
+        await curio.sleep(2)
+        change(entry)
+        assert await check(entry)
+        return await checks_after_signal(entry)
+
+    assert run_with_virtual_sockets(main) == [False] * 4
+
+
+def test_entry_that_has_withdrawn_stays_out():
+    """Guards against a stopping entry that comes back into rotation."""
+
+    async def main():
+        entry = ready_entry(["f", "g"])
+        assert await check(entry)
+        await curio.sleep(2)
+        signal_stop(entry)
+        first = await check(entry)
+        lose("f")(entry)
+        await curio.sleep(0.2)
+        return first, await check(entry)
+
+    assert run_with_virtual_sockets(main) == (False, False)
+
+
+def test_restarted_entry_counts_after_its_next_check():
+    """Guards against trust in an entry that the load balancer does not use yet."""
+
+    async def main():
+        entry = ready_entry(["f"])
+        assert await check(entry)
+        await curio.sleep(2)
+        entry.view.entries = (row("e"), row("f", incarnation=2))
+        signal_stop(entry)
+        first = await check(entry)
+        await curio.sleep(REENTRY_MS / MS_PER_SECOND)
+        return first, await check(entry)
+
+    assert run_with_virtual_sockets(main) == (True, False)
+
+
+def test_listener_stays_open_until_two_checks_have_failed(stop_signal):
+    """Guards against an idle entry that ends while it is still in rotation."""
+    entry = ready_entry(["f"])
+    entry.signals.install()
+
+    async def main():
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        stopping = await curio.spawn(entry._stop_on_signal)
+        assert await check(entry)
+        await curio.sleep(0.2)
+        lose()(entry)
+        stop_signal()
+        await curio.sleep(1.4)
+        assert await check(entry)
+        for _ in range(MISSES):
+            await curio.sleep(CHECK_MS / MS_PER_SECOND)
+            assert not await check(entry)
+        answer = await read_all(await connect(entry.settings.caller_address, GOOD))
+        await stopping.join()
+        return answer[:9]
+
+    assert run_with_virtual_sockets(main) == b"HTTP/1.1 "
+
+
+class Member:
+    """One entry of a roll, as the load balancer and the other entries see it."""
+
+    def __init__(self, name, check_phase_ms):
+        self.name = name
+        self.phase_ms = check_phase_ms
+        self.incarnation = 0
+        self.misses = 0
+        self.in_rotation = True
+        self.signalled_ms = None
+        self.start()
+
+    def start(self):
+        self.entry = ready_entry()
+        self.incarnation += 1
+        self.signalled_ms = None
+        self.is_up = True
+
+    @property
+    def is_live(self):
+        return self.is_up and self.signalled_ms is None
+
+    async def be_checked(self, members):
+        others = [row(m.name, m.incarnation) for m in members if m.is_live]
+        self.entry.view.entries = tuple(
+            each for each in others if each.name != self.name
+        )
+        is_ready = self.is_up and await check(self.entry)
+        self.misses = 0 if is_ready else self.misses + 1
+        self.in_rotation = is_ready or (self.in_rotation and self.misses < MISSES)
+
+    def step(self, now_ms, signals_ms):
+        if now_ms in signals_ms:
+            signal_stop(self.entry)
+            self.signalled_ms = now_ms
+        if self.signalled_ms is None:
+            return
+        if now_ms == self.signalled_ms + STOP_MS:
+            self.is_up = False
+        if now_ms == self.signalled_ms + STOP_MS + RESTART_MS:
+            self.start()
+
+
+def run_roll(signals_ms_by_name, phases_ms):
+    """Return how long connections could be sent to an entry that is down, in ms."""
+
+    async def main():
+        members = [
+            Member(name, phase)
+            for name, phase in zip(signals_ms_by_name, phases_ms, strict=True)
+        ]
+        exposed_ms = longest_ms = now_ms = 0
+        end_ms = max(max(times) for times in signals_ms_by_name.values()) + 10_000
+        while now_ms < end_ms:
+            for member in members:
+                member.step(now_ms, signals_ms_by_name[member.name])
+                if now_ms % CHECK_MS == member.phase_ms:
+                    await member.be_checked(members)
+                if member.is_up and member.in_rotation and member.signalled_ms:
+                    longest_ms = max(longest_ms, now_ms - member.signalled_ms)
+            ready = sum(member.in_rotation for member in members)
+            uses_all = 2 * ready < len(members)
+            if any(not m.is_up and (m.in_rotation or uses_all) for m in members):
+                exposed_ms += STEP_MS
+            now_ms += STEP_MS
+            await curio.sleep(STEP_MS / MS_PER_SECOND)
+        return exposed_ms, longest_ms
+
+    return run_with_virtual_sockets(main)
+
+
+GAP_MS = 1_300
+# Signals to the three entries of a data centre in rolls of nine. An entry is back when
+# the next one can be out of rotation at the earliest: STOP_MS + RESTART_MS after its
+# signal, which are two gaps, MAX_STAY_MS and one interval of the checks.
+ROLL = {"f": (3 * GAP_MS,), "g": (6 * GAP_MS,), "h": (8 * GAP_MS,)}
+QUICK_ROLLS = {"f": (4_000, 24_000), "g": (7_690, 21_540), "h": (10_150, 17_690)}
+PHASES_MS = list(itertools.product((0, 450, 900), repeat=3))
+
+
+@pytest.mark.parametrize("phases_ms", PHASES_MS)
+def test_roll_of_a_data_centre_exposes_no_ended_entry(phases_ms):
+    """Guards against callers without a connection beside planned stops alone."""
+    exposed_ms, _ = run_roll(ROLL, phases_ms)
+    assert exposed_ms == 0
+
+
+@pytest.mark.parametrize("phases_ms", PHASES_MS[::5])
+def test_stopping_entry_leaves_the_rotation_in_time(phases_ms):
+    """Guards against entries that are ready 4 s after their signal (DRAIN)."""
+    _, longest_ms = run_roll(QUICK_ROLLS, phases_ms)
+    assert longest_ms < DRAIN_RULE_MS
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -37,7 +37,8 @@
 )
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, run_daemon
-from wagtailrun.relay.readiness import Readiness
+from wagtailrun.relay.readiness import Readiness, max_stay_ms
+from wagtailrun.relay.rotation import Rotation
 from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
@@ -273,7 +274,13 @@
             limits=self._server_limits,
             overload=self._overload,
         )
-        self.readiness = Readiness(self.view, self.signals, self._overload)
+        self.readiness = Readiness(
+            self.view,
+            self.signals,
+            self._overload,
+            Rotation(self.clock, own_row, self.view.live_entries),
+            max_stay_ms(self._grace_ms()),
+        )
         self.ready_server = HttpServer(
             settings.ready_address, self.readiness.handle, checks=lambda path: True
         )
@@ -530,6 +537,10 @@
         notice_ends_ms = self.signals.stopped_ms + notice_ms
         notice_ends_ms = min(notice_ends_ms, stop.answers_end_ms)
         await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
+        # If this entry stayed ready for others, its notice began later.
+        stay_ends_ms = self.readiness.last_ready_ms + notice_ms
+        stay_ends_ms = min(stay_ends_ms, stop.accepts_end_ms)
+        await self.clock.sleep_ms(stay_ends_ms - self.clock.now_ms())
         await self.caller_server.drain()
         await self._finish_requests(stop)
 
