Answers announce how long their connection is kept; a stop keeps it so long

A caller's request crossed the close of its idle connection at a stopping entry and got no answer. That is allowed, and the caller repeats it; but it need not happen.

Cause: an entry closed a connection 200 ms after its last answer, once its notice was over, though nothing had told the caller. A connection that was idle all through the notice could not be told at all.

Connections idle since before the signal are not reused when the notice ends. Others are kept, without delaying the end of the process, until their announced time and 500 ms are over; the next request on them is answered with Connection: close. The limits of a server move to a module of their own.

--- a/wagtailrun/adapters/closed_connections.py
+++ b/wagtailrun/adapters/closed_connections.py
@@ -32,6 +32,8 @@
 
     def __init__(self, server: str):
         self.server = server
+        # Whether connections keep their descriptors while they are watched.
+        self.is_watching = True
         self.watched = 0
         self.closed = 0
         self.crossed = 0
@@ -45,6 +47,8 @@
             connection: Connection that was used before.
             peer: Host of its client.
         """
+        if not self.is_watching:
+            return
         now_s = await curio.clock()
         idle_ms = int((now_s - connection.idle_since_s) * MS_PER_SECOND)
         self.closed += 1
@@ -64,6 +68,8 @@
             await sock.shutdown(socket.SHUT_WR)
         started_s = await curio.clock()
         for _ in range(WATCH_MS // WATCH_POLL_MS):
+            if not self.is_watching:
+                return
             await curio.sleep(WATCH_POLL_MS / MS_PER_SECOND)
             if _was_crossed(sock):
                 after_ms = int((await curio.clock() - started_s) * MS_PER_SECOND)
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -6,7 +6,6 @@
 from contextlib import contextmanager
 from typing import Any
 
-import attrs
 import curio
 import h11
 
@@ -28,8 +27,10 @@
     IdleConnection,
     end_idle,
 )
+from wagtailrun.adapters.keep_alive import keep_alive_s
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.adapters.platform_checks import is_check
+from wagtailrun.adapters.server_limits import ServerLimits
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
 from wagtailrun.fairness import Turns
@@ -80,24 +81,6 @@
 # Responses to this method have no body; h11 does not send one.
 HEAD_METHOD = b"HEAD"
 
-
-@attrs.frozen
-class ServerLimits:
-    """Limits on the size and duration of requests.
-
-    Attributes:
-        header_bytes: Largest request head, in bytes.
-        body_bytes: Largest request body, in bytes.
-        header_ms: Time limit for receiving a request head, in milliseconds.
-        idle_ms: Time limit for an idle connection, in milliseconds.
-    """
-
-    header_bytes: int
-    body_bytes: int
-    header_ms: int
-    idle_ms: int
-
-
 HttpHandler = Callable[[Request], Awaitable[Response]]
 
 INCOMPLETE_AT_STOP = Refusal(
@@ -129,6 +112,9 @@
             first byte: what is admitted counts in ``unanswered_requests`` from then on.
         checks: Returns whether a path is that of a check of the platform, which is
             answered also without room for requests; by default none is.
+        notice_ms: How long before its drain this server is closing at least, in
+            milliseconds. Answers announce no longer idle time, so that no request
+            crosses the close of its connection; by default they announce none.
     """
 
     def __init__(
@@ -141,8 +127,10 @@
         memory: MemoryBudget = PROCESS_MEMORY,
         overload: Callable[[], str] | None = None,
         checks: Callable[[str], bool] = lambda path: False,
+        notice_ms: int = 0,
     ):
         self.memory = memory
+        self.notice_ms = notice_ms
         self.checks = checks
         self.overload = overload or self.count_overload
         self.limits = limits or self._default_limits
@@ -155,6 +143,8 @@
         self.closing = False
         # Whether idle connections are closed.
         self.draining = False
+        # Whether idle connections are closed although their last answer allows reuse.
+        self.stops_accepting = False
         # Whether a connection whose request has not arrived is refused at once.
         self.refuses_at_once = False
         self.listener = Listener(address, self._serve_connection)
@@ -205,7 +195,7 @@
         The request of a new connection is on its way and still answered.
         """
         self.closing = self.draining = True
-        await end_idle(self.idle_connections)
+        await end_idle(self.idle_connections, not self.stops_accepting)
 
     async def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
@@ -220,6 +210,7 @@
                 any, the connections are left for ``close``.
         """
         # First, as it frees descriptors, without which no connection can be accepted.
+        self.stops_accepting = True
         await self.drain()
         await self.listener.close(min(limit_ms, MAX_REQUEST_WAIT_MS), keeps_queue=True)
 
@@ -235,6 +226,7 @@
         if not self.listener.is_listening:
             return
         self.refuses_at_once = True
+        self.closed_connections.is_watching = False
         unused = [each for each in self.idle_connections if not each.was_used]
         for connection in [*unused, *self.reading_connections]:
             await connection.stop_reading()
@@ -306,10 +298,6 @@
         # Bytes of the request that is being received or answered.
         self.held = server.memory.hold(Kind.REQUESTS)
         self.limits = server.limits()
-        # Whether the first bytes of a request have arrived.
-        self.was_used = False
-        # Whether the client closed the idle connection.
-        self.was_closed = False
         # Why there was no room for another request as the connection was idle for long.
         self.idle_refusal: Refusal | None = None
         # Method of the newest request, and whether it is a check of the platform.
@@ -330,7 +318,7 @@
                 refusal = self._first_refusal()
                 if refusal is not None:
                     await self._refuse_first_request(refusal)
-                elif self._is_closed_by_stop():
+                elif self.server.draining and not self.was_closed:
                     await self.server.closed_connections.close(self, self.peer)
                 return
             self.was_used = True
@@ -391,11 +379,6 @@
             return INCOMPLETE_AT_STOP
         return self.idle_refusal
 
-    def _is_closed_by_stop(self) -> bool:
-        """Return whether to watch the connection; others may need its descriptor."""
-        server = self.server
-        return server.draining and not (self.was_closed or server.refuses_at_once)
-
     def _refusal_if_overloaded(self) -> Refusal | None:
         detail = self.server.overload()
         return _overload_refusal(detail) if detail else None
@@ -563,7 +546,7 @@
         # Also after an answer that announced no close and ended in a planned stop.
         self.is_awaited = not self.was_used or self.server.draining
         while True:
-            wait_ms = self.limits.idle_ms - waited_ms
+            wait_ms = self._idle_limit_ms() - waited_ms
             if self.is_awaited or refusal is not None:
                 wait_ms = min(wait_ms, self._request_wait_ms())
             try:
@@ -576,11 +559,19 @@
             self.limits = self.server.limits()
             # The room may have come, or gone, meanwhile.
             refusal = self._refusal_if_overloaded()
-            is_over = self.server.draining or waited_ms >= self.limits.idle_ms
+            is_over = waited_ms >= self._idle_limit_ms()
             if is_over or refusal is not None:
                 self.idle_refusal = refusal
                 return None
 
+    def _idle_limit_ms(self) -> int:
+        """Return how long to wait for the next request."""
+        if not self.server.draining:
+            return self.limits.idle_ms
+        if not self.was_used or self.server.stops_accepting:
+            return self._request_wait_ms()
+        return self.kept_ms
+
     def _request_wait_ms(self) -> int:
         """Return how long a request is taken to be on its way."""
         if self.server.refuses_at_once and not self.was_used:
@@ -744,6 +735,9 @@
         headers = [*response.headers]
         if close:
             headers.append(("Connection", "close"))
+        elif self.http.their_state is h11.DONE:
+            idle_ms = min(self.limits.idle_ms, self.server.notice_ms)
+            headers += self.announce(keep_alive_s(idle_ms))
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
             head = h11.Response(
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -108,6 +108,7 @@
             on_refusal=self._record_refusal,
             overload=self._overload,
             checks=CHECK_PATHS.__contains__,
+            notice_ms=settings.drain_notice_ms,
         )
         self.target_server = self._make_target_server()
         self.peer_server = PeerServer(
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -273,6 +273,7 @@
             on_refusal=self.handler.record_unread,
             limits=self._server_limits,
             overload=self._overload,
+            notice_ms=int(settings.effective_drain_notice_ms),
         )
         self.readiness = Readiness(
             self.view,
