Connections that a stop has closed take no room while they are watched

Cause: since a closed connection counted as open for 200 ms and kept its descriptor, so that a server near its limits refused new requests just after it had closed idle connections. It counts no longer; 32 are watched at a time, and none where the server lacks room.

--- a/wagtailrun/adapters/closed_connections.py
+++ b/wagtailrun/adapters/closed_connections.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 from contextlib import suppress
 
 import curio
@@ -18,6 +19,8 @@
 # that its client sent before the close reached it, between distant data centres.
 WATCH_MS = 200
 WATCH_POLL_MS = 10
+# Each keeps its descriptor while it is watched; further ones are only counted.
+MAX_WATCHED = 32
 
 
 class ClosedConnections:
@@ -28,12 +31,12 @@
 
     Args:
         server: Address of the server, for the log.
+        has_room: Returns whether descriptors can be spared for the watch.
     """
 
-    def __init__(self, server: str):
+    def __init__(self, server: str, has_room: Callable[[], bool]):
         self.server = server
-        # Whether connections keep their descriptors while they are watched.
-        self.is_watching = True
+        self.has_room = has_room
         self.watched = 0
         self.closed = 0
         self.crossed = 0
@@ -47,13 +50,15 @@
             connection: Connection that was used before.
             peer: Host of its client.
         """
-        if not self.is_watching:
-            return
         now_s = await curio.clock()
         idle_ms = int((now_s - connection.idle_since_s) * MS_PER_SECOND)
         self.closed += 1
         if self.min_idle_ms is None or idle_ms < self.min_idle_ms:
             self.min_idle_ms = idle_ms
+        if self.watched >= MAX_WATCHED or not self.has_room():
+            if not self.watched:
+                self._log_closed()
+            return
         self.watched += 1
         try:
             await self._watch(connection.sock, peer, idle_ms)
@@ -68,7 +73,7 @@
             await sock.shutdown(socket.SHUT_WR)
         started_s = await curio.clock()
         for _ in range(WATCH_MS // WATCH_POLL_MS):
-            if not self.is_watching:
+            if not self.has_room():
                 return
             await curio.sleep(WATCH_POLL_MS / MS_PER_SECOND)
             if _was_crossed(sock):
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -156,7 +156,9 @@
         # Connections that waited for a descriptor until a planned stop refused others.
         self.waiting_connections = 0
         self.idle_connections: set[_ServerConnection] = set()
-        self.closed_connections = ClosedConnections(str(address))
+        self.closed_connections = ClosedConnections(
+            str(address), lambda: not (self.refuses_at_once or self.overload())
+        )
         # Those whose request has not arrived completely.
         self.reading_connections: set[_ServerConnection] = set()
 
@@ -226,7 +228,6 @@
         if not self.listener.is_listening:
             return
         self.refuses_at_once = True
-        self.closed_connections.is_watching = False
         unused = [each for each in self.idle_connections if not each.was_used]
         for connection in [*unused, *self.reading_connections]:
             await connection.stop_reading()
@@ -285,6 +286,8 @@
         finally:
             connection.mark_incomplete()
             self.open_connections -= 1
+        if connection.ended_idle:
+            await self.closed_connections.close(connection, connection.peer)
 
 
 class _ServerConnection(IdleConnection):
@@ -318,8 +321,8 @@
                 refusal = self._first_refusal()
                 if refusal is not None:
                     await self._refuse_first_request(refusal)
-                elif self.server.draining and not self.was_closed:
-                    await self.server.closed_connections.close(self, self.peer)
+                else:
+                    self.ended_idle = self.server.draining and not self.was_closed
                 return
             self.was_used = True
             self._renew_limits()
--- a/wagtailrun/adapters/idle_connections.py
+++ b/wagtailrun/adapters/idle_connections.py
@@ -31,8 +31,9 @@
         self.reading_stopped = False
         # Whether the first bytes of a request have arrived.
         self.was_used = False
-        # Whether the client closed the idle connection.
+        # Whether the client closed the idle connection, and whether a planned stop did.
         self.was_closed = False
+        self.ended_idle = False
         # Whether the next request is taken to be on its way, as on a new connection.
         self.is_awaited = True
         # When the wait for the next request began, on the clock of curio, in seconds.
