A stopping entry stays ready only beside others in rotation

Cause: also kept an entry ready whose data centre had no other one in rotation. Its load balancer uses other data centres then, so that nothing is sent to entries that are down; the stay only brought more requests to an entry that ends.

--- a/wagtailrun/relay/rotation.py
+++ b/wagtailrun/relay/rotation.py
@@ -33,7 +33,8 @@
     """Follows the other entries of a data centre as they stop and start.
 
     While fewer than half of the entries of a data centre are in rotation, the load
-    balancer sends connections to all of them, also to those that are down.
+    balancer sends connections to all of them, also to those that are down. If none is,
+    it uses other data centres.
 
     Args:
         clock: Clock.
@@ -83,4 +84,4 @@
             now_ms - each.since_ms >= REENTRY_MS
             for each in self.present_by_name.values()
         )
-        return in_rotation < others and 2 * in_rotation < others + 1
+        return 0 < 2 * in_rotation < others + 1
