Tunnels: the end of an answer is passed on only after the whole request

A target answered an upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. Over a connection that another entry carried, the caller's entry got that part as a complete answer.

Cause: the carrier writes the request and reads the answer in two tasks. The write took the error of the reset, the read then saw an end, and the carrier passed it on as one in order. The entry of the request cannot tell: its own write had ended, the tunnel had taken the rest. The carrier now passes an end on only if nothing of the request is left to write (`relay/tunnel_bytes.py`). After a write that failed, it still passes on what the target has answered, and then ends its direction of the tunnel without the mark of an end. It drops what still arrives: closing a connection with unread bytes resets it, by which the refusal could be lost.

Ruled out: whole early answers, with a length or chunks, arrived in all cases before this commit as well.

Conclusion: the client's own check covers requests that the entry still writes; this one covers those that the tunnel has taken.

--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -50,13 +50,15 @@
         answer: Bytes of its answer.
         end: What it does then, one of ``ENDS``, or "reads on" after a moment.
         more: Bytes that it sends when a request was read to its end.
+        pause_s: Time between its answer and the end.
     """
 
-    def __init__(self, answer, end, more=b""):
+    def __init__(self, answer, end, more=b"", pause_s=0.05):
         (self.address,) = free_addresses(1)
         self.answer = answer
         self.end = end
         self.more = more
+        self.pause_s = pause_s
         # What was received on each connection.
         self.received = []
 
@@ -77,8 +79,9 @@
         while b"\r\n\r\n" not in received:
             received += await sock.recv(1_000)
         await sock.sendall(self.answer)
-        # The client has read the answer and writes.
-        await curio.sleep(0.05)
+        if self.pause_s:
+            # The client has read the answer and writes.
+            await curio.sleep(self.pause_s)
         if self.end == "resets":
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         elif self.end == "half-closes":
@@ -108,38 +111,40 @@
     return curio.run(main)
 
 
-async def upload(address, http=None):
+async def upload(address, http=None, body=LARGE):
     """Return status, body and the number of connections kept, or the failure."""
     http = http or HttpClient()
     try:
-        reply = await http.request(address, "POST", "/", (), LARGE, timeout_ms=2_000)
+        reply = await http.request(address, "POST", "/", (), body, timeout_ms=2_000)
     except TargetFailed as error:
         return error.verdict
     return reply.status, reply.body, len(http.pool)
 
 
+@pytest.mark.parametrize("pause_s", [0.05, 0])
 @pytest.mark.parametrize("end", ENDS)
 @pytest.mark.parametrize("framing", WHOLE)
 @pytest.mark.parametrize(
     ("head", "status"), [(REFUSED, 503), (HEAD, 200)], ids=["refusal", "success"]
 )
-def test_whole_early_answer_arrives_at_once(head, status, framing, end):
+def test_whole_early_answer_arrives_at_once(head, status, framing, end, pause_s):
     """Guards against a refusal that is lost, or late, as its request is still sent.
 
     The connection must not carry another request: the target may read on.
     """
-    target = EarlyTarget(head + WHOLE[framing], end)
+    target = EarlyTarget(head + WHOLE[framing], end, pause_s=pause_s)
     result, took_s = run_early(target, upload)
     assert result == (status, b"body", 0)
     assert took_s < 1
 
 
+@pytest.mark.parametrize("pause_s", [0.05, 0])
 @pytest.mark.parametrize("end", ENDS)
 @pytest.mark.parametrize("framing", CUT)
 @pytest.mark.parametrize("head", [REFUSED, HEAD], ids=["refusal", "success"])
-def test_part_of_an_early_answer_is_no_answer(head, framing, end):
+def test_part_of_an_early_answer_is_no_answer(head, framing, end, pause_s):
     """Guards against a part of an answer that is taken for a whole one."""
-    target = EarlyTarget(head + CUT[framing], end)
+    target = EarlyTarget(head + CUT[framing], end, pause_s=pause_s)
     result, _ = run_early(target, upload)
     assert result is Verdict.MAY_HAVE_RUN
 
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -147,13 +147,17 @@
         """Whether bytes after the last frame were received."""
         return bool(self._received)
 
+    def is_readable(self) -> bool:
+        """Return whether the socket has bytes, or the peer closed the connection."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def stop_if_idle(self) -> None:
         """Read no more, unless a part of a frame has arrived or one is answered."""
         if self.frame_bytes or self._received:
             return
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        if not poll.poll(0):
+        if not self.is_readable():
             # The peer may have reset the connection a moment ago.
             with suppress(OSError):
                 await self.sock.shutdown(socket.SHUT_RD)
@@ -262,6 +266,10 @@
         """Return the next bytes for the server; empty when the peer has closed."""
         return await self.connection.read_some()
 
+    def is_readable(self) -> bool:
+        """Return whether bytes for the server have arrived, or the peer's end."""
+        return self.connection.has_unread_bytes or self.connection.is_readable()
+
     async def send(self, data: bytes) -> None:
         """Send bytes of the server."""
         await self.connection.write_frame(data)
@@ -270,6 +278,13 @@
         """Tell the peer that the server has ended its side."""
         await self.connection.write_frame(b"")
 
+    async def send_interruption(self) -> None:
+        """Tell the peer that nothing follows, without the end of the server's side.
+
+        What was sent before still arrives; closing could discard it.
+        """
+        await self.connection.sock.shutdown(socket.SHUT_WR)
+
 
 class TcpPeerLink(PeerLink, TunnelLink):
     """Calls peers over pooled TCP connections.
--- a/wagtailrun/ports/link.py
+++ b/wagtailrun/ports/link.py
@@ -84,7 +84,8 @@
     Attributes:
         reply: The reply, sent first.
         run: Called with the peer's end of the connection, an object with ``recv``,
-            ``send`` and ``send_end``; returns how it ended.
+            ``is_readable``, ``send``, ``send_end`` and ``send_interruption``; returns
+            how it ended.
         close: Called once in the end with a description, also if ``run`` was not
             called because the reply could not be sent.
     """
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -23,14 +23,13 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage
-from wagtailrun.fairness import Turns
 from wagtailrun.membership import TargetRow
-from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.carriers import CarrierOutcome, Carriers
 from wagtailrun.relay.data_centre_reach import DataCentreReach
 from wagtailrun.relay.path_survey import PathSurvey
 from wagtailrun.relay.paths import TargetPaths
+from wagtailrun.relay.tunnel_bytes import TunnelBytes
 from wagtailrun.relay.tunnel_messages import (
     OpenTunnel,
     TunnelOpened,
@@ -53,10 +52,6 @@
 HEDGE_AFTER_MS = 100
 # Connections that one entry carries for others; further ones go to other entries.
 MAX_TUNNELS = 512
-READ_BYTES = 64 * 1024
-# The other entry closes a tunnel once it has read the end; closing it first could
-# discard what it has not read yet.
-END_LINGER_MS = 1_000
 
 
 @attrs.define
@@ -443,7 +438,9 @@
         took_ms = self.clock.now_ms() - started_ms
 
         async def run(peer: Any) -> str:
-            return "probe" if message.probe else await self._pass_bytes(opened, peer)
+            if message.probe:
+                return "probe"
+            return await TunnelBytes(self.clock, opened.sock, peer).pass_on()
 
         async def close(detail: str) -> None:
             self.running -= 1
@@ -510,43 +507,6 @@
         await curio.spawn(paths.review_cut, daemon=True)
         return TunnelRefused(TunnelRefusal.CUT_OFF, str(error))
 
-    async def _pass_bytes(self, opened: OpenConnection, peer: Any) -> str:
-        """Pass bytes on between a target and another entry until either ends.
-
-        Returns:
-            How the tunnel ended.
-        """
-        sock = opened.sock
-
-        async def pass_requests() -> str:
-            turns = Turns()
-            while data := await peer.recv():
-                await turns.take(len(data))
-                with PROCESS_MEMORY.hold(Kind.TUNNELS) as held:
-                    held.record(len(data))
-                    await sock.sendall(data)
-            return "the entry closed"
-
-        async def pass_answers() -> str:
-            turns = Turns()
-            while data := await sock.recv(READ_BYTES):
-                await turns.take(len(data))
-                with PROCESS_MEMORY.hold(Kind.TUNNELS) as held:
-                    held.record(len(data))
-                    await peer.send(data)
-            await peer.send_end()
-            await self.clock.sleep_ms(END_LINGER_MS)
-            return "the target closed"
-
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(pass_requests)
-            await group.spawn(pass_answers)
-        if group.exception is None:
-            return group.result
-        if isinstance(group.exception, OSError):
-            return f"interrupted: {group.exception}"
-        raise group.exception
-
     def _log(self, message: OpenTunnel, started_ms: int, detail: str) -> None:
         events.log(
             events.TUNNEL_ENDED,
