Server: a refusal for lack of room is read also by a caller that sends more

Cause: a request that was read completely and refused as there is no room ended its connection at once. With bytes of a further request unread, the system resets such a connection, and the caller loses the refusal, which says that nothing ran. If bytes follow, they are now discarded for a limited time, as after the other refusals. Without such bytes the connection still ends at once: many may be refused at the same time.

Ruled out: callers that write 4 MB, at once or in 0.6 s, and read afterwards get 413, 503 (no memory), 400 and 503 (overload) in full, with Content-Length and chunks; `_discard_input` half-closes and reads on for up to 1 s and 4 MB. These 12 cases passed at once and are tests now.

Conclusion: found by the new tests, not seen with callers.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -337,6 +337,8 @@
                 except RequestRejected as error:
                     await self._reject(error)
                     break
+                if request is None and self._has_excess():
+                    break
                 if request is None or not await self._serve(request):
                     return
             if self.http.our_state is not h11.DONE:
@@ -391,6 +393,11 @@
         detail = self.server.overload()
         return _overload_refusal(detail) if detail else None
 
+    def _has_excess(self) -> bool:
+        """Return whether bytes follow a request that was refused."""
+        is_refused = self.http.our_state is not h11.IDLE
+        return is_refused and (bool(self.http.trailing_data[0]) or self.is_readable())
+
     async def _reject(self, error: RequestRejected) -> None:
         """Refuse a request that cannot be read."""
         if not self.reading_stopped:
