soak: bound the share of requests that are excused

Nothing said how many may be.

Cause: each excuse is checked by itself, so that a fault of the product which always comes with a condition of the soak would be excused, however often.

At most 8% of the requests of a fleet may be excused; a run with more counts as not run. A broken promise counts all the same, whatever the share.

Conclusion: many excuses end a run without a verdict, so that their cause is looked for.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -33,6 +33,8 @@
 READ_MS = 100
 # An entry ends a stream a moment before its deadline.
 DEADLINE_MARGIN_MS = 100
+# Ends that need no excuse.
+OWED_ENDS = {Outcome.ANSWERED, Outcome.LEFT, Outcome.REFUSED}
 
 
 class Promise(ABC):
@@ -62,6 +64,8 @@
         self.ends: Counter[str] = Counter()
         # Requests that saw planned work alone, and all.
         self.planned = self.total = 0
+        # Requests that ended without an answer or a refusal in an allowed way.
+        self.excused = 0
 
     def add(self, record: object) -> None:
         """Add a record."""
@@ -81,6 +85,8 @@
             self.ends[name or f"not allowed: {request.outcome.value}"] += 1
             if not name:
                 findings.append(self._finding(request))
+            elif request.outcome not in OWED_ENDS:
+                self.excused += 1
         return findings
 
     def _has_fault(self, request: RequestRecord) -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,6 +49,8 @@
 # starts processes waits for the system until each has begun.
 MAX_STANDSTILLS_MS = {"callers": 500, "targets": 500, "soak": 1_500}
 MIN_PLANNED_SHARE = 0.5
+# docs/soak.md, "Requests that are excused".
+MAX_EXCUSED_SHARE = 0.08
 PRINTED_FINDINGS = 20
 # By then all records are complete.
 LAST_MS = 1 << 60
@@ -276,6 +278,12 @@
                 part.kill()
                 part.wait()
 
+    @property
+    def excused_share(self) -> float:
+        """Share of the requests that had neither an answer nor a refusal."""
+        answers = self.judge.answers
+        return answers.excused / max(answers.total, 1)
+
     def standstills(self) -> list[str]:
         """Return the standstills of the soak itself that were too long."""
         return [
@@ -299,6 +307,7 @@
                 f"{answers.total} requests, {answers.planned} of them beside planned "
                 f"work alone, {len(self.findings)} findings",
                 f"  ends: {ends}",
+                f"  excused: {self.excused_share:.2%}, at most {MAX_EXCUSED_SHARE:.0%}",
                 f"  signals: {dict(counts)}, faults: {len(history.faults)}, actions "
                 f"skipped: {self.conductor.skipped}",
                 f"  longest standstills of the soak itself, ms: {self.standstills_ms}",
@@ -400,12 +409,17 @@
             f"seed {self.options.seed}, {self.options.lasts_ms / 60_000:g} minutes"
         )
         too_long = [each for site in self.sites for each in site.standstills()]
+        excused = max(site.excused_share for site in self.sites)
         if too_long:
             print(f"NOT RUN ({command}): {'; '.join(too_long)}: this run shows nothing")
             return Verdict.NOT_RUN
         if any(site.findings for site in self.sites):
             print(f"BROKEN ({command})")
             return Verdict.BROKEN
+        if excused > MAX_EXCUSED_SHARE:
+            reason = f"{excused:.2%} of the requests were excused, more than"
+            print(f"NOT RUN ({command}): {reason} {MAX_EXCUSED_SHARE:.0%}")
+            return Verdict.NOT_RUN
         print(f"KEPT ({command})")
         return Verdict.KEPT
 
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -436,3 +436,16 @@
     judge.add([hindered(9_000), end(16_000), request(Outcome.ANSWERED), far])
     judge.check(LATER_MS)
     assert (judge.answers.planned, judge.answers.total) == (1, 2)
+
+
+def test_requests_that_are_excused_are_counted():
+    """Guards against a run in which many requests without an answer are allowed."""
+    judge = Judge(Limits())
+    outcomes = (Outcome.ANSWERED, Outcome.LEFT, Outcome.REFUSED, Outcome.NO_ANSWER)
+    requests = [
+        request(outcome, name=f"r{number}", status=503)
+        for number, outcome in enumerate(outcomes)
+    ]
+    judge.add([hindered(9_000, has_shortage=True), end(16_000), *requests])
+    assert judge.check(LATER_MS) == []
+    assert (judge.answers.excused, judge.answers.total) == (1, 4)
--- a/tests/test_soak_verdict.py
+++ b/tests/test_soak_verdict.py
@@ -81,6 +81,20 @@
     return run._verdict()
 
 
+@pytest.mark.parametrize(
+    ("excused", "lost", "verdict"),
+    [(8, 0, Verdict.KEPT), (9, 0, Verdict.NOT_RUN), (9, 1, Verdict.BROKEN)],
+)
+def test_run_with_many_excused_requests_does_not_count(
+    tmp_path, excused, lost, verdict
+):
+    """Guards against broken promises that a condition of the soak excuses.
+
+    A promise that is broken without an excuse counts all the same.
+    """
+    assert verdict_on(make_run(tmp_path / "files"), excused, lost) is verdict
+
+
 def test_verdict_does_not_depend_on_how_many_requests_came_beside_faults(tmp_path):
     """Guards against a seed that counts on one machine and not beside other work."""
     beside = FaultRecord(kind="reset", subject="l", from_ms=9_000, to_ms=11_000)
