Answer the connections that wait for a descriptor also if an entry ends late

Cause: the entry accepts what waits for a descriptor in the last 200 ms of its drain limit. The relay's entry has a floor of 200 ms for the same close.

The product's entry has it now: the margin of its forced end already covers a close of the listener that exceeds the limit by a second.

Before / after: pytest tests/test_waiting_connections.py, new cases in virtual time, whose loop stands still for 100 to 600 ms as the last connections are accepted: 4 of 4 failed with ConnectionResetError, all pass. Tests of stops, drains, closes and entries passed but one of test_control_stop.py (a control member, connection refused at its start, load 29), and of two more runs of that file one had another failure of this kind, one none.

Conclusion: a late loop costs no waiting request unless it is late by more than the margin.

--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests import test_entry_close
+from tests.held_loop import HeldLoop
 from tests.test_http_server import GOOD, echo
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
@@ -134,6 +135,43 @@
     assert run_with_virtual_sockets(main) == {b"HTTP/1.1 200"}
 
 
+@pytest.mark.parametrize("held_ms", [100, 200, 300, 600])
+def test_requests_that_wait_for_a_descriptor_as_a_late_entry_ends(held_ms, stop_signal):
+    """Guards against requests that are reset as the time of an entry is over.
+
+    The entry stands still just before it accepts those that wait, past its drain limit.
+    """
+    entry = test_entry_close.make_entry(1_000)
+    loop = HeldLoop(held_ms=held_ms)
+
+    async def stand_still():
+        loop.held_turn = loop.turns + 1
+        await curio.sleep(0)
+
+    async def hand_over(timeout_ms):
+        return None
+
+    async def main():
+        entry.caller_server.handler = echo
+        entry.accounts.hand_over_all = hand_over
+        entry.dispatcher.end = stand_still
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.sleep(0.05)
+        entry.signalled_drain.signals.install()
+        for _ in range(OCCUPANTS):
+            await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
+        await curio.sleep(0.05)
+        stop_signal()
+        stopping = await curio.spawn(entry._drain)
+        while not entry.caller_server.draining:
+            await entry.clock.sleep_ms(BEFORE_END_MS)
+        answers = await call(entry.settings.caller_address)
+        await stopping.join()
+        return answers
+
+    assert loop.run(main) == {b"HTTP/1.1 200"}
+
+
 def test_requests_that_wait_for_a_descriptor_are_answered_by_a_close():
     """Guards against a close that waits for requests while it resets others."""
 
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -320,7 +320,9 @@
         await self.dispatcher.end()
         await self.caller_server.accept_waiting(deadline_ms - self.clock.now_ms())
         await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
-        await self.caller_server.close(max(deadline_ms - self.clock.now_ms(), 0))
+        left_ms = deadline_ms - self.clock.now_ms()
+        # A late entry still answers the connections that wait for a descriptor.
+        await self.caller_server.close(max(left_ms, STOP_ANSWER_MS))
         async with curio.TaskGroup() as group:
             await group.spawn(self.target_server.close, TARGET_ANSWER_MS)
             # After the last request, so that the rows of all requests are handed over.
