Lower the limit of a target only for rows of slow attempts that its spread rules out

Cause: adaptive limits. compares the shortest of the ten newest times with twice their tenth percentile. Where times spread evenly from 0 to 1,500 ms, ten in a row are over it in one of nine cases, and in more while the percentile is that of few attempts.

The relay has no limits that follow latency.

A row of slow attempts counts as a queue only if the spread of the target's times, learned while its limit is mostly unused, makes a row of that length less likely than one in 1,000; at least ten as before. While a row may be one, the limit does not grow.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,10 +2,23 @@
 
 import random
 
+import attrs
+import curio
+import pytest
+
+from wagtailrun.dispatch import Work, make_dispatcher
+from wagtailrun.emulator import Emulator, TargetModel
+from wagtailrun.exceptions import Refusal
 from wagtailrun.limits import AdaptiveLimits
+from wagtailrun.membership import Membership
+from wagtailrun.virtual_time import run_virtual
 
 # Attempts in progress at a target that announces a capacity of 64.
 LOAD = 6
+CAPACITY = 64
+MAX_SILENT_MS = 1_500
+ORDER_DEADLINE_MS = 4_000
+ORDER = Work("desk", "/v1/calls/book", b"{}", "r", "ws", 0, False)
 
 
 def settle(limits, slowness, rounds=60):
@@ -86,3 +99,46 @@
         limits.observe("t", 8, 10.0 + generator.uniform(0.0, 10.0))
         limits.ended("t")
     assert limits.limit("t", 8) < 2.0
+
+
+class SpreadClient:
+    """Client of a target whose calls take from 0 to 1,500 ms whatever its load."""
+
+    def __init__(self, clock, client, generator):
+        self.clock = clock
+        self.client = client
+        self.random = generator
+
+    async def call(self, address, attempt):
+        await self.clock.sleep_ms(self.random.randint(0, MAX_SILENT_MS))
+        return await self.client.call(address, attempt)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_target_without_a_queue_takes_a_doubled_load(seed):
+    """Guards against orders refused as overloaded at a target that has room.
+
+    Its times spread from 0 to 1,500 ms, so that ten slow ones in a row are common. The
+    load on an entry doubles as others stop; the limit had fallen to it before.
+    """
+
+    async def main(clock):
+        generator = random.Random(seed)
+        emulator, membership = Emulator(clock), Membership()
+        await emulator.add("t", "desk", "east", TargetModel(CAPACITY, service_ms=1.0))
+        emulator.observe("east", membership)
+        await curio.spawn(emulator.run_reports, daemon=True)
+        client = SpreadClient(clock, emulator.client("entry", "east"), generator)
+        dispatcher = make_dispatcher(clock, membership, client, name="entry", seed=seed)
+        tasks = []
+        for per_second, lasts_ms in ((5, 40_000), (12, 20_000)):
+            until_ms = clock.now_ms() + lasts_ms
+            while clock.now_ms() < until_ms:
+                await clock.sleep_ms(int(generator.expovariate(per_second / 1_000)))
+                deadline_ms = clock.now_ms() + ORDER_DEADLINE_MS
+                order = attrs.evolve(ORDER, deadline_at_ms=deadline_ms)
+                tasks.append(await curio.spawn(dispatcher.call, order))
+        answers = [await task.join() for task in tasks]
+        return [each for each in answers if isinstance(each, Refusal)]
+
+    assert run_virtual(main) == []
--- a/wagtailrun/limits.py
+++ b/wagtailrun/limits.py
@@ -1,6 +1,9 @@
 """Concurrency limits of targets, adapted to the measured latency."""
 
-from collections import Counter, deque
+import math
+from collections import Counter
+
+import attrs
 
 __all__ = ["AdaptiveLimits"]
 
@@ -15,22 +18,81 @@
 ALLOWANCE = 0.5
 SMOOTHING = 0.2
 MIN_LIMIT = 1.0
-# A queue delays all attempts. Where durations spread by themselves some are short
-# still, so that the shortest one of this many tells the two apart.
-RECENT_ATTEMPTS = 10
+# A queue delays all attempts, so that they are slow in a row. Where times spread by
+# themselves, rows occur without a queue; a row counts as one if the spread explains it
+# with less than this probability.
+MIN_SLOW_IN_A_ROW = 10
+MAX_FALSE_ALARMS = 0.001
+# Assumed of a new target: of times that spread evenly from 0, four fifths are over
+# TOLERANCE times their tenth percentile, which is the least contended value.
+ASSUMED_SLOW = 8.0
+ASSUMED_FAST = 2.0
+# Older attempts count half each time that this many are known.
+MAX_KNOWN_ATTEMPTS = 64
+
+
+@attrs.define
+class _Spread:
+    """How often a target is slow without a queue, and its present row of slow attempts.
+
+    Attributes:
+        slow: Number of slow attempts in rows too short for a queue.
+        fast: Number of the other attempts.
+        in_a_row: Number of slow attempts since the last other one.
+        least_slowness: Slowness of the fastest of these.
+    """
+
+    slow: float = ASSUMED_SLOW
+    fast: float = ASSUMED_FAST
+    in_a_row: int = 0
+    least_slowness: float = math.inf
+
+    def add(self, slowness: float, is_contended: bool) -> None:
+        """Count an attempt.
+
+        Args:
+            slowness: Its time as a multiple of the least contended value.
+            is_contended: Whether a queue may have made it slow.
+        """
+        if slowness > TOLERANCE:
+            self.in_a_row += 1
+            self.least_slowness = min(self.least_slowness, slowness)
+            return
+        if not is_contended:
+            self._learn()
+        self.in_a_row = 0
+        self.least_slowness = math.inf
+
+    def _learn(self) -> None:
+        """Count the present row of slow attempts, and the attempt that ends it."""
+        if not self.shows_queue:
+            self.slow += self.in_a_row
+        self.fast += 1
+        if self.slow + self.fast > MAX_KNOWN_ATTEMPTS:
+            self.slow /= 2
+            self.fast /= 2
+
+    @property
+    def shows_queue(self) -> bool:
+        """Whether so many attempts in a row were slow that only a queue explains it."""
+        share = self.slow / (self.slow + self.fast)
+        return (
+            self.in_a_row >= MIN_SLOW_IN_A_ROW
+            and share**self.in_a_row <= MAX_FALSE_ALARMS
+        )
 
 
 class AdaptiveLimits:
     """Limits of this entry's concurrent attempts at each target.
 
-    A limit starts at the announced capacity and follows the ratio of the least
-    contended latency to the shortest one of the newest attempts.
+    A limit starts at the announced capacity. While a target shows a queue, the limit
+    follows the ratio of the least contended latency to the shortest one in the queue.
     """
 
     def __init__(self) -> None:
         self.limits_by_name: dict[str, float] = {}
         self.in_flight_by_name: Counter[str] = Counter()
-        self.recent_by_name: dict[str, deque[float]] = {}
+        self.spreads_by_name: dict[str, _Spread] = {}
 
     def limit(self, name: str, capacity: int) -> float:
         """Return the limit of a target."""
@@ -65,12 +127,18 @@
             capacity: Its announced capacity.
             slowness: That time as a multiple of its least contended value.
         """
-        recent = self.recent_by_name.setdefault(name, deque(maxlen=RECENT_ATTEMPTS))
-        recent.append(slowness)
+        spread = self.spreads_by_name.setdefault(name, _Spread())
         limit = self.limit(name, capacity)
-        gradient = max(MIN_GRADIENT, min(1.0, TOLERANCE / max(min(recent), 1e-3)))
+        is_unused = self.in_flight_by_name[name] * 2 < limit
+        spread.add(slowness, is_contended=not is_unused)
+        gradient = 1.0
+        if spread.shows_queue:
+            gradient = max(MIN_GRADIENT, TOLERANCE / spread.least_slowness)
+        elif spread.in_a_row >= MIN_SLOW_IN_A_ROW:
+            # It may be a queue, so that more load may not be safe.
+            return
         wanted = limit * gradient + ALLOWANCE
-        if wanted > limit and self.in_flight_by_name[name] * 2 < limit:
+        if wanted > limit and is_unused:
             # Latency at a mostly unused limit does not show that more load is safe.
             return
         limit += SMOOTHING * (wanted - limit)
@@ -79,4 +147,4 @@
     def forget(self, name: str) -> None:
         """Drop a target that is no longer known."""
         self.limits_by_name.pop(name, None)
-        self.recent_by_name.pop(name, None)
+        self.spreads_by_name.pop(name, None)
