--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -460,3 +460,16 @@
     for record in records:
         history.add(record)
     assert history.longest_kill_ms() == longest_ms
+
+
+def test_requests_that_are_excused_are_counted():
+    """Guards against a run in which many requests without an answer are allowed."""
+    judge = Judge(Limits())
+    outcomes = (Outcome.ANSWERED, Outcome.LEFT, Outcome.REFUSED, Outcome.NO_ANSWER)
+    requests = [
+        request(outcome, name=f"r{number}", status=503)
+        for number, outcome in enumerate(outcomes)
+    ]
+    judge.add([hindered(9_000, has_shortage=True), end(16_000), *requests])
+    assert judge.check(LATER_MS) == []
+    assert (judge.answers.excused, judge.answers.total) == (1, 4)
