Refusals name an evacuation that leaves a stage without targets

Cause: a request whose engine may be used, but whose stage targets are all in evacuated data centres, was refused as overloaded, with the delay of a short queue. It is refused at once now, with the data centres and their delay.

Before / after: test_request_whose_stage_targets_are_evacuated_is_refused_at_once fails without the check; a request without pieces for the stage is still run.

Conclusion: the targets of stages that nobody reaches (away) are refused as before.

--- a/tests/test_evacuated_targets.py
+++ b/tests/test_evacuated_targets.py
@@ -1,6 +1,7 @@
 """Tests of requests, stage calls and tunnels to targets of evacuated data centres."""
 
 import functools
+from unittest import mock
 
 import attrs
 import curio
@@ -34,7 +35,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import News, NewsMarks
 from wagtailrun.exceptions import ConnectFailed, SendForbidden, Verdict
-from wagtailrun.relay.attempts import EVACUATED_RETRY_MS
+from wagtailrun.relay.evacuated_services import EVACUATED_RETRY_MS
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.routes import (
     RequestLimits,
@@ -112,6 +113,47 @@
     assert float(reply.headers["retry-after"]) * 1_000 >= EVACUATED_RETRY_MS
 
 
+@pytest.mark.parametrize(("pieces", "status"), [("2", 503), ("0", 200)])
+def test_request_whose_stage_targets_are_evacuated_is_refused_at_once(pieces, status):
+    """Guards against an overload as the reason of a refusal because of an order.
+
+    A request without pieces for the stage runs.
+    """
+    stages = Stages()
+
+    def prepare(handler):
+        handler.runner = handler.admission.runner = handler.streams.runner = stages
+        view = handler.view
+        view.table = build_route_table(
+            1,
+            [route(RouteKind.ORDER, steps=(StageStep("board", (), 800),))],
+            SERVICES,
+            [],
+            RequestLimits(),
+            demands_keys=False,
+        )
+        known = view.rows[0]
+        board = attrs.evolve(known, name="b0", service="board", data_centre="b")
+        view.rows.append(board)
+        evacuate(view, "b")
+
+    async def client(address, fleet):
+        reply = await send(address, more=[("pieces", pieces)])
+        return reply.status, reply.body, stages.run_count
+
+    def targets(view, service):
+        rows = [row for row in view.rows if row.service == service]
+        return [row for row in rows if not view.evacuations.includes(row)]
+
+    done = answer(200, b"ok", SIGNATURE)
+    with mock.patch.object(FakeView, "targets", targets):
+        code, body, runs = run_virtual_relay(
+            RouteKind.ORDER, [[done]], client, on_handler=prepare
+        )
+    assert (code, runs) == (status, 0)
+    assert (b"board outside ['b'], which are evacuated" in body) == (status == 503)
+
+
 def test_service_without_targets_does_not_blame_an_evacuation():
     """Guards against a refusal that names a cause that is not the true one."""
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -35,6 +35,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.attempt_reports import AttemptReports
 from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.evacuated_services import evacuated_refusal
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient
@@ -72,8 +73,6 @@
 # Retry delay while all targets are in data centres that are away. A cut lasts seconds,
 # and the entry notices its end within a second.
 AWAY_RETRY_MS = 1_500
-# The same while they are evacuated: until an operator withdraws the order.
-EVACUATED_RETRY_MS = 5_000
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -269,24 +268,14 @@
 
         They are in data centres that nobody reaches, or that are evacuated.
         """
-        away = self.view.away_data_centres
-        evacuated = self.view.evacuations.data_centres
-        if not (away or evacuated) or self._targets(job):
+        if self._targets(job):
             return None
         verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
         service = job.origin.service if job.origin is not None else job.service
-        closed = {
-            row.data_centre
-            for row in self.view.present_targets()
-            if row.service == service and row.data_centre in evacuated
-        }
-        if closed:
-            detail = (
-                f"no target of {service} outside {sorted(closed)}, which are evacuated"
-            )
-            return Refusal(RefusalReason.NO_TARGET, verdict, detail, EVACUATED_RETRY_MS)
-        if not away:
-            return None
+        refusal = evacuated_refusal(self.view, service, verdict)
+        away = self.view.away_data_centres
+        if refusal is not None or not away:
+            return refusal
         detail = f"no target of {job.service} outside {sorted(away)}, which are away"
         return Refusal(RefusalReason.NO_TARGET, verdict, detail, AWAY_RETRY_MS)
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -18,6 +18,7 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.continuation import ContinuationChecker, TargetReports
 from wagtailrun.relay.estimate import IDLE_FIRST_EVENT_MS
+from wagtailrun.relay.evacuated_services import stage_refusal
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.notices import TargetNotices
@@ -402,6 +403,7 @@
         refusal = self.attempts.quarantine_refusal(job)
         refusal = refusal or self.attempts.pause_refusal(job)
         refusal = refusal or self.attempts.away_refusal(job)
+        refusal = refusal or stage_refusal(self.view, job)
         if refusal is not None:
             return refusal
         placed = await self.attempts.place(job, begin=False)
