A stopping entry is not ready after its drain notice

Cause: an entry stays ready for others for up to 1.5 s after its signal, whatever its drain notice is. With drain_notice_ms below that, it drained and closed its listener while its readiness checks still succeeded, so that the load balancer kept sending connections that were refused.

Ruled out: the default notice (2.8 s, or 0.35 of the grace period) is always longer than the stay (1.5 s, or 0.1875 of it); only a configured notice is affected.

Conclusion: the stay is part of the notice.

--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -32,9 +32,9 @@
     return EntryRow(name, address, data_centre, incarnation)
 
 
-def ready_entry(others=()):
+def ready_entry(others=(), **options):
     """Return an entry named ``e`` that is ready, and knows others."""
-    entry = make_entry()
+    entry = make_entry(**options)
     entry.view.table = build_route_table(
         1, [], [], [], RequestLimits(), demands_keys=True
     )
@@ -195,6 +195,37 @@
     assert run_with_virtual_sockets(main) == b"HTTP/1.1 "
 
 
+@pytest.mark.parametrize(
+    ("grace_s", "notice_ms"),
+    [(8.0, None), (8.0, 1_000), (8.0, 500), (4.0, None), (4.0, 300), (2.0, None)],
+)
+def test_entry_is_not_ready_once_its_listener_is_closed(
+    grace_s, notice_ms, stop_signal
+):
+    """Guards against a drain notice that ends before the stay of a stopping entry.
+
+    Checks then succeeded after the listener had closed, or just before.
+    """
+    entry = ready_entry(["f", "g"], grace_s=grace_s, drain_notice_ms=notice_ms)
+    entry.signals.install()
+
+    async def main():
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.spawn(entry._stop_on_signal, daemon=True)
+        assert await check(entry)
+        await curio.sleep(1.2)
+        lose("f")(entry)
+        stop_signal()
+        ready_while_closed = []
+        for wait_s in (0.2, 0.5, 0.5, 0.5, 0.5):
+            await curio.sleep(wait_s)
+            is_listening = entry.caller_server.listener.is_listening
+            ready_while_closed.append(await check(entry) and not is_listening)
+        return ready_while_closed
+
+    assert not any(run_with_virtual_sockets(main))
+
+
 class Member:
     """One entry of a roll, as the load balancer and the other entries see it."""
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -281,7 +281,7 @@
             self.signals,
             self._overload,
             Rotation(self.clock, own_row, self.view.live_entries),
-            max_stay_ms(self._grace_ms()),
+            max_stay_ms(self._grace_ms(), int(settings.effective_drain_notice_ms)),
         )
         self.ready_server = HttpServer(
             settings.ready_address, self.readiness.handle, checks=lambda path: True
--- a/wagtailrun/relay/readiness.py
+++ b/wagtailrun/relay/readiness.py
@@ -19,13 +19,14 @@
 MAX_STAY_SHARE = 0.1875
 
 
-def max_stay_ms(grace_ms: int) -> int:
+def max_stay_ms(grace_ms: int, notice_ms: int) -> int:
     """Return how long after the signal to stop an entry may stay ready for others.
 
     Args:
         grace_ms: Time between the signal and the kill, in milliseconds.
+        notice_ms: Drain notice, after which the listener may close, in milliseconds.
     """
-    return min(MAX_STAY_MS, int(MAX_STAY_SHARE * grace_ms))
+    return min(MAX_STAY_MS, int(MAX_STAY_SHARE * grace_ms), notice_ms)
 
 
 class Readiness:
