Wait at the target counts once in the forecast of an answer that is no stream

Cause: the learned time of an answer that is no stream begins when the request is sent, so it includes the wait at the target; the forecast added the placement's estimate of that wait to it. On routes with prompt affinity or stages a stopping entry refused requests that would have ended, and ended idempotent ones close to their answer.

Ruled out: streams, whose learned time begins with the first event.

Conclusion: found by reading, not seen with callers; the streaming routes of the two deployments are not affected.

--- a/tests/test_stop_forecast.py
+++ b/tests/test_stop_forecast.py
@@ -64,6 +64,46 @@
         assert refusal is None or refusal.verdict is Verdict.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ("options", "latest_ms"),
+    [
+        ({"placed_ms": 700}, ENDS_MS - 200 - ANSWER_MS),
+        ({"planned_ms": 700}, ENDS_MS - 200 - ANSWER_MS),
+        # Its stages are expected to take 500 ms.
+        (
+            {"planned_ms": 700, "expected_ms": 1_200, "work": "w"},
+            ENDS_MS - 200 - ANSWER_MS,
+        ),
+        ({"planned_ms": 700, "expected_ms": 3_600, "work": "w"}, -1),
+    ],
+)
+def test_wait_at_the_target_is_part_of_an_answer_that_is_no_stream(options, latest_ms):
+    """Guards against refusals of requests whose wait for the target counts twice.
+
+    The learned time of such an answer begins when the request is sent.
+    """
+    for at_ms in {latest_ms, latest_ms + 1} - {-1}:
+        forecast, request = forecast_of(
+            at_ms=max(at_ms, 0), route=route(RouteKind.IDEMPOTENT), **options
+        )
+        assert (forecast.refusal(request) is None) == (at_ms <= latest_ms)
+
+
+def test_answer_that_waited_at_its_target_is_expected_to_take_as_long_again():
+    """Guards against a stop that ends requests that are half a second from their end.
+
+    The target's share of the time was added to a time that included it.
+    """
+    forecast, request = forecast_of(
+        at_ms=ENDS_MS - 200 - 100,
+        route=route(RouteKind.IDEMPOTENT),
+        placed_ms=700,
+        runs=1,
+        sent_ms=ENDS_MS - 200 - ANSWER_MS,
+    )
+    assert not forecast.is_hopeless(request)
+
+
 @pytest.mark.parametrize(
     "options", [{"stops": False}, {"streaming": True, "runs": 1, "sent_ms": 10}]
 )
--- a/wagtailrun/relay/stop_forecast.py
+++ b/wagtailrun/relay/stop_forecast.py
@@ -117,13 +117,16 @@
         """
         answer_ms = self.running.answer_ms(job, share)
         now_ms = self.clock.now_ms()
+        is_stream = job.route.kind is RouteKind.STREAM
         if job.sent_ms is not None and job.runs:
-            began_ms = job.sent_ms + job.placed_ms
+            began_ms = job.sent_ms + (job.placed_ms if is_stream else 0)
         else:
-            began_ms = now_ms + (job.placed_ms or job.planned_ms)
+            first_event_ms = (job.placed_ms or job.planned_ms) if is_stream else 0
+            began_ms = now_ms + first_event_ms
             if job.work is not None and not job.staged_ms:
-                began_ms = max(began_ms, job.arrived_ms + job.expected_ms)
-        if job.route.kind is RouteKind.STREAM:
+                staged_ms = job.expected_ms - job.planned_ms
+                began_ms = max(began_ms, job.arrived_ms + staged_ms + first_event_ms)
+        if is_stream:
             # The estimate of another answer begins when it is sent.
             began_ms = max(began_ms, now_ms)
         return began_ms + answer_ms - now_ms
