A stop closes idle connections at the end of its notice again

Cause: kept connections past the notice until the time that their last answer announced. The next request on them was read, and refused with 503 as it might not end before the process; on a connection that was closed in time the caller opens the next one elsewhere, without a refused try. The announcement stays: connections that are idle since before the signal are not reused when the notice ends.

Conclusion: a request that crosses a close is repeated at once, and a refused one after a pause, so the close is better. A stream that began before the signal, and whose client sends its next request as the notice ends, can cross the close as before.

--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -27,7 +27,7 @@
     IdleConnection,
     end_idle,
 )
-from wagtailrun.adapters.keep_alive import keep_alive_s
+from wagtailrun.adapters.keep_alive import keep_alive_fields
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.adapters.platform_checks import is_check
 from wagtailrun.adapters.server_limits import ServerLimits
@@ -143,8 +143,6 @@
         self.closing = False
         # Whether idle connections are closed.
         self.draining = False
-        # Whether idle connections are closed although their last answer allows reuse.
-        self.stops_accepting = False
         # Whether a connection whose request has not arrived is refused at once.
         self.refuses_at_once = False
         self.listener = Listener(address, self._serve_connection)
@@ -197,7 +195,7 @@
         The request of a new connection is on its way and still answered.
         """
         self.closing = self.draining = True
-        await end_idle(self.idle_connections, not self.stops_accepting)
+        await end_idle(self.idle_connections)
 
     async def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
@@ -212,7 +210,6 @@
                 any, the connections are left for ``close``.
         """
         # First, as it frees descriptors, without which no connection can be accepted.
-        self.stops_accepting = True
         await self.drain()
         await self.listener.close(min(limit_ms, MAX_REQUEST_WAIT_MS), keeps_queue=True)
 
@@ -549,7 +546,7 @@
         # Also after an answer that announced no close and ended in a planned stop.
         self.is_awaited = not self.was_used or self.server.draining
         while True:
-            wait_ms = self._idle_limit_ms() - waited_ms
+            wait_ms = self.limits.idle_ms - waited_ms
             if self.is_awaited or refusal is not None:
                 wait_ms = min(wait_ms, self._request_wait_ms())
             try:
@@ -562,19 +559,11 @@
             self.limits = self.server.limits()
             # The room may have come, or gone, meanwhile.
             refusal = self._refusal_if_overloaded()
-            is_over = waited_ms >= self._idle_limit_ms()
+            is_over = self.server.draining or waited_ms >= self.limits.idle_ms
             if is_over or refusal is not None:
                 self.idle_refusal = refusal
                 return None
 
-    def _idle_limit_ms(self) -> int:
-        """Return how long to wait for the next request."""
-        if not self.server.draining:
-            return self.limits.idle_ms
-        if not self.was_used or self.server.stops_accepting:
-            return self._request_wait_ms()
-        return self.kept_ms
-
     def _request_wait_ms(self) -> int:
         """Return how long a request is taken to be on its way."""
         if self.server.refuses_at_once and not self.was_used:
@@ -740,7 +729,7 @@
             headers.append(("Connection", "close"))
         elif self.http.their_state is h11.DONE:
             idle_ms = min(self.limits.idle_ms, self.server.notice_ms)
-            headers += self.announce(keep_alive_s(idle_ms))
+            headers += keep_alive_fields(idle_ms)
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
             head = h11.Response(
--- a/wagtailrun/adapters/idle_connections.py
+++ b/wagtailrun/adapters/idle_connections.py
@@ -2,12 +2,12 @@
 
 import select
 import socket
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import Any
 
 import curio
 
-from wagtailrun.adapters.keep_alive import keep_alive_fields, kept_ms
 from wagtailrun.clock import MS_PER_SECOND
 
 __all__ = ["DRAIN_REQUEST_WAIT_MS", "IdleConnection", "end_idle"]
@@ -38,25 +38,6 @@
         self.is_awaited = True
         # When the wait for the next request began, on the clock of curio, in seconds.
         self.idle_since_s = 0.0
-        # How long its last answer allowed the client to reuse it, in seconds; 0 if it
-        # announced nothing.
-        self.announced_s = 0
-
-    @property
-    def kept_ms(self) -> int:
-        """How long after its last answer a request may come, in milliseconds."""
-        if not self.announced_s:
-            return DRAIN_REQUEST_WAIT_MS
-        return kept_ms(self.announced_s)
-
-    def announce(self, seconds: int) -> list[tuple[str, str]]:
-        """Return the header fields that allow the client to reuse the connection.
-
-        Args:
-            seconds: Longest idle time, in seconds; 0 to announce none.
-        """
-        self.announced_s = seconds
-        return keep_alive_fields(seconds)
 
     def is_readable(self) -> bool:
         """Return whether bytes have arrived, or the client closed the connection."""
@@ -85,14 +66,10 @@
             await self.sock.shutdown(socket.SHUT_RD)
 
 
-async def end_idle(connections: set[Any], keeps_announced: bool = False) -> None:
+async def end_idle(connections: Iterable[IdleConnection]) -> None:
     """End the idle connections on which no request is on its way.
 
     One may be where an answer has just ended: its client was told of no close.
-
-    Args:
-        connections: The idle connections of the server, also later.
-        keeps_announced: Whether to keep those that their last answer announced.
     """
     now_s = await curio.clock()
     for connection in list(connections):
@@ -100,32 +77,17 @@
         if connection.is_awaited or connection.is_readable():
             continue
         since_s = connection.idle_since_s
-        wait_ms = DRAIN_REQUEST_WAIT_MS
-        connection.is_awaited = since_s + wait_ms / MS_PER_SECOND > now_s
-        if keeps_announced:
-            wait_ms = connection.kept_ms
-        end_s = since_s + wait_ms / MS_PER_SECOND
-        if end_s > now_s:
-            await curio.spawn(_end_later, connections, connection, end_s, daemon=True)
+        left_s = since_s + DRAIN_REQUEST_WAIT_MS / MS_PER_SECOND - now_s
+        if left_s > 0:
+            connection.is_awaited = True
+            await curio.spawn(_end_later, connection, since_s, left_s, daemon=True)
         else:
             await connection.stop_reading()
 
 
-async def _end_later(
-    connections: set[Any], connection: IdleConnection, end_s: float
-) -> None:
+async def _end_later(connection: IdleConnection, since_s: float, left_s: float) -> None:
     """End a connection unless a request arrives before the time is over."""
-    since_s = connection.idle_since_s
-
-    def is_waiting() -> bool:
-        is_same = connection in connections and connection.idle_since_s == since_s
-        return is_same and not connection.is_readable()
-
-    awaited_end_s = min(since_s + DRAIN_REQUEST_WAIT_MS / MS_PER_SECOND, end_s)
-    await curio.sleep(max(awaited_end_s - await curio.clock(), 0))
-    if not is_waiting():
-        return
-    connection.is_awaited = False
-    await curio.sleep(max(end_s - await curio.clock(), 0))
-    if is_waiting():
+    await curio.sleep(left_s)
+    is_waiting = connection.is_awaited and connection.idle_since_s == since_s
+    if is_waiting and not connection.is_readable():
         await connection.stop_reading()
