Connections that a stop closes without room to watch them are one log line

Cause: where no descriptors can be spared for the watch, each closed connection logged event 106 by itself, as none was watched. A stop beside a shortage of descriptors, when most connections are open, wrote a line for each of them. One task now logs the event once no further connections are closed or watched, and the server logs the rest as it ends, since the process does not wait for that task.

Ruled out: connections beyond the 32 that are watched; they wait for the last of these.

Before / after: tests/test_closed_connections.py::test_close_of_many_connections_ without_room_is_one_line; 40 connections made more than one line before, one now.

Conclusion: the log of a stop is bounded again.

--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -101,3 +101,35 @@
     assert with_server(echo, main) == [b""] * MANY
     (closed,) = fields_of(logged, events.IDLE_CLOSED)
     assert closed["connections"] == MANY
+
+
+def test_close_of_many_connections_without_room_is_one_line(logged):
+    """Guards against one line for each connection where none can be watched."""
+
+    async def main(address, server):
+        socks = [await kept_connection(address) for _ in range(MANY)]
+        await curio.sleep(0.25)
+        server.overload = lambda: "no descriptors are left"
+        await server.drain()
+        await curio.sleep(3 * WATCH_MS / MS_PER_SECOND)
+        return [await end_of(sock) for sock in socks]
+
+    assert with_server(echo, main) == [b""] * MANY
+    (closed,) = fields_of(logged, events.IDLE_CLOSED)
+    assert closed["connections"] == MANY
+
+
+@pytest.mark.parametrize("reason", ["", "no descriptors are left"])
+def test_connections_closed_just_before_the_end_are_logged(reason, logged):
+    """Guards against a process that ends before it logs what it closed last."""
+
+    async def main(address, server):
+        sock = await kept_connection(address)
+        await curio.sleep(0.25)
+        server.overload = lambda: reason
+        await server.drain()
+        return await end_of(sock)
+
+    assert with_server(echo, main) == b""
+    (closed,) = fields_of(logged, events.IDLE_CLOSED)
+    assert closed["connections"] == 1
--- a/wagtailrun/adapters/closed_connections.py
+++ b/wagtailrun/adapters/closed_connections.py
@@ -38,7 +38,11 @@
         self.server = server
         self.has_room = has_room
         self.watched = 0
+        # Whether a task will log the connections closed so far.
+        self.reports_later = False
         self.closed = 0
+        # How many of them the last line counted.
+        self.logged = 0
         self.crossed = 0
         # The shortest time for which a closed connection was idle.
         self.min_idle_ms: int | None = None
@@ -55,17 +59,25 @@
         self.closed += 1
         if self.min_idle_ms is None or idle_ms < self.min_idle_ms:
             self.min_idle_ms = idle_ms
+        if not self.reports_later:
+            self.reports_later = True
+            await curio.spawn(self._report, daemon=True)
         if self.watched >= MAX_WATCHED or not self.has_room():
-            if not self.watched:
-                self._log_closed()
             return
         self.watched += 1
         try:
             await self._watch(connection.sock, peer, idle_ms)
         finally:
             self.watched -= 1
-            if not self.watched:
-                self._log_closed()
+
+    async def _report(self) -> None:
+        """Log the closed connections once no further ones are closed or watched."""
+        seen = 0
+        while self.watched or self.closed > seen:
+            seen = self.closed
+            await curio.sleep(WATCH_MS / MS_PER_SECOND)
+        self.reports_later = False
+        self.log_rest()
 
     async def _watch(self, sock: curio.io.Socket, peer: str, idle_ms: int) -> None:
         # The client may have closed the connection at the same time.
@@ -88,7 +100,11 @@
                 )
                 return
 
-    def _log_closed(self) -> None:
+    def log_rest(self) -> None:
+        """Log the connections closed so far, if there is no line of the newest yet."""
+        if self.closed == self.logged:
+            return
+        self.logged = self.closed
         events.log(
             events.IDLE_CLOSED,
             server=self.server,
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -168,7 +168,10 @@
         Raises:
             SettingsError: If the process cannot listen on the address.
         """
-        await self.listener.run()
+        try:
+            await self.listener.run()
+        finally:
+            self.closed_connections.log_rest()
 
     def count_overload(self) -> str:
         """Return why new requests are refused for the number of connections."""
