Announced idle time holds after the idle limit was lowered

Cause: an answer announces an idle time from the limits of its request, but the wait for the next request uses the newest limits. If a fleet configuration lowered the limit meanwhile, the connection was closed within the time that it had announced, and the caller's next request crossed the close.

Ruled out: a limit that is lowered while the connection waits; the wait in progress keeps its limit.

Before / after: tests/test_keep_alive.py::test_announced_time_holds_when_the_idle_ limit_is_lowered, virtual time: broken pipe at the second request, 1.99 s after the first answer; now it is answered. The other tests of the file pass.

Conclusion: found by reading, not seen with callers.

--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -9,6 +9,7 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.keep_alive import keep_alive_s
+from wagtailrun.adapters.server_limits import ServerLimits
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.ports.link import Address
 
@@ -150,6 +151,36 @@
     assert b"Keep-Alive" not in answer
 
 
+def test_announced_time_holds_when_the_idle_limit_is_lowered():
+    """Guards against a close within the time that the last answer announced.
+
+    A new fleet configuration lowered the limit while the answer was being sent.
+    """
+    idle_ms = [60_000]
+
+    async def handler(request):
+        idle_ms[0] = 1_000
+        return await echo(request)
+
+    def limits():
+        return ServerLimits(16_384, 1_048_576, 3_000, idle_ms[0])
+
+    async def main():
+        server = HttpServer(ADDRESS, handler, limits=limits, notice_ms=2_800)
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0)
+        sock = await connect(ADDRESS)
+        first = await answer_on(sock, GOOD)
+        await curio.sleep(REUSE_S)
+        return first, await answer_on(sock, GOOD)
+
+    first, second = run_with_virtual_sockets(main)
+    assert b"\r\nKeep-Alive: timeout=2\r\n" in first
+    # The next answer announces less than the new limit.
+    assert second.startswith(b"HTTP/1.1 200")
+    assert b"Keep-Alive" not in second
+
+
 @pytest.mark.parametrize(
     ("limit_ms", "seconds"), [(0, 0), (1_400, 0), (1_500, 1), (2_800, 2), (31_000, 30)]
 )
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -573,7 +573,9 @@
     def _idle_limit_ms(self) -> int:
         """Return how long to wait for the next request."""
         if not self.server.draining:
-            return self.limits.idle_ms
+            # The limit may have been lowered since the last answer.
+            announced_ms = self.kept_ms if self.announced_s else 0
+            return max(self.limits.idle_ms, announced_ms)
         if not self.was_used or self.server.stops_accepting:
             return self._request_wait_ms()
         return self.kept_ms
