--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -166,7 +166,10 @@
         Raises:
             SettingsError: If the process cannot listen on the address.
         """
-        await self.listener.run()
+        try:
+            await self.listener.run()
+        finally:
+            self.closed_connections.log_rest()
 
     def count_overload(self) -> str:
         """Return why new requests are refused for the number of connections."""
@@ -300,6 +303,8 @@
         self.limits = server.limits()
         # Why there was no room for another request as the connection was idle for long.
         self.idle_refusal: Refusal | None = None
+        # How long the last answer said that the idle connection is kept.
+        self.announced_ms = 0
         # Method of the newest request, and whether it is a check of the platform.
         self.method = b""
         self.is_check = False
@@ -553,7 +558,7 @@
         # Also after an answer that announced no close and ended in a planned stop.
         self.is_awaited = not self.was_used or self.server.draining
         while True:
-            wait_ms = self.limits.idle_ms - waited_ms
+            wait_ms = self._idle_limit_ms() - waited_ms
             if self.is_awaited or refusal is not None:
                 wait_ms = min(wait_ms, self._request_wait_ms())
             try:
@@ -566,11 +571,18 @@
             self.limits = self.server.limits()
             # The room may have come, or gone, meanwhile.
             refusal = self._refusal_if_overloaded()
-            is_over = self.server.draining or waited_ms >= self.limits.idle_ms
+            is_over = self.server.draining or waited_ms >= self._idle_limit_ms()
             if is_over or refusal is not None:
                 self.idle_refusal = refusal
                 return None
 
+    def _idle_limit_ms(self) -> int:
+        """Return how long to wait for the next request.
+
+        The limit may have been lowered since an answer announced a time.
+        """
+        return max(self.limits.idle_ms, self.announced_ms)
+
     def _request_wait_ms(self) -> int:
         """Return how long a request is taken to be on its way."""
         if self.server.refuses_at_once and not self.was_used:
@@ -735,8 +747,8 @@
         if close:
             headers.append(("Connection", "close"))
         elif self.http.their_state is h11.DONE:
-            idle_ms = min(self.limits.idle_ms, self.server.notice_ms)
-            headers += keep_alive_fields(idle_ms)
+            self.announced_ms = min(self.limits.idle_ms, self.server.notice_ms)
+            headers += keep_alive_fields(self.announced_ms)
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
             head = h11.Response(
