A stopping entry stays ready also where others leave after it

Cause: let an entry leave at once when no other one was counted in rotation. One that stays itself has announced its stop, and is in rotation for two more checks; when another one came back, some but fewer than half were in rotation again. Only with two entries in a data centre can that not be, and only there no entry stays now.

--- a/wagtailrun/relay/rotation.py
+++ b/wagtailrun/relay/rotation.py
@@ -84,4 +84,5 @@
             now_ms - each.since_ms >= REENTRY_MS
             for each in self.present_by_name.values()
         )
-        return 0 < 2 * in_rotation < others + 1
+        # Of two entries, never some but fewer than half are in rotation.
+        return others > 1 and 2 * in_rotation < others + 1
