soak: a process that had begun to exit before its kill ended in time

The process was sent SIGKILL 4,001 ms after its signal and ended with 0, 339 ms later.

Cause: error of the soak. An end with 0 shows that the process had called exit before the kill, so that the rest is the time in which the system removes it. The finding of the kill itself already allowed for that, the one of the late end did not.

The time of the kill counts now for a process that ends in another way than by it. One that is killed, ends late without a kill, or has its kill later than the limit is found as before (the last is a new case).

Before / after: pytest tests/test_soak_promises.py: the case "killed while it exits, and gone late" failed, all pass.

Ruled out: a standstill of the watch that records ends (subtracted already).

Conclusion: on a busy machine the time that the system needs is not that of the entry.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -451,6 +451,8 @@
             took_ms = [e.at_ms - stop.at_ms for e in exits if e.pid == stop.pid]
             # The end is seen late by a watch that stood still.
             seen_ms = took_ms[0] + stop.at_ms if took_ms else until_ms
+            # The system may take time to remove a process that exits.
+            seen_ms = min(seen_ms, self._exits_before_ms(stop, until_ms))
             late_ms = self.history.standstill_ms("soak", stop.at_ms, seen_ms + SEEN_MS)
             is_late = not took_ms or seen_ms > end_ms + late_ms
             if is_late and not self._has_fault(stop.at_ms, end_ms):
@@ -480,10 +482,25 @@
 
     def _had_effect(self, kill: SignalRecord) -> bool:
         """Return whether a process was killed that had not begun to exit by itself."""
-        exits = self.history.exits[kill.process]
-        has_exited = any(e.pid == kill.pid and e.code != -SIGKILL for e in exits)
+        has_exited = self._exits_by_itself(kill)
         return not has_exited and not self._has_fault(kill.at_ms - 1, kill.at_ms)
 
+    def _exits_by_itself(self, signal: SignalRecord) -> bool:
+        """Return whether a process ended in another way than by SIGKILL."""
+        exits = self.history.exits[signal.process]
+        return any(e.pid == signal.pid and e.code != -SIGKILL for e in exits)
+
+    def _exits_before_ms(self, stop: SignalRecord, until_ms: int) -> int:
+        """Return by when a process had begun to exit, as a kill had no effect on it."""
+        if not self._exits_by_itself(stop):
+            return until_ms
+        kills_ms = [
+            each.at_ms
+            for each in self.history.signals[stop.process]
+            if each.pid == stop.pid and each.number == SIGKILL
+        ]
+        return min(kills_ms, default=until_ms)
+
     def _was_ready(self, end: ExitRecord) -> bool:
         """Return whether the process that ended ever said that it is ready."""
         before = [e.at_ms for e in self.history.exits[end.process] if e.pid != end.pid]
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -238,6 +238,10 @@
         "ends",
         [stop(1_000), stop(9_000, signal.SIGKILL), end(9_005, -9)],
     ),
+    "killed late while it exits": (
+        "ends",
+        [stop(1_000), stop(9_200, signal.SIGKILL), end(9_400, 0)],
+    ),
     "crash": ("ends", [end(1_000, -11)]),
     "exit by itself": ("ends", [end(1_000, 0)]),
     "exit code after a stop": ("ends", [stop(1_000), end(2_000, 1)]),
@@ -334,6 +338,11 @@
         stop(9_000, signal.SIGKILL),
         end(9_080, 0),
     ],
+    "killed while it exits, and gone late": [
+        stop(1_000),
+        stop(9_000, signal.SIGKILL),
+        end(9_400, 0),
+    ],
     "killed by a fault": [stop(1_000, signal.SIGKILL, is_planned=False)]
     + [end(1_001, -9)],
     "ended by the signal to stop while it starts": [
