Request that comes back to a stopping entry is refused only if likely to be cut

Cause: the refusal assumed that another entry gets the next try. Such a request is recognised by its digest and then judged by the median of the lengths. Ruled out: a longer retry time, which leaves no answer in time.

--- a/wagtailrun/relay/answer_times.py
+++ b/wagtailrun/relay/answer_times.py
@@ -7,9 +7,9 @@
 
 __all__ = ["COVERED_SHARE", "TYPICAL_SHARE", "AnswerTimes"]
 
-# An answer that is cut is lost, while a refused request loses one round trip; so a
-# request begins only if the estimate covers this share of the newest answers.
-COVERED_SHARE = 0.9
+# An answer that is cut is lost, while a request that is refused loses some time; so it
+# is refused unless the estimate that covers this share of the newest answers fits.
+COVERED_SHARE = 0.8
 TYPICAL_SHARE = 0.5
 # An estimate is computed from at most this many answers; with fewer than MIN_ANSWERS,
 # nothing is known.
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -137,6 +137,7 @@
         task = await curio.current_task()
         self.unanswered_tasks.add(task)
         self.running.add(job, task)
+        self.forecast.recognise(job)
         try:
             try:
                 response = await self._run(job)
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -56,6 +56,7 @@
         first_ms: When its first event or its answer arrived; 0 until then.
         attempt_timed_out: Whether the newest attempt was ended as it took too long.
         ended_by_stop: Whether it was ended, as the process stops.
+        came_back: Whether this entry refused it before in its planned stop.
         streaming: Whether its answer is being relayed as a stream.
         progress: How much of the answer to the newest attempt has arrived.
         detail: Description of the newest failure.
@@ -92,6 +93,7 @@
     first_ms: int = 0
     attempt_timed_out: bool = False
     ended_by_stop: bool = False
+    came_back: bool = False
     streaming: bool = False
     progress: AnswerProgress = AnswerProgress.NOTHING
     detail: str = ""
--- a/wagtailrun/relay/stop_forecast.py
+++ b/wagtailrun/relay/stop_forecast.py
@@ -12,6 +12,9 @@
 
 __all__ = ["StopForecast", "StopPlan"]
 
+# Requests that are remembered as refused; a stop lasts for some seconds.
+MAX_REFUSED = 4_096
+
 
 @attrs.frozen
 class StopPlan:
@@ -53,6 +56,16 @@
         self.running = running
         # Set when a planned stop begins.
         self.stop: StopPlan | None = None
+        self._refused_digests: set[str] = set()
+
+    def recognise(self, job: RelayJob) -> None:
+        """Find out whether a request comes again that was refused here before.
+
+        The load balancer may still send it to no other entry. So it is refused again
+        only if it is likely to be cut.
+        """
+        if self._refused_digests:
+            job.came_back = job.digest in self._refused_digests
 
     def refusal(self, job: RelayJob) -> Refusal | None:
         """Return the refusal of a request that is not to be sent any more, else None.
@@ -61,10 +74,13 @@
         """
         if self.stop is None or job.streaming:
             return None
-        expected_ms = self._expected_ms(job, COVERED_SHARE)
+        share = TYPICAL_SHARE if job.came_back else COVERED_SHARE
+        expected_ms = self._expected_ms(job, share)
         left_ms = self._left_ms(job)
         if expected_ms <= left_ms and not job.ended_by_stop:
             return None
+        if len(self._refused_digests) < MAX_REFUSED:
+            self._refused_digests.add(job.digest)
         return Refusal(
             RefusalReason.DRAINING,
             Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN,
