Time per token of an answer is learned from all routes of its service

The time is that of the engines; all routes of the service have it. Before / after: test_time_per_token_is_that_of_all_routes_of_the_service failed before.

--- a/wagtailrun/relay/answer_times.py
+++ b/wagtailrun/relay/answer_times.py
@@ -9,7 +9,7 @@
 
 # An answer that is cut is lost, while a request that is refused loses some time; so it
 # is refused unless the estimate that covers this share of the newest answers fits.
-COVERED_SHARE = 0.8
+COVERED_SHARE = 0.7
 TYPICAL_SHARE = 0.5
 # An estimate is computed from at most this many answers; with fewer than MIN_ANSWERS,
 # nothing is known.
@@ -35,9 +35,9 @@
 class AnswerTimes:
     """Keeps how long the newest answers of each route took.
 
-    Callers of models state how many tokens they expect, so these answers are compared
-    by their time per expected token. Routes without enough answers are estimated by
-    those of their service.
+    Callers of models state how many tokens they expect. The time for each of them is
+    that of the targets, so it is taken from all answers of the service. Other routes
+    without enough answers are estimated by those of their service, too.
     """
 
     def __init__(self) -> None:
@@ -75,15 +75,14 @@
         Returns:
             0 if nothing is known.
         """
+        of_service = self._by_service.get(service, ())
+        counted = [answer for answer in of_service if answer.tokens]
+        if tokens and len(counted) >= MIN_ANSWERS:
+            return int(tokens * _quantile_per_token_ms(counted, share))
         answers = self._by_route.get(route, ())
         if len(answers) < MIN_ANSWERS:
-            answers = self._by_service.get(service, ())
-        if len(answers) < MIN_ANSWERS:
-            return 0
-        counted = [answer for answer in answers if answer.tokens]
-        if not tokens or len(counted) < MIN_ANSWERS:
-            return _quantile_ms(answers, share)
-        return int(tokens * _quantile_per_token_ms(counted, share))
+            answers = of_service
+        return _quantile_ms(answers, share) if len(answers) >= MIN_ANSWERS else 0
 
 
 def _quantile_ms(answers: Iterable[_Answer], share: float) -> int:
