Estimates of answers are kept until the next answer

Cause: an entry with thousands of waiting requests would sort the newest answers for each of them ten times a second while it stops. Ruled out: fewer looks; a request would be given back later. Conclusion: no figure of the estimate changes.

--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -24,6 +24,8 @@
     assert AnswerTimes().expected_ms("r", "s", 100) == 0
     few = taught(*[(100, 5_000)] * (MIN_ANSWERS - 1))
     assert few.expected_ms("r", "s", 100) == 0
+    few.add("r", "s", 100, 5_000)
+    assert few.expected_ms("r", "s", 100) == 5_000
 
 
 def test_estimate_covers_most_answers():
--- a/wagtailrun/relay/answer_times.py
+++ b/wagtailrun/relay/answer_times.py
@@ -1,7 +1,6 @@
 """Learned estimates of how long targets send the answers of a route."""
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable
 
 import attrs
 
@@ -32,6 +31,54 @@
     took_ms: int
 
 
+class _NewestAnswers:
+    """The newest answers of a route or service, and quantiles of their times."""
+
+    def __init__(self) -> None:
+        self._answers: deque[_Answer] = deque(maxlen=MAX_ANSWERS)
+        # Kept until the next answer: a stop asks for each of its requests.
+        self._ms_by_share: dict[float, int | None] = {}
+        self._per_token_ms_by_share: dict[float, float | None] = {}
+
+    def add(self, answer: _Answer) -> None:
+        self._answers.append(answer)
+        self._ms_by_share.clear()
+        self._per_token_ms_by_share.clear()
+
+    def quantile_ms(self, share: float) -> int | None:
+        """Return a quantile of the times; None if there are too few."""
+        if share not in self._ms_by_share:
+            ranked = sorted(answer.took_ms for answer in self._answers)
+            found = ranked[int(share * (len(ranked) - 1))] if ranked else 0
+            is_known = len(ranked) >= MIN_ANSWERS
+            self._ms_by_share[share] = found if is_known else None
+        return self._ms_by_share[share]
+
+    def quantile_per_token_ms(self, share: float) -> float | None:
+        """Return a quantile of the time per token, weighted by the tokens.
+
+        In short answers, a fixed time and a wrong expectation make up most of it.
+
+        Returns:
+            None if there are too few.
+        """
+        if share not in self._per_token_ms_by_share:
+            self._per_token_ms_by_share[share] = self._weighted_quantile(share)
+        return self._per_token_ms_by_share[share]
+
+    def _weighted_quantile(self, share: float) -> float | None:
+        counted = [answer for answer in self._answers if answer.tokens]
+        if len(counted) < MIN_ANSWERS:
+            return None
+        counted.sort(key=lambda each: each.took_ms / each.tokens)
+        left = share * sum(answer.tokens for answer in counted)
+        for answer in counted:
+            left -= answer.tokens
+            if left <= 0:
+                break
+        return answer.took_ms / answer.tokens
+
+
 class AnswerTimes:
     """Keeps how long the newest answers of each route took.
 
@@ -41,8 +88,8 @@
     """
 
     def __init__(self) -> None:
-        self._by_route: OrderedDict[str, deque[_Answer]] = OrderedDict()
-        self._by_service: OrderedDict[str, deque[_Answer]] = OrderedDict()
+        self._by_route: OrderedDict[str, _NewestAnswers] = OrderedDict()
+        self._by_service: OrderedDict[str, _NewestAnswers] = OrderedDict()
 
     def add(self, route: str, service: str, tokens: int, took_ms: int) -> None:
         """Record a complete answer.
@@ -55,7 +102,7 @@
         """
         answer = _Answer(tokens, took_ms)
         for kept, key in ((self._by_route, route), (self._by_service, service)):
-            kept.setdefault(key, deque(maxlen=MAX_ANSWERS)).append(answer)
+            kept.setdefault(key, _NewestAnswers()).add(answer)
             kept.move_to_end(key)
             if len(kept) > MAX_KEYS:
                 kept.popitem(last=False)
@@ -75,30 +122,14 @@
         Returns:
             0 if nothing is known.
         """
-        of_service = self._by_service.get(service, ())
-        counted = [answer for answer in of_service if answer.tokens]
-        if tokens and len(counted) >= MIN_ANSWERS:
-            return int(tokens * _quantile_per_token_ms(counted, share))
-        answers = self._by_route.get(route, ())
-        if len(answers) < MIN_ANSWERS:
-            answers = of_service
-        return _quantile_ms(answers, share) if len(answers) >= MIN_ANSWERS else 0
-
-
-def _quantile_ms(answers: Iterable[_Answer], share: float) -> int:
-    ranked = sorted(answer.took_ms for answer in answers)
-    return ranked[int(share * (len(ranked) - 1))]
-
-
-def _quantile_per_token_ms(answers: Iterable[_Answer], share: float) -> float:
-    """Return a quantile of the time per token, weighted by the tokens.
-
-    In short answers, a fixed time and a wrong expectation make up most of it.
-    """
-    ranked = sorted(answers, key=lambda each: each.took_ms / each.tokens)
-    left = share * sum(answer.tokens for answer in ranked)
-    for answer in ranked:
-        left -= answer.tokens
-        if left <= 0:
-            break
-    return answer.took_ms / answer.tokens
+        of_service = self._by_service.get(service)
+        if of_service is None:
+            return 0
+        per_token_ms = of_service.quantile_per_token_ms(share) if tokens else None
+        if per_token_ms is not None:
+            return int(tokens * per_token_ms)
+        of_route = self._by_route.get(route)
+        found_ms = of_route.quantile_ms(share) if of_route is not None else None
+        if found_ms is None:
+            found_ms = of_service.quantile_ms(share)
+        return found_ms or 0
