Tests of planned stops that fail without the code they are about

Cause: with single pieces of the changes for planned stops taken out, their tests still passed: the call that recognises a request that comes back, the look just before a request is sent, the end of the record of running requests, the rule that the rest of a stream is no measurement, and the longest stay of a stopping entry, which the rule on readiness depends on.

Conclusion: tests only; nothing they show was broken.

--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -11,6 +11,7 @@
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun import events
+from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.relay.answer_times import MIN_ANSWERS
@@ -282,3 +283,93 @@
     )
     assert not body.endswith(b"0\r\n\r\n")
     assert ended_s >= ENDS_S - 0.1
+
+
+class SlowConnector(DirectConnector):
+    """Opens connections that are ready only after a time."""
+
+    def __init__(self):
+        super().__init__()
+        self.delay_s = 0.0
+
+    async def connect(self, address, timeout_ms):
+        await curio.sleep(self.delay_s)
+        return await super().connect(address, timeout_ms)
+
+
+def test_request_whose_connection_opens_too_late_is_not_sent_in_a_stop(stop_signal):
+    """Guards against a request that fits when its target is chosen, but not when sent.
+
+    The look for hopeless requests, ten times a second, may come too late for it.
+    """
+    connector = SlowConnector()
+
+    def prepare(handler):
+        async def look_never():
+            pass
+
+        handler.end_hopeless = look_never
+
+    async def client(caller):
+        await caller.teach()
+        arrived = len(caller.fleet.seen)
+        connector.delay_s = 0.4
+        caller.begin_stop()
+        await caller.sleep_until(ENDS_S - 5 - 0.2)
+        answer = await caller.send()
+        return answer[:12], len(caller.fleet.seen) - arrived
+
+    answer = run_entry(
+        RouteKind.STREAM,
+        stream(5),
+        client,
+        stop_signal,
+        prepare=prepare,
+        connector=connector,
+    )
+    assert answer == (b"HTTP/1.1 503", 0)
+
+
+def test_request_that_comes_back_to_a_stopping_entry_is_served(stop_signal):
+    """Guards against a caller whose every try the stopping entry refuses.
+
+    Most answers take longer than what is left, but not half of them.
+    """
+    durations_s = [2] * (MIN_ANSWERS // 2) + [5] * (MIN_ANSWERS // 2) + [2]
+
+    def reply(request):
+        return stream(durations_s.pop(0))(request)
+
+    async def client(caller):
+        await caller.teach()
+        caller.begin_stop()
+        await caller.sleep_until(ENDS_S - 4.95)
+        return [(await caller.send())[:12] for _ in range(2)]
+
+    answers = run_entry(RouteKind.STREAM, reply, client, stop_signal)
+    assert answers == [b"HTTP/1.1 503", b"HTTP/1.1 200"]
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize("leaves_after_s", [0.0, 0.5, 1.5, 9.0])
+def test_request_whose_caller_leaves_is_not_kept(
+    leaves_after_s, resumable, stop_signal
+):
+    """Guards against records of requests that have ended, one for each of them."""
+    handlers = []
+
+    async def client(caller):
+        async with curio.ignore_after(leaves_after_s):
+            await caller.send()
+        await curio.sleep(0.1)
+        return dict(handlers[0].running.tasks_by_job)
+
+    kept = run_entry(
+        RouteKind.STREAM,
+        stream(3, wait_s=1),
+        client,
+        stop_signal,
+        prepare=handlers.append,
+        resumable=resumable,
+    )
+    assert kept == {}
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -226,6 +226,36 @@
     assert not any(run_with_virtual_sockets(main))
 
 
+@pytest.mark.parametrize("grace_s", [8.0, 30.0])
+def test_last_successful_check_leaves_time_for_two_that_fail(grace_s, stop_signal):
+    """Guards against entries that are ready 4 s after their signal (DRAIN).
+
+    The load balancer must not use an entry that accepts no more connections, either.
+    """
+    entry = ready_entry(["f", "g"], grace_s=grace_s)
+    entry.signals.install()
+
+    async def main():
+        await curio.spawn(entry.caller_server.serve, daemon=True)
+        stopping = await curio.spawn(entry._stop_on_signal)
+        assert await check(entry)
+        await curio.sleep(1.2)
+        lose("f")(entry)
+        signalled_ms = last_ready_ms = entry.clock.now_ms()
+        stop_signal()
+        while entry.caller_server.listener.is_listening:
+            await curio.sleep(STEP_MS / MS_PER_SECOND)
+            if await check(entry):
+                last_ready_ms = entry.clock.now_ms()
+        closed_ms = entry.clock.now_ms()
+        await stopping.join()
+        return last_ready_ms - signalled_ms, closed_ms - signalled_ms
+
+    last_ready_ms, closed_ms = run_with_virtual_sockets(main)
+    assert last_ready_ms > 0
+    assert last_ready_ms + MISSES * CHECK_MS < min(closed_ms, DRAIN_RULE_MS)
+
+
 class Member:
     """One entry of a roll, as the load balancer and the other entries see it."""
 
--- a/tests/test_stop_forecast.py
+++ b/tests/test_stop_forecast.py
@@ -164,3 +164,18 @@
         refused.append(forecast.refusal(again) is not None)
     # 2,600 ms cover most answers, 2,400 ms half of them.
     assert refused == [True, False, True]
+
+
+@pytest.mark.parametrize(("last_event_id", "expected_ms"), [(None, 300), (5, 0)])
+def test_rest_of_a_stream_does_not_count_as_a_whole_one(last_event_id, expected_ms):
+    """Guards against estimates that are too short for streams from their beginning."""
+    clock = VirtualClock()
+    running = RunningJobs(clock)
+    values = {"answer_tokens": 0, "last_event_id": last_event_id}
+    request = types.SimpleNamespace(**values)
+    for _ in range(MIN_ANSWERS):
+        ended = job(clock, request=request, route=route(resumable=True))
+        ended.streaming, ended.first_ms = True, clock.now_ms() + 1
+        clock.seconds += 0.301
+        running.end(ended, "answered", 200)
+    assert running.answer_ms(ended, 0.5) == expected_ms
