Answers beside a shortage announce no idle time

Cause: a server without room for requests closes a connection that is idle for 200 ms, but its answers announced 2 s. A caller that reused the connection within the announced time found it closed.

Ruled out: keeping the connection for the announced time; others need its descriptor. A stream whose head was sent before the shortage has announced the time already.

Conclusion: found by reading, not seen with callers.

--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -130,6 +130,34 @@
     assert b"Keep-Alive" not in second
 
 
+def test_answer_beside_a_shortage_announces_no_idle_time():
+    """Guards against an announced time that a server without room does not keep.
+
+    It closes a connection that is idle for 200 ms, as others need its descriptor.
+    """
+    reasons = []
+
+    async def handler(request):
+        reasons.append("no descriptors are left")
+        return await echo(request)
+
+    async def main():
+        server = HttpServer(
+            ADDRESS, handler, notice_ms=2_800, overload=lambda: "".join(reasons)
+        )
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0)
+        sock = await connect(ADDRESS)
+        answer = await answer_on(sock, GOOD)
+        await curio.sleep(0.3)
+        return answer, await sock.recv(1)
+
+    answer, rest = run_with_virtual_sockets(main)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"Keep-Alive" not in answer
+    assert rest == b""
+
+
 @pytest.mark.parametrize(
     ("limit_ms", "seconds"), [(0, 0), (1_400, 0), (1_500, 1), (2_800, 2), (31_000, 30)]
 )
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -747,7 +747,10 @@
         if close:
             headers.append(("Connection", "close"))
         elif self.http.their_state is h11.DONE:
-            self.announced_ms = min(self.limits.idle_ms, self.server.notice_ms)
+            self.announced_ms = 0
+            # Without room for requests, idle connections are closed soon.
+            if not self.server.overload():
+                self.announced_ms = min(self.limits.idle_ms, self.server.notice_ms)
             headers += keep_alive_fields(self.announced_ms)
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
--- a/wagtailrun/events.py
+++ b/wagtailrun/events.py
@@ -91,6 +91,7 @@
     106,
     logging.INFO,
     "A planned stop has closed connections that waited for another request.",
+    limited=False,
 )
 CLOSE_CROSSED = _event(
     107,
