--- a/tests/test_away_refusals.py
+++ b/tests/test_away_refusals.py
@@ -47,6 +47,18 @@
     async def release_all(self, work, results):
         pass
 
+    def use(self, handler, kind, steps, prompt_affinity):
+        """Let a handler with one route of these steps run its stages here."""
+        handler.runner = handler.admission.runner = handler.streams.runner = self
+        handler.view.table = build_route_table(
+            1,
+            [route(kind, steps=steps, prompt_affinity=prompt_affinity)],
+            SERVICES,
+            [],
+            RequestLimits(),
+            demands_keys=False,
+        )
+
 
 @pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.ORDER])
 @pytest.mark.parametrize("steps", [(), (StageStep("board", (), 800),)])
@@ -55,15 +67,7 @@
     stages = Stages()
 
     def use_stages(handler):
-        handler.runner = handler.admission.runner = handler.streams.runner = stages
-        handler.view.table = build_route_table(
-            1,
-            [route(kind, steps=steps, prompt_affinity=bool(steps))],
-            SERVICES,
-            [],
-            RequestLimits(),
-            demands_keys=False,
-        )
+        stages.use(handler, kind, steps, prompt_affinity=bool(steps))
 
     async def client(address, fleet):
         started_ms = SystemClock().now_ms()
--- a/tests/test_evacuated_targets.py
+++ b/tests/test_evacuated_targets.py
@@ -8,7 +8,7 @@
 import pytest
 from wagtail_platform.stage_calls import PlatformStageClient
 
-from tests.test_away_refusals import SERVICES, Stages
+from tests.test_away_refusals import Stages
 from tests.test_notices import Harness
 from tests.test_relay_front import (
     SIGNATURE,
@@ -17,7 +17,6 @@
     answer,
     event,
     lone_grants,
-    route,
     run_relay,
     send,
     stream,
@@ -38,10 +37,8 @@
 from wagtailrun.relay.evacuated_services import EVACUATED_RETRY_MS
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.routes import (
-    RequestLimits,
     RouteKind,
     StageStep,
-    build_route_table,
 )
 from wagtailrun.stages.port import StageItem
 from wagtailrun.virtual_time import run_virtual
@@ -85,15 +82,7 @@
     stages = Stages()
 
     def prepare(handler):
-        handler.runner = handler.admission.runner = handler.streams.runner = stages
-        handler.view.table = build_route_table(
-            1,
-            [route(kind, steps=steps, prompt_affinity=bool(steps))],
-            SERVICES,
-            [],
-            RequestLimits(),
-            demands_keys=False,
-        )
+        stages.use(handler, kind, steps, prompt_affinity=bool(steps))
         evacuate(handler.view, "a", "b")
 
     async def client(address, fleet):
@@ -122,16 +111,9 @@
     stages = Stages()
 
     def prepare(handler):
-        handler.runner = handler.admission.runner = handler.streams.runner = stages
+        steps = (StageStep("board", (), 800),)
+        stages.use(handler, RouteKind.ORDER, steps, prompt_affinity=False)
         view = handler.view
-        view.table = build_route_table(
-            1,
-            [route(RouteKind.ORDER, steps=(StageStep("board", (), 800),))],
-            SERVICES,
-            [],
-            RequestLimits(),
-            demands_keys=False,
-        )
         known = view.rows[0]
         board = attrs.evolve(known, name="b0", service="board", data_centre="b")
         view.rows.append(board)
--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -104,6 +104,24 @@
     assert cut["waiting_connections"] >= REQUESTS
 
 
+async def begin_drain_of_occupied(entry, stop_signal):
+    """Begin the drain of a product's entry whose descriptors connections hold."""
+
+    async def hand_over(timeout_ms):
+        return None
+
+    entry.caller_server.handler = echo
+    entry.accounts.hand_over_all = hand_over
+    await curio.spawn(entry.caller_server.serve, daemon=True)
+    await curio.sleep(0.05)
+    entry.signalled_drain.signals.install()
+    for _ in range(OCCUPANTS):
+        await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
+    await curio.sleep(0.05)
+    stop_signal()
+    return await curio.spawn(entry._drain)
+
+
 @pytest.mark.parametrize("limit_ms", [1_000, 2_000, 8_000])
 def test_requests_that_wait_for_a_descriptor_are_answered_by_an_entry_of_the_product(
     limit_ms, stop_signal
@@ -111,20 +129,8 @@
     """Guards against the same at the product's entry, which closes its server later."""
     entry = test_entry_close.make_entry(limit_ms)
 
-    async def hand_over(timeout_ms):
-        return None
-
     async def main():
-        entry.caller_server.handler = echo
-        entry.accounts.hand_over_all = hand_over
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
-        for _ in range(OCCUPANTS):
-            await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
-        await curio.sleep(0.05)
-        stop_signal()
-        stopping = await curio.spawn(entry._drain)
+        stopping = await begin_drain_of_occupied(entry, stop_signal)
         await entry.clock.sleep_ms(BEFORE_END_MS)
         while not entry.caller_server.draining:
             await entry.clock.sleep_ms(BEFORE_END_MS)
@@ -148,21 +154,9 @@
         loop.held_turn = loop.turns + 1
         await curio.sleep(0)
 
-    async def hand_over(timeout_ms):
-        return None
-
     async def main():
-        entry.caller_server.handler = echo
-        entry.accounts.hand_over_all = hand_over
         entry.dispatcher.end = stand_still
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
-        for _ in range(OCCUPANTS):
-            await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
-        await curio.sleep(0.05)
-        stop_signal()
-        stopping = await curio.spawn(entry._drain)
+        stopping = await begin_drain_of_occupied(entry, stop_signal)
         while not entry.caller_server.draining:
             await entry.clock.sleep_ms(BEFORE_END_MS)
         answers = await call(entry.settings.caller_address)
