One false expectation of a caller does not decide how long answers take

Cause: the time per token is weighted by the tokens that callers expect, so that one answer of 300 ms whose caller expected 50,000 tokens lowered the estimate for 500 tokens from 5,000 to 3 ms, and a stopping entry refused nothing any more. Before / after: test_one_false_expectation_does_not_decide_the_estimate: 3, now 5,000 ms.

--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -51,6 +51,13 @@
     assert times.expected_ms("r", "s", 500) == 5_000
 
 
+def test_one_false_expectation_does_not_decide_the_estimate():
+    """Guards against a caller whose expectation makes all answers seem short."""
+    times = taught(*[(500, 5_000)] * 40, (50_000, 300))
+    assert times.expected_ms("r", "s", 500) == 5_000
+    assert times.expected_ms("r", "s", 500, TYPICAL_SHARE) == 5_000
+
+
 def test_time_per_token_is_that_of_all_routes_of_the_service():
     """Guards against estimates of twice the longest answer, by a few of one route."""
     times = taught(*[(100, 700)] * MAX_ANSWERS)
--- a/wagtailrun/relay/answer_times.py
+++ b/wagtailrun/relay/answer_times.py
@@ -71,12 +71,17 @@
         if len(counted) < MIN_ANSWERS:
             return None
         counted.sort(key=lambda each: each.took_ms / each.tokens)
-        left = share * sum(answer.tokens for answer in counted)
-        for answer in counted:
-            left -= answer.tokens
+        # The expectation of one caller may be far too large.
+        max_weight = sum(answer.tokens for answer in counted) / MIN_ANSWERS
+        weights = [min(answer.tokens, max_weight) for answer in counted]
+        left = share * sum(weights)
+        covering = counted[-1]
+        for answer, weight in zip(counted, weights, strict=True):
+            left -= weight
             if left <= 0:
+                covering = answer
                 break
-        return answer.took_ms / answer.tokens
+        return covering.took_ms / covering.tokens
 
 
 class AnswerTimes:
