soak: one look-up of when a process was killed

Cause: the time that a kill takes, and the late end of a process that had begun to exit, were written side by side and each searched the signals for the first SIGKILL of a process. Conclusion: no promise or bound changes.

--- a/soak/history.py
+++ b/soak/history.py
@@ -150,13 +150,17 @@
         """
         return max(map(self._kill_ms, itertools.chain(*self.exits.values())), default=0)
 
-    def _kill_ms(self, end: ExitRecord) -> int:
+    def killed_ms(self, process: str, pid: int, default_ms: int) -> int:
+        """Return when a process first got SIGKILL; ``default_ms`` if it got none."""
         kills_ms = [
             each.at_ms
-            for each in self.signals[end.process]
-            if each.pid == end.pid and each.number == SIGKILL
+            for each in self.signals[process]
+            if each.pid == pid and each.number == SIGKILL
         ]
-        began_ms = min(kills_ms, default=end.at_ms)
+        return min(kills_ms, default=default_ms)
+
+    def _kill_ms(self, end: ExitRecord) -> int:
+        began_ms = self.killed_ms(end.process, end.pid, default_ms=end.at_ms)
         unseen_ms = self.standstill_ms("soak", began_ms, end.at_ms + SEEN_MS)
         return max(end.at_ms - began_ms - unseen_ms, 0)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -492,12 +492,7 @@
         """Return by when a process had begun to exit, as a kill had no effect on it."""
         if not self._exits_by_itself(stop):
             return until_ms
-        kills_ms = [
-            each.at_ms
-            for each in self.history.signals[stop.process]
-            if each.pid == stop.pid and each.number == SIGKILL
-        ]
-        return min(kills_ms, default=until_ms)
+        return self.history.killed_ms(stop.process, stop.pid, default_ms=until_ms)
 
     def _was_ready(self, end: ExitRecord) -> bool:
         """Return whether the process that ended ever said that it is ready."""
