--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -175,17 +175,23 @@
     assert run_with_virtual_sockets(main) == (True, False)
 
 
+async def serve_until_one_is_lost(entry):
+    """Serve until another entry of the data centre ends; return the task of a stop."""
+    await curio.spawn(entry.caller_server.serve, daemon=True)
+    stopping = await curio.spawn(entry._stop_on_signal, daemon=True)
+    assert await check(entry)
+    await curio.sleep(1.2)
+    lose("f")(entry)
+    return stopping
+
+
 def test_listener_stays_open_until_two_checks_have_failed(stop_signal):
     """Guards against an idle entry that ends while it is still in rotation."""
     entry = ready_entry(["f", "g"])
     entry.signals.install()
 
     async def main():
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        stopping = await curio.spawn(entry._stop_on_signal)
-        assert await check(entry)
-        await curio.sleep(1.2)
-        lose("f")(entry)
+        stopping = await serve_until_one_is_lost(entry)
         stop_signal()
         await curio.sleep(1.4)
         assert await check(entry)
@@ -214,11 +220,7 @@
     entry.signals.install()
 
     async def main():
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        await curio.spawn(entry._stop_on_signal, daemon=True)
-        assert await check(entry)
-        await curio.sleep(1.2)
-        lose("f")(entry)
+        await serve_until_one_is_lost(entry)
         stop_signal()
         ready_while_closed = []
         for wait_s in (0.2, 0.5, 0.5, 0.5, 0.5):
@@ -240,11 +242,7 @@
     entry.signals.install()
 
     async def main():
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        stopping = await curio.spawn(entry._stop_on_signal)
-        assert await check(entry)
-        await curio.sleep(1.2)
-        lose("f")(entry)
+        stopping = await serve_until_one_is_lost(entry)
         signalled_ms = last_ready_ms = entry.clock.now_ms()
         stop_signal()
         while entry.caller_server.listener.is_listening:
