A planned stop keeps the idle time that an answer announced

What callers saw: a client that reused its connection within the time of Keep-Alive found it closed, and a request that must not run twice had no answer.

Cause: the answer announces the time in its head. When its head was sent before the signal to stop, and its end came after it, the drain closed the idle connection 200 ms later, or at once, whatever had been announced.

Change: a draining server keeps such a connection for the announced time, and takes a request on it as any other. The stop waits for it, as for the request of a new connection, within its limits. Without room for requests nothing changes: idle connections are closed soon, as others need their descriptors. Both entries use the same server.

--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -3,11 +3,13 @@
 import curio
 import pytest
 
+from tests import test_entry_close
 from tests.test_http_server import GOOD, echo
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun import events
+from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.adapters.keep_alive import keep_alive_fields
 from wagtailrun.adapters.server_limits import ServerLimits
 from wagtailrun.clock import MS_PER_SECOND
@@ -77,6 +79,104 @@
     assert (b"Connection: close" in second) == (before_s < REUSE_S)
 
 
+def make_relay_entry():
+    entry = make_entry()
+    return entry, entry.signals, entry._stop_on_signal
+
+
+def make_product_entry():
+    entry = test_entry_close.make_entry(30_000, 5_000)
+
+    async def hand_over(timeout_ms):
+        return None
+
+    entry.accounts.hand_over_all = hand_over
+    signals = entry.signalled_drain.signals
+
+    async def stop():
+        await signals.wait()
+        await entry._drain()
+
+    return entry, signals, stop
+
+
+@pytest.mark.parametrize("ends_after_s", [-0.5, 0.1, 1.5, 2.4, 2.9, 3.3, 4.6])
+@pytest.mark.parametrize("make", [make_relay_entry, make_product_entry])
+def test_answer_that_ends_in_a_stop_keeps_its_announced_time(
+    make, ends_after_s, stop_signal, logged
+):
+    """Guards against a stop that closes a connection within its announced idle time.
+
+    The answer's head, which announced the time, was sent before the signal; its end
+    came after it. A request on the closed connection got no answer.
+    """
+    entry, signals, stop = make()
+    answered = []
+
+    async def handler(request):
+        if answered:
+            return await echo(request)
+        answered.append(request)
+        return Response(200, pieces())
+
+    async def pieces():
+        yield b"x"
+        await curio.sleep(0.6 + ends_after_s)
+
+    async def client(address):
+        sock = await connect(address)
+        await curio.sleep(SIGNAL_S - 0.6)
+        first = await answer_on(sock, GOOD)
+        seconds = int(first.partition(b"Keep-Alive: timeout=")[2][:1])
+        await curio.sleep(seconds - 0.01)
+        return first, await answer_on(sock, GOOD)
+
+    async def main():
+        entry.caller_server.handler = handler
+        signals.install()
+        serving = await curio.spawn(entry.caller_server.serve, daemon=True)
+        stopping = await curio.spawn(stop)
+        task = await curio.spawn(client, entry.settings.caller_address)
+        await curio.sleep(SIGNAL_S)
+        stop_signal()
+        await stopping.join()
+        # The process ends here.
+        await serving.cancel()
+        return await task.join()
+
+    first, second = run_with_virtual_sockets(main)
+    assert first.endswith(b"0\r\n\r\n")
+    assert second.startswith(b"HTTP/1.1 200")
+    assert b"Connection: close" in second
+    assert not [each for each, _ in logged if each is events.CLOSE_CROSSED]
+
+
+def test_stop_without_room_does_not_keep_the_announced_time():
+    """Guards against idle connections whose descriptors new connections wait for.
+
+    The shortage begins after the drain of the server.
+    """
+    reasons = []
+
+    async def main():
+        server = HttpServer(
+            ADDRESS, echo, notice_ms=2_800, overload=lambda: "".join(reasons)
+        )
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0)
+        sock = await connect(ADDRESS)
+        await answer_on(sock, GOOD)
+        await server.drain()
+        await curio.sleep(0.5)
+        was_kept = bool(server.idle_connections)
+        reasons.append("no descriptors are left")
+        await server.stop_accepting()
+        await curio.sleep(0.01)
+        return was_kept, len(server.idle_connections)
+
+    assert run_with_virtual_sockets(main) == (True, 0)
+
+
 LAST = GOOD.replace(b"Host", b"Connection: close\r\nHost")
 
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -27,7 +27,7 @@
     IdleConnection,
     end_idle,
 )
-from wagtailrun.adapters.keep_alive import keep_alive_fields
+from wagtailrun.adapters.keep_alive import keep_alive_fields, kept_idle_ms
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.adapters.platform_checks import is_check
 from wagtailrun.adapters.server_limits import ServerLimits
@@ -195,10 +195,12 @@
     async def drain(self) -> None:
         """Close the idle connections, now and later.
 
-        The request of a new connection is on its way and still answered.
+        The request of a new connection is on its way and still answered. A connection
+        whose last answer announced an idle time is kept for that time, if there is room
+        for requests.
         """
         self.closing = self.draining = True
-        await end_idle(self.idle_connections)
+        await end_idle(self.idle_connections, keeps_announced=not self.overload())
 
     async def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
@@ -228,8 +230,7 @@
         if not self.listener.is_listening:
             return
         self.refuses_at_once = True
-        unused = [each for each in self.idle_connections if not each.was_used]
-        for connection in [*unused, *self.reading_connections]:
+        for connection in [*self.idle_connections, *self.reading_connections]:
             await connection.stop_reading()
         before = self.listener.accepted
         await self.listener.close(
@@ -303,8 +304,6 @@
         self.limits = server.limits()
         # Why there was no room for another request as the connection was idle for long.
         self.idle_refusal: Refusal | None = None
-        # How long the last answer said that the idle connection is kept.
-        self.announced_ms = 0
         # Method of the newest request, and whether it is a check of the platform.
         self.method = b""
         self.is_check = False
@@ -560,7 +559,7 @@
         while True:
             wait_ms = self._idle_limit_ms() - waited_ms
             if self.is_awaited or refusal is not None:
-                wait_ms = min(wait_ms, self._request_wait_ms())
+                wait_ms = min(wait_ms, self._request_wait_ms(refusal is not None))
             try:
                 data = await self.receive_within(wait_ms, READ_BYTES)
             finally:
@@ -583,12 +582,18 @@
         """
         return max(self.limits.idle_ms, self.announced_ms)
 
-    def _request_wait_ms(self) -> int:
-        """Return how long a request is taken to be on its way."""
+    def _request_wait_ms(self, lacks_room: bool) -> int:
+        """Return how long a request is taken to be on its way.
+
+        Args:
+            lacks_room: Whether there is no room for requests, so that an announced time
+                is not kept.
+        """
         if self.server.refuses_at_once and not self.was_used:
             return 0
         if self.was_used:
-            return DRAIN_REQUEST_WAIT_MS
+            announced_ms = 0 if lacks_room else self.announced_ms
+            return max(DRAIN_REQUEST_WAIT_MS, announced_ms)
         return min(self.limits.header_ms, MAX_REQUEST_WAIT_MS)
 
     async def _parse_part(self, read_part: Callable[[], Awaitable[Any]]) -> Any:
@@ -747,11 +752,12 @@
         if close:
             headers.append(("Connection", "close"))
         elif self.http.their_state is h11.DONE:
-            self.announced_ms = 0
+            limit_ms = 0
             # Without room for requests, idle connections are closed soon.
             if not self.server.overload():
-                self.announced_ms = min(self.limits.idle_ms, self.server.notice_ms)
-            headers += keep_alive_fields(self.announced_ms)
+                limit_ms = min(self.limits.idle_ms, self.server.notice_ms)
+            self.announced_ms = kept_idle_ms(limit_ms)
+            headers += keep_alive_fields(limit_ms)
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
             head = h11.Response(
--- a/wagtailrun/adapters/idle_connections.py
+++ b/wagtailrun/adapters/idle_connections.py
@@ -13,7 +13,7 @@
 __all__ = ["DRAIN_REQUEST_WAIT_MS", "IdleConnection", "end_idle"]
 
 # How long a draining server waits for another request on a connection whose last answer
-# announced no close.
+# announced neither a close nor a longer time.
 DRAIN_REQUEST_WAIT_MS = 200
 
 
@@ -38,6 +38,8 @@
         self.is_awaited = True
         # When the wait for the next request began, on the clock of curio, in seconds.
         self.idle_since_s = 0.0
+        # How long the last answer said that the idle connection is kept.
+        self.announced_ms = 0
 
     def is_readable(self) -> bool:
         """Return whether bytes have arrived, or the client closed the connection."""
@@ -66,18 +68,33 @@
             await self.sock.shutdown(socket.SHUT_RD)
 
 
-async def end_idle(connections: Iterable[IdleConnection]) -> None:
+async def end_idle(
+    connections: Iterable[IdleConnection], keeps_announced: bool
+) -> None:
     """End the idle connections on which no request is on its way.
 
-    One may be where an answer has just ended: its client was told of no close.
+    One may be where an answer has just ended, and for as long as the answer announced:
+    its client was told of no close.
+
+    Args:
+        connections: Idle connections.
+        keeps_announced: Whether the announced time is kept; without room for requests
+            it is not.
     """
     now_s = await curio.clock()
     for connection in list(connections):
         # A request whose first bytes have arrived is read to its end.
-        if connection.is_awaited or connection.is_readable():
+        if connection.is_readable():
+            continue
+        # Without room, the wait for an announced time is cut short.
+        is_cut = connection.was_used and not keeps_announced
+        if connection.is_awaited and not is_cut:
             continue
         since_s = connection.idle_since_s
-        left_s = since_s + DRAIN_REQUEST_WAIT_MS / MS_PER_SECOND - now_s
+        wait_ms = DRAIN_REQUEST_WAIT_MS
+        if keeps_announced:
+            wait_ms = max(wait_ms, connection.announced_ms)
+        left_s = since_s + wait_ms / MS_PER_SECOND - now_s
         if left_s > 0:
             connection.is_awaited = True
             await curio.spawn(_end_later, connection, since_s, left_s, daemon=True)
