Move 14 modules into wagtailrun/consensus

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Names that the package says already are shortened.

Measured: every module of the package imports, and ruff passes.

--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -21,8 +21,8 @@
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
-from wagtailrun.consensus import Member
-from wagtailrun.journal import Journal
+from wagtailrun.consensus.journal import Journal
+from wagtailrun.consensus.member import Member
 from wagtailrun.ports.log import StateMachine
 from wagtailrun.virtual_time import run_virtual
 
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -17,12 +17,12 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import decode, encode
+from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
 from wagtailrun.fleet import parse_fleet_text
-from wagtailrun.local_log import LocalLog
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.order_table import MAX_ORDER_KEYS
 from wagtailrun.orders import OrderRunner
--- a/tests/fake_cluster.py
+++ b/tests/fake_cluster.py
@@ -10,10 +10,11 @@
 
 from tests.fake_disk import FakeDisk
 from tests.fake_network import FakeNetwork
-from wagtailrun import consensus, journal, replication
 from wagtailrun.clock import Clock
-from wagtailrun.consensus import Member
-from wagtailrun.consensus_messages import VoteRequest
+from wagtailrun.consensus import journal, replication
+from wagtailrun.consensus import member as consensus
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.messages import VoteRequest
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.log import StateMachine
--- a/tests/hosted_cluster.py
+++ b/tests/hosted_cluster.py
@@ -3,9 +3,9 @@
 import curio
 
 from tests.fake_cluster import CheckedLink, Cluster, ListMachine, Node
-from wagtailrun.consensus import Member
-from wagtailrun.consensus_messages import VoteReply
-from wagtailrun.member_host import MemberHost
+from wagtailrun.consensus.host import MemberHost
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.messages import VoteReply
 
 
 class HostedNode(Node):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,9 +6,9 @@
 
 from tests.fake_cluster import Cluster, shrink_sizes
 from tests.fake_disk import FakeDisk
-from wagtailrun import election, replication
-from wagtailrun.consensus_messages import Join
-from wagtailrun.consensus_timing import Timing
+from wagtailrun.consensus import election, replication
+from wagtailrun.consensus.messages import Join
+from wagtailrun.consensus.timing import Timing
 from wagtailrun.exceptions import ConsensusUnavailable, DiskFault
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,9 +4,9 @@
 import pytest
 
 from tests.hosted_cluster import started
-from wagtailrun.consensus import Member
-from wagtailrun.consensus_messages import CODEC, Handover, VoteReply, VoteRequest
-from wagtailrun.consensus_timing import Timing
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.messages import CODEC, Handover, VoteReply, VoteRequest
+from wagtailrun.consensus.timing import Timing
 from wagtailrun.exceptions import MessageError
 from wagtailrun.relay.control import CONSENSUS_TIMING
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,8 +4,10 @@
 import pytest
 
 from tests.fake_disk import FakeDisk
-from wagtailrun import journal as journal_module
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus import journal as journal_module
+from wagtailrun.consensus.journal import Journal
+from wagtailrun.consensus.journal_records import MAGIC, snapshot_checksum
+from wagtailrun.consensus.messages import (
     Configuration,
     Entry,
     EntryKind,
@@ -13,8 +15,6 @@
     SnapshotHeader,
 )
 from wagtailrun.exceptions import CorruptRecord, DiskFault
-from wagtailrun.journal import Journal
-from wagtailrun.journal_records import MAGIC, snapshot_checksum
 from wagtailrun.virtual_time import run_virtual
 
 
--- a/tests/test_journal_compaction_faults.py
+++ b/tests/test_journal_compaction_faults.py
@@ -5,10 +5,10 @@
 
 from tests.fake_disk import FakeDisk
 from tests.test_journal_disk_faults import entries
-from wagtailrun.consensus_messages import Configuration, SnapshotHeader
+from wagtailrun.consensus.journal import SEGMENT_PREFIX, Journal
+from wagtailrun.consensus.journal_records import snapshot_checksum
+from wagtailrun.consensus.messages import Configuration, SnapshotHeader
 from wagtailrun.exceptions import DiskFault, DiskFull
-from wagtailrun.journal import SEGMENT_PREFIX, Journal
-from wagtailrun.journal_records import snapshot_checksum
 from wagtailrun.virtual_time import run_virtual
 
 SNAPSHOT = b"state"
--- a/tests/test_journal_disk_faults.py
+++ b/tests/test_journal_disk_faults.py
@@ -8,8 +8,10 @@
 import pytest
 
 from tests.fake_disk import FakeDisk
-from wagtailrun import journal as journal_module
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus import journal as journal_module
+from wagtailrun.consensus.journal import Journal
+from wagtailrun.consensus.journal_records import snapshot_checksum
+from wagtailrun.consensus.messages import (
     Configuration,
     Entry,
     EntryKind,
@@ -17,8 +19,6 @@
     SnapshotHeader,
 )
 from wagtailrun.exceptions import DiskFault, DiskFull
-from wagtailrun.journal import Journal
-from wagtailrun.journal_records import snapshot_checksum
 from wagtailrun.virtual_time import run_virtual
 
 IDENTITY = "m#1"
--- a/tests/test_membership_change.py
+++ b/tests/test_membership_change.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.fake_cluster import Cluster, Node
-from wagtailrun.consensus_messages import Join
+from wagtailrun.consensus.messages import Join
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -14,6 +14,7 @@
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import SystemClock
+from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control_service import ControlService
 from wagtailrun.cost_cells import Source, WorkKind
 from wagtailrun.events import EVENT_LOG, EventLog
@@ -23,7 +24,6 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.local_log import LocalLog
 from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import OperatorApi
 from wagtailrun.ports.link import Address
--- a/tests/test_planned_handover.py
+++ b/tests/test_planned_handover.py
@@ -5,10 +5,10 @@
 
 from tests.hosted_cluster import started
 from tests.test_handover import SEEDS, TIMINGS, UNANSWERED_LIMIT_MS, finish
-from wagtailrun.consensus import Member
-from wagtailrun.consensus_messages import Handover
+from wagtailrun.consensus.host import HANDOVER_LIMIT_MS
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.messages import Handover
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError
-from wagtailrun.member_host import HANDOVER_LIMIT_MS
 from wagtailrun.relay.control import CONSENSUS_TIMING, PUT_TIMEOUT_MS
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_stream_origins_fleet.py
+++ b/tests/test_stream_origins_fleet.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.test_discovery import HEARTBEAT_MS, Controls
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery import OriginClient, StreamOrigin
 from wagtailrun.discovery.origin_client import UNRECORDED_CHECK_MS
 from wagtailrun.discovery.stream_origins import (
--- a/wagtailrun/election.py
+++ b/wagtailrun/consensus/election.py
@@ -6,12 +6,12 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.consensus_messages import MemberInfo, VoteReply, VoteRequest
-from wagtailrun.consensus_state import Role
+from wagtailrun.consensus.messages import MemberInfo, VoteReply, VoteRequest
+from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 
 if TYPE_CHECKING:
-    from wagtailrun.consensus import Member
+    from wagtailrun.consensus.member import Member
 
 __all__ = ["Election"]
 
--- a/wagtailrun/following.py
+++ b/wagtailrun/consensus/following.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus.journal_records import snapshot_checksum
+from wagtailrun.consensus.messages import (
     AppendEntries,
     AppendReply,
     Entry,
@@ -12,12 +13,11 @@
     SnapshotHeader,
     SnapshotPiece,
 )
-from wagtailrun.consensus_state import Role
-from wagtailrun.journal_records import snapshot_checksum
+from wagtailrun.consensus.state import Role
 from wagtailrun.ports.link import Address
 
 if TYPE_CHECKING:
-    from wagtailrun.consensus import Member
+    from wagtailrun.consensus.member import Member
 
 __all__ = ["Follower"]
 
--- a/wagtailrun/handover.py
+++ b/wagtailrun/consensus/handover.py
@@ -2,12 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailrun.consensus_messages import Handover, MemberInfo, VoteReply
-from wagtailrun.consensus_state import Role
+from wagtailrun.consensus.messages import Handover, MemberInfo, VoteReply
+from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 
 if TYPE_CHECKING:
-    from wagtailrun.consensus import Member
+    from wagtailrun.consensus.member import Member
 
 __all__ = ["LeaderHandover"]
 
--- a/wagtailrun/member_host.py
+++ b/wagtailrun/consensus/host.py
@@ -7,10 +7,10 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.consensus import Member
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.member_disk import MemberDisk
 from wagtailrun.disk_space import wait_for_space
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
-from wagtailrun.member_disk import MemberDisk
 from wagtailrun.messages import PeerError
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
--- a/wagtailrun/journal.py
+++ b/wagtailrun/consensus/journal.py
@@ -13,7 +13,16 @@
 import attrs
 import curio
 
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus.journal_records import (
+    FRAME_HEADER,
+    corrupt_record_error,
+    encode_frame,
+    has_valid_frame_after,
+    payload_at,
+    snapshot_checksum,
+    split_batches,
+)
+from wagtailrun.consensus.messages import (
     CODEC,
     Configuration,
     Entry,
@@ -22,17 +31,8 @@
     MemberRecord,
     SnapshotHeader,
 )
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.state import Signal
 from wagtailrun.exceptions import DiskFault, DiskFull, MessageError
-from wagtailrun.journal_records import (
-    FRAME_HEADER,
-    corrupt_record_error,
-    encode_frame,
-    has_valid_frame_after,
-    payload_at,
-    snapshot_checksum,
-    split_batches,
-)
 from wagtailrun.ports.disk import Disk
 
 __all__ = ["Journal"]
--- a/wagtailrun/journal_records.py
+++ b/wagtailrun/consensus/journal_records.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from wagtailrun.consensus_messages import Entry
+from wagtailrun.consensus.messages import Entry
 from wagtailrun.exceptions import CorruptRecord
 
 __all__ = [
--- a/wagtailrun/consensus.py
+++ b/wagtailrun/consensus/member.py
@@ -9,7 +9,13 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus.election import Election
+from wagtailrun.consensus.following import Follower
+from wagtailrun.consensus.handover import LeaderHandover
+from wagtailrun.consensus.journal import Journal
+from wagtailrun.consensus.journal_records import snapshot_checksum
+from wagtailrun.consensus.membership_change import MembershipChange
+from wagtailrun.consensus.messages import (
     AppendEntries,
     Configuration,
     Entry,
@@ -22,24 +28,18 @@
     SnapshotPiece,
     VoteRequest,
 )
-from wagtailrun.consensus_state import Role, Signal
-from wagtailrun.consensus_timing import Timing
-from wagtailrun.election import Election
+from wagtailrun.consensus.replication import Replication
+from wagtailrun.consensus.state import Role, Signal
+from wagtailrun.consensus.timing import Timing
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     DiskFault,
     MessageError,
     PeerUnreachable,
 )
-from wagtailrun.following import Follower
-from wagtailrun.handover import LeaderHandover
-from wagtailrun.journal import Journal
-from wagtailrun.journal_records import snapshot_checksum
-from wagtailrun.membership_change import MembershipChange
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.log import ReplicatedLog, StateMachine
-from wagtailrun.replication import Replication
 
 __all__ = ["Member"]
 
--- a/wagtailrun/membership_change.py
+++ b/wagtailrun/consensus/membership_change.py
@@ -5,7 +5,7 @@
 import attrs
 
 from wagtailrun import events
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus.messages import (
     CODEC,
     Configuration,
     Entry,
@@ -15,12 +15,12 @@
     MemberInfo,
     name_of,
 )
-from wagtailrun.consensus_state import Role
+from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.ports.link import Address
 
 if TYPE_CHECKING:
-    from wagtailrun.consensus import Member
+    from wagtailrun.consensus.member import Member
 
 __all__ = ["MembershipChange"]
 
--- a/wagtailrun/replication.py
+++ b/wagtailrun/consensus/replication.py
@@ -7,7 +7,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.consensus_messages import (
+from wagtailrun.consensus.messages import (
     CODEC,
     AppendEntries,
     AppendReply,
@@ -19,11 +19,11 @@
     SnapshotHeader,
     SnapshotPiece,
 )
-from wagtailrun.consensus_state import Role, Signal
+from wagtailrun.consensus.state import Role, Signal
 from wagtailrun.exceptions import PeerUnreachable
 
 if TYPE_CHECKING:
-    from wagtailrun.consensus import Member
+    from wagtailrun.consensus.member import Member
 
 __all__ = ["Progress", "Replication"]
 
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -15,12 +15,12 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import Channel, codec_of
-from wagtailrun.consensus import Member
+from wagtailrun.consensus.host import MemberHost
+from wagtailrun.consensus.member import Member
 from wagtailrun.control_client import CALL_TIMEOUT_MS, ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.engine_control import EngineController
 from wagtailrun.fleet_watch import FleetWatch
-from wagtailrun.member_host import MemberHost
 from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import APPLY_TIMEOUT_MS, MAX_TEXT_BYTES, OperatorApi
--- a/wagtailrun/discovery/entry_reports.py
+++ b/wagtailrun/discovery/entry_reports.py
@@ -6,7 +6,7 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.messages import ReportCrashes, ReportLeaving, ReportLimits
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -9,8 +9,8 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.consensus import Member
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.evacuations import FleetPlaces, log_evacuations
 from wagtailrun.discovery.messages import (
     AgedEntry,
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -9,7 +9,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock, drop_expired
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.messages import (
     FindOrigin,
     OriginFound,
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -8,7 +8,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock, drop_expired
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.discovery.entry_reports import EntryReports, Report
 from wagtailrun.discovery.evacuations import EvacuationView
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -13,8 +13,9 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.codec import Channel, codec_of
-from wagtailrun.consensus import Member
-from wagtailrun.consensus_timing import Timing
+from wagtailrun.consensus.host import MemberHost
+from wagtailrun.consensus.member import Member
+from wagtailrun.consensus.timing import Timing
 from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.discovery import Configuration, Hub
@@ -24,7 +25,6 @@
     RefusalReason,
     Verdict,
 )
-from wagtailrun.member_host import MemberHost
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import Registry
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -1,5 +1,5 @@
 # Consensus messages between control members, and the records of their files.
-# wagtailrun/consensus_messages.py describes the fields.
+# wagtailrun/consensus/messages.py describes the fields.
 @0xd1a6c3b7f0e94a15;
 
 struct Message {
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -3,7 +3,7 @@
 import attrs
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.consensus_state import Signal
+from wagtailrun.consensus.state import Signal
 from wagtailrun.stages.messages import (
     JobState,
     PieceResult,
