Move 8 modules into wagtailrun/gossip

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest. Names that the package says already are shortened.

--- a/bench/account_fleet.py
+++ b/bench/account_fleet.py
@@ -15,7 +15,7 @@
 from demo.processes import free_addresses, loopback_host
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery.owners import Owners, ownership_key
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 
 __all__ = ["AccountFleet", "checkout"]
--- a/bench/account_worker.py
+++ b/bench/account_worker.py
@@ -29,7 +29,7 @@
     TargetLimit,
 )
 from wagtailrun.events import EventLog
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.line_writer import LineWriter
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.placement_messages import (
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -12,8 +12,8 @@
 from bench.gossip_cluster import FLEET_TEXT, Cluster
 from wagtailrun.fleet import FleetConfiguration, fleet_from_document, parse_fleet_text
 from wagtailrun.fleet_diff import apply_diff, diff_documents
-from wagtailrun.gossip_messages import GROWTH_RECORD
-from wagtailrun.gossip_push import PeerClient
+from wagtailrun.gossip.messages import GROWTH_RECORD
+from wagtailrun.gossip.push import PeerClient
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
--- a/bench/gossip_cluster.py
+++ b/bench/gossip_cluster.py
@@ -6,8 +6,8 @@
 import curio
 
 from tests.fake_network import FakeNetwork
-from wagtailrun.gossip import GossipNode
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.gossip.node import GossipNode
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
--- a/bench/tunnels.py
+++ b/bench/tunnels.py
@@ -10,7 +10,7 @@
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
--- a/tests/test_brittle_owners.py
+++ b/tests/test_brittle_owners.py
@@ -6,7 +6,7 @@
 from tests.fake_network import FakeNetwork
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.brittle_slots import GATHER_MS, SETTLED_MS
--- a/tests/test_change_during_requests.py
+++ b/tests/test_change_during_requests.py
@@ -20,7 +20,7 @@
 from wagtailrun.discovery import StreamOrigin
 from wagtailrun.discovery.origin_client import FoundOrigin
 from wagtailrun.exceptions import ConnectFailed, TargetFailed
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import (
--- a/tests/test_cut_beliefs.py
+++ b/tests/test_cut_beliefs.py
@@ -11,7 +11,7 @@
 from tests.test_tunnels import View
 from wagtailrun.adapters.http_client import OpenConnection
 from wagtailrun.exceptions import ConnectFailed
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelRefusal
--- a/tests/test_data_centre_reach.py
+++ b/tests/test_data_centre_reach.py
@@ -13,7 +13,7 @@
 from wagtailrun.adapters.http_client import OpenConnection
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import TunnelRefusal, TunnelRefused
--- a/tests/test_departures_before_end.py
+++ b/tests/test_departures_before_end.py
@@ -13,7 +13,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.discovery import News, NewsMarks, ReportLeaving, RowsTaken
 from wagtailrun.discovery.messages import PollNews
-from wagtailrun.gossip_messages import Health
+from wagtailrun.gossip.messages import Health
 
 # Less than a message to a member that does not answer takes.
 KNOWN_MS = 50
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -20,7 +20,7 @@
 )
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.exceptions import FleetTextError, PeerUnreachable
-from wagtailrun.gossip_messages import AgedRow, EntryRow, Health
+from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry import Registry
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -10,7 +10,7 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
--- a/tests/test_fleet_transfer.py
+++ b/tests/test_fleet_transfer.py
@@ -11,7 +11,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import FleetTextError
 from wagtailrun.fleet import fleet_from_document, parse_fleet_text
-from wagtailrun.gossip_text import FleetConfigStore
+from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.registry_messages import WatchText
 from wagtailrun.text_watch import ConfigurationLongPoll
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,17 +7,17 @@
 import pytest
 
 from bench.gossip_cluster import FLEET_TEXT, Cluster
-from wagtailrun import gossip_peers
 from wagtailrun.exceptions import MessageError
-from wagtailrun.gossip_messages import (
+from wagtailrun.gossip import peers as gossip_peers
+from wagtailrun.gossip.messages import (
     GossipGrowth,
     GossipStatus,
     Growth,
     Health,
     pack_growth,
 )
-from wagtailrun.gossip_push import PeerClient, split_members
-from wagtailrun.gossip_text import FleetConfigStore
+from wagtailrun.gossip.push import PeerClient, split_members
+from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -8,7 +8,7 @@
 from wagtailrun.codec import encode
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
--- a/tests/test_late_paths.py
+++ b/tests/test_late_paths.py
@@ -6,7 +6,7 @@
 from tests.test_late_carriers import OPEN_TUNNEL, ROWS, HeldConnector, OpenSocket
 from tests.test_tunnels import View
 from wagtailrun.exceptions import ConnectFailed
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import TunnelRefusal, TunnelRefused
 from wagtailrun.relay.tunnels import (
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from wagtailrun.discovery.owners import AVOIDANCE_MS, MAX_RANKINGS, Owners
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import VirtualClock
 
--- a/tests/test_peer_shortage.py
+++ b/tests/test_peer_shortage.py
@@ -26,7 +26,7 @@
 from wagtailrun.discovery.messages import OriginFound, RecordOrigins
 from wagtailrun.events import EVENT_LOG, PEER_LOST
 from wagtailrun.exceptions import ConnectFailed, ConsensusUnavailable, PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow, Health
+from wagtailrun.gossip.messages import EntryRow, Health
 from wagtailrun.membership import TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,7 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -9,7 +9,7 @@
 from tests.test_discovery import HEARTBEAT_MS, Controls
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import digest_part
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -19,7 +19,7 @@
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import ConnectFailed, ResponseAborted, TargetFailed
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import RelayHandler
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -11,7 +11,7 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.rotation import REENTRY_MS
 from wagtailrun.routes import RequestLimits, build_route_table
--- a/tests/test_shared_versions.py
+++ b/tests/test_shared_versions.py
@@ -5,7 +5,7 @@
 from tests.test_discovery import ROW, run
 from wagtailrun.discovery.shared_versions import SharedVersions
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
-from wagtailrun.gossip_messages import AgedRow
+from wagtailrun.gossip.messages import AgedRow
 from wagtailrun.membership import Membership
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -14,7 +14,7 @@
 from tests.test_tunnels import CutConnector, View
 from wagtailrun.adapters.http_client import HttpClient, OpenConnection
 from wagtailrun.exceptions import PeerUnreachable, TargetFailed, Verdict
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
--- a/tests/test_stage_handover.py
+++ b/tests/test_stage_handover.py
@@ -14,7 +14,7 @@
 from tests.test_stage_runner import CAPACITY, ENTRIES, STEPS, other_entry, work
 from tests.test_stage_stop import Fleet
 from wagtailrun.discovery.owners import AVOIDANCE_MS
-from wagtailrun.gossip_peers import rendezvous
+from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.stages import (
     FreeResults,
     PieceOutcome,
--- a/tests/test_stage_owner_silence.py
+++ b/tests/test_stage_owner_silence.py
@@ -7,7 +7,7 @@
 from tests.test_stage_runner import ENTRIES, Fleet, other_entry, work
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageStep
 from wagtailrun.stages import FreeResults, StageResults
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -8,8 +8,8 @@
 from tests.test_stage_pool import FakeStages, target
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable, RefusalReason
-from wagtailrun.gossip_messages import EntryRow
-from wagtailrun.gossip_peers import rendezvous
+from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.ports.link import Address
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import StageCapacity, StageStep
--- a/tests/test_stage_spread.py
+++ b/tests/test_stage_spread.py
@@ -6,7 +6,7 @@
 from tests.test_stage_pool import FakeStages, target
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.stages import DelegatingStageClient, PieceOutcome, StageItem
 from wagtailrun.stages.messages import CallMade, PieceMade
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -22,7 +22,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery.view import FleetView
 from wagtailrun.exceptions import FleetTextError, SettingsError
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.settings import (
     RelayControlSettings,
--- a/tests/test_stream_origins_fleet.py
+++ b/tests/test_stream_origins_fleet.py
@@ -15,7 +15,7 @@
     StreamOrigins,
     stream_key,
 )
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_stream_versions_out_of_step.py
+++ b/tests/test_stream_versions_out_of_step.py
@@ -24,7 +24,7 @@
     stream_key,
 )
 from wagtailrun.exceptions import PeerUnreachable, TargetFailed, Verdict
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import ChangeLog, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.continuation import ContinuationChecker, IncarnationReader
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -10,7 +10,7 @@
 from tests.test_target_limits import allowed
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import TargetPaused
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.choice import LIMIT_CHECK_MS, TargetChooser
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -32,7 +32,7 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import ConnectFailed, MessageError, TargetFailed
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.tunnel_messages import ReportPause, TunnelRefusal
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -12,7 +12,7 @@
 from wagtailrun.discovery import target_limits
 from wagtailrun.discovery.messages import AgedRow, News, NewsMarks
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import ROW_RETENTION_MS, TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import brittle_slots, send_grants
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -33,7 +33,7 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import ConfigurationHistory
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
-from wagtailrun.gossip_messages import AgedRow, EntryRow, Health
+from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import ChangeLog, Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry import Registry
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -7,7 +7,7 @@
 import attrs
 
 from wagtailrun.codec import Channel, Codec, independent_rows
-from wagtailrun.gossip_messages import AgedRow, EntryRow
+from wagtailrun.gossip.messages import AgedRow, EntryRow
 
 __all__ = [
     "AgedEntry",
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -4,8 +4,8 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock, drop_expired
-from wagtailrun.gossip_messages import EntryRow
-from wagtailrun.gossip_peers import rendezvous
+from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.gossip.peers import rendezvous
 
 __all__ = ["Owners", "ownership_key"]
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -26,8 +26,8 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import MAX_PART_BYTES, ConfigurationTransfer
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow, Health
-from wagtailrun.gossip_peers import rendezvous
+from wagtailrun.gossip.messages import EntryRow, Health
+from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.routes import RouteTable
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -23,8 +23,8 @@
 from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
 from wagtailrun.fleet import FleetConfiguration
-from wagtailrun.gossip import GossipNode
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.gossip.node import GossipNode
 from wagtailrun.membership import Membership
 from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
--- a/wagtailrun/fleet_watch.py
+++ b/wagtailrun/fleet_watch.py
@@ -6,7 +6,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import (
+from wagtailrun.gossip.messages import (
     EntryRow,
     GossipReport,
     GossipRows,
--- /dev/null
+++ b/wagtailrun/gossip/__init__.py
@@ -0,0 +1,8 @@
+"""Exchange of state between entries."""
+
+__all__ = [
+    "messages",
+    "node",
+    "peers",
+    "push",
+]
--- a/wagtailrun/gossip_config.py
+++ b/wagtailrun/gossip/configuration.py
@@ -7,10 +7,10 @@
 
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.fleet_diff import DiffMismatch
-from wagtailrun.gossip_messages import GossipFetch, GossipTaken, GossipText
-from wagtailrun.gossip_peers import PeerTable, rendezvous
-from wagtailrun.gossip_push import PeerClient
-from wagtailrun.gossip_text import FleetConfigStore
+from wagtailrun.gossip.messages import GossipFetch, GossipTaken, GossipText
+from wagtailrun.gossip.peers import PeerTable, rendezvous
+from wagtailrun.gossip.push import PeerClient
+from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
 from wagtailrun.registry_messages import TextUpdate, WatchText
--- a/wagtailrun/gossip_exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -6,8 +6,8 @@
 import attrs
 
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_config import ConfigDissemination
-from wagtailrun.gossip_messages import (
+from wagtailrun.gossip.configuration import ConfigDissemination
+from wagtailrun.gossip.messages import (
     EntryRow,
     GossipExchange,
     Health,
@@ -15,9 +15,9 @@
     pack_confirmations,
     unpack_confirmations,
 )
-from wagtailrun.gossip_peers import Partner, PeerTable
-from wagtailrun.gossip_push import PeerClient
-from wagtailrun.gossip_targets import TargetMonitor
+from wagtailrun.gossip.peers import Partner, PeerTable
+from wagtailrun.gossip.push import PeerClient
+from wagtailrun.gossip.target_monitor import TargetMonitor
 from wagtailrun.membership import ChangeLog, Membership
 from wagtailrun.ports.link import Address
 
--- a/wagtailrun/gossip.py
+++ b/wagtailrun/gossip/node.py
@@ -9,9 +9,9 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fleet import FleetConfiguration
-from wagtailrun.gossip_config import ConfigDissemination
-from wagtailrun.gossip_exchange import Exchanger
-from wagtailrun.gossip_messages import (
+from wagtailrun.gossip.configuration import ConfigDissemination
+from wagtailrun.gossip.exchange import Exchanger
+from wagtailrun.gossip.messages import (
     AgedRow,
     EntryRow,
     GossipAsk,
@@ -28,9 +28,9 @@
     Health,
     ListTargets,
 )
-from wagtailrun.gossip_peers import PeerTable
-from wagtailrun.gossip_push import PeerClient
-from wagtailrun.gossip_targets import TargetMonitor
+from wagtailrun.gossip.peers import PeerTable
+from wagtailrun.gossip.push import PeerClient
+from wagtailrun.gossip.target_monitor import TargetMonitor
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address, PeerLink
--- a/wagtailrun/gossip_peers.py
+++ b/wagtailrun/gossip/peers.py
@@ -6,7 +6,7 @@
 import attrs
 import xxhash
 
-from wagtailrun.gossip_messages import Confirmation, EntryRow, Health, Marks
+from wagtailrun.gossip.messages import Confirmation, EntryRow, Health, Marks
 from wagtailrun.membership import ChangeLog, short_id
 
 __all__ = ["Partner", "PeerTable", "rendezvous"]
--- a/wagtailrun/gossip_push.py
+++ b/wagtailrun/gossip/push.py
@@ -8,8 +8,8 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import GossipTaken
-from wagtailrun.gossip_peers import PeerTable
+from wagtailrun.gossip.messages import GossipTaken
+from wagtailrun.gossip.peers import PeerTable
 from wagtailrun.ports.link import Address, PeerLink
 
 __all__ = ["PeerClient", "split_members"]
--- a/wagtailrun/gossip_targets.py
+++ b/wagtailrun/gossip/target_monitor.py
@@ -4,7 +4,7 @@
 import curio
 
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.gossip_messages import (
+from wagtailrun.gossip.messages import (
     AgedRow,
     EntryRow,
     GossipAsk,
@@ -14,8 +14,8 @@
     pack_growth,
     unpack_growth,
 )
-from wagtailrun.gossip_peers import PeerTable, rendezvous
-from wagtailrun.gossip_push import PUSH_TIMEOUT_MS, PeerClient
+from wagtailrun.gossip.peers import PeerTable, rendezvous
+from wagtailrun.gossip.push import PUSH_TIMEOUT_MS, PeerClient
 from wagtailrun.membership import TARGET_TIMEOUT_MS, Membership, TargetRow
 
 __all__ = ["TargetMonitor"]
--- a/wagtailrun/gossip_text.py
+++ b/wagtailrun/gossip/text.py
@@ -10,7 +10,7 @@
 from wagtailrun.exceptions import MessageError
 from wagtailrun.fleet import FleetConfiguration, fleet_from_document
 from wagtailrun.fleet_diff import apply_diff, diff_documents
-from wagtailrun.gossip_messages import EntryRow, GossipText
+from wagtailrun.gossip.messages import EntryRow, GossipText
 from wagtailrun.registry_messages import TextUpdate
 
 __all__ = ["FleetConfigStore"]
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/carriers.py
@@ -11,7 +11,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import (
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -21,7 +21,7 @@
 from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.loop_watch import LoopWatch
 from wagtailrun.membership import TargetRow
 from wagtailrun.relay.answer_times import COVERED_SHARE
--- a/wagtailrun/relay/rotation.py
+++ b/wagtailrun/relay/rotation.py
@@ -5,7 +5,7 @@
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 
 __all__ = ["REENTRY_MS", "Rotation"]
 
--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -19,7 +19,7 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.brittle_slots import BrittleSlots
--- a/wagtailrun/stages/owner_calls.py
+++ b/wagtailrun/stages/owner_calls.py
@@ -8,7 +8,7 @@
 
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.stages.settled import SettledEntries
 
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -10,7 +10,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable, Refusal, RefusalReason, Verdict
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.routes import StageCapacity, StageStep
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
--- a/wagtailrun/stages/settled.py
+++ b/wagtailrun/stages/settled.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from wagtailrun.clock import Clock
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 
 __all__ = ["SettledEntries"]
 
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -12,7 +12,7 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.gossip_messages import EntryRow
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.messages import (
