Move 10 modules into wagtailrun/accounts

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Names that the package says already are shortened.

--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -11,11 +11,7 @@
 
 import curio
 
-from wagtailrun.account_store import MAX_ROWS, AccountStore
-from wagtailrun.accounts import Accounts
-from wagtailrun.accounts_messages import AccountRows, pack_batch
-from wagtailrun.codec import encode
-from wagtailrun.cost_cells import (
+from wagtailrun.accounts.cells import (
     CellTable,
     Column,
     Measure,
@@ -26,6 +22,10 @@
     Usage,
     WorkKind,
 )
+from wagtailrun.accounts.counters import Accounts
+from wagtailrun.accounts.messages import AccountRows, pack_batch
+from wagtailrun.accounts.store import MAX_ROWS, AccountStore
+from wagtailrun.codec import encode
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.fleet import Price
 from wagtailrun.ports.disk import Disk
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -7,13 +7,13 @@
 import curio
 
 from demo.processes import free_addresses
-from wagtailrun.accounts import Accounts
+from wagtailrun.accounts.cells import Source
+from wagtailrun.accounts.counters import Accounts
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.caller_api import stream_events
 from wagtailrun.clock import SystemClock
-from wagtailrun.cost_cells import Source
 from wagtailrun.metrics import Metrics
 from wagtailrun.ports.target import Attempt
 from wagtailrun.recorder import Recorder
--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -16,12 +16,13 @@
     message_of,
     refusal_table,
 )
-from wagtailrun import account_log, events
-from wagtailrun.account_disk import AccountDisk
-from wagtailrun.account_store import AccountStore
+from wagtailrun import events
+from wagtailrun.accounts import log as account_log
+from wagtailrun.accounts.cells import Source
+from wagtailrun.accounts.disk import AccountDisk
+from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.clock import SystemClock
-from wagtailrun.cost_cells import Source
 from wagtailrun.exceptions import DiskFull
 from wagtailrun.period_closing import PeriodCloser
 from wagtailrun.registry_messages import ClosePeriod
--- a/tests/test_account_files.py
+++ b/tests/test_account_files.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wagtailrun.account_files import join_records, split_records
+from wagtailrun.accounts.files import join_records, split_records
 from wagtailrun.exceptions import CorruptRecord
 
 RECORDS = [b"first" * 10, b"second" * 10, b"third" * 10]
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -12,18 +12,7 @@
 
 from tests.fake_network import FakeNetwork
 from wagtailrun import events
-from wagtailrun.account_lines import (
-    cost_rows,
-    refusal_rows,
-    request_rows,
-    totals_of,
-)
-from wagtailrun.account_log import LOG_NAME
-from wagtailrun.account_store import AccountStore
-from wagtailrun.accounts import EXCHANGES_PER_HANDOVER, Accounts, HeldRows
-from wagtailrun.accounts_messages import AccountRows, pack_batch, unpack_batch
-from wagtailrun.codec import decode, encode
-from wagtailrun.cost_cells import (
+from wagtailrun.accounts.cells import (
     MAX_CELL_VALUE,
     CellTable,
     Column,
@@ -34,11 +23,17 @@
     Usage,
     WorkKind,
 )
+from wagtailrun.accounts.counters import EXCHANGES_PER_HANDOVER, Accounts, HeldRows
+from wagtailrun.accounts.lines import cost_rows, refusal_rows, request_rows, totals_of
+from wagtailrun.accounts.log import LOG_NAME
+from wagtailrun.accounts.messages import AccountRows, pack_batch, unpack_batch
+from wagtailrun.accounts.refusal_minutes import COPY_TIMEOUT_MS
+from wagtailrun.accounts.store import AccountStore
+from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import CorruptRecord, MessageError, RefusalReason
 from wagtailrun.fleet import Price
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
-from wagtailrun.refusal_minutes import COPY_TIMEOUT_MS
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 DAY_MS = 24 * 3_600_000
@@ -723,7 +718,7 @@
 
 def test_restart_at_every_sync_point(monkeypatch):
     """Guards against acknowledged rows or closed periods changed by a crash."""
-    monkeypatch.setattr("wagtailrun.account_log.MAX_LOG_BYTES", 900)
+    monkeypatch.setattr("wagtailrun.accounts.log.MAX_LOG_BYTES", 900)
 
     async def write(store, clock, acknowledged):
         start_ms = clock.wall_ms()
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 
 from tests.fake_targets import FakeTargets
-from wagtailrun.accounts import Accounts
+from wagtailrun.accounts.cells import Source
+from wagtailrun.accounts.counters import Accounts
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.caller_api import CallerApi, stream_events
 from wagtailrun.control_client import ControlClient
-from wagtailrun.cost_cells import Source
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.membership import Membership, TargetRow
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -9,14 +9,14 @@
 from tests.fake_network import FakeNetwork
 from tests.test_accounts import MemoryDisk, attempt, refuse
 from tests.test_fleet import DEMO
-from wagtailrun.account_store import AccountStore
-from wagtailrun.accounts import Accounts
+from wagtailrun.accounts.cells import Source, WorkKind
+from wagtailrun.accounts.counters import Accounts
+from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import SystemClock
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control_service import ControlService
-from wagtailrun.cost_cells import Source, WorkKind
 from wagtailrun.events import EVENT_LOG, EventLog
 from wagtailrun.exceptions import (
     ConnectFailed,
--- a/tests/test_period_closing.py
+++ b/tests/test_period_closing.py
@@ -2,12 +2,12 @@
 
 from tests.fake_network import FakeNetwork
 from tests.test_accounts import MemoryDisk, attempt
-from wagtailrun.account_lines import period_of
-from wagtailrun.account_store import AccountStore
-from wagtailrun.accounts import Accounts
+from wagtailrun.accounts.cells import Source
+from wagtailrun.accounts.counters import Accounts
+from wagtailrun.accounts.lines import period_of
+from wagtailrun.accounts.store import AccountStore
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control_service import ControlService
-from wagtailrun.cost_cells import Source
 from wagtailrun.period_closing import PeriodCloser
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import Registry
--- a/wagtailrun/accounts.py
+++ b/wagtailrun/accounts/counters.py
@@ -8,15 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from wagtailrun import events
-from wagtailrun.accounts_messages import (
-    AccountRows,
-    AccountsKept,
-    HistogramKey,
-    pack_batch,
-    unpack_batch,
-)
-from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.cost_cells import (
+from wagtailrun.accounts.cells import (
     MS_PER_MINUTE,
     CellTable,
     Column,
@@ -29,10 +21,18 @@
     WorkKind,
     bucket_of,
 )
+from wagtailrun.accounts.messages import (
+    AccountRows,
+    AccountsKept,
+    HistogramKey,
+    pack_batch,
+    unpack_batch,
+)
+from wagtailrun.accounts.refusal_minutes import COPY_TIMEOUT_MS, FirstRefusals
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable, RefusalReason
 from wagtailrun.fleet import Price
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.refusal_minutes import COPY_TIMEOUT_MS, FirstRefusals
 
 __all__ = ["Accounts", "HeldRows"]
 
--- a/wagtailrun/account_lines.py
+++ b/wagtailrun/accounts/lines.py
@@ -11,8 +11,8 @@
 import attrs
 import curio
 
+from wagtailrun.accounts.cells import Column, Measure, RowKey, Scope, Source
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.cost_cells import Column, Measure, RowKey, Scope, Source
 from wagtailrun.exceptions import MessageError
 
 __all__ = [
--- a/wagtailrun/account_log.py
+++ b/wagtailrun/accounts/log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from wagtailrun.account_files import join_records, split_records
+from wagtailrun.accounts.files import join_records, split_records
 from wagtailrun.exceptions import DiskFull
 from wagtailrun.ports.disk import Disk
 
--- a/wagtailrun/accounts_messages.py
+++ b/wagtailrun/accounts/messages.py
@@ -8,15 +8,9 @@
 
 import attrs
 
-from wagtailrun.account_files import decompress
+from wagtailrun.accounts.cells import CellTable, Column, RowKey, Scope, Source
+from wagtailrun.accounts.files import decompress
 from wagtailrun.codec import Channel, Codec
-from wagtailrun.cost_cells import (
-    CellTable,
-    Column,
-    RowKey,
-    Scope,
-    Source,
-)
 from wagtailrun.exceptions import MessageError
 
 __all__ = [
--- a/wagtailrun/account_periods.py
+++ b/wagtailrun/accounts/periods.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Iterable
 
-from wagtailrun.account_files import (
+from wagtailrun.accounts.cells import RowKey
+from wagtailrun.accounts.files import (
     compress_in_chunks,
     decompress,
     join_records,
     split_records,
 )
-from wagtailrun.account_lines import Line, digest_of, lines_from_bytes, period_of
-from wagtailrun.cost_cells import RowKey
+from wagtailrun.accounts.lines import Line, digest_of, lines_from_bytes, period_of
 from wagtailrun.exceptions import CorruptRecord, DiskFull
 from wagtailrun.ports.disk import Disk
 
--- a/wagtailrun/refusal_minutes.py
+++ b/wagtailrun/accounts/refusal_minutes.py
@@ -4,8 +4,8 @@
 
 import curio
 
+from wagtailrun.accounts.cells import RowKey
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.cost_cells import RowKey
 
 __all__ = ["COPY_TIMEOUT_MS", "FirstRefusals"]
 
--- a/wagtailrun/account_store.py
+++ b/wagtailrun/accounts/store.py
@@ -8,9 +8,17 @@
 from hdrh.histogram import HdrHistogram
 
 from wagtailrun import events
-from wagtailrun.account_disk import AccountDisk
-from wagtailrun.account_files import decompress, join_records
-from wagtailrun.account_lines import (
+from wagtailrun.accounts.cells import (
+    MS_PER_MINUTE,
+    CellTable,
+    RowKey,
+    Scope,
+    Source,
+    bucket_of,
+)
+from wagtailrun.accounts.disk import AccountDisk
+from wagtailrun.accounts.files import decompress, join_records
+from wagtailrun.accounts.lines import (
     Line,
     PeriodTotals,
     digest_of,
@@ -22,9 +30,8 @@
     period_of,
     totals_of,
 )
-from wagtailrun.account_log import AccountLog
-from wagtailrun.account_periods import ClosedPeriods
-from wagtailrun.accounts_messages import (
+from wagtailrun.accounts.log import AccountLog
+from wagtailrun.accounts.messages import (
     AccountRows,
     AccountsKept,
     FetchPeriod,
@@ -33,15 +40,8 @@
     pack_batch,
     unpack_batch,
 )
+from wagtailrun.accounts.periods import ClosedPeriods
 from wagtailrun.clock import Clock
-from wagtailrun.cost_cells import (
-    MS_PER_MINUTE,
-    CellTable,
-    RowKey,
-    Scope,
-    Source,
-    bucket_of,
-)
 from wagtailrun.exceptions import (
     CorruptRecord,
     DiskFault,
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from wagtailrun.accounts.cells import RequestOutcome
 from wagtailrun.adapters.http_messages import problem_details
 from wagtailrun.adapters.http_server import (
     Request,
@@ -17,7 +18,6 @@
     refusal_response,
 )
 from wagtailrun.clock import Clock
-from wagtailrun.cost_cells import RequestOutcome
 from wagtailrun.deadlines import before_deadline
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
--- a/wagtailrun/control.py
+++ b/wagtailrun/control.py
@@ -6,7 +6,7 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.account_store import AccountStore
+from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS, request_wait_ms
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_client import HttpClient
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -6,8 +6,9 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.accounts import Accounts
-from wagtailrun.accounts_messages import AccountRows
+from wagtailrun.accounts.cells import Source
+from wagtailrun.accounts.counters import Accounts
+from wagtailrun.accounts.messages import AccountRows
 from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.drain_times import request_wait_ms, sleep_until_idle
 from wagtailrun.adapters.http_client import HttpClient
@@ -18,7 +19,6 @@
 from wagtailrun.caller_api import CHECK_PATHS, CallerApi
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.control_client import ControlClient
-from wagtailrun.cost_cells import Source
 from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
--- a/wagtailrun/metrics.py
+++ b/wagtailrun/metrics.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
 
-from wagtailrun.cost_cells import Measure, RequestOutcome, Usage, WorkKind
+from wagtailrun.accounts.cells import Measure, RequestOutcome, Usage, WorkKind
 from wagtailrun.events import EVENT_LOG, EVENTS_BY_NUMBER, EventLog
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.fleet import Price
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/operator_api.py
@@ -11,7 +11,7 @@
 import attrs
 
 from wagtailrun import events
-from wagtailrun.account_lines import (
+from wagtailrun.accounts.lines import (
     DIMENSIONS,
     Line,
     cost_rows,
@@ -19,7 +19,7 @@
     refusal_rows,
     request_rows,
 )
-from wagtailrun.account_store import AccountStore
+from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.http_messages import problem_details
 from wagtailrun.adapters.http_server import (
     Request,
--- a/wagtailrun/period_closing.py
+++ b/wagtailrun/period_closing.py
@@ -1,8 +1,8 @@
 """Closes accounting periods through the replicated log of the control members."""
 
 from wagtailrun import events
-from wagtailrun.account_periods import RETAINED_PERIODS
-from wagtailrun.account_store import AccountStore
+from wagtailrun.accounts.periods import RETAINED_PERIODS
+from wagtailrun.accounts.store import AccountStore
 from wagtailrun.control_service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.registry_messages import ClosePeriod
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/recorder.py
@@ -6,9 +6,9 @@
 import attrs
 
 from wagtailrun import events
-from wagtailrun.accounts import Accounts
+from wagtailrun.accounts.cells import RequestOutcome, Usage, WorkKind
+from wagtailrun.accounts.counters import Accounts
 from wagtailrun.clock import Clock
-from wagtailrun.cost_cells import RequestOutcome, Usage, WorkKind
 from wagtailrun.exceptions import Refusal, TargetFailed
 from wagtailrun.fleet import FleetConfiguration, Price
 from wagtailrun.membership import TargetRow
