Move 8 modules into wagtailrun/registry

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Names that the package says already are shortened.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -18,17 +18,17 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import decode, encode
 from wagtailrun.consensus.local_log import LocalLog
-from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.membership import Membership, TargetRow
-from wagtailrun.order_table import MAX_ORDER_KEYS
 from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import CloseOrder, OpenOrder, SweepOrders
+from wagtailrun.registry.client import ControlClient
+from wagtailrun.registry.messages import CloseOrder, OpenOrder, SweepOrders
+from wagtailrun.registry.order_table import MAX_ORDER_KEYS
+from wagtailrun.registry.state import Registry
 from wagtailrun.routing import LeastLoadedRouter
 
 SEED = 1
--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -25,7 +25,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import DiskFull
 from wagtailrun.period_closing import PeriodCloser
-from wagtailrun.registry_messages import ClosePeriod
+from wagtailrun.registry.messages import ClosePeriod
 from wagtailrun.virtual_time import run_virtual
 
 FULL_MS = 3_000
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from wagtailrun.audit import AuditTrail, digest_of, verify_chain
+from wagtailrun.registry.audit import AuditTrail, digest_of, verify_chain
 
 
 def trail_of(count, max_records=100):
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -14,7 +14,6 @@
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.caller_api import CallerApi, stream_events
-from wagtailrun.control_client import ControlClient
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.membership import Membership, TargetRow
@@ -24,6 +23,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Token
 from wagtailrun.recorder import Recorder
+from wagtailrun.registry.client import ControlClient
 from wagtailrun.routing import LeastLoadedRouter
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_configuration_reading.py
+++ b/tests/test_configuration_reading.py
@@ -18,8 +18,8 @@
 from wagtailrun.adapters.tcp_link import MAX_FRAME_BYTES
 from wagtailrun.codec import decode, encode
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import PutText
+from wagtailrun.registry.messages import PutText
+from wagtailrun.registry.state import Registry
 from wagtailrun.relay.control import MAX_TEXT_BYTES
 
 VERSION = DOCUMENT["version"]
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -9,13 +9,13 @@
 
 from tests.fake_network import FakeNetwork
 from wagtailrun import control_service
-from wagtailrun import registry_messages as rm
 from wagtailrun.consensus.local_log import LocalLog
-from wagtailrun.control_client import ISOLATION_MS, ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import Registry
+from wagtailrun.registry import messages as rm
+from wagtailrun.registry.client import ISOLATION_MS, ControlClient
+from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
 
 MEMBERS = [Address("10.0.0.1", 1), Address("10.0.0.2", 1), Address("10.0.0.3", 1)]
--- a/tests/test_control_signal.py
+++ b/tests/test_control_signal.py
@@ -17,7 +17,7 @@
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.control import FORCED_END_MS
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.registry_messages import TextUpdate, WatchText
+from wagtailrun.registry.messages import TextUpdate, WatchText
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -23,7 +23,7 @@
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.registry import Registry
+from wagtailrun.registry.state import Registry
 from wagtailrun.routes import RequestLimits, build_route_table
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -9,7 +9,6 @@
 
 from tests.test_control_client import MEMBERS, Cluster, virtual
 from wagtailrun import engine_control
-from wagtailrun import registry_messages as rm
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.adapters.http_engine import HttpEngineClient
 from wagtailrun.codec import encode
@@ -22,6 +21,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
 from wagtailrun.ports.link import Address
+from wagtailrun.registry import messages as rm
 from wagtailrun.virtual_time import run_virtual
 
 SEEDS = 60
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -21,14 +21,14 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.consensus import member as consensus
 from wagtailrun.discovery.evacuations import FleetPlaces
-from wagtailrun.evacuations import (
+from wagtailrun.exceptions import ConsensusUnavailable
+from wagtailrun.registry.evacuations import (
     MAX_EVACUATIONS,
     EvacuationOrder,
     EvacuationTable,
 )
-from wagtailrun.exceptions import ConsensusUnavailable
-from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import RecordMembers
+from wagtailrun.registry.messages import RecordMembers
+from wagtailrun.registry.state import Registry
 from wagtailrun.relay.evacuation_orders import ORDER_TIMEOUT_MS, EvacuationOrders
 
 pytestmark = pytest.mark.network
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -5,9 +5,13 @@
 import pytest
 
 from tests.test_registry import T0, Driver
-from wagtailrun import registry_messages as rm
-from wagtailrun.evacuations import MAX_EVACUATIONS, MAX_WITHDRAWALS, EvacuationOrder
-from wagtailrun.registry import Registry
+from wagtailrun.registry import messages as rm
+from wagtailrun.registry.evacuations import (
+    MAX_EVACUATIONS,
+    MAX_WITHDRAWALS,
+    EvacuationOrder,
+)
+from wagtailrun.registry.state import Registry
 
 
 class Orders(Driver):
--- a/tests/test_fleet_transfer.py
+++ b/tests/test_fleet_transfer.py
@@ -12,7 +12,7 @@
 from wagtailrun.exceptions import FleetTextError
 from wagtailrun.fleet import fleet_from_document, parse_fleet_text
 from wagtailrun.gossip.text import FleetConfigStore
-from wagtailrun.registry_messages import WatchText
+from wagtailrun.registry.messages import WatchText
 from wagtailrun.text_watch import ConfigurationLongPoll
 
 FIELDS = (
--- a/tests/test_forwarded_changes_stop.py
+++ b/tests/test_forwarded_changes_stop.py
@@ -12,7 +12,7 @@
 from wagtailrun.exceptions import Refusal, Verdict
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.registry_messages import TextVerdict
+from wagtailrun.registry.messages import TextVerdict
 from wagtailrun.relay.control import RelayControl
 from wagtailrun.settings import RelayControlSettings
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -27,7 +27,7 @@
 from wagtailrun.metrics import Metrics
 from wagtailrun.operator_api import OperatorApi
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import Registry
+from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
 
 CREDENTIAL = "0123456789abcdef"
--- a/tests/test_orders_at_the_end.py
+++ b/tests/test_orders_at_the_end.py
@@ -11,7 +11,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.messages import (
     CloseOrder,
     FindOrder,
     OpenOrder,
--- a/tests/test_period_closing.py
+++ b/tests/test_period_closing.py
@@ -10,7 +10,7 @@
 from wagtailrun.control_service import ControlService
 from wagtailrun.period_closing import PeriodCloser
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import Registry
+from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
 
 MEMBERS = [Address("10.0.0.1", 1), Address("10.0.0.2", 1)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,7 +20,7 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.registry_messages import TextVerdict
+from wagtailrun.registry.messages import TextVerdict
 from wagtailrun.relay import AttemptContext
 from wagtailrun.routes import RouteKind
 from wagtailrun.stages import StagedWork
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from wagtailrun import engine_order_table, order_table
-from wagtailrun import registry as module
-from wagtailrun import registry_messages as rm
-from wagtailrun.audit import verify_chain
 from wagtailrun.codec import encode
 from wagtailrun.exceptions import Verdict
-from wagtailrun.registry import OrderKey, Registry, SnapshotVersionError
+from wagtailrun.registry import engine_order_table, order_table
+from wagtailrun.registry import messages as rm
+from wagtailrun.registry import state as module
+from wagtailrun.registry.audit import verify_chain
+from wagtailrun.registry.state import OrderKey, Registry, SnapshotVersionError
 
 T0 = 1_767_225_600_000
 KEY = OrderKey("w", "k")
--- a/tests/test_text_watch.py
+++ b/tests/test_text_watch.py
@@ -7,7 +7,7 @@
 
 from bench.gossip_cluster import FLEET_TEXT
 from wagtailrun.fleet_diff import apply_diff
-from wagtailrun.registry_messages import WatchText
+from wagtailrun.registry.messages import WatchText
 from wagtailrun.text_watch import ConfigurationLongPoll
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/adapters/http_engine.py
+++ b/wagtailrun/adapters/http_engine.py
@@ -10,7 +10,7 @@
 from wagtailrun.exceptions import TargetFailed, Verdict
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
 from wagtailrun.ports.link import Address
-from wagtailrun.registry_messages import EngineOrder
+from wagtailrun.registry.messages import EngineOrder
 
 __all__ = ["HttpEngineClient"]
 
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -16,7 +16,6 @@
 import defopt
 from absl import flags, logging
 
-from wagtailrun.audit import verify_chain
 from wagtailrun.cli_client import Answer, NoAnswer, OperatorClient
 from wagtailrun.cli_output import print_json, print_rows, printable
 from wagtailrun.clock import SystemClock
@@ -26,13 +25,14 @@
 from wagtailrun.explain import lines_of_request
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.loop_watch import LoopWatch
-from wagtailrun.plan import plan_changes
 from wagtailrun.process_exit import (
     exit_with_fault,
     exit_with_message,
     run_then_exit,
 )
-from wagtailrun.registry_messages import AuditRecord
+from wagtailrun.registry.audit import verify_chain
+from wagtailrun.registry.messages import AuditRecord
+from wagtailrun.registry.plan import plan_changes
 from wagtailrun.settings import (
     FILE_SUFFIX,
     ClientSettings,
--- a/wagtailrun/control_service.py
+++ b/wagtailrun/control_service.py
@@ -12,8 +12,7 @@
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.log import ReplicatedLog
-from wagtailrun.registry import OrderKey, Registry
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.messages import (
     ApplyText,
     CloseEngineOrder,
     CloseOrder,
@@ -32,6 +31,7 @@
     Unavailable,
     WatchText,
 )
+from wagtailrun.registry.state import OrderKey, Registry
 from wagtailrun.text_watch import ConfigurationLongPoll
 
 __all__ = ["MAX_INLINE_TEXT_CHARS", "ControlService"]
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -36,7 +36,7 @@
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.membership import ChangeLog, Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.registry import Registry
+from wagtailrun.registry.state import Registry
 from wagtailrun.supervisor import supervise
 
 __all__ = ["Hub"]
--- a/wagtailrun/engine_control.py
+++ b/wagtailrun/engine_control.py
@@ -9,12 +9,12 @@
 
 from wagtailrun import events
 from wagtailrun.control_service import ControlService
-from wagtailrun.engine_order_table import WEIGHT_LOAD_KINDS
 from wagtailrun.exceptions import FleetTextError, TargetFailed, Verdict
 from wagtailrun.fleet import FleetConfiguration, Service, ServiceKind, parse_fleet_text
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.engine_order_table import WEIGHT_LOAD_KINDS
+from wagtailrun.registry.messages import (
     CloseEngineOrder,
     ControllerGranted,
     EngineOrder,
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -18,7 +18,6 @@
 from wagtailrun.admission import POLL_INTERVAL_MS
 from wagtailrun.caller_api import CHECK_PATHS, CallerApi
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
-from wagtailrun.control_client import ControlClient
 from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
@@ -32,6 +31,7 @@
 from wagtailrun.pipeline import PipelineRunner
 from wagtailrun.ports.link import Address
 from wagtailrun.recorder import Recorder
+from wagtailrun.registry.client import ControlClient
 from wagtailrun.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import EntrySettings
 from wagtailrun.signalled_drain import SignalledDrain
--- a/wagtailrun/fleet_watch.py
+++ b/wagtailrun/fleet_watch.py
@@ -17,7 +17,7 @@
 from wagtailrun.membership import TargetRow
 from wagtailrun.operator_views import FleetView, LocalView
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.registry import Registry
+from wagtailrun.registry.state import Registry
 
 __all__ = ["FleetWatch"]
 
--- a/wagtailrun/gossip/configuration.py
+++ b/wagtailrun/gossip/configuration.py
@@ -13,7 +13,7 @@
 from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
-from wagtailrun.registry_messages import TextUpdate, WatchText
+from wagtailrun.registry.messages import TextUpdate, WatchText
 
 __all__ = ["ConfigDissemination"]
 
--- a/wagtailrun/gossip/text.py
+++ b/wagtailrun/gossip/text.py
@@ -11,7 +11,7 @@
 from wagtailrun.fleet import FleetConfiguration, fleet_from_document
 from wagtailrun.fleet_diff import apply_diff, diff_documents
 from wagtailrun.gossip.messages import EntryRow, GossipText
-from wagtailrun.registry_messages import TextUpdate
+from wagtailrun.registry.messages import TextUpdate
 
 __all__ = ["FleetConfigStore"]
 
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/operator_api.py
@@ -27,7 +27,6 @@
     json_response,
     refusal_response,
 )
-from wagtailrun.control_client import ControlClient
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     Refusal,
@@ -37,8 +36,9 @@
 )
 from wagtailrun.metrics import CONTENT_TYPE, Metrics
 from wagtailrun.operator_views import FleetView, LocalView, audit_rows, order_rows
-from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import ApplyText, TextVerdict
+from wagtailrun.registry.client import ControlClient
+from wagtailrun.registry.messages import ApplyText, TextVerdict
+from wagtailrun.registry.state import Registry
 
 __all__ = ["OperatorApi"]
 
--- a/wagtailrun/operator_views.py
+++ b/wagtailrun/operator_views.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wagtailrun.registry import Registry
+from wagtailrun.registry.state import Registry
 
 __all__ = ["FleetView", "LocalView", "audit_rows", "order_rows"]
 
--- a/wagtailrun/orders.py
+++ b/wagtailrun/orders.py
@@ -10,7 +10,6 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.control_client import ControlClient
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
@@ -18,15 +17,16 @@
     RefusalReason,
     Verdict,
 )
-from wagtailrun.order_table import MAX_STORED_BODY_BYTES
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.client import ControlClient
+from wagtailrun.registry.messages import (
     CloseOrder,
     FindOrder,
     OpenOrder,
     OrderState,
     OrderVerdict,
 )
+from wagtailrun.registry.order_table import MAX_STORED_BODY_BYTES
 from wagtailrun.running_requests import STOPPING_RETRY_MS
 from wagtailrun.work import Work
 
--- a/wagtailrun/period_closing.py
+++ b/wagtailrun/period_closing.py
@@ -5,7 +5,7 @@
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.control_service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
-from wagtailrun.registry_messages import ClosePeriod
+from wagtailrun.registry.messages import ClosePeriod
 
 __all__ = ["PeriodCloser"]
 
--- a/wagtailrun/ports/engine.py
+++ b/wagtailrun/ports/engine.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wagtailrun.ports.link import Address
-from wagtailrun.registry_messages import EngineOrder
+from wagtailrun.registry.messages import EngineOrder
 
 __all__ = ["EngineClient", "EngineReply", "EngineState"]
 
--- a/wagtailrun/audit.py
+++ b/wagtailrun/registry/audit.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from wagtailrun.registry_messages import AuditPage, AuditRecord
+from wagtailrun.registry.messages import AuditPage, AuditRecord
 
 __all__ = ["GENESIS_DIGEST", "AuditTrail", "digest_of", "verify_chain"]
 
--- a/wagtailrun/control_client.py
+++ b/wagtailrun/registry/client.py
@@ -7,7 +7,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import ConsensusUnavailable, PeerUnreachable
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.registry_messages import NotLeader, Unavailable
+from wagtailrun.registry.messages import NotLeader, Unavailable
 
 __all__ = ["ControlClient"]
 
--- a/wagtailrun/engine_order_table.py
+++ b/wagtailrun/registry/engine_order_table.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.messages import (
     CloseEngineOrder,
     EngineOrder,
     EngineOrderKind,
--- a/wagtailrun/evacuations.py
+++ b/wagtailrun/registry/evacuations.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wagtailrun.registry_messages import AuditRecord, RecordMembers
+from wagtailrun.registry.messages import AuditRecord, RecordMembers
 
 __all__ = ["MAX_EVACUATIONS", "EvacuationOrder", "EvacuationTable"]
 
--- a/wagtailrun/registry_messages.py
+++ b/wagtailrun/registry/messages.py
@@ -385,7 +385,7 @@
     """Command that records a change of the control members in the audit trail.
 
     An order to evacuate a data centre is such a change, too; see
-    ``wagtailrun.evacuations``.
+    ``wagtailrun.registry.evacuations``.
 
     Attributes:
         operator: Name of the operator.
--- a/wagtailrun/order_table.py
+++ b/wagtailrun/registry/order_table.py
@@ -11,7 +11,7 @@
 import attrs
 
 from wagtailrun.exceptions import Verdict
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.messages import (
     CloseOrder,
     OpenOrder,
     OrderList,
--- a/wagtailrun/registry.py
+++ b/wagtailrun/registry/state.py
@@ -8,14 +8,13 @@
 
 import attrs
 
-from wagtailrun.audit import AuditTrail
 from wagtailrun.codec import decode
-from wagtailrun.engine_order_table import ENGINE_ORDER_FIELDS, EngineOrderTable
-from wagtailrun.evacuations import EvacuationTable
 from wagtailrun.exceptions import WagtailrunError
-from wagtailrun.order_table import ORDER_FIELDS, OrderKey, OrderRecord, OrderTable
 from wagtailrun.ports.log import StateMachine
-from wagtailrun.registry_messages import (
+from wagtailrun.registry.audit import AuditTrail
+from wagtailrun.registry.engine_order_table import ENGINE_ORDER_FIELDS, EngineOrderTable
+from wagtailrun.registry.evacuations import EvacuationTable
+from wagtailrun.registry.messages import (
     ApplyText,
     AuditRecord,
     CloseEngineOrder,
@@ -37,6 +36,12 @@
     Swept,
     TextVerdict,
 )
+from wagtailrun.registry.order_table import (
+    ORDER_FIELDS,
+    OrderKey,
+    OrderRecord,
+    OrderTable,
+)
 
 __all__ = ["OrderKey", "OrderRecord", "Registry", "SnapshotVersionError"]
 
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -16,7 +16,6 @@
 from wagtailrun.consensus.host import MemberHost
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.timing import Timing
-from wagtailrun.control_client import ControlClient
 from wagtailrun.control_service import ControlService
 from wagtailrun.discovery import Configuration, Hub
 from wagtailrun.exceptions import (
@@ -27,13 +26,9 @@
 )
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
-from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import (
-    NotLeader,
-    PutText,
-    TextVerdict,
-    Unavailable,
-)
+from wagtailrun.registry.client import ControlClient
+from wagtailrun.registry.messages import NotLeader, PutText, TextVerdict, Unavailable
+from wagtailrun.registry.state import Registry
 from wagtailrun.relay.evacuation_orders import EvacuationOrders
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.process import LiveSettings, run_daemon
--- a/wagtailrun/relay/evacuation_orders.py
+++ b/wagtailrun/relay/evacuation_orders.py
@@ -5,15 +5,15 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.evacuations import FleetPlaces
-from wagtailrun.evacuations import MAX_EVACUATIONS, EvacuationOrder
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     Refusal,
     RefusalReason,
     Verdict,
 )
-from wagtailrun.registry import Registry
-from wagtailrun.registry_messages import MembersRecorded, RecordMembers
+from wagtailrun.registry.evacuations import MAX_EVACUATIONS, EvacuationOrder
+from wagtailrun.registry.messages import MembersRecorded, RecordMembers
+from wagtailrun.registry.state import Registry
 
 __all__ = ["MAX_DATA_CENTRE_BYTES", "EvacuationOrders"]
 
--- a/wagtailrun/schema/registry.capnp
+++ b/wagtailrun/schema/registry.capnp
@@ -1,5 +1,5 @@
 # Registry commands and queries that are sent to control members, and their replies.
-# wagtailrun/registry_messages.py describes the fields. "Text" is the source of the fleet
+# wagtailrun/registry/messages.py describes the fields. "Text" is the source of the fleet
 # configuration.
 @0xd1a6c3b7f0e94a12;
 
--- a/wagtailrun/text_watch.py
+++ b/wagtailrun/text_watch.py
@@ -7,7 +7,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.fleet_diff import apply_diff, diff_documents
-from wagtailrun.registry_messages import TextUpdate, WatchText
+from wagtailrun.registry.messages import TextUpdate, WatchText
 
 __all__ = ["ConfigurationLongPoll"]
 
