Move 8 modules into wagtailrun/control

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Names that the package says already are shortened.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -18,7 +18,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import decode, encode
 from wagtailrun.consensus.local_log import LocalLog
-from wagtailrun.control_service import ControlService
+from wagtailrun.control.service import ControlService
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
 from wagtailrun.fleet import parse_fleet_text
--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -23,8 +23,8 @@
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.clock import SystemClock
+from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.exceptions import DiskFull
-from wagtailrun.period_closing import PeriodCloser
 from wagtailrun.registry.messages import ClosePeriod
 from wagtailrun.virtual_time import run_virtual
 
@@ -130,7 +130,7 @@
 @pytest.fixture(autouse=True)
 def small_sizes(monkeypatch):
     monkeypatch.setattr(account_log, "MAX_LOG_BYTES", 900)
-    monkeypatch.setattr("wagtailrun.period_closing.STEP_INTERVAL_MS", STEP_MS)
+    monkeypatch.setattr("wagtailrun.control.period_closing.STEP_INTERVAL_MS", STEP_MS)
 
 
 @pytest.fixture
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -7,8 +7,8 @@
 from tests.hosted_cluster import started
 from tests.test_operator_api import AUTHORIZED, CREDENTIAL, Members
 from wagtailrun.adapters.http_server import Request
+from wagtailrun.control.operator_api import OperatorApi
 from wagtailrun.exceptions import ConsensusUnavailable
-from wagtailrun.operator_api import OperatorApi
 from wagtailrun.virtual_time import run_virtual
 
 SEEDS = range(5)
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -8,9 +8,9 @@
 import pytest
 
 from tests.fake_network import FakeNetwork
-from wagtailrun import control_service
 from wagtailrun.consensus.local_log import LocalLog
-from wagtailrun.control_service import ControlService
+from wagtailrun.control import service as control_service
+from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import messages as rm
--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -8,11 +8,11 @@
 import pytest
 
 from tests.test_control_client import MEMBERS, Cluster, virtual
-from wagtailrun import engine_control
 from wagtailrun.adapters.http_client import HttpReply
 from wagtailrun.adapters.http_engine import HttpEngineClient
 from wagtailrun.codec import encode
-from wagtailrun.engine_control import (
+from wagtailrun.control import engine_control
+from wagtailrun.control.engine_control import (
     HANDOVER_WAIT_MS,
     ORDER_LIFETIME_MS,
     EngineController,
--- a/tests/test_fleet_transfer.py
+++ b/tests/test_fleet_transfer.py
@@ -9,11 +9,11 @@
 
 from tests.test_routes import TEXT
 from wagtailrun.clock import SystemClock
+from wagtailrun.control.text_watch import ConfigurationLongPoll
 from wagtailrun.exceptions import FleetTextError
 from wagtailrun.fleet import fleet_from_document, parse_fleet_text
 from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.registry.messages import WatchText
-from wagtailrun.text_watch import ConfigurationLongPoll
 
 FIELDS = (
     '"works.example"',
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -16,7 +16,8 @@
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import SystemClock
 from wagtailrun.consensus.local_log import LocalLog
-from wagtailrun.control_service import ControlService
+from wagtailrun.control.operator_api import OperatorApi
+from wagtailrun.control.service import ControlService
 from wagtailrun.events import EVENT_LOG, EventLog
 from wagtailrun.exceptions import (
     ConnectFailed,
@@ -25,7 +26,6 @@
     Verdict,
 )
 from wagtailrun.metrics import Metrics
-from wagtailrun.operator_api import OperatorApi
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_period_closing.py
+++ b/tests/test_period_closing.py
@@ -7,8 +7,8 @@
 from wagtailrun.accounts.lines import period_of
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.consensus.local_log import LocalLog
-from wagtailrun.control_service import ControlService
-from wagtailrun.period_closing import PeriodCloser
+from wagtailrun.control.period_closing import PeriodCloser
+from wagtailrun.control.service import ControlService
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_planned_handover_daemons.py
+++ b/tests/test_planned_handover_daemons.py
@@ -6,7 +6,7 @@
 from demo.processes import free_addresses
 from tests.test_forwarded_changes_stop import ELECTION_LIMIT_S, find_leader, run_members
 from wagtailrun.consensus.timing import Timing
-from wagtailrun.control import Control
+from wagtailrun.control.daemon import Control
 from wagtailrun.relay.control import CONSENSUS_TIMING
 from wagtailrun.settings import ControlSettings
 
--- a/tests/test_text_watch.py
+++ b/tests/test_text_watch.py
@@ -6,9 +6,9 @@
 import pytest
 
 from bench.gossip_cluster import FLEET_TEXT
+from wagtailrun.control.text_watch import ConfigurationLongPoll
 from wagtailrun.fleet_diff import apply_diff
 from wagtailrun.registry.messages import WatchText
-from wagtailrun.text_watch import ConfigurationLongPoll
 from wagtailrun.virtual_time import run_virtual
 
 
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -131,7 +131,7 @@
     "entry", EntrySettings, "wagtailrun.entry", "Run an entry process."
 )
 control = _make_daemon_command(
-    "control", ControlSettings, "wagtailrun.control", "Run a control process."
+    "control", ControlSettings, "wagtailrun.control.daemon", "Run a control process."
 )
 
 
--- a/wagtailrun/control.py
+++ b/wagtailrun/control/daemon.py
@@ -17,13 +17,17 @@
 from wagtailrun.codec import Channel, codec_of
 from wagtailrun.consensus.host import MemberHost
 from wagtailrun.consensus.member import Member
-from wagtailrun.control_service import ControlService
-from wagtailrun.engine_control import EngineController
-from wagtailrun.fleet_watch import FleetWatch
+from wagtailrun.control.engine_control import EngineController
+from wagtailrun.control.fleet_watch import FleetWatch
+from wagtailrun.control.operator_api import (
+    APPLY_TIMEOUT_MS,
+    MAX_TEXT_BYTES,
+    OperatorApi,
+)
+from wagtailrun.control.period_closing import PeriodCloser
+from wagtailrun.control.service import ControlService
 from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
-from wagtailrun.operator_api import APPLY_TIMEOUT_MS, MAX_TEXT_BYTES, OperatorApi
-from wagtailrun.period_closing import PeriodCloser
 from wagtailrun.ports.disk import Disk
 from wagtailrun.registry.client import CALL_TIMEOUT_MS, ControlClient
 from wagtailrun.registry.state import Registry
--- a/wagtailrun/engine_control.py
+++ b/wagtailrun/control/engine_control.py
@@ -8,7 +8,7 @@
 import curio
 
 from wagtailrun import events
-from wagtailrun.control_service import ControlService
+from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import FleetTextError, TargetFailed, Verdict
 from wagtailrun.fleet import FleetConfiguration, Service, ServiceKind, parse_fleet_text
 from wagtailrun.membership import TargetRow
--- a/wagtailrun/fleet_watch.py
+++ b/wagtailrun/control/fleet_watch.py
@@ -5,6 +5,7 @@
 import attrs
 
 from wagtailrun.clock import Clock
+from wagtailrun.control.operator_views import FleetView, LocalView
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import (
     EntryRow,
@@ -15,7 +16,6 @@
     ListTargets,
 )
 from wagtailrun.membership import TargetRow
-from wagtailrun.operator_views import FleetView, LocalView
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry.state import Registry
 
--- a/wagtailrun/operator_api.py
+++ b/wagtailrun/control/operator_api.py
@@ -27,6 +27,12 @@
     json_response,
     refusal_response,
 )
+from wagtailrun.control.operator_views import (
+    FleetView,
+    LocalView,
+    audit_rows,
+    order_rows,
+)
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     Refusal,
@@ -35,7 +41,6 @@
     WagtailrunError,
 )
 from wagtailrun.metrics import CONTENT_TYPE, Metrics
-from wagtailrun.operator_views import FleetView, LocalView, audit_rows, order_rows
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import ApplyText, TextVerdict
 from wagtailrun.registry.state import Registry
--- a/wagtailrun/period_closing.py
+++ b/wagtailrun/control/period_closing.py
@@ -3,7 +3,7 @@
 from wagtailrun import events
 from wagtailrun.accounts.periods import RETAINED_PERIODS
 from wagtailrun.accounts.store import AccountStore
-from wagtailrun.control_service import ControlService
+from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.registry.messages import ClosePeriod
 
--- a/wagtailrun/control_service.py
+++ b/wagtailrun/control/service.py
@@ -8,6 +8,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.codec import encode
+from wagtailrun.control.text_watch import ConfigurationLongPoll
 from wagtailrun.exceptions import ConsensusUnavailable, FleetTextError, MessageError
 from wagtailrun.fleet import parse_fleet_text
 from wagtailrun.messages import Ping, Pong
@@ -32,7 +33,6 @@
     WatchText,
 )
 from wagtailrun.registry.state import OrderKey, Registry
-from wagtailrun.text_watch import ConfigurationLongPoll
 
 __all__ = ["MAX_INLINE_TEXT_CHARS", "ControlService"]
 
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -16,7 +16,7 @@
 from wagtailrun.consensus.host import MemberHost
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.timing import Timing
-from wagtailrun.control_service import ControlService
+from wagtailrun.control.service import ControlService
 from wagtailrun.discovery import Configuration, Hub
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
