Move 2 modules into wagtailrun/fleet

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest. Names that the package says already are shortened.

--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -27,7 +27,7 @@
 from wagtailrun.accounts.store import MAX_ROWS, AccountStore
 from wagtailrun.codec import encode
 from wagtailrun.exceptions import RefusalReason
-from wagtailrun.fleet import Price
+from wagtailrun.fleet.model import Price
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.virtual_time import VirtualClock, run_virtual
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -10,8 +10,12 @@
 import attrs
 
 from bench.gossip_cluster import FLEET_TEXT, Cluster
-from wagtailrun.fleet import FleetConfiguration, fleet_from_document, parse_fleet_text
-from wagtailrun.fleet_diff import apply_diff, diff_documents
+from wagtailrun.fleet.diff import apply_diff, diff_documents
+from wagtailrun.fleet.model import (
+    FleetConfiguration,
+    fleet_from_document,
+    parse_fleet_text,
+)
 from wagtailrun.gossip.messages import GROWTH_RECORD
 from wagtailrun.gossip.push import PeerClient
 from wagtailrun.membership import Membership, TargetRow
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -21,7 +21,7 @@
 from wagtailrun.control.service import ControlService
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -31,7 +31,7 @@
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import CorruptRecord, MessageError, RefusalReason
-from wagtailrun.fleet import Price
+from wagtailrun.fleet.model import Price
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import VirtualClock, run_virtual
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -15,7 +15,7 @@
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.caller_api import CallerApi, stream_events
 from wagtailrun.dispatch import Dispatcher
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from wagtailrun.exceptions import FleetTextError
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 
 DEMO = (Path(__file__).parent.parent / "demo" / "fleet.toml").read_text("utf-8")
 
--- a/tests/test_fleet_diff.py
+++ b/tests/test_fleet_diff.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wagtailrun.fleet_diff import (
+from wagtailrun.fleet.diff import (
     DiffMismatch,
     apply_diff,
     diff_documents,
--- a/tests/test_fleet_transfer.py
+++ b/tests/test_fleet_transfer.py
@@ -11,7 +11,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.control.text_watch import ConfigurationLongPoll
 from wagtailrun.exceptions import FleetTextError
-from wagtailrun.fleet import fleet_from_document, parse_fleet_text
+from wagtailrun.fleet.model import fleet_from_document, parse_fleet_text
 from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.registry.messages import WatchText
 
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -8,7 +8,7 @@
 from tests.fake_targets import FakeTargets
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.fleet import Pipeline, Stage, StageKind, Workspace
+from wagtailrun.fleet.model import Pipeline, Stage, StageKind, Workspace
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.link import Address
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -5,7 +5,7 @@
 
 from wagtailrun.discovery.fleet_text import FleetTextFormat
 from wagtailrun.exceptions import FleetTextError
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.routes import (
     RequestLimits,
     Route,
--- a/tests/test_text_watch.py
+++ b/tests/test_text_watch.py
@@ -7,7 +7,7 @@
 
 from bench.gossip_cluster import FLEET_TEXT
 from wagtailrun.control.text_watch import ConfigurationLongPoll
-from wagtailrun.fleet_diff import apply_diff
+from wagtailrun.fleet.diff import apply_diff
 from wagtailrun.registry.messages import WatchText
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/__init__.py
+++ b/wagtailrun/__init__.py
@@ -8,7 +8,7 @@
     Verdict,
     WagtailrunError,
 )
-from wagtailrun.fleet import FleetConfiguration, parse_fleet_text
+from wagtailrun.fleet.model import FleetConfiguration, parse_fleet_text
 
 __all__ = [
     "Clock",
--- a/wagtailrun/accounts/cells.py
+++ b/wagtailrun/accounts/cells.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from wagtailrun.fleet import Price
+from wagtailrun.fleet.model import Price
 
 __all__ = [
     "MS_PER_MINUTE",
--- a/wagtailrun/accounts/counters.py
+++ b/wagtailrun/accounts/counters.py
@@ -31,7 +31,7 @@
 from wagtailrun.accounts.refusal_minutes import COPY_TIMEOUT_MS, FirstRefusals
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable, RefusalReason
-from wagtailrun.fleet import Price
+from wagtailrun.fleet.model import Price
 from wagtailrun.ports.link import Address, PeerLink
 
 __all__ = ["Accounts", "HeldRows"]
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -21,7 +21,7 @@
 from wagtailrun.deadlines import before_deadline
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.fleet import Call, FleetConfiguration, Workspace
+from wagtailrun.fleet.model import Call, FleetConfiguration, Workspace
 from wagtailrun.metrics import CONTENT_TYPE
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -23,7 +23,7 @@
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
 from wagtailrun.explain import lines_of_request
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.loop_watch import LoopWatch
 from wagtailrun.process_exit import (
     exit_with_fault,
--- a/wagtailrun/control/engine_control.py
+++ b/wagtailrun/control/engine_control.py
@@ -10,7 +10,12 @@
 from wagtailrun import events
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import FleetTextError, TargetFailed, Verdict
-from wagtailrun.fleet import FleetConfiguration, Service, ServiceKind, parse_fleet_text
+from wagtailrun.fleet.model import (
+    FleetConfiguration,
+    Service,
+    ServiceKind,
+    parse_fleet_text,
+)
 from wagtailrun.membership import TargetRow
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
 from wagtailrun.registry.engine_order_table import WEIGHT_LOAD_KINDS
--- a/wagtailrun/control/service.py
+++ b/wagtailrun/control/service.py
@@ -10,7 +10,7 @@
 from wagtailrun.codec import encode
 from wagtailrun.control.text_watch import ConfigurationLongPoll
 from wagtailrun.exceptions import ConsensusUnavailable, FleetTextError, MessageError
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.log import ReplicatedLog
 from wagtailrun.registry.messages import (
--- a/wagtailrun/control/text_watch.py
+++ b/wagtailrun/control/text_watch.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from wagtailrun.clock import Clock
-from wagtailrun.fleet_diff import apply_diff, diff_documents
+from wagtailrun.fleet.diff import apply_diff, diff_documents
 from wagtailrun.registry.messages import TextUpdate, WatchText
 
 __all__ = ["ConfigurationLongPoll"]
--- a/wagtailrun/discovery/fleet_text.py
+++ b/wagtailrun/discovery/fleet_text.py
@@ -4,7 +4,7 @@
 
 from wagtailrun.discovery.configuration import ConfigurationFormat
 from wagtailrun.exceptions import FleetTextError
-from wagtailrun.fleet import parse_fleet_text
+from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.routes import RouteTable
 
 __all__ = ["FleetTextFormat"]
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -21,7 +21,7 @@
 from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
-from wagtailrun.fleet import FleetConfiguration
+from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
 from wagtailrun.membership import Membership
--- /dev/null
+++ b/wagtailrun/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""Fleet configuration, its validation, and differences between two of them."""
+
+__all__ = [
+    "diff",
+    "model",
+]
--- a/wagtailrun/gossip/configuration.py
+++ b/wagtailrun/gossip/configuration.py
@@ -6,7 +6,7 @@
 import curio
 
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
-from wagtailrun.fleet_diff import DiffMismatch
+from wagtailrun.fleet.diff import DiffMismatch
 from wagtailrun.gossip.messages import GossipFetch, GossipTaken, GossipText
 from wagtailrun.gossip.peers import PeerTable, rendezvous
 from wagtailrun.gossip.push import PeerClient
--- a/wagtailrun/gossip/node.py
+++ b/wagtailrun/gossip/node.py
@@ -8,7 +8,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.fleet import FleetConfiguration
+from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.configuration import ConfigDissemination
 from wagtailrun.gossip.exchange import Exchanger
 from wagtailrun.gossip.messages import (
--- a/wagtailrun/gossip/text.py
+++ b/wagtailrun/gossip/text.py
@@ -8,8 +8,8 @@
 import attrs
 
 from wagtailrun.exceptions import MessageError
-from wagtailrun.fleet import FleetConfiguration, fleet_from_document
-from wagtailrun.fleet_diff import apply_diff, diff_documents
+from wagtailrun.fleet.diff import apply_diff, diff_documents
+from wagtailrun.fleet.model import FleetConfiguration, fleet_from_document
 from wagtailrun.gossip.messages import EntryRow, GossipText
 from wagtailrun.registry.messages import TextUpdate
 
--- a/wagtailrun/pipeline.py
+++ b/wagtailrun/pipeline.py
@@ -12,7 +12,7 @@
 from wagtailrun.deadlines import before_deadline, stream_before_deadline
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, TargetFailed, Verdict
-from wagtailrun.fleet import Pipeline, StageKind, Workspace
+from wagtailrun.fleet.model import Pipeline, StageKind, Workspace
 from wagtailrun.json_texts import JsonTexts
 from wagtailrun.ports.target import StageAnswer, Token
 from wagtailrun.work import Work
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/recorder.py
@@ -10,7 +10,7 @@
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, TargetFailed
-from wagtailrun.fleet import FleetConfiguration, Price
+from wagtailrun.fleet.model import FleetConfiguration, Price
 from wagtailrun.membership import TargetRow
 from wagtailrun.metrics import Metrics
 from wagtailrun.ports.target import StageAnswer
--- a/wagtailrun/registry/plan.py
+++ b/wagtailrun/registry/plan.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wagtailrun.fleet import FleetConfiguration
+from wagtailrun.fleet.model import FleetConfiguration
 
 __all__ = ["Change", "plan_changes"]
 
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -28,7 +28,11 @@
     TargetModel,
 )
 from wagtailrun.exceptions import Refusal
-from wagtailrun.fleet import FleetConfiguration, fleet_from_document, parse_fleet_text
+from wagtailrun.fleet.model import (
+    FleetConfiguration,
+    fleet_from_document,
+    parse_fleet_text,
+)
 from wagtailrun.membership import Membership
 from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import Token
--- a/wagtailrun/target_api.py
+++ b/wagtailrun/target_api.py
@@ -12,7 +12,7 @@
 )
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.fleet import FleetConfiguration
+from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
 
--- a/wagtailrun/trace_recorder.py
+++ b/wagtailrun/trace_recorder.py
@@ -10,7 +10,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.fleet import FleetConfiguration, ServiceKind
+from wagtailrun.fleet.model import FleetConfiguration, ServiceKind
 from wagtailrun.membership import TargetRow
 
 __all__ = ["TraceRecorder"]
--- a/wagtailrun/work.py
+++ b/wagtailrun/work.py
@@ -3,7 +3,7 @@
 import attrs
 
 from wagtailrun.estimates import size_class
-from wagtailrun.fleet import Call, Workspace
+from wagtailrun.fleet.model import Call, Workspace
 
 __all__ = ["Work"]
 
