--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -12,9 +12,7 @@
 import attrs
 
 from bench.traces import FLEETS_BY_NAME, make_trace
-from wagtailrun.affinity import CacheEvents, prefix_hashes
 from wagtailrun.dispatch import Dispatcher, DispatchOptions, Work, make_dispatcher
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.replay import (
     EntryContext,
@@ -22,7 +20,9 @@
     build_dispatcher,
     replay_records,
 )
-from wagtailrun.routing import LeastLoadedRouter, RouterOptions
+from wagtailrun.targets.affinity import CacheEvents, prefix_hashes
+from wagtailrun.targets.routing import LeastLoadedRouter, RouterOptions
+from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
 __all__ = ["reports", "run", "summary"]
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -18,8 +18,8 @@
 )
 from wagtailrun.gossip.messages import GROWTH_RECORD
 from wagtailrun.gossip.push import PeerClient
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 __all__ = ["run"]
--- a/bench/gossip_cluster.py
+++ b/bench/gossip_cluster.py
@@ -9,9 +9,9 @@
 from wagtailrun.control.text_watch import ConfigurationLongPoll
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import Membership, TargetRow
 
 FLEET_TEXT = """
 [fleet]
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -22,14 +22,14 @@
 from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import CloseOrder, OpenOrder, SweepOrders
 from wagtailrun.registry.order_table import MAX_ORDER_KEYS
 from wagtailrun.registry.state import Registry
-from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.targets.routing import LeastLoadedRouter
+from wagtailrun.targets.table import Membership, TargetRow
 
 SEED = 1
 T0 = 1_767_225_600_000
--- a/bench/tunnels.py
+++ b/bench/tunnels.py
@@ -11,9 +11,9 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
+from wagtailrun.targets.table import TargetRow
 
 REQUESTS = 200
 EVENTS = 50
--- a/demo/stub_target.py
+++ b/demo/stub_target.py
@@ -12,9 +12,9 @@
 
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Request, Response, json_response
-from wagtailrun.affinity import prefix_hashes
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.affinity import prefix_hashes
 
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_MS = 1_000
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,8 +6,8 @@
 
 from wagtailrun.admission import Admission
 from wagtailrun.dispatch import Work
-from wagtailrun.estimates import Estimates
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.targets.estimates import Estimates
 from wagtailrun.virtual_time import run_virtual
 
 WORK = Work("engines", "/v1/stages/generate", b"{}", "r", "ws", 10_000, stage="g")
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -1,6 +1,6 @@
 """Tests of the prefix index."""
 
-from wagtailrun.affinity import (
+from wagtailrun.targets.affinity import (
     BLOCK_CHARACTERS,
     CacheEvents,
     PrefixIndex,
--- a/tests/test_brittle_owners.py
+++ b/tests/test_brittle_owners.py
@@ -7,7 +7,6 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.brittle_slots import GATHER_MS, SETTLED_MS
 from wagtailrun.relay.send_grants import (
@@ -16,6 +15,7 @@
     GrantClient,
     SendGranter,
 )
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 ROW = TargetRow("t1", Address("10.0.0.1", 80), "s", "a", 4, incarnation=3)
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -32,7 +32,6 @@
     TargetLimits,
 )
 from wagtailrun.exceptions import TargetPaused
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.brittle_slots import (
     GATHER_MS,
@@ -45,6 +44,7 @@
 from wagtailrun.relay.port import MalformedBound
 from wagtailrun.relay.send_grants import LINGER_MS, SendGranter
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 ROW = TargetRow("t1", Address("10.0.0.1", 80), "s", "a", 4, incarnation=3)
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -16,7 +16,6 @@
 from wagtailrun.caller_api import CallerApi, stream_events
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
 from wagtailrun.pipeline import PipelineRunner
@@ -24,7 +23,8 @@
 from wagtailrun.ports.target import Token
 from wagtailrun.recorder import Recorder
 from wagtailrun.registry.client import ControlClient
-from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.targets.routing import LeastLoadedRouter
+from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 FLEET = parse_fleet_text(
--- a/tests/test_change_during_requests.py
+++ b/tests/test_change_during_requests.py
@@ -21,7 +21,6 @@
 from wagtailrun.discovery.origin_client import FoundOrigin
 from wagtailrun.exceptions import ConnectFailed, TargetFailed
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import (
     EngineCapacity,
@@ -35,6 +34,7 @@
     WorkspaceKeys,
     build_route_table,
 )
+from wagtailrun.targets.table import TargetRow
 
 KEY = "key-of-this-test"
 DEADLINE_MS = 3_000
--- a/tests/test_connect_shortage_dispatch.py
+++ b/tests/test_connect_shortage_dispatch.py
@@ -15,10 +15,10 @@
 from wagtailrun.dispatch import make_dispatcher
 from wagtailrun.entry import Entry
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import Membership, TargetRow
+from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
-from wagtailrun.work import Work
 
 TARGETS = 3
 DEADLINE_MS = 5_000
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -4,7 +4,6 @@
 import pytest
 
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.crash_detector import (
     CRASH_WINDOW_MS,
@@ -15,6 +14,7 @@
 )
 from wagtailrun.relay.placement_messages import RunBroken
 from wagtailrun.relay.port import AnswerProgress
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
 HEAD, NOTHING, EVENTS = (
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -11,9 +11,9 @@
 from tests.test_relay_front import event, run_relay, send
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.routes import RouteKind
 from wagtailrun.stages.port import StageItem
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_cut_beliefs.py
+++ b/tests/test_cut_beliefs.py
@@ -12,10 +12,10 @@
 from wagtailrun.adapters.http_client import OpenConnection
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelRefusal
 from wagtailrun.relay.tunnels import DIRECT_TIMEOUT_MS, PathConnector, TunnelHost
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 DATA_CENTRES = ("a", "b", "c", "d")
--- a/tests/test_cut_streams.py
+++ b/tests/test_cut_streams.py
@@ -10,8 +10,8 @@
 from tests.test_relay_front import event, run_relay, send
 from tests.test_tunnels import get, run_tunnel
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_data_centre_reach.py
+++ b/tests/test_data_centre_reach.py
@@ -14,10 +14,10 @@
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import TunnelRefusal, TunnelRefused
 from wagtailrun.relay.tunnels import DIRECT_TIMEOUT_MS, PathConnector
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 DATA_CENTRES = ("a", "b", "c", "d")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,10 +21,10 @@
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.exceptions import FleetTextError, PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry.state import Registry
 from wagtailrun.routes import RequestLimits, build_route_table
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 HEARTBEAT_MS = 1_200
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,8 +10,8 @@
 from wagtailrun.dispatch import DispatchOptions, Work, make_dispatcher
 from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import ConnectFailed, Refusal, TargetFailed, Verdict
-from wagtailrun.membership import Membership
 from wagtailrun.retries import NullObserver
+from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
 ENGINE = TargetModel(capacity=4, decode_ms=20.0)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -13,10 +13,10 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Attempt
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_early_answers_carried.py
+++ b/tests/test_early_answers_carried.py
@@ -18,7 +18,7 @@
 from tests.test_tunnels import Carrier, View, cut_entry
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.exceptions import Verdict
-from wagtailrun.membership import TargetRow
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -6,11 +6,11 @@
 import curio
 import pytest
 
-from wagtailrun.affinity import BLOCK_CHARACTERS
 from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.membership import Membership
 from wagtailrun.ports.target import Attempt
+from wagtailrun.targets.affinity import BLOCK_CHARACTERS
+from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
 ENGINE = TargetModel(capacity=2, decode_ms=10.0, prefill_us=100.0, cache_blocks=4)
--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -18,10 +18,10 @@
     EngineController,
 )
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import messages as rm
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 SEEDS = 60
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -11,13 +11,13 @@
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.lowered_shares import ALL_ENTRIES, HALF_SHARE
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
 from wagtailrun.relay.port import PromptPart
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 PER_SECOND = 25
--- a/tests/test_entry_peer_drain.py
+++ b/tests/test_entry_peer_drain.py
@@ -8,8 +8,8 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, GossipRows, GossipTaken
-from wagtailrun.membership import TargetRow
 from wagtailrun.messages import Ping, Pong
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -20,10 +20,10 @@
 )
 from wagtailrun.adapters.http_server import HttpServer, _ServerConnection
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.streams import RelayStreams, _StreamState
 from wagtailrun.stages.port import StageItem
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_forwarded_changes_stop.py
+++ b/tests/test_forwarded_changes_stop.py
@@ -10,11 +10,11 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.discovery.messages import ShareRows
 from wagtailrun.exceptions import Refusal, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.messages import TextVerdict
 from wagtailrun.relay.control import RelayControl
 from wagtailrun.settings import RelayControlSettings
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -18,8 +18,8 @@
 )
 from wagtailrun.gossip.push import PeerClient, split_members
 from wagtailrun.gossip.text import FleetConfigStore
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 SILENT_LIMIT_MS = 3_000
--- a/tests/test_http_target.py
+++ b/tests/test_http_target.py
@@ -15,10 +15,10 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, TargetFailed, Verdict
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.target import Attempt
-from wagtailrun.routing import LeastLoadedRouter
-from wagtailrun.work import Work
+from wagtailrun.targets.routing import LeastLoadedRouter
+from wagtailrun.targets.table import Membership, TargetRow
+from wagtailrun.targets.work import Work
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -4,9 +4,9 @@
 import curio
 import pytest
 
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.attempts import RelayAttempts
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 ROW = TargetRow("t", Address("10.0.0.1", 80), "s", "a", 4)
--- a/tests/test_late_carriers.py
+++ b/tests/test_late_carriers.py
@@ -20,12 +20,12 @@
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, Upgrade
 from wagtailrun.relay.attempts import CONNECT_TIMEOUT_MS
 from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelRefusal, TunnelRefused
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 pytestmark = pytest.mark.network
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,8 +9,8 @@
 from wagtailrun.dispatch import Work, make_dispatcher
 from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import Refusal
-from wagtailrun.limits import AdaptiveLimits
-from wagtailrun.membership import Membership
+from wagtailrun.targets.limits import AdaptiveLimits
+from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
 # Attempts in progress at a target that announces a capacity of 64.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,8 +5,8 @@
 import attrs
 import pytest
 
-from wagtailrun.membership import ROW_RETENTION_MS, Membership, TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import ROW_RETENTION_MS, Membership, TargetRow
 
 ROW = TargetRow("t", Address("10.0.0.1", 1), "s", "east", incarnation=5, sequence=7)
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -29,7 +29,6 @@
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.memory_budget import (
     BYTES_PER_MB,
     FIELD_BYTES,
@@ -42,6 +41,7 @@
 from wagtailrun.ports.target import Attempt
 from wagtailrun.relay.control import MAX_TEXT_BYTES
 from wagtailrun.stages.port import StageItem
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 # Memory of the smallest VM that the platform names.
--- a/tests/test_next_target.py
+++ b/tests/test_next_target.py
@@ -7,11 +7,11 @@
 from tests.test_relay_admission import job
 from tests.test_relay_front import FakeView, route
 from wagtailrun.discovery.quarantine import Quarantine
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.attempts import RelayAttempts
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 PAUSE_MS = 1
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -24,7 +24,6 @@
 from wagtailrun.discovery.evacuations import EvacuationView
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import TargetFailed, TargetPaused
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.notices import (
     MAX_PAUSE_MS,
@@ -34,6 +33,7 @@
 )
 from wagtailrun.relay.port import TargetNotice
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 LEAVING = ("Server-Leaving", "1")
--- a/tests/test_orders_at_the_end.py
+++ b/tests/test_orders_at_the_end.py
@@ -8,7 +8,6 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import ConsensusUnavailable, TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.registry.messages import (
@@ -18,6 +17,7 @@
     OrderState,
     OrderVerdict,
 )
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -1,6 +1,10 @@
 """Tests of the throttling of slow targets."""
 
-from wagtailrun.outliers import MIN_SAMPLES, STEP_WITHOUT_SAMPLE_MS, OutlierThrottle
+from wagtailrun.targets.outliers import (
+    MIN_SAMPLES,
+    STEP_WITHOUT_SAMPLE_MS,
+    OutlierThrottle,
+)
 from wagtailrun.virtual_time import VirtualClock
 
 PEERS = [f"t-{number}" for number in range(6)]
--- a/tests/test_peer_shortage.py
+++ b/tests/test_peer_shortage.py
@@ -27,11 +27,11 @@
 from wagtailrun.events import EVENT_LOG, PEER_LOST
 from wagtailrun.exceptions import ConnectFailed, ConsensusUnavailable, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow, Health
-from wagtailrun.membership import TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.tunnels import PathConnector
 from wagtailrun.stages import StageResults
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 SECRET = b"a shared secret of the tests"
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -9,10 +9,10 @@
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet.model import Pipeline, Stage, StageKind, Workspace
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.link import Address
-from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.targets.routing import LeastLoadedRouter
+from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 STAGES = (
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,12 +9,12 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.placement import RUN_LIFETIME_MS, PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 ENTRIES = [EntryRow(f"e{n}", Address("10.1.0.1", 7_000 + n), "a", n) for n in range(3)]
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -16,7 +16,6 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.exceptions import ResponseAborted, TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.front import RelayHandler
@@ -30,6 +29,7 @@
     RouteKind,
     build_route_table,
 )
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -10,7 +10,6 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import digest_part
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart
 from wagtailrun.relay.choice import TargetChooser
@@ -22,6 +21,7 @@
     RunOver,
 )
 from wagtailrun.relay.port import AnswerProgress
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 ENTRIES = 4
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -9,11 +9,11 @@
 from tests.test_caller_api import FLEET, make_recorder
 from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
-from wagtailrun.routing import LeastLoadedRouter
+from wagtailrun.targets.routing import LeastLoadedRouter
+from wagtailrun.targets.table import Membership, TargetRow
+from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
-from wagtailrun.work import Work
 
 
 def recorded(targets_count=3, **faults):
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart, TargetLoad
 from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
 
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -20,7 +20,6 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import ConnectFailed, ResponseAborted, TargetFailed
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import RelayHandler
 from wagtailrun.relay.choice import TargetChooser
@@ -39,6 +38,7 @@
     WorkspaceKeys,
     build_route_table,
 )
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -6,8 +6,8 @@
 from demo.processes import free_addresses
 from tests.test_notices import LEAVING
 from tests.test_relay_front import GOOD, event, run_relay, send, stream
-from wagtailrun.membership import TargetRow
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,13 +5,13 @@
 import attrs
 import pytest
 
-from wagtailrun.affinity import CacheEvents
 from wagtailrun.dispatch import Work
-from wagtailrun.estimates import Estimates
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.routing import ExpectedTimeRouter, LeastLoadedRouter
+from wagtailrun.targets.affinity import CacheEvents
+from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.routing import ExpectedTimeRouter, LeastLoadedRouter
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
 WORK = Work("engines", "/v1/stages/generate", b"{}", "r", "ws", 8_000, stage="generate")
--- a/tests/test_shared_versions.py
+++ b/tests/test_shared_versions.py
@@ -6,8 +6,8 @@
 from wagtailrun.discovery.shared_versions import SharedVersions
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.gossip.messages import AgedRow
-from wagtailrun.membership import Membership
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
 V1 = attrs.evolve(ROW, software_version="v1")
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -13,7 +13,6 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import StageCapacity
@@ -30,6 +29,7 @@
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 CAPACITY = StageCapacity(
--- a/tests/test_stream_errors.py
+++ b/tests/test_stream_errors.py
@@ -8,9 +8,9 @@
 from tests.test_repeated_answers import LATE_S, ScriptedEngine
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.events_split import EventSplitter
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_stream_origins_fleet.py
+++ b/tests/test_stream_origins_fleet.py
@@ -16,8 +16,8 @@
     stream_key,
 )
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 ENTRIES = 5
--- a/tests/test_stream_takeup.py
+++ b/tests/test_stream_takeup.py
@@ -18,9 +18,9 @@
 )
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS, StreamOrigins
 from wagtailrun.exceptions import PeerUnreachable, TargetFailed
-from wagtailrun.membership import Membership
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.routes import RouteKind, WorkspaceKeys
+from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
 pytestmark = pytest.mark.network
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from wagtailrun.subset import choose_subset
+from wagtailrun.targets.subset import choose_subset
 
 NAMES = [f"target-{number}" for number in range(250)]
 ENTRIES = [f"entry-{number}" for number in range(54)]
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -12,7 +12,6 @@
 from wagtailrun.discovery.messages import AgedLimit, TargetLimit
 from wagtailrun.discovery.target_limits import MAX_LIMITS, TargetLimits
 from wagtailrun.exceptions import TargetPaused
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.notices import PERMIT_LIFETIME_MS
 from wagtailrun.relay.placement_messages import RequestGrant
@@ -22,6 +21,7 @@
     SendGranter,
 )
 from wagtailrun.routes import RouteKind
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 LIMIT_WINDOW_S = 4
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -11,7 +11,6 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.choice import LIMIT_CHECK_MS, TargetChooser
 from wagtailrun.relay.notices import TargetNotices
@@ -24,6 +23,7 @@
 )
 from wagtailrun.relay.port import TargetNotice
 from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 WINDOW_MS = 4_000
--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -8,9 +8,9 @@
 
 from tests.test_caller_api import FLEET
 from wagtailrun.clock import SystemClock
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.replay import replay
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.trace_recorder import MAX_BUFFERED_RECORDS, TraceRecorder
 
 
--- a/tests/test_unending_bytes.py
+++ b/tests/test_unending_bytes.py
@@ -27,11 +27,11 @@
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Attempt
 from wagtailrun.routes import RouteKind
 from wagtailrun.stages.port import StageItem
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 pytestmark = pytest.mark.network
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -13,7 +13,6 @@
 from wagtailrun.discovery.messages import AgedRow, News, NewsMarks
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import ROW_RETENTION_MS, TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import brittle_slots, send_grants
 from wagtailrun.relay import entry as entry_module
@@ -28,6 +27,7 @@
     WorkspaceKeys,
     build_route_table,
 )
+from wagtailrun.targets.table import ROW_RETENTION_MS, TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 REPLACED = 10_000
--- a/wagtailrun/adapters/target_observer.py
+++ b/wagtailrun/adapters/target_observer.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import TargetRow
 
 if TYPE_CHECKING:
     from wagtailrun.adapters.http_client import HttpStream
--- a/wagtailrun/admission.py
+++ b/wagtailrun/admission.py
@@ -9,13 +9,13 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.estimates import Estimates
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.running_requests import STOPPING_RETRY_MS
+from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.table import TargetRow
 
 if TYPE_CHECKING:
-    from wagtailrun.work import Work
+    from wagtailrun.targets.work import Work
 
 __all__ = ["POLL_INTERVAL_MS", "Admission"]
 
--- a/wagtailrun/attempts.py
+++ b/wagtailrun/attempts.py
@@ -18,11 +18,11 @@
     Verdict,
 )
 from wagtailrun.late_tasks import LATE_WAIT_MS
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
 from wagtailrun.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
 from wagtailrun.retries import HEDGE_RESERVE
-from wagtailrun.work import Work
+from wagtailrun.targets.table import TargetRow
+from wagtailrun.targets.work import Work
 
 if TYPE_CHECKING:
     from wagtailrun.dispatch import Dispatcher, DispatchOptions
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/caller_api.py
@@ -28,7 +28,7 @@
 from wagtailrun.ports.target import StageAnswer, Token
 from wagtailrun.recorder import Recorder, RequestScope
 from wagtailrun.running_requests import STOPPING_RETRY_MS, RunningRequests
-from wagtailrun.work import Work
+from wagtailrun.targets.work import Work
 
 __all__ = ["CHECK_PATHS", "CallerApi"]
 
--- a/wagtailrun/control/engine_control.py
+++ b/wagtailrun/control/engine_control.py
@@ -16,7 +16,6 @@
     ServiceKind,
     parse_fleet_text,
 )
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
 from wagtailrun.registry.engine_order_table import WEIGHT_LOAD_KINDS
 from wagtailrun.registry.messages import (
@@ -29,6 +28,7 @@
     GrantController,
     PutEngineOrder,
 )
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["HANDOVER_WAIT_MS", "ORDER_LIFETIME_MS", "EngineController"]
 
--- a/wagtailrun/control/fleet_watch.py
+++ b/wagtailrun/control/fleet_watch.py
@@ -15,9 +15,9 @@
     Health,
     ListTargets,
 )
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry.state import Registry
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["FleetWatch"]
 
--- a/wagtailrun/discovery/entry_reports.py
+++ b/wagtailrun/discovery/entry_reports.py
@@ -10,8 +10,8 @@
 from wagtailrun.discovery.messages import ReportCrashes, ReportLeaving, ReportLimits
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
-from wagtailrun.membership import TargetRow
 from wagtailrun.supervisor import supervise
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EntryReports"]
 
--- a/wagtailrun/discovery/evacuations.py
+++ b/wagtailrun/discovery/evacuations.py
@@ -7,7 +7,7 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.messages import News, NewsMarks
-from wagtailrun.membership import TargetRow
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EvacuationView", "FleetPlaces", "log_evacuations"]
 
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -34,10 +34,10 @@
 from wagtailrun.discovery.transfer import ConfigurationHistory
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
-from wagtailrun.membership import ChangeLog, Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.registry.state import Registry
 from wagtailrun.supervisor import supervise
+from wagtailrun.targets.table import ChangeLog, Membership, TargetRow
 
 __all__ = ["Hub"]
 
--- a/wagtailrun/discovery/quarantine.py
+++ b/wagtailrun/discovery/quarantine.py
@@ -9,7 +9,7 @@
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.messages import AgedEvidence, CrashEvidence, PartSet
-from wagtailrun.membership import ChangeLog
+from wagtailrun.targets.table import ChangeLog
 
 __all__ = ["Quarantine", "QuarantineStatus", "digest_part"]
 
--- a/wagtailrun/discovery/shared_versions.py
+++ b/wagtailrun/discovery/shared_versions.py
@@ -7,7 +7,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.gossip.messages import AgedRow
-from wagtailrun.membership import Membership, TargetRow
+from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["SharedVersions"]
 
--- a/wagtailrun/discovery/stream_origins.py
+++ b/wagtailrun/discovery/stream_origins.py
@@ -17,7 +17,7 @@
     StreamsBegun,
     TargetIncarnation,
 )
-from wagtailrun.membership import Membership
+from wagtailrun.targets.table import Membership
 
 __all__ = ["ORIGIN_LIFETIME_MS", "StreamOrigins", "stream_key"]
 
--- a/wagtailrun/discovery/target_limits.py
+++ b/wagtailrun/discovery/target_limits.py
@@ -8,7 +8,7 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.messages import UNKNOWN_AGE_MS, AgedLimit, TargetLimit
-from wagtailrun.membership import ChangeLog, TargetRow
+from wagtailrun.targets.table import ChangeLog, TargetRow
 
 __all__ = ["TargetLimits"]
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -28,10 +28,10 @@
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow, Health
 from wagtailrun.gossip.peers import rendezvous
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.routes import RouteTable
 from wagtailrun.supervisor import supervise
+from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["FleetView"]
 
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/dispatch.py
@@ -11,14 +11,12 @@
 from wagtailrun.admission import Admission
 from wagtailrun.attempts import DEADLINE_MARGIN_MS, AttemptRun, Attempts, Results
 from wagtailrun.clock import Clock
-from wagtailrun.estimates import Estimates
 from wagtailrun.exceptions import (
     Refusal,
     RefusalReason,
     TargetFailed,
     Verdict,
 )
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer, TargetClient, Token
 from wagtailrun.repeats import RetryState
@@ -27,9 +25,11 @@
     NullObserver,
     RetryBudget,
 )
-from wagtailrun.routing import ExpectedTimeRouter, Router
 from wagtailrun.running_requests import STOPPING_RETRY_MS
-from wagtailrun.work import Work
+from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.routing import ExpectedTimeRouter, Router
+from wagtailrun.targets.table import Membership, TargetRow
+from wagtailrun.targets.work import Work
 
 __all__ = ["DispatchOptions", "Dispatcher", "Work", "make_dispatcher"]
 
--- a/wagtailrun/emulator.py
+++ b/wagtailrun/emulator.py
@@ -12,12 +12,12 @@
 import attrs
 import curio
 
-from wagtailrun.affinity import CacheEvents, prefix_hashes
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Attempt, StageAnswer, TargetClient, Token
+from wagtailrun.targets.affinity import CacheEvents, prefix_hashes
+from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["EmulatedClient", "Emulator", "TargetModel"]
 
--- a/wagtailrun/entry.py
+++ b/wagtailrun/entry.py
@@ -24,7 +24,6 @@
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
-from wagtailrun.membership import Membership
 from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
 from wagtailrun.orders import OrderRunner
@@ -36,6 +35,7 @@
 from wagtailrun.settings import EntrySettings
 from wagtailrun.signalled_drain import SignalledDrain
 from wagtailrun.target_api import TargetApi
+from wagtailrun.targets.table import Membership
 from wagtailrun.trace_recorder import TraceRecorder
 
 __all__ = ["Entry", "run_entry"]
--- a/wagtailrun/gossip/exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -18,8 +18,8 @@
 from wagtailrun.gossip.peers import Partner, PeerTable
 from wagtailrun.gossip.push import PeerClient
 from wagtailrun.gossip.target_monitor import TargetMonitor
-from wagtailrun.membership import ChangeLog, Membership
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import ChangeLog, Membership
 
 __all__ = ["Exchanger"]
 
--- a/wagtailrun/gossip/messages.py
+++ b/wagtailrun/gossip/messages.py
@@ -8,8 +8,8 @@
 
 from wagtailrun.codec import Channel, Codec
 from wagtailrun.exceptions import MessageError
-from wagtailrun.membership import TargetRow, short_id
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import TargetRow, short_id
 
 __all__ = [
     "AgedRow",
--- a/wagtailrun/gossip/node.py
+++ b/wagtailrun/gossip/node.py
@@ -31,9 +31,9 @@
 from wagtailrun.gossip.peers import PeerTable
 from wagtailrun.gossip.push import PeerClient
 from wagtailrun.gossip.target_monitor import TargetMonitor
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["GossipNode"]
 
--- a/wagtailrun/gossip/peers.py
+++ b/wagtailrun/gossip/peers.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from wagtailrun.gossip.messages import Confirmation, EntryRow, Health, Marks
-from wagtailrun.membership import ChangeLog, short_id
+from wagtailrun.targets.table import ChangeLog, short_id
 
 __all__ = ["Partner", "PeerTable", "rendezvous"]
 
--- a/wagtailrun/gossip/target_monitor.py
+++ b/wagtailrun/gossip/target_monitor.py
@@ -16,7 +16,7 @@
 )
 from wagtailrun.gossip.peers import PeerTable, rendezvous
 from wagtailrun.gossip.push import PUSH_TIMEOUT_MS, PeerClient
-from wagtailrun.membership import TARGET_TIMEOUT_MS, Membership, TargetRow
+from wagtailrun.targets.table import TARGET_TIMEOUT_MS, Membership, TargetRow
 
 __all__ = ["TargetMonitor"]
 
--- a/wagtailrun/orders.py
+++ b/wagtailrun/orders.py
@@ -28,7 +28,7 @@
 )
 from wagtailrun.registry.order_table import MAX_STORED_BODY_BYTES
 from wagtailrun.running_requests import STOPPING_RETRY_MS
-from wagtailrun.work import Work
+from wagtailrun.targets.work import Work
 
 __all__ = ["OrderRunner"]
 
--- a/wagtailrun/pipeline.py
+++ b/wagtailrun/pipeline.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from wagtailrun.affinity import prefix_hashes
 from wagtailrun.clock import Clock
 from wagtailrun.deadlines import before_deadline, stream_before_deadline
 from wagtailrun.dispatch import Dispatcher
@@ -15,7 +14,8 @@
 from wagtailrun.fleet.model import Pipeline, StageKind, Workspace
 from wagtailrun.json_texts import JsonTexts
 from wagtailrun.ports.target import StageAnswer, Token
-from wagtailrun.work import Work
+from wagtailrun.targets.affinity import prefix_hashes
+from wagtailrun.targets.work import Work
 
 __all__ = ["PipelineInput", "PipelineRequest", "PipelineRunner"]
 
--- a/wagtailrun/relay/attempt_reports.py
+++ b/wagtailrun/relay/attempt_reports.py
@@ -7,7 +7,6 @@
 from wagtailrun.adapters.http_client import HttpClient, Reachability
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
@@ -16,6 +15,7 @@
 from wagtailrun.relay.placement_messages import RunBroken, RunOutcome, RunOver
 from wagtailrun.relay.port import AnswerProgress, TargetLoad
 from wagtailrun.relay.request_identity import AnsweredRequests
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["AttemptReports"]
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -32,7 +32,6 @@
     VersionMismatch,
 )
 from wagtailrun.late_tasks import wait_for_end
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.attempt_reports import AttemptReports
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.evacuated_services import evacuated_refusal
@@ -55,6 +54,7 @@
 from wagtailrun.relay.request_identity import AnsweredRequests
 from wagtailrun.retries import RetryBudget
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["Attempt", "RelayAttempts"]
 
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/carriers.py
@@ -12,7 +12,6 @@
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import (
     OpenTunnel,
@@ -21,6 +20,7 @@
     TunnelRefusal,
     TunnelRefused,
 )
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["CarrierOutcome", "Carriers"]
 
--- a/wagtailrun/relay/choice.py
+++ b/wagtailrun/relay/choice.py
@@ -8,10 +8,10 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.target_limits import TargetLimits
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.estimate import FirstEventModel
 from wagtailrun.relay.port import PromptPart, TargetLoad
-from wagtailrun.subset import rendezvous_rank
+from wagtailrun.targets.subset import rendezvous_rank
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TargetChooser"]
 
--- a/wagtailrun/relay/crash_detector.py
+++ b/wagtailrun/relay/crash_detector.py
@@ -8,9 +8,9 @@
 from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.placement_messages import RunBroken
 from wagtailrun.relay.port import AnswerProgress
+from wagtailrun.targets.table import TargetRow
 
 __all__ = [
     "CRASH_WINDOW_MS",
--- a/wagtailrun/relay/data_centre_reach.py
+++ b/wagtailrun/relay/data_centre_reach.py
@@ -15,9 +15,9 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.carriers import CarrierOutcome
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["DataCentreReach"]
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -23,7 +23,6 @@
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.loop_watch import LoopWatch
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.answer_times import COVERED_SHARE
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler, StopPlan
@@ -63,6 +62,7 @@
 )
 from wagtailrun.stop_signals import StopSignals
 from wagtailrun.supervisor import supervise
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EntryProtocol", "RelayEntry", "run_relay_entry"]
 
--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -7,7 +7,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
-from wagtailrun.membership import TargetRow
+from wagtailrun.targets.table import TargetRow
 
 __all__ = [
     "ALL_ENTRIES",
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -11,11 +11,11 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import SendForbidden, TargetPaused
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.port import MalformedBound, RelayWire
 from wagtailrun.relay.send_grants import GrantClient
 from wagtailrun.relay.tunnel_messages import PauseNoted, ReportPause
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TargetNotices"]
 
--- a/wagtailrun/relay/path_survey.py
+++ b/wagtailrun/relay/path_survey.py
@@ -8,8 +8,8 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import ConnectFailed
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PathSurvey"]
 
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -14,7 +14,6 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.crash_detector import (
@@ -34,6 +33,7 @@
 )
 from wagtailrun.relay.port import TargetLoad
 from wagtailrun.relay.silence import SilenceWatch
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PlacementClient", "PlacementHost"]
 
--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -20,7 +20,6 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.brittle_slots import BrittleSlots
 from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
@@ -29,6 +28,7 @@
     TYPICAL_RETURN_MS,
     ReturnQueue,
 )
+from wagtailrun.targets.table import TargetRow
 
 __all__ = [
     "MAX_RETURN_MS",
--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/silence.py
@@ -12,7 +12,6 @@
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.membership import TargetRow
 from wagtailrun.relay.lowered_shares import (
     ALL_ENTRIES,
     SILENT,
@@ -20,6 +19,7 @@
     LoweredShares,
     WatchedAttempt,
 )
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["GRACE_MS", "SilenceWatch"]
 
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -23,7 +23,6 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.carriers import CarrierOutcome, Carriers
 from wagtailrun.relay.data_centre_reach import DataCentreReach
@@ -36,6 +35,7 @@
     TunnelRefusal,
     TunnelRefused,
 )
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PathConnector", "TunnelHost"]
 
--- a/wagtailrun/repeats.py
+++ b/wagtailrun/repeats.py
@@ -12,10 +12,10 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.membership import TargetRow
 from wagtailrun.retries import backoff_ms, may_retry
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
-from wagtailrun.work import Work
+from wagtailrun.targets.table import TargetRow
+from wagtailrun.targets.work import Work
 
 if TYPE_CHECKING:
     from wagtailrun.dispatch import Dispatcher
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -33,12 +33,12 @@
     fleet_from_document,
     parse_fleet_text,
 )
-from wagtailrun.membership import Membership
 from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import Token
 from wagtailrun.replay_report import Outcome, ReplayReport, ReportBuilder
+from wagtailrun.targets.table import Membership
+from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
-from wagtailrun.work import Work
 
 __all__ = ["EntryContext", "ReplayReport", "main", "replay", "replay_records"]
 
--- a/wagtailrun/retries.py
+++ b/wagtailrun/retries.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.targets.table import TargetRow
 
 if TYPE_CHECKING:
-    from wagtailrun.work import Work
+    from wagtailrun.targets.work import Work
 
 __all__ = ["AttemptObserver", "NullObserver", "RetryBudget", "backoff_ms", "may_retry"]
 
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -5,7 +5,6 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import StageCapacity
@@ -24,6 +23,7 @@
 from wagtailrun.stages.port import StageClient
 from wagtailrun.stages.succession import Succession, take_over
 from wagtailrun.supervisor import supervise
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["StageBatcher"]
 
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -6,11 +6,11 @@
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.membership import TargetRow
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.memory import ResultMemory
 from wagtailrun.stages.target_state import TargetState
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["CallPlan", "CallPlanner", "result_bytes", "usable_bytes"]
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -11,7 +11,6 @@
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.call_slot import CallLimits, CallSlot
@@ -28,6 +27,7 @@
 from wagtailrun.stages.port import PieceOutcome, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
 from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
+from wagtailrun.targets.table import TargetRow
 
 if TYPE_CHECKING:
     from wagtailrun.stages.batcher import StageBatcher
--- a/wagtailrun/stages/port.py
+++ b/wagtailrun/stages/port.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import TargetRow
 
 __all__ = [
     "CallWatch",
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -11,7 +11,6 @@
 
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable, TargetFailed, Verdict
-from wagtailrun.membership import TargetRow
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.stages.messages import CallMade, CarryCall, PieceMade, RequestPieces
 from wagtailrun.stages.port import (
@@ -22,6 +21,7 @@
     StageItem,
     StageReply,
 )
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["DelegatingStageClient"]
 
--- a/wagtailrun/target_api.py
+++ b/wagtailrun/target_api.py
@@ -13,8 +13,8 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet.model import FleetConfiguration
-from wagtailrun.membership import Membership, TargetRow
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["TargetApi"]
 
--- a/wagtailrun/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -8,17 +8,17 @@
 
 import attrs
 
-from wagtailrun.affinity import CacheEvents, PrefixIndex
 from wagtailrun.clock import Clock
-from wagtailrun.estimates import Estimates
-from wagtailrun.limits import AdaptiveLimits
-from wagtailrun.membership import TargetRow
-from wagtailrun.outliers import FAILURE_SLOWNESS, OutlierThrottle
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.subset import choose_subset
+from wagtailrun.targets.affinity import CacheEvents, PrefixIndex
+from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.limits import AdaptiveLimits
+from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
+from wagtailrun.targets.subset import choose_subset
+from wagtailrun.targets.table import TargetRow
 
 if TYPE_CHECKING:
-    from wagtailrun.work import Work
+    from wagtailrun.targets.work import Work
 
 __all__ = ["ExpectedTimeRouter", "LeastLoadedRouter", "Router"]
 
--- a/wagtailrun/work.py
+++ b/wagtailrun/targets/work.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from wagtailrun.estimates import size_class
 from wagtailrun.fleet.model import Call, Workspace
+from wagtailrun.targets.estimates import size_class
 
 __all__ = ["Work"]
 
--- a/wagtailrun/trace_recorder.py
+++ b/wagtailrun/trace_recorder.py
@@ -11,7 +11,7 @@
 from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.fleet.model import FleetConfiguration, ServiceKind
-from wagtailrun.membership import TargetRow
+from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TraceRecorder"]
 
