Move 12 modules into wagtailrun/serving

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -12,7 +12,6 @@
 import attrs
 
 from bench.traces import FLEETS_BY_NAME, make_trace
-from wagtailrun.dispatch import Dispatcher, DispatchOptions, Work, make_dispatcher
 from wagtailrun.ports.link import Address
 from wagtailrun.replay import (
     EntryContext,
@@ -20,6 +19,12 @@
     build_dispatcher,
     replay_records,
 )
+from wagtailrun.serving.dispatch import (
+    Dispatcher,
+    DispatchOptions,
+    Work,
+    make_dispatcher,
+)
 from wagtailrun.targets.affinity import CacheEvents, prefix_hashes
 from wagtailrun.targets.routing import LeastLoadedRouter, RouterOptions
 from wagtailrun.targets.table import Membership, TargetRow
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -19,15 +19,15 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control.service import ControlService
-from wagtailrun.dispatch import Dispatcher, Work
 from wagtailrun.exceptions import Verdict
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import CloseOrder, OpenOrder, SweepOrders
 from wagtailrun.registry.order_table import MAX_ORDER_KEYS
 from wagtailrun.registry.state import Registry
+from wagtailrun.serving.dispatch import Dispatcher, Work
+from wagtailrun.serving.orders import OrderRunner
 from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 
--- a/tests/roll.py
+++ b/tests/roll.py
@@ -45,9 +45,9 @@
     wait_until,
     wait_until_served,
 )
-from wagtailrun.entry import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
+from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
 
 GRACE_S = 8
 STOP_INTERVAL_S = 1.23
--- a/tests/soak_product.py
+++ b/tests/soak_product.py
@@ -29,9 +29,9 @@
 from wagtailrun.adapters.http_client import HttpClient, HttpReply
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
 from wagtailrun.clock import SystemClock
-from wagtailrun.entry import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
+from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
 
 __all__ = ["ProductDialect"]
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,9 +4,9 @@
 import curio
 import pytest
 
-from wagtailrun.admission import Admission
-from wagtailrun.dispatch import Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.serving.admission import Admission
+from wagtailrun.serving.dispatch import Work
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -13,16 +13,16 @@
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.adapters.http_server import Request
-from wagtailrun.caller_api import CallerApi, stream_events
-from wagtailrun.dispatch import Dispatcher
 from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.metrics import Metrics
-from wagtailrun.orders import OrderRunner
-from wagtailrun.pipeline import PipelineRunner
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Token
 from wagtailrun.recorder import Recorder
 from wagtailrun.registry.client import ControlClient
+from wagtailrun.serving.caller_api import CallerApi, stream_events
+from wagtailrun.serving.dispatch import Dispatcher
+from wagtailrun.serving.orders import OrderRunner
+from wagtailrun.serving.pipeline import PipelineRunner
 from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_connect_shortage_dispatch.py
+++ b/tests/test_connect_shortage_dispatch.py
@@ -12,10 +12,10 @@
 from wagtailrun.adapters import numeric_connection
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_target import HttpTargetClient
-from wagtailrun.dispatch import make_dispatcher
-from wagtailrun.entry import Entry
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.ports.link import Address
+from wagtailrun.serving.daemon import Entry
+from wagtailrun.serving.dispatch import make_dispatcher
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,11 +6,11 @@
 import curio
 import pytest
 
-from wagtailrun import repeats
-from wagtailrun.dispatch import DispatchOptions, Work, make_dispatcher
 from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import ConnectFailed, Refusal, TargetFailed, Verdict
-from wagtailrun.retries import NullObserver
+from wagtailrun.serving import repeats
+from wagtailrun.serving.dispatch import DispatchOptions, Work, make_dispatcher
+from wagtailrun.serving.retries import NullObserver
 from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_entry_close.py
+++ b/tests/test_entry_close.py
@@ -12,8 +12,8 @@
 from tests.test_server_close import read_all
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.entry import Entry
 from wagtailrun.ports.target import StageAnswer, Token
+from wagtailrun.serving.daemon import Entry
 from wagtailrun.settings import EntrySettings
 
 pytestmark = pytest.mark.network
--- a/tests/test_http_target.py
+++ b/tests/test_http_target.py
@@ -13,9 +13,9 @@
 from wagtailrun.adapters.http_server import json_response
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.clock import SystemClock
-from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, TargetFailed, Verdict
 from wagtailrun.ports.target import Attempt
+from wagtailrun.serving.dispatch import Dispatcher
 from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
--- a/tests/test_late_dispatch.py
+++ b/tests/test_late_dispatch.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tests.test_dispatch import GENERATE, POOL, DispatcherHarness
-from wagtailrun.attempts import LATE_MS, MAX_EXCUSED_MS, MIN_STALL_MS
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.serving.attempts import LATE_MS, MAX_EXCUSED_MS, MIN_STALL_MS
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 CALL = attrs.evolve(GENERATE, path="/v1/calls/look-up", stage="")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,9 +6,9 @@
 import curio
 import pytest
 
-from wagtailrun.dispatch import Work, make_dispatcher
 from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import Refusal
+from wagtailrun.serving.dispatch import Work, make_dispatcher
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -15,9 +15,9 @@
 from tests.test_http_target import ATTEMPT, HEAD, TOKEN, run_against
 from tests.test_pipeline import Serving, expected
 from wagtailrun.exceptions import RefusalReason, TargetFailed, Verdict
-from wagtailrun.pipeline import MAX_STAGE_ANSWER_BYTES
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.serving.pipeline import MAX_STAGE_ANSWER_BYTES
 from wagtailrun.virtual_time import run_virtual
 
 ODD = Address("127.0.0.1", 10)  # The first target of the first stage.
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,16 +8,16 @@
 import pytest
 
 from tests.test_control_client import MEMBERS, Cluster, virtual
-from wagtailrun import orders
-from wagtailrun.dispatch import Work
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.orders import OrderRunner
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.registry import order_table
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import OpenOrder, OrderState
 from wagtailrun.registry.state import OrderKey, Registry
+from wagtailrun.serving import orders
+from wagtailrun.serving.dispatch import Work
+from wagtailrun.serving.orders import OrderRunner
 from wagtailrun.virtual_time import run_virtual
 
 SEEDS = 240
--- a/tests/test_overdue_stage_calls.py
+++ b/tests/test_overdue_stage_calls.py
@@ -6,7 +6,7 @@
 
 from tests.test_stage_pool import CAPACITY, BatcherHarness, FakeStages, target
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.retries import RetryBudget
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
 from wagtailrun.stages.call_slot import (
     CALL_TIMEOUT_FACTOR,
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -6,11 +6,11 @@
 import pytest
 
 from tests.fake_targets import FakeTargets
-from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet.model import Pipeline, Stage, StageKind, Workspace
-from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.link import Address
+from wagtailrun.serving.dispatch import Dispatcher
+from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -22,13 +22,13 @@
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
-from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import (
     RequestLimits,
     RoutedService,
     RouteKind,
     build_route_table,
 )
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -7,9 +7,9 @@
 
 from tests.fake_targets import FakeTargets
 from tests.test_caller_api import FLEET, make_recorder
-from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal
 from wagtailrun.ports.link import Address
+from wagtailrun.serving.dispatch import Dispatcher
 from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -28,7 +28,6 @@
 from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.send_grants import GrantClient, SendGranter
-from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import (
     RequestLimits,
     Route,
@@ -38,6 +37,7 @@
     WorkspaceKeys,
     build_route_table,
 )
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -17,7 +17,7 @@
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
 from wagtailrun.relay.front import StopPlan
 from wagtailrun.routes import RouteKind
-from wagtailrun.running_requests import STOP_ANSWER_MS
+from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.supervisor import supervise
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -7,9 +7,9 @@
 import pytest
 
 from bench.traces import FLEETS_BY_NAME, make_trace
-from wagtailrun import dispatch, repeats
-from wagtailrun.dispatch import DispatchOptions
 from wagtailrun.replay import build_dispatcher, main, replay, replay_records
+from wagtailrun.serving import dispatch, repeats
+from wagtailrun.serving.dispatch import DispatchOptions
 
 TRACES = sorted((Path(__file__).parent / "traces").glob("*.jsonl"))
 SAFE = {
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,9 +5,9 @@
 import attrs
 import pytest
 
-from wagtailrun.dispatch import Work
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.serving.dispatch import Work
 from wagtailrun.targets.affinity import CacheEvents
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.routing import ExpectedTimeRouter, LeastLoadedRouter
--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -18,7 +18,7 @@
 from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
-from wagtailrun.retries import RetryBudget
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
 from wagtailrun.stages.call_slot import CALL_TIMEOUT_FACTOR
 from wagtailrun.stages.port import UNWATCHED
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -11,8 +11,8 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.ports.link import Address
-from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import StageCapacity, StageStep
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import PieceOutcome, StageBatcher, StagedWork, StageResults
 from wagtailrun.stages.runner import StageRunner
 from wagtailrun.virtual_time import VirtualClock, run_virtual
--- a/tests/test_stage_stop.py
+++ b/tests/test_stage_stop.py
@@ -9,7 +9,7 @@
 from tests.test_stage_runner import CAPACITY, ENTRIES, other_entry, work
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.retries import RetryBudget
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import (
     DelegatingStageClient,
     StageBatcher,
--- a/tests/test_target_api.py
+++ b/tests/test_target_api.py
@@ -9,7 +9,7 @@
 from bench.gossip_cluster import FLEET_TEXT
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.target_api import TargetApi
+from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -128,7 +128,7 @@
 
 
 entry = _make_daemon_command(
-    "entry", EntrySettings, "wagtailrun.entry", "Run an entry process."
+    "entry", EntrySettings, "wagtailrun.serving.daemon", "Run an entry process."
 )
 control = _make_daemon_command(
     "control", ControlSettings, "wagtailrun.control.daemon", "Run a control process."
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/recorder.py
@@ -13,7 +13,7 @@
 from wagtailrun.fleet.model import FleetConfiguration, Price
 from wagtailrun.metrics import Metrics
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.retries import AttemptObserver
+from wagtailrun.serving.retries import AttemptObserver
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 from wagtailrun.trace_recorder import TraceRecorder
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -52,7 +52,7 @@
     RelayWire,
 )
 from wagtailrun.relay.request_identity import AnsweredRequests
-from wagtailrun.retries import RetryBudget
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -43,9 +43,9 @@
 from wagtailrun.relay.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
 from wagtailrun.relay.upkeep import Upkeep
-from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
-from wagtailrun.running_requests import STOP_ANSWER_MS
+from wagtailrun.serving.retries import RetryBudget
+from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stages import (
     CancelPieces,
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -27,13 +27,9 @@
 from wagtailrun.relay.running_jobs import RunningJobs
 from wagtailrun.relay.stop_forecast import StopForecast, StopPlan
 from wagtailrun.relay.streams import RelayStreams
-from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
-from wagtailrun.running_requests import (
-    STOPPING_RETRY_MS,
-    EntryEnds,
-    forget_end,
-)
+from wagtailrun.serving.retries import RetryBudget
+from wagtailrun.serving.running_requests import STOPPING_RETRY_MS, EntryEnds, forget_end
 from wagtailrun.stages import StagedWork, StageRunner
 
 __all__ = ["RelayHandler", "StopPlan"]
--- a/wagtailrun/relay/upkeep.py
+++ b/wagtailrun/relay/upkeep.py
@@ -5,7 +5,7 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.placement import PlacementHost
 from wagtailrun.relay.tunnels import PathConnector
-from wagtailrun.retries import RetryBudget
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import StageBatcher
 
 __all__ = ["Upkeep"]
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay.py
@@ -19,7 +19,6 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.emulator import (
     CHARACTERS_PER_TOKEN,
     FOREVER_S,
@@ -33,9 +32,10 @@
     fleet_from_document,
     parse_fleet_text,
 )
-from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import Token
 from wagtailrun.replay_report import Outcome, ReplayReport, ReportBuilder
+from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
+from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.targets.table import Membership
 from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
--- a/wagtailrun/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -19,13 +19,13 @@
 )
 from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
-from wagtailrun.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
-from wagtailrun.retries import HEDGE_RESERVE
+from wagtailrun.serving.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
+from wagtailrun.serving.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
 if TYPE_CHECKING:
-    from wagtailrun.dispatch import Dispatcher, DispatchOptions
+    from wagtailrun.serving.dispatch import Dispatcher, DispatchOptions
 
 __all__ = ["AttemptRun", "Attempts", "Results"]
 
--- a/wagtailrun/caller_api.py
+++ b/wagtailrun/serving/caller_api.py
@@ -18,16 +18,16 @@
     refusal_response,
 )
 from wagtailrun.clock import Clock
-from wagtailrun.deadlines import before_deadline
-from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet.model import Call, FleetConfiguration, Workspace
 from wagtailrun.metrics import CONTENT_TYPE
-from wagtailrun.orders import OrderRunner
-from wagtailrun.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.ports.target import StageAnswer, Token
 from wagtailrun.recorder import Recorder, RequestScope
-from wagtailrun.running_requests import STOPPING_RETRY_MS, RunningRequests
+from wagtailrun.serving.deadlines import before_deadline
+from wagtailrun.serving.dispatch import Dispatcher
+from wagtailrun.serving.orders import OrderRunner
+from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
+from wagtailrun.serving.running_requests import STOPPING_RETRY_MS, RunningRequests
 from wagtailrun.targets.work import Work
 
 __all__ = ["CHECK_PATHS", "CallerApi"]
--- a/wagtailrun/entry.py
+++ b/wagtailrun/serving/daemon.py
@@ -15,26 +15,26 @@
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
-from wagtailrun.admission import POLL_INTERVAL_MS
-from wagtailrun.caller_api import CHECK_PATHS, CallerApi
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.descriptors import DescriptorShares
-from wagtailrun.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
 from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.metrics import Metrics
-from wagtailrun.orders import OrderRunner
-from wagtailrun.pipeline import PipelineRunner
 from wagtailrun.ports.link import Address
 from wagtailrun.recorder import Recorder
 from wagtailrun.registry.client import ControlClient
-from wagtailrun.running_requests import STOP_ANSWER_MS
+from wagtailrun.serving.admission import POLL_INTERVAL_MS
+from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
+from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
+from wagtailrun.serving.orders import OrderRunner
+from wagtailrun.serving.pipeline import PipelineRunner
+from wagtailrun.serving.running_requests import STOP_ANSWER_MS
+from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.settings import EntrySettings
 from wagtailrun.signalled_drain import SignalledDrain
-from wagtailrun.target_api import TargetApi
 from wagtailrun.targets.table import Membership
 from wagtailrun.trace_recorder import TraceRecorder
 
--- a/wagtailrun/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -8,8 +8,6 @@
 
 import attrs
 
-from wagtailrun.admission import Admission
-from wagtailrun.attempts import DEADLINE_MARGIN_MS, AttemptRun, Attempts, Results
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import (
     Refusal,
@@ -19,13 +17,16 @@
 )
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer, TargetClient, Token
-from wagtailrun.repeats import RetryState
-from wagtailrun.retries import (
-    AttemptObserver,
-    NullObserver,
-    RetryBudget,
+from wagtailrun.serving.admission import Admission
+from wagtailrun.serving.attempts import (
+    DEADLINE_MARGIN_MS,
+    AttemptRun,
+    Attempts,
+    Results,
 )
-from wagtailrun.running_requests import STOPPING_RETRY_MS
+from wagtailrun.serving.repeats import RetryState
+from wagtailrun.serving.retries import AttemptObserver, NullObserver, RetryBudget
+from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
 from wagtailrun.targets.table import Membership, TargetRow
--- a/wagtailrun/orders.py
+++ b/wagtailrun/serving/orders.py
@@ -10,7 +10,6 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.dispatch import Dispatcher
 from wagtailrun.exceptions import (
     ConsensusUnavailable,
     Refusal,
@@ -27,7 +26,8 @@
     OrderVerdict,
 )
 from wagtailrun.registry.order_table import MAX_STORED_BODY_BYTES
-from wagtailrun.running_requests import STOPPING_RETRY_MS
+from wagtailrun.serving.dispatch import Dispatcher
+from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.work import Work
 
 __all__ = ["OrderRunner"]
--- a/wagtailrun/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -12,13 +12,13 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.retries import backoff_ms, may_retry
+from wagtailrun.serving.retries import backoff_ms, may_retry
 from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
 if TYPE_CHECKING:
-    from wagtailrun.dispatch import Dispatcher
+    from wagtailrun.serving.dispatch import Dispatcher
 
 __all__ = ["ConnectionStalled", "DeadlinePassed", "RetryState", "TargetTooSlow"]
 
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -6,8 +6,8 @@
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.ports.link import Address
-from wagtailrun.retries import RetryBudget
 from wagtailrun.routes import StageCapacity
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.messages import (
     CancelPieces,
