Move 3 modules into wagtailrun/observation

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest.

Measured: every module of the package imports, and ruff passes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -13,9 +13,9 @@
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.clock import SystemClock
-from wagtailrun.metrics import Metrics
+from wagtailrun.observation.metrics import Metrics
+from wagtailrun.observation.recorder import Recorder
 from wagtailrun.ports.target import Attempt
-from wagtailrun.recorder import Recorder
 from wagtailrun.serving.caller_api import stream_events
 
 STREAMS = 40
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -14,10 +14,10 @@
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.metrics import Metrics
+from wagtailrun.observation.metrics import Metrics
+from wagtailrun.observation.recorder import Recorder
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Token
-from wagtailrun.recorder import Recorder
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.serving.caller_api import CallerApi, stream_events
 from wagtailrun.serving.dispatch import Dispatcher
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,7 @@
 from wagtailrun.accounts.cells import RequestOutcome, Usage, WorkKind
 from wagtailrun.events import HANDLER_FAILED, EventLog
 from wagtailrun.exceptions import RefusalReason
-from wagtailrun.metrics import MAX_NAMES, Metrics
+from wagtailrun.observation.metrics import MAX_NAMES, Metrics
 
 
 def samples_of(metrics):
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -25,7 +25,7 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.metrics import Metrics
+from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -8,10 +8,10 @@
 
 from tests.test_caller_api import FLEET
 from wagtailrun.clock import SystemClock
+from wagtailrun.observation.trace_recorder import MAX_BUFFERED_RECORDS, TraceRecorder
 from wagtailrun.ports.link import Address
 from wagtailrun.replay import replay
 from wagtailrun.targets.table import TargetRow
-from wagtailrun.trace_recorder import MAX_BUFFERED_RECORDS, TraceRecorder
 
 
 def test_recorded_trace_can_be_replayed(tmp_path):
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -27,7 +27,7 @@
 from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.control.service import ControlService
 from wagtailrun.memory_budget import PROCESS_MEMORY
-from wagtailrun.metrics import Metrics
+from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.disk import Disk
 from wagtailrun.registry.client import CALL_TIMEOUT_MS, ControlClient
 from wagtailrun.registry.state import Registry
--- a/wagtailrun/control/operator_api.py
+++ b/wagtailrun/control/operator_api.py
@@ -40,7 +40,7 @@
     Verdict,
     WagtailrunError,
 )
-from wagtailrun.metrics import CONTENT_TYPE, Metrics
+from wagtailrun.observation.metrics import CONTENT_TYPE, Metrics
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import ApplyText, TextVerdict
 from wagtailrun.registry.state import Registry
--- /dev/null
+++ b/wagtailrun/observation/__init__.py
@@ -0,0 +1,7 @@
+"""Metrics and records of requests."""
+
+__all__ = [
+    "metrics",
+    "recorder",
+    "trace_recorder",
+]
--- a/wagtailrun/recorder.py
+++ b/wagtailrun/observation/recorder.py
@@ -11,12 +11,12 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, TargetFailed
 from wagtailrun.fleet.model import FleetConfiguration, Price
-from wagtailrun.metrics import Metrics
+from wagtailrun.observation.metrics import Metrics
+from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.serving.retries import AttemptObserver
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
-from wagtailrun.trace_recorder import TraceRecorder
 
 __all__ = ["Recorder", "RequestScope"]
 
--- a/wagtailrun/relay/metrics.py
+++ b/wagtailrun/relay/metrics.py
@@ -8,7 +8,7 @@
 
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import RefusalReason
-from wagtailrun.metrics import memory_families
+from wagtailrun.observation.metrics import memory_families
 
 __all__ = ["RelayMetrics"]
 
--- a/wagtailrun/serving/caller_api.py
+++ b/wagtailrun/serving/caller_api.py
@@ -20,9 +20,9 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.fleet.model import Call, FleetConfiguration, Workspace
-from wagtailrun.metrics import CONTENT_TYPE
+from wagtailrun.observation.metrics import CONTENT_TYPE
+from wagtailrun.observation.recorder import Recorder, RequestScope
 from wagtailrun.ports.target import StageAnswer, Token
-from wagtailrun.recorder import Recorder, RequestScope
 from wagtailrun.serving.deadlines import before_deadline
 from wagtailrun.serving.dispatch import Dispatcher
 from wagtailrun.serving.orders import OrderRunner
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -22,9 +22,10 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
 from wagtailrun.memory_budget import PROCESS_MEMORY
-from wagtailrun.metrics import Metrics
+from wagtailrun.observation.metrics import Metrics
+from wagtailrun.observation.recorder import Recorder
+from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.link import Address
-from wagtailrun.recorder import Recorder
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.serving.admission import POLL_INTERVAL_MS
 from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
@@ -36,7 +37,6 @@
 from wagtailrun.settings import EntrySettings
 from wagtailrun.signalled_drain import SignalledDrain
 from wagtailrun.targets.table import Membership
-from wagtailrun.trace_recorder import TraceRecorder
 
 __all__ = ["Entry", "run_entry"]
 
