Move 3 modules into wagtailrun/replay

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Names that the package says already are shortened.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -13,7 +13,7 @@
 
 from bench.traces import FLEETS_BY_NAME, make_trace
 from wagtailrun.ports.link import Address
-from wagtailrun.replay import (
+from wagtailrun.replay.player import (
     EntryContext,
     ReplayReport,
     build_dispatcher,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,8 +6,8 @@
 import curio
 import pytest
 
-from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import ConnectFailed, Refusal, TargetFailed, Verdict
+from wagtailrun.replay.emulator import Emulator, TargetModel
 from wagtailrun.serving import repeats
 from wagtailrun.serving.dispatch import DispatchOptions, Work, make_dispatcher
 from wagtailrun.serving.retries import NullObserver
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -6,9 +6,9 @@
 import curio
 import pytest
 
-from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
 from wagtailrun.ports.target import Attempt
+from wagtailrun.replay.emulator import Emulator, TargetModel
 from wagtailrun.targets.affinity import BLOCK_CHARACTERS
 from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,8 +6,8 @@
 import curio
 import pytest
 
-from wagtailrun.emulator import Emulator, TargetModel
 from wagtailrun.exceptions import Refusal
+from wagtailrun.replay.emulator import Emulator, TargetModel
 from wagtailrun.serving.dispatch import Work, make_dispatcher
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.table import Membership
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bench.traces import FLEETS_BY_NAME, make_trace
-from wagtailrun.replay import build_dispatcher, main, replay, replay_records
+from wagtailrun.replay.player import build_dispatcher, main, replay, replay_records
 from wagtailrun.serving import dispatch, repeats
 from wagtailrun.serving.dispatch import DispatchOptions
 
--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -10,7 +10,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.observation.trace_recorder import MAX_BUFFERED_RECORDS, TraceRecorder
 from wagtailrun.ports.link import Address
-from wagtailrun.replay import replay
+from wagtailrun.replay.player import replay
 from wagtailrun.targets.table import TargetRow
 
 
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli.py
@@ -462,7 +462,7 @@
         json: Print JSON.
     """
     try:
-        report = importlib.import_module("wagtailrun.replay").replay(file)
+        report = importlib.import_module("wagtailrun.replay.player").replay(file)
     except (ValueError, KeyError, TypeError, OSError) as error:
         detail = f"{file}: not a valid trace: {error!r}"
         raise WagtailrunError(detail) from error
--- /dev/null
+++ b/wagtailrun/replay/__init__.py
@@ -0,0 +1,5 @@
+"""Replay of recorded traces in virtual time."""
+
+__all__ = [
+    "player",
+]
--- a/wagtailrun/replay.py
+++ b/wagtailrun/replay/player.py
@@ -19,13 +19,6 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.emulator import (
-    CHARACTERS_PER_TOKEN,
-    FOREVER_S,
-    EmulatedClient,
-    Emulator,
-    TargetModel,
-)
 from wagtailrun.exceptions import Refusal
 from wagtailrun.fleet.model import (
     FleetConfiguration,
@@ -33,7 +26,14 @@
     parse_fleet_text,
 )
 from wagtailrun.ports.target import Token
-from wagtailrun.replay_report import Outcome, ReplayReport, ReportBuilder
+from wagtailrun.replay.emulator import (
+    CHARACTERS_PER_TOKEN,
+    FOREVER_S,
+    EmulatedClient,
+    Emulator,
+    TargetModel,
+)
+from wagtailrun.replay.report import Outcome, ReplayReport, ReportBuilder
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.targets.table import Membership
--- a/wagtailrun/replay_report.py
+++ b/wagtailrun/replay/report.py
@@ -7,8 +7,8 @@
 import attrs
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.emulator import EmulatedTarget
 from wagtailrun.exceptions import Refusal
+from wagtailrun.replay.emulator import EmulatedTarget
 
 __all__ = ["Outcome", "ReplayReport", "ReportBuilder"]
 
