Move 4 modules into wagtailrun/cli

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest. Names that the package says already are shortened.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,7 @@
 
 from tests.test_fleet import DEMO
 from tests.test_operator_api import CREDENTIAL, MEMBERS, Members
-from wagtailrun import cli
+from wagtailrun.cli import commands as cli
 from wagtailrun.virtual_time import run_virtual
 
 TRACES = Path(__file__).parent / "traces"
@@ -29,8 +29,8 @@
         monkeypatch.delenv(f"WAGTAILRUN_{name}", raising=False)
     monkeypatch.setenv("WAGTAILRUN_OPERATOR_CREDENTIAL", CREDENTIAL)
     monkeypatch.setenv("WAGTAILRUN_CONTROL", CONTROL)
-    monkeypatch.setattr("wagtailrun.cli_client.HttpClient", lambda clock: fleet)
-    monkeypatch.setattr("wagtailrun.cli_client.ROUND_PAUSE_MS", 0)
+    monkeypatch.setattr("wagtailrun.cli.client.HttpClient", lambda clock: fleet)
+    monkeypatch.setattr("wagtailrun.cli.client.ROUND_PAUSE_MS", 0)
     return fleet
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,8 +5,8 @@
 import sys
 
 from wagtailrun import events
+from wagtailrun.cli.explain import lines_of_request, read_lines
 from wagtailrun.events import EventLog
-from wagtailrun.explain import lines_of_request, read_lines
 
 
 def log_of(process, *calls):
--- /dev/null
+++ b/wagtailrun/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line."""
+
+__all__ = [
+    "commands",
+]
--- a/wagtailrun/cli.py
+++ b/wagtailrun/cli/commands.py
@@ -16,13 +16,13 @@
 import defopt
 from absl import flags, logging
 
-from wagtailrun.cli_client import Answer, NoAnswer, OperatorClient
-from wagtailrun.cli_output import print_json, print_rows, printable
+from wagtailrun.cli.client import Answer, NoAnswer, OperatorClient
+from wagtailrun.cli.explain import lines_of_request
+from wagtailrun.cli.output import print_json, print_rows, printable
 from wagtailrun.clock import SystemClock
 from wagtailrun.daemon_log import start_absl_lines
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
-from wagtailrun.explain import lines_of_request
 from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.loop_watch import LoopWatch
 from wagtailrun.process_exit import (
