Move 11 modules into wagtailrun/process

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest.

Measured: every module of the package imports, and ruff passes.

--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -35,8 +35,8 @@
     unpack,
 )
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
-from wagtailrun.fairness import Turns
 from wagtailrun.ports.link import Address
+from wagtailrun.process.fairness import Turns
 
 READ_BYTES = 64 * 1024
 # A source that sends more than this waits, as on a link that is slower than itself.
--- a/tests/test_answer_writes.py
+++ b/tests/test_answer_writes.py
@@ -4,7 +4,7 @@
 import pytest
 
 from wagtailrun.adapters.answer_writes import WRITE_TIMEOUT_MS, write_answer
-from wagtailrun.memory_budget import Kind, MemoryBudget
+from wagtailrun.process.memory_budget import Kind, MemoryBudget
 from wagtailrun.virtual_time import run_virtual
 
 DATA = b"id: 1\ndata: token\n\n"
--- a/tests/test_checks_in_overload.py
+++ b/tests/test_checks_in_overload.py
@@ -11,7 +11,7 @@
 from tests.test_entry_close import make_entry
 from tests.test_http_server import GOOD, echo, exchange_bytes, with_server
 from tests.test_server_close import read_all
-from wagtailrun.memory_budget import PROCESS_MEMORY, Kind, MemoryBudget
+from wagtailrun.process.memory_budget import PROCESS_MEMORY, Kind, MemoryBudget
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_disk_space.py
+++ b/tests/test_disk_space.py
@@ -1,8 +1,9 @@
 """Tests of the wait for a full disk."""
 
 from tests.fake_disk import FakeDisk
-from wagtailrun import disk_space, events
+from wagtailrun import events
 from wagtailrun.exceptions import DiskFull
+from wagtailrun.process import disk_space
 from wagtailrun.virtual_time import run_virtual
 
 HOUR_MS = 3_600_000
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -9,9 +9,9 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
+from wagtailrun.process.loop_watch import MIN_LATE_MS
 from wagtailrun.relay.placement import CALL_TIMEOUT_MS, PlacementClient
 from wagtailrun.relay.placement_messages import Placed, PlaceRun
 from wagtailrun.virtual_time import VirtualClock, run_virtual
--- a/tests/test_late_stage_calls.py
+++ b/tests/test_late_stage_calls.py
@@ -4,7 +4,7 @@
 import pytest
 
 from tests.test_stage_pool import CAPACITY, BatcherHarness, FakeStages
-from wagtailrun.loop_watch import MIN_LATE_MS, TICK_MS, LoopWatch
+from wagtailrun.process.loop_watch import MIN_LATE_MS, TICK_MS, LoopWatch
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 CALL_MS = int(CAPACITY.duration_ms(1))
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -29,7 +29,8 @@
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.memory_budget import (
+from wagtailrun.ports.target import Attempt
+from wagtailrun.process.memory_budget import (
     BYTES_PER_MB,
     FIELD_BYTES,
     LARGE_PART,
@@ -38,7 +39,6 @@
     Kind,
     MemoryBudget,
 )
-from wagtailrun.ports.target import Attempt
 from wagtailrun.relay.control import MAX_TEXT_BYTES
 from wagtailrun.stages.port import StageItem
 from wagtailrun.targets.table import TargetRow
--- a/tests/test_product_floods_processes.py
+++ b/tests/test_product_floods_processes.py
@@ -22,7 +22,7 @@
 from tests.test_unending_bytes import CHUNKED, PIECE_BYTES, Flood
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.memory_budget import DEFAULT_MEMORY_MB
+from wagtailrun.process.memory_budget import DEFAULT_MEMORY_MB
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_refused_uploads.py
+++ b/tests/test_refused_uploads.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.test_http_server import echo, with_server
-from wagtailrun.memory_budget import MemoryBudget
+from wagtailrun.process.memory_budget import MemoryBudget
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_relay_readiness.py
+++ b/tests/test_relay_readiness.py
@@ -11,7 +11,7 @@
     run_with_server,
 )
 from tests.test_relay_stop import make_entry
-from wagtailrun.descriptors import DescriptorShares
+from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.routes import RequestLimits, build_route_table
 
 pytestmark = pytest.mark.network
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -14,12 +14,12 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
 from wagtailrun.relay.front import StopPlan
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
-from wagtailrun.supervisor import supervise
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -15,8 +15,8 @@
 from wagtailrun.adapters.http_client import HttpClient, OpenConnection
 from wagtailrun.exceptions import PeerUnreachable, TargetFailed, Verdict
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
+from wagtailrun.process.loop_watch import MIN_LATE_MS
 from wagtailrun.relay.tunnels import PathConnector, TunnelHost
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -14,9 +14,9 @@
     Verdict,
 )
 from wagtailrun.ports.link import Address
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.routes import StageCapacity
 from wagtailrun.serving.retries import RetryBudget
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.stages import (
     CancelPieces,
     FreeResults,
--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -357,7 +357,7 @@
 import wagtailrun.memory_budget
 def fail(self, memory_mb):
     raise ValueError("a fault")
-type(wagtailrun.memory_budget.PROCESS_MEMORY).set_memory = fail
+type(wagtailrun.process.memory_budget.PROCESS_MEMORY).set_memory = fail
 """
 
 
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -4,7 +4,7 @@
 import pytest
 
 from wagtailrun.exceptions import SettingsError
-from wagtailrun.supervisor import MAX_RESTART_PAUSE_MS, supervise
+from wagtailrun.process.supervisor import MAX_RESTART_PAUSE_MS, supervise
 from wagtailrun.virtual_time import run_virtual
 
 
--- a/wagtailrun/accounts/disk.py
+++ b/wagtailrun/accounts/disk.py
@@ -6,9 +6,9 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
-from wagtailrun.disk_space import wait_for_space
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
 from wagtailrun.ports.disk import Disk
+from wagtailrun.process.disk_space import wait_for_space
 
 __all__ = ["AccountDisk"]
 
--- a/wagtailrun/adapters/answer_writes.py
+++ b/wagtailrun/adapters/answer_writes.py
@@ -5,7 +5,7 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.memory_budget import Kind, MemoryBudget
+from wagtailrun.process.memory_budget import Kind, MemoryBudget
 
 __all__ = ["WRITE_TIMEOUT_MS", "write_answer"]
 
--- a/wagtailrun/adapters/connection_pool.py
+++ b/wagtailrun/adapters/connection_pool.py
@@ -8,9 +8,9 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.ports.link import Address
-from wagtailrun.supervisor import supervise
+from wagtailrun.process.descriptors import DescriptorShares
+from wagtailrun.process.supervisor import supervise
 
 __all__ = ["ConnectionPool", "PooledConnection"]
 
--- a/wagtailrun/adapters/connector.py
+++ b/wagtailrun/adapters/connector.py
@@ -12,7 +12,11 @@
 from wagtailrun.adapters.dead_peers import enable_dead_peer_detection
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage, MalformedAddress
 from wagtailrun.ports.link import Address
-from wagtailrun.shortages import SHORTAGE_RETRY_MS, is_shortage, is_shortage_for_one
+from wagtailrun.process.shortages import (
+    SHORTAGE_RETRY_MS,
+    is_shortage,
+    is_shortage_for_one,
+)
 
 __all__ = ["Connector", "DirectConnector", "OpenConnection", "Reachability"]
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -22,16 +22,16 @@
 from wagtailrun.adapters.uploads import Upload
 from wagtailrun.clock import MS_PER_SECOND, Clock, SystemClock
 from wagtailrun.exceptions import SendForbidden, TargetFailed, Verdict
-from wagtailrun.fairness import Turns
-from wagtailrun.late_tasks import LATE_WAIT_MS
-from wagtailrun.memory_budget import (
+from wagtailrun.ports.link import Address
+from wagtailrun.process.fairness import Turns
+from wagtailrun.process.late_tasks import LATE_WAIT_MS
+from wagtailrun.process.memory_budget import (
     FIELD_BYTES,
     PROCESS_MEMORY,
     Holding,
     Kind,
     MemoryBudget,
 )
-from wagtailrun.ports.link import Address
 
 __all__ = [
     "Connector",
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -33,9 +33,14 @@
 from wagtailrun.adapters.server_limits import ServerLimits
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
-from wagtailrun.fairness import Turns
-from wagtailrun.memory_budget import FIELD_BYTES, PROCESS_MEMORY, Kind, MemoryBudget
 from wagtailrun.ports.link import Address
+from wagtailrun.process.fairness import Turns
+from wagtailrun.process.memory_budget import (
+    FIELD_BYTES,
+    PROCESS_MEMORY,
+    Kind,
+    MemoryBudget,
+)
 
 __all__ = [
     "HttpHandler",
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -18,15 +18,15 @@
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.clock import MS_PER_SECOND, SystemClock, drop_expired
 from wagtailrun.codec import decode, encode
-from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.exceptions import MalformedAddress, MessageError, PeerUnreachable
-from wagtailrun.fairness import Turns
-from wagtailrun.late_tasks import LATE_WAIT_MS
-from wagtailrun.loop_watch import MIN_LATE_MS
-from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
 from wagtailrun.messages import STOPPING, PeerError
 from wagtailrun.ports.link import Address, Handler, PeerLink, TunnelLink, Upgrade
-from wagtailrun.shortages import is_shortage, is_shortage_for_one
+from wagtailrun.process.descriptors import DescriptorShares
+from wagtailrun.process.fairness import Turns
+from wagtailrun.process.late_tasks import LATE_WAIT_MS
+from wagtailrun.process.loop_watch import MIN_LATE_MS
+from wagtailrun.process.memory_budget import PROCESS_MEMORY, Kind
+from wagtailrun.process.shortages import is_shortage, is_shortage_for_one
 
 __all__ = ["PeerServer", "TcpPeerLink"]
 
--- a/wagtailrun/adapters/uploads.py
+++ b/wagtailrun/adapters/uploads.py
@@ -8,7 +8,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.fairness import Turns
+from wagtailrun.process.fairness import Turns
 
 __all__ = ["Upload"]
 
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -24,8 +24,8 @@
 from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.loop_watch import LoopWatch
-from wagtailrun.process_exit import (
+from wagtailrun.process.loop_watch import LoopWatch
+from wagtailrun.process.process_exit import (
     exit_with_fault,
     exit_with_message,
     run_then_exit,
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -9,12 +9,12 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.member_disk import MemberDisk
-from wagtailrun.disk_space import wait_for_space
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
 from wagtailrun.messages import PeerError
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.log import ReplicatedLog
+from wagtailrun.process.disk_space import wait_for_space
 
 __all__ = ["MemberHost"]
 
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -26,13 +26,13 @@
 )
 from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.control.service import ControlService
-from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.disk import Disk
+from wagtailrun.process.memory_budget import PROCESS_MEMORY
+from wagtailrun.process.signalled_drain import SignalledDrain
 from wagtailrun.registry.client import CALL_TIMEOUT_MS, ControlClient
 from wagtailrun.registry.state import Registry
 from wagtailrun.settings import ControlSettings
-from wagtailrun.signalled_drain import SignalledDrain
 
 __all__ = ["Control", "run_control"]
 
--- a/wagtailrun/discovery/entry_reports.py
+++ b/wagtailrun/discovery/entry_reports.py
@@ -10,7 +10,7 @@
 from wagtailrun.discovery.messages import ReportCrashes, ReportLeaving, ReportLimits
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.target_limits import TargetLimits
-from wagtailrun.supervisor import supervise
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EntryReports"]
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -35,8 +35,8 @@
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.registry.state import Registry
-from wagtailrun.supervisor import supervise
 from wagtailrun.targets.table import ChangeLog, Membership, TargetRow
 
 __all__ = ["Hub"]
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -22,9 +22,9 @@
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.discovery.view import FleetView
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
+from wagtailrun.process.late_tasks import LATE_WAIT_MS
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 
 __all__ = ["FoundOrigin", "OriginClient"]
 
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -29,8 +29,8 @@
 from wagtailrun.gossip.messages import EntryRow, Health
 from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.routes import RouteTable
-from wagtailrun.supervisor import supervise
 from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["FleetView"]
--- a/wagtailrun/observation/metrics.py
+++ b/wagtailrun/observation/metrics.py
@@ -15,7 +15,7 @@
 from wagtailrun.events import EVENT_LOG, EVENTS_BY_NUMBER, EventLog
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.fleet.model import Price
-from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
+from wagtailrun.process.memory_budget import PROCESS_MEMORY, Kind
 
 __all__ = ["CONTENT_TYPE", "Metrics", "memory_families"]
 
--- /dev/null
+++ b/wagtailrun/process/__init__.py
@@ -0,0 +1,15 @@
+"""Start, end and resources of one process."""
+
+__all__ = [
+    "descriptors",
+    "disk_space",
+    "fairness",
+    "late_tasks",
+    "loop_watch",
+    "memory_budget",
+    "process_exit",
+    "shortages",
+    "signalled_drain",
+    "stop_signals",
+    "supervisor",
+]
--- a/wagtailrun/signalled_drain.py
+++ b/wagtailrun/process/signalled_drain.py
@@ -6,7 +6,7 @@
 
 from wagtailrun import events
 from wagtailrun.clock import Clock
-from wagtailrun.stop_signals import SIGNAL_POLL_MS, StopSignals
+from wagtailrun.process.stop_signals import SIGNAL_POLL_MS, StopSignals
 
 __all__ = ["SignalledDrain"]
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -31,7 +31,8 @@
     Verdict,
     VersionMismatch,
 )
-from wagtailrun.late_tasks import wait_for_end
+from wagtailrun.process.late_tasks import wait_for_end
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.relay.attempt_reports import AttemptReports
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.evacuated_services import evacuated_refusal
@@ -53,7 +54,6 @@
 )
 from wagtailrun.relay.request_identity import AnsweredRequests
 from wagtailrun.serving.retries import RetryBudget
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["Attempt", "RelayAttempts"]
--- a/wagtailrun/relay/continuation.py
+++ b/wagtailrun/relay/continuation.py
@@ -11,8 +11,8 @@
 from wagtailrun.discovery import OriginClient, StreamOrigin
 from wagtailrun.discovery.messages import TargetIncarnation
 from wagtailrun.exceptions import ConnectShortage, TargetFailed, TargetPaused
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.relay.port import RelayWire
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -26,6 +26,7 @@
 )
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
+from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import NotLeader, PutText, TextVerdict, Unavailable
 from wagtailrun.registry.state import Registry
@@ -33,7 +34,6 @@
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.settings import RelayControlSettings
-from wagtailrun.stop_signals import StopSignals
 
 __all__ = ["FleetConfigurationStore", "RelayControl", "run_relay_control"]
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -17,12 +17,18 @@
 )
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
-from wagtailrun.descriptors import DescriptorShares, descriptor_limit, used_descriptors
 from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.loop_watch import LoopWatch
+from wagtailrun.process.descriptors import (
+    DescriptorShares,
+    descriptor_limit,
+    used_descriptors,
+)
+from wagtailrun.process.loop_watch import LoopWatch
+from wagtailrun.process.stop_signals import StopSignals
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.answer_times import COVERED_SHARE
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler, StopPlan
@@ -60,8 +66,6 @@
     Succession,
     TakeOver,
 )
-from wagtailrun.stop_signals import StopSignals
-from wagtailrun.supervisor import supervise
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EntryProtocol", "RelayEntry", "run_relay_entry"]
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -13,12 +13,12 @@
 from wagtailrun.daemon_log import start_json_lines
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.line_writer import STOP_TIMEOUT_S
-from wagtailrun.loop_watch import LoopWatch
-from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.ports.link import Address
+from wagtailrun.process.loop_watch import LoopWatch
+from wagtailrun.process.memory_budget import PROCESS_MEMORY
+from wagtailrun.process.stop_signals import StopSignals
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.settings import RelayControlSettings, RelayEntrySettings
-from wagtailrun.stop_signals import StopSignals
-from wagtailrun.supervisor import supervise
 
 __all__ = ["LiveSettings", "run_daemon"]
 
--- a/wagtailrun/relay/readiness.py
+++ b/wagtailrun/relay/readiness.py
@@ -6,9 +6,9 @@
 from wagtailrun import events
 from wagtailrun.adapters.http_server import Request, Response, json_response
 from wagtailrun.discovery import FleetView
-from wagtailrun.memory_budget import PROCESS_MEMORY
+from wagtailrun.process.memory_budget import PROCESS_MEMORY
+from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.relay.rotation import Rotation
-from wagtailrun.stop_signals import StopSignals
 
 __all__ = ["Readiness", "max_stay_ms"]
 
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -20,8 +20,8 @@
     Verdict,
     VersionMismatch,
 )
-from wagtailrun.fairness import Turns
-from wagtailrun.memory_budget import Kind
+from wagtailrun.process.fairness import Turns
+from wagtailrun.process.memory_budget import Kind
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.continuation import Continuation, ContinuationChecker
 from wagtailrun.relay.events_split import MAX_EVENT_BYTES, EventSplitter, StreamEvent
--- a/wagtailrun/relay/tunnel_bytes.py
+++ b/wagtailrun/relay/tunnel_bytes.py
@@ -5,8 +5,8 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.fairness import Turns
-from wagtailrun.memory_budget import PROCESS_MEMORY, Kind
+from wagtailrun.process.fairness import Turns
+from wagtailrun.process.memory_budget import PROCESS_MEMORY, Kind
 
 __all__ = ["TunnelBytes"]
 
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -17,8 +17,8 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.late_tasks import LATE_WAIT_MS
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
+from wagtailrun.process.late_tasks import LATE_WAIT_MS
 from wagtailrun.serving.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
 from wagtailrun.serving.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -16,16 +16,17 @@
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
-from wagtailrun.descriptors import DescriptorShares
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
-from wagtailrun.memory_budget import PROCESS_MEMORY
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.observation.recorder import Recorder
 from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.link import Address
+from wagtailrun.process.descriptors import DescriptorShares
+from wagtailrun.process.memory_budget import PROCESS_MEMORY
+from wagtailrun.process.signalled_drain import SignalledDrain
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.serving.admission import POLL_INTERVAL_MS
 from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
@@ -35,7 +36,6 @@
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.settings import EntrySettings
-from wagtailrun.signalled_drain import SignalledDrain
 from wagtailrun.targets.table import Membership
 
 __all__ = ["Entry", "run_entry"]
--- a/wagtailrun/serving/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -12,8 +12,8 @@
     TargetFailed,
     Verdict,
 )
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.serving.retries import backoff_ms, may_retry
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
--- a/wagtailrun/settings.py
+++ b/wagtailrun/settings.py
@@ -11,8 +11,8 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import SettingsError
-from wagtailrun.memory_budget import DEFAULT_MEMORY_MB
 from wagtailrun.ports.link import Address
+from wagtailrun.process.memory_budget import DEFAULT_MEMORY_MB
 
 __all__ = [
     "ClientSettings",
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -6,6 +6,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.ports.link import Address
+from wagtailrun.process.supervisor import supervise
 from wagtailrun.routes import StageCapacity
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages.job import Job, job_key
@@ -22,7 +23,6 @@
 from wagtailrun.stages.pool import Pool
 from wagtailrun.stages.port import StageClient
 from wagtailrun.stages.succession import Succession, take_over
-from wagtailrun.supervisor import supervise
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["StageBatcher"]
--- a/wagtailrun/stages/call_slot.py
+++ b/wagtailrun/stages/call_slot.py
@@ -7,9 +7,9 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.late_tasks import LATE_WAIT_MS
-from wagtailrun.loop_watch import MIN_LATE_MS
 from wagtailrun.ports.link import Address
+from wagtailrun.process.late_tasks import LATE_WAIT_MS
+from wagtailrun.process.loop_watch import MIN_LATE_MS
 from wagtailrun.stages.job import MAX_ESTIMATE_MS, Job
 from wagtailrun.stages.port import CallWatch
 from wagtailrun.stages.target_state import TargetState
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -12,8 +12,8 @@
 from wagtailrun.exceptions import PeerUnreachable, Refusal, RefusalReason, Verdict
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import PeerLink
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.routes import StageCapacity, StageStep
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.stages.batcher import StageBatcher
 from wagtailrun.stages.messages import (
     CancelPieces,
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -8,7 +8,7 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.shortages import SHORTAGE_PAUSE_MS
+from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 
 __all__ = ["REFUSAL_PAUSE_MS", "TargetState"]
 
