Move 4 modules into wagtailrun/logs

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest. Names that the package says already are shortened.

--- a/bench/account_worker.py
+++ b/bench/account_worker.py
@@ -16,7 +16,6 @@
 import curio
 
 import wagtailrun
-from wagtailrun import events
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery.messages import (
@@ -28,9 +27,10 @@
     StreamsBegun,
     TargetLimit,
 )
-from wagtailrun.events import EventLog
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.line_writer import LineWriter
+from wagtailrun.logs import events
+from wagtailrun.logs.events import EventLog
+from wagtailrun.logs.line_writer import LineWriter
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.placement_messages import (
     PlaceRun,
--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -17,12 +17,12 @@
 
 from demo.processes import Fleet, free_addresses
 from tests.fake_cluster import Cluster
-from wagtailrun import events
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.consensus.journal import Journal
 from wagtailrun.consensus.member import Member
+from wagtailrun.logs import events
 from wagtailrun.ports.log import StateMachine
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from hypothesis import settings
 
 from tests.process_groups import GroupScheduling
-from wagtailrun import events
+from wagtailrun.logs import events
 
 KNOWN_FAILURES_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 # Format of a line: test id | command | seed | observed failure | issue
--- a/tests/test_account_disk.py
+++ b/tests/test_account_disk.py
@@ -16,7 +16,6 @@
     message_of,
     refusal_table,
 )
-from wagtailrun import events
 from wagtailrun.accounts import log as account_log
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.disk import AccountDisk
@@ -25,6 +24,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.exceptions import DiskFull
+from wagtailrun.logs import events
 from wagtailrun.registry.messages import ClosePeriod
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -11,7 +11,6 @@
 from hypothesis import strategies as st
 
 from tests.fake_network import FakeNetwork
-from wagtailrun import events
 from wagtailrun.accounts.cells import (
     MAX_CELL_VALUE,
     CellTable,
@@ -32,6 +31,7 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import CorruptRecord, MessageError, RefusalReason
 from wagtailrun.fleet.model import Price
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import VirtualClock, run_virtual
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -17,7 +17,6 @@
     run_relay,
     send,
 )
-from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient, TargetObserver
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import decode, encode
@@ -32,6 +31,7 @@
     TargetLimits,
 )
 from wagtailrun.exceptions import TargetPaused
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.brittle_slots import (
     GATHER_MS,
--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -5,9 +5,9 @@
 
 from tests.test_http_server import GOOD, echo, with_server
 from tests.test_server_close import connect
-from wagtailrun import events
 from wagtailrun.adapters.closed_connections import WATCH_MS
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.logs import events
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_connect_shortage.py
+++ b/tests/test_connect_shortage.py
@@ -20,13 +20,13 @@
 from tests.test_tunnels import Carrier, CutConnector, View, cut_entry
 from wagtailrun.adapters import numeric_connection
 from wagtailrun.adapters.http_client import DirectConnector, Reachability
-from wagtailrun.events import CONNECT_SHORT, EVENT_LOG
 from wagtailrun.exceptions import (
     ConnectFailed,
     ConnectShortage,
     PeerUnreachable,
     Verdict,
 )
+from wagtailrun.logs.events import CONNECT_SHORT, EVENT_LOG
 from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelRefusal, TunnelRefused
 from wagtailrun.routes import RouteKind
 
--- a/tests/test_connect_shortage_processes.py
+++ b/tests/test_connect_shortage_processes.py
@@ -23,7 +23,7 @@
 )
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import Response
-from wagtailrun.events import CONNECT_SHORT, ENTRY_CUT_OFF, PATH_LOST
+from wagtailrun.logs.events import CONNECT_SHORT, ENTRY_CUT_OFF, PATH_LOST
 from wagtailrun.ports.link import Address
 
 pytestmark = pytest.mark.network
--- a/tests/test_consensus_processes.py
+++ b/tests/test_consensus_processes.py
@@ -11,9 +11,9 @@
 import pytest
 
 from demo.processes import Fleet, request
-from wagtailrun.events import BECAME_LEADER, CLUSTER_MEMBERSHIP_CHANGED
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.line_writer import WRITE_INTERVAL_S
+from wagtailrun.logs.events import BECAME_LEADER, CLUSTER_MEMBERSHIP_CHANGED
+from wagtailrun.logs.line_writer import WRITE_INTERVAL_S
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_cut_entries_processes.py
+++ b/tests/test_cut_entries_processes.py
@@ -17,8 +17,8 @@
     send,
     wait_until_served,
 )
-from wagtailrun.events import LOOP_LATE
 from wagtailrun.exceptions import TargetFailed
+from wagtailrun.logs.events import LOOP_LATE
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_disk_space.py
+++ b/tests/test_disk_space.py
@@ -1,8 +1,8 @@
 """Tests of the wait for a full disk."""
 
 from tests.fake_disk import FakeDisk
-from wagtailrun import events
 from wagtailrun.exceptions import DiskFull
+from wagtailrun.logs import events
 from wagtailrun.process import disk_space
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_evacuation_orders.py
+++ b/tests/test_evacuation_orders.py
@@ -16,12 +16,12 @@
     find_leader,
     run_members,
 )
-from wagtailrun import events
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.clock import SystemClock
 from wagtailrun.consensus import member as consensus
 from wagtailrun.discovery.evacuations import FleetPlaces
 from wagtailrun.exceptions import ConsensusUnavailable
+from wagtailrun.logs import events
 from wagtailrun.registry.evacuations import (
     MAX_EVACUATIONS,
     EvacuationOrder,
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wagtailrun import events
+from wagtailrun.logs import events
 
 PAGE = Path(__file__).parent.parent / "docs" / "events.md"
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,9 +4,9 @@
 import subprocess
 import sys
 
-from wagtailrun import events
 from wagtailrun.cli.explain import lines_of_request, read_lines
-from wagtailrun.events import EventLog
+from wagtailrun.logs import events
+from wagtailrun.logs.events import EventLog
 
 
 def log_of(process, *calls):
--- a/tests/test_full_disk_processes.py
+++ b/tests/test_full_disk_processes.py
@@ -17,8 +17,8 @@
     wait_for,
     wait_revision,
 )
-from wagtailrun.events import DISK_FULL, DISK_SPACE_AVAILABLE, LOG_FILES_DISCARDED
 from wagtailrun.exceptions import TargetFailed
+from wagtailrun.logs.events import DISK_FULL, DISK_SPACE_AVAILABLE, LOG_FILES_DISCARDED
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -8,11 +8,11 @@
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun import events
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.adapters.keep_alive import keep_alive_fields
 from wagtailrun.adapters.server_limits import ServerLimits
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
 ADDRESS = Address("127.0.0.1", 80)
--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -7,9 +7,9 @@
 import threading
 import time
 
-from wagtailrun import events
-from wagtailrun.events import EventLog
-from wagtailrun.line_writer import MAX_QUEUED_LINES, WRITE_INTERVAL_S, LineWriter
+from wagtailrun.logs import events
+from wagtailrun.logs.events import EventLog
+from wagtailrun.logs.line_writer import MAX_QUEUED_LINES, WRITE_INTERVAL_S, LineWriter
 
 
 class StalledReader:
--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -10,10 +10,10 @@
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun import events
 from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.logs import events
 from wagtailrun.relay.answer_times import MIN_ANSWERS
 from wagtailrun.routes import RouteKind
 
--- a/tests/test_loop_watch.py
+++ b/tests/test_loop_watch.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.test_late_signal_processes import HALF, connect, entry_process
-from wagtailrun import events
+from wagtailrun.logs import events
 from wagtailrun.process.loop_watch import MIN_LATE_MS, TICK_MS, LoopWatch
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -6,10 +6,10 @@
 from tests.fake_cluster import shrink_sizes
 from tests.fake_disk import FakeDisk
 from tests.hosted_cluster import HostedCluster, started
-from wagtailrun import events
 from wagtailrun.consensus import host as member_host
 from wagtailrun.consensus.messages import AppendEntries, Entry, EntryKind, ReadIndex
 from wagtailrun.exceptions import ConsensusUnavailable, DiskFault, DiskFull
+from wagtailrun.logs import events
 from wagtailrun.process import disk_space
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -15,7 +15,6 @@
 from demo.processes import free_addresses
 from tests import test_floods
 from tests.test_floods import HEAD, FakeSocket, chunked, connection, relayed_events
-from wagtailrun import events
 from wagtailrun.adapters import tcp_link
 from wagtailrun.adapters.http_client import (
     MAX_FAILURE_BYTES,
@@ -27,8 +26,9 @@
 )
 from wagtailrun.adapters.http_server import HttpServer, Response, ServerLimits
 from wagtailrun.adapters.http_target import HttpTargetClient
-from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import TargetFailed, Verdict
+from wagtailrun.logs import events
+from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.ports.target import Attempt
 from wagtailrun.process.memory_budget import (
     BYTES_PER_MB,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,8 +3,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from wagtailrun.accounts.cells import RequestOutcome, Usage, WorkKind
-from wagtailrun.events import HANDLER_FAILED, EventLog
 from wagtailrun.exceptions import RefusalReason
+from wagtailrun.logs.events import HANDLER_FAILED, EventLog
 from wagtailrun.observation.metrics import MAX_NAMES, Metrics
 
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -18,13 +18,13 @@
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control.operator_api import OperatorApi
 from wagtailrun.control.service import ControlService
-from wagtailrun.events import EVENT_LOG, EventLog
 from wagtailrun.exceptions import (
     ConnectFailed,
     ConsensusUnavailable,
     TargetFailed,
     Verdict,
 )
+from wagtailrun.logs.events import EVENT_LOG, EventLog
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.state import Registry
--- a/tests/test_peer_shortage.py
+++ b/tests/test_peer_shortage.py
@@ -24,9 +24,9 @@
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.discovery import OriginClient
 from wagtailrun.discovery.messages import OriginFound, RecordOrigins
-from wagtailrun.events import EVENT_LOG, PEER_LOST
 from wagtailrun.exceptions import ConnectFailed, ConsensusUnavailable, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow, Health
+from wagtailrun.logs.events import EVENT_LOG, PEER_LOST
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.tunnels import PathConnector
--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.test_stage_pool import BatcherHarness, FakeStages, target
-from wagtailrun.events import EVENT_LOG, STAGE_MEMORY_FULL
+from wagtailrun.logs.events import EVENT_LOG, STAGE_MEMORY_FULL
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages import FreeResults, JobState, PieceOutcome
 from wagtailrun.stages.port import UNWATCHED, StageReply
--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -20,7 +20,7 @@
 from tests.test_process_exit import PIPE_BYTES
 from tests.test_start import PLAIN, ROOT, render
 from wagtailrun.cli.commands import EXIT_USAGE
-from wagtailrun.events import LIBRARY_REPORT
+from wagtailrun.logs.events import LIBRARY_REPORT
 
 pytestmark = pytest.mark.network
 
@@ -66,7 +66,7 @@
 """
 SHORT_QUEUE = """
 import wagtailrun.line_writer
-wagtailrun.line_writer.MAX_QUEUED_LINES = 5
+wagtailrun.logs.line_writer.MAX_QUEUED_LINES = 5
 """
 RELAY_MAIN = "from wagtail_platform.__main__ import main; sys.exit(main())"
 PRODUCT_MAIN = "from wagtailrun.cli.commands import main; main()"
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -7,10 +7,10 @@
 
 from tests.test_relay_stop import make_entry
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun import events
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.discovery.view import POLL_SLACK_MS
+from wagtailrun.logs import events
 from wagtailrun.process.stop_signals import SIGNAL_POLL_MS, StopSignals
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -6,12 +6,12 @@
 
 from tests.test_notices import Harness
 from tests.test_relay_front import GOOD, SIGNATURE, answer, run_relay, send
-from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient, TargetObserver
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery.messages import AgedLimit, TargetLimit
 from wagtailrun.discovery.target_limits import MAX_LIMITS, TargetLimits
 from wagtailrun.exceptions import TargetPaused
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.notices import PERMIT_LIFETIME_MS
 from wagtailrun.relay.placement_messages import RequestGrant
--- a/tests/test_tcp_link.py
+++ b/tests/test_tcp_link.py
@@ -9,12 +9,12 @@
 
 from demo.processes import free_addresses
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun import events
 from wagtailrun.adapters import connection_pool, tcp_link
 from wagtailrun.adapters.listener import listen
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.logs import events
 from wagtailrun.messages import Ping, Pong
 
 pytestmark = pytest.mark.network
--- a/tests/test_trace_stop.py
+++ b/tests/test_trace_stop.py
@@ -8,8 +8,8 @@
 
 from tests.test_caller_api import FLEET
 from tests.test_entry_close import make_entry
-from wagtailrun import events
 from wagtailrun.clock import SystemClock
+from wagtailrun.logs import events
 from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.serving.daemon import TRACE_TIMEOUT_MS
 
--- a/tests/test_unread_refusals.py
+++ b/tests/test_unread_refusals.py
@@ -4,8 +4,8 @@
 import pytest
 
 from tests.test_relay_stop import make_entry
-from wagtailrun import events
 from wagtailrun.exceptions import RefusalReason
+from wagtailrun.logs import events
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_unreadable_configuration.py
+++ b/tests/test_unreadable_configuration.py
@@ -9,10 +9,10 @@
 from tests.test_platform import DOCUMENT, ROUTE, document
 from tests.test_relay_front import GOOD, run_relay, send
 from tests.test_relay_stop import make_entry
-from wagtailrun import events
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.discovery.transfer import ConfigurationTransfer
-from wagtailrun.events import EVENT_LOG
+from wagtailrun.logs import events
+from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.routes import RouteKind
 
 VERSION = DOCUMENT["version"]
--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -12,8 +12,8 @@
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import StandIn, run_with_virtual_sockets
-from wagtailrun import events
 from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
 ROOM = 6
--- a/wagtailrun/accounts/counters.py
+++ b/wagtailrun/accounts/counters.py
@@ -7,7 +7,6 @@
 import curio
 from hdrh.histogram import HdrHistogram
 
-from wagtailrun import events
 from wagtailrun.accounts.cells import (
     MS_PER_MINUTE,
     CellTable,
@@ -32,6 +31,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable, RefusalReason
 from wagtailrun.fleet.model import Price
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 
 __all__ = ["Accounts", "HeldRows"]
--- a/wagtailrun/accounts/disk.py
+++ b/wagtailrun/accounts/disk.py
@@ -4,9 +4,9 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.process.disk_space import wait_for_space
 
--- a/wagtailrun/accounts/store.py
+++ b/wagtailrun/accounts/store.py
@@ -7,7 +7,6 @@
 import curio
 from hdrh.histogram import HdrHistogram
 
-from wagtailrun import events
 from wagtailrun.accounts.cells import (
     MS_PER_MINUTE,
     CellTable,
@@ -49,6 +48,7 @@
     MessageError,
     PeerUnreachable,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
 
--- a/wagtailrun/adapters/closed_connections.py
+++ b/wagtailrun/adapters/closed_connections.py
@@ -9,9 +9,9 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.idle_connections import IdleConnection
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.logs import events
 
 __all__ = ["ClosedConnections"]
 
--- a/wagtailrun/adapters/connector.py
+++ b/wagtailrun/adapters/connector.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.adapters import numeric_connection
 from wagtailrun.adapters.dead_peers import enable_dead_peer_detection
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage, MalformedAddress
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.process.shortages import (
     SHORTAGE_RETRY_MS,
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -9,7 +9,6 @@
 import curio
 import h11
 
-from wagtailrun import events
 from wagtailrun.adapters.answer_writes import write_answer
 from wagtailrun.adapters.closed_connections import ClosedConnections
 from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
@@ -33,6 +32,7 @@
 from wagtailrun.adapters.server_limits import ServerLimits
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal, RefusalReason, ResponseAborted, Verdict
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.process.fairness import Turns
 from wagtailrun.process.memory_budget import (
--- a/wagtailrun/adapters/listener.py
+++ b/wagtailrun/adapters/listener.py
@@ -6,10 +6,10 @@
 import curio
 from curio.io import Socket
 
-from wagtailrun import events
 from wagtailrun.adapters.numeric_connection import address_family
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import MalformedAddress, SettingsError
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
 __all__ = ["Listener", "listen"]
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -11,7 +11,6 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters import numeric_connection
 from wagtailrun.adapters.connection_pool import ConnectionPool, PooledConnection
 from wagtailrun.adapters.dead_peers import enable_dead_peer_detection
@@ -19,6 +18,7 @@
 from wagtailrun.clock import MS_PER_SECOND, SystemClock, drop_expired
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import MalformedAddress, MessageError, PeerUnreachable
+from wagtailrun.logs import events
 from wagtailrun.messages import STOPPING, PeerError
 from wagtailrun.ports.link import Address, Handler, PeerLink, TunnelLink, Upgrade
 from wagtailrun.process.descriptors import DescriptorShares
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -20,10 +20,10 @@
 from wagtailrun.cli.explain import lines_of_request
 from wagtailrun.cli.output import print_json, print_rows, printable
 from wagtailrun.clock import SystemClock
-from wagtailrun.daemon_log import start_absl_lines
-from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
+from wagtailrun.logs.daemon_log import start_absl_lines
+from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.process_exit import (
     exit_with_fault,
--- a/wagtailrun/codec.py
+++ b/wagtailrun/codec.py
@@ -10,8 +10,8 @@
 import attrs
 import capnp
 
-from wagtailrun import events
 from wagtailrun.exceptions import MessageError
+from wagtailrun.logs import events
 
 __all__ = [
     "Channel",
--- a/wagtailrun/consensus/election.py
+++ b/wagtailrun/consensus/election.py
@@ -5,10 +5,10 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.consensus.messages import MemberInfo, VoteReply, VoteRequest
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.logs import events
 
 if TYPE_CHECKING:
     from wagtailrun.consensus.member import Member
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -5,11 +5,11 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.member_disk import MemberDisk
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
+from wagtailrun.logs import events
 from wagtailrun.messages import PeerError
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -7,7 +7,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.election import Election
 from wagtailrun.consensus.following import Follower
@@ -37,6 +36,7 @@
     MessageError,
     PeerUnreachable,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.log import ReplicatedLog, StateMachine
--- a/wagtailrun/consensus/membership_change.py
+++ b/wagtailrun/consensus/membership_change.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.consensus.messages import (
     CODEC,
     Configuration,
@@ -17,6 +16,7 @@
 )
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
 if TYPE_CHECKING:
--- a/wagtailrun/consensus/replication.py
+++ b/wagtailrun/consensus/replication.py
@@ -5,7 +5,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.messages import (
     CODEC,
@@ -21,6 +20,7 @@
 )
 from wagtailrun.consensus.state import Role, Signal
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.logs import events
 
 if TYPE_CHECKING:
     from wagtailrun.consensus.member import Member
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -5,7 +5,6 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS, request_wait_ms
 from wagtailrun.adapters.file_disk import FileDisk
@@ -26,6 +25,7 @@
 )
 from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.control.service import ControlService
+from wagtailrun.logs import events
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.disk import Disk
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
--- a/wagtailrun/control/engine_control.py
+++ b/wagtailrun/control/engine_control.py
@@ -7,7 +7,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import FleetTextError, TargetFailed, Verdict
 from wagtailrun.fleet.model import (
@@ -16,6 +15,7 @@
     ServiceKind,
     parse_fleet_text,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
 from wagtailrun.registry.engine_order_table import WEIGHT_LOAD_KINDS
 from wagtailrun.registry.messages import (
--- a/wagtailrun/control/operator_api.py
+++ b/wagtailrun/control/operator_api.py
@@ -10,7 +10,6 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.accounts.lines import (
     DIMENSIONS,
     Line,
@@ -40,6 +39,7 @@
     Verdict,
     WagtailrunError,
 )
+from wagtailrun.logs import events
 from wagtailrun.observation.metrics import CONTENT_TYPE, Metrics
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import ApplyText, TextVerdict
--- a/wagtailrun/control/period_closing.py
+++ b/wagtailrun/control/period_closing.py
@@ -1,10 +1,10 @@
 """Closes accounting periods through the replicated log of the control members."""
 
-from wagtailrun import events
 from wagtailrun.accounts.periods import RETAINED_PERIODS
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
+from wagtailrun.logs import events
 from wagtailrun.registry.messages import ClosePeriod
 
 __all__ = ["PeriodCloser"]
--- a/wagtailrun/discovery/evacuations.py
+++ b/wagtailrun/discovery/evacuations.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.messages import News, NewsMarks
+from wagtailrun.logs import events
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EvacuationView", "FleetPlaces", "log_evacuations"]
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -7,7 +7,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.state import Signal
@@ -34,6 +33,7 @@
 from wagtailrun.discovery.transfer import ConfigurationHistory
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.registry.state import Registry
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -7,7 +7,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock, drop_expired
 from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.messages import (
@@ -22,6 +21,7 @@
 from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
 from wagtailrun.discovery.view import FleetView
 from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-from wagtailrun import events
 from wagtailrun.clock import Clock, drop_expired
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.peers import rendezvous
+from wagtailrun.logs import events
 
 __all__ = ["Owners", "ownership_key"]
 
--- a/wagtailrun/discovery/quarantine.py
+++ b/wagtailrun/discovery/quarantine.py
@@ -6,9 +6,9 @@
 import attrs
 import xxhash
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.messages import AgedEvidence, CrashEvidence, PartSet
+from wagtailrun.logs import events
 from wagtailrun.targets.table import ChangeLog
 
 __all__ = ["Quarantine", "QuarantineStatus", "digest_part"]
--- a/wagtailrun/discovery/target_limits.py
+++ b/wagtailrun/discovery/target_limits.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.messages import UNKNOWN_AGE_MS, AgedLimit, TargetLimit
+from wagtailrun.logs import events
 from wagtailrun.targets.table import ChangeLog, TargetRow
 
 __all__ = ["TargetLimits"]
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -6,7 +6,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock, drop_expired
 from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.configuration import ConfigurationFormat
@@ -28,6 +27,7 @@
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow, Health
 from wagtailrun.gossip.peers import rendezvous
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.routes import RouteTable
--- /dev/null
+++ b/wagtailrun/logs/__init__.py
@@ -0,0 +1,7 @@
+"""Numbered events and the lines of the log."""
+
+__all__ = [
+    "daemon_log",
+    "events",
+    "line_writer",
+]
--- a/wagtailrun/events.py
+++ b/wagtailrun/logs/events.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from wagtailrun.event_values import loggable_value
+from wagtailrun.logs.values import loggable_value
 
 __all__ = ["EVENTS_BY_NUMBER", "Event", "EventLog", "catalogue_rows", "log"]
 
--- a/wagtailrun/observation/metrics.py
+++ b/wagtailrun/observation/metrics.py
@@ -12,9 +12,9 @@
 from prometheus_client.core import GaugeMetricFamily, SummaryMetricFamily
 
 from wagtailrun.accounts.cells import Measure, RequestOutcome, Usage, WorkKind
-from wagtailrun.events import EVENT_LOG, EVENTS_BY_NUMBER, EventLog
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.fleet.model import Price
+from wagtailrun.logs.events import EVENT_LOG, EVENTS_BY_NUMBER, EventLog
 from wagtailrun.process.memory_budget import PROCESS_MEMORY, Kind
 
 __all__ = ["CONTENT_TYPE", "Metrics", "memory_families"]
--- a/wagtailrun/observation/recorder.py
+++ b/wagtailrun/observation/recorder.py
@@ -5,12 +5,12 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.accounts.cells import RequestOutcome, Usage, WorkKind
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, TargetFailed
 from wagtailrun.fleet.model import FleetConfiguration, Price
+from wagtailrun.logs import events
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.target import StageAnswer
--- a/wagtailrun/observation/trace_recorder.py
+++ b/wagtailrun/observation/trace_recorder.py
@@ -8,9 +8,9 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.fleet.model import FleetConfiguration, ServiceKind
+from wagtailrun.logs import events
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TraceRecorder"]
--- a/wagtailrun/process/descriptors.py
+++ b/wagtailrun/process/descriptors.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wagtailrun import events
+from wagtailrun.logs import events
 
 __all__ = ["DescriptorShares", "descriptor_limit", "used_descriptors"]
 
--- a/wagtailrun/process/disk_space.py
+++ b/wagtailrun/process/disk_space.py
@@ -1,8 +1,8 @@
 """Waits until a full disk has space again."""
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import DiskFault, DiskFull
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 
 __all__ = ["wait_for_space"]
--- a/wagtailrun/process/loop_watch.py
+++ b/wagtailrun/process/loop_watch.py
@@ -2,8 +2,8 @@
 
 import time
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.logs import events
 
 __all__ = ["LoopWatch"]
 
--- a/wagtailrun/process/memory_budget.py
+++ b/wagtailrun/process/memory_budget.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 from typing import Self
 
-from wagtailrun import events
+from wagtailrun.logs import events
 
 __all__ = [
     "DEFAULT_MEMORY_MB",
--- a/wagtailrun/process/process_exit.py
+++ b/wagtailrun/process/process_exit.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NoReturn
 
-from wagtailrun.line_writer import LineWriter
+from wagtailrun.logs.line_writer import LineWriter
 
 __all__ = ["exit_with_fault", "exit_with_message", "run_then_exit"]
 
--- a/wagtailrun/process/signalled_drain.py
+++ b/wagtailrun/process/signalled_drain.py
@@ -4,8 +4,8 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
+from wagtailrun.logs import events
 from wagtailrun.process.stop_signals import SIGNAL_POLL_MS, StopSignals
 
 __all__ = ["SignalledDrain"]
--- a/wagtailrun/process/supervisor.py
+++ b/wagtailrun/process/supervisor.py
@@ -5,9 +5,9 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import SettingsError
+from wagtailrun.logs import events
 
 __all__ = ["supervise"]
 
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -6,7 +6,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import (
     Headers,
     HttpClient,
@@ -31,6 +30,7 @@
     Verdict,
     VersionMismatch,
 )
+from wagtailrun.logs import events
 from wagtailrun.process.late_tasks import wait_for_end
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.relay.attempt_reports import AttemptReports
--- a/wagtailrun/relay/brittle_slots.py
+++ b/wagtailrun/relay/brittle_slots.py
@@ -11,9 +11,9 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.target_limits import HARMLESS_REJECTIONS_PER_S, TargetLimits
+from wagtailrun.logs import events
 from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
 from wagtailrun.relay.return_queue import ReturnQueue
 
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/carriers.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import OpenConnection
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, TunnelLink
 from wagtailrun.relay.tunnel_messages import (
     OpenTunnel,
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -6,7 +6,6 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_server import HttpHandler, HttpServer
@@ -24,6 +23,7 @@
     RefusalReason,
     Verdict,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
 from wagtailrun.process.stop_signals import StopSignals
--- a/wagtailrun/relay/crash_detector.py
+++ b/wagtailrun/relay/crash_detector.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
+from wagtailrun.logs import events
 from wagtailrun.relay.placement_messages import RunBroken
 from wagtailrun.relay.port import AnswerProgress
 from wagtailrun.targets.table import TargetRow
--- a/wagtailrun/relay/data_centre_reach.py
+++ b/wagtailrun/relay/data_centre_reach.py
@@ -11,10 +11,10 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.carriers import CarrierOutcome
 from wagtailrun.targets.table import TargetRow
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -7,7 +7,6 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.drain_times import request_wait_ms, sleep_until_idle
 from wagtailrun.adapters.http_client import HttpClient
@@ -21,6 +20,7 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.logs import events
 from wagtailrun.process.descriptors import (
     DescriptorShares,
     descriptor_limit,
--- a/wagtailrun/relay/evacuation_orders.py
+++ b/wagtailrun/relay/evacuation_orders.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.evacuations import FleetPlaces
 from wagtailrun.exceptions import (
@@ -11,6 +10,7 @@
     RefusalReason,
     Verdict,
 )
+from wagtailrun.logs import events
 from wagtailrun.registry.evacuations import MAX_EVACUATIONS, EvacuationOrder
 from wagtailrun.registry.messages import MembersRecorded, RecordMembers
 from wagtailrun.registry.state import Registry
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -5,13 +5,13 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import Request, Response, refusal_response
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView, OriginClient
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
+from wagtailrun.logs import events
 from wagtailrun.relay.admission import AdmissionController
 from wagtailrun.relay.attempts import RelayAttempts
 from wagtailrun.relay.choice import TargetChooser
--- a/wagtailrun/relay/lowered_shares.py
+++ b/wagtailrun/relay/lowered_shares.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
+from wagtailrun.logs import events
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
--- a/wagtailrun/relay/metrics.py
+++ b/wagtailrun/relay/metrics.py
@@ -6,8 +6,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import SummaryMetricFamily
 
-from wagtailrun.events import EVENT_LOG
 from wagtailrun.exceptions import RefusalReason
+from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.observation.metrics import memory_families
 
 __all__ = ["RelayMetrics"]
--- a/wagtailrun/relay/notices.py
+++ b/wagtailrun/relay/notices.py
@@ -6,11 +6,11 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import HttpStream, SendPermit, TargetObserver
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import SendForbidden, TargetPaused
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.port import MalformedBound, RelayWire
 from wagtailrun.relay.send_grants import GrantClient
--- a/wagtailrun/relay/paths.py
+++ b/wagtailrun/relay/paths.py
@@ -12,9 +12,9 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import ConnectFailed
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
 __all__ = ["TargetPaths", "WatchedSocket"]
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -9,11 +9,11 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.crash_detector import (
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -6,13 +6,13 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
 from wagtailrun.adapters.tcp_link import PeerServer
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.daemon_log import start_json_lines
 from wagtailrun.exceptions import SettingsError
-from wagtailrun.line_writer import STOP_TIMEOUT_S
+from wagtailrun.logs import events
+from wagtailrun.logs.daemon_log import start_json_lines
+from wagtailrun.logs.line_writer import STOP_TIMEOUT_S
 from wagtailrun.ports.link import Address
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
--- a/wagtailrun/relay/readiness.py
+++ b/wagtailrun/relay/readiness.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from wagtailrun import events
 from wagtailrun.adapters.http_server import Request, Response, json_response
 from wagtailrun.discovery import FleetView
+from wagtailrun.logs import events
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.relay.rotation import Rotation
--- a/wagtailrun/relay/running_jobs.py
+++ b/wagtailrun/relay/running_jobs.py
@@ -2,8 +2,8 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
+from wagtailrun.logs import events
 from wagtailrun.relay.answer_times import AnswerTimes
 from wagtailrun.relay.job import RelayJob
 
--- a/wagtailrun/relay/send_grants.py
+++ b/wagtailrun/relay/send_grants.py
@@ -13,13 +13,13 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import LEAST_URGENT
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.brittle_slots import BrittleSlots
 from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
--- a/wagtailrun/relay/streams.py
+++ b/wagtailrun/relay/streams.py
@@ -7,7 +7,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import MAX_SKIPPED_BYTES
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.discovery import OriginClient, StreamOrigin
@@ -20,6 +19,7 @@
     Verdict,
     VersionMismatch,
 )
+from wagtailrun.logs import events
 from wagtailrun.process.fairness import Turns
 from wagtailrun.process.memory_budget import Kind
 from wagtailrun.relay.attempts import Attempt, RelayAttempts
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/tunnels.py
@@ -13,7 +13,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.adapters.http_client import (
     Connector,
     DirectConnector,
@@ -23,6 +22,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.relay.carriers import CarrierOutcome, Carriers
 from wagtailrun.relay.data_centre_reach import DataCentreReach
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -9,7 +9,6 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND, drop_expired
 from wagtailrun.exceptions import (
     ConnectFailed,
@@ -17,6 +16,7 @@
     TargetFailed,
     Verdict,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
 from wagtailrun.serving.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -5,7 +5,6 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.accounts.messages import AccountRows
@@ -20,6 +19,7 @@
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.gossip.node import GossipNode
+from wagtailrun.logs import events
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.observation.recorder import Recorder
 from wagtailrun.observation.trace_recorder import TraceRecorder
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -8,9 +8,9 @@
 
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import TargetFailed, Verdict
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.call_slot import CallLimits, CallSlot
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -6,11 +6,11 @@
 import attrs
 import curio
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable, Refusal, RefusalReason, Verdict
 from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.routes import StageCapacity, StageStep
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from wagtailrun import events
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.messages import (
