Move 7 modules into wagtailrun/relay/paths

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest. Names that the package says already are shortened.

--- a/bench/tunnels.py
+++ b/bench/tunnels.py
@@ -12,7 +12,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.tunnels import PathConnector, TunnelHost
+from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.targets.table import TargetRow
 
 REQUESTS = 200
--- a/tests/test_connect_shortage.py
+++ b/tests/test_connect_shortage.py
@@ -27,7 +27,11 @@
     Verdict,
 )
 from wagtailrun.logs.events import CONNECT_SHORT, EVENT_LOG
-from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelRefusal, TunnelRefused
+from wagtailrun.relay.paths.tunnel_messages import (
+    OpenTunnel,
+    TunnelRefusal,
+    TunnelRefused,
+)
 from wagtailrun.routes import RouteKind
 
 pytestmark = pytest.mark.network
--- a/tests/test_cut_beliefs.py
+++ b/tests/test_cut_beliefs.py
@@ -13,8 +13,8 @@
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, TunnelLink
-from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelRefusal
-from wagtailrun.relay.tunnels import DIRECT_TIMEOUT_MS, PathConnector, TunnelHost
+from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, TunnelRefusal
+from wagtailrun.relay.paths.tunnels import DIRECT_TIMEOUT_MS, PathConnector, TunnelHost
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_data_centre_reach.py
+++ b/tests/test_data_centre_reach.py
@@ -15,8 +15,8 @@
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, TunnelLink
-from wagtailrun.relay.tunnel_messages import TunnelRefusal, TunnelRefused
-from wagtailrun.relay.tunnels import DIRECT_TIMEOUT_MS, PathConnector
+from wagtailrun.relay.paths.tunnel_messages import TunnelRefusal, TunnelRefused
+from wagtailrun.relay.paths.tunnels import DIRECT_TIMEOUT_MS, PathConnector
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_late_paths.py
+++ b/tests/test_late_paths.py
@@ -8,8 +8,8 @@
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, TunnelLink
-from wagtailrun.relay.tunnel_messages import TunnelRefusal, TunnelRefused
-from wagtailrun.relay.tunnels import (
+from wagtailrun.relay.paths.tunnel_messages import TunnelRefusal, TunnelRefused
+from wagtailrun.relay.paths.tunnels import (
     DIRECT_TIMEOUT_MS,
     DIRECT_TRIES,
     HEDGE_AFTER_MS,
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -4,7 +4,7 @@
 import pytest
 
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.paths import (
+from wagtailrun.relay.paths.target_paths import (
     ABORT_SILENCE_MS,
     CHECK_INTERVAL_MS,
     PROBE_INTERVAL_MS,
--- a/tests/test_peer_drain.py
+++ b/tests/test_peer_drain.py
@@ -16,7 +16,11 @@
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable, Verdict
 from wagtailrun.messages import Ping, Pong
-from wagtailrun.relay.tunnel_messages import OpenTunnel, TunnelOpened, TunnelRefusal
+from wagtailrun.relay.paths.tunnel_messages import (
+    OpenTunnel,
+    TunnelOpened,
+    TunnelRefusal,
+)
 from wagtailrun.stages import CarryCall, RunPieces
 from wagtailrun.stages.spread import _group_by_request, _parse_replies
 
--- a/tests/test_peer_shortage.py
+++ b/tests/test_peer_shortage.py
@@ -29,7 +29,7 @@
 from wagtailrun.logs.events import EVENT_LOG, PEER_LOST
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.tunnels import PathConnector
+from wagtailrun.relay.paths.tunnels import PathConnector
 from wagtailrun.stages import StageResults
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -17,7 +17,7 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.process.loop_watch import MIN_LATE_MS
-from wagtailrun.relay.tunnels import PathConnector, TunnelHost
+from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
 from wagtailrun.stages.call_slot import CALL_TIMEOUT_FACTOR
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -33,8 +33,8 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import ConnectFailed, MessageError, TargetFailed
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.relay.tunnel_messages import ReportPause, TunnelRefusal
-from wagtailrun.relay.tunnels import PathConnector, TunnelHost
+from wagtailrun.relay.paths.tunnel_messages import ReportPause, TunnelRefusal
+from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -34,6 +34,8 @@
 from wagtailrun.relay.front import RelayHandler, StopPlan
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.notices import TargetNotices
+from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
+from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import (
     PlaceRun,
@@ -46,8 +48,6 @@
 from wagtailrun.relay.readiness import Readiness, max_stay_ms
 from wagtailrun.relay.rotation import Rotation
 from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
-from wagtailrun.relay.tunnel_messages import OpenTunnel, ReportPause
-from wagtailrun.relay.tunnels import PathConnector, TunnelHost
 from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.serving.retries import RetryBudget
--- /dev/null
+++ b/wagtailrun/relay/paths/__init__.py
@@ -0,0 +1,6 @@
+"""Paths to targets, direct ones and those through other entries."""
+
+__all__ = [
+    "tunnel_messages",
+    "tunnels",
+]
--- a/wagtailrun/relay/carriers.py
+++ b/wagtailrun/relay/paths/carriers.py
@@ -13,7 +13,7 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, TunnelLink
-from wagtailrun.relay.tunnel_messages import (
+from wagtailrun.relay.paths.tunnel_messages import (
     OpenTunnel,
     ReportPause,
     TunnelOpened,
--- a/wagtailrun/relay/data_centre_reach.py
+++ b/wagtailrun/relay/paths/data_centre_reach.py
@@ -16,7 +16,7 @@
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.carriers import CarrierOutcome
+from wagtailrun.relay.paths.carriers import CarrierOutcome
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["DataCentreReach"]
--- a/wagtailrun/relay/tunnels.py
+++ b/wagtailrun/relay/paths/tunnels.py
@@ -24,12 +24,12 @@
 from wagtailrun.exceptions import ConnectFailed, ConnectShortage
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
-from wagtailrun.relay.carriers import CarrierOutcome, Carriers
-from wagtailrun.relay.data_centre_reach import DataCentreReach
-from wagtailrun.relay.path_survey import PathSurvey
-from wagtailrun.relay.paths import TargetPaths
-from wagtailrun.relay.tunnel_bytes import TunnelBytes
-from wagtailrun.relay.tunnel_messages import (
+from wagtailrun.relay.paths.carriers import CarrierOutcome, Carriers
+from wagtailrun.relay.paths.data_centre_reach import DataCentreReach
+from wagtailrun.relay.paths.survey import PathSurvey
+from wagtailrun.relay.paths.target_paths import TargetPaths
+from wagtailrun.relay.paths.tunnel_bytes import TunnelBytes
+from wagtailrun.relay.paths.tunnel_messages import (
     OpenTunnel,
     TunnelOpened,
     TunnelRefusal,
--- a/wagtailrun/relay/upkeep.py
+++ b/wagtailrun/relay/upkeep.py
@@ -3,8 +3,8 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.paths.tunnels import PathConnector
 from wagtailrun.relay.placement import PlacementHost
-from wagtailrun.relay.tunnels import PathConnector
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import StageBatcher
 
