Move 7 modules into wagtailrun/relay/limits

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users.

--- a/tests/test_brittle_owners.py
+++ b/tests/test_brittle_owners.py
@@ -8,8 +8,8 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.brittle_slots import GATHER_MS, SETTLED_MS
-from wagtailrun.relay.send_grants import (
+from wagtailrun.relay.limits.brittle_slots import GATHER_MS, SETTLED_MS
+from wagtailrun.relay.limits.send_grants import (
     FALLBACK_SHARE,
     HEARD_MS,
     GrantClient,
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -33,16 +33,16 @@
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.brittle_slots import (
+from wagtailrun.relay.limits.brittle_slots import (
     GATHER_MS,
     REJECTION_PAUSE_MS,
     SETTLED_MS,
     STATEMENT_LIFETIME_MS,
     BrittleSlots,
 )
+from wagtailrun.relay.limits.send_grants import LINGER_MS, SendGranter
 from wagtailrun.relay.placement_messages import RequestGrant
 from wagtailrun.relay.port import MalformedBound
-from wagtailrun.relay.send_grants import LINGER_MS, SendGranter
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -5,7 +5,7 @@
 
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.crash_detector import (
+from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     RECENT_SUCCESS_MS,
     SETTLE_MS,
--- a/tests/test_evacuated_targets.py
+++ b/tests/test_evacuated_targets.py
@@ -35,7 +35,7 @@
 from wagtailrun.discovery import News, NewsMarks
 from wagtailrun.exceptions import ConnectFailed, SendForbidden, Verdict
 from wagtailrun.relay.evacuated_services import EVACUATED_RETRY_MS
-from wagtailrun.relay.notices import TargetNotices
+from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.routes import (
     RouteKind,
     StageStep,
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -25,7 +25,7 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import TargetFailed, TargetPaused
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.notices import (
+from wagtailrun.relay.limits.notices import (
     MAX_PAUSE_MS,
     MAX_RETURN_JITTER_MS,
     TRIAL_TIMEOUT_MS,
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -12,7 +12,7 @@
     MAX_REQUESTS,
     Quarantine,
 )
-from wagtailrun.relay.crash_detector import CrashDetector
+from wagtailrun.relay.limits.crash_detector import CrashDetector
 from wagtailrun.relay.placement_messages import RunBroken
 from wagtailrun.relay.port import AnswerProgress
 from wagtailrun.relay.request_identity import digest_request
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -13,7 +13,8 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.choice import LIMIT_CHECK_MS, TargetChooser
-from wagtailrun.relay.notices import TargetNotices
+from wagtailrun.relay.limits.notices import TargetNotices
+from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import (
     PlaceRun,
@@ -22,7 +23,6 @@
     RunOver,
 )
 from wagtailrun.relay.port import TargetNotice
-from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/relay/attempt_reports.py
+++ b/wagtailrun/relay/attempt_reports.py
@@ -9,8 +9,8 @@
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.limits.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import RunBroken, RunOutcome, RunOver
 from wagtailrun.relay.port import AnswerProgress, TargetLoad
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -37,7 +37,7 @@
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.evacuated_services import evacuated_refusal
 from wagtailrun.relay.job import RelayJob
-from wagtailrun.relay.notices import TargetNotices
+from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import (
     Placed,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -32,8 +32,9 @@
 from wagtailrun.relay.answer_times import COVERED_SHARE
 from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler, StopPlan
+from wagtailrun.relay.limits.notices import TargetNotices
+from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.metrics import RelayMetrics
-from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.relay.placement import PlacementClient, PlacementHost
@@ -47,7 +48,6 @@
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.relay.readiness import Readiness, max_stay_ms
 from wagtailrun.relay.rotation import Rotation
-from wagtailrun.relay.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.serving.retries import RetryBudget
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -19,8 +19,8 @@
 from wagtailrun.relay.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.relay.evacuated_services import stage_refusal
 from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.metrics import RelayMetrics
-from wagtailrun.relay.notices import TargetNotices
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
--- a/wagtailrun/relay/silence.py
+++ b/wagtailrun/relay/limits/silence.py
@@ -12,7 +12,7 @@
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.relay.lowered_shares import (
+from wagtailrun.relay.limits.lowered_shares import (
     ALL_ENTRIES,
     SILENT,
     SLOW,
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement.py
@@ -16,13 +16,14 @@
 from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.crash_detector import (
+from wagtailrun.relay.estimate import MarginEstimator
+from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     SAFE_AFTER_FIRST_EVENT_MS,
     SETTLE_MS,
     CrashDetector,
 )
-from wagtailrun.relay.estimate import MarginEstimator
+from wagtailrun.relay.limits.silence import SilenceWatch
 from wagtailrun.relay.placement_messages import (
     Placed,
     PlaceRun,
@@ -32,7 +33,6 @@
     RunOver,
 )
 from wagtailrun.relay.port import TargetLoad
-from wagtailrun.relay.silence import SilenceWatch
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PlacementClient", "PlacementHost"]
