Move 4 modules into wagtailrun/relay/stopping

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users.

--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -13,7 +13,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.rotation import REENTRY_MS
+from wagtailrun.relay.stopping.rotation import REENTRY_MS
 from wagtailrun.routes import RequestLimits, build_route_table
 
 CHECK_MS = 1_000
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -46,8 +46,8 @@
 )
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, run_daemon
-from wagtailrun.relay.readiness import Readiness, max_stay_ms
-from wagtailrun.relay.rotation import Rotation
+from wagtailrun.relay.stopping.readiness import Readiness, max_stay_ms
+from wagtailrun.relay.stopping.rotation import Rotation
 from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.serving.retries import RetryBudget
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -24,8 +24,8 @@
 from wagtailrun.relay.placement import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
-from wagtailrun.relay.running_jobs import RunningJobs
-from wagtailrun.relay.stop_forecast import StopForecast, StopPlan
+from wagtailrun.relay.stopping.running_jobs import RunningJobs
+from wagtailrun.relay.stopping.stop_forecast import StopForecast, StopPlan
 from wagtailrun.relay.streams import RelayStreams
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.serving.retries import RetryBudget
--- a/wagtailrun/relay/readiness.py
+++ b/wagtailrun/relay/stopping/readiness.py
@@ -8,7 +8,7 @@
 from wagtailrun.logs import events
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.process.stop_signals import StopSignals
-from wagtailrun.relay.rotation import Rotation
+from wagtailrun.relay.stopping.rotation import Rotation
 
 __all__ = ["Readiness", "max_stay_ms"]
 
