Move 5 modules into wagtailrun/relay/placement

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users.

--- a/tests/test_answer_times.py
+++ b/tests/test_answer_times.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wagtailrun.relay.answer_times import (
+from wagtailrun.relay.placement.answer_times import (
     MAX_ANSWERS,
     MAX_KEYS,
     MIN_ANSWERS,
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -12,9 +12,9 @@
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.limits.lowered_shares import ALL_ENTRIES, HALF_SHARE
-from wagtailrun.relay.placement import PlacementClient, PlacementHost
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import PlaceRun, RunOutcome, RunOver
 from wagtailrun.relay.port import PromptPart
 from wagtailrun.targets.table import TargetRow
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -12,7 +12,7 @@
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
 from wagtailrun.process.loop_watch import MIN_LATE_MS
-from wagtailrun.relay.placement import CALL_TIMEOUT_MS, PlacementClient
+from wagtailrun.relay.placement.service import CALL_TIMEOUT_MS, PlacementClient
 from wagtailrun.relay.placement_messages import Placed, PlaceRun
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -14,7 +14,7 @@
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.logs import events
-from wagtailrun.relay.answer_times import MIN_ANSWERS
+from wagtailrun.relay.placement.answer_times import MIN_ANSWERS
 from wagtailrun.routes import RouteKind
 
 pytestmark = pytest.mark.network
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -12,8 +12,8 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart
-from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.placement import PlacementClient, PlacementHost
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import (
     PlaceRun,
     RunBroken,
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -4,7 +4,7 @@
 
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart, TargetLoad
-from wagtailrun.relay.choice import TargetChooser
+from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
--- a/tests/test_relay_estimate.py
+++ b/tests/test_relay_estimate.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailrun.relay.estimate import (
+from wagtailrun.relay.placement.estimate import (
     ERROR_LIFETIME_MS,
     IDLE_FIRST_EVENT_MS,
     MAX_ERRORS,
--- a/tests/test_silent_carriers_of_requests.py
+++ b/tests/test_silent_carriers_of_requests.py
@@ -10,7 +10,7 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_client import Connector, DirectConnector, OpenConnection
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.estimate import IDLE_FIRST_EVENT_MS
+from wagtailrun.relay.placement.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.routes import RouteKind
 
 pytestmark = pytest.mark.network
--- a/tests/test_stop_forecast.py
+++ b/tests/test_stop_forecast.py
@@ -6,7 +6,7 @@
 
 from tests.test_relay_admission import job
 from wagtailrun.exceptions import Verdict
-from wagtailrun.relay.answer_times import MIN_ANSWERS
+from wagtailrun.relay.placement.answer_times import MIN_ANSWERS
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.relay.stopping.stop_forecast import StopForecast, StopPlan
 from wagtailrun.routes import Route, RouteKind
--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -32,7 +32,7 @@
 )
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.relay.continuation import (
+from wagtailrun.relay.placement.continuation import (
     Continuation,
     ContinuationChecker,
     IncarnationReader,
--- a/tests/test_stream_versions_out_of_step.py
+++ b/tests/test_stream_versions_out_of_step.py
@@ -26,7 +26,10 @@
 from wagtailrun.exceptions import PeerUnreachable, TargetFailed, Verdict
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.relay.continuation import ContinuationChecker, IncarnationReader
+from wagtailrun.relay.placement.continuation import (
+    ContinuationChecker,
+    IncarnationReader,
+)
 from wagtailrun.targets.table import ChangeLog, TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/relay/attempt_reports.py
+++ b/wagtailrun/relay/attempt_reports.py
@@ -8,10 +8,10 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.limits.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
-from wagtailrun.relay.placement import PlacementClient
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.placement_messages import RunBroken, RunOutcome, RunOver
 from wagtailrun.relay.port import AnswerProgress, TargetLoad
 from wagtailrun.relay.request_identity import AnsweredRequests
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/attempts.py
@@ -34,11 +34,11 @@
 from wagtailrun.process.late_tasks import wait_for_end
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.relay.attempt_reports import AttemptReports
-from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.evacuated_services import evacuated_refusal
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.limits.notices import TargetNotices
-from wagtailrun.relay.placement import PlacementClient
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.placement_messages import (
     Placed,
     PlaceRun,
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -29,15 +29,15 @@
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.process.supervisor import supervise
-from wagtailrun.relay.answer_times import COVERED_SHARE
-from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.front import RelayHandler, StopPlan
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
-from wagtailrun.relay.placement import PlacementClient, PlacementHost
+from wagtailrun.relay.placement.answer_times import COVERED_SHARE
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import (
     PlaceRun,
     RequestGrant,
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/front.py
@@ -14,14 +14,14 @@
 from wagtailrun.logs import events
 from wagtailrun.relay.admission import AdmissionController
 from wagtailrun.relay.attempts import RelayAttempts
-from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.continuation import ContinuationChecker, TargetReports
-from wagtailrun.relay.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.relay.evacuated_services import stage_refusal
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.metrics import RelayMetrics
-from wagtailrun.relay.placement import PlacementClient
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.continuation import ContinuationChecker, TargetReports
+from wagtailrun.relay.placement.estimate import IDLE_FIRST_EVENT_MS
+from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
--- a/wagtailrun/relay/placement.py
+++ b/wagtailrun/relay/placement/service.py
@@ -15,8 +15,6 @@
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
-from wagtailrun.relay.choice import TargetChooser
-from wagtailrun.relay.estimate import MarginEstimator
 from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     SAFE_AFTER_FIRST_EVENT_MS,
@@ -24,6 +22,8 @@
     CrashDetector,
 )
 from wagtailrun.relay.limits.silence import SilenceWatch
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.estimate import MarginEstimator
 from wagtailrun.relay.placement_messages import (
     Placed,
     PlaceRun,
--- a/wagtailrun/relay/stopping/running_jobs.py
+++ b/wagtailrun/relay/stopping/running_jobs.py
@@ -4,8 +4,8 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.logs import events
-from wagtailrun.relay.answer_times import AnswerTimes
 from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.placement.answer_times import AnswerTimes
 
 __all__ = ["RunningJobs"]
 
--- a/wagtailrun/relay/stopping/stop_forecast.py
+++ b/wagtailrun/relay/stopping/stop_forecast.py
@@ -4,8 +4,8 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.relay.answer_times import COVERED_SHARE, TYPICAL_SHARE
 from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.placement.answer_times import COVERED_SHARE, TYPICAL_SHARE
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS, STOPPING_RETRY_MS
--- a/wagtailrun/relay/upkeep.py
+++ b/wagtailrun/relay/upkeep.py
@@ -2,9 +2,9 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
-from wagtailrun.relay.choice import TargetChooser
 from wagtailrun.relay.paths.tunnels import PathConnector
-from wagtailrun.relay.placement import PlacementHost
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementHost
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import StageBatcher
 
