Move 8 modules into wagtailrun/relay/requests

Cause: the modules of one subject lay among all others, so that a newcomer could not guess from the tree where a decision is made.

Change: git mv into a package, with the imports of all users. Its __all__ lists the modules that other packages import; it imports none of them, so that the import of one module does not load the rest.

--- a/tests/test_evacuated_targets.py
+++ b/tests/test_evacuated_targets.py
@@ -34,8 +34,8 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import News, NewsMarks
 from wagtailrun.exceptions import ConnectFailed, SendForbidden, Verdict
-from wagtailrun.relay.evacuated_services import EVACUATED_RETRY_MS
 from wagtailrun.relay.limits.notices import TargetNotices
+from wagtailrun.relay.requests.evacuated_services import EVACUATED_RETRY_MS
 from wagtailrun.routes import (
     RouteKind,
     StageStep,
--- a/tests/test_events_split.py
+++ b/tests/test_events_split.py
@@ -5,8 +5,8 @@
 import pytest
 
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.relay import events_split
-from wagtailrun.relay.events_split import MAX_EVENT_BYTES, EventSplitter
+from wagtailrun.relay.requests import events_split
+from wagtailrun.relay.requests.events_split import MAX_EVENT_BYTES, EventSplitter
 
 BODY = b"data: a\r\n\r\nid: 2\ndata: b\n\ndata: c\r\r: k\n\r\ndata:d\nx\r\n\n"
 EVENTS = [
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -21,7 +21,7 @@
 from wagtailrun.adapters.http_server import HttpServer, _ServerConnection
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.streams import RelayStreams, _StreamState
+from wagtailrun.relay.requests.streams import RelayStreams, _StreamState
 from wagtailrun.stages.port import StageItem
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.attempts import RelayAttempts
+from wagtailrun.relay.requests.attempts import RelayAttempts
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
--- a/tests/test_late_carriers.py
+++ b/tests/test_late_carriers.py
@@ -21,13 +21,13 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
 from wagtailrun.ports.link import Address, Upgrade
-from wagtailrun.relay.attempts import CONNECT_TIMEOUT_MS
 from wagtailrun.relay.paths.tunnel_messages import (
     OpenTunnel,
     TunnelRefusal,
     TunnelRefused,
 )
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
+from wagtailrun.relay.requests.attempts import CONNECT_TIMEOUT_MS
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
--- a/tests/test_next_target.py
+++ b/tests/test_next_target.py
@@ -8,8 +8,8 @@
 from tests.test_relay_front import FakeView, route
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.attempts import RelayAttempts
 from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.requests.attempts import RelayAttempts
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -16,12 +16,12 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.exceptions import ResponseAborted, TargetFailed
-from wagtailrun.relay.front import RelayHandler
 from wagtailrun.relay.limits.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
+from wagtailrun.relay.requests.front import RelayHandler
 from wagtailrun.routes import (
     RequestLimits,
     RoutedService,
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -3,12 +3,12 @@
 import pytest
 
 from wagtailrun.exceptions import RefusalReason, Verdict
-from wagtailrun.relay.admission import (
+from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.requests.admission import (
     MAX_MARGIN_SHARE,
     MIN_OVERLOAD_RETRY_MS,
     AdmissionController,
 )
-from wagtailrun.relay.job import RelayJob
 from wagtailrun.routes import Route, RouteKind
 from wagtailrun.stages import StagedWork
 from wagtailrun.virtual_time import VirtualClock
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -16,7 +16,7 @@
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
-from wagtailrun.relay.front import StopPlan
+from wagtailrun.relay.requests.front import StopPlan
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -15,7 +15,7 @@
 from wagtailrun.relay.limits.crash_detector import CrashDetector
 from wagtailrun.relay.placement_messages import RunBroken
 from wagtailrun.relay.port import AnswerProgress
-from wagtailrun.relay.request_identity import digest_request
+from wagtailrun.relay.requests.request_identity import digest_request
 from wagtailrun.routes import RouteKind
 from wagtailrun.virtual_time import VirtualClock
 
--- a/tests/test_request_crashes_fleet.py
+++ b/tests/test_request_crashes_fleet.py
@@ -9,7 +9,7 @@
 from tests.test_quarantine_fleet import Fleet as PromptFleet
 from wagtailrun.relay.placement_messages import RunBroken
 from wagtailrun.relay.port import AnswerProgress
-from wagtailrun.relay.request_identity import AnsweredRequests
+from wagtailrun.relay.requests.request_identity import AnsweredRequests
 from wagtailrun.virtual_time import run_virtual
 
 ENGINES = 6
--- a/tests/test_result_release.py
+++ b/tests/test_result_release.py
@@ -9,7 +9,7 @@
 from tests.test_relay_front import answer as make_answer
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.relay.streams import RESULT_FETCH_MS
+from wagtailrun.relay.requests.streams import RESULT_FETCH_MS
 from wagtailrun.routes import RouteKind
 
 pytestmark = pytest.mark.network
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -22,7 +22,7 @@
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
 from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry import KILL_MARGIN_MS
-from wagtailrun.relay.front import StopPlan
+from wagtailrun.relay.requests.front import StopPlan
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
--- a/tests/test_stream_errors.py
+++ b/tests/test_stream_errors.py
@@ -8,7 +8,7 @@
 from tests.test_repeated_answers import LATE_S, ScriptedEngine
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.exceptions import TargetFailed
-from wagtailrun.relay.events_split import EventSplitter
+from wagtailrun.relay.requests.events_split import EventSplitter
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/relay/__init__.py
+++ b/wagtailrun/relay/__init__.py
@@ -1,6 +1,5 @@
 """Relays requests to targets unchanged, by route, after running their stages."""
 
-from wagtailrun.relay.front import RelayHandler
 from wagtailrun.relay.port import (
     AnswerHead,
     AttemptContext,
@@ -11,6 +10,7 @@
     TargetLoad,
     TargetNotice,
 )
+from wagtailrun.relay.requests.front import RelayHandler
 
 __all__ = [
     "AnswerHead",
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -29,7 +29,6 @@
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.process.supervisor import supervise
-from wagtailrun.relay.front import RelayHandler, StopPlan
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.metrics import RelayMetrics
@@ -46,6 +45,7 @@
 )
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, run_daemon
+from wagtailrun.relay.requests.front import RelayHandler, StopPlan
 from wagtailrun.relay.stopping.readiness import Readiness, max_stay_ms
 from wagtailrun.relay.stopping.rotation import Rotation
 from wagtailrun.relay.upkeep import Upkeep
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/job.py
@@ -8,7 +8,7 @@
 from wagtailrun.discovery import StreamOrigin
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.port import AnswerProgress, RelayRequest
-from wagtailrun.relay.request_identity import digest_request
+from wagtailrun.relay.requests.request_identity import digest_request
 from wagtailrun.routes import Route
 from wagtailrun.stages import StagedWork, StageResults
 
--- /dev/null
+++ b/wagtailrun/relay/requests/__init__.py
@@ -0,0 +1,6 @@
+"""The run of one request: its steps, attempts and streams."""
+
+__all__ = [
+    "front",
+    "request_identity",
+]
--- a/wagtailrun/relay/attempt_reports.py
+++ b/wagtailrun/relay/requests/attempt_reports.py
@@ -14,7 +14,7 @@
 from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.placement_messages import RunBroken, RunOutcome, RunOver
 from wagtailrun.relay.port import AnswerProgress, TargetLoad
-from wagtailrun.relay.request_identity import AnsweredRequests
+from wagtailrun.relay.requests.request_identity import AnsweredRequests
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["AttemptReports"]
--- a/wagtailrun/relay/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -33,8 +33,6 @@
 from wagtailrun.logs import events
 from wagtailrun.process.late_tasks import wait_for_end
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
-from wagtailrun.relay.attempt_reports import AttemptReports
-from wagtailrun.relay.evacuated_services import evacuated_refusal
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.placement.choice import TargetChooser
@@ -52,7 +50,9 @@
     AttemptContext,
     RelayWire,
 )
-from wagtailrun.relay.request_identity import AnsweredRequests
+from wagtailrun.relay.requests.attempt_reports import AttemptReports
+from wagtailrun.relay.requests.evacuated_services import evacuated_refusal
+from wagtailrun.relay.requests.request_identity import AnsweredRequests
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/relay/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -12,9 +12,6 @@
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.logs import events
-from wagtailrun.relay.admission import AdmissionController
-from wagtailrun.relay.attempts import RelayAttempts
-from wagtailrun.relay.evacuated_services import stage_refusal
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.metrics import RelayMetrics
@@ -24,9 +21,12 @@
 from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.placement_messages import Placed
 from wagtailrun.relay.port import RelayRequest, RelayWire
+from wagtailrun.relay.requests.admission import AdmissionController
+from wagtailrun.relay.requests.attempts import RelayAttempts
+from wagtailrun.relay.requests.evacuated_services import stage_refusal
+from wagtailrun.relay.requests.streams import RelayStreams
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.relay.stopping.stop_forecast import StopForecast, StopPlan
-from wagtailrun.relay.streams import RelayStreams
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.serving.running_requests import STOPPING_RETRY_MS, EntryEnds, forget_end
