--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -65,7 +65,7 @@
 SystemClock.sleep_ms = sleep_noisily
 """
 SHORT_QUEUE = """
-import wagtailrun.line_writer
+import wagtailrun.logs.line_writer
 wagtailrun.logs.line_writer.MAX_QUEUED_LINES = 5
 """
 RELAY_MAIN = "from wagtail_platform.__main__ import main; sys.exit(main())"
@@ -354,7 +354,7 @@
 
 
 FAULT = """
-import wagtailrun.memory_budget
+import wagtailrun.process.memory_budget
 def fail(self, memory_mb):
     raise ValueError("a fault")
 type(wagtailrun.process.memory_budget.PROCESS_MEMORY).set_memory = fail
