--- a/bench/account_fleet.py
+++ b/bench/account_fleet.py
@@ -21,7 +21,8 @@
 __all__ = ["AccountFleet", "checkout"]
 
 ROOT = Path(__file__).parent.parent
-WORKER = Path(__file__).parent / "account_worker.py"
+# Each tree has its own, which names its modules; both speak the same protocol.
+WORKER = Path("bench") / "account_worker.py"
 SECRET = "secret-of-this-account"
 CONTROLS = ("core-1", "core-2", "core-3")
 # One owns the engines and one the stage targets, so the third owns neither.
@@ -170,7 +171,7 @@
             ValueError: If it runs the code of another tree.
         """
         self.worker = subprocess.Popen(
-            [sys.executable, "-P", str(WORKER)],
+            [sys.executable, "-P", str(self.tree / WORKER)],
             env=self._environment(),
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
