Ask control members again while they miss the check of a taken-up stream

Cause: an entry asks the control members once, for 250 ms, whether the target that continues a stream still has the version that began it. If two of three members missed this one question, the stream was broken off after its head, even if its first event came seconds later and the members replied again by then. The report of the target was asked for twice.

Change: the members are asked again, after pauses of 50 ms and more, for up to 2 s and not beyond the deadline of the request. The first event of the target is held meanwhile, as before.

Before: the new tests failed (in virtual time, two of three members silent for 200 ms). After: they pass for 200 to 1,500 ms; members that never reply end the stream after 2.25 s at most.

--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -348,6 +348,54 @@
     assert took_ms <= 50
 
 
+def check_beside_lost_members(replies_after_ms, **options):
+    """Return whether a stream may continue, whether that is final, and the time.
+
+    Two of three members do not reply until a time has passed.
+    """
+
+    async def main(clock):
+        async def return_later():
+            await clock.sleep_ms(replies_after_ms)
+            members.lost.clear()
+
+        view = FakeView(None)
+        members = Members().start(clock, view)
+        view.members = members.addresses
+        members.lost = set(members.addresses[:2])
+        await curio.spawn(return_later, daemon=True)
+        origins = OriginClient(clock, members, view)
+        checker = ContinuationChecker(origins, Silent(0))
+        row = attrs.evolve(ROW, incarnation=5, software_version="v1")
+        continuation = checker.prepare(ORIGIN, row, **options)
+        await continuation.start()
+        detail = await continuation.mismatch()
+        return detail == "", continuation.is_final, clock.now_ms()
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize("silent_ms", [200, 300, 700, 1_500])
+def test_members_that_reply_late_break_off_no_stream(silent_ms):
+    """Guards against a stream that breaks off as members miss one question.
+
+    A take-up whose target sent its first event after 4.7 s broke off as two of three
+    members had not replied within 250 ms of its request.
+    """
+    may_continue, _, took_ms = check_beside_lost_members(silent_ms)
+    assert may_continue
+    assert took_ms <= silent_ms + 600
+
+
+def test_members_that_never_reply_end_a_stream_in_time():
+    """Guards against a first event that is held for ever, or over its deadline."""
+    assert check_beside_lost_members(10**6)[:2] == (False, True)
+    assert check_beside_lost_members(10**6)[2] <= 2_250
+    may_continue, is_final, took_ms = check_beside_lost_members(10**6, left_ms=400)
+    assert (may_continue, is_final) == (False, True)
+    assert took_ms <= 650
+
+
 def test_check_that_fails_ends_the_attempt():
     """Guards against a stream that waits for, or ends with, a task that failed."""
 
--- a/wagtailrun/relay/placement/continuation.py
+++ b/wagtailrun/relay/placement/continuation.py
@@ -1,7 +1,7 @@
 """Checks that the target that continues a stream has the version that began it."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 import curio
@@ -28,6 +28,11 @@
 REPORT_TIMEOUT_MS = 300
 # A lost packet delays the first report beyond its time limit.
 REPORT_TRIES = 2
+# For how long members are asked again while too few reply; one that was started again
+# serves after about a second. The first event of the target waits meanwhile.
+MEMBERS_TIMEOUT_MS = 2_000
+# Pause before members are asked again; the next one is twice as long.
+MEMBERS_PAUSE_MS = 50
 # Further tries of a process without a descriptor, each after a pause: it has as long as
 # for a target that does not report.
 SHORTAGE_TRIES = REPORT_TRIES * REPORT_TIMEOUT_MS // SHORTAGE_PAUSE_MS
@@ -99,6 +104,7 @@
         checker: Asks the target and the control members.
         origin: Where the stream began.
         row: Target of the attempt.
+        left_ms: What is left of the request's deadline as the attempt begins.
         result: Why the answer may not continue the stream; empty if it may.
         is_final: Whether no other target may continue it either.
         done: Set once the result is known.
@@ -107,6 +113,7 @@
     checker: "ContinuationChecker"
     origin: StreamOrigin
     row: TargetRow
+    left_ms: int = MEMBERS_TIMEOUT_MS
     result: str = "the version of the target could not be checked"
     is_final: bool = False
     done: curio.Event = attrs.field(factory=curio.Event)
@@ -143,17 +150,29 @@
         self.reader = reader
 
     def prepare(
-        self, origin: StreamOrigin | None, row: TargetRow
+        self,
+        origin: StreamOrigin | None,
+        row: TargetRow,
+        left_ms: int = MEMBERS_TIMEOUT_MS,
     ) -> Continuation | None:
-        """Return the check of an attempt; None if it continues nothing."""
-        return Continuation(self, origin, row) if origin is not None else None
+        """Return the check of an attempt; None if it continues nothing.
+
+        Args:
+            origin: Where the stream began, if it did.
+            row: Target of the attempt.
+            left_ms: What is left of the request's deadline, in milliseconds.
+        """
+        if origin is None:
+            return None
+        return Continuation(self, origin, row, left_ms)
 
     async def check(self, continuation: Continuation) -> str:
         """Return why a target may not continue a stream; empty if it may."""
         origin, row = continuation.origin, continuation.row
         names = {row.name, origin.target} - {""}
+        limit_ms = min(continuation.left_ms, MEMBERS_TIMEOUT_MS)
         async with curio.TaskGroup() as group:
-            asked = await group.spawn(self.origins.find_incarnations, sorted(names))
+            asked = await group.spawn(self._find_incarnations, sorted(names), limit_ms)
             read = await group.spawn(self._read_report, row)
         known, report = asked.result, read.result
         if known is None:
@@ -167,6 +186,24 @@
             return f"the target did not report its incarnation: {report.failure}"
         return find_mismatch(origin, row, report.incarnation, known)
 
+    async def _find_incarnations(
+        self, names: Sequence[str], limit_ms: int
+    ) -> dict[str, TargetIncarnation] | None:
+        """Return what the members know of targets; None if too few replied in time.
+
+        Args:
+            names: Names of the targets.
+            limit_ms: For how long members are asked again, in milliseconds.
+        """
+        ends_s = await curio.clock() + limit_ms / MS_PER_SECOND
+        pause_s = MEMBERS_PAUSE_MS / MS_PER_SECOND
+        while True:
+            known = await self.origins.find_incarnations(names)
+            if known is not None or await curio.clock() + pause_s >= ends_s:
+                return known
+            await curio.sleep(pause_s)
+            pause_s *= 2
+
     async def _read_report(self, row: TargetRow) -> _Report:
         failure = ""
         tries = REPORT_TRIES if row.incarnation else 0
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -122,7 +122,8 @@
             sent = _SentAttempt()
             try:
                 resume_id = state.last_sent_id if state.head_sent else None
-                continuation = self.checker.prepare(job.origin, row)
+                left_ms = self.attempts.remaining_ms(job)
+                continuation = self.checker.prepare(job.origin, row, left_ms)
                 on_sent = functools.partial(self._handle_sent, job, continuation, sent)
                 waits_ms = self._head_waits_ms(job, state)
                 async with self.attempts.open(
