soak: a connection that waits as its entry runs out of descriptors is not owed an answer

Cause: a stop without a free descriptor was to answer all requests on connections from before its signal. A connection counts as open for its caller before the entry has accepted it. An entry that the machine does not run for a moment has it in its queue at the signal, and cannot accept it any more.

Change: once the limit is set, the soak asks the kernel (sock_diag) which connections of the process are established and not accepted. Only those are excused beside the ones from after the signal, by their ports; nothing is excused for the time at which a connection was opened. Such a request counts for the share of excused requests, which is bounded as before.

--- a/soak/conductor.py
+++ b/soak/conductor.py
@@ -7,10 +7,12 @@
 
 import curio
 
+from soak.accept_queues import waiting_ports
 from soak.dialect import Dialect, revocable_keys
 from soak.fleet import Fault, Fleet, Role
 from soak.hindrances import Hindrance, make_hindrance
 from soak.records import (
+    BacklogRecord,
     ChangeRecord,
     ExitRecord,
     FaultRecord,
@@ -130,6 +132,8 @@
         began_ms = self.clock.now_ms()
         hindrance = hindrance or Hindrance()
         hindrance.begin(self.fleet, name)
+        if hindrance.has_shortage:
+            self._record_backlog(name)
         signals = []
         if action is not None:
             signals = [(at_ms, signal.SIGHUP) for at_ms in action.reloads_ms]
@@ -149,6 +153,19 @@
             await curio.sleep(WATCH_INTERVAL_S)
         self._record_end(name)
 
+    def _record_backlog(self, name: str) -> None:
+        """Record what a process that has no free descriptor cannot accept."""
+        self.writer.write(
+            BacklogRecord(
+                process=name,
+                pid=self.fleet.pid(name),
+                at_ms=self.clock.now_ms(),
+                ports=waiting_ports(
+                    self.fleet.processes_by_name[name].addresses["caller"]
+                ),
+            )
+        )
+
     async def _replace(self, action: Action) -> None:
         name = action.subject
         others = set(self.fleet.names(Role.CONTROL)) - {name}
--- a/soak/exchange.py
+++ b/soak/exchange.py
@@ -68,6 +68,7 @@
         self.is_routed = is_routed
         self.clock = SystemClock()
         self.sock: Any = None
+        self.port = 0
         self.parser = h11.Connection(h11.CLIENT)
         self.position = 0
         self.connected_ms = 0
@@ -93,6 +94,7 @@
         except (OSError, curio.TaskTimeout):
             return False
         self.connected_ms = self.clock.now_ms()
+        _, self.port = self.sock.getsockname()
         return True
 
     async def close(self) -> None:
@@ -315,6 +317,7 @@
             resumes=plan.resumes,
             after_event=plan.after_event,
             connection=self.number,
+            port=self.port,
             is_routed=self.is_routed,
             position=self.position,
             began_ms=began_ms,
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from soak.records import (
+    BacklogRecord,
     ExitRecord,
     FaultRecord,
     ReadinessRecord,
@@ -90,6 +91,8 @@
     runs: dict[str, list[RunRecord]] = field(factory=lambda: defaultdict(list))
     standstills: list[StandstillRecord] = field(factory=list)
     ready_ms: dict[str, list[int]] = field(factory=lambda: defaultdict(list))
+    # Ports of connections that a process could not accept, by its name and id.
+    backlogs: dict[tuple[str, int], set[int]] = field(factory=lambda: defaultdict(set))
 
     def add(self, record: object) -> None:
         """Add a record, if it is one of these."""
@@ -110,6 +113,8 @@
             self.runs[record.name].append(record)
         elif isinstance(record, StandstillRecord):
             self.standstills.append(record)
+        elif isinstance(record, BacklogRecord):
+            self.backlogs[record.process, record.pid].update(record.ports)
         elif isinstance(record, ReadinessRecord) and record.is_ready:
             self.ready_ms[record.entry].append(record.at_ms)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -165,10 +165,19 @@
         """Return whether an entry without descriptors may not have accepted it."""
         is_unanswered = not (request.position or request.answer_ms)
         return is_unanswered and any(
-            stop.has_shortage and stop.at_ms <= request.connected_ms
+            stop.has_shortage and self._was_not_accepted(request, stop)
             for stop in self._hindered_stops(request)
         )
 
+    def _was_not_accepted(self, request: RequestRecord, stop: SignalRecord) -> bool:
+        """Return whether its process had no descriptor left to accept a connection.
+
+        A process that does not run for a moment accepts connections late, so that some
+        from before the signal may still wait.
+        """
+        backlog = self.history.backlogs[stop.process, stop.pid]
+        return stop.at_ms <= request.connected_ms or request.port in backlog
+
     def _allowed_without_answer(self, request: RequestRecord) -> str:
         if not request.first_byte_ms and request.position:
             return "kept connection closed before the first byte of a request"
--- a/soak/records.py
+++ b/soak/records.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 __all__ = [
+    "BacklogRecord",
     "ChangeRecord",
     "ExitRecord",
     "FaultRecord",
@@ -67,6 +68,7 @@
         is_routed: Whether the entry was in rotation when the connection was opened.
         began_ms: When the caller turned to it, on a connection that may be older.
         connection: Identifier of the connection.
+        port: Port of the caller's end of the connection; 0 if there is none.
         position: Number of requests on the connection before it.
         connected_ms: When the connection was open; 0 if it never was.
         first_byte_ms: When the first byte of the request was handed over; 0 if none.
@@ -97,6 +99,7 @@
     is_routed: bool = False
     began_ms: int = 0
     connection: str = ""
+    port: int = 0
     position: int = 0
     connected_ms: int = 0
     first_byte_ms: int = 0
@@ -159,6 +162,23 @@
     has_shortage: bool = False
 
 
+@define(frozen=True, kw_only=True)
+class BacklogRecord:
+    """Connections that a process had not accepted as its descriptors ran out.
+
+    Attributes:
+        process: Name of the process.
+        pid: Its process id.
+        at_ms: When they were looked for.
+        ports: Ports of the callers' ends.
+    """
+
+    process: str
+    pid: int
+    at_ms: int
+    ports: list[int]
+
+
 @define(frozen=True, kw_only=True)
 class ExitRecord:
     """The end of a process.
@@ -289,6 +309,7 @@
 TYPES_BY_NAME = {
     each.__name__: each
     for each in (
+        BacklogRecord,
         ChangeRecord,
         ExitRecord,
         FaultRecord,
--- a/tests/test_soak_hindrances.py
+++ b/tests/test_soak_hindrances.py
@@ -2,12 +2,16 @@
 
 import resource
 import signal
+import socket
+from contextlib import ExitStack
 
 import pytest
 
+from soak.accept_queues import waiting_ports
 from soak.hindrances import Hindrance, make_hindrance
 from soak.schedule import Action, ActionKind
 from tests.test_soak_faults import SmallFleet, wait_until
+from wagtailrun.ports.link import Address
 
 ENTRY = "front-1"
 FEW = 64
@@ -67,6 +71,25 @@
     made.begin(fleet, ENTRY)
 
 
+def test_connections_that_wait_are_told_from_those_that_were_accepted():
+    """Guards against requests that are owed an answer, or excused, for the other."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_server(("127.0.0.2", listener.getsockname()[1])) as other,
+        ExitStack() as stack,
+    ):
+        address = listener.getsockname()
+        # The client of each but the second still holds its connection.
+        clients = [
+            stack.enter_context(socket.create_connection(address)) for _ in range(4)
+        ]
+        stack.enter_context(socket.create_connection(other.getsockname()))
+        stack.enter_context(listener.accept()[0])
+        clients.pop(1).close()
+        expected = sorted(client.getsockname()[1] for client in clients[1:])
+        assert waiting_ports(Address(*address)) == expected
+
+
 def test_process_is_started_with_few_descriptors(fleet):
     """Guards against entries that have all descriptors, or lose those of the next."""
     fleet.descriptors = {ENTRY: FEW}
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -12,6 +12,7 @@
 from soak.history import History, Limits
 from soak.promises import Judge
 from soak.records import (
+    BacklogRecord,
     ChangeRecord,
     ExitRecord,
     FaultRecord,
@@ -63,6 +64,11 @@
     return attrs.evolve(stop(at_ms), answers_by_ms=7_000, has_shortage=has_shortage)
 
 
+def backlog(*ports, pid=PID):
+    """Return the connections that wait as the descriptors have run out."""
+    return BacklogRecord(process=ENTRY, pid=pid, at_ms=9_005, ports=list(ports))
+
+
 def killed(at_ms):
     return stop(at_ms, signal.SIGKILL, is_planned=False)
 
@@ -143,6 +149,26 @@
         "whole answers",
         [*SHORTAGE, request(connected_ms=8_990)],
     ),
+    "not answered, another connection was not accepted": (
+        "whole answers",
+        [*SHORTAGE, backlog(40_002), request(connected_ms=8_990, port=40_001)],
+    ),
+    "not answered, not accepted by the process before": (
+        "whole answers",
+        [*SHORTAGE, backlog(40_001, pid=6), request(connected_ms=8_990, port=40_001)],
+    ),
+    "not answered on a kept connection from a port that had waited": (
+        "whole answers",
+        [
+            *SHORTAGE,
+            backlog(40_001),
+            request(connected_ms=8_990, port=40_001, position=1),
+        ],
+    ),
+    "not answered, not accepted by a process that had descriptors": (
+        "whole answers",
+        [hindered(9_000), end(16_000), backlog(40_001), request(port=40_001)],
+    ),
     "not answered on a kept connection, without descriptors": (
         "whole answers",
         [*SHORTAGE, request(position=1)],
@@ -261,6 +287,11 @@
         request(sent_ms=13_950, **ENDED_BY_KILL),
     ],
     "not accepted without descriptors": [*SHORTAGE, request()],
+    "not accepted before the descriptors ran out": [
+        *SHORTAGE,
+        backlog(40_001),
+        request(connected_ms=8_990, port=40_001),
+    ],
     "not connected, its entry has no descriptor to say that it stops": [
         *SHORTAGE,
         request(Outcome.NO_CONNECTION, name="", is_routed=True, connected_ms=0),
