Reset a request that crosses the close of its idle connection at once

Cause: in a planned stop a server ends the sending direction of an idle connection, and looks every 10 ms for bytes that came all the same; its client learns from the reset that its request was not received. A request that arrived between the last read and the close was found by the first of these looks, and where the reading had not been ended before (its time limit was over), any later one as well. Until then the client saw the close alone, which does not tell whether its request ran.

Change: both directions are ended in one call, so that the kernel resets what arrives later, and bytes from before are looked for right after it.

--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -1,17 +1,25 @@
 """Tests of what the log tells of connections that a planned stop closes."""
 
+import contextlib
+import socket
+import struct
+
 import curio
 import pytest
+from curio.io import Socket
 
 from tests.test_http_server import GOOD, echo, with_server
 from tests.test_server_close import connect
-from wagtailrun.adapters.closed_connections import WATCH_MS
+from wagtailrun.adapters.closed_connections import WATCH_MS, ClosedConnections
+from wagtailrun.adapters.idle_connections import IdleConnection
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.logs import events
+from wagtailrun.virtual_time import run_virtual
 
 pytestmark = pytest.mark.network
 
 MANY = 40
+TCP_CLOSE = 7
 
 
 def fields_of(logged, event):
@@ -72,6 +80,61 @@
     assert closed["min_idle_ms"] == crossed["idle_ms"]
 
 
+def is_reset(sock):
+    """Return whether the other end has reset a connection."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return struct.unpack("B", info)[0] == TCP_CLOSE
+
+
+@contextlib.contextmanager
+def connected_pair():
+    """Yield both ends of a TCP connection: the server's and the client's."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        server, _ = listener.accept()
+    with server, client:
+        yield server, client
+
+
+async def close_and_send(server, client, late_ms, stops_reading):
+    """Close a connection; its client sends a request before, or some time after.
+
+    Returns:
+        Whether the client has its reset, once no time has passed since.
+    """
+    connection = IdleConnection(Socket(server))
+    if stops_reading:
+        await connection.stop_reading()
+
+    async def close():
+        async with connection.sock:
+            closed = ClosedConnections("server", lambda: True)
+            await closed.close(connection, "client")
+
+    if not late_ms:
+        client.sendall(GOOD)
+    await curio.spawn(close, daemon=True)
+    await curio.sleep(0)
+    if late_ms:
+        await curio.sleep(late_ms / MS_PER_SECOND)
+        client.sendall(GOOD)
+    await curio.sleep(0)
+    return is_reset(client)
+
+
+@pytest.mark.parametrize("stops_reading", [False, True])
+@pytest.mark.parametrize("late_ms", [0, 1])
+def test_request_that_crosses_the_close_is_reset_at_once(late_ms, stops_reading):
+    """Guards against a client that sees the close alone for 10 ms or more.
+
+    It could not tell then that its request was not received. In a soak one arrived just
+    before the close, and was reset 15 ms after it.
+    """
+    with connected_pair() as (server, client):
+        args = (server, client, late_ms, stops_reading)
+        assert run_virtual(lambda clock: close_and_send(*args))
+
+
 @pytest.mark.parametrize("closes", [False, True])
 def test_log_tells_of_no_request_where_the_client_sent_none(closes, logged):
     """Guards against a client's own close that is taken for a request."""
--- a/wagtailrun/adapters/closed_connections.py
+++ b/wagtailrun/adapters/closed_connections.py
@@ -80,14 +80,18 @@
         self.log_rest()
 
     async def _watch(self, sock: curio.io.Socket, peer: str, idle_ms: int) -> None:
-        # The client may have closed the connection at the same time.
+        # The client may have closed the connection at the same time. Without the end of
+        # the reading, bytes that arrive later would be reset after the watch only.
         with suppress(OSError):
-            await sock.shutdown(socket.SHUT_WR)
+            await sock.shutdown(socket.SHUT_RDWR)
         started_s = await curio.clock()
-        for _ in range(WATCH_MS // WATCH_POLL_MS):
-            if not self.has_room():
-                return
-            await curio.sleep(WATCH_POLL_MS / MS_PER_SECOND)
+        for number in range(WATCH_MS // WATCH_POLL_MS + 1):
+            # Bytes from before the close are looked for at once, so that their reset
+            # follows it.
+            if number:
+                if not self.has_room():
+                    return
+                await curio.sleep(WATCH_POLL_MS / MS_PER_SECOND)
             if _was_crossed(sock):
                 after_ms = int((await curio.clock() - started_s) * MS_PER_SECOND)
                 self.crossed += 1
