soak: its load balancer is late by a standstill that came before the connection

Cause: an entry that stops may be out of reach of new connections until the load balancer has noticed that, 800 ms and what the callers stood still while the connection was opened. The load balancer runs in the loop of the callers. Where they stood still after the signal and before the connection, its questions were late all the same.

Change: the longest standstill of the callers since the signal counts. Two new cases hold that a standstill before the signal, or a shorter one, excuses nothing.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -216,7 +216,14 @@
         if not request.is_routed:
             return "no connection, not in rotation"
         stop = self.history.stop_before(request.entry, request.ended_ms)
-        noticed_ms = self.limits.rotation_ms + request.standstill_ms
+        noticed_ms = self.limits.rotation_ms
+        if stop:
+            # The load balancer, which runs with the callers, may have stood still
+            # before the request, too.
+            noticed_ms += max(
+                request.standstill_ms,
+                self.history.standstill_ms("callers", stop.at_ms, request.ended_ms),
+            )
         if stop and stop.has_shortage:
             # Without a descriptor it cannot say that it stops.
             noticed_ms += stop.grace_ms
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -210,6 +210,24 @@
         "whole answers",
         [request(Outcome.NO_CONNECTION, name="", is_routed=True)],
     ),
+    "no connection, the callers stood still before the stop": (
+        "whole answers",
+        [
+            StandstillRecord(loop="callers", at_ms=9_090, lasted_ms=500),
+            stop(9_100),
+            request(Outcome.NO_CONNECTION, name="", is_routed=True, began_ms=10_390),
+            end(16_000),
+        ],
+    ),
+    "no connection, long after the callers stood still": (
+        "whole answers",
+        [
+            stop(9_100),
+            StandstillRecord(loop="callers", at_ms=9_700, lasted_ms=400),
+            request(Outcome.NO_CONNECTION, name="", is_routed=True, began_ms=10_390),
+            end(16_000),
+        ],
+    ),
     "no answer long before a fault": (
         "whole answers",
         [request(), fault(20_000, 21_000, "front-1")],
@@ -330,6 +348,12 @@
         end(15_900),
     ],
     "no connection, pinned": [request(Outcome.NO_CONNECTION, name="")],
+    "no connection, the load balancer of the soak stood still": [
+        stop(9_100),
+        StandstillRecord(loop="callers", at_ms=9_700, lasted_ms=500),
+        request(Outcome.NO_CONNECTION, name="", is_routed=True, began_ms=10_390),
+        end(16_000),
+    ],
     "no connection, just stopped": [
         stop(9_900),
         request(Outcome.NO_CONNECTION, name="", is_routed=True, began_ms=10_400),
