Ask a target again that alone can continue a stream and has not reported

Cause: a target that continues a stream is asked twice for its report, for 300 ms each time. If it stands still for longer, the attempt ends, also where no other target can take over; the stream broke off, though the target sent its first event meanwhile.

Change: where no other target can go on with the stream, the target is asked again until the limit that the members have, 2 s and the deadline of the request. Where another one can, the attempt ends after two questions as before.

Before, a check ended after the second failure in any case. After: one with four failures of 300 ms each passes where the target is alone, and fails within 2 s if the target never reports.

--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -22,6 +22,7 @@
 )
 from tests.test_stream_versions import WHOLE, set_versions
 from wagtailrun.adapters.http_client import HttpReply
+from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery import OriginClient, StreamOrigin
 from wagtailrun.discovery.messages import (
@@ -33,6 +34,7 @@
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import TargetFailed, Verdict
 from wagtailrun.relay.placement.continuation import (
+    REPORT_TIMEOUT_MS,
     Continuation,
     ContinuationChecker,
     IncarnationReader,
@@ -348,6 +350,39 @@
     assert took_ms <= 50
 
 
+@pytest.mark.parametrize(
+    ("failures", "is_alone", "may_continue"),
+    [(4, True, True), (4, False, False), (1_000, True, False)],
+)
+def test_target_that_no_other_can_replace_is_asked_again(
+    failures, is_alone, may_continue
+):
+    """Guards against a stream that breaks off as its target misses two questions.
+
+    A target that stood still for a moment had not reported in time, and sent the first
+    event all the same.
+    """
+
+    class SilentForReports(Silent):
+        """Target that takes the time of the limit for each failure."""
+
+        async def read_incarnation(self, row):
+            if self.failures > 0:
+                await curio.sleep(REPORT_TIMEOUT_MS / MS_PER_SECOND)
+            return await super().read_incarnation(row)
+
+    async def main(clock):
+        checker = ContinuationChecker(Known(), SilentForReports(failures))
+        row = attrs.evolve(ROW, incarnation=5, software_version="v1")
+        continuation = checker.prepare(ORIGIN, row, may_wait=lambda: is_alone)
+        await continuation.start()
+        detail = await continuation.mismatch()
+        assert clock.now_ms() <= 2_000
+        return detail == ""
+
+    assert run_virtual(main) is may_continue
+
+
 def check_beside_lost_members(replies_after_ms, **options):
     """Return whether a stream may continue, whether that is final, and the time.
 
--- a/wagtailrun/relay/placement/continuation.py
+++ b/wagtailrun/relay/placement/continuation.py
@@ -1,7 +1,7 @@
 """Checks that the target that continues a stream has the version that began it."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 import curio
@@ -29,11 +29,12 @@
 REPORT_TIMEOUT_MS = 300
 # A lost packet delays the first report beyond its time limit.
 REPORT_TRIES = 2
-# For how long members are asked again while too few reply; one that was started again
-# serves after about a second. The first event of the target waits meanwhile.
-MEMBERS_TIMEOUT_MS = 2_000
-# Pause before members are asked again; the next one is twice as long.
-MEMBERS_PAUSE_MS = 50
+# For how long members are asked again while too few reply, and a target that no other
+# can replace; a member that was started again serves after about a second. The first
+# event of the target waits meanwhile.
+CHECK_TIMEOUT_MS = 2_000
+# Pause before they are asked again; the next one is twice as long.
+QUESTION_PAUSE_MS = 50
 # Further tries of a process without a descriptor, each after a pause: it has as long as
 # for a target that does not report.
 SHORTAGE_TRIES = REPORT_TRIES * REPORT_TIMEOUT_MS // SHORTAGE_PAUSE_MS
@@ -94,6 +95,32 @@
     failure: str = ""
 
 
+@attrs.define
+class _Pauses:
+    """Pauses before further questions, each twice as long as the one before.
+
+    Attributes:
+        ends_s: When the last question is asked, so that its reply comes in time.
+        next_s: The next pause, in seconds.
+    """
+
+    ends_s: float
+    next_s: float = QUESTION_PAUSE_MS / MS_PER_SECOND
+
+    @classmethod
+    async def until(cls, limit_ms: int) -> "_Pauses":
+        """Return the pauses of questions that are asked for some time from now on."""
+        return cls(await curio.clock() + limit_ms / MS_PER_SECOND)
+
+    async def take(self) -> bool:
+        """Sleep for the next pause; return False at once if there is no time left."""
+        if await curio.clock() + self.next_s > self.ends_s:
+            return False
+        await curio.sleep(self.next_s)
+        self.next_s *= 2
+        return True
+
+
 @attrs.define(eq=False)
 class Continuation:
     """Check of one attempt that continues a stream.
@@ -106,6 +133,7 @@
         origin: Where the stream began.
         row: Target of the attempt.
         left_ms: What is left of the request's deadline as the attempt begins.
+        may_wait: Returns whether no other target can continue the stream.
         result: Why the answer may not continue the stream; empty if it may.
         is_final: Whether no other target may continue it either.
         done: Set once the result is known.
@@ -114,7 +142,8 @@
     checker: "ContinuationChecker"
     origin: StreamOrigin
     row: TargetRow
-    left_ms: int = MEMBERS_TIMEOUT_MS
+    left_ms: int = CHECK_TIMEOUT_MS
+    may_wait: Callable[[], bool] = lambda: False
     result: str = "the version of the target could not be checked"
     is_final: bool = False
     done: curio.Event = attrs.field(factory=curio.Event)
@@ -154,7 +183,8 @@
         self,
         origin: StreamOrigin | None,
         row: TargetRow,
-        left_ms: int = MEMBERS_TIMEOUT_MS,
+        left_ms: int = CHECK_TIMEOUT_MS,
+        may_wait: Callable[[], bool] = lambda: False,
     ) -> Continuation | None:
         """Return the check of an attempt; None if it continues nothing.
 
@@ -162,19 +192,20 @@
             origin: Where the stream began, if it did.
             row: Target of the attempt.
             left_ms: What is left of the request's deadline, in milliseconds.
+            may_wait: Returns whether no other target can continue the stream.
         """
         if origin is None:
             return None
-        return Continuation(self, origin, row, left_ms)
+        return Continuation(self, origin, row, left_ms, may_wait)
 
     async def check(self, continuation: Continuation) -> str:
         """Return why a target may not continue a stream; empty if it may."""
         origin, row = continuation.origin, continuation.row
         names = {row.name, origin.target} - {""}
-        limit_ms = min(continuation.left_ms, MEMBERS_TIMEOUT_MS)
+        limit_ms = min(continuation.left_ms, CHECK_TIMEOUT_MS)
         async with curio.TaskGroup() as group:
             asked = await group.spawn(self._find_incarnations, sorted(names), limit_ms)
-            read = await group.spawn(self._read_report, row)
+            read = await group.spawn(self._read_report, continuation, limit_ms)
         known, report = asked.result, read.result
         if known is None:
             continuation.is_final = True
@@ -196,18 +227,24 @@
             names: Names of the targets.
             limit_ms: For how long members are asked again, in milliseconds.
         """
-        # When the last questions are asked, so that their replies come in time.
-        ends_s = await curio.clock() + (limit_ms - CALL_TIMEOUT_MS) / MS_PER_SECOND
-        pause_s = MEMBERS_PAUSE_MS / MS_PER_SECOND
+        pauses = await _Pauses.until(limit_ms - CALL_TIMEOUT_MS)
         while True:
             known = await self.origins.find_incarnations(names)
-            if known is not None or await curio.clock() + pause_s > ends_s:
+            if known is not None or not await pauses.take():
                 return known
-            await curio.sleep(pause_s)
-            pause_s *= 2
 
-    async def _read_report(self, row: TargetRow) -> _Report:
+    async def _read_report(self, continuation: Continuation, limit_ms: int) -> _Report:
+        """Return the report of a target.
+
+        One that no other target can replace is asked again until the limit.
+
+        Args:
+            continuation: The check.
+            limit_ms: The limit, in milliseconds.
+        """
+        row = continuation.row
         failure = ""
+        pauses = await _Pauses.until(limit_ms - REPORT_TIMEOUT_MS)
         tries = REPORT_TRIES if row.incarnation else 0
         shortage_tries = SHORTAGE_TRIES
         while tries:
@@ -225,6 +262,8 @@
             except TargetFailed as error:
                 failure = str(error)
                 tries -= 1
+                if not tries and continuation.may_wait() and await pauses.take():
+                    tries = 1
         return _Report(failure=failure)
 
 
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -123,7 +123,8 @@
             try:
                 resume_id = state.last_sent_id if state.head_sent else None
                 left_ms = self.attempts.remaining_ms(job)
-                continuation = self.checker.prepare(job.origin, row, left_ms)
+                may_wait = functools.partial(self._may_wait, job)
+                continuation = self.checker.prepare(job.origin, row, left_ms, may_wait)
                 on_sent = functools.partial(self._handle_sent, job, continuation, sent)
                 waits_ms = self._head_waits_ms(job, state)
                 async with self.attempts.open(
