Memory test: the child process limits its memory again

Cause: test_resident_memory_stays_below_that_of_the_machine starts a child that imports the budget from wagtailrun.memory_budget and goes on without a limit if there is no such module. The module is now in wagtailrun.process, so the child ran with the default budget, and the test failed by chance.

Change: the child imports the budget from where it is. What the test asserts is the same.

--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -474,7 +474,7 @@
 
 address, floods, memory_mb = Address.parse(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
 try:
-    from wagtailrun.memory_budget import PROCESS_MEMORY
+    from wagtailrun.process.memory_budget import PROCESS_MEMORY
     PROCESS_MEMORY.set_memory(float(memory_mb))
 except ImportError:
     pass
