HTTP client: the connection gets a module of its own

One half is a single connection with its parser, its limits on late bytes and its memory; the other half is the response as callers see it and the client that picks a connection.

Change: adapters/http_connection.py holds the connection, now HttpConnection, and the constants that only it reads. HttpStream, HttpReply, HttpClient and the names that the client re-exports stay.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -12,12 +12,11 @@
 from demo.processes import free_addresses
 from wagtailrun.adapters import tcp_link
 from wagtailrun.adapters.http_client import (
-    MAX_INTERIM_RESPONSES,
     MAX_REPLY_BYTES,
     HttpClient,
     HttpStream,
-    _Connection,
 )
+from wagtailrun.adapters.http_connection import MAX_INTERIM_RESPONSES, HttpConnection
 from wagtailrun.adapters.http_server import HttpServer, _ServerConnection
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
@@ -92,7 +91,7 @@
 
 def connection(sock, clock):
     """Return a client's connection that waits for a response."""
-    opened = _Connection(sock, clock)
+    opened = HttpConnection(sock, clock)
     opened.request = h11.Request(method="GET", target="/", headers=[("Host", "x")])
     opened.http.send(opened.request)
     opened.http.send(h11.EndOfMessage())
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -4,13 +4,13 @@
 import pytest
 
 from wagtailrun.adapters.http_client import (
-    LATE_WAIT_MS,
     Connector,
     HttpClient,
     OpenConnection,
 )
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
+from wagtailrun.process.late_tasks import LATE_WAIT_MS
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 ADDRESS = Address("10.0.0.1", 80)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -22,8 +22,8 @@
     DirectConnector,
     HttpClient,
     HttpStream,
-    _Connection,
 )
+from wagtailrun.adapters.http_connection import HttpConnection
 from wagtailrun.adapters.http_server import HttpServer, Response, ServerLimits
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.exceptions import TargetFailed, Verdict
@@ -161,7 +161,7 @@
     reasons = []
 
     def open_connection(sock, clock):
-        opened_by_sock[sock] = _Connection(sock, clock, memory=budget)
+        opened_by_sock[sock] = HttpConnection(sock, clock, memory=budget)
         return opened_by_sock[sock]
 
     async def read(clock):
@@ -177,7 +177,7 @@
             for _ in range(40):
                 await group.spawn(read, clock)
 
-    monkeypatch.setattr(test_floods, "_Connection", open_connection)
+    monkeypatch.setattr(test_floods, "HttpConnection", open_connection)
     run_virtual(main)
     assert len(reasons) == 40
     assert budget.peak_bytes <= budget.limit_bytes
