Relay attempts: the selection of targets gets a module of its own

Change: relay/requests/target_selection.py has TargetSelection with the choice of the next target, the call for a placement and the refusals of requests without a target. RelayAttempts owns one as its attribute selection; the front and the streams call it there.

--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -214,7 +214,7 @@
         def paused_ms(address, urgency):
             return max(pauses[0] - handler.clock.now_ms(), 0) if pauses else 0
 
-        handler.attempts.notices.paused_ms = paused_ms
+        handler.attempts.selection.notices.paused_ms = paused_ms
 
     async def client(caller):
         await caller.teach()
--- a/tests/test_next_target.py
+++ b/tests/test_next_target.py
@@ -56,7 +56,7 @@
         )
         request = job(clock, route=route(RouteKind.IDEMPOTENT), work=None)
         request.tried_targets.extend(tried)
-        return await attempts.next_target(request)
+        return await attempts.selection.next_target(request)
 
     chosen = run_virtual(main)
     assert chosen in [row for row in ROWS if row.name not in tried]
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -212,7 +212,7 @@
     """Guards against a request that the process ends while it waits for a target."""
 
     def pause_targets(handler):
-        handler.attempts.notices.paused_ms = lambda address, urgency: 900
+        handler.attempts.selection.notices.paused_ms = lambda address, urgency: 900
 
     def waits(handler, fleet):
         return bool(handler.unanswered_tasks)
@@ -260,7 +260,7 @@
         return Response(200, data(), (echo, SIGNATURE))
 
     def refuse_at_the_head(handler):
-        notices = handler.attempts.notices
+        notices = handler.attempts.selection.notices
         record_answer = notices.record_answer
 
         async def record_and_refuse(*arguments, **options):
--- a/tests/test_result_release.py
+++ b/tests/test_result_release.py
@@ -63,14 +63,14 @@
                 results.unreleased_steps.clear()
                 released_s.append(time.monotonic())
 
-        choose = handler.attempts.next_target
+        choose = handler.attempts.selection.next_target
 
         async def choose_slowly(job):
             await curio.sleep(choice_s)
             return await choose(job)
 
         handler._run_stages = run_stages
-        handler.attempts.next_target = choose_slowly
+        handler.attempts.selection.next_target = choose_slowly
         handler.runner.release_all = release_all
 
     async def client(address, fleet):
--- a/tests/test_silent_carriers_of_requests.py
+++ b/tests/test_silent_carriers_of_requests.py
@@ -53,7 +53,7 @@
         attempts = handlers[0].attempts
         chooser = attempts.chooser
         if options.get("prompt_affinity"):
-            chooser = attempts.placement.host.chooser
+            chooser = attempts.selection.placement.host.chooser
         state = chooser.states_by_name[fleet.rows[0].name]
         return reply, state, chooser.models_by_service["s"]
 
@@ -119,7 +119,7 @@
         attempts = handlers[0].attempts
         chooser = attempts.chooser
         if prompt_affinity:
-            chooser = attempts.placement.host.chooser
+            chooser = attempts.selection.placement.host.chooser
         return reply.status, chooser.states_by_name[fleet.rows[0].name].slowness
 
     status, slowness = run_virtual_relay(
--- a/tests/test_timed_out_attempts.py
+++ b/tests/test_timed_out_attempts.py
@@ -28,7 +28,7 @@
 def record_ends(handler):
     """Return the outcomes of attempts in the order of their reports."""
     ends = []
-    host = handler.attempts.placement.host
+    host = handler.attempts.selection.placement.host
     handle = host.handle
 
     def record(message):
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -1,6 +1,6 @@
 """Attempts of relayed requests at targets: one at a time, retried where allowed."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
 
 import attrs
@@ -14,11 +14,6 @@
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
-from wagtailrun.discovery.quarantine import (
-    CRASHES_TO_HOLD,
-    FIRST_HOLD_MS,
-    digest_part,
-)
 from wagtailrun.exceptions import (
     ConnectFailed,
     ConnectShortage,
@@ -37,13 +32,7 @@
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient
-from wagtailrun.relay.placement_messages import (
-    Placed,
-    PlaceRun,
-    PlaceSize,
-    RunOutcome,
-    RunOver,
-)
+from wagtailrun.relay.placement_messages import RunOutcome
 from wagtailrun.relay.port import (
     AnswerHead,
     AnswerProgress,
@@ -51,8 +40,11 @@
     RelayWire,
 )
 from wagtailrun.relay.requests.attempt_reports import AttemptReports
-from wagtailrun.relay.requests.evacuated_services import evacuated_refusal
 from wagtailrun.relay.requests.request_identity import AnsweredRequests
+from wagtailrun.relay.requests.target_selection import (
+    RETRY_AFTER_MS,
+    TargetSelection,
+)
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
@@ -67,12 +59,6 @@
 OBJECTIVE_SHARE = 1.0
 REMAINING_SHARE = 0.5
 MIN_ATTEMPT_TIMEOUT_MS = 60
-# Retry delay of refusals because no target is usable, the retry budget is exhausted or
-# keys are unconfirmed.
-RETRY_AFTER_MS = 300
-# Retry delay while all targets are in data centres that are away. A cut lasts seconds,
-# and the entry notices its end within a second.
-AWAY_RETRY_MS = 1_500
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -128,16 +114,16 @@
         stop_refusal: Callable[[RelayJob], Refusal | None] = lambda job: None,
     ):
         self.clock = clock
-        self.notices = notices
         self.view = view
         self.wire = wire
         self.http = http
         self.chooser = chooser
-        self.placement = placement
-        self.stop_refusal = stop_refusal
         self.budget = budget
         self.crossed_answers = 0
         self.answered = AnsweredRequests(clock)
+        self.selection = TargetSelection(
+            clock, view, chooser, placement, notices, self.answered, stop_refusal
+        )
         self.reports = AttemptReports(
             clock, http, chooser, placement, self.answered, was_held_since
         )
@@ -146,7 +132,7 @@
         """Return the complete answer of a target, or why there is none."""
         fallback: Response | None = None
         while True:
-            row = await self.next_target(job)
+            row = await self.selection.next_target(job)
             if isinstance(row, Refusal):
                 return fallback or row
             attempt = await self._read_answer_in_time(job, row)
@@ -220,7 +206,8 @@
             job.may_run_again
             and self.budget.has(job.service)
             and any(
-                row.name not in job.tried_targets for row in self._usable_targets(job)
+                row.name not in job.tried_targets
+                for row in self.selection.usable_targets(job)
             )
         )
 
@@ -228,228 +215,6 @@
         """Return the time until the request's deadline; at least 1 ms."""
         return max(job.deadline_at_ms - self.clock.now_ms(), 1)
 
-    async def next_target(self, job: RelayJob) -> TargetRow | Refusal:
-        """Return the target of the next attempt, or why there is none.
-
-        A request whose targets all take no requests now waits for the first of them if
-        it can still meet its latency objective.
-        """
-        while True:
-            refusal = self._send_refusal(job, job.runs) or self.quarantine_refusal(job)
-            if refusal is not None:
-                return refusal
-            row = await self._choose_target(job)
-            if row is not None:
-                return row
-            if job.retry_unreached(self.clock.now_ms()):
-                continue
-            refusal = self.pause_refusal(job)
-            if refusal is not None:
-                return refusal
-            paused_ms = self._soonest_return_ms(job)
-            if paused_ms is None:
-                return self.no_target_refusal(job)
-            # 0 if a pause has ended since the choice.
-            await self.clock.sleep_ms(paused_ms)
-
-    def no_target_refusal(self, job: RelayJob) -> Refusal:
-        """Return the refusal of a request that no target can run, or continue."""
-        refusal = self.away_refusal(job)
-        if refusal is not None:
-            return refusal
-        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-        detail = job.detail or f"no target of {job.service} is known"
-        if job.origin is not None:
-            detail = (
-                f"no target of {job.origin.service} can continue a stream that began "
-                f"at {job.origin.target} with software version "
-                f"{job.origin.software_version!r}"
-            )
-        return Refusal(RefusalReason.NO_TARGET, verdict, detail, RETRY_AFTER_MS)
-
-    def away_refusal(self, job: RelayJob) -> Refusal | None:
-        """Return the refusal of a request whose targets nobody may use, else None.
-
-        They are in data centres that nobody reaches, or that are evacuated.
-        """
-        if self._targets(job):
-            return None
-        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-        service = job.origin.service if job.origin is not None else job.service
-        refusal = evacuated_refusal(self.view, service, verdict)
-        away = self.view.away_data_centres
-        if refusal is not None or not away:
-            return refusal
-        detail = f"no target of {job.service} outside {sorted(away)}, which are away"
-        return Refusal(RefusalReason.NO_TARGET, verdict, detail, AWAY_RETRY_MS)
-
-    def pause_refusal(self, job: RelayJob) -> Refusal | None:
-        """Return the refusal of a request whose targets take no requests now.
-
-        They asked for a pause, or name a limit that is used up.
-
-        Returns:
-            None if one of them may be used, or will be soon enough for the request to
-            meet its latency objective.
-        """
-        paused_ms = self._soonest_return_ms(job)
-        left_ms = job.objective_at_ms - self.clock.now_ms()
-        if paused_ms is not None:
-            if not paused_ms or paused_ms + (job.planned_ms or left_ms // 2) <= left_ms:
-                return None
-        else:
-            # Each target was tried; some may have asked for a pause then.
-            paused = [self._paused_ms(job, row) for row in self._targets(job)]
-            paused_ms = min(filter(None, paused), default=0)
-            if not paused_ms:
-                return None
-        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-        detail = f"no target of {job.service} takes requests for {paused_ms} ms"
-        return Refusal(RefusalReason.OVERLOADED, verdict, detail, paused_ms)
-
-    def _soonest_return_ms(self, job: RelayJob) -> int | None:
-        """Return when the first target that was not tried may be used.
-
-        Returns:
-            Milliseconds, 0 if there is one now, None if all were tried.
-        """
-        rows = self._targets(job)
-        untried = [row for row in rows if row.name not in job.tried_targets]
-        return min((self._paused_ms(job, row) for row in untried), default=None)
-
-    def _paused_ms(self, job: RelayJob, row: TargetRow) -> int:
-        return self.notices.paused_ms(row.address, job.urgency)
-
-    def _usable_targets(self, job: RelayJob) -> list[TargetRow]:
-        """Return the targets that take requests now."""
-        return [row for row in self._targets(job) if not self._paused_ms(job, row)]
-
-    def continue_refusal(self, job: RelayJob) -> Refusal | None:
-        """Return why a stream that a caller takes up cannot go on now, else None."""
-        refusal = self._send_refusal(job, job.runs)
-        if refusal is None and not self._targets(job):
-            return self.no_target_refusal(job)
-        return refusal
-
-    def _targets(self, job: RelayJob) -> list[TargetRow]:
-        """Return the targets that may run a request, or continue its stream."""
-        if job.origin is not None:
-            return self.view.targets_to_continue(job.origin, job.tried_targets)
-        return self.view.targets(job.service)
-
-    def _send_refusal(self, job: RelayJob, runs: int) -> Refusal | None:
-        """Return why a request that was sent ``runs`` times may not be sent now."""
-        verdict = Verdict.MAY_HAVE_RUN if runs else Verdict.NOT_RUN
-        if self.clock.now_ms() >= job.deadline_at_ms:
-            return Refusal(RefusalReason.DEADLINE, verdict, job.detail)
-        if job.origin is not None and self.view.is_out_of_step:
-            detail = (
-                f"this entry last heard of targets {self.view.update_age_ms} ms ago, "
-                "and a stream has to go on at the version that began it"
-            )
-            return Refusal(
-                RefusalReason.ORIGIN_UNKNOWN, verdict, detail, RETRY_AFTER_MS
-            )
-        if job.workspace and not self.view.is_fresh and verdict is Verdict.NOT_RUN:
-            detail = f"keys last confirmed {self.view.confirmation_age_ms} ms ago"
-            return Refusal(
-                RefusalReason.KEYS_UNCONFIRMED, verdict, detail, RETRY_AFTER_MS
-            )
-        return self.stop_refusal(job)
-
-    def quarantine_refusal(self, job: RelayJob) -> Refusal | None:
-        """Return the refusal of a request that is held back, else None."""
-        quarantine = self.view.quarantine
-        if not quarantine.evidence_by_key:
-            return None
-        refusal = self._crashing_request_refusal(job)
-        if refusal is not None or not job.route.prompt_affinity:
-            return refusal
-        status = quarantine.status(digest_part(p.name) for p in job.request.parts[:-1])
-        if not status.held_ms:
-            return None
-        return self.hold_refusal(job, status.held_ms, status.suspects)
-
-    def _crashing_request_refusal(self, job: RelayJob) -> Refusal | None:
-        """Return the refusal of a request under which targets crashed, else None."""
-        held_ms = self.view.quarantine.request_held_ms(job.digest)
-        if job.crashes >= CRASHES_TO_HOLD:
-            held_ms = max(held_ms, FIRST_HOLD_MS)
-        elif held_ms and self.answered.includes(job.digest):
-            # It ran beside the cause of the crashes; others learn of it.
-            self.view.quarantine.clear(job.digest, self.clock.now_ms())
-            return None
-        if not held_ms:
-            return None
-        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-        detail = f"targets crashed under this request (digest {job.digest})"
-        return Refusal(RefusalReason.QUARANTINED_REQUEST, verdict, detail, held_ms)
-
-    def hold_refusal(
-        self, job: RelayJob, held_ms: int, held_parts: Collection[str]
-    ) -> Refusal:
-        """Return the refusal of a prompt that the quarantine holds back.
-
-        Args:
-            job: Request.
-            held_ms: How long it is held back.
-            held_parts: Digests of the parts that explain crashes; empty if another
-                prompt with one of its parts is tried first.
-        """
-        detail = "a prompt with a part that may crash engines is tried first"
-        if held_parts:
-            names = [part.name for part in job.request.parts]
-            names = [name for name in names if digest_part(name) in held_parts]
-            detail = f"engines crashed under prompts with the parts {names}"
-        verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
-        return Refusal(RefusalReason.QUARANTINED, verdict, detail, held_ms)
-
-    async def _choose_target(self, job: RelayJob) -> TargetRow | Refusal | None:
-        if not job.route.prompt_affinity:
-            return self.chooser.choose(self._usable_targets(job), job.tried_targets)
-        placed = await self.place(job, begin=True)
-        # Targets may have left while the owner chose.
-        rows = self._usable_targets(job)
-        job.placed_ms = placed.expected_ms
-        if placed.held_ms:
-            return self.hold_refusal(job, placed.held_ms, placed.held_parts)
-        for row in rows:
-            if row.name == placed.target:
-                return row
-        if placed.target:
-            # The owner chose a target that this entry does not know, because one of the
-            # two has not received an update yet.
-            await self.placement.report_end(
-                RunOver(
-                    job.request.request_id, job.service, placed.target, RunOutcome.OVER
-                )
-            )
-        return self.chooser.choose(rows, job.tried_targets)
-
-    async def place(self, job: RelayJob, *, begin: bool) -> Placed:
-        """Return the engine of the next attempt.
-
-        Args:
-            job: Request.
-            begin: Whether the attempt starts now; otherwise nothing is recorded.
-        """
-        sizes = job.result_bytes()
-        rows = self._targets(job)
-        paused = [row.name for row in rows if self._paused_ms(job, row)]
-        return await self.placement.place(
-            PlaceRun(
-                request_id=job.request.request_id,
-                service=job.service,
-                parts=job.request.parts,
-                prompt_tokens=job.request.prompt_tokens,
-                avoid=(*job.tried_targets, *paused),
-                results=tuple(PlaceSize(*item) for item in sorted(sizes.items())),
-                begin=begin,
-                route=job.route.name,
-                software_version=job.origin.software_version if job.origin else "",
-            )
-        )
-
     def _attempt_timeout_ms(self, job: RelayJob) -> int:
         """Return after which time of an attempt another one may follow."""
         left_ms = self.remaining_ms(job)
@@ -543,7 +308,7 @@
 
     def _may_send(self, job: RelayJob, row: TargetRow) -> bool:
         """Return whether a request may be sent on a connection that is open by now."""
-        if self._send_refusal(job, job.runs) is not None:
+        if self.selection.send_refusal(job, job.runs) is not None:
             return False
         if job.origin is not None:
             may_send = self.view.may_continue_at(row)
@@ -622,7 +387,7 @@
             # Nothing was sent, so the target may be tried when it takes requests again.
             job.tried_targets.remove(row.name)
             await self.reports.record_end(job, row, RunOutcome.OVER)
-            return self._send_refusal(job, job.runs)
+            return self.selection.send_refusal(job, job.runs)
         if isinstance(error, VersionMismatch):
             # The target is sound; its answer does not fit this stream.
             await self.reports.record_end(job, row, RunOutcome.OVER)
@@ -652,7 +417,7 @@
         await self.reports.record_end(job, row, RunOutcome.OVER)
         if job.streaming:
             await self.clock.sleep_ms(SHORTAGE_PAUSE_MS)
-            return self._send_refusal(job, job.runs)
+            return self.selection.send_refusal(job, job.runs)
         verdict = Verdict.MAY_HAVE_RUN if job.runs else Verdict.NOT_RUN
         return Refusal(
             RefusalReason.OVERLOADED, verdict, job.detail, error.retry_after_ms
@@ -681,7 +446,7 @@
                 rejection = RunOutcome.MISDIRECTED
             await self.reports.record_end(job, row, rejection, load=head.load)
             return self._spend_retry(job)
-        paused = self._paused_ms(job, row) > 0
+        paused = self.selection.paused_ms(job, row) > 0
         failed = head.status >= 500 and not paused or not head.genuine
         outcome = RunOutcome.FAILED if failed else RunOutcome.OVER
         await self.reports.record_end(job, row, outcome, load=head.load)
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -358,7 +358,7 @@
                 ORIGIN_RETRY_MS if found.may_be_found_later else 0,
             )
         job.origin, job.service = origin, origin.service
-        return self.attempts.continue_refusal(job)
+        return self.attempts.selection.continue_refusal(job)
 
     # Stages
 
@@ -403,15 +403,17 @@
         Returns:
             A refusal if the prompt is held back, else None.
         """
-        refusal = self.attempts.quarantine_refusal(job)
-        refusal = refusal or self.attempts.pause_refusal(job)
-        refusal = refusal or self.attempts.away_refusal(job)
+        refusal = self.attempts.selection.quarantine_refusal(job)
+        refusal = refusal or self.attempts.selection.pause_refusal(job)
+        refusal = refusal or self.attempts.selection.away_refusal(job)
         refusal = refusal or stage_refusal(self.view, job)
         if refusal is not None:
             return refusal
-        placed = await self.attempts.place(job, begin=False)
+        placed = await self.attempts.selection.place(job, begin=False)
         if placed.held_ms:
-            return self.attempts.hold_refusal(job, placed.held_ms, placed.held_parts)
+            return self.attempts.selection.hold_refusal(
+                job, placed.held_ms, placed.held_parts
+            )
         if not placed.target:
             # No engine is known yet. The stages run meanwhile; the request is refused
             # after them if there is still no engine.
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -114,7 +114,7 @@
         """
         state = _StreamState(job.request.last_event_id)
         while True:
-            row = await self.attempts.next_target(job)
+            row = await self.attempts.selection.next_target(job)
             if isinstance(row, Refusal):
                 yield self._end_without_stream(job, state, row)
                 return
