Fleet view: control members and versions of streams get modules of their own

Beside what an entry believes about the fleet it held which control member is called next, and which streams need a record of their version.

Change: discovery/control_members.py has ControlMembers, with the ranking of the members, their avoidance and the calls to them. discovery/stream_versions.py has StreamVersions, with needs_record and single_version. FleetView owns one of each, and keeps ranked_members. Tests follow the names; what they assert is the same.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -306,7 +306,9 @@
         await clock.sleep_ms(1_500)
         assert view.is_fresh
         assert [row.name for row in view.targets("s")] == ["t1"]
-        assert set(view.members) == {n.address for n in controls.cluster.nodes}
+        assert set(view.control_members.addresses) == {
+            n.address for n in controls.cluster.nodes
+        }
 
     run(scenario)
 
@@ -747,7 +749,7 @@
 
 def age_versions(view):
     """Let a view have known the versions of targets for as long as a record lasts."""
-    view.versions_since_ms -= ORIGIN_LIFETIME_MS
+    view.versions.known_since_ms -= ORIGIN_LIFETIME_MS
 
 
 @pytest.mark.parametrize(
@@ -786,7 +788,7 @@
                 other = attrs.evolve(other, software_version="v2")
                 await controls.hubs[0].report(other)
         await clock.sleep_ms(500)
-        return view.needs_record(origin)
+        return view.versions.needs_record(origin)
 
     assert run(scenario) == (fault != "none")
 
--- a/tests/test_peer_shortage.py
+++ b/tests/test_peer_shortage.py
@@ -88,7 +88,12 @@
         controls.network.short.clear()
         await clock.sleep_ms(500)
         lost = EVENT_LOG.counts_by_number.get(PEER_LOST.number, 0) - lost
-        return controls.network.refused, dict(view.avoid_until_ms), view.is_fresh, lost
+        return (
+            controls.network.refused,
+            dict(view.control_members.avoid_until_ms),
+            view.is_fresh,
+            lost,
+        )
 
     refused, avoided, is_fresh, lost = run_virtual(main)
     assert refused
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -3,6 +3,7 @@
 import inspect
 import re
 import time
+import types
 
 import attrs
 import curio
@@ -71,13 +72,13 @@
     members: list = attrs.field(factory=list)
     away_data_centres: frozenset = frozenset()
     evacuations: EvacuationView = attrs.field(factory=EvacuationView)
+    versions: types.SimpleNamespace = types.SimpleNamespace(
+        needs_record=lambda origin: True
+    )
 
     def ranked_members(self):
         return self.members
 
-    def needs_record(self, origin):
-        return True
-
     def targets(self, service):
         away = self.away_data_centres | self.evacuations.data_centres
         rows = [row for row in self.rows if not row.leaving]
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -179,9 +179,9 @@
     own = EntryRow("front-1", Address("10.1.0.41", 7740), "riverside", 1)
     seeds = []
     view = FleetView(clock, None, own, lambda: seeds, None, 5_000, 2_500)
-    assert view._pick_member() is None
+    assert view.control_members.pick() is None
     seeds.append(Address("10.1.0.1", 7740))
-    assert view._pick_member() == seeds[0]
+    assert view.control_members.pick() == seeds[0]
 
 
 ROUTE = {
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -136,7 +136,7 @@
         entry.owners.exclude(peer, "test")
         entry.owners.owner(row.service)
         entry.connector.carriers._avoid(peer, row.address, "test")
-        entry.view._avoid(row.address, "test")
+        entry.view.control_members.avoid(row.address, "test")
         await entry.origins._send(row.address, None)
         entry.link._record_reply(peer.address)
         entry.notices._pause(row, 100)
--- a/wagtailrun/discovery/origin_client.py
+++ b/wagtailrun/discovery/origin_client.py
@@ -111,7 +111,7 @@
         """
         now_ms = self.clock.now_ms()
         begun = [_Begun(key, origin, now_ms) for key in keys]
-        if self.view.needs_record(origin):
+        if self.view.versions.needs_record(origin):
             self._add_pending(begun)
         else:
             kind = (origin.service, origin.software_version)
@@ -125,7 +125,7 @@
             while streams and streams[0].began_ms <= oldest_ms:
                 streams.popleft()
             service, software_version = kind
-            is_due = self.view.single_version(service) != software_version
+            is_due = self.view.versions.single_version(service) != software_version
             due = len(streams) if is_due else len(streams) - MAX_UNRECORDED
             self._add_pending([streams.popleft() for _ in range(due)])
             if not streams:
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -1,14 +1,14 @@
 """Discovery at an entry: fleet configuration, targets and the other entries."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
-from typing import Any, TypeVar
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 import curio
 
-from wagtailrun.clock import Clock, drop_expired
+from wagtailrun.clock import Clock
 from wagtailrun.consensus.state import Signal
 from wagtailrun.discovery.configuration import ConfigurationFormat
+from wagtailrun.discovery.control_members import RETRY_PAUSE_MS, ControlMembers
 from wagtailrun.discovery.entry_reports import EntryReports, Report
 from wagtailrun.discovery.evacuations import EvacuationView
 from wagtailrun.discovery.messages import (
@@ -21,12 +21,11 @@
     StreamOrigin,
 )
 from wagtailrun.discovery.quarantine import Quarantine
-from wagtailrun.discovery.stream_origins import ORIGIN_LIFETIME_MS
+from wagtailrun.discovery.stream_versions import StreamVersions
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import MAX_PART_BYTES, ConfigurationTransfer
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow, Health
-from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.process.supervisor import supervise
@@ -45,15 +44,7 @@
 PART_TIMEOUT_MS = 1_000
 MIN_PART_BYTES = 512
 REPORT_TIMEOUT_MS = 500
-# A member that cannot reach the leader is avoided for this long.
-AVOIDANCE_MS = 1_000
-# A member that does not reply is avoided for longer than it takes to try three, or dead
-# members would be tried in turn and never a live one. Each failure doubles the time.
-FAILURE_AVOIDANCE_MS = 3_000
-MAX_AVOIDANCE_MS = 24_000
-RETRY_PAUSE_MS = 50
 NO_MEMBER_PAUSE_MS = 500
-MAX_ADDRESSES = 64
 # Revisions whose polls are remembered until the entry has applied them.
 MAX_PENDING_CONFIRMATIONS = 64
 MAX_FAULT_CHARACTERS = 200
@@ -65,8 +56,6 @@
 # may learn late that a target drains, and what it sends must arrive in time.
 SAFE_DRAIN_SHARE = 0.5
 
-T = TypeVar("T")
-
 
 class FleetView:
     """View of the fleet that one entry keeps up to date.
@@ -96,7 +85,6 @@
         self.clock = clock
         self.link = link
         self.own_row = own
-        self.seeds = seeds
         self.configuration_format = configuration_format
         self.key_grace_ms = key_grace_ms
         self.apply_limit_ms = apply_limit_ms
@@ -123,9 +111,7 @@
         self.unreadable_revision = 0
         self.unreadable_detail = ""
         self.marks = NewsMarks()
-        # Since when the updates are of one incarnation of a control member that
-        # remembers the versions of targets; None if it does not.
-        self.versions_since_ms: int | None = None
+        self.versions = StreamVersions(clock, self.membership, lambda: self.is_fresh)
         self.newer_revision_known = Signal()
         self.quarantine = Quarantine(clock)
         self.limits = TargetLimits(clock)
@@ -136,11 +122,7 @@
             self.quarantine,
             self.limits,
         )
-        self.members: list[Address] = []
-        self.avoid_until_ms: dict[Address, int] = {}
-        # Consecutive failures of each member that was not reached since.
-        self.failures_by_address: dict[Address, int] = {}
-        self.current_member: Address | None = None
+        self.control_members = ControlMembers(clock, link, own.name, seeds)
         # When the newest confirmed poll was sent, on the clock of this entry.
         self.confirmed_ms: int | None = None
         # The same for polls that told of a revision that is not applied yet.
@@ -294,42 +276,6 @@
             limit_ms = self.target_drain_ms * SAFE_DRAIN_SHARE
             self.drain_ends_ms_by_name[row.name] = self.confirmed_ms + limit_ms
 
-    def single_version(self, service: str) -> str:
-        """Return the only version that may have begun a stream within the last 90 s.
-
-        Control members then know the version of each stream without a record, as long
-        as they are not restarted.
-
-        Returns:
-            Empty if there are several, or they are not known for long enough.
-        """
-        now_ms = self.clock.now_ms()
-        since_ms = self.versions_since_ms
-        if since_ms is None or now_ms - since_ms < ORIGIN_LIFETIME_MS:
-            return ""
-        versions = self.membership.versions_since(service, now_ms - ORIGIN_LIFETIME_MS)
-        # A target without changes has sent no newer row.
-        rows = self.membership.rows_by_service.get(service, {}).values()
-        versions.update(row.software_version for row in rows if not row.leaving)
-        return versions.pop() if len(versions) == 1 else ""
-
-    def needs_record(self, origin: StreamOrigin) -> bool:
-        """Return whether members need a record of a stream that has just begun.
-
-        They need none if its version is the only one and they have had contact with its
-        target within the last seconds, so that they remember it for as long as a
-        record.
-        """
-        row = self.membership.targets_by_name.get(origin.target)
-        is_in_contact = (
-            self.is_fresh
-            and row is not None
-            and not row.silent
-            and row.incarnation == origin.incarnation
-        )
-        version = self.single_version(origin.service)
-        return not (is_in_contact and version and version == origin.software_version)
-
     def has_new_version(self, row: TargetRow) -> bool:
         """Return whether a target was started again with another software version."""
         known = self.membership.targets_by_name.get(row.name, row)
@@ -383,7 +329,7 @@
                 del self.rows_by_address[address]
         for name in self.drain_ends_ms_by_name.keys() - known:
             del self.drain_ends_ms_by_name[name]
-        drop_expired(self.avoid_until_ms, now_ms)
+        self.control_members.drop_gone()
 
     def _renew_contacts(self, now_ms: int) -> None:
         """Count the time until a row is dropped from when it was last of use.
@@ -429,51 +375,38 @@
             ):
                 await group.spawn(supervise, task.__qualname__, task)
 
+    def ranked_members(self) -> list[Address]:
+        """Return the control members in this entry's own order, preferred ones first.
+
+        Until a member has named them all, they are the configured seeds.
+        """
+        return self.control_members.ranked()
+
     async def _poll_members(self) -> None:
         while True:
-            address = self._pick_member()
+            address = self.control_members.pick()
             if address is None:
                 # The settings name no control member yet; they are read again.
                 await self.clock.sleep_ms(NO_MEMBER_PAUSE_MS)
                 continue
             sent_ms = self.clock.now_ms()
             poll = PollNews(self.own_row, self.marks, POLL_WAIT_MS)
-            news = await self._call(address, poll, POLL_WAIT_MS + POLL_SLACK_MS, News)
+            news = await self.control_members.call(
+                address, poll, POLL_WAIT_MS + POLL_SLACK_MS, News
+            )
             if news is None:
                 continue
-            self._record_member(address, news.confirmed)
+            self.control_members.record_reply(address, news.confirmed)
             await self._apply_update(news)
             self.updated_ms = sent_ms
             if news.confirmed:
                 self._record_confirmation(news.marks.revision, sent_ms)
 
-    async def _call(
-        self, address: Address, message: Any, timeout_ms: int, reply_class: type[T]
-    ) -> T | None:
-        """Return the reply of a control member; without one, avoid it and pause."""
-        try:
-            reply = await self.link.call(address, message, timeout_ms)
-        except PeerUnreachable as error:
-            if error.shortage:
-                await self.clock.sleep_ms(RETRY_PAUSE_MS)
-                return None
-            detail = str(error)
-        else:
-            if isinstance(reply, reply_class):
-                return reply
-            detail = (
-                f"expected {reply_class.__name__} in reply to "
-                f"{type(message).__name__}, got {type(reply).__name__}"
-            )
-        self._avoid(address, detail)
-        await self.clock.sleep_ms(RETRY_PAUSE_MS)
-        return None
-
     async def announce_stop(self) -> None:
         """Tell a control member that this entry accepts no more work."""
         self.own_row = attrs.evolve(self.own_row, health=Health.DEAD)
         poll = PollNews(self.own_row, self.marks, 0)
-        address = self._pick_member()
+        address = self.control_members.pick()
         if address is None:
             return
         try:
@@ -482,52 +415,6 @@
             # Not retried: the control members drop an entry that stops polling.
             events.log(events.PEER_LOST, peer="control", detail=str(error))
 
-    def _pick_member(self) -> Address | None:
-        """Return the member to poll; None if no member is known.
-
-        Each entry has its own ranking of the members and uses the first one that is not
-        avoided. If all are avoided, it uses the one whose avoidance ends first.
-        """
-        now_ms = self.clock.now_ms()
-        addresses = self._rank_addresses([*self.members, *self.seeds()])
-        return min(addresses, key=lambda a: self._avoided_ms(a, now_ms), default=None)
-
-    def ranked_members(self) -> list[Address]:
-        """Return the control members in this entry's own order, preferred ones first.
-
-        Until a member has named them all, they are the configured seeds.
-        """
-        now_ms = self.clock.now_ms()
-        addresses = self._rank_addresses(self.members or self.seeds())
-        return sorted(addresses, key=lambda a: self._avoided_ms(a, now_ms))
-
-    def _rank_addresses(self, addresses: Iterable[Address]) -> list[Address]:
-        known = {str(address): address for address in addresses}
-        ranked = rendezvous(self.own_row.name, known, MAX_ADDRESSES)
-        return [known[text] for text in ranked]
-
-    def _avoided_ms(self, address: Address, now_ms: int) -> int:
-        return max(self.avoid_until_ms.get(address, 0) - now_ms, 0)
-
-    def _avoid(self, address: Address, detail: str) -> None:
-        failures = self.failures_by_address.pop(address, 0)
-        if len(self.failures_by_address) >= MAX_ADDRESSES:
-            self.failures_by_address.clear()
-        self.failures_by_address[address] = failures + 1
-        avoid_ms = min(FAILURE_AVOIDANCE_MS << failures, MAX_AVOIDANCE_MS)
-        self.avoid_until_ms[address] = self.clock.now_ms() + avoid_ms
-        if self.current_member is not None:
-            self.current_member = None
-            events.log(events.PEER_LOST, peer=str(address), detail=detail)
-
-    def _record_member(self, address: Address, confirmed: bool) -> None:
-        self.failures_by_address.pop(address, None)
-        if not confirmed:
-            self.avoid_until_ms[address] = self.clock.now_ms() + AVOIDANCE_MS
-        elif address != self.current_member:
-            events.log(events.PEER_RECOVERED, peer=str(address), detail="")
-            self.current_member = address
-
     async def _apply_update(self, news: News) -> None:
         for aged in news.targets:
             self._record_draining(aged.row)
@@ -537,7 +424,7 @@
         if news.entries:
             self.entries = tuple({row.name: row for row in news.entries}.values())
         if news.members:
-            self._set_members(news.members)
+            self.control_members.set_addresses(news.members)
         if news.text and news.marks.revision > self.revision:
             # Sent by a member of an earlier version, which knows no transfers.
             await self._apply_configuration(
@@ -546,29 +433,13 @@
         self.quarantine.merge(news.crashes)
         self.limits.merge(news.limits)
         is_new_member = news.marks.epoch != self.marks.epoch
-        if not news.remembers_versions:
-            self.versions_since_ms = None
-        elif is_new_member or self.versions_since_ms is None:
-            self.versions_since_ms = self.clock.now_ms()
+        self.versions.record_reply(news.remembers_versions, is_new_member)
         self.marks = self.evacuations.apply(news)
         # Another member, or one that was restarted and may know nothing.
         await self.reports.request(to_new_member=is_new_member)
         if self._lacks_newest:
             await self.newer_revision_known.notify()
 
-    def _set_members(self, texts: Sequence[str]) -> None:
-        """Use these control members; those whose address cannot be read are left out.
-
-        Without any that can be read, the known ones stay.
-        """
-        members = []
-        for text in texts:
-            try:
-                members.append(Address.parse(text))
-            except ValueError as error:
-                events.log(events.PEER_LOST, peer=text, detail=str(error))
-        self.members = members or self.members
-
     def _record_confirmation(self, revision: int, sent_ms: int) -> None:
         """Record that ``revision`` was the newest one after ``sent_ms``.
 
@@ -597,11 +468,13 @@
         await self.reports.finish()
 
     async def _send_report(self, report: Report) -> bool:
-        address = self._pick_member()
+        address = self.control_members.pick()
         if address is None:
             await self.clock.sleep_ms(NO_MEMBER_PAUSE_MS)
             return False
-        reply = await self._call(address, report, REPORT_TIMEOUT_MS, RowsTaken)
+        reply = await self.control_members.call(
+            address, report, REPORT_TIMEOUT_MS, RowsTaken
+        )
         return reply is not None
 
     # Configuration
@@ -628,21 +501,23 @@
         limit = MAX_PART_BYTES
         started_ms = self.clock.now_ms()
         while not transfer.is_complete:
-            address = self._pick_member()
+            address = self.control_members.pick()
             if address is None:
                 await self.clock.sleep_ms(NO_MEMBER_PAUSE_MS)
                 continue
             request = FetchConfiguration(
                 self.text_revision, transfer.identity, len(transfer.data), limit
             )
-            part = await self._call(
+            part = await self.control_members.call(
                 address, request, PART_TIMEOUT_MS, ConfigurationPart
             )
             if part is None:
                 limit = max(limit // 2, MIN_PART_BYTES)
                 self._log_late(transfer, f"no part from {address}")
             elif not part.size or part.revision <= self.unread_revision:
-                self._avoid(address, f"it has no revision after {part.revision}")
+                self.control_members.avoid(
+                    address, f"it has no revision after {part.revision}"
+                )
                 await self.clock.sleep_ms(RETRY_PAUSE_MS)
             else:
                 try:
