Log events: the log that writes them gets a module of its own

Change: logs/event_log.py has Event, EventLog and the registry; logs/events.py keeps the catalogue and log(), and re-exports the names that others import. The catalogue stays one file: a module for each area would need every name twice more, in an import and in __all__, for each event that is added.

--- a/wagtailrun/logs/daemon_log.py
+++ b/wagtailrun/logs/daemon_log.py
@@ -11,7 +11,7 @@
 from absl import logging as absl_logging
 
 from wagtailrun.logs import events
-from wagtailrun.logs.events import EVENT_LOG, MAX_LINE_LENGTH
+from wagtailrun.logs.event_log import EVENT_LOG, MAX_LINE_LENGTH
 from wagtailrun.logs.line_writer import LineWriter
 
 __all__ = ["start_absl_lines", "start_json_lines"]
