Hub: the confirmation of polls gets a module of its own

Cause: discovery/hub.py had 609 lines, among them the queue of polls that wait for a read barrier, which uses nothing of the rest.

Change: discovery/poll_confirmations.py has PollConfirmations with that queue and its task. Should the task fail, event 627 names it PollConfirmations.run, not Hub._confirm_polls any more.

--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -26,12 +26,13 @@
     RowsTaken,
     ShareRows,
 )
+from wagtailrun.discovery.poll_confirmations import PollConfirmations
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.discovery.shared_versions import SharedVersions
 from wagtailrun.discovery.stream_origins import StreamOrigins
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import ConfigurationHistory
-from wagtailrun.exceptions import ConsensusUnavailable, MessageError, PeerUnreachable
+from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
@@ -55,7 +56,6 @@
 # An entry that did not poll for this long is dropped. Entries poll about three times a
 # second.
 ENTRY_TIMEOUT_MS = 2_000
-CONFIRM_TIMEOUT_MS = 400
 CLEANUP_INTERVAL_MS = 60_000
 # Address of a target that left and whose other fields are unknown here.
 UNKNOWN_ADDRESS = Address("0.0.0.0", 1)
@@ -140,8 +140,7 @@
         self.places.record(data_centre)
         self.changed = Signal()
         self.share_requested = Signal()
-        self.pending_confirmations: list[tuple[curio.Event, list[bool]]] = []
-        self.confirmation_requested = curio.Event()
+        self.confirmations = PollConfirmations(member)
 
     async def run(self) -> None:
         """Share reports, check liveness and confirm polls until cancelled."""
@@ -149,7 +148,7 @@
             for task in (
                 self._share_reports,
                 self._check_liveness,
-                self._confirm_polls,
+                self.confirmations.run,
                 self._watch_configuration,
             ):
                 await group.spawn(supervise, task.__qualname__, task)
@@ -269,7 +268,7 @@
             if wait_ms <= 0:
                 break
             await curio.ignore_after(wait_ms / MS_PER_SECOND, self.changed.wait)
-        confirmed = await self._await_confirmation()
+        confirmed = await self.confirmations.request()
         # A member that starts again has no configuration until its log is applied.
         confirmed = (
             confirmed
@@ -354,32 +353,6 @@
         if names:
             await self.changed.notify()
 
-    async def _await_confirmation(self) -> bool:
-        """Return whether the leader confirmed the local state after this call began."""
-        done, result = curio.Event(), [False]
-        self.pending_confirmations.append((done, result))
-        await self.confirmation_requested.set()
-        await done.wait()
-        return result[0]
-
-    async def _confirm_polls(self) -> None:
-        """Confirm all waiting polls with one read barrier at the leader."""
-        while True:
-            await self.confirmation_requested.wait()
-            self.confirmation_requested.clear()
-            # Polls that arrive from here on wait for the next read barrier, because a
-            # barrier that started before their arrival does not confirm them.
-            waiting, self.pending_confirmations = self.pending_confirmations, []
-            try:
-                await self.member().read_barrier(CONFIRM_TIMEOUT_MS)
-                confirmed = True
-            except ConsensusUnavailable as error:
-                confirmed = False
-                events.log(events.CONFIG_NOT_CONFIRMED, detail=str(error))
-            for done, result in waiting:
-                result[0] = confirmed
-                await done.set()
-
     async def _watch_configuration(self) -> None:
         revision = evacuations_version = 0
         while True:
