Command line: the daemon commands and the exit codes get modules of their own

Change: cli/daemon_command.py has make_daemon_command, cli/exit_codes.py the exit codes and describe_error, and cli/output.py printable_lines. A test imports EXIT_USAGE from where it is now.

--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -19,7 +19,7 @@
 from tests.test_late_signal_processes import GRACE_S, HALF, connect
 from tests.test_process_exit import PIPE_BYTES
 from tests.test_start import PLAIN, ROOT, render
-from wagtailrun.cli.commands import EXIT_USAGE
+from wagtailrun.cli.exit_codes import EXIT_USAGE
 from wagtailrun.logs.events import LIBRARY_REPORT
 
 pytestmark = pytest.mark.network
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -2,13 +2,10 @@
 
 import hashlib
 import importlib
-import inspect
 import json
 import logging as std_logging
 import sys
-from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 from urllib.parse import urlencode
 
 import attrs
@@ -16,25 +13,22 @@
 import defopt
 from absl import flags, logging
 
-from wagtailrun.cli.client import Answer, NoAnswer, OperatorClient
+from wagtailrun.cli.client import Answer, OperatorClient
+from wagtailrun.cli.daemon_command import make_daemon_command
+from wagtailrun.cli.exit_codes import (
+    EXIT_INTERRUPTED,
+    EXIT_REFUSED,
+    EXIT_SUCCESS,
+    describe_error,
+)
 from wagtailrun.cli.explain import lines_of_request
-from wagtailrun.cli.output import print_json, print_rows, printable
-from wagtailrun.clock import SystemClock
-from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
+from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
+from wagtailrun.exceptions import FleetTextError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.logs.daemon_log import start_absl_lines
-from wagtailrun.logs.events import EVENT_LOG
-from wagtailrun.process.loop_watch import LoopWatch
-from wagtailrun.process.process_exit import (
-    exit_with_fault,
-    exit_with_message,
-    run_then_exit,
-)
 from wagtailrun.registry.audit import verify_chain
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
 from wagtailrun.settings import (
-    FILE_SUFFIX,
     ClientSettings,
     ControlSettings,
     EntrySettings,
@@ -43,94 +37,13 @@
 
 __all__ = ["main"]
 
-EXIT_SUCCESS = 0
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-# Exit code that shells report for a process ended by SIGINT.
-EXIT_INTERRUPTED = 130
 MAX_TEXT_BYTES = 4 * 1024 * 1024
 
 
-def _make_daemon_command(
-    name: str, cls: type, module: str, summary: str
-) -> Callable[..., int]:
-    """Return the command that runs a daemon, with one flag for each setting.
-
-    Args:
-        name: Name of the command.
-        cls: Settings class.
-        module: Module that defines ``run_<name>``.
-        summary: First line of the help.
-    """
-
-    def command(*, print_settings: bool = False, **flags: str | None) -> int:
-        loaded = load_settings(cls, flags)
-        if print_settings:
-            print("\n".join(loaded.lines()))
-            return EXIT_SUCCESS
-        try:
-            return run_daemon(loaded.settings)
-        except (WagtailrunError, OSError) as error:
-            exit_with_message(*_describe_error(error))
-        except Exception:
-            exit_with_fault()
-
-    def run_daemon(settings: Any) -> int:
-        # Imported here so that the other commands start faster.
-        run = getattr(importlib.import_module(module), f"run_{name}")
-
-        async def serve() -> None:
-            writer = start_absl_lines()
-            await curio.spawn(LoopWatch(SystemClock()).run, daemon=True)
-            try:
-                await run(settings)
-            finally:
-                # Reports the suppressed lines that no later line would mention.
-                EVENT_LOG.flush()
-                writer.stop()
-
-        return curio.run(run_then_exit, serve)
-
-    help_by_flag, example = {}, [f"wagtailrun {name}"]
-    for field in attrs.fields(cls):
-        secret = field.metadata["secret"]
-        flag = field.name + FILE_SUFFIX.lower() if secret else field.name
-        help_by_flag[flag] = (
-            "File with this setting: " if secret else ""
-        ) + field.metadata["help"]
-        if field.default is attrs.NOTHING and not secret:
-            example.append(f"--{flag.replace('_', '-')}=...")
-    parameters = [
-        inspect.Parameter(
-            flag, inspect.Parameter.KEYWORD_ONLY, default=None, annotation=str | None
-        )
-        for flag in help_by_flag
-    ]
-    help_by_flag["print_settings"] = (
-        "Print the effective settings and their origins, then exit."
-    )
-    parameters.append(
-        inspect.Parameter(
-            "print_settings",
-            inspect.Parameter.KEYWORD_ONLY,
-            default=False,
-            annotation=bool,
-        )
-    )
-    lines = [f"    {flag}: {text}" for flag, text in help_by_flag.items()]
-    command.__name__ = name
-    command.__signature__ = inspect.Signature(parameters, return_annotation=int)
-    command.__annotations__ = {p.name: p.annotation for p in parameters}
-    command.__doc__ = (
-        f"{summary}\n\nExample: {' '.join(example)}\n\nArgs:\n" + "\n".join(lines)
-    )
-    return command
-
-
-entry = _make_daemon_command(
+entry = make_daemon_command(
     "entry", EntrySettings, "wagtailrun.serving.daemon", "Run an entry process."
 )
-control = _make_daemon_command(
+control = make_daemon_command(
     "control", ControlSettings, "wagtailrun.control.daemon", "Run a control process."
 )
 
@@ -562,21 +475,16 @@
     detail = answer.value.get("detail") or answer.value.get("title") or answer.status
     revision = answer.value.get("revision")
     suffix = f" (current revision: {revision})" if revision is not None else ""
-    print(f"wagtailrun: refused: {_printable_lines(detail)}{suffix}", file=sys.stderr)
+    print(f"wagtailrun: refused: {printable_lines(detail)}{suffix}", file=sys.stderr)
     if difference := answer.value.get("difference"):
         print(
             "difference between the current fleet text and the refused one:",
             file=sys.stderr,
         )
-        print(_printable_lines(difference), file=sys.stderr)
+        print(printable_lines(difference), file=sys.stderr)
     return EXIT_REFUSED
 
 
-def _printable_lines(text: Any) -> str:
-    """Return ``text`` with unprintable characters, except line breaks, replaced."""
-    return "\n".join(map(printable, str(text).split("\n")))
-
-
 def main(arguments: list[str] | None = None) -> None:
     """Run the command line and exit."""
     # curio warns of each operation that ends shortly after its timeout. That case is
@@ -591,17 +499,6 @@
     except KeyboardInterrupt:
         code = EXIT_INTERRUPTED
     except (WagtailrunError, OSError) as error:
-        text, code = _describe_error(error)
+        text, code = describe_error(error)
         print(text, file=sys.stderr)
     sys.exit(code)
-
-
-def _describe_error(error: WagtailrunError | OSError) -> tuple[str, int]:
-    """Return what the user is told of an error, and the exit status."""
-    text, code = str(error), EXIT_REFUSED
-    if isinstance(error, NoAnswer):
-        advice = "; it may have run: run the same command again" * error.may_have_run
-        text = f"no control member answered: {error}{advice}"
-    elif isinstance(error, FleetTextError | SettingsError):
-        code = EXIT_USAGE
-    return f"wagtailrun: {_printable_lines(text)}", code
--- a/wagtailrun/cli/output.py
+++ b/wagtailrun/cli/output.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from typing import Any, TextIO
 
-__all__ = ["print_json", "print_rows", "printable"]
+__all__ = ["print_json", "print_rows", "printable", "printable_lines"]
 
 
 def printable(value: Any) -> str:
@@ -55,3 +55,8 @@
     for line in table:
         cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
         print("  ".join(cells).rstrip())
+
+
+def printable_lines(text: Any) -> str:
+    """Return ``text`` with unprintable characters, except line breaks, replaced."""
+    return "\n".join(map(printable, str(text).split("\n")))
