Observe answers of targets without the HTTP client's types

The HTTP client and the observer of its requests imported each other, because an observer got the client's stream. An observer and the wire format now take an ObservedAnswer, which names the status, the headers and the carrier that they read; the stream of the client has them as before.

--- a/wagtailrun/adapters/target_observer.py
+++ b/wagtailrun/adapters/target_observer.py
@@ -1,17 +1,14 @@
 """Port by which an entry decides about requests to servers and learns of answers."""
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 
 from wagtailrun.ports.link import Address
 from wagtailrun.targets.table import TargetRow
 
-if TYPE_CHECKING:
-    from wagtailrun.adapters.http_client import HttpStream
-
-__all__ = ["SendPermit", "TargetObserver"]
+__all__ = ["ObservedAnswer", "SendPermit", "TargetObserver"]
 
 
 @attrs.frozen
@@ -29,6 +26,24 @@
     number: int = 0
 
 
+class ObservedAnswer(Protocol):
+    """Head of an answer, as far as it says something about the server.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers by name.
+        header_pairs: All headers as received, as pairs of name and value.
+    """
+
+    status: int
+    headers: dict[str, str]
+    header_pairs: tuple[tuple[bytes, bytes], ...]
+
+    @property
+    def carrier(self) -> Address | None:
+        """Peer that carries the connection to the server; None if it is direct."""
+
+
 class TargetObserver(ABC):
     """Decides about requests to servers by what their answers say about them."""
 
@@ -70,6 +85,6 @@
 
     @abstractmethod
     async def record_answer(
-        self, address: Address, stream: "HttpStream", sent_ms: int
+        self, address: Address, stream: ObservedAnswer, sent_ms: int
     ) -> None:
         """Record the head of an answer to a request that was sent at ``sent_ms``."""
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -6,7 +6,11 @@
 import attrs
 import curio
 
-from wagtailrun.adapters.http_client import HttpStream, SendPermit, TargetObserver
+from wagtailrun.adapters.target_observer import (
+    ObservedAnswer,
+    SendPermit,
+    TargetObserver,
+)
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import SendForbidden, TargetPaused
@@ -80,7 +84,7 @@
         self.denials_by_address: dict[Address, dict[int, int]] = {}
 
     async def record_answer(
-        self, address: Address, stream: HttpStream, sent_ms: int
+        self, address: Address, stream: ObservedAnswer, sent_ms: int
     ) -> None:
         """Apply the head of an answer; see ``TargetObserver``."""
         row = self.view.row_at(address)
--- a/wagtailrun/relay/port.py
+++ b/wagtailrun/relay/port.py
@@ -7,6 +7,7 @@
 
 from wagtailrun.adapters.http_client import Headers, HttpReply, HttpStream
 from wagtailrun.adapters.http_server import Request
+from wagtailrun.adapters.target_observer import ObservedAnswer
 from wagtailrun.exceptions import Refusal
 
 __all__ = [
@@ -194,7 +195,7 @@
         """Return the head of a target's answer."""
 
     @abstractmethod
-    def parse_notice(self, stream: HttpStream) -> TargetNotice | None:
+    def parse_notice(self, stream: ObservedAnswer) -> TargetNotice | None:
         """Return what an answer says about its target.
 
         Returns:
