Define the engine order in the port to the engines

The port to the engines imported the engine order from the registry's messages, while the registry imports other ports. EngineOrder, its kinds and its states are now in ports/engine.py, and the messages that carry an order import it from there. The tests follow the import; their assertions are the same.

--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -18,7 +18,14 @@
     EngineController,
 )
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
+from wagtailrun.ports.engine import (
+    EngineClient,
+    EngineOrder,
+    EngineOrderKind,
+    EngineOrderState,
+    EngineReply,
+    EngineState,
+)
 from wagtailrun.ports.link import Address
 from wagtailrun.registry import messages as rm
 from wagtailrun.targets.table import TargetRow
@@ -91,7 +98,7 @@
         engine.state = evolve(engine.state, loading=frozenset({order.subject}))
         await self.world.clock.sleep_ms(self.world.load_ms)
         state = evolve(engine.state, loading=frozenset())
-        if order.kind == rm.EngineOrderKind.LOAD_MODEL:
+        if order.kind == EngineOrderKind.LOAD_MODEL:
             engine.state = evolve(state, model=order.subject)
         else:
             adapters = state.adapters ^ {order.subject}
@@ -217,7 +224,7 @@
     world.leader = MEMBERS[1]
     await clock.sleep_ms(20_000)
     order = world.registry.engine_orders_by_id[name]
-    assert order.state == rm.EngineOrderState.SUPERSEDED
+    assert order.state == EngineOrderState.SUPERSEDED
     assert engines[0].state.model == "m1"
 
 
@@ -341,7 +348,7 @@
         return self.reply
 
 
-ORDER = rm.EngineOrder("5-1", "e", "open", "east", "load-model", "m1", fence=5)
+ORDER = EngineOrder("5-1", "e", "open", "east", "load-model", "m1", fence=5)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,6 +8,7 @@
 
 from wagtailrun.codec import encode
 from wagtailrun.exceptions import Verdict
+from wagtailrun.ports.engine import EngineOrder, EngineOrderKind, EngineOrderState
 from wagtailrun.registry import engine_order_table, order_table
 from wagtailrun.registry import messages as rm
 from wagtailrun.registry import state as module
@@ -51,8 +52,8 @@
     )
 
 
-def engine_order(name="o1", kind=rm.EngineOrderKind.LOAD_MODEL):
-    return rm.EngineOrder(name, "e1", "llm", "east", kind, "m")
+def engine_order(name="o1", kind=EngineOrderKind.LOAD_MODEL):
+    return EngineOrder(name, "e1", "llm", "east", kind, "m")
 
 
 def test_one_of_two_changes_wins_and_resends_get_the_first_verdict():
@@ -248,7 +249,7 @@
     assert not apply(rm.PutEngineOrder(engine_order("o2"), old, T0)).recorded
     assert not apply(rm.CloseEngineOrder("o1", old, "done", T0)).recorded
     assert apply(rm.CloseEngineOrder("o1", new.fence, "done", T0)).recorded
-    assert apply.registry.engine_orders_by_id["o1"].state == rm.EngineOrderState.DONE
+    assert apply.registry.engine_orders_by_id["o1"].state == EngineOrderState.DONE
 
 
 def test_weight_loads_are_counted_across_a_restart():
@@ -258,10 +259,10 @@
     for number in range(4):
         order = engine_order(f"o{number}")
         apply(rm.PutEngineOrder(order, fence, T0 + number * 1_000))
-    apply(rm.CloseEngineOrder("o3", fence, rm.EngineOrderState.NOT_RUN, T0 + 4_000))
+    apply(rm.CloseEngineOrder("o3", fence, EngineOrderState.NOT_RUN, T0 + 4_000))
     apply(
         rm.PutEngineOrder(
-            engine_order("r", rm.EngineOrderKind.SET_ROLE), fence, T0 + 5_000
+            engine_order("r", EngineOrderKind.SET_ROLE), fence, T0 + 5_000
         )
     )
     apply.restart()
--- a/wagtailrun/adapters/http_engine.py
+++ b/wagtailrun/adapters/http_engine.py
@@ -8,9 +8,13 @@
 from wagtailrun.adapters.http_client import HttpClient, HttpReply
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
+from wagtailrun.ports.engine import (
+    EngineClient,
+    EngineOrder,
+    EngineReply,
+    EngineState,
+)
 from wagtailrun.ports.link import Address
-from wagtailrun.registry.messages import EngineOrder
 
 __all__ = ["HttpEngineClient"]
 
--- a/wagtailrun/control/engine_control.py
+++ b/wagtailrun/control/engine_control.py
@@ -16,14 +16,18 @@
     parse_fleet_text,
 )
 from wagtailrun.logs import events
-from wagtailrun.ports.engine import EngineClient, EngineReply, EngineState
+from wagtailrun.ports.engine import (
+    EngineClient,
+    EngineOrder,
+    EngineOrderKind,
+    EngineOrderState,
+    EngineReply,
+    EngineState,
+)
 from wagtailrun.registry.engine_order_table import WEIGHT_LOAD_KINDS
 from wagtailrun.registry.messages import (
     CloseEngineOrder,
     ControllerGranted,
-    EngineOrder,
-    EngineOrderKind,
-    EngineOrderState,
     EngineOrderVerdict,
     GrantController,
     PutEngineOrder,
--- a/wagtailrun/ports/engine.py
+++ b/wagtailrun/ports/engine.py
@@ -6,9 +6,15 @@
 import attrs
 
 from wagtailrun.ports.link import Address
-from wagtailrun.registry.messages import EngineOrder
 
-__all__ = ["EngineClient", "EngineReply", "EngineState"]
+__all__ = [
+    "EngineClient",
+    "EngineOrder",
+    "EngineOrderKind",
+    "EngineOrderState",
+    "EngineReply",
+    "EngineState",
+]
 
 
 class EngineReply(enum.StrEnum):
@@ -35,6 +41,54 @@
     loading: frozenset[str] = frozenset()
 
 
+class EngineOrderKind(enum.StrEnum):
+    """Operation that an engine performs on the model, adapter or role of an order."""
+
+    LOAD_MODEL = "load-model"
+    LOAD_ADAPTER = "load-adapter"
+    UNLOAD_ADAPTER = "unload-adapter"
+    SET_ROLE = "set-role"
+
+
+class EngineOrderState(enum.StrEnum):
+    """State of an engine order."""
+
+    OPEN = "open"
+    DONE = "done"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    SUPERSEDED = "superseded"
+
+
+@attrs.frozen
+class EngineOrder:
+    """One order to one engine.
+
+    Attributes:
+        order_id: Identifier, unique among all engine orders.
+        target: Name of the engine.
+        service: Service of the engine.
+        data_centre: Data centre of the engine, whose budget of weight loads it uses.
+        kind: Value of ``EngineOrderKind``.
+        subject: Model, adapter or role.
+        fence: Fencing token under which it was recorded.
+        state: Value of ``EngineOrderState``.
+        put_ms: Wall time of the record, in milliseconds.
+        closed_ms: Wall time of the end, in milliseconds; 0 while it is open.
+    """
+
+    order_id: str
+    target: str
+    service: str
+    data_centre: str
+    kind: str
+    subject: str
+    fence: int = 0
+    state: str = EngineOrderState.OPEN
+    put_ms: int = 0
+    closed_ms: int = 0
+
+
 class EngineClient(ABC):
     """Reads the state of engines and sends them engine orders."""
 
--- a/wagtailrun/registry/engine_order_table.py
+++ b/wagtailrun/registry/engine_order_table.py
@@ -5,11 +5,9 @@
 
 import attrs
 
+from wagtailrun.ports.engine import EngineOrder, EngineOrderKind, EngineOrderState
 from wagtailrun.registry.messages import (
     CloseEngineOrder,
-    EngineOrder,
-    EngineOrderKind,
-    EngineOrderState,
     EngineOrderVerdict,
     PutEngineOrder,
 )
--- a/wagtailrun/registry/messages.py
+++ b/wagtailrun/registry/messages.py
@@ -9,6 +9,7 @@
 import attrs
 
 from wagtailrun.codec import Channel, Codec
+from wagtailrun.ports.engine import EngineOrder
 
 __all__ = [
     "ApplyText",
@@ -18,9 +19,6 @@
     "CloseOrder",
     "ClosePeriod",
     "ControllerGranted",
-    "EngineOrder",
-    "EngineOrderKind",
-    "EngineOrderState",
     "EngineOrderVerdict",
     "ExportAudit",
     "FindOrder",
@@ -61,25 +59,6 @@
     UNKNOWN = "unknown"
 
 
-class EngineOrderKind(enum.StrEnum):
-    """Operation that an engine performs on the model, adapter or role of an order."""
-
-    LOAD_MODEL = "load-model"
-    LOAD_ADAPTER = "load-adapter"
-    UNLOAD_ADAPTER = "unload-adapter"
-    SET_ROLE = "set-role"
-
-
-class EngineOrderState(enum.StrEnum):
-    """State of an engine order."""
-
-    OPEN = "open"
-    DONE = "done"
-    NOT_RUN = "not-run"
-    FAILED = "failed"
-    SUPERSEDED = "superseded"
-
-
 @attrs.frozen
 class ApplyText:
     """Command that replaces the fleet configuration.
@@ -280,35 +259,6 @@
     previous: str = ""
 
 
-@attrs.frozen
-class EngineOrder:
-    """One order to one engine.
-
-    Attributes:
-        order_id: Identifier, unique among all engine orders.
-        target: Name of the engine.
-        service: Service of the engine.
-        data_centre: Data centre of the engine, whose budget of weight loads it uses.
-        kind: Value of ``EngineOrderKind``.
-        subject: Model, adapter or role.
-        fence: Fencing token under which it was recorded.
-        state: Value of ``EngineOrderState``.
-        put_ms: Wall time of the record, in milliseconds.
-        closed_ms: Wall time of the end, in milliseconds; 0 while it is open.
-    """
-
-    order_id: str
-    target: str
-    service: str
-    data_centre: str
-    kind: str
-    subject: str
-    fence: int = 0
-    state: str = EngineOrderState.OPEN
-    put_ms: int = 0
-    closed_ms: int = 0
-
-
 @attrs.frozen
 class PutEngineOrder:
     """Command that records an engine order before it is sent."""
--- a/wagtailrun/registry/state.py
+++ b/wagtailrun/registry/state.py
@@ -10,6 +10,7 @@
 
 from wagtailrun.codec import decode
 from wagtailrun.exceptions import WagtailrunError
+from wagtailrun.ports.engine import EngineOrder
 from wagtailrun.ports.log import StateMachine
 from wagtailrun.registry.audit import AuditTrail
 from wagtailrun.registry.engine_order_table import ENGINE_ORDER_FIELDS, EngineOrderTable
@@ -21,7 +22,6 @@
     CloseOrder,
     ClosePeriod,
     ControllerGranted,
-    EngineOrder,
     EngineOrderVerdict,
     GrantController,
     MembersRecorded,
