Move the observers of attempts to the targets package

The recorder imported the interface of attempt observers from serving/retries.py, which closed an import circle between the packages observation and serving. The interface names a unit of work and a target, which ports must not import, as the package targets imports ports. So AttemptObserver and NullObserver are now in targets/attempt_observer.py, below both users.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,7 +10,7 @@
 from wagtailrun.replay.emulator import Emulator, TargetModel
 from wagtailrun.serving import repeats
 from wagtailrun.serving.dispatch import DispatchOptions, Work, make_dispatcher
-from wagtailrun.serving.retries import NullObserver
+from wagtailrun.targets.attempt_observer import NullObserver
 from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/observation/recorder.py
+++ b/wagtailrun/observation/recorder.py
@@ -14,7 +14,7 @@
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.serving.retries import AttemptObserver
+from wagtailrun.targets.attempt_observer import AttemptObserver
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -25,8 +25,9 @@
     Results,
 )
 from wagtailrun.serving.repeats import RetryState
-from wagtailrun.serving.retries import AttemptObserver, NullObserver, RetryBudget
+from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
+from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
 from wagtailrun.targets.table import Membership, TargetRow
--- a/wagtailrun/serving/retries.py
+++ b/wagtailrun/serving/retries.py
@@ -1,19 +1,12 @@
-"""Rules and budget for retries, and the interface of attempt observers."""
+"""Rules and budget for retries."""
 
 import random
-from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Callable, Collection
-from typing import TYPE_CHECKING
 
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.ports.target import StageAnswer
-from wagtailrun.targets.table import TargetRow
 
-if TYPE_CHECKING:
-    from wagtailrun.targets.work import Work
-
-__all__ = ["AttemptObserver", "NullObserver", "RetryBudget", "backoff_ms", "may_retry"]
+__all__ = ["RetryBudget", "backoff_ms", "may_retry"]
 
 EARNED_PER_FIRST_ATTEMPT = 0.1
 # Allows retries of the first requests after a start, and limits a burst of them.
@@ -108,49 +101,3 @@
     """Return the delay before a retry: exponential backoff with full jitter."""
     longest_ms = min(BACKOFF_BASE_MS * 2**repeats, BACKOFF_MAX_MS)
     return source.randint(0, longest_ms)
-
-
-class AttemptObserver(ABC):
-    """Receives the outcome of attempts for metrics and accounting."""
-
-    @abstractmethod
-    def finished(
-        self, work: "Work", target: TargetRow, duration_ms: int, answer: StageAnswer
-    ) -> None:
-        """Record an attempt whose answer, or whose first tokens, were used."""
-
-    @abstractmethod
-    def retried(self, work: "Work", target: TargetRow, error: TargetFailed) -> None:
-        """Record a retry after ``error`` at ``target``."""
-
-    @abstractmethod
-    def hedged(self, work: "Work", target: TargetRow) -> None:
-        """Record a hedge at ``target``, parallel to an attempt in progress."""
-
-    @abstractmethod
-    def wasted(self, work: "Work", target: TargetRow, duration_ms: int) -> None:
-        """Record an attempt whose result is not used.
-
-        Args:
-            work: Work that was attempted.
-            target: Target that ran it.
-            duration_ms: Time from its start to its cancellation or failure.
-        """
-
-
-class NullObserver(AttemptObserver):
-    """Ignores all attempts."""
-
-    def finished(
-        self, work: "Work", target: TargetRow, duration_ms: int, answer: StageAnswer
-    ) -> None:
-        """Ignore it."""
-
-    def retried(self, work: "Work", target: TargetRow, error: TargetFailed) -> None:
-        """Ignore it."""
-
-    def hedged(self, work: "Work", target: TargetRow) -> None:
-        """Ignore it."""
-
-    def wasted(self, work: "Work", target: TargetRow, duration_ms: int) -> None:
-        """Ignore it."""
--- a/wagtailrun/targets/__init__.py
+++ b/wagtailrun/targets/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "affinity",
+    "attempt_observer",
     "estimates",
     "routing",
     "subset",
