Share the state of a consensus member without the member itself

Election, follower, replication, membership changes and handover each took the Member that owns them, so that six modules imported each other.

The election starts the membership changes of a new leader, and the refusal of a leadership belongs to it.

Two mutations of test_consensus.py, a test of read barriers and the node of test_membership_change.py reach state by its new path; what they assert is the same.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -164,7 +164,7 @@
     handle_vote = election.Election.handle_vote
 
     async def answer_for_lost_identity(self, request):
-        own = attrs.evolve(request, recipient=self.member.identity)
+        own = attrs.evolve(request, recipient=self.state.identity)
         reply = await handle_vote(self, own)
         return attrs.evolve(reply, sender=request.recipient)
 
@@ -175,7 +175,7 @@
     must_not_vote = election.Election.must_not_vote
 
     def unless_restarted(self):
-        return self.member.last_leader_contact_ms is not None and must_not_vote(self)
+        return self.state.last_leader_contact_ms is not None and must_not_vote(self)
 
     patch.setattr(election.Election, "must_not_vote", unless_restarted)
 
--- a/tests/test_member_host.py
+++ b/tests/test_member_host.py
@@ -245,7 +245,7 @@
         await clock.sleep_ms(1_000)
         leader = await cluster.wait_leader()
         node = next(node for node in cluster.nodes if node is not leader)
-        member, link = node.member, node.member.link
+        member, link = node.member, node.member.state.link
 
         class SlowLink:
             async def call(self, address, message, timeout_ms):
@@ -254,7 +254,7 @@
                     await clock.sleep_ms(350)
                 return reply
 
-        member.link = SlowLink()
+        member.state.link = SlowLink()
         read = await curio.spawn(member.read_barrier, 800)
         await clock.sleep_ms(20)
         node.disk.fault = "full"
--- a/tests/test_membership_change.py
+++ b/tests/test_membership_change.py
@@ -15,10 +15,10 @@
 
     async def start(self):
         await super().start()
-        self.member.open_joining = True
-        self.member.min_voters = 3
+        self.member.state.open_joining = True
+        self.member.state.min_voters = 3
         if not self.founding:
-            self.member.bootstrap = {}
+            self.member.state.bootstrap = {}
             self.member.peers = tuple(node.address for node in self.cluster.nodes[:3])
 
 
--- a/wagtailrun/consensus/election.py
+++ b/wagtailrun/consensus/election.py
@@ -1,18 +1,16 @@
 """Leader election: pre-votes, votes, and the rules for granting them."""
 
-from typing import TYPE_CHECKING
-
 import attrs
 import curio
 
+from wagtailrun.consensus.member_state import MemberState
+from wagtailrun.consensus.membership_change import MembershipChange
 from wagtailrun.consensus.messages import MemberInfo, VoteReply, VoteRequest
+from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.logs import events
 
-if TYPE_CHECKING:
-    from wagtailrun.consensus.member import Member
-
 __all__ = ["Election"]
 
 
@@ -20,38 +18,50 @@
     """Starts elections and answers the vote requests of other candidates.
 
     Args:
-        member: Member that owns this component.
+        state: State of the member.
+        replication: Replication, which tells whether the leader's lease is valid.
+        membership: Changes the member set while this member is the leader.
     """
 
-    def __init__(self, member: "Member"):
-        self.member = member
+    def __init__(
+        self,
+        state: MemberState,
+        replication: Replication,
+        membership: MembershipChange,
+    ):
+        self.state = state
+        self.replication = replication
+        self.membership = membership
         # Local time at which this member last granted a vote or started an election.
         self.timer_reset_ms: int | None = None
         # Term whose leader gave up its leadership in favour of this member.
         self.handover_term: int | None = None
+        # Set when a signal stops this process: it then neither takes over nor starts
+        # elections, so that members that stop together hand over to another one.
+        self.refuses_leadership = False
 
     async def run(self) -> None:
         """Start an election whenever the election timeout passes without a leader.
 
         A leader that is without a valid lease at two checks in a row steps down.
         """
-        member = self.member
-        timing = member.timing
+        state = self.state
+        timing = state.timing
         had_lease = True
         while True:
-            timeout_ms = member.random.randint(
+            timeout_ms = state.random.randint(
                 timing.election_min_ms, timing.election_max_ms
             )
             while (
                 wait_ms := self._election_timer_start_ms() + timeout_ms - self._now_ms()
             ) > 0:
-                await member.clock.sleep_ms(wait_ms)
+                await state.clock.sleep_ms(wait_ms)
             self.timer_reset_ms = self._now_ms()
-            if member.role is not Role.LEADER:
+            if state.role is not Role.LEADER:
                 had_lease = True
                 await self.campaign()
                 continue
-            has_lease = member.replication.lease_is_valid()
+            has_lease = self.replication.lease_is_valid()
             if not has_lease and not had_lease:
                 # Its heartbeats may still arrive at the followers, whose election
                 # timers then never expire.
@@ -60,11 +70,11 @@
 
     async def step_down(self) -> None:
         """Give up the leadership, if this member has it, for good in its term."""
-        member = self.member
-        async with member.lock:
-            if member.role is Role.LEADER:
-                member.become_follower(member.term, None)
-                member.leader = None
+        state = self.state
+        async with state.lock:
+            if state.role is Role.LEADER:
+                state.become_follower(state.term, None)
+                state.leader = None
 
     async def take_over(self, term: int) -> bool:
         """Start an election for the leader of ``term``, which gave up its leadership.
@@ -72,59 +82,60 @@
         Returns:
             Whether a quorum granted its pre-votes.
         """
-        member = self.member
+        state = self.state
         self.handover_term = term
         self.timer_reset_ms = self._now_ms()
-        if not member.configuration.is_voter(member.identity):
+        if not state.configuration.is_voter(state.identity):
             return False
         if not await self._request_votes(term + 1, pre_vote=True):
             return False
-        await member.spawn(self._request_leadership)
+        await state.spawn(self._request_leadership)
         return True
 
     async def campaign(self) -> None:
         """Request pre-votes, then votes, and become leader if a quorum grants them."""
-        member = self.member
-        if member.handover.refuses_leadership:
+        state = self.state
+        if self.refuses_leadership:
             return
-        if not member.configuration.is_voter(member.identity) or self.must_not_vote():
+        if not state.configuration.is_voter(state.identity) or self.must_not_vote():
             return
-        if await self._request_votes(member.term + 1, pre_vote=True):
+        if await self._request_votes(state.term + 1, pre_vote=True):
             await self._request_leadership()
 
     async def _request_leadership(self) -> None:
         """Request votes for a new term, after a quorum has granted its pre-votes."""
-        member = self.member
-        async with member.lock:
-            lease_given_up = self.handover_term == member.term
-            if member.role is Role.LEADER or self._must_withhold(lease_given_up):
+        state = self.state
+        async with state.lock:
+            lease_given_up = self.handover_term == state.term
+            if state.role is Role.LEADER or self._must_withhold(lease_given_up):
                 return
-            member.become_follower(member.term + 1, None)
-            member.role = Role.CANDIDATE
-            term = member.term
+            state.become_follower(state.term + 1, None)
+            state.role = Role.CANDIDATE
+            term = state.term
             self.timer_reset_ms = self._now_ms()
             await self._save_vote(
-                term, member.identity, member.journal.member_record.cluster
+                term, state.identity, state.journal.member_record.cluster
             )
         won = await self._request_votes(term, pre_vote=False)
-        async with member.lock:
-            if won and member.role is Role.CANDIDATE and member.term == term:
-                events.log(events.BECAME_LEADER, member=member.name, term=term)
-                await member.replication.start_leadership()
+        async with state.lock:
+            if won and state.role is Role.CANDIDATE and state.term == term:
+                events.log(events.BECAME_LEADER, member=state.name, term=term)
+                await self.replication.start_leadership()
+                await state.spawn(self.membership.run_as_leader, state.term)
 
     async def handle_vote(self, request: VoteRequest) -> VoteReply:
         """Grant or deny a vote or a pre-vote."""
-        member = self.member
-        async with member.lock:
+        state = self.state
+        async with state.lock:
             # The lease of the leader of this member's term has ended, if that leader
             # itself asked for the election.
-            lease_given_up = request.handover and request.term == member.term + 1
+            lease_given_up = request.handover and request.term == state.term + 1
             granted = self._is_intended_recipient(request) and not self._must_withhold(
                 lease_given_up
             )
             if granted:
                 granted = await self._evaluate_vote(request)
-            return VoteReply(member.identity, member.term, granted)
+            return VoteReply(state.identity, state.term, granted)
 
     def _must_withhold(self, lease_given_up: bool) -> bool:
         """Whether this member must not vote; see ``must_not_vote``.
@@ -132,8 +143,8 @@
         Args:
             lease_given_up: Whether the leader of the current term has given up.
         """
-        member = self.member
-        if lease_given_up and member.role is not Role.LEADER and member.fault is None:
+        state = self.state
+        if lease_given_up and state.role is not Role.LEADER and state.fault is None:
             return False
         return self.must_not_vote()
 
@@ -142,18 +153,18 @@
 
         Also true after a fault, which ends this member's part in elections.
         """
-        member = self.member
-        if member.fault is not None:
+        state = self.state
+        if state.fault is not None:
             return True
-        if member.role is Role.LEADER and member.replication.lease_is_valid():
+        if state.role is Role.LEADER and self.replication.lease_is_valid():
             return True
         now_ms = self._now_ms()
         last_contact_ms = (
-            member.started_ms
-            if member.last_leader_contact_ms is None
-            else member.last_leader_contact_ms
+            state.started_ms
+            if state.last_leader_contact_ms is None
+            else state.last_leader_contact_ms
         )
-        return now_ms < last_contact_ms + member.timing.vote_withhold_ms
+        return now_ms < last_contact_ms + state.timing.vote_withhold_ms
 
     def _is_intended_recipient(self, request: VoteRequest) -> bool:
         """Whether the request is for this incarnation, in this cluster.
@@ -162,46 +173,46 @@
         incarnation becomes a voter only after it has caught up with the log, so its
         vote is valid even if its own log does not show the promotion yet.
         """
-        cluster = self.member.journal.member_record.cluster
-        return request.recipient == self.member.identity and (
+        cluster = self.state.journal.member_record.cluster
+        return request.recipient == self.state.identity and (
             not cluster or cluster == request.cluster
         )
 
     async def _evaluate_vote(self, request: VoteRequest) -> bool:
-        member = self.member
-        journal = member.journal
-        newer = request.term > member.term
+        state = self.state
+        journal = state.journal
+        newer = request.term > state.term
         if newer and not request.pre_vote:
-            member.become_follower(request.term, None)
+            state.become_follower(request.term, None)
         log = (journal.last_term, journal.last_index)
         if (request.last_term, request.last_index) < log:
             return False
         if request.pre_vote:
             return newer
-        if request.term != member.term:
+        if request.term != state.term:
             return False
         record = journal.member_record
-        vote = record.vote if record.term == member.term else ""
+        vote = record.vote if record.term == state.term else ""
         if vote not in ("", request.candidate):
             return False
         self.timer_reset_ms = self._now_ms()
-        await self._save_vote(member.term, request.candidate, request.cluster)
+        await self._save_vote(state.term, request.candidate, request.cluster)
         return True
 
     async def _save_vote(self, term: int, vote: str, cluster: str) -> None:
-        record = self.member.journal.member_record
+        record = self.state.journal.member_record
         record = attrs.evolve(record, term=term, vote=vote, cluster=cluster)
-        await self.member.journal.save_record(record)
+        await self.state.journal.save_record(record)
 
     async def _request_votes(self, term: int, pre_vote: bool) -> bool:
         """Return whether a quorum of voters, this member included, grants its vote."""
-        member = self.member
-        configuration = member.configuration
+        state = self.state
+        configuration = state.configuration
         voters = [info for info in configuration.members if info.voter]
         missing = configuration.quorum() - 1
         async with curio.TaskGroup() as group:
             for info in voters:
-                if info.identity != member.identity:
+                if info.identity != state.identity:
                     await group.spawn(self._request_vote, info, term, pre_vote)
             async for task in group:
                 missing -= bool(task.result)
@@ -211,34 +222,34 @@
         return missing <= 0
 
     async def _request_vote(self, info: MemberInfo, term: int, pre_vote: bool) -> bool:
-        member = self.member
-        if not member.configuration.is_voter(info.identity):
+        state = self.state
+        if not state.configuration.is_voter(info.identity):
             return False  # An entry that arrived since has removed it.
         request = VoteRequest(
-            cluster=member.journal.member_record.cluster,
+            cluster=state.journal.member_record.cluster,
             recipient=info.identity,
             term=term,
-            candidate=member.identity,
-            last_index=member.journal.last_index,
-            last_term=member.journal.last_term,
+            candidate=state.identity,
+            last_index=state.journal.last_index,
+            last_term=state.journal.last_term,
             pre_vote=pre_vote,
             handover=self.handover_term == term - 1,
         )
         try:
-            reply = await member.link.call(
-                info.peer_address, request, member.timing.call_timeout_ms
+            reply = await state.link.call(
+                info.peer_address, request, state.timing.call_timeout_ms
             )
         except PeerUnreachable:
             return False
         if not isinstance(reply, VoteReply) or reply.sender != info.identity:
             return False
-        await member.observe_term(reply.term)
+        await state.observe_term(reply.term)
         return reply.granted
 
     def _election_timer_start_ms(self) -> int:
-        member = self.member
-        times = (member.started_ms, member.last_leader_contact_ms, self.timer_reset_ms)
+        state = self.state
+        times = (state.started_ms, state.last_leader_contact_ms, self.timer_reset_ms)
         return max(time for time in times if time is not None)
 
     def _now_ms(self) -> int:
-        return self.member.clock.now_ms()
+        return self.state.clock.now_ms()
--- a/wagtailrun/consensus/following.py
+++ b/wagtailrun/consensus/following.py
@@ -1,10 +1,9 @@
 """Follower side of replication: entries and snapshots received from the leader."""
 
-from typing import TYPE_CHECKING
-
 import attrs
 
 from wagtailrun.consensus.journal_records import snapshot_checksum
+from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     AppendEntries,
     AppendReply,
@@ -16,9 +15,6 @@
 from wagtailrun.consensus.state import Role
 from wagtailrun.ports.link import Address
 
-if TYPE_CHECKING:
-    from wagtailrun.consensus.member import Member
-
 __all__ = ["Follower"]
 
 # Term reported when a message for another member or cluster is rejected. It makes the
@@ -30,42 +26,42 @@
     """Stores the entries and installs the snapshots that a leader sends.
 
     Args:
-        member: Member that owns this component.
+        state: State of the member.
     """
 
-    def __init__(self, member: "Member"):
-        self.member = member
+    def __init__(self, state: MemberState):
+        self.state = state
         self.received_header: SnapshotHeader | None = None
         self.received_data = bytearray()
 
     async def handle_append(self, message: AppendEntries) -> AppendReply:
         """Store entries; a successful reply means that they are durable."""
-        member = self.member
-        journal = member.journal
-        async with member.lock:
+        state = self.state
+        journal = state.journal
+        async with state.lock:
             rejection_term = await self._accept_leader(message)
             if rejection_term is not None:
-                return AppendReply(member.identity, rejection_term, False, 0)
+                return AppendReply(state.identity, rejection_term, False, 0)
             hint = self._mismatch_hint(message)
             if hint is not None:
-                return AppendReply(member.identity, member.term, False, hint)
+                return AppendReply(state.identity, state.term, False, hint)
             await self._store_entries(message.entries)
             last_index = message.previous_index + len(message.entries)
-            await member.commit(min(message.commit_index, last_index))
-            term = member.term
+            await state.commit(min(message.commit_index, last_index))
+            term = state.term
             last_index = max(last_index, journal.snapshot_index)
-            return AppendReply(member.identity, term, True, last_index)
+            return AppendReply(state.identity, term, True, last_index)
 
     async def handle_snapshot_piece(self, piece: SnapshotPiece) -> PieceReply:
         """Store one piece of a snapshot; install the snapshot once it is complete."""
-        member = self.member
-        async with member.lock:
+        state = self.state
+        async with state.lock:
             rejection_term = await self._accept_leader(piece)
             if rejection_term is not None:
-                return PieceReply(member.identity, rejection_term, 0)
+                return PieceReply(state.identity, rejection_term, 0)
             header = piece.header
-            if header.index <= member.commit_index:
-                return PieceReply(member.identity, member.term, header.size)
+            if header.index <= state.commit_index:
+                return PieceReply(state.identity, state.term, header.size)
             if header != self.received_header:
                 self.received_header = header
                 self.received_data = bytearray()
@@ -73,9 +69,9 @@
                 self.received_data += piece.data
             if len(self.received_data) >= header.size:
                 await self._install_snapshot(header)
-            installed = member.commit_index >= header.index
+            installed = state.commit_index >= header.index
             offset = header.size if installed else len(self.received_data)
-            return PieceReply(member.identity, member.term, offset)
+            return PieceReply(state.identity, state.term, offset)
 
     async def _accept_leader(
         self, message: AppendEntries | SnapshotPiece
@@ -85,29 +81,29 @@
         Raises:
             RuntimeError: If two members lead in the same term.
         """
-        member = self.member
-        record = member.journal.member_record
-        if message.recipient != member.identity or record.cluster not in (
+        state = self.state
+        record = state.journal.member_record
+        if message.recipient != state.identity or record.cluster not in (
             "",
             message.cluster,
         ):
             return NO_TERM
-        if message.term < member.term:
-            return member.term
-        if message.term == member.term and member.role is Role.LEADER:
+        if message.term < state.term:
+            return state.term
+        if message.term == state.term and state.role is Role.LEADER:
             raise RuntimeError(
                 f"{message.leader} also leads in term {message.term}, which must not "
                 "have two leaders"
             )
-        member.become_follower(message.term, message.leader)
-        member.known_leader_address = Address.parse(message.leader_address)
-        member.last_leader_contact_ms = member.clock.now_ms()
+        state.become_follower(message.term, message.leader)
+        state.known_leader_address = Address.parse(message.leader_address)
+        state.last_leader_contact_ms = state.clock.now_ms()
         if record.term != message.term or record.cluster != message.cluster:
             vote = record.vote if record.term == message.term else ""
             record = attrs.evolve(
                 record, term=message.term, vote=vote, cluster=message.cluster
             )
-            await member.journal.save_record(record)
+            await state.journal.save_record(record)
         return None
 
     def _mismatch_hint(self, message: AppendEntries) -> int | None:
@@ -115,19 +111,19 @@
 
         None if the logs agree at ``previous_index``.
         """
-        journal = self.member.journal
+        journal = self.state.journal
         if message.previous_index > journal.last_index:
             return journal.last_index
-        if message.previous_index <= self.member.commit_index:
+        if message.previous_index <= self.state.commit_index:
             return None  # Committed entries are the same at every member.
         if journal.term_at(message.previous_index) == message.previous_term:
             return None
-        return max(message.previous_index - 1, self.member.commit_index)
+        return max(message.previous_index - 1, self.state.commit_index)
 
     async def _store_entries(self, entries: tuple[Entry, ...]) -> None:
-        journal = self.member.journal
+        journal = self.state.journal
         new_entries = [
-            entry for entry in entries if entry.index > self.member.commit_index
+            entry for entry in entries if entry.index > self.state.commit_index
         ]
         while new_entries and (
             journal.term_at(new_entries[0].index) == new_entries[0].term
@@ -145,6 +141,6 @@
         self.received_data = bytearray()
         if len(data) != header.size or snapshot_checksum(data) != header.checksum:
             return
-        await self.member.journal.save_snapshot(header, data)
-        self.member.restore_snapshot(header, data)
-        await self.member.commit_advanced.notify()
+        await self.state.journal.save_snapshot(header, data)
+        self.state.restore_snapshot(header, data)
+        await self.state.commit_advanced.notify()
--- a/wagtailrun/consensus/handover.py
+++ b/wagtailrun/consensus/handover.py
@@ -1,14 +1,12 @@
 """Handover of the leadership by a leader that a fault or a signal stops."""
 
-from typing import TYPE_CHECKING
-
+from wagtailrun.consensus.election import Election
+from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import Handover, MemberInfo, VoteReply
+from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 
-if TYPE_CHECKING:
-    from wagtailrun.consensus.member import Member
-
 __all__ = ["LeaderHandover"]
 
 POLL_MS = 5  # Far below the time of an election.
@@ -21,16 +19,19 @@
     lease that the voters protect by withholding their votes has ended.
 
     Args:
-        member: Member that owns this component.
+        state: State of the member.
+        replication: Replication, which knows the progress of the successors.
+        election: Elections, for the end of the own leadership and for a take-over.
     """
 
-    def __init__(self, member: "Member"):
-        self.member = member
+    def __init__(
+        self, state: MemberState, replication: Replication, election: Election
+    ):
+        self.state = state
+        self.replication = replication
+        self.election = election
         self.given_up_term = 0
         self.successors: list[MemberInfo] = []
-        # Set when a signal stops this process: it then neither takes over nor starts
-        # elections, so that members that stop together hand over to another one.
-        self.refuses_leadership = False
         # Set when a leader that stops takes no more proposals.
         self.refuses_proposals = False
 
@@ -40,15 +41,15 @@
         The voters with the newest entries come first, as only they can be elected; of
         those, the ones that answered last, as the others may be gone.
         """
-        member = self.member
-        if member.role is not Role.LEADER:
+        state = self.state
+        if state.role is not Role.LEADER:
             return
-        progress = member.replication.progress_by_identity
-        self.given_up_term = member.term
+        progress = self.replication.progress_by_identity
+        self.given_up_term = state.term
         self.successors = sorted(
             (
                 info
-                for info in member.configuration.members
+                for info in state.configuration.members
                 if info.voter and info.identity in progress
             ),
             key=lambda info: (
@@ -65,34 +66,34 @@
         remains the leader. The caller sets the time limit; a leader whose proposals are
         not committed by then remains the leader as well, and may still commit them.
         """
-        member = self.member
-        self.refuses_leadership = True
+        state = self.state
+        self.election.refuses_leadership = True
         self.prepare()
-        if member.role is not Role.LEADER or not self.successors:
+        if state.role is not Role.LEADER or not self.successors:
             return
-        term = member.term
+        term = state.term
         self.refuses_proposals = True
-        while member.proposals_by_index:
-            await member.clock.sleep_ms(POLL_MS)
-        if not member.replication.leads_term(term):
+        while state.proposals_by_index:
+            await state.clock.sleep_ms(POLL_MS)
+        if not self.replication.leads_term(term):
             return
         self.prepare()
-        await member.election.step_down()
+        await self.election.step_down()
         await self.run()
         # The successor may need the vote of this member, which still answers.
-        while member.term == term or member.leader is None:
-            await member.clock.sleep_ms(POLL_MS)
+        while state.term == term or state.leader is None:
+            await state.clock.sleep_ms(POLL_MS)
 
     async def run(self) -> None:
         """Send the prepared handover to one successor after the other until one won."""
-        member = self.member
+        state = self.state
         for info in self.successors:
             message = Handover(
-                member.journal.member_record.cluster, info.identity, self.given_up_term
+                state.journal.member_record.cluster, info.identity, self.given_up_term
             )
             try:
-                reply = await member.link.call(
-                    info.peer_address, message, member.timing.call_timeout_ms
+                reply = await state.link.call(
+                    info.peer_address, message, state.timing.call_timeout_ms
                 )
             except PeerUnreachable:
                 continue
@@ -101,16 +102,16 @@
 
     async def handle(self, message: Handover) -> VoteReply:
         """Start an election; reply whether a quorum would vote for this member."""
-        member = self.member
-        async with member.lock:
-            record = member.journal.member_record
+        state = self.state
+        async with state.lock:
+            record = state.journal.member_record
             accepted = (
-                message.recipient == member.identity
+                message.recipient == state.identity
                 and message.cluster == record.cluster
-                and message.term == member.term
-                and member.role is Role.FOLLOWER
-                and not self.refuses_leadership
+                and message.term == state.term
+                and state.role is Role.FOLLOWER
+                and not self.election.refuses_leadership
             )
         if accepted:
-            accepted = await member.election.take_over(message.term)
-        return VoteReply(member.identity, member.term, accepted)
+            accepted = await self.election.take_over(message.term)
+        return VoteReply(state.identity, state.term, accepted)
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -80,7 +80,8 @@
     def _start_member(self) -> None:
         self.member_disk = MemberDisk(self.disk)
         self.member = self.make_member(self.member_disk)
-        self.member.handover.refuses_leadership = self._refuses_leadership
+        if self._refuses_leadership:
+            self.member.refuse_leadership()
         self._started_ms = self.clock.now_ms()
 
     # Interface to the embedding program
@@ -171,7 +172,7 @@
         A member that leads goes on to do so.
         """
         self._refuses_leadership = True
-        self.member.handover.refuses_leadership = True
+        self.member.refuse_leadership()
 
     async def leave_leadership(self) -> None:
         """Hand over the leadership, if the member has it; takes a limited time.
--- a/wagtailrun/consensus/membership_change.py
+++ b/wagtailrun/consensus/membership_change.py
@@ -1,9 +1,8 @@
 """Cluster bootstrap, joining, and replacement of a member that lost its disk."""
 
-from typing import TYPE_CHECKING
-
 import attrs
 
+from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     CODEC,
     Configuration,
@@ -14,14 +13,12 @@
     MemberInfo,
     name_of,
 )
+from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
-if TYPE_CHECKING:
-    from wagtailrun.consensus.member import Member
-
 __all__ = ["MembershipChange"]
 
 # Joining, removal of the lost identity and promotion take up to four steps in a row.
@@ -43,11 +40,13 @@
     """Changes the member set through the log, by one member at a time.
 
     Args:
-        member: Member that owns this component.
+        state: State of the member.
+        replication: Replication, which appends the changes.
     """
 
-    def __init__(self, member: "Member"):
-        self.member = member
+    def __init__(self, state: MemberState, replication: Replication):
+        self.state = state
+        self.replication = replication
         self.joining_by_name: dict[str, Join] = {}
         self.learner_since_ms: dict[str, int] = {}
         self.leading_since_ms = 0
@@ -64,39 +63,39 @@
         that was removed while it was unreachable never receives the entry that removes
         it.
         """
-        member = self.member
+        state = self.state
         while True:
-            is_member = member.configuration.find(member.identity) is not None
-            if not is_member or (member.open_joining and self._has_lost_leader()):
+            is_member = state.configuration.find(state.identity) is not None
+            if not is_member or (state.open_joining and self._has_lost_leader()):
                 await self._send_join_requests()
-            await member.clock.sleep_ms(JOIN_INTERVAL_MS)
+            await state.clock.sleep_ms(JOIN_INTERVAL_MS)
 
     def _has_lost_leader(self) -> bool:
         """Whether this member has had no contact with a leader for too long."""
-        member = self.member
-        if member.role is Role.LEADER:
+        state = self.state
+        if state.role is Role.LEADER:
             return False
         last_contact_ms = (
-            member.started_ms
-            if member.last_leader_contact_ms is None
-            else member.last_leader_contact_ms
+            state.started_ms
+            if state.last_leader_contact_ms is None
+            else state.last_leader_contact_ms
         )
-        return member.clock.now_ms() - last_contact_ms > VOTER_REMOVAL_TIMEOUT_MS
+        return state.clock.now_ms() - last_contact_ms > VOTER_REMOVAL_TIMEOUT_MS
 
     async def _send_join_requests(self) -> None:
-        member = self.member
+        state = self.state
         addresses = {
-            *member.peers,
-            *member.bootstrap.values(),
+            *state.peers,
+            *state.bootstrap.values(),
             *self.discovered_addresses,
         }
-        addresses.discard(member.address)
-        request = Join(member.identity, str(member.address))
+        addresses.discard(state.address)
+        request = Join(state.identity, str(state.address))
         replies_by_address: dict[Address, JoinReply] = {}
         for address in sorted(addresses):
             try:
-                reply = await member.link.call(
-                    address, request, member.timing.call_timeout_ms
+                reply = await state.link.call(
+                    address, request, state.timing.call_timeout_ms
                 )
             except PeerUnreachable:
                 continue
@@ -113,13 +112,13 @@
         replied and none belongs to a cluster. A member that lost its disk therefore
         cannot start a second cluster, because the others still belong to the first.
         """
-        member = self.member
-        bootstrap = member.bootstrap
-        if member.name != min(bootstrap, default=None) or self._has_cluster():
+        state = self.state
+        bootstrap = state.bootstrap
+        if state.name != min(bootstrap, default=None) or self._has_cluster():
             return False
         for name, address in bootstrap.items():
             reply = replies_by_address.get(address)
-            if name == member.name:
+            if name == state.name:
                 continue
             if reply is None or reply.cluster or name_of(reply.identity) != name:
                 return False
@@ -129,32 +128,32 @@
         # A kill between the two writes of a bootstrap leaves an empty log and the
         # identity of this member as the cluster. No other member knows that cluster
         # yet, so the bootstrap may be repeated.
-        record = self.member.journal.member_record
+        record = self.state.journal.member_record
         foreign = record.cluster not in ("", record.identity)
-        return foreign or self.member.journal.last_index > 0
+        return foreign or self.state.journal.last_index > 0
 
     async def _bootstrap_cluster(
         self, replies_by_address: dict[Address, JoinReply]
     ) -> None:
-        member = self.member
+        state = self.state
         members = []
-        for name, address in sorted(member.bootstrap.items()):
-            own = name == member.name
-            identity = member.identity if own else replies_by_address[address].identity
+        for name, address in sorted(state.bootstrap.items()):
+            own = name == state.name
+            identity = state.identity if own else replies_by_address[address].identity
             members.append(MemberInfo(identity, str(address), voter=True))
         data = CODEC.encode(Configuration(tuple(members)))
         entry = Entry(1, BOOTSTRAP_TERM, EntryKind.CONFIGURATION, data)
-        async with member.lock:
-            record = member.journal.member_record
+        async with state.lock:
+            record = state.journal.member_record
             if self._has_cluster():
                 return
-            member.become_follower(BOOTSTRAP_TERM, None)
+            state.become_follower(BOOTSTRAP_TERM, None)
             # The identity holds a random incarnation, so it is a unique cluster name.
             record = attrs.evolve(record, cluster=record.identity, term=BOOTSTRAP_TERM)
-            await member.journal.save_record(record)
-            await member.journal.wait_durable(await member.journal.append([entry]))
-        names = sorted(member.bootstrap)
-        events.log(events.CLUSTER_FOUNDED, member=member.name, members=names)
+            await state.journal.save_record(record)
+            await state.journal.wait_durable(await state.journal.append([entry]))
+        names = sorted(state.bootstrap)
+        events.log(events.CLUSTER_FOUNDED, member=state.name, members=names)
 
     # Join requests from other members
 
@@ -170,14 +169,14 @@
                 members.
         """
         Address.parse(request.address)
-        member = self.member
+        state = self.state
         name = name_of(request.identity)
-        members = member.configuration.members
-        known = {info.name for info in members} | set(member.bootstrap)
-        if member.is_leader and (member.open_joining or name in known):
+        members = state.configuration.members
+        known = {info.name for info in members} | set(state.bootstrap)
+        if self.replication.is_leader and (state.open_joining or name in known):
             self.joining_by_name[name] = request
         peers = tuple(info.address for info in members)
-        return JoinReply(member.identity, member.journal.member_record.cluster, peers)
+        return JoinReply(state.identity, state.journal.member_record.cluster, peers)
 
     # Changes by the leader
 
@@ -186,19 +185,19 @@
 
         A change is appended only after the one before it is committed.
         """
-        member = self.member
+        state = self.state
         self.joining_by_name.clear()
         self.learner_since_ms.clear()
-        self.leading_since_ms = member.clock.now_ms()
-        while member.replication.leads_term(term):
-            index, configuration = member.journal.configuration_at(
-                member.journal.last_index
+        self.leading_since_ms = state.clock.now_ms()
+        while self.replication.leads_term(term):
+            index, configuration = state.journal.configuration_at(
+                state.journal.last_index
             )
-            if member.is_leader and index <= member.commit_index:
+            if self.replication.is_leader and index <= state.commit_index:
                 change = self._next_configuration(configuration)
                 if change is not None:
-                    await member.replication.append_configuration(change)
-            await member.clock.sleep_ms(CHANGE_INTERVAL_MS)
+                    await self.replication.append_configuration(change)
+            await state.clock.sleep_ms(CHANGE_INTERVAL_MS)
 
     def _next_configuration(self, current: Configuration) -> Configuration | None:
         for info in current.members:
@@ -222,11 +221,11 @@
         A permanently lost VM would otherwise count in every quorum, so that the next
         loss could leave the cluster without a quorum.
         """
-        member = self.member
+        state = self.state
         voters = [info for info in current.members if info.voter]
-        if not member.min_voters or len(voters) <= member.min_voters:
+        if not state.min_voters or len(voters) <= state.min_voters:
             return None
-        leading_ms = member.clock.now_ms() - self.leading_since_ms
+        leading_ms = state.clock.now_ms() - self.leading_since_ms
         info = max(voters, key=self._unresponsive_ms)
         if min(self._unresponsive_ms(info), leading_ms) < VOTER_REMOVAL_TIMEOUT_MS:
             return None
@@ -234,7 +233,7 @@
 
     def _may_join(self, current: Configuration, name: str, request: Join) -> bool:
         """Whether the identity is new and no live member has its name."""
-        if current.find(request.identity) is not None or name == self.member.name:
+        if current.find(request.identity) is not None or name == self.state.name:
             return False
         return not any(
             info.name == name
@@ -259,19 +258,19 @@
         order a cluster of three would temporarily have four voters, of which two may
         be permanently lost.
         """
-        member = self.member
+        state = self.state
         since_ms = self.learner_since_ms.setdefault(
-            learner.identity, member.clock.now_ms()
+            learner.identity, state.clock.now_ms()
         )
         unresponsive_ms = self._unresponsive_ms(learner)
-        progress = member.replication.progress_by_identity.get(learner.identity)
+        progress = self.replication.progress_by_identity.get(learner.identity)
         others = tuple(info for info in current.members if info != learner)
         if unresponsive_ms >= LEARNER_REMOVAL_TIMEOUT_MS:
-            waited_ms = member.clock.now_ms() - since_ms
+            waited_ms = state.clock.now_ms() - since_ms
             return Configuration(others) if waited_ms >= unresponsive_ms else None
-        if progress is None or unresponsive_ms >= member.timing.lease_ms:
+        if progress is None or unresponsive_ms >= state.timing.lease_ms:
             return None
-        if progress.match_index < member.commit_index:
+        if progress.match_index < state.commit_index:
             return None
         lost = [info for info in others if info.name == learner.name and info.voter]
         if lost:
@@ -282,9 +281,9 @@
 
     def _unresponsive_ms(self, info: MemberInfo) -> int:
         """Return for how long ``info`` has not answered, by the local clock."""
-        progress = self.member.replication.progress_by_identity.get(info.identity)
-        if info.identity == self.member.identity:
+        progress = self.replication.progress_by_identity.get(info.identity)
+        if info.identity == self.state.identity:
             return 0
         if progress is None or progress.acknowledged_ms is None:
             return LEARNER_REMOVAL_TIMEOUT_MS
-        return self.member.clock.now_ms() - progress.acknowledged_ms
+        return self.state.clock.now_ms() - progress.acknowledged_ms
--- a/wagtailrun/consensus/replication.py
+++ b/wagtailrun/consensus/replication.py
@@ -1,11 +1,10 @@
 """Leader side of replication: one task per follower, leader lease, commit index."""
 
-from typing import TYPE_CHECKING
-
 import attrs
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     CODEC,
     AppendEntries,
@@ -22,9 +21,6 @@
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.logs import events
 
-if TYPE_CHECKING:
-    from wagtailrun.consensus.member import Member
-
 __all__ = ["Progress", "Replication"]
 
 MAX_APPEND_BYTES = 512 * 1024
@@ -52,11 +48,11 @@
     """Sends the log to the other members while this member is the leader.
 
     Args:
-        member: Member that owns this component.
+        state: State of the member.
     """
 
-    def __init__(self, member: "Member"):
-        self.member = member
+    def __init__(self, state: MemberState):
+        self.state = state
         self.progress_by_identity: dict[str, Progress] = {}
         self.first_index_of_term = 0
         self.appended = Signal()
@@ -65,30 +61,44 @@
 
     async def start_leadership(self) -> None:
         """Become leader of the current term; the caller must hold the member's lock."""
-        member = self.member
-        member.role = Role.LEADER
-        member.leader = member.identity
+        state = self.state
+        state.role = Role.LEADER
+        state.leader = state.identity
         self.progress_by_identity = {}
-        self.first_index_of_term = member.journal.last_index + 1
+        self.first_index_of_term = state.journal.last_index + 1
         await self.append(EntryKind.NO_OPERATION, b"")
         await self._start_replicators()
-        await member.spawn(member.membership.run_as_leader, member.term)
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member is the leader, with a valid lease.
+
+        False until an entry of its own term is committed: until then the leader cannot
+        know what earlier leaders have committed.
+        """
+        state = self.state
+        return (
+            state.role is Role.LEADER
+            and state.fault is None
+            and state.commit_index >= self.first_index_of_term
+            and self.lease_is_valid()
+        )
 
     def leads_term(self, term: int) -> bool:
         """Whether this member is still the leader of ``term`` and has no fault."""
-        member = self.member
-        leading = member.role is Role.LEADER and member.term == term
-        return leading and member.fault is None
+        state = self.state
+        leading = state.role is Role.LEADER and state.term == term
+        return leading and state.fault is None
 
     def lease_is_valid(self) -> bool:
         """Whether a quorum still withholds its votes from other candidates."""
-        member = self.member
-        now_ms = member.clock.now_ms()
-        configuration = member.configuration
+        state = self.state
+        now_ms = state.clock.now_ms()
+        configuration = state.configuration
         times = []
         for identity in configuration.voters():
             progress = self.progress_by_identity.get(identity)
-            if identity == member.identity:
+            if identity == state.identity:
                 times.append(now_ms)
             elif progress is not None and progress.acknowledged_ms is not None:
                 times.append(progress.acknowledged_ms)
@@ -96,13 +106,13 @@
         if len(times) < configuration.quorum():
             return False
         start_ms = times[configuration.quorum() - 1]
-        return now_ms < start_ms + member.timing.lease_ms
+        return now_ms < start_ms + state.timing.lease_ms
 
     async def append(self, kind: EntryKind, data: bytes) -> None:
         """Append one entry; the next disk write and the next messages include it."""
-        member = self.member
-        index = member.journal.last_index + 1
-        await member.journal.append([Entry(index, member.term, kind, data)])
+        state = self.state
+        index = state.journal.last_index + 1
+        await state.journal.append([Entry(index, state.term, kind, data)])
         await self.appended.notify()
 
     async def append_configuration(self, configuration: Configuration) -> None:
@@ -110,7 +120,7 @@
         members = [attrs.asdict(info) for info in configuration.members]
         events.log(
             events.CLUSTER_MEMBERSHIP_CHANGED,
-            member=self.member.name,
+            member=self.state.name,
             members=members,
         )
         await self.append(EntryKind.CONFIGURATION, CODEC.encode(configuration))
@@ -118,51 +128,51 @@
 
     async def advance_commit(self) -> None:
         """Commit all entries that are durable at a quorum of voters."""
-        member = self.member
-        if not self.leads_term(member.term):
+        state = self.state
+        if not self.leads_term(state.term):
             return
-        configuration = member.configuration
+        configuration = state.configuration
         matches = []
         for identity in configuration.voters():
             progress = self.progress_by_identity.get(identity)
-            if identity == member.identity:
-                matches.append(member.journal.durable_index)
+            if identity == state.identity:
+                matches.append(state.journal.durable_index)
             else:
                 matches.append(progress.match_index if progress else 0)
         matches.sort(reverse=True)
         index = matches[configuration.quorum() - 1]
         # An entry of an earlier term is committed only by a later entry of this term.
-        if member.journal.term_at(index) == member.term:
-            await member.commit(index)
+        if state.journal.term_at(index) == state.term:
+            await state.commit(index)
 
     # One task per follower
 
     async def _start_replicators(self) -> None:
-        member = self.member
-        for info in member.configuration.members:
+        state = self.state
+        for info in state.configuration.members:
             known = info.identity in self.progress_by_identity
-            if info.identity != member.identity and not known:
-                progress = Progress(next_index=member.journal.last_index + 1)
+            if info.identity != state.identity and not known:
+                progress = Progress(next_index=state.journal.last_index + 1)
                 self.progress_by_identity[info.identity] = progress
-                await member.spawn(self._replicate, info, progress, member.term)
+                await state.spawn(self._replicate, info, progress, state.term)
 
     def _should_replicate(
         self, info: MemberInfo, progress: Progress, term: int
     ) -> bool:
         current = self.progress_by_identity.get(info.identity) is progress
-        configured = self.member.configuration.find(info.identity) is not None
+        configured = self.state.configuration.find(info.identity) is not None
         return self.leads_term(term) and current and configured
 
     async def _replicate(self, info: MemberInfo, progress: Progress, term: int) -> None:
         while self._should_replicate(info, progress, term):
-            sent_ms = self.member.clock.now_ms()
+            sent_ms = self.state.clock.now_ms()
             try:
                 if self._needs_snapshot(progress):
                     await self._send_snapshot(info, progress, term)
                 else:
                     await self._send_entries(info, progress, term)
             except PeerUnreachable:
-                await self.member.clock.sleep_ms(RETRY_DELAY_MS)
+                await self.state.clock.sleep_ms(RETRY_DELAY_MS)
                 continue
             await self._wait_for_entry_or_heartbeat(progress, sent_ms)
         if self.progress_by_identity.get(info.identity) is progress:
@@ -173,7 +183,7 @@
 
         These are the next entry to send, and the term of the entry before it.
         """
-        journal = self.member.journal
+        journal = self.state.journal
         unknown = journal.term_at(progress.next_index - 1) is None
         return unknown or progress.next_index < journal.first_index
 
@@ -181,32 +191,32 @@
         self, progress: Progress, sent_ms: int
     ) -> None:
         """Wait for a new entry, or until the next heartbeat is due."""
-        member = self.member
+        state = self.state
         # Heartbeats of all peers are due at the same times, so that an idle leader
         # wakes up once for all of them.
-        heartbeat_ms = member.timing.heartbeat_ms
+        heartbeat_ms = state.timing.heartbeat_ms
         due_ms = (sent_ms // heartbeat_ms + 1) * heartbeat_ms
-        if progress.next_index <= member.journal.last_index:
+        if progress.next_index <= state.journal.last_index:
             return
-        wait_ms = max(due_ms - member.clock.now_ms(), 0)
+        wait_ms = max(due_ms - state.clock.now_ms(), 0)
         async with curio.ignore_after(wait_ms / MS_PER_SECOND):
             await self.appended.wait()
 
     async def _send_entries(
         self, info: MemberInfo, progress: Progress, term: int
     ) -> None:
-        member = self.member
-        journal = member.journal
+        state = self.state
+        journal = state.journal
         previous_index = progress.next_index - 1
         message = AppendEntries(
             cluster=journal.member_record.cluster,
             recipient=info.identity,
             term=term,
-            leader=member.identity,
-            leader_address=str(member.address),
+            leader=state.identity,
+            leader_address=str(state.address),
             previous_index=previous_index,
             previous_term=journal.term_at(previous_index),
-            commit_index=member.commit_index,
+            commit_index=state.commit_index,
             entries=journal.entries_from(progress.next_index, MAX_APPEND_BYTES),
         )
         reply = await self._call_follower(info, progress, term, message)
@@ -223,7 +233,7 @@
     async def _send_snapshot(
         self, info: MemberInfo, progress: Progress, term: int
     ) -> None:
-        snapshot = await self.member.journal.read_snapshot()
+        snapshot = await self.state.journal.read_snapshot()
         if snapshot is None:
             raise RuntimeError(
                 f"the log lacks the entry at index {progress.next_index}, but there is "
@@ -251,11 +261,11 @@
         data: bytes,
     ) -> SnapshotPiece:
         return SnapshotPiece(
-            cluster=self.member.journal.member_record.cluster,
+            cluster=self.state.journal.member_record.cluster,
             recipient=info.identity,
             term=term,
-            leader=self.member.identity,
-            leader_address=str(self.member.address),
+            leader=self.state.identity,
+            leader_address=str(self.state.address),
             header=header,
             offset=offset,
             data=data[offset : offset + SNAPSHOT_PIECE_BYTES],
@@ -270,17 +280,17 @@
             PeerUnreachable: If there is no reply, it is of another type, or it comes
                 from another identity or another cluster.
         """
-        member = self.member
-        sent_ms = member.clock.now_ms()
-        timeout_ms = member.timing.call_timeout_ms
-        reply = await member.link.call(info.peer_address, message, timeout_ms)
+        state = self.state
+        sent_ms = state.clock.now_ms()
+        timeout_ms = state.timing.call_timeout_ms
+        reply = await state.link.call(info.peer_address, message, timeout_ms)
         if not isinstance(reply, AppendReply | PieceReply):
             raise PeerUnreachable(f"{info.identity} sent an unexpected reply {reply!r}")
         if reply.sender != info.identity:
             raise PeerUnreachable(
                 f"expected a reply from {info.identity}, but {reply.sender} answered"
             )
-        await member.observe_term(reply.term)
+        await state.observe_term(reply.term)
         if not self.leads_term(term):
             return None
         if reply.term != term:
