Pass attempts and retries the context of their dispatcher

Cause: Attempts and RetryState took the whole Dispatcher, whose module imports theirs, so that dispatch, attempts and repeats formed an import circle.

Change: DispatchContext holds the components, policies and counters that the three share. Attempts asks a TargetSource for targets, which Dispatcher implements. DispatchOptions and the failures that an entry detects have modules of their own. The options of a Dispatcher are those of its context, so that replaced ones still apply to attempts and retries. Hedges now ask the dispatcher itself for their target, so that a replaced choose applies to them, too.

--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -4,7 +4,7 @@
 import secrets
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, suppress
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import attrs
 import curio
@@ -19,14 +19,17 @@
 from wagtailrun.logs import events
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
-from wagtailrun.serving.repeats import ConnectionStalled, DeadlinePassed, TargetTooSlow
+from wagtailrun.serving.attempt_failures import (
+    ConnectionStalled,
+    DeadlinePassed,
+    TargetTooSlow,
+)
+from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
+from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
-if TYPE_CHECKING:
-    from wagtailrun.serving.dispatch import Dispatcher, DispatchOptions
-
 __all__ = ["AttemptRun", "Attempts", "Results"]
 
 # A connection counts as stalled after this multiple of the expected time to the next
@@ -102,30 +105,31 @@
     """Runs attempts for a dispatcher.
 
     Args:
-        dispatcher: Dispatcher whose client, router, budget and observer are used.
+        context: Components, policies and counters of the dispatcher.
+        targets: Finds the targets of hedges, and those that a stream may move to.
     """
 
-    def __init__(self, dispatcher: "Dispatcher"):
-        self.dispatcher = dispatcher
-        self.clock = dispatcher.clock
-        self.client = dispatcher.client
-        self.router = dispatcher.router
-        self.estimates = dispatcher.estimates
-        self.admission = dispatcher.admission
-        self.probe = dispatcher.probe
-        self.observer = dispatcher.observer
-        self.budget = dispatcher.budget
-        self.counts = dispatcher.counts
-        self.choose = dispatcher.choose
+    def __init__(self, context: DispatchContext, targets: TargetSource):
+        self.context = context
+        self.targets = targets
+        self.clock = context.clock
+        self.client = context.client
+        self.router = context.router
+        self.estimates = context.estimates
+        self.admission = context.admission
+        self.probe = context.probe
+        self.observer = context.observer
+        self.budget = context.budget
+        self.counts = context.counts
         self.fresh_until_ms_by_name: dict[str, int] = {}
         # Attempt numbers of different incarnations of an entry must not collide.
         first = secrets.randbits(40) << 20
         self.next_number: Callable[[], int] = itertools.count(first).__next__
 
     @property
-    def options(self) -> "DispatchOptions":
+    def options(self) -> DispatchOptions:
         """Policies of the dispatcher that are enabled."""
-        return self.dispatcher.options
+        return self.context.options
 
     async def launch(
         self,
@@ -283,7 +287,7 @@
         work = run.work
         if self.options.budget and not self.budget.has(work.service, HEDGE_RESERVE):
             return
-        target = self.choose(work, {run.target.name})
+        target = self.targets.choose(work, {run.target.name})
         if target is None or target.name == run.target.name:
             return
         if self.options.budget:
@@ -414,7 +418,7 @@
         """Return whether another target has the version that began the stream."""
         version = run.target.software_version
         bound = attrs.evolve(run.work, software_version=version)
-        return len(self.dispatcher.usable_targets(bound)) > 1
+        return len(self.targets.usable_targets(bound)) > 1
 
     async def finish(self, run: AttemptRun, answer: StageAnswer | None) -> None:
         """Record an attempt whose complete answer arrived."""
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -1,13 +1,10 @@
 """Runs one stage or call at a target: admission, routing, attempts and retries."""
 
 import random
-from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import aclosing
 from typing import TypeVar
 
-import attrs
-
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import (
     Refusal,
@@ -15,7 +12,6 @@
     TargetFailed,
     Verdict,
 )
-from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import StageAnswer, TargetClient, Token
 from wagtailrun.serving.admission import Admission
 from wagtailrun.serving.attempts import (
@@ -24,6 +20,8 @@
     Attempts,
     Results,
 )
+from wagtailrun.serving.dispatch_context import DispatchContext, Probe, TargetSource
+from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.repeats import RetryState
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
@@ -35,8 +33,6 @@
 
 __all__ = ["DispatchOptions", "Dispatcher", "Work", "make_dispatcher"]
 
-# The budget limits the retries of a service; this limits the attempts of one request.
-MAX_ATTEMPTS = 4
 # The list of usable targets is cached for this time, because scanning all targets takes
 # longer than a routing decision. Membership changes take effect after it at the latest.
 USABLE_CACHE_MS = 100
@@ -51,30 +47,6 @@
 )
 
 
-@attrs.frozen
-class DispatchOptions:
-    """Policies of the dispatcher; each can be switched off to measure its effect.
-
-    Attributes:
-        admission: Queues work and refuses it if it cannot meet its deadline.
-        hedges: Starts a second attempt if the first item is late.
-        budget: Limits retries and hedges by the retry budget.
-        detect_stalls: Abandons attempts at stalled connections.
-        move_slow_streams: Moves streams away from targets that are too slow.
-        max_retries: Largest number of retries of one request.
-        check_tokens: Verifies the offsets of received tokens.
-    """
-
-    admission: bool = True
-    hedges: bool = True
-    budget: bool = True
-    detect_stalls: bool = True
-    move_slow_streams: bool = True
-    max_retries: int = MAX_ATTEMPTS - 1
-    check_tokens: bool = True
-
-
-Probe = Callable[[Address], Awaitable[bool]]
 T = TypeVar("T")
 
 
@@ -82,7 +54,7 @@
     return answer
 
 
-class Dispatcher:
+class Dispatcher(TargetSource):
     """Runs work at targets.
 
     Args:
@@ -95,7 +67,7 @@
             stalled target counts as unreachable.
         observer: Notified of attempts.
         seed: Seed for the delays before retries.
-        options: Policies that are enabled.
+        options: Policies that are enabled; all by default.
     """
 
     def __init__(
@@ -109,27 +81,42 @@
         probe: Probe | None = None,
         observer: AttemptObserver | None = None,
         seed: int | None = None,
-        options: DispatchOptions = DispatchOptions(),
+        options: DispatchOptions | None = None,
     ):
+        estimates = estimates or Estimates(clock)
+        self.context = context = DispatchContext(
+            clock=clock,
+            client=client,
+            router=router,
+            estimates=estimates,
+            admission=Admission(clock, estimates),
+            probe=probe,
+            observer=observer or NullObserver(),
+            random=random.Random(seed),
+            options=options or DispatchOptions(),
+            budget=RetryBudget(),
+        )
         self.clock = clock
         self.membership = membership
-        self.client = client
         self.router = router
-        self.estimates = estimates or Estimates(clock)
-        self.admission = Admission(clock, self.estimates)
-        self.probe = probe
-        self.observer = observer or NullObserver()
-        self.random = random.Random(seed)
-        self.options = options
-        self.budget = RetryBudget()
-        # Number of attempts by kind: "first", "hedge", "retry" after an attempt that
-        # was sent, and "redirect" after one that was not sent.
-        self.counts: Counter[str] = Counter()
+        self.estimates = estimates
+        self.admission = context.admission
+        self.budget = context.budget
+        self.counts = context.counts
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
         self.outage_since_ms_by_service: dict[str, int] = {}
         # Whether the process ends, which would cut off an attempt that begins now.
         self.ended = False
-        self.attempts = Attempts(self)
+        self.attempts = Attempts(context, self)
+
+    @property
+    def options(self) -> DispatchOptions:
+        """Policies that are enabled."""
+        return self.context.options
+
+    @options.setter
+    def options(self, options: DispatchOptions) -> None:
+        self.context.options = options
 
     async def end(self) -> None:
         """Begin no more attempts; refuse the work that waits for a target."""
@@ -148,7 +135,7 @@
             read: Returns what is needed of an answer; raises ``TargetFailed`` if it is
                 none, by which the attempt has failed.
         """
-        retry_state = RetryState(self, work)
+        retry_state = RetryState(self.context, work)
         while True:
             run = await self._start_attempt(retry_state)
             if isinstance(run, Refusal):
@@ -184,7 +171,7 @@
         A broken stream resumes from the next offset, at the same target if only its
         connection stalled. The last item ends with the end marker, or is a refusal.
         """
-        retry_state = RetryState(self, work)
+        retry_state = RetryState(self.context, work)
         while True:
             run = await self._start_attempt(retry_state, streaming=True)
             if isinstance(run, Refusal):
@@ -202,7 +189,7 @@
                     return
 
     async def _attempt_tokens(
-        self, run: AttemptRun, retry_state: "RetryState"
+        self, run: AttemptRun, retry_state: RetryState
     ) -> AsyncIterator[tuple[Token, ...]]:
         """Yield the tokens of one attempt, or of its hedge if that responds first."""
         run, tokens = await self.attempts.first_item(run)
@@ -228,7 +215,7 @@
             await self.attempts.abandon(run)
 
     async def _start_attempt(
-        self, retry_state: "RetryState", streaming: bool = False
+        self, retry_state: RetryState, streaming: bool = False
     ) -> AttemptRun | Refusal:
         """Wait for a target and start an attempt there."""
         if self.ended:
--- a/wagtailrun/serving/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -1,7 +1,5 @@
 """Decides on retries after failed attempts, and on the final refusal."""
 
-from typing import TYPE_CHECKING
-
 import attrs
 
 from wagtailrun.exceptions import (
@@ -13,50 +11,25 @@
     Verdict,
 )
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
+from wagtailrun.serving.attempt_failures import ConnectionStalled, DeadlinePassed
+from wagtailrun.serving.dispatch_context import DispatchContext
 from wagtailrun.serving.retries import backoff_ms, may_retry
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
-if TYPE_CHECKING:
-    from wagtailrun.serving.dispatch import Dispatcher
-
-__all__ = ["ConnectionStalled", "DeadlinePassed", "RetryState", "TargetTooSlow"]
-
-
-class ConnectionStalled(TargetFailed):
-    """A connection stalled, but the target accepts new connections."""
-
-    def __init__(self, detail: str, target: TargetRow):
-        super().__init__(detail, verdict=Verdict.MAY_HAVE_RUN, timed_out=True)
-        self.target = target
-
-
-class TargetTooSlow(TargetFailed):
-    """A stream would miss its deadline because its target is slower than others."""
-
-    def __init__(self, target: TargetRow):
-        detail = f"{target.name} is too slow for the deadline"
-        super().__init__(detail, verdict=Verdict.MAY_HAVE_RUN)
-
-
-class DeadlinePassed(TargetFailed):
-    """The deadline passed before the answer arrived."""
-
-    def __init__(self) -> None:
-        detail = "the deadline passed while the request ran"
-        super().__init__(detail, verdict=Verdict.MAY_HAVE_RUN)
+__all__ = ["RetryState"]
 
 
 class RetryState:
     """Retry state of one piece of work.
 
     Args:
-        dispatcher: Dispatcher whose budget, options and observer are used.
+        context: Components, policies and counters of the dispatcher.
         work: Work that is attempted.
     """
 
-    def __init__(self, dispatcher: "Dispatcher", work: Work):
-        self.dispatcher = dispatcher
+    def __init__(self, context: DispatchContext, work: Work):
+        self.context = context
         self.work = work
         self.count = 0
         self.offset = 0
@@ -79,30 +52,30 @@
         Returns:
             None if the work may be attempted again, otherwise its refusal.
         """
-        dispatcher, work = self.dispatcher, self.work
+        context, work = self.context, self.work
         self.refusal = self._combine(error)
         if isinstance(error, DeadlinePassed):
             return attrs.evolve(self.refusal, reason=RefusalReason.DEADLINE)
         is_shortage = isinstance(error, ConnectShortage)
         if is_shortage and not error.only_here:
             return await self._wait_for_room()
-        if self.count >= dispatcher.options.max_retries:
+        if self.count >= context.options.max_retries:
             return self.refusal
         if not may_retry(work.idempotent, error):
             return self.refusal
         # An attempt that this process could not make is no retry of a failed one.
-        takes_budget = dispatcher.options.budget and not is_shortage
-        if takes_budget and not dispatcher.budget.spend(work.service):
+        takes_budget = context.options.budget and not is_shortage
+        if takes_budget and not context.budget.spend(work.service):
             return self.refusal
-        wait_ms = backoff_ms(self.count, dispatcher.random)
-        if dispatcher.clock.now_ms() + wait_ms >= work.deadline_at_ms:
+        wait_ms = backoff_ms(self.count, context.random)
+        if context.clock.now_ms() + wait_ms >= work.deadline_at_ms:
             return self.refusal
         self.count += 1
         # An attempt that was never sent added no load, so it is not counted as retry.
         kind = "redirect" if isinstance(error, ConnectFailed) else "retry"
-        dispatcher.counts[kind] += 1
+        context.counts[kind] += 1
         self._choose_next_target(error)
-        await dispatcher.clock.sleep_ms(wait_ms)
+        await context.clock.sleep_ms(wait_ms)
         return None
 
     async def _wait_for_room(self) -> Refusal | None:
@@ -110,7 +83,7 @@
 
         A stream that has begun waits instead, as long as its deadline allows.
         """
-        clock = self.dispatcher.clock
+        clock = self.context.clock
         left_ms = self.work.deadline_at_ms - clock.now_ms()
         if not self.offset or left_ms <= SHORTAGE_PAUSE_MS:
             return self.refusal
@@ -119,7 +92,7 @@
 
     def _choose_next_target(self, error: TargetFailed) -> None:
         target = self.last_target
-        self.dispatcher.observer.retried(self.work, target, error)
+        self.context.observer.retried(self.work, target, error)
         # A started stream resumes at the target that holds its KV cache. Other work is
         # sent to another target, because the stall may be caused by a long queue.
         again = target.name in self.stalled_names
@@ -152,7 +125,7 @@
             verdict = _worse_verdict(self.refusal.verdict, verdict)
         retry_after_ms = error.retry_after_ms
         if not retry_after_ms:
-            retry_after_ms = self.dispatcher.admission.retry_after_ms(self.work)
+            retry_after_ms = self.context.admission.retry_after_ms(self.work)
         reason = RefusalReason.TARGET_FAILED
         if isinstance(error, ConnectShortage):
             reason = RefusalReason.OVERLOADED
