Let pools and the succession depend on interfaces below the batcher

Cause: a Pool took the StageBatcher that creates it, and the Succession took a Pool, so that batcher, pool and succession formed an import circle.

Change: PoolManager is the interface by which pools use the components of the batcher and tell it of ended jobs and calls; StageBatcher implements it. PoolState holds the jobs, results and target states of a service, which is what the succession moves; Pool extends it by the planning and running of calls.

--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -21,6 +21,7 @@
     TakeOver,
 )
 from wagtailrun.stages.pool import Pool
+from wagtailrun.stages.pool_manager import PoolManager
 from wagtailrun.stages.port import StageClient
 from wagtailrun.stages.succession import Succession, take_over
 from wagtailrun.targets.table import TargetRow
@@ -28,7 +29,7 @@
 __all__ = ["StageBatcher"]
 
 
-class StageBatcher:
+class StageBatcher(PoolManager):
     """Batches pieces into calls for the stage services that this entry owns.
 
     Args:
@@ -122,6 +123,10 @@
         await pool.wake.set()
         return TakenOver(len(message.jobs))
 
+    def record_finished(self, job: Job) -> None:
+        """Keep an ended job until its waiting polls are notified."""
+        self.finished_jobs.append(job)
+
     async def notify_finished(self) -> None:
         """Wake the polls of jobs that ended, and the senders of scheduled releases."""
         jobs, self.finished_jobs = self.finished_jobs, []
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -1,10 +1,8 @@
 """Queue of one stage service, and the calls to its targets."""
 
-import itertools
 import math
-from collections import defaultdict, deque
-from collections.abc import Collection, Iterator, Sequence
-from typing import TYPE_CHECKING
+from collections import defaultdict
+from collections.abc import Collection, Iterator
 
 import curio
 
@@ -16,7 +14,6 @@
 from wagtailrun.stages.call_slot import CallLimits, CallSlot
 from wagtailrun.stages.fetched_inputs import FetchedInputs
 from wagtailrun.stages.job import Job, job_key
-from wagtailrun.stages.memory import ResultMemory
 from wagtailrun.stages.messages import (
     CancelPieces,
     JobState,
@@ -24,14 +21,13 @@
     RunPieces,
 )
 from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
+from wagtailrun.stages.pool_manager import PoolManager
+from wagtailrun.stages.pool_state import PoolState
 from wagtailrun.stages.port import PieceOutcome, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
 from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
 from wagtailrun.targets.table import TargetRow
 
-if TYPE_CHECKING:
-    from wagtailrun.stages.batcher import StageBatcher
-
 __all__ = ["Pool"]
 
 # How long a target that has no memory for a result is sent none of that size, unless
@@ -42,8 +38,6 @@
 RELEASE_TIMEOUT_MS = 500
 # Finished jobs are kept this long to answer repeated polls.
 FINISHED_JOB_RETENTION_MS = 3_000
-# An entry that still wants a job polls for it within this time after the last reply.
-NEXT_POLL_MS = 300
 # An announced step is dropped if its inputs do not arrive in this time: its entry has
 # stopped or has abandoned the request.
 ANNOUNCED_JOB_TIMEOUT_MS = 6_000
@@ -51,51 +45,31 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
-# An entry that was not asked for pieces for this long may have become the owner anew.
-# For as long, the one before it may still make calls.
-CONTESTED_MS = 1_000
 # Each urgency level counts as this much additional time to the latency objective. This
 # lets urgent jobs go first in a short queue and limits the delay of the least urgent.
 URGENCY_STEP_MS = 400
 
 
-class Pool:
-    """Job queue and target states of one stage service."""
-
-    def __init__(self, batcher: "StageBatcher", service: str):
-        self.batcher = batcher
-        self.clock = batcher.clock
-        self.service = service
-        self.jobs_by_key: dict[tuple[str, int, int], Job] = {}
-        # The unfinished jobs. There are several times as many finished ones, so the
-        # frequent scans use this table.
-        self.open_by_key: dict[tuple[str, int, int], Job] = {}
-        # Finished jobs that are still kept, oldest first.
-        self.ended_jobs: deque[Job] = deque()
-        self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
-        self.memory = ResultMemory()
-        self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
-        # Results whose release is scheduled or sent.
-        self.releasing: set[str] = set()
-        self.job_numbers = itertools.count()
-        self.inputs = FetchedInputs(self.clock, batcher.release_elsewhere)
+class Pool(PoolState):
+    """Queue of one stage service, which starts the calls to its targets.
+
+    Args:
+        manager: Holds the shared components; notified of ended jobs and calls.
+        service: Name of the service.
+    """
+
+    def __init__(self, manager: PoolManager, service: str):
+        super().__init__(manager.clock, service, lambda: manager.targets(service))
+        self.manager = manager
+        self.inputs = FetchedInputs(self.clock, manager.release_elsewhere)
         self.planner = CallPlanner(
             self.clock, self.memory, self.target_states_by_name, self.processing_ms
         )
         self.next_forecast_ms = 0
-        # When an entry last requested pieces, and until when another entry that owned
-        # the service, or owns it again, may call its targets.
-        self.used_ms = -CONTESTED_MS
-        self.contested_until_ms = 0
         self.wake = curio.Event()
         self.releases_pending = curio.Event()
         self.tasks: list[curio.Task] = []
 
-    @property
-    def is_unused(self) -> bool:
-        """Whether no entry needs a result of the pool any more."""
-        return not (self.jobs_by_key or self.pending_releases_by_address)
-
     def drop_gone(self, names: Collection[str]) -> None:
         """Drop the states of targets that are not among ``names``, and ended jobs."""
         for name, target_state in list(self.target_states_by_name.items()):
@@ -115,27 +89,12 @@
         """
         if self.clock.now_ms() < self.contested_until_ms:
             return True
-        return not self.batcher.is_owner(self.service)
-
-    def record_use(self) -> None:
-        """Record a request for pieces that may run."""
-        now_ms = self.clock.now_ms()
-        if now_ms - self.used_ms > CONTESTED_MS:
-            self.contested_until_ms = now_ms + CONTESTED_MS
-        self.used_ms = now_ms
+        return not self.manager.is_owner(self.service)
 
     @property
     def capacity(self) -> StageCapacity:
         """Configured capacity of one target."""
-        return self.batcher.capacity(self.service)
-
-    def targets(self) -> list[TargetRow]:
-        """Return the targets that accept calls."""
-        return self.batcher.targets(self.service)
-
-    def open_jobs(self) -> list[Job]:
-        """Return the unfinished jobs."""
-        return list(self.open_by_key.values())
+        return self.manager.capacity(self.service)
 
     def queue_ms(self, before: Job | None = None) -> int | None:
         """Return the expected queueing delay of pieces.
@@ -180,14 +139,6 @@
         each_ms = capacity.duration_ms(min(pieces, capacity.batch))
         return calls * each_ms * min(slowness, default=1.0)
 
-    def has_unreported_job(self) -> bool:
-        """Return whether the next poll of an entry asks for a job that has ended."""
-        first_ms = self.clock.now_ms() - NEXT_POLL_MS
-        recent = itertools.takewhile(
-            lambda job: job.ended_ms > first_ms, reversed(self.ended_jobs)
-        )
-        return any(job.ready and not job.reported for job in recent)
-
     # Jobs
 
     def add(self, message: RunPieces) -> tuple[Job, bool]:
@@ -208,7 +159,7 @@
                 number=next(self.job_numbers),
             )
             self.jobs_by_key[job.key] = self.open_by_key[job.key] = job
-            self.batcher.budget.earn(self.service)
+            self.manager.budget.earn(self.service)
         elif job.moved_to:
             return job, False
         elif not job.ready and not message.reserve:
@@ -277,22 +228,11 @@
                 waited_ms=job.ended_ms - job.expires_at_ms + job.message.remaining_ms,
                 queue_ms=self.queue_ms(),
             )
-        self.batcher.finished_jobs.append(job)
+        self.manager.record_finished(job)
 
     def _release_results(self, job: Job) -> None:
         self.release(list(job.results_by_piece.values()))
 
-    def release(self, results: Sequence[PieceResult]) -> None:
-        """Schedule the release of results.
-
-        They count as memory in use until their targets confirm the release. The results
-        may come from calls of another entry that owned the service before.
-        """
-        for result in results:
-            address = Address.parse(result.address)
-            self.pending_releases_by_address[address].append(result.handle)
-            self.releasing.add(result.handle)
-
     # Calls
 
     async def run(self) -> None:
@@ -306,8 +246,8 @@
                 await self.wake.wait()
             self.wake.clear()
             self._review()
-            await self.batcher.notify_finished()
-            succession = self.batcher.succession
+            await self.manager.notify_finished()
+            succession = self.manager.succession
             if succession is None or not await succession.move(self):
                 while await self._start_call():
                     pass
@@ -398,7 +338,7 @@
         held_bytes = self.memory.used_bytes(row.address)
         target_state = self.target_states_by_name[row.name]
         items = [job.stage_item(piece, started_ms) for job, piece in chosen]
-        may_retry = self.batcher.budget.claim(self.service, len(chosen))
+        may_retry = self.manager.budget.claim(self.service, len(chosen))
         limits = CallLimits.compute(
             expected_ms, [job for job, _ in chosen], may_retry, started_ms
         )
@@ -407,7 +347,7 @@
             target_state,
             self.wake,
             row.address,
-            self.batcher.confirms_silence,
+            self.manager.confirms_silence,
         )
         timers = [await curio.spawn(slot.watch, limits, daemon=True)]
         is_full = started_ms < target_state.full_until_ms
@@ -417,7 +357,7 @@
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
-            replies = await self.batcher.client.run(row, items, limits.timeout_ms, slot)
+            replies = await self.manager.client.run(row, items, limits.timeout_ms, slot)
         except TargetFailed as error:
             failure = error
         except Exception as error:
@@ -442,7 +382,7 @@
             expected_ms=int(expected_ms),
             failure=str(failure or ""),
         )
-        self.batcher.record_call(len(items), ended_ms - started_ms)
+        self.manager.record_call(len(items), ended_ms - started_ms)
         if failure is None:
             # A call may end before its inputs were marked.
             done = [
@@ -461,19 +401,19 @@
         ):
             self.memory.drop_target(row.address)
         if may_retry:
-            self.batcher.budget.unclaim(self.service, len(chosen))
+            self.manager.budget.unclaim(self.service, len(chosen))
         if failure is not None:
             for job, piece in chosen:
                 self._requeue(job, piece, failure.verdict is not Verdict.NOT_RUN)
         else:
             target_state.record_answer(ended_ms)
-            if not self.batcher.was_held_since(started_ms):
+            if not self.manager.was_held_since(started_ms):
                 # Else the time is that of this process.
                 expected_ms = self.capacity.duration_ms(len(items))
                 await slot.record_duration(ended_ms, expected_ms)
             for (job, piece), reply in zip(chosen, replies, strict=True):
                 self._apply_reply(row, target_state, job, piece, reply)
-        await self.batcher.notify_finished()
+        await self.manager.notify_finished()
         await self.wake.set()
 
     def _has_usable_target(self) -> bool:
@@ -547,7 +487,7 @@
         if may_have_run:
             job.failed_attempts += 1
             limit = MAX_ATTEMPTS * len(job.message.pieces)
-            if job.failed_attempts > limit or not self.batcher.budget.spend(
+            if job.failed_attempts > limit or not self.manager.budget.spend(
                 self.service
             ):
                 self._finish(
@@ -576,7 +516,7 @@
     async def _send_releases(self, address: Address, handles: list[str]) -> None:
         try:
             async with curio.timeout_after(RELEASE_TIMEOUT_MS / MS_PER_SECOND):
-                await self.batcher.client.free(address, handles)
+                await self.manager.client.free(address, handles)
         except (TargetFailed, curio.TaskTimeout) as error:
             # The target drops the results when they expire. Until then they count as
             # memory in use.
--- /dev/null
+++ b/wagtailrun/stages/pool_state.py
@@ -0,0 +1,89 @@
+"""Jobs and results of one stage service, and the states of its targets."""
+
+import itertools
+from collections import defaultdict, deque
+from collections.abc import Callable, Sequence
+
+from wagtailrun.clock import Clock
+from wagtailrun.ports.link import Address
+from wagtailrun.stages.job import Job
+from wagtailrun.stages.memory import ResultMemory
+from wagtailrun.stages.messages import PieceResult
+from wagtailrun.stages.target_state import TargetState
+from wagtailrun.targets.table import TargetRow
+
+__all__ = ["PoolState"]
+
+# An entry that still wants a job polls for it within this time after the last reply.
+NEXT_POLL_MS = 300
+# An entry that was not asked for pieces for this long may have become the owner anew.
+# For as long, the one before it may still make calls.
+CONTESTED_MS = 1_000
+
+
+class PoolState:
+    """What an entry that owns a stage service knows of it.
+
+    Args:
+        clock: Clock.
+        service: Name of the service.
+        targets: Returns the targets that accept calls.
+    """
+
+    def __init__(
+        self, clock: Clock, service: str, targets: Callable[[], list[TargetRow]]
+    ):
+        self.clock = clock
+        self.service = service
+        self.targets = targets
+        self.jobs_by_key: dict[tuple[str, int, int], Job] = {}
+        # The unfinished jobs. There are several times as many finished ones, so the
+        # frequent scans use this table.
+        self.open_by_key: dict[tuple[str, int, int], Job] = {}
+        # Finished jobs that are still kept, oldest first.
+        self.ended_jobs: deque[Job] = deque()
+        self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
+        self.memory = ResultMemory()
+        self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
+        # Results whose release is scheduled or sent.
+        self.releasing: set[str] = set()
+        self.job_numbers = itertools.count()
+        # When an entry last requested pieces, and until when another entry that owned
+        # the service, or owns it again, may call its targets.
+        self.used_ms = -CONTESTED_MS
+        self.contested_until_ms = 0
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no entry needs a result of the pool any more."""
+        return not (self.jobs_by_key or self.pending_releases_by_address)
+
+    def record_use(self) -> None:
+        """Record a request for pieces that may run."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.used_ms > CONTESTED_MS:
+            self.contested_until_ms = now_ms + CONTESTED_MS
+        self.used_ms = now_ms
+
+    def open_jobs(self) -> list[Job]:
+        """Return the unfinished jobs."""
+        return list(self.open_by_key.values())
+
+    def has_unreported_job(self) -> bool:
+        """Return whether the next poll of an entry asks for a job that has ended."""
+        first_ms = self.clock.now_ms() - NEXT_POLL_MS
+        recent = itertools.takewhile(
+            lambda job: job.ended_ms > first_ms, reversed(self.ended_jobs)
+        )
+        return any(job.ready and not job.reported for job in recent)
+
+    def release(self, results: Sequence[PieceResult]) -> None:
+        """Schedule the release of results.
+
+        They count as memory in use until their targets confirm the release. The results
+        may come from calls of another entry that owned the service before.
+        """
+        for result in results:
+            address = Address.parse(result.address)
+            self.pending_releases_by_address[address].append(result.handle)
+            self.releasing.add(result.handle)
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -7,7 +7,6 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import MessageError, PeerUnreachable
@@ -26,9 +25,7 @@
     TargetUse,
 )
 from wagtailrun.stages.owner_calls import OwnerCalls
-
-if TYPE_CHECKING:
-    from wagtailrun.stages.pool import Pool
+from wagtailrun.stages.pool_state import PoolState
 
 __all__ = ["Succession", "take_over"]
 
@@ -68,7 +65,7 @@
         # Results that the successor of a service knows.
         self.told_by_service: dict[str, set[str]] = defaultdict(set)
 
-    async def move(self, pool: "Pool") -> bool:
+    async def move(self, pool: PoolState) -> bool:
         """Move the jobs of a service that are in no call, and what is new of targets.
 
         Returns:
@@ -116,7 +113,7 @@
         events.log(events.PEER_LOST, peer=row.name, detail=detail)
         self.tried_by_service[service].add(row.name)
 
-    def _take_over_message(self, pool: "Pool", jobs: list[Job]) -> TakeOver:
+    def _take_over_message(self, pool: PoolState, jobs: list[Job]) -> TakeOver:
         now_ms = self.clock.now_ms()
         told = self.told_by_service[pool.service]
         results = tuple(
@@ -134,7 +131,7 @@
         )
 
     async def _record_moved(
-        self, pool: "Pool", jobs: list[Job], successor: EntryRow, message: TakeOver
+        self, pool: PoolState, jobs: list[Job], successor: EntryRow, message: TakeOver
     ) -> None:
         told = self.told_by_service[pool.service]
         if not told or jobs:
@@ -172,7 +169,7 @@
         return True
 
 
-def _target_uses(pool: "Pool", now_ms: int) -> tuple[TargetUse, ...]:
+def _target_uses(pool: PoolState, now_ms: int) -> tuple[TargetUse, ...]:
     uses = []
     for row in pool.targets():
         state = pool.target_states_by_name[row.name]
@@ -201,7 +198,7 @@
     )
 
 
-def take_over(pool: "Pool", message: TakeOver) -> None:
+def take_over(pool: PoolState, message: TakeOver) -> None:
     """Add the jobs of an entry that stops, and what it knows of the targets."""
     now_ms = pool.clock.now_ms()
     for use in message.targets:
@@ -225,7 +222,7 @@
         _take_job(pool, moved, now_ms)
 
 
-def _take_job(pool: "Pool", moved: MovedJob, now_ms: int) -> None:
+def _take_job(pool: PoolState, moved: MovedJob, now_ms: int) -> None:
     message = moved.request
     key = job_key(message)
     known = pool.jobs_by_key.get(key)
