Move the stop signals into wagtailrun/stopping

Cause: the parts of a planned stop lie in process/, serving/, adapters/ and relay/, so that no package owns the stop.

Change: a new package; process/stop_signals.py becomes stopping/signals.py, and the imports of its users follow.

--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -18,7 +18,6 @@
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
 from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry import KILL_MARGIN_MS
@@ -26,6 +25,7 @@
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
+from wagtailrun.stopping.signals import StopSignals
 
 pytestmark = pytest.mark.network
 
--- a/wagtailrun/process/__init__.py
+++ b/wagtailrun/process/__init__.py
@@ -10,6 +10,5 @@
     "process_exit",
     "shortages",
     "signalled_drain",
-    "stop_signals",
     "supervisor",
 ]
--- a/wagtailrun/process/signalled_drain.py
+++ b/wagtailrun/process/signalled_drain.py
@@ -6,7 +6,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.logs import events
-from wagtailrun.process.stop_signals import SIGNAL_POLL_MS, StopSignals
+from wagtailrun.stopping.signals import SIGNAL_POLL_MS, StopSignals
 
 __all__ = ["SignalledDrain"]
 
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -26,7 +26,6 @@
 from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address
-from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import NotLeader, PutText, TextVerdict, Unavailable
 from wagtailrun.registry.state import Registry
@@ -34,6 +33,7 @@
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.settings import RelayControlSettings
+from wagtailrun.stopping.signals import StopSignals
 
 __all__ = ["FleetConfigurationStore", "RelayControl", "run_relay_control"]
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -27,7 +27,6 @@
     used_descriptors,
 )
 from wagtailrun.process.loop_watch import LoopWatch
-from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
@@ -66,6 +65,7 @@
     Succession,
     TakeOver,
 )
+from wagtailrun.stopping.signals import StopSignals
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EntryProtocol", "RelayEntry", "run_relay_entry"]
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -16,9 +16,9 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
-from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.settings import RelayControlSettings, RelayEntrySettings
+from wagtailrun.stopping.signals import StopSignals
 
 __all__ = ["LiveSettings", "run_daemon"]
 
--- a/wagtailrun/relay/stopping/readiness.py
+++ b/wagtailrun/relay/stopping/readiness.py
@@ -7,8 +7,8 @@
 from wagtailrun.discovery import FleetView
 from wagtailrun.logs import events
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
-from wagtailrun.process.stop_signals import StopSignals
 from wagtailrun.relay.stopping.rotation import Rotation
+from wagtailrun.stopping.signals import StopSignals
 
 __all__ = ["Readiness", "max_stay_ms"]
 
--- /dev/null
+++ b/wagtailrun/stopping/__init__.py
@@ -0,0 +1,3 @@
+"""Planned stop of a daemon."""
+
+__all__ = ["signals"]
