Move the wait for a signal and the forced end into wagtailrun/stopping

Cause: both belong to the planned stop, which stopping/ owns.

Change: process/signalled_drain.py becomes stopping/signalled_drain.py, and the imports of its users follow.

--- a/tests/test_forced_end.py
+++ b/tests/test_forced_end.py
@@ -28,7 +28,7 @@
 import time
 import curio
 from wagtailrun.clock import SystemClock
-from wagtailrun.process.signalled_drain import SignalledDrain
+from wagtailrun.stopping.signalled_drain import SignalledDrain
 
 async def stand_still():
     print("draining", flush=True)
--- a/tests/test_hangup.py
+++ b/tests/test_hangup.py
@@ -6,7 +6,7 @@
 import curio
 
 from wagtailrun.clock import SystemClock
-from wagtailrun.process.signalled_drain import SIGNAL_POLL_MS, SignalledDrain
+from wagtailrun.stopping.signalled_drain import SIGNAL_POLL_MS, SignalledDrain
 
 
 def test_hangup_neither_ends_nor_drains_a_daemon(stop_signal):
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -29,10 +29,10 @@
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.disk import Disk
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
-from wagtailrun.process.signalled_drain import SignalledDrain
 from wagtailrun.registry.client import CALL_TIMEOUT_MS, ControlClient
 from wagtailrun.registry.state import Registry
 from wagtailrun.settings import ControlSettings
+from wagtailrun.stopping.signalled_drain import SignalledDrain
 
 __all__ = ["Control", "run_control"]
 
--- a/wagtailrun/process/__init__.py
+++ b/wagtailrun/process/__init__.py
@@ -9,6 +9,5 @@
     "memory_budget",
     "process_exit",
     "shortages",
-    "signalled_drain",
     "supervisor",
 ]
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -26,7 +26,6 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
-from wagtailrun.process.signalled_drain import SignalledDrain
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.serving.admission import POLL_INTERVAL_MS
 from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
@@ -36,6 +35,7 @@
 from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.settings import EntrySettings
+from wagtailrun.stopping.signalled_drain import SignalledDrain
 from wagtailrun.targets.table import Membership
 
 __all__ = ["Entry", "run_entry"]
--- a/wagtailrun/stopping/__init__.py
+++ b/wagtailrun/stopping/__init__.py
@@ -1,3 +1,3 @@
 """Planned stop of a daemon."""
 
-__all__ = ["signals"]
+__all__ = ["signalled_drain", "signals"]
