Move the end of running requests into wagtailrun/stopping

Cause: serving/running_requests.py belongs to the planned stop; the relay takes its times and its cancellation from there.

Change: it becomes stopping/running_requests.py, and the imports of its users follow.

Measured: tests/test_stop_margin.py, test_stop_signals.py and test_relay_stop.py pass; lint passes.

--- a/tests/test_refusals_without_descriptors.py
+++ b/tests/test_refusals_without_descriptors.py
@@ -12,7 +12,7 @@
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.ports.link import Address
-from wagtailrun.serving.running_requests import EntryEnds
+from wagtailrun.stopping.running_requests import EntryEnds
 
 # Time that refusals have before the platform kills the process.
 MARGIN_MS = 500
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -18,8 +18,8 @@
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
 from wagtailrun.relay.requests.front import StopPlan
 from wagtailrun.routes import RouteKind
-from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_stop_margin.py
+++ b/tests/test_stop_margin.py
@@ -9,7 +9,7 @@
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.serving.running_requests import EntryEnds
+from wagtailrun.stopping.running_requests import EntryEnds
 from wagtailrun.virtual_time import VirtualClock
 
 # What a clock that runs slow by a tenth shows of a second.
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -24,7 +24,7 @@
 from wagtailrun.relay.requests.front import StopPlan
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS
-from wagtailrun.serving.running_requests import STOP_ANSWER_MS
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
 
 pytestmark = pytest.mark.network
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -11,7 +11,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.discovery.view import POLL_SLACK_MS
 from wagtailrun.logs import events
-from wagtailrun.serving.running_requests import STOP_ANSWER_MS
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import SIGNAL_POLL_MS, StopSignals
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -50,7 +50,6 @@
 from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
 from wagtailrun.serving.retries import RetryBudget
-from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stages import (
     CancelPieces,
@@ -65,6 +64,7 @@
     Succession,
     TakeOver,
 )
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -29,8 +29,12 @@
 from wagtailrun.relay.stopping.stop_forecast import StopForecast, StopPlan
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.serving.retries import RetryBudget
-from wagtailrun.serving.running_requests import STOPPING_RETRY_MS, EntryEnds, forget_end
 from wagtailrun.stages import StagedWork, StageRunner
+from wagtailrun.stopping.running_requests import (
+    STOPPING_RETRY_MS,
+    EntryEnds,
+    forget_end,
+)
 
 __all__ = ["RelayHandler", "StopPlan"]
 
--- a/wagtailrun/relay/stopping/stop_forecast.py
+++ b/wagtailrun/relay/stopping/stop_forecast.py
@@ -8,7 +8,7 @@
 from wagtailrun.relay.placement.answer_times import COVERED_SHARE, TYPICAL_SHARE
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.routes import RouteKind
-from wagtailrun.serving.running_requests import STOP_ANSWER_MS, STOPPING_RETRY_MS
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS, STOPPING_RETRY_MS
 
 __all__ = ["StopForecast", "StopPlan"]
 
--- a/wagtailrun/serving/__init__.py
+++ b/wagtailrun/serving/__init__.py
@@ -7,5 +7,4 @@
     "orders",
     "pipeline",
     "retries",
-    "running_requests",
 ]
--- a/wagtailrun/serving/admission.py
+++ b/wagtailrun/serving/admission.py
@@ -10,7 +10,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
+from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/serving/caller_api.py
+++ b/wagtailrun/serving/caller_api.py
@@ -27,7 +27,7 @@
 from wagtailrun.serving.dispatch import Dispatcher
 from wagtailrun.serving.orders import OrderRunner
 from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
-from wagtailrun.serving.running_requests import STOPPING_RETRY_MS, RunningRequests
+from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS, RunningRequests
 from wagtailrun.targets.work import Work
 
 __all__ = ["CHECK_PATHS", "CallerApi"]
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -32,9 +32,9 @@
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.serving.orders import OrderRunner
 from wagtailrun.serving.pipeline import PipelineRunner
-from wagtailrun.serving.running_requests import STOP_ANSWER_MS
 from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.settings import EntrySettings
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signalled_drain import SignalledDrain
 from wagtailrun.targets.table import Membership
 
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -24,7 +24,7 @@
 from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.repeats import RetryState
 from wagtailrun.serving.retries import RetryBudget
-from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
+from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
--- a/wagtailrun/serving/orders.py
+++ b/wagtailrun/serving/orders.py
@@ -27,7 +27,7 @@
 )
 from wagtailrun.registry.order_table import MAX_STORED_BODY_BYTES
 from wagtailrun.serving.dispatch import Dispatcher
-from wagtailrun.serving.running_requests import STOPPING_RETRY_MS
+from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.work import Work
 
 __all__ = ["OrderRunner"]
