Move the plan of a stop's times into wagtailrun/stopping

Cause: StopPlan stands in relay/stopping/stop_forecast.py and is re-exported by relay/requests/front.py, although it is about any entry that stops.

Change: it becomes stopping/plan.py; users import it from there. The forecast of which requests end in time needs the relay's jobs and stays. adapters/drain_times.py stays, too: adapters/http_server.py needs its MAX_REQUEST_WAIT_MS, and adapters do not import stopping.

--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -16,9 +16,9 @@
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
-from wagtailrun.relay.requests.front import StopPlan
 from wagtailrun.routes import RouteKind
 from wagtailrun.settings import RelayEntrySettings
+from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 
 pytestmark = pytest.mark.network
--- a/tests/test_request_after_stream.py
+++ b/tests/test_request_after_stream.py
@@ -6,7 +6,7 @@
 from tests.test_http_server import GOOD
 from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all, streaming_handler
-from wagtailrun.relay.requests.front import StopPlan
+from wagtailrun.stopping.plan import StopPlan
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_stop_forecast.py
+++ b/tests/test_stop_forecast.py
@@ -8,8 +8,9 @@
 from wagtailrun.exceptions import Verdict
 from wagtailrun.relay.placement.answer_times import MIN_ANSWERS
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
-from wagtailrun.relay.stopping.stop_forecast import StopForecast, StopPlan
+from wagtailrun.relay.stopping.stop_forecast import StopForecast
 from wagtailrun.routes import Route, RouteKind
+from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.virtual_time import VirtualClock
 
 ANSWER_MS = 2_000
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -21,9 +21,9 @@
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
 from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry import KILL_MARGIN_MS
-from wagtailrun.relay.requests.front import StopPlan
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS
+from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -44,7 +44,7 @@
 )
 from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, run_daemon
-from wagtailrun.relay.requests.front import RelayHandler, StopPlan
+from wagtailrun.relay.requests.front import RelayHandler
 from wagtailrun.relay.stopping.readiness import Readiness, max_stay_ms
 from wagtailrun.relay.stopping.rotation import Rotation
 from wagtailrun.relay.upkeep import Upkeep
@@ -64,6 +64,7 @@
     Succession,
     TakeOver,
 )
+from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
 from wagtailrun.targets.table import TargetRow
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -26,17 +26,18 @@
 from wagtailrun.relay.requests.evacuated_services import stage_refusal
 from wagtailrun.relay.requests.streams import RelayStreams
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
-from wagtailrun.relay.stopping.stop_forecast import StopForecast, StopPlan
+from wagtailrun.relay.stopping.stop_forecast import StopForecast
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
 from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import StagedWork, StageRunner
+from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import (
     STOPPING_RETRY_MS,
     EntryEnds,
     forget_end,
 )
 
-__all__ = ["RelayHandler", "StopPlan"]
+__all__ = ["RelayHandler"]
 
 # Callers accept a retry delay of at most a third of their remaining time. A fleet
 # configuration or its confirmation arrives within one or two polls.
--- a/wagtailrun/relay/stopping/stop_forecast.py
+++ b/wagtailrun/relay/stopping/stop_forecast.py
@@ -1,46 +1,20 @@
 """Forecasts which requests end before a process that stops does."""
 
-import attrs
-
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.relay.job import RelayJob
 from wagtailrun.relay.placement.answer_times import COVERED_SHARE, TYPICAL_SHARE
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.routes import RouteKind
-from wagtailrun.stopping.running_requests import STOP_ANSWER_MS, STOPPING_RETRY_MS
+from wagtailrun.stopping.plan import StopPlan
+from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 
-__all__ = ["StopForecast", "StopPlan"]
+__all__ = ["StopForecast"]
 
 # Requests that are remembered as refused; a stop lasts for some seconds.
 MAX_REFUSED = 4_096
 
 
-@attrs.frozen
-class StopPlan:
-    """A planned stop of the entry; times are readings of its clock.
-
-    Attributes:
-        notice_ends_ms: Until when all requests are admitted that end in time, since the
-            load balancer may not have noticed the stop.
-        ends_ms: When the process ends.
-        accepts_end_ms: Until when connections are accepted; by default to the end.
-        answers_end_ms: Until when requests may run that have no part of an answer; by
-            default the rest of the time suffices for their refusals.
-    """
-
-    notice_ends_ms: int
-    ends_ms: int
-    accepts_end_ms: int = attrs.field(
-        default=attrs.Factory(lambda self: self.ends_ms, takes_self=True)
-    )
-    answers_end_ms: int = attrs.field(
-        default=attrs.Factory(
-            lambda self: self.ends_ms - STOP_ANSWER_MS, takes_self=True
-        )
-    )
-
-
 class StopForecast:
     """Tells which requests cannot end before the process does.
 
--- a/wagtailrun/stopping/__init__.py
+++ b/wagtailrun/stopping/__init__.py
@@ -1,3 +1,3 @@
 """Planned stop of a daemon."""
 
-__all__ = ["running_requests", "signalled_drain", "signals"]
+__all__ = ["plan", "running_requests", "signalled_drain", "signals"]
