Write the order of a planned stop once, and use it for the relay entry

Change: stopping/planned_stop.py and stopping/entry_stop.py hold the order; StoppableEntry is the port for what differs between entries. The relay entry implements it in relay/entry_stop.py with the times of its stop, which are unchanged. The wait for a signal and its log line are one function. The tests take the moved names; where they replace the handler of an entry, its stop gets the same one.

--- a/tests/test_accepts_end.py
+++ b/tests/test_accepts_end.py
@@ -29,7 +29,7 @@
         stopping = await curio.spawn(entry._stop_on_signal)
         await curio.sleep(0.2)
         stop_signal()
-        accepts_end_ms = entry._plan_stop().accepts_end_ms
+        accepts_end_ms = entry.stop_times.plan().accepts_end_ms
         # Keeps the entry busy, as it ends sooner without a request.
         entry.tunnels.running = 1
         left_ms = accepts_end_ms - BEFORE_END_MS - entry.clock.now_ms()
--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -13,7 +13,7 @@
 from demo.processes import free_addresses
 from tests.test_relay_stop import make_entry
 from tests.test_start import PLAIN, START_S, render, start
-from wagtailrun.relay.entry import EXIT_MARGIN_MS
+from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
 from wagtailrun.stopping.signals import SIGNAL_POLL_MS
 
 pytestmark = pytest.mark.network
--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -93,7 +93,7 @@
         (handler,) = handlers
         entry = make_entry(grace_s=GRACE_S)
         entry.signals.install()
-        entry.handler = handler
+        entry.handler = entry.planned_stop.entry.handler = handler
         entry.caller_server.handler = handler.handle
         serving = await curio.spawn(entry.caller_server.serve, daemon=True)
         stopping = await curio.spawn(entry._stop_on_signal)
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -15,7 +15,8 @@
 from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.process.supervisor import supervise
-from wagtailrun.relay.entry import EXIT_MARGIN_MS, EntryProtocol, RelayEntry
+from wagtailrun.relay.entry import EntryProtocol, RelayEntry
+from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
 from wagtailrun.routes import RouteKind
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stopping.plan import StopPlan
--- a/tests/test_request_after_stream.py
+++ b/tests/test_request_after_stream.py
@@ -11,8 +11,14 @@
 pytestmark = pytest.mark.network
 
 
+async def finish(planned_stop, plan):
+    """Do what follows the drain of the callers' server."""
+    await planned_stop.finish_requests(plan)
+    await planned_stop.end_process()
+
+
 def run_finishing(client, handler):
-    """Run ``_finish_requests`` beside a client."""
+    """Run ``client`` beside an entry whose stop was signalled 6.8 s ago."""
     entry = make_entry(grace_s=8)
     entry.caller_server.handler = handler
 
@@ -44,7 +50,7 @@
         accepts_end_ms = now_ms if late else now_ms + 800
         stop = StopPlan(now_ms, now_ms + 1_200, accepts_end_ms)
         entry.handler.stop = stop
-        stopping = await curio.spawn(entry._finish_requests, stop)
+        stopping = await curio.spawn(finish, entry.planned_stop, stop)
         while not received.endswith(b"0\r\n\r\n"):
             received += await sock.recv(65_536)
         await curio.sleep(pause_s)
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -7,7 +7,7 @@
 from tests.test_relay_stop import make_entry
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.relay.entry import EXIT_MARGIN_MS
+from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -20,7 +20,7 @@
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
 from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
-from wagtailrun.relay.entry import KILL_MARGIN_MS
+from wagtailrun.relay.entry_stop import KILL_MARGIN_MS
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS
 from wagtailrun.stopping.plan import StopPlan
@@ -222,7 +222,7 @@
         (handler,) = handlers
         entry = make_entry(grace_s=grace_s, **entry_options)
         entry.signals.install()
-        entry.handler = handler
+        entry.handler = entry.planned_stop.entry.handler = handler
         entry.caller_server.handler = handler.handle
         return await call_through_stop(
             entry,
--- a/wagtailrun/adapters/drain_times.py
+++ b/wagtailrun/adapters/drain_times.py
@@ -4,7 +4,12 @@
 
 from wagtailrun.clock import Clock
 
-__all__ = ["MAX_REQUEST_WAIT_MS", "request_wait_ms", "sleep_until_idle"]
+__all__ = [
+    "DRAIN_IDLE_POLLS",
+    "MAX_REQUEST_WAIT_MS",
+    "request_wait_ms",
+    "sleep_until_idle",
+]
 
 # How long a process that stops waits for requests on the connections it has accepted,
 # while it accepts no others. Linux sends a lost segment again after 200 ms, and after
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -5,22 +5,18 @@
 from collections.abc import Callable
 from typing import Any
 
-import curio
-
 from wagtailrun.adapters.connection_pool import ConnectionPool
-from wagtailrun.adapters.drain_times import request_wait_ms, sleep_until_idle
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
     HttpServer,
     ServerLimits,
 )
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
-from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.logs import events
 from wagtailrun.process.descriptors import (
     DescriptorShares,
     descriptor_limit,
@@ -28,12 +24,12 @@
 )
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.supervisor import supervise
+from wagtailrun.relay.entry_stop import RelayEntryStop, StopTimes
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
-from wagtailrun.relay.placement.answer_times import COVERED_SHARE
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.placement_messages import (
@@ -64,8 +60,8 @@
     Succession,
     TakeOver,
 )
-from wagtailrun.stopping.plan import StopPlan
-from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
+from wagtailrun.stopping.entry_stop import EntryStop
+from wagtailrun.stopping.planned_stop import wait_for_signal
 from wagtailrun.stopping.signals import StopSignals
 from wagtailrun.targets.table import TargetRow
 
@@ -74,24 +70,6 @@
 # Idle connections are closed this much later than the fleet configuration allows, so
 # that a caller that reuses one in time does not find it closed.
 IDLE_MARGIN_MS = 1_000
-# Requests that are sent over 3 s after the stop signal must have an answer or a refusal
-# before the process ends. So no longer than this are all requests admitted; after that,
-# only those that end before the process does.
-MAX_FULL_SERVICE_MS = 2_800
-# A draining process exits this long before the platform would kill it.
-EXIT_MARGIN_MS = 400
-# While a request has no answer the exit waits, until this long before the kill. The
-# moment at which a signal was sent is known only up to one poll of the signals.
-KILL_MARGIN_MS = 200
-# The last refusals begin this part of the grace period before the kill, if that is
-# sooner. They then come in time by a clock that runs slow by a tenth, and with 8 s of
-# grace after a standstill of up to 0.9 s.
-LAST_REFUSALS_PARTS = 8
-# The last connections are accepted this long before the last refusals begin. Linux
-# sends a lost segment of a request again after 200 ms.
-LAST_ARRIVAL_MS = 400
-# Time for the last reports to control members: two tries of 500 ms.
-LAST_REPORTS_MS = 1_000
 # Stage calls are spread over entries on links slower than this. The calls of one busy
 # stage take 3 Mbit/s; on faster links one entry makes them all, which saves a hop.
 SPREAD_BELOW_LINK_MBPS = 50.0
@@ -140,6 +118,7 @@
         self.link = TcpPeerLink(settings.peer_secret, self.descriptors)
         self.live_settings = LiveSettings(self.clock, settings, reload)
         self.signals = StopSignals(self.clock, self.live_settings.reload)
+        self.stop_times = StopTimes(self.clock, self.signals, settings)
         own_row = EntryRow(
             settings.name,
             settings.peer_address,
@@ -279,14 +258,14 @@
             on_refusal=self.handler.record_unread,
             limits=self._server_limits,
             overload=self._overload,
-            notice_ms=int(settings.effective_drain_notice_ms),
+            notice_ms=self.stop_times.notice_ms,
         )
         self.readiness = Readiness(
             self.view,
             self.signals,
             self._overload,
             Rotation(self.clock, own_row, self.view.live_entries),
-            max_stay_ms(self._grace_ms(), int(settings.effective_drain_notice_ms)),
+            max_stay_ms(self.stop_times.grace_ms, self.stop_times.notice_ms),
         )
         self.ready_server = HttpServer(
             settings.ready_address, self.readiness.handle, checks=lambda path: True
@@ -305,8 +284,24 @@
             self.batcher,
             self.budget,
         )
+        self.planned_stop = self._make_planned_stop()
         self._export_gauges()
 
+    def _make_planned_stop(self) -> EntryStop:
+        steps = RelayEntryStop(
+            self.settings.name,
+            self.stop_times,
+            self.view,
+            self.handler,
+            self.caller_server,
+            self.peer_server,
+            self.readiness,
+            self.batcher,
+            self.stages,
+            self.tunnels,
+        )
+        return EntryStop(self.clock, steps, self.caller_server)
+
     def _make_budget(self) -> RetryBudget:
         settings = self.settings
 
@@ -488,7 +483,7 @@
             self.metrics.render,
             self.peer_server,
             tasks,
-            self._left_ms,
+            self.stop_times.left_ms,
             self.loop_watch,
         )
 
@@ -527,135 +522,14 @@
     async def _stop_on_signal(self) -> None:
         """Wait for a signal, then stop without interrupting a request.
 
-        After an error this task is started again. All times count from the signal, as
-        the platform's grace period does: one that is handled late leaves less time.
+        After an error this task is started again.
         """
-        await self.signals.wait()
-        events.log(
-            events.DRAIN_STARTED,
-            name=self.settings.name,
-            late_ms=self.signals.late_ms,
-        )
-        stop = self._plan_stop()
-        self.handler.stop = stop
-        await curio.spawn(self.handler.end_hopeless, daemon=True)
-        await self.batcher.hand_over()
-        # Callers open their next connections elsewhere.
-        self.caller_server.closing = True
-        left_ms = max(stop.answers_end_ms - self.clock.now_ms(), 0)
-        await curio.ignore_after(left_ms / MS_PER_SECOND, self.view.announce_stop)
-        # The load balancer sends new connections until two readiness checks have
-        # failed.
-        notice_ms = int(self.settings.effective_drain_notice_ms)
-        notice_ends_ms = self.signals.stopped_ms + notice_ms
-        notice_ends_ms = min(notice_ends_ms, stop.answers_end_ms)
-        await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
-        # If this entry stayed ready for others, its notice began later.
-        stay_ends_ms = self.readiness.last_ready_ms + notice_ms
-        stay_ends_ms = min(stay_ends_ms, stop.accepts_end_ms)
-        await self.clock.sleep_ms(stay_ends_ms - self.clock.now_ms())
-        await self.caller_server.drain()
-        await self._finish_requests(stop)
-
-    def _plan_stop(self) -> StopPlan:
-        """Return the times of the stop that was signalled."""
-        signalled_ms = self.signals.stopped_ms
-        notice_ms = int(self.settings.effective_drain_notice_ms)
-        ends_ms = max(
-            signalled_ms + self._drain_limit_ms(),
-            # A process that stood still for its whole grace period still refuses what
-            # it has.
-            self.signals.handled_ms + STOP_ANSWER_MS,
-        )
-        grace_ms = self._grace_ms()
-        answers_end_ms = min(
-            ends_ms - STOP_ANSWER_MS,
-            signalled_ms + grace_ms - grace_ms // LAST_REFUSALS_PARTS,
-        )
-        # With a short grace period, the last refusals come before the notice ends.
-        notice_ends_ms = min(
-            signalled_ms + min(notice_ms, MAX_FULL_SERVICE_MS), answers_end_ms
-        )
-        wait_ms = max(request_wait_ms(grace_ms), STOP_ANSWER_MS)
-        arrival_ms = min(LAST_ARRIVAL_MS, wait_ms - STOP_ANSWER_MS)
-        accepts_end_ms = min(ends_ms - wait_ms, answers_end_ms - arrival_ms)
-        return StopPlan(
-            notice_ends_ms,
-            ends_ms,
-            max(accepts_end_ms, notice_ends_ms),
-            answers_end_ms,
-        )
-
-    async def _finish_requests(self, stop: StopPlan) -> None:
-        """Return when the process may end; refuse what cannot be finished by then."""
-        await sleep_until_idle(self.clock, self._is_idle, stop.accepts_end_ms)
-        left_ms = stop.answers_end_ms - self.clock.now_ms()
-        await self.caller_server.stop_accepting(left_ms)
-        await sleep_until_idle(self.clock, self._is_idle, stop.answers_end_ms)
-        await self.handler.refuse_unanswered()
-        await self.caller_server.refuse_incomplete()
-        await self.caller_server.accept_waiting(stop.ends_ms - self.clock.now_ms())
-        await sleep_until_idle(self.clock, self._is_idle, stop.ends_ms, 1)
-        await self._close_caller_server()
-
-    async def _close_caller_server(self) -> None:
-        """Refuse what still arrives, until the process can end."""
-        now_ms = self.clock.now_ms()
-        self.handler.stop = StopPlan(now_ms, now_ms)
-        await self.caller_server.close(max(self._left_ms(), STOP_ANSWER_MS))
-        self._log_cut_requests()
-        await self.peer_server.drain(self._left_ms())
-        await self._finish_reports()
-
-    async def _finish_reports(self) -> None:
-        """Report what only this process knows; others may have told it."""
-        limit_s = min(self._left_ms(), LAST_REPORTS_MS) / MS_PER_SECOND
-        if await curio.ignore_after(
-            limit_s, self.view.finish_reports, timeout_result=True
-        ):
-            detail = "the last observations of this entry were not taken"
-            events.log(events.PEER_LOST, peer="control", detail=detail)
-
-    def _left_ms(self) -> int:
-        """Return how long this process may still answer."""
-        return max(self._killed_ms() - KILL_MARGIN_MS - self.clock.now_ms(), 0)
-
-    def _log_cut_requests(self) -> None:
-        """Log how many requests the end of the process leaves without an answer.
-
-        The client of a connection that was ended unused may have sent one already.
-        """
-        server = self.caller_server
-        unread = server.unused_connections_ended or server.waiting_connections
-        if server.active_requests or unread:
-            events.log(
-                events.REQUESTS_CUT,
-                name=self.settings.name,
-                unanswered=server.unanswered_requests,
-                answering=server.active_requests - server.unanswered_requests,
-                unused_connections=server.unused_connections_ended,
-                waiting_connections=server.waiting_connections,
-            )
-        if self.handler.stop is not None:
-            self.handler.running.log_cut(self.handler.stop.ends_ms, COVERED_SHARE)
-
-    def _grace_ms(self) -> int:
-        return int(self.settings.grace_s * MS_PER_SECOND)
-
-    def _killed_ms(self) -> int:
-        """Return when the platform ends this process, on the clock."""
-        return self.signals.stopped_ms + self._grace_ms()
-
-    def _drain_limit_ms(self) -> int:
-        return self._grace_ms() - EXIT_MARGIN_MS
+        await wait_for_signal(self.signals, self.settings.name)
+        await self.planned_stop.run()
 
     def _is_stopping(self) -> bool:
         return bool(self.signals.stop_count)
 
-    def _is_idle(self) -> bool:
-        busy = self.caller_server.is_busy or self.tunnels.running
-        return self.stages.is_idle and not busy
-
 
 async def run_relay_entry(
     settings: RelayEntrySettings,
--- a/wagtailrun/stopping/__init__.py
+++ b/wagtailrun/stopping/__init__.py
@@ -1,3 +1,10 @@
-"""Planned stop of a daemon."""
+"""Planned stop of a daemon: signals, times, and the order of its end."""
 
-__all__ = ["plan", "running_requests", "signalled_drain", "signals"]
+__all__ = [
+    "entry_stop",
+    "plan",
+    "planned_stop",
+    "running_requests",
+    "signalled_drain",
+    "signals",
+]
--- a/wagtailrun/stopping/signalled_drain.py
+++ b/wagtailrun/stopping/signalled_drain.py
@@ -5,7 +5,7 @@
 import curio
 
 from wagtailrun.clock import Clock
-from wagtailrun.logs import events
+from wagtailrun.stopping.planned_stop import wait_for_signal
 from wagtailrun.stopping.signals import SIGNAL_POLL_MS, StopSignals
 
 __all__ = ["SignalledDrain"]
@@ -45,9 +45,7 @@
     async def run(self) -> None:
         """Install the signal handlers; return when the process may end."""
         self.signals.install()
-        await self.signals.wait()
-        late_ms = self.signals.late_ms
-        events.log(events.DRAIN_STARTED, name=self.name, late_ms=late_ms)
+        await wait_for_signal(self.signals, self.name)
         drain = await curio.spawn(self.drain, daemon=True)
         while not drain.terminated and self.signals.stop_count < 2:
             await self.clock.sleep_ms(SIGNAL_POLL_MS)
