Use the one order of a planned stop for the product's entry

Cause: serving/daemon.py wrote out the order of a stop a second time.

Change: serving/entry_stop.py implements StoppableEntry with the times of this entry, which are unchanged; EntryStop runs the steps. Both kinds of daemons now make their StopSignals themselves, as the steps need them, so SignalledDrain takes the signals in place of a limit. The tests take the new names.

--- a/tests/roll.py
+++ b/tests/roll.py
@@ -47,7 +47,7 @@
 )
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
-from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
+from wagtailrun.serving.entry_stop import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
 
 GRACE_S = 8
 STOP_INTERVAL_S = 1.23
--- a/tests/soak_product.py
+++ b/tests/soak_product.py
@@ -31,7 +31,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
-from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
+from wagtailrun.serving.entry_stop import FORCED_END_MARGIN_MS, HANDOVER_TIMEOUT_MS
 
 __all__ = ["ProductDialect"]
 
--- a/tests/test_checks_in_overload.py
+++ b/tests/test_checks_in_overload.py
@@ -123,7 +123,7 @@
         (lambda entry: setattr(entry.gossip.config, "joined", False), "configuration"),
         (lambda entry: setattr(entry, "started_ms", MANY * MANY), "announcements"),
         (
-            lambda entry: setattr(entry.signalled_drain.signals, "stop_count", 1),
+            lambda entry: setattr(entry.signals, "stop_count", 1),
             "stops",
         ),
     ],
--- a/tests/test_entry_close.py
+++ b/tests/test_entry_close.py
@@ -61,9 +61,9 @@
         entry.accounts.hand_over_all = hand_over
         await curio.spawn(entry.caller_server.serve, daemon=True)
         await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
+        entry.signals.install()
         stop_signal()
-        await entry._drain()
+        await entry.planned_stop.run()
 
     curio.run(main)
     assert seen == ["refused"]
@@ -110,9 +110,9 @@
             for number in range(5):
                 await group.spawn(call)
                 await curio.sleep(0.02 * number)
-            entry.signalled_drain.signals.install()
+            entry.signals.install()
             stop_signal()
-            await entry._drain()
+            await entry.planned_stop.run()
             await serving.cancel()
 
     curio.run(main)
@@ -146,9 +146,9 @@
     while entry.caller_server.listener.accepted < len(requests):
         await curio.sleep(0.01)
     await curio.sleep(0.1)
-    entry.signalled_drain.signals.install()
+    entry.signals.install()
     stop_signal()
-    await entry._drain()
+    await entry.planned_stop.run()
     # The process ends here.
     await serving.cancel()
     return [await task.join() for task in tasks]
@@ -209,9 +209,9 @@
         # Its request is under way while the entry drains.
         await curio.open_connection(caller.host, caller.port)
         await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
+        entry.signals.install()
         stop_signal()
-        await curio.spawn(entry._drain, daemon=True)
+        await curio.spawn(entry.planned_stop.run, daemon=True)
         await curio.sleep(0.1)
         late = await ask(caller, ORDER, "{}", **headers)
         # One that ends before is served.
@@ -239,11 +239,11 @@
         entry.caller_server.handler = echo
         await curio.spawn(entry.caller_server.serve, daemon=True)
         await curio.sleep(0.05)
-        signals = entry.signalled_drain.signals
+        signals = entry.signals
         signals.install()
         signals.polled_ms = entry.clock.now_ms() - late_ms
         stop_signal()
-        drain = await curio.spawn(entry._drain)
+        drain = await curio.spawn(entry.planned_stop.run)
         await curio.sleep(0.7 * notice_ms / MS_PER_SECOND)
         sock = await curio.open_connection(caller.host, caller.port)
         await sock.sendall(GOOD)
@@ -292,9 +292,9 @@
         entry.accounts.hand_over_all = no_rows
         serving = await curio.spawn(entry.target_server.serve)
         await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
+        entry.signals.install()
         stop_signal()
-        await entry._drain()
+        await entry.planned_stop.run()
         # The process ends here.
         await serving.cancel()
         return await goodbyes[0].join()
--- a/tests/test_forced_end.py
+++ b/tests/test_forced_end.py
@@ -29,6 +29,7 @@
 import curio
 from wagtailrun.clock import SystemClock
 from wagtailrun.stopping.signalled_drain import SignalledDrain
+from wagtailrun.stopping.signals import StopSignals
 
 async def stand_still():
     print("draining", flush=True)
@@ -36,7 +37,9 @@
         time.sleep(60)
 
 async def main():
-    drain = SignalledDrain(SystemClock(), "a", stand_still, {int(LIMIT_S * 1_000)})
+    clock = SystemClock()
+    signals = StopSignals(clock, forced_end_ms={int(LIMIT_S * 1_000)})
+    drain = SignalledDrain(clock, "a", signals, stand_still)
     task = await curio.spawn(drain.run)
     await curio.sleep(0.1)
     print("ready", flush=True)
--- a/tests/test_hangup.py
+++ b/tests/test_hangup.py
@@ -6,7 +6,8 @@
 import curio
 
 from wagtailrun.clock import SystemClock
-from wagtailrun.stopping.signalled_drain import SIGNAL_POLL_MS, SignalledDrain
+from wagtailrun.stopping.signalled_drain import SignalledDrain
+from wagtailrun.stopping.signals import SIGNAL_POLL_MS, StopSignals
 
 
 def test_hangup_neither_ends_nor_drains_a_daemon(stop_signal):
@@ -18,13 +19,15 @@
         return None
 
     async def main():
-        waiting = SignalledDrain(SystemClock(), "e", drain, 10_000)
+        clock = SystemClock()
+        signals = StopSignals(clock, forced_end_ms=10_000)
+        waiting = SignalledDrain(clock, "e", signals, drain)
         task = await curio.spawn(waiting.run)
         await curio.sleep(0.05)
         for _ in range(5):
             os.kill(os.getpid(), signal.SIGHUP)
             await curio.sleep(SIGNAL_POLL_MS / 5_000)
-        assert not waiting.was_signalled
+        assert not signals.is_stopping
         await task.cancel()
 
     curio.run(main)
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -91,11 +91,11 @@
         return None
 
     entry.accounts.hand_over_all = hand_over
-    signals = entry.signalled_drain.signals
+    signals = entry.signals
 
     async def stop():
         await signals.wait()
-        await entry._drain()
+        await entry.planned_stop.run()
 
     return entry, signals, stop
 
--- a/tests/test_orders_at_the_end.py
+++ b/tests/test_orders_at_the_end.py
@@ -74,9 +74,9 @@
     caller = entry.settings.caller_address
     asking = await curio.spawn(lambda: ask(caller, ORDER, "{}", **headers))
     await curio.sleep(0.05)
-    entry.signalled_drain.signals.install()
+    entry.signals.install()
     stop_signal()
-    await entry._drain()
+    await entry.planned_stop.run()
     return await asking.join()
 
 
--- a/tests/test_planned_handover_daemons.py
+++ b/tests/test_planned_handover_daemons.py
@@ -67,7 +67,7 @@
 
     async def stop(self):
         """End like a process that got SIGTERM, without the timer that would end it."""
-        signals = self.control.signalled_drain.signals
+        signals = self.control.signals
         signals.forced_end_ms = None
         signals.polled_ms = self.control.clock.now_ms()
         signals._count_stop(15, None)
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -22,7 +22,7 @@
 from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry_stop import KILL_MARGIN_MS
 from wagtailrun.routes import RouteKind
-from wagtailrun.serving.daemon import FORCED_END_MARGIN_MS
+from wagtailrun.serving.entry_stop import FORCED_END_MARGIN_MS
 from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
--- a/tests/test_trace_stop.py
+++ b/tests/test_trace_stop.py
@@ -11,7 +11,7 @@
 from wagtailrun.clock import SystemClock
 from wagtailrun.logs import events
 from wagtailrun.observation.trace_recorder import TraceRecorder
-from wagtailrun.serving.daemon import TRACE_TIMEOUT_MS
+from wagtailrun.serving.entry_stop import TRACE_TIMEOUT_MS
 
 pytestmark = pytest.mark.network
 
@@ -40,7 +40,7 @@
     A write that waits for ``disk_answers`` goes on after the drain.
     """
     entry = make_entry(500)
-    entry.trace = recorder
+    entry.trace = entry.planned_stop.entry.trace = recorder
 
     async def hand_over(timeout_ms):
         # A request may end while the entry stops.
@@ -50,10 +50,10 @@
         entry.accounts.hand_over_all = hand_over
         await curio.spawn(entry.caller_server.serve, daemon=True)
         await curio.sleep(0.05)
-        entry.signalled_drain.signals.install()
+        entry.signals.install()
         stop_signal()
         started_ms = entry.clock.now_ms()
-        await entry._drain()
+        await entry.planned_stop.run()
         took_ms = entry.clock.now_ms() - started_ms
         if disk_answers is not None:
             disk_answers.set()
--- a/tests/test_unused_connections.py
+++ b/tests/test_unused_connections.py
@@ -29,9 +29,9 @@
         sock = await connect(caller)
         await curio.sleep(0.05)
         started_ms = entry.clock.now_ms()
-        entry.signalled_drain.signals.install()
+        entry.signals.install()
         stop_signal()
-        await entry._drain()
+        await entry.planned_stop.run()
         await sock.close()
         return handed_over_ms[0] - started_ms
 
--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -114,12 +114,12 @@
     entry.accounts.hand_over_all = hand_over
     await curio.spawn(entry.caller_server.serve, daemon=True)
     await curio.sleep(0.05)
-    entry.signalled_drain.signals.install()
+    entry.signals.install()
     for _ in range(OCCUPANTS):
         await curio.spawn(occupy, entry.settings.caller_address, daemon=True)
     await curio.sleep(0.05)
     stop_signal()
-    return await curio.spawn(entry._drain)
+    return await curio.spawn(entry.planned_stop.run)
 
 
 @pytest.mark.parametrize("limit_ms", [1_000, 2_000, 8_000])
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -33,6 +33,7 @@
 from wagtailrun.registry.state import Registry
 from wagtailrun.settings import ControlSettings
 from wagtailrun.stopping.signalled_drain import SignalledDrain
+from wagtailrun.stopping.signals import StopSignals
 
 __all__ = ["Control", "run_control"]
 
@@ -92,8 +93,9 @@
             settings.peer_secret,
             self.handle_peer,
         )
+        self.signals = StopSignals(self.clock, forced_end_ms=FORCED_END_MS)
         self.signalled_drain = SignalledDrain(
-            self.clock, settings.name, self._drain, FORCED_END_MS
+            self.clock, settings.name, self.signals, self._drain
         )
         members = [settings.peer_address, *settings.control_peers]
         self.operator_api = OperatorApi(
@@ -149,7 +151,7 @@
 
     async def _drain(self) -> None:
         """Answer the requests that have been accepted, of operators and of peers."""
-        end_ms = self.signalled_drain.signals.end_ms(STOP_LIMIT_MS)
+        end_ms = self.signals.end_ms(STOP_LIMIT_MS)
         left_ms = end_ms - self.clock.now_ms()
         answer_ms = min(STOP_ANSWER_MS, left_ms - request_wait_ms(left_ms))
         self.member_host.refuse_leadership()
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -9,12 +9,11 @@
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.accounts.messages import AccountRows
 from wagtailrun.adapters.connection_pool import ConnectionPool
-from wagtailrun.adapters.drain_times import request_wait_ms, sleep_until_idle
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
-from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.clock import SystemClock
 from wagtailrun.exceptions import ConnectShortage, Refusal, TargetFailed
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.messages import EntryRow
@@ -27,34 +26,22 @@
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.registry.client import ControlClient
-from wagtailrun.serving.admission import POLL_INTERVAL_MS
 from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
+from wagtailrun.serving.entry_stop import ServingEntryStop, forced_end_ms
 from wagtailrun.serving.orders import OrderRunner
 from wagtailrun.serving.pipeline import PipelineRunner
 from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.settings import EntrySettings
-from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
+from wagtailrun.stopping.entry_stop import EntryStop
 from wagtailrun.stopping.signalled_drain import SignalledDrain
+from wagtailrun.stopping.signals import StopSignals
 from wagtailrun.targets.table import Membership
 
 __all__ = ["Entry", "run_entry"]
 
 GAUGE_INTERVAL_MS = 1_000
 PROBE_TIMEOUT_MS = 500
-HANDOVER_TIMEOUT_MS = 5_000
-# A goodbye is answered once other entries have it; one that is silent delays it by
-# 250 ms. Less than the handover, beside which targets are answered.
-TARGET_ANSWER_MS = 1_000
-TRACE_TIMEOUT_MS = 1_000
-# Longer than a probe on behalf of another entry, the slowest message.
-PEER_ANSWER_MS = 1_000
-# Another entry that does not answer takes 250 ms.
-SHARE_TIMEOUT_MS = 500
-# The close of the callers' listener may exceed the drain's limit by a second. The write
-# of the trace and the last replies to peers take another one at most, and the last
-# goodbyes of targets half of one.
-FORCED_END_MARGIN_MS = 3_000
 # Every live target announces itself within this time; an entry that has run for longer
 # knows all of them.
 SETTLE_MS = 2_500
@@ -72,6 +59,9 @@
         self.clock = SystemClock()
         self.incarnation = self.clock.wall_ms() << 16 | secrets.randbits(16)
         self.started_ms = self.clock.now_ms()
+        self.signals = StopSignals(
+            self.clock, forced_end_ms=forced_end_ms(settings.drain_limit_ms)
+        )
         self.descriptors = DescriptorShares()
         self.link = TcpPeerLink(settings.peer_secret, self.descriptors)
         self.membership = Membership(settings.data_centre)
@@ -117,11 +107,9 @@
             settings.peer_secret,
             self.handle_peer,
         )
+        self.planned_stop = self._make_planned_stop()
         self.signalled_drain = SignalledDrain(
-            self.clock,
-            settings.name,
-            self._drain,
-            settings.drain_limit_ms + HANDOVER_TIMEOUT_MS + FORCED_END_MARGIN_MS,
+            self.clock, settings.name, self.signals, self.planned_stop.run
         )
 
     def _fleet(self) -> FleetConfiguration | None:
@@ -192,6 +180,23 @@
         target_api = TargetApi(self.clock, self.membership, self._fleet, goodbye)
         return HttpServer(self.settings.target_address, target_api.handle)
 
+    def _make_planned_stop(self) -> EntryStop:
+        steps = ServingEntryStop(
+            self.clock,
+            self.signals,
+            self.settings,
+            self.caller_api.running,
+            self.dispatcher,
+            self.orders,
+            self.caller_server,
+            self.target_server,
+            self.peer_server,
+            self.accounts,
+            self.gossip,
+            self.trace,
+        )
+        return EntryStop(self.clock, steps, self.caller_server)
+
     async def run(self) -> None:
         """Serve until the process has drained after a stop signal.
 
@@ -223,7 +228,7 @@
         return not self._state_reason()
 
     def _state_reason(self) -> str:
-        if self.signalled_drain.was_signalled:
+        if self.signals.is_stopping:
             return "this process stops"
         if self.gossip.fleet is None:
             return "this process has not received the fleet configuration yet"
@@ -299,52 +304,6 @@
                 rows = self.membership.usable(service, now_ms)
             self.metrics.set_usable_targets(service, len(rows))
 
-    async def _drain(self) -> None:
-        limit_ms = self.settings.drain_limit_ms
-        signals = self.signalled_drain.signals
-        deadline_ms = signals.end_ms(limit_ms)
-        running = self.caller_api.running
-        # Callers open their next connections elsewhere.
-        self.caller_server.closing = True
-        # The load balancer was told only when the signal was handled.
-        notice_ends_ms = signals.handled_ms + self.settings.drain_notice_ms
-        accepts_end_ms = deadline_ms - request_wait_ms(limit_ms)
-        answers_end_ms = deadline_ms - STOP_ANSWER_MS
-        # Work that waits is refused as not run before requests in progress are.
-        self.dispatcher.admission.begin_stop(answers_end_ms - POLL_INTERVAL_MS)
-        notice_ends_ms = min(notice_ends_ms, accepts_end_ms)
-        await self.clock.sleep_ms(notice_ends_ms - self.clock.now_ms())
-        running.ends_ms = answers_end_ms
-        await self.caller_server.drain()
-        await sleep_until_idle(self.clock, self._is_idle, accepts_end_ms)
-        await self.caller_server.stop_accepting(answers_end_ms - self.clock.now_ms())
-        await sleep_until_idle(self.clock, self._is_idle, answers_end_ms, 1)
-        await running.end_all()
-        self.orders.end()
-        # Orders go on without their callers.
-        await self.dispatcher.end()
-        await self.caller_server.accept_waiting(deadline_ms - self.clock.now_ms())
-        await sleep_until_idle(self.clock, self._is_idle, deadline_ms, 1)
-        left_ms = deadline_ms - self.clock.now_ms()
-        # A late entry still answers the connections that wait for a descriptor.
-        await self.caller_server.close(max(left_ms, STOP_ANSWER_MS))
-        async with curio.TaskGroup() as group:
-            await group.spawn(self.target_server.close, TARGET_ANSWER_MS)
-            # After the last request, so that the rows of all requests are handed over.
-            await group.spawn(self.accounts.hand_over_all, HANDOVER_TIMEOUT_MS)
-        async with curio.TaskGroup() as group:
-            # Last, as entries that get no answer take this one to be dead.
-            await group.spawn(self.peer_server.drain, PEER_ANSWER_MS)
-            if self.trace is not None:
-                await group.spawn(self.trace.close, TRACE_TIMEOUT_MS)
-        # Peers tell this process no more, so nothing acknowledged to them ends with it.
-        limit_s = SHARE_TIMEOUT_MS / MS_PER_SECOND
-        await curio.ignore_after(limit_s, self.gossip.share_before_end)
-
-    def _is_idle(self) -> bool:
-        """Return whether no request or order runs; an order may outlive its caller."""
-        return not self.caller_server.is_busy and self.orders.is_idle
-
 
 async def run_entry(settings: EntrySettings) -> None:
     """Run an entry process until a signal stops it."""
--- a/wagtailrun/stopping/signalled_drain.py
+++ b/wagtailrun/stopping/signalled_drain.py
@@ -20,27 +20,21 @@
     Args:
         clock: Clock.
         name: Name of the process in the log.
+        signals: Signals to stop, which end the process in any case after a time.
         drain: Finishes what the process has in progress.
-        limit_ms: When the process ends in any case, in milliseconds after the signal
-            was sent.
     """
 
     def __init__(
         self,
         clock: Clock,
         name: str,
+        signals: StopSignals,
         drain: Callable[[], Awaitable[None]],
-        limit_ms: int,
     ):
         self.clock = clock
         self.name = name
+        self.signals = signals
         self.drain = drain
-        self.signals = StopSignals(clock, forced_end_ms=limit_ms)
-
-    @property
-    def was_signalled(self) -> bool:
-        """Whether the process was told to stop."""
-        return self.signals.stop_count > 0
 
     async def run(self) -> None:
         """Install the signal handlers; return when the process may end."""
--- a/wagtailrun/stopping/signals.py
+++ b/wagtailrun/stopping/signals.py
@@ -68,6 +68,11 @@
                 self.hangup_count = 0
                 self.reload()
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was told to stop."""
+        return self.stop_count > 0
+
     @property
     def stopped_ms(self) -> int:
         """When the first signal to stop was sent, at the earliest, on the clock.
