Use the one order of a planned stop for both control daemons

Cause: each control daemon wrote out the order of its stop.

Change: stopping/member_stop.py holds it, with the same end as that of entries (planned_stop.py); control/member_stop.py and relay/control_stop.py implement StoppableMember. What a change takes longest is CHANGE_ANSWER_MS in both, made with STOP_ANSWER_MS in place of its own 200. No value changes.

--- a/tests/test_control_signal.py
+++ b/tests/test_control_signal.py
@@ -15,7 +15,7 @@
 from demo.processes import Fleet, request
 from tests.test_process_exit import PIPE_BYTES
 from wagtailrun.adapters.tcp_link import TcpPeerLink
-from wagtailrun.control.daemon import FORCED_END_MS
+from wagtailrun.control.member_stop import FORCED_END_MS
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.registry.messages import TextUpdate, WatchText
 
--- a/tests/test_control_stop.py
+++ b/tests/test_control_stop.py
@@ -9,7 +9,7 @@
 from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.relay.control import PUT_TIMEOUT_MS, STOP_ANSWER_MS, RelayControl
+from wagtailrun.relay.control import CHANGE_ANSWER_MS, PUT_TIMEOUT_MS, RelayControl
 from wagtailrun.settings import RelayControlSettings
 
 pytestmark = pytest.mark.network
@@ -112,7 +112,7 @@
 
     answer, took_ms = run_stop(tmp_path, stop_signal, echo, ask_in_part)
     assert answer.startswith(b"HTTP/1.1 503")
-    assert took_ms < MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS + STOP_MS
+    assert took_ms < MAX_REQUEST_WAIT_MS + CHANGE_ANSWER_MS + STOP_MS
 
 
 def test_member_with_idle_connections_stops_at_once(tmp_path, stop_signal):
--- a/tests/test_forced_end.py
+++ b/tests/test_forced_end.py
@@ -12,7 +12,7 @@
 from tests.test_control_signal import START_S
 from tests.test_late_signal_processes import HALF, connect, stop_while_still
 from tests.test_stalled_log import NOISE, Pipes, command_of, pipes, running
-from wagtailrun.control.daemon import STOP_LIMIT_MS
+from wagtailrun.control.member_stop import STOP_LIMIT_MS
 
 pytestmark = pytest.mark.network
 
--- a/tests/test_planned_handover_daemons.py
+++ b/tests/test_planned_handover_daemons.py
@@ -71,7 +71,7 @@
         signals.forced_end_ms = None
         signals.polled_ms = self.control.clock.now_ms()
         signals._count_stop(15, None)
-        await self.control._drain()
+        await self.control.planned_stop.run()
         await self.cancel()
 
     async def cancel(self):
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -18,8 +18,8 @@
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
 from wagtailrun.ports.target import StageAnswer
+from wagtailrun.relay.control import CHANGE_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
-from wagtailrun.relay.control import STOP_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.entry_stop import KILL_MARGIN_MS
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.entry_stop import FORCED_END_MARGIN_MS
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -6,7 +6,6 @@
 import curio
 
 from wagtailrun.accounts.store import AccountStore
-from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS, request_wait_ms
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_engine import HttpEngineClient
@@ -18,8 +17,8 @@
 from wagtailrun.consensus.member import Member
 from wagtailrun.control.engine_control import EngineController
 from wagtailrun.control.fleet_watch import FleetWatch
+from wagtailrun.control.member_stop import FORCED_END_MS, ControlStop
 from wagtailrun.control.operator_api import (
-    APPLY_TIMEOUT_MS,
     MAX_TEXT_BYTES,
     OperatorApi,
 )
@@ -29,22 +28,16 @@
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.disk import Disk
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
-from wagtailrun.registry.client import CALL_TIMEOUT_MS, ControlClient
+from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.state import Registry
 from wagtailrun.settings import ControlSettings
+from wagtailrun.stopping.member_stop import MemberStop
 from wagtailrun.stopping.signalled_drain import SignalledDrain
 from wagtailrun.stopping.signals import StopSignals
 
 __all__ = ["Control", "run_control"]
 
 GAUGE_INTERVAL_MS = 1_000
-# A change of the text takes longest of the requests that have arrived completely.
-STOP_ANSWER_MS = APPLY_TIMEOUT_MS + 200
-STOP_LIMIT_MS = MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS
-# After this time another member does not wait for the reply any more.
-PEER_ANSWER_MS = CALL_TIMEOUT_MS + 200
-# A planned stop without faults takes under 8 s.
-FORCED_END_MS = 10_000
 
 
 class Control:
@@ -94,8 +87,12 @@
             self.handle_peer,
         )
         self.signals = StopSignals(self.clock, forced_end_ms=FORCED_END_MS)
+        steps = ControlStop(
+            self.clock, self.signals, self.member_host, self.peer_server
+        )
+        self.planned_stop = MemberStop(steps, self.operator_server)
         self.signalled_drain = SignalledDrain(
-            self.clock, settings.name, self.signals, self._drain
+            self.clock, settings.name, self.signals, self.planned_stop.run
         )
         members = [settings.peer_address, *settings.control_peers]
         self.operator_api = OperatorApi(
@@ -149,17 +146,6 @@
             raise group.exception
         events.log(events.PROCESS_STOPPED, role="control", name=self.settings.name)
 
-    async def _drain(self) -> None:
-        """Answer the requests that have been accepted, of operators and of peers."""
-        end_ms = self.signals.end_ms(STOP_LIMIT_MS)
-        left_ms = end_ms - self.clock.now_ms()
-        answer_ms = min(STOP_ANSWER_MS, left_ms - request_wait_ms(left_ms))
-        self.member_host.refuse_leadership()
-        await self.operator_server.close(left_ms, answer_ms)
-        # Changes find the next leader while this member still answers.
-        await self.member_host.leave_leadership()
-        await self.peer_server.drain(PEER_ANSWER_MS)
-
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message of another process."""
         channel = codec_of(message).channel
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -4,13 +4,10 @@
 from pathlib import Path
 from typing import Any
 
-import curio
-
-from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_server import HttpHandler, HttpServer
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
-from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.clock import SystemClock
 from wagtailrun.codec import Channel, codec_of
 from wagtailrun.consensus.host import MemberHost
 from wagtailrun.consensus.member import Member
@@ -29,10 +26,14 @@
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.messages import NotLeader, PutText, TextVerdict, Unavailable
 from wagtailrun.registry.state import Registry
+from wagtailrun.relay.control_stop import RelayControlStop
 from wagtailrun.relay.evacuation_orders import EvacuationOrders
 from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.settings import RelayControlSettings
+from wagtailrun.stopping.member_stop import MemberStop
+from wagtailrun.stopping.planned_stop import wait_for_signal
+from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
 
 __all__ = ["FleetConfigurationStore", "RelayControl", "run_relay_control"]
@@ -43,7 +44,7 @@
 RETRY_AFTER_MS = 500
 # A member that stops answers the requests that it has for this long: a change takes
 # PUT_TIMEOUT_MS at most.
-STOP_ANSWER_MS = PUT_TIMEOUT_MS + 200
+CHANGE_ANSWER_MS = PUT_TIMEOUT_MS + STOP_ANSWER_MS
 # Largest request body: a fleet configuration of 4 MB and room for growth.
 MAX_TEXT_BYTES = 6 * 1024 * 1024
 MIN_VOTERS = 3
@@ -213,6 +214,10 @@
             settings.peer_secret,
             self.handle_peer,
         )
+        steps = RelayControlStop(
+            self.member_host, self.peer_server, self.hub, CHANGE_ANSWER_MS
+        )
+        self.planned_stop = MemberStop(steps, self.operators)
         self.metrics = RelayMetrics()
         self._export_gauges()
 
@@ -306,22 +311,8 @@
 
     async def _stop_on_signal(self) -> None:
         """Wait for a signal, then answer the requests that have been accepted."""
-        await self.signals.wait()
-        events.log(
-            events.DRAIN_STARTED,
-            name=self.settings.name,
-            late_ms=self.signals.late_ms,
-        )
-        self.member_host.refuse_leadership()
-        limit_ms = MAX_REQUEST_WAIT_MS + STOP_ANSWER_MS
-        await self.operators.close(limit_ms, STOP_ANSWER_MS)
-        # Changes find the next leader while this member still answers.
-        await self.member_host.leave_leadership()
-        # Other members forward the changes of operators to the leader.
-        await self.peer_server.drain(STOP_ANSWER_MS)
-        # What was acknowledged to targets must not end with this process.
-        limit_s = STOP_ANSWER_MS / MS_PER_SECOND
-        await curio.ignore_after(limit_s, self.hub.share_before_end)
+        await wait_for_signal(self.signals, self.settings.name)
+        await self.planned_stop.run()
 
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message from another process of the system."""
--- a/wagtailrun/stopping/__init__.py
+++ b/wagtailrun/stopping/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "entry_stop",
+    "member_stop",
     "plan",
     "planned_stop",
     "running_requests",
