Run tests of what both entries promise in a stop against both

Cause: cases that guard against a fault of one entry's stop ran against that entry only, so that the same fault of the other stayed unseen.

Change: tests/stopping_entries.py makes an entry of each kind with one way to run its stop. Every former case stays, with its figures.

--- a/tests/test_change_during_requests.py
+++ b/tests/test_change_during_requests.py
@@ -11,8 +11,8 @@
 
 from demo.processes import loopback_host
 from tests.held_loop import HeldLoop
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_relay_front import SIGNATURE, event
-from tests.test_relay_stop import make_entry
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_client import Connector, HttpClient
 from wagtailrun.adapters.http_server import HttpServer, Response
--- a/tests/test_checks_in_overload.py
+++ b/tests/test_checks_in_overload.py
@@ -7,8 +7,8 @@
 import curio
 import pytest
 
+from tests.stopping_entries import make_product_entry as make_entry
 from tests.test_caller_api import FLEET
-from tests.test_entry_close import make_entry
 from tests.test_http_server import GOOD, echo, exchange_bytes, with_server
 from tests.test_server_close import read_all
 from wagtailrun.process.memory_budget import PROCESS_MEMORY, Kind, MemoryBudget
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -9,7 +9,7 @@
 from curio.io import Socket
 
 from demo.processes import free_addresses
-from tests.test_relay_stop import make_entry
+from tests.stopping_entries import make_relay_entry as make_entry
 from wagtailrun.adapters import connection_pool
 from wagtailrun.adapters.connection_pool import MAX_IDLE_PER_ADDRESS, ConnectionPool
 from wagtailrun.adapters.http_client import HttpClient
--- a/tests/test_departures_before_end.py
+++ b/tests/test_departures_before_end.py
@@ -7,8 +7,8 @@
 import pytest
 
 from demo.processes import free_addresses
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_discovery import ENTRY, ROW, run
-from tests.test_relay_stop import make_entry
 from wagtailrun.adapters.tcp_link import PeerServer
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.discovery import News, NewsMarks, ReportLeaving, RowsTaken
--- a/tests/test_entry_close.py
+++ b/tests/test_entry_close.py
@@ -6,49 +6,32 @@
 import curio
 import pytest
 
-from demo.processes import free_addresses
+from tests.stopping_entries import both_entries, hand_over_nothing
+from tests.stopping_entries import make_product_entry as make_entry
 from tests.test_caller_api import FLEET, ORDER, PIPELINE
 from tests.test_http_server import GOOD, echo
 from tests.test_server_close import read_all
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.ports.target import StageAnswer, Token
-from wagtailrun.serving.daemon import Entry
-from wagtailrun.settings import EntrySettings
 
 pytestmark = pytest.mark.network
 
 STOCK = "/v1/services/dispatch-desk/stock-level"
 
 
-def make_entry(drain_limit_ms, drain_notice_ms=0):
-    caller, target, peer, control = free_addresses(4)
-    return Entry(
-        EntrySettings(
-            name="e",
-            data_centre="a",
-            caller_address=caller,
-            target_address=target,
-            peer_address=peer,
-            peer_secret=b"secret-of-this-test",
-            entry_peers=(),
-            control_peers=(control,),
-            drain_notice_ms=drain_notice_ms,
-            drain_limit_ms=drain_limit_ms,
-        )
-    )
-
-
-def test_entry_takes_no_request_after_it_handed_over_its_accounts(stop_signal):
+@both_entries
+def test_entry_takes_no_request_after_it_handed_over_its_accounts(make, stop_signal):
     """Guards against requests that are cut, or not accounted, as an entry ends.
 
-    The hand-over takes a while, in which the entry still took requests.
+    The hand-over, or the last reports, take a while, in which the entry still took
+    requests.
     """
-    entry = make_entry(500)
-    caller = entry.settings.caller_address
+    entry = make(500)
+    caller = entry.caller
     seen = []
 
-    async def hand_over(timeout_ms):
+    async def hand_over():
         try:
             sock = await curio.open_connection(caller.host, caller.port)
             await sock.sendall(GOOD)
@@ -57,27 +40,28 @@
             seen.append("refused")
 
     async def main():
-        entry.caller_server.handler = echo
-        entry.accounts.hand_over_all = hand_over
-        await curio.spawn(entry.caller_server.serve, daemon=True)
+        entry.server.handler = echo
+        entry.before_exit(hand_over)
+        await curio.spawn(entry.server.serve, daemon=True)
         await curio.sleep(0.05)
         entry.signals.install()
         stop_signal()
-        await entry.planned_stop.run()
+        await entry.stop.run()
 
     curio.run(main)
     assert seen == ["refused"]
 
 
+@both_entries
 def test_requests_that_follow_their_connections_late_survive_the_drain_limit(
-    stop_signal,
+    make, stop_signal
 ):
     """Guards against connections that the end of an entry closes unanswered.
 
     Callers send some time after they connect, until connections are refused.
     """
-    entry = make_entry(1_200)
-    caller = entry.settings.caller_address
+    entry = make(1_200, 0)
+    caller = entry.caller
     answers = []
 
     async def call():
@@ -94,17 +78,13 @@
                 answers.append(repr(error))
             await sock.close()
 
-    async def hand_over(timeout_ms):
-        return None
-
     async def handle(request):
         await curio.sleep(0.1)
         return await echo(request)
 
     async def main():
-        entry.caller_server.handler = handle
-        entry.accounts.hand_over_all = hand_over
-        serving = await curio.spawn(entry.caller_server.serve)
+        entry.server.handler = handle
+        serving = await curio.spawn(entry.server.serve)
         await curio.sleep(0.05)
         async with curio.TaskGroup() as group:
             for number in range(5):
@@ -112,7 +92,7 @@
                 await curio.sleep(0.02 * number)
             entry.signals.install()
             stop_signal()
-            await entry.planned_stop.run()
+            await entry.stop.run()
             await serving.cancel()
 
     curio.run(main)
@@ -132,11 +112,7 @@
 
 async def stop_beside(entry, stop_signal, *requests):
     """Send requests, stop the entry a moment later; return the answers."""
-
-    async def hand_over(timeout_ms):
-        return None
-
-    entry.accounts.hand_over_all = hand_over
+    entry.accounts.hand_over_all = hand_over_nothing
     entry.caller_server.handler.__self__.fleet = lambda: FLEET
     caller = entry.settings.caller_address
     serving = await curio.spawn(entry.caller_server.serve)
@@ -226,24 +202,26 @@
     assert [work.stage for work in sent] == ["stock-level"]
 
 
-def test_notice_counts_from_when_the_entry_reports_not_ready(stop_signal):
+@both_entries
+def test_notice_counts_from_when_the_entry_reports_not_ready(make, stop_signal):
     """Guards against callers that are refused as the load balancer does not know yet.
 
     The entry handled its signal late, and reported ready until then.
     """
     notice_ms, late_ms = 1_000, 1_500
-    entry = make_entry(6_000, notice_ms)
-    caller = entry.settings.caller_address
+    entry = make(6_000, notice_ms)
+    caller = entry.caller
 
     async def main():
-        entry.caller_server.handler = echo
-        await curio.spawn(entry.caller_server.serve, daemon=True)
+        entry.server.handler = echo
+        await curio.spawn(entry.server.serve, daemon=True)
         await curio.sleep(0.05)
         signals = entry.signals
         signals.install()
         signals.polled_ms = entry.clock.now_ms() - late_ms
+        entry.report_ready()
         stop_signal()
-        drain = await curio.spawn(entry.planned_stop.run)
+        drain = await curio.spawn(entry.stop.run)
         await curio.sleep(0.7 * notice_ms / MS_PER_SECOND)
         sock = await curio.open_connection(caller.host, caller.port)
         await sock.sendall(GOOD)
--- a/tests/test_entry_peer_drain.py
+++ b/tests/test_entry_peer_drain.py
@@ -4,7 +4,7 @@
 import pytest
 
 from demo.processes import free_addresses
-from tests.test_entry_close import make_entry
+from tests.stopping_entries import make_product_entry as make_entry
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import AgedRow, EntryRow, GossipRows, GossipTaken
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -3,9 +3,8 @@
 import curio
 import pytest
 
-from tests import test_entry_close
+from tests.stopping_entries import KINDS, both_entries
 from tests.test_http_server import GOOD, echo
-from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_server import HttpServer, Response
@@ -19,6 +18,8 @@
 # A client reuses its connection up to the end of the time that was announced to it.
 REUSE_S = 1.99
 SIGNAL_S = 4.0
+LIMIT_MS = 8_000
+NOTICE_MS = 2_800
 
 
 async def answer_on(sock, data=b""):
@@ -33,19 +34,19 @@
     return received
 
 
-def run_entry(client, stop_signal):
+def run_entry(make, client, stop_signal):
     """Run ``client(address)`` beside an entry that is signalled after SIGNAL_S."""
-    entry = make_entry()
-    entry.caller_server.handler = echo
+    entry = make(LIMIT_MS, NOTICE_MS)
+    entry.server.handler = echo
     entry.signals.install()
 
     async def main():
-        await curio.spawn(entry.caller_server.serve, daemon=True)
-        stopping = await curio.spawn(entry._stop_on_signal)
-        task = await curio.spawn(client, entry.settings.caller_address)
+        await curio.spawn(entry.server.serve, daemon=True)
+        stopping = await curio.spawn(entry.run)
+        task = await curio.spawn(client, entry.caller)
         await curio.sleep(SIGNAL_S)
         # Another request keeps the entry up.
-        other = await curio.spawn(hold, entry.settings.caller_address)
+        other = await curio.spawn(hold, entry.caller)
         stop_signal()
         result = await task.join()
         await other.cancel()
@@ -60,7 +61,10 @@
 
 
 @pytest.mark.parametrize("before_s", [0.02, 0.3, 0.8, 1.2, 1.8, 2.2, 2.7])
-def test_request_within_the_announced_time_crosses_no_close(before_s, stop_signal):
+@both_entries
+def test_request_within_the_announced_time_crosses_no_close(
+    make, before_s, stop_signal
+):
     """Guards against requests that cross the close of an idle connection in a stop.
 
     The last answer before it comes some time before the signal.
@@ -73,31 +77,18 @@
         await curio.sleep(REUSE_S)
         return first, await answer_on(sock, GOOD)
 
-    first, second = run_entry(client, stop_signal)
+    first, second = run_entry(make, client, stop_signal)
     assert b"\r\nKeep-Alive: timeout=2\r\n" in first
     assert second.startswith(b"HTTP/1.1 200")
     assert (b"Connection: close" in second) == (before_s < REUSE_S)
 
 
 def make_relay_entry():
-    entry = make_entry()
-    return entry, entry.signals, entry._stop_on_signal
+    return KINDS["relay"](LIMIT_MS, NOTICE_MS)
 
 
 def make_product_entry():
-    entry = test_entry_close.make_entry(30_000, 5_000)
-
-    async def hand_over(timeout_ms):
-        return None
-
-    entry.accounts.hand_over_all = hand_over
-    signals = entry.signals
-
-    async def stop():
-        await signals.wait()
-        await entry.planned_stop.run()
-
-    return entry, signals, stop
+    return KINDS["product"](30_000, 5_000)
 
 
 @pytest.mark.parametrize("ends_after_s", [-0.5, 0.1, 1.5, 2.4, 2.9, 3.3, 4.6])
@@ -110,7 +101,7 @@
     The answer's head, which announced the time, was sent before the signal; its end
     came after it. A request on the closed connection got no answer.
     """
-    entry, signals, stop = make()
+    entry = make()
     answered = []
 
     async def handler(request):
@@ -132,11 +123,11 @@
         return first, await answer_on(sock, GOOD)
 
     async def main():
-        entry.caller_server.handler = handler
-        signals.install()
-        serving = await curio.spawn(entry.caller_server.serve, daemon=True)
-        stopping = await curio.spawn(stop)
-        task = await curio.spawn(client, entry.settings.caller_address)
+        entry.server.handler = handler
+        entry.signals.install()
+        serving = await curio.spawn(entry.server.serve, daemon=True)
+        stopping = await curio.spawn(entry.run)
+        task = await curio.spawn(client, entry.caller)
         await curio.sleep(SIGNAL_S)
         stop_signal()
         await stopping.join()
--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from demo.processes import free_addresses
-from tests.test_relay_stop import make_entry
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_start import PLAIN, START_S, render, start
 from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
 from wagtailrun.stopping.signals import SIGNAL_POLL_MS
--- a/tests/test_long_answers_in_stop.py
+++ b/tests/test_long_answers_in_stop.py
@@ -6,8 +6,8 @@
 import pytest
 
 from tests import test_relay_front
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_relay_front import SIGNATURE, event
-from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_client import DirectConnector
--- a/tests/test_orders_at_the_end.py
+++ b/tests/test_orders_at_the_end.py
@@ -3,8 +3,9 @@
 import curio
 import pytest
 
+from tests.stopping_entries import make_product_entry as make_entry
 from tests.test_caller_api import FLEET, ORDER
-from tests.test_entry_close import ask, make_entry
+from tests.test_entry_close import ask
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import ConsensusUnavailable, TargetFailed, Verdict
--- a/tests/test_peer_drain.py
+++ b/tests/test_peer_drain.py
@@ -6,7 +6,7 @@
 import pytest
 
 from demo.processes import free_addresses
-from tests.test_relay_stop import make_entry
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_stage_pool import target
 from tests.test_stage_spread import ITEMS
 from tests.test_tunnels import RawTarget
--- a/tests/test_refusals_without_descriptors.py
+++ b/tests/test_refusals_without_descriptors.py
@@ -5,8 +5,8 @@
 import curio
 import pytest
 
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_http_server import GOOD, echo
-from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import StandIn, run_with_virtual_sockets
 from wagtailrun.adapters.http_server import HttpServer, Response
--- a/tests/test_relay_readiness.py
+++ b/tests/test_relay_readiness.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_checks_in_overload import (
     MANY,
     answer_of,
     full_memory,
     run_with_server,
 )
-from tests.test_relay_stop import make_entry
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.routes import RequestLimits, build_route_table
 
--- a/tests/test_relay_stop.py
+++ b/tests/test_relay_stop.py
@@ -4,21 +4,17 @@
 
 import curio
 import pytest
-from wagtail_platform.documents import PlatformConfigurationFormat
-from wagtail_platform.requests import PlatformWire
-from wagtail_platform.stage_calls import PlatformStageClient
 
-from demo.processes import free_addresses
 from tests import test_relay_front
+from tests.stopping_entries import StoppingProductEntry, StoppingRelayEntry
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_relay_front import GOOD, SIGNATURE, event, send
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_client import DirectConnector
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.process.supervisor import supervise
-from wagtailrun.relay.entry import EntryProtocol, RelayEntry
 from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
 from wagtailrun.routes import RouteKind
-from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 
@@ -33,32 +29,6 @@
 run_relay = functools.partial(test_relay_front.run_relay, run=run_with_virtual_sockets)
 
 
-class PlatformProtocol(EntryProtocol):
-    """Formats of the platform."""
-
-    configuration_format = PlatformConfigurationFormat()
-    wire = PlatformWire()
-
-    def stage_client(self, http):
-        return PlatformStageClient(http)
-
-
-def make_entry(addresses=(), **options):
-    """Return an entry that knows no control member."""
-    caller, ready, peer, metrics = addresses or free_addresses(4)
-    settings = RelayEntrySettings(
-        name="e",
-        data_centre="a",
-        caller_address=caller,
-        ready_address=ready,
-        peer_address=peer,
-        peer_secret=b"secret-of-this-test",
-        metrics_address=metrics,
-        **options,
-    )
-    return RelayEntry(settings, PlatformProtocol(), lambda: settings)
-
-
 def lasting(duration_s):
     """Answer after a time, or stream an event in that time."""
 
@@ -319,24 +289,35 @@
     assert 2_000 < run_with_virtual_sockets(main) < 3_000
 
 
-def test_entry_refuses_what_it_cannot_finish_before_it_ends(stop_signal):
+@pytest.mark.parametrize(
+    ("make", "limit_ms", "ends_ms"),
+    [
+        (StoppingRelayEntry, 1_200, 1_200 - EXIT_MARGIN_MS),
+        (StoppingProductEntry, 800, 800),
+    ],
+)
+def test_entry_refuses_what_it_cannot_finish_before_it_ends(
+    make, limit_ms, ends_ms, stop_signal
+):
     """Guards against an end of the process that nobody announces to its requests."""
-    entry = make_entry(grace_s=1.2, drain_notice_ms=0)
+    entry = make(limit_ms, 0)
+    refuse_running = entry.steps.refuse_running
     entry.signals.install()
     head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
     refused = []
 
     async def refuse():
         refused.append(entry.clock.now_ms())
+        await refuse_running()
 
     async def main():
-        entry.handler.refuse_unanswered = refuse
-        await curio.spawn(entry.caller_server.serve, daemon=True)
+        entry.steps.refuse_running = refuse
+        await curio.spawn(entry.server.serve, daemon=True)
         await curio.sleep(0.1)
-        address = entry.settings.caller_address
+        address = entry.caller
         sock = await curio.open_connection(address.host, address.port)
         await sock.sendall(head)
-        task = await curio.spawn(entry._stop_on_signal)
+        task = await curio.spawn(entry.run)
         await curio.sleep(0.1)
         stop_signal()
         signalled_ms = entry.clock.now_ms()
@@ -346,9 +327,8 @@
 
     answer, took_ms, refused_ms = run_with_virtual_sockets(main)
     assert answer.startswith(b"HTTP/1.1 503")
-    ends_ms = 1_200 - EXIT_MARGIN_MS
     assert ends_ms - STOP_ANSWER_MS <= refused_ms < ends_ms
-    assert took_ms <= ends_ms + MARGIN_MS
+    assert took_ms <= ends_ms + entry.late_ms
 
 
 class HangingConnector(DirectConnector):
--- a/tests/test_request_after_stream.py
+++ b/tests/test_request_after_stream.py
@@ -3,8 +3,8 @@
 import curio
 import pytest
 
+from tests.stopping_entries import both_entries
 from tests.test_http_server import GOOD
-from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all, streaming_handler
 from wagtailrun.stopping.plan import StopPlan
 
@@ -17,15 +17,15 @@
     await planned_stop.end_process()
 
 
-def run_finishing(client, handler):
+def run_finishing(make, client, handler):
     """Run ``client`` beside an entry whose stop was signalled 6.8 s ago."""
-    entry = make_entry(grace_s=8)
-    entry.caller_server.handler = handler
+    entry = make(8_000)
+    entry.server.handler = handler
 
     async def main():
         now_ms = entry.clock.now_ms()
         entry.signals.handled_ms = entry.signals.polled_ms = now_ms - 6_800
-        await curio.spawn(entry.caller_server.serve, daemon=True)
+        await curio.spawn(entry.server.serve, daemon=True)
         await curio.sleep(0.05)
         return await client(entry)
 
@@ -34,14 +34,15 @@
 
 @pytest.mark.parametrize("pause_s", [0.08, 0.15])
 @pytest.mark.parametrize("late", [False, True])
-def test_request_that_follows_a_stream_in_a_stop_is_answered(late, pause_s):
+@both_entries
+def test_request_that_follows_a_stream_in_a_stop_is_answered(make, late, pause_s):
     """Guards against a connection that closes as its next request is on its way.
 
     The head of its last answer was sent before the stop and announced no close.
     """
 
     async def client(entry):
-        server = entry.caller_server
+        server = entry.server
         sock = await connect(server.address, GOOD.replace(b"/x", b"/stream"))
         received = await sock.recv(65_536)
         assert b"lose" not in received
@@ -49,8 +50,8 @@
         now_ms = entry.clock.now_ms()
         accepts_end_ms = now_ms if late else now_ms + 800
         stop = StopPlan(now_ms, now_ms + 1_200, accepts_end_ms)
-        entry.handler.stop = stop
-        stopping = await curio.spawn(finish, entry.planned_stop, stop)
+        entry.set_plan(stop)
+        stopping = await curio.spawn(finish, entry.stop, stop)
         while not received.endswith(b"0\r\n\r\n"):
             received += await sock.recv(65_536)
         await curio.sleep(pause_s)
@@ -62,4 +63,5 @@
         await stopping.join()
         return answer
 
-    assert run_finishing(client, streaming_handler(0.4))[:9] == b"HTTP/1.1 "
+    answer = run_finishing(make, client, streaming_handler(0.4))
+    assert answer[:9] == b"HTTP/1.1 "
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -3,8 +3,8 @@
 import curio
 import pytest
 
+from tests.stopping_entries import StoppingProductEntry, StoppingRelayEntry
 from tests.test_http_server import GOOD, echo, with_server
-from tests.test_relay_stop import make_entry
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
@@ -12,7 +12,12 @@
 pytestmark = pytest.mark.network
 
 LIMIT_MS = 1_000
+# When an entry of these tests refuses its last requests and ends, after its signal.
+ENDS_MS = 1_100
 RELAYED = GOOD.replace(b"Host", b"Attempt-Id: a\r\nHost")
+SERVED = GOOD.replace(b"/x", b"/v1/services/dispatch-desk/stock-level").replace(
+    b"Host", b"Wagtailrun-Workspace: stockists\r\nHost"
+)
 EXPECTING = (
     b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
 )
@@ -152,20 +157,29 @@
 
 
 @pytest.mark.parametrize("drain_notice_ms", [0, 300])
-def test_requests_up_to_the_end_of_an_entry_are_answered(stop_signal, drain_notice_ms):
+@pytest.mark.parametrize(
+    ("make", "limit_ms", "request_bytes"),
+    [
+        (StoppingRelayEntry, ENDS_MS + EXIT_MARGIN_MS, RELAYED),
+        (StoppingProductEntry, ENDS_MS, SERVED),
+    ],
+)
+def test_requests_up_to_the_end_of_an_entry_are_answered(
+    make, limit_ms, request_bytes, stop_signal, drain_notice_ms
+):
     """Guards against requests that the last moments of a process leave unanswered.
 
     Callers send one after the other on new connections until these are refused.
     """
-    entry = make_entry(grace_s=1.5, drain_notice_ms=drain_notice_ms)
+    entry = make(limit_ms, drain_notice_ms)
     entry.signals.install()
     answers, ended = [], []
 
     async def call():
-        address = entry.settings.caller_address
+        address = entry.caller
         while True:
             try:
-                sock = await connect(address, RELAYED)
+                sock = await connect(address, request_bytes)
             except ConnectionRefusedError:
                 return
             try:
@@ -176,11 +190,11 @@
 
     async def main():
         async with curio.TaskGroup() as group:
-            serving = await curio.spawn(entry.caller_server.serve)
+            serving = await curio.spawn(entry.server.serve)
             await curio.sleep(0.1)
             for _ in range(4):
                 await group.spawn(call)
-            stopping = await curio.spawn(entry._stop_on_signal)
+            stopping = await curio.spawn(entry.run)
             await curio.sleep(0.2)
             started_ms = entry.clock.now_ms()
             stop_signal()
@@ -193,4 +207,4 @@
     curio.run(main)
     assert len(answers) > 20
     assert {answer[:12] for answer in answers} == {b"HTTP/1.1 503"}
-    assert ended[0] < 1_500 - EXIT_MARGIN_MS + 200
+    assert ended[0] < ENDS_MS + 200
--- a/tests/test_stop_review.py
+++ b/tests/test_stop_review.py
@@ -1,6 +1,7 @@
 """Tests of requests that arrive at each moment of a planned stop, in virtual time."""
 
 import itertools
+from collections.abc import Callable
 from contextlib import suppress
 
 import attrs
@@ -9,20 +10,23 @@
 import pytest
 
 from demo.processes import free_addresses
-from tests import test_change_during_requests, test_entry_close
+from tests import test_change_during_requests
+from tests.stopping_entries import make_product_entry, make_relay_entry
 from tests.test_caller_api import FLEET, ORDER
 from tests.test_entry_close import STOCK
-from tests.test_relay_stop import lasting, make_entry, run_relay, silent
+from tests.test_relay_stop import lasting, run_relay, silent
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
 from wagtailrun.adapters.http_server import HttpServer, Response
 from wagtailrun.clock import MS_PER_SECOND, SystemClock
+from wagtailrun.control.member_stop import ControlStop
 from wagtailrun.ports.target import StageAnswer
 from wagtailrun.relay.control import CHANGE_ANSWER_MS as CONTROL_ANSWER_MS
 from wagtailrun.relay.control import PUT_TIMEOUT_MS
+from wagtailrun.relay.control_stop import RelayControlStop
 from wagtailrun.relay.entry_stop import KILL_MARGIN_MS
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.entry_stop import FORCED_END_MARGIN_MS
+from wagtailrun.stopping.member_stop import MemberStop, StoppableMember
 from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
 from wagtailrun.stopping.signals import StopSignals
@@ -220,7 +224,7 @@
 
     async def client(address, fleet):
         (handler,) = handlers
-        entry = make_entry(grace_s=grace_s, **entry_options)
+        entry = make_relay_entry(grace_s=grace_s, **entry_options)
         entry.signals.install()
         entry.handler = entry.planned_stop.entry.handler = handler
         entry.caller_server.handler = handler.handle
@@ -359,7 +363,7 @@
     limit_ms, notice_ms, path, run, form, stop_signal
 ):
     """Guards against requests that a planned stop leaves without an answer (LOST)."""
-    entry = test_entry_close.make_entry(limit_ms, notice_ms)
+    entry = make_product_entry(limit_ms, notice_ms)
 
     async def hand_over(timeout_ms):
         await curio.sleep(0.5)
@@ -382,12 +386,28 @@
     assert unanswered(calls) == []
 
 
+class Candidate:
+    """Stands in for the consensus member of a control member."""
+
+    def refuse_leadership(self):
+        """Lead no more."""
+
+
+def make_relay_member(signals):
+    return RelayControlStop(Candidate(), None, None, CONTROL_ANSWER_MS)
+
+
+def make_product_member(signals):
+    return ControlStop(signals.clock, signals, Candidate(), None)
+
+
 @attrs.frozen
 class OperatorSide:
     """The operators' side of a control member, which ends as it was closed."""
 
     clock: SystemClock
     caller_server: HttpServer
+    make: Callable[[StopSignals], StoppableMember]
 
     @property
     def settings(self):
@@ -398,12 +418,11 @@
         return self.caller_server.address
 
     async def stop(self):
-        """Do what ``RelayControl`` does for its operators."""
+        """Do what a control member does for its operators."""
         signals = StopSignals(self.clock)
         signals.install()
         await signals.wait()
-        limit_ms = MAX_REQUEST_WAIT_MS + CONTROL_ANSWER_MS
-        await self.caller_server.close(limit_ms, CONTROL_ANSWER_MS)
+        await MemberStop(self.make(signals), self.caller_server).end_callers()
 
 
 @pytest.mark.parametrize(
@@ -412,8 +431,9 @@
     ids=lambda form: form.__name__,
 )
 @pytest.mark.parametrize("change_ms", [0, 400, PUT_TIMEOUT_MS])
+@pytest.mark.parametrize("make", [make_relay_member, make_product_member])
 def test_each_request_of_an_operator_has_an_answer_in_a_stop(
-    change_ms, form, stop_signal
+    make, change_ms, form, stop_signal
 ):
     """Guards against changes that a control member takes and leaves unanswered."""
 
@@ -423,7 +443,7 @@
 
     async def main():
         (address,) = free_addresses(1)
-        side = OperatorSide(SystemClock(), HttpServer(address, handle))
+        side = OperatorSide(SystemClock(), HttpServer(address, handle), make)
         return await call_through_stop(side, side.stop, form, stop_signal, limit_s=5)
 
     calls, _ = run_with_virtual_sockets(main)
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 
-from tests.test_relay_stop import make_entry
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.virtual_sockets import run_with_virtual_sockets
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import MS_PER_SECOND
--- a/tests/test_trace_stop.py
+++ b/tests/test_trace_stop.py
@@ -6,8 +6,8 @@
 import curio
 import pytest
 
+from tests.stopping_entries import make_product_entry as make_entry
 from tests.test_caller_api import FLEET
-from tests.test_entry_close import make_entry
 from wagtailrun.clock import SystemClock
 from wagtailrun.logs import events
 from wagtailrun.observation.trace_recorder import TraceRecorder
--- a/tests/test_unread_refusals.py
+++ b/tests/test_unread_refusals.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from tests.test_relay_stop import make_entry
+from tests.stopping_entries import make_relay_entry as make_entry
 from wagtailrun.exceptions import RefusalReason
 from wagtailrun.logs import events
 
--- a/tests/test_unreadable_configuration.py
+++ b/tests/test_unreadable_configuration.py
@@ -5,10 +5,10 @@
 import curio
 import pytest
 
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_discovery import APPLY_LIMIT_MS, run
 from tests.test_platform import DOCUMENT, ROUTE, document
 from tests.test_relay_front import GOOD, run_relay, send
-from tests.test_relay_stop import make_entry
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.discovery.transfer import ConfigurationTransfer
 from wagtailrun.logs import events
--- a/tests/test_unused_connections.py
+++ b/tests/test_unused_connections.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from tests.test_entry_close import make_entry
+from tests.stopping_entries import both_entries
 from tests.test_http_server import echo, with_server
 from tests.test_server_close import connect
 
@@ -12,26 +12,27 @@
 DRAIN_LIMIT_MS = 4_000
 
 
-def test_connection_without_a_request_does_not_delay_the_hand_over(stop_signal):
+@both_entries
+def test_connection_without_a_request_does_not_delay_the_hand_over(make, stop_signal):
     """Guards against accounts that are handed over only after the drain limit."""
-    entry = make_entry(DRAIN_LIMIT_MS)
-    caller = entry.settings.caller_address
+    entry = make(DRAIN_LIMIT_MS, 0)
+    caller = entry.caller
     handed_over_ms = []
 
-    async def hand_over(timeout_ms):
+    async def hand_over():
         handed_over_ms.append(entry.clock.now_ms())
 
     async def main():
-        entry.caller_server.handler = echo
-        entry.accounts.hand_over_all = hand_over
-        await curio.spawn(entry.caller_server.serve, daemon=True)
+        entry.server.handler = echo
+        entry.before_exit(hand_over)
+        await curio.spawn(entry.server.serve, daemon=True)
         await curio.sleep(0.05)
         sock = await connect(caller)
         await curio.sleep(0.05)
         started_ms = entry.clock.now_ms()
         entry.signals.install()
         stop_signal()
-        await entry.planned_stop.run()
+        await entry.stop.run()
         await sock.close()
         return handed_over_ms[0] - started_ms
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -6,8 +6,8 @@
 import attrs
 import curio
 
+from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_connection_pool import IdleConnection
-from tests.test_relay_stop import make_entry
 from wagtailrun.adapters import tcp_link
 from wagtailrun.discovery import target_limits
 from wagtailrun.discovery.messages import AgedRow, News, NewsMarks
--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -6,10 +6,9 @@
 import curio
 import pytest
 
-from tests import test_entry_close
 from tests.held_loop import HeldLoop
+from tests.stopping_entries import make_product_entry, make_relay_entry
 from tests.test_http_server import GOOD, echo
-from tests.test_relay_stop import make_entry
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import StandIn, run_with_virtual_sockets
 from wagtailrun.adapters.http_server import HttpServer
@@ -75,7 +74,7 @@
     Connections without a request kept its descriptors up to the end. A line tells how
     many waited.
     """
-    entry = make_entry(grace_s=grace_s)
+    entry = make_relay_entry(grace_s=grace_s)
     entry.signals.install()
 
     async def main():
@@ -127,7 +126,7 @@
     limit_ms, stop_signal
 ):
     """Guards against the same at the product's entry, which closes its server later."""
-    entry = test_entry_close.make_entry(limit_ms)
+    entry = make_product_entry(limit_ms)
 
     async def main():
         stopping = await begin_drain_of_occupied(entry, stop_signal)
@@ -147,7 +146,7 @@
 
     The entry stands still just before it accepts those that wait, past its drain limit.
     """
-    entry = test_entry_close.make_entry(1_000)
+    entry = make_product_entry(1_000)
     loop = HeldLoop(held_ms=held_ms)
 
     async def stand_still():
