--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -471,13 +471,10 @@
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
+from wagtailrun.process.memory_budget import PROCESS_MEMORY
 
 address, floods, memory_mb = Address.parse(sys.argv[1]), int(sys.argv[2]), sys.argv[3]
-try:
-    from wagtailrun.process.memory_budget import PROCESS_MEMORY
-    PROCESS_MEMORY.set_memory(float(memory_mb))
-except ImportError:
-    pass
+PROCESS_MEMORY.set_memory(float(memory_mb))
 
 async def flood(http):
     try:
