Split the HTTP server into its state, its connections and its stop

Change: server_state.py holds the settings, limits and counters that connections share, server_connection.py reads and answers the requests of one connection, and http_server.py accepts connections and stops. Methods and constants are unchanged, except that a connection knows the state in place of the server. Tests that set a constant set it where it is now.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -17,7 +17,8 @@
     HttpStream,
 )
 from wagtailrun.adapters.http_connection import MAX_INTERIM_RESPONSES, HttpConnection
-from wagtailrun.adapters.http_server import HttpServer, _ServerConnection
+from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.adapters.server_connection import ServerConnection
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.requests.streams import RelayStreams, _StreamState
@@ -371,7 +372,7 @@
         turn = Turn(sock)
         await curio.spawn(turn.run, daemon=True)
         server = HttpServer(Address("127.0.0.1", 1), None, max_body_bytes=100_000)
-        await _ServerConnection(server, sock, "127.0.0.1").run()
+        await ServerConnection(server, sock, "127.0.0.1").run()
         return turn.longest
 
     assert run_virtual(main) <= MAX_READS_IN_A_TURN
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from demo.processes import free_addresses
-from wagtailrun.adapters import http_server
+from wagtailrun.adapters import server_state
 from wagtailrun.adapters.drain_times import sleep_until_idle
 from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import (
@@ -136,7 +136,7 @@
 
 def test_request_that_never_ends_is_refused(monkeypatch):
     """Guards against a caller that occupies a connection by sending single bytes."""
-    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT_MS", 300)
+    monkeypatch.setattr(server_state, "REQUEST_TIMEOUT_MS", 300)
 
     async def client(address, server):
         sock = await curio.open_connection(address.host, address.port)
@@ -153,7 +153,7 @@
 
 def test_connections_beyond_the_limit_are_refused(monkeypatch):
     """Guards against connections that use up all file descriptors."""
-    monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 1)
+    monkeypatch.setattr(server_state, "MAX_CONNECTIONS", 1)
 
     async def client(address, server):
         first = await curio.open_connection(address.host, address.port)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -449,7 +449,7 @@
             await curio.sleep(0.01)
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr("wagtailrun.adapters.http_server.DISCARD_TIMEOUT_MS", 200)
+        patch.setattr("wagtailrun.adapters.server_connection.DISCARD_TIMEOUT_MS", 200)
         curio.run(main)
     assert budget.peak_bytes <= budget.limit_bytes
     assert budget.held_bytes == 0
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -12,7 +12,8 @@
 
 from demo.processes import free_addresses
 from wagtailrun.adapters.http_client import DirectConnector, HttpClient
-from wagtailrun.adapters.http_server import MAX_BODY_BYTES, HttpServer, Response
+from wagtailrun.adapters.http_server import HttpServer, Response
+from wagtailrun.adapters.server_state import MAX_BODY_BYTES
 from wagtailrun.clock import SystemClock
 from wagtailrun.discovery import OriginClient
 from wagtailrun.discovery.evacuations import EvacuationView
--- a/tests/test_watched_descriptors.py
+++ b/tests/test_watched_descriptors.py
@@ -8,7 +8,7 @@
 from tests.test_http_server import GOOD, echo
 from tests.test_server_close import connect, read_all
 from tests.virtual_sockets import StandIn, run_with_virtual_sockets
-from wagtailrun.adapters import http_server
+from wagtailrun.adapters import server_state
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.idle_connections import DRAIN_REQUEST_WAIT_MS
 from wagtailrun.clock import MS_PER_SECOND
@@ -79,7 +79,7 @@
 
 def test_request_after_a_drain_is_not_refused_for_ended_connections(monkeypatch):
     """Guards against refusals for lack of room that ended connections still take."""
-    monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 2)
+    monkeypatch.setattr(server_state, "MAX_CONNECTIONS", 2)
 
     async def main():
         server = HttpServer(Address("127.0.0.1", 80), echo)
