Move what all parts of the relay share into relay/core, retries to targets

Cause: the relay's packages imported its wire interface, its jobs, messages and metrics from the top of the relay, whose daemons import these packages; so relay and its parts were in a circle. Stages and the relay imported the retry budget from the product's entry, of which they need nothing else.

--- a/bench/account_worker.py
+++ b/bench/account_worker.py
@@ -32,14 +32,14 @@
 from wagtailrun.logs.events import EventLog
 from wagtailrun.logs.line_writer import LineWriter
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.placement_messages import (
+from wagtailrun.relay.core.placement_messages import (
     PlaceRun,
     PlaceSize,
     RequestGrant,
     RunOutcome,
     RunOver,
 )
-from wagtailrun.relay.port import PromptPart
+from wagtailrun.relay.core.port import PromptPart
 from wagtailrun.stages.messages import CancelPieces, RunPieces
 
 __all__ = ["MESSAGES", "cpu_us"]
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -33,6 +33,8 @@
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.placement_messages import RequestGrant
+from wagtailrun.relay.core.port import MalformedBound
 from wagtailrun.relay.limits.brittle_slots import (
     GATHER_MS,
     REJECTION_PAUSE_MS,
@@ -41,8 +43,6 @@
     BrittleSlots,
 )
 from wagtailrun.relay.limits.send_grants import LINGER_MS, SendGranter
-from wagtailrun.relay.placement_messages import RequestGrant
-from wagtailrun.relay.port import MalformedBound
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_brittle_targets_fleet.py
+++ b/tests/test_brittle_targets_fleet.py
@@ -13,8 +13,8 @@
 from wagtailrun.discovery.owners import ownership_key
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.port import TargetNotice
 from wagtailrun.relay.placement.choice import LIMIT_CHECK_MS
-from wagtailrun.relay.port import TargetNotice
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -5,6 +5,8 @@
 
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.placement_messages import RunBroken
+from wagtailrun.relay.core.port import AnswerProgress
 from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     RECENT_SUCCESS_MS,
@@ -12,8 +14,6 @@
     UNCONFIRMED_LIFETIME_MS,
     CrashDetector,
 )
-from wagtailrun.relay.placement_messages import RunBroken
-from wagtailrun.relay.port import AnswerProgress
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -12,8 +12,8 @@
 from wagtailrun.messages import Ping
 from wagtailrun.ports.link import Address
 from wagtailrun.process.loop_watch import MIN_LATE_MS
+from wagtailrun.relay.core.placement_messages import Placed, PlaceRun
 from wagtailrun.relay.placement.service import CALL_TIMEOUT_MS, PlacementClient
-from wagtailrun.relay.placement_messages import Placed, PlaceRun
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 PEER = EntryRow("peer", Address("10.0.0.9", 1), "a", 1)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -25,13 +25,13 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import TargetFailed, TargetPaused
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.port import TargetNotice
 from wagtailrun.relay.limits.notices import (
     MAX_PAUSE_MS,
     MAX_RETURN_JITTER_MS,
     TRIAL_TIMEOUT_MS,
     TargetNotices,
 )
-from wagtailrun.relay.port import TargetNotice
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_overdue_stage_calls.py
+++ b/tests/test_overdue_stage_calls.py
@@ -6,7 +6,6 @@
 
 from tests.test_stage_pool import CAPACITY, BatcherHarness, FakeStages, target
 from wagtailrun.exceptions import TargetFailed, Verdict
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
 from wagtailrun.stages.call_slot import (
     CALL_TIMEOUT_FACTOR,
@@ -15,6 +14,7 @@
     CallSlot,
 )
 from wagtailrun.stages.target_state import TargetState
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.virtual_time import run_virtual
 
 LIMIT_MS = int(CALL_TIMEOUT_FACTOR * CAPACITY.duration_ms(2))
--- a/tests/test_prompt_crashes.py
+++ b/tests/test_prompt_crashes.py
@@ -16,9 +16,9 @@
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
 from wagtailrun.exceptions import ResponseAborted, TargetFailed
+from wagtailrun.relay.core.metrics import RelayMetrics
 from wagtailrun.relay.limits.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.limits.notices import TargetNotices
-from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.requests.front import RelayHandler
@@ -28,7 +28,7 @@
     RouteKind,
     build_route_table,
 )
-from wagtailrun.serving.retries import RetryBudget
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -12,15 +12,15 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart
-from wagtailrun.relay.placement.choice import TargetChooser
-from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
-from wagtailrun.relay.placement_messages import (
+from wagtailrun.relay.core.placement_messages import (
     PlaceRun,
     RunBroken,
     RunOutcome,
     RunOver,
 )
-from wagtailrun.relay.port import AnswerProgress
+from wagtailrun.relay.core.port import AnswerProgress
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wagtailrun.exceptions import RefusalReason, Verdict
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
 from wagtailrun.relay.requests.admission import (
     MAX_MARGIN_SHARE,
     MIN_OVERLOAD_RETRY_MS,
--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -24,9 +24,9 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import RelayHandler
+from wagtailrun.relay.core.metrics import RelayMetrics
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter
-from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.requests.events_split import EventSplitter
@@ -39,7 +39,7 @@
     WorkspaceKeys,
     build_route_table,
 )
-from wagtailrun.serving.retries import RetryBudget
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 pytestmark = pytest.mark.network
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -12,10 +12,10 @@
     MAX_REQUESTS,
     Quarantine,
 )
+from wagtailrun.relay.core.placement_messages import RunBroken
+from wagtailrun.relay.core.port import AnswerProgress
+from wagtailrun.relay.core.request_identity import digest_request
 from wagtailrun.relay.limits.crash_detector import CrashDetector
-from wagtailrun.relay.placement_messages import RunBroken
-from wagtailrun.relay.port import AnswerProgress
-from wagtailrun.relay.requests.request_identity import digest_request
 from wagtailrun.routes import RouteKind
 from wagtailrun.virtual_time import VirtualClock
 
--- a/tests/test_request_crashes_fleet.py
+++ b/tests/test_request_crashes_fleet.py
@@ -7,9 +7,9 @@
 from tests.test_quarantine_fleet import CONTACT_MS, CRASH_MS, Engine
 from tests.test_quarantine_fleet import Entry as PromptEntry
 from tests.test_quarantine_fleet import Fleet as PromptFleet
-from wagtailrun.relay.placement_messages import RunBroken
-from wagtailrun.relay.port import AnswerProgress
-from wagtailrun.relay.requests.request_identity import AnsweredRequests
+from wagtailrun.relay.core.placement_messages import RunBroken
+from wagtailrun.relay.core.port import AnswerProgress
+from wagtailrun.relay.core.request_identity import AnsweredRequests
 from wagtailrun.virtual_time import run_virtual
 
 ENGINES = 6
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
-from wagtailrun.serving.retries import (
+from wagtailrun.targets.retries import (
     INITIAL_TOKENS,
     MAX_TOKENS,
     RetryBudget,
--- a/tests/test_silent_carriers.py
+++ b/tests/test_silent_carriers.py
@@ -18,10 +18,10 @@
 from wagtailrun.ports.link import Address, TunnelLink, Upgrade
 from wagtailrun.process.loop_watch import MIN_LATE_MS
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
 from wagtailrun.stages.call_slot import CALL_TIMEOUT_FACTOR
 from wagtailrun.stages.port import UNWATCHED
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 LIMIT_MS = int(CALL_TIMEOUT_FACTOR * CAPACITY.duration_ms(1))
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -16,7 +16,6 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.routes import StageCapacity
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import (
     CancelPieces,
     FreeResults,
@@ -29,6 +28,7 @@
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_stage_retry_budget.py
+++ b/tests/test_stage_retry_budget.py
@@ -10,8 +10,8 @@
     StalledStages,
 )
 from tests.test_stage_pool import BatcherHarness, target
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import JobState
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.virtual_time import run_virtual
 
 
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -12,9 +12,9 @@
 from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageCapacity, StageStep
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import PieceOutcome, StageBatcher, StagedWork, StageResults
 from wagtailrun.stages.runner import StageRunner
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 CAPACITY = StageCapacity(
--- a/tests/test_stage_stop.py
+++ b/tests/test_stage_stop.py
@@ -9,7 +9,6 @@
 from tests.test_stage_runner import CAPACITY, ENTRIES, other_entry, work
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import (
     DelegatingStageClient,
     StageBatcher,
@@ -18,6 +17,7 @@
     Succession,
 )
 from wagtailrun.stages.runner import StageRunner
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.virtual_time import run_virtual
 
 # The stages of one request take about a second.
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -13,13 +13,13 @@
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.placement_messages import RequestGrant
 from wagtailrun.relay.limits.notices import PERMIT_LIFETIME_MS
 from wagtailrun.relay.limits.send_grants import (
     MAX_RETURN_MS,
     TYPICAL_RETURN_MS,
     SendGranter,
 )
-from wagtailrun.relay.placement_messages import RequestGrant
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -12,17 +12,17 @@
 from wagtailrun.exceptions import TargetPaused
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.limits.notices import TargetNotices
-from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
-from wagtailrun.relay.placement.choice import LIMIT_CHECK_MS, TargetChooser
-from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
-from wagtailrun.relay.placement_messages import (
+from wagtailrun.relay.core.placement_messages import (
     PlaceRun,
     RequestGrant,
     RunOutcome,
     RunOver,
 )
-from wagtailrun.relay.port import TargetNotice
+from wagtailrun.relay.core.port import TargetNotice
+from wagtailrun.relay.limits.notices import TargetNotices
+from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
+from wagtailrun.relay.placement.choice import LIMIT_CHECK_MS, TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/tests/test_timed_out_attempts.py
+++ b/tests/test_timed_out_attempts.py
@@ -7,7 +7,7 @@
 
 from tests.test_relay_front import GOOD, SIGNATURE, answer, run_relay, send
 from tests.virtual_sockets import run_with_virtual_sockets
-from wagtailrun.relay.placement_messages import RunOutcome, RunOver
+from wagtailrun.relay.core.placement_messages import RunOutcome, RunOver
 from wagtailrun.routes import RouteKind
 
 pytestmark = pytest.mark.network
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -15,8 +15,8 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import entry as entry_module
+from wagtailrun.relay.core.placement_messages import PlaceRun, PromptPart
 from wagtailrun.relay.limits import brittle_slots, send_grants
-from wagtailrun.relay.placement_messages import PlaceRun, PromptPart
 from wagtailrun.relay.upkeep import UPKEEP_INTERVAL_MS
 from wagtailrun.routes import (
     RequestLimits,
--- a/wagtailrun/relay/__init__.py
+++ b/wagtailrun/relay/__init__.py
@@ -1,6 +1,6 @@
 """Relays requests to targets unchanged, by route, after running their stages."""
 
-from wagtailrun.relay.port import (
+from wagtailrun.relay.core.port import (
     AnswerHead,
     AttemptContext,
     MalformedBound,
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -27,8 +27,8 @@
 from wagtailrun.registry.messages import NotLeader, PutText, TextVerdict, Unavailable
 from wagtailrun.registry.state import Registry
 from wagtailrun.relay.control_stop import RelayControlStop
+from wagtailrun.relay.core.metrics import RelayMetrics
 from wagtailrun.relay.evacuation_orders import EvacuationOrders
-from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.settings import RelayControlSettings
 from wagtailrun.stopping.member_stop import MemberStop
--- /dev/null
+++ b/wagtailrun/relay/core/__init__.py
@@ -0,0 +1,9 @@
+"""Types and interfaces that all parts of the relay share."""
+
+__all__ = [
+    "job",
+    "metrics",
+    "placement_messages",
+    "port",
+    "request_identity",
+]
--- a/wagtailrun/relay/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -7,8 +7,8 @@
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.discovery import StreamOrigin
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.port import AnswerProgress, RelayRequest
-from wagtailrun.relay.requests.request_identity import digest_request
+from wagtailrun.relay.core.port import AnswerProgress, RelayRequest
+from wagtailrun.relay.core.request_identity import digest_request
 from wagtailrun.routes import Route
 from wagtailrun.stages import StagedWork, StageResults
 
--- a/wagtailrun/relay/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -6,7 +6,7 @@
 
 from wagtailrun.codec import Channel, Codec
 from wagtailrun.discovery.messages import AgedLimit
-from wagtailrun.relay.port import PromptPart
+from wagtailrun.relay.core.port import PromptPart
 
 __all__ = [
     "PlaceRun",
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -24,28 +24,27 @@
 )
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.supervisor import supervise
+from wagtailrun.relay.core.metrics import RelayMetrics
+from wagtailrun.relay.core.placement_messages import (
+    PlaceRun,
+    RequestGrant,
+    RunBroken,
+    RunOver,
+)
+from wagtailrun.relay.core.port import RelayWire
 from wagtailrun.relay.entry_stop import RelayEntryStop, StopTimes
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
-from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
-from wagtailrun.relay.placement_messages import (
-    PlaceRun,
-    RequestGrant,
-    RunBroken,
-    RunOver,
-)
-from wagtailrun.relay.port import RelayWire
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.relay.requests.front import RelayHandler
 from wagtailrun.relay.stopping.readiness import Readiness, max_stay_ms
 from wagtailrun.relay.stopping.rotation import Rotation
 from wagtailrun.relay.upkeep import Upkeep
 from wagtailrun.routes import RequestLimits, RouteTable, StageCapacity
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stages import (
     CancelPieces,
@@ -63,6 +62,7 @@
 from wagtailrun.stopping.entry_stop import EntryStop
 from wagtailrun.stopping.planned_stop import wait_for_signal
 from wagtailrun.stopping.signals import StopSignals
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["EntryProtocol", "RelayEntry", "run_relay_entry"]
--- a/wagtailrun/relay/limits/brittle_slots.py
+++ b/wagtailrun/relay/limits/brittle_slots.py
@@ -14,8 +14,8 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery.target_limits import HARMLESS_REJECTIONS_PER_S, TargetLimits
 from wagtailrun.logs import events
+from wagtailrun.relay.core.placement_messages import RequestGrant, SendGrant
 from wagtailrun.relay.limits.return_queue import ReturnQueue
-from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
 
 __all__ = ["BrittleSlots"]
 
--- a/wagtailrun/relay/limits/crash_detector.py
+++ b/wagtailrun/relay/limits/crash_detector.py
@@ -8,8 +8,8 @@
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.logs import events
-from wagtailrun.relay.placement_messages import RunBroken
-from wagtailrun.relay.port import AnswerProgress
+from wagtailrun.relay.core.placement_messages import RunBroken
+from wagtailrun.relay.core.port import AnswerProgress
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -16,9 +16,9 @@
 from wagtailrun.exceptions import SendForbidden, TargetPaused
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.port import MalformedBound, RelayWire
 from wagtailrun.relay.limits.send_grants import GrantClient
 from wagtailrun.relay.paths.tunnel_messages import PauseNoted, ReportPause
-from wagtailrun.relay.port import MalformedBound, RelayWire
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TargetNotices"]
--- a/wagtailrun/relay/limits/send_grants.py
+++ b/wagtailrun/relay/limits/send_grants.py
@@ -21,13 +21,13 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
+from wagtailrun.relay.core.placement_messages import RequestGrant, SendGrant
 from wagtailrun.relay.limits.brittle_slots import BrittleSlots
 from wagtailrun.relay.limits.return_queue import (
     MAX_RETURN_MS,
     TYPICAL_RETURN_MS,
     ReturnQueue,
 )
-from wagtailrun.relay.placement_messages import RequestGrant, SendGrant
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -8,8 +8,8 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.target_limits import TargetLimits
+from wagtailrun.relay.core.port import PromptPart, TargetLoad
 from wagtailrun.relay.placement.estimate import FirstEventModel
-from wagtailrun.relay.port import PromptPart, TargetLoad
 from wagtailrun.targets.subset import rendezvous_rank
 from wagtailrun.targets.table import TargetRow
 
--- a/wagtailrun/relay/placement/continuation.py
+++ b/wagtailrun/relay/placement/continuation.py
@@ -13,7 +13,7 @@
 from wagtailrun.discovery.origin_client import CALL_TIMEOUT_MS
 from wagtailrun.exceptions import ConnectShortage, TargetFailed, TargetPaused
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
-from wagtailrun.relay.port import RelayWire
+from wagtailrun.relay.core.port import RelayWire
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -15,6 +15,15 @@
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.logs import events
 from wagtailrun.ports.link import PeerLink
+from wagtailrun.relay.core.placement_messages import (
+    Placed,
+    PlaceRun,
+    RunBroken,
+    RunNoted,
+    RunOutcome,
+    RunOver,
+)
+from wagtailrun.relay.core.port import TargetLoad
 from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     SAFE_AFTER_FIRST_EVENT_MS,
@@ -24,15 +33,6 @@
 from wagtailrun.relay.limits.silence import SilenceWatch
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.estimate import MarginEstimator
-from wagtailrun.relay.placement_messages import (
-    Placed,
-    PlaceRun,
-    RunBroken,
-    RunNoted,
-    RunOutcome,
-    RunOver,
-)
-from wagtailrun.relay.port import TargetLoad
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PlacementClient", "PlacementHost"]
--- a/wagtailrun/relay/requests/__init__.py
+++ b/wagtailrun/relay/requests/__init__.py
@@ -2,5 +2,4 @@
 
 __all__ = [
     "front",
-    "request_identity",
 ]
--- a/wagtailrun/relay/requests/admission.py
+++ b/wagtailrun/relay/requests/admission.py
@@ -4,7 +4,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
 from wagtailrun.stages import StageRunner
 
 __all__ = ["AdmissionController"]
--- a/wagtailrun/relay/requests/attempt_reports.py
+++ b/wagtailrun/relay/requests/attempt_reports.py
@@ -8,13 +8,13 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
+from wagtailrun.relay.core.placement_messages import RunBroken, RunOutcome, RunOver
+from wagtailrun.relay.core.port import AnswerProgress, TargetLoad
+from wagtailrun.relay.core.request_identity import AnsweredRequests
 from wagtailrun.relay.limits.crash_detector import SAFE_AFTER_FIRST_EVENT_MS
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient
-from wagtailrun.relay.placement_messages import RunBroken, RunOutcome, RunOver
-from wagtailrun.relay.port import AnswerProgress, TargetLoad
-from wagtailrun.relay.requests.request_identity import AnsweredRequests
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["AttemptReports"]
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -28,24 +28,24 @@
 from wagtailrun.logs import events
 from wagtailrun.process.late_tasks import wait_for_end
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
-from wagtailrun.relay.job import RelayJob
-from wagtailrun.relay.limits.notices import TargetNotices
-from wagtailrun.relay.placement.choice import TargetChooser
-from wagtailrun.relay.placement.service import PlacementClient
-from wagtailrun.relay.placement_messages import RunOutcome
-from wagtailrun.relay.port import (
+from wagtailrun.relay.core.job import RelayJob
+from wagtailrun.relay.core.placement_messages import RunOutcome
+from wagtailrun.relay.core.port import (
     AnswerHead,
     AnswerProgress,
     AttemptContext,
     RelayWire,
 )
+from wagtailrun.relay.core.request_identity import AnsweredRequests
+from wagtailrun.relay.limits.notices import TargetNotices
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.requests.attempt_reports import AttemptReports
-from wagtailrun.relay.requests.request_identity import AnsweredRequests
 from wagtailrun.relay.requests.target_selection import (
     RETRY_AFTER_MS,
     TargetSelection,
 )
-from wagtailrun.serving.retries import RetryBudget
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["Attempt", "RelayAttempts"]
--- a/wagtailrun/relay/requests/evacuated_services.py
+++ b/wagtailrun/relay/requests/evacuated_services.py
@@ -2,7 +2,7 @@
 
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
 
 __all__ = ["EVACUATED_RETRY_MS", "evacuated_refusal", "stage_refusal"]
 
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -12,15 +12,15 @@
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.logs import events
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
+from wagtailrun.relay.core.metrics import RelayMetrics
+from wagtailrun.relay.core.placement_messages import Placed
+from wagtailrun.relay.core.port import RelayRequest, RelayWire
 from wagtailrun.relay.limits.notices import TargetNotices
-from wagtailrun.relay.metrics import RelayMetrics
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.continuation import ContinuationChecker, TargetReports
 from wagtailrun.relay.placement.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.relay.placement.service import PlacementClient
-from wagtailrun.relay.placement_messages import Placed
-from wagtailrun.relay.port import RelayRequest, RelayWire
 from wagtailrun.relay.requests.admission import AdmissionController
 from wagtailrun.relay.requests.attempts import RelayAttempts
 from wagtailrun.relay.requests.evacuated_services import stage_refusal
@@ -28,7 +28,6 @@
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.relay.stopping.stop_forecast import StopForecast
 from wagtailrun.routes import Route, RouteKind, WorkspaceKeys
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import StagedWork, StageRunner
 from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.running_requests import (
@@ -36,6 +35,7 @@
     EntryEnds,
     forget_end,
 )
+from wagtailrun.targets.retries import RetryBudget
 
 __all__ = ["RelayHandler"]
 
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -22,9 +22,9 @@
 from wagtailrun.logs import events
 from wagtailrun.process.fairness import Turns
 from wagtailrun.process.memory_budget import Kind
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
+from wagtailrun.relay.core.port import AnswerHead, AnswerProgress
 from wagtailrun.relay.placement.continuation import Continuation, ContinuationChecker
-from wagtailrun.relay.port import AnswerHead, AnswerProgress
 from wagtailrun.relay.requests.attempts import Attempt, RelayAttempts
 from wagtailrun.relay.requests.events_split import (
     MAX_EVENT_BYTES,
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -10,19 +10,19 @@
     digest_part,
 )
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.relay.job import RelayJob
-from wagtailrun.relay.limits.notices import TargetNotices
-from wagtailrun.relay.placement.choice import TargetChooser
-from wagtailrun.relay.placement.service import PlacementClient
-from wagtailrun.relay.placement_messages import (
+from wagtailrun.relay.core.job import RelayJob
+from wagtailrun.relay.core.placement_messages import (
     Placed,
     PlaceRun,
     PlaceSize,
     RunOutcome,
     RunOver,
 )
+from wagtailrun.relay.core.request_identity import AnsweredRequests
+from wagtailrun.relay.limits.notices import TargetNotices
+from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.requests.evacuated_services import evacuated_refusal
-from wagtailrun.relay.requests.request_identity import AnsweredRequests
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["RETRY_AFTER_MS", "TargetSelection"]
--- a/wagtailrun/relay/stopping/running_jobs.py
+++ b/wagtailrun/relay/stopping/running_jobs.py
@@ -4,7 +4,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.logs import events
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
 from wagtailrun.relay.placement.answer_times import AnswerTimes
 
 __all__ = ["RunningJobs"]
--- a/wagtailrun/relay/stopping/stop_forecast.py
+++ b/wagtailrun/relay/stopping/stop_forecast.py
@@ -2,7 +2,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
-from wagtailrun.relay.job import RelayJob
+from wagtailrun.relay.core.job import RelayJob
 from wagtailrun.relay.placement.answer_times import COVERED_SHARE, TYPICAL_SHARE
 from wagtailrun.relay.stopping.running_jobs import RunningJobs
 from wagtailrun.routes import RouteKind
--- a/wagtailrun/relay/upkeep.py
+++ b/wagtailrun/relay/upkeep.py
@@ -5,8 +5,8 @@
 from wagtailrun.relay.paths.tunnels import PathConnector
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementHost
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages import StageBatcher
+from wagtailrun.targets.retries import RetryBudget
 
 __all__ = ["Upkeep"]
 
--- a/wagtailrun/serving/__init__.py
+++ b/wagtailrun/serving/__init__.py
@@ -6,5 +6,4 @@
     "dispatch",
     "orders",
     "pipeline",
-    "retries",
 ]
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -26,7 +26,7 @@
 )
 from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.serving.dispatch_options import DispatchOptions
-from wagtailrun.serving.retries import HEDGE_RESERVE
+from wagtailrun.targets.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -23,10 +23,10 @@
 from wagtailrun.serving.dispatch_context import DispatchContext, Probe, TargetSource
 from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.repeats import RetryState
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
--- a/wagtailrun/serving/dispatch_context.py
+++ b/wagtailrun/serving/dispatch_context.py
@@ -12,9 +12,9 @@
 from wagtailrun.ports.target import TargetClient
 from wagtailrun.serving.admission import Admission
 from wagtailrun.serving.dispatch_options import DispatchOptions
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.targets.attempt_observer import AttemptObserver
 from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.routing import Router
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
--- a/wagtailrun/serving/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -13,7 +13,7 @@
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.serving.attempt_failures import ConnectionStalled, DeadlinePassed
 from wagtailrun.serving.dispatch_context import DispatchContext
-from wagtailrun.serving.retries import backoff_ms, may_retry
+from wagtailrun.targets.retries import backoff_ms, may_retry
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -8,7 +8,6 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.routes import StageCapacity
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.messages import (
     CancelPieces,
@@ -24,6 +23,7 @@
 from wagtailrun.stages.pool_manager import PoolManager
 from wagtailrun.stages.port import StageClient
 from wagtailrun.stages.succession import Succession, take_over
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["StageBatcher"]
--- a/wagtailrun/stages/pool_manager.py
+++ b/wagtailrun/stages/pool_manager.py
@@ -6,11 +6,11 @@
 from wagtailrun.clock import Clock
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageCapacity
-from wagtailrun.serving.retries import RetryBudget
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.messages import FreeResults
 from wagtailrun.stages.port import StageClient
 from wagtailrun.stages.succession import Succession
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PoolManager"]
--- a/wagtailrun/targets/__init__.py
+++ b/wagtailrun/targets/__init__.py
@@ -4,6 +4,7 @@
     "affinity",
     "attempt_observer",
     "estimates",
+    "retries",
     "routing",
     "subset",
     "table",
