Line writer test: the child process imports the module from where it is

Cause: test_line_may_be_put_while_another_one_is_put starts a child that imports line_writer from wagtailrun; the module is now in wagtailrun.logs, so the child ended with an ImportError.

Change: the import in the script. What the test asserts is the same.

Measured: the test failed before the change; the tests of the file pass with it.

--- a/tests/test_line_writer.py
+++ b/tests/test_line_writer.py
@@ -112,7 +112,7 @@
     """
     code = (
         "import signal, time\n"
-        "from wagtailrun import line_writer\n"
+        "from wagtailrun.logs import line_writer\n"
         "line_writer.WRITE_INTERVAL_S = 0.0\n"
         "writer = line_writer.LineWriter()\n"
         "writer.start()\n"
