Keep an announced idle time in a stop when room for requests is back

Cause: a connection whose answer ended without room for requests waits 200 ms for the next one. When the room was back before these were over, and a planned stop had begun meanwhile, the connection was closed all the same, though the stop had just counted its announced time as kept.

Change: at the end of a wait the connection is kept for what is left of its announced time, and the stop waits for it as for the request of a new connection.

Measured: the new test of test_keep_alive.py, virtual time, failed in 3 of 3 cases before and passes now; test_keep_alive, test_closed_connections, test_server_close, test_http_server and test_checks_in_overload pass.

--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -168,6 +168,45 @@
     assert run_with_virtual_sockets(main) == (True, 0)
 
 
+@pytest.mark.parametrize("back_s", [0.01, 0.1, 0.19])
+def test_announced_time_holds_when_room_is_back_before_a_stop(back_s, logged):
+    """Guards against a close 200 ms after an answer that announced a longer time.
+
+    There was no room for requests as the answer ended; there was again when the stop
+    began, before these 200 ms were over.
+    """
+    reasons = []
+
+    async def main():
+        async def pieces():
+            yield b"x"
+            reasons.append("no descriptors are left")
+
+        async def handler(request):
+            return await echo(request) if server.draining else Response(200, pieces())
+
+        server = HttpServer(
+            ADDRESS, handler, notice_ms=2_800, overload=lambda: "".join(reasons)
+        )
+        await curio.spawn(server.serve, daemon=True)
+        await curio.sleep(0)
+        sock = await connect(ADDRESS)
+        first = await answer_on(sock, GOOD)
+        await curio.sleep(back_s)
+        reasons.clear()
+        await server.drain()
+        await curio.sleep(0.5)
+        is_awaited = server.is_busy
+        await curio.sleep(REUSE_S - 0.5 - back_s)
+        return first, is_awaited, await answer_on(sock, GOOD)
+
+    first, is_awaited, second = run_with_virtual_sockets(main)
+    assert b"\r\nKeep-Alive: timeout=2\r\n" in first
+    # The stop waits for the request.
+    assert is_awaited
+    assert second.startswith(b"HTTP/1.1 200")
+
+
 LAST = GOOD.replace(b"Host", b"Connection: close\r\nHost")
 
 
--- a/wagtailrun/adapters/server_connection.py
+++ b/wagtailrun/adapters/server_connection.py
@@ -332,7 +332,8 @@
         while True:
             wait_ms = self._idle_limit_ms() - waited_ms
             if self.is_awaited or refusal is not None:
-                wait_ms = min(wait_ms, self._request_wait_ms(refusal is not None))
+                way_ms = self._request_wait_ms(refusal is not None) - waited_ms
+                wait_ms = min(wait_ms, way_ms)
             try:
                 data = await self.receive_within(wait_ms, READ_BYTES)
             finally:
@@ -343,10 +344,19 @@
             self.limits = self.server.limits()
             # The room may have come, or gone, meanwhile.
             refusal = self._refusal_if_overloaded()
-            is_over = self.server.draining or waited_ms >= self._idle_limit_ms()
-            if is_over or refusal is not None:
+            if refusal is not None or self._is_over(waited_ms):
                 self.idle_refusal = refusal
                 return None
+            # The wait for an announced time was cut short by a lack of room that is
+            # over, and a planned stop has begun.
+            self.is_awaited = self.server.draining
+
+    def _is_over(self, waited_ms: int) -> bool:
+        """Return whether a connection that was idle for this long has to be closed."""
+        limit_ms = self._idle_limit_ms()
+        if self.server.draining:
+            limit_ms = min(limit_ms, self._request_wait_ms(lacks_room=False))
+        return waited_ms >= limit_ms
 
     def _idle_limit_ms(self) -> int:
         """Return how long to wait for the next request.
