Read pipelined requests after the last answer before its connection ends

Cause: after an answer that announces the close, the server closed the connection at once. A request that a client had pipelined behind it was in the kernel unread, beyond the 4 KB received during an answer, so that Linux reset the connection and dropped what was still in the send buffer: the end of the answer was lost. It concerns every answer of a planned stop, answers without room for requests, and requests with Connection: close.

Change: such bytes are received for a limited time after the end of the sending direction, as those behind a refusal are.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -178,6 +178,52 @@
     assert received.index(b'"/x"') < received.index(b'"/y"')
 
 
+PIECES = 16
+PIECE = b"x" * 512 * 1024
+# Larger than what a server receives of further requests during an answer.
+PIPELINED = (
+    b"POST /y HTTP/1.1\r\nHost: a\r\nContent-Length: 20000\r\n\r\n" + b"z" * 20_000
+)
+
+
+@pytest.mark.parametrize("closes", ["server", "client"])
+def test_last_answer_is_complete_beside_pipelined_requests(closes):
+    """Guards against an answer whose end is lost as its connection is reset.
+
+    A request arrives behind the last answer's head, which announces the close. The
+    rest of the answer is in the buffers of the kernel as the connection is closed.
+    """
+
+    async def pieces():
+        yield PIECE[:1]
+        await curio.sleep(0.1)
+        for _ in range(PIECES):
+            yield PIECE
+
+    async def handler(request):
+        return Response(200, pieces())
+
+    async def client(address, server):
+        server.closing = closes == "server"
+        sock = await curio.open_connection(address.host, address.port)
+        last = GOOD.replace(b"Host", b"Connection: close\r\nHost")
+        await sock.sendall(GOOD if server.closing else last)
+        received = await sock.recv(1_000)
+        await sock.sendall(PIPELINED)
+        # The server writes the rest, while its client does not read yet.
+        await curio.sleep(0.3)
+        while piece := await sock.recv(65_536):
+            received += piece
+            await curio.sleep(0)
+        await sock.close()
+        return received
+
+    received = with_server(handler, client)
+    assert b"Connection: close" in received[:1_000]
+    assert received.count(b"x") == PIECES * len(PIECE) + 1
+    assert received.endswith(b"0\r\n\r\n")
+
+
 @pytest.mark.parametrize("streams", [False, True])
 def test_request_for_a_head_is_answered(streams):
     """Guards against a HEAD request whose connection is closed without an answer."""
--- a/wagtailrun/adapters/server_connection.py
+++ b/wagtailrun/adapters/server_connection.py
@@ -110,9 +110,11 @@
                     break
                 if request is None or not await self._serve(request):
                     return
-            if self.http.our_state is not h11.DONE:
-                return
-            if self.http.their_state is not h11.DONE:
+            states = {self.http.our_state, self.http.their_state}
+            if states != {h11.DONE}:
+                # Pipelined requests are not read after the last answer.
+                if self._has_excess():
+                    break
                 return
             self.http.start_next_cycle()
         await self._discard_input()
@@ -163,9 +165,9 @@
         return _overload_refusal(detail) if detail else None
 
     def _has_excess(self) -> bool:
-        """Return whether bytes follow a request that was refused."""
-        is_refused = self.http.our_state is not h11.IDLE
-        return is_refused and (bool(self.http.trailing_data[0]) or self.is_readable())
+        """Return whether bytes follow a request that got the last answer."""
+        is_answered = self.http.our_state is not h11.IDLE
+        return is_answered and (bool(self.http.trailing_data[0]) or self.is_readable())
 
     async def _reject(self, error: RequestRejected) -> None:
         """Refuse a request that cannot be read."""
@@ -183,10 +185,10 @@
         await self._discard_input(refusal)
 
     async def _discard_input(self, unreported: Refusal | None = None) -> None:
-        """Receive the rest of a request that was refused, for a limited time.
+        """Receive what follows the last answer, for a limited time.
 
-        Closing a connection with unread bytes resets it, and the client may then lose
-        the refusal.
+        It is the rest of a request that was refused, or pipelined requests. Closing a
+        connection with unread bytes resets it, and the client may then lose the answer.
 
         Args:
             unreported: Refusal to report if there is any input.
