Tell peers that a stopping process has not taken a crossing message

Cause: a process that stops ends its idle connections to peers by closing them. A message on its way at that time was never read, but its sender saw the end of the connection alone, and counted it as possibly run: a stage call that another entry was to carry, or a change that a control member forwards.

Change: the last frame of such a connection is the reply that the process stops and has not taken the message; nothing is read after it. A link without a message on its way finds the connection readable, and does not use it again, as before. What a stopping peer has not taken counts as not sent.

--- a/tests/test_peer_drain.py
+++ b/tests/test_peer_drain.py
@@ -297,3 +297,53 @@
     received, end, took_ms = run_tunnel_at_stop(2 * GRACE_S)
     assert (received, end) == (HEAD, "interrupted")
     assert took_ms < GRACE_S * MS_PER_SECOND
+
+
+def run_crossing(handler, call):
+    """Run ``call(link, address)`` as its message crosses the drain of its peer.
+
+    Over TCP: the message is sent to a connection that its peer has just ended.
+    """
+
+    async def main():
+        (address,) = free_addresses(1)
+        server = PeerServer(address, SECRET, handler)
+        serving = await curio.spawn(server.serve)
+        await curio.sleep(0.05)
+        link = TcpPeerLink(SECRET)
+        connect = link._connect
+
+        async def connect_and_drain(address):
+            connection = await connect(address)
+            await server.drain(LIMIT_MS)
+            await serving.cancel()
+            return connection
+
+        async with curio.timeout_after(10):
+            await link.call(address, Ping("0"), TIMEOUT_MS)
+            link._connect = connect_and_drain
+            return await call(link, address)
+
+    return curio.run(main)
+
+
+def test_message_that_crosses_the_end_of_a_peer_was_not_sent():
+    """Guards against "may have run" for a message that its peer never read.
+
+    A stage call, or a change of an operator, then counts as possibly run.
+    """
+    handled = []
+
+    async def handler(message):
+        handled.append(message)
+        return Pong(message.sender)
+
+    async def call(link, address):
+        with pytest.raises(PeerUnreachable) as error:
+            await link.call(address, Ping("1"), TIMEOUT_MS)
+        return error.value
+
+    error = run_crossing(handler, call)
+    assert handled == [Ping("0")]
+    assert error.stopping
+    assert not error.sent
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -55,6 +55,9 @@
 DRAIN_POLL_MS = 5
 # The first message of a new connection follows its handshake within this time.
 FIRST_MESSAGE_MS = 100
+# Last frame of a connection that a stopping process ends. To a message that crosses it,
+# it is the reply; without a message, the link does not use the connection again.
+LAST_FRAME = encode(PeerError(STOPPING, "this process stops"))
 
 
 class _FrameSocket:
@@ -142,6 +145,11 @@
         received = len(self._received) - LENGTH.size
         return f"{received} of {self.frame_bytes} bytes of the reply"
 
+    @property
+    def has_part(self) -> bool:
+        """Whether a part of a frame has arrived, or one is answered."""
+        return bool(self.frame_bytes or self._received)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes after the last frame were received."""
@@ -155,9 +163,7 @@
 
     async def stop_if_idle(self) -> None:
         """Read no more, unless a part of a frame has arrived or one is answered."""
-        if self.frame_bytes or self._received:
-            return
-        if not self.is_readable():
+        if not self.has_part and not self.is_readable():
             # The peer may have reset the connection a moment ago.
             with suppress(OSError):
                 await self.sock.shutdown(socket.SHUT_RD)
@@ -482,7 +488,7 @@
         """Refuse new connections, answer what has arrived, and end the connections.
 
         A peer whose connection is refused, or ended while it is idle, knows that its
-        message was not read. Tunnels go on.
+        message was not read, also if it crosses the end. Tunnels go on.
 
         Args:
             limit_ms: How long to wait for the replies, in milliseconds.
@@ -523,14 +529,21 @@
     async def _answer_messages(self, connection: _FrameSocket) -> Upgrade | None:
         """Answer messages until one asks for a tunnel, or this process stops."""
         while True:
-            async with curio.timeout_after(IDLE_TIMEOUT_MS / MS_PER_SECOND):
-                frame = await connection.read_frame()
+            try:
+                async with curio.timeout_after(IDLE_TIMEOUT_MS / MS_PER_SECOND):
+                    frame = await connection.read_frame()
+            except EOFError:
+                # Nothing more is read here, whatever arrives.
+                if self.draining and not connection.has_part:
+                    await connection.write_frame(LAST_FRAME)
+                raise
             connection.awaited_until_ms = 0
             reply = await _make_reply(self.handler, frame)
             if isinstance(reply, Upgrade):
                 return reply
             await connection.write_frame(reply)
             if self.draining:
+                await connection.write_frame(LAST_FRAME)
                 return None
 
 
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -127,7 +127,8 @@
 
     Args:
         detail: What happened.
-        sent: Whether part of the request may have reached the peer.
+        sent: Whether part of the request may have reached the peer; not of one that it
+            has not taken as it stops.
         alive: Whether the peer is not to be taken for dead or cut off: it answered
             another call a moment ago and is slow, or this process is at fault.
         shortage: Whether this process, or its VM, lacks what a connection needs.
@@ -146,7 +147,7 @@
         stopping: bool = False,
     ):
         super().__init__(detail)
-        self.sent = sent
+        self.sent = sent and not stopping
         self.alive = alive or shortage
         self.shortage = shortage
         self.timed_out = timed_out
