End kept connections with the last refusals of a relay entry's stop

An answer that began before the signal and ended less than that time before the last refusals let the entry wait to the end of its time, 7.8 s after the signal with 8 s of grace. Nothing was left for the messages of peers in progress, and the last reports to control members were dropped.

The entry of the product has times of its own for what follows its callers, and keeps them.

--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -142,6 +142,54 @@
     assert not [each for each, _ in logged if each is events.CLOSE_CROSSED]
 
 
+@pytest.mark.parametrize("ends_after_s", [4.0, 5.5, 6.2, 6.8, 7.2])
+@both_entries
+def test_kept_connection_leaves_time_for_the_last_work(make, ends_after_s, stop_signal):
+    """Guards against last reports that are lost for the sake of an idle connection.
+
+    Its answer began before the signal and ended late in the stop. The stop of a relay
+    entry kept the connection up to the end of its time, so that none was left for the
+    messages of peers and the reports to control members.
+    """
+    entry = make(LIMIT_MS, NOTICE_MS)
+    done = []
+
+    async def handler(request):
+        return Response(200, pieces())
+
+    async def pieces():
+        yield b"x"
+        await curio.sleep(0.6 + ends_after_s)
+
+    async def report():
+        await curio.sleep(0.2)
+        done.append(True)
+
+    async def client(address):
+        sock = await connect(address)
+        await curio.sleep(SIGNAL_S - 0.6)
+        first = await answer_on(sock, GOOD)
+        await curio.sleep(LIMIT_MS / MS_PER_SECOND)
+        return first
+
+    async def main():
+        entry.server.handler = handler
+        entry.before_exit(report)
+        entry.signals.install()
+        await curio.spawn(entry.server.serve, daemon=True)
+        stopping = await curio.spawn(entry.run)
+        task = await curio.spawn(client, entry.caller)
+        await curio.sleep(SIGNAL_S)
+        stop_signal()
+        await stopping.join()
+        return await task.join()
+
+    first = run_with_virtual_sockets(main)
+    assert b"\r\nKeep-Alive: timeout=2\r\n" in first
+    assert first.endswith(b"0\r\n\r\n")
+    assert done
+
+
 def test_stop_without_room_does_not_keep_the_announced_time():
     """Guards against idle connections whose descriptors new connections wait for.
 
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -81,7 +81,13 @@
         for requests.
         """
         self.closing = self.draining = True
-        await end_idle(self.idle_connections, keeps_announced=not self.overload())
+        keeps_announced = self.keeps_announced and not self.overload()
+        await end_idle(self.idle_connections, keeps_announced)
+
+    async def end_kept(self) -> None:
+        """Close the connections that are kept for an announced time, now and later."""
+        self.keeps_announced = False
+        await end_idle(self.idle_connections, keeps_announced=False)
 
     async def refuse_incomplete(self) -> None:
         """Refuse the requests that have not arrived completely."""
--- a/wagtailrun/adapters/server_connection.py
+++ b/wagtailrun/adapters/server_connection.py
@@ -377,7 +377,8 @@
         if self.server.refuses_at_once and not self.was_used:
             return 0
         if self.was_used:
-            announced_ms = 0 if lacks_room else self.announced_ms
+            keeps_announced = self.server.keeps_announced and not lacks_room
+            announced_ms = self.announced_ms if keeps_announced else 0
             return max(DRAIN_REQUEST_WAIT_MS, announced_ms)
         return min(self.limits.header_ms, MAX_REQUEST_WAIT_MS)
 
--- a/wagtailrun/adapters/server_state.py
+++ b/wagtailrun/adapters/server_state.py
@@ -68,6 +68,8 @@
         self.closing = False
         # Whether idle connections are closed.
         self.draining = False
+        # Whether idle connections are kept then for the time that answers announced.
+        self.keeps_announced = True
         # Whether a connection whose request has not arrived is refused at once.
         self.refuses_at_once = False
         self.active_requests = 0
--- a/wagtailrun/relay/entry_stop.py
+++ b/wagtailrun/relay/entry_stop.py
@@ -172,9 +172,14 @@
         return self.stages.is_idle and not busy
 
     async def refuse_running(self) -> None:
-        """Refuse the requests without a part of an answer, and incomplete ones."""
+        """Refuse the requests without a part of an answer, and incomplete ones.
+
+        Idle connections are not kept any more: the rest of the time is for the answers
+        to peers and the last reports.
+        """
         await self.handler.refuse_unanswered()
         await self.caller_server.refuse_incomplete()
+        await self.caller_server.end_kept()
 
     def refuse_arriving(self) -> None:
         """Admit no further request."""
