Give the refusals of unread requests a module of their own

Change: the refusals, and the time after which they say to try again, move into adapters/server_refusals.py. Nothing else changes.

--- a/wagtailrun/adapters/server_connection.py
+++ b/wagtailrun/adapters/server_connection.py
@@ -22,6 +22,7 @@
 from wagtailrun.adapters.idle_connections import DRAIN_REQUEST_WAIT_MS, IdleConnection
 from wagtailrun.adapters.keep_alive import keep_alive_fields, kept_idle_ms
 from wagtailrun.adapters.platform_checks import is_check
+from wagtailrun.adapters.server_refusals import INCOMPLETE_AT_STOP, overload_refusal
 from wagtailrun.adapters.server_state import REQUEST_TIMEOUT_MS, ServerState
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
@@ -35,7 +36,6 @@
 # Bytes of further requests that are received while one is answered. They only show that
 # the caller has not disconnected; with 64 KB each, all connections would hold 256 MB.
 PIPELINED_READ_BYTES = 4 * 1024
-OVERLOAD_RETRY_MS = 1_000
 OVERLOAD_HEADER_MS = 500
 # Time in which a client that still sends a refused request reads the refusal.
 DISCARD_TIMEOUT_MS = 1_000
@@ -51,18 +51,6 @@
 # Responses to this method have no body; h11 does not send one.
 HEAD_METHOD = b"HEAD"
 
-INCOMPLETE_AT_STOP = Refusal(
-    RefusalReason.DRAINING,
-    Verdict.NOT_RUN,
-    "this process stops and the request has not arrived completely",
-    OVERLOAD_RETRY_MS,
-)
-
-
-def _overload_refusal(detail: str) -> Refusal:
-    """Return the refusal of a request for which this process has no room."""
-    return Refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, OVERLOAD_RETRY_MS)
-
 
 class ServerConnection(IdleConnection):
     """Reads and answers the requests of one accepted connection."""
@@ -162,7 +150,7 @@
 
     def _refusal_if_overloaded(self) -> Refusal | None:
         detail = self.server.overload()
-        return _overload_refusal(detail) if detail else None
+        return overload_refusal(detail) if detail else None
 
     def _has_excess(self) -> bool:
         """Return whether bytes follow a request that got the last answer."""
@@ -302,9 +290,7 @@
 
     def _no_memory(self) -> RequestRejected:
         detail = self.held.refusal_detail
-        return RequestRejected(
-            detail, DEFAULT_REFUSAL_STATUS, _overload_refusal(detail)
-        )
+        return RequestRejected(detail, DEFAULT_REFUSAL_STATUS, overload_refusal(detail))
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return False if none were received."""
