Ignore an empty line before a request

Cause: some old clients send an empty line after the body of a request; RFC 9112, section 2.2, asks servers to ignore one. The server refused it as a malformed request, behind an answer that announced that the connection is kept: the client took the refusal for the answer to its next request, which was not read. In a stop the answer before it announced no close, either, as bytes followed.

Change: one empty line before a request is dropped, a second one is refused as before, and an answer with only an empty line behind it is the last one in a stop.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -178,6 +178,47 @@
     assert received.index(b'"/x"') < received.index(b'"/y"')
 
 
+@pytest.mark.parametrize("pause_s", [0, 0.05])
+@pytest.mark.parametrize("lines", [b"\r\n", b"\r\n" + GOOD.replace(b"/x", b"/y")])
+def test_empty_line_after_a_request_is_no_request(lines, pause_s):
+    """Guards against a refusal that a client takes for the answer to its next request.
+
+    The answer before it announced that the connection is kept.
+    """
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(GOOD if pause_s else GOOD + lines)
+        await curio.sleep(pause_s)
+        if pause_s:
+            await sock.sendall(lines)
+        await curio.sleep(0.1)
+        is_idle = len(server.idle_connections) == 1 and not server.active_requests
+        await sock.sendall(GOOD.replace(b"/x", b"/z"))
+        await curio.sleep(0.1)
+        received = await sock.recv(65_536)
+        await sock.close()
+        return is_idle, received
+
+    is_idle, received = with_server(echo, client)
+    assert is_idle
+    assert received.count(b"HTTP/1.1 200") == received.count(b"HTTP/1.1 ")
+    assert received.count(b"HTTP/1.1 200") == 2 + (b"/y" in lines)
+
+
+def test_empty_lines_do_not_keep_a_connection():
+    """Guards against a connection that is kept by bytes that are no request."""
+
+    async def client(address, server):
+        sock = await curio.open_connection(address.host, address.port)
+        await sock.sendall(b"\r\n")
+        await curio.sleep(0.05)
+        await sock.sendall(b"\r\n")
+        return await sock.recv(65_536)
+
+    assert with_server(echo, client).startswith(b"HTTP/1.1 400")
+
+
 PIECES = 16
 PIECE = b"x" * 512 * 1024
 # Larger than what a server receives of further requests during an answer.
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -260,7 +260,12 @@
 
 @pytest.mark.parametrize(
     ("request_bytes", "closing"),
-    [(GOOD, True), (LAST, False), (GOOD.replace(b"1.1", b"1.0"), False)],
+    [
+        (GOOD, True),
+        (GOOD + b"\r\n", True),
+        (LAST, False),
+        (GOOD.replace(b"1.1", b"1.0"), False),
+    ],
 )
 def test_last_answers_announce_no_idle_time(request_bytes, closing):
     """Guards against answers that announce both a close and a further use."""
--- a/wagtailrun/adapters/server_connection.py
+++ b/wagtailrun/adapters/server_connection.py
@@ -48,6 +48,9 @@
 # Time for which a refused connection keeps its descriptor while others wait for one.
 WAITING_DISCARD_MS = 25
 REQUEST_TIMEOUT_STATUS = 408
+# Old clients send one after a body. RFC 9112, section 2.2: one before a request should
+# be ignored; h11 takes it for a malformed request.
+EMPTY_LINE = b"\r\n"
 # Responses to this method have no body; h11 does not send one.
 HEAD_METHOD = b"HEAD"
 
@@ -294,20 +297,35 @@
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for the first bytes of a request; return False if none were received."""
-        if self.http.trailing_data[0]:
+        rest, _ = self.http.trailing_data
+        if rest.startswith(EMPTY_LINE):
+            rest = rest[len(EMPTY_LINE) :]
+            self.http = self._make_parser()
+            if rest:
+                self.http.receive_data(rest)
+        if rest:
             return True
-        self.idle_since_s = await curio.clock()
-        self.server.idle_connections.add(self)
-        try:
-            data = await self._receive_when_idle()
-        finally:
-            self.server.idle_connections.discard(self)
+        data = await self._wait_when_idle()
+        if data == EMPTY_LINE:
+            # Only one is ignored, so that they do not prolong the wait without end.
+            data = await self._wait_when_idle()
+        elif data is not None:
+            data = data.removeprefix(EMPTY_LINE)
         if data is None:
             return False
         self.was_closed = not data and not self.reading_stopped
         self.http.receive_data(data)
         return bool(data)
 
+    async def _wait_when_idle(self) -> bytes | None:
+        """Return the next bytes, as ``_receive_when_idle``; be listed as idle."""
+        self.idle_since_s = await curio.clock()
+        self.server.idle_connections.add(self)
+        try:
+            return await self._receive_when_idle()
+        finally:
+            self.server.idle_connections.discard(self)
+
     async def _receive_when_idle(self) -> bytes | None:
         """Return the next bytes, or None if the connection was idle for too long.
 
@@ -500,7 +518,7 @@
             response = refusal_response(refusal)
         try:
             # Requests that have arrived behind this one are answered, too.
-            is_last = not self.http.trailing_data[0]
+            is_last = self.http.trailing_data[0] in (b"", EMPTY_LINE)
             closing = self.server.closing or self.lacks_room
             await self._send(response, close=closing and is_last)
         except Exception as error:
