--- a/tests/test_data_centre_roll.py
+++ b/tests/test_data_centre_roll.py
@@ -195,6 +195,26 @@
     assert total_ms <= sum(exposures_ms(3, gap_ms))
 
 
+def test_busy_stops_far_apart_leave_no_caller_without_a_connection(monkeypatch):
+    """Guards against a longer absence of busy entries than docs/operating.md states."""
+    rng = random.Random(1)
+    restart = Member.restart
+
+    async def restart_busy(self):
+        tunnels = self.entry.tunnels
+        tunnels.running = 1
+
+        async def end():
+            await curio.sleep(rng.uniform(1.5, 4.5))
+            tunnels.running = 0
+
+        await curio.spawn(end, daemon=True)
+        await restart(self)
+
+    monkeypatch.setattr(Member, "restart", restart_busy)
+    assert max(exposures_ms(3, 3_500)) == 0
+
+
 def test_waiting_for_a_crashed_entry_exposes_no_more_callers(monkeypatch):
     """Guards against an entry that awaits one that crashed 2 s before its stop.
 
