Report on the results of experiments in the terminal

Cause: results directories of experiments had no reader. `wagtailrun report DIR` now reads one or two, one record at a time, into counts and histograms, and prints requests by outcome and reason, percentiles, refusals held over a second, sender lateness, work thrown away and promises, as a table or JSON.

A play with a cut, invalid or missing file or record is left out as a whole and named with file and line; absent and unfinished plays, `complete` false, samples that end early and plays that run.json does not name are named as well, and the exit code is 1. Another format, or no directory, is an error.

Ruled out: an error at the first fault (one damaged play would hide all others); to count a play up to its fault (its figures would look whole). Not detectable in format 1: a requests.jsonl that is cut between two of its last lines, as no file states the count.

print_rows replaces unprintable characters in the names of columns too, as these may be names of variants; test_names_with_control_characters_do_not_reach_the_terminal failed before. tests/test_docs.py knows the new command.

Before / after: tests/test_reports.py, test_cli.py, test_docs.py and test_imports.py pass. Peak memory traced for 5,000 requests is less than 1.2 times that for 500 (test).

--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -23,6 +23,7 @@
 )
 from wagtailrun.cli.explain import lines_of_request
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
+from wagtailrun.cli.report import join_variants, report
 from wagtailrun.exceptions import FleetTextError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.registry.audit import verify_chain
@@ -375,15 +376,15 @@
         json: Print JSON.
     """
     try:
-        report = importlib.import_module("wagtailrun.replay.player").replay(file)
+        played = importlib.import_module("wagtailrun.replay.player").replay(file)
     except (ValueError, KeyError, TypeError, OSError) as error:
         detail = f"{file}: not a valid trace: {error!r}"
         raise WagtailrunError(detail) from error
-    holds = report.holds
+    holds = played.holds
     if json:
-        print_json({**attrs.asdict(report), "outcomes_hold": holds})
+        print_json({**attrs.asdict(played), "outcomes_hold": holds})
     else:
-        for violation in report.violations:
+        for violation in played.violations:
             print(printable(violation))
         print(f"{printable(file)}: outcomes {'hold' if holds else 'do not hold'}")
     return EXIT_SUCCESS if holds else EXIT_REFUSED
@@ -421,6 +422,7 @@
     costs,
     audit,
     replay,
+    report,
     explain,
 ]
 
@@ -494,8 +496,11 @@
     flags.FLAGS(["wagtailrun"])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
+    given = sys.argv[1:] if arguments is None else arguments
+    if given[:1] == [report.__name__]:
+        given = join_variants(given)
     try:
-        code = defopt.run(COMMANDS, argv=arguments)
+        code = defopt.run(COMMANDS, argv=given)
     except KeyboardInterrupt:
         code = EXIT_INTERRUPTED
     except (WagtailrunError, OSError) as error:
--- a/wagtailrun/cli/output.py
+++ b/wagtailrun/cli/output.py
@@ -50,7 +50,8 @@
     if not rows:
         print(empty)
         return
-    table = [names] + [[printable(row.get(name, "")) for name in names] for row in rows]
+    table = [list(map(printable, names))]
+    table += [[printable(row.get(name, "")) for name in names] for row in rows]
     widths = [max(map(len, column)) for column in zip(*table, strict=True)]
     for line in table:
         cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -18,6 +18,7 @@
     "PeerUnreachable",
     "Refusal",
     "RefusalReason",
+    "ResultsError",
     "SendForbidden",
     "SettingsError",
     "TargetFailed",
@@ -187,6 +188,10 @@
     """A stored record fails its checksum; the message names file, offset and remedy."""
 
 
+class ResultsError(WagtailrunError):
+    """Results of an experiment cannot be read; the message names file and line."""
+
+
 class TargetFailed(WagtailrunError):
     """A call to a target ended without a usable answer.
 
--- /dev/null
+++ b/wagtailrun/reports/__init__.py
@@ -0,0 +1,5 @@
+"""Reports of the results of experiments."""
+
+__all__ = [
+    "command",
+]
--- /dev/null
+++ b/wagtailrun/reports/records.py
@@ -0,0 +1,221 @@
+"""Records of a results directory, as docs/experiments.md describes them."""
+
+import enum
+from typing import Any, Literal, TypeVar
+
+import attrs
+import cattrs
+
+__all__ = [
+    "Event",
+    "Outcome",
+    "Promise",
+    "Request",
+    "Run",
+    "Sample",
+    "Step",
+    "structure",
+]
+
+# A longer duration is taken for a fault of the record; histograms end there.
+MAX_DURATION_MS = 86_400_000
+# Faults of one record that a message names.
+MAX_FAULTS = 3
+
+T = TypeVar("T")
+
+
+class Outcome(enum.StrEnum):
+    """How a request ended."""
+
+    SERVED = "served"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+@attrs.frozen
+class Run:
+    """What ``run.json`` says; docs/experiments.md describes the fields."""
+
+    format: int
+    version: str
+    name: str
+    world: Literal["emulator", "processes"]
+    length_ms: float
+    variants: list[str]
+    seeds: list[int]
+    finished: list[tuple[str, int]]
+    complete: bool
+
+
+@attrs.frozen
+class Step:
+    """Step of a request; durations are in milliseconds."""
+
+    stage: str
+    target: str
+    queue_ms: float
+    run_ms: float
+    first_ms: float | None
+
+
+@attrs.frozen
+class Request:
+    """What one request experienced; docs/experiments.md describes the fields."""
+
+    number: int
+    workspace: str
+    data_centre: str
+    entry: str
+    kind: Literal["pipeline", "call", "order"]
+    name: str
+    intended_at_ms: float
+    sent_at_ms: float
+    deadline_ms: float
+    prompt_tokens: int
+    max_tokens: int
+    outcome: Outcome
+    reason: str
+    verdict: str
+    retry_after_ms: float
+    first_ms: float | None
+    ended_ms: float | None
+    tokens: int
+    attempts: int
+    hedges: int
+    wasted_ms: float
+    steps: list[Step]
+
+    def __attrs_post_init__(self) -> None:
+        """Check fields against each other.
+
+        Raises:
+            ValueError: If they contradict each other.
+        """
+        if self.sent_at_ms < self.intended_at_ms:
+            raise ValueError("sent_at_ms is before intended_at_ms")
+        if self.outcome is Outcome.REFUSED and not self.reason:
+            raise ValueError("refused without a reason")
+        needs_end = (Outcome.SERVED, Outcome.LATE, Outcome.REFUSED)
+        if self.outcome in needs_end and self.ended_ms is None:
+            raise ValueError(f"{self.outcome} without ended_ms")
+        durations = (
+            self.first_ms,
+            self.ended_ms,
+            self.sent_at_ms - self.intended_at_ms,
+        )
+        if any(each is not None and each > MAX_DURATION_MS for each in durations):
+            raise ValueError("a duration is longer than a day")
+
+
+@attrs.frozen
+class Event:
+    """Fault or planned work; ``until_ms`` is None if it does not end."""
+
+    at_ms: float
+    until_ms: float | None
+    kind: str
+    subject: tuple[str, ...]
+    planned: bool
+
+
+@attrs.frozen
+class Sample:
+    """State of one target at one time; ``capacity`` is in requests at once."""
+
+    at_ms: float
+    target: str
+    service: str
+    data_centre: str
+    running: float
+    queued: float
+    capacity: float
+    present: bool
+
+
+def _is_plain(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
+    if value is not None and not isinstance(value, int | float | str):
+        raise ValueError(f"{field.name} is no number, text or null")
+
+
+@attrs.frozen
+class Promise:
+    """Promise of an experiment; ``held`` is None if it was not measured."""
+
+    name: str
+    bound: Any = attrs.field(validator=_is_plain)
+    measured: Any = attrs.field(validator=_is_plain)
+    unit: str
+    held: bool | None
+    detail: str
+
+
+def _whole(value: Any, _: type) -> int:
+    if type(value) is not int:
+        raise ValueError(f"{value!r:.40} is no whole number")
+    return value
+
+
+def _number(value: Any, _: type) -> float:
+    # JSON's 1e999 is read as infinity; no number of the format is negative.
+    if type(value) not in (int, float) or not 0 <= value < float("inf"):
+        raise ValueError(f"{value!r:.40} is no number from 0")
+    return float(value)
+
+
+def _exactly(kind: type) -> Any:
+    def check(value: Any, _: type) -> Any:
+        if type(value) is not kind:
+            raise ValueError(f"{value!r:.40} is not of type {kind.__name__}")
+        return value
+
+    return check
+
+
+def _is_list(kind: Any) -> bool:
+    return kind == tuple[str, ...] or getattr(kind, "__origin__", None) is list
+
+
+def _list_of(kind: Any) -> Any:
+    """Return a hook for a list; without one, a text is taken for a list."""
+    inner = kind.__args__[0]
+
+    def check(value: Any, _: type) -> Any:
+        if type(value) is not list:
+            raise ValueError(f"{value!r:.40} is no list")
+        return kind([CONVERTER.structure(each, inner) for each in value])
+
+    return check
+
+
+def _describe(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, KeyError):
+        return "missing field"
+    return str(error) or cattrs.v.format_exception(error, kind)
+
+
+CONVERTER = cattrs.Converter()
+CONVERTER.register_structure_hook(int, _whole)
+CONVERTER.register_structure_hook(float, _number)
+CONVERTER.register_structure_hook(str, _exactly(str))
+CONVERTER.register_structure_hook(bool, _exactly(bool))
+# Else the hook for texts would take any text for an outcome.
+CONVERTER.register_structure_hook(Outcome, lambda value, _: Outcome(value))
+CONVERTER.register_structure_hook_factory(_is_list, _list_of)
+
+
+def structure(value: Any, kind: type[T]) -> T:
+    """Return a JSON value as a record.
+
+    Raises:
+        ValueError: If a field is missing, of another type or out of range.
+    """
+    if type(value) is not dict:
+        raise ValueError(f"{value!r:.40} is no JSON object")
+    try:
+        return CONVERTER.structure(value, kind)
+    except cattrs.BaseValidationError as error:
+        faults = cattrs.transform_error(error, "record", _describe)
+        raise ValueError("; ".join(faults[:MAX_FAULTS])) from error
