Write a page with plots of the results of experiments

Cause: the terminal shows figures over a whole play only. Plots are inline SVG by matplotlib.

The same results give the same bytes: fixed salt of identifiers, no dates, no path of the directory; a test compares two processes with other hash seeds and another directory. Without the packages of the extra, the command says how to install them.

Ruled out: text in SVG as text (its width would depend on fonts of the reader); dotted hatches (170 KB a plot, 25 to 60 KB with lines); a log scale of latency.

No browser was used.

--- a/wagtailrun/cli/report.py
+++ b/wagtailrun/cli/report.py
@@ -2,6 +2,7 @@
 
 import importlib
 import sys
+from pathlib import Path
 from typing import Any
 
 from wagtailrun.cli.exit_codes import EXIT_REFUSED, EXIT_SUCCESS
@@ -15,7 +16,11 @@
 
 
 def report(
-    *directories: str, variant: list[str] | None = None, json: bool = False
+    *directories: str,
+    variant: list[str] | None = None,
+    html: str = "",
+    force: bool = False,
+    json: bool = False,
 ) -> int:
     """Report on the results of experiments; exit with 1 if some are missing.
 
@@ -24,13 +29,22 @@
     Args:
         directories: One results directory, or two to compare.
         variant: Report on this variant only; given twice, compare the two.
+        html: Write a page with plots to this file.
+        force: Replace the file if it exists.
         json: Print JSON.
     """
     if not directories:
         raise SettingsError("name one results directory, or two to compare")
     # Imported here so that the other commands start faster.
     command = importlib.import_module("wagtailrun.reports.command")
+    if html:
+        command.require_packages(command.PAGE_PACKAGES)
+        page_file = importlib.import_module("wagtailrun.reports.page_file")
+        page_file.check_new(Path(html), force=force)
     found = command.read_report(directories, variant or [], _print_progress)
+    if html:
+        make_page = importlib.import_module("wagtailrun.reports.page").make_page
+        page_file.write_page(Path(html), make_page(found), force=force)
     if json:
         print_json(found.as_json())
     else:
@@ -62,7 +76,7 @@
         print(f"note: {printable(note)}")
     print_rows(found.summary_rows())
     print("\npromises:")
-    print_rows(found.as_json()["promises"], empty="none")
+    print_rows(found.promise_rows(), empty="none")
 
 
 def _print_progress(path: str) -> None:
--- a/wagtailrun/reports/command.py
+++ b/wagtailrun/reports/command.py
@@ -39,9 +39,13 @@
             "gaps": self.gaps,
             "notes": self.notes,
             "summary": [row.as_json(self.sides) for row in summary(self.sides)],
-            "promises": promise_rows(self.sides),
+            "promises": self.promise_rows(),
         }
 
+    def promise_rows(self) -> list[dict[str, Any]]:
+        """Return the promises, a row for each and each side."""
+        return promise_rows(self.sides)
+
     def summary_rows(self) -> list[dict[str, Any]]:
         """Return the figures as texts, a column for each side."""
         return [row.as_text(self.sides) for row in summary(self.sides)]
--- /dev/null
+++ b/wagtailrun/reports/plots.py
@@ -0,0 +1,414 @@
+"""Plots of the page, as SVG texts without references to anything outside."""
+
+import html
+import io
+import math
+import re
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from typing import Any
+
+import attrs
+import matplotlib
+from matplotlib.artist import Artist
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+from matplotlib.lines import Line2D
+from matplotlib.patches import Patch
+
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.reports.figures import Side
+from wagtailrun.reports.records import Event, Outcome
+from wagtailrun.reports.tally import WAITS, Cell, Refused, Tally, Use
+
+__all__ = ["Plot", "latency", "outcomes_over_time", "places", "refusals", "stages"]
+
+# Colours of Okabe and Ito, which colour-blind readers can tell apart; line styles,
+# markers and hatches are the second cue.
+BLUE, ORANGE, GREEN, PURPLE = "#0072B2", "#E69F00", "#009E73", "#CC79A7"
+VERMILION, SKY, YELLOW, BLACK = "#D55E00", "#56B4E9", "#F0E442", "#000000"
+GREY = "#777777"
+COLOURS = (BLUE, VERMILION, GREEN, BLACK, PURPLE, ORANGE, SKY)
+LINES: tuple[Any, ...] = (
+    "-",
+    "--",
+    "-.",
+    ":",
+    (0, (5, 1, 1, 1, 1, 1)),
+    (0, (1, 3)),
+    (0, (8, 3)),
+)
+MARKERS = ("o", "s", "^", "D", "v", "P", "X")
+HATCHES = ("", "///", "---", "xxx")
+OUTCOME_COLOURS = (BLUE, ORANGE, PURPLE, BLACK, VERMILION)
+OUTCOME_STYLES = [
+    (outcome, {"color": colour, "linestyle": line, "linewidth": 1.6})
+    for outcome, colour, line in zip(Outcome, OUTCOME_COLOURS, LINES, strict=False)
+]
+WAIT_COLOURS = (SKY, YELLOW, ORANGE, VERMILION)
+SPANS = {False: ("fault", YELLOW, "///"), True: ("planned work", SKY, "---")}
+MAX_PANELS = 6
+MAX_LINES = len(COLOURS)
+MAX_BARS = 12
+MAX_EVENTS = 12
+PERCENTILES = (50, 75, 90, 95, 99, 99.9)
+WIDTH_INCHES = 9.0
+STYLE: Any = {
+    "svg.hashsalt": "wagtailrun",
+    "svg.fonttype": "path",
+    # Names may contain a dollar sign.
+    "text.parse_math": False,
+    "figure.constrained_layout.use": True,
+    "axes.grid": True,
+    "grid.alpha": 0.4,
+    "axes.axisbelow": True,
+    "axes.spines.top": False,
+    "axes.spines.right": False,
+    "hatch.linewidth": 0.5,
+    "font.size": 9,
+}
+
+
+@attrs.frozen
+class Plot:
+    """Plot of the page; ``svg`` is empty where there was nothing to draw."""
+
+    title: str
+    caption: str
+    svg: str
+
+
+@contextmanager
+def _style() -> Iterator[None]:
+    """Set the style; a matplotlibrc of the user has no influence."""
+    with matplotlib.rc_context():
+        matplotlib.rcdefaults()
+        matplotlib.rcParams.update(STYLE)
+        yield
+
+
+def render(figure: Figure, title: str) -> str:
+    """Return a figure as an SVG element; the same figure gives the same text."""
+    text = io.StringIO()
+    names = ("Creator", "Date", "Format", "Type")
+    figure.savefig(text, format="svg", metadata=dict.fromkeys(names))
+    svg = text.getvalue()
+    svg = svg[svg.index("<svg") :]
+    # In a page of HTML, names of namespaces and of groups serve nothing, and the
+    # groups of several figures would have the same names.
+    svg = re.sub(r' xmlns(:\w+)?="[^"]*"', "", svg)
+    svg = re.sub(r'<g id="[a-z_0-9.]+_\d+">', "<g>", svg)
+    return svg.replace("<svg", f'<svg role="img" aria-label="{html.escape(title)}"', 1)
+
+
+def _drawn(
+    title: str, caption: str, draw: Callable[[], Figure | None], none: str
+) -> Plot:
+    with _style():
+        figure = draw()
+        if figure is None:
+            return Plot(title, none, "")
+        return Plot(title, caption, render(figure, title))
+
+
+def _busiest(counts: Mapping[str, float], limit: int) -> list[str]:
+    """Return the names with the most, as many as fit; the most first."""
+    return sorted(counts, key=lambda name: (-counts[name], name))[:limit]
+
+
+def outcomes_over_time(side: Side, kind: str, cells: Counter[Cell]) -> Plot:
+    """Plot requests by outcome over time, with a panel for each name.
+
+    Args:
+        side: Variant.
+        kind: What the names are, as ``data centre``.
+        cells: Counts of requests by name.
+    """
+    totals: Counter[str] = Counter()
+    for cell, number in cells.items():
+        totals[cell.name] += number
+    names = _busiest(totals, MAX_PANELS)
+    left_out = f" The {len(totals) - len(names)} with the fewest requests are left out."
+    caption = (
+        f"Requests a second by {kind} and outcome, by their intended start, in "
+        f"intervals of {side.tally.interval_ms / MS_PER_SECOND:g} s; mean of the seeds "
+        f"{side.seeds}.{left_out * (len(names) < len(totals))} "
+        f"{_event_text(side.tally)}"
+    )
+
+    def draw() -> Figure | None:
+        if not names:
+            return None
+        figure = Figure(figsize=(WIDTH_INCHES, 0.9 + 1.5 * len(names)))
+        panels = figure.subplots(len(names), sharex=True, squeeze=False)[:, 0]
+        for name, axes in zip(names, panels, strict=True):
+            _shade(axes, side.tally)
+            for outcome, style in OUTCOME_STYLES:
+                rates, edges_s = _rates(side.tally, cells, name, outcome)
+                if any(rates):
+                    axes.stairs(rates, edges_s, baseline=None, **style)
+            axes.set_title(f"{name} ({totals[name]:,} requests)", loc="left")
+            axes.set_ylabel("requests/s")
+            axes.set_ylim(bottom=0)
+        panels[-1].set_xlabel("time since the start of the play (s)")
+        panels[-1].set_xlim(0, side.tally.length_ms / MS_PER_SECOND)
+        handles: list[Artist] = [
+            Line2D(
+                [], [], label=f"{outcome} ({side.tally.outcomes[outcome]:,})", **style
+            )
+            for outcome, style in OUTCOME_STYLES
+        ]
+        _add_legend(figure, handles + _span_handles(side.tally))
+        return figure
+
+    title = f"Outcomes over time by {kind}: {side.label}"
+    return _drawn(title, caption, draw, "No request starts within the play.")
+
+
+def _rates(
+    tally: Tally, cells: Counter[Cell], name: str, outcome: Outcome
+) -> tuple[list[float], list[float]]:
+    """Return requests a second by interval, and the edges of intervals in seconds."""
+    count = math.ceil(tally.length_ms / tally.interval_ms)
+    edges = [min(i * tally.interval_ms, tally.length_ms) for i in range(count + 1)]
+    edges_s = [edge / MS_PER_SECOND for edge in edges]
+    rates = [
+        cells[Cell(name, outcome, i)] / (tally.plays * (edges_s[i + 1] - edges_s[i]))
+        for i in range(count)
+    ]
+    return rates, edges_s
+
+
+def _span_handles(tally: Tally) -> list[Artist]:
+    """Return what the legend shows of faults and planned work."""
+    kinds = sorted({event.planned for event in tally.events})
+    return [Patch(label=SPANS[kind][0], **_span_style(kind)) for kind in kinds]
+
+
+def _span_style(planned: bool) -> dict[str, Any]:
+    _, colour, hatch = SPANS[planned]
+    return {"facecolor": colour, "alpha": 0.35, "hatch": hatch, "edgecolor": GREY}
+
+
+def _add_legend(figure: Figure, handles: list[Artist]) -> None:
+    """Add a legend above the panels; a row holds four entries."""
+    figure.legend(handles=handles, loc="outside upper center", ncols=4, handlelength=4)
+
+
+def _clipped(tally: Tally, event: Event) -> tuple[float, float]:
+    """Return start and end in seconds; at least as long as can be seen."""
+    until_ms = tally.length_ms if event.until_ms is None else event.until_ms
+    shown_ms = max(until_ms, event.at_ms + tally.length_ms / 200)
+    return event.at_ms / MS_PER_SECOND, min(shown_ms, tally.length_ms) / MS_PER_SECOND
+
+
+def _shade(axes: Axes, tally: Tally) -> None:
+    """Shade the time of faults and of planned work of any seed."""
+    for planned in SPANS:
+        spans: list[tuple[float, float]] = []
+        chosen = [event for event in tally.events if event.planned is planned]
+        for start_s, end_s in sorted(_clipped(tally, event) for event in chosen):
+            if spans and start_s <= spans[-1][1]:
+                spans[-1] = (spans[-1][0], max(spans[-1][1], end_s))
+            elif start_s < end_s:
+                spans.append((start_s, end_s))
+        for start_s, end_s in spans:
+            axes.axvspan(start_s, end_s, linewidth=0, zorder=0, **_span_style(planned))
+
+
+def _event_text(tally: Tally) -> str:
+    """Return a sentence on the shaded events."""
+    if not tally.events:
+        return "No fault and no planned work."
+    texts = []
+    ordered = sorted(tally.events, key=lambda event: (event.at_ms, repr(event)))
+    for event in ordered[:MAX_EVENTS]:
+        start_s = event.at_ms / MS_PER_SECOND
+        until_ms = event.until_ms
+        until = "the end" if until_ms is None else f"{until_ms / MS_PER_SECOND:g} s"
+        names = ", ".join(event.subject[:3]) + ", ..." * (len(event.subject) > 3)
+        what = SPANS[event.planned][0]
+        texts.append(f"{event.kind} ({what}; {names}) {start_s:g} s to {until}")
+    more = len(ordered) - len(texts)
+    texts += [f"{more} more"] * bool(more)
+    return f"Shaded, of any seed: {'; '.join(texts)}."
+
+
+def refusals(side: Side) -> Plot:
+    """Plot refused requests by reason and by how long they were held."""
+    totals: Counter[str] = Counter()
+    for key, number in side.tally.refusals.items():
+        totals[key.reason] += number
+    reasons = _busiest(totals, MAX_BARS)[::-1]
+    caption = (
+        "Refused requests by reason, and by the time from the intended start to the "
+        f"refusal; mean of the seeds {side.seeds}."
+        + f" The {len(totals) - len(reasons)} rarest reasons are left out."
+        * (len(reasons) < len(totals))
+    )
+
+    def draw() -> Figure | None:
+        if not reasons:
+            return None
+        figure = Figure(figsize=(WIDTH_INCHES, 1.3 + 0.35 * len(reasons)))
+        axes = figure.subplots()
+        parts = {}
+        for wait in WAITS:
+            counts = [side.tally.refusals[Refused(r, wait)] for r in reasons]
+            parts[f"held {wait}"] = [count / side.tally.plays for count in counts]
+        _stack_bars(axes, reasons, parts, WAIT_COLOURS)
+        axes.set_xlabel("refused requests a seed")
+        _add_legend(figure, axes.get_legend_handles_labels()[0])
+        return figure
+
+    title = f"Refusals by reason: {side.label}"
+    return _drawn(title, caption, draw, "No request was refused.")
+
+
+def _stack_bars(
+    axes: Axes,
+    names: list[str],
+    parts: Mapping[str, list[float]],
+    colours: tuple[str, ...],
+) -> None:
+    """Draw one horizontal bar for each name, stacked of parts by their labels."""
+    start = [0.0] * len(names)
+    for index, (label, widths) in enumerate(parts.items()):
+        axes.barh(
+            names,
+            widths,
+            left=start,
+            label=label,
+            color=colours[index],
+            hatch=HATCHES[index],
+            edgecolor=BLACK,
+            linewidth=0.5,
+        )
+        start = [a + b for a, b in zip(start, widths, strict=True)]
+    axes.grid(visible=False, axis="y")
+
+
+def latency(sides: list[Side]) -> Plot:
+    """Plot times to the first token and to the end of complete answers."""
+    caption = (
+        "Time from the intended start, by percentile: to the first token (or answer) "
+        "of all requests that have one, and to the end of complete answers, in time or "
+        "late. Requests without one are not in it, nor percentiles above the largest "
+        "but one request. Over all requests of the seeds "
+        + "; ".join(f"{side.seeds} ({side.label})" for side in sides[:MAX_LINES])
+        + "."
+        + f" {len(sides) - MAX_LINES} more variants are left out."
+        * (len(sides) > MAX_LINES)
+    )
+
+    def draw() -> Figure | None:
+        figure = Figure(figsize=(WIDTH_INCHES, 3.6))
+        panels = figure.subplots(ncols=2)
+        names = {"first": "first token", "end": "complete answer"}
+        for (field, name), axes in zip(names.items(), panels, strict=True):
+            for index, side in enumerate(sides[:MAX_LINES]):
+                times = getattr(side.tally, field)
+                rest = [times.get_total_count() * (1 - p / 100) for p in PERCENTILES]
+                # A percentile above the last request would repeat the largest value.
+                shown = [p for p, r in zip(PERCENTILES, rest, strict=True) if r >= 1]
+                axes.plot(
+                    range(len(shown)),
+                    [times.get_value_at_percentile(p) for p in shown],
+                    label=side.label,
+                    **_line_style(index),
+                )
+            axes.set_title(name, loc="left")
+            axes.set_xticks(range(len(PERCENTILES)), [f"{p:g}" for p in PERCENTILES])
+            axes.set_xlabel("percentile of requests (%)")
+            axes.set_ylabel("time (ms)")
+            axes.set_ylim(bottom=0)
+        _add_legend(figure, panels[0].get_legend_handles_labels()[0])
+        return figure
+
+    return _drawn("Latency by percentile", caption, draw, "")
+
+
+def _line_style(index: int) -> dict[str, Any]:
+    return {
+        "color": COLOURS[index],
+        "linestyle": LINES[index],
+        "marker": MARKERS[index],
+        "markersize": 4,
+    }
+
+
+def stages(side: Side) -> Plot:
+    """Plot where the time of targets and requests went, by stage."""
+    tally = side.tally
+    names = _busiest(tally.run_ms, MAX_BARS)[::-1]
+    caption = (
+        "Time a request, by stage: before the attempt that counted was sent (queue), "
+        "and at the target (run); at the bottom, time of targets whose work was not "
+        f"used. Mean of all requests of the seeds {side.seeds}."
+    )
+
+    def draw() -> Figure | None:
+        if not names:
+            return None
+        figure = Figure(figsize=(WIDTH_INCHES, 1.6 + 0.35 * len(names)))
+        axes = figure.subplots()
+        parts = {
+            "queue": [0, *(tally.queue_ms[name] for name in names)],
+            "run": [0, *(tally.run_ms[name] for name in names)],
+            "run, not used": [tally.wasted_ms, *(0 for _ in names)],
+        }
+        means = {k: [v / tally.requests for v in row] for k, row in parts.items()}
+        _stack_bars(axes, ["(not used)", *names], means, (ORANGE, BLUE, BLACK))
+        axes.set_xlabel("mean time a request (ms)")
+        _add_legend(figure, axes.get_legend_handles_labels()[0])
+        return figure
+
+    title = f"Time by stage: {side.label}"
+    return _drawn(title, caption, draw, "No request has a step.")
+
+
+def places(side: Side) -> Plot:
+    """Plot the share of targets' places in use over time, by service."""
+    tally = side.tally
+    totals: Counter[str] = Counter()
+    for use, capacity in tally.capacity.items():
+        totals[use.service] += math.ceil(capacity)
+    names = _busiest(totals, MAX_LINES)
+    caption = (
+        "Requests that run, as a share of those that the present targets can run at "
+        f"once, by service, in intervals of {tally.interval_ms / MS_PER_SECOND:g} s; "
+        f"mean of the samples of the seeds {side.seeds}."
+        + f" The {len(totals) - len(names)} smallest services are left out."
+        * (len(names) < len(totals))
+    )
+
+    def draw() -> Figure | None:
+        if not names:
+            return None
+        figure = Figure(figsize=(WIDTH_INCHES, 3.2))
+        axes = figure.subplots()
+        _shade(axes, tally)
+        count = math.ceil(tally.length_ms / tally.interval_ms)
+        for index, name in enumerate(names):
+            uses = [Use(name, i) for i in range(count)]
+            shares = [
+                100 * tally.running[use] / tally.capacity[use]
+                if tally.capacity.get(use)
+                else math.nan
+                for use in uses
+            ]
+            middles_s = [
+                (i + 0.5) * tally.interval_ms / MS_PER_SECOND for i in range(count)
+            ]
+            axes.plot(middles_s, shares, label=name, **_line_style(index))
+        axes.set_xlabel("time since the start of the play (s)")
+        axes.set_ylabel("places in use (%)")
+        axes.set_xlim(0, tally.length_ms / MS_PER_SECOND)
+        axes.set_ylim(bottom=0)
+        handles = axes.get_legend_handles_labels()[0]
+        _add_legend(figure, handles + _span_handles(tally))
+        return figure
+
+    title = f"Places in use: {side.label}"
+    return _drawn(title, caption, draw, "No sample has a place.")
