Compare two variants or directories over paired seeds

Cause: two runs could be compared by eye only.

Ruled out: an interval of unpaired means (seeds that share a load differ far more between each other than between variants); a bootstrap (too narrow with three to five seeds).

Where all differences are equal the interval has no width.

--- a/wagtailrun/cli/report.py
+++ b/wagtailrun/cli/report.py
@@ -77,6 +77,10 @@
     print_rows(found.summary_rows())
     print("\npromises:")
     print_rows(found.promise_rows(), empty="none")
+    for each in found.comparisons():
+        first, second = printable(each.first), printable(each.second)
+        print(f"\nfirst: {first}; second: {second}; Student's t over paired seeds:")
+        print_rows(each.rows())
 
 
 def _print_progress(path: str) -> None:
--- a/wagtailrun/reports/command.py
+++ b/wagtailrun/reports/command.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -12,6 +12,9 @@
 from wagtailrun.reports.figures import Side, promise_rows, read_side, summary
 from wagtailrun.reports.reading import ResultsDirectory
 
+if TYPE_CHECKING:
+    from wagtailrun.reports.comparison import Comparison
+
 __all__ = ["Report", "read_report", "require_packages"]
 
 PAGE_PACKAGES = {"numpy": "numpy", "matplotlib": "matplotlib", "jinja2": "Jinja2"}
@@ -40,8 +43,18 @@
             "notes": self.notes,
             "summary": [row.as_json(self.sides) for row in summary(self.sides)],
             "promises": self.promise_rows(),
+            "comparisons": [each.as_json() for each in self.comparisons()],
         }
 
+    def comparisons(self) -> "list[Comparison]":
+        """Return the differences between the sides of each pair."""
+        if not self.pairs:
+            return []
+        # numpy is needed for comparisons only.
+        from wagtailrun.reports.comparison import compare
+
+        return [compare(first, second) for first, second in self.pairs]
+
     def promise_rows(self) -> list[dict[str, Any]]:
         """Return the promises, a row for each and each side."""
         return promise_rows(self.sides)
@@ -80,6 +93,9 @@
     """
     if len(directories) not in (1, 2) or len(variants) > 2:
         raise SettingsError("a report is on one or two directories and variants")
+    is_comparison = len(directories) == 2 or len(variants) == 2
+    if is_comparison:
+        require_packages(["numpy"])
     opened = [_open(path) for path in directories]
     chosen, notes = _choose(opened, variants)
     labels = _label_directories(opened)
@@ -93,12 +109,11 @@
         for gap in results.gaps
     ]
     empty = [side.label for side in sides if not side.tally.plays]
-    is_asked = bool(variants) or len(opened) == 2
-    if len(empty) == len(sides) or (empty and is_asked):
+    if len(empty) == len(sides) or (empty and is_comparison):
         detail = f"no play to report on: {', '.join(empty)}"
         raise ResultsError("\n".join([detail, *gaps]))
     pairs = []
-    if len(opened) == 2 or len(variants) == 2:
+    if is_comparison:
         pairs = list(zip(sides[::2], sides[1::2], strict=True))
         notes += [note for pair in pairs for note in _differences(*pair)]
     return Report([side for side in sides if side.tally.plays], pairs, gaps, notes)
--- a/wagtailrun/reports/figures.py
+++ b/wagtailrun/reports/figures.py
@@ -163,20 +163,20 @@
 def summary(sides: list[Side]) -> list[Row]:
     """Return counts and main figures, over all seeds of each side."""
 
-    def count(name: str, unit: str, of: Callable[[Tally], float]) -> Row:
-        return Row(name, unit, 0, [of(side.tally) for side in sides])
+    def count(name: str, unit: str, decimals: int, of: Any) -> Row:
+        return Row(name, unit, decimals, [of(side.tally) for side in sides])
 
     rows = [
-        count("plays", "seeds", lambda tally: tally.plays),
-        count("requests", "requests", lambda tally: tally.requests),
+        count("plays", "seeds", 0, lambda tally: tally.plays),
+        count("requests", "requests", 0, lambda tally: tally.requests),
     ]
     for outcome in Outcome:
         counts = [side.tally.outcomes[outcome] for side in sides]
         rows.append(Row(outcome, "requests", 0, counts))
         if outcome is Outcome.REFUSED:
             rows += _reason_rows(sides)
-    rows.append(count(f"refusals held {HELD}", "requests", _held))
-    rows.append(count("work thrown away", "s", lambda t: t.wasted_ms / 1_000))
+    rows.append(count(f"refusals held {HELD}", "requests", 0, _held))
+    rows.append(count("work thrown away", "s", 1, lambda t: t.wasted_ms / 1_000))
     for figure in FIGURES:
         values = [figure.of(side.tally) for side in sides]
         rows.append(Row(figure.name, figure.unit, figure.decimals, values))
--- a/wagtailrun/reports/page.py
+++ b/wagtailrun/reports/page.py
@@ -7,6 +7,7 @@
 
 from wagtailrun.reports import plots
 from wagtailrun.reports.command import Report
+from wagtailrun.reports.comparison import METHOD
 
 __all__ = ["make_page"]
 
@@ -34,5 +35,6 @@
         title=f"Experiment {' and '.join(names)}",
         report=report,
         plots=drawn,
+        method=METHOD,
         is_number=lambda cell: NUMBER.fullmatch(str(cell)),
     )
