Refuse numbers and texts of results that no report can state

Numbers from 2^53 and texts without UTF-8 are now faults of their record, with file and line.

Conclusion: any value in a field is counted or named, as far as 300 draws show.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -6,6 +6,8 @@
 import tracemalloc
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from tests.made_results import make_request, make_results, write_lines
 from wagtailrun.cli import commands as cli
@@ -202,9 +204,11 @@
         ({"outcome": "gone"}, "'gone' is not a valid Outcome"),
         ({"kind": "batch"}, "batch not in literal"),
         ({"ended_ms": -1}, "-1 is no number from 0"),
-        ({"ended_ms": 10**400}, "int too large"),
+        ({"ended_ms": 10**400}, "is no number from 0"),
         ({"ended_ms": 9e9}, "longer than a day"),
-        ({"tokens": 1.5}, "1.5 is no whole number"),
+        ({"tokens": 1.5}, "1.5 is no whole number from 0"),
+        ({"tokens": 10**400}, "is no whole number"),
+        ({"workspace": "\ud800"}, "is no text"),
         ({"steps": [{"stage": "x"}]}, "missing field @ record.steps.target"),
     ],
 )
@@ -215,6 +219,46 @@
     assert gap.startswith(f"{REQUESTS}:199: ") and message in gap
 
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**400), 10**400)
+    | st.floats()
+    | st.text(st.characters(codec=None)),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@settings(max_examples=300, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(data=st.data())
+def test_any_value_is_counted_or_explained(tmp_path, data):
+    """Guards against a value that ends the command with a traceback."""
+    path = tmp_path / "made"
+    if not path.exists():
+        make_results(path, seeds=[2], requests=5)
+    name = data.draw(st.sampled_from(["requests", "events", "samples"]))
+    file = path / "base/2" / f"{name}.jsonl"
+    if data.draw(st.booleans()):
+        file = path / data.draw(st.sampled_from(["run.json", "base/2/promises.json"]))
+    before = file.read_text("utf-8")
+    first = json.loads(before.splitlines()[0])
+    record = first[0] if isinstance(first, list) else first
+    record[data.draw(st.sampled_from(sorted(record)))] = data.draw(JSON_VALUES)
+    file.write_text("\n".join([json.dumps(first), *before.splitlines()[1:], ""]))
+    try:
+        found = read_report([str(path)], [])
+        value = [found.as_json(), found.summary_rows()]
+        json.dumps(value, allow_nan=False, ensure_ascii=False).encode()
+    except ResultsError:
+        pass
+    finally:
+        file.write_text(before, "utf-8")
+
+
 def test_plays_that_are_missing_are_named(results, capsys):
     """Guards against fewer seeds than requested that look whole."""
     shutil.rmtree(results / "base/2")
@@ -254,7 +298,7 @@
         ({"format": True}, "run.json: format is True"),
         ({"length_ms": "1"}, "run.json: '1' is no number from 0 @ record.length_ms"),
         ({"length_ms": 0}, "run.json: length_ms is 0"),
-        ({"complete": 1}, "run.json: 1 is not of type bool @ record.complete"),
+        ({"complete": 1}, "run.json: 1 is neither true nor false @ record.complete"),
         ({"finished": [["base"]]}, "run.json: Not enough values"),
         ({"variants": ["../made"]}, "run.json: '../made' is no name of a variant"),
         ({"finished": [["..", 1]]}, "run.json: '..' is no name of a variant"),
--- a/wagtailrun/reports/plots.py
+++ b/wagtailrun/reports/plots.py
@@ -5,7 +5,7 @@
 import math
 import re
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping, Sized
+from collections.abc import Callable, Iterator, Mapping, Sequence, Sized
 from contextlib import contextmanager
 from typing import Any
 
@@ -32,15 +32,8 @@
 VERMILION, SKY, YELLOW, BLACK = "#D55E00", "#56B4E9", "#F0E442", "#000000"
 GREY = "#777777"
 COLOURS = (BLUE, VERMILION, GREEN, BLACK, PURPLE, ORANGE, SKY)
-LINES: tuple[Any, ...] = (
-    "-",
-    "--",
-    "-.",
-    ":",
-    (0, (5, 1, 1, 1, 1, 1)),
-    (0, (1, 3)),
-    (0, (8, 3)),
-)
+DOTS: tuple[Any, ...] = ((0, (5, 1, 1, 1, 1, 1)), (0, (1, 3)), (0, (8, 3)))
+LINES = ("-", "--", "-.", ":", *DOTS)
 MARKERS = ("o", "s", "^", "D", "v", "P", "X")
 HATCHES = ("", "///", "---", "xxx")
 OUTCOME_COLOURS = (BLUE, ORANGE, PURPLE, BLACK, VERMILION)
@@ -106,14 +99,9 @@
     return svg.replace("<svg", f'<svg role="img" aria-label="{html.escape(title)}"', 1)
 
 
-def _drawn(
-    title: str, caption: str, draw: Callable[[], Figure | None], none: str
-) -> Plot:
+def _drawn(title: str, caption: str, draw: Callable[[], Figure]) -> Plot:
     with _style():
-        figure = draw()
-        if figure is None:
-            return Plot(title, none, "")
-        return Plot(title, caption, render(figure, title))
+        return Plot(title, caption, render(draw(), title))
 
 
 def _busiest(counts: Mapping[str, float], limit: int) -> list[str]:
@@ -124,9 +112,8 @@
 def _left_out(all_names: Sized, shown: Sized) -> str:
     """Return a sentence on what a plot has no room for."""
     count = len(all_names) - len(shown)
-    return (
-        f" Not shown, for lack of room: {count} of {len(all_names)}." if count else ""
-    )
+    text = f" Not shown, for lack of room: {count} of {len(all_names)}."
+    return text if count else ""
 
 
 def outcomes_over_time(side: Side, kind: str, cells: Counter[Cell]) -> Plot:
@@ -147,9 +134,7 @@
         f"{side.seeds}.{_left_out(totals, names)} {_event_text(side.tally)}"
     )
 
-    def draw() -> Figure | None:
-        if not names:
-            return None
+    def draw() -> Figure:
         figure = Figure(figsize=(WIDTH_INCHES, 0.9 + 1.5 * len(names)))
         panels = figure.subplots(len(names), sharex=True, squeeze=False)[:, 0]
         for name, axes in zip(names, panels, strict=True):
@@ -161,19 +146,19 @@
             axes.set_title(f"{name} ({totals[name]:,} requests)", loc="left")
             axes.set_ylabel("requests/s")
             axes.set_ylim(bottom=0)
-        panels[-1].set_xlabel("time since the start of the play (s)")
-        panels[-1].set_xlim(0, side.tally.length_ms / MS_PER_SECOND)
+        _set_time(panels[-1], side.tally)
+        counts = side.tally.outcomes
         handles: list[Artist] = [
-            Line2D(
-                [], [], label=f"{outcome} ({side.tally.outcomes[outcome]:,})", **style
-            )
+            Line2D([], [], label=f"{outcome} ({counts[outcome]:,})", **style)
             for outcome, style in OUTCOME_STYLES
         ]
         _add_legend(figure, handles + _span_handles(side.tally))
         return figure
 
     title = f"Outcomes over time by {kind}: {side.label}"
-    return _drawn(title, caption, draw, "No request starts within the play.")
+    if not names:
+        return Plot(title, "No request starts within the play.", "")
+    return _drawn(title, caption, draw)
 
 
 def _rates(
@@ -190,6 +175,11 @@
     return rates, edges_s
 
 
+def _set_time(axes: Axes, tally: Tally) -> None:
+    axes.set_xlabel("time since the start of the play (s)")
+    axes.set_xlim(0, tally.length_ms / MS_PER_SECOND)
+
+
 def _span_handles(tally: Tally) -> list[Artist]:
     """Return what the legend shows of faults and planned work."""
     kinds = sorted({event.planned for event in tally.events})
@@ -201,7 +191,7 @@
     return {"facecolor": colour, "alpha": 0.35, "hatch": hatch, "edgecolor": GREY}
 
 
-def _add_legend(figure: Figure, handles: list[Artist]) -> None:
+def _add_legend(figure: Figure, handles: Sequence[Artist]) -> None:
     """Add a legend above the panels; a row holds four entries."""
     figure.legend(handles=handles, loc="outside upper center", ncols=4, handlelength=4)
 
@@ -264,46 +254,40 @@
         f"refusal; mean of the seeds {side.seeds}.{_left_out(totals, reasons)}"
     )
 
-    def draw() -> Figure | None:
-        if not reasons:
-            return None
-        figure = Figure(figsize=(WIDTH_INCHES, 1.3 + 0.35 * len(reasons)))
-        axes = figure.subplots()
+    def draw() -> Figure:
         parts = {}
         for wait in WAITS:
             counts = [side.tally.refusals[Refused(r, wait)] for r in reasons]
             parts[f"held {wait}"] = [count / side.tally.plays for count in counts]
-        _stack_bars(axes, reasons, parts, WAIT_COLOURS)
-        axes.set_xlabel("refused requests a seed")
-        _add_legend(figure, axes.get_legend_handles_labels()[0])
-        return figure
+        return _draw_bars(reasons, parts, WAIT_COLOURS, "refused requests a seed")
 
     title = f"Refusals by reason: {side.label}"
-    return _drawn(title, caption, draw, "No request was refused.")
+    if not reasons:
+        return Plot(title, "No request was refused.", "")
+    return _drawn(title, caption, draw)
 
 
-def _stack_bars(
-    axes: Axes,
+def _draw_bars(
     names: list[str],
     parts: Mapping[str, list[float]],
-    colours: tuple[str, ...],
-) -> None:
-    """Draw one horizontal bar for each name, stacked of parts by their labels."""
-    start = [0.0] * len(names)
+    colours: Sequence[str],
+    unit: str,
+) -> Figure:
+    """Draw a horizontal bar for each name, stacked of parts by their labels."""
+    figure = Figure(figsize=(WIDTH_INCHES, 1.4 + 0.35 * len(names)))
+    axes = figure.subplots()
+    places, start = range(len(names)), [0.0] * len(names)
     for index, (label, widths) in enumerate(parts.items()):
-        axes.barh(
-            names,
-            widths,
-            left=start,
-            label=label,
-            color=colours[index],
-            hatch=HATCHES[index],
-            edgecolor=BLACK,
-            linewidth=0.5,
-        )
+        look: Any = {"color": colours[index], "hatch": HATCHES[index]}
+        look["edgecolor"] = BLACK
+        axes.barh(places, widths, left=start, label=label, linewidth=0.5, **look)
         start = [a + b for a, b in zip(start, widths, strict=True)]
+    axes.set_yticks(places, names)
     axes.set_xlim(0, 1.03 * max(start) or 1)
+    axes.set_xlabel(unit)
     axes.grid(visible=False, axis="y")
+    _add_legend(figure, axes.get_legend_handles_labels()[0])
+    return figure
 
 
 def latency(sides: list[Side]) -> Plot:
@@ -314,12 +298,10 @@
         "late. Requests without one are not in it, nor percentiles above the largest "
         "but one request. Over all requests of the seeds "
         + "; ".join(f"{side.seeds} ({side.label})" for side in sides[:MAX_LINES])
-        + "."
-        + f" {len(sides) - MAX_LINES} more variants are left out."
-        * (len(sides) > MAX_LINES)
+        + f".{_left_out(sides, sides[:MAX_LINES])}"
     )
 
-    def draw() -> Figure | None:
+    def draw() -> Figure:
         figure = Figure(figsize=(WIDTH_INCHES, 3.6))
         panels = figure.subplots(ncols=2)
         names = {"first": "first token", "end": "complete answer"}
@@ -332,7 +314,7 @@
                 axes.plot(
                     range(len(shown)),
                     [times.get_value_at_percentile(p) for p in shown],
-                    label=side.label,
+                    label=_label(side.label),
                     # Lines that coincide stay visible: the later, the thinner.
                     linewidth=max(1.2, 3.6 - 0.8 * index),
                     **_line_style(index),
@@ -341,10 +323,10 @@
             axes.set_xticks(range(len(PERCENTILES)), [f"{p:g}" for p in PERCENTILES])
             axes.set_xlabel("percentile of requests (%)")
             _scale(axes)
-        _add_legend(figure, panels[0].get_legend_handles_labels()[0])
+        _add_legend(figure, panels[0].lines)
         return figure
 
-    return _drawn("Latency by percentile", caption, draw, "")
+    return _drawn("Latency by percentile", caption, draw)
 
 
 def _scale(axes: Axes) -> None:
@@ -361,13 +343,14 @@
         axes.set_ylim(bottom=0)
 
 
+def _label(name: str) -> str:
+    """Return a name for a legend, which leaves out those that begin with "_"."""
+    return f" {name}" if name.startswith("_") else name
+
+
 def _line_style(index: int) -> dict[str, Any]:
-    return {
-        "color": COLOURS[index],
-        "linestyle": LINES[index],
-        "marker": MARKERS[index],
-        "markersize": 4,
-    }
+    style = {"color": COLOURS[index], "linestyle": LINES[index], "markersize": 4}
+    return {**style, "marker": MARKERS[index]}
 
 
 def stages(side: Side) -> Plot:
@@ -378,26 +361,23 @@
         "Time a request, by stage: before the attempt that counted was sent (queue), "
         "and at the target (run); at the bottom, time of targets whose work was not "
         f"used. Mean of all requests of the seeds {side.seeds}."
+        f"{_left_out(tally.run_ms, names)}"
     )
 
-    def draw() -> Figure | None:
-        if not names:
-            return None
-        figure = Figure(figsize=(WIDTH_INCHES, 1.6 + 0.35 * len(names)))
-        axes = figure.subplots()
+    def draw() -> Figure:
         parts = {
             "queue": [0, *(tally.queue_ms[name] for name in names)],
             "run": [0, *(tally.run_ms[name] for name in names)],
             "run, not used": [tally.wasted_ms, *(0 for _ in names)],
         }
         means = {k: [v / tally.requests for v in row] for k, row in parts.items()}
-        _stack_bars(axes, ["(not used)", *names], means, (ORANGE, BLUE, BLACK))
-        axes.set_xlabel("mean time a request (ms)")
-        _add_legend(figure, axes.get_legend_handles_labels()[0])
-        return figure
+        labels, colours = ["(not used)", *names], (ORANGE, BLUE, BLACK)
+        return _draw_bars(labels, means, colours, "mean time a request (ms)")
 
     title = f"Time by stage: {side.label}"
-    return _drawn(title, caption, draw, "No request has a step.")
+    if not names:
+        return Plot(title, "No request has a step.", "")
+    return _drawn(title, caption, draw)
 
 
 def places(side: Side) -> Plot:
@@ -413,35 +393,28 @@
         f"mean of the samples of the seeds {side.seeds}.{_left_out(totals, names)}"
     )
 
-    def draw() -> Figure | None:
-        if not names:
-            return None
+    def draw() -> Figure:
         figure = Figure(figsize=(WIDTH_INCHES, 3.2))
         axes = figure.subplots()
         _shade(axes, tally)
         count = math.ceil(tally.length_ms / tally.interval_ms)
+        interval_s = tally.interval_ms / MS_PER_SECOND
+        middles_s = [(i + 0.5) * interval_s for i in range(count)]
         for index, name in enumerate(names):
             uses = [Use(name, i) for i in range(count)]
-            shares = [
-                100 * tally.running[use] / tally.capacity[use]
-                if tally.capacity.get(use)
-                else math.nan
-                for use in uses
-            ]
-            middles_s = [
-                (i + 0.5) * tally.interval_ms / MS_PER_SECOND for i in range(count)
-            ]
+            places = [tally.capacity.get(use) or math.nan for use in uses]
+            running = [tally.running.get(use, 0) for use in uses]
+            shares = [100 * r / p for r, p in zip(running, places, strict=True)]
             marked = (index * count // (MARKED * MAX_LINES), max(1, count // MARKED))
-            axes.plot(
-                middles_s, shares, label=name, markevery=marked, **_line_style(index)
-            )
-        axes.set_xlabel("time since the start of the play (s)")
+            style = {"markevery": marked, **_line_style(index)}
+            axes.plot(middles_s, shares, label=_label(name), **style)
+        _set_time(axes, tally)
         axes.set_ylabel("places in use (%)")
-        axes.set_xlim(0, tally.length_ms / MS_PER_SECOND)
         axes.set_ylim(bottom=0)
-        handles = axes.get_legend_handles_labels()[0]
-        _add_legend(figure, handles + _span_handles(tally))
+        _add_legend(figure, [*axes.lines, *_span_handles(tally)])
         return figure
 
     title = f"Places in use: {side.label}"
-    return _drawn(title, caption, draw, "No sample has a place.")
+    if not names:
+        return Plot(title, "No sample has a place.", "")
+    return _drawn(title, caption, draw)
--- a/wagtailrun/reports/records.py
+++ b/wagtailrun/reports/records.py
@@ -19,6 +19,8 @@
 
 # A longer duration is taken for a fault of the record; histograms end there.
 MAX_DURATION_MS = 86_400_000
+# From here on, not every whole number has a double.
+MAX_NUMBER = 2**53
 # Faults of one record that a message names.
 MAX_FAULTS = 3
 
@@ -135,8 +137,20 @@
     present: bool
 
 
+def _is_number(value: Any) -> bool:
+    return type(value) in (int, float) and abs(value) < MAX_NUMBER
+
+
+def _is_text(value: Any) -> bool:
+    # JSON may hold half a surrogate pair, which no file in UTF-8 can.
+    if type(value) is not str:
+        return False
+    return value.isascii() or value == value.encode(errors="replace").decode()
+
+
 def _is_plain(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
-    if value is not None and not isinstance(value, int | float | str):
+    is_empty = value is None or type(value) is bool
+    if not is_empty and not _is_number(value) and not _is_text(value):
         raise ValueError(f"{field.name} is no number, text or null")
 
 
@@ -153,25 +167,27 @@
 
 
 def _whole(value: Any, _: type) -> int:
-    if type(value) is not int:
-        raise ValueError(f"{value!r:.40} is no whole number")
+    if type(value) is not int or not 0 <= value < MAX_NUMBER:
+        raise ValueError(f"{value!r:.40} is no whole number from 0")
     return value
 
 
 def _number(value: Any, _: type) -> float:
-    # JSON's 1e999 is read as infinity; no number of the format is negative.
-    if type(value) not in (int, float) or not 0 <= value < float("inf"):
+    if not _is_number(value) or value < 0:
         raise ValueError(f"{value!r:.40} is no number from 0")
     return float(value)
 
 
-def _exactly(kind: type) -> Any:
-    def check(value: Any, _: type) -> Any:
-        if type(value) is not kind:
-            raise ValueError(f"{value!r:.40} is not of type {kind.__name__}")
-        return value
+def _text(value: Any, _: type) -> str:
+    if not _is_text(value):
+        raise ValueError(f"{value!r:.40} is no text")
+    return str(value)
 
-    return check
+
+def _boolean(value: Any, _: type) -> bool:
+    if type(value) is not bool:
+        raise ValueError(f"{value!r:.40} is neither true nor false")
+    return value
 
 
 def _is_list(kind: Any) -> bool:
@@ -199,8 +215,8 @@
 CONVERTER = cattrs.Converter()
 CONVERTER.register_structure_hook(int, _whole)
 CONVERTER.register_structure_hook(float, _number)
-CONVERTER.register_structure_hook(str, _exactly(str))
-CONVERTER.register_structure_hook(bool, _exactly(bool))
+CONVERTER.register_structure_hook(str, _text)
+CONVERTER.register_structure_hook(bool, _boolean)
 # Else the hook for texts would take any text for an outcome.
 CONVERTER.register_structure_hook(Outcome, lambda value, _: Outcome(value))
 CONVERTER.register_structure_hook_factory(_is_list, _list_of)
