Count an early sending as punctual, and promises that a play states twice

Cause: the reader took a request that was sent before its intended start for invalid, and left out its whole play. The format does not exclude it, and a timer of a real sender may end a little early; so it counts as no lateness. Conclusion: as the subject says.

--- a/wagtailrun/reports/figures.py
+++ b/wagtailrun/reports/figures.py
@@ -1,5 +1,6 @@
 """Main figures of one variant, over its seeds and of each seed."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -8,7 +9,7 @@
 from wagtailrun.exceptions import ResultsError
 from wagtailrun.reports.reading import ResultsDirectory
 from wagtailrun.reports.records import Outcome, Promise, Run
-from wagtailrun.reports.tally import WAITS, Tally, tally_play
+from wagtailrun.reports.tally import WAITS, Refused, Tally, tally_play
 
 __all__ = ["FIGURES", "Figure", "Row", "Side", "promise_rows", "read_side", "summary"]
 
@@ -185,18 +186,12 @@
 
 def _reason_rows(sides: list[Side]) -> list[Row]:
     reasons = {key.reason for side in sides for key in side.tally.refusals}
-    return [
-        Row(
-            f"refused: {reason}",
-            "requests",
-            0,
-            [
-                sum(n for key, n in side.tally.refusals.items() if key.reason == reason)
-                for side in sides
-            ],
-        )
-        for reason in sorted(reasons)
-    ]
+    rows = []
+    for reason in sorted(reasons):
+        keys = [Refused(reason, wait) for wait in WAITS]
+        counts = [sum(side.tally.refusals[key] for key in keys) for side in sides]
+        rows.append(Row(f"refused: {reason}", "requests", 0, counts))
+    return rows
 
 
 def promise_rows(sides: list[Side]) -> list[dict[str, Any]]:
@@ -205,9 +200,12 @@
     for side in sides:
         found: dict[str, list[tuple[int, Promise]]] = {}
         for seed, promises in side.promises_by_seed.items():
+            seen: Counter[str] = Counter()
             for promise in promises:
                 key = f"{promise.name} {promise.bound!r} {promise.unit}"
-                found.setdefault(key, []).append((seed, promise))
+                # A play may state the same promise of several things.
+                seen[key] += 1
+                found.setdefault(f"{key} {seen[key]}", []).append((seed, promise))
         for plays in found.values():
             rows.append(_promise_row(side, plays))
     return rows
@@ -223,7 +221,7 @@
     measured = [promise.measured for _, promise in plays]
     if all(type(each) in (int, float) for each in measured):
         low, high = min(measured), max(measured)
-        span = f"{low:g}" if low == high else f"{low:g} to {high:g}"
+        span = f"{low:.10g}" + f" to {high:.10g}" * (low != high)
     else:
         span = ", ".join(
             dict.fromkeys("none" if m is None else str(m) for m in measured)
--- a/wagtailrun/reports/records.py
+++ b/wagtailrun/reports/records.py
@@ -96,8 +96,6 @@
         Raises:
             ValueError: If they contradict each other.
         """
-        if self.sent_at_ms < self.intended_at_ms:
-            raise ValueError("sent_at_ms is before intended_at_ms")
         if self.outcome is Outcome.REFUSED and not self.reason:
             raise ValueError("refused without a reason")
         needs_end = (Outcome.SERVED, Outcome.LATE, Outcome.REFUSED)
--- a/wagtailrun/reports/tally.py
+++ b/wagtailrun/reports/tally.py
@@ -71,7 +71,8 @@
         beyond: Requests that start after the end of the play; plots leave them out.
         first, end: Milliseconds from the intended start to the first token of all
             requests that have one, and to the end of all that are complete.
-        lateness: Milliseconds from the intended start to the sending.
+        lateness: Milliseconds from the intended start to the sending; 0 if it was
+            sent early.
         queue_ms, run_ms: Time of the attempts that counted, by stage.
         wasted_ms: Time of targets that was not used.
         attempts: Attempts at targets.
@@ -117,7 +118,9 @@
             self.workspaces[Cell(request.workspace, outcome, interval)] += 1
         else:
             self.beyond += 1
-        self.lateness.record_value(round(request.sent_at_ms - request.intended_at_ms))
+        # A timer of a real sender may end a little early.
+        late_ms = max(request.sent_at_ms - request.intended_at_ms, 0)
+        self.lateness.record_value(round(late_ms))
         if request.first_ms is not None:
             self.first.record_value(round(request.first_ms))
         if request.ended_ms is not None:
