Account for where the time of a step goes at the owner of its service

Cause: callers of staged requests lose most of their time in the queues of the stage services, and no log line says why. Event 710 is a line a call and 711 a line an abandoned step, neither with times that add up.

A step is in one phase at each moment: it waits for inputs, for its turn (four reasons), for its calls, or for its entry to take the results. A change of phase adds the time of the one before, so that the parts add up by construction. The reasons are set in the walks of the planning; a service without a free target is now found before its queue is sorted.

Event 711 has the new fields. Event 727 is a line for steps that were done late, waited for more than half the time to their objective, or moved. So that no step is missing, event 710 has the sums of all that ended, once a second a service.

--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -519,6 +519,12 @@
     "The pieces of a step were abandoned.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+STEP_ENDED = _event(
+    727,
+    logging.INFO,
+    "A step was done late, waited for long, or moved, and where its time went.",
+    per_second=REQUEST_LINES_PER_SECOND,
+)
 STAGE_MEMORY_FULL = _event(
     723,
     logging.WARNING,
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -229,6 +229,8 @@
             await self.clock.sleep_ms(LATE_WAIT_MS)
             return PiecesState(JobState.PENDING)
         job.reported = bool(job.moved_to) or job.state is not JobState.PENDING
+        if job.state is JobState.DONE:
+            pool.record_taken(job)
         if job.state in (JobState.PENDING, JobState.DONE):
             return job.report(0)
         return job.report(pool.queue_ms())
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -11,6 +11,7 @@
     RunPieces,
 )
 from wagtailrun.stages.port import StageItem
+from wagtailrun.stages.step_times import StepTimes
 
 __all__ = ["Job", "job_key"]
 
@@ -50,6 +51,7 @@
         asked_ms: When its entry last asked for it.
         doubted_ms: When it was first noticed that this process stood still after
             that; 0 if it did not.
+        times: Where its time here goes.
         progress: Notified when the job ends or its inputs have been fetched.
     """
 
@@ -73,8 +75,12 @@
     moved_to: str = ""
     asked_ms: int = 0
     doubted_ms: int = 0
+    times: StepTimes = attrs.field(init=False)
     progress: Signal = attrs.field(factory=Signal)
 
+    def __attrs_post_init__(self) -> None:
+        self.times = StepTimes.start(self.requested_ms, self.ready)
+
     @property
     def key(self) -> tuple[str, int, int]:
         """Request identifier, step and round."""
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -9,6 +9,7 @@
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.memory import ResultMemory
+from wagtailrun.stages.step_times import Phase
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
@@ -64,6 +65,10 @@
         self.busy_ms_by_data_centre: dict[str, int] = {}
         # Jobs for which a free target had no memory when a call was last planned.
         self.jobs_without_memory: dict[int, Job] = {}
+        # Data centres with targets, and those with a target in a call, when no target
+        # was free.
+        self.data_centres: set[str] = set()
+        self.calling_data_centres: set[str] = set()
 
     @property
     def pieces_without_memory(self) -> int:
@@ -72,28 +77,32 @@
         return sum(len(job.waiting) for job in jobs)
 
     def plan(
-        self, jobs: Sequence[Job], rows: Sequence[TargetRow], capacity: StageCapacity
+        self,
+        jobs: Sequence[Job],
+        rows: Sequence[TargetRow],
+        free: list[TargetRow],
+        capacity: StageCapacity,
     ) -> CallPlan | None:
         """Return the next call, or None if none can start.
 
         Args:
             jobs: Jobs with waiting pieces that may run, the first ones first.
             rows: Targets that accept calls.
+            free: Those with a free slot, from ``free_targets``; at least one.
             capacity: Capacity of one target.
         """
         now_ms = self.clock.now_ms()
-        self.jobs_without_memory = {}
-        free = self._free_targets(rows, capacity, now_ms)
-        if not free:
-            return None
         self.busy_ms_by_data_centre = self._compute_busy_ms(rows, now_ms)
         jobs = self._startable_jobs(jobs, rows, capacity, now_ms)
         # The first job determines the target; the others fill the call.
         for job in jobs:
+            phase = Phase.REMOTE
             for row in self._eligible_targets(job, free, now_ms):
                 chosen = self._select_pieces(row, jobs, capacity, now_ms)
                 if chosen:
                     return CallPlan(row, chosen)
+                phase = Phase.MEMORY
+            job.times.turn(phase, now_ms)
         return None
 
     def _startable_jobs(
@@ -138,15 +147,26 @@
             if blocked & scope or used and used + needed > room:
                 blocked |= scope
                 self.jobs_without_memory[job.number] = job
+                job.times.turn(Phase.MEMORY, now_ms)
             else:
                 reserved[preferred] += needed
                 startable.append(job)
         return startable
 
-    def _free_targets(
+    def phase_without_target(self, job: Job) -> Phase:
+        """Return what a job waits for when ``free_targets`` last found none."""
+        preferred = job.message.data_centre
+        if preferred in self.data_centres:
+            is_calling = preferred in self.calling_data_centres
+        else:
+            is_calling = bool(self.calling_data_centres)
+        return Phase.QUEUED if is_calling else Phase.PAUSED
+
+    def free_targets(
         self, rows: Sequence[TargetRow], capacity: StageCapacity, now_ms: int
     ) -> list[TargetRow]:
         """Return the targets with a free slot; reliable and fast ones come first."""
+        self.jobs_without_memory = {}
         slots = max(capacity.slots, 1)
         target_states = self.target_states_by_name
         free = []
@@ -154,6 +174,11 @@
             target_state = target_states[row.name]
             if target_state.calls < slots and target_state.pause_until_ms <= now_ms:
                 free.append(row)
+        if not free:
+            self.data_centres = {row.data_centre for row in rows}
+            self.calling_data_centres = {
+                row.data_centre for row in rows if target_states[row.name].calls
+            }
         free.sort(
             key=lambda r: (target_states[r.name].faults, target_states[r.name].slowness)
         )
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -25,6 +25,7 @@
 from wagtailrun.stages.pool_state import NEXT_POLL_MS, PoolState
 from wagtailrun.stages.port import PieceOutcome, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
+from wagtailrun.stages.step_times import Phase
 from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
 from wagtailrun.targets.table import TargetRow
 
@@ -174,6 +175,7 @@
             job.objective_at_ms = now_ms + message.aim_ms
             job.expires_at_ms = now_ms + message.remaining_ms
             job.ready = True
+            job.times.turn(Phase.QUEUED, now_ms)
         else:
             return job, False
         job.queue_ms = queue_ms = self.queue_ms(job)
@@ -256,21 +258,17 @@
         job.waiting.clear()
         job.ended_ms = self.clock.now_ms()
         self.ended_jobs.append(job)
-        if state is not JobState.DONE:
+        if state is JobState.DONE:
+            job.times.turn(Phase.TRANSFER, job.ended_ms)
+        else:
             self._release_results(job)
-            events.log(
-                events.PIECES_ABANDONED,
-                request_id=job.message.request_id,
-                step=job.message.step,
-                service=self.service,
-                data_centre=job.message.data_centre,
-                state=str(state),
-                detail=detail,
-                waited_ms=job.ended_ms - job.expires_at_ms + job.message.remaining_ms,
-                queue_ms=self.queue_ms(),
-            )
+            self.step_log.record_abandoned(job, self.queue_ms())
         self.manager.record_finished(job)
 
+    def record_taken(self, job: Job) -> None:
+        """Record that the requesting entry takes the results of a job."""
+        self.step_log.record_ended(job, "done", "", self.clock.now_ms())
+
     def _release_results(self, job: Job) -> None:
         self.release(list(job.results_by_piece.values()))
 
@@ -301,6 +299,8 @@
         ended = self.ended_jobs
         while ended and now_ms - ended[0].ended_ms > FINISHED_JOB_RETENTION_MS:
             job = ended.popleft()
+            if job.state is JobState.DONE:
+                self.step_log.record_ended(job, "untaken", "", now_ms)
             # A job that moved may have come back as another one.
             if self.jobs_by_key.get(job.key) is job:
                 del self.jobs_by_key[job.key]
@@ -332,17 +332,20 @@
 
     async def _start_call(self) -> bool:
         """Start one call; return False if no target is free or no piece is ready."""
-        jobs = [
-            job
-            for job in self.open_by_key.values()
-            if job.waiting and job.ready and not self.is_doubtful(job)
-        ]
-        if not jobs:
-            return False
         now_ms = self.clock.now_ms()
         capacity = self.capacity
+        rows = self.targets()
+        free = self.planner.free_targets(rows, capacity, now_ms)
+        jobs = []
+        for job in self.open_by_key.values():
+            if job.waiting and job.ready and not self.is_doubtful(job):
+                jobs.append(job)
+                if not free:
+                    job.times.turn(self.planner.phase_without_target(job), now_ms)
+        if not (jobs and free):
+            return False
         jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
-        plan = self.planner.plan(jobs, self.targets(), capacity)
+        plan = self.planner.plan(jobs, rows, free, capacity)
         if plan is None:
             self._log_full_memory()
             return False
@@ -370,10 +373,14 @@
         target_state = self.target_states_by_name[row.name]
         expected_ms = self.capacity.duration_ms(len(chosen)) * target_state.slowness
         target_state.calls += 1
-        target_state.busy_until_ms = self.clock.now_ms() + int(expected_ms)
+        now_ms = self.clock.now_ms()
+        target_state.busy_until_ms = now_ms + int(expected_ms)
         for job, piece in chosen:
             job.waiting.remove(piece)
             job.running += 1
+        for job in {job.number: job for job, _ in chosen}.values():
+            job.times.turn(Phase.QUEUED if job.waiting else Phase.CALLS, now_ms)
+            job.times.record_call(len(chosen), self.capacity.batch)
         self.memory.record_start(row.address, result_bytes(chosen))
         await curio.spawn(self._run_call, row, chosen, expected_ms, daemon=True)
 
@@ -428,6 +435,7 @@
             took_ms=ended_ms - started_ms,
             expected_ms=int(expected_ms),
             failure=str(failure or ""),
+            **self.step_log.take_sums(self.capacity, ended_ms),
         )
         self.manager.record_call(len(items), ended_ms - started_ms)
         if failure is None:
@@ -544,6 +552,7 @@
                 )
                 return
         job.waiting.append(piece)
+        job.times.turn(Phase.QUEUED, self.clock.now_ms())
 
     # Releases
 
--- a/wagtailrun/stages/pool_state.py
+++ b/wagtailrun/stages/pool_state.py
@@ -9,6 +9,7 @@
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.memory import ResultMemory
 from wagtailrun.stages.messages import PieceResult
+from wagtailrun.stages.step_log import StepLog
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
@@ -44,6 +45,7 @@
         self.ended_jobs: deque[Job] = deque()
         self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
         self.memory = ResultMemory()
+        self.step_log = StepLog(service)
         self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
         # Results whose release is scheduled or sent.
         self.releasing: set[str] = set()
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -146,7 +146,8 @@
         told.update({"", *(result.handle for result in message.results)})
         for job in jobs:
             job.moved_to = successor.name
-            job.ended_ms = self.clock.now_ms()
+            job.ended_ms = now_ms = self.clock.now_ms()
+            pool.step_log.record_ended(job, "moved", successor.name, now_ms)
             pool.ended_jobs.append(job)
             await job.progress.notify()
 
