Show the steps of a request and their durations in wagtailrun explain

Cause: the events 711 and 727 account for the time of a step, but a reader of `wagtailrun explain` had to find the parts in lines of many fields. It also read only the first 4 MB of each log, without a word about the rest, because it shared the limit of fleet texts.

The reading of log files moves to observation/log_files.py, which the next command needs as well; the names of the durations are in logs/step_fields.py, where the writer and the readers find them.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,7 +4,7 @@
 import subprocess
 import sys
 
-from wagtailrun.cli.explain import lines_of_request, read_lines
+from wagtailrun.cli.explain import lines_of_request, read_lines, steps_of_request
 from wagtailrun.logs import events
 from wagtailrun.logs.events import EventLog
 
@@ -45,6 +45,20 @@
         {"request_id": "abc", "step": 2, "detail": "an input is gone"},
     ),
 )
+# The account of two of its steps.
+STEPS = log_of(
+    "front-2",
+    (
+        events.STEP_ENDED,
+        {"request_id": "abc", "step": 1, "service": "s", "state": "done", "calls": 1}
+        | {"fill": 0.25, "total_ms": 310, "memory_ms": 130, "calls_ms": 180},
+    ),
+    (
+        events.PIECES_ABANDONED,
+        {"request_id": "abc", "step": 0, "service": "s", "state": "gone"}
+        | {"total_ms": 20, "inputs_ms": 20},
+    ),
+)
 
 
 def test_cause_is_found_from_the_id():
@@ -81,3 +95,36 @@
         [*command, "none", str(file)], capture_output=True, text=True, check=False
     )
     assert none.returncode == 1
+
+
+def test_steps_are_shown_with_their_durations(tmp_path):
+    """Guards against a late request of which no output says where its time went."""
+    rows = steps_of_request(lines_of_request("abc", [*STEPS, *POOL]))
+    assert [row["step"] for row in rows] == [0, 1, 2]
+    assert (rows[1]["memory_ms"], rows[1]["calls_ms"], rows[1]["total_ms"]) == (
+        130,
+        180,
+        310,
+    )
+    assert rows[1]["queued_ms"] == 0
+    # An earlier version wrote no durations, which is not the same as none.
+    assert rows[2]["queued_ms"] == rows[2]["total_ms"] == ""
+    file = tmp_path / "front-2.log"
+    file.write_text("\n".join(STEPS))
+    command = [sys.executable, "-m", "wagtailrun", "explain", "abc", str(file)]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    header, first, second = done.stdout.split("\n\n")[1].splitlines()[1:]
+    assert "memory_ms" in header
+    assert first.split()[:2] == ["0", "s"]
+    assert "130" in second.split()
+
+
+def test_log_of_more_than_four_megabytes_is_read_to_its_end(tmp_path):
+    """Guards against an explanation from the first part of a long log only."""
+    file = tmp_path / "front.log"
+    foreign = FRONT[1] + "\n"
+    repeats = 5 * 1024 * 1024 // len(foreign)
+    file.write_text(foreign * repeats + FRONT[0] + "\n")
+    command = [sys.executable, "-m", "wagtailrun", "explain", "abc", str(file)]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert "i-1 answered 503" in done.stdout
--- a/tests/test_step_times.py
+++ b/tests/test_step_times.py
@@ -12,8 +12,9 @@
 from tests.test_stage_pool import CAPACITY, BatcherHarness, target
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.logs.events import EVENT_LOG
+from wagtailrun.logs.step_fields import DURATION_NAMES
 from wagtailrun.stages import CancelPieces, FreeResults, JobState, PieceOutcome
-from wagtailrun.stages.step_times import FIELD_NAMES
+from wagtailrun.stages.step_times import Phase
 from wagtailrun.virtual_time import run_virtual
 
 ABANDONED, ENDED, CALL = 711, 727, 710
@@ -48,13 +49,18 @@
 
 def parts(line):
     """Return the durations of a line by name, without those of no time."""
-    return {name: line[name] for name in FIELD_NAMES if name in line}
+    return {name: line[name] for name in DURATION_NAMES if name in line}
 
 
 def assert_adds_up(line):
     assert sum(parts(line).values()) == line["total_ms"], line
 
 
+def test_phases_have_the_names_of_the_fields():
+    """Guards against durations that appear under the name of another phase."""
+    assert tuple(f"{phase.name.lower()}_ms" for phase in Phase) == DURATION_NAMES
+
+
 def test_step_that_waits_behind_others_counts_the_calls_before_it(lines):
     """Load: one target in a call of 270 ms.
 
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -5,6 +5,7 @@
 import json
 import logging as std_logging
 import sys
+from itertools import chain
 from pathlib import Path
 from urllib.parse import urlencode
 
@@ -21,10 +22,11 @@
     EXIT_SUCCESS,
     describe_error,
 )
-from wagtailrun.cli.explain import lines_of_request
+from wagtailrun.cli.explain import lines_of_request, steps_of_request
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
 from wagtailrun.exceptions import FleetTextError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
+from wagtailrun.observation.log_files import open_lines
 from wagtailrun.registry.audit import verify_chain
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
@@ -390,7 +392,9 @@
 
 
 def explain(request_id: str, *logs: str) -> int:
-    """Print the events of one request from the logs of all processes.
+    """Print the events of one request, and where the time of its steps went.
+
+    Steps without a row were done in time, or the logs have no line of them.
 
     Example: wagtailrun explain 9c41d07be2a35f68 front-1.log front-2.log
 
@@ -398,13 +402,16 @@
         request_id: Identifier that the caller gave the request.
         logs: Log files; standard input if none is given.
     """
-    lines = [line for name in logs for line in _read_file(name).splitlines()]
-    found = lines_of_request(request_id, lines if logs else sys.stdin)
+    lines = chain.from_iterable(map(open_lines, logs)) if logs else sys.stdin
+    found = lines_of_request(request_id, lines)
     if not found:
         print(f"no log line has request_id {request_id}", file=sys.stderr)
         return EXIT_REFUSED
     for line in found:
         print(printable(line.text(found[0].time_s)))
+    if steps := steps_of_request(found):
+        print("\nsteps that were abandoned, late, moved or waited for long:")
+        print_rows(steps)
     return EXIT_SUCCESS
 
 
--- a/wagtailrun/cli/explain.py
+++ b/wagtailrun/cli/explain.py
@@ -1,63 +1,13 @@
 """Collects the log lines of one request from the logs of all processes."""
 
-import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Sequence
 from typing import Any
 
-import attrs
+from wagtailrun.logs import events
+from wagtailrun.logs.step_fields import DURATION_NAMES
+from wagtailrun.observation.log_files import LogLine, read_lines
 
-__all__ = ["LogLine", "lines_of_request", "read_lines"]
-
-# Fields that are printed separately, or are the same in all lines of one request.
-HIDDEN_FIELDS = ("time", "process", "event", "level", "message", "request_id")
-
-
-@attrs.frozen
-class LogLine:
-    """Log line of one event.
-
-    Attributes:
-        time_s: Wall-clock time of the process, in seconds since the Unix epoch.
-        process: Name of the process.
-        event: Event number, as listed in ``docs/events.md``.
-        message: Meaning of the event.
-        fields: All other fields.
-    """
-
-    time_s: float
-    process: str
-    event: int
-    message: str
-    fields: dict[str, Any]
-
-    def text(self, start_s: float) -> str:
-        """Return the line in readable form, with its time relative to ``start_s``."""
-        field_text = " ".join(
-            f"{name}={value}" for name, value in self.fields.items() if value != ""
-        )
-        offset_ms = round((self.time_s - start_s) * 1_000)
-        return f"{offset_ms:+7d} ms  {self.process}  E{self.event:04d} {field_text}"
-
-
-def read_lines(lines: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the events in ``lines``; text before a line's JSON object is ignored."""
-    for line in lines:
-        start = line.find("{")
-        try:
-            value = json.loads(line[start:]) if start >= 0 else None
-        except ValueError:
-            # The line is truncated, as after a kill of its process.
-            continue
-        if not isinstance(value, dict) or "event" not in value:
-            continue
-        fields = {k: v for k, v in value.items() if k not in HIDDEN_FIELDS[:-1]}
-        yield LogLine(
-            time_s=float(value.get("time", 0.0)),
-            process=str(value.get("process", "")),
-            event=int(value["event"]),
-            message=str(value.get("message", "")),
-            fields=fields,
-        )
+__all__ = ["lines_of_request", "read_lines", "steps_of_request"]
 
 
 def lines_of_request(request_id: str, lines: Iterable[str]) -> list[LogLine]:
@@ -72,3 +22,22 @@
         if line.fields.get("request_id") == request_id
     ]
     return sorted(found, key=lambda line: line.time_s)
+
+
+def steps_of_request(found: Sequence[LogLine]) -> list[dict[str, Any]]:
+    """Return a row for each line that accounts for a step, in the order of the steps.
+
+    A line of an earlier version that names no durations has none in its row. A step
+    that an owner handed over has a row for each owner.
+    """
+    numbers = (events.PIECES_ABANDONED.number, events.STEP_ENDED.number)
+    names = ("step", "service", "state", "pieces", "calls", "fill", "total_ms")
+    rows = []
+    for line in found:
+        if line.event in numbers:
+            row = {name: line.fields.get(name, "") for name in names}
+            has_times = "total_ms" in line.fields
+            for name in DURATION_NAMES:
+                row[name] = line.fields.get(name, 0 if has_times else "")
+            rows.append({**row, "owner": line.process})
+    return sorted(rows, key=lambda row: str(row["step"]).zfill(4))
--- a/wagtailrun/logs/__init__.py
+++ b/wagtailrun/logs/__init__.py
@@ -4,4 +4,5 @@
     "daemon_log",
     "events",
     "line_writer",
+    "step_fields",
 ]
--- a/wagtailrun/stages/step_log.py
+++ b/wagtailrun/stages/step_log.py
@@ -2,9 +2,10 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.logs import events
+from wagtailrun.logs.step_fields import DURATION_NAMES
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
-from wagtailrun.stages.step_times import FIELD_NAMES, Phase
+from wagtailrun.stages.step_times import Phase
 
 __all__ = ["StepLog"]
 
@@ -103,7 +104,7 @@
         if not self.steps or now_ms < self.next_sums_ms:
             return {}
         sums = {"steps": self.steps, "batch": capacity.batch, "slots": capacity.slots}
-        for phase, name in enumerate(FIELD_NAMES):
+        for phase, name in enumerate(DURATION_NAMES):
             if ms := self.ms_by_phase[phase]:
                 sums[name] = ms
         self.steps = 0
--- a/wagtailrun/stages/step_times.py
+++ b/wagtailrun/stages/step_times.py
@@ -4,11 +4,13 @@
 
 import attrs
 
+from wagtailrun.logs.step_fields import DURATION_NAMES
+
 __all__ = ["Phase", "StepTimes"]
 
 
 class Phase(enum.IntEnum):
-    """What a step waits for; the names are those of fields of log lines.
+    """What a step waits for, in the order of ``DURATION_NAMES``.
 
     Attributes:
         INPUTS: Earlier steps, which produce its inputs.
@@ -29,10 +31,6 @@
     TRANSFER = 6
 
 
-# Names of the fields in log lines.
-FIELD_NAMES = tuple(f"{phase.name.lower()}_ms" for phase in Phase)
-
-
 @attrs.define(eq=False)
 class StepTimes:
     """Durations of the phases of a step, which add up to its whole time.
@@ -105,7 +103,7 @@
         fields["total_ms"] = self.total_ms
         fields.update(
             (name, ms)
-            for name, ms in zip(FIELD_NAMES, self.ms_by_phase, strict=True)
+            for name, ms in zip(DURATION_NAMES, self.ms_by_phase, strict=True)
             if ms
         )
         return fields
