Report on stage services and routes from log files: wagtailrun stages

Cause: the load of the stage services, the reasons of their queues and the lateness of requests were in the logs only as single lines of nine or more processes, and each evaluation was a script of its own.

--- a/wagtailrun/observation/__init__.py
+++ b/wagtailrun/observation/__init__.py
@@ -2,7 +2,9 @@
 
 __all__ = [
     "log_files",
+    "log_gaps",
     "metrics",
     "recorder",
+    "stage_report",
     "trace_recorder",
 ]
