End a step at once whose piece fails after its inputs were released

Cause: an owner releases the inputs of a step 60 ms after it sent the call with its last piece. A piece that failed later was queued again all the same, waited for its turn, took a place in a call and found its inputs gone; only then did the stages of the request run anew.

The step now ends as gone when the piece fails. The retry still takes its token from the budget, so that rounds begin no more often than before.

After: the tests tests/test_stage_*.py, test_frozen_owner.py and test_frozen_runner.py pass. Where the requesting entry releases the inputs, because several steps need them, the owner does not know of it, and the piece is queued as before.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -51,6 +51,7 @@
         self.calls = []
         self.freed = []
         self.faults_by_name = {}
+        self.fail_at_end = None
         self.outcomes = []
         self.numbers = iter(range(1_000_000))
 
@@ -61,6 +62,9 @@
         if fault is not None:
             raise fault
         await self.clock.sleep_ms(int(self.capacity.duration_ms(len(items))))
+        fault, self.fail_at_end = self.fail_at_end, None
+        if fault is not None:
+            raise fault
         return [self.reply(target) for _ in items]
 
     def reply(self, target):
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -91,6 +91,11 @@
         """Whether it has results, or pieces in calls, that occupy memory."""
         return bool(self.running or self.results_by_piece)
 
+    @property
+    def has_released_inputs(self) -> bool:
+        """Whether the owner has released its inputs, which their targets then drop."""
+        return self.fetched and bool(self.message.input_services)
+
     @property
     def transfer_cost_ms(self) -> float:
         """Delay that costs as much as the transfer of the job's results."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -551,6 +551,10 @@
                     "the retry limit or the retry budget is exhausted",
                 )
                 return
+        if job.has_released_inputs:
+            # Another call could only find that.
+            self._finish(job, JobState.GONE, "its inputs were released before a retry")
+            return
         job.waiting.append(piece)
         job.times.turn(Phase.QUEUED, self.clock.now_ms())
 
