Test the account of steps that move to the next owner

The load of tests/test_stage_handover.py shows that each such step has a line at the entry that stops, whose durations add up. `pytest tests/test_step_times.py`: 15 tests pass.

--- a/tests/test_step_times.py
+++ b/tests/test_step_times.py
@@ -9,6 +9,7 @@
 import curio
 import pytest
 
+from tests.test_stage_handover import OWNER, run_load
 from tests.test_stage_pool import CAPACITY, BatcherHarness, target
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.logs.events import EVENT_LOG
@@ -319,3 +320,17 @@
         assert 0 <= took_ms - line["total_ms"] <= 1, line
     seen = {name for line in lines.of(ABANDONED, ENDED) for name in parts(line)}
     assert {"inputs_ms", "queued_ms", "memory_ms", "calls_ms"} <= seen
+
+
+def test_step_that_moves_says_so_at_the_owner_that_stops(lines):
+    """Load: 20 requests a second while the owner of their service stops.
+
+    Guards against time at an owner that stops which no line has.
+    """
+    run_virtual(lambda clock: run_load(clock, (OWNER,)))
+    moved = [line for line in lines.of(ENDED) if line["state"] == "moved"]
+    assert moved
+    for line in moved:
+        assert_adds_up(line)
+        assert line["detail"] not in ("", OWNER)
+        assert "transfer_ms" not in line
