--- /dev/null
+++ b/tests/test_fetched_inputs.py
@@ -0,0 +1,88 @@
+"""Tests of pieces whose inputs were released when they were fetched.
+
+In virtual time. The first line of a test names the load that provokes the failure.
+"""
+
+import curio
+import pytest
+
+from tests.test_stage_pool import BatcherHarness
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.stages import JobState, PieceOutcome
+from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
+from wagtailrun.virtual_time import run_virtual
+
+# Inputs of a step at targets with 1,000 bytes, which the owner releases.
+INPUTS = {
+    "has_inputs": True,
+    "inputs": ("ha",),
+    "input_services": ("first",),
+    "input_addresses": ("10.0.0.9:80",),
+}
+SMALL, LARGE = 100, 101
+
+
+@pytest.mark.parametrize("fault", ["piece", "call"])
+def test_piece_whose_inputs_were_released_is_not_queued_again(fault):
+    """Load: a piece that fails after its inputs were fetched, at a busy target.
+
+    Guards against a call that can only find the inputs gone: the request, whose stages
+    have to run again, waited for it, and it took the place of other pieces.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        request = harness.message("r", 2, **INPUTS, moved_bytes=LARGE, aim_ms=9_000)
+        task = await curio.spawn(harness.batcher.handle, request)
+        await clock.sleep_ms(INPUT_FETCH_MS + 10)
+        await curio.spawn(harness.batcher.handle, harness.message("other", 4))
+        if fault == "piece":
+            harness.client.outcomes = [PieceOutcome.DONE, PieceOutcome.ERROR]
+        else:
+            harness.client.fail_at_end = TargetFailed("reset")
+        state = await task.join()
+        ended_ms = clock.now_ms()
+        await clock.sleep_ms(2_000)
+        calls = harness.client.calls
+        return state, ended_ms, [i for _, _, items in calls for i in items]
+
+    state, ended_ms, items = run_virtual(main)
+    assert state.state == JobState.GONE
+    # The end of the call of two pieces.
+    assert ended_ms == 210
+    assert [item.piece for item in items if item.request_id == "r"] == [0, 1]
+
+
+def test_piece_with_small_inputs_runs_again_after_a_failure():
+    """Load: one piece of a call fails, at targets with room for its inputs.
+
+    Guards against a failed piece for which all stages of its request run again.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        harness.client.outcomes = [PieceOutcome.DONE, PieceOutcome.ERROR]
+        state = await harness.send("r", 2, **INPUTS, moved_bytes=SMALL)
+        await clock.sleep_ms(10)
+        released_ms = [at_ms for at_ms, _ in harness.released_elsewhere]
+        return state.state, released_ms, [at_ms for at_ms, _, _ in harness.client.calls]
+
+    state, released_ms, calls_ms = run_virtual(main)
+    assert state == JobState.DONE
+    assert calls_ms == [0, 210]
+    # Once, at the end of the call that ran the piece again.
+    assert released_ms == [390]
+
+
+def test_large_inputs_are_released_once_there_was_time_to_fetch_them():
+    """Load: results that occupy the memory which earlier steps wait for.
+
+    Guards against large inputs that stay until the end of the call.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        await harness.send("r", 2, **INPUTS, moved_bytes=LARGE)
+        return [at_ms for at_ms, _ in harness.released_elsewhere]
+
+    assert run_virtual(main) == [INPUT_FETCH_MS]
--- a/wagtailrun/observation/__init__.py
+++ b/wagtailrun/observation/__init__.py
@@ -1,7 +1,10 @@
 """Metrics and records of requests."""
 
 __all__ = [
+    "log_files",
+    "log_gaps",
     "metrics",
     "recorder",
+    "stage_report",
     "trace_recorder",
 ]
