Keep the health of targets in one object for both entries

Cause: `_TargetStats` of the router and `_TargetState` of the relay's chooser both held a target's load, own attempts since the report, slowness with a half-life and whether no connection opens, with other names, constants and decay.

Change: `targets/health.py` has `TargetHealth`, which takes observations of targets and says what they mean now. `TargetLoad` moved to `ports/target.py`, so that both may use it; `relay/core/port.py` still names it. The product's entry now records failure rates too; its ranking does not read them.

No common base class of the router and the chooser: the router falls back to targets to avoid, the chooser never returns them and needs prompts, sizes and penalties, and no caller takes either. Outliers, limits and prefixes stay with the router, and prompts at engines with the chooser (`_EngineState`), as only one of the two has them.

--- a/tests/test_brittle_targets_fleet.py
+++ b/tests/test_brittle_targets_fleet.py
@@ -15,6 +15,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.core.port import TargetNotice
 from wagtailrun.relay.placement.choice import LIMIT_CHECK_MS
+from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
@@ -190,7 +191,7 @@
                 pass
             except TargetDown:
                 tried.append(row.name)
-                self.chooser.record_unreachable(row)
+                self.chooser.health.record_outcome(row, RunOutcome.UNREACHABLE)
             if self.has_crashed:
                 return False
         return False
@@ -215,7 +216,7 @@
                 await self.notices.record_answer(row.address, answer, sent_ms)
             return not answer.rejected
         finally:
-            self.chooser.record_end(row)
+            self.chooser.health.record_end(row)
             if not self.has_crashed:
                 await self.notices.record_end(permit, completed)
 
--- a/tests/test_connect_shortage.py
+++ b/tests/test_connect_shortage.py
@@ -76,7 +76,7 @@
     """Return what a relay holds against its targets."""
     chooser = handler.attempts.chooser
     detector = handler.attempts.view.quarantine
-    states = chooser.states_by_name.values()
+    states = chooser.health.states_by_name.values()
     return (
         [
             (state.failure_rate, state.connect_failures, state.ejected_until_ms)
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -528,7 +528,8 @@
             over = RunOver(f"r{number}", "s", placed.target, "succeeded", ANSWER_MS)
             await client.report_end(over)
         in_flight = [
-            state.in_flight for state in fleet.host.chooser.states_by_name.values()
+            state.in_flight
+            for state in fleet.host.chooser.health.states_by_name.values()
         ]
         return in_flight, fleet.host.silence, fleet.host.runs_by_key
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -123,7 +123,7 @@
         over = RunOver("r", "s", "t0", RunOutcome.OVER)
         for _ in range(3):
             assert host.handle(over).known
-            in_flight.append(chooser.states_by_name["t0"].in_flight)
+            in_flight.append(chooser.health.states_by_name["t0"].in_flight)
         assert not host.handle(over).known
         return in_flight
 
@@ -144,9 +144,9 @@
         for _ in range(2):
             host.handle(prompt("r"))
         host.handle(RunOver("r", "s", "t0", outcome, 100))
-        in_flight = chooser.states_by_name["t0"].in_flight
+        in_flight = chooser.health.states_by_name["t0"].in_flight
         late = host.handle(RunOver("r", "s", "t0", RunOutcome.OVER))
-        return in_flight, chooser.states_by_name["t0"].in_flight, late.known
+        return in_flight, chooser.health.states_by_name["t0"].in_flight, late.known
 
     assert run_virtual(main) == (0, 0, False)
 
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -5,6 +5,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart, TargetLoad
 from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
@@ -60,7 +61,7 @@
     picker = chooser()
     preferred = choose(picker, "hot")
     preferred_row = next(r for r in ROWS if r.name == preferred)
-    picker.record_load(preferred_row, TargetLoad(4, 8, 4))
+    picker.health.record_load(preferred_row, TargetLoad(4, 8, 4))
     assert choose(picker, "hot") != preferred
 
 
@@ -102,7 +103,7 @@
     picker = chooser(clock)
     rows = [row(1), row(2)]
     for _ in range(4):
-        picker.record_failure(rows[0])
+        picker.health.record_failure(rows[0])
     assert {picker.choose(rows).name for _ in range(20)} == {"t2"}
     clock.seconds += 60
     assert {picker.choose(rows).name for _ in range(50)} == {"t1", "t2"}
@@ -113,7 +114,7 @@
     picker = chooser()
     rows = [row(1), row(2)]
     for _ in range(5):
-        picker.record_success(rows[0], 4.0)
+        picker.health.record_success(rows[0], 4.0)
     assert {picker.choose(rows).name for _ in range(20)} == {"t2"}
 
 
@@ -122,7 +123,7 @@
     clock = VirtualClock()
     picker = chooser(clock)
     rows = [row(1), row(2)]
-    picker.record_unreachable(rows[0])
+    picker.health.record_outcome(rows[0], RunOutcome.UNREACHABLE)
     assert picker.choose(rows).name == "t2"
     assert picker.choose(rows, {"t2"}).name == "t1"
     assert picker.choose(rows, {"t1", "t2"}) is None
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -61,7 +61,7 @@
     for _ in range(10):
         target = one.choose(candidates, WORK)
         one.started(target)
-    assert {one.stats_by_name[row.name].in_flight for row in candidates} == {5}
+    assert {one.health.states_by_name[row.name].in_flight for row in candidates} == {5}
 
 
 def test_answer_load_replaces_the_report():
@@ -82,7 +82,7 @@
         target = one.choose(local + remote, WORK)
         assert target.data_centre == "east"
         one.started(target)
-        if one.stats_by_name[target.name].in_flight > 1:
+        if one.health.states_by_name[target.name].in_flight > 1:
             one.ended(target, 1_000, True, WORK)
     for row in local:
         while one.limits.has_room(row.name, row.capacity):
--- a/tests/test_silent_carriers_of_requests.py
+++ b/tests/test_silent_carriers_of_requests.py
@@ -54,7 +54,7 @@
         chooser = attempts.chooser
         if options.get("prompt_affinity"):
             chooser = attempts.selection.placement.host.chooser
-        state = chooser.states_by_name[fleet.rows[0].name]
+        state = chooser.health.states_by_name[fleet.rows[0].name]
         return reply, state, chooser.models_by_service["s"]
 
     return run_virtual_relay(
@@ -120,7 +120,7 @@
         chooser = attempts.chooser
         if prompt_affinity:
             chooser = attempts.selection.placement.host.chooser
-        return reply.status, chooser.states_by_name[fleet.rows[0].name].slowness
+        return reply.status, chooser.health.states_by_name[fleet.rows[0].name].slowness
 
     status, slowness = run_virtual_relay(
         RouteKind.IDEMPOTENT,
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -217,7 +217,7 @@
             message = RunOver(request_id, "s", row.name, outcome, 100)
             await self.placement.report_end(message)
         elif outcome is RunOutcome.SUCCEEDED:
-            self.chooser.record_end(row)
+            self.chooser.health.record_end(row)
 
 
 class Fleet:
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -27,6 +27,7 @@
     WorkspaceKeys,
     build_route_table,
 )
+from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import ROW_RETENTION_MS, TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
@@ -126,9 +127,9 @@
         route = f"r{number // REVISION_STEPS}"
         for chooser in (entry.chooser, entry.placement_host.chooser):
             chooser.record_start(row, parts, 20)
-            chooser.record_unreachable(row)
+            chooser.health.record_outcome(row, RunOutcome.UNREACHABLE)
             chooser.record_first_event(row, 10, 20)
-            chooser.record_end(row)
+            chooser.health.record_end(row)
         # Its end is never reported.
         place = PlaceRun(f"x{number}", row.service, parts, 20, (), (), True, route)
         entry.placement_host.handle(place)
--- a/wagtailrun/ports/target.py
+++ b/wagtailrun/ports/target.py
@@ -7,7 +7,7 @@
 
 from wagtailrun.ports.link import Address
 
-__all__ = ["Attempt", "StageAnswer", "TargetClient", "Token"]
+__all__ = ["Attempt", "StageAnswer", "TargetClient", "TargetLoad", "Token"]
 
 
 @attrs.frozen
@@ -62,6 +62,21 @@
     queued: int = 0
 
 
+@attrs.frozen
+class TargetLoad:
+    """Load of a target when it answered.
+
+    Attributes:
+        running: Requests running.
+        waiting: Requests queued.
+        slots: Requests that can run at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
 @attrs.frozen
 class Token:
     """One generated token, or the end of the stream.
--- a/wagtailrun/relay/core/port.py
+++ b/wagtailrun/relay/core/port.py
@@ -9,6 +9,7 @@
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.adapters.target_observer import ObservedAnswer
 from wagtailrun.exceptions import Refusal
+from wagtailrun.ports.target import TargetLoad
 
 __all__ = [
     "AnswerHead",
@@ -93,21 +94,6 @@
     last_event_id: int | None = None
 
 
-@attrs.frozen
-class TargetLoad:
-    """Load of a target when it answered.
-
-    Attributes:
-        running: Requests running.
-        waiting: Requests queued.
-        slots: Requests that can run at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @attrs.frozen
 class MalformedBound:
     """A bound that a target names and that cannot be read.
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -179,7 +179,7 @@
             key = message.request_id, row.name
             replaced = self.runs_by_key.pop(key, None)
             if replaced is not None:
-                self.chooser.record_end(replaced.row)
+                self.chooser.health.record_end(replaced.row)
             self.runs_by_key[key] = _Run(
                 row=row,
                 started_ms=self.clock.now_ms(),
@@ -276,10 +276,10 @@
             self.runs_by_key[key] = attrs.evolve(run, earlier=run.earlier - 1)
             return RunNoted(True)
         del self.runs_by_key[key]
-        self.chooser.record_end(run.row)
+        self.chooser.health.record_end(run.row)
         if message.slots:
             load = TargetLoad(message.running, message.waiting, message.slots)
-            self.chooser.record_load(run.row, load)
+            self.chooser.health.record_load(run.row, load)
         if message.outcome != RunOutcome.SUCCEEDED:
             self._drop_trials(message.request_id)
         if message.outcome in (RunOutcome.OVER, RunOutcome.FAILED):
@@ -293,14 +293,14 @@
             self._record_success(run, message)
         elif message.outcome == RunOutcome.UNREACHABLE:
             self.detector.record_unreachable(run.row)
-        self.chooser.record_outcome(run.row, message.outcome)
+        self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
     def _drop_runs(self, request_id: str) -> RunNoted:
         """Drop the attempts of a request, which its entry has placed itself."""
         keys = [key for key in self.runs_by_key if key[0] == request_id]
         for key in keys:
-            self.chooser.record_end(self.runs_by_key.pop(key).row)
+            self.chooser.health.record_end(self.runs_by_key.pop(key).row)
             self.silence.forget(key)
         self._drop_trials(request_id)
         return RunNoted(bool(keys))
@@ -315,10 +315,10 @@
         first_event_ms = message.first_event_ms
         if not first_event_ms:
             # Another entry that carried the answer may have stood still.
-            self.chooser.record_success(run.row, None)
+            self.chooser.health.record_success(run.row, None)
             return
         slowness = first_event_ms / max(run.expected_ms, 1.0)
-        self.chooser.record_success(run.row, slowness)
+        self.chooser.health.record_success(run.row, slowness)
         took_ms = first_event_ms - run.prefill_queue_ms
         if not self.silence.shares.is_lowered(run.row):
             self.chooser.record_first_event(run.row, run.uncached_tokens, took_ms)
@@ -348,7 +348,7 @@
             if run.started_ms > limit_ms:
                 return
             del self.runs_by_key[key]
-            self.chooser.record_end(run.row)
+            self.chooser.health.record_end(run.row)
             self.silence.forget(key)
 
 
--- a/wagtailrun/relay/requests/attempt_reports.py
+++ b/wagtailrun/relay/requests/attempt_reports.py
@@ -96,8 +96,10 @@
             objective_ms = max(job.objective_at_ms - job.arrived_ms, 1)
             # A target that is not overloaded answers within half the objective.
             slowness = first_event_ms / (objective_ms / 2)
-            self.chooser.record_success(row, slowness if first_event_ms else None)
-        self.chooser.record_outcome(row, outcome)
+            self.chooser.health.record_success(
+                row, slowness if first_event_ms else None
+            )
+        self.chooser.health.record_outcome(row, outcome)
 
     async def record_success(
         self, job: RelayJob, row: TargetRow, started_ms: int, load: TargetLoad | None
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -286,7 +286,7 @@
                 stream, head = await self._skip_crossed_answers(job, stream)
                 await stream.confirm()
                 if head.load is not None:
-                    self.chooser.record_load(row, head.load)
+                    self.chooser.health.record_load(row, head.load)
                 job.progress = AnswerProgress.HEAD
                 yield Attempt(row, stream, head, job.sent_ms)
         except (curio.CancelledError, GeneratorExit):
@@ -297,7 +297,7 @@
                 await self.reports.record_end(job, row, RunOutcome.OVER)
             raise
         finally:
-            self.chooser.record_end(row)
+            self.chooser.health.record_end(row)
 
     def _may_send(self, job: RelayJob, row: TargetRow) -> bool:
         """Return whether a request may be sent on a connection that is open by now."""
--- a/wagtailrun/targets/__init__.py
+++ b/wagtailrun/targets/__init__.py
@@ -5,6 +5,7 @@
     "attempt_ends",
     "attempt_observer",
     "estimates",
+    "health",
     "retries",
     "routing",
     "subset",
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -1,5 +1,6 @@
 """Chooses the target of an attempt."""
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections import Counter
@@ -9,9 +10,10 @@
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.ports.target import StageAnswer
+from wagtailrun.ports.target import StageAnswer, TargetLoad
 from wagtailrun.targets.affinity import CacheEvents, PrefixIndex
 from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
 from wagtailrun.targets.subset import choose_subset
@@ -25,9 +27,15 @@
 # Number of targets of a service that an entry uses; their load is then known well
 # (section 2 of the design page).
 SUBSET_SIZE = 20
-# A load that an answer reported takes precedence over announced loads for this long,
-# because announcements are sent once a second and arrive late.
-ANSWER_LOAD_VALIDITY_MS = 1_000
+HEALTH_RULES = HealthRules(
+    slowness_half_life_ms=5_000,
+    slowness_weight=0.2,
+    min_slowness=0.0,
+    max_slowness=math.inf,
+    averages_decayed=False,
+    load_lifetime_ms=None,
+    ejects_for_a_time=False,
+)
 # A local target is preferred unless a remote one is faster by this factor, because
 # links between data centres may fail. Using remote targets only when the deadline was
 # at risk cost 4 points of attainment at 90% load (docs/decisions.md).
@@ -35,10 +43,6 @@
 # A prompt that misses its cached prefix also evicts blocks that other prompts would
 # have used; weight 1 gave a lower share of cached tokens and a lower attainment.
 PREFIX_WEIGHT = 2.0
-# Half-life of a measured slowness. Without it, one slow answer could exclude a target
-# for ever.
-SLOWNESS_HALF_LIFE_MS = 5_000
-SLOWNESS_WEIGHT = 0.2
 # Weight of the newest answer in the mean engine times.
 SAVING_WEIGHT = 0.1
 # Share of cached input tokens from which an answer counts as served from the cache.
@@ -144,34 +148,6 @@
         return (reported + self.in_flight_by_name[target.name]) / target.capacity
 
 
-@attrs.define
-class _TargetStats:
-    """Measurements of one target in addition to its announced row.
-
-    Attributes:
-        recency: Recency of the row that was seen last.
-        load: Last load that the target reported.
-        net_started: Own attempts started minus own attempts ended since then.
-        in_flight: Own attempts in progress.
-        answer_load_at_ms: When an answer last reported a load.
-        base_slowness: Duration of an uncontended attempt as a multiple of the service's
-            least contended time.
-        slowness_at_ms: When the slowness was updated.
-        has_pace: Whether the pace of a stream was measured.
-        unreachable_at: Recency of the row when no connection could be opened.
-    """
-
-    recency: tuple[int, int] = (0, -1)
-    load: int = 0
-    net_started: int = 0
-    in_flight: int = 0
-    answer_load_at_ms: int | None = None
-    base_slowness: float = 1.0
-    slowness_at_ms: int = 0
-    has_pace: bool = False
-    unreachable_at: tuple[int, int] | None = None
-
-
 @attrs.define
 class _Subset:
     candidates: Sequence[TargetRow]
@@ -237,7 +213,9 @@
         self.limits = AdaptiveLimits()
         self.throttle = OutlierThrottle(clock)
         self.prefixes = PrefixIndex()
-        self.stats_by_name: dict[str, _TargetStats] = {}
+        self.health = TargetHealth(clock, HEALTH_RULES, HealthState)
+        # Targets with a measured pace of a stream.
+        self.paced_names: set[str] = set()
         self.subsets_by_service: dict[str, _Subset] = {}
         # By service and locality: names and entries at the last selection, and the
         # positions of the selected names.
@@ -272,7 +250,7 @@
 
     def _is_last_resort(self, row: TargetRow, avoid: Collection[str]) -> bool:
         """Return whether ``row`` was chosen only for lack of a better target."""
-        return row.name in avoid or self._is_unreachable(row)
+        return row.name in avoid or self.health.is_unreachable(row)
 
     def _subset(self, candidates: Sequence[TargetRow]) -> _Subset:
         service = candidates[0].service
@@ -292,7 +270,15 @@
         self.subsets_by_service[service] = subset
         now_ms = self.clock.now_ms()
         for row in (*local, *remote):
-            self._stats(row, now_ms)
+            known = self.health.states_by_name.get(row.name)
+            if known is not None and known.announcement is row:
+                continue
+            self.health.state(row, now_ms)
+            if row.cache_prefixes:
+                # The index ignores events that it knows.
+                changes = row.cache_prefixes
+                events = CacheEvents(row.cache_first, row.cache_last, changes)
+                self.observe_cache(row, events)
         return subset
 
     def _drop_unused(self, before: _Subset | None, names: frozenset[str]) -> None:
@@ -300,8 +286,8 @@
         if before is None or before.names is names or before.names <= names:
             return
         for name in before.names - names:
-            if not self.limits.in_flight_by_name[name]:
-                self.stats_by_name.pop(name, None)
+            if self.health.forget(name):
+                self.paced_names.discard(name)
                 self.limits.forget(name)
                 self.throttle.forget(name)
                 self.prefixes.forget(name)
@@ -331,7 +317,7 @@
         """Return the best drawn target with room and its expected time, or None."""
         available = [row for row in rows if self._has_room(row, work)]
         available = [row for row in available if row.name not in avoid] or available
-        reachable = [row for row in available if not self._is_unreachable(row)]
+        reachable = [row for row in available if not self.health.is_unreachable(row)]
         available = reachable or available
         if not available:
             return None, 0.0
@@ -373,27 +359,16 @@
         extra = self._cached_share(row, work)
         return self.limits.has_room(row.name, row.capacity, extra)
 
-    def _is_unreachable(self, row: TargetRow) -> bool:
-        stats = self.stats_by_name.get(row.name)
-        return stats is not None and stats.unreachable_at == row.recency
-
     def expected_ms(self, row: TargetRow, work: "Work | None", now_ms: int) -> float:
         """Return the expected time to completion at ``row``, in milliseconds.
 
         Without samples of the service, the result is only useful to compare targets.
         """
-        stats = self._stats(row, now_ms)
-        base_ms = None
-        if work is not None:
-            base_ms = self.estimates.baseline_ms(
-                work.service, work.stage, work.size_class
-            )
-        load = self._load(stats, row)
-        age_ms = now_ms - stats.slowness_at_ms
-        slowness_now = 1.0 + (stats.base_slowness - 1.0) * 0.5 ** (
-            age_ms / SLOWNESS_HALF_LIFE_MS
-        )
-        expected = (base_ms or 1.0) * slowness_now * (1.0 + load / row.capacity)
+        state = self.health.state(row)
+        base_ms = self._baseline_ms(work)
+        load = self._load(state, row, now_ms)
+        slowness = self.health.slowness(state, now_ms)
+        expected = (base_ms or 1.0) * slowness * (1.0 + load / row.capacity)
         if self.options.affinity and work is not None and work.prefixes and base_ms:
             saving_ms = self._cache_saving_ms(work.service)
             if saving_ms:
@@ -403,33 +378,15 @@
                 expected -= saving_ms * self._cached_share(row, work) * weight
         return expected
 
-    def _load(self, stats: _TargetStats, row: TargetRow) -> int:
+    def _baseline_ms(self, work: "Work | None") -> int | None:
+        if work is None:
+            return None
+        return self.estimates.baseline_ms(work.service, work.stage, work.size_class)
+
+    def _load(self, state: HealthState, row: TargetRow, now_ms: int) -> float:
         if not self.options.correct_reports:
             return row.running + row.queued
-        return max(stats.load + stats.net_started, stats.in_flight)
-
-    def _stats(self, row: TargetRow, now_ms: int) -> _TargetStats:
-        stats = self.stats_by_name.get(row.name)
-        if stats is None:
-            stats = self.stats_by_name[row.name] = _TargetStats()
-        if row.recency != stats.recency:
-            restarted = row.incarnation != stats.recency[0]
-            stats.recency = row.recency
-            answer_load_at_ms = stats.answer_load_at_ms
-            outdated = (
-                answer_load_at_ms is None
-                or now_ms - answer_load_at_ms >= ANSWER_LOAD_VALIDITY_MS
-            )
-            if restarted or outdated:
-                stats.load = row.running + row.queued
-                stats.net_started = 0
-            if restarted:
-                stats.base_slowness = 1.0
-            if row.cache_prefixes:
-                changes = row.cache_prefixes
-                events = CacheEvents(row.cache_first, row.cache_last, changes)
-                self.observe_cache(row, events)
-        return stats
+        return self.health.load(state, now_ms)
 
     def _cache_saving_ms(self, service: str) -> float:
         cached_ms, uncached_ms = self.mean_engine_ms_by_service.get(
@@ -444,9 +401,7 @@
 
     def started(self, target: TargetRow) -> None:
         """Count the attempt as in flight."""
-        stats = self._stats(target, self.clock.now_ms())
-        stats.net_started += 1
-        stats.in_flight += 1
+        self.health.record_start(target)
         self.limits.started(target.name)
 
     def ended(
@@ -459,25 +414,38 @@
         blamed: bool = True,
     ) -> None:
         """Update load, slowness and limits from the attempt; see ``Router.ended``."""
-        stats = self._stats(target, self.clock.now_ms())
-        stats.net_started -= 1
-        stats.in_flight -= 1
-        slowness = None
-        if succeeded and work is not None:
-            slowness = self._slowness(duration_ms, work)
-            if slowness is not None:
-                self._update_slowness(stats, target, slowness)
-        elif not succeeded and blamed:
+        state = self.health.state(target)
+        self.health.record_end(target)
+        if succeeded:
+            self._record_success(state, target, duration_ms, work)
+        elif blamed:
+            self.health.record_failure(target)
             self.throttle.record(target.name, target.service, FAILURE_SLOWNESS)
         self.limits.ended(target.name)
         if answer is not None:
-            self._update_load(stats, answer)
+            load = TargetLoad(answer.running, answer.queued, target.capacity)
+            self.health.record_load(target, load)
             if work is not None and work.prefixes:
                 self._update_cache_saving(work, answer)
 
-    def _slowness(self, duration_ms: int, work: "Work") -> float | None:
-        base_ms = self.estimates.baseline_ms(work.service, work.stage, work.size_class)
-        return duration_ms / base_ms if base_ms else None
+    def _record_success(
+        self,
+        state: HealthState,
+        target: TargetRow,
+        duration_ms: int,
+        work: "Work | None",
+    ) -> None:
+        base_ms = self._baseline_ms(work)
+        if not base_ms:
+            self.health.record_success(target, None)
+            return
+        slowness = duration_ms / base_ms
+        load = self._load(state, target, self.clock.now_ms())
+        # A queue is no slowness of the target.
+        self.health.record_success(target, slowness / (1.0 + load / target.capacity))
+        # The duration of a stream includes queueing, so its pace is the better measure.
+        if target.name not in self.paced_names:
+            self.throttle.record(target.name, target.service, slowness)
 
     def record_first_item(self, target: TargetRow, wait_ms: int, work: "Work") -> None:
         """Adapt the concurrency limit; the first item shows a queue earliest."""
@@ -487,27 +455,12 @@
         if base_ms:
             self.limits.observe(target.name, target.capacity, wait_ms / base_ms)
 
-    def _update_slowness(
-        self, stats: _TargetStats, target: TargetRow, slowness: float
-    ) -> None:
-        load = self._load(stats, target)
-        uncontended = slowness / (1.0 + load / target.capacity)
-        stats.base_slowness += SLOWNESS_WEIGHT * (uncontended - stats.base_slowness)
-        stats.slowness_at_ms = self.clock.now_ms()
-        # The duration of a stream includes queueing, so its pace is the better measure.
-        if not stats.has_pace:
-            self.throttle.record(target.name, target.service, slowness)
-
     def record_pace(self, target: TargetRow, slowness: float) -> None:
         """Compare the pace of a stream with its peers."""
-        self._stats(target, self.clock.now_ms()).has_pace = True
+        self.health.state(target)
+        self.paced_names.add(target.name)
         self.throttle.record(target.name, target.service, slowness)
 
-    def _update_load(self, stats: _TargetStats, answer: StageAnswer) -> None:
-        stats.load = answer.running + answer.queued
-        stats.net_started = 0
-        stats.answer_load_at_ms = self.clock.now_ms()
-
     def _update_cache_saving(self, work: "Work", answer: StageAnswer) -> None:
         if not answer.tokens_in:
             return
@@ -522,8 +475,7 @@
 
     def mark_unreachable(self, target: TargetRow) -> None:
         """Avoid the target until it announces itself again."""
-        stats = self._stats(target, self.clock.now_ms())
-        stats.unreachable_at = target.recency
+        self.health.record_unreachable(target)
 
     def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
         """Apply cache events of a target that this entry uses.
