Test how measurements of slowness are averaged, and rows announced twice

Cause: of 16 single changes to targets/health.py in a scratch copy, three passed test_health.py: a row that is read again took its load anew, and the averages of either entry used the other's rule.

--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -88,7 +88,10 @@
     health.record_load(ROW, TargetLoad(1, 0, 4))
     later = announce(ROW, running=9, queued=9)
     assert load(health, later) == 1
+    health.record_start(later)
     wait(clock, ANSWER_LOAD_VALIDITY_MS)
+    assert load(health, attrs.evolve(later, silent=True)) == 2
+    health.record_end(later)
     assert load(health, later) == 1
     assert load(health, announce(later)) == 18
 
@@ -105,6 +108,19 @@
         assert slowness(health) == pytest.approx(1.0 + (first - 1.0) / 2**halves)
 
 
+@pytest.mark.parametrize(
+    ("rules", "before"), [(RULES[0], 1 + 4 * 0.3 / 2), (RULES[1], 1 + 4 * 0.2)]
+)
+def test_measurement_is_averaged_with_the_slowness_before(rules, before):
+    """Guards against measurements that outweigh, or do not outweigh, older ones."""
+    clock, health = make(rules)
+    health.record_success(ROW, 5.0)
+    wait(clock, rules.slowness_half_life_ms)
+    health.record_success(ROW, 2.0)
+    weight = rules.slowness_weight
+    assert slowness(health) == pytest.approx(before + weight * (2.0 - before))
+
+
 @pytest.mark.parametrize(
     ("rules", "expected"), [(RULES[0], 1 + 9 * 0.3), (RULES[1], 1 + 99 * 0.2)]
 )
