Check the types of the targets package

Cause: mypy did not check `wagtailrun.targets.*`. It named three places there, all of unstated types of values (a percentile of a library without types, a looked-up attribute, the fields of a row); none of them is a fault.

--- a/wagtailrun/targets/estimates.py
+++ b/wagtailrun/targets/estimates.py
@@ -75,7 +75,8 @@
             return None
         # Uses the window with more samples; merging would copy 17 KB.
         part = max(parts, key=lambda part: part.get_total_count())
-        return part.get_value_at_percentile(percent)
+        value: int = part.get_value_at_percentile(percent)
+        return value
 
 
 @attrs.define
@@ -173,7 +174,8 @@
         for key in ((service, stage, size), (service, stage, ANY_CLASS)):
             entry = self.stages_by_key.get(key)
             if entry is not None:
-                value = getattr(entry, what).percentile(percent, now_ms)
+                values: _RecentValues = getattr(entry, what)
+                value = values.percentile(percent, now_ms)
                 if value is not None:
                     return value
         return None
--- a/wagtailrun/targets/table.py
+++ b/wagtailrun/targets/table.py
@@ -95,7 +95,7 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
-def _essential_state(row: TargetRow) -> tuple:
+def _essential_state(row: TargetRow) -> tuple[object, ...]:
     """Return the fields whose changes are sent to all entries immediately.
 
     The other fields are load figures and sequence numbers.
