Check the types of the placement package

Cause: mypy did not check `wagtailrun.relay.placement.*`.

No fault that a caller sees: the codec writes a set as a list, in an order that nothing reads (tried: encoded and decoded again). The parts are now a sorted tuple, and an entry that places a request itself calls `PlacementHost.place`, as `handle` did.

--- a/wagtailrun/relay/placement/continuation.py
+++ b/wagtailrun/relay/placement/continuation.py
@@ -307,12 +307,18 @@
     version = origin.software_version
     newest = known_by_name.get(row.name)
     if reported is None:
-        is_newer = newest is not None and newest.incarnation > row.incarnation
-        is_other = is_newer and newest.software_version != version
+        is_other = (
+            newest is not None
+            and newest.incarnation > row.incarnation
+            and newest.software_version != version
+        )
     else:
         # An incarnation that no member knows yet may have any version.
-        is_known = newest is not None and newest.incarnation == reported
-        has_version = is_known and newest.software_version == version
+        has_version = (
+            newest is not None
+            and newest.incarnation == reported
+            and newest.software_version == version
+        )
         is_other = reported != row.incarnation and not has_version
     if is_other:
         return "the target was started again and may have another software version"
--- a/wagtailrun/relay/placement/estimate.py
+++ b/wagtailrun/relay/placement/estimate.py
@@ -41,7 +41,7 @@
     time per token differs from that of an idle engine.
     """
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.fixed_ms = IDLE_FIRST_EVENT_MS
         self.ms_per_token = 1.0 / PRIOR_PREFILL_TOKENS_PER_MS
         prior_ms = IDLE_FIRST_EVENT_MS + PRIOR_TOKENS * self.ms_per_token
@@ -76,7 +76,7 @@
 class _RegressionSums:
     """Weighted sums of a simple linear regression."""
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.n = self.x = self.y = self.xx = self.xy = 0.0
 
     def add(self, x: float, y: float, weight: float) -> None:
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -133,7 +133,7 @@
         """
         match message:
             case PlaceRun():
-                return self._place(message)
+                return self.place(message)
             case RunOver():
                 return self._record_end(message)
             case RunBroken():
@@ -142,7 +142,8 @@
             f"{type(message).__name__} is not handled by the placement owner"
         )
 
-    def _place(self, message: PlaceRun) -> Placed:
+    def place(self, message: PlaceRun) -> Placed:
+        """Return the engine of an attempt."""
         rows = self.targets(message.service)
         self.detector.check_rows(rows)
         if message.software_version:
@@ -213,7 +214,8 @@
             return None
         status = self.quarantine.status(parts)
         if status.held_ms:
-            return Placed("", "", 0, held_ms=status.held_ms, held_parts=status.suspects)
+            held_parts = tuple(sorted(status.suspects))
+            return Placed("", "", 0, held_ms=status.held_ms, held_parts=held_parts)
         unsettled = self.detector.suspects(unsettled=True)
         if message.begin and not unsettled.isdisjoint(parts):
             return Placed("", "", 0, held_ms=TRIAL_RETRY_MS)
@@ -418,7 +420,8 @@
                     )
                     await curio.spawn(self._send_end, owner.name, end, daemon=True)
         if not isinstance(placed, Placed):
-            owner, placed = None, await self.handle(message)
+            owner, placed = None, self.host.place(message)
+            await self.report_crashes()
         if message.begin and placed.target and owner is not None:
             self.owner_names_by_key[message.request_id, placed.target] = owner.name
         return placed
