Spare a target that answers 503 with Retry-After, at the product's entry too

Cause: the relay sends a target nothing until the pause that it asked for has ended (`relay/limits/notices.py`). The product's entry told callers its Retry-After, but went on to send it new work: after one 503 with `Retry-After: 1` the next requests, all within that second, went to the same target.

Change: `TargetHealth` keeps the end of a pause, by incarnation and for 24 hours at most, the bound of the relay, which now uses the same constant. The router leaves out targets that pause while another one can serve: one that does not pause, was not just tried and opens connections. If none can serve, those that pause are tried as before, so that a request without a target is still refused at once, with the target's time to come back. A request that moves on in a stream at its own target is no new work.

What callers see: fewer first attempts that fail and are retried. While only targets without room do not pause, a request waits for one, and may be refused by admission, where it went to the pausing target before. Only status 503 with a count of seconds is a pause; other statuses with Retry-After are not, as before.

What the relay does beyond that and this entry does not: one request at first after a pause, and random returns. A target that pauses is still blamed for the failed attempt.

New ones hold the refusal while all targets pause, other statuses, and the router's choice. A comment in test_attempt_ends.py said that the entry knows no pauses.

--- a/tests/test_attempt_ends.py
+++ b/tests/test_attempt_ends.py
@@ -100,7 +100,8 @@
 
 
 # The product's entry sends an order at most once, whatever the target says of it. It
-# knows no pauses or full targets: blame is what keeps work away from them.
+# knows no full targets: blame is what keeps work away from them, and from those that
+# pause while no other can serve.
 AT_MOST_ONCE = {"product": {"again": (True, False), "observed": FAILED}}
 ENDS = [
     End("refused", None, NOT_RUN, UNREACHABLE, (True, True)),
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -14,6 +14,7 @@
     ANSWER_LOAD_VALIDITY_MS,
     FAILURE_HALF_LIFE_MS,
     MAX_EJECTION_MS,
+    MAX_PAUSE_MS,
     MIN_EJECTION_MS,
     HealthState,
     TargetHealth,
@@ -179,6 +180,28 @@
     assert not health.is_unreachable(announce(ROW))
 
 
+@both_entries
+def test_pause_ends_with_time_or_a_new_incarnation(rules):
+    """Guards against requests to a target that pauses, and one that is lost for ever.
+
+    An answer to a request of before the pause ends none, nor does a shorter pause.
+    """
+    clock, health = make(rules)
+    health.record_pause(ROW, 5_000)
+    health.record_pause(ROW, 10)
+    health.record_success(ROW, None)
+    wait(clock, 4_999)
+    assert health.is_paused(ROW)
+    assert not health.is_paused(attrs.evolve(ROW, name="other"))
+    wait(clock, 1)
+    assert not health.is_paused(ROW)
+    assert health.last_pause_ends_ms <= clock.now_ms()
+    health.record_pause(ROW, 10**15)
+    wait(clock, MAX_PAUSE_MS - 1)
+    assert health.is_paused(ROW)
+    assert not health.is_paused(attrs.evolve(ROW, incarnation=1))
+
+
 def test_rejection_without_a_report_of_a_queue_means_full():
     """Guards against further requests to a target that rejects them."""
     _, health = make(choice.HEALTH_RULES)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,5 +1,6 @@
 """Tests of targets that say that they leave, or that ask for a pause."""
 
+import functools
 import socket
 import struct
 
@@ -14,6 +15,7 @@
     NOT_RUN,
     OWN_ENTRY,
     SIGNATURE,
+    Engines,
     answer,
     event,
     lone_grants,
@@ -21,9 +23,13 @@
     send,
     stream,
 )
+from tests.virtual_sockets import run_with_virtual_sockets
+from wagtailrun.adapters.http_client import HttpClient, HttpReply
+from wagtailrun.adapters.http_target import HttpTargetClient
+from wagtailrun.clock import SystemClock
 from wagtailrun.discovery.evacuations import EvacuationView
 from wagtailrun.discovery.target_limits import TargetLimits
-from wagtailrun.exceptions import TargetFailed, TargetPaused
+from wagtailrun.exceptions import Refusal, TargetFailed, TargetPaused
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.core.port import TargetNotice
 from wagtailrun.relay.limits.notices import (
@@ -33,9 +39,14 @@
     TargetNotices,
 )
 from wagtailrun.routes import RouteKind
-from wagtailrun.targets.table import TargetRow
+from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
+from wagtailrun.targets.table import Membership, TargetRow
+from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
 
+# Time of each answer to the product's entry, and of its requests.
+ANSWER_S = 0.02
+DEADLINE_MS = 8_000
 LEAVING = ("Server-Leaving", "1")
 ROW = TargetRow("t1", Address("10.0.0.1", 80), "s", "a", 4, incarnation=3)
 
@@ -99,19 +110,71 @@
 # Pause
 
 
-def test_target_gets_nothing_until_its_pause_ends():
+async def answer_slowly(prepared, request):
+    """Return a prepared answer after a time, as an attempt of the product's entry."""
+    await curio.sleep(ANSWER_S)
+    number = request.headers.get("wagtailrun-attempt", "")
+    echoed = attrs.evolve(request, headers={**request.headers, "attempt-id": number})
+    reply = prepared(echoed)
+    headers = (*reply.headers, ("Wagtailrun-Attempt", number))
+    return attrs.evolve(reply, headers=headers)
+
+
+def run_product(kind, engines, client):
+    """Run ``client(dispatcher, engines)`` at the product's entry, in virtual time.
+
+    All answers take the same time, so that targets are tried in their order.
+    """
+    assert kind is RouteKind.IDEMPOTENT
+
+    async def main():
+        fleet, clock, membership = Engines(), SystemClock(), Membership()
+        for answers in engines:
+            slow = [functools.partial(answer_slowly, each) for each in answers]
+            await fleet.start(*slow)
+        for row in fleet.rows:
+            membership.put(row, clock.now_ms())
+        membership.unconfirmed = True  # Nobody announces the targets.
+        await curio.sleep(0.05)
+        http = HttpTargetClient(HttpClient(clock))
+        dispatcher = make_dispatcher(clock, membership, http, name="e", seed=1)
+        return await client(dispatcher, fleet)
+
+    return run_with_virtual_sockets(main)
+
+
+def tried(fleet):
+    """Return the numbers of the targets that got requests, cancellations aside."""
+    return [number for number, request in fleet.seen if request.method != "DELETE"]
+
+
+async def send_to(entry):
+    """Send a request to an entry, and return its answer or its refusal as one."""
+    if not isinstance(entry, Dispatcher):
+        return await send(entry)
+    deadline_at_ms = entry.clock.now_ms() + DEADLINE_MS
+    work = Work("s", "/v1/x", b"{}", "r", "w", deadline_at_ms, True)
+    result = await entry.call(work)
+    if not isinstance(result, Refusal):
+        return result
+    headers = {"retry-after": str(result.retry_after_ms / 1_000)}
+    return HttpReply(503, headers, b"")
+
+
+@pytest.mark.parametrize(("run", "pause"), [(run_relay, "0.6"), (run_product, "1")])
+def test_target_gets_nothing_until_its_pause_ends(run, pause):
     """Guards against requests to a target that asked for a pause."""
-    engines = [[full(("Retry-After", "0.6")), GOOD], [GOOD]]
+    engines = [[full(("Retry-After", pause)), GOOD], [GOOD]]
 
     async def client(address, fleet):
         for _ in range(10):
-            assert (await send(address)).status == 200
-        during = [number for number, _ in fleet.seen]
-        await curio.sleep(0.6 * 1.25 + 0.1)
-        await send(address)
-        return during, fleet.seen[-1][0]
+            assert (await send_to(address)).status == 200
+        during = tried(fleet)
+        await curio.sleep(float(pause) * 1.25 + 0.1)
+        await send_to(address)
+        return during, tried(fleet)[-1]
 
-    during, after = run_relay(RouteKind.IDEMPOTENT, engines, client)
+    during, after = run(RouteKind.IDEMPOTENT, engines, client)
     assert during == [0] + [1] * 10
     assert after == 0
 
@@ -131,6 +194,37 @@
         assert 29 <= float(reply.headers["retry-after"]) <= 31
 
 
+def test_product_answers_at_once_with_the_time_while_all_targets_pause():
+    """Guards against work that waits for a pause, or is told another time to return."""
+    engines = [[full(("Retry-After", "30"))], [full(("Retry-After", "30"))]]
+
+    async def client(dispatcher, fleet):
+        replies, took_ms = [], []
+        for _ in range(3):
+            began_ms = dispatcher.clock.now_ms()
+            replies.append(await send_to(dispatcher))
+            took_ms.append(dispatcher.clock.now_ms() - began_ms)
+        return replies, max(took_ms)
+
+    replies, took_ms = run_product(RouteKind.IDEMPOTENT, engines, client)
+    assert [reply.status for reply in replies] == [503] * 3
+    assert [reply.headers["retry-after"] for reply in replies] == ["30.0"] * 3
+    assert took_ms < DEADLINE_MS / 2
+
+
+@pytest.mark.parametrize("status", [429, 500])
+def test_delay_of_another_status_is_no_pause_of_the_product(status):
+    """Guards against a target that is left because one request may not return yet."""
+    engines = [[answer(status, b"", ("Retry-After", "30")), GOOD], [GOOD]]
+
+    async def client(dispatcher, fleet):
+        for _ in range(3):
+            assert (await send_to(dispatcher)).status == 200
+        return tried(fleet)
+
+    assert run_product(RouteKind.IDEMPOTENT, engines, client) == [0, 1, 0, 0]
+
+
 def test_request_waits_for_a_short_pause():
     """Guards against a refusal where the request could still be in time."""
     engines = [[full(("Retry-After", "0.1")), GOOD]]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -117,6 +117,34 @@
     assert names == {dead.name, alive.name} or names == {dead.name}
 
 
+def test_target_that_pauses_gets_work_only_if_no_other_can_serve():
+    """Guards against work for a target that asked for none, and work without a target.
+
+    A full target can serve later, so that work waits for it. One that cannot be
+    reached, or was just tried, cannot serve.
+    """
+    one = router()
+    pausing, other = rows(2)
+    remote = rows(1, "west")[0]
+    everywhere = [pausing, other, remote]
+    one.pause(pausing, 5_000)
+    one.started(other)
+    assert one.choose([pausing, other], WORK) is other
+    assert one.choose([pausing, other], WORK, {other.name}) is pausing
+    while one.limits.has_room(other.name, other.capacity):
+        one.started(other)
+    assert one.choose([pausing, other], WORK) is None
+    assert one.choose(everywhere, WORK) is remote
+    assert one.choose([pausing, remote], WORK) is remote
+    one.may_use_remote = lambda service: False
+    assert one.choose([pausing, remote], WORK) is pausing
+    assert one.choose([pausing], WORK) is pausing
+    one.mark_unreachable(other)
+    assert one.choose([pausing, other], WORK) is pausing
+    one.clock.seconds += 5
+    assert one.choose([pausing, attrs.evolve(other, sequence=1)], WORK) is pausing
+
+
 def test_memory_holds_only_targets_in_use():
     """Guards against memory that grows with all targets of a data centre."""
     one = router()
--- a/wagtailrun/adapters/http_target.py
+++ b/wagtailrun/adapters/http_target.py
@@ -17,6 +17,7 @@
 __all__ = ["HttpTargetClient", "ServerSentEvents"]
 
 CANCEL_TIMEOUT_MS = 1_000
+SERVICE_UNAVAILABLE = 503
 MAX_EVENT_BYTES = 64 * 1024
 END_OF_EVENT = b"\n\n"
 # Bytes that are parsed in one turn; even if each three of them are an event, that takes
@@ -160,10 +161,12 @@
     not_run = headers.get("wagtailrun-verdict") == Verdict.NOT_RUN
     end = end_of_answer(status, not_run=not_run)
     if end.verdict is not Verdict.COMPLETE:
+        retry_after_ms = _header_count(headers, "retry-after") * MS_PER_SECOND
         raise TargetFailed(
             f"target answered with status {status}",
             verdict=end.verdict,
-            retry_after_ms=_header_count(headers, "retry-after") * MS_PER_SECOND,
+            retry_after_ms=retry_after_ms,
+            pauses=status == SERVICE_UNAVAILABLE and retry_after_ms > 0,
         )
 
 
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -197,6 +197,7 @@
         closed: Whether the target closed or reset the connection.
         retry_after_ms: Delay that the target requested before a retry, in milliseconds;
             0 if it requested none.
+        pauses: Whether the target is unavailable until then.
     """
 
     def __init__(
@@ -207,12 +208,14 @@
         timed_out: bool = False,
         closed: bool = False,
         retry_after_ms: int = 0,
+        pauses: bool = False,
     ):
         super().__init__(detail)
         self.verdict = verdict
         self.timed_out = timed_out
         self.closed = closed
         self.retry_after_ms = retry_after_ms
+        self.pauses = pauses
 
 
 class ResponseAborted(WagtailrunError):
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -11,7 +11,7 @@
     SendPermit,
     TargetObserver,
 )
-from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import SendForbidden, TargetPaused
 from wagtailrun.logs import events
@@ -19,12 +19,11 @@
 from wagtailrun.relay.core.port import MalformedBound, RelayWire
 from wagtailrun.relay.limits.send_grants import GrantClient
 from wagtailrun.relay.paths.tunnel_messages import PauseNoted, ReportPause
+from wagtailrun.targets.health import MAX_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TargetNotices"]
 
-# A target may ask for a pause of any length; a new incarnation ends it.
-MAX_PAUSE_MS = 24 * 3_600 * MS_PER_SECOND
 # After a pause one request is sent at first. Without an answer, another one follows
 # after this time.
 TRIAL_TIMEOUT_MS = 2_000
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -436,6 +436,8 @@
             self.budget.refund(run.work.service)
         if outcome is RunOutcome.UNREACHABLE:
             self.router.mark_unreachable(run.target)
+        if error.pauses:
+            self.router.pause(run.target, error.retry_after_ms)
         # The router has no form for a rejection; blame keeps work away, too.
         blamed = outcome is not RunOutcome.OVER
         await self._end_attempt(run, blamed, sent=not isinstance(error, ConnectFailed))
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wagtailrun.clock import Clock
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.ports.target import TargetLoad
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
@@ -23,6 +23,8 @@
 # with each further refusal up to the maximum.
 MIN_EJECTION_MS = 300
 MAX_EJECTION_MS = 2_500
+# A target may ask for a pause of any length; a new incarnation ends it.
+MAX_PAUSE_MS = 24 * 3_600 * MS_PER_SECOND
 
 
 @attrs.frozen
@@ -71,6 +73,7 @@
         connect_failures: Number of consecutive attempts without a connection.
         unreachable_at: Recency of the row when no connection could be opened.
         ejected_until_ms: End of the ejection.
+        paused_until_ms: End of the pause that the target asked for.
         slowness: Average time of attempts as a multiple of the usual time, at
             ``slowness_updated_ms``.
     """
@@ -89,6 +92,7 @@
     connect_failures: int = 0
     unreachable_at: tuple[int, int] | None = None
     ejected_until_ms: int = 0
+    paused_until_ms: int = 0
     slowness: float = 1.0
     slowness_updated_ms: int = 0
 
@@ -111,6 +115,9 @@
         clock: Clock.
         rules: Rules of the entry.
         make_state: Makes the state of an incarnation of a target.
+
+    Attributes:
+        last_pause_ends_ms: When no target pauses any more.
     """
 
     def __init__(self, clock: Clock, rules: HealthRules, make_state: type[State]):
@@ -119,6 +126,7 @@
         self.make_state = make_state
         self.reads_announcements = rules.load_lifetime_ms is None
         self.states_by_name: dict[str, State] = {}
+        self.last_pause_ends_ms = 0
 
     def state(self, row: TargetRow, now_ms: int | None = None) -> State:
         """Return the state of a target, with the load that it announced.
@@ -196,6 +204,10 @@
             return state.ejected_until_ms > self.clock.now_ms()
         return state.unreachable_at == row.recency
 
+    def is_paused(self, row: TargetRow) -> bool:
+        """Return whether a target asked for a pause that has not ended."""
+        return self.state(row).paused_until_ms > self.clock.now_ms()
+
     def record_start(self, row: TargetRow) -> None:
         """Record that an attempt was sent."""
         state = self.state(row)
@@ -274,6 +286,13 @@
         backoff_ms = MIN_EJECTION_MS << min(state.connect_failures - 1, 5)
         self._eject(row, min(backoff_ms, MAX_EJECTION_MS))
 
+    def record_pause(self, row: TargetRow, duration_ms: int) -> None:
+        """Record that a target asked for a pause; a shorter one ends none."""
+        state = self.state(row)
+        until_ms = self.clock.now_ms() + min(duration_ms, MAX_PAUSE_MS)
+        state.paused_until_ms = max(state.paused_until_ms, until_ms)
+        self.last_pause_ends_ms = max(self.last_pause_ends_ms, until_ms)
+
     def _eject(self, row: TargetRow, duration_ms: int) -> None:
         state = self.state(row)
         state.unreachable_at = row.recency
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -103,6 +103,9 @@
     def mark_unreachable(self, target: TargetRow) -> None:  # noqa: B027
         """Record that no new connection to ``target`` can be opened."""
 
+    def pause(self, target: TargetRow, duration_ms: int) -> None:  # noqa: B027
+        """Record that ``target`` asked for no new work for a time."""
+
     def observe_cache(  # noqa: B027
         self, target: TargetRow, events: CacheEvents
     ) -> None:
@@ -236,10 +239,17 @@
             return None
         subset = self._subset(candidates)
         now_ms = self.clock.now_ms()
-        local, local_ms = self._best_target(subset.local, work, avoid, now_ms)
-        if not subset.remote or not self.may_use_remote(candidates[0].service):
+        local_rows, remote_rows = subset.local, subset.remote
+        if remote_rows and not self.may_use_remote(candidates[0].service):
+            remote_rows = []
+        if now_ms < self.health.last_pause_ends_ms:
+            paused = self._paused_names([*local_rows, *remote_rows], avoid)
+            local_rows = [row for row in local_rows if row.name not in paused]
+            remote_rows = [row for row in remote_rows if row.name not in paused]
+        local, local_ms = self._best_target(local_rows, work, avoid, now_ms)
+        if not remote_rows:
             return local
-        remote, remote_ms = self._best_target(subset.remote, work, avoid, now_ms)
+        remote, remote_ms = self._best_target(remote_rows, work, avoid, now_ms)
         if local is None or remote is None:
             return local or remote
         if self._is_last_resort(local, avoid):
@@ -248,6 +258,19 @@
             return local
         return remote
 
+    def _paused_names(
+        self, rows: list[TargetRow], avoid: Collection[str]
+    ) -> frozenset[str]:
+        """Return the names of targets that pause, if another one can serve.
+
+        One that can serve may have no room now; work then waits for it.
+        """
+        paused = frozenset([row.name for row in rows if self.health.is_paused(row)])
+        for row in rows:
+            if row.name not in paused and not self._is_last_resort(row, avoid):
+                return paused
+        return frozenset()
+
     def _is_last_resort(self, row: TargetRow, avoid: Collection[str]) -> bool:
         """Return whether ``row`` was chosen only for lack of a better target."""
         return row.name in avoid or self.health.is_unreachable(row)
@@ -477,6 +500,10 @@
         """Avoid the target until it announces itself again."""
         self.health.record_unreachable(target)
 
+    def pause(self, target: TargetRow, duration_ms: int) -> None:
+        """Send no new work to the target until then, while another can serve."""
+        self.health.record_pause(target, duration_ms)
+
     def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
         """Apply cache events of a target that this entry uses.
 
