--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -133,7 +133,7 @@
         """
         match message:
             case PlaceRun():
-                return self._place(message)
+                return self.place(message)
             case RunOver():
                 return self._record_end(message)
             case RunBroken():
@@ -142,7 +142,8 @@
             f"{type(message).__name__} is not handled by the placement owner"
         )
 
-    def _place(self, message: PlaceRun) -> Placed:
+    def place(self, message: PlaceRun) -> Placed:
+        """Return the engine of an attempt."""
         rows = self.targets(message.service)
         self.detector.check_rows(rows)
         if message.software_version:
@@ -179,7 +180,7 @@
             key = message.request_id, row.name
             replaced = self.runs_by_key.pop(key, None)
             if replaced is not None:
-                self.chooser.record_end(replaced.row)
+                self.chooser.health.record_end(replaced.row)
             self.runs_by_key[key] = _Run(
                 row=row,
                 started_ms=self.clock.now_ms(),
@@ -213,7 +214,8 @@
             return None
         status = self.quarantine.status(parts)
         if status.held_ms:
-            return Placed("", "", 0, held_ms=status.held_ms, held_parts=status.suspects)
+            held_parts = tuple(sorted(status.suspects))
+            return Placed("", "", 0, held_ms=status.held_ms, held_parts=held_parts)
         unsettled = self.detector.suspects(unsettled=True)
         if message.begin and not unsettled.isdisjoint(parts):
             return Placed("", "", 0, held_ms=TRIAL_RETRY_MS)
@@ -276,10 +278,10 @@
             self.runs_by_key[key] = attrs.evolve(run, earlier=run.earlier - 1)
             return RunNoted(True)
         del self.runs_by_key[key]
-        self.chooser.record_end(run.row)
+        self.chooser.health.record_end(run.row)
         if message.slots:
             load = TargetLoad(message.running, message.waiting, message.slots)
-            self.chooser.record_load(run.row, load)
+            self.chooser.health.record_load(run.row, load)
         if message.outcome != RunOutcome.SUCCEEDED:
             self._drop_trials(message.request_id)
         if message.outcome in (RunOutcome.OVER, RunOutcome.FAILED):
@@ -293,14 +295,14 @@
             self._record_success(run, message)
         elif message.outcome == RunOutcome.UNREACHABLE:
             self.detector.record_unreachable(run.row)
-        self.chooser.record_outcome(run.row, message.outcome)
+        self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
     def _drop_runs(self, request_id: str) -> RunNoted:
         """Drop the attempts of a request, which its entry has placed itself."""
         keys = [key for key in self.runs_by_key if key[0] == request_id]
         for key in keys:
-            self.chooser.record_end(self.runs_by_key.pop(key).row)
+            self.chooser.health.record_end(self.runs_by_key.pop(key).row)
             self.silence.forget(key)
         self._drop_trials(request_id)
         return RunNoted(bool(keys))
@@ -315,10 +317,10 @@
         first_event_ms = message.first_event_ms
         if not first_event_ms:
             # Another entry that carried the answer may have stood still.
-            self.chooser.record_success(run.row, None)
+            self.chooser.health.record_success(run.row, None)
             return
         slowness = first_event_ms / max(run.expected_ms, 1.0)
-        self.chooser.record_success(run.row, slowness)
+        self.chooser.health.record_success(run.row, slowness)
         took_ms = first_event_ms - run.prefill_queue_ms
         if not self.silence.shares.is_lowered(run.row):
             self.chooser.record_first_event(run.row, run.uncached_tokens, took_ms)
@@ -348,7 +350,7 @@
             if run.started_ms > limit_ms:
                 return
             del self.runs_by_key[key]
-            self.chooser.record_end(run.row)
+            self.chooser.health.record_end(run.row)
             self.silence.forget(key)
 
 
@@ -418,7 +420,8 @@
                     )
                     await curio.spawn(self._send_end, owner.name, end, daemon=True)
         if not isinstance(placed, Placed):
-            owner, placed = None, await self.handle(message)
+            owner, placed = None, self.host.place(message)
+            await self.report_crashes()
         if message.begin and placed.target and owner is not None:
             self.owner_names_by_key[message.request_id, placed.target] = owner.name
         return placed
