Read TOML tables in a module of their own

Cause: the file of an experiment is to be checked like the fleet text; the reader of its tables was private to fleet/model.py. A new package is to be the 31st name of the first level, and tests/test_imports.py allows 30. Ruled out: a second reader of tables; a larger MAX_FIRST_LEVEL.

--- a/tests/test_json_texts.py
+++ b/tests/test_json_texts.py
@@ -9,7 +9,7 @@
 from tests.test_caller_api import PIPELINE, make_api, request
 from tests.test_unending_bytes import TURN_S, measure
 from wagtailrun.clock import SystemClock
-from wagtailrun.json_texts import JsonTexts
+from wagtailrun.serving.json_texts import JsonTexts
 from wagtailrun.serving.pipeline import PipelineInput
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/fleet/__init__.py
+++ b/wagtailrun/fleet/__init__.py
@@ -3,4 +3,5 @@
 __all__ = [
     "diff",
     "model",
+    "tables",
 ]
--- a/wagtailrun/fleet/model.py
+++ b/wagtailrun/fleet/model.py
@@ -3,18 +3,15 @@
 It is written in TOML, as the fleet text.
 """
 
-import datetime
 import enum
 import itertools
-import math
-import re
 import tomllib
-from collections.abc import Iterator
 from typing import Any
 
 import attrs
 
 from wagtailrun.exceptions import FleetTextError
+from wagtailrun.fleet.tables import Table, transfer_faults
 from wagtailrun.routes import RouteTable, route_table_from_document
 
 __all__ = [
@@ -35,11 +32,6 @@
 MAX_FAULTS_REPORTED = 50
 MAX_DEADLINE_MS = 600_000
 MAX_STAGES = 16
-# Nesting that every parser of the processes has room for, wherever it is called.
-MAX_LEVELS = 64
-# Python cannot write longer numbers as decimal digits.
-MAX_INTEGER_BITS = 4_096
-NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 DEFAULT_DEADLINE_MS = 8_000
 
 
@@ -181,96 +173,6 @@
     relay: RouteTable | None = None
 
 
-class _Table:
-    """Reads the keys of one TOML table and collects their faults."""
-
-    def __init__(self, value: Any, path: str, faults: list[str]):
-        self.path = path
-        self.faults = faults
-        self.known_keys: set[str] = set()
-        if not isinstance(value, dict):
-            self.fault("", value, "give a table")
-            value = {}
-        self.value = value
-
-    def fault(self, key: str, value: Any, remedy: str) -> None:
-        where = f"{self.path}.{key}" if key else self.path
-        self.faults.append(f"{where}: {str(value)[:80]!r} is not accepted; {remedy}")
-
-    def _get(self, key: str, default: Any) -> Any:
-        self.known_keys.add(key)
-        return self.value.get(key, default)
-
-    def integer(self, key: str, default: int, low: int, high: int) -> int:
-        value = self._get(key, default)
-        if type(value) is not int or not low <= value <= high:
-            self.fault(key, value, f"give a whole number from {low} to {high}")
-            return default
-        return value
-
-    def boolean(self, key: str, default: bool) -> bool:
-        value = self._get(key, default)
-        if not isinstance(value, bool):
-            self.fault(key, value, "give true or false")
-            return default
-        return value
-
-    def name(self, key: str, default: str = "") -> str:
-        value: str = self._get(key, default)
-        if value != default and not _is_name(value):
-            self.fault(key, value, "use a to z, 0 to 9 and '-', at most 63 characters")
-            return default
-        return value
-
-    def names(self, key: str) -> tuple[str, ...]:
-        value = self._get(key, [])
-        if not isinstance(value, list) or not all(map(_is_name, value)):
-            self.fault(key, value, "give a list of names")
-            return ()
-        if len(set(value)) != len(value):
-            self.fault(key, value, "list each name only once")
-        return tuple(value)
-
-    def choice(self, key: str, kinds: type[enum.StrEnum]) -> Any:
-        value = self._get(key, None)
-        options = ", ".join(kinds)
-        if not isinstance(value, str) or value not in set(kinds):
-            self.fault(key, value, f"choose one of {options}")
-            return next(iter(kinds))
-        return kinds(value)
-
-    def table(self, key: str) -> "_Table":
-        return _Table(self._get(key, {}), f"{self.path}.{key}".lstrip("."), self.faults)
-
-    def tables(self, key: str) -> dict[str, "_Table"]:
-        """Return the sub-tables of ``key`` by name."""
-        parent = self.table(key)
-        for name in parent.value:
-            if not _is_name(name):
-                parent.fault(name, name, "use a to z, 0 to 9 and '-' in names")
-        return {name: parent.table(name) for name in parent.value}
-
-    def array(self, key: str) -> list["_Table"]:
-        value = self._get(key, [])
-        if not isinstance(value, list):
-            self.fault(key, value, "give an array of tables")
-            return []
-        return [
-            _Table(item, f"{self.path}.{key}[{number}]", self.faults)
-            for number, item in enumerate(value)
-        ]
-
-    def close(self) -> None:
-        """Add a fault for each key that was never read, so is unknown."""
-        for key in self.value.keys() - self.known_keys:
-            known = ", ".join(sorted(self.known_keys))
-            self.fault(key, self.value[key], f"remove it; known keys: {known}")
-
-
-def _is_name(value: Any) -> bool:
-    return isinstance(value, str) and NAME_PATTERN.fullmatch(value) is not None
-
-
 def parse_fleet_text(text: str) -> FleetConfiguration:
     """Parse and validate a fleet text.
 
@@ -293,46 +195,16 @@
         document = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
         raise FleetTextError([f"not valid TOML: {error}"]) from error
-    faults = list(itertools.islice(_transfer_faults(document), MAX_FAULTS_REPORTED))
+    faults = list(itertools.islice(transfer_faults(document), MAX_FAULTS_REPORTED))
     if faults:
         raise FleetTextError(faults)
     return fleet_from_document(document)
 
 
-def _transfer_faults(document: dict[str, Any]) -> Iterator[str]:
-    """Yield a fault for each value that JSON cannot carry.
-
-    Control members and entries exchange documents, and differences of them, as JSON.
-    """
-    pending: list[tuple[str, Any, int]] = [("", document, 1)]
-    while pending:
-        path, value, level = pending.pop()
-        if isinstance(value, dict | list):
-            if level > MAX_LEVELS:
-                yield f"{path}: has more than {MAX_LEVELS} levels; nest it less"
-                continue
-            pending += (
-                (each_path, each, level + 1) for each_path, each in _items(path, value)
-            )
-        elif isinstance(value, datetime.date | datetime.time):
-            yield f"{path}: {value} is a date or time; write it in quotes"
-        elif isinstance(value, float) and not math.isfinite(value):
-            yield f"{path}: {value} is not finite; use a number"
-        elif isinstance(value, int) and value.bit_length() > MAX_INTEGER_BITS:
-            yield f"{path}: the number has more than {MAX_INTEGER_BITS} bits; lower it"
-
-
-def _items(path: str, value: dict[str, Any] | list[Any]) -> Iterator[tuple[str, Any]]:
-    """Yield the path and value of each item of a table or array."""
-    if isinstance(value, dict):
-        return ((f"{path}.{key}" if path else key, each) for key, each in value.items())
-    return ((f"{path}[{number}]", each) for number, each in enumerate(value))
-
-
 def fleet_from_document(document: dict[str, Any]) -> FleetConfiguration:
     """Validate a parsed fleet text; see ``parse_fleet_text``."""
     faults: list[str] = []
-    root = _Table(document, "", faults)
+    root = Table(document, "", faults)
     head = root.table("fleet")
     fleet = FleetConfiguration(
         name=head.name("name"),
@@ -360,7 +232,7 @@
     return fleet
 
 
-def _relay(root: _Table, faults: list[str]) -> RouteTable | None:
+def _relay(root: Table, faults: list[str]) -> RouteTable | None:
     table = root.table("relay")
     if not table.value:
         return None
@@ -371,7 +243,7 @@
         return None
 
 
-def _services(root: _Table) -> dict[str, Service]:
+def _services(root: Table) -> dict[str, Service]:
     services = {}
     for name, table in root.tables("services").items():
         services[name] = Service(
@@ -389,14 +261,14 @@
     return services
 
 
-def _price(table: _Table) -> Price:
+def _price(table: Table) -> Price:
     names = [field.name for field in attrs.fields(Price)]
     price = Price(**{name: table.integer(name, 0, 0, 10**12) for name in names})
     table.close()
     return price
 
 
-def _calls(service: _Table) -> dict[str, Call]:
+def _calls(service: Table) -> dict[str, Call]:
     calls = {}
     for name, table in service.tables("calls").items():
         calls[name] = Call(
@@ -409,11 +281,11 @@
     return calls
 
 
-def _deadline(table: _Table) -> int:
+def _deadline(table: Table) -> int:
     return table.integer("deadline_ms", DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS)
 
 
-def _pipelines(root: _Table) -> dict[str, Pipeline]:
+def _pipelines(root: Table) -> dict[str, Pipeline]:
     pipelines = {}
     for name, table in root.tables("pipelines").items():
         stages = []
@@ -428,7 +300,7 @@
     return pipelines
 
 
-def _workspaces(root: _Table) -> dict[str, Workspace]:
+def _workspaces(root: Table) -> dict[str, Workspace]:
     workspaces = {}
     for name, table in root.tables("workspaces").items():
         share = table.integer("share", 1, 1, 1_000_000)
--- a/wagtailrun/serving/pipeline.py
+++ b/wagtailrun/serving/pipeline.py
@@ -10,10 +10,10 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, TargetFailed, Verdict
 from wagtailrun.fleet.model import Pipeline, StageKind, Workspace
-from wagtailrun.json_texts import JsonTexts
 from wagtailrun.ports.target import StageAnswer, Token
 from wagtailrun.serving.deadlines import before_deadline, stream_before_deadline
 from wagtailrun.serving.dispatch import Dispatcher
+from wagtailrun.serving.json_texts import JsonTexts
 from wagtailrun.targets.affinity import prefix_hashes
 from wagtailrun.targets.work import Work
 
