Emulate pauses, links cut one way and lost reports

Cause: an experiment is to describe paused targets, links cut in one direction and lost reports; the emulator had none of them. Ruled out: a paused target as one of great slowness (it would answer probes and announce itself); a link cut one way on which connections work in the other direction (TCP needs both). Before / after: `pause`, `resume`, `lose_reports` and the directions of `cut` are new; a new observer hears only of targets that can reach it.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -156,3 +156,68 @@
         return target.runs_by_key
 
     assert run(scenario, POOL) == {"k": 2}
+
+
+def test_pause_delays_work_and_keeps_connections():
+    """Guards against a paused target that works on, fails, or answers a probe."""
+
+    async def scenario(clock, emulator, client, target):
+        address = target.row.address
+        whole = await curio.spawn(client.call, address, attempt(1, "/x"))
+        await clock.sleep_ms(20)
+        emulator.pause("t")
+        probe = await curio.ignore_after(0.4, client.probe, address)
+        await clock.sleep_ms(4_600)
+        await emulator.resume("t")
+        await whole.join()
+        return probe, clock.now_ms(), target.announces
+
+    probe, ended_ms, announces = run(scenario, POOL)
+    assert probe is None
+    assert 5_070 <= ended_ms <= 5_140
+    assert announces
+
+
+@pytest.mark.parametrize(
+    ("fault", "heard"),
+    [
+        ({"outward": False}, True),
+        ({"inward": False}, False),
+        ("lost", False),
+        ("paused", False),
+    ],
+    ids=str,
+)
+def test_faults_of_reports(fault, heard):
+    """Guards against reports that pass a link cut in their direction, or that are lost.
+
+    With one direction cut, reports pass in the other one, but no connection opens.
+    """
+
+    async def scenario(clock, emulator, client, target):
+        membership = Membership()
+        emulator.observe("west", membership)
+        await curio.spawn(emulator.run_reports, daemon=True)
+        await clock.sleep_ms(1_000)
+        if fault == "lost":
+            emulator.lose_reports("t", 1.0)
+        elif fault == "paused":
+            emulator.pause("t")
+        else:
+            emulator.cut("east", **fault)
+        await clock.sleep_ms(2_000)
+        before = membership.targets_by_name["t"].sequence
+        await clock.sleep_ms(5_000)
+        during = membership.targets_by_name["t"].sequence
+        client = emulator.client("entry", "west")
+        answers = await curio.ignore_after(3, client.probe, target.row.address)
+        late = Membership()
+        emulator.observe("west", late)
+        emulator.heal("east")
+        emulator.lose_reports("t", 0.0)
+        await emulator.resume("t")
+        await clock.sleep_ms(3_000)
+        healed = membership.targets_by_name["t"].sequence > during
+        return during > before, bool(answers), healed, len(late.targets_by_name)
+
+    assert run(scenario) == (heard, fault == "lost", True, 1)
--- a/wagtailrun/replay/player.py
+++ b/wagtailrun/replay/player.py
@@ -26,13 +26,8 @@
     parse_fleet_text,
 )
 from wagtailrun.ports.target import Token
-from wagtailrun.replay.emulator import (
-    CHARACTERS_PER_TOKEN,
-    FOREVER_S,
-    EmulatedClient,
-    Emulator,
-    TargetModel,
-)
+from wagtailrun.replay.emulated_target import CHARACTERS_PER_TOKEN, TargetModel
+from wagtailrun.replay.emulator import FOREVER_S, EmulatedClient, Emulator
 from wagtailrun.replay.report import Outcome, ReplayReport, ReportBuilder
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
--- a/wagtailrun/replay/report.py
+++ b/wagtailrun/replay/report.py
@@ -8,7 +8,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import Refusal
-from wagtailrun.replay.emulator import EmulatedTarget
+from wagtailrun.replay.emulated_target import EmulatedTarget
 
 __all__ = ["Outcome", "ReplayReport", "ReportBuilder"]
 
