Let other modules play on the player of traces

Cause: experiments play on the same entries and targets; the class of the player was private, entries could not start again, and an outcome did not say where a request was sent, how many tokens came or why it was lost. Ruled out: a second player. Before / after: `Replay` and `EmulatedEntry` are public, `add_entry` replaces an entry, the load balancer leaves out one that is not in rotation; `Outcome` names entry, sending time, tokens and failure. Conclusion: the player can be extended; it records what experiments need of a request, except its steps.

--- a/wagtailrun/replay/__init__.py
+++ b/wagtailrun/replay/__init__.py
@@ -1,5 +1,8 @@
 """Replay of recorded traces in virtual time."""
 
 __all__ = [
+    "emulated_target",
+    "emulator",
     "player",
+    "report",
 ]
--- a/wagtailrun/replay/emulator.py
+++ b/wagtailrun/replay/emulator.py
@@ -18,7 +18,7 @@
 from wagtailrun.targets.affinity import CacheEvents
 from wagtailrun.targets.table import Membership, TargetRow
 
-__all__ = ["EmulatedClient", "Emulator", "TargetModel"]
+__all__ = ["EmulatedClient", "Emulator", "Observer", "TargetModel"]
 
 CONNECT_TIMEOUT_MS = 1_000
 ANNOUNCE_INTERVAL_MS = 1_000
@@ -38,7 +38,7 @@
 
 
 @attrs.define
-class _Observer:
+class Observer:
     """A receiver of announcements."""
 
     data_centre: str
@@ -74,7 +74,7 @@
         self.link_ms = link_ms
         self.targets_by_address: dict[Address, EmulatedTarget] = {}
         self.targets_by_name: dict[str, EmulatedTarget] = {}
-        self.observers: list[_Observer] = []
+        self.observers: list[Observer] = []
         # Data centres whose messages, or messages to which, are lost.
         self.cut_outward: set[str] = set()
         self.cut_inward: set[str] = set()
@@ -106,12 +106,12 @@
         data_centre: str,
         membership: Membership,
         on_cache_events: Callable[[TargetRow, CacheEvents], None] | None = None,
-    ) -> _Observer:
+    ) -> Observer:
         """Deliver announcements to a membership, the current ones immediately.
 
         Targets that cannot announce themselves now are not among the current ones.
         """
-        observer = _Observer(data_centre, membership, on_cache_events)
+        observer = Observer(data_centre, membership, on_cache_events)
         self.observers.append(observer)
         for target in self.targets_by_name.values():
             sender = target.row.data_centre
--- a/wagtailrun/replay/player.py
+++ b/wagtailrun/replay/player.py
@@ -27,7 +27,7 @@
 )
 from wagtailrun.ports.target import Token
 from wagtailrun.replay.emulated_target import CHARACTERS_PER_TOKEN, TargetModel
-from wagtailrun.replay.emulator import FOREVER_S, EmulatedClient, Emulator
+from wagtailrun.replay.emulator import FOREVER_S, EmulatedClient, Emulator, Observer
 from wagtailrun.replay.report import Outcome, ReplayReport, ReportBuilder
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
@@ -35,7 +35,15 @@
 from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
 
-__all__ = ["EntryContext", "ReplayReport", "main", "replay", "replay_records"]
+__all__ = [
+    "EmulatedEntry",
+    "EntryContext",
+    "Replay",
+    "ReplayReport",
+    "main",
+    "replay",
+    "replay_records",
+]
 
 COMPLETION_POLL_MS = 1_000
 
@@ -66,19 +74,36 @@
 DispatcherFactory = Callable[[EntryContext], Dispatcher]
 
 
-class _Entry:
-    """One emulated entry: the production dispatcher with an emulated target client."""
+class EmulatedEntry:
+    """One emulated entry: the production dispatcher with an emulated target client.
 
-    def __init__(self, context: EntryContext, dispatcher: Dispatcher):
+    Args:
+        context: What the entry was built from.
+        dispatcher: Dispatcher of the entry.
+        observer: Its receiver of announcements.
+    """
+
+    def __init__(
+        self, context: EntryContext, dispatcher: Dispatcher, observer: Observer
+    ):
         self.context = context
         self.dispatcher = dispatcher
+        self.observer = observer
         self.runner = PipelineRunner(context.clock, dispatcher)
         self.alive = True
+        # Whether the load balancer sends it new requests.
+        self.in_rotation = True
         self.tasks: dict[curio.Task, None] = {}
 
 
-class _Replay:
-    """One run of a trace in virtual time."""
+class Replay:
+    """One run of a trace in virtual time.
+
+    Args:
+        clock: Virtual clock.
+        records: Header, arrivals and faults.
+        dispatcher_factory: Returns the dispatcher of an entry.
+    """
 
     def __init__(
         self,
@@ -110,11 +135,17 @@
             cache_event_loss=self.header.get("cache_event_loss", 0.0),
             link_ms=self.header.get("link_ms", 0.5),
         )
-        self.entries_by_name: dict[str, _Entry] = {}
+        self.entries_by_name: dict[str, EmulatedEntry] = {}
         self.outcomes: list[Outcome] = []
         self.gaps: Counter[int] = Counter()
 
     async def run(self) -> ReplayReport:
+        """Play the trace and return the report."""
+        await self.play()
+        return self._build_report()
+
+    async def play(self) -> None:
+        """Play the trace until the last request has ended."""
         for group in self.header["targets"]:
             model = TargetModel(**group["model"])
             for number in range(group["count"]):
@@ -122,19 +153,19 @@
                 service, data_centre = group["service"], group["data_centre"]
                 await self.emulator.add(name, service, data_centre, model)
         for entry in self.header["entries"]:
-            self._add_entry(entry["name"], entry["data_centre"])
+            self.add_entry(entry["name"], entry["data_centre"])
         await curio.spawn(self.emulator.run_reports, daemon=True)
         for fault in self.faults:
-            await curio.spawn(self._inject_fault, fault, daemon=True)
+            await curio.spawn(self.inject_fault, fault, daemon=True)
         turns = itertools.count()
         for number, arrival in enumerate(self.arrivals):
             await self.clock.sleep_ms(arrival["at"] - self.clock.now_ms())
             await self._dispatch_arrival(arrival, f"r{number}", next(turns))
         while any(entry.tasks for entry in self.entries_by_name.values()):
             await self.clock.sleep_ms(COMPLETION_POLL_MS)
-        return self._build_report()
 
-    def _add_entry(self, name: str, data_centre: str) -> None:
+    def add_entry(self, name: str, data_centre: str) -> None:
+        """Start an entry, in place of an earlier one of this name."""
         membership = Membership()
         context = EntryContext(
             name=name,
@@ -147,8 +178,8 @@
         )
         dispatcher = self.dispatcher_factory(context)
         on_events = getattr(dispatcher.router, "observe_cache", None)
-        self.emulator.observe(data_centre, membership, on_events)
-        self.entries_by_name[name] = _Entry(context, dispatcher)
+        observer = self.emulator.observe(data_centre, membership, on_events)
+        self.entries_by_name[name] = EmulatedEntry(context, dispatcher, observer)
 
     async def _dispatch_arrival(
         self, arrival: dict[str, Any], request_id: str, turn: int
@@ -157,28 +188,36 @@
             entry
             for entry in self.entries_by_name.values()
             if entry.alive
+            and entry.in_rotation
             and arrival.get("data_centre", entry.context.data_centre)
             == entry.context.data_centre
         ]
-        outcome = Outcome(arrival, request_id)
+        outcome = Outcome(arrival, request_id, sent_ms=self.clock.now_ms())
         self.outcomes.append(outcome)
-        if entries:
+        if not entries:
+            outcome.failure = "no-entry"
+            outcome.ended_ms = outcome.sent_ms
+        else:
             entry = entries[turn % len(entries)]
+            outcome.entry = entry.context.name
             task = await curio.spawn(self._serve, entry, outcome, daemon=True)
             entry.tasks[task] = None
 
-    async def _serve(self, entry: _Entry, outcome: Outcome) -> None:
+    async def _serve(self, entry: EmulatedEntry, outcome: Outcome) -> None:
         task = await curio.current_task()
         try:
             if "pipeline" in outcome.arrival:
                 await self._serve_pipeline(entry, outcome)
             else:
                 await self._serve_call(entry, outcome)
-            outcome.ended_ms = self.clock.now_ms()
+        except curio.CancelledError:
+            outcome.failure = "entry-killed"
+            raise
         finally:
+            outcome.ended_ms = self.clock.now_ms()
             entry.tasks.pop(task, None)
 
-    async def _serve_pipeline(self, entry: _Entry, outcome: Outcome) -> None:
+    async def _serve_pipeline(self, entry: EmulatedEntry, outcome: Outcome) -> None:
         arrival = outcome.arrival
         pipeline = self.fleet.pipelines_by_name[arrival["pipeline"]]
         deadline_at_ms = self._deadline_at_ms(arrival, pipeline.deadline_ms)
@@ -231,11 +270,12 @@
                     good = token.last or token.text == text
                     outcome.wrong |= token.offset != expected or not good
                     expected += not token.last
+                    outcome.tokens += not token.last
                     done = done or token.last
         outcome.wrong |= not done or expected != outcome.arrival["output"]
         self._record_answer(outcome, deadline_at_ms)
 
-    async def _serve_call(self, entry: _Entry, outcome: Outcome) -> None:
+    async def _serve_call(self, entry: EmulatedEntry, outcome: Outcome) -> None:
         arrival = outcome.arrival
         call = self.fleet.services_by_name[arrival["service"]].calls_by_name[
             arrival["call"]
@@ -268,7 +308,8 @@
         outcome.late = self.clock.now_ms() > deadline_at_ms
         outcome.complete = not outcome.wrong and not outcome.late
 
-    async def _inject_fault(self, fault: dict[str, Any]) -> None:
+    async def inject_fault(self, fault: dict[str, Any]) -> None:
+        """Wait for the start of a fault, and keep it up until its end."""
         await self.clock.sleep_ms(fault["at"])
         names = [
             name
@@ -309,7 +350,7 @@
                 await self._wait_for_fault_end(fault)
                 self.emulator.heal(fault["data_centre"])
             case "entry-killed":
-                await self._kill_entry(fault["entry"])
+                await self.kill_entry(fault["entry"])
             case unknown:
                 raise ValueError(f"the trace has an unknown fault {unknown!r}")
 
@@ -320,9 +361,10 @@
             return
         await self.clock.sleep_ms(end_ms - self.clock.now_ms())
 
-    async def _kill_entry(self, name: str) -> None:
+    async def kill_entry(self, name: str) -> None:
+        """End an entry's process: its connections are reset."""
         entry = self.entries_by_name[name]
-        entry.alive = False
+        entry.alive = entry.observer.alive = False
         for task in list(entry.tasks):
             await task.cancel(blocking=False)
         await self.emulator.drop_entry(name)
@@ -374,7 +416,7 @@
     """Replay a trace given as parsed records; see ``replay``."""
 
     async def run(clock: Clock) -> ReplayReport:
-        return await _Replay(clock, records, dispatcher_factory).run()
+        return await Replay(clock, records, dispatcher_factory).run()
 
     report: ReplayReport = run_virtual(run)
     return report
--- a/wagtailrun/replay/report.py
+++ b/wagtailrun/replay/report.py
@@ -10,7 +10,7 @@
 from wagtailrun.exceptions import Refusal
 from wagtailrun.replay.emulated_target import EmulatedTarget
 
-__all__ = ["Outcome", "ReplayReport", "ReportBuilder"]
+__all__ = ["Outcome", "ReplayReport", "ReportBuilder", "quantile"]
 
 # Latency objectives for ``first_within`` and ``gap_within``.
 OBJECTIVE_FIRST_TOKEN_MS = 1_200
@@ -104,6 +104,11 @@
         wrong: Whether a part was missing, repeated or of another request.
         refusal: Refusal, if the request was refused.
         first_ms: Time from arrival to the first token, if there was one.
+        entry: Name of the entry that it was sent to, empty if there was none.
+        sent_ms: When it was sent, on the virtual clock.
+        tokens: Number of tokens that the caller received.
+        failure: Why it got neither an answer nor a refusal: ``no-entry`` or
+            ``entry-killed``; else empty.
     """
 
     arrival: dict[str, Any]
@@ -114,6 +119,10 @@
     wrong: bool = False
     refusal: Refusal | None = None
     first_ms: float | None = None
+    entry: str = ""
+    sent_ms: float = 0.0
+    tokens: int = 0
+    failure: str = ""
 
 
 class ReportBuilder:
@@ -173,11 +182,11 @@
 
     def _report_times(self, report: ReplayReport) -> None:
         first = [o.first_ms for o in self.outcomes if o.first_ms is not None]
-        report.first_token_p50 = _quantile(first, 0.5)
-        report.first_token_p95 = _quantile(first, 0.95)
+        report.first_token_p50 = quantile(first, 0.5)
+        report.first_token_p95 = quantile(first, 0.95)
         gaps = sorted(self.gaps.elements())
-        report.gap_p50 = _quantile(gaps, 0.5)
-        report.gap_p95 = _quantile(gaps, 0.95)
+        report.gap_p50 = quantile(gaps, 0.5)
+        report.gap_p95 = quantile(gaps, 0.95)
         if gaps:
             within = sum(n for gap, n in self.gaps.items() if gap <= OBJECTIVE_GAP_MS)
             report.gap_within = within / len(gaps)
@@ -187,7 +196,7 @@
         waits = [
             o.ended_ms - o.arrival["at"] for o in self.outcomes if o.refusal is not None
         ]
-        report.refusal_wait_p95 = _quantile(waits, 0.95)
+        report.refusal_wait_p95 = quantile(waits, 0.95)
 
     def _report_costs(self, report: ReplayReport) -> None:
         complete = {o.request_id: o for o in self.outcomes if o.complete}
@@ -243,7 +252,8 @@
     return {name: _attainment(group) for name, group in sorted(groups.items())}
 
 
-def _quantile(values: Sequence[float], share: float) -> float:
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return the value that ``share`` of the values do not exceed, 0 without any."""
     if not values:
         return 0.0
     return sorted(values)[min(int(len(values) * share), len(values) - 1)]
