Read and check the file of an experiment

Ruled out: the form of the traces for operators (no units, no bounds, no check). Before / after: `wagtailrun experiment check FILE` refuses with key, value and remedy and exit code 2, among others unknown keys, impossible rates, faults on nothing or beyond the length, overlapping faults of one process, variants of a name taken or of a key that is not there, files that are no TOML or not UTF-8, traces that are missing or cut. Conclusion: a file is checked whole; it is not played yet.

--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -21,6 +21,7 @@
     EXIT_SUCCESS,
     describe_error,
 )
+from wagtailrun.cli.experiment import EXPERIMENT_COMMANDS
 from wagtailrun.cli.explain import lines_of_request
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
 from wagtailrun.exceptions import FleetTextError, WagtailrunError
@@ -425,6 +426,12 @@
 ]
 
 
+# Commands by name; a list holds the commands below a name.
+COMMANDS_BY_NAME = {command.__name__: command for command in COMMANDS} | {
+    "experiment": EXPERIMENT_COMMANDS
+}
+
+
 def _read_file(file: str) -> str:
     """Return at most ``MAX_TEXT_BYTES`` + 1 bytes of a file, as text.
 
@@ -495,7 +502,7 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     try:
-        code = defopt.run(COMMANDS, argv=arguments)
+        code = defopt.run(COMMANDS_BY_NAME, argv=arguments)
     except KeyboardInterrupt:
         code = EXIT_INTERRUPTED
     except (WagtailrunError, OSError) as error:
--- a/wagtailrun/cli/exit_codes.py
+++ b/wagtailrun/cli/exit_codes.py
@@ -2,9 +2,15 @@
 
 from wagtailrun.cli.client import NoAnswer
 from wagtailrun.cli.output import printable_lines
-from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
+from wagtailrun.exceptions import (
+    ExperimentFileError,
+    FleetTextError,
+    SettingsError,
+    WagtailrunError,
+)
 
 __all__ = [
+    "EXIT_BROKEN_PROMISE",
     "EXIT_INTERRUPTED",
     "EXIT_REFUSED",
     "EXIT_SUCCESS",
@@ -15,6 +21,8 @@
 EXIT_SUCCESS = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
+# An experiment was played to its end, and a promise of its file did not hold.
+EXIT_BROKEN_PROMISE = 3
 # Exit code that shells report for a process ended by SIGINT.
 EXIT_INTERRUPTED = 130
 
@@ -25,6 +33,6 @@
     if isinstance(error, NoAnswer):
         advice = "; it may have run: run the same command again" * error.may_have_run
         text = f"no control member answered: {error}{advice}"
-    elif isinstance(error, FleetTextError | SettingsError):
+    elif isinstance(error, ExperimentFileError | FleetTextError | SettingsError):
         code = EXIT_USAGE
     return f"wagtailrun: {printable_lines(text)}", code
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -12,6 +12,8 @@
     "CorruptRecord",
     "DiskFault",
     "DiskFull",
+    "ExperimentFailed",
+    "ExperimentFileError",
     "FleetTextError",
     "MalformedAddress",
     "MessageError",
@@ -114,6 +116,22 @@
         self.faults = faults
 
 
+class ExperimentFileError(WagtailrunError):
+    """The file of an experiment is invalid.
+
+    Args:
+        faults: One line for each fault, with key, value and remedy.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class ExperimentFailed(WagtailrunError):
+    """An experiment could not be played or its results not be written."""
+
+
 class MessageError(WagtailrunError):
     """A message of a peer cannot be decoded, or one to a peer cannot be encoded."""
 
--- /dev/null
+++ b/wagtailrun/experiments/reading.py
@@ -0,0 +1,312 @@
+"""Reads and checks the file of an experiment."""
+
+import copy
+import tomllib
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from wagtailrun.exceptions import ExperimentFileError, FleetTextError
+from wagtailrun.experiments.faults import read_faults
+from wagtailrun.experiments.loads import read_loads
+from wagtailrun.experiments.model import (
+    Experiment,
+    Measure,
+    Promise,
+    Scenario,
+    TargetGroup,
+)
+from wagtailrun.experiments.tables import milliseconds, read_fleet, required
+from wagtailrun.fleet.model import FleetConfiguration, ServiceKind
+from wagtailrun.fleet.tables import Table, is_name, transfer_faults
+from wagtailrun.replay.emulated_target import TargetModel
+from wagtailrun.serving.dispatch import DispatchOptions
+from wagtailrun.targets.routing import RouterOptions
+
+__all__ = ["load_experiment"]
+
+MAX_FILE_BYTES = 4 * 1024 * 1024
+MAX_FAULTS_REPORTED = 50
+# The emulator waits for up to a day where it waits for ever.
+MAX_LENGTH_S = 43_200
+MAX_SEEDS = 1_000
+MAX_SEED = 2**31 - 1
+MAX_VARIANTS = 100
+MAX_PROCESSES = 1_000
+# Requests of one play, which are kept in memory until its end.
+MAX_REQUESTS = 1_000_000
+MAX_LINK_MS = 1_000
+MAX_REPORT_LAG_MS = 60_000
+MAX_SETTING_MS = 600_000
+MAX_RETRIES = 10
+MAX_PROMISED = 10**9
+# Keys that hold for all variants.
+COMMON_KEYS = ("name", "length_s", "seeds", "variants")
+BASE_VARIANT = "base"
+
+
+def load_experiment(path: str | Path) -> Experiment:
+    """Read and check the file of an experiment.
+
+    Args:
+        path: TOML file; the paths in it are relative to its directory.
+
+    Raises:
+        ExperimentFileError: With key, value and remedy of each fault.
+    """
+    path = Path(path)
+    text = _read_text(path)
+    try:
+        document = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as error:
+        raise ExperimentFileError([f"{path}: not valid TOML: {error}"]) from error
+    faults = list(transfer_faults(document))
+    _raise_faults(faults)
+    root = Table(document, "", faults)
+    name, seeds = root.name("name"), _seeds(root)
+    if not name:
+        root.fault("name", "", "name the experiment")
+    variants = _read_variants(root)
+    scenario = _scenario(root, path.parent)
+    _raise_faults(faults)
+    scenarios = {}
+    for variant, changes in variants.items():
+        scenarios[variant] = scenario
+        if changes:
+            scenarios[variant] = _changed_scenario(
+                document, variant, changes, path.parent
+            )
+    if not variants:
+        scenarios = {BASE_VARIANT: scenario}
+    return Experiment(name, text, scenario.length_ms, seeds, scenarios)
+
+
+def _read_text(path: Path) -> str:
+    try:
+        with path.open("rb") as file:
+            data = file.read(MAX_FILE_BYTES + 1)
+        if len(data) > MAX_FILE_BYTES:
+            detail = f"{path}: larger than {MAX_FILE_BYTES} bytes; shorten the file"
+            raise ExperimentFileError([detail])
+        return data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        detail = f"{path}: not UTF-8 at byte {error.start}; save the file as UTF-8"
+        raise ExperimentFileError([detail]) from error
+    except OSError as error:
+        detail = f"cannot read {path}: {error.strerror}; name a readable file"
+        raise ExperimentFileError([detail]) from error
+
+
+def _raise_faults(faults: list[str]) -> None:
+    if not faults:
+        return
+    reported = sorted(set(faults))[:MAX_FAULTS_REPORTED]
+    more = len(set(faults)) - len(reported)
+    raise ExperimentFileError(
+        reported + ([f"and {more} more faults"] if more > 0 else [])
+    )
+
+
+def _seeds(root: Table) -> tuple[int, ...]:
+    value = root.value.get("seeds", 1)
+    if not isinstance(value, list):
+        return tuple(range(1, root.integer("seeds", 1, 1, MAX_SEEDS) + 1))
+    root.known_keys.add("seeds")
+    whole = all(type(seed) is int and 0 <= seed <= MAX_SEED for seed in value)
+    if not whole or not 1 <= len(value) <= MAX_SEEDS or len(set(value)) < len(value):
+        remedy = f"give 1 to {MAX_SEEDS} different whole numbers up to {MAX_SEED}"
+        root.fault("seeds", value, remedy)
+    return tuple(value)
+
+
+def _read_variants(root: Table) -> dict[str, dict[str, Any]]:
+    """Return the changes of each variant by key path."""
+    variants: dict[str, dict[str, Any]] = {}
+    tables = root.array("variants")
+    if len(tables) > MAX_VARIANTS:
+        root.fault("variants", len(tables), f"give at most {MAX_VARIANTS}")
+    for table in tables:
+        name = table.name("name")
+        changes = table.table("changes").value
+        if not name:
+            table.fault("name", name, "name the variant")
+        elif name in variants:
+            table.fault("name", name, "another variant has this name; change one")
+        for path, value in changes.items():
+            if not _change(copy.deepcopy(root.value), path, value):
+                table.fault(
+                    "changes",
+                    path,
+                    "name a key that the file has, as in load.0.rate_per_s, or one of "
+                    f"settings; {', '.join(COMMON_KEYS)} hold for all variants",
+                )
+        table.close()
+        variants[name] = changes
+    return variants
+
+
+def _change(document: dict[str, Any], path: str, value: Any) -> bool:
+    """Set the value at a path of keys and indices; return whether it exists."""
+    *parents, last = path.split(".")
+    if path.split(".")[0] in COMMON_KEYS:
+        return False
+    if parents == ["settings"]:
+        document.setdefault("settings", {})
+    at: Any = document
+    for key in parents:
+        at = _item(at, key)
+    if parents != ["settings"] and _item(at, last) is None:
+        return False
+    if isinstance(at, list):
+        at[int(last)] = value
+    elif isinstance(at, dict):
+        at[last] = value
+    return isinstance(at, dict | list)
+
+
+def _item(value: Any, key: str) -> Any:
+    """Return an item of a table or array, None if there is none."""
+    if isinstance(value, dict):
+        return value.get(key)
+    if isinstance(value, list) and key.isascii() and key.isdecimal():
+        return value[int(key)] if len(key) < 9 and int(key) < len(value) else None
+    return None
+
+
+def _changed_scenario(
+    document: dict[str, Any], variant: str, changes: dict[str, Any], directory: Path
+) -> Scenario:
+    changed = copy.deepcopy(document)
+    for path, value in changes.items():
+        _change(changed, path, value)
+    faults: list[str] = []
+    try:
+        scenario = _scenario(Table(changed, "", faults), directory, COMMON_KEYS)
+        _raise_faults(faults)
+    except ExperimentFileError as error:
+        raise ExperimentFileError(
+            [f"variant {variant}: {fault}" for fault in error.faults]
+        ) from error
+    return scenario
+
+
+def _scenario(root: Table, directory: Path, known: Iterable[str] = ()) -> Scenario:
+    root.known_keys.update(known)
+    length_ms = milliseconds(root, "length_s", MAX_LENGTH_S, 1)
+    fleet = _fleet(root.table("fleet"), directory)
+    if fleet is None:
+        # Nothing else can be checked without the names in the fleet text.
+        _raise_faults(root.faults)
+        raise AssertionError("a missing fleet is a fault")
+    entries = _entries(root.table("entries"), fleet)
+    targets = _targets(root, fleet)
+    links = root.table("links")
+    scenario = Scenario(
+        length_ms=length_ms,
+        fleet=fleet,
+        entries_by_data_centre=entries,
+        targets=targets,
+        link_ms=links.number("delay_ms", 0.5, 0, MAX_LINK_MS) or 0.0,
+        report_lag_ms=links.integer("report_lag_ms", 500, 0, MAX_REPORT_LAG_MS),
+        cache_event_loss=links.number("cache_event_loss", 0.0, 0, 1) or 0.0,
+        settings=_settings(root.table("settings")),
+        loads=(),
+        faults=(),
+        promises=(),
+    )
+    links.close()
+    scenario = attrs.evolve(scenario, faults=read_faults(root, scenario, directory))
+    scenario = attrs.evolve(scenario, loads=read_loads(root, scenario, directory))
+    if sum(load.expected_requests for load in scenario.loads) > MAX_REQUESTS:
+        remedy = f"lower rates or length to {MAX_REQUESTS} requests in all"
+        root.fault("load", "too many requests", remedy)
+    scenario = attrs.evolve(scenario, promises=_promises(root, fleet))
+    root.close()
+    return scenario
+
+
+def _fleet(table: Table, directory: Path) -> FleetConfiguration | None:
+    try:
+        return read_fleet(table, directory)
+    except FleetTextError as error:
+        table.faults.extend(f"fleet text: {fault}" for fault in error.faults)
+        return None
+
+
+def _entries(table: Table, fleet: FleetConfiguration) -> dict[str, int]:
+    counts = {
+        name: table.integer(name, 0, 0, MAX_PROCESSES) for name in fleet.data_centres
+    }
+    table.close()
+    if not any(counts.values()):
+        table.fault("", table.value, "give the number of entries by data centre")
+    return {name: count for name, count in counts.items() if count}
+
+
+def _targets(root: Table, fleet: FleetConfiguration) -> tuple[TargetGroup, ...]:
+    groups: dict[tuple[str, str], TargetGroup] = {}
+    for table in root.array("targets"):
+        service, data_centre = table.name("service"), table.name("data_centre")
+        known = fleet.services_by_name.get(service)
+        if known is None:
+            table.fault("service", service, "name a service of the fleet text")
+        if data_centre not in fleet.data_centres:
+            remedy = f"choose one of {', '.join(fleet.data_centres)}"
+            table.fault("data_centre", data_centre, remedy)
+        if (service, data_centre) in groups:
+            table.fault("service", service, "add the count to the earlier table")
+        count = table.integer("count", 1, 1, MAX_PROCESSES)
+        is_engine = known is not None and known.kind is ServiceKind.ENGINE
+        model = _target_model(table.table("model"), is_engine)
+        groups[service, data_centre] = TargetGroup(service, data_centre, count, model)
+        table.close()
+    return tuple(groups.values())
+
+
+def _target_model(table: Table, is_engine: bool) -> TargetModel:
+    capacity = table.integer("capacity", 8, 1, 10_000)
+    if is_engine:
+        model = TargetModel(
+            capacity=capacity,
+            decode_ms=required(table, "decode_ms", 0.1, 10_000),
+            prefill_us=table.number("prefill_us", 0.0, 0, 1_000_000) or 0.0,
+            cache_blocks=table.integer("cache_blocks", 0, 0, 1_000_000),
+        )
+    else:
+        service_ms = required(table, "service_ms", 0.1, 600_000)
+        model = TargetModel(capacity=capacity, service_ms=service_ms)
+    table.close()
+    return model
+
+
+def _settings(table: Table) -> dict[str, Any]:
+    """Return the settings of the entries that the file gives, by name."""
+    table.integer("max_retries", DispatchOptions().max_retries, 0, MAX_RETRIES)
+    for field in (*attrs.fields(DispatchOptions), *attrs.fields(RouterOptions)):
+        if field.name != "max_retries":
+            table.boolean(field.name, True)
+    for name in ("drain_notice_ms", "drain_limit_ms"):
+        table.integer(name, 0, 0, MAX_SETTING_MS)
+    table.close()
+    return dict(table.value)
+
+
+def _promises(root: Table, fleet: FleetConfiguration) -> tuple[Promise, ...]:
+    promises: dict[str, Promise] = {}
+    for table in root.array("promises"):
+        name, workspace = table.name("name"), table.name("workspace")
+        measure = table.choice("measure", Measure)
+        if not is_name(name) or name in promises:
+            table.fault("name", name, "give each promise a name of its own")
+        if workspace and workspace not in fleet.workspaces_by_name:
+            table.fault("workspace", workspace, "name a workspace of the fleet text")
+        is_share = measure not in (Measure.FIRST_P95, Measure.ORDER_RUNS)
+        bound = required(table, "bound", 0, 1 if is_share else MAX_PROMISED)
+        over_ms = 0
+        if measure is Measure.HELD_THEN_REFUSED:
+            over_ms = int(required(table, "over_ms", 0, MAX_SETTING_MS))
+        promises[name] = Promise(name, measure, bound, workspace, over_ms)
+        table.close()
+    return tuple(promises.values())
--- /dev/null
+++ b/wagtailrun/experiments/tables.py
@@ -0,0 +1,54 @@
+"""What the readers of several parts of an experiment's file share."""
+
+from pathlib import Path
+
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.exceptions import FleetTextError
+from wagtailrun.fleet.model import FleetConfiguration, parse_fleet_text
+from wagtailrun.fleet.tables import Table
+
+__all__ = ["milliseconds", "optional_milliseconds", "read_fleet", "required"]
+
+MAX_FLEET_BYTES = 4 * 1024 * 1024
+
+
+def required(table: Table, key: str, low: float, high: float) -> float:
+    """Return a number that must be there; ``low`` after a fault."""
+    if key not in table.value:
+        table.known_keys.add(key)
+        table.fault(key, "nothing", f"add a number from {low:g} to {high:g}")
+        return low
+    value = table.number(key, low, low, high)
+    return low if value is None else value
+
+
+def milliseconds(table: Table, key: str, high_s: float, low_s: float = 0) -> int:
+    """Return a time that the file must give in seconds."""
+    return round(required(table, key, low_s, high_s) * MS_PER_SECOND)
+
+
+def optional_milliseconds(table: Table, key: str, high_s: float) -> int | None:
+    """Return a time that the file gives in seconds, None without one."""
+    table.known_keys.add(key)
+    return milliseconds(table, key, high_s) if key in table.value else None
+
+
+def read_fleet(table: Table, directory: Path) -> FleetConfiguration:
+    """Return the fleet configuration whose text, or its path, a table gives.
+
+    Raises:
+        FleetTextError: If the text is invalid or cannot be read.
+    """
+    text, path = table.text("text"), table.text("path")
+    table.close()
+    if bool(text) == bool(path):
+        remedy = "give either the fleet text as text, or its path"
+        raise FleetTextError([f"{table.path}: {table.value!r:.80}; {remedy}"])
+    if path:
+        try:
+            with (directory / path).open("rb") as file:
+                text = file.read(MAX_FLEET_BYTES + 1).decode("utf-8")
+        except (OSError, ValueError) as error:
+            detail = f"{table.path}.path: cannot read {path!r}: {error}"
+            raise FleetTextError([detail]) from error
+    return parse_fleet_text(text)
