--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -128,7 +128,6 @@
     base, double = experiment.scenarios_by_variant.values()
     assert base.faults[0].subjects == ("engines-east-0", "engines-east-1")
     assert (base.faults[0].at_ms, base.faults[0].until_ms) == (5_000, 7_000)
-    assert [load.is_order for load in base.loads] == [False, True]
     assert base.loads[0].expected_requests == 40
     assert base.loads[1].expected_requests == pytest.approx(20 * 1.8)
     assert (base.loads[0].rate, double.loads[0].rate) == (2.0, 4.0)
@@ -222,6 +221,14 @@
     "prompt": 50,
     "output": 5,
 }
+ORDER = {
+    "kind": "arrival",
+    "at": 100,
+    "workspace": "clerks",
+    "service": "desk",
+    "call": "book",
+    "key": "k",
+}
 
 
 @pytest.mark.parametrize(
@@ -236,6 +243,7 @@
         ([json.dumps({**ARRIVAL, "workspace": "x"})], "must be a workspace"),
         ([json.dumps({**ARRIVAL, "data_centre": "x"})], "'x' has no entries"),
         ([json.dumps({"kind": "arrival", "at": 1})], "workspace, service, call is mis"),
+        ([json.dumps(ORDER)] * 2, "line 2.*no table of order keys"),
         (['{"kind": "fault"}'], "describe faults in the file"),
         (["[1]"], "must be a JSON object"),
     ],
--- a/wagtailrun/experiments/loads.py
+++ b/wagtailrun/experiments/loads.py
@@ -101,7 +101,6 @@
         pipeline=pipeline,
         service=service,
         call=call,
-        is_order=_is_order(scenario.fleet, service, call),
         data_centre=data_centre,
         start_ms=start_ms,
         end_ms=end_ms,
@@ -130,12 +129,6 @@
     return [stage.kind for stage in known.stages] if known else []
 
 
-def _is_order(fleet: FleetConfiguration, service: str, call: str) -> bool:
-    known = fleet.services_by_name.get(service)
-    found = known.calls_by_name.get(call) if known else None
-    return found is not None and not found.idempotent
-
-
 def _deadline(
     table: Table, scenario: Scenario, pipeline: str, service: str, call: str
 ) -> int | None:
@@ -239,6 +232,7 @@
         table.fault("trace", name, f"name a readable trace: {error}")
         return Load(arrivals=Arrivals.TRACE)
     checked: set[tuple[str, ...]] = set()
+    keys_seen: set[str] = set()
     for number, line in enumerate(lines, 1):
         if not line.strip():
             continue
@@ -249,6 +243,9 @@
             if work not in checked:
                 checked.add(work)
                 fault = "; ".join(_work_faults(scenario, *work))
+            if record.get("key") in keys_seen:
+                fault = "the emulator has no table of order keys: give each key once"
+            keys_seen |= {record["key"]} if record.get("key") else set()
             recorded.append(record)
         if fault:
             table.fault("trace", f"{name}, line {number}", fault)
--- a/wagtailrun/experiments/model.py
+++ b/wagtailrun/experiments/model.py
@@ -20,6 +20,7 @@
     "Scenario",
     "Sizes",
     "TargetGroup",
+    "kind_of_work",
 ]
 
 
@@ -97,7 +98,6 @@
         pipeline: Pipeline, empty for a call.
         service: Service of a call, empty for a pipeline.
         call: Call of the service.
-        is_order: Whether the call may not be repeated.
         data_centre: Data centre of the callers; empty for each in turn at random.
         start_ms: When the load starts.
         end_ms: When it ends.
@@ -116,7 +116,6 @@
     pipeline: str = ""
     service: str = ""
     call: str = ""
-    is_order: bool = False
     data_centre: str = ""
     start_ms: int = 0
     end_ms: int = 0
@@ -253,6 +252,14 @@
         }
 
 
+def kind_of_work(fleet: FleetConfiguration, arrival: dict[str, Any]) -> str:
+    """Return whether an arrival is a ``pipeline``, a ``call`` or an ``order``."""
+    if "pipeline" in arrival:
+        return "pipeline"
+    calls = fleet.services_by_name[arrival["service"]].calls_by_name
+    return "call" if calls[arrival["call"]].idempotent else "order"
+
+
 @attrs.frozen
 class Experiment:
     """A checked experiment.
--- a/wagtailrun/replay/player.py
+++ b/wagtailrun/replay/player.py
@@ -115,7 +115,7 @@
         self.dispatcher_factory = dispatcher_factory
         self.header: dict[str, Any] = {}
         self.arrivals: list[dict[str, Any]] = []
-        self.faults: list[dict[str, Any]] = []
+        self.faults: list[Any] = []
         for record in records:
             if record["kind"] == "header":
                 self.header = record
@@ -146,6 +146,16 @@
 
     async def play(self) -> None:
         """Play the trace until the last request has ended."""
+        await self.start()
+        turns = itertools.count()
+        for number, arrival in enumerate(self.arrivals):
+            await self.clock.sleep_ms(arrival["at"] - self.clock.now_ms())
+            await self._dispatch_arrival(arrival, f"r{number}", next(turns))
+        while any(entry.tasks for entry in self.entries_by_name.values()):
+            await self.clock.sleep_ms(COMPLETION_POLL_MS)
+
+    async def start(self) -> None:
+        """Start targets, entries, reports and faults."""
         for group in self.header["targets"]:
             model = TargetModel(**group["model"])
             for number in range(group["count"]):
@@ -157,12 +167,6 @@
         await curio.spawn(self.emulator.run_reports, daemon=True)
         for fault in self.faults:
             await curio.spawn(self.inject_fault, fault, daemon=True)
-        turns = itertools.count()
-        for number, arrival in enumerate(self.arrivals):
-            await self.clock.sleep_ms(arrival["at"] - self.clock.now_ms())
-            await self._dispatch_arrival(arrival, f"r{number}", next(turns))
-        while any(entry.tasks for entry in self.entries_by_name.values()):
-            await self.clock.sleep_ms(COMPLETION_POLL_MS)
 
     def add_entry(self, name: str, data_centre: str) -> None:
         """Start an entry, in place of an earlier one of this name."""
@@ -192,7 +196,9 @@
             and arrival.get("data_centre", entry.context.data_centre)
             == entry.context.data_centre
         ]
-        outcome = Outcome(arrival, request_id, sent_ms=self.clock.now_ms())
+        deadline_ms = self._deadline_ms(arrival)
+        sent_ms = self.clock.now_ms()
+        outcome = Outcome(arrival, request_id, deadline_ms, sent_ms=sent_ms)
         self.outcomes.append(outcome)
         if not entries:
             outcome.failure = "no-entry"
@@ -220,7 +226,7 @@
     async def _serve_pipeline(self, entry: EmulatedEntry, outcome: Outcome) -> None:
         arrival = outcome.arrival
         pipeline = self.fleet.pipelines_by_name[arrival["pipeline"]]
-        deadline_at_ms = self._deadline_at_ms(arrival, pipeline.deadline_ms)
+        deadline_at_ms = outcome.deadline_at_ms
         body = {"prompt": _make_prompt(arrival, outcome.request_id)}
         body["max_tokens"] = arrival["output"]
         request = PipelineRequest(
@@ -280,7 +286,7 @@
         call = self.fleet.services_by_name[arrival["service"]].calls_by_name[
             arrival["call"]
         ]
-        deadline_at_ms = self._deadline_at_ms(arrival, call.deadline_ms)
+        deadline_at_ms = outcome.deadline_at_ms
         workspace = self.fleet.workspaces_by_name[arrival["workspace"]]
         body = {"order_key": arrival.get("key", "")}
         work = Work.for_call(
@@ -299,16 +305,20 @@
         outcome.wrong = answered != outcome.request_id
         self._record_answer(outcome, deadline_at_ms)
 
-    def _deadline_at_ms(self, arrival: dict[str, Any], longest_ms: int) -> int:
-        at_ms: int = arrival["at"]
+    def _deadline_ms(self, arrival: dict[str, Any]) -> int:
+        if "pipeline" in arrival:
+            longest_ms = self.fleet.pipelines_by_name[arrival["pipeline"]].deadline_ms
+        else:
+            calls = self.fleet.services_by_name[arrival["service"]].calls_by_name
+            longest_ms = calls[arrival["call"]].deadline_ms
         stated_ms: int = arrival.get("deadline", longest_ms)
-        return at_ms + min(stated_ms, longest_ms)
+        return min(stated_ms, longest_ms)
 
     def _record_answer(self, outcome: Outcome, deadline_at_ms: int) -> None:
         outcome.late = self.clock.now_ms() > deadline_at_ms
         outcome.complete = not outcome.wrong and not outcome.late
 
-    async def inject_fault(self, fault: dict[str, Any]) -> None:
+    async def inject_fault(self, fault: Any) -> None:
         """Wait for the start of a fault, and keep it up until its end."""
         await self.clock.sleep_ms(fault["at"])
         names = [
--- a/wagtailrun/replay/report.py
+++ b/wagtailrun/replay/report.py
@@ -98,6 +98,7 @@
     Attributes:
         arrival: Record of the trace.
         request_id: Identifier of the request.
+        deadline_ms: Deadline, from the arrival.
         ended_ms: End of the request on the virtual clock.
         complete: Whether the answer was complete, correct and in time.
         late: Whether the answer arrived after the deadline.
@@ -113,6 +114,7 @@
 
     arrival: dict[str, Any]
     request_id: str
+    deadline_ms: int
     ended_ms: float = 0.0
     complete: bool = False
     late: bool = False
@@ -124,6 +126,12 @@
     tokens: int = 0
     failure: str = ""
 
+    @property
+    def deadline_at_ms(self) -> int:
+        """When the deadline ends, on the virtual clock."""
+        arrives_at_ms: int = self.arrival["at"]
+        return arrives_at_ms + self.deadline_ms
+
 
 class ReportBuilder:
     """Builds the report of a replay.
