--- a/wagtailrun/experiments/reading.py
+++ b/wagtailrun/experiments/reading.py
@@ -36,7 +36,7 @@
 MAX_VARIANTS = 100
 MAX_PROCESSES = 1_000
 # Requests of one play, which are kept in memory until its end.
-MAX_REQUESTS = 1_000_000
+MAX_REQUESTS = 500_000
 MAX_LINK_MS = 1_000
 MAX_REPORT_LAG_MS = 60_000
 MAX_SETTING_MS = 600_000
