Play a rolling restart to its end

Cause: a play ended with its last request, so that a rolling restart late in it left out entries without an event; how long an entry drains is not known when the file is checked. Ruled out: refusing such files by a bound on the drain (30 s an entry, far more than a drain takes). Before / after: test_rolling_restart_is_played_to_its_end failed (one event of two) and passes; pytest tests/test_experiment_play.py, 33 passed. Conclusion: every entry that the file names is restarted and has its event; the end may lie beyond the length.

--- a/tests/test_experiment_play.py
+++ b/tests/test_experiment_play.py
@@ -215,6 +215,14 @@
     assert {r.entry for r in away} == {"entry-east-1"}
 
 
+def test_rolling_restart_is_played_to_its_end(tmp_path):
+    """Guards against entries that a rolling restart leaves out without notice."""
+    more = fault("rolling-restart", "east", 16, "for_s = 1\ngap_s = 2")
+    events = play(tmp_path, STEADY + more).events
+    assert [event.subject for event in events] == [("entry-east-0",), ("entry-east-1",)]
+    assert events[1].until_ms > 20_000
+
+
 def test_drain_limit_holds(tmp_path):
     """Guards against a setting of the entries that is accepted and not applied."""
     text = STEADY.replace("values = [10, 30]", "values = [100]")
--- a/wagtailrun/experiments/play.py
+++ b/wagtailrun/experiments/play.py
@@ -64,6 +64,8 @@
         self.events: list[EventRecord] = []
         self.samples: list[SampleRecord] = []
         self.error: Exception | None = None
+        kinds = [fault.kind for fault in scenario.faults]
+        self.rolling_restarts = kinds.count(FaultKind.ROLLING_RESTART)
 
     def _build_dispatcher(self, context: EntryContext) -> Dispatcher:
         """Return the dispatcher of a real entry, with the settings of the file."""
@@ -138,6 +140,7 @@
         await self.clock.sleep_ms(fault.at_ms)
         if fault.kind is FaultKind.ROLLING_RESTART:
             await self._restart_in_turn(fault)
+            self.rolling_restarts -= 1
             return
         planned = fault.kind is FaultKind.CHANGE_FLEET
         self._record_event(fault, fault.until_ms, fault.subjects, planned)
@@ -307,8 +310,10 @@
         play = _Play(clock, scenario, seed, report_progress)
         await play.play()
         # Faults that begin after the last request are events, too.
-        left_ms = scenario.length_ms - clock.now_ms()
-        await clock.sleep_ms(left_ms)
+        await clock.sleep_ms(scenario.length_ms - clock.now_ms())
+        # How long entries drain is not known before.
+        while play.rolling_restarts and play.error is None:
+            await clock.sleep_ms(DRAIN_POLL_MS)
         return play.make_records()
 
     records: PlayRecords = run_virtual(run)
