--- a/wagtailrun/experiments/arrivals.py
+++ b/wagtailrun/experiments/arrivals.py
@@ -86,8 +86,10 @@
 
 def _draw_size(sizes: Distribution, source: random.Random) -> int:
     if sizes.kind is Sizes.LOGNORMAL:
-        drawn = sizes.median * source.lognormvariate(0.0, sizes.sigma)
-        return max(1, min(round(drawn), sizes.maximum))
+        median, highest = sizes.values
+        drawn = median * source.lognormvariate(0.0, sizes.sigma)
+        return max(1, round(min(drawn, highest)))
     if sizes.kind is Sizes.UNIFORM:
-        return source.randint(*sizes.values)
-    return source.choice(sizes.values)
+        low, high = map(int, sizes.values)
+        return source.randint(low, high)
+    return int(source.choice(sizes.values))
