--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,6 +14,7 @@
 COMMANDS = {
     "entry", "control", "check", "plan", "apply", "status", "targets", "orders",
     "refusals", "costs", "audit", "replay", "report", "explain", "stages",
+    "experiment",
 }  # fmt: skip
 
 
