Use one set of records for the results of experiments, and put reports below experiments

Cause: the command that writes results and the one that reads them were written at the same time, and had the records of docs/experiments.md twice, with other names; two packages more on the first level made 31 names, one over the limit of the tests. Ruled out: a higher limit; a package of its own for the records. Before / after: test_imports.py failed with 31 names; 5 record types stood twice. Now experiments/records.py has them once, and experiments/reports reads what experiments writes.

--- a/tests/test_report_comparison.py
+++ b/tests/test_report_comparison.py
@@ -9,15 +9,15 @@
 
 from tests.made_results import make_results
 from tests.test_reports import run_command
-from wagtailrun.reports.command import read_report
-from wagtailrun.reports.comparison import (
+from wagtailrun.experiments.reports.command import read_report
+from wagtailrun.experiments.reports.comparison import (
     METHOD,
     Difference,
     compare,
     interval,
     student_quantile,
 )
-from wagtailrun.reports.page import make_page
+from wagtailrun.experiments.reports.page import make_page
 
 DRAWS = 2_000
 
--- a/tests/test_report_page.py
+++ b/tests/test_report_page.py
@@ -12,9 +12,9 @@
 from tests.made_results import make_results
 from tests.test_reports import change_json, run_command
 from wagtailrun.exceptions import ResultsError
-from wagtailrun.reports import page_file
-from wagtailrun.reports.command import read_report
-from wagtailrun.reports.page import make_page
+from wagtailrun.experiments.reports import page_file
+from wagtailrun.experiments.reports.command import read_report
+from wagtailrun.experiments.reports.page import make_page
 
 VOID = {"meta", "br", "img", "link", "input", "hr"}
 
@@ -234,14 +234,20 @@
         "wagtailrun.relay.entry",
         "wagtailrun.serving.daemon",
     ]
-    packages = ("numpy", "matplotlib", "jinja2", "tqdm", "wagtailrun.reports")
+    packages = (
+        "numpy",
+        "matplotlib",
+        "jinja2",
+        "tqdm",
+        "wagtailrun.experiments.reports",
+    )
     program = f"""
 import importlib, sys
 for name in {modules}:
     importlib.import_module(name)
 found = set({packages}) & set(sys.modules)
 assert not found, found
-import wagtailrun.reports.command
+import wagtailrun.experiments.reports.command
 assert not set({packages[:-1]}) & set(sys.modules)
 """
     result = subprocess.run(
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -12,11 +12,11 @@
 from tests.made_results import make_request, make_results, write_lines
 from wagtailrun.cli import commands as cli
 from wagtailrun.exceptions import ResultsError, SettingsError
-from wagtailrun.reports.command import read_report
-from wagtailrun.reports.figures import promise_rows, summary
-from wagtailrun.reports.reading import Play, ResultsDirectory
-from wagtailrun.reports.records import Request
-from wagtailrun.reports.tally import tally_play
+from wagtailrun.experiments.records import RequestRecord
+from wagtailrun.experiments.reports.command import read_report
+from wagtailrun.experiments.reports.figures import promise_rows, summary
+from wagtailrun.experiments.reports.reading import Play, ResultsDirectory
+from wagtailrun.experiments.reports.tally import tally_play
 
 REQUESTS = "base/2/requests.jsonl"
 
@@ -199,7 +199,7 @@
     return [field.name for field in kind.__attrs_attrs__]
 
 
-@pytest.mark.parametrize("field", fields_of(Request))
+@pytest.mark.parametrize("field", fields_of(RequestRecord))
 def test_missing_or_mistyped_field_is_named(results, field):
     """Guards against a field that is taken for 0 or empty where it is missing."""
     path = results / REQUESTS
--- a/wagtailrun/cli/report.py
+++ b/wagtailrun/cli/report.py
@@ -36,14 +36,16 @@
     if not directories:
         raise SettingsError("name one results directory, or two to compare")
     # Imported here so that the other commands start faster.
-    command = importlib.import_module("wagtailrun.reports.command")
+    command = importlib.import_module("wagtailrun.experiments.reports.command")
     if html:
         command.require_packages(command.PAGE_PACKAGES)
-        page_file = importlib.import_module("wagtailrun.reports.page_file")
+        page_file = importlib.import_module("wagtailrun.experiments.reports.page_file")
         page_file.check_new(Path(html), force=force)
     found = command.read_report(directories, variant or [], _print_progress)
     if html:
-        make_page = importlib.import_module("wagtailrun.reports.page").make_page
+        make_page = importlib.import_module(
+            "wagtailrun.experiments.reports.page"
+        ).make_page
         page_file.write_page(Path(html), make_page(found), force=force)
     if json:
         print_json(found.as_json())
--- a/wagtailrun/experiments/model.py
+++ b/wagtailrun/experiments/model.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from wagtailrun.experiments.records import RequestKind
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.replay.emulated_target import TargetModel
 
@@ -248,7 +249,7 @@
         }
 
 
-def kind_of_work(fleet: FleetConfiguration, arrival: dict[str, Any]) -> str:
+def kind_of_work(fleet: FleetConfiguration, arrival: dict[str, Any]) -> RequestKind:
     """Return whether an arrival is a ``pipeline``, a ``call`` or an ``order``."""
     if "pipeline" in arrival:
         return "pipeline"
--- a/wagtailrun/experiments/play.py
+++ b/wagtailrun/experiments/play.py
@@ -19,8 +19,8 @@
     PlayRecords,
     RequestRecord,
     SampleRecord,
-    make_request_record,
 )
+from wagtailrun.experiments.request_records import make_request_record
 from wagtailrun.replay.player import EntryContext, Replay
 from wagtailrun.replay.report import Outcome
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
--- a/wagtailrun/experiments/records.py
+++ b/wagtailrun/experiments/records.py
@@ -1,72 +1,129 @@
-"""Records of a play, as docs/experiments.md describes them."""
+"""Records of a results directory, as docs/experiments.md describes them.
 
-from collections.abc import Mapping, Sequence
+A play writes whole milliseconds; readers take any number.
+"""
 
-import attrs
+import enum
+from collections.abc import Sequence
+from typing import Any, Literal, TypeVar
 
-from wagtailrun.exceptions import Verdict
-from wagtailrun.experiments.attempts import AttemptRecord
-from wagtailrun.replay.report import Outcome
+import attrs
+import cattrs
 
 __all__ = [
     "EventRecord",
+    "Outcome",
     "PlayRecords",
     "PromiseRecord",
+    "RequestKind",
     "RequestRecord",
+    "Run",
     "SampleRecord",
     "StepRecord",
-    "make_request_record",
+    "structure",
 ]
 
-WRONG_ANSWER = "wrong-answer"
-INTERNAL = "internal"
+# A longer duration is taken for a fault of the record; histograms end there.
+MAX_DURATION_MS = 86_400_000
+# From here on, not every whole number has a double.
+MAX_NUMBER = 2**53
+# Faults of one record that a message names.
+MAX_FAULTS = 3
+
+T = TypeVar("T")
+
+RequestKind = Literal["pipeline", "call", "order"]
+
+
+class Outcome(enum.StrEnum):
+    """How a request ended."""
+
+    SERVED = "served"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+@attrs.frozen
+class Run:
+    """What ``run.json`` says; docs/experiments.md describes the fields."""
+
+    format: int
+    version: str
+    name: str
+    world: Literal["emulator", "processes"]
+    length_ms: float
+    variants: list[str]
+    seeds: list[int]
+    finished: list[tuple[str, int]]
+    complete: bool
 
 
 @attrs.frozen
 class StepRecord:
-    """The attempt that counted in one step of a request."""
+    """Step of a request; durations are in milliseconds."""
 
     stage: str
     target: str
-    queue_ms: int
-    run_ms: int
-    first_ms: int
+    queue_ms: float
+    run_ms: float
+    first_ms: float | None
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class RequestRecord:
-    """What one request experienced."""
+    """What one request experienced; docs/experiments.md describes the fields."""
 
     number: int
     workspace: str
     data_centre: str
     entry: str
-    kind: str
+    kind: RequestKind
     name: str
-    intended_at_ms: int
-    sent_at_ms: int
-    deadline_ms: int
+    intended_at_ms: float
+    sent_at_ms: float
+    deadline_ms: float
     prompt_tokens: int
     max_tokens: int
-    outcome: str
+    outcome: Outcome
     reason: str
     verdict: str
-    retry_after_ms: int
-    first_ms: int | None
-    ended_ms: int | None
+    retry_after_ms: float
+    first_ms: float | None
+    ended_ms: float | None
     tokens: int
     attempts: int
     hedges: int
     wasted_ms: float
     steps: tuple[StepRecord, ...]
 
+    def __attrs_post_init__(self) -> None:
+        """Check fields against each other.
+
+        Raises:
+            ValueError: If they contradict each other.
+        """
+        if self.outcome is Outcome.REFUSED and not self.reason:
+            raise ValueError("refused without a reason")
+        needs_end = (Outcome.SERVED, Outcome.LATE, Outcome.REFUSED)
+        if self.outcome in needs_end and self.ended_ms is None:
+            raise ValueError(f"{self.outcome} without ended_ms")
+        durations = (
+            self.first_ms,
+            self.ended_ms,
+            self.sent_at_ms - self.intended_at_ms,
+        )
+        if any(each is not None and each > MAX_DURATION_MS for each in durations):
+            raise ValueError("a duration is longer than a day")
+
 
 @attrs.frozen
 class EventRecord:
-    """A fault or planned work that took place."""
+    """Fault or planned work; ``until_ms`` is None if it does not end."""
 
-    at_ms: int
-    until_ms: int | None
+    at_ms: float
+    until_ms: float | None
     kind: str
     subject: tuple[str, ...]
     planned: bool
@@ -74,27 +131,44 @@
 
 @attrs.frozen
 class SampleRecord:
-    """Load of a target at one time."""
+    """State of one target at one time; ``capacity`` is in requests at once."""
 
-    at_ms: int
+    at_ms: float
     target: str
     service: str
     data_centre: str
-    running: int
-    queued: int
-    capacity: int
+    running: float
+    queued: float
+    capacity: float
     present: bool
 
 
+def _is_number(value: Any) -> bool:
+    return type(value) in (int, float) and abs(value) < MAX_NUMBER
+
+
+def _is_text(value: Any) -> bool:
+    # JSON may hold half a surrogate pair, which no file in UTF-8 can.
+    if type(value) is not str:
+        return False
+    return value.isascii() or value == value.encode(errors="replace").decode()
+
+
+def _is_plain(_: Any, field: "attrs.Attribute[Any]", value: Any) -> None:
+    is_empty = value is None or type(value) is bool
+    if not is_empty and not _is_number(value) and not _is_text(value):
+        raise ValueError(f"{field.name} is no number, text or null")
+
+
 @attrs.frozen
 class PromiseRecord:
-    """A bound and what was measured, None without a request to measure."""
+    """Promise of an experiment; ``held`` is None if it was not measured."""
 
     name: str
-    bound: float
-    measured: float | None
+    bound: Any = attrs.field(validator=_is_plain)
+    measured: Any = attrs.field(validator=_is_plain)
     unit: str
-    held: bool
+    held: bool | None
     detail: str
 
 
@@ -108,120 +182,73 @@
     promises: Sequence[PromiseRecord]
 
 
-def make_request_record(
-    number: int,
-    outcome: Outcome,
-    kind: str,
-    attempts: Sequence[AttemptRecord],
-    hedges: int,
-    engine_ms_by_attempt: Mapping[tuple[str, int], float],
-) -> RequestRecord:
-    """Return the record of a request.
-
-    Args:
-        number: Its place in the order of intended starts.
-        outcome: Its result at the player.
-        kind: ``pipeline``, ``call`` or ``order``.
-        attempts: Its attempts, in order of sending.
-        hedges: Number of those that were hedges.
-        engine_ms_by_attempt: Processing times by stage and number of the attempt.
+def _whole(value: Any, _: type) -> int:
+    if type(value) is not int or not 0 <= value < MAX_NUMBER:
+        raise ValueError(f"{value!r:.40} is no whole number from 0")
+    return value
+
+
+def _number(value: Any, _: type) -> float:
+    if not _is_number(value) or value < 0:
+        raise ValueError(f"{value!r:.40} is no number from 0")
+    return float(value)
+
+
+def _text(value: Any, _: type) -> str:
+    if not _is_text(value):
+        raise ValueError(f"{value!r:.40} is no text")
+    return str(value)
+
+
+def _boolean(value: Any, _: type) -> bool:
+    if type(value) is not bool:
+        raise ValueError(f"{value!r:.40} is neither true nor false")
+    return value
+
+
+def _is_list(kind: Any) -> bool:
+    of_any_length = getattr(kind, "__args__", ())[1:] == (Ellipsis,)
+    return of_any_length or getattr(kind, "__origin__", None) is list
+
+
+def _list_of(kind: Any) -> Any:
+    """Return a hook for a list; without one, a text is taken for a list."""
+    inner = kind.__args__[0]
+
+    def check(value: Any, _: type) -> Any:
+        if type(value) is not list:
+            raise ValueError(f"{value!r:.40} is no list")
+        return kind([CONVERTER.structure(each, inner) for each in value])
+
+    return check
+
+
+def _describe(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, KeyError):
+        return "missing field"
+    return str(error) or cattrs.v.format_exception(error, kind)
+
+
+CONVERTER = cattrs.Converter()
+CONVERTER.register_structure_hook(int, _whole)
+CONVERTER.register_structure_hook(float, _number)
+CONVERTER.register_structure_hook(str, _text)
+CONVERTER.register_structure_hook(bool, _boolean)
+# Else the hook for texts would take any text for an outcome.
+CONVERTER.register_structure_hook(Outcome, lambda value, _: Outcome(value))
+CONVERTER.register_structure_hook_factory(_is_list, _list_of)
+
+
+def structure(value: Any, kind: type[T]) -> T:
+    """Return a JSON value as a record.
+
+    Raises:
+        ValueError: If a field is missing, of another type or out of range.
     """
-    arrival = outcome.arrival
-    at_ms = int(arrival["at"])
-    counted = _counted_attempts(attempts)
-    result, reason, verdict = _classify(outcome)
-    answered = result in ("served", "late")
-    ended_ms = int(outcome.ended_ms) - at_ms
-    first_ms = outcome.first_ms
-    if answered and first_ms is None:
-        first_ms = ended_ms
-    used_ms = 0.0
-    if answered:
-        used = [*counted, *_resumed_attempts(attempts, counted)]
-        keys = {(attempt.stage, attempt.number) for attempt in used}
-        used_ms = sum(engine_ms_by_attempt.get(key, 0.0) for key in sorted(keys))
-    refusal = outcome.refusal
-    return RequestRecord(
-        number=number,
-        workspace=arrival["workspace"],
-        data_centre=arrival.get("data_centre", ""),
-        entry=outcome.entry,
-        kind=kind,
-        name=arrival.get("pipeline") or f"{arrival['service']}/{arrival['call']}",
-        intended_at_ms=at_ms,
-        sent_at_ms=int(outcome.sent_ms),
-        deadline_ms=outcome.deadline_ms,
-        prompt_tokens=arrival.get("prompt", 0),
-        max_tokens=arrival.get("output", 0),
-        outcome=result,
-        reason=reason,
-        verdict=verdict,
-        retry_after_ms=refusal.retry_after_ms if refusal else 0,
-        first_ms=None if first_ms is None else int(first_ms),
-        ended_ms=ended_ms,
-        tokens=outcome.tokens,
-        attempts=len(attempts),
-        hedges=hedges,
-        wasted_ms=round(max(sum(engine_ms_by_attempt.values()) - used_ms, 0.0), 3),
-        steps=_make_steps(at_ms, counted),
-    )
-
-
-def _classify(outcome: Outcome) -> tuple[str, str, str]:
-    """Return outcome, reason and verdict of a request."""
-    if outcome.refusal is not None:
-        refusal = outcome.refusal
-        result = "broken" if outcome.tokens else "refused"
-        return result, refusal.reason.value, refusal.verdict.value
-    if outcome.wrong:
-        return "failed", WRONG_ANSWER, Verdict.MAY_HAVE_RUN.value
-    if outcome.complete:
-        return "served", "", ""
-    if outcome.late:
-        return "late", "", ""
-    verdict = Verdict.MAY_HAVE_RUN if outcome.entry else Verdict.NOT_RUN
-    result = "broken" if outcome.tokens else "failed"
-    return result, outcome.failure or INTERNAL, verdict.value
-
-
-def _counted_attempts(attempts: Sequence[AttemptRecord]) -> list[AttemptRecord]:
-    """Return of each stage the attempt that was complete first, in order of stages."""
-    counted: dict[str, AttemptRecord] = {}
-    ended = [attempt for attempt in attempts if attempt.ended_ms is not None]
-    for attempt in sorted(ended, key=lambda each: each.ended_ms or 0):
-        counted.setdefault(attempt.stage, attempt)
-    return list(counted.values())
-
-
-def _resumed_attempts(
-    attempts: Sequence[AttemptRecord], counted: Sequence[AttemptRecord]
-) -> list[AttemptRecord]:
-    """Return the attempts whose first tokens a counted stream went on from."""
-    offsets = {attempt.stage: attempt.resume_offset for attempt in counted}
-    return [
-        attempt
-        for attempt in attempts
-        if attempt.first_ms is not None
-        and attempt.ended_ms is None
-        and attempt.resume_offset < offsets.get(attempt.stage, 0)
-    ]
-
-
-def _make_steps(
-    started_ms: int, counted: Sequence[AttemptRecord]
-) -> tuple[StepRecord, ...]:
-    steps = []
-    for attempt in counted:
-        if attempt.first_ms is None or attempt.ended_ms is None:
-            continue
-        steps.append(
-            StepRecord(
-                attempt.stage,
-                attempt.target,
-                attempt.sent_ms - started_ms,
-                attempt.ended_ms - attempt.sent_ms,
-                attempt.first_ms - attempt.sent_ms,
-            )
-        )
-        started_ms = attempt.ended_ms
-    return tuple(steps)
+    if type(value) is not dict:
+        raise ValueError(f"{value!r:.40} is no JSON object")
+    try:
+        return CONVERTER.structure(value, kind)
+    except cattrs.BaseValidationError as error:
+        faults = cattrs.transform_error(error, "record", _describe)
+        raise ValueError("; ".join(faults[:MAX_FAULTS])) from error
--- a/wagtailrun/reports/command.py
+++ b/wagtailrun/experiments/reports/command.py
@@ -9,11 +9,16 @@
 import attrs
 
 from wagtailrun.exceptions import ResultsError, SettingsError, WagtailrunError
-from wagtailrun.reports.figures import Side, promise_rows, read_side, summary
-from wagtailrun.reports.reading import ResultsDirectory
+from wagtailrun.experiments.reports.figures import (
+    Side,
+    promise_rows,
+    read_side,
+    summary,
+)
+from wagtailrun.experiments.reports.reading import ResultsDirectory
 
 if TYPE_CHECKING:
-    from wagtailrun.reports.comparison import Comparison
+    from wagtailrun.experiments.reports.comparison import Comparison
 
 __all__ = ["Report", "read_report", "require_packages"]
 
@@ -51,7 +56,7 @@
         if not self.pairs:
             return []
         # numpy is needed for comparisons only.
-        from wagtailrun.reports.comparison import compare
+        from wagtailrun.experiments.reports.comparison import compare
 
         return [compare(first, second) for first, second in self.pairs]
 
--- a/wagtailrun/reports/comparison.py
+++ b/wagtailrun/experiments/reports/comparison.py
@@ -8,7 +8,7 @@
 import attrs
 import numpy as np
 
-from wagtailrun.reports.figures import FIGURES, Side, format_value
+from wagtailrun.experiments.reports.figures import FIGURES, Side, format_value
 
 __all__ = ["METHOD", "Comparison", "Difference", "compare", "interval"]
 
--- a/wagtailrun/reports/figures.py
+++ b/wagtailrun/experiments/reports/figures.py
@@ -7,9 +7,9 @@
 import attrs
 
 from wagtailrun.exceptions import ResultsError
-from wagtailrun.reports.reading import ResultsDirectory
-from wagtailrun.reports.records import Outcome, Promise, Run
-from wagtailrun.reports.tally import WAITS, Refused, Tally, tally_play
+from wagtailrun.experiments.records import Outcome, PromiseRecord, Run
+from wagtailrun.experiments.reports.reading import ResultsDirectory
+from wagtailrun.experiments.reports.tally import WAITS, Refused, Tally, tally_play
 
 __all__ = ["FIGURES", "Figure", "Row", "Side", "promise_rows", "read_side", "summary"]
 
@@ -95,7 +95,7 @@
     run: Run
     tally: Tally
     figures_by_seed: dict[int, dict[str, float | None]] = attrs.field(factory=dict)
-    promises_by_seed: dict[int, list[Promise]] = attrs.field(factory=dict)
+    promises_by_seed: dict[int, list[PromiseRecord]] = attrs.field(factory=dict)
 
     @property
     def seeds(self) -> str:
@@ -198,7 +198,7 @@
     """Return a row for each promise and side: bound, measured values, seeds held."""
     rows = []
     for side in sides:
-        found: dict[str, list[tuple[int, Promise]]] = {}
+        found: dict[str, list[tuple[int, PromiseRecord]]] = {}
         for seed, promises in side.promises_by_seed.items():
             seen: Counter[str] = Counter()
             for promise in promises:
@@ -211,7 +211,7 @@
     return rows
 
 
-def _promise_row(side: Side, plays: list[tuple[int, Promise]]) -> dict[str, Any]:
+def _promise_row(side: Side, plays: list[tuple[int, PromiseRecord]]) -> dict[str, Any]:
     first = plays[0][1]
     held = sum(promise.held is True for _, promise in plays)
     unmeasured = sum(promise.held is None for _, promise in plays)
--- a/wagtailrun/reports/page.py
+++ b/wagtailrun/experiments/reports/page.py
@@ -5,9 +5,9 @@
 
 from jinja2 import Environment, StrictUndefined
 
-from wagtailrun.reports import plots
-from wagtailrun.reports.command import Report
-from wagtailrun.reports.comparison import METHOD
+from wagtailrun.experiments.reports import plots
+from wagtailrun.experiments.reports.command import Report
+from wagtailrun.experiments.reports.comparison import METHOD
 
 __all__ = ["make_page"]
 
@@ -30,7 +30,9 @@
     environment = Environment(
         autoescape=True, undefined=StrictUndefined, trim_blocks=True
     )
-    source = resources.files("wagtailrun.reports").joinpath("page.html.jinja")
+    source = resources.files("wagtailrun.experiments.reports").joinpath(
+        "page.html.jinja"
+    )
     return environment.from_string(source.read_text("utf-8")).render(
         title=f"Experiment {' and '.join(names)}",
         report=report,
--- a/wagtailrun/reports/plots.py
+++ b/wagtailrun/experiments/reports/plots.py
@@ -20,9 +20,9 @@
 from matplotlib.ticker import LogLocator
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.reports.figures import Side
-from wagtailrun.reports.records import Event, Outcome
-from wagtailrun.reports.tally import WAITS, Cell, Refused, Tally, Use
+from wagtailrun.experiments.records import EventRecord, Outcome
+from wagtailrun.experiments.reports.figures import Side
+from wagtailrun.experiments.reports.tally import WAITS, Cell, Refused, Tally, Use
 
 __all__ = ["Plot", "latency", "outcomes_over_time", "places", "refusals", "stages"]
 
@@ -196,7 +196,7 @@
     figure.legend(handles=handles, loc="outside upper center", ncols=4, handlelength=4)
 
 
-def _clipped(tally: Tally, event: Event) -> tuple[float, float]:
+def _clipped(tally: Tally, event: EventRecord) -> tuple[float, float]:
     """Return start and end in seconds; at least as long as can be seen."""
     until_ms = tally.length_ms if event.until_ms is None else event.until_ms
     shown_ms = max(until_ms, event.at_ms + tally.length_ms / 200)
@@ -221,7 +221,7 @@
     """Return a sentence on the shaded events."""
     if not tally.events:
         return "No fault and no planned work."
-    events_by_kind: dict[str, list[Event]] = {}
+    events_by_kind: dict[str, list[EventRecord]] = {}
     for event in sorted(tally.events, key=lambda event: (event.at_ms, repr(event))):
         kind = f"{event.kind} ({SPANS[event.planned][0]})"
         events_by_kind.setdefault(kind, []).append(event)
@@ -229,7 +229,7 @@
     return f"Shaded, of any seed: {'; '.join(texts)}."
 
 
-def _times_text(kind: str, events: list[Event]) -> str:
+def _times_text(kind: str, events: list[EventRecord]) -> str:
     """Return when events of one kind took place, and to whom a single one did."""
     ends_ms = [event.until_ms for event in events]
     last_ms = None if None in ends_ms else max(ms for ms in ends_ms if ms is not None)
--- a/wagtailrun/reports/reading.py
+++ b/wagtailrun/experiments/reports/reading.py
@@ -9,12 +9,12 @@
 import attrs
 
 from wagtailrun.exceptions import ResultsError
-from wagtailrun.reports.records import (
-    Event,
-    Promise,
-    Request,
+from wagtailrun.experiments.records import (
+    EventRecord,
+    PromiseRecord,
+    RequestRecord,
     Run,
-    Sample,
+    SampleRecord,
     structure,
 )
 
@@ -72,14 +72,14 @@
         self.gaps: list[str] = []
         self.plays = self._find_plays()
 
-    def requests(self, play: Play) -> Iterator[Request]:
+    def requests(self, play: Play) -> Iterator[RequestRecord]:
         """Yield the requests of a play in order.
 
         Raises:
             ResultsError: If a record is invalid or missing.
         """
         name, count = f"{play.path}/requests.jsonl", 0
-        for line, request in self._read_lines(name, Request):
+        for line, request in self._read_lines(name, RequestRecord):
             if request.number != count:
                 _fail(f"{name}:{line}", f"request {request.number}, expected {count}")
             count += 1
@@ -87,22 +87,26 @@
         if not count:
             _fail(name, "no request")
 
-    def events(self, play: Play) -> Iterator[Event]:
+    def events(self, play: Play) -> Iterator[EventRecord]:
         """Yield the events of a play; raises ResultsError if one is invalid."""
-        return (e for _, e in self._read_lines(f"{play.path}/events.jsonl", Event))
+        return (
+            e for _, e in self._read_lines(f"{play.path}/events.jsonl", EventRecord)
+        )
 
-    def samples(self, play: Play) -> Iterator[Sample]:
+    def samples(self, play: Play) -> Iterator[SampleRecord]:
         """Yield the samples of a play; raises ResultsError if one is invalid."""
-        return (s for _, s in self._read_lines(f"{play.path}/samples.jsonl", Sample))
+        return (
+            s for _, s in self._read_lines(f"{play.path}/samples.jsonl", SampleRecord)
+        )
 
-    def promises(self, play: Play) -> list[Promise]:
+    def promises(self, play: Play) -> list[PromiseRecord]:
         """Return the promises of a play; raises ResultsError if one is invalid."""
         name = f"{play.path}/promises.json"
         value = self._read_document(name)
         if not isinstance(value, list):
             _fail(name, "not a list")
         return [
-            _structured(f"{name}, promise {number}", each, Promise)
+            _structured(f"{name}, promise {number}", each, PromiseRecord)
             for number, each in enumerate(value)
         ]
 
--- a/wagtailrun/reports/tally.py
+++ b/wagtailrun/experiments/reports/tally.py
@@ -8,15 +8,15 @@
 from hdrh.histogram import HdrHistogram
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.reports.reading import Play, ResultsDirectory
-from wagtailrun.reports.records import (
+from wagtailrun.experiments.records import (
     MAX_DURATION_MS,
-    Event,
+    EventRecord,
     Outcome,
-    Promise,
-    Request,
-    Sample,
+    PromiseRecord,
+    RequestRecord,
+    SampleRecord,
 )
+from wagtailrun.experiments.reports.reading import Play, ResultsDirectory
 
 __all__ = ["WAITS", "Cell", "PlayTally", "Refused", "Tally", "tally_play"]
 
@@ -96,7 +96,7 @@
     attempts: int = 0
     running: dict[Use, float] = _sums()
     capacity: dict[Use, float] = _sums()
-    events: set[Event] = attrs.field(factory=set)
+    events: set[EventRecord] = attrs.field(factory=set)
 
     @property
     def requests(self) -> int:
@@ -108,7 +108,7 @@
         """Length of an interval in milliseconds: whole seconds."""
         return math.ceil(self.length_ms / (INTERVALS * MS_PER_SECOND)) * MS_PER_SECOND
 
-    def add_request(self, request: Request) -> None:
+    def add_request(self, request: RequestRecord) -> None:
         """Count a request."""
         outcome = request.outcome
         self.outcomes[outcome] += 1
@@ -135,7 +135,7 @@
             self.queue_ms[step.stage] += step.queue_ms
             self.run_ms[step.stage] += step.run_ms
 
-    def add_sample(self, sample: Sample) -> None:
+    def add_sample(self, sample: SampleRecord) -> None:
         """Count a sample of a target that is present, up to the end of the play."""
         if sample.present and sample.at_ms < self.length_ms:
             use = Use(sample.service, int(sample.at_ms // self.interval_ms))
@@ -171,7 +171,7 @@
 
     seed: int
     tally: Tally
-    promises: list[Promise]
+    promises: list[PromiseRecord]
     gaps: list[str]
 
 
