Measure the inputs of a step one by one before they are released early

The inputs of these steps are many small results, in all more than a tenth of the memory of a target; their service never waited for memory (memory_ms 0).

Inputs stay until the call ends if each is at most a tenth of the memory of a target, and all are at most half of it.

Before: test_large_inputs_are_released_once_there_was_time_to_fetch_them failed for three and for eight small inputs. After: it passes, with the tests of stages.

--- a/tests/test_fetched_inputs.py
+++ b/tests/test_fetched_inputs.py
@@ -74,15 +74,36 @@
     assert released_ms == [390]
 
 
-def test_large_inputs_are_released_once_there_was_time_to_fetch_them():
+@pytest.mark.parametrize(
+    ("inputs", "moved_bytes", "released_ms"),
+    [
+        (1, SMALL, 210),
+        (1, LARGE, INPUT_FETCH_MS),
+        (3, 3 * SMALL, 210),
+        (3, 3 * SMALL + 1, INPUT_FETCH_MS),
+        (8, 500, 210),
+        (8, 501, INPUT_FETCH_MS),
+    ],
+)
+def test_large_inputs_are_released_once_there_was_time_to_fetch_them(
+    inputs, moved_bytes, released_ms
+):
     """Load: results that occupy the memory which earlier steps wait for.
 
-    Guards against large inputs that stay until the end of the call.
+    Guards against large inputs that stay until the end of the call, and small ones that
+    are released before a piece can fail.
     """
+    located = {
+        "has_inputs": True,
+        "inputs": tuple(f"h{number}" for number in range(inputs)),
+        "input_services": ("first",) * inputs,
+        "input_addresses": ("10.0.0.9:80",) * inputs,
+    }
 
     async def main(clock):
         harness = BatcherHarness(clock)
-        await harness.send("r", 2, **INPUTS, moved_bytes=LARGE)
+        await harness.send("r", 2, **located, moved_bytes=moved_bytes)
+        await clock.sleep_ms(10)
         return [at_ms for at_ms, _ in harness.released_elsewhere]
 
-    assert run_virtual(main) == [INPUT_FETCH_MS]
+    assert run_virtual(main) == [released_ms]
--- a/wagtailrun/stages/fetched_inputs.py
+++ b/wagtailrun/stages/fetched_inputs.py
@@ -16,9 +16,11 @@
 # Time into a call after which its inputs count as fetched. A target fetches them when
 # the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
 INPUT_FETCH_MS = 60
-# Inputs that take up no more than this share of the memory of a target stay until the
-# call ends: a piece that fails can then run again, instead of the whole request.
-SMALL_INPUTS_SHARE = 0.1
+# Inputs of which each takes up no more than this share of the memory of a target, and
+# which all together take up no more than the other one, stay until the call ends: a
+# piece that fails can then run again, instead of the whole request.
+SMALL_INPUT_SHARE = 0.1
+KEPT_INPUTS_SHARE = 0.5
 
 
 class FetchedInputs:
@@ -52,9 +54,10 @@
     def _are_small(self, job: Job) -> bool:
         """Whether the inputs of a job that the owner releases take up little memory."""
         message = job.message
+        share = min(SMALL_INPUT_SHARE * len(message.inputs), KEPT_INPUTS_SHARE)
         # These bytes include results, so that they are at least those of the inputs.
         limits = (
-            self.capacity(service).memory_bytes * SMALL_INPUTS_SHARE
+            self.capacity(service).memory_bytes * share
             for service in set(message.input_services)
         )
         return bool(message.input_services) and all(
