Let requests go on at a service that a changed fleet text removes

Cause: an entry of an experiment asked only the newest fleet text whether another data centre may serve a service; a request in progress at a service that the change removed ended as failed, reason internal. A change that made an order idempotent was accepted, and its orders lost their keys, by which runs are counted. Ruled out: refusing changes that move a pipeline (they are what an operator weighs). Conclusion: requests in progress use services of the first text, too; the check refuses calls that become orders or cease to be.

--- a/tests/test_experiment_play.py
+++ b/tests/test_experiment_play.py
@@ -260,6 +260,33 @@
     assert event.planned and event.until_ms is None
 
 
+def test_change_moves_a_pipeline_to_another_service(tmp_path):
+    """Guards against requests in progress that end with a fault of the play.
+
+    They run at a service that the new fleet text has no more.
+    """
+    change = '[[faults]]\nkind = "change-fleet"\nat_s = 10\nfleet.path = "new.toml"\n'
+    spare = '[[targets]]\nservice = "spare"\ndata_centre = "east"\ncount = 2\n'
+    spare += "model = { decode_ms = 20.0 }\n"
+    # Some are at the encoders when the text changes, and go on at the engines.
+    targets = TARGETS.replace("service_ms = 10.0", "service_ms = 200.0")
+    load = STEADY.replace("_s = 8", "_s = 20").replace("[10, 30]", "[2]")
+    path = write(tmp_path, HEAD + targets + spare + load + change)
+    text = (tmp_path / "fleet.toml").read_text()
+    both = text.replace(
+        "[services.desk]", '[services.spare]\nkind = "engine"\n[services.desk]'
+    )
+    (tmp_path / "fleet.toml").write_text(both)
+    new = text.replace("services.engines", "services.spare")
+    (tmp_path / "new.toml").write_text(new.replace('"engines"', '"spare"'))
+    scenario = load_experiment(path).scenarios_by_variant["base"]
+    requests = play_scenario(scenario, 1, lambda at_ms: None).requests
+    assert {r.outcome for r in requests} == {"served"}
+    places = {(r.intended_at_ms < 10_000, r.steps[-1].target[:5]) for r in requests}
+    assert places == {(True, "engin"), (False, "spare")}
+    assert any(9_900 < r.intended_at_ms < 10_000 for r in requests)
+
+
 def test_patterns_of_arrivals(tmp_path):
     """Guards against bursts or ramps at the wrong time or rate."""
     lines = "rate_per_s = 10\nburst_rate_per_s = 200\nburst_every_s = 10\n"
--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -287,6 +287,15 @@
     assert bool(read.subjects) == bool(on)
 
 
+def test_change_of_what_an_order_is(tmp_path):
+    """Guards against orders without a key, whose runs would not be counted."""
+    change = '[[faults]]\nkind = "change-fleet"\nat_s = 5\nfleet.path = "new.toml"\n'
+    new = FLEET.replace("idempotent = false", "idempotent = true")
+    (tmp_path / "new.toml").write_text(new)
+    found = faults_of(tmp_path, HEAD + TARGETS + LOAD + change)
+    assert "desk/book: let it be idempotent in all fleet texts or in none" in found
+
+
 def test_command_checks(tmp_path, capsys):
     """Guards against a check whose exit code does not tell a bad file from a good one.
 
--- a/wagtailrun/experiments/play.py
+++ b/wagtailrun/experiments/play.py
@@ -78,7 +78,7 @@
             probe=context.client.probe,
             observer=HedgeCounter(self.log),
             seed=context.seed,
-            may_use_remote=lambda name: self.fleet.services_by_name[name].fallback,
+            may_use_remote=self._may_use_remote,
         )
         dispatcher.options = self._with_settings(dispatcher.options)
         router = dispatcher.router
@@ -86,6 +86,11 @@
             router.options = self._with_settings(router.options)
         return dispatcher
 
+    def _may_use_remote(self, name: str) -> bool:
+        # Requests in progress may run at a service that a change has removed.
+        known = self.scenario.fleet.services_by_name | self.fleet.services_by_name
+        return known[name].fallback
+
     def _with_settings(self, options: Any) -> Any:
         """Return options of a policy with the settings of the file that they have."""
         known = attrs.fields_dict(type(options))
--- a/wagtailrun/experiments/traces.py
+++ b/wagtailrun/experiments/traces.py
@@ -30,6 +30,7 @@
     changed = [fault.fleet for fault in scenario.faults if fault.fleet]
     placed = {group.service for group in scenario.targets}
     faults = []
+    idempotent: set[bool] = set()
     for fleet in (scenario.fleet, *changed):
         if workspace not in fleet.workspaces_by_name:
             faults.append(f"{workspace!r} must be a workspace of each fleet text")
@@ -42,6 +43,11 @@
             faults.append("name a service and a call of each fleet text")
         elif service not in placed:
             faults.append(f"add targets of service {service}")
+        else:
+            idempotent.add(known.calls_by_name[call].idempotent)
+    if len(idempotent) > 1:
+        detail = "let it be idempotent in all fleet texts or in none"
+        faults.append(f"{service}/{call}: {detail}")
     return faults
 
 
