Refuse a fault that begins when another one of its subject ends

Cause: tasks of the same virtual time run in the order in which they went to sleep, so that the second fault began before the first one ended, and that end undid it without notice. Ruled out: an order of tasks at one time (curio has none). Before / after: the new case of test_experiment_reading.py failed (the file was accepted) and passes; pytest tests/test_experiment_*.py passes. Conclusion: of two faults of one process or data centre, the first ends before the second begins.

--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -162,6 +162,7 @@
         ("at_s = 5", "at_s = 20", "at_s: '20'.*within the length of 20 s"),
         ("for_s = 2", "for_s = 16", "for_s: '16'.*also its end"),
         (FAULTS, FAULTS * 2, "engines-east-0 has another fault"),
+        (FAULTS, FAULTS + FAULTS.replace("_s = 5", "_s = 7"), "has another fault"),
         ('"kill-target"', '"silence-target"', "for_s: '2'.*remove it"),
         ('name = "double"', 'name = "base"', r"variants\[1\].name: 'base'"),
         ("load.0.rate_per_s", "load.3.rate_per_s", "'load.3.rate_per_s'.*the file has"),
--- a/wagtailrun/experiments/faults.py
+++ b/wagtailrun/experiments/faults.py
@@ -146,6 +146,7 @@
     first, later = sorted((fault, other), key=lambda each: each.at_ms)
     if first.kind in WITHOUT_END:
         return
-    if first.until_ms is None or first.until_ms > later.at_ms:
+    # At the same time, the second one might begin before the first one ends.
+    if first.until_ms is None or first.until_ms >= later.at_ms:
         remedy = f"{min(shared)} has another fault at that time; let that end before"
         table.fault("at_s", table.value.get("at_s"), remedy)
