Keep an interrupt from plays that a run has just started

Cause: multiprocessing starts a process of its own with the first play and then unblocks SIGINT and SIGTERM, which the run had blocked. The first plays inherited that, and an interrupt from a terminal, which reaches them, too, made them print tracebacks while they imported the package. Ruled out: ignoring signals in the run itself (it could not be ended); a private function of multiprocessing. Conclusion: an interrupt is handled by the run alone, at any time after its start.

--- a/tests/test_experiment_running.py
+++ b/tests/test_experiment_running.py
@@ -105,6 +105,15 @@
     assert [each.name for each in (out / "double").iterdir()] == ["7"]
 
 
+@pytest.mark.parametrize("command", ["check", "run"])
+def test_help_has_an_example(capsys, command):
+    """Guards against a command whose help has no example."""
+    with pytest.raises(SystemExit) as error:
+        cli.main(["experiment", command, "--help"])
+    assert error.value.code == 0
+    assert f"Example: wagtailrun experiment {command} " in capsys.readouterr().out
+
+
 @pytest.mark.parametrize(
     ("arguments", "message"),
     [
@@ -161,6 +170,21 @@
     assert sorted(os.listdir(out)) == ["base", "experiment.toml", "run.json"]
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.1, 0.2, 0.3])
+def test_interrupt_from_a_terminal_while_plays_start(tmp_path, after_s):
+    """Guards against tracebacks of plays, which a terminal interrupts, too."""
+    path = write(tmp_path)
+    process = start(path, "--out", tmp_path / "out", start_new_session=True)
+    while not plays_of(process.pid):
+        time.sleep(0.01)
+    # They import the package for some tenths of a second.
+    time.sleep(after_s)
+    os.killpg(process.pid, signal.SIGINT)
+    _, err = process.communicate()
+    assert process.returncode == 130
+    assert "interrupted" in err and "Traceback" not in err, err
+
+
 def test_killed_run_leaves_no_process(tmp_path):
     """Guards against plays that go on for hours after their run was killed."""
     path = write(tmp_path, WHOLE.replace("length_s = 20", "length_s = 40000"))
--- a/wagtailrun/experiments/play.py
+++ b/wagtailrun/experiments/play.py
@@ -148,23 +148,15 @@
             self.rolling_restarts -= 1
             return
         planned = fault.kind is FaultKind.CHANGE_FLEET
-        self._record_event(fault, fault.until_ms, fault.subjects, planned)
+        kind = fault.kind.value
+        self.events.append(
+            EventRecord(fault.at_ms, fault.until_ms, kind, fault.subjects, planned)
+        )
         await self._begin_fault(fault)
         if fault.until_ms is not None:
             await self.clock.sleep_ms(fault.until_ms - self.clock.now_ms())
             await self._end_fault(fault)
 
-    def _record_event(
-        self,
-        fault: Fault,
-        until_ms: int | None,
-        subjects: tuple[str, ...],
-        planned: bool,
-    ) -> None:
-        now_ms = self.clock.now_ms()
-        event = EventRecord(now_ms, until_ms, fault.kind.value, subjects, planned)
-        self.events.append(event)
-
     async def _begin_fault(self, fault: Fault) -> None:
         for name in fault.subjects:
             match fault.kind:
@@ -214,13 +206,14 @@
         for number, name in enumerate(fault.subjects):
             if number:
                 await self.clock.sleep_ms(fault.gap_ms)
-            position = len(self.events)
-            self._record_event(fault, None, (name,), planned=True)
+            at_ms, position = self.clock.now_ms(), len(self.events)
+            event = EventRecord(at_ms, None, fault.kind.value, (name,), True)
+            self.events.append(event)
             await self._stop_entry(name)
             await self.clock.sleep_ms(fault.duration_ms or 0)
             self.add_entry(name, self.scenario.data_centres_by_entry[name])
-            ended = attrs.evolve(self.events[position], until_ms=self.clock.now_ms())
-            self.events[position] = ended
+            until_ms = self.clock.now_ms()
+            self.events[position] = attrs.evolve(event, until_ms=until_ms)
 
     async def _stop_entry(self, name: str) -> None:
         """Stop an entry as planned, in the steps of ``ServingEntryStop``."""
--- a/wagtailrun/experiments/running.py
+++ b/wagtailrun/experiments/running.py
@@ -4,12 +4,11 @@
 import os
 import signal
 from collections import deque
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Sequence
+from multiprocessing import resource_tracker
 from multiprocessing.connection import Connection, wait
 from multiprocessing.context import SpawnProcess
 from pathlib import Path
-from types import FrameType
 
 import attrs
 
@@ -69,27 +68,15 @@
     results = ResultsDirectory(directory, experiment, variants, seeds)
     plays = [Play(variant, seed) for variant in variants for seed in seeds]
     progress = Progress(len(plays), experiment.length_ms)
-    with _interrupt_on_sigterm():
-        try:
-            runner = _Runner(experiment, results, progress)
-            runner.run(deque(plays), jobs)
-        finally:
-            progress.close()
-    return {play: runner.found[play] for play in plays}
-
-
-@contextmanager
-def _interrupt_on_sigterm() -> Iterator[None]:
-    """Handle SIGTERM as SIGINT, so that it leaves no process behind, either."""
-
-    def interrupt(number: int, frame: FrameType | None) -> None:
-        raise KeyboardInterrupt
-
-    before = signal.signal(signal.SIGTERM, interrupt)
+    runner = _Runner(experiment, results, progress)
+    # SIGTERM, too, leaves no process behind.
+    before = signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        yield
+        runner.run(deque(plays), jobs)
     finally:
         signal.signal(signal.SIGTERM, before)
+        progress.close()
+    return {play: runner.found[play] for play in plays}
 
 
 class _Runner:
@@ -112,6 +99,8 @@
         An interrupt takes effect only while this process waits. Elsewhere it would
         leave a process that is not known here, or results that ``run.json`` lacks.
         """
+        # Its start, with the first process, would unblock the signals.
+        resource_tracker.ensure_running()
         signal.pthread_sigmask(signal.SIG_BLOCK, END_SIGNALS)
         try:
             while waiting or self.running:
