--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -162,6 +162,7 @@
         ("at_s = 5", "at_s = 20", "at_s: '20'.*within the length of 20 s"),
         ("for_s = 2", "for_s = 16", "for_s: '16'.*also its end"),
         (FAULTS, FAULTS * 2, "engines-east-0 has another fault"),
+        (FAULTS, FAULTS + FAULTS.replace("_s = 5", "_s = 7"), "has another fault"),
         ('"kill-target"', '"silence-target"', "for_s: '2'.*remove it"),
         ('name = "double"', 'name = "base"', r"variants\[1\].name: 'base'"),
         ("load.0.rate_per_s", "load.3.rate_per_s", "'load.3.rate_per_s'.*the file has"),
@@ -287,6 +288,15 @@
     assert bool(read.subjects) == bool(on)
 
 
+def test_change_of_what_an_order_is(tmp_path):
+    """Guards against orders without a key, whose runs would not be counted."""
+    change = '[[faults]]\nkind = "change-fleet"\nat_s = 5\nfleet.path = "new.toml"\n'
+    new = FLEET.replace("idempotent = false", "idempotent = true")
+    (tmp_path / "new.toml").write_text(new)
+    found = faults_of(tmp_path, HEAD + TARGETS + LOAD + change)
+    assert "desk/book: let it be idempotent in all fleet texts or in none" in found
+
+
 def test_command_checks(tmp_path, capsys):
     """Guards against a check whose exit code does not tell a bad file from a good one.
 
