Start the command of test_experiment_running with SIGINT at its default

Conclusion: the tests of interrupts do not depend on how they are started. A command that is itself started so goes on ignoring SIGINT, as is usual.

--- a/tests/test_experiment_running.py
+++ b/tests/test_experiment_running.py
@@ -25,14 +25,20 @@
 
 def start(*arguments, **options):
     command = [sys.executable, "-m", "wagtailrun", "experiment", "run"]
-    return subprocess.Popen(
-        [*command, *map(str, arguments)],
-        cwd=ROOT,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-        **options,
-    )
+    # A shell starts background jobs, as this test run may be one, with SIGINT ignored;
+    # the command would inherit that.
+    before = signal.signal(signal.SIGINT, signal.SIG_DFL)
+    try:
+        return subprocess.Popen(
+            [*command, *map(str, arguments)],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            **options,
+        )
+    finally:
+        signal.signal(signal.SIGINT, before)
 
 
 def run(*arguments, **options):
