Keep an announced step for as long as its entry confirms it

Cause: an announced step was dropped 6 s after its announcement, also where its entry was alive and an earlier step took longer. Its pieces were then refused when they were ready, and with them the request.

The 6 s now count from when the entry was last heard of. The time limit of the step, cancellations and the end of the confirmations bound how long it stays.

Before: test_step_whose_inputs_take_long_is_not_dropped failed: step 2 refused with "the inputs of the step did not arrive; its entry was last heard of 6005 ms after its announcement".

Conclusion: holds for entries that confirm; the step of an entry of an earlier build is still dropped after 6 s.

--- a/tests/test_announced_steps.py
+++ b/tests/test_announced_steps.py
@@ -96,6 +96,23 @@
     assert refusal is None
 
 
+def test_step_whose_inputs_take_long_is_not_dropped():
+    """Load: a request whose first step takes 6.5 s, and whose limit is 20 s.
+
+    Guards against a later step that is refused although its entry is alive and the
+    request can be in time.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        runner = fleet.runners[other_entry()[0]]
+        slow = staged_request(clock, "slow", (0, 96, 4, 0), 10_000, 20_000)
+        assert await runner.announce(slow, "a") is not None
+        return await runner.run(slow, "a", StageResults())
+
+    assert run_virtual(main) is None
+
+
 @pytest.mark.parametrize("announcement", [0, 1])
 def test_step_counts_again_when_its_entry_is_heard_of(announcement):
     """Load: an entry that is out of touch for a moment, or of an earlier build.
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -39,8 +39,8 @@
 RELEASE_TIMEOUT_MS = 500
 # Finished jobs are kept this long to answer repeated polls.
 FINISHED_JOB_RETENTION_MS = 3_000
-# An announced step is dropped if its inputs do not arrive in this time: its entry has
-# stopped or has abandoned the request.
+# An announced step is dropped if its entry is not heard of in this time: it has stopped
+# or has abandoned the request.
 ANNOUNCED_JOB_TIMEOUT_MS = 6_000
 # A job that was asked for before this process stood still is dropped unless its entry
 # asks again in this time.
@@ -309,8 +309,8 @@
             if job.doubted_ms:
                 continue
             overdue = now_ms + shortest_ms > job.expires_at_ms
-            announced_ms = now_ms - job.requested_ms
-            if not job.ready and (overdue or announced_ms > ANNOUNCED_JOB_TIMEOUT_MS):
+            unheard_ms = now_ms - job.asked_ms
+            if not job.ready and (overdue or unheard_ms > ANNOUNCED_JOB_TIMEOUT_MS):
                 self._finish(job, JobState.REFUSED, job.missing_inputs_detail)
             elif job.waiting and overdue:
                 self._finish(job, JobState.REFUSED, "the step cannot finish in time")
