--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Collection
+from typing import cast
 
 import attrs
 import curio
@@ -133,7 +134,7 @@
         """
         match message:
             case PlaceRun():
-                return self.place(message)
+                return self._place(message)
             case RunOver():
                 return self._record_end(message)
             case RunBroken():
@@ -142,8 +143,7 @@
             f"{type(message).__name__} is not handled by the placement owner"
         )
 
-    def place(self, message: PlaceRun) -> Placed:
-        """Return the engine of an attempt."""
+    def _place(self, message: PlaceRun) -> Placed:
         rows = self.targets(message.service)
         self.detector.check_rows(rows)
         if message.software_version:
@@ -420,8 +420,8 @@
                     )
                     await curio.spawn(self._send_end, owner.name, end, daemon=True)
         if not isinstance(placed, Placed):
-            owner, placed = None, self.host.place(message)
-            await self.report_crashes()
+            # The host answers a request to place with nothing else.
+            owner, placed = None, cast(Placed, await self.handle(message))
         if message.begin and placed.target and owner is not None:
             self.owner_names_by_key[message.request_id, placed.target] = owner.name
         return placed
