Let late ends of attempts change nothing that is newer about their target

Cause: an attempt ends with the row of its target that it began with. Both old classes took any row that differed from the last one for a new announcement or incarnation: - An end after the next announcement brought the load of the older one back, and the next choice read the newer one anew: own attempts since it were forgotten (entry). - An end after a restart replaced the state of the new incarnation by an empty one of the old, and the next use replaced that: load, slowness, failures, ejection and cached prompts of the new one were lost (relay), or its slowness and load (entry). - A load in an answer of the old incarnation let the announcements of the new one wait for up to a second (entry). Found while the two were compared with `TargetHealth`, which kept all of it.

Change: `TargetHealth` reads an announcement only if it is newer, and forgets what an attempt says of an earlier incarnation; only the number of attempts in progress counts all incarnations. Samples of `OutlierThrottle` and `AdaptiveLimits` are still by name.

Tests: four new cases of test_health.py (one for both entries) failed before.

Ruled out: other changes of behaviour.

--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -228,6 +228,57 @@
     assert load(health, new) == 0
 
 
+@both_entries
+def test_late_end_of_an_earlier_incarnation_says_nothing_of_the_new_one(rules):
+    """Guards against what is known of a restarted target being lost or mixed up."""
+    _, health = make(rules)
+    health.record_start(ROW)
+    new = attrs.evolve(ROW, incarnation=1, sequence=0, running=1, queued=0)
+    health.record_load(new, TargetLoad(1, 0, 4))
+    health.record_start(new)
+    health.record_success(new, 5.0)
+    health.record_outcome(new, RunOutcome.UNREACHABLE)
+    health.record_pause(new, 5_000)
+
+    def known():
+        beliefs = (slowness(health, new), failure_rate(health, new))
+        return beliefs, health.is_unreachable(new), health.is_paused(new)
+
+    before = known()
+    assert load(health, new) == 2
+    health.record_end(ROW)
+    health.record_load(ROW, TargetLoad(9, 9, 4))
+    health.record_success(ROW, 9.0)
+    for outcome in RunOutcome:
+        health.record_outcome(ROW, outcome)
+    health.record_pause(ROW, 50_000)
+    assert known() == before
+    assert load(health, new) == 2
+    assert health.state(new).in_flight == 1
+
+
+def test_announcement_of_a_restarted_target_counts_at_once():
+    """Guards against a load that is unknown because of an answer before the restart."""
+    _, health = make(routing.HEALTH_RULES)
+    health.record_load(ROW, TargetLoad(9, 9, 4))
+    new = attrs.evolve(ROW, incarnation=1, sequence=0, running=0, queued=0)
+    assert load(health, new) == 0
+    assert load(health, announce(new, running=4)) == 4
+
+
+def test_row_of_an_earlier_announcement_is_not_read_again():
+    """Guards against the load of when an attempt began, once the attempt has ended."""
+    _, health = make(routing.HEALTH_RULES)
+    health.record_start(ROW)
+    later = announce(ROW, running=9)
+    health.record_start(later)
+    assert load(health, later) == 12
+    health.record_failure(ROW)
+    assert load(health, later) == 12
+    health.record_end(ROW)
+    assert load(health, later) == 11
+
+
 @both_entries
 def test_only_targets_without_an_attempt_are_dropped(rules):
     """Guards against state that is lost in use, or kept for ever."""
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -132,16 +132,16 @@
         """Return the state of a target, with the load that it announced.
 
         Args:
-            row: Target.
+            row: Target; the state of an earlier incarnation is empty and not kept.
             now_ms: Time on the clock, if known.
         """
         state = self.states_by_name.get(row.name)
         if state is None or state.incarnation != row.incarnation:
             new = self.make_state(row.incarnation)
             if state is not None:
+                if row.incarnation < state.incarnation:
+                    return new
                 new.in_flight = state.in_flight
-                new.load_answered_ms = state.load_answered_ms
-                new.unreachable_at = state.unreachable_at
             state = self.states_by_name[row.name] = new
         if self.reads_announcements and state.announcement is not row:
             now_ms = self.clock.now_ms() if now_ms is None else now_ms
@@ -150,9 +150,10 @@
 
     def _read_announcement(self, state: State, row: TargetRow, now_ms: int) -> None:
         before = state.announcement
-        state.announcement = row
-        if before is not None and before.sequence == row.sequence:
+        # Attempts end with the row that they began with.
+        if before is not None and before.sequence >= row.sequence:
             return
+        state.announcement = row
         age_ms = now_ms - state.load_answered_ms
         if not state.slots or age_ms >= ANSWER_LOAD_VALIDITY_MS:
             state.set_load(row.running, row.queued, row.capacity, now_ms)
@@ -210,7 +211,8 @@
 
     def record_start(self, row: TargetRow) -> None:
         """Record that an attempt was sent."""
-        state = self.state(row)
+        self.state(row)
+        state = self.states_by_name[row.name]
         state.in_flight += 1
         state.started_since_load += 1
 
@@ -220,7 +222,7 @@
         if state is None:
             return
         state.in_flight = max(state.in_flight - 1, 0)
-        if self.reads_announcements:
+        if self.reads_announcements and row.incarnation == state.incarnation:
             state.started_since_load -= 1
 
     def record_load(self, row: TargetRow, load: TargetLoad) -> None:
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -480,7 +480,6 @@
 
     def record_pace(self, target: TargetRow, slowness: float) -> None:
         """Compare the pace of a stream with its peers."""
-        self.health.state(target)
         self.paced_names.add(target.name)
         self.throttle.record(target.name, target.service, slowness)
 
