Forget no target in use after a choice for a stream of one version

Cause: a stream goes on only at targets of the version that began it. The router took the targets of such a choice for all targets of the service, and dropped what it knew of the others: that no connection opens, slowness, limits, cached prefixes, now also a pause. While versions are mixed, each stream that moved did so.

Change: such a choice adds its targets to those in use; the next other choice drops what is in use no more, as before.

Test: test_choice_for_a_stream_of_one_version_forgets_no_other_target failed before: the dead target was chosen.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -145,6 +145,24 @@
     assert one.choose([pausing, attrs.evolve(other, sequence=1)], WORK) is pausing
 
 
+def test_choice_for_a_stream_of_one_version_forgets_no_other_target():
+    """Guards against requests to a dead target once a stream of a version moved."""
+    one = router()
+    dead, other = (
+        attrs.evolve(row, software_version=version)
+        for row, version in zip(rows(2), ("v1", "v2"), strict=True)
+    )
+    both = [dead, other]
+    one.choose(both, WORK)
+    one.mark_unreachable(dead)
+    bound = attrs.evolve(WORK, software_version="v2")
+    assert one.choose([other], bound) is other
+    assert one.choose(list(both), WORK) is other
+    assert set(one.health.states_by_name) == {dead.name, other.name}
+    one.choose([other], WORK)
+    assert set(one.health.states_by_name) == {other.name}
+
+
 def test_memory_holds_only_targets_in_use():
     """Guards against memory that grows with all targets of a data centre."""
     one = router()
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -237,7 +237,7 @@
         """Return the target with the earliest expected completion; see ``Router``."""
         if not candidates:
             return None
-        subset = self._subset(candidates)
+        subset = self._subset(candidates, work)
         now_ms = self.clock.now_ms()
         local_rows, remote_rows = subset.local, subset.remote
         if remote_rows and not self.may_use_remote(candidates[0].service):
@@ -275,7 +275,7 @@
         """Return whether ``row`` was chosen only for lack of a better target."""
         return row.name in avoid or self.health.is_unreachable(row)
 
-    def _subset(self, candidates: Sequence[TargetRow]) -> _Subset:
+    def _subset(self, candidates: Sequence[TargetRow], work: "Work | None") -> _Subset:
         service = candidates[0].service
         subset = self.subsets_by_service.get(service)
         if subset is not None and subset.candidates is candidates:
@@ -288,6 +288,13 @@
         local = self._select_subset((service, True), local)
         remote = self._select_subset((service, False), remote)
         names = frozenset([row.name for row in (*local, *remote)])
+        if (
+            subset is not None
+            and work is not None
+            and work.software_version is not None
+        ):
+            # The candidates are those of one version; the others are in use, too.
+            names |= subset.names
         self._drop_unused(subset, names)
         subset = _Subset(candidates, local, remote, names)
         self.subsets_by_service[service] = subset
