Hold the bound of cold targets over all entries

Cause: a target that has just started, or was evacuated and came back, is cold and crashes well above `cold_per_s` requests a second. Nothing read `cold_remaining_ms`, `Cold-Ms` or `cold_per_s`, and the grants for `Server-Limit` allow too much for a bound of each second: permits live for 500 ms, a burst is a quarter of a second, and each side of a cut may have an owner that grants all of the limit.

What is known of a target's coldness (until when, said when, by a report, an answer or a start that was observed) is one more claim in TargetLimits, so that it is shared, aged and corrected as limits are. Requests then need the grants that limits have, from a second bucket; both bounds must allow them. The owner grants the whole bound only while a leader confirmed its poll within 1.5 s and it has been the owner for 1.5 s (members name another one 2 s after its last poll); all others together grant a fifth, each in proportion to the entries that asked it, and keep nothing that is not used. Permits live for 200 ms. A stage call counts once for each piece, and is not granted if it alone could break the bound. After the end the bound doubles every 0.5 s and ends after 3 s. Values that cannot be read change nothing (event 728), larger ones are cut to ten minutes. Two changes of a state are logged, not each report (event 727).

It is one commit as the belief without its grants would leave the granter with a limit that it has no bucket for.

Ruled out: the share of limits for stand-ins (half) and the owner without a lease.

Not held: what is sent before the news that a target turned cold arrives (60 ms are left out above), up to a heartbeat where the target does not say so at once; and entries that no member replies to, at a target that turns cold meanwhile. The relay makes no status checks; `Cold-Ms` is read from any answer.

Existing tests: two observers take the new argument of request_permit, the hub of test_platform.py that of report; the fleet of test_target_limits_fleet.py makes its targets and entries in methods.

--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -500,7 +500,7 @@
         self.takes_slot = []
         self.completed = []
 
-    async def request_permit(self, address, urgency, takes_slot):
+    async def request_permit(self, address, urgency, takes_slot, requests):
         self.takes_slot.append(takes_slot)
 
     def check(self, address, permit):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -418,7 +418,7 @@
         self.rows = []
         self.left = []
 
-    async def report(self, row):
+    async def report(self, row, cold_ms=None):
         self.rows.append(row)
 
     async def leave(self, name, incarnation):
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -359,7 +359,7 @@
     def __init__(self):
         self.permits = 1
 
-    async def request_permit(self, address, urgency, takes_slot):
+    async def request_permit(self, address, urgency, takes_slot, requests):
         if not self.permits:
             raise TargetPaused("no permit", 1_000)
         self.permits -= 1
--- a/tests/test_target_limits_fleet.py
+++ b/tests/test_target_limits_fleet.py
@@ -233,14 +233,20 @@
 
     async def start(self):
         self.controls = await Controls(self.clock).start()
-        self.targets = [Target(self, number) for number in range(TARGETS)]
+        self.targets = self.make_targets()
         for target in self.targets:
             await curio.spawn(target.report, daemon=True)
-        self.entries = [await Entry(self, n).start() for n in range(self.size)]
+        self.entries = [await self.make_entry(n).start() for n in range(self.size)]
         await self.clock.sleep_ms(2_000)
         self.messages_before = self.controls.network.messages
         self.bytes_before = self.controls.network.bytes
 
+    def make_targets(self):
+        return [Target(self, number) for number in range(TARGETS)]
+
+    def make_entry(self, number):
+        return Entry(self, number)
+
     async def send(self, number):
         entry = self.random.choice(self.entries)
         urgency = self.random.choice([0, LEAST_URGENT])
@@ -274,7 +280,8 @@
                     await entry.stop()
                     await self.clock.sleep_ms(500)
                     index = self.entries.index(entry)
-                    self.entries[index] = await Entry(self, entry.number).start()
+                    again = await self.make_entry(entry.number).start()
+                    self.entries[index] = again
                 case "freeze":
                     network.frozen.add(entry.row.address)
                     await self.clock.sleep_ms(self.random.randint(500, 4_000))
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -358,6 +358,7 @@
         takes_slot: bool = True,
         deadline_ms: int | None = None,
         head_waits_ms: Iterator[int] | None = None,
+        requests: int = 1,
     ) -> AsyncIterator[HttpStream]:
         """Send a request and yield the response as a stream; see ``request``.
 
@@ -387,6 +388,7 @@
                 default ``timeout_ms`` after the connection is open.
             head_waits_ms: For how long to wait for the head, one time after the other;
                 by default until ``timeout_ms``.
+            requests: Requests that it counts as at a server that limits them.
 
         Raises:
             SendForbidden: If ``may_send``, called when the connection is open, returns
@@ -396,7 +398,9 @@
         """
         permit = None
         if self.observer is not None:
-            permit = await self.observer.request_permit(address, urgency, takes_slot)
+            permit = await self.observer.request_permit(
+                address, urgency, takes_slot, requests
+            )
         try:
             connection = await self._connect(
                 address, new_connection, connect_timeout_ms, identity
--- a/wagtailrun/adapters/target_observer.py
+++ b/wagtailrun/adapters/target_observer.py
@@ -49,7 +49,7 @@
 
     @abstractmethod
     async def request_permit(
-        self, address: Address, urgency: int, takes_slot: bool
+        self, address: Address, urgency: int, takes_slot: bool, requests: int
     ) -> SendPermit | None:
         """Permit a request before a connection is opened for it.
 
@@ -57,6 +57,7 @@
             address: Address of the server.
             urgency: Rank of the request, 0 to 9; 0 goes first.
             takes_slot: Whether the request waits for a slot of the server and takes it.
+            requests: Requests that it counts as.
 
         Returns:
             None if the server needs no permits.
--- a/wagtailrun/discovery/__init__.py
+++ b/wagtailrun/discovery/__init__.py
@@ -1,5 +1,6 @@
 """Discovery of entries, control members, targets and the fleet configuration."""
 
+from wagtailrun.discovery.cold_beliefs import ColdSource, bounded_cold_ms
 from wagtailrun.discovery.configuration import Configuration, ConfigurationFormat
 from wagtailrun.discovery.hub import Hub
 from wagtailrun.discovery.messages import (
@@ -17,6 +18,7 @@
 
 __all__ = [
     "AgedEntry",
+    "ColdSource",
     "Configuration",
     "ConfigurationFormat",
     "FleetView",
@@ -29,4 +31,5 @@
     "RowsTaken",
     "ShareRows",
     "StreamOrigin",
+    "bounded_cold_ms",
 ]
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -10,6 +10,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.state import Signal
+from wagtailrun.discovery.cold_beliefs import ColdSource
 from wagtailrun.discovery.evacuations import FleetPlaces, log_evacuations
 from wagtailrun.discovery.messages import (
     AgedEntry,
@@ -182,11 +183,16 @@
 
     # Reports of targets
 
-    async def report(self, row: TargetRow) -> None:
+    async def report(self, row: TargetRow, cold_ms: int | None = None) -> None:
         """Apply a report that a target sent to this member.
 
         If the report changes the state of the target, waiting polls are woken and the
         other members are sent the row at once.
+
+        Args:
+            row: Row of the target.
+            cold_ms: How long it says that it stays cold; 0 if it is warm, None if it
+                does not say.
         """
         now_ms = self.clock.now_ms()
         before = self.membership.state_log.number
@@ -195,8 +201,13 @@
             return
         self.reported_targets.record_change(row.name)
         self._retire_address(row, now_ms)
-        if self.membership.state_log.number > before:
+        cold_changed = cold_ms is not None and self.limits.record_cold(
+            row, cold_ms, ColdSource.REPORT, now_ms
+        )
+        state_changed = self.membership.state_log.number > before
+        if state_changed:
             self._log_target(row)
+        if state_changed or cold_changed:
             await self.share_requested.notify()
             await self.changed.notify()
 
@@ -553,6 +564,7 @@
         while True:
             await self.clock.sleep_ms(LIVENESS_INTERVAL_MS)
             now_ms = self.clock.now_ms()
+            self.limits.log_warm()
             if now_ms - last_ms > SUSPENDED_AFTER_MS:
                 self.membership.restart_silence_timers(now_ms)
                 for name in self.entry_last_contact_ms:
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -115,11 +115,24 @@
         limit: The bounds.
         age_ms: Age of the limit of requests.
         brittle_age_ms: Age of the brittleness.
+        cold_source: A ``ColdSource``; empty if it is not known whether it is cold.
+        cold_left_ms: How long it is cold yet; negative since it became warm.
+        cold_age_ms: Time since it said so.
     """
 
     limit: TargetLimit
     age_ms: int
     brittle_age_ms: int = UNKNOWN_AGE_MS
+    # pycapnp does not accept enum members.
+    cold_source: str = attrs.field(default="", converter=str)
+    cold_left_ms: int = 0
+    cold_age_ms: int = 0
+
+    @property
+    def says_nothing(self) -> bool:
+        """Whether nothing is known of the target."""
+        ages_ms = (self.age_ms, self.brittle_age_ms)
+        return not self.cold_source and min(ages_ms) >= UNKNOWN_AGE_MS
 
 
 @attrs.frozen
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -30,7 +30,7 @@
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.process.supervisor import supervise
-from wagtailrun.routes import RouteTable
+from wagtailrun.routes import RouteTable, cold_per_s
 from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["FleetView"]
@@ -115,7 +115,7 @@
         self.versions = StreamVersions(clock, self.membership, lambda: self.is_fresh)
         self.newer_revision_known = Signal()
         self.quarantine = Quarantine(clock)
-        self.limits = TargetLimits(clock)
+        self.limits = TargetLimits(clock, lambda name: cold_per_s(self.table, name))
         self.reports = EntryReports(
             clock,
             self._send_report,
@@ -315,6 +315,7 @@
     def _put_target(self, row: TargetRow, age_ms: int) -> None:
         self.membership.put(row, self.clock.now_ms(), age_ms)
         row = self.membership.targets_by_name.get(row.name, row)
+        self.limits.note_row(row)
         known = self.rows_by_address.get(row.address)
         if known is None or row.incarnation >= known.incarnation:
             self.rows_by_address[row.address] = row
@@ -432,6 +433,8 @@
             events.log(events.PEER_LOST, peer="control", detail=str(error))
 
     async def _apply_update(self, news: News) -> None:
+        # Before the targets that it is about count as just started.
+        self.limits.merge(news.limits)
         for aged in news.targets:
             self._record_draining(aged.row)
             self._put_target(aged.row, aged.age_ms)
@@ -448,7 +451,6 @@
                 news.marks.revision, news.text.encode(), ConfigurationTransfer(), 0
             )
         self.quarantine.merge(news.crashes)
-        self.limits.merge(news.limits)
         is_new_member = news.marks.epoch != self.marks.epoch
         self.versions.record_reply(news.remembers_versions, is_new_member)
         self.marks = self.evacuations.apply(news)
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -317,6 +317,20 @@
     "Correct the target.",
     per_second=1,
 )
+TARGET_COLD_CHANGED = _event(
+    727,
+    logging.INFO,
+    "A target is cold, and gets few requests for a while, or is warm again.",
+    per_second=20,
+)
+TARGET_COLD_MALFORMED = _event(
+    728,
+    logging.WARNING,
+    "A target names a time for which it stays cold that cannot be read; it changes "
+    "nothing.",
+    "Correct the target.",
+    per_second=1,
+)
 SEND_DENIED = _event(
     717,
     logging.INFO,
--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -172,6 +172,7 @@
         rejected: Whether the target has turned a request away.
         incarnation: Incarnation of the target that the request is for. ``limit`` may be
             of an earlier one.
+        requests: Requests that it counts as: the pieces of a stage call.
     """
 
     limit: AgedLimit
@@ -185,6 +186,7 @@
     is_report: bool = False
     rejected: bool = False
     incarnation: int = 0
+    requests: int = 1
 
 
 @attrs.frozen
--- a/wagtailrun/relay/core/port.py
+++ b/wagtailrun/relay/core/port.py
@@ -131,6 +131,7 @@
         max_rejections: Requests a second that it may turn away before it fails, those
             of all VMs together; None if it does not say that it is brittle.
         rejected: Whether it turned this request away without running it.
+        cold_ms: How long it stays cold; 0 if it is warm, None if it does not say.
     """
 
     leaving: bool = False
@@ -138,6 +139,7 @@
     limit_per_s: float | MalformedBound | None = None
     max_rejections: float | MalformedBound | None = None
     rejected: bool = False
+    cold_ms: int | MalformedBound | None = None
 
 
 class AnswerProgress(enum.StrEnum):
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -34,6 +34,7 @@
 )
 from wagtailrun.relay.core.port import RelayWire
 from wagtailrun.relay.entry_stop import RelayEntryStop, StopTimes
+from wagtailrun.relay.limits.cold_grants import ColdRoles
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
@@ -151,6 +152,7 @@
             self.view.limits,
             self._grant_share,
             is_out_of_touch=lambda: self.view.is_out_of_touch,
+            roles=self._cold_roles(grant_owners),
         )
         self.grants = GrantClient(
             self.link,
@@ -437,6 +439,23 @@
             return 1.0
         return fallback_share(len({row.data_centre for row in self.view.entries}))
 
+    def _cold_roles(self, owners: Owners) -> ColdRoles:
+        def is_owner(service: str) -> bool:
+            owner = owners.preferred(ownership_key(service))
+            return owner is None or owner.name == self.settings.name
+
+        def services() -> tuple[str, ...]:
+            table = self.view.table
+            rows = table.services_by_name.values() if table is not None else ()
+            return tuple(row.name for row in rows if row.cold_per_s > 0)
+
+        return ColdRoles(
+            is_owner,
+            lambda: self.view.confirmation_age_ms,
+            lambda: len(self.view.live_entries()),
+            services,
+        )
+
     def _target_slots(self, row: TargetRow) -> int:
         """Return how many requests a target can run at once."""
         table = self.view.table
--- a/wagtailrun/relay/limits/brittle_slots.py
+++ b/wagtailrun/relay/limits/brittle_slots.py
@@ -180,7 +180,7 @@
             None if the target is not brittle.
         """
         row = self.limits.newest(message.limit.limit.target)
-        bound = row.brittle_bound
+        bound = row.brittle_bound if row is not None else None
         is_harmless = bound is None or bound >= HARMLESS_REJECTIONS_PER_S
         if is_harmless or not message.entry:
             return None
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -12,11 +12,11 @@
     TargetObserver,
 )
 from wagtailrun.clock import MS_PER_SECOND, Clock
-from wagtailrun.discovery import FleetView
+from wagtailrun.discovery import ColdSource, FleetView
 from wagtailrun.exceptions import SendForbidden, TargetPaused
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
-from wagtailrun.relay.core.port import MalformedBound, RelayWire
+from wagtailrun.relay.core.port import MalformedBound, RelayWire, TargetNotice
 from wagtailrun.relay.limits.send_grants import GrantClient
 from wagtailrun.relay.paths.tunnel_messages import PauseNoted, ReportPause
 from wagtailrun.targets.table import TargetRow
@@ -34,6 +34,8 @@
 MAX_RETURN_JITTER_MS = 1_000
 # A request is sent within this time after its permit was requested.
 PERMIT_LIFETIME_MS = 500
+# The same for a cold target, whose bound holds for each second.
+COLD_PERMIT_LIFETIME_MS = 200
 
 
 @attrs.define
@@ -112,6 +114,7 @@
                 _log_malformed(row, bound)
             else:
                 record(row, bound, sent_ms)
+        self._record_cold(row, notice, sent_ms)
         await self.view.report_changes()
         if notice.rejected and limits.max_rejections(row) is not None:
             await self.grants.record_rejection(row)
@@ -125,8 +128,25 @@
             )
             await self.view.mark_leaving(row)
 
+    def _record_cold(self, row: TargetRow, notice: TargetNotice, sent_ms: int) -> None:
+        if isinstance(notice.cold_ms, MalformedBound):
+            events.log(
+                events.TARGET_COLD_MALFORMED,
+                target=row.name,
+                incarnation=row.incarnation,
+                value=notice.cold_ms.text,
+            )
+        elif notice.cold_ms is not None:
+            self.view.limits.record_cold(
+                row, notice.cold_ms, ColdSource.ANSWER, sent_ms
+            )
+
     async def request_permit(
-        self, address: Address, urgency: int, takes_slot: bool = True
+        self,
+        address: Address,
+        urgency: int,
+        takes_slot: bool = True,
+        requests: int = 1,
     ) -> SendPermit | None:
         """Permit a request; see ``TargetObserver``."""
         wait_ms = self.paused_ms(address, urgency)
@@ -140,7 +160,7 @@
             return SendPermit(row, 0, number)
         requested_ms = self.clock.now_ms()
         try:
-            grant = await self.grants.request(row, urgency, number)
+            grant = await self.grants.request(row, urgency, number, requests)
             await self.view.report_changes()
         except BaseException:
             # The owner may have granted it.
@@ -151,7 +171,9 @@
             self._record_denial(address, urgency, grant.wait_ms)
             detail = f"the bound of {address} is used up for {grant.wait_ms} ms"
             raise TargetPaused(detail, grant.wait_ms)
-        return SendPermit(row, requested_ms + PERMIT_LIFETIME_MS, number)
+        is_cold = self.view.limits.cold_limit_per_s(row) is not None
+        lifetime_ms = COLD_PERMIT_LIFETIME_MS if is_cold else PERMIT_LIFETIME_MS
+        return SendPermit(row, requested_ms + lifetime_ms, number)
 
     async def record_end(self, permit: SendPermit | None, completed: bool) -> None:
         """Record the end of a request; see ``TargetObserver``."""
--- a/wagtailrun/relay/limits/return_queue.py
+++ b/wagtailrun/relay/limits/return_queue.py
@@ -15,10 +15,12 @@
 
     Args:
         generator: Draws the return of those that find the queue full.
+        typical_ms: Time within which requests return, or two intervals.
     """
 
-    def __init__(self, generator: random.Random):
+    def __init__(self, generator: random.Random, typical_ms: float = TYPICAL_RETURN_MS):
         self.random = generator
+        self.typical_ms = typical_ms
         # When the last request of an urgency that was denied may return.
         self.return_ms_by_urgency: dict[int, int] = {}
 
@@ -40,7 +42,7 @@
             first_wait_ms: Time until there may be room.
             interval_ms: Time between two requests that find room.
         """
-        longest_ms = min(max(TYPICAL_RETURN_MS, 2 * interval_ms), MAX_RETURN_MS)
+        longest_ms = min(max(self.typical_ms, 2 * interval_ms), MAX_RETURN_MS)
         last_ms = self.last_return_ms(urgency) + interval_ms
         return_ms = max(now_ms + first_wait_ms, last_ms)
         if return_ms - now_ms > longest_ms:
--- a/wagtailrun/relay/limits/send_grants.py
+++ b/wagtailrun/relay/limits/send_grants.py
@@ -15,6 +15,7 @@
 
 from wagtailrun.adapters.http_client import LEAST_URGENT
 from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.discovery.messages import UNKNOWN_AGE_MS, AgedLimit, TargetLimit
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.exceptions import PeerUnreachable
@@ -23,6 +24,8 @@
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.core.placement_messages import RequestGrant, SendGrant
 from wagtailrun.relay.limits.brittle_slots import BrittleSlots
+from wagtailrun.relay.limits.cold_grants import SOLE_OWNER, ColdGrants, ColdRoles
+from wagtailrun.relay.limits.request_buckets import RequestBucket
 from wagtailrun.relay.limits.return_queue import (
     MAX_RETURN_MS,
     TYPICAL_RETURN_MS,
@@ -41,8 +44,6 @@
 # A target that takes fewer requests gets one at this interval, which finds out whether
 # its limit has ended.
 MIN_RATE_PER_S = 0.25
-# Requests that an idle target may get at once: one, and those of this time.
-BURST_S = 0.25
 # Share of a limit that entries other than the owner grant, all data centres together.
 # Some entries may still reach the owner.
 FALLBACK_SHARE = 0.5
@@ -65,28 +66,6 @@
 LINGER_MS = 300
 
 
-@attrs.define
-class _Bucket:
-    """Requests that a target may get.
-
-    Attributes:
-        updated_ms: When ``tokens`` was computed.
-        tokens: Requests that may be granted. A new bucket is empty: another process may
-            have granted requests until a moment ago.
-        returns: When denied requests return.
-    """
-
-    updated_ms: int
-    returns: ReturnQueue
-    tokens: float = 0.0
-
-    def refill(self, rate_per_s: float, now_ms: int) -> None:
-        """Add the requests of the time since the last call, up to a burst."""
-        added = rate_per_s * (now_ms - self.updated_ms) / MS_PER_SECOND
-        self.tokens = min(self.tokens + added, 1.0 + BURST_S * rate_per_s)
-        self.updated_ms = now_ms
-
-
 @attrs.define(eq=False)
 class _Held:
     """Requests of this entry at one target.
@@ -122,6 +101,7 @@
         seed: Seed of the times at which requests return that were denied.
         is_out_of_touch: Returns whether other entries may have another owner, as no
             control member replies here.
+        roles: Tells whether this process may grant all requests to cold targets.
     """
 
     def __init__(
@@ -131,6 +111,7 @@
         share: Callable[[str], float] = lambda service: 1.0,
         seed: int | None = None,
         is_out_of_touch: Callable[[], bool] = lambda: False,
+        roles: ColdRoles = SOLE_OWNER,
     ):
         self.clock = clock
         self.limits = limits
@@ -139,7 +120,8 @@
         # When another entry last asked.
         self.heard_ms = clock.now_ms()
         self.random = random.Random(seed)
-        self.buckets_by_target: dict[str, _Bucket] = {}
+        self.buckets_by_target: dict[str, RequestBucket] = {}
+        self.cold = ColdGrants(clock, limits, self.random, roles)
         self.slots = BrittleSlots(clock, limits, self.random)
 
     def slot_share(self, service: str) -> float:
@@ -162,6 +144,8 @@
         """
         if not local:
             self.heard_ms = self.clock.now_ms()
+            if message.entry and not message.is_report:
+                self.cold.record_asked(message.entry)
         self.limits.merge([message.limit], local=True)
         grant = self.slots.handle(message, self.slot_share(message.service))
         if grant is not None and not grant.granted:
@@ -181,27 +165,23 @@
         """
         for service in list(self.slots.shares_by_service):
             self.slots.note_share(service, self.slot_share(service))
+        self.cold.review()
         self.slots.note_entries(entries)
 
     def _grant_rate(self, message: RequestGrant) -> SendGrant:
         target = message.limit.limit.target
-        rate_per_s = self._rate_per_s(message.service, target)
-        if rate_per_s is None:
+        bounds = self._bounds(message.service, target, message.incarnation)
+        waits_ms = [
+            bucket.denied_ms(rate_per_s, message.urgency, message.requests)
+            for bucket, rate_per_s in bounds
+        ]
+        wait_ms = max(waits_ms, default=0)
+        if not wait_ms:
+            for bucket, _ in bounds:
+                # The next requests wait longer after those of a stage call.
+                bucket.tokens -= message.requests
             return SendGrant(True, 0)
-        bucket = self._bucket(target, rate_per_s)
-        now_ms = bucket.updated_ms
-        # More urgent requests that were denied come first.
-        last_ms = bucket.returns.last_return_ms(message.urgency - 1)
-        reserved = 1.0 if last_ms > now_ms else 0.0
-        if bucket.tokens >= 1.0 + reserved:
-            bucket.tokens -= 1.0
-            return SendGrant(True, 0)
-        wait_ms = bucket.returns.add(
-            message.urgency,
-            now_ms,
-            self._token_wait_ms(bucket, rate_per_s),
-            _interval_ms(rate_per_s),
-        )
+        bucket, rate_per_s = bounds[waits_ms.index(wait_ms)]
         events.log(
             events.SEND_DENIED,
             service=message.service,
@@ -209,21 +189,32 @@
             urgency=message.urgency,
             per_second=rate_per_s,
             tokens=round(bucket.tokens, 2),
-            reserved=bool(reserved),
+            reserved=bucket.tokens >= 1.0,
             wait_ms=wait_ms,
         )
         return SendGrant(False, wait_ms)
 
+    def _bounds(
+        self, service: str, target: str, incarnation: int
+    ) -> list[tuple[RequestBucket, float]]:
+        """Return the buckets of a target with the requests a second to grant here."""
+        bounds = []
+        rate_per_s = self._rate_per_s(service, target)
+        if rate_per_s is not None:
+            bounds.append((self._bucket(target, rate_per_s), rate_per_s))
+        cold = self.cold.bucket(service, target, incarnation)
+        if cold is not None:
+            bounds.append(cold)
+        return bounds
+
     def wait_ms(self, row: TargetRow) -> int:
         """Return when a further request to a target may be granted; 0 if now."""
         slot_ms = self.slots.wait_ms(row.name, row.incarnation)
         if self.limits.limit_per_s(row) is None:
             return slot_ms
-        rate_per_s = self._rate_per_s(row.service, row.name)
-        bucket = self._bucket(row.name, rate_per_s)
-        if bucket.tokens >= 1.0:
-            return slot_ms
-        return max(self._token_wait_ms(bucket, rate_per_s), slot_ms)
+        bounds = self._bounds(row.service, row.name, row.incarnation)
+        waits_ms = [bucket.wait_ms(rate_per_s) for bucket, rate_per_s in bounds]
+        return max(slot_ms, *waits_ms)
 
     def _rate_per_s(self, service: str, target: str) -> float | None:
         """Return the requests a second to grant here; None without a limit."""
@@ -235,28 +226,18 @@
             return limit.per_second * share
         return max(limit.per_second, MIN_RATE_PER_S)
 
-    def _bucket(self, target: str, rate_per_s: float) -> _Bucket:
+    def _bucket(self, target: str, rate_per_s: float) -> RequestBucket:
         now_ms = self.clock.now_ms()
         bucket = self.buckets_by_target.get(target)
         if bucket is None:
             while len(self.buckets_by_target) >= MAX_BUCKETS:
                 del self.buckets_by_target[next(iter(self.buckets_by_target))]
-            bucket = self.buckets_by_target[target] = _Bucket(
+            bucket = self.buckets_by_target[target] = RequestBucket(
                 now_ms, ReturnQueue(self.random)
             )
         bucket.refill(rate_per_s, now_ms)
         return bucket
 
-    @staticmethod
-    def _token_wait_ms(bucket: _Bucket, rate_per_s: float) -> int:
-        missing = max(1.0 - bucket.tokens, 0.0)
-        return int(missing * _interval_ms(rate_per_s)) + 1
-
-
-def _interval_ms(rate_per_s: float) -> int:
-    """Return the time between two requests of a rate, at most an hour."""
-    return int(min(MS_PER_SECOND / max(rate_per_s, 1e-9), 3_600 * MS_PER_SECOND))
-
 
 class GrantClient:
     """Requests grants from the owner of a service.
@@ -395,7 +376,9 @@
         if known is held and not is_used:
             del self.held_by_target[held.row.name]
 
-    async def request(self, row: TargetRow, urgency: int, number: int = 0) -> SendGrant:
+    async def request(
+        self, row: TargetRow, urgency: int, number: int = 0, requests: int = 1
+    ) -> SendGrant:
         """Return whether a request may be sent now to a target that names a bound.
 
         If the owner of the service does not reply, an entry of this data centre decides
@@ -405,8 +388,9 @@
             row: Target.
             urgency: Rank of the request, 0 to 9; 0 goes first.
             number: Number of the request; 0 if it takes no slot of the target.
+            requests: Requests that it counts as: the pieces of a stage call.
         """
-        message = self._message(row, urgency, number)
+        message = self._message(row, urgency, number, requests)
         if message is None:
             return SendGrant(True, 0)
         held = self.held_by_target.get(row.name)
@@ -423,12 +407,17 @@
         return grant
 
     def _message(
-        self, row: TargetRow, urgency: int, number: int
+        self, row: TargetRow, urgency: int, number: int, requests: int = 1
     ) -> RequestGrant | None:
         """Return a message about a target; None if nothing is known of its bounds."""
-        if self.limits.newest(row.name) is None:
+        if self.limits.newest(row.name) is not None:
+            (limit,) = self.limits.rows([row.name])
+        elif self.limits.limit_per_s(row) is not None:
+            # It is cold, as it has just started, and has said nothing.
+            nothing = TargetLimit(row.name, row.incarnation, False, 0.0)
+            limit = AgedLimit(nothing, UNKNOWN_AGE_MS)
+        else:
             return None
-        (limit,) = self.limits.rows([row.name])
         held = self.held_by_target.get(row.name)
         held = held or _Held(row)
         return RequestGrant(
@@ -442,6 +431,7 @@
             max(self.slots(row), 1),
             rejected=held.rejected,
             incarnation=row.incarnation,
+            requests=requests,
         )
 
     async def _ask(self, row: TargetRow, message: RequestGrant) -> SendGrant:
--- a/wagtailrun/relay/upkeep.py
+++ b/wagtailrun/relay/upkeep.py
@@ -59,6 +59,7 @@
         """Drop everything that is kept of what is gone."""
         self.view.drop_gone()
         names = self.view.membership.targets_by_name.keys()
+        self.view.limits.retain_starts(names)
         self.connector.carriers.drop_gone()
         table = self.view.table
         if table is None:
--- a/wagtailrun/routes/__init__.py
+++ b/wagtailrun/routes/__init__.py
@@ -12,7 +12,7 @@
     WeightedService,
     WorkspaceKeys,
 )
-from wagtailrun.routes.table import RouteTable, build_route_table
+from wagtailrun.routes.table import RouteTable, build_route_table, cold_per_s
 
 __all__ = [
     "EngineCapacity",
@@ -26,5 +26,6 @@
     "WeightedService",
     "WorkspaceKeys",
     "build_route_table",
+    "cold_per_s",
     "route_table_from_document",
 ]
--- a/wagtailrun/routes/model.py
+++ b/wagtailrun/routes/model.py
@@ -174,12 +174,15 @@
         max_connections: Connections that one target accepts from all entries.
         engine: Capacity of each target, if the targets are model engines.
         pool: Capacity of each target, if the targets run stages.
+        cold_per_s: Requests a second that a cold target tolerates from all entries
+            together; 0 if there is no bound.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineCapacity | None = None
     pool: StageCapacity | None = None
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/wagtailrun/routes/table.py
+++ b/wagtailrun/routes/table.py
@@ -1,5 +1,6 @@
 """Lookup and validation of routes and API keys."""
 
+import math
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -12,7 +13,7 @@
     WorkspaceKeys,
 )
 
-__all__ = ["RouteTable", "build_route_table"]
+__all__ = ["RouteTable", "build_route_table", "cold_per_s"]
 
 MAX_FAULTS_REPORTED = 50
 
@@ -55,6 +56,16 @@
             yield from routes
 
 
+def cold_per_s(table: RouteTable | None, service: str) -> float:
+    """Return the requests a second that a cold target of a service tolerates.
+
+    Returns:
+        0 if there is no bound, or no table yet.
+    """
+    row = table.services_by_name.get(service) if table is not None else None
+    return row.cold_per_s if row is not None else 0.0
+
+
 def build_route_table(
     version: int,
     routes: Iterable[Route],
@@ -79,7 +90,11 @@
     """
     routes, workspaces = list(routes), list(workspaces)
     services_by_name = {service.name: service for service in services}
-    faults = [*_route_faults(routes, services_by_name), *_key_faults(workspaces)]
+    faults = [
+        *_route_faults(routes, services_by_name),
+        *_service_faults(services_by_name),
+        *_key_faults(workspaces),
+    ]
     if faults:
         raise FleetTextError(faults[:MAX_FAULTS_REPORTED])
     by_host: dict[str, list[Route]] = {}
@@ -125,6 +140,15 @@
         yield from _step_faults(where, route, services_by_name)
 
 
+def _service_faults(services_by_name: dict[str, RoutedService]) -> Iterator[str]:
+    for service in services_by_name.values():
+        if not 0 <= service.cold_per_s < math.inf:
+            yield (
+                f"services.{service.name}.cold_per_s: {service.cold_per_s} must be a "
+                f"finite number of 0 or more"
+            )
+
+
 def _step_faults(
     where: str, route: Route, services_by_name: dict[str, RoutedService]
 ) -> Iterator[str]:
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -56,6 +56,9 @@
   limit @0 :TargetLimit;
   ageMs @1 :UInt64;
   brittleAgeMs @2 :UInt64 = 1000000000000000;  # Earlier builds say nothing of it.
+  coldSource @3 :Text;  # Empty if nothing is known, as from earlier builds.
+  coldLeftMs @4 :Int64;  # Negative since it became warm.
+  coldAgeMs @5 :UInt64;
 }
 
 struct PollNews {
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -80,6 +80,7 @@
   isReport @8 :Bool;
   rejected @9 :Bool;
   incarnation @10 :UInt64;
+  requests @11 :UInt32 = 1;
 }
 
 struct SendGrant { granted @0 :Bool; waitMs @1 :UInt32; }
