Test that pieces and the bound of a document reach the grants of cold targets

Missing: no test showed that the stage client of the platform names its pieces to the permit, or that `cold_per_s` of a document is read or refused.

--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -6,13 +6,17 @@
 import curio
 import pytest
 from wagtail_platform.control_calls import ControlHandler
+from wagtail_platform.documents import read_document
 from wagtail_platform.requests import PlatformWire, parse_notice
+from wagtail_platform.stage_calls import PlatformStageClient
 
 from tests.test_brittle_targets import Head
 from tests.test_discovery import run
 from tests.test_notices import ROW as NOTICE_ROW
 from tests.test_notices import Harness
-from tests.test_platform import REPORT, FakeStore
+from tests.test_platform import DOCUMENT, REPORT, FakeStore, document
+from tests.test_target_limits import OnePermit
+from wagtailrun.adapters.http_client import HttpClient
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.codec import decode, encode
 from wagtailrun.discovery import Hub
@@ -25,7 +29,7 @@
 )
 from wagtailrun.discovery.messages import AgedLimit, ReportLimits, TargetLimit
 from wagtailrun.discovery.target_limits import MAX_LIMITS, TargetLimits
-from wagtailrun.exceptions import TargetPaused
+from wagtailrun.exceptions import FleetTextError, TargetPaused
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.core.placement_messages import RequestGrant
@@ -33,6 +37,13 @@
 from wagtailrun.relay.limits.cold_grants import STAND_IN_SHARE, ColdRoles
 from wagtailrun.relay.limits.notices import COLD_PERMIT_LIFETIME_MS
 from wagtailrun.relay.limits.send_grants import SendGranter
+from wagtailrun.routes import (
+    RequestLimits,
+    RoutedService,
+    build_route_table,
+    cold_per_s,
+)
+from wagtailrun.stages import StageItem
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
@@ -490,3 +501,54 @@
             harness.notices.check(address, permit)
 
     run_virtual(main)
+
+
+class Denying(OnePermit):
+    """Denies all requests, and records as how many each counts."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def request_permit(self, address, urgency, takes_slot, requests):
+        self.asked.append(requests)
+        raise TargetPaused("cold", 1_000)
+
+
+def test_stage_client_names_the_pieces_of_a_call():
+    """Guards against pieces that are lost between the call and its permit."""
+    observer = Denying()
+
+    async def main(clock):
+        http = HttpClient(clock, observer)
+        items = [StageItem("r", 0, piece, 1_000, "k") for piece in range(3)]
+        with pytest.raises(TargetPaused):
+            await PlatformStageClient(http).run(ROW, items, 500)
+        with pytest.raises(TargetPaused):
+            await http.request(ROW.address, "GET", "/", (), timeout_ms=500)
+
+    run_virtual(main)
+    assert observer.asked == [3, 1]
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [({}, 0.0), ({"cold_per_s": None}, 0.0), ({"cold_per_s": 2.5}, 2.5)],
+)
+def test_bound_of_a_document(fields, expected):
+    """Guards against a bound of operators that is not read."""
+    services = [*DOCUMENT["services"], {"name": "more", **fields}]
+    table = read_document(document(services=services))
+    assert cold_per_s(table, "more") == expected
+    assert cold_per_s(table, "unknown") == cold_per_s(None, "more") == 0.0
+
+
+def test_bound_that_is_no_number_is_refused():
+    """Guards against a bound that no request can pass, or that fails each one."""
+    for value in (-1, "5", True, [2]):
+        services = [*DOCUMENT["services"], {"name": "more", "cold_per_s": value}]
+        with pytest.raises(FleetTextError):
+            read_document(document(services=services))
+    for value in (float("nan"), float("inf"), -0.5):
+        with pytest.raises(FleetTextError):
+            service = RoutedService("s", cold_per_s=value)
+            build_route_table(1, [], [service], [], RequestLimits(), demands_keys=True)
