--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -99,7 +99,7 @@
 class Host:
     """Chooses an engine where the owner does not reply."""
 
-    def place(self, message):
+    def handle(self, message):
         return Placed("engine", "a", 0)
 
 
