Let a dropped announced step come back when its entry asks for it

Callers saw a request refused with "the inputs of the step did not arrive" though its inputs were there in time: its entry had been silent for over 6 s, or had used another owner for so long, and came back. Cause: the owner kept the dropped step under its key as refused, for 3 s or until the next wake of an idle pool, and answered the step that became ready with that. Ruled out: reviving it by a confirmation alone, as a step whose entry does not confirm comes back, too. Before / after: test_dropped_step_may_come_back failed for 6.2, 8.9 and 9.3 s of silence (refused), and passes; test_stage_*, test_frozen_*, test_announced_steps pass. Conclusion: a dropped step is a new one. Read only, not tested: succession and _refuse_late_jobs can still keep a refusal of an announced step.

--- a/tests/test_announced_steps.py
+++ b/tests/test_announced_steps.py
@@ -199,3 +199,22 @@
 
     (detail,) = run_virtual(main)
     assert detail.endswith("was last heard of 500 ms after its announcement")
+
+
+@pytest.mark.parametrize("silence_ms", [6_200, 8_900, 9_300])
+def test_dropped_step_may_come_back(silence_ms):
+    """Load: an entry whose confirmations do not arrive for longer than a step is kept.
+
+    Guards against a step that is refused, although its inputs are there in time, as it
+    was dropped while it was announced.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        limits = {"aim_ms": 15_000, "remaining_ms": 20_000}
+        await harness.send("r", 2, reserve=True, announcement=1, **limits)
+        await clock.sleep_ms(silence_ms)
+        limits = {"aim_ms": 9_000, "remaining_ms": 12_000}
+        return await harness.send("r", 2, has_inputs=True, inputs=("ha",), **limits)
+
+    assert run_virtual(main).state == JobState.DONE
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -311,6 +311,8 @@
             overdue = now_ms + shortest_ms > job.expires_at_ms
             unheard_ms = now_ms - job.asked_ms
             if not job.ready and (overdue or unheard_ms > ANNOUNCED_JOB_TIMEOUT_MS):
+                # It is a new one if its entry asks for it after all.
+                del self.jobs_by_key[job.key]
                 self._finish(job, JobState.REFUSED, job.missing_inputs_detail)
             elif job.waiting and overdue:
                 self._finish(job, JobState.REFUSED, "the step cannot finish in time")
