Keep the inputs of a step while a piece that failed waits for another call

Callers saw the stages of their request run a second time, or its refusal, after one call of a step had failed. Cause: the pieces of a call counted as having fetched their inputs 60 ms into it, also after it failed. The next call of the step completed the set, so that the inputs were released while the failed pieces waited; their call then found none. Ruled out: releasing only when all pieces are done: large inputs hold memory that earlier steps wait for. Before / after: test_failed_pieces_keep_the_inputs_until_they_are_fetched_again: released at 580 ms before, at 850 ms now, 60 ms into the last call. Conclusion: a piece that is queued again has fetched nothing.

--- a/tests/test_fetched_inputs.py
+++ b/tests/test_fetched_inputs.py
@@ -107,3 +107,27 @@
         return [at_ms for at_ms, _ in harness.released_elsewhere]
 
     assert run_virtual(main) == [released_ms]
+
+
+def test_failed_pieces_keep_the_inputs_until_they_are_fetched_again():
+    """Load: a step of two calls, of which the first fails at its end.
+
+    Guards against inputs that the second call releases while the pieces of the first
+    one wait for another call.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        harness.client.fail_at_end = TargetFailed("reset")
+        limits = {"aim_ms": 9_000, "remaining_ms": 9_000}
+        state = await harness.send("r", 8, **INPUTS, moved_bytes=LARGE, **limits)
+        calls = [
+            (at_ms, [item.piece for item in items])
+            for at_ms, _, items in harness.client.calls
+        ]
+        return state.state, calls, [at_ms for at_ms, _ in harness.released_elsewhere]
+
+    state, calls, released_ms = run_virtual(main)
+    assert state == JobState.DONE
+    assert [pieces for _, pieces in calls] == [[0, 1, 2, 3], [4, 5, 6, 7], [0, 1, 2, 3]]
+    assert released_ms == [calls[-1][0] + INPUT_FETCH_MS]
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -562,6 +562,7 @@
             # Another call could only find that.
             self._finish(job, JobState.GONE, "its inputs were released before a retry")
             return
+        job.fetched_pieces.discard(piece)
         job.waiting.append(piece)
         job.times.turn(Phase.QUEUED, self.clock.now_ms())
 
