Count the time of a call's inputs from when the call was sent

Callers saw the stages of their request run a second time where a call had waited for a permit, or found no connection. Cause: the 60 ms after which the inputs of a call count as fetched began when the owner planned it. A permit may take 150 ms, a connection 100 ms and a tunnel more; of a call that was then denied no target had fetched anything, but its inputs were released, and its step ended as gone. Ruled out: a longer time: it would hold the memory of inputs of all calls. Before / after: test_inputs_stay_until_their_call_is_sent failed for a denied call and for one without a connection (gone), and passes; test_stage_*, test_fetched_inputs, test_frozen_*, test_step_times, test_late_stage_calls, test_overdue_stage_calls pass.

--- a/tests/test_fetched_inputs.py
+++ b/tests/test_fetched_inputs.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.test_stage_pool import BatcherHarness
-from wagtailrun.exceptions import TargetFailed
+from wagtailrun.exceptions import TargetFailed, TargetPaused, Verdict
 from wagtailrun.stages import JobState, PieceOutcome
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
 from wagtailrun.virtual_time import run_virtual
@@ -131,3 +131,38 @@
     assert state == JobState.DONE
     assert [pieces for _, pieces in calls] == [[0, 1, 2, 3], [4, 5, 6, 7], [0, 1, 2, 3]]
     assert released_ms == [calls[-1][0] + INPUT_FETCH_MS]
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        TargetPaused("the bound is used up", 300),
+        TargetFailed("no connection", verdict=Verdict.NOT_RUN),
+    ],
+    ids=["denied", "no connection"],
+)
+def test_inputs_stay_until_their_call_is_sent(failure):
+    """Load: a call that waits 150 ms for a permit or a connection, and gets none.
+
+    Guards against inputs that are released although no target has fetched them.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        send, failures = harness.client.run, [failure]
+
+        async def run(*arguments):
+            if failures:
+                await clock.sleep_ms(150)
+                raise failures.pop()
+            return await send(*arguments)
+
+        harness.client.run = run
+        limits = {"aim_ms": 9_000, "remaining_ms": 9_000}
+        state = await harness.send("r", 2, **INPUTS, moved_bytes=LARGE, **limits)
+        sent_ms = [at_ms for at_ms, _, _ in harness.client.calls]
+        return state.state, sent_ms, [ms for ms, _ in harness.released_elsewhere]
+
+    state, sent_ms, released_ms = run_virtual(main)
+    assert state == JobState.DONE
+    assert released_ms == [sent_ms[0] + INPUT_FETCH_MS]
--- a/wagtailrun/stages/fetched_inputs.py
+++ b/wagtailrun/stages/fetched_inputs.py
@@ -8,12 +8,13 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.routes import StageCapacity
+from wagtailrun.stages.call_slot import CallSlot
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.messages import FreeResults, PieceResult
 
 __all__ = ["INPUT_FETCH_MS", "FetchedInputs"]
 
-# Time into a call after which its inputs count as fetched. A target fetches them when
+# Time after a call was sent when its inputs count as fetched. A target fetches them when
 # the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
 INPUT_FETCH_MS = 60
 # Inputs of which each takes up no more than this share of the memory of a target, and
@@ -46,9 +47,18 @@
         self.is_doubtful = is_doubtful
         self.capacity = capacity
 
-    async def await_fetch(self, chosen: Sequence[tuple[Job, int]]) -> None:
-        """Mark the large inputs of a call as fetched once there was time for it."""
-        await self.clock.sleep_ms(INPUT_FETCH_MS)
+    async def await_fetch(
+        self, chosen: Sequence[tuple[Job, int]], slot: CallSlot
+    ) -> None:
+        """Mark the large inputs of a call as fetched once there was time for it.
+
+        A call may wait for a permit or a connection before it is sent, or not be sent.
+        """
+        left_ms = INPUT_FETCH_MS
+        while left_ms > 0:
+            await self.clock.sleep_ms(left_ms)
+            if slot.sent_ms is not None:
+                left_ms = slot.sent_ms + INPUT_FETCH_MS - self.clock.now_ms()
         await self.mark([pair for pair in chosen if not self._are_small(pair[0])])
 
     def _are_small(self, job: Job) -> bool:
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -414,7 +414,7 @@
         is_full = started_ms < target_state.full_until_ms
         if not (is_full or self.is_contested):
             fetch = self.inputs.await_fetch
-            timers.append(await curio.spawn(fetch, chosen, daemon=True))
+            timers.append(await curio.spawn(fetch, chosen, slot, daemon=True))
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
