Say that the size of one input of a step is a mean

Ruled out: sizes of each input in the message, which a step does not carry today. Before / after: no code.

--- a/wagtailrun/stages/fetched_inputs.py
+++ b/wagtailrun/stages/fetched_inputs.py
@@ -14,11 +14,11 @@
 
 __all__ = ["INPUT_FETCH_MS", "FetchedInputs"]
 
-# Time after a call was sent when its inputs count as fetched. A target fetches them when
-# the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
+# Inputs count as fetched this long after their call was sent. A target fetches them
+# when the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
 INPUT_FETCH_MS = 60
-# Inputs of which each takes up no more than this share of the memory of a target, and
-# which all together take up no more than the other one, stay until the call ends: a
+# Inputs of which each, on average, takes up no more than this share of the memory of a
+# target, and which all together take up no more than the other one, stay until the call ends: a
 # piece that fails can then run again, instead of the whole request.
 SMALL_INPUT_SHARE = 0.1
 KEPT_INPUTS_SHARE = 0.5
