Keep the debt of a stage call in the bucket of a stand-in

A cold target got many times its bound from entries that were cut off from the owner of its service. Cause: a bucket that lapses takes its tokens modulo a burst. A call of several pieces leaves it below zero, and Python's modulo of a negative number is positive: the debt was forgiven at each refill. Ruled out: granting calls of one piece alone at stand-ins: a batch would then be as many calls. Conclusion: a debt is paid by time alone.

--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -448,6 +448,31 @@
     assert most <= 0.5 * 20 + 4
 
 
+@pytest.mark.parametrize("pieces", [1, 2, 4])
+def test_stand_ins_pay_for_all_pieces_of_a_call(pieces):
+    """Guards against calls of several pieces that a stand-in grants for one request."""
+    entries, length_s = 9, 40
+
+    async def main(clock):
+        roles = ColdRoles(is_owner=lambda service: False, entries=lambda: entries)
+        owners = [Owner(clock, 20.0, roles) for _ in range(entries)]
+        for number, each in enumerate(owners):
+            each.granter.random.seed(number)
+        times = []
+        while clock.now_ms() < length_s * 1_000:
+            for each in owners:
+                if each.request(pieces).granted:
+                    times += [clock.now_ms()] * pieces
+            await clock.sleep_ms(10)
+        most = max(sum(e - 1_000 < ms <= e for ms in times) for e in set(times))
+        return most, len(times) / length_s
+
+    most, mean = run_virtual(main)
+    # At the end, each may owe the pieces of its last call.
+    assert mean <= 1.1 * STAND_IN_SHARE * 20 + entries * (pieces - 1) / length_s
+    assert most <= 20
+
+
 def test_share_of_a_stand_in_grows_with_the_entries_that_ask_it():
     """Guards against entries that are cut off together and get next to nothing."""
 
--- a/wagtailrun/relay/limits/request_buckets.py
+++ b/wagtailrun/relay/limits/request_buckets.py
@@ -41,7 +41,9 @@
         added = rate_per_s * (now_ms - self.updated_ms) / MS_PER_SECOND
         largest = 1.0 + self.burst_s * rate_per_s
         tokens = self.tokens + added
-        self.tokens = tokens % largest if self.lapses else min(tokens, largest)
+        # A call of several requests leaves a debt, which does not lapse.
+        lapses = self.lapses and tokens > 0
+        self.tokens = tokens % largest if lapses else min(tokens, largest)
         self.updated_ms = now_ms
 
     def wait_ms(self, rate_per_s: float) -> int:
