Renew the largest call of a cold target with each request for a grant

A target that turned cold again got calls of as many pieces as it stood shortly before it was warm. Cause: the largest call was set when the bucket was made, which may be in the ramp after a cold time, when the bound is up to 64 times as high. Ruled out: a new bucket at each change, which would forget the debt. Before / after: test_call_of_many_pieces_is_not_granted_when_a_target_is_cold_again failed (16 pieces granted at a bound of 2), and passes. Conclusion: the size follows the bound.

--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -473,6 +473,28 @@
     assert most <= 20
 
 
+def test_call_of_many_pieces_is_not_granted_when_a_target_is_cold_again():
+    """Guards against the size of calls of the time after one cold time in the next.
+
+    A target that is about to be warm stands many requests a second.
+    """
+
+    async def main(clock):
+        owner = Owner(clock, 2.0)
+        owner.limits.record_cold(ROW, 0, ColdSource.REPORT, clock.now_ms())
+        await clock.sleep_ms(2_900)
+        # The first request to the target since this process knows it.
+        owner.request()
+        owner.limits.record_cold(ROW, 60_000, ColdSource.REPORT, clock.now_ms())
+        granted = []
+        while clock.now_ms() < 30_000:
+            granted.append(owner.request(16).granted)
+            await clock.sleep_ms(50)
+        return any(granted)
+
+    assert not run_virtual(main)
+
+
 def test_share_of_a_stand_in_grows_with_the_entries_that_ask_it():
     """Guards against entries that are cut off together and get next to nothing."""
 
--- a/wagtailrun/relay/limits/cold_grants.py
+++ b/wagtailrun/relay/limits/cold_grants.py
@@ -14,7 +14,7 @@
 from wagtailrun.relay.limits.request_buckets import RequestBucket
 from wagtailrun.relay.limits.return_queue import TYPICAL_RETURN_MS, ReturnQueue
 
-__all__ = ["LEASE_MS", "SOLE_OWNER", "ColdGrants", "ColdRoles"]
+__all__ = ["LEASE_MS", "MOST_PIECES", "SOLE_OWNER", "ColdGrants", "ColdRoles"]
 
 # An owner grants the whole bound while its last confirmed poll is younger than this.
 # Control members name another owner 2 s after its last poll at the earliest.
@@ -28,8 +28,8 @@
 BURST_S = 0.05
 # Time in which a request of a stand-in is used, or lost.
 LAPSE_S = 0.25
-# A stage call of more pieces could break the bound alone: as many, and those of this
-# time.
+# A stage call of more pieces could break the bound alone: as many, and at an owner
+# those of this time.
 MOST_PIECES = 4
 MORE_PIECES_S = 0.25
 MAX_BUCKETS = 4_096
@@ -149,6 +149,9 @@
         known = self.buckets_by_target.get(target)
         if known is None or (known.incarnation, known.owned) != (incarnation, owned):
             known = self._add_bucket(target, incarnation, owned, bound)
+        # The bound grows after the end of the cold time, and falls when another begins.
+        pieces = MOST_PIECES + MORE_PIECES_S * bound if owned else MOST_PIECES
+        known.requests.most_at_once = pieces
         known.requests.refill(rate_per_s, self.clock.now_ms())
         return known.requests, rate_per_s
 
@@ -182,7 +185,6 @@
             tokens=0.0 if owned else self.random.random(),
             burst_s=BURST_S if owned else LAPSE_S,
             lapses=not owned,
-            most_at_once=MOST_PIECES + MORE_PIECES_S * bound if owned else MOST_PIECES,
         )
         known = self.buckets_by_target[target] = _Bucket(incarnation, owned, bucket)
         return known
