Form calls to cold targets that a grant covers

A cold target of a stage service got no piece while its steps waited for full calls. Cause: a grant covers 4 pieces and some (a stand-in's covers 4), and larger calls are denied as a whole; the pool filled each call to the batch of the target and queued the denied pieces again in the same size. Ruled out: refusing configurations whose batch is larger: the bound matters for seconds after a start only. Before / after: test_call_has_no_more_pieces_than_its_target_may_get: the planner has a limit by target, 4 pieces while the target has a bound. No fleet of cold stage targets was played. Conclusion: calls of 4 pieces, at the rate of the bound.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -3,6 +3,8 @@
 The first line of a test names the load that provokes the failure.
 """
 
+import math
+
 import attrs
 import curio
 
@@ -678,3 +680,19 @@
     states, timeouts = run_virtual(main)
     assert [decode(encode(state)) for state in states] == states
     assert timeouts and all(0 < timeout_ms < 2**32 for timeout_ms in timeouts)
+
+
+def test_call_has_no_more_pieces_than_its_target_may_get():
+    """Guards against calls that are denied as a whole, again and again."""
+
+    async def main(clock):
+        harness = BatcherHarness(clock, [target(1), target(2)])
+        harness.batcher.most_pieces = lambda row: 1 if row.name == "t1" else math.inf
+        state = await harness.send("r", 6)
+        sizes = [(name, len(items)) for _, name, items in harness.client.calls]
+        return state.state, sizes
+
+    state, sizes = run_virtual(main)
+    assert state == JobState.DONE
+    assert {size for name, size in sizes if name == "t1"} == {1}
+    assert {size for name, size in sizes if name == "t2"} == {4}
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -1,5 +1,6 @@
 """Relay entry daemon: receives requests and relays them to targets by route."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
@@ -34,7 +35,7 @@
 )
 from wagtailrun.relay.core.port import RelayWire
 from wagtailrun.relay.entry_stop import RelayEntryStop, StopTimes
-from wagtailrun.relay.limits.cold_grants import ColdRoles
+from wagtailrun.relay.limits.cold_grants import MOST_PIECES, ColdRoles
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.limits.send_grants import GrantClient, SendGranter, fallback_share
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
@@ -207,6 +208,7 @@
             self.loop_watch.was_held_since,
             self.connector.confirms_silence,
             lambda service: self.runner.owns(service),
+            self._most_pieces,
         )
         self.runner = StageRunner(
             self.clock,
@@ -456,6 +458,11 @@
             services,
         )
 
+    def _most_pieces(self, row: TargetRow) -> float:
+        """Return how many pieces a grant for one call to a target covers."""
+        is_bound = self.view.limits.cold_limit_per_s(row) is not None
+        return MOST_PIECES if is_bound else math.inf
+
     def _target_slots(self, row: TargetRow) -> int:
         """Return how many requests a target can run at once."""
         table = self.view.table
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -1,5 +1,6 @@
 """Batches the pieces of many requests into calls to the targets of stage services."""
 
+import math
 from collections.abc import Awaitable, Callable, Collection
 
 import curio
@@ -46,6 +47,8 @@
             call to it and when it was sent; returns whether the target is silent, and
             not that entry.
         is_owner: Returns whether this entry owns a service.
+        most_pieces: Returns how many pieces a target may get in one call, beside its
+            capacity.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         confirms_silence: Callable[[Address, Address, int], Awaitable[bool]]
         | None = None,
         is_owner: Callable[[str], bool] = lambda service: True,
+        most_pieces: Callable[[TargetRow], float] = lambda row: math.inf,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
@@ -70,6 +74,7 @@
         self.capacity = capacity
         self.budget = budget
         self.is_owner = is_owner
+        self.most_pieces = most_pieces
         self.pools_by_service: dict[str, Pool] = {}
         # Hands services over; without it they stay until their pieces are done.
         self.succession: Succession | None = None
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -6,6 +6,7 @@
 import attrs
 
 from wagtailrun.clock import Clock
+from wagtailrun.logs import events
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.memory import ResultMemory
@@ -48,6 +49,8 @@
         target_states_by_name: States of the targets.
         processing_ms: Returns the expected duration of the calls for a number of
             pieces.
+        most_pieces: Returns how many pieces a target may get in one call, beside its
+            capacity.
     """
 
     def __init__(
@@ -56,11 +59,13 @@
         memory: ResultMemory,
         target_states_by_name: dict[str, TargetState],
         processing_ms: Callable[[int], float],
+        most_pieces: Callable[[TargetRow], float],
     ):
         self.clock = clock
         self.memory = memory
         self.target_states_by_name = target_states_by_name
         self.processing_ms = processing_ms
+        self.most_pieces = most_pieces
         # Time until a target of the data centre is idle, updated before each call.
         self.busy_ms_by_data_centre: dict[str, int] = {}
         # Jobs for which a free target had no memory when a call was last planned.
@@ -76,6 +81,23 @@
         jobs = self.jobs_without_memory.values()
         return sum(len(job.waiting) for job in jobs)
 
+    def log_full_memory(self, service: str) -> None:
+        """Log that pieces wait for memory, and when the known results expire."""
+        pieces = self.pieces_without_memory
+        if not pieces:
+            return
+        results = self.memory.results_by_handle.values()
+        now_ms = self.clock.now_ms()
+        events.log(
+            events.STAGE_MEMORY_FULL,
+            service=service,
+            pieces=pieces,
+            results=len(results),
+            held_bytes=sum(held.size for held in results),
+            next_expiry_ms=min((held.until_ms for held in results), default=now_ms)
+            - now_ms,
+        )
+
     def plan(
         self,
         jobs: Sequence[Job],
@@ -263,13 +285,14 @@
         """Return the pieces of the next call to ``row``, in the order of ``jobs``."""
         room = self.memory.free_bytes(row.address, usable_bytes(capacity))
         is_occupied = self.memory.occupied_bytes(row.address)
+        places = min(capacity.batch, self.most_pieces(row))
         chosen: list[tuple[Job, int]] = []
         for job in jobs:
             if not self._may_run_at(job, row, now_ms):
                 continue
             for piece in list(job.waiting):
                 needed = job.message.result_bytes
-                if len(chosen) >= capacity.batch:
+                if len(chosen) >= places:
                     return chosen
                 if needed > room and (chosen or is_occupied):
                     self.jobs_without_memory[job.number] = job
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -69,7 +69,11 @@
             self.clock, manager.release_elsewhere, self.is_doubtful, manager.capacity
         )
         self.planner = CallPlanner(
-            self.clock, self.memory, self.target_states_by_name, self.processing_ms
+            self.clock,
+            self.memory,
+            self.target_states_by_name,
+            self.processing_ms,
+            manager.most_pieces,
         )
         self.next_forecast_ms = 0
         self.wake = curio.Event()
@@ -354,28 +358,11 @@
         jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
         plan = self.planner.plan(jobs, rows, free, capacity)
         if plan is None:
-            self._log_full_memory()
+            self.planner.log_full_memory(self.service)
             return False
         await self._begin_call(plan.row, plan.chosen)
         return True
 
-    def _log_full_memory(self) -> None:
-        """Log that pieces wait for memory, and when the known results expire."""
-        pieces = self.planner.pieces_without_memory
-        if not pieces:
-            return
-        results = self.memory.results_by_handle.values()
-        now_ms = self.clock.now_ms()
-        events.log(
-            events.STAGE_MEMORY_FULL,
-            service=self.service,
-            pieces=pieces,
-            results=len(results),
-            held_bytes=sum(held.size for held in results),
-            next_expiry_ms=min((held.until_ms for held in results), default=now_ms)
-            - now_ms,
-        )
-
     async def _begin_call(self, row: TargetRow, chosen: list[tuple[Job, int]]) -> None:
         target_state = self.target_states_by_name[row.name]
         expected_ms = self.capacity.duration_ms(len(chosen)) * target_state.slowness
--- a/wagtailrun/stages/pool_manager.py
+++ b/wagtailrun/stages/pool_manager.py
@@ -32,6 +32,8 @@
             call to it and when it was sent; returns whether the target is silent, and
             not that entry.
         is_owner: Returns whether this entry owns a service.
+        most_pieces: Returns how many pieces a target may get in one call, beside its
+            capacity.
         succession: Hands services over; without it they stay until their pieces are
             done.
     """
@@ -45,6 +47,7 @@
     was_held_since: Callable[[int], bool]
     confirms_silence: Callable[[Address, Address, int], Awaitable[bool]] | None
     is_owner: Callable[[str], bool]
+    most_pieces: Callable[[TargetRow], float]
     succession: Succession | None
 
     @abstractmethod
