--- a/wagtailrun/stages/fetched_inputs.py
+++ b/wagtailrun/stages/fetched_inputs.py
@@ -18,8 +18,8 @@
 # when the call's turn comes; 10 MB take 8 ms at 10 Gbit/s.
 INPUT_FETCH_MS = 60
 # Inputs of which each, on average, takes up no more than this share of the memory of a
-# target, and which all together take up no more than the other one, stay until the call ends: a
-# piece that fails can then run again, instead of the whole request.
+# target, and which all together take up no more than the other one, stay until the call
+# ends: a piece that fails can then run again, instead of the whole request.
 SMALL_INPUT_SHARE = 0.1
 KEPT_INPUTS_SHARE = 0.5
 
