--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,7 +13,8 @@
 PAGES = sorted((ROOT / "docs").glob("*.md")) + [ROOT / "README.md"]
 COMMANDS = {
     "entry", "control", "check", "plan", "apply", "status", "targets", "orders",
-    "refusals", "costs", "audit", "replay", "explain",
+    "refusals", "costs", "audit", "replay", "report", "explain", "stages",
+    "experiment",
 }  # fmt: skip
 
 
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -5,6 +5,7 @@
 import json
 import logging as std_logging
 import sys
+from itertools import chain
 from pathlib import Path
 from urllib.parse import urlencode
 
@@ -21,10 +22,14 @@
     EXIT_SUCCESS,
     describe_error,
 )
-from wagtailrun.cli.explain import lines_of_request
+from wagtailrun.cli.experiment import EXPERIMENT_COMMANDS
+from wagtailrun.cli.explain import lines_of_request, steps_of_request
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
-from wagtailrun.exceptions import FleetTextError, WagtailrunError
+from wagtailrun.cli.report import join_variants, report
+from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
+from wagtailrun.observation.log_files import open_lines, read_files
+from wagtailrun.observation.stage_report import StageReport
 from wagtailrun.registry.audit import verify_chain
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
@@ -375,22 +380,24 @@
         json: Print JSON.
     """
     try:
-        report = importlib.import_module("wagtailrun.replay.player").replay(file)
+        played = importlib.import_module("wagtailrun.replay.player").replay(file)
     except (ValueError, KeyError, TypeError, OSError) as error:
         detail = f"{file}: not a valid trace: {error!r}"
         raise WagtailrunError(detail) from error
-    holds = report.holds
+    holds = played.holds
     if json:
-        print_json({**attrs.asdict(report), "outcomes_hold": holds})
+        print_json({**attrs.asdict(played), "outcomes_hold": holds})
     else:
-        for violation in report.violations:
+        for violation in played.violations:
             print(printable(violation))
         print(f"{printable(file)}: outcomes {'hold' if holds else 'do not hold'}")
     return EXIT_SUCCESS if holds else EXIT_REFUSED
 
 
 def explain(request_id: str, *logs: str) -> int:
-    """Print the events of one request from the logs of all processes.
+    """Print the events of one request, and where the time of its steps went.
+
+    Steps without a row were done in time, or the logs have no line of them.
 
     Example: wagtailrun explain 9c41d07be2a35f68 front-1.log front-2.log
 
@@ -398,16 +405,50 @@
         request_id: Identifier that the caller gave the request.
         logs: Log files; standard input if none is given.
     """
-    lines = [line for name in logs for line in _read_file(name).splitlines()]
-    found = lines_of_request(request_id, lines if logs else sys.stdin)
+    lines = chain.from_iterable(map(open_lines, logs)) if logs else sys.stdin
+    found = lines_of_request(request_id, lines)
     if not found:
         print(f"no log line has request_id {request_id}", file=sys.stderr)
         return EXIT_REFUSED
     for line in found:
         print(printable(line.text(found[0].time_s)))
+    if steps := steps_of_request(found):
+        print("\nsteps that were abandoned, late, moved or waited for long:")
+        print_rows(steps)
     return EXIT_SUCCESS
 
 
+def stages(*logs: str, json: bool = False) -> int:
+    """Show the load of stage services and the ends of requests; exit with 1 for gaps.
+
+    Example: wagtailrun stages front-1.log front-2.log core-1.log
+
+    Args:
+        logs: Log files of the relay's processes.
+        json: Print JSON.
+    """
+    if not logs:
+        raise SettingsError("no log file is given")
+    report = StageReport(read_files(logs))
+    gaps = report.gaps()
+    tables = {
+        "seconds": report.second_rows(),
+        "services": report.service_rows(),
+        "routes": report.route_rows(),
+    }
+    if json:
+        print_json({**tables, "gaps": gaps})
+    else:
+        for name, rows in tables.items():
+            print(f"{name}:")
+            print_rows(rows, empty="none")
+            print()
+        print("gaps in the logs:" if gaps else "gaps in the logs: none")
+        for gap in gaps:
+            print(f"  {printable(gap)}")
+    return EXIT_REFUSED if gaps else EXIT_SUCCESS
+
+
 COMMANDS = [
     entry,
     control,
@@ -421,10 +462,18 @@
     costs,
     audit,
     replay,
+    report,
     explain,
+    stages,
 ]
 
 
+# Commands by name; a list holds the commands below a name.
+COMMANDS_BY_NAME = {command.__name__: command for command in COMMANDS} | {
+    "experiment": EXPERIMENT_COMMANDS
+}
+
+
 def _read_file(file: str) -> str:
     """Return at most ``MAX_TEXT_BYTES`` + 1 bytes of a file, as text.
 
@@ -494,8 +543,11 @@
     flags.FLAGS(["wagtailrun"])
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
+    given = sys.argv[1:] if arguments is None else arguments
+    if given[:1] == [report.__name__]:
+        given = join_variants(given)
     try:
-        code = defopt.run(COMMANDS, argv=arguments)
+        code = defopt.run(COMMANDS_BY_NAME, argv=given)
     except KeyboardInterrupt:
         code = EXIT_INTERRUPTED
     except (WagtailrunError, OSError) as error:
--- a/wagtailrun/exceptions.py
+++ b/wagtailrun/exceptions.py
@@ -12,12 +12,15 @@
     "CorruptRecord",
     "DiskFault",
     "DiskFull",
+    "ExperimentFailed",
+    "ExperimentFileError",
     "FleetTextError",
     "MalformedAddress",
     "MessageError",
     "PeerUnreachable",
     "Refusal",
     "RefusalReason",
+    "ResultsError",
     "SendForbidden",
     "SettingsError",
     "TargetFailed",
@@ -114,6 +117,22 @@
         self.faults = faults
 
 
+class ExperimentFileError(WagtailrunError):
+    """The file of an experiment is invalid.
+
+    Args:
+        faults: One line for each fault, with key, value and remedy.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class ExperimentFailed(WagtailrunError):
+    """An experiment could not be played or its results not be written."""
+
+
 class MessageError(WagtailrunError):
     """A message of a peer cannot be decoded, or one to a peer cannot be encoded."""
 
@@ -187,6 +206,10 @@
     """A stored record fails its checksum; the message names file, offset and remedy."""
 
 
+class ResultsError(WagtailrunError):
+    """Results of an experiment cannot be read; the message names file and line."""
+
+
 class TargetFailed(WagtailrunError):
     """A call to a target ended without a usable answer.
 
@@ -197,6 +220,7 @@
         closed: Whether the target closed or reset the connection.
         retry_after_ms: Delay that the target requested before a retry, in milliseconds;
             0 if it requested none.
+        pauses: Whether the target is unavailable until then.
     """
 
     def __init__(
@@ -207,12 +231,14 @@
         timed_out: bool = False,
         closed: bool = False,
         retry_after_ms: int = 0,
+        pauses: bool = False,
     ):
         super().__init__(detail)
         self.verdict = verdict
         self.timed_out = timed_out
         self.closed = closed
         self.retry_after_ms = retry_after_ms
+        self.pauses = pauses
 
 
 class ResponseAborted(WagtailrunError):
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -317,6 +317,20 @@
     "Correct the target.",
     per_second=1,
 )
+TARGET_COLD_CHANGED = _event(
+    728,
+    logging.INFO,
+    "A target is cold, and gets few requests for a while, or is warm again.",
+    per_second=20,
+)
+TARGET_COLD_MALFORMED = _event(
+    729,
+    logging.WARNING,
+    "A target names a time for which it stays cold that cannot be read; it changes "
+    "nothing.",
+    "Correct the target.",
+    per_second=1,
+)
 SEND_DENIED = _event(
     717,
     logging.INFO,
@@ -519,6 +533,12 @@
     "The pieces of a step were abandoned.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+STEP_ENDED = _event(
+    727,
+    logging.INFO,
+    "A step was done late, waited for long, or moved, and where its time went.",
+    per_second=REQUEST_LINES_PER_SECOND,
+)
 STAGE_MEMORY_FULL = _event(
     723,
     logging.WARNING,
--- a/wagtailrun/relay/core/port.py
+++ b/wagtailrun/relay/core/port.py
@@ -9,6 +9,7 @@
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.adapters.target_observer import ObservedAnswer
 from wagtailrun.exceptions import Refusal
+from wagtailrun.ports.target import TargetLoad
 
 __all__ = [
     "AnswerHead",
@@ -93,21 +94,6 @@
     last_event_id: int | None = None
 
 
-@attrs.frozen
-class TargetLoad:
-    """Load of a target when it answered.
-
-    Attributes:
-        running: Requests running.
-        waiting: Requests queued.
-        slots: Requests that can run at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @attrs.frozen
 class MalformedBound:
     """A bound that a target names and that cannot be read.
@@ -131,6 +117,7 @@
         max_rejections: Requests a second that it may turn away before it fails, those
             of all VMs together; None if it does not say that it is brittle.
         rejected: Whether it turned this request away without running it.
+        cold_ms: How long it stays cold; 0 if it is warm, None if it does not say.
     """
 
     leaving: bool = False
@@ -138,6 +125,7 @@
     limit_per_s: float | MalformedBound | None = None
     max_rejections: float | MalformedBound | None = None
     rejected: bool = False
+    cold_ms: int | MalformedBound | None = None
 
 
 class AnswerProgress(enum.StrEnum):
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -6,9 +6,11 @@
 import attrs
 
 from wagtailrun.clock import Clock
+from wagtailrun.logs import events
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.memory import ResultMemory
+from wagtailrun.stages.step_times import Phase
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
@@ -47,6 +49,8 @@
         target_states_by_name: States of the targets.
         processing_ms: Returns the expected duration of the calls for a number of
             pieces.
+        most_pieces: Returns how many pieces a target may get in one call, beside its
+            capacity.
     """
 
     def __init__(
@@ -55,15 +59,21 @@
         memory: ResultMemory,
         target_states_by_name: dict[str, TargetState],
         processing_ms: Callable[[int], float],
+        most_pieces: Callable[[TargetRow], float],
     ):
         self.clock = clock
         self.memory = memory
         self.target_states_by_name = target_states_by_name
         self.processing_ms = processing_ms
+        self.most_pieces = most_pieces
         # Time until a target of the data centre is idle, updated before each call.
         self.busy_ms_by_data_centre: dict[str, int] = {}
         # Jobs for which a free target had no memory when a call was last planned.
         self.jobs_without_memory: dict[int, Job] = {}
+        # Data centres with targets, and those with a target in a call, when no target
+        # was free.
+        self.data_centres: set[str] = set()
+        self.calling_data_centres: set[str] = set()
 
     @property
     def pieces_without_memory(self) -> int:
@@ -71,29 +81,50 @@
         jobs = self.jobs_without_memory.values()
         return sum(len(job.waiting) for job in jobs)
 
+    def log_full_memory(self, service: str) -> None:
+        """Log that pieces wait for memory, and when the known results expire."""
+        pieces = self.pieces_without_memory
+        if not pieces:
+            return
+        results = self.memory.results_by_handle.values()
+        now_ms = self.clock.now_ms()
+        events.log(
+            events.STAGE_MEMORY_FULL,
+            service=service,
+            pieces=pieces,
+            results=len(results),
+            held_bytes=sum(held.size for held in results),
+            next_expiry_ms=min((held.until_ms for held in results), default=now_ms)
+            - now_ms,
+        )
+
     def plan(
-        self, jobs: Sequence[Job], rows: Sequence[TargetRow], capacity: StageCapacity
+        self,
+        jobs: Sequence[Job],
+        rows: Sequence[TargetRow],
+        free: list[TargetRow],
+        capacity: StageCapacity,
     ) -> CallPlan | None:
         """Return the next call, or None if none can start.
 
         Args:
             jobs: Jobs with waiting pieces that may run, the first ones first.
             rows: Targets that accept calls.
+            free: Those with a free slot, from ``free_targets``; at least one.
             capacity: Capacity of one target.
         """
         now_ms = self.clock.now_ms()
-        self.jobs_without_memory = {}
-        free = self._free_targets(rows, capacity, now_ms)
-        if not free:
-            return None
         self.busy_ms_by_data_centre = self._compute_busy_ms(rows, now_ms)
         jobs = self._startable_jobs(jobs, rows, capacity, now_ms)
         # The first job determines the target; the others fill the call.
         for job in jobs:
+            phase = Phase.REMOTE
             for row in self._eligible_targets(job, free, now_ms):
                 chosen = self._select_pieces(row, jobs, capacity, now_ms)
                 if chosen:
                     return CallPlan(row, chosen)
+                phase = Phase.MEMORY
+            job.times.turn(phase, now_ms)
         return None
 
     def _startable_jobs(
@@ -138,15 +169,26 @@
             if blocked & scope or used and used + needed > room:
                 blocked |= scope
                 self.jobs_without_memory[job.number] = job
+                job.times.turn(Phase.MEMORY, now_ms)
             else:
                 reserved[preferred] += needed
                 startable.append(job)
         return startable
 
-    def _free_targets(
+    def phase_without_target(self, job: Job) -> Phase:
+        """Return what a job waits for when ``free_targets`` last found none."""
+        preferred = job.message.data_centre
+        if preferred in self.data_centres:
+            is_calling = preferred in self.calling_data_centres
+        else:
+            is_calling = bool(self.calling_data_centres)
+        return Phase.QUEUED if is_calling else Phase.PAUSED
+
+    def free_targets(
         self, rows: Sequence[TargetRow], capacity: StageCapacity, now_ms: int
     ) -> list[TargetRow]:
         """Return the targets with a free slot; reliable and fast ones come first."""
+        self.jobs_without_memory = {}
         slots = max(capacity.slots, 1)
         target_states = self.target_states_by_name
         free = []
@@ -154,6 +196,11 @@
             target_state = target_states[row.name]
             if target_state.calls < slots and target_state.pause_until_ms <= now_ms:
                 free.append(row)
+        if not free:
+            self.data_centres = {row.data_centre for row in rows}
+            self.calling_data_centres = {
+                row.data_centre for row in rows if target_states[row.name].calls
+            }
         free.sort(
             key=lambda r: (target_states[r.name].faults, target_states[r.name].slowness)
         )
@@ -238,13 +285,14 @@
         """Return the pieces of the next call to ``row``, in the order of ``jobs``."""
         room = self.memory.free_bytes(row.address, usable_bytes(capacity))
         is_occupied = self.memory.occupied_bytes(row.address)
+        places = min(capacity.batch, self.most_pieces(row))
         chosen: list[tuple[Job, int]] = []
         for job in jobs:
             if not self._may_run_at(job, row, now_ms):
                 continue
             for piece in list(job.waiting):
                 needed = job.message.result_bytes
-                if len(chosen) >= capacity.batch:
+                if len(chosen) >= places:
                     return chosen
                 if needed > room and (chosen or is_occupied):
                     self.jobs_without_memory[job.number] = job
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -25,6 +25,7 @@
 from wagtailrun.stages.pool_state import NEXT_POLL_MS, PoolState
 from wagtailrun.stages.port import PieceOutcome, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
+from wagtailrun.stages.step_times import Phase
 from wagtailrun.stages.target_state import REFUSAL_PAUSE_MS, TargetState
 from wagtailrun.targets.table import TargetRow
 
@@ -38,8 +39,8 @@
 RELEASE_TIMEOUT_MS = 500
 # Finished jobs are kept this long to answer repeated polls.
 FINISHED_JOB_RETENTION_MS = 3_000
-# An announced step is dropped if its inputs do not arrive in this time: its entry has
-# stopped or has abandoned the request.
+# An announced step is dropped if its entry is not heard of in this time: it has stopped
+# or has abandoned the request.
 ANNOUNCED_JOB_TIMEOUT_MS = 6_000
 # A job that was asked for before this process stood still is dropped unless its entry
 # asks again in this time.
@@ -65,10 +66,14 @@
         super().__init__(manager.clock, service, lambda: manager.targets(service))
         self.manager = manager
         self.inputs = FetchedInputs(
-            self.clock, manager.release_elsewhere, self.is_doubtful
+            self.clock, manager.release_elsewhere, self.is_doubtful, manager.capacity
         )
         self.planner = CallPlanner(
-            self.clock, self.memory, self.target_states_by_name, self.processing_ms
+            self.clock,
+            self.memory,
+            self.target_states_by_name,
+            self.processing_ms,
+            manager.most_pieces,
         )
         self.next_forecast_ms = 0
         self.wake = curio.Event()
@@ -124,13 +129,14 @@
         return QueueForecast.compute(states, self.capacity, now_ms)
 
     def _jobs_ahead(self, before: Job | None, now_ms: int) -> Iterator[Job]:
-        """Yield the unfinished jobs ahead of ``before``, announced ones included."""
+        """Yield the jobs ahead of ``before``, with announced ones that are expected."""
+        expected = (j for j in self.open_by_key.values() if j.is_expected(now_ms))
         if before is None:
-            yield from self.open_by_key.values()
+            yield from expected
             return
         capacity = self.capacity
         rank = self._rank(before, now_ms, capacity)
-        for job in self.open_by_key.values():
+        for job in expected:
             if job is not before and self._rank(job, now_ms, capacity) < rank:
                 yield job
 
@@ -174,6 +180,7 @@
             job.objective_at_ms = now_ms + message.aim_ms
             job.expires_at_ms = now_ms + message.remaining_ms
             job.ready = True
+            job.times.turn(Phase.QUEUED, now_ms)
         else:
             return job, False
         job.queue_ms = queue_ms = self.queue_ms(job)
@@ -256,21 +263,17 @@
         job.waiting.clear()
         job.ended_ms = self.clock.now_ms()
         self.ended_jobs.append(job)
-        if state is not JobState.DONE:
+        if state is JobState.DONE:
+            job.times.turn(Phase.TRANSFER, job.ended_ms)
+        else:
             self._release_results(job)
-            events.log(
-                events.PIECES_ABANDONED,
-                request_id=job.message.request_id,
-                step=job.message.step,
-                service=self.service,
-                data_centre=job.message.data_centre,
-                state=str(state),
-                detail=detail,
-                waited_ms=job.ended_ms - job.expires_at_ms + job.message.remaining_ms,
-                queue_ms=self.queue_ms(),
-            )
+            self.step_log.record_abandoned(job, self.queue_ms())
         self.manager.record_finished(job)
 
+    def record_taken(self, job: Job) -> None:
+        """Record that the requesting entry takes the results of a job."""
+        self.step_log.record_ended(job, "done", "", self.clock.now_ms())
+
     def _release_results(self, job: Job) -> None:
         self.release(list(job.results_by_piece.values()))
 
@@ -301,17 +304,21 @@
         ended = self.ended_jobs
         while ended and now_ms - ended[0].ended_ms > FINISHED_JOB_RETENTION_MS:
             job = ended.popleft()
+            if job.state is JobState.DONE:
+                self.step_log.record_ended(job, "untaken", "", now_ms)
             # A job that moved may have come back as another one.
             if self.jobs_by_key.get(job.key) is job:
                 del self.jobs_by_key[job.key]
         for job in self.open_jobs():
             if job.doubted_ms:
                 continue
-            if not job.ready and now_ms - job.requested_ms > ANNOUNCED_JOB_TIMEOUT_MS:
-                self._finish(
-                    job, JobState.REFUSED, "the inputs of the step did not arrive"
-                )
-            elif job.waiting and now_ms + shortest_ms > job.expires_at_ms:
+            overdue = now_ms + shortest_ms > job.expires_at_ms
+            unheard_ms = now_ms - job.asked_ms
+            if not job.ready and (overdue or unheard_ms > ANNOUNCED_JOB_TIMEOUT_MS):
+                # It is a new one if its entry asks for it after all.
+                del self.jobs_by_key[job.key]
+                self._finish(job, JobState.REFUSED, job.missing_inputs_detail)
+            elif job.waiting and overdue:
                 self._finish(job, JobState.REFUSED, "the step cannot finish in time")
         if now_ms >= self.next_forecast_ms:
             self.next_forecast_ms = now_ms + FORECAST_INTERVAL_MS
@@ -324,7 +331,11 @@
         if forecast is None:
             return
         capacity = self.capacity
-        jobs = [job for job in self.open_jobs() if not job.doubted_ms]
+        jobs = [
+            job
+            for job in self.open_jobs()
+            if not job.doubted_ms and job.is_expected(now_ms)
+        ]
         jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
         for job in list(forecast.late_jobs(jobs, self.processing_ms)):
             detail = "the queue leaves the step too little time"
@@ -332,48 +343,38 @@
 
     async def _start_call(self) -> bool:
         """Start one call; return False if no target is free or no piece is ready."""
-        jobs = [
-            job
-            for job in self.open_by_key.values()
-            if job.waiting and job.ready and not self.is_doubtful(job)
-        ]
-        if not jobs:
-            return False
         now_ms = self.clock.now_ms()
         capacity = self.capacity
+        rows = self.targets()
+        free = self.planner.free_targets(rows, capacity, now_ms)
+        jobs = []
+        for job in self.open_by_key.values():
+            if job.waiting and job.ready and not self.is_doubtful(job):
+                jobs.append(job)
+                if not free:
+                    job.times.turn(self.planner.phase_without_target(job), now_ms)
+        if not (jobs and free):
+            return False
         jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
-        plan = self.planner.plan(jobs, self.targets(), capacity)
+        plan = self.planner.plan(jobs, rows, free, capacity)
         if plan is None:
-            self._log_full_memory()
+            self.planner.log_full_memory(self.service)
             return False
         await self._begin_call(plan.row, plan.chosen)
         return True
 
-    def _log_full_memory(self) -> None:
-        """Log that pieces wait for memory, and when the known results expire."""
-        pieces = self.planner.pieces_without_memory
-        if not pieces:
-            return
-        results = self.memory.results_by_handle.values()
-        now_ms = self.clock.now_ms()
-        events.log(
-            events.STAGE_MEMORY_FULL,
-            service=self.service,
-            pieces=pieces,
-            results=len(results),
-            held_bytes=sum(held.size for held in results),
-            next_expiry_ms=min((held.until_ms for held in results), default=now_ms)
-            - now_ms,
-        )
-
     async def _begin_call(self, row: TargetRow, chosen: list[tuple[Job, int]]) -> None:
         target_state = self.target_states_by_name[row.name]
         expected_ms = self.capacity.duration_ms(len(chosen)) * target_state.slowness
         target_state.calls += 1
-        target_state.busy_until_ms = self.clock.now_ms() + int(expected_ms)
+        now_ms = self.clock.now_ms()
+        target_state.busy_until_ms = now_ms + int(expected_ms)
         for job, piece in chosen:
             job.waiting.remove(piece)
             job.running += 1
+        for job in {job.number: job for job, _ in chosen}.values():
+            job.times.turn(Phase.QUEUED if job.waiting else Phase.CALLS, now_ms)
+            job.times.record_call(len(chosen), self.capacity.batch)
         self.memory.record_start(row.address, result_bytes(chosen))
         await curio.spawn(self._run_call, row, chosen, expected_ms, daemon=True)
 
@@ -400,7 +401,7 @@
         is_full = started_ms < target_state.full_until_ms
         if not (is_full or self.is_contested):
             fetch = self.inputs.await_fetch
-            timers.append(await curio.spawn(fetch, chosen, daemon=True))
+            timers.append(await curio.spawn(fetch, chosen, slot, daemon=True))
         failure: TargetFailed | None = None
         replies: list[StageReply] = []
         try:
@@ -428,6 +429,7 @@
             took_ms=ended_ms - started_ms,
             expected_ms=int(expected_ms),
             failure=str(failure or ""),
+            **self.step_log.take_sums(self.capacity, ended_ms),
         )
         self.manager.record_call(len(items), ended_ms - started_ms)
         if failure is None:
@@ -543,7 +545,13 @@
                     "the retry limit or the retry budget is exhausted",
                 )
                 return
+        if job.has_released_inputs:
+            # Another call could only find that.
+            self._finish(job, JobState.GONE, "its inputs were released before a retry")
+            return
+        job.fetched_pieces.discard(piece)
         job.waiting.append(piece)
+        job.times.turn(Phase.QUEUED, self.clock.now_ms())
 
     # Releases
 
