State the tolerance of ages of observations once

Cause: the last reading of the change found AGE_TOLERANCE_MS with the same value and reason in target_limits, and again in cold_beliefs, which it imports. Ruled out: one comparison for both claims: what is stricter differs (a smaller bound, a later end). Before / after: two constants, one now; make lint and the tests of limits, cold and brittle targets and imports pass. Conclusion: no behaviour changed.

--- a/wagtailrun/discovery/cold_beliefs.py
+++ b/wagtailrun/discovery/cold_beliefs.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = [
+    "AGE_TOLERANCE_MS",
     "MAX_COLD_MS",
     "RAMP_MS",
     "START_COLD_MS",
@@ -22,7 +23,8 @@
 # After the end the requests of a second double at this interval until the bound ends.
 RAMP_DOUBLING_MS = 500
 RAMP_MS = 3_000
-# Ages that different processes measure differ by less than this.
+# Ages that different processes measure differ by less than this. Of two observations
+# that are closer the stricter one counts, so that all processes agree.
 AGE_TOLERANCE_MS = 500
 
 
--- a/wagtailrun/discovery/target_limits.py
+++ b/wagtailrun/discovery/target_limits.py
@@ -7,6 +7,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.discovery.cold_beliefs import (
+    AGE_TOLERANCE_MS,
     MAX_COLD_MS,
     START_COLD_MS,
     ColdBelief,
@@ -20,9 +21,6 @@
 
 # Bounds the table; more targets than the largest fleet has.
 MAX_LIMITS = 4_096
-# Ages that different processes measure differ by less than this. Of two observations
-# that are closer the stricter one counts, so that all processes agree.
-AGE_TOLERANCE_MS = 500
 # Smaller relative changes are not passed on: a target may name another value in each
 # answer.
 MIN_SHARED_CHANGE = 0.1
