Send no hedge to a target that pauses

Cause: a hedge takes the target that the router chooses without the one of the first attempt. The router chooses a pausing target if no other can serve, and the target of the first attempt counts as one that cannot. So with all others pausing, the hedge went to a target that had asked for no new work, although the first attempt was still running.

Ruled out: a router that never chooses a pausing target. A first attempt without another target, and a retry after a failed one, still need it (test_target_that_pauses_gets_work_only_if_no_other_can_serve).

Conclusion: a hedge is optional, so it is not sent if only a pausing target is left.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -267,6 +267,31 @@
     assert run_virtual(main, DispatchOptions(budget=False)) > 0
 
 
+@pytest.mark.parametrize("pausing", [0, 1, 2])
+def test_target_that_pauses_gets_no_hedge(pausing):
+    """Guards against a second attempt at a target that asked for no new work."""
+
+    async def main(clock):
+        harness = DispatcherHarness(clock)
+        dispatcher = await harness.start(ENGINE)
+        first, *others = harness.emulator.targets_by_name.values()
+        first.slowdown_factor = 20.0
+        # The work begins at the only target that does not pause yet.
+        for target in others:
+            dispatcher.router.pause(target.row, 10)
+        task = await curio.spawn(harness.offsets, GENERATE)
+        await clock.sleep_ms(20)
+        for target in others[:pausing]:
+            dispatcher.router.pause(target.row, 60_000)
+        await task.join()
+        names = [name for kind, name, *_ in harness.recorder.events if kind == "hedged"]
+        return names, [target.row.name for target in others[pausing:]]
+
+    hedged, free = run_virtual(main)
+    assert bool(hedged) == bool(free)
+    assert set(hedged) <= set(free)
+
+
 def test_other_data_centre_serves_a_dead_stage():
     """Guards against unused targets of other data centres."""
 
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -285,6 +285,9 @@
         target = self.targets.choose(work, {run.target.name})
         if target is None or target.name == run.target.name:
             return
+        # It was chosen for lack of another one, and the first attempt still runs.
+        if self.router.is_paused(target):
+            return
         if self.options.budget:
             self.budget.spend(work.service)
         self.router.started(target)
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -106,6 +106,10 @@
     def pause(self, target: TargetRow, duration_ms: int) -> None:  # noqa: B027
         """Record that ``target`` asked for no new work for a time."""
 
+    def is_paused(self, target: TargetRow) -> bool:
+        """Return whether ``target`` asked for no new work and that time is not over."""
+        return False
+
     def observe_cache(  # noqa: B027
         self, target: TargetRow, events: CacheEvents
     ) -> None:
@@ -510,6 +514,10 @@
         """Send no new work to the target until then, while another can serve."""
         self.health.record_pause(target, duration_ms)
 
+    def is_paused(self, target: TargetRow) -> bool:
+        """Return whether the target's pause is not over."""
+        return self.health.is_paused(target)
+
     def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
         """Apply cache events of a target that this entry uses.
 
