Remember the pause of a target that is out of rotation for a while

Cause: the product's router kept the end of a pause in the state of the target, which it drops when the target leaves the candidates: without recent contact, or as the entries of a subset change. When the same incarnation announced itself again during its pause, the router knew of no pause and sent it work.

Ruled out: to keep the whole state of a pausing target. Nothing would drop it later, and its load and slowness are stale.

Before / after: test_pause_outlasts_a_short_absence_of_the_target[False] failed before: the target was chosen 5 s into a pause of 60 s. Now it gets nothing until the end of the pause; a new incarnation ([True]) gets work at once, as before. The test also checks that ended pauses are dropped.

Conclusion: ends of pauses are a table of their own, by name and incarnation, bounded by the longest pause.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -145,6 +145,30 @@
     assert one.choose([pausing, attrs.evolve(other, sequence=1)], WORK) is pausing
 
 
+@pytest.mark.parametrize("restarted", [False, True])
+def test_pause_outlasts_a_short_absence_of_the_target(restarted):
+    """Guards against work for a pausing target once it was out of rotation.
+
+    A target without recent contact leaves the candidates until it announces itself
+    again; only one that was started again is another target.
+    """
+    one = router()
+    pausing, other = rows(2)
+    one.choose([pausing, other], WORK)
+    one.pause(pausing, 60_000)
+    one.choose([other], WORK)
+    one.clock.seconds += 5
+    fields = {"incarnation": 1} if restarted else {"sequence": 1}
+    again = attrs.evolve(pausing, **fields)
+    chosen = {one.choose([again, other], WORK).name for _ in range(20)}
+    assert (pausing.name in chosen) == restarted
+    one.clock.seconds += 55
+    chosen = {one.choose([again, other], WORK).name for _ in range(20)}
+    assert pausing.name in chosen
+    one.pause(other, 10)
+    assert len(one.health.pause_ends_ms_by_key) == 1
+
+
 def test_choice_for_a_stream_of_one_version_forgets_no_other_target():
     """Guards against requests to a dead target once a stream of a version moved."""
     one = router()
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wagtailrun.clock import MS_PER_SECOND, Clock
+from wagtailrun.clock import MS_PER_SECOND, Clock, drop_expired
 from wagtailrun.ports.target import TargetLoad
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
@@ -73,7 +73,6 @@
         connect_failures: Number of consecutive attempts without a connection.
         unreachable_at: Recency of the row when no connection could be opened.
         ejected_until_ms: End of the ejection.
-        paused_until_ms: End of the pause that the target asked for.
         slowness: Average time of attempts as a multiple of the usual time, at
             ``slowness_updated_ms``.
     """
@@ -92,7 +91,6 @@
     connect_failures: int = 0
     unreachable_at: tuple[int, int] | None = None
     ejected_until_ms: int = 0
-    paused_until_ms: int = 0
     slowness: float = 1.0
     slowness_updated_ms: int = 0
 
@@ -126,6 +124,9 @@
         self.make_state = make_state
         self.reads_announcements = rules.load_lifetime_ms is None
         self.states_by_name: dict[str, State] = {}
+        # Ends of the pauses that targets asked for, by name and incarnation. A pause
+        # holds for a target that is dropped and comes back, so no state contains it.
+        self.pause_ends_ms_by_key: dict[tuple[str, int], int] = {}
         self.last_pause_ends_ms = 0
 
     def state(self, row: TargetRow, now_ms: int | None = None) -> State:
@@ -207,7 +208,8 @@
 
     def is_paused(self, row: TargetRow) -> bool:
         """Return whether a target asked for a pause that has not ended."""
-        return self.state(row).paused_until_ms > self.clock.now_ms()
+        ends_ms = self.pause_ends_ms_by_key.get((row.name, row.incarnation))
+        return ends_ms is not None and ends_ms > self.clock.now_ms()
 
     def record_start(self, row: TargetRow) -> None:
         """Record that an attempt was sent."""
@@ -290,9 +292,12 @@
 
     def record_pause(self, row: TargetRow, duration_ms: int) -> None:
         """Record that a target asked for a pause; a shorter one ends none."""
-        state = self.state(row)
-        until_ms = self.clock.now_ms() + min(duration_ms, MAX_PAUSE_MS)
-        state.paused_until_ms = max(state.paused_until_ms, until_ms)
+        now_ms = self.clock.now_ms()
+        drop_expired(self.pause_ends_ms_by_key, now_ms)
+        key = (row.name, row.incarnation)
+        until_ms = now_ms + min(duration_ms, MAX_PAUSE_MS)
+        known_ms = self.pause_ends_ms_by_key.get(key, until_ms)
+        self.pause_ends_ms_by_key[key] = max(known_ms, until_ms)
         self.last_pause_ends_ms = max(self.last_pause_ends_ms, until_ms)
 
     def _eject(self, row: TargetRow, duration_ms: int) -> None:
