Keep the pause of a target whose row is dropped until it ends

Cause: each new pause drops the pauses at addresses without a known row. A target that is cut off for 10 minutes loses its row; if it announced itself again in a longer pause (up to 24 h), the relay sent it requests.

Ruled out: pauses of replaced targets; those are still dropped at once, by their incarnation.

Before / after: test_pause_outlasts_the_row_of_its_target[False] failed before: a request was sent 30 minutes into a pause of an hour, after the row was gone meanwhile. Now it is not. The case [True] passed before and after: a pause that has ended is dropped with the row.

Conclusion: a pause without a row is kept until it ends.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -349,6 +349,30 @@
     assert run_virtual(main) == (False, True)
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_pause_outlasts_the_row_of_its_target(ended):
+    """Guards against requests to a pausing target whose row was dropped meanwhile.
+
+    The pause of a target that is gone is kept no longer than it lasts.
+    """
+    other = attrs.evolve(ROW, name="other", address=Address("10.9.9.9", 1))
+    rows_by_address = {row.address: row for row in (ROW, other)}
+
+    async def main(clock):
+        harness = Harness(clock)
+        harness.row_at = rows_by_address.get
+        await harness.answer(pause_ms=3_600_000)
+        del rows_by_address[ROW.address]
+        await clock.sleep_ms(3_700_000 if ended else 1_800_000)
+        harness.notice = TargetNotice(False, 10)
+        await harness.notices.record_answer(other.address, None, clock.now_ms())
+        is_kept = ROW.address in harness.notices.pauses_by_address
+        rows_by_address[ROW.address] = attrs.evolve(ROW, sequence=ROW.sequence + 1)
+        return is_kept, harness.may_send()
+
+    assert run_virtual(main) == (not ended, ended)
+
+
 def test_shorter_pause_of_an_earlier_request_ends_none():
     """Guards against answers that overtake each other."""
 
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -310,10 +310,13 @@
             del self.pauses_by_address[address]
 
     def _drop_expired(self) -> None:
-        """Drop the pauses of targets that are gone."""
+        """Drop the pauses of targets that were replaced, or are gone for longer."""
+        now_ms = self.clock.now_ms()
         for address, pause in list(self.pauses_by_address.items()):
             row = self.view.row_at(address)
-            if row is None or row.incarnation != pause.incarnation:
+            # The row of a target that is cut off for long is dropped, and comes back.
+            is_gone = row is None and pause.until_ms <= now_ms
+            if is_gone or (row is not None and row.incarnation != pause.incarnation):
                 del self.pauses_by_address[address]
 
 
