Check the types of relay.limits strictly

Cause: the package was on the list of those that mypy passes over. Without it on the list mypy reported six errors in three modules: rows that could be None by the type although a flag computed from them excluded it (brittle slots, notices), and a constructor without a return type (silence).

Ruled out: ignored lines and casts; the conditions are written so that mypy sees what they exclude.

No change of behaviour: test_notices, test_brittle_targets, test_engine_silence and test_target_limits pass (156 tests).

--- a/wagtailrun/relay/limits/brittle_slots.py
+++ b/wagtailrun/relay/limits/brittle_slots.py
@@ -181,8 +181,9 @@
         """
         row = self.limits.newest(message.limit.limit.target)
         bound = row.brittle_bound if row is not None else None
-        is_harmless = bound is None or bound >= HARMLESS_REJECTIONS_PER_S
-        if is_harmless or not message.entry:
+        if row is None or bound is None or not message.entry:
+            return None
+        if bound >= HARMLESS_REJECTIONS_PER_S:
             return None
         self.note_share(message.service, share)
         now_ms = self.clock.now_ms()
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -254,14 +254,12 @@
     def handle(self, message: ReportPause) -> PauseNoted:
         """Record the pause that a target asked for in an answer carried here."""
         row = self.view.row_at(Address.parse(message.address))
-        known = (
-            row is not None
-            and row.name == message.target
-            and row.incarnation == message.incarnation
-        )
-        if known:
-            self._pause(row, message.pause_ms)
-        return PauseNoted(known)
+        if row is None or row.name != message.target:
+            return PauseNoted(False)
+        if row.incarnation != message.incarnation:
+            return PauseNoted(False)
+        self._pause(row, message.pause_ms)
+        return PauseNoted(True)
 
     def _denied_ms(self, address: Address, urgency: int) -> int:
         denials = self.denials_by_address.get(address)
--- a/wagtailrun/relay/limits/silence.py
+++ b/wagtailrun/relay/limits/silence.py
@@ -95,7 +95,7 @@
 class _Lateness:
     """How much later than expected the first events of a service are."""
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.samples: deque[tuple[int, float]] = deque(maxlen=MAX_LATENESS_SAMPLES)
         # None until it is computed from the present samples.
         self._extra_ms: float | None = None
