Send no attempt of the product's entry after its deadline

Cause: an order's deadline was checked before the wait for a target and for a connection, and an attempt's time left was computed when it was created. If the entry stood still after that (a paused process or VM), it sent the attempt on the new connection although the deadline had passed and the caller had been refused, and told the target the time that had been left before. Targets did work with side effects that nobody awaited. The relay checks this when its connection is open; the product's target client did not.

Ruled out: a check in the order runner alone: stages and idempotent calls were sent late, too, and the wait for a connection comes after it.

Conclusion: the time left is computed as the attempt's task begins and as its request is written, and nothing is written once none is left. Such work is refused with the reason deadline and "not run", and nothing is cancelled at the target.

--- a/wagtailrun/adapters/http_target.py
+++ b/wagtailrun/adapters/http_target.py
@@ -2,12 +2,13 @@
 
 import json
 from collections.abc import AsyncIterator, Iterator
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import curio
 import sseclient
 
-from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_client import HttpClient, HttpStream
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import TargetFailed, Verdict
 from wagtailrun.ports.link import Address
@@ -77,17 +78,7 @@
 
     async def call(self, address: Address, attempt: Attempt) -> StageAnswer:
         """Run a stage or call and return its complete answer."""
-        timeout_ms = min(self.idle_timeout_ms, attempt.remaining_ms)
-        async with self.client.open(
-            address,
-            "POST",
-            attempt.path,
-            _request_headers(attempt),
-            attempt.body,
-            timeout_ms=timeout_ms,
-            new_connection=attempt.new_connection,
-            deadline_ms=self.client.clock.now_ms() + attempt.remaining_ms,
-        ) as stream:
+        async with self._open(address, attempt) as stream:
             body = await stream.read_all(attempt.remaining_ms)
             # Within the block, by which the connection is closed: the answers that
             # follow on it may belong to other attempts, too.
@@ -101,16 +92,7 @@
         """Run a generate stage; see ``TargetClient.stream``."""
         timeout_ms = min(self.idle_timeout_ms, attempt.remaining_ms)
         clock = self.client.clock
-        async with self.client.open(
-            address,
-            "POST",
-            attempt.path,
-            _request_headers(attempt),
-            attempt.body,
-            timeout_ms=timeout_ms,
-            new_connection=attempt.new_connection,
-            deadline_ms=clock.now_ms() + attempt.remaining_ms,
-        ) as stream:
+        async with self._open(address, attempt) as stream:
             self._check_echo(attempt, stream.headers)
             _check_status(stream.status, stream.headers)
             events = ServerSentEvents()
@@ -134,6 +116,24 @@
             if not done:
                 raise TargetFailed("stream ended without its end marker")
 
+    def _open(
+        self, address: Address, attempt: Attempt
+    ) -> AbstractAsyncContextManager[HttpStream]:
+        """Send an attempt, unless its deadline passes before a connection is open."""
+        clock = self.client.clock
+        deadline_ms = clock.now_ms() + attempt.remaining_ms
+        return self.client.open(
+            address,
+            "POST",
+            attempt.path,
+            lambda: _request_headers(attempt, deadline_ms - clock.now_ms()),
+            attempt.body,
+            timeout_ms=min(self.idle_timeout_ms, attempt.remaining_ms),
+            new_connection=attempt.new_connection,
+            may_send=lambda: clock.now_ms() < deadline_ms,
+            deadline_ms=deadline_ms,
+        )
+
     async def cancel(self, address: Address, number: int) -> None:
         """Ask the target to abandon the attempt; errors are ignored."""
         try:
@@ -170,12 +170,12 @@
         )
 
 
-def _request_headers(attempt: Attempt) -> tuple[tuple[str, str], ...]:
+def _request_headers(attempt: Attempt, left_ms: int) -> tuple[tuple[str, str], ...]:
     headers = [
         ("Content-Type", "application/json"),
         ("Wagtailrun-Attempt", str(attempt.number)),
         ("Wagtailrun-Request-Id", attempt.request_id),
-        ("Wagtailrun-Deadline-Ms", str(attempt.remaining_ms)),
+        ("Wagtailrun-Deadline-Ms", str(max(left_ms, 1))),
         ("Wagtailrun-Priority", str(attempt.priority)),
     ]
     if attempt.resume_offset:
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -10,7 +10,12 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, drop_expired
-from wagtailrun.exceptions import ConnectFailed, ConnectShortage, TargetFailed
+from wagtailrun.exceptions import (
+    ConnectFailed,
+    ConnectShortage,
+    SendForbidden,
+    TargetFailed,
+)
 from wagtailrun.logs import events
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
@@ -66,8 +71,9 @@
         results: Receives the first item or the failure.
         detect_stall: Whether the attempt is abandoned when it stalls; the last one that
             the retry limit allows is not.
+        streaming: Whether the answer is a stream.
         task: Task that waits for the first item.
-        stream: Items of a streaming attempt.
+        stream: Items of a streaming attempt that has begun.
         first_ms: Time to the first item, in milliseconds.
         tokens: Number of received tokens.
         items: Number of items received after the first one.
@@ -84,6 +90,7 @@
     started_ms: int
     results: curio.Queue
     detect_stall: bool = True
+    streaming: bool = False
     task: curio.Task | None = None
     stream: AsyncIterator[tuple[Token, ...]] | None = None
     first_ms: int = 0
@@ -150,9 +157,9 @@
             resume_offset=offset,
             new_connection=not work.idempotent or now_ms < fresh_until_ms,
         )
-        run = AttemptRun(work, target, attempt, now_ms, results, detect_stall)
-        if streaming:
-            run.stream = self.client.stream(target.address, attempt)
+        run = AttemptRun(
+            work, target, attempt, now_ms, results, detect_stall, streaming
+        )
         run.task = await curio.spawn(self._receive_first, run, daemon=True)
         return run
 
@@ -164,11 +171,14 @@
         return 20 * within_share + 10 * (not work.may_wait) + work.priority
 
     async def _receive_first(self, run: AttemptRun) -> None:
+        address = run.target.address
         try:
-            if run.stream is not None:
+            attempt = self._attempt_now(run)
+            if run.streaming:
+                run.stream = self.client.stream(address, attempt)
                 value = await anext(run.stream)
             else:
-                value = await self.client.call(run.target.address, run.attempt)
+                value = await self.client.call(address, attempt)
         except StopAsyncIteration:
             value = TargetFailed("the stream ended without its end marker")
         except TargetFailed as error:
@@ -179,6 +189,17 @@
             value = TargetFailed(f"the attempt ended with an internal error: {error!r}")
         await run.results.put((run, value))
 
+    def _attempt_now(self, run: AttemptRun) -> Attempt:
+        """Return the attempt with the time that is left as it begins.
+
+        Raises:
+            SendForbidden: If none is left, as this process stood still.
+        """
+        left_ms = run.work.deadline_at_ms - self.clock.now_ms()
+        if left_ms <= 0:
+            raise SendForbidden("the deadline passed before the attempt began")
+        return attrs.evolve(run.attempt, remaining_ms=left_ms)
+
     async def first_item(self, run: AttemptRun) -> tuple[AttemptRun, Any]:
         """Return the first item or answer of the attempt or of its hedge."""
         runs = [run]
@@ -259,7 +280,7 @@
         item arrives.
         """
         work = run.work
-        if run.stream is None or run.attempt.resume_offset or not work.idempotent:
+        if not run.streaming or run.attempt.resume_offset or not work.idempotent:
             return 0
         if not self.options.admission:
             return 0
@@ -293,8 +314,7 @@
         self.router.started(target)
         self.counts["hedge"] += 1
         self.observer.hedged(work, target)
-        streaming = run.stream is not None
-        hedge = await self.launch(work, target, 0, run.results, streaming)
+        hedge = await self.launch(work, target, 0, run.results, run.streaming)
         hedge.took_token = self.options.budget
         runs.append(hedge)
 
@@ -443,7 +463,8 @@
             self.router.pause(run.target, error.retry_after_ms)
         # The router has no form for a rejection; blame keeps work away, too.
         blamed = outcome is not RunOutcome.OVER
-        await self._end_attempt(run, blamed, sent=not isinstance(error, ConnectFailed))
+        sent = not isinstance(error, ConnectFailed | SendForbidden)
+        await self._end_attempt(run, blamed, sent)
 
     async def abandon(self, run: AttemptRun) -> None:
         """Record an attempt that is no longer needed and cancel it at the target."""
--- a/wagtailrun/serving/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -7,6 +7,7 @@
     ConnectShortage,
     Refusal,
     RefusalReason,
+    SendForbidden,
     TargetFailed,
     Verdict,
 )
@@ -54,7 +55,8 @@
         """
         context, work = self.context, self.work
         self.refusal = self._combine(error)
-        if isinstance(error, DeadlinePassed):
+        # Here only a deadline that has passed forbids to send.
+        if isinstance(error, DeadlinePassed | SendForbidden):
             return attrs.evolve(self.refusal, reason=RefusalReason.DEADLINE)
         is_shortage = isinstance(error, ConnectShortage)
         if is_shortage and not error.only_here:
