Cut no slow stream as stalled whose attempt was the last one

Cause: the last attempt that the retry limit allows is not abandoned when it stalls, but its hedge was. If the hedge answered first and its next token took longer than the stall limit (500 ms), the stream was abandoned and refused, although its target went on and nothing else could be tried.

Ruled out: the stall limit itself; it is not touched. Sound streams with gaps of 100, 450, 700 and 1,700 ms, with a retry budget of 0, 1 and 20 tokens, were whole before, as was the refusal at the deadline of one that stands still.

Before / after: test_slow_but_sound_hedge_of_the_last_attempt_is_whole[700] failed before: refused after the first of 30 tokens. It passes now; the other 15 cases of tests/test_slow_streams.py passed before and after.

Conclusion: a hedge is abandoned for a stall only if its first attempt would be.

--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -70,7 +70,7 @@
         started_ms: When it started.
         results: Receives the first item or the failure.
         detect_stall: Whether the attempt is abandoned when it stalls; the last one that
-            the retry limit allows is not.
+            the retry limit allows is not, nor is its hedge.
         streaming: Whether the answer is a stream.
         task: Task that waits for the first item.
         stream: Items of a streaming attempt that has begun.
@@ -314,7 +314,9 @@
         self.router.started(target)
         self.counts["hedge"] += 1
         self.observer.hedged(work, target)
-        hedge = await self.launch(work, target, 0, run.results, run.streaming)
+        hedge = await self.launch(
+            work, target, 0, run.results, run.streaming, run.detect_stall
+        )
         hedge.took_token = self.options.budget
         runs.append(hedge)
 
