--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -254,14 +254,12 @@
     def handle(self, message: ReportPause) -> PauseNoted:
         """Record the pause that a target asked for in an answer carried here."""
         row = self.view.row_at(Address.parse(message.address))
-        known = (
-            row is not None
-            and row.name == message.target
-            and row.incarnation == message.incarnation
-        )
-        if known:
-            self._pause(row, message.pause_ms)
-        return PauseNoted(known)
+        if row is None or row.name != message.target:
+            return PauseNoted(False)
+        if row.incarnation != message.incarnation:
+            return PauseNoted(False)
+        self._pause(row, message.pause_ms)
+        return PauseNoted(True)
 
     def _denied_ms(self, address: Address, urgency: int) -> int:
         denials = self.denials_by_address.get(address)
@@ -310,10 +308,13 @@
             del self.pauses_by_address[address]
 
     def _drop_expired(self) -> None:
-        """Drop the pauses of targets that are gone."""
+        """Drop the pauses of targets that were replaced, or are gone for longer."""
+        now_ms = self.clock.now_ms()
         for address, pause in list(self.pauses_by_address.items()):
             row = self.view.row_at(address)
-            if row is None or row.incarnation != pause.incarnation:
+            # The row of a target that is cut off for long is dropped, and comes back.
+            is_gone = row is None and pause.until_ms <= now_ms
+            if is_gone or (row is not None and row.incarnation != pause.incarnation):
                 del self.pauses_by_address[address]
 
 
