Read each state of an engine on a new connection

Cause: a control member read the states of engines on pooled connections, and a state names no request. A late second copy of a state, which arrived while the connection was in use again, was taken for the next state: an order could be closed as failed or superseded, or issued again, by what the engine had reported before it.

Ruled out: a check that the body differs from the one before, as for stage calls; states repeat. An identifier that engines echo would change their interface.

Conclusion: reads and orders both use new connections.

--- a/tests/test_engine_control.py
+++ b/tests/test_engine_control.py
@@ -7,9 +7,12 @@
 import curio
 import pytest
 
+from demo.processes import free_addresses
 from tests.test_control_client import MEMBERS, Cluster, virtual
-from wagtailrun.adapters.http_client import HttpReply
+from tests.virtual_sockets import run_with_virtual_sockets
+from wagtailrun.adapters.http_client import HttpClient, HttpReply
 from wagtailrun.adapters.http_engine import HttpEngineClient
+from wagtailrun.clock import SystemClock
 from wagtailrun.codec import encode
 from wagtailrun.control import engine_control
 from wagtailrun.control.engine_control import (
@@ -401,3 +404,38 @@
         assert state == EngineState("m", frozenset({"a"}))
 
     run_virtual(main)
+
+
+class RepeatingEngine:
+    """Engine with another model at each read; a copy precedes each later answer."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def serve(self, sock, peer):
+        """Serve one connection."""
+        copy = b""
+        while await sock.recv(4_096):
+            self.reads += 1
+            body = b'{"model": "m%d"}' % self.reads
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            await sock.sendall(copy or head + body)
+            copy = head + body
+
+
+def test_late_copy_of_a_state_is_not_the_next_one():
+    """Guards against an order whose outcome is that of the state before it.
+
+    States name no request, so a late second copy could not be told from an answer.
+    """
+
+    async def main():
+        (address,) = free_addresses(1)
+        serve = RepeatingEngine().serve
+        server = curio.tcp_server(address.host, address.port, serve)
+        await curio.spawn(server, daemon=True)
+        await curio.sleep(0.01)
+        client = HttpEngineClient(HttpClient(SystemClock()))
+        return [(await client.read_state(address, 1_000)).model for _ in range(3)]
+
+    assert run_with_virtual_sockets(main) == ["m1", "m2", "m3"]
--- a/wagtailrun/adapters/http_engine.py
+++ b/wagtailrun/adapters/http_engine.py
@@ -26,7 +26,8 @@
     """Engine client that uses ``HttpClient``.
 
     Args:
-        client: HTTP client; only ``read_state`` uses its pooled connections.
+        client: HTTP client. No answer names its request, so a late copy on a connection
+            in use again could not be told from the next one: all are new.
     """
 
     def __init__(self, client: HttpClient):
@@ -59,13 +60,7 @@
         )
         data = json.dumps(body).encode()
         reply = await self._request(
-            address,
-            "POST",
-            "/v1/orders",
-            headers,
-            data,
-            timeout_ms,
-            new_connection=True,
+            address, "POST", "/v1/orders", headers, data, timeout_ms
         )
         if reply.status == STATUS_CONFLICT:
             return EngineReply.STALE_FENCE
@@ -81,7 +76,6 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
         timeout_ms: int,
-        new_connection: bool = False,
     ) -> HttpReply:
         """Send a request; the timeout bounds the whole exchange, not only each read."""
         try:
@@ -93,7 +87,7 @@
                     headers,
                     body,
                     timeout_ms=timeout_ms,
-                    new_connection=new_connection,
+                    new_connection=True,
                 )
         except curio.TaskTimeout as error:
             detail = f"engine {address} did not answer within {timeout_ms} ms"
