Take no copy of any earlier answer of a stage for the next one

Cause: a reply of a stage names no request. A second copy was recognised by its body, but only compared with that of the reply just before on the connection. A copy that came after the reply to another request was taken for the answer to the next call, so that results of one request became the inputs of another.

Ruled out: new connections for all stage calls (a handshake each); identifiers in the replies, which would change the wire of the platform.

Before / after: test_second_copy_of_a_stage_answer_is_not_taken[2] and [9] failed before: the copy was taken after one and after eight other replies. [1] passed before. All pass now. The test had only the case [1]; its target sent the copy before each later answer and now does so before one of them; the connection ends at the first copy in both.

Conclusion: a connection remembers digests of the newest 64 bodies (as it does with identifiers of requests) in place of one whole body.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -392,10 +392,11 @@
 
 
 class CopyingStage:
-    """Stage target that sends the first answer a second time, before the next one."""
+    """Stage target that sends the first answer a second time, before a later one."""
 
-    def __init__(self, first):
+    def __init__(self, first, late=1):
         self.first = first
+        self.late = late
         self.connections = 0
 
     async def serve(self, sock, peer):
@@ -405,7 +406,7 @@
             own = json.dumps({"items": [{"handle": f"h{number}"}]}).encode()
             if number == 0:
                 own = self.first
-            else:
+            elif number == self.late:
                 await sock.sendall(_response(self.first))
             await sock.sendall(_response(own))
             number += 1
@@ -416,13 +417,18 @@
 
 
 @pytest.mark.network
-def test_second_copy_of_a_stage_answer_is_not_taken():
-    """Guards against results of one request that become the inputs of another."""
-    stage = CopyingStage(b'{"items": [{"handle": "first"}]}')
+@pytest.mark.parametrize("late", [1, 2, 9])
+def test_second_copy_of_a_stage_answer_is_not_taken(late):
+    """Guards against results of one request that become the inputs of another.
+
+    The copy may follow after the answers to other requests.
+    """
+    stage = CopyingStage(b'{"items": [{"handle": "first"}]}', late)
 
     async def main():
         run = await start_stage(stage)
-        assert [reply.handle for reply in await run()] == ["first"]
+        for handle in ("first", *(f"h{number}" for number in range(1, late))):
+            assert [reply.handle for reply in await run()] == [handle]
         with pytest.raises(TargetFailed, match="second copy"):
             await run()
         # The connection that still owes an answer is not used again.
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -6,6 +6,7 @@
 
 import attrs
 import h11
+import xxhash
 
 from wagtailrun.adapters.answer_heads import keep_alive_ms
 from wagtailrun.adapters.connection_pool import ConnectionPool
@@ -237,7 +238,7 @@
         return bytes(body)
 
     def check_distinct(self, body: bytes) -> None:
-        """Check that a body is not that of the previous response on the connection.
+        """Check that a body is not that of an earlier response on the connection.
 
         For servers whose responses name no request but never have the same body twice:
         a repeated one is a late second copy.
@@ -245,9 +246,10 @@
         Raises:
             TargetFailed: If it is.
         """
-        if body == self.connection.last_body:
-            raise TargetFailed("the server sent a second copy of its previous response")
-        self.connection.last_body = body
+        digest = xxhash.xxh3_128_intdigest(body)
+        if digest in self.connection.body_digests:
+            raise TargetFailed("the server sent a second copy of an earlier response")
+        self.connection.body_digests.append(digest)
 
     def forbid_reuse(self) -> None:
         """Close the connection after this response."""
--- a/wagtailrun/adapters/http_connection.py
+++ b/wagtailrun/adapters/http_connection.py
@@ -38,8 +38,8 @@
 LATE_EVENT_BYTES = 256
 # Interim responses (1xx) that may precede a response.
 MAX_INTERIM_RESPONSES = 8
-# Requests whose identities a connection remembers. A late copy follows its response
-# after a few others at most.
+# Requests whose identities a connection remembers, and responses whose bodies it does.
+# A late copy follows its response after a few others at most.
 MAX_IDENTITIES = 64
 # Middleboxes on the path may forget a connection that is idle for longer.
 MAX_IDLE_MS = 15_000
@@ -78,8 +78,8 @@
         self.closing = carrier is not None
         # Whether the server closed its side.
         self.received_end = False
-        # Body of the newest response that ``HttpStream.check_distinct`` checked.
-        self.last_body = b""
+        # Digests of the newest bodies that ``HttpStream.check_distinct`` checked.
+        self.body_digests: deque[int] = deque(maxlen=MAX_IDENTITIES)
         self.http = self._make_parser()
         self.idle_since_ms = 0
         self.max_idle_ms = MAX_IDLE_MS
