Send no stage call of an owner that stood still long after making it

Cause: a call of a stage was sent whenever its connection was open; its time limit counted from then. An owner that stood still in between sent it after the other entries had replaced it, with the time that its requests had had before.

Ruled out: the limit of a call from its start on: a slow connection takes up to its own limit of 1 s. Both limits together are 1.5 s at least, less than the 2 s after which an entry counts as gone.

--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -5,10 +5,11 @@
 import attrs
 import curio
 import pytest
+from wagtail_platform.stage_calls import PlatformStageClient
 
 from tests.test_dispatch import GENERATE, ORDER, POOL, DispatcherHarness
 from wagtailrun.adapters.connector import Connector, OpenConnection
-from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_client import CONNECT_TIMEOUT_MS, HttpClient
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.exceptions import (
     RefusalReason,
@@ -18,6 +19,8 @@
 )
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Attempt, StageAnswer
+from wagtailrun.stages.port import StageItem
+from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 ADDRESS = Address("10.0.0.1", 80)
@@ -105,6 +108,33 @@
     assert failure.verdict is Verdict.MAY_HAVE_RUN
 
 
+def stage_call_after(held_ms):
+    """Return what the owner of a stage sends after a standstill, and the failure."""
+    clock = VirtualClock()
+    row = TargetRow("t", ADDRESS, "s", "a", 1)
+    item = StageItem("r", 0, 0, DEADLINE_MS, "k", None)
+
+    async def main(clock):
+        connector = HeldConnector(clock, held_ms)
+        client = PlatformStageClient(HttpClient(clock, connector=connector))
+        with pytest.raises(TargetFailed) as failure:
+            await client.run(row, [item], DEADLINE_MS)
+        return connector.sock.sent, failure.value.verdict
+
+    return run_virtual(main, clock=clock)
+
+
+def test_stage_call_is_not_sent_long_after_it_was_made():
+    """Guards against calls of an owner that stood still until it had a successor.
+
+    The successor makes the same calls, and the requests may have been refused.
+    """
+    assert stage_call_after(DEADLINE_MS + CONNECT_TIMEOUT_MS) == (b"", Verdict.NOT_RUN)
+    sent, verdict = stage_call_after(CONNECT_TIMEOUT_MS)
+    assert sent.startswith(b"POST /stage-run ")
+    assert verdict is Verdict.MAY_HAVE_RUN
+
+
 class RecordingClient:
     """Targets that answer at once, and note the time that each attempt has left."""
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -28,6 +28,7 @@
 from wagtailrun.process.memory_budget import PROCESS_MEMORY, Holding, Kind, MemoryBudget
 
 __all__ = [
+    "CONNECT_TIMEOUT_MS",
     "Connector",
     "DirectConnector",
     "HttpClient",
