Test that a target that left stays out of use after restarts

Cause: no fault was found. The schedules of gossip restart one entry at a time; no test restarted all entries that knew of a goodbye while another one was cut off and still had the row of the target, as operators of similar systems saw.

Conclusion: tests only.

--- a/tests/test_gossip_departures.py
+++ b/tests/test_gossip_departures.py
@@ -9,6 +9,8 @@
 SETTLE_MS = 4_000
 # Shorter than a round of gossip, or than the detection of a silent target.
 KNOWN_MS = 100
+# Detection of a silent target.
+SILENT_LIMIT_MS = 3_000
 SEEDS = range(10)
 
 
@@ -109,6 +111,41 @@
     assert run_departure(seed, 8, scenario) == set()
 
 
+@pytest.mark.parametrize("cut_ms", [3_000, 60_000, 400_000])
+@pytest.mark.parametrize("seed", SEEDS[:3])
+def test_target_that_left_is_out_of_use_after_all_that_knew_it_restarted(seed, cut_ms):
+    """Guards against a target that is used again as entries forgot that it left.
+
+    An entry that was cut off meanwhile still has its row, and the restarted entries
+    have none.
+    """
+
+    async def main(clock):
+        cluster = Cluster(clock, {"east": 3}, 4, seed=seed)
+        await cluster.start()
+        await clock.sleep_ms(SETTLE_MS)
+        first, second, lone = cluster.live
+        for target in cluster.targets:
+            target.announced_to = first
+        others = [first.address, second.address]
+        cluster.network.cut_off([lone.address], [*others, *cluster.control_addresses])
+        gone = cluster.targets[0]
+        await gone.leave()
+        await clock.sleep_ms(cut_ms)
+        for node in (first, second):
+            await cluster.kill(node.name)
+        fresh = [await cluster.start_node(node.name) for node in (first, second)]
+        for target in cluster.targets:
+            target.announced_to = fresh[0]
+        cluster.network.heal()
+        await clock.sleep_ms(SILENT_LIMIT_MS + KNOWN_MS)
+        used = cluster.entries_using(gone.name)
+        await clock.sleep_ms(2 * SETTLE_MS)
+        return used, cluster.entries_using(gone.name), len(cluster.live)
+
+    assert run_virtual(main) == (set(), set(), 3)
+
+
 def test_end_of_an_entry_repeats_nothing_that_all_entries_know():
     """Guards against messages at each stop about targets that left long ago."""
 
