Use no target for ever that ended as all control members restarted

Cause: an entry of the relay takes a target out of use when a control member says that it left or is silent. Members that are started again have no rows, and learn targets from heartbeats and from each other. If all are started again, none knows of a target that ended meanwhile, or whose goodbye only they had, so that none says anything, and the entry used it for ever.

Ruled out: that entries send their rows to members: a member could then bring back what others dropped, and builds of before know no such message. Dropping the rows: members that get no reports at all would leave entries without targets.

Conclusion: a target that a member's process has not named 30 s after its first reply counts as unresponsive at the entry: it is used only if its service has no other, until it is named again, and its row is dropped after ten minutes.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -238,6 +238,40 @@
     assert run(scenario) == ["t1"]
 
 
+@pytest.mark.parametrize("reports", [True, False])
+def test_target_that_ended_as_all_members_restarted_is_not_used(reports):
+    """Guards against a target that is used for ever, as no member knows that it ended.
+
+    Without reports of any target the entry goes on with those that it knows.
+    """
+    other = attrs.evolve(ROW, name="t2", address=Address("10.0.2.2", 80))
+
+    async def scenario(controls, clock):
+        view = await controls.entry()
+        for row in (ROW, other):
+            await controls.hubs[0].report(row)
+        await clock.sleep_ms(1_000)
+        for hub in controls.hubs:
+            hub.membership.__init__()
+            hub.reported_targets.__init__()
+            hub.peers_by_address.clear()
+            hub.epoch += 1
+        used = []
+        for number in range(40):
+            if reports:
+                newer = attrs.evolve(other, sequence=2 + number)
+                await controls.hubs[0].report(newer)
+            await clock.sleep_ms(HEARTBEAT_MS)
+            used.append([row.name for row in view.targets("s")])
+        # It is used again once it reports.
+        await controls.hubs[0].report(attrs.evolve(ROW, sequence=99))
+        await clock.sleep_ms(1_000)
+        return used[0], used[-1], "t1" in [row.name for row in view.targets("s")]
+
+    last = ["t2"] if reports else ["t1", "t2"]
+    assert run(scenario) == (["t1", "t2"], last, True)
+
+
 def test_many_long_rows_reach_a_restarted_member():
     """Guards against rows that together fit no frame, so that none arrives."""
     rows = [
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -24,6 +24,7 @@
 from wagtailrun.discovery.stream_versions import StreamVersions
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.discovery.transfer import MAX_PART_BYTES, ConfigurationTransfer
+from wagtailrun.discovery.unnamed_targets import UnnamedTargets
 from wagtailrun.exceptions import FleetTextError, MessageError, PeerUnreachable
 from wagtailrun.gossip.incarnations import new_incarnation
 from wagtailrun.gossip.messages import EntryRow, Health
@@ -52,7 +53,6 @@
 # With updates that are older, this entry may not know which versions its targets have.
 # Finding another member takes less when one does not reply, at times more with two.
 OUT_OF_STEP_MS = 2_000
-
 # Share of the time in which draining targets take streams that is used here: the entry
 # may learn late that a target drains, and what it sends must arrive in time.
 SAFE_DRAIN_SHARE = 0.5
@@ -112,6 +112,7 @@
         self.unreadable_revision = 0
         self.unreadable_detail = ""
         self.marks = NewsMarks()
+        self.unnamed = UnnamedTargets(clock, self.membership, self._put_target)
         self.versions = StreamVersions(clock, self.membership, lambda: self.is_fresh)
         self.newer_revision_known = Signal()
         self.quarantine = Quarantine(clock)
@@ -438,7 +439,7 @@
         for aged in news.targets:
             self._record_draining(aged.row)
             self._put_target(aged.row, aged.age_ms)
-        if news.targets:
+        if self.unnamed.apply(news) or news.targets:
             self.on_targets_changed()
         if news.entries:
             self.entries = tuple({row.name: row for row in news.entries}.values())
