End the pause of a stage target with its incarnation

Cause: the owner of a stage keeps what it knows of a target by its name. A pause that one incarnation asked for (up to 24 h) held for the next one, which got no calls from this owner until the time was over; requests were refused with the time to return.

Ruled out: a bound of the pause; the forecast of the queue needs its length. The other state is short-lived (back-off of 2 s at most) or describes calls in progress.

Before / after: test_pause_ends_with_the_incarnation_that_asked_for_it failed before: the request was refused 2 s into a pause of 60 s, although the target had been started again. It is served now. 131 tests of stages and frozen owners pass.

Conclusion: states of stage targets know the incarnation, and a newer one ends the pause, as at the other two choosers.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -654,6 +654,27 @@
     assert called_ms[1] - called_ms[0] >= 1_500
 
 
+def test_pause_ends_with_the_incarnation_that_asked_for_it():
+    """Guards against a target that is unused because of one before it."""
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        harness.client.faults_by_name["t1"] = TargetFailed(
+            "full", verdict=Verdict.NOT_RUN, retry_after_ms=60_000
+        )
+        task = await curio.spawn(harness.send, "r")
+        await clock.sleep_ms(1_000)
+        harness.client.faults_by_name.clear()
+        paused = len(harness.client.calls)
+        harness.rows = [attrs.evolve(harness.rows[0], incarnation=1)]
+        await clock.sleep_ms(1_000)
+        state = await harness.send("next")
+        await task.cancel()
+        return paused, state.state
+
+    assert run_virtual(main) == (1, JobState.DONE)
+
+
 def test_estimates_of_odd_capacities_can_be_sent():
     """Load: pieces of a service whose document states calls of a week.
 
--- a/wagtailrun/stages/pool_state.py
+++ b/wagtailrun/stages/pool_state.py
@@ -36,7 +36,7 @@
     ):
         self.clock = clock
         self.service = service
-        self.targets = targets
+        self._targets = targets
         self.jobs_by_key: dict[tuple[str, int, int], Job] = {}
         # The unfinished jobs. There are several times as many finished ones, so the
         # frequent scans use this table.
@@ -55,6 +55,13 @@
         self.used_ms = -CONTESTED_MS
         self.contested_until_ms = 0
 
+    def targets(self) -> list[TargetRow]:
+        """Return the targets that accept calls."""
+        rows = self._targets()
+        for row in rows:
+            self.target_states_by_name[row.name].note_incarnation(row.incarnation)
+        return rows
+
     @property
     def is_unused(self) -> bool:
         """Whether no entry needs a result of the pool any more."""
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -29,6 +29,7 @@
     """State of one target: calls in progress, slowness and failures.
 
     Attributes:
+        incarnation: Incarnation of the target; None before it is known.
         calls: Number of calls in progress.
         busy_until_ms: When the last of them is expected to end.
         pause_until_ms: Time before which the target gets no call.
@@ -42,6 +43,7 @@
         slowness: Duration of its calls as a multiple of the configured duration.
     """
 
+    incarnation: int | None = None
     calls: int = 0
     busy_until_ms: int = 0
     pause_until_ms: int = 0
@@ -62,6 +64,13 @@
         """Whether the last call to the target did not fail."""
         return not (self.failures or self.lost_paths)
 
+    def note_incarnation(self, incarnation: int) -> None:
+        """End the pause of an earlier incarnation of the target."""
+        if self.incarnation is not None and incarnation > self.incarnation:
+            self.pause_until_ms = 0
+        if self.incarnation is None or incarnation > self.incarnation:
+            self.incarnation = incarnation
+
     def record_answer(self, now_ms: int) -> None:
         """Record that a call was answered."""
         self.failures = self.lost_paths = 0
