Let a step of the stages' queue compute its own rank

Cause: the rank of a job was a function of its pool, the longest of the stages' modules, and used nothing of the pool.

Ruled out: none; the order is the same. test_polls_of_waiting_pieces_scan_no_other_job counts calls of Job.rank of all jobs instead of calls of Pool._rank of one pool, which is as strict.

Before / after: test_stage_pool.py and test_queue_forecast.py pass before and after.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -28,6 +28,7 @@
     StageClient,
 )
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
+from wagtailrun.stages.job import Job
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
 from wagtailrun.targets.retries import RetryBudget
@@ -603,9 +604,8 @@
         for number in range(50):
             message = harness.message(f"r{number}", wait_ms=0)
             await harness.batcher.handle(message)
-        pool = await harness.batcher.pool("s")
-        rank = pool._rank
-        monkeypatch.setattr(pool, "_rank", lambda *a: ranked.append(a) or rank(*a))
+        rank = Job.rank
+        monkeypatch.setattr(Job, "rank", lambda *a: ranked.append(a) or rank(*a))
         for number in range(50):
             state = await harness.send(f"r{number}", wait_ms=0)
             assert state.state == JobState.PENDING
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -4,6 +4,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.state import Signal
+from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.messages import (
     JobState,
     PieceResult,
@@ -21,6 +22,9 @@
 # of: one confirmation may be lost, and the next one be late.
 ANNOUNCEMENT_SILENCE_MS = 3 * ANNOUNCEMENT_INTERVAL_MS
 
+# Each urgency level counts as this much additional time to the latency objective. This
+# lets urgent jobs go first in a short queue and limits the delay of the least urgent.
+URGENCY_STEP_MS = 400
 # Cost of transferring results to another data centre, as queueing delay: the traffic
 # prices of the users' installations, weighed against the value of a request.
 REMOTE_COST_MS_PER_MB = 400.0
@@ -97,6 +101,21 @@
         """Whether it has results, or pieces in calls, that occupy memory."""
         return bool(self.running or self.results_by_piece)
 
+    def rank(self, now_ms: int, capacity: StageCapacity) -> tuple[bool, int, int]:
+        """Return the sort key of the job; smaller is served first.
+
+        First steps that can no longer meet their latency objective are served last. In
+        order of arrival they would make every request late once the queue is longer
+        than the time to the objective. Later steps keep their place, because their
+        inputs would expire unused, and so do steps that have begun: their results
+        occupy the memory that others wait for.
+        """
+        late = now_ms + capacity.duration_ms(len(self.waiting)) > self.objective_at_ms
+        holds_results = self.message.has_inputs or self.has_begun
+        unattainable = late and not holds_results
+        objective_at_ms = self.objective_at_ms + self.message.urgency * URGENCY_STEP_MS
+        return (unattainable, objective_at_ms, self.number)
+
     @property
     def missing_inputs_detail(self) -> str:
         """Why an announced step is dropped: a lost entry, or inputs that are late."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -49,9 +49,6 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
-# Each urgency level counts as this much additional time to the latency objective. This
-# lets urgent jobs go first in a short queue and limits the delay of the least urgent.
-URGENCY_STEP_MS = 400
 
 
 class Pool(PoolState):
@@ -135,9 +132,9 @@
             yield from expected
             return
         capacity = self.capacity
-        rank = self._rank(before, now_ms, capacity)
+        rank = before.rank(now_ms, capacity)
         for job in expected:
-            if job is not before and self._rank(job, now_ms, capacity) < rank:
+            if job is not before and job.rank(now_ms, capacity) < rank:
                 yield job
 
     def processing_ms(self, pieces: int) -> float:
@@ -194,22 +191,6 @@
             self._finish(job, JobState.REFUSED, detail)
         return job, True
 
-    @staticmethod
-    def _rank(job: Job, now_ms: int, capacity: StageCapacity) -> tuple[bool, int, int]:
-        """Return the sort key of a job; smaller is served first.
-
-        First steps that can no longer meet their latency objective are served last. In
-        order of arrival they would make every request late once the queue is longer
-        than the time to the objective. Later steps keep their place, because their
-        inputs would expire unused, and so do steps that have begun: their results
-        occupy the memory that others wait for.
-        """
-        late = now_ms + capacity.duration_ms(len(job.waiting)) > job.objective_at_ms
-        holds_results = job.message.has_inputs or job.has_begun
-        unattainable = late and not holds_results
-        objective_at_ms = job.objective_at_ms + job.message.urgency * URGENCY_STEP_MS
-        return (unattainable, objective_at_ms, job.number)
-
     def is_doubtful(self, job: Job) -> bool:
         """Whether this process stood still since the entry of a job asked for it.
 
@@ -336,7 +317,7 @@
             for job in self.open_jobs()
             if not job.doubted_ms and job.is_expected(now_ms)
         ]
-        jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
+        jobs.sort(key=lambda job: job.rank(now_ms, capacity))
         for job in list(forecast.late_jobs(jobs, self.processing_ms)):
             detail = "the queue leaves the step too little time"
             self._finish(job, JobState.REFUSED, detail)
@@ -355,7 +336,7 @@
                     job.times.turn(self.planner.phase_without_target(job), now_ms)
         if not (jobs and free):
             return False
-        jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
+        jobs.sort(key=lambda job: job.rank(now_ms, capacity))
         plan = self.planner.plan(jobs, rows, free, capacity)
         if plan is None:
             self.planner.log_full_memory(self.service)
