Refuse a step at once whose results fit into no memory that is left

Cause: the results of a step stay at their targets until its last piece is done, and a step that fits into no memory was allowed to begin. On one side of a cut data centre one of three targets may be left, so that steps with many pieces do not fit: such a step took all memory for its first results, could never end, and was refused when its time was up, 2 to 3.5 s later. Steps that could have run waited behind it for memory and were refused as well.

Ruled out: a pause of all targets (0 ms); targets of other data centres that were not allowed (1.4 of 148 s).

Before / after: the three new tests failed before: a step of 8 pieces at a target with room for 7 was refused after 3,350 ms instead of 0, and one of 14 pieces that lost one of two targets after 3,350 ms. After: 0 ms, and the first forecast after the cut or the end of its calls.

Conclusion: the owner counts the memory of the targets that it has, when a step is announced or asked for and each 200 ms.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -8,6 +8,7 @@
 from wagtailrun.logs.events import EVENT_LOG, STAGE_MEMORY_FULL
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages import FreeResults, JobState, PieceOutcome
+from wagtailrun.stages.pool import FORECAST_INTERVAL_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
 from wagtailrun.virtual_time import run_virtual
 
@@ -155,6 +156,69 @@
     assert took_ms < 1_000
 
 
+def test_step_whose_results_fit_into_no_memory_is_refused_at_once():
+    """Load: a step that needs more memory than all targets have, before small steps.
+
+    Guards against a step that takes all memory for its first results, and holds it
+    until its time is up: it can never end, and the steps behind it were refused after
+    seconds as well.
+    """
+
+    async def main(clock):
+        harness = make_harness(clock, [target(1)])
+        wide, small, tasks = [], [], []
+        tasks.append(await curio.spawn(serve(clock, harness, "wide", 8, wide)))
+        for number in range(6):
+            await clock.sleep_ms(300)
+            step = serve(clock, harness, f"small{number}", 2, small)
+            tasks.append(await curio.spawn(step))
+        for task in tasks:
+            await task.join()
+        return wide, small
+
+    [(_, state, took_ms)], small = run_virtual(main)
+    assert (state, took_ms) == (JobState.REFUSED, 0)
+    assert {state for _, state, _ in small} == {JobState.DONE}
+    assert max(took_ms for _, _, took_ms in small) < 500
+
+
+@pytest.mark.parametrize("begins", [True, False])
+def test_step_that_fitted_only_before_a_cut_is_refused_when_that_is_known(begins):
+    """Load: a cut that leaves one of two targets while a step for both waits or runs.
+
+    Guards against a side of a cut that counts on the memory of the other one: the step
+    held what was left until its time was up.
+    """
+
+    async def main(clock):
+        rows = [target(1, "a"), target(2, "b")]
+        harness = make_harness(clock, rows)
+        wide, small, tasks = [], [], []
+        if not begins:
+            # Its results leave too little room until they are released.
+            tasks.append(await curio.spawn(serve(clock, harness, "before", 8, [])))
+            await clock.sleep_ms(10)
+        step = serve(clock, harness, "wide", 14, wide, moved_bytes=0)
+        tasks.append(await curio.spawn(step))
+        await clock.sleep_ms(100)
+        harness.rows = rows[:1]
+        for number in range(4):
+            await clock.sleep_ms(300)
+            step = serve(clock, harness, f"small{number}", 2, small)
+            tasks.append(await curio.spawn(step))
+        for task in tasks:
+            await task.join()
+        return wide, small
+
+    [(_, state, took_ms)], small = run_virtual(main)
+    assert state == JobState.REFUSED
+    # The calls that began end first; the other side may keep their results.
+    calls_ms = CAPACITY.duration_ms(5) + CAPACITY.duration_ms(2)
+    assert took_ms < calls_ms + FORECAST_INTERVAL_MS + 50
+    assert {state for _, state, _ in small} == {JobState.DONE}
+    assert max(took_ms for _, _, took_ms in small) < 900
+
+
 def test_small_results_run_beside_full_memory():
     """Load: a target whose memory is full of results that are not known here.
 
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -127,6 +127,23 @@
             job.times.turn(phase, now_ms)
         return None
 
+    def has_memory_for(
+        self, job: Job, rows: Sequence[TargetRow], capacity: StageCapacity
+    ) -> bool:
+        """Return whether the targets have memory for all results of a job at once.
+
+        The results stay until the last piece is done, so that a job without this can
+        never end. Pieces in calls are not counted, as another target may have them.
+        """
+        usable, size = usable_bytes(capacity), job.message.result_bytes
+        if not (usable and size):
+            return True
+        # A target without results takes a piece of any size.
+        places = len(rows) * max(usable // size, 1)
+        addresses = {str(row.address) for row in rows}
+        held = sum(r.address in addresses for r in job.results_by_piece.values())
+        return held + len(job.waiting) <= places
+
     def _startable_jobs(
         self,
         jobs: Sequence[Job],
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -49,6 +49,7 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
+NO_MEMORY_DETAIL = "all targets together have no memory for the results of the step"
 
 
 class Pool(PoolState):
@@ -152,7 +153,7 @@
     def add(self, message: RunPieces) -> tuple[Job, bool]:
         """Return the job for ``message``, and whether it is new or became ready.
 
-        A new or ready job is refused if it cannot finish before it expires.
+        A new or ready job is refused if it cannot finish before it expires, or never.
         """
         now_ms = self.clock.now_ms()
         job = self.jobs_by_key.get(job_key(message))
@@ -183,6 +184,8 @@
         job.queue_ms = queue_ms = self.queue_ms(job)
         if queue_ms is None:
             self._finish(job, JobState.REFUSED, "no target of the service is available")
+        elif not self.planner.has_memory_for(job, self.targets(), self.capacity):
+            self._finish(job, JobState.REFUSED, NO_MEMORY_DETAIL)
         elif queue_ms + self.processing_ms(len(job.waiting)) > message.remaining_ms:
             detail = (
                 f"the queueing delay of {queue_ms} ms leaves too little of the "
@@ -303,20 +306,23 @@
                 self._finish(job, JobState.REFUSED, "the step cannot finish in time")
         if now_ms >= self.next_forecast_ms:
             self.next_forecast_ms = now_ms + FORECAST_INTERVAL_MS
-            self._refuse_late_jobs(now_ms)
+            self._refuse_hopeless_jobs(now_ms)
         self.memory.expire(now_ms)
 
-    def _refuse_late_jobs(self, now_ms: int) -> None:
-        """Refuse what cannot be in time since the targets became fewer or slower."""
+    def _refuse_hopeless_jobs(self, now_ms: int) -> None:
+        """Refuse what cannot end in time since the targets became fewer or slower."""
         forecast = self._forecast(now_ms)
         if forecast is None:
             return
-        capacity = self.capacity
-        jobs = [
-            job
-            for job in self.open_jobs()
-            if not job.doubted_ms and job.is_expected(now_ms)
-        ]
+        capacity, rows = self.capacity, self.targets()
+        jobs = []
+        for job in self.open_jobs():
+            if job.doubted_ms or not job.is_expected(now_ms):
+                continue
+            if job.ready and not self.planner.has_memory_for(job, rows, capacity):
+                self._finish(job, JobState.REFUSED, NO_MEMORY_DETAIL)
+            else:
+                jobs.append(job)
         jobs.sort(key=lambda job: job.rank(now_ms, capacity))
         for job in list(forecast.late_jobs(jobs, self.processing_ms)):
             detail = "the queue leaves the step too little time"
