Count the memory that results hold in the expected delay of a step

Cause: the expected delay of a step, by which requests are admitted and steps refused, was that of calls alone. Results of 3 MB occupy a target of 18 MB until the request has used them; with an engine that takes them late, memory is what the steps behind wait for. Requests that were expected after 780 ms were admitted and waited for 2 to 6 s, half of that time for memory.

Ruled out: a limit of admission alone: the queue's own forecast, which refuses what will not be in time, used the same estimate.

Before / after: test_delay_counts_the_time_for_which_results_hold_memory failed before: 0 ms for a step whose room becomes free after 1 s; after: 900 to 1,500 ms, and 0 for a step with small results.

Conclusion: a step waits for its turn or for memory, whichever takes longer; memory becomes free at the mean rate of the newest releases.

--- a/tests/test_queue_forecast.py
+++ b/tests/test_queue_forecast.py
@@ -4,7 +4,7 @@
 
 from tests.test_stage_pool import BatcherHarness, target
 from wagtailrun.exceptions import ConnectFailed
-from wagtailrun.stages import JobState
+from wagtailrun.stages import FreeResults, JobState
 from wagtailrun.stages.pool import FORECAST_INTERVAL_MS
 from wagtailrun.virtual_time import run_virtual
 
@@ -61,3 +61,29 @@
         return {state.state for state in group.results}
 
     assert run_virtual(main) == {JobState.DONE}
+
+
+def test_delay_counts_the_time_for_which_results_hold_memory():
+    """Load: requests that release their results late, beside short calls.
+
+    Guards against an estimate from calls alone: requests were admitted that could be in
+    time by it, and then waited for memory for seconds.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        for number in range(4):
+            state = await harness.send(f"r{number}", 3, result_bytes=300)
+            await clock.sleep_ms(1_000)
+            await harness.batcher.handle(FreeResults("s", state.results))
+            await clock.sleep_ms(50)
+        await harness.send("holder", 3, result_bytes=300)
+        announced = {"reserve": True, "wait_ms": 0}
+        large = await harness.send("large", 3, result_bytes=300, **announced)
+        small = await harness.send("small", 3, result_bytes=1, **announced)
+        return large.queue_ms, small.queue_ms
+
+    large_ms, small_ms = run_virtual(main)
+    # The results of the holder stay for a second; its calls are over.
+    assert 900 < large_ms < 1_500
+    assert small_ms == 0
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -101,6 +101,11 @@
         """Whether it has results, or pieces in calls, that occupy memory."""
         return bool(self.running or self.results_by_piece)
 
+    @property
+    def needed_bytes(self) -> int:
+        """Memory that the results of its waiting pieces need."""
+        return len(self.waiting) * self.message.result_bytes
+
     def rank(self, now_ms: int, capacity: StageCapacity) -> tuple[bool, int, int]:
         """Return the sort key of the job; smaller is served first.
 
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -6,6 +6,10 @@
 
 __all__ = ["ResultMemory"]
 
+# Weight of the earlier results in the mean time for which results are held, each time
+# that one is released.
+EARLIER_WEIGHT = 0.95
+
 
 @attrs.frozen
 class _StoredResult:
@@ -35,6 +39,10 @@
         self.bytes_by_address: dict[Address, int] = {}
         self.running_bytes_by_address: dict[Address, int] = {}
         self.unknown_by_address: dict[Address, _UnknownUse] = {}
+        # Bytes of the results that were released, and the time by which that was
+        # earlier than necessary, earlier results with less weight.
+        self.released_bytes = 0.0
+        self.saved_byte_ms = 0.0
 
     def add(self, address: Address, handle: str, size: int, until_ms: int) -> None:
         """Record a result that ``address`` keeps until ``until_ms`` at the latest."""
@@ -43,8 +51,32 @@
         self.results_by_handle[handle] = _StoredResult(address, size, until_ms)
         self.bytes_by_address[address] = self.used_bytes(address) + size
 
+    def hold_ms(self, result_ms: int) -> float:
+        """Return for how long results occupied memory of late, large ones above all.
+
+        Args:
+            result_ms: How long targets keep a result that nobody releases.
+
+        Returns:
+            Milliseconds; 0 if no result was released yet.
+        """
+        if not self.released_bytes:
+            return 0.0
+        return max(result_ms - self.saved_byte_ms / self.released_bytes, 0.0)
+
+    def record_release(self, handle: str, now_ms: int) -> None:
+        """Remove a result that its target has dropped, and record when that was."""
+        held = self.results_by_handle.get(handle)
+        if held is not None:
+            saved_ms = max(held.until_ms - now_ms, 0)
+            self.released_bytes *= EARLIER_WEIGHT
+            self.saved_byte_ms *= EARLIER_WEIGHT
+            self.released_bytes += held.size
+            self.saved_byte_ms += held.size * saved_ms
+            self.release(handle)
+
     def release(self, handle: str) -> None:
-        """Remove a result that its target has dropped."""
+        """Remove a result that its target has dropped, or that another entry counts."""
         held = self.results_by_handle.pop(handle, None)
         if held is not None:
             left = self.bytes_by_address[held.address] - held.size
@@ -128,7 +160,7 @@
             handle, held = next(iter(self.results_by_handle.items()))
             if held.until_ms > now_ms:
                 return
-            self.release(handle)
+            self.record_release(handle, now_ms)
 
     def drop_target(self, address: Address) -> None:
         """Remove all results of a target that failed; a restart loses them."""
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -14,7 +14,13 @@
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
-__all__ = ["CallPlan", "CallPlanner", "result_bytes", "usable_bytes"]
+__all__ = [
+    "SMALL_SHARE",
+    "CallPlan",
+    "CallPlanner",
+    "result_bytes",
+    "usable_bytes",
+]
 
 # Fixed cost of running a job outside its preferred data centre, expressed as queueing
 # delay: it splits up a batch in the preferred data centre.
@@ -167,10 +173,10 @@
         reserved = Counter()
         for job in jobs:
             if job.has_begun:
-                reserved[job.message.data_centre] += _needed_bytes(job)
+                reserved[job.message.data_centre] += job.needed_bytes
         startable, blocked = [], set()
         for job in jobs:
-            preferred, needed = job.message.data_centre, _needed_bytes(job)
+            preferred, needed = job.message.data_centre, job.needed_bytes
             if job.has_begun or needed <= SMALL_SHARE * usable:
                 startable.append(job)
                 continue
@@ -319,11 +325,6 @@
         return chosen
 
 
-def _needed_bytes(job: Job) -> int:
-    """Return the memory that the waiting pieces of a job need."""
-    return len(job.waiting) * job.message.result_bytes
-
-
 def usable_bytes(capacity: StageCapacity) -> int:
     """Return how much memory of a target may be used; 0 is unlimited."""
     return int(capacity.memory_bytes * USABLE_MEMORY_SHARE)
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -115,16 +115,13 @@
             Milliseconds, or None if no target is available.
         """
         now_ms = self.clock.now_ms()
-        forecast = self._forecast(now_ms)
+        forecast = self._forecast()
         if forecast is None:
             return None
-        return forecast.wait_ms(
-            sum(len(job.waiting) for job in self._jobs_ahead(before, now_ms))
-        )
+        return forecast.queue_ms(self._jobs_ahead(before, now_ms), before)
 
-    def _forecast(self, now_ms: int) -> QueueForecast | None:
-        states = [self.target_states_by_name[row.name] for row in self.targets()]
-        return QueueForecast.compute(states, self.capacity, now_ms)
+    def _forecast(self) -> QueueForecast | None:
+        return QueueForecast.compute(self, self.capacity)
 
     def _jobs_ahead(self, before: Job | None, now_ms: int) -> Iterator[Job]:
         """Yield the jobs ahead of ``before``, with announced ones that are expected."""
@@ -311,7 +308,7 @@
 
     def _refuse_hopeless_jobs(self, now_ms: int) -> None:
         """Refuse what cannot end in time since the targets became fewer or slower."""
-        forecast = self._forecast(now_ms)
+        forecast = self._forecast()
         if forecast is None:
             return
         capacity, rows = self.capacity, self.targets()
@@ -568,6 +565,7 @@
             return
         finally:
             self.releasing.difference_update(handles)
+        now_ms = self.clock.now_ms()
         for handle in handles:
-            self.memory.release(handle)
+            self.memory.record_release(handle, now_ms)
         await self.wake.set()
