Put steps that will be late behind the others, and refuse them by what those leave

Cause: a first step whose latency objective had passed was served last, and refused once the queue ahead of it left too little time. In an overload the queue ahead never ends, as all that arrive go before: such steps were held until their time was up. A step with many pieces that could not be in time any more also went first until its objective had passed, and made those behind it late.

Ruled out: refusing a late first step in a queue of over 300 ms, the limit of admission (trial on a scratch copy): as few are held, but a burst that ends at once loses steps that could be served, which test_first_steps_that_are_late_go_last shows.

Conclusion: each 200 ms the owner tells which steps will be late. They go behind those that can be in time, and get what the steps that arrived in the last 2 s leave of the targets' time; what cannot be in time for its deadline by that is refused at once.

--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -61,6 +61,8 @@
         asked_ms: When its entry last asked for it, or confirmed its announcement.
         doubted_ms: When it was first noticed that this process stood still after
             that; 0 if it did not.
+        will_be_late: Whether it is expected to miss its latency objective, behind the
+            steps that can meet theirs.
         times: Where its time here goes.
         progress: Notified when the job ends or its inputs have been fetched.
     """
@@ -85,6 +87,7 @@
     moved_to: str = ""
     asked_ms: int = 0
     doubted_ms: int = 0
+    will_be_late: bool = False
     times: StepTimes = attrs.field(init=False)
     progress: Signal = attrs.field(factory=Signal)
 
@@ -109,7 +112,7 @@
     def rank(self, now_ms: int, capacity: StageCapacity) -> tuple[bool, int, int]:
         """Return the sort key of the job; smaller is served first.
 
-        First steps that can no longer meet their latency objective are served last. In
+        First steps that will not meet their latency objective are served last. In
         order of arrival they would make every request late once the queue is longer
         than the time to the objective. Later steps keep their place, because their
         inputs would expire unused, and so do steps that have begun: their results
@@ -117,7 +120,7 @@
         """
         late = now_ms + capacity.duration_ms(len(self.waiting)) > self.objective_at_ms
         holds_results = self.message.has_inputs or self.has_begun
-        unattainable = late and not holds_results
+        unattainable = (late or self.will_be_late) and not holds_results
         objective_at_ms = self.objective_at_ms + self.message.urgency * URGENCY_STEP_MS
         return (unattainable, objective_at_ms, self.number)
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -189,6 +189,8 @@
                 f"remaining {message.remaining_ms} ms"
             )
             self._finish(job, JobState.REFUSED, detail)
+        elif job.ready:
+            self.arrived_jobs.append(job)
         return job, True
 
     def is_doubtful(self, job: Job) -> bool:
@@ -320,8 +322,8 @@
                 self._finish(job, JobState.REFUSED, NO_MEMORY_DETAIL)
             else:
                 jobs.append(job)
-        jobs.sort(key=lambda job: job.rank(now_ms, capacity))
-        for job in list(forecast.late_jobs(jobs, self.processing_ms)):
+        arrived = self.recent_jobs()
+        for job in forecast.sort_out(jobs, arrived, self.processing_ms, capacity):
             detail = "the queue leaves the step too little time"
             self._finish(job, JobState.REFUSED, detail)
 
--- a/wagtailrun/stages/pool_state.py
+++ b/wagtailrun/stages/pool_state.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import defaultdict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from wagtailrun.clock import Clock
 from wagtailrun.ports.link import Address
@@ -13,13 +13,15 @@
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
-__all__ = ["PoolState"]
+__all__ = ["ARRIVAL_WINDOW_MS", "PoolState"]
 
 # An entry that still wants a job polls for it within this time after the last reply.
 NEXT_POLL_MS = 300
 # An entry that was not asked for pieces for this long may have become the owner anew.
 # For as long, the one before it may still make calls.
 CONTESTED_MS = 1_000
+# Time by which the arrival of steps is measured. They come in clumps of about a second.
+ARRIVAL_WINDOW_MS = 2_000
 
 
 class PoolState:
@@ -45,6 +47,8 @@
         self.ended_jobs: deque[Job] = deque()
         self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
         self.memory = ResultMemory()
+        # Jobs that could run when they arrived, in the last seconds, oldest first.
+        self.arrived_jobs: deque[Job] = deque()
         self.step_log = StepLog(service)
         self.pending_releases_by_address: dict[Address, list[str]] = defaultdict(list)
         # Results whose release is scheduled or sent.
@@ -77,6 +81,13 @@
         if job is not None and not job.ready:
             job.asked_ms = self.clock.now_ms()
 
+    def recent_jobs(self) -> Collection[Job]:
+        """Return the jobs that arrived in the last ``ARRIVAL_WINDOW_MS``."""
+        since_ms = self.clock.now_ms() - ARRIVAL_WINDOW_MS
+        while self.arrived_jobs and self.arrived_jobs[0].requested_ms < since_ms:
+            self.arrived_jobs.popleft()
+        return self.arrived_jobs
+
     def open_jobs(self) -> list[Job]:
         """Return the unfinished jobs."""
         return list(self.open_by_key.values())
--- a/wagtailrun/stages/queue_forecast.py
+++ b/wagtailrun/stages/queue_forecast.py
@@ -1,13 +1,13 @@
 """Expected queueing delays of the pieces of one stage service."""
 
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import attrs
 
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.planner import SMALL_SHARE, usable_bytes
-from wagtailrun.stages.pool_state import PoolState
+from wagtailrun.stages.pool_state import ARRIVAL_WINDOW_MS, PoolState
 
 __all__ = ["MAX_ATTEMPTS", "QueueForecast"]
 
@@ -94,49 +94,87 @@
             ahead: Jobs that are served before it.
             job: The job; None for pieces of which nothing is known.
         """
-        jobs = list(ahead)
-        pieces = sum(len(each.waiting) for each in jobs)
-        own_bytes = 0 if job is None else job.needed_bytes
-        needed_bytes = own_bytes + sum(each.needed_bytes for each in jobs)
-        waits_for_memory = job is None or own_bytes > self.small_bytes
-        return self.wait_ms(pieces, needed_bytes if waits_for_memory else 0)
-
-    def wait_ms(self, ahead: int, needed_bytes: int) -> int:
-        """Return the expected delay behind ``ahead`` pieces, in milliseconds.
+        queued = _Queued()
+        for each in ahead:
+            queued.add(each)
+        return int(self._wait_ms(queued, job))
 
-        Args:
-            ahead: Number of pieces.
-            needed_bytes: Memory for the results of these and of the own pieces.
-        """
+    def _wait_ms(self, queued: "_Queued", job: Job | None) -> float:
         # Up to a batch, the pieces ahead fit into the next call.
-        queued_ms = ahead * self.piece_ms if ahead >= self.batch else 0.0
-        memory_ms = max(needed_bytes - self.room_bytes, 0) * self.byte_ms
-        return int(max(self.free_ms + queued_ms, memory_ms))
-
-    def late_jobs(
-        self, jobs: Sequence[Job], processing_ms: Callable[[int], float]
-    ) -> Iterator[Job]:
-        """Yield the jobs that have not begun and cannot finish before they expire.
+        ahead = queued.pieces
+        turn_ms = ahead * self.piece_ms if ahead >= self.batch else 0.0
+        own_bytes = 0 if job is None else job.needed_bytes
+        memory_ms = 0.0
+        if job is None or own_bytes > self.small_bytes:
+            lacking_bytes = max(queued.needed_bytes + own_bytes - self.room_bytes, 0)
+            memory_ms = lacking_bytes * self.byte_ms
+        return max(self.free_ms + turn_ms, memory_ms)
+
+    def sort_out(
+        self,
+        jobs: Sequence[Job],
+        arrived: Collection[Job],
+        processing_ms: Callable[[int], float],
+        capacity: StageCapacity,
+    ) -> list[Job]:
+        """Tell which jobs will be late, and return those that will expire.
+
+        Only jobs that have not begun are returned. First steps that will miss their
+        latency objective go behind the others, also those that arrive meanwhile: they
+        get the share of the targets' time that these leave. In a queue that is never
+        empty they would otherwise be held until they expire.
 
         Args:
-            jobs: Unfinished jobs, the first ones first.
+            jobs: Unfinished jobs.
+            arrived: Jobs that arrived in the last ``ARRIVAL_WINDOW_MS``.
             processing_ms: Returns the duration of the calls for a number of pieces.
+            capacity: Capacity of one target.
         """
-        ahead = ahead_bytes = 0
-        for job in jobs:
-            pieces, own_bytes = len(job.waiting), job.needed_bytes
-            needed_bytes = ahead_bytes + own_bytes
-            if own_bytes <= self.small_bytes:
-                needed_bytes = 0
-            wait_ms = self.wait_ms(ahead, needed_bytes)
-            end_ms = self.now_ms + wait_ms + processing_ms(pieces)
-            if (
-                job.ready
-                and not job.has_begun
-                and pieces
-                and end_ms > job.expires_at_ms
-            ):
-                yield job
+        queued, late, expiring = _Queued(), [], []
+        for job in sorted(jobs, key=lambda job: job.rank(self.now_ms, capacity)):
+            own_ms = processing_ms(len(job.waiting))
+            end_ms = self.now_ms + self._wait_ms(queued, job) + own_ms
+            may_move = job.ready and job.waiting and not job.has_begun
+            is_first = not job.message.has_inputs
+            job.will_be_late = bool(
+                may_move and is_first and end_ms > job.objective_at_ms
+            )
+            if job.will_be_late:
+                late.append(job)
+            elif may_move and end_ms > job.expires_at_ms:
+                expiring.append(job)
             else:
-                ahead += pieces
-                ahead_bytes += own_bytes
+                queued.add(job)
+        spare_share = 1.0 - self._busy_share(arrived)
+        for job in late:
+            own_ms = processing_ms(len(job.waiting))
+            left_ms = job.expires_at_ms - self.now_ms - own_ms
+            if self._wait_ms(queued, job) > left_ms * spare_share:
+                expiring.append(job)
+            else:
+                queued.add(job)
+        return expiring
+
+    def _busy_share(self, arrived: Collection[Job]) -> float:
+        """Return the share of the targets' time that the steps which arrive need."""
+        # Late ones that still wait count as queued.
+        others = [
+            job.message for job in arrived if not (job.will_be_late and job.waiting)
+        ]
+        pieces = sum(len(message.pieces) for message in others)
+        size = sum(len(message.pieces) * message.result_bytes for message in others)
+        busy_ms = max(pieces * self.piece_ms, size * self.byte_ms)
+        return min(busy_ms / ARRIVAL_WINDOW_MS, 1.0)
+
+
+@attrs.define
+class _Queued:
+    """Pieces that are served before others, and memory for their results."""
+
+    pieces: int = 0
+    needed_bytes: int = 0
+
+    def add(self, job: Job) -> None:
+        """Add the waiting pieces of a job."""
+        self.pieces += len(job.waiting)
+        self.needed_bytes += job.needed_bytes
