Spread the sums of steps over the seconds in which the steps ended

Cause: an owner writes the sums of a service's steps with the first call that ends a second after the last sums. The report counted them in the second of that line, so that some seconds had one step, or none, where their neighbours had 15 to 30.

Ruled out: writing sums at the start of each second: they are written with a call, and there may be none.

Before / after: test_sums_of_steps_are_spread_over_the_time_in_which_they_ended failed before: 20 steps over 1,250 ms in one second, none in the one before; after, 12 and 8. The sums name how long before their line the first step ended (span_ms); a test of the step log checks it.

Conclusion: rows of seconds may have a part of a step.

--- a/tests/test_stage_report.py
+++ b/tests/test_stage_report.py
@@ -92,6 +92,24 @@
     assert report.gaps() == []
 
 
+def test_sums_of_steps_are_spread_over_the_time_in_which_they_ended(write):
+    """Guards against rows of seconds that lack steps which their neighbours have.
+
+    Sums were counted in the second of their line, which comes with the first call that
+    ends a second after the last sums: some seconds had none, or one step of 30.
+    """
+    sums = {**SUMS, "steps": 20, "queued_ms": 2_000, "span_ms": 1_250}
+    lines = [call(1.2), call(2.5, ended=sums), call(4.5, ended=SUMS)]
+    report = report_of(write("front-1.log", [*started(), *lines]))
+    steps = {row["second"] - START_S: row["steps"] for row in report.second_rows()}
+    # 750 of the 1,250 ms are in the first second; sums without a span are in one.
+    assert steps == {0: None, 1: 12, 2: 8, 4: 4}
+    queued = {row["second"] - START_S: row["wait_ms"] for row in report.second_rows()}
+    assert (queued[1], queued[2]) == (105, 105)
+    (row,) = report.service_rows()
+    assert (row["steps"], row["wait_ms"]) == (24, 104)
+
+
 def test_requests_are_divided_by_how_they_ended(write):
     """Guards against late, failed or refused requests that count as in time."""
     lines = [
--- a/tests/test_step_times.py
+++ b/tests/test_step_times.py
@@ -278,6 +278,8 @@
     assert total_ms == 180 * sum(each["steps"] for each in sums)
     assert sum(each["steps"] for each in sums) >= 15
     assert (sums[0]["batch"], sums[0]["slots"]) == (4, 1)
+    # Each step ends when the next one begins, and the last call begins before the line.
+    assert [each["span_ms"] for each in sums] == [180 * each["steps"] for each in sums]
 
 
 def test_times_of_a_mixed_load_add_up(lines):
--- a/wagtailrun/observation/stage_report.py
+++ b/wagtailrun/observation/stage_report.py
@@ -2,7 +2,7 @@
 
 import statistics
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import attrs
@@ -17,6 +17,8 @@
 
 # A longer call is no call; targets answer within seconds.
 MAX_CALL_MS = 3_600 * MS_PER_SECOND
+# Sums are written with the next call; a longer span is none of a busy service.
+MAX_SPAN_MS = 3_600 * MS_PER_SECOND
 # Statuses from here on are no answers to the request, though a target gave them.
 FIRST_FAILED_STATUS = 500
 
@@ -35,7 +37,8 @@
         held_bytes_by_target: Largest size of the results that each target held when a
             call to it began.
         held_bytes: Largest size at all targets that event 723 names.
-        steps: Steps that ended, from the sums.
+        steps: Steps that ended, from the sums; a part of a step where sums are spread
+            over seconds.
         ms_by_name: Their durations, by the names of ``DURATION_NAMES``.
         abandoned: Steps that were abandoned.
     """
@@ -48,8 +51,10 @@
     most_waiting: int = 0
     held_bytes_by_target: dict[str, int] = attrs.field(factory=dict)
     held_bytes: int = 0
-    steps: int = 0
-    ms_by_name: Counter[str] = attrs.field(factory=Counter)
+    steps: float = 0.0
+    ms_by_name: dict[str, float] = attrs.field(
+        factory=lambda: dict.fromkeys(DURATION_NAMES, 0.0)
+    )
     abandoned: int = 0
 
     def add_call(self, line: LogLine) -> None:
@@ -64,11 +69,11 @@
         known = self.held_bytes_by_target.get(target, 0)
         self.held_bytes_by_target[target] = max(known, held)
 
-    def add_sums(self, sums: dict[str, Any]) -> None:
-        """Add the sums of the steps that ended."""
-        self.steps += int(number_in(sums, "steps") or 0)
+    def add_sums(self, sums: dict[str, Any], share: float = 1.0) -> None:
+        """Add a share of the sums of the steps that ended."""
+        self.steps += share * int(number_in(sums, "steps") or 0)
         for name in DURATION_NAMES:
-            self.ms_by_name[name] += int(number_in(sums, name) or 0)
+            self.ms_by_name[name] += share * int(number_in(sums, name) or 0)
 
     def row(self, targets: int, slots: int, batch: int, time_ms: int) -> dict[str, Any]:
         """Return the row of a table.
@@ -94,7 +99,7 @@
             "abandoned": self.abandoned,
         }
         waited_ms = sum(self.ms_by_name[name] for name in WAIT_NAMES)
-        row["steps"] = self.steps or None
+        row["steps"] = round(self.steps, 1) or None
         row["step_ms"] = _ratio(sum(self.ms_by_name.values()), self.steps, 0)
         row["wait_ms"] = _ratio(waited_ms, self.steps, 0)
         for name in WAIT_NAMES:
@@ -103,6 +108,18 @@
         return row
 
 
+def _parts(end_s: float, took_ms: float) -> Iterator[tuple[int, float]]:
+    """Yield each second of a time that ended at ``end_s``, and the part in it."""
+    end_ms = end_s * MS_PER_SECOND
+    start_ms = end_ms - took_ms
+    second = int(start_ms // MS_PER_SECOND)
+    while second * MS_PER_SECOND < end_ms:
+        from_ms = max(start_ms, second * MS_PER_SECOND)
+        to_ms = min(end_ms, (second + 1) * MS_PER_SECOND)
+        yield second, to_ms - from_ms
+        second += 1
+
+
 def _ratio(amount: float, of: float, digits: int = 2) -> float | None:
     """Return a rounded ratio, or None if there is nothing to compare with."""
     return round(amount / of, digits) if of else None
@@ -176,8 +193,9 @@
     """Report on the stage services and routes of log files.
 
     A call counts in the seconds in which it ran, by the clock of the process that owns
-    the service; all else in the second of its line. The sums of steps are those of the
-    second or so before the line that has them.
+    the service; all else in the second of its line. The sums of steps are spread evenly
+    over the time in which their steps ended, which may begin seconds before the line
+    that has them.
 
     Args:
         files: Log files of the processes.
@@ -233,20 +251,24 @@
         for use in self._uses(line):
             use.add_call(line)
         self.total_by_service[service].call_ms += took_ms
-        end_ms = line.time_s * MS_PER_SECOND
-        start_ms = end_ms - took_ms
-        second = int(start_ms // MS_PER_SECOND)
-        while second * MS_PER_SECOND < end_ms:
-            from_ms = max(start_ms, second * MS_PER_SECOND)
-            to_ms = min(end_ms, (second + 1) * MS_PER_SECOND)
-            self.use_by_second[second, service].call_ms += to_ms - from_ms
-            second += 1
+        for second, ms in _parts(line.time_s, took_ms):
+            self.use_by_second[second, service].call_ms += ms
         sums = line.fields.get("ended")
         if isinstance(sums, dict):
-            for use in self._uses(line):
-                use.add_sums(sums)
-            self.batch_by_service[service] = int(number_in(sums, "batch") or 0)
-            self.slots_by_service[service] = int(number_in(sums, "slots") or 0)
+            self._add_sums(line, sums)
+
+    def _add_sums(self, line: LogLine, sums: dict[str, Any]) -> None:
+        service = line.fields["service"]
+        self.batch_by_service[service] = int(number_in(sums, "batch") or 0)
+        self.slots_by_service[service] = int(number_in(sums, "slots") or 0)
+        self.total_by_service[service].add_sums(sums)
+        # Sums of one step have no span, and earlier versions wrote none.
+        span_ms = min(number_in(sums, "span_ms") or 0, MAX_SPAN_MS)
+        if span_ms <= 0:
+            self.use_by_second[int(line.time_s), service].add_sums(sums)
+            return
+        for second, ms in _parts(line.time_s, span_ms):
+            self.use_by_second[second, service].add_sums(sums, ms / span_ms)
 
     def _add_abandoned(self, line: LogLine) -> None:
         if self._has(line, ("service",), ()):
--- a/wagtailrun/stages/step_log.py
+++ b/wagtailrun/stages/step_log.py
@@ -31,6 +31,8 @@
         self.service = service
         self.steps = 0
         self.ms_by_phase = [0] * len(Phase)
+        # When the first step of the sums ended.
+        self.first_ended_ms = 0
         self.next_sums_ms = 0
 
     def record_abandoned(self, job: Job, queue_ms: int | None) -> None:
@@ -90,6 +92,8 @@
     def _close(self, job: Job, now_ms: int) -> None:
         times = job.times
         times.close(now_ms)
+        if not self.steps:
+            self.first_ended_ms = now_ms
         self.steps += 1
         for phase, ms in enumerate(times.ms_by_phase):
             self.ms_by_phase[phase] += ms
@@ -97,13 +101,16 @@
     def take_sums(self, capacity: StageCapacity, now_ms: int) -> dict[str, object]:
         """Return the sums since the last ones as a field, or nothing before their time.
 
+        ``span_ms`` tells how long before this line their first step ended.
+
         Args:
             capacity: Capacity of one target, which the sums name.
             now_ms: Reading of the clock.
         """
         if not self.steps or now_ms < self.next_sums_ms:
             return {}
-        sums = {"steps": self.steps, "batch": capacity.batch, "slots": capacity.slots}
+        sums = {"steps": self.steps, "span_ms": now_ms - self.first_ended_ms}
+        sums |= {"batch": capacity.batch, "slots": capacity.slots}
         for phase, name in enumerate(DURATION_NAMES):
             if ms := self.ms_by_phase[phase]:
                 sums[name] = ms
