Refuse one of the steps that wait for each other's memory

Cause: a step begins only if there is room for all its results, but after a cut results that nobody on its side releases may take that room. Steps that had begun then held a part of their results each, none could end, and all were refused when their time was up, with the steps behind them.

Results of steps that are done are waited for: these are released anyway.

Before / after: test_steps_that_wait_for_each_others_memory_do_not_all_fail failed before: both steps were refused; after, one is done and one refused, each within 1.5 s, and the small steps behind them are done.

Conclusion: each 200 ms the owner looks for steps of which none can end, and refuses the last of them, whose results the others then replace.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -219,6 +219,33 @@
     assert max(took_ms for _, _, took_ms in small) < 900
 
 
+def test_steps_that_wait_for_each_others_memory_do_not_all_fail():
+    """Load: results that nobody releases, beside two steps that have begun.
+
+    Guards against steps that each hold the memory that the other one needs until their
+    time is up, with all steps behind them.
+    """
+
+    async def main(clock):
+        rows = [target(1), target(2)]
+        harness = make_harness(clock, rows, lost=5, gone_ms=10_000)
+        begun, small, tasks = [], [], []
+        for name in ("first", "second"):
+            tasks.append(await curio.spawn(serve(clock, harness, name, 4, begun)))
+        for number in range(3):
+            await clock.sleep_ms(500)
+            step = serve(clock, harness, f"small{number}", 1, small)
+            tasks.append(await curio.spawn(step))
+        for task in tasks:
+            await task.join()
+        return begun, small
+
+    begun, small = run_virtual(main)
+    assert sorted(state for _, state, _ in begun) == [JobState.DONE, JobState.REFUSED]
+    assert max(took_ms for _, _, took_ms in begun) < 1_500
+    assert {state for _, state, _ in small} == {JobState.DONE}
+
+
 def test_small_results_run_beside_full_memory():
     """Load: a target whose memory is full of results that are not known here.
 
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -150,6 +150,42 @@
         held = sum(r.address in addresses for r in job.results_by_piece.values())
         return held + len(job.waiting) <= places
 
+    def find_blocking(
+        self, jobs: Sequence[Job], rows: Sequence[TargetRow], capacity: StageCapacity
+    ) -> Job | None:
+        """Return the last of the jobs that wait for each other's memory, if any.
+
+        Jobs begin only if there is room for all their results, but results that are not
+        known here may take it. Then none can end until these are gone, unless one of
+        the jobs releases its results.
+
+        Args:
+            jobs: Unfinished jobs, the first ones first.
+            rows: Targets that accept calls.
+            capacity: Capacity of one target.
+        """
+        usable = usable_bytes(capacity)
+        begun = [
+            job
+            for job in jobs
+            if job.has_begun
+            and job.waiting
+            and job.message.result_bytes > SMALL_SHARE * usable
+        ]
+        if not usable or len(begun) < 2 or any(job.running for job in begun):
+            return None
+        free = [self.memory.free_bytes(row.address, usable) for row in rows]
+        used = sum(self.memory.used_bytes(row.address) for row in rows)
+        held = sum(
+            len(job.results_by_piece) * job.message.result_bytes for job in begun
+        )
+        for job in begun:
+            size = job.message.result_bytes
+            # Other results are released without this.
+            if used - held >= size or sum(r // size for r in free) >= len(job.waiting):
+                return None
+        return begun[-1]
+
     def _startable_jobs(
         self,
         jobs: Sequence[Job],
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -49,6 +49,7 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
+BLOCKING_DETAIL = "steps that have begun wait for the memory of its results"
 NO_MEMORY_DETAIL = "all targets together have no memory for the results of the step"
 
 
@@ -322,6 +323,11 @@
                 self._finish(job, JobState.REFUSED, NO_MEMORY_DETAIL)
             else:
                 jobs.append(job)
+        jobs.sort(key=lambda job: job.rank(now_ms, capacity))
+        blocking = self.planner.find_blocking(jobs, rows, capacity)
+        if blocking is not None:
+            jobs.remove(blocking)
+            self._finish(blocking, JobState.REFUSED, BLOCKING_DETAIL)
         arrived = self.recent_jobs()
         for job in forecast.sort_out(jobs, arrived, self.processing_ms, capacity):
             detail = "the queue leaves the step too little time"
