--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -14,7 +14,13 @@
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
-__all__ = ["CallPlan", "CallPlanner", "result_bytes", "usable_bytes"]
+__all__ = [
+    "SMALL_SHARE",
+    "CallPlan",
+    "CallPlanner",
+    "result_bytes",
+    "usable_bytes",
+]
 
 # Fixed cost of running a job outside its preferred data centre, expressed as queueing
 # delay: it splits up a batch in the preferred data centre.
@@ -127,6 +133,59 @@
             job.times.turn(phase, now_ms)
         return None
 
+    def has_memory_for(
+        self, job: Job, rows: Sequence[TargetRow], capacity: StageCapacity
+    ) -> bool:
+        """Return whether the targets have memory for all results of a job at once.
+
+        The results stay until the last piece is done, so that a job without this can
+        never end. Pieces in calls are not counted, as another target may have them.
+        """
+        usable, size = usable_bytes(capacity), job.message.result_bytes
+        if not (usable and size):
+            return True
+        # A target without results takes a piece of any size.
+        places = len(rows) * max(usable // size, 1)
+        addresses = {str(row.address) for row in rows}
+        held = sum(r.address in addresses for r in job.results_by_piece.values())
+        return held + len(job.waiting) <= places
+
+    def find_blocking(
+        self, jobs: Sequence[Job], rows: Sequence[TargetRow], capacity: StageCapacity
+    ) -> Job | None:
+        """Return the last of the jobs that wait for each other's memory, if any.
+
+        Jobs begin only if there is room for all their results, but results that are not
+        known here may take it. Then none can end until these are gone, unless one of
+        the jobs releases its results.
+
+        Args:
+            jobs: Unfinished jobs, the first ones first.
+            rows: Targets that accept calls.
+            capacity: Capacity of one target.
+        """
+        usable = usable_bytes(capacity)
+        begun = [
+            job
+            for job in jobs
+            if job.has_begun
+            and job.waiting
+            and job.message.result_bytes > SMALL_SHARE * usable
+        ]
+        if not usable or len(begun) < 2 or any(job.running for job in begun):
+            return None
+        free = [self.memory.free_bytes(row.address, usable) for row in rows]
+        used = sum(self.memory.used_bytes(row.address) for row in rows)
+        held = sum(
+            len(job.results_by_piece) * job.message.result_bytes for job in begun
+        )
+        for job in begun:
+            size = job.message.result_bytes
+            # Other results are released without this.
+            if used - held >= size or sum(r // size for r in free) >= len(job.waiting):
+                return None
+        return begun[-1]
+
     def _startable_jobs(
         self,
         jobs: Sequence[Job],
@@ -150,10 +209,10 @@
         reserved = Counter()
         for job in jobs:
             if job.has_begun:
-                reserved[job.message.data_centre] += _needed_bytes(job)
+                reserved[job.message.data_centre] += job.needed_bytes
         startable, blocked = [], set()
         for job in jobs:
-            preferred, needed = job.message.data_centre, _needed_bytes(job)
+            preferred, needed = job.message.data_centre, job.needed_bytes
             if job.has_begun or needed <= SMALL_SHARE * usable:
                 startable.append(job)
                 continue
@@ -302,11 +361,6 @@
         return chosen
 
 
-def _needed_bytes(job: Job) -> int:
-    """Return the memory that the waiting pieces of a job need."""
-    return len(job.waiting) * job.message.result_bytes
-
-
 def usable_bytes(capacity: StageCapacity) -> int:
     """Return how much memory of a target may be used; 0 is unlimited."""
     return int(capacity.memory_bytes * USABLE_MEMORY_SHARE)
