--- a/tests/test_queue_forecast.py
+++ b/tests/test_queue_forecast.py
@@ -178,7 +178,7 @@
     """Load: a cut leaves one of two targets, at twice what that can do.
 
     Guards against late steps that are held for seconds behind all that arrive
-    meanwhile, until no time is left: one request in seven.
+    meanwhile, until no time is left: at least one admitted request in six.
     """
 
     async def main(clock):
