Tests keep what the threads of their processes did when an answer fails to come

Cause: three tests of KNOWN-RED.txt failed once each beside load, and their output did not tell whether the process had waited for a processor or for something of ours.

tests/process_figures.py adds a note to an error that leaves a block: for each thread of the processes concerned, and of the test, for how long it ran and waited for a processor meanwhile, its state and the function of the kernel that it waits in, and the load averages. The tests of stalled logs and of the held event loop use it, and a flood that fails on the peak of memory prints the process's status. Where /proc lacks the figures the error is told without them. tests/standstills.py reads /proc through the same functions now; what it measures is the same.

Conclusion: the next failure of these tests tells which of the two it was.

--- a/tests/standstills.py
+++ b/tests/standstills.py
@@ -10,8 +10,9 @@
 import attrs
 import curio
 
+from tests.process_figures import read_state, read_times_s
+
 INTERVAL_S = 0.02
-NS_PER_SECOND = 1e9
 STOPPED_STATES = ("T", "t")
 
 
@@ -29,20 +30,12 @@
 
     It is 0 for a process that has ended, and on systems that do not count it.
     """
-    try:
-        return (
-            int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / NS_PER_SECOND
-        )
-    except (OSError, IndexError):
-        return 0.0
+    _, waited_s = read_times_s(Path(f"/proc/{pid}")) or (0.0, 0.0)
+    return waited_s
 
 
 def is_stopped(pid):
-    try:
-        text = Path(f"/proc/{pid}/stat").read_text()
-    except OSError:
-        return False
-    return text.rpartition(")")[2].split()[0] in STOPPED_STATES
+    return read_state(Path(f"/proc/{pid}")) in STOPPED_STATES
 
 
 class StandstillWatch:
--- a/tests/test_late_signal_processes.py
+++ b/tests/test_late_signal_processes.py
@@ -11,6 +11,7 @@
 import pytest
 
 from demo.processes import free_addresses
+from tests.process_figures import figures_on_failure
 from tests.stopping_entries import make_relay_entry as make_entry
 from tests.test_start import PLAIN, START_S, render, start
 from wagtailrun.relay.entry_stop import EXIT_MARGIN_MS
@@ -133,6 +134,7 @@
         return plan.ends_ms - sent[0], held_ms
 
     entry.signals.install()
-    ends_ms, held_ms = curio.run(main)
-    assert held_ms >= 600
+    with figures_on_failure():
+        ends_ms, held_ms = curio.run(main)
+        assert held_ms >= 600
     assert ends_ms <= 3_000 - EXIT_MARGIN_MS + SIGNAL_POLL_MS
--- a/tests/test_product_floods_processes.py
+++ b/tests/test_product_floods_processes.py
@@ -210,7 +210,7 @@
     assert ends["call 200"] > sum(ends[f"call {end}"] for end in honest) / 2, ends
     status = Path(f"/proc/{process.pid}/status").read_text("utf-8")
     peak_kb = int(re.search(r"VmHWM:\s+(\d+)", status).group(1))
-    assert peak_kb / 1_024 < DEFAULT_MEMORY_MB
+    assert peak_kb / 1_024 < DEFAULT_MEMORY_MB, status
 
 
 @pytest.mark.parametrize("part", TARGETS)
--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -16,6 +16,7 @@
 import pytest
 
 from demo.processes import Fleet, free_addresses
+from tests.process_figures import figures_on_failure
 from tests.stopping_entries import make_relay_entry
 from tests.test_control_signal import START_S
 from tests.test_late_signal_processes import GRACE_S, HALF, connect
@@ -202,9 +203,9 @@
         process.wait()
 
 
-def answer_to(address):
-    """Return the answer to a request on a connection of its own."""
-    with connect(address) as sock:
+def answer_to(address, process):
+    """Return the answer of a process to a request on a connection of its own."""
+    with figures_on_failure(process.pid), connect(address) as sock:
         sock.settimeout(ANSWER_S)
         sock.sendall(REQUEST)
         return sock.recv(65_536)
@@ -212,8 +213,9 @@
 
 def stop(process):
     """Stop a process as the platform does; return its status."""
-    process.send_signal(signal.SIGTERM)
-    return process.wait(STOP_S)
+    with figures_on_failure(process.pid):
+        process.send_signal(signal.SIGTERM)
+        return process.wait(STOP_S)
 
 
 @pytest.mark.parametrize("daemon", [*RELAY, *PRODUCT])
@@ -227,7 +229,7 @@
     pipes.fill()
     with running(command, environment, pipes) as process:
         for _ in range(30):
-            assert answer_to(address).startswith(b"HTTP/1.1 ")
+            assert answer_to(address, process).startswith(b"HTTP/1.1 ")
             time.sleep(0.05)
         assert stop(process) == 0
 
@@ -241,7 +243,7 @@
         while not any(pipes.read()):
             assert time.monotonic() < deadline_s
         for _ in range(30):
-            assert answer_to(address).startswith(b"HTTP/1.1 ")
+            assert answer_to(address, process).startswith(b"HTTP/1.1 ")
             time.sleep(0.05)
         assert stop(process) == 0
 
