Noise of stalled-log tests starts no threads on the event loop

Cause: "no answer within 2 s" of entry and control, once each. NOISE started a thread in each sleep of the event loop to make it fail. Thread.start waits until the new thread runs, so that the event loop stood still for as long as the system gave that thread no processor.

Ruled out: the program. Nothing of it starts threads while it serves these requests, and no write held it: in the six requests without an answer the main thread had run for 2 ms at most, had waited for a processor for 16 ms at most, and waited for a lock (futex_do_wait). In one of them a new thread had waited for a processor for 1.5 s; in the others it had not run yet, which the system counts only then.

A thread of the noise starts the failing threads now; what they report is the same. test_late_threads_delay_no_answer lets all new threads begin 1.5 s late, so that it also guards against a daemon that starts threads while it serves.

--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -45,7 +45,7 @@
 QUIET_S = 0.5
 # Every sleep of the event loop makes all writes that libraries and Python itself make.
 NOISE = """
-import gc, logging, signal, sys, threading, warnings
+import gc, logging, queue, signal, sys, threading, time, warnings
 from curio.task import Task
 from wagtailrun.clock import SystemClock
 
@@ -58,7 +58,13 @@
 def fail():
     raise ValueError("raised in a thread " + LONG)
 
+def start_failures():
+    while True:
+        failures.get()
+        threading.Thread(target=fail).start()
+
 LONG = "x" * 700
+failures = queue.SimpleQueue()
 
 async def sleep_noisily(self, duration_ms):
     warnings.simplefilter("always")
@@ -67,17 +73,29 @@
     logging.getLogger("curio.time").warning("took longer than an enclosing timeout")
     warnings.warn("from warnings " + LONG)
     Broken()
-    threading.Thread(target=fail).start()
+    failures.put(None)
     print("printed to standard output", LONG)
     print("printed to standard error", LONG, file=sys.stderr)
     await sleep_ms(self, duration_ms)
 
 SystemClock.sleep_ms = sleep_noisily
+# Whoever starts a thread waits until it runs, so that the event loop starts none.
+threading.Thread(target=start_failures, daemon=True).start()
 """
 SHORT_QUEUE = """
 import wagtailrun.logs.line_writer
 wagtailrun.logs.line_writer.MAX_QUEUED_LINES = 5
 """
+# New threads begin as late as beside 24 busy processes on 8 processors.
+LATE_THREADS = """
+run_thread = threading.Thread._bootstrap_inner
+
+def run_late(self):
+    time.sleep(1.5)
+    run_thread(self)
+
+threading.Thread._bootstrap_inner = run_late
+"""
 RELAY_MAIN = "from wagtail_platform.__main__ import main; sys.exit(main())"
 PRODUCT_MAIN = "from wagtailrun.cli.commands import main; main()"
 
@@ -205,7 +223,7 @@
 
 def answer_to(address, process):
     """Return the answer of a process to a request on a connection of its own."""
-    with figures_on_failure(process.pid), connect(address) as sock:
+    with connect(address) as sock, figures_on_failure(process.pid):
         sock.settimeout(ANSWER_S)
         sock.sendall(REQUEST)
         return sock.recv(65_536)
@@ -234,6 +252,21 @@
         assert stop(process) == 0
 
 
+@pytest.mark.parametrize("daemon", [*RELAY, *PRODUCT])
+def test_late_threads_delay_no_answer(daemon, tmp_path, pipes):
+    """Guards against an event loop that starts threads while it serves.
+
+    The noise of these tests did, and beside load no answer came in time.
+    """
+    command, environment, address = command_of(daemon, tmp_path)
+    command = [part.replace(NOISE, NOISE + LATE_THREADS) for part in command]
+    pipes.fill()
+    with running(command, environment, pipes) as process:
+        for _ in range(10):
+            assert answer_to(address, process).startswith(b"HTTP/1.1 ")
+        assert stop(process) == 0
+
+
 @pytest.mark.parametrize("daemon", [*RELAY, *PRODUCT])
 def test_reader_that_stalls_under_load_holds_no_daemon(daemon, tmp_path, pipes):
     """Guards against a daemon that a reader holds which stalls while it is served."""
