A body that is refused is released with its error, not with the next collection

Cause: reading a body failed (too large, no memory, out of time) and released its bytes from the budget, but the buffer stayed with the frame of the reader, which the traceback of the error refers to. Attempts.first_item and Attempts._receive_first keep the error in a variable of a frame of the same traceback, so that only the garbage collector ended it. In a run of its own beside floods the entry had 5 buffers with 35.6 MB while its budget counted 19.2 MB; the referrers of the largest were these frames.

HttpStream.read_all clears the buffer before the error leaves it, whoever keeps the error.

Ruled out: the gaps of the allocator alone. With blocks and without this, mallinfo2 showed 102 MB in use and 8 MB free while the budget held 2.5 MB.

Before / after: test_error_of_a_body_does_not_keep_its_bytes failed, 2,104,031 bytes of 209,715; passes.

--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import tracemalloc
 from types import SimpleNamespace
 
 import curio
@@ -32,6 +33,8 @@
 MAX_HEAD_BYTES = 16 * 1024
 # Reads of 64 KiB that may follow each other before other tasks get a turn.
 MAX_READS_IN_A_TURN = 4
+# Largest body that the test of its error reads.
+BODY_BYTES = 2 * 1024 * 1024
 
 
 class FakeSocket:
@@ -164,6 +167,27 @@
     assert sock.reads * len(data) <= 2 * MAX_HEAD_BYTES
 
 
+def test_error_of_a_body_does_not_keep_its_bytes():
+    """Guards against bytes that count no more, and stay until a garbage collection."""
+    sock = FakeSocket(chunked(bytes(4_096)), HEAD)
+
+    async def main(clock):
+        opened = connection(sock, clock)
+        stream = HttpStream(opened, await opened.read_head(60_000))
+        tracemalloc.start()
+        try:
+            with pytest.raises(TargetFailed) as failure:
+                await stream.read_all(60_000, BODY_BYTES)
+            assert failure.value.__traceback__ is not None
+            return tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    kept_bytes, peak_bytes = run_virtual(main)
+    assert peak_bytes > BODY_BYTES
+    assert kept_bytes < BODY_BYTES / 10
+
+
 @pytest.mark.parametrize(
     "first, data",
     [
--- a/wagtailrun/adapters/body_buffer.py
+++ b/wagtailrun/adapters/body_buffer.py
@@ -35,3 +35,9 @@
     def joined(self) -> bytes:
         """Return the body."""
         return b"".join((*self._full_blocks, self._block))
+
+    def clear(self) -> None:
+        """Drop all bytes."""
+        self.size = 0
+        self._full_blocks.clear()
+        self._block = bytearray()
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -215,16 +215,23 @@
         if kind is None:
             kind = Kind.FAILURES if is_failure else Kind.ANSWERS
         held = self.connection.hold(kind)
+        body = BodyBuffer()
         try:
-            return await self._read_held(timeout_ms, max_bytes, held)
+            await self._read_into(body, timeout_ms, max_bytes, held)
         except BaseException:
             held.release()
+            # The error refers to the buffer, and may last until the next collection of
+            # reference cycles.
+            body.clear()
             raise
+        return body.joined()
 
-    async def _read_held(self, timeout_ms: int, max_bytes: int, held: Holding) -> bytes:
+    async def _read_into(
+        self, body: BodyBuffer, timeout_ms: int, max_bytes: int, held: Holding
+    ) -> None:
+        """Add the rest of the body to a buffer, and count its bytes."""
         clock = self.connection.clock
         ends_ms = clock.now_ms() + timeout_ms
-        body = BodyBuffer()
         while piece := await self.read(ends_ms - clock.now_ms()):
             detail = ""
             if body.size + len(piece) > max_bytes:
@@ -234,7 +241,6 @@
             if detail:
                 raise TargetFailed(detail)
             body.add(piece)
-        return body.joined()
 
     def check_distinct(self, body: bytes) -> None:
         """Check that a body is not that of the previous response on the connection.
