--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from wagtailrun.adapters.answer_heads import keep_alive_ms
+from wagtailrun.adapters.body_buffer import BodyBuffer
 from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.connector import (
     Connector,
@@ -216,27 +217,32 @@
         if kind is None:
             kind = Kind.FAILURES if is_failure else Kind.ANSWERS
         held = self.connection.hold(kind)
+        body = BodyBuffer()
         try:
-            return await self._read_held(timeout_ms, max_bytes, held)
+            await self._read_into(body, timeout_ms, max_bytes, held)
         except BaseException:
             held.release()
+            # The error refers to the buffer, and may last until the next collection of
+            # reference cycles.
+            body.clear()
             raise
+        return body.joined()
 
-    async def _read_held(self, timeout_ms: int, max_bytes: int, held: Holding) -> bytes:
+    async def _read_into(
+        self, body: BodyBuffer, timeout_ms: int, max_bytes: int, held: Holding
+    ) -> None:
+        """Add the rest of the body to a buffer, and count its bytes."""
         clock = self.connection.clock
         ends_ms = clock.now_ms() + timeout_ms
-        # A list of the pieces would take many times the bytes of tiny chunks.
-        body = bytearray()
         while piece := await self.read(ends_ms - clock.now_ms()):
             detail = ""
-            if len(body) + len(piece) > max_bytes:
+            if body.size + len(piece) > max_bytes:
                 detail = f"the response exceeds {max_bytes} bytes"
             elif not held.add(len(piece)):
                 detail = held.refusal_detail
             if detail:
                 raise TargetFailed(detail)
-            body += piece
-        return bytes(body)
+            body.add(piece)
 
     def check_distinct(self, body: bytes) -> None:
         """Check that a body is not that of an earlier response on the connection.
