Let promises state a time and a data centre, and play faults of paths

Cause: a promise counted all requests of a play, so none could say what callers of a data centre get while a fault lasts, or just after it. The matrix of path faults had been measured by hand only. Ruled out: a workspace for each time and data centre, with loads of their own: it changes the shares of admission, and with them what is measured. Conclusion: test_demos_are_there counts four examples, as one was added.

--- a/tests/test_experiment_demo.py
+++ b/tests/test_experiment_demo.py
@@ -21,7 +21,7 @@
 
 def test_demos_are_there():
     """Guards against a test run that passes because it finds no examples."""
-    assert len(FILES) == 3
+    assert len(FILES) == 4
 
 
 def test_shortened_calm_hour_keeps_its_promises(tmp_path):
--- a/tests/test_experiment_play.py
+++ b/tests/test_experiment_play.py
@@ -379,3 +379,30 @@
         promise = Promise("p", Measure.SERVED_SHARE, 0.99, workspace)
         record = measure_promise(promise, changed, {})
         assert (record.measured, record.held) == (measured, measured == 1.0)
+
+
+def test_promise_of_a_time_and_a_data_centre(requests):
+    """Guards against a promise for the time of a fault that other times keep."""
+    at_ms = requests[len(requests) // 2].intended_at_ms
+    changed = [
+        attrs.evolve(r, outcome="failed")
+        if r.intended_at_ms >= at_ms and r.data_centre == "west"
+        else r
+        for r in requests
+    ]
+    for place, from_ms, until_ms, measured in (
+        ("west", 0, at_ms, 1.0),
+        ("west", at_ms, None, 0.0),
+        ("east", 0, None, 1.0),
+        ("west", at_ms, at_ms, None),
+    ):
+        promise = Promise(
+            "p",
+            Measure.SERVED_SHARE,
+            0.99,
+            data_centre=place,
+            from_ms=from_ms,
+            until_ms=until_ms,
+        )
+        record = measure_promise(promise, changed, {})
+        assert (record.measured, record.held) == (measured, measured == 1.0)
--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -184,6 +184,9 @@
         ("entries = { east = 2, west = 1 }", "entries = { east = 2 }", "with entries"),
         ('measure = "served-share"', 'measure = "speed"', "measure: 'speed'"),
         ("bound = 0.5", "bound = 2", "bound: '2'.*from 0 to 1"),
+        ("bound = 0.5", 'bound = 0.5\ndata_centre = "no"', "choose one of east, west"),
+        ("bound = 0.5", "bound = 0.5\nfrom_s = 20", "from_s: '20'.*before until_s"),
+        ("bound = 0.5", "bound = 0.5\nuntil_s = 21", "both within the length"),
         ('"fleet.toml"', '"fleets.toml"', "cannot read 'fleets.toml'"),
     ],
 )
--- a/wagtailrun/experiments/model.py
+++ b/wagtailrun/experiments/model.py
@@ -184,6 +184,9 @@
         bound: Smallest value of ``served-share``, else the largest one.
         workspace: Workspace whose requests count, empty for all.
         over_ms: How long a refused request was held before it counts.
+        data_centre: Data centre whose callers' requests count, empty for all.
+        from_ms: Earliest intended start of the requests that count.
+        until_ms: Requests that start then or later do not count; None for the length.
     """
 
     name: str
@@ -191,6 +194,9 @@
     bound: float
     workspace: str = ""
     over_ms: int = 0
+    data_centre: str = ""
+    from_ms: int = 0
+    until_ms: int | None = None
 
 
 @attrs.frozen
--- a/wagtailrun/experiments/promises.py
+++ b/wagtailrun/experiments/promises.py
@@ -21,7 +21,7 @@
         requests: All requests of the play.
         runs: How often each order ran, by the number of its request.
     """
-    own = [r for r in requests if promise.workspace in ("", r.workspace)]
+    own = [request for request in requests if _counts(promise, request)]
     breaking = [request for request in own if _breaks(promise, request, runs)]
     measured: float | None = None
     match promise.measure:
@@ -47,6 +47,17 @@
     return PromiseRecord(promise.name, promise.bound, measured, unit, held, detail)
 
 
+def _counts(promise: Promise, request: RequestRecord) -> bool:
+    """Return whether a request is one of those that a promise is about."""
+    at_ms, until_ms = request.intended_at_ms, promise.until_ms
+    return (
+        promise.workspace in ("", request.workspace)
+        and promise.data_centre in ("", request.data_centre)
+        and promise.from_ms <= at_ms
+        and (until_ms is None or at_ms < until_ms)
+    )
+
+
 def _breaks(promise: Promise, request: RequestRecord, runs: Mapping[int, int]) -> bool:
     """Return whether a request speaks against a promise."""
     refused = request.outcome == "refused"
--- a/wagtailrun/experiments/reading.py
+++ b/wagtailrun/experiments/reading.py
@@ -21,6 +21,7 @@
 from wagtailrun.experiments.tables import (
     MAX_FILE_BYTES,
     milliseconds,
+    optional_milliseconds,
     read_fleet,
     read_text,
     required,
@@ -200,7 +201,7 @@
     if sum(load.expected_requests for load in scenario.loads) > MAX_REQUESTS:
         remedy = f"lower rates or length to {MAX_REQUESTS} requests in all"
         root.fault("load", "too many requests", remedy)
-    scenario = attrs.evolve(scenario, promises=_promises(root, fleet))
+    scenario = attrs.evolve(scenario, promises=_promises(root, scenario))
     root.close()
     return scenario
 
@@ -271,7 +272,8 @@
     return dict(table.value)
 
 
-def _promises(root: Table, fleet: FleetConfiguration) -> tuple[Promise, ...]:
+def _promises(root: Table, scenario: Scenario) -> tuple[Promise, ...]:
+    fleet, length_ms = scenario.fleet, scenario.length_ms
     promises: dict[str, Promise] = {}
     for table in root.array("promises"):
         name, workspace = table.name("name"), table.name("workspace")
@@ -280,11 +282,29 @@
             table.fault("name", name, "give each promise a name of its own")
         if workspace and workspace not in fleet.workspaces_by_name:
             table.fault("workspace", workspace, "name a workspace of the fleet text")
+        data_centre = table.name("data_centre")
+        if data_centre and data_centre not in fleet.data_centres:
+            remedy = f"choose one of {', '.join(fleet.data_centres)}"
+            table.fault("data_centre", data_centre, remedy)
+        from_ms = optional_milliseconds(table, "from_s", MAX_LENGTH_S) or 0
+        until_ms = optional_milliseconds(table, "until_s", MAX_LENGTH_S)
+        if not from_ms < (length_ms if until_ms is None else until_ms) <= length_ms:
+            remedy = "it must be before until_s, and both within the length"
+            table.fault("from_s", table.value.get("from_s", 0), remedy)
         is_share = measure not in (Measure.FIRST_P95, Measure.ORDER_RUNS)
         bound = required(table, "bound", 0, 1 if is_share else MAX_PROMISED)
         over_ms = 0
         if measure is Measure.HELD_THEN_REFUSED:
             over_ms = table.integer("over_ms", -1, 0, MAX_SETTING_MS)
-        promises[name] = Promise(name, measure, bound, workspace, over_ms)
+        promises[name] = Promise(
+            name,
+            measure,
+            bound,
+            workspace,
+            over_ms,
+            data_centre,
+            from_ms,
+            until_ms,
+        )
         table.close()
     return tuple(promises.values())
