Let only the path itself end an entry's observation that it is cut

Cause: an entry that could not connect to a target avoided it until the row's next announcement, which comes each second, so that each target behind a cut link cost a connect timeout a second. Announcements reach an entry on other paths: with a link cut in one direction they go on. What an entry observed is kept in targets/paths.py now, apart from the health of targets. It ends with an answer to an attempt that began after it, or to a probe of the entry's own (100 ms, doubling to 2,000 ms, half of it jitter, at most four at a time; at once when the target has restarted). Two timeouts in another data centre without an answer from there in between are one observation of the way there: one of its targets is probed for all. While a target with a path exists, also a full one, no request goes to one without. Connections of before an interruption are not used for the 15 s after it. Ruled out: an ejection for a time, as at the relay: each end of it costs a request a connect timeout. A shared record with relay/paths: that one is about tunnels through other entries and needs control members. Conclusion: HealthRules.ejects_for_a_time had one value left and is gone, the relay ejects as before. The tests of the entry's rule in test_health and test_routing asserted that an announcement ends the observation, which is the fault; test_announcement_ends_no_observation and test_unreachable_target_waits_for_an_answer_on_its_path take their place. Two tests read the observation where it is kept now, and a fake router of test_attempt_ends takes the new argument. The emulator states of a refused connection that it was refused.

--- a/tests/test_attempt_ends.py
+++ b/tests/test_attempt_ends.py
@@ -277,7 +277,7 @@
     def choose(self, candidates, work, avoid=()):
         return first_untried(candidates, avoid) or candidates[0]
 
-    def mark_unreachable(self, target):
+    def mark_unreachable(self, target, refused=False):
         if target.name == "t0":
             self.observed.append(UNREACHABLE)
 
--- a/tests/test_connect_shortage_dispatch.py
+++ b/tests/test_connect_shortage_dispatch.py
@@ -141,11 +141,7 @@
     router = dispatcher.router
     slow = router.throttle.peers_by_name.values()
     return (
-        [
-            n
-            for n, s in router.health.states_by_name.items()
-            if s.unreachable_at is not None
-        ],
+        list(router.paths.observations_by_name),
         [sample for peer in slow for _, sample in peer.samples if sample >= 10],
         [s.in_flight for s in router.health.states_by_name.values() if s.in_flight],
     )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -112,8 +112,7 @@
 
         work = attrs.evolve(GENERATE, max_tokens=50)
         seen, refusal = await harness.offsets(work, after)
-        stats = dispatcher.router.health.states_by_name[hit[0]]
-        blamed = stats.unreachable_at is not None
+        blamed = hit[0] in dispatcher.router.paths.observations_by_name
         samples = dispatcher.router.throttle.peers_by_name.get(hit[0])
         failed = samples is not None and max(s for _, s in samples.samples) >= 10
         return seen, refusal, blamed, failed, clock.now_ms()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -171,15 +171,6 @@
     assert not health.is_unreachable(ROW)
 
 
-def test_target_without_a_connection_waits_for_its_announcement_at_the_entry():
-    """Guards against requests to a dead target until its row expires."""
-    clock, health = make(routing.HEALTH_RULES)
-    health.record_unreachable(ROW)
-    wait(clock, FOREVER_MS)
-    assert health.is_unreachable(ROW)
-    assert not health.is_unreachable(announce(ROW))
-
-
 @both_entries
 def test_pause_ends_with_time_or_a_new_incarnation(rules):
     """Guards against requests to a target that pauses, and one that is lost for ever.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -106,17 +106,34 @@
     assert (names == {"east-0"}) if chosen == "east-0" else ("east-0" not in names)
 
 
-def test_unreachable_target_waits_for_its_next_report():
-    """Guards against requests to a dead target until its row expires."""
+def test_unreachable_target_waits_for_an_answer_on_its_path():
+    """Guards against requests to a target that announces itself but has no path.
+
+    A row that was announced each second made the target a candidate again each second,
+    and each try cost a connect timeout.
+    """
     one = router()
     dead, alive = rows(2)
     one.mark_unreachable(dead)
     assert {one.choose([dead, alive], WORK).name for _ in range(20)} == {alive.name}
     again = attrs.evolve(dead, sequence=1)
+    assert {one.choose([again, alive], WORK).name for _ in range(20)} == {alive.name}
+    one.paths.record_answer(again, one.clock.now_ms())
     names = {one.choose([again, alive], WORK).name for _ in range(20)}
     assert names == {dead.name, alive.name} or names == {dead.name}
 
 
+def test_target_without_a_path_gets_no_work_while_a_full_one_has_one():
+    """Guards against requests that test a path, though a sound target is just full."""
+    one = router()
+    dead, full = rows(2)
+    one.mark_unreachable(dead)
+    while one.limits.has_room(full.name, full.capacity):
+        one.started(full)
+    assert one.choose([dead, full], WORK) is None
+    assert one.choose([dead], WORK) is dead
+
+
 def test_target_that_pauses_gets_work_only_if_no_other_can_serve():
     """Guards against work for a target that asked for none, and work without a target.
 
--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -23,7 +23,6 @@
     max_slowness=10.0,
     averages_decayed=True,
     load_lifetime_ms=1_500,
-    ejects_for_a_time=True,
 )
 # Costs are expected delays and are used only to compare targets: for each unit of load,
 # for each unit of load above full, for a failure rate of 1, for each multiple of the
--- a/wagtailrun/replay/emulator.py
+++ b/wagtailrun/replay/emulator.py
@@ -319,7 +319,7 @@
         await self._link_delay()
         await self._link_delay()
         if not target.alive:
-            raise ConnectFailed(f"cannot connect to {address}: refused")
+            raise ConnectFailed(f"cannot connect to {address}: refused", refused=True)
         return _Connection(target, target.row.incarnation)
 
     def _is_reachable(self, target: EmulatedTarget) -> bool:
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -16,6 +16,7 @@
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
 from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.serving.dispatch_options import DispatchOptions
+from wagtailrun.serving.path_probes import responds_to
 from wagtailrun.targets.attempt_ends import (
     ConnectionStalled,
     DeadlinePassed,
@@ -23,6 +24,7 @@
     TargetTooSlow,
     end_of_failure,
 )
+from wagtailrun.targets.paths import FRESH_CONNECTION_MS
 from wagtailrun.targets.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
@@ -38,11 +40,7 @@
 # A stream moves away from a target that is this many times slower than typical, if it
 # would miss its deadline there.
 SLOW_PACE_FACTOR = 3.0
-PROBE_TIMEOUT_MS = 500
 DRAIN_MS = 1_000
-# Idle connections are kept for 15 s. If one connection to a target stalls, the others
-# may be stalled too, so only new connections are used for that time.
-FRESH_CONNECTION_MS = 15_000
 # A time limit that is noticed this much too late was not that of the target: the loop
 # of this process stood still meanwhile.
 LATE_MS = 20
@@ -139,7 +137,6 @@
     ) -> AttemptRun:
         """Start an attempt in a task that puts its first result into ``results``."""
         now_ms = self.clock.now_ms()
-        fresh_until_ms = self.fresh_until_ms_by_name.get(target.name, 0)
         attempt = Attempt(
             number=self.next_number(),
             request_id=work.request_id,
@@ -148,7 +145,7 @@
             remaining_ms=max(work.deadline_at_ms - now_ms, 1),
             priority=self._priority(work),
             resume_offset=offset,
-            new_connection=not work.idempotent or now_ms < fresh_until_ms,
+            new_connection=not work.idempotent or self._needs_new_connection(target),
         )
         run = AttemptRun(work, target, attempt, now_ms, results, detect_stall)
         if streaming:
@@ -156,6 +153,13 @@
         run.task = await curio.spawn(self._receive_first, run, daemon=True)
         return run
 
+    def _needs_new_connection(self, target: TargetRow) -> bool:
+        """Return whether open connections to a target may be stalled."""
+        if self.clock.now_ms() < self.fresh_until_ms_by_name.get(target.name, 0):
+            return True
+        paths = self.router.paths
+        return paths is not None and paths.needs_new_connection(target)
+
     def _priority(self, work: Work) -> int:
         """Return the priority at the target, which follows the order of admission."""
         if not self.options.admission:
@@ -191,6 +195,10 @@
                 if not isinstance(value, TargetFailed):
                     runs.remove(winner)
                     winner.first_ms = self.clock.now_ms() - winner.started_ms
+                    if self.router.paths is not None:
+                        self.router.paths.record_answer(
+                            winner.target, winner.started_ms
+                        )
                     self.router.record_first_item(
                         winner.target, winner.first_ms, winner.work
                     )
@@ -328,7 +336,7 @@
             until_ms = now_ms + FRESH_CONNECTION_MS
             self.fresh_until_ms_by_name[run.target.name] = until_ms
             return ConnectionStalled(run.target)
-        self.router.mark_unreachable(run.target)
+        await self._mark_unreachable(run.target)
         detail = f"{run.target.name} does not respond on a new connection"
         return TargetFailed(detail, timed_out=True)
 
@@ -338,10 +346,13 @@
     async def _probe(self, target: TargetRow) -> bool:
         if self.probe is None:
             return False
-        responds = await curio.ignore_after(
-            PROBE_TIMEOUT_MS / MS_PER_SECOND, self.probe, target.address
-        )
-        return bool(responds)
+        return await responds_to(self.probe, target.address)
+
+    async def _mark_unreachable(self, target: TargetRow, refused: bool = False) -> None:
+        """Avoid a target until a probe of this entry finds it again."""
+        self.router.mark_unreachable(target, refused)
+        if self.context.prober is not None:
+            await self.context.prober.start()
 
     async def next_item(self, run: AttemptRun) -> tuple[Token, ...]:
         """Return the next tokens of a started stream."""
@@ -435,7 +446,8 @@
         if run.took_token and isinstance(error, ConnectShortage):
             self.budget.refund(run.work.service)
         if outcome is RunOutcome.UNREACHABLE:
-            self.router.mark_unreachable(run.target)
+            refused = isinstance(error, ConnectFailed) and error.refused
+            await self._mark_unreachable(run.target, refused)
         if error.pauses:
             self.router.pause(run.target, error.retry_after_ms)
         # The router has no form for a rejection; blame keeps work away, too.
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -30,6 +30,7 @@
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.serving.entry_stop import ServingEntryStop, forced_end_ms
 from wagtailrun.serving.orders import OrderRunner
+from wagtailrun.serving.path_probes import PROBE_TIMEOUT_MS
 from wagtailrun.serving.pipeline import PipelineRunner
 from wagtailrun.serving.target_api import TargetApi
 from wagtailrun.settings import EntrySettings
@@ -41,7 +42,6 @@
 __all__ = ["Entry", "run_entry"]
 
 GAUGE_INTERVAL_MS = 1_000
-PROBE_TIMEOUT_MS = 500
 # Every live target announces itself within this time; an entry that has run for longer
 # knows all of them.
 SETTLE_MS = 2_500
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -15,8 +15,9 @@
     Attempts,
     Results,
 )
-from wagtailrun.serving.dispatch_context import DispatchContext, Probe, TargetSource
+from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.serving.dispatch_options import DispatchOptions
+from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.serving.repeats import RetryState
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
@@ -79,6 +80,9 @@
         options: DispatchOptions | None = None,
     ):
         estimates = estimates or Estimates(clock)
+        prober = None
+        if router.paths is not None:
+            prober = PathProber(clock, router.paths, membership, probe)
         self.context = context = DispatchContext(
             clock=clock,
             client=client,
@@ -86,6 +90,7 @@
             estimates=estimates,
             admission=Admission(clock, estimates),
             probe=probe,
+            prober=prober,
             observer=observer or NullObserver(),
             random=random.Random(seed),
             options=options or DispatchOptions(),
--- a/wagtailrun/serving/dispatch_context.py
+++ b/wagtailrun/serving/dispatch_context.py
@@ -3,15 +3,14 @@
 import random
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Awaitable, Callable
 
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import TargetClient
 from wagtailrun.serving.admission import Admission
 from wagtailrun.serving.dispatch_options import DispatchOptions
+from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.targets.attempt_observer import AttemptObserver
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.retries import RetryBudget
@@ -21,8 +20,6 @@
 
 __all__ = ["DispatchContext", "Probe", "TargetSource"]
 
-Probe = Callable[[Address], Awaitable[bool]]
-
 
 @attrs.define(eq=False, kw_only=True)
 class DispatchContext:
@@ -36,6 +33,8 @@
         admission: Admits work to targets.
         probe: Returns whether a target responds on a new connection; without it, a
             stalled target counts as unreachable.
+        prober: Probes targets that could not be reached; None if the router does not
+            heed that.
         observer: Notified of attempts.
         random: Source of the delays before retries.
         options: Policies that are enabled.
@@ -50,6 +49,7 @@
     estimates: Estimates
     admission: Admission
     probe: Probe | None
+    prober: PathProber | None
     observer: AttemptObserver
     random: random.Random
     options: DispatchOptions
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -42,8 +42,6 @@
         load_lifetime_ms: The load reported with an answer counts less with age, and not
             at all after this time. None if announcements report loads, too: then each
             counts until the next, less own attempts that have ended since.
-        ejects_for_a_time: Whether a target without a connection is avoided for a time,
-            not until it announces itself again.
     """
 
     slowness_half_life_ms: int
@@ -52,7 +50,6 @@
     max_slowness: float
     averages_decayed: bool
     load_lifetime_ms: int | None
-    ejects_for_a_time: bool
 
 
 @attrs.define
@@ -71,7 +68,6 @@
         started_since_load: Own attempts since the report.
         failure_rate: Average of failures, 0 to 1, at ``failure_updated_ms``.
         connect_failures: Number of consecutive attempts without a connection.
-        unreachable_at: Recency of the row when no connection could be opened.
         ejected_until_ms: End of the ejection.
         paused_until_ms: End of the pause that the target asked for.
         slowness: Average time of attempts as a multiple of the usual time, at
@@ -90,7 +86,6 @@
     failure_rate: float = 0.0
     failure_updated_ms: int = 0
     connect_failures: int = 0
-    unreachable_at: tuple[int, int] | None = None
     ejected_until_ms: int = 0
     paused_until_ms: int = 0
     slowness: float = 1.0
@@ -199,11 +194,7 @@
     def is_unreachable(self, row: TargetRow) -> bool:
         """Return whether a target is avoided as no connection could be opened."""
         state = self.states_by_name.get(row.name)
-        if state is None or state.unreachable_at is None:
-            return False
-        if self.rules.ejects_for_a_time:
-            return state.ejected_until_ms > self.clock.now_ms()
-        return state.unreachable_at == row.recency
+        return state is not None and state.ejected_until_ms > self.clock.now_ms()
 
     def is_paused(self, row: TargetRow) -> bool:
         """Return whether a target asked for a pause that has not ended."""
@@ -297,7 +288,6 @@
 
     def _eject(self, row: TargetRow, duration_ms: int) -> None:
         state = self.state(row)
-        state.unreachable_at = row.recency
         state.ejected_until_ms = self.clock.now_ms() + duration_ms
 
 
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -16,6 +16,7 @@
 from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
+from wagtailrun.targets.paths import PathObservations
 from wagtailrun.targets.subset import choose_subset
 from wagtailrun.targets.table import TargetRow
 
@@ -34,7 +35,6 @@
     max_slowness=math.inf,
     averages_decayed=False,
     load_lifetime_ms=None,
-    ejects_for_a_time=False,
 )
 # A local target is preferred unless a remote one is faster by this factor, because
 # links between data centres may fail. Using remote targets only when the deadline was
@@ -50,7 +50,14 @@
 
 
 class Router(ABC):
-    """Chooses among usable targets and learns from the outcome of attempts."""
+    """Chooses among usable targets and learns from the outcome of attempts.
+
+    Attributes:
+        paths: What was observed of the paths to targets; None if the router does not
+            heed them.
+    """
+
+    paths: PathObservations | None = None
 
     @abstractmethod
     def choose(
@@ -100,8 +107,15 @@
     def record_pace(self, target: TargetRow, slowness: float) -> None:  # noqa: B027
         """Record the gap between items as a multiple of the service's typical gap."""
 
-    def mark_unreachable(self, target: TargetRow) -> None:  # noqa: B027
-        """Record that no new connection to ``target`` can be opened."""
+    def mark_unreachable(  # noqa: B027
+        self, target: TargetRow, refused: bool = False
+    ) -> None:
+        """Record that no new connection to ``target`` can be opened.
+
+        Args:
+            target: Target.
+            refused: Whether it refused one, as opposed to no reply.
+        """
 
     def pause(self, target: TargetRow, duration_ms: int) -> None:  # noqa: B027
         """Record that ``target`` asked for no new work for a time."""
@@ -217,6 +231,7 @@
         self.throttle = OutlierThrottle(clock)
         self.prefixes = PrefixIndex()
         self.health = TargetHealth(clock, HEALTH_RULES, HealthState)
+        self.paths: PathObservations = PathObservations(clock, data_centre, seed)
         # Targets with a measured pace of a stream.
         self.paced_names: set[str] = set()
         self.subsets_by_service: dict[str, _Subset] = {}
@@ -242,6 +257,10 @@
         local_rows, remote_rows = subset.local, subset.remote
         if remote_rows and not self.may_use_remote(candidates[0].service):
             remote_rows = []
+        if self.paths.has_observations:
+            left_out = self._unreachable_names([*local_rows, *remote_rows])
+            local_rows = [row for row in local_rows if row.name not in left_out]
+            remote_rows = [row for row in remote_rows if row.name not in left_out]
         if now_ms < self.health.last_pause_ends_ms:
             paused = self._paused_names([*local_rows, *remote_rows], avoid)
             local_rows = [row for row in local_rows if row.name not in paused]
@@ -258,6 +277,14 @@
             return local
         return remote
 
+    def _unreachable_names(self, rows: list[TargetRow]) -> frozenset[str]:
+        """Return the names of targets without a path, if another one has one.
+
+        That one may have no room now, or have just failed; it is still the better one.
+        """
+        names = [row.name for row in rows if self.paths.is_unreachable(row)]
+        return frozenset(names) if len(names) < len(rows) else frozenset()
+
     def _paused_names(
         self, rows: list[TargetRow], avoid: Collection[str]
     ) -> frozenset[str]:
@@ -273,7 +300,7 @@
 
     def _is_last_resort(self, row: TargetRow, avoid: Collection[str]) -> bool:
         """Return whether ``row`` was chosen only for lack of a better target."""
-        return row.name in avoid or self.health.is_unreachable(row)
+        return row.name in avoid or self.paths.is_unreachable(row)
 
     def _subset(self, candidates: Sequence[TargetRow], work: "Work | None") -> _Subset:
         service = candidates[0].service
@@ -347,8 +374,6 @@
         """Return the best drawn target with room and its expected time, or None."""
         available = [row for row in rows if self._has_room(row, work)]
         available = [row for row in available if row.name not in avoid] or available
-        reachable = [row for row in available if not self.health.is_unreachable(row)]
-        available = reachable or available
         if not available:
             return None, 0.0
         drawn_rows = self._draw_candidates(available, work)
@@ -502,9 +527,9 @@
             spent if before is None else before + SAVING_WEIGHT * (spent - before)
         )
 
-    def mark_unreachable(self, target: TargetRow) -> None:
-        """Avoid the target until it announces itself again."""
-        self.health.record_unreachable(target)
+    def mark_unreachable(self, target: TargetRow, refused: bool = False) -> None:
+        """Avoid the target until a connection to it was proven; see ``Router``."""
+        self.paths.record_failure(target, refused)
 
     def pause(self, target: TargetRow, duration_ms: int) -> None:
         """Send no new work to the target until then, while another can serve."""
