Send work that was never sent elsewhere at once, without its retry budget

Cause: RetryState.on_failure took a token of the retry budget for each failed attempt, also for one without a connection, and waited for the back-off. The budget guards targets from load, which an attempt that was never sent does not add. Some 20 s of connect timeouts emptied it, and from then on one timeout was a refusal beside idle targets. A hedge without a connection kept its token, too. Such an attempt now counts against limits of its own: 3 for a request, 200 a second for a target, beyond which a request is refused. It waits only where no other target is known to have a path, and then only for one that refused the connection: after a timeout it is refused, as a further one would only delay that. Work for a service whose targets a probe has all found without a reply is refused before any attempt. A hedge without a connection returns its token, and no further hedge follows, as that one would begin at once. Ruled out: the limits without the refusal at once: test_cut_data_centre[inward] then failed, as orders were held until the link was back. Ruled out: no limit, since paths are avoided anyway: the one target of a service that refuses connections would be tried until the deadline. Conclusion: test_verdict_stays_may_have_run lists one more refused connection, as the reset before them no longer counts among the three, and its refused connections say that they are.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,6 +11,7 @@
 from wagtailrun.serving import repeats
 from wagtailrun.serving.dispatch import DispatchOptions, Work, make_dispatcher
 from wagtailrun.targets.attempt_observer import NullObserver
+from wagtailrun.targets.retries import MAX_REDIRECTS
 from wagtailrun.targets.table import Membership
 from wagtailrun.virtual_time import run_virtual
 
@@ -233,12 +234,12 @@
 
 
 RESET = TargetFailed("reset", verdict=Verdict.MAY_HAVE_RUN)
-REFUSED = ConnectFailed("refused")
+REFUSED = ConnectFailed("refused", refused=True)
 
 
 def test_verdict_stays_may_have_run(monkeypatch):
     """Guards against "not run" after an attempt that may have run."""
-    errors = [RESET, REFUSED, REFUSED, REFUSED]
+    errors = [RESET, *[REFUSED] * 4]
     assert verdict_after(errors) is Verdict.MAY_HAVE_RUN
     assert verdict_after([REFUSED] * 4) is Verdict.NOT_RUN
     assert verdict_after([RESET, REFUSED], ORDER) is Verdict.MAY_HAVE_RUN
@@ -248,6 +249,86 @@
     )
 
 
+class LongestDelay:
+    """Random source whose delays are the longest ones."""
+
+    def randint(self, low, high):
+        return high
+
+
+@pytest.mark.parametrize("work", [GENERATE, ORDER], ids=["call", "order"])
+def test_attempt_that_was_never_sent_goes_elsewhere_at_once(work):
+    """Guards against refusals beside idle targets once the retry budget is empty.
+
+    Connect timeouts had spent the budget of a service, and each was followed by the
+    back-off that is meant for load.
+    """
+
+    async def main(clock):
+        harness = DispatcherHarness(clock)
+        dispatcher = await harness.start(POOL)
+        dispatcher.options = attrs.evolve(dispatcher.options, hedges=False)
+        dispatcher.context.random = LongestDelay()
+        dispatcher.budget.tokens_by_service["t"] = 0.5
+        # Loads that make the router prefer the two that are lost.
+        for name, target in harness.emulator.targets_by_name.items():
+            if name == "t2":
+                dispatcher.router.started(target.row)
+            else:
+                await harness.emulator.vanish(name)
+        answer = await dispatcher.call(harness.work(work))
+        tokens = dispatcher.budget.tokens_by_service["t"]
+        return answer, clock.now_ms(), tokens, dispatcher.counts
+
+    answer, ended_ms, tokens, counts = run_virtual(main)
+    assert not isinstance(answer, Refusal)
+    redirects = counts["redirect"]
+    assert redirects == 2
+    assert 2_000 <= ended_ms < 2_050
+    # One first attempt has earned a tenth.
+    assert tokens == pytest.approx(0.6)
+    assert (counts["first"], counts["retry"]) == (1, 0)
+
+
+def test_attempts_that_were_never_sent_have_a_bound_of_their_own():
+    """Guards against a request that tries to connect until its deadline."""
+
+    async def main(clock):
+        client = Scripted([REFUSED] * 10)
+        harness = DispatcherHarness(clock, client)
+        dispatcher = await harness.start(POOL)
+        answer = await dispatcher.call(harness.work(GENERATE))
+        return answer.verdict, 10 - len(client.errors)
+
+    assert run_virtual(main) == (Verdict.NOT_RUN, 1 + MAX_REDIRECTS)
+
+
+def test_hedge_that_was_never_sent_returns_its_token():
+    """Guards against hedges to lost targets that leave no token for retries."""
+
+    async def main(clock):
+        harness = DispatcherHarness(clock)
+        dispatcher = await harness.start(POOL)
+        dispatcher.options = attrs.evolve(dispatcher.options, detect_stalls=False)
+        dispatcher.budget.tokens_by_service["t"] = 15.0
+        slow, *lost = harness.emulator.targets_by_name.values()
+        slow.slowdown_factor = 100.0
+        run = curio.spawn(dispatcher.call, harness.work(GENERATE))
+        for target in lost:
+            dispatcher.router.started(target.row)
+        task = await run
+        await clock.sleep_ms(10)
+        for target in lost:
+            await harness.emulator.vanish(target.row.name)
+        answer = await task.join()
+        return answer, dispatcher.counts["hedge"], dispatcher.budget.tokens_by_service
+
+    answer, hedges, tokens_by_service = run_virtual(main)
+    assert not isinstance(answer, Refusal)
+    assert hedges == 1
+    assert tokens_by_service["t"] >= 15.0
+
+
 def test_hedges_stop_without_budget():
     """Guards against hedges that double the load of a slow stage."""
 
--- a/tests/test_path_probes.py
+++ b/tests/test_path_probes.py
@@ -111,3 +111,59 @@
     assert len(cut_probes) < 40
     assert harness.late == cut_late
     assert len(used) == 5
+
+
+def test_work_that_no_path_leads_to_is_refused_at_once():
+    """Guards against requests that are held for connect timeouts, and then refused."""
+
+    async def main(clock):
+        harness = CutHarness(clock)
+        await harness.start()
+        for name in ("east-0", "east-1"):
+            await harness.emulator.vanish(name)
+        await harness.send_until(5_000)
+        harness.emulator.cut("east", outward=True, inward=False)
+        await harness.send_until(20_000)
+        cut_late, sent = list(harness.late), harness.client.attempts
+        harness.emulator.heal("east")
+        refused = len(harness.refused)
+        await harness.send_until(30_000)
+        return harness, cut_late, sent, refused
+
+    harness, cut_late, sent, refused = run_virtual(main)
+    assert max(cut_late) < 7_500
+    assert refused > 100
+    assert sent < 110
+    # None is late, and the last refusal is that of before the next probe.
+    assert harness.late == cut_late
+    assert max(harness.refused) < 22_100
+
+
+def test_refused_connection_is_tried_again_for_a_moment():
+    """Guards against a refusal while the only target of a service restarts."""
+
+    async def main(clock):
+        emulator = Emulator(clock)
+        target = await emulator.add("t0", "s", "east", MODEL)
+        membership = Membership("east")
+        emulator.observe("east", membership)
+        client = emulator.client("entry", "east")
+        dispatcher = make_dispatcher(
+            clock, membership, client, name="entry", probe=client.probe, seed=1
+        )
+        dispatcher.context.random = LongestDelay()
+        await target.die()
+        work = attrs.evolve(CALL, deadline_at_ms=clock.now_ms() + DEADLINE_MS)
+        task = await curio.spawn(dispatcher.call, work)
+        await clock.sleep_ms(30)
+        target.restart()
+        return await task.join()
+
+    assert not isinstance(run_virtual(main), Refusal)
+
+
+class LongestDelay:
+    """Random source whose delays are the longest ones."""
+
+    def randint(self, low, high):
+        return high
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,11 +7,14 @@
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
 from wagtailrun.targets.retries import (
     INITIAL_TOKENS,
+    MAX_REDIRECTS_PER_TARGET_S,
     MAX_TOKENS,
+    RedirectLimit,
     RetryBudget,
     backoff_ms,
     may_retry,
 )
+from wagtailrun.virtual_time import VirtualClock
 
 
 def test_retries_stay_within_a_tenth_of_first_attempts():
@@ -28,6 +31,19 @@
     assert budget.has("encoders")
 
 
+def test_attempts_after_one_without_a_connection_are_limited_for_each_target():
+    """Guards against requests without end to a target that accepts no connection."""
+    clock = VirtualClock()
+    limit = RedirectLimit(clock)
+    for _ in range(2):
+        allowed = sum(limit.allows("t0") for _ in range(1_000))
+        assert allowed == MAX_REDIRECTS_PER_TARGET_S
+        assert limit.allows("t1")
+        clock.seconds += 1
+    assert limit.allows("t0")
+    assert set(limit.counts_by_name) == {"t0"}
+
+
 @pytest.mark.parametrize(
     ("idempotent", "error", "allowed"),
     [
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -207,7 +207,7 @@
                 runs.remove(winner)
                 if not runs:
                     raise value
-                if isinstance(value, ConnectShortage):
+                if isinstance(value, ConnectFailed):
                     runs[0].may_hedge = False
         finally:
             for other in runs:
@@ -443,7 +443,7 @@
     async def fail(self, run: AttemptRun, error: TargetFailed) -> None:
         """Record a failed attempt and cancel it at the target."""
         outcome = end_of_failure(error).outcome
-        if run.took_token and isinstance(error, ConnectShortage):
+        if run.took_token and isinstance(error, ConnectFailed):
             self.budget.refund(run.work.service)
         if outcome is RunOutcome.UNREACHABLE:
             refused = isinstance(error, ConnectFailed) and error.refused
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -22,7 +22,7 @@
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.retries import RetryBudget
+from wagtailrun.targets.retries import RedirectLimit, RetryBudget
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
@@ -95,6 +95,7 @@
             random=random.Random(seed),
             options=options or DispatchOptions(),
             budget=RetryBudget(),
+            redirects=RedirectLimit(clock),
         )
         self.clock = clock
         self.membership = membership
@@ -135,7 +136,7 @@
             read: Returns what is needed of an answer; raises ``TargetFailed`` if it is
                 none, by which the attempt has failed.
         """
-        retry_state = RetryState(self.context, work)
+        retry_state = RetryState(self.context, work, self)
         while True:
             run = await self._start_attempt(retry_state)
             if isinstance(run, Refusal):
@@ -171,7 +172,7 @@
         A broken stream resumes from the next offset, at the same target if only its
         connection stalled. The last item ends with the end marker, or is a refusal.
         """
-        retry_state = RetryState(self.context, work)
+        retry_state = RetryState(self.context, work, self)
         while True:
             run = await self._start_attempt(retry_state, streaming=True)
             if isinstance(run, Refusal):
@@ -230,14 +231,14 @@
         retry_state.resume_target = None
         if target is not None:
             self.router.started(target)
-        elif not self.usable_targets(work):
+        elif not self.router.has_path(self.usable_targets(work), work):
             return self._no_target_refusal(work)
         else:
             target = await self._admit(work, retry_state.avoid)
             if isinstance(target, Refusal):
                 return target
         retry_state.last_target = target
-        if not retry_state.count:
+        if not retry_state.count and not retry_state.redirects:
             self.counts["first"] += 1
             self.budget.earn(work.service)
         detect_stall = retry_state.count < self.options.max_retries
@@ -298,6 +299,8 @@
         since_ms = self.outage_since_ms_by_service.setdefault(work.service, now_ms)
         after_ms = min(now_ms - since_ms + MIN_OUTAGE_RETRY_MS, MAX_OUTAGE_RETRY_MS)
         detail = f"service {work.service} has no usable target"
+        if self.usable_targets(work):
+            detail = f"no target of service {work.service} replies to this entry"
         if work.software_version is not None:
             detail += f" of version {work.software_version!r}, which began the stream"
         return Refusal(RefusalReason.NO_TARGET, Verdict.NOT_RUN, detail, after_ms)
--- a/wagtailrun/serving/dispatch_context.py
+++ b/wagtailrun/serving/dispatch_context.py
@@ -13,7 +13,7 @@
 from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.targets.attempt_observer import AttemptObserver
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.retries import RetryBudget
+from wagtailrun.targets.retries import RedirectLimit, RetryBudget
 from wagtailrun.targets.routing import Router
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
@@ -39,6 +39,7 @@
         random: Source of the delays before retries.
         options: Policies that are enabled.
         budget: Limits retries and hedges.
+        redirects: Limits attempts that follow one without a connection.
         counts: Number of attempts by kind: "first", "hedge", "retry" after an attempt
             that was sent, and "redirect" after one that was not sent.
     """
@@ -54,6 +55,7 @@
     random: random.Random
     options: DispatchOptions
     budget: RetryBudget
+    redirects: RedirectLimit
     counts: Counter[str] = attrs.Factory(Counter)
 
 
--- a/wagtailrun/serving/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -11,9 +11,9 @@
     Verdict,
 )
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
-from wagtailrun.serving.dispatch_context import DispatchContext
+from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.targets.attempt_ends import ConnectionStalled, DeadlinePassed
-from wagtailrun.targets.retries import backoff_ms, may_retry
+from wagtailrun.targets.retries import MAX_REDIRECTS, backoff_ms, may_retry
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
@@ -26,12 +26,19 @@
     Args:
         context: Components, policies and counters of the dispatcher.
         work: Work that is attempted.
+        targets: Finds the targets of further attempts.
+
+    Attributes:
+        count: Retries so far.
+        redirects: Attempts so far that followed one without a connection.
     """
 
-    def __init__(self, context: DispatchContext, work: Work):
+    def __init__(self, context: DispatchContext, work: Work, targets: TargetSource):
         self.context = context
         self.work = work
+        self.targets = targets
         self.count = 0
+        self.redirects = 0
         self.offset = 0
         self.avoid: set[str] = set()
         self.stalled_names: set[str] = set()
@@ -59,10 +66,12 @@
         is_shortage = isinstance(error, ConnectShortage)
         if is_shortage and not error.only_here:
             return await self._wait_for_room()
-        if self.count >= context.options.max_retries:
-            return self.refusal
         if not may_retry(work.idempotent, error):
             return self.refusal
+        if isinstance(error, ConnectFailed) and not is_shortage:
+            return await self._redirect(error)
+        if self.count >= context.options.max_retries:
+            return self.refusal
         # An attempt that this process could not make is no retry of a failed one.
         takes_budget = context.options.budget and not is_shortage
         if takes_budget and not context.budget.spend(work.service):
@@ -71,13 +80,45 @@
         if context.clock.now_ms() + wait_ms >= work.deadline_at_ms:
             return self.refusal
         self.count += 1
-        # An attempt that was never sent added no load, so it is not counted as retry.
-        kind = "redirect" if isinstance(error, ConnectFailed) else "retry"
-        context.counts[kind] += 1
+        context.counts["redirect" if is_shortage else "retry"] += 1
         self._choose_next_target(error)
         await context.clock.sleep_ms(wait_ms)
         return None
 
+    async def _redirect(self, error: ConnectFailed) -> Refusal | None:
+        """Let work that was not sent go elsewhere, if it may and can.
+
+        It has added no load, so it waits only where no other target has a path, for one
+        that may accept connections again.
+        """
+        context, work = self.context, self.work
+        if self.redirects >= MAX_REDIRECTS:
+            return self.refusal
+        if not context.redirects.allows(self.last_target.name):
+            return self.refusal
+        wait_ms = 0
+        if not self._has_path_elsewhere(self.avoid | {self.last_target.name}):
+            if not error.refused:
+                # A further timeout would only delay the refusal.
+                return self.refusal
+            wait_ms = backoff_ms(self.redirects, context.random)
+        if context.clock.now_ms() + wait_ms >= work.deadline_at_ms:
+            return self.refusal
+        self.redirects += 1
+        context.counts["redirect"] += 1
+        self._choose_next_target(error)
+        if wait_ms:
+            await context.clock.sleep_ms(wait_ms)
+        return None
+
+    def _has_path_elsewhere(self, avoid: set[str]) -> bool:
+        """Return whether another target has room, and a path as far as is known."""
+        target = self.targets.choose(self.work, avoid)
+        if target is None or target.name in avoid:
+            return False
+        paths = self.context.router.paths
+        return paths is None or not paths.is_unreachable(target)
+
     async def _wait_for_room(self) -> Refusal | None:
         """Return the refusal of work for which this process has no connection.
 
--- a/wagtailrun/targets/paths.py
+++ b/wagtailrun/targets/paths.py
@@ -87,6 +87,19 @@
         found = self.observations_by_name.get(row.name)
         return found is not None and found.address == row.address
 
+    def is_lost(self, row: TargetRow) -> bool:
+        """Return whether a probe has confirmed that a target does not reply.
+
+        One that refuses connections may accept them again at any time.
+        """
+        shared = self.observations_by_data_centre.get(row.data_centre)
+        if shared is not None and shared.failed_probes:
+            return True
+        found = self.observations_by_name.get(row.name)
+        if found is None or found.address != row.address:
+            return False
+        return bool(found.failed_probes) and not found.refused
+
     def needs_new_connection(self, row: TargetRow) -> bool:
         """Return whether open connections to a target may deliver nothing."""
         if self.is_unreachable(row):
--- a/wagtailrun/targets/retries.py
+++ b/wagtailrun/targets/retries.py
@@ -1,12 +1,13 @@
 """Rules and budget for retries."""
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Collection
 
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import ConnectFailed, TargetFailed, Verdict
 
-__all__ = ["RetryBudget", "backoff_ms", "may_retry"]
+__all__ = ["MAX_REDIRECTS", "RedirectLimit", "RetryBudget", "backoff_ms", "may_retry"]
 
 EARNED_PER_FIRST_ATTEMPT = 0.1
 # Allows retries of the first requests after a start, and limits a burst of them.
@@ -16,6 +17,11 @@
 # Tokens that hedges must leave for retries. Without this reserve, hedges used up the
 # budget and streams of a dead target could not be resumed.
 HEDGE_RESERVE = 8.0
+# Attempts without a connection that one request may make up for.
+MAX_REDIRECTS = 3
+# All requests that await a connection to a target fail together when it is lost, and
+# are sent elsewhere; more than this come from a target that is tried again and again.
+MAX_REDIRECTS_PER_TARGET_S = 200
 BACKOFF_BASE_MS = 25
 BACKOFF_MAX_MS = 1_000
 
@@ -86,6 +92,35 @@
         self.tokens_by_service[service] += 1.0
 
 
+class RedirectLimit:
+    """Limits the attempts that follow one without a connection, for each target.
+
+    Such an attempt was never sent and added no load, so it takes nothing from the
+    ``RetryBudget``.
+
+    Args:
+        clock: Clock.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.since_ms = clock.now_ms()
+        self.counts_by_name: Counter[str] = Counter()
+
+    def allows(self, name: str) -> bool:
+        """Count an attempt that follows one at a target; return whether it may.
+
+        Args:
+            name: Target that no connection could be opened to.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms - self.since_ms >= MS_PER_SECOND:
+            self.since_ms = now_ms
+            self.counts_by_name.clear()
+        self.counts_by_name[name] += 1
+        return self.counts_by_name[name] <= MAX_REDIRECTS_PER_TARGET_S
+
+
 def may_retry(idempotent: bool, error: TargetFailed) -> bool:
     """Return whether work may be retried after ``error``.
 
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -74,6 +74,17 @@
             avoid: Names of targets that are chosen only if there is no other.
         """
 
+    def has_path(
+        self, candidates: Sequence[TargetRow], work: "Work | None" = None
+    ) -> bool:
+        """Return whether any target that may get the work can be reached.
+
+        Args:
+            candidates: Usable targets of the service.
+            work: Work to run.
+        """
+        return bool(candidates)
+
     @abstractmethod
     def started(self, target: TargetRow) -> None:
         """Record that an attempt was assigned to ``target``."""
@@ -252,11 +263,8 @@
         """Return the target with the earliest expected completion; see ``Router``."""
         if not candidates:
             return None
-        subset = self._subset(candidates, work)
         now_ms = self.clock.now_ms()
-        local_rows, remote_rows = subset.local, subset.remote
-        if remote_rows and not self.may_use_remote(candidates[0].service):
-            remote_rows = []
+        local_rows, remote_rows = self._allowed_rows(candidates, work)
         if self.paths.has_observations:
             left_out = self._unreachable_names([*local_rows, *remote_rows])
             local_rows = [row for row in local_rows if row.name not in left_out]
@@ -277,6 +285,25 @@
             return local
         return remote
 
+    def has_path(
+        self, candidates: Sequence[TargetRow], work: "Work | None" = None
+    ) -> bool:
+        """Return whether a request can reach any target; see ``Router.has_path``."""
+        if not candidates or not self.paths.has_observations:
+            return bool(candidates)
+        local_rows, remote_rows = self._allowed_rows(candidates, work)
+        rows = (*local_rows, *remote_rows)
+        return not rows or not all(map(self.paths.is_lost, rows))
+
+    def _allowed_rows(
+        self, candidates: Sequence[TargetRow], work: "Work | None"
+    ) -> tuple[list[TargetRow], list[TargetRow]]:
+        """Return the targets in use that may get the work, local and remote ones."""
+        subset = self._subset(candidates, work)
+        if subset.remote and not self.may_use_remote(candidates[0].service):
+            return subset.local, []
+        return subset.local, subset.remote
+
     def _unreachable_names(self, rows: list[TargetRow]) -> frozenset[str]:
         """Return the names of targets without a path, if another one has one.
 
