Tell refused callers to come back after 100 ms at least, spread

Cause: Admission.retry_after_ms is the time of the work that is known, and at least 1 ms; without a known duration it was 1 ms. A caller that obeyed it came back at once, and callers that were refused together came back together. RetryTimes.complete, where refusals leave an entry (CallerApi, and the replay in its place), sets a delay of 100 ms at least and adds up to half of it at random. A delay that a target asked for is only ever lengthened; a request that must not be retried unchanged still gets none. Ruled out: a bound in each of the places that make refusals: there are eight in the entry. Conclusion: the two refusals of the HTTP server itself (overload, incomplete at the stop) keep their fixed 1,000 ms; they are shared with the relay.

--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -23,6 +23,7 @@
 from wagtailrun.serving.dispatch import Dispatcher
 from wagtailrun.serving.orders import OrderRunner
 from wagtailrun.serving.pipeline import PipelineRunner
+from wagtailrun.serving.retry_times import MIN_RETRY_AFTER_MS
 from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
@@ -135,6 +136,36 @@
     assert recorded_sums(targets)["target-failed"] == 1
 
 
+def retry_delays(path, count=20, **faults):
+    """Return the delays that callers are told whose requests fail together."""
+
+    async def main(clock):
+        api = make_api(clock, FakeTargets(clock, **faults))
+        delays = []
+        for _ in range(count):
+            response = await api.handle(request(path))
+            data = response.body
+            if not isinstance(data, bytes):
+                data = b"".join([piece async for piece in data])
+            problem = json.loads(data.partition(b"event: error\ndata: ")[2] or data)
+            delays.append(problem["retry_after_ms"])
+        return delays
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize(
+    ("path", "faults"),
+    [(ORDER, {"failure": 1.0}), (PIPELINE, {"broken_at": 3})],
+    ids=["refused", "stream"],
+)
+def test_refused_callers_come_back_later_and_not_together(path, faults):
+    """Guards against callers that are told to come back after 1 ms, all at once."""
+    delays = retry_delays(path, **faults)
+    assert min(delays) >= MIN_RETRY_AFTER_MS
+    assert len(set(delays)) > len(delays) // 3
+
+
 def test_prompt_that_is_not_unicode_is_answered():
     """Guards against an encoding error on lone surrogates, which JSON allows."""
     body = json.dumps({"prompt": "\ud800" * 2_000}).encode()
--- a/wagtailrun/replay/player.py
+++ b/wagtailrun/replay/player.py
@@ -221,6 +221,9 @@
             raise
         finally:
             outcome.ended_ms = self.clock.now_ms()
+            if outcome.refusal is not None:
+                complete = entry.dispatcher.retry_times.complete
+                outcome.refusal = complete(outcome.refusal)
             entry.tasks.pop(task, None)
 
     async def _serve_pipeline(self, entry: EmulatedEntry, outcome: Outcome) -> None:
--- a/wagtailrun/serving/caller_api.py
+++ b/wagtailrun/serving/caller_api.py
@@ -116,10 +116,14 @@
                 lambda: self._route(request, scope, parts[2:])
             )
         if isinstance(result, Refusal):
+            result = self._complete(result)
             await self.recorder.record_refusal(scope, result)
             return refusal_response(result, status)
         return result
 
+    def _complete(self, refusal: Refusal) -> Refusal:
+        return self.dispatcher.retry_times.complete(refusal)
+
     async def _route(
         self, request: Request, scope: RequestScope, names: list[str]
     ) -> Response | Refusal:
@@ -143,10 +147,10 @@
             detail = "send header Wagtailrun-Workspace and use path /v1/orders/{key}"
             return refusal_response(_malformed_refusal(detail))
         if self.running.ended:
-            return refusal_response(_stop_refusal(has_key=True))
+            return refusal_response(self._complete(_stop_refusal(has_key=True)))
         found = await self.running.run(lambda: self.orders.find(workspace, names[0]))
         if isinstance(found, Refusal):
-            return refusal_response(found)
+            return refusal_response(self._complete(found))
         value = {
             "key": names[0],
             "state": found.state,
@@ -196,7 +200,8 @@
             NO_STORE,
         )
         items = self.running.iterate(result)
-        return Response(200, stream_events(items, scope, self.recorder), headers)
+        lines = stream_events(items, scope, self.recorder, self._complete)
+        return Response(200, lines, headers)
 
     async def _serve_call(
         self,
@@ -293,11 +298,18 @@
     stream: AsyncIterator[tuple[Token, ...] | Refusal],
     scope: RequestScope,
     recorder: Recorder,
+    complete: Callable[[Refusal], Refusal] = lambda refusal: refusal,
 ) -> AsyncIterator[bytes]:
     """Yield the caller's server-sent events; tokens received together form one chunk.
 
     The stream ends with ``done``, which carries the number of tokens and the digest of
     their texts, or with ``error``, which carries problem details.
+
+    Args:
+        stream: Tokens, and a refusal at the end of one that breaks off.
+        scope: Request of the stream.
+        recorder: Records its end.
+        complete: Returns a refusal as its caller is told.
     """
     digest = xxhash.xxh3_64()
     ended = False
@@ -306,6 +318,7 @@
             async for item in stream:
                 if isinstance(item, Refusal):
                     ended = True
+                    item = complete(item)
                     await recorder.record_refusal(scope, item)
                     yield _event("error", problem_details(item, 200))
                     return
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -19,6 +19,7 @@
 from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.serving.repeats import RetryState
+from wagtailrun.serving.retry_times import RetryTimes
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
@@ -104,6 +105,8 @@
         self.admission = context.admission
         self.budget = context.budget
         self.counts = context.counts
+        # For those who pass the refusals of this dispatcher to callers.
+        self.retry_times = RetryTimes(random.Random(seed))
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
         self.outage_since_ms_by_service: dict[str, int] = {}
         # Whether the process ends, which would cut off an attempt that begins now.
