Watch attempts for a stall also where few of their kind were seen

Cause: an attempt is watched for a stall by the 95th percentile of the last 10 to 20 s, and not at all with fewer than eight samples there, which one call a second at an entry does not give. It also was looked at once only, and not again if the retry budget was empty at that moment. The estimate of a minute now counts where that of the last seconds is missing. Without either, an attempt is given up after 1 s if its target does not answer a probe, as it may just need long if that answers. An attempt that goes on is looked at again after 2, 4, 8 s and so on, and ends at once if a probe of the paths has found its target without a reply, also without budget. Ruled out: a lower number of samples for all percentiles, which hedges use, too: the 95th of two or three says nothing. Conclusion: without a probe nothing changes for attempts without an estimate. Orders are sent once and are not watched, as before.

--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -35,6 +35,10 @@
 # item, but not before MIN_STALL_MS.
 STALL_FACTOR = 3
 MIN_STALL_MS = 500
+# Where nothing is known of the duration, a target that does not answer a probe after
+# this time is given up. Attempts that go on are checked again after twice the time.
+UNKNOWN_STALL_MS = 1_000
+MAX_CHECK_DOUBLINGS = 6
 # The pace of a stream is evaluated after each group of this many items.
 PACE_ITEMS = 3
 # A stream moves away from a target that is this many times slower than typical, if it
@@ -70,6 +74,7 @@
         tokens: Number of received tokens.
         items: Number of items received after the first one.
         gap_ms: Moving average of the time between items, in milliseconds.
+        checks: How often it was looked whether it is stalled.
         ended: Whether the attempt was recorded as ended.
         took_token: Whether it took a token of the retry budget as a hedge.
         may_hedge: Whether a hedge may follow; not after one without a connection,
@@ -88,6 +93,7 @@
     tokens: int = 0
     items: int = 0
     gap_ms: float = 0.0
+    checks: int = 0
     ended: bool = False
     took_token: bool = False
     may_hedge: bool = True
@@ -229,10 +235,10 @@
                 hedge_at_ms = None
                 await self._start_hedge(runs)
             if stalled_at_ms is not None and now_ms >= stalled_at_ms:
-                error = await self._check_stalled(run)
+                error = await self._check_first_item(run)
                 if error is not None:
                     return run, error
-                stalled_at_ms = None
+                stalled_at_ms = self._next_check_ms(run)
             times = [end_ms, hedge_at_ms, stalled_at_ms]
             until_ms = min(time_ms for time_ms in times if time_ms is not None)
             result = await self._wait_for_result(run.results, until_ms)
@@ -312,23 +318,50 @@
             or not run.detect_stall
         ):
             return None
-        key = (work.service, work.stage, work.size_class)
-        expected_ms = self.estimates.first_ms(*key, percent=95)
+        expected_ms = self._longest_first_ms(work)
         if expected_ms is None:
-            return None
+            # Without a probe, nothing tells a lost target from one that needs long.
+            return None if self.probe is None else run.started_ms + UNKNOWN_STALL_MS
         return run.started_ms + max(STALL_FACTOR * expected_ms, MIN_STALL_MS)
 
+    def _longest_first_ms(self, work: Work) -> int | None:
+        key = (work.service, work.stage, work.size_class)
+        return self.estimates.longest_first_ms(*key)
+
+    async def _check_first_item(self, run: AttemptRun) -> TargetFailed | None:
+        """Return why an attempt without a first item is abandoned, or None."""
+        run.checks += 1
+        error = await self._check_stalled(run)
+        is_known = self._longest_first_ms(run.work) is not None
+        if isinstance(error, ConnectionStalled) and not is_known:
+            # The target works, and may need long for this kind of work.
+            return None
+        return error
+
+    def _next_check_ms(self, run: AttemptRun) -> int | None:
+        """Return when an attempt that goes on is checked again, or None if never."""
+        if not run.detect_stall:
+            return None
+        interval_ms = UNKNOWN_STALL_MS << min(run.checks, MAX_CHECK_DOUBLINGS)
+        return self.clock.now_ms() + interval_ms
+
     async def _check_stalled(self, run: AttemptRun) -> TargetFailed | None:
         """Return why a stalled attempt is abandoned, or None to keep waiting.
 
         A probe on a new connection tells a stalled connection from a dead target.
         """
+        detail = f"{run.target.name} does not respond on a new connection"
+        paths = self.router.paths
+        if paths is not None and paths.is_lost(run.target):
+            return TargetFailed(detail, timed_out=True)
         if not self._has_retry_budget(run.work.service):
             return None
         try:
             responds = await self._probe(run.target)
         except ConnectShortage:
-            # Nothing tells the connection from the target.
+            # Nothing tells the connection from the target, and more probes would take
+            # what this process lacks.
+            run.detect_stall = False
             return None
         if responds:
             now_ms = self.clock.now_ms()
@@ -337,7 +370,6 @@
             self.fresh_until_ms_by_name[run.target.name] = until_ms
             return ConnectionStalled(run.target)
         await self._mark_unreachable(run.target)
-        detail = f"{run.target.name} does not respond on a new connection"
         return TargetFailed(detail, timed_out=True)
 
     def _has_retry_budget(self, service: str) -> bool:
--- a/wagtailrun/targets/estimates.py
+++ b/wagtailrun/targets/estimates.py
@@ -16,6 +16,7 @@
 MAX_MS = 600_000
 SIGNIFICANT_DIGITS = 2
 BASELINE_PERCENTILE = 10
+LONGEST_PERCENTILE = 95
 # Limits memory: each key has up to eight histograms of 17 KB.
 MAX_KEYS = 64
 GAP_WEIGHT = 0.05
@@ -153,6 +154,19 @@
         """Return a percentile of the time to the first item; see ``total_ms``."""
         return self._percentile("first", service, stage, size, percent)
 
+    def longest_first_ms(
+        self, service: str, stage: str, size: tuple[int, int]
+    ) -> int | None:
+        """Return the time within which almost all first items arrive, or None.
+
+        Where the last seconds had too few attempts, those of a minute count.
+        """
+        key = (service, stage, size, LONGEST_PERCENTILE)
+        recent_ms = self._percentile("first", *key)
+        if recent_ms is not None:
+            return recent_ms
+        return self._percentile("first_baseline", *key)
+
     def baseline_ms(
         self, service: str, stage: str, size: tuple[int, int]
     ) -> int | None:
