Keep targets in use that answer though nobody announces them

Cause: a target whose announcements end leaves the rotation after 2.5 s, also if those of all targets of its service end at once. The entry then refused all requests with no-target, whatever its own requests had just shown. Where no target of a service is announced, those whose announcements were the last to end stay in use now, while any of them has answered a request or a probe within 5 s. A target of the service is probed each second if no request is answered, after failures up to every 16 s. Targets that leave or drain, those that became silent 2.5 s or more before the last one, and those whose address another target announced since are not used. Events 320 and 321 log, and count, the start and the end. Ruled out: a longer timeout, which would keep lost targets in use; one row at a time by its own answers, with which a target that nobody asked for 5 s would drop out. Rows are still dropped ten minutes after the last announcement, which ends this, too. The gauge of usable targets counts announced ones only.

--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -539,6 +539,18 @@
     "A step was done late, waited for long, or moved, and where its time went.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+TARGETS_UNANNOUNCED = _event(
+    320,
+    logging.WARNING,
+    "All targets of a service ceased to announce themselves, but answer; they stay in "
+    "use.",
+    "Check the network from the targets to the entries, for other ports than theirs.",
+)
+TARGETS_ANNOUNCED = _event(
+    321,
+    logging.INFO,
+    "Targets of a service announce themselves again, or the last known ones are gone.",
+)
 STAGE_MEMORY_FULL = _event(
     723,
     logging.WARNING,
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -20,6 +20,7 @@
 from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.serving.repeats import RetryState
 from wagtailrun.serving.retry_times import RetryTimes
+from wagtailrun.serving.unannounced import UnannouncedServices
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
@@ -81,9 +82,12 @@
         options: DispatchOptions | None = None,
     ):
         estimates = estimates or Estimates(clock)
-        prober = None
+        prober = self.unannounced = None
         if router.paths is not None:
             prober = PathProber(clock, router.paths, membership, probe)
+            self.unannounced = UnannouncedServices(
+                clock, router.paths, membership, probe, seed
+            )
         self.context = context = DispatchContext(
             clock=clock,
             client=client,
@@ -108,6 +112,8 @@
         # For those who pass the refusals of this dispatcher to callers.
         self.retry_times = RetryTimes(random.Random(seed))
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
+        # Services without an announced target when one was last looked for.
+        self.unannounced_services: set[str] = set()
         self.outage_since_ms_by_service: dict[str, int] = {}
         # Whether the process ends, which would cut off an attempt that begins now.
         self.ended = False
@@ -234,7 +240,7 @@
         retry_state.resume_target = None
         if target is not None:
             self.router.started(target)
-        elif not self.router.has_path(self.usable_targets(work), work):
+        elif not await self._has_target(work):
             return self._no_target_refusal(work)
         else:
             target = await self._admit(work, retry_state.avoid)
@@ -249,6 +255,13 @@
             work, target, retry_state.offset, Results(), streaming, detect_stall
         )
 
+    async def _has_target(self, work: Work) -> bool:
+        """Return whether any target can be reached that may receive ``work``."""
+        rows = self.usable_targets(work)
+        if self.unannounced is not None and work.service in self.unannounced_services:
+            await self.unannounced.watch(work.service)
+        return self.router.has_path(rows, work)
+
     async def _admit(self, work: Work, avoid: set[str]) -> TargetRow | Refusal:
         def choose() -> TargetRow | None:
             target = self.choose(work, avoid)
@@ -291,6 +304,12 @@
         # All data centres are included: the router prefers local targets and checks
         # whether the service may use remote ones.
         rows = self.membership.candidates(service, now_ms)
+        if self.unannounced is not None:
+            if rows:
+                self.unannounced_services.discard(service)
+            else:
+                self.unannounced_services.add(service)
+                rows = self.unannounced.targets(service)
         self.usable_by_service[service] = (now_ms, rows)
         if rows:
             self.outage_since_ms_by_service.pop(service, None)
--- a/wagtailrun/targets/paths.py
+++ b/wagtailrun/targets/paths.py
@@ -72,6 +72,7 @@
         self.observations_by_data_centre: dict[str, _Observation] = {}
         # Start of the newest attempt that was answered, by data centre.
         self.proven_ms_by_data_centre: dict[str, float] = {}
+        self.answered_ms_by_service: dict[str, int] = {}
         self.fresh_until_ms_by_name: dict[str, int] = {}
         self.fresh_until_ms_by_data_centre: dict[str, int] = {}
 
@@ -154,6 +155,7 @@
             started_ms: When the attempt began; one of before an observation does not
                 end it.
         """
+        self.answered_ms_by_service[row.service] = self.clock.now_ms()
         found = self.observations_by_name.get(row.name)
         if found is not None and started_ms >= found.since_ms:
             del self.observations_by_name[row.name]
--- a/wagtailrun/targets/table.py
+++ b/wagtailrun/targets/table.py
@@ -306,6 +306,33 @@
         contact_ms_by_name = self.last_contact_ms_by_name
         return [row for row in available if contact_ms_by_name[row.name] > oldest_ms]
 
+    def last_known(self, service: str) -> list[TargetRow]:
+        """Return the targets of a service whose announcements were the last to end.
+
+        Those that have left or drain are none of them, nor are those that became silent
+        well before the others, or whose address another target has announced since.
+        """
+        rows = self.rows_by_service.get(service, {}).values()
+        contact_ms_by_name = self.last_contact_ms_by_name
+        newest_ms = max((contact_ms_by_name[row.name] for row in rows), default=0)
+        return [
+            row
+            for row in rows
+            if not row.leaving
+            and newest_ms - contact_ms_by_name[row.name] < TARGET_TIMEOUT_MS
+            and not self._is_replaced(row)
+        ]
+
+    def _is_replaced(self, row: TargetRow) -> bool:
+        """Return whether another target has announced the address of this one since."""
+        contact_ms = self.last_contact_ms_by_name[row.name]
+        return any(
+            other.address == row.address
+            and other.name != row.name
+            and self.last_contact_ms_by_name[other.name] > contact_ms
+            for other in self.targets_by_name.values()
+        )
+
     def is_overdue(
         self, name: str, now_ms: int, limit_ms: int = TARGET_TIMEOUT_MS
     ) -> bool:
