--- a/tests/test_experiment_demo.py
+++ b/tests/test_experiment_demo.py
@@ -10,6 +10,7 @@
 
 ROOT = Path(__file__).parent.parent
 FILES = sorted((ROOT / "demo" / "experiments").glob("*.toml"))
+PATHS = ROOT / "demo/experiments/paths-and-announcements.toml"
 PAGE = ROOT / "docs" / "experiments.md"
 
 
@@ -54,3 +55,11 @@
         code = path.read_text("utf-8")
         for key in re.findall(r'(?:table|links|root)(?:\.\w+\(|, )"(\w+)"', code):
             assert re.search(rf"`\[*{key}\]*`", page), key
+
+
+@pytest.mark.parametrize("variant", load_experiment(PATHS).scenarios_by_variant)
+def test_faults_of_paths_and_announcements_leave_sound_targets_in_use(variant):
+    """Guards against refusals beside sound targets while paths or reports are lost."""
+    scenario = load_experiment(PATHS).scenarios_by_variant[variant]
+    records = play_scenario(scenario, 1, lambda at_ms: None)
+    assert [promise for promise in records.promises if not promise.held] == []
