--- a/wagtailrun/serving/dispatch_context.py
+++ b/wagtailrun/serving/dispatch_context.py
@@ -3,26 +3,23 @@
 import random
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Awaitable, Callable
 
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import TargetClient
 from wagtailrun.serving.admission import Admission
 from wagtailrun.serving.dispatch_options import DispatchOptions
+from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.targets.attempt_observer import AttemptObserver
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.retries import RetryBudget
+from wagtailrun.targets.retries import RedirectLimit, RetryBudget
 from wagtailrun.targets.routing import Router
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
 
 __all__ = ["DispatchContext", "Probe", "TargetSource"]
 
-Probe = Callable[[Address], Awaitable[bool]]
-
 
 @attrs.define(eq=False, kw_only=True)
 class DispatchContext:
@@ -36,10 +33,13 @@
         admission: Admits work to targets.
         probe: Returns whether a target responds on a new connection; without it, a
             stalled target counts as unreachable.
+        prober: Probes targets that could not be reached; None if the router does not
+            heed that.
         observer: Notified of attempts.
         random: Source of the delays before retries.
         options: Policies that are enabled.
         budget: Limits retries and hedges.
+        redirects: Limits attempts that follow one without a connection.
         counts: Number of attempts by kind: "first", "hedge", "retry" after an attempt
             that was sent, and "redirect" after one that was not sent.
     """
@@ -50,10 +50,12 @@
     estimates: Estimates
     admission: Admission
     probe: Probe | None
+    prober: PathProber | None
     observer: AttemptObserver
     random: random.Random
     options: DispatchOptions
     budget: RetryBudget
+    redirects: RedirectLimit
     counts: Counter[str] = attrs.Factory(Counter)
 
 
