--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -28,6 +28,7 @@
     StageClient,
 )
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
+from wagtailrun.stages.job import Job
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
 from wagtailrun.targets.retries import RetryBudget
@@ -603,9 +604,8 @@
         for number in range(50):
             message = harness.message(f"r{number}", wait_ms=0)
             await harness.batcher.handle(message)
-        pool = await harness.batcher.pool("s")
-        rank = pool._rank
-        monkeypatch.setattr(pool, "_rank", lambda *a: ranked.append(a) or rank(*a))
+        rank = Job.rank
+        monkeypatch.setattr(Job, "rank", lambda *a: ranked.append(a) or rank(*a))
         for number in range(50):
             state = await harness.send(f"r{number}", wait_ms=0)
             assert state.state == JobState.PENDING
@@ -654,6 +654,27 @@
     assert called_ms[1] - called_ms[0] >= 1_500
 
 
+def test_pause_ends_with_the_incarnation_that_asked_for_it():
+    """Guards against a target that is unused because of one before it."""
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        harness.client.faults_by_name["t1"] = TargetFailed(
+            "full", verdict=Verdict.NOT_RUN, retry_after_ms=60_000
+        )
+        task = await curio.spawn(harness.send, "r")
+        await clock.sleep_ms(1_000)
+        harness.client.faults_by_name.clear()
+        paused = len(harness.client.calls)
+        harness.rows = [attrs.evolve(harness.rows[0], incarnation=1)]
+        await clock.sleep_ms(1_000)
+        state = await harness.send("next")
+        await task.cancel()
+        return paused, state.state
+
+    assert run_virtual(main) == (1, JobState.DONE)
+
+
 def test_estimates_of_odd_capacities_can_be_sent():
     """Load: pieces of a service whose document states calls of a week.
 
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -6,8 +6,10 @@
 
 import attrs
 import h11
+import xxhash
 
 from wagtailrun.adapters.answer_heads import keep_alive_ms
+from wagtailrun.adapters.body_buffer import BodyBuffer
 from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.connector import (
     Connector,
@@ -27,6 +29,7 @@
 from wagtailrun.process.memory_budget import PROCESS_MEMORY, Holding, Kind, MemoryBudget
 
 __all__ = [
+    "CONNECT_TIMEOUT_MS",
     "Connector",
     "DirectConnector",
     "HttpClient",
@@ -214,30 +217,35 @@
         if kind is None:
             kind = Kind.FAILURES if is_failure else Kind.ANSWERS
         held = self.connection.hold(kind)
+        body = BodyBuffer()
         try:
-            return await self._read_held(timeout_ms, max_bytes, held)
+            await self._read_into(body, timeout_ms, max_bytes, held)
         except BaseException:
             held.release()
+            # The error refers to the buffer, and may last until the next collection of
+            # reference cycles.
+            body.clear()
             raise
+        return body.joined()
 
-    async def _read_held(self, timeout_ms: int, max_bytes: int, held: Holding) -> bytes:
+    async def _read_into(
+        self, body: BodyBuffer, timeout_ms: int, max_bytes: int, held: Holding
+    ) -> None:
+        """Add the rest of the body to a buffer, and count its bytes."""
         clock = self.connection.clock
         ends_ms = clock.now_ms() + timeout_ms
-        # A list of the pieces would take many times the bytes of tiny chunks.
-        body = bytearray()
         while piece := await self.read(ends_ms - clock.now_ms()):
             detail = ""
-            if len(body) + len(piece) > max_bytes:
+            if body.size + len(piece) > max_bytes:
                 detail = f"the response exceeds {max_bytes} bytes"
             elif not held.add(len(piece)):
                 detail = held.refusal_detail
             if detail:
                 raise TargetFailed(detail)
-            body += piece
-        return bytes(body)
+            body.add(piece)
 
     def check_distinct(self, body: bytes) -> None:
-        """Check that a body is not that of the previous response on the connection.
+        """Check that a body is not that of an earlier response on the connection.
 
         For servers whose responses name no request but never have the same body twice:
         a repeated one is a late second copy.
@@ -245,9 +253,10 @@
         Raises:
             TargetFailed: If it is.
         """
-        if body == self.connection.last_body:
-            raise TargetFailed("the server sent a second copy of its previous response")
-        self.connection.last_body = body
+        digest = xxhash.xxh3_128_intdigest(body)
+        if digest in self.connection.body_digests:
+            raise TargetFailed("the server sent a second copy of an earlier response")
+        self.connection.body_digests.append(digest)
 
     def forbid_reuse(self) -> None:
         """Close the connection after this response."""
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -10,12 +10,18 @@
 import curio
 
 from wagtailrun.clock import MS_PER_SECOND, drop_expired
-from wagtailrun.exceptions import ConnectFailed, ConnectShortage, TargetFailed
+from wagtailrun.exceptions import (
+    ConnectFailed,
+    ConnectShortage,
+    SendForbidden,
+    TargetFailed,
+)
 from wagtailrun.logs import events
 from wagtailrun.ports.target import Attempt, StageAnswer, Token
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
 from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.serving.dispatch_options import DispatchOptions
+from wagtailrun.serving.path_probes import responds_to
 from wagtailrun.targets.attempt_ends import (
     ConnectionStalled,
     DeadlinePassed,
@@ -23,6 +29,7 @@
     TargetTooSlow,
     end_of_failure,
 )
+from wagtailrun.targets.paths import FRESH_CONNECTION_MS
 from wagtailrun.targets.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
@@ -33,16 +40,16 @@
 # item, but not before MIN_STALL_MS.
 STALL_FACTOR = 3
 MIN_STALL_MS = 500
+# Where nothing is known of the duration, a target that does not answer a probe after
+# this time is given up. Attempts that go on are checked again after twice the time.
+UNKNOWN_STALL_MS = 1_000
+MAX_CHECK_DOUBLINGS = 6
 # The pace of a stream is evaluated after each group of this many items.
 PACE_ITEMS = 3
 # A stream moves away from a target that is this many times slower than typical, if it
 # would miss its deadline there.
 SLOW_PACE_FACTOR = 3.0
-PROBE_TIMEOUT_MS = 500
 DRAIN_MS = 1_000
-# Idle connections are kept for 15 s. If one connection to a target stalls, the others
-# may be stalled too, so only new connections are used for that time.
-FRESH_CONNECTION_MS = 15_000
 # A time limit that is noticed this much too late was not that of the target: the loop
 # of this process stood still meanwhile.
 LATE_MS = 20
@@ -65,13 +72,15 @@
         started_ms: When it started.
         results: Receives the first item or the failure.
         detect_stall: Whether the attempt is abandoned when it stalls; the last one that
-            the retry limit allows is not.
+            the retry limit allows is not, nor is its hedge.
+        streaming: Whether the answer is a stream.
         task: Task that waits for the first item.
-        stream: Items of a streaming attempt.
+        stream: Items of a streaming attempt that has begun.
         first_ms: Time to the first item, in milliseconds.
         tokens: Number of received tokens.
         items: Number of items received after the first one.
         gap_ms: Moving average of the time between items, in milliseconds.
+        checks: How often it was looked whether it is stalled.
         ended: Whether the attempt was recorded as ended.
         took_token: Whether it took a token of the retry budget as a hedge.
         may_hedge: Whether a hedge may follow; not after one without a connection,
@@ -84,12 +93,14 @@
     started_ms: int
     results: curio.Queue
     detect_stall: bool = True
+    streaming: bool = False
     task: curio.Task | None = None
     stream: AsyncIterator[tuple[Token, ...]] | None = None
     first_ms: int = 0
     tokens: int = 0
     items: int = 0
     gap_ms: float = 0.0
+    checks: int = 0
     ended: bool = False
     took_token: bool = False
     may_hedge: bool = True
@@ -139,7 +150,6 @@
     ) -> AttemptRun:
         """Start an attempt in a task that puts its first result into ``results``."""
         now_ms = self.clock.now_ms()
-        fresh_until_ms = self.fresh_until_ms_by_name.get(target.name, 0)
         attempt = Attempt(
             number=self.next_number(),
             request_id=work.request_id,
@@ -148,14 +158,21 @@
             remaining_ms=max(work.deadline_at_ms - now_ms, 1),
             priority=self._priority(work),
             resume_offset=offset,
-            new_connection=not work.idempotent or now_ms < fresh_until_ms,
+            new_connection=not work.idempotent or self._needs_new_connection(target),
+        )
+        run = AttemptRun(
+            work, target, attempt, now_ms, results, detect_stall, streaming
         )
-        run = AttemptRun(work, target, attempt, now_ms, results, detect_stall)
-        if streaming:
-            run.stream = self.client.stream(target.address, attempt)
         run.task = await curio.spawn(self._receive_first, run, daemon=True)
         return run
 
+    def _needs_new_connection(self, target: TargetRow) -> bool:
+        """Return whether open connections to a target may be stalled."""
+        if self.clock.now_ms() < self.fresh_until_ms_by_name.get(target.name, 0):
+            return True
+        paths = self.router.paths
+        return paths is not None and paths.needs_new_connection(target)
+
     def _priority(self, work: Work) -> int:
         """Return the priority at the target, which follows the order of admission."""
         if not self.options.admission:
@@ -164,11 +181,14 @@
         return 20 * within_share + 10 * (not work.may_wait) + work.priority
 
     async def _receive_first(self, run: AttemptRun) -> None:
+        address = run.target.address
         try:
-            if run.stream is not None:
+            attempt = self._attempt_now(run)
+            if run.streaming:
+                run.stream = self.client.stream(address, attempt)
                 value = await anext(run.stream)
             else:
-                value = await self.client.call(run.target.address, run.attempt)
+                value = await self.client.call(address, attempt)
         except StopAsyncIteration:
             value = TargetFailed("the stream ended without its end marker")
         except TargetFailed as error:
@@ -179,6 +199,17 @@
             value = TargetFailed(f"the attempt ended with an internal error: {error!r}")
         await run.results.put((run, value))
 
+    def _attempt_now(self, run: AttemptRun) -> Attempt:
+        """Return the attempt with the time that is left as it begins.
+
+        Raises:
+            SendForbidden: If none is left, as this process stood still.
+        """
+        left_ms = run.work.deadline_at_ms - self.clock.now_ms()
+        if left_ms <= 0:
+            raise SendForbidden("the deadline passed before the attempt began")
+        return attrs.evolve(run.attempt, remaining_ms=left_ms)
+
     async def first_item(self, run: AttemptRun) -> tuple[AttemptRun, Any]:
         """Return the first item or answer of the attempt or of its hedge."""
         runs = [run]
@@ -191,6 +222,10 @@
                 if not isinstance(value, TargetFailed):
                     runs.remove(winner)
                     winner.first_ms = self.clock.now_ms() - winner.started_ms
+                    if self.router.paths is not None:
+                        self.router.paths.record_answer(
+                            winner.target, winner.started_ms
+                        )
                     self.router.record_first_item(
                         winner.target, winner.first_ms, winner.work
                     )
@@ -199,7 +234,7 @@
                 runs.remove(winner)
                 if not runs:
                     raise value
-                if isinstance(value, ConnectShortage):
+                if isinstance(value, ConnectFailed):
                     runs[0].may_hedge = False
         finally:
             for other in runs:
@@ -221,10 +256,10 @@
                 hedge_at_ms = None
                 await self._start_hedge(runs)
             if stalled_at_ms is not None and now_ms >= stalled_at_ms:
-                error = await self._check_stalled(run)
+                error = await self._check_first_item(run)
                 if error is not None:
                     return run, error
-                stalled_at_ms = None
+                stalled_at_ms = self._next_check_ms(run)
             times = [end_ms, hedge_at_ms, stalled_at_ms]
             until_ms = min(time_ms for time_ms in times if time_ms is not None)
             result = await self._wait_for_result(run.results, until_ms)
@@ -259,7 +294,7 @@
         item arrives.
         """
         work = run.work
-        if run.stream is None or run.attempt.resume_offset or not work.idempotent:
+        if not run.streaming or run.attempt.resume_offset or not work.idempotent:
             return 0
         if not self.options.admission:
             return 0
@@ -285,13 +320,17 @@
         target = self.targets.choose(work, {run.target.name})
         if target is None or target.name == run.target.name:
             return
+        # It was chosen for lack of another one, and the first attempt still runs.
+        if self.router.is_paused(target):
+            return
         if self.options.budget:
             self.budget.spend(work.service)
         self.router.started(target)
         self.counts["hedge"] += 1
         self.observer.hedged(work, target)
-        streaming = run.stream is not None
-        hedge = await self.launch(work, target, 0, run.results, streaming)
+        hedge = await self.launch(
+            work, target, 0, run.results, run.streaming, run.detect_stall
+        )
         hedge.took_token = self.options.budget
         runs.append(hedge)
 
@@ -304,23 +343,50 @@
             or not run.detect_stall
         ):
             return None
-        key = (work.service, work.stage, work.size_class)
-        expected_ms = self.estimates.first_ms(*key, percent=95)
+        expected_ms = self._longest_first_ms(work)
         if expected_ms is None:
-            return None
+            # Without a probe, nothing tells a lost target from one that needs long.
+            return None if self.probe is None else run.started_ms + UNKNOWN_STALL_MS
         return run.started_ms + max(STALL_FACTOR * expected_ms, MIN_STALL_MS)
 
+    def _longest_first_ms(self, work: Work) -> int | None:
+        key = (work.service, work.stage, work.size_class)
+        return self.estimates.longest_first_ms(*key)
+
+    async def _check_first_item(self, run: AttemptRun) -> TargetFailed | None:
+        """Return why an attempt without a first item is abandoned, or None."""
+        run.checks += 1
+        error = await self._check_stalled(run)
+        is_known = self._longest_first_ms(run.work) is not None
+        if isinstance(error, ConnectionStalled) and not is_known:
+            # The target works, and may need long for this kind of work.
+            return None
+        return error
+
+    def _next_check_ms(self, run: AttemptRun) -> int | None:
+        """Return when an attempt that goes on is checked again, or None if never."""
+        if not run.detect_stall:
+            return None
+        interval_ms = UNKNOWN_STALL_MS << min(run.checks, MAX_CHECK_DOUBLINGS)
+        return self.clock.now_ms() + interval_ms
+
     async def _check_stalled(self, run: AttemptRun) -> TargetFailed | None:
         """Return why a stalled attempt is abandoned, or None to keep waiting.
 
         A probe on a new connection tells a stalled connection from a dead target.
         """
+        detail = f"{run.target.name} does not respond on a new connection"
+        paths = self.router.paths
+        if paths is not None and paths.is_lost(run.target):
+            return TargetFailed(detail, timed_out=True)
         if not self._has_retry_budget(run.work.service):
             return None
         try:
             responds = await self._probe(run.target)
         except ConnectShortage:
-            # Nothing tells the connection from the target.
+            # Nothing tells the connection from the target, and more probes would take
+            # what this process lacks.
+            run.detect_stall = False
             return None
         if responds:
             now_ms = self.clock.now_ms()
@@ -328,8 +394,7 @@
             until_ms = now_ms + FRESH_CONNECTION_MS
             self.fresh_until_ms_by_name[run.target.name] = until_ms
             return ConnectionStalled(run.target)
-        self.router.mark_unreachable(run.target)
-        detail = f"{run.target.name} does not respond on a new connection"
+        await self._mark_unreachable(run.target)
         return TargetFailed(detail, timed_out=True)
 
     def _has_retry_budget(self, service: str) -> bool:
@@ -338,10 +403,13 @@
     async def _probe(self, target: TargetRow) -> bool:
         if self.probe is None:
             return False
-        responds = await curio.ignore_after(
-            PROBE_TIMEOUT_MS / MS_PER_SECOND, self.probe, target.address
-        )
-        return bool(responds)
+        return await responds_to(self.probe, target.address)
+
+    async def _mark_unreachable(self, target: TargetRow, refused: bool = False) -> None:
+        """Avoid a target until a probe of this entry finds it again."""
+        self.router.mark_unreachable(target, refused)
+        if self.context.prober is not None:
+            await self.context.prober.start()
 
     async def next_item(self, run: AttemptRun) -> tuple[Token, ...]:
         """Return the next tokens of a started stream."""
@@ -432,15 +500,17 @@
     async def fail(self, run: AttemptRun, error: TargetFailed) -> None:
         """Record a failed attempt and cancel it at the target."""
         outcome = end_of_failure(error).outcome
-        if run.took_token and isinstance(error, ConnectShortage):
+        if run.took_token and isinstance(error, ConnectFailed):
             self.budget.refund(run.work.service)
         if outcome is RunOutcome.UNREACHABLE:
-            self.router.mark_unreachable(run.target)
+            refused = isinstance(error, ConnectFailed) and error.refused
+            await self._mark_unreachable(run.target, refused)
         if error.pauses:
             self.router.pause(run.target, error.retry_after_ms)
         # The router has no form for a rejection; blame keeps work away, too.
         blamed = outcome is not RunOutcome.OVER
-        await self._end_attempt(run, blamed, sent=not isinstance(error, ConnectFailed))
+        sent = not isinstance(error, ConnectFailed | SendForbidden)
+        await self._end_attempt(run, blamed, sent)
 
     async def abandon(self, run: AttemptRun) -> None:
         """Record an attempt that is no longer needed and cancel it at the target."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -49,9 +49,8 @@
 REVIEW_INTERVAL_MS = 50
 # Interval at which they are checked against the expected delay of their places.
 FORECAST_INTERVAL_MS = 200
-# Each urgency level counts as this much additional time to the latency objective. This
-# lets urgent jobs go first in a short queue and limits the delay of the least urgent.
-URGENCY_STEP_MS = 400
+BLOCKING_DETAIL = "steps that have begun wait for the memory of its results"
+NO_MEMORY_DETAIL = "all targets together have no memory for the results of the step"
 
 
 class Pool(PoolState):
@@ -117,16 +116,13 @@
             Milliseconds, or None if no target is available.
         """
         now_ms = self.clock.now_ms()
-        forecast = self._forecast(now_ms)
+        forecast = self._forecast()
         if forecast is None:
             return None
-        return forecast.wait_ms(
-            sum(len(job.waiting) for job in self._jobs_ahead(before, now_ms))
-        )
+        return forecast.queue_ms(self._jobs_ahead(before, now_ms), before)
 
-    def _forecast(self, now_ms: int) -> QueueForecast | None:
-        states = [self.target_states_by_name[row.name] for row in self.targets()]
-        return QueueForecast.compute(states, self.capacity, now_ms)
+    def _forecast(self) -> QueueForecast | None:
+        return QueueForecast.compute(self, self.capacity)
 
     def _jobs_ahead(self, before: Job | None, now_ms: int) -> Iterator[Job]:
         """Yield the jobs ahead of ``before``, with announced ones that are expected."""
@@ -135,9 +131,9 @@
             yield from expected
             return
         capacity = self.capacity
-        rank = self._rank(before, now_ms, capacity)
+        rank = before.rank(now_ms, capacity)
         for job in expected:
-            if job is not before and self._rank(job, now_ms, capacity) < rank:
+            if job is not before and job.rank(now_ms, capacity) < rank:
                 yield job
 
     def processing_ms(self, pieces: int) -> float:
@@ -155,7 +151,7 @@
     def add(self, message: RunPieces) -> tuple[Job, bool]:
         """Return the job for ``message``, and whether it is new or became ready.
 
-        A new or ready job is refused if it cannot finish before it expires.
+        A new or ready job is refused if it cannot finish before it expires, or never.
         """
         now_ms = self.clock.now_ms()
         job = self.jobs_by_key.get(job_key(message))
@@ -186,30 +182,18 @@
         job.queue_ms = queue_ms = self.queue_ms(job)
         if queue_ms is None:
             self._finish(job, JobState.REFUSED, "no target of the service is available")
+        elif not self.planner.has_memory_for(job, self.targets(), self.capacity):
+            self._finish(job, JobState.REFUSED, NO_MEMORY_DETAIL)
         elif queue_ms + self.processing_ms(len(job.waiting)) > message.remaining_ms:
             detail = (
                 f"the queueing delay of {queue_ms} ms leaves too little of the "
                 f"remaining {message.remaining_ms} ms"
             )
             self._finish(job, JobState.REFUSED, detail)
+        elif job.ready:
+            self.arrived_jobs.append(job)
         return job, True
 
-    @staticmethod
-    def _rank(job: Job, now_ms: int, capacity: StageCapacity) -> tuple[bool, int, int]:
-        """Return the sort key of a job; smaller is served first.
-
-        First steps that can no longer meet their latency objective are served last. In
-        order of arrival they would make every request late once the queue is longer
-        than the time to the objective. Later steps keep their place, because their
-        inputs would expire unused, and so do steps that have begun: their results
-        occupy the memory that others wait for.
-        """
-        late = now_ms + capacity.duration_ms(len(job.waiting)) > job.objective_at_ms
-        holds_results = job.message.has_inputs or job.has_begun
-        unattainable = late and not holds_results
-        objective_at_ms = job.objective_at_ms + job.message.urgency * URGENCY_STEP_MS
-        return (unattainable, objective_at_ms, job.number)
-
     def is_doubtful(self, job: Job) -> bool:
         """Whether this process stood still since the entry of a job asked for it.
 
@@ -322,22 +306,30 @@
                 self._finish(job, JobState.REFUSED, "the step cannot finish in time")
         if now_ms >= self.next_forecast_ms:
             self.next_forecast_ms = now_ms + FORECAST_INTERVAL_MS
-            self._refuse_late_jobs(now_ms)
+            self._refuse_hopeless_jobs(now_ms)
         self.memory.expire(now_ms)
 
-    def _refuse_late_jobs(self, now_ms: int) -> None:
-        """Refuse what cannot be in time since the targets became fewer or slower."""
-        forecast = self._forecast(now_ms)
+    def _refuse_hopeless_jobs(self, now_ms: int) -> None:
+        """Refuse what cannot end in time since the targets became fewer or slower."""
+        forecast = self._forecast()
         if forecast is None:
             return
-        capacity = self.capacity
-        jobs = [
-            job
-            for job in self.open_jobs()
-            if not job.doubted_ms and job.is_expected(now_ms)
-        ]
-        jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
-        for job in list(forecast.late_jobs(jobs, self.processing_ms)):
+        capacity, rows = self.capacity, self.targets()
+        jobs = []
+        for job in self.open_jobs():
+            if job.doubted_ms or not job.is_expected(now_ms):
+                continue
+            if job.ready and not self.planner.has_memory_for(job, rows, capacity):
+                self._finish(job, JobState.REFUSED, NO_MEMORY_DETAIL)
+            else:
+                jobs.append(job)
+        jobs.sort(key=lambda job: job.rank(now_ms, capacity))
+        blocking = self.planner.find_blocking(jobs, rows, capacity)
+        if blocking is not None:
+            jobs.remove(blocking)
+            self._finish(blocking, JobState.REFUSED, BLOCKING_DETAIL)
+        arrived = self.recent_jobs()
+        for job in forecast.sort_out(jobs, arrived, self.processing_ms, capacity):
             detail = "the queue leaves the step too little time"
             self._finish(job, JobState.REFUSED, detail)
 
@@ -355,7 +347,7 @@
                     job.times.turn(self.planner.phase_without_target(job), now_ms)
         if not (jobs and free):
             return False
-        jobs.sort(key=lambda job: self._rank(job, now_ms, capacity))
+        jobs.sort(key=lambda job: job.rank(now_ms, capacity))
         plan = self.planner.plan(jobs, rows, free, capacity)
         if plan is None:
             self.planner.log_full_memory(self.service)
@@ -581,6 +573,7 @@
             return
         finally:
             self.releasing.difference_update(handles)
+        now_ms = self.clock.now_ms()
         for handle in handles:
-            self.memory.release(handle)
+            self.memory.record_release(handle, now_ms)
         await self.wake.set()
