Tests of what libraries report start their failing threads on the event loop

Cause: since the noise of stalled-log tests starts its failing threads from another thread, their reports come after those of the event loop, and events beyond a number a second are suppressed: test_reports_of_libraries_are_events_of_a_product_daemon failed for lack of the source "thread". These two tests measure no time, so that their noise is again as it was before; what they check is the same.

--- a/tests/test_stalled_log.py
+++ b/tests/test_stalled_log.py
@@ -313,6 +313,16 @@
 }
 
 
+def starting_threads(command):
+    """Return a command whose event loop itself starts the threads that fail.
+
+    Their reports would come last otherwise, and events beyond a number a second are
+    suppressed.
+    """
+    own = "threading.Thread(target=fail).start()"
+    return [part.replace("failures.put(None)", own) for part in command]
+
+
 def read_until_served(process, address, pipes):
     """Return the output and the errors of a process that serves some requests."""
     connect(address).close()
@@ -332,7 +342,7 @@
     that crashed.
     """
     command, environment, address = command_of(daemon, tmp_path)
-    with running(command, environment, pipes) as process:
+    with running(starting_threads(command), environment, pipes) as process:
         output, errors = read_until_served(process, address, pipes)
     assert errors == ""
     lines = [json.loads(line) for line in output.split("\n")[:-1]]
@@ -347,7 +357,7 @@
 def test_reports_of_libraries_are_events_of_a_product_daemon(daemon, tmp_path, pipes):
     """Guards against lines without an event number, and against lost warnings."""
     command, environment, address = command_of(daemon, tmp_path)
-    with running(command, environment, pipes) as process:
+    with running(starting_threads(command), environment, pipes) as process:
         output, errors = read_until_served(process, address, pipes)
     assert output == ""
     lines = errors.split("\n")[:-1]
