Say why a member belongs to no cluster, and what operators can do

Cause: a member without a log sends join requests for ever and drops what it learns from the answers. Seeds that were all restarted without the permission to found a cluster logged only events 602 and 603, which name neither the missing cluster nor a remedy.

Ruled out: reporting from the daemon. It sees neither the answers nor the failures of join requests, and each kind of control member would need its own copy. A new request between members: the reply to a join request already has identity and cluster, so one more field (whether the member may found) suffices.

Now each waiting member writes one line 5 to 6 s after its start and one a minute later.

Conclusion: event 510 has the members that may found, each answer, and a remedy. A member with a log writes nothing.

--- /dev/null
+++ b/tests/test_cluster_wait.py
@@ -0,0 +1,139 @@
+"""Tests of what members say while they belong to no cluster, in virtual time."""
+
+import pytest
+
+from tests.fake_cluster import Cluster
+from tests.test_membership_change import OpenNode, join
+from wagtailrun.logs import events
+from wagtailrun.virtual_time import run_virtual
+
+AWAITED = 510
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Fields of the events that say that a member belongs to no cluster."""
+    found = []
+
+    def log(event, **fields):
+        if event.number == AWAITED:
+            found.append(fields)
+
+    monkeypatch.setattr(events, "log", log)
+    return found
+
+
+def new_cluster(clock, founding=(True, True, True)):
+    """Return three members that are not started; ``founding`` are their permissions."""
+    cluster = Cluster(clock, 1)
+    cluster.nodes = [OpenNode(cluster, number, 1.0) for number in range(3)]
+    for node, permission in zip(cluster.nodes, founding, strict=True):
+        node.founding = permission
+    return cluster
+
+
+def test_members_that_may_not_found_say_so(logged):
+    """Guards against a new system that waits for ever and does not say for what."""
+
+    async def main(clock):
+        await new_cluster(clock, (False, False, False)).start()
+        await clock.sleep_ms(4_900)
+        early = list(logged)
+        await clock.sleep_ms(65_000)
+        return early
+
+    assert run_virtual(main) == []
+    for name in ("m0", "m1", "m2"):
+        lines = [fields for fields in logged if fields["member"] == name]
+        first_ms, second_ms = (fields["waited_ms"] for fields in lines)
+        assert 5_000 <= first_ms <= 6_000
+        assert 60_000 <= second_ms - first_ms <= 61_000
+        assert [fields["may_found"] for fields in lines] == [[], []]
+        assert len(lines[0]["answers"]) == 2
+        for answer in lines[0]["answers"]:
+            assert "belongs to no cluster and may not found one" in answer
+        assert "restart its seeds with the permission" in lines[0]["remedy"]
+
+
+def test_members_name_the_seed_that_does_not_answer(logged):
+    """Guards against a founding that fails for one VM that operators have to guess."""
+
+    async def main(clock):
+        cluster = new_cluster(clock)
+        for node in cluster.nodes[:2]:
+            await node.start()
+        await clock.sleep_ms(8_000)
+        return cluster.nodes[2].address
+
+    absent = run_virtual(main)
+    assert sorted(fields["member"] for fields in logged) == ["m0", "m1"]
+    for fields in logged:
+        assert fields["may_found"] == ["m0", "m1"]
+        assert any(f"{absent}: no answer" in answer for answer in fields["answers"])
+        assert f"start the control members at {absent}" in fields["remedy"]
+        assert "permission" not in fields["remedy"]
+
+
+def test_members_of_a_cluster_say_nothing(logged):
+    """Guards against an alarm at members that founded a cluster, or joined one."""
+
+    async def main(clock):
+        cluster = new_cluster(clock)
+        await cluster.start()
+        await cluster.propose_many(2)
+        node = await join(cluster)
+        await clock.sleep_ms(130_000)
+        assert node.member.journal.last_index > 0
+        return cluster.violations
+
+    assert run_virtual(main) == []
+    assert logged == []
+
+
+def test_emptied_majority_is_not_told_to_found_a_cluster(logged):
+    """Guards against a remedy that would lose the data of the member that has it."""
+
+    async def main(clock):
+        cluster = new_cluster(clock)
+        await cluster.start()
+        await cluster.propose_many(2)
+        for node in cluster.nodes[:2]:
+            await node.kill()
+            node.disk.empty()
+            await node.start()
+        await clock.sleep_ms(8_000)
+        return cluster.nodes[2].member.journal.member_record.cluster
+
+    name = run_virtual(main)
+    assert sorted(fields["member"] for fields in logged) == ["m0", "m1"]
+    for fields in logged:
+        assert any(f"m2 belongs to cluster {name}" in a for a in fields["answers"])
+        assert f"the leader of cluster {name} has to admit" in fields["remedy"]
+        assert "permission" not in fields["remedy"]
+
+
+def test_seeds_of_two_systems_are_named(logged):
+    """Guards against a member that waits for two clusters, of which one is foreign."""
+
+    async def main(clock):
+        cluster = new_cluster(clock)
+        for number, node in enumerate(cluster.nodes[:2]):
+            cluster.network.cut(node.address, cluster.nodes[1 - number].address)
+            await node.start()
+            node.member.state.bootstrap = {node.name: node.address}
+        await clock.sleep_ms(3_000)
+        clusters = {n.member.journal.member_record.cluster for n in cluster.nodes[:2]}
+        new = cluster.nodes[2]
+        new.founding = False
+        await new.start()
+        new.member.state.open_joining = False
+        for node in cluster.nodes[:2]:
+            node.member.state.open_joining = False
+        await clock.sleep_ms(8_000)
+        return clusters
+
+    clusters = run_virtual(main)
+    assert len(clusters) == 2 and "" not in clusters
+    (fields,) = logged
+    assert fields["member"] == "m2"
+    assert f"different clusters, {sorted(clusters)}" in fields["remedy"]
--- a/wagtailrun/consensus/membership_change.py
+++ b/wagtailrun/consensus/membership_change.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from wagtailrun.consensus.cluster_wait import ClusterWait
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     CODEC,
@@ -47,6 +48,7 @@
     def __init__(self, state: MemberState, replication: Replication):
         self.state = state
         self.replication = replication
+        self.cluster_wait = ClusterWait(state)
         self.joining_by_name: dict[str, Join] = {}
         self.learner_since_ms: dict[str, int] = {}
         self.leading_since_ms = 0
@@ -97,13 +99,16 @@
                 reply = await state.link.call(
                     address, request, state.timing.call_timeout_ms
                 )
-            except PeerUnreachable:
+            except PeerUnreachable as error:
+                self.cluster_wait.note(address, error)
                 continue
+            self.cluster_wait.note(address, reply)
             if isinstance(reply, JoinReply):
                 replies_by_address[address] = reply
                 self.discovered_addresses.update(map(Address.parse, reply.peers))
         if self._may_bootstrap(replies_by_address):
             await self._bootstrap_cluster(replies_by_address)
+        self.cluster_wait.end_round()
 
     def _may_bootstrap(self, replies_by_address: dict[Address, JoinReply]) -> bool:
         """Whether this member may bootstrap the cluster.
@@ -176,7 +181,9 @@
         if self.replication.is_leader and (state.open_joining or name in known):
             self.joining_by_name[name] = request
         peers = tuple(info.address for info in members)
-        return JoinReply(state.identity, state.journal.member_record.cluster, peers)
+        cluster = state.journal.member_record.cluster
+        founds = self.cluster_wait.may_found
+        return JoinReply(state.identity, cluster, peers, founds)
 
     # Changes by the leader
 
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -284,11 +284,14 @@
         identity: Identity of the replying member.
         cluster: Identifier of its cluster, empty if it belongs to none yet.
         peers: Peer addresses of the members in its newest member set.
+        founds: Whether the replying member was started with the permission to found a
+            cluster.
     """
 
     identity: str
     cluster: str
     peers: tuple[str, ...] = ()
+    founds: bool = False
 
 
 @attrs.frozen
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -185,6 +185,13 @@
     "The disk has space again, and its files are opened again.",
     limited=False,
 )
+CLUSTER_AWAITED = _event(
+    510,
+    logging.WARNING,
+    "This member belongs to no cluster: none is founded, or none has admitted it.",
+    "Do what remedy says; may_found names the members that may found a cluster, and "
+    "answers what each other member answered.",
+)
 
 
 # An entry in the users' installations receives about 10 requests a second; the limit
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -88,7 +88,12 @@
 
 struct PieceReply { sender @0 :Text; term @1 :UInt64; nextOffset @2 :UInt64; }
 struct Join { identity @0 :Text; address @1 :Text; }
-struct JoinReply { identity @0 :Text; cluster @1 :Text; peers @2 :List(Text); }
+struct JoinReply {
+  identity @0 :Text;
+  cluster @1 :Text;
+  peers @2 :List(Text);
+  founds @3 :Bool;
+}
 struct ReadIndex { sender @0 :Text; }
 struct ReadIndexReply { valid @0 :Bool; index @1 :UInt64; }
 struct Handover { cluster @0 :Text; recipient @1 :Text; term @2 :UInt64; }
