Name the missing cluster in refusals of members without one

Cause: a member without a log answered commands with "not the leader" and reads with "no leader confirmed the read within 400 ms", as one in an election does. Events 602 and 603 have these texts, so they never named the cause.

Ruled out: the whole remedy in each refusal. It has several sentences and addresses, and entries pass the text on to callers; the refusal names event 510, which has it.

Before / after: test_refusals_without_a_cluster_name_the_event failed before, with NotLeader(leader='') for a change; now the reply is Unavailable with "m0 belongs to no cluster; event 510 in its log says why", and the read ends with the same words. A follower whose leader is lost still answers NotLeader, and its read has the former text.

Conclusion: lines 602 and 603 of a system that was never founded lead to event 510.

--- a/tests/test_cluster_wait.py
+++ b/tests/test_cluster_wait.py
@@ -4,7 +4,11 @@
 
 from tests.fake_cluster import Cluster
 from tests.test_membership_change import OpenNode, join
+from wagtailrun.control.service import ControlService
+from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.logs import events
+from wagtailrun.registry.messages import NotLeader, PutText, Unavailable
+from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
 
 AWAITED = 510
@@ -137,3 +141,41 @@
     (fields,) = logged
     assert fields["member"] == "m2"
     assert f"different clusters, {sorted(clusters)}" in fields["remedy"]
+
+
+def test_refusals_without_a_cluster_name_the_event(logged):
+    """Guards against refusals that only say that a member does not lead.
+
+    Events 602 and 603 have the texts of these refusals.
+    """
+
+    async def refusals(clock, node):
+        service = ControlService(clock, node.name, Registry(), node.member)
+        reply = await service.handle(PutText(1, "operator", "here", "", 0))
+        with pytest.raises(ConsensusUnavailable) as caught:
+            await node.member.read_barrier(400)
+        return reply, str(caught.value)
+
+    async def main(clock):
+        waiting = new_cluster(clock, (False, False, False))
+        await waiting.start()
+        await clock.sleep_ms(1_000)
+        founded = new_cluster(clock)
+        await founded.start()
+        leader = await founded.wait_leader()
+        await founded.propose_many(1)
+        (follower, silent) = (node for node in founded.nodes if node is not leader)
+        await leader.kill()
+        await silent.kill()
+        return (
+            await refusals(clock, waiting.nodes[0]),
+            await refusals(clock, follower),
+        )
+
+    (reply, read), (follower_reply, follower_read) = run_virtual(main)
+    assert isinstance(reply, Unavailable)
+    assert reply.detail == "m0 belongs to no cluster; event 510 in its log says why"
+    assert not reply.may_have_committed
+    assert read.startswith("no leader confirmed the read within 400 ms; m0 belongs to")
+    assert isinstance(follower_reply, NotLeader)
+    assert follower_read == "no leader confirmed the read within 400 ms"
--- a/wagtailrun/consensus/cluster_wait.py
+++ b/wagtailrun/consensus/cluster_wait.py
@@ -44,7 +44,7 @@
         """What the member waits for, for operators; empty if it has a log."""
         if not self.is_waiting:
             return ""
-        return f"this member belongs to no cluster: {self._remedy()}"
+        return f"{self.state.name} belongs to no cluster: {self._remedy()}"
 
     def note(self, address: Address, answer: Any) -> None:
         """Record the reply or failure of a join request to ``address``."""
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -142,6 +142,11 @@
         """Peer address of the leader, None if the member knows none or has stopped."""
         return self.member.leader_address if self.is_running else None
 
+    @property
+    def cluster_detail(self) -> str:
+        """Why the member belongs to no cluster; empty if it does, or has stopped."""
+        return self.member.cluster_detail if self.is_running else ""
+
     async def propose(self, command: bytes, timeout_ms: int) -> Any:
         """Commit ``command`` and return the result of applying it."""
         return await self.member.propose(command, timeout_ms)
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -38,7 +38,7 @@
 )
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.ports.log import ReplicatedLog, StateMachine
+from wagtailrun.ports.log import NO_CLUSTER, ReplicatedLog, StateMachine
 
 __all__ = ["Member"]
 
@@ -333,6 +333,11 @@
             return self.state.address if self.is_leader else None
         return self.state.known_leader_address
 
+    @property
+    def cluster_detail(self) -> str:
+        """Why this member belongs to no cluster; empty if it does, or has stopped."""
+        return "" if self.fault is not None else self.membership.cluster_wait.detail
+
     # State of the member
 
     @property
@@ -470,4 +475,6 @@
     def _unavailable(
         self, detail: str, may_have_committed: bool = False
     ) -> ConsensusUnavailable:
+        if self.membership.cluster_wait.is_waiting:
+            detail = f"{detail}; {self.name} {NO_CLUSTER}"
         return ConsensusUnavailable(detail, may_have_committed=may_have_committed)
--- a/wagtailrun/control/service.py
+++ b/wagtailrun/control/service.py
@@ -12,7 +12,7 @@
 from wagtailrun.exceptions import ConsensusUnavailable, FleetTextError, MessageError
 from wagtailrun.fleet.model import parse_fleet_text
 from wagtailrun.messages import Ping, Pong
-from wagtailrun.ports.log import ReplicatedLog
+from wagtailrun.ports.log import NO_CLUSTER, ReplicatedLog
 from wagtailrun.registry.messages import (
     ApplyText,
     CloseEngineOrder,
@@ -170,7 +170,10 @@
                 return self.registry.list_orders(message.workspace, limit)
         return self.registry.audit.export(message.first, message.limit)
 
-    def _not_leader(self) -> NotLeader:
+    def _not_leader(self) -> NotLeader | Unavailable:
+        if self.log.cluster_detail:
+            detail = f"{self.name} {NO_CLUSTER}"
+            return _unavailable(ConsensusUnavailable(detail, may_have_committed=False))
         return NotLeader(str(self.log.leader_address or ""))
 
 
--- a/wagtailrun/ports/log.py
+++ b/wagtailrun/ports/log.py
@@ -5,7 +5,10 @@
 
 from wagtailrun.ports.link import Address
 
-__all__ = ["ReplicatedLog", "StateMachine"]
+__all__ = ["NO_CLUSTER", "ReplicatedLog", "StateMachine"]
+
+# Said of a member, in place of the reason, which has several lines.
+NO_CLUSTER = "belongs to no cluster; event 510 in its log says why"
 
 
 class StateMachine(ABC):
@@ -59,3 +62,8 @@
     @abstractmethod
     def leader_address(self) -> Address | None:
         """Peer address of the leader, None if this member knows none."""
+
+    @property
+    def cluster_detail(self) -> str:
+        """Why this member belongs to no cluster, for operators; empty if it does."""
+        return ""
