Show in readiness and status that a control member has no cluster

Cause: /readyz and the status rows of a control member show only whether its consensus member runs, which it also does while it waits for a cluster; relay control exports no gauge of it.

Ruled out: 503 at /readyz. A platform that starts the control members one after the other, each once the one before is ready, would never start the last one, and a cluster is founded only once all seeds have answered.

Before / after: test_readiness_and_status_say_why_a_member_waits failed before, as the row had no `waits_for` and the body of /readyz was {"status": "alive"}; now both have the reason and the remedy, and the answer stays 200. A member that has founded its cluster answers as before, with an empty `waits_for`.

Conclusion: `wagtailrun status`, /readyz and the gauge wagtailrun_in_cluster of relay control show a member without a cluster.

--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -73,7 +73,12 @@
         )
         self.period_closer = PeriodCloser(self.service, self.accounts)
         self.fleet_watch = FleetWatch(
-            self.clock, link, self.registry, settings.name, settings.entry_peers
+            self.clock,
+            link,
+            self.registry,
+            settings.name,
+            settings.entry_peers,
+            lambda: self.member_host.cluster_detail,
         )
         self.engine_controller = EngineController(
             self.service, self.fleet_watch.target_rows, HttpEngineClient(HttpClient())
@@ -161,6 +166,11 @@
         if request.path == "/readyz" and not host.is_running:
             value = {"status": host.status, "detail": str(host.member.fault)}
             return json_response(503, value)
+        if request.path == "/readyz" and host.cluster_detail:
+            # A platform that starts the members one after the other, each once the one
+            # before is ready, must get to the last: a cluster is founded by all seeds.
+            value = {"status": "no cluster", "detail": host.cluster_detail}
+            return json_response(200, value)
         return await self.operator_api.handle(request)
 
     async def _update_gauges(self) -> None:
--- a/wagtailrun/control/fleet_watch.py
+++ b/wagtailrun/control/fleet_watch.py
@@ -1,5 +1,6 @@
 """Polls the entries for the state of entries and targets, at a control member."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -45,6 +46,7 @@
         registry: Local replica of the replicated state.
         name: Name of this control member.
         seeds: Peer addresses of entries of every data centre.
+        cluster_detail: Returns why this member belongs to no cluster, empty if it does.
     """
 
     def __init__(
@@ -54,11 +56,12 @@
         registry: Registry,
         name: str,
         seeds: tuple[Address, ...],
+        cluster_detail: Callable[[], str] = lambda: "",
     ):
         self.clock = clock
         self.link = link
         self.registry = registry
-        self.local = LocalView(registry, name)
+        self.local = LocalView(registry, name, cluster_detail)
         self.seeds = seeds
         self.entries_by_name: dict[str, _ReportedRow] = {}
         self.targets_by_name: dict[str, _ReportedRow] = {}
--- a/wagtailrun/control/operator_views.py
+++ b/wagtailrun/control/operator_views.py
@@ -1,6 +1,7 @@
 """Rows that the operator API shows: processes, targets, orders, audit records."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -28,11 +29,18 @@
     Args:
         registry: Local replica of the replicated state.
         name: Name of the member.
+        cluster_detail: Returns why the member belongs to no cluster, empty if it does.
     """
 
-    def __init__(self, registry: Registry, name: str = ""):
+    def __init__(
+        self,
+        registry: Registry,
+        name: str = "",
+        cluster_detail: Callable[[], str] = lambda: "",
+    ):
         self.registry = registry
         self.name = name
+        self.cluster_detail = cluster_detail
 
     async def status(self) -> list[dict[str, Any]]:
         """Return the row of this member."""
@@ -42,6 +50,7 @@
             "role": "control",
             "revision": self.registry.revision,
             "open_orders": sum(not order.verdict for order in orders),
+            "waits_for": self.cluster_detail(),
         }
         return [row]
 
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -249,6 +249,11 @@
             "Whether this member waits for space on its disk.",
             lambda: self.member_host.is_disk_full,
         )
+        gauge(
+            "in_cluster",
+            "Whether this member belongs to a cluster.",
+            lambda: not self.member_host.cluster_detail,
+        )
         gauge("term", "Term of the replicated log.", lambda: self.member.term)
         gauge("commit_index", "Committed entries.", lambda: self.member.commit_index)
         gauge("revision", "Revision in force.", lambda: self.registry.revision)
