Forward changes to the seeds that were reloaded

Cause: RelayControl.member_addresses read the seeds of the start. A member without a log knows the others only by its seeds, so after a reload it went on forwarding changes and evacuation orders to the former ones, while join requests already went to the new ones.

Ruled out: the addresses of the consensus member (`Member.peers`). A member that has just been started again by its host takes them from the same reloaded settings, so there is one source.

Before / after: test_changes_go_to_the_seeds_that_were_reloaded failed before with [10.0.0.2:8000] for [10.0.0.3:8000].

Conclusion: join requests and forwarded changes use the same seeds.

--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -301,8 +301,9 @@
     def member_addresses(self) -> list[Address]:
         """Return the peer addresses of the other control members."""
         known = [info.peer_address for info in self.member.configuration.members]
+        seeds = self.live_settings.current.seeds
         own = self.settings.peer_address
-        return [address for address in known or self.settings.seeds if address != own]
+        return [address for address in known or seeds if address != own]
 
     async def run(self) -> None:
         """Serve until a signal stops the process.
