Leave out the operator's command that founds a cluster

Cause: the command counts seeds by the cluster that they recorded, while the seeds now found a cluster by promises and acceptances of ballots. Neither asks the other, so both beside each other can make two logs; it also asks the seeds and configured peers only, though members that are no seeds may hold the log.

Ruled out: landing both with the durable record of each checked by the other. The command is to come back as a ballot of the same decision that all seeds promise.

Conclusion: one way to found a cluster; a system whose seeds lost the permission needs emptied seeds and a new first start.

--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -7,7 +7,6 @@
 import sys
 from itertools import chain
 from pathlib import Path
-from typing import Literal
 from urllib.parse import urlencode
 
 import attrs
@@ -15,7 +14,7 @@
 import defopt
 from absl import flags, logging
 
-from wagtailrun.cli.client import Answer, OperatorClient, make_client
+from wagtailrun.cli.client import Answer, OperatorClient
 from wagtailrun.cli.daemon_command import make_daemon_command
 from wagtailrun.cli.exit_codes import (
     EXIT_INTERRUPTED,
@@ -35,8 +34,10 @@
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
 from wagtailrun.settings import (
+    ClientSettings,
     ControlSettings,
     EntrySettings,
+    load_settings,
 )
 
 __all__ = ["main"]
@@ -90,7 +91,7 @@
         json: Print JSON.
     """
     new = parse_fleet_text(_read_file(file))
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     answer = curio.run(client.read, "/v1/text")
     if not answer.accepted:
         return _report_refusal(answer)
@@ -130,7 +131,7 @@
     """
     text = _read_file(file)
     parse_fleet_text(text)
-    client = make_client(control, operator_credential_file, operator)
+    client = _make_client(control, operator_credential_file, operator)
     answer = curio.run(_send_change, client, text, base, change_id)
     if not answer.accepted:
         return _report_refusal(answer)
@@ -192,7 +193,7 @@
         operator_credential_file: File of the operator credential.
         json: Print JSON.
     """
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     answers = curio.run(client.read_each, "/v1/status")
     rows, complete = [], True
     for address, answer in zip(client.settings.control, answers, strict=True):
@@ -209,52 +210,6 @@
     return EXIT_SUCCESS if complete else EXIT_REFUSED
 
 
-def found(
-    member: str,
-    *,
-    unreached_seeds: Literal["refuse", "lose-their-log"] = "refuse",
-    operator: str | None = None,
-    operator_credential_file: str | None = None,
-    json: bool = False,
-) -> int:
-    """Found a cluster at a control member of a system that never had one.
-
-    Refused if a seed that is reached has a log or takes part in another founding, or
-    if a seed is not reached. Repeat it at the same member if it was interrupted.
-
-    Example: wagtailrun found 10.0.0.1:7000
-
-    Args:
-        member: IP:PORT of the operator interface of the member, one of the seeds.
-        unreached_seeds: What happens if some seeds are not reached: "refuse", or found
-            a cluster of the others, a majority of the seeds. If a seed that is left out
-            has a log, all that was acknowledged with it is lost.
-        operator: Name of the operator in the audit trail.
-        operator_credential_file: File of the operator credential.
-        json: Print JSON.
-    """
-    client = make_client(member, operator_credential_file, operator)
-    body = {
-        "operator": client.settings.operator,
-        "accepts_unreached": unreached_seeds == "lose-their-log",
-    }
-    answer = curio.run(client.change, "/v1/founding", body)
-    if not answer.accepted:
-        return _report_refusal(answer)
-    if json:
-        print_json(answer.value)
-    else:
-        cluster, detail = answer.field("cluster", str), answer.field("detail", str)
-        print(f"founded cluster {printable(cluster)}; {printable(detail)}")
-    if not answer.field("audited", bool):
-        print(
-            "wagtailrun: the audit trail has no record of it yet; repeat the command",
-            file=sys.stderr,
-        )
-        return EXIT_REFUSED
-    return EXIT_SUCCESS
-
-
 def targets(
     *,
     service: str = "",
@@ -272,7 +227,7 @@
         operator_credential_file: File of the operator credential.
         json: Print JSON.
     """
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     return _print_resource(client, "/v1/targets", {"service": service}, json)
 
 
@@ -295,7 +250,7 @@
         operator_credential_file: File of the operator credential.
         json: Print JSON.
     """
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     query = {"workspace": workspace, "verdict": verdict}
     return _print_resource(client, "/v1/orders", query, json)
 
@@ -325,7 +280,7 @@
         json: Print JSON.
         csv: Print comma-separated values.
     """
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     query = {
         "period": period,
         "workspace": workspace,
@@ -365,7 +320,7 @@
         json: Print JSON.
         csv: Print comma-separated values.
     """
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     query = {
         "period": period,
         "by": by,
@@ -397,7 +352,7 @@
     """
     if verify:
         return _verify_audit(verify)
-    client = make_client(control, operator_credential_file)
+    client = _make_client(control, operator_credential_file)
     return _print_resource(client, "/v1/audit", {}, json)
 
 
@@ -506,7 +461,6 @@
     refusals,
     costs,
     audit,
-    found,
     replay,
     report,
     explain,
@@ -533,6 +487,17 @@
         raise FleetTextError([f"cannot read {file}: {error}"]) from error
 
 
+def _make_client(
+    control: str | None, credential_file: str | None, operator: str | None = None
+) -> OperatorClient:
+    flags = {
+        "control": control,
+        "operator_credential_file": credential_file,
+        "operator": operator,
+    }
+    return OperatorClient(load_settings(ClientSettings, flags).settings)
+
+
 def _print_resource(
     client: OperatorClient,
     path: str,
--- a/wagtailrun/consensus/__init__.py
+++ b/wagtailrun/consensus/__init__.py
@@ -5,7 +5,6 @@
     "journal",
     "local_log",
     "member",
-    "operator_founding",
     "state",
     "timing",
 ]
--- a/wagtailrun/consensus/cluster_wait.py
+++ b/wagtailrun/consensus/cluster_wait.py
@@ -90,8 +90,8 @@
         if not isinstance(answer, JoinReply):
             return f"no control member ({answer})"
         name = name_of(answer.identity)
-        if _is_being_founded(answer):
-            return f"{name} takes part in the founding of cluster {answer.cluster}"
+        if _has_unfinished_founding(answer):
+            return f"{name} has begun to found cluster {answer.cluster}"
         if answer.cluster:
             return f"{name} belongs to cluster {answer.cluster}"
         permission = "may found one" if answer.founds else "may not found one"
@@ -102,7 +102,7 @@
         clusters = {
             reply.cluster
             for reply in replies
-            if reply.cluster and not _is_being_founded(reply)
+            if reply.cluster and not _has_unfinished_founding(reply)
         }
         if len(clusters) > 1:
             return (
@@ -127,20 +127,11 @@
                 "paths to them: all seeds have to answer before a cluster is founded"
             )
         names = self._names_with_permission()
-        clusters = {reply.cluster for reply in self._replies()}
-        clusters.add(self.state.journal.member_record.cluster)
-        founders = {name_of(cluster) for cluster in clusters} - {""}
-        if founders:
-            remedies.append(
-                "a founding has begun and not ended; repeat it with wagtailrun found "
-                f"at {', '.join(sorted(founders))}"
-            )
-        elif not names:
+        if not names:
             remedies.append(
                 "no member that answers may found a cluster; if this system never had "
                 "one, restart its seeds with the permission (setting founding of "
-                "relay control, bootstrap of wagtailrun control), or order one of "
-                "them to found a cluster with wagtailrun found"
+                "relay control, bootstrap of wagtailrun control)"
             )
         elif not silent:
             remedies.append(
@@ -154,6 +145,6 @@
     return not isinstance(answer, JoinReply)
 
 
-def _is_being_founded(reply: JoinReply) -> bool:
-    """Whether the member takes part in a cluster and has no log of it yet."""
-    return reply.cluster != "" and not reply.peers
+def _has_unfinished_founding(reply: JoinReply) -> bool:
+    """Whether the member ended after it named its cluster and before it had a log."""
+    return reply.cluster == reply.identity and not reply.peers
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -21,14 +21,12 @@
     EntryKind,
     Handover,
     Join,
-    JoinFounding,
     ReadIndex,
     ReadIndexReply,
     SnapshotHeader,
     SnapshotPiece,
     VoteRequest,
 )
-from wagtailrun.consensus.operator_founding import FoundingOutcome, OperatorFounding
 from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role, Signal
 from wagtailrun.consensus.timing import Timing
@@ -115,7 +113,6 @@
         self.follower = Follower(self.state)
         self.replication = Replication(self.state)
         self.membership = MembershipChange(self.state, self.replication)
-        self.operator_founding = OperatorFounding(self.state, self.membership)
         self.election = Election(self.state, self.replication, self.membership)
         self.handover = LeaderHandover(self.state, self.replication, self.election)
         self.journal.on_durable = self.replication.advance_commit
@@ -318,8 +315,6 @@
                 return await self.handover.handle(message)
             case Join():
                 return self.membership.handle_join(message)
-            case JoinFounding():
-                return await self.operator_founding.handle(message)
             case ReadIndex():
                 return self._handle_read_index()
         raise MessageError(
@@ -343,12 +338,6 @@
         """Why this member belongs to no cluster; empty if it does, or has stopped."""
         return "" if self.fault is not None else self.membership.cluster_wait.detail
 
-    async def found_cluster(self, accepts_unreached: bool) -> FoundingOutcome:
-        """Found a cluster by order of an operator; see ``OperatorFounding.found``."""
-        if not self.is_open or self.is_closed or self.fault is not None:
-            return FoundingOutcome("", "the member has not started or has stopped")
-        return await self.operator_founding.found(accepts_unreached)
-
     # State of the member
 
     @property
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -20,8 +20,6 @@
     "EntryKind",
     "Handover",
     "Join",
-    "JoinFounding",
-    "JoinFoundingReply",
     "JoinReply",
     "MemberInfo",
     "MemberRecord",
@@ -296,34 +294,6 @@
     founds: bool = False
 
 
-@attrs.frozen
-class JoinFounding:
-    """Request to take part in the founding of a cluster that an operator ordered.
-
-    Attributes:
-        cluster: Identifier of the cluster, which is the identity of its founder.
-        seeds: Peer addresses of all seeds by the founder's settings, sorted.
-    """
-
-    cluster: str
-    seeds: tuple[str, ...]
-
-
-@attrs.frozen
-class JoinFoundingReply:
-    """Reply to ``JoinFounding``.
-
-    Attributes:
-        identity: Identity of the replying member.
-        accepted: Whether it has recorded on its disk that it takes part.
-        detail: Why it has not, empty otherwise.
-    """
-
-    identity: str
-    accepted: bool
-    detail: str
-
-
 @attrs.frozen
 class Handover:
     """Request of a leader that a fault has stopped: start an election at once.
@@ -371,8 +341,6 @@
         EntryBatch,
         Handover,
         Join,
-        JoinFounding,
-        JoinFoundingReply,
         JoinReply,
         MemberRecord,
         PieceReply,
--- a/wagtailrun/control/__init__.py
+++ b/wagtailrun/control/__init__.py
@@ -2,7 +2,6 @@
 
 __all__ = [
     "daemon",
-    "founding_calls",
     "service",
     "text_watch",
 ]
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -17,7 +17,6 @@
 from wagtailrun.consensus.member import Member
 from wagtailrun.control.engine_control import EngineController
 from wagtailrun.control.fleet_watch import FleetWatch
-from wagtailrun.control.founding_calls import FoundingCalls
 from wagtailrun.control.member_stop import FORCED_END_MS, ControlStop
 from wagtailrun.control.operator_api import (
     MAX_TEXT_BYTES,
@@ -101,19 +100,14 @@
             self.clock, settings.name, self.signals, self.planned_stop.run
         )
         members = [settings.peer_address, *settings.control_peers]
-        leader_client = ControlClient(self.clock, link, members)
-        founding_calls = FoundingCalls(
-            self.member_host, self.registry, leader_client.call_leader, settings.name
-        )
         self.operator_api = OperatorApi(
             self.registry,
-            leader_client,
+            ControlClient(self.clock, link, members),
             settings.operator_credential,
             self.accounts,
             self.fleet_watch,
             self.metrics,
             self.member_host.catch_up,
-            founding_calls.handle,
         )
 
     def _make_member(self, disk: Disk) -> Member:
--- a/wagtailrun/control/operator_api.py
+++ b/wagtailrun/control/operator_api.py
@@ -21,13 +21,11 @@
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.http_messages import problem_details
 from wagtailrun.adapters.http_server import (
-    HttpHandler,
     Request,
     Response,
     json_response,
     refusal_response,
 )
-from wagtailrun.control.founding_calls import FOUNDING_PATH
 from wagtailrun.control.operator_views import (
     FleetView,
     LocalView,
@@ -77,7 +75,6 @@
         metrics: Metrics of this process.
         catch_up: Returns within a time in milliseconds, once the registry is no older
             than before this member started; None if it never is.
-        found_cluster: Answers orders to found a cluster; None if there are none.
     """
 
     def __init__(
@@ -89,7 +86,6 @@
         view: FleetView | None = None,
         metrics: Metrics | None = None,
         catch_up: Callable[[int], Awaitable[None]] | None = None,
-        found_cluster: HttpHandler | None = None,
     ):
         self.registry = registry
         self.control = control
@@ -98,7 +94,6 @@
         self.view = view or LocalView(registry)
         self.metrics = metrics
         self.catch_up = catch_up
-        self.found_cluster = found_cluster
         self.get_handlers_by_path = {
             "/v1/text": self._text,
             "/v1/orders": self._orders,
@@ -143,8 +138,6 @@
             return await handler(_parse_query(request.query))
         if request.path == "/v1/text" and request.method == "POST":
             return await self._apply(request)
-        if request.path == FOUNDING_PATH and self.found_cluster is not None:
-            return await self.found_cluster(request)
         known = handler is not None
         detail = (
             "use GET, or POST at /v1/text to apply a fleet text"
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -19,8 +19,6 @@
     readIndex @12 :ReadIndex;
     readIndexReply @13 :ReadIndexReply;
     handover @14 :Handover;
-    joinFounding @15 :JoinFounding;
-    joinFoundingReply @16 :JoinFoundingReply;
   }
 }
 
@@ -96,8 +94,6 @@
   peers @2 :List(Text);
   founds @3 :Bool;
 }
-struct JoinFounding { cluster @0 :Text; seeds @1 :List(Text); }
-struct JoinFoundingReply { identity @0 :Text; accepted @1 :Bool; detail @2 :Text; }
 struct ReadIndex { sender @0 :Text; }
 struct ReadIndexReply { valid @0 :Bool; index @1 :UInt64; }
 struct Handover { cluster @0 :Text; recipient @1 :Text; term @2 :UInt64; }
