Found the cluster by a majority of the seeds at their first start

Cause: only the seed with the smallest name founded the cluster, and only once all seeds had answered. A platform gives the permission to found only at the first start of the whole system. A seed that ended at that start, before its first write, came back without the permission; the others waited for it, and when it had the smallest name nobody else could found. No change was acknowledged and entries answered 503 for good. The seeds now agree on the first member set by single-decree Paxos. A permission to found by a majority is written with the identity on the empty disk, so that it is kept over restarts and is lost with the disk. A member that removed its damaged files loses it as well. Seeds that did not promise are not in the first member set and join like members that lost their disk. Members without that permission (`wagtailrun control`, whose bootstrap list stays) need all seeds as before.

Ruled out: a fixed identity for each seed, with the same first entry at all of them, needs no agreement, but a seed that is started twice, or whose permission is given again on an empty disk, would then vote twice in one term. Letting the next seed by name found after a while gives two logs when the first one was paused.

Conclusion: a first start needs a majority of seeds that keep their disks, not one particular seed.

--- /dev/null
+++ b/wagtailrun/consensus/founding.py
@@ -0,0 +1,396 @@
+"""Founding of the cluster: the seeds agree on one initial member set.
+
+Single-decree Paxos among the seeds. A value is decided once enough seeds have accepted
+it in one ballot; from then on every later ballot carries the same value.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+
+import attrs
+import curio
+
+from wagtailrun.consensus.founding_acceptor import FoundingAcceptor, FoundingRequest
+from wagtailrun.consensus.founding_view import FoundingView, SeedStatement
+from wagtailrun.consensus.member_state import MemberState
+from wagtailrun.consensus.messages import (
+    CODEC,
+    Configuration,
+    Entry,
+    EntryKind,
+    FoundingAccept,
+    FoundingBallot,
+    FoundingPrepare,
+    FoundingQuery,
+    FoundingRecord,
+    FoundingReply,
+    FoundingValue,
+    MemberInfo,
+    name_of,
+)
+from wagtailrun.consensus.state import Role
+from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.logs import events
+from wagtailrun.ports.link import Address
+
+__all__ = ["Founding", "founding_record", "seed_addresses", "seeds_refusal"]
+
+ROUND_INTERVAL_MS = 250
+# Time that seeds which have not answered get, so that seeds that start together are
+# all in the initial member set and none has to join afterwards.
+ABSENT_SEED_WAIT_MS = 1_000
+# Head start of each seed over the next one by name, longer than a ballot among seeds
+# that answer, so that two seeds rarely propose at once.
+RANK_DELAY_MS = 500
+# A ballot that failed is repeated after a random time up to this, so that two proposers
+# do not outbid each other for ever.
+MAX_BACK_OFF_MS = 1_000
+# Time in which the founder asks for votes in each round. Members that have just
+# started withhold theirs at first.
+FIRST_ELECTION_MS = 3_000
+FIRST_TERM = 1
+
+
+def founding_record(
+    seeds: Sequence[tuple[str, Address]], by_majority: bool
+) -> FoundingRecord:
+    """Return the record of a member that may found the cluster with ``seeds``."""
+    texts = sorted(f"{name}={address}" for name, address in seeds)
+    return FoundingRecord(tuple(texts), by_majority)
+
+
+def seeds_refusal(
+    name: str,
+    address: Address,
+    seeds: Sequence[tuple[str, Address]],
+    may_found_alone: bool,
+) -> str:
+    """Return why a member must not found a cluster with ``seeds``, empty if it may.
+
+    Args:
+        name: Name of the member.
+        address: Peer address of the member.
+        seeds: Names and addresses of the seeds.
+        may_found_alone: Whether the member may be the only seed.
+    """
+    for position in (0, 1):
+        values = [seed[position] for seed in seeds]
+        for value in values:
+            if values.count(value) > 1:
+                return f"the seeds hold {value} more than once"
+    own_address = dict(seeds).get(name)
+    if own_address is None:
+        return ""
+    if own_address != address:
+        return f"the seeds hold {name} at {own_address}, but it is at {address}"
+    if len(seeds) == 1 and not may_found_alone:
+        return "the seeds hold this member alone, but losses are to be tolerated"
+    return ""
+
+
+def seed_addresses(record: FoundingRecord) -> dict[str, Address]:
+    """Return the addresses of the seeds in ``record`` by name."""
+    pairs = (text.rpartition("=") for text in record.seeds)
+    return {name: Address.parse(address) for name, _, address in pairs}
+
+
+class Founding:
+    """Founds the cluster with the other seeds while this member has no log.
+
+    Args:
+        state: State of the member.
+        campaign: Starts an election.
+    """
+
+    def __init__(self, state: MemberState, campaign: Callable[[], Awaitable[None]]):
+        self.state = state
+        self.campaign = campaign
+        self.acceptor = FoundingAcceptor(state)
+        # Local time since when enough seeds have answered without an obstacle.
+        self.ready_since_ms: int | None = None
+        self.back_off_until_ms = 0
+        self.newest_round = 0
+        self.refusal = state.founding_refusal
+        self.statements: tuple[SeedStatement, ...] = ()
+
+    # Permission
+
+    def new_record(self) -> FoundingRecord:
+        """Return the part of this member in founding if its disk is empty."""
+        state = self.state
+        if state.founding_refusal or state.name not in state.bootstrap:
+            return FoundingRecord()
+        return founding_record(list(state.bootstrap.items()), state.founds_by_majority)
+
+    async def open(self) -> None:
+        """Take over the seeds of the settings if the disk allows it.
+
+        A permission to found by a majority is bound to the disk that was empty when
+        it was given: a member that has lost its disk may have accepted a value.
+        """
+        state = self.state
+        record, new_record = self.acceptor.record, self.new_record()
+        if self.refusal:
+            events.log(events.FOUNDING_REFUSED, member=state.name, detail=self.refusal)
+        if record.by_majority or new_record.by_majority or self.acceptor.has_log:
+            return
+        accepted = record.accepted != FoundingBallot()
+        if new_record.seeds and new_record.seeds != record.seeds and not accepted:
+            # The promise stays, as the earlier seeds may be set again.
+            record = attrs.evolve(record, seeds=new_record.seeds)
+            async with state.lock:
+                await self.acceptor.save(record)
+
+    @property
+    def needed(self) -> int:
+        """Number of seeds that have to accept a value, 0 if this member is no seed."""
+        record = self.acceptor.record
+        size = len(record.seeds)
+        return size // 2 + 1 if record.by_majority and size else size
+
+    @property
+    def view(self) -> FoundingView:
+        """What this member knows about the founding of its cluster."""
+        return FoundingView(
+            may_found=bool(self.acceptor.record.seeds) and not self.acceptor.has_log,
+            needed=self.needed,
+            has_log=self.acceptor.has_log,
+            refusal="" if self.acceptor.has_log else self.refusal,
+            statements=self.statements,
+        )
+
+    # Rounds
+
+    async def run(self) -> None:
+        """Found the cluster once enough seeds may, unless this member has a log."""
+        while not self.acceptor.has_log:
+            replies_by_address = await self._ask_all()
+            if self._is_due(replies_by_address):
+                await self._found(replies_by_address)
+            await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
+
+    async def _ask_all(self) -> dict[Address, FoundingReply]:
+        """Ask all seeds what they know, and keep what they say for ``view``."""
+        state = self.state
+        names_by_address = dict.fromkeys(state.peers, "")
+        for name, address in seed_addresses(self.acceptor.record).items():
+            names_by_address[address] = name
+        message = FoundingQuery(state.identity)
+        replies = await self._call_all(dict.fromkeys(names_by_address, message))
+        self.statements = tuple(
+            self._statement(name, address, replies.get(address))
+            for address, name in sorted(names_by_address.items())
+            if address != state.address
+        )
+        own = replies.pop(state.address, None)
+        self._update_refusal(own)
+        return replies
+
+    def _statement(
+        self, name: str, address: Address, reply: FoundingReply | None
+    ) -> SeedStatement:
+        record = self.acceptor.record
+        if reply is None:
+            return SeedStatement(name, address, detail="no answer")
+        cluster, other_seeds, detail = reply.cluster, False, ""
+        if name and name_of(reply.sender) != name:
+            # A member of another system, whose log is not the one to join.
+            cluster, detail = "", f"answers as {name_of(reply.sender)}"
+        elif reply.cluster:
+            detail = "has a log"
+        elif not reply.record.seeds:
+            detail = "may not found"
+        elif record.seeds and reply.record.seeds != record.seeds:
+            other_seeds = True
+            detail = f"has other seeds: {', '.join(reply.record.seeds)}"
+        elif record.by_majority and not reply.record.by_majority:
+            detail = "may found only with all seeds"
+        return SeedStatement(
+            name, address, reply.sender, not detail, cluster, other_seeds, detail
+        )
+
+    def _update_refusal(self, own_reply: FoundingReply | None) -> None:
+        """Log why this member must not found the cluster, once for each reason."""
+        state = self.state
+        refusal = state.founding_refusal
+        if own_reply is not None and own_reply.sender != state.identity:
+            refusal = f"{own_reply.sender} answers at the address of this member"
+        for statement in self.statements:
+            if statement.other_seeds:
+                refusal = f"{statement.address} {statement.detail}"
+        if refusal and refusal != self.refusal:
+            events.log(events.FOUNDING_REFUSED, member=state.name, detail=refusal)
+        self.refusal = refusal
+
+    def _is_due(self, replies_by_address: dict[Address, FoundingReply]) -> bool:
+        """Whether this member is to propose an initial member set now.
+
+        A seed that has a log may be in the cluster already, so that this member joins
+        there.
+        """
+        state = self.state
+        now_ms = state.clock.now_ms()
+        record = self.acceptor.record
+        supporters = [s.name for s in self.statements if s.name and s.may_found]
+        blocked = self.refusal or any(s.cluster for s in self.statements)
+        if blocked or not record.seeds or len(supporters) + 1 < self.needed:
+            self.ready_since_ms = None
+            return False
+        if self.ready_since_ms is None:
+            self.ready_since_ms = now_ms
+        wait_ms = RANK_DELAY_MS * sum(name < state.name for name in supporters)
+        answers = sum(bool(s.name and s.identity) for s in self.statements)
+        if answers + 1 < len(record.seeds):
+            wait_ms += ABSENT_SEED_WAIT_MS
+        return now_ms >= max(self.ready_since_ms + wait_ms, self.back_off_until_ms)
+
+    # Ballots
+
+    async def _found(self, replies_by_address: dict[Address, FoundingReply]) -> None:
+        value = await self._decide(replies_by_address)
+        if value is None or value.configuration.find(self.state.identity) is None:
+            # Also after a decision without this member: the members are to propose.
+            back_off_ms = self.state.random.randint(0, MAX_BACK_OFF_MS)
+            self.back_off_until_ms = self.state.clock.now_ms() + back_off_ms
+            return
+        await self._adopt(value)
+        await self._lead_first()
+
+    async def _decide(
+        self, replies_by_address: dict[Address, FoundingReply]
+    ) -> FoundingValue | None:
+        """Run one ballot; return the decided value, None if none was decided."""
+        state = self.state
+        for reply in replies_by_address.values():
+            self._observe(reply)
+        self._observe(await self.acceptor.handle(FoundingQuery(state.identity)))
+        ballot = FoundingBallot(self.newest_round + 1, state.identity)
+        promises = await self._collect_promises(ballot)
+        if len(promises) < self.needed:
+            return None
+        value = max(promises.values(), key=lambda reply: reply.record.accepted)
+        chosen = value.record.value
+        if not chosen.cluster:
+            chosen = self._new_value(promises)
+        accepted = await self._collect_acceptances(ballot, chosen, promises)
+        return chosen if accepted >= self.needed else None
+
+    async def _collect_promises(
+        self, ballot: FoundingBallot
+    ) -> dict[Address, FoundingReply]:
+        """Return the replies of the seeds that promised ``ballot``, this one included.
+
+        The own promise is durable first, so that a restarted member does not use the
+        ballot again.
+        """
+        state = self.state
+        seeds = self.acceptor.record.seeds
+        own = await self.acceptor.handle(FoundingPrepare(state.identity, seeds, ballot))
+        requests = {
+            s.address: FoundingPrepare(s.identity, seeds, ballot)
+            for s in self.statements
+            if s.name and s.may_found
+        }
+        replies = {state.address: own, **await self._call_all(requests)}
+        for reply in replies.values():
+            self._observe(reply)
+        return {
+            address: reply
+            for address, reply in replies.items()
+            if not reply.cluster and reply.record.promised == ballot
+        }
+
+    def _new_value(self, promises: dict[Address, FoundingReply]) -> FoundingValue:
+        """Return a value of this member: the seeds that promised, all as voters."""
+        members = [
+            MemberInfo(reply.sender, str(address), voter=True)
+            for address, reply in promises.items()
+        ]
+        members.sort(key=lambda info: info.identity)
+        # The identity holds a random incarnation, so it is a unique cluster name.
+        return FoundingValue(self.state.identity, Configuration(tuple(members)))
+
+    async def _collect_acceptances(
+        self,
+        ballot: FoundingBallot,
+        value: FoundingValue,
+        promises: dict[Address, FoundingReply],
+    ) -> int:
+        """Return how many seeds accepted ``value``.
+
+        This member accepts last, and only if that decides the value: a value that is
+        accepted but not decided names members that may be lost since.
+        """
+        state = self.state
+        seeds = self.acceptor.record.seeds
+        requests = {
+            address: FoundingAccept(reply.sender, seeds, ballot, value)
+            for address, reply in promises.items()
+        }
+        own_request = requests.pop(state.address)
+        replies = await self._call_all(requests)
+        accepted = sum(r.record.accepted == ballot for r in replies.values())
+        if accepted + 1 >= self.needed:
+            own = await self.acceptor.handle(own_request)
+            accepted += own.record.accepted == ballot
+        return accepted
+
+    def _observe(self, reply: FoundingReply) -> None:
+        self.newest_round = max(self.newest_round, reply.record.promised.round)
+
+    async def _adopt(self, value: FoundingValue) -> None:
+        """Begin the log with the decided member set, unless a leader has done it."""
+        state = self.state
+        journal = state.journal
+        data = CODEC.encode(value.configuration)
+        entry = Entry(1, FIRST_TERM, EntryKind.CONFIGURATION, data)
+        async with state.lock:
+            record = journal.member_record
+            if self.acceptor.has_log or record.cluster not in ("", value.cluster):
+                return
+            if state.term < FIRST_TERM:
+                state.become_follower(FIRST_TERM, None)
+            term = max(record.term, FIRST_TERM)
+            record = attrs.evolve(record, cluster=value.cluster, term=term)
+            await journal.save_record(record)
+            await journal.wait_durable(await journal.append([entry]))
+        names = [info.name for info in value.configuration.members]
+        events.log(events.CLUSTER_FOUNDED, member=state.name, members=names)
+
+    async def _lead_first(self) -> None:
+        """Ask for votes until there is a leader, for a limited time.
+
+        The election timeout of a member that has run for a while may be far off.
+        """
+        state = self.state
+        end_ms = state.clock.now_ms() + FIRST_ELECTION_MS
+        while state.role is not Role.LEADER and state.last_leader_contact_ms is None:
+            if state.clock.now_ms() >= end_ms:
+                return
+            await self.campaign()
+            await state.clock.sleep_ms(ROUND_INTERVAL_MS)
+
+    # Calls
+
+    async def _call_all(
+        self,
+        messages_by_address: Mapping[Address, FoundingRequest],
+    ) -> dict[Address, FoundingReply]:
+        """Send all messages at once; return the replies that came by address."""
+        replies_by_address: dict[Address, FoundingReply] = {}
+
+        async def call(address: Address, message: FoundingRequest) -> None:
+            try:
+                reply = await self.state.link.call(
+                    address, message, self.state.timing.call_timeout_ms
+                )
+            except PeerUnreachable:
+                return  # Counts as a seed that does not answer.
+            if isinstance(reply, FoundingReply):
+                replies_by_address[address] = reply
+
+        async with curio.TaskGroup() as group:
+            for address, message in messages_by_address.items():
+                await group.spawn(call, address, message)
+        if group.exception is not None:
+            raise group.exception
+        return replies_by_address
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -74,6 +74,7 @@
         self._needed_bytes = SPACE_RESERVE_BYTES
         self._delay_ms = 0
         self._refuses_leadership = False
+        self._has_removed_files = False
         self._caught_up: Member | None = None
         self._start_member()
 
@@ -82,6 +83,8 @@
         self.member = self.make_member(self.member_disk)
         if self._refuses_leadership:
             self.member.refuse_leadership()
+        if self._has_removed_files:
+            self.member.revoke_founding_by_majority()
         self._started_ms = self.clock.now_ms()
 
     # Interface to the embedding program
@@ -243,6 +246,7 @@
 
     async def _remove_files(self) -> None:
         """Remove all files; a file that stays is found damaged again."""
+        self._has_removed_files = True
         try:
             for name in await self.disk.names():
                 await self.disk.remove(name)
--- a/wagtailrun/consensus/journal.py
+++ b/wagtailrun/consensus/journal.py
@@ -29,6 +29,7 @@
     Entry,
     EntryBatch,
     EntryKind,
+    FoundingRecord,
     MemberRecord,
     SnapshotHeader,
 )
@@ -45,6 +46,7 @@
 # slightly needs no snapshot transfer.
 RETAINED_ENTRIES = 256
 RETAINED_BYTES = 4 * 1024 * 1024
+NO_FOUNDING = FoundingRecord()
 
 
 @attrs.define
@@ -167,11 +169,14 @@
 
     # Recovery
 
-    async def open(self, new_identity: str) -> None:
+    async def open(
+        self, new_identity: str, founding: FoundingRecord = NO_FOUNDING
+    ) -> None:
         """Recover the state from disk; initialise an empty disk.
 
         Args:
             new_identity: Identity of the member if the disk is empty.
+            founding: Its part in founding the cluster if the disk is empty.
 
         Raises:
             CorruptRecord: If a synced record is damaged or missing.
@@ -180,7 +185,7 @@
         names = await self.disk.names()
         segments = sorted(name for name in names if name.startswith(SEGMENT_PREFIX))
         if MEMBER_FILE not in names:
-            await self._initialise(names, new_identity)
+            await self._initialise(names, MemberRecord(new_identity, founding=founding))
             return
         self.member_record = self._decode_frame(
             MEMBER_FILE, await self.disk.read(MEMBER_FILE)
@@ -213,7 +218,7 @@
                 await self.disk.remove(name)
         await self._finish_compaction()
 
-    async def _initialise(self, names: list[str], new_identity: str) -> None:
+    async def _initialise(self, names: list[str], new_record: MemberRecord) -> None:
         # An interrupted initialisation leaves at most the empty first segment.
         if names:
             contents = [await self.disk.read(name) for name in names]
@@ -222,7 +227,7 @@
                     MEMBER_FILE, 0, f"the file is missing, but the disk holds {names}"
                 )
         await self.disk.write(self._segment_name(), b"")
-        await self.save_record(MemberRecord(new_identity))
+        await self.save_record(new_record)
 
     def _decode_frame(self, name: str, data: bytes, offset: int = 0) -> Any:
         payload = payload_at(data, offset)
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -9,6 +9,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.election import Election
 from wagtailrun.consensus.following import Follower
+from wagtailrun.consensus.founding import Founding, seeds_refusal
 from wagtailrun.consensus.handover import LeaderHandover
 from wagtailrun.consensus.journal import Journal
 from wagtailrun.consensus.journal_records import snapshot_checksum
@@ -19,6 +20,9 @@
     Configuration,
     Entry,
     EntryKind,
+    FoundingAccept,
+    FoundingPrepare,
+    FoundingQuery,
     Handover,
     Join,
     ReadIndex,
@@ -68,8 +72,12 @@
         name: Name of the VM, unique among the members.
         address: Peer address of this member.
         peers: Peer addresses that a joining member contacts first.
-        bootstrap: Names and addresses of the initial members, the same at each of
-            them. Once the cluster exists, these names may still join.
+        bootstrap: Names and addresses of the seeds, the same at each of them, which
+            found the cluster. Once the cluster exists, these names may still join.
+        founds_by_majority: Whether this is the first start of all seeds, so that a
+            majority of them may found the cluster. Otherwise all of them have to,
+            because some may have lost the disk on which the cluster was founded.
+        may_found_alone: Whether this member may be the only seed.
         seed: Seed of the election timeouts and of the incarnation; random by default.
         timing: Timing, the same at all members.
         open_joining: Whether members with names outside ``bootstrap`` may join.
@@ -89,6 +97,8 @@
         *,
         peers: Sequence[Address] = (),
         bootstrap: Sequence[tuple[str, Address]] = (),
+        founds_by_majority: bool = False,
+        may_found_alone: bool = True,
         seed: int | None = None,
         timing: Timing | None = None,
         open_joining: bool = False,
@@ -103,6 +113,8 @@
             address=address,
             peers=tuple(peers),
             bootstrap=dict(bootstrap),
+            founds_by_majority=founds_by_majority,
+            founding_refusal=seeds_refusal(name, address, bootstrap, may_found_alone),
             random=random.SystemRandom() if seed is None else random.Random(seed),
             timing=timing or Timing(),
             open_joining=open_joining,
@@ -114,6 +126,7 @@
         self.replication = Replication(self.state)
         self.membership = MembershipChange(self.state, self.replication)
         self.election = Election(self.state, self.replication, self.membership)
+        self.founding = Founding(self.state, self.election.campaign)
         self.handover = LeaderHandover(self.state, self.replication, self.election)
         self.journal.on_durable = self.replication.advance_commit
         self.journal.on_fault = self.state.fail
@@ -141,7 +154,11 @@
     async def open(self) -> None:
         """Recover the state from disk and start the background tasks."""
         state = self.state
-        await self.journal.open(f"{state.name}#{state.random.getrandbits(64):016x}")
+        await self.journal.open(
+            f"{state.name}#{state.random.getrandbits(64):016x}",
+            self.founding.new_record(),
+        )
+        await self.founding.open()
         state.term = self.journal.member_record.term
         snapshot = await self.journal.read_snapshot()
         if snapshot is not None:
@@ -153,6 +170,7 @@
         await state.spawn(self._apply_committed)
         await state.spawn(self.election.run)
         await state.spawn(self.membership.run)
+        await state.spawn(self.founding.run)
         state.is_open = True
         await state.opened.notify()
 
@@ -168,6 +186,10 @@
         """Take over no leadership from now on; a member that leads goes on to do so."""
         self.election.refuses_leadership = True
 
+    def revoke_founding_by_majority(self) -> None:
+        """Found a cluster with all seeds only, as this member has lost its files."""
+        self.state.founds_by_majority = False
+
     def _prepare_handover(self, error: Exception) -> None:
         if isinstance(error, DiskFault):
             self.handover.prepare()
@@ -315,6 +337,8 @@
                 return await self.handover.handle(message)
             case Join():
                 return self.membership.handle_join(message)
+            case FoundingQuery() | FoundingPrepare() | FoundingAccept():
+                return await self.founding.acceptor.handle(message)
             case ReadIndex():
                 return self._handle_read_index()
         raise MessageError(
--- a/wagtailrun/consensus/member_state.py
+++ b/wagtailrun/consensus/member_state.py
@@ -49,7 +49,10 @@
         name: Name of the VM, unique among the members.
         address: Peer address of this member.
         peers: Peer addresses that a joining member contacts first.
-        bootstrap: Addresses of the initial members by name.
+        bootstrap: Addresses of the seeds by name.
+        founds_by_majority: Whether a majority of the seeds may found the cluster, else
+            only all of them.
+        founding_refusal: Why this member must not found a cluster, empty if it may.
         random: Source of the election timeouts and of the incarnation.
         timing: Timing, the same at all members.
         open_joining: Whether members with names outside ``bootstrap`` may join.
@@ -85,6 +88,8 @@
     address: Address
     peers: tuple[Address, ...]
     bootstrap: dict[str, Address]
+    founds_by_majority: bool
+    founding_refusal: str
     random: random.Random
     timing: Timing
     open_joining: bool
--- a/wagtailrun/consensus/membership_change.py
+++ b/wagtailrun/consensus/membership_change.py
@@ -1,13 +1,11 @@
-"""Cluster bootstrap, joining, and replacement of a member that lost its disk."""
+"""Joining, and replacement of a member that lost its disk."""
 
 import attrs
 
+from wagtailrun.consensus.founding import seed_addresses
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
-    CODEC,
     Configuration,
-    Entry,
-    EntryKind,
     Join,
     JoinReply,
     MemberInfo,
@@ -16,7 +14,6 @@
 from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
-from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
 __all__ = ["MembershipChange"]
@@ -33,7 +30,6 @@
 VOTER_REMOVAL_TIMEOUT_MS = 3_000
 # A learner that does not answer for this long is removed; if alive, it joins again.
 LEARNER_REMOVAL_TIMEOUT_MS = 30_000
-BOOTSTRAP_TERM = 1
 
 
 class MembershipChange:
@@ -54,7 +50,7 @@
         # member that it can reach.
         self.discovered_addresses: set[Address] = set()
 
-    # Joining and bootstrap
+    # Joining
 
     async def run(self) -> None:
         """Send join requests while this member is not in its newest member set.
@@ -87,11 +83,11 @@
         addresses = {
             *state.peers,
             *state.bootstrap.values(),
+            *seed_addresses(state.journal.member_record.founding).values(),
             *self.discovered_addresses,
         }
         addresses.discard(state.address)
         request = Join(state.identity, str(state.address))
-        replies_by_address: dict[Address, JoinReply] = {}
         for address in sorted(addresses):
             try:
                 reply = await state.link.call(
@@ -100,60 +96,7 @@
             except PeerUnreachable:
                 continue
             if isinstance(reply, JoinReply):
-                replies_by_address[address] = reply
                 self.discovered_addresses.update(map(Address.parse, reply.peers))
-        if self._may_bootstrap(replies_by_address):
-            await self._bootstrap_cluster(replies_by_address)
-
-    def _may_bootstrap(self, replies_by_address: dict[Address, JoinReply]) -> bool:
-        """Whether this member may bootstrap the cluster.
-
-        Only the member with the smallest bootstrap name may, once all others have
-        replied and none belongs to a cluster. A member that lost its disk therefore
-        cannot start a second cluster, because the others still belong to the first.
-        """
-        state = self.state
-        bootstrap = state.bootstrap
-        if state.name != min(bootstrap, default=None) or self._has_cluster():
-            return False
-        for name, address in bootstrap.items():
-            reply = replies_by_address.get(address)
-            if name == state.name:
-                continue
-            if reply is None or reply.cluster or name_of(reply.identity) != name:
-                return False
-        return True
-
-    def _has_cluster(self) -> bool:
-        # A kill between the two writes of a bootstrap leaves an empty log and the
-        # identity of this member as the cluster. No other member knows that cluster
-        # yet, so the bootstrap may be repeated.
-        record = self.state.journal.member_record
-        foreign = record.cluster not in ("", record.identity)
-        return foreign or self.state.journal.last_index > 0
-
-    async def _bootstrap_cluster(
-        self, replies_by_address: dict[Address, JoinReply]
-    ) -> None:
-        state = self.state
-        members = []
-        for name, address in sorted(state.bootstrap.items()):
-            own = name == state.name
-            identity = state.identity if own else replies_by_address[address].identity
-            members.append(MemberInfo(identity, str(address), voter=True))
-        data = CODEC.encode(Configuration(tuple(members)))
-        entry = Entry(1, BOOTSTRAP_TERM, EntryKind.CONFIGURATION, data)
-        async with state.lock:
-            record = state.journal.member_record
-            if self._has_cluster():
-                return
-            state.become_follower(BOOTSTRAP_TERM, None)
-            # The identity holds a random incarnation, so it is a unique cluster name.
-            record = attrs.evolve(record, cluster=record.identity, term=BOOTSTRAP_TERM)
-            await state.journal.save_record(record)
-            await state.journal.wait_durable(await state.journal.append([entry]))
-        names = sorted(state.bootstrap)
-        events.log(events.CLUSTER_FOUNDED, member=state.name, members=names)
 
     # Join requests from other members
 
@@ -172,7 +115,8 @@
         state = self.state
         name = name_of(request.identity)
         members = state.configuration.members
-        known = {info.name for info in members} | set(state.bootstrap)
+        seeds = seed_addresses(state.journal.member_record.founding)
+        known = {info.name for info in members} | set(state.bootstrap) | set(seeds)
         if self.replication.is_leader and (state.open_joining or name in known):
             self.joining_by_name[name] = request
         peers = tuple(info.address for info in members)
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -18,6 +18,13 @@
     "Entry",
     "EntryBatch",
     "EntryKind",
+    "FoundingAccept",
+    "FoundingBallot",
+    "FoundingPrepare",
+    "FoundingQuery",
+    "FoundingRecord",
+    "FoundingReply",
+    "FoundingValue",
     "Handover",
     "Join",
     "JoinReply",
@@ -119,6 +126,53 @@
         return identity in self.voters()
 
 
+@attrs.frozen(order=True)
+class FoundingBallot:
+    """Number of an attempt to found the cluster; later attempts are greater.
+
+    Attributes:
+        round: Counts the attempts, from 1; 0 is before the first.
+        proposer: Identity of the proposing seed, which makes the ballot unique.
+    """
+
+    round: int = 0
+    proposer: str = ""
+
+
+@attrs.frozen
+class FoundingValue:
+    """What the seeds agree on: the cluster and the first entry of its log.
+
+    Attributes:
+        cluster: Identifier of the cluster, empty for no value.
+        configuration: Initial member set.
+    """
+
+    cluster: str = ""
+    configuration: Configuration = Configuration()
+
+
+@attrs.frozen
+class FoundingRecord:
+    """Durable part that a member has in founding the cluster.
+
+    Attributes:
+        seeds: ``NAME=IP:PORT`` of the seeds that it may found the cluster with,
+            sorted; empty if it may not.
+        by_majority: Whether a majority of the seeds may found the cluster, else only
+            all of them.
+        promised: Newest ballot that it takes part in.
+        accepted: Ballot of ``value``.
+        value: Newest value that it has accepted.
+    """
+
+    seeds: tuple[str, ...] = ()
+    by_majority: bool = False
+    promised: FoundingBallot = FoundingBallot()
+    accepted: FoundingBallot = FoundingBallot()
+    value: FoundingValue = FoundingValue()
+
+
 @attrs.frozen
 class MemberRecord:
     """Durable state of a member besides its log and snapshot.
@@ -128,12 +182,14 @@
         cluster: Identifier of the cluster that it belongs to, empty before it joins.
         term: Newest term in which it voted or accepted a leader.
         vote: Identity that it voted for in that term, or empty.
+        founding: Its part in founding the cluster.
     """
 
     identity: str
     cluster: str = ""
     term: int = 0
     vote: str = ""
+    founding: FoundingRecord = FoundingRecord()
 
 
 @attrs.frozen
@@ -328,6 +384,64 @@
     index: int
 
 
+@attrs.frozen
+class FoundingQuery:
+    """Question what a member knows about the founding; it promises nothing.
+
+    Attributes:
+        sender: Identity of the asking member.
+    """
+
+    sender: str
+
+
+@attrs.frozen
+class FoundingPrepare:
+    """Request to promise that no earlier ballot is accepted from now on.
+
+    Attributes:
+        recipient: Identity of the seed with its incarnation.
+        seeds: ``seeds`` of the proposer's ``FoundingRecord``.
+        ballot: Ballot of the proposer.
+    """
+
+    recipient: str
+    seeds: tuple[str, ...]
+    ballot: FoundingBallot
+
+
+@attrs.frozen
+class FoundingAccept:
+    """Request to accept a value, unless a later ballot was promised.
+
+    Attributes:
+        recipient: Identity of the seed with its incarnation.
+        seeds: ``seeds`` of the proposer's ``FoundingRecord``.
+        ballot: Ballot of the proposer.
+        value: Value of the ballot.
+    """
+
+    recipient: str
+    seeds: tuple[str, ...]
+    ballot: FoundingBallot
+    value: FoundingValue
+
+
+@attrs.frozen
+class FoundingReply:
+    """Reply to each message about the founding: the state after it.
+
+    Attributes:
+        sender: Identity of the replying member.
+        cluster: Identifier of its cluster if it has a log, else empty.
+        record: Its durable part in the founding.
+    """
+
+    sender: str
+    cluster: str
+    record: FoundingRecord
+
+
 CODEC = Codec(
     Channel.CONSENSUS,
     "consensus.capnp",
@@ -336,6 +450,10 @@
         AppendReply,
         Configuration,
         EntryBatch,
+        FoundingAccept,
+        FoundingPrepare,
+        FoundingQuery,
+        FoundingReply,
         Handover,
         Join,
         JoinReply,
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -151,7 +151,14 @@
 CLUSTER_FOUNDED = _event(
     500,
     logging.INFO,
-    "This member founded the cluster from the bootstrap list.",
+    "This member founded the cluster with other seeds; members are the first voters.",
+    limited=False,
+)
+FOUNDING_REFUSED = _event(
+    509,
+    logging.WARNING,
+    "This member does not found a cluster with its seeds.",
+    "Read the detail; give all seeds the same list, each address once.",
     limited=False,
 )
 BECAME_LEADER = _event(
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -235,6 +235,8 @@
             settings.peer_address,
             peers=settings.seeds,
             bootstrap=seeds if settings.founding else (),
+            founds_by_majority=settings.founding,
+            may_found_alone=not settings.losses,
             timing=CONSENSUS_TIMING,
             open_joining=True,
             min_voters=max(MIN_VOTERS, 2 * settings.losses + 1),
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -19,6 +19,10 @@
     readIndex @12 :ReadIndex;
     readIndexReply @13 :ReadIndexReply;
     handover @14 :Handover;
+    foundingQuery @15 :FoundingQuery;
+    foundingPrepare @16 :FoundingPrepare;
+    foundingAccept @17 :FoundingAccept;
+    foundingReply @18 :FoundingReply;
   }
 }
 
@@ -32,6 +36,7 @@
   cluster @1 :Text;
   term @2 :UInt64;
   vote @3 :Text;
+  founding @4 :FoundingRecord;
 }
 
 struct SnapshotHeader {
@@ -92,3 +97,35 @@
 struct ReadIndex { sender @0 :Text; }
 struct ReadIndexReply { valid @0 :Bool; index @1 :UInt64; }
 struct Handover { cluster @0 :Text; recipient @1 :Text; term @2 :UInt64; }
+
+struct FoundingBallot { round @0 :UInt64; proposer @1 :Text; }
+struct FoundingValue { cluster @0 :Text; configuration @1 :Configuration; }
+
+struct FoundingRecord {
+  seeds @0 :List(Text);
+  byMajority @1 :Bool;
+  promised @2 :FoundingBallot;
+  accepted @3 :FoundingBallot;
+  value @4 :FoundingValue;
+}
+
+struct FoundingQuery { sender @0 :Text; }
+
+struct FoundingPrepare {
+  recipient @0 :Text;
+  seeds @1 :List(Text);
+  ballot @2 :FoundingBallot;
+}
+
+struct FoundingAccept {
+  recipient @0 :Text;
+  seeds @1 :List(Text);
+  ballot @2 :FoundingBallot;
+  value @3 :FoundingValue;
+}
+
+struct FoundingReply {
+  sender @0 :Text;
+  cluster @1 :Text;
+  record @2 :FoundingRecord;
+}
