--- a/wagtailrun/settings/relay_control.py
+++ b/wagtailrun/settings/relay_control.py
@@ -41,7 +41,8 @@
     seeds: tuple[Address, ...] = setting(*SEEDS)
     founding: bool = setting(
         parse_boolean,
-        "Whether the seeds form a new cluster; true only at the very first start.",
+        "Whether a majority of the seeds may form a new cluster; true only at the very "
+        "first start.",
         False,
     )
     losses: int = setting(
