Log a refused seed list only while there is no log

Cause: a member that has its log reported a wrong seed list (event 509) at each start, although there was nothing left to found. No test showed with a real process that a seed alone, with losses to tolerate, founds nothing and logs why.

Ruled out: a check of the settings at start. The list also serves members that only join, for which an address twice or alone is harmless.

Conclusion: event 509 means that the founding itself is held back.

--- a/tests/test_founding_processes.py
+++ b/tests/test_founding_processes.py
@@ -7,8 +7,9 @@
 
 from demo.processes import Fleet as ProductFleet
 from tests.test_consensus_processes import TEXT, apply_at, wait_revision
-from tests.test_relay_processes import Fleet, document, put, send
+from tests.test_relay_processes import Fleet, document, logged, put, send
 from wagtailrun.exceptions import TargetFailed
+from wagtailrun.logs.events import FOUNDING_REFUSED
 
 pytestmark = pytest.mark.network
 
@@ -117,6 +118,23 @@
     assert statuses <= {0, 503}
 
 
+def test_seed_alone_founds_nothing_while_losses_are_to_be_tolerated(fleet):
+    """Guards against a member with a list of its own that founds a log of its own."""
+    fleet.seeds = str(fleet.control(1))
+
+    async def main():
+        fleet.start_control(1)
+        number = FOUNDING_REFUSED.number
+        lines = await logged(fleet, "core-1", number, 1)
+        details = [line["detail"] for line in lines if line["event"] == number]
+        return details, await offer(fleet, 1, 1)
+
+    details, status = curio.run(main)
+    assert len(details) == 1
+    assert "hold this member alone" in details[0]
+    assert status in (0, 503)
+
+
 def test_product_member_that_ends_at_its_first_start_delays_the_founding_only():
     """Guards against `wagtailrun control` members that found nothing after an end."""
     with ProductFleet(TEXT, [], [], controls=3) as fleet:
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -128,10 +128,12 @@
         it was given: a member that has lost its disk may have accepted a value.
         """
         state = self.state
-        record, new_record = self.acceptor.record, self.new_record()
+        if self.acceptor.has_log:
+            return
         if self.refusal:
             events.log(events.FOUNDING_REFUSED, member=state.name, detail=self.refusal)
-        if record.by_majority or new_record.by_majority or self.acceptor.has_log:
+        record, new_record = self.acceptor.record, self.new_record()
+        if record.by_majority or new_record.by_majority:
             return
         accepted = record.accepted != FoundingBallot()
         if new_record.seeds and new_record.seeds != record.seeds and not accepted:
--- a/wagtailrun/consensus/founding_view.py
+++ b/wagtailrun/consensus/founding_view.py
@@ -15,7 +15,8 @@
         name: Name of the seed, empty if only its address is known.
         address: Peer address of the seed.
         identity: Identity that answered, empty without an answer.
-        may_found: Whether it may found the cluster with the asking member.
+        may_found: Whether it may found the cluster, with the asking member if that is
+            a seed.
         cluster: Cluster of its log, empty without a log.
         other_seeds: Whether it may found, but with other seeds.
         detail: Why it does not count, empty if it does.
