Log each reason against founding once

Cause: event 509 was logged whenever the reason differed from the one of the round before. A seed with another list that answers now and then, as messages are lost, changed it back and forth, and the event has no limit for its rate.

Ruled out: a limit for the rate alone, which could keep back the second of two reasons.

Conclusion: the log names each reason once for each start of a member.

--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -110,6 +110,8 @@
         self.back_off_until_ms = 0
         self.newest_round = 0
         self.refusal = state.founding_refusal
+        # A seed with another list may answer now and then.
+        self.logged_refusals: set[str] = set()
         self.statements: tuple[SeedStatement, ...] = ()
 
     # Permission
@@ -130,8 +132,7 @@
         state = self.state
         if self.acceptor.has_log:
             return
-        if self.refusal:
-            events.log(events.FOUNDING_REFUSED, member=state.name, detail=self.refusal)
+        self._log_refusal()
         record, new_record = self.acceptor.record, self.new_record()
         if record.by_majority or new_record.by_majority:
             return
@@ -166,7 +167,7 @@
         """Found the cluster once enough seeds may, unless this member has a log."""
         while not self.acceptor.has_log:
             replies_by_address = await self._ask_all()
-            if self._is_due(replies_by_address):
+            if self._is_due():
                 await self._found(replies_by_address)
             await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
 
@@ -219,11 +220,17 @@
         for statement in self.statements:
             if statement.other_seeds:
                 refusal = f"{statement.address} {statement.detail}"
-        if refusal and refusal != self.refusal:
-            events.log(events.FOUNDING_REFUSED, member=state.name, detail=refusal)
         self.refusal = refusal
+        self._log_refusal()
 
-    def _is_due(self, replies_by_address: dict[Address, FoundingReply]) -> bool:
+    def _log_refusal(self) -> None:
+        if self.refusal and self.refusal not in self.logged_refusals:
+            self.logged_refusals.add(self.refusal)
+            events.log(
+                events.FOUNDING_REFUSED, member=self.state.name, detail=self.refusal
+            )
+
+    def _is_due(self) -> bool:
         """Whether this member is to propose an initial member set now.
 
         A seed that has a log may be in the cluster already, so that this member joins
