--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -115,6 +115,8 @@
         self.back_off_until_ms = 0
         self.newest_round = 0
         self.refusal = state.founding_refusal
+        # A seed with another list may answer now and then.
+        self.logged_refusals: set[str] = set()
         self.statements: tuple[SeedStatement, ...] = ()
         self.failures_by_address: dict[Address, str] = {}
         self.cluster_wait = ClusterWait(state, lambda: self.view)
@@ -135,10 +137,11 @@
         it was given: a member that has lost its disk may have accepted a value.
         """
         state = self.state
+        if self.acceptor.has_log:
+            return
+        self._log_refusal()
         record, new_record = self.acceptor.record, self.new_record()
-        if self.refusal:
-            events.log(events.FOUNDING_REFUSED, member=state.name, detail=self.refusal)
-        if record.by_majority or new_record.by_majority or self.acceptor.has_log:
+        if record.by_majority or new_record.by_majority:
             return
         accepted = record.accepted != FoundingBallot()
         if new_record.seeds and new_record.seeds != record.seeds and not accepted:
@@ -172,7 +175,7 @@
         while not self.acceptor.has_log:
             replies_by_address = await self._ask_all()
             self.cluster_wait.report()
-            if self._is_due(replies_by_address):
+            if self._is_due():
                 await self._found(replies_by_address)
             await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
 
@@ -226,11 +229,17 @@
         for statement in self.statements:
             if statement.other_seeds:
                 refusal = f"{statement.address} {statement.detail}"
-        if refusal and refusal != self.refusal:
-            events.log(events.FOUNDING_REFUSED, member=state.name, detail=refusal)
         self.refusal = refusal
+        self._log_refusal()
+
+    def _log_refusal(self) -> None:
+        if self.refusal and self.refusal not in self.logged_refusals:
+            self.logged_refusals.add(self.refusal)
+            events.log(
+                events.FOUNDING_REFUSED, member=self.state.name, detail=self.refusal
+            )
 
-    def _is_due(self, replies_by_address: dict[Address, FoundingReply]) -> bool:
+    def _is_due(self) -> bool:
         """Whether this member is to propose an initial member set now.
 
         A seed that has a log may be in the cluster already, so that this member joins
