Found a cluster by order of an operator, with all seeds

Cause: seeds of relay control that ended before their first write have lost the permission to found. If too few are left that have it, no majority may found the cluster, and no command helps.

Also ruled out: an order that gives the permission of a first start.

Before / after: `wagtailrun found ADDRESS` asks all seeds and refuses unless all answer and none has a log. Then each seed records the seeds of the order, under the lock and before its answer, as with `--bootstrap`: it founds a cluster only with promises and acceptances of all seeds, in the ballots of `Founding`. So an order beside a founding by a majority, or a second order, is one more ballot of the same decision. Product members have no such call, as `--bootstrap` gives them the same at any start.

Conclusion: the order adds no rule of counting, only the permission that `--bootstrap` gives.

--- a/wagtailrun/cli/client.py
+++ b/wagtailrun/cli/client.py
@@ -11,9 +11,9 @@
 from wagtailrun.clock import Clock, SystemClock
 from wagtailrun.exceptions import TargetFailed, Verdict, WagtailrunError
 from wagtailrun.ports.link import Address
-from wagtailrun.settings import ClientSettings
+from wagtailrun.settings import ClientSettings, load_settings
 
-__all__ = ["Answer", "NoAnswer", "OperatorClient"]
+__all__ = ["Answer", "NoAnswer", "OperatorClient", "make_client"]
 
 CALL_TIMEOUT_MS = 10_000
 # A round tries every control member once.
@@ -168,6 +168,22 @@
         return Answer(address, reply.status, value)
 
 
+def make_client(
+    control: str | None, credential_file: str | None, operator: str | None = None
+) -> OperatorClient:
+    """Return the client of a command with the values of its flags, None if not given.
+
+    Raises:
+        SettingsError: If a setting is missing or invalid.
+    """
+    flags = {
+        "control": control,
+        "operator_credential_file": credential_file,
+        "operator": operator,
+    }
+    return OperatorClient(load_settings(ClientSettings, flags).settings)
+
+
 def _refusal_detail(value: dict[str, Any]) -> str:
     return str(value.get("detail") or value.get("title") or "no detail")
 
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -14,7 +14,7 @@
 import defopt
 from absl import flags, logging
 
-from wagtailrun.cli.client import Answer, OperatorClient
+from wagtailrun.cli.client import Answer, OperatorClient, make_client
 from wagtailrun.cli.daemon_command import make_daemon_command
 from wagtailrun.cli.exit_codes import (
     EXIT_INTERRUPTED,
@@ -34,10 +34,8 @@
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
 from wagtailrun.settings import (
-    ClientSettings,
     ControlSettings,
     EntrySettings,
-    load_settings,
 )
 
 __all__ = ["main"]
@@ -91,7 +89,7 @@
         json: Print JSON.
     """
     new = parse_fleet_text(_read_file(file))
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     answer = curio.run(client.read, "/v1/text")
     if not answer.accepted:
         return _report_refusal(answer)
@@ -131,7 +129,7 @@
     """
     text = _read_file(file)
     parse_fleet_text(text)
-    client = _make_client(control, operator_credential_file, operator)
+    client = make_client(control, operator_credential_file, operator)
     answer = curio.run(_send_change, client, text, base, change_id)
     if not answer.accepted:
         return _report_refusal(answer)
@@ -193,7 +191,7 @@
         operator_credential_file: File of the operator credential.
         json: Print JSON.
     """
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     answers = curio.run(client.read_each, "/v1/status")
     rows, complete = [], True
     for address, answer in zip(client.settings.control, answers, strict=True):
@@ -210,6 +208,45 @@
     return EXIT_SUCCESS if complete else EXIT_REFUSED
 
 
+def found(
+    member: str,
+    *,
+    operator: str | None = None,
+    operator_credential_file: str | None = None,
+    json: bool = False,
+) -> int:
+    """Found a cluster at a control member of a system that never had one.
+
+    Refused unless all seeds are reached and none has a log. Repeat it at the same
+    member if it was interrupted.
+
+    Example: wagtailrun found 10.0.0.1:7000
+
+    Args:
+        member: IP:PORT of the operator interface of the member, one of the seeds.
+        operator: Name of the operator in the audit trail.
+        operator_credential_file: File of the operator credential.
+        json: Print JSON.
+    """
+    client = make_client(member, operator_credential_file, operator)
+    body = {"operator": client.settings.operator}
+    answer = curio.run(client.change, "/v1/founding", body)
+    if not answer.accepted:
+        return _report_refusal(answer)
+    if json:
+        print_json(answer.value)
+    else:
+        cluster, detail = answer.field("cluster", str), answer.field("detail", str)
+        print(f"founded cluster {printable(cluster)}; {printable(detail)}")
+    if not answer.field("audited", bool):
+        print(
+            "wagtailrun: the audit trail has no record of it yet; repeat the command",
+            file=sys.stderr,
+        )
+        return EXIT_REFUSED
+    return EXIT_SUCCESS
+
+
 def targets(
     *,
     service: str = "",
@@ -227,7 +264,7 @@
         operator_credential_file: File of the operator credential.
         json: Print JSON.
     """
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     return _print_resource(client, "/v1/targets", {"service": service}, json)
 
 
@@ -250,7 +287,7 @@
         operator_credential_file: File of the operator credential.
         json: Print JSON.
     """
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     query = {"workspace": workspace, "verdict": verdict}
     return _print_resource(client, "/v1/orders", query, json)
 
@@ -280,7 +317,7 @@
         json: Print JSON.
         csv: Print comma-separated values.
     """
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     query = {
         "period": period,
         "workspace": workspace,
@@ -320,7 +357,7 @@
         json: Print JSON.
         csv: Print comma-separated values.
     """
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     query = {
         "period": period,
         "by": by,
@@ -352,7 +389,7 @@
     """
     if verify:
         return _verify_audit(verify)
-    client = _make_client(control, operator_credential_file)
+    client = make_client(control, operator_credential_file)
     return _print_resource(client, "/v1/audit", {}, json)
 
 
@@ -461,6 +498,7 @@
     refusals,
     costs,
     audit,
+    found,
     replay,
     report,
     explain,
@@ -487,17 +525,6 @@
         raise FleetTextError([f"cannot read {file}: {error}"]) from error
 
 
-def _make_client(
-    control: str | None, credential_file: str | None, operator: str | None = None
-) -> OperatorClient:
-    flags = {
-        "control": control,
-        "operator_credential_file": credential_file,
-        "operator": operator,
-    }
-    return OperatorClient(load_settings(ClientSettings, flags).settings)
-
-
 def _print_resource(
     client: OperatorClient,
     path: str,
--- a/wagtailrun/consensus/__init__.py
+++ b/wagtailrun/consensus/__init__.py
@@ -5,6 +5,7 @@
     "journal",
     "local_log",
     "member",
+    "operator_founding",
     "state",
     "timing",
 ]
--- a/wagtailrun/consensus/cluster_wait.py
+++ b/wagtailrun/consensus/cluster_wait.py
@@ -97,15 +97,15 @@
                 "paths to them"
             )
         names = self._names_with_permission(view)
-        if not names:
-            # Seeds that get the permission again must not be some that lost their
-            # disks: they would found a second cluster.
+        if not names or not (silent or self._are_enough(names, view)):
+            # Not "restart them with the permission to found": seeds that lost their
+            # disks would found a second cluster.
             remedies.append(
-                "no member that answers may found a cluster; start the members that "
-                "have the log of this system, and only if it never had one, empty the "
-                "data folders of all its control members and start them as at a first "
-                "start (setting founding of relay control, bootstrap of wagtailrun "
-                "control)"
+                f"{'too few members' if names else 'no member that answers'} may found "
+                "a cluster; start the members that have the log of this system, and "
+                "only if it never had one, order one of its seeds to found it with "
+                "wagtailrun found (relay control), or start them with the setting "
+                "bootstrap (wagtailrun control)"
             )
         elif not silent:
             remedies.append(
@@ -116,6 +116,13 @@
             remedies.append(f"{view.needed} seeds that may found one have to agree")
         return remedies
 
+    @staticmethod
+    def _are_enough(names: list[str], view: FoundingView) -> bool:
+        # A member without permission does not know how many have to agree; without
+        # seeds that found the cluster with all, it is a majority.
+        seeds = len(view.statements) + 1
+        return len(names) >= (view.needed or seeds // 2 + 1)
+
 
 def _describe(statement: SeedStatement) -> str:
     if statement.failure:
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -10,7 +10,11 @@
 import curio
 
 from wagtailrun.consensus.cluster_wait import ClusterWait
-from wagtailrun.consensus.founding_acceptor import FoundingAcceptor, FoundingRequest
+from wagtailrun.consensus.founding_acceptor import (
+    FoundingAcceptor,
+    FoundingRequest,
+    seed_texts,
+)
 from wagtailrun.consensus.founding_view import (
     MAY_NOT_FOUND,
     FoundingView,
@@ -59,8 +63,7 @@
     seeds: Sequence[tuple[str, Address]], by_majority: bool
 ) -> FoundingRecord:
     """Return the record of a member that may found the cluster with ``seeds``."""
-    texts = sorted(f"{name}={address}" for name, address in seeds)
-    return FoundingRecord(tuple(texts), by_majority)
+    return FoundingRecord(seed_texts(seeds), by_majority)
 
 
 def seeds_refusal(
@@ -173,20 +176,20 @@
     async def run(self) -> None:
         """Found the cluster once enough seeds may, unless this member has a log."""
         while not self.acceptor.has_log:
-            replies_by_address = await self._ask_all()
+            replies_by_address = await self.ask_all()
             self.cluster_wait.report()
             if self._is_due():
                 await self._found(replies_by_address)
             await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
 
-    async def _ask_all(self) -> dict[Address, FoundingReply]:
+    async def ask_all(self) -> dict[Address, FoundingReply]:
         """Ask all seeds what they know, and keep what they say for ``view``."""
         state = self.state
         names_by_address = dict.fromkeys(state.peers, "")
         for name, address in seed_addresses(self.acceptor.record).items():
             names_by_address[address] = name
         message = FoundingQuery(state.identity)
-        replies = await self._call_all(dict.fromkeys(names_by_address, message))
+        replies = await self.call_all(dict.fromkeys(names_by_address, message))
         self.statements = tuple(
             self._statement(name, address, replies.get(address))
             for address, name in sorted(names_by_address.items())
@@ -308,7 +311,7 @@
             for s in self.statements
             if s.name and s.may_found
         }
-        replies = {state.address: own, **await self._call_all(requests)}
+        replies = {state.address: own, **await self.call_all(requests)}
         for reply in replies.values():
             self._observe(reply)
         return {
@@ -345,7 +348,7 @@
             for address, reply in promises.items()
         }
         own_request = requests.pop(state.address)
-        replies = await self._call_all(requests)
+        replies = await self.call_all(requests)
         accepted = sum(r.record.accepted == ballot for r in replies.values())
         if accepted + 1 >= self.needed:
             own = await self.acceptor.handle(own_request)
@@ -389,7 +392,7 @@
 
     # Calls
 
-    async def _call_all(
+    async def call_all(
         self,
         messages_by_address: Mapping[Address, FoundingRequest],
     ) -> dict[Address, FoundingReply]:
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -1,19 +1,29 @@
 """Durable part of a member in founding the cluster: its promises and acceptances."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     FoundingAccept,
+    FoundingBallot,
+    FoundingOrder,
     FoundingPrepare,
     FoundingQuery,
     FoundingRecord,
     FoundingReply,
 )
+from wagtailrun.ports.link import Address
+
+__all__ = ["FoundingAcceptor", "FoundingRequest", "seed_texts"]
+
+FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
 
-__all__ = ["FoundingAcceptor", "FoundingRequest"]
 
-FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept
+def seed_texts(seeds: Iterable[tuple[str, Address]]) -> tuple[str, ...]:
+    """Return ``seeds`` of a ``FoundingRecord`` for names and addresses of seeds."""
+    return tuple(sorted(f"{name}={address}" for name, address in seeds))
 
 
 class FoundingAcceptor:
@@ -42,7 +52,11 @@
         """Promise or accept a ballot if that is allowed; return the state after it."""
         state = self.state
         async with state.lock:
-            if not isinstance(message, FoundingQuery) and self._may_take_part(message):
+            if isinstance(message, FoundingOrder):
+                await self._take_order(message)
+            elif not isinstance(message, FoundingQuery) and self._may_take_part(
+                message
+            ):
                 await self._take_part(message)
             cluster = state.journal.member_record.cluster if self.has_log else ""
             return FoundingReply(state.identity, cluster, self.record)
@@ -63,6 +77,33 @@
         if record != self.record:
             await self.save(record)
 
+    @property
+    def order_seeds(self) -> tuple[str, ...]:
+        """Seeds that operators may order this member to found a cluster with.
+
+        A member that may found by a majority, or has accepted a value, keeps its seeds.
+        The settings of others hold addresses only, so that the names of all seeds have
+        to be their addresses. Empty if the member is no seed.
+        """
+        state, record = self.state, self.record
+        is_bound = record.by_majority or record.accepted != FoundingBallot()
+        is_named = state.name == str(state.address) and state.address in state.peers
+        if is_bound or not is_named:
+            return record.seeds
+        return seed_texts((str(address), address) for address in set(state.peers))
+
+    async def _take_order(self, message: FoundingOrder) -> None:
+        """Record the permission to found the cluster with all seeds.
+
+        Not by a majority: this member may have lost the disk of an earlier founding.
+        """
+        if (
+            message.recipient == self.state.identity
+            and not self.has_log
+            and message.seeds == self.order_seeds != self.record.seeds
+        ):
+            await self.save(attrs.evolve(self.record, seeds=message.seeds))
+
     async def save(self, record: FoundingRecord) -> None:
         """Make ``record`` durable; the caller holds the lock of the state."""
         journal = self.state.journal
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -8,6 +8,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.member_disk import MemberDisk
+from wagtailrun.consensus.operator_founding import FoundingOutcome
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
 from wagtailrun.logs import events
 from wagtailrun.messages import PeerError
@@ -172,6 +173,13 @@
             await member.read_barrier(timeout_ms)
             self._caught_up = member
 
+    async def found_cluster(self) -> FoundingOutcome:
+        """Found a cluster by order of an operator; see ``OperatorFounding``."""
+        try:
+            return await self.member.found_cluster()
+        except DiskFault as error:
+            return FoundingOutcome("", f"the disk failed: {error}")
+
     # Planned stop
 
     def refuse_leadership(self) -> None:
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -21,6 +21,7 @@
     Entry,
     EntryKind,
     FoundingAccept,
+    FoundingOrder,
     FoundingPrepare,
     FoundingQuery,
     Handover,
@@ -31,6 +32,7 @@
     SnapshotPiece,
     VoteRequest,
 )
+from wagtailrun.consensus.operator_founding import FoundingOutcome, OperatorFounding
 from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role, Signal
 from wagtailrun.consensus.timing import Timing
@@ -127,6 +129,7 @@
         self.membership = MembershipChange(self.state, self.replication)
         self.election = Election(self.state, self.replication, self.membership)
         self.founding = Founding(self.state, self.election.campaign)
+        self.operator_founding = OperatorFounding(self.state, self.founding)
         self.handover = LeaderHandover(self.state, self.replication, self.election)
         self.journal.on_durable = self.replication.advance_commit
         self.journal.on_fault = self.state.fail
@@ -337,7 +340,9 @@
                 return await self.handover.handle(message)
             case Join():
                 return self.membership.handle_join(message)
-            case FoundingQuery() | FoundingPrepare() | FoundingAccept():
+            case (
+                FoundingQuery() | FoundingPrepare() | FoundingAccept() | FoundingOrder()
+            ):
                 return await self.founding.acceptor.handle(message)
             case ReadIndex():
                 return self._handle_read_index()
@@ -362,6 +367,12 @@
         """Why this member belongs to no cluster; empty if it does, or has stopped."""
         return "" if self.fault is not None else self.founding.cluster_wait.detail
 
+    async def found_cluster(self) -> FoundingOutcome:
+        """Found a cluster by order of an operator; see ``OperatorFounding``."""
+        if not self.is_open or self.is_closed or self.fault is not None:
+            return FoundingOutcome("", "the member has not started or has stopped")
+        return await self.operator_founding.found()
+
     # State of the member
 
     @property
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -20,6 +20,7 @@
     "EntryKind",
     "FoundingAccept",
     "FoundingBallot",
+    "FoundingOrder",
     "FoundingPrepare",
     "FoundingQuery",
     "FoundingRecord",
@@ -427,6 +428,19 @@
     value: FoundingValue
 
 
+@attrs.frozen
+class FoundingOrder:
+    """Order of an operator: found the cluster with all seeds, unless there is a log.
+
+    Attributes:
+        recipient: Identity of the seed with its incarnation.
+        seeds: ``seeds`` of a ``FoundingRecord``.
+    """
+
+    recipient: str
+    seeds: tuple[str, ...]
+
+
 @attrs.frozen
 class FoundingReply:
     """Reply to each message about the founding: the state after it.
@@ -451,6 +465,7 @@
         Configuration,
         EntryBatch,
         FoundingAccept,
+        FoundingOrder,
         FoundingPrepare,
         FoundingQuery,
         FoundingReply,
--- a/wagtailrun/control/__init__.py
+++ b/wagtailrun/control/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "daemon",
+    "founding_calls",
     "service",
     "text_watch",
 ]
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -199,6 +199,13 @@
     "Do what remedy says; may_found names the members that may found a cluster, and "
     "answers what each other member answered.",
 )
+FOUNDING_ORDERED = _event(
+    511,
+    logging.WARNING,
+    "An operator ordered this member to found a cluster; accepted tells the result.",
+    "If accepted is false, see detail; if audited is false, repeat the order.",
+    limited=False,
+)
 
 
 # An entry in the users' installations receives about 10 requests a second; the limit
--- a/wagtailrun/relay/control.py
+++ b/wagtailrun/relay/control.py
@@ -5,13 +5,19 @@
 from typing import Any
 
 from wagtailrun.adapters.file_disk import FileDisk
-from wagtailrun.adapters.http_server import HttpHandler, HttpServer
+from wagtailrun.adapters.http_server import (
+    HttpHandler,
+    HttpServer,
+    Request,
+    Response,
+)
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
 from wagtailrun.clock import SystemClock
 from wagtailrun.codec import Channel, codec_of
 from wagtailrun.consensus.host import MemberHost
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.timing import Timing
+from wagtailrun.control.founding_calls import FOUNDING_PATH, FoundingCalls
 from wagtailrun.control.service import ControlService
 from wagtailrun.discovery import Configuration, Hub
 from wagtailrun.exceptions import (
@@ -206,8 +212,14 @@
         )
         self.fleet_configuration = FleetConfigurationStore(self)
         self.operator_handler = make_handler(self.fleet_configuration, self.hub)
+        self.founding_calls = FoundingCalls(
+            self.member_host,
+            self.registry,
+            self.fleet_configuration.ask_leader,
+            settings.name,
+        )
         self.operators = HttpServer(
-            settings.operator_address, self.operator_handler, MAX_TEXT_BYTES
+            settings.operator_address, self.handle_operator, MAX_TEXT_BYTES
         )
         self.peer_server = PeerServer(
             settings.peer_listen_address or settings.peer_address,
@@ -322,6 +334,12 @@
         await wait_for_signal(self.signals, self.settings.name)
         await self.planned_stop.run()
 
+    async def handle_operator(self, request: Request) -> Response:
+        """Return the response to one HTTP request of an operator or a target."""
+        if request.path == FOUNDING_PATH:
+            return await self.founding_calls.handle(request)
+        return await self.operator_handler(request)
+
     async def handle_peer(self, message: Any) -> Any:
         """Return the reply to one message from another process of the system."""
         channel = codec_of(message).channel
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -23,6 +23,7 @@
     foundingPrepare @16 :FoundingPrepare;
     foundingAccept @17 :FoundingAccept;
     foundingReply @18 :FoundingReply;
+    foundingOrder @19 :FoundingOrder;
   }
 }
 
@@ -111,6 +112,8 @@
 
 struct FoundingQuery { sender @0 :Text; }
 
+struct FoundingOrder { recipient @0 :Text; seeds @1 :List(Text); }
+
 struct FoundingPrepare {
   recipient @0 :Text;
   seeds @1 :List(Text);
