Count a member without a log as one of the cluster that it has heard of

Cause: a member counted as one of a cluster only once it had a log. Seeds that all lost their disks know only each other: members that are no seeds went on with the log, called the lost identities, and were not heard.

Ruled out: to count every cluster on the disk. A seed that ends between the two writes of a founding, started again, would block the others; it counts from its log on, by the accepted value, which the first of the writes now holds for the decided value. Another seed that accepted the same value begins its log when it hears that cluster named, as nobody names it before the decision. Also ruled out: to listen for lost identities only.

An order beside such members is refused; seeds take orders after 10 s only, as a cluster that has lost its leader with the seeds needs up to 4 s for the next one (100 ms after the start, an order was taken before).

Conclusion: founding by a majority, by all seeds and by order refuse a cluster that any of the seeds has heard of.

--- a/tests/test_founding_calls.py
+++ b/tests/test_founding_calls.py
@@ -8,6 +8,7 @@
 from demo.processes import free_addresses
 from wagtailrun.adapters.http_server import Request
 from wagtailrun.cli.commands import main
+from wagtailrun.consensus import founding_acceptor
 from wagtailrun.consensus.operator_founding import FoundingOutcome
 from wagtailrun.control.founding_calls import FOUNDING_PATH, FoundingCalls
 from wagtailrun.exceptions import ConsensusUnavailable
@@ -143,6 +144,7 @@
     addresses = [free_addresses(3) for _ in range(3)]
     seeds = tuple(each[0] for each in addresses)
     monkeypatch.setenv("WAGTAILRUN_OPERATOR_CREDENTIAL", CREDENTIAL)
+    monkeypatch.setattr(founding_acceptor, "LISTEN_MS", 0)
     controls = [
         RelayControl(settings, lambda store, hub: None, lambda each=settings: each)
         for settings in (
--- a/wagtailrun/consensus/election.py
+++ b/wagtailrun/consensus/election.py
@@ -173,10 +173,10 @@
         incarnation becomes a voter only after it has caught up with the log, so its
         vote is valid even if its own log does not show the promotion yet.
         """
-        cluster = self.state.journal.member_record.cluster
-        return request.recipient == self.state.identity and (
-            not cluster or cluster == request.cluster
-        )
+        state = self.state
+        is_recipient = state.note_recipient(request.recipient, request.cluster)
+        cluster = state.journal.member_record.cluster
+        return is_recipient and cluster in ("", request.cluster)
 
     async def _evaluate_vote(self, request: VoteRequest) -> bool:
         state = self.state
--- a/wagtailrun/consensus/following.py
+++ b/wagtailrun/consensus/following.py
@@ -83,10 +83,10 @@
         """
         state = self.state
         record = state.journal.member_record
-        if message.recipient != state.identity or record.cluster not in (
-            "",
-            message.cluster,
-        ):
+        is_recipient = state.note_recipient(
+            message.recipient, message.cluster, message.leader_address
+        )
+        if not is_recipient or record.cluster not in ("", message.cluster):
             return NO_TERM
         if message.term < state.term:
             return state.term
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -178,6 +178,7 @@
         while not self.acceptor.has_log:
             replies_by_address = await self.ask_all()
             self.cluster_wait.report()
+            await self._adopt_if_known()
             if self._is_due():
                 await self._found(replies_by_address)
             await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
@@ -252,7 +253,11 @@
         now_ms = state.clock.now_ms()
         record = self.acceptor.record
         supporters = [s.name for s in self.statements if s.name and s.may_found]
-        blocked = self.refusal or any(s.cluster for s in self.statements)
+        blocked = (
+            self.refusal
+            or self.acceptor.cluster
+            or any(s.cluster for s in self.statements)
+        )
         if blocked or not record.seeds or len(supporters) + 1 < self.needed:
             self.ready_since_ms = None
             return False
@@ -358,9 +363,21 @@
     def _observe(self, reply: FoundingReply) -> None:
         self.newest_round = max(self.newest_round, reply.record.promised.round)
 
+    async def _adopt_if_known(self) -> None:
+        """Begin the log with the accepted value if it is known to be decided.
+
+        It is where another member names its cluster, which nobody does before the
+        decision.
+        """
+        value = self.acceptor.record.value
+        if value.cluster and any(s.cluster == value.cluster for s in self.statements):
+            await self._adopt(value)
+
     async def _adopt(self, value: FoundingValue) -> None:
         """Begin the log with the decided member set, unless a leader has done it."""
         state = self.state
+        if value.configuration.find(state.identity) is None:
+            return
         journal = state.journal
         data = CODEC.encode(value.configuration)
         entry = Entry(1, FIRST_TERM, EntryKind.CONFIGURATION, data)
@@ -371,7 +388,14 @@
             if state.term < FIRST_TERM:
                 state.become_follower(FIRST_TERM, None)
             term = max(record.term, FIRST_TERM)
-            record = attrs.evolve(record, cluster=value.cluster, term=term)
+            # A decided value counts as accepted. Without it, a member that ends before
+            # its next write would count as one of a cluster that it has not got.
+            founding = attrs.evolve(
+                record.founding, accepted=record.founding.promised, value=value
+            )
+            record = attrs.evolve(
+                record, cluster=value.cluster, term=term, founding=founding
+            )
             await journal.save_record(record)
             await journal.wait_durable(await journal.append([entry]))
         names = [info.name for info in value.configuration.members]
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -16,7 +16,11 @@
 )
 from wagtailrun.ports.link import Address
 
-__all__ = ["FoundingAcceptor", "FoundingRequest", "seed_texts"]
+__all__ = ["LISTEN_MS", "FoundingAcceptor", "FoundingRequest", "seed_texts"]
+
+# A cluster that loses its leader has another one within 4 s; a leader then calls the
+# seeds that are not in its cluster every second.
+LISTEN_MS = 10_000
 
 FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
 
@@ -48,23 +52,38 @@
         """Whether this member has a log, after which it founds none."""
         return self.state.journal.last_index > 0
 
+    @property
+    def cluster(self) -> str:
+        """Cluster that this member belongs or has belonged to, empty if none.
+
+        A leader or candidate may have named it before this member has a log. Until
+        then, the cluster of the value that it has accepted does not count, as others
+        may need its promise to finish the founding.
+        """
+        cluster = self.state.journal.member_record.cluster
+        if not self.has_log and cluster == self.record.value.cluster:
+            return self.state.heard_cluster
+        return cluster
+
     async def handle(self, message: FoundingRequest) -> FoundingReply:
         """Promise or accept a ballot if that is allowed; return the state after it."""
         state = self.state
         async with state.lock:
-            if isinstance(message, FoundingOrder):
+            if isinstance(message, FoundingQuery) and message.cluster:
+                state.note_cluster(message.cluster, message.leader_address)
+            elif isinstance(message, FoundingOrder):
                 await self._take_order(message)
             elif not isinstance(message, FoundingQuery) and self._may_take_part(
                 message
             ):
                 await self._take_part(message)
-            cluster = state.journal.member_record.cluster if self.has_log else ""
-            return FoundingReply(state.identity, cluster, self.record)
+            return FoundingReply(state.identity, self.cluster, self.record)
 
     def _may_take_part(self, message: FoundingPrepare | FoundingAccept) -> bool:
         return (
             message.recipient == self.state.identity
             and not self.has_log
+            and not self.cluster
             and bool(self.record.seeds)
             and message.seeds == self.record.seeds
             and message.ballot >= self.record.promised
@@ -95,12 +114,17 @@
     async def _take_order(self, message: FoundingOrder) -> None:
         """Record the permission to found the cluster with all seeds.
 
+        Only once this member has run for so long that it has heard of a cluster that
+        goes on without it.
         Not by a majority: this member may have lost the disk of an earlier founding.
         """
+        state = self.state
         if (
-            message.recipient == self.state.identity
+            message.recipient == state.identity
             and not self.has_log
+            and not self.cluster
             and message.seeds == self.order_seeds != self.record.seeds
+            and state.clock.now_ms() - state.started_ms >= LISTEN_MS
         ):
             await self.save(attrs.evolve(self.record, seeds=message.seeds))
 
--- a/wagtailrun/consensus/member_state.py
+++ b/wagtailrun/consensus/member_state.py
@@ -9,7 +9,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.consensus.journal import Journal
-from wagtailrun.consensus.messages import Configuration, SnapshotHeader
+from wagtailrun.consensus.messages import Configuration, SnapshotHeader, name_of
 from wagtailrun.consensus.state import Role, Signal
 from wagtailrun.consensus.timing import Timing
 from wagtailrun.exceptions import ConsensusUnavailable
@@ -68,6 +68,9 @@
         applied_index: Index of the newest entry that the state machine has applied.
         commands_applied: Number of commands that the state machine has applied.
         proposals_by_index: Proposals of this leader that are not answered yet.
+        heard_cluster: Cluster that goes on without this member, as a message to it or
+            to its lost identity has shown since its start.
+        heard_leaders: Addresses of the leaders that sent such messages.
         fault: Error that stopped this member.
         on_fault: Called with the first error, while the role is still unchanged.
         commit_advanced: Notified when there may be entries to apply.
@@ -104,6 +107,8 @@
     applied_index: int = 0
     commands_applied: int = 0
     proposals_by_index: dict[int, Proposal] = attrs.field(factory=dict)
+    heard_cluster: str = ""
+    heard_leaders: set[Address] = attrs.field(factory=set)
     fault: Exception | None = None
     on_fault: Callable[[Exception], None] | None = None
     commit_advanced: Signal = attrs.field(factory=Signal)
@@ -130,6 +135,33 @@
         """Newest member set in the log, committed or not."""
         return self.journal.configuration()
 
+    def note_recipient(self, recipient: str, cluster: str, leader: str = "") -> bool:
+        """Return whether a message is for this identity, else keep what it shows.
+
+        A message for a lost identity shows that its cluster goes on without it.
+
+        Args:
+            recipient: Identity that the message is for.
+            cluster: Cluster of its sender.
+            leader: Address of the sender if it is a leader.
+        """
+        if recipient == self.identity:
+            return True
+        if name_of(recipient) == self.name:
+            self.note_cluster(cluster, leader)
+        return False
+
+    def note_cluster(self, cluster: str, leader: str) -> None:
+        """Keep that a cluster goes on without this member.
+
+        Args:
+            cluster: Cluster of the sender of a message.
+            leader: Address of the sender if it is a leader.
+        """
+        self.heard_cluster = cluster
+        if leader:
+            self.heard_leaders.add(Address.parse(leader))
+
     # Term, commit index and state machine
 
     async def observe_term(self, term: int) -> None:
--- a/wagtailrun/consensus/membership_change.py
+++ b/wagtailrun/consensus/membership_change.py
@@ -6,6 +6,7 @@
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     Configuration,
+    FoundingQuery,
     Join,
     JoinReply,
     MemberInfo,
@@ -22,6 +23,7 @@
 # With intervals of 500 ms, a replaced member did not catch up within the required 4 s.
 JOIN_INTERVAL_MS = 250
 CHANGE_INTERVAL_MS = 200
+SEED_CALL_INTERVAL_MS = 1_000
 # An identity that answered within this time is alive and is not replaced; five
 # heartbeat intervals.
 MEMBER_REPLACEMENT_TIMEOUT_MS = 1_000
@@ -46,6 +48,7 @@
         self.joining_by_name: dict[str, Join] = {}
         self.learner_since_ms: dict[str, int] = {}
         self.leading_since_ms = 0
+        self.next_seed_call_ms = 0
         # Addresses from join replies, so that a new member finds the leader from any
         # member that it can reach.
         self.discovered_addresses: set[Address] = set()
@@ -64,8 +67,31 @@
             is_member = state.configuration.find(state.identity) is not None
             if not is_member or (state.open_joining and self._has_lost_leader()):
                 await self._send_join_requests()
+            elif self.replication.is_leader:
+                await self._call_absent_seeds()
             await state.clock.sleep_ms(JOIN_INTERVAL_MS)
 
+    async def _call_absent_seeds(self) -> None:
+        """Tell seeds that are not in the cluster of it, at intervals.
+
+        Seeds that have all lost their disks know only each other. Without such calls
+        they would never join, and an operator could order them to found a cluster.
+        """
+        state = self.state
+        now_ms = state.clock.now_ms()
+        if now_ms < self.next_seed_call_ms:
+            return
+        self.next_seed_call_ms = now_ms + SEED_CALL_INTERVAL_MS
+        members = {info.peer_address for info in state.configuration.members}
+        seeds = {*state.peers, *state.bootstrap.values()} - members - {state.address}
+        cluster = state.journal.member_record.cluster
+        message = FoundingQuery(state.identity, cluster, str(state.address))
+        for address in sorted(seeds):
+            try:
+                await state.link.call(address, message, state.timing.call_timeout_ms)
+            except PeerUnreachable:
+                continue  # It is called again.
+
     def _has_lost_leader(self) -> bool:
         """Whether this member has had no contact with a leader for too long."""
         state = self.state
@@ -85,6 +111,7 @@
             *state.bootstrap.values(),
             *seed_addresses(state.journal.member_record.founding).values(),
             *self.discovered_addresses,
+            *state.heard_leaders,
         }
         addresses.discard(state.address)
         request = Join(state.identity, str(state.address))
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -389,11 +389,17 @@
 class FoundingQuery:
     """Question what a member knows about the founding; it promises nothing.
 
+    A leader also sends it, to seeds that are not in its cluster.
+
     Attributes:
         sender: Identity of the asking member.
+        cluster: Cluster that it leads, else empty.
+        leader_address: Its peer address if it leads a cluster, else empty.
     """
 
     sender: str
+    cluster: str = ""
+    leader_address: str = ""
 
 
 @attrs.frozen
--- a/wagtailrun/consensus/operator_founding.py
+++ b/wagtailrun/consensus/operator_founding.py
@@ -2,7 +2,9 @@
 
 import attrs
 
+from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.founding import Founding, seed_addresses
+from wagtailrun.consensus.founding_acceptor import LISTEN_MS
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import FoundingOrder, FoundingRecord, name_of
 from wagtailrun.ports.link import Address
@@ -73,6 +75,8 @@
     async def _order_all(self) -> None:
         """Have all seeds record the permission; this member is the last one."""
         state, acceptor = self.state, self.founding.acceptor
+        if acceptor.cluster:
+            raise _Refused(f"{state.name} belongs to cluster {acceptor.cluster}")
         seeds = acceptor.order_seeds
         if len(seeds) < 2:
             raise _Refused(f"{state.name} has no list of seeds with itself and others")
@@ -91,9 +95,16 @@
             if reply.cluster:
                 raise _Refused(f"{address} belongs to cluster {reply.cluster}")
             if reply.record.seeds != seeds:
-                own = ", ".join(reply.record.seeds) or "from its settings"
-                raise _Refused(f"{address} refused: it has other seeds, {own}")
-        await acceptor.handle(FoundingOrder(state.identity, seeds))
+                raise _Refused(
+                    f"{address} refused: it has other seeds in its settings or on its "
+                    f"disk, or runs for less than {LISTEN_MS / MS_PER_SECOND:.0f} s"
+                )
+        own = await acceptor.handle(FoundingOrder(state.identity, seeds))
+        if own.record.seeds != seeds:
+            raise _Refused(
+                f"{state.name} runs for less than {LISTEN_MS / MS_PER_SECOND:.0f} s, "
+                "or has joined a cluster; repeat the order"
+            )
 
     async def _ask_all(
         self, addresses_by_name: dict[str, Address]
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -110,7 +110,11 @@
   value @4 :FoundingValue;
 }
 
-struct FoundingQuery { sender @0 :Text; }
+struct FoundingQuery {
+  sender @0 :Text;
+  cluster @1 :Text;
+  leaderAddress @2 :Text;
+}
 
 struct FoundingOrder { recipient @0 :Text; seeds @1 :List(Text); }
 
