Tell the first member set the decision before the election

Cause: only the proposer wrote the first entry. If its disk was lost before the election, the others had to agree again, and needed a majority of all seeds for that; with two of five seeds that may not found there was none left.

Ruled out: the proposer writing its entry after the election, which needs the entry for its member set.

Conclusion: after the decision the members of the first set need each other, not the seeds that may found.

--- a/tests/test_founding_refusals.py
+++ b/tests/test_founding_refusals.py
@@ -192,6 +192,33 @@
     assert len(cluster.founded) == 1
 
 
+def test_founder_that_loses_its_disk_takes_no_permission_with_it():
+    """Guards against a decided member set that only the founder's disk holds.
+
+    Two of five seeds may not found, so that no majority is left without the founder.
+    """
+
+    async def main(clock):
+        cluster = await founding(clock, 5)
+        nodes = cluster.nodes
+        for node in (nodes[2], nodes[4]):
+            await node.never_start()
+        for node in nodes:
+            await node.start()
+        await cluster.wait_for(lambda: cluster.founded, "not founded")
+        (founder,) = (n for n in nodes if n.member.identity in cluster.founded)
+        await founder.kill()
+        founder.disk.empty()
+        await founder.start()
+        await cluster.acknowledge()
+        await cluster.settle()
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
+
+
 def test_seeds_with_emptied_disks_do_not_count():
     """Guards against a second log by seeds that lost the disks of the first one."""
 
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -19,6 +19,7 @@
     EntryKind,
     FoundingAccept,
     FoundingBallot,
+    FoundingDecision,
     FoundingPrepare,
     FoundingQuery,
     FoundingRecord,
@@ -256,13 +257,28 @@
 
     async def _found(self, replies_by_address: dict[Address, FoundingReply]) -> None:
         value = await self._decide(replies_by_address)
-        if value is None or value.configuration.find(self.state.identity) is None:
-            # Also after a decision without this member: the members are to propose.
+        if value is None:
             back_off_ms = self.state.random.randint(0, MAX_BACK_OFF_MS)
             self.back_off_until_ms = self.state.clock.now_ms() + back_off_ms
             return
         await self._adopt(value)
-        await self._lead_first()
+        # Else the decision would be lost with the disk of this member, if no majority
+        # is left that may found.
+        await self._call_all(
+            {
+                info.peer_address: FoundingDecision(info.identity, value)
+                for info in value.configuration.members
+                if info.identity != self.state.identity
+            }
+        )
+        if self.acceptor.has_log:
+            await self._lead_first()
+
+    async def handle_decision(self, message: FoundingDecision) -> FoundingReply:
+        """Begin the log with a decided member set; return the state after it."""
+        if message.recipient == self.state.identity:
+            await self._adopt(message.value)
+        return await self.acceptor.handle(FoundingQuery(self.state.identity))
 
     async def _decide(
         self, replies_by_address: dict[Address, FoundingReply]
@@ -347,8 +363,13 @@
         self.newest_round = max(self.newest_round, reply.record.promised.round)
 
     async def _adopt(self, value: FoundingValue) -> None:
-        """Begin the log with the decided member set, unless a leader has done it."""
+        """Begin the log with the decided member set, if this member is in it.
+
+        A leader may have sent its entry before.
+        """
         state = self.state
+        if value.configuration.find(state.identity) is None:
+            return
         journal = state.journal
         data = CODEC.encode(value.configuration)
         entry = Entry(1, FIRST_TERM, EntryKind.CONFIGURATION, data)
@@ -382,12 +403,14 @@
 
     async def _call_all(
         self,
-        messages_by_address: Mapping[Address, FoundingRequest],
+        messages_by_address: Mapping[Address, FoundingRequest | FoundingDecision],
     ) -> dict[Address, FoundingReply]:
         """Send all messages at once; return the replies that came by address."""
         replies_by_address: dict[Address, FoundingReply] = {}
 
-        async def call(address: Address, message: FoundingRequest) -> None:
+        async def call(
+            address: Address, message: FoundingRequest | FoundingDecision
+        ) -> None:
             try:
                 reply = await self.state.link.call(
                     address, message, self.state.timing.call_timeout_ms
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -21,6 +21,7 @@
     Entry,
     EntryKind,
     FoundingAccept,
+    FoundingDecision,
     FoundingPrepare,
     FoundingQuery,
     Handover,
@@ -339,6 +340,8 @@
                 return self.membership.handle_join(message)
             case FoundingQuery() | FoundingPrepare() | FoundingAccept():
                 return await self.founding.acceptor.handle(message)
+            case FoundingDecision():
+                return await self.founding.handle_decision(message)
             case ReadIndex():
                 return self._handle_read_index()
         raise MessageError(
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -20,6 +20,7 @@
     "EntryKind",
     "FoundingAccept",
     "FoundingBallot",
+    "FoundingDecision",
     "FoundingPrepare",
     "FoundingQuery",
     "FoundingRecord",
@@ -427,6 +428,19 @@
     value: FoundingValue
 
 
+@attrs.frozen
+class FoundingDecision:
+    """Message that enough seeds have accepted a value, which then never changes.
+
+    Attributes:
+        recipient: Identity of a member in the initial member set.
+        value: The decided value.
+    """
+
+    recipient: str
+    value: FoundingValue
+
+
 @attrs.frozen
 class FoundingReply:
     """Reply to each message about the founding: the state after it.
@@ -451,6 +465,7 @@
         Configuration,
         EntryBatch,
         FoundingAccept,
+        FoundingDecision,
         FoundingPrepare,
         FoundingQuery,
         FoundingReply,
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -23,6 +23,7 @@
     foundingPrepare @16 :FoundingPrepare;
     foundingAccept @17 :FoundingAccept;
     foundingReply @18 :FoundingReply;
+    foundingDecision @19 :FoundingDecision;
   }
 }
 
@@ -129,3 +130,5 @@
   cluster @1 :Text;
   record @2 :FoundingRecord;
 }
+
+struct FoundingDecision { recipient @0 :Text; value @1 :FoundingValue; }
