--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -7,7 +7,6 @@
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     FoundingAccept,
-    FoundingBallot,
     FoundingOrder,
     FoundingPrepare,
     FoundingQuery,
@@ -105,7 +104,7 @@
         to be their addresses. Empty if the member is no seed.
         """
         state, record = self.state, self.record
-        is_bound = record.by_majority or record.accepted != FoundingBallot()
+        is_bound = record.by_majority or record.value.cluster
         is_named = state.name == str(state.address) and state.address in state.peers
         if is_bound or not is_named:
             return record.seeds
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -21,6 +21,7 @@
     Entry,
     EntryKind,
     FoundingAccept,
+    FoundingDecision,
     FoundingOrder,
     FoundingPrepare,
     FoundingQuery,
@@ -344,6 +345,8 @@
                 FoundingQuery() | FoundingPrepare() | FoundingAccept() | FoundingOrder()
             ):
                 return await self.founding.acceptor.handle(message)
+            case FoundingDecision():
+                return await self.founding.handle_decision(message)
             case ReadIndex():
                 return self._handle_read_index()
         raise MessageError(
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -20,6 +20,7 @@
     "EntryKind",
     "FoundingAccept",
     "FoundingBallot",
+    "FoundingDecision",
     "FoundingOrder",
     "FoundingPrepare",
     "FoundingQuery",
@@ -434,6 +435,19 @@
     value: FoundingValue
 
 
+@attrs.frozen
+class FoundingDecision:
+    """Message that enough seeds have accepted a value, which then never changes.
+
+    Attributes:
+        recipient: Identity of a member in the initial member set.
+        value: The decided value.
+    """
+
+    recipient: str
+    value: FoundingValue
+
+
 @attrs.frozen
 class FoundingOrder:
     """Order of an operator: found the cluster with all seeds, unless there is a log.
@@ -471,6 +485,7 @@
         Configuration,
         EntryBatch,
         FoundingAccept,
+        FoundingDecision,
         FoundingOrder,
         FoundingPrepare,
         FoundingQuery,
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -23,7 +23,8 @@
     foundingPrepare @16 :FoundingPrepare;
     foundingAccept @17 :FoundingAccept;
     foundingReply @18 :FoundingReply;
-    foundingOrder @19 :FoundingOrder;
+    foundingDecision @19 :FoundingDecision;
+    foundingOrder @20 :FoundingOrder;
   }
 }
 
@@ -136,3 +137,5 @@
   cluster @1 :Text;
   record @2 :FoundingRecord;
 }
+
+struct FoundingDecision { recipient @0 :Text; value @1 :FoundingValue; }
