Give a member that is started again in its process no permission to found

Cause: the host of a process starts a member again after a fault, with the settings of the process. These hold the permission of the first start for as long as the process lives.

Ruled out: the permission to found with all seeds only, as after damaged files.

A member that was never open has answered nobody and keeps the permission, for example after a disk that was full at its first start.

Conclusion: the permission is bound to the first disk of a process.

--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -117,6 +117,8 @@
         # Local time since when enough seeds have answered without an obstacle.
         self.ready_since_ms: int | None = None
         self.back_off_until_ms = 0
+        # Whether an empty disk gives no permission, whatever the settings say.
+        self.is_revoked = False
         self.newest_round = 0
         self.refusal = state.founding_refusal
         # A seed with another list may answer now and then.
@@ -130,7 +132,8 @@
     def new_record(self) -> FoundingRecord:
         """Return the part of this member in founding if its disk is empty."""
         state = self.state
-        if state.founding_refusal or state.name not in state.bootstrap:
+        refused = self.is_revoked or state.founding_refusal
+        if refused or state.name not in state.bootstrap:
             return FoundingRecord()
         return founding_record(list(state.bootstrap.items()), state.founds_by_majority)
 
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -75,7 +75,8 @@
         self._needed_bytes = SPACE_RESERVE_BYTES
         self._delay_ms = 0
         self._refuses_leadership = False
-        self._has_removed_files = False
+        # A former member may have promised or accepted on a disk that is lost since.
+        self._may_found = True
         self._caught_up: Member | None = None
         self._start_member()
 
@@ -84,8 +85,8 @@
         self.member = self.make_member(self.member_disk)
         if self._refuses_leadership:
             self.member.refuse_leadership()
-        if self._has_removed_files:
-            self.member.revoke_founding_by_majority()
+        if not self._may_found:
+            self.member.revoke_founding()
         self._started_ms = self.clock.now_ms()
 
     # Interface to the embedding program
@@ -101,6 +102,8 @@
             self.disk.close()
             self.reset_machine()
             previous = self.member
+            if previous.state.is_open:
+                self._may_found = False
             self._start_member()
             # Those who wait for the next entry there now wait at the new member.
             await previous.applied.notify()
@@ -259,7 +262,7 @@
 
     async def _remove_files(self) -> None:
         """Remove all files; a file that stays is found damaged again."""
-        self._has_removed_files = True
+        self._may_found = False
         try:
             for name in await self.disk.names():
                 await self.disk.remove(name)
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -190,9 +190,13 @@
         """Take over no leadership from now on; a member that leads goes on to do so."""
         self.election.refuses_leadership = True
 
-    def revoke_founding_by_majority(self) -> None:
-        """Found a cluster with all seeds only, as this member has lost its files."""
-        self.state.founds_by_majority = False
+    def revoke_founding(self) -> None:
+        """Take no permission to found a cluster, should the disk be empty.
+
+        An earlier member of the process may have promised or accepted on a disk that
+        is lost since. A restarted process has no permission either.
+        """
+        self.founding.is_revoked = True
 
     def _prepare_handover(self, error: Exception) -> None:
         if isinstance(error, DiskFault):
