Give up a ballot that the proposer itself has not promised

Cause: a proposer that had promised a greater ballot between two steps, or had got a log from a leader, went on if enough others promised its own, and failed with KeyError where it looked for its own promise. The failed task stopped the member.

Ruled out: to go on without its own acceptance. Another ballot or a log is on its way, and the next round learns which.

Conclusion: a proposer takes part in its own ballot or gives it up.

--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -310,7 +310,7 @@
         self._observe(await self.acceptor.handle(FoundingQuery(state.identity)))
         ballot = FoundingBallot(self.newest_round + 1, state.identity)
         promises = await self._collect_promises(ballot)
-        if len(promises) < self.needed:
+        if state.address not in promises or len(promises) < self.needed:
             return None
         value = max(promises.values(), key=lambda reply: reply.record.accepted)
         chosen = value.record.value
