--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -9,6 +9,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.election import Election
 from wagtailrun.consensus.following import Follower
+from wagtailrun.consensus.founding import Founding, seeds_refusal
 from wagtailrun.consensus.handover import LeaderHandover
 from wagtailrun.consensus.journal import Journal
 from wagtailrun.consensus.journal_records import snapshot_checksum
@@ -19,6 +20,11 @@
     Configuration,
     Entry,
     EntryKind,
+    FoundingAccept,
+    FoundingDecision,
+    FoundingOrder,
+    FoundingPrepare,
+    FoundingQuery,
     Handover,
     Join,
     ReadIndex,
@@ -27,6 +33,7 @@
     SnapshotPiece,
     VoteRequest,
 )
+from wagtailrun.consensus.operator_founding import FoundingOutcome, OperatorFounding
 from wagtailrun.consensus.replication import Replication
 from wagtailrun.consensus.state import Role, Signal
 from wagtailrun.consensus.timing import Timing
@@ -38,7 +45,7 @@
 )
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
-from wagtailrun.ports.log import ReplicatedLog, StateMachine
+from wagtailrun.ports.log import NO_CLUSTER, ReplicatedLog, StateMachine
 
 __all__ = ["Member"]
 
@@ -68,8 +75,12 @@
         name: Name of the VM, unique among the members.
         address: Peer address of this member.
         peers: Peer addresses that a joining member contacts first.
-        bootstrap: Names and addresses of the initial members, the same at each of
-            them. Once the cluster exists, these names may still join.
+        bootstrap: Names and addresses of the seeds, the same at each of them, which
+            found the cluster. Once the cluster exists, these names may still join.
+        founds_by_majority: Whether this is the first start of all seeds, so that a
+            majority of them may found the cluster. Otherwise all of them have to,
+            because some may have lost the disk on which the cluster was founded.
+        may_found_alone: Whether this member may be the only seed.
         seed: Seed of the election timeouts and of the incarnation; random by default.
         timing: Timing, the same at all members.
         open_joining: Whether members with names outside ``bootstrap`` may join.
@@ -89,6 +100,8 @@
         *,
         peers: Sequence[Address] = (),
         bootstrap: Sequence[tuple[str, Address]] = (),
+        founds_by_majority: bool = False,
+        may_found_alone: bool = True,
         seed: int | None = None,
         timing: Timing | None = None,
         open_joining: bool = False,
@@ -103,6 +116,8 @@
             address=address,
             peers=tuple(peers),
             bootstrap=dict(bootstrap),
+            founds_by_majority=founds_by_majority,
+            founding_refusal=seeds_refusal(name, address, bootstrap, may_found_alone),
             random=random.SystemRandom() if seed is None else random.Random(seed),
             timing=timing or Timing(),
             open_joining=open_joining,
@@ -114,6 +129,8 @@
         self.replication = Replication(self.state)
         self.membership = MembershipChange(self.state, self.replication)
         self.election = Election(self.state, self.replication, self.membership)
+        self.founding = Founding(self.state, self.election.campaign)
+        self.operator_founding = OperatorFounding(self.state, self.founding)
         self.handover = LeaderHandover(self.state, self.replication, self.election)
         self.journal.on_durable = self.replication.advance_commit
         self.journal.on_fault = self.state.fail
@@ -141,7 +158,11 @@
     async def open(self) -> None:
         """Recover the state from disk and start the background tasks."""
         state = self.state
-        await self.journal.open(f"{state.name}#{state.random.getrandbits(64):016x}")
+        await self.journal.open(
+            f"{state.name}#{state.random.getrandbits(64):016x}",
+            self.founding.new_record(),
+        )
+        await self.founding.open()
         state.term = self.journal.member_record.term
         snapshot = await self.journal.read_snapshot()
         if snapshot is not None:
@@ -153,6 +174,7 @@
         await state.spawn(self._apply_committed)
         await state.spawn(self.election.run)
         await state.spawn(self.membership.run)
+        await state.spawn(self.founding.run)
         state.is_open = True
         await state.opened.notify()
 
@@ -168,6 +190,14 @@
         """Take over no leadership from now on; a member that leads goes on to do so."""
         self.election.refuses_leadership = True
 
+    def revoke_founding(self) -> None:
+        """Take no permission to found a cluster, should the disk be empty.
+
+        An earlier member of the process may have promised or accepted on a disk that
+        is lost since. A restarted process has no permission either.
+        """
+        self.founding.is_revoked = True
+
     def _prepare_handover(self, error: Exception) -> None:
         if isinstance(error, DiskFault):
             self.handover.prepare()
@@ -315,6 +345,12 @@
                 return await self.handover.handle(message)
             case Join():
                 return self.membership.handle_join(message)
+            case (
+                FoundingQuery() | FoundingPrepare() | FoundingAccept() | FoundingOrder()
+            ):
+                return await self.founding.acceptor.handle(message)
+            case FoundingDecision():
+                return await self.founding.handle_decision(message)
             case ReadIndex():
                 return self._handle_read_index()
         raise MessageError(
@@ -333,6 +369,17 @@
             return self.state.address if self.is_leader else None
         return self.state.known_leader_address
 
+    @property
+    def cluster_detail(self) -> str:
+        """Why this member belongs to no cluster; empty if it does, or has stopped."""
+        return "" if self.fault is not None else self.founding.cluster_wait.detail
+
+    async def found_cluster(self) -> FoundingOutcome:
+        """Found a cluster by order of an operator; see ``OperatorFounding``."""
+        if not self.is_open or self.is_closed or self.fault is not None:
+            return FoundingOutcome("", "the member has not started or has stopped")
+        return await self.operator_founding.found()
+
     # State of the member
 
     @property
@@ -470,4 +517,6 @@
     def _unavailable(
         self, detail: str, may_have_committed: bool = False
     ) -> ConsensusUnavailable:
+        if self.founding.cluster_wait.is_waiting:
+            detail = f"{detail}; {self.name} {NO_CLUSTER}"
         return ConsensusUnavailable(detail, may_have_committed=may_have_committed)
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -151,7 +151,14 @@
 CLUSTER_FOUNDED = _event(
     500,
     logging.INFO,
-    "This member founded the cluster from the bootstrap list.",
+    "This member founded the cluster with other seeds; members are the first voters.",
+    limited=False,
+)
+FOUNDING_REFUSED = _event(
+    509,
+    logging.WARNING,
+    "This member does not found a cluster with its seeds.",
+    "Read the detail; give all seeds the same list, each address once.",
     limited=False,
 )
 BECAME_LEADER = _event(
@@ -185,6 +192,20 @@
     "The disk has space again, and its files are opened again.",
     limited=False,
 )
+CLUSTER_AWAITED = _event(
+    510,
+    logging.WARNING,
+    "This member belongs to no cluster: none is founded, or none has admitted it.",
+    "Do what remedy says; may_found names the members that may found a cluster, and "
+    "answers what each other member answered.",
+)
+FOUNDING_ORDERED = _event(
+    511,
+    logging.WARNING,
+    "An operator ordered this member to found a cluster; accepted tells the result.",
+    "If accepted is false, see detail; if audited is false, repeat the order.",
+    limited=False,
+)
 
 
 # An entry in the users' installations receives about 10 requests a second; the limit
