Test the founding with kills at each sync, pauses of minutes and old files

Cause: no fault.

Ruled out: two logs, and a stop of the founding, in these cases.

Conclusion: kept as tests.

--- /dev/null
+++ b/tests/test_founding_review.py
@@ -0,0 +1,208 @@
+"""Adversarial tests of founding the cluster: kills, pauses, old files, more members."""
+
+import curio
+import pytest
+
+from tests.fake_disk import FakeDisk
+from tests.founding_cluster import FoundingCluster
+from wagtailrun.consensus.founding_acceptor import FoundingRequest
+from wagtailrun.consensus.journal import MEMBER_FILE, Journal
+from wagtailrun.consensus.journal_records import encode_frame
+from wagtailrun.consensus.messages import FoundingRecord
+from wagtailrun.exceptions import MessageError
+from wagtailrun.virtual_time import run_virtual
+
+# Files of a member, written with the schema of commit 0491b5e.
+OLD_RECORD = bytes.fromhex(
+    "000000000e0000000000000001000100090000000000000000000000010003000700000000000000"
+    "09000000a200000011000000a200000019000000320000006d302330313233343536373839616263"
+    "64656600000000006d30233031323334353637383961626364656600000000006d31233030000000"
+)
+OLD_ENTRIES = bytes.fromhex(
+    "00000000170000000000000001000100080000000000000000000000000001000100000027000000"
+    "04000000030001000100000000000000010000000000000002000000000000000100000082030000"
+    "000000000d00000000000000010001000b0000000000000000000000000001000100000"
+    "01f0000000400000001000200010000000000000005000000a20000000d000000720000006d3023"
+    "30313233343536373839616263646566000000000031302e302e302e313a37303030000000"
+)
+
+
+async def founding(clock, size=3, seed=1):
+    cluster = FoundingCluster(clock, seed, size)
+    await curio.spawn(cluster.watch, daemon=True)
+    return cluster
+
+
+def test_files_of_an_earlier_build_are_read():
+    """Guards against a member that loses its log, or founds another one, by an upgrade.
+
+    Its record has no part about the founding, and the new settings would give it one.
+    """
+
+    async def main(clock):
+        disk = FakeDisk(clock)
+        disk.synced[MEMBER_FILE] = encode_frame(OLD_RECORD, 0)
+        disk.synced["log-000000000001"] = encode_frame(OLD_ENTRIES, 0)
+        journal = Journal(disk)
+        await journal.open("m0#new", FoundingRecord(("m0=10.0.0.1:7000",), True))
+        return journal
+
+    journal = run_virtual(main)
+    record = journal.member_record
+    assert record.identity == "m0#0123456789abcdef"
+    assert (record.cluster, record.term, record.vote) == (record.identity, 7, "m1#00")
+    assert record.founding == FoundingRecord()
+    assert journal.configuration().voters() == [record.identity]
+    assert journal.last_index == 1
+
+
+@pytest.mark.parametrize("ending", [0, 1])
+@pytest.mark.parametrize("sync_point", range(1, 41))
+def test_seed_killed_at_each_sync_of_its_founding_is_no_obstacle(sync_point, ending):
+    """Guards against a promise, acceptance or first entry of which half is durable."""
+
+    async def main(clock):
+        cluster = await founding(clock, 3, sync_point)
+        killed = cluster.nodes[ending]
+        killed.disk.kill_at = sync_point
+        for node in cluster.nodes:
+            await node.start()
+        while killed.member is not None and clock.now_ms() < 5_000:
+            await clock.sleep_ms(1)
+        await killed.kill()
+        await clock.sleep_ms(100)
+        await killed.start()
+        await cluster.acknowledge()
+        await cluster.settle()
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_seeds_that_are_killed_again_and_again_over_a_bad_network_found_one_log(seed):
+    """Guards against proposers that outbid each other, and against two logs."""
+
+    async def main(clock):
+        cluster = await founding(clock, (3, 4, 5, 7)[seed % 4], seed)
+        network, rng = cluster.network, cluster.random
+        network.loss, network.duplication, network.delay_ms = 0.3, 0.3, (1, 150)
+        for node in cluster.nodes:
+            await node.start()
+        for _ in range(30):
+            await clock.sleep_ms(rng.randint(0, 600))
+            node = rng.choice(cluster.nodes)
+            await node.kill()
+            await clock.sleep_ms(rng.randint(0, 300))
+            await node.start()
+        network.loss = network.duplication = 0.0
+        network.delay_ms = (1, 5)
+        await cluster.acknowledge()
+        await cluster.settle()
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
+
+
+@pytest.mark.parametrize("ending", [None, 0, 1, 2, 3])
+def test_member_that_is_no_seed_has_no_part_in_the_founding(ending):
+    """Guards against four members with permission and three seeds that count a fourth.
+
+    Also the two of them that are cut off with it found nothing then.
+    """
+
+    async def main(clock):
+        cluster = await founding(clock, 4)
+        nodes = cluster.nodes
+        for node in nodes:
+            node.seeds = [(each.name, each.address) for each in nodes[:3]]
+        for first in nodes[:2]:
+            for second in nodes[2:]:
+                cluster.network.cut(first.address, second.address)
+        if ending is not None:
+            await nodes[ending].never_start()
+        for number, node in enumerate(nodes):
+            if number != ending:
+                await node.start()
+        await clock.sleep_ms(5_000)
+        early = [
+            node.member is not None and node.member.journal.last_index > 0
+            for node in nodes
+        ]
+        cluster.network.heal()
+        if ending is not None:
+            await nodes[ending].start()
+        await cluster.acknowledge()
+        await cluster.settle()
+        return cluster, early
+
+    cluster, early = run_virtual(main)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
+    # The first two seeds are a majority, the third one and the fourth member are not.
+    assert early == [ending not in (0, 1)] * 2 + [False] * 2
+
+
+def test_proposer_that_stood_still_between_its_steps_cannot_decide_another_value():
+    """Guards against acceptances that are sent minutes after their promises."""
+
+    async def main(clock):
+        cluster = await founding(clock, 5)
+        nodes = cluster.nodes
+        for node in nodes:
+            await node.start()
+        first = nodes[0].member.founding
+        collect = first._collect_acceptances
+
+        async def collect_late(*arguments):
+            first._collect_acceptances = collect
+            nodes[0].freeze()
+            # The others found a cluster, and one of them forgets it.
+            await cluster.wait_for(cluster.leader, "no leader")
+            await cluster.propose_many(1)
+            await clock.sleep_ms(120_000)
+            await nodes[1].kill()
+            nodes[1].disk.empty()
+            await nodes[1].start()
+            nodes[0].thaw()
+            return await collect(*arguments)
+
+        first._collect_acceptances = collect_late
+        await clock.sleep_ms(150_000)
+        await cluster.settle()
+        return cluster
+
+    cluster = run_virtual(main)
+    assert len(cluster.founded) == 1
+    assert cluster.violations == []
+
+
+def test_seed_of_an_earlier_build_that_knows_no_founding_messages_joins():
+    """Guards against a founding that fails by a reply of another kind."""
+
+    async def main(clock):
+        cluster = await founding(clock, 3)
+        old = cluster.nodes[2]
+        await old.start()
+        handle = cluster.network.handlers_by_address[old.address]
+        await old.member.founding.acceptor.save(FoundingRecord())
+
+        async def handle_as_before(message):
+            if isinstance(message, FoundingRequest):
+                raise MessageError("unknown message")
+            return await handle(message)
+
+        cluster.network.handlers_by_address[old.address] = handle_as_before
+        for node in cluster.nodes[:2]:
+            await node.start()
+        await cluster.acknowledge()
+        await cluster.wait_for(cluster.is_repaired, "not repaired")
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
