Test a founded log that only its ended proposer knows

Cause: no fault. The decided value is known to one member, which ends before it has told anybody and comes back after 10 s with or without its disk.

Conclusion: kept as tests.

--- a/tests/test_founding_review.py
+++ b/tests/test_founding_review.py
@@ -206,3 +206,33 @@
     cluster = run_virtual(main)
     assert cluster.violations == []
     assert len(cluster.founded) == 1
+
+
+@pytest.mark.parametrize("size", [3, 4, 5, 7])
+@pytest.mark.parametrize("keeps_disk", [False, True])
+def test_value_that_only_the_ended_proposer_knows_is_the_one_of_the_others(
+    size, keeps_disk
+):
+    """Guards against a second value while the first log is on a disk that is away."""
+
+    async def main(clock):
+        cluster = await founding(clock, size)
+        first, *others = cluster.nodes
+        for node in cluster.nodes:
+            await node.start()
+        await cluster.wait_for(lambda: first.member.journal.last_index, "not founded")
+        await first.kill()
+        has_log = [node.member.journal.last_index > 0 for node in others]
+        await cluster.acknowledge()
+        await clock.sleep_ms(10_000)
+        if not keeps_disk:
+            first.disk.empty()
+        await first.start()
+        await cluster.acknowledge()
+        await cluster.settle()
+        return cluster, has_log
+
+    cluster, has_log = run_virtual(main)
+    assert not any(has_log)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
