--- a/wagtailrun/logs/event_log.py
+++ b/wagtailrun/logs/event_log.py
@@ -10,7 +10,14 @@
 
 from wagtailrun.logs.values import loggable_value
 
-__all__ = ["EVENTS_BY_NUMBER", "EVENT_LOG", "LEVEL_NAMES", "Event", "EventLog"]
+__all__ = [
+    "EVENTS_BY_NUMBER",
+    "EVENT_LOG",
+    "LEVEL_NAMES",
+    "Event",
+    "EventLog",
+    "define_event",
+]
 
 EVENTS_BY_NUMBER: dict[int, "Event"] = {}
 # Window of the rate limit of an event's lines.
@@ -48,6 +55,27 @@
     per_second: int = 1
 
 
+def define_event(
+    number: int,
+    level: int,
+    meaning: str,
+    action: str = "Nothing.",
+    *,
+    limited: bool = True,
+    per_second: int = 1,
+) -> Event:
+    """Add an event to the catalogue; see ``Event`` for the arguments.
+
+    Raises:
+        ValueError: If the number is in use.
+    """
+    event = Event(number, level, meaning, action, limited, per_second)
+    if number in EVENTS_BY_NUMBER:
+        raise ValueError(f"event number {number} is already in use; choose another")
+    EVENTS_BY_NUMBER[number] = event
+    return event
+
+
 class EventLog:
     """Writes events to the log, with a rate limit for each event.
 
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -11,6 +11,7 @@
     Event,
     EventLog,
 )
+from wagtailrun.logs.event_log import define_event as _event
 
 __all__ = [
     "EVENTS_BY_NUMBER",
@@ -21,23 +22,6 @@
     "log",
 ]
 
-
-def _event(
-    number: int,
-    level: int,
-    meaning: str,
-    action: str = "Nothing.",
-    *,
-    limited: bool = True,
-    per_second: int = 1,
-) -> Event:
-    event = Event(number, level, meaning, action, limited, per_second)
-    if number in EVENTS_BY_NUMBER:
-        raise ValueError(f"event number {number} is already in use; choose another")
-    EVENTS_BY_NUMBER[number] = event
-    return event
-
-
 PROCESS_STARTED = _event(100, logging.INFO, "A process started.")
 PROCESS_STOPPED = _event(101, logging.INFO, "A process stopped.")
 DRAIN_STARTED = _event(102, logging.INFO, "A planned stop began.")
