--- a/tests/test_founding_review.py
+++ b/tests/test_founding_faults.py
@@ -1,4 +1,4 @@
-"""Adversarial tests of founding the cluster: kills, pauses, old files, more members."""
+"""Tests of founding the cluster beside kills, pauses, old files and more members."""
 
 import curio
 import pytest
@@ -12,6 +12,8 @@
 from wagtailrun.exceptions import MessageError
 from wagtailrun.virtual_time import run_virtual
 
+# Within this time of the last start the members are up where a majority may found.
+UP_AFTER_LAST_START_MS = 5_000
 # Files of a member, written with the schema of commit 0491b5e.
 OLD_RECORD = bytes.fromhex(
     "000000000e0000000000000001000100090000000000000000000000010003000700000000000000"
@@ -243,3 +245,26 @@
     assert not any(has_log)
     assert cluster.violations == []
     assert len(cluster.founded) == 1
+
+
+def test_seed_that_ends_in_an_attempt_does_not_stop_the_two_others():
+    """Guards against a seed that waits for ever for another one that it accepted.
+
+    The third seed starts late, with its permission, so that two of three may found.
+    """
+
+    async def main(clock):
+        cluster = await founding(clock)
+        first, second, third = cluster.nodes
+        await first.start()
+        await second.start()
+        while second.member.journal.member_record.founding.accepted.round == 0:
+            await clock.sleep_ms(1)
+        await first.kill()
+        await clock.sleep_ms(2_000)
+        await third.start()
+        await cluster.acknowledge(UP_AFTER_LAST_START_MS)
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
