--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -106,17 +106,34 @@
     assert (names == {"east-0"}) if chosen == "east-0" else ("east-0" not in names)
 
 
-def test_unreachable_target_waits_for_its_next_report():
-    """Guards against requests to a dead target until its row expires."""
+def test_unreachable_target_waits_for_an_answer_on_its_path():
+    """Guards against requests to a target that announces itself but has no path.
+
+    A row that was announced each second made the target a candidate again each second,
+    and each try cost a connect timeout.
+    """
     one = router()
     dead, alive = rows(2)
     one.mark_unreachable(dead)
     assert {one.choose([dead, alive], WORK).name for _ in range(20)} == {alive.name}
     again = attrs.evolve(dead, sequence=1)
+    assert {one.choose([again, alive], WORK).name for _ in range(20)} == {alive.name}
+    one.paths.record_answer(again, one.clock.now_ms())
     names = {one.choose([again, alive], WORK).name for _ in range(20)}
     assert names == {dead.name, alive.name} or names == {dead.name}
 
 
+def test_target_without_a_path_gets_no_work_while_a_full_one_has_one():
+    """Guards against requests that test a path, though a sound target is just full."""
+    one = router()
+    dead, full = rows(2)
+    one.mark_unreachable(dead)
+    while one.limits.has_room(full.name, full.capacity):
+        one.started(full)
+    assert one.choose([dead, full], WORK) is None
+    assert one.choose([dead], WORK) is dead
+
+
 def test_target_that_pauses_gets_work_only_if_no_other_can_serve():
     """Guards against work for a target that asked for none, and work without a target.
 
@@ -145,6 +162,30 @@
     assert one.choose([pausing, attrs.evolve(other, sequence=1)], WORK) is pausing
 
 
+@pytest.mark.parametrize("restarted", [False, True])
+def test_pause_outlasts_a_short_absence_of_the_target(restarted):
+    """Guards against work for a pausing target once it was out of rotation.
+
+    A target without recent contact leaves the candidates until it announces itself
+    again; only one that was started again is another target.
+    """
+    one = router()
+    pausing, other = rows(2)
+    one.choose([pausing, other], WORK)
+    one.pause(pausing, 60_000)
+    one.choose([other], WORK)
+    one.clock.seconds += 5
+    fields = {"incarnation": 1} if restarted else {"sequence": 1}
+    again = attrs.evolve(pausing, **fields)
+    chosen = {one.choose([again, other], WORK).name for _ in range(20)}
+    assert (pausing.name in chosen) == restarted
+    one.clock.seconds += 55
+    chosen = {one.choose([again, other], WORK).name for _ in range(20)}
+    assert pausing.name in chosen
+    one.pause(other, 10)
+    assert len(one.health.pause_ends_ms_by_key) == 1
+
+
 def test_choice_for_a_stream_of_one_version_forgets_no_other_target():
     """Guards against requests to a dead target once a stream of a version moved."""
     one = router()
--- /dev/null
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -0,0 +1,133 @@
+"""Durable part of a member in founding the cluster: its promises and acceptances."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from wagtailrun.consensus.member_state import MemberState
+from wagtailrun.consensus.messages import (
+    FoundingAccept,
+    FoundingOrder,
+    FoundingPrepare,
+    FoundingQuery,
+    FoundingRecord,
+    FoundingReply,
+)
+from wagtailrun.ports.link import Address
+
+__all__ = ["LISTEN_MS", "FoundingAcceptor", "FoundingRequest", "seed_texts"]
+
+# A cluster that loses its leader has another one within 4 s; a leader then calls the
+# seeds that are not in its cluster every second.
+LISTEN_MS = 10_000
+
+FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
+
+
+def seed_texts(seeds: Iterable[tuple[str, Address]]) -> tuple[str, ...]:
+    """Return ``seeds`` of a ``FoundingRecord`` for names and addresses of seeds."""
+    return tuple(sorted(f"{name}={address}" for name, address in seeds))
+
+
+class FoundingAcceptor:
+    """Promises and accepts ballots of seeds that found the cluster.
+
+    Each answer that changes the record is given after the record is durable.
+
+    Args:
+        state: State of the member.
+    """
+
+    def __init__(self, state: MemberState):
+        self.state = state
+
+    @property
+    def record(self) -> FoundingRecord:
+        """Durable part of this member in founding the cluster."""
+        return self.state.journal.member_record.founding
+
+    @property
+    def has_log(self) -> bool:
+        """Whether this member has a log, after which it founds none."""
+        return self.state.journal.last_index > 0
+
+    @property
+    def cluster(self) -> str:
+        """Cluster that this member belongs or has belonged to, empty if none.
+
+        A leader or candidate may have named it before this member has a log. Until
+        then, the cluster of the value that it has accepted does not count, as others
+        may need its promise to finish the founding.
+        """
+        cluster = self.state.journal.member_record.cluster
+        if not self.has_log and cluster == self.record.value.cluster:
+            return self.state.heard_cluster
+        return cluster
+
+    async def handle(self, message: FoundingRequest) -> FoundingReply:
+        """Promise or accept a ballot if that is allowed; return the state after it."""
+        state = self.state
+        async with state.lock:
+            if isinstance(message, FoundingQuery) and message.cluster:
+                state.note_cluster(message.cluster, message.leader_address)
+            elif isinstance(message, FoundingOrder):
+                await self._take_order(message)
+            elif not isinstance(message, FoundingQuery) and self._may_take_part(
+                message
+            ):
+                await self._take_part(message)
+            return FoundingReply(state.identity, self.cluster, self.record)
+
+    def _may_take_part(self, message: FoundingPrepare | FoundingAccept) -> bool:
+        return (
+            message.recipient == self.state.identity
+            and not self.has_log
+            and not self.cluster
+            and bool(self.record.seeds)
+            and message.seeds == self.record.seeds
+            and message.ballot >= self.record.promised
+        )
+
+    async def _take_part(self, message: FoundingPrepare | FoundingAccept) -> None:
+        record = attrs.evolve(self.record, promised=message.ballot)
+        if isinstance(message, FoundingAccept):
+            record = attrs.evolve(record, accepted=message.ballot, value=message.value)
+        if record != self.record:
+            await self.save(record)
+
+    @property
+    def order_seeds(self) -> tuple[str, ...]:
+        """Seeds that operators may order this member to found a cluster with.
+
+        A member that may found by a majority, or has accepted a value, keeps its seeds.
+        The settings of others hold addresses only, so that the names of all seeds have
+        to be their addresses. Empty if the member is no seed.
+        """
+        state, record = self.state, self.record
+        is_bound = record.by_majority or record.value.cluster
+        is_named = state.name == str(state.address) and state.address in state.peers
+        if is_bound or not is_named:
+            return record.seeds
+        return seed_texts((str(address), address) for address in set(state.peers))
+
+    async def _take_order(self, message: FoundingOrder) -> None:
+        """Record the permission to found the cluster with all seeds.
+
+        Only once this member has run for so long that it has heard of a cluster that
+        goes on without it.
+        Not by a majority: this member may have lost the disk of an earlier founding.
+        """
+        state = self.state
+        if (
+            message.recipient == state.identity
+            and not self.has_log
+            and not self.cluster
+            and message.seeds == self.order_seeds != self.record.seeds
+            and state.clock.now_ms() - state.started_ms >= LISTEN_MS
+        ):
+            await self.save(attrs.evolve(self.record, seeds=message.seeds))
+
+    async def save(self, record: FoundingRecord) -> None:
+        """Make ``record`` durable; the caller holds the lock of the state."""
+        journal = self.state.journal
+        await journal.save_record(attrs.evolve(journal.member_record, founding=record))
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -8,6 +8,7 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.member_disk import MemberDisk
+from wagtailrun.consensus.operator_founding import FoundingOutcome
 from wagtailrun.exceptions import CorruptRecord, DiskFault, DiskFull
 from wagtailrun.logs import events
 from wagtailrun.messages import PeerError
@@ -74,6 +75,8 @@
         self._needed_bytes = SPACE_RESERVE_BYTES
         self._delay_ms = 0
         self._refuses_leadership = False
+        # A former member may have promised or accepted on a disk that is lost since.
+        self._may_found = True
         self._caught_up: Member | None = None
         self._start_member()
 
@@ -82,6 +85,8 @@
         self.member = self.make_member(self.member_disk)
         if self._refuses_leadership:
             self.member.refuse_leadership()
+        if not self._may_found:
+            self.member.revoke_founding()
         self._started_ms = self.clock.now_ms()
 
     # Interface to the embedding program
@@ -97,6 +102,8 @@
             self.disk.close()
             self.reset_machine()
             previous = self.member
+            if previous.state.is_open:
+                self._may_found = False
             self._start_member()
             # Those who wait for the next entry there now wait at the new member.
             await previous.applied.notify()
@@ -142,6 +149,11 @@
         """Peer address of the leader, None if the member knows none or has stopped."""
         return self.member.leader_address if self.is_running else None
 
+    @property
+    def cluster_detail(self) -> str:
+        """Why the member belongs to no cluster; empty if it does, or has stopped."""
+        return self.member.cluster_detail if self.is_running else ""
+
     async def propose(self, command: bytes, timeout_ms: int) -> Any:
         """Commit ``command`` and return the result of applying it."""
         return await self.member.propose(command, timeout_ms)
@@ -164,6 +176,13 @@
             await member.read_barrier(timeout_ms)
             self._caught_up = member
 
+    async def found_cluster(self) -> FoundingOutcome:
+        """Found a cluster by order of an operator; see ``OperatorFounding``."""
+        try:
+            return await self.member.found_cluster()
+        except DiskFault as error:
+            return FoundingOutcome("", f"the disk failed: {error}")
+
     # Planned stop
 
     def refuse_leadership(self) -> None:
@@ -243,6 +262,7 @@
 
     async def _remove_files(self) -> None:
         """Remove all files; a file that stays is found damaged again."""
+        self._may_found = False
         try:
             for name in await self.disk.names():
                 await self.disk.remove(name)
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -11,6 +11,7 @@
     Event,
     EventLog,
 )
+from wagtailrun.logs.event_log import define_event as _event
 
 __all__ = [
     "EVENTS_BY_NUMBER",
@@ -21,23 +22,6 @@
     "log",
 ]
 
-
-def _event(
-    number: int,
-    level: int,
-    meaning: str,
-    action: str = "Nothing.",
-    *,
-    limited: bool = True,
-    per_second: int = 1,
-) -> Event:
-    event = Event(number, level, meaning, action, limited, per_second)
-    if number in EVENTS_BY_NUMBER:
-        raise ValueError(f"event number {number} is already in use; choose another")
-    EVENTS_BY_NUMBER[number] = event
-    return event
-
-
 PROCESS_STARTED = _event(100, logging.INFO, "A process started.")
 PROCESS_STOPPED = _event(101, logging.INFO, "A process stopped.")
 DRAIN_STARTED = _event(102, logging.INFO, "A planned stop began.")
@@ -151,7 +135,14 @@
 CLUSTER_FOUNDED = _event(
     500,
     logging.INFO,
-    "This member founded the cluster from the bootstrap list.",
+    "This member founded the cluster with other seeds; members are the first voters.",
+    limited=False,
+)
+FOUNDING_REFUSED = _event(
+    509,
+    logging.WARNING,
+    "This member does not found a cluster with its seeds.",
+    "Read the detail; give all seeds the same list, each address once.",
     limited=False,
 )
 BECAME_LEADER = _event(
@@ -185,6 +176,20 @@
     "The disk has space again, and its files are opened again.",
     limited=False,
 )
+CLUSTER_AWAITED = _event(
+    510,
+    logging.WARNING,
+    "This member belongs to no cluster: none is founded, or none has admitted it.",
+    "Do what remedy says; may_found names the members that may found a cluster, and "
+    "answers what each other member answered.",
+)
+FOUNDING_ORDERED = _event(
+    511,
+    logging.WARNING,
+    "An operator ordered this member to found a cluster; accepted tells the result.",
+    "If accepted is false, see detail; if audited is false, repeat the order.",
+    limited=False,
+)
 
 
 # An entry in the users' installations receives about 10 requests a second; the limit
@@ -539,6 +544,18 @@
     "A step was done late, waited for long, or moved, and where its time went.",
     per_second=REQUEST_LINES_PER_SECOND,
 )
+TARGETS_UNANNOUNCED = _event(
+    320,
+    logging.WARNING,
+    "All targets of a service ceased to announce themselves, but answer; they stay in "
+    "use.",
+    "Check the network from the targets to the entries, for other ports than theirs.",
+)
+TARGETS_ANNOUNCED = _event(
+    321,
+    logging.INFO,
+    "Targets of a service announce themselves again, or the last known ones are gone.",
+)
 STAGE_MEMORY_FULL = _event(
     723,
     logging.WARNING,
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -15,13 +15,16 @@
     Attempts,
     Results,
 )
-from wagtailrun.serving.dispatch_context import DispatchContext, Probe, TargetSource
+from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.serving.dispatch_options import DispatchOptions
+from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.serving.repeats import RetryState
+from wagtailrun.serving.retry_times import RetryTimes
+from wagtailrun.serving.unannounced import UnannouncedServices
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.retries import RetryBudget
+from wagtailrun.targets.retries import RedirectLimit, RetryBudget
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
@@ -79,6 +82,12 @@
         options: DispatchOptions | None = None,
     ):
         estimates = estimates or Estimates(clock)
+        prober = self.unannounced = None
+        if router.paths is not None:
+            prober = PathProber(clock, router.paths, membership, probe)
+            self.unannounced = UnannouncedServices(
+                clock, router.paths, membership, probe, seed
+            )
         self.context = context = DispatchContext(
             clock=clock,
             client=client,
@@ -86,10 +95,12 @@
             estimates=estimates,
             admission=Admission(clock, estimates),
             probe=probe,
+            prober=prober,
             observer=observer or NullObserver(),
             random=random.Random(seed),
             options=options or DispatchOptions(),
             budget=RetryBudget(),
+            redirects=RedirectLimit(clock),
         )
         self.clock = clock
         self.membership = membership
@@ -98,7 +109,11 @@
         self.admission = context.admission
         self.budget = context.budget
         self.counts = context.counts
+        # For those who pass the refusals of this dispatcher to callers.
+        self.retry_times = RetryTimes(random.Random(seed))
         self.usable_by_service: dict[str, tuple[int, list[TargetRow]]] = {}
+        # Services without an announced target when one was last looked for.
+        self.unannounced_services: set[str] = set()
         self.outage_since_ms_by_service: dict[str, int] = {}
         # Whether the process ends, which would cut off an attempt that begins now.
         self.ended = False
@@ -130,7 +145,7 @@
             read: Returns what is needed of an answer; raises ``TargetFailed`` if it is
                 none, by which the attempt has failed.
         """
-        retry_state = RetryState(self.context, work)
+        retry_state = RetryState(self.context, work, self)
         while True:
             run = await self._start_attempt(retry_state)
             if isinstance(run, Refusal):
@@ -166,7 +181,7 @@
         A broken stream resumes from the next offset, at the same target if only its
         connection stalled. The last item ends with the end marker, or is a refusal.
         """
-        retry_state = RetryState(self.context, work)
+        retry_state = RetryState(self.context, work, self)
         while True:
             run = await self._start_attempt(retry_state, streaming=True)
             if isinstance(run, Refusal):
@@ -225,14 +240,14 @@
         retry_state.resume_target = None
         if target is not None:
             self.router.started(target)
-        elif not self.usable_targets(work):
+        elif not await self._has_target(work):
             return self._no_target_refusal(work)
         else:
             target = await self._admit(work, retry_state.avoid)
             if isinstance(target, Refusal):
                 return target
         retry_state.last_target = target
-        if not retry_state.count:
+        if not retry_state.count and not retry_state.redirects:
             self.counts["first"] += 1
             self.budget.earn(work.service)
         detect_stall = retry_state.count < self.options.max_retries
@@ -240,6 +255,13 @@
             work, target, retry_state.offset, Results(), streaming, detect_stall
         )
 
+    async def _has_target(self, work: Work) -> bool:
+        """Return whether any target can be reached that may receive ``work``."""
+        rows = self.usable_targets(work)
+        if self.unannounced is not None and work.service in self.unannounced_services:
+            await self.unannounced.watch(work.service)
+        return self.router.has_path(rows, work)
+
     async def _admit(self, work: Work, avoid: set[str]) -> TargetRow | Refusal:
         def choose() -> TargetRow | None:
             target = self.choose(work, avoid)
@@ -282,6 +304,12 @@
         # All data centres are included: the router prefers local targets and checks
         # whether the service may use remote ones.
         rows = self.membership.candidates(service, now_ms)
+        if self.unannounced is not None:
+            if rows:
+                self.unannounced_services.discard(service)
+            else:
+                self.unannounced_services.add(service)
+                rows = self.unannounced.targets(service)
         self.usable_by_service[service] = (now_ms, rows)
         if rows:
             self.outage_since_ms_by_service.pop(service, None)
@@ -293,6 +321,8 @@
         since_ms = self.outage_since_ms_by_service.setdefault(work.service, now_ms)
         after_ms = min(now_ms - since_ms + MIN_OUTAGE_RETRY_MS, MAX_OUTAGE_RETRY_MS)
         detail = f"service {work.service} has no usable target"
+        if self.usable_targets(work):
+            detail = f"no target of service {work.service} replies to this entry"
         if work.software_version is not None:
             detail += f" of version {work.software_version!r}, which began the stream"
         return Refusal(RefusalReason.NO_TARGET, Verdict.NOT_RUN, detail, after_ms)
