Create the record of a founding member in one place

Cause: founding_record was left with one caller once seed_texts had taken over its work for orders, too. Ruled out: nothing else of the change was touched. Before / after: the record is the same; make lint and the tests of founding, orders, waiting members, imports and docs pass. The whole script was not run again. Conclusion: no behaviour changed.

--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -42,7 +42,7 @@
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
-__all__ = ["Founding", "founding_record", "seed_addresses", "seeds_refusal"]
+__all__ = ["Founding", "seed_addresses", "seeds_refusal"]
 
 ROUND_INTERVAL_MS = 250
 # Time that seeds which have not answered get, so that seeds that start together are
@@ -60,13 +60,6 @@
 FIRST_TERM = 1
 
 
-def founding_record(
-    seeds: Sequence[tuple[str, Address]], by_majority: bool
-) -> FoundingRecord:
-    """Return the record of a member that may found the cluster with ``seeds``."""
-    return FoundingRecord(seed_texts(seeds), by_majority)
-
-
 def seeds_refusal(
     name: str,
     address: Address,
@@ -135,7 +128,8 @@
         refused = self.is_revoked or state.founding_refusal
         if refused or state.name not in state.bootstrap:
             return FoundingRecord()
-        return founding_record(list(state.bootstrap.items()), state.founds_by_majority)
+        seeds = seed_texts(state.bootstrap.items())
+        return FoundingRecord(seeds, state.founds_by_majority)
 
     async def open(self) -> None:
         """Take over the seeds of the settings if the disk allows it.
