Confirm no target of another data centre that it does not share

Cause: each exchange with another data centre confirmed all of its targets that were known. The departure of a target is not sent while its service has no fallback, so a target that left meanwhile stayed confirmed for ever, and was used once the configuration allowed fallback again. Ruled out: sending departures of targets that are not shared: they would have to be kept for as long as the configuration forbids fallback. Before / after: test_target_that_left_while_no_other_data_centre_might_use_it_is_not_used failed (t0, which had left 11 minutes before, was used in the other data centre) and passes; the tests of fallback pass. Conclusion: only targets of services with fallback are confirmed; others expire like any target without announcements.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -19,7 +19,7 @@
 from wagtailrun.gossip.push import PeerClient, split_members
 from wagtailrun.gossip.text import FleetConfigStore
 from wagtailrun.ports.link import Address
-from wagtailrun.targets.table import TargetRow
+from wagtailrun.targets.table import ROW_RETENTION_MS, TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 SILENT_LIMIT_MS = 3_000
@@ -431,6 +431,31 @@
     run_virtual(main)
 
 
+def test_target_that_left_while_no_other_data_centre_might_use_it_is_not_used():
+    """Guards against a target that another data centre uses long after it left.
+
+    It left, and its own data centre forgot it, while the configuration did not allow
+    others to use it, so that none of them heard of it.
+    """
+    private = FLEET_TEXT.replace('kind = "engine"', 'kind = "engine"\nfallback = false')
+
+    async def main(clock):
+        cluster = Cluster(clock, {"east": 3, "west": 3}, 4)
+        await cluster.start()
+        await clock.sleep_ms(9_000)
+        cluster.accepted = (2, private)
+        await clock.sleep_ms(TEXT_LIMIT_MS)
+        await cluster.targets[0].leave()
+        await clock.sleep_ms(ROW_RETENTION_MS + 60_000)
+        cluster.accepted = (3, FLEET_TEXT)
+        await clock.sleep_ms(TEXT_LIMIT_MS + 2_000)
+        for node in cluster.live:
+            rows = node.membership.candidates("engines", clock.now_ms())
+            assert {row.name for row in rows} == {"t1", "t2", "t3"}, node.name
+
+    run_virtual(main)
+
+
 def test_fallback_targets_cross_data_centres():
     """Guards against fallback targets that are unknown elsewhere, or used when gone."""
 
--- a/wagtailrun/gossip/exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -129,8 +129,10 @@
                 self.targets.merge_row(aged, now_ms)
         self.targets.merge_growth(message.growth)
         if not local:
+            fleet = self.config.store.fleet
             for row in self.membership.targets_by_name.values():
-                if row.data_centre == sender.data_centre:
+                # Of targets that are not shared, a departure is not sent either.
+                if row.data_centre == sender.data_centre and _is_shared(fleet, row):
                     self.targets.record_confirmation(row, now_ms)
         for entry in message.entries:
             self.peers.put(entry, now_ms)
