Name each founding value by its ballot, not by its proposer

Cause: the identifier of a cluster was the identity of the proposer, the same for each of its values. A seed that accepted the first value and ended, while the founder went on with another seed and a second value, heard the identifier when it was back, took its own value as decided and wrote another entry 1 of term 1 than the others. The tests compared identifiers only. Ruled out: two values in one ballot; the promise of the proposer is durable before it has a value, and rounds only grow. The test cluster now compares all entries of one index and term in each run. Conclusion: an identifier stands for one first member set. Logs that exist keep theirs.

--- a/tests/founding_cluster.py
+++ b/tests/founding_cluster.py
@@ -77,11 +77,13 @@
 
     Attributes:
         founded: Identifiers of all clusters whose log a member has ever had.
+        entries_by_position: All entries that were seen in a log, by index and term.
     """
 
     def __init__(self, clock, seed, size, **network):
         super().__init__(clock, seed, size, **network)
         self.founded = set()
+        self.entries_by_position = {}
         self.nodes = [SeedNode(self, number) for number in range(size)]
 
     async def watch(self):
@@ -91,10 +93,18 @@
             for node in self.nodes:
                 if node.member is not None and node.member.journal.last_index:
                     self.founded.add(node.member.journal.member_record.cluster)
+                    self._check_entries(node.member.journal)
             if len(self.founded) > 1:
                 self.report(f"several logs were founded: {sorted(self.founded)}")
             await self.clock.sleep_ms(WATCH_INTERVAL_MS)
 
+    def _check_entries(self, journal):
+        """Check that no two logs hold different entries of one index and term."""
+        for entry in journal.entries:
+            position = entry.index, entry.term
+            if self.entries_by_position.setdefault(position, entry) != entry:
+                self.report(f"two entries have index and term {position}")
+
     def may_found(self):
         """Whether enough running seeds may found a cluster, by their disks."""
         members = [node.member for node in self.nodes if node.member is not None]
--- a/tests/test_founding_decision.py
+++ b/tests/test_founding_decision.py
@@ -4,6 +4,7 @@
 
 import attrs
 import curio
+import pytest
 
 from tests.founding_cluster import FoundingCluster
 from wagtailrun.consensus.messages import (
@@ -91,3 +92,37 @@
     cluster, name = run_virtual(main)
     assert cluster.violations == []
     assert cluster.founded == {name}
+
+
+@pytest.mark.parametrize("is_handled", [False, True])
+def test_seed_does_not_begin_its_log_with_an_earlier_value_of_the_founder(is_handled):
+    """Guards against two contents of entry 1, if a founder proposed two values.
+
+    The second seed ended as it accepted the first value, and the founder went on with
+    the third seed and its second value.
+    """
+
+    async def main(clock):
+        cluster = FoundingCluster(clock, 1, 3)
+        await curio.spawn(cluster.watch, daemon=True)
+        founder, second, third = cluster.nodes
+        second.end_at = lambda message, handled: (
+            isinstance(message, FoundingAccept) and handled == is_handled
+        )
+        await founder.start()
+        await second.start()
+        await cluster.wait_for(lambda: second.member is None, "no acceptance")
+        await third.start()
+        await cluster.acknowledge()
+        await second.start()
+        while not second.member.journal.last_index:
+            await clock.sleep_ms(1)
+        first_entries = [
+            node.member.journal.entry(1) for node in (founder, second, third)
+        ]
+        await cluster.settle()
+        return cluster, first_entries
+
+    cluster, first_entries = run_virtual(main)
+    assert cluster.violations == []
+    assert len(set(first_entries)) == 1
--- a/tests/test_founding_refusals.py
+++ b/tests/test_founding_refusals.py
@@ -206,7 +206,8 @@
         for node in nodes:
             await node.start()
         await cluster.wait_for(lambda: cluster.founded, "not founded")
-        (founder,) = (n for n in nodes if n.member.identity in cluster.founded)
+        proposers = [name.rpartition(".")[0] for name in cluster.founded]
+        (founder,) = (n for n in nodes if n.member.identity in proposers)
         await founder.kill()
         founder.disk.empty()
         await founder.start()
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -309,7 +309,7 @@
         value = max(promises.values(), key=lambda reply: reply.record.accepted)
         chosen = value.record.value
         if not chosen.cluster:
-            chosen = self._new_value(promises)
+            chosen = self._new_value(ballot, promises)
         accepted = await self._collect_acceptances(ballot, chosen, promises)
         return chosen if accepted >= self.needed else None
 
@@ -338,15 +338,20 @@
             if not reply.cluster and reply.record.promised == ballot
         }
 
-    def _new_value(self, promises: dict[Address, FoundingReply]) -> FoundingValue:
+    def _new_value(
+        self, ballot: FoundingBallot, promises: dict[Address, FoundingReply]
+    ) -> FoundingValue:
         """Return a value of this member: the seeds that promised, all as voters."""
         members = [
             MemberInfo(reply.sender, str(address), voter=True)
             for address, reply in promises.items()
         ]
         members.sort(key=lambda info: info.identity)
-        # The identity holds a random incarnation, so it is a unique cluster name.
-        return FoundingValue(self.state.identity, Configuration(tuple(members)))
+        # The identity holds a random incarnation. The round tells this value from
+        # those of earlier ballots: a seed that has accepted one of them takes it as
+        # decided once it hears the name of its cluster.
+        cluster = f"{ballot.proposer}.{ballot.round}"
+        return FoundingValue(cluster, Configuration(tuple(members)))
 
     async def _collect_acceptances(
         self,
