Found the cluster on disks that write for longer than a call may take

Cause: a seed answered no query while it wrote (the lock of its state was held), a call of a ballot ended after 400 ms, before the write did, and the back-off of proposers did not grow with the time of a ballot. So with slow disks each ballot was given up, and each further proposer made all seeds write again. Ruled out: the elections alone: one cluster founded its log 40 s after its start. A ballot that another proposer sends before its own promise is durable: after a restart it could use the ballot again. Conclusion: queries are answered without the lock from what is durable; requests that wait for a disk have a timeout of their own; a seed leaves a ballot of another one time for its next message and counts its own write time into its delays. Elections still need votes written within 400 ms.

--- a/tests/test_founding_faults.py
+++ b/tests/test_founding_faults.py
@@ -14,6 +14,9 @@
 
 # Within this time of the last start the members are up where a majority may found.
 UP_AFTER_LAST_START_MS = 5_000
+# Sync points of a start and one ballot: seven files, one after another, with three
+# each, and the first entry.
+SYNCS_OF_FOUNDING = 23
 # Files of a member, written with the schema of commit 0491b5e.
 OLD_RECORD = bytes.fromhex(
     "000000000e0000000000000001000100090000000000000000000000010003000700000000000000"
@@ -268,3 +271,27 @@
 
     cluster = run_virtual(main)
     assert cluster.violations == []
+
+
+@pytest.mark.parametrize("delay_ms", [(0, 400), (200, 900)])
+@pytest.mark.parametrize("seed", range(8))
+def test_ballots_of_seeds_on_slow_disks_are_not_given_up(delay_ms, seed):
+    """Guards against ballots that all end before the seeds have written their part.
+
+    A seed did not answer while it wrote, a call ended before the write did, and each
+    further proposer made all seeds write again.
+    """
+
+    async def main(clock):
+        cluster = await founding(clock, 3, seed)
+        for node in cluster.nodes:
+            node.disk.delay_ms = delay_ms
+            await node.start()
+        limit_ms = UP_AFTER_LAST_START_MS + SYNCS_OF_FOUNDING * sum(delay_ms) / 2
+        while not cluster.founded and clock.now_ms() < limit_ms:
+            await clock.sleep_ms(20)
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
+    assert len(cluster.founded) == 1
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -54,6 +54,11 @@
 # A ballot that failed is repeated after a random time up to this, so that two proposers
 # do not outbid each other for ever.
 MAX_BACK_OFF_MS = 1_000
+# Timeout of a request that the receiver answers once its disk has written. Disks that
+# several processes use at once take over a second.
+WRITE_TIMEOUT_MS = 3_000
+# A seed that proposes a value promises and accepts it, and so do the others before.
+WRITES_PER_BALLOT = 4
 # Time in which the founder asks for votes in each round. Members that have just
 # started withhold theirs at first.
 FIRST_ELECTION_MS = 3_000
@@ -261,18 +266,21 @@
             return False
         if self.ready_since_ms is None:
             self.ready_since_ms = now_ms
-        wait_ms = RANK_DELAY_MS * sum(name < state.name for name in supporters)
+        rank = sum(name < state.name for name in supporters)
+        wait_ms = rank * (RANK_DELAY_MS + self.acceptor.write_ms)
         answers = sum(bool(s.name and s.identity) for s in self.statements)
         if answers + 1 < len(record.seeds):
             wait_ms += ABSENT_SEED_WAIT_MS
-        return now_ms >= max(self.ready_since_ms + wait_ms, self.back_off_until_ms)
+        due_ms = max(self.ready_since_ms + wait_ms, self.back_off_until_ms)
+        return now_ms >= due_ms and not self.acceptor.is_in_ballot
 
     # Ballots
 
     async def _found(self, replies_by_address: dict[Address, FoundingReply]) -> None:
         value = await self._decide(replies_by_address)
         if value is None:
-            back_off_ms = self.state.random.randint(0, MAX_BACK_OFF_MS)
+            max_ms = MAX_BACK_OFF_MS + WRITES_PER_BALLOT * self.acceptor.write_ms
+            back_off_ms = self.state.random.randint(0, max_ms)
             self.back_off_until_ms = self.state.clock.now_ms() + back_off_ms
             return
         await self._adopt(value)
@@ -448,7 +456,7 @@
         ) -> None:
             try:
                 reply = await self.state.link.call(
-                    address, message, self.state.timing.call_timeout_ms
+                    address, message, self._timeout_ms(message)
                 )
             except PeerUnreachable as error:
                 # Counts as a seed that does not answer.
@@ -465,3 +473,7 @@
         if group.exception is not None:
             raise group.exception
         return replies_by_address
+
+    def _timeout_ms(self, message: FoundingRequest | FoundingDecision) -> int:
+        is_query = isinstance(message, FoundingQuery)
+        return self.state.timing.call_timeout_ms if is_query else WRITE_TIMEOUT_MS
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -21,6 +21,10 @@
 # seeds that are not in its cluster every second.
 LISTEN_MS = 10_000
 
+# Time in which a proposer sends the next message of its ballot, besides the time that
+# disks need.
+NEXT_MESSAGE_MS = 300
+
 FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
 
 
@@ -36,10 +40,18 @@
 
     Args:
         state: State of the member.
+
+    Attributes:
+        write_ms: How long the last write to the disk took.
     """
 
     def __init__(self, state: MemberState):
         self.state = state
+        self.write_ms = 0
+        # Ballots of other seeds whose messages are handled now, and until when their
+        # next message may be on its way.
+        self._handling = 0
+        self._expected_until_ms = 0
 
     @property
     def record(self) -> FoundingRecord:
@@ -67,16 +79,39 @@
     async def handle(self, message: FoundingRequest) -> FoundingReply:
         """Promise or accept a ballot if that is allowed; return the state after it."""
         state = self.state
-        async with state.lock:
-            if isinstance(message, FoundingQuery) and message.cluster:
+        if isinstance(message, FoundingQuery):
+            # Answered without the lock, which is held while the disk writes.
+            if message.cluster:
                 state.note_cluster(message.cluster, message.leader_address)
-            elif isinstance(message, FoundingOrder):
+            return self._reply()
+        async with state.lock:
+            if isinstance(message, FoundingOrder):
                 await self._take_order(message)
-            elif not isinstance(message, FoundingQuery) and self._may_take_part(
-                message
-            ):
+            elif self._may_take_part(message):
                 await self._take_part(message)
-            return FoundingReply(state.identity, self.cluster, self.record)
+            return self._reply()
+
+    async def handle_of_other(self, message: FoundingRequest) -> FoundingReply:
+        """Handle a message of another seed; see ``handle``."""
+        if isinstance(message, FoundingQuery | FoundingOrder):
+            return await self.handle(message)
+        self._handling += 1
+        try:
+            return await self.handle(message)
+        finally:
+            self._handling -= 1
+            # The other seeds write at the same time, and then the proposer does.
+            wait_ms = NEXT_MESSAGE_MS + 2 * self.write_ms
+            self._expected_until_ms = self.state.clock.now_ms() + wait_ms
+
+    @property
+    def is_in_ballot(self) -> bool:
+        """Whether a ballot of another seed seems to be in progress."""
+        now_ms = self.state.clock.now_ms()
+        return self._handling > 0 or now_ms < self._expected_until_ms
+
+    def _reply(self) -> FoundingReply:
+        return FoundingReply(self.state.identity, self.cluster, self.record)
 
     def _may_take_part(self, message: FoundingPrepare | FoundingAccept) -> bool:
         return (
@@ -129,5 +164,7 @@
 
     async def save(self, record: FoundingRecord) -> None:
         """Make ``record`` durable; the caller holds the lock of the state."""
-        journal = self.state.journal
+        journal, clock = self.state.journal, self.state.clock
+        started_ms = clock.now_ms()
         await journal.save_record(attrs.evolve(journal.member_record, founding=record))
+        self.write_ms = clock.now_ms() - started_ms
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -158,10 +158,12 @@
     async def open(self) -> None:
         """Recover the state from disk and start the background tasks."""
         state = self.state
+        opened_ms = state.clock.now_ms()
         await self.journal.open(
             f"{state.name}#{state.random.getrandbits(64):016x}",
             self.founding.new_record(),
         )
+        self.founding.acceptor.write_ms = state.clock.now_ms() - opened_ms
         await self.founding.open()
         state.term = self.journal.member_record.term
         snapshot = await self.journal.read_snapshot()
@@ -348,7 +350,7 @@
             case (
                 FoundingQuery() | FoundingPrepare() | FoundingAccept() | FoundingOrder()
             ):
-                return await self.founding.acceptor.handle(message)
+                return await self.founding.acceptor.handle_of_other(message)
             case FoundingDecision():
                 return await self.founding.handle_decision(message)
             case ReadIndex():
