Bound the reasons of a refused founding that are kept and logged

Cause: Founding.logged_refusals kept every reason, and each new one made event 509. A seed that names other seeds in each answer makes a new reason every 250 ms for as long as there is no log. Ruled out: forgetting the oldest reason, which bounds the memory and not the log. Event 510 and member.founding.view name the present reason in any case. Before: test_ever_new_reasons_are_neither_kept_nor_logged_without_end printed "assert 197 <= 16". After: it passes, with the rest of test_founding_refusals and test_cluster_wait. Conclusion: at most 16 reasons for each start of the process.

--- a/tests/test_founding_refusals.py
+++ b/tests/test_founding_refusals.py
@@ -1,11 +1,12 @@
 """Tests of founding a cluster with seeds that disagree or claim too much."""
 
+import attrs
 import curio
 import pytest
 
 from tests.founding_cluster import FoundingCluster, SeedNode
 from tests.hosted_cluster import HostedNode
-from wagtailrun.consensus.founding import seeds_refusal
+from wagtailrun.consensus.founding import MAX_LOGGED_REFUSALS, seeds_refusal
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
 
@@ -64,6 +65,35 @@
     assert "more than once" in view.refusal
 
 
+def test_ever_new_reasons_are_neither_kept_nor_logged_without_end(caplog):
+    """Guards against a seed that names other seeds in each answer for ever.
+
+    Each of its answers made a line of the log and an entry of a set.
+    """
+
+    async def main(clock):
+        cluster = await founding(clock, 3)
+        first, second, _ = cluster.nodes
+        await first.start()
+        await second.start()
+        while not second.member.is_open:
+            await clock.sleep_ms(1)
+        acceptor = second.member.founding.acceptor
+        for number in range(200):
+            seeds = (*acceptor.record.seeds[:2], f"n{number}=10.0.0.1:7002")
+            await acceptor.save(attrs.evolve(acceptor.record, seeds=seeds))
+            await clock.sleep_ms(250)
+        return first.member.founding, cluster
+
+    founding_of_first, cluster = run_virtual(main)
+    lines = [line for line in caplog.messages if "E0509" in line and '"m0"}' in line]
+    assert cluster.violations == []
+    # It still says why it founds nothing.
+    assert "n199=" in founding_of_first.view.refusal
+    assert len(founding_of_first.logged_refusals) <= MAX_LOGGED_REFUSALS
+    assert 1 < len(lines) <= MAX_LOGGED_REFUSALS
+
+
 def test_seeds_that_disagree_about_the_seeds_found_nothing(caplog):
     """Guards against two logs by two majorities of different sets of seeds.
 
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -58,6 +58,10 @@
 # started withhold theirs at first.
 FIRST_ELECTION_MS = 3_000
 FIRST_TERM = 1
+# Reasons that a member logs before it keeps to the report of ``ClusterWait``, which has
+# the present one each minute. A seed with wrong settings causes one or two; one that
+# names other seeds in each answer would fill the log and the memory.
+MAX_LOGGED_REFUSALS = 16
 
 
 def seeds_refusal(
@@ -235,7 +239,8 @@
         self._log_refusal()
 
     def _log_refusal(self) -> None:
-        if self.refusal and self.refusal not in self.logged_refusals:
+        is_new = self.refusal and self.refusal not in self.logged_refusals
+        if is_new and len(self.logged_refusals) < MAX_LOGGED_REFUSALS:
             self.logged_refusals.add(self.refusal)
             events.log(
                 events.FOUNDING_REFUSED, member=self.state.name, detail=self.refusal
