Let a member that may not found ask silent members less often

Cause: a member without a log asked every address each 250 ms, also one of an earlier build, which ends the connection at each FoundingQuery. A member without the permission to found needs the answers for its reports only (events 509 and 510, status), as it proposes nothing and joins by other messages. Ruled out: the same for seeds, whose ballots wait for the answer of a seed that starts late; telling an ended connection from a refused one would be needed for that. Before: test_member_without_permission_asks_an_earlier_build_less_and_less counted 234 questions in 60 s ("assert 234 <= 20"). After: at most 20, and a member that answers again is known after 4.5 s at most. All tests/test_founding*.py, orders, waiting members, docs and imports pass. Conclusion: 250 ms at first, doubled up to 4 s while an address gives no answer. Partial: a seed (--bootstrap) with an emptied disk that joins members of an earlier build asks as often as before.

--- a/tests/test_founding_faults.py
+++ b/tests/test_founding_faults.py
@@ -14,6 +14,8 @@
 
 # Within this time of the last start the members are up where a majority may found.
 UP_AFTER_LAST_START_MS = 5_000
+# A member knows within this time that a silent one answers again.
+QUERY_LIMIT_MS = 4_500
 # Files of a member, written with the schema of commit 0491b5e.
 OLD_RECORD = bytes.fromhex(
     "000000000e0000000000000001000100090000000000000000000000010003000700000000000000"
@@ -210,6 +212,37 @@
     assert len(cluster.founded) == 1
 
 
+def test_member_without_permission_asks_an_earlier_build_less_and_less():
+    """Guards against a connection that ends at each of four questions in a second."""
+
+    async def main(clock):
+        cluster = await founding(clock, 2)
+        joining, old = cluster.nodes
+        questions = []
+
+        async def handle_as_before(message):
+            if isinstance(message, FoundingRequest):
+                questions.append(message)
+            raise MessageError("unknown message")
+
+        cluster.network.handlers_by_address[old.address] = handle_as_before
+        await joining.never_start()
+        await joining.start()
+        await clock.sleep_ms(60_000)
+        count = len(questions)
+        # The same process, upgraded.
+        await old.never_start()
+        await old.start()
+        await clock.sleep_ms(QUERY_LIMIT_MS)
+        (statement,) = joining.member.founding.view.statements
+        return cluster, count, statement
+
+    cluster, count, statement = run_virtual(main)
+    assert cluster.violations == []
+    assert 10 <= count <= 20
+    assert statement.identity.startswith("m1#")
+
+
 @pytest.mark.parametrize("size", [3, 4, 5, 7])
 @pytest.mark.parametrize("keeps_disk", [False, True])
 def test_value_that_only_the_ended_proposer_knows_is_the_one_of_the_others(
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -45,6 +45,9 @@
 __all__ = ["Founding", "seed_addresses", "seeds_refusal"]
 
 ROUND_INTERVAL_MS = 250
+# Longest interval between the questions of a member that may not found, while a seed
+# gives no answer. One of an earlier build ends the connection at each question.
+MAX_QUERY_INTERVAL_MS = 4_000
 # Time that seeds which have not answered get, so that seeds that start together are
 # all in the initial member set and none has to join afterwards.
 ABSENT_SEED_WAIT_MS = 1_000
@@ -117,6 +120,8 @@
         # Whether an empty disk gives no permission, whatever the settings say.
         self.is_revoked = False
         self.newest_round = 0
+        self.query_interval_ms = ROUND_INTERVAL_MS
+        self.next_query_ms = 0
         self.refusal = state.founding_refusal
         # A seed with another list may answer now and then.
         self.logged_refusals: set[str] = set()
@@ -177,14 +182,29 @@
 
     async def run(self) -> None:
         """Found the cluster once enough seeds may, unless this member has a log."""
+        replies_by_address: dict[Address, FoundingReply] = {}
         while not self.acceptor.has_log:
-            replies_by_address = await self.ask_all()
+            if self._is_query_due():
+                replies_by_address = await self.ask_all()
+                self._plan_query()
             self.cluster_wait.report()
             await self._adopt_if_known()
             if self._is_due():
                 await self._found(replies_by_address)
             await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
 
+    def _is_query_due(self) -> bool:
+        """Whether to ask the seeds in this round: always if this member is one."""
+        is_seed = bool(self.acceptor.record.seeds)
+        return is_seed or self.state.clock.now_ms() >= self.next_query_ms
+
+    def _plan_query(self) -> None:
+        """Set when a member that may not found asks again, only for its reports."""
+        is_silent = any(not statement.identity for statement in self.statements)
+        interval_ms = min(2 * self.query_interval_ms, MAX_QUERY_INTERVAL_MS)
+        self.query_interval_ms = interval_ms if is_silent else ROUND_INTERVAL_MS
+        self.next_query_ms = self.state.clock.now_ms() + self.query_interval_ms
+
     async def ask_all(self) -> dict[Address, FoundingReply]:
         """Ask all seeds what they know, and keep what they say for ``view``."""
         state = self.state
