--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -45,6 +45,9 @@
 __all__ = ["Founding", "seed_addresses", "seeds_refusal"]
 
 ROUND_INTERVAL_MS = 250
+# Longest interval between the questions of a member that may not found, while a seed
+# gives no answer. One of an earlier build ends the connection at each question.
+MAX_QUERY_INTERVAL_MS = 4_000
 # Time that seeds which have not answered get, so that seeds that start together are
 # all in the initial member set and none has to join afterwards.
 ABSENT_SEED_WAIT_MS = 1_000
@@ -54,10 +57,19 @@
 # A ballot that failed is repeated after a random time up to this, so that two proposers
 # do not outbid each other for ever.
 MAX_BACK_OFF_MS = 1_000
+# Timeout of a request that the receiver answers once its disk has written. Disks that
+# several processes use at once take over a second.
+WRITE_TIMEOUT_MS = 3_000
+# A seed that proposes a value promises and accepts it, and so do the others before.
+WRITES_PER_BALLOT = 4
 # Time in which the founder asks for votes in each round. Members that have just
 # started withhold theirs at first.
 FIRST_ELECTION_MS = 3_000
 FIRST_TERM = 1
+# Reasons that a member logs before it keeps to the report of ``ClusterWait``, which has
+# the present one each minute. A seed with wrong settings causes one or two; one that
+# names other seeds in each answer would fill the log and the memory.
+MAX_LOGGED_REFUSALS = 16
 
 
 def seeds_refusal(
@@ -113,6 +125,8 @@
         # Whether an empty disk gives no permission, whatever the settings say.
         self.is_revoked = False
         self.newest_round = 0
+        self.query_interval_ms = ROUND_INTERVAL_MS
+        self.next_query_ms = 0
         self.refusal = state.founding_refusal
         # A seed with another list may answer now and then.
         self.logged_refusals: set[str] = set()
@@ -173,14 +187,29 @@
 
     async def run(self) -> None:
         """Found the cluster once enough seeds may, unless this member has a log."""
+        replies_by_address: dict[Address, FoundingReply] = {}
         while not self.acceptor.has_log:
-            replies_by_address = await self.ask_all()
+            if self._is_query_due():
+                replies_by_address = await self.ask_all()
+                self._plan_query()
             self.cluster_wait.report()
             await self._adopt_if_known()
             if self._is_due():
                 await self._found(replies_by_address)
             await self.state.clock.sleep_ms(ROUND_INTERVAL_MS)
 
+    def _is_query_due(self) -> bool:
+        """Whether to ask the seeds in this round: always if this member is one."""
+        is_seed = bool(self.acceptor.record.seeds)
+        return is_seed or self.state.clock.now_ms() >= self.next_query_ms
+
+    def _plan_query(self) -> None:
+        """Set when a member that may not found asks again, only for its reports."""
+        is_silent = any(not statement.identity for statement in self.statements)
+        interval_ms = min(2 * self.query_interval_ms, MAX_QUERY_INTERVAL_MS)
+        self.query_interval_ms = interval_ms if is_silent else ROUND_INTERVAL_MS
+        self.next_query_ms = self.state.clock.now_ms() + self.query_interval_ms
+
     async def ask_all(self) -> dict[Address, FoundingReply]:
         """Ask all seeds what they know, and keep what they say for ``view``."""
         state = self.state
@@ -235,7 +264,8 @@
         self._log_refusal()
 
     def _log_refusal(self) -> None:
-        if self.refusal and self.refusal not in self.logged_refusals:
+        is_new = self.refusal and self.refusal not in self.logged_refusals
+        if is_new and len(self.logged_refusals) < MAX_LOGGED_REFUSALS:
             self.logged_refusals.add(self.refusal)
             events.log(
                 events.FOUNDING_REFUSED, member=self.state.name, detail=self.refusal
@@ -261,18 +291,21 @@
             return False
         if self.ready_since_ms is None:
             self.ready_since_ms = now_ms
-        wait_ms = RANK_DELAY_MS * sum(name < state.name for name in supporters)
+        rank = sum(name < state.name for name in supporters)
+        wait_ms = rank * (RANK_DELAY_MS + self.acceptor.write_ms)
         answers = sum(bool(s.name and s.identity) for s in self.statements)
         if answers + 1 < len(record.seeds):
             wait_ms += ABSENT_SEED_WAIT_MS
-        return now_ms >= max(self.ready_since_ms + wait_ms, self.back_off_until_ms)
+        due_ms = max(self.ready_since_ms + wait_ms, self.back_off_until_ms)
+        return now_ms >= due_ms and not self.acceptor.is_in_ballot
 
     # Ballots
 
     async def _found(self, replies_by_address: dict[Address, FoundingReply]) -> None:
         value = await self._decide(replies_by_address)
         if value is None:
-            back_off_ms = self.state.random.randint(0, MAX_BACK_OFF_MS)
+            max_ms = MAX_BACK_OFF_MS + WRITES_PER_BALLOT * self.acceptor.write_ms
+            back_off_ms = self.state.random.randint(0, max_ms)
             self.back_off_until_ms = self.state.clock.now_ms() + back_off_ms
             return
         await self._adopt(value)
@@ -309,7 +342,7 @@
         value = max(promises.values(), key=lambda reply: reply.record.accepted)
         chosen = value.record.value
         if not chosen.cluster:
-            chosen = self._new_value(promises)
+            chosen = self._new_value(ballot, promises)
         accepted = await self._collect_acceptances(ballot, chosen, promises)
         return chosen if accepted >= self.needed else None
 
@@ -338,15 +371,20 @@
             if not reply.cluster and reply.record.promised == ballot
         }
 
-    def _new_value(self, promises: dict[Address, FoundingReply]) -> FoundingValue:
+    def _new_value(
+        self, ballot: FoundingBallot, promises: dict[Address, FoundingReply]
+    ) -> FoundingValue:
         """Return a value of this member: the seeds that promised, all as voters."""
         members = [
             MemberInfo(reply.sender, str(address), voter=True)
             for address, reply in promises.items()
         ]
         members.sort(key=lambda info: info.identity)
-        # The identity holds a random incarnation, so it is a unique cluster name.
-        return FoundingValue(self.state.identity, Configuration(tuple(members)))
+        # The identity holds a random incarnation. The round tells this value from
+        # those of earlier ballots: a seed that has accepted one of them takes it as
+        # decided once it hears the name of its cluster.
+        cluster = f"{ballot.proposer}.{ballot.round}"
+        return FoundingValue(cluster, Configuration(tuple(members)))
 
     async def _collect_acceptances(
         self,
@@ -443,7 +481,7 @@
         ) -> None:
             try:
                 reply = await self.state.link.call(
-                    address, message, self.state.timing.call_timeout_ms
+                    address, message, self._timeout_ms(message)
                 )
             except PeerUnreachable as error:
                 # Counts as a seed that does not answer.
@@ -460,3 +498,7 @@
         if group.exception is not None:
             raise group.exception
         return replies_by_address
+
+    def _timeout_ms(self, message: FoundingRequest | FoundingDecision) -> int:
+        is_query = isinstance(message, FoundingQuery)
+        return self.state.timing.call_timeout_ms if is_query else WRITE_TIMEOUT_MS
