End a daemon without waiting long for a write to disk in progress

Cause: test_member_whose_log_is_not_read_ends[2] failed since the end of a daemon had two waits in series: the task group cancels its tasks one after the other and waits for a write to disk without a limit (a write cannot be cancelled, and the founding of the member that has just started makes several), and the last lines of the log take 500 ms beside an unread pipe. The forced end leaves 1 s for both. In a traced trial the member had 23 ms of waits for a processor since its start at load 32; its write of the file `member` took 794 ms, 482 of them after the second signal, and the process ended 1,019 ms after that signal. The relay's control member has no forced end and waited for the disk until SIGKILL.

Ruled out: a member short of the processor: of 18 traced trials that ended later than 950 ms after the signal, 17 waited 5 to 115 ms for one from start to end; one waited 512 ms, 499 of them within its wait of 500 ms for the log, which ended on time. A lock or a late thread: the log writer ends its 500 ms on time in each trace. Shorter waits for the log: a write of 900 ms would still outlast the second.

A member that dies with a write in progress is as one that was killed.

--- a/tests/test_control_signal.py
+++ b/tests/test_control_signal.py
@@ -13,6 +13,7 @@
 import pytest
 
 from demo.processes import Fleet, request
+from tests.process_figures import figures_on_failure
 from tests.test_process_exit import PIPE_BYTES
 from wagtailrun.adapters.tcp_link import TcpPeerLink
 from wagtailrun.control.member_stop import FORCED_END_MS
@@ -119,10 +120,11 @@
             while True:
                 os.write(writer, b"x")
         os.set_blocking(writer, True)
-        for _ in range(signals):
-            process.send_signal(signal.SIGTERM)
-            time.sleep(PAUSE_S)
-        limit_s = FORCED_END_MS / 1_000 if signals == 1 else 1.0
-        assert process.wait(limit_s + 1.0) == 0
+        with figures_on_failure(process.pid):
+            for _ in range(signals):
+                process.send_signal(signal.SIGTERM)
+                time.sleep(PAUSE_S)
+            limit_s = FORCED_END_MS / 1_000 if signals == 1 else 1.0
+            assert process.wait(limit_s + 1.0) == 0
     os.close(reader)
     os.close(writer)
--- a/wagtailrun/control/daemon.py
+++ b/wagtailrun/control/daemon.py
@@ -3,8 +3,6 @@
 from pathlib import Path
 from typing import Any
 
-import curio
-
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.adapters.file_disk import FileDisk
 from wagtailrun.adapters.http_client import HttpClient
@@ -27,6 +25,7 @@
 from wagtailrun.logs import events
 from wagtailrun.observation.metrics import Metrics
 from wagtailrun.ports.disk import Disk
+from wagtailrun.process.daemon_tasks import run_until_one_ends
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.registry.state import Registry
@@ -136,19 +135,19 @@
         await self.accounts.open()
         PROCESS_MEMORY.set_memory(self.settings.memory_mb)
         events.log(events.PROCESS_STARTED, role="control", name=self.settings.name)
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self.peer_server.serve)
-            await group.spawn(self.signalled_drain.run)
-            await group.spawn(self.operator_server.serve)
-            await group.spawn(self.service.run_order_sweeps)
-            await group.spawn(self.accounts.run)
-            await group.spawn(self.period_closer.run)
-            await group.spawn(self.fleet_watch.run)
-            await group.spawn(self.engine_controller.run)
-            await group.spawn(self._update_gauges)
-            await group.spawn(self.member_host.run)
-        if group.exception is not None:
-            raise group.exception
+        tasks = (
+            self.peer_server.serve,
+            self.signalled_drain.run,
+            self.operator_server.serve,
+            self.service.run_order_sweeps,
+            self.accounts.run,
+            self.period_closer.run,
+            self.fleet_watch.run,
+            self.engine_controller.run,
+            self._update_gauges,
+            self.member_host.run,
+        )
+        await run_until_one_ends(tasks)
         events.log(events.PROCESS_STOPPED, role="control", name=self.settings.name)
 
     async def handle_peer(self, message: Any) -> Any:
--- a/wagtailrun/process/__init__.py
+++ b/wagtailrun/process/__init__.py
@@ -1,6 +1,7 @@
 """Start, end and resources of one process."""
 
 __all__ = [
+    "daemon_tasks",
     "descriptors",
     "disk_space",
     "fairness",
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import Generic, TypeVar
 
 import curio
@@ -14,6 +15,7 @@
 from wagtailrun.logs.daemon_log import start_json_lines
 from wagtailrun.logs.line_writer import STOP_TIMEOUT_S
 from wagtailrun.ports.link import Address
+from wagtailrun.process.daemon_tasks import run_until_one_ends
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.process.supervisor import supervise
@@ -121,15 +123,14 @@
     PROCESS_MEMORY.set_memory(settings.memory_mb)
     events.log(events.PROCESS_STARTED, role=role, name=settings.name)
     try:
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(supervise, "peer server", peer_server.serve)
-            watch = loop_watch or LoopWatch(signals.clock)
-            for task in (*tasks, watch.run):
-                await group.spawn(supervise, task.__qualname__, task)
+        watch = loop_watch or LoopWatch(signals.clock)
+        supervised = [
+            partial(supervise, "peer server", peer_server.serve),
+            *(partial(supervise, t.__qualname__, t) for t in (*tasks, watch.run)),
             # Last, so that the other listeners have their ports.
-            await group.spawn(_serve_metrics, settings.metrics_address, metrics_page)
-        if group.exception is not None:
-            raise group.exception
+            partial(_serve_metrics, settings.metrics_address, metrics_page),
+        ]
+        await run_until_one_ends(supervised)
         events.log(events.PROCESS_STOPPED, role=role, name=settings.name)
     finally:
         timeout_s = STOP_TIMEOUT_S
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-import curio
-
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.accounts.messages import AccountRows
@@ -23,6 +21,7 @@
 from wagtailrun.observation.recorder import Recorder
 from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.link import Address
+from wagtailrun.process.daemon_tasks import run_until_one_ends
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.registry.client import ControlClient
@@ -205,18 +204,18 @@
         """
         PROCESS_MEMORY.set_memory(self.settings.memory_mb)
         events.log(events.PROCESS_STARTED, role="entry", name=self.settings.name)
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self.signalled_drain.run)
-            await group.spawn(self.caller_server.serve)
-            await group.spawn(self.target_server.serve)
-            await group.spawn(self.peer_server.serve)
-            await group.spawn(self.gossip.run)
-            await group.spawn(self.accounts.run)
-            await group.spawn(self._update_gauges)
-            if self.trace is not None:
-                await group.spawn(self.trace.run)
-        if group.exception is not None:
-            raise group.exception
+        tasks = [
+            self.signalled_drain.run,
+            self.caller_server.serve,
+            self.target_server.serve,
+            self.peer_server.serve,
+            self.gossip.run,
+            self.accounts.run,
+            self._update_gauges,
+        ]
+        if self.trace is not None:
+            tasks.append(self.trace.run)
+        await run_until_one_ends(tasks)
         events.log(events.PROCESS_STOPPED, role="entry", name=self.settings.name)
 
     def is_ready(self) -> bool:
--- a/wagtailrun/stopping/signalled_drain.py
+++ b/wagtailrun/stopping/signalled_drain.py
@@ -14,8 +14,8 @@
 class SignalledDrain:
     """Waits for a signal to stop, then drains; a second signal ends the drain at once.
 
-    A process that stands still, such as on a disk that does not answer, ends when its
-    time is over, with status 1.
+    A process whose event loop or drain stands still ends when its time is over, with
+    status 1.
 
     Args:
         clock: Clock.
--- a/wagtailrun/stopping/signals.py
+++ b/wagtailrun/stopping/signals.py
@@ -11,7 +11,7 @@
 
 # A planned stop has seconds, and polling ten times a second costs next to nothing.
 SIGNAL_POLL_MS = 100
-# A process that is told twice to stop, and cannot even cancel its tasks, ends by then.
+# A process that is told twice to stop, and whose event loop stands still, ends by then.
 FORCED_END_MS = 1_000
 # What a process that handles the signal after its time still has to answer requests.
 LATE_STOP_MS = 1_000
