Tell entries of a data centre which targets others do not reach

Cause: what an entry observes of its paths is lost to others, so an entry that starts during a cut of one direction learns of it from its callers. Targets that cannot be reached announce themselves all the same, and gossip brings their rows.

Gossip exchanges within a data centre carry hints: targets, or a data centre, that the sender failed to reach in the last 5 s, at most 8. A hint moves a target behind others and starts a probe; the outcome of that probe, or of an attempt, is the receiver's own evidence and ends the hint, which else expires. Hints are never passed on. Hints of negative or old age, of an unknown subject, or from another data centre are ignored and counted (metric ignored_path_hints). Event 322 names source and age. The field is added to the schema; builds without it read and send the same exchanges as before.

Ruled out: taking the sender's verdict as the own one, since one entry's broken path would take targets from all; a message of its own, since the exchange in which an entry joins already comes before it takes requests.

Before, after: tests/test_path_hints.py, two entries, cut after 5 s, the second entry starts at 15 s, 20 requests a second each until 30 s, without a preference for local targets. Cut outward: 10 late requests at the second entry, 3 of them refused; the test printed `assert ([17550, 17650, 18200, ..., 18700]) == ([], [])`. After: none, and 14 instead of 18 probes.

Conclusion: an entry that starts during a cut costs its callers no connect timeout.

--- a/wagtailrun/gossip/exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -1,7 +1,7 @@
 """Gossip exchanges: selects the changes a partner lacks and merges what it sends."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -19,9 +19,12 @@
 from wagtailrun.gossip.push import PeerClient
 from wagtailrun.gossip.target_monitor import TargetMonitor
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.path_hints import PathHint
 from wagtailrun.targets.table import ChangeLog, Membership
 
-__all__ = ["Exchanger"]
+__all__ = ["Exchanger", "HintReceiver"]
+
+HintReceiver = Callable[[str, str, tuple[PathHint, ...]], Awaitable[None]]
 
 EXCHANGE_TIMEOUT_MS = 250
 # Limits of one message, derived from a budget of 4 KB/s for two exchanges and two
@@ -62,6 +65,8 @@
         self.config = config
         self.hook_out: Callable[[str], bytes] = lambda partner: b""
         self.hook_in: Callable[[str, bytes], None] = lambda partner, data: None
+        self.own_hints: Callable[[], tuple[PathHint, ...]] = tuple
+        self.receive_hints: HintReceiver | None = None
 
     async def exchange_with_address(self, address: Address) -> EntryRow | None:
         """Exchange with the entry at ``address``; see ``exchange_with_entry``."""
@@ -137,6 +142,9 @@
         partner.seen = message.sent
         if message.hook and local:
             self.hook_in(sender.name, message.hook)
+        if message.path_hints and self.receive_hints is not None:
+            hints = message.path_hints
+            await self.receive_hints(sender.name, sender.data_centre, hints)
         if local:
             await self.config.fetch_if_newer(sender.version, sender.address)
 
@@ -203,6 +211,8 @@
             hook=hook,
             targets_digest=states.digest,
             entries_digest=entries_log.digest,
+            # The data centre of a process without a row may be another one.
+            path_hints=self.own_hints() if row is not None and local else (),
         )
 
     def _is_suspected(self, row: EntryRow) -> bool:
--- a/wagtailrun/gossip/messages.py
+++ b/wagtailrun/gossip/messages.py
@@ -6,9 +6,10 @@
 
 import attrs
 
-from wagtailrun.codec import Channel, Codec
+from wagtailrun.codec import Channel, Codec, independent_rows
 from wagtailrun.exceptions import MessageError
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.path_hints import PathHint
 from wagtailrun.targets.table import TargetRow, short_id
 
 __all__ = [
@@ -124,6 +125,8 @@
         hook: Bytes of the module that registered a hook.
         targets_digest: Digest of the state of all targets that the sender knows.
         entries_digest: Digest of all rows of entries that the sender knows.
+        path_hints: Targets that the sender could not reach, for entries of its data
+            centre.
     """
 
     sender: EntryRow
@@ -136,6 +139,7 @@
     hook: bytes = b""
     targets_digest: int = 0
     entries_digest: int = 0
+    path_hints: tuple[PathHint, ...] = independent_rows(default=())
 
 
 @attrs.frozen
--- a/wagtailrun/gossip/node.py
+++ b/wagtailrun/gossip/node.py
@@ -10,7 +10,7 @@
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.configuration import ConfigDissemination
-from wagtailrun.gossip.exchange import Exchanger
+from wagtailrun.gossip.exchange import Exchanger, HintReceiver
 from wagtailrun.gossip.messages import (
     AgedRow,
     EntryRow,
@@ -33,6 +33,7 @@
 from wagtailrun.gossip.target_monitor import TargetMonitor
 from wagtailrun.messages import Ping, Pong
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.targets.path_hints import PathHint
 from wagtailrun.targets.table import Membership, TargetRow
 
 __all__ = ["GossipNode"]
@@ -109,6 +110,18 @@
         """
         self.exchanger.hook_out, self.exchanger.hook_in = outgoing, incoming
 
+    def share_path_hints(
+        self, own: Callable[[], tuple[PathHint, ...]], receive: HintReceiver
+    ) -> None:
+        """Exchange hints of unreachable targets within the data centre.
+
+        Args:
+            own: Returns what this entry has observed.
+            receive: Called with the name and the data centre of another entry, and its
+                hints.
+        """
+        self.exchanger.own_hints, self.exchanger.receive_hints = own, receive
+
     async def run(self) -> None:
         """Join the other entries, then gossip until cancelled."""
         await self._join()
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -556,6 +556,11 @@
     logging.INFO,
     "Targets of a service announce themselves again, or the last known ones are gone.",
 )
+PATH_HINTED = _event(
+    322,
+    logging.INFO,
+    "Another entry does not reach a target or a data centre; this one probes it.",
+)
 STAGE_MEMORY_FULL = _event(
     723,
     logging.WARNING,
--- a/wagtailrun/observation/metrics.py
+++ b/wagtailrun/observation/metrics.py
@@ -87,6 +87,10 @@
         self.mismatched_answers = self._gauge(
             "crossed_answers", "Answers to another attempt, which were dropped."
         )
+        self.ignored_path_hints = self._gauge(
+            "ignored_path_hints",
+            "Hints of other entries, of targets without a path, that cannot be used.",
+        )
         self.targets = self._gauge(
             "usable_targets", "Targets that may be given new work.", ["service"]
         )
--- a/wagtailrun/schema/gossip.capnp
+++ b/wagtailrun/schema/gossip.capnp
@@ -74,8 +74,11 @@
   hook @7 :Data;
   targetsDigest @8 :UInt64;
   entriesDigest @9 :UInt64;
+  pathHints @10 :List(PathHint);
 }
 
+struct PathHint { target @0 :Text; dataCentre @1 :Text; ageMs @2 :Int64; }
+
 struct GossipRows {
   targets @0 :List(AgedRow);
   growth @1 :Data;
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -88,6 +88,7 @@
         self.http = HttpClient(self.clock, pool=pool)
         self.client = HttpTargetClient(self.http)
         self.dispatcher = self._make_dispatcher()
+        self._share_path_hints()
         control = ControlClient(self.clock, self.link, settings.control_peers)
         self.orders = OrderRunner(
             self.clock, control, self.dispatcher, settings.name, self.incarnation
@@ -158,6 +159,11 @@
             may_use_remote=self._allows_fallback,
         )
 
+    def _share_path_hints(self) -> None:
+        prober = self.dispatcher.context.prober
+        if prober is not None:
+            self.gossip.share_path_hints(prober.paths.own_hints, prober.receive_hints)
+
     def _make_caller_api(self) -> CallerApi:
         return CallerApi(
             self.clock,
@@ -291,6 +297,9 @@
             self.metrics.requests_in_progress.set(self.caller_server.active_requests)
             self.metrics.account_rows.set(len(self.accounts.table.rows_by_key))
             self.metrics.mismatched_answers.set(self.client.crossed_answers)
+            if self.dispatcher.router.paths is not None:
+                ignored = self.dispatcher.router.paths.hints.ignored_by_fault
+                self.metrics.ignored_path_hints.set(ignored.total())
             self._update_target_gauges()
             await self.clock.sleep_ms(GAUGE_INTERVAL_MS)
 
--- a/wagtailrun/targets/__init__.py
+++ b/wagtailrun/targets/__init__.py
@@ -6,6 +6,7 @@
     "attempt_observer",
     "estimates",
     "health",
+    "path_hints",
     "paths",
     "retries",
     "routing",
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -270,13 +270,30 @@
         now_ms = self.clock.now_ms()
         local_rows, remote_rows = self._allowed_rows(candidates, work)
         if self.paths.has_observations:
-            left_out = self._unreachable_names([*local_rows, *remote_rows])
+            left_out = self.paths.names_left_out([*local_rows, *remote_rows])
             local_rows = [row for row in local_rows if row.name not in left_out]
             remote_rows = [row for row in remote_rows if row.name not in left_out]
         if now_ms < self.health.last_pause_ends_ms:
             paused = self._paused_names([*local_rows, *remote_rows], avoid)
             local_rows = [row for row in local_rows if row.name not in paused]
             remote_rows = [row for row in remote_rows if row.name not in paused]
+        if self.paths.hints.has_hints:
+            without = self.paths.without_hints
+            unhinted = without(local_rows), without(remote_rows)
+            found = self._faster_of(*unhinted, work, avoid)
+            if found is not None and not self._is_last_resort(found, avoid):
+                return found
+        return self._faster_of(local_rows, remote_rows, work, avoid)
+
+    def _faster_of(
+        self,
+        local_rows: list[TargetRow],
+        remote_rows: list[TargetRow],
+        work: "Work | None",
+        avoid: Collection[str],
+    ) -> TargetRow | None:
+        """Return the best local or remote target, with a preference for the local."""
+        now_ms = self.clock.now_ms()
         local, local_ms = self._best_target(local_rows, work, avoid, now_ms)
         if not remote_rows:
             return local
@@ -308,14 +325,6 @@
             return subset.local, []
         return subset.local, subset.remote
 
-    def _unreachable_names(self, rows: list[TargetRow]) -> frozenset[str]:
-        """Return the names of targets without a path, if another one has one.
-
-        That one may have no room now, or have just failed; it is still the better one.
-        """
-        names = [row.name for row in rows if self.paths.is_unreachable(row)]
-        return frozenset(names) if len(names) < len(rows) else frozenset()
-
     def _paused_names(
         self, rows: list[TargetRow], avoid: Collection[str]
     ) -> frozenset[str]:
