Test the preference for local targets beside lost paths and hints

Cause: no test showed how "own data centre first, unless a remote target is expected 1.25 times faster" and lost paths go together; only the case without room was tested. Ruled out: a strict rule, a local target whenever one has a path and room. Before, after: the rule itself is unchanged, and the new tests pass on the code as it was. Conclusion: the rule holds beside paths; a path comes before the data centre, and the data centre before speed up to the factor.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,6 +10,7 @@
 from wagtailrun.serving.dispatch import Work
 from wagtailrun.targets.affinity import CacheEvents
 from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.path_hints import PathHint
 from wagtailrun.targets.routing import ExpectedTimeRouter, LeastLoadedRouter
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
@@ -92,6 +93,53 @@
     assert one.choose(local + remote, WORK) is None
 
 
+@pytest.mark.parametrize(("queued", "chosen"), [(0, "east"), (1, "east"), (5, "west")])
+def test_local_target_with_room_yields_to_a_much_faster_remote_one(queued, chosen):
+    """Guards against either rule, nearest or fastest, that takes the place of both.
+
+    The bound is 1.25: with a capacity of 8, one queued request makes the local target
+    1.125 times as slow as the idle remote one, and five make it 1.625 times as slow.
+    """
+    one = router()
+    assert one.choose(local_and_remote(queued), WORK).data_centre == chosen
+
+
+def test_path_comes_before_data_centre_and_data_centre_before_speed():
+    """Guards against a preference for either data centre that ignores lost paths."""
+    one = router()
+    slow_local = local_and_remote(queued=5)
+    _, remote = slow_local
+    one.mark_unreachable(remote)
+    assert one.choose(slow_local, WORK).data_centre == "east"
+    one.paths.record_answer(remote, one.clock.now_ms())
+    assert one.choose(slow_local, WORK).data_centre == "west"
+    one = router()
+    local, slow_remote = local_and_remote(queued=0)
+    slow_remote = attrs.evolve(slow_remote, queued=5)
+    one.mark_unreachable(local)
+    assert one.choose([local, slow_remote], WORK).data_centre == "west"
+    one.paths.record_answer(local, one.clock.now_ms())
+    assert one.choose([local, slow_remote], WORK).data_centre == "east"
+
+
+def test_hint_moves_a_local_target_behind_a_slower_remote_one():
+    """Guards against a preference for the own data centre that ignores hints."""
+    one = router()
+    local, remote = local_and_remote(queued=0)
+    remote = attrs.evolve(remote, queued=5)
+    known = {row.name: row for row in (local, remote)}
+    one.paths.receive_hints("east", [PathHint(target=local.name)], known)
+    assert one.choose([local, remote], WORK).data_centre == "west"
+    one.paths.record_answer(local, one.clock.now_ms())
+    assert one.choose([local, remote], WORK).data_centre == "east"
+
+
+def local_and_remote(queued):
+    """Return a target of each data centre; the local one has queued requests."""
+    local, remote = rows(1)[0], rows(1, "west")[0]
+    return [attrs.evolve(local, queued=queued), remote]
+
+
 @pytest.mark.parametrize(("load", "chosen"), [(0, "east-0"), (60, "other")])
 def test_prefix_holder_yields_to_expected_time(load, chosen):
     """Guards against unused caches and against queues at the target with a prefix."""
