Draw a strip for each fault above plots over time, with plain fills

Cause: plots shaded the time of all faults with one hatched fill. Faults that overlap ran into one block that said neither which nor how many they are, and viewers that know no patterns draw a hatched area, also the bars, black. Ruled out: labels inside the panels, which cover the lines; one panel of strips for the page, since each plot is read by itself. With the strips two pages of the same results differed in about half of the calls: positions differed by 1e-16, which changes names of clip paths. Conclusion: each fault can be told apart, in any viewer.

--- a/tests/test_report_page.py
+++ b/tests/test_report_page.py
@@ -9,12 +9,13 @@
 
 import pytest
 
-from tests.made_results import make_results
+from tests.made_results import make_results, write_lines
 from tests.test_reports import change_json, run_command
 from wagtailrun.exceptions import ResultsError
 from wagtailrun.experiments.reports import page_file
 from wagtailrun.experiments.reports.command import read_report
 from wagtailrun.experiments.reports.page import make_page
+from wagtailrun.experiments.reports.strips import make_strips
 
 VOID = {"meta", "br", "img", "link", "input", "hr"}
 
@@ -92,6 +93,71 @@
     assert "slow-target (fault), generate-1, 15 s to the end" in text
 
 
+def test_fills_are_plain(results):
+    """Guards against areas that viewers without patterns draw black."""
+    text = page_of(results)
+    assert "<pattern" not in text and "fill: url(" not in text
+
+
+def test_each_fault_has_a_strip(results):
+    """Guards against faults that run into one block, and do not say what they are."""
+    text = page_of(results)
+    for label in ("cut: riverside, north-mill", "roll: front-1"):
+        # In both plots of outcomes and that of places.
+        assert text.count(f"<!-- {label} -->") == 3, label
+
+
+def put_events(path, rows):
+    """Let the plays have the faults of rows of start, end, kind and subject."""
+    for seed in (1, 2, 3):
+        names = ("at_ms", "until_ms", "kind", "subject")
+        events = [
+            {**dict(zip(names, row, strict=True)), "planned": False} for row in rows
+        ]
+        write_lines(path / "base" / str(seed) / "events.jsonl", events)
+
+
+def strips_of(path):
+    return make_strips(read_report([str(path)], []).sides[0].tally)
+
+
+def test_faults_that_overlap_keep_their_own_strips(results):
+    """Guards against a fault that hides the start and the end of another one."""
+    rows = [
+        (1_000, 9_000, "cut", ["riverside"]),
+        (2_000, 3_000, "cut", ["north-mill"]),
+        (2_500, 4_000, "cut", ["north-mill"]),
+        (8_000, 8_000, "kill-target", ["encode-1"]),
+        (8_000, None, "silence-target", ["encode-2"]),
+        (30_000, 40_000, "cut", ["nowhere"]),
+    ]
+    put_events(results, rows)
+    found = {strip.label: strip.spans_s for strip in strips_of(results)}
+    assert found == {
+        "cut: riverside": ((1, 9),),
+        "cut: north-mill": ((2, 4),),
+        "kill-target: encode-1": ((8, 8.1),),
+        "silence-target: encode-2": ((8, 20),),
+    }
+
+
+@pytest.mark.parametrize(("count", "strips"), [(10, 10), (11, 2), (100, 2)])
+def test_many_faults_have_a_strip_for_each_kind(results, count, strips):
+    """Guards against plots that grow with the number of faults."""
+    rows = [
+        (i, i + 1, "cut-one-way"[: 3 + 8 * (i % 2)], [f"e{i}"]) for i in range(count)
+    ]
+    put_events(results, rows)
+    assert len(strips_of(results)) == strips
+
+
+def test_strip_of_the_whole_play_and_a_long_name_fit(results):
+    """Guards against a label outside the plot, which makes the plot narrow."""
+    put_events(results, [(0, None, "cut", ["riverside" * 20])])
+    text = page_of(results)
+    assert re.search(r"<!-- cut: (riverside)+[a-z]*\.\.\. -->", text)
+
+
 def test_gaps_stand_on_the_page(results):
     """Guards against a page that shows an incomplete run as whole."""
     (results / "base/2/events.jsonl").unlink()
--- a/wagtailrun/experiments/reports/plots.py
+++ b/wagtailrun/experiments/reports/plots.py
@@ -16,39 +16,36 @@
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 from matplotlib.lines import Line2D
-from matplotlib.patches import Patch
 from matplotlib.ticker import LogLocator
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.experiments.records import EventRecord, Outcome
+from wagtailrun.experiments.records import Outcome
+from wagtailrun.experiments.reports import strips
 from wagtailrun.experiments.reports.figures import Side
 from wagtailrun.experiments.reports.tally import WAITS, Cell, Refused, Tally, Use
 
 __all__ = ["Plot", "latency", "outcomes_over_time", "places", "refusals", "stages"]
 
 # Colours of Okabe and Ito, which colour-blind readers can tell apart; line styles,
-# markers and hatches are the second cue.
+# markers and the order of the parts of a bar are the second cue. No fill is hatched:
+# viewers without patterns draw a hatched one black.
 BLUE, ORANGE, GREEN, PURPLE = "#0072B2", "#E69F00", "#009E73", "#CC79A7"
 VERMILION, SKY, YELLOW, BLACK = "#D55E00", "#56B4E9", "#F0E442", "#000000"
-GREY = "#777777"
 COLOURS = (BLUE, VERMILION, GREEN, BLACK, PURPLE, ORANGE, SKY)
 DOTS: tuple[Any, ...] = ((0, (5, 1, 1, 1, 1, 1)), (0, (1, 3)), (0, (8, 3)))
 LINES = ("-", "--", "-.", ":", *DOTS)
 MARKERS = ("o", "s", "^", "D", "v", "P", "X")
-HATCHES = ("", "///", "---", "xxx")
 OUTCOME_COLOURS = (BLUE, ORANGE, PURPLE, BLACK, VERMILION)
 OUTCOME_STYLES = [
     (outcome, {"color": colour, "linestyle": line, "linewidth": 1.6})
     for outcome, colour, line in zip(Outcome, OUTCOME_COLOURS, LINES, strict=False)
 ]
 WAIT_COLOURS = (SKY, YELLOW, ORANGE, VERMILION)
-SPANS = {False: ("fault", YELLOW, "///"), True: ("planned work", SKY, "---")}
 MAX_PANELS = 6
 MAX_LINES = len(COLOURS)
 MAX_BARS = 12
 MAX_LINEAR_RATIO = 10
 MARKED = 8
-MAX_SUBJECTS = 3
 PERCENTILES = (50, 75, 90, 95, 99, 99.9)
 WIDTH_INCHES = 9.0
 STYLE: Any = {
@@ -62,7 +59,6 @@
     "axes.axisbelow": True,
     "axes.spines.top": False,
     "axes.spines.right": False,
-    "hatch.linewidth": 0.5,
     "font.size": 9,
 }
 
@@ -85,8 +81,24 @@
         yield
 
 
+def _fix_layout(figure: Figure) -> None:
+    """Lay a figure out once, at positions that do not depend on the order of sums.
+
+    The solver's sums differ in the last digit from one call to the next, which would
+    change the names of clip paths.
+    """
+    figure.draw_without_rendering()
+    figure.set_layout_engine("none")
+    for axes in figure.axes:
+        left, bottom, width, height = axes.get_position().bounds
+        axes.set_position(
+            (round(left, 6), round(bottom, 6), round(width, 6), round(height, 6))
+        )
+
+
 def render(figure: Figure, title: str) -> str:
     """Return a figure as an SVG element; the same figure gives the same text."""
+    _fix_layout(figure)
     text = io.StringIO()
     names = ("Creator", "Date", "Format", "Type")
     figure.savefig(text, format="svg", metadata=dict.fromkeys(names))
@@ -131,14 +143,13 @@
     caption = (
         f"Requests a second by {kind} and outcome, by their intended start, in "
         f"intervals of {side.tally.interval_ms / MS_PER_SECOND:g} s; mean of the seeds "
-        f"{side.seeds}.{_left_out(totals, names)} {_event_text(side.tally)}"
+        f"{side.seeds}.{_left_out(totals, names)} {strips.event_text(side.tally)}"
     )
 
     def draw() -> Figure:
-        figure = Figure(figsize=(WIDTH_INCHES, 0.9 + 1.5 * len(names)))
-        panels = figure.subplots(len(names), sharex=True, squeeze=False)[:, 0]
+        shown = strips.make_strips(side.tally)
+        figure, panels = _panels_over_time(side.tally, shown, len(names), 1.5)
         for name, axes in zip(names, panels, strict=True):
-            _shade(axes, side.tally)
             for outcome, style in OUTCOME_STYLES:
                 rates, edges_s = _rates(side.tally, cells, name, outcome)
                 if any(rates):
@@ -146,13 +157,12 @@
             axes.set_title(f"{name} ({totals[name]:,} requests)", loc="left")
             axes.set_ylabel("requests/s")
             axes.set_ylim(bottom=0)
-        _set_time(panels[-1], side.tally)
         counts = side.tally.outcomes
         handles: list[Artist] = [
             Line2D([], [], label=f"{outcome} ({counts[outcome]:,})", **style)
             for outcome, style in OUTCOME_STYLES
         ]
-        _add_legend(figure, handles + _span_handles(side.tally))
+        _add_legend(figure, handles + strips.handles(shown))
         return figure
 
     title = f"Outcomes over time by {kind}: {side.label}"
@@ -175,20 +185,34 @@
     return rates, edges_s
 
 
-def _set_time(axes: Axes, tally: Tally) -> None:
-    axes.set_xlabel("time since the start of the play (s)")
-    axes.set_xlim(0, tally.length_ms / MS_PER_SECOND)
-
-
-def _span_handles(tally: Tally) -> list[Artist]:
-    """Return what the legend shows of faults and planned work."""
-    kinds = sorted({event.planned for event in tally.events})
-    return [Patch(label=SPANS[kind][0], **_span_style(kind)) for kind in kinds]
+def _panels_over_time(
+    tally: Tally, shown: list[strips.Strip], count: int, panel_inches: float
+) -> tuple[Figure, list[Axes]]:
+    """Return a figure with panels over the time of a play, below the strips.
 
-
-def _span_style(planned: bool) -> dict[str, Any]:
-    _, colour, hatch = SPANS[planned]
-    return {"facecolor": colour, "alpha": 0.35, "hatch": hatch, "edgecolor": GREY}
+    Args:
+        tally: Tally of the plays.
+        shown: Strips of faults and planned work.
+        count: Number of panels.
+        panel_inches: Height of a panel.
+    """
+    heights = [panel_inches] * count
+    if shown:
+        heights.insert(0, strips.STRIP_INCHES * len(shown))
+    figure = Figure(figsize=(WIDTH_INCHES, 0.9 + sum(heights)))
+    grid = figure.subplots(
+        len(heights), sharex=True, squeeze=False, height_ratios=heights
+    )
+    rows: list[Axes] = list(grid[:, 0])
+    length_s = tally.length_ms / MS_PER_SECOND
+    if shown:
+        strips.draw_strips(rows[0], shown, length_s)
+    panels = rows[-count:]
+    for axes in panels:
+        strips.mark(axes, shown)
+    panels[-1].set_xlabel("time since the start of the play (s)")
+    panels[-1].set_xlim(0, length_s)
+    return figure, panels
 
 
 def _add_legend(figure: Figure, handles: Sequence[Artist]) -> None:
@@ -196,53 +220,6 @@
     figure.legend(handles=handles, loc="outside upper center", ncols=4, handlelength=4)
 
 
-def _clipped(tally: Tally, event: EventRecord) -> tuple[float, float]:
-    """Return start and end in seconds; at least as long as can be seen."""
-    until_ms = tally.length_ms if event.until_ms is None else event.until_ms
-    shown_ms = max(until_ms, event.at_ms + tally.length_ms / 200)
-    return event.at_ms / MS_PER_SECOND, min(shown_ms, tally.length_ms) / MS_PER_SECOND
-
-
-def _shade(axes: Axes, tally: Tally) -> None:
-    """Shade the time of faults and of planned work of any seed."""
-    for planned in SPANS:
-        spans: list[tuple[float, float]] = []
-        chosen = [event for event in tally.events if event.planned is planned]
-        for start_s, end_s in sorted(_clipped(tally, event) for event in chosen):
-            if spans and start_s <= spans[-1][1]:
-                spans[-1] = (spans[-1][0], max(spans[-1][1], end_s))
-            elif start_s < end_s:
-                spans.append((start_s, end_s))
-        for start_s, end_s in spans:
-            axes.axvspan(start_s, end_s, linewidth=0, zorder=0, **_span_style(planned))
-
-
-def _event_text(tally: Tally) -> str:
-    """Return a sentence on the shaded events."""
-    if not tally.events:
-        return "No fault and no planned work."
-    events_by_kind: dict[str, list[EventRecord]] = {}
-    for event in sorted(tally.events, key=lambda event: (event.at_ms, repr(event))):
-        kind = f"{event.kind} ({SPANS[event.planned][0]})"
-        events_by_kind.setdefault(kind, []).append(event)
-    texts = [_times_text(kind, events) for kind, events in events_by_kind.items()]
-    return f"Shaded, of any seed: {'; '.join(texts)}."
-
-
-def _times_text(kind: str, events: list[EventRecord]) -> str:
-    """Return when events of one kind took place, and to whom a single one did."""
-    ends_ms = [event.until_ms for event in events]
-    last_ms = None if None in ends_ms else max(ms for ms in ends_ms if ms is not None)
-    start = f"{events[0].at_ms / MS_PER_SECOND:g} s"
-    end = "the end" if last_ms is None else f"{last_ms / MS_PER_SECOND:g} s"
-    time = f"at {start}" if start == end else f"{start} to {end}"
-    if len(events) > 1:
-        return f"{kind}, {len(events)} times, {time}"
-    names = ", ".join(events[0].subject[:MAX_SUBJECTS])
-    more = len(events[0].subject) - MAX_SUBJECTS
-    return f"{kind}, {names}{f' and {more} more' if more > 0 else ''}, {time}"
-
-
 def refusals(side: Side) -> Plot:
     """Plot refused requests by reason and by how long they were held."""
     totals: Counter[str] = Counter()
@@ -278,8 +255,7 @@
     axes = figure.subplots()
     places, start = range(len(names)), [0.0] * len(names)
     for index, (label, widths) in enumerate(parts.items()):
-        look: Any = {"color": colours[index], "hatch": HATCHES[index]}
-        look["edgecolor"] = BLACK
+        look: Any = {"color": colours[index], "edgecolor": BLACK}
         axes.barh(places, widths, left=start, label=label, linewidth=0.5, **look)
         start = [a + b for a, b in zip(start, widths, strict=True)]
     axes.set_yticks(places, names)
@@ -394,12 +370,12 @@
     )
 
     def draw() -> Figure:
-        figure = Figure(figsize=(WIDTH_INCHES, 3.2))
-        axes = figure.subplots()
-        _shade(axes, tally)
+        shown = strips.make_strips(tally)
+        figure, (axes,) = _panels_over_time(tally, shown, 1, 2.6)
         count = math.ceil(tally.length_ms / tally.interval_ms)
         interval_s = tally.interval_ms / MS_PER_SECOND
         middles_s = [(i + 0.5) * interval_s for i in range(count)]
+        lines: list[Artist] = []
         for index, name in enumerate(names):
             uses = [Use(name, i) for i in range(count)]
             places = [tally.capacity.get(use) or math.nan for use in uses]
@@ -407,11 +383,10 @@
             shares = [100 * r / p for r, p in zip(running, places, strict=True)]
             marked = (index * count // (MARKED * MAX_LINES), max(1, count // MARKED))
             style = {"markevery": marked, **_line_style(index)}
-            axes.plot(middles_s, shares, label=_label(name), **style)
-        _set_time(axes, tally)
+            lines += axes.plot(middles_s, shares, label=_label(name), **style)
         axes.set_ylabel("places in use (%)")
         axes.set_ylim(bottom=0)
-        _add_legend(figure, [*axes.lines, *_span_handles(tally)])
+        _add_legend(figure, [*lines, *strips.handles(shown)])
         return figure
 
     title = f"Places in use: {side.label}"
