Report the first refusal and the return of service for each fault

Cause: a report had shares over the whole play only. How soon callers were refused after a fault began, and when they were served again after its start and end, had to be read off the plots, to whole intervals of seconds. Ruled out: rows in the summary, whose columns are variants with different faults; the first served request after a refusal as the return, since refusals may go on after it. Conclusion: the table is on the page, in the terminal and in the JSON value ("faults").

--- a/tests/test_report_page.py
+++ b/tests/test_report_page.py
@@ -75,7 +75,7 @@
         "Time by stage: variant base",
         "Places in use: variant base",
     ]
-    tables = ["Experiment made", "Missing", "Summary", "Promises"]
+    tables = ["Experiment made", "Missing", "Summary", "Faults", "Promises"]
     assert page.headings == tables + plots
     assert page.labels == plots
     assert page.tags.isdisjoint({"script", "link", "img", "iframe", "image", "object"})
--- a/wagtailrun/cli/report.py
+++ b/wagtailrun/cli/report.py
@@ -77,6 +77,8 @@
     for note in found.notes:
         print(f"note: {printable(note)}")
     print_rows(found.summary_rows())
+    print("\nfaults and planned work:")
+    print_rows(found.outage_rows(), empty="none")
     print("\npromises:")
     print_rows(found.promise_rows(), empty="none")
     for each in found.comparisons():
--- a/wagtailrun/experiments/reports/command.py
+++ b/wagtailrun/experiments/reports/command.py
@@ -11,6 +11,7 @@
 from wagtailrun.exceptions import ResultsError, SettingsError, WagtailrunError
 from wagtailrun.experiments.reports.figures import (
     Side,
+    outage_rows,
     promise_rows,
     read_side,
     summary,
@@ -42,11 +43,12 @@
     notes: list[str]
 
     def as_json(self) -> dict[str, Any]:
-        """Return gaps, notes, figures and promises as a JSON value."""
+        """Return gaps, notes, figures, faults and promises as a JSON value."""
         return {
             "gaps": self.gaps,
             "notes": self.notes,
             "summary": [row.as_json(self.sides) for row in summary(self.sides)],
+            "faults": self.outage_rows(),
             "promises": self.promise_rows(),
             "comparisons": [each.as_json() for each in self.comparisons()],
         }
@@ -60,6 +62,10 @@
 
         return [compare(first, second) for first, second in self.pairs]
 
+    def outage_rows(self) -> list[dict[str, Any]]:
+        """Return the faults and planned work, a row for each and each side."""
+        return outage_rows(self.sides)
+
     def promise_rows(self) -> list[dict[str, Any]]:
         """Return the promises, a row for each and each side."""
         return promise_rows(self.sides)
--- a/wagtailrun/experiments/reports/figures.py
+++ b/wagtailrun/experiments/reports/figures.py
@@ -8,10 +8,20 @@
 
 from wagtailrun.exceptions import ResultsError
 from wagtailrun.experiments.records import Outcome, PromiseRecord, Run
+from wagtailrun.experiments.reports.outages import outage_row
 from wagtailrun.experiments.reports.reading import ResultsDirectory
 from wagtailrun.experiments.reports.tally import WAITS, Refused, Tally, tally_play
 
-__all__ = ["FIGURES", "Figure", "Row", "Side", "promise_rows", "read_side", "summary"]
+__all__ = [
+    "FIGURES",
+    "Figure",
+    "Row",
+    "Side",
+    "outage_rows",
+    "promise_rows",
+    "read_side",
+    "summary",
+]
 
 HELD = list(WAITS)[-1]
 
@@ -194,6 +204,20 @@
     return rows
 
 
+def outage_rows(sides: list[Side]) -> list[dict[str, Any]]:
+    """Return a row for each fault and side, in order of time."""
+    rows = []
+    for side in sides:
+        by_fault = side.tally.outages
+        starts_ms = {
+            fault: min(outage.event.at_ms for outage in outages)
+            for fault, outages in by_fault.items()
+        }
+        for fault in sorted(by_fault, key=lambda each: (starts_ms[each], repr(each))):
+            rows.append(outage_row(side.label, fault, by_fault[fault]))
+    return rows
+
+
 def promise_rows(sides: list[Side]) -> list[dict[str, Any]]:
     """Return a row for each promise and side: bound, measured values, seeds held."""
     rows = []
--- a/wagtailrun/experiments/reports/strips.py
+++ b/wagtailrun/experiments/reports/strips.py
@@ -10,6 +10,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.experiments.records import EventRecord
+from wagtailrun.experiments.reports.outages import subject_text
 from wagtailrun.experiments.reports.tally import Tally
 
 __all__ = [
@@ -26,7 +27,6 @@
 STRIP_INCHES = 0.19
 # With more, the strips of one kind become one.
 MAX_STRIPS = 10
-MAX_SUBJECTS = 3
 # Fits into a third of the width, which a strip leaves free on a side or fills.
 MAX_LABEL = 44
 # Shortest strip, as a share of the play, so that it can be seen.
@@ -58,7 +58,7 @@
     """Return the strips in order of time, at most ``MAX_STRIPS``."""
     groups: dict[tuple[bool, str, str], list[EventRecord]] = {}
     for event in tally.events:
-        key = event.planned, event.kind, _subject_text(event.subject)
+        key = event.planned, event.kind, subject_text(event.subject)
         groups.setdefault(key, []).append(event)
     if len(groups) > MAX_STRIPS:
         by_kind: dict[tuple[bool, str, str], list[EventRecord]] = {}
@@ -74,12 +74,6 @@
     return strips[:MAX_STRIPS]
 
 
-def _subject_text(subject: tuple[str, ...]) -> str:
-    more = len(subject) - MAX_SUBJECTS
-    names = ", ".join(subject[:MAX_SUBJECTS])
-    return f"{names} and {more} more" if more > 0 else names
-
-
 def _spans(
     tally: Tally, events: Iterable[EventRecord]
 ) -> tuple[tuple[float, float], ...]:
@@ -170,4 +164,4 @@
     time = f"at {start}" if start == end else f"{start} to {end}"
     if len(events) > 1:
         return f"{kind}, {len(events)} times, {time}"
-    return f"{kind}, {_subject_text(events[0].subject)}, {time}"
+    return f"{kind}, {subject_text(events[0].subject)}, {time}"
--- a/wagtailrun/experiments/reports/tally.py
+++ b/wagtailrun/experiments/reports/tally.py
@@ -16,6 +16,7 @@
     RequestRecord,
     SampleRecord,
 )
+from wagtailrun.experiments.reports.outages import FaultKey, Outage, Outages
 from wagtailrun.experiments.reports.reading import Play, ResultsDirectory
 
 __all__ = ["WAITS", "Cell", "PlayTally", "Refused", "Tally", "tally_play"]
@@ -78,6 +79,7 @@
         attempts: Attempts at targets.
         running, capacity: Sums over samples, in requests at once.
         events: Faults and planned work of any of the plays.
+        outages: What the requests of each play experienced, by fault.
     """
 
     length_ms: float
@@ -97,6 +99,9 @@
     running: dict[Use, float] = _sums()
     capacity: dict[Use, float] = _sums()
     events: set[EventRecord] = attrs.field(factory=set)
+    outages: dict[FaultKey, list[Outage]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
 
     @property
     def requests(self) -> int:
@@ -182,9 +187,13 @@
         ResultsError: If a file of the play is missing or invalid.
     """
     tally = Tally(results.run.length_ms, plays=1)
+    tally.events.update(results.events(play))
+    outages = Outages(tally.events, tally.length_ms)
     for request in results.requests(play):
         tally.add_request(request)
-    tally.events.update(results.events(play))
+        outages.add(request)
+    for fault, outage in outages.by_fault.items():
+        tally.outages[fault].append(outage)
     sampled_ms = -math.inf
     for sample in results.samples(play):
         tally.add_sample(sample)
