Put the silence of targets behind a filter below both entries

Cause: `relay/limits/silence.py` and `lowered_shares.py` take nothing from the relay (clock, events and target rows only), but lie above the product's entry, which therefore could not use them. The owner of placements mapped outcomes of attempts to calls of the watch by itself, in two places.

Change: both modules move to `targets/`. `targets/filters.py` has `TargetFilter`: `begin`, `record_end`, `admitted`, `penalties_ms`, `forget`, `retain`. `SilenceWatch` is one, and maps a `RunOutcome` to what it learns. The parameter `grace_ms`, which no caller set, is gone.

Ruled out: a base class that also fits the crash detector. It holds requests back and excludes no target, so that it shares none of these calls.

The product's entry has no such filter yet.

--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -14,10 +14,10 @@
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.relay.core.placement_messages import PlaceRun, RunOver
 from wagtailrun.relay.core.port import PromptPart
-from wagtailrun.relay.limits.lowered_shares import ALL_ENTRIES, HALF_SHARE
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.targets.attempt_ends import RunOutcome
+from wagtailrun.targets.lowered_shares import ALL_ENTRIES, HALF_SHARE
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/relay/limits/__init__.py
+++ b/wagtailrun/relay/limits/__init__.py
@@ -5,5 +5,4 @@
     "crash_detector",
     "notices",
     "send_grants",
-    "silence",
 ]
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -30,10 +30,10 @@
     SETTLE_MS,
     CrashDetector,
 )
-from wagtailrun.relay.limits.silence import SilenceWatch
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.estimate import MarginEstimator
 from wagtailrun.targets.attempt_ends import RunOutcome
+from wagtailrun.targets.silence import SilenceWatch
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["PlacementClient", "PlacementHost"]
@@ -168,7 +168,7 @@
             result_bytes_by_data_centre={
                 size.data_centre: size.bytes for size in message.results
             },
-            penalties_ms=self.silence.shares.penalties_ms(rows, message.entry),
+            penalties_ms=self.silence.penalties_ms(rows, message.entry),
         )
         if row is None:
             return Placed("", "", 0)
@@ -284,14 +284,10 @@
             self.chooser.health.record_load(run.row, load)
         if message.outcome != RunOutcome.SUCCEEDED:
             self._drop_trials(message.request_id)
-        if message.outcome in (RunOutcome.OVER, RunOutcome.FAILED):
-            self.silence.record_left(key)
-        elif message.outcome != RunOutcome.SUCCEEDED:
-            self.silence.forget(key)
+        self.silence.record_end(key, message.outcome, message.first_event_ms)
         if message.outcome in (RunOutcome.SUCCEEDED, RunOutcome.REJECTED):
             self.detector.record_alive(run.row, run.started_ms)
         if message.outcome == RunOutcome.SUCCEEDED:
-            self.silence.record_first_event(key, message.first_event_ms)
             self._record_success(run, message)
         elif message.outcome == RunOutcome.UNREACHABLE:
             self.detector.record_unreachable(run.row)
--- a/wagtailrun/relay/limits/lowered_shares.py
+++ b/wagtailrun/targets/lowered_shares.py
@@ -60,7 +60,6 @@
         reporter: Entry that made it.
         started_ms: When it started.
         expected_ms: Expected time to its first event.
-        grace_ms: How much later it is overdue.
         overdue_at_ms: When it is overdue, as far as is known.
         counted: Whether it has counted as overdue.
         is_open: Whether its first event may still arrive.
@@ -70,7 +69,6 @@
     reporter: str
     started_ms: int
     expected_ms: float
-    grace_ms: int
     overdue_at_ms: int = 0
     counted: bool = False
     is_open: bool = True
--- a/wagtailrun/relay/limits/silence.py
+++ b/wagtailrun/targets/silence.py
@@ -12,7 +12,9 @@
 import attrs
 
 from wagtailrun.clock import Clock
-from wagtailrun.relay.limits.lowered_shares import (
+from wagtailrun.targets.attempt_ends import RunOutcome
+from wagtailrun.targets.filters import TargetFilter
+from wagtailrun.targets.lowered_shares import (
     ALL_ENTRIES,
     SILENT,
     SLOW,
@@ -21,7 +23,7 @@
 )
 from wagtailrun.targets.table import TargetRow
 
-__all__ = ["GRACE_MS", "SilenceWatch"]
+__all__ = ["SilenceWatch"]
 
 # An attempt is overdue after this multiple of its expected time and a grace period. On
 # a day without trouble, one first event in 600 is so late.
@@ -122,7 +124,7 @@
         return LATENESS_FACTOR * max(late_ms, 0.0)
 
 
-class SilenceWatch:
+class SilenceWatch(TargetFilter):
     """Watches attempts until their first events, and lowers the share of targets.
 
     What one reporter saw counts for itself at once. For all others it counts with what
@@ -159,7 +161,7 @@
         prompt_tokens: int = 0,
         begin: bool = True,
     ) -> list[TargetRow]:
-        """Return the targets among which to choose: all, or one that is probed."""
+        """Return all targets, or one that is probed; see ``TargetFilter``."""
         if entry:
             self.note_heard(entry)
         self._advance()
@@ -167,31 +169,22 @@
             rows, entry, avoid, prompt_tokens=prompt_tokens, begin=begin
         )
 
+    def penalties_ms(self, rows: Sequence[TargetRow], entry: str) -> dict[str, float]:
+        """Return the additional costs of targets with a lowered share."""
+        return self.shares.penalties_ms(rows, entry)
+
     # Attempts
 
     def begin(
-        self,
-        key: tuple[str, str],
-        row: TargetRow,
-        reporter: str,
-        expected_ms: float,
-        grace_ms: int = GRACE_MS,
+        self, key: tuple[str, str], row: TargetRow, reporter: str, expected_ms: float
     ) -> None:
-        """Watch an attempt that starts now.
-
-        Args:
-            key: Identifier of the request, and name of the target.
-            row: Target.
-            reporter: Entry that makes it; one without a name is not watched.
-            expected_ms: Expected time to its first event.
-            grace_ms: How much later it is overdue.
-        """
+        """Watch an attempt that starts now; see ``TargetFilter``."""
         self.forget(key)
         if not reporter:
             return
         now_ms = self.clock.now_ms()
         self.note_heard(reporter)
-        attempt = WatchedAttempt(row, reporter, now_ms, expected_ms, grace_ms)
+        attempt = WatchedAttempt(row, reporter, now_ms, expected_ms)
         self._set_overdue_at(attempt)
         if attempt.overdue_at_ms - now_ms > MAX_WATCHED_MS:
             return
@@ -199,13 +192,19 @@
         self._schedule(key, attempt)
         self.shares.begin(attempt)
 
-    def record_first_event(self, key: tuple[str, str], took_ms: float) -> None:
-        """Record the first event of an attempt.
-
-        Args:
-            key: Identifier of the request, and name of the target.
-            took_ms: Time from its start; 0 if it says nothing about the target.
-        """
+    def record_end(
+        self, key: tuple[str, str], outcome: str, first_event_ms: float = 0
+    ) -> None:
+        """Record the end of an attempt, or its first event; see ``TargetFilter``."""
+        match outcome:
+            case RunOutcome.SUCCEEDED:
+                self._record_first_event(key, first_event_ms)
+            case RunOutcome.OVER | RunOutcome.FAILED:
+                self._record_left(key)
+            case _:
+                self.forget(key)
+
+    def _record_first_event(self, key: tuple[str, str], took_ms: float) -> None:
         self._advance()
         attempt = self._end(key)
         if attempt is None:
@@ -241,11 +240,8 @@
         for entry in (ALL_ENTRIES, attempt.reporter):
             self.shares.count_good(entry, attempt, is_quick)
 
-    def record_left(self, key: tuple[str, str]) -> None:
-        """Record that the caller of an attempt left.
-
-        It counts if it was overdue; one that was left early says nothing.
-        """
+    def _record_left(self, key: tuple[str, str]) -> None:
+        """Count an attempt that was overdue; one that was left early says nothing."""
         self._advance()
         attempt = self._end(key)
         if attempt is None:
@@ -257,7 +253,7 @@
             self._count_overdue(attempt)
 
     def forget(self, key: tuple[str, str]) -> None:
-        """Drop an attempt that ended otherwise, or whose end was lost."""
+        """Drop an attempt that says nothing, or whose end was lost."""
         attempt = self._end(key)
         if attempt is not None:
             self.shares.drop_probe(attempt)
@@ -301,7 +297,7 @@
 
     def _set_overdue_at(self, attempt: WatchedAttempt) -> None:
         limit_ms = OVERDUE_FACTOR * attempt.expected_ms
-        limit_ms += max(attempt.grace_ms, self._extra_ms(attempt.row.service))
+        limit_ms += max(GRACE_MS, self._extra_ms(attempt.row.service))
         attempt.overdue_at_ms = attempt.started_ms + int(limit_ms)
 
     def _schedule(self, key: tuple[str, str], attempt: WatchedAttempt) -> None:
