Spare silent targets at the product's entry, by the filter of the relay

Cause: a target that accepts work and answers probes, but nothing else, kept its share at the product's entry for ever. The probe on a new connection answers, so that the attempt ends as `ConnectionStalled`, which says nothing about the target.

Change: `ExpectedTimeRouter` owns a `SilenceWatch` for its own attempts; `Attempts` reports starts, first items and ends. The router draws a target that the watch lowered only as a probe, or if no other has room. Orders, streams that go on, retries and hedges are no probes, and orders and such streams no evidence. `RouterOptions` (a module of its own) gets `spare_silent`. The relay's code is not touched.

Ruled out: costs alone, as at the relay: the router draws two targets, and two silent ones may meet. Heeding only what counts for all entries: of three silent targets none would, as one entry is the only reporter.

Tests: the relay's tests of what one process can know run at both entries by a parameter; those of several reporters stay with the relay.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -26,7 +26,8 @@
     make_dispatcher,
 )
 from wagtailrun.targets.affinity import CacheEvents, prefix_hashes
-from wagtailrun.targets.routing import LeastLoadedRouter, RouterOptions
+from wagtailrun.targets.router_options import RouterOptions
+from wagtailrun.targets.routing import LeastLoadedRouter
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -1,4 +1,8 @@
-"""Tests of engines that leave requests without a first event, in virtual time."""
+"""Tests of engines that leave requests without a first event, in virtual time.
+
+The relay's owner of a service sees the attempts of all entries; an entry of the product
+sees its own. What one process can know is tested at both.
+"""
 
 import random
 from collections import Counter
@@ -9,16 +13,19 @@
 
 from wagtailrun.discovery.owners import Owners
 from wagtailrun.discovery.quarantine import Quarantine
-from wagtailrun.exceptions import PeerUnreachable
+from wagtailrun.exceptions import PeerUnreachable, Refusal
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.ports.target import StageAnswer, TargetClient
+from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.relay.core.placement_messages import PlaceRun, RunOver
 from wagtailrun.relay.core.port import PromptPart
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
+from wagtailrun.serving.dispatch import DispatchOptions, Work, make_dispatcher
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.lowered_shares import ALL_ENTRIES, HALF_SHARE
-from wagtailrun.targets.table import TargetRow
+from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.virtual_time import run_virtual
 
 PER_SECOND = 25
@@ -28,6 +35,8 @@
 TOKENS = 6_000
 OWN_TOKENS = 200
 SESSIONS = 90
+WITHOUT_REPEATS = DispatchOptions(hedges=False, detect_stalls=False, max_retries=0)
+AT_BOTH_ENTRIES = pytest.mark.parametrize("entry", ["relay", "product"])
 
 
 def engine_rows(count):
@@ -60,6 +69,7 @@
         self.rows = engine_rows(engines)
         self.placed = []
         self.abandoned = 0
+        self.watch = self.host.silence
         # Messages of these entries arrive when the standstill ends.
         self.standstills_by_entry = {}
 
@@ -115,12 +125,76 @@
         return got * len(self.rows) / len(names)
 
 
-def run_fleet(rule, length_ms, check, **options):
+async def responds(address):
+    """Return that a target answers on a new connection."""
+    return True
+
+
+class ProductFleet(Fleet):
+    """An entry of the product that sends requests to such engines.
+
+    Args:
+        clock: Virtual clock.
+        rule: See ``Fleet``.
+        engines: Number of engines; all answer probes on new connections.
+        options: Policies of the entry. By default, hedges, retries and checks of
+            connections are off, as they would answer for an engine that is silent.
+    """
+
+    def __init__(self, clock, rule, engines=9, options=WITHOUT_REPEATS):
+        super().__init__(clock, rule, engines, entries=1)
+        membership = Membership()
+        membership.unconfirmed = True  # Nobody announces the engines.
+        for row in self.rows:
+            membership.put(row, clock.now_ms())
+        self.loop_watch = LoopWatch(clock)
+        self.dispatcher = make_dispatcher(
+            clock,
+            membership,
+            RuleClient(self),
+            name="e0",
+            probe=responds,
+            seed=1,
+            was_held_since=self.loop_watch.was_held_since,
+        )
+        self.dispatcher.options = options
+        self.watch = self.dispatcher.router.silence
+
+    async def _request(self, name, entry):
+        until_ms = self.clock.now_ms() + LEAVE_MS
+        work = Work("s", "/v1/stages/encode", b"{}", name, "w", until_ms)
+        self.abandoned += isinstance(await self.dispatcher.call(work), Refusal)
+
+
+class RuleClient(TargetClient):
+    """Answers as the rule of a fleet says."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    async def call(self, address, attempt):
+        fleet = self.fleet
+        target = next(row.name for row in fleet.rows if row.address == address)
+        started_ms = fleet.clock.now_ms()
+        fleet.placed.append((started_ms, "e0", target))
+        took_ms = fleet.rule("e0", target, started_ms)
+        await fleet.clock.sleep_ms(2 * LEAVE_MS if took_ms is None else took_ms)
+        return StageAnswer(200, b"{}")
+
+    def stream(self, address, attempt):
+        raise NotImplementedError
+
+    async def cancel(self, address, number):
+        """The rule does not depend on it."""
+
+
+def run_fleet(rule, length_ms, check, entry="relay", **options):
     per_second = options.pop("per_second", PER_SECOND)
     standstills = options.pop("standstills", {})
+    make_fleet = Fleet if entry == "relay" else ProductFleet
 
     async def main(clock):
-        fleet = Fleet(clock, rule, **options)
+        fleet = make_fleet(clock, rule, **options)
         fleet.standstills_by_entry = standstills
         await fleet.run(length_ms, per_second)
         return check(fleet)
@@ -140,9 +214,12 @@
     return rule
 
 
-@pytest.mark.parametrize("entries", [1, 9])
+@pytest.mark.parametrize(
+    "entry, options",
+    [("relay", {"entries": 1}), ("relay", {"entries": 9}), ("product", {})],
+)
 @pytest.mark.parametrize("share, most", [(1.0, 0.15), (0.5, 0.35)])
-def test_silent_engine_gets_few_requests(share, most, entries):
+def test_silent_engine_gets_few_requests(share, most, entry, options):
     """Guards against engines that keep their share while they are silent.
 
     Pattern: three engines of nine left half of their requests without a first event for
@@ -150,36 +227,60 @@
     """
     rule = silent({"t0"}, share)
     found = run_fleet(
-        rule, 25_000, lambda f: f.share({"t0"}, 8_000, 25_000), entries=entries
+        rule, 25_000, lambda f: f.share({"t0"}, 8_000, 25_000), entry, **options
     )
     assert found <= most
 
 
-def test_third_of_the_engines_silent():
+@AT_BOTH_ENTRIES
+def test_third_of_the_engines_silent(entry):
     """Guards against requests that go on to silent engines, as above."""
     names = {"t0", "t3", "t6"}
     shares, abandoned = run_fleet(
         silent(names, 0.5, 5_000, 19_000),
         26_000,
         lambda f: (f.share(names, 8_000, 19_000), f.abandoned),
+        entry,
     )
     assert shares <= 0.4
     # Without the watch, one request in six: 58.
     assert abandoned <= 25
 
 
-def test_silence_counts_before_any_caller_leaves():
+def test_engines_that_answer_probes_only():
+    """Guards against callers of the product who wait in vain for hung engines.
+
+    A probe that is answered tells that only the connection stalled, so that no failure
+    counted against the engines, and hedges hid them while the retry budget lasted.
+    """
+    names = {"t0", "t3", "t6"}
+    abandoned, share = run_fleet(
+        silent(names, 1.0),
+        45_000,
+        lambda f: (f.abandoned, f.share(names, 8_000, 45_000)),
+        "product",
+        options=DispatchOptions(),
+    )
+    # 7 of 1,125 without the watch, and 0.52.
+    assert abandoned <= 3
+    assert share <= 0.4
+
+
+@AT_BOTH_ENTRIES
+def test_silence_counts_before_any_caller_leaves(entry):
     """Guards against silence that counts only when callers give up, after 4 s."""
     found = run_fleet(
         silent({"t0"}, 1.0),
         5_000 + LEAVE_MS,
         lambda f: f.share({"t0"}, 7_500, 5_000 + LEAVE_MS),
+        entry,
     )
     assert found <= 0.3
 
 
+@AT_BOTH_ENTRIES
 @pytest.mark.parametrize("share", [0.5, 1.0])
-def test_healed_engine_has_its_share_after_five_seconds(share):
+def test_healed_engine_has_its_share_after_five_seconds(share, entry):
     """Guards against an engine that stays without requests after its recovery."""
     share_after, crowd, statuses = run_fleet(
         silent({"t0"}, share, 5_000, 15_000),
@@ -187,8 +288,9 @@
         lambda f: [
             f.share({"t0"}, 20_500, 35_000),
             max(f.share({"t0"}, ms, ms + 2_500) for ms in range(15_000, 20_000, 500)),
-            f.host.silence.shares.statuses_by_key,
+            f.watch.shares.statuses_by_key,
         ],
+        entry,
     )
     assert share_after >= 0.6
     # Chance alone gives 2.3 in so short a time.
@@ -196,42 +298,46 @@
     assert not any(status.is_lowered for status in statuses.values())
 
 
-def test_all_engines_silent_lowers_none():
+@AT_BOTH_ENTRIES
+def test_all_engines_silent_lowers_none(entry):
     """Guards against engines that are avoided for a cause that they share."""
     names = {f"t{n}" for n in range(9)}
 
     def check(fleet):
         return [fleet.share({name}, 7_000, 15_000) for name in sorted(names)]
 
-    shares = run_fleet(silent(names, 1.0), 15_000, check)
+    shares = run_fleet(silent(names, 1.0), 15_000, check, entry)
     assert min(shares) >= 0.5
 
 
+@AT_BOTH_ENTRIES
 @pytest.mark.parametrize("silent_engines", [4, 5, 6, 8])
-def test_at_most_half_of_the_engines_are_lowered(silent_engines):
+def test_at_most_half_of_the_engines_are_lowered(silent_engines, entry):
     """Guards against the sound engines that would get all requests."""
     names = {f"t{n}" for n in range(silent_engines)}
     rows = engine_rows(9)
 
     def check(fleet):
-        return len(fleet.host.silence.shares.penalties_ms(rows, "e0"))
+        return len(fleet.watch.penalties_ms(rows, "e0"))
 
-    lowered = run_fleet(silent(names, 1.0), 12_000, check)
+    lowered = run_fleet(silent(names, 1.0), 12_000, check, entry)
     assert lowered <= 4
     assert lowered == 4 or silent_engines > 4
 
 
+@AT_BOTH_ENTRIES
 @pytest.mark.parametrize("length_ms", [700, 1_000, 1_200])
-def test_engine_that_stands_still_for_a_second_is_not_lowered(length_ms):
+def test_engine_that_stands_still_for_a_second_is_not_lowered(length_ms, entry):
     """Guards against a sound engine that is taken out after a short pause."""
 
-    def rule(fleet, entry, engine, now_ms):
+    def rule(fleet, name, engine, now_ms):
         pause_ms = max(5_000 + length_ms - now_ms, 0) if now_ms >= 5_000 else 0
         if engine == "t0":
             return ANSWER_MS + pause_ms
         return ANSWER_MS
 
-    assert not run_fleet(rule, 12_000, lambda f: f.host.silence.shares.statuses_by_key)
+    statuses = run_fleet(rule, 12_000, lambda f: f.watch.shares.statuses_by_key, entry)
+    assert not statuses
 
 
 def test_engine_that_goes_on_has_its_share_at_once():
@@ -275,6 +381,33 @@
     assert not statuses
 
 
+@pytest.mark.parametrize("length_ms", [500, 700, 900, 3_000])
+def test_entry_of_the_product_that_stood_still_lowers_no_engine(length_ms):
+    """Guards against a standstill of the process that makes its engines look silent."""
+    found = []
+
+    def rule(fleet, name, engine, now_ms):
+        # Answers that arrived meanwhile are read after the timers that are due.
+        read_ms = 5_000 + length_ms + 30
+        is_held = now_ms <= 5_000 < now_ms + ANSWER_MS
+        return read_ms - now_ms if is_held else ANSWER_MS
+
+    async def main(clock):
+        fleet = ProductFleet(clock, rule)
+        watch = await curio.spawn(fleet.loop_watch.run, daemon=True)
+        load = await curio.spawn(fleet.run, 12_000)
+        await clock.sleep_ms(5_000)
+        clock.seconds += length_ms / 1_000
+        for _ in range(300):
+            await clock.sleep_ms(10)
+            found.extend(fleet.watch.shares.statuses_by_key)
+        await load.join()
+        await watch.cancel()
+
+    run_virtual(main)
+    assert not found
+
+
 @pytest.mark.parametrize("lost", [{"t0"}, {"t0", "t3", "t6"}])
 def test_lost_path_of_one_entry_takes_no_engine_out_for_others(lost):
     """Guards against an entry whose path is lost and that speaks for all others."""
@@ -317,29 +450,34 @@
     assert max(counts.values()) <= 10
 
 
+@AT_BOTH_ENTRIES
 @pytest.mark.parametrize("extra_ms", [1_500, 3_000])
-def test_engines_that_are_all_slow_keep_their_shares(extra_ms):
+def test_engines_that_are_all_slow_keep_their_shares(extra_ms, entry):
     """Load: a burst that makes all engines later than expected.
 
     Guards against sound engines that are avoided for the load of all.
     """
 
-    def rule(fleet, entry, engine, now_ms):
+    def rule(fleet, name, engine, now_ms):
         extra = fleet.random.random() * extra_ms if now_ms > 5_000 else 0
         return int(ANSWER_MS + extra)
 
-    assert run_fleet(rule, 20_000, lambda fleet: fleet.host.silence.shares.lowered) <= 1
+    lowered = run_fleet(rule, 20_000, lambda fleet: fleet.watch.shares.lowered, entry)
+    assert lowered <= 1
 
 
-def test_slow_engines_get_fewer_requests():
+@AT_BOTH_ENTRIES
+def test_slow_engines_get_fewer_requests(entry):
     """Guards against engines that take five times as long and keep their share."""
     names = {"t0", "t3", "t6"}
 
-    def rule(fleet, entry, engine, now_ms):
+    def rule(fleet, name, engine, now_ms):
         ms = ANSWER_MS + fleet.random.randrange(20)
         return 5 * ms if engine in names and now_ms >= 5_000 else ms
 
-    assert run_fleet(rule, 25_000, lambda f: f.share(names, 9_000, 25_000)) <= 0.3
+    assert (
+        run_fleet(rule, 25_000, lambda f: f.share(names, 9_000, 25_000), entry) <= 0.3
+    )
 
 
 def test_attempt_that_is_left_early_says_nothing():
--- a/tests/test_loop_watch.py
+++ b/tests/test_loop_watch.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from tests.stopping_entries import make_product_entry
 from tests.test_late_signal_processes import HALF, connect, entry_process
 from wagtailrun.logs import events
 from wagtailrun.process.loop_watch import MIN_LATE_MS, TICK_MS, LoopWatch
@@ -53,6 +54,15 @@
     assert 1_000 <= report["since_wall_ms"] - start_ms <= 1_000 + TICK_MS
 
 
+def test_entry_of_the_product_tells_its_standstills():
+    """Guards against engines that look silent as the entry's process stood still."""
+    entry = make_product_entry(1_000)
+    silence = entry.dispatcher.router.silence
+    assert not silence.was_held_since(0)
+    entry.loop_watch.late_at_ms = entry.clock.now_ms()
+    assert silence.was_held_since(entry.loop_watch.late_at_ms)
+
+
 @pytest.mark.parametrize("held_ms", [0, MIN_LATE_MS - 10])
 def test_loop_in_time_is_not_reported(reports, held_ms):
     """Guards against a report at each short delay."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -235,3 +235,55 @@
     one.choose(rows(1), WORK)
     one.choose(rows(1, sequence=1, **fields), WORK)
     assert one.prefixes.cached_share("east-0", 0, (7,)) == 1.0
+
+
+def lower(one, *targets):
+    """Let the router find targets silent: an attempt at each is overdue."""
+    for target in targets:
+        one.silence.begin(("r", target.name), target, one.name, 100)
+    one.clock.seconds += 1.0
+    for _ in range(3):
+        one.clock.seconds += 0.1
+        one.choose(list(targets), WORK)
+
+
+def test_silent_target_serves_while_the_others_are_full():
+    """Guards against work that waits although a target, if a silent one, has room."""
+    one = router()
+    silent, sound = rows(2)
+    lower(one, silent)
+    chosen = {one.choose([silent, sound], WORK).name for _ in range(50)}
+    assert chosen == {sound.name}
+    while one.limits.has_room(sound.name, sound.capacity):
+        one.started(sound)
+    assert one.choose([silent, sound], WORK) is silent
+
+
+@pytest.mark.parametrize(
+    "changes, avoid",
+    [({"idempotent": False}, ()), ({"software_version": ""}, ()), ({}, ("east-1",))],
+)
+def test_probe_of_a_silent_target_is_work_that_may_be_lost(changes, avoid):
+    """Guards against orders, resumed streams and retries sent to a silent target."""
+    one = router()
+    silent, *sound = rows(4)
+    lower(one, silent)
+    chosen = set()
+    for _ in range(100):
+        one.clock.seconds += 0.1
+        work = attrs.evolve(WORK, **changes)
+        chosen.add(one.choose([silent, *sound], work, avoid).name)
+    assert silent.name not in chosen
+    assert one.choose([silent, *sound], WORK) is silent
+
+
+def test_silence_of_targets_that_left_is_forgotten():
+    """Guards against memory that grows with each silent target that is replaced."""
+    one = router()
+    silent, sound, new = rows(3)
+    lower(one, silent)
+    one.choose([silent, sound], WORK)
+    assert one.silence.shares.statuses_by_key
+    one.choose([sound, new], WORK)
+    assert not one.silence.shares.statuses_by_key
+    assert not one.silence.evidence_by_target
--- a/wagtailrun/experiments/reading.py
+++ b/wagtailrun/experiments/reading.py
@@ -30,7 +30,7 @@
 from wagtailrun.fleet.tables import Table, is_name, transfer_faults
 from wagtailrun.replay.emulated_target import TargetModel
 from wagtailrun.serving.dispatch import DispatchOptions
-from wagtailrun.targets.routing import RouterOptions
+from wagtailrun.targets.router_options import RouterOptions
 
 __all__ = ["load_experiment"]
 
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -105,6 +105,11 @@
     took_token: bool = False
     may_hedge: bool = True
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Identifier of the attempt, and name of its target."""
+        return str(self.attempt.number), self.target.name
+
 
 Results = curio.Queue
 
@@ -163,9 +168,28 @@
         run = AttemptRun(
             work, target, attempt, now_ms, results, detect_stall, streaming
         )
+        self._watch(run)
         run.task = await curio.spawn(self._receive_first, run, daemon=True)
         return run
 
+    def _watch(self, run: AttemptRun) -> None:
+        """Watch an attempt until its first item, if the time to that is known."""
+        expected_ms = self._longest_first_ms(run.work)
+        if self.router.silence is None or expected_ms is None:
+            return
+        # The expected time is not that of a stream that goes on. Orders do not probe:
+        # nothing might raise a share again that they lowered.
+        if run.attempt.resume_offset or not run.work.idempotent:
+            return
+        reporter = self.router.name
+        self.router.silence.begin(run.key, run.target, reporter, expected_ms)
+
+    def _record_watched(
+        self, run: AttemptRun, outcome: RunOutcome, first_ms: int = 0
+    ) -> None:
+        if self.router.silence is not None:
+            self.router.silence.record_end(run.key, outcome, first_ms)
+
     def _needs_new_connection(self, target: TargetRow) -> bool:
         """Return whether open connections to a target may be stalled."""
         if self.clock.now_ms() < self.fresh_until_ms_by_name.get(target.name, 0):
@@ -229,6 +253,8 @@
                     self.router.record_first_item(
                         winner.target, winner.first_ms, winner.work
                     )
+                    first_ms = max(winner.first_ms, 1)
+                    self._record_watched(winner, RunOutcome.SUCCEEDED, first_ms)
                     return winner, value
                 await self.fail(winner, value)
                 runs.remove(winner)
@@ -507,16 +533,16 @@
             await self._mark_unreachable(run.target, refused)
         if error.pauses:
             self.router.pause(run.target, error.retry_after_ms)
-        # The router has no form for a rejection; blame keeps work away, too.
-        blamed = outcome is not RunOutcome.OVER
         sent = not isinstance(error, ConnectFailed | SendForbidden)
-        await self._end_attempt(run, blamed, sent)
+        await self._end_attempt(run, outcome, sent)
 
     async def abandon(self, run: AttemptRun) -> None:
         """Record an attempt that is no longer needed and cancel it at the target."""
-        await self._end_attempt(run, blamed=False, sent=True)
+        await self._end_attempt(run, RunOutcome.OVER, sent=True)
 
-    async def _end_attempt(self, run: AttemptRun, blamed: bool, sent: bool) -> None:
+    async def _end_attempt(
+        self, run: AttemptRun, outcome: RunOutcome, sent: bool
+    ) -> None:
         if run.ended:
             return
         run.ended = True
@@ -524,6 +550,9 @@
         duration_ms = self.clock.now_ms() - run.started_ms
         if not run.first_ms and sent:
             self.router.record_first_item(target, duration_ms, work)
+        self._record_watched(run, outcome)
+        # The router has no form for a rejection; blame keeps work away, too.
+        blamed = outcome is not RunOutcome.OVER
         self.router.ended(target, duration_ms, False, work, None, blamed)
         if run.tokens:
             # The caller has received these tokens, and the next attempt resumes after
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -24,6 +24,7 @@
 from wagtailrun.observation.trace_recorder import TraceRecorder
 from wagtailrun.ports.link import Address
 from wagtailrun.process.descriptors import DescriptorShares
+from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
@@ -87,6 +88,7 @@
         )
         self.http = HttpClient(self.clock, pool=pool)
         self.client = HttpTargetClient(self.http)
+        self.loop_watch = LoopWatch(self.clock)
         self.dispatcher = self._make_dispatcher()
         control = ControlClient(self.clock, self.link, settings.control_peers)
         self.orders = OrderRunner(
@@ -156,6 +158,7 @@
             seed=self.incarnation,
             entries=self.gossip.peers.live_names,
             may_use_remote=self._allows_fallback,
+            was_held_since=self.loop_watch.was_held_since,
         )
 
     def _make_caller_api(self) -> CallerApi:
@@ -213,6 +216,7 @@
             await group.spawn(self.gossip.run)
             await group.spawn(self.accounts.run)
             await group.spawn(self._update_gauges)
+            await group.spawn(self.loop_watch.run)
             if self.trace is not None:
                 await group.spawn(self.trace.run)
         if group.exception is not None:
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -347,6 +347,7 @@
     seed: int | None = None,
     entries: Callable[[], Sequence[str]] = tuple,
     may_use_remote: Callable[[str], bool] = lambda service: True,
+    was_held_since: Callable[[int], bool] = lambda since_ms: False,
 ) -> Dispatcher:
     """Return the dispatcher of one entry with all policies enabled.
 
@@ -361,10 +362,18 @@
         seed: Seed for the random choices.
         entries: Returns the names of live entries, to distribute targets evenly.
         may_use_remote: Returns whether other data centres may serve a service.
+        was_held_since: Returns whether this process stood still after a time.
     """
     estimates = Estimates(clock)
     router = ExpectedTimeRouter(
-        clock, estimates, name, data_centre, seed, entries, may_use_remote
+        clock,
+        estimates,
+        name,
+        data_centre,
+        seed,
+        entries,
+        may_use_remote,
+        was_held_since=was_held_since,
     )
     return Dispatcher(
         clock,
--- a/wagtailrun/targets/__init__.py
+++ b/wagtailrun/targets/__init__.py
@@ -10,6 +10,7 @@
     "lowered_shares",
     "paths",
     "retries",
+    "router_options",
     "routing",
     "silence",
     "subset",
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -13,10 +13,13 @@
 from wagtailrun.ports.target import StageAnswer, TargetLoad
 from wagtailrun.targets.affinity import CacheEvents, PrefixIndex
 from wagtailrun.targets.estimates import Estimates
+from wagtailrun.targets.filters import TargetFilter
 from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
 from wagtailrun.targets.paths import PathObservations
+from wagtailrun.targets.router_options import RouterOptions
+from wagtailrun.targets.silence import SilenceWatch
 from wagtailrun.targets.subset import choose_subset
 from wagtailrun.targets.table import TargetRow
 
@@ -55,9 +58,14 @@
     Attributes:
         paths: What was observed of the paths to targets; None if the router does not
             heed them.
+        silence: Watches attempts until their first items; None if the router does not
+            heed them.
+        name: Name of this entry.
     """
 
     paths: PathObservations | None = None
+    silence: TargetFilter | None = None
+    name = ""
 
     @abstractmethod
     def choose(
@@ -188,27 +196,6 @@
     names: frozenset[str]
 
 
-@attrs.frozen
-class RouterOptions:
-    """Policies of the router; each can be switched off to measure its effect.
-
-    Attributes:
-        correct_reports: Adds own attempts since the last report to a reported load.
-        two_choices: Compares two random targets instead of all.
-        affinity: Prefers targets that have the prompt's prefix in their cache.
-        throttle_outliers: Reduces the traffic of targets slower than their peers.
-        limits: Adapts the concurrency limit of each target.
-        local_first: Prefers targets of the entry's own data centre.
-    """
-
-    correct_reports: bool = True
-    two_choices: bool = True
-    affinity: bool = True
-    throttle_outliers: bool = True
-    limits: bool = True
-    local_first: bool = True
-
-
 class ExpectedTimeRouter(Router):
     """Chooses the one of two random targets that is expected to finish first.
 
@@ -220,7 +207,8 @@
         seed: Seed for the random choices.
         entries: Returns the names of live entries; by default none are known.
         may_use_remote: Returns whether other data centres may serve a service.
-        options: Policies that are enabled.
+        options: Policies that are enabled; by default all.
+        was_held_since: Returns whether this process stood still after a time.
     """
 
     def __init__(
@@ -232,7 +220,8 @@
         seed: int | None = None,
         entries: Callable[[], Sequence[str]] = tuple,
         may_use_remote: Callable[[str], bool] = lambda service: True,
-        options: RouterOptions = RouterOptions(),
+        options: RouterOptions | None = None,
+        was_held_since: Callable[[int], bool] = lambda since_ms: False,
     ):
         self.clock = clock
         self.estimates = estimates
@@ -241,12 +230,13 @@
         self.random = random.Random(seed)
         self.entries = entries
         self.may_use_remote = may_use_remote
-        self.options = options
+        self.options = options or RouterOptions()
         self.limits = AdaptiveLimits()
         self.throttle = OutlierThrottle(clock)
         self.prefixes = PrefixIndex()
         self.health = TargetHealth(clock, HEALTH_RULES, HealthState)
         self.paths: PathObservations = PathObservations(clock, data_centre, seed)
+        self.silence: SilenceWatch = SilenceWatch(clock, was_held_since)
         # Targets with a measured pace of a stream.
         self.paced_names: set[str] = set()
         self.subsets_by_service: dict[str, _Subset] = {}
@@ -373,7 +363,12 @@
         """Drop the state of targets that left the subset."""
         if before is None or before.names is names or before.names <= names:
             return
-        for name in before.names - names:
+        gone = before.names - names
+        used = frozenset[str]().union(
+            *(s.names for s in self.subsets_by_service.values())
+        )
+        self.silence.retain(used - gone, self.subsets_by_service)
+        for name in gone:
             if self.health.forget(name):
                 self.paced_names.discard(name)
                 self.limits.forget(name)
@@ -404,6 +399,8 @@
     ) -> tuple[TargetRow | None, float]:
         """Return the best drawn target with room and its expected time, or None."""
         available = [row for row in rows if self._has_room(row, work)]
+        if available and work is not None and self.options.spare_silent:
+            available = self._admitted(available, work, avoid)
         available = [row for row in available if row.name not in avoid] or available
         if not available:
             return None, 0.0
@@ -414,6 +411,18 @@
         best = min(range(len(drawn_rows)), key=times.__getitem__)
         return drawn_rows[best], times[best]
 
+    def _admitted(
+        self, rows: list[TargetRow], work: "Work", avoid: Collection[str]
+    ) -> list[TargetRow]:
+        """Return the targets that are not silent, or a silent one that is probed."""
+        # A probe may be lost: no order, stream that goes on, retry or hedge is one.
+        may_probe = work.idempotent and work.software_version is None and not avoid
+        rows = self.silence.admitted(
+            rows, self.name, avoid, prompt_tokens=work.length, begin=may_probe
+        )
+        spared = self.silence.penalties_ms(rows, self.name)
+        return [row for row in rows if row.name not in spared] if spared else rows
+
     def _draw_candidates(
         self, available: list[TargetRow], work: "Work | None"
     ) -> list[TargetRow]:
--- a/wagtailrun/targets/work.py
+++ b/wagtailrun/targets/work.py
@@ -52,10 +52,15 @@
     prefixes: tuple[int, ...] = ()
     software_version: str | None = None
 
+    @property
+    def length(self) -> int:
+        """Size of the prompt in characters, or of the body in bytes."""
+        return self.size or len(self.body)
+
     @property
     def size_class(self) -> tuple[int, int]:
         """Size class by which durations are estimated."""
-        return size_class(self.size or len(self.body), self.max_tokens)
+        return size_class(self.length, self.max_tokens)
 
     @classmethod
     def for_call(
