--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -2,9 +2,9 @@
 
 import itertools
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing, suppress
-from typing import Any
+from typing import Any, TypeAlias
 
 import attrs
 import curio
@@ -95,7 +95,7 @@
     detect_stall: bool = True
     streaming: bool = False
     task: curio.Task | None = None
-    stream: AsyncIterator[tuple[Token, ...]] | None = None
+    stream: AsyncGenerator[tuple[Token, ...], None] | None = None
     first_ms: int = 0
     tokens: int = 0
     items: int = 0
@@ -105,8 +105,13 @@
     took_token: bool = False
     may_hedge: bool = True
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """Identifier of the attempt, and name of its target."""
+        return str(self.attempt.number), self.target.name
+
 
-Results = curio.Queue
+Results: TypeAlias = curio.Queue
 
 
 class Attempts:
@@ -163,9 +168,28 @@
         run = AttemptRun(
             work, target, attempt, now_ms, results, detect_stall, streaming
         )
+        self._watch(run)
         run.task = await curio.spawn(self._receive_first, run, daemon=True)
         return run
 
+    def _watch(self, run: AttemptRun) -> None:
+        """Watch an attempt until its first item, if the time to that is known."""
+        expected_ms = self._longest_first_ms(run.work)
+        if self.router.silence is None or expected_ms is None:
+            return
+        # The expected time is not that of a stream that goes on. Orders do not probe:
+        # nothing might raise a share again that they lowered.
+        if run.attempt.resume_offset or not run.work.idempotent:
+            return
+        reporter = self.router.name
+        self.router.silence.begin(run.key, run.target, reporter, expected_ms)
+
+    def _record_watched(
+        self, run: AttemptRun, outcome: RunOutcome, first_ms: int = 0
+    ) -> None:
+        if self.router.silence is not None:
+            self.router.silence.record_end(run.key, outcome, first_ms)
+
     def _needs_new_connection(self, target: TargetRow) -> bool:
         """Return whether open connections to a target may be stalled."""
         if self.clock.now_ms() < self.fresh_until_ms_by_name.get(target.name, 0):
@@ -182,6 +206,7 @@
 
     async def _receive_first(self, run: AttemptRun) -> None:
         address = run.target.address
+        value: tuple[Token, ...] | StageAnswer | TargetFailed
         try:
             attempt = self._attempt_now(run)
             if run.streaming:
@@ -229,6 +254,8 @@
                     self.router.record_first_item(
                         winner.target, winner.first_ms, winner.work
                     )
+                    first_ms = max(winner.first_ms, 1)
+                    self._record_watched(winner, RunOutcome.SUCCEEDED, first_ms)
                     return winner, value
                 await self.fail(winner, value)
                 runs.remove(winner)
@@ -282,6 +309,7 @@
         wait_ms = until_ms - self.clock.now_ms()
         if wait_ms <= 0:
             return None
+        result: tuple[AttemptRun, Any] | None
         result = await curio.ignore_after(wait_ms / MS_PER_SECOND, results.get)
         if result is None and self.clock.now_ms() - until_ms >= LATE_MS:
             result = await curio.ignore_after(LATE_WAIT_MS / MS_PER_SECOND, results.get)
@@ -413,16 +441,18 @@
 
     async def next_item(self, run: AttemptRun) -> tuple[Token, ...]:
         """Return the next tokens of a started stream."""
+        if run.stream is None:
+            raise TargetFailed("the attempt is no stream")
         work = run.work
         started_ms = self.clock.now_ms()
         end_ms = work.deadline_at_ms - DEADLINE_MARGIN_MS
-        wait_ms = end_ms - started_ms
+        wait_ms: float = end_ms - started_ms
         gap_ms = self.estimates.gap_ms(work.service)
         detect_stall = self.options.detect_stalls and run.detect_stall
         if detect_stall and gap_ms and self._has_retry_budget(work.service):
             wait_ms = min(wait_ms, max(STALL_FACTOR * gap_ms, MIN_STALL_MS))
         try:
-            tokens = await curio.timeout_after(
+            tokens: tuple[Token, ...] = await curio.timeout_after(
                 max(wait_ms, 0) / MS_PER_SECOND, anext(run.stream)
             )
         except curio.TaskTimeout:
@@ -507,16 +537,16 @@
             await self._mark_unreachable(run.target, refused)
         if error.pauses:
             self.router.pause(run.target, error.retry_after_ms)
-        # The router has no form for a rejection; blame keeps work away, too.
-        blamed = outcome is not RunOutcome.OVER
         sent = not isinstance(error, ConnectFailed | SendForbidden)
-        await self._end_attempt(run, blamed, sent)
+        await self._end_attempt(run, outcome, sent)
 
     async def abandon(self, run: AttemptRun) -> None:
         """Record an attempt that is no longer needed and cancel it at the target."""
-        await self._end_attempt(run, blamed=False, sent=True)
+        await self._end_attempt(run, RunOutcome.OVER, sent=True)
 
-    async def _end_attempt(self, run: AttemptRun, blamed: bool, sent: bool) -> None:
+    async def _end_attempt(
+        self, run: AttemptRun, outcome: RunOutcome, sent: bool
+    ) -> None:
         if run.ended:
             return
         run.ended = True
@@ -524,6 +554,9 @@
         duration_ms = self.clock.now_ms() - run.started_ms
         if not run.first_ms and sent:
             self.router.record_first_item(target, duration_ms, work)
+        self._record_watched(run, outcome)
+        # The router has no form for a rejection; blame keeps work away, too.
+        blamed = outcome is not RunOutcome.OVER
         self.router.ended(target, duration_ms, False, work, None, blamed)
         if run.tokens:
             # The caller has received these tokens, and the next attempt resumes after
@@ -536,7 +569,7 @@
         await curio.spawn(self._clean_up, run, sent, daemon=True)
         await self.admission.start_waiting(work.service)
 
-    async def _drain(self, stream: AsyncIterator[tuple[Token, ...]]) -> None:
+    async def _drain(self, stream: AsyncGenerator[tuple[Token, ...], None]) -> None:
         """Read past the end marker, so that the connection can be reused."""
         # The answer is complete; what fails after it concerns only the connection.
         with suppress(TargetFailed):
@@ -545,7 +578,8 @@
                     pass
 
     async def _clean_up(self, run: AttemptRun, sent: bool) -> None:
-        await run.task.cancel()
+        if run.task is not None:
+            await run.task.cancel()
         if run.stream is not None:
             await run.stream.aclose()
         # An order may already be running and is not cancelled.
--- a/wagtailrun/serving/daemon.py
+++ b/wagtailrun/serving/daemon.py
@@ -7,6 +7,7 @@
 from wagtailrun.accounts.messages import AccountRows
 from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.http_client import HttpClient
+from wagtailrun.adapters.http_connection import HttpConnection
 from wagtailrun.adapters.http_server import HttpServer
 from wagtailrun.adapters.http_target import HttpTargetClient
 from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
@@ -23,6 +24,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.process.daemon_tasks import run_until_one_ends
 from wagtailrun.process.descriptors import DescriptorShares
+from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
 from wagtailrun.registry.client import ControlClient
 from wagtailrun.serving.caller_api import CHECK_PATHS, CallerApi
@@ -79,13 +81,14 @@
         self.recorder = Recorder(
             self.clock, self.accounts, self.metrics, self._fleet, self.trace
         )
-        pool = ConnectionPool(
+        pool: ConnectionPool[HttpConnection] = ConnectionPool(
             self.clock,
             self.descriptors.idle_to_targets,
             self.membership.serving_addresses,
         )
         self.http = HttpClient(self.clock, pool=pool)
         self.client = HttpTargetClient(self.http)
+        self.loop_watch = LoopWatch(self.clock)
         self.dispatcher = self._make_dispatcher()
         self._share_path_hints()
         control = ControlClient(self.clock, self.link, settings.control_peers)
@@ -156,6 +159,7 @@
             seed=self.incarnation,
             entries=self.gossip.peers.live_names,
             may_use_remote=self._allows_fallback,
+            was_held_since=self.loop_watch.was_held_since,
         )
 
     def _share_path_hints(self) -> None:
@@ -218,6 +222,7 @@
             self.gossip.run,
             self.accounts.run,
             self._update_gauges,
+            self.loop_watch.run,
         ]
         if self.trace is not None:
             tasks.append(self.trace.run)
