Release stage results of entries beyond a cut within a second

Cause: an owner of a stage service keeps the results of a finished step until the entry of the request releases them. A cut takes the reply that names them, so that they hold the memory of the owner's side for the whole 4 s of their retention. The messages now name the data centre of the entry. If it is away and silent for 1 s, its waiting steps end and their results within reach are released, once.

Ruled out: entries that are not live any more, as entries that stop use results for longer.

Before, after: test_results_of_an_entry_beyond_a_cut_are_released printed 'refused' for done without the change, test_step_of_an_entry_beyond_a_cut_does_not_begin printed four results left.

--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -567,6 +567,11 @@
     logging.INFO,
     "The next owner of a stage service took over its pieces from this entry.",
 )
+UNUSED_RESULTS_RELEASED = _event(
+    730,
+    logging.INFO,
+    "Results of a stage were released, as the data centre of their entry is away.",
+)
 RESULT_RELEASE_FAILED = _event(
     712, logging.INFO, "A request to a target to free abandoned results failed."
 )
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -209,6 +209,7 @@
             self.connector.confirms_silence,
             lambda service: self.runner.owns(service),
             self._most_pieces,
+            lambda data_centre: data_centre in self.view.away_data_centres,
         )
         self.runner = StageRunner(
             self.clock,
@@ -218,6 +219,7 @@
             self.owners,
             self._stage_capacity,
             self._awaits_news,
+            settings.data_centre,
         )
         self.batcher.succession = Succession(
             self.clock,
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -39,6 +39,7 @@
   inputAddresses @18 :List(Text);  # Targets that hold these inputs.
   inputOwners @19 :List(Text);  # Entries that formed the calls that made them.
   announcement @20 :UInt16;  # Counts the announcements of the pieces, from 1.
+  entryDataCentre @21 :Text;  # Where the entry of the request is.
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -11,6 +11,7 @@
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job, job_key
+from wagtailrun.stages.lost_entries import LostEntries
 from wagtailrun.stages.messages import (
     CancelPieces,
     FreeResults,
@@ -49,6 +50,7 @@
         is_owner: Returns whether this entry owns a service.
         most_pieces: Returns how many pieces a target may get in one call, beside its
             capacity.
+        is_away: Returns whether a data centre is cut off from this entry, or down.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         | None = None,
         is_owner: Callable[[str], bool] = lambda service: True,
         most_pieces: Callable[[TargetRow], float] = lambda row: math.inf,
+        is_away: Callable[[str], bool] = lambda data_centre: False,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
@@ -75,6 +78,7 @@
         self.budget = budget
         self.is_owner = is_owner
         self.most_pieces = most_pieces
+        self.lost_entries = LostEntries(clock, is_away, was_held_since)
         self.pools_by_service: dict[str, Pool] = {}
         # Hands services over; without it they stay until their pieces are done.
         self.succession: Succession | None = None
@@ -208,6 +212,7 @@
             await self.notify_finished()
 
     async def _run_pieces(self, pool: Pool, message: RunPieces) -> PiecesState:
+        self.lost_entries.record_heard(message.entry_data_centre)
         if message.announcement > 1:
             pool.confirm(message)
             return PiecesState(JobState.PENDING)
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -76,6 +76,8 @@
         announcement: Number of this announcement of the pieces, from 1. Later ones
             confirm the first. It is 0 from an earlier build, which confirms none, and
             where the pieces are to run.
+        entry_data_centre: Data centre of the entry of the request; empty from an
+            earlier build.
     """
 
     request_id: str
@@ -99,6 +101,7 @@
     input_addresses: tuple[str, ...] = ()
     input_owners: tuple[str, ...] = ()
     announcement: int = 0
+    entry_data_centre: str = ""
 
 
 @attrs.frozen
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -22,7 +22,7 @@
 )
 from wagtailrun.stages.planner import CallPlanner, result_bytes, usable_bytes
 from wagtailrun.stages.pool_manager import PoolManager
-from wagtailrun.stages.pool_state import NEXT_POLL_MS, PoolState
+from wagtailrun.stages.pool_state import LOST_ENTRY_DETAIL, NEXT_POLL_MS, PoolState
 from wagtailrun.stages.port import PieceOutcome, StageReply
 from wagtailrun.stages.queue_forecast import MAX_ATTEMPTS, QueueForecast
 from wagtailrun.stages.step_times import Phase
@@ -293,12 +293,18 @@
             # A job that moved may have come back as another one.
             if self.jobs_by_key.get(job.key) is job:
                 del self.jobs_by_key[job.key]
+        self.release_unused(self.manager.lost_entries)
         for job in self.open_jobs():
             if job.doubted_ms:
                 continue
             overdue = now_ms + shortest_ms > job.expires_at_ms
             unheard_ms = now_ms - job.asked_ms
-            if not job.ready and (overdue or unheard_ms > ANNOUNCED_JOB_TIMEOUT_MS):
+            if self.manager.lost_entries.is_lost(job):
+                # It is a new one if its entry asks for it after all.
+                del self.jobs_by_key[job.key]
+                job.reported = True
+                self._finish(job, JobState.REFUSED, LOST_ENTRY_DETAIL)
+            elif not job.ready and (overdue or unheard_ms > ANNOUNCED_JOB_TIMEOUT_MS):
                 # It is a new one if its entry asks for it after all.
                 del self.jobs_by_key[job.key]
                 self._finish(job, JobState.REFUSED, job.missing_inputs_detail)
--- a/wagtailrun/stages/pool_manager.py
+++ b/wagtailrun/stages/pool_manager.py
@@ -7,6 +7,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job
+from wagtailrun.stages.lost_entries import LostEntries
 from wagtailrun.stages.messages import FreeResults
 from wagtailrun.stages.port import StageClient
 from wagtailrun.stages.succession import Succession
@@ -34,6 +35,7 @@
         is_owner: Returns whether this entry owns a service.
         most_pieces: Returns how many pieces a target may get in one call, beside its
             capacity.
+        lost_entries: Tells of which steps the entries are lost.
         succession: Hands services over; without it they stay until their pieces are
             done.
     """
@@ -48,6 +50,7 @@
     confirms_silence: Callable[[Address, Address, int], Awaitable[bool]] | None
     is_owner: Callable[[str], bool]
     most_pieces: Callable[[TargetRow], float]
+    lost_entries: LostEntries
     succession: Succession | None
 
     @abstractmethod
--- a/wagtailrun/stages/pool_state.py
+++ b/wagtailrun/stages/pool_state.py
@@ -5,15 +5,17 @@
 from collections.abc import Callable, Collection, Sequence
 
 from wagtailrun.clock import Clock
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.stages.job import Job, job_key
+from wagtailrun.stages.lost_entries import LostEntries
 from wagtailrun.stages.memory import ResultMemory
-from wagtailrun.stages.messages import PieceResult, RunPieces
+from wagtailrun.stages.messages import JobState, PieceResult, RunPieces
 from wagtailrun.stages.step_log import StepLog
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
 
-__all__ = ["ARRIVAL_WINDOW_MS", "PoolState"]
+__all__ = ["ARRIVAL_WINDOW_MS", "LOST_ENTRY_DETAIL", "PoolState"]
 
 # An entry that still wants a job polls for it within this time after the last reply.
 NEXT_POLL_MS = 300
@@ -23,6 +25,8 @@
 # Time by which the arrival of steps is measured. They come in clumps of about a second.
 ARRIVAL_WINDOW_MS = 2_000
 
+LOST_ENTRY_DETAIL = "the data centre of its entry is silent and away"
+
 
 class PoolState:
     """What an entry that owns a stage service knows of it.
@@ -107,6 +111,42 @@
         )
         return any(job.ready and not job.reported for job in recent)
 
+    def release_unused(self, lost_entries: LostEntries) -> None:
+        """Schedule the release of results whose entry is lost, and forget their jobs.
+
+        The reply that named them may have been lost with the entry. It asks for a new
+        job if it asks again.
+        """
+        for job in list(self.ended_jobs):
+            if job.state is JobState.DONE and lost_entries.is_lost(job):
+                self.ended_jobs.remove(job)
+                if self.jobs_by_key.get(job.key) is job:
+                    del self.jobs_by_key[job.key]
+                now_ms = self.clock.now_ms()
+                self.step_log.record_ended(job, "untaken", LOST_ENTRY_DETAIL, now_ms)
+                self._release_left(job, lost_entries)
+
+    def _release_left(self, job: Job, lost_entries: LostEntries) -> None:
+        """Schedule the release of a job's results that are left within reach."""
+        results = [
+            result
+            for result in job.results_by_piece.values()
+            if result.handle in self.memory.results_by_handle
+            and result.handle not in self.releasing
+            and not lost_entries.is_away(result.data_centre)
+        ]
+        if results:
+            self.release(results)
+            events.log(
+                events.UNUSED_RESULTS_RELEASED,
+                request_id=job.message.request_id,
+                step=job.message.step,
+                service=self.service,
+                data_centre=job.message.entry_data_centre,
+                results=len(results),
+                after_ms=self.clock.now_ms() - job.ended_ms,
+            )
+
     def release(self, results: Sequence[PieceResult]) -> None:
         """Schedule the release of results.
 
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -158,6 +158,7 @@
         capacity: Returns the configured capacity of one target of a stage service.
         awaits_news: Returns whether this entry stood still, and has yet to learn which
             of its services others own by now.
+        data_centre: Data centre of this entry.
     """
 
     def __init__(
@@ -169,6 +170,7 @@
         owners: Owners,
         capacity: Callable[[str], StageCapacity],
         awaits_news: Callable[[], bool] = lambda: False,
+        data_centre: str = "",
     ):
         self.clock = clock
         self.link = link
@@ -177,6 +179,7 @@
         self.owners = owners
         self.capacity = capacity
         self.awaits_news = awaits_news
+        self.data_centre = data_centre
         self.calls = OwnerCalls(link, owners)
 
     async def announce(self, work: StagedWork, data_centre: str) -> int | None:
@@ -497,6 +500,7 @@
             announcement=int(reserve),
             round=work.round,
             moved_bytes=work.moved_bytes(number),
+            entry_data_centre=self.data_centre,
         )
 
     # Messages to owners
