Refuse a single first step that keeps others from the memory that is left

Cause: after a cut, results that targets hold for the former owner of a service, beyond the cut, are not known to the next one, and nobody on this side knows their names. A step that begins beside them gets room for a part of its results, keeps that, and waits for its last piece until the unknown results expire, with all steps behind it. The rule for steps that wait for each other's memory needed two that had begun. A first step without progress for 300 ms is now refused if a step behind it could begin in its place.

Later steps are left, as their requests have waited by then.

Before, after: the test printed 'done' for refused without the change.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -246,6 +246,37 @@
     assert {state for _, state, _ in small} == {JobState.DONE}
 
 
+@pytest.mark.parametrize("is_first", [True, False])
+def test_step_that_others_cannot_pass_gives_its_memory_up(is_first):
+    """Load: results of an owner beyond a cut, beside a step that has begun.
+
+    Guards against a step that holds the memory that is left, without room for its last
+    piece, until the unknown results expire: the steps behind it were refused after
+    seconds. A later step waits, as its request has used the stages before.
+    """
+
+    async def main(clock):
+        harness = make_harness(clock, [target(1)], lost=4, gone_ms=3_000)
+        wide, small, tasks = [], [], []
+        options = {} if is_first else {"has_inputs": True, "inputs": ("h",)}
+        step = serve(clock, harness, "wide", 4, wide, **options)
+        tasks.append(await curio.spawn(step))
+        for number in range(3):
+            await clock.sleep_ms(300)
+            step = serve(clock, harness, f"small{number}", 1, small)
+            tasks.append(await curio.spawn(step))
+        for task in tasks:
+            await task.join()
+        return wide, small
+
+    [(_, state, took_ms)], small = run_virtual(main)
+    assert state == (JobState.REFUSED if is_first else JobState.DONE)
+    if is_first:
+        assert took_ms < 1_000
+        assert {state for _, state, _ in small} == {JobState.DONE}
+        assert max(took_ms for _, _, took_ms in small) < 1_000
+
+
 def test_small_results_run_beside_full_memory():
     """Load: a target whose memory is full of results that are not known here.
 
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -50,6 +50,7 @@
         fetched: Whether the inputs of all pieces have been fetched.
         running: Number of pieces in calls.
         results_by_piece: Results so far.
+        progressed_ms: When the newest of them arrived.
         failed_attempts: Number of times that a piece was sent and failed.
         state: State that is reported to the requesting entry.
         detail: Why the job was refused.
@@ -78,6 +79,7 @@
     fetched: bool = False
     running: int = 0
     results_by_piece: dict[int, PieceResult] = attrs.field(factory=dict)
+    progressed_ms: int = 0
     failed_attempts: int = 0
     state: JobState = JobState.PENDING
     detail: str = ""
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -27,6 +27,10 @@
 REMOTE_COST_MS = 30
 # Delay after which a job counts as blocked by full memory in its preferred data centre.
 MAX_BLOCKED_MS = 150
+# A first step that holds the memory of others for this long without progress gives it
+# up. Its request is then refused within a second, and results of a former owner of the
+# service, which are not known here, are in use for less as a rule.
+MAX_STUCK_MS = 300
 # Result sizes are approximate, so part of the memory is kept free.
 USABLE_MEMORY_SHARE = 0.96
 # Steps whose results take up less than this share of a memory may always begin.
@@ -157,7 +161,9 @@
 
         Jobs begin only if there is room for all their results, but results that are not
         known here may take it. Then none can end until these are gone, unless one of
-        the jobs releases its results.
+        the jobs releases its results. A single first step counts as well if others
+        could begin in its place. A later step does not: its request has waited for the
+        earlier ones.
 
         Args:
             jobs: Unfinished jobs, the first ones first.
@@ -172,13 +178,15 @@
             and job.waiting
             and job.message.result_bytes > SMALL_SHARE * usable
         ]
-        if not usable or len(begun) < 2 or any(job.running for job in begun):
+        if not (usable and begun) or any(job.running for job in begun):
             return None
         free = [self.memory.free_bytes(row.address, usable) for row in rows]
         used = sum(self.memory.used_bytes(row.address) for row in rows)
         held = sum(
             len(job.results_by_piece) * job.message.result_bytes for job in begun
         )
+        if len(begun) == 1 and not self._is_stuck(begun[0], jobs, held + sum(free)):
+            return None
         for job in begun:
             size = job.message.result_bytes
             # Other results are released without this.
@@ -186,6 +194,16 @@
                 return None
         return begun[-1]
 
+    def _is_stuck(self, begun: Job, jobs: Sequence[Job], room: int) -> bool:
+        """Return whether a job keeps others from ``room`` bytes without progress."""
+        stuck_ms = self.clock.now_ms() - begun.progressed_ms
+        if begun.message.has_inputs or stuck_ms < MAX_STUCK_MS:
+            return False
+        return any(
+            job.ready and job.waiting and job is not begun and job.needed_bytes <= room
+            for job in jobs
+        )
+
     def _startable_jobs(
         self,
         jobs: Sequence[Job],
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -490,6 +490,7 @@
                 job.results_by_piece[piece] = PieceResult(
                     piece, reply.handle, str(row.address), row.data_centre
                 )
+                job.progressed_ms = now_ms
                 if len(job.results_by_piece) == len(job.message.pieces):
                     self._finish(job, JobState.DONE)
             case PieceOutcome.GONE:
