Look for a cut when an input of a stage is gone, before the stages run again

Cause: an entry finds out that a data centre is away by a new connection that fails. Results do not cross, so the request was told that an input is gone, ran its stages again across the same cut, and lost that round as well. The entry now reviews the data centres that hold results of the request, and its own choice, and waits up to 300 ms for it before the second round.

Ruled out: calls to a target whose input is gone; they cost no time of the target.

Before, after: test_paths_are_checked_before_stages_run_again and test_cut_is_found_out_although_no_new_connection_fails need calls that did not exist.

--- a/tests/test_data_centre_reach.py
+++ b/tests/test_data_centre_reach.py
@@ -15,6 +15,7 @@
 from wagtailrun.exceptions import ConnectFailed, PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address, TunnelLink
+from wagtailrun.relay.paths.data_centre_reach import CHECK_LIMIT_MS
 from wagtailrun.relay.paths.tunnel_messages import TunnelRefusal, TunnelRefused
 from wagtailrun.relay.paths.tunnels import DIRECT_TIMEOUT_MS, PathConnector
 from wagtailrun.targets.table import TargetRow
@@ -176,6 +177,35 @@
     assert after == set(DATA_CENTRES)
 
 
+@pytest.mark.parametrize("hangs", [False, True])
+def test_cut_is_found_out_although_no_new_connection_fails(hangs):
+    """Load: an entry that sends all over kept connections, and loses results.
+
+    Guards against stages that run again across a cut: only a new connection that
+    failed led to a review, up to 0.9 s after the cut.
+    """
+
+    async def scenario(clock, network, entry):
+        network.hangs = hangs
+        network.cut("d")
+        started_ms = clock.now_ms()
+        await entry.reach.check({"a", "b", "d"})
+        took_ms, at_once = clock.now_ms() - started_ms, used(entry)
+        tried = len(network.tried)
+        await entry.reach.check({"b", "d"})
+        again = len(network.tried) - tried
+        await clock.sleep_ms(3 * FIND_OUT_MS)
+        return took_ms, at_once, used(entry), again
+
+    took_ms, at_once, later, again = run(scenario)
+    assert took_ms <= CHECK_LIMIT_MS
+    if not hangs:
+        assert at_once == {"a", "b", "c"}
+        # A check of a data centre that was reviewed a moment ago tries nothing.
+        assert again == 0
+    assert later == {"a", "b", "c"}
+
+
 @pytest.mark.parametrize("hangs", [False, True])
 def test_cut_side_uses_its_own_targets(hangs):
     """Guards against an entry that is cut off and uses the targets of the others.
--- a/tests/test_stage_runner.py
+++ b/tests/test_stage_runner.py
@@ -263,6 +263,37 @@
     assert refusal.reason is RefusalReason.TARGET_FAILED
 
 
+def test_paths_are_checked_before_stages_run_again():
+    """Load: a cut that messages cross over kept connections, and results do not.
+
+    Guards against a second round of stages that also runs across the cut, and fails.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        runner = fleet.runners["e0"]
+        checked = []
+
+        async def check(data_centres):
+            checked.append(sorted(data_centres))
+            await clock.sleep_ms(100)
+
+        runner.check_paths = check
+        assert await runner.run(work(clock), "c", StageResults()) is None
+        calm = list(checked)
+        fleet.client.outcomes = [PieceOutcome.GONE]
+        started_ms = clock.now_ms()
+        staged = attrs.evolve(work(clock), request_id="lost")
+        await runner.run(staged, "c", StageResults())
+        return calm, checked, clock.now_ms() - started_ms
+
+    calm, checked, took_ms = run_virtual(main)
+    assert calm == []
+    assert checked == [["c"]]
+    # One call of one piece, then the check.
+    assert took_ms >= 180 + 100
+
+
 def test_stages_run_anew_after_a_lost_result():
     """Guards against a second round that receives the lost results of the first."""
 
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -220,6 +220,7 @@
             self._stage_capacity,
             self._awaits_news,
             settings.data_centre,
+            self.connector.reach.check,
         )
         self.batcher.succession = Succession(
             self.clock,
--- a/wagtailrun/relay/paths/data_centre_reach.py
+++ b/wagtailrun/relay/paths/data_centre_reach.py
@@ -11,7 +11,7 @@
 import attrs
 import curio
 
-from wagtailrun.clock import Clock
+from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.exceptions import ConnectFailed
 from wagtailrun.logs import events
@@ -28,6 +28,11 @@
 # the second time if other entries carry connections there.
 REVIEW_INTERVAL_MS = 1_000
 CARRIED_REVIEW_INTERVAL_MS = 3_000
+# A caller that runs stages again waits for reviews for this long. Cuts that refuse
+# connections are found out sooner.
+CHECK_LIMIT_MS = 300
+# Interval at which the end of a review is awaited.
+REVIEW_POLL_MS = 10
 # While a data centre is away, one connection to it is tried at this interval on
 # average. Entries that were cut off together return at different times.
 PROBE_INTERVAL_MS = 500
@@ -96,16 +101,37 @@
             address: Address to which no direct connection could be opened.
         """
         row = self.view.row_at(address)
+        if row is not None and not self.is_reviewing:
+            await self._begin_review(row.data_centre)
+
+    async def check(self, data_centres: Collection[str]) -> None:
+        """Find out which of some data centres are away, and return once that is known.
+
+        Connections to them may have been kept although they were cut off. One that was
+        reviewed a moment ago is not reviewed again. The reviews go on beside the caller
+        after ``CHECK_LIMIT_MS``.
+        """
+        checking = await curio.spawn(self._check, sorted(data_centres), daemon=True)
+        await curio.ignore_after(CHECK_LIMIT_MS / MS_PER_SECOND, checking.wait)
+
+    async def _check(self, data_centres: Sequence[str]) -> None:
+        for data_centre in data_centres:
+            await self._await_review()
+            await self._begin_review(data_centre)
+        await self._await_review()
+
+    async def _await_review(self) -> None:
+        while self.is_reviewing:
+            await self.clock.sleep_ms(REVIEW_POLL_MS)
+
+    async def _begin_review(self, data_centre: str) -> None:
         now_ms = self.clock.now_ms()
-        if row is None or self.is_reviewing or row.data_centre not in self._others():
+        next_ms = self.next_review_ms_by_data_centre.get(data_centre, now_ms)
+        if now_ms < next_ms or data_centre not in self._others():
             return
-        if now_ms < self.next_review_ms_by_data_centre.get(row.data_centre, now_ms):
-            return
-        self.next_review_ms_by_data_centre[row.data_centre] = (
-            now_ms + REVIEW_INTERVAL_MS
-        )
+        self.next_review_ms_by_data_centre[data_centre] = now_ms + REVIEW_INTERVAL_MS
         self.is_reviewing = True
-        await curio.spawn(self._review, row.data_centre, daemon=True)
+        await curio.spawn(self._review, data_centre, daemon=True)
 
     def _others(self) -> list[str]:
         """Return the other data centres that have targets and are not away."""
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -1,7 +1,7 @@
 """Runs all steps of one request through the entries that own the stage services."""
 
 import itertools
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
 import attrs
@@ -134,6 +134,12 @@
         """Return the handles of a step's results."""
         return tuple(result.handle for result in self.results_by_step.get(number, ()))
 
+    @property
+    def data_centres(self) -> set[str]:
+        """Data centres that hold results."""
+        results = itertools.chain.from_iterable(self.results_by_step.values())
+        return {result.data_centre for result in results}
+
     def final_handles(self, work: StagedWork) -> tuple[str, ...]:
         """Return the handles of the results that no other step uses."""
         return tuple(
@@ -159,6 +165,8 @@
         awaits_news: Returns whether this entry stood still, and has yet to learn which
             of its services others own by now.
         data_centre: Data centre of this entry.
+        check_paths: Called with data centres after results were lost; returns once it
+            is known whether these are away.
     """
 
     def __init__(
@@ -171,6 +179,7 @@
         capacity: Callable[[str], StageCapacity],
         awaits_news: Callable[[], bool] = lambda: False,
         data_centre: str = "",
+        check_paths: Callable[[Collection[str]], Awaitable[None]] | None = None,
     ):
         self.clock = clock
         self.link = link
@@ -180,6 +189,7 @@
         self.capacity = capacity
         self.awaits_news = awaits_news
         self.data_centre = data_centre
+        self.check_paths = check_paths
         self.calls = OwnerCalls(link, owners)
 
     async def announce(self, work: StagedWork, data_centre: str) -> int | None:
@@ -298,6 +308,10 @@
             await confirming.cancel()
         if failure:
             await self.withdraw(work)
+            is_lost = failure[0].reason is RefusalReason.TARGET_FAILED
+            if is_lost and self.check_paths is not None:
+                # Messages cross a cut over kept connections, and results do not.
+                await self.check_paths({data_centre, *results.data_centres})
             return failure[0]
         return None
 
