--- a/wagtailrun/logs/event_log.py
+++ b/wagtailrun/logs/event_log.py
@@ -16,6 +16,7 @@
     "LEVEL_NAMES",
     "Event",
     "EventLog",
+    "catalogue_rows",
     "define_event",
 ]
 
@@ -171,3 +172,12 @@
 
 
 EVENT_LOG = EventLog()
+
+
+def catalogue_rows() -> list[str]:
+    """Return the table rows of ``docs/events.md``."""
+    return [
+        f"| {event.number} | {LEVEL_NAMES[event.level]} | {event.meaning} "
+        f"| {event.action} |"
+        for _, event in sorted(EVENTS_BY_NUMBER.items())
+    ]
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -7,9 +7,9 @@
 from wagtailrun.logs.event_log import (
     EVENT_LOG,
     EVENTS_BY_NUMBER,
-    LEVEL_NAMES,
     Event,
     EventLog,
+    catalogue_rows,
 )
 from wagtailrun.logs.event_log import define_event as _event
 
@@ -591,12 +591,3 @@
             ``request_id`` if the event belongs to a request.
     """
     EVENT_LOG.log(event, **fields)
-
-
-def catalogue_rows() -> list[str]:
-    """Return the table rows of ``docs/events.md``."""
-    return [
-        f"| {event.number} | {LEVEL_NAMES[event.level]} | {event.meaning} "
-        f"| {event.action} |"
-        for _, event in sorted(EVENTS_BY_NUMBER.items())
-    ]
