Ask for votes as soon as the absent seed is added

Cause: a member that added the absent seed waited for its election timeout, up to 3 s. Ruled out: the added seed, which withholds its vote for 1.3 s after its start and no longer. One task of a member asks for first votes at a time.

--- a/tests/test_founding_absent_seed.py
+++ b/tests/test_founding_absent_seed.py
@@ -18,6 +18,8 @@
 
 # Within this time of the start of the absent seed the others are up.
 UP_AFTER_LAST_START_MS = 5_000
+# The same if the member is asked for votes as soon as it grants them.
+LEADER_LIMIT_MS = 2_000
 # Two seeds without the third one have a leader by then.
 FOUNDED_BY_TWO_MS = 4_000
 REQUESTS = (FoundingPrepare, FoundingAccept, FoundingDecision, VoteRequest)
@@ -157,6 +159,33 @@
     assert {0, 1} <= last_indexes
 
 
+@pytest.mark.parametrize(
+    ("ending", "staying", "arm"),
+    [
+        (0, 1, end_at_own_request(VoteRequest, True)),
+        (1, 0, end_at_request(FoundingDecision, False)),
+    ],
+)
+@pytest.mark.parametrize("delay_ms", range(0, 1_000, 50))
+def test_member_that_adds_the_absent_seed_asks_for_votes_at_once(
+    ending, staying, arm, delay_ms
+):
+    """Guards against a wait for the election timeout, or for an ended member.
+
+    The absent seed withholds its vote for 1.3 s after its start.
+    """
+
+    async def main(clock):
+        run = LateSeed(clock, ending, staying, delay_ms)
+        acknowledge = run.cluster.acknowledge
+        run.cluster.acknowledge = lambda limit_ms=LEADER_LIMIT_MS: acknowledge(
+            min(limit_ms, LEADER_LIMIT_MS)
+        )
+        return await run.run(arm)
+
+    assert run_virtual(main) == 1
+
+
 @pytest.mark.parametrize("commands", [0, 1, 5])
 @pytest.mark.parametrize(("ending", "staying"), PAIRS)
 def test_acknowledged_commands_of_two_members_are_kept(ending, staying, commands):
--- a/wagtailrun/consensus/first_member_set.py
+++ b/wagtailrun/consensus/first_member_set.py
@@ -84,6 +84,7 @@
         )
 
     async def _add(self, name: str, seed: MemberInfo) -> None:
+        """Append entry 2 with the absent seed, and ask for votes."""
         state, journal = self.state, self.state.journal
         async with state.lock:
             if self.absent_seed != name:
@@ -94,3 +95,4 @@
             await journal.wait_durable(await journal.append([entry]))
         names = [info.name for info in members.members]
         events.log(events.CLUSTER_FOUNDED, member=state.name, members=names)
+        await self.founding.lead_first()
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -125,6 +125,7 @@
         # Whether an empty disk gives no permission, whatever the settings say.
         self.is_revoked = False
         self.newest_round = 0
+        self._asks_for_votes = False
         self.query_interval_ms = ROUND_INTERVAL_MS
         self.next_query_ms = 0
         self.refusal = state.founding_refusal
@@ -319,7 +320,7 @@
             }
         )
         if self.acceptor.has_log:
-            await self._lead_first()
+            await self.lead_first()
 
     async def handle_decision(self, message: FoundingDecision) -> FoundingReply:
         """Begin the log with a decided member set; return the state after it."""
@@ -454,11 +455,21 @@
         names = [info.name for info in value.configuration.members]
         events.log(events.CLUSTER_FOUNDED, member=state.name, members=names)
 
-    async def _lead_first(self) -> None:
+    async def lead_first(self) -> None:
         """Ask for votes until there is a leader, for a limited time.
 
-        The election timeout of a member that has run for a while may be far off.
+        The election timeout of a member that has run for a while may be far off. One
+        task does so at a time: two would ask for votes of different terms.
         """
+        if self._asks_for_votes:
+            return
+        self._asks_for_votes = True
+        try:
+            await self._ask_for_votes()
+        finally:
+            self._asks_for_votes = False
+
+    async def _ask_for_votes(self) -> None:
         state = self.state
         end_ms = state.clock.now_ms() + FIRST_ELECTION_MS
         while state.role is not Role.LEADER and state.last_leader_contact_ms is None:
