--- a/tests/test_founding_faults.py
+++ b/tests/test_founding_faults.py
@@ -14,11 +14,11 @@
 
 # Within this time of the last start the members are up where a majority may found.
 UP_AFTER_LAST_START_MS = 5_000
+# A member knows within this time that a silent one answers again.
+QUERY_LIMIT_MS = 4_500
 # Sync points of a start and one ballot: seven files, one after another, with three
 # each, and the first entry.
 SYNCS_OF_FOUNDING = 23
-# A member knows within this time that a silent one answers again.
-QUERY_LIMIT_MS = 4_500
 # Files of a member, written with the schema of commit 0491b5e.
 OLD_RECORD = bytes.fromhex(
     "000000000e0000000000000001000100090000000000000000000000010003000700000000000000"
