Let a ballot go on without a seed whose disk hangs

The other seed defers for 300 ms, then sends a later ballot, which waits as long. The back-off (up to 1 s) is shorter than the ballots, so that the two outbid each other. Ruled out: deferring for 3 s instead. Each founder that ends in a ballot would cost that time. Conclusion: once enough replies count, the other seeds get as long again, and at least 200 ms, less than the 300 ms in which acceptors expect the next message.

--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -9,6 +9,7 @@
 import attrs
 import curio
 
+from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.cluster_wait import ClusterWait
 from wagtailrun.consensus.founding_acceptor import (
     FoundingAcceptor,
@@ -59,6 +60,9 @@
 WRITE_TIMEOUT_MS = 3_000
 # A seed that proposes a value promises and accepts it, and so do the others before.
 WRITES_PER_BALLOT = 4
+# Once enough seeds have answered, the others get as long again, but at least this. It
+# must be less than ``NEXT_MESSAGE_MS`` of the acceptors, which then propose themselves.
+MIN_STRAGGLER_MS = 200
 # Time in which the founder asks for votes in each round. Members that have just
 # started withhold theirs at first.
 FIRST_ELECTION_MS = 3_000
@@ -286,12 +290,13 @@
         await self._adopt(value)
         # Else the decision would be lost with the disk of this member, if no majority
         # is left that may found.
-        await self.call_all(
+        await self._call_enough(
             {
                 info.peer_address: FoundingDecision(info.identity, value)
                 for info in value.configuration.members
                 if info.identity != self.state.identity
-            }
+            },
+            lambda reply: reply.cluster == value.cluster,
         )
         if self.acceptor.has_log:
             await self._lead_first()
@@ -337,13 +342,16 @@
             for s in self.statements
             if s.name and s.may_found
         }
-        replies = {state.address: own, **await self.call_all(requests)}
+
+        def is_promise(reply: FoundingReply) -> bool:
+            return not reply.cluster and reply.record.promised == ballot
+
+        others = await self._call_enough(requests, is_promise)
+        replies = {state.address: own, **others}
         for reply in replies.values():
             self._observe(reply)
         return {
-            address: reply
-            for address, reply in replies.items()
-            if not reply.cluster and reply.record.promised == ballot
+            address: reply for address, reply in replies.items() if is_promise(reply)
         }
 
     def _new_value(
@@ -379,7 +387,9 @@
             for address, reply in promises.items()
         }
         own_request = requests.pop(state.address)
-        replies = await self.call_all(requests)
+        replies = await self._call_enough(
+            requests, lambda reply: reply.record.accepted == ballot
+        )
         accepted = sum(r.record.accepted == ballot for r in replies.values())
         if accepted + 1 >= self.needed:
             own = await self.acceptor.handle(own_request)
@@ -450,30 +460,64 @@
     ) -> dict[Address, FoundingReply]:
         """Send all messages at once; return the replies that came by address."""
         replies_by_address: dict[Address, FoundingReply] = {}
-
-        async def call(
-            address: Address, message: FoundingRequest | FoundingDecision
-        ) -> None:
-            try:
-                reply = await self.state.link.call(
-                    address, message, self._timeout_ms(message)
-                )
-            except PeerUnreachable as error:
-                # Counts as a seed that does not answer.
-                self.failures_by_address[address] = str(error)
-                return
-            if isinstance(reply, FoundingReply):
-                replies_by_address[address] = reply
-            else:
-                self.failures_by_address[address] = f"no control member: {reply}"
-
         async with curio.TaskGroup() as group:
             for address, message in messages_by_address.items():
-                await group.spawn(call, address, message)
+                await group.spawn(self._call, address, message, replies_by_address)
         if group.exception is not None:
             raise group.exception
         return replies_by_address
 
+    async def _call_enough(
+        self,
+        messages_by_address: Mapping[Address, FoundingRequest | FoundingDecision],
+        counts: Callable[[FoundingReply], bool],
+    ) -> dict[Address, FoundingReply]:
+        """Send all messages at once; once enough replies count, wait little for others.
+
+        A seed whose disk hangs answers queries, but no ballot. Waiting for it in each
+        ballot gives the others time to outbid this member.
+
+        Args:
+            messages_by_address: Messages to other members.
+            counts: Whether a reply counts towards the seeds that are needed.
+        """
+        clock = self.state.clock
+        started_ms = clock.now_ms()
+        replies_by_address: dict[Address, FoundingReply] = {}
+        async with curio.TaskGroup() as group:
+            for address, message in messages_by_address.items():
+                await group.spawn(self._call, address, message, replies_by_address)
+            async for task in group:
+                _ = task.result  # Raises the error of a call that failed.
+                if sum(map(counts, replies_by_address.values())) + 1 >= self.needed:
+                    break
+            wait_ms = max(clock.now_ms() - started_ms, MIN_STRAGGLER_MS)
+            async with curio.ignore_after(wait_ms / MS_PER_SECOND):
+                async for task in group:
+                    _ = task.result
+            await group.cancel_remaining()
+        return replies_by_address
+
+    async def _call(
+        self,
+        address: Address,
+        message: FoundingRequest | FoundingDecision,
+        replies_by_address: dict[Address, FoundingReply],
+    ) -> None:
+        """Send a message; keep the reply, or why there is none."""
+        try:
+            reply = await self.state.link.call(
+                address, message, self._timeout_ms(message)
+            )
+        except PeerUnreachable as error:
+            # Counts as a seed that does not answer.
+            self.failures_by_address[address] = str(error)
+            return
+        if isinstance(reply, FoundingReply):
+            replies_by_address[address] = reply
+        else:
+            self.failures_by_address[address] = f"no control member: {reply}"
+
     def _timeout_ms(self, message: FoundingRequest | FoundingDecision) -> int:
         is_query = isinstance(message, FoundingQuery)
         return self.state.timing.call_timeout_ms if is_query else WRITE_TIMEOUT_MS
