Defer to the ballots of others for a limited time only

Cause: each FoundingPrepare or FoundingAccept of another seed, also one that was refused or repeated, made a seed wait for 300 ms more with its own ballot. A proposer that sends such messages more often than that and never proposes a value stopped all others. Ruled out: an answer with a refusal alone; a proposer that does not read its answers goes on. After: both pass; the tests of founding (without those of processes and calls), operator_founding, cluster_wait, imports and docs pass. Conclusion: only a message that changes the record of the seed extends the time, and ballots of others in a row get 2 s and four writes together.

--- a/tests/test_founding_progress.py
+++ b/tests/test_founding_progress.py
@@ -1,13 +1,18 @@
 """Tests of ballots beside seeds that hang or send unusual messages, in virtual time."""
 
+import itertools
+
 import curio
 import pytest
 
-from tests.founding_cluster import FoundingCluster
+from tests.founding_cluster import FOUNDING_LIMIT_MS, FoundingCluster
+from wagtailrun.consensus.messages import FoundingBallot, FoundingPrepare
 from wagtailrun.virtual_time import run_virtual
 
 # Longer than any of the tests runs.
 HANG_MS = 10_000_000
+# Less than acceptors wait for the next message of a ballot.
+REPEAT_INTERVAL_MS = 250
 
 
 async def open_seeds(clock, seed=1):
@@ -37,3 +42,33 @@
 
     cluster = run_virtual(main)
     assert cluster.violations == []
+
+
+@pytest.mark.parametrize("step", [0, 1])
+def test_seed_that_repeats_prepares_does_not_stop_the_two_others(step):
+    """Guards against seeds that defer to a proposer which never proposes a value.
+
+    It repeats one ballot, or has a later one each time.
+    """
+
+    async def main(clock):
+        cluster = await open_seeds(clock)
+        repeating, *others = cluster.nodes
+        identity = repeating.member.identity
+        await repeating.kill()
+
+        async def prepare_for_ever():
+            for number in itertools.count(1):
+                ballot = FoundingBallot(number if step else 1, identity)
+                for member in [node.member for node in others]:
+                    seeds = member.journal.member_record.founding.seeds
+                    message = FoundingPrepare(member.identity, seeds, ballot)
+                    await curio.spawn(member.handle, message, daemon=True)
+                await clock.sleep_ms(REPEAT_INTERVAL_MS)
+
+        await curio.spawn(prepare_for_ever, daemon=True)
+        await cluster.acknowledge(2 * FOUNDING_LIMIT_MS)
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -12,6 +12,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.cluster_wait import ClusterWait
 from wagtailrun.consensus.founding_acceptor import (
+    WRITES_PER_BALLOT,
     FoundingAcceptor,
     FoundingRequest,
     seed_texts,
@@ -58,8 +59,6 @@
 # Timeout of a request that the receiver answers once its disk has written. Disks that
 # several processes use at once take over a second.
 WRITE_TIMEOUT_MS = 3_000
-# A seed that proposes a value promises and accepts it, and so do the others before.
-WRITES_PER_BALLOT = 4
 # Once enough seeds have answered, the others get as long again, but at least this. It
 # must be less than ``NEXT_MESSAGE_MS`` of the acceptors, which then propose themselves.
 MIN_STRAGGLER_MS = 200
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -15,7 +15,13 @@
 )
 from wagtailrun.ports.link import Address
 
-__all__ = ["LISTEN_MS", "FoundingAcceptor", "FoundingRequest", "seed_texts"]
+__all__ = [
+    "LISTEN_MS",
+    "WRITES_PER_BALLOT",
+    "FoundingAcceptor",
+    "FoundingRequest",
+    "seed_texts",
+]
 
 # A cluster that loses its leader has another one within 4 s; a leader then calls the
 # seeds that are not in its cluster every second.
@@ -24,6 +30,11 @@
 # Time in which a proposer sends the next message of its ballot, besides the time that
 # disks need.
 NEXT_MESSAGE_MS = 300
+# Time that a member leaves to the ballots of others in a row, besides the time that
+# disks need. A proposer may repeat its messages and never propose a value.
+MAX_DEFERRAL_MS = 2_000
+# A seed that proposes a value promises and accepts it, and so do the others before.
+WRITES_PER_BALLOT = 4
 
 FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
 
@@ -48,10 +59,11 @@
     def __init__(self, state: MemberState):
         self.state = state
         self.write_ms = 0
-        # Ballots of other seeds whose messages are handled now, and until when their
-        # next message may be on its way.
+        # Ballots of other seeds whose messages are handled now, until when their next
+        # message may be on its way, and since when there has been one or the other.
         self._handling = 0
         self._expected_until_ms = 0
+        self._deferring_since_ms = 0
 
     @property
     def record(self) -> FoundingRecord:
@@ -95,19 +107,28 @@
         """Handle a message of another seed; see ``handle``."""
         if isinstance(message, FoundingQuery | FoundingOrder):
             return await self.handle(message)
+        clock, before = self.state.clock, self.record
+        if not self._handling and clock.now_ms() >= self._expected_until_ms:
+            self._deferring_since_ms = clock.now_ms()
         self._handling += 1
         try:
-            return await self.handle(message)
+            reply = await self.handle(message)
         finally:
             self._handling -= 1
-            # The other seeds write at the same time, and then the proposer does.
+        if reply.record != before:
+            # Else it was refused or repeated. The other seeds write at the same time,
+            # and then the proposer does.
             wait_ms = NEXT_MESSAGE_MS + 2 * self.write_ms
-            self._expected_until_ms = self.state.clock.now_ms() + wait_ms
+            self._expected_until_ms = clock.now_ms() + wait_ms
+        return reply
 
     @property
     def is_in_ballot(self) -> bool:
-        """Whether a ballot of another seed seems to be in progress."""
+        """Whether to leave others time for a ballot that seems to be in progress."""
         now_ms = self.state.clock.now_ms()
+        limit_ms = MAX_DEFERRAL_MS + WRITES_PER_BALLOT * self.write_ms
+        if now_ms >= self._deferring_since_ms + limit_ms:
+            return False
         return self._handling > 0 or now_ms < self._expected_until_ms
 
     def _reply(self) -> FoundingReply:
