Count at most the timeout of a write into the delays of a founding

Cause: a seed adds the time of its last write, which at its start is the whole opening of its disk, to the delay of its rank and to its back-off, and twice to its deferral. One write that hangs for a minute, or a pause of the process in a write, made it wait for as long again after the disk was fast. Ruled out: a mean over several writes, which a single long write raises as well. Before: test_one_write_that_hung_does_not_delay_the_founding_for_as_long (one write of 60 s; the first seed by name hangs) failed, "no command was acknowledged in 15000 ms". After: it passes. Conclusion: a write counts for at most 3 s, the timeout of the requests that need one; a ballot with a longer one fails in any case.

--- a/tests/test_founding_progress.py
+++ b/tests/test_founding_progress.py
@@ -11,6 +11,7 @@
 
 # Longer than any of the tests runs.
 HANG_MS = 10_000_000
+PAUSE_MS = 60_000
 # Less than acceptors wait for the next message of a ballot.
 REPEAT_INTERVAL_MS = 250
 
@@ -72,3 +73,30 @@
 
     cluster = run_virtual(main)
     assert cluster.violations == []
+
+
+def test_one_write_that_hung_does_not_delay_the_founding_for_as_long():
+    """Guards against delays that count a long write again, as of a paused process.
+
+    The disk of the first seed by name hangs, so that the second one has to propose.
+    """
+
+    async def main(clock):
+        cluster = FoundingCluster(clock, 1, 3)
+        await curio.spawn(cluster.watch, daemon=True)
+        first, *others = cluster.nodes
+        await first.start()
+        await clock.sleep_ms(200)
+        first.disk.delay_ms = (HANG_MS, HANG_MS)
+        for node in others:
+            node.disk.delay_ms = (PAUSE_MS, PAUSE_MS)
+            await node.start()
+        await clock.sleep_ms(PAUSE_MS - 1)
+        for node in others:
+            node.disk.delay_ms = (0, 3)
+        await clock.sleep_ms(1)
+        await cluster.acknowledge(3 * FOUNDING_LIMIT_MS)
+        return cluster
+
+    cluster = run_virtual(main)
+    assert cluster.violations == []
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -12,6 +12,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.cluster_wait import ClusterWait
 from wagtailrun.consensus.founding_acceptor import (
+    WRITE_TIMEOUT_MS,
     WRITES_PER_BALLOT,
     FoundingAcceptor,
     FoundingRequest,
@@ -56,9 +57,6 @@
 # A ballot that failed is repeated after a random time up to this, so that two proposers
 # do not outbid each other for ever.
 MAX_BACK_OFF_MS = 1_000
-# Timeout of a request that the receiver answers once its disk has written. Disks that
-# several processes use at once take over a second.
-WRITE_TIMEOUT_MS = 3_000
 # Once enough seeds have answered, the others get as long again, but at least this. It
 # must be less than ``NEXT_MESSAGE_MS`` of the acceptors, which then propose themselves.
 MIN_STRAGGLER_MS = 200
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -18,6 +18,7 @@
 __all__ = [
     "LISTEN_MS",
     "WRITES_PER_BALLOT",
+    "WRITE_TIMEOUT_MS",
     "FoundingAcceptor",
     "FoundingRequest",
     "seed_texts",
@@ -27,6 +28,10 @@
 # seeds that are not in its cluster every second.
 LISTEN_MS = 10_000
 
+# Timeout of a request that the receiver answers once its disk has written. Disks that
+# several processes use at once take over a second.
+WRITE_TIMEOUT_MS = 3_000
+
 # Time in which a proposer sends the next message of its ballot, besides the time that
 # disks need.
 NEXT_MESSAGE_MS = 300
@@ -53,7 +58,8 @@
         state: State of the member.
 
     Attributes:
-        write_ms: How long the last write to the disk took.
+        write_ms: How long the last write to the disk took, at most the timeout of a
+            request that needs one.
     """
 
     def __init__(self, state: MemberState):
@@ -185,7 +191,15 @@
 
     async def save(self, record: FoundingRecord) -> None:
         """Make ``record`` durable; the caller holds the lock of the state."""
-        journal, clock = self.state.journal, self.state.clock
-        started_ms = clock.now_ms()
+        journal, started_ms = self.state.journal, self.state.clock.now_ms()
         await journal.save_record(attrs.evolve(journal.member_record, founding=record))
-        self.write_ms = clock.now_ms() - started_ms
+        self.note_write(started_ms)
+
+    def note_write(self, started_ms: int) -> None:
+        """Keep how long a write took that has ended now.
+
+        A ballot that needs one longer than the timeout fails in any case, and a pause
+        of the process counts as well; the delays must not grow with it.
+        """
+        took_ms = self.state.clock.now_ms() - started_ms
+        self.write_ms = min(took_ms, WRITE_TIMEOUT_MS)
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -163,7 +163,7 @@
             f"{state.name}#{state.random.getrandbits(64):016x}",
             self.founding.new_record(),
         )
-        self.founding.acceptor.write_ms = state.clock.now_ms() - opened_ms
+        self.founding.acceptor.note_write(opened_ms)
         await self.founding.open()
         state.term = self.journal.member_record.term
         snapshot = await self.journal.read_snapshot()
