Refuse founding ballots whose number leaves no greater one

Cause: a seed promised any number. After a ballot of the greatest one that the schema holds, a proposer that hears of it fails as it encodes the next number, which stops the member. The promise is durable, so that a restart does not help (by the code, not run). Ruled out: a wider type in the schema; a later ballot needs a greater number in any type. Before: test_seeds_found_their_cluster_after_a_ballot_of_the_greatest_number failed: the fault of the first seed was MessageError("FoundingBallot.round does not fit its type in the schema"). After: it passes, with the others of tests/test_founding_progress.py. Conclusion: seeds refuse numbers above 2**32, and proposers count up from lower ones only. Proposers add one each time, so that they do not get there.

--- a/tests/test_founding_progress.py
+++ b/tests/test_founding_progress.py
@@ -14,6 +14,7 @@
 PAUSE_MS = 60_000
 # Less than acceptors wait for the next message of a ballot.
 REPEAT_INTERVAL_MS = 250
+MAX_UINT64 = 2**64 - 1
 
 
 async def open_seeds(clock, seed=1):
@@ -100,3 +101,26 @@
 
     cluster = run_virtual(main)
     assert cluster.violations == []
+
+
+def test_seeds_found_their_cluster_after_a_ballot_of_the_greatest_number():
+    """Guards against a ballot after which there is no greater one."""
+
+    async def main(clock):
+        cluster = FoundingCluster(clock, 1, 3)
+        await curio.spawn(cluster.watch, daemon=True)
+        first, *others = cluster.nodes
+        await first.start()
+        await clock.sleep_ms(200)
+        member = first.member
+        seeds = member.journal.member_record.founding.seeds
+        ballot = FoundingBallot(MAX_UINT64, "m2#0")
+        await member.handle(FoundingPrepare(member.identity, seeds, ballot))
+        for node in others:
+            await node.start()
+        await cluster.acknowledge()
+        return cluster, [node.member.fault for node in cluster.nodes]
+
+    cluster, faults = run_virtual(main)
+    assert faults == [None] * 3
+    assert cluster.violations == []
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -12,6 +12,7 @@
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.consensus.cluster_wait import ClusterWait
 from wagtailrun.consensus.founding_acceptor import (
+    MAX_ROUND,
     WRITE_TIMEOUT_MS,
     WRITES_PER_BALLOT,
     FoundingAcceptor,
@@ -394,7 +395,8 @@
         return accepted
 
     def _observe(self, reply: FoundingReply) -> None:
-        self.newest_round = max(self.newest_round, reply.record.promised.round)
+        if reply.record.promised.round < MAX_ROUND:
+            self.newest_round = max(self.newest_round, reply.record.promised.round)
 
     async def _adopt_if_known(self) -> None:
         """Begin the log with the accepted value if it is known to be decided.
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "LISTEN_MS",
+    "MAX_ROUND",
     "WRITES_PER_BALLOT",
     "WRITE_TIMEOUT_MS",
     "FoundingAcceptor",
@@ -41,6 +42,10 @@
 # A seed that proposes a value promises and accepts it, and so do the others before.
 WRITES_PER_BALLOT = 4
 
+# Greatest number of a ballot, far above what proposers reach that count up by one. The
+# schema holds 64 bits; after a ballot of the greatest number there would be no other.
+MAX_ROUND = 2**32
+
 FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
 
 
@@ -148,6 +153,7 @@
             and bool(self.record.seeds)
             and message.seeds == self.record.seeds
             and message.ballot >= self.record.promised
+            and message.ballot.round <= MAX_ROUND
         )
 
     async def _take_part(self, message: FoundingPrepare | FoundingAccept) -> None:
