--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -15,15 +15,36 @@
 )
 from wagtailrun.ports.link import Address
 
-__all__ = ["LISTEN_MS", "FoundingAcceptor", "FoundingRequest", "seed_texts"]
+__all__ = [
+    "LISTEN_MS",
+    "MAX_ROUND",
+    "WRITES_PER_BALLOT",
+    "WRITE_TIMEOUT_MS",
+    "FoundingAcceptor",
+    "FoundingRequest",
+    "seed_texts",
+]
 
 # A cluster that loses its leader has another one within 4 s; a leader then calls the
 # seeds that are not in its cluster every second.
 LISTEN_MS = 10_000
 
+# Timeout of a request that the receiver answers once its disk has written. Disks that
+# several processes use at once take over a second.
+WRITE_TIMEOUT_MS = 3_000
+
 # Time in which a proposer sends the next message of its ballot, besides the time that
 # disks need.
 NEXT_MESSAGE_MS = 300
+# Time that a member leaves to the ballots of others in a row, besides the time that
+# disks need. A proposer may repeat its messages and never propose a value.
+MAX_DEFERRAL_MS = 2_000
+# A seed that proposes a value promises and accepts it, and so do the others before.
+WRITES_PER_BALLOT = 4
+
+# Greatest number of a ballot, far above what proposers reach that count up by one. The
+# schema holds 64 bits; after a ballot of the greatest number there would be no other.
+MAX_ROUND = 2**32
 
 FoundingRequest = FoundingQuery | FoundingPrepare | FoundingAccept | FoundingOrder
 
@@ -42,16 +63,18 @@
         state: State of the member.
 
     Attributes:
-        write_ms: How long the last write to the disk took.
+        write_ms: How long the last write to the disk took, at most the timeout of a
+            request that needs one.
     """
 
     def __init__(self, state: MemberState):
         self.state = state
         self.write_ms = 0
-        # Ballots of other seeds whose messages are handled now, and until when their
-        # next message may be on its way.
+        # Ballots of other seeds whose messages are handled now, until when their next
+        # message may be on its way, and since when there has been one or the other.
         self._handling = 0
         self._expected_until_ms = 0
+        self._deferring_since_ms = 0
 
     @property
     def record(self) -> FoundingRecord:
@@ -95,19 +118,28 @@
         """Handle a message of another seed; see ``handle``."""
         if isinstance(message, FoundingQuery | FoundingOrder):
             return await self.handle(message)
+        clock, before = self.state.clock, self.record
+        if not self._handling and clock.now_ms() >= self._expected_until_ms:
+            self._deferring_since_ms = clock.now_ms()
         self._handling += 1
         try:
-            return await self.handle(message)
+            reply = await self.handle(message)
         finally:
             self._handling -= 1
-            # The other seeds write at the same time, and then the proposer does.
+        if reply.record != before:
+            # Else it was refused or repeated. The other seeds write at the same time,
+            # and then the proposer does.
             wait_ms = NEXT_MESSAGE_MS + 2 * self.write_ms
-            self._expected_until_ms = self.state.clock.now_ms() + wait_ms
+            self._expected_until_ms = clock.now_ms() + wait_ms
+        return reply
 
     @property
     def is_in_ballot(self) -> bool:
-        """Whether a ballot of another seed seems to be in progress."""
+        """Whether to leave others time for a ballot that seems to be in progress."""
         now_ms = self.state.clock.now_ms()
+        limit_ms = MAX_DEFERRAL_MS + WRITES_PER_BALLOT * self.write_ms
+        if now_ms >= self._deferring_since_ms + limit_ms:
+            return False
         return self._handling > 0 or now_ms < self._expected_until_ms
 
     def _reply(self) -> FoundingReply:
@@ -121,6 +153,7 @@
             and bool(self.record.seeds)
             and message.seeds == self.record.seeds
             and message.ballot >= self.record.promised
+            and message.ballot.round <= MAX_ROUND
         )
 
     async def _take_part(self, message: FoundingPrepare | FoundingAccept) -> None:
@@ -164,7 +197,15 @@
 
     async def save(self, record: FoundingRecord) -> None:
         """Make ``record`` durable; the caller holds the lock of the state."""
-        journal, clock = self.state.journal, self.state.clock
-        started_ms = clock.now_ms()
+        journal, started_ms = self.state.journal, self.state.clock.now_ms()
         await journal.save_record(attrs.evolve(journal.member_record, founding=record))
-        self.write_ms = clock.now_ms() - started_ms
+        self.note_write(started_ms)
+
+    def note_write(self, started_ms: int) -> None:
+        """Keep how long a write took that has ended now.
+
+        A ballot that needs one longer than the timeout fails in any case, and a pause
+        of the process counts as well; the delays must not grow with it.
+        """
+        took_ms = self.state.clock.now_ms() - started_ms
+        self.write_ms = min(took_ms, WRITE_TIMEOUT_MS)
