Let steps that fit pass a large one that does not fit beside unknown results

Cause: a step whose results fit into no memory that is left begins if no other one has begun, as it could never begin otherwise. Beside results of a former owner of the service, beyond a cut, it gets room for a part, keeps that, and holds up smaller steps that would fit. While unknown results are recorded such a step is passed, unless no other one fits.

Ruled out: passing it also if no other one fits (a trial): 'refused' was among the outcomes of test_lost_results_of_a_killed_owner_delay_no_request_for_long.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -277,6 +277,35 @@
         assert max(took_ms for _, _, took_ms in small) < 1_000
 
 
+def test_small_steps_pass_a_large_one_beside_unknown_results():
+    """Load: results of an owner beyond a cut, a large step, and small ones behind it.
+
+    Guards against a large step that begins without room for all its results, and takes
+    the memory of the small ones until it is refused.
+    """
+
+    async def main(clock):
+        harness = make_harness(clock, [target(1)], lost=4, gone_ms=3_000)
+        first, large, small, tasks = [], [], [], []
+        # Its refused piece shows that there are unknown results.
+        tasks.append(await curio.spawn(serve(clock, harness, "first", 4, first)))
+        await clock.sleep_ms(300)
+        tasks.append(await curio.spawn(serve(clock, harness, "large", 4, large)))
+        for number in range(4):
+            await clock.sleep_ms(50)
+            step = serve(clock, harness, f"small{number}", 1, small)
+            tasks.append(await curio.spawn(step))
+        for task in tasks:
+            await task.join()
+        return first, large, small
+
+    first, _, small = run_virtual(main)
+    assert [state for _, state, _ in first] == [JobState.REFUSED]
+    assert {state for _, state, _ in small} == {JobState.DONE}
+    # The first step is stuck for a while, then two calls with three places follow.
+    assert max(took_ms for _, _, took_ms in small) < 1_000
+
+
 def test_small_results_run_beside_full_memory():
     """Load: a target whose memory is full of results that are not known here.
 
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -1,7 +1,7 @@
 """Plans stage calls: which target, and the pieces of which steps, come next."""
 
 from collections import Counter
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import attrs
 
@@ -217,7 +217,9 @@
         only if there is room for all its results beside those that the jobs which have
         begun still need. Otherwise many jobs would have a part of their results each,
         and none the memory for the rest. The first job that does not fit holds the
-        later ones back, so that jobs with many pieces begin as well.
+        later ones back, so that jobs with many pieces begin as well. Beside results
+        that are not known here it lets them pass if they fit: it would get room for a
+        part of its results and keep that until the unknown ones are gone.
         """
         usable = usable_bytes(capacity)
         if not usable:
@@ -228,7 +230,7 @@
         for job in jobs:
             if job.has_begun:
                 reserved[job.message.data_centre] += job.needed_bytes
-        startable, blocked = [], set()
+        startable, blocked, passed = [], set(), []
         for job in jobs:
             preferred, needed = job.message.data_centre, job.needed_bytes
             if job.has_begun or needed <= SMALL_SHARE * usable:
@@ -242,6 +244,15 @@
                 room // size * size for row, room in free if row.data_centre in scope
             )
             used = sum(reserved[name] for name in scope)
+            if (
+                not blocked & scope
+                and used + needed > room
+                and self._is_unknown(row for row in rows if row.data_centre in scope)
+            ):
+                self.jobs_without_memory[job.number] = job
+                job.times.turn(Phase.MEMORY, now_ms)
+                passed.append(job)
+                continue
             # A job that fits into no memory must begin as well.
             if blocked & scope or used and used + needed > room:
                 blocked |= scope
@@ -250,8 +261,15 @@
             else:
                 reserved[preferred] += needed
                 startable.append(job)
+        if passed and not any(reserved.values()):
+            # A job that fits into no memory must begin as well.
+            startable.append(passed[0])
         return startable
 
+    def _is_unknown(self, rows: Iterable[TargetRow]) -> bool:
+        """Return whether results that are not known here occupy memory of targets."""
+        return any(row.address in self.memory.unknown_by_address for row in rows)
+
     def phase_without_target(self, job: Job) -> Phase:
         """Return what a job waits for when ``free_targets`` last found none."""
         preferred = job.message.data_centre
