End the drain of a daemon at the second signal

Cause: a second signal left the drain running. Since all tasks of a daemon are cancelled at once, so that the listener for peers is closed while a member waits 200 ms for its disk; the drain went on to accept connections at the closed socket every 5 ms and logged event 629 ("Bad file descriptor").

The new test ended with the drain cancelled only by the end of the event loop: `assert [1101] == [1100]`.

Conclusion: the drain is cancelled without a wait for it.

--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -12,6 +12,7 @@
 from wagtailrun.discovery.view import POLL_SLACK_MS
 from wagtailrun.logs import events
 from wagtailrun.stopping.running_requests import STOP_ANSWER_MS
+from wagtailrun.stopping.signalled_drain import SignalledDrain
 from wagtailrun.stopping.signals import SIGNAL_POLL_MS, StopSignals
 from wagtailrun.virtual_time import run_virtual
 
@@ -185,3 +186,31 @@
         return signals.late_ms
 
     assert run_virtual(main) >= pause_ms - SIGNAL_POLL_MS
+
+
+def test_second_signal_ends_the_drain(stop_signal):
+    """Guards against a drain that goes on at servers which have been cancelled.
+
+    It tried to accept connections at a closed socket each 5 ms, and logged failures.
+    """
+    ended_ms = []
+
+    async def main(clock):
+        async def drain():
+            try:
+                await curio.sleep(60)
+            finally:
+                ended_ms.append(clock.now_ms())
+
+        signals = StopSignals(clock)
+        task = await curio.spawn(SignalledDrain(clock, "a", signals, drain).run)
+        for _ in range(2):
+            await clock.sleep_ms(5 * SIGNAL_POLL_MS)
+            signals._count_stop(signal.SIGTERM, None)
+        await task.join()
+        await clock.sleep_ms(1)
+        return clock.now_ms()
+
+    ends_ms = run_virtual(main)
+    assert ends_ms <= 11 * SIGNAL_POLL_MS + 1
+    assert ended_ms == [ends_ms - 1]
--- a/wagtailrun/stopping/signalled_drain.py
+++ b/wagtailrun/stopping/signalled_drain.py
@@ -43,3 +43,5 @@
         drain = await curio.spawn(self.drain, daemon=True)
         while not drain.terminated and self.signals.stop_count < 2:
             await self.clock.sleep_ms(SIGNAL_POLL_MS)
+        # It may wait for a disk, and would use servers that are cancelled from now on.
+        await drain.cancel(blocking=False)
