Confirm targets of an entry that has another configuration

Cause: since an entry confirms only targets that its own configuration shares. A data centre that gets a configuration later than the other one already has the targets that this shares, does not confirm them, and declares them silent after 2.5 s. Afterwards only growth records or newer rows, which have limits for each message, bring them back. Before: test_data_centre_that_allows_fallback_late_uses_all_targets_soon failed (116 of 125 targets in use 12 s after the cut from the control members healed); it passes on. Conclusion: where the configurations are equal, both agree on what is shared; else the sender may share more. Partial: an entry that misses the configuration without fallback altogether, or has it late, still confirms targets that left meanwhile (by the code, not run).

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -524,6 +524,33 @@
     run_virtual(main)
 
 
+def test_data_centre_that_allows_fallback_late_uses_all_targets_soon():
+    """Guards against targets that stay out of use after the configuration shares them.
+
+    The other data centre sent them before this one had the configuration. It did not
+    confirm them, and declared them silent.
+    """
+    private = FLEET_TEXT.replace('kind = "engine"', 'kind = "engine"\nfallback = false')
+
+    async def main(clock):
+        cluster = Cluster(clock, {"east": 3, "west": 3}, 250, 4)
+        cluster.accepted = (1, private)
+        await cluster.start()
+        await clock.sleep_ms(9_000)
+        late = [node for node in cluster.live if node.data_centre == "west"]
+        cluster.network.cut_off([n.address for n in late], cluster.control_addresses)
+        cluster.accepted = (2, FLEET_TEXT)
+        await clock.sleep_ms(10_000)
+        assert {node.gossip.version[1] for node in late} == {1}
+        cluster.network.heal()
+        await clock.sleep_ms(TEXT_LIMIT_MS + 8_000)
+        for node in late:
+            rows = node.membership.fallback("engines", clock.now_ms())
+            assert len(rows) == 125, node.name
+
+    run_virtual(main)
+
+
 @pytest.mark.parametrize("entries", [9, 27])
 def test_messages_of_an_entry_do_not_grow_with_the_data_centre(entries):
     """Guards against all-to-all heartbeats, and watchers that receive too little."""
--- a/wagtailrun/gossip/exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -129,10 +129,10 @@
                 self.targets.merge_row(aged, now_ms)
         self.targets.merge_growth(message.growth)
         if not local:
-            fleet = self.config.store.fleet
             for row in self.membership.targets_by_name.values():
-                # Of targets that are not shared, a departure is not sent either.
-                if row.data_centre == sender.data_centre and _is_shared(fleet, row):
+                if row.data_centre == sender.data_centre and self._is_confirmed(
+                    sender, row
+                ):
                     self.targets.record_confirmation(row, now_ms)
         for entry in message.entries:
             self.peers.put(entry, now_ms)
@@ -146,6 +146,15 @@
         if local:
             await self.config.fetch_if_newer(sender.version, sender.address)
 
+    def _is_confirmed(self, sender: EntryRow, row: TargetRow) -> bool:
+        """Return whether an exchange confirms a target of the sender's data centre.
+
+        Of targets that are not shared, a departure is not sent either. A sender with
+        another configuration may share the target although this one does not.
+        """
+        store = self.config.store
+        return sender.version != store.version or _is_shared(store.fleet, row)
+
     def _build_message(
         self,
         partner: Partner,
