Wait for a vote as long as a slow disk needs to write it

Cause: a voter writes its vote before it replies, and the candidate gave the call up after 400 ms (350 ms at the relay). Where the disk took longer, the vote was granted and lost, so that nobody led before an election timeout had passed: after a planned stop as well, whose handover is to avoid that. Conclusion: a vote is awaited for the shortest election timeout; pre-votes, which write nothing, as before. Not mended: a leader whose followers write an entry for longer than a call loses its lease.

--- a/tests/test_planned_handover.py
+++ b/tests/test_planned_handover.py
@@ -8,6 +8,7 @@
 from wagtailrun.consensus.host import HANDOVER_LIMIT_MS
 from wagtailrun.consensus.member import Member
 from wagtailrun.consensus.messages import Handover
+from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import ConsensusUnavailable, MessageError
 from wagtailrun.relay.control import CONSENSUS_TIMING, PUT_TIMEOUT_MS
 from wagtailrun.virtual_time import run_virtual
@@ -21,6 +22,10 @@
 }
 # A stopping member answers its operators for this time before it hands over.
 ANSWER_MS = 100
+# A vote is three syncs, which together take longer than a call may.
+SLOW_SYNC_MS = (150, 200)
+# The candidate and a voter write it, one after the other.
+SLOW_HANDOVER_LIMIT_MS = 2 * 3 * SLOW_SYNC_MS[1]
 # A member without a successor ends in this time, with some for steps of virtual time.
 STOP_LIMIT_MS = ANSWER_MS + HANDOVER_LIMIT_MS + 50
 
@@ -67,6 +72,28 @@
     assert max(times) <= LIMIT_MS_BY_TIMING[timing]
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_stopping_leader_hands_over_to_members_on_slow_disks(seed):
+    """Guards against votes that are granted, but written too late for the candidate.
+
+    Then nobody leads before an election timeout has passed.
+    """
+
+    async def main(clock):
+        cluster = await started(clock, seed)
+        leader = cluster.leader()
+        term = leader.member.term
+        for node in cluster.nodes:
+            node.disk.delay_ms = SLOW_SYNC_MS
+        await stop(leader)
+        await clock.sleep_ms(SLOW_HANDOVER_LIMIT_MS)
+        members = [node.member for node in cluster.nodes if node.member]
+        return [m.term for m in members if m.role is Role.LEADER], term
+
+    terms, term = run_virtual(main)
+    assert terms == [term + 1]
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_changes_that_a_stopping_leader_has_taken_are_acknowledged(seed):
     """Guards against a handover that leaves a change in doubt, or applies it twice."""
--- a/wagtailrun/consensus/election.py
+++ b/wagtailrun/consensus/election.py
@@ -235,10 +235,12 @@
             pre_vote=pre_vote,
             handover=self.handover_term == term - 1,
         )
+        timing = state.timing
+        # The voter writes its vote before it replies. After an election timeout another
+        # member starts the next election.
+        timeout_ms = timing.call_timeout_ms if pre_vote else timing.election_min_ms
         try:
-            reply = await state.link.call(
-                info.peer_address, request, state.timing.call_timeout_ms
-            )
+            reply = await state.link.call(info.peer_address, request, timeout_ms)
         except PeerUnreachable:
             return False
         if not isinstance(reply, VoteReply) or reply.sender != info.identity:
