--- a/wagtailrun/targets/paths.py
+++ b/wagtailrun/targets/paths.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wagtailrun.clock import Clock
+from wagtailrun.clock import Clock, drop_expired
 from wagtailrun.ports.link import Address
 from wagtailrun.targets.path_hints import (
     HINT_VALIDITY_MS,
@@ -200,8 +200,7 @@
 
     def _use_new_connections(self, until_ms_by_key: dict[str, int], key: str) -> None:
         now_ms = self.clock.now_ms()
-        for other in [k for k, ms in until_ms_by_key.items() if ms <= now_ms]:
-            del until_ms_by_key[other]
+        drop_expired(until_ms_by_key, now_ms)
         until_ms_by_key[key] = now_ms + FRESH_CONNECTION_MS
 
     def _probe_soon(self, data_centre: str) -> None:
