End emulated connections as real ones end

Cause: the emulator kept idle connections for ever and left those that a cut or a lost VM had silenced stalled for ever. Requests after the end of a cut got them from the bottom of the pool, when more ran at a time than newer connections were idle, and lost 500 ms to each. The pool of an entry closes a connection that is idle for 15 s (MAX_IDLE_MS), and TCP_USER_TIMEOUT with keep-alive ends one that loses all packets for 4.5 to 5 s, which the pool sees before it gives it out. A cut shorter than that leaves a real connection usable; the emulator stalled it, too.

Ruled out: a fault of the native entry. Connections that are silent though the target's kernel acknowledges (silence-target) are not ended early in the emulator, as nothing would end them.

The limits of Linux are those that adapters/dead_peers.py states; they were not measured again here.

--- a/wagtailrun/replay/__init__.py
+++ b/wagtailrun/replay/__init__.py
@@ -1,6 +1,7 @@
 """Replay of recorded traces in virtual time."""
 
 __all__ = [
+    "emulated_connection",
     "emulated_target",
     "emulator",
     "player",
--- a/wagtailrun/replay/emulator.py
+++ b/wagtailrun/replay/emulator.py
@@ -14,6 +14,13 @@
 from wagtailrun.exceptions import ConnectFailed, TargetFailed
 from wagtailrun.ports.link import Address
 from wagtailrun.ports.target import Attempt, StageAnswer, TargetClient, Token
+from wagtailrun.replay.emulated_connection import (
+    FIRST_RETRANSMISSION_MS,
+    KEEPALIVE_INTERVAL_MS,
+    MAX_IDLE_PER_TARGET,
+    SEND_TIMEOUT_MS,
+    EmulatedConnection,
+)
 from wagtailrun.replay.emulated_target import EmulatedTarget, Job, TargetModel
 from wagtailrun.targets.affinity import CacheEvents
 from wagtailrun.targets.table import Membership, TargetRow
@@ -28,15 +35,6 @@
 FOREVER_S = 86_400
 
 
-@attrs.define(eq=False)
-class _Connection:
-    """A connection to one incarnation of a target; a stalled one delivers nothing."""
-
-    target: EmulatedTarget
-    incarnation: int
-    stalled: bool = False
-
-
 @attrs.define
 class Observer:
     """A receiver of announcements."""
@@ -167,11 +165,11 @@
         await self.targets_by_name[name].die()
 
     async def vanish(self, name: str) -> None:
-        """Lose a target's VM: connections stall and new ones time out."""
+        """Lose a target's VM: nothing passes, and new connections time out."""
         target = self.targets_by_name[name]
         target.vanished = True
         target.remove_jobs(lambda job: True)
-        self.stall_connections(name)
+        self._lose_paths()
 
     def stall_connections(self, name: str) -> None:
         """Stall every open connection to a target permanently."""
@@ -195,6 +193,8 @@
     ) -> None:
         """Partition a data centre from the others.
 
+        A connection on which nothing passes ends as the operating system finds that.
+
         Args:
             data_centre: Data centre.
             outward: Whether what it sends is lost.
@@ -204,16 +204,24 @@
             self.cut_outward.add(data_centre)
         if inward:
             self.cut_inward.add(data_centre)
-        for client in self.clients:
-            for connection in client.connections():
-                other = connection.target.row.data_centre
-                if self.is_cut(client.data_centre, other):
-                    connection.stalled = True
+        self._lose_paths()
 
     def heal(self, data_centre: str) -> None:
-        """End the partition of a data centre; stalled connections stay stalled."""
+        """End the partition of a data centre; connections that have not ended go on."""
         self.cut_outward.discard(data_centre)
         self.cut_inward.discard(data_centre)
+        now_ms = self.clock.now_ms()
+        for client in self.clients:
+            for connection in client.connections():
+                if client.is_reachable(connection.target):
+                    connection.restore_path(now_ms)
+
+    def _lose_paths(self) -> None:
+        now_ms = self.clock.now_ms()
+        for client in self.clients:
+            for connection in client.connections():
+                if not client.is_reachable(connection.target):
+                    connection.lose_path(now_ms)
 
     async def drop_entry(self, entry: str) -> None:
         """Cancel the jobs of an entry after its connections were closed."""
@@ -235,12 +243,12 @@
         self.emulator = emulator
         self.entry = entry
         self.data_centre = data_centre
-        self.idle_by_address: dict[Address, list[_Connection]] = {}
-        self.busy: dict[_Connection, None] = {}
+        self.idle_by_address: dict[Address, list[EmulatedConnection]] = {}
+        self.busy: dict[EmulatedConnection, None] = {}
         self.fresh_attempts = 0
         self.attempts = 0
 
-    def connections(self) -> list[_Connection]:
+    def connections(self) -> list[EmulatedConnection]:
         """Return all open connections."""
         idle = itertools.chain.from_iterable(self.idle_by_address.values())
         return [*idle, *self.busy]
@@ -283,7 +291,7 @@
     async def cancel(self, address: Address, number: int) -> None:
         """Cancel an attempt at the target."""
         target = self.emulator.targets_by_address[address]
-        if self._is_reachable(target) and target.alive:
+        if self.is_reachable(target) and target.alive:
             await self._link_delay()
             await target.pause.wait_for_end()
             target.remove_jobs(lambda job: job.attempt.number == number)
@@ -292,44 +300,64 @@
     @asynccontextmanager
     async def _open_job(
         self, address: Address, attempt: Attempt
-    ) -> AsyncIterator[tuple[_Connection, Job]]:
+    ) -> AsyncIterator[tuple[EmulatedConnection, Job]]:
         self.attempts += 1
         self.fresh_attempts += attempt.new_connection
         connection = await self._connect(address, attempt.new_connection)
         self.busy[connection] = None
         try:
             await self._link_delay()
-            await self._check_connection(connection)
+            await self._check_connection(connection, sends=True)
             job = connection.target.submit(attempt, self.entry)
             await connection.target.wake.set()
             await connection.target.start_calls()
             yield connection, job
-            self.idle_by_address.setdefault(address, []).append(connection)
+            self._release(address, connection)
         finally:
             del self.busy[connection]
 
-    async def _connect(self, address: Address, new_connection: bool) -> _Connection:
+    def _release(self, address: Address, connection: EmulatedConnection) -> None:
+        """Keep a connection for further requests, if there are not too many."""
+        idle = self.idle_by_address.setdefault(address, [])
+        if len(idle) < MAX_IDLE_PER_TARGET:
+            connection.idle_since_ms = self.emulator.clock.now_ms()
+            idle.append(connection)
+
+    def _take(self, address: Address) -> EmulatedConnection | None:
+        """Return the newest idle connection that is still usable, or None."""
+        now_ms = self.emulator.clock.now_ms()
+        idle = self.idle_by_address.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable(now_ms):
+                return connection
+        return None
+
+    async def _connect(
+        self, address: Address, new_connection: bool
+    ) -> EmulatedConnection:
         target = self.emulator.targets_by_address[address]
-        idle = self.idle_by_address.get(address)
-        if idle and not new_connection:
-            return idle.pop()
-        if not self._is_reachable(target):
+        connection = None if new_connection else self._take(address)
+        if connection is not None:
+            return connection
+        if not self.is_reachable(target):
             await self.emulator.clock.sleep_ms(CONNECT_TIMEOUT_MS)
             raise ConnectFailed(f"cannot connect to {address}: timed out")
         await self._link_delay()
         await self._link_delay()
         if not target.alive:
             raise ConnectFailed(f"cannot connect to {address}: refused", refused=True)
-        return _Connection(target, target.row.incarnation)
+        return EmulatedConnection(target, target.row.incarnation)
 
-    def _is_reachable(self, target: EmulatedTarget) -> bool:
+    def is_reachable(self, target: EmulatedTarget) -> bool:
+        """Return whether packets pass in both directions."""
         cut = self.emulator.is_cut(self.data_centre, target.row.data_centre)
         return not cut and not target.vanished
 
     async def _receive(
-        self, connection: _Connection, job: Job, *, travel: bool = True
+        self, connection: EmulatedConnection, job: Job, *, travel: bool = True
     ) -> Any:
-        item = await job.items.get()
+        item = await self._next_item(connection, job)
         if travel:
             await self._link_delay()
             await self._check_connection(connection)
@@ -337,13 +365,53 @@
             raise item
         return item
 
-    async def _check_connection(self, connection: _Connection) -> None:
-        """Block forever on a stalled connection; fail on one that was reset."""
+    async def _next_item(self, connection: EmulatedConnection, job: Job) -> Any:
+        """Return what the target sends next, unless the connection ends before."""
+        now_ms = self.emulator.clock.now_ms
+        while True:
+            connection.check_end(now_ms())
+            wait_ms = KEEPALIVE_INTERVAL_MS
+            if connection.ends_ms is not None:
+                wait_ms = min(wait_ms, connection.ends_ms - now_ms())
+            wait_s = wait_ms / MS_PER_SECOND
+            item = await curio.ignore_after(wait_s, job.items.get)
+            if item is not None:
+                return item
+
+    async def _check_connection(
+        self, connection: EmulatedConnection, *, sends: bool = False
+    ) -> None:
+        """Let a packet pass; block forever on a stalled connection.
+
+        Args:
+            connection: Connection.
+            sends: Whether the entry sends the packet, as opposed to the target.
+
+        Raises:
+            TargetFailed: If the connection was reset, or ended for lack of packets.
+        """
         if connection.stalled:
             await curio.sleep(FOREVER_S)
         target = connection.target
+        connection.check_end(self.emulator.clock.now_ms())
+        if not self.is_reachable(target):
+            await self._send_again(connection, sends)
         if not target.alive or connection.incarnation != target.row.incarnation:
             raise TargetFailed("connection reset")
 
+    async def _send_again(self, connection: EmulatedConnection, sends: bool) -> None:
+        """Send a lost packet again until it arrives or the connection ends."""
+        clock = self.emulator.clock
+        if sends:
+            # Keep-alive probes rest while sent bytes are not acknowledged.
+            connection.ends_ms = clock.now_ms() + SEND_TIMEOUT_MS
+        wait_ms = FIRST_RETRANSMISSION_MS
+        while not self.is_reachable(connection.target):
+            connection.lose_path(clock.now_ms())
+            left_ms = (connection.ends_ms or 0) - clock.now_ms()
+            await clock.sleep_ms(max(min(wait_ms, left_ms), 0))
+            connection.check_end(clock.now_ms())
+            wait_ms *= 2
+
     async def _link_delay(self) -> None:
         await curio.sleep(self.emulator.link_ms / MS_PER_SECOND)
