Close idle connections of a relay entry to a target found silent

Cause: an attempt without an answer in time closed its own connection only. The other idle ones to the target, opened before, went on to be given to requests, each of which could wait for its time limit if they were silent, too, for up to the 15 s that they may be idle. The native entry uses new connections for that time.

Ruled out: connections whose path loses all packets. Linux ends them within 5 s, and the pool finds that. What is left are connections that are acknowledged and never answered.

Conclusion: a request that times out at a target closes the idle connections to it. A target that is only slow costs new connections then; that cost under overload was not measured.

--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -375,6 +375,9 @@
             # The target paused just before the first byte.
             job.runs -= 1
         await self.reports.record_failure(job, row, error)
+        if error.timed_out:
+            # The other idle connections may be as silent as that of this attempt.
+            await self.http.pool.drop(row.address)
         if isinstance(error, ConnectShortage) and not error.only_here:
             return await self._handle_shortage(job, row, error)
         if not_sent:
