--- a/tests/test_stage_report.py
+++ b/tests/test_stage_report.py
@@ -4,43 +4,13 @@
 
 import pytest
 
+from tests.made_logs import START_S, SUMS, call, line, request, started
 from wagtailrun.cli import commands as cli
 from wagtailrun.exceptions import WagtailrunError
 from wagtailrun.logs import events
 from wagtailrun.observation.log_files import LogFile, read_files
 from wagtailrun.observation.stage_report import StageReport
 
-START_S = 1_700_000_000
-SUMS = {"steps": 4, "batch": 4, "slots": 1, "queued_ms": 300, "memory_ms": 100}
-SUMS |= {"calls_ms": 800}
-
-
-def line(at_s, event, process="front-1", **fields):
-    """Return a line of a log as the relay daemons write it."""
-    head = {"time": START_S + at_s, "process": process, "event": event.number}
-    return json.dumps(head | {"level": "info", "message": event.meaning, **fields})
-
-
-def call(at_s, process="front-1", **fields):
-    values = {"service": "s", "target": "t1", "pieces": 2, "requests": 1}
-    values |= {"left_waiting": 3, "held_bytes": 1_000_000, "took_ms": 400}
-    values |= {"expected_ms": 300, "failure": "", **fields}
-    return line(at_s, events.STAGE_CALL_ENDED, process, **values)
-
-
-def request(at_s, process="front-1", **fields):
-    values = {"request_id": "r", "route": "a", "outcome": "answered", "status": 200}
-    values |= {"took_ms": 900, "first_ms": 500, "aim_ms": 600, "staged_ms": 300}
-    return line(at_s, events.RELAY_ENDED, process, **(values | fields))
-
-
-def started(process="front-1"):
-    known = line(-9, events.ENTRY_LIVENESS_CHANGED, process, entry="front-1", live=True)
-    target = line(
-        -9, events.TARGET_STATE_CHANGED, process, service="s", target="t2", address=""
-    )
-    return [line(-10, events.PROCESS_STARTED, process), known, target]
-
 
 @pytest.fixture
 def write(tmp_path):
--- a/wagtailrun/observation/log_gaps.py
+++ b/wagtailrun/observation/log_gaps.py
@@ -9,7 +9,7 @@
 from wagtailrun.logs import events
 from wagtailrun.observation.log_files import LogFile, LogLine
 
-__all__ = ["log_gaps"]
+__all__ = ["MIN_CLOCK_DIFFERENCE_MS", "clock_gaps", "log_gaps", "uncounted_steps"]
 
 # Events whose lines are counted, so that suppressed ones make the counts too low.
 COUNTED = {
@@ -37,8 +37,8 @@
     gaps += _suppressed(lines)
     gaps += _absent_processes(lines)
     gaps += _partial_logs(lines)
-    gaps += _uncounted_steps(lines)
-    gaps += _clock_differences(lines)
+    gaps += uncounted_steps(lines)
+    gaps += clock_gaps(lines)
     return gaps
 
 
@@ -81,7 +81,7 @@
             yield f"{process}: the log ends {round(silence_s)} s before the last line"
 
 
-def _uncounted_steps(lines: Sequence[LogLine]) -> Iterator[str]:
+def uncounted_steps(lines: Sequence[LogLine]) -> Iterator[str]:
     """Name what ended after the last sums of a process, or without any."""
     last_s: dict[tuple[str, str], float] = {}
     sums_s: dict[tuple[str, str], float] = {}
@@ -111,7 +111,7 @@
     high_ms: float = float("inf")
 
 
-def _clock_differences(lines: Sequence[LogLine]) -> Iterator[str]:
+def clock_gaps(lines: Sequence[LogLine]) -> Iterator[str]:
     """Name pairs of processes whose clocks differ, by requests that both logged.
 
     A step whose results were taken ended after its request arrived, and before the
