Keep the pause of a stage target whose row is dropped until it ends

Cause: the owner of a stage service keeps the end of a pause in the state of the target, which upkeep drops with the row, ten minutes after the last contact. A target that was cut off for so long and came back in a longer pause got calls at once.

Ruled out: to keep the whole state. Its slowness and failures are stale. To keep the pause without bound, as a target may ask for 10^12 ms and its state would stay for years: a pause is at most as long as at the entries (`MAX_PAUSE_MS`).

Before / after: tests/test_stage_pool.py -k outlasts, virtual time. Before, both cases without a restart failed (`'done' == 'refused'`: a call 20 minutes into a pause of an hour and of 10^12 ms), both with a restart passed. After, all four pass. The test also checks that the slowness is dropped and that nothing is kept once the pause has ended.

Conclusion: all three forms of pauses outlast the row of their target. Run: tests of the stage pool, upkeep, overdue calls, imports, docs: passed.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -7,6 +7,7 @@
 
 import attrs
 import curio
+import pytest
 
 from wagtailrun.codec import decode, encode
 from wagtailrun.exceptions import (
@@ -31,6 +32,7 @@
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.targets.health import MAX_PAUSE_MS
 from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
@@ -675,6 +677,41 @@
     assert run_virtual(main) == (1, JobState.DONE)
 
 
+@pytest.mark.parametrize("restarted", [False, True])
+@pytest.mark.parametrize("pause_ms", [3_600_000, 10**12])
+def test_pause_outlasts_the_row_of_its_target(pause_ms, restarted):
+    """Guards against calls to a pausing target whose row was dropped meanwhile.
+
+    Nothing else is kept of it, a pause without bound loses no target for ever, and a
+    target that was started again does not pause.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        harness.client.faults_by_name["t1"] = TargetFailed(
+            "full", verdict=Verdict.NOT_RUN, retry_after_ms=pause_ms
+        )
+        await harness.send("r")
+        states = harness.batcher.pools_by_service["s"].target_states_by_name
+        states["t1"].slowness = 3.0
+        harness.client.faults_by_name.clear()
+        (row,), harness.rows = harness.rows, []
+        await clock.sleep_ms(1_200_000)
+        await harness.batcher.drop_gone((), None)
+        harness.rows = [attrs.evolve(row, incarnation=int(restarted))]
+        during = (await harness.send("during", remaining_ms=1_000)).state
+        slowness = states["t1"].slowness
+        await clock.sleep_ms(min(pause_ms, MAX_PAUSE_MS) - 1_200_000)
+        after = (await harness.send("after")).state
+        harness.rows = []
+        await harness.batcher.drop_gone((), None)
+        return during, after, slowness, len(states)
+
+    during, after, slowness, kept = run_virtual(main)
+    assert during == (JobState.DONE if restarted else JobState.REFUSED)
+    assert (after, slowness, kept) == (JobState.DONE, 1.0, 0)
+
+
 def test_estimates_of_odd_capacities_can_be_sent():
     """Load: pieces of a service whose document states calls of a week.
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -80,9 +80,17 @@
         self.tasks: list[curio.Task] = []
 
     def drop_gone(self, names: Collection[str]) -> None:
-        """Drop the states of targets that are not among ``names``, and ended jobs."""
+        """Drop the states of targets that are not among ``names``, and ended jobs.
+
+        A pause is kept until it ends, as a target that is cut off for long comes back.
+        """
+        now_ms = self.clock.now_ms()
         for name, target_state in list(self.target_states_by_name.items()):
-            if name not in names and not target_state.calls:
+            if name in names or target_state.calls:
+                continue
+            if target_state.pause_until_ms > now_ms:
+                self.target_states_by_name[name] = target_state.pause_only()
+            else:
                 del self.target_states_by_name[name]
         if not self.open_by_key:
             # Otherwise the reviews of the open jobs do this.
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -9,6 +9,7 @@
     Verdict,
 )
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
+from wagtailrun.targets.health import MAX_PAUSE_MS
 
 __all__ = ["REFUSAL_PAUSE_MS", "TargetState"]
 
@@ -71,6 +72,10 @@
         if self.incarnation is None or incarnation > self.incarnation:
             self.incarnation = incarnation
 
+    def pause_only(self) -> "TargetState":
+        """Return the state of the target as if only its pause were known."""
+        return TargetState(self.incarnation, pause_until_ms=self.pause_until_ms)
+
     def record_answer(self, now_ms: int) -> None:
         """Record that a call was answered."""
         self.failures = self.lost_paths = 0
@@ -92,7 +97,7 @@
                 # The target is full, or another one has taken over its address; the
                 # next update of its row shows which.
                 pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
-                self.pause_until_ms = now_ms + pause_ms
+                self.pause_until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
                 return False
         elif isinstance(failure, ConnectShortage):
             self.pause_until_ms = now_ms + SHORTAGE_PAUSE_MS
