Decide by one method of owners whether an entry asks another one

Cause: `owner is None or owner.name == self.name` and its negation were written out at seven places in five modules (stage runner, delegated stage calls, send grants, placement twice, the relay's entry twice in two nested forms).

Change: `Owners.unless_own` returns the entry to ask, or None if the asking entry does the work itself. It returns the row, as most callers send to it next, and a type checker sees that it is not None.

Ruled out: a name of its own in `Owners`. Most tests make `Owners` for several entries, and a default name would decide silently wrong.

Before / after: no change of behaviour.

Conclusion: one method serves all of them.

--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -41,6 +41,17 @@
     assert names == [others.owner(key).name for key in BUSY]
 
 
+def test_entry_asks_any_owner_but_itself():
+    """Guards against an entry that calls itself, or leaves work without an owner."""
+    rows = entry_rows(2)
+    owners = make_owners(rows)
+    assert [owners.unless_own(row, "front-1") for row in (*rows, None)] == [
+        rows[0],
+        None,
+        None,
+    ]
+
+
 def test_excluded_owner_is_replaced_and_returns():
     """Guards against an exclusion that moves other keys, or outlasts its time."""
     clock = VirtualClock()
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -76,6 +76,14 @@
         """Return the owner of ``key``, also if it did not reply a moment ago."""
         return next(iter(self._ranking(key, "")), None)
 
+    @staticmethod
+    def unless_own(owner: EntryRow | None, name: str) -> EntryRow | None:
+        """Return the entry to ask for what an owner does, None if it is ``name``.
+
+        Without an owner, ``name`` does it as well.
+        """
+        return None if owner is None or owner.name == name else owner
+
     def exclude(self, owner: EntryRow, detail: str) -> None:
         """Skip a process that did not reply for the next ``AVOIDANCE_MS``."""
         now_ms = self.clock.now_ms()
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -439,23 +439,23 @@
 
     def _grant_share(self, service: str) -> float:
         """Return the share of the limits of a service's targets to grant here."""
-        owner = self.owners.preferred(ownership_key(service))
-        if owner is None or owner.name == self.settings.name:
+        if self._prefers_own(self.owners, service):
             return 1.0
         return fallback_share(len({row.data_centre for row in self.view.entries}))
 
-    def _cold_roles(self, owners: Owners) -> ColdRoles:
-        def is_owner(service: str) -> bool:
-            owner = owners.preferred(ownership_key(service))
-            return owner is None or owner.name == self.settings.name
+    def _prefers_own(self, owners: Owners, service: str) -> bool:
+        """Return whether this entry is the owner of a service's targets by rank."""
+        owner = owners.preferred(ownership_key(service))
+        return owners.unless_own(owner, self.settings.name) is None
 
+    def _cold_roles(self, owners: Owners) -> ColdRoles:
         def services() -> tuple[str, ...]:
             table = self.view.table
             rows = table.services_by_name.values() if table is not None else ()
             return tuple(row.name for row in rows if row.cold_per_s > 0)
 
         return ColdRoles(
-            is_owner,
+            lambda service: self._prefers_own(owners, service),
             lambda: self.view.confirmation_age_ms,
             lambda: len(self.view.live_entries()),
             services,
--- a/wagtailrun/relay/limits/send_grants.py
+++ b/wagtailrun/relay/limits/send_grants.py
@@ -438,19 +438,20 @@
         key = ownership_key(row.service)
         owner = self.owners.owner(key)
         for _ in range(2):
-            if owner is None or owner.name == self.name:
+            peer = self.owners.unless_own(owner, self.name)
+            if peer is None:
                 self._record_told(row, owner, message)
                 return self.granter.handle(message, local=True)
             try:
-                grant = await self.link.call(owner.address, message, CALL_TIMEOUT_MS)
+                grant = await self.link.call(peer.address, message, CALL_TIMEOUT_MS)
             except PeerUnreachable as error:
                 if not error.alive:
-                    self.owners.exclude(owner, str(error))
+                    self.owners.exclude(peer, str(error))
             else:
                 if isinstance(grant, SendGrant):
-                    self._record_told(row, owner, message)
+                    self._record_told(row, peer, message)
                     return grant
-            owner = self.owners.owner(key, (owner.name,), self.data_centre)
+            owner = self.owners.owner(key, (peer.name,), self.data_centre)
         return SendGrant(False, UNREACHABLE_RETRY_MS)
 
     def _record_told(
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -402,8 +402,9 @@
         """Return the engine of an attempt."""
         message = attrs.evolve(message, entry=self.name)
         owner = self.owners.owner(ownership_key(message.service))
+        owner = self.owners.unless_own(owner, self.name)
         placed = None
-        if owner is not None and owner.name != self.name:
+        if owner is not None:
             try:
                 placed = await self.link.call(owner.address, message, CALL_TIMEOUT_MS)
             except PeerUnreachable as error:
@@ -428,7 +429,8 @@
         Returns once the owner knows, so that a further attempt is placed accordingly.
         """
         owner = self.owners.owner(ownership_key(message.service))
-        if owner is None or owner.name == self.name:
+        owner = self.owners.unless_own(owner, self.name)
+        if owner is None:
             await self.handle(message)
             return
         try:
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -473,7 +473,7 @@
                 owner = await self._choose_owner(work.steps[number].service, tried)
 
     def _is_own(self, owner: EntryRow | None) -> bool:
-        return owner is None or owner.name == self.name
+        return self.owners.unless_own(owner, self.name) is None
 
     async def _choose_owner(self, service: str, tried: set[str]) -> EntryRow | None:
         """Return the owner of a service, by news from after a standstill."""
--- a/wagtailrun/stages/spread.py
+++ b/wagtailrun/stages/spread.py
@@ -71,7 +71,8 @@
         if self.should_delegate():
             key = f"calls of {target.name}"
             delegate = self.owners.owner(key, data_centre=target.data_centre)
-        if delegate is None or delegate.name == self.name:
+            delegate = self.owners.unless_own(delegate, self.name)
+        if delegate is None:
             return await self.client.run(target, items, timeout_ms, watch)
         message = CarryCall(
             target=target.name,
