Put the pauses of targets at the product's entry behind a filter

Cause: the pauses that targets ask for have two forms, in `TargetHealth` with a method of the router, and in `TargetNotices` of the relay.

Change: `TargetPauses` in targets/pauses.py is a `TargetFilter` and holds the pauses of the router; `TargetHealth` knows none any more. `TargetFilter` demands `admitted` only: the methods about attempts and costs do nothing by default, as a filter of pauses has no use for them.

Ruled out: one table by name and incarnation as before. The relay knows a target only by its address once its row is dropped.

The relay has its own form still.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -32,7 +32,7 @@
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
-from wagtailrun.targets.health import MAX_PAUSE_MS
+from wagtailrun.targets.pauses import MAX_PAUSE_MS
 from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -19,7 +19,7 @@
 from wagtailrun.relay.core.port import MalformedBound, RelayWire, TargetNotice
 from wagtailrun.relay.limits.send_grants import GrantClient
 from wagtailrun.relay.paths.tunnel_messages import PauseNoted, ReportPause
-from wagtailrun.targets.health import MAX_PAUSE_MS
+from wagtailrun.targets.pauses import MAX_PAUSE_MS
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TargetNotices"]
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -9,7 +9,7 @@
     Verdict,
 )
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
-from wagtailrun.targets.health import MAX_PAUSE_MS
+from wagtailrun.targets.pauses import MAX_PAUSE_MS
 
 __all__ = ["REFUSAL_PAUSE_MS", "TargetState"]
 
--- a/wagtailrun/targets/__init__.py
+++ b/wagtailrun/targets/__init__.py
@@ -10,6 +10,7 @@
     "lowered_shares",
     "path_hints",
     "paths",
+    "pauses",
     "retries",
     "router_options",
     "routing",
--- a/wagtailrun/targets/filters.py
+++ b/wagtailrun/targets/filters.py
@@ -12,7 +12,8 @@
     """Narrows and ranks the targets of a choice by what attempts have shown of them.
 
     Who chooses the targets owns it and reports each attempt that was placed, by the
-    identifier of the attempt or its request and the name of the target.
+    identifier of the attempt or its request and the name of the target. A filter that
+    learns nothing of attempts ignores them.
     """
 
     @abstractmethod
@@ -35,12 +36,11 @@
             begin: Whether an attempt starts now.
         """
 
-    @abstractmethod
     def penalties_ms(self, rows: Sequence[TargetRow], entry: str) -> dict[str, float]:
         """Return the additional costs of targets to be spared, by their names."""
+        return {}
 
-    @abstractmethod
-    def begin(
+    def begin(  # noqa: B027
         self, key: tuple[str, str], row: TargetRow, reporter: str, expected_ms: float
     ) -> None:
         """Record an attempt that starts now.
@@ -52,8 +52,7 @@
             expected_ms: Expected time to its first event.
         """
 
-    @abstractmethod
-    def record_end(
+    def record_end(  # noqa: B027
         self, key: tuple[str, str], outcome: str, first_event_ms: float = 0
     ) -> None:
         """Record the end of an attempt, or its first event.
@@ -64,10 +63,10 @@
             first_event_ms: Time to the first event; 0 if it says nothing.
         """
 
-    @abstractmethod
-    def forget(self, key: tuple[str, str]) -> None:
+    def forget(self, key: tuple[str, str]) -> None:  # noqa: B027
         """Drop an attempt whose end was lost."""
 
-    @abstractmethod
-    def retain(self, names: Collection[str], services: Collection[str]) -> None:
+    def retain(  # noqa: B027
+        self, names: Collection[str], services: Collection[str]
+    ) -> None:
         """Drop what is known of all other targets and services."""
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wagtailrun.clock import MS_PER_SECOND, Clock, drop_expired
+from wagtailrun.clock import Clock
 from wagtailrun.ports.target import TargetLoad
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
@@ -23,8 +23,6 @@
 # with each further refusal up to the maximum.
 MIN_EJECTION_MS = 300
 MAX_EJECTION_MS = 2_500
-# A target may ask for a pause of any length; a new incarnation ends it.
-MAX_PAUSE_MS = 24 * 3_600 * MS_PER_SECOND
 
 
 @attrs.frozen
@@ -108,9 +106,6 @@
         clock: Clock.
         rules: Rules of the entry.
         make_state: Makes the state of an incarnation of a target.
-
-    Attributes:
-        last_pause_ends_ms: When no target pauses any more.
     """
 
     def __init__(self, clock: Clock, rules: HealthRules, make_state: type[State]):
@@ -119,10 +114,6 @@
         self.make_state = make_state
         self.reads_announcements = rules.load_lifetime_ms is None
         self.states_by_name: dict[str, State] = {}
-        # Ends of the pauses that targets asked for, by name and incarnation. A pause
-        # holds for a target that is dropped and comes back, so no state contains it.
-        self.pause_ends_ms_by_key: dict[tuple[str, int], int] = {}
-        self.last_pause_ends_ms = 0
 
     def state(self, row: TargetRow, now_ms: int | None = None) -> State:
         """Return the state of a target, with the load that it announced.
@@ -197,11 +188,6 @@
         state = self.states_by_name.get(row.name)
         return state is not None and state.ejected_until_ms > self.clock.now_ms()
 
-    def is_paused(self, row: TargetRow) -> bool:
-        """Return whether a target asked for a pause that has not ended."""
-        ends_ms = self.pause_ends_ms_by_key.get((row.name, row.incarnation))
-        return ends_ms is not None and ends_ms > self.clock.now_ms()
-
     def record_start(self, row: TargetRow) -> None:
         """Record that an attempt was sent."""
         self.state(row)
@@ -281,16 +267,6 @@
         backoff_ms = MIN_EJECTION_MS << min(state.connect_failures - 1, 5)
         self._eject(row, min(backoff_ms, MAX_EJECTION_MS))
 
-    def record_pause(self, row: TargetRow, duration_ms: int) -> None:
-        """Record that a target asked for a pause; a shorter one ends none."""
-        now_ms = self.clock.now_ms()
-        drop_expired(self.pause_ends_ms_by_key, now_ms)
-        key = (row.name, row.incarnation)
-        until_ms = now_ms + min(duration_ms, MAX_PAUSE_MS)
-        known_ms = self.pause_ends_ms_by_key.get(key, until_ms)
-        self.pause_ends_ms_by_key[key] = max(known_ms, until_ms)
-        self.last_pause_ends_ms = max(self.last_pause_ends_ms, until_ms)
-
     def _eject(self, row: TargetRow, duration_ms: int) -> None:
         state = self.state(row)
         state.ejected_until_ms = self.clock.now_ms() + duration_ms
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -18,6 +18,7 @@
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
 from wagtailrun.targets.paths import PathObservations
+from wagtailrun.targets.pauses import PauseRules, TargetPauses
 from wagtailrun.targets.router_options import RouterOptions
 from wagtailrun.targets.silence import SilenceWatch
 from wagtailrun.targets.subset import choose_subset
@@ -39,6 +40,7 @@
     averages_decayed=False,
     load_lifetime_ms=None,
 )
+PAUSE_RULES = PauseRules(key=lambda row: row.name)
 # A local target is preferred unless a remote one is faster by this factor, because
 # links between data centres may fail. Using remote targets only when the deadline was
 # at risk cost 4 points of attainment at 90% load (docs/decisions.md).
@@ -235,6 +237,7 @@
         self.throttle = OutlierThrottle(clock)
         self.prefixes = PrefixIndex()
         self.health = TargetHealth(clock, HEALTH_RULES, HealthState)
+        self.pauses = TargetPauses(clock, PAUSE_RULES)
         self.paths: PathObservations = PathObservations(clock, data_centre, seed)
         self.silence: SilenceWatch = SilenceWatch(clock, was_held_since)
         # Targets with a measured pace of a stream.
@@ -263,10 +266,12 @@
             left_out = self.paths.names_left_out([*local_rows, *remote_rows])
             local_rows = [row for row in local_rows if row.name not in left_out]
             remote_rows = [row for row in remote_rows if row.name not in left_out]
-        if now_ms < self.health.last_pause_ends_ms:
-            paused = self._paused_names([*local_rows, *remote_rows], avoid)
-            local_rows = [row for row in local_rows if row.name not in paused]
-            remote_rows = [row for row in remote_rows if row.name not in paused]
+        if now_ms < self.pauses.last_end_ms:
+            rows = [*local_rows, *remote_rows]
+            last = [row.name for row in rows if self._is_last_resort(row, avoid)]
+            names = {row.name for row in self.pauses.admitted(rows, self.name, last)}
+            local_rows = [row for row in local_rows if row.name in names]
+            remote_rows = [row for row in remote_rows if row.name in names]
         if self.paths.hints.has_hints:
             without = self.paths.without_hints
             unhinted = without(local_rows), without(remote_rows)
@@ -315,19 +320,6 @@
             return subset.local, []
         return subset.local, subset.remote
 
-    def _paused_names(
-        self, rows: list[TargetRow], avoid: Collection[str]
-    ) -> frozenset[str]:
-        """Return the names of targets that pause, if another one can serve.
-
-        One that can serve may have no room now; work then waits for it.
-        """
-        paused = frozenset([row.name for row in rows if self.health.is_paused(row)])
-        for row in rows:
-            if row.name not in paused and not self._is_last_resort(row, avoid):
-                return paused
-        return frozenset()
-
     def _is_last_resort(self, row: TargetRow, avoid: Collection[str]) -> bool:
         """Return whether ``row`` was chosen only for lack of a better target."""
         return row.name in avoid or self.paths.is_unreachable(row)
@@ -582,11 +574,11 @@
 
     def pause(self, target: TargetRow, duration_ms: int) -> None:
         """Send no new work to the target until then, while another can serve."""
-        self.health.record_pause(target, duration_ms)
+        self.pauses.record_pause(target, duration_ms)
 
     def is_paused(self, target: TargetRow) -> bool:
         """Return whether the target's pause is not over."""
-        return self.health.is_paused(target)
+        return self.pauses.left_ms(target) > 0
 
     def observe_cache(self, target: TargetRow, events: CacheEvents) -> None:
         """Apply cache events of a target that this entry uses.
