Keep the pauses of the relay in the filter of the product's entry

Cause: `TargetNotices` had its own form of the pauses that targets ask for.

Change: it owns a `TargetPauses` with the relay's rules: targets by address, a random delay of the return, one request at first after a pause. What is done if all targets pause stays with the entries: the relay waits or refuses, so that it asks `left_ms` and not `admitted`. What has to be told to other entries (`ReportPause`) stays in `TargetNotices`.

Ruled out: `admitted` with the rows of a choice at the relay. Two rows may have one address, and the pause there is that of the newest.

Conclusion: one form serves both entries, and each decides as before. Pauses of stage targets stay in `TargetState`.

--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -32,14 +32,10 @@
 from wagtailrun.exceptions import Refusal, TargetFailed, TargetPaused
 from wagtailrun.ports.link import Address
 from wagtailrun.relay.core.port import TargetNotice
-from wagtailrun.relay.limits.notices import (
-    MAX_PAUSE_MS,
-    MAX_RETURN_JITTER_MS,
-    TRIAL_TIMEOUT_MS,
-    TargetNotices,
-)
+from wagtailrun.relay.limits.notices import PAUSE_RULES, TargetNotices
 from wagtailrun.routes import RouteKind
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
+from wagtailrun.targets.pauses import MAX_PAUSE_MS
 from wagtailrun.targets.table import Membership, TargetRow
 from wagtailrun.targets.work import Work
 from wagtailrun.virtual_time import run_virtual
@@ -48,6 +44,8 @@
 ANSWER_S = 0.02
 DEADLINE_MS = 8_000
 LEAVING = ("Server-Leaving", "1")
+MAX_RETURN_JITTER_MS = PAUSE_RULES.max_jitter_ms
+TRIAL_TIMEOUT_MS = PAUSE_RULES.trial_timeout_ms
 ROW = TargetRow("t1", Address("10.0.0.1", 80), "s", "a", 4, incarnation=3)
 
 
@@ -366,7 +364,7 @@
         await clock.sleep_ms(3_700_000 if ended else 1_800_000)
         harness.notice = TargetNotice(False, 10)
         await harness.notices.record_answer(other.address, None, clock.now_ms())
-        is_kept = ROW.address in harness.notices.pauses_by_address
+        is_kept = ROW.address in harness.notices.pauses.pauses_by_key
         rows_by_address[ROW.address] = attrs.evolve(ROW, sequence=ROW.sequence + 1)
         return is_kept, harness.may_send()
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -4,13 +4,14 @@
 import pytest
 
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.limits import notices
 from wagtailrun.targets import routing
 from wagtailrun.targets.pauses import MAX_PAUSE_MS, TargetPauses
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
-RULES = [routing.PAUSE_RULES]
-both_entries = pytest.mark.parametrize("rules", RULES, ids=["entry"])
+RULES = [notices.PAUSE_RULES, routing.PAUSE_RULES]
+both_entries = pytest.mark.parametrize("rules", RULES, ids=["relay", "entry"])
 ROW = TargetRow("t", Address("10.0.0.1", 80), "s", "a", 4)
 OTHER = attrs.evolve(ROW, name="other", address=Address("10.0.0.2", 80))
 NEW = attrs.evolve(ROW, incarnation=1)
--- a/wagtailrun/relay/limits/notices.py
+++ b/wagtailrun/relay/limits/notices.py
@@ -1,9 +1,7 @@
 """What targets told about themselves: that they leave, pause or limit requests."""
 
-import random
 from collections.abc import Awaitable, Callable
 
-import attrs
 import curio
 
 from wagtailrun.adapters.target_observer import (
@@ -19,39 +17,23 @@
 from wagtailrun.relay.core.port import MalformedBound, RelayWire, TargetNotice
 from wagtailrun.relay.limits.send_grants import GrantClient
 from wagtailrun.relay.paths.tunnel_messages import PauseNoted, ReportPause
-from wagtailrun.targets.pauses import MAX_PAUSE_MS
+from wagtailrun.targets.pauses import PauseRules, TargetPauses
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["TargetNotices"]
 
-# After a pause one request is sent at first. Without an answer, another one follows
-# after this time.
-TRIAL_TIMEOUT_MS = 2_000
-# Entries that a target paused together return at random times: the delay is at most
-# this share of the pause.
-RETURN_JITTER_SHARE = 0.25
-MAX_RETURN_JITTER_MS = 1_000
+PAUSE_RULES = PauseRules(
+    key=lambda row: row.address,
+    jitter_share=0.25,
+    max_jitter_ms=1_000,
+    trial_timeout_ms=2_000,
+)
 # A request is sent within this time after its permit was requested.
 PERMIT_LIFETIME_MS = 500
 # The same for a cold target, whose bound holds for each second.
 COLD_PERMIT_LIFETIME_MS = 200
 
 
-@attrs.define
-class _Pause:
-    """Pause that a target asked for.
-
-    Attributes:
-        incarnation: Incarnation of the target.
-        until_ms: End of the pause.
-        trial_until_ms: Until when the request that ended it may take; 0 before it.
-    """
-
-    incarnation: int
-    until_ms: int
-    trial_until_ms: int = 0
-
-
 class TargetNotices(TargetObserver):
     """Applies what the answers of targets say about the targets.
 
@@ -79,8 +61,9 @@
         self.wire = wire
         self.view = view
         self.grants = grants
-        self.random = random.Random(seed)
-        self.pauses_by_address: dict[Address, _Pause] = {}
+        self.pauses = TargetPauses(
+            clock, PAUSE_RULES, seed, lambda row: view.row_at(row.address)
+        )
         # Until when requests of an urgency were denied because of a target's limit.
         self.denials_by_address: dict[Address, dict[int, int]] = {}
 
@@ -103,7 +86,7 @@
                     daemon=True,
                 )
         else:
-            self._end_trial(address)
+            self.pauses.end_trial(row)
         limits = self.view.limits
         for bound, record in (
             (notice.limit_per_s, limits.record_answer),
@@ -226,14 +209,8 @@
 
     def pause_left_ms(self, address: Address) -> int:
         """Return how long a target wants no requests of this VM, limits aside."""
-        pause = self.pauses_by_address.get(address)
-        if pause is None:
-            return 0
-        row = self.view.row_at(address)
-        if row is not None and row.incarnation != pause.incarnation:
-            del self.pauses_by_address[address]
-            return 0
-        return max(max(pause.until_ms, pause.trial_until_ms) - self.clock.now_ms(), 0)
+        row = self._paused_row(address)
+        return 0 if row is None else self.pauses.left_ms(row)
 
     def begin_carried_request(self, address: Address) -> int:
         """Return how long a target wants no requests of this VM, limits aside.
@@ -247,9 +224,13 @@
         return left_ms
 
     def _begin_trial(self, address: Address) -> None:
-        pause = self.pauses_by_address.get(address)
-        if pause is not None:
-            pause.trial_until_ms = self.clock.now_ms() + TRIAL_TIMEOUT_MS
+        row = self._paused_row(address)
+        if row is not None:
+            self.pauses.begin_trial(row)
+
+    def _paused_row(self, address: Address) -> TargetRow | None:
+        """Return the target at an address, also if its row was dropped in its pause."""
+        return self.view.row_at(address) or self.pauses.row(address)
 
     def handle(self, message: ReportPause) -> PauseNoted:
         """Record the pause that a target asked for in an answer carried here."""
@@ -283,16 +264,7 @@
         denials[urgency] = now_ms + wait_ms
 
     def _pause(self, row: TargetRow, asked_ms: int) -> None:
-        pause_ms = min(asked_ms, MAX_PAUSE_MS)
-        jitter_ms = min(pause_ms * RETURN_JITTER_SHARE, MAX_RETURN_JITTER_MS)
-        until_ms = self.clock.now_ms() + pause_ms
-        until_ms += int(self.random.uniform(0, jitter_ms))
-        known = self.pauses_by_address.get(row.address)
-        if known is not None and known.incarnation == row.incarnation:
-            # An answer to an earlier request may arrive after one to a later request.
-            until_ms = max(until_ms, known.until_ms)
-        self.pauses_by_address[row.address] = _Pause(row.incarnation, until_ms)
-        self._drop_expired()
+        pause_ms = self.pauses.record_pause(row, asked_ms)
         events.log(
             events.TARGET_NOTICE,
             target=row.name,
@@ -301,22 +273,6 @@
             pause_ms=pause_ms,
         )
 
-    def _end_trial(self, address: Address) -> None:
-        """End a pause after an answer that asks for none."""
-        pause = self.pauses_by_address.get(address)
-        if pause is not None and pause.until_ms <= self.clock.now_ms():
-            del self.pauses_by_address[address]
-
-    def _drop_expired(self) -> None:
-        """Drop the pauses of targets that were replaced, or are gone for longer."""
-        now_ms = self.clock.now_ms()
-        for address, pause in list(self.pauses_by_address.items()):
-            row = self.view.row_at(address)
-            # The row of a target that is cut off for long is dropped, and comes back.
-            is_gone = row is None and pause.until_ms <= now_ms
-            if is_gone or (row is not None and row.incarnation != pause.incarnation):
-                del self.pauses_by_address[address]
-
 
 def _log_malformed(row: TargetRow, bound: MalformedBound) -> None:
     events.log(
