Send each partner the least recently sent load of targets first

Cause: A gossip message took the newest ten changes of load and counted all others as sent. Targets announce themselves once a second, so the same few places were filled with what others had sent already, and some targets' load never reached some entries. For another data centre the ten were taken before those that it may not use were removed, and confirmations that it is not sent took places of records. An entry with many forwards sent no record at all.

By reading: state rows and news of control members are sent oldest first with a mark of the last one examined; state rows that another data centre may not have are repeated when they become shared.

Entries of earlier software return the marks unchanged, and load spreads beside them. No requirement states an age.

--- a/wagtailrun/gossip/exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -1,6 +1,5 @@
 """Gossip exchanges: selects the changes a partner lacks and merges what it sends."""
 
-import itertools
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -8,6 +7,7 @@
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.gossip.configuration import ConfigDissemination
+from wagtailrun.gossip.growth import Source
 from wagtailrun.gossip.messages import (
     EntryRow,
     GossipExchange,
@@ -31,8 +31,10 @@
 # Limits of one message, derived from a budget of 4 KB/s for two exchanges and two
 # replies a second. An entry that receives the announcements of many targets spends its
 # share on forwards: each forward beyond USUAL_FORWARDS a round takes the place of one
-# growth record, and so does each confirmation of a revision.
+# growth record, and so does each confirmation of a revision. One record remains, as the
+# load of that entry's targets would otherwise reach only their watchers.
 GROWTH_PER_MESSAGE = 10
+MIN_GROWTH_PER_MESSAGE = 1
 USUAL_FORWARDS = 5
 ROWS_PER_MESSAGE = 40
 CONFIRMATIONS_PER_MESSAGE = 8
@@ -88,16 +90,18 @@
     ) -> EntryRow | None:
         """Exchange with the entry at ``address``; its row is None if it is unknown."""
         if row is None:
-            message = self._build_message(Partner(), None, None)
+            partner, local = Partner(), True
         else:
             partner = self.peers.partner(row)
             local = row.data_centre == self.peers.data_centre
-            message = self._build_message(partner, row, None, local)
+        message = self._build_message(partner, row, None, local)
+        growth = partner.growth.names
         try:
             reply = await self.client.call(address, message, EXCHANGE_TIMEOUT_MS)
         except PeerUnreachable:
-            return None
+            reply = None
         if not isinstance(reply, GossipExchange):
+            partner.growth.repeat(growth)
             return None
         if row is not None and reply.sender.incarnation == row.incarnation:
             self.peers.partner(row).sent = message.sent
@@ -121,6 +125,7 @@
         partner = self.peers.partner(sender)
         own = message.seen.incarnation == self.peers.own.incarnation
         partner.sent = message.seen if own else Marks(self.peers.own.incarnation)
+        partner.growth.record_seen(partner.sent.growth)
         local = sender.data_centre == self.peers.data_centre
         return self._build_message(partner, sender, message, local)
 
@@ -194,16 +199,15 @@
         if row is not None and self._is_suspected(row) and row.name not in entries:
             # The partner can refute a suspicion only once it knows of it.
             entries.append(row.name)
-        grown = membership.update_log.changed_since(sent.growth)
         confirmed, confirmed_mark = peers.confirmed_log.first_changed_since(
             sent.confirmed, CONFIRMATIONS_PER_MESSAGE
         )
-        extra = max(self.targets.forwards - USUAL_FORWARDS, 0) + len(confirmed)
-        growth = list(itertools.islice(grown, max(GROWTH_PER_MESSAGE - extra, 0)))
         if not local:
             targets = [name for name in targets if self._is_fallback_target(name)]
-            growth = [name for name in growth if self._is_fallback_target(name)]
             entries, confirmed = [], []
+        extra = max(self.targets.forwards - USUAL_FORWARDS, 0) + len(confirmed)
+        limit = max(GROWTH_PER_MESSAGE - extra, MIN_GROWTH_PER_MESSAGE)
+        growth = self._select_growth(partner, local, limit)
         hook = self.hook_out(row.name) if row is not None and local else b""
         if len(hook) > MAX_HOOK_BYTES:
             raise ValueError(
@@ -215,7 +219,7 @@
             sent=Marks(
                 peers.own.incarnation,
                 targets_mark,
-                membership.update_log.number,
+                partner.growth.message,
                 entries_mark,
                 confirmed_mark,
             ),
@@ -232,6 +236,19 @@
             path_hints=self.own_hints() if row is not None and local else (),
         )
 
+    def _select_growth(self, partner: Partner, local: bool, limit: int) -> list[str]:
+        log = self.membership.update_log
+        if local:
+            return partner.growth.select(log, limit, source=self._source)
+        # Only the watchers exchange with other data centres, on behalf of all entries.
+        return partner.growth.select(log, limit, is_shared=self._is_fallback_target)
+
+    def _source(self, name: str) -> Source:
+        if self.membership.is_announced_here(name):
+            return Source.ANNOUNCED
+        watched = name in (self.membership.watched_since_ms_by_name or ())
+        return Source.WATCHED if watched else Source.GOSSIP
+
     def _is_suspected(self, row: EntryRow) -> bool:
         known = self.peers.rows_by_name.get(row.name)
         return known is not None and known.health != Health.ALIVE
--- /dev/null
+++ b/wagtailrun/gossip/growth.py
@@ -0,0 +1,101 @@
+"""Choice of the growth records of a message to a partner."""
+
+import enum
+import heapq
+from collections.abc import Callable
+
+import attrs
+
+from wagtailrun.targets.table import ChangeLog
+
+__all__ = ["GrowthProgress", "Source"]
+
+# One in so many records is kept for targets that announce themselves to other entries,
+# so that load also reaches entries that cannot be reached by those.
+OTHERS_SHARE = 5
+
+
+class Source(enum.IntEnum):
+    """How this entry learns of a target; smaller values have newer records."""
+
+    ANNOUNCED = 0
+    WATCHED = 1
+    GOSSIP = 2
+
+
+@attrs.define
+class GrowthProgress:
+    """Growth records sent to one partner.
+
+    Targets announce themselves once a second, which is more than the messages to one
+    partner can carry. What was sent is therefore kept by target: a mark in the change
+    log, whether the newest or the oldest changes are sent first, would leave out the
+    same targets each time.
+
+    Attributes:
+        message: Number of the newest message to the partner.
+        names: Targets whose records were in that message.
+        sent_by_name: Number of the newest change that was sent, by name of the target.
+    """
+
+    message: int = 0
+    names: list[str] = attrs.field(factory=list)
+    sent_by_name: dict[str, int] = attrs.field(factory=dict)
+
+    def select(
+        self,
+        log: ChangeLog,
+        limit: int,
+        is_shared: Callable[[str], bool] = lambda name: True,
+        source: Callable[[str], Source] = lambda name: Source.ANNOUNCED,
+    ) -> list[str]:
+        """Return the names of up to ``limit`` changed targets, and record them as sent.
+
+        Targets that announce themselves to this entry come first, because no other
+        entry has newer records of them. Those that it watches come next. Of each kind,
+        the least recently sent ones come first.
+
+        Args:
+            log: Changes of all targets.
+            limit: Number of records that the message may carry.
+            is_shared: Whether the partner may have a record of the target.
+            source: How this entry learns of the target.
+        """
+        sent_by_name = self.sent_by_name
+        numbers_by_name = log.change_numbers_by_name
+        announced: list[tuple[int, int, str]] = []
+        others: list[tuple[int, int, str]] = []
+        for name, number in numbers_by_name.items():
+            sent = sent_by_name.get(name, 0)
+            if number > sent and is_shared(name):
+                kind = source(name)
+                items = announced if kind == Source.ANNOUNCED else others
+                items.append((kind, sent, name))
+        others = heapq.nsmallest(limit, others)
+        kept = min(len(others), limit // OTHERS_SHARE)
+        announced = heapq.nsmallest(limit - kept, announced)
+        others = others[: limit - len(announced)]
+        names = [name for _, _, name in announced + others]
+        for name in names:
+            sent_by_name[name] = numbers_by_name[name]
+        for name in sent_by_name.keys() - numbers_by_name.keys():
+            del sent_by_name[name]
+        self.message += 1
+        self.names = names
+        return names
+
+    def repeat(self, names: list[str]) -> None:
+        """Have the records of targets sent again, because a message was lost."""
+        for name in names:
+            self.sent_by_name.pop(name, None)
+
+    def record_seen(self, message: int) -> None:
+        """Have the newest message's records sent again unless the partner has it.
+
+        Args:
+            message: Number of the newest message that the partner has, or 0.
+        """
+        if not message:
+            self.sent_by_name.clear()
+        elif message != self.message:
+            self.repeat(self.names)
--- a/wagtailrun/gossip/messages.py
+++ b/wagtailrun/gossip/messages.py
@@ -101,7 +101,12 @@
 
 @attrs.frozen
 class Marks:
-    """Numbers of the newest changes of one entry incarnation that were sent or seen."""
+    """Numbers of the newest changes of one entry incarnation that were sent or seen.
+
+    Only the entry that set them reads them; its partner returns them unchanged.
+    ``growth`` is the number of the message, see ``GrowthProgress``; earlier software
+    sends the number of a change.
+    """
 
     incarnation: int = 0
     targets: int = 0
--- a/wagtailrun/gossip/peers.py
+++ b/wagtailrun/gossip/peers.py
@@ -6,6 +6,7 @@
 import attrs
 import xxhash
 
+from wagtailrun.gossip.growth import GrowthProgress
 from wagtailrun.gossip.messages import Confirmation, EntryRow, Health, Marks
 from wagtailrun.targets.table import ChangeLog, short_id
 
@@ -31,10 +32,12 @@
     Attributes:
         seen: Changes of the partner that are known here.
         sent: Changes of this entry that are known to the partner.
+        growth: Growth records that were sent to the partner.
     """
 
     seen: Marks = Marks()
     sent: Marks = Marks()
+    growth: GrowthProgress = attrs.field(factory=GrowthProgress)
 
 
 class PeerTable:
--- a/wagtailrun/gossip/target_monitor.py
+++ b/wagtailrun/gossip/target_monitor.py
@@ -139,11 +139,7 @@
         if isolated:
             # Only targets whose newest announcement was received here directly can be
             # monitored without other entries.
-            direct_ms_by_name = self.membership.direct_contact_ms_by_name
-            newest_ms_by_name = self.membership.last_contact_ms_by_name
-            names = [
-                n for n in rows if direct_ms_by_name.get(n, -1) >= newest_ms_by_name[n]
-            ]
+            names = [n for n in rows if self.membership.is_announced_here(n)]
             self.selection_key = None
         else:
             confirming = now_ms < self.confirm_until_ms
--- a/wagtailrun/targets/table.py
+++ b/wagtailrun/targets/table.py
@@ -278,6 +278,11 @@
             self.names_to_push.add(row.name)
         return True
 
+    def is_announced_here(self, name: str) -> bool:
+        """Return whether the target's newest announcement was received directly."""
+        direct_ms = self.direct_contact_ms_by_name.get(name, -1)
+        return direct_ms >= self.last_contact_ms_by_name[name]
+
     def usable(self, service: str, now_ms: int) -> list[TargetRow]:
         """Return the local targets of ``service`` that may receive new work."""
         return [row for row in self.candidates(service, now_ms) if self.is_local(row)]
