Make the names of a data folder durable also after an interrupted creation

Cause: FileDisk synced the parent only where it had created the folder itself, once. A process that ended between mkdir and that sync, or whose sync failed, left a folder that each later start took for durable. Of several missing levels (data/control/consensus) only the last name was ever synced. A loss of power could then remove the folder with all that was acknowledged in it, and the member came back as one that has lost its disk. Ruled out: a record of the finished creation in the folder, as that record needs the same sync. Syncing all parents up to the root at each start: not needed, as a folder gets a child only once its own name is durable. Before / after: .venv/bin/pytest -n 2 tests/test_file_disk.py. Before, all 22 cases of test_folder_whose_creation_was_interrupted_is_durable failed (21 with names that a loss of power removes, 1 ended at a step of the second start that the first did not reach). After, all tests of the file pass. Existing tests: test_new_names_are_synced_in_the_folder, test_resync_writes_the_tail_again_in_place and test_names_of_an_earlier_process_are_synced list all syncs; each now names the one of the parent at the opening as well. Conclusion: the name of a folder is durable before anything in it is. A parent that the process may not read and write is skipped, as the process has not created a folder in it. Shown with traced calls, not with a loss of power.

--- a/tests/test_file_disk.py
+++ b/tests/test_file_disk.py
@@ -1,5 +1,6 @@
 """Tests of ``FileDisk`` on the real file system."""
 
+import contextlib
 import os
 from pathlib import Path
 
@@ -108,6 +109,9 @@
 
     async def main():
         disk = FileDisk(tmp_path)
+        await disk.names()
+        # The name of the folder itself, which an earlier process may have created.
+        assert synced == [str(tmp_path.parent)]
         for call in (disk.append, disk.write):
             synced.clear()
             await call(call.__name__, b"x")
@@ -119,6 +123,98 @@
     curio.run(main)
 
 
+class ProcessEnded(BaseException):
+    """The process ended at a step of the creation of its folder."""
+
+
+class FolderNames:
+    """Which names of folders a loss of power would remove, and an end at one step.
+
+    Args:
+        patch: Replaces the functions of the operating system.
+        end_at: Number of the step at which ``error`` is raised, from 1 on.
+        error: What is raised there.
+    """
+
+    def __init__(self, patch, end_at, error):
+        self.steps = 0
+        self.end_at = end_at
+        self.error = error
+        self.unsynced = set()
+        self.real_fsync = os.fsync
+        self.real_mkdir = os.mkdir
+        patch.setattr(os, "fsync", self.fsync)
+        patch.setattr(os, "mkdir", self.mkdir)
+
+    def step(self):
+        self.steps += 1
+        if self.steps == self.end_at:
+            raise self.error
+
+    def mkdir(self, path, *arguments):
+        self.step()
+        self.real_mkdir(path, *arguments)
+        self.unsynced.add(Path(path))
+        self.step()
+
+    def fsync(self, descriptor):
+        self.step()
+        self.real_fsync(descriptor)
+        folder = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        self.unsynced = {path for path in self.unsynced if path.parent != folder}
+
+
+@pytest.mark.parametrize("error", [ProcessEnded(), OSError(5, "Input/output error")])
+@pytest.mark.parametrize("end_at", range(1, 12))
+def test_folder_whose_creation_was_interrupted_is_durable(
+    tmp_path, monkeypatch, end_at, error
+):
+    """Guards against synced files in a folder that a loss of power removes.
+
+    The step that makes the name of a new folder durable is due once, and was left out
+    by the next start, or the next attempt, if the first one ended before it.
+    """
+    names = FolderNames(monkeypatch, end_at, error)
+
+    async def main():
+        disk = FileDisk(tmp_path / "data" / "control" / "consensus")
+        with contextlib.suppress(ProcessEnded, DiskFault):
+            await disk.append("a", b"x")
+        if isinstance(error, ProcessEnded):
+            disk.close()
+            disk = FileDisk(disk.folder)
+        await disk.append("a", b"y")
+        await disk.sync("a")
+        disk.close()
+
+    curio.run(main)
+    assert names.steps > 6
+    assert names.unsynced == set()
+
+
+def test_folder_in_one_that_may_not_be_read_is_opened(tmp_path, monkeypatch):
+    """Guards against a data folder that its platform made and that cannot be used."""
+    folder = tmp_path / "made"
+    folder.mkdir()
+    real = os.open
+
+    def refuse(path, *arguments):
+        if Path(path) == tmp_path:
+            raise PermissionError(13, "Permission denied")
+        return real(path, *arguments)
+
+    monkeypatch.setattr(os, "open", refuse)
+    monkeypatch.setattr(os, "access", lambda path, mode: Path(path) != tmp_path)
+
+    async def main():
+        disk = FileDisk(folder)
+        await disk.append("a", b"x")
+        assert await disk.names() == ["a"]
+        disk.close()
+
+    curio.run(main)
+
+
 def test_folder_is_locked(tmp_path):
     """Guards against two processes that write to the same folder."""
 
@@ -161,6 +257,7 @@
         await disk.resync("a", 5)
         path = str(tmp_path / "a")
         assert calls == [
+            ("fsync", str(tmp_path.parent)),
             ("write", path, b"second"),
             ("fsync", path),
             ("fsync", str(tmp_path)),
@@ -244,7 +341,7 @@
         disk = FileDisk(tmp_path)
         await disk.append("a", b"x")
         await disk.sync("a")
-        assert synced == [str(tmp_path)]
+        assert synced == [str(tmp_path.parent), str(tmp_path)]
 
     curio.run(main)
 
--- a/wagtailrun/adapters/file_disk.py
+++ b/wagtailrun/adapters/file_disk.py
@@ -187,9 +187,7 @@
         """Create and lock the folder, once."""
         if self.lock_descriptor is not None:
             return
-        if not self.folder.is_dir():
-            self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-            _sync_folder(self.folder.parent)
+        _make_folder(self.folder, 0o700)
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         descriptor = os.open(self.folder / LOCK_NAME, flags, 0o600)
         try:
@@ -249,6 +247,22 @@
         view = view[os.write(descriptor, view) :]
 
 
+def _make_folder(folder: Path, mode: int = 0o777) -> None:
+    """Create ``folder`` and its missing parents, and make their names durable.
+
+    An earlier process may have ended between the creation of a folder and the sync of
+    its name, so the name of an existing folder is synced as well.
+    """
+    parent = folder.parent
+    if not folder.is_dir():
+        _make_folder(parent)
+        folder.mkdir(mode=mode, exist_ok=True)
+        _sync_folder(parent)
+    elif os.access(parent, os.R_OK | os.W_OK):
+        # A process that may not write to the parent has not created the folder.
+        _sync_folder(parent)
+
+
 def _sync_folder(folder: Path) -> None:
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
