Go on with a trace whose last line an ended process left unfinished

Cause: a process that is killed, or loses its power, in a write of its trace leaves a part of a line. The next start appended its header behind it, so that one line in the middle is no JSON and the replay reads nothing of the file. Within one process a write that fails was taken back already. Ruled out: a line break in front of the header, as the replay reads each line. Before / after: .venv/bin/pytest tests/test_trace_recorder.py. Before, the three cases of test_trace_of_a_process_that_ended_in_a_write_goes_on failed with JSONDecodeError. After, all 8 tests of the file pass. Conclusion: the unfinished line is removed before the next write; of an entry that ends in a write, that record is lost. A file that was edited by hand and ends without a line break loses its last line as well.

--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -38,6 +38,30 @@
     assert (report.requests, report.complete) == (21, 21)
 
 
+@pytest.mark.parametrize("cut", [1, 10, 200_000])
+def test_trace_of_a_process_that_ended_in_a_write_goes_on(tmp_path, cut):
+    """Guards against a later header behind an unfinished line, which no replay reads.
+
+    ``cut`` bytes of a line of 200 KB are missing, or all that were written.
+    """
+    path = tmp_path / "trace.jsonl"
+    record = {"kind": "arrival", "at": 0, "workspace": "w", "call": "c" * 200_000}
+    line = json.dumps(record) + "\n"
+    path.write_text("{}\n" + line[:-cut])
+
+    def recorder():
+        return TraceRecorder(
+            str(path), SystemClock(), "entry", "east", lambda: FLEET, list
+        )
+
+    for each in (recorder(), recorder()):
+        each.record_arrival(0, "stockists", pipeline="p", prompt_chars=1, output=1)
+        curio.run(each.flush)
+    lines = [json.loads(text) for text in path.read_text().splitlines()]
+    kinds = [each.get("kind") for each in lines]
+    assert kinds == [None, "header", "arrival", "header", "arrival"]
+
+
 def test_memory_is_bounded(tmp_path):
     """Guards against unbounded memory while there is no fleet configuration."""
     path = str(tmp_path / "trace.jsonl")
--- a/wagtailrun/observation/trace_recorder.py
+++ b/wagtailrun/observation/trace_recorder.py
@@ -19,6 +19,7 @@
 # At the design size an entry receives 18 requests/s, so this covers about 10 minutes.
 MAX_BUFFERED_RECORDS = 10_000
 CHARS_PER_TOKEN = 4
+READ_BYTES = 64 * 1024
 REPLAY_SEED = 1
 # Speeds of the emulated targets in a recorded header; the operator replaces them by
 # measured ones.
@@ -137,9 +138,14 @@
         self.dropped += len(records) - len(self.records)
 
     def _append(self, data: bytes) -> None:
-        """Append ``data`` as a whole, or nothing of it."""
-        with self.path.open("ab", buffering=0) as file:
-            size = os.fstat(file.fileno()).st_size
+        """Append ``data`` as a whole, or nothing of it.
+
+        An unfinished last line, of a process that ended in a write, is removed first.
+        """
+        with self.path.open("a+b", buffering=0) as file:
+            size = _size_of_whole_lines(file.fileno())
+            if size < os.fstat(file.fileno()).st_size:
+                file.truncate(size)
             view = memoryview(data)
             try:
                 while view:
@@ -168,3 +174,15 @@
             "targets": groups,
             "outcomes": {},
         }
+
+
+def _size_of_whole_lines(descriptor: int) -> int:
+    """Return the size of a file without the line at its end that is unfinished."""
+    end = os.fstat(descriptor).st_size
+    while end:
+        start = max(end - READ_BYTES, 0)
+        newline = os.pread(descriptor, end - start, start).rfind(b"\n")
+        if newline >= 0:
+            return start + newline + 1
+        end = start
+    return 0
