--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,6 +9,7 @@
 from wagtailrun.adapters.tcp_link import MAX_FRAME_BYTES
 from wagtailrun.codec import encode
 from wagtailrun.discovery import ConfigurationFormat, FleetView, Hub, News, NewsMarks
+from wagtailrun.discovery.hub import ENTRY_TIMEOUT_MS
 from wagtailrun.discovery.messages import (
     AgedEntry,
     PollNews,
@@ -272,6 +273,26 @@
     assert run(scenario) == (["t1", "t2"], last, True)
 
 
+def test_entry_whose_clock_was_set_back_between_two_starts_is_known_again():
+    """Guards against an entry that nobody knows until its clock has caught up.
+
+    An incarnation begins with the wall time of the start and is kept nowhere.
+    """
+    before = attrs.evolve(ENTRY, incarnation=100)
+
+    async def scenario(controls, clock):
+        first = await curio.spawn(controls.view(before).run, daemon=True)
+        await clock.sleep_ms(3_000)
+        known = [hub.entries_by_name["e1"].incarnation for hub in controls.hubs]
+        await first.cancel()
+        await curio.spawn(controls.view(ENTRY).run, daemon=True)
+        await clock.sleep_ms(2 * ENTRY_TIMEOUT_MS)
+        rows = [hub.entries_by_name.get("e1") for hub in controls.hubs]
+        return known, [row and row.incarnation for row in rows]
+
+    assert run(scenario) == ([100] * 3, [1] * 3)
+
+
 def test_many_long_rows_reach_a_restarted_member():
     """Guards against rows that together fit no frame, so that none arrives."""
     rows = [
