Keep all lines that were proposed for a period until it is closed

Cause: the leader writes the lines of a period to one file and proposes their digest. If it does not learn whether the command was committed, or ends before that, its next step replaced the file by the lines of that time. If rows had arrived meanwhile and the first command was committed, no member had the agreed lines: the period was never frozen, and no later one was closed. Ruled out: proposing the earlier lines again (rows may have been recorded in an earlier period since); a read barrier before a proposal (it does not cover a command that is not committed yet). Conclusion: each proposal has a file of its own, removed once the period is closed; a file of an earlier build is still read. Partial: if the leader loses its disk after the command and before another member has fetched the lines, they are still lost.

--- a/tests/test_period_closing.py
+++ b/tests/test_period_closing.py
@@ -1,14 +1,18 @@
 """Tests of closing accounting periods through the replicated log."""
 
+import pytest
+
 from tests.fake_network import FakeNetwork
-from tests.test_accounts import MemoryDisk, attempt
+from tests.test_accounts import MemoryDisk, attempt, message_of, refusal_table
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.accounts.lines import period_of
+from wagtailrun.accounts.periods import ClosedPeriods
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.control.service import ControlService
+from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
@@ -52,3 +56,87 @@
     agreed, digests, lines = run_virtual(main)
     assert digests == [agreed, agreed]
     assert lines[0] == lines[1] != []
+
+
+class LateLog(LocalLog):
+    """Log whose commands are committed after their proposers have given up."""
+
+    def __init__(self, machine):
+        super().__init__(machine)
+        self.pending = []
+
+    async def propose(self, command, timeout_ms):
+        self.pending.append(command)
+        raise ConsensusUnavailable("no quorum in time", may_have_committed=True)
+
+    async def commit(self):
+        for command in self.pending:
+            await super().propose(command, 0)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_period_is_frozen_with_lines_that_were_proposed_before_others(restarts):
+    """Guards against a period whose agreed lines no member has any more.
+
+    No later period could be closed then. The leader ends, or goes on, before it knows
+    whether its first proposal was committed, and gets more rows before its second one.
+    """
+
+    async def main(clock):
+        network = FakeNetwork(clock)
+        registry = Registry()
+        log = LateLog(registry)
+        disks = [MemoryDisk() for _ in MEMBERS]
+
+        async def start(number):
+            address, other = MEMBERS[number], MEMBERS[1 - number]
+            link = network.link(address)
+            store = AccountStore(clock, disks[number], str(address), [other], link)
+            await store.open()
+            network.handlers_by_address[address] = store.handle
+            service = ControlService(clock, str(address), registry, log)
+            return PeriodCloser(service, store)
+
+        closers = [await start(number) for number in range(2)]
+        start_ms = clock.wall_ms()
+        period = period_of(start_ms)
+        await closers[0].accounts.handle(message_of(refusal_table(start_ms, 3)))
+        await clock.sleep_ms(DAY_MS + 3_600_000)
+        await closers[0].step()
+        if restarts:
+            disks[0].restart()
+            closers[0] = await start(0)
+        await closers[0].accounts.handle(message_of(refusal_table(start_ms, 5)))
+        await closers[0].step()
+        await log.commit()
+        for closer in closers:
+            await closer.step()
+        digests = [c.accounts.digests_by_period.get(period) for c in closers]
+        names = await disks[0].names()
+        agreed = registry.closed_periods_by_name[period].digest
+        return len(log.pending), agreed, digests, names
+
+    proposals, agreed, digests, names = run_virtual(main)
+    assert proposals == 2
+    assert digests == [agreed, agreed]
+    assert not [name for name in names if name.startswith("accounts-prepared")]
+
+
+def test_lines_that_an_earlier_build_has_prepared_are_found():
+    """Guards against a period that nobody can freeze after an upgrade."""
+
+    async def main(clock):
+        disk = MemoryDisk()
+        periods = ClosedPeriods(disk)
+        digest = await periods.prepare("2026-01-01", b"[]")
+        (name,) = await disk.names()
+        disk.durable["accounts-prepared-2026-01-01"] = disk.durable.pop(name)
+        found = await periods.load_prepared("2026-01-01", digest)
+        other = await periods.load_prepared("2026-01-01", digest[::-1])
+        await periods.freeze("2026-01-01", digest, b"[]")
+        await periods.remove_superseded()
+        return found, other, await disk.names()
+
+    found, other, names = run_virtual(main)
+    assert (found, other) == (b"[]", None)
+    assert names == ["accounts-closed-2026-01-01"]
--- a/wagtailrun/accounts/periods.py
+++ b/wagtailrun/accounts/periods.py
@@ -19,6 +19,8 @@
 PREPARED_PREFIX = "accounts-prepared-"
 # Thirteen months of days: a year's report plus a month to dispute it.
 RETAINED_PERIODS = 400
+# A period is a day in the form 2026-01-01.
+PERIOD_CHARS = 10
 # Digest and compressed lines.
 RECORDS_PER_FILE = 2
 
@@ -53,18 +55,25 @@
                 self.digests_by_period[name.removeprefix(CLOSED_PREFIX)] = digest
 
     async def prepare(self, period: str, content: bytes) -> str:
-        """Write the lines proposed for ``period``; return their digest."""
+        """Write the lines proposed for ``period``; return their digest.
+
+        Lines that were prepared before are kept: the command that proposed them may
+        still be committed.
+        """
         digest = digest_of(content)
-        await self._write(PREPARED_PREFIX + period, digest, content)
+        await self._write(_prepared_name(period, digest), digest, content)
         return digest
 
     async def load_prepared(self, period: str, digest: str) -> bytes | None:
         """Return the prepared lines if they have ``digest``, else None."""
-        name = PREPARED_PREFIX + period
-        if name not in await self.disk.names():
-            return None
-        offered, data = await self._read(name)
-        return decompress(data) if offered == digest else None
+        names = await self.disk.names()
+        # Earlier builds kept one file for each period, without the digest in its name.
+        for name in (_prepared_name(period, digest), PREPARED_PREFIX + period):
+            if name in names:
+                offered, data = await self._read(name)
+                if offered == digest:
+                    return decompress(data)
+        return None
 
     async def freeze(self, period: str, digest: str, content: bytes) -> None:
         """Write the agreed lines of ``period``."""
@@ -78,7 +87,7 @@
             del self.digests_by_period[old]
         for name in await self.disk.names():
             if name.startswith(PREPARED_PREFIX):
-                period = name.removeprefix(PREPARED_PREFIX)
+                period = name.removeprefix(PREPARED_PREFIX)[:PERIOD_CHARS]
                 if period in self.digests_by_period:
                     await self.disk.remove(name)
 
@@ -124,3 +133,7 @@
         except DiskFull:
             self.refused_bytes = len(data)
             raise
+
+
+def _prepared_name(period: str, digest: str) -> str:
+    return f"{PREPARED_PREFIX}{period}-{digest}"
