Let no failed call shorten the pause that a stage target asked for

Cause: the owner of a stage service keeps one time before which a target gets no call, and each failure replaced it. A call sent before the target asked for a pause, and that failed afterwards, left a pause of 40 ms to 2 s in place of the one asked for. Both entries keep the longer one. Ruled out: the longer of any two pauses. Pauses after failed connections are meant to become shorter once all targets are out of reach. Before / after: .venv/bin/pytest tests/test_stage_pool.py -k ends_no_pause: all 6 cases failed before and pass now. Conclusion: the pause that a target asked for is kept apart, and ends with its time or its incarnation.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -32,6 +32,7 @@
 from wagtailrun.stages.job import Job
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.pauses import MAX_PAUSE_MS
 from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
@@ -656,6 +657,34 @@
     assert called_ms[1] - called_ms[0] >= 1_500
 
 
+@pytest.mark.parametrize(
+    "failure",
+    [
+        TargetFailed("a shorter pause", verdict=Verdict.NOT_RUN, retry_after_ms=100),
+        TargetFailed("full", verdict=Verdict.NOT_RUN),
+        TargetFailed("reset", verdict=Verdict.MAY_HAVE_RUN),
+        ConnectFailed("timed out"),
+        ConnectFailed("refused", confirmed=True),
+        ConnectShortage("no descriptors", 100),
+    ],
+    ids=str,
+)
+def test_failure_of_another_call_ends_no_pause(failure):
+    """Guards against calls to a pausing target after one sent before the pause fails.
+
+    Both entries keep the longer pause, too; a new incarnation ends it.
+    """
+    state = TargetState()
+    state.note_incarnation(1)
+    pause = TargetFailed("full", verdict=Verdict.NOT_RUN, retry_after_ms=60_000)
+    state.record_failure(pause, 1_000, True)
+    state.record_failure(failure, 2_000, True)
+    assert state.pause_until_ms == 61_000
+    state.note_incarnation(2)
+    state.record_failure(failure, 2_000, True)
+    assert state.pause_until_ms < 10_000
+
+
 def test_pause_ends_with_the_incarnation_that_asked_for_it():
     """Guards against a target that is unused because of one before it."""
 
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -527,7 +527,7 @@
             self.memory.record_refusal(row.address, size, usable, until_ms)
         else:
             # No memory is configured, so that no size tells what it has room for.
-            target_state.pause_until_ms = now_ms + REFUSAL_PAUSE_MS
+            target_state.pause(now_ms + REFUSAL_PAUSE_MS)
 
     def _requeue(self, job: Job, piece: int, may_have_run: bool) -> None:
         """Queue a piece again.
--- a/wagtailrun/stages/target_state.py
+++ b/wagtailrun/stages/target_state.py
@@ -34,6 +34,7 @@
         calls: Number of calls in progress.
         busy_until_ms: When the last of them is expected to end.
         pause_until_ms: Time before which the target gets no call.
+        asked_until_ms: End of the pause that the target itself asked for.
         failures: Number of consecutive failed calls.
         lost_paths: Number of consecutive calls that could not be sent, because this
             entry has no path to the target.
@@ -48,6 +49,7 @@
     calls: int = 0
     busy_until_ms: int = 0
     pause_until_ms: int = 0
+    asked_until_ms: int = 0
     failures: int = 0
     lost_paths: int = 0
     overdue_calls: int = 0
@@ -68,13 +70,21 @@
     def note_incarnation(self, incarnation: int) -> None:
         """End the pause of an earlier incarnation of the target."""
         if self.incarnation is not None and incarnation > self.incarnation:
-            self.pause_until_ms = 0
+            self.pause_until_ms = self.asked_until_ms = 0
         if self.incarnation is None or incarnation > self.incarnation:
             self.incarnation = incarnation
 
     def pause_only(self) -> "TargetState":
         """Return the state of the target as if only its pause were known."""
-        return TargetState(self.incarnation, pause_until_ms=self.pause_until_ms)
+        return TargetState(
+            self.incarnation,
+            pause_until_ms=self.pause_until_ms,
+            asked_until_ms=self.asked_until_ms,
+        )
+
+    def pause(self, until_ms: int) -> None:
+        """Send no call before a time, or before the pause that the target asked for."""
+        self.pause_until_ms = max(until_ms, self.asked_until_ms)
 
     def record_answer(self, now_ms: int) -> None:
         """Record that a call was answered."""
@@ -97,20 +107,22 @@
                 # The target is full, or another one has taken over its address; the
                 # next update of its row shows which.
                 pause_ms = max(REFUSAL_PAUSE_MS, failure.retry_after_ms)
-                self.pause_until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+                until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+                self.asked_until_ms = max(until_ms, self.asked_until_ms)
+                self.pause(self.asked_until_ms)
                 return False
         elif isinstance(failure, ConnectShortage):
-            self.pause_until_ms = now_ms + SHORTAGE_PAUSE_MS
+            self.pause(now_ms + SHORTAGE_PAUSE_MS)
             return False
         elif not failure.confirmed:
             # The path failed, which says nothing about the target and its results.
             self.lost_paths += 1
             # An entry that is cut off from all of them may be so for a moment only.
             tries = self.lost_paths if other_is_usable else 1
-            self.pause_until_ms = now_ms + backoff_ms(tries)
+            self.pause(now_ms + backoff_ms(tries))
             return False
         self.failures += 1
-        self.pause_until_ms = now_ms + backoff_ms(self.failures)
+        self.pause(now_ms + backoff_ms(self.failures))
         return True
 
     def record_duration(self, took_ms: int, expected_ms: float) -> None:
