Record the pause of a target whose incarnation became smaller

Cause: the common filter of pauses kept the pause of the greater incarnation of a target and recorded none for a smaller one. A target whose clock was set back, and which then asked for a pause, got requests during it: at the product's entry until the old pause had ended, at the relay without end. Ruled out: dropping the known pause at each other incarnation. A late answer to an attempt at an earlier incarnation would then end the pause of the present one. Before / after: .venv/bin/pytest tests/test_pauses.py: both cases of test_target_with_a_smaller_incarnation_can_pause failed and pass now; the tests of notices, routing, health, next target and upkeep pass. Conclusion: the product's entry keeps pauses by name and incarnation again, and the relay drops those of rows that it does not know any more.

--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -64,6 +64,18 @@
     assert pauses.left_ms(NEW) == before_ms > 0
 
 
+@both_entries
+def test_target_with_a_smaller_incarnation_can_pause(rules):
+    """Guards against requests to a pausing target whose clock was set back."""
+    clock = VirtualClock()
+    pauses = TargetPauses(clock, rules, 1, lambda row: ROW)
+    pauses.record_pause(NEW, 5_000)
+    pauses.record_pause(ROW, 50_000)
+    assert pauses.left_ms(ROW) >= 50_000
+    wait(clock, 50_000 + rules.max_jitter_ms)
+    assert not pauses.left_ms(ROW)
+
+
 @both_entries
 def test_choice_is_left_a_target_if_all_pause_or_were_tried(rules):
     """Guards against work without a target while one could be tried."""
--- a/wagtailrun/targets/pauses.py
+++ b/wagtailrun/targets/pauses.py
@@ -20,7 +20,8 @@
     """Rules in which the two entries differ.
 
     Attributes:
-        key: Returns what identifies a target, incarnations aside.
+        key: Returns what identifies a target. Without the incarnation, the pause of a
+            later one replaces that of an earlier one.
         jitter_share: Entries that a target paused together return at random times: the
             delay is at most this share of the pause.
         max_jitter_ms: Longest delay.
@@ -114,6 +115,7 @@
         Returns:
             Length of the pause in milliseconds, without a random delay.
         """
+        self._drop_expired()
         pause_ms = min(asked_ms, MAX_PAUSE_MS)
         jitter_ms = min(pause_ms * self.rules.jitter_share, self.rules.max_jitter_ms)
         until_ms = self.clock.now_ms() + pause_ms
@@ -125,7 +127,6 @@
         if known is not None or key not in self.pauses_by_key:
             self.pauses_by_key[key] = _Pause(row, until_ms)
             self.last_end_ms = max(self.last_end_ms, until_ms)
-        self._drop_expired()
         return pause_ms
 
     def begin_trial(self, row: TargetRow) -> None:
@@ -155,7 +156,8 @@
         now_ms = self.clock.now_ms()
         for key, pause in list(self.pauses_by_key.items()):
             row = self.successor(pause.row)
-            if row is not None:
-                self._pause(row)
-            elif pause.until_ms <= now_ms:
+            is_gone = row is None and pause.until_ms <= now_ms
+            # A target whose clock was set back has a smaller incarnation.
+            is_replaced = row is not None and row.incarnation != pause.row.incarnation
+            if is_gone or is_replaced:
                 del self.pauses_by_key[key]
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -40,7 +40,7 @@
     averages_decayed=False,
     load_lifetime_ms=None,
 )
-PAUSE_RULES = PauseRules(key=lambda row: row.name)
+PAUSE_RULES = PauseRules(key=lambda row: (row.name, row.incarnation))
 # A local target is preferred unless a remote one is faster by this factor, because
 # links between data centres may fail. Using remote targets only when the deadline was
 # at risk cost 4 points of attainment at 90% load (docs/decisions.md).
