Demand all methods of a filter that learns of attempts

Cause: with the filter of pauses, which learns nothing of attempts, the methods of TargetFilter that record them lost their @abstractmethod. A filter that forgets one of them would have passed silently. Ruled out: methods without effect in the filter of pauses, which nobody calls. Conclusion: TargetFilter demands the choice only, AttemptFilter the records of attempts as well.

--- a/wagtailrun/targets/filters.py
+++ b/wagtailrun/targets/filters.py
@@ -5,16 +5,11 @@
 
 from wagtailrun.targets.table import TargetRow
 
-__all__ = ["TargetFilter"]
+__all__ = ["AttemptFilter", "TargetFilter"]
 
 
 class TargetFilter(ABC):
-    """Narrows and ranks the targets of a choice by what attempts have shown of them.
-
-    Who chooses the targets owns it and reports each attempt that was placed, by the
-    identifier of the attempt or its request and the name of the target. A filter that
-    learns nothing of attempts ignores them.
-    """
+    """Narrows the targets of a choice; who chooses the targets owns it."""
 
     @abstractmethod
     def admitted(
@@ -36,11 +31,20 @@
             begin: Whether an attempt starts now.
         """
 
+
+class AttemptFilter(TargetFilter):
+    """Narrows and ranks the targets of a choice by what attempts have shown of them.
+
+    Its owner reports each attempt that was placed, by the identifier of the attempt or
+    its request and the name of the target.
+    """
+
+    @abstractmethod
     def penalties_ms(self, rows: Sequence[TargetRow], entry: str) -> dict[str, float]:
         """Return the additional costs of targets to be spared, by their names."""
-        return {}
 
-    def begin(  # noqa: B027
+    @abstractmethod
+    def begin(
         self, key: tuple[str, str], row: TargetRow, reporter: str, expected_ms: float
     ) -> None:
         """Record an attempt that starts now.
@@ -52,7 +56,8 @@
             expected_ms: Expected time to its first event.
         """
 
-    def record_end(  # noqa: B027
+    @abstractmethod
+    def record_end(
         self, key: tuple[str, str], outcome: str, first_event_ms: float = 0
     ) -> None:
         """Record the end of an attempt, or its first event.
@@ -63,10 +68,10 @@
             first_event_ms: Time to the first event; 0 if it says nothing.
         """
 
-    def forget(self, key: tuple[str, str]) -> None:  # noqa: B027
+    @abstractmethod
+    def forget(self, key: tuple[str, str]) -> None:
         """Drop an attempt whose end was lost."""
 
-    def retain(  # noqa: B027
-        self, names: Collection[str], services: Collection[str]
-    ) -> None:
+    @abstractmethod
+    def retain(self, names: Collection[str], services: Collection[str]) -> None:
         """Drop what is known of all other targets and services."""
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -13,7 +13,7 @@
 from wagtailrun.ports.target import StageAnswer, TargetLoad
 from wagtailrun.targets.affinity import CacheEvents, PrefixIndex
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.filters import TargetFilter
+from wagtailrun.targets.filters import AttemptFilter
 from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
@@ -66,7 +66,7 @@
     """
 
     paths: PathObservations | None = None
-    silence: TargetFilter | None = None
+    silence: AttemptFilter | None = None
     name = ""
 
     @abstractmethod
--- a/wagtailrun/targets/silence.py
+++ b/wagtailrun/targets/silence.py
@@ -13,7 +13,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.targets.attempt_ends import RunOutcome
-from wagtailrun.targets.filters import TargetFilter
+from wagtailrun.targets.filters import AttemptFilter
 from wagtailrun.targets.lowered_shares import (
     ALL_ENTRIES,
     SILENT,
@@ -124,7 +124,7 @@
         return LATENESS_FACTOR * max(late_ms, 0.0)
 
 
-class SilenceWatch(TargetFilter):
+class SilenceWatch(AttemptFilter):
     """Watches attempts until their first events, and lowers the share of targets.
 
     What one reporter saw counts for itself at once. For all others it counts with what
@@ -178,7 +178,7 @@
     def begin(
         self, key: tuple[str, str], row: TargetRow, reporter: str, expected_ms: float
     ) -> None:
-        """Watch an attempt that starts now; see ``TargetFilter``."""
+        """Watch an attempt that starts now; see ``AttemptFilter``."""
         self.forget(key)
         if not reporter:
             return
@@ -195,7 +195,7 @@
     def record_end(
         self, key: tuple[str, str], outcome: str, first_event_ms: float = 0
     ) -> None:
-        """Record the end of an attempt, or its first event; see ``TargetFilter``."""
+        """Record the end of an attempt, or its first event; see ``AttemptFilter``."""
         match outcome:
             case RunOutcome.SUCCEEDED:
                 self._record_first_event(key, first_event_ms)
