Bound the pause that an earlier build hands over with a stage service

Cause: since the pauses of stage targets outlast their rows, they are bounded where a target asks for one, but not where an owner hands them over. An owner of an earlier build may send 10^12 ms, and the target would stay unused and its state kept for years (found by a review). Ruled out: a bound on the whole state; calls in progress are not handed over with such times. Before / after: .venv/bin/pytest tests/test_stage_pool.py -k hands_over failed before (10^12 ms) and passes now, with test_stage_handover.py. Open: the pause of a target whose row was dropped is not handed over, as its address is not kept.

--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -30,8 +30,10 @@
 )
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
 from wagtailrun.stages.job import Job
+from wagtailrun.stages.messages import TakeOver, TargetUse
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.stages.succession import take_over
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.pauses import MAX_PAUSE_MS
 from wagtailrun.targets.retries import RetryBudget
@@ -741,6 +743,22 @@
     assert (after, slowness, kept) == (JobState.DONE, 1.0, 0)
 
 
+def test_pause_that_an_earlier_build_hands_over_ends():
+    """Guards against a target lost for years to the next owner of its service.
+
+    Earlier builds put no bound on the pause that a target may ask for.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        pool = await harness.batcher.pool("s")
+        use = TargetUse("t1", "10.0.0.9:1", 0, 10**12, 1.0, 0)
+        take_over(pool, TakeOver("s", (), (), (use,)))
+        return pool.target_states_by_name["t1"].pause_until_ms - clock.now_ms()
+
+    assert run_virtual(main) == MAX_PAUSE_MS
+
+
 def test_estimates_of_odd_capacities_can_be_sent():
     """Load: pieces of a service whose document states calls of a week.
 
--- a/wagtailrun/stages/succession.py
+++ b/wagtailrun/stages/succession.py
@@ -26,6 +26,7 @@
 )
 from wagtailrun.stages.owner_calls import OwnerCalls
 from wagtailrun.stages.pool_state import PoolState
+from wagtailrun.targets.pauses import MAX_PAUSE_MS
 
 __all__ = ["Succession", "take_over"]
 
@@ -206,7 +207,7 @@
         state = pool.target_states_by_name[use.name]
         state.busy_until_ms = max(state.busy_until_ms, now_ms + use.busy_ms)
         # The calls in progress occupy the slots of the target.
-        pause_ms = max(use.busy_ms, use.pause_ms)
+        pause_ms = max(use.busy_ms, min(use.pause_ms, MAX_PAUSE_MS))
         state.pause_until_ms = max(state.pause_until_ms, now_ms + pause_ms)
         if not state.answered_ms:
             state.slowness = use.slowness
