--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -30,8 +30,11 @@
 )
 from wagtailrun.stages.fetched_inputs import INPUT_FETCH_MS
 from wagtailrun.stages.job import Job
+from wagtailrun.stages.messages import TakeOver, TargetUse
 from wagtailrun.stages.pool import ANNOUNCED_JOB_TIMEOUT_MS
 from wagtailrun.stages.port import UNWATCHED, StageReply
+from wagtailrun.stages.succession import take_over
+from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.pauses import MAX_PAUSE_MS
 from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
@@ -656,6 +659,34 @@
     assert called_ms[1] - called_ms[0] >= 1_500
 
 
+@pytest.mark.parametrize(
+    "failure",
+    [
+        TargetFailed("a shorter pause", verdict=Verdict.NOT_RUN, retry_after_ms=100),
+        TargetFailed("full", verdict=Verdict.NOT_RUN),
+        TargetFailed("reset", verdict=Verdict.MAY_HAVE_RUN),
+        ConnectFailed("timed out"),
+        ConnectFailed("refused", confirmed=True),
+        ConnectShortage("no descriptors", 100),
+    ],
+    ids=str,
+)
+def test_failure_of_another_call_ends_no_pause(failure):
+    """Guards against calls to a pausing target after one sent before the pause fails.
+
+    Both entries keep the longer pause, too; a new incarnation ends it.
+    """
+    state = TargetState()
+    state.note_incarnation(1)
+    pause = TargetFailed("full", verdict=Verdict.NOT_RUN, retry_after_ms=60_000)
+    state.record_failure(pause, 1_000, True)
+    state.record_failure(failure, 2_000, True)
+    assert state.pause_until_ms == 61_000
+    state.note_incarnation(2)
+    state.record_failure(failure, 2_000, True)
+    assert state.pause_until_ms < 10_000
+
+
 def test_pause_ends_with_the_incarnation_that_asked_for_it():
     """Guards against a target that is unused because of one before it."""
 
@@ -712,6 +743,22 @@
     assert (after, slowness, kept) == (JobState.DONE, 1.0, 0)
 
 
+def test_pause_that_an_earlier_build_hands_over_ends():
+    """Guards against a target lost for years to the next owner of its service.
+
+    Earlier builds put no bound on the pause that a target may ask for.
+    """
+
+    async def main(clock):
+        harness = BatcherHarness(clock)
+        pool = await harness.batcher.pool("s")
+        use = TargetUse("t1", "10.0.0.9:1", 0, 10**12, 1.0, 0)
+        take_over(pool, TakeOver("s", (), (), (use,)))
+        return pool.target_states_by_name["t1"].pause_until_ms - clock.now_ms()
+
+    assert run_virtual(main) == MAX_PAUSE_MS
+
+
 def test_estimates_of_odd_capacities_can_be_sent():
     """Load: pieces of a service whose document states calls of a week.
 
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -13,7 +13,7 @@
 from wagtailrun.ports.target import StageAnswer, TargetLoad
 from wagtailrun.targets.affinity import CacheEvents, PrefixIndex
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.filters import TargetFilter
+from wagtailrun.targets.filters import AttemptFilter
 from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
@@ -40,7 +40,7 @@
     averages_decayed=False,
     load_lifetime_ms=None,
 )
-PAUSE_RULES = PauseRules(key=lambda row: row.name)
+PAUSE_RULES = PauseRules(key=lambda row: (row.name, row.incarnation))
 # A local target is preferred unless a remote one is faster by this factor, because
 # links between data centres may fail. Using remote targets only when the deadline was
 # at risk cost 4 points of attainment at 90% load (docs/decisions.md).
@@ -66,7 +66,7 @@
     """
 
     paths: PathObservations | None = None
-    silence: TargetFilter | None = None
+    silence: AttemptFilter | None = None
     name = ""
 
     @abstractmethod
