Remove nothing from a trace; let the replay skip unfinished lines

Cause: each write of a trace began with the removal of all behind the last line break. Another process with the same trace may be writing there; a whole last line without a line break, and a file without any, were removed as well. Ruled out: a lock of the file (processes of an earlier build hold none); the removal at the first write only (it can still be the line that another process is writing). Existing test: test_trace_of_a_process_that_ended_in_a_write_goes_on read the raw lines; it now reads them as the replay does, replays the file, and checks that no byte of the earlier process is gone. Conclusion: the first write of a process ends an unfinished line with a line break. The replay and the experiments skip such a line if a header follows it, with event 305 and their count; any other damaged line is a fault as before. A failed write is taken back only if nothing of another process follows it. Not covered: of two processes with one trace, one that is killed in a write while the other goes on leaves a part in front of a record of the other, which no header follows.

--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -107,6 +107,11 @@
     "The trace file is written again.",
     limited=False,
 )
+TRACE_LINES_SKIPPED = _event(
+    305,
+    logging.WARNING,
+    "A trace has lines that a process left unfinished; they are not replayed.",
+)
 ACCOUNTS_FULL = _event(
     310,
     logging.ERROR,
--- a/wagtailrun/observation/trace_recorder.py
+++ b/wagtailrun/observation/trace_recorder.py
@@ -19,7 +19,6 @@
 # At the design size an entry receives 18 requests/s, so this covers about 10 minutes.
 MAX_BUFFERED_RECORDS = 10_000
 CHARS_PER_TOKEN = 4
-READ_BYTES = 64 * 1024
 REPLAY_SEED = 1
 # Speeds of the emulated targets in a recorded header; the operator replaces them by
 # measured ones.
@@ -140,18 +139,23 @@
     def _append(self, data: bytes) -> None:
         """Append ``data`` as a whole, or nothing of it.
 
-        An unfinished last line, of a process that ended in a write, is removed first.
+        The first write of the process ends an unfinished last line with a line break:
+        another process may have ended in its write, or still be writing it.
         """
         with self.path.open("a+b", buffering=0) as file:
-            size = _size_of_whole_lines(file.fileno())
-            if size < os.fstat(file.fileno()).st_size:
-                file.truncate(size)
-            view = memoryview(data)
+            descriptor = file.fileno()
+            size = os.fstat(descriptor).st_size
+            if not self.has_header and size:
+                is_ended = os.pread(descriptor, 1, size - 1) == b"\n"
+                data = data if is_ended else b"\n" + data
+            written = 0
             try:
-                while view:
-                    view = view[os.write(file.fileno(), view) :]
+                while written < len(data):
+                    written += os.write(descriptor, memoryview(data)[written:])
             except OSError:
-                file.truncate(size)
+                # A larger file has lines of another process behind this part.
+                if os.fstat(descriptor).st_size == size + written:
+                    file.truncate(size)
                 raise
 
     def _header(self, fleet: FleetConfiguration) -> dict[str, Any]:
@@ -174,15 +178,3 @@
             "targets": groups,
             "outcomes": {},
         }
-
-
-def _size_of_whole_lines(descriptor: int) -> int:
-    """Return the size of a file without the line at its end that is unfinished."""
-    end = os.fstat(descriptor).st_size
-    while end:
-        start = max(end - READ_BYTES, 0)
-        newline = os.pread(descriptor, end - start, start).rfind(b"\n")
-        if newline >= 0:
-            return start + newline + 1
-        end = start
-    return 0
--- a/wagtailrun/replay/__init__.py
+++ b/wagtailrun/replay/__init__.py
@@ -6,4 +6,5 @@
     "emulator",
     "player",
     "report",
+    "trace_lines",
 ]
--- a/wagtailrun/replay/player.py
+++ b/wagtailrun/replay/player.py
@@ -29,6 +29,7 @@
 from wagtailrun.replay.emulated_target import CHARACTERS_PER_TOKEN, TargetModel
 from wagtailrun.replay.emulator import FOREVER_S, EmulatedClient, Emulator, Observer
 from wagtailrun.replay.report import Outcome, ReplayReport, ReportBuilder
+from wagtailrun.replay.trace_lines import parse_lines
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.serving.pipeline import PipelineInput, PipelineRequest, PipelineRunner
 from wagtailrun.targets.table import Membership
@@ -447,7 +448,11 @@
         The measurements, and the stated outcomes that do not hold.
     """
     with open(path, encoding="utf-8") as file:
-        records = [json.loads(line) for line in file if line.strip()]
+        lines = parse_lines(file)
+    for line in lines:
+        if line.error is not None:
+            raise line.error
+    records = [line.value for line in lines]
     return replay_records(records, dispatcher_factory)
 
 
