Bound the proposals of a period that are kept while none is decided

Cause: each proposal of a period has a file of its own, removed once the period is closed. A leader that commits nothing, but whose rows change, wrote one more file at each step, every 5 s. Ruled out: proposing the lines of a kept file again (parts of them may have been recorded in an earlier period since, also before a restart); removing the oldest file (its command may still be committed); a read barrier (it does not wait for commands of the log that are not committed yet). Before / after: .venv/bin/pytest tests/test_period_closing.py, virtual time, 50 steps. Before, all 6 cases of test_undecided_proposals_are_bounded failed ("50 == 4" files). All earlier proposals of this member precede it in the log, so that each is applied or lost: if the period is still open, the files are removed and new lines are proposed. Shown with the local log of the tests, not with a cluster of members.

--- a/tests/test_period_closing.py
+++ b/tests/test_period_closing.py
@@ -7,7 +7,7 @@
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.counters import Accounts
 from wagtailrun.accounts.lines import period_of
-from wagtailrun.accounts.periods import ClosedPeriods
+from wagtailrun.accounts.periods import MAX_UNDECIDED_PROPOSALS, ClosedPeriods
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control.period_closing import PeriodCloser
@@ -122,6 +122,73 @@
     assert not [name for name in names if name.startswith("accounts-prepared")]
 
 
+@pytest.mark.parametrize("commits", ["nothing", "none of them", "the first one"])
+@pytest.mark.parametrize("restarts", [False, True])
+def test_undecided_proposals_are_bounded(commits, restarts):
+    """Guards against a file for each step of a leader that commits nothing.
+
+    Once it does, the period is closed: with the lines of an earlier command if that is
+    committed after all, else with new ones.
+    """
+
+    async def main(clock):
+        network = FakeNetwork(clock)
+        registry = Registry()
+        log = LateLog(registry)
+        disk = MemoryDisk()
+        address, other = MEMBERS
+
+        async def start(log):
+            link = network.link(address)
+            store = AccountStore(clock, disk, str(address), [other], link)
+            await store.open()
+            return PeriodCloser(
+                ControlService(clock, str(address), registry, log), store
+            )
+
+        closer = await start(log)
+        start_ms = clock.wall_ms()
+        period = period_of(start_ms)
+        await clock.sleep_ms(DAY_MS + 3_600_000)
+        for count in range(1, 51):
+            await closer.accounts.handle(message_of(refusal_table(start_ms, count)))
+            await closer.step()
+        files = await prepared_files(disk)
+        if restarts:
+            disk.restart()
+            closer = await start(log)
+            await closer.step()
+            assert await prepared_files(disk) == files
+        if commits == "the first one":
+            await log.commit()
+        if commits != "nothing":
+            closer = PeriodCloser(
+                ControlService(clock, str(address), registry, LocalLog(registry)),
+                closer.accounts,
+            )
+            for _ in range(2):
+                await closer.step()
+        verdict = registry.closed_periods_by_name.get(period)
+        digest = closer.accounts.digests_by_period.get(period)
+        left = await prepared_files(disk)
+        return files, left, verdict and verdict.digest, digest
+
+    async def prepared_files(disk):
+        names = await disk.names()
+        return [name for name in names if name.startswith("accounts-prepared")]
+
+    files, left, agreed, digest = run_virtual(main)
+    assert len(files) == MAX_UNDECIDED_PROPOSALS
+    assert agreed == digest
+    if commits == "nothing":
+        assert (agreed, left) == (None, files)
+    else:
+        assert agreed is not None
+        assert left == []
+        was_proposed = any(name.endswith(agreed) for name in files)
+        assert was_proposed == (commits == "the first one")
+
+
 def test_lines_that_an_earlier_build_has_prepared_are_found():
     """Guards against a period that nobody can freeze after an upgrade."""
 
--- a/wagtailrun/accounts/periods.py
+++ b/wagtailrun/accounts/periods.py
@@ -13,7 +13,7 @@
 from wagtailrun.exceptions import CorruptRecord, DiskFull
 from wagtailrun.ports.disk import Disk
 
-__all__ = ["ClosedPeriods"]
+__all__ = ["MAX_UNDECIDED_PROPOSALS", "ClosedPeriods"]
 
 CLOSED_PREFIX = "accounts-closed-"
 PREPARED_PREFIX = "accounts-prepared-"
@@ -21,6 +21,9 @@
 RETAINED_PERIODS = 400
 # A period is a day in the form 2026-01-01.
 PERIOD_CHARS = 10
+# Files of proposed lines that a member keeps of one period while no command that
+# closes it is known to be committed or lost.
+MAX_UNDECIDED_PROPOSALS = 4
 # Digest and compressed lines.
 RECORDS_PER_FILE = 2
 
@@ -64,6 +67,15 @@
         await self._write(_prepared_name(period, digest), digest, content)
         return digest
 
+    async def has_too_many_prepared(self, period: str) -> bool:
+        """Whether ``prepare`` has to await the end of earlier proposals."""
+        return len(await self._prepared_names(period)) >= MAX_UNDECIDED_PROPOSALS
+
+    async def remove_prepared(self, period: str) -> None:
+        """Remove the lines proposed for ``period``, none of which can be agreed on."""
+        for name in await self._prepared_names(period):
+            await self.disk.remove(name)
+
     async def load_prepared(self, period: str, digest: str) -> bytes | None:
         """Return the prepared lines if they have ``digest``, else None."""
         names = await self.disk.names()
@@ -117,6 +129,10 @@
             if line.key in wanted
         ]
 
+    async def _prepared_names(self, period: str) -> list[str]:
+        start = PREPARED_PREFIX + period
+        return [name for name in await self.disk.names() if name.startswith(start)]
+
     async def _read(self, name: str) -> tuple[str, bytes]:
         records, _ = split_records(name, await self.disk.read(name), False)
         if len(records) != RECORDS_PER_FILE:
--- a/wagtailrun/control/period_closing.py
+++ b/wagtailrun/control/period_closing.py
@@ -5,7 +5,7 @@
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
 from wagtailrun.logs import events
-from wagtailrun.registry.messages import ClosePeriod
+from wagtailrun.registry.messages import ClosePeriod, SweepOrders, Swept
 
 __all__ = ["PeriodCloser"]
 
@@ -48,10 +48,25 @@
         period = self.accounts.closable()
         if period is None:
             return
+        closed = self.accounts.closed
+        if await closed.has_too_many_prepared(period):
+            if not await self._are_proposals_decided(period):
+                return
+            await closed.remove_prepared(period)
         offer = await self.accounts.prepare_close(period)
         totals = offer.totals.to_json()
         await self.service.propose(ClosePeriod(period, offer.digest, totals, 0))
 
+    async def _are_proposals_decided(self, period: str) -> bool:
+        """Whether no earlier proposal of this member for ``period`` can be committed.
+
+        They precede a command that is committed now, so each of them has been applied
+        before it or never will be.
+        """
+        result = await self.service.propose(SweepOrders(0))
+        closed = self.service.registry.closed_periods_by_name
+        return isinstance(result, Swept) and period not in closed
+
     async def _freeze_closed_periods(self) -> bool:
         """Freeze the closed periods that this member lacks.
 
