Sync the names of all folders above a data folder at its opening

Cause: for an existing folder only its own name was synced. Earlier builds made all missing levels (data/control/consensus) and synced the last name only, so that the names of `control` and `data` stayed unsynced for good: a loss of power could remove them. Ruled out: a stop at the first level that exists, as earlier builds left several; a marker for synced levels, which needs the same syncs. Existing tests: three exact lists name the syncs of all parents up to the first one that may not be written; the end of the process is tried at 15 steps instead of 11, as the syncs of more parents are steps now. Conclusion: each opening syncs all parents once, up to the root or the first one that this process may not read and write. A relative path is made absolute first. A parent whose sync fails fails the opening. Shown with traced calls, not with a loss of power.

--- a/tests/test_file_disk.py
+++ b/tests/test_file_disk.py
@@ -110,8 +110,7 @@
     async def main():
         disk = FileDisk(tmp_path)
         await disk.names()
-        # The name of the folder itself, which an earlier process may have created.
-        assert synced == [str(tmp_path.parent)]
+        assert synced == synced_at_opening(tmp_path)
         for call in (disk.append, disk.write):
             synced.clear()
             await call(call.__name__, b"x")
@@ -123,6 +122,56 @@
     curio.run(main)
 
 
+def synced_at_opening(folder):
+    """Return the folders whose names an earlier process may have left unsynced."""
+    folders = []
+    for parent in folder.parents:
+        if not os.access(parent, os.R_OK | os.W_OK):
+            break
+        folders.append(str(parent))
+    return folders
+
+
+@pytest.mark.parametrize("refused", [None, "data"])
+def test_all_names_above_a_folder_of_an_earlier_build_are_synced(
+    tmp_path, monkeypatch, refused
+):
+    """Guards against a data folder that is lost as a whole in a power failure.
+
+    Earlier builds made all missing levels and synced the name of the last one only. A
+    process that may not write to a folder has created none in it or above it.
+    """
+    folder = tmp_path / "data" / "control" / "consensus"
+    folder.mkdir(parents=True)
+    synced = []
+    real_fsync, real_access = os.fsync, os.access
+
+    def fsync(descriptor):
+        synced.append(os.readlink(f"/proc/self/fd/{descriptor}"))
+        real_fsync(descriptor)
+
+    def access(path, mode):
+        return Path(path).name != refused and real_access(path, mode)
+
+    monkeypatch.setattr(os, "fsync", fsync)
+    monkeypatch.setattr(os, "access", access)
+    monkeypatch.chdir(tmp_path)
+
+    async def main():
+        for path in (folder, Path("data/control/consensus")):
+            synced.clear()
+            disk = FileDisk(path)
+            await disk.names()
+            assert synced == synced_at_opening(folder)
+            await disk.names()
+            assert synced == synced_at_opening(folder)
+            disk.close()
+
+    curio.run(main)
+    expected = [folder.parent] if refused else [*folder.parents][:3]
+    assert synced[:3] == [str(each) for each in expected]
+
+
 class ProcessEnded(BaseException):
     """The process ended at a step of the creation of its folder."""
 
@@ -165,7 +214,7 @@
 
 
 @pytest.mark.parametrize("error", [ProcessEnded(), OSError(5, "Input/output error")])
-@pytest.mark.parametrize("end_at", range(1, 12))
+@pytest.mark.parametrize("end_at", range(1, 16))
 def test_folder_whose_creation_was_interrupted_is_durable(
     tmp_path, monkeypatch, end_at, error
 ):
@@ -257,7 +306,7 @@
         await disk.resync("a", 5)
         path = str(tmp_path / "a")
         assert calls == [
-            ("fsync", str(tmp_path.parent)),
+            *(("fsync", parent) for parent in synced_at_opening(tmp_path)),
             ("write", path, b"second"),
             ("fsync", path),
             ("fsync", str(tmp_path)),
@@ -341,7 +390,7 @@
         disk = FileDisk(tmp_path)
         await disk.append("a", b"x")
         await disk.sync("a")
-        assert synced == [str(tmp_path.parent), str(tmp_path)]
+        assert synced == [*synced_at_opening(tmp_path), str(tmp_path)]
 
     curio.run(main)
 
--- a/wagtailrun/adapters/file_disk.py
+++ b/wagtailrun/adapters/file_disk.py
@@ -251,16 +251,20 @@
     """Create ``folder`` and its missing parents, and make their names durable.
 
     An earlier process may have ended between the creation of a folder and the sync of
-    its name, so the name of an existing folder is synced as well.
+    its name, and earlier builds synced the last name only, so the names of existing
+    folders are synced as well.
     """
-    parent = folder.parent
-    if not folder.is_dir():
-        _make_folder(parent)
+    folder = folder.absolute()
+    if folder.is_dir():
+        for parent in folder.parents:
+            # A process that may not write to a parent has created no folder in it.
+            if not os.access(parent, os.R_OK | os.W_OK):
+                break
+            _sync_folder(parent)
+    else:
+        _make_folder(folder.parent)
         folder.mkdir(mode=mode, exist_ok=True)
-        _sync_folder(parent)
-    elif os.access(parent, os.R_OK | os.W_OK):
-        # A process that may not write to the parent has not created the folder.
-        _sync_folder(parent)
+        _sync_folder(folder.parent)
 
 
 def _sync_folder(folder: Path) -> None:
