Let an order to found a cluster ask all members at once

Cause: a seed asks a member of a cluster that answers no questions, as one of an earlier build, less and less often. An order of an operator left such a member out as well until its next question was due, up to 4 s, and said "no answer" of one that was upgraded meanwhile, in place of "belongs to cluster". Ruled out: the end of all pauses at an order, which would let the rounds ask an earlier build more often after each order. Existing test: test_emptied_seeds_ask_an_earlier_build_less_and_less has a second case, and checks the orders; its other checks are as before. Conclusion: only the rounds of a seed leave paused addresses out; an order asks all.

--- a/tests/test_founding_faults.py
+++ b/tests/test_founding_faults.py
@@ -247,11 +247,25 @@
     assert statement.identity.startswith("m1#")
 
 
-def test_emptied_seeds_ask_an_earlier_build_less_and_less():
+def ignore_all_but_questions(network, address):
+    """Let the member at ``address`` fail to hear of a cluster."""
+    handle = network.handlers_by_address[address]
+
+    async def handle_questions(message):
+        if not isinstance(message, FoundingRequest):
+            raise MessageError("unknown message")
+        return await handle(message)
+
+    network.handlers_by_address[address] = handle_questions
+
+
+@pytest.mark.parametrize("hears_votes", [True, False])
+def test_emptied_seeds_ask_an_earlier_build_less_and_less(hears_votes):
     """Guards against a connection that ends at each of eight questions in a second.
 
     The seeds of the product are given at each start. Two of three that lost their
-    disks cannot join, so that they ask for as long as they run.
+    disks cannot join, so that they ask for as long as they run. An order of an operator
+    asks at once, and is refused also where no seed has heard of the cluster.
     """
 
     async def main(clock):
@@ -277,10 +291,16 @@
             node.disk.empty()
         for node in emptied:
             await node.start()
+            if not hears_votes:
+                ignore_all_but_questions(cluster.network, node.address)
         await clock.sleep_ms(60_000)
         count = len(questions)
         # The same process, upgraded.
         cluster.network.handlers_by_address[old.address] = handle
+        # The seeds wait to ask it again; an order does not.
+        pauses = [node.member.founding.pauses_by_address for node in emptied]
+        assert not any(each[old.address].is_due for each in pauses)
+        outcomes = [await node.member.found_cluster() for node in emptied]
         await clock.sleep_ms(QUERY_LIMIT_MS)
         details = [
             statement.detail
@@ -288,12 +308,13 @@
             for statement in node.member.founding.view.statements
             if statement.address == old.address
         ]
-        return cluster, count, details
+        return cluster, count, details, outcomes
 
-    cluster, count, details = run_virtual(main)
+    cluster, count, details, outcomes = run_virtual(main)
     assert cluster.violations == []
     assert 20 <= count <= 40
     assert details == ["has a log", "has a log"]
+    assert all("belongs to cluster" in outcome.detail for outcome in outcomes), outcomes
 
 
 @pytest.mark.parametrize("size", [3, 4, 5, 7])
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -191,7 +191,7 @@
         replies_by_address: dict[Address, FoundingReply] = {}
         while not self.acceptor.has_log:
             if self._is_query_due():
-                replies_by_address = await self.ask_all()
+                replies_by_address = await self.ask_all(self._paused_addresses())
                 self._plan_query()
             self.cluster_wait.report()
             await self._adopt_if_known()
@@ -233,16 +233,15 @@
                 pause = self.pauses_by_address.setdefault(address, new_pause)
                 pause.record(is_silent=True)
 
-    async def ask_all(self) -> dict[Address, FoundingReply]:
-        """Ask all seeds what they know, and keep what they say for ``view``.
-
-        Members of a cluster that have answered no question are asked less often.
-        """
+    async def ask_all(
+        self, paused: Iterable[Address] = ()
+    ) -> dict[Address, FoundingReply]:
+        """Ask all seeds but those ``paused`` what they know; keep it for ``view``."""
         state = self.state
         names_by_address = dict.fromkeys(state.peers, "")
         for name, address in seed_addresses(self.acceptor.record).items():
             names_by_address[address] = name
-        asked = sorted(names_by_address.keys() - self._paused_addresses())
+        asked = sorted(names_by_address.keys() - set(paused))
         message = FoundingQuery(state.identity)
         replies = await self.call_all(dict.fromkeys(asked, message))
         self._plan_queries_by_address(asked, replies)
