Close idle connections only where a used one was silent

Cause: after any time-out of an attempt closed all idle connections to its target, also one by a caller's short deadline at a sound target, one on a new connection, and one that this process timed while it stood still. Now the attempt has to have been on a connection that carried others, on which nothing arrived for MIN_STALL_MS (500 ms) since the request was sent completely, and the event loop must not have been held meanwhile. The constant moves from serving/ to targets/attempt_ends.py, as the relay may not import serving/. HttpClient.open gives on_open the connection instead of its carrier; the relay was the only user.

Ruled out: the caller's verdicts, which do not change; only the pool is concerned.

Conclusion: short deadlines, new connections and standstills close nothing. A sound target that takes 500 ms or more to its first byte still costs its idle connections when an attempt at it times out: the relay asks no probe. That a byte of an answer (an interim response, an answer to another request) keeps the idle connections has no test of its own.

--- a/tests/test_late_dispatch.py
+++ b/tests/test_late_dispatch.py
@@ -6,7 +6,8 @@
 
 from tests.test_dispatch import GENERATE, POOL, DispatcherHarness
 from wagtailrun.ports.target import StageAnswer
-from wagtailrun.serving.attempts import LATE_MS, MAX_EXCUSED_MS, MIN_STALL_MS
+from wagtailrun.serving.attempts import LATE_MS, MAX_EXCUSED_MS
+from wagtailrun.targets.attempt_ends import MIN_STALL_MS
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 CALL = attrs.evolve(GENERATE, path="/v1/calls/look-up", stage="")
--- a/wagtailrun/adapters/http_client.py
+++ b/wagtailrun/adapters/http_client.py
@@ -359,7 +359,7 @@
         host: str | None = None,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         may_send: Callable[[], bool] = lambda: True,
-        on_open: Callable[[Address | None], None] = lambda carrier: None,
+        on_open: Callable[[HttpConnection], None] = lambda connection: None,
         on_sent: Callable[[], Awaitable[None]] | None = None,
         urgency: int = DEFAULT_URGENCY,
         identity: str = "",
@@ -383,8 +383,7 @@
             host: Value of the Host header; by default the address.
             connect_timeout_ms: Time limit for a new connection, in milliseconds.
             may_send: Called when the connection is open; see below.
-            on_open: Called just before the request is sent, with the peer that carries
-                the connection, if any.
+            on_open: Called just before the request is sent, with the connection.
             on_sent: Called once the request was sent.
             urgency: Rank of the request, 0 to 9; 0 goes first.
             identity: Identifier that the response echoes, if any. No connection
@@ -438,7 +437,7 @@
             connection.requests += 1
             if identity:
                 connection.identities.append(identity)
-            on_open(connection.carrier)
+            on_open(connection)
             await connection.send(request, body, timeout_ms)
             if on_sent is not None:
                 await on_sent()
--- a/wagtailrun/adapters/http_connection.py
+++ b/wagtailrun/adapters/http_connection.py
@@ -90,6 +90,10 @@
         self.early_event: Any = None
         # Number of interim responses received while it was being sent.
         self.interims = 0
+        # When the newest request was sent completely, on the clock; None before. And
+        # whether anything was received since its first byte.
+        self.sent_ms: int | None = None
+        self.has_received = False
         # Number of requests sent, and the identities of the newest ones.
         self.requests = 0
         self.identities: deque[str] = deque(maxlen=MAX_IDENTITIES)
@@ -156,6 +160,8 @@
         """
         self.method = request.method
         self.interims = 0
+        self.sent_ms = None
+        self.has_received = False
         parts = [
             self.http.send(request),
             self.http.send(h11.Data(body)),
@@ -165,12 +171,15 @@
         if len(body) > READ_BYTES:
             self.upload = Upload(self.sock, parts, self._take_early)
             await self.upload.send_until_answered(timeout_ms)
+            if self.upload.is_complete:
+                self.sent_ms = self.clock.now_ms()
             return
         # One write; a copy of a larger body would take more memory than time.
         data = b"".join(parts)
         try:
             async with curio.timeout_after(timeout_ms / MS_PER_SECOND):
                 await self.sock.sendall(data)
+            self.sent_ms = self.clock.now_ms()
         except curio.TaskTimeout as error:
             raise TargetFailed(
                 f"the request was not taken in {timeout_ms} ms", timed_out=True
@@ -182,6 +191,7 @@
 
     def _take_early(self, data: bytes) -> bool:
         """Take bytes received while a request is sent; see ``Upload``."""
+        self.has_received = True
         self.received_end = not data
         self.http.receive_data(data)
         while isinstance(event := self.http.next_event(), h11.InformationalResponse):
@@ -193,6 +203,18 @@
         self.early_event = event
         return True
 
+    def is_suspect(self, silent_ms: int) -> bool:
+        """Return whether it may have been silent before the newest request.
+
+        Args:
+            silent_ms: How long nothing must have been received since that request was
+                sent, in milliseconds.
+        """
+        is_reused = self.requests > 1
+        if not is_reused or self.has_received or self.sent_ms is None:
+            return False
+        return self.clock.now_ms() - self.sent_ms >= silent_ms
+
     @property
     def is_sent(self) -> bool:
         """Whether the newest request was sent completely."""
@@ -323,6 +345,7 @@
                 data = await self.sock.recv(READ_BYTES)
                 # Before the time may end here: the caller may read on later.
                 self.received_end = not data
+                self.has_received = True
                 self.http.receive_data(data)
                 self.count_late(max(len(data), LATE_READ_BYTES))
                 await self.turns.take(len(data))
--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -56,6 +56,8 @@
         staged_ms: When its stages were complete; 0 until then.
         first_ms: When its first event or its answer arrived; 0 until then.
         attempt_timed_out: Whether the newest attempt was ended as it took too long.
+        was_silent: Whether the newest attempt was on a connection that carried others
+            before, and on which nothing arrived for ``MIN_STALL_MS`` or longer.
         ended_by_stop: Whether it was ended, as the process stops.
         came_back: Whether this entry refused it before in its planned stop.
         streaming: Whether its answer is being relayed as a stream.
@@ -93,6 +95,7 @@
     staged_ms: int = 0
     first_ms: int = 0
     attempt_timed_out: bool = False
+    was_silent: bool = False
     ended_by_stop: bool = False
     came_back: bool = False
     streaming: bool = False
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -7,6 +7,7 @@
 import curio
 
 from wagtailrun.adapters.http_client import Headers, HttpClient, HttpStream
+from wagtailrun.adapters.http_connection import HttpConnection
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView
@@ -37,7 +38,7 @@
 from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.requests.attempt_reports import AttemptReports
 from wagtailrun.relay.requests.target_selection import RETRY_AFTER_MS, TargetSelection
-from wagtailrun.targets.attempt_ends import RunOutcome, end_of_answer
+from wagtailrun.targets.attempt_ends import MIN_STALL_MS, RunOutcome, end_of_answer
 from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
@@ -259,7 +260,14 @@
         job.tried_targets.append(row.name)
         job.progress = AnswerProgress.NOTHING
         job.sent_ms = job.carrier = None
-        job.attempt_timed_out = False
+        job.attempt_timed_out = job.was_silent = False
+        connection: HttpConnection | None = None
+
+        def record_connection(opened: HttpConnection) -> None:
+            nonlocal connection
+            connection = opened
+            job.record_carrier(opened.carrier)
+
         self.chooser.record_start(row, (), 0)
         try:
             async with self.http.open(
@@ -276,7 +284,7 @@
                 host=request.host,
                 connect_timeout_ms=min(CONNECT_TIMEOUT_MS, left_ms),
                 may_send=lambda: self._may_send(job, row),
-                on_open=job.record_carrier,
+                on_open=record_connection,
                 on_sent=on_sent,
                 urgency=job.urgency,
                 identity=request.request_id,
@@ -297,6 +305,8 @@
                 await self.reports.record_end(job, row, RunOutcome.OVER)
             raise
         finally:
+            if connection is not None:
+                job.was_silent = connection.is_suspect(MIN_STALL_MS)
             self.chooser.health.record_end(row)
 
     def _may_send(self, job: RelayJob, row: TargetRow) -> bool:
@@ -375,7 +385,10 @@
             # The target paused just before the first byte.
             job.runs -= 1
         await self.reports.record_failure(job, row, error)
-        if error.timed_out:
+        is_own_time = job.sent_ms is not None and not self.reports.was_held_since(
+            job.sent_ms
+        )
+        if error.timed_out and job.was_silent and is_own_time:
             # The other idle connections may be as silent as that of this attempt.
             await self.http.pool.drop(row.address)
         if isinstance(error, ConnectShortage) and not error.only_here:
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -23,6 +23,7 @@
 from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.path_probes import responds_to
 from wagtailrun.targets.attempt_ends import (
+    MIN_STALL_MS,
     ConnectionStalled,
     DeadlinePassed,
     RunOutcome,
@@ -39,7 +40,6 @@
 # A connection counts as stalled after this multiple of the expected time to the next
 # item, but not before MIN_STALL_MS.
 STALL_FACTOR = 3
-MIN_STALL_MS = 500
 # Where nothing is known of the duration, a target that does not answer a probe after
 # this time is given up. Attempts that go on are checked again after twice the time.
 UNKNOWN_STALL_MS = 1_000
--- a/wagtailrun/targets/attempt_ends.py
+++ b/wagtailrun/targets/attempt_ends.py
@@ -15,6 +15,7 @@
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
+    "MIN_STALL_MS",
     "AttemptEnd",
     "ConnectionStalled",
     "DeadlinePassed",
@@ -24,6 +25,9 @@
     "end_of_failure",
 ]
 
+# No connection counts as stalled before it was silent for this long.
+MIN_STALL_MS = 500
+
 
 class RunOutcome(enum.StrEnum):
     """How an attempt at a target ended."""
