End silent emulated connections when their path or target is lost

A silent connection is one whose packets the target's system acknowledges; once its path is cut or its VM lost, nothing acknowledges them, and the operating system ends it after 5 s as any other. A killed process resets it, too.

Ruled out: idle silent connections, which already ended in the pool, and attempts whose item the target had not yet sent.

Before / after: .venv/bin/pytest -n 2 tests/test_emulated_connections.py: 6 failed (still waiting 60 s after a cut, the loss of the VM or the death of the process, silenced before or after the request was sent), 15 passed -> 21 passed; the attempt ends 5 s after a cut or loss, and within one keep-alive interval (1 s) after a death. Eleven test files that use the emulator, and test_imports: 586 passed. make lint: passed.

Conclusion: a silent connection ends with its path, its VM or its process, stays silent through a cut of 4 s, and without a loss stays open.

--- a/tests/test_emulated_connections.py
+++ b/tests/test_emulated_connections.py
@@ -113,6 +113,70 @@
     run(scenario, POOL)
 
 
+@pytest.mark.parametrize("fault", ["cut", "vanish", "die"])
+@pytest.mark.parametrize("is_sent", [False, True])
+def test_silent_connection_ends_with_its_path_or_target(fault, is_sent):
+    """Guards against attempts that a silent connection holds after it has ended."""
+
+    async def scenario(clock, emulator, client, target):
+        client = emulator.client("entry-2", "west")
+        address = target.row.address
+        await client.call(address, attempt(1, "/x"))
+        if not is_sent:
+            emulator.stall_connections("t")
+        ended_ms = []
+
+        async def send():
+            try:
+                await client.call(address, attempt(2, "/x"))
+            except TargetFailed as error:
+                ended_ms.append(clock.now_ms())
+                return error
+
+        task = await curio.spawn(send, daemon=True)
+        await clock.sleep_ms(50)
+        emulator.stall_connections("t")
+        await clock.sleep_ms(30_000)
+        assert not ended_ms
+        lost_ms = clock.now_ms()
+        if fault == "cut":
+            emulator.cut("west")
+        elif fault == "vanish":
+            await emulator.vanish("t")
+        else:
+            await emulator.die("t")
+        error = await curio.timeout_after(60, task.join)
+        return error, ended_ms[0] - lost_ms
+
+    error, took_ms = run(scenario, POOL)
+    assert isinstance(error, TargetFailed)
+    if fault == "die":
+        # The next packet at the latest, a probe of keep-alive, is answered by a reset.
+        assert took_ms <= emulated_connection.KEEPALIVE_INTERVAL_MS
+    else:
+        assert error.closed
+        assert took_ms == emulated_connection.KEEPALIVE_TIMEOUT_MS
+
+
+def test_silent_connection_goes_on_after_a_short_cut():
+    """Guards against a short cut that ends a connection, or makes it deliver."""
+
+    async def scenario(clock, emulator, client, target):
+        client = emulator.client("entry-2", "west")
+        address = target.row.address
+        await client.call(address, attempt(1, "/x"))
+        emulator.stall_connections("t")
+        task = await curio.spawn(client.call, address, attempt(2, "/x"), daemon=True)
+        await clock.sleep_ms(1_000)
+        emulator.cut("west")
+        await clock.sleep_ms(4_000)
+        emulator.heal("west")
+        with pytest.raises(curio.TaskTimeout):
+            await curio.timeout_after(60, task.join)
+
+    run(scenario, POOL)
+
+
 class BurstHarness(CutHarness):
     """The same, with bursts that need many connections at a time."""
 
--- a/wagtailrun/replay/emulator.py
+++ b/wagtailrun/replay/emulator.py
@@ -370,10 +370,7 @@
         now_ms = self.emulator.clock.now_ms
         while True:
             connection.check_end(now_ms())
-            wait_ms = KEEPALIVE_INTERVAL_MS
-            if connection.ends_ms is not None:
-                wait_ms = min(wait_ms, connection.ends_ms - now_ms())
-            wait_s = wait_ms / MS_PER_SECOND
+            wait_s = self._probe_wait_ms(connection) / MS_PER_SECOND
             item = await curio.ignore_after(wait_s, job.items.get)
             if item is not None:
                 return item
@@ -381,7 +378,7 @@
     async def _check_connection(
         self, connection: EmulatedConnection, *, sends: bool = False
     ) -> None:
-        """Let a packet pass; block forever on a stalled connection.
+        """Let a packet pass; block on a stalled connection until it ends.
 
         Args:
             connection: Connection.
@@ -390,15 +387,30 @@
         Raises:
             TargetFailed: If the connection was reset, or ended for lack of packets.
         """
-        if connection.stalled:
-            await curio.sleep(FOREVER_S)
-        target = connection.target
         connection.check_end(self.emulator.clock.now_ms())
-        if not self.is_reachable(target):
+        if not self.is_reachable(connection.target):
             await self._send_again(connection, sends)
+        self._check_reset(connection)
+        while connection.stalled:
+            await self.emulator.clock.sleep_ms(self._probe_wait_ms(connection))
+            connection.check_end(self.emulator.clock.now_ms())
+            if self.is_reachable(connection.target):
+                self._check_reset(connection)
+
+    @staticmethod
+    def _check_reset(connection: EmulatedConnection) -> None:
+        """Raise TargetFailed if the target has reset the connection."""
+        target = connection.target
         if not target.alive or connection.incarnation != target.row.incarnation:
             raise TargetFailed("connection reset")
 
+    def _probe_wait_ms(self, connection: EmulatedConnection) -> int:
+        """Return the time until the next keep-alive probe, or until the end."""
+        if connection.ends_ms is None:
+            return KEEPALIVE_INTERVAL_MS
+        left_ms = connection.ends_ms - self.emulator.clock.now_ms()
+        return min(KEEPALIVE_INTERVAL_MS, left_ms)
+
     async def _send_again(self, connection: EmulatedConnection, sends: bool) -> None:
         """Send a lost packet again until it arrives or the connection ends."""
         clock = self.emulator.clock
