--- a/tests/test_emulated_connections.py
+++ b/tests/test_emulated_connections.py
@@ -1,5 +1,7 @@
 """Tests of emulated connections against the limits of real ones."""
 
+import math
+
 import curio
 import pytest
 
@@ -13,6 +15,10 @@
 from wagtailrun.virtual_time import run_virtual
 
 BURST = 30
+# When the operating system ends a connection: after the loss of its path, and after a
+# request was sent on one that loses all packets.
+KEEPALIVE_TIMEOUT_MS = 5_000
+SEND_TIMEOUT_MS = 4_500
 
 
 def test_limits_are_those_of_real_connections():
@@ -76,24 +82,35 @@
         await client.call(address, attempt(1, "/x"))
         if not is_sent:
             emulator.cut("west")
-        task = await curio.spawn(client.call, address, attempt(2, "/x"), daemon=True)
+
+        async def send():
+            error = None
+            try:
+                await client.call(address, attempt(2, "/x"))
+            except TargetFailed as failure:
+                error = failure
+            return error, clock.now_ms()
+
+        started_ms = clock.now_ms()
+        task = await curio.spawn(send, daemon=True)
         await clock.sleep_ms(50)
         emulator.cut("west")
         began_ms = clock.now_ms()
         await clock.sleep_ms(cut_ms)
         emulator.heal("west")
-        error = None
-        try:
-            await curio.timeout_after(20, task.join)
-        except curio.TaskError as failure:
-            error = failure.__cause__
-        return error, clock.now_ms() - began_ms
+        error, ended_ms = await curio.timeout_after(20, task.join)
+        return error, ended_ms - began_ms, ended_ms - started_ms, emulator.link_ms
 
-    error, took_ms = run(scenario, POOL)
-    if cut_ms > emulated_connection.KEEPALIVE_TIMEOUT_MS:
+    error, took_ms, after_sent_ms, link_ms = run(scenario, POOL)
+    if cut_ms > KEEPALIVE_TIMEOUT_MS:
         assert isinstance(error, TargetFailed)
         assert error.closed
-        assert took_ms == cut_ms
+        # The limits themselves, as one that is changed must not move its test.
+        if is_sent:
+            assert took_ms == KEEPALIVE_TIMEOUT_MS
+        else:
+            # The emulator finds the loss where the request would arrive.
+            assert 0 <= after_sent_ms - SEND_TIMEOUT_MS <= math.ceil(link_ms)
     else:
         assert error is None
         assert cut_ms <= took_ms <= 2 * cut_ms + 300
@@ -113,6 +130,70 @@
     run(scenario, POOL)
 
 
+@pytest.mark.parametrize("fault", ["cut", "vanish", "die"])
+@pytest.mark.parametrize("is_sent", [False, True])
+def test_silent_connection_ends_with_its_path_or_target(fault, is_sent):
+    """Guards against attempts that a silent connection holds after it has ended."""
+
+    async def scenario(clock, emulator, client, target):
+        client = emulator.client("entry-2", "west")
+        address = target.row.address
+        await client.call(address, attempt(1, "/x"))
+        if not is_sent:
+            emulator.stall_connections("t")
+        ended_ms = []
+
+        async def send():
+            try:
+                await client.call(address, attempt(2, "/x"))
+            except TargetFailed as error:
+                ended_ms.append(clock.now_ms())
+                return error
+
+        task = await curio.spawn(send, daemon=True)
+        await clock.sleep_ms(50)
+        emulator.stall_connections("t")
+        await clock.sleep_ms(30_000)
+        assert not ended_ms
+        lost_ms = clock.now_ms()
+        if fault == "cut":
+            emulator.cut("west")
+        elif fault == "vanish":
+            await emulator.vanish("t")
+        else:
+            await emulator.die("t")
+        error = await curio.timeout_after(60, task.join)
+        return error, ended_ms[0] - lost_ms
+
+    error, took_ms = run(scenario, POOL)
+    assert isinstance(error, TargetFailed)
+    if fault == "die":
+        # The next packet at the latest, a probe of keep-alive, is answered by a reset.
+        assert took_ms <= emulated_connection.KEEPALIVE_INTERVAL_MS
+    else:
+        assert error.closed
+        assert took_ms == emulated_connection.KEEPALIVE_TIMEOUT_MS
+
+
+def test_silent_connection_goes_on_after_a_short_cut():
+    """Guards against a short cut that ends a connection, or makes it deliver."""
+
+    async def scenario(clock, emulator, client, target):
+        client = emulator.client("entry-2", "west")
+        address = target.row.address
+        await client.call(address, attempt(1, "/x"))
+        emulator.stall_connections("t")
+        task = await curio.spawn(client.call, address, attempt(2, "/x"), daemon=True)
+        await clock.sleep_ms(1_000)
+        emulator.cut("west")
+        await clock.sleep_ms(4_000)
+        emulator.heal("west")
+        with pytest.raises(curio.TaskTimeout):
+            await curio.timeout_after(60, task.join)
+
+    run(scenario, POOL)
+
+
 class BurstHarness(CutHarness):
     """The same, with bursts that need many connections at a time."""
 
