--- a/tests/founding_cluster.py
+++ b/tests/founding_cluster.py
@@ -30,7 +30,9 @@
     async def start(self):
         self.starts += 1
         self.machine = ListMachine(self.cluster)
-        seeds = self.seeds or [(n.name, n.address) for n in self.cluster.nodes]
+        seeds = self.seeds
+        if seeds is None:
+            seeds = [(n.name, n.address) for n in self.cluster.nodes]
         self.member = member = Member(
             self.clock,
             CheckedLink(self.cluster.network.link(self.address), self),
