Rank load records by the last attempt, not by the last success

Cause: A lost message set the numbers of its targets back to 0, and the targets were ranked by these numbers. The same names thus came first again, as long as messages to the partner were lost.

Ruled out: Restoring the number that was sent before, alone: a partner that has no message yet has no earlier number, and the order would stay the same. With the rank by attempt, the earlier number makes no difference: a target counts as changed either way, because its present number is above both.

Conclusion: A partner whose messages are lost is sent all targets in turn. The records of a lost message that is not the newest one are not repeated yet.

--- a/tests/test_growth_spread.py
+++ b/tests/test_growth_spread.py
@@ -194,3 +194,20 @@
     log.drop("t1")
     progress.select(log, 2)
     assert set(progress.sent_by_name) == {"t2"}
+    assert set(progress.attempts_by_name) == {"t2"}
+
+
+@pytest.mark.parametrize("seen", ["none", "first"])
+def test_lost_messages_carry_all_targets_in_turn(seen):
+    """Guards against the same few targets in each message to a partner without news."""
+    names = [f"t{number:02}" for number in range(50)]
+    log, progress = log_of(names), GrowthProgress()
+    progress.select(log, 10)
+    progress.record_seen(1)
+    sent = []
+    for _ in range(10):
+        sent += progress.select(log, 10)
+        progress.record_seen(0 if seen == "none" else 1)
+        for name in names:
+            log.record_change(name)
+    assert all(sent.count(name) == 2 for name in names)
--- a/wagtailrun/gossip/growth.py
+++ b/wagtailrun/gossip/growth.py
@@ -36,11 +36,14 @@
         message: Number of the newest message to the partner.
         names: Targets whose records were in that message.
         sent_by_name: Number of the newest change that was sent, by name of the target.
+        attempts_by_name: Number of the last message with a record of the target,
+            whether or not it arrived.
     """
 
     message: int = 0
     names: list[str] = attrs.field(factory=list)
     sent_by_name: dict[str, int] = attrs.field(factory=dict)
+    attempts_by_name: dict[str, int] = attrs.field(factory=dict)
 
     def select(
         self,
@@ -53,7 +56,8 @@
 
         Targets that announce themselves to this entry come first, because no other
         entry has newer records of them. Those that it watches come next. Of each kind,
-        the least recently sent ones come first.
+        the least recently sent ones come first, even if their message was lost: a
+        partner that receives few messages would otherwise get the same few targets.
 
         Args:
             log: Changes of all targets.
@@ -61,26 +65,27 @@
             is_shared: Whether the partner may have a record of the target.
             source: How this entry learns of the target.
         """
-        sent_by_name = self.sent_by_name
+        sent_by_name, attempts_by_name = self.sent_by_name, self.attempts_by_name
         numbers_by_name = log.change_numbers_by_name
         announced: list[tuple[int, int, str]] = []
         others: list[tuple[int, int, str]] = []
         for name, number in numbers_by_name.items():
-            sent = sent_by_name.get(name, 0)
-            if number > sent and is_shared(name):
+            if number > sent_by_name.get(name, 0) and is_shared(name):
                 kind = source(name)
                 items = announced if kind == Source.ANNOUNCED else others
-                items.append((kind, sent, name))
+                items.append((kind, attempts_by_name.get(name, 0), name))
         others = heapq.nsmallest(limit, others)
         kept = min(len(others), limit // OTHERS_SHARE)
         announced = heapq.nsmallest(limit - kept, announced)
         others = others[: limit - len(announced)]
         names = [name for _, _, name in announced + others]
+        self.message += 1
         for name in names:
             sent_by_name[name] = numbers_by_name[name]
-        for name in sent_by_name.keys() - numbers_by_name.keys():
-            del sent_by_name[name]
-        self.message += 1
+            attempts_by_name[name] = self.message
+        for name in attempts_by_name.keys() - numbers_by_name.keys():
+            del attempts_by_name[name]
+            sent_by_name.pop(name, None)
         self.names = names
         return names
 
