Repeat the load records of each message that may be lost

Cause: Only the names of the newest message to a partner were kept. After a lost reply and a request that arrived, the records of the reply counted as sent, and a target that did not change again was never repeated.

Earlier numbers by name are not needed: a name is repeated only if no later message carried it, and its present number is above any earlier one.

EarlierProgress in this file no longer sets names, which nothing reads now.

Conclusion: The names of three messages are kept. A reply to a request confirms exactly that request. Messages that are not confirmed when a later one is count as lost, so some that arrived are repeated: their targets come after those that were not sent for longer. A lost reply is tested on GrowthProgress only.

--- a/tests/test_growth_spread.py
+++ b/tests/test_growth_spread.py
@@ -26,8 +26,7 @@
     def select(self, log, limit, is_shared=None, source=None):
         changed = log.changed_since(self.message)
         self.message = log.number
-        self.names = list(itertools.islice(changed, limit))
-        return self.names
+        return list(itertools.islice(changed, limit))
 
     def record_seen(self, message):
         self.message = message
@@ -211,3 +210,45 @@
         for name in names:
             log.record_change(name)
     assert all(sent.count(name) == 2 for name in names)
+
+
+def test_lost_message_before_one_that_arrives_is_repeated():
+    """Guards against a lost reply that counts as received with the next request."""
+    log, progress = log_of(["t1", "t2", "t3"]), GrowthProgress()
+    assert progress.select(log, 1) == ["t1"]
+    reply = progress.message
+    assert progress.select(log, 1) == ["t2"]
+    progress.record_received(progress.message)
+    progress.record_seen(reply + 1)
+    assert progress.select(log, 3) == ["t3", "t1"]
+
+
+def test_all_messages_after_the_newest_one_received_are_repeated():
+    """Guards against lost messages of which only the newest one is repeated."""
+    log, progress = log_of(["t1", "t2", "t3"]), GrowthProgress()
+    for _ in range(3):
+        progress.select(log, 1)
+    progress.record_seen(1)
+    assert progress.select(log, 3) == ["t2", "t3"]
+
+
+def test_record_sent_again_is_not_repeated_for_an_earlier_lost_message():
+    """Guards against records that a later message has brought already."""
+    log, progress = log_of(["t1"]), GrowthProgress()
+    progress.select(log, 1)
+    log.record_change("t1")
+    progress.select(log, 1)
+    progress.record_received(2)
+    progress.record_lost(1)
+    assert progress.select(log, 1) == []
+
+
+def test_messages_beyond_the_bound_count_as_lost():
+    """Guards against memory that grows with the messages to a silent partner."""
+    bound = gossip_growth.UNACKNOWLEDGED_MESSAGES
+    names = [f"t{number}" for number in range(bound + 1)]
+    log, progress = log_of(names), GrowthProgress()
+    for _ in names:
+        progress.select(log, 1)
+    assert len(progress.names_by_message) == bound
+    assert progress.select(log, 1) == [names[0]]
--- a/wagtailrun/gossip/exchange.py
+++ b/wagtailrun/gossip/exchange.py
@@ -95,14 +95,14 @@
             partner = self.peers.partner(row)
             local = row.data_centre == self.peers.data_centre
         message = self._build_message(partner, row, None, local)
-        growth = partner.growth.names
         try:
             reply = await self.client.call(address, message, EXCHANGE_TIMEOUT_MS)
         except PeerUnreachable:
             reply = None
         if not isinstance(reply, GossipExchange):
-            partner.growth.repeat(growth)
+            partner.growth.record_lost(message.sent.growth)
             return None
+        partner.growth.record_received(message.sent.growth)
         if row is not None and reply.sender.incarnation == row.incarnation:
             self.peers.partner(row).sent = message.sent
         self.client.record_contact(reply.sender.data_centre)
--- a/wagtailrun/gossip/growth.py
+++ b/wagtailrun/gossip/growth.py
@@ -13,6 +13,9 @@
 # One in so many records is kept for targets that announce themselves to other entries,
 # so that load also reaches entries that cannot be reached by those.
 OTHERS_SHARE = 5
+# Older messages count as lost. A request is confirmed by its reply and a reply by the
+# next request of the partner, so that more wait only if the partner is silent.
+UNACKNOWLEDGED_MESSAGES = 3
 
 
 class Source(enum.IntEnum):
@@ -34,14 +37,15 @@
 
     Attributes:
         message: Number of the newest message to the partner.
-        names: Targets whose records were in that message.
+        names_by_message: Targets whose records were in a message that may be lost, by
+            its number, oldest first.
         sent_by_name: Number of the newest change that was sent, by name of the target.
         attempts_by_name: Number of the last message with a record of the target,
             whether or not it arrived.
     """
 
     message: int = 0
-    names: list[str] = attrs.field(factory=list)
+    names_by_message: dict[int, list[str]] = attrs.field(factory=dict)
     sent_by_name: dict[str, int] = attrs.field(factory=dict)
     attempts_by_name: dict[str, int] = attrs.field(factory=dict)
 
@@ -86,21 +90,34 @@
         for name in attempts_by_name.keys() - numbers_by_name.keys():
             del attempts_by_name[name]
             sent_by_name.pop(name, None)
-        self.names = names
+        self.names_by_message[self.message] = names
+        if len(self.names_by_message) > UNACKNOWLEDGED_MESSAGES:
+            self.record_lost(next(iter(self.names_by_message)))
         return names
 
-    def repeat(self, names: list[str]) -> None:
-        """Have the records of targets sent again, because a message was lost."""
-        for name in names:
-            self.sent_by_name.pop(name, None)
+    def record_received(self, message: int) -> None:
+        """Record that the partner has the message with this number."""
+        self.names_by_message.pop(message, None)
+
+    def record_lost(self, message: int) -> None:
+        """Have the records of a message sent again, except those sent since then."""
+        for name in self.names_by_message.pop(message, ()):
+            if self.attempts_by_name.get(name) == message:
+                self.sent_by_name.pop(name, None)
 
     def record_seen(self, message: int) -> None:
-        """Have the newest message's records sent again unless the partner has it.
+        """Have records sent again unless the partner is known to have them.
+
+        A partner returns only the number of the newest message that it has. Earlier
+        ones that are not confirmed may be lost, and count as such.
 
         Args:
             message: Number of the newest message that the partner has, or 0.
         """
         if not message:
             self.sent_by_name.clear()
-        elif message != self.message:
-            self.repeat(self.names)
+            self.names_by_message.clear()
+            return
+        self.record_received(message)
+        for number in list(self.names_by_message):
+            self.record_lost(number)
