Keep the share of other entries' load in short messages

Cause: The share was the limit of a message divided by five and rounded down: 0 below five records. An entry with many forwards sent no load of targets that announce themselves elsewhere, as long as its own targets filled its messages.

Ruled out: One such record in each message: with a limit of one, no load of the targets that announce themselves to the entry would be sent.

Conclusion: The remainder is carried from message to message of a partner. A share that finds no such target leaves one record at most. Targets that are watched here still come before those known by gossip only, within the share.

--- a/tests/test_growth_spread.py
+++ b/tests/test_growth_spread.py
@@ -252,3 +252,20 @@
         progress.select(log, 1)
     assert len(progress.names_by_message) == bound
     assert progress.select(log, 1) == [names[0]]
+
+
+@pytest.mark.parametrize("limit", [1, 3, 7])
+def test_short_messages_keep_the_share_of_other_entries(limit):
+    """Guards against load that ends where the only path is by a busy entry."""
+    sources = {f"t{number}": Source.ANNOUNCED for number in range(40)}
+    sources |= {f"t{number}": Source.GOSSIP for number in range(40, 50)}
+    log, progress = log_of(sources), GrowthProgress()
+    sent = []
+    for _ in range(50):
+        sent += progress.select(log, limit, source=sources.get)
+        progress.record_received(progress.message)
+        for name in sources:
+            log.record_change(name)
+    assert len(sent) == 50 * limit
+    others = [name for name in sent if sources[name] == Source.GOSSIP]
+    assert len(others) == 50 * limit // gossip_growth.OTHERS_SHARE
--- a/wagtailrun/gossip/growth.py
+++ b/wagtailrun/gossip/growth.py
@@ -42,12 +42,15 @@
         sent_by_name: Number of the newest change that was sent, by name of the target.
         attempts_by_name: Number of the last message with a record of the target,
             whether or not it arrived.
+        others_credit: Records due to targets of other entries, in parts of which
+            ``OTHERS_SHARE`` make up one record.
     """
 
     message: int = 0
     names_by_message: dict[int, list[str]] = attrs.field(factory=dict)
     sent_by_name: dict[str, int] = attrs.field(factory=dict)
     attempts_by_name: dict[str, int] = attrs.field(factory=dict)
+    others_credit: int = 0
 
     def select(
         self,
@@ -79,7 +82,10 @@
                 items = announced if kind == Source.ANNOUNCED else others
                 items.append((kind, attempts_by_name.get(name, 0), name))
         others = heapq.nsmallest(limit, others)
-        kept = min(len(others), limit // OTHERS_SHARE)
+        credit = self.others_credit + limit
+        kept = min(len(others), credit // OTHERS_SHARE)
+        # A message without such targets leaves at most one record to the next ones.
+        self.others_credit = min(credit - kept * OTHERS_SHARE, OTHERS_SHARE)
         announced = heapq.nsmallest(limit - kept, announced)
         others = others[: limit - len(announced)]
         names = [name for _, _, name in announced + others]
