Revert "Let seeds that are named after the first start found a cluster"

A first list with a mistake was kept for good, so that an order, which founded the cluster before, was refused until folders were emptied. Adopting a list only once it stays the same, or following it until a value is accepted, needs an argument of its own why no two lists found a log.

--- a/tests/test_founding_refusals.py
+++ b/tests/test_founding_refusals.py
@@ -6,8 +6,7 @@
 
 from tests.founding_cluster import FoundingCluster, SeedNode
 from tests.hosted_cluster import HostedNode
-from wagtailrun.consensus.founding import MAX_LOGGED_REFUSALS
-from wagtailrun.consensus.late_seeds import seeds_refusal
+from wagtailrun.consensus.founding import MAX_LOGGED_REFUSALS, seeds_refusal
 from wagtailrun.ports.link import Address
 from wagtailrun.virtual_time import run_virtual
 
--- a/wagtailrun/consensus/founding.py
+++ b/wagtailrun/consensus/founding.py
@@ -4,7 +4,7 @@
 it in one ballot; from then on every later ballot carries the same value.
 """
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 
 import attrs
 import curio
@@ -24,7 +24,6 @@
     FoundingView,
     SeedStatement,
 )
-from wagtailrun.consensus.late_seeds import LateSeeds
 from wagtailrun.consensus.member_state import MemberState
 from wagtailrun.consensus.messages import (
     CODEC,
@@ -48,7 +47,7 @@
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 
-__all__ = ["Founding", "seed_addresses"]
+__all__ = ["Founding", "seed_addresses", "seeds_refusal"]
 
 # Time that seeds which have not answered get, so that seeds that start together are
 # all in the initial member set and none has to join afterwards.
@@ -72,6 +71,35 @@
 MAX_LOGGED_REFUSALS = 16
 
 
+def seeds_refusal(
+    name: str,
+    address: Address,
+    seeds: Sequence[tuple[str, Address]],
+    may_found_alone: bool,
+) -> str:
+    """Return why a member must not found a cluster with ``seeds``, empty if it may.
+
+    Args:
+        name: Name of the member.
+        address: Peer address of the member.
+        seeds: Names and addresses of the seeds.
+        may_found_alone: Whether the member may be the only seed.
+    """
+    for position in (0, 1):
+        values = [seed[position] for seed in seeds]
+        for value in values:
+            if values.count(value) > 1:
+                return f"the seeds hold {value} more than once"
+    own_address = dict(seeds).get(name)
+    if own_address is None:
+        return ""
+    if own_address != address:
+        return f"the seeds hold {name} at {own_address}, but it is at {address}"
+    if len(seeds) == 1 and not may_found_alone:
+        return "the seeds hold this member alone, but losses are to be tolerated"
+    return ""
+
+
 def seed_addresses(record: FoundingRecord) -> dict[str, Address]:
     """Return the addresses of the seeds in ``record`` by name."""
     pairs = (text.rpartition("=") for text in record.seeds)
@@ -84,19 +112,12 @@
     Args:
         state: State of the member.
         campaign: Starts an election.
-        may_found_alone: Whether the member may be the only seed.
     """
 
-    def __init__(
-        self,
-        state: MemberState,
-        campaign: Callable[[], Awaitable[None]],
-        may_found_alone: bool,
-    ):
+    def __init__(self, state: MemberState, campaign: Callable[[], Awaitable[None]]):
         self.state = state
         self.campaign = campaign
         self.acceptor = FoundingAcceptor(state)
-        self.late_seeds = LateSeeds(state, self.acceptor, may_found_alone)
         # Local time since when enough seeds have answered without an obstacle.
         self.ready_since_ms: int | None = None
         self.back_off_until_ms = 0
@@ -120,12 +141,7 @@
         """Return the part of this member in founding if its disk is empty."""
         state = self.state
         refused = self.is_revoked or state.founding_refusal
-        if refused:
-            return FoundingRecord()
-        if not state.bootstrap:
-            # Open if the settings give the permission, until they name the seeds.
-            return FoundingRecord(by_majority=state.founds_by_majority)
-        if state.name not in state.bootstrap:
+        if refused or state.name not in state.bootstrap:
             return FoundingRecord()
         seeds = seed_texts(state.bootstrap.items())
         return FoundingRecord(seeds, state.founds_by_majority)
@@ -174,7 +190,6 @@
         """Found the cluster once enough seeds may, unless this member has a log."""
         replies_by_address: dict[Address, FoundingReply] = {}
         while not self.acceptor.has_log:
-            await self.late_seeds.adopt()
             if self._is_query_due():
                 replies_by_address = await self.ask_all(self._paused_addresses())
                 self._plan_query()
--- a/wagtailrun/consensus/founding_acceptor.py
+++ b/wagtailrun/consensus/founding_acceptor.py
@@ -172,7 +172,7 @@
         to be their addresses. Empty if the member is no seed.
         """
         state, record = self.state, self.record
-        is_bound = (record.by_majority and record.seeds) or record.value.cluster
+        is_bound = record.by_majority or record.value.cluster
         is_named = state.name == str(state.address) and state.address in state.peers
         if is_bound or not is_named:
             return record.seeds
@@ -193,8 +193,7 @@
             and message.seeds == self.order_seeds != self.record.seeds
             and state.clock.now_ms() - state.started_ms >= LISTEN_MS
         ):
-            record = attrs.evolve(self.record, seeds=message.seeds, by_majority=False)
-            await self.save(record)
+            await self.save(attrs.evolve(self.record, seeds=message.seeds))
 
     async def save(self, record: FoundingRecord) -> None:
         """Make ``record`` durable; the caller holds the lock of the state."""
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -10,11 +10,10 @@
 from wagtailrun.consensus.election import Election
 from wagtailrun.consensus.first_member_set import FirstMemberSet
 from wagtailrun.consensus.following import Follower
-from wagtailrun.consensus.founding import Founding
+from wagtailrun.consensus.founding import Founding, seeds_refusal
 from wagtailrun.consensus.handover import LeaderHandover
 from wagtailrun.consensus.journal import Journal
 from wagtailrun.consensus.journal_records import snapshot_checksum
-from wagtailrun.consensus.late_seeds import seeds_refusal
 from wagtailrun.consensus.member_state import MemberState, Proposal
 from wagtailrun.consensus.membership_change import MembershipChange
 from wagtailrun.consensus.messages import (
@@ -131,7 +130,7 @@
         self.replication = Replication(self.state)
         self.membership = MembershipChange(self.state, self.replication)
         self.election = Election(self.state, self.replication, self.membership)
-        self.founding = Founding(self.state, self.election.campaign, may_found_alone)
+        self.founding = Founding(self.state, self.election.campaign)
         self.first_member_set = FirstMemberSet(self.state, self.founding)
         self.operator_founding = OperatorFounding(self.state, self.founding)
         self.handover = LeaderHandover(self.state, self.replication, self.election)
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -162,7 +162,7 @@
         seeds: ``NAME=IP:PORT`` of the seeds that it may found the cluster with,
             sorted; empty if it may not.
         by_majority: Whether a majority of the seeds may found the cluster, else only
-            all of them. Without seeds, the permission is open; see ``is_open``.
+            all of them.
         promised: Newest ballot that it takes part in.
         accepted: Ballot of ``value``.
         value: Newest value that it has accepted.
@@ -174,11 +174,6 @@
     accepted: FoundingBallot = FoundingBallot()
     value: FoundingValue = FoundingValue()
 
-    @property
-    def is_open(self) -> bool:
-        """Whether the first start gave the permission, but named no seeds."""
-        return self.by_majority and not self.seeds
-
 
 @attrs.frozen
 class MemberRecord:
