Check the types of relay.requests

Found: no fault that a caller could have seen. A carrier is recorded only after its request was sent, so that the missing time of the sending could not occur; the check is there now. The planned stop that _ends_before_stop looks at, and the stages that the admission estimates, are arguments now instead of values that may be absent. EventSplitter finds the end of blank lines by the next other byte. Change: BodyStream is the base class of bodies that a handler generates with a clean-up of its own; no behaviour changes.

--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -49,7 +49,8 @@
 def check_job(stages_ms, **options):
     clock = VirtualClock()
     admission = AdmissionController(clock, FakeRunner(), seed=1)
-    return admission.check(job(clock, **options), stages_ms)
+    request = job(clock, **options)
+    return admission.check(request, request.work, stages_ms)
 
 
 @pytest.mark.parametrize(
--- a/wagtailrun/adapters/http_messages.py
+++ b/wagtailrun/adapters/http_messages.py
@@ -1,7 +1,8 @@
 """HTTP requests and responses as handlers see them, and responses for refusals."""
 
 import json
-from collections.abc import AsyncGenerator
+from abc import abstractmethod
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
 import attrs
@@ -10,6 +11,7 @@
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 
 __all__ = [
+    "BodyStream",
     "DEFAULT_REFUSAL_STATUS",
     "Request",
     "RequestRejected",
@@ -68,20 +70,28 @@
     header_pairs: tuple[tuple[bytes, bytes], ...] = ()
 
 
+class BodyStream(AsyncIterator[bytes]):
+    """Pieces of the body of a response, with a clean-up of their own."""
+
+    @abstractmethod
+    async def aclose(self) -> None:
+        """Release what the pieces need; also called if none was read."""
+
+
 @attrs.frozen
 class Response:
     """An HTTP response.
 
     Attributes:
         status: HTTP status.
-        body: Complete body, or an async generator of its pieces.
+        body: Complete body, or its pieces.
         headers: Pairs of header name and value.
         length: Content length of a generated body in bytes; None selects chunked
             transfer encoding.
     """
 
     status: int
-    body: bytes | AsyncGenerator[bytes, None] = b""
+    body: bytes | AsyncGenerator[bytes, None] | BodyStream = b""
     headers: tuple[tuple[str | bytes, str | bytes], ...] = ()
     length: int | None = None
 
--- a/wagtailrun/adapters/server_connection.py
+++ b/wagtailrun/adapters/server_connection.py
@@ -15,6 +15,7 @@
 from wagtailrun.adapters.http_client import header_fields
 from wagtailrun.adapters.http_messages import (
     DEFAULT_REFUSAL_STATUS,
+    BodyStream,
     Request,
     RequestRejected,
     Response,
@@ -567,7 +568,7 @@
     async def _send_stream(
         self,
         response: Response,
-        pieces: AsyncGenerator[bytes, None],
+        pieces: AsyncGenerator[bytes, None] | BodyStream,
         headers: list[tuple[str | bytes, str | bytes]],
     ) -> None:
         if response.length is None:
--- a/wagtailrun/relay/requests/admission.py
+++ b/wagtailrun/relay/requests/admission.py
@@ -5,7 +5,7 @@
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.relay.core.job import RelayJob
-from wagtailrun.stages import StageRunner
+from wagtailrun.stages import StagedWork, StageRunner
 
 __all__ = ["AdmissionController"]
 
@@ -36,7 +36,9 @@
         self.runner = runner
         self.random = random.Random(seed)
 
-    def check(self, job: RelayJob, stages_ms: int | None) -> Refusal | None:
+    def check(
+        self, job: RelayJob, work: StagedWork, stages_ms: int | None
+    ) -> Refusal | None:
         """Return why a request is not admitted, or None if it is admitted.
 
         A request that can meet its latency objective is admitted. A late answer is
@@ -46,6 +48,7 @@
 
         Args:
             job: Request; its ``expected_ms`` is set.
+            work: Its stages.
             stages_ms: Expected duration of the stages; None if a stage has no capacity
                 before the deadline.
         """
@@ -62,7 +65,7 @@
         objective_ms = job.objective_at_ms - job.arrived_ms
         margin_ms = min(job.margin_ms, int(MAX_MARGIN_SHARE * objective_ms))
         late_ms = first_at_ms + margin_ms - job.objective_at_ms
-        queued_ms = stages_ms - self.runner.min_duration_ms(job.work)
+        queued_ms = stages_ms - self.runner.min_duration_ms(work)
         if late_ms > 0 and queued_ms > MAX_LATE_QUEUE_MS:
             return self._overloaded(job, f"{detail}, late", queued_ms)
         return None
--- a/wagtailrun/relay/requests/attempt_reports.py
+++ b/wagtailrun/relay/requests/attempt_reports.py
@@ -136,7 +136,7 @@
         """Report an attempt without a usable answer."""
         if error.closed:
             await self._record_closed(job, row)
-        elif error.timed_out and job.carrier is not None:
+        elif error.timed_out and job.carrier is not None and job.sent_ms is not None:
             # The next attempt does not wait for the entry that carried this one.
             await curio.spawn(
                 self._record_silence, job, row, job.carrier, job.sent_ms, daemon=True
@@ -165,7 +165,7 @@
         """
         found = await self.http.connector.probe(row.address, PROBE_TIMEOUT_MS)
         is_path = not self.http.connector.may_reuse(row.address)
-        if not is_path and job.carrier is not None:
+        if not is_path and job.carrier is not None and job.sent_ms is not None:
             is_path = not await self._is_own_time(row, job.carrier, job.sent_ms)
         if found is Reachability.UNKNOWN or is_path:
             await self.record_end(job, row, RunOutcome.OVER)
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
+from typing import cast
 
 import attrs
 import curio
@@ -161,14 +162,16 @@
             while True:
                 await wait_for_end(task, self._attempt_timeout_ms(job))
                 if task.terminated:
-                    return await task.join()
+                    break
                 if self.can_move(job) or self.clock.now_ms() >= job.deadline_at_ms:
                     # Until it has ended, the attempt may still send the request.
                     job.attempt_timed_out = True
                     await task.cancel()
                     if isinstance(task.exception, curio.CancelledError):
                         return _timeout_error(job, row)
-                    return await task.join()
+                    break
+            attempt: Attempt | TargetFailed = await task.join()
+            return attempt
         except curio.TaskError as error:
             raise error.__cause__ from error
         except curio.CancelledError:
@@ -296,7 +299,7 @@
                 if head.load is not None:
                     self.chooser.health.record_load(row, head.load)
                 job.progress = AnswerProgress.HEAD
-                yield Attempt(row, stream, head, job.sent_ms)
+                yield Attempt(row, stream, head, cast(int, job.sent_ms))
         except (curio.CancelledError, GeneratorExit):
             # The caller disconnected, which says nothing about the target. Of an
             # attempt that timed out ``call`` reports how it ended; only the first
--- a/wagtailrun/relay/requests/events_split.py
+++ b/wagtailrun/relay/requests/events_split.py
@@ -15,7 +15,7 @@
 # Comments and blank lines that arrive together are one block, as each block costs as
 # much as an event. The possessive groups keep the work linear.
 COMMENTS = re.compile(rb"(?:(?::[^\r\n]*+(?>\r\n|\n|\r))*+(?>\r\n|\n|\r))++")
-BLANK_LINES = re.compile(rb"[\r\n]*+")
+NO_LINE_BREAK = re.compile(rb"[^\r\n]")
 # An incomplete event ends with at most these bytes of an EVENT_END.
 MAX_PARTIAL_END_BYTES = len(b"\r\n\r")
 HTTP_HEAD = re.compile(rb"HTTP/1\.[01] \d{3}[^\r\n]*")
@@ -70,11 +70,14 @@
         self.buffer += chunk
         start = 0
         while end := EVENT_END.search(self.buffer, max(scanned, start)):
-            block = COMMENTS.match(self.buffer, start)
-            if block is None:
-                block = BLANK_LINES.match(self.buffer, end.end())
-            data = bytes(self.buffer[start : block.end()])
-            start = block.end()
+            comments = COMMENTS.match(self.buffer, start)
+            if comments is not None:
+                block_end = comments.end()
+            else:
+                following = NO_LINE_BREAK.search(self.buffer, end.end())
+                block_end = following.start() if following else len(self.buffer)
+            data = bytes(self.buffer[start:block_end])
+            start = block_end
             match = EVENT_ID.search(data)
             yield StreamEvent(data, int(match.group(1)) if match else None)
         del self.buffer[:start]
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -269,10 +269,13 @@
             urgency = workspace.urgency
         objective_at_ms = arrived_ms + (route.aim_ms or limit_ms)
         deadline_at_ms = arrived_ms + limit_ms
-        if self.stop is not None and route.kind is not RouteKind.STREAM:
-            deadline_at_ms = min(deadline_at_ms, self.stop.answers_end_ms)
-        if not self._ends_before_stop(route, objective_at_ms, deadline_at_ms):
-            left_ms = self.stop.ends_ms - arrived_ms
+        stop = self.stop
+        if stop is not None and route.kind is not RouteKind.STREAM:
+            deadline_at_ms = min(deadline_at_ms, stop.answers_end_ms)
+        if stop is not None and not self._ends_before_stop(
+            stop, route, objective_at_ms, deadline_at_ms
+        ):
+            left_ms = stop.ends_ms - arrived_ms
             return Refusal(
                 RefusalReason.DRAINING,
                 Verdict.NOT_RUN,
@@ -294,7 +297,7 @@
         )
 
     def _ends_before_stop(
-        self, route: Route, objective_at_ms: int, deadline_at_ms: int
+        self, stop: StopPlan, route: Route, objective_at_ms: int, deadline_at_ms: int
     ) -> bool:
         """Return whether a request may be admitted although the entry stops.
 
@@ -302,8 +305,7 @@
         expected to end in time; the forecast refuses the others. After that those that
         cannot be cut off by it: streams last longer than their objective.
         """
-        stop = self.stop
-        if stop is None or self.clock.now_ms() < stop.notice_ends_ms:
+        if self.clock.now_ms() < stop.notice_ends_ms:
             return True
         if route.kind is RouteKind.STREAM:
             return deadline_at_ms <= stop.answers_end_ms
@@ -376,7 +378,7 @@
             if refusal is not None:
                 return refusal
             deadline_at_ms = job.first_event_deadline_at_ms
-            job.work = StagedWork(
+            work = StagedWork(
                 request_id=job.request.request_id,
                 steps=job.route.steps,
                 pieces=job.request.pieces,
@@ -386,13 +388,14 @@
                 expires_at_ms=deadline_at_ms - job.planned_ms,
                 round=number,
             )
-            stages_ms = await self.runner.announce(job.work, job.data_centre)
-            refusal = self.admission.check(job, stages_ms)
+            job.work = work
+            stages_ms = await self.runner.announce(work, job.data_centre)
+            refusal = self.admission.check(job, work, stages_ms)
             refusal = refusal or self.forecast.refusal(job)
             if refusal is not None:
-                await self.runner.withdraw(job.work)
+                await self.runner.withdraw(work)
                 return refusal
-            refusal = await self.runner.run(job.work, job.data_centre, job.results)
+            refusal = await self.runner.run(work, job.data_centre, job.results)
             job.staged_ms = self.clock.now_ms()
             if refusal is None or refusal.reason is not RefusalReason.TARGET_FAILED:
                 return refusal
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -1,13 +1,15 @@
 """Streams of relayed requests: complete events, resumed within one answer."""
 
 import functools
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncGenerator, Callable, Iterator
 from contextlib import aclosing
+from typing import cast
 
 import attrs
 import curio
 
 from wagtailrun.adapters.http_client import MAX_SKIPPED_BYTES
+from wagtailrun.adapters.http_messages import BodyStream
 from wagtailrun.adapters.http_server import Response
 from wagtailrun.discovery import OriginClient, StreamOrigin
 from wagtailrun.discovery.stream_origins import stream_key
@@ -98,13 +100,14 @@
             await items.aclose()
             ended(job, "answered", first.status)
             return first
+        head = cast(AnswerHead, first)
         job.streaming = True
-        body = _StreamBody(job, items, ended, first.status, self.runner)
-        return Response(first.status, body, first.headers)
+        body = _StreamBody(job, items, ended, head.status, self.runner)
+        return Response(head.status, body, head.headers)
 
     async def _items(
         self, job: RelayJob
-    ) -> AsyncIterator[AnswerHead | Response | Refusal | bytes]:
+    ) -> AsyncGenerator[AnswerHead | Response | Refusal | bytes, None]:
         """Yield the head of the answer, then its events.
 
         Instead, the only item may be a complete answer or a refusal.
@@ -260,7 +263,7 @@
         attempt: Attempt,
         state: "_StreamState",
         continuation: Continuation | None = None,
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the events of one attempt that the caller has not received yet.
 
         Args:
@@ -332,7 +335,7 @@
 
         One chunk may complete thousands of events, so other tasks get turns meanwhile.
         """
-        events_found = []
+        events_found: list[StreamEvent] = []
         is_numbered = state.last_sent_id is not None
         for event in splitter.feed(chunk):
             # A target that fails in mid-stream may write an error into a body without a
@@ -433,7 +436,7 @@
     has_failed: bool = False
 
 
-class _StreamBody(AsyncIterator[bytes]):
+class _StreamBody(BodyStream):
     """Events of an answer whose head was sent.
 
     This is a class because closing an async generator that was never started skips its
@@ -443,7 +446,7 @@
     def __init__(
         self,
         job: RelayJob,
-        items: AsyncIterator[AnswerHead | Response | Refusal | bytes],
+        items: AsyncGenerator[AnswerHead | Response | Refusal | bytes, None],
         ended: EndedCallback,
         status: int,
         runner: StageRunner,
@@ -459,7 +462,7 @@
     async def __anext__(self) -> bytes:
         """Return the next events."""
         try:
-            return await anext(self.items)
+            return cast(bytes, await anext(self.items))
         except StopAsyncIteration:
             self.outcome = "answered"
             raise
