Check the types of discovery

Need: discovery and stages were left out of mypy; 16 errors in seven modules of discovery. Found: no fault that a process could have shown. The hub and the reports of entries held a table of two kinds and its message apart, so that a report could have been built of the rows of the other kind: each kind makes its own message now. Conclusion: stages are left.

--- a/wagtailrun/discovery/configuration.py
+++ b/wagtailrun/discovery/configuration.py
@@ -70,7 +70,10 @@
     ) -> Configuration:
         """Read a configuration without delaying other tasks; see ``read``."""
         if len(data) > MAX_INLINE_BYTES:
-            return await curio.run_in_thread(self.read, data, revision)
+            configuration: Configuration = await curio.run_in_thread(
+                self.read, data, revision
+            )
+            return configuration
         return self.read(data, revision)
 
 
--- a/wagtailrun/discovery/entry_reports.py
+++ b/wagtailrun/discovery/entry_reports.py
@@ -1,6 +1,6 @@
 """Reports of an entry to the control members: departures, crashes and limits."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 import curio
@@ -27,13 +27,13 @@
 
     Attributes:
         table: The table.
-        message_class: Message that reports rows of it.
+        report: Returns the message that reports the rows of some keys.
         mark: Change number of the newest row that was reported.
         requested: Notified when there may be something to report.
     """
 
     table: Quarantine | TargetLimits
-    message_class: type[ReportCrashes] | type[ReportLimits]
+    report: Callable[[Iterable[str]], Report]
     mark: int = 0
     requested: Signal = attrs.field(factory=Signal)
 
@@ -67,8 +67,8 @@
         self.send = send
         self.epoch = epoch
         self.tables = (
-            _Progress(quarantine, ReportCrashes),
-            _Progress(limits, ReportLimits),
+            _Progress(quarantine, lambda keys: ReportCrashes(quarantine.rows(keys))),
+            _Progress(limits, lambda keys: ReportLimits(limits.rows(keys))),
         )
         # Reports of departures that are under way.
         self.departures = 0
@@ -122,5 +122,5 @@
             if not changed:
                 epoch, progress.mark = sent_epoch, sent_mark
                 continue
-            if await self.send(progress.message_class(table.rows(changed))):
+            if await self.send(progress.report(changed)):
                 epoch, progress.mark = sent_epoch, sent_mark
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -169,9 +169,11 @@
                 await self.leave(message.target, message.incarnation)
                 return RowsTaken(self.epoch)
             case ReportCrashes():
-                return await self._merge_report(self.quarantine, message)
+                changed = self.quarantine.merge(message.rows, local=True)
+                return await self._confirm_report(changed)
             case ReportLimits():
-                return await self._merge_report(self.limits, message)
+                changed = self.limits.merge(message.rows, local=True)
+                return await self._confirm_report(changed)
             case RecordOrigins():
                 self.origins.record(message.groups)
                 return RowsTaken(self.epoch)
@@ -400,7 +402,8 @@
         # Entries must learn that another one was started again: it has forgotten what
         # they told it.
         is_new = known is None or known.process != row.process
-        if is_new or known.address != row.address:
+        has_moved = known is not None and known.address != row.address
+        if is_new or has_moved:
             events.log(events.ENTRY_LIVENESS_CHANGED, entry=row.name, live=True)
             self.entries_by_name[row.name] = row
             self.entries_mark += 1
@@ -537,8 +540,8 @@
             if self.membership.put(aged.row, now_ms, aged.age_ms):
                 self._retire_address(aged.row, now_ms)
         await self._release_targets(message.targets)
-        for aged in message.entries:
-            await self._update_entry(aged.row, aged.age_ms)
+        for entry in message.entries:
+            await self._update_entry(entry.row, entry.age_ms)
         crashes_changed = self.quarantine.merge(message.crashes)
         limits_changed = self.limits.merge(message.limits)
         targets_changed = self.membership.state_log.number > before
@@ -546,11 +549,9 @@
             await self.changed.notify()
         return RowsTaken(self.epoch)
 
-    async def _merge_report(
-        self, table: Quarantine | TargetLimits, message: ReportCrashes | ReportLimits
-    ) -> RowsTaken:
-        """Merge what an entry reports; pass changes on at once."""
-        if table.merge(message.rows, local=True):
+    async def _confirm_report(self, changed: bool) -> RowsTaken:
+        """Confirm what an entry reported; pass changes on at once."""
+        if changed:
             await self.share_requested.notify()
             await self.changed.notify()
         return RowsTaken(self.epoch)
--- a/wagtailrun/discovery/owners.py
+++ b/wagtailrun/discovery/owners.py
@@ -41,7 +41,7 @@
         # By name and incarnation: a process that was started again is not avoided.
         self.avoid_until_ms: dict[tuple[str, int], int] = {}
         # Live entries and busy keys that the cached rankings were computed from.
-        self._ranked_entries: Sequence[EntryRow] | None = None
+        self._ranked_entries: Sequence[EntryRow] = ()
         self._ranked_keys: Sequence[str] = ()
         # Ranking of the entries by key and data centre. Hashing 200 names takes 0.2 ms,
         # and a request asks for owners a dozen times.
--- a/wagtailrun/discovery/quarantine.py
+++ b/wagtailrun/discovery/quarantine.py
@@ -172,7 +172,7 @@
             if age_ms >= EVIDENCE_LIFETIME_MS and not self._holds_back(key):
                 self._drop(key)
         while len(self.evidence_by_key) >= MAX_EVIDENCE:
-            self._drop(min(self.at_ms_by_key, key=self.at_ms_by_key.get))
+            self._drop(min(self.at_ms_by_key, key=self.at_ms_by_key.__getitem__))
 
     def _holds_back(self, key: str) -> bool:
         """Return whether a prompt is held back because of a crash, or was lately."""
--- a/wagtailrun/discovery/transfer.py
+++ b/wagtailrun/discovery/transfer.py
@@ -94,7 +94,7 @@
         if base_revision not in self.texts_by_revision:
             base_revision = 0
         identity = self.identities_by_base.get(base_revision)
-        if identity in self.payloads_by_identity:
+        if identity is not None and identity in self.payloads_by_identity:
             return self.payloads_by_identity[identity]
         base = self.texts_by_revision.get(base_revision, b"")
         data = _compress(base, self.texts_by_revision[self.newest_revision])
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -101,7 +101,7 @@
         self.away_data_centres: frozenset[str] = frozenset()
         self.evacuations = EvacuationView()
         self._near_entries: tuple[EntryRow, ...] = self.entries
-        self._near_entries_of = self.entries, self.away_data_centres
+        self._near_entries_of: object = (self.entries, self.away_data_centres)
         self.table: RouteTable | None = None
         # Revision that ``table`` was made from.
         self.revision = 0
@@ -244,8 +244,8 @@
         rows = [row for row in rows if row.software_version == version]
         if any(row.name not in tried for row in rows):
             return rows
-        known = self.membership.rows_by_service.get(origin.service, {}).values()
-        draining = [row for row in known if row.draining]
+        rows_by_name = self.membership.rows_by_service.get(origin.service, {})
+        draining = [row for row in rows_by_name.values() if row.draining]
         return rows + [
             row
             for row in draining
