Write why a product daemon ends behind all lines of its log

Cause: the log and the reason for the end each had a writer of its own on standard error. The writer of the log gets half a second for its last lines; then the reason was written beside it. With a log in two batches, of which the first one waits for the reader, the reason came between them, and the log ended with older lines.

Ruled out: noise that is written after the reason. Once the writer of the log has ended, nothing else writes to that descriptor (hooks, logging and sys.stderr all lead to its queue).

Change: the writer of the log writes the reason, last, also if its queue is full. It gets as long as the two writers had together, 1 s.

--- a/wagtailrun/cli/daemon_command.py
+++ b/wagtailrun/cli/daemon_command.py
@@ -13,6 +13,7 @@
 from wagtailrun.exceptions import WagtailrunError
 from wagtailrun.logs.daemon_log import start_absl_lines
 from wagtailrun.logs.events import EVENT_LOG
+from wagtailrun.logs.line_writer import LineWriter
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.process_exit import (
     exit_with_fault,
@@ -41,26 +42,28 @@
         if print_settings:
             print("\n".join(loaded.lines()))
             return EXIT_SUCCESS
+        writer = start_absl_lines()
         try:
-            return run_daemon(loaded.settings)
+            return run_daemon(loaded.settings, writer)
         except (WagtailrunError, OSError) as error:
-            exit_with_message(*describe_error(error))
+            exit_with_message(*describe_error(error), writer)
         except Exception:
-            exit_with_fault()
+            exit_with_fault(writer)
+        finally:
+            writer.stop()
 
-    def run_daemon(settings: Any) -> int:
+    def run_daemon(settings: Any, writer: LineWriter) -> int:
         # Imported here so that the other commands start faster.
         run = getattr(importlib.import_module(module), f"run_{name}")
 
         async def serve() -> None:
-            writer = start_absl_lines()
             await curio.spawn(LoopWatch(SystemClock()).run, daemon=True)
             try:
                 await run(settings)
             finally:
                 # Reports the suppressed lines that no later line would mention.
                 EVENT_LOG.flush()
-                writer.stop()
+            writer.stop()
 
         status: int = curio.run(run_then_exit, serve)
         return status
--- a/wagtailrun/logs/line_writer.py
+++ b/wagtailrun/logs/line_writer.py
@@ -28,6 +28,7 @@
         # is put last.
         self.queued_lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self.dropped = 0
+        self.last_text = ""
         self.stopping = threading.Event()
         self.thread = threading.Thread(target=self._run, daemon=True)
 
@@ -42,12 +43,14 @@
             return
         self.queued_lines.put(line)
 
-    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S, last_text: str = "") -> None:
         """Write the queued lines, and wait for it.
 
         Args:
             timeout_s: How long to wait at most, in seconds.
+            last_text: Lines to write behind all others, also if the queue is full.
         """
+        self.last_text = last_text
         self.stopping.set()
         self.queued_lines.put(None)
         self.thread.join(timeout_s)
@@ -65,6 +68,8 @@
             dropped, self.dropped = self.dropped, 0
             if dropped:
                 lines.append(f'{{"dropped_lines": {dropped}}}')
+            if is_last and self.last_text:
+                lines.append(self.last_text)
             if not lines:
                 continue
             try:
--- a/wagtailrun/process/process_exit.py
+++ b/wagtailrun/process/process_exit.py
@@ -13,6 +13,8 @@
 
 EXIT_SUCCESS = 0
 EXIT_FAULT = 1
+# A reader that pauses for a moment still gets the reason why a daemon ends.
+MESSAGE_TIMEOUT_S = 1.0
 
 
 async def run_then_exit(
@@ -35,20 +37,28 @@
     os._exit(EXIT_SUCCESS)
 
 
-def exit_with_message(text: str, status: int) -> NoReturn:
+def exit_with_message(
+    text: str, status: int, writer: LineWriter | None = None
+) -> NoReturn:
     """Write why a daemon ends to standard error, which may be unread, and end it.
 
     Args:
         text: One or more lines.
         status: Exit status of the process.
+        writer: Writer of the log if that goes to standard error, too: a second one
+            could write the text before lines that wait for the reader.
     """
-    writer = LineWriter(sys.__stderr__)
-    writer.start()
-    writer.put(text)
-    writer.stop()
+    if writer is None:
+        writer = LineWriter(sys.__stderr__)
+        writer.start()
+    writer.stop(MESSAGE_TIMEOUT_S, text)
     os._exit(status)
 
 
-def exit_with_fault() -> NoReturn:
-    """End a daemon because of the unexpected error that is being handled."""
-    exit_with_message(traceback.format_exc().rstrip(), EXIT_FAULT)
+def exit_with_fault(writer: LineWriter | None = None) -> NoReturn:
+    """End a daemon because of the unexpected error that is being handled.
+
+    Args:
+        writer: See ``exit_with_message``.
+    """
+    exit_with_message(traceback.format_exc().rstrip(), EXIT_FAULT, writer)
