soak: all standstills of the callers delay their load balancer, not only the longest

Cause: a connection that the load balancer of the soak sends to an ended entry is allowed for 800 ms after the signal and the longest standstill of the callers, in whose loop the load balancer runs. Beside load they stand still again and again: each one delays its next question.

At front-4 the load balancer, which asks every 250 ms, had asked 90 ms before the signal and then 947 and 1,767 ms after it, and both answers told of the stop; until 1,767 ms the callers had stood still seven times, for 56 to 384 ms, 1,577 ms in all; the first connection failed after 921 ms, the entry ended with 0 after 1,932 ms.

Ruled out: an entry that closes too early (none of these connections failed before 921 ms; 700 are promised), one that says for too long that it is ready (the last such answer came 90 ms before the signal; 188 and 102 ms before and after it elsewhere), and one that was stopped in its start (those ended before they were ever in rotation).

Change: the rule counts the time for which the callers ran since the signal, or since the last check at which the entry rightly said that it stays ready for others.

In return it asks more of the entry: a refused connection within the notice, less 0.5 s, is a finding whatever the load balancer did; before, the first 800 ms and the longest standstill were free. A standstill before the stop or after the connection excuses nothing, nor does a stop of the next process that was never ready.

Conclusion: the check was wrong, not the entry.

--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -138,6 +138,9 @@
         second_signal_ends: Whether a second SIGTERM ends an entry at once.
         deadline_ms: Deadline at which streams are cut off; 0 if they end whole.
         read_lag_ms: How old the version may be that a control member tells.
+        listen_ms: How long after the signal to stop an entry accepts connections, if
+            its grace period allows a notice of this length.
+        stay_ms: How long after it an entry may say that it is ready.
     """
 
     kinds: dict[str, float]
@@ -147,6 +150,8 @@
     second_signal_ends: bool = False
     deadline_ms: int = 0
     read_lag_ms: int = 0
+    listen_ms: int = 0
+    stay_ms: int = 0
 
     @abstractmethod
     def request(self, plan: RequestPlan) -> tuple[str, list[tuple[str, str]], bytes]:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -29,6 +29,10 @@
 MS_PER_SECOND = 1_000
 # A process has read a request this time after it was sent.
 READ_MS = 100
+# An entry that stood still as it got the signal to stop takes it for that much older.
+LATE_NOTICE_MS = 500
+# The load balancer sends no more connections after so many failed checks.
+FAILED_CHECKS = 2
 # An entry ends a stream a moment before its deadline.
 DEADLINE_MARGIN_MS = 100
 # Ends that need no excuse.
@@ -215,24 +219,51 @@
         return ""
 
     def _allowed_without_connection(self, request: RequestRecord) -> str:
+        """Allow that an entry has ended before the load balancer noticed its stop.
+
+        An entry accepts connections to the end of its notice, and the load balancer
+        does not ask while the loop of the callers, in which it runs, stands still.
+        """
         if not request.is_routed:
             return "no connection, not in rotation"
-        stop = self.history.stop_before(request.entry, request.ended_ms)
+        stop = self.history.stop_of_ready(request.entry, request.ended_ms)
+        if stop is None or self._is_in_notice(request, stop):
+            return ""
+        told_ms = self._ready_until_ms(stop, request.began_ms)
         noticed_ms = self.limits.rotation_ms
-        if stop:
-            # The load balancer, which runs with the callers, may have stood still
-            # before the request, too.
-            noticed_ms += max(
-                request.standstill_ms,
-                self.history.standstill_ms("callers", stop.at_ms, request.ended_ms),
-            )
-        if stop and stop.has_shortage:
+        noticed_ms += self.history.stood_still_ms("callers", told_ms, request.began_ms)
+        if stop.has_shortage:
             # Without a descriptor it cannot say that it stops.
             noticed_ms += stop.grace_ms
-        if stop and request.began_ms - stop.at_ms <= noticed_ms:
+        if request.began_ms - told_ms <= noticed_ms:
             return "no connection, before the load balancer noticed the stop"
         return ""
 
+    def _ready_until_ms(self, stop: SignalRecord, at_ms: int) -> int:
+        """Return when an entry that stops last was, or rightly said that it is, ready.
+
+        It may stay ready for a moment while few other entries are.
+        """
+        stay_ms = min(self.limits.stay_ms, int(stop.grace_ms * self.limits.stay_share))
+        until_ms = min(stop.at_ms + stay_ms, at_ms)
+        times_ms = self.history.ready_ms[stop.process]
+        return max([stop.at_ms, *(each for each in times_ms if each <= until_ms)])
+
+    def _is_in_notice(self, request: RequestRecord, stop: SignalRecord) -> bool:
+        """Return whether an entry still had to accept connections."""
+        if stop.has_shortage:
+            return False
+        told_ms = self._ready_until_ms(stop, request.began_ms)
+        checks_ms = self.history.unready_ms[stop.process]
+        checks = sum(told_ms < each <= request.began_ms for each in checks_ms)
+        if checks >= FAILED_CHECKS:
+            # The load balancer has been told, but had not read the last answer.
+            return False
+        notice_ms = min(
+            int(stop.grace_ms * self.limits.notice_share), self.limits.listen_ms
+        )
+        return request.began_ms < told_ms + notice_ms - LATE_NOTICE_MS
+
 
 class RunsOnce(Promise):
     """Nothing with consequences runs twice; what was refused as not run ran nowhere."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -146,6 +146,8 @@
                 second_signal_ends=self.dialect.second_signal_ends,
                 deadline_ms=self.dialect.deadline_ms,
                 read_lag_ms=self.dialect.read_lag_ms,
+                listen_ms=self.dialect.listen_ms,
+                stay_ms=self.dialect.stay_ms,
                 crowded_entries=list(fleet.descriptors),
             )
         )
--- a/tests/soak_product.py
+++ b/tests/soak_product.py
@@ -179,6 +179,7 @@
     second_signal_ends = True
     # A member answers from its own state.
     read_lag_ms = 5_000
+    listen_ms = NOTICE_MS
 
     def __init__(self) -> None:
         self._revision = 0
--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -213,6 +213,8 @@
     last_event = STREAM_EVENTS
     # That of ``request_headers``.
     deadline_ms = 6_000
+    listen_ms = 2_800
+    stay_ms = 1_500
 
     def last_refusals_ms(self, grace_ms):
         return grace_ms - max(grace_ms // LAST_PARTS, LAST_REFUSALS_MS)
