State the decisions of the product's entry to a log

Missing: which target, retry or hedge an entry chose, and why, could be seen only in a debugger. Where two builds played an experiment differently, nothing led to the decision that differed first.

Now the router states the candidates of each choice and what each was ranked by, or which rule took it away; dispatcher, admission, retries and hedges state what they decided and why, to a DecisionLog. The default keeps nothing. RetryState names why no attempt follows, and waits in one place.

--- a/wagtailrun/serving/admission.py
+++ b/wagtailrun/serving/admission.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,6 +12,12 @@
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
+from wagtailrun.targets.decisions import (
+    NO_DECISIONS,
+    Candidate,
+    DecisionLog,
+    DecisionPoint,
+)
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.table import TargetRow
 
@@ -33,10 +40,15 @@
 # room without an event at this entry.
 POLL_INTERVAL_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
+# Waiting requests that a decision states, the first of the queue.
+MAX_CANDIDATES = 20
 # Limits memory; waiting work is normally refused long before because of its deadline.
 MAX_WAITING = 2_000
 
 ChooseTarget = Callable[[], TargetRow | None]
+# Excess over the share, may wait, negative priority, use of the share in milliseconds,
+# latest start in milliseconds.
+_Rank = tuple[float, bool, int, float, int]
 
 
 @attrs.define(eq=False)
@@ -70,10 +82,17 @@
     Args:
         clock: Clock.
         estimates: Recent distributions of stages.
+        decisions: Is told what was decided about requests.
     """
 
-    def __init__(self, clock: Clock, estimates: Estimates):
+    def __init__(
+        self,
+        clock: Clock,
+        estimates: Estimates,
+        decisions: DecisionLog = NO_DECISIONS,
+    ):
         self.clock = clock
+        self.decisions = decisions
         self.estimates = estimates
         self.queues_by_service: dict[str, _ServiceQueue] = {}
         # Decayed cost of started work in milliseconds, and the time of the last update.
@@ -103,13 +122,23 @@
         duration_ms = self.expected_duration_ms(work)
         latest_start_ms = self._due_ms(work) - duration_ms
         if self.clock.now_ms() > latest_start_ms:
+            self._record(work, "refuse", "late", latest_start_ms)
             return self._refusal(work, duration_ms)
         queue = self.queues_by_service.setdefault(work.service, _ServiceQueue())
-        if not queue.waiting:
+        is_first = not queue.waiting
+        if is_first:
             target = choose()
             if target is not None:
+                self._record(work, "start", "room", latest_start_ms)
                 self._record_start(queue, work)
                 return target
+        if is_first and self.decisions.enabled:
+            point = DecisionPoint.ADMISSION
+            self.decisions.record_choice(
+                work.request_id, work.stage, point, "wait", "no-room"
+            )
+        else:
+            self._record(work, "wait", "queue", latest_start_ms)
         waiter = _Waiter(work, choose, release, latest_start_ms)
         queue.waiting.append(waiter)
         await self._shed_late_work(queue)
@@ -125,6 +154,9 @@
             while (found := waiter.target or waiter.refusal) is None:
                 wait_ms = waiter.latest_start_ms - self.clock.now_ms()
                 if wait_ms <= 0:
+                    self._record(
+                        waiter.work, "refuse", "waited", waiter.latest_start_ms
+                    )
                     duration_ms = self._due_ms(waiter.work) - waiter.latest_start_ms
                     return self._refusal(waiter.work, duration_ms)
                 wait_ms = min(wait_ms, POLL_INTERVAL_MS)
@@ -179,10 +211,13 @@
         queue = self.queues_by_service.get(service)
         if queue is None or not queue.waiting:
             return
-        for waiter in self._ranked(queue):
+        ranks_by_waiter = self._ranked(queue)
+        for number, waiter in enumerate(ranks_by_waiter):
             target = waiter.choose()
             if target is None:
                 return
+            if self.decisions.enabled:
+                self._record_start_of_waiter(ranks_by_waiter, number)
             queue.waiting.remove(waiter)
             waiter.target = target
             self._record_start(queue, waiter.work)
@@ -266,6 +301,34 @@
         value, since_ms = values.get(key, (0.0, now_ms))
         return value * math.pow(0.5, (now_ms - since_ms) / USAGE_HALF_LIFE_MS)
 
+    def _record(
+        self, work: "Work", chosen: str, reason: str, latest_start_ms: int
+    ) -> None:
+        """Tell the log what was decided about one request, by the time that it has."""
+        if not self.decisions.enabled:
+            return
+        left_ms = latest_start_ms - self.clock.now_ms()
+        itself = Candidate(work.request_id, left_ms)
+        point = DecisionPoint.ADMISSION
+        self.decisions.record(
+            work.request_id, work.stage, point, chosen, reason, [itself]
+        )
+
+    def _record_start_of_waiter(
+        self, ranks_by_waiter: dict[_Waiter, _Rank], number: int
+    ) -> None:
+        """Tell the log that one of the waiting requests starts, and what follows it."""
+        left = islice(ranks_by_waiter.items(), number, number + MAX_CANDIDATES)
+        candidates = [
+            Candidate(waiter.work.request_id, tuple(map(float, rank)))
+            for waiter, rank in left
+        ]
+        work = list(ranks_by_waiter)[number].work
+        point = DecisionPoint.ADMISSION
+        self.decisions.record(
+            work.request_id, work.stage, point, "start", "first", candidates
+        )
+
     def _record_start(self, queue: _ServiceQueue, work: "Work") -> None:
         now_ms = self.clock.now_ms()
         cost_ms = self.estimates.total_ms(work.service, work.stage, work.size_class)
@@ -286,9 +349,7 @@
             queue.interval_ms = known_ms + INTERVAL_WEIGHT * (interval_ms - known_ms)
         queue.last_start_ms = now_ms
 
-    def _rank(
-        self, work: "Work", ahead: int, latest_start_ms: int
-    ) -> tuple[float, bool, int, float, int]:
+    def _rank(self, work: "Work", ahead: int, latest_start_ms: int) -> _Rank:
         """Return the sort key of ``work`` in a queue; smaller starts first.
 
         The order is: workspaces within their share, work that may not be delayed,
@@ -307,7 +368,8 @@
         excess = self.excess_share(work)
         return (excess, work.may_wait, -work.priority, use, latest_start_ms)
 
-    def _ranked(self, queue: _ServiceQueue) -> list[_Waiter]:
+    def _ranked(self, queue: _ServiceQueue) -> dict[_Waiter, _Rank]:
+        """Return the waiting work in its order, with the ranks."""
         waiting = sorted(
             queue.waiting,
             key=lambda w: (w.work.may_wait, -w.work.priority, w.latest_start_ms),
@@ -320,7 +382,8 @@
                 work, ahead[work.workspace], waiter.latest_start_ms
             )
             ahead[work.workspace] += 1
-        return sorted(waiting, key=ranks.__getitem__)
+        order = sorted(waiting, key=ranks.__getitem__)
+        return {waiter: ranks[waiter] for waiter in order}
 
     async def _shed_late_work(self, queue: _ServiceQueue) -> None:
         """Refuse work that cannot start in time behind the work ahead of it."""
@@ -328,6 +391,7 @@
         start_ms = float(self.clock.now_ms())
         for number, waiter in enumerate(self._ranked(queue)):
             if start_ms > waiter.latest_start_ms or number >= MAX_WAITING:
+                self._record(waiter.work, "refuse", "shed", waiter.latest_start_ms)
                 duration_ms = self._due_ms(waiter.work) - waiter.latest_start_ms
                 waiter.refusal = self._refusal(waiter.work, duration_ms)
                 queue.waiting.remove(waiter)
--- a/wagtailrun/serving/attempts.py
+++ b/wagtailrun/serving/attempts.py
@@ -30,6 +30,7 @@
     TargetTooSlow,
     end_of_failure,
 )
+from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.paths import FRESH_CONNECTION_MS
 from wagtailrun.targets.retries import HEDGE_RESERVE
 from wagtailrun.targets.table import TargetRow
@@ -344,13 +345,18 @@
         run = runs[0]
         work = run.work
         if self.options.budget and not self.budget.has(work.service, HEDGE_RESERVE):
+            self.context.decisions.begin_choice(())
+            self._record_hedge(work, "none", "no-budget")
             return
         target = self.targets.choose(work, {run.target.name})
         if target is None or target.name == run.target.name:
+            self._record_hedge(work, "none", "no-other")
             return
         # It was chosen for lack of another one, and the first attempt still runs.
         if self.router.is_paused(target):
+            self._record_hedge(work, "none", "paused")
             return
+        self._record_hedge(work, target.name)
         if self.options.budget:
             self.budget.spend(work.service)
         self.router.started(target)
@@ -362,6 +368,11 @@
         hedge.took_token = self.options.budget
         runs.append(hedge)
 
+    def _record_hedge(self, work: Work, chosen: str, reason: str = "") -> None:
+        log, point = self.context.decisions, DecisionPoint.HEDGE
+        if log.enabled:
+            log.record_choice(work.request_id, work.stage, point, chosen, reason)
+
     def _stalled_at_ms(self, run: AttemptRun) -> int | None:
         """Return when the attempt will count as stalled, or None if it never does."""
         work = run.work
--- a/wagtailrun/serving/dispatch.py
+++ b/wagtailrun/serving/dispatch.py
@@ -23,6 +23,7 @@
 from wagtailrun.serving.unannounced import UnannouncedServices
 from wagtailrun.stopping.running_requests import STOPPING_RETRY_MS
 from wagtailrun.targets.attempt_observer import AttemptObserver, NullObserver
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog, DecisionPoint
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.retries import RedirectLimit, RetryBudget
 from wagtailrun.targets.routing import ExpectedTimeRouter, Router
@@ -66,6 +67,7 @@
         observer: Notified of attempts.
         seed: Seed for the delays before retries.
         options: Policies that are enabled; all by default.
+        decisions: Is told the decisions about requests.
     """
 
     def __init__(
@@ -80,7 +82,9 @@
         observer: AttemptObserver | None = None,
         seed: int | None = None,
         options: DispatchOptions | None = None,
+        decisions: DecisionLog = NO_DECISIONS,
     ):
+        router.decisions = decisions
         estimates = estimates or Estimates(clock)
         prober = self.unannounced = None
         if router.paths is not None:
@@ -93,7 +97,7 @@
             client=client,
             router=router,
             estimates=estimates,
-            admission=Admission(clock, estimates),
+            admission=Admission(clock, estimates, decisions),
             probe=probe,
             prober=prober,
             observer=observer or NullObserver(),
@@ -101,6 +105,7 @@
             options=options or DispatchOptions(),
             budget=RetryBudget(),
             redirects=RedirectLimit(clock),
+            decisions=decisions,
         )
         self.clock = clock
         self.membership = membership
@@ -157,14 +162,14 @@
         while True:
             run = await self._start_attempt(retry_state)
             if isinstance(run, Refusal):
-                return retry_state.final_refusal(run)
+                return self._refused(work, retry_state.final_refusal(run))
             try:
                 run, answer = await self.attempts.first_item(run)
                 return await self._finish_call(run, answer, read)
             except TargetFailed as error:
                 refusal = await retry_state.on_failure(error)
                 if refusal is not None:
-                    return refusal
+                    return self._refused(work, refusal)
 
     async def _finish_call(
         self,
@@ -195,7 +200,7 @@
         while True:
             run = await self._start_attempt(retry_state, streaming=True)
             if isinstance(run, Refusal):
-                yield retry_state.final_refusal(run)
+                yield self._refused(work, retry_state.final_refusal(run))
                 return
             try:
                 async with aclosing(self._attempt_tokens(run, retry_state)) as items:
@@ -205,7 +210,7 @@
             except TargetFailed as error:
                 refusal = await retry_state.on_failure(error)
                 if refusal is not None:
-                    yield refusal
+                    yield self._refused(work, refusal)
                     return
 
     async def _attempt_tokens(
@@ -250,6 +255,7 @@
         retry_state.resume_target = None
         if target is not None:
             self.router.started(target)
+            self._record_target(work, target, "resumes")
         elif not await self._has_target(work):
             return self._no_target_refusal(work)
         else:
@@ -277,6 +283,7 @@
         def choose() -> TargetRow | None:
             target = self.choose(work, avoid)
             if target is not None:
+                self._record_target(work, target)
                 self.router.started(target)
             return target
 
@@ -299,6 +306,23 @@
             return self.router.choose(self.usable_targets(work), work, avoid)
         return target
 
+    def _refused(self, work: Work, refusal: Refusal) -> Refusal:
+        """Tell the log of decisions of a refusal, and return it."""
+        log, point = self.context.decisions, DecisionPoint.REFUSAL
+        if log.enabled:
+            verdict, reason = refusal.verdict.value, refusal.reason.value
+            log.record(work.request_id, work.stage, point, verdict, reason)
+        return refusal
+
+    def _record_target(self, work: Work, target: TargetRow, reason: str = "") -> None:
+        log, point = self.context.decisions, DecisionPoint.TARGET
+        if not log.enabled:
+            return
+        if reason:
+            log.record(work.request_id, work.stage, point, target.name, reason)
+        else:
+            log.record_choice(work.request_id, work.stage, point, target.name)
+
     def usable_targets(self, work: Work) -> list[TargetRow]:
         """Return the targets that may receive an attempt of ``work``."""
         rows = self._usable_targets(work.service)
@@ -359,6 +383,7 @@
     entries: Callable[[], Sequence[str]] = tuple,
     may_use_remote: Callable[[str], bool] = lambda service: True,
     was_held_since: Callable[[int], bool] = lambda since_ms: False,
+    decisions: DecisionLog = NO_DECISIONS,
 ) -> Dispatcher:
     """Return the dispatcher of one entry with all policies enabled.
 
@@ -374,6 +399,7 @@
         entries: Returns the names of live entries, to distribute targets evenly.
         may_use_remote: Returns whether other data centres may serve a service.
         was_held_since: Returns whether this process stood still after a time.
+        decisions: Is told the decisions about requests.
     """
     estimates = Estimates(clock)
     router = ExpectedTimeRouter(
@@ -395,4 +421,5 @@
         probe=probe,
         observer=observer,
         seed=seed,
+        decisions=decisions,
     )
--- a/wagtailrun/serving/dispatch_context.py
+++ b/wagtailrun/serving/dispatch_context.py
@@ -12,6 +12,7 @@
 from wagtailrun.serving.dispatch_options import DispatchOptions
 from wagtailrun.serving.path_probes import PathProber, Probe
 from wagtailrun.targets.attempt_observer import AttemptObserver
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog
 from wagtailrun.targets.estimates import Estimates
 from wagtailrun.targets.retries import RedirectLimit, RetryBudget
 from wagtailrun.targets.routing import Router
@@ -40,6 +41,7 @@
         options: Policies that are enabled.
         budget: Limits retries and hedges.
         redirects: Limits attempts that follow one without a connection.
+        decisions: Is told the decisions about requests.
         counts: Number of attempts by kind: "first", "hedge", "retry" after an attempt
             that was sent, and "redirect" after one that was not sent.
     """
@@ -56,6 +58,7 @@
     options: DispatchOptions
     budget: RetryBudget
     redirects: RedirectLimit
+    decisions: DecisionLog = NO_DECISIONS
     counts: Counter[str] = attrs.Factory(Counter)
 
 
--- a/wagtailrun/serving/repeats.py
+++ b/wagtailrun/serving/repeats.py
@@ -1,5 +1,7 @@
 """Decides on retries after failed attempts, and on the final refusal."""
 
+import enum
+
 import attrs
 
 from wagtailrun.exceptions import (
@@ -14,6 +16,7 @@
 from wagtailrun.process.shortages import SHORTAGE_PAUSE_MS
 from wagtailrun.serving.dispatch_context import DispatchContext, TargetSource
 from wagtailrun.targets.attempt_ends import ConnectionStalled, DeadlinePassed
+from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.retries import MAX_REDIRECTS, backoff_ms, may_retry
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.targets.work import Work
@@ -21,6 +24,20 @@
 __all__ = ["RetryState"]
 
 
+class _End(enum.Enum):
+    """Why no attempt follows a failed one."""
+
+    DEADLINE_PASSED = "deadline-passed"
+    MAY_HAVE_RUN = "may-have-run"
+    MAX_RETRIES = "max-retries"
+    MAX_REDIRECTS = "max-redirects"
+    NO_BUDGET = "no-budget"
+    NO_PATH = "no-path"
+    NO_ROOM = "no-room"
+    NO_TIME = "no-time"
+    TARGET_LIMIT = "target-limit"
+
+
 class RetryState:
     """Retry state of one piece of work.
 
@@ -61,34 +78,61 @@
         Returns:
             None if the work may be attempted again, otherwise its refusal.
         """
-        context, work = self.context, self.work
         self.refusal = self._combine(error)
+        wait = self._decide(error)
+        self._record(error, wait)
+        if isinstance(wait, _End):
+            if wait is _End.DEADLINE_PASSED:
+                return attrs.evolve(self.refusal, reason=RefusalReason.DEADLINE)
+            return self.refusal
+        if wait is not None:
+            await self.context.clock.sleep_ms(wait)
+        return None
+
+    def _record(self, error: TargetFailed, wait: "int | _End | None") -> None:
+        """Tell the log whether another attempt follows a failed one."""
+        log, work = self.context.decisions, self.work
+        if not log.enabled:
+            return
+        point = DecisionPoint.MOVE if self.offset else DecisionPoint.RETRY
+        chosen = "resume" if self.resume_target is not None else "again"
+        reason = type(error).__name__
+        if isinstance(wait, _End):
+            chosen, reason = "end", wait.value
+        log.record(work.request_id, work.stage, point, chosen, reason)
+
+    def _decide(self, error: TargetFailed) -> "int | _End | None":
+        """Return how long to wait before another attempt, or why there is none.
+
+        Returns:
+            Milliseconds, or None if it begins at once.
+        """
+        context, work = self.context, self.work
         # Here only a deadline that has passed forbids to send.
         if isinstance(error, DeadlinePassed | SendForbidden):
-            return attrs.evolve(self.refusal, reason=RefusalReason.DEADLINE)
+            return _End.DEADLINE_PASSED
         is_shortage = isinstance(error, ConnectShortage)
         if isinstance(error, ConnectShortage) and not error.only_here:
-            return await self._wait_for_room()
+            return self._wait_for_room()
         if not may_retry(work.idempotent, error):
-            return self.refusal
+            return _End.MAY_HAVE_RUN
         if isinstance(error, ConnectFailed) and not is_shortage:
-            return await self._redirect(error)
+            return self._redirect(error)
         if self.count >= context.options.max_retries:
-            return self.refusal
+            return _End.MAX_RETRIES
         # An attempt that this process could not make is no retry of a failed one.
         takes_budget = context.options.budget and not is_shortage
         if takes_budget and not context.budget.spend(work.service):
-            return self.refusal
+            return _End.NO_BUDGET
         wait_ms = backoff_ms(self.count, context.random)
         if context.clock.now_ms() + wait_ms >= work.deadline_at_ms:
-            return self.refusal
+            return _End.NO_TIME
         self.count += 1
         context.counts["redirect" if is_shortage else "retry"] += 1
         self._choose_next_target(error)
-        await context.clock.sleep_ms(wait_ms)
-        return None
+        return wait_ms
 
-    async def _redirect(self, error: ConnectFailed) -> Refusal | None:
+    def _redirect(self, error: ConnectFailed) -> "int | _End | None":
         """Let work that was not sent go elsewhere, if it may and can.
 
         It has added no load, so it waits only where no other target has a path, for one
@@ -96,23 +140,21 @@
         """
         context, work = self.context, self.work
         if self.redirects >= MAX_REDIRECTS:
-            return self.refusal
+            return _End.MAX_REDIRECTS
         if not context.redirects.allows(self.last_target.name):
-            return self.refusal
+            return _End.TARGET_LIMIT
         wait_ms = 0
         if not self._has_path_elsewhere(self.avoid | {self.last_target.name}):
             if not error.refused:
                 # A further timeout would only delay the refusal.
-                return self.refusal
+                return _End.NO_PATH
             wait_ms = backoff_ms(self.redirects, context.random)
         if context.clock.now_ms() + wait_ms >= work.deadline_at_ms:
-            return self.refusal
+            return _End.NO_TIME
         self.redirects += 1
         context.counts["redirect"] += 1
         self._choose_next_target(error)
-        if wait_ms:
-            await context.clock.sleep_ms(wait_ms)
-        return None
+        return wait_ms or None
 
     def _has_path_elsewhere(self, avoid: set[str]) -> bool:
         """Return whether another target has room, and a path as far as is known."""
@@ -122,17 +164,15 @@
         paths = self.context.router.paths
         return paths is None or not paths.is_unreachable(target)
 
-    async def _wait_for_room(self) -> Refusal | None:
-        """Return the refusal of work for which this process has no connection.
+    def _wait_for_room(self) -> "int | _End":
+        """End work for which this process has no connection.
 
         A stream that has begun waits instead, as long as its deadline allows.
         """
-        clock = self.context.clock
-        left_ms = self.work.deadline_at_ms - clock.now_ms()
+        left_ms = self.work.deadline_at_ms - self.context.clock.now_ms()
         if not self.offset or left_ms <= SHORTAGE_PAUSE_MS:
-            return self.refusal
-        await clock.sleep_ms(SHORTAGE_PAUSE_MS)
-        return None
+            return _End.NO_ROOM
+        return SHORTAGE_PAUSE_MS
 
     def _choose_next_target(self, error: TargetFailed) -> None:
         target = self.last_target
--- a/wagtailrun/targets/routing.py
+++ b/wagtailrun/targets/routing.py
@@ -1,9 +1,7 @@
-"""Chooses the target of an attempt."""
+"""Chooses the target of an attempt by its expected time."""
 
 import math
 import random
-from abc import ABC, abstractmethod
-from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from typing import TYPE_CHECKING
 
@@ -13,12 +11,12 @@
 from wagtailrun.ports.target import StageAnswer, TargetLoad
 from wagtailrun.targets.affinity import CacheEvents, PrefixIndex
 from wagtailrun.targets.estimates import Estimates
-from wagtailrun.targets.filters import AttemptFilter
 from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.limits import AdaptiveLimits
 from wagtailrun.targets.outliers import FAILURE_SLOWNESS, OutlierThrottle
 from wagtailrun.targets.paths import PathObservations
 from wagtailrun.targets.pauses import PauseRules, TargetPauses
+from wagtailrun.targets.router import LeastLoadedRouter, Router
 from wagtailrun.targets.router_options import RouterOptions
 from wagtailrun.targets.silence import SilenceWatch
 from wagtailrun.targets.subset import choose_subset
@@ -54,142 +52,6 @@
 MIN_CACHED_SHARE = 0.5
 
 
-class Router(ABC):
-    """Chooses among usable targets and learns from the outcome of attempts.
-
-    Attributes:
-        paths: What was observed of the paths to targets; None if the router does not
-            heed them.
-        silence: Watches attempts until their first items; None if the router does not
-            heed them.
-        name: Name of this entry.
-    """
-
-    paths: PathObservations | None = None
-    silence: AttemptFilter | None = None
-    name = ""
-
-    @abstractmethod
-    def choose(
-        self,
-        candidates: Sequence[TargetRow],
-        work: "Work | None" = None,
-        avoid: Collection[str] = (),
-    ) -> TargetRow | None:
-        """Return the target for the next attempt, or None if none has room.
-
-        Args:
-            candidates: Usable targets of the service.
-            work: Work to run.
-            avoid: Names of targets that are chosen only if there is no other.
-        """
-
-    def has_path(
-        self, candidates: Sequence[TargetRow], work: "Work | None" = None
-    ) -> bool:
-        """Return whether any target that may get the work can be reached.
-
-        Args:
-            candidates: Usable targets of the service.
-            work: Work to run.
-        """
-        return bool(candidates)
-
-    @abstractmethod
-    def started(self, target: TargetRow) -> None:
-        """Record that an attempt was assigned to ``target``."""
-
-    @abstractmethod
-    def ended(
-        self,
-        target: TargetRow,
-        duration_ms: int,
-        succeeded: bool,
-        work: "Work | None" = None,
-        answer: StageAnswer | None = None,
-        blamed: bool = True,
-    ) -> None:
-        """Record that an attempt at ``target`` ended.
-
-        Args:
-            target: Row that was chosen.
-            duration_ms: Time since the start of the attempt, in milliseconds.
-            succeeded: Whether the complete answer arrived.
-            work: Work that ran.
-            answer: Counters reported by the target, if the attempt succeeded.
-            blamed: Whether a failure is attributed to the target.
-        """
-
-    def record_first_item(  # noqa: B027
-        self, target: TargetRow, wait_ms: int, work: "Work"
-    ) -> None:
-        """Record the wait for the first item, or until an attempt without one ended."""
-
-    def record_pace(self, target: TargetRow, slowness: float) -> None:  # noqa: B027
-        """Record the gap between items as a multiple of the service's typical gap."""
-
-    def mark_unreachable(  # noqa: B027
-        self, target: TargetRow, refused: bool = False
-    ) -> None:
-        """Record that no new connection to ``target`` can be opened.
-
-        Args:
-            target: Target.
-            refused: Whether it refused one, as opposed to no reply.
-        """
-
-    def pause(self, target: TargetRow, duration_ms: int) -> None:  # noqa: B027
-        """Record that ``target`` asked for no new work for a time."""
-
-    def is_paused(self, target: TargetRow) -> bool:
-        """Return whether ``target`` asked for no new work and that time is not over."""
-        return False
-
-    def observe_cache(  # noqa: B027
-        self, target: TargetRow, events: CacheEvents
-    ) -> None:
-        """Record changes that ``target`` reported of its prefix cache."""
-
-
-class LeastLoadedRouter(Router):
-    """Chooses the least loaded target by reported loads and own attempts."""
-
-    def __init__(self) -> None:
-        self.in_flight_by_name: Counter[str] = Counter()
-
-    def choose(
-        self,
-        candidates: Sequence[TargetRow],
-        work: "Work | None" = None,
-        avoid: Collection[str] = (),
-    ) -> TargetRow | None:
-        """Return the target with the least load per unit of capacity."""
-        preferred = [row for row in candidates if row.name not in avoid]
-        return min(preferred or candidates, key=self._load, default=None)
-
-    def started(self, target: TargetRow) -> None:
-        """Count the attempt as in flight."""
-        self.in_flight_by_name[target.name] += 1
-
-    def ended(
-        self,
-        target: TargetRow,
-        duration_ms: int,
-        succeeded: bool,
-        work: "Work | None" = None,
-        answer: StageAnswer | None = None,
-        blamed: bool = True,
-    ) -> None:
-        """Count the attempt as no longer in flight."""
-        self.in_flight_by_name[target.name] -= 1
-        if not self.in_flight_by_name[target.name]:
-            del self.in_flight_by_name[target.name]
-
-    def _load(self, target: TargetRow) -> float:
-        reported = target.running + target.queued
-        return (reported + self.in_flight_by_name[target.name]) / target.capacity
-
-
 @attrs.define
 class _Subset:
     candidates: Sequence[TargetRow]
@@ -262,19 +124,31 @@
             return None
         now_ms = self.clock.now_ms()
         local_rows, remote_rows = self._allowed_rows(candidates, work)
+        log = self.decisions
+        if log.enabled:
+            log.begin_choice([*local_rows, *remote_rows])
         if self.paths.has_observations:
-            left_out = self.paths.names_left_out([*local_rows, *remote_rows])
+            rows = [*local_rows, *remote_rows]
+            left_out = self.paths.names_left_out(rows)
             local_rows = [row for row in local_rows if row.name not in left_out]
             remote_rows = [row for row in remote_rows if row.name not in left_out]
+            if log.enabled:
+                log.leave_out(rows, [*local_rows, *remote_rows], "no-path")
         if now_ms < self.pauses.last_end_ms:
             rows = [*local_rows, *remote_rows]
             last = [row.name for row in rows if self._is_last_resort(row, avoid)]
             names = {row.name for row in self.pauses.admitted(rows, self.name, last)}
             local_rows = [row for row in local_rows if row.name in names]
             remote_rows = [row for row in remote_rows if row.name in names]
+            if log.enabled:
+                log.leave_out(rows, [*local_rows, *remote_rows], "paused")
         if self.paths.hints.has_hints:
             without = self.paths.without_hints
             unhinted = without(local_rows), without(remote_rows)
+            if log.enabled:
+                log.leave_out(
+                    [*local_rows, *remote_rows], [*unhinted[0], *unhinted[1]], "hinted"
+                )
             found = self._faster_of(*unhinted, work, avoid)
             if found is not None and not self._is_last_resort(found, avoid):
                 return found
@@ -399,16 +273,20 @@
         now_ms: int,
     ) -> tuple[TargetRow | None, float]:
         """Return the best drawn target with room and its expected time, or None."""
-        available = [row for row in rows if self._has_room(row, work)]
+        available = with_room = [row for row in rows if self._has_room(row, work)]
         if available and work is not None and self.options.spare_silent:
             available = self._admitted(available, work, avoid)
-        available = [row for row in available if row.name not in avoid] or available
-        if not available:
+        untried = [row for row in available if row.name not in avoid] or available
+        if self.decisions.enabled:
+            self.decisions.leave_out(rows, with_room, "no-room")
+            self.decisions.leave_out(with_room, available, "silent")
+            self.decisions.leave_out(available, untried, "tried")
+        if not untried:
             return None, 0.0
-        drawn_rows = self._draw_candidates(available, work)
-        if len(drawn_rows) == 1:
-            return drawn_rows[0], self.expected_ms(drawn_rows[0], work, now_ms)
+        drawn_rows = self._draw_candidates(untried, work)
         times = [self.expected_ms(row, work, now_ms) for row in drawn_rows]
+        if self.decisions.enabled:
+            self.decisions.rank(drawn_rows, times)
         best = min(range(len(drawn_rows)), key=times.__getitem__)
         return drawn_rows[best], times[best]
 
@@ -429,9 +307,13 @@
     ) -> list[TargetRow]:
         if self.options.throttle_outliers and len(available) > 1:
             drawn = self.random.random()
-            available = [
-                row for row in available if drawn < self.throttle.share(row.name)
-            ] or available
+            all_rows, available = (
+                available,
+                [row for row in available if drawn < self.throttle.share(row.name)]
+                or available,
+            )
+            if self.decisions.enabled:
+                self.decisions.leave_out(all_rows, available, "throttled")
         if not self.options.two_choices or len(available) <= 2:
             return available
         drawn_rows = self.random.sample(available, 2)
@@ -439,6 +321,8 @@
             holder = max(available, key=lambda row: self._cached_share(row, work))
             if self._cached_share(holder, work) > 0 and holder not in drawn_rows:
                 drawn_rows.append(holder)
+        if self.decisions.enabled:
+            self.decisions.leave_out(available, drawn_rows, "not-drawn")
         return drawn_rows
 
     def _cached_share(self, row: TargetRow, work: "Work") -> float:
