State the decisions of relay entries to the same log

Missing: the relay's choices left no trace, either.

TargetChooser states the costs of its candidates; PlacementHost, TargetSelection, RelayAttempts and AdmissionController take its log and state what they decide about a request. The log is an argument of TargetChooser, so that whoever plays a relay entry passes one object to two constructors.

--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -10,6 +10,7 @@
 from wagtailrun.discovery.target_limits import TargetLimits
 from wagtailrun.relay.core.port import PromptPart
 from wagtailrun.relay.placement.estimate import FirstEventModel
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog
 from wagtailrun.targets.health import HealthRules, HealthState, TargetHealth
 from wagtailrun.targets.subset import rendezvous_rank
 from wagtailrun.targets.table import TargetRow
@@ -71,6 +72,8 @@
         data_centre: Data centre of this entry; if empty, none is preferred.
         seed: Seed for the choice among targets of equal cost.
         limits: Limits of the requests that targets take.
+        decisions: Is told the candidates of each choice, and by those who call this
+            chooser what they decide about requests.
     """
 
     def __init__(
@@ -79,8 +82,10 @@
         data_centre: str,
         seed: int | None = None,
         limits: TargetLimits | None = None,
+        decisions: DecisionLog = NO_DECISIONS,
     ):
         self.clock = clock
+        self.decisions = decisions
         self.limits = limits or TargetLimits(clock)
         self.data_centre = data_centre
         self.random = random.Random(seed)
@@ -112,6 +117,9 @@
             penalties_ms: Additional costs of targets, by name.
         """
         candidates = [row for row in rows if row.name not in avoid]
+        if self.decisions.enabled:
+            self.decisions.begin_choice(rows)
+            self.decisions.leave_out(rows, candidates, "tried")
         if not candidates:
             return None
         sizes = result_bytes_by_data_centre or {}
@@ -127,7 +135,10 @@
             ms = round(ms + moved / 1e6 * TRANSFER_COST_MS_PER_MB)
             return ms, self.random.random()
 
-        return min(candidates, key=cost)
+        costs = [cost(row) for row in candidates]
+        if self.decisions.enabled:
+            self.decisions.rank(candidates, [ms for ms, _ in costs])
+        return candidates[min(range(len(costs)), key=costs.__getitem__)]
 
     def preferred_targets(
         self, rows: Iterable[TargetRow], parts: Sequence[PromptPart]
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -33,6 +33,7 @@
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.estimate import MarginEstimator
 from wagtailrun.targets.attempt_ends import RunOutcome
+from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.silence import SilenceWatch
 from wagtailrun.targets.table import TargetRow
 
@@ -150,8 +151,12 @@
             version = message.software_version
             rows = [row for row in rows if row.software_version == version]
         parts = tuple(digest_part(part.name) for part in message.parts[:-1])
+        log = self.chooser.decisions
         refusal = self._hold_back(message, parts)
         if refusal is not None:
+            if log.enabled and message.begin:
+                point, reason = DecisionPoint.ADMISSION, "quarantine"
+                log.record(message.request_id, message.service, point, "hold", reason)
             return refusal
         rows = [row for row in rows if not self.wait_ms(row)] or rows
         row = self.chooser.choose(
@@ -170,6 +175,9 @@
             },
             penalties_ms=self.silence.penalties_ms(rows, message.entry),
         )
+        if log.enabled and message.begin:
+            chosen, point = row.name if row else "none", DecisionPoint.TARGET
+            log.record_choice(message.request_id, message.service, point, chosen)
         if row is None:
             return Placed("", "", 0)
         expected_ms = self.chooser.expected_first_event_ms(
--- a/wagtailrun/relay/requests/admission.py
+++ b/wagtailrun/relay/requests/admission.py
@@ -6,6 +6,12 @@
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.relay.core.job import RelayJob
 from wagtailrun.stages import StageRunner
+from wagtailrun.targets.decisions import (
+    NO_DECISIONS,
+    Candidate,
+    DecisionLog,
+    DecisionPoint,
+)
 
 __all__ = ["AdmissionController"]
 
@@ -29,10 +35,18 @@
         clock: Clock.
         runner: Estimates the duration of a request's stages.
         seed: Seed of the retry jitter.
+        decisions: Is told what was decided about requests.
     """
 
-    def __init__(self, clock: Clock, runner: StageRunner, seed: int | None = None):
+    def __init__(
+        self,
+        clock: Clock,
+        runner: StageRunner,
+        seed: int | None = None,
+        decisions: DecisionLog = NO_DECISIONS,
+    ):
         self.clock = clock
+        self.decisions = decisions
         self.runner = runner
         self.random = random.Random(seed)
 
@@ -49,6 +63,27 @@
             stages_ms: Expected duration of the stages; None if a stage has no capacity
                 before the deadline.
         """
+        refusal = self._check(job, stages_ms)
+        if self.decisions.enabled:
+            self._record(job, stages_ms, refusal)
+        return refusal
+
+    def _record(
+        self, job: RelayJob, stages_ms: int | None, refusal: Refusal | None
+    ) -> None:
+        """Tell the log what was decided, by the time left until the objective."""
+        request = job.request.request_id
+        left_ms = job.objective_at_ms - job.arrived_ms - job.expected_ms
+        itself = Candidate(request, left_ms)
+        if stages_ms is None:
+            itself = Candidate(request, left_out="no-capacity")
+        chosen, reason = "start", "in-time" if left_ms >= 0 else "short-queues"
+        if refusal is not None:
+            chosen, reason = "refuse", refusal.reason.value
+        point = DecisionPoint.ADMISSION
+        self.decisions.record(request, job.service, point, chosen, reason, [itself])
+
+    def _check(self, job: RelayJob, stages_ms: int | None) -> Refusal | None:
         if stages_ms is None:
             detail = "a stage has no capacity before the request's deadline"
             return self._overloaded(job, detail, MIN_OVERLOAD_RETRY_MS)
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -39,6 +39,7 @@
 from wagtailrun.relay.requests.attempt_reports import AttemptReports
 from wagtailrun.relay.requests.target_selection import RETRY_AFTER_MS, TargetSelection
 from wagtailrun.targets.attempt_ends import MIN_STALL_MS, RunOutcome, end_of_answer
+from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
@@ -378,6 +379,28 @@
         self, job: RelayJob, row: TargetRow, error: TargetFailed
     ) -> Refusal | None:
         """Return the refusal after a failed attempt, or None to try again."""
+        refusal = await self._after_failure(job, row, error)
+        self._record_decision(job, refusal, type(error).__name__)
+        return refusal
+
+    def _record_decision(
+        self, job: RelayJob, refusal: Refusal | None, reason: str
+    ) -> None:
+        """Tell the log of decisions whether another attempt follows a failed one."""
+        log = self.chooser.decisions
+        if not log.enabled:
+            return
+        point = DecisionPoint.MOVE if job.streaming else DecisionPoint.RETRY
+        chosen = "again" if refusal is None else "end"
+        log.record(job.request.request_id, job.service, point, chosen, reason)
+        if refusal is not None:
+            verdict, why = refusal.verdict.value, refusal.reason.value
+            point = DecisionPoint.REFUSAL
+            log.record(job.request.request_id, job.service, point, verdict, why)
+
+    async def _after_failure(
+        self, job: RelayJob, row: TargetRow, error: TargetFailed
+    ) -> Refusal | None:
         job.detail = f"{row.name}: {error}"
         self._log_failure(job, row)
         not_sent = isinstance(error, SendForbidden | TargetPaused)
@@ -433,6 +456,13 @@
         self, job: RelayJob, attempt: Attempt
     ) -> Refusal | None:
         """Return the refusal after an unsuccessful answer, or None to try again."""
+        refusal = await self._after_error_answer(job, attempt)
+        self._record_decision(job, refusal, f"status-{attempt.head.status}")
+        return refusal
+
+    async def _after_error_answer(
+        self, job: RelayJob, attempt: Attempt
+    ) -> Refusal | None:
         head, row = attempt.head, attempt.row
         job.detail = f"{row.name} answered {head.status}"
         self._log_failure(job, row)
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -96,7 +96,7 @@
         self.budget = budget
         self.metrics = metrics
         self.random = random.Random(seed)
-        self.admission = AdmissionController(clock, runner, seed)
+        self.admission = AdmissionController(clock, runner, seed, chooser.decisions)
         self.running = RunningJobs(clock)
         self.forecast = StopForecast(clock, self.running)
         self.attempts = RelayAttempts(
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -19,6 +19,7 @@
 from wagtailrun.relay.placement.service import PlacementClient
 from wagtailrun.relay.requests.evacuated_services import evacuated_refusal
 from wagtailrun.targets.attempt_ends import RunOutcome
+from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["RETRY_AFTER_MS", "TargetSelection"]
@@ -69,6 +70,20 @@
         A request whose targets all take no requests now waits for the first of them if
         it can still meet its latency objective.
         """
+        found = await self._find_target(job)
+        if isinstance(found, Refusal):
+            verdict, reason = found.verdict.value, found.reason.value
+            self._record(job, DecisionPoint.REFUSAL, verdict, reason)
+        return found
+
+    def _record(
+        self, job: RelayJob, point: DecisionPoint, chosen: str, reason: str
+    ) -> None:
+        log = self.chooser.decisions
+        if log.enabled:
+            log.record(job.request.request_id, job.service, point, chosen, reason)
+
+    async def _find_target(self, job: RelayJob) -> TargetRow | Refusal:
         while True:
             refusal = self.send_refusal(job) or self.quarantine_refusal(job)
             if refusal is not None:
@@ -84,6 +99,7 @@
             paused_ms = self._soonest_return_ms(job)
             if paused_ms is None:
                 return self.no_target_refusal(job)
+            self._record(job, DecisionPoint.ADMISSION, "wait", "paused")
             # 0 if a pause has ended since the choice.
             await self.clock.sleep_ms(paused_ms)
 
@@ -236,7 +252,7 @@
 
     async def _choose_target(self, job: RelayJob) -> TargetRow | Refusal | None:
         if not job.route.prompt_affinity:
-            return self.chooser.choose(self.usable_targets(job), job.tried_targets)
+            return self._choose_here(job, self.usable_targets(job))
         placed = await self.place(job, begin=True)
         # Targets may have left while the owner chose.
         rows = self.usable_targets(job)
@@ -254,7 +270,16 @@
                     job.request.request_id, job.service, placed.target, RunOutcome.OVER
                 )
             )
-        return self.chooser.choose(rows, job.tried_targets)
+        return self._choose_here(job, rows)
+
+    def _choose_here(self, job: RelayJob, rows: list[TargetRow]) -> TargetRow | None:
+        """Return the target that this entry chooses itself."""
+        row = self.chooser.choose(rows, job.tried_targets)
+        log, point = self.chooser.decisions, DecisionPoint.TARGET
+        if log.enabled:
+            chosen = row.name if row is not None else "none"
+            log.record_choice(job.request.request_id, job.service, point, chosen)
+        return row
 
     async def place(self, job: RelayJob, *, begin: bool) -> Placed:
         """Return the engine of the next attempt.
