Keep the decisions of a play, and compare two

Missing: a refactoring of a policy could be shown to change nothing only by its outcomes, and a change that made a promise worse had to be searched by hand.

The last line of a file has the number of decisions, so that a cut file is a gap and never "no difference".

--- a/tests/test_experiment_running.py
+++ b/tests/test_experiment_running.py
@@ -111,7 +111,7 @@
     assert [each.name for each in (out / "double").iterdir()] == ["7"]
 
 
-@pytest.mark.parametrize("command", ["check", "run"])
+@pytest.mark.parametrize("command", ["check", "run", "compare"])
 def test_help_has_an_example(capsys, command):
     """Guards against a command whose help has no example."""
     with pytest.raises(SystemExit) as error:
--- a/wagtailrun/cli/exit_codes.py
+++ b/wagtailrun/cli/exit_codes.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "EXIT_BROKEN_PROMISE",
+    "EXIT_DIFFERENT",
     "EXIT_INTERRUPTED",
     "EXIT_REFUSED",
     "EXIT_SUCCESS",
@@ -23,6 +24,8 @@
 EXIT_USAGE = 2
 # An experiment was played to its end, and a promise of its file did not hold.
 EXIT_BROKEN_PROMISE = 3
+# Two plays were compared, and a decision differs.
+EXIT_DIFFERENT = 4
 # Exit code that shells report for a process ended by SIGINT.
 EXIT_INTERRUPTED = 130
 
--- a/wagtailrun/cli/experiment.py
+++ b/wagtailrun/cli/experiment.py
@@ -6,12 +6,15 @@
 from pathlib import Path
 from typing import Any
 
+from wagtailrun.cli.decisions import print_comparison
 from wagtailrun.cli.exit_codes import (
     EXIT_BROKEN_PROMISE,
+    EXIT_DIFFERENT,
     EXIT_INTERRUPTED,
+    EXIT_REFUSED,
     EXIT_SUCCESS,
 )
-from wagtailrun.cli.output import print_rows
+from wagtailrun.cli.output import print_json, print_rows
 from wagtailrun.exceptions import ExperimentFileError
 
 __all__ = ["EXPERIMENT_COMMANDS"]
@@ -54,6 +57,7 @@
     variant: Sequence[str] = (),
     seeds: int | None = None,
     jobs: int | None = None,
+    decisions: bool = False,
     json: bool = False,
 ) -> int:
     """Play an experiment in virtual time; exit with 3 if a promise is broken.
@@ -66,6 +70,7 @@
         variant: Names of the variants to play; by default all.
         seeds: How many of the file's seeds to play; by default all.
         jobs: How many plays run at once; by default half of the processors, at most 4.
+        decisions: Keep each decision about a request, for `compare`.
         json: Print JSON.
     """
     experiment = _load(file)
@@ -79,7 +84,9 @@
     if jobs < 1:
         raise ExperimentFileError([f"--jobs: {jobs} is not accepted; give 1 or more"])
     try:
-        results = running.run_experiment(experiment, Path(out), variants, chosen, jobs)
+        results = running.run_experiment(
+            experiment, Path(out), variants, chosen, jobs, decisions=decisions
+        )
     except KeyboardInterrupt:
         print(f"wagtailrun: interrupted; {out} has what ended before", file=sys.stderr)
         return EXIT_INTERRUPTED
@@ -101,6 +108,28 @@
     return EXIT_SUCCESS if all(row["held"] for row in rows) else EXIT_BROKEN_PROMISE
 
 
+def compare(*directories: str, variant: Sequence[str] = (), json: bool = False) -> int:
+    """Find the first decision that differs; exit with 4 if one does, 1 for gaps.
+
+    Example: wagtailrun experiment compare before after
+
+    Args:
+        directories: Two results directories of runs with decisions, or one.
+        variant: Names of two variants to compare, after the directories; by default
+            each variant that two directories have in common, with itself.
+        json: Print JSON.
+    """
+    module = importlib.import_module("wagtailrun.experiments.reports.decisions")
+    found = module.compare_decisions(directories, variant)
+    if json:
+        print_json(found.as_json())
+    else:
+        print_comparison(found)
+    if found.gaps:
+        return EXIT_REFUSED
+    return EXIT_DIFFERENT if found.differs else EXIT_SUCCESS
+
+
 def _load(file: str) -> Any:
     # Imported here, as it imports the entry, which imports this package.
     reading = importlib.import_module("wagtailrun.experiments.reading")
@@ -118,4 +147,4 @@
     return list(dict.fromkeys(names)) or known
 
 
-EXPERIMENT_COMMANDS = [check, run]
+EXPERIMENT_COMMANDS = [check, run, compare]
--- a/wagtailrun/experiments/play.py
+++ b/wagtailrun/experiments/play.py
@@ -12,6 +12,7 @@
 from wagtailrun.exceptions import ExperimentFailed
 from wagtailrun.experiments.arrivals import make_arrivals
 from wagtailrun.experiments.attempts import AttemptLog, HedgeCounter, RecordingClient
+from wagtailrun.experiments.decisions import DecisionFile
 from wagtailrun.experiments.model import Fault, FaultKind, Scenario, kind_of_work
 from wagtailrun.experiments.promises import measure_promise
 from wagtailrun.experiments.records import (
@@ -25,6 +26,7 @@
 from wagtailrun.replay.report import Outcome
 from wagtailrun.serving.dispatch import Dispatcher, make_dispatcher
 from wagtailrun.settings import EntrySettings
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog
 from wagtailrun.targets.routing import ExpectedTimeRouter
 from wagtailrun.virtual_time import run_virtual
 
@@ -45,6 +47,7 @@
         scenario: What to play.
         seed: Seed of load, service times and policies.
         report_progress: Is told the virtual time, in milliseconds, now and then.
+        decisions: Where to keep the decisions of entries, None to keep none.
     """
 
     def __init__(
@@ -53,7 +56,9 @@
         scenario: Scenario,
         seed: int,
         report_progress: ReportProgress,
+        decisions: DecisionFile | None = None,
     ):
+        self.decisions = decisions
         header = _make_header(scenario, seed)
         records = [header, *make_arrivals(scenario, seed)]
         super().__init__(clock, records, self._build_dispatcher)
@@ -69,6 +74,9 @@
 
     def _build_dispatcher(self, context: EntryContext) -> Dispatcher:
         """Return the dispatcher of a real entry, with the settings of the file."""
+        decisions: DecisionLog = NO_DECISIONS
+        if self.decisions is not None:
+            decisions = self.decisions.of_entry(context.name, context.clock)
         dispatcher = make_dispatcher(
             context.clock,
             context.membership,
@@ -79,6 +87,7 @@
             observer=HedgeCounter(self.log),
             seed=context.seed,
             may_use_remote=self._may_use_remote,
+            decisions=decisions,
         )
         dispatcher.options = self._with_settings(dispatcher.options)
         router = dispatcher.router
@@ -294,7 +303,10 @@
 
 
 def play_scenario(
-    scenario: Scenario, seed: int, report_progress: ReportProgress
+    scenario: Scenario,
+    seed: int,
+    report_progress: ReportProgress,
+    decisions: DecisionFile | None = None,
 ) -> PlayRecords:
     """Play a scenario and return its records.
 
@@ -302,10 +314,11 @@
         scenario: What to play.
         seed: Seed of load, service times and policies.
         report_progress: Is told the virtual time, in milliseconds, now and then.
+        decisions: Where to keep the decisions of entries, None to keep none.
     """
 
     async def run(clock: Clock) -> PlayRecords:
-        play = _Play(clock, scenario, seed, report_progress)
+        play = _Play(clock, scenario, seed, report_progress, decisions)
         await play.play()
         # Faults that begin after the last request are events, too.
         await clock.sleep_ms(scenario.length_ms - clock.now_ms())
--- a/wagtailrun/experiments/records.py
+++ b/wagtailrun/experiments/records.py
@@ -10,7 +10,12 @@
 import attrs
 import cattrs
 
+from wagtailrun.targets.decisions import DecisionPoint
+
 __all__ = [
+    "DECISIONS_FILE",
+    "CandidateRecord",
+    "DecisionRecord",
     "EventRecord",
     "Outcome",
     "PlayRecords",
@@ -23,6 +28,8 @@
     "structure",
 ]
 
+# Name of the file of a play with its decisions.
+DECISIONS_FILE = "decisions.jsonl"
 # A longer duration is taken for a fault of the record; histograms end there.
 MAX_DURATION_MS = 86_400_000
 # From here on, not every whole number has a double.
@@ -32,6 +39,8 @@
 
 T = TypeVar("T")
 
+# What a candidate was ranked by; several numbers are compared one after the other.
+RankValue = float | tuple[float, ...] | None
 RequestKind = Literal["pipeline", "call", "order"]
 
 
@@ -143,6 +152,29 @@
     present: bool
 
 
+@attrs.frozen
+class CandidateRecord:
+    """Candidate of a decision; docs/experiments.md describes the fields."""
+
+    name: str
+    value: RankValue
+    left_out: str
+
+
+@attrs.frozen
+class DecisionRecord:
+    """Decision about a request; docs/experiments.md describes the fields."""
+
+    at_ms: float
+    entry: str
+    request: str
+    step: str
+    point: DecisionPoint
+    chosen: str
+    reason: str
+    candidates: tuple[CandidateRecord, ...]
+
+
 def _is_number(value: Any) -> bool:
     return type(value) in (int, float) and abs(value) < MAX_NUMBER
 
@@ -206,6 +238,14 @@
     return value
 
 
+def _rank_value(value: Any, _: Any) -> RankValue:
+    if value is None or _is_number(value):
+        return None if value is None else float(value)
+    if type(value) is list and all(map(_is_number, value)):
+        return tuple(map(float, value))
+    raise ValueError(f"{value!r:.40} is no number, list of numbers or null")
+
+
 def _is_list(kind: Any) -> bool:
     of_any_length = getattr(kind, "__args__", ())[1:] == (Ellipsis,)
     return of_any_length or getattr(kind, "__origin__", None) is list
@@ -236,6 +276,8 @@
 CONVERTER.register_structure_hook(bool, _boolean)
 # Else the hook for texts would take any text for an outcome.
 CONVERTER.register_structure_hook(Outcome, lambda value, _: Outcome(value))
+CONVERTER.register_structure_hook(DecisionPoint, lambda v, _: DecisionPoint(v))
+CONVERTER.register_structure_hook_func(lambda kind: kind == RankValue, _rank_value)
 CONVERTER.register_structure_hook_factory(_is_list, _list_of)
 
 
--- a/wagtailrun/experiments/reports/__init__.py
+++ b/wagtailrun/experiments/reports/__init__.py
@@ -2,4 +2,5 @@
 
 __all__ = [
     "command",
+    "decisions",
 ]
--- a/wagtailrun/experiments/reports/command.py
+++ b/wagtailrun/experiments/reports/command.py
@@ -21,7 +21,13 @@
 if TYPE_CHECKING:
     from wagtailrun.experiments.reports.comparison import Comparison
 
-__all__ = ["Report", "read_report", "require_packages"]
+__all__ = [
+    "Report",
+    "choose_sides",
+    "open_results",
+    "read_report",
+    "require_packages",
+]
 
 PAGE_PACKAGES = {"numpy": "numpy", "matplotlib": "matplotlib", "jinja2": "Jinja2"}
 
@@ -107,8 +113,8 @@
     is_comparison = len(directories) == 2 or len(variants) == 2
     if is_comparison:
         require_packages(["numpy"])
-    opened = [_open(path) for path in directories]
-    chosen, notes = _choose(opened, variants)
+    opened = [open_results(path) for path in directories]
+    chosen, notes = choose_sides(opened, variants)
     labels = _label_directories(opened)
     sides = [
         read_side(results, name, f"{labels[opened.index(results)]}{name}", progress)
@@ -130,14 +136,15 @@
     return Report([side for side in sides if side.tally.plays], pairs, gaps, notes)
 
 
-def _open(path: str) -> ResultsDirectory:
+def open_results(path: str) -> ResultsDirectory:
+    """Return a results directory; errors name its path."""
     try:
         return ResultsDirectory(Path(path))
     except ResultsError as error:
         raise ResultsError(f"{path}: {error}") from error
 
 
-def _choose(
+def choose_sides(
     opened: list[ResultsDirectory], variants: Sequence[str]
 ) -> tuple[list[tuple[ResultsDirectory, str]], list[str]]:
     """Return directories and variants, in pairs if there are two, and notes."""
--- a/wagtailrun/experiments/reports/reading.py
+++ b/wagtailrun/experiments/reports/reading.py
@@ -10,6 +10,8 @@
 
 from wagtailrun.exceptions import ResultsError
 from wagtailrun.experiments.records import (
+    DECISIONS_FILE,
+    DecisionRecord,
     EventRecord,
     PromiseRecord,
     RequestRecord,
@@ -41,6 +43,13 @@
         return f"{self.variant}/{self.seed}"
 
 
+@attrs.frozen
+class _DecisionCount:
+    """Last line of a file of decisions."""
+
+    decisions: int
+
+
 class ResultsDirectory:
     """Results directory of an experiment.
 
@@ -99,6 +108,27 @@
             s for _, s in self._read_lines(f"{play.path}/samples.jsonl", SampleRecord)
         )
 
+    def decisions(self, play: Play) -> Iterator[DecisionRecord]:
+        """Yield the decisions of a play in order.
+
+        Raises:
+            ResultsError: If a record is invalid, or the file is missing or not whole.
+        """
+        name, count = f"{play.path}/{DECISIONS_FILE}", 0
+        stated: int | None = None
+        for place, value in self._read_values(name):
+            if stated is not None:
+                _fail(place, "a line after the number of decisions")
+            if isinstance(value, dict) and value.keys() == {"decisions"}:
+                stated = _structured(place, value, _DecisionCount).decisions
+                continue
+            yield _structured(place, value, DecisionRecord)
+            count += 1
+        if stated is None:
+            _fail(name, f"cut after {count} decisions, their number is missing")
+        if stated != count:
+            _fail(name, f"has {count} of {stated} decisions")
+
     def promises(self, play: Play) -> list[PromiseRecord]:
         """Return the promises of a play; raises ResultsError if one is invalid."""
         name = f"{play.path}/promises.json"
@@ -142,6 +172,11 @@
 
     def _read_lines(self, name: str, kind: type[T]) -> Iterator[tuple[int, T]]:
         """Yield line numbers, from 1, and records."""
+        for number, (place, value) in enumerate(self._read_values(name), 1):
+            yield number, _structured(place, value, kind)
+
+    def _read_values(self, name: str) -> Iterator[tuple[str, Any]]:
+        """Yield places of lines, for messages, and their JSON values."""
         with self._opened(name) as stream:
             number = 0
             while line := stream.readline(MAX_LINE_BYTES + 1):
@@ -151,7 +186,7 @@
                     _fail(place, f"longer than {MAX_LINE_BYTES} bytes")
                 if not line.endswith(b"\n"):
                     _fail(place, "the line is cut")
-                yield number, _structured(place, _parse(place, line), kind)
+                yield place, _parse(place, line)
 
     @contextmanager
     def _opened(self, name: str) -> Iterator[BinaryIO]:
--- a/wagtailrun/experiments/results.py
+++ b/wagtailrun/experiments/results.py
@@ -14,7 +14,7 @@
 from wagtailrun.experiments.model import Experiment
 from wagtailrun.experiments.records import PlayRecords
 
-__all__ = ["Play", "ResultsDirectory", "write_play"]
+__all__ = ["Play", "ResultsDirectory", "make_play_directory", "write_play"]
 
 FORMAT = 1
 WORLD = "emulator"
@@ -112,14 +112,26 @@
     return ExperimentFailed(detail)
 
 
+def make_play_directory(directory: Path) -> None:
+    """Make the directory for the records of one play, if there is none yet.
+
+    Raises:
+        ExperimentFailed: If it cannot be made.
+    """
+    try:
+        directory.mkdir(exist_ok=True)
+    except OSError as error:
+        raise write_failure(directory.parent, error) from error
+
+
 def write_play(directory: Path, records: PlayRecords) -> None:
     """Write the records of one play.
 
     Raises:
         ExperimentFailed: If they cannot be written.
     """
+    make_play_directory(directory)
     try:
-        directory.mkdir()
         _write_lines(directory / "requests.jsonl", records.requests)
         _write_lines(directory / "events.jsonl", records.events)
         _write_lines(directory / "samples.jsonl", records.samples)
--- a/wagtailrun/experiments/running.py
+++ b/wagtailrun/experiments/running.py
@@ -13,11 +13,17 @@
 import attrs
 
 from wagtailrun.exceptions import ExperimentFailed, WagtailrunError
+from wagtailrun.experiments.decisions import DecisionFile
 from wagtailrun.experiments.model import Experiment, Scenario
 from wagtailrun.experiments.play import play_scenario
 from wagtailrun.experiments.progress import Progress
-from wagtailrun.experiments.records import PromiseRecord
-from wagtailrun.experiments.results import Play, ResultsDirectory, write_play
+from wagtailrun.experiments.records import DECISIONS_FILE, PromiseRecord
+from wagtailrun.experiments.results import (
+    Play,
+    ResultsDirectory,
+    make_play_directory,
+    write_play,
+)
 
 __all__ = ["default_jobs", "run_experiment"]
 
@@ -47,6 +53,8 @@
     variants: Sequence[str],
     seeds: Sequence[int],
     jobs: int,
+    *,
+    decisions: bool = False,
 ) -> dict[Play, tuple[PromiseRecord, ...]]:
     """Play variants and seeds, and write the results.
 
@@ -56,6 +64,7 @@
         variants: Names of the variants to play.
         seeds: Seeds to play of each.
         jobs: Largest number of processes at once.
+        decisions: Whether to keep the decisions about requests.
 
     Returns:
         The promises of each play, in order of variants and seeds.
@@ -68,7 +77,7 @@
     results = ResultsDirectory(directory, experiment, variants, seeds)
     plays = [Play(variant, seed) for variant in variants for seed in seeds]
     progress = Progress(len(plays), experiment.length_ms)
-    runner = _Runner(experiment, results, progress)
+    runner = _Runner(experiment, results, progress, decisions)
     # SIGTERM, too, leaves no process behind.
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
@@ -83,8 +92,13 @@
     """Starts and ends the processes of plays."""
 
     def __init__(
-        self, experiment: Experiment, results: ResultsDirectory, progress: Progress
+        self,
+        experiment: Experiment,
+        results: ResultsDirectory,
+        progress: Progress,
+        decisions: bool,
     ):
+        self.decisions = decisions
         self.experiment = experiment
         self.results = results
         self.progress = progress
@@ -125,9 +139,8 @@
         receiver, sender = self.processes.Pipe(duplex=False)
         scenario = self.experiment.scenarios_by_variant[play.variant]
         directory = self.results.unfinished(play)
-        process = self.processes.Process(
-            target=_play_in_process, args=(sender, scenario, play.seed, directory)
-        )
+        arguments = (sender, scenario, play.seed, directory, self.decisions)
+        process = self.processes.Process(target=_play_in_process, args=arguments)
         process.start()
         self.running[receiver] = play, process
         # The end of the process is noticed only if no one else can send.
@@ -167,7 +180,11 @@
 
 
 def _play_in_process(
-    connection: Connection, scenario: Scenario, seed: int, directory: Path
+    connection: Connection,
+    scenario: Scenario,
+    seed: int,
+    directory: Path,
+    keeps_decisions: bool,
 ) -> None:
     """Play, write the records and report; the entry point of a process."""
     # A terminal sends SIGINT to all its processes; this one is ended by its parent.
@@ -183,7 +200,15 @@
             os._exit(1)
 
     try:
-        records = play_scenario(scenario, seed, lambda at_ms: send(_Message(at_ms)))
+        decisions = None
+        if keeps_decisions:
+            make_play_directory(directory)
+            decisions = DecisionFile(directory / DECISIONS_FILE)
+        records = play_scenario(
+            scenario, seed, lambda at_ms: send(_Message(at_ms)), decisions
+        )
+        if decisions is not None:
+            decisions.close()
         write_play(directory, records)
         send(_Message(promises=tuple(records.promises)))
     except WagtailrunError as error:
