Give the relay entry its clock, connections and servers from outside

The composition root of the relay made its clock, its link, its pool, its connector and its servers itself, so that nothing but sockets of the operating system could be below it, and its random choices had no seed.

EntryPorts (relay/entry_ports.py) is what an entry reaches the outside by; SystemPorts has the adapters that the daemon had before. CallerServer and PeerListener are the interfaces of the two servers. A pool is told how to find readable connections, by default by poll. The behaviour of the daemons does not change.

tests/test_upkeep.py replaces the clock in the module that makes it now.

--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -14,7 +14,7 @@
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
-from wagtailrun.relay import entry as entry_module
+from wagtailrun.relay import entry_ports
 from wagtailrun.relay.core.placement_messages import PlaceRun, PromptPart
 from wagtailrun.relay.limits import brittle_slots, send_grants
 from wagtailrun.relay.upkeep import UPKEEP_INTERVAL_MS
@@ -161,7 +161,7 @@
 def test_tables_stay_small_while_everything_is_replaced(monkeypatch):
     """Guards against state of targets, entries and keys that outlives them."""
     clock = VirtualClock()
-    for module in (entry_module, tcp_link):
+    for module in (entry_ports, tcp_link):
         monkeypatch.setattr(module, "SystemClock", lambda: clock)
     monkeypatch.setattr(tcp_link.TcpPeerLink, "call", refuse_call)
     monkeypatch.setattr(target_limits, "MAX_LIMITS", MAX_LIMITED_ROWS)
@@ -187,7 +187,7 @@
 def test_unresponsive_targets_stay_while_their_service_has_no_others(monkeypatch):
     """Guards against a service without targets while members don't reach them."""
     clock = VirtualClock()
-    monkeypatch.setattr(entry_module, "SystemClock", lambda: clock)
+    monkeypatch.setattr(entry_ports, "SystemClock", lambda: clock)
 
     async def main(clock):
         fleet = Replacements(clock)
--- a/wagtailrun/adapters/connection_pool.py
+++ b/wagtailrun/adapters/connection_pool.py
@@ -12,7 +12,7 @@
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.process.supervisor import supervise
 
-__all__ = ["ConnectionPool", "PooledConnection"]
+__all__ = ["ConnectionPool", "PooledConnection", "poll_readable"]
 
 MAX_IDLE_PER_ADDRESS = 32
 # A connection that has ended holds its descriptor for up to this long. One poll of a
@@ -59,6 +59,8 @@
         known_addresses: Returns the addresses of the servers that may get requests; by
             default any may.
         max_per_address: Largest number of idle connections to one server.
+        find_readable: Returns which descriptors have bytes, or an end, to read; by
+            default the operating system tells.
     """
 
     def __init__(
@@ -67,8 +69,10 @@
         max_idle: int | None = None,
         known_addresses: Callable[[], Collection[Address]] | None = None,
         max_per_address: int = MAX_IDLE_PER_ADDRESS,
+        find_readable: Callable[[Iterable[int]], list[int]] | None = None,
     ):
         self.clock = clock
+        self.find_readable = find_readable or poll_readable
         self.max_idle = (
             DescriptorShares().idle_to_targets if max_idle is None else max_idle
         )
@@ -104,7 +108,9 @@
             if connection is None:
                 return None
             self._remove(connection)
-            if not self._is_expired(connection) and not _find_readable([connection]):
+            if not self._is_expired(connection) and not self._find_readable(
+                [connection]
+            ):
                 return connection
             await connection.sock.close()
 
@@ -132,7 +138,7 @@
 
     async def sweep(self) -> None:
         """Close the connections that are of no more use."""
-        ended = set(_find_readable(self.addresses_by_connection))
+        ended = set(self._find_readable(self.addresses_by_connection))
         known = None if self.known_addresses is None else set(self.known_addresses())
         await self._close(
             [
@@ -168,13 +174,15 @@
         if not idle:
             del self.idle_by_address[address]
 
+    def _find_readable(self, connections: Iterable[C]) -> list[C]:
+        """Return those on which the server sent something or closed its side."""
+        by_descriptor = {each.sock.fileno(): each for each in connections}
+        return [by_descriptor[number] for number in self.find_readable(by_descriptor)]
 
-def _find_readable(connections: Iterable[C]) -> list[C]:
-    """Return the connections on which the server sent something or closed its side."""
+
+def poll_readable(descriptors: Iterable[int]) -> list[int]:
+    """Return the descriptors that have bytes, or an end, to read."""
     poll = select.poll()
-    connections_by_descriptor = {}
-    for connection in connections:
-        descriptor = connection.sock.fileno()
-        connections_by_descriptor[descriptor] = connection
+    for descriptor in descriptors:
         poll.register(descriptor, select.POLLIN)
-    return [connections_by_descriptor[number] for number, _ in poll.poll(0)]
+    return [number for number, _ in poll.poll(0)]
--- a/wagtailrun/adapters/http_server.py
+++ b/wagtailrun/adapters/http_server.py
@@ -17,7 +17,7 @@
 from wagtailrun.adapters.listener import Listener
 from wagtailrun.adapters.server_connection import ServerConnection
 from wagtailrun.adapters.server_limits import ServerLimits
-from wagtailrun.adapters.server_state import HttpHandler, ServerState
+from wagtailrun.adapters.server_state import CallerServer, HttpHandler
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import ResponseAborted
 from wagtailrun.logs import events
@@ -43,7 +43,7 @@
 END_PAUSE_MS = 10
 
 
-class HttpServer(ServerState):
+class HttpServer(CallerServer):
     """Serves HTTP at one address.
 
     Args:
--- a/wagtailrun/adapters/server_state.py
+++ b/wagtailrun/adapters/server_state.py
@@ -1,7 +1,9 @@
 """Settings, limits and counters that the connections of an HTTP server share."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
+from wagtailrun.adapters.drain_times import MAX_REQUEST_WAIT_MS
 from wagtailrun.adapters.http_messages import Request, Response
 from wagtailrun.adapters.idle_connections import IdleConnection
 from wagtailrun.adapters.server_limits import ServerLimits
@@ -9,7 +11,13 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.process.memory_budget import PROCESS_MEMORY, MemoryBudget
 
-__all__ = ["MAX_BODY_BYTES", "REQUEST_TIMEOUT_MS", "HttpHandler", "ServerState"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "REQUEST_TIMEOUT_MS",
+    "CallerServer",
+    "HttpHandler",
+    "ServerState",
+]
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
@@ -103,3 +111,52 @@
         return bool(self.active_requests) or any(
             connection.is_awaited for connection in self.idle_connections
         )
+
+
+class CallerServer(ServerState, ABC):
+    """A server that accepts requests, and the steps in which a planned stop ends it."""
+
+    @abstractmethod
+    async def serve(self) -> None:
+        """Accept connections until cancelled.
+
+        Raises:
+            SettingsError: If the process cannot listen on the address.
+        """
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Close the idle connections, now and later."""
+
+    @abstractmethod
+    async def end_kept(self) -> None:
+        """Close the connections that are kept for an announced time, now and later."""
+
+    @abstractmethod
+    async def refuse_incomplete(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+
+    @abstractmethod
+    async def stop_accepting(self, limit_ms: int = MAX_REQUEST_WAIT_MS) -> None:
+        """Drain, accept what clients have opened, and refuse further connections.
+
+        Args:
+            limit_ms: How long to wait for free descriptors, in milliseconds.
+        """
+
+    @abstractmethod
+    async def accept_waiting(self, limit_ms: float) -> None:
+        """Accept the connections that wait for a descriptor, and refuse further ones.
+
+        Args:
+            limit_ms: How long to accept connections, in milliseconds.
+        """
+
+    @abstractmethod
+    async def close(self, limit_ms: int, answer_ms: int = 0) -> None:
+        """Accept no more connections, and answer the requests of the accepted ones.
+
+        Args:
+            limit_ms: How long to wait for requests and their answers, in milliseconds.
+            answer_ms: How much of it is kept for the answers to complete requests.
+        """
--- a/wagtailrun/adapters/tcp_link.py
+++ b/wagtailrun/adapters/tcp_link.py
@@ -20,7 +20,13 @@
 from wagtailrun.exceptions import MalformedAddress, MessageError, PeerUnreachable
 from wagtailrun.logs import events
 from wagtailrun.messages import STOPPING, PeerError
-from wagtailrun.ports.link import Address, Handler, TunnelLink, Upgrade
+from wagtailrun.ports.link import (
+    Address,
+    Handler,
+    PeerListener,
+    TunnelLink,
+    Upgrade,
+)
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.process.fairness import Turns
 from wagtailrun.process.late_tasks import LATE_WAIT_MS
@@ -460,7 +466,7 @@
         return connection
 
 
-class PeerServer:
+class PeerServer(PeerListener):
     """Answers the messages of other processes of the system.
 
     Args:
--- a/wagtailrun/ports/link.py
+++ b/wagtailrun/ports/link.py
@@ -8,7 +8,14 @@
 
 import attrs
 
-__all__ = ["Address", "Handler", "PeerLink", "TunnelLink", "Upgrade"]
+__all__ = [
+    "Address",
+    "Handler",
+    "PeerLink",
+    "PeerListener",
+    "TunnelLink",
+    "Upgrade",
+]
 
 PORT_PATTERN = re.compile("[0-9]{1,5}")
 # Characters of a malformed address that an error message shows.
@@ -116,3 +123,23 @@
         Raises:
             PeerUnreachable: If no reply was received in time.
         """
+
+
+class PeerListener(ABC):
+    """Answers the messages of other processes of the system."""
+
+    @abstractmethod
+    async def serve(self) -> None:
+        """Serve until cancelled.
+
+        Raises:
+            SettingsError: If the address cannot be listened on.
+        """
+
+    @abstractmethod
+    async def drain(self, limit_ms: int) -> None:
+        """Refuse new connections, answer what has arrived, and end the connections.
+
+        Args:
+            limit_ms: How long to wait for the replies, in milliseconds.
+        """
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -1,29 +1,16 @@
 """Relay entry daemon: receives requests and relays them to targets by route."""
 
 import math
-from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from wagtailrun.adapters.connection_pool import ConnectionPool
 from wagtailrun.adapters.http_client import HttpClient
-from wagtailrun.adapters.http_connection import HttpConnection
-from wagtailrun.adapters.http_server import (
-    HttpServer,
-    ServerLimits,
-)
-from wagtailrun.adapters.tcp_link import PeerServer, TcpPeerLink
-from wagtailrun.clock import SystemClock
-from wagtailrun.discovery import ConfigurationFormat, FleetView, OriginClient
+from wagtailrun.adapters.http_server import ServerLimits
+from wagtailrun.discovery import FleetView, OriginClient
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.exceptions import MessageError
-from wagtailrun.gossip.incarnations import new_incarnation
 from wagtailrun.gossip.messages import EntryRow
-from wagtailrun.process.descriptors import (
-    DescriptorShares,
-    descriptor_limit,
-    used_descriptors,
-)
+from wagtailrun.process.descriptors import used_descriptors
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.core.metrics import RelayMetrics
@@ -33,7 +20,7 @@
     RunBroken,
     RunOver,
 )
-from wagtailrun.relay.core.port import RelayWire
+from wagtailrun.relay.entry_ports import EntryPorts, EntryProtocol, SystemPorts
 from wagtailrun.relay.entry_stop import RelayEntryStop, StopTimes
 from wagtailrun.relay.limits.cold_grants import MOST_PIECES, ColdRoles
 from wagtailrun.relay.limits.notices import TargetNotices
@@ -56,7 +43,6 @@
     FreeResults,
     RunPieces,
     StageBatcher,
-    StageClient,
     StageHost,
     StageRunner,
     Succession,
@@ -84,24 +70,6 @@
 RETRY_BUDGET_SHARE = 0.8
 
 
-class EntryProtocol(ABC):
-    """The formats that operators, callers and targets use with an entry."""
-
-    @property
-    @abstractmethod
-    def configuration_format(self) -> ConfigurationFormat:
-        """Format of the fleet configuration."""
-
-    @property
-    @abstractmethod
-    def wire(self) -> RelayWire:
-        """Wire format of requests and answers."""
-
-    @abstractmethod
-    def stage_client(self, http: HttpClient) -> StageClient:
-        """Return a client for the targets of stage services."""
-
-
 class RelayEntry:
     """Composition root of a relay entry process.
 
@@ -109,6 +77,7 @@
         settings: Checked settings.
         protocol: Formats of the fleet configuration, requests and stage calls.
         reload: Reads the settings again.
+        ports: Time, connections and servers; by default those of the system.
     """
 
     def __init__(
@@ -116,12 +85,14 @@
         settings: RelayEntrySettings,
         protocol: EntryProtocol,
         reload: Callable[[], RelayEntrySettings],
+        ports: EntryPorts | None = None,
     ):
+        ports = ports or SystemPorts(settings)
         self.settings = settings
-        self.clock = SystemClock()
+        self.clock = ports.clock
         self.loop_watch = LoopWatch(self.clock)
-        self.descriptors = DescriptorShares(descriptor_limit(settings.max_fds))
-        self.link = TcpPeerLink(settings.peer_secret, self.descriptors)
+        self.descriptors = ports.descriptors
+        self.link = ports.link
         self.live_settings = LiveSettings(self.clock, settings, reload)
         self.signals = StopSignals(self.clock, self.live_settings.reload)
         self.stop_times = StopTimes(self.clock, self.signals, settings)
@@ -129,7 +100,7 @@
             settings.name,
             settings.peer_address,
             settings.data_centre,
-            new_incarnation(self.clock.wall_ms()),
+            ports.incarnation(),
         )
         self.view = FleetView(
             self.clock,
@@ -152,6 +123,7 @@
             self.clock,
             self.view.limits,
             self._grant_share,
+            ports.seed_of("grants"),
             is_out_of_touch=lambda: self.view.is_out_of_touch,
             roles=self._cold_roles(grant_owners),
         )
@@ -163,14 +135,22 @@
             self.granter,
             self.view.limits,
             self._target_slots,
+            ports.seed_of("identity"),
         )
         self.origins = OriginClient(self.clock, self.link, self.view)
-        self.connector = PathConnector(self.clock, self.link, self.view)
+        self.connector = PathConnector(
+            self.clock,
+            self.link,
+            self.view,
+            ports.seed_of("paths"),
+            ports.connector,
+        )
         self.notices = TargetNotices(
             self.clock,
             protocol.wire,
             self.view,
             self.grants,
+            ports.seed_of("pauses"),
             report_pause=self.connector.carriers.report_pause,
         )
         self.tunnels = TunnelHost(
@@ -181,11 +161,7 @@
             self._is_stopping,
             self.loop_watch.was_held_since,
         )
-        self.pool: ConnectionPool[HttpConnection] = ConnectionPool(
-            self.clock,
-            self.descriptors.idle_to_targets,
-            self.view.membership.serving_addresses,
-        )
+        self.pool = ports.connection_pool(self.view.membership.serving_addresses)
         self.http = HttpClient(self.clock, self.notices, self.connector, pool=self.pool)
         self.max_entries_seen = 1
         self.budget = self._make_budget()
@@ -231,13 +207,16 @@
         )
         self.stages = StageHost(self.batcher, self.delegating_client, self._is_stopping)
         self.chooser = TargetChooser(
-            self.clock, settings.data_centre, limits=self.view.limits
+            self.clock,
+            settings.data_centre,
+            ports.seed_of("targets"),
+            self.view.limits,
         )
         # Placement needs its own chooser: it tracks the prompts of all entries, while
         # the other one tracks the attempts of this entry only.
         self.placement_host = PlacementHost(
             self.clock,
-            TargetChooser(self.clock, "", limits=self.view.limits),
+            TargetChooser(self.clock, "", ports.seed_of("engines"), self.view.limits),
             self.view.targets,
             self.view.quarantine,
             self.granter.wait_ms,
@@ -262,9 +241,10 @@
             self.metrics,
             self.notices,
             self.origins,
+            ports.seed_of("front"),
             was_held_since=self.loop_watch.was_held_since,
         )
-        self.caller_server = HttpServer(
+        self.caller_server = ports.caller_server(
             settings.caller_address,
             self.handler.handle,
             on_refusal=self.handler.record_unread,
@@ -283,13 +263,11 @@
             rotation,
             max_stay_ms(self.stop_times.grace_ms, self.stop_times.notice_ms),
         )
-        self.ready_server = HttpServer(
+        self.ready_server = ports.caller_server(
             settings.ready_address, self.readiness.handle, checks=lambda path: True
         )
-        self.peer_server = PeerServer(
-            settings.peer_listen_address or settings.peer_address,
-            settings.peer_secret,
-            self.handle_peer,
+        self.peer_server = ports.peer_server(
+            settings.peer_listen_address or settings.peer_address, self.handle_peer
         )
         self.upkeep = Upkeep(
             self.clock,
@@ -496,13 +474,12 @@
         """Whether this entry accepts new requests."""
         return not self.readiness.state_reason()
 
-    async def run(self) -> None:
-        """Serve until a planned stop is complete.
+    def tasks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return the tasks of the entry beside its server for peers.
 
-        Raises:
-            SettingsError: If the process cannot listen on a configured address.
+        The first one ends with a planned stop, the others never do.
         """
-        tasks = (
+        return (
             self._stop_on_signal,
             self.caller_server.serve,
             self.ready_server.serve,
@@ -514,13 +491,20 @@
             self._drop_gone,
             self.live_settings.watch,
         )
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete.
+
+        Raises:
+            SettingsError: If the process cannot listen on a configured address.
+        """
         await run_daemon(
             "relay entry",
             self.settings,
             self.signals,
             self.metrics.render,
             self.peer_server,
-            tasks,
+            self.tasks(),
             self.stop_times.left_ms,
             self.loop_watch,
         )
--- a/wagtailrun/relay/entry_stop.py
+++ b/wagtailrun/relay/entry_stop.py
@@ -3,11 +3,11 @@
 import curio
 
 from wagtailrun.adapters.drain_times import request_wait_ms
-from wagtailrun.adapters.http_server import HttpServer
-from wagtailrun.adapters.tcp_link import PeerServer
+from wagtailrun.adapters.server_state import CallerServer
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.discovery import FleetView
 from wagtailrun.logs import events
+from wagtailrun.ports.link import PeerListener
 from wagtailrun.relay.paths.tunnels import TunnelHost
 from wagtailrun.relay.placement.answer_times import COVERED_SHARE
 from wagtailrun.relay.requests.front import RelayHandler
@@ -116,8 +116,8 @@
         times: StopTimes,
         view: FleetView,
         handler: RelayHandler,
-        caller_server: HttpServer,
-        peer_server: PeerServer,
+        caller_server: CallerServer,
+        peer_server: PeerListener,
         readiness: Readiness,
         batcher: StageBatcher,
         stages: StageHost,
--- a/wagtailrun/relay/limits/send_grants.py
+++ b/wagtailrun/relay/limits/send_grants.py
@@ -252,6 +252,7 @@
         granter: Grants requests if this entry is the owner.
         limits: Bounds of the targets.
         slots: Returns the requests that a target can run at once.
+        seed: Seed of the identity of this process; by default it is random.
     """
 
     def __init__(
@@ -263,6 +264,7 @@
         granter: SendGranter,
         limits: TargetLimits,
         slots: Callable[[TargetRow], int] = lambda row: row.capacity,
+        seed: int | None = None,
     ):
         self.link = link
         self.name = name
@@ -273,7 +275,8 @@
         self.slots = slots
         self.clock = granter.clock
         # Another process of the same name may have requests in progress.
-        self.identity = f"{name} {secrets.token_hex(4)}"
+        mark = secrets.token_hex(4) if seed is None else f"{seed:x}"
+        self.identity = f"{name} {mark}"
         self.numbers = itertools.count(1)
         self.held_by_target: dict[str, _Held] = {}
         # Set when requests at brittle targets have ended.
--- a/wagtailrun/relay/paths/tunnels.py
+++ b/wagtailrun/relay/paths/tunnels.py
@@ -77,6 +77,7 @@
         link: Opens tunnels at other entries.
         view: This entry's view of the fleet.
         seed: Seed for the choice of the other entry.
+        direct: Connects without another entry; by default over sockets.
     """
 
     def __init__(
@@ -85,11 +86,12 @@
         link: TunnelLink,
         view: FleetView,
         seed: int | None = None,
+        direct: Connector | None = None,
     ):
         self.clock = clock
         self.view = view
         self.random = random.Random(seed)
-        self.direct = DirectConnector()
+        self.direct = direct or DirectConnector()
         self.survey = PathSurvey(view.present_targets, self._try_path, self.random)
         self.reach = DataCentreReach(
             clock, view, self._try_path, self._ask_others, self.random
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -8,13 +8,12 @@
 import curio
 
 from wagtailrun.adapters.http_server import HttpServer, Request, Response
-from wagtailrun.adapters.tcp_link import PeerServer
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.logs import events
 from wagtailrun.logs.daemon_log import start_json_lines
 from wagtailrun.logs.line_writer import STOP_TIMEOUT_S
-from wagtailrun.ports.link import Address
+from wagtailrun.ports.link import Address, PeerListener
 from wagtailrun.process.daemon_tasks import run_until_one_ends
 from wagtailrun.process.loop_watch import LoopWatch
 from wagtailrun.process.memory_budget import PROCESS_MEMORY
@@ -98,7 +97,7 @@
     settings: RelayEntrySettings | RelayControlSettings,
     signals: StopSignals,
     metrics_page: Callable[[], bytes],
-    peer_server: PeerServer,
+    peer_server: PeerListener,
     tasks: Sequence[Callable[[], Awaitable[None]]],
     left_ms: Callable[[], float] = lambda: math.inf,
     loop_watch: LoopWatch | None = None,
--- a/wagtailrun/stopping/entry_stop.py
+++ b/wagtailrun/stopping/entry_stop.py
@@ -3,7 +3,7 @@
 from abc import abstractmethod
 
 from wagtailrun.adapters.drain_times import DRAIN_IDLE_POLLS, sleep_until_idle
-from wagtailrun.adapters.http_server import HttpServer
+from wagtailrun.adapters.server_state import CallerServer
 from wagtailrun.clock import Clock
 from wagtailrun.stopping.plan import StopPlan
 from wagtailrun.stopping.planned_stop import PlannedStop, StoppableDaemon
@@ -82,7 +82,7 @@
         server: Its server for callers.
     """
 
-    def __init__(self, clock: Clock, entry: StoppableEntry, server: HttpServer):
+    def __init__(self, clock: Clock, entry: StoppableEntry, server: CallerServer):
         super().__init__(entry)
         self.clock = clock
         self.entry = entry
