Play relay entries in experiments

An experiment could be played with the product's entries alone.

`entries = { east = { kind = "relay", count = 3 } }` plays the relay's own composition root, over ports in virtual time (wagtailrun/experiments/relay/): a network of processes with connections that carry bytes, messages and tunnels, targets behind a plain wire, the relay's own hubs over an emulated replicated state, and a load balancer that asks for readiness. Routes and keys are derived from the product's fleet text, so that one file plays both kinds. All faults and planned work of the product's entries are there. What both plays share moved from play.py to base_play.py. Tasks under virtual time know the process that spawned them, so that a killed one ends as a whole, and have hashes that do not differ from run to run. An error that the relay does not expect ends the play. Pipelines with stages are refused for now.

--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -312,3 +312,76 @@
     output = capsys.readouterr()
     assert "double" in output.out
     assert "faults[0].at_s: '50' is not accepted" in output.err
+
+
+RELAY = HEAD.replace(
+    "{ east = 2, west = 1 }",
+    '{ east = { kind = "relay", count = 2 }, west = { kind = "relay", count = 1 } }',
+)
+BOOKINGS = "[[load]]" + LOAD.split("[[load]]")[2]
+
+
+def test_entries_of_the_relay(tmp_path):
+    """Guards against a kind of entry that is not read, or a number that changes it."""
+    relay = load_experiment(write(tmp_path, RELAY + TARGETS + BOOKINGS))
+    (scenario,) = relay.scenarios_by_variant.values()
+    assert scenario.entry_kind == "relay"
+    assert scenario.entries_by_data_centre == {"east": 2, "west": 1}
+    product = load_experiment(write(tmp_path))
+    assert product.scenarios_by_variant["base"].entry_kind == "product"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "message"),
+    [
+        (
+            'kind = "relay"',
+            'kind = "proxy"',
+            "entries.east.kind: 'proxy' is not accepted; choose one",
+        ),
+        (
+            '{ kind = "relay", count = 1 }',
+            "1",
+            "'east: relay, west: product' is not accepted; use one kind of entry",
+        ),
+        (
+            "count = 2 }",
+            "count = 500 }",
+            "entries: '501' is not accepted; play at most 100",
+        ),
+        ("rate_per_s = 1\n", "rate_per_s = 3000\n", "lower the rates of all loads"),
+        ('service = "desk"\ncall = "book"', 'pipeline = "query"', "no stages yet"),
+        (
+            "name = ",
+            "links = { cache_event_loss = 0.1 }\nname = ",
+            "relay entries get no cache events; remove it",
+        ),
+        (
+            "name = ",
+            "settings = { hedges = false }\nname = ",
+            "settings.hedges",
+        ),
+    ],
+)
+def test_bad_relay_entries(tmp_path, old, new, message):
+    """Guards against a file that plays something else than it says."""
+    text = RELAY + TARGETS + BOOKINGS
+    assert old in text
+    assert message in faults_of(tmp_path, text.replace(old, new, 1))
+
+
+def test_too_many_requests_to_the_relay(tmp_path):
+    """Guards against a play that takes hours, begun without a word."""
+    text = (RELAY + TARGETS + BOOKINGS).replace("length_s = 20", "length_s = 3600")
+    faults = faults_of(tmp_path, text.replace("rate_per_s = 1\n", "rate_per_s = 90\n"))
+    assert "lower rates or length to 100000 requests to the relay" in faults
+
+
+def test_bad_relay_file_writes_nothing(tmp_path):
+    """Guards against results of a file that was refused."""
+    path = write(tmp_path, (RELAY + TARGETS + BOOKINGS).replace("relay", "proxy", 1))
+    out = tmp_path / "out"
+    with pytest.raises(SystemExit) as end:
+        cli.main(["experiment", "run", str(path), "--out", str(out)])
+    assert end.value.code == 2
+    assert not out.exists()
--- a/wagtailrun/experiments/model.py
+++ b/wagtailrun/experiments/model.py
@@ -12,6 +12,7 @@
 __all__ = [
     "Arrivals",
     "Distribution",
+    "EntryKind",
     "Experiment",
     "Fault",
     "FaultKind",
@@ -43,6 +44,13 @@
     CHOICE = "choice"
 
 
+class EntryKind(enum.StrEnum):
+    """Which entries a fleet has."""
+
+    PRODUCT = "product"
+    RELAY = "relay"
+
+
 class FaultKind(enum.StrEnum):
     """Faults and planned work."""
 
@@ -223,6 +231,7 @@
         length_ms: When the load ends; requests in progress end after it.
         fleet: Fleet configuration at the start.
         entries_by_data_centre: Number of entries.
+        entry_kind: Which entries they are.
         targets: Targets.
         link_ms: One-way delay of every link.
         report_lag_ms: Delay of the targets' reports.
@@ -244,6 +253,7 @@
     loads: tuple[Load, ...]
     faults: tuple[Fault, ...]
     promises: tuple[Promise, ...]
+    entry_kind: EntryKind = EntryKind.PRODUCT
 
     @property
     def data_centres_by_entry(self) -> dict[str, str]:
--- a/wagtailrun/experiments/reading.py
+++ b/wagtailrun/experiments/reading.py
@@ -9,9 +9,15 @@
 import attrs
 
 from wagtailrun.exceptions import ExperimentFileError, FleetTextError
+from wagtailrun.experiments.entries import (
+    check_relay,
+    read_entries,
+    read_relay_settings,
+)
 from wagtailrun.experiments.faults import read_faults
 from wagtailrun.experiments.loads import read_loads
 from wagtailrun.experiments.model import (
+    EntryKind,
     Experiment,
     Measure,
     Promise,
@@ -20,6 +26,8 @@
 )
 from wagtailrun.experiments.tables import (
     MAX_FILE_BYTES,
+    MAX_PROCESSES,
+    MAX_SETTING_MS,
     milliseconds,
     optional_milliseconds,
     read_fleet,
@@ -40,12 +48,10 @@
 MAX_SEEDS = 1_000
 MAX_SEED = 2**31 - 1
 MAX_VARIANTS = 100
-MAX_PROCESSES = 1_000
 # Requests of one play, which are kept in memory until its end.
 MAX_REQUESTS = 500_000
 MAX_LINK_MS = 1_000
 MAX_REPORT_LAG_MS = 60_000
-MAX_SETTING_MS = 600_000
 MAX_RETRIES = 10
 MAX_PROMISED = 10**9
 # Keys that hold for all variants.
@@ -179,7 +185,7 @@
         # Nothing else can be checked without the names in the fleet text.
         _raise_faults(root.faults)
         raise AssertionError("a missing fleet is a fault")
-    entries = _entries(root.table("entries"), fleet)
+    entries, entry_kind = read_entries(root.table("entries"), fleet)
     targets = _targets(root, fleet)
     links = root.table("links")
     scenario = Scenario(
@@ -190,10 +196,11 @@
         link_ms=links.number("delay_ms", 0.5, 0, MAX_LINK_MS) or 0.0,
         report_lag_ms=links.integer("report_lag_ms", 500, 0, MAX_REPORT_LAG_MS),
         cache_event_loss=links.number("cache_event_loss", 0.0, 0, 1) or 0.0,
-        settings=_settings(root.table("settings")),
+        settings=_settings(root.table("settings"), entry_kind),
         loads=(),
         faults=(),
         promises=(),
+        entry_kind=entry_kind,
     )
     links.close()
     scenario = attrs.evolve(scenario, faults=read_faults(root, scenario, directory))
@@ -201,6 +208,8 @@
     if sum(load.expected_requests for load in scenario.loads) > MAX_REQUESTS:
         remedy = f"lower rates or length to {MAX_REQUESTS} requests in all"
         root.fault("load", "too many requests", remedy)
+    if entry_kind is EntryKind.RELAY:
+        check_relay(root, scenario)
     scenario = attrs.evolve(scenario, promises=_promises(root, scenario))
     root.close()
     return scenario
@@ -214,16 +223,6 @@
         return None
 
 
-def _entries(table: Table, fleet: FleetConfiguration) -> dict[str, int]:
-    counts = {
-        name: table.integer(name, 0, 0, MAX_PROCESSES) for name in fleet.data_centres
-    }
-    table.close()
-    if not any(counts.values()):
-        table.fault("", table.value, "give the number of entries by data centre")
-    return {name: count for name, count in counts.items() if count}
-
-
 def _targets(root: Table, fleet: FleetConfiguration) -> tuple[TargetGroup, ...]:
     groups: dict[tuple[str, str], TargetGroup] = {}
     for table in root.array("targets"):
@@ -260,8 +259,10 @@
     return model
 
 
-def _settings(table: Table) -> dict[str, Any]:
+def _settings(table: Table, entry_kind: EntryKind) -> dict[str, Any]:
     """Return the settings of the entries that the file gives, by name."""
+    if entry_kind is EntryKind.RELAY:
+        return read_relay_settings(table)
     table.integer("max_retries", DispatchOptions().max_retries, 0, MAX_RETRIES)
     for field in (*attrs.fields(DispatchOptions), *attrs.fields(RouterOptions)):
         if field.name != "max_retries":
--- /dev/null
+++ b/wagtailrun/experiments/relay/targets.py
@@ -0,0 +1,259 @@
+"""Emulated targets of relay entries: the wire format around their work."""
+
+import itertools
+
+import attrs
+import curio
+
+from wagtailrun.clock import MS_PER_SECOND
+from wagtailrun.exceptions import TargetFailed
+from wagtailrun.experiments.relay import wire
+from wagtailrun.experiments.relay.attempt_log import AttemptLog
+from wagtailrun.experiments.relay.network import Network, Process
+from wagtailrun.experiments.relay.sockets import VirtualSocket
+from wagtailrun.experiments.relay.work import (
+    Submitted,
+    TargetRequest,
+    TargetWork,
+    WorkItem,
+)
+from wagtailrun.targets.table import TargetRow
+
+__all__ = ["RelayTarget"]
+
+READ_BYTES = 64 * 1024
+HEAD_END = b"\r\n\r\n"
+REASONS = {200: "OK", 421: "Misdirected Request", 503: "Service Unavailable"}
+
+
+@attrs.frozen
+class _Head:
+    """Head of a request."""
+
+    path: str
+    headers: dict[str, str]
+
+
+class RelayTarget:
+    """One target: its process, its row and its work.
+
+    Args:
+        network: Network.
+        row: Row at the start.
+        work: What it does with requests.
+        log: Log of the attempts, which is told when answers arrive.
+    """
+
+    def __init__(
+        self, network: Network, row: TargetRow, work: TargetWork, log: AttemptLog
+    ):
+        self.network = network
+        self.row = row
+        self.work = work
+        self.log = log
+        self.is_paused = False
+        self.process = Process(row.name, row.address, row.data_centre, self.serve)
+        network.add(self.process)
+
+    async def start(self) -> None:
+        """Begin to work."""
+        await curio.spawn(self.work.run, daemon=True)
+
+    @property
+    def announces(self) -> bool:
+        """Whether it is in a state to report."""
+        return self.process.is_alive and not self.process.is_lost and not self.is_paused
+
+    def announce(self) -> TargetRow:
+        """Return its next report."""
+        self.row = attrs.evolve(
+            self.row,
+            sequence=self.row.sequence + 1,
+            running=self.work.running,
+            queued=self.work.queued,
+        )
+        return self.row
+
+    # Faults
+
+    async def die(self) -> None:
+        """End its process."""
+        await self.network.end(self.process)
+        await self.work.die()
+
+    async def restart(self) -> None:
+        """Start again as a new incarnation."""
+        incarnation = self.row.incarnation + 1
+        self.row = attrs.evolve(self.row, incarnation=incarnation, sequence=0)
+        await self.network.revive(self.process)
+
+    def pause(self) -> None:
+        """Let its process stand still; its connections stay open."""
+        self.is_paused = True
+        self.work.pause()
+
+    async def go_on(self) -> None:
+        """Let its process go on where it stood still."""
+        self.is_paused = False
+        await self.work.go_on()
+
+    # Requests
+
+    async def serve(self, sock: VirtualSocket) -> None:
+        """Answer the requests of one connection."""
+        received = bytearray()
+        try:
+            while (head := await self._read_head(sock, received)) is not None:
+                length = int(head.headers.get("content-length", "0"))
+                while len(received) < length:
+                    data = await sock.recv(READ_BYTES)
+                    if not data:
+                        return
+                    received += data
+                body = bytes(received[:length])
+                del received[:length]
+                await self.work.wait_for_end_of_pause()
+                if not await self._answer(sock, head, body):
+                    return
+        except OSError:
+            # The entry closed the connection, or its path was lost.
+            return
+        finally:
+            await sock.close()
+
+    async def _read_head(
+        self, sock: VirtualSocket, received: bytearray
+    ) -> _Head | None:
+        """Return the next head; None at the end of the connection."""
+        while (end := received.find(HEAD_END)) < 0:
+            data = await sock.recv(READ_BYTES)
+            if not data:
+                return None
+            received += data
+        lines = received[:end].decode("latin-1").split("\r\n")
+        del received[: end + len(HEAD_END)]
+        pairs = (line.partition(":") for line in lines[1:])
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        return _Head(lines[0].split(" ")[1], headers)
+
+    async def _answer(self, sock: VirtualSocket, head: _Head, body: bytes) -> bool:
+        """Answer a request; return whether the connection may be used again."""
+        if head.headers.get(wire.TARGET, self.row.name) != self.row.name:
+            await self._send_whole(sock, wire.MISDIRECTED, (), b"")
+            return True
+        if head.path == wire.REPORT_PATH:
+            report = b'{"incarnation": %d}' % self.row.incarnation
+            await self._send_whole(sock, wire.OK, (), report)
+            return True
+        request = self._read_request(head, body)
+        submitted = await self.work.submit(request)
+        answering = await curio.spawn(
+            self._send_answer, sock, request, submitted, daemon=True
+        )
+        watching = await curio.spawn(_cancel_at_end, sock, answering, daemon=True)
+        try:
+            await answering.wait()
+            is_whole = answering.exception is None and answering.result
+            if not is_whole:
+                await submitted.cancel()
+            return bool(is_whole)
+        finally:
+            await answering.cancel(blocking=False)
+            await watching.cancel()
+
+    def _read_request(self, head: _Head, body: bytes) -> TargetRequest:
+        headers = head.headers
+        after = headers.get(wire.RESUME_AFTER)
+        return TargetRequest(
+            request_id=headers[wire.REQUEST_ID],
+            number=int(headers[wire.ATTEMPT]),
+            entry="",
+            step="",
+            body=body,
+            remaining_ms=int(headers[wire.DEADLINE]),
+            urgency=int(headers[wire.URGENCY]),
+            resume_offset=0 if after is None else int(after) + 1,
+        )
+
+    async def _send_answer(
+        self, sock: VirtualSocket, request: TargetRequest, submitted: Submitted
+    ) -> bool:
+        """Send the answer to a request; return whether it is whole."""
+        try:
+            for number in itertools.count():
+                item = await submitted.next_item()
+                await self.work.wait_for_end_of_pause()
+                if not self.work.streams:
+                    headers = self._answer_headers(request)
+                    await self._send_whole(sock, wire.OK, headers, item.text.encode())
+                    return True
+                await self._send_event(sock, request, item, is_first=not number)
+                if item.is_last:
+                    self.log.record_sent(request.number, self._arrival_ms())
+                    return True
+        except (OSError, TargetFailed):
+            # The connection has ended, or the target has.
+            return False
+        return False
+
+    def _arrival_ms(self) -> int:
+        """Return when what is sent now arrives, in milliseconds."""
+        arrival_s = self.network.clock.seconds + self.network.delay_s
+        return int(arrival_s * MS_PER_SECOND)
+
+    def _answer_headers(self, request: TargetRequest) -> tuple[tuple[str, str], ...]:
+        load = f"{self.work.running},{self.work.queued},{self.work.capacity}"
+        return (
+            (wire.ANSWER_ID, request.request_id),
+            (wire.ATTEMPT, str(request.number)),
+            (wire.LOAD, load),
+        )
+
+    async def _send_whole(
+        self,
+        sock: VirtualSocket,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> None:
+        pairs = (*headers, ("content-length", str(len(body))))
+        await sock.sendall(_response_head(status, pairs) + body)
+
+    async def _send_event(
+        self,
+        sock: VirtualSocket,
+        request: TargetRequest,
+        item: WorkItem,
+        *,
+        is_first: bool,
+    ) -> None:
+        event = f"id: {item.offset}\ndata: {item.text}\n\n".encode()
+        data = b"%x\r\n%b\r\n" % (len(event), event)
+        if is_first:
+            headers = (
+                *self._answer_headers(request),
+                ("content-type", wire.EVENT_STREAM),
+                ("transfer-encoding", "chunked"),
+            )
+            data = _response_head(wire.OK, headers) + data
+        if item.is_last:
+            data += b"0\r\n\r\n"
+        await sock.sendall(data)
+
+
+async def _cancel_at_end(sock: VirtualSocket, answering: curio.Task) -> None:
+    """Cancel an answer when the entry closes the connection."""
+    try:
+        while await sock.recv(READ_BYTES):
+            # Entries send no further request before the answer to this one.
+            pass
+    except OSError:
+        # The same.
+        pass
+    await answering.cancel(blocking=False)
+
+
+def _response_head(status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/wagtailrun/experiments/tables.py
+++ b/wagtailrun/experiments/tables.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     "MAX_FILE_BYTES",
+    "MAX_PROCESSES",
+    "MAX_SETTING_MS",
     "milliseconds",
     "optional_milliseconds",
     "read_fleet",
@@ -18,6 +20,9 @@
 
 # Of experiments and fleet texts.
 MAX_FILE_BYTES = 4 * 1024 * 1024
+# Entries of a data centre, and targets of a service in one.
+MAX_PROCESSES = 1_000
+MAX_SETTING_MS = 600_000
 
 
 def required(table: Table, key: str, low: float, high: float) -> float:
--- a/wagtailrun/logs/event_log.py
+++ b/wagtailrun/logs/event_log.py
@@ -2,7 +2,8 @@
 
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import attrs
@@ -96,6 +97,10 @@
         self.windows_by_number: dict[int, tuple[float | None, int]] = {}
         self.put_line: Callable[[str], None] | None = None
         self.process = ""
+        # While no lines are written: the watched events, and the fields of each that
+        # was logged.
+        self.watched: frozenset[Event] | None = None
+        self.seen: list[tuple[Event, dict[str, Any]]] = []
         self.suppressed_by_number: dict[int, int] = {}
         self.counts_by_number: dict[int, int] = {}
 
@@ -107,6 +112,10 @@
         """
         number = event.number
         self.counts_by_number[number] = self.counts_by_number.get(number, 0) + 1
+        if self.watched is not None:
+            if event in self.watched:
+                self.seen.append((event, fields))
+            return
         if event.limited and not self._is_within_limit(event):
             suppressed = self.suppressed_by_number.get(number, 0) + 1
             self.suppressed_by_number[number] = suppressed
@@ -127,6 +136,24 @@
             return
         self.write(event.level, "E%04d %s %s", number, event.meaning, text)
 
+    @contextmanager
+    def muted(
+        self, watched: Iterable[Event]
+    ) -> Iterator[list[tuple[Event, dict[str, Any]]]]:
+        """Write no lines, as in a play of many emulated processes in one.
+
+        Args:
+            watched: Events to keep.
+
+        Returns:
+            The watched events that were logged so far, each with its fields.
+        """
+        self.watched, self.seen = frozenset(watched), []
+        try:
+            yield self.seen
+        finally:
+            self.watched = None
+
     def _is_within_limit(self, event: Event) -> bool:
         """Count a line of the event; return whether the rate limit allows it."""
         now_s = self.now_s()
--- a/wagtailrun/replay/player.py
+++ b/wagtailrun/replay/player.py
@@ -42,6 +42,7 @@
     "Replay",
     "ReplayReport",
     "main",
+    "make_prompt",
     "replay",
     "replay_records",
 ]
@@ -231,7 +232,7 @@
         arrival = outcome.arrival
         pipeline = self.fleet.pipelines_by_name[arrival["pipeline"]]
         deadline_at_ms = outcome.deadline_at_ms
-        body = {"prompt": _make_prompt(arrival, outcome.request_id)}
+        body = {"prompt": make_prompt(arrival, outcome.request_id)}
         body["max_tokens"] = arrival["output"]
         request = PipelineRequest(
             outcome.request_id,
@@ -397,7 +398,7 @@
         return builder.build(self.header.get("outcomes", {}))
 
 
-def _make_prompt(arrival: dict[str, Any], request_id: str) -> str:
+def make_prompt(arrival: dict[str, Any], request_id: str) -> str:
     """Return a prompt of the recorded size with the recorded shared prefix."""
     shared = arrival.get("shared", 0) * CHARACTERS_PER_TOKEN
     name = f"{arrival.get('prefix', '')} "
--- a/wagtailrun/stopping/signals.py
+++ b/wagtailrun/stopping/signals.py
@@ -110,10 +110,14 @@
         self.polled_ms = self.last_poll_ms if is_late else now_ms
         self.last_poll_ms = now_ms
 
-    def _count_stop(self, number: int, frame: Any) -> None:
+    def count_stop(self) -> None:
+        """Count a signal to stop that is handled now."""
         if not self.stop_count:
             self.handled_ms = self.clock.now_ms()
         self.stop_count += 1
+
+    def _count_stop(self, number: int, frame: Any) -> None:
+        self.count_stop()
         if self.forced_end_ms is not None:
             self._limit_stop(self.forced_end_ms)
 
--- a/wagtailrun/virtual_time.py
+++ b/wagtailrun/virtual_time.py
@@ -2,6 +2,7 @@
 
 import selectors
 import time
+import weakref
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
@@ -10,7 +11,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
 
-__all__ = ["VirtualClock", "VirtualTimeDeadlock", "run_virtual"]
+__all__ = ["TaskOwner", "VirtualClock", "VirtualTimeDeadlock", "run_virtual"]
 
 # 2026-01-01T00:00:00Z, so that wall times in tests are plausible calendar minutes.
 DEFAULT_WALL_START_MS = 1_767_225_600_000
@@ -45,6 +46,61 @@
         await curio.sleep(max(duration_ms, 0) / MS_PER_SECOND)
 
 
+class TaskOwner:
+    """All tasks of one emulated process, which end together.
+
+    A task belongs to the owner of the task that spawned it, so that an owner knows what
+    its process has spawned and keeps no reference to.
+    """
+
+    def __init__(self) -> None:
+        self.tasks_by_id: weakref.WeakValueDictionary[int, _OwnedTask]
+        self.tasks_by_id = weakref.WeakValueDictionary()
+
+    async def spawn(self, function: Callable[..., Any], *args: Any) -> curio.Task:
+        """Spawn a daemon task that belongs to this owner."""
+        return await curio.spawn(self._run, function, args, daemon=True)
+
+    async def _run(self, function: Callable[..., Any], args: tuple[Any, ...]) -> Any:
+        task = await curio.current_task()
+        task.change_owner(self)
+        return await function(*args)
+
+    async def cancel_all(self) -> None:
+        """Cancel all tasks, in the order in which they were spawned."""
+        while tasks := [
+            task
+            for _, task in sorted(self.tasks_by_id.items())
+            if not (task.terminated or task.cancelled)
+        ]:
+            for task in tasks:
+                await task.cancel(blocking=False)
+            # What they spawn as they end belongs to this owner, too.
+            await curio.sleep(0)
+
+
+class _OwnedTask(curio.Task):  # type: ignore[misc]
+    """Task that belongs to the owner of the task that spawned it, if it has one."""
+
+    def __init__(self, coro: Any, parent: "_OwnedTask | None" = None):
+        super().__init__(coro, parent)
+        self.owner: TaskOwner | None = None
+        if parent is not None and parent.owner is not None:
+            self.change_owner(parent.owner)
+
+    def __hash__(self) -> int:
+        # curio keeps tasks in sets. By addresses, their order would differ from run to
+        # run, and with it the order in which tasks wake.
+        return int(self.id)
+
+    def change_owner(self, owner: TaskOwner) -> None:
+        """Belong to another owner from now on."""
+        if self.owner is not None:
+            self.owner.tasks_by_id.pop(self.id, None)
+        self.owner = owner
+        owner.tasks_by_id[self.id] = self
+
+
 class VirtualSelector(selectors.DefaultSelector):
     """Selector that advances a virtual clock instead of blocking."""
 
@@ -86,7 +142,8 @@
     with (
         mock.patch.object(time, "monotonic", lambda: clock.seconds),
         mock.patch.object(curio, "run_in_thread", _run_inline),
-        curio.Kernel(selector=VirtualSelector(clock)) as kernel,
+        mock.patch.object(curio.Task, "_lastid", 1),
+        curio.Kernel(selector=VirtualSelector(clock), taskcls=_OwnedTask) as kernel,
     ):
         return kernel.run(corofunc, clock, *args)
 
