Play the stages of relay requests in experiments

Pipelines with stages were refused with relay entries, so that the owners of stage services, their calls and the release of results could not be played.

Emulated targets of pools run pieces, keep results in a bounded memory and refuse what needs a result that is gone; the route table that is derived from the fleet text has the stages as steps. The relay's runner, batcher, memory accounting and hand-over are its own.

--- a/wagtailrun/experiments/relay/fleet.py
+++ b/wagtailrun/experiments/relay/fleet.py
@@ -15,6 +15,7 @@
 from wagtailrun.experiments.relay.members import HEARTBEAT_MS, Members
 from wagtailrun.experiments.relay.network import Network
 from wagtailrun.experiments.relay.ports import PlainProtocol
+from wagtailrun.experiments.relay.results import ResultStore
 from wagtailrun.experiments.relay.routes import DerivedFormat
 from wagtailrun.experiments.relay.server import CallerExchange
 from wagtailrun.experiments.relay.targets import RelayTarget
@@ -69,6 +70,7 @@
         self.random = random.Random(f"{seed}/fleet")
         self.network = Network(clock, plan.delay_ms)
         self.log = AttemptLog()
+        self.results = ResultStore(clock, self.network)
         self.protocol = PlainProtocol(self.network, self.log, DerivedFormat())
         self.members = Members(self.network, plan.data_centres)
         self.entries_by_name: dict[str, EmulatedEntry] = {}
@@ -94,7 +96,9 @@
 
     def add_target(self, row: TargetRow, work: TargetWork) -> None:
         """Add a target; it works from ``start`` on."""
-        self.targets_by_name[row.name] = RelayTarget(self.network, row, work, self.log)
+        self.targets_by_name[row.name] = RelayTarget(
+            self.network, row, work, self.log, self.results
+        )
 
     async def start(self) -> None:
         """Start all processes."""
--- a/wagtailrun/experiments/relay/routes.py
+++ b/wagtailrun/experiments/relay/routes.py
@@ -8,6 +8,7 @@
 import cattrs
 
 from wagtailrun.discovery import ConfigurationFormat
+from wagtailrun.experiments.relay.results import MAX_RESULTS, RESULT_MS
 from wagtailrun.fleet.model import (
     FleetConfiguration,
     Pipeline,
@@ -39,6 +40,8 @@
     "pipeline_path",
 ]
 
+# Notional size of the result of a stage.
+RESULT_BYTES = 1_000_000
 # Host of all derived routes.
 HOST = "fleet"
 # Attempts at targets that may run a repeatable request: the first one and as many
@@ -156,7 +159,7 @@
 def _steps(pipeline: Pipeline) -> tuple[StageStep, ...]:
     """Return the stages before the last one, each after the one before it."""
     return tuple(
-        StageStep(stage.service, (number - 1,) if number else ())
+        StageStep(stage.service, (number - 1,) if number else (), RESULT_BYTES)
         for number, stage in enumerate(pipeline.stages[:-1])
     )
 
@@ -170,5 +173,10 @@
         if service.kind is ServiceKind.ENGINE:
             engine = EngineCapacity(known.capacity, known.cache_tokens)
         elif service.kind is ServiceKind.POOL:
-            pool = StageCapacity(slots=known.capacity, call_ms=known.call_ms)
+            pool = StageCapacity(
+                slots=known.capacity,
+                call_ms=known.call_ms,
+                memory_bytes=MAX_RESULTS * RESULT_BYTES,
+                result_ms=RESULT_MS,
+            )
         yield RoutedService(service.name, engine=engine, pool=pool)
--- a/wagtailrun/experiments/relay/wire.py
+++ b/wagtailrun/experiments/relay/wire.py
@@ -21,6 +21,7 @@
 __all__ = [
     "ANSWER_ID",
     "ATTEMPT",
+    "CONFLICT",
     "DEADLINE",
     "EVENT_STREAM",
     "INPUTS",
