Compare both kinds of entry under five faults

What the relay does worse or better than the product's entries under one load and fault was not known, nor could it be asked with one file.

Derived streams have latency objectives, without which an entry waits for a first event until the deadline. A relay table in the fleet text replaces the derived routes, and the check names what the load lacks there.

--- a/tests/test_experiment_demo.py
+++ b/tests/test_experiment_demo.py
@@ -22,7 +22,7 @@
 
 def test_demos_are_there():
     """Guards against a test run that passes because it finds no examples."""
-    assert len(FILES) == 4
+    assert len(FILES) == 5
 
 
 def test_shortened_calm_hour_keeps_its_promises(tmp_path):
--- a/tests/test_relay_experiments.py
+++ b/tests/test_relay_experiments.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from wagtailrun.exceptions import ExperimentFileError
 from wagtailrun.experiments.play import play_scenario
 from wagtailrun.experiments.reading import load_experiment
 from wagtailrun.experiments.relay_play import play_relay_scenario
@@ -274,6 +275,45 @@
     assert event.planned
 
 
+RELAY_TABLE = """
+[[relay.services]]
+name = "desk"
+[[relay.routes]]
+name = "stock"
+host = "fleet"
+prefix = "/services/desk/stock/"
+kind = "idempotent"
+services = [{ service = "desk" }]
+timeout_ms = 25
+[[relay.workspaces]]
+name = "clerks"
+keys = ["key-of-clerks"]
+"""
+
+
+def test_relay_table_replaces_the_derived_routes(tmp_path):
+    """Guards against a relay table that is read and not played."""
+    path = write(tmp_path, HEAD + CALLS, FLEET + RELAY_TABLE)
+    scenario = load_experiment(path).scenarios_by_variant["base"]
+    records = play_scenario(scenario, 1, lambda at_ms: None)
+    # Some targets answer within the 25 ms of the table.
+    assert {r.reason for r in records.requests} >= {"", "deadline"}
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "message"),
+    [
+        ("/stock/", "/other/", "add a route with host fleet and prefix /services/desk"),
+        ('"key-of-clerks"', '"other"', "add a workspace with the key key-of-clerks"),
+    ],
+)
+def test_relay_table_must_have_the_work_of_the_load(tmp_path, old, new, message):
+    """Guards against a play in which all requests are refused by a typing error."""
+    fleet = FLEET + RELAY_TABLE.replace(old, new)
+    with pytest.raises(ExperimentFileError, match=message):
+        load_experiment(write(tmp_path, HEAD + CALLS, fleet))
+
+
 def test_other_hashes_of_texts_give_the_same_bytes(tmp_path):
     """Guards against an order of sets that differs from process to process."""
     text = HEAD.replace("length_s = 20", "length_s = 12") + CALLS + CHATS
--- a/wagtailrun/experiments/entries.py
+++ b/wagtailrun/experiments/entries.py
@@ -3,7 +3,8 @@
 from typing import Any
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.experiments.model import EntryKind, Load, Scenario
+from wagtailrun.experiments.model import Arrivals, EntryKind, Load, Scenario
+from wagtailrun.experiments.relay_routes import route_faults
 from wagtailrun.experiments.tables import MAX_PROCESSES, MAX_SETTING_MS
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.fleet.tables import Table
@@ -66,6 +67,13 @@
         links = root.table("links")
         remedy = "relay entries get no cache events; remove it"
         links.fault("cache_event_loss", scenario.cache_event_loss, remedy)
+    for number, load in enumerate(scenario.loads):
+        # A trace names other work as well, which is refused as it is played.
+        named = load.pipeline or load.service
+        if load.arrivals is not Arrivals.TRACE and named:
+            for fault in route_faults(scenario, load):
+                remedy = f"in the relay table of the fleet text, {fault}"
+                root.fault(f"load[{number}]", named, remedy)
     entries = sum(scenario.entries_by_data_centre.values())
     if entries > MAX_RELAY_ENTRIES:
         remedy = f"play at most {MAX_RELAY_ENTRIES} relay entries"
--- a/wagtailrun/experiments/relay/routes.py
+++ b/wagtailrun/experiments/relay/routes.py
@@ -48,6 +48,11 @@
 # repeats as the product's entry makes by default.
 MAX_ATTEMPTS = 4
 HIGHEST_PRIORITY = 9
+# Latency objectives of streams, which the product's fleet text does not state: first
+# token and gap between tokens of section 1.5 of docs/design.md. Without one, an entry
+# waits for a first event until the deadline.
+FIRST_TOKEN_AIM_MS = 1_200
+TOKEN_GAP_MS = 45
 
 
 @attrs.frozen
@@ -149,6 +154,8 @@
             kind=RouteKind.STREAM if generates else RouteKind.IDEMPOTENT,
             services=(WeightedService(last.service),),
             timeout_ms=pipeline.deadline_ms,
+            aim_ms=min(FIRST_TOKEN_AIM_MS, pipeline.deadline_ms) if generates else 0,
+            gap_ms=TOKEN_GAP_MS if generates else 0,
             max_attempts=MAX_ATTEMPTS,
             steps=_steps(pipeline),
             prompt_affinity=generates,
--- a/wagtailrun/experiments/relay_play.py
+++ b/wagtailrun/experiments/relay_play.py
@@ -22,17 +22,10 @@
 from wagtailrun.experiments.records import PlayRecords
 from wagtailrun.experiments.relay import wire
 from wagtailrun.experiments.relay.fleet import FleetPlan, RelayFleet
-from wagtailrun.experiments.relay.routes import (
-    HOST,
-    ServiceCapacity,
-    call_path,
-    configuration_text,
-    key_of,
-    pipeline_path,
-)
+from wagtailrun.experiments.relay.routes import HOST, key_of
 from wagtailrun.experiments.relay.server import AnswerEnd, AnswerPart, CallerExchange
 from wagtailrun.experiments.relay.work import SimpleWork
-from wagtailrun.fleet.model import FleetConfiguration
+from wagtailrun.experiments.relay_routes import path_of, relay_table, relay_text
 from wagtailrun.logs import events
 from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.replay.player import make_prompt
@@ -50,7 +43,6 @@
 EVENT_END = b"\n\n"
 # Errors that no part of the relay expects.
 UNEXPECTED_EVENTS = (events.HANDLER_FAILED, events.TASK_RESTARTED)
-CACHE_BLOCK_TOKENS = 16
 
 
 class _PlayClock(Clock):
@@ -96,11 +88,12 @@
         super().__init__(_PlayClock(clock), scenario, report_progress)
         self.arrivals = make_arrivals(scenario, seed)
         self.outcomes = []
+        self.table = relay_table(scenario, scenario.fleet)
         self.running = 0
         plan = FleetPlan(
             data_centres=scenario.fleet.data_centres,
             data_centres_by_entry=scenario.data_centres_by_entry,
-            text=self._configuration_text(scenario.fleet),
+            text=relay_text(scenario, scenario.fleet),
             delay_ms=scenario.link_ms,
             report_lag_ms=scenario.report_lag_ms,
             settings=_entry_settings(scenario.settings),
@@ -115,17 +108,6 @@
                 work = SimpleWork(clock, row, group.model, work_seed)
                 self.fleet.add_target(row, work)
 
-    def _configuration_text(self, fleet: FleetConfiguration) -> str:
-        capacities = {
-            group.service: ServiceCapacity(
-                group.model.capacity,
-                group.model.service_ms,
-                group.model.cache_blocks * CACHE_BLOCK_TOKENS,
-            )
-            for group in self.scenario.targets
-        }
-        return configuration_text(fleet, capacities)
-
     async def play(self) -> None:
         """Play until the last request has ended."""
         await self.fleet.start()
@@ -225,17 +207,16 @@
         }
         body: dict[str, Any] = {"order_key": arrival.get("key", "")}
         if "pipeline" in arrival:
-            path = pipeline_path(arrival["pipeline"])
             output = arrival["output"]
             prompt = make_prompt(arrival, outcome.request_id)
             body = {"prompt": prompt, "max_tokens": output}
             headers[wire.TOKENS] = f"{arrival['prompt']},{output}"
             headers[wire.PARTS] = _prompt_parts(arrival, outcome.request_id)
-            pipeline = self.scenario.fleet.pipelines_by_name[arrival["pipeline"]]
-            headers[wire.PIECES] = ",".join("1" for _ in pipeline.stages[:-1])
+        path = path_of(arrival)
+        route = self.table.find(HOST, path)
+        if route is not None and route.steps:
+            headers[wire.PIECES] = ",".join("1" for _ in route.steps)
             headers[wire.PIECE_KEY] = outcome.request_id
-        else:
-            path = call_path(arrival["service"], arrival["call"])
         pairs = tuple((name.encode(), text.encode()) for name, text in headers.items())
         return Request(
             "POST",
@@ -305,7 +286,8 @@
     async def change_fleet(self, fault: Fault) -> None:
         """Let the control members accept another fleet configuration."""
         if fault.fleet is not None:
-            await self.fleet.members.put_text(self._configuration_text(fault.fleet))
+            text = relay_text(self.scenario, fault.fleet)
+            await self.fleet.members.put_text(text)
 
     async def stop_entry(self, name: str) -> None:
         """Stop an entry as planned; return when its process has ended."""
@@ -348,12 +330,20 @@
         return attempts, 0
 
     def _stage_name(self, outcome: Outcome, step: str) -> str:
-        """Return the kind of the stage, or the call, of a step."""
+        """Return the kind of the stage, or the call, of a step.
+
+        Steps of a route of the ``relay`` table are named by their service.
+        """
         arrival = outcome.arrival
         if "pipeline" not in arrival:
             return str(arrival["call"])
-        pipeline = self.scenario.fleet.pipelines_by_name[arrival["pipeline"]]
-        return pipeline.stages[int(step) if step else -1].kind.value
+        stages = self.scenario.fleet.pipelines_by_name[arrival["pipeline"]].stages
+        if not step:
+            return stages[-1].kind.value
+        route = self.table.find(HOST, path_of(arrival))
+        if self.scenario.fleet.relay is None or route is None:
+            return stages[int(step)].kind.value
+        return route.steps[int(step)].service
 
     def busy_ms_by_request(self) -> Mapping[str, Mapping[tuple[str, int], float]]:
         """Return the time of targets by request, by stage and number of attempts."""
