Keep the decisions of relay entries in experiments

Need: the relay's chooser, admission and attempts told a log of decisions, but an entry that is played had none, so that compare had nothing to show for it. Before / after: test_relay_entries_keep_their_decisions (one fault, calls and streams at two entries): before, no line at all; now each choice of a target that no connection failure follows is one attempt of the records, and records are the same without the log.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,10 +10,16 @@
 from tests.test_experiment_reading import write
 from tests.test_experiment_running import SHORT, files_of, run
 from tests.test_relay_choice import ROWS, chooser, prompt
+from tests.test_relay_experiments import CALLS as RELAY_CALLS
+from tests.test_relay_experiments import CHATS as RELAY_CHATS
+from tests.test_relay_experiments import HEAD as RELAY_HEAD
+from tests.test_relay_experiments import fault as relay_fault
+from tests.test_relay_experiments import write as relay_write
 from wagtailrun.cli import commands as cli
 from wagtailrun.exceptions import ExperimentFailed
 from wagtailrun.experiments.decisions import DecisionFile
 from wagtailrun.experiments.play import play_scenario
+from wagtailrun.experiments.reading import load_experiment
 from wagtailrun.targets.decisions import DecisionPoint
 
 BUSY = STEADY.replace("= 8\n", "= 90\nend_s = 3\ndeadline_ms = 1200\n")
@@ -22,7 +28,10 @@
 
 def play(directory, text):
     """Play with and without decisions; return both records, and the lines."""
-    scenario = scenario_of(directory, text)
+    return play_both_ways(directory, scenario_of(directory, text))
+
+
+def play_both_ways(directory, scenario):
     path = directory / "decisions.jsonl"
     decisions = DecisionFile(path)
     with_decisions = play_scenario(scenario, 1, lambda at_ms: None, decisions)
@@ -65,6 +74,30 @@
     assert points >= expected | ({"retry"} if text.endswith(DEAD) else set())
 
 
+RELAY_DEAD = relay_fault("kill-target", "desk-east-0")
+
+
+def test_relay_entries_keep_their_decisions(tmp_path):
+    """Guards against plays of relay entries whose decisions nothing tells."""
+    text = RELAY_HEAD + RELAY_CALLS + RELAY_CHATS + RELAY_DEAD
+    experiment = load_experiment(relay_write(tmp_path, text))
+    scenario = experiment.scenarios_by_variant["base"]
+    records, without, lines = play_both_ways(tmp_path, scenario)
+    assert records == without
+    # A target that refuses the connection gets no attempt.
+    unsent = [line for line in lines if line["reason"] == "ConnectFailed"]
+    assert {line["point"] for line in unsent} == {"retry"}
+    chosen = Counter(line["request"] for line in lines if line["point"] == "target")
+    chosen.subtract(line["request"] for line in unsent)
+    assert {f"r{each.number}": each.attempts for each in records.requests} == chosen
+    assert {line["entry"] for line in lines} == {"entry-east-0", "entry-east-1"}
+    for line in lines:
+        if line["point"] == "target":
+            values = {each["name"]: each["value"] for each in line["candidates"]}
+            known = [value for value in values.values() if value is not None]
+            assert values[line["chosen"]] == min(known)
+
+
 def test_queued_requests_are_ranked(tmp_path):
     """Guards against an order of the queue that nothing explains."""
     _, _, lines = play(tmp_path, BUSY)
--- a/wagtailrun/experiments/play.py
+++ b/wagtailrun/experiments/play.py
@@ -241,7 +241,7 @@
         decisions: Where to keep the decisions of entries, None to keep none.
     """
     if scenario.entry_kind is EntryKind.RELAY:
-        return play_relay_scenario(scenario, seed, report_progress)
+        return play_relay_scenario(scenario, seed, report_progress, decisions)
 
     async def run(clock: Clock) -> PlayRecords:
         play = _Play(clock, scenario, seed, report_progress, decisions)
--- a/wagtailrun/experiments/relay/entry.py
+++ b/wagtailrun/experiments/relay/entry.py
@@ -13,6 +13,7 @@
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.entry import RelayEntry
 from wagtailrun.settings import RelayEntrySettings
+from wagtailrun.targets.decisions import DecisionLog
 
 __all__ = ["EmulatedEntry"]
 
@@ -35,6 +36,7 @@
         protocol: Formats.
         seed: Seed of all random choices, another one at each start.
         settings: Settings that differ from their defaults, by name.
+        decisions: Is told what the entry decides about requests.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         protocol: PlainProtocol,
         seed: int,
         settings: dict[str, Any],
+        decisions: DecisionLog,
     ):
         self.network = network
         self.name = name
@@ -64,7 +67,7 @@
             seeds=seeds,
             **settings,
         )
-        ports = EmulatedPorts(network, self.process, seed)
+        ports = EmulatedPorts(network, self.process, seed, decisions)
         self.entry = RelayEntry(checked, protocol, lambda: checked, ports)
         # Checks of the load balancer that failed in a row.
         self.failed_checks = 0
--- a/wagtailrun/experiments/relay/fleet.py
+++ b/wagtailrun/experiments/relay/fleet.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -21,6 +21,7 @@
 from wagtailrun.experiments.relay.targets import RelayTarget
 from wagtailrun.experiments.relay.work import TargetWork
 from wagtailrun.ports.link import Address
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import VirtualClock
 
@@ -62,9 +63,17 @@
         clock: Virtual clock.
         plan: What it consists of.
         seed: Seed of all random choices.
+        decisions_of: Returns what is told the decisions of an entry, by its name.
     """
 
-    def __init__(self, clock: VirtualClock, plan: FleetPlan, seed: int):
+    def __init__(
+        self,
+        clock: VirtualClock,
+        plan: FleetPlan,
+        seed: int,
+        decisions_of: Callable[[str], DecisionLog] = lambda name: NO_DECISIONS,
+    ):
+        self.decisions_of = decisions_of
         self.clock = clock
         self.plan = plan
         self.random = random.Random(f"{seed}/fleet")
@@ -125,6 +134,7 @@
             self.protocol,
             self.random.randrange(2**32),
             self.plan.settings,
+            self.decisions_of(name),
         )
         self.entries_by_name[name] = entry
         # The load balancer uses no entry that it has not found ready.
--- a/wagtailrun/experiments/relay/ports.py
+++ b/wagtailrun/experiments/relay/ports.py
@@ -22,6 +22,7 @@
 from wagtailrun.process.descriptors import DescriptorShares
 from wagtailrun.relay.entry_ports import EntryPorts, EntryProtocol
 from wagtailrun.stages import StageClient
+from wagtailrun.targets.decisions import DecisionLog
 
 __all__ = ["EmulatedPorts", "PlainProtocol"]
 
@@ -76,15 +77,19 @@
         network: Network.
         process: Process of the entry.
         seed: Seed of all random choices; another one at each start.
+        decisions: Is told what the entry decides about requests.
     """
 
-    def __init__(self, network: Network, process: Process, seed: int):
+    def __init__(
+        self, network: Network, process: Process, seed: int, decisions: DecisionLog
+    ):
         super().__init__(
             network.clock,
             EmulatedLink(network, process),
             EmulatedConnector(network, process),
             EmulatedDescriptors(DESCRIPTORS, lambda: network.open_sockets(process)),
             seed,
+            decisions,
         )
         self.network = network
         self.process = process
--- a/wagtailrun/experiments/relay_play.py
+++ b/wagtailrun/experiments/relay_play.py
@@ -18,6 +18,7 @@
 from wagtailrun.experiments.arrivals import make_arrivals
 from wagtailrun.experiments.attempts import AttemptRecord
 from wagtailrun.experiments.base_play import BasePlay, ReportProgress, TargetState
+from wagtailrun.experiments.decisions import DecisionFile
 from wagtailrun.experiments.model import Fault, FaultKind, Scenario
 from wagtailrun.experiments.records import PlayRecords
 from wagtailrun.experiments.relay import wire
@@ -30,6 +31,7 @@
 from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.replay.player import make_prompt
 from wagtailrun.replay.report import Outcome
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog
 from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 __all__ = ["play_relay_scenario"]
@@ -76,6 +78,7 @@
         scenario: What to play.
         seed: Seed of load, service times and policies.
         report_progress: Is told the time of the play, in milliseconds, now and then.
+        decisions: Where to keep the decisions of entries, None to keep none.
     """
 
     def __init__(
@@ -84,8 +87,10 @@
         scenario: Scenario,
         seed: int,
         report_progress: ReportProgress,
+        decisions: DecisionFile | None,
     ):
         super().__init__(_PlayClock(clock), scenario, report_progress)
+        self.decisions = decisions
         self.arrivals = make_arrivals(scenario, seed)
         self.outcomes = []
         self.table = relay_table(scenario, scenario.fleet)
@@ -98,7 +103,7 @@
             report_lag_ms=scenario.report_lag_ms,
             settings=_entry_settings(scenario.settings),
         )
-        self.fleet = RelayFleet(clock, plan, seed)
+        self.fleet = RelayFleet(clock, plan, seed, self._decisions_of)
         for group in scenario.targets:
             for name in group.names:
                 row = self.fleet.next_row(
@@ -108,6 +113,11 @@
                 work = SimpleWork(clock, row, group.model, work_seed)
                 self.fleet.add_target(row, work)
 
+    def _decisions_of(self, name: str) -> DecisionLog:
+        if self.decisions is None:
+            return NO_DECISIONS
+        return self.decisions.of_entry(name, self.clock)
+
     async def play(self) -> None:
         """Play until the last request has ended."""
         await self.fleet.start()
@@ -388,7 +398,10 @@
 
 
 def play_relay_scenario(
-    scenario: Scenario, seed: int, report_progress: ReportProgress
+    scenario: Scenario,
+    seed: int,
+    report_progress: ReportProgress,
+    decisions: DecisionFile | None = None,
 ) -> PlayRecords:
     """Play a scenario with relay entries and return its records.
 
@@ -396,10 +409,11 @@
         scenario: What to play.
         seed: Seed of load, service times and policies.
         report_progress: Is told the virtual time, in milliseconds, now and then.
+        decisions: Where to keep the decisions of entries, None to keep none.
     """
 
     async def run(clock: VirtualClock) -> PlayRecords:
-        play = _RelayPlay(clock, scenario, seed, report_progress)
+        play = _RelayPlay(clock, scenario, seed, report_progress, decisions)
         await play.play()
         await play.wait_for_end()
         return play.make_records()
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -211,12 +211,19 @@
             settings.data_centre,
             ports.seed_of("targets"),
             self.view.limits,
+            ports.decisions,
         )
         # Placement needs its own chooser: it tracks the prompts of all entries, while
         # the other one tracks the attempts of this entry only.
         self.placement_host = PlacementHost(
             self.clock,
-            TargetChooser(self.clock, "", ports.seed_of("engines"), self.view.limits),
+            TargetChooser(
+                self.clock,
+                "",
+                ports.seed_of("engines"),
+                self.view.limits,
+                ports.decisions,
+            ),
             self.view.targets,
             self.view.quarantine,
             self.granter.wait_ms,
--- a/wagtailrun/relay/entry_ports.py
+++ b/wagtailrun/relay/entry_ports.py
@@ -20,6 +20,7 @@
 from wagtailrun.relay.core.port import RelayWire
 from wagtailrun.settings import RelayEntrySettings
 from wagtailrun.stages import StageClient
+from wagtailrun.targets.decisions import NO_DECISIONS, DecisionLog
 
 __all__ = ["EntryPorts", "EntryProtocol", "SystemPorts"]
 
@@ -51,6 +52,7 @@
         connector: Connects to targets, without another entry.
         descriptors: Division of the descriptors of the process.
         seed: Seed of all random choices; None if they need not be repeated.
+        decisions: Is told what the entry decides about requests.
     """
 
     def __init__(
@@ -60,12 +62,14 @@
         connector: Connector,
         descriptors: DescriptorShares,
         seed: int | None = None,
+        decisions: DecisionLog = NO_DECISIONS,
     ):
         self.clock = clock
         self.link = link
         self.connector = connector
         self.descriptors = descriptors
         self.seed = seed
+        self.decisions = decisions
 
     def seed_of(self, part: str) -> int | None:
         """Return the seed of a part of the entry, None if there is no seed."""
