Tell from logs how long a restart of everything takes

After a loss of power of all machines nothing told what the system waited for until it served again: the logs had starts, the leader and the configuration, but not when a member had read its files, an entry had its first reply, knew targets, or was confirmed.

`wagtailrun recovery LOGS...` prints the timeline: steps with what the last process awaited and for how long, processes, routes by data centre with the share in time before and after, and requests by second. Events 507 (files read), 508 (an election without a quorum) and 640 (a step of the start, once each and at most 64 lines a process) show what was missing; event 100 has the data centre and the processor time of the start. Missing restarts, several of them, missing processes and lines, and clocks that jumped or contradict each other are gaps; processes whose clocks are in doubt have no times.

--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -5,7 +5,6 @@
 import json
 import logging as std_logging
 import sys
-from itertools import chain
 from pathlib import Path
 from urllib.parse import urlencode
 
@@ -23,13 +22,11 @@
     describe_error,
 )
 from wagtailrun.cli.experiment import EXPERIMENT_COMMANDS
-from wagtailrun.cli.explain import lines_of_request, steps_of_request
+from wagtailrun.cli.log_commands import explain, recovery, stages
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
 from wagtailrun.cli.report import join_variants, report
-from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
+from wagtailrun.exceptions import FleetTextError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.observation.log_files import open_lines, read_files
-from wagtailrun.observation.stage_report import StageReport
 from wagtailrun.registry.audit import verify_chain
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
@@ -433,61 +430,6 @@
     return EXIT_SUCCESS if holds else EXIT_REFUSED
 
 
-def explain(request_id: str, *logs: str) -> int:
-    """Print the events of one request, and where the time of its steps went.
-
-    Steps without a row were done in time, or the logs have no line of them.
-
-    Example: wagtailrun explain 9c41d07be2a35f68 front-1.log front-2.log
-
-    Args:
-        request_id: Identifier that the caller gave the request.
-        logs: Log files; standard input if none is given.
-    """
-    lines = chain.from_iterable(map(open_lines, logs)) if logs else sys.stdin
-    found = lines_of_request(request_id, lines)
-    if not found:
-        print(f"no log line has request_id {request_id}", file=sys.stderr)
-        return EXIT_REFUSED
-    for line in found:
-        print(printable(line.text(found[0].time_s)))
-    if steps := steps_of_request(found):
-        print("\nsteps that were abandoned, late, moved or waited for long:")
-        print_rows(steps)
-    return EXIT_SUCCESS
-
-
-def stages(*logs: str, json: bool = False) -> int:
-    """Show the load of stage services and the ends of requests; exit with 1 for gaps.
-
-    Example: wagtailrun stages front-1.log front-2.log core-1.log
-
-    Args:
-        logs: Log files of the relay's processes.
-        json: Print JSON.
-    """
-    if not logs:
-        raise SettingsError("no log file is given")
-    report = StageReport(read_files(logs))
-    gaps = report.gaps()
-    tables = {
-        "seconds": report.second_rows(),
-        "services": report.service_rows(),
-        "routes": report.route_rows(),
-    }
-    if json:
-        print_json({**tables, "gaps": gaps})
-    else:
-        for name, rows in tables.items():
-            print(f"{name}:")
-            print_rows(rows, empty="none")
-            print()
-        print("gaps in the logs:" if gaps else "gaps in the logs: none")
-        for gap in gaps:
-            print(f"  {printable(gap)}")
-    return EXIT_REFUSED if gaps else EXIT_SUCCESS
-
-
 COMMANDS = [
     entry,
     control,
@@ -505,6 +447,7 @@
     report,
     explain,
     stages,
+    recovery,
 ]
 
 
--- a/wagtailrun/consensus/election.py
+++ b/wagtailrun/consensus/election.py
@@ -1,5 +1,7 @@
 """Leader election: pre-votes, votes, and the rules for granting them."""
 
+from collections import Counter
+
 import attrs
 import curio
 
@@ -210,18 +212,33 @@
         configuration = state.configuration
         voters = [info for info in configuration.members if info.voter]
         missing = configuration.quorum() - 1
+        replies: Counter[bool | None] = Counter()
         async with curio.TaskGroup() as group:
             for info in voters:
                 if info.identity != state.identity:
                     await group.spawn(self._request_vote, info, term, pre_vote)
             async for task in group:
+                replies[task.result] += 1
                 missing -= bool(task.result)
                 if missing <= 0:
                     break
             await group.cancel_remaining()
+        if missing > 0:
+            events.log(
+                events.ELECTION_LOST,
+                member=state.name,
+                term=term,
+                pre_vote=pre_vote,
+                granted=replies[True],
+                denied=replies[False],
+                unanswered=replies[None],
+            )
         return missing <= 0
 
-    async def _request_vote(self, info: MemberInfo, term: int, pre_vote: bool) -> bool:
+    async def _request_vote(
+        self, info: MemberInfo, term: int, pre_vote: bool
+    ) -> bool | None:
+        """Return whether a voter grants its vote; None without an answer of it."""
         state = self.state
         if not state.configuration.is_voter(info.identity):
             return False  # An entry that arrived since has removed it.
@@ -242,9 +259,9 @@
         try:
             reply = await state.link.call(info.peer_address, request, timeout_ms)
         except PeerUnreachable:
-            return False
+            return None
         if not isinstance(reply, VoteReply) or reply.sender != info.identity:
-            return False
+            return None
         await state.observe_term(reply.term)
         return reply.granted
 
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -44,6 +44,7 @@
     MessageError,
     PeerUnreachable,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.log import NO_CLUSTER, ReplicatedLog, StateMachine
@@ -174,6 +175,15 @@
         # Votes are withheld for a time after the start, which a slow recovery must
         # not shorten.
         state.started_ms = state.clock.now_ms()
+        events.log(
+            events.MEMBER_RECOVERED,
+            member=state.name,
+            term=state.term,
+            snapshot_index=self.journal.snapshot_index,
+            last_index=self.journal.last_index,
+            voters=len(state.configuration.voters()),
+            read_ms=state.started_ms - opened_ms,
+        )
         await state.spawn(self.journal.run)
         await state.spawn(self._apply_committed)
         await state.spawn(self.election.run)
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -37,6 +37,7 @@
 from wagtailrun.gossip.messages import AgedRow, EntryRow, Health
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.process.start_steps import StartSteps
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.registry.state import Registry
 from wagtailrun.targets.table import ChangeLog, Membership, TargetRow
@@ -141,7 +142,7 @@
         self.places.record(data_centre)
         self.changed = Signal()
         self.share_requested = Signal()
-        self.confirmations = PollConfirmations(member)
+        self.confirmations = PollConfirmations(member, StartSteps(clock))
 
     async def run(self) -> None:
         """Share reports, check liveness and confirm polls until cancelled."""
--- a/wagtailrun/discovery/poll_confirmations.py
+++ b/wagtailrun/discovery/poll_confirmations.py
@@ -7,6 +7,7 @@
 from wagtailrun.consensus.member import Member
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.logs import events
+from wagtailrun.process.start_steps import StartStep, StartSteps
 
 __all__ = ["PollConfirmations"]
 
@@ -18,10 +19,12 @@
 
     Args:
         member: Returns the member of the replicated log.
+        steps: Steps of the start of this process.
     """
 
-    def __init__(self, member: Callable[[], Member]):
+    def __init__(self, member: Callable[[], Member], steps: StartSteps):
         self.member = member
+        self.steps = steps
         self.pending: list[tuple[curio.Event, list[bool]]] = []
         self.requested = curio.Event()
 
@@ -44,6 +47,7 @@
             try:
                 await self.member().read_barrier(CONFIRM_TIMEOUT_MS)
                 confirmed = True
+                self.steps.reach(StartStep.READS_CONFIRMED)
             except ConsensusUnavailable as error:
                 confirmed = False
                 events.log(events.CONFIG_NOT_CONFIRMED, detail=str(error))
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -30,6 +30,7 @@
 from wagtailrun.gossip.messages import EntryRow, Health
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address, PeerLink
+from wagtailrun.process.start_steps import StartStep, StartSteps
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.routes import RouteTable, cold_per_s
 from wagtailrun.targets.table import Membership, TargetRow
@@ -70,6 +71,7 @@
         key_grace_ms: How long keys may be used after their last confirmation.
         apply_limit_ms: Time within which a change must be in force here.
         target_drain_ms: How long a target that drains may be sent streams to continue.
+        steps: Steps of the start of this process.
     """
 
     def __init__(
@@ -82,8 +84,10 @@
         key_grace_ms: float,
         apply_limit_ms: float,
         target_drain_ms: float = 0,
+        steps: StartSteps | None = None,
     ):
         self.clock = clock
+        self.steps = steps or StartSteps(clock)
         self.link = link
         self.own_row = own
         self.configuration_format = configuration_format
@@ -324,7 +328,7 @@
     def drop_gone(self) -> None:
         """Drop what is kept of targets and control members that are gone."""
         now_ms = self.clock.now_ms()
-        self._renew_contacts(now_ms)
+        self.membership.renew_contacts(now_ms)
         self.membership.drop_expired_rows(now_ms)
         known = self.membership.targets_by_name
         for address, row in list(self.rows_by_address.items()):
@@ -335,18 +339,6 @@
             del self.drain_ends_ms_by_name[name]
         self.control_members.drop_gone()
 
-    def _renew_contacts(self, now_ms: int) -> None:
-        """Count the time until a row is dropped from when it was last of use.
-
-        Members send a row only when it changes. The unresponsive targets of a service
-        are of use as long as it has no others.
-        """
-        for rows in self.membership.rows_by_service.values():
-            present = [row for row in rows.values() if not row.leaving]
-            active = [row for row in present if not row.silent]
-            for row in active or present:
-                self.membership.last_contact_ms_by_name[row.name] = now_ms
-
     def near_entries(self) -> tuple[EntryRow, ...]:
         """Return the running entries outside data centres that are away.
 
@@ -408,6 +400,7 @@
             self.control_members.record_reply(address, news.confirmed)
             await self._apply_update(news)
             self.updated_ms = sent_ms
+            self.steps.reach(StartStep.MEMBER_REPLIED)
             if news.confirmed:
                 self._record_confirmation(news.marks.revision, sent_ms)
 
@@ -439,11 +432,15 @@
         for aged in news.targets:
             self._record_draining(aged.row)
             self._put_target(aged.row, aged.age_ms)
+            if not (aged.row.leaving or aged.row.silent):
+                self.steps.reach(StartStep.TARGETS_KNOWN, aged.row.service)
         if self.unnamed.apply(news) or news.targets:
             self.on_targets_changed()
         if news.entries:
             self.entries = tuple({row.name: row for row in news.entries}.values())
             self.on_entries_changed()
+            if len(self.entries) > 1:
+                self.steps.reach(StartStep.ENTRIES_KNOWN)
         if news.members:
             self.control_members.set_addresses(news.members)
         if news.text and news.marks.revision > self.revision:
@@ -476,6 +473,8 @@
         for each in applied:
             polled_ms = self.polled_ms_by_revision.pop(each)
             self.confirmed_ms = max(self.confirmed_ms or polled_ms, polled_ms)
+            if self.table is not None:
+                self.steps.reach(StartStep.CONFIRMED)
 
     # Reports
 
--- a/wagtailrun/observation/__init__.py
+++ b/wagtailrun/observation/__init__.py
@@ -5,6 +5,8 @@
     "log_gaps",
     "metrics",
     "recorder",
+    "restart_report",
+    "restarts",
     "stage_report",
     "trace_recorder",
 ]
--- a/wagtailrun/observation/log_gaps.py
+++ b/wagtailrun/observation/log_gaps.py
@@ -9,7 +9,14 @@
 from wagtailrun.logs import events
 from wagtailrun.observation.log_files import LogFile, LogLine
 
-__all__ = ["MIN_CLOCK_DIFFERENCE_MS", "clock_gaps", "log_gaps", "uncounted_steps"]
+__all__ = [
+    "MIN_CLOCK_DIFFERENCE_MS",
+    "absent_entries",
+    "clock_gaps",
+    "log_gaps",
+    "suppressed_lines",
+    "uncounted_steps",
+]
 
 # Events whose lines are counted, so that suppressed ones make the counts too low.
 COUNTED = {
@@ -34,15 +41,16 @@
     """Return what is missing in files, or makes figures inexact, one sentence each."""
     lines = [line for file in files for line in file.lines]
     gaps = [gap for file in files for gap in file.gaps]
-    gaps += _suppressed(lines)
-    gaps += _absent_processes(lines)
+    gaps += suppressed_lines(lines)
+    gaps += absent_entries(lines)
     gaps += _partial_logs(lines)
     gaps += uncounted_steps(lines)
     gaps += clock_gaps(lines)
     return gaps
 
 
-def _suppressed(lines: Sequence[LogLine]) -> Iterator[str]:
+def suppressed_lines(lines: Sequence[LogLine]) -> Iterator[str]:
+    """Name processes that suppressed lines which are counted."""
     counts: Counter[tuple[str, int]] = Counter()
     for line in lines:
         if line.event in COUNTED and (count := line.number("suppressed")):
@@ -51,7 +59,7 @@
         yield f"{process}: {count} lines of event {event} were suppressed"
 
 
-def _absent_processes(lines: Sequence[LogLine]) -> Iterator[str]:
+def absent_entries(lines: Sequence[LogLine]) -> Iterator[str]:
     """Name entries that other processes know and that have no log."""
     known: set[str] = set()
     for line in lines:
--- a/wagtailrun/process/__init__.py
+++ b/wagtailrun/process/__init__.py
@@ -11,5 +11,6 @@
     "process_exit",
     "shortages",
     "start_objects",
+    "start_steps",
     "supervisor",
 ]
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -25,6 +25,7 @@
     used_descriptors,
 )
 from wagtailrun.process.loop_watch import LoopWatch
+from wagtailrun.process.start_steps import StartSteps
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.core.metrics import RelayMetrics
 from wagtailrun.relay.core.placement_messages import (
@@ -119,6 +120,7 @@
     ):
         self.settings = settings
         self.clock = SystemClock()
+        self.steps = StartSteps(self.clock)
         self.loop_watch = LoopWatch(self.clock)
         self.descriptors = DescriptorShares(descriptor_limit(settings.max_fds))
         self.link = TcpPeerLink(settings.peer_secret, self.descriptors)
@@ -140,6 +142,7 @@
             settings.key_grace_ms,
             settings.apply_limit_ms,
             settings.target_drain_ms,
+            self.steps,
         )
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
@@ -263,6 +266,7 @@
             self.notices,
             self.origins,
             was_held_since=self.loop_watch.was_held_since,
+            steps=self.steps,
         )
         self.caller_server = HttpServer(
             settings.caller_address,
--- a/wagtailrun/relay/process.py
+++ b/wagtailrun/relay/process.py
@@ -1,6 +1,7 @@
 """Code shared by both relay daemons: settings, metrics and log lines."""
 
 import math
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from typing import Generic, TypeVar
@@ -121,7 +122,14 @@
     writer = start_json_lines(settings.name)
     signals.install()
     PROCESS_MEMORY.set_memory(settings.memory_mb)
-    events.log(events.PROCESS_STARTED, role=role, name=settings.name)
+    events.log(
+        events.PROCESS_STARTED,
+        role=role,
+        name=settings.name,
+        data_centre=settings.data_centre,
+        # Processor time until here: the interpreter and its imports.
+        used_ms=round(time.process_time() * MS_PER_SECOND),
+    )
     try:
         watch = loop_watch or LoopWatch(signals.clock)
         supervised = [
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -12,6 +12,7 @@
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.logs import events
+from wagtailrun.process.start_steps import StartStep, StartSteps
 from wagtailrun.relay.core.job import RelayJob
 from wagtailrun.relay.core.metrics import RelayMetrics
 from wagtailrun.relay.core.placement_messages import Placed
@@ -71,6 +72,7 @@
         seed: Seed for the choice among services and the retry jitter.
         was_held_since: Returns whether the event loop of this process was held after a
             time on the clock.
+        steps: Steps of the start of this process.
     """
 
     def __init__(
@@ -88,8 +90,10 @@
         origins: OriginClient,
         seed: int | None = None,
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
+        steps: StartSteps | None = None,
     ):
         self.clock = clock
+        self.steps = steps or StartSteps(clock)
         self.view = view
         self.wire = wire
         self.runner = runner
@@ -387,6 +391,9 @@
                 round=number,
             )
             stages_ms = await self.runner.announce(job.work, job.data_centre)
+            if stages_ms is not None:
+                for step in job.route.steps:
+                    self.steps.reach(StartStep.OWNER_REPLIED, step.service)
             refusal = self.admission.check(job, stages_ms)
             refusal = refusal or self.forecast.refusal(job)
             if refusal is not None:
@@ -423,6 +430,8 @@
             # No engine is known yet. The stages run meanwhile; the request is refused
             # after them if there is still no engine.
             placed = Placed("", self.view.own_row.data_centre, int(IDLE_FIRST_EVENT_MS))
+        else:
+            self.steps.reach(StartStep.OWNER_REPLIED, job.service)
         job.data_centre = placed.data_centre
         job.planned_ms = placed.expected_ms
         job.margin_ms = placed.margin_ms
--- a/wagtailrun/targets/table.py
+++ b/wagtailrun/targets/table.py
@@ -383,6 +383,18 @@
         if self.put(attrs.evolve(row, silent=True), now_ms):
             self.names_to_push.add(name)
 
+    def renew_contacts(self, now_ms: int) -> None:
+        """Count the time until a row is dropped from when it was last of use.
+
+        For an entry whose control members send a row only when it changes. The
+        unresponsive targets of a service are of use as long as it has no others.
+        """
+        for rows in self.rows_by_service.values():
+            present = [row for row in rows.values() if not row.leaving]
+            active = [row for row in present if not row.silent]
+            for row in active or present:
+                self.last_contact_ms_by_name[row.name] = now_ms
+
     def drop_expired_rows(self, now_ms: int) -> None:
         """Drop rows of targets that are gone and had no recent contact.
 
