Vote at once after a restart of all members

Cause: a member that has started withholds its vote for the longest time of a lease (950 ms in the relay), and its election timeout is longer still. If all members restarted, there is no lease.

A member asks each voter after its start whether it leads, and does not withhold its vote from a candidate all of whose voters have said that they do not; the one with the newest entries campaigns at once. Ruled out: a shorter lease (costs safety against clock rates), the boot time of the VM (says nothing where processes share one), the word that a message of the other member brings by itself (it may be older than the start).

--- a/wagtailrun/consensus/election.py
+++ b/wagtailrun/consensus/election.py
@@ -1,6 +1,7 @@
 """Leader election: pre-votes, votes, and the rules for granting them."""
 
 from collections import Counter
+from collections.abc import Collection
 
 import attrs
 import curio
@@ -9,6 +10,7 @@
 from wagtailrun.consensus.membership_change import MembershipChange
 from wagtailrun.consensus.messages import MemberInfo, VoteReply, VoteRequest
 from wagtailrun.consensus.replication import Replication
+from wagtailrun.consensus.restart_round import RestartRound
 from wagtailrun.consensus.state import Role
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.logs import events
@@ -34,6 +36,7 @@
         self.state = state
         self.replication = replication
         self.membership = membership
+        self.restart_round = RestartRound(state, self.campaign)
         # Local time at which this member last granted a vote or started an election.
         self.timer_reset_ms: int | None = None
         # Term whose leader gave up its leadership in favour of this member.
@@ -99,7 +102,9 @@
         state = self.state
         if self.refuses_leadership:
             return
-        if not state.configuration.is_voter(state.identity) or self.must_not_vote():
+        if not state.configuration.is_voter(state.identity):
+            return
+        if self._must_withhold(False, state.configuration.voters()):
             return
         if await self._request_votes(state.term + 1, pre_vote=True):
             await self._request_leadership()
@@ -109,7 +114,8 @@
         state = self.state
         async with state.lock:
             lease_given_up = self.handover_term == state.term
-            if state.role is Role.LEADER or self._must_withhold(lease_given_up):
+            voters = state.configuration.voters()
+            if state.role is Role.LEADER or self._must_withhold(lease_given_up, voters):
                 return
             state.become_follower(state.term + 1, None)
             state.role = Role.CANDIDATE
@@ -133,20 +139,22 @@
             # itself asked for the election.
             lease_given_up = request.handover and request.term == state.term + 1
             granted = self._is_intended_recipient(request) and not self._must_withhold(
-                lease_given_up
+                lease_given_up, request.voters
             )
             if granted:
                 granted = await self._evaluate_vote(request)
             return VoteReply(state.identity, state.term, granted)
 
-    def _must_withhold(self, lease_given_up: bool) -> bool:
+    def _must_withhold(self, lease_given_up: bool, voters: Collection[str]) -> bool:
         """Whether this member must not vote; see ``must_not_vote``.
 
         Args:
             lease_given_up: Whether the leader of the current term has given up.
+            voters: Identities of all voters of the candidate; empty if unknown.
         """
         state = self.state
-        if lease_given_up and state.role is not Role.LEADER and state.fault is None:
+        no_lease = lease_given_up or self.restart_round.shows_no_leader(voters)
+        if no_lease and state.role is not Role.LEADER and state.fault is None:
             return False
         return self.must_not_vote()
 
@@ -251,6 +259,7 @@
             last_term=state.journal.last_term,
             pre_vote=pre_vote,
             handover=self.handover_term == term - 1,
+            voters=tuple(state.configuration.voters()),
         )
         timing = state.timing
         # The voter writes its vote before it replies. After an election timeout another
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -28,6 +28,7 @@
     FoundingQuery,
     Handover,
     Join,
+    LeadershipQuery,
     ReadIndex,
     ReadIndexReply,
     SnapshotHeader,
@@ -187,6 +188,7 @@
         await state.spawn(self.journal.run)
         await state.spawn(self._apply_committed)
         await state.spawn(self.election.run)
+        await state.spawn(self.election.restart_round.run)
         await state.spawn(self.membership.run)
         await state.spawn(self.founding.run)
         await state.spawn(self.first_member_set.run)
@@ -356,6 +358,9 @@
                 return await self.follower.handle_snapshot_piece(message)
             case VoteRequest():
                 return await self.election.handle_vote(message)
+            case LeadershipQuery():
+                await self.election.restart_round.note_start(message)
+                return self.election.restart_round.handle(message)
             case Handover():
                 return await self.handover.handle(message)
             case Join():
--- a/wagtailrun/consensus/messages.py
+++ b/wagtailrun/consensus/messages.py
@@ -30,6 +30,8 @@
     "Handover",
     "Join",
     "JoinReply",
+    "LeadershipQuery",
+    "LeadershipReply",
     "MemberInfo",
     "MemberRecord",
     "PieceReply",
@@ -275,6 +277,8 @@
         pre_vote: Whether to report only if the vote would be granted, without voting.
         handover: Whether the leader of the term before ``term`` has given up its
             leadership and asked for this election, so that no lease of it is left.
+        voters: Identities of all voters in the candidate's newest member set; empty
+            from an earlier build.
     """
 
     cluster: str
@@ -285,6 +289,39 @@
     last_term: int
     pre_vote: bool
     handover: bool = False
+    voters: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class LeadershipQuery:
+    """Question of a member that has just started, whether a voter leads.
+
+    Attributes:
+        cluster: Identifier of the cluster.
+        recipient: Identity of the voter with its incarnation.
+        sender: Identity of the member that asks.
+    """
+
+    cluster: str
+    recipient: str
+    sender: str
+
+
+@attrs.frozen
+class LeadershipReply:
+    """Reply to ``LeadershipQuery``.
+
+    Attributes:
+        sender: Identity of the replying member; empty if it is not the one asked.
+        leads: Whether it leads, with a lease or not.
+        last_term: Term of its newest entry.
+        last_index: Index of that entry.
+    """
+
+    sender: str
+    leads: bool
+    last_term: int
+    last_index: int
 
 
 @attrs.frozen
@@ -493,6 +530,8 @@
         Handover,
         Join,
         JoinReply,
+        LeadershipQuery,
+        LeadershipReply,
         MemberRecord,
         PieceReply,
         ReadIndex,
--- a/wagtailrun/schema/consensus.capnp
+++ b/wagtailrun/schema/consensus.capnp
@@ -25,6 +25,8 @@
     foundingReply @18 :FoundingReply;
     foundingDecision @19 :FoundingDecision;
     foundingOrder @20 :FoundingOrder;
+    leadershipQuery @21 :LeadershipQuery;
+    leadershipReply @22 :LeadershipReply;
   }
 }
 
@@ -78,6 +80,16 @@
   lastTerm @5 :UInt64;
   preVote @6 :Bool;
   handover @7 :Bool;
+  voters @8 :List(Text);
+}
+
+struct LeadershipQuery { cluster @0 :Text; recipient @1 :Text; sender @2 :Text; }
+
+struct LeadershipReply {
+  sender @0 :Text;
+  leads @1 :Bool;
+  lastTerm @2 :UInt64;
+  lastIndex @3 :UInt64;
 }
 
 struct VoteReply { sender @0 :Text; term @1 :UInt64; granted @2 :Bool; }
