Confirm reads as soon as a new leader has committed its first entry

Cause: a member that waits to confirm the poll of an entry looks for a leader every 50 ms, and a follower learns of the first commit of a term with the next heartbeat, up to 120 ms later.

The read waits for applied entries now, 50 ms at most, and a leader sends its followers the first commit of its term at once: one more message for each follower and term. Later commits still go with the next message.

--- a/tests/test_restart_round.py
+++ b/tests/test_restart_round.py
@@ -61,6 +61,35 @@
     assert waited_ms < ELECTION_MS
 
 
+async def first_reads(clock, seed):
+    """Return when a read at each member was confirmed, after the first leader."""
+    cluster = Cluster(clock, seed, delay_ms=(1, 2))
+    await cluster.start()
+    await cluster.propose_many(5)
+    await lose_power(clock, cluster, cluster.nodes)
+    confirmed_ms = []
+
+    async def read(member):
+        await member.read_barrier(3_000)
+        confirmed_ms.append(clock.now_ms())
+
+    tasks = [await curio.spawn(read, node.member) for node in cluster.nodes]
+    while cluster.leader() is None:
+        await clock.sleep_ms(1)
+    led_ms = clock.now_ms()
+    for task in tasks:
+        await task.join()
+    return [ms - led_ms for ms in confirmed_ms]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_reads_are_confirmed_as_soon_as_there_is_a_leader(seed):
+    """Guards against a wait for the next try of a read, and for a heartbeat."""
+    # The entries of the leader, their commit, and a question with its answer: each a
+    # round trip of 4 ms at most.
+    assert max(run_virtual(first_reads, seed)) <= 16
+
+
 async def first_start(clock, seed):
     cluster = Cluster(clock, seed)
     await cluster.start()
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -328,7 +328,9 @@
                     reply = None
                 if isinstance(reply, ReadIndexReply) and reply.valid:
                     return reply.index
-            await self.state.clock.sleep_ms(READ_RETRY_DELAY_MS)
+            # Entries are applied as soon as a leader has committed its first one.
+            limit_s = READ_RETRY_DELAY_MS / MS_PER_SECOND
+            await curio.ignore_after(limit_s, self.state.applied.wait)
 
     def _handle_read_index(self) -> ReadIndexReply:
         if self.is_leader:
--- a/wagtailrun/consensus/replication.py
+++ b/wagtailrun/consensus/replication.py
@@ -37,11 +37,13 @@
         match_index: Index of the newest entry known to be durable there.
         acknowledged_ms: Send time, by the leader's clock, of the newest message that
             the peer answered as a follower of this term.
+        told_commit: Commit index in the newest entries that were sent.
     """
 
     next_index: int
     match_index: int = 0
     acknowledged_ms: int | None = None
+    told_commit: int = 0
 
 
 class Replication:
@@ -143,7 +145,10 @@
         index = matches[configuration.quorum() - 1]
         # An entry of an earlier term is committed only by a later entry of this term.
         if state.journal.term_at(index) == state.term:
+            is_first = state.commit_index < self.first_index_of_term
             await state.commit(index)
+            if is_first:
+                await self.appended.notify()
 
     # One task per follower
 
@@ -198,6 +203,10 @@
         due_ms = (sent_ms // heartbeat_ms + 1) * heartbeat_ms
         if progress.next_index <= state.journal.last_index:
             return
+        # Followers confirm reads only after the first commit of a term. They learn of
+        # later ones with the next message.
+        if progress.told_commit < self.first_index_of_term <= state.commit_index:
+            return
         wait_ms = max(due_ms - state.clock.now_ms(), 0)
         async with curio.ignore_after(wait_ms / MS_PER_SECOND):
             await self.appended.wait()
@@ -223,6 +232,8 @@
         reply = await self._call_follower(info, progress, term, message)
         if not isinstance(reply, AppendReply):
             return
+        if reply.success:
+            progress.told_commit = message.commit_index
         if reply.success:
             progress.match_index = max(progress.match_index, reply.last_index)
             progress.next_index = progress.match_index + 1
