Tell callers when the members that have started expect a leader

Cause: an entry without a confirmed configuration told all callers to come back after 400 ms. After a loss of power with one member late or dark, votes are withheld for 950 ms, so that callers with one more try came back before and had none left. A leader's moment is the same for all entries, so that told exactly it brings all requests back at once.

A member that has just started tells with an unconfirmed poll when its vote is free (`News.leader_in_ms`), at most the withheld time and 50 ms. Entries refuse with the time that is left, spread over 250 ms. The most urgent are not told an earlier time: an entry without a configuration does not know the urgency of a request.

Ruled out, with a trial in virtual time: a member without a log that answers polls at once.

The fake view of tests/test_relay_front.py has the new attribute.

--- a/tests/test_relay_front.py
+++ b/tests/test_relay_front.py
@@ -76,6 +76,9 @@
     versions: types.SimpleNamespace = types.SimpleNamespace(
         needs_record=lambda origin: True
     )
+    control_members: types.SimpleNamespace = types.SimpleNamespace(
+        leader_expected_ms=None
+    )
 
     def ranked_members(self):
         return self.members
--- a/tests/test_relay_readiness.py
+++ b/tests/test_relay_readiness.py
@@ -12,6 +12,11 @@
     run_with_server,
 )
 from wagtailrun.process.descriptors import DescriptorShares
+from wagtailrun.relay.requests.front import (
+    LEADER_RETRY_SPREAD_MS,
+    MIN_NOT_READY_RETRY_MS,
+    NOT_READY_RETRY_MS,
+)
 from wagtailrun.routes import RequestLimits, build_route_table
 
 pytestmark = pytest.mark.network
@@ -79,3 +84,23 @@
     assert first[0] == second[0] == 503
     assert "configuration" in first[1]["detail"]
     assert "stops" in second[1]["detail"]
+
+
+def test_refusals_before_a_configuration_tell_when_a_leader_is_expected():
+    """Guards against callers that come back before, or all at the same moment."""
+
+    def delays(expected_ms):
+        entry = make_entry()
+        if expected_ms is not None:
+            now_ms = entry.clock.now_ms()
+            entry.view.control_members.leader_expected_ms = now_ms + expected_ms
+        refusals = [entry.handler._refuse_unconfigured() for _ in range(200)]
+        return [refusal.retry_after_ms for refusal in refusals]
+
+    assert set(delays(None)) == {NOT_READY_RETRY_MS}
+    told = delays(1_500)
+    assert 1_300 < min(told) < 1_550
+    assert max(told) - min(told) > LEADER_RETRY_SPREAD_MS / 2
+    assert max(told) <= 1_500 + LEADER_RETRY_SPREAD_MS
+    # The moment has passed, and the configuration has not arrived yet.
+    assert min(delays(-300)) >= MIN_NOT_READY_RETRY_MS
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -391,6 +391,11 @@
             return self.state.address if self.is_leader else None
         return self.state.known_leader_address
 
+    @property
+    def leader_in_ms(self) -> int:
+        """How soon a leader is expected after the start, 0 if that is not known."""
+        return self.election.restart_round.leader_in_ms
+
     @property
     def cluster_detail(self) -> str:
         """Why this member belongs to no cluster; empty if it does, or has stopped."""
--- a/wagtailrun/consensus/restart_round.py
+++ b/wagtailrun/consensus/restart_round.py
@@ -18,6 +18,9 @@
 # asks again for votes that were refused. Some round trips between data centres.
 RETRY_PAUSE_MS = 20
 MAX_RETRY_PAUSE_MS = 160
+# Time from the first campaign to a leader with a committed entry: about four round
+# trips and two writes.
+ELECTION_MS = 50
 
 
 class RestartRound:
@@ -106,6 +109,18 @@
             if is_sender and info.identity not in self.newest_by_identity:
                 await self.state.spawn(self._ask_once, info)
 
+    @property
+    def leader_in_ms(self) -> int:
+        """How soon a leader is expected after the start, 0 if that is not known.
+
+        That is when votes are not withheld any more, unless all voters answer before.
+        """
+        if self._is_over():
+            return 0
+        state = self.state
+        age_ms = state.clock.now_ms() - state.started_ms
+        return max(state.timing.vote_withhold_ms - age_ms, 0) + ELECTION_MS
+
     def _other_voters(self) -> list[MemberInfo]:
         own = self.state.identity
         members = self.state.configuration.members
--- a/wagtailrun/discovery/control_members.py
+++ b/wagtailrun/discovery/control_members.py
@@ -4,6 +4,7 @@
 from typing import Any, TypeVar
 
 from wagtailrun.clock import Clock, drop_expired
+from wagtailrun.discovery.messages import News
 from wagtailrun.exceptions import PeerUnreachable
 from wagtailrun.gossip.peers import rendezvous
 from wagtailrun.logs import events
@@ -50,6 +51,8 @@
         # Consecutive failures of each member that was not reached since.
         self.failures_by_address: dict[Address, int] = {}
         self.current: Address | None = None
+        # When a member that has just started expects a leader, on the clock.
+        self.leader_expected_ms: int | None = None
 
     async def call(
         self, address: Address, message: Any, timeout_ms: int, reply_class: type[T]
@@ -117,16 +120,20 @@
             self.current = None
             events.log(events.PEER_LOST, peer=str(address), detail=detail)
 
-    def record_reply(self, address: Address, confirmed: bool) -> None:
-        """Record that a member replied to a poll.
+    def record_reply(self, address: Address, news: News) -> None:
+        """Record the reply of a member to a poll.
 
         Args:
             address: Address of the member.
-            confirmed: Whether it had the confirmation of the leader.
+            news: Its reply.
         """
         self.failures_by_address.pop(address, None)
-        if not confirmed:
-            self.avoid_until_ms[address] = self.clock.now_ms() + AVOIDANCE_MS
+        self.leader_expected_ms = None
+        if not news.confirmed:
+            now_ms = self.clock.now_ms()
+            self.avoid_until_ms[address] = now_ms + AVOIDANCE_MS
+            if news.leader_in_ms:
+                self.leader_expected_ms = now_ms + news.leader_in_ms
         elif address != self.current:
             events.log(events.PEER_RECOVERED, peer=str(address), detail="")
             self.current = address
--- a/wagtailrun/discovery/hub.py
+++ b/wagtailrun/discovery/hub.py
@@ -335,6 +335,7 @@
             crashes=self.quarantine.rows(crashes),
             limits=self.limits.rows(limits),
             remembers_versions=True,
+            leader_in_ms=0 if confirmed else self.member().leader_in_ms,
             evacuations=evacuations.data_centres if evacuations_changed else (),
         )
 
--- a/wagtailrun/discovery/messages.py
+++ b/wagtailrun/discovery/messages.py
@@ -289,6 +289,8 @@
             not.
         evacuations: All evacuated data centres, if ``marks`` has a newer version than
             the entry.
+        leader_in_ms: How soon the member expects a leader, if it has just started and
+            none is known; else 0.
     """
 
     marks: NewsMarks
@@ -301,6 +303,7 @@
     limits: tuple[AgedLimit, ...] = independent_rows(default=())
     remembers_versions: bool = False
     evacuations: tuple[str, ...] = ()
+    leader_in_ms: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/discovery/view.py
+++ b/wagtailrun/discovery/view.py
@@ -397,7 +397,7 @@
             )
             if news is None:
                 continue
-            self.control_members.record_reply(address, news.confirmed)
+            self.control_members.record_reply(address, news)
             await self._apply_update(news)
             self.updated_ms = sent_ms
             self.steps.reach(StartStep.MEMBER_REPLIED)
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -43,6 +43,9 @@
 # Callers accept a retry delay of at most a third of their remaining time. A fleet
 # configuration or its confirmation arrives within one or two polls.
 NOT_READY_RETRY_MS = 400
+MIN_NOT_READY_RETRY_MS = 100
+# Requests that all come back once there is a leader arrive within this time.
+LEADER_RETRY_SPREAD_MS = 250
 # Members that did not reply are back, or replaced, within a few hundred milliseconds.
 ORIGIN_RETRY_MS = 300
 # The stages of a request run a second time if a result is lost.
@@ -214,7 +217,7 @@
         route = table.find(request.host, raw_request.path)
         if route is None:
             if not fresh:
-                return _not_ready(
+                return self._not_ready(
                     RefusalReason.NO_CONFIGURATION,
                     "no route matches, but the fleet configuration may be outdated",
                 )
@@ -225,7 +228,7 @@
         if table.demands_keys and not route.keyless:
             if not fresh:
                 detail = f"keys last confirmed {self.view.confirmation_age_ms} ms ago"
-                return _not_ready(RefusalReason.KEYS_UNCONFIRMED, detail)
+                return self._not_ready(RefusalReason.KEYS_UNCONFIRMED, detail)
             workspace = table.workspaces_by_key.get(request.key)
             if workspace is None:
                 return Refusal(RefusalReason.UNKNOWN_KEY, Verdict.NOT_RUN)
@@ -234,7 +237,7 @@
                 f"the request has pieces for {len(request.pieces)} steps, "
                 f"but the route has {len(route.steps)} steps"
             )
-            return _not_ready(RefusalReason.NO_CONFIGURATION, detail)
+            return self._not_ready(RefusalReason.NO_CONFIGURATION, detail)
         return self._make_job(request, raw_request, route, workspace, arrived_ms)
 
     def _refuse_unconfigured(self) -> Refusal:
@@ -255,7 +258,22 @@
                 f"this entry cannot read revision {view.unread_revision} of the fleet "
                 f"configuration; other entries may"
             )
-        return _not_ready(reason, detail)
+        return self._not_ready(reason, detail)
+
+    def _not_ready(self, reason: RefusalReason, detail: str) -> Refusal:
+        """Return a refusal until the configuration here is confirmed.
+
+        Members that have just started tell when they expect a leader. All entries learn
+        of the same moment, so the requests that come back are spread over some time.
+        """
+        retry_ms = NOT_READY_RETRY_MS
+        expected_ms = self.view.control_members.leader_expected_ms
+        if expected_ms is not None:
+            left_ms = max(expected_ms - self.clock.now_ms(), 0)
+            retry_ms = left_ms + self.random.randint(0, LEADER_RETRY_SPREAD_MS)
+        return Refusal(
+            reason, Verdict.NOT_RUN, detail, max(retry_ms, MIN_NOT_READY_RETRY_MS)
+        )
 
     def _make_job(
         self,
@@ -527,7 +545,3 @@
     """Return the refusal of a request that the process cannot finish."""
     detail = f"this entry stops; {job.detail}" if job.detail else "this entry stops"
     return Refusal(RefusalReason.DRAINING, job.verdict, detail, STOPPING_RETRY_MS)
-
-
-def _not_ready(reason: RefusalReason, detail: str) -> Refusal:
-    return Refusal(reason, Verdict.NOT_RUN, detail, NOT_READY_RETRY_MS)
--- a/wagtailrun/schema/discovery.capnp
+++ b/wagtailrun/schema/discovery.capnp
@@ -79,6 +79,7 @@
   limits @7 :List(AgedLimit);
   remembersVersions @8 :Bool;
   evacuations @9 :List(Text);
+  leaderInMs @10 :UInt32;
 }
 
 struct ReportLeaving { target @0 :Text; incarnation @1 :UInt64; }
