--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -28,6 +28,7 @@
     FoundingQuery,
     Handover,
     Join,
+    LeadershipQuery,
     ReadIndex,
     ReadIndexReply,
     SnapshotHeader,
@@ -44,6 +45,7 @@
     MessageError,
     PeerUnreachable,
 )
+from wagtailrun.logs import events
 from wagtailrun.ports.disk import Disk
 from wagtailrun.ports.link import Address, PeerLink
 from wagtailrun.ports.log import NO_CLUSTER, ReplicatedLog, StateMachine
@@ -174,9 +176,19 @@
         # Votes are withheld for a time after the start, which a slow recovery must
         # not shorten.
         state.started_ms = state.clock.now_ms()
+        events.log(
+            events.MEMBER_RECOVERED,
+            member=state.name,
+            term=state.term,
+            snapshot_index=self.journal.snapshot_index,
+            last_index=self.journal.last_index,
+            voters=len(state.configuration.voters()),
+            read_ms=state.started_ms - opened_ms,
+        )
         await state.spawn(self.journal.run)
         await state.spawn(self._apply_committed)
         await state.spawn(self.election.run)
+        await state.spawn(self.election.restart_round.run)
         await state.spawn(self.membership.run)
         await state.spawn(self.founding.run)
         await state.spawn(self.first_member_set.run)
@@ -316,7 +328,9 @@
                     reply = None
                 if isinstance(reply, ReadIndexReply) and reply.valid:
                     return reply.index
-            await self.state.clock.sleep_ms(READ_RETRY_DELAY_MS)
+            # Entries are applied as soon as a leader has committed its first one.
+            limit_s = READ_RETRY_DELAY_MS / MS_PER_SECOND
+            await curio.ignore_after(limit_s, self.state.applied.wait)
 
     def _handle_read_index(self) -> ReadIndexReply:
         if self.is_leader:
@@ -346,6 +360,9 @@
                 return await self.follower.handle_snapshot_piece(message)
             case VoteRequest():
                 return await self.election.handle_vote(message)
+            case LeadershipQuery():
+                await self.election.restart_round.note_start(message)
+                return self.election.restart_round.handle(message)
             case Handover():
                 return await self.handover.handle(message)
             case Join():
@@ -374,6 +391,11 @@
             return self.state.address if self.is_leader else None
         return self.state.known_leader_address
 
+    @property
+    def leader_in_ms(self) -> int:
+        """How soon a leader is expected after the start, 0 if that is not known."""
+        return self.election.restart_round.leader_in_ms
+
     @property
     def cluster_detail(self) -> str:
         """Why this member belongs to no cluster; empty if it does, or has stopped."""
--- a/wagtailrun/experiments/relay/members.py
+++ b/wagtailrun/experiments/relay/members.py
@@ -8,7 +8,7 @@
 
 from wagtailrun.clock import MS_PER_SECOND, Clock
 from wagtailrun.consensus.state import Signal
-from wagtailrun.discovery import Hub
+from wagtailrun.discovery.hub import Hub
 from wagtailrun.exceptions import ConsensusUnavailable
 from wagtailrun.experiments.relay.link import EmulatedLink
 from wagtailrun.experiments.relay.network import Network, Process
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -12,6 +12,7 @@
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.process.descriptors import used_descriptors
 from wagtailrun.process.loop_watch import LoopWatch
+from wagtailrun.process.start_steps import StartSteps
 from wagtailrun.process.supervisor import supervise
 from wagtailrun.relay.core.metrics import RelayMetrics
 from wagtailrun.relay.core.placement_messages import (
@@ -90,6 +91,7 @@
         ports = ports or SystemPorts(settings)
         self.settings = settings
         self.clock = ports.clock
+        self.steps = StartSteps(self.clock)
         self.loop_watch = LoopWatch(self.clock)
         self.descriptors = ports.descriptors
         self.link = ports.link
@@ -111,6 +113,7 @@
             settings.key_grace_ms,
             settings.apply_limit_ms,
             settings.target_drain_ms,
+            self.steps,
         )
         # Keys of the services that have owners, and the table that they are from.
         self.busy_keys: tuple[str, ...] = ()
@@ -250,6 +253,7 @@
             self.origins,
             ports.seed_of("front"),
             was_held_since=self.loop_watch.was_held_since,
+            steps=self.steps,
         )
         self.caller_server = ports.caller_server(
             settings.caller_address,
