--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,12 +9,17 @@
 from tests.test_experiment_play import ORDERS, STEADY, fault, scenario_of
 from tests.test_experiment_reading import write
 from tests.test_experiment_running import SHORT, files_of, run
+from tests.test_placement import Fleet
+from tests.test_placement import prompt as placed_prompt
 from tests.test_relay_choice import ROWS, chooser, prompt
+from tests.test_relay_front import SIGNATURE, answer, run_relay, send
 from wagtailrun.cli import commands as cli
 from wagtailrun.exceptions import ExperimentFailed
 from wagtailrun.experiments.decisions import DecisionFile
 from wagtailrun.experiments.play import play_scenario
+from wagtailrun.routes import RouteKind
 from wagtailrun.targets.decisions import DecisionPoint
+from wagtailrun.virtual_time import run_virtual
 
 BUSY = STEADY.replace("= 8\n", "= 90\nend_s = 3\ndeadline_ms = 1200\n")
 DEAD = fault("kill-target", "engines-east-0") + fault("kill-target", "desk")
@@ -219,3 +224,61 @@
         tried = [c for c in line["candidates"] if c["left_out"] == "tried"]
         assert [each["name"] for each in tried] == ["t2"]
         assert line["reason"] == "lowest" and len(line["candidates"]) == 4
+
+
+def steps_of(path):
+    """Return request, point, choice and reason of each kept decision, in order."""
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    assert lines.pop() == {"decisions": len(lines)}
+    names = ("request", "point", "chosen", "reason")
+    return [tuple(line[name] for name in names) for line in lines]
+
+
+@pytest.mark.parametrize("statuses", [(503, 200), (503, 503)])
+def test_life_of_a_relayed_request(tmp_path, statuses):
+    """Guards against a retry or a refusal of a relay entry that is not kept."""
+    decisions = DecisionFile(tmp_path / "decisions.jsonl")
+
+    def keep(handler):
+        log = decisions.of_entry("entry", handler.clock)
+        handler.attempts.chooser.decisions = log
+
+    async def client(address, fleet):
+        return (await send(address, request_id="r1")).status
+
+    # Without a signature, a success is not the target's own.
+    seals = {200: (SIGNATURE,), 503: ()}
+    engines = [(answer(status, b"ok", *seals[status]),) for status in statuses]
+    run_relay(RouteKind.IDEMPOTENT, engines, client, on_handler=keep)
+    decisions.close()
+    found = steps_of(tmp_path / "decisions.jsonl")
+    # The fixture chooses by itself and ranks nothing.
+    expected = [
+        ("r1", "target", "t0", "none-left"),
+        ("r1", "retry", "again", "status-503"),
+        ("r1", "target", "t1", "none-left"),
+    ]
+    assert found[:3] == expected
+    if statuses[1] == 200:
+        assert len(found) == 3
+    else:
+        assert found[3][:2] == ("r1", "retry")
+        assert [each[1] for each in found].count("refusal") == 1
+
+
+def test_owner_states_whom_it_placed(tmp_path):
+    """Guards against a placement by another entry that its request does not show."""
+    decisions = DecisionFile(tmp_path / "decisions.jsonl")
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        for name, host in fleet.hosts.items():
+            host.chooser.decisions = decisions.of_entry(name, clock)
+        placement = fleet.placements[fleet.owner().name]
+        await placement.place(placed_prompt("asked", begin=False))
+        return await placement.place(placed_prompt("begun"))
+
+    placed = run_virtual(main)
+    decisions.close()
+    found = steps_of(tmp_path / "decisions.jsonl")
+    assert found == [("begun", "target", placed.target, "lowest")]
