Account for shared prompt parts that engines read again

Cause: engines read shared parts of prompts again, which other callers wait for, and no log line says which parts, where they were before, and who placed the prompts.

The line of a placed request (event 701) names the shared parts with their tokens, the entry that placed it, what its engine probably held, and another engine that held more, with the expected time there.

Ruled out: a figure at the owner, which a restart ends; the engines' lists of what they keep, which their wire format has, but which delay their work.

New: engines read a part twice if a second prompt with it comes before the first event of the first one.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -14,7 +14,7 @@
 COMMANDS = {
     "entry", "control", "check", "plan", "apply", "status", "targets", "orders",
     "refusals", "costs", "audit", "found", "replay", "report", "explain", "stages",
-    "experiment",
+    "experiment", "parts",
 }  # fmt: skip
 
 
--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -24,12 +24,12 @@
 )
 from wagtailrun.cli.experiment import EXPERIMENT_COMMANDS
 from wagtailrun.cli.explain import lines_of_request, steps_of_request
+from wagtailrun.cli.log_reports import LOG_REPORT_COMMANDS
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
 from wagtailrun.cli.report import join_variants, report
-from wagtailrun.exceptions import FleetTextError, SettingsError, WagtailrunError
+from wagtailrun.exceptions import FleetTextError, WagtailrunError
 from wagtailrun.fleet.model import parse_fleet_text
-from wagtailrun.observation.log_files import open_lines, read_files
-from wagtailrun.observation.stage_report import StageReport
+from wagtailrun.observation.log_files import open_lines
 from wagtailrun.registry.audit import verify_chain
 from wagtailrun.registry.messages import AuditRecord
 from wagtailrun.registry.plan import plan_changes
@@ -457,37 +457,6 @@
     return EXIT_SUCCESS
 
 
-def stages(*logs: str, json: bool = False) -> int:
-    """Show the load of stage services and the ends of requests; exit with 1 for gaps.
-
-    Example: wagtailrun stages front-1.log front-2.log core-1.log
-
-    Args:
-        logs: Log files of the relay's processes.
-        json: Print JSON.
-    """
-    if not logs:
-        raise SettingsError("no log file is given")
-    report = StageReport(read_files(logs))
-    gaps = report.gaps()
-    tables = {
-        "seconds": report.second_rows(),
-        "services": report.service_rows(),
-        "routes": report.route_rows(),
-    }
-    if json:
-        print_json({**tables, "gaps": gaps})
-    else:
-        for name, rows in tables.items():
-            print(f"{name}:")
-            print_rows(rows, empty="none")
-            print()
-        print("gaps in the logs:" if gaps else "gaps in the logs: none")
-        for gap in gaps:
-            print(f"  {printable(gap)}")
-    return EXIT_REFUSED if gaps else EXIT_SUCCESS
-
-
 COMMANDS = [
     entry,
     control,
@@ -504,7 +473,7 @@
     replay,
     report,
     explain,
-    stages,
+    *LOG_REPORT_COMMANDS,
 ]
 
 
--- a/wagtailrun/observation/__init__.py
+++ b/wagtailrun/observation/__init__.py
@@ -4,6 +4,7 @@
     "log_files",
     "log_gaps",
     "metrics",
+    "part_report",
     "recorder",
     "stage_report",
     "trace_recorder",
--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -8,6 +8,7 @@
 from wagtailrun.discovery import StreamOrigin
 from wagtailrun.exceptions import Verdict
 from wagtailrun.ports.link import Address
+from wagtailrun.relay.core.placement_messages import Placed
 from wagtailrun.relay.core.port import AnswerProgress, RelayRequest
 from wagtailrun.relay.core.request_identity import digest_request
 from wagtailrun.routes import Route
@@ -51,6 +52,8 @@
             may have a path did not reply in time.
         runs: Attempts that may have run.
         placed_ms: Expected time from the newest attempt to its first event.
+        placed: Where that attempt was placed; None if the route has no affinity.
+        placed_by: Entry that placed it.
         sent_ms: When the newest attempt was sent; None before.
         carrier: The entry that carries the newest attempt to its target, if any.
         staged_ms: When its stages were complete; 0 until then.
@@ -90,6 +93,8 @@
     unreached_targets: list[str] = attrs.field(factory=list)
     runs: int = 0
     placed_ms: int = 0
+    placed: Placed | None = None
+    placed_by: str = ""
     sent_ms: int | None = None
     carrier: Address | None = None
     staged_ms: int = 0
--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -69,6 +69,9 @@
             its parts; 0 if it is not.
         held_parts: Digests of the parts that explain the crashes; empty if another
             prompt with a part that may have crashed an engine is tried first.
+        cached_tokens: Leading tokens of the prompt that the engine probably has cached.
+        holder: Another engine that has more of them; empty if none is known.
+        holder_ms: Expected time from the attempt to its first event there.
     """
 
     target: str
@@ -77,6 +80,9 @@
     margin_ms: int = 0
     held_ms: int = 0
     held_parts: tuple[str, ...] = ()
+    cached_tokens: int = 0
+    holder: str = ""
+    holder_ms: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -196,6 +196,34 @@
         """Return the expected remaining prefill time of prompts already sent."""
         return max(self.health.state(row).prefill_ends_ms - self.clock.now_ms(), 0.0)
 
+    def best_holder(
+        self, rows: Iterable[TargetRow], parts: Sequence[PromptPart], least_tokens: int
+    ) -> TargetRow | None:
+        """Return the target that probably has most leading tokens of a prompt cached.
+
+        Args:
+            rows: Targets.
+            parts: Parts of the prompt.
+            least_tokens: Targets that have this many or fewer do not count.
+        """
+        best = None
+        for row in rows:
+            tokens = self.cached_tokens(row, parts)
+            if tokens > least_tokens:
+                best, least_tokens = row, tokens
+        return best
+
+    def cached_tokens(self, row: TargetRow, parts: Sequence[PromptPart]) -> int:
+        """Return how many leading tokens of a prompt are probably cached at ``row``."""
+        cached_parts = self.health.state(row).cached_parts
+        tokens = 0
+        # The last part is specific to the request.
+        for part in parts[:-1]:
+            if part.name not in cached_parts:
+                break
+            tokens += part.tokens
+        return tokens
+
     def uncached_tokens(
         self,
         row: TargetRow,
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -172,9 +172,12 @@
         )
         if row is None:
             return Placed("", "", 0)
-        expected_ms = self.chooser.expected_first_event_ms(
-            row, message.parts, message.prompt_tokens
-        ) + self.wait_ms(row)
+        expected_ms = self._expected_ms(row, message)
+        cached_tokens = self.chooser.cached_tokens(row, message.parts)
+        holder = self.chooser.best_holder(rows, message.parts, cached_tokens)
+        holder_ms = 0.0
+        if holder is not None:
+            holder_ms = self._expected_ms(holder, message)
         if message.begin:
             self._expire_runs()
             key = message.request_id, row.name
@@ -201,7 +204,17 @@
             row.data_centre,
             int(min(expected_ms, MAX_ESTIMATE_MS)),
             int(min(margin_ms, MAX_ESTIMATE_MS)),
+            cached_tokens=min(cached_tokens, message.prompt_tokens),
+            holder=holder.name if holder is not None else "",
+            holder_ms=int(min(holder_ms, MAX_ESTIMATE_MS)),
+        )
+
+    def _expected_ms(self, row: TargetRow, message: PlaceRun) -> float:
+        """Return the expected time to the first event of a prompt at an engine."""
+        ms = self.chooser.expected_first_event_ms(
+            row, message.parts, message.prompt_tokens
         )
+        return ms + self.wait_ms(row)
 
     def _hold_back(self, message: PlaceRun, parts: tuple[str, ...]) -> Placed | None:
         """Return the refusal of a prompt that may crash an engine, else None.
@@ -423,6 +436,10 @@
             self.owner_names_by_key[message.request_id, placed.target] = owner.name
         return placed
 
+    def placer(self, request_id: str, target: str) -> str:
+        """Return the name of the entry that placed an attempt in progress."""
+        return self.owner_names_by_key.get((request_id, target), self.name)
+
     async def report_break(self, message: RunBroken) -> None:
         """Report that a target closed the connection of an attempt.
 
@@ -442,9 +459,8 @@
 
     async def report_end(self, message: RunOver) -> None:
         """Report how an attempt ended to the entry that chose its engine."""
-        name = self.owner_names_by_key.pop(
-            (message.request_id, message.target), self.name
-        )
+        name = self.placer(message.request_id, message.target)
+        self.owner_names_by_key.pop((message.request_id, message.target), None)
         if name == self.name:
             await self.handle(message)
         else:
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import curio
 
@@ -9,6 +10,7 @@
 from wagtailrun.adapters.http_server import Request, Response, refusal_response
 from wagtailrun.clock import Clock
 from wagtailrun.discovery import FleetView, OriginClient
+from wagtailrun.discovery.quarantine import digest_part
 from wagtailrun.discovery.stream_origins import stream_key
 from wagtailrun.exceptions import Refusal, RefusalReason, Verdict
 from wagtailrun.logs import events
@@ -48,6 +50,10 @@
 MAX_STAGE_ROUNDS = 2
 # Interval of looks for waiting requests that cannot end before the process any more.
 FORECAST_INTERVAL_MS = 100
+# Shared parts of a prompt in its log line, and the characters of their digests: some
+# thousand parts of a day are told apart by 8.
+MAX_LOGGED_PARTS = 4
+LOGGED_DIGEST_LENGTH = 8
 STATUS_NOT_RUN = 503
 STATUS_MAY_HAVE_RUN = 502
 STATUS_TOO_LATE = 504
@@ -511,9 +517,33 @@
             took_ms=now_ms - job.arrived_ms,
             aim_ms=job.objective_at_ms - job.arrived_ms,
             deadline_ms=job.deadline_at_ms - job.arrived_ms,
+            **_prompt_fields(job),
         )
 
 
+def _prompt_fields(job: RelayJob) -> dict[str, Any]:
+    """Return the fields of a log line that tell what of a prompt was cached where."""
+    placed = job.placed
+    if placed is None or not placed.target:
+        return {}
+    shared = job.request.parts[:-1][:MAX_LOGGED_PARTS]
+    own_tokens = job.request.prompt_tokens - sum(part.tokens for part in shared)
+    # The last part has no name, as no other prompt has it.
+    parts = [
+        f"{digest_part(part.name)[:LOGGED_DIGEST_LENGTH]}:{part.tokens}"
+        for part in shared
+    ]
+    fields: dict[str, Any] = {
+        "parts": ",".join([*parts, f":{max(own_tokens, 0)}"]),
+        "placed_by": job.placed_by,
+    }
+    if placed.cached_tokens:
+        fields["cached_tokens"] = placed.cached_tokens
+    if placed.holder:
+        fields |= {"holder": placed.holder, "holder_ms": placed.holder_ms}
+    return fields
+
+
 def _end_refusal(job: RelayJob) -> Refusal:
     """Return the refusal of a request that the process cannot finish."""
     detail = f"this entry stops; {job.detail}" if job.detail else "this entry stops"
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -240,7 +240,8 @@
         placed = await self.place(job, begin=True)
         # Targets may have left while the owner chose.
         rows = self.usable_targets(job)
-        job.placed_ms = placed.expected_ms
+        job.placed_ms, job.placed = placed.expected_ms, placed
+        job.placed_by = self.placement.placer(job.request.request_id, placed.target)
         if placed.held_ms:
             return self.hold_refusal(job, placed.held_ms, placed.held_parts)
         for row in rows:
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -38,6 +38,9 @@
   marginMs @3 :UInt32;
   heldMs @4 :UInt64;
   heldParts @5 :List(Text);
+  cachedTokens @6 :UInt32;
+  holder @7 :Text;
+  holderMs @8 :UInt32;
 }
 
 struct RunBroken {
