Place prompts by what engines hold, and wait for parts that are being read

Cause, by the account: the owner took the engine that rendezvous hashing prefers for the last shared part to hold all parts, though it held none. So each engine that had a later part read the first ones as well, and a part that an engine held lost against a small difference in queues. The owner also took a part to be held from the moment at which a prompt with it was sent: a second prompt, 80 to 400 ms later, went to the same engine, which read the part a second time beside the first.

The owner now counts a part as held from the first event of a prompt with it. Parts that another engine holds or reads cost three times their prefill more; an engine that is expected to be late for the objective, which entries state, costs 1.5 s more; and engines with many recent prompts cost more, so that new parts go to others. Where an engine reads a large part for another prompt, the entry waits for up to 2 s and asks again, if that costs less than to read it twice. Entries of an earlier build do not wait. A prompt without a first event leaves no part behind.

tests/test_relay_choice.py: two tests call the chooser's new methods; a part is held only after the first event, which one of them now reports. What they check is the same.

--- a/tests/test_next_target.py
+++ b/tests/test_next_target.py
@@ -2,14 +2,19 @@
 
 import types
 
+import attrs
 import pytest
 
 from tests.test_relay_admission import job
 from tests.test_relay_front import FakeView, route
 from wagtailrun.discovery.quarantine import Quarantine
+from wagtailrun.exceptions import Refusal
 from wagtailrun.ports.link import Address
+from wagtailrun.relay import PromptPart, RelayRequest
+from wagtailrun.relay.core.placement_messages import Placed
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.requests.attempts import RelayAttempts
+from wagtailrun.relay.requests.target_selection import MAX_PART_WAIT_MS
 from wagtailrun.routes import RouteKind
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
@@ -60,3 +65,84 @@
 
     chosen = run_virtual(main)
     assert chosen in [row for row in ROWS if row.name not in tried]
+
+
+class BusyOwner:
+    """Owner of an engine that reads a part of the prompt for another one.
+
+    Attributes:
+        messages: Questions, with their times.
+    """
+
+    def __init__(self, clock, ready_ms, said_ms=300, held_after_ms=None):
+        self.clock = clock
+        self.ready_ms = ready_ms
+        self.said_ms = said_ms
+        self.held_after_ms = held_after_ms
+        self.messages = []
+
+    async def place(self, message):
+        now_ms = self.clock.now_ms()
+        self.messages.append((now_ms, message))
+        if self.held_after_ms is not None and now_ms >= self.held_after_ms:
+            return Placed("", "", 0, held_ms=500)
+        waits = message.may_wait and now_ms < self.ready_ms
+        return Placed("t1", "a", 100, part_wait_ms=self.said_ms if waits else 0)
+
+    def placer(self, request_id, target):
+        return "e1"
+
+
+def choose_at(owner_of, remaining_ms=5_000):
+    async def main(clock):
+        view = FakeView(None, ROWS, quarantine=Quarantine(clock))
+        owner = owner_of(clock)
+        attempts = RelayAttempts(
+            clock,
+            view,
+            None,
+            None,
+            TargetChooser(clock, "a", seed=1),
+            owner,
+            types.SimpleNamespace(spend=lambda service: True),
+            EndingPause(0),
+        )
+        prompt_route = attrs.evolve(route(RouteKind.STREAM), prompt_affinity=True)
+        prompt = RelayRequest("r", "h", (), parts=(PromptPart("d", 9_000),))
+        request = job(clock, route=prompt_route, work=None, request=prompt)
+        request.deadline_at_ms = clock.now_ms() + remaining_ms
+        chosen = await attempts.selection.next_target(request)
+        return chosen, clock.now_ms(), owner.messages, request
+
+    return run_virtual(main)
+
+
+def test_request_waits_until_a_part_was_read_for_another_one():
+    """Guards against a part that is read twice, and a wait that is not logged."""
+    chosen, at_ms, messages, request = choose_at(lambda clock: BusyOwner(clock, 400))
+    assert chosen == ROWS[0]
+    assert 400 <= at_ms <= 500
+    assert request.part_waited_ms == at_ms
+    assert all(message.may_wait for _, message in messages)
+    assert len(messages) <= 6
+
+
+def test_wait_for_a_part_ends():
+    """Guards against an engine that is always busy, and one that ends in a loop."""
+    chosen, at_ms, messages, _ = choose_at(lambda clock: BusyOwner(clock, 10**6))
+    assert chosen == ROWS[0]
+    assert at_ms <= MAX_PART_WAIT_MS + 300
+    assert not messages[-1][1].may_wait
+    assert len(messages) <= 30
+
+
+def test_wait_for_a_part_ends_at_the_deadline():
+    chosen, at_ms, _, _ = choose_at(lambda clock: BusyOwner(clock, 10**6), 700)
+    assert isinstance(chosen, Refusal)
+    assert at_ms <= 900
+
+
+def test_request_that_is_held_back_while_it_waits_is_refused():
+    """Guards against a prompt that crashes engines and is sent as it waited."""
+    chosen, *_ = choose_at(lambda clock: BusyOwner(clock, 10**6, held_after_ms=200))
+    assert isinstance(chosen, Refusal)
--- /dev/null
+++ b/tests/test_part_placement.py
@@ -0,0 +1,181 @@
+"""Tests of the placement of prompts with shared parts, in virtual time.
+
+The model of engines with prefix caches is ``bench/prompt_parts.py``.
+"""
+
+import random
+
+import pytest
+
+from bench.prompt_parts import (
+    LOOK_MS,
+    MAX_PART_WAIT_MS,
+    ModelPrompt,
+    PartPlay,
+    mixed_prompts,
+)
+from wagtailrun.relay import PromptPart
+from wagtailrun.relay.core.placement_messages import RunOver
+from wagtailrun.relay.placement.part_cache import MAX_PARTS
+from wagtailrun.targets.attempt_ends import RunOutcome
+
+HEADERS = [PromptPart(f"h{n}", 2_500) for n in range(4)]
+
+
+def prompts_of(chains, per_second, length_ms, seed=1, own_tokens=800):
+    """Return prompts at random times, with chains that ``chains`` returns."""
+    rng = random.Random(seed)
+    at_ms = 0.0
+    prompts = []
+    while (at_ms := at_ms + rng.expovariate(per_second / 1_000)) < length_ms:
+        prompts.append(ModelPrompt(at_ms, chains(rng), own_tokens))
+    return prompts
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_parts_are_read_again_by_few(seed):
+    """Load: that of the users, with chains of one or two shared parts.
+
+    Guards against parts that engines read again though one that had them had room: by
+    rendezvous hashing of the second parts, each engine read each of the first parts.
+    """
+    play = PartPlay().play(mixed_prompts(seed))
+    assert play.again_tokens <= 0.03 * play.first_tokens
+    assert play.late <= 1
+    assert play.row()["busiest"] <= 1.5
+
+
+def test_first_parts_of_many_chains_are_read_by_few_engines():
+    """Load: four instructions, each before many documents that few prompts share.
+
+    Guards against instructions that are read by each engine that reads a document.
+    """
+
+    def chains(rng):
+        number = rng.randrange(200)
+        return HEADERS[number % 4], PromptPart(f"s{number}", 1_000)
+
+    play = PartPlay().play(prompts_of(chains, 5, 40_000))
+    reads = {header.name: 1 + play.again_by_chain[header.name,] for header in HEADERS}
+    assert max(reads.values()) <= 3
+    assert sum(reads.values()) <= 8
+
+
+@pytest.mark.parametrize("per_second", [20, 60])
+def test_part_of_two_thirds_of_the_prompts_makes_no_hot_engine(per_second):
+    """Load: a part that two thirds of all prompts share, at low and at high load.
+
+    Guards against prompts that queue at the engine that has the part, and against one
+    engine that gets all of them.
+    """
+
+    def chains(rng):
+        if rng.random() < 2 / 3:
+            return (PromptPart("hot", 2_500),)
+        return (PromptPart(f"d{rng.randrange(500)}", 3_000),)
+
+    play = PartPlay().play(prompts_of(chains, per_second, 20_000, own_tokens=1_500))
+    row = play.row()
+    assert row["busiest"] <= 1.5
+    assert row["late"] == 0
+    assert row["p95_ms"] <= 400
+    # Each engine reads it once at most.
+    assert play.again_by_chain["hot",] <= len(play.engines_by_name) - 1
+
+
+def test_part_that_is_being_read_is_awaited():
+    """Load: two prompts with one large part, 100 ms apart.
+
+    Guards against a part that an engine reads twice, or two engines read: both prompts
+    were late by that, and others waited for both.
+    """
+    document = (PromptPart("d", 30_000),)
+    prompts = [ModelPrompt(at_ms, document, 500) for at_ms in (0, 100, 150)]
+    play = PartPlay().play(prompts)
+    assert play.again_tokens == 0
+    # 0.5 s for the part, then their own ones.
+    assert max(play.took_ms) <= 800
+
+
+def test_small_part_that_is_being_read_is_not_awaited():
+    """Guards against prompts that wait longer than it takes to read the part."""
+    letter = (PromptPart("l", 200),)
+    prompts = [ModelPrompt(at_ms, letter, 500) for at_ms in (0, 10, 20)]
+    play = PartPlay().play(prompts)
+    assert play.waits == 0
+    assert max(play.took_ms) <= 130
+
+
+def test_large_part_is_not_awaited_beyond_the_objective():
+    """Guards against a prompt that waits until it is late while others are idle."""
+    document = (PromptPart("d", 30_000),)
+    prompts = [ModelPrompt(0, document, 500), ModelPrompt(10, document, 500, 650)]
+    play = PartPlay().play(prompts)
+    assert play.late == 0
+
+
+@pytest.mark.parametrize("outcome", [RunOutcome.OVER, RunOutcome.FAILED])
+def test_part_whose_reader_failed_is_not_awaited_and_not_held(outcome):
+    """Guards against prompts that wait for a part that nobody reads."""
+    play = PartPlay()
+    document = ModelPrompt(0, (PromptPart("d", 30_000),), 500)
+    first = play.owner.handle(play.message(document, "first", begin=True))
+    waiting = play.owner.handle(play.message(document, "second", begin=True))
+    assert waiting.part_wait_ms
+    play.owner.handle(RunOver("first", "s", first.target, outcome))
+    placed = play.owner.handle(play.message(document, "second", begin=True))
+    assert (placed.part_wait_ms, placed.cached_tokens) == (0, 0)
+
+
+def test_part_whose_reader_is_silent_is_awaited_for_a_limited_time():
+    """Guards against prompts that wait for an engine that hangs."""
+    play = PartPlay()
+    document = ModelPrompt(0, (PromptPart("d", 30_000),), 500)
+    play.owner.handle(play.message(document, "first", begin=True))
+    waited_ms = 0
+    while play.owner.handle(play.message(document, "r", begin=True)).part_wait_ms:
+        play.clock.seconds += LOOK_MS / 1_000
+        waited_ms += LOOK_MS
+    assert 500 <= waited_ms <= 1_000
+    assert waited_ms <= MAX_PART_WAIT_MS
+
+
+def test_entry_of_an_earlier_build_does_not_wait():
+    """Guards against an attempt that is not recorded, but sent."""
+    play = PartPlay()
+    document = ModelPrompt(0, (PromptPart("d", 30_000),), 500)
+    message = play.message(document, "first", begin=True)
+    play.owner.handle(message)
+    old = play.message(document, "second", begin=True, may_wait=False)
+    placed = play.owner.handle(old)
+    assert not placed.part_wait_ms
+    assert play.owner.handle(RunOver("second", "s", placed.target, "over")).known
+
+
+def test_caches_that_engines_lost_are_read_once_more():
+    """Load: engines whose caches are emptied without a sign.
+
+    Guards against prompts that are attracted by parts that are gone, again and again.
+    """
+    documents = [PromptPart(f"d{n}", 4_000) for n in range(30)]
+
+    def chains(rng):
+        return (rng.choice(documents),)
+
+    play = PartPlay()
+    for engine in play.engines_by_name.values():
+        play.at(20_000, engine.lose_cache)
+    play.play(prompts_of(chains, 10, 40_000))
+    assert max(play.again_by_chain.values()) <= 3
+    assert sum(play.again_by_chain.values()) <= 1.5 * len(documents)
+    assert play.late == 0
+
+
+def test_prompts_with_many_parts_take_limited_memory():
+    """Guards against a caller that states thousands of parts."""
+    play = PartPlay()
+    chain = tuple(PromptPart(f"p{n}", 1) for n in range(5_000))
+    play.play([ModelPrompt(ms, chain, 10) for ms in range(0, 3_000, 1_000)])
+    for state in play.owner.chooser.health.states_by_name.values():
+        assert len(state.parts.held) <= MAX_PARTS
+        assert not state.parts.reading
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -136,10 +136,11 @@
     """
     picker = chooser()
     old = row(1, incarnation=1)
-    picker.record_start(old, prompt("x"), 17_000)
-    assert picker.uncached_tokens(old, prompt("x"), 17_000) == 3_700
+    picker.record_start(old, prompt("x"), 17_000, "r")
+    picker.record_end(old, "r", ["x"], has_begun=True)
+    assert picker.estimate(old, prompt("x"), 17_000).cached_tokens == 13_300
     new = attrs.evolve(old, incarnation=2)
-    assert picker.uncached_tokens(new, prompt("x"), 17_000) == 17_000
+    assert picker.estimate(new, prompt("x"), 17_000).cached_tokens == 0
 
 
 def test_first_event_times_are_learned_per_service():
@@ -149,8 +150,13 @@
     """
     picker = chooser()
     small = TargetRow("small", Address("10.0.1.1", 80), "small", "a", 4)
-    before_ms = picker.expected_first_event_ms(small, (), 4_000)
+
+    def expected_ms(target):
+        estimate = picker.estimate(target, (), 4_000)
+        return picker.expected_first_event_ms(target, estimate)
+
+    before_ms = expected_ms(small)
     for _ in range(50):
         picker.record_first_event(row(1), 4_000, 1_500)
-    assert picker.expected_first_event_ms(row(1), (), 4_000) > 1_200
-    assert picker.expected_first_event_ms(small, (), 4_000) == before_ms
+    assert expected_ms(row(1)) > 1_200
+    assert expected_ms(small) == before_ms
--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -54,6 +54,7 @@
         placed_ms: Expected time from the newest attempt to its first event.
         placed: Where that attempt was placed; None if the route has no affinity.
         placed_by: Entry that placed it.
+        part_waited_ms: How long it waited until a target had read a part of its prompt.
         sent_ms: When the newest attempt was sent; None before.
         carrier: The entry that carries the newest attempt to its target, if any.
         staged_ms: When its stages were complete; 0 until then.
@@ -95,6 +96,7 @@
     placed_ms: int = 0
     placed: Placed | None = None
     placed_by: str = ""
+    part_waited_ms: int = 0
     sent_ms: int | None = None
     carrier: Address | None = None
     staged_ms: int = 0
--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -41,6 +41,10 @@
         route: Route of the request.
         software_version: Version that the engine must have; empty if any will do.
         entry: Name of the entry that has the request; empty from an earlier build.
+        left_ms: What is left until its latency objective as the attempt starts; 0 if
+            unknown, 1 if nothing.
+        may_wait: Whether the attempt can wait until the engine has read a part of the
+            prompt; entries of an earlier build cannot.
     """
 
     request_id: str
@@ -53,6 +57,8 @@
     route: str = ""
     software_version: str = ""
     entry: str = ""
+    left_ms: int = 0
+    may_wait: bool = False
 
 
 @attrs.frozen
@@ -72,6 +78,9 @@
         cached_tokens: Leading tokens of the prompt that the engine probably has cached.
         holder: Another engine that has more of them; empty if none is known.
         holder_ms: Expected time from the attempt to its first event there.
+        part_wait_ms: After which time the engine has probably read a part of the prompt
+            that it reads for another one. The attempt was not recorded, and its engine
+            is to be requested again then. 0 if the attempt starts now.
     """
 
     target: str
@@ -83,6 +92,7 @@
     cached_tokens: int = 0
     holder: str = ""
     holder_ms: int = 0
+    part_wait_ms: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -4,7 +4,8 @@
 and two prompts that one engine prefills at once delay each other by 250 ms.
 """
 
-from collections.abc import Awaitable, Callable, Collection
+import math
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from typing import cast
 
 import attrs
@@ -23,14 +24,14 @@
     RunNoted,
     RunOver,
 )
-from wagtailrun.relay.core.port import TargetLoad
+from wagtailrun.relay.core.port import PromptPart, TargetLoad
 from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     SAFE_AFTER_FIRST_EVENT_MS,
     SETTLE_MS,
     CrashDetector,
 )
-from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.choice import PrefillEstimate, TargetChooser
 from wagtailrun.relay.placement.estimate import MarginEstimator
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.silence import SilenceWatch
@@ -45,6 +46,8 @@
 # Prompts with several suspected parts wait this long for one with a single one.
 SEVERAL_SUSPECTS_WAIT_MS = 3_000
 
+# Of a request without tokens.
+NO_PREFILL = PrefillEstimate(0.0, 0, 0, 0.0)
 # Callers state the tokens of prompts; a sum of odd ones exceeds what messages hold.
 MAX_ESTIMATE_MS = 24 * 3_600 * MS_PER_SECOND
 # The owner replies within 1 ms; without a reply the entry chooses an engine itself.
@@ -149,12 +152,15 @@
         if message.software_version:
             version = message.software_version
             rows = [row for row in rows if row.software_version == version]
-        parts = tuple(digest_part(part.name) for part in message.parts[:-1])
-        refusal = self._hold_back(message, parts)
+        parts = tuple(
+            PromptPart(digest_part(part.name), part.tokens) for part in message.parts
+        )
+        shared = tuple(part.name for part in parts[:-1])
+        refusal = self._hold_back(message, shared)
         if refusal is not None:
             return refusal
         rows = [row for row in rows if not self.wait_ms(row)] or rows
-        row = self.chooser.choose(
+        choice = self.chooser.choose_target(
             self.silence.admitted(
                 rows,
                 message.entry,
@@ -163,40 +169,24 @@
                 begin=message.begin,
             ),
             message.avoid,
-            parts=message.parts,
+            parts=parts,
             prompt_tokens=message.prompt_tokens,
             result_bytes_by_data_centre={
                 size.data_centre: size.bytes for size in message.results
             },
             penalties_ms=self.silence.penalties_ms(rows, message.entry),
+            left_ms=message.left_ms or None,
+            may_wait=message.may_wait,
         )
-        if row is None:
+        if choice is None:
             return Placed("", "", 0)
-        expected_ms = self._expected_ms(row, message)
-        cached_tokens = self.chooser.cached_tokens(row, message.parts)
-        holder = self.chooser.best_holder(rows, message.parts, cached_tokens)
+        row, estimate = choice.row, choice.estimate or NO_PREFILL
+        expected_ms = self._expected_ms(row, estimate)
         holder_ms = 0.0
-        if holder is not None:
-            holder_ms = self._expected_ms(holder, message)
-        if message.begin:
-            self._expire_runs()
-            key = message.request_id, row.name
-            replaced = self.runs_by_key.pop(key, None)
-            if replaced is not None:
-                self.chooser.health.record_end(replaced.row)
-            self.runs_by_key[key] = _Run(
-                row=row,
-                started_ms=self.clock.now_ms(),
-                prefill_queue_ms=self.chooser.prefill_queue_ms(row),
-                uncached_tokens=self.chooser.uncached_tokens(
-                    row, message.parts, message.prompt_tokens
-                ),
-                expected_ms=expected_ms,
-                parts=parts,
-                earlier=replaced.earlier + 1 if replaced is not None else 0,
-            )
-            self.chooser.record_start(row, message.parts, message.prompt_tokens)
-            self.silence.begin(key, row, message.entry, expected_ms)
+        if choice.holder is not None and choice.holder_estimate is not None:
+            holder_ms = self._expected_ms(choice.holder, choice.holder_estimate)
+        if message.begin and not estimate.part_wait_ms:
+            self._begin(message, row, parts, estimate, expected_ms)
         estimator = self.margins_by_route.get(message.route)
         margin_ms = estimator.margin_ms if estimator is not None else 0.0
         return Placed(
@@ -204,16 +194,46 @@
             row.data_centre,
             int(min(expected_ms, MAX_ESTIMATE_MS)),
             int(min(margin_ms, MAX_ESTIMATE_MS)),
-            cached_tokens=min(cached_tokens, message.prompt_tokens),
-            holder=holder.name if holder is not None else "",
+            cached_tokens=min(estimate.cached_tokens, message.prompt_tokens),
+            holder=choice.holder.name if choice.holder is not None else "",
             holder_ms=int(min(holder_ms, MAX_ESTIMATE_MS)),
+            part_wait_ms=math.ceil(min(estimate.part_wait_ms, MAX_ESTIMATE_MS)),
         )
 
-    def _expected_ms(self, row: TargetRow, message: PlaceRun) -> float:
-        """Return the expected time to the first event of a prompt at an engine."""
-        ms = self.chooser.expected_first_event_ms(
-            row, message.parts, message.prompt_tokens
+    def _begin(
+        self,
+        message: PlaceRun,
+        row: TargetRow,
+        parts: Sequence[PromptPart],
+        estimate: PrefillEstimate,
+        expected_ms: float,
+    ) -> None:
+        """Record an attempt that starts now."""
+        self._expire_runs()
+        key = message.request_id, row.name
+        replaced = self.runs_by_key.pop(key, None)
+        if replaced is not None:
+            self._end_run(key, replaced)
+        self.runs_by_key[key] = _Run(
+            row=row,
+            started_ms=self.clock.now_ms(),
+            prefill_queue_ms=estimate.queue_ms,
+            uncached_tokens=max(message.prompt_tokens - estimate.cached_tokens, 0),
+            expected_ms=expected_ms,
+            parts=tuple(part.name for part in parts[:-1]),
+            earlier=replaced.earlier + 1 if replaced is not None else 0,
         )
+        self.chooser.record_start(row, parts, message.prompt_tokens, key)
+        self.silence.begin(key, row, message.entry, expected_ms)
+
+    def _end_run(
+        self, key: tuple[str, str], run: _Run, *, has_begun: bool = False
+    ) -> None:
+        self.chooser.record_end(run.row, key, run.parts, has_begun=has_begun)
+
+    def _expected_ms(self, row: TargetRow, estimate: PrefillEstimate) -> float:
+        """Return the expected time to the first event of a prompt at an engine."""
+        ms = self.chooser.expected_first_event_ms(row, estimate)
         return ms + self.wait_ms(row)
 
     def _hold_back(self, message: PlaceRun, parts: tuple[str, ...]) -> Placed | None:
@@ -291,7 +311,8 @@
             self.runs_by_key[key] = attrs.evolve(run, earlier=run.earlier - 1)
             return RunNoted(True)
         del self.runs_by_key[key]
-        self.chooser.health.record_end(run.row)
+        has_begun = message.outcome == RunOutcome.SUCCEEDED
+        self._end_run(key, run, has_begun=has_begun)
         if message.slots:
             load = TargetLoad(message.running, message.waiting, message.slots)
             self.chooser.health.record_load(run.row, load)
@@ -311,7 +332,7 @@
         """Drop the attempts of a request, which its entry has placed itself."""
         keys = [key for key in self.runs_by_key if key[0] == request_id]
         for key in keys:
-            self.chooser.health.record_end(self.runs_by_key.pop(key).row)
+            self._end_run(key, self.runs_by_key.pop(key))
             self.silence.forget(key)
         self._drop_trials(request_id)
         return RunNoted(bool(keys))
@@ -359,7 +380,7 @@
             if run.started_ms > limit_ms:
                 return
             del self.runs_by_key[key]
-            self.chooser.health.record_end(run.row)
+            self._end_run(key, run)
             self.silence.forget(key)
 
 
@@ -432,7 +453,8 @@
         if not isinstance(placed, Placed):
             # The host answers a request to place with nothing else.
             owner, placed = None, cast(Placed, await self.handle(message))
-        if message.begin and placed.target and owner is not None:
+        is_begun = message.begin and placed.target and not placed.part_wait_ms
+        if is_begun and owner is not None:
             self.owner_names_by_key[message.request_id, placed.target] = owner.name
         return placed
 
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -420,7 +420,7 @@
         refusal = refusal or stage_refusal(self.view, job)
         if refusal is not None:
             return refusal
-        placed = await self.attempts.selection.place(job, begin=False)
+        placed = await self.attempts.selection.place(job, begin=False, may_wait=True)
         if placed.held_ms:
             return self.attempts.selection.hold_refusal(
                 job, placed.held_ms, placed.held_parts
@@ -537,6 +537,8 @@
         "parts": ",".join([*parts, f":{max(own_tokens, 0)}"]),
         "placed_by": job.placed_by,
     }
+    if job.part_waited_ms:
+        fields["part_waited_ms"] = job.part_waited_ms
     if placed.cached_tokens:
         fields["cached_tokens"] = placed.cached_tokens
     if placed.holder:
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -29,6 +29,14 @@
 # Retry delay while all targets are in data centres that are away. A cut lasts seconds,
 # and the entry notices its end within a second.
 AWAY_RETRY_MS = 1_500
+# A request waits no longer than this until an engine has read a part of its prompt for
+# another one. As that may be sooner than expected, it asks again after this part of the
+# expected time, and after this time at the earliest.
+MAX_PART_WAIT_MS = 2_000
+PART_LOOKS = 3
+PART_LOOK_MS = 40
+# An objective that is further away than this is no bound.
+MAX_LEFT_MS = 3_600_000
 
 
 class TargetSelection:
@@ -237,7 +245,17 @@
     async def _choose_target(self, job: RelayJob) -> TargetRow | Refusal | None:
         if not job.route.prompt_affinity:
             return self.chooser.choose(self.usable_targets(job), job.tried_targets)
-        placed = await self.place(job, begin=True)
+        placed = await self.place(job, begin=True, may_wait=True)
+        since_ms = self.clock.now_ms()
+        while placed.part_wait_ms:
+            pause_ms = max(placed.part_wait_ms // PART_LOOKS, PART_LOOK_MS)
+            await self.clock.sleep_ms(min(pause_ms, placed.part_wait_ms))
+            job.part_waited_ms = self.clock.now_ms() - since_ms
+            refusal = self.send_refusal(job) or self.quarantine_refusal(job)
+            if refusal is not None:
+                return refusal
+            may_wait = job.part_waited_ms < MAX_PART_WAIT_MS
+            placed = await self.place(job, begin=True, may_wait=may_wait)
         # Targets may have left while the owner chose.
         rows = self.usable_targets(job)
         job.placed_ms, job.placed = placed.expected_ms, placed
@@ -257,12 +275,21 @@
             )
         return self.chooser.choose(rows, job.tried_targets)
 
-    async def place(self, job: RelayJob, *, begin: bool) -> Placed:
+    def _left_ms(self, job: RelayJob) -> int:
+        """Return what is left until the latency objective, 1 if nothing."""
+        left_ms = job.objective_at_ms - self.clock.now_ms()
+        return min(max(left_ms, 1), MAX_LEFT_MS)
+
+    async def place(
+        self, job: RelayJob, *, begin: bool, may_wait: bool = False
+    ) -> Placed:
         """Return the engine of the next attempt.
 
         Args:
             job: Request.
             begin: Whether the attempt starts now; otherwise nothing is recorded.
+            may_wait: Whether it may be placed again after ``part_wait_ms`` of the reply
+                instead.
         """
         sizes = job.result_bytes()
         rows = self._targets(job)
@@ -278,5 +305,7 @@
                 begin=begin,
                 route=job.route.name,
                 software_version=job.origin.software_version if job.origin else "",
+                left_ms=self._left_ms(job) if begin else 0,
+                may_wait=may_wait,
             )
         )
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -29,6 +29,8 @@
   route @7 :Text;
   softwareVersion @8 :Text;
   entry @9 :Text;
+  leftMs @10 :UInt32;
+  mayWait @11 :Bool;
 }
 
 struct Placed {
@@ -41,6 +43,7 @@
   cachedTokens @6 :UInt32;
   holder @7 :Text;
   holderMs @8 :UInt32;
+  partWaitMs @9 :UInt32;
 }
 
 struct RunBroken {
