Tell the next owner of placements which parts engines hold

Each entry keeps what it learned: parts of its own prompts that engines began to answer, of prompts that it placed for others, and what others told it. Every 200 ms it tells the owner of the service what that one does not know from it; an entry that stops tells the next one. The message is the report of an end without a request, with new fields at its end, which an earlier build takes for one that it does not know. Lists of another format, beyond 256 parts of an engine or 1,024 engines, and of engines that are gone or were started again are ignored and counted (event 731).

Ruled out: a message of its own, as an earlier build closes the connection at an unknown one, and calls in progress on others to it fail; a hand-over by the owner alone, which a crash or a standstill prevents; the engines' own lists, which delay their work.

Entries send nothing while the owner and the parts stay.

--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -582,6 +582,7 @@
     logging.INFO,
     "Results of a stage were released, as the data centre of their entry is away.",
 )
+PARTS_TAKEN = _event(731, logging.INFO, "Another entry told which parts engines hold.")
 RESULT_RELEASE_FAILED = _event(
     712, logging.INFO, "A request to a target to free abandoned results failed."
 )
--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -7,6 +7,7 @@
 from wagtailrun.relay.core.port import PromptPart
 
 __all__ = [
+    "EngineParts",
     "PlaceRun",
     "PlaceSize",
     "Placed",
@@ -126,10 +127,27 @@
     refused: bool = False
 
 
+@attrs.frozen
+class EngineParts:
+    """Prompt parts that an engine holds.
+
+    Attributes:
+        target: Name of the engine.
+        incarnation: Its incarnation.
+        parts: Digests of the parts, the least recently used first.
+    """
+
+    target: str
+    incarnation: int
+    parts: tuple[int, ...]
+
+
 @attrs.frozen
 class RunOver:
     """Reports how an attempt ended, or that its first event arrived.
 
+    Without a request it only states what engines hold.
+
     Attributes:
         request_id: Identifier of the request.
         service: Service of the engine.
@@ -143,6 +161,8 @@
         running: Requests running at the engine, as reported with the answer.
         waiting: Requests queued at the engine, as reported with the answer.
         slots: Slots of the engine; 0 if it reported no load.
+        held: Prompt parts that engines of the service hold, by the sender's knowledge.
+        part_format: How the parts of ``held`` are named.
     """
 
     request_id: str
@@ -156,6 +176,8 @@
     running: int = 0
     waiting: int = 0
     slots: int = 0
+    held: tuple[EngineParts, ...] = ()
+    part_format: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -41,6 +41,7 @@
 from wagtailrun.relay.paths.tunnel_messages import OpenTunnel, ReportPause
 from wagtailrun.relay.paths.tunnels import PathConnector, TunnelHost
 from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.part_news import PartNews
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.relay.requests.front import RelayHandler
@@ -243,6 +244,14 @@
             self.granter.wait_ms,
             self.loop_watch.was_held_since,
         )
+        self.part_news = PartNews(
+            self.clock,
+            self.link,
+            settings.name,
+            self.owners,
+            self.placement_host.known,
+            self._is_stopping,
+        )
         self.placement = PlacementClient(
             self.link,
             settings.name,
@@ -509,6 +518,7 @@
             self.view.run,
             self._record_origins,
             self._watch_paths,
+            self._tell_parts,
             self._watch_data_centres,
             self._state_requests,
             self._drop_gone,
@@ -531,6 +541,9 @@
     async def _record_origins(self) -> None:
         await supervise("record stream origins", self.origins.run)
 
+    async def _tell_parts(self) -> None:
+        await supervise("tell what engines hold", self.part_news.run)
+
     async def _watch_paths(self) -> None:
         await supervise("watch paths", self.connector.paths.run)
 
--- a/wagtailrun/relay/placement/__init__.py
+++ b/wagtailrun/relay/placement/__init__.py
@@ -5,5 +5,6 @@
     "choice",
     "continuation",
     "estimate",
+    "part_news",
     "service",
 ]
--- a/wagtailrun/relay/placement/part_cache.py
+++ b/wagtailrun/relay/placement/part_cache.py
@@ -108,3 +108,16 @@
                 self.held.move_to_end(name)
         while len(self.held) > MAX_PARTS:
             self.held.popitem(last=False)
+
+    def merge(self, names: Sequence[str]) -> None:
+        """Add parts that the engine holds by the knowledge of another process.
+
+        They count as used before those that are known here.
+
+        Args:
+            names: Names of the parts, the least recently used first.
+        """
+        for name in reversed(names):
+            if name not in self.held and len(self.held) < MAX_PARTS:
+                self.held[name] = None
+                self.held.move_to_end(name, last=False)
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -33,6 +33,8 @@
 )
 from wagtailrun.relay.placement.choice import PrefillEstimate, TargetChooser
 from wagtailrun.relay.placement.estimate import MarginEstimator
+from wagtailrun.relay.placement.part_cache import MAX_CHAIN
+from wagtailrun.relay.placement.part_news import KnownParts, held_parts
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.silence import SilenceWatch
 from wagtailrun.targets.table import TargetRow
@@ -96,6 +98,19 @@
     earlier: int = 0
 
 
+@attrs.frozen
+class _PlacedAttempt:
+    """An attempt of this entry in progress.
+
+    Attributes:
+        owner: Process that placed it, by name and incarnation; None if this one did.
+        parts: Names of the parts of its prompt, without the last.
+    """
+
+    owner: tuple[str, int] | None
+    parts: tuple[str, ...]
+
+
 class PlacementHost:
     """Chooses engines for all entries; the owner's side of placement.
 
@@ -107,6 +122,7 @@
         wait_ms: Returns when an engine may get a further request, because of the limit
             that it names; 0 if now.
         was_held_since: Returns whether this process stood still after a time.
+        known: Prompt parts that engines hold, to be told to the next owners.
     """
 
     def __init__(
@@ -117,8 +133,10 @@
         quarantine: Quarantine,
         wait_ms: Callable[[TargetRow], int] = lambda row: 0,
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
+        known: KnownParts | None = None,
     ):
         self.clock = clock
+        self.known = known or KnownParts()
         self.chooser = chooser
         self.targets = targets
         self.quarantine = quarantine
@@ -230,6 +248,8 @@
         self, key: tuple[str, str], run: _Run, *, has_begun: bool = False
     ) -> None:
         self.chooser.record_end(run.row, key, run.parts, has_begun=has_begun)
+        if has_begun:
+            self.known.record(run.row, run.parts)
 
     def _expected_ms(self, row: TargetRow, estimate: PrefillEstimate) -> float:
         """Return the expected time to the first event of a prompt at an engine."""
@@ -299,6 +319,8 @@
         return RunNoted(known)
 
     def _record_end(self, message: RunOver) -> RunNoted:
+        if message.held:
+            return self._take_parts(message)
         if not message.target:
             return self._drop_runs(message.request_id)
         key = message.request_id, message.target
@@ -328,6 +350,25 @@
         self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
+    def _take_parts(self, message: RunOver) -> RunNoted:
+        """Take over what another process knows of the parts that engines hold."""
+        taken, ignored = 0, 0
+        for row, names in held_parts(message, self.targets(message.service)):
+            if row is None:
+                ignored += len(names)
+                continue
+            taken += len(names)
+            self.chooser.health.state(row).parts.merge(names)
+            self.known.record(row, names)
+        events.log(
+            events.PARTS_TAKEN,
+            service=message.service,
+            engines=len(message.held),
+            parts=taken,
+            ignored=ignored,
+        )
+        return RunNoted(True)
+
     def _drop_runs(self, request_id: str) -> RunNoted:
         """Drop the attempts of a request, which its entry has placed itself."""
         keys = [key for key in self.runs_by_key if key[0] == request_id]
@@ -368,6 +409,7 @@
         """Drop what is known of all other targets, services and routes."""
         self._expire_runs()
         self.chooser.retain(names, services)
+        self.known.retain(names, services)
         self.silence.retain(names, services)
         for route in self.margins_by_route.keys() - routes:
             del self.margins_by_route[route]
@@ -408,8 +450,7 @@
         self.owners = owners
         self.host = host
         self.report_crashes = report_crashes
-        # Name of the owner that placed each attempt in progress.
-        self.owner_names_by_key: dict[tuple[str, str], str] = {}
+        self.attempts_by_key: dict[tuple[str, str], _PlacedAttempt] = {}
 
     async def handle(
         self, message: PlaceRun | RunOver | RunBroken
@@ -453,14 +494,18 @@
         if not isinstance(placed, Placed):
             # The host answers a request to place with nothing else.
             owner, placed = None, cast(Placed, await self.handle(message))
-        is_begun = message.begin and placed.target and not placed.part_wait_ms
-        if is_begun and owner is not None:
-            self.owner_names_by_key[message.request_id, placed.target] = owner.name
+        if message.begin and placed.target and not placed.part_wait_ms:
+            self.attempts_by_key[message.request_id, placed.target] = _PlacedAttempt(
+                owner.process if owner is not None else None,
+                tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
+            )
         return placed
 
     def placer(self, request_id: str, target: str) -> str:
         """Return the name of the entry that placed an attempt in progress."""
-        return self.owner_names_by_key.get((request_id, target), self.name)
+        attempt = self.attempts_by_key.get((request_id, target))
+        owner = attempt.owner if attempt is not None else None
+        return owner[0] if owner is not None else self.name
 
     async def report_break(self, message: RunBroken) -> None:
         """Report that a target closed the connection of an attempt.
@@ -481,12 +526,20 @@
 
     async def report_end(self, message: RunOver) -> None:
         """Report how an attempt ended to the entry that chose its engine."""
-        name = self.placer(message.request_id, message.target)
-        self.owner_names_by_key.pop((message.request_id, message.target), None)
-        if name == self.name:
+        attempt = self.attempts_by_key.pop((message.request_id, message.target), None)
+        if attempt is None or attempt.owner is None:
             await self.handle(message)
-        else:
-            await curio.spawn(self._send_end, name, message, daemon=True)
+            return
+        if message.outcome == RunOutcome.SUCCEEDED:
+            self._record_held(message, attempt)
+        await curio.spawn(self._send_end, attempt.owner[0], message, daemon=True)
+
+    def _record_held(self, message: RunOver, attempt: _PlacedAttempt) -> None:
+        """Record the parts of an attempt whose first event has arrived."""
+        names = [digest_part(name) for name in attempt.parts]
+        for row in self.host.targets(message.service):
+            if row.name == message.target:
+                self.host.known.record(row, names, attempt.owner)
 
     async def _send_end(self, name: str, message: RunOver) -> None:
         for row in self.owners.entries():
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -70,8 +70,12 @@
   slots @7 :UInt32;
   route @8 :Text;
   errorMs @9 :Int32;
+  held @10 :List(EngineParts);
+  partFormat @11 :UInt16;
 }
 
+struct EngineParts { target @0 :Text; incarnation @1 :UInt64; parts @2 :List(UInt64); }
+
 struct RunNoted { known @0 :Bool; }
 
 struct RequestGrant {
