Probe a slow engine with prompts that it need not read again

Cause: an engine with a lowered share gets every n-th prompt, whatever it holds.

A prompt of which another engine holds or reads 1,000 tokens more is a probe only if no other came: at half of the share once two are due, at the lowest step a second later.

Test: test_engine_with_a_lowered_share_is_not_probed_by_what_another_one_holds, which fails without the change at half of the share.

--- a/tests/test_part_placement.py
+++ b/tests/test_part_placement.py
@@ -18,6 +18,13 @@
 from wagtailrun.relay.core.placement_messages import RunOver
 from wagtailrun.relay.placement.part_cache import MAX_PARTS
 from wagtailrun.targets.attempt_ends import RunOutcome
+from wagtailrun.targets.lowered_shares import (
+    ALL_ENTRIES,
+    HALF_SHARE,
+    PROBE_PAUSE_MS,
+    SILENT,
+    WatchedAttempt,
+)
 
 HEADERS = [PromptPart(f"h{n}", 2_500) for n in range(4)]
 
@@ -179,3 +186,32 @@
     for state in play.owner.chooser.health.states_by_name.values():
         assert len(state.parts.held) <= MAX_PARTS
         assert not state.parts.reading
+
+
+@pytest.mark.parametrize("share", [0.0, HALF_SHARE])
+def test_engine_with_a_lowered_share_is_not_probed_by_what_another_one_holds(share):
+    """Guards against a probe that reads a large part again; others are as good."""
+    play = PartPlay()
+    document = ModelPrompt(0, (PromptPart("d", 30_000),), 100)
+    letter = ModelPrompt(0, (PromptPart("l", 100),), 100)
+    play.play([document])
+    holder = next(iter(play.prompts_by_engine))
+    lowered = next(row for row in play.rows() if row.name != holder)
+    shares = play.owner.silence.shares
+    attempt = WatchedAttempt(lowered, "e0", play.clock.now_ms(), 100.0)
+    shares.lower(ALL_ENTRIES, attempt, SILENT, 2, 2)
+    play.clock.seconds += PROBE_PAUSE_MS / 1_000
+    status = shares.status(ALL_ENTRIES, lowered)
+    status.share, status.credit = share, 1.0
+    first = play.owner.handle(play.message(document, "r1", begin=True)).target
+    second = play.owner.handle(play.message(letter, "r2", begin=True)).target
+    assert (first, second) == (holder, lowered.name)
+    # Without others, it is probed by these as well.
+    status.probe, status.credit = None, 0.0
+    names = []
+    for number in range(30):
+        play.clock.seconds += 0.3
+        message = play.message(document, f"q{number}", begin=True)
+        names.append(play.owner.handle(message).target)
+        play.owner.handle(RunOver(f"q{number}", "s", names[-1], "succeeded", 100))
+    assert lowered.name in names
--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -48,6 +48,8 @@
 # meanwhile, and energy: each millisecond counts as this many more. With 1, modelled
 # engines read twice as much again as with 2 or 3 (``bench/prompt_parts.py``).
 REREAD_WEIGHT = 3.0
+# An engine that would read so many tokens again is probed by other prompts.
+MUCH_REREAD_TOKENS = 1_000
 # An engine that is expected to be late for the latency objective is used if the others
 # cost so much more.
 LATE_COST_MS = 1_500.0
@@ -317,6 +319,21 @@
         prefill_ms = max(prompt_tokens - cached, 0) * ms_per_token
         return PrefillEstimate(queue_ms, cached, held, prefill_ms, part_wait_ms)
 
+    def reads_again(
+        self,
+        row: TargetRow,
+        rows: Iterable[TargetRow],
+        parts: Sequence[PromptPart],
+        prompt_tokens: int,
+    ) -> bool:
+        """Return whether ``row`` would read much of a prompt that another one holds."""
+        held = self.estimate(row, parts, prompt_tokens).held_tokens
+        return any(
+            self.estimate(other, parts, prompt_tokens).held_tokens
+            >= held + MUCH_REREAD_TOKENS
+            for other in rows
+        )
+
     def expected_first_event_ms(
         self, row: TargetRow, estimate: PrefillEstimate
     ) -> float:
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -185,6 +185,9 @@
                 message.avoid,
                 prompt_tokens=message.prompt_tokens,
                 begin=message.begin,
+                costs_more=lambda row: self.chooser.reads_again(
+                    row, rows, parts, message.prompt_tokens
+                ),
             ),
             message.avoid,
             parts=parts,
--- a/wagtailrun/targets/filters.py
+++ b/wagtailrun/targets/filters.py
@@ -1,7 +1,7 @@
 """Interface of the filters of targets, for both entries."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from wagtailrun.targets.table import TargetRow
 
@@ -20,6 +20,7 @@
         *,
         prompt_tokens: int = 0,
         begin: bool = True,
+        costs_more: Callable[[TargetRow], bool] = lambda row: False,
     ) -> list[TargetRow]:
         """Return the targets among which to choose; some, if there are any.
 
@@ -29,6 +30,8 @@
             avoid: Names of targets that were already tried.
             prompt_tokens: Size of the prompt, in one unit for all of a service.
             begin: Whether an attempt starts now.
+            costs_more: Returns whether a target has much more work with the request
+                than another one, so that others are better probes of it.
         """
 
 
--- a/wagtailrun/targets/lowered_shares.py
+++ b/wagtailrun/targets/lowered_shares.py
@@ -1,7 +1,7 @@
 """Shares of requests that targets get, lowered while they are silent or slow."""
 
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import attrs
 
@@ -153,6 +153,7 @@
         *,
         prompt_tokens: int = 0,
         begin: bool = True,
+        costs_more: Callable[[TargetRow], bool] = lambda row: False,
     ) -> list[TargetRow]:
         """Return the targets among which to choose: all, or one that is probed.
 
@@ -162,6 +163,8 @@
             avoid: Targets that were already tried.
             prompt_tokens: Tokens of the prompt.
             begin: Whether an attempt starts now.
+            costs_more: Returns whether a target has much more work with the request
+                than another one; it is probed by others, if any come.
         """
         is_short = True
         if rows:
@@ -182,8 +185,9 @@
                 for status in statuses:
                     credit = status.credit + status.share / len(rows)
                     status.credit = min(credit, MAX_CREDIT)
+            is_costly = costs_more(statuses[0].row)
             if name in avoid or not all(
-                self._takes(status, now_ms, is_short) for status in statuses
+                self._takes(status, now_ms, is_short, is_costly) for status in statuses
             ):
                 continue
             if may_probe:
@@ -200,11 +204,21 @@
         """
         return dict.fromkeys(self._lowered_statuses(rows, entry), LOWERED_COST_MS)
 
-    def _takes(self, status: _TargetStatus, now_ms: int, is_short: bool) -> bool:
-        """Return whether a target with a lowered share may get a request now."""
+    def _takes(
+        self, status: _TargetStatus, now_ms: int, is_short: bool, is_costly: bool
+    ) -> bool:
+        """Return whether a target with a lowered share may get a request now.
+
+        Args:
+            status: Status of the target.
+            now_ms: Time on the clock.
+            is_short: Whether the prompt is short.
+            is_costly: Whether the target has much more work with it than another one.
+        """
         if status.share:
-            return status.credit >= 1.0
-        due_ms = status.next_probe_ms + (0 if is_short else ANY_PROBE_AFTER_MS)
+            return status.credit >= (MAX_CREDIT if is_costly else 1.0)
+        is_good = is_short and not is_costly
+        due_ms = status.next_probe_ms + (0 if is_good else ANY_PROBE_AFTER_MS)
         return status.probe is None and now_ms >= due_ms
 
     def _lowered_statuses(
--- a/wagtailrun/targets/pauses.py
+++ b/wagtailrun/targets/pauses.py
@@ -89,6 +89,7 @@
         *,
         prompt_tokens: int = 0,
         begin: bool = True,
+        costs_more: Callable[[TargetRow], bool] = lambda row: False,
     ) -> list[TargetRow]:
         """Return the targets that do not pause, or all if no other can serve.
 
--- a/wagtailrun/targets/silence.py
+++ b/wagtailrun/targets/silence.py
@@ -160,13 +160,19 @@
         *,
         prompt_tokens: int = 0,
         begin: bool = True,
+        costs_more: Callable[[TargetRow], bool] = lambda row: False,
     ) -> list[TargetRow]:
         """Return all targets, or one that is probed; see ``TargetFilter``."""
         if entry:
             self.note_heard(entry)
         self._advance()
         return self.shares.admitted(
-            rows, entry, avoid, prompt_tokens=prompt_tokens, begin=begin
+            rows,
+            entry,
+            avoid,
+            prompt_tokens=prompt_tokens,
+            begin=begin,
+            costs_more=costs_more,
         )
 
     def penalties_ms(self, rows: Sequence[TargetRow], entry: str) -> dict[str, float]:
