Leave room for long prefills, and wait for readers that are a bit slow

An engine counts as late if 1.25 times its expected queue and prefill do not fit the objective. A part is awaited until 1.5 times the expected time and 100 ms. The engine that held more is named in log lines for probes, too.

--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -51,8 +51,9 @@
 # An engine that would read so many tokens again is probed by other prompts.
 MUCH_REREAD_TOKENS = 1_000
 # An engine that is expected to be late for the latency objective is used if the others
-# cost so much more.
+# cost so much more. Long prefills take a quarter longer than expected as often as not.
 LATE_COST_MS = 1_500.0
+LATE_FACTOR = 1.25
 # Without a holder, a first part is read where all entries expect it, at a similar load.
 HOME_GAIN_MS = 10.0
 # Cost of an engine that got as many recent prompts as the mean, and their lifetime: new
@@ -161,6 +162,7 @@
         rows: Sequence[TargetRow],
         avoid: Collection[str] = (),
         *,
+        admitted: Sequence[TargetRow] | None = None,
         parts: Sequence[PromptPart] = (),
         prompt_tokens: int = 0,
         result_bytes_by_data_centre: dict[str, int] | None = None,
@@ -173,6 +175,7 @@
         Args:
             rows: Targets of a service that accept work.
             avoid: Names of targets that were already tried; never returned.
+            admitted: Those among which to choose; all by default.
             parts: Parts of the prompt.
             prompt_tokens: Tokens of the prompt.
             result_bytes_by_data_centre: Bytes of results that the target must fetch, by
@@ -209,7 +212,8 @@
             ms = round(costs_ms[row.name] + moved / 1e6 * TRANSFER_COST_MS_PER_MB)
             return ms, self.random.random()
 
-        row = min(candidates, key=cost)
+        chosen = [row for row in admitted or rows if row.name in costs_ms]
+        row = min(chosen or candidates, key=cost)
         if not estimates:
             return TargetChoice(row)
         holder = max(candidates, key=lambda each: estimates[each.name].cached_tokens)
@@ -235,7 +239,7 @@
         costs_ms: dict[str, float] = {}
         for name, estimate in estimates.items():
             ms = estimate.queue_ms + estimate.prefill_ms
-            if ms > late_ms:
+            if LATE_FACTOR * ms > late_ms:
                 ms += LATE_COST_MS
             again = most_held - estimate.held_tokens
             if again:
@@ -390,7 +394,8 @@
         prefill_ms = min(estimate.prefill_ms, MAX_PREFILL_MS)
         state.prefill_ends_ms = max(state.prefill_ends_ms, now_ms) + prefill_ms
         fixed_ms = self.models_by_service[row.service].fixed_ms
-        state.parts.begin(prompt, parts, state.prefill_ends_ms + fixed_ms)
+        expected_ms = state.prefill_ends_ms - now_ms + fixed_ms
+        state.parts.begin(prompt, parts, now_ms, expected_ms)
 
     def record_end(
         self, row: TargetRow, prompt: Hashable, parts: Iterable[str], *, has_begun: bool
--- a/wagtailrun/relay/placement/part_cache.py
+++ b/wagtailrun/relay/placement/part_cache.py
@@ -18,8 +18,10 @@
 MAX_PARTS = 256
 # Parts of one prompt that are recorded; those of the users have one or two.
 MAX_CHAIN = 16
-# A prompt whose first event is so much later than expected is awaited no longer.
-MAX_OVERDUE_MS = 300.0
+# A prompt is awaited until this multiple of the expected time to its first event, and
+# this time. Long prefills at slow engines took up to 1.4 times as long as expected.
+OVERDUE_FACTOR = 1.5
+GRACE_MS = 100.0
 # While it is overdue, the next look is after this time.
 OVERDUE_LOOK_MS = 20.0
 
@@ -31,10 +33,12 @@
     Attributes:
         prompt: The prompt that it is read for.
         ready_ms: When the first event of that prompt is expected.
+        overdue_ms: When it is overdue.
     """
 
     prompt: Hashable
     ready_ms: float
+    overdue_ms: float
 
 
 @attrs.define
@@ -68,7 +72,7 @@
                 tokens += part.tokens
                 continue
             reading = self.reading.get(part.name)
-            if reading is None or now_ms > reading.ready_ms + MAX_OVERDUE_MS:
+            if reading is None or now_ms > reading.overdue_ms:
                 break
             reading_tokens += part.tokens
             left_ms = max(reading.ready_ms - now_ms, OVERDUE_LOOK_MS)
@@ -76,20 +80,27 @@
         return tokens, reading_tokens, ready_in_ms
 
     def begin(
-        self, prompt: Hashable, parts: Sequence[PromptPart], ready_ms: float
+        self,
+        prompt: Hashable,
+        parts: Sequence[PromptPart],
+        now_ms: float,
+        expected_ms: float,
     ) -> None:
         """Record that the engine was given a prompt.
 
         Args:
             prompt: The prompt.
             parts: Its parts.
-            ready_ms: When its first event is expected.
+            now_ms: Time on the clock.
+            expected_ms: Expected time to its first event.
         """
+        ready_ms = now_ms + expected_ms
+        overdue_ms = now_ms + OVERDUE_FACTOR * expected_ms + GRACE_MS
         for part in parts[:-1][:MAX_CHAIN]:
             if part.name in self.held:
                 self.held.move_to_end(part.name)
             elif part.name not in self.reading:
-                self.reading[part.name] = _Reading(prompt, ready_ms)
+                self.reading[part.name] = _Reading(prompt, ready_ms, overdue_ms)
 
     def end(self, prompt: Hashable, names: Iterable[str], *, has_begun: bool) -> None:
         """Record the first event of a prompt, or its end without one.
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -179,7 +179,9 @@
             return refusal
         rows = [row for row in rows if not self.wait_ms(row)] or rows
         choice = self.chooser.choose_target(
-            self.silence.admitted(
+            rows,
+            message.avoid,
+            admitted=self.silence.admitted(
                 rows,
                 message.entry,
                 message.avoid,
@@ -189,7 +191,6 @@
                     row, rows, parts, message.prompt_tokens
                 ),
             ),
-            message.avoid,
             parts=parts,
             prompt_tokens=message.prompt_tokens,
             result_bytes_by_data_centre={
