Count inputs for each piece, and keep the rest of a step where it began

The steps' messages state the bytes of the inputs, which count for each waiting piece; those of an earlier build do not. The rest of a step goes elsewhere early only while others wait for memory; else as before its objective would be missed. The line of a request (event 701) names what its engine fetched from other data centres, if anything.

Ruled out as the main cause: the choice of the engine after the stages.

--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -54,6 +54,8 @@
         placed_ms: Expected time from the newest attempt to its first event.
         placed: Where that attempt was placed; None if the route has no affinity.
         placed_by: Entry that placed it.
+        moved_bytes: Bytes of its results that this target fetches from other data
+            centres.
         part_waited_ms: How long it waited until a target had read a part of its prompt.
         sent_ms: When the newest attempt was sent; None before.
         carrier: The entry that carries the newest attempt to its target, if any.
@@ -97,6 +99,7 @@
     placed: Placed | None = None
     placed_by: str = ""
     part_waited_ms: int = 0
+    moved_bytes: int = 0
     sent_ms: int | None = None
     carrier: Address | None = None
     staged_ms: int = 0
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -537,6 +537,8 @@
         "parts": ",".join([*parts, f":{max(own_tokens, 0)}"]),
         "placed_by": job.placed_by,
     }
+    if job.moved_bytes:
+        fields["moved_bytes"] = job.moved_bytes
     if job.part_waited_ms:
         fields["part_waited_ms"] = job.part_waited_ms
     if placed.cached_tokens:
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -264,6 +264,8 @@
             return self.hold_refusal(job, placed.held_ms, placed.held_parts)
         for row in rows:
             if row.name == placed.target:
+                sizes = job.result_bytes()
+                job.moved_bytes = sum(sizes.values()) - sizes.get(row.data_centre, 0)
                 return row
         if placed.target:
             # The owner chose a target that this entry does not know, because one of the
--- a/wagtailrun/schema/stages.capnp
+++ b/wagtailrun/schema/stages.capnp
@@ -40,6 +40,7 @@
   inputOwners @19 :List(Text);  # Entries that formed the calls that made them.
   announcement @20 :UInt16;  # Counts the announcements of the pieces, from 1.
   entryDataCentre @21 :Text;  # Where the entry of the request is.
+  inputBytes @22 :UInt64;  # Of all inputs of the step; each piece fetches them.
 }
 
 struct PieceResult {
--- a/wagtailrun/stages/job.py
+++ b/wagtailrun/stages/job.py
@@ -151,8 +151,13 @@
 
     @property
     def transfer_cost_ms(self) -> float:
-        """Delay that costs as much as the transfer of the job's results."""
-        return self.message.moved_bytes / 1e6 * REMOTE_COST_MS_PER_MB
+        """Delay that costs as much as what is moved if it runs in another place.
+
+        Each piece fetches all inputs of the step.
+        """
+        more_pieces = max(len(self.waiting) - 1, 0)
+        moved = self.message.moved_bytes + more_pieces * self.message.input_bytes
+        return moved / 1e6 * REMOTE_COST_MS_PER_MB
 
     def stage_item(self, piece: int, now_ms: int) -> StageItem:
         """Return the item of a call that runs a piece."""
--- a/wagtailrun/stages/messages.py
+++ b/wagtailrun/stages/messages.py
@@ -78,6 +78,8 @@
             where the pieces are to run.
         entry_data_centre: Data centre of the entry of the request; empty from an
             earlier build.
+        input_bytes: Bytes of all inputs of the step, each of whose pieces fetches them;
+            0 from an earlier build.
     """
 
     request_id: str
@@ -102,6 +104,7 @@
     input_owners: tuple[str, ...] = ()
     announcement: int = 0
     entry_data_centre: str = ""
+    input_bytes: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/stages/planner.py
+++ b/wagtailrun/stages/planner.py
@@ -324,8 +324,8 @@
         blocked_ms = now_ms - job.requested_ms - MAX_BLOCKED_MS
         if max(busy_ms, blocked_ms) > cost_ms:
             return True
-        if job.has_begun and blocked_ms > 0:
-            # Its results occupy memory until the last piece is done.
+        if job.has_begun and blocked_ms > 0 and self.jobs_without_memory:
+            # Its results occupy memory that others need until the last piece is done.
             return True
         # Missing the latency objective costs more than any transfer of results.
         left_ms = job.objective_at_ms - now_ms - self.processing_ms(len(job.waiting))
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -79,8 +79,11 @@
         These are its inputs and, on the way back, the smallest results along the chain
         of its dependents, because dependents run where their inputs are.
         """
-        inputs = sum(self._result_bytes(other) for other in self.steps[number].after)
-        return inputs + self._min_output_bytes()[number]
+        return self.input_bytes(number) + self._min_output_bytes()[number]
+
+    def input_bytes(self, number: int) -> int:
+        """Return the bytes of all inputs of a step, which each piece fetches."""
+        return sum(self._result_bytes(other) for other in self.steps[number].after)
 
     def _min_output_bytes(self) -> dict[int, int]:
         """Return the smallest results along the chains that begin at each step."""
@@ -515,6 +518,7 @@
             round=work.round,
             moved_bytes=work.moved_bytes(number),
             entry_data_centre=self.data_centre,
+            input_bytes=work.input_bytes(number),
         )
 
     # Messages to owners
