--- a/wagtailrun/cli/commands.py
+++ b/wagtailrun/cli/commands.py
@@ -22,7 +22,7 @@
     describe_error,
 )
 from wagtailrun.cli.experiment import EXPERIMENT_COMMANDS
-from wagtailrun.cli.log_commands import explain, recovery, stages
+from wagtailrun.cli.log_commands import explain, parts, recovery, stages
 from wagtailrun.cli.output import print_json, print_rows, printable, printable_lines
 from wagtailrun.cli.report import join_variants, report
 from wagtailrun.exceptions import FleetTextError, WagtailrunError
@@ -447,6 +447,7 @@
     report,
     explain,
     stages,
+    parts,
     recovery,
 ]
 
--- a/wagtailrun/cli/log_commands.py
+++ b/wagtailrun/cli/log_commands.py
@@ -10,10 +10,11 @@
 from wagtailrun.cli.output import print_json, print_rows, printable
 from wagtailrun.exceptions import SettingsError
 from wagtailrun.observation.log_files import open_lines, read_files
+from wagtailrun.observation.part_report import PartReport
 from wagtailrun.observation.restart_report import RestartReport
 from wagtailrun.observation.stage_report import StageReport
 
-__all__ = ["explain", "recovery", "stages"]
+__all__ = ["explain", "parts", "recovery", "stages"]
 
 
 def explain(request_id: str, *logs: str) -> int:
@@ -52,14 +53,33 @@
     if not logs:
         raise SettingsError("no log file is given")
     report = StageReport(read_files(logs))
-    gaps = report.gaps()
     tables = {
         "seconds": report.second_rows(),
         "services": report.service_rows(),
         "routes": report.route_rows(),
     }
-    _print_tables(tables, gaps, json)
-    return EXIT_REFUSED if gaps else EXIT_SUCCESS
+    return _print_report(tables, report.gaps(), json)
+
+
+def parts(*logs: str, json: bool = False) -> int:
+    """Show which shared prompt parts engines read again; exit with 1 for gaps.
+
+    Example: wagtailrun parts front-1.log front-2.log core-1.log
+
+    Args:
+        logs: Log files of the relay's processes.
+        json: Print JSON.
+    """
+    if not logs:
+        raise SettingsError("no log file is given")
+    report = PartReport(read_files(logs))
+    tables = {
+        "uses": report.use_rows(),
+        "routes": report.route_rows(),
+        "targets": report.target_rows(),
+        "owners": report.owner_rows(),
+    }
+    return _print_report(tables, report.gaps(), json)
 
 
 def recovery(*logs: str, number: int = 0, json: bool = False) -> int:
@@ -79,7 +99,6 @@
     if number < 0:
         raise SettingsError("the number of a restart is at least 1")
     report = RestartReport(read_files(logs), number)
-    gaps = report.gaps()
     tables = {
         "restart": report.restart_rows(),
         "steps": report.step_rows() if report.restart else [],
@@ -87,21 +106,21 @@
         "routes": report.route_rows(),
         "seconds": report.second_rows(),
     }
-    _print_tables(tables, gaps, json)
-    return EXIT_REFUSED if gaps else EXIT_SUCCESS
+    return _print_report(tables, report.gaps(), json)
 
 
-def _print_tables(
+def _print_report(
     tables: dict[str, list[dict[str, Any]]], gaps: Sequence[str], as_json: bool
-) -> None:
-    """Print the tables of a report on logs, and what the logs lack."""
+) -> int:
+    """Print the tables of a report and what the logs lack; return the exit code."""
     if as_json:
         print_json({**tables, "gaps": gaps})
-        return
-    for name, rows in tables.items():
-        print(f"{name}:")
-        print_rows(rows, empty="none")
-        print()
-    print("gaps in the logs:" if gaps else "gaps in the logs: none")
-    for gap in gaps:
-        print(f"  {printable(gap)}")
+    else:
+        for name, rows in tables.items():
+            print(f"{name}:")
+            print_rows(rows, empty="none")
+            print()
+        print("gaps in the logs:" if gaps else "gaps in the logs: none")
+        for gap in gaps:
+            print(f"  {printable(gap)}")
+    return EXIT_REFUSED if gaps else EXIT_SUCCESS
--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -7,6 +7,7 @@
 from wagtailrun.relay.core.port import PromptPart
 
 __all__ = [
+    "EngineParts",
     "PlaceRun",
     "PlaceSize",
     "Placed",
@@ -41,6 +42,10 @@
         route: Route of the request.
         software_version: Version that the engine must have; empty if any will do.
         entry: Name of the entry that has the request; empty from an earlier build.
+        left_ms: What is left until its latency objective as the attempt starts; 0 if
+            unknown, 1 if nothing.
+        may_wait: Whether the attempt can wait until the engine has read a part of the
+            prompt; entries of an earlier build cannot.
     """
 
     request_id: str
@@ -53,6 +58,8 @@
     route: str = ""
     software_version: str = ""
     entry: str = ""
+    left_ms: int = 0
+    may_wait: bool = False
 
 
 @attrs.frozen
@@ -69,6 +76,12 @@
             its parts; 0 if it is not.
         held_parts: Digests of the parts that explain the crashes; empty if another
             prompt with a part that may have crashed an engine is tried first.
+        cached_tokens: Leading tokens of the prompt that the engine probably has cached.
+        holder: Another engine that has more of them; empty if none is known.
+        holder_ms: Expected time from the attempt to its first event there.
+        part_wait_ms: After which time the engine has probably read a part of the prompt
+            that it reads for another one. The attempt was not recorded, and its engine
+            is to be requested again then. 0 if the attempt starts now.
     """
 
     target: str
@@ -77,6 +90,10 @@
     margin_ms: int = 0
     held_ms: int = 0
     held_parts: tuple[str, ...] = ()
+    cached_tokens: int = 0
+    holder: str = ""
+    holder_ms: int = 0
+    part_wait_ms: int = 0
 
 
 @attrs.frozen
@@ -110,10 +127,27 @@
     refused: bool = False
 
 
+@attrs.frozen
+class EngineParts:
+    """Prompt parts that an engine holds.
+
+    Attributes:
+        target: Name of the engine.
+        incarnation: Its incarnation.
+        parts: Digests of the parts, the least recently used first.
+    """
+
+    target: str
+    incarnation: int
+    parts: tuple[int, ...]
+
+
 @attrs.frozen
 class RunOver:
     """Reports how an attempt ended, or that its first event arrived.
 
+    Without a request it only states what engines hold.
+
     Attributes:
         request_id: Identifier of the request.
         service: Service of the engine.
@@ -127,6 +161,8 @@
         running: Requests running at the engine, as reported with the answer.
         waiting: Requests queued at the engine, as reported with the answer.
         slots: Slots of the engine; 0 if it reported no load.
+        held: Prompt parts that engines of the service hold, by the sender's knowledge.
+        part_format: How the parts of ``held`` are named.
     """
 
     request_id: str
@@ -140,6 +176,8 @@
     running: int = 0
     waiting: int = 0
     slots: int = 0
+    held: tuple[EngineParts, ...] = ()
+    part_format: int = 0
 
 
 @attrs.frozen
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -4,7 +4,8 @@
 and two prompts that one engine prefills at once delay each other by 250 ms.
 """
 
-from collections.abc import Awaitable, Callable, Collection
+import math
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from typing import cast
 
 import attrs
@@ -23,15 +24,21 @@
     RunNoted,
     RunOver,
 )
-from wagtailrun.relay.core.port import TargetLoad
+from wagtailrun.relay.core.port import PromptPart, TargetLoad
 from wagtailrun.relay.limits.crash_detector import (
     CRASH_WINDOW_MS,
     SAFE_AFTER_FIRST_EVENT_MS,
     SETTLE_MS,
     CrashDetector,
 )
-from wagtailrun.relay.placement.choice import TargetChooser
+from wagtailrun.relay.placement.choice import (
+    PrefillEstimate,
+    TargetChoice,
+    TargetChooser,
+)
 from wagtailrun.relay.placement.estimate import MarginEstimator
+from wagtailrun.relay.placement.part_cache import MAX_CHAIN
+from wagtailrun.relay.placement.part_news import KnownParts, held_parts
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.silence import SilenceWatch
@@ -46,6 +53,8 @@
 # Prompts with several suspected parts wait this long for one with a single one.
 SEVERAL_SUSPECTS_WAIT_MS = 3_000
 
+# Of a request without tokens.
+NO_PREFILL = PrefillEstimate(0.0, 0, 0, 0.0)
 # Callers state the tokens of prompts; a sum of odd ones exceeds what messages hold.
 MAX_ESTIMATE_MS = 24 * 3_600 * MS_PER_SECOND
 # The owner replies within 1 ms; without a reply the entry chooses an engine itself.
@@ -94,6 +103,19 @@
     earlier: int = 0
 
 
+@attrs.frozen
+class _PlacedAttempt:
+    """An attempt of this entry in progress.
+
+    Attributes:
+        owner: Process that placed it, by name and incarnation; None if this one did.
+        parts: Names of the parts of its prompt, without the last.
+    """
+
+    owner: tuple[str, int] | None
+    parts: tuple[str, ...]
+
+
 class PlacementHost:
     """Chooses engines for all entries; the owner's side of placement.
 
@@ -105,6 +127,7 @@
         wait_ms: Returns when an engine may get a further request, because of the limit
             that it names; 0 if now.
         was_held_since: Returns whether this process stood still after a time.
+        known: Prompt parts that engines hold, to be told to the next owners.
     """
 
     def __init__(
@@ -115,8 +138,10 @@
         quarantine: Quarantine,
         wait_ms: Callable[[TargetRow], int] = lambda row: 0,
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
+        known: KnownParts | None = None,
     ):
         self.clock = clock
+        self.known = known or KnownParts()
         self.chooser = chooser
         self.targets = targets
         self.quarantine = quarantine
@@ -144,64 +169,68 @@
             f"{type(message).__name__} is not handled by the placement owner"
         )
 
+    def _record_choice(self, message: PlaceRun, choice: TargetChoice | None) -> None:
+        """Tell the log which target gets an attempt, or that it waits for a part."""
+        point, chosen, reason = DecisionPoint.TARGET, "none", ""
+        if choice is not None:
+            chosen = choice.row.name
+            if choice.estimate is not None and choice.estimate.part_wait_ms:
+                point, chosen, reason = DecisionPoint.ADMISSION, "wait", "part"
+        self.chooser.decisions.record_choice(
+            message.request_id, message.service, point, chosen, reason
+        )
+
     def _place(self, message: PlaceRun) -> Placed:
         rows = self.targets(message.service)
         self.detector.check_rows(rows)
         if message.software_version:
             version = message.software_version
             rows = [row for row in rows if row.software_version == version]
-        parts = tuple(digest_part(part.name) for part in message.parts[:-1])
+        parts = tuple(
+            PromptPart(digest_part(part.name), part.tokens) for part in message.parts
+        )
+        shared = tuple(part.name for part in parts[:-1])
         log = self.chooser.decisions
-        refusal = self._hold_back(message, parts)
+        refusal = self._hold_back(message, shared)
         if refusal is not None:
             if log.enabled and message.begin:
                 point, reason = DecisionPoint.ADMISSION, "quarantine"
                 log.record(message.request_id, message.service, point, "hold", reason)
             return refusal
         rows = [row for row in rows if not self.wait_ms(row)] or rows
-        row = self.chooser.choose(
-            self.silence.admitted(
+        choice = self.chooser.choose_target(
+            rows,
+            message.avoid,
+            admitted=self.silence.admitted(
                 rows,
                 message.entry,
                 message.avoid,
                 prompt_tokens=message.prompt_tokens,
                 begin=message.begin,
+                costs_more=lambda row: self.chooser.reads_again(
+                    row, rows, parts, message.prompt_tokens
+                ),
             ),
-            message.avoid,
-            parts=message.parts,
+            parts=parts,
             prompt_tokens=message.prompt_tokens,
             result_bytes_by_data_centre={
                 size.data_centre: size.bytes for size in message.results
             },
             penalties_ms=self.silence.penalties_ms(rows, message.entry),
+            left_ms=message.left_ms or None,
+            may_wait=message.may_wait,
         )
         if log.enabled and message.begin:
-            chosen, point = row.name if row else "none", DecisionPoint.TARGET
-            log.record_choice(message.request_id, message.service, point, chosen)
-        if row is None:
+            self._record_choice(message, choice)
+        if choice is None:
             return Placed("", "", 0)
-        expected_ms = self.chooser.expected_first_event_ms(
-            row, message.parts, message.prompt_tokens
-        ) + self.wait_ms(row)
-        if message.begin:
-            self._expire_runs()
-            key = message.request_id, row.name
-            replaced = self.runs_by_key.pop(key, None)
-            if replaced is not None:
-                self.chooser.health.record_end(replaced.row)
-            self.runs_by_key[key] = _Run(
-                row=row,
-                started_ms=self.clock.now_ms(),
-                prefill_queue_ms=self.chooser.prefill_queue_ms(row),
-                uncached_tokens=self.chooser.uncached_tokens(
-                    row, message.parts, message.prompt_tokens
-                ),
-                expected_ms=expected_ms,
-                parts=parts,
-                earlier=replaced.earlier + 1 if replaced is not None else 0,
-            )
-            self.chooser.record_start(row, message.parts, message.prompt_tokens)
-            self.silence.begin(key, row, message.entry, expected_ms)
+        row, estimate = choice.row, choice.estimate or NO_PREFILL
+        expected_ms = self._expected_ms(row, estimate)
+        holder_ms = 0.0
+        if choice.holder is not None and choice.holder_estimate is not None:
+            holder_ms = self._expected_ms(choice.holder, choice.holder_estimate)
+        if message.begin and not estimate.part_wait_ms:
+            self._begin(message, row, parts, estimate, expected_ms)
         estimator = self.margins_by_route.get(message.route)
         margin_ms = estimator.margin_ms if estimator is not None else 0.0
         return Placed(
@@ -209,8 +238,50 @@
             row.data_centre,
             int(min(expected_ms, MAX_ESTIMATE_MS)),
             int(min(margin_ms, MAX_ESTIMATE_MS)),
+            cached_tokens=min(estimate.cached_tokens, message.prompt_tokens),
+            holder=choice.holder.name if choice.holder is not None else "",
+            holder_ms=int(min(holder_ms, MAX_ESTIMATE_MS)),
+            part_wait_ms=math.ceil(min(estimate.part_wait_ms, MAX_ESTIMATE_MS)),
         )
 
+    def _begin(
+        self,
+        message: PlaceRun,
+        row: TargetRow,
+        parts: Sequence[PromptPart],
+        estimate: PrefillEstimate,
+        expected_ms: float,
+    ) -> None:
+        """Record an attempt that starts now."""
+        self._expire_runs()
+        key = message.request_id, row.name
+        replaced = self.runs_by_key.pop(key, None)
+        if replaced is not None:
+            self._end_run(key, replaced)
+        self.runs_by_key[key] = _Run(
+            row=row,
+            started_ms=self.clock.now_ms(),
+            prefill_queue_ms=estimate.queue_ms,
+            uncached_tokens=max(message.prompt_tokens - estimate.cached_tokens, 0),
+            expected_ms=expected_ms,
+            parts=tuple(part.name for part in parts[:-1]),
+            earlier=replaced.earlier + 1 if replaced is not None else 0,
+        )
+        self.chooser.record_start(row, parts, message.prompt_tokens, key)
+        self.silence.begin(key, row, message.entry, expected_ms)
+
+    def _end_run(
+        self, key: tuple[str, str], run: _Run, *, has_begun: bool = False
+    ) -> None:
+        self.chooser.record_end(run.row, key, run.parts, has_begun=has_begun)
+        if has_begun:
+            self.known.record(run.row, run.parts)
+
+    def _expected_ms(self, row: TargetRow, estimate: PrefillEstimate) -> float:
+        """Return the expected time to the first event of a prompt at an engine."""
+        ms = self.chooser.expected_first_event_ms(row, estimate)
+        return ms + self.wait_ms(row)
+
     def _hold_back(self, message: PlaceRun, parts: tuple[str, ...]) -> Placed | None:
         """Return the refusal of a prompt that may crash an engine, else None.
 
@@ -274,6 +345,8 @@
         return RunNoted(known)
 
     def _record_end(self, message: RunOver) -> RunNoted:
+        if message.held:
+            return self._take_parts(message)
         if not message.target:
             return self._drop_runs(message.request_id)
         key = message.request_id, message.target
@@ -286,7 +359,8 @@
             self.runs_by_key[key] = attrs.evolve(run, earlier=run.earlier - 1)
             return RunNoted(True)
         del self.runs_by_key[key]
-        self.chooser.health.record_end(run.row)
+        has_begun = message.outcome == RunOutcome.SUCCEEDED
+        self._end_run(key, run, has_begun=has_begun)
         if message.slots:
             load = TargetLoad(message.running, message.waiting, message.slots)
             self.chooser.health.record_load(run.row, load)
@@ -302,11 +376,30 @@
         self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
+    def _take_parts(self, message: RunOver) -> RunNoted:
+        """Take over what another process knows of the parts that engines hold."""
+        taken, ignored = 0, 0
+        for row, names in held_parts(message, self.targets(message.service)):
+            if row is None:
+                ignored += len(names)
+                continue
+            taken += len(names)
+            self.chooser.health.state(row).parts.merge(names)
+            self.known.record(row, names)
+        events.log(
+            events.PARTS_TAKEN,
+            service=message.service,
+            engines=len(message.held),
+            parts=taken,
+            ignored=ignored,
+        )
+        return RunNoted(True)
+
     def _drop_runs(self, request_id: str) -> RunNoted:
         """Drop the attempts of a request, which its entry has placed itself."""
         keys = [key for key in self.runs_by_key if key[0] == request_id]
         for key in keys:
-            self.chooser.health.record_end(self.runs_by_key.pop(key).row)
+            self._end_run(key, self.runs_by_key.pop(key))
             self.silence.forget(key)
         self._drop_trials(request_id)
         return RunNoted(bool(keys))
@@ -342,6 +435,7 @@
         """Drop what is known of all other targets, services and routes."""
         self._expire_runs()
         self.chooser.retain(names, services)
+        self.known.retain(names, services)
         self.silence.retain(names, services)
         for route in self.margins_by_route.keys() - routes:
             del self.margins_by_route[route]
@@ -354,7 +448,7 @@
             if run.started_ms > limit_ms:
                 return
             del self.runs_by_key[key]
-            self.chooser.health.record_end(run.row)
+            self._end_run(key, run)
             self.silence.forget(key)
 
 
@@ -382,8 +476,7 @@
         self.owners = owners
         self.host = host
         self.report_crashes = report_crashes
-        # Name of the owner that placed each attempt in progress.
-        self.owner_names_by_key: dict[tuple[str, str], str] = {}
+        self.attempts_by_key: dict[tuple[str, str], _PlacedAttempt] = {}
 
     async def handle(
         self, message: PlaceRun | RunOver | RunBroken
@@ -427,10 +520,19 @@
         if not isinstance(placed, Placed):
             # The host answers a request to place with nothing else.
             owner, placed = None, cast(Placed, await self.handle(message))
-        if message.begin and placed.target and owner is not None:
-            self.owner_names_by_key[message.request_id, placed.target] = owner.name
+        if message.begin and placed.target and not placed.part_wait_ms:
+            self.attempts_by_key[message.request_id, placed.target] = _PlacedAttempt(
+                owner.process if owner is not None else None,
+                tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
+            )
         return placed
 
+    def placer(self, request_id: str, target: str) -> str:
+        """Return the name of the entry that placed an attempt in progress."""
+        attempt = self.attempts_by_key.get((request_id, target))
+        owner = attempt.owner if attempt is not None else None
+        return owner[0] if owner is not None else self.name
+
     async def report_break(self, message: RunBroken) -> None:
         """Report that a target closed the connection of an attempt.
 
@@ -450,13 +552,20 @@
 
     async def report_end(self, message: RunOver) -> None:
         """Report how an attempt ended to the entry that chose its engine."""
-        name = self.owner_names_by_key.pop(
-            (message.request_id, message.target), self.name
-        )
-        if name == self.name:
+        attempt = self.attempts_by_key.pop((message.request_id, message.target), None)
+        if attempt is None or attempt.owner is None:
             await self.handle(message)
-        else:
-            await curio.spawn(self._send_end, name, message, daemon=True)
+            return
+        if message.outcome == RunOutcome.SUCCEEDED:
+            self._record_held(message, attempt)
+        await curio.spawn(self._send_end, attempt.owner[0], message, daemon=True)
+
+    def _record_held(self, message: RunOver, attempt: _PlacedAttempt) -> None:
+        """Record the parts of an attempt whose first event has arrived."""
+        names = [digest_part(name) for name in attempt.parts]
+        for row in self.host.targets(message.service):
+            if row.name == message.target:
+                self.host.known.record(row, names, attempt.owner)
 
     async def _send_end(self, name: str, message: RunOver) -> None:
         for row in self.owners.entries():
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -29,6 +29,8 @@
   route @7 :Text;
   softwareVersion @8 :Text;
   entry @9 :Text;
+  leftMs @10 :UInt32;
+  mayWait @11 :Bool;
 }
 
 struct Placed {
@@ -38,6 +40,10 @@
   marginMs @3 :UInt32;
   heldMs @4 :UInt64;
   heldParts @5 :List(Text);
+  cachedTokens @6 :UInt32;
+  holder @7 :Text;
+  holderMs @8 :UInt32;
+  partWaitMs @9 :UInt32;
 }
 
 struct RunBroken {
@@ -64,8 +70,12 @@
   slots @7 :UInt32;
   route @8 :Text;
   errorMs @9 :Int32;
+  held @10 :List(EngineParts);
+  partFormat @11 :UInt16;
 }
 
+struct EngineParts { target @0 :Text; incarnation @1 :UInt64; parts @2 :List(UInt64); }
+
 struct RunNoted { known @0 :Bool; }
 
 struct RequestGrant {
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -79,8 +79,11 @@
         These are its inputs and, on the way back, the smallest results along the chain
         of its dependents, because dependents run where their inputs are.
         """
-        inputs = sum(self._result_bytes(other) for other in self.steps[number].after)
-        return inputs + self._min_output_bytes()[number]
+        return self.input_bytes(number) + self._min_output_bytes()[number]
+
+    def input_bytes(self, number: int) -> int:
+        """Return the bytes of all inputs of a step, which each piece fetches."""
+        return sum(self._result_bytes(other) for other in self.steps[number].after)
 
     def _min_output_bytes(self) -> dict[int, int]:
         """Return the smallest results along the chains that begin at each step."""
@@ -321,11 +324,10 @@
         """Tell the owners of steps that have not begun that these are still to come."""
         for announcement in itertools.count(2):
             await self.clock.sleep_ms(ANNOUNCEMENT_INTERVAL_MS)
-            numbers = [n for n, pieces in enumerate(work.pieces) if pieces]
-            numbers = [n for n in numbers if n not in begun]
+            numbers = {n for n, pieces in enumerate(work.pieces) if pieces} - set(begun)
             if not numbers:
                 return
-            for number in numbers:
+            for number in sorted(numbers):
                 message = self._make_message(work, number, data_centre, (), True)
                 message = attrs.evolve(message, announcement=announcement)
                 await curio.spawn(self._confirm, message, daemon=True)
@@ -403,8 +405,7 @@
         reserve = results is None
         tried: set[str] = set()
         owner = await self._choose_owner(work.steps[number].service, tried)
-        retried = False
-        seen_fetched = not inputs
+        retried, seen_fetched = False, not inputs
         input_services: tuple[str, ...] = ()
         input_addresses: tuple[str, ...] = ()
         input_owners: tuple[str, ...] = ()
@@ -515,6 +516,7 @@
             round=work.round,
             moved_bytes=work.moved_bytes(number),
             entry_data_centre=self.data_centre,
+            input_bytes=work.input_bytes(number),
         )
 
     # Messages to owners
