Have another member keep the lines of a period before it is closed

Cause: the leader wrote the lines of a period to its own disk only, and proposed their digest. If it lost the disk after the command and before another member had frozen the period, nobody had lines with the agreed digest: members with other rows cannot make them. The period was frozen nowhere, and no later one could be closed.

Ruled out: making the lines again from the rows of the others. Each change of a cell since gives another digest (late=True in the test).

Change: before it proposes, the leader offers the lines to the other members until one has written them; without that it proposes nothing, and event 313 says so. The offer is a PeriodContent, which was a reply only, so the schema stays. A member of an earlier build answers it with an error and counts as one that does not keep them. Files that a leader removes as lost do not include those that were offered again since it looked: a deposed leader must not remove the lines that the next one proposes.

test_undecided_proposals_are_bounded had one running member of two, which proposes nothing any more; the other one runs now.

Conclusion: the lines of a closed period outlive any one disk. Beside members of an earlier build alone a leader closes no period until one is upgraded.

--- a/tests/test_period_closing.py
+++ b/tests/test_period_closing.py
@@ -1,23 +1,33 @@
 """Tests of closing accounting periods through the replicated log."""
 
+import zlib
+
+import attrs
 import pytest
 
 from tests.fake_network import FakeNetwork
 from tests.test_accounts import MemoryDisk, attempt, message_of, refusal_table
 from wagtailrun.accounts.cells import Source
 from wagtailrun.accounts.counters import Accounts
-from wagtailrun.accounts.lines import period_of
-from wagtailrun.accounts.periods import MAX_UNDECIDED_PROPOSALS, ClosedPeriods
+from wagtailrun.accounts.lines import digest_of, period_of
+from wagtailrun.accounts.messages import PeriodContent
+from wagtailrun.accounts.periods import (
+    MAX_KEPT_PROPOSALS,
+    MAX_UNDECIDED_PROPOSALS,
+    ClosedPeriods,
+)
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.consensus.local_log import LocalLog
 from wagtailrun.control.period_closing import PeriodCloser
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import ConsensusUnavailable
+from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
 from wagtailrun.registry.state import Registry
 from wagtailrun.virtual_time import run_virtual
 
 MEMBERS = [Address("10.0.0.1", 1), Address("10.0.0.2", 1)]
+THREE = [*MEMBERS, Address("10.0.0.3", 1)]
 DAY_MS = 24 * 3_600_000
 
 
@@ -58,6 +68,208 @@
     assert lines[0] == lines[1] != []
 
 
+class Closers:
+    """Control members with their accounts, whose commands are applied at once."""
+
+    def __init__(self, clock, addresses):
+        self.clock = clock
+        self.network = FakeNetwork(clock)
+        self.addresses = addresses
+        self.registry = Registry()
+        self.log = LocalLog(self.registry)
+        self.disks = [MemoryDisk() for _ in addresses]
+        self.closers = [None] * len(addresses)
+
+    async def start(self, number):
+        """Start a member, also one that has lost its disk."""
+        address = self.addresses[number]
+        others = [other for other in self.addresses if other != address]
+        link = self.network.link(address)
+        store = AccountStore(self.clock, self.disks[number], str(address), others, link)
+        await store.open()
+        self.network.handlers_by_address[address] = store.handle
+        service = ControlService(self.clock, str(address), self.registry, self.log)
+        self.closers[number] = PeriodCloser(service, store)
+
+    async def start_all(self):
+        for number in range(len(self.addresses)):
+            await self.start(number)
+
+    async def lose_disk(self, number):
+        """Replace the disk of a member by an empty one."""
+        self.disks[number] = MemoryDisk()
+        await self.start(number)
+
+    def stop(self, number):
+        del self.network.handlers_by_address[self.addresses[number]]
+
+    def digests(self, period):
+        return [c.accounts.digests_by_period.get(period) for c in self.closers]
+
+
+@pytest.mark.parametrize("addresses", [MEMBERS, THREE])
+@pytest.mark.parametrize("late", [False, True])
+def test_period_outlives_the_disk_of_the_leader(addresses, late):
+    """Guards against lines of a closed period that only a lost disk had.
+
+    The leader loses its disk after the command, before any other member has frozen the
+    period. Rows that came later leave the others other lines, so that they cannot make
+    the agreed ones; no later period could be closed.
+    """
+
+    async def main(clock):
+        members = Closers(clock, addresses)
+        await members.start_all()
+        start_ms = clock.wall_ms()
+        period = period_of(start_ms)
+        await members.closers[0].accounts.handle(message_of(refusal_table(start_ms, 3)))
+        await clock.sleep_ms(DAY_MS + 3_600_000)
+        await members.closers[0].step()
+        agreed = members.registry.closed_periods_by_name[period].digest
+        if late:
+            rows = message_of(refusal_table(start_ms, 5))
+            await members.closers[1].accounts.handle(rows)
+        await members.lose_disk(0)
+        for _ in addresses:
+            for closer in members.closers:
+                await closer.step()
+        return agreed, members.digests(period), await prepared_files(members.disks[1])
+
+    agreed, digests, files = run_virtual(main)
+    assert digests == [agreed] * len(addresses)
+    assert files == []
+
+
+@pytest.mark.parametrize("cause", ["not running", "an earlier build", "full disk"])
+def test_period_is_closed_once_another_member_keeps_its_lines(cause, monkeypatch):
+    """Guards against a command whose lines are on one disk, and one that never comes.
+
+    An earlier build answers lines that are offered with an error. It is told in the log
+    as long as it lasts.
+    """
+    seen = []
+    monkeypatch.setattr(events, "log", lambda event, **fields: seen.append(event))
+
+    async def main(clock):
+        members = Closers(clock, MEMBERS)
+        await members.start_all()
+        start_ms = clock.wall_ms()
+        await members.closers[0].accounts.handle(message_of(refusal_table(start_ms, 3)))
+        await clock.sleep_ms(DAY_MS + 3_600_000)
+        address, other = members.addresses[1], members.closers[1].accounts
+        if cause == "not running":
+            members.stop(1)
+        elif cause == "an earlier build":
+
+            async def handle(message):
+                if isinstance(message, PeriodContent):
+                    raise AttributeError("batches")
+                return await other.handle(message)
+
+            members.network.handlers_by_address[address] = handle
+        else:
+            other.disk_state.failed = True
+        for _ in range(20):
+            await members.closers[0].step()
+        before = dict(members.registry.closed_periods_by_name)
+        files = await prepared_files(members.disks[0])
+        told = events.PERIOD_NOT_COPIED in seen
+        await members.start(1)
+        await members.closers[0].step()
+        period = period_of(start_ms)
+        return (
+            before,
+            len(files),
+            told,
+            period in members.registry.closed_periods_by_name,
+        )
+
+    before, files, told, is_closed = run_virtual(main)
+    assert before == {}
+    assert files == 1
+    assert told
+    assert is_closed
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"digest": "0" * 64},
+        {"digest": "../x"},
+        {"period": "../../x"},
+        {"period": "2026-13-77"},
+        {"content": b"no lines"},
+    ],
+)
+def test_lines_that_do_not_fit_their_digest_are_not_kept(change):
+    """Guards against files that a member with a fault makes another one write."""
+
+    async def main(clock):
+        disk = MemoryDisk()
+        store = AccountStore(clock, disk, "m")
+        await store.open()
+        content = zlib.compress(b"[]")
+        good = PeriodContent("2026-01-01", digest_of(b"[]"), content)
+        reply = await store.handle(attrs.evolve(good, **change))
+        assert reply.digest == ""
+        assert await disk.names() == []
+        return (await store.handle(good)).digest == good.digest
+
+    assert run_virtual(main)
+
+
+def test_lines_that_others_propose_are_bounded():
+    """Guards against a disk that the proposals of many leaders fill.
+
+    Lines that were kept are kept again: their command may still be committed.
+    """
+
+    async def main(clock):
+        disk = MemoryDisk()
+        store = AccountStore(clock, disk, "m")
+        await store.open()
+        offers = [
+            PeriodContent("2026-01-01", digest_of(text), zlib.compress(text))
+            for text in (b"[%d]" % number for number in range(100))
+        ]
+        kept = [offer for offer in offers if (await store.handle(offer)).digest]
+        again = [offer for offer in offers if (await store.handle(offer)).digest]
+        return kept, again, offers, await prepared_files(disk)
+
+    kept, again, offers, files = run_virtual(main)
+    assert kept == again == offers[:MAX_KEPT_PROPOSALS]
+    assert len(files) == MAX_KEPT_PROPOSALS
+
+
+@pytest.mark.parametrize("is_offered_again", [False, True])
+def test_lines_that_are_offered_again_are_not_removed(is_offered_again):
+    """Guards against lines that a deposed leader removes and the next one proposes.
+
+    The deposed one had made sure that they could not be agreed on before.
+    """
+
+    async def main(clock):
+        disk = MemoryDisk()
+        store = AccountStore(clock, disk, "m")
+        await store.open()
+        offer = PeriodContent("2026-01-01", digest_of(b"[]"), zlib.compress(b"[]"))
+        assert (await store.handle(offer)).digest
+        names = await store.closed.prepared(offer.period)
+        if is_offered_again:
+            assert (await store.handle(offer)).digest
+        await store.closed.remove_prepared(names)
+        return names, await prepared_files(disk)
+
+    names, left = run_virtual(main)
+    assert left == (names if is_offered_again else [])
+    assert len(names) == 1
+
+
+async def prepared_files(disk):
+    names = await disk.names()
+    return [name for name in names if name.startswith("accounts-prepared")]
+
+
 class LateLog(LocalLog):
     """Log whose commands are committed after their proposers have given up."""
 
@@ -128,7 +340,7 @@
     """Guards against a file for each step of a leader that commits nothing.
 
     Once it does, the period is closed: with the lines of an earlier command if that is
-    committed after all, else with new ones.
+    committed after all, else with new ones. The other member keeps what is proposed.
     """
 
     async def main(clock):
@@ -147,6 +359,9 @@
             )
 
         closer = await start(log)
+        keeper = AccountStore(clock, MemoryDisk(), str(other))
+        await keeper.open()
+        network.handlers_by_address[other] = keeper.handle
         start_ms = clock.wall_ms()
         period = period_of(start_ms)
         await clock.sleep_ms(DAY_MS + 3_600_000)
@@ -173,10 +388,6 @@
         left = await prepared_files(disk)
         return files, left, verdict and verdict.digest, digest
 
-    async def prepared_files(disk):
-        names = await disk.names()
-        return [name for name in names if name.startswith("accounts-prepared")]
-
     files, left, agreed, digest = run_virtual(main)
     assert len(files) == MAX_UNDECIDED_PROPOSALS
     assert agreed == digest
--- a/wagtailrun/accounts/lines.py
+++ b/wagtailrun/accounts/lines.py
@@ -11,7 +11,14 @@
 import attrs
 import curio
 
-from wagtailrun.accounts.cells import Column, Measure, RowKey, Scope, Source
+from wagtailrun.accounts.cells import (
+    CellTable,
+    Column,
+    Measure,
+    RowKey,
+    Scope,
+    Source,
+)
 from wagtailrun.clock import MS_PER_SECOND
 from wagtailrun.exceptions import MessageError
 
@@ -22,6 +29,7 @@
     "map_in_chunks",
     "cost_rows",
     "digest_of",
+    "is_period",
     "is_refusal_minute",
     "lines_from_bytes",
     "lines_to_bytes",
@@ -29,6 +37,7 @@
     "period_of",
     "refusal_rows",
     "request_rows",
+    "sum_by_source",
     "totals_of",
 ]
 
@@ -97,6 +106,14 @@
     return int(midnight.timestamp()) * MS_PER_SECOND
 
 
+def is_period(text: str) -> bool:
+    """Return whether ``text`` is the name of a period."""
+    try:
+        return date.fromisoformat(text).isoformat() == text
+    except ValueError:
+        return False
+
+
 async def map_in_chunks(
     items: Sequence[Any], convert: Callable[[Any], Any]
 ) -> list[Any]:
@@ -144,6 +161,18 @@
     return hashlib.sha256(content).hexdigest()
 
 
+async def sum_by_source(lines: list[Line]) -> dict[Source, CellTable]:
+    """Return the sums of ``lines`` by source and cell."""
+    tables: dict[Source, CellTable] = {}
+
+    def add(line: Line) -> None:
+        table = tables.setdefault(line.source, CellTable())
+        table.add(line.key, (line.column,), (line.amount,))
+
+    await map_in_chunks(lines, add)
+    return tables
+
+
 def totals_of(lines: Iterable[Line]) -> PeriodTotals:
     """Return the totals of a period's lines."""
     minutes: set[tuple[Any, ...]] = set()
--- a/wagtailrun/accounts/messages.py
+++ b/wagtailrun/accounts/messages.py
@@ -115,7 +115,11 @@
 
 @attrs.frozen
 class PeriodContent:
-    """Reply to ``FetchPeriod``; ``digest`` and ``content`` are empty if unknown."""
+    """Reply to ``FetchPeriod``; ``digest`` and ``content`` are empty if unknown.
+
+    As a request, it offers lines that the sender is about to propose. The reply to that
+    has no content, and their digest if the receiver keeps them.
+    """
 
     period: str
     digest: str
--- a/wagtailrun/accounts/periods.py
+++ b/wagtailrun/accounts/periods.py
@@ -9,11 +9,18 @@
     join_records,
     split_records,
 )
-from wagtailrun.accounts.lines import Line, digest_of, lines_from_bytes, period_of
-from wagtailrun.exceptions import CorruptRecord, DiskFull
+from wagtailrun.accounts.lines import (
+    Line,
+    digest_of,
+    is_period,
+    lines_from_bytes,
+    period_of,
+)
+from wagtailrun.accounts.messages import PeriodContent
+from wagtailrun.exceptions import CorruptRecord, DiskFull, MessageError
 from wagtailrun.ports.disk import Disk
 
-__all__ = ["MAX_UNDECIDED_PROPOSALS", "ClosedPeriods"]
+__all__ = ["MAX_KEPT_PROPOSALS", "MAX_UNDECIDED_PROPOSALS", "ClosedPeriods"]
 
 CLOSED_PREFIX = "accounts-closed-"
 PREPARED_PREFIX = "accounts-prepared-"
@@ -24,6 +31,8 @@
 # Files of proposed lines that a member keeps of one period while no command that
 # closes it is known to be committed or lost.
 MAX_UNDECIDED_PROPOSALS = 4
+# Files of proposed lines of one period that a member keeps for others: some leaders'.
+MAX_KEPT_PROPOSALS = 4 * MAX_UNDECIDED_PROPOSALS
 # Digest and compressed lines.
 RECORDS_PER_FILE = 2
 
@@ -38,6 +47,8 @@
     def __init__(self, disk: Disk):
         self.disk = disk
         self.digests_by_period: dict[str, str] = {}
+        # Files of lines that were offered again since ``prepared`` was called.
+        self._offered: set[str] = set()
         # Size of the newest write that a full disk refused.
         self.refused_bytes = 0
 
@@ -67,14 +78,56 @@
         await self._write(_prepared_name(period, digest), digest, content)
         return digest
 
-    async def has_too_many_prepared(self, period: str) -> bool:
-        """Whether ``prepare`` has to await the end of earlier proposals."""
-        return len(await self._prepared_names(period)) >= MAX_UNDECIDED_PROPOSALS
+    async def proposed(self, period: str, digest: str) -> PeriodContent:
+        """Return lines that this member has prepared, to be kept by another one."""
+        _, content = await self._read(_prepared_name(period, digest))
+        return PeriodContent(period, digest, content)
+
+    async def keep(self, offered: PeriodContent) -> str:
+        """Write the lines that another member proposes for a period, once.
 
-    async def remove_prepared(self, period: str) -> None:
-        """Remove the lines proposed for ``period``, none of which can be agreed on."""
-        for name in await self._prepared_names(period):
-            await self.disk.remove(name)
+        Returns:
+            The digest of the lines of the period that this member has, as proposed or
+            closed; empty if they are refused.
+        """
+        period, digest = offered.period, offered.digest
+        if period in self.digests_by_period:
+            return self.digests_by_period[period]
+        name, names = _prepared_name(period, digest), await self._prepared_names(period)
+        if name in names:
+            self._offered.add(name)
+            return digest
+        if len(names) >= MAX_KEPT_PROPOSALS or not is_period(period):
+            return ""
+        try:
+            content = decompress(offered.content)
+        except MessageError:
+            return ""
+        if digest_of(content) != digest:
+            return ""
+        return await self.prepare(period, content)
+
+    async def content(self, period: str) -> PeriodContent:
+        """Return the lines of a closed period, without digest if it is not closed."""
+        digest = self.digests_by_period.get(period)
+        if digest is None:
+            return PeriodContent(period, "", b"")
+        return PeriodContent(period, digest, await self.read_compressed(period))
+
+    async def prepared(self, period: str) -> list[str]:
+        """Return the files of the lines proposed for ``period``, by any leader."""
+        self._offered.clear()
+        return await self._prepared_names(period)
+
+    async def remove_prepared(self, names: Iterable[str]) -> None:
+        """Remove files that ``prepared`` returned, none of which can be agreed on.
+
+        A leader that was elected meanwhile may have offered the same lines again: these
+        stay. The caller keeps lines from being offered until it is done.
+        """
+        for name in names:
+            if name not in self._offered:
+                await self.disk.remove(name)
 
     async def load_prepared(self, period: str, digest: str) -> bytes | None:
         """Return the prepared lines if they have ``digest``, else None."""
--- a/wagtailrun/accounts/store.py
+++ b/wagtailrun/accounts/store.py
@@ -16,7 +16,7 @@
     bucket_of,
 )
 from wagtailrun.accounts.disk import AccountDisk
-from wagtailrun.accounts.files import decompress, join_records
+from wagtailrun.accounts.files import join_records
 from wagtailrun.accounts.lines import (
     Line,
     PeriodTotals,
@@ -27,6 +27,7 @@
     map_in_chunks,
     period_end_ms,
     period_of,
+    sum_by_source,
     totals_of,
 )
 from wagtailrun.accounts.log import AccountLog
@@ -39,6 +40,7 @@
     pack_batch,
     unpack_batch,
 )
+from wagtailrun.accounts.period_copies import PeriodCopies
 from wagtailrun.accounts.periods import ClosedPeriods
 from wagtailrun.clock import Clock
 from wagtailrun.exceptions import (
@@ -123,6 +125,7 @@
         self.recorded_minutes: set[RowKey] = set()
         self.histograms: dict[tuple[Source, HistogramKey], tuple[int, bytes]] = {}
         self.closed = ClosedPeriods(disk)
+        self.copies = PeriodCopies(self.closed, others, self.link)
         self.log = AccountLog(disk)
         self.disk_state = AccountDisk(clock, disk, self._repair)
         self.row_count = 0
@@ -171,11 +174,13 @@
             await self.closed.remove_superseded()
 
     async def handle(
-        self, message: AccountRows | FetchPeriod
+        self, message: AccountRows | FetchPeriod | PeriodContent
     ) -> AccountsKept | PeriodContent:
         """Handle a message of an entry or of another control member."""
         if isinstance(message, FetchPeriod):
-            return await self._period_content(message.period)
+            return await self.closed.content(message.period)
+        if isinstance(message, PeriodContent):
+            return await self._keep_proposed(message)
         try:
             batches = [self._unpack_timely(data) for data in message.batches]
         except MessageError as error:
@@ -306,7 +311,7 @@
             raise MessageError(
                 f"lines of period {period} have another digest than {digest}"
             )
-        recorded = await _sum_by_source(await lines_from_bytes(content))
+        recorded = await sum_by_source(await lines_from_bytes(content))
         async with self.lock:
             if period not in self.digests_by_period:
                 await self.closed.freeze(period, digest, content)
@@ -317,17 +322,24 @@
 
     async def fetch_period(self, period: str, digest: str) -> bool:
         """Adopt a closed period from another member; return whether one has it."""
-        for address in self.pending_by_address:
+        content = await self.copies.fetch(period, digest)
+        if content is not None:
+            await self.adopt(period, digest, content)
+        return content is not None
+
+    async def _keep_proposed(self, offered: PeriodContent) -> PeriodContent:
+        """Keep lines that another member proposes; reply without lines.
+
+        The reply has their digest only if they are kept.
+        """
+        digest = ""
+        async with self.lock:
             try:
-                reply = await self.link.call(
-                    address, FetchPeriod(period), RELAY_TIMEOUT_MS
-                )
-                if isinstance(reply, PeriodContent) and reply.digest == digest:
-                    await self.adopt(period, digest, decompress(reply.content))
-                    return True
-            except (PeerUnreachable, MessageError):
-                continue
-        return False
+                if not self.disk_state.refusal:
+                    digest = await self.closed.keep(offered)
+            except (CorruptRecord, DiskFault) as error:
+                await self.report_fault(error)
+        return PeriodContent(offered.period, digest, b"")
 
     async def lines(self, period: str = "") -> list[Line]:
         """Return the lines of a closed period, or of ``period`` if it is open.
@@ -526,7 +538,7 @@
 
     async def _load_recorded(self, wanted: set[RowKey]) -> None:
         """Reload the recorded parts of the rows ``wanted`` from the closed periods."""
-        recorded = await _sum_by_source(await self.closed.lines_of_rows(wanted))
+        recorded = await sum_by_source(await self.closed.lines_of_rows(wanted))
         for table in self.recorded_by_source.values():
             for key in wanted:
                 table.drop(key)
@@ -569,12 +581,6 @@
             if owner_and_key[1][0] < oldest_hour:
                 del self.histograms[owner_and_key]
 
-    async def _period_content(self, period: str) -> PeriodContent:
-        digest = self.digests_by_period.get(period)
-        if digest is None:
-            return PeriodContent(period, "", b"")
-        return PeriodContent(period, digest, await self.closed.read_compressed(period))
-
     def _reply(self, fault: str) -> AccountsKept:
         return AccountsKept(self.name, self.incarnation, not fault, fault)
 
@@ -586,15 +592,3 @@
     if recorded is None:
         return any(value for _, value in values)
     return any(value > recorded.value(key, column) for column, value in values)
-
-
-async def _sum_by_source(lines: list[Line]) -> dict[Source, CellTable]:
-    """Return the sums of ``lines`` by source and cell."""
-    tables: dict[Source, CellTable] = {}
-
-    def add(line: Line) -> None:
-        table = tables.setdefault(line.source, CellTable())
-        table.add(line.key, (line.column,), (line.amount,))
-
-    await map_in_chunks(lines, add)
-    return tables
--- a/wagtailrun/control/period_closing.py
+++ b/wagtailrun/control/period_closing.py
@@ -1,6 +1,6 @@
 """Closes accounting periods through the replicated log of the control members."""
 
-from wagtailrun.accounts.periods import RETAINED_PERIODS
+from wagtailrun.accounts.periods import MAX_UNDECIDED_PROPOSALS, RETAINED_PERIODS
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
@@ -49,11 +49,16 @@
         if period is None:
             return
         closed = self.accounts.closed
-        if await closed.has_too_many_prepared(period):
+        prepared = await closed.prepared(period)
+        if len(prepared) >= MAX_UNDECIDED_PROPOSALS:
             if not await self._are_proposals_decided(period):
                 return
-            await closed.remove_prepared(period)
+            async with self.accounts.lock:
+                await closed.remove_prepared(prepared)
         offer = await self.accounts.prepare_close(period)
+        if not await self.accounts.copies.copy(period, offer.digest):
+            events.log(events.PERIOD_NOT_COPIED, period=period)
+            return
         totals = offer.totals.to_json()
         await self.service.propose(ClosePeriod(period, offer.digest, totals, 0))
 
--- a/wagtailrun/logs/events.py
+++ b/wagtailrun/logs/events.py
@@ -102,10 +102,7 @@
     limited=False,
 )
 TRACE_WRITTEN_AGAIN = _event(
-    304,
-    logging.INFO,
-    "The trace file is written again.",
-    limited=False,
+    304, logging.INFO, "The trace file is written again.", limited=False
 )
 TRACE_LINES_SKIPPED = _event(
     305,
@@ -131,6 +128,12 @@
     "Replace the disk and restart the member; until then it may refuse rows, which "
     "entries hand to the other members.",
 )
+PERIOD_NOT_COPIED = _event(
+    313,
+    logging.WARNING,
+    "A period cannot be closed yet: no other control member keeps its lines.",
+    "Start the other control members, or finish their upgrade.",
+)
 OPERATOR_REJECTED = _event(
     400,
     logging.WARNING,
@@ -401,10 +404,7 @@
     per_second=20,
 )
 PATH_RETURNED = _event(
-    741,
-    logging.INFO,
-    "This entry connects to a target directly again.",
-    per_second=20,
+    741, logging.INFO, "This entry connects to a target directly again.", per_second=20
 )
 ENTRY_CUT_OFF = _event(
     742,
