Close no period with lines that another closing records

Cause: a leader computed the lines of a period from what it had frozen, and proposed them whatever the log held beside them. With a command of the leader before in its log that closes an earlier period and is not applied yet, or if another member led and closed one between the lines and their command, both periods recorded the same late rows: the cell was counted, and billed, twice. It takes a member without a row of the earlier period, which else would propose that one, too.

Change: a leader first has another command committed, by which all earlier proposals are applied or lost, and freezes what is closed by then. It proposes the period only in the leadership in which it did so (ReplicatedLog.leadership, the term of the leader): only it can add commands meanwhile. As each closing begins so, the files of lost proposals are removed each time, and a leader has one, not four. A member that keeps lines for others lets the oldest of 16 give way instead of refusing: it had refused for good after 16 lost proposals, which the bounded test found.

Ruled out: a condition in the state machine. Members of different builds would apply the same command differently.

Conclusion: a cell is recorded once whatever the leaders do. A leader of an earlier build still proposes without these steps.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -377,6 +377,28 @@
     assert run_virtual(main) == []
 
 
+def test_leadership_is_another_one_after_each_election():
+    """Guards against a command that is proposed by what a leader before has applied."""
+
+    async def main(clock):
+        cluster = await started(clock, 1)
+        numbers = []
+        for _ in range(4):
+            leader = await cluster.wait_leader()
+            members = [node.member for node in cluster.nodes]
+            held = [member.leadership for member in members if member.leadership]
+            assert held == [leader.member.term]
+            numbers += held
+            await leader.kill()
+            assert (await cluster.wait_leader()) is not leader
+            await leader.start()
+            await clock.sleep_ms(2_000)
+        return numbers
+
+    numbers = run_virtual(main)
+    assert numbers == sorted(set(numbers))
+
+
 def test_emptied_majority_bootstraps_no_cluster():
     """Guards against members without data that bootstrap a second, empty cluster."""
 
--- a/wagtailrun/accounts/periods.py
+++ b/wagtailrun/accounts/periods.py
@@ -20,7 +20,7 @@
 from wagtailrun.exceptions import CorruptRecord, DiskFull, MessageError
 from wagtailrun.ports.disk import Disk
 
-__all__ = ["MAX_KEPT_PROPOSALS", "MAX_UNDECIDED_PROPOSALS", "ClosedPeriods"]
+__all__ = ["MAX_KEPT_PROPOSALS", "ClosedPeriods"]
 
 CLOSED_PREFIX = "accounts-closed-"
 PREPARED_PREFIX = "accounts-prepared-"
@@ -28,11 +28,11 @@
 RETAINED_PERIODS = 400
 # A period is a day in the form 2026-01-01.
 PERIOD_CHARS = 10
-# Files of proposed lines that a member keeps of one period while no command that
-# closes it is known to be committed or lost.
-MAX_UNDECIDED_PROPOSALS = 4
-# Files of proposed lines of one period that a member keeps for others: some leaders'.
-MAX_KEPT_PROPOSALS = 4 * MAX_UNDECIDED_PROPOSALS
+# Files of proposed lines that a member keeps of one period; the oldest one gives way. A
+# leader proposes lines once all proposals of before are applied or lost, so that only
+# the newest can be agreed on. Offers of leaders that were deposed meanwhile may come
+# late, but no more than there are control members.
+MAX_KEPT_PROPOSALS = 16
 # Digest and compressed lines.
 RECORDS_PER_FILE = 2
 
@@ -47,8 +47,10 @@
     def __init__(self, disk: Disk):
         self.disk = disk
         self.digests_by_period: dict[str, str] = {}
-        # Files of lines that were offered again since ``prepared`` was called.
-        self._offered: set[str] = set()
+        # Files of proposed lines in the order in which they were last proposed to this
+        # process; those that it found are older.
+        self._proposed: dict[str, None] = {}
+        self._proposed_since: set[str] = set()
         # Size of the newest write that a full disk refused.
         self.refused_bytes = 0
 
@@ -75,9 +77,16 @@
         still be committed.
         """
         digest = digest_of(content)
-        await self._write(_prepared_name(period, digest), digest, content)
+        name = _prepared_name(period, digest)
+        self._note_proposal(name)
+        await self._write(name, digest, content)
         return digest
 
+    def _note_proposal(self, name: str) -> None:
+        self._proposed.pop(name, None)
+        self._proposed[name] = None
+        self._proposed_since.add(name)
+
     async def proposed(self, period: str, digest: str) -> PeriodContent:
         """Return lines that this member has prepared, to be kept by another one."""
         _, content = await self._read(_prepared_name(period, digest))
@@ -95,16 +104,18 @@
             return self.digests_by_period[period]
         name, names = _prepared_name(period, digest), await self._prepared_names(period)
         if name in names:
-            self._offered.add(name)
+            self._note_proposal(name)
             return digest
-        if len(names) >= MAX_KEPT_PROPOSALS or not is_period(period):
-            return ""
         try:
             content = decompress(offered.content)
         except MessageError:
             return ""
-        if digest_of(content) != digest:
+        if digest_of(content) != digest or not is_period(period):
             return ""
+        if len(names) >= MAX_KEPT_PROPOSALS:
+            ages = [each for each in self._proposed if each in names]
+            found = [each for each in names if each not in self._proposed]
+            await self._remove_prepared([*found, *ages][0])
         return await self.prepare(period, content)
 
     async def content(self, period: str) -> PeriodContent:
@@ -116,7 +127,7 @@
 
     async def prepared(self, period: str) -> list[str]:
         """Return the files of the lines proposed for ``period``, by any leader."""
-        self._offered.clear()
+        self._proposed_since.clear()
         return await self._prepared_names(period)
 
     async def remove_prepared(self, names: Iterable[str]) -> None:
@@ -126,8 +137,12 @@
         stay. The caller keeps lines from being offered until it is done.
         """
         for name in names:
-            if name not in self._offered:
-                await self.disk.remove(name)
+            if name not in self._proposed_since:
+                await self._remove_prepared(name)
+
+    async def _remove_prepared(self, name: str) -> None:
+        await self.disk.remove(name)
+        self._proposed.pop(name, None)
 
     async def load_prepared(self, period: str, digest: str) -> bytes | None:
         """Return the prepared lines if they have ``digest``, else None."""
@@ -154,7 +169,7 @@
             if name.startswith(PREPARED_PREFIX):
                 period = name.removeprefix(PREPARED_PREFIX)[:PERIOD_CHARS]
                 if period in self.digests_by_period:
-                    await self.disk.remove(name)
+                    await self._remove_prepared(name)
 
     async def read_compressed(self, period: str) -> bytes:
         """Return the compressed lines of a closed period."""
--- a/wagtailrun/consensus/host.py
+++ b/wagtailrun/consensus/host.py
@@ -144,6 +144,11 @@
         """Whether the member is the leader and its lease is valid now."""
         return self.member.is_leader
 
+    @property
+    def leadership(self) -> int:
+        """Term that the member leads now, 0 if it is not the leader."""
+        return self.member.leadership
+
     @property
     def leader_address(self) -> Address | None:
         """Peer address of the leader, None if the member knows none or has stopped."""
--- a/wagtailrun/consensus/local_log.py
+++ b/wagtailrun/consensus/local_log.py
@@ -34,6 +34,11 @@
         """Always True."""
         return True
 
+    @property
+    def leadership(self) -> int:
+        """Always 1."""
+        return 1
+
     @property
     def leader_address(self) -> Address | None:
         """Address given at construction."""
--- a/wagtailrun/consensus/member.py
+++ b/wagtailrun/consensus/member.py
@@ -367,6 +367,11 @@
         """Whether this member is the leader; see ``Replication.is_leader``."""
         return self.replication.is_leader
 
+    @property
+    def leadership(self) -> int:
+        """Term that this member leads now, 0 if it is not the leader."""
+        return self.state.term if self.is_leader else 0
+
     @property
     def leader_address(self) -> Address | None:
         """Peer address of the current leader, None if this member knows none."""
--- a/wagtailrun/control/period_closing.py
+++ b/wagtailrun/control/period_closing.py
@@ -1,6 +1,6 @@
 """Closes accounting periods through the replicated log of the control members."""
 
-from wagtailrun.accounts.periods import MAX_UNDECIDED_PROPOSALS, RETAINED_PERIODS
+from wagtailrun.accounts.periods import RETAINED_PERIODS
 from wagtailrun.accounts.store import AccountStore
 from wagtailrun.control.service import ControlService
 from wagtailrun.exceptions import DiskFault, DiskFull
@@ -43,34 +43,40 @@
         """
         if self.accounts.disk_state.is_full:
             return
-        if not await self._freeze_closed_periods() or not self.service.log.is_leader:
+        leadership = self.service.log.leadership
+        if not await self._freeze_closed_periods() or not leadership:
             return
         period = self.accounts.closable()
         if period is None:
             return
-        closed = self.accounts.closed
-        prepared = await closed.prepared(period)
-        if len(prepared) >= MAX_UNDECIDED_PROPOSALS:
-            if not await self._are_proposals_decided(period):
-                return
-            async with self.accounts.lock:
-                await closed.remove_prepared(prepared)
+        prepared = await self.accounts.closed.prepared(period)
+        if not await self._has_applied_all(leadership):
+            return
+        # Else a line that one of these periods records would be proposed again.
+        if not await self._freeze_closed_periods():
+            return
+        if self.accounts.closable() != period:
+            # The next step proposes to close another one.
+            return
+        async with self.accounts.lock:
+            await self.accounts.closed.remove_prepared(prepared)
         offer = await self.accounts.prepare_close(period)
         if not await self.accounts.copies.copy(period, offer.digest):
             events.log(events.PERIOD_NOT_COPIED, period=period)
             return
         totals = offer.totals.to_json()
-        await self.service.propose(ClosePeriod(period, offer.digest, totals, 0))
+        command = ClosePeriod(period, offer.digest, totals, 0)
+        # Another leader may have closed a period since the lines were prepared.
+        await self.service.propose(command, leadership)
 
-    async def _are_proposals_decided(self, period: str) -> bool:
-        """Whether no earlier proposal of this member for ``period`` can be committed.
+    async def _has_applied_all(self, leadership: int) -> bool:
+        """Whether all earlier proposals of all members are applied here, or lost.
 
         They precede a command that is committed now, so each of them has been applied
-        before it or never will be.
+        before it or never will be. While this member leads, only it proposes others.
         """
-        result = await self.service.propose(SweepOrders(0))
-        closed = self.service.registry.closed_periods_by_name
-        return isinstance(result, Swept) and period not in closed
+        result = await self.service.propose(SweepOrders(0), leadership)
+        return isinstance(result, Swept)
 
     async def _freeze_closed_periods(self) -> bool:
         """Freeze the closed periods that this member lacks.
--- a/wagtailrun/control/service.py
+++ b/wagtailrun/control/service.py
@@ -97,13 +97,18 @@
             f"{type(message).__name__} is not a registry command or query"
         )
 
-    async def propose(self, message: Any) -> Any:
+    async def propose(self, message: Any, leadership: int | None = None) -> Any:
         """Commit a command with this member's wall time, and return its result.
 
+        Args:
+            message: The command.
+            leadership: Leadership of this member without which it proposes nothing; by
+                default the present one.
+
         Returns:
             Result of the command, ``NotLeader`` or ``Unavailable``.
         """
-        if not self.log.is_leader:
+        if not self.log.is_leader or leadership not in (None, self.log.leadership):
             return self._not_leader()
         wall_ms = self.clock.wall_ms()
         if isinstance(message, OpenOrder):
--- a/wagtailrun/ports/log.py
+++ b/wagtailrun/ports/log.py
@@ -58,6 +58,15 @@
     def is_leader(self) -> bool:
         """Whether this member is the leader and its lease is valid now."""
 
+    @property
+    @abstractmethod
+    def leadership(self) -> int:
+        """Number of the present leadership of this member, 0 if it is not the leader.
+
+        While it stays the same, no other member adds commands to the log, and those of
+        earlier leaders precede all that this member proposes.
+        """
+
     @property
     @abstractmethod
     def leader_address(self) -> Address | None:
