End a part of a line that another process has left in the trace

Cause: a process looked for an unfinished last line, and wrote its header behind it, only at its first write. Of two processes with one trace file, one that was killed in a write left a part, and the next lines of the other one were written on behind it: one line that is no JSON, which no header follows, and which the replay refuses as damage.

Change: each write looks, ends such a part with a line break and has the header behind it, as the first one had; the replay skips parts that a header follows. The header is made only if it is needed, as it holds the fleet text.

Ruled out: a lock of the file. A process that stands still in its write would keep the others from writing. Open: a process that is killed between the look and the write of another one, some microseconds, still leaves a part (read, not reproduced).

Two stand-ins of _append in test_trace_stop.py take its new argument.

Conclusion: but for that, a trace outlives the kill of each of its processes.

--- a/tests/test_trace_recorder.py
+++ b/tests/test_trace_recorder.py
@@ -84,6 +84,37 @@
     assert replay(path).complete == 3 + len(kept)
 
 
+@pytest.mark.parametrize("cut", [1, 10, 200_000])
+@pytest.mark.parametrize("records", [0, 1, 2])
+def test_trace_of_two_processes_outlives_one_that_ends_in_a_write(
+    tmp_path, cut, records
+):
+    """Guards against a part of a line that the other process writes on behind.
+
+    That one has written its header, and ``records`` more since. The replay skipped only
+    parts that a header follows.
+    """
+    path = tmp_path / "trace.jsonl"
+    other = make_recorder(path, all_targets)
+    for _ in range(1 + records):
+        record_once(other)
+    whole = path.read_text()
+    record = {"kind": "arrival", "at": 0, "workspace": "stockists"}
+    record |= {"data_centre": "east", "key": "k" * 200_000}
+    record |= {"pipeline": "stockist-query", "prompt": 1, "output": 1}
+    line = json.dumps(record) + "\n"
+    path.write_text(whole + line[:-cut])
+    for _ in range(3):
+        record_once(other)
+    assert path.read_text().startswith(whole + line[:-cut] + "\n")
+    lines = parse_lines(path.read_text().splitlines())
+    kinds = [each.value["kind"] for each in lines]
+    kept = ["arrival"] if cut == 1 else []
+    before = ["header", "arrival"] + ["arrival"] * records
+    assert kinds == [*before, *kept, "header", *(3 * ["arrival"])]
+    assert replay(path).complete == 4 + records + len(kept)
+
+
 def test_unfinished_lines_are_counted(tmp_path, monkeypatch):
     """Guards against records that the replay leaves out without a word."""
     path = tmp_path / "trace.jsonl"
--- a/tests/test_trace_stop.py
+++ b/tests/test_trace_stop.py
@@ -73,7 +73,7 @@
 def test_disk_that_does_not_answer_does_not_hold_a_stop(recorder, stop_signal, logged):
     """Guards against a stop that waits for the disk, and against silent losses."""
     answers = threading.Event()
-    recorder._append = lambda data: answers.wait(10)
+    recorder._append = lambda *data: answers.wait(10)
     record(recorder)
     took_ms = stop_entry(recorder, stop_signal, answers)
     assert took_ms < TRACE_TIMEOUT_MS + 1_000
@@ -88,9 +88,9 @@
     may_write = threading.Event()
     append = recorder._append
 
-    def append_later(data):
+    def append_later(*data):
         may_write.wait(10)
-        append(data)
+        return append(*data)
 
     recorder._append = append_later
 
--- a/wagtailrun/observation/trace_recorder.py
+++ b/wagtailrun/observation/trace_recorder.py
@@ -111,10 +111,15 @@
         if fleet is None or not self.records:
             return
         batch, self.records = self.records, []
-        header = [] if self.has_header else [self._header(fleet)]
-        text = "".join(json.dumps(record) + "\n" for record in header + batch)
+        lines = _to_lines(batch)
         try:
-            await curio.run_in_thread(self._append, text.encode())
+            # The header may be large, and few writes need one.
+            is_written = self.has_header and await curio.run_in_thread(
+                self._append, lines, b""
+            )
+            if not is_written:
+                header = _to_lines([self._header(fleet)])
+                await curio.run_in_thread(self._append, lines, header)
         except curio.CancelledError:
             # The process ends; whether they will be written is unknown.
             self._keep(batch)
@@ -136,18 +141,23 @@
         self.records = records[:MAX_BUFFERED_RECORDS]
         self.dropped += len(records) - len(self.records)
 
-    def _append(self, data: bytes) -> None:
-        """Append ``data`` as a whole, or nothing of it.
+    def _append(self, lines: bytes, header: bytes) -> bool:
+        """Append ``lines`` behind ``header``, all of it or nothing.
 
-        The first write of the process ends an unfinished last line with a line break:
-        another process may have ended in its write, or still be writing it.
+        An unfinished last line gets a line break, and must be followed by a header, so
+        that a replay skips it: another process may have ended in its write, or still be
+        writing it.
+
+        Returns:
+            Whether they were written; not if the header is empty and needed.
         """
         with self.path.open("a+b", buffering=0) as file:
             descriptor = file.fileno()
             size = os.fstat(descriptor).st_size
-            if not self.has_header and size:
-                is_ended = os.pread(descriptor, 1, size - 1) == b"\n"
-                data = data if is_ended else b"\n" + data
+            is_ended = not size or os.pread(descriptor, 1, size - 1) == b"\n"
+            if not is_ended and not header:
+                return False
+            data = header + lines if is_ended else b"\n" + header + lines
             written = 0
             try:
                 while written < len(data):
@@ -157,6 +167,7 @@
                 if os.fstat(descriptor).st_size == size + written:
                     file.truncate(size)
                 raise
+        return True
 
     def _header(self, fleet: FleetConfiguration) -> dict[str, Any]:
         counts: dict[tuple[str, str], int] = {}
@@ -178,3 +189,7 @@
             "targets": groups,
             "outcomes": {},
         }
+
+
+def _to_lines(records: Iterable[dict[str, Any]]) -> bytes:
+    return "".join(json.dumps(record) + "\n" for record in records).encode()
