Bound the moment of a leader that a member tells an entry

Cause: an entry adds `News.leader_in_ms` to its clock as it is, and tells callers the result as `retry_after_ms` until the next reply of a member. The field has 32 bits, so that one wrong value sends callers away for up to 49 days.

Ruled out: the members of this build. They tell at most their withheld time and 50 ms (`RestartRound.leader_in_ms`), and 0 once a leader is known or the longest election timeout has passed. An earlier build tells nothing, which is read as 0.

The entry takes 2 s at most; the longest that a member of either timing tells is 1,350 ms.

--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -7,14 +7,16 @@
 from tests.fake_cluster import Cluster
 from tests.test_discovery import HEARTBEAT_MS, PlainFormat, _channel_handler
 from wagtailrun.discovery import FleetView
+from wagtailrun.discovery.control_members import MAX_LEADER_IN_MS, ControlMembers
 from wagtailrun.discovery.hub import Hub
+from wagtailrun.discovery.messages import News, NewsMarks
 from wagtailrun.discovery.poll_confirmations import CONFIRM_TIMEOUT_MS
 from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.ports.link import Address
 from wagtailrun.process.start_steps import StartStep
 from wagtailrun.registry.state import Registry
 from wagtailrun.targets.table import TargetRow
-from wagtailrun.virtual_time import run_virtual
+from wagtailrun.virtual_time import VirtualClock, run_virtual
 
 KEY_GRACE_MS = 5_000
 APPLY_LIMIT_MS = 2_500
@@ -274,3 +276,17 @@
     assert len(errors_ms) > 20
     assert -150 < min(errors_ms) <= max(errors_ms) < 200
     assert left == [None] * 4
+
+
+@pytest.mark.parametrize(
+    ("told_ms", "expected_ms"),
+    [(0, None), (1_000, 1_000), (2**32 - 1, MAX_LEADER_IN_MS)],
+    ids=["earlier build", "usual", "wrong"],
+)
+def test_moment_that_a_member_tells_is_bounded(told_ms, expected_ms):
+    """Guards against callers that are sent away for days by one wrong value."""
+    members = ControlMembers(VirtualClock(), None, "e0", list)
+    news = News(NewsMarks(), leader_in_ms=told_ms)
+    members.record_reply(Address("10.0.0.1", 7_000), news)
+    assert members.leader_expected_ms == expected_ms
+    assert MAX_LEADER_IN_MS > WITHHOLD_MS + SERVING_MS
--- a/wagtailrun/discovery/control_members.py
+++ b/wagtailrun/discovery/control_members.py
@@ -20,6 +20,8 @@
 MAX_AVOIDANCE_MS = 24_000
 RETRY_PAUSE_MS = 50
 MAX_ADDRESSES = 64
+# Members withhold their votes for at most 1.3 s after a start, and elect a leader then.
+MAX_LEADER_IN_MS = 2_000
 
 T = TypeVar("T")
 
@@ -133,7 +135,8 @@
             now_ms = self.clock.now_ms()
             self.avoid_until_ms[address] = now_ms + AVOIDANCE_MS
             if news.leader_in_ms:
-                self.leader_expected_ms = now_ms + news.leader_in_ms
+                leader_in_ms = min(news.leader_in_ms, MAX_LEADER_IN_MS)
+                self.leader_expected_ms = now_ms + leader_in_ms
         elif address != self.current:
             events.log(events.PEER_RECOVERED, peer=str(address), detail="")
             self.current = address
