Forget the moment of a leader once it has passed without a reply

Cause: an entry keeps the moment at which a member expects a leader until the next reply of a member. If the members go dark again before that, the entry tells its callers 100 to 250 ms from that moment on, for as long as no member replies, in place of the 400 ms without the word of a member. Callers with few tries use them up, and the others come back up to four times as often.

Ruled out: clearing the moment with each failed poll. With one member dark an entry fails a poll there between two replies, and would forget a moment that is right.

400 ms after the moment the usual delay holds again.

--- a/tests/test_relay_readiness.py
+++ b/tests/test_relay_readiness.py
@@ -104,3 +104,5 @@
     assert max(told) <= 1_500 + LEADER_RETRY_SPREAD_MS
     # The moment has passed, and the configuration has not arrived yet.
     assert min(delays(-300)) >= MIN_NOT_READY_RETRY_MS
+    # The members that told it have gone since, so that nobody tells another one.
+    assert set(delays(-NOT_READY_RETRY_MS)) == {NOT_READY_RETRY_MS}
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -269,8 +269,11 @@
         retry_ms = NOT_READY_RETRY_MS
         expected_ms = self.view.control_members.leader_expected_ms
         if expected_ms is not None:
-            left_ms = max(expected_ms - self.clock.now_ms(), 0)
-            retry_ms = left_ms + self.random.randint(0, LEADER_RETRY_SPREAD_MS)
+            left_ms = expected_ms - self.clock.now_ms()
+            # Long after that moment, the members that told it do not answer any more.
+            if left_ms > -NOT_READY_RETRY_MS:
+                spread_ms = self.random.randint(0, LEADER_RETRY_SPREAD_MS)
+                retry_ms = max(left_ms, 0) + spread_ms
         return Refusal(
             reason, Verdict.NOT_RUN, detail, max(retry_ms, MIN_NOT_READY_RETRY_MS)
         )
