Let targets of experiments limit the requests of relay entries

Grants of limited, brittle and cold targets, a good part of the relay's limits, had nothing to act on in an experiment.

A group of targets may have `limits`: requests a second, rejections a second that one stands, and how long it is cold after a start. Emulated targets state them in their answers and reports, reject and fail by them. Refused with the product's entries, which heed none.

--- a/tests/test_experiment_reading.py
+++ b/tests/test_experiment_reading.py
@@ -360,6 +360,7 @@
             "settings = { hedges = false }\nname = ",
             "settings.hedges",
         ),
+        ("count = 2\n", "count = 2\nlimits = { cold_ms = 5 }\n", "give both cold_ms"),
     ],
 )
 def test_bad_relay_entries(tmp_path, old, new, message):
@@ -369,6 +370,12 @@
     assert message in faults_of(tmp_path, text.replace(old, new, 1))
 
 
+def test_limits_need_relay_entries(tmp_path):
+    """Guards against limits that the product's entries never learn of."""
+    text = WHOLE.replace("count = 2\n", "count = 2\nlimits = { limit_per_s = 5 }\n", 1)
+    assert "the product's entries heed no limits" in faults_of(tmp_path, text)
+
+
 def test_too_many_requests_to_the_relay(tmp_path):
     """Guards against a play that takes hours, begun without a word."""
     text = (RELAY + TARGETS + BOOKINGS).replace("length_s = 20", "length_s = 3600")
--- a/wagtailrun/experiments/entries.py
+++ b/wagtailrun/experiments/entries.py
@@ -3,13 +3,19 @@
 from typing import Any
 
 from wagtailrun.clock import MS_PER_SECOND
-from wagtailrun.experiments.model import Arrivals, EntryKind, Load, Scenario
+from wagtailrun.experiments.model import (
+    Arrivals,
+    EntryKind,
+    Load,
+    Scenario,
+    TargetLimits,
+)
 from wagtailrun.experiments.relay_routes import route_faults
 from wagtailrun.experiments.tables import MAX_PROCESSES, MAX_SETTING_MS
 from wagtailrun.fleet.model import FleetConfiguration
 from wagtailrun.fleet.tables import Table
 
-__all__ = ["check_relay", "read_entries", "read_relay_settings"]
+__all__ = ["check_relay", "read_entries", "read_limits", "read_relay_settings"]
 
 # One request takes 2 to 10 ms of a processor with all that its entry does for it, so
 # that a play of more takes over ten minutes.
@@ -61,6 +67,24 @@
     return dict(table.value)
 
 
+def read_limits(table: Table) -> TargetLimits | None:
+    """Return what a group of targets states about its requests; None without it."""
+    if not table.value:
+        return None
+    most = table.integer("max_rejections", 0, 0, MAX_RELAY_RATE)
+    limits = TargetLimits(
+        limit_per_s=table.number("limit_per_s", 0.0, 0, MAX_RELAY_RATE) or 0.0,
+        max_rejections=most if "max_rejections" in table.value else None,
+        cold_ms=table.integer("cold_ms", 0, 0, MAX_SETTING_MS),
+        cold_per_s=table.number("cold_per_s", 0.0, 0, MAX_RELAY_RATE) or 0.0,
+    )
+    if bool(limits.cold_ms) != bool(limits.cold_per_s):
+        remedy = "give both cold_ms and cold_per_s, above 0, or none of them"
+        table.fault("cold_ms", limits.cold_ms, remedy)
+    table.close()
+    return limits
+
+
 def check_relay(root: Table, scenario: Scenario) -> None:
     """Add the faults of what relay entries do not have, or cannot be played."""
     if scenario.cache_event_loss:
--- a/wagtailrun/experiments/model.py
+++ b/wagtailrun/experiments/model.py
@@ -22,6 +22,7 @@
     "Scenario",
     "Sizes",
     "TargetGroup",
+    "TargetLimits",
     "kind_of_work",
 ]
 
@@ -207,6 +208,23 @@
     until_ms: int | None = None
 
 
+@attrs.frozen
+class TargetLimits:
+    """What the targets of a group state about the requests that they take.
+
+    Attributes:
+        limit_per_s: Requests a second that one takes; 0 if it names no limit.
+        max_rejections: Rejections a second that one stands; None if it is not brittle.
+        cold_ms: How long after a start one is cold; 0 if it never is.
+        cold_per_s: Requests a second that one stands while it is cold.
+    """
+
+    limit_per_s: float = 0.0
+    max_rejections: float | None = None
+    cold_ms: int = 0
+    cold_per_s: float = 0.0
+
+
 @attrs.frozen
 class TargetGroup:
     """Equal targets of a service in a data centre."""
@@ -215,6 +233,7 @@
     data_centre: str
     count: int
     model: TargetModel
+    limits: TargetLimits | None = None
 
     @property
     def names(self) -> list[str]:
--- a/wagtailrun/experiments/reading.py
+++ b/wagtailrun/experiments/reading.py
@@ -12,6 +12,7 @@
 from wagtailrun.experiments.entries import (
     check_relay,
     read_entries,
+    read_limits,
     read_relay_settings,
 )
 from wagtailrun.experiments.faults import read_faults
@@ -210,6 +211,9 @@
         root.fault("load", "too many requests", remedy)
     if entry_kind is EntryKind.RELAY:
         check_relay(root, scenario)
+    elif any(group.limits is not None for group in targets):
+        remedy = "the product's entries heed no limits; remove the tables"
+        root.fault("targets", "limits", remedy)
     scenario = attrs.evolve(scenario, promises=_promises(root, scenario))
     root.close()
     return scenario
@@ -238,7 +242,10 @@
         count = table.integer("count", 1, 1, MAX_PROCESSES)
         is_engine = known is not None and known.kind is ServiceKind.ENGINE
         model = _target_model(table.table("model"), is_engine)
-        groups[service, data_centre] = TargetGroup(service, data_centre, count, model)
+        limits = read_limits(table.table("limits"))
+        groups[service, data_centre] = TargetGroup(
+            service, data_centre, count, model, limits
+        )
         table.close()
     return tuple(groups.values())
 
--- a/wagtailrun/experiments/relay/__init__.py
+++ b/wagtailrun/experiments/relay/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "fleet",
+    "limiting",
     "routes",
     "server",
     "wire",
--- a/wagtailrun/experiments/relay/fleet.py
+++ b/wagtailrun/experiments/relay/fleet.py
@@ -12,6 +12,7 @@
 from wagtailrun.adapters.http_messages import Request
 from wagtailrun.experiments.relay.attempt_log import AttemptLog
 from wagtailrun.experiments.relay.entry import EmulatedEntry
+from wagtailrun.experiments.relay.limiting import StatedLimits
 from wagtailrun.experiments.relay.members import HEARTBEAT_MS, Members
 from wagtailrun.experiments.relay.network import Network
 from wagtailrun.experiments.relay.ports import PlainProtocol
@@ -81,7 +82,7 @@
         }
         self.lost_reports_by_target: dict[str, float] = {}
         # Reports on their way, with the times at which they arrive.
-        self.reports: deque[tuple[int, RelayTarget, TargetRow]] = deque()
+        self.reports: deque[tuple[int, RelayTarget, TargetRow, int | None]] = deque()
         self.turns = itertools.count()
 
     def next_row(
@@ -94,10 +95,12 @@
             name, address, service, data_centre, capacity, 1, software_version="1"
         )
 
-    def add_target(self, row: TargetRow, work: TargetWork) -> None:
+    def add_target(
+        self, row: TargetRow, work: TargetWork, limits: StatedLimits | None = None
+    ) -> None:
         """Add a target; it works from ``start`` on."""
         self.targets_by_name[row.name] = RelayTarget(
-            self.network, row, work, self.log, self.results
+            self.network, row, work, self.log, self.results, limits
         )
 
     async def start(self) -> None:
@@ -106,7 +109,8 @@
         await self.members.put_text(self.plan.text)
         for target in self.targets_by_name.values():
             await target.start()
-            await self.members.report(target.process, target.announce())
+            row = target.announce()
+            await self.members.report(target.process, row, target.cold_ms)
         for name in self.plan.data_centres_by_entry:
             await self.start_entry(name)
         await curio.spawn(self._run_reports, daemon=True)
@@ -172,10 +176,11 @@
             for target in list(self.targets_by_name.values())[group::REPORT_GROUPS]:
                 if target.announces and not self._loses_report(target):
                     due_ms = now_ms + self.plan.report_lag_ms
-                    self.reports.append((due_ms, target, target.announce()))
+                    cold_ms = target.cold_ms
+                    self.reports.append((due_ms, target, target.announce(), cold_ms))
             while self.reports and self.reports[0][0] <= now_ms:
-                _, target, row = self.reports.popleft()
-                await self.members.report(target.process, row)
+                _, target, row, cold_ms = self.reports.popleft()
+                await self.members.report(target.process, row, cold_ms)
             await self.clock.sleep_ms(HEARTBEAT_MS // REPORT_GROUPS)
 
     def _loses_report(self, target: RelayTarget) -> bool:
--- a/wagtailrun/experiments/relay/members.py
+++ b/wagtailrun/experiments/relay/members.py
@@ -153,7 +153,9 @@
         )
         return 2 * reached > len(self.members)
 
-    async def report(self, sender: Process, row: TargetRow) -> None:
+    async def report(
+        self, sender: Process, row: TargetRow, cold_ms: int | None
+    ) -> None:
         """Take the report of a target at the first member that it reaches.
 
         Members of its own data centre come first. A report passes in one direction
@@ -167,5 +169,5 @@
         for number in ranked:
             receiver = self.members[number].process
             if not self.network.drops(near, receiver.data_centre):
-                await self.hubs[number].report(row)
+                await self.hubs[number].report(row, cold_ms)
                 return
--- a/wagtailrun/experiments/relay/routes.py
+++ b/wagtailrun/experiments/relay/routes.py
@@ -63,11 +63,13 @@
         capacity: Requests, or calls of a stage, that run at once.
         call_ms: Mean duration of a call of a stage.
         cache_tokens: Tokens of the memory of an engine.
+        cold_per_s: Requests a second that a cold target stands; 0 if none is cold.
     """
 
     capacity: int = 1
     call_ms: float = 0.0
     cache_tokens: int = 0
+    cold_per_s: float = 0.0
 
 
 def call_path(service: str, call: str) -> str:
@@ -186,4 +188,6 @@
                 memory_bytes=MAX_RESULTS * RESULT_BYTES,
                 result_ms=RESULT_MS,
             )
-        yield RoutedService(service.name, engine=engine, pool=pool)
+        yield RoutedService(
+            service.name, engine=engine, pool=pool, cold_per_s=known.cold_per_s
+        )
--- a/wagtailrun/experiments/relay/targets.py
+++ b/wagtailrun/experiments/relay/targets.py
@@ -12,6 +12,7 @@
 from wagtailrun.exceptions import TargetFailed
 from wagtailrun.experiments.relay import wire
 from wagtailrun.experiments.relay.attempt_log import AttemptLog
+from wagtailrun.experiments.relay.limiting import Admission, StatedLimits
 from wagtailrun.experiments.relay.network import Network, Process
 from wagtailrun.experiments.relay.results import ResultStore
 from wagtailrun.experiments.relay.sockets import VirtualSocket
@@ -29,7 +30,14 @@
 
 READ_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
-REASONS = {200: "OK", 409: "Conflict", 421: "Misdirected Request"}
+REASONS = {
+    200: "OK",
+    409: "Conflict",
+    421: "Misdirected Request",
+    503: "Service Unavailable",
+}
+# A target that failed from requests is started again after this long.
+RESTART_MS = 3_000
 # Rank of pieces of stages, which name none.
 PIECE_URGENCY = 5
 
@@ -51,6 +59,7 @@
         work: What it does with requests.
         log: Log of the attempts, which is told when answers arrive.
         results: Results of stages that targets keep.
+        limits: What it states about the requests that it takes.
     """
 
     def __init__(
@@ -60,12 +69,19 @@
         work: TargetWork,
         log: AttemptLog,
         results: ResultStore,
+        limits: StatedLimits | None = None,
     ):
         self.network = network
         self.row = row
         self.work = work
         self.log = log
         self.results = results
+        self.admission = Admission(
+            network.clock, limits or StatedLimits(), work.capacity
+        )
+        self.broken = curio.Event()
+        # How often it failed from requests.
+        self.failures = 0
         self.is_paused = False
         self.process = Process(row.name, row.address, row.data_centre, self.serve)
         network.add(self.process)
@@ -73,12 +89,29 @@
     async def start(self) -> None:
         """Begin to work."""
         await curio.spawn(self.work.run, daemon=True)
+        await curio.spawn(self._restart_when_broken, daemon=True)
+
+    async def _restart_when_broken(self) -> None:
+        """End the process when it fails from requests, and start it again."""
+        while True:
+            await self.broken.wait()
+            self.broken.clear()
+            self.failures += 1
+            await self.die()
+            await self.network.clock.sleep_ms(RESTART_MS)
+            if not self.process.is_alive:
+                await self.restart()
 
     @property
     def announces(self) -> bool:
         """Whether it is in a state to report."""
         return self.process.is_alive and not self.process.is_lost and not self.is_paused
 
+    @property
+    def cold_ms(self) -> int | None:
+        """What its reports say about its coldness; None if it is never cold."""
+        return self.admission.cold_ms if self.admission.limits.cold_ms else None
+
     def announce(self) -> TargetRow:
         """Return its next report."""
         self.row = attrs.evolve(
@@ -99,6 +132,7 @@
 
     async def restart(self) -> None:
         """Start again as a new incarnation."""
+        self.admission.restart()
         incarnation = self.row.incarnation + 1
         self.row = attrs.evolve(self.row, incarnation=incarnation, sequence=0)
         await self.network.revive(self.process)
@@ -166,16 +200,31 @@
                 self.results.free(handle)
             await self._send_whole(sock, wire.OK, (), b"")
             return True
+        pieces = len(json.loads(body)) if head.path == RUN_PATH else 1
+        in_progress = self.work.running + self.work.queued
+        is_admitted = self.admission.admit(pieces, in_progress)
+        if self.admission.is_broken:
+            await self.broken.set()
+            return False
+        if not is_admitted:
+            answers = ((wire.NOT_RUN, "1"), *self._named(head))
+            await self._send_whole(sock, wire.UNAVAILABLE, answers, b"")
+            return True
         if head.path == RUN_PATH:
             return await self._while_open(sock, self._run_pieces(sock, body))
         inputs = [each for each in head.headers.get(wire.INPUTS, "").split(",") if each]
         request = self._read_request(head, body)
         if not self._can_fetch(inputs):
-            headers = ((wire.ANSWER_ID, request.request_id), (wire.NOT_RUN, "1"))
+            headers = ((wire.NOT_RUN, "1"), *self._named(head))
             await self._send_whole(sock, wire.CONFLICT, headers, b"")
             return True
         return await self._while_open(sock, self._run_request(sock, request))
 
+    def _named(self, head: _Head) -> tuple[tuple[str, str], ...]:
+        """Return the header that names the request; a stage call names none."""
+        request_id = head.headers.get(wire.REQUEST_ID)
+        return () if request_id is None else ((wire.ANSWER_ID, request_id),)
+
     async def _while_open(self, sock: VirtualSocket, work: Awaitable[bool]) -> bool:
         """Answer a request until the entry closes the connection.
 
@@ -298,7 +347,8 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
     ) -> None:
-        pairs = (*headers, ("content-length", str(len(body))))
+        length = ("content-length", str(len(body)))
+        pairs = (*headers, *self.admission.headers(), length)
         await sock.sendall(_response_head(status, pairs) + body)
 
     async def _send_event(
@@ -314,6 +364,7 @@
         if is_first:
             headers = (
                 *self._answer_headers(request),
+                *self.admission.headers(),
                 ("content-type", wire.EVENT_STREAM),
                 ("transfer-encoding", "chunked"),
             )
--- a/wagtailrun/experiments/relay/wire.py
+++ b/wagtailrun/experiments/relay/wire.py
@@ -21,11 +21,14 @@
 __all__ = [
     "ANSWER_ID",
     "ATTEMPT",
+    "BRITTLE",
+    "COLD",
     "CONFLICT",
     "DEADLINE",
     "EVENT_STREAM",
     "INPUTS",
     "KEY",
+    "LIMIT",
     "LOAD",
     "MISDIRECTED",
     "NOT_RUN",
@@ -37,9 +40,9 @@
     "REPORT_PATH",
     "REQUEST_ID",
     "RESUME_AFTER",
-    "RETRY_AFTER",
     "TARGET",
     "TOKENS",
+    "UNAVAILABLE",
     "URGENCY",
     "PlainWire",
 ]
@@ -63,7 +66,9 @@
 ANSWER_ID = "x-answers"
 LOAD = "x-load"
 NOT_RUN = "x-not-run"
-RETRY_AFTER = "x-retry-after-ms"
+LIMIT = "x-limit"
+BRITTLE = "x-brittle"
+COLD = "x-cold-ms"
 
 EVENT_STREAM = "text/event-stream"
 REPORT_PATH = "/report"
@@ -164,12 +169,12 @@
         """Return what an answer says about its target; see ``RelayWire``."""
         if stream.status == MISDIRECTED:
             return None
-        pause_ms = 0
-        if stream.status == UNAVAILABLE:
-            pause_ms = int(stream.headers.get(RETRY_AFTER, "0"))
-        rejected = stream.status in (CONFLICT, UNAVAILABLE)
+        headers = stream.headers
         return TargetNotice(
-            pause_ms=pause_ms, rejected=rejected and NOT_RUN in stream.headers
+            limit_per_s=float(headers[LIMIT]) if LIMIT in headers else None,
+            max_rejections=float(headers[BRITTLE]) if BRITTLE in headers else None,
+            rejected=stream.status == UNAVAILABLE and NOT_RUN in headers,
+            cold_ms=_optional_integer(headers, COLD),
         )
 
     def report_request(self, target: str) -> tuple[str, str, Headers]:
--- a/wagtailrun/experiments/relay_play.py
+++ b/wagtailrun/experiments/relay_play.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import attrs
 import curio
 
 from wagtailrun.adapters.http_messages import Request
@@ -22,6 +23,7 @@
 from wagtailrun.experiments.records import PlayRecords
 from wagtailrun.experiments.relay import wire
 from wagtailrun.experiments.relay.fleet import FleetPlan, RelayFleet
+from wagtailrun.experiments.relay.limiting import StatedLimits
 from wagtailrun.experiments.relay.routes import HOST, key_of
 from wagtailrun.experiments.relay.server import AnswerEnd, AnswerPart, CallerExchange
 from wagtailrun.experiments.relay.work import SimpleWork
@@ -106,7 +108,10 @@
                 )
                 work_seed = self.fleet.random.randrange(2**32)
                 work = SimpleWork(clock, row, group.model, work_seed)
-                self.fleet.add_target(row, work)
+                limits = None
+                if group.limits is not None:
+                    limits = StatedLimits(**attrs.asdict(group.limits))
+                self.fleet.add_target(row, work, limits)
 
     async def play(self) -> None:
         """Play until the last request has ended."""
--- a/wagtailrun/experiments/relay_routes.py
+++ b/wagtailrun/experiments/relay_routes.py
@@ -33,6 +33,7 @@
             group.model.capacity,
             group.model.service_ms,
             group.model.cache_blocks * CACHE_BLOCK_TOKENS,
+            group.limits.cold_per_s if group.limits is not None else 0.0,
         )
         for group in scenario.targets
     }
