--- a/tests/test_relay_experiments.py
+++ b/tests/test_relay_experiments.py
@@ -316,8 +316,9 @@
 
 def test_other_hashes_of_texts_give_the_same_bytes(tmp_path):
     """Guards against an order of sets that differs from process to process."""
-    text = HEAD.replace("length_s = 20", "length_s = 12") + CALLS + CHATS
-    path = write(tmp_path, text + fault("kill-target", "desk-east-0", "for_s = 3"))
+    text = TWO_PLACES.replace("length_s = 20", "length_s = 12") + CALLS + CHATS
+    text += fault("kill-target", "engines-east-0", "for_s = 3")
+    path = write(tmp_path, text + fault("cut", "west", "for_s = 3"))
     found = []
     for seed in ("1", "2"):
         out = tmp_path / seed
