--- a/tests/test_relay_experiments.py
+++ b/tests/test_relay_experiments.py
@@ -275,6 +275,29 @@
     assert event.planned
 
 
+TRACE = """
+{"kind": "arrival", "at": 100, "workspace": "clerks", "service": "desk",
+ "call": "stock"}
+{"kind": "arrival", "at": 200, "workspace": "clerks", "pipeline": "chat",
+ "prompt": 90, "shared": 64, "prefix": "p", "output": 7}
+{"kind": "arrival", "at": 300, "workspace": "clerks", "service": "desk",
+ "call": "book", "key": "k1"}
+"""
+
+
+def test_recorded_trace_is_played(tmp_path):
+    """Guards against traces whose fields the relay's callers cannot do without."""
+    lines = TRACE.replace(",\n", ",").strip()
+    (tmp_path / "trace.jsonl").write_text(lines + "\n")
+    load = '[[load]]\narrivals = "trace"\ntrace = "trace.jsonl"\n'
+    records = play(tmp_path, HEAD + load)
+    assert [(r.outcome, r.tokens) for r in records.requests] == [
+        ("served", 0),
+        ("served", 7),
+        ("served", 0),
+    ]
+
+
 RELAY_TABLE = """
 [[relay.services]]
 name = "desk"
@@ -316,8 +339,9 @@
 
 def test_other_hashes_of_texts_give_the_same_bytes(tmp_path):
     """Guards against an order of sets that differs from process to process."""
-    text = HEAD.replace("length_s = 20", "length_s = 12") + CALLS + CHATS
-    path = write(tmp_path, text + fault("kill-target", "desk-east-0", "for_s = 3"))
+    text = TWO_PLACES.replace("length_s = 20", "length_s = 12") + CALLS + CHATS
+    text += fault("kill-target", "engines-east-0", "for_s = 3")
+    path = write(tmp_path, text + fault("cut", "west", "for_s = 3"))
     found = []
     for seed in ("1", "2"):
         out = tmp_path / seed
--- a/wagtailrun/experiments/relay_play.py
+++ b/wagtailrun/experiments/relay_play.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import attrs
 import curio
 
 from wagtailrun.adapters.http_messages import Request
@@ -23,10 +24,12 @@
 from wagtailrun.experiments.records import PlayRecords
 from wagtailrun.experiments.relay import wire
 from wagtailrun.experiments.relay.fleet import FleetPlan, RelayFleet
+from wagtailrun.experiments.relay.limiting import StatedLimits
 from wagtailrun.experiments.relay.routes import HOST, key_of
 from wagtailrun.experiments.relay.server import AnswerEnd, AnswerPart, CallerExchange
 from wagtailrun.experiments.relay.work import SimpleWork
 from wagtailrun.experiments.relay_routes import path_of, relay_table, relay_text
+from wagtailrun.fleet.model import StageKind
 from wagtailrun.logs import events
 from wagtailrun.logs.events import EVENT_LOG
 from wagtailrun.replay.player import make_prompt
@@ -111,7 +114,10 @@
                 )
                 work_seed = self.fleet.random.randrange(2**32)
                 work = SimpleWork(clock, row, group.model, work_seed)
-                self.fleet.add_target(row, work)
+                limits = None
+                if group.limits is not None:
+                    limits = StatedLimits(**attrs.asdict(group.limits))
+                self.fleet.add_target(row, work, limits)
 
     def _decisions_of(self, name: str) -> DecisionLog:
         if self.decisions is None:
@@ -145,7 +151,7 @@
         """Send a request and read its answer."""
         async with self._noting_error():
             sent = await self.fleet.submit(
-                outcome.arrival["data_centre"], self._make_request(outcome)
+                outcome.arrival.get("data_centre", ""), self._make_request(outcome)
             )
             if sent is None:
                 outcome.failure = "no-entry"
@@ -205,7 +211,11 @@
             del pending[: end + len(EVENT_END)]
 
     def _is_stream(self, outcome: Outcome) -> bool:
-        return bool(outcome.arrival.get("output"))
+        name = outcome.arrival.get("pipeline")
+        if name is None:
+            return False
+        stages = self.scenario.fleet.pipelines_by_name[name].stages
+        return stages[-1].kind is StageKind.GENERATE
 
     def _make_request(self, outcome: Outcome) -> Request:
         arrival = outcome.arrival
@@ -394,7 +404,7 @@
     """Return the parts of a prompt: what it shares with others, and the rest."""
     shared = int(arrival.get("shared", 0))
     own = f"{request_id}:{arrival['prompt'] - shared}"
-    return f"{arrival['prefix']}:{shared},{own}" if shared else own
+    return f"{arrival.get('prefix', '')}:{shared},{own}" if shared else own
 
 
 def play_relay_scenario(
