Declare LoweredShares a target filter

Cause: it has the method of TargetFilter, and its doc comment told its arguments a second time. Conclusion: mypy checks the method against the interface; no change of behaviour.

--- a/wagtailrun/targets/lowered_shares.py
+++ b/wagtailrun/targets/lowered_shares.py
@@ -7,6 +7,7 @@
 
 from wagtailrun.clock import Clock
 from wagtailrun.logs import events
+from wagtailrun.targets.filters import TargetFilter
 from wagtailrun.targets.table import TargetRow
 
 __all__ = [
@@ -108,7 +109,7 @@
         return self.share < FULL_SHARE
 
 
-class LoweredShares:
+class LoweredShares(TargetFilter):
     """Shares of targets, for all entries or for one of them.
 
     A share falls to probes by single requests, and comes back by steps.
@@ -155,17 +156,7 @@
         begin: bool = True,
         costs_more: Callable[[TargetRow], bool] = lambda row: False,
     ) -> list[TargetRow]:
-        """Return the targets among which to choose: all, or one that is probed.
-
-        Args:
-            rows: Targets that accept work.
-            entry: Entry that has the request.
-            avoid: Targets that were already tried.
-            prompt_tokens: Tokens of the prompt.
-            begin: Whether an attempt starts now.
-            costs_more: Returns whether a target has much more work with the request
-                than another one; it is probed by others, if any come.
-        """
+        """Return all targets, or one that is probed; see ``TargetFilter``."""
         is_short = True
         if rows:
             service = rows[0].service
