Have an owner without targets told of held parts again

Cause: an owner that has just started is live for the other entries as soon as a control member has its first poll, and knows targets only with the reply to it, which a member holds for up to 400 ms while no leader confirms. Parts that it is told in between are ignored, as it knows no engine, but its reply counts as taken, so that nobody tells it again.

Ruled out: `RunNoted(known=False)` as the sign, which owners of an earlier build reply to every such message; they would be told each second. Keeping what is ignored until targets are known needs one more bound on memory.

An owner that knows no target of the service replies with an error, after which the sender tries again in 1 s, as after a lost message. Single engines that the owner does not know are ignored as before.

Before and after, virtual time, test_owner_that_knows_no_targets_yet_is_told_again: 0 and 4,000 tokens known at the owner 2.4 s after the first news.

--- a/tests/test_part_news.py
+++ b/tests/test_part_news.py
@@ -33,6 +33,7 @@
     MAX_ENGINES,
     MAX_KNOWN,
     PART_FORMAT,
+    RETRY_MS,
     KnownParts,
     PartNews,
 )
@@ -341,3 +342,26 @@
         return fleet.network.messages - before
 
     assert run_virtual(main) <= 3
+
+
+def test_owner_that_knows_no_targets_yet_is_told_again():
+    """Guards against news that an owner gets before its first list of targets.
+
+    It is live for the others as soon as a control member has its first poll, and has
+    the reply to that poll up to 400 ms later. What it could not use counted as told.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        owner = fleet.processes[fleet.owner()]
+        teller = next(p for p in fleet.processes.values() if p is not owner)
+        teller.host.known.record(fleet.rows[0], [digest_part("d0")])
+        rows, fleet.rows = fleet.rows, []
+        await fleet.start()
+        await clock.sleep_ms(2 * INTERVAL_MS)
+        fleet.rows = rows
+        await clock.sleep_ms(2 * RETRY_MS)
+        parts = (PromptPart(digest_part("d0"), 4_000), PromptPart("own", 1))
+        return owner.host.chooser.estimate(rows[0], parts, 4_001).cached_tokens
+
+    assert run_virtual(main) == 4_000
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -16,6 +16,7 @@
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
 from wagtailrun.logs import events
+from wagtailrun.messages import PeerError
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.core.placement_messages import (
     Placed,
@@ -152,7 +153,9 @@
         self.runs_by_key: dict[tuple[str, str], _Run] = {}
         self.margins_by_route: dict[str, MarginEstimator] = {}
 
-    def handle(self, message: PlaceRun | RunOver | RunBroken) -> Placed | RunNoted:
+    def handle(
+        self, message: PlaceRun | RunOver | RunBroken
+    ) -> Placed | RunNoted | PeerError:
         """Return the reply to one message from an entry.
 
         Raises:
@@ -344,7 +347,7 @@
             self.detector.record_break(message)
         return RunNoted(known)
 
-    def _record_end(self, message: RunOver) -> RunNoted:
+    def _record_end(self, message: RunOver) -> RunNoted | PeerError:
         if message.held:
             return self._take_parts(message)
         if not message.target:
@@ -376,10 +379,17 @@
         self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
-    def _take_parts(self, message: RunOver) -> RunNoted:
-        """Take over what another process knows of the parts that engines hold."""
+    def _take_parts(self, message: RunOver) -> RunNoted | PeerError:
+        """Take over what another process knows of the parts that engines hold.
+
+        Returns:
+            An error if this process knows no targets yet, so that it is told again.
+        """
+        rows = self.targets(message.service)
+        if not rows:
+            return PeerError("no-targets", f"no target of {message.service} is known")
         taken, ignored = 0, 0
-        for row, names in held_parts(message, self.targets(message.service)):
+        for row, names in held_parts(message, rows):
             if row is None:
                 ignored += len(names)
                 continue
@@ -480,7 +490,7 @@
 
     async def handle(
         self, message: PlaceRun | RunOver | RunBroken
-    ) -> Placed | RunNoted:
+    ) -> Placed | RunNoted | PeerError:
         """Return the reply of the host, and report the crashes that it detected.
 
         Raises:
