Know which prompt reads a part after an earlier one is overdue

Cause: an engine's reading of a part stays with the prompt that began it, also once that prompt is overdue and counts no more. Until it ends (20 s at most, where its entry was killed) or another one has its first event, no later prompt is known to read the part, so that each prompt with it is sent at once, and the part is read beside the others.

Ruled out: dropping overdue readings as they are looked up, as estimates that begin nothing would change the state.

A prompt that begins takes over readings that are overdue. The end of the former prompt leaves them alone, as it names another prompt.

Before and after, test_overdue_reading_gives_way_to_the_next_prompt: 0 and 30,000 tokens known to be read. The share of such prompts in plays was not measured.

--- a/tests/test_part_placement.py
+++ b/tests/test_part_placement.py
@@ -16,7 +16,7 @@
 )
 from wagtailrun.relay import PromptPart
 from wagtailrun.relay.core.placement_messages import RunOver
-from wagtailrun.relay.placement.part_cache import MAX_PARTS
+from wagtailrun.relay.placement.part_cache import MAX_PARTS, PartCache
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.lowered_shares import (
     ALL_ENTRIES,
@@ -216,3 +216,23 @@
         names.append(play.owner.handle(message).target)
         play.owner.handle(RunOver(f"q{number}", "s", names[-1], "succeeded", 100))
     assert lowered.name in names
+
+
+def test_overdue_reading_gives_way_to_the_next_prompt():
+    """Load: prompts with one part, of which the first gets no answer.
+
+    Guards against a part that several prompts read at once, since the lost one kept the
+    others from being known to read it.
+    """
+    parts = (PromptPart("d", 30_000), PromptPart("own", 1))
+    cache = PartCache()
+    cache.begin("lost", parts, 0, 100.0)
+    assert cache.look_up(parts, 50.0)[1] == 30_000
+    assert cache.look_up(parts, 1_000.0)[1] == 0
+    cache.begin("next", parts, 1_000.0, 100.0)
+    assert cache.look_up(parts, 1_050.0)[1:] == (30_000, 50.0)
+    # The end of the lost prompt says nothing about the next one.
+    cache.end("lost", ["d"], has_begun=False)
+    assert cache.look_up(parts, 1_050.0)[1] == 30_000
+    cache.end("next", ["d"], has_begun=False)
+    assert not cache.reading
--- a/wagtailrun/relay/placement/part_cache.py
+++ b/wagtailrun/relay/placement/part_cache.py
@@ -99,7 +99,9 @@
         for part in parts[:-1][:MAX_CHAIN]:
             if part.name in self.held:
                 self.held.move_to_end(part.name)
-            elif part.name not in self.reading:
+                continue
+            reading = self.reading.get(part.name)
+            if reading is None or now_ms > reading.overdue_ms:
                 self.reading[part.name] = _Reading(prompt, ready_ms, overdue_ms)
 
     def end(self, prompt: Hashable, names: Iterable[str], *, has_begun: bool) -> None:
