Record parts for the process of an engine that read them

Cause: an entry records the parts of an attempt by the engine's name when its first event is reported. The report may wait for the entry that carried the answer. If the engine was started again meanwhile, its new process is taken to hold the parts, and the next owner is told so.

Ruled out: the owner's own record, which keeps the incarnation of each attempt, and the check of a told list, which cannot see this, as the list names the new incarnation.

The entry keeps the row with the attempt, and records nothing if the engine has another incarnation by then, or was not known here.

Before and after, test_answer_of_an_engine_that_has_restarted_since_tells_nothing: one part known of the new process, and none.

--- a/tests/test_part_news.py
+++ b/tests/test_part_news.py
@@ -365,3 +365,33 @@
         return owner.host.chooser.estimate(rows[0], parts, 4_001).cached_tokens
 
     assert run_virtual(main) == 4_000
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_answer_of_an_engine_that_has_restarted_since_tells_nothing(is_restarted):
+    """Load: an engine that starts again between its first event and the report of it.
+
+    Guards against parts that the new process is taken to hold, as it has the name of
+    the former one.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock, engines=1)
+        await fleet.start()
+        process = next(
+            process
+            for name, process in fleet.processes.items()
+            if name != fleet.owner()
+        )
+        parts = (PARTS[0], PromptPart("own", OWN_TOKENS))
+        message = PlaceRun("r", SERVICE, parts, 4_300, (), (), True)
+        placed = await process.client.place(message)
+        if is_restarted:
+            fleet.rows = [attrs.evolve(row, incarnation=2) for row in fleet.rows]
+        await process.client.report_end(
+            RunOver("r", SERVICE, placed.target, RunOutcome.SUCCEEDED, 100)
+        )
+        return process.host.known.untold(SERVICE, ("other", 1))
+
+    known = run_virtual(main)
+    assert known == ([] if is_restarted else [("t0", 1, digest_part("d0"))])
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -110,10 +110,12 @@
 
     Attributes:
         owner: Process that placed it, by name and incarnation; None if this one did.
+        row: Its target as known when it was placed; None if it was not known.
         parts: Names of the parts of its prompt, without the last.
     """
 
     owner: tuple[str, int] | None
+    row: TargetRow | None
     parts: tuple[str, ...]
 
 
@@ -533,6 +535,7 @@
         if message.begin and placed.target and not placed.part_wait_ms:
             self.attempts_by_key[message.request_id, placed.target] = _PlacedAttempt(
                 owner.process if owner is not None else None,
+                self._row(message.service, placed.target),
                 tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
             )
         return placed
@@ -571,11 +574,20 @@
         await curio.spawn(self._send_end, attempt.owner[0], message, daemon=True)
 
     def _record_held(self, message: RunOver, attempt: _PlacedAttempt) -> None:
-        """Record the parts of an attempt whose first event has arrived."""
+        """Record the parts of an attempt whose first event has arrived.
+
+        An engine that was started again since holds nothing of it.
+        """
+        row, placed_on = self._row(message.service, message.target), attempt.row
+        if row is None or placed_on is None or row.incarnation != placed_on.incarnation:
+            return
         names = [digest_part(name) for name in attempt.parts]
-        for row in self.host.targets(message.service):
-            if row.name == message.target:
-                self.host.known.record(row, names, attempt.owner)
+        self.host.known.record(row, names, attempt.owner)
+
+    def _row(self, service: str, name: str) -> TargetRow | None:
+        """Return a target of a service as it is known now, None if it is not."""
+        rows = self.host.targets(service)
+        return next((row for row in rows if row.name == name), None)
 
     async def _send_end(self, name: str, message: RunOver) -> None:
         for row in self.owners.entries():
