Forget attempts whose ends are not reported

Cause: an entry keeps who placed each attempt, and the names of its parts, until the attempt's end is reported. A caller that leaves while the closed connection of its attempt is probed (300 ms after an engine crashed) ends the request without a report, and so does an error other than a failed attempt. What was kept stays for as long as the process runs.

Ruled out: reports in each of these places alone. The owner does not rely on them either: its runs expire after 20 s (`RUN_LIFETIME_MS`), later ends are unknown to it, and a report is of no use then.

The entry drops attempts after the same time, as it places others.

--- a/tests/test_part_news.py
+++ b/tests/test_part_news.py
@@ -37,7 +37,11 @@
     KnownParts,
     PartNews,
 )
-from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
+from wagtailrun.relay.placement.service import (
+    RUN_LIFETIME_MS,
+    PlacementClient,
+    PlacementHost,
+)
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
@@ -395,3 +399,23 @@
 
     known = run_virtual(main)
     assert known == ([] if is_restarted else [("t0", 1, digest_part("d0"))])
+
+
+def test_attempts_whose_ends_are_not_reported_take_limited_memory():
+    """Load: callers that leave while a closed connection is probed, so no end is known.
+
+    Guards against what an entry keeps of them for ever, as the owner does not.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        await fleet.start()
+        process = next(iter(fleet.processes.values()))
+        for number in range(300):
+            parts = (PARTS[0], PromptPart(f"r{number}-own", OWN_TOKENS))
+            message = PlaceRun(f"r{number}", SERVICE, parts, 4_300, (), (), True)
+            await process.client.place(message)
+            await clock.sleep_ms(1_000)
+        return len(process.client.attempts_by_key)
+
+    assert run_virtual(main) <= RUN_LIFETIME_MS // 1_000
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -15,6 +15,7 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.logs import events
 from wagtailrun.messages import PeerError
 from wagtailrun.ports.link import PeerLink
@@ -112,11 +113,13 @@
         owner: Process that placed it, by name and incarnation; None if this one did.
         row: Its target as known when it was placed; None if it was not known.
         parts: Names of the parts of its prompt, without the last.
+        placed_ms: When it was placed.
     """
 
     owner: tuple[str, int] | None
     row: TargetRow | None
     parts: tuple[str, ...]
+    placed_ms: int
 
 
 class PlacementHost:
@@ -533,13 +536,33 @@
             # The host answers a request to place with nothing else.
             owner, placed = None, cast(Placed, await self.handle(message))
         if message.begin and placed.target and not placed.part_wait_ms:
-            self.attempts_by_key[message.request_id, placed.target] = _PlacedAttempt(
-                owner.process if owner is not None else None,
-                self._row(message.service, placed.target),
-                tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
-            )
+            self._keep_attempt(message, placed.target, owner)
         return placed
 
+    def _keep_attempt(
+        self, message: PlaceRun, target: str, owner: EntryRow | None
+    ) -> None:
+        """Keep who placed an attempt until its end is reported.
+
+        As at the owner, it expires. No end is reported where the caller leaves while a
+        closed connection is probed.
+        """
+        now_ms = self.host.clock.now_ms()
+        while self.attempts_by_key:
+            key, attempt = next(iter(self.attempts_by_key.items()))
+            if attempt.placed_ms > now_ms - RUN_LIFETIME_MS:
+                break
+            del self.attempts_by_key[key]
+        key = message.request_id, target
+        # At the end, so that the oldest ones come first.
+        self.attempts_by_key.pop(key, None)
+        self.attempts_by_key[key] = _PlacedAttempt(
+            owner.process if owner is not None else None,
+            self._row(message.service, target),
+            tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
+            now_ms,
+        )
+
     def placer(self, request_id: str, target: str) -> str:
         """Return the name of the entry that placed an attempt in progress."""
         attempt = self.attempts_by_key.get((request_id, target))
