--- a/tests/test_part_news.py
+++ b/tests/test_part_news.py
@@ -33,10 +33,15 @@
     MAX_ENGINES,
     MAX_KNOWN,
     PART_FORMAT,
+    RETRY_MS,
     KnownParts,
     PartNews,
 )
-from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
+from wagtailrun.relay.placement.service import (
+    RUN_LIFETIME_MS,
+    PlacementClient,
+    PlacementHost,
+)
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
@@ -341,3 +346,76 @@
         return fleet.network.messages - before
 
     assert run_virtual(main) <= 3
+
+
+def test_owner_that_knows_no_targets_yet_is_told_again():
+    """Guards against news that an owner gets before its first list of targets.
+
+    It is live for the others as soon as a control member has its first poll, and has
+    the reply to that poll up to 400 ms later. What it could not use counted as told.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        owner = fleet.processes[fleet.owner()]
+        teller = next(p for p in fleet.processes.values() if p is not owner)
+        teller.host.known.record(fleet.rows[0], [digest_part("d0")])
+        rows, fleet.rows = fleet.rows, []
+        await fleet.start()
+        await clock.sleep_ms(2 * INTERVAL_MS)
+        fleet.rows = rows
+        await clock.sleep_ms(2 * RETRY_MS)
+        parts = (PromptPart(digest_part("d0"), 4_000), PromptPart("own", 1))
+        return owner.host.chooser.estimate(rows[0], parts, 4_001).cached_tokens
+
+    assert run_virtual(main) == 4_000
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_answer_of_an_engine_that_has_restarted_since_tells_nothing(is_restarted):
+    """Load: an engine that starts again between its first event and the report of it.
+
+    Guards against parts that the new process is taken to hold, as it has the name of
+    the former one.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock, engines=1)
+        await fleet.start()
+        process = next(
+            process
+            for name, process in fleet.processes.items()
+            if name != fleet.owner()
+        )
+        parts = (PARTS[0], PromptPart("own", OWN_TOKENS))
+        message = PlaceRun("r", SERVICE, parts, 4_300, (), (), True)
+        placed = await process.client.place(message)
+        if is_restarted:
+            fleet.rows = [attrs.evolve(row, incarnation=2) for row in fleet.rows]
+        await process.client.report_end(
+            RunOver("r", SERVICE, placed.target, RunOutcome.SUCCEEDED, 100)
+        )
+        return process.host.known.untold(SERVICE, ("other", 1))
+
+    known = run_virtual(main)
+    assert known == ([] if is_restarted else [("t0", 1, digest_part("d0"))])
+
+
+def test_attempts_whose_ends_are_not_reported_take_limited_memory():
+    """Load: callers that leave while a closed connection is probed, so no end is known.
+
+    Guards against what an entry keeps of them for ever, as the owner does not.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        await fleet.start()
+        process = next(iter(fleet.processes.values()))
+        for number in range(300):
+            parts = (PARTS[0], PromptPart(f"r{number}-own", OWN_TOKENS))
+            message = PlaceRun(f"r{number}", SERVICE, parts, 4_300, (), (), True)
+            await process.client.place(message)
+            await clock.sleep_ms(1_000)
+        return len(process.client.attempts_by_key)
+
+    assert run_virtual(main) <= RUN_LIFETIME_MS // 1_000
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -15,7 +15,9 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
+from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.logs import events
+from wagtailrun.messages import PeerError
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.core.placement_messages import (
     Placed,
@@ -109,11 +111,15 @@
 
     Attributes:
         owner: Process that placed it, by name and incarnation; None if this one did.
+        row: Its target as known when it was placed; None if it was not known.
         parts: Names of the parts of its prompt, without the last.
+        placed_ms: When it was placed.
     """
 
     owner: tuple[str, int] | None
+    row: TargetRow | None
     parts: tuple[str, ...]
+    placed_ms: int
 
 
 class PlacementHost:
@@ -152,7 +158,9 @@
         self.runs_by_key: dict[tuple[str, str], _Run] = {}
         self.margins_by_route: dict[str, MarginEstimator] = {}
 
-    def handle(self, message: PlaceRun | RunOver | RunBroken) -> Placed | RunNoted:
+    def handle(
+        self, message: PlaceRun | RunOver | RunBroken
+    ) -> Placed | RunNoted | PeerError:
         """Return the reply to one message from an entry.
 
         Raises:
@@ -344,7 +352,7 @@
             self.detector.record_break(message)
         return RunNoted(known)
 
-    def _record_end(self, message: RunOver) -> RunNoted:
+    def _record_end(self, message: RunOver) -> RunNoted | PeerError:
         if message.held:
             return self._take_parts(message)
         if not message.target:
@@ -376,10 +384,17 @@
         self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
-    def _take_parts(self, message: RunOver) -> RunNoted:
-        """Take over what another process knows of the parts that engines hold."""
+    def _take_parts(self, message: RunOver) -> RunNoted | PeerError:
+        """Take over what another process knows of the parts that engines hold.
+
+        Returns:
+            An error if this process knows no targets yet, so that it is told again.
+        """
+        rows = self.targets(message.service)
+        if not rows:
+            return PeerError("no-targets", f"no target of {message.service} is known")
         taken, ignored = 0, 0
-        for row, names in held_parts(message, self.targets(message.service)):
+        for row, names in held_parts(message, rows):
             if row is None:
                 ignored += len(names)
                 continue
@@ -480,7 +495,7 @@
 
     async def handle(
         self, message: PlaceRun | RunOver | RunBroken
-    ) -> Placed | RunNoted:
+    ) -> Placed | RunNoted | PeerError:
         """Return the reply of the host, and report the crashes that it detected.
 
         Raises:
@@ -521,12 +536,33 @@
             # The host answers a request to place with nothing else.
             owner, placed = None, cast(Placed, await self.handle(message))
         if message.begin and placed.target and not placed.part_wait_ms:
-            self.attempts_by_key[message.request_id, placed.target] = _PlacedAttempt(
-                owner.process if owner is not None else None,
-                tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
-            )
+            self._keep_attempt(message, placed.target, owner)
         return placed
 
+    def _keep_attempt(
+        self, message: PlaceRun, target: str, owner: EntryRow | None
+    ) -> None:
+        """Keep who placed an attempt until its end is reported.
+
+        As at the owner, it expires. No end is reported where the caller leaves while a
+        closed connection is probed.
+        """
+        now_ms = self.host.clock.now_ms()
+        while self.attempts_by_key:
+            key, attempt = next(iter(self.attempts_by_key.items()))
+            if attempt.placed_ms > now_ms - RUN_LIFETIME_MS:
+                break
+            del self.attempts_by_key[key]
+        key = message.request_id, target
+        # At the end, so that the oldest ones come first.
+        self.attempts_by_key.pop(key, None)
+        self.attempts_by_key[key] = _PlacedAttempt(
+            owner.process if owner is not None else None,
+            self._row(message.service, target),
+            tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
+            now_ms,
+        )
+
     def placer(self, request_id: str, target: str) -> str:
         """Return the name of the entry that placed an attempt in progress."""
         attempt = self.attempts_by_key.get((request_id, target))
@@ -561,11 +597,20 @@
         await curio.spawn(self._send_end, attempt.owner[0], message, daemon=True)
 
     def _record_held(self, message: RunOver, attempt: _PlacedAttempt) -> None:
-        """Record the parts of an attempt whose first event has arrived."""
+        """Record the parts of an attempt whose first event has arrived.
+
+        An engine that was started again since holds nothing of it.
+        """
+        row, placed_on = self._row(message.service, message.target), attempt.row
+        if row is None or placed_on is None or row.incarnation != placed_on.incarnation:
+            return
         names = [digest_part(name) for name in attempt.parts]
-        for row in self.host.targets(message.service):
-            if row.name == message.target:
-                self.host.known.record(row, names, attempt.owner)
+        self.host.known.record(row, names, attempt.owner)
+
+    def _row(self, service: str, name: str) -> TargetRow | None:
+        """Return a target of a service as it is known now, None if it is not."""
+        rows = self.host.targets(service)
+        return next((row for row in rows if row.name == name), None)
 
     async def _send_end(self, name: str, message: RunOver) -> None:
         for row in self.owners.entries():
