Name the identifier's header of the soak in one place

Cause: bench/target_models.py spelled a header of the platform, which only platform/ and the stand-ins of tests may know. Conclusion: both use the constant of the soak's stand-ins; nothing else changes.

--- a/bench/target_models.py
+++ b/bench/target_models.py
@@ -172,7 +172,7 @@
 
     async def send(number: int) -> Times:
         path, body = make(number)
-        headers = (("Attempt-Id", f"r{number}"),)
+        headers = ((soak_relay.ID_HEADER, f"r{number}"),)
         started_s = time.perf_counter()
         await client.request(
             addresses[name], "POST", path, headers, body, timeout_ms=TIMEOUT_MS
--- a/tests/soak_relay.py
+++ b/tests/soak_relay.py
@@ -71,6 +71,8 @@
 UNAVAILABLE = 503
 KINDS = {"stream": 0.35, "staged": 0.15, "order": 0.35, "query": 0.15}
 PATHS = {"stream": "/s/x", "staged": "/a/x", "order": "/o/x", "query": "/q/x"}
+# Header of a request with its identifier, which targets return.
+ID_HEADER = "Attempt-Id"
 
 
 class ProcessFleet(relay.Fleet):
@@ -220,7 +222,7 @@
         return grace_ms - max(grace_ms // LAST_PARTS, LAST_REFUSALS_MS)
 
     def request(self, plan):
-        wanted = ("Attempt-Id", "Deadline-Remaining", "Credential", "Token-Count")
+        wanted = (ID_HEADER, "Deadline-Remaining", "Credential", "Token-Count")
         headers = [
             pair
             for pair in relay.request_headers(plan.name, plan.key)
@@ -381,7 +383,7 @@
                 runs_once=kind == "order",
             )
         )
-        seal = (("Attempt-Id", name), relay.SIGNATURE)
+        seal = ((ID_HEADER, name), relay.SIGNATURE)
         # A target that leaves waits for what it was silent about, too.
         self.open_streams += 1
         try:
