A move of a stream after stages takes one token of the retry budget

Cause: results of stages are released 120 ms after an engine was sent the stream. When it moved, the next engine refused it (not run, results gone), and that refusal took a second token before the stages ran again. That engine counted as tried, too.

Now the entry, which knows that it released the results, runs the stages again before it sends the stream. Where an engine finds results gone of which the entry does not know, the token of the attempt that failed before pays for the refusal, once.

Ruled out: no token for any refusal of this kind. An engine that always says so would make the stages run again at every target.

--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -60,6 +60,8 @@
         sent_ms: When the newest attempt was sent; None before.
         carrier: The entry that carries the newest attempt to its target, if any.
         staged_ms: When its stages were complete; 0 until then.
+        paid_for_stages: Whether an attempt since then took a token of the retry budget,
+            which pays for one more run of its stages, too.
         first_ms: When its first event or its answer arrived; 0 until then.
         attempt_timed_out: Whether the newest attempt was ended as it took too long.
         was_silent: Whether the newest attempt was on a connection that carried others
@@ -103,6 +105,7 @@
     sent_ms: int | None = None
     carrier: Address | None = None
     staged_ms: int = 0
+    paid_for_stages: bool = False
     first_ms: int = 0
     attempt_timed_out: bool = False
     was_silent: bool = False
@@ -190,3 +193,4 @@
         await runner.release_all(self.work, self.results)
         self.results = StageResults()
         self.staged_ms = 0
+        self.paid_for_stages = False
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -453,6 +453,7 @@
             if self.clock.now_ms() >= job.deadline_at_ms:
                 reason = RefusalReason.DEADLINE
             return Refusal(reason, Verdict.MAY_HAVE_RUN, job.detail)
+        job.paid_for_stages = True
         return self._spend_retry(job)
 
     async def handle_error_answer(
@@ -482,6 +483,11 @@
         await self.reports.record_end(job, row, end.outcome, load=head.load)
         if did_run and (not job.may_run_again or head.status < 500 and head.genuine):
             return Refusal(RefusalReason.TARGET_FAILED, end.verdict, job.detail)
+        was_paid, job.paid_for_stages = job.paid_for_stages, not head.inputs_gone
+        if head.inputs_gone and was_paid:
+            # One move takes one token: the results may have gone with the target that
+            # failed. Another such refusal takes a token of its own.
+            return None
         return self._spend_retry(job)
 
     def _spend_retry(self, job: RelayJob) -> Refusal | None:
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -117,7 +117,8 @@
         """
         state = _StreamState(job.request.last_event_id)
         while True:
-            row = await self.attempts.selection.next_target(job)
+            lost = await self._restore_results(job)
+            row = lost or await self.attempts.selection.next_target(job)
             if isinstance(row, Refusal):
                 yield self._end_without_stream(job, state, row)
                 return
@@ -247,8 +248,22 @@
             )
             return b""
 
+    async def _restore_results(self, job: RelayJob) -> Refusal | None:
+        """Run the stages again if their results were released after an attempt.
+
+        The next target would refuse a request without them, and each target is tried
+        once only.
+        """
+        if (
+            job.work is None
+            or not job.results.has_released_final(job.work)
+            or not self.attempts.selection.may_find_target(job)
+        ):
+            return None
+        return await self._rerun_stages(job)
+
     async def _rerun_stages(self, job: RelayJob) -> Refusal | None:
-        """Run the stages again after the target found that their results are gone."""
+        """Run the stages again, as their results are gone."""
         if job.work is None:
             return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, job.detail)
         await job.discard_results(self.runner)
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -91,6 +91,15 @@
         if log.enabled:
             log.record(job.request.request_id, job.service, point, chosen, reason)
 
+    def may_find_target(self, job: RelayJob) -> bool:
+        """Return whether a target may run the next attempt, now or after a pause."""
+        refusal = (
+            self.send_refusal(job)
+            or self.quarantine_refusal(job)
+            or self.pause_refusal(job)
+        )
+        return refusal is None and self._soonest_return_ms(job) is not None
+
     async def _find_target(self, job: RelayJob) -> TargetRow | Refusal:
         while True:
             refusal = self.send_refusal(job) or self.quarantine_refusal(job)
