A stream whose stages cannot run again does not claim that it did not run

Cause: when stages ran again after an attempt and failed, the request ended with the verdict of the stages, not run, although an engine may have run it.

Ruled out: the front, which passes refusals on as they are; the verdict of a refusal is decided where it is made.

Before: an engine killed in the prefill with both targets of a stage: the refusal says not run. After: may have run (tests/test_stage_moves.py).

Conclusion: fixed.

--- a/tests/test_stage_moves.py
+++ b/tests/test_stage_moves.py
@@ -54,6 +54,21 @@
         assert outcomes(records.requests) == {"served"}
 
 
+def test_refusal_after_an_attempt_does_not_say_that_it_did_not_run(tmp_path):
+    """Guards against callers that send a request again which may have run.
+
+    Its engine ends during the prefill, and the stages cannot run again.
+    """
+    load = LOAD.replace("value = 200", "value = 2000", 1)
+    targets = TARGETS.replace("20.0", "20.0, prefill_us = 500.0")
+    on = "engines-east-2", "documents-east-0", "documents-east-1"
+    text = ONE_TOKEN.format(fleet=FLEET) + targets + load
+    records = play_with(tmp_path, text + fault("kill-target", '", "'.join(on)))
+    (request,) = [r for r in records.requests if r.outcome == "refused"]
+    assert request.first_ms is None and request.intended_at_ms < 5_000
+    assert request.verdict == "may-have-run"
+
+
 INPUTS_GONE = AnswerHead(
     409, "r", True, not_run=True, inputs_gone=True, misdirected=False, headers=()
 )
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -270,6 +270,9 @@
         job.work = attrs.evolve(job.work, round=job.work.round + 1)
         refusal = await self.runner.run(job.work, job.data_centre, job.results)
         job.staged_ms = self.clock.now_ms()
+        if refusal is not None and job.verdict is not Verdict.NOT_RUN:
+            # The stages have not run, but an earlier attempt may have.
+            refusal = attrs.evolve(refusal, verdict=job.verdict)
         return refusal
 
     async def _events(
