Stages of a stream that moves late run again until its deadline

Cause: the stages that run again had the limit of the first run, until when callers await a first event (4.8 s after the arrival with an objective of 1.2 s). Streams that had to move later were refused by the owners of the stages, as their results would be too late, and broke.

Ruled out: the retry budget; the streams that broke had a token.

Not seen in demo/experiments/both-entries.toml, whose streams take 1.6 s at most.

--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -267,7 +267,13 @@
         if job.work is None:
             return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, job.detail)
         await job.discard_results(self.runner)
-        job.work = attrs.evolve(job.work, round=job.work.round + 1)
+        expires_at_ms = job.work.expires_at_ms
+        if job.first_ms:
+            # Once the caller has events, it waits until the deadline for the others.
+            expires_at_ms = max(expires_at_ms, job.deadline_at_ms - job.planned_ms)
+        job.work = attrs.evolve(
+            job.work, round=job.work.round + 1, expires_at_ms=expires_at_ms
+        )
         refusal = await self.runner.run(job.work, job.data_centre, job.results)
         job.staged_ms = self.clock.now_ms()
         if refusal is not None and job.verdict is not Verdict.NOT_RUN:
