--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -178,6 +178,16 @@
             return None
         return self.results.final_handles(self.work) if self.work else ()
 
+    @property
+    def has_released_results(self) -> bool:
+        """Whether results that the target must fetch were released."""
+        work, results = self.work, self.results
+        return work is not None and any(
+            results.handles(number) and number not in results.unreleased_steps
+            for number in range(len(work.steps))
+            if not work.dependents(number)
+        )
+
     def result_bytes(self) -> dict[str, int]:
         """Return the bytes of results that the target must fetch, by data centre."""
         sizes: dict[str, int] = {}
--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -254,10 +254,8 @@
         The next target would refuse a request without them, and each target is tried
         once only.
         """
-        if (
-            job.work is None
-            or not job.results.has_released_final(job.work)
-            or not self.attempts.selection.may_find_target(job)
+        if not job.has_released_results or not self.attempts.selection.may_find_target(
+            job
         ):
             return None
         return await self._rerun_stages(job)
--- a/wagtailrun/stages/runner.py
+++ b/wagtailrun/stages/runner.py
@@ -152,14 +152,6 @@
             for handle in self.handles(number)
         )
 
-    def has_released_final(self, work: StagedWork) -> bool:
-        """Return whether results that no other step uses were released."""
-        return any(
-            self.handles(number) and number not in self.unreleased_steps
-            for number in range(len(work.steps))
-            if not work.dependents(number)
-        )
-
 
 class StageRunner:
     """Runs the stages of requests through the entries that own the services.
