A target that failed is probed after 2 s, and has its share again if it answers

Cause: what is left of one failure, 525 ms halved every 3 s, is more than what an idle target costs for 30 s. Beside it, an attempt that failed counted as load of its target (15 ms with eight places) until an answer of that target reported another load, so that it got no request at all while the others were idle.

Now one request that may be repeated, with another target and a token of the retry budget left, competes there without what was seen before, 2 s after the failure; after each failed probe the time doubles, up to 16 s. A probe that succeeds ends what is left of the failures. Attempts that ended without a report count no longer than a report does (1.5 s).

Ruled out: ignoring small failure rates. A busy entry then sends a target that stands still many requests at once, again and again. Orders as probes: a service with orders only is as before, but for the load.

Conclusion: fixed for services with requests that may be repeated.

--- a/wagtailrun/relay/placement/choice.py
+++ b/wagtailrun/relay/placement/choice.py
@@ -174,6 +174,7 @@
         penalties_ms: Mapping[str, float] | None = None,
         left_ms: float | None = None,
         may_wait: bool = False,
+        may_probe: bool = False,
     ) -> TargetChoice | None:
         """Return the target of the next attempt, or None if there is none.
 
@@ -188,6 +189,8 @@
             penalties_ms: Additional costs of targets, by name.
             left_ms: What is left until the latency objective, if known.
             may_wait: Whether the attempt can wait until the target has read a part.
+            may_probe: Whether it can find out if a target still fails; another target
+                can then take over.
         """
         candidates = [row for row in rows if row.name not in avoid]
         if self.decisions.enabled:
@@ -198,7 +201,11 @@
         now_ms = self.clock.now_ms()
         sizes = result_bytes_by_data_centre or {}
         total = sum(sizes.values())
-        costs_ms = {row.name: self._cost_ms(row, now_ms) for row in candidates}
+        probed = [row for row in candidates if may_probe and self.health.may_probe(row)]
+        costs_ms = {
+            row.name: self._cost_ms(row, now_ms, is_probe=row in probed)
+            for row in candidates
+        }
         estimates: dict[str, PrefillEstimate] = {}
         if prompt_tokens:
             estimates = {
@@ -226,6 +233,8 @@
             self.decisions.leave_out(candidates, chosen, "silent")
             self.decisions.rank(chosen, [ms for ms, _ in costs])
         row = chosen[min(range(len(costs)), key=costs.__getitem__)]
+        if row in probed:
+            self.health.begin_probe(row)
         if not estimates:
             return TargetChoice(row)
         holder = max(candidates, key=lambda each: estimates[each.name].cached_tokens)
@@ -279,17 +288,24 @@
         local = [row.name for row in rows if row.data_centre == chosen]
         return max(local, key=lambda name: rendezvous_rank(shared, name))
 
-    def _cost_ms(self, row: TargetRow, now_ms: int) -> float:
+    def _cost_ms(self, row: TargetRow, now_ms: int, *, is_probe: bool = False) -> float:
         """Return the cost of an attempt without prefill.
 
         It is comparable only with that of other targets.
+
+        Args:
+            row: Target.
+            now_ms: Time on the clock.
+            is_probe: Whether the attempt is to find out if it still fails, so that what
+                was seen before does not count.
         """
         health = self.health
         state = health.state(row)
         load = health.load(state, now_ms) / (state.slots or max(row.capacity, 1))
         ms = LOAD_COST_MS * load + OVERLOAD_COST_MS * max(load - 1.0, 0.0)
-        ms += FAILURE_COST_MS * health.failure_rate(state, now_ms)
-        ms += SLOWNESS_COST_MS * (health.slowness(state, now_ms) - 1.0)
+        if not is_probe:
+            ms += FAILURE_COST_MS * health.failure_rate(state, now_ms)
+            ms += SLOWNESS_COST_MS * (health.slowness(state, now_ms) - 1.0)
         if row.data_centre != self.data_centre:
             ms += OTHER_DATA_CENTRE_COST_MS
         limit_age_ms = self.limits.age_ms(row)
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -118,7 +118,14 @@
         self.crossed_answers = 0
         self.answered = AnsweredRequests(clock)
         self.selection = TargetSelection(
-            clock, view, chooser, placement, notices, self.answered, stop_refusal
+            clock,
+            view,
+            chooser,
+            placement,
+            notices,
+            self.answered,
+            budget,
+            stop_refusal,
         )
         self.reports = AttemptReports(
             clock, http, chooser, placement, self.answered, was_held_since
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -20,6 +20,7 @@
 from wagtailrun.relay.requests.evacuated_services import evacuated_refusal
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.decisions import DecisionPoint
+from wagtailrun.targets.retries import RetryBudget
 from wagtailrun.targets.table import TargetRow
 
 __all__ = ["RETRY_AFTER_MS", "TargetSelection"]
@@ -50,6 +51,7 @@
         placement: Requests engines for routes with prompt affinity.
         notices: What targets told this VM.
         answered: Requests that targets answered a moment ago.
+        budget: Limits retries.
         stop_refusal: Returns the refusal of a request that would outlast the process,
             else None.
     """
@@ -62,6 +64,7 @@
         placement: PlacementClient,
         notices: TargetNotices,
         answered: AnsweredRequests,
+        budget: RetryBudget,
         stop_refusal: Callable[[RelayJob], Refusal | None],
     ):
         self.clock = clock
@@ -70,6 +73,7 @@
         self.placement = placement
         self.notices = notices
         self.answered = answered
+        self.budget = budget
         self.stop_refusal = stop_refusal
 
     async def next_target(self, job: RelayJob) -> TargetRow | Refusal:
@@ -304,13 +308,30 @@
 
     def _choose_here(self, job: RelayJob, rows: list[TargetRow]) -> TargetRow | None:
         """Return the target that this entry chooses itself."""
-        row = self.chooser.choose(rows, job.tried_targets)
+        row = self.chooser.choose(
+            rows, job.tried_targets, may_probe=self._may_probe(job, rows)
+        )
         log, point = self.chooser.decisions, DecisionPoint.TARGET
         if log.enabled:
             chosen = row.name if row is not None else "none"
             log.record_choice(job.request.request_id, job.service, point, chosen)
         return row
 
+    def _may_probe(self, job: RelayJob, rows: list[TargetRow]) -> bool:
+        """Return whether a request may be sent to a target that failed a moment ago.
+
+        If it fails there, too, another target takes over: no order is a probe, and no
+        request that cannot be repeated or has moved already.
+        """
+        return (
+            len(rows) > 1
+            and not job.tried_targets
+            and job.origin is None
+            and job.may_run_again
+            and job.route.max_attempts > 1
+            and self.budget.has(job.service)
+        )
+
     def _left_ms(self, job: RelayJob) -> int:
         """Return what is left until the latency objective, 1 if nothing."""
         left_ms = job.objective_at_ms - self.clock.now_ms()
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -19,6 +19,11 @@
 # Weight of a new observation in the failure rate.
 FAILURE_WEIGHT = 0.35
 FAILURE_HALF_LIFE_MS = 3_000
+# A target that failed may get a probe after this time; the time doubles with each probe
+# that fails, up to the maximum. Each of them may cost a request its objective, and a
+# token of the retry budget.
+MIN_PROBE_INTERVAL_MS = 2_000
+MAX_PROBE_INTERVAL_MS = 16_000
 # A target that refuses connections is ejected for this long at first; the time doubles
 # with each further refusal up to the maximum.
 MIN_EJECTION_MS = 300
@@ -65,6 +70,11 @@
         announcement: Row whose announced load was read last.
         started_since_load: Own attempts since the report.
         failure_rate: Average of failures, 0 to 1, at ``failure_updated_ms``.
+        unproven: Failures since which no probe has succeeded; those that came together
+            count as one.
+        failed_ms: When the newest attempt failed.
+        probed_ms: When the newest probe was sent.
+        is_probed: Whether that was after the newest failure.
         connect_failures: Number of consecutive attempts without a connection.
         ejected_until_ms: End of the ejection.
         slowness: Average time of attempts as a multiple of the usual time, at
@@ -82,6 +92,10 @@
     started_since_load: int = 0
     failure_rate: float = 0.0
     failure_updated_ms: int = 0
+    unproven: int = 0
+    failed_ms: int = 0
+    probed_ms: int = 0
+    is_probed: bool = False
     connect_failures: int = 0
     ejected_until_ms: int = 0
     slowness: float = 1.0
@@ -161,12 +175,15 @@
         """Return the number of requests at a target."""
         if not state.slots:
             return state.in_flight
-        reported: float = state.reported
         lifetime_ms = self.rules.load_lifetime_ms
-        if reported and lifetime_ms is not None:
-            age_ms = now_ms - state.load_updated_ms
-            reported *= max(1.0 - age_ms / lifetime_ms, 0.0)
-        return max(reported + state.started_since_load, state.in_flight)
+        if lifetime_ms is None:
+            return max(state.reported + state.started_since_load, state.in_flight)
+        age_ms = now_ms - state.load_updated_ms
+        weight = max(1.0 - age_ms / lifetime_ms, 0.0)
+        running = min(state.started_since_load, state.in_flight)
+        # Attempts that ended without a report: failed ones, which may still run.
+        ended = state.started_since_load - running
+        return max((state.reported + ended) * weight + running, state.in_flight)
 
     def slowness(self, state: HealthState, now_ms: int) -> float:
         """Return the time of attempts as a multiple of the usual time."""
@@ -183,6 +200,27 @@
         age_ms = now_ms - state.failure_updated_ms
         return state.failure_rate * _decay(age_ms, FAILURE_HALF_LIFE_MS)
 
+    def may_probe(self, row: TargetRow) -> bool:
+        """Return whether a request may find out if a target still fails."""
+        state = self.states_by_name.get(row.name)
+        if (
+            state is None
+            or state.incarnation != row.incarnation
+            or not state.unproven
+            or state.in_flight
+        ):
+            return False
+        doublings = min(state.unproven - 1, 8)
+        interval_ms = min(MIN_PROBE_INTERVAL_MS << doublings, MAX_PROBE_INTERVAL_MS)
+        since_ms = max(state.failed_ms, state.probed_ms)
+        return self.clock.now_ms() - since_ms >= interval_ms
+
+    def begin_probe(self, row: TargetRow) -> None:
+        """Record that a request is sent that finds out if a target still fails."""
+        state = self.state(row)
+        state.probed_ms = self.clock.now_ms()
+        state.is_probed = True
+
     def is_unreachable(self, row: TargetRow) -> bool:
         """Return whether a target is avoided as no connection could be opened."""
         state = self.states_by_name.get(row.name)
@@ -240,6 +278,12 @@
         state = self.state(row)
         state.connect_failures = 0
         state.ejected_until_ms = 0
+        if state.is_probed:
+            # No other attempt was in progress, so this one started after the failures.
+            # What is left of these would exclude an idle target for half a minute.
+            state.is_probed = False
+            state.unproven = 0
+            state.failure_rate = 0.0
         self._add_to_failure_rate(state, 0.0)
         if slowness is None:
             return
@@ -252,7 +296,12 @@
 
     def record_failure(self, row: TargetRow) -> None:
         """Record an answer that was an error, incomplete or missing."""
-        self._add_to_failure_rate(self.state(row), 1.0)
+        state = self.state(row)
+        self._add_to_failure_rate(state, 1.0)
+        if state.is_probed or not state.unproven:
+            state.unproven += 1
+        state.is_probed = False
+        state.failed_ms = self.clock.now_ms()
 
     def _add_to_failure_rate(self, state: HealthState, failed: float) -> None:
         now_ms = self.clock.now_ms()
