Entries tell each other of plain services' targets that leave requests unanswered

Cause: a call at a target that stands still is given up after 1 s, an order at its deadline, and each entry found out by itself, by a request of its own.

Now a request counts as unanswered after three times what covers 0.9 of the newest answers of its route, 0.5 s at least, if nothing arrived, this process did not stand still, no other entry carries it, and the path is not known to be lost. Those that have had an answer of the target since the request was sent do not believe it. No request is sent again because of it; the target gets probes as after other failures.

A probe disregards a slowness seen before, too: after a late answer, 5 ms of it kept a target without requests for 15 s.

Ruled out: SilenceWatch (PlacementHost), which needs an owner that is asked before each request; two reporters, as at a light load the second one comes late, and costs an order.

Conclusion: an order that is sent before any request has gone unanswered for 0.5 s is still lost.

--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -146,7 +146,9 @@
 class RunOver:
     """Reports how an attempt ended, or that its first event arrived.
 
-    Without a request it only states what engines hold.
+    Without a request it states what engines hold or, with a target, that a request has
+    had no answer from it for ``first_event_ms``, to entries that choose targets
+    themselves.
 
     Attributes:
         request_id: Identifier of the request.
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -31,6 +31,7 @@
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.part_news import PartNews
 from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
+from wagtailrun.relay.placement.silence_news import is_silence_news
 from wagtailrun.relay.process import LiveSettings, run_daemon
 from wagtailrun.relay.requests.front import RelayHandler
 from wagtailrun.relay.stopping.readiness import Readiness, max_stay_ms
@@ -553,6 +554,8 @@
         stage_messages = RunPieces | CancelPieces | FreeResults | CarryCall | TakeOver
         if isinstance(message, stage_messages):
             return await self.stages.handle(message)
+        if isinstance(message, RunOver) and is_silence_news(message):
+            return self.handler.silence_news.handle(message)
         if isinstance(message, PlaceRun | RunOver | RunBroken):
             return await self.placement.handle(message)
         if isinstance(message, RequestGrant):
--- a/wagtailrun/relay/placement/__init__.py
+++ b/wagtailrun/relay/placement/__init__.py
@@ -7,4 +7,5 @@
     "estimate",
     "part_news",
     "service",
+    "silence_news",
 ]
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -37,6 +37,7 @@
 from wagtailrun.relay.limits.notices import TargetNotices
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.placement.service import PlacementClient
+from wagtailrun.relay.placement.silence_news import SilenceNews
 from wagtailrun.relay.requests.attempt_reports import AttemptReports
 from wagtailrun.relay.requests.target_selection import RETRY_AFTER_MS, TargetSelection
 from wagtailrun.targets.attempt_ends import MIN_STALL_MS, RunOutcome, end_of_answer
@@ -55,6 +56,10 @@
 OBJECTIVE_SHARE = 1.0
 REMAINING_SHARE = 0.5
 MIN_ATTEMPT_TIMEOUT_MS = 60
+# A request has no answer for too long after this multiple of the time that covers this
+# share of the newest answers of its route.
+SILENCE_FACTOR = 3
+SILENCE_SHARE = 0.9
 # An attempt fails after this many answers to other requests on its connection.
 MAX_CROSSED_ANSWERS = 2
 
@@ -94,6 +99,9 @@
             time on the clock.
         stop_refusal: Returns the refusal of a request that would outlast the process,
             else None.
+        answer_ms: Returns how long a share of the answers to such a request take; 0 if
+            nothing is known.
+        silence_news: Tells other entries of targets that leave requests unanswered.
     """
 
     def __init__(
@@ -108,6 +116,8 @@
         notices: TargetNotices,
         was_held_since: Callable[[int], bool] = lambda since_ms: False,
         stop_refusal: Callable[[RelayJob], Refusal | None] = lambda job: None,
+        answer_ms: Callable[[RelayJob, float], int] = lambda job, share: 0,
+        silence_news: SilenceNews | None = None,
     ):
         self.clock = clock
         self.view = view
@@ -115,6 +125,8 @@
         self.http = http
         self.chooser = chooser
         self.budget = budget
+        self.answer_ms = answer_ms
+        self.silence_news = silence_news
         self.crossed_answers = 0
         self.answered = AnsweredRequests(clock)
         self.selection = TargetSelection(
@@ -165,8 +177,10 @@
         The attempt ends early only if another target can take over; a target that is
         silent for a moment may still answer.
         """
+        job.sent_ms = None
         task = await curio.spawn(self._read_answer, job, row)
         try:
+            await self._watch_silence(job, row, task)
             while True:
                 await wait_for_end(task, self._attempt_timeout_ms(job))
                 if task.terminated:
@@ -190,6 +204,41 @@
         finally:
             await task.cancel()
 
+    async def _watch_silence(
+        self, job: RelayJob, row: TargetRow, task: curio.Task
+    ) -> None:
+        """Wait while an attempt may be silent; tell others if it is so for too long.
+
+        Returns:
+            Once it has ended, was silent for too long, or cannot be before its timeout.
+        """
+        usual_ms = self.answer_ms(job, SILENCE_SHARE)
+        if self.silence_news is None or not usual_ms:
+            return
+        silent_ms = max(SILENCE_FACTOR * usual_ms, MIN_STALL_MS)
+        ends_ms = self.clock.now_ms() + self._attempt_timeout_ms(job)
+        while not task.terminated:
+            now_ms = self.clock.now_ms()
+            silent_at_ms = (now_ms if job.sent_ms is None else job.sent_ms) + silent_ms
+            if silent_at_ms >= ends_ms:
+                return
+            if silent_at_ms > now_ms:
+                await wait_for_end(task, silent_at_ms - now_ms)
+                continue
+            if self._is_target_silent(job, row):
+                await self.silence_news.tell(row, cast(int, job.sent_ms))
+            return
+
+    def _is_target_silent(self, job: RelayJob, row: TargetRow) -> bool:
+        """Return whether a target, and not this process or the path, is silent."""
+        return (
+            job.sent_ms is not None
+            and job.carrier is None
+            and job.progress is AnswerProgress.NOTHING
+            and self.http.connector.may_reuse(row.address)
+            and not self.reports.was_held_since(job.sent_ms)
+        )
+
     async def _read_answer(
         self, job: RelayJob, row: TargetRow
     ) -> Attempt | TargetFailed:
--- a/wagtailrun/relay/requests/front.py
+++ b/wagtailrun/relay/requests/front.py
@@ -24,6 +24,7 @@
 from wagtailrun.relay.placement.continuation import ContinuationChecker, TargetReports
 from wagtailrun.relay.placement.estimate import IDLE_FIRST_EVENT_MS
 from wagtailrun.relay.placement.service import PlacementClient
+from wagtailrun.relay.placement.silence_news import SilenceNews
 from wagtailrun.relay.requests.admission import AdmissionController
 from wagtailrun.relay.requests.attempts import RelayAttempts
 from wagtailrun.relay.requests.evacuated_services import stage_refusal
@@ -112,6 +113,14 @@
         self.admission = AdmissionController(clock, runner, seed, chooser.decisions)
         self.running = RunningJobs(clock)
         self.forecast = StopForecast(clock, self.running)
+        self.silence_news = SilenceNews(
+            clock,
+            placement.link,
+            placement.name,
+            placement.owners,
+            view.targets,
+            chooser.health,
+        )
         self.attempts = RelayAttempts(
             clock,
             view,
@@ -123,6 +132,8 @@
             notices,
             was_held_since,
             self.forecast.refusal,
+            self.running.answer_ms,
+            self.silence_news,
         )
         self.origins = origins
         # Tasks of the admitted requests of which no part of an answer was sent.
--- a/wagtailrun/targets/health.py
+++ b/wagtailrun/targets/health.py
@@ -67,6 +67,7 @@
         slots: Requests that can run at once by that report; 0 without a report.
         load_updated_ms: When it arrived.
         load_answered_ms: When an answer last reported a load.
+        answered_ms: When an answer last arrived, of whatever kind.
         announcement: Row whose announced load was read last.
         started_since_load: Own attempts since the report.
         failure_rate: Average of failures, 0 to 1, at ``failure_updated_ms``.
@@ -88,6 +89,7 @@
     slots: int = 0
     load_updated_ms: int = 0
     load_answered_ms: float = -math.inf
+    answered_ms: float = -math.inf
     announcement: TargetRow | None = None
     started_since_load: int = 0
     failure_rate: float = 0.0
@@ -246,7 +248,7 @@
         """Record the load reported with an answer."""
         state = self.state(row)
         now_ms = self.clock.now_ms()
-        state.load_answered_ms = now_ms
+        state.load_answered_ms = state.answered_ms = now_ms
         state.set_load(load.running, load.waiting, load.slots, now_ms)
 
     def record_outcome(self, row: TargetRow, outcome: str) -> None:
@@ -276,12 +278,14 @@
                 time says nothing about the target.
         """
         state = self.state(row)
+        state.answered_ms = self.clock.now_ms()
         state.connect_failures = 0
         state.ejected_until_ms = 0
         if state.is_probed:
             # No other attempt was in progress, so this one started after the failures.
             # What is left of these would exclude an idle target for half a minute.
             state.is_probed = False
+            state.slowness = 1.0
             state.unproven = 0
             state.failure_rate = 0.0
         self._add_to_failure_rate(state, 0.0)
@@ -303,6 +307,21 @@
         state.is_probed = False
         state.failed_ms = self.clock.now_ms()
 
+    def record_silence(self, row: TargetRow, since_ms: int) -> bool:
+        """Record that a request has no answer for too long; return whether it is news.
+
+        It is none if the target has answered others since, or is known to fail.
+
+        Args:
+            row: Target.
+            since_ms: When the request was sent.
+        """
+        state = self.state(row)
+        if state.unproven or state.answered_ms >= since_ms:
+            return False
+        self.record_failure(row)
+        return True
+
     def _add_to_failure_rate(self, state: HealthState, failed: float) -> None:
         now_ms = self.clock.now_ms()
         before = self.failure_rate(state, now_ms)
