--- a/wagtailrun/relay/requests/streams.py
+++ b/wagtailrun/relay/requests/streams.py
@@ -117,7 +117,8 @@
         """
         state = _StreamState(job.request.last_event_id)
         while True:
-            row = await self.attempts.selection.next_target(job)
+            lost = await self._restore_results(job)
+            row = lost or await self.attempts.selection.next_target(job)
             if isinstance(row, Refusal):
                 yield self._end_without_stream(job, state, row)
                 return
@@ -247,14 +248,35 @@
             )
             return b""
 
+    async def _restore_results(self, job: RelayJob) -> Refusal | None:
+        """Run the stages again if their results were released after an attempt.
+
+        The next target would refuse a request without them, and each target is tried
+        once only.
+        """
+        if not job.has_released_results or not self.attempts.selection.may_find_target(
+            job
+        ):
+            return None
+        return await self._rerun_stages(job)
+
     async def _rerun_stages(self, job: RelayJob) -> Refusal | None:
-        """Run the stages again after the target found that their results are gone."""
+        """Run the stages again, as their results are gone."""
         if job.work is None:
             return Refusal(RefusalReason.TARGET_FAILED, Verdict.NOT_RUN, job.detail)
         await job.discard_results(self.runner)
-        job.work = attrs.evolve(job.work, round=job.work.round + 1)
+        expires_at_ms = job.work.expires_at_ms
+        if job.first_ms:
+            # Once the caller has events, it waits until the deadline for the others.
+            expires_at_ms = max(expires_at_ms, job.deadline_at_ms - job.planned_ms)
+        job.work = attrs.evolve(
+            job.work, round=job.work.round + 1, expires_at_ms=expires_at_ms
+        )
         refusal = await self.runner.run(job.work, job.data_centre, job.results)
         job.staged_ms = self.clock.now_ms()
+        if refusal is not None and job.verdict is not Verdict.NOT_RUN:
+            # The stages have not run, but an earlier attempt may have.
+            refusal = attrs.evolve(refusal, verdict=job.verdict)
         return refusal
 
     async def _events(
