Expect little memory at targets until lost results have expired

The new owners took the memory for empty, and the time for which results are held for 0, as none had been released: they expected 0.9 to 1.8 s for requests that took 2.2 to 4.0 s. The late steps went first when the memory was free again, and those that arrived behind them, up to 5 s after the start, were late or refused. Now a target counts as having room for one call, and each call that got all the room it needed shows room for another one, until the results of before the first start of a running entry have expired.

Ruled out: owners chosen late or moved (each service had two until 0.67 to 0.74 s after the first start, and one from then on; late requests arrived later); queues filled by callers (others were refused within 6 ms; of the requests from 2.4 to 4.4 s, all without the service whose memory was full were in time, but one and those of a route that never is); caches of engines (late requests took 1.6 to 3.5 s of 1.9 s for their stages, 0.1 to 1.0 s for their engines); a first view with few targets (both targets were used at once).

Conclusion: requests that lost results would delay are refused at once with a retry delay until these expire, and the queue is short when they have.

FullStages and BatcherHarness of the tests take more options; their checks are unchanged.

--- a/tests/test_stage_memory.py
+++ b/tests/test_stage_memory.py
@@ -26,8 +26,11 @@
     ``lost`` results of an owner that was killed occupy each target until ``gone_ms``.
     """
 
-    def __init__(self, clock, lost=0, gone_ms=0):
-        super().__init__(clock, CAPACITY)
+    def __init__(
+        self, clock, lost=0, gone_ms=0, capacity=CAPACITY, result_bytes=RESULT_BYTES
+    ):
+        super().__init__(clock, capacity)
+        self.most_results = capacity.memory_bytes // result_bytes
         self.turns_by_name = {}
         self.places_by_address = {}
         self.lost, self.gone_ms = lost, gone_ms
@@ -40,7 +43,7 @@
             if until_ms <= now_ms:
                 del places[handle]
         lost = self.lost if now_ms < self.gone_ms else 0
-        return CAPACITY.memory_bytes // RESULT_BYTES - lost - len(places)
+        return self.most_results - lost - len(places)
 
     async def run(self, target, items, timeout_ms, watch=UNWATCHED):
         watch.record_sent(None)
@@ -56,8 +59,8 @@
             kept = [handle for handle in handles if handle]
             self.refused += len(handles) - len(kept)
             if kept:
-                await self.clock.sleep_ms(int(CAPACITY.duration_ms(len(kept))))
-            until_ms = self.clock.now_ms() + CAPACITY.result_ms
+                await self.clock.sleep_ms(int(self.capacity.duration_ms(len(kept))))
+            until_ms = self.clock.now_ms() + self.capacity.result_ms
             places = self.places_by_address[str(target.address)]
             places.update(dict.fromkeys(kept, until_ms))
         return [
--- a/tests/test_stage_pool.py
+++ b/tests/test_stage_pool.py
@@ -90,7 +90,7 @@
     It has one service, whose targets are ``rows`` or a single one.
     """
 
-    def __init__(self, clock, rows=None, capacity=CAPACITY):
+    def __init__(self, clock, rows=None, capacity=CAPACITY, **options):
         self.clock = clock
         self.client = FakeStages(clock, capacity)
         self.rows = [target(1)] if rows is None else rows
@@ -103,6 +103,7 @@
             lambda s: capacity,
             self.budget,
             self.release_elsewhere,
+            **options,
         )
 
     async def release_elsewhere(self, message):
--- a/wagtailrun/relay/entry.py
+++ b/wagtailrun/relay/entry.py
@@ -42,6 +42,7 @@
     CancelPieces,
     CarryCall,
     DelegatingStageClient,
+    EntryStarts,
     FreeResults,
     RunPieces,
     StageBatcher,
@@ -190,6 +191,7 @@
             lambda service: self.runner.owns(service),
             self._most_pieces,
             lambda data_centre: data_centre in self.view.away_data_centres,
+            EntryStarts(self.clock, self.view.live_entries).first_ms,
         )
         self.runner = StageRunner(
             self.clock,
--- a/wagtailrun/stages/__init__.py
+++ b/wagtailrun/stages/__init__.py
@@ -2,6 +2,7 @@
 
 from wagtailrun.stages.batcher import StageBatcher
 from wagtailrun.stages.host import StageHost
+from wagtailrun.stages.lost_results import EntryStarts
 from wagtailrun.stages.messages import (
     CallMade,
     CancelPieces,
@@ -23,6 +24,7 @@
     "CallMade",
     "CancelPieces",
     "CarryCall",
+    "EntryStarts",
     "FreeResults",
     "JobState",
     "PieceOutcome",
--- a/wagtailrun/stages/batcher.py
+++ b/wagtailrun/stages/batcher.py
@@ -51,6 +51,8 @@
         most_pieces: Returns how many pieces a target may get in one call, beside its
             capacity.
         is_away: Returns whether a data centre is cut off from this entry, or down.
+        first_start_ms: Returns when the first of the running entries started, on the
+            clock; None if that is unknown.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         is_owner: Callable[[str], bool] = lambda service: True,
         most_pieces: Callable[[TargetRow], float] = lambda row: math.inf,
         is_away: Callable[[str], bool] = lambda data_centre: False,
+        first_start_ms: Callable[[], int | None] = lambda: None,
     ):
         self.release_elsewhere = release_elsewhere
         self.was_held_since = was_held_since
@@ -78,6 +81,7 @@
         self.budget = budget
         self.is_owner = is_owner
         self.most_pieces = most_pieces
+        self.first_start_ms = first_start_ms
         self.lost_entries = LostEntries(clock, is_away, was_held_since)
         self.pools_by_service: dict[str, Pool] = {}
         # Hands services over; without it they stay until their pieces are done.
--- a/wagtailrun/stages/memory.py
+++ b/wagtailrun/stages/memory.py
@@ -132,15 +132,14 @@
         """Return the bytes that results occupy at ``address``."""
         return self.bytes_by_address.get(address, 0)
 
+    def known_bytes(self, address: Address) -> int:
+        """Return the bytes at ``address`` of results known here, and of calls."""
+        return self.used_bytes(address) + self.running_bytes_by_address.get(address, 0)
+
     def occupied_bytes(self, address: Address) -> int:
         """Return the bytes at ``address`` that cannot be used for further pieces."""
         unknown = self.unknown_by_address.get(address)
-        running = self.running_bytes_by_address.get(address, 0)
-        return (
-            self.used_bytes(address)
-            + running
-            + (unknown.size if unknown is not None else 0)
-        )
+        return self.known_bytes(address) + (unknown.size if unknown is not None else 0)
 
     def free_bytes(self, address: Address, capacity: int) -> int:
         """Return the free part of ``capacity`` bytes; a capacity of 0 is unlimited."""
--- a/wagtailrun/stages/pool.py
+++ b/wagtailrun/stages/pool.py
@@ -62,7 +62,12 @@
     """
 
     def __init__(self, manager: PoolManager, service: str):
-        super().__init__(manager.clock, service, lambda: manager.targets(service))
+        super().__init__(
+            manager.clock,
+            service,
+            lambda: manager.targets(service),
+            manager.first_start_ms,
+        )
         self.manager = manager
         self.inputs = FetchedInputs(
             self.clock, manager.release_elsewhere, self.is_doubtful, manager.capacity
@@ -468,6 +473,7 @@
                 await slot.record_duration(ended_ms, expected_ms)
             for (job, piece), reply in zip(chosen, replies, strict=True):
                 self._apply_reply(row, target_state, job, piece, reply)
+            self.record_room(row.address, chosen, replies, self.capacity)
         await self.manager.notify_finished()
         await self.wake.set()
 
--- a/wagtailrun/stages/pool_manager.py
+++ b/wagtailrun/stages/pool_manager.py
@@ -35,6 +35,8 @@
         is_owner: Returns whether this entry owns a service.
         most_pieces: Returns how many pieces a target may get in one call, beside its
             capacity.
+        first_start_ms: Returns when the first of the running entries started, on the
+            clock; None if that is unknown.
         lost_entries: Tells of which steps the entries are lost.
         succession: Hands services over; without it they stay until their pieces are
             done.
@@ -50,6 +52,7 @@
     confirms_silence: Callable[[Address, Address, int], Awaitable[bool]] | None
     is_owner: Callable[[str], bool]
     most_pieces: Callable[[TargetRow], float]
+    first_start_ms: Callable[[], int | None]
     lost_entries: LostEntries
     succession: Succession | None
 
--- a/wagtailrun/stages/pool_state.py
+++ b/wagtailrun/stages/pool_state.py
@@ -7,10 +7,13 @@
 from wagtailrun.clock import Clock
 from wagtailrun.logs import events
 from wagtailrun.ports.link import Address
+from wagtailrun.routes import StageCapacity
 from wagtailrun.stages.job import Job, job_key
 from wagtailrun.stages.lost_entries import LostEntries
+from wagtailrun.stages.lost_results import LostResults
 from wagtailrun.stages.memory import ResultMemory
 from wagtailrun.stages.messages import JobState, PieceResult, RunPieces
+from wagtailrun.stages.port import PieceOutcome, StageReply
 from wagtailrun.stages.step_log import StepLog
 from wagtailrun.stages.target_state import TargetState
 from wagtailrun.targets.table import TargetRow
@@ -35,10 +38,16 @@
         clock: Clock.
         service: Name of the service.
         targets: Returns the targets that accept calls.
+        first_start_ms: Returns when the first of the running entries started, on the
+            clock; None if that is unknown.
     """
 
     def __init__(
-        self, clock: Clock, service: str, targets: Callable[[], list[TargetRow]]
+        self,
+        clock: Clock,
+        service: str,
+        targets: Callable[[], list[TargetRow]],
+        first_start_ms: Callable[[], int | None] = lambda: None,
     ):
         self.clock = clock
         self.service = service
@@ -51,6 +60,7 @@
         self.ended_jobs: deque[Job] = deque()
         self.target_states_by_name: dict[str, TargetState] = defaultdict(TargetState)
         self.memory = ResultMemory()
+        self.lost_results = LostResults(first_start_ms)
         # Jobs that could run when they arrived, in the last seconds, oldest first.
         self.arrived_jobs: deque[Job] = deque()
         self.step_log = StepLog(service)
@@ -82,6 +92,24 @@
             self.contested_until_ms = now_ms + CONTESTED_MS
         self.used_ms = now_ms
 
+    def record_room(
+        self,
+        address: Address,
+        chosen: Sequence[tuple[Job, int]],
+        replies: Sequence[StageReply],
+        capacity: StageCapacity,
+    ) -> None:
+        """Record whether a target had room for all results of a call."""
+        outcomes = {reply.outcome for reply in replies}
+        if outcomes & {PieceOutcome.DONE, PieceOutcome.NO_MEMORY}:
+            size = max(job.message.result_bytes for job, _ in chosen)
+            self.lost_results.record_call(
+                address,
+                self.memory.known_bytes(address),
+                capacity.batch * size,
+                PieceOutcome.NO_MEMORY in outcomes,
+            )
+
     def confirm(self, message: RunPieces) -> None:
         """Record that the inputs of an announced step are still to come.
 
--- a/wagtailrun/stages/queue_forecast.py
+++ b/wagtailrun/stages/queue_forecast.py
@@ -1,5 +1,6 @@
 """Expected queueing delays of the pieces of one stage service."""
 
+import math
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 import attrs
@@ -30,6 +31,9 @@
         byte_ms: Time in which one more byte becomes free there; 0 if memory has no
             limit.
         small_bytes: Steps whose results need no more than this never wait for memory.
+        lost_ms: Time until lost results have expired; 0 if there are none.
+        shown_bytes: Free memory that calls have shown beside them.
+        shown_byte_ms: Time in which one more byte of it becomes free.
     """
 
     now_ms: int
@@ -39,6 +43,9 @@
     room_bytes: int = 0
     byte_ms: float = 0.0
     small_bytes: float = 0.0
+    lost_ms: int = 0
+    shown_bytes: int = 0
+    shown_byte_ms: float = math.inf
 
     @classmethod
     def compute(
@@ -78,7 +85,7 @@
             return forecast
         # Memory is occupied from the start of a call until the result is released.
         occupied_ms = full_ms + pool.memory.hold_ms(capacity.result_ms)
-        return attrs.evolve(
+        forecast = attrs.evolve(
             forecast,
             room_bytes=sum(
                 pool.memory.free_bytes(row.address, usable) for row, _ in available
@@ -86,6 +93,24 @@
             byte_ms=occupied_ms / (len(available) * usable),
             small_bytes=SMALL_SHARE * usable,
         )
+        lost_ms = pool.lost_results.left_ms(now_ms, capacity.result_ms)
+        if not lost_ms:
+            return forecast
+        sizes = (job.message.result_bytes for job in pool.open_by_key.values())
+        call_bytes = capacity.batch * max(sizes, default=0)
+        shown, left = 0, 0
+        for row, _ in available:
+            most = min(pool.lost_results.shown_bytes(row.address, call_bytes), usable)
+            shown += most
+            left += max(most - pool.memory.known_bytes(row.address), 0)
+        # Before the first release nothing tells for how long results are held.
+        is_known = bool(shown and pool.memory.released_bytes)
+        return attrs.evolve(
+            forecast,
+            lost_ms=lost_ms,
+            shown_bytes=left,
+            shown_byte_ms=occupied_ms / shown if is_known else math.inf,
+        )
 
     def queue_ms(self, ahead: Iterable[Job], job: Job | None) -> int:
         """Return the expected queueing delay of a job, in milliseconds.
@@ -103,12 +128,17 @@
         # Up to a batch, the pieces ahead fit into the next call.
         ahead = queued.pieces
         turn_ms = ahead * self.piece_ms if ahead >= self.batch else 0.0
+        wait_ms = self.free_ms + turn_ms
         own_bytes = 0 if job is None else job.needed_bytes
-        memory_ms = 0.0
         if job is None or own_bytes > self.small_bytes:
-            lacking_bytes = max(queued.needed_bytes + own_bytes - self.room_bytes, 0)
-            memory_ms = lacking_bytes * self.byte_ms
-        return max(self.free_ms + turn_ms, memory_ms)
+            needed_bytes = queued.needed_bytes + own_bytes
+            lacking_bytes = max(needed_bytes - self.room_bytes, 0)
+            wait_ms = max(wait_ms, lacking_bytes * self.byte_ms)
+            lacking_bytes = needed_bytes - self.shown_bytes
+            if self.lost_ms and lacking_bytes > 0:
+                beside_ms = max(wait_ms, lacking_bytes * self.shown_byte_ms)
+                return min(beside_ms, self.lost_ms + wait_ms)
+        return wait_ms
 
     def sort_out(
         self,
