Drop the pauses of services that are gone from the telling of parts

Cause: the time at which an owner that did not reply is told again is kept by service, and never dropped. It grows with each service that is removed from the configuration while its owner does not reply.

Ruled out: what is kept beside it; `KnownParts.retain` drops all of that.

Before and after, test_pauses_of_services_that_are_gone_are_dropped: 1 and 0 times kept after the service is gone.

--- a/tests/test_part_news.py
+++ b/tests/test_part_news.py
@@ -419,3 +419,26 @@
         return len(process.client.attempts_by_key)
 
     assert run_virtual(main) <= RUN_LIFETIME_MS // 1_000
+
+
+def test_pauses_of_services_that_are_gone_are_dropped():
+    """Load: a service whose owner does not reply is removed from the configuration.
+
+    Guards against a time for each service that was ever configured.
+    """
+
+    async def main(clock):
+        fleet = Fleet(clock)
+        process = next(
+            process
+            for name, process in fleet.processes.items()
+            if name != fleet.owner()
+        )
+        process.host.known.record(fleet.rows[0], [digest_part("d0")])
+        await process.news.tell()
+        paused = len(process.news.retry_at_ms_by_service)
+        process.host.known.retain((), ())
+        await process.news.tell()
+        return paused, len(process.news.retry_at_ms_by_service)
+
+    assert run_virtual(main) == (1, 0)
--- a/wagtailrun/relay/placement/part_news.py
+++ b/wagtailrun/relay/placement/part_news.py
@@ -191,7 +191,7 @@
         self.owners = owners
         self.known = known
         self.is_stopping = is_stopping
-        self._retry_at_ms_by_service: dict[str, int] = {}
+        self.retry_at_ms_by_service: dict[str, int] = {}
 
     async def run(self) -> None:
         """Tell the owners what is new to them until cancelled."""
@@ -202,6 +202,8 @@
     async def tell(self) -> None:
         """Tell the owner of each service what it does not know."""
         tried = {self.name} if self.is_stopping() else ()
+        for service in self.retry_at_ms_by_service.keys() - self.known.parts_by_service:
+            del self.retry_at_ms_by_service[service]
         for service in list(self.known.parts_by_service):
             owner = self.owners.owner(ownership_key(service), tried)
             if self.owners.unless_own(owner, self.name) is None or owner is None:
@@ -210,7 +212,7 @@
             is_known = self.known.informed_by_service.get(service) == owner.process
             if is_known and service not in self.known.changed:
                 continue
-            if self.clock.now_ms() < self._retry_at_ms_by_service.get(service, 0):
+            if self.clock.now_ms() < self.retry_at_ms_by_service.get(service, 0):
                 continue
             self.known.changed.discard(service)
             if await self._tell(service, owner.address, owner.process):
@@ -218,7 +220,7 @@
             else:
                 self.known.informed_by_service.pop(service, None)
                 retry_at_ms = self.clock.now_ms() + RETRY_MS
-                self._retry_at_ms_by_service[service] = retry_at_ms
+                self.retry_at_ms_by_service[service] = retry_at_ms
 
     async def _tell(
         self, service: str, address: Address, process: tuple[str, int]
