--- a/tests/test_part_news.py
+++ b/tests/test_part_news.py
@@ -37,11 +37,8 @@
     KnownParts,
     PartNews,
 )
-from wagtailrun.relay.placement.service import (
-    RUN_LIFETIME_MS,
-    PlacementClient,
-    PlacementHost,
-)
+from wagtailrun.relay.placement.placed_attempts import RUN_LIFETIME_MS
+from wagtailrun.relay.placement.service import PlacementClient, PlacementHost
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.table import TargetRow
 from wagtailrun.virtual_time import run_virtual
@@ -416,7 +413,7 @@
             message = PlaceRun(f"r{number}", SERVICE, parts, 4_300, (), (), True)
             await process.client.place(message)
             await clock.sleep_ms(1_000)
-        return len(process.client.attempts_by_key)
+        return len(process.client.attempts)
 
     assert run_virtual(main) <= RUN_LIFETIME_MS // 1_000
 
--- a/wagtailrun/relay/core/placement_messages.py
+++ b/wagtailrun/relay/core/placement_messages.py
@@ -186,9 +186,12 @@
 
     Attributes:
         known: Whether the receiver had placed this attempt.
+        again: Whether the receiver could not use what engines hold yet, and is to be
+            told again later.
     """
 
     known: bool
+    again: bool = False
 
 
 @attrs.frozen
--- a/wagtailrun/relay/placement/__init__.py
+++ b/wagtailrun/relay/placement/__init__.py
@@ -6,5 +6,6 @@
     "continuation",
     "estimate",
     "part_news",
+    "placed_attempts",
     "service",
 ]
--- a/wagtailrun/relay/placement/part_news.py
+++ b/wagtailrun/relay/placement/part_news.py
@@ -245,5 +245,7 @@
             return False
         # An earlier build does not take it, and does not need to be told again.
         if isinstance(reply, RunNoted):
+            if reply.again:
+                return False
             self.known.record_told(service, keys, process)
         return True
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -15,9 +15,7 @@
 from wagtailrun.discovery.owners import Owners, ownership_key
 from wagtailrun.discovery.quarantine import Quarantine, digest_part
 from wagtailrun.exceptions import MessageError, PeerUnreachable
-from wagtailrun.gossip.messages import EntryRow
 from wagtailrun.logs import events
-from wagtailrun.messages import PeerError
 from wagtailrun.ports.link import PeerLink
 from wagtailrun.relay.core.placement_messages import (
     Placed,
@@ -41,6 +39,11 @@
 from wagtailrun.relay.placement.estimate import MarginEstimator
 from wagtailrun.relay.placement.part_cache import MAX_CHAIN
 from wagtailrun.relay.placement.part_news import KnownParts, held_parts
+from wagtailrun.relay.placement.placed_attempts import (
+    RUN_LIFETIME_MS,
+    PlacedAttempt,
+    PlacedAttempts,
+)
 from wagtailrun.targets.attempt_ends import RunOutcome
 from wagtailrun.targets.decisions import DecisionPoint
 from wagtailrun.targets.silence import SilenceWatch
@@ -61,9 +64,6 @@
 MAX_ESTIMATE_MS = 24 * 3_600 * MS_PER_SECOND
 # The owner replies within 1 ms; without a reply the entry chooses an engine itself.
 CALL_TIMEOUT_MS = 150
-# A run whose end is not reported expires after this time; the longest streams take
-# 12 s.
-RUN_LIFETIME_MS = 20_000
 
 
 @attrs.define
@@ -105,23 +105,6 @@
     earlier: int = 0
 
 
-@attrs.frozen
-class _PlacedAttempt:
-    """An attempt of this entry in progress.
-
-    Attributes:
-        owner: Process that placed it, by name and incarnation; None if this one did.
-        row: Its target as known when it was placed; None if it was not known.
-        parts: Names of the parts of its prompt, without the last.
-        placed_ms: When it was placed.
-    """
-
-    owner: tuple[str, int] | None
-    row: TargetRow | None
-    parts: tuple[str, ...]
-    placed_ms: int
-
-
 class PlacementHost:
     """Chooses engines for all entries; the owner's side of placement.
 
@@ -158,9 +141,7 @@
         self.runs_by_key: dict[tuple[str, str], _Run] = {}
         self.margins_by_route: dict[str, MarginEstimator] = {}
 
-    def handle(
-        self, message: PlaceRun | RunOver | RunBroken
-    ) -> Placed | RunNoted | PeerError:
+    def handle(self, message: PlaceRun | RunOver | RunBroken) -> Placed | RunNoted:
         """Return the reply to one message from an entry.
 
         Raises:
@@ -352,7 +333,7 @@
             self.detector.record_break(message)
         return RunNoted(known)
 
-    def _record_end(self, message: RunOver) -> RunNoted | PeerError:
+    def _record_end(self, message: RunOver) -> RunNoted:
         if message.held:
             return self._take_parts(message)
         if not message.target:
@@ -384,15 +365,14 @@
         self.chooser.health.record_outcome(run.row, message.outcome)
         return RunNoted(True)
 
-    def _take_parts(self, message: RunOver) -> RunNoted | PeerError:
+    def _take_parts(self, message: RunOver) -> RunNoted:
         """Take over what another process knows of the parts that engines hold.
 
-        Returns:
-            An error if this process knows no targets yet, so that it is told again.
+        A process that knows no targets yet asks to be told again.
         """
         rows = self.targets(message.service)
         if not rows:
-            return PeerError("no-targets", f"no target of {message.service} is known")
+            return RunNoted(False, again=True)
         taken, ignored = 0, 0
         for row, names in held_parts(message, rows):
             if row is None:
@@ -491,11 +471,11 @@
         self.owners = owners
         self.host = host
         self.report_crashes = report_crashes
-        self.attempts_by_key: dict[tuple[str, str], _PlacedAttempt] = {}
+        self.attempts = PlacedAttempts(owners.clock)
 
     async def handle(
         self, message: PlaceRun | RunOver | RunBroken
-    ) -> Placed | RunNoted | PeerError:
+    ) -> Placed | RunNoted:
         """Return the reply of the host, and report the crashes that it detected.
 
         Raises:
@@ -536,36 +516,17 @@
             # The host answers a request to place with nothing else.
             owner, placed = None, cast(Placed, await self.handle(message))
         if message.begin and placed.target and not placed.part_wait_ms:
-            self._keep_attempt(message, placed.target, owner)
+            self.attempts.add(
+                (message.request_id, placed.target),
+                owner.process if owner is not None else None,
+                self._row(message.service, placed.target),
+                tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
+            )
         return placed
 
-    def _keep_attempt(
-        self, message: PlaceRun, target: str, owner: EntryRow | None
-    ) -> None:
-        """Keep who placed an attempt until its end is reported.
-
-        As at the owner, it expires. No end is reported where the caller leaves while a
-        closed connection is probed.
-        """
-        now_ms = self.host.clock.now_ms()
-        while self.attempts_by_key:
-            key, attempt = next(iter(self.attempts_by_key.items()))
-            if attempt.placed_ms > now_ms - RUN_LIFETIME_MS:
-                break
-            del self.attempts_by_key[key]
-        key = message.request_id, target
-        # At the end, so that the oldest ones come first.
-        self.attempts_by_key.pop(key, None)
-        self.attempts_by_key[key] = _PlacedAttempt(
-            owner.process if owner is not None else None,
-            self._row(message.service, target),
-            tuple(part.name for part in message.parts[:-1][:MAX_CHAIN]),
-            now_ms,
-        )
-
     def placer(self, request_id: str, target: str) -> str:
         """Return the name of the entry that placed an attempt in progress."""
-        attempt = self.attempts_by_key.get((request_id, target))
+        attempt = self.attempts.find((request_id, target))
         owner = attempt.owner if attempt is not None else None
         return owner[0] if owner is not None else self.name
 
@@ -588,7 +549,7 @@
 
     async def report_end(self, message: RunOver) -> None:
         """Report how an attempt ended to the entry that chose its engine."""
-        attempt = self.attempts_by_key.pop((message.request_id, message.target), None)
+        attempt = self.attempts.end((message.request_id, message.target))
         if attempt is None or attempt.owner is None:
             await self.handle(message)
             return
@@ -596,7 +557,7 @@
             self._record_held(message, attempt)
         await curio.spawn(self._send_end, attempt.owner[0], message, daemon=True)
 
-    def _record_held(self, message: RunOver, attempt: _PlacedAttempt) -> None:
+    def _record_held(self, message: RunOver, attempt: PlacedAttempt) -> None:
         """Record the parts of an attempt whose first event has arrived.
 
         An engine that was started again since holds nothing of it.
--- a/wagtailrun/schema/placement.capnp
+++ b/wagtailrun/schema/placement.capnp
@@ -76,7 +76,7 @@
 
 struct EngineParts { target @0 :Text; incarnation @1 :UInt64; parts @2 :List(UInt64); }
 
-struct RunNoted { known @0 :Bool; }
+struct RunNoted { known @0 :Bool; again @1 :Bool; }
 
 struct RequestGrant {
   limit @0 :Discovery.AgedLimit;
