--- a/wagtailrun/relay/placement/__init__.py
+++ b/wagtailrun/relay/placement/__init__.py
@@ -6,6 +6,7 @@
     "continuation",
     "estimate",
     "part_news",
+    "placed_attempts",
     "service",
     "silence_news",
 ]
