Begin the trial of a suspected part only with an attempt

Cause: of the prompts with a part that may crash engines one at a time is tried, from the moment at which its entry asks for an engine. If its caller leaves then, all other prompts with the part are held back for 10 s.

Ruled out: a report of the entry that it gave up, which gets lost with it.

The trial begins with the attempt. A prompt that waited for a part meanwhile is held back as it asks again, if another one is tried by then.

--- a/tests/test_part_placement.py
+++ b/tests/test_part_placement.py
@@ -5,6 +5,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from bench.prompt_parts import (
@@ -14,6 +15,7 @@
     PartPlay,
     mixed_prompts,
 )
+from wagtailrun.discovery.quarantine import digest_part
 from wagtailrun.relay import PromptPart
 from wagtailrun.relay.core.placement_messages import RunOver
 from wagtailrun.relay.placement.part_cache import MAX_PARTS, PartCache
@@ -236,3 +238,29 @@
     assert cache.look_up(parts, 1_050.0)[1] == 30_000
     cache.end("next", ["d"], has_begun=False)
     assert not cache.reading
+
+
+@pytest.mark.parametrize("waits", [False, True])
+def test_prompt_that_is_not_sent_is_no_trial_of_a_suspected_part(waits):
+    """Load: an engine crashed, and a prompt with its part waits, or finds no engine.
+
+    Guards against other prompts with the part that are held back for 10 s, if the
+    caller of the one that was not sent leaves.
+    """
+    play = PartPlay()
+    document, bad = PromptPart("d", 30_000), PromptPart("bad", 100)
+    play.owner.handle(
+        play.message(ModelPrompt(0, (document,), 100), "reads", begin=True)
+    )
+    play.owner.quarantine.record_crash("crashed", [[digest_part("bad")]])
+    first = ModelPrompt(0, (document, bad) if waits else (bad,), 100)
+    message = play.message(first, "leaves", begin=True)
+    if not waits:
+        names = tuple(row.name for row in play.rows())
+        message = attrs.evolve(message, avoid=names)
+    placed = play.owner.handle(message)
+    assert bool(placed.part_wait_ms) == waits
+    second = play.message(ModelPrompt(0, (bad,), 100), "next", begin=True)
+    assert play.owner.handle(second).target
+    third = play.message(ModelPrompt(0, (bad,), 100), "after", begin=True)
+    assert play.owner.handle(third).held_ms
--- a/wagtailrun/relay/placement/service.py
+++ b/wagtailrun/relay/placement/service.py
@@ -219,6 +219,7 @@
         if choice.holder is not None and choice.holder_estimate is not None:
             holder_ms = self._expected_ms(choice.holder, choice.holder_estimate)
         if message.begin and not estimate.part_wait_ms:
+            self._begin_trials(message.request_id, shared)
             self._begin(message, row, parts, estimate, expected_ms)
         estimator = self.margins_by_route.get(message.route)
         margin_ms = estimator.margin_ms if estimator is not None else 0.0
@@ -287,19 +288,25 @@
         unsettled = self.detector.suspects(unsettled=True)
         if message.begin and not unsettled.isdisjoint(parts):
             return Placed("", "", 0, held_ms=TRIAL_RETRY_MS)
-        suspects = {*status.suspects, *pending.intersection(parts)}
+        suspects = status.suspects | pending.intersection(parts)
         for part in suspects:
             trial = self.trials_by_part.get(part)
             if trial is not None and trial.request_id != message.request_id:
                 return Placed("", "", 0, held_ms=TRIAL_RETRY_MS)
         if len(suspects) > 1 and self._may_be_told_apart():
             return Placed("", "", 0, held_ms=TRIAL_RETRY_MS)
-        if message.begin:
-            marked = {part for part in parts if self.quarantine.is_marked(part)}
-            trial = _Trial(message.request_id, self.clock.now_ms())
-            self.trials_by_part.update(dict.fromkeys(suspects | marked, trial))
         return None
 
+    def _begin_trials(self, request_id: str, parts: tuple[str, ...]) -> None:
+        """Record that a prompt which may crash an engine is given to one now."""
+        pending = self.detector.suspects()
+        if not pending and not self.quarantine.evidence_by_key:
+            return
+        suspects = self.quarantine.status(parts).suspects | pending.intersection(parts)
+        marked = {part for part in parts if self.quarantine.is_marked(part)}
+        trial = _Trial(request_id, self.clock.now_ms())
+        self.trials_by_part.update(dict.fromkeys(suspects | marked, trial))
+
     def _may_be_told_apart(self) -> bool:
         """Return whether prompts with only one suspected part may still come."""
         newest_ms = max(self.quarantine.at_ms_by_key.values(), default=0)
