Leaving a data centre that is away takes no token of the retry budget

Cause: in a cut, streams at targets of the other side break together. The first of an entry used up its tokens; the others waited for the end of their connection (4.5 s) and were refused, with room on their own side.

Now a request that may run again needs no token to move if its target is in a data centre that the entry knows to be away, it may be sent now, and a target that it has not tried has fewer requests than places. The budget bounds how often load is repeated where it may be the cause of failures: here nothing can be sent there again, a request makes one such move from each data centre, its attempts stay limited, and what fails next takes a token. Full targets get nothing without one.

Ruled out: moving on the minority's side, where a stream with events may not go on as the entry has not heard of targets lately: it waits as before, since it may outlast a short cut. A larger budget: it is meant for failures of targets.

The room is what the entry knows by itself, from its attempts and from loads in answers of the last 1.5 s. Several entries may choose one target at once.

Conclusion: fixed where the own side has most control members.

--- a/wagtailrun/relay/core/job.py
+++ b/wagtailrun/relay/core/job.py
@@ -46,6 +46,7 @@
         margin_ms: Safety margin of the route on ``expected_ms``.
         work: Its stages, if any.
         results: Results of its stages.
+        target_data_centre: Data centre of the target of the newest attempt.
         tried_targets: Targets that it was sent to, or that refused a connection, in
             order.
         unreached_targets: Those among them that no entry connected to, while one that
@@ -94,6 +95,7 @@
     margin_ms: int = 0
     work: StagedWork | None = None
     results: StageResults = attrs.field(factory=StageResults)
+    target_data_centre: str = ""
     tried_targets: list[str] = attrs.field(factory=list)
     unreached_targets: list[str] = attrs.field(factory=list)
     runs: int = 0
--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -258,7 +258,7 @@
         """Return whether another target can take over a request that was sent."""
         return (
             job.may_run_again
-            and self.budget.has(job.service)
+            and (self.budget.has(job.service) or self.selection.may_leave(job))
             and any(
                 row.name not in job.tried_targets
                 for row in self.selection.usable_targets(job)
@@ -318,6 +318,7 @@
             return self.wire.attempt_headers(request, context)
 
         job.tried_targets.append(row.name)
+        job.target_data_centre = row.data_centre
         job.progress = AnswerProgress.NOTHING
         job.sent_ms = job.carrier = None
         job.attempt_timed_out = job.was_silent = False
@@ -510,6 +511,8 @@
                 reason = RefusalReason.DEADLINE
             return Refusal(reason, Verdict.MAY_HAVE_RUN, job.detail)
         job.paid_for_stages = True
+        if self.selection.may_leave(job):
+            return None
         return self._spend_retry(job)
 
     async def handle_error_answer(
--- a/wagtailrun/relay/requests/target_selection.py
+++ b/wagtailrun/relay/requests/target_selection.py
@@ -95,6 +95,30 @@
         if log.enabled:
             log.record(job.request.request_id, job.service, point, chosen, reason)
 
+    def may_leave(self, job: RelayJob) -> bool:
+        """Return whether a request may move without a token of the retry budget.
+
+        Its target is in a data centre that is away, and another one has room. No target
+        there is used then, so that a request makes one such move from each data centre,
+        and a failure of the next target takes a token.
+        """
+        health, now_ms = self.chooser.health, self.clock.now_ms()
+
+        def has_room(row: TargetRow) -> bool:
+            state = health.state(row)
+            return health.load(state, now_ms) < (state.slots or row.capacity)
+
+        return (
+            job.target_data_centre in self.view.away_data_centres
+            # A stream that cannot go on elsewhere now may outlast a short cut.
+            and self.send_refusal(job) is None
+            and any(
+                has_room(row)
+                for row in self.usable_targets(job)
+                if row.name not in job.tried_targets
+            )
+        )
+
     def may_find_target(self, job: RelayJob) -> bool:
         """Return whether a target may run the next attempt, now or after a pause."""
         refusal = (
