Leave the time at which a request was sent to the attempt that sends it

Cause: the watch for silent targets cleared the time before it started an attempt, so that an attempt that times out before it sets the time was taken for one that was not sent. tests/test_late_attempts.py failed since.

Now the watch takes a time before its own start for that of an earlier attempt.

Before: test_attempt_without_an_answer_ends_at_its_time: not-run in place of may-have-run. After: it passes, as do tests/test_silence_news.py and tests/test_failure_probes.py.

--- a/wagtailrun/relay/requests/attempts.py
+++ b/wagtailrun/relay/requests/attempts.py
@@ -177,7 +177,6 @@
         The attempt ends early only if another target can take over; a target that is
         silent for a moment may still answer.
         """
-        job.sent_ms = None
         task = await curio.spawn(self._read_answer, job, row)
         try:
             await self._watch_silence(job, row, task)
@@ -216,17 +215,22 @@
         if self.silence_news is None or not usual_ms:
             return
         silent_ms = max(SILENCE_FACTOR * usual_ms, MIN_STALL_MS)
-        ends_ms = self.clock.now_ms() + self._attempt_timeout_ms(job)
+        began_ms = self.clock.now_ms()
+        ends_ms = began_ms + self._attempt_timeout_ms(job)
         while not task.terminated:
             now_ms = self.clock.now_ms()
-            silent_at_ms = (now_ms if job.sent_ms is None else job.sent_ms) + silent_ms
+            sent_ms = job.sent_ms
+            if sent_ms is None or sent_ms < began_ms:
+                # Not sent yet; the time may be that of an earlier attempt.
+                sent_ms = now_ms
+            silent_at_ms = sent_ms + silent_ms
             if silent_at_ms >= ends_ms:
                 return
             if silent_at_ms > now_ms:
                 await wait_for_end(task, silent_at_ms - now_ms)
                 continue
             if self._is_target_silent(job, row):
-                await self.silence_news.tell(row, cast(int, job.sent_ms))
+                await self.silence_news.tell(row, sent_ms)
             return
 
     def _is_target_silent(self, job: RelayJob, row: TargetRow) -> bool:
