--- a/tests/test_next_target.py
+++ b/tests/test_next_target.py
@@ -10,6 +10,7 @@
 from wagtailrun.ports.link import Address
 from wagtailrun.relay import PromptPart, RelayRequest
 from wagtailrun.relay.core.placement_messages import Placed
+from wagtailrun.relay.limits.return_line import ReturnLine
 from wagtailrun.relay.placement.choice import TargetChooser
 from wagtailrun.relay.requests.attempts import RelayAttempts
 from wagtailrun.relay.requests.target_selection import MAX_PART_WAIT_MS
@@ -26,10 +27,18 @@
 
 
 class EndingPause:
-    """Pause of the targets that ends after ``asked`` questions, for good."""
+    """Pause of the targets that ends after ``asked`` questions, for good.
 
-    def __init__(self, asked):
+    They may be ``brittle``: requests then wait in a line.
+    """
+
+    def __init__(self, asked, brittle=False):
         self.asked = asked
+        self.brittle = brittle
+        self.line = ReturnLine()
+
+    def is_brittle(self, row):
+        return self.brittle
 
     def paused_ms(self, address, urgency):
         self.asked -= 1
@@ -38,7 +47,8 @@
 
 @pytest.mark.parametrize("asked", range(8))
 @pytest.mark.parametrize("tried", [[], ["t1"]])
-def test_request_is_sent_if_a_pause_ends_while_it_is_asked_for(asked, tried):
+@pytest.mark.parametrize("brittle", [False, True])
+def test_request_is_sent_if_a_pause_ends_while_it_is_asked_for(asked, tried, brittle):
     """Guards against a refusal because a pause ended within the choice of a target.
 
     A target that denies a request for 1 ms may be free again before the request has
@@ -56,7 +66,7 @@
             chooser,
             None,
             RetryBudget(),
-            EndingPause(asked),
+            EndingPause(asked, brittle),
         )
         request = job(clock, route=route(RouteKind.IDEMPOTENT), work=None)
         request.tried_targets.extend(tried)
